--- /dev/null
+++ b/crates/cli/src/commands/get.rs
@@ -0,0 +1,63 @@
+//! `courseshunt get` and `courseshunt status`: read pages of a controller.
+
+use super::{block_on, parse};
+use crate::error::CommandError;
+use courseshunt_operator::AdminClient;
+
+/// Environment variable with the operator's token.
+const TOKEN_VARIABLE: &str = "COURSESHUNT_TOKEN";
+const DEFAULT_CONTROLLER: &str = "127.0.0.1:7100";
+
+/// Options that name a controller and a token.
+pub fn connection_options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    options.optopt(
+        "",
+        "controller",
+        "address of a controller's operators' API [default: 127.0.0.1:7100]",
+        "ADDRESS",
+    );
+    options.optopt(
+        "",
+        "token-file",
+        "file with the operator's token [default: the variable COURSESHUNT_TOKEN]",
+        "FILE",
+    );
+    options
+}
+
+/// The client that the options name.
+pub fn client(matches: &getopts::Matches) -> Result<AdminClient, CommandError> {
+    let address = matches.opt_str("controller");
+    let address = address.unwrap_or_else(|| DEFAULT_CONTROLLER.to_owned());
+    let token = match matches.opt_str("token-file") {
+        Some(file) => std::fs::read_to_string(&file)
+            .map_err(|error| CommandError::usage(format!("{file}: can't be read: {error}")))?,
+        None => std::env::var(TOKEN_VARIABLE).unwrap_or_default(),
+    };
+    Ok(AdminClient::new(address, token.trim()))
+}
+
+pub fn deployments_help() -> String {
+    connection_options().usage("Usage: courseshunt get [OPTIONS]")
+}
+
+pub fn status_help() -> String {
+    connection_options().usage("Usage: courseshunt status [OPTIONS]")
+}
+
+pub fn deployments(arguments: &[String]) -> Result<(), CommandError> {
+    show(arguments, "/admin/v1/deployments")
+}
+
+pub fn status(arguments: &[String]) -> Result<(), CommandError> {
+    show(arguments, "/admin/v1/status")
+}
+
+fn show(arguments: &[String], path: &str) -> Result<(), CommandError> {
+    let matches = parse(&connection_options(), arguments)?;
+    let client = client(&matches)?;
+    let page = block_on(async { Ok(client.get(path).await?) })?;
+    println!("{page:#}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,119 @@
+//! Subcommands.
+
+mod apply;
+mod check;
+mod get;
+mod render;
+mod serve;
+
+use crate::error::CommandError;
+
+/// One subcommand.
+pub struct Subcommand {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub summary: &'static str,
+    run: fn(&[String]) -> Result<(), CommandError>,
+    help: fn() -> String,
+}
+
+/// All subcommands, in the order of the help text.
+pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "controller",
+        summary: "run a member of the control group",
+        run: serve::controller,
+        help: serve::controller_help,
+    },
+    Subcommand {
+        name: "router",
+        summary: "run a request router",
+        run: serve::router,
+        help: serve::router_help,
+    },
+    Subcommand {
+        name: "render",
+        summary: "render a template with a tenant's parameters",
+        run: render::run,
+        help: render::help,
+    },
+    Subcommand {
+        name: "apply",
+        summary: "send rendered documents to the controllers",
+        run: apply::run,
+        help: apply::help,
+    },
+    Subcommand {
+        name: "get",
+        summary: "show the deployments in force",
+        run: get::deployments,
+        help: get::deployments_help,
+    },
+    Subcommand {
+        name: "status",
+        summary: "show the control group, routers and replicas",
+        run: get::status,
+        help: get::status_help,
+    },
+    Subcommand {
+        name: "check",
+        summary: "check a settings file or rendered documents",
+        run: check::run,
+        help: check::help,
+    },
+];
+
+/// Runs the subcommand that `arguments` name.
+///
+/// # Errors
+/// The subcommand's error.
+pub fn run(arguments: &[String]) -> Result<(), CommandError> {
+    let Some((name, rest)) = arguments.split_first() else {
+        return Err(CommandError::usage(format!(
+            "no subcommand\n\n{}",
+            overview()
+        )));
+    };
+    if matches!(name.as_str(), "--help" | "-h" | "help") {
+        println!("{}", overview());
+        return Ok(());
+    }
+    let Some(subcommand) = SUBCOMMANDS.iter().find(|one| one.name == name) else {
+        let problem = format!("unknown subcommand `{name}`\n\n{}", overview());
+        return Err(CommandError::usage(problem));
+    };
+    if rest.iter().any(|one| one == "--help" || one == "-h") {
+        println!("{}", (subcommand.help)());
+        return Ok(());
+    }
+    (subcommand.run)(rest)
+}
+
+/// The overview of all subcommands.
+#[must_use]
+pub fn overview() -> String {
+    let mut text = "Usage: courseshunt SUBCOMMAND [OPTIONS]\n\nSubcommands:\n".to_owned();
+    for subcommand in SUBCOMMANDS {
+        text.push_str(&format!(
+            "  {:<12}{}\n",
+            subcommand.name, subcommand.summary
+        ));
+    }
+    text.push_str("\n`courseshunt SUBCOMMAND --help` shows the options of one.");
+    text
+}
+
+/// Parses flags, with the error of the command line.
+fn parse(
+    options: &getopts::Options,
+    arguments: &[String],
+) -> Result<getopts::Matches, CommandError> {
+    let parsed = options.parse(arguments);
+    parsed.map_err(|error| CommandError::usage(error.to_string()))
+}
+
+/// Runs asynchronous work to its end.
+fn block_on<T>(work: impl Future<Output = Result<T, CommandError>>) -> Result<T, CommandError> {
+    tokio::runtime::Runtime::new()?.block_on(work)
+}
--- /dev/null
+++ b/crates/cli/tests/usage.rs
@@ -0,0 +1,35 @@
+//! Contract of the command line: help for each subcommand, faults with exit code 2.
+
+use courseshunt_cli::commands::{SUBCOMMANDS, overview, run};
+
+fn arguments(list: &[&str]) -> Vec<String> {
+    list.iter().map(|one| (*one).to_owned()).collect()
+}
+
+#[test]
+fn each_subcommand_has_help() {
+    for subcommand in SUBCOMMANDS {
+        run(&arguments(&[subcommand.name, "--help"])).unwrap();
+    }
+}
+
+#[test]
+fn the_overview_names_all_subcommands() {
+    insta::assert_snapshot!(overview());
+}
+
+#[test]
+fn faults_are_named() {
+    let cases = [
+        (vec![], "no subcommand"),
+        (vec!["fly"], "unknown subcommand `fly`"),
+        (vec!["router", "--nonsense"], "nonsense"),
+        (vec!["check"], "no file to check"),
+        (vec!["check", "/nonexistent"], "/nonexistent: can't be read"),
+        (vec!["check", "--as", "tea", "x"], "--as is `tea`"),
+    ];
+    for (list, expected) in cases {
+        let error = run(&arguments(&list)).unwrap_err();
+        assert!(error.to_string().contains(expected), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,58 @@
+//! Bodies: whole, empty, or sent piece by piece.
+
+use crate::error::HttpError;
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
+use std::io;
+
+/// Any body that we send.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+/// The sending half of a body that is sent piece by piece. Dropping it ends the
+/// body; [`Sender::abort`] breaks it off, which the receiver sees as an error.
+pub type BodySender = Sender<Bytes, io::Error>;
+
+/// Pieces that may wait in a body.
+const CHANNEL_PIECES: usize = 16;
+
+/// A body without content.
+#[must_use]
+pub fn empty_body() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A whole body.
+#[must_use]
+pub fn full_body(content: impl Into<Bytes>) -> Body {
+    let body = Full::new(content.into());
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body that is sent piece by piece.
+#[must_use]
+pub fn channel_body() -> (BodySender, Body) {
+    let (sender, channel) = Channel::new(CHANNEL_PIECES);
+    (sender, channel.boxed_unsync())
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+/// When the body is longer or breaks off.
+pub async fn read_limited<B>(body: B, limit_bytes: usize, peer: &str) -> Result<Bytes, HttpError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collected = Limited::new(body, limit_bytes).collect().await;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(HttpError::TooLarge { limit_bytes }),
+        Err(error) => Err(HttpError::Broken {
+            step: "read the body",
+            peer: peer.to_owned(),
+            problem: error.to_string(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,132 @@
+//! A pooled HTTP/1.1 client.
+
+use crate::body::{Body, empty_body, full_body, read_limited};
+use crate::error::HttpError;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use std::time::Duration;
+
+/// Longest time for a TCP connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest JSON reply, in bytes.
+const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
+
+/// See the module.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Body>,
+}
+
+/// A whole reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.retry_canceled_requests(false);
+        let client = builder.build(connector);
+        Self { client }
+    }
+}
+
+impl HttpClient {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// [`HttpError::Connect`] when nothing was sent, else [`HttpError::Broken`].
+    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
+        let peer = request.uri().authority().map(ToString::to_string);
+        let peer = peer.unwrap_or_default();
+        let sent = self.client.request(request).await;
+        sent.map_err(|error| {
+            let problem = describe(&error);
+            if error.is_connect() {
+                return HttpError::Connect { peer, problem };
+            }
+            let step = "send a request";
+            HttpError::Broken {
+                step,
+                peer,
+                problem,
+            }
+        })
+    }
+
+    /// Sends JSON (or nothing) and reads the whole reply within `limit`.
+    ///
+    /// # Errors
+    /// When the exchange fails or takes longer.
+    pub async fn call<T: Serialize>(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        token: Option<&str>,
+        content: Option<&T>,
+        limit: Duration,
+    ) -> Result<Reply, HttpError> {
+        let request = build(method, address, path, token, content);
+        let request = request.map_err(|error| HttpError::Connect {
+            peer: address.to_owned(),
+            problem: error.to_string(),
+        })?;
+        let exchange = async {
+            let response = self.send(request).await?;
+            let status = response.status();
+            let body = read_limited(response.into_body(), MAX_REPLY_BYTES, address).await?;
+            Ok(Reply { status, body })
+        };
+        let finished = tokio::time::timeout(limit, exchange).await;
+        finished.unwrap_or(Err(HttpError::TimedOut {
+            step: "call",
+            peer: address.to_owned(),
+        }))
+    }
+}
+
+fn build<T: Serialize>(
+    method: Method,
+    address: &str,
+    path: &str,
+    token: Option<&str>,
+    content: Option<&T>,
+) -> Result<Request<Body>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    if let Some(token) = token {
+        request = request.header(AUTHORIZATION, format!("Bearer {token}"));
+    }
+    let Some(content) = content else {
+        return request.body(empty_body());
+    };
+    let content = serde_json::to_vec(content).unwrap_or_default();
+    let request = request.header(CONTENT_TYPE, "application/json");
+    request.body(full_body(content))
+}
+
+fn describe(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,13 @@
+//! Shared HTTP server and client helpers on `hyper`.
+
+mod body;
+mod client;
+mod error;
+mod response;
+mod server;
+
+pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_limited};
+pub use client::{HttpClient, Reply};
+pub use error::HttpError;
+pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
+pub use server::{ServerLimits, serve};
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,121 @@
+//! An HTTP/1.1 server with limits and a planned stop.
+
+use crate::body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Connections at the most; more wait to be accepted.
+    pub max_connections: usize,
+    /// Longest time from a request's first byte to the end of its headers.
+    pub header_timeout: Duration,
+    /// Longest headers, in bytes.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 10_000,
+            header_timeout: Duration::from_secs(10),
+            max_header_bytes: 32 * 1024,
+        }
+    }
+}
+
+/// Pause after an accept error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves until `stop` is cancelled, then lets running requests finish.
+pub async fn serve<F, R>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let slots = Arc::new(Semaphore::new(limits.max_connections));
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = accept(&listener, &slots) => accepted,
+        };
+        let Some((stream, peer, slot)) = accepted else {
+            continue;
+        };
+        let handler = handler.clone();
+        let stop = stop.clone();
+        connections.spawn(async move {
+            serve_connection(stream, peer, limits, stop, handler).await;
+            drop(slot);
+        });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+type Slot = tokio::sync::OwnedSemaphorePermit;
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, Slot)> {
+    let slot = slots.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, peer)) => Some((stream, peer, slot)),
+        Err(error) => {
+            log::warn!("http: accept failed: {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    stop: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("http: connection of {peer} ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/commands/mod.rs
@@ -0,0 +1,64 @@
+//! Subcommands of the laboratory.
+
+mod demo;
+
+use crate::error::LabError;
+
+/// One subcommand.
+pub struct Subcommand {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub summary: &'static str,
+    run: fn(&[String]) -> Result<(), LabError>,
+    help: fn() -> String,
+}
+
+/// All subcommands, in the order of the help text.
+pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
+    name: "demo",
+    summary: "a small site in one process: cold models, a burst, a once-only command",
+    run: demo::run,
+    help: demo::help,
+}];
+
+/// Runs the subcommand that `arguments` name.
+///
+/// # Errors
+/// The subcommand's error.
+pub fn run(arguments: &[String]) -> Result<(), LabError> {
+    let Some((name, rest)) = arguments.split_first() else {
+        return Err(LabError::usage(format!("no subcommand\n\n{}", overview())));
+    };
+    if matches!(name.as_str(), "--help" | "-h" | "help") {
+        println!("{}", overview());
+        return Ok(());
+    }
+    let Some(subcommand) = SUBCOMMANDS.iter().find(|one| one.name == name) else {
+        let problem = format!("unknown subcommand `{name}`\n\n{}", overview());
+        return Err(LabError::usage(problem));
+    };
+    if rest.iter().any(|one| one == "--help" || one == "-h") {
+        println!("{}", (subcommand.help)());
+        return Ok(());
+    }
+    (subcommand.run)(rest)
+}
+
+/// The overview of all subcommands.
+#[must_use]
+pub fn overview() -> String {
+    let mut text = "Usage: courseshunt-lab SUBCOMMAND [OPTIONS]\n\nSubcommands:\n".to_owned();
+    for subcommand in SUBCOMMANDS {
+        text.push_str(&format!(
+            "  {:<12}{}\n",
+            subcommand.name, subcommand.summary
+        ));
+    }
+    text
+}
+
+/// Runs asynchronous work to its end.
+fn block_on<T>(work: impl Future<Output = Result<T, LabError>>) -> Result<T, LabError> {
+    tokio::runtime::Runtime::new()?.block_on(work)
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! The laboratory: demo, fleet, simulation, load, capacity and reports.
+
+pub mod commands;
+pub mod demo;
+pub mod error;
+pub mod site;
+
+pub use error::LabError;
--- /dev/null
+++ b/crates/placement/src/policies/mod.rs
@@ -0,0 +1,19 @@
+//! Placement policies.
+
+mod load_on_demand;
+
+pub use load_on_demand::LoadOnDemand;
+
+use crate::policy::PlacementPolicy;
+
+/// Names of all policies, for settings and help texts.
+pub const POLICY_NAMES: [&str; 1] = ["load-on-demand"];
+
+/// The policy of that name.
+#[must_use]
+pub fn policy_by_name(name: &str) -> Option<Box<dyn PlacementPolicy>> {
+    match name {
+        "load-on-demand" => Some(Box::new(LoadOnDemand)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,24 @@
+//! Pure waiting queues, tickets and grants.
+//!
+//! One [`WaitingQueue`] serves one deployment at its owner. It knows no
+//! transport and no clock; the router and the simulator drive it alike.
+//!
+//! Invariant: a ticket that was taken in leaves in exactly one way: granted,
+//! cancelled, or refused.
+
+#![allow(
+    missing_docs,
+    reason = "the fields of the archived enums that rkyv derives carry no docs"
+)]
+
+pub mod demand;
+pub mod ownership;
+pub mod slots;
+pub mod ticket;
+pub mod waiting;
+
+pub use demand::{DemandReport, WaitingByClass};
+pub use ownership::{QueueKey, owner_of};
+pub use slots::{ReplicaSlots, SlotTable};
+pub use ticket::{Grant, GrantId, Ticket, TicketRefusal};
+pub use waiting::{QueueLimits, WaitingQueue};
--- /dev/null
+++ b/crates/queue/src/slots.rs
@@ -0,0 +1,123 @@
+//! Slots of the replicas that a queue may use.
+//!
+//! Invariant: no more grants are out for a replica than it has slots. A grant
+//! that is neither started nor returned in time gives its slot back.
+
+use crate::ticket::GrantId;
+use courseshunt_types::{RunnerId, Timestamp};
+use std::collections::BTreeMap;
+
+/// Slots of one replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaSlots {
+    /// Runner that holds the replica.
+    pub runner: RunnerId,
+    /// Requests that it runs together.
+    pub slots: u32,
+    /// Slots taken.
+    pub in_use: u32,
+}
+
+/// Use of one slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct SlotUse {
+    runner: RunnerId,
+    /// Ends here unless the holder confirms the start.
+    expires: Option<Timestamp>,
+}
+
+/// Slots of all replicas of one deployment.
+#[derive(Debug, Clone, Default)]
+pub struct SlotTable {
+    replicas: BTreeMap<RunnerId, ReplicaSlots>,
+    uses: BTreeMap<GrantId, SlotUse>,
+    last_grant: u64,
+}
+
+impl SlotTable {
+    /// Sets the replicas that serve now. Uses of others stay until they end.
+    pub fn set_replicas(&mut self, replicas: impl IntoIterator<Item = (RunnerId, u32)>) {
+        self.replicas = replicas
+            .into_iter()
+            .map(|(runner, slots)| {
+                let in_use = self
+                    .uses
+                    .values()
+                    .filter(|one| one.runner == runner)
+                    .count();
+                let in_use = u32::try_from(in_use).unwrap_or(u32::MAX);
+                let entry = ReplicaSlots {
+                    runner: runner.clone(),
+                    slots,
+                    in_use,
+                };
+                (runner, entry)
+            })
+            .collect();
+    }
+
+    /// The replicas.
+    pub fn replicas(&self) -> impl Iterator<Item = &ReplicaSlots> {
+        self.replicas.values()
+    }
+
+    /// Grants that are out.
+    #[must_use]
+    pub fn in_use(&self) -> u32 {
+        u32::try_from(self.uses.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The replica with the most free slots, runners in `avoid` last.
+    #[must_use]
+    pub fn freest(&self, avoid: &[RunnerId]) -> Option<RunnerId> {
+        let free = self.replicas.values().filter(|one| one.in_use < one.slots);
+        let best = free.max_by_key(|one| (!avoid.contains(&one.runner), one.slots - one.in_use));
+        best.map(|one| one.runner.clone())
+    }
+
+    /// Takes a slot on `runner` until `expires`.
+    pub fn take(&mut self, runner: &RunnerId, expires: Timestamp) -> GrantId {
+        self.last_grant += 1;
+        let grant = GrantId(self.last_grant);
+        let one = SlotUse {
+            runner: runner.clone(),
+            expires: Some(expires),
+        };
+        self.uses.insert(grant, one);
+        if let Some(replica) = self.replicas.get_mut(runner) {
+            replica.in_use += 1;
+        }
+        grant
+    }
+
+    /// Notes that a granted request has started; its slot no longer expires.
+    pub fn started(&mut self, grant: GrantId) {
+        if let Some(one) = self.uses.get_mut(&grant) {
+            one.expires = None;
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, grant: GrantId) {
+        let Some(one) = self.uses.remove(&grant) else {
+            return;
+        };
+        if let Some(replica) = self.replicas.get_mut(&one.runner) {
+            replica.in_use = replica.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Gives back the slots of grants that were not started in time.
+    pub fn expire(&mut self, now: Timestamp) {
+        let late = |one: &SlotUse| one.expires.is_some_and(|expires| expires <= now);
+        let late: Vec<GrantId> = self
+            .uses
+            .iter()
+            .filter(|(_, one)| late(one))
+            .map(|(grant, _)| *grant)
+            .collect();
+        for grant in late {
+            self.release(grant);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/mod.rs
@@ -0,0 +1,102 @@
+//! The callers' API: OpenAI-style completions, models, health pages.
+
+mod complete;
+mod request;
+
+pub use request::{CallerRequest, RepeatRule};
+
+use crate::RouterContext;
+use courseshunt_http::{
+    Body, bearer_token, json_response, read_limited, refusal_response, text_response,
+};
+use courseshunt_types::{Refusal, RefusalReason, TenantName};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// The handler for [`courseshunt_http::serve`].
+pub fn handler(
+    context: RouterContext,
+) -> impl Fn(Request<Incoming>, SocketAddr) -> ResponseFuture + Clone + Send + Sync + 'static {
+    move |request, _| {
+        let context = context.clone();
+        Box::pin(async move { answer(request, &context).await })
+    }
+}
+
+async fn answer(request: Request<Incoming>, context: &RouterContext) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let answered = match (request.method(), path.as_str()) {
+        (&Method::GET, "/healthz") => Ok(text_response(StatusCode::OK, "ok\n")),
+        (&Method::GET, "/readyz") => Ok(ready(context)),
+        (&Method::GET, "/v1/models") => models(&request, context),
+        (&Method::POST, "/v1/chat/completions") => {
+            completion(request, context, "/v1/chat/completions").await
+        }
+        (&Method::POST, "/v1/completions") => completion(request, context, "/v1/completions").await,
+        _ => {
+            let message = format!("there is no {path} here");
+            Err(Refusal::not_run(RefusalReason::UnknownModel, message))
+        }
+    };
+    answered.unwrap_or_else(|refusal| refusal_response(&refusal))
+}
+
+fn ready(context: &RouterContext) -> Response<Body> {
+    if context.stop.is_cancelled() {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    }
+    match context.view.is_synced() {
+        true => text_response(StatusCode::OK, "ready\n"),
+        false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not synced\n"),
+    }
+}
+
+fn authenticate(headers: &HeaderMap, context: &RouterContext) -> Result<TenantName, Refusal> {
+    if !context.view.is_synced() {
+        let message = "this router has no confirmed configuration yet";
+        return Err(Refusal::not_run(RefusalReason::ShuttingDown, message));
+    }
+    let tenant = bearer_token(headers).and_then(|token| context.view.tenant_of(token));
+    tenant.ok_or_else(|| {
+        let message = "the bearer token is missing or unknown";
+        Refusal::not_run(RefusalReason::Unauthorized, message)
+    })
+}
+
+fn models(request: &Request<Incoming>, context: &RouterContext) -> Result<Response<Body>, Refusal> {
+    let tenant = authenticate(request.headers(), context)?;
+    let documents = context.view.deployments();
+    let visible = documents
+        .iter()
+        .filter(|one| request::may_use(one, &tenant));
+    let data =
+        visible.map(|one| json!({"id": one.name, "object": "model", "owned_by": one.tenant}));
+    let content = json!({"object": "list", "data": data.collect::<Vec<_>>()});
+    Ok(json_response(StatusCode::OK, &content))
+}
+
+async fn completion(
+    request: Request<Incoming>,
+    context: &RouterContext,
+    path: &'static str,
+) -> Result<Response<Body>, Refusal> {
+    let tenant = authenticate(request.headers(), context)?;
+    let (head, body) = request.into_parts();
+    let limit = context.settings.max_body_bytes;
+    let body = read_limited(body, limit, "caller").await;
+    let body = body.map_err(|error| {
+        let reason = match error {
+            courseshunt_http::HttpError::TooLarge { .. } => RefusalReason::TooLarge,
+            _ => RefusalReason::InvalidRequest,
+        };
+        Refusal::not_run(reason, error.to_string())
+    })?;
+    let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
+    complete::run(context, parsed).await
+}
--- /dev/null
+++ b/crates/router/src/caller/request.rs
@@ -0,0 +1,217 @@
+//! Reads and checks a caller's request.
+
+use crate::configuration::ConfigurationView;
+use bytes::Bytes;
+use courseshunt_types::{
+    AdapterName, DeploymentDocument, DeploymentName, Digest, IdempotencyKey, Millis, PriorityClass,
+    Refusal, RefusalReason, RequestId, TenantName,
+};
+use hyper::header::HeaderMap;
+use serde_json::Value;
+use std::sync::Arc;
+
+/// Header with the class: `critical`, `interactive` or `batch`.
+pub const CLASS_HEADER: &str = "x-courseshunt-class";
+/// Header with the deadline, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "x-courseshunt-deadline-ms";
+/// Header that says whether the request may be repeated: `any` or `never`.
+pub const REPEAT_HEADER: &str = "x-courseshunt-repeat";
+/// Header with the key of a request that must run at most once.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+/// Bytes of text that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Tokens assumed when the request names none.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// It may.
+    Any,
+    /// At most once, under this key.
+    Never(IdempotencyKey),
+}
+
+/// A checked request.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Identity, drawn here.
+    pub request: RequestId,
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Document of the deployment, as in force at the arrival.
+    pub document: Arc<DeploymentDocument>,
+    /// The adapter, if one is named.
+    pub adapter: Option<AdapterName>,
+    /// Class.
+    pub class: PriorityClass,
+    /// Time until the deadline, at the arrival.
+    pub deadline_in: Millis,
+    /// Whether it may be repeated.
+    pub repeat: RepeatRule,
+    /// Digest of the body.
+    pub digest: Digest,
+    /// Estimated length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Tokens to generate at the most.
+    pub max_tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Path at the runner.
+    pub path: &'static str,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Whether a tenant may call a deployment.
+#[must_use]
+pub fn may_use(document: &DeploymentDocument, tenant: &TenantName) -> bool {
+    document.tenant == *tenant || document.shared_with.contains(tenant)
+}
+
+impl CallerRequest {
+    /// Reads headers and body.
+    ///
+    /// # Errors
+    /// The refusal for the caller; nothing ran.
+    pub fn parse(
+        headers: &HeaderMap,
+        body: Bytes,
+        tenant: TenantName,
+        path: &'static str,
+        view: &ConfigurationView,
+    ) -> Result<Self, Refusal> {
+        let content: Value = serde_json::from_slice(&body)
+            .map_err(|error| invalid(format!("the body is no JSON: {error}")))?;
+        let model = content.get("model").and_then(Value::as_str);
+        let model = model.ok_or_else(|| invalid("`model` must be a string"))?;
+        if content.get("messages").is_none() && content.get("prompt").is_none() {
+            return Err(invalid("`messages` or `prompt` must be given"));
+        }
+        let (document, adapter) = find_model(model, &tenant, view)?;
+        let class = class(headers)?;
+        let deadline_in = deadline(headers, &document, class)?;
+        let max_tokens = max_tokens(&content)?;
+        let prompt_tokens = u32::try_from(body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
+        Ok(Self {
+            request: RequestId(format!("req-{:032x}", rand::random::<u128>())),
+            tenant,
+            document,
+            adapter,
+            class,
+            deadline_in,
+            repeat: repeat(headers)?,
+            digest: Digest::of(&body),
+            prompt_tokens,
+            max_tokens,
+            stream: content
+                .get("stream")
+                .and_then(Value::as_bool)
+                .unwrap_or(false),
+            path,
+            body,
+        })
+    }
+}
+
+fn invalid(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(RefusalReason::InvalidRequest, message)
+}
+
+fn find_model(
+    model: &str,
+    tenant: &TenantName,
+    view: &ConfigurationView,
+) -> Result<(Arc<DeploymentDocument>, Option<AdapterName>), Refusal> {
+    let unknown = || {
+        let message = format!("there is no model `{model}`");
+        Refusal::not_run(RefusalReason::UnknownModel, message)
+    };
+    let (name, adapter) = match model.split_once(':') {
+        Some((name, adapter)) => (name, Some(AdapterName::from(adapter))),
+        None => (model, None),
+    };
+    let document = view
+        .deployment(&DeploymentName::from(name))
+        .ok_or_else(unknown)?;
+    if !may_use(&document, tenant) {
+        return Err(unknown());
+    }
+    let known = |adapter: &AdapterName| document.adapters.iter().any(|one| one.name == *adapter);
+    if adapter.as_ref().is_some_and(|adapter| !known(adapter)) {
+        return Err(unknown());
+    }
+    Ok((document, adapter))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| invalid(format!("header {name} is no plain text")))?;
+    Ok(Some(text.trim()))
+}
+
+fn class(headers: &HeaderMap) -> Result<PriorityClass, Refusal> {
+    let Some(text) = text(headers, CLASS_HEADER)? else {
+        return Ok(PriorityClass::default());
+    };
+    PriorityClass::parse(text).ok_or_else(|| {
+        invalid(format!(
+            "{CLASS_HEADER} is `{text}`; allowed: critical, interactive, batch"
+        ))
+    })
+}
+
+fn deadline(
+    headers: &HeaderMap,
+    document: &DeploymentDocument,
+    class: PriorityClass,
+) -> Result<Millis, Refusal> {
+    let Some(text) = text(headers, DEADLINE_HEADER)? else {
+        return Ok(document.limits.of(class).deadline_ms);
+    };
+    let millis = text.parse::<u64>().map_err(|_| {
+        invalid(format!(
+            "{DEADLINE_HEADER} is `{text}`; allowed: milliseconds from now"
+        ))
+    })?;
+    Ok(Millis(millis))
+}
+
+fn repeat(headers: &HeaderMap) -> Result<RepeatRule, Refusal> {
+    let key = text(headers, KEY_HEADER)?;
+    if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+        return Err(invalid(format!(
+            "{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes"
+        )));
+    }
+    match text(headers, REPEAT_HEADER)? {
+        None | Some("any") => Ok(key.map_or(RepeatRule::Any, |key| RepeatRule::Never(key.into()))),
+        Some("never") => {
+            let key = key.ok_or_else(|| {
+                invalid(format!(
+                    "{REPEAT_HEADER}: never needs the header {KEY_HEADER}"
+                ))
+            })?;
+            Ok(RepeatRule::Never(key.into()))
+        }
+        Some(other) => {
+            let problem = format!("{REPEAT_HEADER} is `{other}`; allowed: any, never");
+            Err(invalid(problem))
+        }
+    }
+}
+
+fn max_tokens(content: &Value) -> Result<u32, Refusal> {
+    let Some(value) = content.get("max_tokens") else {
+        return Ok(DEFAULT_MAX_TOKENS as u32);
+    };
+    let number = value.as_u64().filter(|number| *number > 0);
+    let number = number.and_then(|number| u32::try_from(number).ok());
+    number.ok_or_else(|| invalid("`max_tokens` must be a whole number, 1 or more"))
+}
--- /dev/null
+++ b/crates/router/src/configuration.rs
@@ -0,0 +1,156 @@
+//! What the feed has told: configuration, replicas, runners and routers.
+//!
+//! Invariant: the revision in force never goes down within a process's life.
+
+use courseshunt_state::TenantDocument;
+use courseshunt_types::{
+    DeploymentDocument, DeploymentName, Digest, LogIndex, Revision, RunnerId, TenantName, Timestamp,
+};
+use courseshunt_wire::message::{
+    ConfigurationUpdate, DeploymentReplicas, FleetUpdate, PlacementUpdate, RouterEndpoint,
+    RunnerEndpoint,
+};
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct ConfigurationView {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: Revision,
+    deployments: BTreeMap<DeploymentName, Arc<DeploymentDocument>>,
+    tenants: BTreeMap<Digest, TenantName>,
+    placement: LogIndex,
+    runners: BTreeMap<RunnerId, RunnerEndpoint>,
+    replicas: BTreeMap<DeploymentName, DeploymentReplicas>,
+    routers: Vec<RouterEndpoint>,
+    confirmed_at: Option<Timestamp>,
+}
+
+impl ConfigurationView {
+    fn read(&self) -> RwLockReadGuard<'_, Inner> {
+        self.inner.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, Inner> {
+        self.inner.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an update in, unless it is older than what is in force. Returns
+    /// the revision in force.
+    pub fn apply_configuration(&self, update: ConfigurationUpdate) -> Revision {
+        let mut inner = self.write();
+        if update.revision < inner.revision {
+            log::warn!("router: an older revision {} was ignored", update.revision);
+            return inner.revision;
+        }
+        if update.full {
+            inner.deployments.clear();
+        }
+        for name in &update.removed {
+            inner.deployments.remove(name);
+        }
+        for stored in update.deployments {
+            let document = Arc::new(stored.document);
+            inner.deployments.insert(document.name.clone(), document);
+        }
+        if let Some(tenants) = update.tenants {
+            inner.tenants = tokens(&tenants);
+        }
+        if !update.more {
+            inner.revision = update.revision;
+        }
+        inner.revision
+    }
+
+    /// Takes replicas and runners in, unless they are older.
+    pub fn apply_placement(&self, update: PlacementUpdate) {
+        let mut inner = self.write();
+        if update.sequence < inner.placement {
+            return;
+        }
+        inner.placement = update.sequence;
+        if update.full {
+            inner.runners.clear();
+            inner.replicas.clear();
+        }
+        for runner in update.runners {
+            inner.runners.insert(runner.runner.clone(), runner);
+        }
+        for replicas in update.deployments {
+            inner.replicas.insert(replicas.deployment.clone(), replicas);
+        }
+    }
+
+    /// Takes the live routers in.
+    pub fn apply_fleet(&self, update: FleetUpdate) {
+        self.write().routers = update.routers;
+    }
+
+    /// Notes that the feed was confirmed.
+    pub fn confirm(&self, at: Timestamp) {
+        self.write().confirmed_at = Some(at);
+    }
+
+    /// Whether a confirmed configuration is in force.
+    #[must_use]
+    pub fn is_synced(&self) -> bool {
+        let inner = self.read();
+        inner.confirmed_at.is_some()
+    }
+
+    /// The revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.read().revision
+    }
+
+    /// The document of a deployment.
+    #[must_use]
+    pub fn deployment(&self, name: &DeploymentName) -> Option<Arc<DeploymentDocument>> {
+        self.read().deployments.get(name).cloned()
+    }
+
+    /// All documents.
+    #[must_use]
+    pub fn deployments(&self) -> Vec<Arc<DeploymentDocument>> {
+        self.read().deployments.values().cloned().collect()
+    }
+
+    /// The tenant that a bearer token belongs to.
+    #[must_use]
+    pub fn tenant_of(&self, token: &str) -> Option<TenantName> {
+        let digest = Digest::of(token.as_bytes());
+        self.read().tenants.get(&digest).cloned()
+    }
+
+    /// A runner.
+    #[must_use]
+    pub fn runner(&self, runner: &RunnerId) -> Option<RunnerEndpoint> {
+        self.read().runners.get(runner).cloned()
+    }
+
+    /// Replicas of a deployment.
+    #[must_use]
+    pub fn replicas(&self, name: &DeploymentName) -> Option<DeploymentReplicas> {
+        self.read().replicas.get(name).cloned()
+    }
+
+    /// The live routers.
+    #[must_use]
+    pub fn routers(&self) -> Vec<RouterEndpoint> {
+        self.read().routers.clone()
+    }
+}
+
+fn tokens(tenants: &[TenantDocument]) -> BTreeMap<Digest, TenantName> {
+    let pairs = tenants.iter().flat_map(|tenant| {
+        let digests = tenant.token_digests.iter();
+        digests.map(|digest| (*digest, tenant.name.clone()))
+    });
+    pairs.collect()
+}
--- /dev/null
+++ b/crates/router/src/dispatch/handle.rs
@@ -0,0 +1,127 @@
+//! The handle of the dispatcher.
+
+use super::actor::DispatcherMessage;
+use courseshunt_queue::{DemandReport, Grant, GrantId, Ticket};
+use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId};
+use courseshunt_wire::message::GrantEnding;
+use ractor::ActorRef;
+use std::sync::Arc;
+use tokio::sync::{Notify, oneshot};
+
+/// Handle of the dispatcher; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct DispatcherHandle {
+    pub(super) actor: ActorRef<DispatcherMessage>,
+    pub(super) demand_changed: Arc<Notify>,
+}
+
+/// A granted request. Dropping it gives the slot back.
+#[derive(Debug)]
+pub struct GrantedRequest {
+    /// The grant.
+    pub grant: Grant,
+    deployment: DeploymentName,
+    dispatcher: DispatcherHandle,
+    ending: GrantEnding,
+}
+
+impl GrantedRequest {
+    pub(super) fn new(
+        grant: Grant,
+        deployment: DeploymentName,
+        dispatcher: DispatcherHandle,
+    ) -> Self {
+        Self {
+            grant,
+            deployment,
+            dispatcher,
+            ending: GrantEnding::Unused,
+        }
+    }
+
+    /// Notes that the request has been sent to the runner.
+    pub fn started(&mut self) {
+        self.ending = GrantEnding::Finished;
+        self.dispatcher.cast(DispatcherMessage::Started {
+            deployment: self.deployment.clone(),
+            grant: self.grant.grant,
+        });
+    }
+
+    /// Notes how the attempt ended.
+    pub fn ended(&mut self, ending: GrantEnding) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for GrantedRequest {
+    fn drop(&mut self) {
+        self.dispatcher.cast(DispatcherMessage::Returned {
+            deployment: self.deployment.clone(),
+            grant: self.grant.grant,
+            ending: self.ending,
+        });
+    }
+}
+
+/// Takes a waiting ticket out when the caller leaves.
+struct CancelOnDrop<'a> {
+    dispatcher: &'a DispatcherHandle,
+    deployment: DeploymentName,
+    request: RequestId,
+}
+
+impl Drop for CancelOnDrop<'_> {
+    fn drop(&mut self) {
+        self.dispatcher.cast(DispatcherMessage::Cancel {
+            deployment: self.deployment.clone(),
+            request: self.request.clone(),
+        });
+    }
+}
+
+impl DispatcherHandle {
+    /// Waits for a grant. Dropping the future takes the ticket out.
+    ///
+    /// # Errors
+    /// The refusal for the caller; the request did not run.
+    pub async fn acquire(&self, ticket: Ticket) -> Result<GrantedRequest, Refusal> {
+        let (reply, received) = oneshot::channel();
+        let _cancel = CancelOnDrop {
+            dispatcher: self,
+            deployment: ticket.deployment.clone(),
+            request: ticket.request.clone(),
+        };
+        self.cast(DispatcherMessage::Offer { ticket, reply });
+        let stopped = || Refusal::not_run(RefusalReason::ShuttingDown, "the router is stopping");
+        received.await.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    /// Tells that replicas or documents changed.
+    pub fn view_changed(&self) {
+        self.cast(DispatcherMessage::ViewChanged);
+    }
+
+    /// Waits until demand changed in a way that controllers must know at once.
+    pub async fn demand_changed(&self) {
+        self.demand_changed.notified().await;
+    }
+
+    /// Demand since the last call, for the queues whose demand changed.
+    pub async fn demand(&self) -> Vec<DemandReport> {
+        let (reply, received) = oneshot::channel();
+        self.cast(DispatcherMessage::Report { reply });
+        received.await.unwrap_or_default()
+    }
+
+    pub(super) fn cast(&self, message: DispatcherMessage) {
+        if self.actor.cast(message).is_err() {
+            log::debug!("dispatch: stopped");
+        }
+    }
+}
+
+/// Answer to an offer.
+pub(super) type OfferReply = oneshot::Sender<Result<GrantedRequest, Refusal>>;
+/// Number of a grant, with its queue.
+pub(super) type GrantNumber = GrantId;
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,140 @@
+//! The request router: callers' API, waiting queues, dispatch and retries.
+//! This crate composes the pure queue core with HTTP and the control feed.
+
+pub mod caller;
+pub mod configuration;
+pub mod control;
+pub mod dispatch;
+pub mod error;
+
+pub use error::RouterError;
+
+use configuration::ConfigurationView;
+use control::LedgerClient;
+use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_settings::RouterSettings;
+use courseshunt_types::Incarnation;
+use courseshunt_types::time::MonotonicClock;
+use courseshunt_wire::ClusterKey;
+use dispatch::DispatcherHandle;
+use error::{BindSnafu, FileSnafu, ShortKeySnafu};
+use snafu::{OptionExt, ResultExt};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// What the parts of a router share.
+#[derive(Debug, Clone)]
+pub struct RouterContext {
+    /// Settings.
+    pub settings: Arc<RouterSettings>,
+    /// Drawn at this start.
+    pub incarnation: Incarnation,
+    /// Configuration, replicas and fleet, as last fed.
+    pub view: Arc<ConfigurationView>,
+    /// The waiting queues.
+    pub dispatcher: DispatcherHandle,
+    /// Commands for the replicated ledger.
+    pub ledger: LedgerClient,
+    /// HTTP client for runners.
+    pub client: HttpClient,
+    /// Clock of this process.
+    pub clock: MonotonicClock,
+    /// Cancelled at the planned stop.
+    pub stop: CancellationToken,
+}
+
+/// A running router.
+#[derive(Debug)]
+pub struct Router {
+    /// Address for callers.
+    pub http_address: SocketAddr,
+    /// Address for other processes.
+    pub wire_address: SocketAddr,
+    context: RouterContext,
+    server: tokio::task::JoinHandle<()>,
+    /// Kept bound for other routers.
+    _wire: TcpListener,
+}
+
+impl Router {
+    /// Starts a router from its settings.
+    ///
+    /// # Errors
+    /// When the key can't be read or an address is taken.
+    pub async fn start(settings: RouterSettings) -> Result<Self, RouterError> {
+        let path = &settings.cluster_key_file;
+        let key = std::fs::read_to_string(path).context(FileSnafu { path })?;
+        let key = ClusterKey::new(key.trim().as_bytes()).context(ShortKeySnafu)?;
+        let http = bind(settings.http_address).await?;
+        let wire = bind(settings.wire_address).await?;
+        let http_address = local_address(&http, settings.http_address)?;
+        let wire_address = local_address(&wire, settings.wire_address)?;
+        let clock = MonotonicClock::start();
+        let view = Arc::new(ConfigurationView::default());
+        let settings = Arc::new(settings);
+        let (ledger, ledger_calls) = control::ledger_channel();
+        let dispatcher = dispatch::start(settings.id.clone(), view.clone(), clock).await?;
+        let limits = ServerLimits {
+            max_connections: settings.max_connections,
+            ..ServerLimits::default()
+        };
+        let context = RouterContext {
+            settings,
+            incarnation: Incarnation(rand::random()),
+            view,
+            dispatcher,
+            ledger,
+            client: HttpClient::default(),
+            clock,
+            stop: CancellationToken::new(),
+        };
+        let endpoints = control::Endpoints {
+            http_address,
+            wire_address,
+        };
+        let link = control::run(context.clone(), key, endpoints, ledger_calls);
+        tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
+        let handler = caller::handler(context.clone());
+        let stop = context.stop.clone();
+        let server = tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
+        log::info!("router: serves callers on {http_address}, the cluster on {wire_address}");
+        Ok(Self {
+            http_address,
+            wire_address,
+            context,
+            server,
+            _wire: wire,
+        })
+    }
+
+    /// What the parts share, for tests and embedding.
+    #[must_use]
+    pub fn context(&self) -> &RouterContext {
+        &self.context
+    }
+
+    /// Stops as planned: running requests finish first.
+    pub async fn stop(self) {
+        self.context.stop.cancel();
+        let drain = self.context.settings.drain;
+        if tokio::time::timeout(drain.into(), self.server)
+            .await
+            .is_err()
+        {
+            log::warn!("router: stopped before all requests had ended");
+        }
+        log::info!("router: stopped");
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RouterError> {
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, RouterError> {
+    listener.local_addr().context(BindSnafu { address })
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,16 @@
+//! Settings files, command-line flags and logging set-up.
+//!
+//! Each process has one table of [`Setting`]s. The table gives the settings
+//! file's keys, the flags, the help text, the checks and the reference page;
+//! the parsed values end in one typed struct per process.
+
+pub mod error;
+mod load;
+pub mod logging;
+pub mod process;
+pub mod table;
+
+pub use error::SettingsError;
+pub use load::{Origin, Values, help_text, load};
+pub use process::{ControllerSettings, PeerAddress, RouterSettings, StandinSettings};
+pub use table::{Kind, Setting};
--- /dev/null
+++ b/crates/state/src/command.rs
@@ -0,0 +1,169 @@
+//! Commands of the replicated log.
+
+use crate::configuration::ChangeRequest;
+use crate::placement::RunnerRecord;
+use crate::reply::StoredAnswer;
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::{
+    ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId,
+    Millis, PriorityClass, ReplicaKey, RouterId, RunnerId, TenantName, UnixMillis,
+};
+
+/// A command with what is needed to recognise a resend.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct CommandEnvelope {
+    /// Who sends it. An empty name means that resends need not be recognised.
+    pub client: ClientId,
+    /// Number of the command; a resend has the same one.
+    pub sequence: ClientSequence,
+    /// The client has the answers to all commands below this number.
+    pub acknowledged: ClientSequence,
+    /// Wall clock of the leader that appended the command.
+    pub proposed_at: UnixMillis,
+    /// The command.
+    pub command: Command,
+}
+
+/// What a command changes.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Command {
+    /// Accepts a batch of documents, whole or not at all.
+    ChangeConfiguration(ChangeRequest),
+    /// Records a runner. A new incarnation releases what the old one held.
+    RecordRunner(RunnerRecord),
+    /// Records the state of a runner's machine. `Gone` releases what it held.
+    SetRunnerState {
+        /// The runner.
+        runner: RunnerId,
+        /// Incarnation that the state belongs to.
+        incarnation: Incarnation,
+        /// The state.
+        state: MachineState,
+    },
+    /// Decides one more replica and reserves its memory.
+    PlaceReplica {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Memory to reserve, in MiB.
+        memory_mib: u64,
+    },
+    /// Records that a replica serves.
+    ConfirmReplica {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Fence of the decision.
+        fence: Fence,
+    },
+    /// Decides to unload a replica. Its reservation stays until released.
+    WithdrawReplica {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Fence of the decision that placed it.
+        fence: Fence,
+    },
+    /// Records that the runner has freed the memory of a replica.
+    ReleaseReplica {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Fence of the latest decision on it.
+        fence: Fence,
+    },
+    /// Claims the right to run a once-only request on one runner.
+    OpenClaim {
+        /// The tenant; keys of different tenants never meet.
+        tenant: TenantName,
+        /// The caller's key.
+        key: IdempotencyKey,
+        /// Digest of the request body.
+        digest: Digest,
+        /// Router that dispatches.
+        router: RouterId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Runner that the request will go to.
+        runner: RunnerId,
+        /// How long the claim is kept.
+        keep: Millis,
+    },
+    /// Gives a claim back, proved not run. Only by the router that opened it.
+    ReleaseClaim {
+        /// The tenant.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+        /// Router that opened it.
+        router: RouterId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
+    /// Records the answer of a claimed request.
+    FinishClaim {
+        /// The tenant.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+        /// The whole answer; `None` when it is unknown whether it ran.
+        answer: Option<StoredAnswer>,
+    },
+    /// Stores a deferred job.
+    SubmitJob {
+        /// The job.
+        job: JobId,
+        /// The tenant.
+        tenant: TenantName,
+        /// The deployment.
+        deployment: DeploymentName,
+        /// The request body.
+        body: Vec<u8>,
+        /// Class of the job.
+        class: PriorityClass,
+        /// Whether it may run once only.
+        once_only: bool,
+        /// To be done by then.
+        deadline: UnixMillis,
+        /// How long the answer is kept after the end.
+        keep: Millis,
+    },
+    /// Leases a queued job to a router.
+    LeaseJob {
+        /// The job.
+        job: JobId,
+        /// The executor.
+        router: RouterId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Length of the lease.
+        length: Millis,
+    },
+    /// Records the end of a leased job.
+    FinishJob {
+        /// The job.
+        job: JobId,
+        /// The executor.
+        router: RouterId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// How it ended.
+        end: JobEnd,
+    },
+    /// Cancels a job that has not ended.
+    CancelJob {
+        /// The job.
+        job: JobId,
+        /// The tenant that asks.
+        tenant: TenantName,
+    },
+    /// Moves committed time on, so that leases, claims and jobs expire.
+    AdvanceTime,
+}
+
+/// How a leased job ended.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum JobEnd {
+    /// It ran; this is its answer.
+    Answered(StoredAnswer),
+    /// It is proved not to have run; it is queued again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,29 @@
+//! Replicated commands and the state they change.
+//!
+//! Invariant: [`ReplicatedState::apply`] is deterministic. It reads no clock,
+//! no random numbers and no memory addresses; equal logs give equal states on
+//! every member. Time comes from the log, as written by the leader.
+
+#![allow(
+    missing_docs,
+    reason = "the fields of the archived enums that rkyv derives carry no docs"
+)]
+
+pub mod claims;
+pub mod command;
+pub mod configuration;
+pub mod jobs;
+pub mod placement;
+pub mod reply;
+pub mod session;
+mod state;
+
+pub use claims::{ClaimRecord, ClaimState, Claims};
+pub use command::{Command, CommandEnvelope};
+pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
+pub use jobs::{JobRecord, JobState, Jobs};
+pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
+pub use reply::{
+    ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, StoredAnswer,
+};
+pub use state::{ReplicatedState, SnapshotError};
--- /dev/null
+++ b/crates/state/src/placement.rs
@@ -0,0 +1,221 @@
+//! Runners, decided replicas and their memory reservations.
+//!
+//! Invariants: the reservations on a runner never exceed its memory; a
+//! deployment never has more replicas than its document allows; a reservation
+//! ends only by a release with the right fence, a new incarnation of the
+//! runner, or the end of its machine.
+
+use crate::reply::CommandError;
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::{
+    DeploymentName, Fence, Incarnation, ReplicaKey, RunnerId, UnixMillis, Zone,
+};
+use std::collections::BTreeMap;
+
+/// A known runner.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RunnerRecord {
+    /// The runner.
+    pub runner: RunnerId,
+    /// `ip:port` of its HTTP interface.
+    pub address: String,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Accelerators in it.
+    pub accelerators: u32,
+    /// Accelerator memory, in MiB.
+    pub memory_mib: u64,
+    /// State of its machine.
+    pub state: MachineState,
+}
+
+/// State of a decided replica.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+pub enum ReplicaPhase {
+    /// Decided; the runner is to load it.
+    Loading,
+    /// The runner said that it serves.
+    Ready,
+    /// Decided to be unloaded; the reservation stays until released.
+    Withdrawn,
+}
+
+/// A decided replica.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ReplicaRecord {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Fence of the latest decision on it.
+    pub fence: Fence,
+    /// Reserved memory, in MiB.
+    pub memory_mib: u64,
+    /// State.
+    pub phase: ReplicaPhase,
+    /// Incarnation of the runner at the decision.
+    pub incarnation: Incarnation,
+    /// When it was placed.
+    pub placed_at: UnixMillis,
+}
+
+/// Runners and replicas.
+#[derive(
+    Debug, Clone, PartialEq, Eq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+pub struct Placement {
+    /// Runners by name.
+    pub runners: BTreeMap<RunnerId, RunnerRecord>,
+    /// Replicas by deployment and runner.
+    pub replicas: BTreeMap<ReplicaKey, ReplicaRecord>,
+}
+
+impl Placement {
+    /// Memory reserved on a runner, in MiB.
+    #[must_use]
+    pub fn reserved_mib(&self, runner: &RunnerId) -> u64 {
+        let on_runner = |record: &&ReplicaRecord| record.replica.runner == *runner;
+        let records = self.replicas.values().filter(on_runner);
+        records.map(|record| record.memory_mib).sum()
+    }
+
+    /// Replicas of a deployment, those being unloaded included.
+    #[must_use]
+    pub fn count(&self, deployment: &DeploymentName) -> u32 {
+        let records = self.replicas.values();
+        let count = records
+            .filter(|one| one.replica.deployment == *deployment)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Records a runner; a new incarnation releases the replicas of the old.
+    pub fn record_runner(&mut self, record: &RunnerRecord) {
+        let known = self.runners.get(&record.runner);
+        if known.is_some_and(|known| known.incarnation != record.incarnation) {
+            self.release_all(&record.runner);
+        }
+        self.runners.insert(record.runner.clone(), record.clone());
+    }
+
+    /// Records the state of a runner's machine.
+    pub fn set_runner_state(
+        &mut self,
+        runner: &RunnerId,
+        incarnation: Incarnation,
+        state: MachineState,
+    ) {
+        let Some(record) = self.runners.get_mut(runner) else {
+            return;
+        };
+        if record.incarnation != incarnation {
+            return;
+        }
+        record.state = state;
+        if state == MachineState::Gone {
+            self.release_all(runner);
+        }
+    }
+
+    fn release_all(&mut self, runner: &RunnerId) {
+        self.replicas.retain(|key, _| key.runner != *runner);
+    }
+
+    /// Decides one more replica and reserves its memory.
+    ///
+    /// # Errors
+    /// When the runner is not live, lacks the memory or has the replica, or the
+    /// deployment has `limit` replicas already.
+    pub fn place(
+        &mut self,
+        replica: &ReplicaKey,
+        memory_mib: u64,
+        limit: u32,
+        fence: Fence,
+        at: UnixMillis,
+    ) -> Result<Fence, CommandError> {
+        if let Some(existing) = self.replicas.get(replica) {
+            return Err(CommandError::ReplicaExists {
+                fence: existing.fence,
+            });
+        }
+        if self.count(&replica.deployment) >= limit {
+            let deployment = replica.deployment.clone();
+            return Err(CommandError::ReplicaLimit { deployment, limit });
+        }
+        let runner = replica.runner.clone();
+        let record = self.runners.get(&runner);
+        let record = record.filter(|record| record.state == MachineState::Live);
+        let Some(record) = record else {
+            return Err(CommandError::RunnerNotLive { runner });
+        };
+        let free_mib = record.memory_mib.saturating_sub(self.reserved_mib(&runner));
+        if memory_mib > free_mib {
+            return Err(CommandError::OutOfMemory {
+                runner,
+                free_mib,
+                wanted_mib: memory_mib,
+            });
+        }
+        let placed = ReplicaRecord {
+            replica: replica.clone(),
+            fence,
+            memory_mib,
+            phase: ReplicaPhase::Loading,
+            incarnation: record.incarnation,
+            placed_at: at,
+        };
+        self.replicas.insert(replica.clone(), placed);
+        Ok(fence)
+    }
+
+    /// Records that a replica serves.
+    ///
+    /// # Errors
+    /// When no loading replica has this fence.
+    pub fn confirm(&mut self, replica: &ReplicaKey, fence: Fence) -> Result<(), CommandError> {
+        let record = self.with_fence(replica, fence)?;
+        if record.phase == ReplicaPhase::Loading {
+            record.phase = ReplicaPhase::Ready;
+        }
+        Ok(())
+    }
+
+    /// Decides to unload a replica, under a new fence.
+    ///
+    /// # Errors
+    /// When no replica has the old fence.
+    pub fn withdraw(
+        &mut self,
+        replica: &ReplicaKey,
+        old: Fence,
+        new: Fence,
+    ) -> Result<Fence, CommandError> {
+        let record = self.with_fence(replica, old)?;
+        record.phase = ReplicaPhase::Withdrawn;
+        record.fence = new;
+        Ok(new)
+    }
+
+    /// Ends a reservation after the runner freed the memory.
+    ///
+    /// # Errors
+    /// When no replica has this fence.
+    pub fn release(&mut self, replica: &ReplicaKey, fence: Fence) -> Result<(), CommandError> {
+        self.with_fence(replica, fence)?;
+        self.replicas.remove(replica);
+        Ok(())
+    }
+
+    fn with_fence(
+        &mut self,
+        replica: &ReplicaKey,
+        fence: Fence,
+    ) -> Result<&mut ReplicaRecord, CommandError> {
+        let record = self.replicas.get_mut(replica);
+        let record = record.filter(|record| record.fence == fence);
+        record.ok_or(CommandError::StaleFence { fence })
+    }
+}
--- /dev/null
+++ b/crates/state/src/state.rs
@@ -0,0 +1,302 @@
+//! The whole replicated state and the one way to change it.
+
+use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims};
+use crate::command::{Command, CommandEnvelope};
+use crate::configuration::Configuration;
+use crate::jobs::{JobRecord, JobState, Jobs};
+use crate::placement::Placement;
+use crate::reply::{CommandError, CommandReply};
+use crate::session::{Seen, Sessions};
+use courseshunt_types::{Fence, LogIndex, Term, UnixMillis};
+
+/// The replicated state of one group.
+#[derive(Debug, Clone, PartialEq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ReplicatedState {
+    /// Last applied entry.
+    pub applied: LogIndex,
+    /// Committed time: the highest wall clock in the log.
+    pub time: UnixMillis,
+    /// Documents.
+    pub configuration: Configuration,
+    /// Runners and replicas.
+    pub placement: Placement,
+    /// Claims of once-only requests.
+    pub claims: Claims,
+    /// Deferred jobs.
+    pub jobs: Jobs,
+    /// Duplicate detection.
+    pub sessions: Sessions,
+}
+
+/// A snapshot that can't be read.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(display("state: the snapshot can't be read: {message}"))]
+pub struct SnapshotError {
+    message: String,
+}
+
+impl ReplicatedState {
+    /// Applies one committed command.
+    pub fn apply(
+        &mut self,
+        index: LogIndex,
+        term: Term,
+        envelope: &CommandEnvelope,
+    ) -> CommandReply {
+        self.applied = index;
+        self.time = self.time.max(envelope.proposed_at);
+        let named = !envelope.client.as_str().is_empty();
+        if named {
+            match self.sessions.look_up(&envelope.client, envelope.sequence) {
+                Seen::New => {}
+                Seen::Answered(reply) => return reply,
+                Seen::Forgotten => return CommandReply::Refused(CommandError::AnswerForgotten),
+            }
+        }
+        let fence = Fence {
+            term,
+            sequence: index.0,
+        };
+        let outcome = self.apply_command(&envelope.command, fence);
+        let reply = outcome.unwrap_or_else(CommandReply::Refused);
+        if named {
+            self.sessions.remember(
+                &envelope.client,
+                envelope.sequence,
+                envelope.acknowledged,
+                reply.clone(),
+                self.time,
+            );
+        }
+        reply
+    }
+
+    /// Notes an entry without a command.
+    pub fn skip(&mut self, index: LogIndex) {
+        self.applied = index;
+    }
+
+    fn apply_command(
+        &mut self,
+        command: &Command,
+        fence: Fence,
+    ) -> Result<CommandReply, CommandError> {
+        match command {
+            Command::ChangeConfiguration(request) => {
+                let revision = self.configuration.change(request, self.time);
+                let revision =
+                    revision.map_err(|conflict| CommandError::Configuration { conflict })?;
+                return Ok(CommandReply::Configured { revision });
+            }
+            Command::RecordRunner(record) => self.placement.record_runner(record),
+            Command::SetRunnerState {
+                runner,
+                incarnation,
+                state,
+            } => self
+                .placement
+                .set_runner_state(runner, *incarnation, *state),
+            Command::PlaceReplica { .. }
+            | Command::ConfirmReplica { .. }
+            | Command::WithdrawReplica { .. }
+            | Command::ReleaseReplica { .. } => return self.apply_placement(command, fence),
+            Command::OpenClaim { .. }
+            | Command::ReleaseClaim { .. }
+            | Command::FinishClaim { .. } => return self.apply_claim(command),
+            Command::SubmitJob { .. }
+            | Command::LeaseJob { .. }
+            | Command::FinishJob { .. }
+            | Command::CancelJob { .. } => return Ok(self.apply_job(command)),
+            Command::AdvanceTime => self.expire(),
+        }
+        Ok(self.done())
+    }
+
+    fn done(&self) -> CommandReply {
+        CommandReply::Done { at: self.time }
+    }
+
+    fn expire(&mut self) {
+        self.claims.expire(self.time);
+        self.jobs.expire(self.time);
+        self.sessions.expire(self.time);
+    }
+
+    fn apply_placement(
+        &mut self,
+        command: &Command,
+        new_fence: Fence,
+    ) -> Result<CommandReply, CommandError> {
+        match command {
+            Command::PlaceReplica {
+                replica,
+                memory_mib,
+            } => {
+                let stored = self.configuration.deployments.get(&replica.deployment);
+                let Some(stored) = stored else {
+                    let deployment = replica.deployment.clone();
+                    return Err(CommandError::UnknownDeployment { deployment });
+                };
+                let limit = stored.document.max_replicas;
+                let placed =
+                    self.placement
+                        .place(replica, *memory_mib, limit, new_fence, self.time)?;
+                Ok(CommandReply::Placed { fence: placed })
+            }
+            Command::ConfirmReplica { replica, fence } => {
+                self.placement.confirm(replica, *fence)?;
+                Ok(self.done())
+            }
+            Command::WithdrawReplica { replica, fence } => {
+                let fence = self.placement.withdraw(replica, *fence, new_fence)?;
+                Ok(CommandReply::Placed { fence })
+            }
+            Command::ReleaseReplica { replica, fence } => {
+                self.placement.release(replica, *fence)?;
+                Ok(self.done())
+            }
+            _ => Ok(self.done()),
+        }
+    }
+
+    fn apply_claim(&mut self, command: &Command) -> Result<CommandReply, CommandError> {
+        match command {
+            Command::OpenClaim {
+                tenant,
+                key,
+                digest,
+                router,
+                incarnation,
+                runner,
+                keep,
+            } => {
+                let record = ClaimRecord {
+                    digest: *digest,
+                    router: router.clone(),
+                    incarnation: *incarnation,
+                    runner: runner.clone(),
+                    state: ClaimState::Open,
+                    expires_at: self.time + *keep,
+                };
+                let name = ClaimName {
+                    tenant: tenant.clone(),
+                    key: key.clone(),
+                };
+                Ok(CommandReply::Claim(self.claims.open(&name, &record)))
+            }
+            Command::ReleaseClaim {
+                tenant,
+                key,
+                router,
+                incarnation,
+            } => {
+                let name = ClaimName {
+                    tenant: tenant.clone(),
+                    key: key.clone(),
+                };
+                self.claims.release(&name, router, *incarnation)?;
+                Ok(self.done())
+            }
+            Command::FinishClaim {
+                tenant,
+                key,
+                answer,
+            } => {
+                let name = ClaimName {
+                    tenant: tenant.clone(),
+                    key: key.clone(),
+                };
+                self.claims.finish(&name, answer.clone())?;
+                Ok(self.done())
+            }
+            _ => Ok(self.done()),
+        }
+    }
+
+    fn apply_job(&mut self, command: &Command) -> CommandReply {
+        let now = self.time;
+        let reply = match command {
+            Command::SubmitJob {
+                job,
+                tenant,
+                deployment,
+                body,
+                class,
+                once_only,
+                deadline,
+                keep,
+            } => {
+                let record = JobRecord {
+                    tenant: tenant.clone(),
+                    deployment: deployment.clone(),
+                    body: body.clone(),
+                    class: *class,
+                    once_only: *once_only,
+                    submitted_at: now,
+                    deadline: *deadline,
+                    keep: *keep,
+                    ended_at: None,
+                    state: JobState::Queued,
+                };
+                self.jobs.submit(job, record)
+            }
+            Command::LeaseJob {
+                job,
+                router,
+                incarnation,
+                length,
+            } => self.jobs.lease(job, router, *incarnation, now + *length),
+            Command::FinishJob {
+                job,
+                router,
+                incarnation,
+                end,
+            } => self.jobs.finish(job, router, *incarnation, end, now),
+            Command::CancelJob { job, tenant } => self.jobs.cancel(job, tenant, now),
+            _ => return self.done(),
+        };
+        CommandReply::Job(reply)
+    }
+
+    /// The state as snapshot bytes.
+    #[must_use]
+    pub fn to_snapshot(&self) -> Vec<u8> {
+        rkyv::to_bytes::<rkyv::rancor::Error>(self)
+            .map(|bytes| bytes.to_vec())
+            .unwrap_or_default()
+    }
+
+    /// The state from snapshot bytes.
+    ///
+    /// # Errors
+    /// When the bytes are no valid snapshot.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+        aligned.extend_from_slice(bytes);
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned).map_err(|error| SnapshotError {
+            message: error.to_string(),
+        })
+    }
+}
+
+impl CommandEnvelope {
+    /// The envelope as the payload of a log entry.
+    #[must_use]
+    pub fn to_payload(&self) -> Vec<u8> {
+        rkyv::to_bytes::<rkyv::rancor::Error>(self)
+            .map(|bytes| bytes.to_vec())
+            .unwrap_or_default()
+    }
+
+    /// The envelope from the payload of a log entry.
+    ///
+    /// # Errors
+    /// When the bytes are no valid command.
+    pub fn from_payload(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+        aligned.extend_from_slice(bytes);
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned).map_err(|error| SnapshotError {
+            message: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/storage/src/memory_log.rs
@@ -0,0 +1,65 @@
+//! A store in memory, for tests and simulation: unsynced data is lost by
+//! [`MemoryLog::crash`].
+
+use crate::{LogStore, RecoveredLog, StorageError};
+use courseshunt_consensus::{Entry, HardState, SnapshotMetadata};
+
+/// See the module.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryLog {
+    durable: RecoveredLog,
+    volatile: RecoveredLog,
+}
+
+impl MemoryLog {
+    /// Loses everything that was not synced.
+    pub fn crash(&mut self) {
+        self.volatile = self.durable.clone();
+    }
+}
+
+impl LogStore for MemoryLog {
+    fn recover(&mut self) -> Result<RecoveredLog, StorageError> {
+        Ok(self.volatile.clone())
+    }
+
+    fn append(
+        &mut self,
+        hard_state: Option<&HardState>,
+        entries: &[Entry],
+    ) -> Result<(), StorageError> {
+        if let Some(hard_state) = hard_state {
+            self.volatile.core.hard_state = *hard_state;
+        }
+        for entry in entries {
+            push(&mut self.volatile.core.entries, entry.clone());
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        self.durable = self.volatile.clone();
+        Ok(())
+    }
+
+    fn save_snapshot(
+        &mut self,
+        metadata: &SnapshotMetadata,
+        bytes: &[u8],
+    ) -> Result<(), StorageError> {
+        let core = &mut self.volatile.core;
+        core.snapshot = metadata.clone();
+        core.entries
+            .retain(|entry| entry.index > metadata.last_index);
+        self.volatile.snapshot = bytes.to_vec();
+        self.sync()
+    }
+}
+
+/// Appends `entry`, replacing the one at its index and all after it.
+pub(crate) fn push(entries: &mut Vec<Entry>, entry: Entry) {
+    while entries.last().is_some_and(|last| last.index >= entry.index) {
+        entries.pop();
+    }
+    entries.push(entry);
+}
--- /dev/null
+++ b/crates/types/src/digest.rs
@@ -0,0 +1,67 @@
+//! Content digests.
+
+use sha2::{Digest as _, Sha256};
+
+/// SHA-256 of some content. Shown as lowercase hexadecimal.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    rkyv::Archive,
+    rkyv::Serialize,
+    rkyv::Deserialize,
+)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Digest of `content`.
+    #[must_use]
+    pub fn of(content: &[u8]) -> Self {
+        Self(Sha256::digest(content).into())
+    }
+
+    /// Reads 64 hexadecimal digits.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut bytes = [0_u8; 32];
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        for (position, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[position * 2..position * 2 + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl std::fmt::Debug for Digest {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "Digest({self})")
+    }
+}
+
+impl serde::Serialize for Digest {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Digest {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Self::parse(&text).ok_or_else(|| serde::de::Error::custom("expected 64 hexadecimal digits"))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/connection.rs
@@ -0,0 +1,272 @@
+//! One connection between two processes.
+
+use crate::error::WireError;
+use crate::frame::{HEADER_BYTES, decode, decode_header, encode};
+use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
+use crate::message::Message;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// Longest time for connecting and for the handshake.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest identity, in bytes.
+const MAX_IDENTITY_BYTES: usize = 1024;
+
+const DIALLER: &[u8] = b"courseshunt dialler";
+const LISTENER: &[u8] = b"courseshunt listener";
+
+/// An authenticated connection.
+#[derive(Debug)]
+pub struct Connection {
+    /// Who is at the other end.
+    pub peer: PeerIdentity,
+    /// The sending half.
+    pub sender: Sender,
+    /// The receiving half.
+    pub receiver: Receiver,
+}
+
+/// The sending half of a connection.
+#[derive(Debug)]
+pub struct Sender {
+    half: OwnedWriteHalf,
+    peer: String,
+}
+
+/// The receiving half of a connection.
+#[derive(Debug)]
+pub struct Receiver {
+    half: BufReader<OwnedReadHalf>,
+    peer: String,
+}
+
+impl Sender {
+    /// Sends one message.
+    ///
+    /// # Errors
+    /// When the message is too long or the connection is broken.
+    pub async fn send(&mut self, message: &Message) -> Result<(), WireError> {
+        let frame = encode(message).map_err(|problem| WireError::Protocol {
+            step: "encode",
+            peer: self.peer.clone(),
+            problem,
+        })?;
+        let sent = self.half.write_all(&frame).await;
+        sent.map_err(|source| self.broken(source))
+    }
+
+    fn broken(&self, source: std::io::Error) -> WireError {
+        WireError::Io {
+            step: "send",
+            peer: self.peer.clone(),
+            source,
+        }
+    }
+}
+
+impl Receiver {
+    /// Receives one message; `None` when the peer closed the connection.
+    ///
+    /// # Errors
+    /// When the connection is broken or a frame can't be read.
+    pub async fn receive(&mut self) -> Result<Option<Message>, WireError> {
+        let mut header = [0_u8; HEADER_BYTES];
+        match self.half.read_exact(&mut header).await {
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
+            Err(source) => return Err(self.broken(source)),
+        }
+        let header = decode_header(&header).map_err(|problem| self.faulty(problem))?;
+        let mut content = vec![0_u8; header.length];
+        let read = self.half.read_exact(&mut content).await;
+        read.map_err(|source| self.broken(source))?;
+        let message = decode(&content, header.checksum);
+        message.map(Some).map_err(|problem| self.faulty(problem))
+    }
+
+    fn broken(&self, source: std::io::Error) -> WireError {
+        WireError::Io {
+            step: "receive",
+            peer: self.peer.clone(),
+            source,
+        }
+    }
+
+    fn faulty(&self, problem: String) -> WireError {
+        WireError::Protocol {
+            step: "receive",
+            peer: self.peer.clone(),
+            problem,
+        }
+    }
+}
+
+/// Connects to `address` and proves the key both ways.
+///
+/// # Errors
+/// When the peer can't be reached, is silent, or does not know the key.
+pub async fn connect(
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
+) -> Result<Connection, WireError> {
+    let work = async {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.map_err(|source| WireError::Io {
+            step: "connect",
+            peer: address.to_string(),
+            source,
+        })?;
+        Handshake::new(stream, address, key).dial(identity).await
+    };
+    in_time("connect", address, work).await
+}
+
+/// Answers a dialling peer on an accepted stream and proves the key both ways.
+///
+/// # Errors
+/// When the peer is silent or does not know the key.
+pub async fn accept(
+    stream: TcpStream,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
+) -> Result<Connection, WireError> {
+    let handshake = Handshake::new(stream, address, key);
+    in_time("accept", address, handshake.answer(identity)).await
+}
+
+async fn in_time(
+    step: &'static str,
+    address: SocketAddr,
+    work: impl Future<Output = Result<Connection, WireError>>,
+) -> Result<Connection, WireError> {
+    let peer = address.to_string();
+    let finished = tokio::time::timeout(HANDSHAKE_TIMEOUT, work).await;
+    finished.unwrap_or(Err(WireError::TimedOut { step, peer }))
+}
+
+struct Handshake<'a> {
+    stream: TcpStream,
+    peer: String,
+    key: &'a ClusterKey,
+}
+
+impl<'a> Handshake<'a> {
+    fn new(stream: TcpStream, address: SocketAddr, key: &'a ClusterKey) -> Self {
+        let _ = stream.set_nodelay(true);
+        let peer = address.to_string();
+        Self { stream, peer, key }
+    }
+
+    async fn dial(mut self, identity: &PeerIdentity) -> Result<Connection, WireError> {
+        let mine = self.send_nonce().await?;
+        let theirs = self.read_nonce().await?;
+        let nonces = [mine.as_slice(), theirs.as_slice()];
+        let peer = self.read_proof(LISTENER, nonces).await?;
+        self.send_proof(DIALLER, nonces, identity).await?;
+        Ok(self.finish(peer))
+    }
+
+    async fn answer(mut self, identity: &PeerIdentity) -> Result<Connection, WireError> {
+        let theirs = self.read_nonce().await?;
+        let mine = self.send_nonce().await?;
+        let nonces = [theirs.as_slice(), mine.as_slice()];
+        self.send_proof(LISTENER, nonces, identity).await?;
+        let peer = self.read_proof(DIALLER, nonces).await?;
+        Ok(self.finish(peer))
+    }
+
+    async fn send_nonce(&mut self) -> Result<[u8; NONCE_BYTES], WireError> {
+        let nonce: [u8; NONCE_BYTES] = rand::random();
+        self.write(&nonce).await?;
+        Ok(nonce)
+    }
+
+    async fn read_nonce(&mut self) -> Result<Vec<u8>, WireError> {
+        self.read(NONCE_BYTES).await
+    }
+
+    async fn send_proof(
+        &mut self,
+        role: &[u8],
+        nonces: [&[u8]; 2],
+        identity: &PeerIdentity,
+    ) -> Result<(), WireError> {
+        let identity = rkyv::to_bytes::<rkyv::rancor::Error>(identity);
+        let identity = identity.map_err(|error| self.faulty(error.to_string()))?;
+        let proof = self.key.prove(role, nonces, &identity);
+        let length = identity.len() as u32;
+        self.write(&length.to_le_bytes()).await?;
+        self.write(&identity).await?;
+        self.write(&proof).await
+    }
+
+    async fn read_proof(
+        &mut self,
+        role: &[u8],
+        nonces: [&[u8]; 2],
+    ) -> Result<PeerIdentity, WireError> {
+        let length = self.read(4).await?;
+        let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]) as usize;
+        if length > MAX_IDENTITY_BYTES {
+            return Err(self.faulty(format!("an identity of {length} bytes is too long")));
+        }
+        let identity = self.read(length).await?;
+        let proof = self.read(PROOF_BYTES).await?;
+        if !self.key.verify(role, nonces, &identity, &proof) {
+            return Err(self.faulty("the peer does not know the cluster key".to_owned()));
+        }
+        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(length);
+        aligned.extend_from_slice(&identity);
+        let identity = rkyv::from_bytes::<PeerIdentity, rkyv::rancor::Error>(&aligned);
+        identity.map_err(|error| self.faulty(error.to_string()))
+    }
+
+    fn finish(self, peer: PeerIdentity) -> Connection {
+        let name = format!("{peer} at {}", self.peer);
+        let (read, write) = self.stream.into_split();
+        Connection {
+            peer,
+            sender: Sender {
+                half: write,
+                peer: name.clone(),
+            },
+            receiver: Receiver {
+                half: BufReader::new(read),
+                peer: name,
+            },
+        }
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), WireError> {
+        let written = self.stream.write_all(bytes).await;
+        written.map_err(|source| self.broken(source))
+    }
+
+    async fn read(&mut self, length: usize) -> Result<Vec<u8>, WireError> {
+        let mut bytes = vec![0_u8; length];
+        let read = self.stream.read_exact(&mut bytes).await;
+        read.map_err(|source| self.broken(source))?;
+        Ok(bytes)
+    }
+
+    fn broken(&self, source: std::io::Error) -> WireError {
+        WireError::Io {
+            step: "handshake",
+            peer: self.peer.clone(),
+            source,
+        }
+    }
+
+    fn faulty(&self, problem: String) -> WireError {
+        WireError::Protocol {
+            step: "handshake",
+            peer: self.peer.clone(),
+            problem,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! Framed, authenticated connections between the processes and the messages
+//! they carry.
+//!
+//! Invariant: no message is handed on before both sides have proved that they
+//! know the cluster key. A frame that can't be read closes its connection and
+//! harms nothing else.
+
+#![allow(
+    missing_docs,
+    reason = "the fields of the archived enums that rkyv derives carry no docs"
+)]
+
+mod connection;
+pub mod error;
+mod frame;
+mod handshake;
+pub mod message;
+
+pub use connection::{Connection, Receiver, Sender, accept, connect};
+pub use error::WireError;
+pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+pub use handshake::{ClusterKey, PeerIdentity};
+pub use message::Message;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,283 @@
+//! Messages between the processes.
+
+use courseshunt_consensus::ConsensusMessage;
+use courseshunt_queue::{DemandReport, Grant, GrantId, QueueKey, Ticket, TicketRefusal};
+use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::{
+    ClientSequence, DeploymentName, Epoch, GroupId, Incarnation, LogIndex, Millis, RequestId,
+    Revision, RouterId, RunnerId, Zone,
+};
+
+/// Number of a call on one connection; its reply has the same.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    rkyv::Archive,
+    rkyv::Serialize,
+    rkyv::Deserialize,
+)]
+pub struct CallId(pub u64);
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Message {
+    /// Controller to controller: consensus of one group.
+    Consensus {
+        /// The group.
+        group: GroupId,
+        /// The message.
+        message: ConsensusMessage,
+    },
+    /// Controller to controller: a command for the leader, on behalf of a client.
+    Forward {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group.
+        group: GroupId,
+        /// `rkyv` bytes of a `CommandEnvelope`.
+        envelope: Vec<u8>,
+    },
+    /// Answers [`Message::Forward`].
+    ForwardReply {
+        /// The call.
+        call: CallId,
+        /// The reply, or `None` when the receiver can't tell.
+        reply: Option<CommandReply>,
+    },
+    /// Router to controller: asks for the feed, from a revision on.
+    Subscribe(Subscribe),
+    /// Controller to router: configuration.
+    Configuration(ConfigurationUpdate),
+    /// Controller to router: replicas and runners.
+    Placement(PlacementUpdate),
+    /// Controller to router: the live routers.
+    Fleet(FleetUpdate),
+    /// Controller to router: how old the feed's confirmation is.
+    FeedConfirmation {
+        /// Time since the controller knew itself in contact with a quorum.
+        age: Millis,
+        /// Revision of the configuration at that time.
+        revision: Revision,
+    },
+    /// Router to controller: this revision is in force here.
+    Confirmed {
+        /// The revision.
+        revision: Revision,
+    },
+    /// Router to controller: demand of the queues it owns.
+    Demand {
+        /// One report for each queue whose demand changed.
+        reports: Vec<DemandReport>,
+    },
+    /// Router to controller: a command for the ledger.
+    Ledger {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group that holds the key.
+        group: GroupId,
+        /// Number of the command; a resend has the same.
+        sequence: ClientSequence,
+        /// The router has all replies below this number.
+        acknowledged: ClientSequence,
+        /// The command.
+        command: Command,
+    },
+    /// Answers [`Message::Ledger`].
+    LedgerReply {
+        /// The call.
+        call: CallId,
+        /// The result.
+        result: LedgerResult,
+    },
+    /// Router to queue owner: a ticket.
+    Offer {
+        /// The queue.
+        queue: QueueKey,
+        /// The ticket.
+        ticket: Ticket,
+    },
+    /// Router to queue owner: a waiting request is gone.
+    CancelTicket {
+        /// The queue.
+        queue: QueueKey,
+        /// The request.
+        request: RequestId,
+    },
+    /// Queue owner to router: leave to send a request.
+    Granted {
+        /// The queue.
+        queue: QueueKey,
+        /// Generation of the ownership.
+        epoch: Epoch,
+        /// The grant.
+        grant: Grant,
+    },
+    /// Queue owner to router: a ticket is refused.
+    Refused {
+        /// The queue.
+        queue: QueueKey,
+        /// The refusal.
+        refusal: TicketRefusal,
+    },
+    /// Router to queue owner: a granted request has started.
+    GrantStarted {
+        /// The queue.
+        queue: QueueKey,
+        /// The grant.
+        grant: GrantId,
+    },
+    /// Router to queue owner: a grant's slot is free again.
+    GrantReturned {
+        /// The queue.
+        queue: QueueKey,
+        /// The grant.
+        grant: GrantId,
+        /// Why; tells the owner about the runner's health.
+        ending: GrantEnding,
+    },
+    /// Router to queue owner: this is not your queue (any more).
+    NotOwner {
+        /// The queue.
+        queue: QueueKey,
+        /// Tickets that must be offered to the owner again.
+        requests: Vec<RequestId>,
+    },
+}
+
+/// How a grant ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum GrantEnding {
+    /// The answer is whole.
+    Finished,
+    /// The grant was not used.
+    Unused,
+    /// The runner refused the request because it drains.
+    RunnerDraining,
+    /// The runner failed.
+    RunnerFailed,
+}
+
+/// Result of a command for the ledger.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum LedgerResult {
+    /// The command was committed.
+    Committed(CommandReply),
+    /// It was not taken in; ask another controller.
+    NotLeader {
+        /// Address of the leader's wire port, if known.
+        leader: Option<String>,
+    },
+    /// It may or may not be committed; a resend finds out.
+    Undecided,
+}
+
+/// Asks for the feed.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Subscribe {
+    /// The router.
+    pub router: RouterId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// `ip:port` of its wire port, for other routers.
+    pub wire_address: String,
+    /// `ip:port` for callers.
+    pub http_address: String,
+    /// Its zone.
+    pub zone: Zone,
+    /// Last revision that it has; 0 for none.
+    pub revision: Revision,
+}
+
+/// Changes of the configuration.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ConfigurationUpdate {
+    /// Whether this replaces everything that the router has.
+    pub full: bool,
+    /// Revision after the update.
+    pub revision: Revision,
+    /// Set deployments.
+    pub deployments: Vec<StoredDeployment>,
+    /// Removed deployments.
+    pub removed: Vec<DeploymentName>,
+    /// All tenants, when any changed.
+    pub tenants: Option<Vec<TenantDocument>>,
+    /// Whether more parts of the same update follow.
+    pub more: bool,
+}
+
+/// Replicas and runners. A higher `sequence` replaces a lower.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct PlacementUpdate {
+    /// Log index of the state.
+    pub sequence: LogIndex,
+    /// Whether this replaces everything that the router has.
+    pub full: bool,
+    /// Changed runners.
+    pub runners: Vec<RunnerEndpoint>,
+    /// Changed deployments, each with all its replicas.
+    pub deployments: Vec<DeploymentReplicas>,
+}
+
+/// A runner as routers need it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RunnerEndpoint {
+    /// The runner.
+    pub runner: RunnerId,
+    /// `ip:port` of its HTTP interface.
+    pub address: String,
+    /// Its zone.
+    pub zone: Zone,
+    /// State of its machine.
+    pub state: MachineState,
+}
+
+/// Replicas of one deployment.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct DeploymentReplicas {
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// Runners that serve it now.
+    pub ready: Vec<RunnerId>,
+    /// Replicas that are being loaded.
+    pub loading: Vec<LoadingReplica>,
+}
+
+/// A replica that is being loaded.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct LoadingReplica {
+    /// Runner that loads it.
+    pub runner: RunnerId,
+    /// Estimated rest of the load.
+    pub remaining: Millis,
+}
+
+/// The live routers.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct FleetUpdate {
+    /// Grows with each change.
+    pub epoch: Epoch,
+    /// The routers.
+    pub routers: Vec<RouterEndpoint>,
+}
+
+/// A router as other routers need it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RouterEndpoint {
+    /// The router.
+    pub router: RouterId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// `ip:port` of its wire port.
+    pub wire_address: String,
+    /// Its zone.
+    pub zone: Zone,
+    /// Whether it stops and owns no queues any more.
+    pub leaving: bool,
+}
