--- a/crates/operator/tests/render.rs
+++ b/crates/operator/tests/render.rs
@@ -33,7 +33,7 @@
 fn faults_name_file_and_line() {
     let cases = [
         (TEMPLATE, "crops = [\"a\"]\n", "template.toml:3: "),
-        (TEMPLATE, "crops = [\n", "tenant.toml:2: "),
+        (TEMPLATE, "crops = [\n", "tenant.toml:1: unclosed array"),
         (
             TEMPLATE,
             "crops = [\"a\"]\nversion = 0\n",
--- a/crates/router/src/caller/complete.rs
+++ b/crates/router/src/caller/complete.rs
@@ -37,9 +37,10 @@
         let mut granted = context.dispatcher.acquire(ticket).await?;
         let runner = granted.grant.runner.clone();
         if let RepeatRule::Never(key) = &request.repeat
-            && let Some(answer) = claim(context, &request, key, &runner).await? {
-                return Ok(recorded(&request, answer));
-            }
+            && let Some(answer) = claim(context, &request, key, &runner).await?
+        {
+            return Ok(recorded(&request, answer));
+        }
         granted.started();
         let sent = RunnerRequest {
             request: request.request.clone(),
@@ -260,9 +261,10 @@
                 return;
             };
             if let Ok(data) = frame.into_data()
-                && sender.send_data(data).await.is_err() {
-                    return;
-                }
+                && sender.send_data(data).await.is_err()
+            {
+                return;
+            }
         }
     });
     let mut relayed = Response::new(body);
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -21,7 +21,7 @@
 }
 
 impl ClusterKey {
-    /// A key from its bytes, at least [`MIN_KEY_BYTES`] long.
+    /// A key from its bytes, at least [`MIN_KEY_BYTES`](crate::MIN_KEY_BYTES) long.
     #[must_use]
     pub fn new(bytes: &[u8]) -> Option<Self> {
         (bytes.len() >= MIN_KEY_BYTES).then(|| Self(bytes.to_vec()))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,5 +19,5 @@
 pub use connection::{Connection, Receiver, Sender, accept, connect};
 pub use error::WireError;
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
-pub use handshake::{ClusterKey, PeerIdentity};
+pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
