Metrics pages, traffic counters, refusals for unknown pages and methods

Cause: no process told its load, and an unknown path was refused as an unknown model. A body that never came whole held its connection for ever.

Change: crate metrics builds a Prometheus page when asked; wire counts messages and bytes by kind; routers and controllers serve /metrics. Unknown pages get 404 not_found, wrong methods 405, headers over the limit 431, bodies that don't arrive in time 408, each with the OpenAI-style error object.

--- /dev/null
+++ b/crates/controller/src/admin/metrics.rs
@@ -0,0 +1,87 @@
+//! The controller's metrics page.
+
+use crate::ControllerContext;
+use courseshunt_metrics::{MetricsPage, Sample};
+use courseshunt_state::{ReplicaPhase, ReplicatedState};
+
+/// The page, from the values of this moment.
+pub fn page(context: &ControllerContext) -> String {
+    let mut page = MetricsPage::default();
+    member(&mut page, context);
+    fleet(&mut page, context);
+    state(&mut page, &context.replica.state());
+    page.process();
+    page.text()
+}
+
+fn member(page: &mut MetricsPage, context: &ControllerContext) {
+    let status = context.replica.status().borrow().clone();
+    let leads = f64::from(u8::from(status.leads()));
+    let has_leader = f64::from(u8::from(status.leader.is_some()));
+    page.gauge("leads", "1 while this member leads.", leads);
+    page.gauge(
+        "has_leader",
+        "1 while this member knows a leader.",
+        has_leader,
+    );
+    page.gauge("term", "Term of the control group.", status.term.0 as f64);
+    page.gauge(
+        "applied_index",
+        "Last applied entry of the log.",
+        status.applied.0 as f64,
+    );
+    page.gauge(
+        "revision",
+        "Revision of the configuration in force.",
+        status.revision.0 as f64,
+    );
+}
+
+fn fleet(page: &mut MetricsPage, context: &ControllerContext) {
+    let routers = context.routers.all();
+    page.gauge(
+        "routers",
+        "Routers that follow this member's feed.",
+        routers.len() as f64,
+    );
+    let revision = context.replica.status().borrow().revision;
+    let lagging = routers.iter().filter(|one| one.revision < revision);
+    page.gauge(
+        "routers_lagging",
+        "Routers whose confirmed revision is lower than this member's.",
+        lagging.count() as f64,
+    );
+}
+
+fn state(page: &mut MetricsPage, state: &ReplicatedState) {
+    let count = |phase| {
+        let replicas = state.placement.replicas.values();
+        replicas.filter(|one| one.phase == phase).count() as f64
+    };
+    page.gauges(
+        "replicas",
+        "Decided replicas by phase.",
+        [
+            Sample::labelled("phase", "loading", count(ReplicaPhase::Loading)),
+            Sample::labelled("phase", "ready", count(ReplicaPhase::Ready)),
+            Sample::labelled("phase", "withdrawn", count(ReplicaPhase::Withdrawn)),
+        ],
+    );
+    page.gauge(
+        "runners",
+        "Known runners.",
+        state.placement.runners.len() as f64,
+    );
+    page.gauge(
+        "deployments",
+        "Deployments in force.",
+        state.configuration.deployments.len() as f64,
+    );
+    let replicas = state.placement.replicas.values();
+    let reserved: u64 = replicas.map(|one| one.memory_mib).sum();
+    page.gauge(
+        "reserved_mebibytes",
+        "Accelerator memory held by decided replicas.",
+        reserved as f64,
+    );
+}
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
+mod metrics;
 mod operators;
 
 pub use operators::{OperatorRole, Operators};
@@ -45,6 +46,7 @@
     match path.as_str() {
         "/healthz" => return text_response(StatusCode::OK, "ok\n"),
         "/readyz" => return ready(context),
+        "/metrics" => return text_response(StatusCode::OK, metrics::page(context)),
         _ => {}
     }
     let role = bearer_token(request.headers()).and_then(|token| operators.role_of(token));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -6,6 +6,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
 use std::io;
+use std::time::Duration;
 
 /// Any body that we send.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -36,6 +37,29 @@
     (sender, channel.boxed_unsync())
 }
 
+/// Reads a whole body of at most `limit_bytes` that arrives within `limit`.
+///
+/// # Errors
+/// When the body is longer, breaks off or does not arrive in time.
+pub async fn read_in_time<B>(
+    body: B,
+    limit_bytes: usize,
+    limit: Duration,
+    peer: &str,
+) -> Result<Bytes, HttpError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let read = tokio::time::timeout(limit, read_limited(body, limit_bytes, peer)).await;
+    read.unwrap_or_else(|_| {
+        Err(HttpError::TimedOut {
+            step: "read the body",
+            peer: peer.to_owned(),
+        })
+    })
+}
+
 /// Reads a whole body of at most `limit_bytes`.
 ///
 /// # Errors
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,8 +6,8 @@
 mod response;
 mod server;
 
-pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_limited};
+pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
 pub use client::{HttpClient, Reply};
 pub use error::HttpError;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
-pub use server::{ServerLimits, serve};
+pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -26,16 +26,34 @@
     pub max_header_bytes: usize,
 }
 
+/// Longest headers that a server takes unless told otherwise, in bytes.
+pub const MAX_HEADER_BYTES: usize = 32 * 1024;
+
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
             max_connections: 10_000,
             header_timeout: Duration::from_secs(10),
-            max_header_bytes: 32 * 1024,
+            max_header_bytes: MAX_HEADER_BYTES,
         }
     }
 }
 
+/// Buffer for headers, in lengths of the limit: headers over the limit are
+/// still read, so that the handler can refuse them in its interface's own
+/// form; beyond the buffer the library answers 431 without a body.
+const HEADER_BUFFER_FACTOR: usize = 4;
+/// Bytes of a header line besides its name and value.
+const HEADER_LINE_BYTES: usize = 4;
+
+/// Bytes that the headers of a request take.
+#[must_use]
+pub fn header_bytes<T>(request: &Request<T>) -> usize {
+    let headers = request.headers().iter();
+    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
+    lines.sum::<usize>() + request.uri().path().len()
+}
+
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -105,7 +123,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes.max(8192))
+        .max_buf_size(limits.max_header_bytes * HEADER_BUFFER_FACTOR)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -216,6 +216,7 @@
         max_connections: 10_000,
         max_body_bytes: 1024 * 1024,
         max_waiting_bytes: 256 * 1024 * 1024,
+        body_timeout: Millis::from_secs(2),
         drain: Millis::from_secs(30),
         zone: zone.into(),
         cluster_key_file: folder.join("cluster.key"),
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -1,13 +1,16 @@
 //! The callers' API: OpenAI-style completions, models, health pages.
 
 mod complete;
+mod metrics;
 mod request;
 
+pub use metrics::RequestCounts;
 pub use request::{CallerRequest, RepeatRule};
 
 use crate::RouterContext;
 use courseshunt_http::{
-    Body, bearer_token, json_response, read_limited, refusal_response, text_response,
+    Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
+    refusal_response, text_response,
 };
 use courseshunt_types::{Refusal, RefusalReason, TenantName};
 use hyper::body::Incoming;
@@ -31,20 +34,52 @@
 
 async fn answer(request: Request<Incoming>, context: &RouterContext) -> Response<Body> {
     let path = request.uri().path().to_owned();
-    let answered = match (request.method(), path.as_str()) {
-        (&Method::GET, "/healthz") => Ok(text_response(StatusCode::OK, "ok\n")),
-        (&Method::GET, "/readyz") => Ok(ready(context)),
-        (&Method::GET, "/v1/models") => models(&request, context),
-        (&Method::POST, "/v1/chat/completions") => {
-            completion(request, context, "/v1/chat/completions").await
-        }
-        (&Method::POST, "/v1/completions") => completion(request, context, "/v1/completions").await,
+    let answered = match allowed_method(&path) {
+        Some(method) if request.method() != method => Err(wrong_method(&request, &method)),
+        Some(_) if header_bytes(&request) > MAX_HEADER_BYTES => Err(headers_too_large()),
+        _ => route(request, context, &path).await,
+    };
+    context.requests.record(&answered);
+    answered.unwrap_or_else(|refusal| refusal_response(&refusal))
+}
+
+/// The method that a page takes; `None` when there is no such page.
+fn allowed_method(path: &str) -> Option<Method> {
+    match path {
+        "/healthz" | "/readyz" | "/metrics" | "/v1/models" => Some(Method::GET),
+        "/v1/chat/completions" | "/v1/completions" => Some(Method::POST),
+        _ => None,
+    }
+}
+
+fn wrong_method(request: &Request<Incoming>, allowed: &Method) -> Refusal {
+    let (method, path) = (request.method(), request.uri().path());
+    let message = format!("{path} takes {allowed}, not {method}");
+    Refusal::not_run(RefusalReason::MethodNotAllowed, message)
+}
+
+fn headers_too_large() -> Refusal {
+    let message = format!("the headers are longer than {MAX_HEADER_BYTES} bytes");
+    Refusal::not_run(RefusalReason::HeadersTooLarge, message)
+}
+
+async fn route(
+    request: Request<Incoming>,
+    context: &RouterContext,
+    path: &str,
+) -> Result<Response<Body>, Refusal> {
+    match path {
+        "/healthz" => Ok(text_response(StatusCode::OK, "ok\n")),
+        "/readyz" => Ok(ready(context)),
+        "/metrics" => Ok(text_response(StatusCode::OK, metrics::page(context))),
+        "/v1/models" => models(&request, context),
+        "/v1/chat/completions" => completion(request, context, "/v1/chat/completions").await,
+        "/v1/completions" => completion(request, context, "/v1/completions").await,
         _ => {
             let message = format!("there is no {path} here");
-            Err(Refusal::not_run(RefusalReason::UnknownModel, message))
+            Err(Refusal::not_run(RefusalReason::NotFound, message))
         }
-    };
-    answered.unwrap_or_else(|refusal| refusal_response(&refusal))
+    }
 }
 
 fn ready(context: &RouterContext) -> Response<Body> {
@@ -89,14 +124,18 @@
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
     let limit = context.settings.max_body_bytes;
-    let body = read_limited(body, limit, "caller").await;
-    let body = body.map_err(|error| {
-        let reason = match error {
-            courseshunt_http::HttpError::TooLarge { .. } => RefusalReason::TooLarge,
-            _ => RefusalReason::InvalidRequest,
-        };
-        Refusal::not_run(reason, error.to_string())
-    })?;
+    let body_timeout = context.settings.body_timeout.into();
+    let body = read_in_time(body, limit, body_timeout, "caller").await;
+    let body = body.map_err(|error| unreadable_body(&error))?;
     let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
     complete::run(context, parsed).await
 }
+
+fn unreadable_body(error: &HttpError) -> Refusal {
+    let reason = match error {
+        HttpError::TooLarge { .. } => RefusalReason::TooLarge,
+        HttpError::TimedOut { .. } => RefusalReason::RequestTimeout,
+        _ => RefusalReason::InvalidRequest,
+    };
+    Refusal::not_run(reason, error.to_string())
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,8 @@
     pub dispatcher: DispatcherHandle,
     /// Commands for the replicated ledger.
     pub ledger: LedgerClient,
+    /// Callers' requests by result.
+    pub requests: Arc<caller::RequestCounts>,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -86,6 +88,7 @@
             view,
             dispatcher,
             ledger,
+            requests: Arc::default(),
             client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -169,6 +169,12 @@
         default: Some("268435456"),
         help: "bodies of waiting requests together at the most, in bytes",
     },
+    Setting {
+        key: "body_timeout_seconds",
+        kind: Kind::Integer { min: 1, max: 3_600 },
+        default: Some("30"),
+        help: "longest time in which a request's body must arrive, in seconds",
+    },
     Setting {
         key: "drain_seconds",
         kind: Kind::Integer {
@@ -283,6 +289,8 @@
     pub max_body_bytes: usize,
     /// Bodies of waiting requests together, in bytes.
     pub max_waiting_bytes: usize,
+    /// Longest time in which a request's body must arrive.
+    pub body_timeout: Millis,
     /// Longest wait for running requests at a planned stop.
     pub drain: Millis,
     /// Zone.
@@ -384,6 +392,7 @@
             max_connections: size(&values, "max_connections"),
             max_body_bytes: size(&values, "max_body_bytes"),
             max_waiting_bytes: size(&values, "max_waiting_bytes"),
+            body_timeout: Millis::from_secs(values.integer("body_timeout_seconds")),
             drain: Millis::from_secs(values.integer("drain_seconds")),
             zone: values.text("zone").into(),
             cluster_key_file: values.text("cluster_key_file").into(),
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -90,6 +90,14 @@
     RunnerFailed,
     /// The caller cancelled.
     Cancelled,
+    /// There is no such page.
+    NotFound,
+    /// The page does not take this method.
+    MethodNotAllowed,
+    /// The request did not arrive whole in time.
+    RequestTimeout,
+    /// The headers are larger than the limit.
+    HeadersTooLarge,
 }
 
 impl RefusalReason {
@@ -100,11 +108,14 @@
             Self::InvalidRequest => 400,
             Self::Unauthorized => 401,
             Self::Forbidden => 403,
-            Self::UnknownModel => 404,
+            Self::UnknownModel | Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::RequestTimeout => 408,
             Self::InProgress => 409,
             Self::TooLarge => 413,
             Self::KeyConflict => 422,
             Self::RateLimited | Self::QueueFull => 429,
+            Self::HeadersTooLarge => 431,
             Self::Cancelled => 499,
             Self::RunnerFailed => 502,
             Self::DeadlineExceeded
@@ -133,6 +144,10 @@
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::RunnerFailed => "runner_failed",
             Self::Cancelled => "cancelled",
+            Self::NotFound => "not_found",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::RequestTimeout => "request_timeout",
+            Self::HeadersTooLarge => "headers_too_large",
         }
     }
 }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::frame::{HEADER_BYTES, decode, decode_header, encode};
 use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
 use crate::message::Message;
+use crate::traffic;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -55,7 +56,9 @@
             problem,
         })?;
         let sent = self.half.write_all(&frame).await;
-        sent.map_err(|source| self.broken(source))
+        sent.map_err(|source| self.broken(source))?;
+        traffic::count_sent(message, frame.len());
+        Ok(())
     }
 
     fn broken(&self, source: std::io::Error) -> WireError {
@@ -84,7 +87,9 @@
         let read = self.half.read_exact(&mut content).await;
         read.map_err(|source| self.broken(source))?;
         let message = decode(&content, header.checksum);
-        message.map(Some).map_err(|problem| self.faulty(problem))
+        let message = message.map_err(|problem| self.faulty(problem))?;
+        traffic::count_received(&message, HEADER_BYTES + content.len());
+        Ok(Some(message))
     }
 
     fn broken(&self, source: std::io::Error) -> WireError {
--- /dev/null
+++ b/crates/wire/src/traffic.rs
@@ -0,0 +1,116 @@
+//! Counters of what passes over this process's connections, by message kind.
+//!
+//! The counters are the process's own: an embedded site counts all its nodes
+//! together.
+
+use crate::message::Message;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Kinds of messages, as named in metrics.
+pub const MESSAGE_KINDS: [&str; 13] = [
+    "consensus",
+    "forward",
+    "subscribe",
+    "configuration",
+    "placement",
+    "fleet",
+    "feed_confirmation",
+    "confirmed",
+    "demand",
+    "ledger",
+    "ticket",
+    "grant",
+    "other",
+];
+
+/// Messages and bytes of one kind in one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TrafficCount {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes, with frame headers.
+    pub bytes: u64,
+}
+
+/// Traffic of one kind of message since the process's start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KindTraffic {
+    /// The kind, one of [`MESSAGE_KINDS`].
+    pub kind: &'static str,
+    /// What was sent.
+    pub sent: TrafficCount,
+    /// What was received.
+    pub received: TrafficCount,
+}
+
+struct Counter {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Counter {
+    const fn new() -> Self {
+        Self {
+            messages: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
+        }
+    }
+
+    fn add(&self, bytes: usize) {
+        self.messages.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn read(&self) -> TrafficCount {
+        TrafficCount {
+            messages: self.messages.load(Ordering::Relaxed),
+            bytes: self.bytes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+static SENT: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
+static RECEIVED: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
+
+pub(crate) fn count_sent(message: &Message, bytes: usize) {
+    SENT[kind_index(message)].add(bytes);
+}
+
+pub(crate) fn count_received(message: &Message, bytes: usize) {
+    RECEIVED[kind_index(message)].add(bytes);
+}
+
+/// Traffic of this process by kind of message.
+#[must_use]
+pub fn traffic() -> Vec<KindTraffic> {
+    let kinds = MESSAGE_KINDS.iter().enumerate();
+    let counted = kinds.map(|(index, kind)| KindTraffic {
+        kind,
+        sent: SENT[index].read(),
+        received: RECEIVED[index].read(),
+    });
+    counted.collect()
+}
+
+/// Place of a message's kind in [`MESSAGE_KINDS`].
+fn kind_index(message: &Message) -> usize {
+    match message {
+        Message::Consensus { .. } => 0,
+        Message::Forward { .. } | Message::ForwardReply { .. } => 1,
+        Message::Subscribe(_) => 2,
+        Message::Configuration(_) => 3,
+        Message::Placement(_) => 4,
+        Message::Fleet(_) => 5,
+        Message::FeedConfirmation { .. } => 6,
+        Message::Confirmed { .. } => 7,
+        Message::Demand { .. } => 8,
+        Message::Ledger { .. } | Message::LedgerReply { .. } => 9,
+        Message::Offer { .. } | Message::CancelTicket { .. } | Message::Refused { .. } => 10,
+        Message::Granted { .. }
+        | Message::GrantStarted { .. }
+        | Message::GrantReturned { .. }
+        | Message::NotOwner { .. } => 11,
+        #[allow(unreachable_patterns, reason = "kinds that are appended later")]
+        _ => MESSAGE_KINDS.len() - 1,
+    }
+}
