--- a/crates/controller/src/scheduler/plan.rs
+++ b/crates/controller/src/scheduler/plan.rs
@@ -75,6 +75,7 @@
             document: Arc::new(stored.document.clone()),
             demand: context.demand.view(&stored.document.name),
             replicas: replica_views(&state, context, &stored.document.name, now),
+            load_times: None,
         });
     let loading = state.placement.replicas.values();
     let loading = loading
@@ -127,6 +128,8 @@
         state: record.state,
         reachable: fresh,
         cached: cached.collect(),
+        staging: Vec::new(),
+        avoid: Vec::new(),
     }
 }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -45,6 +45,10 @@
     pub reachable: bool,
     /// Cached checkpoints, as last reported.
     pub cached: Vec<CacheView>,
+    /// Checkpoints on their way to its cache tiers by a staging order.
+    pub staging: Vec<ModelName>,
+    /// Models that failed to load here a short while ago.
+    pub avoid: Vec<ModelName>,
 }
 
 impl RunnerView {
@@ -88,6 +92,32 @@
     pub demand: DemandView,
     /// Decided replicas.
     pub replicas: Vec<ReplicaView>,
+    /// Load times to expect; without them the document's estimate counts.
+    pub load_times: Option<LoadEstimates>,
+}
+
+/// Load times to expect from each tier, learned from earlier loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub struct LoadEstimates {
+    /// From a runner's host memory.
+    pub host_memory: Millis,
+    /// From a runner's disk.
+    pub disk: Millis,
+    /// From the weight store, without waiting for its limits.
+    pub remote: Millis,
+}
+
+impl LoadEstimates {
+    /// The estimate for one tier.
+    #[must_use]
+    pub fn of(&self, tier: CacheTier) -> Millis {
+        match tier {
+            CacheTier::Accelerator => Millis(0),
+            CacheTier::HostMemory => self.host_memory,
+            CacheTier::Disk => self.disk,
+            CacheTier::Remote => self.remote,
+        }
+    }
 }
 
 impl DeploymentView {
@@ -96,6 +126,13 @@
     pub fn name(&self) -> &DeploymentName {
         &self.document.name
     }
+
+    /// Load times to expect: the learned ones, or a guess from the document.
+    #[must_use]
+    pub fn expected_load(&self) -> LoadEstimates {
+        self.load_times
+            .unwrap_or_else(|| crate::LoadTimes::default().estimates(&self.document))
+    }
 }
 
 /// Demand for one deployment, summed over all queues.
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -18,6 +18,8 @@
         state: MachineState::Live,
         reachable: true,
         cached: Vec::new(),
+        staging: Vec::new(),
+        avoid: Vec::new(),
     }
 }
 
@@ -33,6 +35,7 @@
             ..DemandView::default()
         },
         replicas: Vec::new(),
+        load_times: None,
     }
 }
 
