--- /dev/null
+++ b/crates/consensus/src/core/election.rs
@@ -0,0 +1,194 @@
+//! Pre-vote, votes and election timeouts.
+//!
+//! A member that heard a leader within the election timeout gives no vote: the
+//! leader's lease rests on that promise. Only a planned transfer, for which the
+//! leader has given its lease up, is exempt.
+
+use super::durability::DeferredAction;
+use super::{Core, Role};
+use crate::Mutant;
+use crate::input::PersistNumber;
+use crate::message::ConsensusMessage;
+use courseshunt_types::{ControllerId, LogIndex, Millis, Term, Timestamp};
+use rand_pcg::rand_core::Rng;
+
+impl Core {
+    /// Draws when to stand for election unless a leader is heard before.
+    pub(super) fn draw_election_deadline(&mut self, now: Timestamp) {
+        let timeout = self.settings.election_timeout;
+        let jitter = self.random.next_u64() % timeout.0.max(1);
+        self.election_deadline = now + timeout + Millis(jitter);
+    }
+
+    pub(super) fn tick_election(&mut self, now: Timestamp) {
+        let membership = self.memberships.latest();
+        if !membership.is_voter(self.settings.id) {
+            return;
+        }
+        let alone = membership.voters.len() == 1 && membership.outgoing.is_empty();
+        let idle = self.role == Role::Follower;
+        if now >= self.election_deadline || (alone && idle) {
+            self.try_out_election(now);
+        }
+    }
+
+    fn try_out_election(&mut self, now: Timestamp) {
+        self.draw_election_deadline(now);
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        self.votes.insert(self.settings.id);
+        if self.memberships.latest().is_quorum(&self.votes) {
+            self.start_election(now, false);
+            return;
+        }
+        self.request_votes(self.term.next(), true, false);
+    }
+
+    /// Takes the next term and its own vote; asks the others once that is durable.
+    fn start_election(&mut self, now: Timestamp, transfer: bool) {
+        self.draw_election_deadline(now);
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.term = self.term.next();
+        self.voted_for = Some(self.settings.id);
+        self.transfer_election = transfer;
+        self.votes.clear();
+        self.durability.hard_state_changed();
+        self.durability.defer_election(self.term);
+    }
+
+    fn request_votes(&mut self, term: Term, pre_vote: bool, transfer: bool) {
+        let request = ConsensusMessage::VoteRequest {
+            term,
+            pre_vote,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        for voter in self.other_voters() {
+            self.send(voter, request.clone());
+        }
+    }
+
+    fn other_voters(&self) -> Vec<ControllerId> {
+        let membership = self.memberships.latest();
+        let voters = membership.voters.union(&membership.outgoing).copied();
+        voters.filter(|id| *id != self.settings.id).collect()
+    }
+
+    pub(super) fn on_persisted(&mut self, number: PersistNumber, now: Timestamp) {
+        let before = self.durability.through();
+        for action in self.durability.persisted(number) {
+            match action {
+                DeferredAction::Send(output) => self.outputs.push(output),
+                DeferredAction::StandForElection(term) => self.stand_for_election(term, now),
+            }
+        }
+        if self.durability.through() > before {
+            self.entries_became_durable(now);
+        }
+    }
+
+    fn stand_for_election(&mut self, term: Term, now: Timestamp) {
+        if self.role != Role::Candidate || self.term != term {
+            return;
+        }
+        self.request_votes(term, false, self.transfer_election);
+        self.count_vote(self.settings.id, now);
+    }
+
+    fn count_vote(&mut self, voter: ControllerId, now: Timestamp) {
+        self.votes.insert(voter);
+        if !self.memberships.latest().is_quorum(&self.votes) {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.start_election(now, false),
+            Role::Candidate => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_vote_request(
+        &mut self,
+        from: ControllerId,
+        request: &ConsensusMessage,
+        now: Timestamp,
+    ) {
+        let ConsensusMessage::VoteRequest {
+            term,
+            pre_vote,
+            last_index,
+            last_term,
+            transfer,
+        } = *request
+        else {
+            return;
+        };
+        if !transfer && self.has_promised(now) {
+            return;
+        }
+        if term > self.term && !pre_vote {
+            self.become_follower(term, None, now);
+        }
+        let free = match pre_vote {
+            true => term > self.term,
+            false => term == self.term && self.voted_for.is_none_or(|voted| voted == from),
+        };
+        let granted = free && self.is_up_to_date(last_index, last_term);
+        if granted && !pre_vote {
+            self.voted_for = Some(from);
+            self.durability.hard_state_changed();
+            self.draw_election_deadline(now);
+        }
+        let reply = ConsensusMessage::VoteReply {
+            term: if granted { term } else { self.term },
+            pre_vote,
+            granted,
+        };
+        self.send_when_durable(from, reply);
+    }
+
+    /// Whether a leader may hold a lease that rests on this member.
+    fn has_promised(&self, now: Timestamp) -> bool {
+        match self.role {
+            Role::Leader => self.holds_lease(now),
+            _ => now < self.lease_promise,
+        }
+    }
+
+    fn is_up_to_date(&self, last_index: LogIndex, last_term: Term) -> bool {
+        let own = (self.log.last_term(), self.log.last_index());
+        (last_term, last_index) >= own || self.settings.lacks(Mutant::VoteForStaleLog)
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: ControllerId,
+        term: Term,
+        pre_vote: bool,
+        granted: bool,
+        now: Timestamp,
+    ) {
+        if !granted {
+            return;
+        }
+        let wanted = match (self.role, pre_vote) {
+            (Role::PreCandidate, true) => self.term.next(),
+            (Role::Candidate, false) => self.term,
+            _ => return,
+        };
+        if term == wanted {
+            self.count_vote(from, now);
+        }
+    }
+
+    /// The leader hands over: stand for election at once.
+    pub(super) fn on_timeout_now(&mut self, now: Timestamp) {
+        let can_stand = matches!(self.role, Role::Follower | Role::PreCandidate);
+        if can_stand && self.memberships.latest().is_voter(self.settings.id) {
+            self.start_election(now, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/core/mod.rs
@@ -0,0 +1,341 @@
+//! The state machine itself.
+//!
+//! Invariants: at most one leader in a term; an entry counts as committed only
+//! when a quorum has it durable and it (or a later one) is of the leader's
+//! term; nothing that depends on a persisted state leaves before it is durable.
+
+mod change;
+mod commit;
+mod durability;
+mod election;
+mod follower;
+mod leader;
+mod settings;
+mod snapshot;
+mod status;
+
+pub use settings::{CoreSettings, Mutant};
+pub use status::MemberProgress;
+
+use crate::entry::{Entry, HardState, SnapshotMetadata};
+use crate::entry_log::EntryLog;
+use crate::input::Input;
+use crate::membership::Membership;
+use crate::membership_log::MembershipLog;
+use crate::message::ConsensusMessage;
+use crate::output::{Output, RejectionReason};
+use courseshunt_types::{ControllerId, LogIndex, Term, Timestamp};
+use durability::Durability;
+use leader::Leadership;
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::SeedableRng;
+use snapshot::IncomingSnapshot;
+use std::collections::BTreeSet;
+
+/// Role of a member in its term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Receives the log but does not vote.
+    Learner,
+    /// Follows a leader.
+    Follower,
+    /// Tries out whether it would win an election.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What storage holds at the start.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Recovered {
+    /// Hard state.
+    pub hard_state: HardState,
+    /// Latest snapshot, already restored by the state machine.
+    pub snapshot: SnapshotMetadata,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// The consensus core of one member.
+#[derive(Debug)]
+pub struct Core {
+    settings: CoreSettings,
+    random: Pcg32,
+    term: Term,
+    voted_for: Option<ControllerId>,
+    role: Role,
+    leader: Option<ControllerId>,
+    log: EntryLog,
+    memberships: MembershipLog,
+    snapshot: SnapshotMetadata,
+    commit: LogIndex,
+    applied: LogIndex,
+    durability: Durability,
+    election_deadline: Timestamp,
+    /// Until then no vote is given: the last heard leader may hold a lease.
+    lease_promise: Timestamp,
+    /// When a leader was last heard.
+    heard_leader_at: Option<Timestamp>,
+    votes: BTreeSet<ControllerId>,
+    transfer_election: bool,
+    /// Last entry known to be equal to the present leader's.
+    verified: LogIndex,
+    leader_round: u64,
+    incoming: Option<IncomingSnapshot>,
+    leadership: Option<Leadership>,
+    outputs: Vec<Output>,
+    reported: Option<(Role, Term, Option<ControllerId>)>,
+}
+
+impl Core {
+    /// Starts a member from what storage recovered. `bootstrap` is the
+    /// membership of a new group; it counts until the log holds one.
+    #[must_use]
+    pub fn new(
+        settings: CoreSettings,
+        recovered: Recovered,
+        bootstrap: Membership,
+        now: Timestamp,
+    ) -> Self {
+        let snapshot = recovered.snapshot;
+        let is_new = recovered.hard_state.term == Term(0);
+        let base = if snapshot.membership.voters.is_empty() {
+            bootstrap
+        } else {
+            snapshot.membership.clone()
+        };
+        let mut memberships = MembershipLog::new(snapshot.last_index, base);
+        for entry in &recovered.entries {
+            memberships.append(entry);
+        }
+        let last_entry_term = recovered.entries.last().map(|entry| entry.term);
+        let log = EntryLog::new(snapshot.last_index, snapshot.last_term, recovered.entries);
+        let recovered_term = recovered.hard_state.term;
+        let term = recovered_term.max(last_entry_term.unwrap_or_default());
+        let voted_for = recovered.hard_state.voted_for;
+        // A member that restarts may have promised a leader its lease before.
+        let lease_promise = match is_new {
+            true => now,
+            false => now + settings.election_timeout,
+        };
+        let mut core = Self {
+            random: Pcg32::seed_from_u64(settings.seed),
+            term,
+            voted_for: voted_for.filter(|_| term == recovered_term),
+            role: Role::Follower,
+            leader: None,
+            memberships,
+            commit: snapshot.last_index,
+            applied: snapshot.last_index,
+            durability: Durability::new(log.last_index()),
+            log,
+            snapshot,
+            election_deadline: now,
+            lease_promise,
+            heard_leader_at: None,
+            votes: BTreeSet::new(),
+            transfer_election: false,
+            verified: LogIndex(0),
+            leader_round: 0,
+            incoming: None,
+            leadership: None,
+            outputs: Vec::new(),
+            reported: None,
+            settings,
+        };
+        core.role = core.passive_role();
+        core.draw_election_deadline(now);
+        core
+    }
+
+    /// Takes one input and returns what to do, in order.
+    pub fn step(&mut self, input: Input, now: Timestamp) -> Vec<Output> {
+        match input {
+            Input::Tick => self.on_tick(now),
+            Input::Receive { from, message } => self.on_message(from, message, now),
+            Input::Propose { proposal, command } => self.on_propose(proposal, command),
+            Input::ProposeMembership { proposal, change } => {
+                self.on_propose_membership(proposal, change, now);
+            }
+            Input::Read { read } => self.on_read(read, now),
+            Input::Persisted { number } => self.on_persisted(number, now),
+            Input::SnapshotSaved { metadata } => self.on_snapshot_saved(metadata),
+            Input::SnapshotRestored { metadata } => self.on_snapshot_restored(metadata),
+            Input::TransferLeadership { to } => self.on_transfer(to, now),
+        }
+        self.finish_step()
+    }
+
+    /// The persist comes first, a change of role last.
+    fn finish_step(&mut self) -> Vec<Output> {
+        let hard_state = HardState {
+            term: self.term,
+            voted_for: self.voted_for,
+        };
+        let mut outputs = Vec::new();
+        if let Some(persist) = self.durability.take_persist(hard_state) {
+            outputs.push(persist);
+        }
+        outputs.append(&mut self.outputs);
+        let present = (self.role, self.term, self.leader);
+        if self.reported != Some(present) {
+            self.reported = Some(present);
+            outputs.push(Output::RoleChanged {
+                role: self.role,
+                term: self.term,
+                leader: self.leader,
+            });
+        }
+        outputs
+    }
+
+    fn on_tick(&mut self, now: Timestamp) {
+        match self.role {
+            Role::Leader => self.tick_leader(now),
+            _ => self.tick_election(now),
+        }
+    }
+
+    fn on_message(&mut self, from: ControllerId, message: ConsensusMessage, now: Timestamp) {
+        if !self.admit_term(from, &message, now) {
+            return;
+        }
+        match message {
+            ConsensusMessage::VoteRequest { .. } => self.on_vote_request(from, &message, now),
+            ConsensusMessage::VoteReply {
+                term,
+                pre_vote,
+                granted,
+            } => self.on_vote_reply(from, term, pre_vote, granted, now),
+            ConsensusMessage::Append { .. } => self.on_append(from, message, now),
+            ConsensusMessage::AppendReply {
+                accepted,
+                match_index,
+                round,
+                ..
+            } => self.on_append_reply(from, accepted, match_index, round, now),
+            ConsensusMessage::SnapshotChunk { .. } => self.on_snapshot_chunk(from, message, now),
+            ConsensusMessage::SnapshotReply {
+                last_index,
+                next_offset,
+                done,
+                ..
+            } => self.on_snapshot_reply(from, last_index, next_offset, done, now),
+            ConsensusMessage::TimeoutNow { .. } => self.on_timeout_now(now),
+        }
+    }
+
+    /// Compares the message's term with the own one. Returns whether the
+    /// message is still of interest.
+    fn admit_term(
+        &mut self,
+        from: ControllerId,
+        message: &ConsensusMessage,
+        now: Timestamp,
+    ) -> bool {
+        if let ConsensusMessage::VoteRequest { .. } = message {
+            return true;
+        }
+        let term = message.term();
+        let tried_out = matches!(
+            message,
+            ConsensusMessage::VoteReply {
+                pre_vote: true,
+                granted: true,
+                ..
+            }
+        );
+        if tried_out {
+            return true;
+        }
+        if term > self.term {
+            self.become_follower(term, None, now);
+            return true;
+        }
+        if term < self.term {
+            self.answer_stale(from, message);
+            return false;
+        }
+        true
+    }
+
+    /// Tells a deposed leader the present term.
+    fn answer_stale(&mut self, from: ControllerId, message: &ConsensusMessage) {
+        let from_leader = matches!(
+            message,
+            ConsensusMessage::Append { .. } | ConsensusMessage::SnapshotChunk { .. }
+        );
+        if from_leader {
+            let reply = ConsensusMessage::AppendReply {
+                term: self.term,
+                accepted: false,
+                match_index: LogIndex(0),
+                round: 0,
+            };
+            self.send_when_durable(from, reply);
+        }
+    }
+
+    /// Role of a member that neither leads nor stands for election.
+    fn passive_role(&self) -> Role {
+        match self.memberships.latest().is_voter(self.settings.id) {
+            true => Role::Follower,
+            false => Role::Learner,
+        }
+    }
+
+    fn become_follower(&mut self, term: Term, leader: Option<ControllerId>, now: Timestamp) {
+        if term > self.term {
+            self.term = term;
+            self.voted_for = None;
+            self.durability.hard_state_changed();
+        }
+        if let Some(leadership) = self.leadership.take() {
+            self.reject_waiting(leadership);
+            self.draw_election_deadline(now);
+        }
+        self.role = self.passive_role();
+        self.leader = leader;
+        self.votes.clear();
+        self.verified = LogIndex(0);
+        self.leader_round = 0;
+        self.incoming = None;
+    }
+
+    /// Refuses what waits for this member's leadership.
+    fn reject_waiting(&mut self, leadership: Leadership) {
+        for waiting in leadership.reads {
+            self.outputs.push(Output::ReadRejected {
+                read: waiting.read,
+                reason: RejectionReason::LeadershipLost,
+            });
+        }
+        if let Some(pending) = leadership.pending_change {
+            self.outputs.push(Output::ProposalRejected {
+                proposal: pending.proposal,
+                reason: RejectionReason::NotLeader { leader: None },
+            });
+        }
+    }
+
+    fn send(&mut self, to: ControllerId, message: ConsensusMessage) {
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    fn send_when_durable(&mut self, to: ControllerId, message: ConsensusMessage) {
+        if let Some(ready) = self.durability.defer_send(to, message) {
+            self.outputs.push(ready);
+        }
+    }
+
+    /// Appends an entry of the present term, or a follower's copy.
+    fn append_entry(&mut self, entry: Entry) {
+        if self.memberships.append(&entry) {
+            self.membership_changed();
+        }
+        self.durability.entry_appended(entry.clone());
+        self.log.push(entry);
+    }
+}
--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -14,6 +14,18 @@
     Membership(Membership),
 }
 
+impl Payload {
+    /// Size for flow control, in bytes; a small constant stands for the frame.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        const FRAME_BYTES: usize = 32;
+        match self {
+            Self::Command(bytes) => FRAME_BYTES + bytes.len(),
+            Self::Noop | Self::Membership(_) => FRAME_BYTES,
+        }
+    }
+}
+
 /// One entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Entry {
--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -3,7 +3,7 @@
 use crate::entry::SnapshotMetadata;
 use crate::membership::MembershipChange;
 use crate::message::ConsensusMessage;
-use courseshunt_types::{ControllerId, LogIndex, Term};
+use courseshunt_types::ControllerId;
 
 /// Identity of a proposal within this process's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -13,6 +13,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReadId(pub u64);
 
+/// Number of an [`Output::Persist`](crate::Output::Persist) within this
+/// process's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PersistNumber(pub u64);
+
 /// One input of [`Core::step`](crate::Core::step).
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Input {
@@ -44,13 +49,11 @@
         /// Comes back in the outputs.
         read: ReadId,
     },
-    /// All earlier [`Output::Persist`](crate::Output::Persist)s are durable up
-    /// to the entry (`through`, `term`).
+    /// This [`Output::Persist`](crate::Output::Persist) and all earlier ones
+    /// are durable.
     Persisted {
-        /// Last durable index.
-        through: LogIndex,
-        /// Term of the entry at that index.
-        term: Term,
+        /// Its number.
+        number: PersistNumber,
     },
     /// The state machine saved a snapshot; the log before it may go.
     SnapshotSaved {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -17,14 +17,17 @@
 
 pub mod core;
 pub mod entry;
+mod entry_log;
 pub mod input;
 pub mod membership;
+mod membership_log;
 pub mod message;
 pub mod output;
+mod progress;
 
-pub use crate::core::{Core, CoreSettings, Recovered, Role};
+pub use crate::core::{Core, CoreSettings, MemberProgress, Mutant, Recovered, Role};
 pub use entry::{Entry, HardState, Payload, SnapshotMetadata};
-pub use input::{Input, ProposalId, ReadId};
+pub use input::{Input, PersistNumber, ProposalId, ReadId};
 pub use membership::{Membership, MembershipChange, MembershipError};
 pub use message::ConsensusMessage;
 pub use output::{Output, RejectionReason};
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -59,11 +59,25 @@
         /// The learner.
         member: ControllerId,
     },
+    /// The leader has not committed an entry of its term yet.
+    #[snafu(display("the leader has just been elected; try again"))]
+    LeaderNotReady,
     /// The change would leave too few live voters.
     #[snafu(display("the change would leave the group without a live quorum"))]
     WouldLoseQuorum,
 }
 
+impl MembershipChange {
+    /// The learner that the change makes a voter.
+    #[must_use]
+    pub fn promoted(&self) -> Option<ControllerId> {
+        match self {
+            Self::Promote(learner) | Self::Replace { learner, .. } => Some(*learner),
+            Self::AddLearner(_) | Self::Remove(_) => None,
+        }
+    }
+}
+
 impl Membership {
     /// A group of voters without learners.
     #[must_use]
@@ -87,6 +101,72 @@
         self.voters.contains(&member) || self.outgoing.contains(&member)
     }
 
+    /// The highest value that a quorum of voters has reached; 0 without voters.
+    pub fn quorum_value(&self, value_of: impl Fn(ControllerId) -> u64) -> u64 {
+        let incoming = majority_value(&self.voters, &value_of);
+        match self.outgoing.is_empty() {
+            true => incoming,
+            false => incoming.min(majority_value(&self.outgoing, &value_of)),
+        }
+    }
+
+    /// The membership after `change`. One voter more or less is a single step;
+    /// a replacement is joint, since it changes two.
+    ///
+    /// # Errors
+    /// When the change does not fit the members.
+    pub fn after(&self, change: MembershipChange) -> Result<Self, MembershipError> {
+        if !self.outgoing.is_empty() {
+            return Err(MembershipError::ChangeInProgress);
+        }
+        let mut after = self.clone();
+        match change {
+            MembershipChange::AddLearner(member) => {
+                if self.all().contains(&member) {
+                    return Err(MembershipError::AlreadyMember { member });
+                }
+                after.learners.insert(member);
+            }
+            MembershipChange::Promote(member) => after.promote(member)?,
+            MembershipChange::Replace { lost, learner } => {
+                after.promote(learner)?;
+                if !after.voters.remove(&lost) {
+                    return Err(MembershipError::UnknownMember { member: lost });
+                }
+                after.outgoing = self.voters.clone();
+            }
+            MembershipChange::Remove(member) => {
+                if !after.voters.remove(&member) && !after.learners.remove(&member) {
+                    return Err(MembershipError::UnknownMember { member });
+                }
+                if after.voters.is_empty() {
+                    return Err(MembershipError::WouldLoseQuorum);
+                }
+            }
+        }
+        Ok(after)
+    }
+
+    fn promote(&mut self, learner: ControllerId) -> Result<(), MembershipError> {
+        if self.voters.contains(&learner) {
+            return Err(MembershipError::AlreadyMember { member: learner });
+        }
+        if !self.learners.remove(&learner) {
+            return Err(MembershipError::UnknownMember { member: learner });
+        }
+        self.voters.insert(learner);
+        Ok(())
+    }
+
+    /// The membership once a joint change is over.
+    #[must_use]
+    pub fn finished(&self) -> Self {
+        Self {
+            outgoing: BTreeSet::new(),
+            ..self.clone()
+        }
+    }
+
     /// All members: voters, outgoing voters and learners.
     #[must_use]
     pub fn all(&self) -> BTreeSet<ControllerId> {
@@ -98,3 +178,9 @@
 fn majority(voters: &BTreeSet<ControllerId>, present: &BTreeSet<ControllerId>) -> bool {
     voters.intersection(present).count() * 2 > voters.len()
 }
+
+fn majority_value(voters: &BTreeSet<ControllerId>, value_of: &impl Fn(ControllerId) -> u64) -> u64 {
+    let mut values: Vec<u64> = voters.iter().map(|id| value_of(*id)).collect();
+    values.sort_unstable_by(|left, right| right.cmp(left));
+    values.get(voters.len() / 2).copied().unwrap_or(0)
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -84,3 +84,19 @@
         term: Term,
     },
 }
+
+impl ConsensusMessage {
+    /// Term that the message carries.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        match self {
+            Self::VoteRequest { term, .. }
+            | Self::VoteReply { term, .. }
+            | Self::Append { term, .. }
+            | Self::AppendReply { term, .. }
+            | Self::SnapshotChunk { term, .. }
+            | Self::SnapshotReply { term, .. }
+            | Self::TimeoutNow { term } => *term,
+        }
+    }
+}
--- a/crates/consensus/src/output.rs
+++ b/crates/consensus/src/output.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Role;
 use crate::entry::{Entry, HardState, SnapshotMetadata};
-use crate::input::{ProposalId, ReadId};
+use crate::input::{PersistNumber, ProposalId, ReadId};
 use crate::membership::MembershipError;
 use crate::message::ConsensusMessage;
 use courseshunt_types::{ControllerId, LogIndex, Term};
@@ -27,6 +27,8 @@
 pub enum Output {
     /// Make durable; then answer with [`Input::Persisted`](crate::Input::Persisted).
     Persist {
+        /// Comes back in [`Input::Persisted`](crate::Input::Persisted).
+        number: PersistNumber,
         /// New hard state, if changed.
         hard_state: Option<HardState>,
         /// Entries to append. An entry at an index already stored replaces it
--- /dev/null
+++ b/crates/consensus/tests/group/harness.rs
@@ -0,0 +1,169 @@
+//! A group of cores with an instant disk and a network of fixed delay.
+
+use courseshunt_consensus::{
+    ConsensusMessage, Core, CoreSettings, Input, Membership, MembershipChange, MembershipError,
+    Output, Payload, ProposalId, ReadId, Recovered, RejectionReason, Role,
+};
+use courseshunt_types::{ControllerId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The read that tests ask for.
+pub const READ: ReadId = ReadId(1);
+/// Time between ticks, in milliseconds.
+const TICK: u64 = 20;
+
+struct Member {
+    core: Core,
+    commands: Vec<Vec<u8>>,
+}
+
+struct Flight {
+    from: u64,
+    to: u64,
+    message: ConsensusMessage,
+}
+
+/// See the module.
+pub struct Group {
+    now: u64,
+    members: BTreeMap<u64, Member>,
+    network: VecDeque<Flight>,
+    cut_off: BTreeSet<u64>,
+    bootstrap: Membership,
+}
+
+impl Group {
+    pub fn new(voters: u64) -> Self {
+        let ids = (1..=voters).map(ControllerId);
+        let mut group = Self {
+            now: 0,
+            members: BTreeMap::new(),
+            network: VecDeque::new(),
+            cut_off: BTreeSet::new(),
+            bootstrap: Membership::of_voters(ids),
+        };
+        for id in 1..=voters {
+            let bootstrap = group.bootstrap.clone();
+            group.start(id, bootstrap);
+        }
+        group
+    }
+
+    fn start(&mut self, id: u64, bootstrap: Membership) {
+        let settings = CoreSettings::for_member(ControllerId(id));
+        let now = Timestamp(self.now);
+        let core = Core::new(settings, Recovered::default(), bootstrap, now);
+        let commands = Vec::new();
+        self.members.insert(id, Member { core, commands });
+    }
+
+    pub fn add_member(&mut self, id: u64) {
+        self.start(id, Membership::default());
+    }
+
+    pub fn core(&self, id: u64) -> &Core {
+        &self.members[&id].core
+    }
+
+    pub fn commands(&self, id: u64) -> &[Vec<u8>] {
+        &self.members[&id].commands
+    }
+
+    pub fn leaders(&self) -> Vec<u64> {
+        let members = self.members.iter();
+        let leaders = members.filter(|(_, one)| one.core.role() == Role::Leader);
+        leaders.map(|(id, _)| *id).collect()
+    }
+
+    pub fn elect(&mut self) -> u64 {
+        self.run_for(3000);
+        self.leaders()[0]
+    }
+
+    pub fn cut(&mut self, id: u64) {
+        self.cut_off = BTreeSet::from([id]);
+    }
+
+    pub fn cut_also(&mut self, id: u64) {
+        self.cut_off.insert(id);
+    }
+
+    pub fn heal(&mut self) {
+        self.cut_off.clear();
+    }
+
+    pub fn propose(&mut self, id: u64, command: &[u8]) -> Vec<Output> {
+        let proposal = ProposalId(1);
+        let command = command.to_vec();
+        self.step(id, Input::Propose { proposal, command })
+    }
+
+    pub fn change(&mut self, id: u64, change: MembershipChange) -> Option<MembershipError> {
+        let proposal = ProposalId(2);
+        let outputs = self.step(id, Input::ProposeMembership { proposal, change });
+        outputs.into_iter().find_map(|output| match output {
+            Output::ProposalRejected {
+                reason: RejectionReason::Membership(error),
+                ..
+            } => Some(error),
+            _ => None,
+        })
+    }
+
+    pub fn run_for(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += TICK;
+            for id in self.members.keys().copied().collect::<Vec<_>>() {
+                self.step(id, Input::Tick);
+            }
+            for _ in 0..self.network.len() {
+                self.deliver();
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let Some(flight) = self.network.pop_front() else {
+            return;
+        };
+        let Flight { from, to, message } = flight;
+        if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
+            return;
+        }
+        let from = ControllerId(from);
+        if self.members.contains_key(&to) {
+            self.step(to, Input::Receive { from, message });
+        }
+    }
+
+    pub fn step(&mut self, id: u64, input: Input) -> Vec<Output> {
+        let now = Timestamp(self.now);
+        let member = self.members.get_mut(&id).unwrap();
+        let mut outputs: VecDeque<Output> = member.core.step(input, now).into();
+        let mut carried_out = Vec::new();
+        while let Some(output) = outputs.pop_front() {
+            match &output {
+                Output::Persist { number, .. } => {
+                    let persisted = Input::Persisted { number: *number };
+                    outputs.extend(member.core.step(persisted, now));
+                }
+                Output::Send { to, message } => self.network.push_back(Flight {
+                    from: id,
+                    to: to.0,
+                    message: message.clone(),
+                }),
+                Output::Apply { entries } => {
+                    let commands = entries.iter().filter_map(|entry| match &entry.payload {
+                        Payload::Command(command) => Some(command.clone()),
+                        _ => None,
+                    });
+                    member.commands.extend(commands);
+                }
+                _ => {}
+            }
+            carried_out.push(output);
+        }
+        carried_out
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/group/main.rs
@@ -0,0 +1,178 @@
+//! Many voters: elections, log repair, reads, transfer and membership on a
+//! network that loses nothing but what a test cuts.
+
+mod harness;
+
+use courseshunt_consensus::{
+    Input, MembershipChange, MembershipError, Output, RejectionReason, Role,
+};
+use courseshunt_types::ControllerId;
+use harness::Group;
+
+#[test]
+fn three_voters_elect_one_leader_and_commit_through_a_quorum() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.propose(leader, b"first");
+    group.run_for(500);
+    assert_eq!(group.commands(1), [b"first".to_vec()]);
+    assert_eq!(group.commands(2), group.commands(1));
+    assert_eq!(group.commands(3), group.commands(1));
+    assert_eq!(group.leaders(), [leader]);
+}
+
+#[test]
+fn a_leader_cut_off_steps_down_within_its_lease_and_loses_what_no_quorum_has() {
+    let mut group = Group::new(3);
+    let old = group.elect();
+    group.cut(old);
+    group.propose(old, b"lost");
+    group.run_for(1100);
+    assert_ne!(group.core(old).role(), Role::Leader);
+    group.run_for(3000);
+    let new = group.leaders()[0];
+    assert_ne!(new, old);
+    group.propose(new, b"kept");
+    group.run_for(500);
+    group.heal();
+    group.run_for(1500);
+    for id in 1..=3 {
+        assert_eq!(group.commands(id), [b"kept".to_vec()]);
+    }
+}
+
+#[test]
+fn a_member_that_was_cut_off_does_not_depose_the_leader_on_its_return() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    let term = group.core(leader).term();
+    let other = leader % 3 + 1;
+    group.cut(other);
+    group.run_for(10_000);
+    group.heal();
+    group.run_for(2000);
+    assert_eq!(group.leaders(), [leader]);
+    assert_eq!(group.core(leader).term(), term);
+}
+
+#[test]
+fn a_stale_leader_answers_no_reads() {
+    let mut group = Group::new(3);
+    let old = group.elect();
+    group.cut(old);
+    group.run_for(960);
+    let outputs = group.step(
+        old,
+        Input::Read {
+            read: harness::READ,
+        },
+    );
+    assert!(
+        outputs
+            .iter()
+            .all(|one| !matches!(one, Output::ReadReady { .. }))
+    );
+}
+
+#[test]
+fn a_planned_transfer_leaves_no_gap_of_an_election_timeout() {
+    let mut group = Group::new(3);
+    let old = group.elect();
+    group.run_for(200);
+    group.step(old, Input::TransferLeadership { to: None });
+    group.run_for(100);
+    assert_eq!(group.leaders().len(), 1);
+    assert_ne!(group.leaders()[0], old);
+}
+
+#[test]
+fn a_learner_is_promoted_once_it_has_caught_up() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    for _ in 0..50 {
+        group.propose(leader, b"x");
+    }
+    group.run_for(300);
+    group.add_member(4);
+    group.change(leader, MembershipChange::AddLearner(ControllerId(4)));
+    let refused = group.change(leader, MembershipChange::Promote(ControllerId(9)));
+    assert_eq!(refused, Some(MembershipError::ChangeInProgress));
+    group.run_for(500);
+    assert_eq!(group.commands(4).len(), 50);
+    assert_eq!(group.core(4).role(), Role::Learner);
+    group.change(leader, MembershipChange::Promote(ControllerId(4)));
+    group.run_for(500);
+    assert_eq!(group.core(4).role(), Role::Follower);
+    assert_eq!(group.core(leader).membership().voters.len(), 4);
+}
+
+#[test]
+fn a_lost_voter_is_replaced_in_one_joint_change_and_a_second_loss_costs_nothing() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.propose(leader, b"before");
+    group.add_member(4);
+    group.change(leader, MembershipChange::AddLearner(ControllerId(4)));
+    group.run_for(300);
+    let lost = leader % 3 + 1;
+    group.cut(lost);
+    group.run_for(1200);
+    let replace = MembershipChange::Replace {
+        lost: ControllerId(lost),
+        learner: ControllerId(4),
+    };
+    assert_eq!(group.change(leader, replace), None);
+    group.run_for(300);
+    assert!(group.core(leader).membership_is_settled());
+    group.cut_also(leader);
+    group.run_for(4000);
+    let next = group.leaders()[0];
+    assert!(next != leader && next != lost);
+    group.propose(next, b"after");
+    group.run_for(300);
+    assert_eq!(group.commands(4), [b"before".to_vec(), b"after".to_vec()]);
+}
+
+#[test]
+fn removals_that_lose_the_quorum_are_refused() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.run_for(300);
+    let lost = leader % 3 + 1;
+    let live = lost % 3 + 1;
+    group.cut(lost);
+    group.run_for(1200);
+    let refused = group.change(leader, MembershipChange::Remove(ControllerId(live)));
+    assert_eq!(refused, Some(MembershipError::WouldLoseQuorum));
+    let refused = group.change(leader, MembershipChange::Remove(ControllerId(lost)));
+    assert_eq!(refused, None);
+}
+
+#[test]
+fn a_removed_leader_steps_down_after_the_change_is_committed() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.run_for(300);
+    group.change(leader, MembershipChange::Remove(ControllerId(leader)));
+    group.run_for(4000);
+    assert_eq!(group.core(leader).role(), Role::Learner);
+    assert_eq!(group.leaders().len(), 1);
+    assert_ne!(group.leaders(), [leader]);
+}
+
+#[test]
+fn a_follower_names_the_leader_when_it_refuses() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.run_for(300);
+    let follower = leader % 3 + 1;
+    let outputs = group.propose(follower, b"x");
+    let expected = RejectionReason::NotLeader {
+        leader: Some(ControllerId(leader)),
+    };
+    assert!(
+        outputs.iter().any(
+            |one| matches!(one, Output::ProposalRejected { reason, .. } if *reason == expected)
+        )
+    );
+}
--- a/crates/consensus/tests/single_voter.rs
+++ b/crates/consensus/tests/single_voter.rs
@@ -1,9 +1,17 @@
 //! A group of one voter commits what it has persisted, and nothing earlier.
 
 use courseshunt_consensus::{
-    Core, CoreSettings, Input, Membership, Output, ProposalId, Recovered, Role,
+    Core, CoreSettings, Input, Membership, Output, PersistNumber, ProposalId, Recovered, Role,
 };
-use courseshunt_types::{ControllerId, LogIndex, Timestamp};
+use courseshunt_types::{ControllerId, Timestamp};
+
+fn applied(outputs: &[Output]) -> usize {
+    let counts = outputs.iter().map(|one| match one {
+        Output::Apply { entries } => entries.len(),
+        _ => 0,
+    });
+    counts.sum()
+}
 
 #[test]
 fn an_entry_is_applied_only_after_it_is_persisted() {
@@ -12,6 +20,11 @@
     let bootstrap = Membership::of_voters([id]);
     let mut core = Core::new(settings, Recovered::default(), bootstrap, Timestamp(0));
     core.step(Input::Tick, Timestamp(5000));
+    assert_eq!(core.role(), Role::Candidate, "its vote is not durable yet");
+    let persisted = |number| Input::Persisted {
+        number: PersistNumber(number),
+    };
+    core.step(persisted(1), Timestamp(5000));
     assert_eq!(core.role(), Role::Leader);
 
     let propose = Input::Propose {
@@ -19,18 +32,9 @@
         command: b"x".to_vec(),
     };
     let outputs = core.step(propose, Timestamp(5001));
-    assert!(
-        !outputs
-            .iter()
-            .any(|one| matches!(one, Output::Apply { .. }))
-    );
-    let persisted = Input::Persisted {
-        through: LogIndex(2),
-        term: core.term(),
-    };
-    let outputs = core.step(persisted, Timestamp(5002));
-    let Some(Output::Apply { entries }) = outputs.last() else {
-        panic!("expected the entries to be applied, got {outputs:?}");
-    };
-    assert_eq!(entries.len(), 2);
+    assert_eq!(applied(&outputs), 0);
+    let outputs = core.step(persisted(2), Timestamp(5002));
+    assert_eq!(applied(&outputs), 1, "the first entry of the term");
+    let outputs = core.step(persisted(3), Timestamp(5002));
+    assert_eq!(applied(&outputs), 1, "the command");
 }
--- a/crates/controller/src/demand.rs
+++ b/crates/controller/src/demand.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Forgets everything: another member has taken the planning over.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     /// Waits for the next report.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -52,6 +52,6 @@
 ) -> Result<(), WireError> {
     match connection.peer.clone() {
         PeerIdentity::Router(router, _) => session::serve(connection, router, context).await,
-        PeerIdentity::Controller(_) => Ok(()),
+        PeerIdentity::Controller(peer) => crate::peers::serve(connection, peer, context).await,
     }
 }
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -4,6 +4,7 @@
 use super::updates;
 use crate::ControllerContext;
 use crate::replica::ProposeError;
+use courseshunt_queue::DemandReport;
 use courseshunt_state::CommandEnvelope;
 use courseshunt_types::{ClientId, Epoch, LogIndex, Millis, Revision, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
@@ -55,7 +56,7 @@
         ended = receive(receiver, &subscribe, context, replies) => ended,
     };
     context.routers.remove(&endpoint);
-    context.demand.forget(&router);
+    forget_demand(context, &router);
     log::info!("feed: router {router} left");
     ended
 }
@@ -80,9 +81,7 @@
     while let Some(message) = receiver.receive().await? {
         match message {
             Message::Demand { reports } => {
-                for report in reports {
-                    context.demand.record(router, report, context.clock.now());
-                }
+                record_demand(context, router, reports);
             }
             Message::Confirmed { revision } => context.routers.confirm(router, revision),
             Message::Ledger { .. } => {
@@ -96,6 +95,26 @@
     Ok(())
 }
 
+/// The leader plans with the demand; other members pass it on.
+fn record_demand(context: &ControllerContext, router: &RouterId, reports: Vec<DemandReport>) {
+    let status = context.replica.status().borrow().clone();
+    if status.leads() {
+        for report in reports {
+            context.demand.record(router, report, context.clock.now());
+        }
+    } else if let Some(leader) = status.leader {
+        context.peers.relay_demand(leader, router, reports);
+    }
+}
+
+fn forget_demand(context: &ControllerContext, router: &RouterId) {
+    context.demand.forget(router);
+    let status = context.replica.status().borrow().clone();
+    if let (false, Some(leader)) = (status.leads(), status.leader) {
+        context.peers.relay_gone(leader, router);
+    }
+}
+
 async fn ledger(
     message: Message,
     client: ClientId,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,11 +5,12 @@
 pub mod demand;
 pub mod error;
 pub mod feed;
+pub mod peers;
 pub mod replica;
 pub mod scheduler;
 
 pub use error::ControllerError;
-pub use replica::{ProposeError, ReplicaHandle, ReplicaStatus};
+pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
 
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::ControllerSettings;
@@ -18,6 +19,7 @@
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
 use feed::RouterRegistry;
+use peers::{AddressBook, PeerNetwork};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -32,6 +34,8 @@
     pub settings: Arc<ControllerSettings>,
     /// The replicated state and the way to change it.
     pub replica: ReplicaHandle,
+    /// The other controllers.
+    pub peers: PeerNetwork,
     /// Demand, as reported by routers.
     pub demand: Arc<DemandBook>,
     /// Live routers.
@@ -64,12 +68,25 @@
     /// # Errors
     /// When a file can't be read, the store is damaged or an address is taken.
     pub async fn start(settings: ControllerSettings) -> Result<Self, ControllerError> {
+        let http = bind(settings.http_address).await?;
+        let wire = bind(settings.wire_address).await?;
+        Self::start_on(settings, http, wire).await
+    }
+
+    /// Starts a controller on listeners that are bound already, so that the
+    /// members of a group can know each other's ports before any of them runs.
+    ///
+    /// # Errors
+    /// When a file can't be read or the store is damaged.
+    pub async fn start_on(
+        settings: ControllerSettings,
+        http: TcpListener,
+        wire: TcpListener,
+    ) -> Result<Self, ControllerError> {
         let key = read_file(&settings.cluster_key_file)?;
         let cluster_key = ClusterKey::new(key.trim().as_bytes()).context(error::ShortKeySnafu)?;
         let runner_token = read_file(&settings.runner_token_file)?;
         let operators = admin::Operators::read(&settings.operator_token_file)?;
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
         let http_address = http.local_addr().context(BindSnafu {
             address: settings.http_address,
         })?;
@@ -77,21 +94,30 @@
             address: settings.wire_address,
         })?;
         let clock = MonotonicClock::start();
-        let replica = replica::start(&settings, clock).await?;
+        let stop = CancellationToken::new();
+        let addresses = AddressBook::default();
+        for voter in &settings.voters {
+            addresses.set(voter.id, voter.address);
+        }
+        let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
+        let replica = replica::start(&settings, clock, peers.clone()).await?;
         let context = ControllerContext {
             settings: Arc::new(settings),
             replica,
+            peers,
             demand: Arc::default(),
             routers: Arc::default(),
             client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
-            stop: CancellationToken::new(),
+            stop,
         };
         tokio::spawn(feed::accept_peers(wire, context.clone()));
         scheduler::start(&context)?;
         let stop = context.stop.clone();
+        let forgetting = peers::forget_when_deposed(context.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
             http,
@@ -115,8 +141,9 @@
 
     /// Stops as planned.
     pub async fn stop(self) {
-        self.context.stop.cancel();
+        // The hand-over of the leadership needs the connections to the others.
         self.context.replica.stop().await;
+        self.context.stop.cancel();
         log::info!("controller: stopped");
     }
 }
--- /dev/null
+++ b/crates/controller/src/peers/addresses.rs
@@ -0,0 +1,33 @@
+//! Wire addresses of the members: from the settings, then from the replicated
+//! state, which wins.
+
+use courseshunt_types::ControllerId;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
+
+/// See the module; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct AddressBook {
+    addresses: Arc<RwLock<BTreeMap<ControllerId, SocketAddr>>>,
+}
+
+impl AddressBook {
+    /// Sets the address of a member.
+    pub fn set(&self, member: ControllerId, address: SocketAddr) {
+        let addresses = self.addresses.write();
+        addresses
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(member, address);
+    }
+
+    /// The address of a member, if known.
+    #[must_use]
+    pub fn get(&self, member: ControllerId) -> Option<SocketAddr> {
+        let addresses = self.addresses.read();
+        addresses
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&member)
+            .copied()
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peers/demand.rs
@@ -0,0 +1,18 @@
+//! Demand belongs to the leader: a member that no longer leads forgets what
+//! routers and other members reported to it.
+
+use crate::ControllerContext;
+
+/// Forgets all demand whenever this member stops leading; runs until cancelled.
+pub async fn forget_when_deposed(context: ControllerContext) {
+    let mut status = context.replica.status();
+    loop {
+        if status.wait_for(|status| status.leads()).await.is_err() {
+            return;
+        }
+        if status.wait_for(|status| !status.leads()).await.is_err() {
+            return;
+        }
+        context.demand.clear();
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peers/inbound.rs
@@ -0,0 +1,134 @@
+//! Serves a connection that another controller made.
+
+use super::link::ALIVE_INTERVAL;
+use crate::ControllerContext;
+use crate::replica::ProposeError;
+use courseshunt_queue::DemandReport;
+use courseshunt_state::CommandEnvelope;
+use courseshunt_types::{ControllerId, RouterId};
+use courseshunt_wire::message::CallId;
+use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError};
+use std::collections::BTreeSet;
+use tokio::sync::mpsc;
+
+/// Replies that wait to be sent.
+const REPLY_QUEUE: usize = 1024;
+
+/// Serves the connection until it ends.
+///
+/// # Errors
+/// When the connection breaks or a frame can't be read.
+pub async fn serve(
+    connection: Connection,
+    peer: ControllerId,
+    context: &ControllerContext,
+) -> Result<(), WireError> {
+    let Connection {
+        sender, receiver, ..
+    } = connection;
+    let (replies, reply_queue) = mpsc::channel(REPLY_QUEUE);
+    let mut inbound = Inbound {
+        peer,
+        context,
+        replies,
+        routers: BTreeSet::new(),
+    };
+    let ended = tokio::select! {
+        () = context.stop.cancelled() => Ok(()),
+        ended = send_replies(sender, reply_queue) => ended,
+        ended = inbound.receive_all(receiver) => ended,
+    };
+    for router in &inbound.routers {
+        context.demand.forget(router);
+    }
+    ended
+}
+
+async fn send_replies(
+    mut sender: Sender,
+    mut replies: mpsc::Receiver<Message>,
+) -> Result<(), WireError> {
+    let mut alive = tokio::time::interval(ALIVE_INTERVAL);
+    loop {
+        let message = tokio::select! {
+            _ = alive.tick() => Message::PeerAlive,
+            reply = replies.recv() => match reply {
+                Some(reply) => reply,
+                None => return Ok(()),
+            },
+        };
+        sender.send(&message).await?;
+    }
+}
+
+struct Inbound<'a> {
+    peer: ControllerId,
+    context: &'a ControllerContext,
+    replies: mpsc::Sender<Message>,
+    /// Routers whose demand came over this connection.
+    routers: BTreeSet<RouterId>,
+}
+
+impl Inbound<'_> {
+    async fn receive_all(&mut self, mut receiver: Receiver) -> Result<(), WireError> {
+        while let Some(message) = receiver.receive().await? {
+            self.take(message);
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Consensus { message, .. } => self.context.replica.receive(self.peer, message),
+            Message::Forward { call, envelope, .. } => {
+                let (context, replies) = (self.context.clone(), self.replies.clone());
+                tokio::spawn(async move { forward(call, &envelope, &context, &replies).await });
+            }
+            Message::ReadIndex { call, .. } => {
+                let (context, replies) = (self.context.clone(), self.replies.clone());
+                tokio::spawn(async move { read_index(call, &context, &replies).await });
+            }
+            Message::RelayedDemand {
+                router,
+                reports,
+                gone,
+            } => self.take_demand(router, reports, gone),
+            other => log::warn!("peers: controller {} sent {other:?}", self.peer),
+        }
+    }
+
+    fn take_demand(&mut self, router: RouterId, reports: Vec<DemandReport>, gone: bool) {
+        let demand = &self.context.demand;
+        if gone || !self.context.replica.leads() {
+            demand.forget(&router);
+            self.routers.remove(&router);
+            return;
+        }
+        for report in reports {
+            demand.record(&router, report, self.context.clock.now());
+        }
+        self.routers.insert(router);
+    }
+}
+
+async fn forward(
+    call: CallId,
+    envelope: &[u8],
+    context: &ControllerContext,
+    replies: &mpsc::Sender<Message>,
+) {
+    let reply = match CommandEnvelope::from_payload(envelope) {
+        Ok(envelope) => context.replica.propose_here(envelope).await,
+        Err(error) => {
+            log::warn!("peers: a forwarded command can't be read: {error}");
+            Err(ProposeError::Undecided)
+        }
+    };
+    let reply = reply.ok();
+    let _ = replies.send(Message::ForwardReply { call, reply }).await;
+}
+
+async fn read_index(call: CallId, context: &ControllerContext, replies: &mpsc::Sender<Message>) {
+    let index = context.replica.read_index_here().await.ok();
+    let _ = replies.send(Message::ReadIndexReply { call, index }).await;
+}
--- /dev/null
+++ b/crates/controller/src/peers/link.rs
@@ -0,0 +1,154 @@
+//! The connection to one other member, made again whenever it breaks or falls
+//! silent.
+
+use super::addresses::AddressBook;
+use courseshunt_types::ControllerId;
+use courseshunt_wire::message::CallId;
+use courseshunt_wire::{
+    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
+};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+/// Messages that wait to be sent to one member; more are dropped.
+const QUEUE: usize = 4096;
+/// Pause before the member is dialled again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// A connection on which nothing arrives for so long is given up. The other
+/// side sends at least every [`ALIVE_INTERVAL`].
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between signs of life of the accepting side.
+pub(super) const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Calls that wait for their replies; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PendingCalls {
+    calls: Arc<Mutex<BTreeMap<CallId, oneshot::Sender<Message>>>>,
+}
+
+impl PendingCalls {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<CallId, oneshot::Sender<Message>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn expect(&self, call: CallId) -> oneshot::Receiver<Message> {
+        let (reply, received) = oneshot::channel();
+        self.lock().insert(call, reply);
+        received
+    }
+
+    pub(super) fn forget(&self, call: CallId) {
+        self.lock().remove(&call);
+    }
+
+    fn finish(&self, call: CallId, message: Message) {
+        if let Some(reply) = self.lock().remove(&call) {
+            let _ = reply.send(message);
+        }
+    }
+}
+
+/// Sending side of a link.
+#[derive(Debug)]
+pub(super) struct LinkHandle {
+    queue: mpsc::Sender<Message>,
+}
+
+impl LinkHandle {
+    /// Queues a message; drops it when the queue is full.
+    pub(super) fn send(&self, message: Message) {
+        let _ = self.queue.try_send(message);
+    }
+}
+
+/// See the module.
+pub(super) struct Link {
+    pub(super) to: ControllerId,
+    pub(super) key: ClusterKey,
+    pub(super) identity: PeerIdentity,
+    pub(super) addresses: AddressBook,
+    pub(super) pending: PendingCalls,
+}
+
+impl Link {
+    pub(super) fn start(self, stop: CancellationToken) -> LinkHandle {
+        let (queue, messages) = mpsc::channel(QUEUE);
+        tokio::spawn(stop.run_until_cancelled_owned(self.run(messages)));
+        LinkHandle { queue }
+    }
+
+    async fn run(self, mut messages: mpsc::Receiver<Message>) {
+        let mut reachable = true;
+        loop {
+            let ended = self.connect_and_serve(&mut messages).await;
+            if let Err(error) = ended {
+                if reachable {
+                    log::warn!("peers: controller {}: {error}", self.to);
+                }
+                reachable = false;
+            } else {
+                reachable = true;
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+            // What waited meanwhile is out of date; its senders repeat it.
+            while messages.try_recv().is_ok() {}
+        }
+    }
+
+    async fn connect_and_serve(
+        &self,
+        messages: &mut mpsc::Receiver<Message>,
+    ) -> Result<(), WireError> {
+        let Some(address) = self.addresses.get(self.to) else {
+            return Ok(());
+        };
+        let connection = connect(address, &self.key, &self.identity).await?;
+        if connection.peer != PeerIdentity::Controller(self.to) {
+            log::warn!("peers: {address} is {}, not {}", connection.peer, self.to);
+            return Ok(());
+        }
+        log::info!("peers: connected to controller {}", self.to);
+        let Connection {
+            sender, receiver, ..
+        } = connection;
+        tokio::select! {
+            ended = send_all(sender, messages) => ended,
+            ended = self.receive_all(receiver) => ended,
+        }
+    }
+
+    async fn receive_all(&self, mut receiver: Receiver) -> Result<(), WireError> {
+        loop {
+            let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
+            let Ok(received) = received else {
+                return Err(WireError::TimedOut {
+                    step: "receive",
+                    peer: format!("controller {}", self.to),
+                });
+            };
+            let Some(message) = received? else {
+                return Ok(());
+            };
+            match &message {
+                Message::ForwardReply { call, .. } | Message::ReadIndexReply { call, .. } => {
+                    self.pending.finish(*call, message);
+                }
+                Message::PeerAlive => {}
+                other => log::warn!("peers: unexpected message {other:?}"),
+            }
+        }
+    }
+}
+
+async fn send_all(
+    mut sender: Sender,
+    messages: &mut mpsc::Receiver<Message>,
+) -> Result<(), WireError> {
+    while let Some(message) = messages.recv().await {
+        sender.send(&message).await?;
+    }
+    Ok(())
+}
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -1,14 +1,29 @@
 //! The handle of a replica.
 
-use super::actor::ReplicaMessage;
-use courseshunt_consensus::Role;
+use super::actor::{ReplicaMessage, Reply};
+use super::session::ClientSession;
+use crate::peers::PeerNetwork;
+use courseshunt_consensus::{
+    ConsensusMessage, MemberProgress, Membership, MembershipChange, MembershipError, Role,
+};
 use courseshunt_state::{Command, CommandEnvelope, CommandReply, ReplicatedState};
+use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{
-    ClientId, ClientSequence, ControllerId, LogIndex, Revision, Term, UnixMillis,
+    ClientId, ClientSequence, ControllerId, LogIndex, Millis, Revision, Term, Timestamp, UnixMillis,
 };
 use ractor::ActorRef;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
+
+/// Longest time in which a command or read looks for a leader.
+const LEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a command or read is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for another voter to take over at a planned stop.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a command was not, or perhaps not, committed.
 #[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
@@ -23,11 +38,24 @@
     #[snafu(display("replica: leadership was lost before the command was committed"))]
     Undecided,
     /// The store refuses writes, such as on a full disk; nothing was taken in.
-    #[snafu(display("replica: the store refuses writes"))]
+    #[snafu(display("replica: the store refuses writes, its disk is full"))]
     StoreUnavailable,
     /// The replica has stopped.
     #[snafu(display("replica: stopped"))]
     Stopped,
+    /// The membership change is not allowed.
+    #[snafu(display("replica: {source}"))]
+    Membership {
+        /// Why.
+        source: MembershipError,
+    },
+}
+
+impl ProposeError {
+    /// Whether another try, perhaps at another member, may succeed.
+    fn is_worth_retrying(&self) -> bool {
+        matches!(self, Self::NotLeader { .. } | Self::Undecided)
+    }
 }
 
 /// What is known about this member.
@@ -53,6 +81,19 @@
     }
 }
 
+/// The members as one member knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct MembersView {
+    /// Voters and learners.
+    pub membership: Membership,
+    /// Whether the membership is committed and no change goes on.
+    pub settled: bool,
+    /// Last committed entry known here.
+    pub commit: LogIndex,
+    /// How far each other member is; known at the leader only.
+    pub progress: Vec<MemberProgress>,
+}
+
 /// The replicated state, shared for reading.
 pub type SharedState = Arc<RwLock<ReplicatedState>>;
 
@@ -62,48 +103,173 @@
     pub(super) actor: ActorRef<ReplicaMessage>,
     pub(super) state: SharedState,
     pub(super) status: watch::Receiver<ReplicaStatus>,
+    pub(super) quorum_contact: Arc<AtomicU64>,
+    pub(super) clock: MonotonicClock,
+    pub(super) peers: PeerNetwork,
+    pub(super) session: ClientSession,
 }
 
 impl ReplicaHandle {
-    /// Commits a command and returns its reply.
+    /// Commits a command and returns its reply. A member that does not lead
+    /// passes it on to the leader; after a lost answer or a change of leader it
+    /// is sent again under the same number, so that it takes effect once.
+    ///
+    /// # Errors
+    /// See [`ProposeError`]. `Undecided` when no answer came in time.
+    pub async fn propose(
+        &self,
+        mut envelope: CommandEnvelope,
+    ) -> Result<CommandReply, ProposeError> {
+        let ticket = self.session.begin();
+        if envelope.client.as_str().is_empty() {
+            envelope.client = self.session.client().clone();
+            envelope.sequence = ticket.sequence();
+            envelope.acknowledged = ticket.acknowledged;
+        }
+        let mut undecided = false;
+        let deadline = Instant::now() + LEADER_TIMEOUT;
+        loop {
+            let error = match self.propose_once(&envelope).await {
+                Err(error) if error.is_worth_retrying() => error,
+                Err(_) if undecided => ProposeError::Undecided,
+                finished => return finished,
+            };
+            undecided |= error == ProposeError::Undecided;
+            if Instant::now() >= deadline {
+                return Err(if undecided {
+                    ProposeError::Undecided
+                } else {
+                    error
+                });
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn propose_once(&self, envelope: &CommandEnvelope) -> Result<CommandReply, ProposeError> {
+        if self.leads() {
+            return self.propose_here(envelope.clone()).await;
+        }
+        let leader = self.status.borrow().leader;
+        match leader {
+            Some(leader) => {
+                let forwarded = self.peers.forward(leader, envelope).await;
+                forwarded.ok_or(ProposeError::Undecided)
+            }
+            None => Err(ProposeError::NotLeader { leader: None }),
+        }
+    }
+
+    /// Commits a command only if this member leads.
     ///
     /// # Errors
     /// See [`ProposeError`].
-    pub async fn propose(&self, envelope: CommandEnvelope) -> Result<CommandReply, ProposeError> {
+    pub async fn propose_here(
+        &self,
+        envelope: CommandEnvelope,
+    ) -> Result<CommandReply, ProposeError> {
+        let call = |reply| ReplicaMessage::Propose { envelope, reply };
+        self.ask(call, ProposeError::Undecided).await
+    }
+
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(Reply<T>) -> ReplicaMessage,
+        lost: ProposeError,
+    ) -> Result<T, ProposeError> {
         let (reply, received) = oneshot::channel();
-        let message = ReplicaMessage::Propose { envelope, reply };
-        self.actor
-            .cast(message)
-            .map_err(|_| ProposeError::Stopped)?;
-        received.await.unwrap_or(Err(ProposeError::Undecided))
+        let sent = self.actor.cast(message(reply));
+        sent.map_err(|_| ProposeError::Stopped)?;
+        received.await.unwrap_or(Err(lost))
     }
 
-    /// Commits a command whose resends need not be recognised.
+    /// Commits a command through whichever member leads.
     ///
     /// # Errors
     /// See [`ProposeError`].
     pub async fn submit(&self, command: Command) -> Result<CommandReply, ProposeError> {
-        self.propose(CommandEnvelope {
-            client: ClientId::default(),
-            sequence: ClientSequence(0),
-            acknowledged: ClientSequence(0),
-            proposed_at: UnixMillis::now(),
-            command,
-        })
-        .await
+        self.propose(unnamed(command)).await
+    }
+
+    /// Commits a decision that only a leader may make; a member that does not
+    /// lead (any more) refuses it.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn submit_as_leader(&self, command: Command) -> Result<CommandReply, ProposeError> {
+        self.propose_here(unnamed(command)).await
     }
 
-    /// Waits until everything committed before the call is applied here.
+    /// Waits until everything committed before the call is applied here, also
+    /// on a member that does not lead.
     ///
     /// # Errors
-    /// When this member does not lead or has stopped.
+    /// When no leader answers in time, or this member has stopped.
     pub async fn read_barrier(&self) -> Result<LogIndex, ProposeError> {
+        let deadline = Instant::now() + LEADER_TIMEOUT;
+        let index = loop {
+            let error = match self.read_index().await {
+                Ok(index) => break index,
+                Err(error) => error,
+            };
+            if !error.is_worth_retrying() || Instant::now() >= deadline {
+                return Err(error);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        };
+        let mut status = self.status.clone();
+        let applied = status.wait_for(|status| status.applied >= index);
+        match tokio::time::timeout_at(deadline, applied).await {
+            Ok(Ok(_)) => Ok(index),
+            Ok(Err(_)) => Err(ProposeError::Stopped),
+            Err(_) => Err(ProposeError::Undecided),
+        }
+    }
+
+    async fn read_index(&self) -> Result<LogIndex, ProposeError> {
+        if self.leads() {
+            return self.read_index_here().await;
+        }
+        let leader = self.status.borrow().leader;
+        let index = match leader {
+            Some(leader) => self.peers.read_index(leader).await,
+            None => None,
+        };
+        index.ok_or(ProposeError::NotLeader { leader })
+    }
+
+    /// An index at which a read is linearizable, if this member leads.
+    ///
+    /// # Errors
+    /// When it does not lead, or loses the leadership meanwhile.
+    pub async fn read_index_here(&self) -> Result<LogIndex, ProposeError> {
+        let call = |reply| ReplicaMessage::Read { reply };
+        self.ask(call, ProposeError::Stopped).await
+    }
+
+    /// Changes the membership, if this member leads; returns the index of the
+    /// committed change.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn change_membership(
+        &self,
+        change: MembershipChange,
+    ) -> Result<LogIndex, ProposeError> {
+        let call = |reply| ReplicaMessage::ChangeMembership { change, reply };
+        self.ask(call, ProposeError::Undecided).await
+    }
+
+    /// The members as this member knows them.
+    pub async fn members(&self) -> MembersView {
         let (reply, received) = oneshot::channel();
-        let message = ReplicaMessage::Read { reply };
-        self.actor
-            .cast(message)
-            .map_err(|_| ProposeError::Stopped)?;
-        received.await.unwrap_or(Err(ProposeError::Stopped))
+        let _ = self.actor.cast(ReplicaMessage::Members { reply });
+        received.await.unwrap_or_default()
+    }
+
+    /// Hands a message of another member to the consensus core.
+    pub fn receive(&self, from: ControllerId, message: ConsensusMessage) {
+        let _ = self.actor.cast(ReplicaMessage::Receive { from, message });
     }
 
     /// The replicated state as applied here. Don't hold it over an `await`.
@@ -117,8 +283,41 @@
         self.status.clone()
     }
 
-    /// Stops the replica after the messages that it has.
+    /// Whether this member leads.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.status.borrow().leads()
+    }
+
+    /// Time since this member was surely in contact with a quorum, or with a
+    /// leader that was; `None` before the first contact. What it has applied is
+    /// at most so old, plus the time that replication takes.
+    #[must_use]
+    pub fn confirmation_age(&self) -> Option<Millis> {
+        let contact = self.quorum_contact.load(Ordering::Relaxed);
+        (contact != super::NO_CONTACT).then(|| self.clock.now().since(Timestamp(contact)))
+    }
+
+    /// Hands the leadership over, if this member leads, and stops.
     pub async fn stop(&self) {
+        let alone = self.members().await.membership.voters.len() <= 1;
+        if self.leads() && !alone {
+            let _ = self.actor.cast(ReplicaMessage::Transfer);
+            let mut status = self.status.clone();
+            let followed = status.wait_for(|status| !status.leads());
+            let _ = tokio::time::timeout(TRANSFER_TIMEOUT, followed).await;
+        }
         let _ = self.actor.stop_and_wait(None, None).await;
     }
 }
+
+/// An envelope that the session names when it is sent.
+fn unnamed(command: Command) -> CommandEnvelope {
+    CommandEnvelope {
+        client: ClientId::default(),
+        sequence: ClientSequence(0),
+        acknowledged: ClientSequence(0),
+        proposed_at: UnixMillis::now(),
+        command,
+    }
+}
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -2,18 +2,37 @@
 //! the state machine, and is the one way to change replicated state.
 
 mod actor;
+mod driver;
 mod handle;
+mod session;
+mod snapshots;
+mod writer;
 
-pub use handle::{ProposeError, ReplicaHandle, ReplicaStatus};
+pub use handle::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
 
 use crate::error::{ControllerError, StorageSnafu};
+use crate::peers::PeerNetwork;
+use actor::ReplicaActor;
+use courseshunt_consensus::{Core, CoreSettings, Membership};
 use courseshunt_settings::ControllerSettings;
-use courseshunt_storage::FileLog;
+use courseshunt_state::ReplicatedState;
+use courseshunt_storage::{FileLog, LogStore};
+use courseshunt_types::ControllerId;
 use courseshunt_types::time::MonotonicClock;
+use driver::DriverArguments;
+use handle::SharedState;
+use ractor::Actor;
+use session::ClientSession;
 use snafu::ResultExt;
+use snapshots::Snapshots;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, RwLock};
+use tokio::sync::watch;
 
 /// Folder of the log of group 0 in the data folder.
 const GROUP_FOLDER: &str = "group-0";
+/// Marks that no quorum has been seen yet.
+const NO_CONTACT: u64 = u64::MAX;
 
 /// Opens the store and starts the replica.
 ///
@@ -22,8 +41,83 @@
 pub async fn start(
     settings: &ControllerSettings,
     clock: MonotonicClock,
+    peers: PeerNetwork,
 ) -> Result<ReplicaHandle, ControllerError> {
     let folder = settings.data_folder.join(GROUP_FOLDER);
     let store = FileLog::open(&folder).context(StorageSnafu)?;
-    actor::spawn(settings, Box::new(store), clock).await
+    spawn(settings, Box::new(store), clock, peers).await
+}
+
+/// Restores the state and starts the actor.
+async fn spawn(
+    settings: &ControllerSettings,
+    mut store: Box<dyn LogStore>,
+    clock: MonotonicClock,
+    peers: PeerNetwork,
+) -> Result<ReplicaHandle, ControllerError> {
+    let recovered = store.recover().context(StorageSnafu)?;
+    let state = restore(&recovered.snapshot)?;
+    let (applied, revision) = (state.applied, state.configuration.revision);
+    let state: SharedState = Arc::new(RwLock::new(state));
+    let snapshots = Snapshots::new(recovered.core.snapshot.clone(), recovered.snapshot);
+    let bootstrap = first_membership(settings);
+    let core_settings = CoreSettings {
+        seed: rand::random(),
+        ..CoreSettings::for_member(settings.id)
+    };
+    let core = Core::new(core_settings, recovered.core, bootstrap, clock.now());
+    let (status, status_changes) = watch::channel(ReplicaStatus {
+        role: core.role(),
+        term: core.term(),
+        leader: None,
+        applied,
+        revision,
+    });
+    let quorum_contact = Arc::new(AtomicU64::new(NO_CONTACT));
+    let arguments = DriverArguments {
+        core,
+        store,
+        snapshots,
+        clock,
+        state: state.clone(),
+        status,
+        quorum_contact: quorum_contact.clone(),
+        peers: peers.clone(),
+    };
+    let spawned = Actor::spawn(None, ReplicaActor, arguments).await;
+    let (actor, _) = spawned.map_err(|error| ControllerError::Actor {
+        part: "replica",
+        message: error.to_string(),
+    })?;
+    Ok(ReplicaHandle {
+        actor,
+        state,
+        status: status_changes,
+        quorum_contact,
+        clock,
+        peers,
+        session: ClientSession::new(settings.id),
+    })
+}
+
+fn restore(snapshot: &[u8]) -> Result<ReplicatedState, ControllerError> {
+    if snapshot.is_empty() {
+        return Ok(ReplicatedState::default());
+    }
+    ReplicatedState::from_snapshot(snapshot).map_err(|error| ControllerError::Restore {
+        message: error.to_string(),
+    })
+}
+
+/// The membership of a new group. A member that is not among the voters joins
+/// an existing group: it learns the membership from the leader.
+fn first_membership(settings: &ControllerSettings) -> Membership {
+    let voters: Vec<ControllerId> = settings.voters.iter().map(|voter| voter.id).collect();
+    if voters.is_empty() {
+        return Membership::of_voters([settings.id]);
+    }
+    match voters.contains(&settings.id) {
+        true => Membership::of_voters(voters),
+        false => Membership::default(),
+    }
 }
--- a/crates/controller/src/scheduler/plan.rs
+++ b/crates/controller/src/scheduler/plan.rs
@@ -223,7 +223,7 @@
 
 /// Commits a decision; its fence when it was accepted.
 async fn decide(context: &ControllerContext, command: Command) -> Option<Fence> {
-    match context.replica.submit(command).await {
+    match context.replica.submit_as_leader(command).await {
         Ok(CommandReply::Placed { fence }) => Some(fence),
         Ok(reply) => {
             log::info!("scheduler: decision dropped: {reply:?}");
--- a/crates/controller/src/scheduler/runners.rs
+++ b/crates/controller/src/scheduler/runners.rs
@@ -289,7 +289,7 @@
 }
 
 async fn submit(context: &ControllerContext, command: Command) {
-    if let Err(error) = context.replica.submit(command).await {
+    if let Err(error) = context.replica.submit_as_leader(command).await {
         log::warn!("scheduler: {error}");
     }
 }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -5,7 +5,7 @@
 use courseshunt_controller::Controller;
 use courseshunt_operator::AdminClient;
 use courseshunt_router::Router;
-use courseshunt_settings::process::LogSettings;
+use courseshunt_settings::process::{LogSettings, PeerAddress};
 use courseshunt_settings::{ControllerSettings, RouterSettings};
 use courseshunt_standin::model::{RunnerModelSettings, StoreModelSettings};
 use courseshunt_standin::server::{PlatformServer, RunnerServer, StoreServer};
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// Any free port of the loopback interface.
 const ANY_PORT: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
@@ -26,6 +27,8 @@
 /// What a site consists of.
 #[derive(Debug, Clone)]
 pub struct SiteSettings {
+    /// Controllers; all of them vote.
+    pub controllers: usize,
     /// Routers.
     pub routers: usize,
     /// Stand-in runners.
@@ -76,17 +79,18 @@
         let platform = PlatformServer::start(any_port()).await?;
         let store = StoreServer::start(any_port(), settings.store).await?;
         let runners = start_runners(settings, &platform, &store).await?;
-        let controller = start_controller(folder.path(), &platform, settings).await?;
+        let controllers = start_controllers(folder.path(), &platform, settings).await?;
+        let feeds: Vec<SocketAddr> = controllers.iter().map(|one| one.wire_address).collect();
         let mut routers = Vec::new();
         for number in 1..=settings.routers {
             let zone = zone(settings, number);
-            routers.push(start_router(folder.path(), &controller, number, zone).await?);
+            routers.push(start_router(folder.path(), &feeds, number, zone).await?);
         }
         let site = Self {
             platform,
             store,
             runners,
-            controllers: vec![controller],
+            controllers,
             routers,
             _folder: folder,
         };
@@ -108,10 +112,10 @@
                 .routers
                 .iter()
                 .all(|one| one.context().view.is_synced());
-            let known = {
-                let state = self.controllers[0].context().replica.state();
+            let known = self.controllers.iter().all(|one| {
+                let state = one.context().replica.state();
                 state.placement.runners.len() == self.runners.len()
-            };
+            });
             if synced && known {
                 return Ok(());
             }
@@ -178,17 +182,44 @@
     Ok(runners)
 }
 
-async fn start_controller(
+/// Starts the control group; the listeners are bound first, so that every
+/// member knows the others' ports.
+async fn start_controllers(
     folder: &Path,
     platform: &PlatformServer,
     settings: &SiteSettings,
-) -> Result<Controller, LabError> {
-    let settings = ControllerSettings {
-        id: ControllerId(1),
+) -> Result<Vec<Controller>, LabError> {
+    let mut listeners = Vec::new();
+    let mut voters = Vec::new();
+    for number in 1..=settings.controllers {
+        let wire = TcpListener::bind(any_port()).await?;
+        let address = wire.local_addr()?;
+        let id = ControllerId(number as u64);
+        voters.push(PeerAddress { id, address });
+        listeners.push(wire);
+    }
+    let mut controllers = Vec::new();
+    for (voter, wire) in voters.iter().zip(listeners) {
+        let settings = controller_settings(folder, platform, settings, voter.id, voters.clone());
+        let http = TcpListener::bind(any_port()).await?;
+        controllers.push(Controller::start_on(settings, http, wire).await?);
+    }
+    Ok(controllers)
+}
+
+fn controller_settings(
+    folder: &Path,
+    platform: &PlatformServer,
+    settings: &SiteSettings,
+    id: ControllerId,
+    voters: Vec<PeerAddress>,
+) -> ControllerSettings {
+    ControllerSettings {
+        id,
         http_address: any_port(),
         wire_address: any_port(),
-        voters: Vec::new(),
-        data_folder: folder.join("controller-1"),
+        voters,
+        data_folder: folder.join(format!("controller-{id}")),
         platform_address: platform.address,
         operator_token_file: folder.join("operators"),
         runner_token_file: folder.join("runner.token"),
@@ -198,13 +229,19 @@
         zone: "default".into(),
         cluster_key_file: folder.join("cluster.key"),
         logging: quiet(),
-    };
-    Ok(Controller::start(settings).await?)
+    }
+}
+
+/// The controllers, each router beginning with another one.
+fn spread(controllers: &[SocketAddr], number: usize) -> Vec<SocketAddr> {
+    let mut spread = controllers.to_vec();
+    spread.rotate_left(number % controllers.len().max(1));
+    spread
 }
 
 async fn start_router(
     folder: &Path,
-    controller: &Controller,
+    controllers: &[SocketAddr],
     number: usize,
     zone: &str,
 ) -> Result<Router, LabError> {
@@ -212,7 +249,7 @@
         id: format!("router-{number}").into(),
         http_address: any_port(),
         wire_address: any_port(),
-        controllers: vec![controller.wire_address],
+        controllers: spread(controllers, number),
         max_connections: 10_000,
         max_body_bytes: 1024 * 1024,
         max_waiting_bytes: 256 * 1024 * 1024,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -149,6 +149,32 @@
         /// Tickets that must be offered to the owner again.
         requests: Vec<RequestId>,
     },
+    /// Controller to leading controller: asks for an index at which a read is
+    /// linearizable.
+    ReadIndex {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group.
+        group: GroupId,
+    },
+    /// Answers [`Message::ReadIndex`].
+    ReadIndexReply {
+        /// The call.
+        call: CallId,
+        /// The index, or `None` when the receiver can't tell.
+        index: Option<LogIndex>,
+    },
+    /// Controller to leading controller: demand that a router reported here.
+    RelayedDemand {
+        /// The router.
+        router: RouterId,
+        /// Its reports.
+        reports: Vec<DemandReport>,
+        /// Whether the router has left; earlier reports no longer count.
+        gone: bool,
+    },
+    /// Controller to the controller that connected: the connection is alive.
+    PeerAlive,
 }
 
 /// How a grant ended.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -95,15 +95,18 @@
 /// Place of a message's kind in [`MESSAGE_KINDS`].
 fn kind_index(message: &Message) -> usize {
     match message {
-        Message::Consensus { .. } => 0,
-        Message::Forward { .. } | Message::ForwardReply { .. } => 1,
+        Message::Consensus { .. } | Message::PeerAlive => 0,
+        Message::Forward { .. }
+        | Message::ForwardReply { .. }
+        | Message::ReadIndex { .. }
+        | Message::ReadIndexReply { .. } => 1,
         Message::Subscribe(_) => 2,
         Message::Configuration(_) => 3,
         Message::Placement(_) => 4,
         Message::Fleet(_) => 5,
         Message::FeedConfirmation { .. } => 6,
         Message::Confirmed { .. } => 7,
-        Message::Demand { .. } => 8,
+        Message::Demand { .. } | Message::RelayedDemand { .. } => 8,
         Message::Ledger { .. } | Message::LedgerReply { .. } => 9,
         Message::Offer { .. } | Message::CancelTicket { .. } | Message::Refused { .. } => 10,
         Message::Granted { .. }
