--- a/crates/consensus/src/core/follower.rs
+++ b/crates/consensus/src/core/follower.rs
@@ -107,6 +107,8 @@
     pub(super) fn entries_became_durable(&mut self, now: Timestamp) {
         if self.role == Role::Leader {
             self.advance_commit(now);
+            // The others may have committed before the own disk was ready.
+            self.apply_committed();
             return;
         }
         if let Some(leader) = self.leader {
--- a/crates/consensus/tests/group/harness.rs
+++ b/crates/consensus/tests/group/harness.rs
@@ -14,6 +14,8 @@
 
 struct Member {
     core: Core,
+    slow_disk: bool,
+    unsynced: Vec<Input>,
     commands: Vec<Vec<u8>>,
 }
 
@@ -53,8 +55,13 @@
         let settings = CoreSettings::for_member(ControllerId(id));
         let now = Timestamp(self.now);
         let core = Core::new(settings, Recovered::default(), bootstrap, now);
-        let commands = Vec::new();
-        self.members.insert(id, Member { core, commands });
+        let member = Member {
+            core,
+            slow_disk: false,
+            unsynced: Vec::new(),
+            commands: Vec::new(),
+        };
+        self.members.insert(id, member);
     }
 
     pub fn add_member(&mut self, id: u64) {
@@ -92,6 +99,19 @@
         self.cut_off.clear();
     }
 
+    /// Nothing that a member writes becomes durable until [`Self::sync_disk`].
+    pub fn hold_disk(&mut self, id: u64) {
+        self.members.get_mut(&id).unwrap().slow_disk = true;
+    }
+
+    pub fn sync_disk(&mut self, id: u64) {
+        let member = self.members.get_mut(&id).unwrap();
+        member.slow_disk = false;
+        for persisted in std::mem::take(&mut member.unsynced) {
+            self.step(id, persisted);
+        }
+    }
+
     pub fn propose(&mut self, id: u64, command: &[u8]) -> Vec<Output> {
         let proposal = ProposalId(1);
         let command = command.to_vec();
@@ -146,6 +166,10 @@
             match &output {
                 Output::Persist { number, .. } => {
                     let persisted = Input::Persisted { number: *number };
+                    if member.slow_disk {
+                        member.unsynced.push(persisted);
+                        continue;
+                    }
                     outputs.extend(member.core.step(persisted, now));
                 }
                 Output::Send { to, message } => self.network.push_back(Flight {
--- a/crates/consensus/tests/group/main.rs
+++ b/crates/consensus/tests/group/main.rs
@@ -41,6 +41,19 @@
     }
 }
 
+#[test]
+fn a_leader_with_a_slow_disk_commits_through_the_others_and_applies_once_it_is_durable() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.hold_disk(leader);
+    group.propose(leader, b"x");
+    group.run_for(500);
+    assert_eq!(group.commands(leader % 3 + 1), [b"x".to_vec()]);
+    assert!(group.commands(leader).is_empty(), "not durable here yet");
+    group.sync_disk(leader);
+    assert_eq!(group.commands(leader), [b"x".to_vec()]);
+}
+
 #[test]
 fn a_member_that_was_cut_off_does_not_depose_the_leader_on_its_return() {
     let mut group = Group::new(3);
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -22,6 +22,8 @@
 const LEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause before a command or read is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// A voter heard within this time can take the leadership over.
+const LIVE_WITHIN: Millis = Millis(500);
 /// Longest wait for another voter to take over at a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -300,8 +302,12 @@
 
     /// Hands the leadership over, if this member leads, and stops.
     pub async fn stop(&self) {
-        let alone = self.members().await.membership.voters.len() <= 1;
-        if self.leads() && !alone {
+        let members = self.members().await;
+        let can_follow = |one: &MemberProgress| {
+            let live = one.silent_for.is_some_and(|silent| silent < LIVE_WITHIN);
+            live && members.membership.voters.contains(&one.member)
+        };
+        if self.leads() && members.progress.iter().any(can_follow) {
             let _ = self.actor.cast(ReplicaMessage::Transfer);
             let mut status = self.status.clone();
             let followed = status.wait_for(|status| !status.leads());
