Ledger calls are sent again over the next connection

Cause: a call pending at a router died with its connection; the caller was told "undecided" though the ledger's sessions recognise a resend.

Change: calls keep their number over all connections (`PendingCalls`, pure) and are sent again after a loss, a refusal or an undecided answer, until the caller's limit (`commit` 10 s, `commit_within` any). A call that was never sent, or only refused, ends as not committed; every other one as undecided. A call that nobody waits for is not sent again, and the acknowledged number passes it, so that a late copy of it is refused.

Test: `a_lost_connection_loses_no_call` (real sockets; fails before: the call ended undecided when the first connection closed) and the table `a_call_is_sent_again_and_its_doubt_is_kept` (8 cases).

Conclusion: connection-level resends live in router/src/control; callers of `LedgerClient` need no retry of their own.

--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -1,22 +1,22 @@
 //! Keeps a connection to one controller.
 
-use super::ledger::{LedgerCall, LedgerCalls};
+use super::ledger::LedgerCalls;
+use super::pending::PendingCalls;
 use crate::RouterContext;
-use courseshunt_types::ClientSequence;
-use courseshunt_wire::message::{CallId, LedgerResult, Subscribe};
+use courseshunt_wire::message::Subscribe;
 use courseshunt_wire::{
     ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
 };
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::oneshot;
 
 /// Pause before the next controller is tried.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// Time between demand reports when no event asks for one.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between looks for ledger calls that a controller did not commit.
+const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Addresses under which this router serves.
 #[derive(Debug, Clone, Copy)]
@@ -27,8 +27,6 @@
     pub wire_address: SocketAddr,
 }
 
-type PendingCalls = Arc<Mutex<BTreeMap<CallId, oneshot::Sender<LedgerResult>>>>;
-
 /// Connects to one controller after the other until cancelled.
 pub async fn run(
     context: RouterContext,
@@ -37,16 +35,17 @@
     mut calls: LedgerCalls,
 ) {
     let identity = PeerIdentity::Router(context.settings.id.clone(), context.incarnation);
-    let mut sequence = 0;
+    let pending = Mutex::new(PendingCalls::default());
     for address in context.settings.controllers.iter().cycle() {
         match connect(*address, &key, &identity).await {
             Ok(connection) => {
                 let link = Link {
                     context: &context,
                     endpoints,
-                    pending: PendingCalls::default(),
+                    pending: &pending,
                 };
-                let ended = link.serve(connection, &mut calls, &mut sequence).await;
+                let ended = link.serve(connection, &mut calls).await;
+                link.pending().connection_lost();
                 match ended {
                     Ok(()) => log::info!("control: the controller at {address} closed"),
                     Err(error) => log::warn!("control: {error}"),
@@ -61,15 +60,18 @@
 struct Link<'a> {
     context: &'a RouterContext,
     endpoints: Endpoints,
-    pending: PendingCalls,
+    pending: &'a Mutex<PendingCalls>,
 }
 
 impl Link<'_> {
+    fn pending(&self) -> MutexGuard<'_, PendingCalls> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn serve(
-        self,
+        &self,
         connection: Connection,
         calls: &mut LedgerCalls,
-        sequence: &mut u64,
     ) -> Result<(), WireError> {
         let Connection {
             mut sender,
@@ -79,7 +81,7 @@
         sender.send(&Message::Subscribe(self.subscribe())).await?;
         tokio::select! {
             ended = self.receive(receiver) => ended,
-            ended = self.send(sender, calls, sequence) => ended,
+            ended = self.send(sender, calls) => ended,
         }
     }
 
@@ -115,48 +117,34 @@
             }
             Message::Fleet(update) => view.apply_fleet(update),
             Message::FeedConfirmation { .. } => view.confirm(self.context.clock.now()),
-            Message::LedgerReply { call, result } => {
-                let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-                if let Some(reply) = pending.remove(&call) {
-                    let _ = reply.send(result);
-                }
-            }
+            Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
     }
 
-    async fn send(
-        &self,
-        mut sender: Sender,
-        calls: &mut LedgerCalls,
-        sequence: &mut u64,
-    ) -> Result<(), WireError> {
-        let mut interval = tokio::time::interval(REPORT_INTERVAL);
+    async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), WireError> {
+        let mut report = tokio::time::interval(REPORT_INTERVAL);
+        let mut resend = tokio::time::interval(RESEND_INTERVAL);
         loop {
             tokio::select! {
                 call = calls.recv() => {
                     let Some(call) = call else { return Ok(()) };
-                    *sequence += 1;
-                    sender.send(&self.ledger_message(call, *sequence)).await?;
+                    self.pending().add(call);
+                    self.send_due(&mut sender).await?;
                 }
                 () = self.context.dispatcher.demand_changed() => self.report(&mut sender).await?,
-                _ = interval.tick() => self.report(&mut sender).await?,
+                _ = report.tick() => self.report(&mut sender).await?,
+                _ = resend.tick() => self.send_due(&mut sender).await?,
             }
         }
     }
 
-    fn ledger_message(&self, call: LedgerCall, sequence: u64) -> Message {
-        let id = CallId(sequence);
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.insert(id, call.reply);
-        let lowest = pending.keys().next().map_or(sequence, |call| call.0);
-        Message::Ledger {
-            call: id,
-            group: call.group,
-            sequence: ClientSequence(sequence),
-            acknowledged: ClientSequence(lowest),
-            command: call.command,
+    async fn send_due(&self, sender: &mut Sender) -> Result<(), WireError> {
+        let due = self.pending().due();
+        for message in &due {
+            sender.send(message).await?;
         }
+        Ok(())
     }
 
     async fn report(&self, sender: &mut Sender) -> Result<(), WireError> {
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -2,6 +2,10 @@
 
 mod ledger;
 mod link;
+mod pending;
 
-pub use ledger::{LedgerCall, LedgerCalls, LedgerClient, LedgerError, ledger_channel};
+pub use ledger::{
+    COMMIT_TIMEOUT, Doubt, LedgerCall, LedgerCalls, LedgerClient, LedgerError, ledger_channel,
+};
 pub use link::{Endpoints, run};
+pub use pending::PendingCalls;
