Routing: the seam between grants and attempts is typed

Cause: the end of an attempt was told with four bare endings, too few for the health of runners, and a grant did not name the runner's address or its expiry. Change: AttemptOutcome (done with times, not admitted and why, failed after admission, cancelled, unused) goes from the attempt through GrantReturned to the queue's owner; GrantedRequest carries address and expiry. Conclusion: no behaviour changes; the workspace's tests are unchanged.

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -12,12 +12,14 @@
 )]
 
 pub mod demand;
+pub mod outcome;
 pub mod ownership;
 pub mod slots;
 pub mod ticket;
 pub mod waiting;
 
 pub use demand::{DemandReport, WaitingByClass};
+pub use outcome::{AdmissionFailure, AttemptOutcome};
 pub use ownership::{QueueKey, owner_of};
 pub use slots::{ReplicaSlots, SlotTable};
 pub use ticket::{Grant, GrantId, Ticket, TicketRefusal};
--- a/crates/router/src/caller/complete.rs
+++ b/crates/router/src/caller/complete.rs
@@ -5,14 +5,13 @@
 use crate::control::LedgerError;
 use crate::dispatch::{Attempted, GrantedRequest, RunnerRequest, send_to_runner};
 use courseshunt_http::{Body, channel_body, full_body, read_limited};
-use courseshunt_queue::Ticket;
+use courseshunt_queue::{AdmissionFailure, AttemptOutcome, Ticket};
 use courseshunt_state::{ClaimReply, Command, CommandReply, StoredAnswer};
 use courseshunt_types::outcome::OUTCOME_HEADER;
 use courseshunt_types::runner_api::REQUEST_ID_HEADER;
 use courseshunt_types::{
     Attempt, IdempotencyKey, Millis, Outcome, Refusal, RefusalReason, RunnerId, Timestamp,
 };
-use courseshunt_wire::message::GrantEnding;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -58,15 +57,15 @@
                     "router: {} on {runner} did not start: {reason}",
                     request.request
                 );
-                granted.ended(match draining {
-                    true => GrantEnding::RunnerDraining,
-                    false => GrantEnding::RunnerFailed,
-                });
+                granted.report(AttemptOutcome::NotAdmitted(match draining {
+                    true => AdmissionFailure::Draining,
+                    false => AdmissionFailure::Unreachable,
+                }));
                 release_claim(context, &request).await;
                 avoid.push(runner);
             }
             Attempted::Unknown { reason } => {
-                granted.ended(GrantEnding::RunnerFailed);
+                granted.report(AttemptOutcome::Failed);
                 if let RepeatRule::Never(key) = &request.repeat {
                     finish_claim(context, &request, key, None).await;
                     return Err(Refusal::unknown(RefusalReason::RunnerFailed, reason));
--- a/crates/router/src/dispatch/actor.rs
+++ b/crates/router/src/dispatch/actor.rs
@@ -3,11 +3,10 @@
 use super::handle::{DispatcherHandle, GrantNumber, GrantedRequest, OfferReply};
 use crate::configuration::ConfigurationView;
 use crate::error::RouterError;
-use courseshunt_queue::{DemandReport, QueueLimits, Ticket, WaitingQueue};
+use courseshunt_queue::{AttemptOutcome, DemandReport, QueueLimits, Ticket, WaitingQueue};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId, RouterId, RunnerId};
-use courseshunt_wire::message::GrantEnding;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -48,7 +47,7 @@
         /// Its grant.
         grant: GrantNumber,
         /// How it ended.
-        ending: GrantEnding,
+        outcome: AttemptOutcome,
     },
     /// Replicas or documents changed.
     ViewChanged,
@@ -157,9 +156,9 @@
             DispatcherMessage::Returned {
                 deployment,
                 grant,
-                ending,
+                outcome,
             } => {
-                log::debug!("dispatch: grant {grant:?} of {deployment} ended: {ending:?}");
+                log::debug!("dispatch: grant {grant:?} of {deployment} ended: {outcome:?}");
                 if let Some(queue) = self.queues.get_mut(&deployment) {
                     queue.slots_mut().release(grant);
                 }
@@ -244,7 +243,16 @@
                 queue.slots_mut().release(grant.grant);
                 continue;
             };
-            let granted = GrantedRequest::new(grant, deployment.clone(), self.myself.clone());
+            let endpoint = self.view.runner(&grant.runner);
+            let granted = GrantedRequest::new(
+                endpoint
+                    .map(|endpoint| endpoint.address)
+                    .unwrap_or_default(),
+                now + grant.valid_for,
+                grant,
+                deployment.clone(),
+                self.myself.clone(),
+            );
             // A caller that has left drops the grant, which returns the slot.
             let _ = reply.send(Ok(granted));
         }
--- a/crates/router/src/dispatch/handle.rs
+++ b/crates/router/src/dispatch/handle.rs
@@ -1,9 +1,8 @@
 //! The handle of the dispatcher.
 
 use super::actor::DispatcherMessage;
-use courseshunt_queue::{DemandReport, Grant, GrantId, Ticket};
-use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId};
-use courseshunt_wire::message::GrantEnding;
+use courseshunt_queue::{AttemptOutcome, DemandReport, Grant, GrantId, Ticket};
+use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId, Timestamp};
 use ractor::ActorRef;
 use std::sync::Arc;
 use tokio::sync::{Notify, oneshot};
@@ -15,33 +14,46 @@
     pub(super) demand_changed: Arc<Notify>,
 }
 
-/// A granted request. Dropping it gives the slot back.
+/// Leave to make one attempt. Dropping it gives the slot back.
+///
+/// The attempt's code calls [`Self::started`] when the request is about to be
+/// sent and [`Self::report`] when it knows how the attempt ended. A grant that
+/// is dropped before its start counts as unused; one that is dropped after it
+/// without a report counts as cancelled.
 #[derive(Debug)]
 pub struct GrantedRequest {
-    /// The grant.
+    /// The grant, with the runner and the slot's number.
     pub grant: Grant,
+    /// `ip:port` of the runner.
+    pub address: String,
+    /// The request must be started before this moment.
+    pub expires: Timestamp,
     deployment: DeploymentName,
     dispatcher: DispatcherHandle,
-    ending: GrantEnding,
+    outcome: AttemptOutcome,
 }
 
 impl GrantedRequest {
     pub(super) fn new(
+        address: String,
+        expires: Timestamp,
         grant: Grant,
         deployment: DeploymentName,
         dispatcher: DispatcherHandle,
     ) -> Self {
         Self {
             grant,
+            address,
+            expires,
             deployment,
             dispatcher,
-            ending: GrantEnding::Unused,
+            outcome: AttemptOutcome::Unused,
         }
     }
 
-    /// Notes that the request has been sent to the runner.
+    /// Notes that the request is being sent to the runner.
     pub fn started(&mut self) {
-        self.ending = GrantEnding::Finished;
+        self.outcome = AttemptOutcome::Cancelled;
         self.dispatcher.cast(DispatcherMessage::Started {
             deployment: self.deployment.clone(),
             grant: self.grant.grant,
@@ -49,8 +61,8 @@
     }
 
     /// Notes how the attempt ended.
-    pub fn ended(&mut self, ending: GrantEnding) {
-        self.ending = ending;
+    pub fn report(&mut self, outcome: AttemptOutcome) {
+        self.outcome = outcome;
     }
 }
 
@@ -59,7 +71,7 @@
         self.dispatcher.cast(DispatcherMessage::Returned {
             deployment: self.deployment.clone(),
             grant: self.grant.grant,
-            ending: self.ending,
+            outcome: self.outcome,
         });
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between the processes.
 
 use courseshunt_consensus::ConsensusMessage;
-use courseshunt_queue::{DemandReport, Grant, GrantId, QueueKey, Ticket, TicketRefusal};
+use courseshunt_queue::{
+    AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, Ticket, TicketRefusal,
+};
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
@@ -139,8 +141,8 @@
         queue: QueueKey,
         /// The grant.
         grant: GrantId,
-        /// Why; tells the owner about the runner's health.
-        ending: GrantEnding,
+        /// How the attempt ended; tells the owner about the runner's health.
+        outcome: AttemptOutcome,
     },
     /// Router to queue owner: this is not your queue (any more).
     NotOwner {
@@ -151,19 +153,6 @@
     },
 }
 
-/// How a grant ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub enum GrantEnding {
-    /// The answer is whole.
-    Finished,
-    /// The grant was not used.
-    Unused,
-    /// The runner refused the request because it drains.
-    RunnerDraining,
-    /// The runner failed.
-    RunnerFailed,
-}
-
 /// Result of a command for the ledger.
 #[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum LedgerResult {
