Routing: queue owners over all live routers

Cause: each router queued for itself, so that urgent work at one router waited behind other work at another, and each router granted all slots of a replica. Change: the owner of a queue is chosen by rendezvous hashing over the live routers; the holding router sends a ticket over a peer connection, the owner grants. The pure Holder knows where each ticket waits: it offers again when the owner changes, stops or is lost, reports running grants to a new owner, and falls back to a queue of its own with a quarter of the slots while the owner can't be reached. A stopping router hands its queues over and keeps its connections to controllers and peers until its requests have ended. Tests: router/tests/owners.rs, over real connections: one order over three routers, owner cut off, owner gone from the fleet, planned stop, running requests counted by a new owner, callers that leave, deadlines. Before, with local queues, the first of these could not hold: nothing was sent to others. Conclusion: one order over all routers; slots are counted once.

--- a/crates/queue/src/demand.rs
+++ b/crates/queue/src/demand.rs
@@ -68,3 +68,43 @@
     /// Longest wait so far of a waiting request.
     pub longest_wait: Millis,
 }
+
+impl WaitingByClass {
+    /// Adds the numbers of another queue.
+    pub fn add(&mut self, other: &Self) {
+        for class in PriorityClass::ALL {
+            *self.of_mut(class) += other.of(class);
+        }
+    }
+}
+
+impl DemandReport {
+    /// No demand.
+    #[must_use]
+    pub fn empty(deployment: DeploymentName) -> Self {
+        Self {
+            deployment,
+            waiting: WaitingByClass::default(),
+            running: 0,
+            arrived: WaitingByClass::default(),
+            earliest_deadline_in: None,
+            longest_wait: Millis(0),
+        }
+    }
+
+    /// Adds the demand of another queue of the same deployment.
+    pub fn add(&mut self, other: &Self) {
+        self.waiting.add(&other.waiting);
+        self.arrived.add(&other.arrived);
+        self.running += other.running;
+        let earliest = [self.earliest_deadline_in, other.earliest_deadline_in];
+        self.earliest_deadline_in = earliest.into_iter().flatten().min();
+        self.longest_wait = self.longest_wait.max(other.longest_wait);
+    }
+
+    /// Whether nothing waits, runs or has arrived.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.waiting.total() + self.running + self.arrived.total() == 0
+    }
+}
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -1,7 +1,9 @@
 //! Pure waiting queues, tickets and grants.
 //!
 //! One [`WaitingQueue`] serves one deployment at its owner. It knows no
-//! transport and no clock; the router and the simulator drive it alike.
+//! transport and no clock; the router and the simulator drive it alike. A
+//! [`Holder`] keeps the tickets of one router's callers and knows where each
+//! waits.
 //!
 //! Invariant: a ticket that was taken in leaves in exactly one way: granted,
 //! cancelled, or refused.
@@ -12,6 +14,8 @@
 )]
 
 pub mod demand;
+pub mod holder;
+pub mod members;
 pub mod outcome;
 pub mod ownership;
 pub mod slots;
@@ -19,8 +23,10 @@
 pub mod waiting;
 
 pub use demand::{DemandReport, WaitingByClass};
+pub use holder::{Holder, HolderCounts, HolderOutput, OwnerCall};
+pub use members::{Member, Members, QueueSite};
 pub use outcome::{AdmissionFailure, AttemptOutcome};
 pub use ownership::{QueueKey, owner_of};
 pub use slots::{ReplicaSlots, SlotTable};
-pub use ticket::{Grant, GrantId, Ticket, TicketRefusal};
+pub use ticket::{Grant, GrantId, RunningGrant, Ticket, TicketRefusal};
 pub use waiting::{QueueLimits, WaitingQueue};
--- a/crates/queue/src/slots.rs
+++ b/crates/queue/src/slots.rs
@@ -3,10 +3,14 @@
 //! Invariant: no more grants are out for a replica than it has slots. A grant
 //! that is neither started nor returned in time gives its slot back.
 
-use crate::ticket::GrantId;
-use courseshunt_types::{RunnerId, Timestamp};
+use crate::ticket::{GrantId, RunningGrant};
+use courseshunt_types::{Millis, RouterId, RunnerId, Timestamp};
 use std::collections::BTreeMap;
 
+/// How long the slots of running requests stay taken after their holder was
+/// lost; a holder that lives reports them again within this time.
+pub const HOLDER_GRACE: Millis = Millis::from_secs(10);
+
 /// Slots of one replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaSlots {
@@ -22,6 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct SlotUse {
     runner: RunnerId,
+    holder: RouterId,
     /// Ends here unless the holder confirms the start.
     expires: Option<Timestamp>,
 }
@@ -75,19 +80,73 @@
         best.map(|one| one.runner.clone())
     }
 
-    /// Takes a slot on `runner` until `expires`.
-    pub fn take(&mut self, runner: &RunnerId, expires: Timestamp) -> GrantId {
-        self.last_grant += 1;
+    /// Numbers the next grants from here on.
+    pub fn number_from(&mut self, first: GrantId) {
+        self.last_grant = first.0;
+    }
+
+    /// Takes a slot on `runner` for a request of `holder` until `expires`.
+    pub fn take(&mut self, runner: &RunnerId, holder: &RouterId, expires: Timestamp) -> GrantId {
+        self.last_grant = self.last_grant.wrapping_add(1);
         let grant = GrantId(self.last_grant);
+        self.insert(grant, runner, holder, Some(expires));
+        grant
+    }
+
+    fn insert(
+        &mut self,
+        grant: GrantId,
+        runner: &RunnerId,
+        holder: &RouterId,
+        expires: Option<Timestamp>,
+    ) {
         let one = SlotUse {
             runner: runner.clone(),
-            expires: Some(expires),
+            holder: holder.clone(),
+            expires,
         };
         self.uses.insert(grant, one);
         if let Some(replica) = self.replicas.get_mut(runner) {
             replica.in_use += 1;
         }
-        grant
+    }
+
+    /// Takes in which grants run at `holder`, and no others: after a change of
+    /// owners or a new connection.
+    pub fn adopt(&mut self, holder: &RouterId, running: &[RunningGrant]) {
+        let of_holder = self.grants_of(holder);
+        for grant in of_holder {
+            self.release(grant);
+        }
+        for one in running {
+            self.release(one.grant);
+            self.insert(one.grant, &one.runner, holder, None);
+        }
+    }
+
+    /// Frees the unused grants of a holder that was lost; the used ones follow
+    /// after [`HOLDER_GRACE`].
+    pub fn holder_lost(&mut self, holder: &RouterId, now: Timestamp) {
+        for grant in self.grants_of(holder) {
+            let Some(one) = self.uses.get_mut(&grant) else {
+                continue;
+            };
+            match one.expires {
+                Some(_) => self.release(grant),
+                None => one.expires = Some(now + HOLDER_GRACE),
+            }
+        }
+    }
+
+    fn grants_of(&self, holder: &RouterId) -> Vec<GrantId> {
+        let uses = self.uses.iter().filter(|(_, one)| one.holder == *holder);
+        uses.map(|(grant, _)| *grant).collect()
+    }
+
+    /// Runner of a grant that is out.
+    #[must_use]
+    pub fn runner_of(&self, grant: GrantId) -> Option<&RunnerId> {
+        self.uses.get(&grant).map(|one| &one.runner)
     }
 
     /// Notes that a granted request has started; its slot no longer expires.
--- a/crates/queue/src/ticket.rs
+++ b/crates/queue/src/ticket.rs
@@ -34,7 +34,8 @@
     pub avoid: Vec<RunnerId>,
 }
 
-/// Number of a grant, unique at its owner.
+/// Number of a grant. Owners draw the number of their first grant at random,
+/// so that grants of different owners do not meet.
 #[derive(
     Debug,
     Clone,
@@ -65,6 +66,17 @@
     pub valid_for: Millis,
 }
 
+/// A grant that runs, as its holder tells a new owner.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RunningGrant {
+    /// Number of the grant.
+    pub grant: GrantId,
+    /// The request.
+    pub request: RequestId,
+    /// Runner that works on it.
+    pub runner: RunnerId,
+}
+
 /// A ticket's refusal.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct TicketRefusal {
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -2,9 +2,9 @@
 
 use crate::demand::{DemandReport, WaitingByClass};
 use crate::slots::SlotTable;
-use crate::ticket::{Grant, GrantId, Ticket, TicketRefusal};
+use crate::ticket::{Grant, GrantId, RunningGrant, Ticket, TicketRefusal};
 use courseshunt_types::{
-    ClassLimits, DeploymentName, Millis, Refusal, RefusalReason, RequestId, Timestamp,
+    ClassLimits, DeploymentName, Millis, Refusal, RefusalReason, RequestId, RouterId, Timestamp,
 };
 use std::collections::BTreeMap;
 
@@ -26,6 +26,9 @@
     }
 }
 
+/// A ticket that waited no longer counts as a new arrival.
+const NEW_ARRIVAL: Millis = Millis(50);
+
 /// Order of service: class, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceOrder {
@@ -48,6 +51,7 @@
     waiting: BTreeMap<ServiceOrder, Waiting>,
     orders: BTreeMap<RequestId, ServiceOrder>,
     slots: SlotTable,
+    count: WaitingByClass,
     arrived: WaitingByClass,
     arrivals: u64,
 }
@@ -62,6 +66,7 @@
             waiting: BTreeMap::new(),
             orders: BTreeMap::new(),
             slots: SlotTable::default(),
+            count: WaitingByClass::default(),
             arrived: WaitingByClass::default(),
             arrivals: 0,
         }
@@ -90,13 +95,17 @@
             return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, message));
         }
         let limit = self.limits.classes.of(ticket.class).queue_length;
-        if self.count().of(ticket.class) >= limit {
+        if self.count.of(ticket.class) >= limit {
             let message = format!("{limit} requests of this class wait already");
             let refusal = Refusal::not_run(RefusalReason::QueueFull, message);
             return Err(refusal.with_retry_after(Millis::from_secs(1)));
         }
         self.arrivals += 1;
-        *self.arrived.of_mut(ticket.class) += 1;
+        // A ticket that has waited elsewhere was counted there.
+        if ticket.waited <= NEW_ARRIVAL {
+            *self.arrived.of_mut(ticket.class) += 1;
+        }
+        *self.count.of_mut(ticket.class) += 1;
         let order = ServiceOrder {
             class: ticket.class,
             deadline: now + ticket.deadline_in,
@@ -110,10 +119,17 @@
 
     /// Takes a ticket out. Returns whether it was waiting.
     pub fn cancel(&mut self, request: &RequestId) -> bool {
-        let Some(order) = self.orders.remove(request) else {
+        let Some(order) = self.orders.get(request).copied() else {
             return false;
         };
-        self.waiting.remove(&order).is_some()
+        self.remove(order).is_some()
+    }
+
+    fn remove(&mut self, order: ServiceOrder) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&order)?;
+        self.orders.remove(&waiting.ticket.request);
+        *self.count.of_mut(order.class) -= 1;
+        Some(waiting)
     }
 
     /// Refuses the tickets whose deadline has passed, and takes back grants
@@ -132,9 +148,7 @@
     }
 
     fn refuse(&mut self, order: ServiceOrder) -> Option<TicketRefusal> {
-        let waiting = self.waiting.remove(&order)?;
-        let ticket = waiting.ticket;
-        self.orders.remove(&ticket.request);
+        let ticket = self.remove(order)?.ticket;
         let message = "the deadline passed while the request waited";
         Some(TicketRefusal {
             request: ticket.request,
@@ -146,14 +160,17 @@
     /// Grants free slots to the most urgent tickets.
     pub fn grant(&mut self, now: Timestamp) -> Vec<Grant> {
         let mut grants = Vec::new();
-        while let Some(first) = self.waiting.first_entry() {
-            let Some(runner) = self.slots.freest(&first.get().ticket.avoid) else {
+        while let Some((order, first)) = self.waiting.first_key_value() {
+            let Some(runner) = self.slots.freest(&first.ticket.avoid) else {
                 break;
             };
-            let ticket = first.remove().ticket;
-            self.orders.remove(&ticket.request);
+            let order = *order;
+            let Some(waiting) = self.remove(order) else {
+                break;
+            };
+            let ticket = waiting.ticket;
             let lifetime = self.limits.grant_lifetime;
-            let grant: GrantId = self.slots.take(&runner, now + lifetime);
+            let grant: GrantId = self.slots.take(&runner, &ticket.holder, now + lifetime);
             grants.push(Grant {
                 grant,
                 request: ticket.request,
@@ -165,12 +182,27 @@
         grants
     }
 
-    fn count(&self) -> WaitingByClass {
-        let mut count = WaitingByClass::default();
-        for order in self.waiting.keys() {
-            *count.of_mut(order.class) += 1;
+    /// Numbers of waiting tickets.
+    #[must_use]
+    pub fn waiting(&self) -> WaitingByClass {
+        self.count
+    }
+
+    /// Takes in which grants of a holder run here, and no others.
+    pub fn adopt(&mut self, holder: &RouterId, running: &[RunningGrant]) {
+        self.slots.adopt(holder, running);
+    }
+
+    /// Drops the tickets of a holder that was lost: it offers them again, here
+    /// or elsewhere, when it lives.
+    pub fn holder_lost(&mut self, holder: &RouterId, now: Timestamp) {
+        self.slots.holder_lost(holder, now);
+        let tickets = self.waiting.values().map(|waiting| &waiting.ticket);
+        let lost = tickets.filter(|ticket| ticket.holder == *holder);
+        let lost: Vec<RequestId> = lost.map(|ticket| ticket.request.clone()).collect();
+        for request in lost {
+            self.cancel(&request);
         }
-        count
     }
 
     /// Whether nothing waits or runs.
@@ -185,7 +217,7 @@
         let oldest = self.waiting.values().map(|waiting| waiting.since).min();
         DemandReport {
             deployment: self.deployment.clone(),
-            waiting: self.count(),
+            waiting: self.count,
             running: self.slots.in_use(),
             arrived: std::mem::take(&mut self.arrived),
             earliest_deadline_in: earliest.map(|deadline| deadline.since(now)),
--- a/crates/router/src/caller/metrics.rs
+++ b/crates/router/src/caller/metrics.rs
@@ -1,8 +1,9 @@
 //! The router's metrics page.
 
 use crate::RouterContext;
+use crate::dispatch::DispatchSnapshot;
 use courseshunt_metrics::{MetricsPage, Sample};
-use courseshunt_types::Refusal;
+use courseshunt_types::{PriorityClass, Refusal};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 
@@ -75,6 +76,60 @@
         "Routers that the fleet view holds.",
         context.view.routers().len() as f64,
     );
+    dispatch(&mut page, &context.dispatcher.snapshot());
     page.process();
     page.text()
 }
+
+/// Tickets, grants and the queues that this router owns.
+fn dispatch(page: &mut MetricsPage, snapshot: &DispatchSnapshot) {
+    let waiting = PriorityClass::ALL.into_iter().flat_map(|class| {
+        let owned = f64::from(snapshot.waiting.of(class));
+        let fallback = f64::from(snapshot.waiting_fallback.of(class));
+        [("owner", owned), ("fallback", fallback)]
+            .map(|(site, value)| Sample::labelled("class", class.as_str(), value).and("site", site))
+    });
+    page.gauges(
+        "waiting_tickets",
+        "Tickets in the queues served here, by class and site.",
+        waiting,
+    );
+    page.gauge(
+        "held_requests",
+        "Requests of this router's callers that wait for a grant.",
+        snapshot.held as f64,
+    );
+    page.gauge(
+        "owned_queues",
+        "Queues served here as their owner.",
+        snapshot.owned_queues as f64,
+    );
+    let holder = &snapshot.holder;
+    let counters = [
+        (
+            "tickets",
+            "Tickets of this router's callers.",
+            holder.tickets,
+        ),
+        ("tickets_resent", "Tickets offered again.", holder.resent),
+        (
+            "tickets_fallback",
+            "Tickets offered to the fallback queue.",
+            holder.fallback,
+        ),
+        (
+            "owner_changes",
+            "Times that tickets moved to another owner.",
+            holder.site_changes,
+        ),
+        ("grants", "Grants taken.", holder.grants),
+        (
+            "grants_unwanted",
+            "Grants returned because nobody waited.",
+            holder.grants_unwanted,
+        ),
+    ];
+    for (name, help, value) in counters {
+        page.counter(name, help, value);
+    }
+}
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -113,7 +113,10 @@
                 view.apply_placement(update);
                 self.context.dispatcher.view_changed();
             }
-            Message::Fleet(update) => view.apply_fleet(update),
+            Message::Fleet(update) => {
+                view.apply_fleet(update);
+                self.context.dispatcher.view_changed();
+            }
             Message::FeedConfirmation { .. } => view.confirm(self.context.clock.now()),
             Message::LedgerReply { call, result } => {
                 let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/router/src/dispatch/handle.rs
+++ b/crates/router/src/dispatch/handle.rs
@@ -1,8 +1,11 @@
 //! The handle of the dispatcher.
 
 use super::actor::DispatcherMessage;
-use courseshunt_queue::{AttemptOutcome, DemandReport, Grant, GrantId, Ticket};
-use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId, Timestamp};
+use super::snapshot::{DispatchSnapshot, SharedSnapshot};
+use crate::peers::PeerContext;
+use courseshunt_queue::{AttemptOutcome, DemandReport, Grant, Ticket};
+use courseshunt_types::{Refusal, RefusalReason, RequestId, Timestamp};
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use ractor::ActorRef;
 use std::sync::Arc;
 use tokio::sync::{Notify, oneshot};
@@ -12,6 +15,7 @@
 pub struct DispatcherHandle {
     pub(super) actor: ActorRef<DispatcherMessage>,
     pub(super) demand_changed: Arc<Notify>,
+    pub(super) snapshot: SharedSnapshot,
 }
 
 /// Leave to make one attempt. Dropping it gives the slot back.
@@ -28,7 +32,6 @@
     pub address: String,
     /// The request must be started before this moment.
     pub expires: Timestamp,
-    deployment: DeploymentName,
     dispatcher: DispatcherHandle,
     outcome: AttemptOutcome,
 }
@@ -38,14 +41,12 @@
         address: String,
         expires: Timestamp,
         grant: Grant,
-        deployment: DeploymentName,
         dispatcher: DispatcherHandle,
     ) -> Self {
         Self {
             grant,
             address,
             expires,
-            deployment,
             dispatcher,
             outcome: AttemptOutcome::Unused,
         }
@@ -55,7 +56,6 @@
     pub fn started(&mut self) {
         self.outcome = AttemptOutcome::Cancelled;
         self.dispatcher.cast(DispatcherMessage::Started {
-            deployment: self.deployment.clone(),
             grant: self.grant.grant,
         });
     }
@@ -69,7 +69,6 @@
 impl Drop for GrantedRequest {
     fn drop(&mut self) {
         self.dispatcher.cast(DispatcherMessage::Returned {
-            deployment: self.deployment.clone(),
             grant: self.grant.grant,
             outcome: self.outcome,
         });
@@ -79,16 +78,17 @@
 /// Takes a waiting ticket out when the caller leaves.
 struct CancelOnDrop<'a> {
     dispatcher: &'a DispatcherHandle,
-    deployment: DeploymentName,
     request: RequestId,
+    answered: bool,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        self.dispatcher.cast(DispatcherMessage::Cancel {
-            deployment: self.deployment.clone(),
-            request: self.request.clone(),
-        });
+        if !self.answered {
+            self.dispatcher.cast(DispatcherMessage::Cancel {
+                request: self.request.clone(),
+            });
+        }
     }
 }
 
@@ -99,17 +99,40 @@
     /// The refusal for the caller; the request did not run.
     pub async fn acquire(&self, ticket: Ticket) -> Result<GrantedRequest, Refusal> {
         let (reply, received) = oneshot::channel();
-        let _cancel = CancelOnDrop {
+        let mut cancel = CancelOnDrop {
             dispatcher: self,
-            deployment: ticket.deployment.clone(),
             request: ticket.request.clone(),
+            answered: false,
         };
         self.cast(DispatcherMessage::Offer { ticket, reply });
         let stopped = || Refusal::not_run(RefusalReason::ShuttingDown, "the router is stopping");
-        received.await.unwrap_or_else(|_| Err(stopped()))
+        let answer = received.await;
+        cancel.answered = true;
+        answer.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    /// Hands the owned queues over to other routers.
+    pub fn stop(&self) {
+        self.cast(DispatcherMessage::Stop);
+    }
+
+    /// Numbers for the metrics page.
+    #[must_use]
+    pub fn snapshot(&self) -> DispatchSnapshot {
+        self.snapshot.get()
+    }
+
+    /// What the connections of other routers need.
+    #[must_use]
+    pub fn peer_context(&self, key: ClusterKey, identity: PeerIdentity) -> PeerContext {
+        PeerContext {
+            key,
+            identity,
+            dispatcher: self.actor.clone(),
+        }
     }
 
-    /// Tells that replicas or documents changed.
+    /// Tells that replicas, documents or the fleet changed.
     pub fn view_changed(&self) {
         self.cast(DispatcherMessage::ViewChanged);
     }
@@ -135,5 +158,3 @@
 
 /// Answer to an offer.
 pub(super) type OfferReply = oneshot::Sender<Result<GrantedRequest, Refusal>>;
-/// Number of a grant, with its queue.
-pub(super) type GrantNumber = GrantId;
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,26 +1,23 @@
-//! Waiting queues and the sending of granted requests.
+//! Tickets, waiting queues and grants; the sending of granted requests.
 
 mod actor;
 mod handle;
+mod owned;
 mod send;
+mod snapshot;
+mod translate;
 
+pub use actor::{Arguments, DispatcherMessage};
 pub use handle::{DispatcherHandle, GrantedRequest};
 pub use send::{Attempted, RunnerRequest, send_to_runner};
+pub use snapshot::DispatchSnapshot;
 
-use crate::configuration::ConfigurationView;
 use crate::error::RouterError;
-use courseshunt_types::RouterId;
-use courseshunt_types::time::MonotonicClock;
-use std::sync::Arc;
 
 /// Starts the dispatcher.
 ///
 /// # Errors
 /// When the actor can't be started.
-pub async fn start(
-    router: RouterId,
-    view: Arc<ConfigurationView>,
-    clock: MonotonicClock,
-) -> Result<DispatcherHandle, RouterError> {
-    actor::spawn(router, view, clock).await
+pub async fn start(arguments: Arguments) -> Result<DispatcherHandle, RouterError> {
+    actor::spawn(arguments).await
 }
--- /dev/null
+++ b/crates/router/src/dispatch/owned.rs
@@ -0,0 +1,246 @@
+//! The waiting queues that this router serves, brought up to date from the
+//! configuration view.
+
+use crate::configuration::ConfigurationView;
+use courseshunt_queue::{
+    AttemptOutcome, DemandReport, Grant, GrantId, OwnerCall, QueueKey, QueueLimits, TicketRefusal,
+    WaitingQueue,
+};
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::{DeploymentName, Millis, RouterId, RunnerId, Timestamp};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A fallback queue uses one of this many parts of each replica's slots.
+const FALLBACK_PARTS: u32 = 4;
+/// A queue without tickets and grants is forgotten after this time.
+const KEEP_IDLE: Millis = Millis::from_secs(60);
+
+/// Which part of the slots the queues may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotShare {
+    /// All: the queues are this router's own.
+    Whole,
+    /// A part: the owners can't be reached and may use the same runners.
+    Bounded,
+}
+
+/// What a queue answers to a holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OwnerReply {
+    /// Leave to send a request.
+    Granted {
+        /// The queue.
+        queue: QueueKey,
+        /// The grant.
+        grant: Grant,
+    },
+    /// A ticket is refused.
+    Refused {
+        /// The queue.
+        queue: QueueKey,
+        /// The refusal.
+        refusal: TicketRefusal,
+    },
+}
+
+#[derive(Debug)]
+struct OwnedQueue {
+    waiting: WaitingQueue,
+    used_at: Timestamp,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct OwnedQueues {
+    view: Arc<ConfigurationView>,
+    share: SlotShare,
+    queues: BTreeMap<QueueKey, OwnedQueue>,
+}
+
+impl OwnedQueues {
+    /// No queues.
+    #[must_use]
+    pub fn new(view: Arc<ConfigurationView>, share: SlotShare) -> Self {
+        Self {
+            view,
+            share,
+            queues: BTreeMap::new(),
+        }
+    }
+
+    /// Number of queues.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.queues.len()
+    }
+
+    /// Carries out a holder's call.
+    pub fn call(
+        &mut self,
+        holder: &RouterId,
+        key: &QueueKey,
+        call: OwnerCall,
+        now: Timestamp,
+    ) -> Vec<OwnerReply> {
+        let queue = self.queue(key, now);
+        match call {
+            OwnerCall::Offer(ticket) => {
+                let request = ticket.request.clone();
+                if let Err(refusal) = queue.offer(ticket, now) {
+                    let refusal = TicketRefusal {
+                        request,
+                        holder: holder.clone(),
+                        refusal,
+                    };
+                    return vec![refused(key, refusal)];
+                }
+            }
+            OwnerCall::Cancel(request) => {
+                queue.cancel(&request);
+            }
+            OwnerCall::Adopt(grants) => queue.adopt(holder, &grants),
+            OwnerCall::Started(grant) => queue.slots_mut().started(grant),
+            OwnerCall::Returned(grant, outcome) => returned(key, queue, grant, outcome),
+        }
+        self.grant(key, now)
+    }
+
+    fn queue(&mut self, key: &QueueKey, now: Timestamp) -> &mut WaitingQueue {
+        if !self.queues.contains_key(key) {
+            let name = key.deployment.clone();
+            let mut waiting = WaitingQueue::new(name, QueueLimits::default());
+            waiting.slots_mut().number_from(GrantId(rand::random()));
+            let queue = OwnedQueue {
+                waiting,
+                used_at: now,
+            };
+            self.queues.insert(key.clone(), queue);
+            self.refresh(key);
+        }
+        let queue = self.queues.entry(key.clone());
+        let queue = queue.or_insert_with(|| unreachable!("the queue was inserted above"));
+        queue.used_at = now;
+        &mut queue.waiting
+    }
+
+    /// Brings a queue's limits and replicas up to date. A deployment that is
+    /// not known here (yet) has no replicas.
+    fn refresh(&mut self, key: &QueueKey) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        let Some(document) = self.view.deployment(&key.deployment) else {
+            queue.waiting.slots_mut().set_replicas([]);
+            return;
+        };
+        queue.waiting.set_limits(QueueLimits {
+            classes: document.limits,
+            ..QueueLimits::default()
+        });
+        let replicas = self.view.replicas(&key.deployment);
+        let ready = replicas.map(|replicas| replicas.ready).unwrap_or_default();
+        let usable = |runner: &RunnerId| {
+            let known = self.view.runner(runner);
+            known.is_some_and(|known| known.state == MachineState::Live)
+        };
+        let slots = match self.share {
+            SlotShare::Whole => document.slots_per_replica,
+            SlotShare::Bounded => document.slots_per_replica.div_ceil(FALLBACK_PARTS),
+        };
+        let usable = ready.into_iter().filter(usable);
+        let usable = usable.map(|runner| (runner, slots));
+        queue.waiting.slots_mut().set_replicas(usable);
+    }
+
+    /// Takes changes of the view in.
+    pub fn refresh_all(&mut self, now: Timestamp) -> Vec<OwnerReply> {
+        let mut replies = Vec::new();
+        for key in self.keys() {
+            self.refresh(&key);
+            replies.extend(self.grant(&key, now));
+        }
+        replies
+    }
+
+    fn keys(&self) -> Vec<QueueKey> {
+        self.queues.keys().cloned().collect()
+    }
+
+    fn grant(&mut self, key: &QueueKey, now: Timestamp) -> Vec<OwnerReply> {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return Vec::new();
+        };
+        let grants = queue.waiting.grant(now).into_iter();
+        let grants = grants.map(|grant| OwnerReply::Granted {
+            queue: key.clone(),
+            grant,
+        });
+        grants.collect()
+    }
+
+    /// Refuses what is late, takes unused grants back and forgets idle queues.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<OwnerReply> {
+        let mut replies = Vec::new();
+        for key in self.keys() {
+            if let Some(queue) = self.queues.get_mut(&key) {
+                let late = queue.waiting.expire(now).into_iter();
+                replies.extend(late.map(|refusal| refused(&key, refusal)));
+            }
+            replies.extend(self.grant(&key, now));
+        }
+        self.queues
+            .retain(|_, queue| !queue.waiting.is_idle() || now.since(queue.used_at) < KEEP_IDLE);
+        replies
+    }
+
+    /// Drops what a lost holder has here.
+    pub fn holder_lost(&mut self, holder: &RouterId, now: Timestamp) -> Vec<OwnerReply> {
+        let mut replies = Vec::new();
+        for key in self.keys() {
+            if let Some(queue) = self.queues.get_mut(&key) {
+                queue.waiting.holder_lost(holder, now);
+            }
+            replies.extend(self.grant(&key, now));
+        }
+        replies
+    }
+
+    /// Adds the demand since the last call to `reports`.
+    pub fn report(&mut self, reports: &mut BTreeMap<DeploymentName, DemandReport>, now: Timestamp) {
+        for (key, queue) in &mut self.queues {
+            let report = queue.waiting.report(now);
+            match reports.get_mut(&key.deployment) {
+                Some(sum) => sum.add(&report),
+                None => {
+                    reports.insert(key.deployment.clone(), report);
+                }
+            }
+        }
+    }
+
+    /// Tickets that wait in all queues together.
+    #[must_use]
+    pub fn waiting(&self) -> courseshunt_queue::WaitingByClass {
+        let mut sum = courseshunt_queue::WaitingByClass::default();
+        for queue in self.queues.values() {
+            sum.add(&queue.waiting.waiting());
+        }
+        sum
+    }
+}
+
+fn returned(key: &QueueKey, queue: &mut WaitingQueue, grant: GrantId, outcome: AttemptOutcome) {
+    log::debug!(
+        "dispatch: grant {grant:?} of {} ended: {outcome:?}",
+        key.deployment
+    );
+    queue.slots_mut().release(grant);
+}
+
+fn refused(queue: &QueueKey, refusal: TicketRefusal) -> OwnerReply {
+    OwnerReply::Refused {
+        queue: queue.clone(),
+        refusal,
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod peers;
 
 pub use error::RouterError;
 
@@ -15,7 +16,7 @@
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_wire::ClusterKey;
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use dispatch::DispatcherHandle;
 use error::{BindSnafu, FileSnafu, ShortKeySnafu};
 use snafu::{OptionExt, ResultExt};
@@ -56,8 +57,9 @@
     pub wire_address: SocketAddr,
     context: RouterContext,
     server: tokio::task::JoinHandle<()>,
-    /// Kept bound for other routers.
-    _wire: TcpListener,
+    /// Cancelled when no request runs any more; the connections to controllers
+    /// and to other routers serve until then.
+    ended: CancellationToken,
 }
 
 impl Router {
@@ -77,14 +79,23 @@
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
         let (ledger, ledger_calls) = control::ledger_channel();
-        let dispatcher = dispatch::start(settings.id.clone(), view.clone(), clock).await?;
+        let incarnation = Incarnation(rand::random());
+        let identity = PeerIdentity::Router(settings.id.clone(), incarnation);
+        let dispatcher = dispatch::start(dispatch::Arguments {
+            router: settings.id.clone(),
+            identity: identity.clone(),
+            key: key.clone(),
+            view: view.clone(),
+            clock,
+        });
+        let dispatcher = dispatcher.await?;
         let limits = ServerLimits {
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
         let context = RouterContext {
             settings,
-            incarnation: Incarnation(rand::random()),
+            incarnation,
             view,
             dispatcher,
             ledger,
@@ -97,8 +108,11 @@
             http_address,
             wire_address,
         };
+        let ended = CancellationToken::new();
+        let peers = context.dispatcher.peer_context(key.clone(), identity);
+        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
         let link = control::run(context.clone(), key, endpoints, ledger_calls);
-        tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
+        tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
         let server = tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
@@ -108,7 +122,7 @@
             wire_address,
             context,
             server,
-            _wire: wire,
+            ended,
         })
     }
 
@@ -121,6 +135,7 @@
     /// Stops as planned: running requests finish first.
     pub async fn stop(self) {
         self.context.stop.cancel();
+        self.context.dispatcher.stop();
         let drain = self.context.settings.drain;
         if tokio::time::timeout(drain.into(), self.server)
             .await
@@ -128,6 +143,7 @@
         {
             log::warn!("router: stopped before all requests had ended");
         }
+        self.ended.cancel();
         log::info!("router: stopped");
     }
 }
--- /dev/null
+++ b/crates/router/src/peers/accept.rs
@@ -0,0 +1,114 @@
+//! Serves the holders of tickets for this router's queues.
+
+use super::links::PeerContext;
+use super::{PeerEvent, SEND_QUEUE, SessionNumber};
+use courseshunt_types::RouterId;
+use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, accept};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Pause after an accept error.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts holders until `stop` is cancelled.
+pub async fn accept_holders(listener: TcpListener, context: PeerContext, stop: CancellationToken) {
+    let mut session = SessionNumber(0);
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                session = SessionNumber(session.0 + 1);
+                let serving = serve(stream, address, session, context.clone());
+                tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+            }
+            Err(error) => {
+                log::warn!("peers: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    address: SocketAddr,
+    session: SessionNumber,
+    context: PeerContext,
+) {
+    let connection = match accept(stream, address, &context.key, &context.identity).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::warn!("peers: connection refused: {error}");
+            return;
+        }
+    };
+    let PeerIdentity::Router(holder, _) = connection.peer.clone() else {
+        log::warn!("peers: {} is no router", connection.peer);
+        return;
+    };
+    let ended = serve_holder(&holder, session, connection, &context).await;
+    if let Err(error) = ended {
+        log::info!("peers: session with holder {holder} ended: {error}");
+    }
+    context.tell(PeerEvent::HolderLost { holder, session });
+}
+
+async fn serve_holder(
+    holder: &RouterId,
+    session: SessionNumber,
+    connection: Connection,
+    context: &PeerContext,
+) -> Result<(), WireError> {
+    let Connection {
+        sender, receiver, ..
+    } = connection;
+    let (messages, queue) = mpsc::channel(SEND_QUEUE);
+    // The dispatcher alone keeps the session: it ends when its sender goes.
+    let answers = messages.downgrade();
+    context.tell(PeerEvent::HolderConnected {
+        holder: holder.clone(),
+        session,
+        sender: messages,
+    });
+    tokio::select! {
+        ended = send(sender, queue) => ended,
+        ended = receive(holder, session, receiver, answers, context) => ended,
+    }
+}
+
+async fn send(mut sender: Sender, mut queue: mpsc::Receiver<Message>) -> Result<(), WireError> {
+    while let Some(message) = queue.recv().await {
+        sender.send(&message).await?;
+    }
+    Ok(())
+}
+
+async fn receive(
+    holder: &RouterId,
+    session: SessionNumber,
+    mut receiver: Receiver,
+    answers: mpsc::WeakSender<Message>,
+    context: &PeerContext,
+) -> Result<(), WireError> {
+    while let Some(message) = receiver.receive().await? {
+        if message == Message::Ping {
+            if let Some(answers) = answers.upgrade() {
+                // A full queue has other messages that show life.
+                let _ = answers.try_send(Message::Pong);
+            }
+            continue;
+        }
+        context.tell(PeerEvent::FromHolder {
+            holder: holder.clone(),
+            session,
+            message,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/tests/support/mod.rs
@@ -0,0 +1,233 @@
+//! Dispatchers with real connections between them, fed by hand.
+
+use courseshunt_queue::Ticket;
+use courseshunt_router::configuration::ConfigurationView;
+use courseshunt_router::dispatch::{Arguments, DispatcherHandle, GrantedRequest, start};
+use courseshunt_router::peers::accept_holders;
+use courseshunt_state::StoredDeployment;
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::{
+    DeploymentDocument, Epoch, Incarnation, LogIndex, Millis, PriorityClass, Refusal, Revision,
+    RouterId, Timestamp,
+};
+use courseshunt_wire::message::{
+    ConfigurationUpdate, DeploymentReplicas, FleetUpdate, PlacementUpdate, RouterEndpoint,
+    RunnerEndpoint,
+};
+use courseshunt_wire::{ClusterKey, PeerIdentity};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// The only deployment.
+pub const DEPLOYMENT: &str = "climate-ctl";
+/// Longest wait for a condition; met conditions end the wait at once.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+const KEY: &[u8] = b"a key of sixteen bytes or more";
+
+/// A grant or a refusal, some day.
+pub type Answer = JoinHandle<Result<GrantedRequest, Refusal>>;
+
+/// One dispatcher with its connections.
+pub struct Node {
+    pub router: RouterId,
+    pub view: Arc<ConfigurationView>,
+    pub dispatcher: DispatcherHandle,
+    pub endpoint: RouterEndpoint,
+    life: CancellationToken,
+}
+
+impl Node {
+    async fn start(number: usize) -> Self {
+        let router = RouterId(format!("router-{number}"));
+        let incarnation = Incarnation(number as u64 + 1);
+        let identity = PeerIdentity::Router(router.clone(), incarnation);
+        let key = ClusterKey::new(KEY).unwrap();
+        let view = Arc::new(ConfigurationView::default());
+        let arguments = Arguments {
+            router: router.clone(),
+            identity: identity.clone(),
+            key: key.clone(),
+            view: view.clone(),
+            clock: MonotonicClock::start(),
+        };
+        let dispatcher = start(arguments).await.unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let wire_address = listener.local_addr().unwrap().to_string();
+        let life = CancellationToken::new();
+        let peers = dispatcher.peer_context(key, identity);
+        tokio::spawn(accept_holders(listener, peers, life.clone()));
+        let endpoint = RouterEndpoint {
+            router: router.clone(),
+            incarnation,
+            wire_address,
+            zone: "zone".into(),
+            leaving: false,
+        };
+        Self {
+            router,
+            view,
+            dispatcher,
+            endpoint,
+            life,
+        }
+    }
+
+    /// Cuts the node off: its port closes and its sessions break.
+    pub fn die(&self) {
+        self.life.cancel();
+    }
+
+    /// Lets a request wait.
+    pub fn ask(&self, request: &str, class: PriorityClass, deadline: Duration) -> Answer {
+        let ticket = Ticket {
+            request: request.into(),
+            holder: self.router.clone(),
+            deployment: DEPLOYMENT.into(),
+            adapter: None,
+            tenant: "souss".into(),
+            class,
+            deadline_in: Millis(deadline.as_millis() as u64),
+            waited: Millis(0),
+            prefix_hashes: Vec::new(),
+            prompt_tokens: 10,
+            max_tokens: 10,
+            avoid: Vec::new(),
+        };
+        let dispatcher = self.dispatcher.clone();
+        tokio::spawn(async move { dispatcher.acquire(ticket).await })
+    }
+}
+
+/// Nodes that know each other, a deployment, and its replicas.
+pub struct Cluster {
+    pub nodes: Vec<Node>,
+    placement: u64,
+    fleet: u64,
+}
+
+impl Cluster {
+    /// Starts `routers` nodes and a deployment with `slots` slots on each of
+    /// `replicas` runners.
+    pub async fn start(routers: usize, replicas: usize, slots: u32) -> Self {
+        let mut nodes = Vec::new();
+        for number in 0..routers {
+            nodes.push(Node::start(number).await);
+        }
+        let mut cluster = Self {
+            nodes,
+            placement: 0,
+            fleet: 0,
+        };
+        for node in &cluster.nodes {
+            node.view.apply_configuration(configuration(slots));
+            node.view.confirm(Timestamp(1));
+        }
+        cluster.place(replicas);
+        let all: Vec<usize> = (0..routers).collect();
+        cluster.set_fleet(&all);
+        cluster
+    }
+
+    /// Lets `replicas` runners serve.
+    pub fn place(&mut self, replicas: usize) {
+        self.placement += 1;
+        let runners = (0..replicas).map(|number| RunnerEndpoint {
+            runner: format!("runner-{number}").into(),
+            address: format!("127.0.0.1:{}", 1 + number),
+            zone: "zone".into(),
+            state: MachineState::Live,
+        });
+        let runners: Vec<RunnerEndpoint> = runners.collect();
+        let ready = runners.iter().map(|one| one.runner.clone()).collect();
+        for node in &self.nodes {
+            node.view.apply_placement(PlacementUpdate {
+                sequence: LogIndex(self.placement),
+                full: true,
+                runners: runners.clone(),
+                deployments: vec![DeploymentReplicas {
+                    deployment: DEPLOYMENT.into(),
+                    ready: Vec::clone(&ready),
+                    loading: Vec::new(),
+                }],
+            });
+            node.dispatcher.view_changed();
+        }
+    }
+
+    /// Tells all nodes which are live.
+    pub fn set_fleet(&mut self, live: &[usize]) {
+        self.fleet += 1;
+        let routers = live
+            .iter()
+            .map(|number| self.nodes[*number].endpoint.clone());
+        let routers: Vec<RouterEndpoint> = routers.collect();
+        for node in &self.nodes {
+            node.view.apply_fleet(FleetUpdate {
+                epoch: Epoch(self.fleet),
+                routers: routers.clone(),
+            });
+            node.dispatcher.view_changed();
+        }
+    }
+
+    /// Number of the node that owns the queue, and of two others.
+    pub fn owner_and_others(&self) -> (usize, usize, usize) {
+        let queue = courseshunt_queue::QueueKey {
+            deployment: DEPLOYMENT.into(),
+            shard: 0,
+        };
+        let names: Vec<&RouterId> = self.nodes.iter().map(|node| &node.router).collect();
+        let owner = courseshunt_queue::owner_of(&queue, names.iter().copied()).unwrap();
+        let owner = names.iter().position(|name| *name == owner).unwrap();
+        let others: Vec<usize> = (0..names.len()).filter(|one| *one != owner).collect();
+        (owner, others[0], *others.last().unwrap())
+    }
+
+    /// Waits until `wanted` tickets wait at a node's own queues.
+    pub async fn until_waiting(&self, node: usize, wanted: u32) {
+        self.until("tickets wait at the owner", || {
+            self.nodes[node].dispatcher.snapshot().waiting.total() == wanted
+        })
+        .await;
+    }
+
+    /// Waits for a condition.
+    pub async fn until(&self, what: &str, holds: impl Fn() -> bool) {
+        let waiting = async {
+            while !holds() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waiting).await.expect(what);
+    }
+}
+
+/// Waits for an answer.
+pub async fn answer(answer: Answer) -> Result<GrantedRequest, Refusal> {
+    let answer = tokio::time::timeout(PATIENCE, answer).await;
+    answer.expect("an answer comes").unwrap()
+}
+
+fn configuration(slots: u32) -> ConfigurationUpdate {
+    let document: DeploymentDocument = serde_json::from_value(serde_json::json!({
+        "name": DEPLOYMENT, "version": 1, "model": "climate", "tenant": "souss",
+        "memory_mib": 1000, "slots_per_replica": slots, "max_replicas": 4,
+    }))
+    .unwrap();
+    ConfigurationUpdate {
+        full: true,
+        revision: Revision(1),
+        deployments: vec![StoredDeployment {
+            digest: document.digest(),
+            document,
+            revision: Revision(1),
+        }],
+        removed: Vec::new(),
+        tenants: None,
+        more: false,
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use courseshunt_consensus::ConsensusMessage;
 use courseshunt_queue::{
-    AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, Ticket, TicketRefusal,
+    AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
 };
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
@@ -144,13 +144,26 @@
         /// How the attempt ended; tells the owner about the runner's health.
         outcome: AttemptOutcome,
     },
-    /// Router to queue owner: this is not your queue (any more).
+    /// Queue owner to router: this is not my queue (any more).
     NotOwner {
         /// The queue.
         queue: QueueKey,
         /// Tickets that must be offered to the owner again.
         requests: Vec<RequestId>,
     },
+    /// Router to queue owner: these grants run here, and no others.
+    AdoptGrants {
+        /// The queue.
+        queue: QueueKey,
+        /// The grants.
+        grants: Vec<RunningGrant>,
+    },
+    /// Queue owner to router: the owner stops; its queues have other owners.
+    OwnerLeaving,
+    /// Router to queue owner: are you there?
+    Ping,
+    /// Answers [`Message::Ping`].
+    Pong,
 }
 
 /// Result of a command for the ledger.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -109,7 +109,9 @@
         Message::Granted { .. }
         | Message::GrantStarted { .. }
         | Message::GrantReturned { .. }
-        | Message::NotOwner { .. } => 11,
+        | Message::NotOwner { .. }
+        | Message::AdoptGrants { .. }
+        | Message::OwnerLeaving => 11,
         #[allow(unreachable_patterns, reason = "kinds that are appended later")]
         _ => MESSAGE_KINDS.len() - 1,
     }
