Placement: runner index, room for replacements of leaving machines, orders bound to an incarnation

Cause: reserved memory was summed over all replicas for each runner and each placement, so a zone loss cost work in the square of the replicas; a machine with notice could not be replaced before it left when a deployment allowed one replica; a late order could reach a new incarnation, which has forgotten the fences of the former.

Change: an index by runner in the replicated placement; replicas on leaving machines no longer count against the maximum; an order may name the incarnation that it is meant for, and another refuses it; inventories may list staging; policies may explain themselves. The planner refuses loads on runners that failed the model lately.

Shown by: cargo test -p courseshunt-state -p courseshunt-placement -p courseshunt-standin.

--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -4,7 +4,8 @@
 use crate::policy::{DemandEvent, PlacementPolicy};
 use crate::view::ClusterView;
 use courseshunt_types::runner_api::CacheTier;
-use courseshunt_types::{DeploymentName, RunnerId, Timestamp};
+use courseshunt_types::{DeploymentName, ModelName, RunnerId, Timestamp};
+use std::collections::BTreeMap;
 
 /// Runs a policy under the limits that always hold.
 pub struct Planner {
@@ -35,6 +36,12 @@
         self.policy.next_wake(view)
     }
 
+    /// What the policy thinks of one deployment.
+    #[must_use]
+    pub fn explain(&self, view: &ClusterView, deployment: &DeploymentName) -> Vec<String> {
+        self.policy.explain(view, deployment)
+    }
+
     /// The decisions for the present view. Each is possible under memory,
     /// replica and weight-store limits, taken together and in order.
     pub fn plan(&mut self, view: &ClusterView) -> Vec<Decision> {
@@ -47,29 +54,18 @@
 
 /// What is left of the limits while decisions are admitted.
 struct Budget {
-    free_mib: Vec<u64>,
-    replicas: Vec<u32>,
+    taken_mib: BTreeMap<RunnerId, u64>,
+    placed: BTreeMap<DeploymentName, u32>,
     store_starts: u32,
 }
 
 impl Budget {
     fn of(view: &ClusterView) -> Self {
-        let free_mib = view
-            .runners
-            .iter()
-            .map(|runner| runner.free_mib())
-            .collect();
-        let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
-        let replicas = view
-            .deployments
-            .iter()
-            .map(|one| count(one.replicas.len()))
-            .collect();
         let store = &view.store;
         let concurrent = store.concurrency_limit.saturating_sub(store.active_loads);
         Self {
-            free_mib,
-            replicas,
+            taken_mib: BTreeMap::new(),
+            placed: BTreeMap::new(),
             store_starts: concurrent.min(store.starts_available),
         }
     }
@@ -78,7 +74,7 @@
         match kind {
             DecisionKind::Load { deployment, runner } => self.admit_load(view, deployment, runner),
             DecisionKind::Unload { .. } => true,
-            DecisionKind::Stage { .. } => self.take_store_start(),
+            DecisionKind::Stage { model, runner, .. } => self.admit_stage(view, model, runner),
         }
     }
 
@@ -88,31 +84,37 @@
         deployment: &DeploymentName,
         runner: &RunnerId,
     ) -> bool {
-        let Some(place) = view.runners.iter().position(|one| one.runner == *runner) else {
+        let (Some(wanted), Some(place)) = (view.deployment(deployment), view.runner(runner)) else {
             return false;
         };
-        let Some(which) = view
-            .deployments
-            .iter()
-            .position(|one| one.name() == deployment)
-        else {
-            return false;
-        };
-        let document = &view.deployments[which].document;
+        let document = &wanted.document;
         let memory = document.replica_memory_mib();
-        let runner = &view.runners[place];
-        let fits = runner.accepts_loads() && memory <= self.free_mib[place];
-        if !fits || self.replicas[which] >= document.max_replicas {
+        let taken = self.taken_mib.get(runner).copied().unwrap_or_default();
+        let placed = self.placed.get(deployment).copied().unwrap_or_default();
+        let fits = memory + taken <= place.free_mib();
+        let held = wanted.replicas.iter().any(|one| one.runner == *runner);
+        if !place.accepts_loads() || !fits || held || place.avoid.contains(&document.model) {
             return false;
         }
-        if runner.tier_of(&document.model) == CacheTier::Remote && !self.take_store_start() {
+        if view.count_against_limit(wanted) + placed >= document.max_replicas {
             return false;
         }
-        self.free_mib[place] -= memory;
-        self.replicas[which] += 1;
+        if place.tier_of(&document.model) == CacheTier::Remote && !self.take_store_start() {
+            return false;
+        }
+        self.taken_mib.insert(runner.clone(), taken + memory);
+        self.placed.insert(deployment.clone(), placed + 1);
         true
     }
 
+    fn admit_stage(&mut self, view: &ClusterView, model: &ModelName, runner: &RunnerId) -> bool {
+        let Some(place) = view.runner(runner) else {
+            return false;
+        };
+        let remote = place.tier_of(model) == CacheTier::Remote;
+        place.accepts_loads() && (!remote || self.take_store_start())
+    }
+
     fn take_store_start(&mut self) -> bool {
         let available = self.store_starts > 0;
         self.store_starts = self.store_starts.saturating_sub(1);
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -33,4 +33,11 @@
 
     /// When to plan again without any event; `None` means only on events.
     fn next_wake(&self, view: &ClusterView) -> Option<Timestamp>;
+
+    /// What the policy thinks of one deployment at present, a line for each
+    /// matter, for `explain`.
+    fn explain(&self, view: &ClusterView, deployment: &DeploymentName) -> Vec<String> {
+        let _ = (view, deployment);
+        Vec::new()
+    }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -22,6 +22,46 @@
     pub store: WeightStoreView,
 }
 
+impl ClusterView {
+    /// The runner of that name.
+    #[must_use]
+    pub fn runner(&self, runner: &RunnerId) -> Option<&RunnerView> {
+        let place = self
+            .runners
+            .binary_search_by(|one| one.runner.cmp(runner))
+            .ok()?;
+        self.runners.get(place)
+    }
+
+    /// The deployment of that name.
+    #[must_use]
+    pub fn deployment(&self, name: &DeploymentName) -> Option<&DeploymentView> {
+        let place = self
+            .deployments
+            .binary_search_by(|one| one.name().cmp(name))
+            .ok()?;
+        self.deployments.get(place)
+    }
+
+    /// Whether the machine of a runner is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, runner: &RunnerId) -> bool {
+        self.runner(runner)
+            .is_some_and(|one| one.state == MachineState::Leaving)
+    }
+
+    /// Replicas of a deployment that count against its maximum: all but those
+    /// on machines that are leaving.
+    #[must_use]
+    pub fn count_against_limit(&self, deployment: &DeploymentView) -> u32 {
+        let staying = deployment
+            .replicas
+            .iter()
+            .filter(|one| !self.is_leaving(&one.runner));
+        u32::try_from(staying.count()).unwrap_or(u32::MAX)
+    }
+}
+
 /// One runner.
 #[derive(Debug, Clone)]
 pub struct RunnerView {
--- a/crates/standin/src/model/runner.rs
+++ b/crates/standin/src/model/runner.rs
@@ -154,6 +154,10 @@
         order: &OrderRequest,
         now: Timestamp,
     ) -> Result<OrderReply, OrderRejection> {
+        let present = self.settings.incarnation;
+        if order.incarnation.is_some_and(|meant| meant != present) {
+            return Err(OrderRejection::OtherIncarnation { present });
+        }
         let highest = self.highest_fences.get(&order.deployment).copied();
         if let Some(highest) = highest.filter(|highest| order.fence < *highest) {
             return Err(OrderRejection::StaleFence { highest });
@@ -485,6 +489,7 @@
             draining: self.draining,
             deployments: items.collect(),
             cached: self.cached.clone(),
+            staging: Vec::new(),
         }
     }
 
--- a/crates/standin/tests/models.rs
+++ b/crates/standin/tests/models.rs
@@ -16,6 +16,7 @@
     OrderRequest {
         fence: fence(sequence),
         deployment: deployment.into(),
+        incarnation: None,
         action: OrderAction::Load {
             model: deployment.into(),
             checkpoint_mib: memory_mib,
--- a/crates/state/src/placement.rs
+++ b/crates/state/src/placement.rs
@@ -1,16 +1,17 @@
 //! Runners, decided replicas and their memory reservations.
 //!
 //! Invariants: the reservations on a runner never exceed its memory; a
-//! deployment never has more replicas than its document allows; a reservation
-//! ends only by a release with the right fence, a new incarnation of the
-//! runner, or the end of its machine.
+//! deployment never has more replicas than its document allows, not counting
+//! those on machines that are leaving, which may be replaced before they go; a
+//! reservation ends only by a release with the right fence, a new incarnation
+//! of the runner, or the end of its machine. A silent runner's replicas count.
 
 use crate::reply::CommandError;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
     DeploymentName, Fence, Incarnation, ReplicaKey, RunnerId, UnixMillis, Zone,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A known runner.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -70,25 +71,65 @@
     pub runners: BTreeMap<RunnerId, RunnerRecord>,
     /// Replicas by deployment and runner.
     pub replicas: BTreeMap<ReplicaKey, ReplicaRecord>,
+    /// Index of `replicas` by runner, so that the loss of a runner costs work
+    /// in proportion to its replicas only.
+    by_runner: BTreeMap<RunnerId, BTreeSet<DeploymentName>>,
 }
 
 impl Placement {
+    /// Replicas on a runner, those being unloaded included.
+    pub fn on_runner<'a>(
+        &'a self,
+        runner: &'a RunnerId,
+    ) -> impl Iterator<Item = &'a ReplicaRecord> {
+        let deployments = self.by_runner.get(runner).into_iter().flatten();
+        deployments.filter_map(move |deployment| {
+            let key = ReplicaKey {
+                deployment: deployment.clone(),
+                runner: runner.clone(),
+            };
+            self.replicas.get(&key)
+        })
+    }
+
+    /// Replicas of a deployment, those being unloaded included.
+    pub fn of_deployment<'a>(
+        &'a self,
+        deployment: &'a DeploymentName,
+    ) -> impl Iterator<Item = &'a ReplicaRecord> {
+        let first = ReplicaKey {
+            deployment: deployment.clone(),
+            runner: RunnerId::default(),
+        };
+        let from_first = self.replicas.range(first..);
+        let same = from_first.take_while(move |(key, _)| key.deployment == *deployment);
+        same.map(|(_, record)| record)
+    }
+
     /// Memory reserved on a runner, in MiB.
     #[must_use]
     pub fn reserved_mib(&self, runner: &RunnerId) -> u64 {
-        let on_runner = |record: &&ReplicaRecord| record.replica.runner == *runner;
-        let records = self.replicas.values().filter(on_runner);
-        records.map(|record| record.memory_mib).sum()
+        self.on_runner(runner).map(|record| record.memory_mib).sum()
     }
 
     /// Replicas of a deployment, those being unloaded included.
     #[must_use]
     pub fn count(&self, deployment: &DeploymentName) -> u32 {
-        let records = self.replicas.values();
-        let count = records
-            .filter(|one| one.replica.deployment == *deployment)
-            .count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+        u32::try_from(self.of_deployment(deployment).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Replicas of a deployment that count against its maximum: all but those
+    /// on machines that are leaving.
+    #[must_use]
+    pub fn count_against_limit(&self, deployment: &DeploymentName) -> u32 {
+        let leaving = |runner: &RunnerId| {
+            let record = self.runners.get(runner);
+            record.is_some_and(|record| record.state == MachineState::Leaving)
+        };
+        let staying = self
+            .of_deployment(deployment)
+            .filter(|record| !leaving(&record.replica.runner));
+        u32::try_from(staying.count()).unwrap_or(u32::MAX)
     }
 
     /// Records a runner; a new incarnation releases the replicas of the old.
@@ -120,7 +161,10 @@
     }
 
     fn release_all(&mut self, runner: &RunnerId) {
-        self.replicas.retain(|key, _| key.runner != *runner);
+        for deployment in self.by_runner.remove(runner).unwrap_or_default() {
+            let runner = runner.clone();
+            self.replicas.remove(&ReplicaKey { deployment, runner });
+        }
     }
 
     /// Decides one more replica and reserves its memory.
@@ -141,7 +185,7 @@
                 fence: existing.fence,
             });
         }
-        if self.count(&replica.deployment) >= limit {
+        if self.count_against_limit(&replica.deployment) >= limit {
             let deployment = replica.deployment.clone();
             return Err(CommandError::ReplicaLimit { deployment, limit });
         }
@@ -168,6 +212,8 @@
             placed_at: at,
         };
         self.replicas.insert(replica.clone(), placed);
+        let on_runner = self.by_runner.entry(runner).or_default();
+        on_runner.insert(replica.deployment.clone());
         Ok(fence)
     }
 
@@ -206,6 +252,9 @@
     pub fn release(&mut self, replica: &ReplicaKey, fence: Fence) -> Result<(), CommandError> {
         self.with_fence(replica, fence)?;
         self.replicas.remove(replica);
+        if let Some(on_runner) = self.by_runner.get_mut(&replica.runner) {
+            on_runner.remove(&replica.deployment);
+        }
         Ok(())
     }
 
--- a/crates/types/src/runner_api.rs
+++ b/crates/types/src/runner_api.rs
@@ -40,6 +40,10 @@
     pub fence: Fence,
     /// The deployment that the order is about.
     pub deployment: DeploymentName,
+    /// Incarnation that the order is meant for; another one refuses it, because
+    /// it has forgotten the fences of the former. `None` is for any.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
     /// What to do.
     pub action: OrderAction,
 }
@@ -90,6 +94,11 @@
         /// The highest fence seen.
         highest: Fence,
     },
+    /// The order is meant for another incarnation of the runner.
+    OtherIncarnation {
+        /// The present one.
+        present: Incarnation,
+    },
     /// The accelerator memory does not suffice.
     OutOfMemory {
         /// Free accelerator memory, in MiB.
@@ -167,6 +176,9 @@
     pub deployments: Vec<InventoryItem>,
     /// Checkpoints in the cache tiers.
     pub cached: Vec<CacheItem>,
+    /// Checkpoints on their way to a cache tier by a staging order.
+    #[serde(default)]
+    pub staging: Vec<ModelName>,
 }
 
 /// Load of one deployment on a runner.
