Scheduler: runners watched side by side, loads adopted, limits wired in, explain

Cause: one hung runner delayed all others, since runners were visited in turn; an order to a silent runner held the planner up; all loading replicas counted against the weight store, also those from a runner's own cache; a load that died on its runner was ordered there again for ever; uses of replicas were guessed for the whole deployment; a new leader planned before it had read any inventory; staging orders were dropped; a refused load kept its reservation for ever.

Change: one task for each runner with its own time limits, and separate shares of visits for runners that answer and runners that do not; orders are sent apart from the plan; the tracker of loads takes starts and places at the weight store, learns load times, lowers the concurrency of a slow store, and makes failed runners avoided for a while; a replica that its runner lost is withdrawn and decided anew; a new leader applies what is committed and reads the holders' inventories first; stagings are ordered under the present term; leaving machines are drained by the planner whatever the policy; a member that was cut off asks the group before it unloads what it does not know; `courseshunt explain`.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod explain;
 mod get;
 mod render;
 mod serve;
@@ -56,6 +57,12 @@
         run: get::status,
         help: get::status_help,
     },
+    Subcommand {
+        name: "explain",
+        summary: "tell why a deployment is, or is not, loaded",
+        run: explain::run,
+        help: explain::help,
+    },
     Subcommand {
         name: "check",
         summary: "check a settings file or rendered documents",
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
+mod explain;
 mod metrics;
 mod operators;
 
@@ -64,6 +65,9 @@
         ),
         (&Method::GET, "/admin/v1/deployments") => deployments(context),
         (&Method::GET, "/admin/v1/status") => status(context),
+        (&Method::GET, path) if path.starts_with(explain::PREFIX) => {
+            explain::page(context, &path[explain::PREFIX.len()..])
+        }
         _ => failure(StatusCode::NOT_FOUND, "not_found", "no such page"),
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -36,6 +36,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// Soft state of the scheduler.
+    pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
     pub client: HttpClient,
     /// Token for the runners' control interface.
@@ -78,7 +80,9 @@
         })?;
         let clock = MonotonicClock::start();
         let replica = replica::start(&settings, clock).await?;
+        let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
+            scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
             demand: Arc::default(),
@@ -90,7 +94,7 @@
             stop: CancellationToken::new(),
         };
         tokio::spawn(feed::accept_peers(wire, context.clone()));
-        scheduler::start(&context)?;
+        scheduler::start(&context);
         let stop = context.stop.clone();
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
--- a/crates/controller/src/scheduler/plan.rs
+++ b/crates/controller/src/scheduler/plan.rs
@@ -1,28 +1,33 @@
-//! Runs the planner on every change of demand or state.
+//! Runs the planner on every change of demand or state: decide, commit, order.
 
-use super::runners::{RunnerBook, RunnerClient, load_order, unload_order};
+use super::SchedulerState;
+use super::client::{OrderOutcome, RunnerClient};
+use super::journal::deployment_of;
+use super::orders::{stage_order, unload_order};
+use super::repair::order_load;
+use super::takeover::Takeover;
+use super::view::{cluster_view, present};
 use crate::ControllerContext;
-use courseshunt_placement::{
-    CacheView, ClusterView, Decision, DecisionKind, DemandEvent, DeploymentView, Planner,
-    ReplicaView, RunnerView, WeightStoreView,
-};
-use courseshunt_state::{Command, CommandReply, ReplicaPhase, ReplicatedState, RunnerRecord};
+use courseshunt_placement::{ClusterView, Decision, DecisionKind, DemandEvent};
+use courseshunt_state::{Command, CommandReply, ReplicaPhase};
+use courseshunt_types::runner_api::{CacheTier, MachineState};
 use courseshunt_types::{
-    DeploymentName, Fence, Millis, PriorityClass, ReplicaKey, RunnerId, Timestamp, UnixMillis,
+    DeploymentDocument, DeploymentName, Fence, ModelName, PriorityClass, ReplicaKey, RunnerId,
+    Timestamp,
 };
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// Longest time between plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// A runner whose inventory is older counts as unreachable.
-const REACHABLE_FOR: Millis = Millis::from_secs(3);
-/// Milliseconds of a day.
-const DAY: u64 = 24 * 3600 * 1000;
+/// Shortest time between plans, so that a burst of signals makes one plan.
+const PLAN_PAUSE: Duration = Duration::from_millis(5);
 
 /// Plans until cancelled.
-pub async fn run(context: ControllerContext, book: Arc<RunnerBook>, mut planner: Planner) {
+pub async fn run(context: ControllerContext, scheduler: Arc<SchedulerState>) {
     let mut status = context.replica.status();
+    let mut takeover: Option<Takeover> = None;
     loop {
         tokio::select! {
             () = context.demand.changed() => {}
@@ -33,19 +38,54 @@
             }
             () = tokio::time::sleep(PLAN_INTERVAL) => {}
         }
-        observe(&context, &mut planner);
-        if !status.borrow_and_update().leads() {
+        tokio::time::sleep(PLAN_PAUSE).await;
+        observe(&context, &scheduler);
+        let (leads, term) = {
+            let status = status.borrow_and_update();
+            (status.leads(), status.term)
+        };
+        if !leads {
+            takeover = None;
             continue;
         }
-        let view = view(&context, &book);
-        for decision in planner.plan(&view) {
-            carry_out(&context, &decision).await;
+        if takeover.is_none_or(|one| one.term != term) {
+            takeover = take_over(&context, &scheduler, term).await;
+        }
+        if takeover.is_some_and(|one| may_plan(&context, &scheduler, one)) {
+            plan_once(&context, &scheduler).await;
         }
     }
 }
 
-fn observe(context: &ControllerContext, planner: &mut Planner) {
+/// Begins a leadership: everything committed before it is applied here first.
+async fn take_over(
+    context: &ControllerContext,
+    scheduler: &SchedulerState,
+    term: courseshunt_types::Term,
+) -> Option<Takeover> {
+    context.replica.read_barrier().await.ok()?;
+    scheduler.loads().clear();
+    let began = context.clock.now();
+    log::info!("scheduler: leads in term {term}");
+    Some(Takeover { term, began })
+}
+
+fn may_plan(context: &ControllerContext, scheduler: &SchedulerState, takeover: Takeover) -> bool {
+    let state = context.replica.state();
+    let runners = state.placement.runners.values();
+    let in_service = runners.filter(|one| one.state != MachineState::Gone);
+    let holders = in_service.filter(|one| {
+        let mut held = state.placement.on_runner(&one.runner);
+        held.next().is_some()
+    });
+    let holders = holders.map(|one| &one.runner);
+    let answered = |runner: &RunnerId| scheduler.book.answered_since(runner, takeover.began);
+    takeover.may_plan(context.clock.now(), holders, answered)
+}
+
+fn observe(context: &ControllerContext, scheduler: &SchedulerState) {
     let at = context.clock.now();
+    let mut planner = scheduler.planner();
     for arrivals in context.demand.take_arrivals() {
         for class in PriorityClass::ALL {
             let count = arrivals.count.of(class);
@@ -62,108 +102,84 @@
     }
 }
 
-fn view(context: &ControllerContext, book: &RunnerBook) -> ClusterView {
-    let now = context.clock.now();
-    let state = context.replica.state();
-    let runners = state.placement.runners.values();
-    let runners = runners.map(|record| runner_view(&state, book, record, now));
-    let deployments = state
-        .configuration
-        .deployments
-        .values()
-        .map(|stored| DeploymentView {
-            document: Arc::new(stored.document.clone()),
-            demand: context.demand.view(&stored.document.name),
-            replicas: replica_views(&state, context, &stored.document.name, now),
-            load_times: None,
-        });
-    let loading = state.placement.replicas.values();
-    let loading = loading
-        .filter(|one| one.phase == ReplicaPhase::Loading)
-        .count();
-    ClusterView {
-        now,
-        time_of_day: Millis(UnixMillis::now().0 % DAY),
-        runners: runners.collect(),
-        deployments: deployments.collect(),
-        store: WeightStoreView {
-            active_loads: u32::try_from(loading).unwrap_or(u32::MAX),
-            concurrency_limit: context.settings.store_concurrency,
-            starts_available: context.settings.store_loads_per_second,
-        },
+async fn plan_once(context: &ControllerContext, scheduler: &Arc<SchedulerState>) {
+    let view = view_now(context, scheduler);
+    let mut decisions = unconfigured(context);
+    decisions.extend(scheduler.planner().plan(&view));
+    let mut commits = JoinSet::new();
+    for decision in decisions {
+        let source = source_of(&view, &decision.kind);
+        let carried = carry_out(context.clone(), scheduler.clone(), decision, source);
+        commits.spawn(carried);
     }
+    while commits.join_next().await.is_some() {}
 }
 
-fn runner_view(
-    state: &ReplicatedState,
-    book: &RunnerBook,
-    record: &RunnerRecord,
-    now: Timestamp,
-) -> RunnerView {
-    let seen = book.get(&record.runner);
-    let fresh = seen
-        .as_ref()
-        .is_some_and(|seen| now.since(seen.at) < REACHABLE_FOR);
-    let inventory = seen.map(|seen| seen.inventory);
-    let (host_memory_mib, disk_mib) = match &inventory {
-        Some(inventory) => (inventory.host_memory_mib, inventory.disk_mib),
-        None => (0, 0),
-    };
-    let cached = inventory
-        .map(|inventory| inventory.cached)
-        .unwrap_or_default();
-    let cached = cached.into_iter().map(|item| CacheView {
-        model: item.model,
-        tier: item.tier,
-        size_mib: item.size_mib,
-    });
-    RunnerView {
-        runner: record.runner.clone(),
-        zone: record.zone.clone(),
-        accelerators: record.accelerators,
-        memory_mib: record.memory_mib,
-        reserved_mib: state.placement.reserved_mib(&record.runner),
-        host_memory_mib,
-        disk_mib,
-        state: record.state,
-        reachable: fresh,
-        cached: cached.collect(),
-        staging: Vec::new(),
-        avoid: Vec::new(),
-    }
+/// The view of this moment.
+pub fn view_now(context: &ControllerContext, scheduler: &SchedulerState) -> ClusterView {
+    let moment = present(context.clock.now());
+    let state = context.replica.state();
+    cluster_view(&state, scheduler, &context.demand, moment)
 }
 
-fn replica_views(
-    state: &ReplicatedState,
-    context: &ControllerContext,
-    deployment: &DeploymentName,
-    now: Timestamp,
-) -> Vec<ReplicaView> {
-    let demand = context.demand.view(deployment);
-    let last_used = demand.last_arrival.unwrap_or(Timestamp(0));
-    let records = state.placement.replicas.values();
-    let records = records.filter(|record| record.replica.deployment == *deployment);
-    let views = records.map(|record| ReplicaView {
-        runner: record.replica.runner.clone(),
-        fence: record.fence,
-        phase: record.phase,
-        since: now,
-        last_used: if demand.running > 0 { now } else { last_used },
-        running: demand.running,
+/// Replicas whose deployments were taken out of the configuration.
+fn unconfigured(context: &ControllerContext) -> Vec<Decision> {
+    let state = context.replica.state();
+    let replicas = state.placement.replicas.values();
+    let orphans = replicas.filter(|record| {
+        let deployment = &record.replica.deployment;
+        record.phase != ReplicaPhase::Withdrawn
+            && !state.configuration.deployments.contains_key(deployment)
     });
-    views.collect()
+    let decisions = orphans.map(|record| Decision {
+        kind: DecisionKind::Unload {
+            deployment: record.replica.deployment.clone(),
+            runner: record.replica.runner.clone(),
+        },
+        reason: "the deployment is no longer configured".to_owned(),
+    });
+    decisions.collect()
+}
+
+/// Where the checkpoint of a load or staging comes from.
+fn source_of(view: &ClusterView, kind: &DecisionKind) -> CacheTier {
+    let (model, runner) = match kind {
+        DecisionKind::Load { deployment, runner } => {
+            let model = view.deployment(deployment).map(|one| &one.document.model);
+            (model, runner)
+        }
+        DecisionKind::Stage { model, runner, .. } => (Some(model), runner),
+        DecisionKind::Unload { .. } => return CacheTier::Accelerator,
+    };
+    let tier = model.zip(view.runner(runner));
+    tier.map_or(CacheTier::Remote, |(model, runner)| runner.tier_of(model))
 }
 
-async fn carry_out(context: &ControllerContext, decision: &Decision) {
+/// Commits a decision and has its order sent; the order itself is not waited
+/// for, since a silent runner must not delay the next plan.
+async fn carry_out(
+    context: ControllerContext,
+    scheduler: Arc<SchedulerState>,
+    decision: Decision,
+    source: CacheTier,
+) {
     log::info!("scheduler: {:?}: {}", decision.kind, decision.reason);
-    match &decision.kind {
+    let outcome = match &decision.kind {
         DecisionKind::Load { deployment, runner } => {
-            load(context, replica_key(deployment, runner)).await;
+            let replica = replica_key(deployment, runner);
+            load(&context, &scheduler, replica, source).await
         }
         DecisionKind::Unload { deployment, runner } => {
-            unload(context, replica_key(deployment, runner)).await;
+            unload(&context, replica_key(deployment, runner)).await
         }
-        DecisionKind::Stage { .. } => {}
+        DecisionKind::Stage {
+            model,
+            runner,
+            tier,
+        } => stage(&context, &scheduler, model, runner, source, *tier).await,
+    };
+    if let Some(deployment) = deployment_of(&decision.kind).cloned() {
+        scheduler.journal.note(&deployment, decision, outcome);
     }
 }
 
@@ -174,64 +190,125 @@
     }
 }
 
-async fn load(context: &ControllerContext, replica: ReplicaKey) {
-    let memory = {
+async fn load(
+    context: &ControllerContext,
+    scheduler: &Arc<SchedulerState>,
+    replica: ReplicaKey,
+    source: CacheTier,
+) -> String {
+    let document = {
         let state = context.replica.state();
         let stored = state.configuration.deployments.get(&replica.deployment);
-        stored.map(|stored| stored.document.replica_memory_mib())
+        stored.map(|stored| stored.document.clone())
     };
-    let Some(memory_mib) = memory else {
-        return;
+    let Some(document) = document else {
+        return "no longer configured".to_owned();
     };
     let place = Command::PlaceReplica {
         replica: replica.clone(),
-        memory_mib,
+        memory_mib: document.replica_memory_mib(),
     };
-    let Some(fence) = decide(context, place).await else {
-        return;
+    let fence = match decide(context, place).await {
+        Ok(fence) => fence,
+        Err(problem) => return problem,
     };
-    let address = address_of(context, &replica.runner);
-    let order = load_order(context, &replica, fence);
-    if let (Some(address), Some(order)) = (address, order) {
-        RunnerClient::new(context, &address).order(&order).await;
-    }
+    let now = context.clock.now();
+    scheduler.loads().begin(&replica, &document, source, now);
+    let (context, scheduler) = (context.clone(), scheduler.clone());
+    tokio::spawn(async move {
+        let Some(address) = address_of(&context, &replica.runner) else {
+            return;
+        };
+        let client = RunnerClient::new(&context, &replica.runner, &address);
+        order_load(&context, &scheduler, &client, &replica, fence).await;
+    });
+    format!("committed under fence {fence}")
 }
 
-async fn unload(context: &ControllerContext, replica: ReplicaKey) {
-    let record = context
-        .replica
-        .state()
-        .placement
-        .replicas
-        .get(&replica)
-        .cloned();
-    let Some(record) = record else {
-        return;
+async fn unload(context: &ControllerContext, replica: ReplicaKey) -> String {
+    let fence = {
+        let state = context.replica.state();
+        let record = state.placement.replicas.get(&replica);
+        record.map(|record| record.fence)
+    };
+    let Some(fence) = fence else {
+        return "gone already".to_owned();
     };
     let withdraw = Command::WithdrawReplica {
         replica: replica.clone(),
-        fence: record.fence,
+        fence,
     };
-    let Some(fence) = decide(context, withdraw).await else {
-        return;
+    let fence = match decide(context, withdraw).await {
+        Ok(fence) => fence,
+        Err(problem) => return problem,
     };
-    if let Some(address) = address_of(context, &replica.runner) {
-        let order = unload_order(replica.deployment, fence);
-        RunnerClient::new(context, &address).order(&order).await;
-    }
+    let context = context.clone();
+    tokio::spawn(async move {
+        let Some(address) = address_of(&context, &replica.runner) else {
+            return;
+        };
+        let order = {
+            let state = context.replica.state();
+            unload_order(&state, &replica.runner, &replica.deployment, fence)
+        };
+        let client = RunnerClient::new(&context, &replica.runner, &address);
+        client.order(&order).await;
+    });
+    format!("committed under fence {fence}")
+}
+
+/// Has a checkpoint copied to a cache tier. Nothing is committed: it takes no
+/// accelerator memory, and a lost order is found missing in the inventory.
+async fn stage(
+    context: &ControllerContext,
+    scheduler: &Arc<SchedulerState>,
+    model: &ModelName,
+    runner: &RunnerId,
+    source: CacheTier,
+    tier: CacheTier,
+) -> String {
+    let (Some(document), Some(address)) =
+        (document_of(context, model), address_of(context, runner))
+    else {
+        return "no longer configured".to_owned();
+    };
+    let now = context.clock.now();
+    scheduler
+        .loads()
+        .begin_staging(runner, &document, source, tier, now);
+    let (context, scheduler) = (context.clone(), scheduler.clone());
+    let runner = runner.clone();
+    tokio::spawn(async move {
+        let order = stage_order(&context, &document, &runner, tier);
+        let client = RunnerClient::new(&context, &runner, &address);
+        if let OrderOutcome::Rejected(_) = client.order(&order).await {
+            let now: Timestamp = context.clock.now();
+            scheduler
+                .loads()
+                .staging_refused(&runner, &document.model, now);
+        }
+    });
+    "ordered".to_owned()
+}
+
+fn document_of(context: &ControllerContext, model: &ModelName) -> Option<DeploymentDocument> {
+    let state = context.replica.state();
+    let mut stored = state.configuration.deployments.values();
+    let found = stored.find(|one| one.document.model == *model);
+    found.map(|one| one.document.clone())
 }
 
 /// Commits a decision; its fence when it was accepted.
-async fn decide(context: &ControllerContext, command: Command) -> Option<Fence> {
+async fn decide(context: &ControllerContext, command: Command) -> Result<Fence, String> {
     match context.replica.submit(command).await {
-        Ok(CommandReply::Placed { fence }) => Some(fence),
+        Ok(CommandReply::Placed { fence }) => Ok(fence),
         Ok(reply) => {
             log::info!("scheduler: decision dropped: {reply:?}");
-            None
+            Err(format!("dropped: {reply:?}"))
         }
         Err(error) => {
             log::warn!("scheduler: decision not committed: {error}");
-            None
+            Err(format!("not committed: {error}"))
         }
     }
 }
--- /dev/null
+++ b/crates/controller/src/scheduler/view.rs
@@ -0,0 +1,160 @@
+//! Builds the planner's view from the replicated state, the runners' answers
+//! and the routers' demand. Work is linear in runners, replicas and deployments.
+
+use super::SchedulerState;
+use super::book::{RunnerBook, SeenRunner};
+use super::loads::LoadTracker;
+use super::usage::{Moment, ReplicaUsage};
+use crate::demand::DemandBook;
+use courseshunt_placement::{
+    CacheView, ClusterView, DemandView, DeploymentView, ReplicaView, RunnerView,
+};
+use courseshunt_state::{ReplicaPhase, ReplicatedState, RunnerRecord, StoredDeployment};
+use courseshunt_types::runner_api::CacheTier;
+use courseshunt_types::{Millis, ModelName, ReplicaKey, RunnerId, Timestamp, UnixMillis};
+use std::sync::Arc;
+
+/// Milliseconds of a day.
+const DAY: u64 = 24 * 3600 * 1000;
+
+/// The view of the present moment.
+#[must_use]
+pub fn cluster_view(
+    state: &ReplicatedState,
+    scheduler: &SchedulerState,
+    demand: &DemandBook,
+    moment: Moment,
+) -> ClusterView {
+    let mut loads = scheduler.loads();
+    let mut usage = scheduler.usage();
+    adopt(state, &scheduler.book, &mut loads, moment);
+    usage.retain(|key| state.placement.replicas.contains_key(key));
+    let runners = state.placement.runners.values();
+    let runners = runners.map(|record| runner_view(state, scheduler, &loads, record, moment.now));
+    let runners = runners.collect();
+    let deployments = state.configuration.deployments.values();
+    let deployments = deployments.map(|stored| {
+        let demand = demand.view(&stored.document.name);
+        let replicas = replica_views(state, &scheduler.book, &mut usage, stored, &demand, moment);
+        DeploymentView {
+            document: Arc::new(stored.document.clone()),
+            demand,
+            replicas,
+            load_times: Some(loads.times().estimates(&stored.document)),
+        }
+    });
+    ClusterView {
+        now: moment.now,
+        time_of_day: Millis(moment.wall.0 % DAY),
+        runners,
+        deployments: deployments.collect(),
+        store: loads.store_view(moment.now),
+    }
+}
+
+/// The present moment.
+#[must_use]
+pub fn present(now: Timestamp) -> Moment {
+    Moment {
+        now,
+        wall: UnixMillis::now(),
+    }
+}
+
+/// Takes on the loads that the log knows and this leader did not decide, and
+/// drops those that ended.
+fn adopt(state: &ReplicatedState, book: &RunnerBook, loads: &mut LoadTracker, moment: Moment) {
+    let replicas = &state.placement.replicas;
+    let is_loading = |key: &ReplicaKey| {
+        let record = replicas.get(key);
+        record.is_some_and(|record| record.phase == ReplicaPhase::Loading)
+    };
+    loads.retain(is_loading, |key| replicas.contains_key(key));
+    for record in replicas.values() {
+        let stored = state
+            .configuration
+            .deployments
+            .get(&record.replica.deployment);
+        if let Some(stored) = stored {
+            let source = tier_on(book, &record.replica.runner, &stored.document.model);
+            loads.adopt(record, &stored.document, source, moment);
+        }
+    }
+    loads.watch(moment.now);
+}
+
+fn tier_on(book: &RunnerBook, runner: &RunnerId, model: &ModelName) -> CacheTier {
+    let seen = book.get(runner);
+    let cached = seen.iter().flat_map(|seen| &seen.inventory.cached);
+    let tiers = cached.filter(|item| item.model == *model);
+    tiers
+        .map(|item| item.tier)
+        .min()
+        .unwrap_or(CacheTier::Remote)
+}
+
+fn runner_view(
+    state: &ReplicatedState,
+    scheduler: &SchedulerState,
+    loads: &LoadTracker,
+    record: &RunnerRecord,
+    now: Timestamp,
+) -> RunnerView {
+    let seen = scheduler.book.get(&record.runner);
+    let reachable = seen.as_ref().is_some_and(|seen| seen.is_fresh(now));
+    let inventory = seen.map(|seen: SeenRunner| seen.inventory);
+    let host_memory_mib = inventory.as_ref().map_or(0, |one| one.host_memory_mib);
+    let disk_mib = inventory.as_ref().map_or(0, |one| one.disk_mib);
+    let mut staging = loads.staging_on(&record.runner);
+    staging.extend(inventory.iter().flat_map(|one| one.staging.clone()));
+    staging.sort();
+    staging.dedup();
+    let cached = inventory.map(|one| one.cached).unwrap_or_default();
+    let cached = cached.into_iter().map(|item| CacheView {
+        model: item.model,
+        tier: item.tier,
+        size_mib: item.size_mib,
+    });
+    RunnerView {
+        runner: record.runner.clone(),
+        zone: record.zone.clone(),
+        accelerators: record.accelerators,
+        memory_mib: record.memory_mib,
+        reserved_mib: state.placement.reserved_mib(&record.runner),
+        host_memory_mib,
+        disk_mib,
+        state: record.state,
+        reachable,
+        cached: cached.collect(),
+        staging,
+        avoid: loads.avoided(&record.runner, now),
+    }
+}
+
+fn replica_views(
+    state: &ReplicatedState,
+    book: &RunnerBook,
+    usage: &mut ReplicaUsage,
+    stored: &StoredDeployment,
+    demand: &DemandView,
+    moment: Moment,
+) -> Vec<ReplicaView> {
+    let name = &stored.document.name;
+    let only = state.placement.count(name) == 1;
+    let arrival = match demand.running {
+        0 => demand.last_arrival,
+        _ => Some(moment.now),
+    };
+    let records = state.placement.of_deployment(name);
+    let views = records.map(|record| {
+        let seen = book.get(&record.replica.runner);
+        let running = seen.map_or(0, |seen| seen.running(name));
+        let running = if only {
+            running.max(demand.running)
+        } else {
+            running
+        };
+        usage.observe(record, running, arrival.filter(|_| only), moment)
+    });
+    views.collect()
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod policies;
 pub mod policy;
 pub mod store_limiter;
+pub mod upkeep;
 pub mod view;
 
 pub use backoff::LoadBackoff;
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -2,6 +2,7 @@
 
 use crate::decision::{Decision, DecisionKind};
 use crate::policy::{DemandEvent, PlacementPolicy};
+use crate::upkeep::{upkeep, without_leaving};
 use crate::view::ClusterView;
 use courseshunt_types::runner_api::CacheTier;
 use courseshunt_types::{DeploymentName, ModelName, RunnerId, Timestamp};
@@ -45,10 +46,12 @@
     /// The decisions for the present view. Each is possible under memory,
     /// replica and weight-store limits, taken together and in order.
     pub fn plan(&mut self, view: &ClusterView) -> Vec<Decision> {
-        let proposals = self.policy.plan(view);
+        let proposals = self.policy.plan(&without_leaving(view));
         let mut budget = Budget::of(view);
         let allowed = |decision: &Decision| budget.admit(view, &decision.kind);
-        proposals.into_iter().filter(allowed).collect()
+        let mut decisions = upkeep(view);
+        decisions.extend(proposals.into_iter().filter(allowed));
+        decisions
     }
 }
 
