--- a/crates/placement/tests/upkeep.rs
+++ b/crates/placement/tests/upkeep.rs
@@ -77,10 +77,13 @@
     (unloads.collect(), loads.count())
 }
 
+/// What is loaded, how many wait, where unloads are expected, how many loads.
+type Case<'a> = (&'a str, Vec<ReplicaView>, u32, &'a [&'a str], usize);
+
 #[test]
 fn leaving_machines_are_drained_and_surplus_goes() {
     use ReplicaPhase::{Loading, Ready, Withdrawn};
-    let cases: [(&str, Vec<ReplicaView>, u32, &[&str], usize); 6] = [
+    let cases: [Case<'_>; 6] = [
         (
             "quiet, on a leaving machine",
             vec![replica("r1", Ready, 0)],
--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -11,7 +11,7 @@
     json_response, read_limited, serve,
 };
 use courseshunt_types::runner_api::{
-    ATTEMPT_HEADER, NOT_STARTED_HEADER, OrderRequest, PRIORITY_HEADER, REQUEST_ID_HEADER,
+    ATTEMPT_HEADER, Inventory, NOT_STARTED_HEADER, OrderRequest, PRIORITY_HEADER, REQUEST_ID_HEADER,
 };
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Attempt, ModelName, PriorityClass, RequestId, Timestamp};
@@ -142,6 +142,13 @@
         self.shared.lock().model.overcommit_attempts
     }
 
+    /// What it holds.
+    #[must_use]
+    pub fn inventory(&self) -> Inventory {
+        let now = self.shared.clock.now();
+        self.shared.lock().model.inventory(now)
+    }
+
     /// Begins to drain.
     pub fn start_draining(&self) {
         self.shared.lock().model.start_draining();
