--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -40,6 +40,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// Soft state of the scheduler.
+    pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
     pub client: HttpClient,
     /// Token for the runners' control interface.
@@ -101,7 +103,9 @@
         }
         let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
         let replica = replica::start(&settings, clock, peers.clone()).await?;
+        let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
+            scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
             peers,
@@ -114,7 +118,7 @@
             stop,
         };
         tokio::spawn(feed::accept_peers(wire, context.clone()));
-        scheduler::start(&context)?;
+        scheduler::start(&context);
         let stop = context.stop.clone();
         let forgetting = peers::forget_when_deposed(context.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
