--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -196,7 +196,9 @@
             }
             (_, path) if path.starts_with("/control/") => {
                 if bearer_token(request.headers()) != Some(&self.token) {
-                    let content = serde_json::json!({"error": "wrong token"});
+                    let content = serde_json::json!({"error": {
+                        "code": "unauthorized", "message": "the token is missing or wrong",
+                    }});
                     return json_response(StatusCode::UNAUTHORIZED, &content);
                 }
                 self.control(request).await
