check: recognises every kind of file and names file, line and value

Cause: check took three kinds of file and had to be told which. Change: the kind is told by the names in the file, also when it is faulty; templates, tenants' parameters, scenarios and fault schedules are checked too; a faulty field of a document is named with its own line and value.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod commands;
 pub mod error;
+pub mod file_kind;
 
 pub use error::CommandError;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,8 +1,10 @@
 //! What operators' tools share: rendering of templates and the client of the
 //! operators' API.
 
+mod check;
 mod client;
 mod render;
 
+pub use check::{check_parameters, check_template};
 pub use client::{AdminClient, AdminError};
 pub use render::{RenderError, RenderedBatch, read_documents, render};
--- a/crates/operator/src/render.rs
+++ b/crates/operator/src/render.rs
@@ -4,8 +4,10 @@
 //! one TOML file per tenant. The rendered text holds `[[deployment]]`,
 //! `[[tenant]]` and `[[removal]]` tables.
 
+use courseshunt_settings::locate::{field_of_named, line_of_offset};
 use courseshunt_state::configuration::Removal;
 use courseshunt_state::{ChangeRequest, TenantDocument};
+use courseshunt_types::deployment::DocumentError;
 use courseshunt_types::{ChangeId, DeploymentDocument};
 use snafu::ResultExt;
 use std::path::{Path, PathBuf};
@@ -99,15 +101,23 @@
 pub fn read_documents(path: &Path, text: &str) -> Result<RenderedBatch, RenderError> {
     let batch: RenderedBatch = parse(path, text)?;
     for document in &batch.deployment {
-        document.validate().map_err(|error| RenderError::Document {
-            path: path.to_owned(),
-            line: line_of_name(text, document.name.as_str()),
-            problem: error.to_string(),
-        })?;
+        document
+            .validate()
+            .map_err(|error| document_fault(path, text, &error))?;
     }
     Ok(batch)
 }
 
+fn document_fault(path: &Path, text: &str, error: &DocumentError) -> RenderError {
+    let written = field_of_named(text, error.deployment.as_str(), error.field);
+    let value = written.value.map(|value| format!(" (it is {value})"));
+    RenderError::Document {
+        path: path.to_owned(),
+        line: written.line,
+        problem: format!("{error}{}", value.unwrap_or_default()),
+    }
+}
+
 fn read(path: &Path) -> Result<String, RenderError> {
     std::fs::read_to_string(path).context(UnreadableSnafu { path })
 }
@@ -115,19 +125,9 @@
 fn parse<T: serde::de::DeserializeOwned>(path: &Path, text: &str) -> Result<T, RenderError> {
     toml::from_str(text).map_err(|error| RenderError::Document {
         path: path.to_owned(),
-        line: error.span().map_or(1, |span| line_of(text, span.start)),
+        line: error
+            .span()
+            .map_or(1, |span| line_of_offset(text, span.start)),
         problem: error.message().to_owned(),
     })
 }
-
-fn line_of(text: &str, offset: usize) -> usize {
-    let before = text.as_bytes().iter().take(offset);
-    before.filter(|byte| **byte == b'\n').count() + 1
-}
-
-/// Line of the first mention of a document's name.
-fn line_of_name(text: &str, name: &str) -> usize {
-    let quoted = format!("\"{name}\"");
-    let line = text.lines().position(|line| line.contains(&quoted));
-    line.map_or(1, |line| line + 1)
-}
--- a/crates/operator/tests/render.rs
+++ b/crates/operator/tests/render.rs
@@ -37,7 +37,7 @@
         (
             TEMPLATE,
             "crops = [\"a\"]\nversion = 0\n",
-            "template.toml:2: deployment a: field `version`",
+            "template.toml:3: deployment a: field `version`: must be 1 or more (it is 0)",
         ),
         (
             "[[deployment]]\nnam = 1\n",
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -1,6 +1,7 @@
 //! Reads a settings file and flags against a table.
 
 use crate::error::SettingsError;
+use crate::locate::line_of_offset;
 use crate::table::{Setting, items, parse_peer};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -147,13 +148,15 @@
     let parsed: Result<SpannedTable, toml::de::Error> = toml::from_str(&text);
     let parsed = parsed.map_err(|error| SettingsError::Syntax {
         path: path.to_owned(),
-        line: error.span().map_or(1, |span| line_of(&text, span.start)),
+        line: error
+            .span()
+            .map_or(1, |span| line_of_offset(&text, span.start)),
         problem: error.message().to_owned(),
     })?;
     for (key, value) in parsed {
         let origin = Origin::File {
             path: path.to_owned(),
-            line: line_of(&text, key.span().start),
+            line: line_of_offset(&text, key.span().start),
         };
         let setting = table.iter().find(|setting| setting.key == key.get_ref());
         let Some(setting) = setting else {
@@ -182,12 +185,6 @@
     }
 }
 
-/// Line of a byte offset, from 1.
-fn line_of(text: &str, offset: usize) -> usize {
-    let before = text.as_bytes().iter().take(offset);
-    before.filter(|byte| **byte == b'\n').count() + 1
-}
-
 fn fill_defaults(table: &'static [Setting], values: &mut Values) -> Result<(), SettingsError> {
     for setting in table {
         if values.values.contains_key(setting.key) {
