Settings page, bash completion and manual from the flag tables; hollow nodes and capacity command

Cause: the reference pages would drift from the code. Shown by: crates/settings/tests/reference.rs, crates/cli/tests/manual.rs.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,9 +3,12 @@
 mod apply;
 mod check;
 mod get;
+mod manual;
 mod render;
 mod serve;
 
+pub use manual::help_of_all;
+
 use crate::error::CommandError;
 
 /// One subcommand.
@@ -58,10 +61,28 @@
     },
     Subcommand {
         name: "check",
-        summary: "check a settings file or rendered documents",
+        summary: "check a settings file, template, parameters, documents, scenario or faults",
         run: check::run,
         help: check::help,
     },
+    Subcommand {
+        name: "settings-reference",
+        summary: "print the page of all settings",
+        run: manual::reference,
+        help: manual::reference_help,
+    },
+    Subcommand {
+        name: "completion",
+        summary: "print the completion script for bash",
+        run: manual::completion,
+        help: manual::completion_help,
+    },
+    Subcommand {
+        name: "manual",
+        summary: "print the manual page (roff)",
+        run: manual::manual,
+        help: manual::manual_help,
+    },
 ];
 
 /// Runs the subcommand that `arguments` name.
@@ -96,7 +117,7 @@
     let mut text = "Usage: courseshunt SUBCOMMAND [OPTIONS]\n\nSubcommands:\n".to_owned();
     for subcommand in SUBCOMMANDS {
         text.push_str(&format!(
-            "  {:<12}{}\n",
+            "  {:<20}{}\n",
             subcommand.name, subcommand.summary
         ));
     }
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Subcommands of the laboratory.
 
+mod capacity;
 mod demo;
+mod manual;
 
 use crate::error::LabError;
 
@@ -15,12 +17,32 @@
 }
 
 /// All subcommands, in the order of the help text.
-pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    name: "demo",
-    summary: "a small site in one process: cold models, a burst, a once-only command",
-    run: demo::run,
-    help: demo::help,
-}];
+pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "demo",
+        summary: "a small site in one process: cold models, a burst, a once-only command",
+        run: demo::run,
+        help: demo::help,
+    },
+    Subcommand {
+        name: "capacity",
+        summary: "what a large fleet costs: hollow nodes at growing sizes, slopes by role",
+        run: capacity::run,
+        help: capacity::help,
+    },
+    Subcommand {
+        name: "completion",
+        summary: "print the completion script for bash",
+        run: manual::completion,
+        help: manual::completion_help,
+    },
+    Subcommand {
+        name: "manual",
+        summary: "print the manual page (roff)",
+        run: manual::manual,
+        help: manual::manual_help,
+    },
+];
 
 /// Runs the subcommand that `arguments` name.
 ///
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -10,6 +10,8 @@
 use courseshunt_operator::{RenderedBatch, read_documents, render};
 use courseshunt_standin::model::StoreModelSettings;
 use courseshunt_types::Revision;
+use serde_json::json;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use table::{Row, print_table};
@@ -198,11 +200,22 @@
     }
     println!("operators' API (token {}):", crate::site::OPERATOR_TOKEN);
     println!("  http://{}", site.controllers[0].http_address);
-    println!(
-        "\ntry:\n  curl -sN http://{}/v1/chat/completions -H 'Authorization: Bearer {TENANT_TOKEN}' \\\n    -d '{{\"model\":\"agro-llm-tomato\",\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}],\"stream\":true}}'",
-        site.routers[0].http_address
-    );
+    println!("\ntry, streamed and whole:");
+    for stream in [true, false] {
+        println!("  {}", curl_line(site.routers[0].http_address, stream));
+    }
     println!("\nstop with Ctrl-C");
     tokio::signal::ctrl_c().await?;
     Ok(())
 }
+
+/// A command that asks a router for an answer.
+fn curl_line(address: SocketAddr, stream: bool) -> String {
+    let body = json!({
+        "model": "agro-llm-tomato", "stream": stream,
+        "messages": [{"role": "user", "content": "hello"}],
+    });
+    format!(
+        "curl -sN http://{address}/v1/chat/completions -H 'Authorization: Bearer {TENANT_TOKEN}' -d '{body}'"
+    )
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! The laboratory: demo, fleet, simulation, load, capacity and reports.
 
+pub mod capacity;
 pub mod commands;
 pub mod demo;
 pub mod error;
+pub mod hollow;
 pub mod site;
 
 pub use error::LabError;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,15 @@
 
 pub mod error;
 mod load;
+pub mod locate;
 pub mod logging;
+pub mod manual;
 pub mod process;
+pub mod reference;
 pub mod table;
 
 pub use error::SettingsError;
 pub use load::{Origin, Values, help_text, load};
 pub use process::{ControllerSettings, PeerAddress, RouterSettings, StandinSettings};
+pub use reference::settings_reference;
 pub use table::{Kind, Setting};
