Queue: fairness, ageing, limits and early refusals, all in logarithmic time

Cause: the queue served by class and deadline alone: one tenant's short deadlines starved others, batch work starved behind urgent work, every count went through all tickets, and a request that could not start in time was only refused when its deadline had passed. All orders are indexed. The burst test failed first: 0 of 48 arrivals were counted, because tickets that a new session carries looked like resent ones; the holder now knows what a site has seen.

--- a/crates/queue/src/holder.rs
+++ b/crates/queue/src/holder.rs
@@ -8,6 +8,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::ownership::QueueKey;
 use crate::ticket::{Grant, GrantId, RunningGrant, Ticket, TicketRefusal};
+use crate::waiting::NEW_ARRIVAL;
 use courseshunt_types::{
     Epoch, Millis, Refusal, RefusalReason, RequestId, RouterId, RunnerId, Timestamp,
 };
@@ -65,6 +66,8 @@
     deadline: Timestamp,
     since: Timestamp,
     site: QueueSite,
+    /// Whether a site has seen it, and counted its arrival.
+    seen: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -99,6 +102,8 @@
     held: BTreeMap<RequestId, HeldTicket>,
     deadlines: BTreeSet<(Timestamp, RequestId)>,
     running: BTreeMap<GrantId, Running>,
+    /// Owners that calls reach.
+    sessions: BTreeSet<RouterId>,
     counts: HolderCounts,
 }
 
@@ -111,6 +116,7 @@
             held: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             running: BTreeMap::new(),
+            sessions: BTreeSet::new(),
             counts: HolderCounts::default(),
         }
     }
@@ -153,29 +159,58 @@
         }
         self.counts.tickets += 1;
         let request = ticket.request.clone();
-        let held = HeldTicket {
+        let mut held = HeldTicket {
             deadline: now + ticket.deadline_in,
             since: now - ticket.waited,
             site: self.members.site_of(&queue),
             queue,
             ticket,
+            seen: false,
         };
-        let output = self.offer_held(&held, now);
+        let output = self.offer_held(&mut held, now);
         self.deadlines.insert((held.deadline, request.clone()));
         self.held.insert(request, held);
         vec![output]
     }
 
-    fn offer_held(&mut self, held: &HeldTicket, now: Timestamp) -> HolderOutput {
+    fn offer_held(&mut self, held: &mut HeldTicket, now: Timestamp) -> HolderOutput {
         if held.site == QueueSite::Fallback {
             self.counts.fallback += 1;
         }
         let mut ticket = held.ticket.clone();
         ticket.deadline_in = held.deadline.since(now);
         ticket.waited = now.since(held.since);
+        if held.seen {
+            // It is no new arrival.
+            ticket.waited = ticket.waited.max(Millis(NEW_ARRIVAL.0 + 1));
+        }
+        held.seen |= self.reaches(&held.site);
         call(&held.site, &held.queue, OwnerCall::Offer(ticket))
     }
 
+    fn reaches(&self, site: &QueueSite) -> bool {
+        match site {
+            QueueSite::Owner(owner) => owner == self.members.me() || self.sessions.contains(owner),
+            QueueSite::Fallback => true,
+        }
+    }
+
+    /// Offers tickets again, at their sites.
+    fn offer_again(&mut self, requests: Vec<RequestId>, now: Timestamp) -> Vec<HolderOutput> {
+        let mut outputs = Vec::new();
+        for request in requests {
+            let Some(mut held) = self.held.remove(&request) else {
+                continue;
+            };
+            if held.seen {
+                self.counts.resent += 1;
+            }
+            outputs.push(self.offer_held(&mut held, now));
+            self.held.insert(request, held);
+        }
+        outputs
+    }
+
     /// Takes a request out whose caller has left.
     pub fn cancel(&mut self, request: &RequestId) -> Vec<HolderOutput> {
         let held = self.take(request);
@@ -284,6 +319,7 @@
 
     /// Notes that an owner can't be reached: its tickets wait here meanwhile.
     pub fn unreachable(&mut self, router: &RouterId, now: Timestamp) -> Vec<HolderOutput> {
+        self.sessions.remove(router);
         match self.members.set_reachable(router, false) {
             true => self.move_all(now),
             false => Vec::new(),
@@ -292,21 +328,24 @@
 
     /// Notes a new session with an owner, and tells it all that it must know.
     pub fn connected(&mut self, router: &RouterId, now: Timestamp) -> Vec<HolderOutput> {
-        let site = QueueSite::Owner(router.clone());
-        let mut outputs = Vec::new();
+        self.sessions.insert(router.clone());
         if self.members.set_reachable(router, true) {
-            outputs.extend(self.move_all(now));
-            return outputs;
-        }
-        outputs.extend(self.adopt_calls(|one| one.site == site));
-        let held = self.held.values().filter(|one| one.site == site).cloned();
-        for held in held.collect::<Vec<_>>() {
-            self.counts.resent += 1;
-            outputs.push(self.offer_held(&held, now));
+            return self.move_all(now);
         }
+        let site = QueueSite::Owner(router.clone());
+        let mut outputs = self.adopt_calls(|one| one.site == site);
+        let waiting = self.held.iter().filter(|(_, held)| held.site == site);
+        let waiting = waiting.map(|(request, _)| request.clone()).collect();
+        outputs.extend(self.offer_again(waiting, now));
         outputs
     }
 
+    /// Notes that a session with an owner ended. Another follows, or
+    /// [`Self::unreachable`].
+    pub fn disconnected(&mut self, router: &RouterId) {
+        self.sessions.remove(router);
+    }
+
     /// Refuses the requests whose deadline has passed.
     pub fn expire(&mut self, now: Timestamp) -> Vec<HolderOutput> {
         let mut outputs = Vec::new();
@@ -354,15 +393,12 @@
             let cancel = OwnerCall::Cancel(request.clone());
             outputs.push(call(&held.site, &held.queue, cancel));
             held.site = site;
-            moved.push(held.clone());
+            moved.push(request.clone());
         }
         if !moved.is_empty() {
             self.counts.site_changes += 1;
         }
-        for held in moved {
-            self.counts.resent += 1;
-            outputs.push(self.offer_held(&held, now));
-        }
+        outputs.extend(self.offer_again(moved, now));
         outputs
     }
 
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -13,20 +13,27 @@
     reason = "the fields of the archived enums that rkyv derives carry no docs"
 )]
 
+pub mod choice;
 pub mod demand;
+mod estimate;
+mod fairness;
 pub mod holder;
 pub mod members;
 pub mod outcome;
 pub mod ownership;
+pub mod rate;
 pub mod slots;
 pub mod ticket;
 pub mod waiting;
 
+pub use choice::{FreestRunner, RunnerChoice};
 pub use demand::{DemandReport, WaitingByClass};
+pub use fairness::FAIRNESS_WINDOW;
 pub use holder::{Holder, HolderCounts, HolderOutput, OwnerCall};
 pub use members::{Member, Members, QueueSite};
 pub use outcome::{AdmissionFailure, AttemptOutcome};
 pub use ownership::{QueueKey, owner_of};
-pub use slots::{ReplicaSlots, SlotTable};
+pub use rate::{BURST_SECONDS, RateLimiter};
+pub use slots::{HOLDER_GRACE, ReplicaSlots, SlotTable};
 pub use ticket::{Grant, GrantId, RunningGrant, Ticket, TicketRefusal};
-pub use waiting::{QueueLimits, WaitingQueue};
+pub use waiting::{AGEING_SHARE, NEW_ARRIVAL, QueueCounts, QueueLimits, WaitingQueue};
--- a/crates/queue/src/slots.rs
+++ b/crates/queue/src/slots.rs
@@ -5,7 +5,7 @@
 
 use crate::ticket::{GrantId, RunningGrant};
 use courseshunt_types::{Millis, RouterId, RunnerId, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long the slots of running requests stay taken after their holder was
 /// lost; a holder that lives reports them again within this time.
@@ -22,6 +22,14 @@
     pub in_use: u32,
 }
 
+impl ReplicaSlots {
+    /// Slots that are not taken.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        self.slots.saturating_sub(self.in_use)
+    }
+}
+
 /// Use of one slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct SlotUse {
@@ -36,21 +44,21 @@
 pub struct SlotTable {
     replicas: BTreeMap<RunnerId, ReplicaSlots>,
     uses: BTreeMap<GrantId, SlotUse>,
+    expiries: BTreeSet<(Timestamp, GrantId)>,
     last_grant: u64,
 }
 
 impl SlotTable {
     /// Sets the replicas that serve now. Uses of others stay until they end.
     pub fn set_replicas(&mut self, replicas: impl IntoIterator<Item = (RunnerId, u32)>) {
+        let mut uses: BTreeMap<&RunnerId, u32> = BTreeMap::new();
+        for one in self.uses.values() {
+            *uses.entry(&one.runner).or_default() += 1;
+        }
         self.replicas = replicas
             .into_iter()
             .map(|(runner, slots)| {
-                let in_use = self
-                    .uses
-                    .values()
-                    .filter(|one| one.runner == runner)
-                    .count();
-                let in_use = u32::try_from(in_use).unwrap_or(u32::MAX);
+                let in_use = uses.get(&runner).copied().unwrap_or(0);
                 let entry = ReplicaSlots {
                     runner: runner.clone(),
                     slots,
@@ -72,6 +80,19 @@
         u32::try_from(self.uses.len()).unwrap_or(u32::MAX)
     }
 
+    /// Slots of all replicas.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.replicas.values().map(|one| one.slots).sum()
+    }
+
+    /// Free slots of all replicas.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        let free = self.replicas.values().map(ReplicaSlots::free);
+        free.sum()
+    }
+
     /// The replica with the most free slots, runners in `avoid` last.
     #[must_use]
     pub fn freest(&self, avoid: &[RunnerId]) -> Option<RunnerId> {
@@ -103,9 +124,10 @@
         let one = SlotUse {
             runner: runner.clone(),
             holder: holder.clone(),
-            expires,
+            expires: None,
         };
         self.uses.insert(grant, one);
+        self.set_expiry(grant, expires);
         if let Some(replica) = self.replicas.get_mut(runner) {
             replica.in_use += 1;
         }
@@ -128,12 +150,13 @@
     /// after [`HOLDER_GRACE`].
     pub fn holder_lost(&mut self, holder: &RouterId, now: Timestamp) {
         for grant in self.grants_of(holder) {
-            let Some(one) = self.uses.get_mut(&grant) else {
-                continue;
-            };
-            match one.expires {
-                Some(_) => self.release(grant),
-                None => one.expires = Some(now + HOLDER_GRACE),
+            let unused = self
+                .uses
+                .get(&grant)
+                .is_some_and(|one| one.expires.is_some());
+            match unused {
+                true => self.release(grant),
+                false => self.set_expiry(grant, Some(now + HOLDER_GRACE)),
             }
         }
     }
@@ -151,13 +174,24 @@
 
     /// Notes that a granted request has started; its slot no longer expires.
     pub fn started(&mut self, grant: GrantId) {
-        if let Some(one) = self.uses.get_mut(&grant) {
-            one.expires = None;
+        self.set_expiry(grant, None);
+    }
+
+    fn set_expiry(&mut self, grant: GrantId, expires: Option<Timestamp>) {
+        let Some(one) = self.uses.get_mut(&grant) else {
+            return;
+        };
+        if let Some(before) = std::mem::replace(&mut one.expires, expires) {
+            self.expiries.remove(&(before, grant));
+        }
+        if let Some(expires) = expires {
+            self.expiries.insert((expires, grant));
         }
     }
 
     /// Gives a slot back.
     pub fn release(&mut self, grant: GrantId) {
+        self.set_expiry(grant, None);
         let Some(one) = self.uses.remove(&grant) else {
             return;
         };
@@ -168,14 +202,10 @@
 
     /// Gives back the slots of grants that were not started in time.
     pub fn expire(&mut self, now: Timestamp) {
-        let late = |one: &SlotUse| one.expires.is_some_and(|expires| expires <= now);
-        let late: Vec<GrantId> = self
-            .uses
-            .iter()
-            .filter(|(_, one)| late(one))
-            .map(|(grant, _)| *grant)
-            .collect();
-        for grant in late {
+        while let Some((expires, grant)) = self.expiries.first().copied() {
+            if expires > now {
+                return;
+            }
             self.release(grant);
         }
     }
--- a/crates/router/src/dispatch/actor.rs
+++ b/crates/router/src/dispatch/actor.rs
@@ -375,7 +375,10 @@
                     self.carry_out(outputs, now);
                 }
             }
-            PeerEvent::OwnerDisconnected { owner } => self.links.owner_disconnected(&owner),
+            PeerEvent::OwnerDisconnected { owner } => {
+                self.links.owner_disconnected(&owner);
+                self.holder.disconnected(&owner);
+            }
             PeerEvent::OwnerUnreachable { owner } => {
                 let outputs = self.holder.unreachable(&owner, now);
                 self.carry_out(outputs, now);
--- a/crates/router/src/dispatch/owned.rs
+++ b/crates/router/src/dispatch/owned.rs
@@ -136,10 +136,20 @@
         };
         queue.waiting.set_limits(QueueLimits {
             classes: document.limits,
+            tenant_rate_per_second: document.tenant_rate_per_second,
+            shared: !document.shared_with.is_empty(),
             ..QueueLimits::default()
         });
         let replicas = self.view.replicas(&key.deployment);
-        let ready = replicas.map(|replicas| replicas.ready).unwrap_or_default();
+        let (ready, loading) = match replicas {
+            Some(replicas) => (replicas.ready, replicas.loading),
+            None => (Vec::new(), Vec::new()),
+        };
+        let rests = loading.iter().map(|one| one.remaining);
+        // A load whose rest is not known is told as 0.
+        let known = loading.iter().all(|one| one.remaining > Millis(0));
+        let first_ready = rests.min().filter(|_| known);
+        queue.waiting.set_first_ready_in(first_ready);
         let usable = |runner: &RunnerId| {
             let known = self.view.runner(runner);
             known.is_some_and(|known| known.state == MachineState::Live)
@@ -171,12 +181,14 @@
         let Some(queue) = self.queues.get_mut(key) else {
             return Vec::new();
         };
+        let late = queue.waiting.expire(now).into_iter();
+        let mut replies: Vec<OwnerReply> = late.map(|refusal| refused(key, refusal)).collect();
         let grants = queue.waiting.grant(now).into_iter();
-        let grants = grants.map(|grant| OwnerReply::Granted {
+        replies.extend(grants.map(|grant| OwnerReply::Granted {
             queue: key.clone(),
             grant,
-        });
-        grants.collect()
+        }));
+        replies
     }
 
     /// Refuses what is late, takes unused grants back and forgets idle queues.
@@ -235,6 +247,9 @@
         "dispatch: grant {grant:?} of {} ended: {outcome:?}",
         key.deployment
     );
+    if let AttemptOutcome::Done { total, .. } = outcome {
+        queue.observe_service(total);
+    }
     queue.slots_mut().release(grant);
 }
 
