--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -38,7 +38,6 @@
 /// When a part fails or a promise does not hold.
 pub async fn run(settings: &DemoSettings) -> Result<(), LabError> {
     let site = Site::start(&SiteSettings {
-        controllers: 3,
         routers: 3,
         runners: 6,
         runner_memory_mib: 81_920,
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -20,6 +20,8 @@
 const ANY_PORT: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 /// Token of the operator that the site makes.
 pub const OPERATOR_TOKEN: &str = "demo-operator-token";
+/// Controllers of a site, unless it is started with another number.
+pub const CONTROLLERS: usize = 3;
 const RUNNER_TOKEN: &str = "demo-runner-token";
 /// Longest wait for a site to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -27,8 +29,6 @@
 /// What a site consists of.
 #[derive(Debug, Clone)]
 pub struct SiteSettings {
-    /// Controllers; all of them vote.
-    pub controllers: usize,
     /// Routers.
     pub routers: usize,
     /// Stand-in runners.
@@ -74,12 +74,21 @@
     /// # Errors
     /// When a part can't start or does not become ready in time.
     pub async fn start(settings: &SiteSettings) -> Result<Self, LabError> {
+        Self::start_with(settings, CONTROLLERS).await
+    }
+
+    /// Starts a site with that many controllers, all of which vote.
+    ///
+    /// # Errors
+    /// When a part can't start or does not become ready in time.
+    pub async fn start_with(settings: &SiteSettings, controllers: usize) -> Result<Self, LabError> {
         let folder = tempfile::tempdir()?;
         write_secrets(folder.path())?;
         let platform = PlatformServer::start(any_port()).await?;
         let store = StoreServer::start(any_port(), settings.store).await?;
         let runners = start_runners(settings, &platform, &store).await?;
-        let controllers = start_controllers(folder.path(), &platform, settings).await?;
+        let controllers =
+            start_controllers(folder.path(), &platform, settings, controllers).await?;
         let feeds: Vec<SocketAddr> = controllers.iter().map(|one| one.wire_address).collect();
         let mut routers = Vec::new();
         for number in 1..=settings.routers {
@@ -188,10 +197,11 @@
     folder: &Path,
     platform: &PlatformServer,
     settings: &SiteSettings,
+    count: usize,
 ) -> Result<Vec<Controller>, LabError> {
     let mut listeners = Vec::new();
     let mut voters = Vec::new();
-    for number in 1..=settings.controllers {
+    for number in 1..=count {
         let wire = TcpListener::bind(any_port()).await?;
         let address = wire.local_addr()?;
         let id = ControllerId(number as u64);
