Balance: the runner that is expected to finish first, ejection, slow start, draining

Cause: grants went to the replica with the most free slots; a failing, slow or draining runner kept getting work. A draining refusal ends new work from all routers at once, whatever the list of machines says. Conclusion: wired into the dispatcher; counters on the metrics page.

--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -81,6 +81,17 @@
     pub aged: u64,
 }
 
+impl QueueCounts {
+    /// Adds the numbers of another queue.
+    pub fn add(&mut self, other: &Self) {
+        self.granted.add(&other.granted);
+        for (sum, more) in self.waited_ms.iter_mut().zip(other.waited_ms) {
+            *sum += more;
+        }
+        self.aged += other.aged;
+    }
+}
+
 /// The waiting queue of one deployment.
 #[derive(Debug)]
 pub struct WaitingQueue {
--- a/crates/router/src/caller/metrics.rs
+++ b/crates/router/src/caller/metrics.rs
@@ -104,8 +104,50 @@
         "Queues served here as their owner.",
         snapshot.owned_queues as f64,
     );
+    let totals = &snapshot.totals;
+    let by_class = |of: &dyn Fn(PriorityClass) -> u64| {
+        let samples = PriorityClass::ALL.into_iter();
+        let samples =
+            samples.map(|class| Sample::labelled("class", class.as_str(), of(class) as f64));
+        samples.collect::<Vec<Sample>>()
+    };
+    page.counters(
+        "granted_tickets",
+        "Tickets granted by the queues owned here, by class.",
+        by_class(&|class| u64::from(totals.waiting.granted.of(class))),
+    );
+    page.counters(
+        "granted_wait_milliseconds",
+        "Waits of the granted tickets together, by class.",
+        by_class(&|class| totals.waiting.waited_ms[class.rank()]),
+    );
+    page.gauge(
+        "ejected_runners",
+        "Runners that get no work because they fail or are slow, by queue.",
+        snapshot.ejected as f64,
+    );
     let holder = &snapshot.holder;
     let counters = [
+        (
+            "aged_grants",
+            "Grants to aged tickets of lower classes.",
+            totals.waiting.aged,
+        ),
+        (
+            "runner_ejections",
+            "Ejections of runners.",
+            totals.health.ejections,
+        ),
+        (
+            "runner_returns",
+            "Returns of ejected runners.",
+            totals.health.returns,
+        ),
+        (
+            "draining_refusals",
+            "Refusals of runners that drain.",
+            totals.health.draining_refusals,
+        ),
         (
             "tickets",
             "Tickets of this router's callers.",
--- a/crates/router/src/dispatch/actor.rs
+++ b/crates/router/src/dispatch/actor.rs
@@ -468,6 +468,8 @@
             held: self.holder.waiting(),
             owned_queues: self.owned.len(),
             waiting: self.owned.waiting(),
+            totals: self.owned.totals(),
+            ejected: self.owned.ejected(),
             waiting_fallback: self.fallback.waiting(),
         });
     }
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 
 pub use actor::{Arguments, DispatcherMessage};
 pub use handle::{DispatcherHandle, GrantedRequest};
+pub use owned::QueueTotals;
 pub use send::{Attempted, RunnerRequest, send_to_runner};
 pub use snapshot::DispatchSnapshot;
 
--- a/crates/router/src/dispatch/owned.rs
+++ b/crates/router/src/dispatch/owned.rs
@@ -2,9 +2,10 @@
 //! configuration view.
 
 use crate::configuration::ConfigurationView;
+use courseshunt_balance::{Balancer, ChoiceMode, HealthCounts};
 use courseshunt_queue::{
-    AttemptOutcome, DemandReport, Grant, GrantId, OwnerCall, QueueKey, QueueLimits, TicketRefusal,
-    WaitingQueue,
+    AdmissionFailure, AttemptOutcome, DemandReport, Grant, GrantId, OwnerCall, QueueCounts,
+    QueueKey, QueueLimits, TicketRefusal, WaitingQueue,
 };
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{DeploymentName, Millis, RouterId, RunnerId, Timestamp};
@@ -47,6 +48,7 @@
 #[derive(Debug)]
 struct OwnedQueue {
     waiting: WaitingQueue,
+    balancer: Balancer,
     used_at: Timestamp,
 }
 
@@ -56,6 +58,31 @@
     view: Arc<ConfigurationView>,
     share: SlotShare,
     queues: BTreeMap<QueueKey, OwnedQueue>,
+    /// Counters of queues that are forgotten.
+    ended: QueueTotals,
+}
+
+/// Counters of all queues together.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct QueueTotals {
+    /// Of the waiting queues.
+    pub waiting: QueueCounts,
+    /// Of the runners' health.
+    pub health: HealthCounts,
+}
+
+impl QueueTotals {
+    fn of(queue: &OwnedQueue) -> Self {
+        Self {
+            waiting: queue.waiting.counts(),
+            health: queue.balancer.counts(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.waiting.add(&other.waiting);
+        self.health.add(&other.health);
+    }
 }
 
 impl OwnedQueues {
@@ -66,6 +93,7 @@
             view,
             share,
             queues: BTreeMap::new(),
+            ended: QueueTotals::default(),
         }
     }
 
@@ -87,7 +115,7 @@
         match call {
             OwnerCall::Offer(ticket) => {
                 let request = ticket.request.clone();
-                if let Err(refusal) = queue.offer(ticket, now) {
+                if let Err(refusal) = queue.waiting.offer(ticket, now) {
                     let refusal = TicketRefusal {
                         request,
                         holder: holder.clone(),
@@ -97,36 +125,70 @@
                 }
             }
             OwnerCall::Cancel(request) => {
-                queue.cancel(&request);
+                queue.waiting.cancel(&request);
             }
-            OwnerCall::Adopt(grants) => queue.adopt(holder, &grants),
-            OwnerCall::Started(grant) => queue.slots_mut().started(grant),
-            OwnerCall::Returned(grant, outcome) => returned(key, queue, grant, outcome),
+            OwnerCall::Adopt(grants) => queue.waiting.adopt(holder, &grants),
+            OwnerCall::Started(grant) => queue.waiting.slots_mut().started(grant),
+            OwnerCall::Returned(grant, outcome) => self.returned(key, grant, outcome, now),
         }
         self.grant(key, now)
     }
 
-    fn queue(&mut self, key: &QueueKey, now: Timestamp) -> &mut WaitingQueue {
+    /// Takes the end of an attempt in. That a runner drains, all queues learn.
+    fn returned(
+        &mut self,
+        key: &QueueKey,
+        grant: GrantId,
+        outcome: AttemptOutcome,
+        now: Timestamp,
+    ) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        if let AttemptOutcome::Done { total, .. } = outcome {
+            queue.waiting.observe_service(total);
+        }
+        let runner = queue.waiting.slots().runner_of(grant).cloned();
+        queue.waiting.slots_mut().release(grant);
+        let Some(runner) = runner else {
+            return;
+        };
+        if outcome != AttemptOutcome::NotAdmitted(AdmissionFailure::Draining) {
+            queue.balancer.observe(&runner, outcome, now);
+            return;
+        }
+        log::info!("dispatch: runner {runner} drains and gets no new work");
+        for queue in self.queues.values_mut() {
+            queue.balancer.observe(&runner, outcome, now);
+        }
+    }
+
+    fn queue(&mut self, key: &QueueKey, now: Timestamp) -> &mut OwnedQueue {
         if !self.queues.contains_key(key) {
             let name = key.deployment.clone();
             let mut waiting = WaitingQueue::new(name, QueueLimits::default());
             waiting.slots_mut().number_from(GrantId(rand::random()));
+            let mode = match self.share {
+                SlotShare::Whole => ChoiceMode::Exact,
+                SlotShare::Bounded => ChoiceMode::Lagged,
+            };
             let queue = OwnedQueue {
                 waiting,
+                balancer: Balancer::new(mode, rand::random()),
                 used_at: now,
             };
             self.queues.insert(key.clone(), queue);
-            self.refresh(key);
+            self.refresh(key, now);
         }
         let queue = self.queues.entry(key.clone());
         let queue = queue.or_insert_with(|| unreachable!("the queue was inserted above"));
         queue.used_at = now;
-        &mut queue.waiting
+        queue
     }
 
     /// Brings a queue's limits and replicas up to date. A deployment that is
     /// not known here (yet) has no replicas.
-    fn refresh(&mut self, key: &QueueKey) {
+    fn refresh(&mut self, key: &QueueKey, now: Timestamp) {
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
@@ -158,16 +220,17 @@
             SlotShare::Whole => document.slots_per_replica,
             SlotShare::Bounded => document.slots_per_replica.div_ceil(FALLBACK_PARTS),
         };
-        let usable = ready.into_iter().filter(usable);
-        let usable = usable.map(|runner| (runner, slots));
-        queue.waiting.slots_mut().set_replicas(usable);
+        let usable: Vec<RunnerId> = ready.into_iter().filter(usable).collect();
+        queue.balancer.set_runners(&usable, now);
+        let replicas = usable.into_iter().map(|runner| (runner, slots));
+        queue.waiting.slots_mut().set_replicas(replicas);
     }
 
     /// Takes changes of the view in.
     pub fn refresh_all(&mut self, now: Timestamp) -> Vec<OwnerReply> {
         let mut replies = Vec::new();
         for key in self.keys() {
-            self.refresh(&key);
+            self.refresh(&key, now);
             replies.extend(self.grant(&key, now));
         }
         replies
@@ -183,7 +246,7 @@
         };
         let late = queue.waiting.expire(now).into_iter();
         let mut replies: Vec<OwnerReply> = late.map(|refusal| refused(key, refusal)).collect();
-        let grants = queue.waiting.grant(now).into_iter();
+        let grants = queue.waiting.grant_by(now, &mut queue.balancer).into_iter();
         replies.extend(grants.map(|grant| OwnerReply::Granted {
             queue: key.clone(),
             grant,
@@ -201,11 +264,38 @@
             }
             replies.extend(self.grant(&key, now));
         }
-        self.queues
-            .retain(|_, queue| !queue.waiting.is_idle() || now.since(queue.used_at) < KEEP_IDLE);
+        self.forget_idle(now);
         replies
     }
 
+    fn forget_idle(&mut self, now: Timestamp) {
+        let ended = &mut self.ended;
+        self.queues.retain(|_, queue| {
+            let keep = !queue.waiting.is_idle() || now.since(queue.used_at) < KEEP_IDLE;
+            if !keep {
+                ended.add(&QueueTotals::of(queue));
+            }
+            keep
+        });
+    }
+
+    /// Counters since the start.
+    #[must_use]
+    pub fn totals(&self) -> QueueTotals {
+        let mut totals = self.ended;
+        for queue in self.queues.values() {
+            totals.add(&QueueTotals::of(queue));
+        }
+        totals
+    }
+
+    /// Runners that are ejected now, once for each queue.
+    #[must_use]
+    pub fn ejected(&self) -> usize {
+        let queues = self.queues.values();
+        queues.map(|queue| queue.balancer.ejected()).sum()
+    }
+
     /// Drops what a lost holder has here.
     pub fn holder_lost(&mut self, holder: &RouterId, now: Timestamp) -> Vec<OwnerReply> {
         let mut replies = Vec::new();
@@ -242,17 +332,6 @@
     }
 }
 
-fn returned(key: &QueueKey, queue: &mut WaitingQueue, grant: GrantId, outcome: AttemptOutcome) {
-    log::debug!(
-        "dispatch: grant {grant:?} of {} ended: {outcome:?}",
-        key.deployment
-    );
-    if let AttemptOutcome::Done { total, .. } = outcome {
-        queue.observe_service(total);
-    }
-    queue.slots_mut().release(grant);
-}
-
 fn refused(queue: &QueueKey, refusal: TicketRefusal) -> OwnerReply {
     OwnerReply::Refused {
         queue: queue.clone(),
--- a/crates/router/src/dispatch/snapshot.rs
+++ b/crates/router/src/dispatch/snapshot.rs
@@ -1,5 +1,6 @@
 //! Numbers of the dispatcher for the metrics page.
 
+use super::owned::QueueTotals;
 use courseshunt_queue::{HolderCounts, WaitingByClass};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -14,6 +15,10 @@
     pub owned_queues: usize,
     /// Tickets in those queues.
     pub waiting: WaitingByClass,
+    /// Counters of the queues served here.
+    pub totals: QueueTotals,
+    /// Runners that are ejected now, once for each queue.
+    pub ejected: usize,
     /// Tickets in fallback queues.
     pub waiting_fallback: WaitingByClass,
 }
--- a/crates/router/tests/owners.rs
+++ b/crates/router/tests/owners.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use courseshunt_queue::AttemptOutcome;
+use courseshunt_queue::{AdmissionFailure, AttemptOutcome};
 use courseshunt_types::{PriorityClass, RefusalReason};
 use std::time::Duration;
 use support::{Answer, Cluster, answer};
@@ -116,3 +116,28 @@
         assert_eq!(refusal.reason, RefusalReason::DeadlineExceeded);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_refusal_at_one_router_ends_new_work_from_all() {
+    let cluster = Cluster::start(3, 2, 2).await;
+    let (_, first, second) = cluster.owner_and_others();
+    let ask =
+        |node: usize, name: &str| cluster.nodes[node].ask(name, PriorityClass::Interactive, LONG);
+    let mut refused = answer(ask(first, "refused")).await.expect("a slot is free");
+    let draining = refused.grant.runner.clone();
+    refused.started();
+    refused.report(AttemptOutcome::NotAdmitted(AdmissionFailure::Draining));
+    drop(refused);
+    // The list of machines still calls the runner live.
+    let mut held = Vec::new();
+    for (node, name) in [(second, "one"), (first, "two")] {
+        let granted = answer(ask(node, name)).await.expect("the other has slots");
+        assert_ne!(granted.grant.runner, draining);
+        held.push(granted);
+    }
+    let waits = ask(second, "three");
+    cluster.until_held(second, 1).await;
+    held.pop();
+    let granted = answer(waits).await.expect("a slot is free again");
+    assert_ne!(granted.grant.runner, draining);
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -195,6 +195,14 @@
         .await;
     }
 
+    /// Waits until `wanted` requests of a node's callers wait.
+    pub async fn until_held(&self, node: usize, wanted: usize) {
+        self.until("requests wait at their router", || {
+            self.nodes[node].dispatcher.snapshot().held == wanted
+        })
+        .await;
+    }
+
     /// Waits for a condition.
     pub async fn until(&self, what: &str, holds: impl Fn() -> bool) {
         let waiting = async {
