Router: bodies in memory are bounded, the number of held requests adapts

Cause: max_waiting_bytes was read and never used; a router whose own work lagged took in more requests all the same. Change: a body is read only after its length is reserved; over the limit the caller gets 429 with Retry-After at once. The dispatcher measures how late its ticks come and lowers the number of requests it holds while they lag over 100 ms, batch first; it recovers by 2 % a tick. The dispatcher's state, its exchange with other routers and its actor are separate modules now.

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -13,6 +13,7 @@
     reason = "the fields of the archived enums that rkyv derives carry no docs"
 )]
 
+pub mod admission;
 pub mod choice;
 pub mod demand;
 mod estimate;
@@ -26,6 +27,7 @@
 pub mod ticket;
 pub mod waiting;
 
+pub use admission::AdaptiveLimit;
 pub use choice::{FreestRunner, RunnerChoice};
 pub use demand::{DemandReport, WaitingByClass};
 pub use fairness::FAIRNESS_WINDOW;
--- a/crates/queue/tests/order.rs
+++ b/crates/queue/tests/order.rs
@@ -1,6 +1,8 @@
 //! Properties of the waiting queue: order, fairness, ageing, limits.
 
-use courseshunt_queue::{AGEING_SHARE, FAIRNESS_WINDOW, Grant, QueueLimits, Ticket, WaitingQueue};
+use courseshunt_queue::{
+    AGEING_SHARE, AdaptiveLimit, FAIRNESS_WINDOW, Grant, QueueLimits, Ticket, WaitingQueue,
+};
 use courseshunt_types::deployment::ClassLimit;
 use courseshunt_types::{ClassLimits, Millis, PriorityClass, RefusalReason, Timestamp};
 use proptest::prelude::*;
@@ -287,3 +289,29 @@
         assert_eq!(got, case.expected, "{}", case.name);
     }
 }
+
+#[test]
+fn the_adaptive_limit_falls_with_lag_and_recovers() {
+    let mut limit = AdaptiveLimit::default();
+    assert!(limit.admits(PriorityClass::Batch, 10_000));
+    limit.observe(Millis(500), 1_000);
+    assert_eq!(limit.limit(), 800.0, "it falls below what is held");
+    let held = 700;
+    assert!(limit.admits(PriorityClass::Critical, held));
+    assert!(limit.admits(PriorityClass::Interactive, held));
+    assert!(
+        !limit.admits(PriorityClass::Batch, held),
+        "batch goes first"
+    );
+    for _ in 0..100 {
+        limit.observe(Millis(500), 1_000);
+    }
+    assert!(
+        limit.admits(PriorityClass::Critical, 200),
+        "never below the least"
+    );
+    for _ in 0..300 {
+        limit.observe(Millis(1), 200);
+    }
+    assert!(limit.admits(PriorityClass::Batch, 10_000));
+}
--- a/crates/router/src/caller/metrics.rs
+++ b/crates/router/src/caller/metrics.rs
@@ -76,6 +76,11 @@
         "Routers that the fleet view holds.",
         context.view.routers().len() as f64,
     );
+    page.gauge(
+        "body_bytes",
+        "Memory reserved for callers' bodies.",
+        context.bodies.used() as f64,
+    );
     dispatch(&mut page, &context.dispatcher.snapshot());
     page.process();
     page.text()
@@ -99,6 +104,11 @@
         "Requests of this router's callers that wait for a grant.",
         snapshot.held as f64,
     );
+    page.gauge(
+        "admission_limit",
+        "Requests that this router holds at the most, as adapted to its lag.",
+        snapshot.admission_limit,
+    );
     page.gauge(
         "owned_queues",
         "Queues served here as their owner.",
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -14,7 +14,7 @@
 };
 use courseshunt_types::{Refusal, RefusalReason, TenantName};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -124,13 +124,24 @@
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
     let limit = context.settings.max_body_bytes;
+    let mut reserved = context
+        .bodies
+        .reserve(expected_bytes(&head.headers, limit))?;
     let body_timeout = context.settings.body_timeout.into();
     let body = read_in_time(body, limit, body_timeout, "caller").await;
     let body = body.map_err(|error| unreadable_body(&error))?;
+    reserved.shrink(body.len());
     let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
     complete::run(context, parsed).await
 }
 
+/// Bytes that a body may take: its length, or the limit when none is told.
+fn expected_bytes(headers: &HeaderMap, limit: usize) -> usize {
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    length.unwrap_or(limit).min(limit)
+}
+
 fn unreadable_body(error: &HttpError) -> Refusal {
     let reason = match error {
         HttpError::TooLarge { .. } => RefusalReason::TooLarge,
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,10 +1,12 @@
 //! Tickets, waiting queues and grants; the sending of granted requests.
 
 mod actor;
+mod exchange;
 mod handle;
 mod owned;
 mod send;
 mod snapshot;
+mod state;
 mod translate;
 
 pub use actor::{Arguments, DispatcherMessage};
--- a/crates/router/src/dispatch/snapshot.rs
+++ b/crates/router/src/dispatch/snapshot.rs
@@ -15,6 +15,8 @@
     pub owned_queues: usize,
     /// Tickets in those queues.
     pub waiting: WaitingByClass,
+    /// Requests that this router holds at the most, as adapted to its lag.
+    pub admission_limit: f64,
     /// Counters of the queues served here.
     pub totals: QueueTotals,
     /// Runners that are ejected now, once for each queue.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod limits;
 pub mod peers;
 
 pub use error::RouterError;
@@ -40,6 +41,8 @@
     pub ledger: LedgerClient,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
+    /// Bound on callers' bodies in memory.
+    pub bodies: limits::BodyBudget,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -93,6 +96,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
             incarnation,
@@ -100,6 +104,7 @@
             dispatcher,
             ledger,
             requests: Arc::default(),
+            bodies: limits::BodyBudget::new(max_waiting_bytes),
             client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
