--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,27 +1,22 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
+mod changes;
 mod metrics;
 mod operators;
+mod pages;
+mod replies;
 
-pub use operators::{OperatorRole, Operators};
+pub use operators::{DIGEST_PREFIX, Operator, OperatorRole, Operators};
 
 use crate::ControllerContext;
-use crate::replica::ProposeError;
-use courseshunt_http::{Body, bearer_token, json_response, read_limited, text_response};
-use courseshunt_state::{
-    ChangeRequest, Command, CommandError, CommandReply, ConfigurationConflict,
-};
-use courseshunt_types::DeploymentDocument;
+use courseshunt_http::{Body, bearer_token, text_response};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use serde_json::json;
+use replies::failure;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
-/// Longest body of an operator's request, in bytes.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// The handler for [`courseshunt_http::serve`].
@@ -49,148 +44,61 @@
         "/metrics" => return text_response(StatusCode::OK, metrics::page(context)),
         _ => {}
     }
-    let role = bearer_token(request.headers()).and_then(|token| operators.role_of(token));
-    let Some(role) = role else {
+    let operator = bearer_token(request.headers()).and_then(|token| operators.bearer(token));
+    let Some(operator) = operator else {
         return failure(StatusCode::UNAUTHORIZED, "unauthorized", "unknown token");
     };
-    match (request.method(), path.as_str()) {
-        (&Method::POST, "/admin/v1/changes") if role >= OperatorRole::Apply => {
-            change(request, context).await
-        }
-        (&Method::POST, "/admin/v1/changes") => failure(
-            StatusCode::FORBIDDEN,
-            "forbidden",
-            "the role `apply` is needed",
-        ),
-        (&Method::GET, "/admin/v1/deployments") => deployments(context),
-        (&Method::GET, "/admin/v1/status") => status(context),
-        _ => failure(StatusCode::NOT_FOUND, "not_found", "no such page"),
+    let Some((method, role)) = page_rule(&path) else {
+        return failure(StatusCode::NOT_FOUND, "not_found", "no such page");
+    };
+    if request.method() != method {
+        let message = format!("{path} takes {method}");
+        return failure(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "method_not_allowed",
+            &message,
+        );
     }
-}
-
-fn failure(status: StatusCode, code: &str, message: &str) -> Response<Body> {
-    json_response(
-        status,
-        &json!({"error": {"code": code, "message": message}}),
-    )
-}
-
-fn ready(context: &ControllerContext) -> Response<Body> {
-    match context.replica.status().borrow().leader {
-        Some(_) => text_response(StatusCode::OK, "ready\n"),
-        None => text_response(StatusCode::SERVICE_UNAVAILABLE, "no leader\n"),
+    if operator.role < role {
+        let message = format!("the role `{}` is needed", role.as_str());
+        return failure(StatusCode::FORBIDDEN, "forbidden", &message);
     }
+    page(request, &path, context, operator).await
 }
 
-async fn change(request: Request<Incoming>, context: &ControllerContext) -> Response<Body> {
-    let body = match read_limited(request.into_body(), MAX_BODY_BYTES, "operator").await {
-        Ok(body) => body,
-        Err(error) => {
-            let message = error.to_string();
-            return failure(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message);
-        }
-    };
-    let change: ChangeRequest = match serde_json::from_slice(&body) {
-        Ok(change) => change,
-        Err(error) => {
-            let message = error.to_string();
-            return failure(StatusCode::BAD_REQUEST, "invalid_request", &message);
-        }
-    };
-    let command = Command::ChangeConfiguration(change);
-    match context.replica.submit(command).await {
-        Ok(reply) => change_reply(&reply),
-        Err(ProposeError::Undecided) => {
-            let message = "it is not known whether the change was accepted; send it again";
-            failure(StatusCode::SERVICE_UNAVAILABLE, "undecided", message)
-        }
-        Err(error) => {
-            let message = error.to_string();
-            failure(StatusCode::SERVICE_UNAVAILABLE, "not_accepted", &message)
-        }
+/// Method and role that a page takes.
+fn page_rule(path: &str) -> Option<(Method, OperatorRole)> {
+    match path {
+        "/admin/v1/changes" => Some((Method::POST, OperatorRole::Apply)),
+        "/admin/v1/deployments"
+        | "/admin/v1/configuration"
+        | "/admin/v1/history"
+        | "/admin/v1/status" => Some((Method::GET, OperatorRole::Read)),
+        _ => None,
     }
 }
 
-fn change_reply(reply: &CommandReply) -> Response<Body> {
-    match reply {
-        CommandReply::Configured { revision } => {
-            json_response(StatusCode::OK, &json!({"revision": revision}))
-        }
-        CommandReply::Refused(CommandError::Configuration { conflict }) => conflict_reply(conflict),
-        other => {
-            let message = format!("unexpected reply {other:?}");
-            failure(StatusCode::INTERNAL_SERVER_ERROR, "internal", &message)
+async fn page(
+    request: Request<Incoming>,
+    path: &str,
+    context: &ControllerContext,
+    operator: &Operator,
+) -> Response<Body> {
+    match path {
+        "/admin/v1/changes" => changes::answer(request, context, operator).await,
+        "/admin/v1/deployments" => pages::deployments(context),
+        "/admin/v1/configuration" => pages::configuration(context),
+        "/admin/v1/history" => {
+            let query = request.uri().query().unwrap_or_default();
+            pages::history(context, query)
         }
+        _ => pages::status(context),
     }
 }
 
-fn conflict_reply(conflict: &ConfigurationConflict) -> Response<Body> {
-    match conflict {
-        ConfigurationConflict::SameVersion {
-            name,
-            version,
-            winner,
-        } => {
-            let message = format!("version {version} of {name} is taken by other content");
-            let content = json!({"error": {
-                "code": "same_version", "message": message, "winner": winner,
-            }});
-            json_response(StatusCode::CONFLICT, &content)
-        }
-        ConfigurationConflict::LowerVersion { name, current } => {
-            let message = format!("{name} has version {current} already");
-            let content = json!({"error": {
-                "code": "lower_version", "message": message, "current": current,
-            }});
-            json_response(StatusCode::CONFLICT, &content)
-        }
-        ConfigurationConflict::ChangeReused { revision } => {
-            let message = format!("this change id was used for revision {revision}");
-            failure(StatusCode::CONFLICT, "change_reused", &message)
-        }
-        ConfigurationConflict::Invalid { name, problem } => {
-            let message = format!("{name}: {problem}");
-            failure(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                "invalid_document",
-                &message,
-            )
-        }
+fn ready(context: &ControllerContext) -> Response<Body> {
+    match context.replica.status().borrow().leader {
+        Some(_) => text_response(StatusCode::OK, "ready\n"),
+        None => text_response(StatusCode::SERVICE_UNAVAILABLE, "no leader\n"),
     }
 }
-
-fn deployments(context: &ControllerContext) -> Response<Body> {
-    let state = context.replica.state();
-    let documents: Vec<&DeploymentDocument> = state
-        .configuration
-        .deployments
-        .values()
-        .map(|stored| &stored.document)
-        .collect();
-    json_response(StatusCode::OK, &documents)
-}
-
-fn status(context: &ControllerContext) -> Response<Body> {
-    let status = context.replica.status().borrow().clone();
-    let state = context.replica.state();
-    let routers = context.routers.all();
-    let routers = routers.iter().map(|router| {
-        json!({"router": router.endpoint.router, "revision": router.revision,
-               "http_address": router.http_address})
-    });
-    let replicas = state.placement.replicas.values().map(|record| {
-        json!({"deployment": record.replica.deployment, "runner": record.replica.runner,
-               "phase": format!("{:?}", record.phase), "fence": record.fence})
-    });
-    let content = json!({
-        "id": context.settings.id,
-        "role": format!("{:?}", status.role),
-        "term": status.term,
-        "leader": status.leader,
-        "applied": status.applied,
-        "revision": status.revision,
-        "routers": routers.collect::<Vec<_>>(),
-        "replicas": replicas.collect::<Vec<_>>(),
-    });
-    json_response(StatusCode::OK, &content)
-}
--- a/crates/controller/src/error.rs
+++ b/crates/controller/src/error.rs
@@ -20,7 +20,7 @@
     #[snafu(display("controller: the cluster key must have at least 16 bytes"))]
     ShortKey,
     /// A line of the operators' tokens is wrong.
-    #[snafu(display("controller: {}:{line}: expected `role token`, role one of read, apply, operate", path.display()))]
+    #[snafu(display("controller: {}:{line}: expected `role token [name]`, role one of read, apply, operate, token perhaps as sha256:DIGEST", path.display()))]
     OperatorToken {
         /// The file.
         path: PathBuf,
--- a/crates/controller/src/feed/updates.rs
+++ b/crates/controller/src/feed/updates.rs
@@ -1,6 +1,6 @@
 //! Builds the updates of a feed from the replicated state.
 
-use courseshunt_state::{ReplicaPhase, ReplicatedState};
+use courseshunt_state::{DocumentKey, DocumentKind, ReplicaPhase, ReplicatedState};
 use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::{
     ConfigurationUpdate, DeploymentReplicas, LoadingReplica, PlacementUpdate, RunnerEndpoint,
@@ -10,20 +10,29 @@
 /// Changes of the configuration after `since`; everything when it is 0.
 pub fn configuration(state: &ReplicatedState, since: Revision) -> ConfigurationUpdate {
     let configuration = &state.configuration;
-    let changed = configuration
-        .deployments
+    let full = since == Revision(0);
+    let deployments = configuration.deployments.values();
+    let changed = deployments.filter(|one| one.revision > since);
+    let tombstones = configuration.tombstones.iter();
+    let removed: Vec<&DocumentKey> = tombstones
+        .filter(|(_, one)| one.revision > since)
+        .map(|(key, _)| key)
+        .collect();
+    let of_kind = |kind| removed.iter().filter(move |key| key.kind == kind);
+    let set_tenants = configuration
+        .tenants
         .values()
-        .filter(|one| one.revision > since);
-    let removed = configuration
-        .tombstones
-        .iter()
-        .filter(|(_, one)| one.revision > since);
+        .any(|one| one.revision > since);
+    let tenants_changed = full || set_tenants || of_kind(DocumentKind::Tenant).next().is_some();
+    let tenants = configuration.tenants.values();
+    let tenants = tenants.map(|one| one.document.clone());
+    let removed = of_kind(DocumentKind::Deployment).map(|key| key.name.as_str().into());
     ConfigurationUpdate {
-        full: since == Revision(0),
+        full,
         revision: configuration.revision,
         deployments: changed.cloned().collect(),
-        removed: removed.map(|(name, _)| name.clone()).collect(),
-        tenants: Some(configuration.tenants.values().cloned().collect()),
+        removed: removed.collect(),
+        tenants: tenants_changed.then(|| tenants.collect()),
         more: false,
     }
 }
--- a/crates/operator/src/render.rs
+++ b/crates/operator/src/render.rs
@@ -2,10 +2,9 @@
 //!
 //! A template is TOML text with `minijinja` placeholders; parameters come from
 //! one TOML file per tenant. The rendered text holds `[[deployment]]`,
-//! `[[tenant]]` and `[[removal]]` tables.
+//! `[[tenant]]`, `[[model]]` and `[[removal]]` tables.
 
-use courseshunt_state::configuration::Removal;
-use courseshunt_state::{ChangeRequest, TenantDocument};
+use courseshunt_state::{ChangeRequest, ModelDocument, Removal, TenantDocument};
 use courseshunt_types::{ChangeId, DeploymentDocument};
 use snafu::ResultExt;
 use std::path::{Path, PathBuf};
@@ -51,6 +50,8 @@
     pub deployment: Vec<DeploymentDocument>,
     /// Tenants.
     pub tenant: Vec<TenantDocument>,
+    /// Models of the catalogue.
+    pub model: Vec<ModelDocument>,
     /// Removals.
     pub removal: Vec<Removal>,
 }
@@ -60,6 +61,7 @@
     pub fn extend(&mut self, other: RenderedBatch) {
         self.deployment.extend(other.deployment);
         self.tenant.extend(other.tenant);
+        self.model.extend(other.model);
         self.removal.extend(other.removal);
     }
 
@@ -70,7 +72,9 @@
             change_id,
             deployments: self.deployment,
             tenants: self.tenant,
+            models: self.model,
             removals: self.removal,
+            operator: String::new(),
         }
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,7 +20,10 @@
 
 pub use claims::{ClaimRecord, ClaimState, Claims};
 pub use command::{Command, CommandEnvelope};
-pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
+pub use configuration::{
+    ChangeRequest, Configuration, DocumentKey, DocumentKind, FleetLimits, HistoryEntry,
+    ModelDocument, Removal, StoredDeployment, StoredTenant, TenantDocument, Verdict,
+};
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
 pub use reply::{
--- a/crates/state/src/reply.rs
+++ b/crates/state/src/reply.rs
@@ -1,5 +1,6 @@
 //! What applying a command gives back.
 
+use crate::configuration::DocumentKey;
 use courseshunt_types::{
     DeploymentName, Digest, Fence, IdempotencyKey, Revision, RouterId, RunnerId, UnixMillis,
     Version,
@@ -57,8 +58,8 @@
 pub enum ConfigurationConflict {
     /// The same version is there with other content.
     SameVersion {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
         /// The version.
         version: Version,
         /// Digest of the content that won.
@@ -66,8 +67,8 @@
     },
     /// A higher version is there.
     LowerVersion {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
         /// The current version.
         current: Version,
     },
@@ -78,8 +79,10 @@
     },
     /// A document is wrong in itself or does not fit the others.
     Invalid {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
+        /// The faulty field.
+        field: String,
         /// What is wrong.
         problem: String,
     },
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -2,11 +2,12 @@
 
 use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims};
 use crate::command::{Command, CommandEnvelope};
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, FleetLimits};
 use crate::jobs::{JobRecord, JobState, Jobs};
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
+use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{Fence, LogIndex, Term, UnixMillis};
 
 /// The replicated state of one group.
@@ -83,9 +84,10 @@
     ) -> Result<CommandReply, CommandError> {
         match command {
             Command::ChangeConfiguration(request) => {
-                let revision = self.configuration.change(request, self.time);
+                let limits = self.fleet_limits();
+                let changed = self.configuration.change(request, &limits, self.time);
                 let revision =
-                    revision.map_err(|conflict| CommandError::Configuration { conflict })?;
+                    changed.map_err(|conflict| CommandError::Configuration { conflict })?;
                 return Ok(CommandReply::Configured { revision });
             }
             Command::RecordRunner(record) => self.placement.record_runner(record),
@@ -112,6 +114,16 @@
         Ok(self.done())
     }
 
+    /// What documents must fit.
+    #[must_use]
+    pub fn fleet_limits(&self) -> FleetLimits {
+        let runners = self.placement.runners.values();
+        let in_service = runners.filter(|runner| runner.state != MachineState::Gone);
+        FleetLimits {
+            largest_runner_mib: in_service.map(|runner| runner.memory_mib).max(),
+        }
+    }
+
     fn done(&self) -> CommandReply {
         CommandReply::Done { at: self.time }
     }
