Configuration: whole rules for versions, change identities, references; admin pages

Cause: tenants had no revision of their own, so a repeated tenant batch got the newest revision instead of its first; the same document could stand twice in a batch; nothing checked memory against the runners or the base model's name; only deployments could be removed; errors did not name the field; nothing said who changed what.

Conflicts name the document and the field, in JSON too. `POST /admin/v1/changes` takes `?dry_run` and `?wait_seconds=N` (answers which routers lag); pages `configuration` and `history` (who, when, change identity). Operators' tokens may be written as `sha256:` digests, with a name.

--- /dev/null
+++ b/crates/controller/tests/admin.rs
@@ -0,0 +1,217 @@
+//! Contract of the operators' API: tokens and roles, versions over HTTP, dry
+//! runs, history, operators who race, resends.
+
+use courseshunt_controller::Controller;
+use courseshunt_http::HttpClient;
+use courseshunt_settings::ControllerSettings;
+use courseshunt_types::{DeploymentDocument, Digest};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::path::Path;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Api {
+    controller: Controller,
+    client: HttpClient,
+    _folder: tempfile::TempDir,
+}
+
+fn write(folder: &Path, name: &str, content: &str) -> String {
+    let path = folder.join(name);
+    std::fs::write(&path, content).unwrap();
+    path.display().to_string()
+}
+
+fn settings(folder: &Path) -> ControllerSettings {
+    let apply = Digest::of(b"apply-token");
+    let operators =
+        format!("read read-token ray\napply sha256:{apply} ana\noperate operate-token\n");
+    let files = [
+        (
+            "operator-token-file",
+            write(folder, "operators", &operators),
+        ),
+        ("runner-token-file", write(folder, "runner", "runner-token")),
+        (
+            "cluster-key-file",
+            write(folder, "key", "a cluster key for tests"),
+        ),
+        ("data-folder", folder.join("data").display().to_string()),
+        ("http-address", "127.0.0.1:0".to_owned()),
+        ("wire-address", "127.0.0.1:0".to_owned()),
+        ("platform-address", "127.0.0.1:9".to_owned()),
+        ("id", "1".to_owned()),
+    ];
+    let arguments = files.map(|(flag, value)| format!("--{flag}={value}"));
+    ControllerSettings::load(&arguments).unwrap()
+}
+
+impl Api {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let controller = Controller::start(settings(folder.path())).await.unwrap();
+        let mut status = controller.context().replica.status();
+        let leads = status.wait_for(|status| status.leads());
+        tokio::time::timeout(PATIENCE, leads)
+            .await
+            .unwrap()
+            .unwrap();
+        Self {
+            controller,
+            client: HttpClient::default(),
+            _folder: folder,
+        }
+    }
+
+    async fn call(&self, method: Method, path: &str, token: &str, content: &Value) -> (u16, Value) {
+        let address = self.controller.http_address.to_string();
+        let content = (method == Method::POST).then_some(content);
+        let token = Some(token);
+        let call = self
+            .client
+            .call(method, &address, path, token, content, PATIENCE);
+        let reply = call.await.unwrap();
+        let body = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        (reply.status.as_u16(), body)
+    }
+
+    async fn apply(&self, query: &str, change_id: &str, version: u64, memory: u64) -> (u16, Value) {
+        let path = format!("/admin/v1/changes{query}");
+        let change = change(change_id, version, memory);
+        self.call(Method::POST, &path, "apply-token", &change).await
+    }
+
+    async fn get(&self, path: &str) -> Value {
+        let (status, content) = self
+            .call(Method::GET, path, "read-token", &Value::Null)
+            .await;
+        assert_eq!(status, 200, "{path}");
+        content
+    }
+}
+
+fn change(change_id: &str, version: u64, memory: u64) -> Value {
+    json!({"change_id": change_id, "deployments": [{
+        "name": "agro-llm", "version": version, "model": "agro", "tenant": "souss",
+        "memory_mib": memory,
+    }]})
+}
+
+#[tokio::test]
+async fn tokens_and_roles() {
+    let api = Api::start().await;
+    let cases = [
+        ("GET", "/admin/v1/status", "", 401),
+        ("GET", "/admin/v1/status", "other-token", 401),
+        ("GET", "/admin/v1/status", "read-token", 200),
+        ("GET", "/admin/v1/status", "operate-token", 200),
+        ("POST", "/admin/v1/status", "read-token", 405),
+        ("GET", "/admin/v1/changes", "operate-token", 405),
+        ("GET", "/admin/v1/nothing", "operate-token", 404),
+        ("POST", "/admin/v1/changes", "read-token", 403),
+        ("POST", "/admin/v1/changes", "apply-token", 200),
+        (
+            "POST",
+            "/admin/v1/changes?wait_seconds=0",
+            "apply-token",
+            400,
+        ),
+        ("POST", "/admin/v1/changes?wait=1", "apply-token", 400),
+    ];
+    for (method, path, token, expected) in cases {
+        let method: Method = method.parse().unwrap();
+        let (status, content) = api.call(method, path, token, &change("c", 1, 10)).await;
+        assert_eq!(status, expected, "{path} with {token}: {content}");
+        let has_code = content.pointer("/error/code").is_some();
+        assert_eq!(has_code, expected >= 400, "{path} with {token}: {content}");
+    }
+    api.controller.stop().await;
+}
+
+#[tokio::test]
+async fn answers_to_changes() {
+    let api = Api::start().await;
+    let winner = {
+        let document = serde_json::from_value(change("", 1, 10)["deployments"][0].clone());
+        let document: DeploymentDocument = document.unwrap();
+        document.digest().to_string()
+    };
+    let (status, content) = api.apply("?dry_run", "c1", 1, 10).await;
+    assert_eq!((status, &content["revision"]), (200, &json!(1)));
+    assert_eq!(content["changes"][0]["name"], "agro-llm");
+    assert_eq!(api.get("/admin/v1/deployments").await, json!([]));
+
+    let (status, content) = api.apply("?wait_seconds=5", "c1", 1, 10).await;
+    let expected = json!({"revision": 1, "current_revision": 1, "in_force": true, "lagging": []});
+    assert_eq!((status, content), (200, expected));
+
+    let cases = [
+        ("c2", 1, 11, 409, "same_version", "winner", json!(winner)),
+        (
+            "c3",
+            5,
+            0,
+            422,
+            "invalid_document",
+            "field",
+            json!("memory_mib"),
+        ),
+        ("c1", 2, 10, 409, "change_reused", "revision", json!(1)),
+    ];
+    for (change_id, version, memory, expected, code, field, value) in cases {
+        for query in ["", "?dry_run"] {
+            let (status, content) = api.apply(query, change_id, version, memory).await;
+            assert_eq!(status, expected, "{content}");
+            assert_eq!(content["error"]["code"], code, "{content}");
+            assert_eq!(content["error"][field], value, "{content}");
+        }
+    }
+    assert_eq!(api.apply("", "c4", 3, 12).await.0, 200);
+    let (status, content) = api.apply("", "c5", 2, 13).await;
+    assert_eq!((status, &content["error"]["current"]), (409, &json!(3)));
+    // The lost answer of the first change is asked for after a newer version.
+    let (status, content) = api.apply("", "c1", 1, 10).await;
+    let expected = json!({"revision": 1, "current_revision": 2});
+    assert_eq!((status, content), (200, expected));
+    let stored = api.get("/admin/v1/configuration").await;
+    assert_eq!(stored["deployments"][0]["version"], 3);
+
+    let history = api.get("/admin/v1/history?limit=1").await;
+    assert_eq!(history.as_array().unwrap().len(), 1);
+    assert_eq!(history[0]["operator"], "ana");
+    assert_eq!(history[0]["change_id"], "c4");
+    api.controller.stop().await;
+}
+
+#[tokio::test]
+async fn operators_who_race_under_one_version_have_one_winner() {
+    let api = Api::start().await;
+    let api = std::sync::Arc::new(api);
+    let mut racers = tokio::task::JoinSet::new();
+    for memory in 1..=16_u64 {
+        let api = api.clone();
+        racers.spawn(async move {
+            (
+                memory,
+                api.apply("", &format!("race-{memory}"), 1, memory).await,
+            )
+        });
+    }
+    let results = racers.join_all().await;
+    let accepted: Vec<u64> = results
+        .iter()
+        .filter(|(_, (status, _))| *status == 200)
+        .map(|(memory, _)| *memory)
+        .collect();
+    assert_eq!(accepted.len(), 1, "{results:?}");
+    let stored = api.get("/admin/v1/deployments").await;
+    assert_eq!(stored[0]["memory_mib"], accepted[0]);
+    let winner: DeploymentDocument = serde_json::from_value(stored[0].clone()).unwrap();
+    let refused = results.iter().filter(|(_, (status, _))| *status != 200);
+    for (_, (status, content)) in refused {
+        assert_eq!(*status, 409);
+        assert_eq!(content["error"]["winner"], winner.digest().to_string());
+    }
+}
