Feed: deltas by resource, syncs in parts and turns, confirmations by a quorum

Cause: each applied log entry, also of the ledger, sent the whole placement to every router; a router could not tell a controller that was cut off from a live one (the age in confirmations was always 0), and took callers on any first confirmation; a whole configuration came as one message.

Change, controllers: `PlacementIndex` (pure) stamps each runner and deployment with the log index of its last change, so a feed sends what changed; the state notes the last entry that may have changed the placement, so ledger traffic wakes no feed; changes within 10 ms go out together; a router with nothing, or far behind, gets the configuration in parts of 128 documents, 8 routers at a time, with confirmations and ledger replies going on meanwhile; the parts are made once for each revision. A read barrier every 500 ms gives the confirmation (moment before the quorum was asked, revision afterwards). A router that is silent for 5 s or takes nothing for 5 s is dropped. Change, routers: parts come into force as a whole; the view is synced only when it holds a revision that a quorum confirmed at most 3 s before; a feed whose confirmation is older than 3 s is left for the next controller; routers begin at different controllers. The link serves any `LinkClient`, so hollow routers share it.

Tests: controller/tests/feed.rs (300 changes, then a restart: one message of 7 documents; a router two behind gets two documents; one ahead gets nothing), router/tests/feed.rs (parts, 7 ages, sync before callers, a stale controller is left and a lower revision of the next one is ignored).

Conclusion: what a router is sent no longer grows with ledger traffic or with the number of changes that it missed.

--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,10 +1,15 @@
 //! Feeds to routers, and what routers send back.
 
+pub mod configuration;
+pub mod placement_index;
 mod registry;
 mod session;
-mod updates;
+mod source;
+mod writer;
 
+pub use placement_index::PlacementIndex;
 pub use registry::RouterRegistry;
+pub use source::{FeedCounts, FeedSource, FeedVersion, MAX_SYNCS};
 
 use crate::ControllerContext;
 use courseshunt_wire::{Connection, PeerIdentity, WireError, accept};
@@ -15,8 +20,18 @@
 /// Pause after an accept error.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Starts the feeds; they end at the planned stop.
+pub fn start(listener: TcpListener, context: &ControllerContext) {
+    let stop = &context.stop;
+    let follow = source::follow(context.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(follow));
+    let confirm = source::confirm(context.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(confirm));
+    tokio::spawn(accept_peers(listener, context.clone()));
+}
+
 /// Accepts other processes of the cluster until the planned stop.
-pub async fn accept_peers(listener: TcpListener, context: ControllerContext) {
+async fn accept_peers(listener: TcpListener, context: ControllerContext) {
     loop {
         let accepted = tokio::select! {
             () = context.stop.cancelled() => return,
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -70,12 +70,6 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Changes of the fleet.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<Epoch> {
-        self.epoch.subscribe()
-    }
-
     /// The fleet as sent to routers.
     #[must_use]
     pub fn update(&self) -> FleetUpdate {
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -1,18 +1,19 @@
 //! The feed of one router.
 
 use super::registry::RegisteredRouter;
-use super::updates;
+use super::writer::FeedWriter;
 use crate::ControllerContext;
 use crate::replica::ProposeError;
 use courseshunt_state::CommandEnvelope;
-use courseshunt_types::{ClientId, Epoch, LogIndex, Millis, Revision, RouterId, UnixMillis};
+use courseshunt_types::{ClientId, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
-use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError};
+use courseshunt_wire::{Connection, Message, Receiver, WireError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Time between confirmations of a feed without changes.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
+/// A router that sends nothing for so long is taken for lost. Routers send at
+/// least twice a second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Ledger replies that wait to be sent.
 const REPLY_QUEUE: usize = 1024;
 
@@ -35,20 +36,21 @@
     context.routers.insert(RegisteredRouter {
         endpoint: endpoint.clone(),
         http_address: subscribe.http_address.clone(),
-        revision: Revision(0),
+        revision: subscribe.revision,
     });
     log::info!(
         "feed: router {router} subscribed at revision {}",
         subscribe.revision
     );
     let (replies, reply_queue) = mpsc::channel(REPLY_QUEUE);
-    let feed = Feed {
+    let peer = format!("router {router}");
+    let feed = FeedWriter::new(
         context,
         sender,
-        revision: subscribe.revision,
-        placement: LogIndex(0),
-        fleet: Epoch(0),
-    };
+        peer,
+        subscribe.revision,
+        subscribe.placement,
+    );
     let ended = tokio::select! {
         () = context.stop.cancelled() => Ok(()),
         ended = feed.run(reply_queue) => ended,
@@ -77,7 +79,7 @@
     replies: mpsc::Sender<Message>,
 ) -> Result<(), WireError> {
     let router = &subscribe.router;
-    while let Some(message) = receiver.receive().await? {
+    while let Some(message) = receive_in_time(&mut receiver, router).await? {
         match message {
             Message::Demand { reports } => {
                 for report in reports {
@@ -96,6 +98,19 @@
     Ok(())
 }
 
+async fn receive_in_time(
+    receiver: &mut Receiver,
+    router: &RouterId,
+) -> Result<Option<Message>, WireError> {
+    let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
+    received.unwrap_or_else(|_| {
+        Err(WireError::TimedOut {
+            step: "receive",
+            peer: format!("router {router}"),
+        })
+    })
+}
+
 async fn ledger(
     message: Message,
     client: ClientId,
@@ -126,68 +141,3 @@
     };
     let _ = replies.send(Message::LedgerReply { call, result }).await;
 }
-
-struct Feed<'a> {
-    context: &'a ControllerContext,
-    sender: Sender,
-    revision: Revision,
-    placement: LogIndex,
-    fleet: Epoch,
-}
-
-impl Feed<'_> {
-    async fn run(mut self, mut replies: mpsc::Receiver<Message>) -> Result<(), WireError> {
-        let mut applied = self.context.replica.status();
-        let mut fleet = self.context.routers.changes();
-        let mut confirmation = tokio::time::interval(CONFIRMATION_INTERVAL);
-        loop {
-            self.send_changes().await?;
-            tokio::select! {
-                changed = applied.changed() => {
-                    if changed.is_err() {
-                        return Ok(());
-                    }
-                }
-                _ = fleet.changed() => {}
-                _ = confirmation.tick() => self.confirm().await?,
-                reply = replies.recv() => {
-                    if let Some(reply) = reply {
-                        self.sender.send(&reply).await?;
-                    }
-                }
-            }
-        }
-    }
-
-    async fn send_changes(&mut self) -> Result<(), WireError> {
-        let (configuration, placement) = {
-            let state = self.context.replica.state();
-            let newer = state.configuration.revision > self.revision;
-            let configuration = newer.then(|| updates::configuration(&state, self.revision));
-            let moved = state.applied > self.placement;
-            let placement = moved.then(|| updates::placement(&state));
-            (configuration, placement)
-        };
-        if let Some(update) = configuration {
-            self.revision = update.revision;
-            self.sender.send(&Message::Configuration(update)).await?;
-        }
-        if let Some(update) = placement {
-            self.placement = update.sequence;
-            self.sender.send(&Message::Placement(update)).await?;
-        }
-        let fleet = self.context.routers.update();
-        if fleet.epoch != self.fleet {
-            self.fleet = fleet.epoch;
-            self.sender.send(&Message::Fleet(fleet)).await?;
-        }
-        Ok(())
-    }
-
-    async fn confirm(&mut self) -> Result<(), WireError> {
-        let revision = self.revision;
-        let age = Millis(0);
-        let confirmation = Message::FeedConfirmation { age, revision };
-        self.sender.send(&confirmation).await
-    }
-}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,7 +17,7 @@
 use courseshunt_wire::ClusterKey;
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
-use feed::RouterRegistry;
+use feed::{FeedSource, RouterRegistry};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -36,6 +36,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// What the feeds share.
+    pub feed: Arc<FeedSource>,
     /// HTTP client for runners and the platform.
     pub client: HttpClient,
     /// Token for the runners' control interface.
@@ -83,13 +85,14 @@
             replica,
             demand: Arc::default(),
             routers: Arc::default(),
+            feed: Arc::default(),
             client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
             stop: CancellationToken::new(),
         };
-        tokio::spawn(feed::accept_peers(wire, context.clone()));
+        feed::start(wire, &context);
         scheduler::start(&context)?;
         let stop = context.stop.clone();
         let handler = admin::handler(context.clone(), operators);
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -1,6 +1,8 @@
 //! What the feed has told: configuration, replicas, runners and routers.
 //!
-//! Invariant: the revision in force never goes down within a process's life.
+//! Invariants: the revision in force never goes down within a process's life;
+//! an update in parts comes into force as a whole; the view counts as synced
+//! only once it held a revision that a quorum had confirmed shortly before.
 
 use courseshunt_state::TenantDocument;
 use courseshunt_types::{
@@ -24,11 +26,45 @@
     revision: Revision,
     deployments: BTreeMap<DeploymentName, Arc<DeploymentDocument>>,
     tenants: BTreeMap<Digest, TenantName>,
+    /// Parts of an update whose last part has not come yet.
+    parts: Vec<ConfigurationUpdate>,
     placement: LogIndex,
     runners: BTreeMap<RunnerId, RunnerEndpoint>,
     replicas: BTreeMap<DeploymentName, DeploymentReplicas>,
     routers: Vec<RouterEndpoint>,
-    confirmed_at: Option<Timestamp>,
+    confirmed: Option<ConfirmedRevision>,
+    synced: bool,
+}
+
+/// The newest revision at a moment, as a quorum confirmed.
+#[derive(Debug, Clone, Copy)]
+struct ConfirmedRevision {
+    at: Timestamp,
+    revision: Revision,
+}
+
+impl Inner {
+    fn take(&mut self, update: ConfigurationUpdate) {
+        if update.full {
+            self.deployments.clear();
+        }
+        for name in &update.removed {
+            self.deployments.remove(name);
+        }
+        for stored in update.deployments {
+            let document = Arc::new(stored.document);
+            self.deployments.insert(document.name.clone(), document);
+        }
+        if let Some(tenants) = update.tenants {
+            self.tenants = tokens(&tenants);
+        }
+        self.revision = update.revision;
+    }
+
+    fn judge_synced(&mut self) {
+        let confirmed = self.confirmed.map(|confirmed| confirmed.revision);
+        self.synced |= confirmed.is_some_and(|revision| self.revision >= revision);
+    }
 }
 
 impl ConfigurationView {
@@ -40,31 +76,29 @@
         self.inner.write().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A new connection begins; parts of an unfinished update are dropped.
+    pub fn begin_feed(&self) {
+        self.write().parts.clear();
+    }
+
     /// Takes an update in, unless it is older than what is in force. Returns
-    /// the revision in force.
-    pub fn apply_configuration(&self, update: ConfigurationUpdate) -> Revision {
+    /// the revision when one came into force.
+    pub fn apply_configuration(&self, update: ConfigurationUpdate) -> Option<Revision> {
         let mut inner = self.write();
         if update.revision < inner.revision {
             log::warn!("router: an older revision {} was ignored", update.revision);
-            return inner.revision;
+            return None;
         }
-        if update.full {
-            inner.deployments.clear();
-        }
-        for name in &update.removed {
-            inner.deployments.remove(name);
+        let more = update.more;
+        inner.parts.push(update);
+        if more {
+            return None;
         }
-        for stored in update.deployments {
-            let document = Arc::new(stored.document);
-            inner.deployments.insert(document.name.clone(), document);
-        }
-        if let Some(tenants) = update.tenants {
-            inner.tenants = tokens(&tenants);
+        for part in std::mem::take(&mut inner.parts) {
+            inner.take(part);
         }
-        if !update.more {
-            inner.revision = update.revision;
-        }
-        inner.revision
+        inner.judge_synced();
+        Some(inner.revision)
     }
 
     /// Takes replicas and runners in, unless they are older.
@@ -91,16 +125,29 @@
         self.write().routers = update.routers;
     }
 
-    /// Notes that the feed was confirmed.
-    pub fn confirm(&self, at: Timestamp) {
-        self.write().confirmed_at = Some(at);
+    /// Notes that a quorum confirmed `revision` as the newest, shortly before.
+    pub fn confirm(&self, at: Timestamp, revision: Revision) {
+        let mut inner = self.write();
+        inner.confirmed = Some(ConfirmedRevision { at, revision });
+        inner.judge_synced();
+    }
+
+    /// When a quorum last confirmed the feed.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        self.read().confirmed.map(|confirmed| confirmed.at)
     }
 
     /// Whether a confirmed configuration is in force.
     #[must_use]
     pub fn is_synced(&self) -> bool {
-        let inner = self.read();
-        inner.confirmed_at.is_some()
+        self.read().synced
+    }
+
+    /// State of the placement.
+    #[must_use]
+    pub fn placement(&self) -> LogIndex {
+        self.read().placement
     }
 
     /// The revision in force.
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -1,48 +1,70 @@
-//! Keeps a connection to one controller.
+//! Keeps a connection to one controller, the others standing by.
+//!
+//! Invariant: a controller whose feed is not confirmed by a quorum is left
+//! within seconds, also when it is silent.
 
+use super::client::{LinkClient, LinkSettings};
+use super::freshness::{FeedFreshness, STALE_LIMIT};
 use super::ledger::LedgerCalls;
 use super::pending::PendingCalls;
-use crate::RouterContext;
+use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::Subscribe;
-use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
-};
+use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect};
+use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 
-/// Pause before the next controller is tried.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Time between demand reports when no event asks for one.
+/// Shortest and longest pause before the next controller is tried, in
+/// milliseconds; spread, so that routers don't come all at once.
+const RECONNECT_PAUSE_MILLIS: std::ops::Range<u64> = 100..300;
+/// Time between demand reports when no event asks for one; each tells the
+/// controller, too, that this router lives.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between looks for ledger calls that a controller did not commit.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between looks at the age of the confirmation.
+const FRESHNESS_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Addresses under which this router serves.
-#[derive(Debug, Clone, Copy)]
-pub struct Endpoints {
-    /// For callers.
-    pub http_address: SocketAddr,
-    /// For other processes.
-    pub wire_address: SocketAddr,
+/// Why a connection ended.
+#[derive(Debug, snafu::Snafu)]
+enum LinkError {
+    /// The connection failed.
+    #[snafu(display("{source}"), context(false))]
+    Wire {
+        /// The cause.
+        source: WireError,
+    },
+    /// No quorum confirmed the feed for too long.
+    #[snafu(display(
+        "follow the feed of {controller}: no quorum has confirmed it for {} ms, more than {} ms",
+        age.0,
+        STALE_LIMIT.0
+    ))]
+    Stale {
+        /// The controller.
+        controller: SocketAddr,
+        /// Age of the last confirmation.
+        age: Millis,
+    },
 }
 
 /// Connects to one controller after the other until cancelled.
-pub async fn run(
-    context: RouterContext,
-    key: ClusterKey,
-    endpoints: Endpoints,
-    mut calls: LedgerCalls,
-) {
-    let identity = PeerIdentity::Router(context.settings.id.clone(), context.incarnation);
+pub async fn run<C: LinkClient>(client: C, settings: LinkSettings, mut calls: LedgerCalls) {
+    let identity = PeerIdentity::Router(settings.router.clone(), settings.incarnation);
     let pending = Mutex::new(PendingCalls::default());
-    for address in context.settings.controllers.iter().cycle() {
-        match connect(*address, &key, &identity).await {
+    let first = first_controller(&settings);
+    for address in settings.controllers.iter().cycle().skip(first) {
+        match connect(*address, &settings.key, &identity).await {
             Ok(connection) => {
                 let link = Link {
-                    context: &context,
-                    endpoints,
+                    client: &client,
+                    settings: &settings,
+                    controller: *address,
                     pending: &pending,
+                    freshness: Mutex::new(FeedFreshness::connected(settings.clock.now())),
+                    applied: Notify::new(),
                 };
                 let ended = link.serve(connection, &mut calls).await;
                 link.pending().connection_lost();
@@ -53,50 +75,72 @@
             }
             Err(error) => log::warn!("control: {error}"),
         }
-        tokio::time::sleep(RECONNECT_PAUSE).await;
+        let pause = rand::rng().random_range(RECONNECT_PAUSE_MILLIS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
-struct Link<'a> {
-    context: &'a RouterContext,
-    endpoints: Endpoints,
+/// Routers with one list of controllers begin at different ones.
+fn first_controller(settings: &LinkSettings) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64(settings.router.as_str().as_bytes());
+    let count = settings.controllers.len().max(1) as u64;
+    (hash % count) as usize
+}
+
+struct Link<'a, C> {
+    client: &'a C,
+    settings: &'a LinkSettings,
+    controller: SocketAddr,
     pending: &'a Mutex<PendingCalls>,
+    freshness: Mutex<FeedFreshness>,
+    /// A revision came into force.
+    applied: Notify,
 }
 
-impl Link<'_> {
+impl<C: LinkClient> Link<'_, C> {
     fn pending(&self) -> MutexGuard<'_, PendingCalls> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn freshness(&self) -> MutexGuard<'_, FeedFreshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn serve(
         &self,
         connection: Connection,
         calls: &mut LedgerCalls,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), LinkError> {
         let Connection {
             mut sender,
             receiver,
             ..
         } = connection;
+        self.client.view().begin_feed();
         sender.send(&Message::Subscribe(self.subscribe())).await?;
         tokio::select! {
             ended = self.receive(receiver) => ended,
             ended = self.send(sender, calls) => ended,
+            ended = self.watch_freshness() => ended,
         }
     }
 
     fn subscribe(&self) -> Subscribe {
+        let settings = self.settings;
         Subscribe {
-            router: self.context.settings.id.clone(),
-            incarnation: self.context.incarnation,
-            wire_address: self.endpoints.wire_address.to_string(),
-            http_address: self.endpoints.http_address.to_string(),
-            zone: self.context.settings.zone.clone(),
-            revision: self.context.view.revision(),
+            router: settings.router.clone(),
+            incarnation: settings.incarnation,
+            wire_address: settings.endpoints.wire_address.to_string(),
+            http_address: settings.endpoints.http_address.to_string(),
+            zone: settings.zone.clone(),
+            revision: self.client.view().revision(),
+            placement: self.client.view().placement(),
         }
     }
 
-    async fn receive(&self, mut receiver: Receiver) -> Result<(), WireError> {
+    async fn receive(&self, mut receiver: Receiver) -> Result<(), LinkError> {
         while let Some(message) = receiver.receive().await? {
             self.take(message);
         }
@@ -104,25 +148,50 @@
     }
 
     fn take(&self, message: Message) {
-        let view = &self.context.view;
+        let view = self.client.view();
         match message {
             Message::Configuration(update) => {
-                let revision = view.apply_configuration(update);
-                log::info!("router: revision {revision} is in force");
-                self.context.dispatcher.view_changed();
+                if let Some(revision) = view.apply_configuration(update) {
+                    log::info!("router: revision {revision} is in force");
+                    self.applied.notify_one();
+                    self.client.view_changed();
+                }
             }
             Message::Placement(update) => {
                 view.apply_placement(update);
-                self.context.dispatcher.view_changed();
+                self.client.view_changed();
             }
-            Message::Fleet(update) => view.apply_fleet(update),
-            Message::FeedConfirmation { .. } => view.confirm(self.context.clock.now()),
+            Message::Fleet(update) => {
+                view.apply_fleet(update);
+                self.client.view_changed();
+            }
+            Message::FeedConfirmation { age, revision } => self.confirmed(age, revision),
             Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
     }
 
-    async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), WireError> {
+    fn confirmed(&self, age: Millis, revision: Revision) {
+        let now = self.settings.clock.now();
+        if self.freshness().confirmed(age, now) {
+            self.client.view().confirm(now, revision);
+        }
+    }
+
+    async fn watch_freshness(&self) -> Result<(), LinkError> {
+        let mut interval = tokio::time::interval(FRESHNESS_INTERVAL);
+        loop {
+            interval.tick().await;
+            let now = self.settings.clock.now();
+            let freshness = *self.freshness();
+            if freshness.is_stale(now) {
+                let (controller, age) = (self.controller, freshness.age(now));
+                return Err(LinkError::Stale { controller, age });
+            }
+        }
+    }
+
+    async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), LinkError> {
         let mut report = tokio::time::interval(REPORT_INTERVAL);
         let mut resend = tokio::time::interval(RESEND_INTERVAL);
         loop {
@@ -132,14 +201,18 @@
                     self.pending().add(call);
                     self.send_due(&mut sender).await?;
                 }
-                () = self.context.dispatcher.demand_changed() => self.report(&mut sender).await?,
-                _ = report.tick() => self.report(&mut sender).await?,
+                () = self.applied.notified() => self.send_revision(&mut sender).await?,
+                () = self.client.demand_changed() => self.report(&mut sender).await?,
+                _ = report.tick() => {
+                    self.send_revision(&mut sender).await?;
+                    self.report(&mut sender).await?;
+                }
                 _ = resend.tick() => self.send_due(&mut sender).await?,
             }
         }
     }
 
-    async fn send_due(&self, sender: &mut Sender) -> Result<(), WireError> {
+    async fn send_due(&self, sender: &mut Sender) -> Result<(), LinkError> {
         let due = self.pending().due();
         for message in &due {
             sender.send(message).await?;
@@ -147,13 +220,16 @@
         Ok(())
     }
 
-    async fn report(&self, sender: &mut Sender) -> Result<(), WireError> {
-        let revision = self.context.view.revision();
-        sender.send(&Message::Confirmed { revision }).await?;
-        let reports = self.context.dispatcher.demand().await;
+    async fn send_revision(&self, sender: &mut Sender) -> Result<(), LinkError> {
+        let revision = self.client.view().revision();
+        Ok(sender.send(&Message::Confirmed { revision }).await?)
+    }
+
+    async fn report(&self, sender: &mut Sender) -> Result<(), LinkError> {
+        let reports = self.client.demand().await;
         if reports.is_empty() {
             return Ok(());
         }
-        sender.send(&Message::Demand { reports }).await
+        Ok(sender.send(&Message::Demand { reports }).await?)
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,7 +10,7 @@
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::LedgerClient;
+use control::{LedgerClient, LinkSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
@@ -97,7 +97,14 @@
             http_address,
             wire_address,
         };
-        let link = control::run(context.clone(), key, endpoints, ledger_calls);
+        let link = LinkSettings::of_router(
+            &context.settings,
+            context.incarnation,
+            endpoints,
+            key,
+            clock,
+        );
+        let link = control::run(context.clone(), link, ledger_calls);
         tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,69 @@
+//! A fake controller on a real socket, and a router that follows it.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use courseshunt_router::Router;
+use courseshunt_settings::RouterSettings;
+use courseshunt_types::ControllerId;
+use courseshunt_wire::message::Subscribe;
+use courseshunt_wire::{ClusterKey, Connection, Message, PeerIdentity, accept};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+pub const KEY: &str = "a cluster key for tests";
+/// Longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings of a router that knows `controllers`.
+pub fn settings(folder: &std::path::Path, controllers: &[SocketAddr]) -> RouterSettings {
+    let key_file = folder.join("cluster.key");
+    std::fs::write(&key_file, KEY).unwrap();
+    let controllers: Vec<String> = controllers.iter().map(ToString::to_string).collect();
+    let arguments = [
+        "--id=router-1".to_owned(),
+        "--http-address=127.0.0.1:0".to_owned(),
+        "--wire-address=127.0.0.1:0".to_owned(),
+        "--drain-seconds=1".to_owned(),
+        format!("--cluster-key-file={}", key_file.display()),
+        format!("--controllers={}", controllers.join(",")),
+    ];
+    RouterSettings::load(&arguments).unwrap()
+}
+
+/// A router that follows `controllers`.
+pub async fn start_router(controllers: &[SocketAddr]) -> Router {
+    let folder = tempfile::tempdir().unwrap();
+    Router::start(settings(folder.path(), controllers))
+        .await
+        .unwrap()
+}
+
+pub struct FakeController {
+    listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+impl FakeController {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        Self { listener, address }
+    }
+
+    /// The next router that connects, after its subscription.
+    pub async fn router(&self) -> (Connection, Subscribe) {
+        let accepted = async {
+            let (stream, address) = self.listener.accept().await.unwrap();
+            let key = ClusterKey::new(KEY.as_bytes()).unwrap();
+            let identity = PeerIdentity::Controller(ControllerId(1));
+            accept(stream, address, &key, &identity).await.unwrap()
+        };
+        let accepted = tokio::time::timeout(PATIENCE, accepted).await;
+        let mut connection = accepted.expect("a router connects in time");
+        let first = connection.receiver.receive().await.unwrap();
+        let Some(Message::Subscribe(subscribe)) = first else {
+            panic!("expected a subscription, got {first:?}");
+        };
+        (connection, subscribe)
+    }
+}
--- a/crates/router/tests/ledger_resend.rs
+++ b/crates/router/tests/ledger_resend.rs
@@ -2,20 +2,16 @@
 //! under the same session and number; what may have been committed is never
 //! reported as not committed.
 
-use courseshunt_router::Router;
+mod common;
+
+use common::{FakeController, PATIENCE, start_router};
 use courseshunt_router::control::{Doubt, LedgerCall, LedgerError, PendingCalls, ledger_channel};
-use courseshunt_settings::RouterSettings;
-use courseshunt_settings::process::LogSettings;
 use courseshunt_state::{Command, CommandReply};
-use courseshunt_types::{ControllerId, GroupId, Millis, UnixMillis};
+use courseshunt_types::{GroupId, UnixMillis};
 use courseshunt_wire::message::{CallId, LedgerResult};
-use courseshunt_wire::{ClusterKey, Connection, Message, PeerIdentity, accept};
+use courseshunt_wire::{Connection, Message};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::oneshot;
-
-const KEY: &str = "a cluster key for tests";
-const PATIENCE: Duration = Duration::from_secs(20);
+use tokio::sync::{mpsc, oneshot};
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -143,72 +139,56 @@
     assert_eq!(result, Err(LedgerError::NotCommitted));
 }
 
-fn settings(folder: &std::path::Path, controller: std::net::SocketAddr) -> RouterSettings {
-    let any = "127.0.0.1:0".parse().unwrap();
-    let cluster_key_file = folder.join("cluster.key");
-    std::fs::write(&cluster_key_file, KEY).unwrap();
-    RouterSettings {
-        id: "router-1".into(),
-        http_address: any,
-        wire_address: any,
-        controllers: vec![controller],
-        max_connections: 10,
-        max_body_bytes: 1024,
-        max_waiting_bytes: 1024,
-        body_timeout: Millis(1_000),
-        drain: Millis(100),
-        zone: "a".into(),
-        cluster_key_file,
-        logging: LogSettings {
-            level: "warn".to_owned(),
-            format: "text".to_owned(),
-        },
-    }
-}
-
-async fn accept_router(listener: &TcpListener) -> Connection {
-    let (stream, address) = listener.accept().await.unwrap();
-    let key = ClusterKey::new(KEY.as_bytes()).unwrap();
-    let identity = PeerIdentity::Controller(ControllerId(1));
-    accept(stream, address, &key, &identity).await.unwrap()
-}
-
-async fn next_call(connection: &mut Connection) -> (CallId, u64, Command) {
+/// The next ledger call; `None` when the router left.
+async fn next_call(connection: &mut Connection) -> Option<(CallId, u64, Command)> {
     loop {
-        let message = connection.receiver.receive().await.unwrap();
+        let message = connection.receiver.receive().await.ok()??;
         if let Message::Ledger {
             call,
             sequence,
             command,
             ..
-        } = message.expect("the router keeps the connection")
+        } = message
         {
-            return (call, sequence.0, command);
+            return Some((call, sequence.0, command));
+        }
+    }
+}
+
+/// Drops the first connection with its call, answers on the later ones, and
+/// returns the calls seen.
+async fn lose_then_answer(controller: FakeController, seen: mpsc::Sender<(u64, Command)>) {
+    let mut lost = false;
+    loop {
+        let (mut connection, _) = controller.router().await;
+        let Some((call, number, command)) = next_call(&mut connection).await else {
+            continue;
+        };
+        seen.send((number, command)).await.unwrap();
+        if !lost {
+            lost = true;
+            continue;
         }
+        let result = committed();
+        let reply = Message::LedgerReply { call, result };
+        let _ = connection.sender.send(&reply).await;
+        // Open until the router leaves.
+        while let Ok(Some(_)) = connection.receiver.receive().await {}
     }
 }
 
 #[tokio::test]
 async fn a_lost_connection_loses_no_call() {
-    let folder = tempfile::tempdir().unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let router = Router::start(settings(folder.path(), address))
-        .await
-        .unwrap();
+    let controller = FakeController::start().await;
+    let router = start_router(&[controller.address]).await;
+    let (seen, mut calls) = mpsc::channel(100);
+    let server = tokio::spawn(lose_then_answer(controller, seen));
     let ledger = router.context().ledger.clone();
-    let commit =
-        tokio::spawn(async move { ledger.commit_within(Command::AdvanceTime, PATIENCE).await });
-    let mut first = accept_router(&listener).await;
-    let (_, number, command) = next_call(&mut first).await;
-    drop(first);
-    let mut second = accept_router(&listener).await;
-    let (call, again, resent) = next_call(&mut second).await;
-    assert_eq!((number, command), (again, resent));
-    let result = committed();
-    let reply = Message::LedgerReply { call, result };
-    second.sender.send(&reply).await.unwrap();
-    let answer = commit.await.unwrap();
+    let answer = ledger.commit_within(Command::AdvanceTime, PATIENCE).await;
     assert_eq!(answer, Ok(CommandReply::Done { at: UnixMillis(7) }));
+    let first = calls.recv().await.unwrap();
+    let again = calls.recv().await.unwrap();
+    assert_eq!(first, again, "the number and the command stay");
+    server.abort();
     router.stop().await;
 }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -21,6 +21,8 @@
     pub configuration: Configuration,
     /// Runners and replicas.
     pub placement: Placement,
+    /// Entry that may have changed the placement last.
+    pub placement_changed_at: LogIndex,
     /// Claims of once-only requests.
     pub claims: Claims,
     /// Deferred jobs.
@@ -58,6 +60,9 @@
             term,
             sequence: index.0,
         };
+        if changes_placement(&envelope.command) {
+            self.placement_changed_at = index;
+        }
         let outcome = self.apply_command(&envelope.command, fence);
         let reply = outcome.unwrap_or_else(CommandReply::Refused);
         if named {
@@ -291,6 +296,18 @@
     }
 }
 
+fn changes_placement(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::RecordRunner(_)
+            | Command::SetRunnerState { .. }
+            | Command::PlaceReplica { .. }
+            | Command::ConfirmReplica { .. }
+            | Command::WithdrawReplica { .. }
+            | Command::ReleaseReplica { .. }
+    )
+}
+
 impl CommandEnvelope {
     /// The envelope as the payload of a log entry.
     #[must_use]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -182,6 +182,8 @@
     pub zone: Zone,
     /// Last revision that it has; 0 for none.
     pub revision: Revision,
+    /// State of the placement that it has; 0 for none.
+    pub placement: LogIndex,
 }
 
 /// Changes of the configuration.
