--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
 mod changes;
+mod explain;
 mod metrics;
 mod operators;
 mod pages;
@@ -74,6 +75,7 @@
         | "/admin/v1/configuration"
         | "/admin/v1/history"
         | "/admin/v1/status" => Some((Method::GET, OperatorRole::Read)),
+        path if path.starts_with(explain::PREFIX) => Some((Method::GET, OperatorRole::Read)),
         _ => None,
     }
 }
@@ -92,7 +94,8 @@
             let query = request.uri().query().unwrap_or_default();
             pages::history(context, query)
         }
-        _ => pages::status(context),
+        "/admin/v1/status" => pages::status(context),
+        _ => explain::page(context, path.trim_start_matches(explain::PREFIX)),
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -38,6 +38,8 @@
     pub routers: Arc<RouterRegistry>,
     /// What the feeds share.
     pub feed: Arc<FeedSource>,
+    /// Soft state of the scheduler.
+    pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
     pub client: HttpClient,
     /// Token for the runners' control interface.
@@ -80,7 +82,9 @@
         })?;
         let clock = MonotonicClock::start();
         let replica = replica::start(&settings, clock).await?;
+        let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
+            scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
             demand: Arc::default(),
@@ -93,7 +97,7 @@
             stop: CancellationToken::new(),
         };
         feed::start(wire, &context);
-        scheduler::start(&context)?;
+        scheduler::start(&context);
         let stop = context.stop.clone();
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
