--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -1,14 +1,24 @@
 //! `courseshunt apply`: sends rendered documents to the controllers.
 
+use super::documents::DocumentFiles;
 use super::{block_on, parse};
 use crate::error::CommandError;
-use courseshunt_operator::{AdminClient, RenderedBatch, read_documents};
-use courseshunt_types::Digest;
-use std::path::Path;
+use courseshunt_operator::{ApplyOptions, ChangeReply};
+use std::time::Duration;
+
+/// Wait for a revision to be in force when the flag gives no time, in seconds.
+const DEFAULT_WAIT_SECONDS: u64 = 16;
 
 fn options() -> getopts::Options {
     let mut options = super::get::connection_options();
     options.optopt("", "change-id", "identity of this change, so that a resend is recognised [default: digest of the documents]", "ID");
+    options.optflag("", "dry-run", "only say what would change");
+    options.optflagopt(
+        "",
+        "wait",
+        "wait until every live router has the change in force [default: 16 seconds]",
+        "SECONDS",
+    );
     options
 }
 
@@ -18,29 +28,55 @@
 
 pub fn run(arguments: &[String]) -> Result<(), CommandError> {
     let matches = parse(&options(), arguments)?;
-    if matches.free.is_empty() {
-        return Err(CommandError::usage("no file to apply"));
-    }
-    let mut batch = RenderedBatch::default();
-    let mut all = String::new();
-    for file in &matches.free {
-        let text = read(file)?;
-        batch.extend(read_documents(Path::new(file), &text)?);
-        all.push_str(&text);
-    }
+    let files = DocumentFiles::read(&matches.free)?;
+    let apply_options = ApplyOptions {
+        dry_run: matches.opt_present("dry-run"),
+        wait: wait(&matches)?,
+    };
     let change_id = matches.opt_str("change-id");
-    let change_id = change_id.unwrap_or_else(|| Digest::of(all.as_bytes()).to_string());
-    let client: AdminClient = super::get::client(&matches)?;
-    let change = batch.into_change(change_id.into());
-    let revision = block_on(async { Ok(client.apply(&change).await?) })?;
-    println!("accepted as revision {revision}");
-    Ok(())
+    let change_id = change_id.unwrap_or_else(|| files.digest().to_string());
+    let client = super::get::client(&matches)?;
+    let change = files.batch.clone().into_change(change_id.into());
+    let submitted = block_on(async { Ok(client.submit(&change, &apply_options).await) })?;
+    let reply = submitted.map_err(|error| files.locate(error))?;
+    report(&reply, &apply_options)
 }
 
-fn read(file: &str) -> Result<String, CommandError> {
-    if file == "-" {
-        return Ok(std::io::read_to_string(std::io::stdin())?);
+fn wait(matches: &getopts::Matches) -> Result<Option<Duration>, CommandError> {
+    if !matches.opt_present("wait") {
+        return Ok(None);
+    }
+    let seconds = match matches.opt_str("wait") {
+        None => DEFAULT_WAIT_SECONDS,
+        Some(text) => text.parse().map_err(|_| {
+            CommandError::usage(format!("--wait is `{text}`; allowed: whole seconds"))
+        })?,
+    };
+    Ok(Some(Duration::from_secs(seconds)))
+}
+
+fn report(reply: &ChangeReply, options: &ApplyOptions) -> Result<(), CommandError> {
+    if options.dry_run {
+        println!("would be revision {}", reply.revision);
+        for document in &reply.changes {
+            println!("  {document}");
+        }
+        return Ok(());
+    }
+    println!("accepted as revision {}", reply.revision);
+    if reply.current_revision > reply.revision {
+        println!("it was accepted before; revision {} is newer", reply.current_revision);
+    }
+    if options.wait.is_none() {
+        return Ok(());
+    }
+    if reply.lagging.is_empty() {
+        println!("in force at every live router");
+        return Ok(());
     }
-    std::fs::read_to_string(file)
-        .map_err(|error| CommandError::usage(format!("{file}: can't be read: {error}")))
+    let lagging = reply.lagging.iter();
+    let lagging = lagging.map(|one| format!("{} (revision {})", one.router, one.revision));
+    Err(CommandError::Lagging {
+        routers: lagging.collect::<Vec<_>>().join(", "),
+    })
 }
--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -14,8 +14,8 @@
     options.optopt(
         "",
         "controller",
-        "address of a controller's operators' API [default: 127.0.0.1:7100]",
-        "ADDRESS",
+        "addresses of controllers' operators' APIs, with commas between; the first that answers is used [default: 127.0.0.1:7100]",
+        "ADDRESSES",
     );
     options.optopt(
         "",
@@ -39,7 +39,8 @@
 }
 
 pub fn deployments_help() -> String {
-    connection_options().usage("Usage: courseshunt get [OPTIONS]")
+    connection_options()
+        .usage("Usage: courseshunt get [OPTIONS] [NAME]\n\nShows all documents in force, or those named NAME.")
 }
 
 pub fn status_help() -> String {
@@ -47,7 +48,21 @@
 }
 
 pub fn deployments(arguments: &[String]) -> Result<(), CommandError> {
-    show(arguments, "/admin/v1/deployments")
+    let matches = parse(&connection_options(), arguments)?;
+    let client = client(&matches)?;
+    let page = block_on(async { Ok(client.get("/admin/v1/configuration").await?) })?;
+    let Some(name) = matches.free.first() else {
+        println!("{page:#}");
+        return Ok(());
+    };
+    let kinds = ["deployments", "tenants", "models"];
+    let all = kinds.iter().filter_map(|kind| page[kind].as_array());
+    let mut named = all.flatten().filter(|one| one["name"] == **name).peekable();
+    if named.peek().is_none() {
+        return Err(CommandError::usage(format!("no document {name} is in force")));
+    }
+    named.for_each(|document| println!("{document:#}"));
+    Ok(())
 }
 
 pub fn status(arguments: &[String]) -> Result<(), CommandError> {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,10 +2,14 @@
 
 mod apply;
 mod check;
+mod diff;
+mod documents;
 mod explain;
 mod get;
+mod history;
 mod render;
 mod serve;
+mod token;
 
 use crate::error::CommandError;
 
@@ -45,12 +49,30 @@
         run: apply::run,
         help: apply::help,
     },
+    Subcommand {
+        name: "diff",
+        summary: "show what rendered documents would change",
+        run: diff::run,
+        help: diff::help,
+    },
     Subcommand {
         name: "get",
         summary: "show the deployments in force",
         run: get::deployments,
         help: get::deployments_help,
     },
+    Subcommand {
+        name: "history",
+        summary: "show the accepted changes: who, when, what",
+        run: history::run,
+        help: history::help,
+    },
+    Subcommand {
+        name: "token",
+        summary: "print the digest of a token, for operators and tenants",
+        run: token::run,
+        help: token::help,
+    },
     Subcommand {
         name: "status",
         summary: "show the control group, routers and replicas",
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -27,6 +27,12 @@
         /// The cause.
         source: AdminError,
     },
+    /// Routers lack a change after the wait.
+    #[snafu(display("not in force at {routers}"))]
+    Lagging {
+        /// The routers, with their revisions.
+        routers: String,
+    },
     /// The controller can't start.
     #[snafu(display("{source}"), context(false))]
     Controller {
