--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -65,7 +65,10 @@
     }
     println!("accepted as revision {}", reply.revision);
     if reply.current_revision > reply.revision {
-        println!("it was accepted before; revision {} is newer", reply.current_revision);
+        println!(
+            "it was accepted before; revision {} is newer",
+            reply.current_revision
+        );
     }
     if options.wait.is_none() {
         return Ok(());
--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -59,7 +59,9 @@
     let all = kinds.iter().filter_map(|kind| page[kind].as_array());
     let mut named = all.flatten().filter(|one| one["name"] == **name).peekable();
     if named.peek().is_none() {
-        return Err(CommandError::usage(format!("no document {name} is in force")));
+        return Err(CommandError::usage(format!(
+            "no document {name} is in force"
+        )));
     }
     named.for_each(|document| println!("{document:#}"));
     Ok(())
--- a/crates/cli/src/commands/history.rs
+++ b/crates/cli/src/commands/history.rs
@@ -41,5 +41,7 @@
     let (operator, change_id) = (text("operator"), text("change_id"));
     let (revision, at, changed) = (&entry["revision"], &entry["at"], &entry["changed"]);
     let documents = documents.collect::<Vec<_>>().join(", ");
-    format!("revision {revision}  at {at} ms  by {operator}  change {change_id}  {changed} changed: {documents}")
+    format!(
+        "revision {revision}  at {at} ms  by {operator}  change {change_id}  {changed} changed: {documents}"
+    )
 }
--- a/crates/cli/src/commands/token.rs
+++ b/crates/cli/src/commands/token.rs
@@ -7,7 +7,12 @@
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
-    options.optopt("", "role", "role of an operator: read, apply or operate", "ROLE");
+    options.optopt(
+        "",
+        "role",
+        "role of an operator: read, apply or operate",
+        "ROLE",
+    );
     options.optopt("", "name", "name of the operator, for the history", "NAME");
     options
 }
--- a/crates/lab/src/propagate/fleet.rs
+++ b/crates/lab/src/propagate/fleet.rs
@@ -27,15 +27,15 @@
     /// # Errors
     /// When they can't start.
     pub async fn start() -> Result<Self, LabError> {
-        let site = Site::start(&SiteSettings {
+        let settings = SiteSettings {
             routers: 0,
             runners: 0,
             runner_memory_mib: 0,
             store: StoreModelSettings::default(),
             zones: vec!["zone-a".to_owned()],
-        });
+        };
         Ok(Self {
-            site: site.await?,
+            site: Site::start(&settings).await?,
             routers: Vec::new(),
             stop: CancellationToken::new(),
         })
--- a/crates/lab/src/propagate/mod.rs
+++ b/crates/lab/src/propagate/mod.rs
@@ -104,14 +104,16 @@
     let change = one_change(number, 2)?;
     let started = Instant::now();
     let revision = fleet.admin().apply(&change).await?;
-    report.accepted.saturating_record(micros(started));
+    record(&mut report.accepted, started)?;
     fleet.wait_in_force(revision).await?;
-    report.in_force.saturating_record(micros(started));
+    record(&mut report.in_force, started)?;
     Ok(())
 }
 
-fn micros(started: Instant) -> u64 {
-    u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX)
+fn record(times: &mut Histogram<u64>, started: Instant) -> Result<(), LabError> {
+    let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let recorded = times.record(micros);
+    recorded.map_err(|error| LabError::violation(error.to_string()))
 }
 
 async fn idle(routers: usize) -> u64 {
--- a/crates/operator/src/diff.rs
+++ b/crates/operator/src/diff.rs
@@ -21,7 +21,11 @@
 #[must_use]
 pub fn diff(in_force: &Value, batch: &RenderedBatch) -> Vec<DocumentDiff> {
     let mut diffs = Vec::new();
-    diffs.extend(of_kind(in_force, DocumentKind::Deployment, &batch.deployment));
+    diffs.extend(of_kind(
+        in_force,
+        DocumentKind::Deployment,
+        &batch.deployment,
+    ));
     diffs.extend(of_kind(in_force, DocumentKind::Tenant, &batch.tenant));
     diffs.extend(of_kind(in_force, DocumentKind::Model, &batch.model));
     for removal in &batch.removal {
@@ -30,7 +34,10 @@
             continue;
         };
         let (old, new) = (&current["version"], removal.version);
-        let line = format!("- {kind} {} version {old} -> removed as {new}", removal.name);
+        let line = format!(
+            "- {kind} {} version {old} -> removed as {new}",
+            removal.name
+        );
         diffs.push(DocumentDiff { lines: vec![line] });
     }
     diffs
@@ -73,7 +80,9 @@
     }
     let old = &current["version"];
     let mut lines = vec![format!("~ {kind} {name} version {old} -> {new}")];
-    let others = fields.into_iter().filter(|line| !line.starts_with("version: "));
+    let others = fields
+        .into_iter()
+        .filter(|line| !line.starts_with("version: "));
     lines.extend(others.map(|line| format!("    {line}")));
     Some(DocumentDiff { lines })
 }
