--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod check;
 mod client;
+mod diff;
 mod render;
 
 pub use check::{check_parameters, check_template};
-pub use client::{AdminClient, AdminError};
+pub use client::{AdminClient, AdminError, ApplyOptions, ChangeReply, LaggingRouter};
+pub use diff::{DocumentDiff, diff};
 pub use render::{RenderError, RenderedBatch, read_documents, render};
