--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -18,7 +18,7 @@
 use courseshunt_wire::ClusterKey;
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
-use feed::RouterRegistry;
+use feed::{FeedSource, RouterRegistry};
 use peers::{AddressBook, PeerNetwork};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
@@ -40,6 +40,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// What the feeds share.
+    pub feed: Arc<FeedSource>,
     /// Soft state of the scheduler.
     pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
@@ -111,13 +113,14 @@
             peers,
             demand: Arc::default(),
             routers: Arc::default(),
+            feed: Arc::default(),
             client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
             stop,
         };
-        tokio::spawn(feed::accept_peers(wire, context.clone()));
+        feed::start(wire, &context);
         scheduler::start(&context);
         let stop = context.stop.clone();
         let forgetting = peers::forget_when_deposed(context.clone());
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod demo;
 mod manual;
+mod propagate;
 
 use crate::error::LabError;
 
@@ -30,6 +31,12 @@
         run: capacity::run,
         help: capacity::help,
     },
+    Subcommand {
+        name: "propagate",
+        summary: "how fast a change is in force at all of many hollow routers",
+        run: propagate::run,
+        help: propagate::help,
+    },
     Subcommand {
         name: "completion",
         summary: "print the completion script for bash",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod error;
 pub mod hollow;
+pub mod propagate;
 pub mod site;
 
 pub use error::LabError;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,12 +6,13 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod limits;
 pub mod peers;
 
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::LedgerClient;
+use control::{LedgerClient, LinkSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
@@ -40,6 +41,8 @@
     pub ledger: LedgerClient,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
+    /// Bound on callers' bodies in memory.
+    pub bodies: limits::BodyBudget,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -93,6 +96,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
             incarnation,
@@ -100,6 +104,7 @@
             dispatcher,
             ledger,
             requests: Arc::default(),
+            bodies: limits::BodyBudget::new(max_waiting_bytes),
             client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
@@ -111,7 +116,14 @@
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
         tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
-        let link = control::run(context.clone(), key, endpoints, ledger_calls);
+        let link = LinkSettings::of_router(
+            &context.settings,
+            context.incarnation,
+            endpoints,
+            key,
+            clock,
+        );
+        let link = control::run(context.clone(), link, ledger_calls);
         tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -124,7 +124,7 @@
         };
         for node in &cluster.nodes {
             node.view.apply_configuration(configuration(slots));
-            node.view.confirm(Timestamp(1));
+            node.view.confirm(Timestamp(1), Revision(0));
         }
         cluster.place(replicas);
         let all: Vec<usize> = (0..routers).collect();
@@ -195,6 +195,14 @@
         .await;
     }
 
+    /// Waits until `wanted` requests of a node's callers wait.
+    pub async fn until_held(&self, node: usize, wanted: usize) {
+        self.until("requests wait at their router", || {
+            self.nodes[node].dispatcher.snapshot().held == wanted
+        })
+        .await;
+    }
+
     /// Waits for a condition.
     pub async fn until(&self, what: &str, holds: impl Fn() -> bool) {
         let waiting = async {
--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -118,8 +118,9 @@
             return;
         }
         let tenants = state.configuration.tenants.values();
-        let versions: BTreeMap<TenantName, Version> =
-            tenants.map(|one| (one.name.clone(), one.version)).collect();
+        let versions: BTreeMap<TenantName, Version> = tenants
+            .map(|one| (one.document.name.clone(), one.document.version))
+            .collect();
         let before = self.versions.range(..revision).next_back();
         let lower = before.is_some_and(|(_, before)| {
             let mut known = before.iter();
