--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod get;
 mod history;
 mod manual;
+mod member;
 mod render;
 mod serve;
 mod token;
@@ -88,6 +89,12 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "member",
+        summary: "list, add, promote, replace or remove members of the control group",
+        run: member::run,
+        help: member::help,
+    },
     Subcommand {
         name: "check",
         summary: "check a settings file, template, parameters, documents, scenario or faults",
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod explain;
+mod members;
 mod metrics;
 mod operators;
 mod pages;
@@ -71,6 +72,8 @@
 fn page_rule(path: &str) -> Option<(Method, OperatorRole)> {
     match path {
         "/admin/v1/changes" => Some((Method::POST, OperatorRole::Apply)),
+        members::CHANGES => Some((Method::POST, OperatorRole::Operate)),
+        members::LIST => Some((Method::GET, OperatorRole::Read)),
         "/admin/v1/deployments"
         | "/admin/v1/configuration"
         | "/admin/v1/history"
@@ -88,6 +91,8 @@
 ) -> Response<Body> {
     match path {
         "/admin/v1/changes" => changes::answer(request, context, operator).await,
+        members::CHANGES => members::change(request, context).await,
+        members::LIST => members::list(context).await,
         "/admin/v1/deployments" => pages::deployments(context),
         "/admin/v1/configuration" => pages::configuration(context),
         "/admin/v1/history" => {
--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -1,6 +1,7 @@
 //! Wire addresses of the members: from the settings, then from the replicated
 //! state, which wins.
 
+use courseshunt_state::members::MemberAddresses;
 use courseshunt_types::ControllerId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +22,17 @@
             .insert(member, address);
     }
 
+    /// Sets the addresses that the replicated state holds.
+    pub fn set_all(&self, members: &MemberAddresses) {
+        for (member, address) in members {
+            match address.parse() {
+                Ok(address) if self.get(*member) != Some(address) => self.set(*member, address),
+                Ok(_) => {}
+                Err(_) => log::warn!("peers: member {member} has no valid address: {address}"),
+            }
+        }
+    }
+
     /// The address of a member, if known.
     #[must_use]
     pub fn get(&self, member: ControllerId) -> Option<SocketAddr> {
--- a/crates/controller/src/peers/inbound.rs
+++ b/crates/controller/src/peers/inbound.rs
@@ -88,6 +88,15 @@
                 let (context, replies) = (self.context.clone(), self.replies.clone());
                 tokio::spawn(async move { read_index(call, &context, &replies).await });
             }
+            Message::ChangeMembership { call, change, .. } => {
+                let (context, replies) = (self.context.clone(), self.replies.clone());
+                tokio::spawn(async move {
+                    let result = context.replica.change_membership_here(change).await;
+                    let result = result.map_err(|error| error.to_string());
+                    let reply = Message::ChangeMembershipReply { call, result };
+                    let _ = replies.send(reply).await;
+                });
+            }
             Message::RelayedDemand {
                 router,
                 reports,
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -133,7 +133,9 @@
                 return Ok(());
             };
             match &message {
-                Message::ForwardReply { call, .. } | Message::ReadIndexReply { call, .. } => {
+                Message::ForwardReply { call, .. }
+                | Message::ReadIndexReply { call, .. }
+                | Message::ChangeMembershipReply { call, .. } => {
                     self.pending.finish(*call, message);
                 }
                 Message::PeerAlive => {}
--- a/crates/controller/src/peers/mod.rs
+++ b/crates/controller/src/peers/mod.rs
@@ -13,6 +13,7 @@
 pub use demand::forget_when_deposed;
 pub use inbound::serve;
 
+use courseshunt_consensus::MembershipChange;
 use courseshunt_queue::DemandReport;
 use courseshunt_state::{CommandEnvelope, CommandReply};
 use courseshunt_types::{ControllerId, GroupId, LogIndex, RouterId};
@@ -29,6 +30,8 @@
 pub const GROUP: GroupId = GroupId(0);
 /// Longest wait for the reply to a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for a change of the membership; a learner may have to catch up.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(70);
 
 /// Sends to the other controllers; cheap to clone.
 #[derive(Debug, Clone)]
@@ -101,12 +104,13 @@
     async fn call(
         &self,
         to: ControllerId,
+        timeout: Duration,
         message: impl FnOnce(CallId) -> Message,
     ) -> Option<Message> {
         let call = CallId(self.shared.last_call.fetch_add(1, Ordering::Relaxed) + 1);
         let reply = self.shared.pending.expect(call);
         self.send(to, message(call));
-        let replied = tokio::time::timeout(CALL_TIMEOUT, reply).await;
+        let replied = tokio::time::timeout(timeout, reply).await;
         self.shared.pending.forget(call);
         replied.ok()?.ok()
     }
@@ -118,7 +122,7 @@
         envelope: &CommandEnvelope,
     ) -> Option<CommandReply> {
         let envelope = envelope.to_payload();
-        let reply = self.call(to, |call| Message::Forward {
+        let reply = self.call(to, CALL_TIMEOUT, |call| Message::Forward {
             call,
             group: GROUP,
             envelope,
@@ -131,13 +135,34 @@
 
     /// Asks another member for an index at which a read is linearizable.
     pub async fn read_index(&self, to: ControllerId) -> Option<LogIndex> {
-        let reply = self.call(to, |call| Message::ReadIndex { call, group: GROUP });
+        let reply = self.call(to, CALL_TIMEOUT, |call| Message::ReadIndex {
+            call,
+            group: GROUP,
+        });
         match reply.await? {
             Message::ReadIndexReply { index, .. } => index,
             _ => None,
         }
     }
 
+    /// Has another member change the membership; `None` when the result is not
+    /// known.
+    pub async fn change_membership(
+        &self,
+        to: ControllerId,
+        change: MembershipChange,
+    ) -> Option<Result<LogIndex, String>> {
+        let reply = self.call(to, CHANGE_TIMEOUT, |call| Message::ChangeMembership {
+            call,
+            group: GROUP,
+            change,
+        });
+        match reply.await? {
+            Message::ChangeMembershipReply { result, .. } => Some(result),
+            _ => None,
+        }
+    }
+
     /// Passes a router's reports on to the leader.
     pub fn relay_demand(
         &self,
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -295,6 +295,7 @@
     fn publish_applied(&mut self) {
         let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
         let (applied, revision) = (state.applied, state.configuration.revision);
+        self.peers.addresses().set_all(&state.members);
         drop(state);
         self.status.send_modify(|status| {
             status.applied = applied;
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -249,12 +249,30 @@
         self.ask(call, ProposeError::Stopped).await
     }
 
-    /// Changes the membership, if this member leads; returns the index of the
-    /// committed change.
+    /// Changes the membership through whichever member leads; returns the index
+    /// of the committed change.
+    ///
+    /// # Errors
+    /// Why it was refused, or that the result is not known.
+    pub async fn change_membership(&self, change: MembershipChange) -> Result<LogIndex, String> {
+        let leader = self.status.borrow().leader;
+        let unknown = || "the result of the change is not known; list the members".to_owned();
+        if self.leads() {
+            let changed = self.change_membership_here(change).await;
+            return changed.map_err(|error| error.to_string());
+        }
+        let Some(leader) = leader else {
+            return Err("there is no leader now; try again".to_owned());
+        };
+        let changed = self.peers.change_membership(leader, change).await;
+        changed.unwrap_or_else(|| Err(unknown()))
+    }
+
+    /// Changes the membership only if this member leads.
     ///
     /// # Errors
     /// See [`ProposeError`].
-    pub async fn change_membership(
+    pub async fn change_membership_here(
         &self,
         change: MembershipChange,
     ) -> Result<LogIndex, ProposeError> {
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -16,6 +16,7 @@
 use courseshunt_consensus::{Core, CoreSettings, Membership};
 use courseshunt_settings::ControllerSettings;
 use courseshunt_state::ReplicatedState;
+use courseshunt_storage::identity::claim_folder;
 use courseshunt_storage::{FileLog, LogStore};
 use courseshunt_types::ControllerId;
 use courseshunt_types::time::MonotonicClock;
@@ -43,6 +44,7 @@
     clock: MonotonicClock,
     peers: PeerNetwork,
 ) -> Result<ReplicaHandle, ControllerError> {
+    claim_folder(&settings.data_folder, settings.id, true).context(StorageSnafu)?;
     let folder = settings.data_folder.join(GROUP_FOLDER);
     let store = FileLog::open(&folder).context(StorageSnafu)?;
     spawn(settings, Box::new(store), clock, peers).await
--- /dev/null
+++ b/crates/controller/tests/group.rs
@@ -0,0 +1,158 @@
+//! A group of real controllers on loopback sockets: commands at any member,
+//! planned stop of the leader, restart from disk, a member that joins.
+
+use courseshunt_consensus::MembershipChange;
+use courseshunt_controller::Controller;
+use courseshunt_settings::ControllerSettings;
+use courseshunt_settings::process::{LogSettings, PeerAddress};
+use courseshunt_state::{ChangeRequest, Command, CommandReply, TenantDocument};
+use courseshunt_types::{ControllerId, Revision, Version};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn settings(folder: &Path, id: u64, voters: &[PeerAddress]) -> ControllerSettings {
+    let file = |name: &str, content: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, content).unwrap();
+        path
+    };
+    ControllerSettings {
+        id: ControllerId(id),
+        http_address: any_port(),
+        wire_address: any_port(),
+        voters: voters.to_vec(),
+        data_folder: folder.join(format!("controller-{id}")),
+        // Nothing listens there: no runners are known.
+        platform_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        operator_token_file: file("operators", "operate some-token\n"),
+        runner_token_file: file("runner.token", "token"),
+        policy: "load-on-demand".to_owned(),
+        store_loads_per_second: 3,
+        store_concurrency: 6,
+        zone: "default".into(),
+        cluster_key_file: file("cluster.key", "a key of sixteen bytes or more"),
+        logging: LogSettings {
+            level: "warn".to_owned(),
+            format: "text".to_owned(),
+        },
+    }
+}
+
+async fn start(settings: ControllerSettings, wire: TcpListener) -> Controller {
+    let http = TcpListener::bind(any_port()).await.unwrap();
+    Controller::start_on(settings, http, wire).await.unwrap()
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, wait).await;
+    waited.unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
+fn leader_of(controllers: &[Controller]) -> Option<usize> {
+    let mut members = controllers.iter();
+    members.position(|one| one.context().replica.leads())
+}
+
+fn revision(controller: &Controller) -> Revision {
+    controller.context().replica.state().configuration.revision
+}
+
+async fn change(controller: &Controller, version: u64) -> Revision {
+    let command = Command::ChangeConfiguration(ChangeRequest {
+        change_id: format!("change-{version}").into(),
+        tenants: vec![TenantDocument {
+            name: "souss".into(),
+            version: Version(version),
+            token_digests: Vec::new(),
+        }],
+        ..ChangeRequest::default()
+    });
+    match controller.context().replica.submit(command).await {
+        Ok(CommandReply::Configured { revision }) => revision,
+        other => panic!("expected a revision, got {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_serves_at_every_member_through_stop_restart_and_growth() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut voters = Vec::new();
+    let mut listeners = Vec::new();
+    for number in 1..=3 {
+        let wire = TcpListener::bind(any_port()).await.unwrap();
+        let address = wire.local_addr().unwrap();
+        let id = ControllerId(number);
+        voters.push(PeerAddress { id, address });
+        listeners.push(wire);
+    }
+    let mut controllers = Vec::new();
+    for (voter, wire) in voters.iter().zip(listeners) {
+        controllers.push(start(settings(folder.path(), voter.id.0, &voters), wire).await);
+    }
+
+    // Commands at every member, the first perhaps before there is a leader.
+    for (position, controller) in controllers.iter().enumerate() {
+        let number = position as u64 + 1;
+        assert_eq!(change(controller, number).await, Revision(number));
+        controller.context().replica.read_barrier().await.unwrap();
+        assert_eq!(revision(controller), Revision(number));
+    }
+
+    // A planned stop of the leader, then a change through the others.
+    let leader = leader_of(&controllers).unwrap();
+    let stopped = controllers.remove(leader);
+    let stopped_id = stopped.context().settings.id;
+    stopped.stop().await;
+    assert_eq!(change(&controllers[0], 4).await, Revision(4));
+
+    // The stopped member returns with its disk.
+    let place = voters.iter().position(|one| one.id == stopped_id).unwrap();
+    let mut wire = TcpListener::bind(voters[place].address).await;
+    while wire.is_err() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        wire = TcpListener::bind(voters[place].address).await;
+    }
+    let again = settings(folder.path(), stopped_id.0, &voters);
+    controllers.push(start(again, wire.unwrap()).await);
+    until("the returned member has the change", || {
+        revision(&controllers[2]) == Revision(4)
+    })
+    .await;
+
+    // A fourth member joins and becomes a voter.
+    let wire = TcpListener::bind(any_port()).await.unwrap();
+    let command = Command::RecordMember {
+        member: ControllerId(4),
+        wire_address: wire.local_addr().unwrap().to_string(),
+    };
+    let replica = &controllers[0].context().replica;
+    replica.submit(command).await.unwrap();
+    let joining = start(settings(folder.path(), 4, &voters), wire).await;
+    for wanted in [
+        MembershipChange::AddLearner(ControllerId(4)),
+        MembershipChange::Promote(ControllerId(4)),
+    ] {
+        replica.change_membership(wanted).await.unwrap();
+    }
+    until("the new member has the configuration", || {
+        revision(&joining) == Revision(4)
+    })
+    .await;
+    let members = joining.context().replica.members().await;
+    assert!(members.membership.is_voter(ControllerId(4)));
+    assert_eq!(change(&joining, 5).await, Revision(5));
+}
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -139,6 +139,19 @@
         Ok(serde_json::from_value(reply).unwrap_or_default())
     }
 
+    /// Sends a request with content and reads the answer as JSON.
+    ///
+    /// # Errors
+    /// When no controller can be reached or it refuses.
+    pub async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        content: &T,
+        timeout: Duration,
+    ) -> Result<Value, AdminError> {
+        self.call(Method::POST, path, Some(content), timeout).await
+    }
+
     /// Reads a page as JSON.
     ///
     /// # Errors
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -5,8 +5,9 @@
 use crate::reply::StoredAnswer;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId,
-    Millis, PriorityClass, ReplicaKey, RouterId, RunnerId, TenantName, UnixMillis,
+    ClientId, ClientSequence, ControllerId, DeploymentName, Digest, Fence, IdempotencyKey,
+    Incarnation, JobId, Millis, PriorityClass, ReplicaKey, RouterId, RunnerId, TenantName,
+    UnixMillis,
 };
 
 /// A command with what is needed to recognise a resend.
@@ -155,6 +156,13 @@
     },
     /// Moves committed time on, so that leases, claims and jobs expire.
     AdvanceTime,
+    /// Records where a member of the control group is found.
+    RecordMember {
+        /// The member.
+        member: ControllerId,
+        /// `ip:port` of its wire port.
+        wire_address: String,
+    },
 }
 
 /// How a leased job ended.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod command;
 pub mod configuration;
 pub mod jobs;
+pub mod members;
 pub mod placement;
 pub mod reply;
 pub mod session;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -4,6 +4,7 @@
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::{Configuration, FleetLimits};
 use crate::jobs::{JobRecord, JobState, Jobs};
+use crate::members::MemberAddresses;
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
@@ -29,6 +30,8 @@
     pub jobs: Jobs,
     /// Duplicate detection.
     pub sessions: Sessions,
+    /// Addresses of members that joined later.
+    pub members: MemberAddresses,
 }
 
 /// A snapshot that can't be read.
@@ -115,6 +118,12 @@
             | Command::FinishJob { .. }
             | Command::CancelJob { .. } => return Ok(self.apply_job(command)),
             Command::AdvanceTime => self.expire(),
+            Command::RecordMember {
+                member,
+                wire_address,
+            } => {
+                self.members.insert(*member, wire_address.clone());
+            }
         }
         Ok(self.done())
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the processes.
 
-use courseshunt_consensus::ConsensusMessage;
+use courseshunt_consensus::{ConsensusMessage, MembershipChange};
 use courseshunt_queue::{
     AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
 };
@@ -190,6 +190,22 @@
     },
     /// Controller to the controller that connected: the connection is alive.
     PeerAlive,
+    /// Controller to leading controller: an operator's change of the membership.
+    ChangeMembership {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group.
+        group: GroupId,
+        /// The change.
+        change: MembershipChange,
+    },
+    /// Answers [`Message::ChangeMembership`].
+    ChangeMembershipReply {
+        /// The call.
+        call: CallId,
+        /// Index of the committed change, or why there is none.
+        result: Result<LogIndex, String>,
+    },
 }
 
 /// Result of a command for the ledger.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -99,7 +99,9 @@
         Message::Forward { .. }
         | Message::ForwardReply { .. }
         | Message::ReadIndex { .. }
-        | Message::ReadIndexReply { .. } => 1,
+        | Message::ReadIndexReply { .. }
+        | Message::ChangeMembership { .. }
+        | Message::ChangeMembershipReply { .. } => 1,
         Message::Subscribe(_) => 2,
         Message::Configuration(_) => 3,
         Message::Placement(_) => 4,
