Controllers: a damaged member is refused and its machine rejoins under a new identity

Cause: nothing showed that a damaged segment stops a member with a clear error and that its machine comes back through the others. Change: the group test damages a segment of a stopped voter, expects the error that names file and offset, and replaces the voter by a new member in one change. Shown by: a_group_serves_at_every_member_through_stop_restart_and_growth.

--- a/crates/controller/tests/group.rs
+++ b/crates/controller/tests/group.rs
@@ -1,5 +1,6 @@
 //! A group of real controllers on loopback sockets: commands at any member,
-//! planned stop of the leader, restart from disk, a member that joins.
+//! planned stop of the leader, restart from disk, a member that joins, a damaged
+//! one that rejoins.
 
 use courseshunt_consensus::MembershipChange;
 use courseshunt_controller::Controller;
@@ -155,4 +156,59 @@
     let members = joining.context().replica.members().await;
     assert!(members.membership.is_voter(ControllerId(4)));
     assert_eq!(change(&joining, 5).await, Revision(5));
+
+    // A member whose log is damaged refuses to start, and says where; the
+    // machine comes back under a new identity in its place.
+    let damaged = controllers.remove(1);
+    let lost = damaged.context().settings.id;
+    damaged.stop().await;
+    damage(&folder.path().join(format!("controller-{lost}/group-0")));
+    let refused = Controller::start(settings(folder.path(), lost.0, &voters)).await;
+    let refused = refused.unwrap_err().to_string();
+    assert!(refused.contains("segment-"), "{refused}");
+    assert!(refused.contains("damaged at offset"), "{refused}");
+
+    let wire = TcpListener::bind(any_port()).await.unwrap();
+    let command = Command::RecordMember {
+        member: ControllerId(5),
+        wire_address: wire.local_addr().unwrap().to_string(),
+    };
+    let replica = &controllers[0].context().replica;
+    replica.submit(command).await.unwrap();
+    let present = present_members(&voters, &joining);
+    let rejoined = start(settings(folder.path(), 5, &present), wire).await;
+    let learner = ControllerId(5);
+    for wanted in [
+        MembershipChange::AddLearner(learner),
+        MembershipChange::Replace { lost, learner },
+    ] {
+        replica.change_membership(wanted).await.unwrap();
+    }
+    until("the machine is back with the configuration", || {
+        revision(&rejoined) == Revision(5)
+    })
+    .await;
+    assert_eq!(change(&rejoined, 6).await, Revision(6));
+}
+
+/// Flips a byte in the first record of the oldest segment.
+fn damage(folder: &Path) {
+    let entries = std::fs::read_dir(folder).unwrap();
+    let mut paths: Vec<_> = entries.map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    let mut segments = paths.iter();
+    let segment = segments.find(|path| path.to_string_lossy().contains("segment-"));
+    let segment = segment.unwrap();
+    let mut content = std::fs::read(segment).unwrap();
+    content[20] ^= 0xff;
+    std::fs::write(segment, content).unwrap();
+}
+
+fn present_members(voters: &[PeerAddress], joined: &Controller) -> Vec<PeerAddress> {
+    let mut present = voters.to_vec();
+    present.push(PeerAddress {
+        id: joined.context().settings.id,
+        address: joined.wire_address,
+    });
+    present
 }
