--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,7 @@
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::LedgerClient;
+use control::{LedgerClient, LinkSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
@@ -116,7 +116,14 @@
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
         tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
-        let link = control::run(context.clone(), key, endpoints, ledger_calls);
+        let link = LinkSettings::of_router(
+            &context.settings,
+            context.incarnation,
+            endpoints,
+            key,
+            clock,
+        );
+        let link = control::run(context.clone(), link, ledger_calls);
         tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
