--- a/crates/standin/src/model/runner.rs
+++ b/crates/standin/src/model/runner.rs
@@ -4,71 +4,29 @@
 //! never exceeds the accelerator memory; an order that would is refused and
 //! counted.
 
-use super::sequence::{EngineRejection, EngineRequest, EngineTiming, Sequence, SequenceKey};
-use courseshunt_types::runner_api::{
-    CacheItem, CacheTier, DeploymentLoad, Inventory, InventoryItem, LoadPhase, LoadReport,
-    OrderAction, OrderRejection, OrderReply, OrderRequest,
+use super::checkpoints::CheckpointCache;
+use super::engine::Engine;
+use super::fetches::Fetches;
+use super::prefix::PrefixCache;
+use super::sequence::{
+    EngineRejection, EngineRequest, ExportedSequence, SequenceKey, SequenceProgress,
 };
-use courseshunt_types::{
-    DeploymentName, Fence, Incarnation, Millis, ModelName, RunnerId, Timestamp, Zone,
+use super::settings::RunnerModelSettings;
+use courseshunt_types::runner_api::{
+    CacheTier, DeploymentLoad, Inventory, InventoryItem, LoadPhase, LoadReport, OrderAction,
+    OrderRejection, OrderReply, OrderRequest,
 };
-use std::collections::BTreeMap;
-
-/// Settings of the model.
-#[derive(Debug, Clone)]
-pub struct RunnerModelSettings {
-    /// Name.
-    pub runner: RunnerId,
-    /// Drawn at each start.
-    pub incarnation: Incarnation,
-    /// Zone.
-    pub zone: Zone,
-    /// Accelerators.
-    pub accelerators: u32,
-    /// Accelerator memory, in MiB.
-    pub memory_mib: u64,
-    /// Host memory for checkpoints, in MiB.
-    pub host_memory_mib: u64,
-    /// Disk for checkpoints, in MiB.
-    pub disk_mib: u64,
-    /// Speed from host memory to accelerator, in MiB per second.
-    pub host_mib_per_second: f64,
-    /// Speed from disk to accelerator, in MiB per second.
-    pub disk_mib_per_second: f64,
-    /// Time for setting up an engine after the weights are there, in milliseconds.
-    pub engine_start_ms: Millis,
-    /// Requests that wait in an engine at the most.
-    pub engine_queue: usize,
-    /// Engine speed.
-    pub timing: EngineTiming,
-}
+use courseshunt_types::{AdapterName, DeploymentName, Fence, Millis, ModelName, Timestamp};
+use std::collections::{BTreeMap, VecDeque};
 
-impl RunnerModelSettings {
-    /// Usual settings for one runner.
-    #[must_use]
-    pub fn named(runner: &str, zone: &str, memory_mib: u64) -> Self {
-        Self {
-            runner: runner.into(),
-            incarnation: Incarnation(1),
-            zone: zone.into(),
-            accelerators: 1,
-            memory_mib,
-            host_memory_mib: memory_mib,
-            disk_mib: memory_mib * 4,
-            host_mib_per_second: 10_000.0,
-            disk_mib_per_second: 2_000.0,
-            engine_start_ms: Millis(500),
-            engine_queue: 16,
-            timing: EngineTiming::default(),
-        }
-    }
-}
+/// Ended executions whose length is remembered, so that a stream can resume.
+const REMEMBERED_EXECUTIONS: usize = 256;
 
 /// Something that happened on a runner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunnerEvent {
     /// A checkpoint must be fetched from the weight store; answer with
-    /// [`RunnerModel::fetch_finished`].
+    /// [`RunnerModel::fetch_finished`] or [`RunnerModel::fetch_failed`].
     FetchNeeded {
         /// Base model.
         model: ModelName,
@@ -90,16 +48,30 @@
     },
 }
 
-#[derive(Debug, Clone)]
+/// One deployment in accelerator memory.
+#[derive(Debug, Clone, Copy)]
+pub struct HeldDeployment<'a> {
+    /// The deployment.
+    pub deployment: &'a DeploymentName,
+    /// Memory taken, in MiB.
+    pub memory_mib: u64,
+    /// State.
+    pub phase: LoadPhase,
+    /// Requests running.
+    pub running: usize,
+}
+
+#[derive(Debug)]
 struct LoadedDeployment {
     model: ModelName,
     checkpoint_mib: u64,
     memory_mib: u64,
-    slots: u32,
+    adapters: Vec<AdapterName>,
     fence: Fence,
     phase: LoadPhase,
     /// End of the load; `None` while the weight store sends.
     ready_at: Option<Timestamp>,
+    engine: Engine,
 }
 
 /// The model.
@@ -109,9 +81,10 @@
     draining: bool,
     deployments: BTreeMap<DeploymentName, LoadedDeployment>,
     highest_fences: BTreeMap<DeploymentName, Fence>,
-    cached: Vec<CacheItem>,
-    sequences: BTreeMap<SequenceKey, Sequence>,
-    arrivals: u64,
+    checkpoints: CheckpointCache,
+    fetches: Fetches,
+    prefixes: PrefixCache,
+    ended: VecDeque<(SequenceKey, u32)>,
     pending: Vec<RunnerEvent>,
     /// Orders refused because memory would have been overcommitted.
     pub overcommit_attempts: u64,
@@ -121,14 +94,17 @@
     /// An empty runner.
     #[must_use]
     pub fn new(settings: RunnerModelSettings) -> Self {
+        let checkpoints = CheckpointCache::new(settings.host_memory_mib, settings.disk_mib);
+        let prefixes = PrefixCache::new(settings.prefix_cache_blocks);
         Self {
             settings,
             draining: false,
             deployments: BTreeMap::new(),
             highest_fences: BTreeMap::new(),
-            cached: Vec::new(),
-            sequences: BTreeMap::new(),
-            arrivals: 0,
+            checkpoints,
+            fetches: Fetches::default(),
+            prefixes,
+            ended: VecDeque::new(),
             pending: Vec::new(),
             overcommit_attempts: 0,
         }
@@ -140,6 +116,28 @@
         &self.settings
     }
 
+    /// The prefix cache, for its events.
+    #[must_use]
+    pub fn prefixes(&self) -> &PrefixCache {
+        &self.prefixes
+    }
+
+    /// Takes over the checkpoints on the disk of an earlier incarnation.
+    pub fn keep_disk_of(&mut self, earlier: &RunnerModel) {
+        for item in earlier.checkpoints.items() {
+            if item.tier == CacheTier::Disk {
+                self.checkpoints
+                    .insert(&item.model, item.tier, item.size_mib);
+            }
+        }
+    }
+
+    /// Whether it takes no new loads and requests.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Stops taking new loads and requests.
     pub fn start_draining(&mut self) {
         self.draining = true;
@@ -164,16 +162,17 @@
                 checkpoint_mib,
                 memory_mib,
                 slots,
-                ..
+                adapters,
             } => {
                 let wanted = LoadedDeployment {
                     model: model.clone(),
                     checkpoint_mib: *checkpoint_mib,
                     memory_mib: *memory_mib,
-                    slots: *slots,
+                    adapters: adapters.clone(),
                     fence: order.fence,
                     phase: LoadPhase::Loading,
                     ready_at: None,
+                    engine: Engine::new(*slots, self.settings.timing, self.settings.every_token),
                 };
                 self.load(&order.deployment, wanted, now)?;
             }
@@ -181,8 +180,8 @@
             OrderAction::Stage {
                 model,
                 checkpoint_mib,
-                ..
-            } => self.fetch(model, *checkpoint_mib),
+                tier,
+            } => self.stage(model, *checkpoint_mib, *tier, now),
         }
         self.highest_fences
             .insert(order.deployment.clone(), order.fence);
@@ -208,11 +207,16 @@
             self.overcommit_attempts += 1;
             return Err(OrderRejection::OutOfMemory { free_mib });
         }
-        match self.cached_tier(&wanted.model) {
+        let (model, size_mib) = (wanted.model.clone(), wanted.checkpoint_mib);
+        match self.checkpoints.tier_of(&model) {
             Some(tier) => {
-                wanted.ready_at = Some(now + self.local_load(tier, wanted.checkpoint_mib))
+                let copy = self.copy_time(tier, size_mib);
+                wanted.ready_at = Some(now + copy + self.settings.engine_start_ms);
+                self.checkpoints.touch(&model);
+                self.checkpoints
+                    .insert(&model, CacheTier::HostMemory, size_mib);
             }
-            None => self.fetch(&wanted.model.clone(), wanted.checkpoint_mib),
+            None => self.fetch(&model, size_mib, CacheTier::HostMemory),
         }
         self.deployments.insert(deployment.clone(), wanted);
         Ok(())
@@ -226,70 +230,67 @@
         self.finish_unloads();
     }
 
-    fn fetch(&mut self, model: &ModelName, size_mib: u64) {
-        let model = model.clone();
-        self.pending
-            .push(RunnerEvent::FetchNeeded { model, size_mib });
+    fn stage(&mut self, model: &ModelName, size_mib: u64, tier: CacheTier, now: Timestamp) {
+        match self.checkpoints.tier_of(model) {
+            Some(known) if known <= tier => self.checkpoints.touch(model),
+            Some(known) => {
+                let end = now + self.copy_time(known, size_mib);
+                self.fetches.copy(model, end);
+            }
+            None => self.fetch(model, size_mib, tier),
+        }
     }
 
-    fn cached_tier(&self, model: &ModelName) -> Option<CacheTier> {
-        let tiers = self.cached.iter().filter(|item| item.model == *model);
-        tiers.map(|item| item.tier).min()
+    fn fetch(&mut self, model: &ModelName, size_mib: u64, tier: CacheTier) {
+        if self.fetches.want(model, tier) {
+            let model = model.clone();
+            self.pending
+                .push(RunnerEvent::FetchNeeded { model, size_mib });
+        }
     }
 
-    fn local_load(&self, tier: CacheTier, size_mib: u64) -> Millis {
+    fn copy_time(&self, tier: CacheTier, size_mib: u64) -> Millis {
         let speed = match tier {
             CacheTier::Accelerator | CacheTier::HostMemory => self.settings.host_mib_per_second,
             CacheTier::Disk | CacheTier::Remote => self.settings.disk_mib_per_second,
         };
-        let copy = Millis((size_mib as f64 / speed * 1000.0).ceil() as u64);
-        Millis(copy.0 + self.settings.engine_start_ms.0)
+        Millis((size_mib as f64 / speed * 1000.0).ceil() as u64)
     }
 
-    fn used_mib(&self) -> u64 {
+    /// Accelerator memory in use, in MiB.
+    #[must_use]
+    pub fn used_mib(&self) -> u64 {
         self.deployments.values().map(|one| one.memory_mib).sum()
     }
 
     /// Notes that the weight store sent a checkpoint.
     pub fn fetch_finished(&mut self, model: &ModelName, size_mib: u64, now: Timestamp) {
-        self.cache(model, size_mib);
+        let tier = self.fetches.finish(model).unwrap_or(CacheTier::HostMemory);
+        self.checkpoints.insert(model, CacheTier::Disk, size_mib);
+        if tier == CacheTier::HostMemory {
+            self.checkpoints
+                .insert(model, CacheTier::HostMemory, size_mib);
+        }
         let start = self.settings.engine_start_ms;
-        for loaded in self.deployments.values_mut() {
-            let waits = loaded.model == *model && loaded.ready_at.is_none();
-            if waits && loaded.phase == LoadPhase::Loading {
-                loaded.ready_at = Some(now + start);
-            }
+        for loaded in self.waiting_for(model) {
+            loaded.ready_at = Some(now + start);
         }
     }
 
-    /// Keeps a checkpoint in host memory, or on disk, dropping the oldest.
-    fn cache(&mut self, model: &ModelName, size_mib: u64) {
-        let tiers = [
-            (CacheTier::HostMemory, self.settings.host_memory_mib),
-            (CacheTier::Disk, self.settings.disk_mib),
-        ];
-        for (tier, capacity) in tiers {
-            if size_mib > capacity {
-                continue;
-            }
-            self.cached
-                .retain(|item| item.model != *model || item.tier != tier);
-            while self.cached_mib(tier) + size_mib > capacity {
-                let oldest = self.cached.iter().position(|item| item.tier == tier);
-                let Some(oldest) = oldest else { break };
-                self.cached.remove(oldest);
-            }
-            self.cached.push(CacheItem {
-                model: model.clone(),
-                tier,
-                size_mib,
-            });
+    /// Notes that a checkpoint will not come; loads that wait for it end.
+    pub fn fetch_failed(&mut self, model: &ModelName) {
+        self.fetches.finish(model);
+        for loaded in self.waiting_for(model) {
+            loaded.phase = LoadPhase::Unloading;
         }
+        self.finish_unloads();
     }
 
-    fn cached_mib(&self, tier: CacheTier) -> u64 {
-        let items = self.cached.iter().filter(|item| item.tier == tier);
-        items.map(|item| item.size_mib).sum()
+    fn waiting_for(&mut self, model: &ModelName) -> impl Iterator<Item = &mut LoadedDeployment> {
+        self.deployments.values_mut().filter(move |loaded| {
+            let waits = loaded.phase == LoadPhase::Loading && loaded.ready_at.is_none();
+            waits && loaded.model == *model
+        })
     }
 
     /// Starts a request, or queues it in the engine.
@@ -301,77 +302,83 @@
         request: EngineRequest,
         now: Timestamp,
     ) -> Result<(), EngineRejection> {
-        if self.sequences.contains_key(&request.key) {
+        self.admissible(&request)?;
+        if let Some(loaded) = self.deployments.get_mut(&request.deployment) {
+            loaded.engine.submit(request, now, &mut self.prefixes);
+        }
+        Ok(())
+    }
+
+    fn admissible(&self, request: &EngineRequest) -> Result<(), EngineRejection> {
+        if self
+            .deployments
+            .values()
+            .any(|one| one.engine.contains(&request.key))
+        {
             return Err(EngineRejection::Duplicate);
         }
         if self.draining {
             return Err(EngineRejection::Draining);
         }
         let loaded = self.deployments.get(&request.deployment);
-        if loaded.is_none_or(|loaded| loaded.phase != LoadPhase::Ready) {
-            return Err(EngineRejection::NotLoaded);
+        let loaded = loaded.filter(|loaded| loaded.phase == LoadPhase::Ready);
+        let loaded = loaded.ok_or(EngineRejection::NotLoaded)?;
+        let attached = |adapter: &AdapterName| loaded.adapters.contains(adapter);
+        if !request.adapter.as_ref().is_none_or(attached) {
+            return Err(EngineRejection::AdapterNotLoaded);
         }
-        if self.engine_waiting(&request.deployment) >= self.settings.engine_queue {
+        if loaded.engine.waiting() >= self.settings.engine_queue {
             return Err(EngineRejection::Full);
         }
-        self.arrivals += 1;
-        let deployment = request.deployment.clone();
-        let sequence = Sequence {
-            request,
-            tokens_done: 0,
-            next_token: None,
-            arrival: self.arrivals,
-        };
-        self.sequences
-            .insert(sequence.request.key.clone(), sequence);
-        self.start_waiting(&deployment, now);
         Ok(())
     }
 
     /// Ends a request early.
     pub fn cancel(&mut self, key: &SequenceKey, now: Timestamp) {
-        if let Some(sequence) = self.sequences.remove(key) {
-            self.start_waiting(&sequence.request.deployment, now);
-            self.finish_unloads();
-        }
-    }
-
-    fn of<'a>(&'a self, deployment: &'a DeploymentName) -> impl Iterator<Item = &'a Sequence> {
-        let sequences = self.sequences.values();
-        sequences.filter(move |one| one.request.deployment == *deployment)
+        self.export(key, now);
     }
 
-    fn engine_running(&self, deployment: &DeploymentName) -> usize {
-        self.of(deployment)
-            .filter(|one| one.next_token.is_some())
-            .count()
+    /// Takes a request out with its keys and values, for another runner.
+    pub fn export(&mut self, key: &SequenceKey, now: Timestamp) -> Option<ExportedSequence> {
+        let mut engines = self.deployments.values_mut().map(|one| &mut one.engine);
+        let engine = engines.find(|engine| engine.contains(key))?;
+        let exported = engine.remove(key, now, &mut self.prefixes);
+        self.finish_unloads();
+        exported
     }
 
-    fn engine_waiting(&self, deployment: &DeploymentName) -> usize {
-        self.of(deployment)
-            .filter(|one| one.next_token.is_none())
-            .count()
+    /// Goes on with a request that another runner exported.
+    ///
+    /// # Errors
+    /// When the engine can't take it.
+    pub fn import(
+        &mut self,
+        sequence: ExportedSequence,
+        now: Timestamp,
+    ) -> Result<(), EngineRejection> {
+        self.admissible(&sequence.request)?;
+        if let Some(loaded) = self.deployments.get_mut(&sequence.request.deployment) {
+            loaded.engine.import(sequence, now, &mut self.prefixes);
+        }
+        Ok(())
     }
 
-    /// Starts waiting requests while slots are free, the most urgent first.
-    fn start_waiting(&mut self, deployment: &DeploymentName, now: Timestamp) {
-        let slots = self
-            .deployments
-            .get(deployment)
-            .map_or(0, |one| one.slots as usize);
-        while self.engine_running(deployment) < slots {
-            let waiting = self.of(deployment).filter(|one| one.next_token.is_none());
-            let first = waiting.min_by_key(|one| (one.request.class, one.arrival));
-            let Some(key) = first.map(|one| one.request.key.clone()) else {
-                break;
-            };
-            let timing = self.settings.timing;
-            if let Some(sequence) = self.sequences.get_mut(&key) {
-                let prompt = f64::from(sequence.request.prompt_tokens) * timing.prompt_token_ms;
-                let wait = Millis((timing.first_token_ms + prompt).ceil() as u64);
-                sequence.next_token = Some(now + wait);
-            }
+    /// How far an execution is; `None` when it is not known (any more).
+    #[must_use]
+    pub fn progress(&self, key: &SequenceKey, now: Timestamp) -> Option<SequenceProgress> {
+        let mut engines = self.deployments.values().map(|one| &one.engine);
+        if let Some(tokens_done) = engines.find_map(|engine| engine.tokens_done(key, now)) {
+            let finished = false;
+            return Some(SequenceProgress {
+                tokens_done,
+                finished,
+            });
         }
+        let (_, tokens_done) = self.ended.iter().find(|(one, _)| one == key)?;
+        Some(SequenceProgress {
+            tokens_done: *tokens_done,
+            finished: true,
+        })
     }
 
     /// When to call [`Self::advance`] next.
@@ -383,18 +390,31 @@
         let loading = |one: &&LoadedDeployment| one.phase == LoadPhase::Loading;
         let loads = self.deployments.values().filter(loading);
         let loads = loads.filter_map(|one| one.ready_at);
-        let tokens = self.sequences.values().filter_map(|one| one.next_token);
-        loads.chain(tokens).min()
+        let steps = self.deployments.values();
+        let steps = steps.filter_map(|one| one.engine.next_event());
+        let copies = self.fetches.next_copy();
+        loads.chain(steps).chain(copies).min()
     }
 
     /// Moves on to `now` and returns what happened, in order.
     pub fn advance(&mut self, now: Timestamp) -> Vec<RunnerEvent> {
+        self.finish_copies(now);
         self.finish_loads(now);
         self.generate(now);
         self.finish_unloads();
         std::mem::take(&mut self.pending)
     }
 
+    fn finish_copies(&mut self, now: Timestamp) {
+        for model in self.fetches.finish_copies(now) {
+            let items = self.checkpoints.items().iter();
+            let size = items.clone().find(|item| item.model == model);
+            if let Some(size) = size.map(|item| item.size_mib) {
+                self.checkpoints.insert(&model, CacheTier::HostMemory, size);
+            }
+        }
+    }
+
     fn finish_loads(&mut self, now: Timestamp) {
         for (deployment, loaded) in &mut self.deployments {
             let due = loaded.ready_at.is_some_and(|at| at <= now);
@@ -406,60 +426,46 @@
     }
 
     fn generate(&mut self, now: Timestamp) {
-        loop {
-            let due = self.sequences.values().filter_map(|one| {
-                let at = one.next_token.filter(|at| *at <= now)?;
-                Some((at, one.arrival, one.request.key.clone()))
-            });
-            let Some((at, _, key)) = due.min() else {
-                break;
-            };
-            self.generate_one(&key, at);
+        for loaded in self.deployments.values_mut() {
+            for token in loaded.engine.advance(now, &mut self.prefixes) {
+                if token.last {
+                    self.ended
+                        .push_back((token.key.clone(), token.position + 1));
+                }
+                self.pending.push(RunnerEvent::Token {
+                    key: token.key,
+                    position: token.position,
+                    last: token.last,
+                });
+            }
         }
-    }
-
-    fn generate_one(&mut self, key: &SequenceKey, at: Timestamp) {
-        let Some(sequence) = self.sequences.get(key) else {
-            return;
-        };
-        let deployment = sequence.request.deployment.clone();
-        let others = self.engine_running(&deployment).saturating_sub(1) as f64;
-        let timing = self.settings.timing;
-        let pause = timing.token_ms + timing.token_per_request_ms * others;
-        let Some(sequence) = self.sequences.get_mut(key) else {
-            return;
-        };
-        let position = sequence.tokens_done;
-        sequence.tokens_done += 1;
-        sequence.next_token = Some(at + Millis(pause.ceil().max(1.0) as u64));
-        let last = sequence.tokens_done >= sequence.request.max_tokens.max(1);
-        let key = key.clone();
-        if last {
-            self.sequences.remove(&key);
-            self.start_waiting(&deployment, at);
+        while self.ended.len() > REMEMBERED_EXECUTIONS {
+            self.ended.pop_front();
         }
-        self.pending.push(RunnerEvent::Token {
-            key,
-            position,
-            last,
-        });
     }
 
     fn finish_unloads(&mut self) {
-        let unloading: Vec<DeploymentName> = self
-            .deployments
-            .iter()
-            .filter(|(_, loaded)| loaded.phase == LoadPhase::Unloading)
-            .map(|(deployment, _)| deployment.clone())
-            .collect();
-        for deployment in unloading {
-            if self.of(&deployment).next().is_none() {
-                self.deployments.remove(&deployment);
-                self.pending.push(RunnerEvent::Unloaded(deployment));
-            }
+        let freed =
+            |one: &LoadedDeployment| one.phase == LoadPhase::Unloading && one.engine.is_idle();
+        let unloaded = self.deployments.iter().filter(|(_, one)| freed(one));
+        let unloaded: Vec<DeploymentName> = unloaded.map(|(name, _)| name.clone()).collect();
+        for deployment in unloaded {
+            self.deployments.remove(&deployment);
+            self.prefixes.forget(&deployment);
+            self.pending.push(RunnerEvent::Unloaded(deployment));
         }
     }
 
+    /// What lies in accelerator memory.
+    pub fn held(&self) -> impl Iterator<Item = HeldDeployment<'_>> {
+        self.deployments.iter().map(|(name, one)| HeldDeployment {
+            deployment: name,
+            memory_mib: one.memory_mib,
+            phase: one.phase,
+            running: one.engine.running(),
+        })
+    }
+
     /// What the runner holds.
     #[must_use]
     pub fn inventory(&self, now: Timestamp) -> Inventory {
@@ -484,7 +490,7 @@
             disk_mib: self.settings.disk_mib,
             draining: self.draining,
             deployments: items.collect(),
-            cached: self.cached.clone(),
+            cached: self.checkpoints.items().to_vec(),
         }
     }
 
@@ -492,10 +498,11 @@
     #[must_use]
     pub fn load_report(&self) -> LoadReport {
         let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-        let deployments = self.deployments.keys().map(|deployment| DeploymentLoad {
+        let deployments = self.deployments.iter();
+        let deployments = deployments.map(|(deployment, loaded)| DeploymentLoad {
             deployment: deployment.clone(),
-            running: count(self.engine_running(deployment)),
-            waiting: count(self.engine_waiting(deployment)),
+            running: count(loaded.engine.running()),
+            waiting: count(loaded.engine.waiting()),
         });
         LoadReport {
             runner: self.settings.runner.clone(),
--- a/crates/standin/src/model/sequence.rs
+++ b/crates/standin/src/model/sequence.rs
@@ -1,8 +1,6 @@
-//! Requests running in an engine, batched continuously.
+//! Requests to an engine, and the speed of engines.
 
-use courseshunt_types::{
-    AdapterName, Attempt, DeploymentName, PriorityClass, RequestId, Timestamp,
-};
+use courseshunt_types::{AdapterName, Attempt, DeploymentName, PriorityClass, RequestId};
 
 /// Identity of one execution.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,6 +24,8 @@
     pub class: PriorityClass,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Hashes of the prompt's leading blocks, for the prefix cache.
+    pub prefix_hashes: Vec<u64>,
     /// Tokens to generate.
     pub max_tokens: u32,
 }
@@ -36,6 +36,8 @@
 pub enum EngineRejection {
     /// The deployment is not loaded here.
     NotLoaded,
+    /// The adapter is not attached here.
+    AdapterNotLoaded,
     /// The runner is draining.
     Draining,
     /// The engine's own queue is full.
@@ -44,18 +46,22 @@
     Duplicate,
 }
 
-/// Speed of an engine.
+/// Speed of an engine. One step gives each running request one token.
 #[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EngineTiming {
-    /// Time to the first token of an empty prompt, in milliseconds.
+    /// Time that a request's first step adds, in milliseconds.
     pub first_token_ms: f64,
-    /// Time for each prompt token, in milliseconds.
+    /// Time that each prompt token outside the prefix cache adds to the first
+    /// step, in milliseconds.
     pub prompt_token_ms: f64,
-    /// Time between tokens with one running request, in milliseconds.
+    /// Length of a step with one running request, in milliseconds.
     pub token_ms: f64,
-    /// Time that each further running request adds between tokens, in milliseconds.
+    /// Time that each further running request adds to a step, in milliseconds.
     pub token_per_request_ms: f64,
+    /// Time that 1000 prompt tokens of running requests add to a step, in
+    /// milliseconds.
+    pub token_per_context_ms: f64,
 }
 
 impl Default for EngineTiming {
@@ -65,16 +71,25 @@
             prompt_token_ms: 0.2,
             token_ms: 20.0,
             token_per_request_ms: 1.0,
+            token_per_context_ms: 0.5,
         }
     }
 }
 
-/// A running or waiting request.
-#[derive(Debug, Clone)]
-pub(crate) struct Sequence {
-    pub(crate) request: EngineRequest,
-    pub(crate) tokens_done: u32,
-    /// When the next token comes; `None` while waiting for a slot.
-    pub(crate) next_token: Option<Timestamp>,
-    pub(crate) arrival: u64,
+/// A request with what was generated so far; it can move between runners.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExportedSequence {
+    /// The request.
+    pub request: EngineRequest,
+    /// Tokens generated so far.
+    pub tokens_done: u32,
+}
+
+/// How far an execution is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SequenceProgress {
+    /// Tokens generated.
+    pub tokens_done: u32,
+    /// Whether the last token is among them.
+    pub finished: bool,
 }
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -70,6 +70,12 @@
     pub learners: u32,
     /// Routers.
     pub routers: u32,
+    /// From an event to the plan that answers it, in milliseconds.
+    pub plan_ms: Millis,
+    /// Commit of one command, in milliseconds.
+    pub commit_ms: Millis,
+    /// From the loss of the leader to the next one, in milliseconds.
+    pub failover_ms: Millis,
 }
 
 impl Default for ControlSettings {
@@ -78,6 +84,9 @@
             voters: 3,
             learners: 0,
             routers: 3,
+            plan_ms: Millis(2),
+            commit_ms: Millis(5),
+            failover_ms: Millis::from_secs(3),
         }
     }
 }
@@ -105,11 +114,18 @@
     /// Speed from disk to accelerator, in MiB per second.
     #[serde(default = "default_disk_speed")]
     pub disk_mib_per_second: f64,
+    /// Time for setting up an engine after the weights are there, in milliseconds.
+    #[serde(default = "default_engine_start")]
+    pub engine_start_ms: Millis,
     /// Engine speed.
     #[serde(default)]
     pub timing: EngineTiming,
 }
 
+fn default_engine_start() -> Millis {
+    Millis(1500)
+}
+
 fn one() -> u32 {
     1
 }
@@ -209,6 +225,9 @@
     pub burst_ms: Millis,
     /// Mean length of a prompt, in tokens.
     pub prompt_tokens: u32,
+    /// Leading tokens of a prompt that all requests to a deployment share.
+    #[serde(default)]
+    pub shared_prefix_tokens: u32,
     /// Mean length of an answer, in tokens.
     pub answer_tokens: u32,
     /// Time until the deadline, in milliseconds.
--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -254,6 +254,9 @@
             Err(EngineRejection::NotLoaded) => {
                 return rejected(StatusCode::SERVICE_UNAVAILABLE, "not_loaded");
             }
+            Err(EngineRejection::AdapterNotLoaded) => {
+                return rejected(StatusCode::SERVICE_UNAVAILABLE, "adapter_not_loaded");
+            }
             Err(EngineRejection::Full) => {
                 return rejected(StatusCode::SERVICE_UNAVAILABLE, "full");
             }
@@ -409,6 +412,7 @@
         adapter,
         class: class.unwrap_or_default(),
         prompt_tokens: completion.prompt_tokens(),
+        prefix_hashes: Vec::new(),
         max_tokens: completion.max_tokens,
     }
 }
--- a/crates/standin/tests/models.rs
+++ b/crates/standin/tests/models.rs
@@ -64,6 +64,7 @@
         adapter: None,
         class: PriorityClass::Interactive,
         prompt_tokens: 10,
+        prefix_hashes: Vec::new(),
         max_tokens: 3,
     };
     assert_eq!(
