--- a/crates/lab/src/simulate/faults.rs
+++ b/crates/lab/src/simulate/faults.rs
@@ -384,10 +384,9 @@
             let one = &self.requests[request];
             if one.stage == Stage::Waiting && one.owner == owner {
                 let (deployment, id) = (one.deployment, one.id.clone());
-                if let Some(queue) = self.routers[router].queues.get_mut(&deployment) {
-                    if queue.cancel(&id) {
-                        self.send_ticket(request);
-                    }
+                let queue = self.routers[router].queues.get_mut(&deployment);
+                if queue.is_some_and(|queue| queue.cancel(&id)) {
+                    self.send_ticket(request);
                 }
             }
         }
