--- a/crates/lab/src/simulate/checks.rs
+++ b/crates/lab/src/simulate/checks.rs
@@ -86,7 +86,7 @@
     /// A decision was committed: reservations must fit and replicas stay
     /// within the document's limit.
     pub fn decided(&mut self, placement: &Placement, deployment: &DeploymentName, limit: u32) {
-        if placement.count(deployment) > limit {
+        if placement.count_against_limit(deployment) > limit {
             self.violations.replicas_over_decided += 1;
         }
         let over = |(name, record): (&RunnerId, &courseshunt_state::RunnerRecord)| {
--- a/crates/lab/src/simulate/control.rs
+++ b/crates/lab/src/simulate/control.rs
@@ -20,8 +20,8 @@
     CacheTier, Inventory, MachineState, OrderAction, OrderRequest,
 };
 use courseshunt_types::{
-    ClientId, ClientSequence, DeploymentName, Fence, LogIndex, Millis, ModelName, PriorityClass,
-    ReplicaKey, RunnerId, Term, Timestamp, UnixMillis,
+    ClientId, ClientSequence, DeploymentName, Fence, Incarnation, LogIndex, Millis, ModelName,
+    PriorityClass, ReplicaKey, RunnerId, Term, Timestamp, UnixMillis,
 };
 use rand::RngExt;
 use std::collections::{BTreeMap, VecDeque};
@@ -110,6 +110,8 @@
     pub uses: BTreeMap<ReplicaKey, ReplicaUse>,
     /// Loads in progress. Soft.
     pub loads: BTreeMap<ReplicaKey, LoadInProgress>,
+    /// Load orders that runners took. Soft.
+    pub accepted: BTreeMap<ReplicaKey, (Fence, Timestamp)>,
     /// Staging in progress. Soft.
     pub staging: BTreeMap<(RunnerId, ModelName), Timestamp>,
     decisions: VecDeque<Decision>,
@@ -135,6 +137,7 @@
             seen: BTreeMap::new(),
             uses: BTreeMap::new(),
             loads: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             staging: BTreeMap::new(),
             decisions: VecDeque::new(),
             plan_at: None,
@@ -429,11 +432,17 @@
         let order = OrderRequest {
             fence,
             deployment: replica.deployment.clone(),
+            incarnation: self.recorded_incarnation(&replica.runner),
             action,
         };
         self.push(self.order_delay(), Event::Order { runner, order });
     }
 
+    fn recorded_incarnation(&self, runner: &RunnerId) -> Option<Incarnation> {
+        let record = self.control.state.placement.runners.get(runner)?;
+        Some(record.incarnation)
+    }
+
     pub(super) fn order_delay(&self) -> Millis {
         Millis(self.settings.scenario.network.zone_delay_ms.ceil() as u64)
     }
@@ -483,7 +492,8 @@
         let fence = record.map_or(Fence::default(), |record| record.fence);
         let order = OrderRequest {
             fence,
-            deployment: format!("stage:{model}").into(),
+            deployment: format!("~stage/{model}").into(),
+            incarnation: self.recorded_incarnation(runner),
             action: OrderAction::Stage {
                 model: model.clone(),
                 checkpoint_mib,
@@ -560,7 +570,12 @@
         self.control.seen.insert(name, seen);
         self.finish_staging(&inventory);
         let records = self.records_of(&inventory);
-        for action in reconcile(&records, &inventory) {
+        let accepted = &self.control.accepted;
+        let was_accepted = |replica: &ReplicaKey, fence| {
+            let known = accepted.get(replica);
+            known.is_some_and(|(known, at)| *known == fence && *at < now)
+        };
+        for action in reconcile(&records, &inventory, was_accepted) {
             self.reconcile_one(runner, action);
         }
     }
@@ -622,6 +637,10 @@
             ReconcileAction::Confirm(replica, fence) => {
                 self.propose(Command::ConfirmReplica { replica, fence });
             }
+            ReconcileAction::Withdraw(replica, fence) => {
+                self.control.loads.remove(&replica);
+                self.propose(Command::WithdrawReplica { replica, fence });
+            }
             ReconcileAction::OrderUnloadUndecided(deployment, fence) => {
                 let runner = self.fleet.runners[runner].name().clone();
                 let replica = ReplicaKey { deployment, runner };
@@ -641,6 +660,7 @@
         let order = OrderRequest {
             fence,
             deployment: replica.deployment.clone(),
+            incarnation: self.recorded_incarnation(&replica.runner),
             action: OrderAction::Unload,
         };
         if !self.fleet.reaches(self.runner_process(runner)) {
--- a/crates/lab/src/simulate/faults.rs
+++ b/crates/lab/src/simulate/faults.rs
@@ -269,6 +269,7 @@
             let order = OrderRequest {
                 fence: record.fence,
                 deployment: record.replica.deployment.clone(),
+                incarnation: Some(record.incarnation),
                 action,
             };
             Some((*runner, order))
--- a/crates/lab/src/simulate/fleet.rs
+++ b/crates/lab/src/simulate/fleet.rs
@@ -8,8 +8,10 @@
     RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey, StoreModel, StoreModelSettings,
     TransferId,
 };
-use courseshunt_types::runner_api::{LoadPhase, MachineState, OrderRejection, OrderRequest};
-use courseshunt_types::{Incarnation, Millis, ModelName, RunnerId, Timestamp, Zone};
+use courseshunt_types::runner_api::{
+    LoadPhase, MachineState, OrderAction, OrderRejection, OrderRequest,
+};
+use courseshunt_types::{Incarnation, Millis, ModelName, ReplicaKey, RunnerId, Timestamp, Zone};
 use std::collections::BTreeMap;
 
 /// One runner.
@@ -287,6 +289,14 @@
         if matches!(result, Err(OrderRejection::OutOfMemory { .. })) {
             self.checks.overcommit_ordered();
         }
+        if result.is_ok() && matches!(order.action, OrderAction::Load { .. }) {
+            let replica = ReplicaKey {
+                deployment: order.deployment.clone(),
+                runner: self.fleet.runners[runner].name().clone(),
+            };
+            let accepted = (order.fence, now);
+            self.control.accepted.insert(replica, accepted);
+        }
         self.check_runner(runner);
         self.inventory_changed(runner);
         self.schedule_runner(runner);
--- a/crates/standin/src/model/fetches.rs
+++ b/crates/standin/src/model/fetches.rs
@@ -33,6 +33,11 @@
         self.remote.remove(model)
     }
 
+    /// Models on their way.
+    pub(crate) fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.remote.keys().chain(self.local.keys())
+    }
+
     /// Notes a copy from disk to host memory.
     pub(crate) fn copy(&mut self, model: &ModelName, end: Timestamp) {
         self.local.entry(model.clone()).or_insert(end);
--- a/crates/standin/src/model/runner.rs
+++ b/crates/standin/src/model/runner.rs
@@ -152,6 +152,10 @@
         order: &OrderRequest,
         now: Timestamp,
     ) -> Result<OrderReply, OrderRejection> {
+        let present = self.settings.incarnation;
+        if order.incarnation.is_some_and(|meant| meant != present) {
+            return Err(OrderRejection::OtherIncarnation { present });
+        }
         let highest = self.highest_fences.get(&order.deployment).copied();
         if let Some(highest) = highest.filter(|highest| order.fence < *highest) {
             return Err(OrderRejection::StaleFence { highest });
@@ -466,6 +470,16 @@
         })
     }
 
+    /// Models on their way to a cache tier that no load waits for.
+    fn staging(&self) -> Vec<ModelName> {
+        let loads = |model: &ModelName| {
+            let mut loads = self.deployments.values();
+            loads.any(|one| one.model == *model && one.phase == LoadPhase::Loading)
+        };
+        let models = self.fetches.models();
+        models.filter(|model| !loads(model)).cloned().collect()
+    }
+
     /// What the runner holds.
     #[must_use]
     pub fn inventory(&self, now: Timestamp) -> Inventory {
@@ -491,6 +505,7 @@
             draining: self.draining,
             deployments: items.collect(),
             cached: self.checkpoints.items().to_vec(),
+            staging: self.staging(),
         }
     }
 
