Simulator on the controller's own view, trackers and takeover; compare, offline bound, fault files

Cause: the simulator had its own copy of the controller's view, so a change of the one was not measured by the other; policies could be compared by hand only.

Change: the simulator builds views with cluster_view and uses LoadTracker, ReplicaUsage, RunnerBook, Takeover and reconcile of the controller. compare runs policies, seeds and faults on threads and writes a table and SVG plots. The policy offline-bound knows the arrivals; bound.rs is a strict lower bound on idle hours.

--- a/crates/controller/src/scheduler/mod.rs
+++ b/crates/controller/src/scheduler/mod.rs
@@ -23,9 +23,11 @@
 pub use explain::{Explanation, FittingRunner, explain};
 pub use journal::{DecisionJournal, JournalEntry};
 pub use loads::LoadTracker;
+pub use orders::{load_order, unload_order};
 pub use reconcile::{ReconcileAction, reconcile};
 pub use takeover::Takeover;
 pub use usage::{Moment, ReplicaUsage};
+pub use view::cluster_view;
 
 use crate::ControllerContext;
 use crate::error::ControllerError;
@@ -64,13 +66,19 @@
     pub fn new(settings: &ControllerSettings) -> Result<Self, ControllerError> {
         let policy = policy(&settings.policy)?;
         let loads = LoadTracker::new(settings.store_loads_per_second, settings.store_concurrency);
-        Ok(Self {
+        Ok(Self::with(Planner::new(policy), loads))
+    }
+
+    /// The state at the start of a controller with this planner and tracker.
+    #[must_use]
+    pub fn with(planner: Planner, loads: LoadTracker) -> Self {
+        Self {
             book: RunnerBook::default(),
             journal: DecisionJournal::default(),
             loads: Mutex::new(loads),
             usage: Mutex::default(),
-            planner: Mutex::new(Planner::new(policy)),
-        })
+            planner: Mutex::new(planner),
+        }
     }
 
     /// Loads in progress.
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,9 +1,13 @@
 //! Subcommands of the laboratory.
 
+mod compare;
 mod demo;
 mod simulate;
 
 use crate::error::LabError;
+use crate::files::read_faults;
+use courseshunt_standin::faults::FaultSchedule;
+use std::path::Path;
 
 /// One subcommand.
 pub struct Subcommand {
@@ -23,6 +27,12 @@
         run: demo::run,
         help: demo::help,
     },
+    Subcommand {
+        name: "compare",
+        summary: "policies, seeds and faults side by side, as a table and plots",
+        run: compare::run,
+        help: compare::help,
+    },
     Subcommand {
         name: "simulate",
         summary: "a scenario in virtual time under one placement policy",
@@ -71,3 +81,38 @@
 fn block_on<T>(work: impl Future<Output = Result<T, LabError>>) -> Result<T, LabError> {
     tokio::runtime::Runtime::new()?.block_on(work)
 }
+
+/// The number that an option gives, if it is there.
+fn number<T: std::str::FromStr>(
+    matches: &getopts::Matches,
+    name: &str,
+) -> Result<Option<T>, LabError> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    let parsed = text.parse();
+    parsed
+        .map(Some)
+        .map_err(|_| LabError::usage(format!("`--{name} {text}`: not a number")))
+}
+
+/// Seeds written as `FIRST-LAST` or as one number.
+fn seeds(text: &str) -> Result<Vec<u64>, LabError> {
+    let (first, last) = text.split_once('-').unwrap_or((text, text));
+    let problem = || LabError::usage(format!("`--seeds {text}`: write FIRST-LAST, such as 1-5"));
+    let first: u64 = first.parse().map_err(|_| problem())?;
+    let last: u64 = last.parse().map_err(|_| problem())?;
+    match first <= last {
+        true => Ok((first..=last).collect()),
+        false => Err(problem()),
+    }
+}
+
+/// All faults of several files together.
+fn merged_faults(files: &[String]) -> Result<FaultSchedule, LabError> {
+    let mut schedule = FaultSchedule::default();
+    for file in files {
+        schedule.fault.extend(read_faults(Path::new(file))?.fault);
+    }
+    Ok(schedule)
+}
--- a/crates/lab/src/commands/simulate.rs
+++ b/crates/lab/src/commands/simulate.rs
@@ -1,18 +1,23 @@
 //! `courseshunt-lab simulate`.
 
+use super::{merged_faults, number};
 use crate::error::LabError;
-use crate::files::{read_faults, read_scenario};
+use crate::files::read_scenario;
 use crate::simulate::{Report, SimulationSettings, simulate};
 use courseshunt_placement::policies::POLICY_NAMES;
-use courseshunt_standin::faults::FaultSchedule;
 use std::path::Path;
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
     options.optopt("", "scenario", "scenario file", "FILE");
-    options.optopt("", "policy", "placement policy [default: adaptive]", "NAME");
+    options.optopt(
+        "",
+        "policy",
+        "placement policy [default: load-on-demand]",
+        "NAME",
+    );
     options.optopt("", "seed", "seed of the run [default: 1]", "NUMBER");
-    options.optopt("", "faults", "fault file", "FILE");
+    options.optmulti("", "faults", "fault file; again for more", "FILE");
     options.optopt(
         "",
         "hours",
@@ -37,14 +42,11 @@
     if let Some(hours) = number(&matches, "hours")? {
         scenario.hours = hours;
     }
-    let faults = match matches.opt_str("faults") {
-        Some(file) => read_faults(Path::new(&file))?,
-        None => FaultSchedule::default(),
-    };
+    let faults = merged_faults(&matches.opt_strs("faults"))?;
     let policy = matches.opt_str("policy");
     let report = simulate(SimulationSettings {
         scenario,
-        policy: policy.unwrap_or_else(|| "adaptive".to_owned()),
+        policy: policy.unwrap_or_else(|| "load-on-demand".to_owned()),
         seed: number(&matches, "seed")?.unwrap_or(1),
         faults,
     })?;
@@ -55,19 +57,6 @@
     Ok(())
 }
 
-fn number<T: std::str::FromStr>(
-    matches: &getopts::Matches,
-    name: &str,
-) -> Result<Option<T>, LabError> {
-    let Some(text) = matches.opt_str(name) else {
-        return Ok(None);
-    };
-    let parsed = text.parse();
-    parsed
-        .map(Some)
-        .map_err(|_| LabError::usage(format!("`--{name} {text}`: not a number")))
-}
-
 fn summary(report: &Report) -> String {
     format!(
         "{} {} seed {}: cold start p99 {:.1} s, max {:.1} s; idle {:.1} accelerator hours; \
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod commands;
+pub mod compare;
 pub mod demo;
 pub mod error;
 pub mod files;
--- a/crates/lab/src/simulate/event.rs
+++ b/crates/lab/src/simulate/event.rs
@@ -137,8 +137,8 @@
     },
     /// The leader plans.
     Plan,
-    /// The decision first in line is committed.
-    CommitDecision,
+    /// The decisions of a plan are committed.
+    CommitDecisions,
     /// A command is committed.
     Commit(Box<CommandEnvelope>),
     /// An order reaches a runner.
--- a/crates/lab/src/simulate/faults.rs
+++ b/crates/lab/src/simulate/faults.rs
@@ -3,9 +3,10 @@
 use super::event::{Event, RouterNumber, RunnerNumber};
 use super::requests::{End, Stage};
 use super::world::World;
+use courseshunt_controller::scheduler::{load_order, unload_order};
 use courseshunt_standin::faults::{Fault, FaultKind};
 use courseshunt_state::{ChangeRequest, Command, ReplicaPhase};
-use courseshunt_types::runner_api::{MachineState, OrderAction, OrderRequest};
+use courseshunt_types::runner_api::{LoadPhase, MachineState, OrderRequest};
 use courseshunt_types::{Millis, PriorityClass, Timestamp, Version};
 use rand::RngExt;
 
@@ -27,6 +28,8 @@
     Router(RouterNumber),
     /// A runner.
     Runner(RunnerNumber),
+    /// A runner that loads something when the fault begins.
+    LoadingRunner,
     /// All processes of a zone.
     Zone(String),
     /// The weight store, the platform or operators.
@@ -92,7 +95,7 @@
             fault.kind,
             FaultKind::Reclaim | FaultKind::ReclaimWithoutNotice
         );
-        if reclaim && !matches!(target, Target::Runner(_)) {
+        if reclaim && !matches!(target, Target::Runner(_) | Target::LoadingRunner) {
             return Err("only runners are reclaimed".to_owned());
         }
         Ok(target)
@@ -115,6 +118,7 @@
         let (routers, runners) = (self.routers.len(), self.fleet.runners.len());
         match name {
             "controller" => return Ok(Target::Leader),
+            "loading-runner" => return Ok(Target::LoadingRunner),
             "router" => return Ok(Target::Router(self.random.random_range(0..routers))),
             "runner" => return Ok(Target::Runner(self.random.random_range(0..runners))),
             "*" => {
@@ -138,9 +142,13 @@
     }
 
     pub(super) fn fault_begins(&mut self, number: usize) {
-        let Some(fault) = self.active_faults[number].clone() else {
+        let Some(mut fault) = self.active_faults[number].clone() else {
             return;
         };
+        if fault.target == Target::LoadingRunner {
+            fault.target = Target::Runner(self.pick_loading_runner());
+            self.active_faults[number] = Some(fault.clone());
+        }
         if fault.length > Millis(0) {
             self.push(fault.length, Event::FaultEnds(number));
         }
@@ -161,6 +169,20 @@
         }
     }
 
+    /// A runner that loads something, or else any.
+    fn pick_loading_runner(&mut self) -> RunnerNumber {
+        let runners = self.fleet.runners.iter().enumerate();
+        let loading = runners.filter(|(_, one)| {
+            let mut held = one.model.held();
+            one.up && held.any(|held| held.phase == LoadPhase::Loading)
+        });
+        let loading: Vec<RunnerNumber> = loading.map(|(number, _)| number).collect();
+        match loading.is_empty() {
+            true => self.random.random_range(0..self.fleet.runners.len()),
+            false => loading[self.random.random_range(0..loading.len())],
+        }
+    }
+
     fn hit_runner(&mut self, runner: RunnerNumber, kind: &FaultKind) {
         match kind {
             FaultKind::Reclaim => self.reclaim(runner),
@@ -249,47 +271,24 @@
     fn orders_in_force(&self) -> Vec<(RunnerNumber, OrderRequest)> {
         let records = self.control.state.placement.replicas.values();
         let orders = records.filter_map(|record| {
-            let runner = self.runner_numbers.get(&record.replica.runner)?;
-            let number = self.deployment_numbers.get(&record.replica.deployment)?;
-            let document = &self.site[*number].document;
-            let action = match record.phase {
-                ReplicaPhase::Withdrawn => OrderAction::Unload,
-                ReplicaPhase::Loading | ReplicaPhase::Ready => OrderAction::Load {
-                    model: document.model.clone(),
-                    checkpoint_mib: document.checkpoint_size_mib(),
-                    memory_mib: record.memory_mib,
-                    slots: document.slots_per_replica,
-                    adapters: document
-                        .adapters
-                        .iter()
-                        .map(|one| one.name.clone())
-                        .collect(),
-                },
-            };
-            let order = OrderRequest {
-                fence: record.fence,
-                deployment: record.replica.deployment.clone(),
-                incarnation: Some(record.incarnation),
-                action,
+            let replica = &record.replica;
+            let runner = self.runner_numbers.get(&replica.runner)?;
+            let state = &self.control.state;
+            let order = match record.phase {
+                ReplicaPhase::Loading | ReplicaPhase::Ready => {
+                    load_order(state, replica, record.fence)?
+                }
+                ReplicaPhase::Withdrawn => {
+                    unload_order(state, &replica.runner, &replica.deployment, record.fence)
+                }
             };
             Some((*runner, order))
         });
         orders.collect()
     }
 
-    pub(super) fn elected(&mut self) {
-        self.control.take_over();
-        for runner in 0..self.fleet.runners.len() {
-            self.read_inventory(runner);
-        }
-        for router in 0..self.routers.len() {
-            self.report_all(router);
-        }
-        self.request_plan(self.settings.scenario.control.plan_ms);
-    }
-
     /// A router that found the new leader reports the demand of all its queues.
-    fn report_all(&mut self, router: RouterNumber) {
+    pub(super) fn report_all(&mut self, router: RouterNumber) {
         let owner = self.router_process(router);
         let queues: Vec<usize> = self.routers[router].queues.keys().copied().collect();
         for deployment in queues {
@@ -475,32 +474,6 @@
         self.push(lag, Event::Listed { runner, state });
     }
 
-    pub(super) fn listed(&mut self, runner: RunnerNumber, state: MachineState) {
-        if self.now < self.list_frozen_until {
-            self.events
-                .push(self.list_frozen_until, Event::Listed { runner, state });
-            return;
-        }
-        let one = &self.fleet.runners[runner];
-        let (name, incarnation) = (one.name().clone(), one.incarnation());
-        if let Some(seen) = self.control.seen.get_mut(&name) {
-            seen.listed = state;
-        }
-        let known = self.control.state.placement.runners.get(&name);
-        let meant = match state {
-            MachineState::Gone => known.map(|known| known.incarnation),
-            _ => Some(incarnation),
-        };
-        let current = !self.fleet.runners[runner].up || state != MachineState::Gone;
-        if let Some(incarnation) = meant.filter(|_| current) {
-            self.propose(Command::SetRunnerState {
-                runner: name,
-                incarnation,
-                state,
-            });
-        }
-    }
-
     /// Two operators change one document under equal version numbers.
     fn operators_race(&mut self) {
         let version = self.next_version();
--- a/crates/lab/src/simulate/fleet.rs
+++ b/crates/lab/src/simulate/fleet.rs
@@ -9,9 +9,9 @@
     TransferId,
 };
 use courseshunt_types::runner_api::{
-    LoadPhase, MachineState, OrderAction, OrderRejection, OrderRequest,
+    LoadPhase, MachineState, OrderRejection, OrderRequest,
 };
-use courseshunt_types::{Incarnation, Millis, ModelName, ReplicaKey, RunnerId, Timestamp, Zone};
+use courseshunt_types::{Incarnation, Millis, ModelName, RunnerId, Timestamp, Zone};
 use std::collections::BTreeMap;
 
 /// One runner.
@@ -278,10 +278,11 @@
         }
     }
 
-    /// An order reaches a runner, unless it is dead or cut off.
-    pub(super) fn receive_order(&mut self, runner: RunnerNumber, order: &OrderRequest) {
+    /// An order reaches a runner, unless it is dead or cut off. Returns whether
+    /// the runner took it.
+    pub(super) fn receive_order(&mut self, runner: RunnerNumber, order: &OrderRequest) -> bool {
         if !self.fleet.reaches(self.runner_process(runner)) {
-            return;
+            return false;
         }
         self.account(runner);
         let now = self.now;
@@ -289,21 +290,19 @@
         if matches!(result, Err(OrderRejection::OutOfMemory { .. })) {
             self.checks.overcommit_ordered();
         }
-        if result.is_ok() && matches!(order.action, OrderAction::Load { .. }) {
-            let replica = ReplicaKey {
-                deployment: order.deployment.clone(),
-                runner: self.fleet.runners[runner].name().clone(),
-            };
-            let accepted = (order.fence, now);
-            self.control.accepted.insert(replica, accepted);
-        }
+        self.order_answered(runner, order, result.as_ref().err());
         self.check_runner(runner);
         self.inventory_changed(runner);
         self.schedule_runner(runner);
+        result.is_ok()
     }
 
-    fn check_runner(&mut self, runner: RunnerNumber) {
+    /// Compares what a runner holds with what was decided.
+    pub(super) fn check_runner(&mut self, runner: RunnerNumber) {
         let one = &self.fleet.runners[runner];
+        if !one.up {
+            return;
+        }
         let held = one.model.held();
         let held = held.filter(|held| held.phase != LoadPhase::Unloading);
         self.checks.runner_changed(
--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -5,7 +5,9 @@
 //! are the product's own code; what the planner sees is late, as in a real
 //! controller. Equal settings give equal reports, byte for byte.
 
+pub mod bound;
 pub mod checks;
+pub mod clairvoyant;
 pub mod control;
 pub mod event;
 mod faults;
@@ -16,15 +18,17 @@
 pub mod requests;
 pub mod routers;
 pub mod site;
-mod view;
 mod world;
 
 pub use checks::Violations;
 pub use report::Report;
 
+use crate::callers::arrivals;
 use crate::error::LabError;
-use control::Control;
-use courseshunt_placement::policies::POLICY_NAMES;
+use clairvoyant::Clairvoyant;
+use control::{Control, PolicyFactory};
+use courseshunt_placement::PlacementPolicy;
+use courseshunt_placement::policies::{LoadOnDemand, POLICY_NAMES, policy_by_name};
 use courseshunt_standin::faults::FaultSchedule;
 use courseshunt_standin::scenario::Scenario;
 use world::World;
@@ -47,10 +51,30 @@
 /// # Errors
 /// When the policy is unknown.
 pub fn simulate(settings: SimulationSettings) -> Result<Report, LabError> {
-    let Some(control) = Control::new(&settings.policy, settings.scenario.store) else {
+    let policy = policy_factory(&settings)?;
+    let control = Control::new(policy, settings.scenario.store);
+    Ok(World::new(settings, control).run())
+}
+
+fn policy_factory(settings: &SimulationSettings) -> Result<PolicyFactory, LabError> {
+    let name = settings.policy.clone();
+    if name == clairvoyant::NAME {
+        let site = site::deployments(&settings.scenario);
+        let arrivals = arrivals(&settings.scenario, &site, settings.seed);
+        return Ok(Box::new(move || {
+            Box::new(Clairvoyant::new(&site, &arrivals))
+        }));
+    }
+    if policy_by_name(&name).is_none() {
         let allowed = POLICY_NAMES.join(", ");
-        let problem = format!("unknown policy `{}`; there are {allowed}", settings.policy);
+        let problem = format!(
+            "unknown policy `{name}`; there are {allowed}, {}",
+            clairvoyant::NAME
+        );
         return Err(LabError::usage(problem));
-    };
-    Ok(World::new(settings, control).run())
+    }
+    let fallback = || Box::new(LoadOnDemand) as Box<dyn PlacementPolicy>;
+    Ok(Box::new(move || {
+        policy_by_name(&name).unwrap_or_else(fallback)
+    }))
 }
--- a/crates/lab/src/simulate/world.rs
+++ b/crates/lab/src/simulate/world.rs
@@ -194,9 +194,11 @@
         match event {
             Event::Demand { owner, deployment } => self.receive_demand(owner, deployment),
             Event::Plan => self.plan(),
-            Event::CommitDecision => self.commit_decision(),
+            Event::CommitDecisions => self.commit_decisions(),
             Event::Commit(envelope) => self.commit(&envelope),
-            Event::Order { runner, order } => self.receive_order(runner, &order),
+            Event::Order { runner, order } => {
+                self.receive_order(runner, &order);
+            }
             Event::FenceAndRelease {
                 runner,
                 replica,
