--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! Subcommands of the laboratory.
 
+mod capacity;
 mod compare;
 mod demo;
+mod manual;
 mod simulate;
 
 use crate::error::LabError;
@@ -39,6 +41,24 @@
         run: simulate::run,
         help: simulate::help,
     },
+    Subcommand {
+        name: "capacity",
+        summary: "what a large fleet costs: hollow nodes at growing sizes, slopes by role",
+        run: capacity::run,
+        help: capacity::help,
+    },
+    Subcommand {
+        name: "completion",
+        summary: "print the completion script for bash",
+        run: manual::completion,
+        help: manual::completion_help,
+    },
+    Subcommand {
+        name: "manual",
+        summary: "print the manual page (roff)",
+        run: manual::manual,
+        help: manual::manual_help,
+    },
 ];
 
 /// Runs the subcommand that `arguments` name.
--- a/crates/lab/src/simulate/fleet.rs
+++ b/crates/lab/src/simulate/fleet.rs
@@ -8,9 +8,7 @@
     RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey, StoreModel, StoreModelSettings,
     TransferId,
 };
-use courseshunt_types::runner_api::{
-    LoadPhase, MachineState, OrderRejection, OrderRequest,
-};
+use courseshunt_types::runner_api::{LoadPhase, MachineState, OrderRejection, OrderRequest};
 use courseshunt_types::{Incarnation, Millis, ModelName, RunnerId, Timestamp, Zone};
 use std::collections::BTreeMap;
 
