--- a/crates/controller/src/scheduler/watch.rs
+++ b/crates/controller/src/scheduler/watch.rs
@@ -282,7 +282,7 @@
 
 /// Commits a command; a failure is logged, and found again by the next visit.
 pub async fn submit(context: &ControllerContext, command: Command) {
-    if let Err(error) = context.replica.submit(command).await {
+    if let Err(error) = context.replica.submit_as_leader(command).await {
         log::warn!("scheduler: {error}");
     }
 }
