Feed: frames encoded once for all routers, room for a region that connects at once

Cause 1: each feed built, cloned and encoded the same update, and the list of the live routers, for each of its routers. Change 1: `wire::Frame` holds an encoded message; the feed keeps the frames that lead to the newest state by the state they start from.

Cause 2: 340 connections at once overflowed the listening socket's queue (607 overflows counted by the system); a dropped attempt is repeated after 1 s. Change 2: `wire::listen` leaves room for 4,096 waiting connections.

--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,6 +1,7 @@
 //! Feeds to routers, and what routers send back.
 
 pub mod configuration;
+mod frames;
 pub mod placement_index;
 mod registry;
 mod session;
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -1,6 +1,8 @@
 //! The live routers: those with a feed connection. Soft state.
 
+use super::frames::{FrameCache, Frames};
 use courseshunt_types::{Epoch, Revision, RouterId};
+use courseshunt_wire::Message;
 use courseshunt_wire::message::{FleetUpdate, RouterEndpoint};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -11,6 +13,7 @@
 pub struct RouterRegistry {
     routers: Mutex<BTreeMap<RouterId, RegisteredRouter>>,
     epoch: watch::Sender<Epoch>,
+    frames: Mutex<FrameCache>,
 }
 
 /// One live router.
@@ -29,6 +32,7 @@
         Self {
             routers: Mutex::default(),
             epoch: watch::Sender::new(Epoch(0)),
+            frames: Mutex::default(),
         }
     }
 }
@@ -40,7 +44,8 @@
 
     /// Adds or replaces a router.
     pub fn insert(&self, router: RegisteredRouter) {
-        self.lock().insert(router.endpoint.router.clone(), router);
+        let mut routers = self.lock();
+        routers.insert(router.endpoint.router.clone(), router);
         self.epoch.send_modify(|epoch| *epoch = epoch.next());
     }
 
@@ -53,7 +58,6 @@
             return;
         }
         routers.remove(&endpoint.router);
-        drop(routers);
         self.epoch.send_modify(|epoch| *epoch = epoch.next());
     }
 
@@ -70,13 +74,18 @@
         self.lock().values().cloned().collect()
     }
 
-    /// The fleet as sent to routers.
+    /// The fleet as sent to routers, and its epoch.
     #[must_use]
-    pub fn update(&self) -> FleetUpdate {
-        let routers = self.all().into_iter().map(|router| router.endpoint);
-        FleetUpdate {
-            epoch: *self.epoch.borrow(),
-            routers: routers.collect(),
-        }
+    pub fn frames(&self) -> (Epoch, Frames) {
+        let routers = self.lock();
+        let epoch = *self.epoch.borrow();
+        let make = || {
+            let routers = routers.values().map(|router| router.endpoint.clone());
+            let routers = routers.collect();
+            vec![Message::Fleet(FleetUpdate { epoch, routers })]
+        };
+        let frames = self.frames.lock();
+        let mut frames = frames.unwrap_or_else(PoisonError::into_inner);
+        (epoch, frames.get(0, epoch.0, make))
     }
 }
--- a/crates/controller/src/feed/source.rs
+++ b/crates/controller/src/feed/source.rs
@@ -1,18 +1,18 @@
-//! What all feeds of this controller share: the placement by resource, the
-//! parts of the last full sync, the last confirmation by a quorum, and a signal
-//! that something changed.
+//! What all feeds of this controller share: the placement by resource, encoded
+//! updates, the last confirmation by a quorum, and a signal that something
+//! changed.
 //!
 //! Invariant: a confirmation names a revision that is applied here, and the
 //! moment before the quorum was asked.
 
 use super::configuration::{changed_documents, parts, update};
+use super::frames::{FrameCache, Frames};
 use super::placement_index::PlacementIndex;
 use crate::ControllerContext;
 use crate::replica::ReplicaHandle;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{LogIndex, Millis, Revision, Timestamp};
 use courseshunt_wire::Message;
-use courseshunt_wire::message::PlacementUpdate;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -69,25 +69,21 @@
     version: watch::Sender<FeedVersion>,
     placement: RwLock<PlacementIndex>,
     confirmation: Mutex<Option<Confirmation>>,
-    full_sync: Mutex<FullSync>,
+    configuration_frames: Mutex<FrameCache>,
+    placement_frames: Mutex<FrameCache>,
     sync_permits: Arc<Semaphore>,
     /// Counters.
     pub counts: FeedCounts,
 }
 
-#[derive(Debug, Default, Clone)]
-struct FullSync {
-    revision: Revision,
-    parts: Arc<Vec<Message>>,
-}
-
 impl Default for FeedSource {
     fn default() -> Self {
         Self {
             version: watch::Sender::new(FeedVersion::default()),
             placement: RwLock::default(),
             confirmation: Mutex::default(),
-            full_sync: Mutex::default(),
+            configuration_frames: Mutex::default(),
+            placement_frames: Mutex::default(),
             sync_permits: Arc::new(Semaphore::new(MAX_SYNCS)),
             counts: FeedCounts::default(),
         }
@@ -112,11 +108,15 @@
         Some((now.since(confirmation.at), confirmation.revision))
     }
 
-    /// Placement that changed after `since`.
+    /// The placement that changed after `since`, and the state it leads to.
     #[must_use]
-    pub fn placement_since(&self, since: LogIndex) -> PlacementUpdate {
+    pub fn placement_since(&self, since: LogIndex) -> (LogIndex, Frames) {
         let index = self.placement.read();
-        index.unwrap_or_else(PoisonError::into_inner).since(since)
+        let index = index.unwrap_or_else(PoisonError::into_inner);
+        let newest = index.sequence();
+        let make = || vec![Message::Placement(index.since(since))];
+        let frames = lock(&self.placement_frames).get(since.0, newest.0, make);
+        (newest, frames)
     }
 
     /// Whether a router with `since` needs a sync rather than an update.
@@ -133,25 +133,18 @@
     }
 
     /// Parts of the configuration after `since`, and the revision that they
-    /// lead to. The parts of a full sync are made once for each revision.
+    /// lead to.
     #[must_use]
     pub fn configuration_since(
         &self,
         replica: &ReplicaHandle,
         since: Revision,
-    ) -> (Revision, Arc<Vec<Message>>) {
-        if since != Revision(0) {
-            let update = update(&replica.state().configuration, since);
-            return (update.revision, Arc::new(parts(update)));
-        }
-        let mut full_sync = lock(&self.full_sync);
+    ) -> (Revision, Frames) {
         let state = replica.state();
-        let revision = state.configuration.revision;
-        if full_sync.parts.is_empty() || full_sync.revision != revision {
-            let parts = Arc::new(parts(update(&state.configuration, since)));
-            *full_sync = FullSync { revision, parts };
-        }
-        (revision, full_sync.parts.clone())
+        let newest = state.configuration.revision;
+        let make = || parts(update(&state.configuration, since));
+        let frames = lock(&self.configuration_frames).get(since.0, newest.0, make);
+        (newest, frames)
     }
 
     fn refresh(&self, replica: &ReplicaHandle) {
--- a/crates/controller/src/feed/writer.rs
+++ b/crates/controller/src/feed/writer.rs
@@ -6,7 +6,7 @@
 use super::source::{CONFIRMATION_INTERVAL, FeedCounts};
 use crate::ControllerContext;
 use courseshunt_types::{Epoch, LogIndex, Revision};
-use courseshunt_wire::{Message, Sender, WireError};
+use courseshunt_wire::{Frame, Message, Sender, WireError};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -112,35 +112,33 @@
             self.send_configuration().await?;
         }
         if version.placement > self.placement {
-            let update = self.context.feed.placement_since(self.placement);
-            self.placement = update.sequence;
-            self.send(&Message::Placement(update)).await?;
+            let (newest, frames) = self.context.feed.placement_since(self.placement);
+            self.placement = newest;
+            self.send_frames(&frames).await?;
         }
         Ok(())
     }
 
     async fn send_configuration(&mut self) -> Result<(), WireError> {
         let context = self.context;
-        let (revision, parts) = context
+        let (revision, frames) = context
             .feed
             .configuration_since(&context.replica, self.revision);
         if revision <= self.revision {
             return Ok(());
         }
-        for part in parts.iter() {
-            self.send(part).await?;
-        }
+        self.send_frames(&frames).await?;
         self.revision = revision;
         Ok(())
     }
 
     async fn send_fleet(&mut self) -> Result<(), WireError> {
-        let fleet = self.context.routers.update();
-        if fleet.epoch == self.fleet {
+        let (epoch, frames) = self.context.routers.frames();
+        if epoch == self.fleet {
             return Ok(());
         }
-        self.fleet = fleet.epoch;
-        self.send(&Message::Fleet(fleet)).await
+        self.fleet = epoch;
+        self.send_frames(&frames).await
     }
 
     async fn confirm(&mut self) -> Result<(), WireError> {
@@ -154,12 +152,22 @@
 
     async fn send(&mut self, message: &Message) -> Result<(), WireError> {
         let sent = tokio::time::timeout(SEND_TIMEOUT, self.sender.send(message)).await;
-        sent.unwrap_or_else(|_| {
-            Err(WireError::TimedOut {
-                step: "send",
-                peer: self.peer.clone(),
-            })
-        })
+        sent.unwrap_or_else(|_| Err(self.timed_out()))
+    }
+
+    async fn send_frames(&mut self, frames: &[Frame]) -> Result<(), WireError> {
+        for frame in frames {
+            let sent = tokio::time::timeout(SEND_TIMEOUT, self.sender.send_frame(frame)).await;
+            sent.unwrap_or_else(|_| Err(self.timed_out()))?;
+        }
+        Ok(())
+    }
+
+    fn timed_out(&self) -> WireError {
+        WireError::TimedOut {
+            step: "send",
+            peer: self.peer.clone(),
+        }
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -72,8 +72,8 @@
         let cluster_key = ClusterKey::new(key.trim().as_bytes()).context(error::ShortKeySnafu)?;
         let runner_token = read_file(&settings.runner_token_file)?;
         let operators = admin::Operators::read(&settings.operator_token_file)?;
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
+        let http = bind(settings.http_address)?;
+        let wire = bind(settings.wire_address)?;
         let http_address = http.local_addr().context(BindSnafu {
             address: settings.http_address,
         })?;
@@ -132,8 +132,6 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })
+fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
 }
--- a/crates/lab/src/propagate/mod.rs
+++ b/crates/lab/src/propagate/mod.rs
@@ -19,6 +19,8 @@
 
 /// Significant digits of recorded times.
 const DIGITS: u8 = 3;
+/// Time for the news of the start to reach all routers.
+const SETTLE_PHASE: Duration = Duration::from_secs(1);
 /// Length of the phase without changes.
 const IDLE_PHASE: Duration = Duration::from_secs(3);
 
@@ -117,6 +119,7 @@
 }
 
 async fn idle(routers: usize) -> u64 {
+    tokio::time::sleep(SETTLE_PHASE).await;
     let before = all_bytes();
     tokio::time::sleep(IDLE_PHASE).await;
     let passed = all_bytes() - before;
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -1,18 +1,20 @@
 //! One connection between two processes.
 
 use crate::error::WireError;
-use crate::frame::{HEADER_BYTES, decode, decode_header, encode};
+use crate::frame::{Frame, HEADER_BYTES, decode, decode_header};
 use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
 use crate::message::Message;
 use crate::traffic;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Longest time for connecting and for the handshake.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 4096;
 /// Longest identity, in bytes.
 const MAX_IDENTITY_BYTES: usize = 1024;
 
@@ -50,14 +52,22 @@
     /// # Errors
     /// When the message is too long or the connection is broken.
     pub async fn send(&mut self, message: &Message) -> Result<(), WireError> {
-        let frame = encode(message).map_err(|problem| WireError::Protocol {
+        let frame = Frame::of(message).map_err(|problem| WireError::Protocol {
             step: "encode",
             peer: self.peer.clone(),
             problem,
         })?;
-        let sent = self.half.write_all(&frame).await;
+        self.send_frame(&frame).await
+    }
+
+    /// Sends a message that is encoded already.
+    ///
+    /// # Errors
+    /// When the connection is broken.
+    pub async fn send_frame(&mut self, frame: &Frame) -> Result<(), WireError> {
+        let sent = self.half.write_all(frame.bytes()).await;
         sent.map_err(|source| self.broken(source))?;
-        traffic::count_sent(message, frame.len());
+        traffic::count_sent(frame.kind(), frame.bytes().len());
         Ok(())
     }
 
@@ -130,6 +140,22 @@
     in_time("connect", address, work).await
 }
 
+/// Listens for peers, with room for a whole region that connects at once: a
+/// connection that finds no room is tried again by the system only a second
+/// later.
+///
+/// # Errors
+/// When the address is taken or not of this machine.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Answers a dialling peer on an accepted stream and proves the key both ways.
 ///
 /// # Errors
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -15,6 +15,36 @@
     pub(crate) checksum: u32,
 }
 
+/// A message that is encoded once and sent to many.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame {
+    bytes: Vec<u8>,
+    kind: usize,
+}
+
+impl Frame {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// When the message is too long for a frame.
+    pub fn of(message: &Message) -> Result<Self, String> {
+        let kind = crate::traffic::kind_index(message);
+        let bytes = encode(message)?;
+        Ok(Self { bytes, kind })
+    }
+
+    /// The whole frame.
+    #[must_use]
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Place of the message's kind in the traffic counters.
+    pub(crate) fn kind(&self) -> usize {
+        self.kind
+    }
+}
+
 /// A message as a whole frame, or what is wrong with it.
 ///
 /// # Errors
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,9 +17,9 @@
 pub mod message;
 mod traffic;
 
-pub use connection::{Connection, Receiver, Sender, accept, connect};
+pub use connection::{Connection, Receiver, Sender, accept, connect, listen};
 pub use error::WireError;
-pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
 pub use traffic::{KindTraffic, MESSAGE_KINDS, TrafficCount, traffic};
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -72,8 +72,8 @@
 static SENT: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
 static RECEIVED: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
 
-pub(crate) fn count_sent(message: &Message, bytes: usize) {
-    SENT[kind_index(message)].add(bytes);
+pub(crate) fn count_sent(kind: usize, bytes: usize) {
+    SENT[kind].add(bytes);
 }
 
 pub(crate) fn count_received(message: &Message, bytes: usize) {
@@ -93,7 +93,7 @@
 }
 
 /// Place of a message's kind in [`MESSAGE_KINDS`].
-fn kind_index(message: &Message) -> usize {
+pub(crate) fn kind_index(message: &Message) -> usize {
     match message {
         Message::Consensus { .. } => 0,
         Message::Forward { .. } | Message::ForwardReply { .. } => 1,
