Routers pass revisions on to each other; feed figures on the metrics page

Cause: a router whose controllers are all away or cut off kept its revision, though its peers might have newer ones.

The answer is the whole configuration and the confirmation with the age that it has at the relaying router; both are treated as a controller's feed: never a lower revision, synced only by a fresh confirmation. The parts of an update are made in `wire`, for controllers and routers alike. The controllers' metrics page tells the leader, the feed's age, syncs, updates, waiting syncs, sessions and the revision of each router.

A router that starts anew without any controller has no list of peers and stays not ready.

--- a/crates/controller/src/admin/metrics.rs
+++ b/crates/controller/src/admin/metrics.rs
@@ -3,12 +3,14 @@
 use crate::ControllerContext;
 use courseshunt_metrics::{MetricsPage, Sample};
 use courseshunt_state::{ReplicaPhase, ReplicatedState};
+use std::sync::atomic::Ordering;
 
 /// The page, from the values of this moment.
 pub fn page(context: &ControllerContext) -> String {
     let mut page = MetricsPage::default();
     member(&mut page, context);
     fleet(&mut page, context);
+    feed(&mut page, context);
     state(&mut page, &context.replica.state());
     page.process();
     page.text()
@@ -17,6 +19,7 @@
 fn member(page: &mut MetricsPage, context: &ControllerContext) {
     let status = context.replica.status().borrow().clone();
     let leads = f64::from(u8::from(status.leads()));
+    let leader = status.leader.map_or(0.0, |leader| leader.0 as f64);
     let has_leader = f64::from(u8::from(status.leader.is_some()));
     page.gauge("leads", "1 while this member leads.", leads);
     page.gauge(
@@ -24,6 +27,7 @@
         "1 while this member knows a leader.",
         has_leader,
     );
+    page.gauge("leader", "Member that leads, 0 for none.", leader);
     page.gauge("term", "Term of the control group.", status.term.0 as f64);
     page.gauge(
         "applied_index",
@@ -53,6 +57,42 @@
     );
 }
 
+fn feed(page: &mut MetricsPage, context: &ControllerContext) {
+    let confirmation = context.feed.confirmation(context.clock.now());
+    let age = confirmation.map_or(f64::INFINITY, |(age, _)| age.as_secs_f64());
+    page.gauge(
+        "feed_age_seconds",
+        "Time since a quorum confirmed this member's feed.",
+        age,
+    );
+    let routers = context.routers.all().into_iter();
+    let revisions = routers.map(|one| {
+        let revision = one.revision.0 as f64;
+        Sample::labelled("router", one.endpoint.router.0, revision)
+    });
+    page.gauges(
+        "router_revision",
+        "Revision in force at each router that follows this member's feed.",
+        revisions,
+    );
+    let counts = &context.feed.counts;
+    page.counter(
+        "feed_syncs",
+        "Syncs of routers that had nothing or were far behind.",
+        counts.syncs.load(Ordering::Relaxed),
+    );
+    page.counter(
+        "feed_updates",
+        "Updates of the configuration with only what changed.",
+        counts.updates.load(Ordering::Relaxed),
+    );
+    page.gauge(
+        "feed_syncs_waiting",
+        "Syncs that wait for their turn or are being sent.",
+        counts.waiting_syncs.load(Ordering::Relaxed) as f64,
+    );
+}
+
 fn state(page: &mut MetricsPage, state: &ReplicatedState) {
     let count = |phase| {
         let replicas = state.placement.replicas.values();
@@ -67,6 +107,11 @@
             Sample::labelled("phase", "withdrawn", count(ReplicaPhase::Withdrawn)),
         ],
     );
+    page.gauge(
+        "sessions",
+        "Sessions of clients whose resends are recognised.",
+        state.sessions.sessions.len() as f64,
+    );
     page.gauge(
         "runners",
         "Known runners.",
--- a/crates/controller/src/feed/configuration.rs
+++ b/crates/controller/src/feed/configuration.rs
@@ -1,13 +1,9 @@
-//! Updates of the configuration: what changed since a revision, in parts. Pure.
+//! Updates of the configuration: what changed since a revision. Pure.
 
-use courseshunt_state::{Configuration, DocumentKey, DocumentKind, StoredDeployment};
-use courseshunt_types::{DeploymentName, Revision};
-use courseshunt_wire::Message;
+use courseshunt_state::{Configuration, DocumentKey, DocumentKind};
+use courseshunt_types::Revision;
 use courseshunt_wire::message::ConfigurationUpdate;
 
-/// Documents in one part of an update at the most.
-pub const DOCUMENTS_PER_PART: usize = 128;
-
 /// Changes of the configuration after `since`; everything when it is 0.
 #[must_use]
 pub fn update(configuration: &Configuration, since: Revision) -> ConfigurationUpdate {
@@ -42,49 +38,3 @@
     let deployments = configuration.deployments.values();
     deployments.filter(|one| one.revision > since).count()
 }
-
-/// An update as messages of at most [`DOCUMENTS_PER_PART`] documents each. The
-/// receiver brings it into force with the last one.
-#[must_use]
-pub fn parts(update: ConfigurationUpdate) -> Vec<Message> {
-    let ConfigurationUpdate {
-        full,
-        revision,
-        deployments,
-        removed,
-        tenants,
-        ..
-    } = update;
-    let mut parts: Vec<ConfigurationUpdate> = deployments
-        .chunks(DOCUMENTS_PER_PART)
-        .map(|documents| part(revision, documents.to_vec(), Vec::new()))
-        .collect();
-    let others = removed.chunks(DOCUMENTS_PER_PART);
-    parts.extend(others.map(|names| part(revision, Vec::new(), names.to_vec())));
-    if parts.is_empty() {
-        parts.push(part(revision, Vec::new(), Vec::new()));
-    }
-    if let Some(first) = parts.first_mut() {
-        first.full = full;
-        first.tenants = tenants;
-    }
-    if let Some(last) = parts.last_mut() {
-        last.more = false;
-    }
-    parts.into_iter().map(Message::Configuration).collect()
-}
-
-fn part(
-    revision: Revision,
-    deployments: Vec<StoredDeployment>,
-    removed: Vec<DeploymentName>,
-) -> ConfigurationUpdate {
-    ConfigurationUpdate {
-        full: false,
-        revision,
-        deployments,
-        removed,
-        tenants: None,
-        more: true,
-    }
-}
--- a/crates/controller/src/feed/source.rs
+++ b/crates/controller/src/feed/source.rs
@@ -5,14 +5,14 @@
 //! Invariant: a confirmation names a revision that is applied here, and the
 //! moment before the quorum was asked.
 
-use super::configuration::{changed_documents, parts, update};
+use super::configuration::{changed_documents, update};
 use super::frames::{FrameCache, Frames};
 use super::placement_index::PlacementIndex;
 use crate::ControllerContext;
 use crate::replica::ReplicaHandle;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{LogIndex, Millis, Revision, Timestamp};
-use courseshunt_wire::Message;
+use courseshunt_wire::{DOCUMENTS_PER_PART, Message};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -124,7 +124,7 @@
     pub fn needs_sync(&self, replica: &ReplicaHandle, since: Revision) -> bool {
         let state = replica.state();
         let changed = changed_documents(&state.configuration, since);
-        since == Revision(0) || changed > super::configuration::DOCUMENTS_PER_PART
+        since == Revision(0) || changed > DOCUMENTS_PER_PART
     }
 
     /// A turn to sync, held while the parts are sent.
@@ -142,7 +142,7 @@
     ) -> (Revision, Frames) {
         let state = replica.state();
         let newest = state.configuration.revision;
-        let make = || parts(update(&state.configuration, since));
+        let make = || update(&state.configuration, since).into_parts();
         let frames = lock(&self.configuration_frames).get(since.0, newest.0, make);
         (newest, frames)
     }
--- a/crates/controller/tests/feed.rs
+++ b/crates/controller/tests/feed.rs
@@ -5,14 +5,16 @@
 
 use common::{Api, KEY, PATIENCE, change};
 use courseshunt_controller::feed::PlacementIndex;
-use courseshunt_controller::feed::configuration::{DOCUMENTS_PER_PART, parts, update};
+use courseshunt_controller::feed::configuration::update;
 use courseshunt_state::{
     ChangeRequest, Configuration, FleetLimits, Placement, ReplicaPhase, ReplicaRecord, RunnerRecord,
 };
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::*;
 use courseshunt_wire::message::{ConfigurationUpdate, PlacementUpdate, Subscribe};
-use courseshunt_wire::{ClusterKey, Connection, Message, PeerIdentity, connect};
+use courseshunt_wire::{
+    ClusterKey, Connection, DOCUMENTS_PER_PART, Message, PeerIdentity, connect,
+};
 use std::collections::BTreeSet;
 
 fn runner(name: &str, state: MachineState) -> RunnerRecord {
@@ -113,7 +115,7 @@
         let since = configuration.revision;
         let changed = configuration.change(&request, &FleetLimits::default(), UnixMillis(1));
         changed.unwrap();
-        let parts = parts(update(&configuration, since));
+        let parts = update(&configuration, since).into_parts();
         assert_eq!(parts.len(), expected_parts, "{documents} documents");
         let more = parts.iter().map(|part| match part {
             Message::Configuration(update) => update.more,
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -4,7 +4,7 @@
 //! an update in parts comes into force as a whole; the view counts as synced
 //! only once it held a revision that a quorum had confirmed shortly before.
 
-use courseshunt_state::TenantDocument;
+use courseshunt_state::{StoredDeployment, TenantDocument};
 use courseshunt_types::{
     DeploymentDocument, DeploymentName, Digest, LogIndex, Revision, RunnerId, TenantName, Timestamp,
 };
@@ -26,6 +26,8 @@
     revision: Revision,
     deployments: BTreeMap<DeploymentName, Arc<DeploymentDocument>>,
     tenants: BTreeMap<Digest, TenantName>,
+    /// As fed, for other routers.
+    tenant_documents: Vec<TenantDocument>,
     /// Parts of an update whose last part has not come yet.
     parts: Vec<ConfigurationUpdate>,
     placement: LogIndex,
@@ -37,10 +39,12 @@
 }
 
 /// The newest revision at a moment, as a quorum confirmed.
-#[derive(Debug, Clone, Copy)]
-struct ConfirmedRevision {
-    at: Timestamp,
-    revision: Revision,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfirmedRevision {
+    /// The moment, on this process's clock.
+    pub at: Timestamp,
+    /// The revision.
+    pub revision: Revision,
 }
 
 impl Inner {
@@ -57,6 +61,7 @@
         }
         if let Some(tenants) = update.tenants {
             self.tenants = tokens(&tenants);
+            self.tenant_documents = tenants;
         }
         self.revision = update.revision;
     }
@@ -132,10 +137,34 @@
         inner.judge_synced();
     }
 
-    /// When a quorum last confirmed the feed.
+    /// What a quorum last confirmed.
+    #[must_use]
+    pub fn confirmation(&self) -> Option<ConfirmedRevision> {
+        self.read().confirmed
+    }
+
+    /// The whole configuration for a router that has `revision`; `None` when
+    /// that is as new.
     #[must_use]
-    pub fn confirmed_at(&self) -> Option<Timestamp> {
-        self.read().confirmed.map(|confirmed| confirmed.at)
+    pub fn update_after(&self, revision: Revision) -> Option<ConfigurationUpdate> {
+        let inner = self.read();
+        if revision >= inner.revision {
+            return None;
+        }
+        let documents = inner.deployments.values();
+        let deployments = documents.map(|document| StoredDeployment {
+            digest: document.digest(),
+            revision: inner.revision,
+            document: DeploymentDocument::clone(document),
+        });
+        Some(ConfigurationUpdate {
+            full: true,
+            revision: inner.revision,
+            deployments: deployments.collect(),
+            removed: Vec::new(),
+            tenants: Some(inner.tenant_documents.clone()),
+            more: false,
+        })
     }
 
     /// Whether a confirmed configuration is in force.
--- a/crates/router/src/control/freshness.rs
+++ b/crates/router/src/control/freshness.rs
@@ -13,13 +13,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FeedFreshness {
     confirmed_at: Timestamp,
+    was_confirmed: bool,
 }
 
 impl FeedFreshness {
     /// A connection made at `now`; it may be unconfirmed for [`STALE_LIMIT`].
     #[must_use]
     pub fn connected(now: Timestamp) -> Self {
-        Self { confirmed_at: now }
+        Self {
+            confirmed_at: now,
+            was_confirmed: false,
+        }
     }
 
     /// Takes a confirmation in that was `age` old when it was sent. Returns
@@ -27,7 +31,15 @@
     pub fn confirmed(&mut self, age: Millis, now: Timestamp) -> bool {
         let at = Timestamp(now.0.saturating_sub(age.0));
         self.confirmed_at = self.confirmed_at.max(at);
-        age <= STALE_LIMIT
+        let fresh = age <= STALE_LIMIT;
+        self.was_confirmed |= fresh;
+        fresh
+    }
+
+    /// Whether any confirmation was fresh.
+    #[must_use]
+    pub fn was_confirmed(&self) -> bool {
+        self.was_confirmed
     }
 
     /// Age of the last confirmation.
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -7,6 +7,7 @@
 use super::freshness::{FeedFreshness, STALE_LIMIT};
 use super::ledger::LedgerCalls;
 use super::pending::PendingCalls;
+use super::relay;
 use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::Subscribe;
 use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect};
@@ -55,6 +56,7 @@
     let identity = PeerIdentity::Router(settings.router.clone(), settings.incarnation);
     let pending = Mutex::new(PendingCalls::default());
     let first = first_controller(&settings);
+    let mut unconfirmed = 0;
     for address in settings.controllers.iter().cycle().skip(first) {
         match connect(*address, &settings.key, &identity).await {
             Ok(connection) => {
@@ -68,6 +70,9 @@
                 };
                 let ended = link.serve(connection, &mut calls).await;
                 link.pending().connection_lost();
+                if link.freshness().was_confirmed() {
+                    unconfirmed = 0;
+                }
                 match ended {
                     Ok(()) => log::info!("control: the controller at {address} closed"),
                     Err(error) => log::warn!("control: {error}"),
@@ -75,11 +80,23 @@
             }
             Err(error) => log::warn!("control: {error}"),
         }
+        unconfirmed += 1;
+        if unconfirmed % settings.controllers.len() == 0 {
+            ask_routers(&client, &settings).await;
+        }
         let pause = rand::rng().random_range(RECONNECT_PAUSE_MILLIS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
+/// No controller has a confirmed feed: perhaps another router has one.
+async fn ask_routers<C: LinkClient>(client: &C, settings: &LinkSettings) {
+    if let Some(revision) = relay::fetch(client.view(), settings).await {
+        log::info!("router: revision {revision} is in force, as fed by another router");
+        client.view_changed();
+    }
+}
+
 /// Routers with one list of controllers begin at different ones.
 fn first_controller(settings: &LinkSettings) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64(settings.router.as_str().as_bytes());
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod link;
 mod pending;
+mod relay;
 
 pub use client::{Endpoints, LinkClient, LinkSettings};
 pub use freshness::{FeedFreshness, STALE_LIMIT};
@@ -13,3 +14,4 @@
 };
 pub use link::run;
 pub use pending::PendingCalls;
+pub use relay::RelaySource;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,7 @@
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::{LedgerClient, LinkSettings};
+use control::{LedgerClient, LinkSettings, RelaySource};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
@@ -115,7 +115,11 @@
         };
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
-        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
+        let relay = RelaySource {
+            view: context.view.clone(),
+            clock,
+        };
+        tokio::spawn(peers::accept_holders(wire, peers, relay, ended.clone()));
         let link = LinkSettings::of_router(
             &context.settings,
             context.incarnation,
--- a/crates/router/src/peers/accept.rs
+++ b/crates/router/src/peers/accept.rs
@@ -2,7 +2,8 @@
 
 use super::links::PeerContext;
 use super::{PeerEvent, SEND_QUEUE, SessionNumber};
-use courseshunt_types::RouterId;
+use crate::control::RelaySource;
+use courseshunt_types::{Revision, RouterId};
 use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, accept};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,7 +15,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts holders until `stop` is cancelled.
-pub async fn accept_holders(listener: TcpListener, context: PeerContext, stop: CancellationToken) {
+pub async fn accept_holders(
+    listener: TcpListener,
+    context: PeerContext,
+    relay: RelaySource,
+    stop: CancellationToken,
+) {
     let mut session = SessionNumber(0);
     loop {
         let accepted = tokio::select! {
@@ -24,7 +30,7 @@
         match accepted {
             Ok((stream, address)) => {
                 session = SessionNumber(session.0 + 1);
-                let serving = serve(stream, address, session, context.clone());
+                let serving = serve(stream, address, session, context.clone(), relay.clone());
                 tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
             }
             Err(error) => {
@@ -40,6 +46,7 @@
     address: SocketAddr,
     session: SessionNumber,
     context: PeerContext,
+    relay: RelaySource,
 ) {
     let connection = match accept(stream, address, &context.key, &context.identity).await {
         Ok(connection) => connection,
@@ -52,7 +59,7 @@
         log::warn!("peers: {} is no router", connection.peer);
         return;
     };
-    let ended = serve_holder(&holder, session, connection, &context).await;
+    let ended = serve_holder(&holder, session, connection, &context, &relay).await;
     if let Err(error) = ended {
         log::info!("peers: session with holder {holder} ended: {error}");
     }
@@ -64,6 +71,7 @@
     session: SessionNumber,
     connection: Connection,
     context: &PeerContext,
+    relay: &RelaySource,
 ) -> Result<(), WireError> {
     let Connection {
         sender, receiver, ..
@@ -78,7 +86,7 @@
     });
     tokio::select! {
         ended = send(sender, queue) => ended,
-        ended = receive(holder, session, receiver, answers, context) => ended,
+        ended = receive(holder, session, receiver, answers, context, relay) => ended,
     }
 }
 
@@ -89,12 +97,25 @@
     Ok(())
 }
 
+/// Answers a router that reaches no controller.
+async fn pass_on(relay: &RelaySource, revision: Revision, answers: &mpsc::WeakSender<Message>) {
+    let Some(answers) = answers.upgrade() else {
+        return;
+    };
+    for message in relay.answer(revision) {
+        if answers.send(message).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn receive(
     holder: &RouterId,
     session: SessionNumber,
     mut receiver: Receiver,
     answers: mpsc::WeakSender<Message>,
     context: &PeerContext,
+    relay: &RelaySource,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
         if message == Message::Ping {
@@ -104,6 +125,10 @@
             }
             continue;
         }
+        if let Message::Subscribe(subscribe) = &message {
+            pass_on(relay, subscribe.revision, &answers).await;
+            continue;
+        }
         context.tell(PeerEvent::FromHolder {
             holder: holder.clone(),
             session,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -15,12 +15,16 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Settings of a router that knows `controllers`.
-pub fn settings(folder: &std::path::Path, controllers: &[SocketAddr]) -> RouterSettings {
+pub fn settings(
+    folder: &std::path::Path,
+    name: &str,
+    controllers: &[SocketAddr],
+) -> RouterSettings {
     let key_file = folder.join("cluster.key");
     std::fs::write(&key_file, KEY).unwrap();
     let controllers: Vec<String> = controllers.iter().map(ToString::to_string).collect();
     let arguments = [
-        "--id=router-1".to_owned(),
+        format!("--id={name}"),
         "--http-address=127.0.0.1:0".to_owned(),
         "--wire-address=127.0.0.1:0".to_owned(),
         "--drain-seconds=1".to_owned(),
@@ -32,10 +36,14 @@
 
 /// A router that follows `controllers`.
 pub async fn start_router(controllers: &[SocketAddr]) -> Router {
+    start_router_named("router-1", controllers).await
+}
+
+/// A router with a name that follows `controllers`.
+pub async fn start_router_named(name: &str, controllers: &[SocketAddr]) -> Router {
     let folder = tempfile::tempdir().unwrap();
-    Router::start(settings(folder.path(), controllers))
-        .await
-        .unwrap()
+    let settings = settings(folder.path(), name, controllers);
+    Router::start(settings).await.unwrap()
 }
 
 pub struct FakeController {
--- a/crates/router/tests/feed.rs
+++ b/crates/router/tests/feed.rs
@@ -150,7 +150,7 @@
     send(&mut feed, update(true, 1, false, &["a"])).await;
     // Too old to tell that 1 is the newest; then fresh, but 2 is the newest.
     confirm(&mut feed, Millis(STALE_LIMIT.0 + 1), 1).await;
-    let confirmed = || view.confirmed_at().is_some();
+    let confirmed = || view.confirmation().is_some();
     confirm_until(&mut feed, 2, "a confirmation", confirmed).await;
     assert_eq!(view.revision(), Revision(1));
     assert!(!view.is_synced());
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 use courseshunt_queue::Ticket;
 use courseshunt_router::configuration::ConfigurationView;
+use courseshunt_router::control::RelaySource;
 use courseshunt_router::dispatch::{Arguments, DispatcherHandle, GrantedRequest, start};
 use courseshunt_router::peers::accept_holders;
 use courseshunt_state::StoredDeployment;
@@ -59,7 +60,11 @@
         let wire_address = listener.local_addr().unwrap().to_string();
         let life = CancellationToken::new();
         let peers = dispatcher.peer_context(key, identity);
-        tokio::spawn(accept_holders(listener, peers, life.clone()));
+        let relay = RelaySource {
+            view: view.clone(),
+            clock: MonotonicClock::start(),
+        };
+        tokio::spawn(accept_holders(listener, peers, relay, life.clone()));
         let endpoint = RouterEndpoint {
             router: router.clone(),
             incarnation,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod frame;
 mod handshake;
 pub mod message;
+mod parts;
 mod traffic;
 
 pub use connection::{Connection, Receiver, Sender, accept, connect, listen};
@@ -22,4 +23,5 @@
 pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
+pub use parts::DOCUMENTS_PER_PART;
 pub use traffic::{KindTraffic, MESSAGE_KINDS, TrafficCount, traffic};
