--- /dev/null
+++ b/crates/placement/src/policies/adaptive/staging.rs
@@ -0,0 +1,215 @@
+//! Which checkpoints lie in the runners' host memory and on their disks. That
+//! costs no accelerator time, and makes the next load short. Pure.
+//!
+//! Every checkpoint gets a disk, the most wanted ones two. Host memory is dealt
+//! out by what it saves: the calls to expect, times the cost of the longer
+//! load, for each MiB; a model that is loaded needs it less.
+
+use super::cost::wait_cost;
+use super::forecast::Forecast;
+use crate::decision::{Decision, DecisionKind};
+use crate::view::{ClusterView, DeploymentView, RunnerView};
+use courseshunt_types::runner_api::CacheTier;
+use courseshunt_types::{ModelName, RunnerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Starts of the weight store that are left to loads.
+const STARTS_LEFT: u32 = 1;
+/// Share of the weight store's concurrency that staging may take.
+const STORE_SHARE: f64 = 0.5;
+/// Stagings at the same time on one runner.
+const STAGINGS_ON_RUNNER: usize = 1;
+/// What host memory is worth for a model while it is loaded there.
+const LOADED_WORTH: f64 = 0.3;
+/// A checkpoint that is in host memory already is kept in favour of one that
+/// is worth up to this many times as much.
+const KEEP_FACTOR: f64 = 1.3;
+
+/// Copies wanted in host memory.
+type HostPlan = BTreeMap<RunnerId, BTreeSet<ModelName>>;
+
+/// A checkpoint that may be put into a runner's host memory.
+struct Candidate<'a> {
+    deployment: &'a DeploymentView,
+    runner: &'a RunnerView,
+    worth: f64,
+}
+
+/// Stagings to order now.
+#[must_use]
+pub fn stage(view: &ClusterView, forecast: &Forecast) -> Vec<Decision> {
+    let store = &view.store;
+    let share = (f64::from(store.concurrency_limit) * STORE_SHARE) as u32;
+    let mut from_store = share
+        .saturating_sub(store.active_loads)
+        .min(store.starts_available.saturating_sub(STARTS_LEFT));
+    let mut busy: BTreeMap<&RunnerId, usize> = view
+        .runners
+        .iter()
+        .map(|one| (&one.runner, one.staging.len()))
+        .collect();
+    let mut decisions = Vec::new();
+    for (deployment, runner, tier) in wanted(view, forecast) {
+        let model = &deployment.document.model;
+        let now_in = runner.tier_of(model);
+        let running = busy.entry(&runner.runner).or_default();
+        if *running >= STAGINGS_ON_RUNNER || runner.staging.contains(model) {
+            continue;
+        }
+        if now_in == CacheTier::Remote {
+            if from_store == 0 {
+                continue;
+            }
+            from_store -= 1;
+        }
+        *running += 1;
+        decisions.push(staging(model, runner, tier));
+    }
+    decisions
+}
+
+fn staging(model: &ModelName, runner: &RunnerView, tier: CacheTier) -> Decision {
+    let reason = match tier {
+        CacheTier::HostMemory => "in host memory its next load is short",
+        _ => "no runner has it on disk",
+    };
+    Decision {
+        kind: DecisionKind::Stage {
+            model: model.clone(),
+            runner: runner.runner.clone(),
+            tier,
+        },
+        reason: reason.to_owned(),
+    }
+}
+
+/// Missing copies, the most wanted first.
+fn wanted<'a>(
+    view: &'a ClusterView,
+    forecast: &Forecast,
+) -> Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)> {
+    let mut wanted = host_wanted(view, forecast);
+    wanted.extend(disk_wanted(view, forecast));
+    wanted
+}
+
+/// Runners that could serve a deployment.
+fn able<'a>(
+    view: &'a ClusterView,
+    deployment: &'a DeploymentView,
+) -> impl Iterator<Item = &'a RunnerView> {
+    let memory = deployment.document.replica_memory_mib();
+    let model = &deployment.document.model;
+    view.runners.iter().filter(move |one| {
+        one.accepts_loads() && one.memory_mib >= memory && !one.avoid.contains(model)
+    })
+}
+
+fn host_wanted<'a>(
+    view: &'a ClusterView,
+    forecast: &Forecast,
+) -> Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)> {
+    let mut candidates = candidates(view, forecast);
+    candidates.sort_by(|one, other| other.worth.total_cmp(&one.worth));
+    let mut free: BTreeMap<&RunnerId, u64> = view
+        .runners
+        .iter()
+        .map(|one| (&one.runner, one.host_memory_mib))
+        .collect();
+    let mut plan = HostPlan::new();
+    let mut copies: BTreeMap<&ModelName, u32> = BTreeMap::new();
+    let mut missing = Vec::new();
+    for one in candidates {
+        let model = &one.deployment.document.model;
+        let size = one.deployment.document.checkpoint_size_mib();
+        let room = free.entry(&one.runner.runner).or_default();
+        let count = copies.entry(model).or_default();
+        if *count > 0 || *room < size {
+            continue;
+        }
+        *room -= size;
+        *count += 1;
+        let planned = plan.entry(one.runner.runner.clone()).or_default();
+        planned.insert(model.clone());
+        if one.runner.tier_of(model) > CacheTier::HostMemory {
+            missing.push((one.deployment, one.runner, CacheTier::HostMemory));
+        }
+    }
+    missing
+}
+
+/// All pairs of deployment and runner with their worth for each MiB.
+fn candidates<'a>(view: &'a ClusterView, forecast: &Forecast) -> Vec<Candidate<'a>> {
+    let mut candidates = Vec::new();
+    for deployment in &view.deployments {
+        let document = &deployment.document;
+        let rate = forecast.mean_rate(deployment.name(), view.now);
+        let times = deployment.expected_load();
+        let saved = wait_cost(deployment, times.disk) - wait_cost(deployment, times.host_memory);
+        let size = document.checkpoint_size_mib().max(1) as f64;
+        let loaded = !deployment.replicas.is_empty();
+        for runner in able(view, deployment) {
+            let here = match runner.tier_of(&document.model) {
+                CacheTier::Accelerator | CacheTier::HostMemory => KEEP_FACTOR,
+                CacheTier::Disk => 1.0,
+                CacheTier::Remote => 0.9,
+            };
+            let held = deployment
+                .replicas
+                .iter()
+                .any(|one| one.runner == runner.runner);
+            let needed = if loaded && held { LOADED_WORTH } else { 1.0 };
+            candidates.push(Candidate {
+                deployment,
+                runner,
+                worth: rate * saved.max(0.0) / size * here * needed,
+            });
+        }
+    }
+    candidates
+}
+
+/// Checkpoints that no runner has, the most called first, to the disk with the
+/// most room.
+fn disk_wanted<'a>(
+    view: &'a ClusterView,
+    forecast: &Forecast,
+) -> Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)> {
+    let mut rooms: BTreeMap<&RunnerId, u64> = view
+        .runners
+        .iter()
+        .map(|one| (&one.runner, disk_room(one)))
+        .collect();
+    let mut deployments: Vec<&DeploymentView> = view.deployments.iter().collect();
+    deployments.sort_by(|one, other| {
+        let rate = |one: &DeploymentView| forecast.mean_rate(one.name(), view.now);
+        rate(other).total_cmp(&rate(one))
+    });
+    let mut wanted = Vec::new();
+    for deployment in deployments {
+        let model = &deployment.document.model;
+        let cached = |one: &RunnerView| {
+            one.tier_of(model) < CacheTier::Remote || one.staging.contains(model)
+        };
+        if able(view, deployment).any(cached) {
+            continue;
+        }
+        let size = deployment.document.checkpoint_size_mib();
+        let fitting = able(view, deployment).filter(|one| rooms[&one.runner] >= size);
+        let Some(best) = fitting.max_by_key(|one| rooms[&one.runner]) else {
+            continue;
+        };
+        *rooms.entry(&best.runner).or_default() -= size;
+        wanted.push((deployment, best, CacheTier::Disk));
+    }
+    wanted
+}
+
+fn disk_room(runner: &RunnerView) -> u64 {
+    let on_disk = runner
+        .cached
+        .iter()
+        .filter(|one| one.tier == CacheTier::Disk);
+    let used: u64 = on_disk.map(|one| one.size_mib).sum();
+    runner.disk_mib.saturating_sub(used)
+}
