--- a/crates/placement/src/load_times.rs
+++ b/crates/placement/src/load_times.rs
@@ -9,8 +9,12 @@
 const NEW_SHARE: f64 = 0.3;
 /// Speed of host memory before anything was measured, in MiB per second.
 const DEFAULT_HOST_SPEED: f64 = 8_000.0;
-/// Speed of disks before anything was measured, in MiB per second.
-const DEFAULT_DISK_SPEED: f64 = 1_500.0;
+/// Speed of disks before anything was measured, in MiB per second. Rather high:
+/// a tier that is thought slow is never tried, and so never measured.
+const DEFAULT_DISK_SPEED: f64 = 3_000.0;
+/// A faster tier takes this share of the next slower one's time at the most;
+/// loads of other sizes on other runners teach only so much.
+const FASTER_TIER_SHARE: f64 = 0.7;
 /// Time to set an engine up, in milliseconds, before anything was measured.
 const DEFAULT_ENGINE_START_MS: f64 = 1_000.0;
 
@@ -37,6 +41,18 @@
     /// Time to expect for a load of a deployment from one tier.
     #[must_use]
     pub fn expected(&self, document: &DeploymentDocument, tier: CacheTier) -> Millis {
+        let expected = self.learned(document, tier);
+        let slower = match tier {
+            CacheTier::Accelerator => return Millis(0),
+            CacheTier::HostMemory => CacheTier::Disk,
+            CacheTier::Disk => CacheTier::Remote,
+            CacheTier::Remote => return expected,
+        };
+        let bound = self.expected(document, slower).0 as f64 * FASTER_TIER_SHARE;
+        Millis(expected.0.min(bound.ceil() as u64))
+    }
+
+    fn learned(&self, document: &DeploymentDocument, tier: CacheTier) -> Millis {
         let size = document.checkpoint_size_mib() as f64;
         let key = (document.model.clone(), tier);
         let learned = self.by_model.get(&key).copied();
--- a/crates/placement/src/policies/adaptive/mod.rs
+++ b/crates/placement/src/policies/adaptive/mod.rs
@@ -25,8 +25,10 @@
 use crate::view::{ClusterView, DeploymentView, ReplicaView, RunnerView};
 use cost::{idle_cost, wait_cost};
 use courseshunt_state::ReplicaPhase;
+use courseshunt_types::runner_api::CacheTier;
 use courseshunt_types::{DeploymentName, Millis, PriorityClass, RunnerId, Timestamp};
 use room::{Place, Reach, Rooms};
+use staging::Stager;
 use std::collections::BTreeMap;
 
 /// A replica stays this long after its last use in any case: the calls of one
@@ -55,6 +57,7 @@
     /// Runners on which memory is being freed for a load.
     assigned: BTreeMap<DeploymentName, Assignment>,
     staged_at: Option<Timestamp>,
+    stager: Stager,
 }
 
 #[derive(Debug, Clone)]
@@ -217,7 +220,10 @@
                 continue;
             };
             let costs = idle_cost(deployment, runner) * PRELOAD_FACTOR;
-            if !due && worth < costs || due && place.loss > wait_cost(deployment, place.delay) {
+            let remote = place.tier == CacheTier::Remote;
+            if !due && (worth < costs || remote)
+                || due && place.loss > wait_cost(deployment, place.delay)
+            {
                 continue;
             }
             let reason = match due {
@@ -322,7 +328,7 @@
             return Vec::new();
         }
         self.staged_at = Some(view.now);
-        staging::stage(view, &self.forecast)
+        self.stager.stage(view, &self.forecast)
     }
 
     fn thoughts(&self, view: &ClusterView, deployment: &DeploymentView) -> Vec<String> {
--- a/crates/placement/src/policies/adaptive/staging.rs
+++ b/crates/placement/src/policies/adaptive/staging.rs
@@ -10,11 +10,13 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::view::{ClusterView, DeploymentView, RunnerView};
 use courseshunt_types::runner_api::CacheTier;
-use courseshunt_types::{ModelName, RunnerId};
+use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Starts of the weight store that are left to loads.
 const STARTS_LEFT: u32 = 1;
+/// Copies of a checkpoint on disks, where there is room.
+const DISK_COPIES: usize = 2;
 /// Share of the weight store's concurrency that staging may take.
 const STORE_SHARE: f64 = 0.5;
 /// Stagings at the same time on one runner.
@@ -25,6 +27,9 @@
 /// is worth up to this many times as much.
 const KEEP_FACTOR: f64 = 1.3;
 
+/// A runner whose memory is this many times the replica's is much larger.
+const OVERSIZE: u64 = 4;
+
 /// Copies wanted in host memory.
 type HostPlan = BTreeMap<RunnerId, BTreeSet<ModelName>>;
 
@@ -35,37 +40,50 @@
     worth: f64,
 }
 
-/// Stagings to order now.
-#[must_use]
-pub fn stage(view: &ClusterView, forecast: &Forecast) -> Vec<Decision> {
-    let store = &view.store;
-    let share = (f64::from(store.concurrency_limit) * STORE_SHARE) as u32;
-    let mut from_store = share
-        .saturating_sub(store.active_loads)
-        .min(store.starts_available.saturating_sub(STARTS_LEFT));
-    let mut busy: BTreeMap<&RunnerId, usize> = view
-        .runners
-        .iter()
-        .map(|one| (&one.runner, one.staging.len()))
-        .collect();
-    let mut decisions = Vec::new();
-    for (deployment, runner, tier) in wanted(view, forecast) {
-        let model = &deployment.document.model;
-        let now_in = runner.tier_of(model);
-        let running = busy.entry(&runner.runner).or_default();
-        if *running >= STAGINGS_ON_RUNNER || runner.staging.contains(model) {
-            continue;
+/// Longest time that a staging is remembered.
+const MEMORY: Millis = Millis::from_secs(180);
+
+/// Orders stagings, and remembers those that are on their way.
+#[derive(Debug, Clone, Default)]
+pub struct Stager {
+    ordered: BTreeMap<(RunnerId, ModelName), Timestamp>,
+}
+
+impl Stager {
+    /// Stagings to order now.
+    pub fn stage(&mut self, view: &ClusterView, forecast: &Forecast) -> Vec<Decision> {
+        self.ordered.retain(|_, until| *until > view.now);
+        let store = &view.store;
+        let share = (f64::from(store.concurrency_limit) * STORE_SHARE) as u32;
+        let mut from_store = share
+            .saturating_sub(store.active_loads)
+            .min(store.starts_available.saturating_sub(STARTS_LEFT));
+        let mut busy: BTreeMap<RunnerId, usize> = BTreeMap::new();
+        for (runner, _) in self.ordered.keys() {
+            *busy.entry(runner.clone()).or_default() += 1;
         }
-        if now_in == CacheTier::Remote {
-            if from_store == 0 {
+        let mut decisions = Vec::new();
+        for (deployment, runner, tier) in wanted(view, forecast) {
+            let model = &deployment.document.model;
+            let now_in = runner.tier_of(model);
+            let key = (runner.runner.clone(), model.clone());
+            let running = busy.entry(runner.runner.clone()).or_default();
+            if *running >= STAGINGS_ON_RUNNER || self.ordered.contains_key(&key) {
                 continue;
             }
-            from_store -= 1;
+            if now_in == CacheTier::Remote {
+                if from_store == 0 {
+                    continue;
+                }
+                from_store -= 1;
+            }
+            *running += 1;
+            let length = deployment.expected_load().of(now_in).min(MEMORY);
+            self.ordered.insert(key, view.now + length);
+            decisions.push(staging(model, runner, tier));
         }
-        *running += 1;
-        decisions.push(staging(model, runner, tier));
+        decisions
     }
-    decisions
 }
 
 fn staging(model: &ModelName, runner: &RunnerView, tier: CacheTier) -> Decision {
@@ -93,16 +111,19 @@
     wanted
 }
 
-/// Runners that could serve a deployment.
-fn able<'a>(
-    view: &'a ClusterView,
-    deployment: &'a DeploymentView,
-) -> impl Iterator<Item = &'a RunnerView> {
+/// Runners on which a deployment's checkpoint may lie: those that could serve
+/// it and are not much larger than it needs, if there are such.
+fn able<'a>(view: &'a ClusterView, deployment: &'a DeploymentView) -> Vec<&'a RunnerView> {
     let memory = deployment.document.replica_memory_mib();
     let model = &deployment.document.model;
-    view.runners.iter().filter(move |one| {
-        one.accepts_loads() && one.memory_mib >= memory && !one.avoid.contains(model)
-    })
+    let runners = view.runners.iter();
+    let able: Vec<&RunnerView> = runners
+        .filter(|one| one.accepts_loads() && one.memory_mib >= memory)
+        .filter(|one| !one.avoid.contains(model))
+        .collect();
+    let fitting = able.iter().filter(|one| one.memory_mib < memory * OVERSIZE);
+    let fitting: Vec<&RunnerView> = fitting.copied().collect();
+    if fitting.is_empty() { able } else { fitting }
 }
 
 fn host_wanted<'a>(
@@ -149,7 +170,11 @@
         let size = document.checkpoint_size_mib().max(1) as f64;
         let loaded = !deployment.replicas.is_empty();
         for runner in able(view, deployment) {
-            let here = match runner.tier_of(&document.model) {
+            let tier = runner.tier_of(&document.model);
+            if tier == CacheTier::Remote && disk_room(runner) < document.checkpoint_size_mib() {
+                continue;
+            }
+            let here = match tier {
                 CacheTier::Accelerator | CacheTier::HostMemory => KEEP_FACTOR,
                 CacheTier::Disk => 1.0,
                 CacheTier::Remote => 0.9,
@@ -169,8 +194,8 @@
     candidates
 }
 
-/// Checkpoints that no runner has, the most called first, to the disk with the
-/// most room.
+/// Copies on disk that are missing: the first of every checkpoint, then seconds
+/// while disks have room, the most called first.
 fn disk_wanted<'a>(
     view: &'a ClusterView,
     forecast: &Forecast,
@@ -180,31 +205,48 @@
         .iter()
         .map(|one| (&one.runner, disk_room(one)))
         .collect();
+    let rate = |one: &DeploymentView| forecast.mean_rate(one.name(), view.now);
     let mut deployments: Vec<&DeploymentView> = view.deployments.iter().collect();
-    deployments.sort_by(|one, other| {
-        let rate = |one: &DeploymentView| forecast.mean_rate(one.name(), view.now);
-        rate(other).total_cmp(&rate(one))
-    });
+    deployments.sort_by(|one, other| rate(other).total_cmp(&rate(one)));
     let mut wanted = Vec::new();
-    for deployment in deployments {
-        let model = &deployment.document.model;
-        let cached = |one: &RunnerView| {
-            one.tier_of(model) < CacheTier::Remote || one.staging.contains(model)
-        };
-        if able(view, deployment).any(cached) {
-            continue;
+    for copies in 1..=DISK_COPIES {
+        for deployment in &deployments {
+            let missing = missing_copy(view, deployment, copies, &rooms);
+            let Some(runner) = missing else {
+                continue;
+            };
+            let size = deployment.document.checkpoint_size_mib();
+            let room = rooms.entry(&runner.runner).or_default();
+            *room = room.saturating_sub(size);
+            wanted.push((*deployment, runner, CacheTier::Disk));
         }
-        let size = deployment.document.checkpoint_size_mib();
-        let fitting = able(view, deployment).filter(|one| rooms[&one.runner] >= size);
-        let Some(best) = fitting.max_by_key(|one| rooms[&one.runner]) else {
-            continue;
-        };
-        *rooms.entry(&best.runner).or_default() -= size;
-        wanted.push((deployment, best, CacheTier::Disk));
     }
     wanted
 }
 
+/// The runner for the next copy, when there are fewer than `copies`: the one
+/// whose disk has the most room.
+fn missing_copy<'a>(
+    view: &'a ClusterView,
+    deployment: &'a DeploymentView,
+    copies: usize,
+    rooms: &BTreeMap<&RunnerId, u64>,
+) -> Option<&'a RunnerView> {
+    let model = &deployment.document.model;
+    let size = deployment.document.checkpoint_size_mib();
+    let able = able(view, deployment);
+    let cached = able
+        .iter()
+        .filter(|one| one.tier_of(model) < CacheTier::Remote);
+    if cached.count() >= copies {
+        return None;
+    }
+    let fitting = able
+        .into_iter()
+        .filter(|one| one.tier_of(model) == CacheTier::Remote && rooms[&one.runner] >= size);
+    fitting.max_by_key(|one| (rooms[&one.runner], &one.runner))
+}
+
 fn disk_room(runner: &RunnerView) -> u64 {
     let on_disk = runner
         .cached
