Queue: the estimate counts half a service time for running requests, and loads go on

Cause: a ticket behind one running request was expected to wait for a whole service time, and the rest of a load was taken as told long ago. Both refuse requests that would have been served in time. Change: half a service time; the moment at which a load ends is kept. A prompt is assumed to be cached where it was sent, doubtful until an event tells it. Benchmarks of routers and of the loss of owners are examples of the router.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -268,6 +268,7 @@
         let candidates = self.sample(candidates);
         let chosen = self.best(&candidates, ticket, now)?.runner.clone();
         self.sent(&chosen, now);
+        self.prefixes.assume(&chosen, &ticket.prefix_hashes);
         Some(chosen)
     }
 }
--- a/crates/balance/src/prefix.rs
+++ b/crates/balance/src/prefix.rs
@@ -1,5 +1,5 @@
-//! Which prompt blocks each runner has cached, from events that come late and
-//! with gaps.
+//! Which prompt blocks each runner has cached: from events that come late and
+//! with gaps, and, until these come, from the prompts that were sent there.
 
 use courseshunt_types::RunnerId;
 use std::collections::{BTreeMap, VecDeque};
@@ -20,8 +20,8 @@
 
 #[derive(Debug, Default)]
 struct RunnerBlocks {
-    /// Generation in which each block was stored.
-    blocks: BTreeMap<u64, u64>,
+    /// Generation in which each block was stored; `None` when assumed.
+    blocks: BTreeMap<u64, Option<u64>>,
     order: VecDeque<u64>,
     /// Grows with each gap.
     generation: u64,
@@ -46,13 +46,27 @@
         }
         known.last_sequence = Some(sequence);
         match stored {
-            true => known.store(block),
+            true => known.store(block, Some(known.generation)),
             false => {
                 known.blocks.remove(&block);
             }
         }
     }
 
+    /// Notes that a prompt goes to a runner, which will store its blocks. This
+    /// is doubtful until events tell it.
+    pub fn assume(&mut self, runner: &RunnerId, prompt: &[u64]) {
+        if prompt.is_empty() {
+            return;
+        }
+        let known = self.runners.entry(runner.clone()).or_default();
+        for block in prompt {
+            if !known.blocks.contains_key(block) {
+                known.store(*block, None);
+            }
+        }
+    }
+
     /// Number of the last event of a runner.
     #[must_use]
     pub fn last_sequence(&self, runner: &RunnerId) -> Option<u64> {
@@ -77,15 +91,15 @@
                 break;
             };
             matched.blocks += 1;
-            matched.doubtful |= *generation < known.generation;
+            matched.doubtful |= *generation != Some(known.generation);
         }
         matched
     }
 }
 
 impl RunnerBlocks {
-    fn store(&mut self, block: u64) {
-        if self.blocks.insert(block, self.generation).is_none() {
+    fn store(&mut self, block: u64, generation: Option<u64>) {
+        if self.blocks.insert(block, generation).is_none() {
             self.order.push_back(block);
         }
         while self.order.len() > MAX_BLOCKS {
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -276,6 +276,18 @@
     assert_eq!(balancer.counts().returns, 1);
 }
 
+#[test]
+fn a_prompt_goes_where_its_prefix_went_before() {
+    let (mut balancer, slots) = site(&[("a", 0), ("b", 0), ("c", 0)], ChoiceMode::Exact);
+    let first = balancer.choose(&ticket(PROMPT, &[]), &slots, NOW);
+    let other = balancer.choose(&ticket(&[77, 78], &[]), &slots, NOW);
+    for _ in 0..5 {
+        let again = balancer.choose(&ticket(PROMPT, &[]), &slots, NOW);
+        assert_eq!(again, first, "no event has told it, but it was sent there");
+    }
+    assert!(other.is_some());
+}
+
 proptest! {
     #[test]
     fn only_runners_with_free_slots_that_do_not_drain(
--- a/crates/queue/src/estimate.rs
+++ b/crates/queue/src/estimate.rs
@@ -6,6 +6,8 @@
 
 /// Weight of a new service time in the mean.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Part of its service time that a running request has left, on average.
+const RESIDUAL: f64 = 0.5;
 /// Width of a bucket of deadlines by class. With the usual deadlines a count
 /// looks at a few hundred buckets at the most.
 const BUCKET_WIDTHS: [Millis; 3] = [Millis(250), Millis(1000), Millis(60_000)];
@@ -74,7 +76,7 @@
             return Some(Millis(0));
         }
         let service_time = self.service_time?;
-        let rounds = f64::from(ahead - free + 1) / f64::from(slots.max(1));
+        let rounds = (f64::from(ahead - free) + RESIDUAL) / f64::from(slots.max(1));
         Some(Millis((rounds * service_time) as u64))
     }
 }
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -106,7 +106,7 @@
     estimate: WaitEstimate,
     rates: RateLimiter,
     slots: SlotTable,
-    first_ready_in: Option<Millis>,
+    first_ready_at: Option<Timestamp>,
     arrived: WaitingByClass,
     last_number: u64,
     grants_since_aged: u32,
@@ -129,7 +129,7 @@
             estimate: WaitEstimate::default(),
             rates: RateLimiter::default(),
             slots: SlotTable::default(),
-            first_ready_in: None,
+            first_ready_at: None,
             arrived: WaitingByClass::default(),
             last_number: 0,
             grants_since_aged: 0,
@@ -143,10 +143,10 @@
         self.rates.set_rate(limits.tenant_rate_per_second);
     }
 
-    /// Sets the rest of the load of the first replica that comes; `None` when
-    /// it is not known.
-    pub fn set_first_ready_in(&mut self, rest: Option<Millis>) {
-        self.first_ready_in = rest;
+    /// Sets when the first replica that is being loaded will serve; `None` when
+    /// that is not known.
+    pub fn set_first_ready_at(&mut self, at: Option<Timestamp>) {
+        self.first_ready_at = at;
     }
 
     /// Takes the service time of a finished request in.
@@ -190,7 +190,7 @@
             // What is refused below is demand all the same.
             *self.arrived.of_mut(ticket.class) += 1;
         }
-        self.check_length(&ticket)?;
+        self.check_length(&ticket, now)?;
         self.check_estimate(&ticket, now)?;
         self.insert(ticket, now);
         Ok(())
@@ -205,7 +205,7 @@
         })
     }
 
-    fn check_length(&self, ticket: &Ticket) -> Result<(), Refusal> {
+    fn check_length(&self, ticket: &Ticket, now: Timestamp) -> Result<(), Refusal> {
         let class = &self.classes[ticket.class.rank()];
         let limit = self.limits.classes.of(ticket.class).queue_length;
         let tenant_limit = self.limits.tenant_length(ticket.class);
@@ -216,7 +216,7 @@
         } else {
             return Ok(());
         };
-        let wait = self.start_in(ticket.class, Timestamp(u64::MAX));
+        let wait = self.start_in(ticket.class, Timestamp(u64::MAX), now);
         let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
         let refusal = Refusal::not_run(RefusalReason::QueueFull, message);
         Err(refusal.with_retry_after(wait))
@@ -224,7 +224,7 @@
 
     /// Refuses a ticket that surely can't start in time.
     fn check_estimate(&self, ticket: &Ticket, now: Timestamp) -> Result<(), Refusal> {
-        let start_in = self.start_in(ticket.class, now + ticket.deadline_in);
+        let start_in = self.start_in(ticket.class, now + ticket.deadline_in, now);
         let Some(start_in) = start_in.filter(|wait| *wait > ticket.deadline_in) else {
             return Ok(());
         };
@@ -239,10 +239,15 @@
 
     /// Time until a new ticket would start, when it can be estimated.
     #[must_use]
-    pub fn start_in(&self, class: PriorityClass, deadline: Timestamp) -> Option<Millis> {
+    pub fn start_in(
+        &self,
+        class: PriorityClass,
+        deadline: Timestamp,
+        now: Timestamp,
+    ) -> Option<Millis> {
         let slots = self.slots.total();
         if slots == 0 {
-            return self.first_ready_in;
+            return self.first_ready_at.map(|at| at.since(now));
         }
         let ahead = self.estimate.ahead(class, deadline);
         self.estimate.start_in(ahead, slots, self.slots.free())
--- /dev/null
+++ b/crates/router/examples/router_bench/site.rs
@@ -0,0 +1,284 @@
+//! Routers and stand-in runners on loopback sockets, fed by hand.
+
+use courseshunt_http::{HttpClient, full_body, read_limited};
+use courseshunt_queue::{QueueKey, owner_of};
+use courseshunt_router::Router;
+use courseshunt_settings::RouterSettings;
+use courseshunt_settings::process::LogSettings;
+use courseshunt_standin::model::{EngineTiming, RunnerModelSettings, StoreModelSettings};
+use courseshunt_standin::server::{RunnerServer, StoreServer};
+use courseshunt_state::{StoredDeployment, TenantDocument};
+use courseshunt_types::runner_api::{
+    Inventory, LoadPhase, MachineState, OrderAction, OrderRequest,
+};
+use courseshunt_types::{
+    DeploymentDocument, Digest, Epoch, Fence, LogIndex, Millis, Revision, RouterId, RunnerId, Term,
+    Timestamp, Version,
+};
+use courseshunt_wire::message::{
+    ConfigurationUpdate, DeploymentReplicas, FleetUpdate, PlacementUpdate, RouterEndpoint,
+    RunnerEndpoint,
+};
+use hyper::{Method, Request};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The deployment that is warm.
+pub const WARM: &str = "warm";
+/// The deployment that is never loaded.
+pub const COLD: &str = "cold";
+const TOKEN: &str = "bench-token";
+const RUNNER_TOKEN: &str = "runner-token";
+const ANY: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// A running site.
+pub struct BenchSite {
+    pub routers: Vec<Router>,
+    pub runners: Vec<RunnerServer>,
+    _store: StoreServer,
+    _folder: tempfile::TempDir,
+}
+
+/// Size of a site.
+#[derive(Debug, Clone, Copy)]
+pub struct BenchSize {
+    pub routers: usize,
+    pub runners: usize,
+    pub slots: u32,
+    pub timing: EngineTiming,
+}
+
+impl BenchSite {
+    /// Starts everything; the deployment [`WARM`] is loaded on all runners.
+    pub async fn start(size: BenchSize) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let key_file = folder.path().join("cluster.key");
+        std::fs::write(&key_file, "a key of sixteen bytes or more").expect("a key file");
+        let store = StoreModelSettings {
+            transfer_mib_per_second: 1e6,
+            starts_per_second: 100.0,
+            ..StoreModelSettings::default()
+        };
+        let store = StoreServer::start(ANY.into(), store)
+            .await
+            .expect("a store");
+        let mut runners = Vec::new();
+        for number in 0..size.runners {
+            let mut model = RunnerModelSettings::named(&runner_name(number).0, "zone", 1000);
+            model.timing = size.timing;
+            model.engine_start_ms = Millis(1);
+            let started = RunnerServer::start(ANY.into(), store.address, RUNNER_TOKEN, model);
+            let runner = started.await.expect("a runner");
+            load(runner.address, size.slots).await;
+            runners.push(runner);
+        }
+        let mut routers = Vec::new();
+        for number in 0..size.routers {
+            let settings = router_settings(number, &key_file);
+            routers.push(Router::start(settings).await.expect("a router"));
+        }
+        let site = Self {
+            routers,
+            runners,
+            _store: store,
+            _folder: folder,
+        };
+        site.feed(size);
+        site
+    }
+
+    /// Plays the controllers' feed.
+    fn feed(&self, size: BenchSize) {
+        let endpoints = self.routers.iter().map(|router| RouterEndpoint {
+            router: router.context().settings.id.clone(),
+            incarnation: router.context().incarnation,
+            wire_address: router.wire_address.to_string(),
+            zone: "zone".into(),
+            leaving: false,
+        });
+        let endpoints: Vec<RouterEndpoint> = endpoints.collect();
+        for router in &self.routers {
+            let view = &router.context().view;
+            view.apply_configuration(configuration(size.slots));
+            view.apply_placement(self.placement());
+            view.apply_fleet(FleetUpdate {
+                epoch: Epoch(1),
+                routers: endpoints.clone(),
+            });
+            view.confirm(Timestamp(1));
+            router.context().dispatcher.view_changed();
+        }
+    }
+
+    fn placement(&self) -> PlacementUpdate {
+        let runners = self.runners.iter().enumerate();
+        let runners = runners.map(|(number, runner)| RunnerEndpoint {
+            runner: runner_name(number),
+            address: runner.address.to_string(),
+            zone: "zone".into(),
+            state: MachineState::Live,
+        });
+        let runners: Vec<RunnerEndpoint> = runners.collect();
+        PlacementUpdate {
+            sequence: LogIndex(1),
+            full: true,
+            deployments: vec![DeploymentReplicas {
+                deployment: WARM.into(),
+                ready: runners.iter().map(|one| one.runner.clone()).collect(),
+                loading: Vec::new(),
+            }],
+            runners,
+        }
+    }
+
+    /// The router that owns the queue of a deployment, and another.
+    pub fn owner_and_other(&self, deployment: &str) -> (usize, usize) {
+        let queue = QueueKey {
+            deployment: deployment.into(),
+            shard: 0,
+        };
+        let ids = self.routers.iter().map(|one| &one.context().settings.id);
+        let ids: Vec<&RouterId> = ids.collect();
+        let owner = owner_of(&queue, ids.iter().copied()).expect("an owner");
+        let owner = ids.iter().position(|id| *id == owner).expect("its number");
+        (owner, (owner + 1) % ids.len())
+    }
+}
+
+fn runner_name(number: usize) -> RunnerId {
+    format!("runner-{number}").into()
+}
+
+fn router_settings(number: usize, key_file: &std::path::Path) -> RouterSettings {
+    RouterSettings {
+        id: format!("router-{number}").into(),
+        http_address: ANY.into(),
+        wire_address: ANY.into(),
+        // Nobody listens on the discard port.
+        controllers: vec![SocketAddr::from(([127, 0, 0, 1], 9))],
+        max_connections: 20_000,
+        max_body_bytes: 1024 * 1024,
+        max_waiting_bytes: 256 * 1024 * 1024,
+        body_timeout: Millis::from_secs(10),
+        drain: Millis::from_secs(1),
+        zone: "zone".into(),
+        cluster_key_file: key_file.to_path_buf(),
+        logging: LogSettings {
+            level: "warn".to_owned(),
+            format: "text".to_owned(),
+        },
+    }
+}
+
+fn document(name: &str, slots: u32) -> StoredDeployment {
+    let document: DeploymentDocument = serde_json::from_value(serde_json::json!({
+        "name": name, "version": 1, "model": name, "tenant": "bench",
+        "memory_mib": 100, "slots_per_replica": slots, "max_replicas": 8,
+        "limits": {"interactive": {"queue_length": 20_000, "deadline_ms": 600_000}},
+    }))
+    .expect("a document");
+    StoredDeployment {
+        digest: document.digest(),
+        document,
+        revision: Revision(1),
+    }
+}
+
+fn configuration(slots: u32) -> ConfigurationUpdate {
+    ConfigurationUpdate {
+        full: true,
+        revision: Revision(1),
+        deployments: vec![document(WARM, slots), document(COLD, slots)],
+        removed: Vec::new(),
+        tenants: Some(vec![TenantDocument {
+            name: "bench".into(),
+            version: Version(1),
+            token_digests: vec![Digest::of(TOKEN.as_bytes())],
+        }]),
+        more: false,
+    }
+}
+
+async fn load(address: SocketAddr, slots: u32) {
+    let client = HttpClient::default();
+    let address = address.to_string();
+    let order = OrderRequest {
+        fence: Fence {
+            term: Term(1),
+            sequence: 1,
+        },
+        deployment: WARM.into(),
+        incarnation: None,
+        action: OrderAction::Load {
+            model: WARM.into(),
+            checkpoint_mib: 100,
+            memory_mib: 100,
+            slots,
+            adapters: Vec::new(),
+        },
+    };
+    let limit = Duration::from_secs(10);
+    let token = Some(RUNNER_TOKEN);
+    let ordered = client.call(
+        Method::POST,
+        &address,
+        "/control/orders",
+        token,
+        Some(&order),
+        limit,
+    );
+    ordered.await.expect("the order is taken");
+    loop {
+        let path = "/control/inventory";
+        let reply = client.call::<()>(Method::GET, &address, path, token, None, limit);
+        let reply = reply.await.expect("an inventory");
+        let inventory: Inventory = serde_json::from_slice(&reply.body).expect("an inventory");
+        if inventory
+            .deployments
+            .iter()
+            .any(|one| one.phase == LoadPhase::Ready)
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A body of a request.
+pub fn body(model: &str, tokens: u32) -> String {
+    let prompt = "Which vents should open before noon in hall seven?";
+    serde_json::json!({
+        "model": model, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+    .to_string()
+}
+
+/// Sends one request. Returns the status.
+pub async fn ask(
+    client: &HttpClient,
+    address: SocketAddr,
+    body: String,
+    request: &str,
+    deadline: Duration,
+) -> u16 {
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .header("x-request-id", request)
+        .header("x-attempt", "1")
+        .header(
+            "x-courseshunt-deadline-ms",
+            deadline.as_millis().to_string(),
+        )
+        .body(full_body(body))
+        .expect("a request");
+    let Ok(response) = client.send(request).await else {
+        return 0;
+    };
+    let status = response.status().as_u16();
+    match read_limited(response.into_body(), MAX_ANSWER_BYTES, "bench").await {
+        Ok(_) => status,
+        Err(_) => 0,
+    }
+}
--- a/crates/router/src/dispatch/owned.rs
+++ b/crates/router/src/dispatch/owned.rs
@@ -50,6 +50,20 @@
     waiting: WaitingQueue,
     balancer: Balancer,
     used_at: Timestamp,
+    /// Rest of the first load, as last told.
+    first_ready_in: Option<Millis>,
+}
+
+impl OwnedQueue {
+    /// Takes the rest of the first load in. What was told before has gone on
+    /// meanwhile.
+    fn note_loading(&mut self, first_ready_in: Option<Millis>, now: Timestamp) {
+        if first_ready_in != self.first_ready_in {
+            self.first_ready_in = first_ready_in;
+            let ready_at = first_ready_in.map(|rest| now + rest);
+            self.waiting.set_first_ready_at(ready_at);
+        }
+    }
 }
 
 /// See the module.
@@ -176,6 +190,7 @@
                 waiting,
                 balancer: Balancer::new(mode, rand::random()),
                 used_at: now,
+                first_ready_in: None,
             };
             self.queues.insert(key.clone(), queue);
             self.refresh(key, now);
@@ -211,7 +226,7 @@
         // A load whose rest is not known is told as 0.
         let known = loading.iter().all(|one| one.remaining > Millis(0));
         let first_ready = rests.min().filter(|_| known);
-        queue.waiting.set_first_ready_in(first_ready);
+        queue.note_loading(first_ready, now);
         let usable = |runner: &RunnerId| {
             let known = self.view.runner(runner);
             known.is_some_and(|known| known.state == MachineState::Live)
