--- a/crates/queue/tests/owner_faults.rs
+++ b/crates/queue/tests/owner_faults.rs
@@ -3,8 +3,11 @@
 
 mod support;
 
-use courseshunt_types::{Millis, PriorityClass, RefusalReason};
-use support::{Answer, Cluster, DETECTION, ticket};
+use courseshunt_queue::{
+    AttemptOutcome, Grant, GrantId, Holder, HolderOutput, Member, OwnerCall, QueueSite,
+};
+use courseshunt_types::{Epoch, Incarnation, Millis, PriorityClass, RefusalReason, Timestamp};
+use support::{Answer, Cluster, DETECTION, queue_key, ticket};
 
 const LONG: u64 = 60_000;
 
@@ -193,3 +196,36 @@
     cluster.run_for(Millis(20));
     assert_eq!(cluster.granted(), ["runs", "waits"]);
 }
+
+#[test]
+fn a_grant_given_twice_is_returned() {
+    let mut holder = Holder::new(support::name(0));
+    let members = [0, 1, 2].map(|router| Member {
+        router: support::name(router),
+        incarnation: Incarnation(1),
+        leaving: false,
+    });
+    holder.set_live(Epoch(1), members, Timestamp(0));
+    let one = ticket("request", 0, PriorityClass::Critical, LONG);
+    holder.offer(queue_key(), one, Timestamp(0));
+    let grant = |number| Grant {
+        grant: GrantId(number),
+        request: "request".into(),
+        holder: support::name(0),
+        runner: "r1".into(),
+        valid_for: Millis(2_000),
+    };
+    let site = |router| QueueSite::Owner(support::name(router));
+    let first = holder.granted(site(1), queue_key(), grant(1), Timestamp(5));
+    assert!(matches!(
+        first.last(),
+        Some(HolderOutput::Granted { grant, .. }) if grant.grant == GrantId(1)
+    ));
+    let second = holder.granted(site(2), queue_key(), grant(2), Timestamp(6));
+    let returned = HolderOutput::Call {
+        site: site(2),
+        queue: queue_key(),
+        call: OwnerCall::Returned(GrantId(2), AttemptOutcome::Unused),
+    };
+    assert_eq!(second, [returned]);
+}
