--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -37,7 +37,8 @@
     slots.set_replicas(names.iter().map(|name| (name.clone(), SLOTS)));
     for (name, count) in running {
         for _ in 0..*count {
-            slots.take(&(*name).into(), &"router-a".into(), Timestamp(u64::MAX));
+            let holder = "router-a".into();
+            slots.take(&(*name).into(), &holder, NOW, Millis(u64::MAX));
         }
     }
     (balancer, slots)
--- a/crates/queue/src/estimate.rs
+++ b/crates/queue/src/estimate.rs
@@ -62,11 +62,11 @@
         urgent + earlier.map(|(_, count)| count).sum::<u32>()
     }
 
-    /// Takes the service time of a finished request in.
-    pub(crate) fn observe(&mut self, total: Millis) {
-        let total = total.0 as f64;
-        let mean = self.service_time.get_or_insert(total);
-        *mean += (total - *mean) * SERVICE_TIME_WEIGHT;
+    /// Takes in how long a request that ran took its slot.
+    pub(crate) fn observe(&mut self, held: Millis) {
+        let held = held.0 as f64;
+        let mean = self.service_time.get_or_insert(held);
+        *mean += (held - *mean) * SERVICE_TIME_WEIGHT;
     }
 
     /// Time until a ticket with `ahead` tickets before it starts, on `slots`
--- a/crates/queue/src/slots.rs
+++ b/crates/queue/src/slots.rs
@@ -37,6 +37,8 @@
     holder: RouterId,
     /// Ends here unless the holder confirms the start.
     expires: Option<Timestamp>,
+    /// When it was granted; `None` when another owner did.
+    since: Option<Timestamp>,
 }
 
 /// Slots of all replicas of one deployment.
@@ -106,28 +108,33 @@
         self.last_grant = first.0;
     }
 
-    /// Takes a slot on `runner` for a request of `holder` until `expires`.
-    pub fn take(&mut self, runner: &RunnerId, holder: &RouterId, expires: Timestamp) -> GrantId {
+    /// Takes a slot on `runner` for a request of `holder`; it is free again
+    /// after `lifetime` unless the request has started.
+    pub fn take(
+        &mut self,
+        runner: &RunnerId,
+        holder: &RouterId,
+        now: Timestamp,
+        lifetime: Millis,
+    ) -> GrantId {
         self.last_grant = self.last_grant.wrapping_add(1);
         let grant = GrantId(self.last_grant);
-        self.insert(grant, runner, holder, Some(expires));
+        self.insert(grant, runner, holder);
+        self.set_expiry(grant, Some(now + lifetime));
+        if let Some(one) = self.uses.get_mut(&grant) {
+            one.since = Some(now);
+        }
         grant
     }
 
-    fn insert(
-        &mut self,
-        grant: GrantId,
-        runner: &RunnerId,
-        holder: &RouterId,
-        expires: Option<Timestamp>,
-    ) {
+    fn insert(&mut self, grant: GrantId, runner: &RunnerId, holder: &RouterId) {
         let one = SlotUse {
             runner: runner.clone(),
             holder: holder.clone(),
             expires: None,
+            since: None,
         };
         self.uses.insert(grant, one);
-        self.set_expiry(grant, expires);
         if let Some(replica) = self.replicas.get_mut(runner) {
             replica.in_use += 1;
         }
@@ -142,7 +149,7 @@
         }
         for one in running {
             self.release(one.grant);
-            self.insert(one.grant, &one.runner, holder, None);
+            self.insert(one.grant, &one.runner, holder);
         }
     }
 
@@ -166,6 +173,13 @@
         uses.map(|(grant, _)| *grant).collect()
     }
 
+    /// How long a grant of this owner has taken its slot.
+    #[must_use]
+    pub fn held_for(&self, grant: GrantId, now: Timestamp) -> Option<Millis> {
+        let since = self.uses.get(&grant)?.since?;
+        Some(now.since(since))
+    }
+
     /// Runner of a grant that is out.
     #[must_use]
     pub fn runner_of(&self, grant: GrantId) -> Option<&RunnerId> {
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -149,9 +149,9 @@
         self.first_ready_at = at;
     }
 
-    /// Takes the service time of a finished request in.
-    pub fn observe_service(&mut self, total: Millis) {
-        self.estimate.observe(total);
+    /// Takes in how long a request that ran took its slot.
+    pub fn observe_service(&mut self, held: Millis) {
+        self.estimate.observe(held);
     }
 
     /// The slots, to set replicas and return grants.
@@ -381,7 +381,7 @@
         now: Timestamp,
     ) -> Grant {
         let lifetime = self.limits.grant_lifetime;
-        let grant: GrantId = self.slots.take(&runner, &ticket.holder, now + lifetime);
+        let grant: GrantId = self.slots.take(&runner, &ticket.holder, now, lifetime);
         Grant {
             grant,
             request: ticket.request,
--- a/crates/router/examples/failover.rs
+++ b/crates/router/examples/failover.rs
@@ -88,6 +88,7 @@
                 let Ok(mut far) = TcpStream::connect(target).await else {
                     return;
                 };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let passing = tokio::io::copy_bidirectional(&mut near, &mut far);
                 if cut.run_until_cancelled(passing).await.is_none() {
                     std::future::pending::<()>().await;
--- a/crates/router/examples/router_bench/main.rs
+++ b/crates/router/examples/router_bench/main.rs
@@ -88,7 +88,7 @@
         let [half, most] = [0.5, 0.99].map(|part| percentile(&mut times[number], part));
         let ratio = |time: Duration, base: Duration| time.as_secs_f64() / base.as_secs_f64();
         println!(
-            "  {name}: p50 {half:.0?} ({:.2}x), p99 {most:.0?} ({:.2}x)",
+            "  {name}: p50 {half:.2?} ({:.2}x), p99 {most:.2?} ({:.2}x)",
             ratio(half, direct[0]),
             ratio(most, direct[1])
         );
--- a/crates/router/src/dispatch/owned.rs
+++ b/crates/router/src/dispatch/owned.rs
@@ -159,8 +159,9 @@
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
-        if let AttemptOutcome::Done { total, .. } = outcome {
-            queue.waiting.observe_service(total);
+        let held = queue.waiting.slots().held_for(grant, now);
+        if let Some(held) = held.filter(|_| has_run(outcome)) {
+            queue.waiting.observe_service(held);
         }
         let runner = queue.waiting.slots().runner_of(grant).cloned();
         queue.waiting.slots_mut().release(grant);
@@ -347,6 +348,14 @@
     }
 }
 
+/// Whether a request has taken its slot for as long as it needed it.
+fn has_run(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Done { .. } | AttemptOutcome::Cancelled
+    )
+}
+
 fn refused(queue: &QueueKey, refusal: TicketRefusal) -> OwnerReply {
     OwnerReply::Refused {
         queue: queue.clone(),
