--- a/crates/lab/src/hollow/router.rs
+++ b/crates/lab/src/hollow/router.rs
@@ -1,33 +1,29 @@
-//! Hollow routers: the real control link over the wire protocol, without
-//! callers. What they hold is the revision; what they do is confirm and report
-//! demand at the pace of a real router.
+//! Hollow routers: the real view and the real control link, without callers and
+//! queues. They follow the feed, confirm revisions and report demand as real
+//! routers do.
 
 use courseshunt_queue::{DemandReport, WaitingByClass};
-use courseshunt_types::{DeploymentName, Incarnation, Millis, Revision, RouterId};
-use courseshunt_wire::message::Subscribe;
-use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
+use courseshunt_router::configuration::ConfigurationView;
+use courseshunt_router::control::{
+    Endpoints, LedgerClient, LinkClient, LinkSettings, ledger_channel, run,
 };
-use std::collections::BTreeSet;
+use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::{DeploymentName, Incarnation, Millis, Revision, RouterId};
+use courseshunt_wire::ClusterKey;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-/// Time between confirmations, as a real router's.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause before a broken link is dialled again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Demands that wait to be reported.
-const DEMAND_QUEUE: usize = 128;
+/// A port at which nobody listens; hollow routers serve nobody.
+const NOWHERE: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
 
-/// A running hollow router.
+/// A running hollow router; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct HollowRouter {
-    revision: Arc<AtomicU64>,
-    demands: mpsc::Sender<DeploymentName>,
+    client: HollowClient,
+    ledger: LedgerClient,
 }
 
 /// Where a hollow router connects and who it is.
@@ -37,8 +33,8 @@
     pub id: RouterId,
     /// Zone.
     pub zone: String,
-    /// Wire address of its controller.
-    pub controller: SocketAddr,
+    /// Wire addresses of controllers.
+    pub controllers: Vec<SocketAddr>,
     /// Key of the cluster.
     pub key: ClusterKey,
 }
@@ -47,155 +43,136 @@
     /// Starts it; it ends when `stop` is cancelled.
     #[must_use]
     pub fn start(settings: HollowRouterSettings, stop: CancellationToken) -> Self {
-        let revision = Arc::new(AtomicU64::new(0));
-        let (demands, waiting) = mpsc::channel(DEMAND_QUEUE);
-        let link = Link {
+        let client = HollowClient::default();
+        let nowhere = SocketAddr::from(NOWHERE);
+        let link = LinkSettings {
+            router: settings.id,
             incarnation: Incarnation(rand::random()),
-            settings,
-            revision: revision.clone(),
+            zone: settings.zone.as_str().into(),
+            endpoints: Endpoints {
+                http_address: nowhere,
+                wire_address: nowhere,
+            },
+            controllers: settings.controllers,
+            key: settings.key,
+            clock: MonotonicClock::start(),
         };
-        tokio::spawn(stop.run_until_cancelled_owned(link.run(waiting)));
-        Self { revision, demands }
+        let (ledger, calls) = ledger_channel();
+        let running = run(client.clone(), link, calls);
+        tokio::spawn(stop.run_until_cancelled_owned(running));
+        Self { client, ledger }
+    }
+
+    /// What the feed has told.
+    #[must_use]
+    pub fn view(&self) -> &ConfigurationView {
+        &self.client.shared.view
     }
 
     /// The revision in force here.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        Revision(self.revision.load(Ordering::Relaxed))
+        self.view().revision()
+    }
+
+    /// Commands for the ledger over this router's link.
+    #[must_use]
+    pub fn ledger(&self) -> &LedgerClient {
+        &self.ledger
     }
 
     /// Lets one request wait for a deployment until a replica is ready.
     pub fn demand(&self, deployment: DeploymentName) {
-        // A full queue drops the demand, as a full waiting queue would.
-        let _ = self.demands.try_send(deployment);
+        let shared = &self.client.shared;
+        let mut demand = shared.lock();
+        demand.report(&deployment, 1);
+        demand.waiting.insert(deployment);
+        drop(demand);
+        shared.demand_changed.notify_one();
     }
 }
 
-struct Link {
-    settings: HollowRouterSettings,
-    incarnation: Incarnation,
-    revision: Arc<AtomicU64>,
+/// The router behind the link.
+#[derive(Debug, Clone, Default)]
+struct HollowClient {
+    shared: Arc<Shared>,
 }
 
-impl Link {
-    async fn run(self, mut demands: mpsc::Receiver<DeploymentName>) {
-        let identity = PeerIdentity::Router(self.settings.id.clone(), self.incarnation);
-        loop {
-            let connected = connect(self.settings.controller, &self.settings.key, &identity).await;
-            let ended = match connected {
-                Ok(connection) => self.serve(connection, &mut demands).await,
-                Err(error) => Err(error),
-            };
-            if let Err(error) = ended {
-                log::warn!("hollow: {error}");
-            }
-            tokio::time::sleep(RECONNECT_PAUSE).await;
-        }
+#[derive(Debug, Default)]
+struct Shared {
+    view: ConfigurationView,
+    demand: Mutex<HollowDemand>,
+    demand_changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct HollowDemand {
+    /// Deployments that a request waits for.
+    waiting: BTreeSet<DeploymentName>,
+    /// Reports that were not taken yet.
+    reports: BTreeMap<DeploymentName, DemandReport>,
+}
+
+impl HollowDemand {
+    fn report(&mut self, deployment: &DeploymentName, waiting: u32) {
+        let report = demand_report(deployment, waiting);
+        self.reports.insert(deployment.clone(), report);
     }
+}
 
-    async fn serve(
-        &self,
-        connection: Connection,
-        demands: &mut mpsc::Receiver<DeploymentName>,
-    ) -> Result<(), WireError> {
-        let Connection {
-            mut sender,
-            receiver,
-            ..
-        } = connection;
-        sender.send(&Message::Subscribe(self.subscribe())).await?;
-        let (ready, seen_ready) = watch::channel(BTreeSet::new());
-        tokio::select! {
-            ended = self.receive(receiver, ready) => ended,
-            ended = self.report(sender, demands, seen_ready) => ended,
-        }
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, HollowDemand> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn subscribe(&self) -> Subscribe {
-        Subscribe {
-            router: self.settings.id.clone(),
-            incarnation: self.incarnation,
-            wire_address: "127.0.0.1:1".to_owned(),
-            http_address: "127.0.0.1:2".to_owned(),
-            zone: self.settings.zone.as_str().into(),
-            revision: Revision(self.revision.load(Ordering::Relaxed)),
-        }
+    fn is_ready(&self, deployment: &DeploymentName) -> bool {
+        let replicas = self.view.replicas(deployment);
+        replicas.is_some_and(|replicas| !replicas.ready.is_empty())
     }
+}
 
-    async fn receive(
-        &self,
-        mut receiver: Receiver,
-        ready: watch::Sender<BTreeSet<DeploymentName>>,
-    ) -> Result<(), WireError> {
-        while let Some(message) = receiver.receive().await? {
-            match message {
-                Message::Configuration(update) if !update.more => {
-                    self.revision
-                        .fetch_max(update.revision.0, Ordering::Relaxed);
-                }
-                Message::Placement(update) => ready.send_modify(|names| {
-                    for replicas in update.deployments {
-                        match replicas.ready.is_empty() {
-                            true => names.remove(&replicas.deployment),
-                            false => names.insert(replicas.deployment),
-                        };
-                    }
-                }),
-                _ => {}
-            }
-        }
-        Ok(())
+impl LinkClient for HollowClient {
+    fn view(&self) -> &ConfigurationView {
+        &self.shared.view
     }
 
-    async fn report(
-        &self,
-        mut sender: Sender,
-        demands: &mut mpsc::Receiver<DeploymentName>,
-        mut ready: watch::Receiver<BTreeSet<DeploymentName>>,
-    ) -> Result<(), WireError> {
-        let mut interval = tokio::time::interval(REPORT_INTERVAL);
-        let mut waiting = BTreeSet::new();
-        loop {
-            tokio::select! {
-                demand = demands.recv() => {
-                    let Some(deployment) = demand else { return Ok(()) };
-                    sender.send(&demand_report(&deployment, 1, 1)).await?;
-                    waiting.insert(deployment);
-                }
-                changed = ready.changed() => {
-                    if changed.is_err() {
-                        return Ok(());
-                    }
-                    let served: Vec<DeploymentName> =
-                        waiting.intersection(&ready.borrow_and_update()).cloned().collect();
-                    for deployment in served {
-                        sender.send(&demand_report(&deployment, 0, 0)).await?;
-                        waiting.remove(&deployment);
-                    }
-                }
-                _ = interval.tick() => {
-                    let revision = Revision(self.revision.load(Ordering::Relaxed));
-                    sender.send(&Message::Confirmed { revision }).await?;
-                }
-            }
+    fn view_changed(&self) {
+        let mut demand = self.shared.lock();
+        let waiting = demand.waiting.iter();
+        let served = waiting.filter(|name| self.shared.is_ready(name));
+        let served: Vec<DeploymentName> = served.cloned().collect();
+        for deployment in &served {
+            demand.waiting.remove(deployment);
+            demand.report(deployment, 0);
         }
+        drop(demand);
+        if !served.is_empty() {
+            self.shared.demand_changed.notify_one();
+        }
+    }
+
+    async fn demand_changed(&self) {
+        self.shared.demand_changed.notified().await;
+    }
+
+    async fn demand(&self) -> Vec<DemandReport> {
+        let reports = std::mem::take(&mut self.shared.lock().reports);
+        reports.into_values().collect()
     }
 }
 
-fn demand_report(deployment: &DeploymentName, waiting: u32, arrived: u32) -> Message {
-    let interactive = |count| WaitingByClass {
-        interactive: count,
+/// A report of `waiting` requests, which also arrived since the last one.
+fn demand_report(deployment: &DeploymentName, waiting: u32) -> DemandReport {
+    let interactive = WaitingByClass {
+        interactive: waiting,
         ..WaitingByClass::default()
     };
-    let report = DemandReport {
+    DemandReport {
         deployment: deployment.clone(),
-        waiting: interactive(waiting),
+        waiting: interactive,
         running: 0,
-        arrived: interactive(arrived),
+        arrived: interactive,
         earliest_deadline_in: (waiting > 0).then_some(Millis::from_secs(60)),
         longest_wait: Millis(0),
-    };
-    Message::Demand {
-        reports: vec![report],
     }
 }
