Placement: upkeep's test uses replicas of recent use

Cause: load-on-demand now unloads what was idle for 30 s; the test's replicas were last used 100 s before, so that the policy itself unloaded one, in a test of what upkeep does whatever the policy. Ruled out: a fault of upkeep.

Change: the replicas were used ten seconds before. All expectations stay.

--- a/crates/placement/tests/upkeep.rs
+++ b/crates/placement/tests/upkeep.rs
@@ -25,13 +25,16 @@
     }
 }
 
+/// Used ten seconds ago: too recent for any policy to unload it by itself.
+const RECENT: Timestamp = Timestamp(90_000);
+
 fn replica(runner: &str, phase: ReplicaPhase, running: u32) -> ReplicaView {
     ReplicaView {
         runner: runner.into(),
         fence: Fence::default(),
         phase,
-        since: Timestamp(0),
-        last_used: Timestamp(0),
+        since: RECENT,
+        last_used: RECENT,
         running,
     }
 }
