--- a/crates/lab/src/capacity/site.rs
+++ b/crates/lab/src/capacity/site.rs
@@ -195,7 +195,7 @@
                 let settings = HollowRouterSettings {
                     id: format!("router-{number:03}").into(),
                     zone: ZONES[number % ZONES.len()].to_owned(),
-                    controller: controllers[number % controllers.len()],
+                    controllers: controllers.clone(),
                     key: key.clone(),
                 };
                 HollowRouter::start(settings, stop.clone())
--- a/crates/lab/src/commands/compare.rs
+++ b/crates/lab/src/commands/compare.rs
@@ -1,5 +1,6 @@
 //! `courseshunt-lab compare`.
 
+use super::arguments;
 use crate::compare::{Case, Run, mean_idle_bound, plot, run_all, table};
 use crate::error::LabError;
 use crate::files::{read_faults, read_scenario};
@@ -59,8 +60,8 @@
 pub fn run(arguments: &[String]) -> Result<(), LabError> {
     let matches = options().parse(arguments);
     let matches = matches.map_err(|error| LabError::usage(error.to_string()))?;
-    let seeds = super::seeds(matches.opt_str("seeds").as_deref().unwrap_or("1-5"))?;
-    let threads = super::number(&matches, "threads")?.unwrap_or(DEFAULT_THREADS);
+    let seeds = arguments::seeds(matches.opt_str("seeds").as_deref().unwrap_or("1-5"))?;
+    let threads = arguments::number(&matches, "threads")?.unwrap_or(DEFAULT_THREADS);
     let policies = match matches.opt_strs("policy") {
         named if named.is_empty() => all_policies(),
         named => named,
@@ -94,7 +95,7 @@
     if files.is_empty() {
         return Err(LabError::usage("`--scenario FILE` is needed"));
     }
-    let hours = super::number(matches, "hours")?;
+    let hours = arguments::number(matches, "hours")?;
     let read = files.iter().map(|file| {
         let mut scenario = read_scenario(Path::new(file))?;
         scenario.hours = hours.unwrap_or(scenario.hours);
@@ -104,7 +105,7 @@
 }
 
 fn faults(matches: &getopts::Matches) -> Result<Vec<NamedFaults>, LabError> {
-    let together = super::merged_faults(&matches.opt_strs("faults"))?;
+    let together = arguments::merged_faults(&matches.opt_strs("faults"))?;
     let Some(folder) = matches.opt_str("faults-folder") else {
         let name = String::new();
         return Ok(vec![NamedFaults {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod files;
 pub mod hollow;
+pub mod propagate;
 pub mod simulate;
 pub mod site;
 
