--- a/crates/lab/src/commands/simulate.rs
+++ b/crates/lab/src/commands/simulate.rs
@@ -1,6 +1,6 @@
 //! `courseshunt-lab simulate`.
 
-use super::{merged_faults, number};
+use super::arguments::{merged_faults, number};
 use crate::error::LabError;
 use crate::files::read_scenario;
 use crate::simulate::{Report, SimulationSettings, simulate};
