--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -1,4 +1,5 @@
-//! `courseshunt get` and `courseshunt status`: read pages of a controller.
+//! `courseshunt get`: reads the deployments in force; options that name a
+//! controller.
 
 use super::{block_on, parse};
 use crate::error::CommandError;
@@ -42,18 +43,10 @@
     connection_options().usage("Usage: courseshunt get [OPTIONS]")
 }
 
-pub fn status_help() -> String {
-    connection_options().usage("Usage: courseshunt status [OPTIONS]")
-}
-
 pub fn deployments(arguments: &[String]) -> Result<(), CommandError> {
     show(arguments, "/admin/v1/deployments")
 }
 
-pub fn status(arguments: &[String]) -> Result<(), CommandError> {
-    show(arguments, "/admin/v1/status")
-}
-
 fn show(arguments: &[String], path: &str) -> Result<(), CommandError> {
     let matches = parse(&connection_options(), arguments)?;
     let client = client(&matches)?;
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod manual;
 mod render;
 mod serve;
+mod status;
 
 pub use manual::help_of_all;
 
@@ -55,9 +56,15 @@
     },
     Subcommand {
         name: "status",
-        summary: "show the control group, routers and replicas",
-        run: get::status,
-        help: get::status_help,
+        summary: "show the fleet, warm and cold models, queues and who lags",
+        run: status::status,
+        help: status::status_help,
+    },
+    Subcommand {
+        name: "top",
+        summary: "show the status again and again",
+        run: status::top,
+        help: status::top_help,
     },
     Subcommand {
         name: "check",
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod commands;
 pub mod error;
 pub mod file_kind;
+pub mod view;
 
 pub use error::CommandError;
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -2,6 +2,7 @@
 
 mod metrics;
 mod operators;
+mod overview;
 
 pub use operators::{OperatorRole, Operators};
 
@@ -64,6 +65,9 @@
         ),
         (&Method::GET, "/admin/v1/deployments") => deployments(context),
         (&Method::GET, "/admin/v1/status") => status(context),
+        (&Method::GET, "/admin/v1/overview") => {
+            json_response(StatusCode::OK, &overview::overview(context))
+        }
         _ => failure(StatusCode::NOT_FOUND, "not_found", "no such page"),
     }
 }
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -4,7 +4,7 @@
 mod session;
 mod updates;
 
-pub use registry::RouterRegistry;
+pub use registry::{RegisteredRouter, RouterRegistry};
 
 use crate::ControllerContext;
 use courseshunt_wire::{Connection, PeerIdentity, WireError, accept};
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -3,6 +3,7 @@
 use courseshunt_http::{HttpClient, HttpError, Reply};
 use courseshunt_state::ChangeRequest;
 use courseshunt_types::Revision;
+use courseshunt_types::overview::Overview;
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use serde_json::Value;
@@ -30,6 +31,14 @@
         /// What it said.
         message: String,
     },
+    /// A page is not what it should be.
+    #[snafu(display("{address} sent a page that can't be read: {problem}"))]
+    Unreadable {
+        /// The controller.
+        address: String,
+        /// What is wrong.
+        problem: String,
+    },
 }
 
 /// See the module.
@@ -63,6 +72,18 @@
         Ok(Revision(revision.unwrap_or_default()))
     }
 
+    /// Reads the overview.
+    ///
+    /// # Errors
+    /// When the controller can't be reached, refuses, or sends something else.
+    pub async fn overview(&self) -> Result<Overview, AdminError> {
+        let page = self.get("/admin/v1/overview").await?;
+        serde_json::from_value(page).map_err(|error| AdminError::Unreadable {
+            address: self.address.clone(),
+            problem: error.to_string(),
+        })
+    }
+
     /// Reads a page as JSON.
     ///
     /// # Errors
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fence;
 pub mod ids;
 pub mod outcome;
+pub mod overview;
 pub mod runner_api;
 pub mod time;
 
