--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -9,7 +9,13 @@
 use std::process::{Command, Output};
 
 /// Subcommands that need no running site.
-const OFFLINE: [&str; 5] = ["check", "render", "completion", "manual", "settings-reference"];
+const OFFLINE: [&str; 5] = [
+    "check",
+    "render",
+    "completion",
+    "manual",
+    "settings-reference",
+];
 
 fn root() -> PathBuf {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
@@ -39,8 +45,12 @@
         let command = known.iter().find(|one| one.name == words[0]);
         let command = command.unwrap_or_else(|| panic!("no such subcommand: {line}"));
         let flags = command.flags();
-        for word in words.iter().filter(|word| word.starts_with('-') && word.len() > 1) {
-            let names = |flag: &&courseshunt_settings::manual::Flag| flag.names().any(|one| one == *word);
+        for word in words
+            .iter()
+            .filter(|word| word.starts_with('-') && word.len() > 1)
+        {
+            let names =
+                |flag: &&courseshunt_settings::manual::Flag| flag.names().any(|one| one == *word);
             assert!(flags.iter().find(names).is_some(), "{word} in: {line}");
         }
     }
@@ -63,7 +73,10 @@
             continue;
         }
         let mut shell = Command::new("sh");
-        shell.args(["-c", &line]).env("PATH", &path).current_dir(folder.path());
+        shell
+            .args(["-c", &line])
+            .env("PATH", &path)
+            .current_dir(folder.path());
         let output = shell.output().unwrap();
         assert!(output.status.success(), "{line}: {output:?}");
         ran += 1;
@@ -83,8 +96,14 @@
     assert!(codes.len() >= 19, "{codes:?}");
     let page = page();
     let outcomes = ["done", "not-run", "unknown"];
-    for code in codes.iter().filter(|code| !outcomes.contains(&code.as_str())) {
-        assert!(page.contains(&format!("| `{code}` |")), "refusal `{code}` is not on the page");
+    for code in codes
+        .iter()
+        .filter(|code| !outcomes.contains(&code.as_str()))
+    {
+        assert!(
+            page.contains(&format!("| `{code}` |")),
+            "refusal `{code}` is not on the page"
+        );
     }
 }
 
@@ -102,7 +121,9 @@
 /// Prefixes of the log lines in one source text.
 fn prefixes(text: &str) -> BTreeSet<String> {
     let calls = ["error", "warn", "info", "debug"].map(|level| format!("log::{level}!("));
-    let after = calls.iter().flat_map(|call| text.split(call.as_str()).skip(1));
+    let after = calls
+        .iter()
+        .flat_map(|call| text.split(call.as_str()).skip(1));
     let messages = after.filter_map(|rest| rest.trim_start().strip_prefix('"'));
     let found = messages.filter_map(|message| {
         let (prefix, _) = message.split_once(": ")?;
@@ -116,12 +137,17 @@
 fn every_log_prefix_is_explained() {
     let mut files = Vec::new();
     sources(&root().join("crates"), &mut files);
-    let texts = files.iter().map(|file| std::fs::read_to_string(file).unwrap());
+    let texts = files
+        .iter()
+        .map(|file| std::fs::read_to_string(file).unwrap());
     let found: BTreeSet<String> = texts.flat_map(|text| prefixes(&text)).collect();
     assert!(found.len() >= 8, "{found:?}");
     let page = page();
     for prefix in found {
-        assert!(page.contains(&format!("| `{prefix}:` |")), "log prefix `{prefix}:` is not on the page");
+        assert!(
+            page.contains(&format!("| `{prefix}:` |")),
+            "log prefix `{prefix}:` is not on the page"
+        );
     }
 }
 
@@ -145,7 +171,9 @@
 
 fn courseshunt(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_courseshunt"));
-    command.env("COURSESHUNT_TOKEN", OPERATOR_TOKEN).args(arguments);
+    command
+        .env("COURSESHUNT_TOKEN", OPERATOR_TOKEN)
+        .args(arguments);
     command.output().unwrap()
 }
 
@@ -166,10 +194,15 @@
     assert!(names.len() >= 18, "{names:?}");
     let page = page();
     for name in names {
-        assert!(page.contains(&format!("| `{name}` |")), "metric `{name}` is not on the page");
+        assert!(
+            page.contains(&format!("| `{name}` |")),
+            "metric `{name}` is not on the page"
+        );
     }
     let address = controller.to_string();
-    tokio::task::spawn_blocking(move || commands_against(&address)).await.unwrap();
+    tokio::task::spawn_blocking(move || commands_against(&address))
+        .await
+        .unwrap();
     site.stop().await;
 }
 
@@ -189,7 +222,10 @@
         (vec!["get"], "climate-ctl-vents"),
         (vec!["status"], "2 live"),
         (vec!["status", "--json"], "\"warmth\":\"cold\""),
-        (vec!["top", "--count", "2", "--interval-seconds", "1"], "32 cold"),
+        (
+            vec!["top", "--count", "2", "--interval-seconds", "1"],
+            "32 cold",
+        ),
     ];
     for (arguments, expected) in cases {
         let at = ["--controller", controller];
@@ -198,7 +234,16 @@
         assert!(text.contains(expected), "{arguments:?}: {output:?}");
         assert!(output.status.success(), "{arguments:?}: {output:?}");
     }
-    let refused = courseshunt(&["status", "--controller", controller, "--token-file", "/dev/null"]);
+    let refused = courseshunt(&[
+        "status",
+        "--controller",
+        controller,
+        "--token-file",
+        "/dev/null",
+    ]);
     assert_eq!(refused.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&refused.stderr).contains("401"), "{refused:?}");
+    assert!(
+        String::from_utf8_lossy(&refused.stderr).contains("401"),
+        "{refused:?}"
+    );
 }
--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -59,21 +59,35 @@
     block_on(async {
         let reports = run_sizes(&settings).await?;
         let measured = match matches.opt_present("no-requests") {
-            true => None,
-            false => Some(requests::measure(&RATES, RATE_LENGTH).await?),
+            true => Ok(None),
+            false => requests::measure(&RATES, RATE_LENGTH).await.map(Some),
         };
-        if matches.opt_present("json") {
-            print_json(&reports, measured.as_ref());
-        }
-        let tables = table::render(&reports, measured.as_ref());
-        if let Some(page) = matches.opt_str("write") {
-            table::write_into(Path::new(&page), &tables)?;
-        }
-        println!("{tables}");
-        Ok(())
+        let (measured, failed) = match measured {
+            Ok(measured) => (measured, None),
+            Err(error) => (None, Some(error)),
+        };
+        show(&matches, &reports, measured.as_ref())?;
+        // The sizes are shown also when the requests failed.
+        failed.map_or(Ok(()), Err)
     })
 }
 
+fn show(
+    matches: &getopts::Matches,
+    reports: &[SizeReport],
+    requests: Option<&requests::RequestReport>,
+) -> Result<(), LabError> {
+    if matches.opt_present("json") {
+        print_json(reports, requests);
+    }
+    let tables = table::render(reports, requests);
+    if let Some(page) = matches.opt_str("write") {
+        table::write_into(Path::new(&page), &tables)?;
+    }
+    println!("{tables}");
+    Ok(())
+}
+
 fn print_json(reports: &[SizeReport], requests: Option<&requests::RequestReport>) {
     println!(
         "{}",
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -16,7 +16,13 @@
 #[test]
 fn an_exact_plane_is_found_without_spread() {
     let value = |routers: f64, runners: f64| 3.0 + 0.5 * routers + 0.25 * runners;
-    let sizes = [(10.0, 10.0), (10.0, 90.0), (80.0, 20.0), (80.0, 90.0), (40.0, 50.0)];
+    let sizes = [
+        (10.0, 10.0),
+        (10.0, 90.0),
+        (80.0, 20.0),
+        (80.0, 90.0),
+        (40.0, 50.0),
+    ];
     let points = sizes.map(|(routers, runners)| point(routers, runners, value(routers, runners)));
     let fit = Fit::of(&points).unwrap();
     for (coefficient, expected) in fit.coefficients.iter().zip([3.0, 0.5, 0.25]) {
@@ -56,7 +62,9 @@
     let (done, wait) = std::sync::mpsc::channel::<()>();
     let (busy, ready) = std::sync::mpsc::channel();
     let worker = worker.spawn(move || {
-        let sum: u64 = (0..30_000_000_u64).map(|number| number ^ (number >> 3)).sum();
+        let sum: u64 = (0..30_000_000_u64)
+            .map(|number| number ^ (number >> 3))
+            .sum();
         busy.send(sum).unwrap();
         let _ = wait.recv();
     });
@@ -80,7 +88,10 @@
 fn only_the_part_between_the_marks_is_replaced() {
     let page = "head\n<!-- measured: begin -->\nold\n<!-- measured: end -->\ntail\n";
     let replaced = table::replace(page, "new").unwrap();
-    assert_eq!(replaced, "head\n<!-- measured: begin -->\n\nnew\n<!-- measured: end -->\ntail\n");
+    assert_eq!(
+        replaced,
+        "head\n<!-- measured: begin -->\n\nnew\n<!-- measured: end -->\ntail\n"
+    );
     assert_eq!(table::replace("no marks", "new"), None);
 }
 
@@ -98,9 +109,15 @@
     };
     let report = run(&settings).await.unwrap().remove(0);
     assert!(report.idle.leader_cpu_ms > 0.0, "{report:?}");
-    assert!(report.idle.feed.messages >= 4.0, "confirmations: {report:?}");
+    assert!(
+        report.idle.feed.messages >= 4.0,
+        "confirmations: {report:?}"
+    );
     assert!(report.idle.reports.messages >= 4.0, "{report:?}");
-    assert!(report.idle.runners.messages >= 1.0, "inventories: {report:?}");
+    assert!(
+        report.idle.runners.messages >= 1.0,
+        "inventories: {report:?}"
+    );
     assert!(report.changes.feed.bytes > 0.0, "{report:?}");
     assert!(report.loads.feed.bytes > 0.0, "{report:?}");
     let text = table::render(&[report], None);
