--- a/crates/lab/src/capacity/table.rs
+++ b/crates/lab/src/capacity/table.rs
@@ -25,14 +25,14 @@
 #[must_use]
 pub fn render(reports: &[SizeReport], requests: Option<&RequestReport>) -> String {
     let mut text = sizes(reports);
+    if let Some(requests) = requests {
+        text.push_str(&request_table(requests));
+    }
     let Some(slopes) = Slopes::of(reports) else {
         text.push_str("\nThe sizes are too few for slopes.\n");
         return text;
     };
     text.push_str(&slope_table(&slopes));
-    if let Some(requests) = requests {
-        text.push_str(&request_table(requests));
-    }
     text.push_str(&roles(&design(&slopes, requests)));
     text
 }
--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -53,7 +53,8 @@
     let matches = matches.map_err(|error| LabError::usage(error.to_string()))?;
     let settings = settings(&matches)?;
     logging::start(&LogSettings {
-        level: "warn".to_owned(),
+        // A fleet that ends breaks its connections, which is worth no line.
+        level: "error".to_owned(),
         format: "text".to_owned(),
     });
     block_on(async {
--- a/crates/lab/src/hollow/runner.rs
+++ b/crates/lab/src/hollow/runner.rs
@@ -8,7 +8,7 @@
 };
 use courseshunt_standin::model::{RunnerEvent, RunnerModel, RunnerModelSettings};
 use courseshunt_types::Millis;
-use courseshunt_types::runner_api::OrderRequest;
+use courseshunt_types::runner_api::{ATTEMPT_HEADER, OrderRequest, REQUEST_ID_HEADER};
 use courseshunt_types::time::MonotonicClock;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
@@ -34,13 +34,20 @@
     pub bytes: u64,
 }
 
-/// The answer to every request of a caller.
-fn answer() -> serde_json::Value {
-    serde_json::json!({
+/// The answer to every request of a caller, with the identity that it came with.
+fn answer(request: &Request<Incoming>) -> Response<Body> {
+    let content = serde_json::json!({
         "object": "chat.completion",
         "choices": [{"index": 0, "message": {"role": "assistant", "content": "hollow"},
                      "finish_reason": "stop"}],
-    })
+    });
+    let mut response = json_response(StatusCode::OK, &content);
+    for name in [REQUEST_ID_HEADER, ATTEMPT_HEADER] {
+        if let Some(value) = request.headers().get(name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
 }
 
 /// Counters that all hollow runners of a fleet share.
@@ -144,7 +151,7 @@
 
     async fn judge(&self, request: Request<Incoming>) -> Response<Body> {
         if request.uri().path().starts_with("/v1/") {
-            return json_response(StatusCode::OK, &answer());
+            return answer(&request);
         }
         if bearer_token(request.headers()) != Some(&self.token) {
             return json_response(StatusCode::UNAUTHORIZED, &"unauthorized");
