--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -154,9 +154,10 @@
 async fn metric_names(address: std::net::SocketAddr) -> BTreeSet<String> {
     let client = courseshunt_http::HttpClient::default();
     let limit = std::time::Duration::from_secs(20);
+    let peer = address.to_string();
     let call = client.call::<()>(
         hyper::Method::GET,
-        &address.to_string(),
+        &peer,
         "/metrics",
         None,
         None,
