--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -155,14 +155,7 @@
     let client = courseshunt_http::HttpClient::default();
     let limit = std::time::Duration::from_secs(20);
     let peer = address.to_string();
-    let call = client.call::<()>(
-        hyper::Method::GET,
-        &peer,
-        "/metrics",
-        None,
-        None,
-        limit,
-    );
+    let call = client.call::<()>(hyper::Method::GET, &peer, "/metrics", None, None, limit);
     let reply = call.await.unwrap();
     let text = String::from_utf8(reply.body.to_vec()).unwrap();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
