Capacity: slopes for leaders, followers and memory with several controllers

Cause: with one controller the costs of followers and of the log's copies could not be told, and the memory of a controller not apart from the process. Change: a size may name its controllers; leader and follower are measured against the routers that each feeds; the roles are worked out in their own module.

--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 pub mod fit;
 pub mod measure;
 pub mod requests;
+pub mod roles;
 pub mod site;
 pub mod slopes;
 pub mod table;
--- a/crates/lab/src/capacity/table.rs
+++ b/crates/lab/src/capacity/table.rs
@@ -2,9 +2,8 @@
 
 use super::SizeReport;
 use super::requests::RequestReport;
-use super::slopes::{
-    ROUTERS, RUNNERS, RoleFigures, Slope, Slopes, design, request_cpu, router_memory,
-};
+use super::roles::{RoleFigures, design, request_cpu, router_memory};
+use super::slopes::{DESIGN, Slope, Slopes};
 use crate::error::LabError;
 use std::fmt::Write;
 use std::path::Path;
@@ -73,9 +72,9 @@
 }
 
 fn slope_table(slopes: &Slopes) -> String {
-    let mut text = "\n### Slopes (± standard error)\n\n| quantity | slopes | at 340 routers, 830 runners |\n|---|---|---|\n".to_owned();
+    let mut text = "\n### Slopes (± standard error)\n\n| quantity | slopes | with 8 controllers, 340 routers, 830 runners |\n|---|---|---|\n".to_owned();
     for slope in slopes.all() {
-        let value = slope.at(ROUTERS, RUNNERS);
+        let value = slope.at(DESIGN);
         let _ = writeln!(
             text,
             "| {}, {} | {} | {} |",
--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -18,9 +18,16 @@
 
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
-    let sizes = format!("sizes as ROUTERSxRUNNERS, separated by commas [default: {DEFAULT_SIZES}]");
+    let sizes = format!(
+        "sizes as [CONTROLLERS:]ROUTERSxRUNNERS, separated by commas [default: {DEFAULT_SIZES}]"
+    );
     options.optopt("", "sizes", &sizes, "SIZES");
-    options.optopt("", "controllers", "voting controllers [default: 1]", "N");
+    options.optopt(
+        "",
+        "controllers",
+        "controllers of sizes that name none [default: 1]",
+        "N",
+    );
     options.optopt("", "seconds", "length of the idle phase [default: 4]", "N");
     options.optopt("", "changes", "changes at each size [default: 12]", "N");
     options.optopt(
@@ -124,19 +131,24 @@
     })
 }
 
+/// Reads `CONTROLLERS:ROUTERSxRUNNERS` or `ROUTERSxRUNNERS`.
 fn parse_size(text: &str, controllers: usize) -> Result<FleetSize, LabError> {
-    let parsed = text.split_once('x').and_then(|(routers, runners)| {
-        let counts = (routers.trim().parse().ok()?, runners.trim().parse().ok()?);
-        (counts.0 > 0 && counts.1 > 0).then_some(counts)
-    });
-    let (routers, runners) = parsed.ok_or_else(|| {
+    let counts = |text: &str| -> Option<FleetSize> {
+        let (controllers, rest) = match text.split_once(':') {
+            Some((own, rest)) => (own.trim().parse().ok()?, rest),
+            None => (controllers, text),
+        };
+        let (routers, runners) = rest.split_once('x')?;
+        let size = FleetSize {
+            controllers,
+            routers: routers.trim().parse().ok()?,
+            runners: runners.trim().parse().ok()?,
+        };
+        (size.controllers > 0 && size.routers > 0 && size.runners > 0).then_some(size)
+    };
+    counts(text).ok_or_else(|| {
         LabError::usage(format!(
-            "--sizes has `{text}`; allowed: ROUTERSxRUNNERS, such as 43x104"
+            "--sizes has `{text}`; allowed: [CONTROLLERS:]ROUTERSxRUNNERS, such as 3:43x104"
         ))
-    })?;
-    Ok(FleetSize {
-        controllers,
-        routers,
-        runners,
     })
 }
