--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,12 +2,16 @@
 
 mod apply;
 mod check;
+mod diff;
+mod documents;
 mod explain;
 mod get;
+mod history;
 mod manual;
 mod render;
 mod serve;
 mod status;
+mod token;
 
 pub use manual::help_of_all;
 
@@ -49,12 +53,30 @@
         run: apply::run,
         help: apply::help,
     },
+    Subcommand {
+        name: "diff",
+        summary: "show what rendered documents would change",
+        run: diff::run,
+        help: diff::help,
+    },
     Subcommand {
         name: "get",
         summary: "show the deployments in force",
         run: get::deployments,
         help: get::deployments_help,
     },
+    Subcommand {
+        name: "history",
+        summary: "show the accepted changes: who, when, what",
+        run: history::run,
+        help: history::help,
+    },
+    Subcommand {
+        name: "token",
+        summary: "print the digest of a token, for operators and tenants",
+        run: token::run,
+        help: token::help,
+    },
     Subcommand {
         name: "status",
         summary: "show the fleet, warm and cold models, queues and who lags",
--- a/crates/fuzz/tests/parsers/wire.rs
+++ b/crates/fuzz/tests/parsers/wire.rs
@@ -26,6 +26,7 @@
             http_address: "127.0.0.1:2".to_owned(),
             zone: "a".into(),
             revision: Revision(3),
+            placement: Default::default(),
         }),
         Message::FeedConfirmation {
             age: Millis(5),
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -124,7 +124,7 @@
         };
         for node in &cluster.nodes {
             node.view.apply_configuration(configuration(slots));
-            node.view.confirm(Timestamp(1));
+            node.view.confirm(Timestamp(1), Revision(0));
         }
         cluster.place(replicas);
         let all: Vec<usize> = (0..routers).collect();
