Settings: source address and advertised address of a process

Cause: a process with more than one address could not be told from where it dials, so a firewall or a test network in between can't tell who dials whom; and a router behind a forwarder could only announce the address it binds. Change: `source_address` for controllers and routers (HTTP and internal connections come from it), `advertised_address` for routers. Shown by: wire test a_dialling_peer_comes_from_its_source_address. Conclusion: links can be named by (from, to) from outside the processes.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -78,12 +78,13 @@
         })?;
         let clock = MonotonicClock::start();
         let replica = replica::start(&settings, clock).await?;
+        let client = HttpClient::from_address(settings.source_address);
         let context = ControllerContext {
             settings: Arc::new(settings),
             replica,
             demand: Arc::default(),
             routers: Arc::default(),
-            client: HttpClient::default(),
+            client,
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
+use std::net::IpAddr;
 use std::time::Duration;
 
 /// Longest time for a TCP connection.
@@ -34,17 +35,25 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::from_address(None)
+    }
+}
+
+impl HttpClient {
+    /// A client whose connections come from `source`; `None` lets the system
+    /// choose.
+    #[must_use]
+    pub fn from_address(source: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        connector.set_local_address(source);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
         let client = builder.build(connector);
         Self { client }
     }
-}
 
-impl HttpClient {
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -5,7 +5,7 @@
 use courseshunt_types::ClientSequence;
 use courseshunt_wire::message::{CallId, LedgerResult, Subscribe};
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
+    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,9 +37,10 @@
     mut calls: LedgerCalls,
 ) {
     let identity = PeerIdentity::Router(context.settings.id.clone(), context.incarnation);
+    let source = context.settings.source_address;
     let mut sequence = 0;
     for address in context.settings.controllers.iter().cycle() {
-        match connect(*address, &key, &identity).await {
+        match connect_from(source, *address, &key, &identity).await {
             Ok(connection) => {
                 let link = Link {
                     context: &context,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -73,6 +73,7 @@
         let wire = bind(settings.wire_address).await?;
         let http_address = local_address(&http, settings.http_address)?;
         let wire_address = local_address(&wire, settings.wire_address)?;
+        let advertised = settings.advertised_address.unwrap_or(wire_address);
         let clock = MonotonicClock::start();
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
@@ -82,6 +83,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let client = HttpClient::from_address(settings.source_address);
         let context = RouterContext {
             settings,
             incarnation: Incarnation(rand::random()),
@@ -89,13 +91,13 @@
             dispatcher,
             ledger,
             requests: Arc::default(),
-            client: HttpClient::default(),
+            client,
             clock,
             stop: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
             http_address,
-            wire_address,
+            wire_address: advertised,
         };
         let link = control::run(context.clone(), key, endpoints, ledger_calls);
         tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -3,7 +3,7 @@
 use crate::error::SettingsError;
 use crate::table::{Setting, items, parse_peer};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 /// Where a value came from.
@@ -58,6 +58,18 @@
         self.text(key).parse().unwrap_or(unset)
     }
 
+    /// An IP number, if one is given.
+    #[must_use]
+    pub fn ip(&self, key: &str) -> Option<IpAddr> {
+        self.text(key).parse().ok()
+    }
+
+    /// An address, if one is given.
+    #[must_use]
+    pub fn optional_address(&self, key: &str) -> Option<SocketAddr> {
+        self.text(key).parse().ok()
+    }
+
     /// A list of addresses.
     #[must_use]
     pub fn addresses(&self, key: &str) -> Vec<SocketAddr> {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -4,7 +4,7 @@
 use crate::load::{Values, load};
 use crate::table::{Kind, Setting};
 use courseshunt_types::{ControllerId, Millis, RouterId, RunnerId, Zone};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 /// Settings that every process has.
@@ -26,6 +26,12 @@
     default: Some("default"),
     help: "zone that the process runs in",
 };
+const SOURCE_ADDRESS: Setting = Setting {
+    key: "source_address",
+    kind: Kind::Ip,
+    default: Some(""),
+    help: "IP number that outgoing connections come from; empty: the system chooses",
+};
 const CLUSTER_KEY_FILE: Setting = Setting {
     key: "cluster_key_file",
     kind: Kind::Path,
@@ -110,6 +116,7 @@
         default: Some("6"),
         help: "loads that the weight store serves together at full speed",
     },
+    SOURCE_ADDRESS,
     ZONE,
     CLUSTER_KEY_FILE,
     LOG_LEVEL,
@@ -136,6 +143,12 @@
         default: Some("127.0.0.1:8081"),
         help: "address for other processes of the cluster",
     },
+    Setting {
+        key: "advertised_address",
+        kind: Kind::Address,
+        default: Some(""),
+        help: "address under which other processes reach the wire address; empty: the same",
+    },
     Setting {
         key: "controllers",
         kind: Kind::Addresses,
@@ -184,6 +197,7 @@
         default: Some("600"),
         help: "longest wait for running requests at a planned stop, in seconds",
     },
+    SOURCE_ADDRESS,
     ZONE,
     CLUSTER_KEY_FILE,
     LOG_LEVEL,
@@ -264,6 +278,8 @@
     pub store_loads_per_second: u32,
     /// Loads that the weight store serves together at full speed.
     pub store_concurrency: u32,
+    /// IP number that outgoing connections come from.
+    pub source_address: Option<IpAddr>,
     /// Zone.
     pub zone: Zone,
     /// File with the cluster key.
@@ -281,6 +297,8 @@
     pub http_address: SocketAddr,
     /// Address for other processes.
     pub wire_address: SocketAddr,
+    /// Address under which other processes reach the wire address.
+    pub advertised_address: Option<SocketAddr>,
     /// Wire addresses of controllers.
     pub controllers: Vec<SocketAddr>,
     /// Callers' connections at the most.
@@ -293,6 +311,8 @@
     pub body_timeout: Millis,
     /// Longest wait for running requests at a planned stop.
     pub drain: Millis,
+    /// IP number that outgoing connections come from.
+    pub source_address: Option<IpAddr>,
     /// Zone.
     pub zone: Zone,
     /// File with the cluster key.
@@ -370,6 +390,7 @@
             policy: values.text("policy"),
             store_loads_per_second: small(&values, "store_loads_per_second"),
             store_concurrency: small(&values, "store_concurrency"),
+            source_address: values.ip("source_address"),
             zone: values.text("zone").into(),
             cluster_key_file: values.text("cluster_key_file").into(),
             logging: LogSettings::of(&values),
@@ -388,12 +409,14 @@
             id: values.text("id").into(),
             http_address: values.address("http_address"),
             wire_address: values.address("wire_address"),
+            advertised_address: values.optional_address("advertised_address"),
             controllers: values.addresses("controllers"),
             max_connections: size(&values, "max_connections"),
             max_body_bytes: size(&values, "max_body_bytes"),
             max_waiting_bytes: size(&values, "max_waiting_bytes"),
             body_timeout: Millis::from_secs(values.integer("body_timeout_seconds")),
             drain: Millis::from_secs(values.integer("drain_seconds")),
+            source_address: values.ip("source_address"),
             zone: values.text("zone").into(),
             cluster_key_file: values.text("cluster_key_file").into(),
             logging: LogSettings::of(&values),
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -1,12 +1,14 @@
 //! Tables of settings.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// What values a setting takes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Kind {
     /// `ip:port`.
     Address,
+    /// An IP number.
+    Ip,
     /// A path of a file or folder.
     Path,
     /// Any text that is not empty.
@@ -53,6 +55,7 @@
     pub fn allowed(&self) -> String {
         match self {
             Self::Address => "an address such as 127.0.0.1:7100".to_owned(),
+            Self::Ip => "an IP number such as 127.0.0.1".to_owned(),
             Self::Path => "a path".to_owned(),
             Self::Text => "text that is not empty".to_owned(),
             Self::Integer { min, max } => format!("a whole number from {min} to {max}"),
@@ -67,6 +70,7 @@
     pub fn accepts(&self, value: &str) -> bool {
         match self {
             Self::Address => value.parse::<SocketAddr>().is_ok(),
+            Self::Ip => value.parse::<IpAddr>().is_ok(),
             Self::Path | Self::Text => !value.is_empty(),
             Self::Integer { min, max } => {
                 let number = value.parse::<u64>();
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -5,11 +5,11 @@
 use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
 use crate::message::Message;
 use crate::traffic;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Longest time for connecting and for the handshake.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -117,9 +117,23 @@
     address: SocketAddr,
     key: &ClusterKey,
     identity: &PeerIdentity,
+) -> Result<Connection, WireError> {
+    connect_from(None, address, key, identity).await
+}
+
+/// Like [`connect`], from the IP number `source`; `None` lets the system
+/// choose.
+///
+/// # Errors
+/// As [`connect`], and when `source` is no address of this machine.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
     let work = async {
-        let stream = TcpStream::connect(address).await;
+        let stream = dial(source, address).await;
         let stream = stream.map_err(|source| WireError::Io {
             step: "connect",
             peer: address.to_string(),
@@ -130,6 +144,18 @@
     in_time("connect", address, work).await
 }
 
+async fn dial(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Answers a dialling peer on an accepted stream and proves the key both ways.
 ///
 /// # Errors
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod message;
 mod traffic;
 
-pub use connection::{Connection, Receiver, Sender, accept, connect};
+pub use connection::{Connection, Receiver, Sender, accept, connect, connect_from};
 pub use error::WireError;
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
--- a/crates/wire/tests/connection.rs
+++ b/crates/wire/tests/connection.rs
@@ -1,7 +1,9 @@
 //! Contract of connections: the key is proved both ways, bad frames close.
 
 use courseshunt_types::{ControllerId, Revision};
-use courseshunt_wire::{ClusterKey, Message, PeerIdentity, WireError, accept, connect};
+use courseshunt_wire::{
+    ClusterKey, Message, PeerIdentity, WireError, accept, connect, connect_from,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -58,3 +60,20 @@
     stream.write_all(&[0xff; 200]).await.unwrap();
     assert!(server.await.unwrap().is_err());
 }
+
+#[tokio::test]
+async fn a_dialling_peer_comes_from_its_source_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (stream, from) = listener.accept().await.unwrap();
+        let me = PeerIdentity::Controller(ControllerId(1));
+        accept(stream, from, &key(RIGHT), &me).await.unwrap();
+        from.ip()
+    });
+    let me = PeerIdentity::Controller(ControllerId(2));
+    let source = "127.0.0.2".parse().unwrap();
+    let connected = connect_from(Some(source), address, &key(RIGHT), &me).await;
+    assert!(connected.is_ok());
+    assert_eq!(server.await.unwrap(), source);
+}
