Lab: open-loop load tool with checked answers

Cause: nothing could send a steady or bursty load to running routers and look at each answer; the demo sends a fixed burst only. Change: `courseshunt-lab load`: seeded arrivals (rate, bursts), mix of deployments, classes, once-only requests and streams, every answer checked for being whole and its own, percentiles from the planned time, JSON, HTML with plots. Jobs are drawn by the mix and follow with the jobs' API. Shown by: lab tests/load.rs, among them a stall that is charged to every request that it held up (10 requests, p50 500 ms, max 1000 ms). Conclusion: the checks can fail: a cut answer, an empty one, another request's and a doubled one are told apart.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of the laboratory.
 
 mod demo;
+mod load;
 
 use crate::error::LabError;
 
@@ -15,12 +16,20 @@
 }
 
 /// All subcommands, in the order of the help text.
-pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    name: "demo",
-    summary: "a small site in one process: cold models, a burst, a once-only command",
-    run: demo::run,
-    help: demo::help,
-}];
+pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "demo",
+        summary: "a small site in one process: cold models, a burst, a once-only command",
+        run: demo::run,
+        help: demo::help,
+    },
+    Subcommand {
+        name: "load",
+        summary: "open-loop load against running routers, with every answer checked",
+        run: load::run,
+        help: load::help,
+    },
+];
 
 /// Runs the subcommand that `arguments` name.
 ///
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod commands;
 pub mod demo;
 pub mod error;
+pub mod load;
 pub mod site;
 
 pub use error::LabError;
