Lab: a whole fleet in one process under faults, with checkers; stand-ins as processes

Cause: promises under faults could only be stated, not shown on real processes. Change: `courseshunt-lab fleet`: each node has a runtime and a loopback IP number of its own, so that it can be ended without any clean-up and a relay can cut, delay or narrow each link by (from, to); faults from schedule files; checkers that read a history seen from outside (callers, runners' logs and inventories, routers' revisions). `courseshunt-lab standin` runs a stand-in alone. The faults lose-disk and disk-full are not brought about yet.

--- a/crates/lab/src/commands/load.rs
+++ b/crates/lab/src/commands/load.rs
@@ -1,13 +1,13 @@
 //! `courseshunt-lab load`.
 
 use super::block_on;
+use super::flags::{required, value};
 use crate::error::LabError;
 use crate::load::{
     ArrivalPlan, CallSettings, EchoCheck, LoadSettings, LoadSummary, Mix, RequestRecord, Share,
     Target, html, run as run_load,
 };
 use courseshunt_types::PriorityClass;
-use std::str::FromStr;
 use std::time::Duration;
 
 /// How long after the deadline an answer is still waited for.
@@ -162,19 +162,6 @@
     })
 }
 
-fn required(matches: &getopts::Matches, name: &str) -> Result<String, LabError> {
-    let given = matches.opt_str(name);
-    given.ok_or_else(|| LabError::usage(format!("--{name} is missing")))
-}
-
-fn value<T: FromStr>(matches: &getopts::Matches, name: &str, default: T) -> Result<T, LabError> {
-    let Some(text) = matches.opt_str(name) else {
-        return Ok(default);
-    };
-    let parsed = text.parse();
-    parsed.map_err(|_| LabError::usage(format!("--{name}: `{text}` is no such number")))
-}
-
 /// Reads `name` or `name=weight` items.
 fn shares<T>(
     flag: &str,
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,7 +1,10 @@
 //! Subcommands of the laboratory.
 
 mod demo;
+mod flags;
+mod fleet;
 mod load;
+mod standin;
 
 use crate::error::LabError;
 
@@ -29,6 +32,18 @@
         run: load::run,
         help: load::help,
     },
+    Subcommand {
+        name: "fleet",
+        summary: "a whole fleet in one process under load and faults, with checkers",
+        run: fleet::run,
+        help: fleet::help,
+    },
+    Subcommand {
+        name: "standin",
+        summary: "one stand-in (runner, store, platform) as a process of its own",
+        run: standin::run,
+        help: standin::help,
+    },
 ];
 
 /// Runs the subcommand that `arguments` name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod commands;
 pub mod demo;
 pub mod error;
+pub mod files;
+pub mod fleet;
 pub mod load;
 pub mod site;
 
--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -22,6 +22,8 @@
 /// One router.
 #[derive(Debug, Clone)]
 pub struct Target {
+    /// Name in reports.
+    pub name: String,
     /// `ip:port`.
     pub address: String,
     /// Client for it.
@@ -32,7 +34,15 @@
     /// The router at `address`.
     #[must_use]
     pub fn new(address: impl Into<String>) -> Self {
+        let address = address.into();
+        Self::named(address.clone(), address)
+    }
+
+    /// The router at `address`, with a name for reports.
+    #[must_use]
+    pub fn named(name: impl Into<String>, address: impl Into<String>) -> Self {
         Self {
+            name: name.into(),
             address: address.into(),
             client: HttpClient::default(),
         }
@@ -82,7 +92,7 @@
         if left == 0 || call.overdue() || !result.may_be_sent_again() {
             let (request_id, first_byte) = (call.request_id.take(), call.first_byte);
             return RequestRecord {
-                router: target.address.clone(),
+                router: target.name.clone(),
                 request_id,
                 earlier,
                 first_byte,
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -17,7 +17,7 @@
 
 pub use arrivals::{ArrivalPlan, arrival_times};
 pub use call::{CallSettings, Target, send};
-pub use echo::{EchoCheck, expected_text};
+pub use echo::{EchoCheck, expected_text, messages};
 pub use latency::{Latencies, LatencySummary};
 pub use mix::{Mix, Share};
 pub use record::{PlannedRequest, RequestForm, RequestRecord, RequestResult};
@@ -59,17 +59,15 @@
     if settings.targets.is_empty() {
         return Err(LabError::usage("no address is given"));
     }
-    let planned = plan(settings);
-    let progress = Arc::new(Progress::new(settings.arrivals.length));
-    let line = settings
-        .progress
-        .then(|| tokio::spawn(progress.clone().print()));
-    let records = send_all(settings, planned, &progress).await;
-    if let Some(line) = line {
-        line.abort();
-        progress.finish();
-    }
-    Ok(records)
+    let progress = settings.progress.then_some(settings.arrivals.length);
+    let sending = Sending {
+        targets: &settings.targets,
+        call: &settings.call,
+        max_running: settings.max_running,
+        start: Instant::now(),
+        progress,
+    };
+    Ok(sending.send_all(plan(settings)).await)
 }
 
 /// The requests of a load, in the order of their planned times.
@@ -82,36 +80,66 @@
     requests.collect()
 }
 
-async fn send_all(
-    settings: &LoadSettings,
-    planned: Vec<PlannedRequest>,
-    progress: &Arc<Progress>,
-) -> Vec<RequestRecord> {
-    let start = Instant::now();
-    let running = Arc::new(Semaphore::new(settings.max_running));
-    let mut work = JoinSet::new();
-    let mut records = Vec::with_capacity(planned.len());
-    for request in planned {
-        tokio::time::sleep_until((start + request.at).into()).await;
-        let Ok(slot) = running.clone().try_acquire_owned() else {
-            records.push(RequestRecord::not_sent(request));
-            continue;
-        };
-        let targets = targets_from(&settings.targets, request.number);
-        let (call, progress) = (settings.call.clone(), progress.clone());
-        work.spawn(async move {
-            progress.sent();
-            let record = send(&targets, request, &call, start).await;
-            progress.ended(&record);
-            drop(slot);
-            record
-        });
+/// How planned requests are sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// Routers, called in turn.
+    pub targets: &'a [Target],
+    /// How each request is sent and checked.
+    pub call: &'a CallSettings,
+    /// Requests under way at the most.
+    pub max_running: usize,
+    /// The time from which planned times count.
+    pub start: Instant,
+    /// Length of the load, when a line on standard error tells the progress.
+    pub progress: Option<Duration>,
+}
+
+impl Sending<'_> {
+    /// Sends requests at their planned times and waits for all of them.
+    pub async fn send_all(&self, planned: Vec<PlannedRequest>) -> Vec<RequestRecord> {
+        let progress = Arc::new(Progress::new(self.progress.unwrap_or_default()));
+        let line = self
+            .progress
+            .map(|_| tokio::spawn(progress.clone().print()));
+        let records = self.send_planned(planned, &progress).await;
+        if let Some(line) = line {
+            line.abort();
+            progress.finish();
+        }
+        records
     }
-    while let Some(ended) = work.join_next().await {
-        records.extend(ended);
+
+    async fn send_planned(
+        &self,
+        planned: Vec<PlannedRequest>,
+        progress: &Arc<Progress>,
+    ) -> Vec<RequestRecord> {
+        let running = Arc::new(Semaphore::new(self.max_running));
+        let mut work = JoinSet::new();
+        let mut records = Vec::with_capacity(planned.len());
+        for request in planned {
+            tokio::time::sleep_until((self.start + request.at).into()).await;
+            let Ok(slot) = running.clone().try_acquire_owned() else {
+                records.push(RequestRecord::not_sent(request));
+                continue;
+            };
+            let targets = targets_from(self.targets, request.number);
+            let (call, progress, start) = (self.call.clone(), progress.clone(), self.start);
+            work.spawn(async move {
+                progress.sent();
+                let record = send(&targets, request, &call, start).await;
+                progress.ended(&record);
+                drop(slot);
+                record
+            });
+        }
+        while let Some(ended) = work.join_next().await {
+            records.extend(ended);
+        }
+        records.sort_by_key(|record| record.request.number);
+        records
     }
-    records.sort_by_key(|record| record.request.number);
-    records
 }
 
 /// All targets, beginning with the one whose turn it is.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,9 +8,10 @@
 mod load;
 pub mod logging;
 pub mod process;
+pub mod standins;
 pub mod table;
 
 pub use error::SettingsError;
 pub use load::{Origin, Values, help_text, load};
 pub use process::{ControllerSettings, PeerAddress, RouterSettings, StandinSettings};
-pub use table::{Kind, Setting};
+pub use table::{Kind, MachineAddress, Setting};
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -1,7 +1,7 @@
 //! Reads a settings file and flags against a table.
 
 use crate::error::SettingsError;
-use crate::table::{Setting, items, parse_peer};
+use crate::table::{MachineAddress, Setting, items, parse_machine, parse_peer};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -51,6 +51,18 @@
         self.text(key).parse().unwrap_or_default()
     }
 
+    /// A whole number; one that is too large becomes the largest.
+    #[must_use]
+    pub fn small(&self, key: &str) -> u32 {
+        u32::try_from(self.integer(key)).unwrap_or(u32::MAX)
+    }
+
+    /// A list of machines.
+    #[must_use]
+    pub fn machines(&self, key: &str) -> Vec<MachineAddress> {
+        items(&self.text(key)).filter_map(parse_machine).collect()
+    }
+
     /// An address.
     #[must_use]
     pub fn address(&self, key: &str) -> SocketAddr {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -8,13 +8,13 @@
 use std::path::PathBuf;
 
 /// Settings that every process has.
-const LOG_LEVEL: Setting = Setting {
+pub(crate) const LOG_LEVEL: Setting = Setting {
     key: "log_level",
     kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
     default: Some("info"),
     help: "least important log lines that are written",
 };
-const LOG_FORMAT: Setting = Setting {
+pub(crate) const LOG_FORMAT: Setting = Setting {
     key: "log_format",
     kind: Kind::Choice(&["text", "json"]),
     default: Some("text"),
@@ -350,7 +350,7 @@
 }
 
 impl LogSettings {
-    fn of(values: &Values) -> Self {
+    pub(crate) fn of(values: &Values) -> Self {
         Self {
             level: values.text("log_level"),
             format: values.text("log_format"),
@@ -358,10 +358,6 @@
     }
 }
 
-fn small(values: &Values, key: &str) -> u32 {
-    u32::try_from(values.integer(key)).unwrap_or(u32::MAX)
-}
-
 fn size(values: &Values, key: &str) -> usize {
     usize::try_from(values.integer(key)).unwrap_or(usize::MAX)
 }
@@ -388,8 +384,8 @@
             operator_token_file: values.text("operator_token_file").into(),
             runner_token_file: values.text("runner_token_file").into(),
             policy: values.text("policy"),
-            store_loads_per_second: small(&values, "store_loads_per_second"),
-            store_concurrency: small(&values, "store_concurrency"),
+            store_loads_per_second: values.small("store_loads_per_second"),
+            store_concurrency: values.small("store_concurrency"),
             source_address: values.ip("source_address"),
             zone: values.text("zone").into(),
             cluster_key_file: values.text("cluster_key_file").into(),
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -26,6 +26,19 @@
     Peers,
     /// `ip:port` items, separated by commas.
     Addresses,
+    /// `runner=ip:port=zone` items, separated by commas.
+    Machines,
+}
+
+/// One machine of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineAddress {
+    /// The runner on it.
+    pub name: String,
+    /// Address of the runner.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
 }
 
 /// One setting.
@@ -62,6 +75,9 @@
             Self::Choice(words) => format!("one of {}", words.join(", ")),
             Self::Peers => "items such as 1=127.0.0.1:7100, separated by commas".to_owned(),
             Self::Addresses => "addresses such as 127.0.0.1:7100, separated by commas".to_owned(),
+            Self::Machines => {
+                "items such as runner-1=127.0.0.1:9001=zone-1, separated by commas".to_owned()
+            }
         }
     }
 
@@ -79,6 +95,7 @@
             Self::Choice(words) => words.contains(&value),
             Self::Peers => items(value).all(|item| parse_peer(item).is_some()),
             Self::Addresses => items(value).all(|item| item.parse::<SocketAddr>().is_ok()),
+            Self::Machines => items(value).all(|item| parse_machine(item).is_some()),
         }
     }
 }
@@ -96,3 +113,14 @@
     let (id, address) = item.split_once('=')?;
     Some((id.trim().parse().ok()?, address.trim().parse().ok()?))
 }
+
+/// Reads `runner=ip:port=zone`.
+pub(crate) fn parse_machine(item: &str) -> Option<MachineAddress> {
+    let (name, rest) = item.split_once('=')?;
+    let (address, zone) = rest.split_once('=')?;
+    Some(MachineAddress {
+        name: name.trim().to_owned(),
+        address: address.trim().parse().ok()?,
+        zone: zone.trim().to_owned(),
+    })
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -43,6 +43,8 @@
     PlannedRestart,
     /// The process runs but nothing passes to or from it, without any error.
     SilentCut,
+    /// Everything to and from the process takes this much longer, in milliseconds.
+    SlowLink(Millis),
     /// The process stands still.
     Freeze,
     /// All processes of a zone lose each other from the rest.
