--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -36,6 +36,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// Soft state of the scheduler.
+    pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
     pub client: HttpClient,
     /// Token for the runners' control interface.
@@ -79,7 +81,9 @@
         let clock = MonotonicClock::start();
         let replica = replica::start(&settings, clock).await?;
         let client = HttpClient::from_address(settings.source_address);
+        let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
+            scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
             demand: Arc::default(),
@@ -91,7 +95,7 @@
             stop: CancellationToken::new(),
         };
         tokio::spawn(feed::accept_peers(wire, context.clone()));
-        scheduler::start(&context)?;
+        scheduler::start(&context);
         let stop = context.stop.clone();
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
