--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -68,6 +68,7 @@
             policy: "load-on-demand".to_owned(),
             store_loads_per_second: 10,
             store_concurrency: 6,
+            source_address: None,
             zone: "a".into(),
             cluster_key_file: folder.join("cluster.key"),
             logging: LogSettings {
--- a/crates/lab/src/fleet/faults/target.rs
+++ b/crates/lab/src/fleet/faults/target.rs
@@ -1,8 +1,10 @@
 //! What a fault hits: nodes, zones or one link.
 //!
-//! Names in fault files: a node (`router-2`), a kind (`router-*`), `leader`,
-//! zones separated by commas, one direction of a link
-//! (`controller-1>router-2`), or `*`: the seed chooses a node that fits.
+//! Names in fault files: a node (`router-2`), any node of a kind (`router`,
+//! `runner`), the leading controller (`controller`), any controller
+//! (`controller-*`), a runner that loads (`loading-runner`), zones separated by
+//! commas (`zone`: any one), one direction of a link (`controller-1>router-2`),
+//! or `*`: the seed chooses a node that fits.
 
 use super::FaultStage;
 use crate::error::LabError;
@@ -10,6 +12,7 @@
 use crate::fleet::links::LinkKey;
 use crate::fleet::site::FleetSite;
 use courseshunt_standin::faults::{Fault, FaultKind};
+use courseshunt_state::ReplicaPhase;
 use rand::{RngExt, SeedableRng};
 
 /// One direction between two nodes.
@@ -111,11 +114,12 @@
             return Some(FaultTarget { nodes, link });
         }
         let node = match name {
-            "leader" => self.leader(),
+            "leader" | "controller" => self.leader(),
+            "router" => self.any(|node| node.kind == NodeKind::Router),
+            "runner" => self.any(|node| node.kind == NodeKind::Runner),
+            "loading-runner" => self.loading_runner(),
             "*" => self.any(|node| fits(kind, node.kind)),
             "controller-*" => self.any(|node| node.kind == NodeKind::Controller),
-            "router-*" => self.any(|node| node.kind == NodeKind::Router),
-            "runner-*" => self.any(|node| node.kind == NodeKind::Runner),
             name => NodeId::parse(name).filter(|node| self.site.nodes().contains(node)),
         };
         Some(FaultTarget::nodes(vec![node?]))
@@ -133,6 +137,18 @@
         leader.or_else(|| self.any(|node| node.kind == NodeKind::Controller))
     }
 
+    /// A runner to which a load was ordered, as the log says.
+    fn loading_runner(&mut self) -> Option<NodeId> {
+        let mut controllers = self.site.controllers.values().flatten();
+        let loading = controllers.find_map(|node| {
+            let state = node.part.context().replica.state();
+            let mut records = state.placement.replicas.values();
+            let loading = records.find(|one| one.phase == ReplicaPhase::Loading);
+            loading.and_then(|one| NodeId::parse(one.replica.runner.as_str()))
+        });
+        loading.or_else(|| self.any(|node| node.kind == NodeKind::Runner))
+    }
+
     /// A running node that fits; among runners, one that holds a model.
     fn any(&mut self, fits: impl Fn(&NodeId) -> bool) -> Option<NodeId> {
         let nodes = self.site.nodes().into_iter();
@@ -154,7 +170,7 @@
     fn zones(&mut self, names: &str) -> Vec<NodeId> {
         let nodes = self.site.nodes();
         let chosen = match names {
-            "*" => {
+            "*" | "zone" => {
                 let node = nodes[self.random.random_range(0..nodes.len())];
                 self.site.zone(node).to_owned()
             }
--- a/crates/lab/src/load/latency.rs
+++ b/crates/lab/src/load/latency.rs
@@ -43,7 +43,9 @@
     /// Adds one; longer than a day counts as a day.
     pub fn record(&mut self, length: Duration) {
         let millis = u64::try_from(length.as_millis()).unwrap_or(MAX_MILLIS);
-        self.histogram.saturating_record(millis);
+        // The histogram grows with its values, so that none is out of range.
+        let recorded = self.histogram.record(millis.min(MAX_MILLIS));
+        debug_assert!(recorded.is_ok());
     }
 
     /// The value that this share (0 to 1) of all does not exceed, in milliseconds.
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -78,6 +78,8 @@
     let summary = LoadSummary::of(&records);
     let total = summary.total["critical"];
     assert_eq!((total.count, total.p50_ms, total.max_ms), (10, 500, 1000));
+    let slow = LoadSummary::of(&[record(0, 0, 40_000, RequestResult::Answered)]);
+    assert!(slow.total["critical"].max_ms >= 40_000);
     let page = html("a <load>", &records, &summary);
     assert!(page.contains("<svg") && page.contains("a &lt;load&gt;"));
 }
--- a/crates/router/src/dispatch/actor.rs
+++ b/crates/router/src/dispatch/actor.rs
@@ -18,6 +18,7 @@
 use courseshunt_wire::{ClusterKey, Message, PeerIdentity};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::collections::{BTreeMap, VecDeque};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -101,6 +102,8 @@
     pub router: RouterId,
     /// Who this router is to others.
     pub identity: PeerIdentity,
+    /// IP number that dialled connections come from.
+    pub source: Option<IpAddr>,
     /// Key of the cluster.
     pub key: ClusterKey,
     /// What the feed has told.
@@ -123,6 +126,7 @@
         let links = Links::new(PeerContext {
             key: arguments.key,
             identity: arguments.identity,
+            source: arguments.source,
             dispatcher: myself.clone(),
         });
         let view = arguments.view;
--- a/crates/router/src/dispatch/handle.rs
+++ b/crates/router/src/dispatch/handle.rs
@@ -128,6 +128,7 @@
         PeerContext {
             key,
             identity,
+            source: None,
             dispatcher: self.actor.clone(),
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -85,6 +85,7 @@
         let dispatcher = dispatch::start(dispatch::Arguments {
             router: settings.id.clone(),
             identity: identity.clone(),
+            source: settings.source_address,
             key: key.clone(),
             view: view.clone(),
             clock,
--- a/crates/router/src/peers/links.rs
+++ b/crates/router/src/peers/links.rs
@@ -7,7 +7,7 @@
 use courseshunt_wire::{ClusterKey, Message, PeerIdentity};
 use ractor::ActorRef;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use tokio::task::AbortHandle;
 
 /// What a connection needs.
@@ -17,6 +17,8 @@
     pub key: ClusterKey,
     /// Who this router is.
     pub identity: PeerIdentity,
+    /// IP number that dialled connections come from.
+    pub source: Option<IpAddr>,
     /// Receives the events.
     pub dispatcher: ActorRef<DispatcherMessage>,
 }
