--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -50,6 +50,7 @@
         let arguments = Arguments {
             router: router.clone(),
             identity: identity.clone(),
+            source: None,
             key: key.clone(),
             view: view.clone(),
             clock: MonotonicClock::start(),
