--- a/crates/lab/src/commands/fleet.rs
+++ b/crates/lab/src/commands/fleet.rs
@@ -27,6 +27,10 @@
         "factor on routers, runners, models and adapters [default: 1]",
     );
     value("rate", "requests per second [default: 20]");
+    value(
+        "deadline-seconds",
+        "longest deadline of a request [default: 20]",
+    );
     value("seed", "seed of every random choice [default: 1]");
     value("log-level", "least important log lines [default: error]");
     options.optflag("", "json", "print the report as JSON");
@@ -60,6 +64,7 @@
         length: Duration::from_secs(seconds),
         scale: value(&matches, "scale", 1.0)?,
         rate_per_second: value(&matches, "rate", 20.0)?,
+        max_deadline: Duration::from_secs(value(&matches, "deadline-seconds", 20)?),
         seed: value(&matches, "seed", 1)?,
         progress: true,
     };
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -4,7 +4,9 @@
 mod flags;
 mod fleet;
 mod load;
+mod ready;
 mod standin;
+mod suite;
 
 use crate::error::LabError;
 
@@ -38,6 +40,18 @@
         run: fleet::run,
         help: fleet::help,
     },
+    Subcommand {
+        name: "suite",
+        summary: "each failure, each pair of failures and a rolling restart, as a table",
+        run: suite::run,
+        help: suite::help,
+    },
+    Subcommand {
+        name: "ready",
+        summary: "whether a process says that it is ready",
+        run: ready::run,
+        help: ready::help,
+    },
     Subcommand {
         name: "standin",
         summary: "one stand-in (runner, store, platform) as a process of its own",
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -58,6 +58,8 @@
     pub scale: f64,
     /// Requests per second.
     pub rate_per_second: f64,
+    /// Longest deadline of a request, so that a run sees every deadline pass.
+    pub max_deadline: Duration,
     /// Seed of every random choice.
     pub seed: u64,
     /// Whether a line on standard error tells the progress.
@@ -166,13 +168,7 @@
 
     async fn load(&self) -> Vec<RequestRecord> {
         let settings = self.settings;
-        let requests = requests(
-            &settings.scenario,
-            &self.shape.deployments,
-            settings.rate_per_second,
-            settings.length,
-            settings.seed,
-        );
+        let requests = requests(settings, &self.shape.deployments);
         let targets = {
             let site = self.site.lock().await;
             let numbers = site.routers.keys().copied();
--- a/crates/lab/src/fleet/workload.rs
+++ b/crates/lab/src/fleet/workload.rs
@@ -1,14 +1,13 @@
 //! The callers of a fleet: the scenario's streams of requests, pressed into
 //! seconds.
 
+use super::FleetSettings;
 use crate::load::{ArrivalPlan, Mix, PlannedRequest, Share, arrival_times};
-use courseshunt_standin::scenario::{Scenario, Traffic};
+use courseshunt_standin::scenario::Traffic;
 use courseshunt_types::DeploymentDocument;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
-/// Longest deadline, so that a run sees every deadline pass.
-const MAX_DEADLINE: Duration = Duration::from_secs(20);
 /// Longest answer, in tokens; answers of hundreds would outlast the run.
 const MAX_TOKENS: u32 = 24;
 /// Share of streams among the requests that may run more than once.
@@ -22,13 +21,11 @@
 /// All requests of a run, in the order of their times.
 #[must_use]
 pub fn requests(
-    scenario: &Scenario,
+    settings: &FleetSettings,
     deployments: &[DeploymentDocument],
-    rate_per_second: f64,
-    length: Duration,
-    seed: u64,
 ) -> Vec<PlannedRequest> {
-    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let scenario = &settings.scenario;
+    let mut random = rand_pcg::Pcg64Mcg::seed_from_u64(settings.seed);
     let daily: f64 = scenario
         .traffic
         .iter()
@@ -38,12 +35,12 @@
     for traffic in &scenario.traffic {
         let plan = ArrivalPlan {
             // Rare streams are heard too: at least a tenth of an even share.
-            rate_per_second: rate_per_second
+            rate_per_second: settings.rate_per_second
                 * (traffic.requests_per_day / daily).max(0.1 / scenario.traffic.len() as f64),
-            length,
+            length: settings.length,
             burst_size: traffic.burst_size.clamp(1.0, MAX_BURST),
         };
-        let mix = mix(traffic, deployments);
+        let mix = mix(traffic, deployments, settings.max_deadline);
         let times = arrival_times(&plan, &mut random);
         all.extend(times.into_iter().map(|at| mix.draw(0, at, &mut random)));
     }
@@ -57,7 +54,7 @@
     all
 }
 
-fn mix(traffic: &Traffic, deployments: &[DeploymentDocument]) -> Mix {
+fn mix(traffic: &Traffic, deployments: &[DeploymentDocument], max_deadline: Duration) -> Mix {
     let prefix = format!("{}-", traffic.family);
     let members = deployments.iter().filter(|one| {
         let number = one.name.as_str().strip_prefix(&prefix);
@@ -76,7 +73,7 @@
         once_only: traffic.once_only.max(LEAST_ONCE_ONLY),
         jobs: 0.0,
         streams: STREAMS,
-        deadline: Duration::from(traffic.deadline_ms).min(MAX_DEADLINE),
+        deadline: Duration::from(traffic.deadline_ms).min(max_deadline),
         max_tokens: traffic.answer_tokens.clamp(1, MAX_TOKENS),
         prompt_bytes: PROMPT_BYTES,
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod load;
 pub mod site;
+pub mod suite;
 
 pub use error::LabError;
