--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! Subcommands of the laboratory.
 
+mod capacity;
 mod demo;
 mod flags;
 mod fleet;
 mod load;
+mod manual;
 mod ready;
 mod standin;
 mod suite;
@@ -58,6 +60,24 @@
         run: standin::run,
         help: standin::help,
     },
+    Subcommand {
+        name: "capacity",
+        summary: "what a large fleet costs: hollow nodes at growing sizes, slopes by role",
+        run: capacity::run,
+        help: capacity::help,
+    },
+    Subcommand {
+        name: "completion",
+        summary: "print the completion script for bash",
+        run: manual::completion,
+        help: manual::completion_help,
+    },
+    Subcommand {
+        name: "manual",
+        summary: "print the manual page (roff)",
+        run: manual::manual,
+        help: manual::manual_help,
+    },
 ];
 
 /// Runs the subcommand that `arguments` name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! The laboratory: demo, fleet, simulation, load, capacity and reports.
 
+pub mod capacity;
 pub mod commands;
 pub mod demo;
 pub mod error;
 pub mod files;
 pub mod fleet;
+pub mod hollow;
 pub mod load;
 pub mod site;
 pub mod suite;
