--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -1,14 +1,17 @@
 //! The reference page of all settings, written from their tables.
 
 use crate::process::{CONTROLLER_TABLE, ROUTER_TABLE, STANDIN_TABLE};
+use crate::standins::{PLATFORM_TABLE, STORE_TABLE};
 use crate::table::Setting;
 use std::fmt::Write;
 
 /// Tables of all processes, with the command that reads each.
-pub const PROCESS_TABLES: [(&str, &[Setting]); 3] = [
+pub const PROCESS_TABLES: [(&str, &[Setting]); 5] = [
     ("courseshunt controller", CONTROLLER_TABLE),
     ("courseshunt router", ROUTER_TABLE),
-    ("courseshunt-lab standin", STANDIN_TABLE),
+    ("courseshunt-lab standin runner", STANDIN_TABLE),
+    ("courseshunt-lab standin store", STORE_TABLE),
+    ("courseshunt-lab standin platform", PLATFORM_TABLE),
 ];
 
 const HEAD: &str = "# Settings
