--- a/crates/router/src/dispatch/snapshot.rs
+++ b/crates/router/src/dispatch/snapshot.rs
@@ -1,5 +1,6 @@
 //! Numbers of the dispatcher for the metrics page.
 
+use super::owned::QueueTotals;
 use courseshunt_queue::{HolderCounts, WaitingByClass};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -14,6 +15,12 @@
     pub owned_queues: usize,
     /// Tickets in those queues.
     pub waiting: WaitingByClass,
+    /// Requests that this router holds at the most, as adapted to its lag.
+    pub admission_limit: f64,
+    /// Counters of the queues served here.
+    pub totals: QueueTotals,
+    /// Runners that are ejected now, once for each queue.
+    pub ejected: usize,
     /// Tickets in fallback queues.
     pub waiting_fallback: WaitingByClass,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod limits;
 pub mod peers;
 
 pub use error::RouterError;
@@ -40,6 +41,8 @@
     pub ledger: LedgerClient,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
+    /// Bound on callers' bodies in memory.
+    pub bodies: limits::BodyBudget,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -96,6 +99,7 @@
             ..ServerLimits::default()
         };
         let client = HttpClient::from_address(settings.source_address);
+        let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
             incarnation,
@@ -104,6 +108,7 @@
             ledger,
             requests: Arc::default(),
             client,
+            bodies: limits::BodyBudget::new(max_waiting_bytes),
             clock,
             stop: CancellationToken::new(),
         };
