--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod load;
 mod manual;
+mod propagate;
 mod ready;
 mod standin;
 mod suite;
@@ -66,6 +67,12 @@
         run: capacity::run,
         help: capacity::help,
     },
+    Subcommand {
+        name: "propagate",
+        summary: "how fast a change is in force at all of many hollow routers",
+        run: propagate::run,
+        help: propagate::help,
+    },
     Subcommand {
         name: "completion",
         summary: "print the completion script for bash",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod load;
+pub mod propagate;
 pub mod site;
 pub mod suite;
 
