--- a/crates/lab/src/fleet/churn.rs
+++ b/crates/lab/src/fleet/churn.rs
@@ -171,7 +171,6 @@
     ChangeRequest {
         change_id: change_id.as_str().into(),
         deployments: vec![document],
-        tenants: Vec::new(),
-        removals: Vec::new(),
+        ..ChangeRequest::default()
     }
 }
--- a/crates/lab/src/fleet/shape.rs
+++ b/crates/lab/src/fleet/shape.rs
@@ -89,7 +89,7 @@
             change_id: "fleet-first".into(),
             deployments: self.deployments.clone(),
             tenants: vec![tenant],
-            removals: Vec::new(),
+            ..ChangeRequest::default()
         }
     }
 }
