--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -99,12 +99,13 @@
         })?;
         let clock = MonotonicClock::start();
         let stop = CancellationToken::new();
-        let addresses = AddressBook::default();
+        let addresses = AddressBook::dialling_from(settings.source_address);
         for voter in &settings.voters {
             addresses.set(voter.id, voter.address);
         }
         let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
         let replica = replica::start(&settings, clock, peers.clone()).await?;
+        let client = HttpClient::from_address(settings.source_address);
         let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
             scheduler: Arc::new(scheduler),
@@ -113,8 +114,8 @@
             peers,
             demand: Arc::default(),
             routers: Arc::default(),
+            client,
             feed: Arc::default(),
-            client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -3,16 +3,31 @@
 
 use courseshunt_types::ControllerId;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, PoisonError, RwLock};
 
 /// See the module; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct AddressBook {
     addresses: Arc<RwLock<BTreeMap<ControllerId, SocketAddr>>>,
+    source: Option<IpAddr>,
 }
 
 impl AddressBook {
+    /// A book of a member that dials from `source`; `None` lets the system
+    /// choose.
+    #[must_use]
+    pub fn dialling_from(source: Option<IpAddr>) -> Self {
+        let addresses = Arc::default();
+        Self { addresses, source }
+    }
+
+    /// Where this member dials from.
+    #[must_use]
+    pub fn source(&self) -> Option<IpAddr> {
+        self.source
+    }
+
     /// Sets the address of a member.
     pub fn set(&self, member: ControllerId, address: SocketAddr) {
         let addresses = self.addresses.write();
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -5,7 +5,7 @@
 use courseshunt_types::ControllerId;
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect,
+    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -105,7 +105,8 @@
         let Some(address) = self.addresses.get(self.to) else {
             return Ok(());
         };
-        let connection = connect(address, &self.key, &self.identity).await?;
+        let source = self.addresses.source();
+        let connection = connect_from(source, address, &self.key, &self.identity).await?;
         if connection.peer != PeerIdentity::Controller(self.to) {
             log::warn!("peers: {address} is {}, not {}", connection.peer, self.to);
             return Ok(());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod demo;
 pub mod error;
 pub mod files;
+pub mod fleet;
 pub mod hollow;
+pub mod load;
 pub mod propagate;
 pub mod simulate;
 pub mod site;
+pub mod suite;
 
 pub use error::LabError;
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -10,7 +10,9 @@
 use super::relay;
 use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::Subscribe;
-use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect};
+use courseshunt_wire::{
+    Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -58,7 +60,7 @@
     let first = first_controller(&settings);
     let mut unconfirmed = 0;
     for address in settings.controllers.iter().cycle().skip(first) {
-        match connect(*address, &settings.key, &identity).await {
+        match connect_from(settings.source, *address, &settings.key, &identity).await {
             Ok(connection) => {
                 let link = Link {
                     client: &client,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -78,6 +78,7 @@
         let wire = bind(settings.wire_address).await?;
         let http_address = local_address(&http, settings.http_address)?;
         let wire_address = local_address(&wire, settings.wire_address)?;
+        let advertised = settings.advertised_address.unwrap_or(wire_address);
         let clock = MonotonicClock::start();
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
@@ -87,6 +88,7 @@
         let dispatcher = dispatch::start(dispatch::Arguments {
             router: settings.id.clone(),
             identity: identity.clone(),
+            source: settings.source_address,
             key: key.clone(),
             view: view.clone(),
             clock,
@@ -96,6 +98,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let client = HttpClient::from_address(settings.source_address);
         let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
@@ -104,14 +107,14 @@
             dispatcher,
             ledger,
             requests: Arc::default(),
+            client,
             bodies: limits::BodyBudget::new(max_waiting_bytes),
-            client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
             http_address,
-            wire_address,
+            wire_address: advertised,
         };
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 mod parts;
 mod traffic;
 
-pub use connection::{Connection, Receiver, Sender, accept, connect, listen};
+pub use connection::{Connection, Receiver, Sender, accept, connect, connect_from, listen};
 pub use error::WireError;
 pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
