Attempts: typed outcomes, stages of one attempt, retry budget

Cause: the router's loop called every end after its attempts unknown and every refusal of the queue not-run, also after an attempt that may have run. Change: router/src/attempt holds the outcome types (with what the queue's owner is told), a pure machine for the stages of one attempt and a retry budget of a fifth of the first attempts. Nothing uses them yet. Test: attempt.rs, 18 rows: only proof makes an attempt not-run.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The request router: callers' API, waiting queues, dispatch and retries.
 //! This crate composes the pure queue core with HTTP and the control feed.
 
+pub mod attempt;
 pub mod caller;
 pub mod configuration;
 pub mod control;
