--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -2,14 +2,19 @@
 //!
 //! Invariant: between the opening of a claim and its end no second claim is
 //! granted under the same tenant and key; an ended claim never runs again while
-//! it is kept.
+//! it is kept; a claim that was given back before it was opened stays closed.
 
 use crate::reply::{ClaimReply, CommandError, StoredAnswer};
 use courseshunt_types::{
-    Digest, IdempotencyKey, Incarnation, RouterId, RunnerId, TenantName, UnixMillis,
+    Attempt, Digest, IdempotencyKey, Incarnation, Millis, RequestId, RouterId, RunnerId,
+    TenantName, UnixMillis,
 };
 use std::collections::BTreeMap;
 
+/// How long a withdrawn claim is remembered: longer than any opening can be
+/// under way.
+pub const WITHDRAWN_KEEP: Millis = Millis::from_secs(15 * 60);
+
 /// State of a claim.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum ClaimState {
@@ -33,6 +38,18 @@
     pub key: IdempotencyKey,
 }
 
+/// Identity of one execution at a runner.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+#[rkyv(derive(PartialEq, Eq, PartialOrd, Ord))]
+pub struct ExecutionName {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
 /// One claim.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct ClaimRecord {
@@ -44,6 +61,8 @@
     pub incarnation: Incarnation,
     /// Runner that the request goes to.
     pub runner: RunnerId,
+    /// Identity under which the runner gets it.
+    pub execution: ExecutionName,
     /// State.
     pub state: ClaimState,
     /// Forgotten after this.
@@ -57,44 +76,71 @@
 pub struct Claims {
     /// Claims by name.
     pub records: BTreeMap<ClaimName, ClaimRecord>,
+    /// Executions whose claim was given back before it was opened, with the
+    /// time until which that is remembered.
+    pub withdrawn: BTreeMap<ExecutionName, UnixMillis>,
+    /// Claims that may expire at a time (in milliseconds since the epoch). An
+    /// entry may be out of date; the record decides.
+    expiring: BTreeMap<u64, Vec<ClaimName>>,
 }
 
 impl Claims {
     /// Opens a claim, or tells what became of the one that is there.
     pub fn open(&mut self, name: &ClaimName, wanted: &ClaimRecord) -> ClaimReply {
+        if self.withdrawn.contains_key(&wanted.execution) {
+            return ClaimReply::Withdrawn;
+        }
+        match self.look_up(name, wanted.digest) {
+            ClaimReply::Free => {}
+            taken => return taken,
+        }
+        self.records.insert(name.clone(), wanted.clone());
+        let expiring = self.expiring.entry(wanted.expires_at.0).or_default();
+        expiring.push(name.clone());
+        ClaimReply::Granted
+    }
+
+    /// What became of a key.
+    #[must_use]
+    pub fn look_up(&self, name: &ClaimName, digest: Digest) -> ClaimReply {
         let Some(known) = self.records.get(name) else {
-            self.records.insert(name.clone(), wanted.clone());
-            return ClaimReply::Granted;
+            return ClaimReply::Free;
         };
-        if known.digest != wanted.digest {
+        if known.digest != digest {
             return ClaimReply::Conflict;
         }
         match &known.state {
             ClaimState::Open => ClaimReply::InProgress {
                 router: known.router.clone(),
+                incarnation: known.incarnation,
                 runner: known.runner.clone(),
+                request: known.execution.request.clone(),
+                attempt: known.execution.attempt,
             },
             ClaimState::Answered(answer) => ClaimReply::Recorded(answer.clone()),
             ClaimState::Unknown => ClaimReply::Unknown,
         }
     }
 
-    /// Gives back an open claim of a request that is proved not to have run.
+    /// Gives back the claim of an execution that is proved not to have run. If
+    /// it is not open yet, it never will be.
     ///
     /// # Errors
-    /// When this router incarnation holds no open claim of that name.
+    /// When the claim of this execution has ended.
     pub fn release(
         &mut self,
         name: &ClaimName,
-        router: &RouterId,
-        incarnation: Incarnation,
+        execution: &ExecutionName,
+        now: UnixMillis,
     ) -> Result<(), CommandError> {
         let record = self.records.get(name);
-        let owned = record.is_some_and(|record| {
-            let same_router = record.router == *router && record.incarnation == incarnation;
-            same_router && record.state == ClaimState::Open
-        });
-        if !owned {
+        let own = record.filter(|record| record.execution == *execution);
+        let Some(own) = own else {
+            let until = now + WITHDRAWN_KEEP;
+            self.withdrawn.insert(execution.clone(), until);
+            return Ok(());
+        };
+        if own.state != ClaimState::Open {
             let key = name.key.clone();
             return Err(CommandError::UnknownClaim { key });
         }
@@ -105,13 +151,15 @@
     /// Ends an open claim. The first end counts; an answer replaces `Unknown`.
     ///
     /// # Errors
-    /// When there is no claim of that name.
+    /// When no claim of that name belongs to this execution.
     pub fn finish(
         &mut self,
         name: &ClaimName,
+        execution: &ExecutionName,
         answer: Option<StoredAnswer>,
     ) -> Result<(), CommandError> {
-        let Some(record) = self.records.get_mut(name) else {
+        let record = self.records.get_mut(name);
+        let Some(record) = record.filter(|record| record.execution == *execution) else {
             let key = name.key.clone();
             return Err(CommandError::UnknownClaim { key });
         };
@@ -125,8 +173,24 @@
         Ok(())
     }
 
+    /// When something expires next.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<UnixMillis> {
+        let claims = self.expiring.keys().next().copied().map(UnixMillis);
+        let withdrawn = self.withdrawn.values().min().copied();
+        claims.into_iter().chain(withdrawn).min()
+    }
+
     /// Forgets what has expired.
     pub fn expire(&mut self, now: UnixMillis) {
-        self.records.retain(|_, record| record.expires_at > now);
+        self.withdrawn.retain(|_, until| *until > now);
+        let later = self.expiring.split_off(&(now.0 + 1));
+        let due = std::mem::replace(&mut self.expiring, later);
+        for name in due.into_values().flatten() {
+            let record = self.records.get(&name);
+            if record.is_some_and(|record| record.expires_at <= now) {
+                self.records.remove(&name);
+            }
+        }
     }
 }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -5,8 +5,9 @@
 use crate::reply::StoredAnswer;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId,
-    Millis, PriorityClass, ReplicaKey, RouterId, RunnerId, TenantName, UnixMillis,
+    Attempt, ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation,
+    JobId, Millis, PriorityClass, ReplicaKey, RequestId, RouterId, RunnerId, TenantName,
+    UnixMillis,
 };
 
 /// A command with what is needed to recognise a resend.
@@ -82,19 +83,24 @@
         incarnation: Incarnation,
         /// Runner that the request will go to.
         runner: RunnerId,
+        /// Identity under which the runner gets it.
+        request: RequestId,
+        /// Attempt under which the runner gets it.
+        attempt: Attempt,
         /// How long the claim is kept.
         keep: Millis,
     },
-    /// Gives a claim back, proved not run. Only by the router that opened it.
+    /// Gives a claim back, proved not run. A claim that is not open yet is
+    /// fenced: an opening that arrives later is refused.
     ReleaseClaim {
         /// The tenant.
         tenant: TenantName,
         /// The key.
         key: IdempotencyKey,
-        /// Router that opened it.
-        router: RouterId,
-        /// Its incarnation.
-        incarnation: Incarnation,
+        /// The request that opened it.
+        request: RequestId,
+        /// Its attempt.
+        attempt: Attempt,
     },
     /// Records the answer of a claimed request.
     FinishClaim {
@@ -102,6 +108,10 @@
         tenant: TenantName,
         /// The key.
         key: IdempotencyKey,
+        /// The request that opened it.
+        request: RequestId,
+        /// Its attempt.
+        attempt: Attempt,
         /// The whole answer; `None` when it is unknown whether it ran.
         answer: Option<StoredAnswer>,
     },
@@ -113,8 +123,12 @@
         tenant: TenantName,
         /// The deployment.
         deployment: DeploymentName,
+        /// Path at the runner.
+        path: String,
         /// The request body.
         body: Vec<u8>,
+        /// Jobs of the deployment that may wait at the most.
+        queue_limit: u32,
         /// Class of the job.
         class: PriorityClass,
         /// Whether it may run once only.
@@ -155,6 +169,29 @@
     },
     /// Moves committed time on, so that leases, claims and jobs expire.
     AdvanceTime,
+    /// Tells what became of a key, and changes nothing.
+    LookUpClaim {
+        /// The tenant.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+        /// Digest of the request body.
+        digest: Digest,
+    },
+    /// Shows a job to its tenant. The answer of an ended job counts as fetched.
+    ViewJob {
+        /// The job.
+        job: JobId,
+        /// The tenant that asks.
+        tenant: TenantName,
+    },
+    /// Lists a tenant's jobs.
+    ListJobs {
+        /// The tenant that asks.
+        tenant: TenantName,
+        /// Jobs at the most.
+        limit: u32,
+    },
 }
 
 /// How a leased job ended.
@@ -166,4 +203,14 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// The deadline passed before the end.
+    DeadlineMissed {
+        /// Whether it may have run.
+        started: bool,
+    },
+    /// It was refused for good, such as for a deployment that is gone.
+    Refused {
+        /// Why.
+        message: String,
+    },
 }
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -1,14 +1,21 @@
 //! Deferred jobs.
 //!
 //! Invariant: an accepted job ends in exactly one visible way: answered,
-//! unknown, cancelled, or missed its deadline; it stays until it expires.
+//! unknown, cancelled, refused, or missed its deadline; it stays until it was
+//! fetched or expires. A once-only job is leased at most once, unless its
+//! executor proved that it did not run.
 
 use crate::command::JobEnd;
-use crate::reply::{JobReply, StoredAnswer};
+use crate::reply::{JobReply, JobView, JobWork, StoredAnswer};
 use courseshunt_types::{
-    DeploymentName, Incarnation, JobId, Millis, PriorityClass, RouterId, TenantName, UnixMillis,
+    DeploymentName, Digest, Incarnation, JobId, Millis, Outcome, PriorityClass, RouterId,
+    TenantName, UnixMillis,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long the answer of a fetched job stays, so that a caller who lost it can
+/// fetch it again.
+pub const FETCHED_KEEP: Millis = Millis::from_secs(10 * 60);
 
 /// State of a job.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -30,8 +37,10 @@
     Unknown,
     /// The tenant cancelled it.
     Cancelled,
-    /// The deadline passed before it ran.
+    /// The deadline passed before the end.
     DeadlineMissed,
+    /// It can't run.
+    Refused(String),
 }
 
 impl JobState {
@@ -45,6 +54,7 @@
             Self::Unknown => "unknown",
             Self::Cancelled => "cancelled",
             Self::DeadlineMissed => "deadline_missed",
+            Self::Refused(_) => "refused",
         }
     }
 
@@ -62,8 +72,12 @@
     pub tenant: TenantName,
     /// The deployment.
     pub deployment: DeploymentName,
+    /// Path at the runner.
+    pub path: String,
     /// The request body; emptied at the end.
     pub body: Vec<u8>,
+    /// Digest of the body.
+    pub digest: Digest,
     /// Class.
     pub class: PriorityClass,
     /// Whether it may run once only.
@@ -76,6 +90,10 @@
     pub keep: Millis,
     /// When it ended.
     pub ended_at: Option<UnixMillis>,
+    /// Forgotten after this, once it has ended.
+    pub expires_at: Option<UnixMillis>,
+    /// Whether it may have run.
+    pub started: bool,
     /// State.
     pub state: JobState,
 }
@@ -84,8 +102,62 @@
     fn end(&mut self, state: JobState, now: UnixMillis) {
         self.state = state;
         self.ended_at = Some(now);
+        self.expires_at = Some(now + self.keep);
         self.body = Vec::new();
     }
+
+    fn outcome(&self) -> Outcome {
+        match &self.state {
+            JobState::Answered(_) => Outcome::Done,
+            _ if self.started => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    fn view(&self, job: &JobId, with_answer: bool) -> JobView {
+        let answer = match &self.state {
+            JobState::Answered(answer) if with_answer => Some(answer.clone()),
+            _ => None,
+        };
+        let message = match &self.state {
+            JobState::Refused(message) => Some(message.clone()),
+            _ => None,
+        };
+        JobView {
+            job: job.clone(),
+            deployment: self.deployment.clone(),
+            state: self.state.as_str().to_owned(),
+            outcome: self.outcome(),
+            submitted_at: self.submitted_at,
+            deadline: self.deadline,
+            ended_at: self.ended_at,
+            message,
+            answer,
+        }
+    }
+
+    fn work(&self, now: UnixMillis) -> JobWork {
+        JobWork {
+            tenant: self.tenant.clone(),
+            deployment: self.deployment.clone(),
+            path: self.path.clone(),
+            body: self.body.clone(),
+            class: self.class,
+            once_only: self.once_only,
+            submitted_at: self.submitted_at,
+            deadline: self.deadline,
+            now,
+        }
+    }
+
+    /// The next moment at which [`Jobs::expire`] must look at it.
+    fn next_look(&self) -> UnixMillis {
+        match &self.state {
+            JobState::Queued => self.deadline,
+            JobState::Leased { until, .. } => *until,
+            _ => self.expires_at.unwrap_or(self.deadline),
+        }
+    }
 }
 
 /// All jobs.
@@ -95,25 +167,71 @@
 pub struct Jobs {
     /// Jobs by identity.
     pub records: BTreeMap<JobId, JobRecord>,
+    /// Queued jobs by deployment.
+    queued: BTreeMap<DeploymentName, BTreeSet<JobId>>,
+    /// Grows with each change of the queued jobs.
+    pub queue_revision: u64,
+    /// Jobs to look at by time (in milliseconds since the epoch). An entry may
+    /// be out of date; the record decides.
+    expiring: BTreeMap<u64, Vec<JobId>>,
 }
 
 impl Jobs {
     /// Stores a job; a resend of the same job changes nothing.
-    pub fn submit(&mut self, job: &JobId, record: JobRecord) -> JobReply {
+    pub fn submit(&mut self, job: &JobId, record: JobRecord, queue_limit: u32) -> JobReply {
+        if let Some(known) = self.records.get(job) {
+            let same = known.tenant == record.tenant && known.digest == record.digest;
+            return match same {
+                true => JobReply::Accepted,
+                false => JobReply::Conflict,
+            };
+        }
         if record.deadline <= record.submitted_at {
             return JobReply::DeadlinePassed;
         }
-        self.records.entry(job.clone()).or_insert(record);
+        if self.queued_count(&record.deployment) >= queue_limit as usize {
+            return JobReply::QueueFull;
+        }
+        self.records.insert(job.clone(), record);
+        self.reindex(job);
         JobReply::Accepted
     }
 
-    /// Leases a queued job.
+    fn queued_count(&self, deployment: &DeploymentName) -> usize {
+        self.queued.get(deployment).map_or(0, BTreeSet::len)
+    }
+
+    /// The queued jobs, by deployment.
+    pub fn queued(&self) -> impl Iterator<Item = (&JobId, &JobRecord)> {
+        let jobs = self.queued.values().flatten();
+        jobs.filter_map(|job| Some((job, self.records.get(job)?)))
+    }
+
+    /// Brings the indexes up to date with a record.
+    fn reindex(&mut self, job: &JobId) {
+        let Some(record) = self.records.get(job) else {
+            return;
+        };
+        let changed = match record.state {
+            JobState::Queued => {
+                let queue = self.queued.entry(record.deployment.clone()).or_default();
+                queue.insert(job.clone())
+            }
+            _ => remove_queued(&mut self.queued, &record.deployment, job),
+        };
+        self.queue_revision += u64::from(changed);
+        let looks = self.expiring.entry(record.next_look().0).or_default();
+        looks.push(job.clone());
+    }
+
+    /// Leases a queued job, or renews a lease.
     pub fn lease(
         &mut self,
         job: &JobId,
         router: &RouterId,
         incarnation: Incarnation,
         until: UnixMillis,
+        now: UnixMillis,
     ) -> JobReply {
         let Some(record) = self.records.get_mut(job) else {
             return JobReply::NotFound;
@@ -122,12 +240,21 @@
         if record.state != JobState::Queued && !renewed {
             return wrong_state(&record.state);
         }
+        if !renewed && record.deadline <= now {
+            return JobReply::DeadlinePassed;
+        }
         record.state = JobState::Leased {
             router: router.clone(),
             incarnation,
             until,
         };
-        JobReply::Accepted
+        record.started = true;
+        let work = record.work(now);
+        self.reindex(job);
+        match renewed {
+            true => JobReply::Accepted,
+            false => JobReply::Leased(work),
+        }
     }
 
     /// Ends a leased job.
@@ -149,12 +276,24 @@
         match end {
             JobEnd::Answered(answer) => record.end(JobState::Answered(answer.clone()), now),
             JobEnd::Unknown => record.end(JobState::Unknown, now),
-            JobEnd::NotRun => record.state = JobState::Queued,
+            JobEnd::NotRun => {
+                record.state = JobState::Queued;
+                record.started = false;
+            }
+            JobEnd::DeadlineMissed { started } => {
+                record.started = *started;
+                record.end(JobState::DeadlineMissed, now);
+            }
+            JobEnd::Refused { message } => {
+                record.started = false;
+                record.end(JobState::Refused(message.clone()), now);
+            }
         }
+        self.reindex(job);
         JobReply::Accepted
     }
 
-    /// Cancels a job that has not ended.
+    /// Cancels a job that has not ended. One that runs may have run.
     pub fn cancel(&mut self, job: &JobId, tenant: &TenantName, now: UnixMillis) -> JobReply {
         let record = self.records.get_mut(job);
         let Some(record) = record.filter(|record| record.tenant == *tenant) else {
@@ -164,22 +303,82 @@
             return wrong_state(&record.state);
         }
         record.end(JobState::Cancelled, now);
-        JobReply::Accepted
+        let view = record.view(job, false);
+        self.reindex(job);
+        JobReply::Found(view)
+    }
+
+    /// Shows a job to its tenant; an ended one stays only a while longer.
+    pub fn view(&mut self, job: &JobId, tenant: &TenantName, now: UnixMillis) -> JobReply {
+        let record = self.records.get_mut(job);
+        let Some(record) = record.filter(|record| record.tenant == *tenant) else {
+            return JobReply::NotFound;
+        };
+        let view = record.view(job, true);
+        if record.state.ended() {
+            let fetched = now + FETCHED_KEEP;
+            record.expires_at = record.expires_at.map(|at| at.min(fetched));
+            self.reindex(job);
+        }
+        JobReply::Found(view)
+    }
+
+    /// A tenant's jobs, without answers.
+    #[must_use]
+    pub fn list(&self, tenant: &TenantName, limit: u32) -> JobReply {
+        let records = self.records.iter();
+        let own = records.filter(|(_, record)| record.tenant == *tenant);
+        let views = own.map(|(job, record)| record.view(job, false));
+        JobReply::List(views.take(limit as usize).collect())
+    }
+
+    /// When something must be looked at next.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<UnixMillis> {
+        self.expiring.keys().next().copied().map(UnixMillis)
     }
 
     /// Ends leases and deadlines that have passed, and forgets old jobs.
     pub fn expire(&mut self, now: UnixMillis) {
-        for record in self.records.values_mut() {
-            expire_lease(record, now);
-            if record.state == JobState::Queued && record.deadline <= now {
-                record.end(JobState::DeadlineMissed, now);
-            }
+        let later = self.expiring.split_off(&(now.0 + 1));
+        let due = std::mem::replace(&mut self.expiring, later);
+        for job in due.into_values().flatten() {
+            self.expire_one(&job, now);
+        }
+    }
+
+    fn expire_one(&mut self, job: &JobId, now: UnixMillis) {
+        let Some(record) = self.records.get_mut(job) else {
+            return;
+        };
+        if record.next_look() > now {
+            return;
+        }
+        if record.state.ended() {
+            self.records.remove(job);
+            return;
+        }
+        expire_lease(record, now);
+        if record.state == JobState::Queued && record.deadline <= now {
+            record.end(JobState::DeadlineMissed, now);
         }
-        self.records.retain(|_, record| {
-            let ended_at = record.ended_at;
-            ended_at.is_none_or(|ended_at| ended_at + record.keep > now)
-        });
+        self.reindex(job);
+    }
+}
+
+fn remove_queued(
+    queued: &mut BTreeMap<DeploymentName, BTreeSet<JobId>>,
+    deployment: &DeploymentName,
+    job: &JobId,
+) -> bool {
+    let Some(queue) = queued.get_mut(deployment) else {
+        return false;
+    };
+    let removed = queue.remove(job);
+    if queue.is_empty() {
+        queued.remove(deployment);
     }
+    removed
 }
 
 fn holds_lease(state: &JobState, router: &RouterId, incarnation: Incarnation) -> bool {
@@ -193,11 +392,10 @@
     }
 }
 
+/// A lost executor's job: a repeatable one waits again, a once-only one may
+/// have run.
 fn expire_lease(record: &mut JobRecord, now: UnixMillis) {
-    let JobState::Leased { until, .. } = record.state else {
-        return;
-    };
-    if until > now {
+    if !matches!(record.state, JobState::Leased { .. }) {
         return;
     }
     if record.once_only {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -18,12 +18,13 @@
 pub mod session;
 mod state;
 
-pub use claims::{ClaimRecord, ClaimState, Claims};
+pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
 pub use command::{Command, CommandEnvelope};
 pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
 pub use reply::{
-    ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, StoredAnswer,
+    ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, JobView, JobWork,
+    StoredAnswer,
 };
 pub use state::{ReplicatedState, SnapshotError};
--- a/crates/state/src/reply.rs
+++ b/crates/state/src/reply.rs
@@ -1,8 +1,8 @@
 //! What applying a command gives back.
 
 use courseshunt_types::{
-    DeploymentName, Digest, Fence, IdempotencyKey, Revision, RouterId, RunnerId, UnixMillis,
-    Version,
+    Attempt, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId, Outcome,
+    PriorityClass, RequestId, Revision, RouterId, RunnerId, TenantName, UnixMillis, Version,
 };
 
 /// A whole recorded answer.
@@ -25,8 +25,14 @@
     InProgress {
         /// Router that holds it.
         router: RouterId,
+        /// Incarnation of that router.
+        incarnation: Incarnation,
         /// Runner that it goes to.
         runner: RunnerId,
+        /// Identity under which the runner got it.
+        request: RequestId,
+        /// Attempt under which the runner got it.
+        attempt: Attempt,
     },
     /// It ran; this is the recorded answer.
     Recorded(StoredAnswer),
@@ -34,6 +40,10 @@
     Unknown,
     /// The same key was used with another body.
     Conflict,
+    /// Nothing is claimed under the key.
+    Free,
+    /// The claim was given back before it was opened; it stays closed.
+    Withdrawn,
 }
 
 /// Result of a command on a job.
@@ -50,6 +60,62 @@
     },
     /// The deadline has passed.
     DeadlinePassed,
+    /// The lease is granted; this is the work.
+    Leased(JobWork),
+    /// The job as its tenant may see it.
+    Found(JobView),
+    /// The tenant's jobs, without answers.
+    List(Vec<JobView>),
+    /// The same job was submitted with another body.
+    Conflict,
+    /// As many jobs of the deployment wait as may.
+    QueueFull,
+}
+
+/// What an executor needs of a job.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct JobWork {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// Path at the runner.
+    pub path: String,
+    /// The request body.
+    pub body: Vec<u8>,
+    /// Class.
+    pub class: PriorityClass,
+    /// Whether it may run once only.
+    pub once_only: bool,
+    /// When it was accepted.
+    pub submitted_at: UnixMillis,
+    /// To be done by then.
+    pub deadline: UnixMillis,
+    /// Committed time of the lease.
+    pub now: UnixMillis,
+}
+
+/// A job as its tenant may see it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct JobView {
+    /// The job.
+    pub job: JobId,
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// Name of its state.
+    pub state: String,
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// When it was accepted.
+    pub submitted_at: UnixMillis,
+    /// To be done by then.
+    pub deadline: UnixMillis,
+    /// When it ended.
+    pub ended_at: Option<UnixMillis>,
+    /// Why it was refused, if it was.
+    pub message: Option<String>,
+    /// The answer, if there is one.
+    pub answer: Option<StoredAnswer>,
 }
 
 /// Why a batch of documents was refused.
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,13 +1,15 @@
 //! The whole replicated state and the one way to change it.
 
-use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims};
+use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims, ExecutionName};
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::Configuration;
 use crate::jobs::{JobRecord, JobState, Jobs};
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
-use courseshunt_types::{Fence, LogIndex, Term, UnixMillis};
+use courseshunt_types::{
+    Attempt, Digest, Fence, IdempotencyKey, LogIndex, RequestId, TenantName, Term, UnixMillis,
+};
 
 /// The replicated state of one group.
 #[derive(Debug, Clone, PartialEq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -102,11 +104,14 @@
             | Command::ReleaseReplica { .. } => return self.apply_placement(command, fence),
             Command::OpenClaim { .. }
             | Command::ReleaseClaim { .. }
-            | Command::FinishClaim { .. } => return self.apply_claim(command),
+            | Command::FinishClaim { .. }
+            | Command::LookUpClaim { .. } => return self.apply_claim(command),
             Command::SubmitJob { .. }
             | Command::LeaseJob { .. }
             | Command::FinishJob { .. }
-            | Command::CancelJob { .. } => return Ok(self.apply_job(command)),
+            | Command::CancelJob { .. }
+            | Command::ViewJob { .. }
+            | Command::ListJobs { .. } => return Ok(self.apply_job(command)),
             Command::AdvanceTime => self.expire(),
         }
         Ok(self.done())
@@ -168,6 +173,8 @@
                 router,
                 incarnation,
                 runner,
+                request,
+                attempt,
                 keep,
             } => {
                 let record = ClaimRecord {
@@ -175,40 +182,44 @@
                     router: router.clone(),
                     incarnation: *incarnation,
                     runner: runner.clone(),
+                    execution: execution_name(request, *attempt),
                     state: ClaimState::Open,
                     expires_at: self.time + *keep,
                 };
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
-                };
+                let name = claim_name(tenant, key);
                 Ok(CommandReply::Claim(self.claims.open(&name, &record)))
             }
             Command::ReleaseClaim {
                 tenant,
                 key,
-                router,
-                incarnation,
+                request,
+                attempt,
             } => {
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
-                };
-                self.claims.release(&name, router, *incarnation)?;
+                let name = claim_name(tenant, key);
+                let execution = execution_name(request, *attempt);
+                self.claims.release(&name, &execution, self.time)?;
                 Ok(self.done())
             }
             Command::FinishClaim {
                 tenant,
                 key,
+                request,
+                attempt,
                 answer,
             } => {
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
-                };
-                self.claims.finish(&name, answer.clone())?;
+                let name = claim_name(tenant, key);
+                let execution = execution_name(request, *attempt);
+                self.claims.finish(&name, &execution, answer.clone())?;
                 Ok(self.done())
             }
+            Command::LookUpClaim {
+                tenant,
+                key,
+                digest,
+            } => {
+                let name = claim_name(tenant, key);
+                Ok(CommandReply::Claim(self.claims.look_up(&name, *digest)))
+            }
             _ => Ok(self.done()),
         }
     }
@@ -220,7 +231,9 @@
                 job,
                 tenant,
                 deployment,
+                path,
                 body,
+                queue_limit,
                 class,
                 once_only,
                 deadline,
@@ -229,6 +242,8 @@
                 let record = JobRecord {
                     tenant: tenant.clone(),
                     deployment: deployment.clone(),
+                    path: path.clone(),
+                    digest: Digest::of(body),
                     body: body.clone(),
                     class: *class,
                     once_only: *once_only,
@@ -236,16 +251,21 @@
                     deadline: *deadline,
                     keep: *keep,
                     ended_at: None,
+                    expires_at: None,
+                    started: false,
                     state: JobState::Queued,
                 };
-                self.jobs.submit(job, record)
+                self.jobs.submit(job, record, *queue_limit)
             }
             Command::LeaseJob {
                 job,
                 router,
                 incarnation,
                 length,
-            } => self.jobs.lease(job, router, *incarnation, now + *length),
+            } => {
+                let until = now + *length;
+                self.jobs.lease(job, router, *incarnation, until, now)
+            }
             Command::FinishJob {
                 job,
                 router,
@@ -253,11 +273,20 @@
                 end,
             } => self.jobs.finish(job, router, *incarnation, end, now),
             Command::CancelJob { job, tenant } => self.jobs.cancel(job, tenant, now),
+            Command::ViewJob { job, tenant } => self.jobs.view(job, tenant, now),
+            Command::ListJobs { tenant, limit } => self.jobs.list(tenant, *limit),
             _ => return self.done(),
         };
         CommandReply::Job(reply)
     }
 
+    /// When something expires next; an `AdvanceTime` is due then.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<UnixMillis> {
+        let times = [self.claims.next_expiry(), self.jobs.next_expiry()];
+        times.into_iter().flatten().min()
+    }
+
     /// The state as snapshot bytes.
     #[must_use]
     pub fn to_snapshot(&self) -> Vec<u8> {
@@ -279,6 +308,20 @@
     }
 }
 
+fn claim_name(tenant: &TenantName, key: &IdempotencyKey) -> ClaimName {
+    ClaimName {
+        tenant: tenant.clone(),
+        key: key.clone(),
+    }
+}
+
+fn execution_name(request: &RequestId, attempt: Attempt) -> ExecutionName {
+    ExecutionName {
+        request: request.clone(),
+        attempt,
+    }
+}
+
 impl CommandEnvelope {
     /// The envelope as the payload of a log entry.
     #[must_use]
--- a/crates/state/tests/commands.rs
+++ b/crates/state/tests/commands.rs
@@ -79,6 +79,8 @@
             router: router.into(),
             incarnation: Incarnation(1),
             runner: "r1".into(),
+            request: format!("request-of-{router}").into(),
+            attempt: Attempt(1),
             keep: Millis(1_000),
         })
     }
@@ -196,6 +198,8 @@
     log.apply(Command::FinishClaim {
         tenant: "souss".into(),
         key: "k".into(),
+        request: "request-of-a".into(),
+        attempt: Attempt(1),
         answer: Some(answer()),
     });
     assert_eq!(
@@ -212,7 +216,9 @@
             job: job.into(),
             tenant: "andrade".into(),
             deployment: "planificador".into(),
+            path: "/v1/completions".to_owned(),
             body: b"{}".to_vec(),
+            queue_limit: 10,
             class: PriorityClass::Batch,
             once_only,
             deadline: UnixMillis(1_000_000),
