--- /dev/null
+++ b/crates/controller/src/feed/jobs.rs
@@ -0,0 +1,57 @@
+//! Tells each router the queued jobs that it should execute.
+//!
+//! A job's executor is chosen like a queue's owner, so that the jobs of one
+//! deployment gather at one router. Two controllers may choose differently for
+//! a while; the lease in the ledger decides.
+
+use crate::ControllerContext;
+use courseshunt_queue::{QueueKey, owner_of};
+use courseshunt_state::JobRecord;
+use courseshunt_types::{DeploymentName, JobId, RouterId, UnixMillis};
+use courseshunt_wire::message::QueuedJob;
+use std::collections::BTreeMap;
+
+/// Jobs told to one router at a time.
+const MAX_TOLD: usize = 64;
+
+/// The queued jobs for a router, the earliest deadlines first.
+pub fn queued_for(context: &ControllerContext, router: &RouterId) -> Vec<QueuedJob> {
+    let routers: Vec<RouterId> = live_routers(context);
+    let now = UnixMillis::now();
+    let state = context.replica.state();
+    let mut owned = BTreeMap::new();
+    let mine = state.jobs.queued().filter(|(_, record)| {
+        let known = owned.entry(record.deployment.clone());
+        *known.or_insert_with(|| executor(&record.deployment, &routers) == Some(router))
+    });
+    let mut jobs: Vec<(UnixMillis, QueuedJob)> = mine
+        .map(|(job, record)| (record.deadline, queued_job(job, record, now)))
+        .collect();
+    jobs.sort_by_key(|(deadline, _)| *deadline);
+    jobs.truncate(MAX_TOLD);
+    jobs.into_iter().map(|(_, job)| job).collect()
+}
+
+fn live_routers(context: &ControllerContext) -> Vec<RouterId> {
+    let routers = context.routers.update().routers.into_iter();
+    let staying = routers.filter(|router| !router.leaving);
+    staying.map(|router| router.router).collect()
+}
+
+fn executor<'a>(deployment: &DeploymentName, routers: &'a [RouterId]) -> Option<&'a RouterId> {
+    let key = QueueKey {
+        deployment: deployment.clone(),
+        shard: 0,
+    };
+    owner_of(&key, routers)
+}
+
+fn queued_job(job: &JobId, record: &JobRecord, now: UnixMillis) -> QueuedJob {
+    QueuedJob {
+        job: job.clone(),
+        deployment: record.deployment.clone(),
+        class: record.class,
+        waited: now.since(record.submitted_at),
+        deadline_in: record.deadline.since(now),
+    }
+}
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,5 +1,6 @@
 //! Feeds to routers, and what routers send back.
 
+mod jobs;
 mod registry;
 mod session;
 mod updates;
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -1,11 +1,11 @@
 //! The feed of one router.
 
 use super::registry::RegisteredRouter;
-use super::updates;
+use super::{jobs, updates};
 use crate::ControllerContext;
 use crate::replica::ProposeError;
 use courseshunt_state::CommandEnvelope;
-use courseshunt_types::{ClientId, Epoch, LogIndex, Millis, Revision, RouterId, UnixMillis};
+use courseshunt_types::{ClientId, Epoch, JobId, LogIndex, Millis, Revision, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
 use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError};
 use std::time::Duration;
@@ -48,6 +48,8 @@
         revision: subscribe.revision,
         placement: LogIndex(0),
         fleet: Epoch(0),
+        router: router.clone(),
+        jobs: Vec::new(),
     };
     let ended = tokio::select! {
         () = context.stop.cancelled() => Ok(()),
@@ -133,6 +135,10 @@
     revision: Revision,
     placement: LogIndex,
     fleet: Epoch,
+    /// Router that is fed.
+    router: RouterId,
+    /// Jobs as last told.
+    jobs: Vec<JobId>,
 }
 
 impl Feed<'_> {
@@ -149,7 +155,10 @@
                     }
                 }
                 _ = fleet.changed() => {}
-                _ = confirmation.tick() => self.confirm().await?,
+                _ = confirmation.tick() => {
+                    self.confirm().await?;
+                    self.send_jobs().await?;
+                }
                 reply = replies.recv() => {
                     if let Some(reply) = reply {
                         self.sender.send(&reply).await?;
@@ -184,6 +193,17 @@
         Ok(())
     }
 
+    /// Tells the queued jobs when others are queued than before.
+    async fn send_jobs(&mut self) -> Result<(), WireError> {
+        let jobs = jobs::queued_for(self.context, &self.router);
+        let told: Vec<JobId> = jobs.iter().map(|job| job.job.clone()).collect();
+        if told == self.jobs {
+            return Ok(());
+        }
+        self.jobs = told;
+        self.sender.send(&Message::Jobs { jobs }).await
+    }
+
     async fn confirm(&mut self) -> Result<(), WireError> {
         let revision = self.revision;
         let age = Millis(0);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod feed;
 pub mod replica;
 pub mod scheduler;
+mod timekeeper;
 
 pub use error::ControllerError;
 pub use replica::{ProposeError, ReplicaHandle, ReplicaStatus};
@@ -91,6 +92,8 @@
         };
         tokio::spawn(feed::accept_peers(wire, context.clone()));
         scheduler::start(&context)?;
+        let keeping = timekeeper::run(context.clone());
+        tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
         let stop = context.stop.clone();
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -48,14 +48,14 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
-    /// [`HttpError::Connect`] when nothing was sent, else [`HttpError::Broken`].
+    /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`].
     pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string);
         let peer = peer.unwrap_or_default();
         let sent = self.client.request(request).await;
         sent.map_err(|error| {
             let problem = describe(&error);
-            if error.is_connect() {
+            if error.is_connect() || is_unsent(&error) {
                 return HttpError::Connect { peer, problem };
             }
             let step = "send a request";
@@ -120,6 +120,19 @@
     request.body(full_body(content))
 }
 
+/// Whether the library gave the request up before its first byte: a pooled
+/// connection closed while the request waited for it.
+fn is_unsent(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        if let Some(error) = inner.downcast_ref::<hyper::Error>() {
+            return error.is_canceled();
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 fn describe(error: &(dyn std::error::Error + 'static)) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
--- a/crates/router/src/attempt/machine.rs
+++ b/crates/router/src/attempt/machine.rs
@@ -4,7 +4,7 @@
 //! proof that no connection existed, or the runner's own word, leads back to
 //! not-run; the first outcome counts.
 
-use super::outcome::{AttemptOutcome, NotRunCause, UnknownCause};
+use super::outcome::{AttemptEnd, NotRunCause, UnknownCause};
 
 /// How far an attempt has come; it only moves forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptMachine {
     stage: AttemptStage,
-    outcome: Option<AttemptOutcome>,
+    outcome: Option<AttemptEnd>,
 }
 
 impl Default for AttemptMachine {
@@ -68,16 +68,16 @@
     /// The outcome; an attempt that has not ended may have run as soon as its
     /// first byte may have left.
     #[must_use]
-    pub fn outcome(&self) -> AttemptOutcome {
+    pub fn outcome(&self) -> AttemptEnd {
         let open = match self.stage {
-            AttemptStage::Granted => AttemptOutcome::NotRun(NotRunCause::Refused),
-            _ => AttemptOutcome::Unknown(UnknownCause::Broken),
+            AttemptStage::Granted => AttemptEnd::NotRun(NotRunCause::Refused),
+            _ => AttemptEnd::Unknown(UnknownCause::Broken),
         };
         self.outcome.unwrap_or(open)
     }
 
     /// Takes an event in; returns the outcome when this event settled it.
-    pub fn step(&mut self, event: AttemptEvent) -> Option<AttemptOutcome> {
+    pub fn step(&mut self, event: AttemptEvent) -> Option<AttemptEnd> {
         if self.stage == AttemptStage::Ended {
             return None;
         }
@@ -87,30 +87,28 @@
             AttemptEvent::Sending => return self.advance(AttemptStage::Sent),
             AttemptEvent::HeadMatched => return self.advance(AttemptStage::Answering),
             AttemptEvent::ConnectFailed if !answering => {
-                AttemptOutcome::NotRun(NotRunCause::ConnectFailed)
+                AttemptEnd::NotRun(NotRunCause::ConnectFailed)
             }
-            AttemptEvent::RunnerUnknown if !sent => {
-                AttemptOutcome::NotRun(NotRunCause::RunnerUnknown)
-            }
-            AttemptEvent::Refused(cause) if !answering => AttemptOutcome::NotRun(cause),
-            AttemptEvent::Fenced if !answering => AttemptOutcome::NotRun(NotRunCause::Fenced),
-            AttemptEvent::Failed(cause) if sent => AttemptOutcome::Unknown(cause),
-            AttemptEvent::Failed(_) => AttemptOutcome::NotRun(NotRunCause::Refused),
-            AttemptEvent::Finished if answering => AttemptOutcome::Done,
-            AttemptEvent::CallerLeft if sent => AttemptOutcome::Cancelled,
-            AttemptEvent::CallerLeft => AttemptOutcome::NotRun(NotRunCause::Refused),
+            AttemptEvent::RunnerUnknown if !sent => AttemptEnd::NotRun(NotRunCause::RunnerUnknown),
+            AttemptEvent::Refused(cause) if !answering => AttemptEnd::NotRun(cause),
+            AttemptEvent::Fenced if !answering => AttemptEnd::NotRun(NotRunCause::Fenced),
+            AttemptEvent::Failed(cause) if sent => AttemptEnd::Unknown(cause),
+            AttemptEvent::Failed(_) => AttemptEnd::NotRun(NotRunCause::Refused),
+            AttemptEvent::Finished if answering => AttemptEnd::Done,
+            AttemptEvent::CallerLeft if sent => AttemptEnd::Cancelled,
+            AttemptEvent::CallerLeft => AttemptEnd::NotRun(NotRunCause::Refused),
             AttemptEvent::ConnectFailed
             | AttemptEvent::RunnerUnknown
             | AttemptEvent::Refused(_)
             | AttemptEvent::Fenced
-            | AttemptEvent::Finished => AttemptOutcome::Unknown(UnknownCause::Broken),
+            | AttemptEvent::Finished => AttemptEnd::Unknown(UnknownCause::Broken),
         };
         self.stage = AttemptStage::Ended;
         self.outcome = Some(outcome);
         self.outcome
     }
 
-    fn advance(&mut self, stage: AttemptStage) -> Option<AttemptOutcome> {
+    fn advance(&mut self, stage: AttemptStage) -> Option<AttemptEnd> {
         self.stage = self.stage.max(stage);
         None
     }
--- a/crates/router/src/attempt/mod.rs
+++ b/crates/router/src/attempt/mod.rs
@@ -4,10 +4,24 @@
 //! reached a runner, or when the runner itself says that it did not start. An
 //! answer is taken only when its request identity and attempt match.
 
+mod answer;
 mod budget;
+mod counts;
+mod events;
+mod execution;
 mod machine;
 mod outcome;
+mod query;
+mod send;
+mod stream;
 
+pub use answer::{MAX_ANSWER_BYTES, read_answer, read_fetched};
 pub use budget::RetryBudget;
+pub use counts::{AttemptCounts, Count};
+pub use events::{EventParser, EventVerdict, judge_event};
+pub use execution::{Execution, Work};
 pub use machine::{AttemptEvent, AttemptMachine, AttemptStage};
-pub use outcome::{AttemptOutcome, NotRunCause, UnknownCause};
+pub use outcome::{AttemptEnd, AttemptTimes, NotRunCause, UnknownCause};
+pub use query::{RunnerQuery, cancel_execution, execution_status, fetch_execution};
+pub use send::{OpenAttempt, RunnerRequest};
+pub use stream::EventStream;
--- a/crates/router/src/attempt/outcome.rs
+++ b/crates/router/src/attempt/outcome.rs
@@ -1,7 +1,7 @@
 //! What is known about an attempt after its end.
 
-use courseshunt_types::Outcome;
-use courseshunt_wire::message::GrantEnding;
+use courseshunt_queue::{AdmissionFailure, AttemptOutcome};
+use courseshunt_types::{Millis, Outcome};
 
 /// Why an attempt is proved not to have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     Full,
     /// The runner refused before admission for another reason.
     Refused,
+    /// The runner refused before admission: it can't read the request.
+    Invalid,
     /// The runner says that it never started it, and never will.
     Fenced,
 }
@@ -43,7 +45,7 @@
 
 /// The end of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptOutcome {
+pub enum AttemptEnd {
     /// It is proved not to have run.
     NotRun(NotRunCause),
     /// It may have run.
@@ -65,6 +67,7 @@
             Self::NotLoaded => "not_loaded",
             Self::Full => "full",
             Self::Refused => "refused",
+            Self::Invalid => "invalid",
             Self::Fenced => "fenced",
         }
     }
@@ -80,6 +83,18 @@
         }
     }
 
+    fn report(self) -> AttemptOutcome {
+        match self {
+            Self::RunnerUnknown | Self::Invalid => AttemptOutcome::Unused,
+            Self::Draining => AttemptOutcome::NotAdmitted(AdmissionFailure::Draining),
+            Self::NotLoaded => AttemptOutcome::NotAdmitted(AdmissionFailure::NotLoaded),
+            Self::Full | Self::Refused => AttemptOutcome::NotAdmitted(AdmissionFailure::Busy),
+            Self::ConnectFailed | Self::Fenced => {
+                AttemptOutcome::NotAdmitted(AdmissionFailure::Unreachable)
+            }
+        }
+    }
+
     /// Whether the refusal is part of ordinary operation, so that another
     /// attempt takes nothing from the retry budget.
     #[must_use]
@@ -104,7 +119,7 @@
     }
 }
 
-impl AttemptOutcome {
+impl AttemptEnd {
     /// Name for logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -128,16 +143,27 @@
 
     /// What the queue's owner is told about the runner.
     #[must_use]
-    pub fn grant_ending(self) -> GrantEnding {
+    pub fn report(self, times: AttemptTimes) -> AttemptOutcome {
         match self {
-            Self::NotRun(NotRunCause::Draining) => GrantEnding::RunnerDraining,
-            Self::NotRun(NotRunCause::RunnerUnknown) => GrantEnding::Unused,
-            Self::NotRun(_) => GrantEnding::RunnerFailed,
+            Self::NotRun(cause) => cause.report(),
             Self::Unknown(UnknownCause::DeadlinePassed | UnknownCause::TooLarge) => {
-                GrantEnding::Finished
+                AttemptOutcome::Cancelled
             }
-            Self::Unknown(_) => GrantEnding::RunnerFailed,
-            Self::Done | Self::Cancelled => GrantEnding::Finished,
+            Self::Unknown(_) => AttemptOutcome::Failed,
+            Self::Done => AttemptOutcome::Done {
+                first_byte: times.first_byte,
+                total: times.total,
+            },
+            Self::Cancelled => AttemptOutcome::Cancelled,
         }
     }
 }
+
+/// Times of an attempt, from the sending on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AttemptTimes {
+    /// Until the first byte of the answer.
+    pub first_byte: Millis,
+    /// Until the end.
+    pub total: Millis,
+}
--- a/crates/router/src/caller/complete.rs
+++ b/crates/router/src/caller/complete.rs
@@ -1,276 +1,151 @@
-//! Serves one completion: wait for a grant, claim if once-only, send, relay.
+//! Serves one completion that may be repeated: wait for a grant, send, relay.
 
+use super::access::AccessRecord;
+use super::once_only;
 use super::request::{CallerRequest, RepeatRule};
 use crate::RouterContext;
-use crate::control::LedgerError;
-use crate::dispatch::{Attempted, GrantedRequest, RunnerRequest, send_to_runner};
-use courseshunt_http::{Body, channel_body, full_body, read_limited};
-use courseshunt_queue::{AdmissionFailure, AttemptOutcome, Ticket};
-use courseshunt_state::{ClaimReply, Command, CommandReply, StoredAnswer};
+use crate::attempt::{AttemptEnd, EventStream, Execution, read_answer};
+use crate::dispatch::GrantedRequest;
+use bytes::Bytes;
+use courseshunt_http::{Body, BodySender, channel_body, full_body, openai_error};
+use courseshunt_state::StoredAnswer;
 use courseshunt_types::outcome::OUTCOME_HEADER;
 use courseshunt_types::runner_api::REQUEST_ID_HEADER;
-use courseshunt_types::{
-    Attempt, IdempotencyKey, Millis, Outcome, Refusal, RefusalReason, RunnerId, Timestamp,
-};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use courseshunt_types::{Outcome, Refusal, RefusalReason, RequestId};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 
-/// Attempts at the most.
-const MAX_ATTEMPTS: u64 = 3;
-/// Longest whole answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// How long a claim is kept.
-const CLAIM_KEEP: Millis = Millis::from_secs(24 * 3600);
+/// Start of the content type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// Serves a request.
 pub async fn run(
     context: &RouterContext,
     request: CallerRequest,
 ) -> Result<Response<Body>, Refusal> {
-    let arrived = context.clock.now();
-    let mut avoid = Vec::new();
-    for attempt in 1..=MAX_ATTEMPTS {
-        let ticket = ticket(context, &request, arrived, &avoid);
-        let mut granted = context.dispatcher.acquire(ticket).await?;
-        let runner = granted.grant.runner.clone();
-        if let RepeatRule::Never(key) = &request.repeat
-            && let Some(answer) = claim(context, &request, key, &runner).await?
-        {
-            return Ok(recorded(&request, answer));
-        }
-        granted.started();
-        let sent = RunnerRequest {
-            request: request.request.clone(),
-            attempt: Attempt(attempt),
-            class: request.class,
-            path: request.path,
-            body: request.body.clone(),
-        };
-        match send_to_runner(context, &runner, &sent).await {
-            Attempted::Answered(response) => {
-                return relay(context, &request, granted, response).await;
-            }
-            Attempted::NotStarted { reason, draining } => {
-                log::info!(
-                    "router: {} on {runner} did not start: {reason}",
-                    request.request
-                );
-                granted.report(AttemptOutcome::NotAdmitted(match draining {
-                    true => AdmissionFailure::Draining,
-                    false => AdmissionFailure::Unreachable,
-                }));
-                release_claim(context, &request).await;
-                avoid.push(runner);
-            }
-            Attempted::Unknown { reason } => {
-                granted.report(AttemptOutcome::Failed);
-                if let RepeatRule::Never(key) = &request.repeat {
-                    finish_claim(context, &request, key, None).await;
-                    return Err(Refusal::unknown(RefusalReason::RunnerFailed, reason));
-                }
-                log::info!("router: {} on {runner} failed: {reason}", request.request);
-                avoid.push(runner);
-            }
-        }
+    match request.repeat.clone() {
+        RepeatRule::Any => repeatable(context, &request).await,
+        RepeatRule::Never(key) => once_only::run(context, request, key).await,
     }
-    let message = format!("{MAX_ATTEMPTS} attempts failed");
-    Err(Refusal::unknown(RefusalReason::RunnerFailed, message))
 }
 
-fn ticket(
-    context: &RouterContext,
-    request: &CallerRequest,
-    arrived: Timestamp,
-    avoid: &[RunnerId],
-) -> Ticket {
-    let waited = context.clock.now().since(arrived);
-    Ticket {
-        request: request.request.clone(),
-        holder: context.settings.id.clone(),
-        deployment: request.document.name.clone(),
-        adapter: request.adapter.clone(),
-        tenant: request.tenant.clone(),
-        class: request.class,
-        deadline_in: Millis(request.deadline_in.0.saturating_sub(waited.0)),
-        waited,
-        prefix_hashes: Vec::new(),
-        prompt_tokens: request.prompt_tokens,
-        max_tokens: request.max_tokens,
-        avoid: avoid.to_vec(),
-    }
+/// An answer that has begun.
+enum Answer {
+    Whole(StoredAnswer),
+    Stream {
+        first: Option<Bytes>,
+        events: Box<EventStream>,
+    },
 }
 
-/// Opens the claim; `Some` when the answer is recorded already.
-async fn claim(
+async fn repeatable(
     context: &RouterContext,
     request: &CallerRequest,
-    key: &IdempotencyKey,
-    runner: &RunnerId,
-) -> Result<Option<StoredAnswer>, Refusal> {
-    let command = Command::OpenClaim {
-        tenant: request.tenant.clone(),
-        key: key.clone(),
-        digest: request.digest,
-        router: context.settings.id.clone(),
-        incarnation: context.incarnation,
-        runner: runner.clone(),
-        keep: CLAIM_KEEP,
-    };
-    let unavailable = |message: &str| {
-        let refusal = Refusal::not_run(RefusalReason::LedgerUnavailable, message);
-        refusal.with_retry_after(Millis::from_secs(2))
-    };
-    match context.ledger.commit(command).await {
-        Ok(CommandReply::Claim(reply)) => judge_claim(reply),
-        Ok(_) => Err(unavailable("the ledger gave an unexpected reply")),
-        // The claim may be open, but this request was not sent, and the claim
-        // keeps every other from being sent: it did not run.
-        Err(LedgerError::NotCommitted | LedgerError::Undecided) => {
-            Err(unavailable("the claim could not be recorded"))
-        }
-    }
-}
-
-fn judge_claim(reply: ClaimReply) -> Result<Option<StoredAnswer>, Refusal> {
-    match reply {
-        ClaimReply::Granted => Ok(None),
-        ClaimReply::Recorded(answer) => Ok(Some(answer)),
-        ClaimReply::InProgress { .. } => {
-            let message = "a request with this key is running";
-            let refusal = Refusal::unknown(RefusalReason::InProgress, message);
-            Err(refusal.with_retry_after(Millis::from_secs(1)))
+) -> Result<Response<Body>, Refusal> {
+    let work = request.work(context.clock.now());
+    let mut access = AccessRecord::new(context, &work);
+    let mut execution = Execution::new(context, &work);
+    let answered = answer(&mut execution).await;
+    access.note(&execution);
+    match answered {
+        Ok(Answer::Whole(answer)) => {
+            access.first_byte();
+            access.done();
+            Ok(whole(&work.request, answer))
         }
-        ClaimReply::Unknown => {
-            let message = "a request with this key may have run; its answer is lost";
-            Err(Refusal::unknown(RefusalReason::RunnerFailed, message))
+        Ok(Answer::Stream { first, events }) => {
+            access.first_byte();
+            let (sender, body) = channel_body();
+            let relay = relay(access, first, *events, sender);
+            context.tasks.spawn(relay);
+            Ok(stream(&work.request, body))
         }
-        ClaimReply::Conflict => {
-            let message = "this key was used with another body";
-            Err(Refusal::not_run(RefusalReason::KeyConflict, message))
+        Err(refusal) => {
+            access.refused(&refusal);
+            Err(refusal)
         }
     }
 }
 
-async fn release_claim(context: &RouterContext, request: &CallerRequest) {
-    let RepeatRule::Never(key) = &request.repeat else {
-        return;
-    };
-    let command = Command::ReleaseClaim {
-        tenant: request.tenant.clone(),
-        key: key.clone(),
-        router: context.settings.id.clone(),
-        incarnation: context.incarnation,
-    };
-    if let Err(error) = context.ledger.commit(command).await {
-        log::warn!(
-            "router: the claim of {} stays open: {error}",
-            request.request
-        );
+async fn answer(execution: &mut Execution<'_>) -> Result<Answer, Refusal> {
+    loop {
+        let granted = execution.grant().await?;
+        match attempt(execution, granted).await {
+            Ok(answer) => return Ok(answer),
+            Err(end) => execution.after(end)?,
+        }
     }
 }
 
-async fn finish_claim(
-    context: &RouterContext,
-    request: &CallerRequest,
-    key: &IdempotencyKey,
-    answer: Option<StoredAnswer>,
-) {
-    let command = Command::FinishClaim {
-        tenant: request.tenant.clone(),
-        key: key.clone(),
-        answer,
-    };
-    if let Err(error) = context.ledger.commit(command).await {
-        log::warn!(
-            "router: the answer of {} is not recorded: {error}",
-            request.request
-        );
+/// One attempt, up to its whole answer or the first event of its stream.
+async fn attempt(execution: &Execution<'_>, granted: GrantedRequest) -> Result<Answer, AttemptEnd> {
+    let (open, response) = execution.attempt(granted).await?;
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let streams =
+        content_type.is_some_and(|one| one.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
+    if !streams {
+        return Ok(Answer::Whole(read_answer(open, response).await?));
     }
+    let mut events = Box::new(EventStream::new(open, response));
+    let first = events.next().await?;
+    Ok(Answer::Stream { first, events })
 }
 
+/// Relays a stream; a broken one ends with an error event, never silently.
 async fn relay(
-    context: &RouterContext,
-    request: &CallerRequest,
-    granted: GrantedRequest,
-    response: Response<Incoming>,
-) -> Result<Response<Body>, Refusal> {
-    match &request.repeat {
-        RepeatRule::Any if request.stream => Ok(stream(request, granted, response)),
-        RepeatRule::Any => {
-            let answer = read_answer(response).await?;
-            Ok(recorded(request, answer))
-        }
-        RepeatRule::Never(key) => {
-            let answer = read_answer(response).await;
-            finish_claim(context, request, key, answer.as_ref().ok().cloned()).await;
-            Ok(recorded(request, answer?))
+    access: AccessRecord,
+    first: Option<Bytes>,
+    mut events: EventStream,
+    mut sender: BodySender,
+) {
+    let mut next: Result<Option<Bytes>, AttemptEnd> = Ok(first);
+    loop {
+        match next {
+            Ok(Some(event)) => {
+                if sender.send_data(event).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => return access.done(),
+            Err(end) => {
+                let message = format!("the answer is not whole: {}", end.as_str());
+                let refusal = Refusal::unknown(RefusalReason::RunnerFailed, message);
+                let _ = sender.send_data(error_event(&refusal)).await;
+                return access.refused(&refusal);
+            }
         }
+        next = events.next().await;
     }
 }
 
-async fn read_answer(response: Response<Incoming>) -> Result<StoredAnswer, Refusal> {
-    let status = response.status().as_u16();
-    let content_type = response.headers().get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    let content_type = content_type.unwrap_or("application/json").to_owned();
-    let body = read_limited(response.into_body(), MAX_ANSWER_BYTES, "runner").await;
-    let body =
-        body.map_err(|error| Refusal::unknown(RefusalReason::RunnerFailed, error.to_string()))?;
-    Ok(StoredAnswer {
-        status,
-        content_type,
-        body: body.to_vec(),
-    })
+fn error_event(refusal: &Refusal) -> Bytes {
+    let content = openai_error(refusal.reason.code(), refusal.outcome, &refusal.message);
+    Bytes::from(format!("data: {content}\n\n"))
 }
 
-fn recorded(request: &CallerRequest, answer: StoredAnswer) -> Response<Body> {
+/// A whole answer as a response.
+pub fn whole(request: &RequestId, answer: StoredAnswer) -> Response<Body> {
     let mut response = Response::new(full_body(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
         response.headers_mut().insert(CONTENT_TYPE, value);
     }
-    mark_done(request, &mut response);
+    let done = HeaderValue::from_static(Outcome::Done.as_str());
+    response.headers_mut().insert(OUTCOME_HEADER, done);
+    identify(request, &mut response);
     response
 }
 
-fn mark_done(request: &CallerRequest, response: &mut Response<Body>) {
-    let done = HeaderValue::from_static(Outcome::Done.as_str());
-    response.headers_mut().insert(OUTCOME_HEADER, done);
-    if let Ok(value) = HeaderValue::from_str(request.request.as_str()) {
-        response.headers_mut().insert(REQUEST_ID_HEADER, value);
-    }
+fn stream(request: &RequestId, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    let events = HeaderValue::from_static(EVENT_STREAM);
+    response.headers_mut().insert(CONTENT_TYPE, events);
+    identify(request, &mut response);
+    response
 }
 
-/// Relays a stream; a broken one ends with an error event, never silently.
-fn stream(
-    request: &CallerRequest,
-    granted: GrantedRequest,
-    response: Response<Incoming>,
-) -> Response<Body> {
-    let (mut sender, body) = channel_body();
-    tokio::spawn(async move {
-        let _granted = granted;
-        let mut incoming = response.into_body();
-        while let Some(frame) = incoming.frame().await {
-            let Ok(frame) = frame else {
-                let event = "data: {\"error\":{\"code\":\"runner_failed\",\"message\":\"the runner failed; the answer is not whole\"}}\n\n";
-                let _ = sender.send_data(event.into()).await;
-                return;
-            };
-            if let Ok(data) = frame.into_data()
-                && sender.send_data(data).await.is_err()
-            {
-                return;
-            }
-        }
-    });
-    let mut relayed = Response::new(body);
-    let events = HeaderValue::from_static("text/event-stream");
-    relayed.headers_mut().insert(CONTENT_TYPE, events);
-    if let Ok(value) = HeaderValue::from_str(request.request.as_str()) {
-        relayed.headers_mut().insert(REQUEST_ID_HEADER, value);
+fn identify(request: &RequestId, response: &mut Response<Body>) {
+    if let Ok(value) = HeaderValue::from_str(request.as_str()) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
-    relayed
 }
--- a/crates/router/src/caller/metrics.rs
+++ b/crates/router/src/caller/metrics.rs
@@ -75,6 +75,12 @@
         "Routers that the fleet view holds.",
         context.view.routers().len() as f64,
     );
+    context.counts.write(&mut page);
+    page.gauge(
+        "retry_budget",
+        "Retries that the budget allows now.",
+        context.retry_budget.tokens(),
+    );
     page.process();
     page.text()
 }
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -1,13 +1,16 @@
 //! The callers' API: OpenAI-style completions, models, health pages.
 
+mod access;
 mod complete;
 mod metrics;
+mod once_only;
 mod request;
 
 pub use metrics::RequestCounts;
-pub use request::{CallerRequest, RepeatRule};
+pub use request::{CLASS_HEADER, CallerRequest, RepeatRule, may_use};
 
 use crate::RouterContext;
+use crate::jobs;
 use courseshunt_http::{
     Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
     refusal_response, text_response,
@@ -73,6 +76,7 @@
         "/readyz" => Ok(ready(context)),
         "/metrics" => Ok(text_response(StatusCode::OK, metrics::page(context))),
         "/v1/models" => models(&request, context),
+        _ if is_jobs(path) => jobs_page(request, context, path).await,
         "/v1/chat/completions" => completion(request, context, "/v1/chat/completions").await,
         "/v1/completions" => completion(request, context, "/v1/completions").await,
         _ => {
@@ -131,6 +135,26 @@
     complete::run(context, parsed).await
 }
 
+/// Whether a path belongs to the deferred jobs.
+fn is_jobs(path: &str) -> bool {
+    let rest = path.strip_prefix(jobs::JOBS_PATH);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+async fn jobs_page(
+    request: Request<Incoming>,
+    context: &RouterContext,
+    path: &str,
+) -> Result<Response<Body>, Refusal> {
+    let tenant = authenticate(request.headers(), context)?;
+    let (head, body) = request.into_parts();
+    let limit = context.settings.max_body_bytes;
+    let body_timeout = context.settings.body_timeout.into();
+    let body = read_in_time(body, limit, body_timeout, "caller").await;
+    let body = body.map_err(|error| unreadable_body(&error))?;
+    jobs::handle(context, tenant, &head.method, path, &head.headers, body).await
+}
+
 fn unreadable_body(error: &HttpError) -> Refusal {
     let reason = match error {
         HttpError::TooLarge { .. } => RefusalReason::TooLarge,
--- /dev/null
+++ b/crates/router/src/caller/once_only.rs
@@ -0,0 +1,309 @@
+//! Serves a request that runs at most once.
+//!
+//! Invariants: nothing is sent before its claim is committed; a claim is given
+//! back only when its attempt is proved not to have run; the work goes on when
+//! its caller leaves, so that a repeat gets the recorded answer.
+
+use super::access::AccessRecord;
+use super::complete::whole;
+use super::request::CallerRequest;
+use crate::RouterContext;
+use crate::attempt::{AttemptEnd, Count, Execution, RunnerQuery, Work, read_answer};
+use crate::control::LedgerError;
+use crate::dispatch::GrantedRequest;
+use courseshunt_http::Body;
+use courseshunt_state::{ClaimReply, Command, CommandReply, StoredAnswer};
+use courseshunt_types::{
+    Attempt, Digest, IdempotencyKey, Millis, Outcome, Refusal, RefusalReason, RunnerId,
+};
+use hyper::Response;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+mod recover;
+
+/// How long a claim is kept.
+const CLAIM_KEEP: Millis = Millis::from_secs(24 * 3600);
+/// Longest wait for the ledger before a request is refused.
+const LEDGER_PATIENCE: Duration = Duration::from_secs(2);
+/// Pause between tries of a command that must be committed in the end.
+const COMMIT_PAUSE: Duration = Duration::from_millis(500);
+/// Time after the deadline in which the truthful refusal still comes.
+const GRACE: Millis = Millis(500);
+/// When to come back for a request that runs.
+const IN_PROGRESS_RETRY: Millis = Millis::from_secs(1);
+/// When to come back for a ledger without quorum.
+const LEDGER_RETRY: Millis = Millis::from_secs(2);
+/// Longest answer that is recorded, in bytes.
+pub const MAX_RECORDED_BYTES: usize = 1024 * 1024;
+
+/// Serves a request.
+pub async fn run(
+    context: &RouterContext,
+    request: CallerRequest,
+    key: IdempotencyKey,
+) -> Result<Response<Body>, Refusal> {
+    let now = context.clock.now();
+    let work = request.work(now);
+    let patience = Millis(work.deadline.since(now).0 + GRACE.0);
+    let id = work.request.clone();
+    let (reply, received) = oneshot::channel();
+    let once = OnceOnly {
+        context: context.clone(),
+        digest: request.digest,
+        key,
+        work,
+    };
+    context.tasks.spawn(async move {
+        let _ = reply.send(once.run().await);
+    });
+    match tokio::time::timeout(patience.into(), received).await {
+        Ok(Ok(answered)) => answered.map(|answer| whole(&id, answer)),
+        Ok(Err(_)) => {
+            let message = "the router stopped while the request ran";
+            Err(Refusal::unknown(RefusalReason::RunnerFailed, message))
+        }
+        Err(_) => {
+            let message = "the deadline passed; repeat with the same key to get the answer";
+            let refusal = Refusal::unknown(RefusalReason::DeadlineExceeded, message);
+            Err(refusal.with_retry_after(IN_PROGRESS_RETRY))
+        }
+    }
+}
+
+/// One request under its key.
+#[derive(Debug)]
+struct OnceOnly {
+    context: RouterContext,
+    digest: Digest,
+    key: IdempotencyKey,
+    work: Work,
+}
+
+impl OnceOnly {
+    async fn run(&self) -> Result<StoredAnswer, Refusal> {
+        let mut access = AccessRecord::new(&self.context, &self.work);
+        let mut execution = Execution::new(&self.context, &self.work);
+        let answered = self.answer(&mut execution).await;
+        access.note(&execution);
+        match &answered {
+            Ok(_) => access.done(),
+            Err(refusal) => access.refused(refusal),
+        }
+        answered
+    }
+
+    async fn answer(&self, execution: &mut Execution<'_>) -> Result<StoredAnswer, Refusal> {
+        if self.is_cold()
+            && let Some(answer) = self.look_up().await?
+        {
+            return Ok(answer);
+        }
+        loop {
+            let granted = execution.grant().await?;
+            let attempt = execution.next_attempt();
+            let runner = granted.grant.runner.clone();
+            if let Some(answer) = self.open(&runner, attempt).await? {
+                return Ok(answer);
+            }
+            if self.context.clock.now() >= granted.expires {
+                drop(granted);
+                self.release(attempt).await?;
+                continue;
+            }
+            match self.attempt(execution, granted).await {
+                Ok(answer) => {
+                    self.finish(attempt, Some(answer.clone())).await;
+                    return Ok(answer);
+                }
+                Err(end) if end.outcome() == Outcome::NotRun => {
+                    self.release(attempt).await?;
+                    execution.after(end)?;
+                }
+                Err(end) => {
+                    self.finish(attempt, None).await;
+                    execution.after(end)?;
+                    return Err(unknown());
+                }
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        execution: &Execution<'_>,
+        granted: GrantedRequest,
+    ) -> Result<StoredAnswer, AttemptEnd> {
+        let (open, response) = execution.attempt(granted).await?;
+        read_answer(open, response).await
+    }
+
+    /// Whether the request would wait for a load.
+    fn is_cold(&self) -> bool {
+        let replicas = self.context.view.replicas(&self.work.deployment);
+        replicas.is_none_or(|replicas| replicas.ready.is_empty())
+    }
+
+    /// Asks for the key before a wait, so that a repeat loads no model.
+    async fn look_up(&self) -> Result<Option<StoredAnswer>, Refusal> {
+        let command = Command::LookUpClaim {
+            tenant: self.work.tenant.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+        };
+        match self
+            .context
+            .ledger
+            .commit_within(command, LEDGER_PATIENCE)
+            .await
+        {
+            Ok(CommandReply::Claim(reply)) => self.judge(reply).await,
+            _ => Err(unavailable()),
+        }
+    }
+
+    /// Opens the claim; `Some` when the answer is there already.
+    async fn open(
+        &self,
+        runner: &RunnerId,
+        attempt: Attempt,
+    ) -> Result<Option<StoredAnswer>, Refusal> {
+        let command = Command::OpenClaim {
+            tenant: self.work.tenant.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+            router: self.context.settings.id.clone(),
+            incarnation: self.context.incarnation,
+            runner: runner.clone(),
+            request: self.work.request.clone(),
+            attempt,
+            keep: CLAIM_KEEP,
+        };
+        match self
+            .context
+            .ledger
+            .commit_within(command, LEDGER_PATIENCE)
+            .await
+        {
+            Ok(CommandReply::Claim(reply)) => self.judge(reply).await,
+            Ok(_) | Err(LedgerError::NotCommitted) => Err(unavailable()),
+            Err(LedgerError::Undecided) => {
+                self.context.counts.add(Count::ClaimWithdrawn);
+                self.withdraw(attempt);
+                Err(unavailable())
+            }
+        }
+    }
+
+    async fn judge(&self, reply: ClaimReply) -> Result<Option<StoredAnswer>, Refusal> {
+        let counts = &self.context.counts;
+        match reply {
+            ClaimReply::Free => Ok(None),
+            ClaimReply::Granted => {
+                counts.add(Count::ClaimOpened);
+                Ok(None)
+            }
+            ClaimReply::Recorded(answer) => {
+                counts.add(Count::ClaimRecorded);
+                Ok(Some(answer))
+            }
+            ClaimReply::InProgress {
+                router,
+                incarnation,
+                runner,
+                request,
+                attempt,
+            } => {
+                counts.add(Count::ClaimInProgress);
+                if self.context.is_live(&router, incarnation) {
+                    return Err(in_progress());
+                }
+                let address = self.context.view.runner(&runner).map(|one| one.address);
+                let query = RunnerQuery {
+                    address: address.unwrap_or_default(),
+                    request,
+                    attempt,
+                };
+                self.recover(&query).await.map(Some)
+            }
+            ClaimReply::Unknown => {
+                counts.add(Count::ClaimUnknown);
+                Err(unknown())
+            }
+            ClaimReply::Conflict => {
+                counts.add(Count::ClaimConflict);
+                let message = "this key was used with another body";
+                Err(Refusal::not_run(RefusalReason::KeyConflict, message))
+            }
+            ClaimReply::Withdrawn => Err(unavailable()),
+        }
+    }
+
+    fn release_command(&self, attempt: Attempt) -> Command {
+        Command::ReleaseClaim {
+            tenant: self.work.tenant.clone(),
+            key: self.key.clone(),
+            request: self.work.request.clone(),
+            attempt,
+        }
+    }
+
+    /// Gives the claim of an attempt back that is proved not to have run.
+    async fn release(&self, attempt: Attempt) -> Result<(), Refusal> {
+        let command = self.release_command(attempt);
+        match commit_in_the_end(&self.context, command).await {
+            true => Ok(()),
+            false => Err(unavailable()),
+        }
+    }
+
+    /// Fences a claim that may be committed yet, so that the key is not stuck.
+    fn withdraw(&self, attempt: Attempt) {
+        let command = self.release_command(attempt);
+        let context = self.context.clone();
+        let work = async move { commit_in_the_end(&context, command).await };
+        self.context.tasks.spawn(work);
+    }
+
+    /// Records the end of the claim. An answer that is too long to be recorded
+    /// counts as unknown for repeats.
+    async fn finish(&self, attempt: Attempt, answer: Option<StoredAnswer>) {
+        let command = Command::FinishClaim {
+            tenant: self.work.tenant.clone(),
+            key: self.key.clone(),
+            request: self.work.request.clone(),
+            attempt,
+            answer: answer.filter(|answer| answer.body.len() <= MAX_RECORDED_BYTES),
+        };
+        commit_in_the_end(&self.context, command).await;
+    }
+}
+
+/// Commits a command that may be repeated, however long it takes. Returns
+/// whether it was committed within [`LEDGER_PATIENCE`].
+async fn commit_in_the_end(context: &RouterContext, command: Command) -> bool {
+    let owned = context.clone();
+    let work = context.tasks.spawn(async move {
+        while owned.ledger.commit(command.clone()).await.is_err() {
+            tokio::time::sleep(COMMIT_PAUSE).await;
+        }
+    });
+    tokio::time::timeout(LEDGER_PATIENCE, work).await.is_ok()
+}
+
+fn unavailable() -> Refusal {
+    let message = "the claim could not be recorded";
+    let refusal = Refusal::not_run(RefusalReason::LedgerUnavailable, message);
+    refusal.with_retry_after(LEDGER_RETRY)
+}
+
+fn in_progress() -> Refusal {
+    let message = "a request with this key is running";
+    let refusal = Refusal::unknown(RefusalReason::InProgress, message);
+    refusal.with_retry_after(IN_PROGRESS_RETRY)
+}
+
+fn unknown() -> Refusal {
+    let message = "a request with this key may have run; its answer is lost";
+    Refusal::unknown(RefusalReason::RunnerFailed, message)
+}
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -1,10 +1,11 @@
 //! Reads and checks a caller's request.
 
+use crate::attempt::Work;
 use crate::configuration::ConfigurationView;
 use bytes::Bytes;
 use courseshunt_types::{
     AdapterName, DeploymentDocument, DeploymentName, Digest, IdempotencyKey, Millis, PriorityClass,
-    Refusal, RefusalReason, RequestId, TenantName,
+    Refusal, RefusalReason, RequestId, TenantName, Timestamp,
 };
 use hyper::header::HeaderMap;
 use serde_json::Value;
@@ -116,6 +117,48 @@
     }
 }
 
+impl CallerRequest {
+    /// The idempotency key in the headers.
+    ///
+    /// # Errors
+    /// When it is too long or no text.
+    pub fn key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Refusal> {
+        let key = text(headers, KEY_HEADER)?;
+        if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+            return Err(invalid(format!(
+                "{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes"
+            )));
+        }
+        Ok(key.map(IdempotencyKey::from))
+    }
+
+    /// Whether the headers say in so many words that the request may repeat.
+    #[must_use]
+    pub fn may_repeat(headers: &HeaderMap) -> bool {
+        headers.get(REPEAT_HEADER).is_some_and(|one| one == "any")
+    }
+
+    /// The work for a runner; it arrived at `arrived`.
+    #[must_use]
+    pub fn work(&self, arrived: Timestamp) -> Work {
+        Work {
+            request: self.request.clone(),
+            tenant: self.tenant.clone(),
+            deployment: self.document.name.clone(),
+            adapter: self.adapter.clone(),
+            class: self.class,
+            arrived,
+            waited_before: Millis(0),
+            deadline: arrived + self.deadline_in,
+            repeatable: self.repeat == RepeatRule::Any,
+            prompt_tokens: self.prompt_tokens,
+            max_tokens: self.max_tokens,
+            path: self.path.to_owned(),
+            body: self.body.clone(),
+        }
+    }
+}
+
 fn invalid(message: impl Into<String>) -> Refusal {
     Refusal::not_run(RefusalReason::InvalidRequest, message)
 }
@@ -184,21 +227,16 @@
 }
 
 fn repeat(headers: &HeaderMap) -> Result<RepeatRule, Refusal> {
-    let key = text(headers, KEY_HEADER)?;
-    if key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
-        return Err(invalid(format!(
-            "{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes"
-        )));
-    }
+    let key = CallerRequest::key(headers)?;
     match text(headers, REPEAT_HEADER)? {
-        None | Some("any") => Ok(key.map_or(RepeatRule::Any, |key| RepeatRule::Never(key.into()))),
+        None | Some("any") => Ok(key.map_or(RepeatRule::Any, RepeatRule::Never)),
         Some("never") => {
             let key = key.ok_or_else(|| {
                 invalid(format!(
                     "{REPEAT_HEADER}: never needs the header {KEY_HEADER}"
                 ))
             })?;
-            Ok(RepeatRule::Never(key.into()))
+            Ok(RepeatRule::Never(key))
         }
         Some(other) => {
             let problem = format!("{REPEAT_HEADER} is `{other}`; allowed: any, never");
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -117,6 +117,9 @@
             }
             Message::Fleet(update) => view.apply_fleet(update),
             Message::FeedConfirmation { .. } => view.confirm(self.context.clock.now()),
+            Message::Jobs { jobs } => {
+                self.context.jobs.set(jobs, self.context.clock.now());
+            }
             Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,11 +1,9 @@
-//! Waiting queues and the sending of granted requests.
+//! Waiting queues and grants.
 
 mod actor;
 mod handle;
-mod send;
 
 pub use handle::{DispatcherHandle, GrantedRequest};
-pub use send::{Attempted, RunnerRequest, send_to_runner};
 
 use crate::configuration::ConfigurationView;
 use crate::error::RouterError;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod jobs;
 
 pub use error::RouterError;
 
@@ -14,9 +15,10 @@
 use control::LedgerClient;
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
-use courseshunt_types::Incarnation;
 use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::{Incarnation, RouterId};
 use courseshunt_wire::ClusterKey;
+use courseshunt_wire::message::RouterEndpoint;
 use dispatch::DispatcherHandle;
 use error::{BindSnafu, FileSnafu, ShortKeySnafu};
 use snafu::{OptionExt, ResultExt};
@@ -24,6 +26,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// What the parts of a router share.
 #[derive(Debug, Clone)]
@@ -38,6 +41,14 @@
     pub dispatcher: DispatcherHandle,
     /// Commands for the replicated ledger.
     pub ledger: LedgerClient,
+    /// What attempts, claims and jobs came to.
+    pub counts: Arc<attempt::AttemptCounts>,
+    /// Share of requests that may be retried.
+    pub retry_budget: Arc<attempt::RetryBudget>,
+    /// Queued jobs that this router is to execute.
+    pub jobs: Arc<jobs::JobBoard>,
+    /// Work that a planned stop waits for.
+    pub tasks: TaskTracker,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
     /// HTTP client for runners.
@@ -48,6 +59,17 @@
     pub stop: CancellationToken,
 }
 
+impl RouterContext {
+    /// Whether a router's incarnation lives, as far as the fleet view tells.
+    #[must_use]
+    pub fn is_live(&self, router: &RouterId, incarnation: Incarnation) -> bool {
+        let own = *router == self.settings.id && incarnation == self.incarnation;
+        let routers = self.view.routers();
+        let listed = |one: &RouterEndpoint| one.router == *router && one.incarnation == incarnation;
+        own || routers.iter().any(listed)
+    }
+}
+
 /// A running router.
 #[derive(Debug)]
 pub struct Router {
@@ -89,6 +111,10 @@
             view,
             dispatcher,
             ledger,
+            counts: Arc::default(),
+            retry_budget: Arc::default(),
+            jobs: Arc::default(),
+            tasks: TaskTracker::new(),
             requests: Arc::default(),
             client: HttpClient::default(),
             clock,
@@ -100,6 +126,7 @@
         };
         let link = control::run(context.clone(), key, endpoints, ledger_calls);
         tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
+        tokio::spawn(jobs::run(context.clone()));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
         let server = tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
--- a/crates/router/tests/attempt.rs
+++ b/crates/router/tests/attempt.rs
@@ -1,122 +1,130 @@
 //! Contract of an attempt: what may be called not-run, and the retry budget.
 
+use courseshunt_queue::{AdmissionFailure, AttemptOutcome};
 use courseshunt_router::attempt::*;
-use courseshunt_types::Outcome;
-use courseshunt_wire::message::GrantEnding;
+use courseshunt_types::{Millis, Outcome};
 
 use AttemptEvent::*;
 
 /// Events in order, what a caller may be told, what the queue's owner is told.
-type Case = (&'static str, &'static [AttemptEvent], Outcome, GrantEnding);
+type Case = (
+    &'static str,
+    &'static [AttemptEvent],
+    Outcome,
+    AttemptOutcome,
+);
+
+const DONE: AttemptOutcome = AttemptOutcome::Done {
+    first_byte: Millis(0),
+    total: Millis(0),
+};
+const BUSY: AttemptOutcome = AttemptOutcome::NotAdmitted(AdmissionFailure::Busy);
+const DRAINS: AttemptOutcome = AttemptOutcome::NotAdmitted(AdmissionFailure::Draining);
+const GONE: AttemptOutcome = AttemptOutcome::NotAdmitted(AdmissionFailure::Unreachable);
 
 const CASES: &[Case] = &[
-    (
-        "granted only",
-        &[],
-        Outcome::NotRun,
-        GrantEnding::RunnerFailed,
-    ),
+    ("granted only", &[], Outcome::NotRun, BUSY),
     (
         "runner gone before the send",
         &[RunnerUnknown],
         Outcome::NotRun,
-        GrantEnding::Unused,
+        AttemptOutcome::Unused,
     ),
     (
         "connect refused",
         &[Sending, ConnectFailed],
         Outcome::NotRun,
-        GrantEnding::RunnerFailed,
+        GONE,
     ),
     (
         "sent, then nothing",
         &[Sending],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "reset after the send",
         &[Sending, Failed(UnknownCause::Broken)],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "draining refusal",
         &[Sending, Refused(NotRunCause::Draining)],
         Outcome::NotRun,
-        GrantEnding::RunnerDraining,
+        DRAINS,
     ),
     (
         "full refusal",
         &[Sending, Refused(NotRunCause::Full)],
         Outcome::NotRun,
-        GrantEnding::RunnerFailed,
+        BUSY,
     ),
     (
         "fenced by the runner",
         &[Sending, Fenced],
         Outcome::NotRun,
-        GrantEnding::RunnerFailed,
+        GONE,
     ),
     (
         "a refusal after the answer began proves nothing",
         &[Sending, HeadMatched, Refused(NotRunCause::Full)],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "a connect error after the answer began proves nothing",
         &[Sending, HeadMatched, ConnectFailed],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "an unknown runner after the send proves nothing",
         &[Sending, RunnerUnknown],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "cut short",
         &[Sending, HeadMatched, Failed(UnknownCause::CutShort)],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "whole",
         &[Sending, HeadMatched, Finished],
         Outcome::Done,
-        GrantEnding::Finished,
+        DONE,
     ),
     (
         "an end without an answer is no answer",
         &[Sending, Finished],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "caller left",
         &[Sending, CallerLeft],
         Outcome::Unknown,
-        GrantEnding::Finished,
+        AttemptOutcome::Cancelled,
     ),
     (
         "caller left before the send",
         &[CallerLeft],
         Outcome::NotRun,
-        GrantEnding::RunnerFailed,
+        BUSY,
     ),
     (
         "the first outcome counts",
         &[Sending, Failed(UnknownCause::Crossed), Fenced, Finished],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
     (
         "an answer does not start over",
         &[Sending, HeadMatched, Sending, ConnectFailed],
         Outcome::Unknown,
-        GrantEnding::RunnerFailed,
+        AttemptOutcome::Failed,
     ),
 ];
 
@@ -130,7 +138,11 @@
             .count();
         assert!(settled <= 1, "{name}: settled {settled} times");
         assert_eq!(machine.outcome().outcome(), *outcome, "{name}");
-        assert_eq!(machine.outcome().grant_ending(), *ending, "{name}");
+        assert_eq!(
+            machine.outcome().report(AttemptTimes::default()),
+            *ending,
+            "{name}"
+        );
     }
 }
 
--- /dev/null
+++ b/crates/standin/src/server/fault.rs
@@ -0,0 +1,65 @@
+//! Faults that a test plans for a runner's next completions.
+
+use courseshunt_types::Millis;
+
+/// What goes wrong with one completion.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunnerFault {
+    /// Nothing; the completion is served as usual.
+    None,
+    /// The whole process dies; see [`super::RunnerServer::restart`].
+    Die(FaultPoint),
+    /// The connection breaks; the process lives on.
+    Reset(FaultPoint),
+    /// The stream ends early as if it were whole, without its last event.
+    CutShort {
+        /// Tokens sent before the end.
+        tokens: u32,
+    },
+    /// Like [`Self::CutShort`], and the runner forgets the execution.
+    CutShortAndForget {
+        /// Tokens sent before the end.
+        tokens: u32,
+    },
+    /// Every event of the stream is sent twice.
+    Doubled,
+    /// Between the events come those of another request, and a whole answer
+    /// carries another request's identity.
+    Crossed,
+    /// The head names another request.
+    WrongRequest,
+    /// The head names an earlier attempt.
+    WrongAttempt,
+    /// The answer comes later.
+    Late(Millis),
+    /// Nothing is admitted and nothing answered.
+    Hang,
+    /// Refused before admission, with this code, such as `draining`.
+    Refuse(&'static str),
+    /// An error without a word on whether the request started.
+    Error,
+}
+
+/// When a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultPoint {
+    /// Before the engine admitted the request.
+    BeforeAdmission,
+    /// After admission, before the head of the answer.
+    AfterAdmission,
+    /// After this many tokens of the answer.
+    AfterTokens(u32),
+}
+
+impl RunnerFault {
+    /// Tokens after which the answer breaks off.
+    pub(super) fn break_after(self) -> Option<u32> {
+        match self {
+            Self::Die(FaultPoint::AfterTokens(tokens))
+            | Self::Reset(FaultPoint::AfterTokens(tokens))
+            | Self::CutShort { tokens }
+            | Self::CutShortAndForget { tokens } => Some(tokens),
+            _ => None,
+        }
+    }
+}
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -1,13 +1,19 @@
 //! The models behind sockets.
 
 mod completion;
+mod connections;
+mod engine;
+mod executions;
+mod fault;
 mod platform;
 mod runner;
 mod store;
 
 pub use completion::answer_word;
+pub use executions::{Execution, ExecutionEnd};
+pub use fault::{FaultPoint, RunnerFault};
 pub use platform::PlatformServer;
-pub use runner::{Execution, ExecutionEnd, RunnerServer};
+pub use runner::RunnerServer;
 pub use store::StoreServer;
 
 use courseshunt_http::{Body, json_response};
--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -1,63 +1,31 @@
-//! A stand-in runner: the engine's API and its control interface.
+//! A stand-in runner: its process, driver and control interface.
 
-use super::completion::{CompletionRequest, answer_word};
+use super::connections::{Answer, accept};
+use super::executions::{Execution, ExecutionEnd, Executions};
+use super::fault::RunnerFault;
 use super::not_found;
-use crate::model::{
-    EngineRejection, EngineRequest, RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey,
-};
-use bytes::Bytes;
-use courseshunt_http::{
-    Body, BodySender, HttpClient, ServerLimits, bearer_token, channel_body, full_body,
-    json_response, read_limited, serve,
-};
-use courseshunt_types::runner_api::{
-    ATTEMPT_HEADER, NOT_STARTED_HEADER, OrderRequest, PRIORITY_HEADER, REQUEST_ID_HEADER,
-};
+use crate::model::{RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey};
+use courseshunt_http::{Body, HttpClient, bearer_token, json_response, read_limited};
+use courseshunt_types::runner_api::OrderRequest;
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{Attempt, ModelName, PriorityClass, RequestId, Timestamp};
+use courseshunt_types::{ModelName, Timestamp};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Longest request body, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Longest transfer from the weight store.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(600);
 /// Pause of the driver when nothing is to come.
 const IDLE: Duration = Duration::from_secs(3600);
 
-/// How an execution ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ExecutionEnd {
-    /// It runs.
-    Running,
-    /// All tokens were generated.
-    Finished,
-    /// The caller left.
-    Cancelled,
-}
-
-/// One execution, for checks from outside the product.
-#[derive(Debug, Clone, serde::Serialize)]
-pub struct Execution {
-    /// The request.
-    pub request: RequestId,
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The prompt, as sent.
-    pub prompt: String,
-    /// How it ended.
-    pub end: ExecutionEnd,
-}
-
 /// A running stand-in runner.
 #[derive(Debug, Clone)]
 pub struct RunnerServer {
@@ -68,26 +36,22 @@
 }
 
 #[derive(Debug)]
-struct Shared {
-    clock: MonotonicClock,
+pub(super) struct Shared {
+    pub(super) clock: MonotonicClock,
     token: String,
     store_address: SocketAddr,
     client: HttpClient,
     state: Mutex<State>,
-    changed: Notify,
+    pub(super) changed: Notify,
 }
 
 #[derive(Debug)]
-struct State {
-    model: RunnerModel,
-    streams: BTreeMap<SequenceKey, mpsc::UnboundedSender<GeneratedToken>>,
-    executions: Vec<Execution>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct GeneratedToken {
-    position: u32,
-    last: bool,
+pub(super) struct State {
+    pub(super) model: RunnerModel,
+    pub(super) executions: Executions,
+    pub(super) faults: VecDeque<RunnerFault>,
+    /// Cancelled at the death of the process.
+    alive: CancellationToken,
 }
 
 impl RunnerServer {
@@ -109,8 +73,9 @@
             client: HttpClient::default(),
             state: Mutex::new(State {
                 model: RunnerModel::new(settings),
-                streams: BTreeMap::new(),
-                executions: Vec::new(),
+                executions: Executions::default(),
+                faults: VecDeque::new(),
+                alive: CancellationToken::new(),
             }),
             changed: Notify::new(),
         });
@@ -122,18 +87,42 @@
         let stop = server.stop.clone();
         let (driver, driver_stop) = (shared.clone(), stop.clone());
         tokio::spawn(async move { driver_stop.run_until_cancelled(drive(&driver)).await });
-        let handler = move |request, _| {
-            let shared = shared.clone();
-            async move { shared.answer(request).await }
-        };
-        tokio::spawn(serve(listener, ServerLimits::default(), stop, handler));
+        server.listen(listener);
         Ok(server)
     }
 
+    fn listen(&self, listener: TcpListener) {
+        let alive = self.shared.lock().alive.clone();
+        let accepting = accept(listener, self.shared.clone(), alive, self.stop.clone());
+        tokio::spawn(accepting);
+    }
+
+    /// Plans faults for the next completions, one for each; for tests.
+    pub fn plan_faults(&self, faults: impl IntoIterator<Item = RunnerFault>) {
+        self.shared.lock().faults = faults.into_iter().collect();
+    }
+
+    /// Ends the process at once: connections break and memory is lost. Nothing
+    /// listens until [`Self::restart`].
+    pub fn kill(&self) {
+        self.shared.die();
+    }
+
+    /// Starts a new process on the same address after [`Self::kill`].
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn restart(&self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        self.shared.lock().alive = CancellationToken::new();
+        self.listen(listener);
+        Ok(())
+    }
+
     /// All executions so far.
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
-        self.shared.lock().executions.clone()
+        self.shared.lock().executions.all()
     }
 
     /// Orders refused because memory would have been overcommitted.
@@ -165,7 +154,17 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    /// The process dies: a new one starts empty, under a new incarnation.
+    pub(super) fn die(&self) {
+        let mut state = self.lock();
+        let mut settings = state.model.settings().clone();
+        settings.incarnation = settings.incarnation.next();
+        state.model = RunnerModel::new(settings);
+        state.executions.forget_all();
+        state.alive.cancel();
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -181,28 +180,32 @@
                     key,
                     position,
                     last,
-                } => state.deliver(&key, GeneratedToken { position, last }),
+                } => state.executions.token(&key, position, last),
                 RunnerEvent::Loaded(_) | RunnerEvent::Unloaded(_) => {}
             }
         }
         state.model.next_event()
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
-        match (request.method(), path.as_str()) {
+        let answer = match (request.method(), path.as_str()) {
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
-                self.complete(request).await
+                return self.complete(request).await;
+            }
+            (_, path) if path.starts_with("/v1/executions/") => {
+                return self.execution(&request).await;
             }
             (_, path) if path.starts_with("/control/") => {
                 if bearer_token(request.headers()) != Some(&self.token) {
                     let content = serde_json::json!({"error": "wrong token"});
-                    return json_response(StatusCode::UNAUTHORIZED, &content);
+                    return Ok(json_response(StatusCode::UNAUTHORIZED, &content));
                 }
                 self.control(request).await
             }
             _ => not_found(),
-        }
+        };
+        Ok(answer)
     }
 
     async fn control(&self, request: Request<Incoming>) -> Response<Body> {
@@ -237,139 +240,15 @@
         }
     }
 
-    async fn complete(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let headers = request.headers().clone();
-        let body = read_limited(request.into_body(), MAX_BODY_BYTES, "router").await;
-        let completion = body.ok().and_then(|body| CompletionRequest::parse(&body));
-        let Some(completion) = completion else {
-            return rejected(StatusCode::BAD_REQUEST, "the body can't be read");
-        };
-        let engine_request = engine_request(&headers, &completion);
-        let key = engine_request.key.clone();
-        let tokens = match self.submit(engine_request, &completion) {
-            Ok(tokens) => tokens,
-            Err(EngineRejection::Draining) => {
-                return rejected(StatusCode::SERVICE_UNAVAILABLE, "draining");
-            }
-            Err(EngineRejection::NotLoaded) => {
-                return rejected(StatusCode::SERVICE_UNAVAILABLE, "not_loaded");
-            }
-            Err(EngineRejection::Full) => {
-                return rejected(StatusCode::SERVICE_UNAVAILABLE, "full");
-            }
-            Err(EngineRejection::Duplicate) => {
-                let content = serde_json::json!({"error": {"message": "duplicate"}});
-                return json_response(StatusCode::CONFLICT, &content);
-            }
-        };
-        let running = RunningCompletion {
-            shared: self,
-            key: key.clone(),
-            tokens,
-        };
-        let mut response = if completion.stream {
-            let (sender, body) = channel_body();
-            tokio::spawn(stream(running, completion, sender));
-            let mut response = Response::new(body);
-            let events = HeaderValue::from_static("text/event-stream");
-            response.headers_mut().insert(CONTENT_TYPE, events);
-            response
-        } else {
-            whole(running, completion).await
-        };
-        if let Ok(value) = HeaderValue::from_str(key.request.as_str()) {
-            response.headers_mut().insert(REQUEST_ID_HEADER, value);
-        }
-        response
-            .headers_mut()
-            .insert(ATTEMPT_HEADER, key.attempt.0.into());
-        response
-    }
-
-    fn submit(
-        &self,
-        request: EngineRequest,
-        completion: &CompletionRequest,
-    ) -> Result<mpsc::UnboundedReceiver<GeneratedToken>, EngineRejection> {
-        let key = request.key.clone();
+    /// Ends an execution early.
+    pub(super) fn cancel(&self, key: &SequenceKey) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.model.submit(request, now)?;
-        let (sender, receiver) = mpsc::unbounded_channel();
-        state.streams.insert(key.clone(), sender);
-        state.executions.push(Execution {
-            request: key.request,
-            attempt: key.attempt,
-            prompt: completion.prompt.clone(),
-            end: ExecutionEnd::Running,
-        });
+        state.model.cancel(key, now);
+        state.executions.end(key, ExecutionEnd::Cancelled);
         drop(state);
         self.changed.notify_one();
-        Ok(receiver)
-    }
-}
-
-impl State {
-    fn deliver(&mut self, key: &SequenceKey, token: GeneratedToken) {
-        if let Some(stream) = self.streams.get(key) {
-            let _ = stream.send(token);
-        }
-        if token.last {
-            self.streams.remove(key);
-            self.end(key, ExecutionEnd::Finished);
-        }
-    }
-
-    fn end(&mut self, key: &SequenceKey, end: ExecutionEnd) {
-        let same = |one: &&mut Execution| one.request == key.request && one.attempt == key.attempt;
-        let found = self.executions.iter_mut().rev().find(same);
-        if let Some(execution) = found.filter(|one| one.end == ExecutionEnd::Running) {
-            execution.end = end;
-        }
-    }
-}
-
-/// A request in the engine; dropping it cancels what still runs.
-struct RunningCompletion {
-    shared: Arc<Shared>,
-    key: SequenceKey,
-    tokens: mpsc::UnboundedReceiver<GeneratedToken>,
-}
-
-impl Drop for RunningCompletion {
-    fn drop(&mut self) {
-        let now = self.shared.clock.now();
-        let mut state = self.shared.lock();
-        if state.streams.remove(&self.key).is_some() {
-            state.model.cancel(&self.key, now);
-            state.end(&self.key, ExecutionEnd::Cancelled);
-        }
-        drop(state);
-        self.shared.changed.notify_one();
-    }
-}
-
-async fn stream(mut running: RunningCompletion, request: CompletionRequest, mut body: BodySender) {
-    let id = running.key.request.to_string();
-    while let Some(token) = running.tokens.recv().await {
-        let word = answer_word(&request.prompt, token.position);
-        let chunk = request.chunk(&id, token.position, &word, token.last);
-        if body.send_data(Bytes::from(chunk)).await.is_err() {
-            return;
-        }
     }
-    let _ = body
-        .send_data(Bytes::from_static(b"data: [DONE]\n\n"))
-        .await;
-}
-
-async fn whole(mut running: RunningCompletion, request: CompletionRequest) -> Response<Body> {
-    let mut text = String::new();
-    while let Some(token) = running.tokens.recv().await {
-        text.push_str(&answer_word(&request.prompt, token.position));
-    }
-    let id = running.key.request.to_string();
-    json_response(StatusCode::OK, &request.whole(&id, &text))
 }
 
 async fn fetch(shared: Arc<Shared>, model: ModelName, size_mib: u64) {
@@ -391,36 +270,3 @@
     shared.lock().model.fetch_finished(&model, size_mib, now);
     shared.changed.notify_one();
 }
-
-fn engine_request(headers: &HeaderMap, completion: &CompletionRequest) -> EngineRequest {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let attempt = text(ATTEMPT_HEADER).and_then(|text| text.parse().ok());
-    let class = text(PRIORITY_HEADER).and_then(PriorityClass::parse);
-    let (deployment, adapter) = match completion.model.split_once(':') {
-        Some((deployment, adapter)) => (deployment, Some(adapter.into())),
-        None => (completion.model.as_str(), None),
-    };
-    EngineRequest {
-        key: SequenceKey {
-            request: text(REQUEST_ID_HEADER).unwrap_or("direct").into(),
-            attempt: Attempt(attempt.unwrap_or(1)),
-        },
-        deployment: deployment.into(),
-        adapter,
-        class: class.unwrap_or_default(),
-        prompt_tokens: completion.prompt_tokens(),
-        max_tokens: completion.max_tokens,
-    }
-}
-
-/// A refusal that proves that the request did not start.
-fn rejected(status: StatusCode, reason: &str) -> Response<Body> {
-    let content = serde_json::json!({"error": {"message": reason, "code": reason}});
-    let body = full_body(serde_json::to_vec(&content).unwrap_or_default());
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(NOT_STARTED_HEADER, HeaderValue::from_static("true"));
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    response
-}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -133,8 +133,8 @@
         class: PriorityClass,
         /// Whether it may run once only.
         once_only: bool,
-        /// To be done by then.
-        deadline: UnixMillis,
+        /// To be done within this time.
+        deadline_in: Millis,
         /// How long the answer is kept after the end.
         keep: Millis,
     },
@@ -201,6 +201,9 @@
     Answered(StoredAnswer),
     /// It is proved not to have run; it is queued again.
     NotRun,
+    /// It may have run, and may run again: it is queued again. A once-only job
+    /// becomes unknown.
+    Retry,
     /// It may have run.
     Unknown,
     /// The deadline passed before the end.
@@ -212,5 +215,7 @@
     Refused {
         /// Why.
         message: String,
+        /// Whether it may have run.
+        started: bool,
     },
 }
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -280,12 +280,14 @@
                 record.state = JobState::Queued;
                 record.started = false;
             }
+            JobEnd::Retry if record.once_only => record.end(JobState::Unknown, now),
+            JobEnd::Retry => record.state = JobState::Queued,
             JobEnd::DeadlineMissed { started } => {
                 record.started = *started;
                 record.end(JobState::DeadlineMissed, now);
             }
-            JobEnd::Refused { message } => {
-                record.started = false;
+            JobEnd::Refused { message, started } => {
+                record.started = *started;
                 record.end(JobState::Refused(message.clone()), now);
             }
         }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -236,7 +236,7 @@
                 queue_limit,
                 class,
                 once_only,
-                deadline,
+                deadline_in,
                 keep,
             } => {
                 let record = JobRecord {
@@ -248,7 +248,7 @@
                     class: *class,
                     once_only: *once_only,
                     submitted_at: now,
-                    deadline: *deadline,
+                    deadline: now + *deadline_in,
                     keep: *keep,
                     ended_at: None,
                     expires_at: None,
--- a/crates/state/tests/commands.rs
+++ b/crates/state/tests/commands.rs
@@ -221,7 +221,7 @@
             queue_limit: 10,
             class: PriorityClass::Batch,
             once_only,
-            deadline: UnixMillis(1_000_000),
+            deadline_in: Millis(999_000),
             keep: Millis(1_000),
         });
         log.apply(Command::LeaseJob {
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -84,6 +84,16 @@
     }
 
     fn submit_body(&mut self, job: &str, once_only: bool, body: &[u8]) -> CommandReply {
+        self.submit_within(job, once_only, body, 9_000)
+    }
+
+    fn submit_within(
+        &mut self,
+        job: &str,
+        once_only: bool,
+        body: &[u8],
+        deadline_in: u64,
+    ) -> CommandReply {
         self.apply(Command::SubmitJob {
             job: job.into(),
             tenant: "andrade".into(),
@@ -93,7 +103,7 @@
             queue_limit: 2,
             class: PriorityClass::Batch,
             once_only,
-            deadline: UnixMillis(10_000),
+            deadline_in: Millis(deadline_in),
             keep: Millis(5_000),
         })
     }
@@ -307,6 +317,7 @@
                     "a",
                     JobEnd::Refused {
                         message: "gone".to_owned(),
+                        started: false,
                     },
                 );
             },
@@ -373,8 +384,6 @@
     assert_eq!(ledger.view("j"), None);
     ledger.time = 20_000;
     assert_eq!(ledger.lease("k", "a"), JobReply::DeadlinePassed);
-    assert_eq!(
-        ledger.submit("m", false),
-        CommandReply::Job(JobReply::DeadlinePassed)
-    );
+    let late = ledger.submit_within("m", false, b"{}", 0);
+    assert_eq!(late, CommandReply::Job(JobReply::DeadlinePassed));
 }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -98,6 +98,8 @@
     RequestTimeout,
     /// The headers are larger than the limit.
     HeadersTooLarge,
+    /// The job has ended already.
+    JobEnded,
 }
 
 impl RefusalReason {
@@ -111,7 +113,7 @@
             Self::UnknownModel | Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
             Self::RequestTimeout => 408,
-            Self::InProgress => 409,
+            Self::InProgress | Self::JobEnded => 409,
             Self::TooLarge => 413,
             Self::KeyConflict => 422,
             Self::RateLimited | Self::QueueFull => 429,
@@ -148,6 +150,7 @@
             Self::MethodNotAllowed => "method_not_allowed",
             Self::RequestTimeout => "request_timeout",
             Self::HeadersTooLarge => "headers_too_large",
+            Self::JobEnded => "job_ended",
         }
     }
 }
--- a/crates/types/src/runner_api.rs
+++ b/crates/types/src/runner_api.rs
@@ -3,7 +3,9 @@
 //! Runners are outside systems; this is the published protocol they serve.
 
 use crate::fence::Fence;
-use crate::ids::{AdapterName, DeploymentName, Incarnation, ModelName, RunnerId, Zone};
+use crate::ids::{
+    AdapterName, Attempt, DeploymentName, Incarnation, ModelName, RequestId, RunnerId, Zone,
+};
 use crate::time::Millis;
 
 /// Header that carries the request's identity to a runner and back.
@@ -17,6 +19,36 @@
 /// Header in which an answer carries the runner's present load.
 pub const RUNNER_LOAD_HEADER: &str = "x-runner-load";
 
+/// Path of one execution at a runner. `GET` with `?from=N` gives its answer
+/// again, a stream from token N on; 404 says that the runner knows nothing of
+/// it. `GET` with `/status` tells its phase. `DELETE` ends it; one that had not
+/// started never will.
+#[must_use]
+pub fn execution_path(request: &RequestId, attempt: Attempt) -> String {
+    format!("/v1/executions/{request}/{attempt}")
+}
+
+/// Reply to `GET /v1/executions/REQUEST/ATTEMPT/status` and to `DELETE`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ExecutionStatus {
+    /// How far it has come.
+    pub phase: ExecutionPhase,
+}
+
+/// How far an execution has come at its runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ExecutionPhase {
+    /// The runner never started it; after a `DELETE` it never will.
+    NotStarted,
+    /// It waits or runs in the engine.
+    Running,
+    /// All of its answer is there.
+    Finished,
+    /// It was ended early.
+    Cancelled,
+}
+
 /// Where a checkpoint lies; a lower tier loads faster.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -119,6 +119,14 @@
     }
 }
 
+impl UnixMillis {
+    /// Time passed since `earlier`; zero when `earlier` lies ahead.
+    #[must_use]
+    pub fn since(self, earlier: UnixMillis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
 impl Add<Millis> for UnixMillis {
     type Output = UnixMillis;
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,8 +7,8 @@
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    ClientSequence, DeploymentName, Epoch, GroupId, Incarnation, LogIndex, Millis, RequestId,
-    Revision, RouterId, RunnerId, Zone,
+    ClientSequence, DeploymentName, Epoch, GroupId, Incarnation, JobId, LogIndex, Millis,
+    PriorityClass, RequestId, Revision, RouterId, RunnerId, Zone,
 };
 
 /// Number of a call on one connection; its reply has the same.
@@ -151,6 +151,30 @@
         /// Tickets that must be offered to the owner again.
         requests: Vec<RequestId>,
     },
+    /// Controller to router: the queued jobs that it should execute.
+    Jobs {
+        /// The earliest deadlines first; replaces what was told before.
+        jobs: Vec<QueuedJob>,
+    },
+    /// Router to controller: it stops as planned and owns no queues any more.
+    Leaving,
+    /// Controller to router: stop as planned.
+    Drain,
+}
+
+/// A queued job as its executor needs it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct QueuedJob {
+    /// The job.
+    pub job: JobId,
+    /// Its deployment.
+    pub deployment: DeploymentName,
+    /// Its class.
+    pub class: PriorityClass,
+    /// Time since it was accepted.
+    pub waited: Millis,
+    /// Time left until its deadline.
+    pub deadline_in: Millis,
 }
 
 /// Result of a command for the ledger.
