--- a/crates/controller/src/feed/updates.rs
+++ b/crates/controller/src/feed/updates.rs
@@ -34,6 +34,7 @@
     let runners = placement.runners.values().map(|record| RunnerEndpoint {
         runner: record.runner.clone(),
         address: record.address.clone(),
+        incarnation: record.incarnation,
         zone: record.zone.clone(),
         state: record.state,
     });
--- a/crates/router/src/attempt/query.rs
+++ b/crates/router/src/attempt/query.rs
@@ -3,7 +3,7 @@
 
 use courseshunt_http::{HttpClient, HttpError, empty_body};
 use courseshunt_types::runner_api::{ExecutionPhase, ExecutionStatus, execution_path};
-use courseshunt_types::{Attempt, RequestId};
+use courseshunt_types::{Attempt, Incarnation, RequestId};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use std::time::Duration;
@@ -16,13 +16,16 @@
 pub struct RunnerQuery {
     /// `ip:port` of the runner.
     pub address: String,
+    /// Its incarnation before the request was sent, if known.
+    pub incarnation: Option<Incarnation>,
     /// The request.
     pub request: RequestId,
     /// The attempt.
     pub attempt: Attempt,
 }
 
-/// The phase of an execution; `None` when the runner gives no answer.
+/// The phase of an execution; `None` when the runner gives no answer, or when
+/// another process than the one that got the request says "not started".
 pub async fn execution_status(client: &HttpClient, query: &RunnerQuery) -> Option<ExecutionPhase> {
     ask(client, query, Method::GET, "/status").await
 }
@@ -33,6 +36,17 @@
     ask(client, query, Method::DELETE, "").await
 }
 
+/// The phase of an execution, which is fenced if it has not started.
+pub async fn cancel_unless_started(
+    client: &HttpClient,
+    query: &RunnerQuery,
+) -> Option<ExecutionPhase> {
+    match execution_status(client, query).await {
+        Some(ExecutionPhase::NotStarted) => cancel_execution(client, query).await,
+        phase => phase,
+    }
+}
+
 async fn ask(
     client: &HttpClient,
     query: &RunnerQuery,
@@ -46,7 +60,8 @@
         return None;
     }
     let status: ExecutionStatus = serde_json::from_slice(&reply.body).ok()?;
-    Some(status.phase)
+    let same = query.incarnation == Some(status.incarnation);
+    (same || status.phase != ExecutionPhase::NotStarted).then_some(status.phase)
 }
 
 /// Asks for the answer again, a stream from token `from` on. `Ok(None)` when
--- a/crates/router/src/attempt/send.rs
+++ b/crates/router/src/attempt/send.rs
@@ -3,7 +3,9 @@
 use super::counts::Count;
 use super::machine::{AttemptEvent, AttemptMachine};
 use super::outcome::{AttemptEnd, AttemptTimes, NotRunCause, UnknownCause};
-use super::query::{RunnerQuery, cancel_execution, execution_status};
+use super::query::{
+    RunnerQuery, cancel_execution, cancel_unless_started, execution_status, fetch_execution,
+};
 use crate::RouterContext;
 use crate::dispatch::GrantedRequest;
 use bytes::Bytes;
@@ -69,10 +71,12 @@
             machine.step(AttemptEvent::RunnerUnknown);
             return Err(machine.outcome());
         }
+        let endpoint = context.view.runner(&granted.grant.runner);
         granted.started();
         machine.step(AttemptEvent::Sending);
         let query = RunnerQuery {
             address: granted.address.clone(),
+            incarnation: endpoint.map(|endpoint| endpoint.incarnation),
             request: request.request.clone(),
             attempt: request.attempt,
         };
@@ -138,13 +142,43 @@
     }
 
     async fn head(&mut self, request: RunnerRequest) -> Result<Response<Incoming>, AttemptEvent> {
-        let response = self.exchange(request).await?;
+        let answered = match self.exchange(request).await {
+            Ok(response) => self.judge(response).await,
+            Err(event) => Err(event),
+        };
+        let response = match answered {
+            Ok(response) => response,
+            Err(AttemptEvent::Failed(cause)) if cause != UnknownCause::DeadlinePassed => {
+                self.clarify(cause).await?
+            }
+            Err(event) => return Err(event),
+        };
         self.times.first_byte = self.context.clock.now().since(self.sent_at);
-        let response = self.judge(response).await?;
         self.machine.step(AttemptEvent::HeadMatched);
         Ok(response)
     }
 
+    /// Asks the runner what became of an attempt without a usable answer: the
+    /// answer is fetched if it runs there; if it never started, it never will.
+    async fn clarify(&mut self, cause: UnknownCause) -> Result<Response<Incoming>, AttemptEvent> {
+        let failed = AttemptEvent::Failed(cause);
+        let client = self.context.client.clone();
+        match cancel_unless_started(&client, &self.query).await {
+            Some(ExecutionPhase::NotStarted) => Err(AttemptEvent::Fenced),
+            Some(ExecutionPhase::Running | ExecutionPhase::Finished) => {
+                let fetched = fetch_execution(&client, &self.query, 0).await;
+                match fetched {
+                    Ok(Some(response)) if self.matches(&response) => {
+                        self.context.counts.add(Count::Resumed);
+                        Ok(response)
+                    }
+                    _ => Err(failed),
+                }
+            }
+            _ => Err(failed),
+        }
+    }
+
     async fn exchange(
         &mut self,
         request: RunnerRequest,
@@ -187,10 +221,7 @@
         match execution_status(client, &self.query).await {
             Some(ExecutionPhase::Running | ExecutionPhase::Finished) => Ok(false),
             Some(ExecutionPhase::Cancelled) => Err(AttemptEvent::Failed(UnknownCause::Broken)),
-            Some(ExecutionPhase::NotStarted) => match cancel_execution(client, &self.query).await {
-                Some(ExecutionPhase::NotStarted) => Err(AttemptEvent::Fenced),
-                _ => Err(AttemptEvent::Failed(UnknownCause::Silent)),
-            },
+            Some(ExecutionPhase::NotStarted) => Err(AttemptEvent::Failed(UnknownCause::Silent)),
             None if unanswered => Err(AttemptEvent::Failed(UnknownCause::Silent)),
             None => Ok(true),
         }
--- a/crates/router/src/caller/once_only.rs
+++ b/crates/router/src/caller/once_only.rs
@@ -221,6 +221,7 @@
                 let address = self.context.view.runner(&runner).map(|one| one.address);
                 let query = RunnerQuery {
                     address: address.unwrap_or_default(),
+                    incarnation: None,
                     request,
                     attempt,
                 };
--- a/crates/standin/src/server/engine.rs
+++ b/crates/standin/src/server/engine.rs
@@ -33,7 +33,7 @@
         let Some(completion) = completion else {
             return Ok(rejected(StatusCode::BAD_REQUEST, "the body can't be read"));
         };
-        let fault = self.lock().faults.pop_front().unwrap_or(RunnerFault::None);
+        let fault = self.lock().faults.next();
         self.strike(fault, FaultPoint::BeforeAdmission)?;
         match fault {
             RunnerFault::Hang => std::future::pending().await,
@@ -106,8 +106,8 @@
             attempt: Attempt(attempt),
         };
         match (request.method(), parts.next()) {
-            (&Method::GET, Some("status")) => Ok(status(self.lock().executions.phase(&key))),
-            (&Method::DELETE, None) => Ok(status(self.end_execution(&key))),
+            (&Method::GET, Some("status")) => Ok(self.status_of(&key)),
+            (&Method::DELETE, None) => Ok(self.end_execution(&key)),
             (&Method::GET, None) => {
                 let from = request
                     .uri()
@@ -124,24 +124,26 @@
         }
     }
 
-    fn end_execution(&self, key: &SequenceKey) -> ExecutionPhase {
+    fn status_of(&self, key: &SequenceKey) -> Response<Body> {
+        let state = self.lock();
+        let status = ExecutionStatus {
+            incarnation: state.model.settings().incarnation,
+            phase: state.executions.phase(key),
+        };
+        json_response(StatusCode::OK, &status)
+    }
+
+    fn end_execution(&self, key: &SequenceKey) -> Response<Body> {
         let phase = self.lock().executions.phase(key);
         match phase {
             ExecutionPhase::NotStarted => self.lock().executions.fence(key),
-            ExecutionPhase::Running => {
-                self.cancel(key);
-                return ExecutionPhase::Cancelled;
-            }
+            ExecutionPhase::Running => self.cancel(key),
             ExecutionPhase::Finished | ExecutionPhase::Cancelled => {}
         }
-        phase
+        self.status_of(key)
     }
 }
 
-fn status(phase: ExecutionPhase) -> Response<Body> {
-    json_response(StatusCode::OK, &ExecutionStatus { phase })
-}
-
 /// One reader of an execution. When the last one leaves a running execution, it
 /// is cancelled after a while.
 struct Reader {
--- a/crates/standin/src/server/fault.rs
+++ b/crates/standin/src/server/fault.rs
@@ -1,6 +1,27 @@
 //! Faults that a test plans for a runner's next completions.
 
 use courseshunt_types::Millis;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Faults for the next completions, one for each; runners may share a plan.
+#[derive(Debug, Clone, Default)]
+pub struct FaultPlan {
+    faults: Arc<Mutex<VecDeque<RunnerFault>>>,
+}
+
+impl FaultPlan {
+    /// Replaces the plan.
+    pub fn set(&self, faults: impl IntoIterator<Item = RunnerFault>) {
+        let mut planned = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        *planned = faults.into_iter().collect();
+    }
+
+    pub(super) fn next(&self) -> RunnerFault {
+        let mut planned = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        planned.pop_front().unwrap_or(RunnerFault::None)
+    }
+}
 
 /// What goes wrong with one completion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -11,7 +11,7 @@
 
 pub use completion::answer_word;
 pub use executions::{Execution, ExecutionEnd};
-pub use fault::{FaultPoint, RunnerFault};
+pub use fault::{FaultPlan, FaultPoint, RunnerFault};
 pub use platform::PlatformServer;
 pub use runner::RunnerServer;
 pub use store::StoreServer;
--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -2,16 +2,15 @@
 
 use super::connections::{Answer, accept};
 use super::executions::{Execution, ExecutionEnd, Executions};
-use super::fault::RunnerFault;
+use super::fault::FaultPlan;
 use super::not_found;
 use crate::model::{RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey};
 use courseshunt_http::{Body, HttpClient, bearer_token, json_response, read_limited};
 use courseshunt_types::runner_api::OrderRequest;
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{ModelName, Timestamp};
+use courseshunt_types::{Incarnation, ModelName, Timestamp};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,7 +48,7 @@
 pub(super) struct State {
     pub(super) model: RunnerModel,
     pub(super) executions: Executions,
-    pub(super) faults: VecDeque<RunnerFault>,
+    pub(super) faults: FaultPlan,
     /// Cancelled at the death of the process.
     alive: CancellationToken,
 }
@@ -74,7 +73,7 @@
             state: Mutex::new(State {
                 model: RunnerModel::new(settings),
                 executions: Executions::default(),
-                faults: VecDeque::new(),
+                faults: FaultPlan::default(),
                 alive: CancellationToken::new(),
             }),
             changed: Notify::new(),
@@ -97,9 +96,15 @@
         tokio::spawn(accepting);
     }
 
-    /// Plans faults for the next completions, one for each; for tests.
-    pub fn plan_faults(&self, faults: impl IntoIterator<Item = RunnerFault>) {
-        self.shared.lock().faults = faults.into_iter().collect();
+    /// The incarnation of the present process.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.lock().model.settings().incarnation
+    }
+
+    /// Takes faults from a plan that a test makes.
+    pub fn use_faults(&self, plan: &FaultPlan) {
+        self.shared.lock().faults = plan.clone();
     }
 
     /// Ends the process at once: connections break and memory is lost. Nothing
--- a/crates/types/src/runner_api.rs
+++ b/crates/types/src/runner_api.rs
@@ -31,6 +31,9 @@
 /// Reply to `GET /v1/executions/REQUEST/ATTEMPT/status` and to `DELETE`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ExecutionStatus {
+    /// The runner's incarnation: only the process that got a request can prove
+    /// that it did not start.
+    pub incarnation: Incarnation,
     /// How far it has come.
     pub phase: ExecutionPhase,
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -245,6 +245,8 @@
     pub runner: RunnerId,
     /// `ip:port` of its HTTP interface.
     pub address: String,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
     /// Its zone.
     pub zone: Zone,
     /// State of its machine.
