--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -6,7 +6,7 @@
 use super::not_found;
 use crate::model::{RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey};
 use courseshunt_http::{Body, HttpClient, bearer_token, json_response, read_limited};
-use courseshunt_types::runner_api::OrderRequest;
+use courseshunt_types::runner_api::{Inventory, OrderRequest};
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Incarnation, ModelName, Timestamp};
 use hyper::body::Incoming;
@@ -136,6 +136,13 @@
         self.shared.lock().model.overcommit_attempts
     }
 
+    /// What it holds.
+    #[must_use]
+    pub fn inventory(&self) -> Inventory {
+        let now = self.shared.clock.now();
+        self.shared.lock().model.inventory(now)
+    }
+
     /// Begins to drain.
     pub fn start_draining(&self) {
         self.shared.lock().model.start_draining();
