--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,24 +1,21 @@
-//! Waiting queues and grants.
+//! Tickets, waiting queues and grants.
 
 mod actor;
 mod handle;
+mod owned;
+mod snapshot;
+mod translate;
 
+pub use actor::{Arguments, DispatcherMessage};
 pub use handle::{DispatcherHandle, GrantedRequest};
+pub use snapshot::DispatchSnapshot;
 
-use crate::configuration::ConfigurationView;
 use crate::error::RouterError;
-use courseshunt_types::RouterId;
-use courseshunt_types::time::MonotonicClock;
-use std::sync::Arc;
 
 /// Starts the dispatcher.
 ///
 /// # Errors
 /// When the actor can't be started.
-pub async fn start(
-    router: RouterId,
-    view: Arc<ConfigurationView>,
-    clock: MonotonicClock,
-) -> Result<DispatcherHandle, RouterError> {
-    actor::spawn(router, view, clock).await
+pub async fn start(arguments: Arguments) -> Result<DispatcherHandle, RouterError> {
+    actor::spawn(arguments).await
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod error;
 pub mod jobs;
+pub mod peers;
 
 pub use error::RouterError;
 
@@ -17,8 +18,8 @@
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Incarnation, RouterId};
-use courseshunt_wire::ClusterKey;
 use courseshunt_wire::message::RouterEndpoint;
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use dispatch::DispatcherHandle;
 use error::{BindSnafu, FileSnafu, ShortKeySnafu};
 use snafu::{OptionExt, ResultExt};
@@ -79,8 +80,9 @@
     pub wire_address: SocketAddr,
     context: RouterContext,
     server: tokio::task::JoinHandle<()>,
-    /// Kept bound for other routers.
-    _wire: TcpListener,
+    /// Cancelled when no request runs any more; the connections to controllers
+    /// and to other routers serve until then.
+    ended: CancellationToken,
 }
 
 impl Router {
@@ -100,14 +102,23 @@
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
         let (ledger, ledger_calls) = control::ledger_channel();
-        let dispatcher = dispatch::start(settings.id.clone(), view.clone(), clock).await?;
+        let incarnation = Incarnation(rand::random());
+        let identity = PeerIdentity::Router(settings.id.clone(), incarnation);
+        let dispatcher = dispatch::start(dispatch::Arguments {
+            router: settings.id.clone(),
+            identity: identity.clone(),
+            key: key.clone(),
+            view: view.clone(),
+            clock,
+        });
+        let dispatcher = dispatcher.await?;
         let limits = ServerLimits {
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
         let context = RouterContext {
             settings,
-            incarnation: Incarnation(rand::random()),
+            incarnation,
             view,
             dispatcher,
             ledger,
@@ -124,8 +135,11 @@
             http_address,
             wire_address,
         };
+        let ended = CancellationToken::new();
+        let peers = context.dispatcher.peer_context(key.clone(), identity);
+        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
         let link = control::run(context.clone(), key, endpoints, ledger_calls);
-        tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
+        tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         tokio::spawn(jobs::run(context.clone()));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
@@ -136,7 +150,7 @@
             wire_address,
             context,
             server,
-            _wire: wire,
+            ended,
         })
     }
 
@@ -146,16 +160,23 @@
         &self.context
     }
 
-    /// Stops as planned: running requests finish first.
+    /// Stops as planned: readiness goes off, the owned queues go to other
+    /// routers, running requests finish and their ends are recorded.
     pub async fn stop(self) {
-        self.context.stop.cancel();
-        let drain = self.context.settings.drain;
-        if tokio::time::timeout(drain.into(), self.server)
-            .await
-            .is_err()
-        {
-            log::warn!("router: stopped before all requests had ended");
+        let context = &self.context;
+        context.stop.cancel();
+        context.dispatcher.stop();
+        let finished = async {
+            let _ = self.server.await;
+            context.tasks.close();
+            context.tasks.wait().await;
+        };
+        let drain = context.settings.drain;
+        if tokio::time::timeout(drain.into(), finished).await.is_err() {
+            let left = context.tasks.len();
+            log::warn!("router: stopped before all requests had ended ({left} tasks left)");
         }
+        self.ended.cancel();
         log::info!("router: stopped");
     }
 }
