--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -210,9 +210,8 @@
         });
         let revision = || {
             let controller = self.controller.as_ref().unwrap();
-            let status = controller.part.context().replica.status();
-            let revision = status.borrow().revision;
-            revision
+            let state = controller.part.context().replica.state();
+            state.configuration.revision
         };
         self.wait_for("the configuration in force", || {
             let mut routers = self.routers.iter().flatten();
--- a/crates/router/src/attempt/answer.rs
+++ b/crates/router/src/attempt/answer.rs
@@ -76,11 +76,14 @@
             let body = whole.into_body();
             let limit = open.time_left();
             match read_in_time(body, MAX_ANSWER_BYTES, limit, "runner").await {
-                Ok(body) if belongs_to(&body, &open.query().request) => {
-                    open.end(AttemptEvent::Finished);
-                    return Ok(body);
-                }
-                Ok(_) => open.context().counts.add(Count::Crossed),
+                Ok(body) => match judge_body(&body, &open.query().request) {
+                    BodyVerdict::Own => {
+                        open.end(AttemptEvent::Finished);
+                        return Ok(body);
+                    }
+                    BodyVerdict::Crossed => open.context().counts.add(Count::Crossed),
+                    BodyVerdict::CutShort => open.context().counts.add(Count::CutShort),
+                },
                 Err(HttpError::TooLarge { .. }) => {
                     return Err(open.end(AttemptEvent::Failed(UnknownCause::TooLarge)));
                 }
@@ -142,7 +145,7 @@
     let body = body.map_err(|error| error.to_string())?;
     let whole = match content_type.starts_with(EVENT_STREAM) {
         true => is_whole_stream(&body, &query.request),
-        false => belongs_to(&body, &query.request),
+        false => judge_body(&body, &query.request) == BodyVerdict::Own,
     };
     if !whole {
         return Err("the answer is not whole".to_owned());
@@ -173,11 +176,22 @@
     id: Option<String>,
 }
 
-/// Whether an answer's own identity, if it has one, is that of the request.
-fn belongs_to(body: &[u8], request: &RequestId) -> bool {
+/// Whose a whole answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyVerdict {
+    /// The request's own, or it names none.
+    Own,
+    /// Another request's.
+    Crossed,
+    /// It is no whole answer.
+    CutShort,
+}
+
+fn judge_body(body: &[u8], request: &RequestId) -> BodyVerdict {
     let head: Result<AnswerHead, _> = serde_json::from_slice(body);
     match head {
-        Ok(head) => head.id.is_none_or(|id| id == request.as_str()),
-        Err(_) => false,
+        Ok(head) if head.id.as_deref().is_none_or(|id| id == request.as_str()) => BodyVerdict::Own,
+        Ok(_) => BodyVerdict::Crossed,
+        Err(_) => BodyVerdict::CutShort,
     }
 }
--- a/crates/router/src/caller/once_only.rs
+++ b/crates/router/src/caller/once_only.rs
@@ -12,7 +12,7 @@
 use crate::control::LedgerError;
 use crate::dispatch::GrantedRequest;
 use courseshunt_http::Body;
-use courseshunt_state::{ClaimReply, Command, CommandReply, StoredAnswer};
+use courseshunt_state::{ClaimReply, ClaimRequest, Command, CommandReply, StoredAnswer};
 use courseshunt_types::{
     Attempt, Digest, IdempotencyKey, Millis, Outcome, Refusal, RefusalReason, RunnerId,
 };
@@ -168,7 +168,7 @@
         runner: &RunnerId,
         attempt: Attempt,
     ) -> Result<Option<StoredAnswer>, Refusal> {
-        let command = Command::OpenClaim {
+        let command = Command::OpenClaim(Box::new(ClaimRequest {
             tenant: self.work.tenant.clone(),
             key: self.key.clone(),
             digest: self.digest,
@@ -178,7 +178,7 @@
             request: self.work.request.clone(),
             attempt,
             keep: CLAIM_KEEP,
-        };
+        }));
         match self
             .context
             .ledger
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -70,26 +70,7 @@
         fence: Fence,
     },
     /// Claims the right to run a once-only request on one runner.
-    OpenClaim {
-        /// The tenant; keys of different tenants never meet.
-        tenant: TenantName,
-        /// The caller's key.
-        key: IdempotencyKey,
-        /// Digest of the request body.
-        digest: Digest,
-        /// Router that dispatches.
-        router: RouterId,
-        /// Its incarnation.
-        incarnation: Incarnation,
-        /// Runner that the request will go to.
-        runner: RunnerId,
-        /// Identity under which the runner gets it.
-        request: RequestId,
-        /// Attempt under which the runner gets it.
-        attempt: Attempt,
-        /// How long the claim is kept.
-        keep: Millis,
-    },
+    OpenClaim(Box<ClaimRequest>),
     /// Gives a claim back, proved not run. A claim that is not open yet is
     /// fenced: an opening that arrives later is refused.
     ReleaseClaim {
@@ -194,6 +175,29 @@
     },
 }
 
+/// What is claimed for a once-only request.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ClaimRequest {
+    /// The tenant; keys of different tenants never meet.
+    pub tenant: TenantName,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// Digest of the request body.
+    pub digest: Digest,
+    /// Router that dispatches.
+    pub router: RouterId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Runner that the request will go to.
+    pub runner: RunnerId,
+    /// Identity under which the runner gets it.
+    pub request: RequestId,
+    /// Attempt under which the runner gets it.
+    pub attempt: Attempt,
+    /// How long the claim is kept.
+    pub keep: Millis,
+}
+
 /// How a leased job ended.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum JobEnd {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,7 +19,7 @@
 mod state;
 
 pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
-pub use command::{Command, CommandEnvelope};
+pub use command::{ClaimRequest, Command, CommandEnvelope};
 pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -102,7 +102,7 @@
             | Command::ConfirmReplica { .. }
             | Command::WithdrawReplica { .. }
             | Command::ReleaseReplica { .. } => return self.apply_placement(command, fence),
-            Command::OpenClaim { .. }
+            Command::OpenClaim(_)
             | Command::ReleaseClaim { .. }
             | Command::FinishClaim { .. }
             | Command::LookUpClaim { .. } => return self.apply_claim(command),
@@ -166,27 +166,17 @@
 
     fn apply_claim(&mut self, command: &Command) -> Result<CommandReply, CommandError> {
         match command {
-            Command::OpenClaim {
-                tenant,
-                key,
-                digest,
-                router,
-                incarnation,
-                runner,
-                request,
-                attempt,
-                keep,
-            } => {
+            Command::OpenClaim(request) => {
                 let record = ClaimRecord {
-                    digest: *digest,
-                    router: router.clone(),
-                    incarnation: *incarnation,
-                    runner: runner.clone(),
-                    execution: execution_name(request, *attempt),
+                    digest: request.digest,
+                    router: request.router.clone(),
+                    incarnation: request.incarnation,
+                    runner: request.runner.clone(),
+                    execution: execution_name(&request.request, request.attempt),
                     state: ClaimState::Open,
-                    expires_at: self.time + *keep,
+                    expires_at: self.time + request.keep,
                 };
-                let name = claim_name(tenant, key);
+                let name = claim_name(&request.tenant, &request.key);
                 Ok(CommandReply::Claim(self.claims.open(&name, &record)))
             }
             Command::ReleaseClaim {
--- a/crates/state/tests/commands.rs
+++ b/crates/state/tests/commands.rs
@@ -72,7 +72,7 @@
     }
 
     fn claim(&mut self, key: &str, body: &[u8], router: &str) -> CommandReply {
-        self.apply(Command::OpenClaim {
+        self.apply(Command::OpenClaim(Box::new(ClaimRequest {
             tenant: "souss".into(),
             key: key.into(),
             digest: Digest::of(body),
@@ -82,7 +82,7 @@
             request: format!("request-of-{router}").into(),
             attempt: Attempt(1),
             keep: Millis(1_000),
-        })
+        })))
     }
 }
 
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -43,7 +43,7 @@
     }
 
     fn open(&mut self, request: &str, body: &[u8]) -> ClaimReply {
-        let reply = self.apply(Command::OpenClaim {
+        let reply = self.apply(Command::OpenClaim(Box::new(ClaimRequest {
             tenant: "souss".into(),
             key: "valve-7".into(),
             digest: Digest::of(body),
@@ -53,7 +53,7 @@
             request: request.into(),
             attempt: Attempt(1),
             keep: Millis(1_000),
-        });
+        })));
         match reply {
             CommandReply::Claim(reply) => reply,
             other => panic!("{other:?}"),
