--- a/crates/lab/tests/attempts.rs
+++ b/crates/lab/tests/attempts.rs
@@ -1,12 +1,12 @@
 //! Faults of runners, against a real router: each caller gets the whole answer
 //! to its own request or the truth about it.
 
-mod support;
+mod bench;
 
+use bench::{Bench, TOKENS, expected_text};
 use courseshunt_router::attempt::Count;
 use courseshunt_standin::server::{FaultPoint, RunnerFault};
 use courseshunt_types::Millis;
-use support::{Bench, TOKENS, expected_text};
 
 use FaultPoint::*;
 use RunnerFault::*;
--- a/crates/lab/tests/jobs.rs
+++ b/crates/lab/tests/jobs.rs
@@ -1,12 +1,12 @@
 //! Deferred jobs, from the submission to the answer, under faults.
 
-mod support;
+mod bench;
 
+use bench::{Answer, Bench, TOKENS, body, expected_text};
 use courseshunt_standin::server::{FaultPoint, RunnerFault};
 use courseshunt_types::Millis;
 use hyper::{Method, StatusCode};
 use serde_json::Value;
-use support::{Answer, Bench, TOKENS, body, expected_text};
 
 fn submit(bench: &Bench, prompt: &str, headers: &[(&str, &str)]) -> Answer {
     let body = body(prompt, false, TOKENS);
--- a/crates/lab/tests/once_only.rs
+++ b/crates/lab/tests/once_only.rs
@@ -1,12 +1,12 @@
 //! Once-only requests under faults: at most one execution, and the truth.
 
-mod support;
+mod bench;
 
+use bench::{Answer, Bench, TOKENS, expected_text};
 use courseshunt_router::attempt::Count;
 use courseshunt_standin::server::{FaultPoint, RunnerFault};
 use courseshunt_types::Millis;
 use hyper::StatusCode;
-use support::{Answer, Bench, TOKENS, expected_text};
 
 use FaultPoint::*;
 use RunnerFault::*;
