--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod explain;
 mod get;
+mod job;
 mod manual;
 mod render;
 mod serve;
@@ -66,6 +67,12 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "job",
+        summary: "submit, show, cancel and list deferred jobs",
+        run: job::run,
+        help: job::help,
+    },
     Subcommand {
         name: "check",
         summary: "check a settings file, template, parameters, documents, scenario or faults",
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors of the command line and their exit codes.
 
 use courseshunt_controller::ControllerError;
-use courseshunt_operator::{AdminError, RenderError};
+use courseshunt_operator::{AdminError, JobError, RenderError};
 use courseshunt_router::RouterError;
 use courseshunt_settings::SettingsError;
 use std::process::ExitCode;
@@ -27,6 +27,12 @@
         /// The cause.
         source: AdminError,
     },
+    /// A router refused or can't be reached.
+    #[snafu(display("{source}"), context(false))]
+    Job {
+        /// The cause.
+        source: JobError,
+    },
     /// The controller can't start.
     #[snafu(display("{source}"), context(false))]
     Controller {
--- a/crates/controller/src/scheduler/watch.rs
+++ b/crates/controller/src/scheduler/watch.rs
@@ -261,6 +261,11 @@
         true => MachineState::Leaving,
         false => machine.state,
     };
+    let state = {
+        let replicated = context.replica.state();
+        let drains = &replicated.drains;
+        drains.state_of(&inventory.runner, inventory.incarnation, state)
+    };
     let record = RunnerRecord {
         runner: inventory.runner.clone(),
         address: machine.address.clone(),
--- a/crates/lab/tests/attempts.rs
+++ b/crates/lab/tests/attempts.rs
@@ -3,10 +3,12 @@
 
 mod bench;
 
-use bench::{Bench, TOKENS, expected_text};
+use bench::{Bench, TOKENS, body, expected_text};
 use courseshunt_router::attempt::Count;
-use courseshunt_standin::server::{FaultPoint, RunnerFault};
+use courseshunt_standin::server::{ExecutionEnd, FaultPoint, RunnerFault};
 use courseshunt_types::Millis;
+use hyper::Method;
+use std::sync::Mutex;
 
 use FaultPoint::*;
 use RunnerFault::*;
@@ -245,6 +247,79 @@
     ("hangs", Hang, false, "done", 1, Some(Count::Retry)),
 ];
 
+/// The access log's lines.
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct AccessLog;
+
+impl log::Log for AccessLog {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        if line.starts_with("access: ") {
+            LINES.lock().unwrap().push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Lines whose fields are `fields`, among those of requests of `class`.
+fn access_lines(class: &str, fields: &[&str]) -> usize {
+    let lines = LINES.lock().unwrap();
+    let class = format!(" class={class} ");
+    let own = lines.iter().filter(|line| line.contains(&class));
+    own.filter(|line| fields.iter().all(|field| line.contains(field)))
+        .count()
+}
+
+#[test]
+fn each_request_has_one_access_line() {
+    let _ = log::set_logger(&AccessLog).map(|()| log::set_max_level(log::LevelFilter::Info));
+    let bench = Bench::start(1);
+    let critical = [("x-courseshunt-class", "critical")];
+    let call = |stream| bench.run(bench.complete(0, "logged", stream, &critical));
+    call(false);
+    call(true);
+    bench.plan(&[Refuse("draining")]);
+    call(false);
+    bench.plan(&[Refuse("full"), Refuse("full"), Refuse("full")]);
+    call(false);
+    bench.wait_for("four lines", || access_lines("critical", &[]) == 4);
+    let done = [
+        "access: id=req-",
+        " tenant=souss deployment=climate-ctl-vents runner=runner-",
+        " outcome=done result=answered wait_ms=",
+    ];
+    assert_eq!(access_lines("critical", &done), 3);
+    assert_eq!(access_lines("critical", &[" attempts=1 outcome=done "]), 2);
+    assert_eq!(access_lines("critical", &[" attempts=2 outcome=done "]), 1);
+    let refused = " attempts=3 outcome=not-run result=runner_failed ";
+    assert_eq!(access_lines("critical", &[refused, " first_ms=- "]), 1);
+}
+
+#[test]
+fn a_request_whose_caller_left_ends_at_the_runner() {
+    let bench = Bench::start(1);
+    for stream in [false, true] {
+        let prompt = format!("left, streamed: {stream}");
+        let body = body(&prompt, stream, 100_000);
+        let path = "/v1/chat/completions";
+        let work = bench.spawn(bench.call(0, Method::POST, path, &[], body));
+        bench.wait_for("the execution", || bench.executions(&prompt) == 1);
+        work.abort();
+        bench.wait_for("its end at the runner", || {
+            let all = bench.runners.iter().flat_map(|runner| runner.executions());
+            let mut own = all.filter(|one| one.prompt.contains(&prompt));
+            own.any(|one| one.end == ExecutionEnd::Cancelled)
+        });
+    }
+    assert_eq!(bench.router(0).counts.get(Count::Cancelled), 2);
+}
+
 #[test]
 fn each_caller_gets_its_whole_answer_or_the_truth() {
     let bench = Bench::start(1);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod check;
 mod client;
+mod jobs;
 mod render;
 
 pub use check::{check_parameters, check_template};
 pub use client::{AdminClient, AdminError};
+pub use jobs::{JobClient, JobError, JobOptions};
 pub use render::{RenderError, RenderedBatch, read_documents, render};
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -173,6 +173,21 @@
         /// Jobs at the most.
         limit: u32,
     },
+    /// Asks a router to stop as planned.
+    DrainRouter {
+        /// The router.
+        router: RouterId,
+    },
+    /// Records that a router stops as planned.
+    RouterLeft {
+        /// The router.
+        router: RouterId,
+    },
+    /// Asks for no new work for a runner's present process.
+    DrainRunner {
+        /// The runner.
+        runner: RunnerId,
+    },
 }
 
 /// What is claimed for a once-only request.
--- /dev/null
+++ b/crates/state/src/drains.rs
@@ -0,0 +1,72 @@
+//! Planned stops that operators have asked for.
+//!
+//! Invariant: a drained runner stays leaving for its incarnation, whatever the
+//! platform's list says; a router's drain ends when it leaves, or after
+//! [`ROUTER_DRAIN_KEEP`].
+
+use courseshunt_types::runner_api::MachineState;
+use courseshunt_types::{Incarnation, Millis, RouterId, RunnerId, UnixMillis};
+use std::collections::BTreeMap;
+
+/// How long a router that is not there may still be told to stop.
+pub const ROUTER_DRAIN_KEEP: Millis = Millis::from_secs(600);
+
+/// See the module.
+#[derive(
+    Debug, Clone, PartialEq, Eq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+pub struct Drains {
+    /// Routers that are to stop, and until when they are told so.
+    routers: BTreeMap<RouterId, UnixMillis>,
+    /// Drained runners by incarnation.
+    runners: BTreeMap<RunnerId, Incarnation>,
+}
+
+impl Drains {
+    /// Asks a router to stop.
+    pub fn drain_router(&mut self, router: &RouterId, now: UnixMillis) {
+        self.routers.insert(router.clone(), now + ROUTER_DRAIN_KEEP);
+    }
+
+    /// Notes that a router has left.
+    pub fn router_left(&mut self, router: &RouterId) {
+        self.routers.remove(router);
+    }
+
+    /// Whether a router is to stop.
+    #[must_use]
+    pub fn wants_router(&self, router: &RouterId) -> bool {
+        self.routers.contains_key(router)
+    }
+
+    /// Asks for no new work for a runner's present process.
+    pub fn drain_runner(&mut self, runner: &RunnerId, incarnation: Incarnation) {
+        self.runners.insert(runner.clone(), incarnation);
+    }
+
+    /// State of a runner's machine with its drain.
+    #[must_use]
+    pub fn state_of(
+        &self,
+        runner: &RunnerId,
+        incarnation: Incarnation,
+        state: MachineState,
+    ) -> MachineState {
+        let drained = self.runners.get(runner) == Some(&incarnation);
+        match (drained, state) {
+            (true, MachineState::Live) => MachineState::Leaving,
+            _ => state,
+        }
+    }
+
+    /// When something is forgotten next.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<UnixMillis> {
+        self.routers.values().min().copied()
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: UnixMillis) {
+        self.routers.retain(|_, until| *until > now);
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod command;
 pub mod configuration;
+pub mod drains;
 pub mod jobs;
 pub mod placement;
 pub mod reply;
@@ -21,6 +22,7 @@
 pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
 pub use command::{ClaimRequest, Command, CommandEnvelope};
 pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
+pub use drains::Drains;
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
 pub use reply::{
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -3,12 +3,15 @@
 use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims, ExecutionName};
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::Configuration;
+use crate::drains::Drains;
 use crate::jobs::{JobRecord, JobState, Jobs};
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
+use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    Attempt, Digest, Fence, IdempotencyKey, LogIndex, RequestId, TenantName, Term, UnixMillis,
+    Attempt, Digest, Fence, IdempotencyKey, LogIndex, RequestId, RunnerId, TenantName, Term,
+    UnixMillis,
 };
 
 /// The replicated state of one group.
@@ -26,6 +29,8 @@
     pub claims: Claims,
     /// Deferred jobs.
     pub jobs: Jobs,
+    /// Planned stops.
+    pub drains: Drains,
     /// Duplicate detection.
     pub sessions: Sessions,
 }
@@ -90,7 +95,15 @@
                     revision.map_err(|conflict| CommandError::Configuration { conflict })?;
                 return Ok(CommandReply::Configured { revision });
             }
-            Command::RecordRunner(record) => self.placement.record_runner(record),
+            Command::RecordRunner(record) => {
+                let mut record = record.clone();
+                let (runner, incarnation) = (&record.runner, record.incarnation);
+                record.state = self.drains.state_of(runner, incarnation, record.state);
+                self.placement.record_runner(&record);
+            }
+            Command::DrainRouter { router } => self.drains.drain_router(router, self.time),
+            Command::RouterLeft { router } => self.drains.router_left(router),
+            Command::DrainRunner { runner } => self.drain_runner(runner)?,
             Command::SetRunnerState {
                 runner,
                 incarnation,
@@ -117,6 +130,18 @@
         Ok(self.done())
     }
 
+    fn drain_runner(&mut self, runner: &RunnerId) -> Result<(), CommandError> {
+        let record = self.placement.runners.get(runner);
+        let Some(incarnation) = record.map(|record| record.incarnation) else {
+            let runner = runner.clone();
+            return Err(CommandError::RunnerNotLive { runner });
+        };
+        self.drains.drain_runner(runner, incarnation);
+        self.placement
+            .set_runner_state(runner, incarnation, MachineState::Leaving);
+        Ok(())
+    }
+
     fn done(&self) -> CommandReply {
         CommandReply::Done { at: self.time }
     }
@@ -124,6 +149,7 @@
     fn expire(&mut self) {
         self.claims.expire(self.time);
         self.jobs.expire(self.time);
+        self.drains.expire(self.time);
         self.sessions.expire(self.time);
     }
 
@@ -273,7 +299,11 @@
     /// When something expires next; an `AdvanceTime` is due then.
     #[must_use]
     pub fn next_expiry(&self) -> Option<UnixMillis> {
-        let times = [self.claims.next_expiry(), self.jobs.next_expiry()];
+        let times = [
+            self.claims.next_expiry(),
+            self.jobs.next_expiry(),
+            self.drains.next_expiry(),
+        ];
         times.into_iter().flatten().min()
     }
 
