--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -11,13 +11,15 @@
 
 use crate::RouterContext;
 use crate::jobs;
+use crate::limits::BodyReservation;
+use bytes::Bytes;
 use courseshunt_http::{
     Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
     refusal_response, text_response,
 };
 use courseshunt_types::{Refusal, RefusalReason, TenantName};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -127,10 +129,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
-    let limit = context.settings.max_body_bytes;
-    let body_timeout = context.settings.body_timeout.into();
-    let body = read_in_time(body, limit, body_timeout, "caller").await;
-    let body = body.map_err(|error| unreadable_body(&error))?;
+    let (body, _reserved) = read_body(context, &head.headers, body).await?;
     let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
     complete::run(context, parsed).await
 }
@@ -148,11 +147,30 @@
 ) -> Result<Response<Body>, Refusal> {
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
+    let (body, _reserved) = read_body(context, &head.headers, body).await?;
+    jobs::handle(context, tenant, &head.method, path, &head.headers, body).await
+}
+
+/// Reads a caller's body; its memory is reserved as long as the reservation.
+async fn read_body(
+    context: &RouterContext,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<(Bytes, BodyReservation), Refusal> {
     let limit = context.settings.max_body_bytes;
+    let mut reserved = context.bodies.reserve(expected_bytes(headers, limit))?;
     let body_timeout = context.settings.body_timeout.into();
     let body = read_in_time(body, limit, body_timeout, "caller").await;
     let body = body.map_err(|error| unreadable_body(&error))?;
-    jobs::handle(context, tenant, &head.method, path, &head.headers, body).await
+    reserved.shrink(body.len());
+    Ok((body, reserved))
+}
+
+/// Bytes that a body may take: its length, or the limit when none is told.
+fn expected_bytes(headers: &HeaderMap, limit: usize) -> usize {
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    length.unwrap_or(limit).min(limit)
 }
 
 fn unreadable_body(error: &HttpError) -> Refusal {
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,13 +1,16 @@
 //! Tickets, waiting queues and grants.
 
 mod actor;
+mod exchange;
 mod handle;
 mod owned;
 mod snapshot;
+mod state;
 mod translate;
 
 pub use actor::{Arguments, DispatcherMessage};
 pub use handle::{DispatcherHandle, GrantedRequest};
+pub use owned::QueueTotals;
 pub use snapshot::DispatchSnapshot;
 
 use crate::error::RouterError;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod error;
 pub mod jobs;
+pub mod limits;
 pub mod peers;
 
 pub use error::RouterError;
@@ -52,6 +53,8 @@
     pub tasks: TaskTracker,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
+    /// Bound on callers' bodies in memory.
+    pub bodies: limits::BodyBudget,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -116,6 +119,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
             incarnation,
@@ -127,6 +131,7 @@
             jobs: Arc::default(),
             tasks: TaskTracker::new(),
             requests: Arc::default(),
+            bodies: limits::BodyBudget::new(max_waiting_bytes),
             client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
