--- a/crates/cli/tests/usage.rs
+++ b/crates/cli/tests/usage.rs
@@ -24,6 +24,11 @@
         (vec![], "no subcommand"),
         (vec!["fly"], "unknown subcommand `fly`"),
         (vec!["router", "--nonsense"], "nonsense"),
+        (
+            vec!["drain", "router"],
+            "give `router` or `runner`, and an ID",
+        ),
+        (vec!["drain", "fleet", "x"], "`fleet` can't be drained"),
         (vec!["job"], "job: no action"),
         (vec!["job", "drop"], "unknown action `drop`"),
         (vec!["job", "get"], "one job identity must be given"),
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -57,6 +57,14 @@
         self.epoch.send_modify(|epoch| *epoch = epoch.next());
     }
 
+    /// Notes that a router stops as planned and owns no queues any more.
+    pub fn leave(&self, router: &RouterId) {
+        if let Some(known) = self.lock().get_mut(router) {
+            known.endpoint.leaving = true;
+        }
+        self.epoch.send_modify(|epoch| *epoch = epoch.next());
+    }
+
     /// Records the revision in force at a router.
     pub fn confirm(&self, router: &RouterId, revision: Revision) {
         if let Some(known) = self.lock().get_mut(router) {
@@ -70,12 +78,6 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Changes of the fleet.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<Epoch> {
-        self.epoch.subscribe()
-    }
-
     /// The fleet as sent to routers.
     #[must_use]
     pub fn update(&self) -> FleetUpdate {
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -1,18 +1,19 @@
 //! The feed of one router.
 
 use super::registry::RegisteredRouter;
-use super::{jobs, updates};
+use super::writer::FeedWriter;
 use crate::ControllerContext;
 use crate::replica::ProposeError;
-use courseshunt_state::CommandEnvelope;
-use courseshunt_types::{ClientId, Epoch, JobId, LogIndex, Millis, Revision, RouterId, UnixMillis};
+use courseshunt_state::{Command, CommandEnvelope};
+use courseshunt_types::{ClientId, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
-use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError};
+use courseshunt_wire::{Connection, Message, Receiver, WireError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Time between confirmations of a feed without changes.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
+/// A router that sends nothing for so long is taken for lost. Routers send at
+/// least twice a second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Ledger replies that wait to be sent.
 const REPLY_QUEUE: usize = 1024;
 
@@ -35,22 +36,22 @@
     context.routers.insert(RegisteredRouter {
         endpoint: endpoint.clone(),
         http_address: subscribe.http_address.clone(),
-        revision: Revision(0),
+        revision: subscribe.revision,
     });
     log::info!(
         "feed: router {router} subscribed at revision {}",
         subscribe.revision
     );
     let (replies, reply_queue) = mpsc::channel(REPLY_QUEUE);
-    let feed = Feed {
+    let peer = format!("router {router}");
+    let feed = FeedWriter::new(
         context,
         sender,
-        revision: subscribe.revision,
-        placement: LogIndex(0),
-        fleet: Epoch(0),
-        router: router.clone(),
-        jobs: Vec::new(),
-    };
+        peer,
+        router.clone(),
+        subscribe.revision,
+        subscribe.placement,
+    );
     let ended = tokio::select! {
         () = context.stop.cancelled() => Ok(()),
         ended = feed.run(reply_queue) => ended,
@@ -79,13 +80,14 @@
     replies: mpsc::Sender<Message>,
 ) -> Result<(), WireError> {
     let router = &subscribe.router;
-    while let Some(message) = receiver.receive().await? {
+    while let Some(message) = receive_in_time(&mut receiver, router).await? {
         match message {
             Message::Demand { reports } => {
                 for report in reports {
                     context.demand.record(router, report, context.clock.now());
                 }
             }
+            Message::Leaving => leaving(router, context),
             Message::Confirmed { revision } => context.routers.confirm(router, revision),
             Message::Ledger { .. } => {
                 let client = format!("{router}/{}", subscribe.incarnation);
@@ -98,6 +100,32 @@
     Ok(())
 }
 
+/// A router stops as planned: others own its queues from now on.
+fn leaving(router: &RouterId, context: &ControllerContext) {
+    log::info!("feed: router {router} is leaving");
+    context.routers.leave(router);
+    let (context, router) = (context.clone(), router.clone());
+    tokio::spawn(async move {
+        let command = Command::RouterLeft { router };
+        if let Err(error) = context.replica.submit(command).await {
+            log::info!("feed: {error}");
+        }
+    });
+}
+
+async fn receive_in_time(
+    receiver: &mut Receiver,
+    router: &RouterId,
+) -> Result<Option<Message>, WireError> {
+    let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
+    received.unwrap_or_else(|_| {
+        Err(WireError::TimedOut {
+            step: "receive",
+            peer: format!("router {router}"),
+        })
+    })
+}
+
 async fn ledger(
     message: Message,
     client: ClientId,
@@ -128,86 +156,3 @@
     };
     let _ = replies.send(Message::LedgerReply { call, result }).await;
 }
-
-struct Feed<'a> {
-    context: &'a ControllerContext,
-    sender: Sender,
-    revision: Revision,
-    placement: LogIndex,
-    fleet: Epoch,
-    /// Router that is fed.
-    router: RouterId,
-    /// Jobs as last told.
-    jobs: Vec<JobId>,
-}
-
-impl Feed<'_> {
-    async fn run(mut self, mut replies: mpsc::Receiver<Message>) -> Result<(), WireError> {
-        let mut applied = self.context.replica.status();
-        let mut fleet = self.context.routers.changes();
-        let mut confirmation = tokio::time::interval(CONFIRMATION_INTERVAL);
-        loop {
-            self.send_changes().await?;
-            tokio::select! {
-                changed = applied.changed() => {
-                    if changed.is_err() {
-                        return Ok(());
-                    }
-                }
-                _ = fleet.changed() => {}
-                _ = confirmation.tick() => {
-                    self.confirm().await?;
-                    self.send_jobs().await?;
-                }
-                reply = replies.recv() => {
-                    if let Some(reply) = reply {
-                        self.sender.send(&reply).await?;
-                    }
-                }
-            }
-        }
-    }
-
-    async fn send_changes(&mut self) -> Result<(), WireError> {
-        let (configuration, placement) = {
-            let state = self.context.replica.state();
-            let newer = state.configuration.revision > self.revision;
-            let configuration = newer.then(|| updates::configuration(&state, self.revision));
-            let moved = state.applied > self.placement;
-            let placement = moved.then(|| updates::placement(&state));
-            (configuration, placement)
-        };
-        if let Some(update) = configuration {
-            self.revision = update.revision;
-            self.sender.send(&Message::Configuration(update)).await?;
-        }
-        if let Some(update) = placement {
-            self.placement = update.sequence;
-            self.sender.send(&Message::Placement(update)).await?;
-        }
-        let fleet = self.context.routers.update();
-        if fleet.epoch != self.fleet {
-            self.fleet = fleet.epoch;
-            self.sender.send(&Message::Fleet(fleet)).await?;
-        }
-        Ok(())
-    }
-
-    /// Tells the queued jobs when others are queued than before.
-    async fn send_jobs(&mut self) -> Result<(), WireError> {
-        let jobs = jobs::queued_for(self.context, &self.router);
-        let told: Vec<JobId> = jobs.iter().map(|job| job.job.clone()).collect();
-        if told == self.jobs {
-            return Ok(());
-        }
-        self.jobs = told;
-        self.sender.send(&Message::Jobs { jobs }).await
-    }
-
-    async fn confirm(&mut self) -> Result<(), WireError> {
-        let revision = self.revision;
-        let age = Millis(0);
-        let confirmation = Message::FeedConfirmation { age, revision };
-        self.sender.send(&confirmation).await
-    }
-}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -18,7 +18,7 @@
 use courseshunt_wire::ClusterKey;
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
-use feed::RouterRegistry;
+use feed::{FeedSource, RouterRegistry};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -37,6 +37,8 @@
     pub demand: Arc<DemandBook>,
     /// Live routers.
     pub routers: Arc<RouterRegistry>,
+    /// What the feeds share.
+    pub feed: Arc<FeedSource>,
     /// Soft state of the scheduler.
     pub scheduler: Arc<scheduler::SchedulerState>,
     /// HTTP client for runners and the platform.
@@ -88,13 +90,14 @@
             replica,
             demand: Arc::default(),
             routers: Arc::default(),
+            feed: Arc::default(),
             client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
             stop: CancellationToken::new(),
         };
-        tokio::spawn(feed::accept_peers(wire, context.clone()));
+        feed::start(wire, &context);
         scheduler::start(&context);
         let keeping = timekeeper::run(context.clone());
         tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -149,16 +149,25 @@
     }
 
     pub fn add_router(&mut self) {
+        let router = self.start_router(self.routers.len() + 1);
+        self.routers.push(Some(router));
+    }
+
+    /// Starts a router again that was stopped or killed.
+    pub fn restart_router(&mut self, number: usize) {
+        self.routers[number] = Some(self.start_router(number + 1));
+    }
+
+    fn start_router(&self, number: usize) -> Process<Router> {
         let arguments = [
-            format!("--id=router-{}", self.routers.len() + 1),
+            format!("--id=router-{number}"),
             "--http-address=127.0.0.1:0".to_owned(),
             "--wire-address=127.0.0.1:0".to_owned(),
             format!("--controllers={}", self.controller_wire),
             format!("--cluster-key-file={}", self.path("cluster.key")),
         ];
         let settings = RouterSettings::load(&arguments).unwrap();
-        self.routers
-            .push(Some(Process::start(Router::start(settings))));
+        Process::start(Router::start(settings))
     }
 
     pub fn kill_router(&mut self, number: usize) {
--- a/crates/lab/tests/once_only.rs
+++ b/crates/lab/tests/once_only.rs
@@ -6,6 +6,7 @@
 use courseshunt_router::attempt::Count;
 use courseshunt_standin::server::{FaultPoint, RunnerFault};
 use courseshunt_types::Millis;
+use courseshunt_types::runner_api::MachineState;
 use hyper::StatusCode;
 
 use FaultPoint::*;
@@ -279,3 +280,38 @@
     assert_eq!(send(&bench, 1, "k", "once").outcome(), "done");
     assert_eq!(bench.executions("once"), 1);
 }
+
+#[test]
+fn a_drained_router_and_a_drained_runner_get_no_new_work() {
+    let mut bench = Bench::start(2);
+    let admin = bench.admin();
+    assert!(bench.run(admin.drain("router", "router-9")).is_err());
+    assert!(bench.run(admin.drain("runner", "runner-9")).is_err());
+    bench.run(admin.drain("router", "router-1")).unwrap();
+    bench.wait_for("the request to stop", || {
+        bench.router(0).drain.is_cancelled()
+    });
+    bench.stop_router(0);
+    bench.wait_for("the fleet without the router", || {
+        bench.router(1).view.routers().len() == 1
+    });
+    // A router of that name that starts again is not drained again.
+    bench.restart_router(0);
+    bench.warm();
+    assert!(!bench.router(0).drain.is_cancelled());
+
+    bench.run(admin.drain("runner", "runner-1")).unwrap();
+    let leaving = |router: usize| {
+        let runner = bench.router(router).view.runner(&"runner-1".into());
+        runner.is_some_and(|runner| runner.state != MachineState::Live)
+    };
+    bench.wait_for("the runner leaving at both routers", || {
+        leaving(0) && leaving(1)
+    });
+    let before = bench.runners[0].executions().len();
+    for number in 0..10 {
+        let answer = bench.run(bench.complete(number % 2, "after the drain", false, &[]));
+        assert_eq!(answer.outcome(), "done");
+    }
+    assert_eq!(bench.runners[0].executions().len(), before);
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,7 +14,7 @@
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::LedgerClient;
+use control::{LedgerClient, LinkSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -59,6 +59,8 @@
     pub client: HttpClient,
     /// Clock of this process.
     pub clock: MonotonicClock,
+    /// Cancelled when an operator asks for a planned stop.
+    pub drain: CancellationToken,
     /// Cancelled at the planned stop.
     pub stop: CancellationToken,
 }
@@ -134,6 +136,7 @@
             bodies: limits::BodyBudget::new(max_waiting_bytes),
             client: HttpClient::default(),
             clock,
+            drain: CancellationToken::new(),
             stop: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
@@ -143,7 +146,14 @@
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
         tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
-        let link = control::run(context.clone(), key, endpoints, ledger_calls);
+        let link = LinkSettings::of_router(
+            &context.settings,
+            context.incarnation,
+            endpoints,
+            key,
+            clock,
+        );
+        let link = control::run(context.clone(), link, ledger_calls);
         tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         tokio::spawn(jobs::run(context.clone()));
         let handler = caller::handler(context.clone());
@@ -165,6 +175,11 @@
         &self.context
     }
 
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.context.drain.cancelled().await;
+    }
+
     /// Stops as planned: readiness goes off, the owned queues go to other
     /// routers, running requests finish and their ends are recorded.
     pub async fn stop(self) {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -21,7 +21,10 @@
 
 pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
 pub use command::{ClaimRequest, Command, CommandEnvelope};
-pub use configuration::{ChangeRequest, Configuration, StoredDeployment, TenantDocument};
+pub use configuration::{
+    ChangeRequest, Configuration, DocumentKey, DocumentKind, FleetLimits, HistoryEntry,
+    ModelDocument, Removal, StoredDeployment, StoredTenant, TenantDocument, Verdict,
+};
 pub use drains::Drains;
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
--- a/crates/state/src/reply.rs
+++ b/crates/state/src/reply.rs
@@ -1,5 +1,6 @@
 //! What applying a command gives back.
 
+use crate::configuration::DocumentKey;
 use courseshunt_types::{
     Attempt, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId, Outcome,
     PriorityClass, RequestId, Revision, RouterId, RunnerId, TenantName, UnixMillis, Version,
@@ -123,8 +124,8 @@
 pub enum ConfigurationConflict {
     /// The same version is there with other content.
     SameVersion {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
         /// The version.
         version: Version,
         /// Digest of the content that won.
@@ -132,8 +133,8 @@
     },
     /// A higher version is there.
     LowerVersion {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
         /// The current version.
         current: Version,
     },
@@ -144,8 +145,10 @@
     },
     /// A document is wrong in itself or does not fit the others.
     Invalid {
-        /// Name of the document.
-        name: String,
+        /// The document.
+        document: DocumentKey,
+        /// The faulty field.
+        field: String,
         /// What is wrong.
         problem: String,
     },
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims, ExecutionName};
 use crate::command::{Command, CommandEnvelope};
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, FleetLimits};
 use crate::drains::Drains;
 use crate::jobs::{JobRecord, JobState, Jobs};
 use crate::placement::Placement;
@@ -25,6 +25,8 @@
     pub configuration: Configuration,
     /// Runners and replicas.
     pub placement: Placement,
+    /// Entry that may have changed the placement last.
+    pub placement_changed_at: LogIndex,
     /// Claims of once-only requests.
     pub claims: Claims,
     /// Deferred jobs.
@@ -64,6 +66,9 @@
             term,
             sequence: index.0,
         };
+        if changes_placement(&envelope.command) {
+            self.placement_changed_at = index;
+        }
         let outcome = self.apply_command(&envelope.command, fence);
         let reply = outcome.unwrap_or_else(CommandReply::Refused);
         if named {
@@ -90,9 +95,10 @@
     ) -> Result<CommandReply, CommandError> {
         match command {
             Command::ChangeConfiguration(request) => {
-                let revision = self.configuration.change(request, self.time);
+                let limits = self.fleet_limits();
+                let changed = self.configuration.change(request, &limits, self.time);
                 let revision =
-                    revision.map_err(|conflict| CommandError::Configuration { conflict })?;
+                    changed.map_err(|conflict| CommandError::Configuration { conflict })?;
                 return Ok(CommandReply::Configured { revision });
             }
             Command::RecordRunner(record) => {
@@ -142,6 +148,16 @@
         Ok(())
     }
 
+    /// What documents must fit.
+    #[must_use]
+    pub fn fleet_limits(&self) -> FleetLimits {
+        let runners = self.placement.runners.values();
+        let in_service = runners.filter(|runner| runner.state != MachineState::Gone);
+        FleetLimits {
+            largest_runner_mib: in_service.map(|runner| runner.memory_mib).max(),
+        }
+    }
+
     fn done(&self) -> CommandReply {
         CommandReply::Done { at: self.time }
     }
@@ -342,6 +358,19 @@
     }
 }
 
+fn changes_placement(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::RecordRunner(_)
+            | Command::SetRunnerState { .. }
+            | Command::DrainRunner { .. }
+            | Command::PlaceReplica { .. }
+            | Command::ConfirmReplica { .. }
+            | Command::WithdrawReplica { .. }
+            | Command::ReleaseReplica { .. }
+    )
+}
+
 impl CommandEnvelope {
     /// The envelope as the payload of a log entry.
     #[must_use]
