--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -211,7 +211,7 @@
                 version: Version(1),
                 token_digests: vec![Digest::of(TENANT_TOKEN.as_bytes())],
             }],
-            removals: Vec::new(),
+            ..ChangeRequest::default()
         };
         let admin = self.admin();
         self.wait_for("the configuration", || {
@@ -264,9 +264,7 @@
     /// Restarts the runners that a fault has killed.
     pub fn revive(&self) {
         for runner in &self.runners {
-            if self.runtime.block_on(runner.restart()).is_ok() {
-                log::debug!("{} is back", runner.address);
-            }
+            self.runtime.block_on(runner.restart()).unwrap();
         }
         self.wait_for("the runners' incarnations at all routers", || {
             let mut routers = self.routers.iter().flatten();
--- a/crates/standin/src/server/runner.rs
+++ b/crates/standin/src/server/runner.rs
@@ -22,6 +22,10 @@
 pub(super) const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Longest transfer from the weight store.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(600);
+/// Tries to bind the address of a dead process.
+const BIND_TRIES: u32 = 100;
+/// Pause between them.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
 /// Pause of the driver when nothing is to come.
 const IDLE: Duration = Duration::from_secs(3600);
 
@@ -113,17 +117,33 @@
         self.shared.die();
     }
 
-    /// Starts a new process on the same address after [`Self::kill`].
+    /// Starts a new process on the same address after [`Self::kill`]; does
+    /// nothing while one runs.
     ///
     /// # Errors
     /// When the address can't be bound.
     pub async fn restart(&self) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.address).await?;
+        if !self.shared.lock().alive.is_cancelled() {
+            return Ok(());
+        }
+        let listener = self.bind_again().await?;
         self.shared.lock().alive = CancellationToken::new();
         self.listen(listener);
         Ok(())
     }
 
+    /// Binds the address as soon as the dead process's listener is closed.
+    async fn bind_again(&self) -> std::io::Result<TcpListener> {
+        for _ in 0..BIND_TRIES {
+            match TcpListener::bind(self.address).await {
+                Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+                bound => return bound,
+            }
+            tokio::time::sleep(BIND_PAUSE).await;
+        }
+        TcpListener::bind(self.address).await
+    }
+
     /// All executions so far.
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -177,6 +177,8 @@
     DrainRouter {
         /// The router.
         router: RouterId,
+        /// Its incarnation, if known; later ones are not told then.
+        incarnation: Option<Incarnation>,
     },
     /// Records that a router stops as planned.
     RouterLeft {
--- a/crates/state/src/drains.rs
+++ b/crates/state/src/drains.rs
@@ -11,21 +11,38 @@
 /// How long a router that is not there may still be told to stop.
 pub const ROUTER_DRAIN_KEEP: Millis = Millis::from_secs(600);
 
+/// A router that is to stop.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RouterDrain {
+    /// Its incarnation, when the controller that was asked knew it; later ones
+    /// are not told then.
+    pub incarnation: Option<Incarnation>,
+    /// Told until then.
+    pub until: UnixMillis,
+}
+
 /// See the module.
 #[derive(
     Debug, Clone, PartialEq, Eq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
 )]
 pub struct Drains {
-    /// Routers that are to stop, and until when they are told so.
-    routers: BTreeMap<RouterId, UnixMillis>,
+    /// Routers that are to stop.
+    routers: BTreeMap<RouterId, RouterDrain>,
     /// Drained runners by incarnation.
     runners: BTreeMap<RunnerId, Incarnation>,
 }
 
 impl Drains {
     /// Asks a router to stop.
-    pub fn drain_router(&mut self, router: &RouterId, now: UnixMillis) {
-        self.routers.insert(router.clone(), now + ROUTER_DRAIN_KEEP);
+    pub fn drain_router(
+        &mut self,
+        router: &RouterId,
+        incarnation: Option<Incarnation>,
+        now: UnixMillis,
+    ) {
+        let until = now + ROUTER_DRAIN_KEEP;
+        let drain = RouterDrain { incarnation, until };
+        self.routers.insert(router.clone(), drain);
     }
 
     /// Notes that a router has left.
@@ -33,10 +50,11 @@
         self.routers.remove(router);
     }
 
-    /// Whether a router is to stop.
+    /// Whether a router's process is to stop.
     #[must_use]
-    pub fn wants_router(&self, router: &RouterId) -> bool {
-        self.routers.contains_key(router)
+    pub fn wants_router(&self, router: &RouterId, incarnation: Incarnation) -> bool {
+        let drain = self.routers.get(router);
+        drain.is_some_and(|drain| drain.incarnation.is_none_or(|one| one == incarnation))
     }
 
     /// Asks for no new work for a runner's present process.
@@ -62,11 +80,11 @@
     /// When something is forgotten next.
     #[must_use]
     pub fn next_expiry(&self) -> Option<UnixMillis> {
-        self.routers.values().min().copied()
+        self.routers.values().map(|drain| drain.until).min()
     }
 
     /// Forgets what has expired.
     pub fn expire(&mut self, now: UnixMillis) {
-        self.routers.retain(|_, until| *until > now);
+        self.routers.retain(|_, drain| drain.until > now);
     }
 }
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -107,7 +107,10 @@
                 record.state = self.drains.state_of(runner, incarnation, record.state);
                 self.placement.record_runner(&record);
             }
-            Command::DrainRouter { router } => self.drains.drain_router(router, self.time),
+            Command::DrainRouter {
+                router,
+                incarnation,
+            } => self.drains.drain_router(router, *incarnation, self.time),
             Command::RouterLeft { router } => self.drains.router_left(router),
             Command::DrainRunner { runner } => self.drain_runner(runner)?,
             Command::SetRunnerState {
