--- a/crates/controller/src/admin/drain.rs
+++ b/crates/controller/src/admin/drain.rs
@@ -37,16 +37,14 @@
     };
     let command = match wanted {
         DrainRequest::Router(router) => {
-            if !context
-                .routers
-                .all()
-                .iter()
-                .any(|one| one.endpoint.router == router)
-            {
-                let message = format!("there is no router {router}");
-                return failure(StatusCode::NOT_FOUND, "not_found", &message);
+            let known = context.routers.all().into_iter();
+            let known = known.map(|one| one.endpoint);
+            let known = known.filter(|one| one.router == router).last();
+            let incarnation = known.map(|one| one.incarnation);
+            Command::DrainRouter {
+                router,
+                incarnation,
             }
-            Command::DrainRouter { router }
         }
         DrainRequest::Runner(runner) => Command::DrainRunner { runner },
     };
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -48,7 +48,7 @@
         context,
         sender,
         peer,
-        router.clone(),
+        endpoint.clone(),
         subscribe.revision,
         subscribe.placement,
     );
--- a/crates/controller/src/feed/writer.rs
+++ b/crates/controller/src/feed/writer.rs
@@ -6,7 +6,8 @@
 use super::jobs;
 use super::source::{CONFIRMATION_INTERVAL, FeedCounts};
 use crate::ControllerContext;
-use courseshunt_types::{Epoch, JobId, LogIndex, Revision, RouterId};
+use courseshunt_types::{Epoch, JobId, LogIndex, Revision};
+use courseshunt_wire::message::RouterEndpoint;
 use courseshunt_wire::{Message, Sender, WireError};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,7 +25,8 @@
     sender: Sender,
     /// Name of the router, for errors.
     peer: String,
-    router: RouterId,
+    /// The router.
+    router: RouterEndpoint,
     /// Jobs as last told.
     jobs: Vec<JobId>,
     /// Whether the router was told to stop.
@@ -47,7 +49,7 @@
         context: &'a ControllerContext,
         sender: Sender,
         peer: String,
-        router: RouterId,
+        router: RouterEndpoint,
         revision: Revision,
         placement: LogIndex,
     ) -> Self {
@@ -97,7 +99,7 @@
 
     /// Tells the queued jobs when others are queued than before.
     async fn send_jobs(&mut self) -> Result<(), WireError> {
-        let jobs = jobs::queued_for(self.context, &self.router);
+        let jobs = jobs::queued_for(self.context, &self.router.router);
         let told: Vec<JobId> = jobs.iter().map(|job| job.job.clone()).collect();
         if told == self.jobs {
             return Ok(());
@@ -110,7 +112,8 @@
     async fn send_drain(&mut self) -> Result<(), WireError> {
         let wanted = {
             let state = self.context.replica.state();
-            state.drains.wants_router(&self.router)
+            let drains = &state.drains;
+            drains.wants_router(&self.router.router, self.router.incarnation)
         };
         if !wanted || self.drained {
             return Ok(());
--- a/crates/router/src/control/client.rs
+++ b/crates/router/src/control/client.rs
@@ -80,6 +80,9 @@
     /// Told to stop as planned.
     fn drain_asked(&self) {}
 
+    /// Noted when a controller was told that the router stops.
+    fn leaving_told(&self) {}
+
     /// Waits until the router stops as planned.
     fn leaving(&self) -> impl Future<Output = ()> + Send {
         std::future::pending()
@@ -112,6 +115,10 @@
         self.drain.cancel();
     }
 
+    fn leaving_told(&self) {
+        self.leaving_told.cancel();
+    }
+
     async fn leaving(&self) {
         self.stop.cancelled().await;
     }
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -214,6 +214,7 @@
                 () = self.client.leaving(), if !told_leaving => {
                     told_leaving = true;
                     sender.send(&Message::Leaving).await?;
+                    self.client.leaving_told();
                 }
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,10 +26,14 @@
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Longest wait for a controller that is told of the planned stop.
+const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the parts of a router share.
 #[derive(Debug, Clone)]
 pub struct RouterContext {
@@ -61,6 +65,8 @@
     pub clock: MonotonicClock,
     /// Cancelled when an operator asks for a planned stop.
     pub drain: CancellationToken,
+    /// Cancelled when a controller was told of the planned stop.
+    pub leaving_told: CancellationToken,
     /// Cancelled at the planned stop.
     pub stop: CancellationToken,
 }
@@ -137,6 +143,7 @@
             client: HttpClient::default(),
             clock,
             drain: CancellationToken::new(),
+            leaving_told: CancellationToken::new(),
             stop: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
@@ -196,6 +203,8 @@
             let left = context.tasks.len();
             log::warn!("router: stopped before all requests had ended ({left} tasks left)");
         }
+        let told = context.leaving_told.cancelled();
+        let _ = tokio::time::timeout(LEAVING_TIMEOUT, told).await;
         self.ended.cancel();
         log::info!("router: stopped");
     }
