--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,9 +4,11 @@
 mod check;
 mod diff;
 mod documents;
+mod drain;
 mod explain;
 mod get;
 mod history;
+mod job;
 mod manual;
 mod render;
 mod serve;
@@ -95,6 +97,18 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "drain",
+        summary: "ask a router or runner to stop as planned",
+        run: drain::run,
+        help: drain::help,
+    },
+    Subcommand {
+        name: "job",
+        summary: "submit, show, cancel and list deferred jobs",
+        run: job::run,
+        help: job::help,
+    },
     Subcommand {
         name: "check",
         summary: "check a settings file, template, parameters, documents, scenario or faults",
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 mod frames;
+mod jobs;
 pub mod placement_index;
 mod registry;
 mod session;
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -61,6 +61,14 @@
         self.epoch.send_modify(|epoch| *epoch = epoch.next());
     }
 
+    /// Notes that a router stops as planned and owns no queues any more.
+    pub fn leave(&self, router: &RouterId) {
+        if let Some(known) = self.lock().get_mut(router) {
+            known.endpoint.leaving = true;
+        }
+        self.epoch.send_modify(|epoch| *epoch = epoch.next());
+    }
+
     /// Records the revision in force at a router.
     pub fn confirm(&self, router: &RouterId, revision: Revision) {
         if let Some(known) = self.lock().get_mut(router) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod peers;
 pub mod replica;
 pub mod scheduler;
+mod timekeeper;
 
 pub use error::ControllerError;
 pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
@@ -123,6 +124,8 @@
         };
         feed::start(wire, &context);
         scheduler::start(&context);
+        let keeping = timekeeper::run(context.clone());
+        tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
         let stop = context.stop.clone();
         let forgetting = peers::forget_when_deposed(context.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -160,6 +160,22 @@
         })
     }
 
+    /// Asks a `router` or `runner` to stop as planned.
+    ///
+    /// # Errors
+    /// When no controller can be reached or it refuses.
+    pub async fn drain(&self, kind: &str, id: &str) -> Result<(), AdminError> {
+        let content = serde_json::json!({ kind: id });
+        self.call(
+            Method::POST,
+            "/admin/v1/drains",
+            Some(&content),
+            CALL_TIMEOUT,
+        )
+        .await?;
+        Ok(())
+    }
+
     /// Reads a page as JSON.
     ///
     /// # Errors
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -185,6 +185,8 @@
                 self.client.view_changed();
             }
             Message::FeedConfirmation { age, revision } => self.confirmed(age, revision),
+            Message::Jobs { jobs } => self.client.jobs_queued(jobs),
+            Message::Drain => self.client.drain_asked(),
             Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
@@ -211,6 +213,7 @@
     }
 
     async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), LinkError> {
+        let mut told_leaving = false;
         let mut report = tokio::time::interval(REPORT_INTERVAL);
         let mut resend = tokio::time::interval(RESEND_INTERVAL);
         loop {
@@ -227,6 +230,11 @@
                     self.report(&mut sender).await?;
                 }
                 _ = resend.tick() => self.send_due(&mut sender).await?,
+                () = self.client.leaving(), if !told_leaving => {
+                    told_leaving = true;
+                    sender.send(&Message::Leaving).await?;
+                    self.client.leaving_told();
+                }
             }
         }
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -150,6 +150,7 @@
         let runners = (0..replicas).map(|number| RunnerEndpoint {
             runner: format!("runner-{number}").into(),
             address: format!("127.0.0.1:{}", 1 + number),
+            incarnation: Incarnation(1),
             zone: "zone".into(),
             state: MachineState::Live,
         });
