--- a/crates/controller/src/admin/drain.rs
+++ b/crates/controller/src/admin/drain.rs
@@ -37,10 +37,9 @@
     };
     let command = match wanted {
         DrainRequest::Router(router) => {
-            let known = context.routers.all().into_iter();
-            let known = known.map(|one| one.endpoint);
-            let known = known.filter(|one| one.router == router).last();
-            let incarnation = known.map(|one| one.incarnation);
+            let mut known = context.routers.all().into_iter();
+            let known = known.find(|one| one.endpoint.router == router);
+            let incarnation = known.map(|one| one.endpoint.incarnation);
             Command::DrainRouter {
                 router,
                 incarnation,
--- a/crates/controller/src/feed/jobs.rs
+++ b/crates/controller/src/feed/jobs.rs
@@ -33,8 +33,12 @@
 }
 
 fn live_routers(context: &ControllerContext) -> Vec<RouterId> {
-    let routers = context.routers.update().routers.into_iter();
-    let staying = routers.filter(|router| !router.leaving);
+    let endpoints = context
+        .routers
+        .all()
+        .into_iter()
+        .map(|known| known.endpoint);
+    let staying = endpoints.filter(|router| !router.leaving);
     staying.map(|router| router.router).collect()
 }
 
--- a/crates/router/examples/router_bench/main.rs
+++ b/crates/router/examples/router_bench/main.rs
@@ -28,6 +28,7 @@
     prompt_token_ms: 0.0,
     token_ms: 1.0,
     token_per_request_ms: 0.0,
+    token_per_context_ms: 0.0,
 };
 
 #[tokio::main]
@@ -224,6 +225,7 @@
         prompt_token_ms: 0.0,
         token_ms: 5.0,
         token_per_request_ms: 0.0,
+        token_per_context_ms: 0.0,
     };
     let size = BenchSize {
         routers: 3,
--- a/crates/router/examples/router_bench/site.rs
+++ b/crates/router/examples/router_bench/site.rs
@@ -12,8 +12,8 @@
     Inventory, LoadPhase, MachineState, OrderAction, OrderRequest,
 };
 use courseshunt_types::{
-    DeploymentDocument, Digest, Epoch, Fence, LogIndex, Millis, Revision, RouterId, RunnerId, Term,
-    Timestamp, Version,
+    DeploymentDocument, Digest, Epoch, Fence, Incarnation, LogIndex, Millis, Revision, RouterId,
+    RunnerId, Term, Timestamp, Version,
 };
 use courseshunt_wire::message::{
     ConfigurationUpdate, DeploymentReplicas, FleetUpdate, PlacementUpdate, RouterEndpoint,
@@ -106,7 +106,7 @@
                 epoch: Epoch(1),
                 routers: endpoints.clone(),
             });
-            view.confirm(Timestamp(1));
+            view.confirm(Timestamp(1), Revision(1));
             router.context().dispatcher.view_changed();
         }
     }
@@ -116,6 +116,7 @@
         let runners = runners.map(|(number, runner)| RunnerEndpoint {
             runner: runner_name(number),
             address: runner.address.to_string(),
+            incarnation: Incarnation(1),
             zone: "zone".into(),
             state: MachineState::Live,
         });
@@ -155,6 +156,7 @@
         id: format!("router-{number}").into(),
         http_address: ANY.into(),
         wire_address: ANY.into(),
+        advertised_address: None,
         // Nobody listens on the discard port.
         controllers: vec![SocketAddr::from(([127, 0, 0, 1], 9))],
         max_connections: 20_000,
@@ -162,6 +164,7 @@
         max_waiting_bytes: 256 * 1024 * 1024,
         body_timeout: Millis::from_secs(10),
         drain: Millis::from_secs(1),
+        source_address: None,
         zone: "zone".into(),
         cluster_key_file: key_file.to_path_buf(),
         logging: LogSettings {
