--- a/crates/controller/src/admin/drain.rs
+++ b/crates/controller/src/admin/drain.rs
@@ -38,8 +38,8 @@
     let command = match wanted {
         DrainRequest::Router(router) => {
             let known = context.routers.all().into_iter();
-            let known = known.map(|one| one.endpoint);
-            let known = known.filter(|one| one.router == router).last();
+            let mut known = known.map(|one| one.endpoint);
+            let known = known.find(|one| one.router == router);
             let incarnation = known.map(|one| one.incarnation);
             Command::DrainRouter {
                 router,
