--- a/crates/router/examples/router_bench/site.rs
+++ b/crates/router/examples/router_bench/site.rs
@@ -106,7 +106,7 @@
                 epoch: Epoch(1),
                 routers: endpoints.clone(),
             });
-            view.confirm(Timestamp(1));
+            view.confirm(Timestamp(1), Revision(1));
             router.context().dispatcher.view_changed();
         }
     }
