Simulator: mutants for each checker, checked scenario files, scale-out in the baselines

Cause: nothing showed that the checkers can fail; a wrong range in a scenario file went through; the baselines never loaded a second replica, nor replaced one on a silent runner.

Change: seven mutants of the product, each found by its checker in a test; every field of scenario and fault files checked, with its place in the error; docs/SCENARIOS.md names every field, which a test checks; baselines load one more replica when none answers, or when requests wait 10 s beside ready ones; targets busy-runner and loading-runner.

A first mutant of fences (orders rewritten to the highest fence) was not found: nothing was ever confirmed under it, so no order was late. It now forgets fences, and is found.

--- a/crates/lab/src/commands/simulate.rs
+++ b/crates/lab/src/commands/simulate.rs
@@ -49,6 +49,7 @@
         policy: policy.unwrap_or_else(|| "load-on-demand".to_owned()),
         seed: number(&matches, "seed")?.unwrap_or(1),
         faults,
+        mutant: None,
     })?;
     match matches.opt_present("json") {
         true => print!("{}", report.to_json()),
--- a/crates/lab/src/compare/mod.rs
+++ b/crates/lab/src/compare/mod.rs
@@ -74,6 +74,7 @@
         policy: case.policy.clone(),
         seed: case.seed,
         faults: case.faults.clone(),
+        mutant: None,
     })?;
     Ok(Run {
         faults_name: case.faults_name.clone(),
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -10,7 +10,10 @@
 /// # Errors
 /// When it can't be read, or a field is wrong; the error names the place.
 pub fn read_scenario(path: &Path) -> Result<Scenario, LabError> {
-    read(path)
+    let scenario: Scenario = read(path)?;
+    let checked = scenario.validate();
+    checked.map_err(|error| problem(path, &error))?;
+    Ok(scenario)
 }
 
 /// Reads and checks a fault file.
@@ -18,11 +21,17 @@
 /// # Errors
 /// When it can't be read, or a field is wrong; the error names the place.
 pub fn read_faults(path: &Path) -> Result<FaultSchedule, LabError> {
-    read(path)
+    let schedule: FaultSchedule = read(path)?;
+    let checked = schedule.validate();
+    checked.map_err(|error| problem(path, &error))?;
+    Ok(schedule)
 }
 
 fn read<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, LabError> {
-    let problem = |problem: String| LabError::usage(format!("{}: {problem}", path.display()));
-    let text = std::fs::read_to_string(path).map_err(|error| problem(error.to_string()))?;
-    toml::from_str(&text).map_err(|error| problem(error.to_string()))
+    let text = std::fs::read_to_string(path).map_err(|error| problem(path, &error))?;
+    toml::from_str(&text).map_err(|error| problem(path, &error))
+}
+
+fn problem(path: &Path, problem: &dyn std::fmt::Display) -> LabError {
+    LabError::usage(format!("{}: {problem}", path.display()))
 }
--- a/crates/lab/src/simulate/control/planning.rs
+++ b/crates/lab/src/simulate/control/planning.rs
@@ -1,6 +1,7 @@
 //! Plans, commits of decisions, and the orders that follow.
 
 use super::PlannedDecision;
+use crate::simulate::Mutant;
 use crate::simulate::event::Event;
 use crate::simulate::world::World;
 use courseshunt_controller::scheduler::{cluster_view, load_order, unload_order};
@@ -136,9 +137,13 @@
         let Some(document) = self.document(&replica.deployment) else {
             return;
         };
+        let memory_mib = match self.mutates(Mutant::ReservesNothing) {
+            true => 0,
+            false => document.replica_memory_mib(),
+        };
         let command = Command::PlaceReplica {
             replica: replica.clone(),
-            memory_mib: document.replica_memory_mib(),
+            memory_mib,
         };
         let CommandReply::Placed { fence } = self.apply(command) else {
             return;
@@ -172,6 +177,10 @@
         let CommandReply::Placed { fence } = self.apply(command) else {
             return;
         };
+        if self.mutates(Mutant::ReleasesEarly) {
+            let replica = replica.clone();
+            self.apply(Command::ReleaseReplica { replica, fence });
+        }
         self.feed_deployment(&replica.deployment);
         self.order_unload(&replica.runner, &replica.deployment, fence);
     }
--- a/crates/lab/src/simulate/faults.rs
+++ b/crates/lab/src/simulate/faults.rs
@@ -1,13 +1,15 @@
 //! Faults of a schedule, carried out on the simulated world.
 
+use super::Mutant;
 use super::event::{Event, RouterNumber, RunnerNumber};
 use super::requests::{End, Stage};
 use super::world::World;
 use courseshunt_controller::scheduler::{load_order, unload_order};
 use courseshunt_standin::faults::{Fault, FaultKind};
+use courseshunt_standin::model::HeldDeployment;
 use courseshunt_state::{ChangeRequest, Command, ReplicaPhase};
 use courseshunt_types::runner_api::{LoadPhase, MachineState, OrderRequest};
-use courseshunt_types::{Millis, PriorityClass, Timestamp, Version};
+use courseshunt_types::{Incarnation, Millis, PriorityClass, Revision, Timestamp, Version};
 use rand::RngExt;
 
 /// Time until a holder gives up a runner that is silent.
@@ -30,6 +32,8 @@
     Runner(RunnerNumber),
     /// A runner that loads something when the fault begins.
     LoadingRunner,
+    /// A runner that runs something when the fault begins.
+    BusyRunner,
     /// All processes of a zone.
     Zone(String),
     /// The weight store, the platform or operators.
@@ -95,7 +99,7 @@
             fault.kind,
             FaultKind::Reclaim | FaultKind::ReclaimWithoutNotice
         );
-        if reclaim && !matches!(target, Target::Runner(_) | Target::LoadingRunner) {
+        if reclaim && matches!(target, Target::Leader | Target::Router(_)) {
             return Err("only runners are reclaimed".to_owned());
         }
         Ok(target)
@@ -119,6 +123,7 @@
         match name {
             "controller" => return Ok(Target::Leader),
             "loading-runner" => return Ok(Target::LoadingRunner),
+            "busy-runner" => return Ok(Target::BusyRunner),
             "router" => return Ok(Target::Router(self.random.random_range(0..routers))),
             "runner" => return Ok(Target::Runner(self.random.random_range(0..runners))),
             "*" => {
@@ -145,8 +150,13 @@
         let Some(mut fault) = self.active_faults[number].clone() else {
             return;
         };
-        if fault.target == Target::LoadingRunner {
-            fault.target = Target::Runner(self.pick_loading_runner());
+        let at_the_moment = match fault.target {
+            Target::LoadingRunner => Some(self.pick_runner(|one| one.phase == LoadPhase::Loading)),
+            Target::BusyRunner => Some(self.pick_runner(|one| one.running > 0)),
+            _ => None,
+        };
+        if let Some(runner) = at_the_moment {
+            fault.target = Target::Runner(runner);
             self.active_faults[number] = Some(fault.clone());
         }
         if fault.length > Millis(0) {
@@ -169,17 +179,15 @@
         }
     }
 
-    /// A runner that loads something, or else any.
-    fn pick_loading_runner(&mut self) -> RunnerNumber {
+    /// A live runner that holds something of this kind, or else any.
+    fn pick_runner(&mut self, wanted: impl Fn(&HeldDeployment<'_>) -> bool) -> RunnerNumber {
         let runners = self.fleet.runners.iter().enumerate();
-        let loading = runners.filter(|(_, one)| {
-            let mut held = one.model.held();
-            one.up && held.any(|held| held.phase == LoadPhase::Loading)
-        });
-        let loading: Vec<RunnerNumber> = loading.map(|(number, _)| number).collect();
-        match loading.is_empty() {
+        let fitting =
+            runners.filter(|(_, one)| one.up && one.model.held().any(|held| wanted(&held)));
+        let fitting: Vec<RunnerNumber> = fitting.map(|(number, _)| number).collect();
+        match fitting.is_empty() {
             true => self.random.random_range(0..self.fleet.runners.len()),
-            false => loading[self.random.random_range(0..loading.len())],
+            false => fitting[self.random.random_range(0..fitting.len())],
         }
     }
 
@@ -451,6 +459,9 @@
         let now = self.now;
         let one = &mut self.fleet.runners[runner];
         one.leaving_since.get_or_insert(now);
+        if self.settings.mutant == Some(Mutant::HidesLeaving) {
+            return;
+        }
         one.model.start_draining();
         self.inventory_changed(runner);
     }
@@ -470,6 +481,9 @@
     /// The platform's list shows a state after its lag.
     fn list(&mut self, runner: RunnerNumber, state: MachineState) {
         self.fleet.runners[runner].listed = state;
+        if self.mutates(Mutant::HidesLeaving) {
+            return;
+        }
         let lag = self.settings.scenario.platform.list_lag_ms;
         self.push(lag, Event::Listed { runner, state });
     }
@@ -524,7 +538,10 @@
     }
 
     pub(super) fn configuration_fed(&mut self, router: RouterNumber) {
-        let revision = self.control.state.configuration.revision;
+        let mut revision = self.control.state.configuration.revision;
+        if self.mutates(Mutant::StartsStale) && self.routers[router].incarnation > Incarnation(1) {
+            revision = Revision(1);
+        }
         let name = self.routers[router].site.router.as_str();
         self.checks.configuration(name, revision);
     }
--- a/crates/lab/src/simulate/fleet.rs
+++ b/crates/lab/src/simulate/fleet.rs
@@ -1,5 +1,6 @@
 //! Runners and the weight store in virtual time.
 
+use super::Mutant;
 use super::event::{Event, Process, RunnerNumber};
 use super::measures::{AcceleratorTime, Waits};
 use super::requests::Request;
@@ -8,7 +9,7 @@
     RunnerEvent, RunnerModel, RunnerModelSettings, SequenceKey, StoreModel, StoreModelSettings,
     TransferId,
 };
-use courseshunt_types::runner_api::{LoadPhase, MachineState, OrderRejection, OrderRequest};
+use courseshunt_types::runner_api::{MachineState, OrderAction, OrderRejection, OrderRequest};
 use courseshunt_types::{Incarnation, Millis, ModelName, RunnerId, Timestamp, Zone};
 use std::collections::BTreeMap;
 
@@ -284,6 +285,11 @@
         }
         self.account(runner);
         let now = self.now;
+        if self.mutates(Mutant::IgnoresFences) {
+            self.fleet.runners[runner].model.forget_fences();
+        }
+        let mutated = self.mutated(order);
+        let order = mutated.as_ref().unwrap_or(order);
         let result = self.fleet.runners[runner].model.order(order, now);
         if matches!(result, Err(OrderRejection::OutOfMemory { .. })) {
             self.checks.overcommit_ordered();
@@ -295,18 +301,38 @@
         result.is_ok()
     }
 
+    /// The order as a fault of the product would have it.
+    fn mutated(&self, order: &OrderRequest) -> Option<OrderRequest> {
+        if self.mutates(Mutant::IgnoresFences) {
+            let incarnation = None;
+            let order = order.clone();
+            return Some(OrderRequest {
+                incarnation,
+                ..order
+            });
+        }
+        if !self.mutates(Mutant::ReservesNothing) {
+            return None;
+        }
+        let number = self.deployment_numbers.get(&order.deployment)?;
+        let document = &self.site[*number].document;
+        let mut mutated = order.clone();
+        if let OrderAction::Load { memory_mib, .. } = &mut mutated.action {
+            *memory_mib = document.replica_memory_mib();
+        }
+        Some(mutated)
+    }
+
     /// Compares what a runner holds with what was decided.
     pub(super) fn check_runner(&mut self, runner: RunnerNumber) {
         let one = &self.fleet.runners[runner];
         if !one.up {
             return;
         }
-        let held = one.model.held();
-        let held = held.filter(|held| held.phase != LoadPhase::Unloading);
         self.checks.runner_changed(
             one.name(),
             one.model.settings().memory_mib,
-            held,
+            one.model.held(),
             &self.control.state.placement,
         );
     }
--- a/crates/lab/src/simulate/flow.rs
+++ b/crates/lab/src/simulate/flow.rs
@@ -1,5 +1,6 @@
 //! The way of a request: arrival, ticket, grant, claim, execution, answer.
 
+use super::Mutant;
 use super::event::{Event, Process, RequestNumber};
 use super::requests::{End, Request, Stage};
 use super::world::World;
@@ -161,7 +162,8 @@
             grant: grant.grant,
         };
         self.push(self.between_routers(holder, owner), started);
-        match self.arrivals[self.requests[number].arrival].once_only {
+        let once_only = self.arrivals[self.requests[number].arrival].once_only;
+        match once_only && !self.mutates(Mutant::SkipsClaims) {
             true => {
                 let commit = self.settings.scenario.control.commit_ms;
                 self.push(
@@ -428,7 +430,11 @@
         }
         if self.arrivals[self.requests[number].arrival].once_only {
             self.finish_claim(number, false);
-            self.end(number, End::Unknown);
+            let end = match self.mutates(Mutant::DeniesExecutions) {
+                true => End::NotRun,
+                false => End::Unknown,
+            };
+            self.end(number, end);
             return;
         }
         self.try_again(number);
--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -44,6 +44,27 @@
     pub seed: u64,
     /// What breaks when.
     pub faults: FaultSchedule,
+    /// A fault of the product, put in to show that a checker finds it.
+    pub mutant: Option<Mutant>,
+}
+
+/// Faults of the product that the checkers must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// Reservations end when the unload is decided, not when memory is free.
+    ReleasesEarly,
+    /// Replicas are placed without a reservation.
+    ReservesNothing,
+    /// Runners take orders without looking at fences and incarnations.
+    IgnoresFences,
+    /// Once-only requests are sent without a claim.
+    SkipsClaims,
+    /// A request whose runner died is refused as not run.
+    DeniesExecutions,
+    /// Leaving runners say nothing and are not listed.
+    HidesLeaving,
+    /// A router that starts again takes an earlier configuration.
+    StartsStale,
 }
 
 /// Runs a simulation to its end.
--- a/crates/lab/src/simulate/world.rs
+++ b/crates/lab/src/simulate/world.rs
@@ -1,6 +1,5 @@
 //! The simulated world and its loop over events.
 
-use super::SimulationSettings;
 use super::checks::Checks;
 use super::control::Control;
 use super::event::{DeploymentNumber, Event, EventQueue, Process, RouterNumber, RunnerNumber};
@@ -11,6 +10,7 @@
 use super::requests::Request;
 use super::routers::Router;
 use super::site::{self, SiteDeployment};
+use super::{Mutant, SimulationSettings};
 use crate::callers::{Arrival, HOUR_MS, arrivals, random_stream};
 use courseshunt_types::{DeploymentName, Millis, RunnerId, Timestamp, Zone};
 use rand_pcg::Pcg64;
@@ -136,6 +136,11 @@
         report
     }
 
+    /// Whether this fault of the product was put in.
+    pub(super) fn mutates(&self, mutant: Mutant) -> bool {
+        self.settings.mutant == Some(mutant)
+    }
+
     pub(super) fn push(&mut self, delay: Millis, event: Event) {
         self.events.push(self.now + delay, event);
     }
--- a/crates/placement/src/policies/always_loaded.rs
+++ b/crates/placement/src/policies/always_loaded.rs
@@ -1,7 +1,7 @@
 //! Baseline: keeps loaded what fits, the latest called first, and evicts the
 //! least recently used idle replica for a request that waits.
 
-use super::placing::{Rooms, cold_and_wanted, cold_by_recency};
+use super::placing::{Rooms, cold_by_recency, short_of_replicas};
 use crate::decision::Decision;
 use crate::policy::{DemandEvent, PlacementPolicy};
 use crate::view::ClusterView;
@@ -20,10 +20,10 @@
 
     fn plan(&mut self, view: &ClusterView) -> Vec<Decision> {
         let mut rooms = Rooms::of(view);
-        let wanted = cold_and_wanted(view);
+        let wanted = short_of_replicas(view);
         let mut decisions = Vec::new();
         for one in &wanted {
-            decisions.extend(rooms.place(one, "requests wait and no replica is loaded"));
+            decisions.extend(rooms.place(one, "requests wait and no slot is free"));
         }
         if wanted.is_empty() {
             let cold = cold_by_recency(view).into_iter();
--- a/crates/placement/src/policies/fixed_keepalive.rs
+++ b/crates/placement/src/policies/fixed_keepalive.rs
@@ -2,7 +2,7 @@
 //! time after its last use. Memory that is short is taken from the least
 //! recently used idle replica.
 
-use super::placing::{Rooms, cold_and_wanted, next_unload, unload_idle};
+use super::placing::{Rooms, next_unload, short_of_replicas, unload_idle};
 use crate::decision::Decision;
 use crate::policy::{DemandEvent, PlacementPolicy};
 use crate::view::ClusterView;
@@ -25,8 +25,8 @@
     fn plan(&mut self, view: &ClusterView) -> Vec<Decision> {
         let mut decisions = unload_idle(view, KEEP_ALIVE, "idle for the keep-alive time");
         let mut rooms = Rooms::of(view);
-        for one in cold_and_wanted(view) {
-            decisions.extend(rooms.place(one, "requests wait and no replica is loaded"));
+        for one in short_of_replicas(view) {
+            decisions.extend(rooms.place(one, "requests wait and no slot is free"));
         }
         decisions
     }
--- a/crates/placement/src/policies/placing.rs
+++ b/crates/placement/src/policies/placing.rs
@@ -67,12 +67,35 @@
     })
 }
 
-/// Deployments with waiting requests and no replica, the most urgent first.
-pub(super) fn cold_and_wanted(view: &ClusterView) -> Vec<&DeploymentView> {
-    let cold = |one: &&DeploymentView| one.demand.waiting() > 0 && one.replicas.is_empty();
-    let mut cold: Vec<&DeploymentView> = view.deployments.iter().filter(cold).collect();
-    cold.sort_by_key(|one| (one.demand.earliest_deadline, one.name().clone()));
-    cold
+/// Requests that wait this long beside ready replicas get one more replica.
+const PATIENCE: Millis = Millis::from_secs(10);
+
+/// Deployments whose waiting requests need one more replica, the most urgent
+/// first: no replica answers or loads, or all are ready and requests have
+/// waited beside them for [`PATIENCE`].
+pub(super) fn short_of_replicas(view: &ClusterView) -> Vec<&DeploymentView> {
+    let below = |one: &DeploymentView| view.count_against_limit(one) < one.document.max_replicas;
+    let deployments = view.deployments.iter();
+    let mut short: Vec<&DeploymentView> = deployments
+        .filter(|one| one.demand.waiting() > 0 && below(one) && is_short(view, one))
+        .collect();
+    short.sort_by_key(|one| (one.demand.earliest_deadline, one.name().clone()));
+    short
+}
+
+fn is_short(view: &ClusterView, deployment: &DeploymentView) -> bool {
+    let usable = deployment.replicas.iter().filter(|replica| {
+        let runner = view.runner(&replica.runner);
+        let answers = runner.is_some_and(RunnerView::accepts_loads);
+        answers && replica.phase != ReplicaPhase::Withdrawn
+    });
+    let usable: Vec<&ReplicaView> = usable.collect();
+    let Some(newest) = usable.iter().map(|one| one.since).max() else {
+        return true;
+    };
+    let ready = usable.iter().all(|one| one.phase == ReplicaPhase::Ready);
+    let oldest = deployment.demand.oldest_arrival.unwrap_or(view.now);
+    ready && view.now.since(newest.max(oldest)) >= PATIENCE
 }
 
 pub(super) fn unload(deployment: &DeploymentName, runner: &RunnerId, reason: &str) -> Decision {
@@ -130,7 +153,9 @@
         let fits = |runner: &&RunnerView| {
             let room = self.rooms.get(&runner.runner);
             let avoided = runner.avoid.contains(&wanted.document.model);
-            room.is_some_and(|room| room.free_mib >= memory) && !avoided
+            let mut held = wanted.replicas.iter();
+            let held = held.any(|replica| replica.runner == runner.runner);
+            room.is_some_and(|room| room.free_mib >= memory) && !avoided && !held
         };
         let fitting = self.view.runners.iter().filter(fits);
         // The fastest tier; then the tightest fit, to keep large rooms whole.
--- a/crates/standin/src/model/runner.rs
+++ b/crates/standin/src/model/runner.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Forgets all fences, as a faulty engine would.
+    pub fn forget_fences(&mut self) {
+        self.highest_fences.clear();
+    }
+
     /// Whether it takes no new loads and requests.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario/mod.rs
@@ -3,6 +3,10 @@
 //! Read by `courseshunt-lab simulate`, `fleet` and `capacity` alike. Every
 //! field is explained in `docs/SCENARIOS.md`.
 
+mod check;
+
+pub use check::FieldError;
+
 use crate::model::{EngineTiming, StoreModelSettings};
 use courseshunt_types::{ClassLimits, Millis, ObjectiveWeights, PriorityClass};
 
