--- a/crates/standin/tests/scenarios.rs
+++ b/crates/standin/tests/scenarios.rs
@@ -141,6 +141,7 @@
         FaultKind::LoseDisk,
         FaultKind::PlannedRestart,
         FaultKind::SilentCut,
+        FaultKind::SlowLink(courseshunt_types::Millis(50)),
         FaultKind::Freeze,
         FaultKind::ZoneCut,
         FaultKind::ZoneLoss,
@@ -158,6 +159,7 @@
             | FaultKind::LoseDisk
             | FaultKind::PlannedRestart
             | FaultKind::SilentCut
+            | FaultKind::SlowLink(_)
             | FaultKind::Freeze
             | FaultKind::ZoneCut
             | FaultKind::ZoneLoss
