--- a/crates/lab/src/simulate/flow.rs
+++ b/crates/lab/src/simulate/flow.rs
@@ -6,7 +6,7 @@
 use super::world::World;
 use courseshunt_queue::{Grant, Ticket};
 use courseshunt_standin::model::{EngineRequest, PREFIX_BLOCK_TOKENS, SequenceKey};
-use courseshunt_state::{ClaimReply, Command, CommandReply, StoredAnswer};
+use courseshunt_state::{ClaimReply, ClaimRequest, Command, CommandReply, StoredAnswer};
 use courseshunt_types::{
     Attempt, Digest, IdempotencyKey, Millis, PriorityClass, TenantName, Timestamp,
 };
@@ -215,15 +215,18 @@
         }
         let Some(runner) = request.runner else { return };
         let holder = &self.routers[request.holder.number];
-        let command = Command::OpenClaim {
+        let execution = self.sequence_key(number);
+        let command = Command::OpenClaim(Box::new(ClaimRequest {
             tenant: TenantName::from(super::site::TENANT),
             key: self.claim_key(number),
             digest: Digest::of(request.origin.to_string().as_bytes()),
             router: holder.site.router.clone(),
             incarnation: holder.incarnation,
             runner: self.fleet.runners[runner.number].name().clone(),
+            request: execution.request,
+            attempt: execution.attempt,
             keep: CLAIM_KEEP,
-        };
+        }));
         match self.apply(command) {
             CommandReply::Claim(ClaimReply::Granted) => self.send(number),
             CommandReply::Claim(ClaimReply::Recorded(_)) => self.end(number, End::Served),
@@ -346,12 +349,12 @@
     }
 
     fn release_claim(&mut self, number: RequestNumber) {
-        let holder = &self.routers[self.requests[number].holder.number];
+        let execution = self.sequence_key(number);
         let command = Command::ReleaseClaim {
             tenant: TenantName::from(super::site::TENANT),
             key: self.claim_key(number),
-            router: holder.site.router.clone(),
-            incarnation: holder.incarnation,
+            request: execution.request,
+            attempt: execution.attempt,
         };
         self.apply(command);
     }
@@ -415,9 +418,12 @@
             content_type: String::new(),
             body: Vec::new(),
         });
+        let execution = self.sequence_key(number);
         let command = Command::FinishClaim {
             tenant: TenantName::from(super::site::TENANT),
             key: self.claim_key(number),
+            request: execution.request,
+            attempt: execution.attempt,
             answer,
         };
         self.apply(command);
--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -368,6 +368,7 @@
             prompt_token_ms: 0.0,
             token_ms: 5.0,
             token_per_request_ms: 0.0,
+            token_per_context_ms: 0.0,
         };
         let started = RunnerServer::start(any_port(), store.address, RUNNER_TOKEN, model).await;
         let server = started.unwrap();
