--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,10 +1,9 @@
-//! Tickets, waiting queues and grants; the sending of granted requests.
+//! Tickets, waiting queues and grants.
 
 mod actor;
 mod exchange;
 mod handle;
 mod owned;
-mod send;
 mod snapshot;
 mod state;
 mod translate;
@@ -12,7 +11,6 @@
 pub use actor::{Arguments, DispatcherMessage};
 pub use handle::{DispatcherHandle, GrantedRequest};
 pub use owned::QueueTotals;
-pub use send::{Attempted, RunnerRequest, send_to_runner};
 pub use snapshot::DispatchSnapshot;
 
 use crate::error::RouterError;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,15 +1,19 @@
 //! The whole replicated state and the one way to change it.
 
-use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims};
+use crate::claims::{ClaimName, ClaimRecord, ClaimState, Claims, ExecutionName};
 use crate::command::{Command, CommandEnvelope};
 use crate::configuration::{Configuration, FleetLimits};
+use crate::drains::Drains;
 use crate::jobs::{JobRecord, JobState, Jobs};
 use crate::members::MemberAddresses;
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
 use courseshunt_types::runner_api::MachineState;
-use courseshunt_types::{Fence, LogIndex, Term, UnixMillis};
+use courseshunt_types::{
+    Attempt, Digest, Fence, IdempotencyKey, LogIndex, RequestId, RunnerId, TenantName, Term,
+    UnixMillis,
+};
 
 /// The replicated state of one group.
 #[derive(Debug, Clone, PartialEq, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -28,6 +32,8 @@
     pub claims: Claims,
     /// Deferred jobs.
     pub jobs: Jobs,
+    /// Planned stops.
+    pub drains: Drains,
     /// Duplicate detection.
     pub sessions: Sessions,
     /// Addresses of members that joined later.
@@ -98,7 +104,18 @@
                     changed.map_err(|conflict| CommandError::Configuration { conflict })?;
                 return Ok(CommandReply::Configured { revision });
             }
-            Command::RecordRunner(record) => self.placement.record_runner(record),
+            Command::RecordRunner(record) => {
+                let mut record = record.clone();
+                let (runner, incarnation) = (&record.runner, record.incarnation);
+                record.state = self.drains.state_of(runner, incarnation, record.state);
+                self.placement.record_runner(&record);
+            }
+            Command::DrainRouter {
+                router,
+                incarnation,
+            } => self.drains.drain_router(router, *incarnation, self.time),
+            Command::RouterLeft { router } => self.drains.router_left(router),
+            Command::DrainRunner { runner } => self.drain_runner(runner)?,
             Command::SetRunnerState {
                 runner,
                 incarnation,
@@ -110,13 +127,16 @@
             | Command::ConfirmReplica { .. }
             | Command::WithdrawReplica { .. }
             | Command::ReleaseReplica { .. } => return self.apply_placement(command, fence),
-            Command::OpenClaim { .. }
+            Command::OpenClaim(_)
             | Command::ReleaseClaim { .. }
-            | Command::FinishClaim { .. } => return self.apply_claim(command),
+            | Command::FinishClaim { .. }
+            | Command::LookUpClaim { .. } => return self.apply_claim(command),
             Command::SubmitJob { .. }
             | Command::LeaseJob { .. }
             | Command::FinishJob { .. }
-            | Command::CancelJob { .. } => return Ok(self.apply_job(command)),
+            | Command::CancelJob { .. }
+            | Command::ViewJob { .. }
+            | Command::ListJobs { .. } => return Ok(self.apply_job(command)),
             Command::AdvanceTime => self.expire(),
             Command::RecordMember {
                 member,
@@ -128,6 +148,18 @@
         Ok(self.done())
     }
 
+    fn drain_runner(&mut self, runner: &RunnerId) -> Result<(), CommandError> {
+        let record = self.placement.runners.get(runner);
+        let Some(incarnation) = record.map(|record| record.incarnation) else {
+            let runner = runner.clone();
+            return Err(CommandError::RunnerNotLive { runner });
+        };
+        self.drains.drain_runner(runner, incarnation);
+        self.placement
+            .set_runner_state(runner, incarnation, MachineState::Leaving);
+        Ok(())
+    }
+
     /// What documents must fit.
     #[must_use]
     pub fn fleet_limits(&self) -> FleetLimits {
@@ -145,6 +177,7 @@
     fn expire(&mut self) {
         self.claims.expire(self.time);
         self.jobs.expire(self.time);
+        self.drains.expire(self.time);
         self.sessions.expire(self.time);
     }
 
@@ -187,54 +220,50 @@
 
     fn apply_claim(&mut self, command: &Command) -> Result<CommandReply, CommandError> {
         match command {
-            Command::OpenClaim {
-                tenant,
-                key,
-                digest,
-                router,
-                incarnation,
-                runner,
-                keep,
-            } => {
+            Command::OpenClaim(request) => {
                 let record = ClaimRecord {
-                    digest: *digest,
-                    router: router.clone(),
-                    incarnation: *incarnation,
-                    runner: runner.clone(),
+                    digest: request.digest,
+                    router: request.router.clone(),
+                    incarnation: request.incarnation,
+                    runner: request.runner.clone(),
+                    execution: execution_name(&request.request, request.attempt),
                     state: ClaimState::Open,
-                    expires_at: self.time + *keep,
-                };
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
+                    expires_at: self.time + request.keep,
                 };
+                let name = claim_name(&request.tenant, &request.key);
                 Ok(CommandReply::Claim(self.claims.open(&name, &record)))
             }
             Command::ReleaseClaim {
                 tenant,
                 key,
-                router,
-                incarnation,
+                request,
+                attempt,
             } => {
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
-                };
-                self.claims.release(&name, router, *incarnation)?;
+                let name = claim_name(tenant, key);
+                let execution = execution_name(request, *attempt);
+                self.claims.release(&name, &execution, self.time)?;
                 Ok(self.done())
             }
             Command::FinishClaim {
                 tenant,
                 key,
+                request,
+                attempt,
                 answer,
             } => {
-                let name = ClaimName {
-                    tenant: tenant.clone(),
-                    key: key.clone(),
-                };
-                self.claims.finish(&name, answer.clone())?;
+                let name = claim_name(tenant, key);
+                let execution = execution_name(request, *attempt);
+                self.claims.finish(&name, &execution, answer.clone())?;
                 Ok(self.done())
             }
+            Command::LookUpClaim {
+                tenant,
+                key,
+                digest,
+            } => {
+                let name = claim_name(tenant, key);
+                Ok(CommandReply::Claim(self.claims.look_up(&name, *digest)))
+            }
             _ => Ok(self.done()),
         }
     }
@@ -246,32 +275,41 @@
                 job,
                 tenant,
                 deployment,
+                path,
                 body,
+                queue_limit,
                 class,
                 once_only,
-                deadline,
+                deadline_in,
                 keep,
             } => {
                 let record = JobRecord {
                     tenant: tenant.clone(),
                     deployment: deployment.clone(),
+                    path: path.clone(),
+                    digest: Digest::of(body),
                     body: body.clone(),
                     class: *class,
                     once_only: *once_only,
                     submitted_at: now,
-                    deadline: *deadline,
+                    deadline: now + *deadline_in,
                     keep: *keep,
                     ended_at: None,
+                    expires_at: None,
+                    started: false,
                     state: JobState::Queued,
                 };
-                self.jobs.submit(job, record)
+                self.jobs.submit(job, record, *queue_limit)
             }
             Command::LeaseJob {
                 job,
                 router,
                 incarnation,
                 length,
-            } => self.jobs.lease(job, router, *incarnation, now + *length),
+            } => {
+                let until = now + *length;
+                self.jobs.lease(job, router, *incarnation, until, now)
+            }
             Command::FinishJob {
                 job,
                 router,
@@ -279,11 +317,24 @@
                 end,
             } => self.jobs.finish(job, router, *incarnation, end, now),
             Command::CancelJob { job, tenant } => self.jobs.cancel(job, tenant, now),
+            Command::ViewJob { job, tenant } => self.jobs.view(job, tenant, now),
+            Command::ListJobs { tenant, limit } => self.jobs.list(tenant, *limit),
             _ => return self.done(),
         };
         CommandReply::Job(reply)
     }
 
+    /// When something expires next; an `AdvanceTime` is due then.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<UnixMillis> {
+        let times = [
+            self.claims.next_expiry(),
+            self.jobs.next_expiry(),
+            self.drains.next_expiry(),
+        ];
+        times.into_iter().flatten().min()
+    }
+
     /// The state as snapshot bytes.
     #[must_use]
     pub fn to_snapshot(&self) -> Vec<u8> {
@@ -305,11 +356,26 @@
     }
 }
 
+fn claim_name(tenant: &TenantName, key: &IdempotencyKey) -> ClaimName {
+    ClaimName {
+        tenant: tenant.clone(),
+        key: key.clone(),
+    }
+}
+
+fn execution_name(request: &RequestId, attempt: Attempt) -> ExecutionName {
+    ExecutionName {
+        request: request.clone(),
+        attempt,
+    }
+}
+
 fn changes_placement(command: &Command) -> bool {
     matches!(
         command,
         Command::RecordRunner(_)
             | Command::SetRunnerState { .. }
+            | Command::DrainRunner { .. }
             | Command::PlaceReplica { .. }
             | Command::ConfirmReplica { .. }
             | Command::WithdrawReplica { .. }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,11 +15,13 @@
 mod frame;
 mod handshake;
 pub mod message;
+mod parts;
 mod traffic;
 
-pub use connection::{Connection, Receiver, Sender, accept, connect};
+pub use connection::{Connection, Receiver, Sender, accept, connect, connect_from, listen};
 pub use error::WireError;
-pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
+pub use parts::DOCUMENTS_PER_PART;
 pub use traffic::{KindTraffic, MESSAGE_KINDS, TrafficCount, traffic};
