--- a/crates/cli/src/commands/documents.rs
+++ b/crates/cli/src/commands/documents.rs
@@ -58,8 +58,8 @@
         else {
             return None;
         };
-        let quoted = format!("\"{}\"", document.name);
-        let (path, text) = self.texts.iter().find(|(_, text)| text.contains(&quoted))?;
+        let mut texts = self.texts.iter();
+        let (path, text) = texts.find(|(_, text)| names(text, &document.name))?;
         let field = field.as_deref().unwrap_or("name");
         Some(RenderError::Document {
             path: Path::new(path).to_owned(),
@@ -69,6 +69,13 @@
     }
 }
 
+/// Whether a document of the text has this name.
+fn names(text: &str, name: &str) -> bool {
+    let quoted = format!("\"{name}\"");
+    let mut lines = text.lines();
+    lines.any(|line| line.trim_start().starts_with("name") && line.contains(&quoted))
+}
+
 fn read(file: &str) -> Result<String, CommandError> {
     if file == "-" {
         return Ok(std::io::read_to_string(std::io::stdin())?);
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod serve;
 mod token;
 
+pub use documents::DocumentFiles;
 pub use manual::help_of_all;
 
 use crate::error::CommandError;
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -9,7 +9,7 @@
 mod writer;
 
 pub use placement_index::PlacementIndex;
-pub use registry::RouterRegistry;
+pub use registry::{HEARD_LIMIT, RegisteredRouter, RouterRegistry};
 pub use source::{FeedCounts, FeedSource, FeedVersion, MAX_SYNCS};
 
 use crate::ControllerContext;
--- /dev/null
+++ b/crates/controller/tests/registry.rs
@@ -0,0 +1,105 @@
+//! Contract of the registry of routers: who counts as live, with what revision,
+//! as controllers report to each other.
+
+use courseshunt_controller::feed::{HEARD_LIMIT, RegisteredRouter, RouterRegistry};
+use courseshunt_types::{ControllerId, Incarnation, Millis, Revision, Timestamp};
+use courseshunt_wire::message::RouterEndpoint;
+
+const OTHER: ControllerId = ControllerId(2);
+
+fn router(name: &str, revision: u64) -> RegisteredRouter {
+    RegisteredRouter {
+        endpoint: RouterEndpoint {
+            router: name.into(),
+            incarnation: Incarnation(1),
+            wire_address: "127.0.0.1:1".to_owned(),
+            zone: "a".into(),
+            leaving: false,
+        },
+        http_address: "127.0.0.1:2".to_owned(),
+        revision: Revision(revision),
+    }
+}
+
+/// `name@revision` of all live routers.
+fn live(registry: &RouterRegistry) -> String {
+    let all = registry.all().into_iter();
+    let named = all.map(|one| format!("{}@{}", one.endpoint.router, one.revision));
+    named.collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn reports_keep_all_controllers_in_step() {
+    let (here, there) = (RouterRegistry::default(), RouterRegistry::default());
+    here.insert(router("a", 1));
+    there.insert(router("b", 1));
+    there.insert(router("c", 1));
+    here.take_report(OTHER, there.report(None), Timestamp(1));
+    assert_eq!(live(&here), "a@1 b@1 c@1");
+
+    // Only what changed is reported; who has left is told by absence.
+    let reported = there.last_change();
+    there.confirm(&"b".into(), Revision(2));
+    there.remove(&router("c", 1).endpoint);
+    let delta = there.report(Some(reported));
+    assert_eq!((delta.full, delta.routers.len()), (false, 1));
+    here.take_report(OTHER, delta, Timestamp(2));
+    assert_eq!(live(&here), "a@1 b@2");
+
+    // A router that moved here counts as it is known here.
+    here.insert(router("b", 1));
+    assert_eq!(live(&here), "a@1 b@1");
+    here.confirm(&"b".into(), Revision(3));
+    here.confirm(&"b".into(), Revision(2));
+    assert_eq!(live(&here), "a@1 b@3");
+    here.remove(&router("b", 1).endpoint);
+
+    // A lost report is healed by the next whole one.
+    there.insert(router("d", 2));
+    here.take_report(OTHER, there.report(None), Timestamp(3));
+    assert_eq!(live(&here), "a@1 b@2 d@2");
+
+    // A silent controller's routers leave it, and are forgotten here.
+    let limit = Timestamp(3) + HEARD_LIMIT;
+    here.expire(limit);
+    assert_eq!(live(&here), "a@1 b@2 d@2");
+    here.expire(limit + Millis(1));
+    assert_eq!(live(&here), "a@1");
+}
+
+#[test]
+fn an_old_incarnation_does_not_remove_the_new_one() {
+    let registry = RouterRegistry::default();
+    registry.insert(router("a", 1));
+    let mut newer = router("a", 1);
+    newer.endpoint.incarnation = Incarnation(2);
+    registry.insert(newer);
+    registry.remove(&router("a", 1).endpoint);
+    assert_eq!(live(&registry), "a@1");
+}
+
+#[test]
+fn a_controller_that_has_just_started_knows_whom_it_has_not_heard() {
+    let registry = RouterRegistry::default();
+    let others = [ControllerId(2), ControllerId(3)];
+    assert_eq!(registry.unheard(others, Timestamp(1)), others);
+    let report = RouterRegistry::default().report(None);
+    registry.take_report(OTHER, report, Timestamp(1));
+    assert_eq!(registry.unheard(others, Timestamp(1)), [ControllerId(3)]);
+    // After the limit, a silent controller has no routers any more.
+    let late = Timestamp(HEARD_LIMIT.0 + 1);
+    assert!(registry.unheard(others, late).is_empty());
+}
+
+#[test]
+fn the_epoch_changes_with_the_fleet_only() {
+    let registry = RouterRegistry::default();
+    let (first, frames) = registry.frames();
+    assert_eq!(frames.len(), 1);
+    registry.insert(router("a", 1));
+    let (second, _) = registry.frames();
+    registry.confirm(&"a".into(), Revision(2));
+    let (third, _) = registry.frames();
+    assert!(second > first);
+    assert_eq!(third, second);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -11,6 +11,8 @@
     Revision, RouterId, RunnerId, Zone,
 };
 
+use std::collections::BTreeSet;
+
 /// Number of a call on one connection; its reply has the same.
 #[derive(
     Debug,
@@ -164,6 +166,30 @@
     Ping,
     /// Answers [`Message::Ping`].
     Pong,
+    /// Controller to controller: routers that follow the sender.
+    RouterReport(RouterReport),
+}
+
+/// Routers that follow one controller.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RouterReport {
+    /// Whether `routers` holds all of them.
+    pub full: bool,
+    /// Names of all of them; no other one follows the sender.
+    pub present: BTreeSet<RouterId>,
+    /// All routers, or those that changed.
+    pub routers: Vec<ReportedRouter>,
+}
+
+/// A live router as controllers know it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ReportedRouter {
+    /// As other routers need it.
+    pub endpoint: RouterEndpoint,
+    /// `ip:port` for callers.
+    pub http_address: String,
+    /// Revision in force there.
+    pub revision: Revision,
 }
 
 /// Result of a command for the ledger.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -100,7 +100,7 @@
         Message::Subscribe(_) => 2,
         Message::Configuration(_) => 3,
         Message::Placement(_) => 4,
-        Message::Fleet(_) => 5,
+        Message::Fleet(_) | Message::RouterReport(_) => 5,
         Message::FeedConfirmation { .. } => 6,
         Message::Confirmed { .. } => 7,
         Message::Demand { .. } => 8,
