--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -73,13 +73,16 @@
     if options.wait.is_none() {
         return Ok(());
     }
-    if reply.lagging.is_empty() {
+    let lagging = reply.lagging.iter();
+    let lagging = lagging.map(|one| format!("{} (revision {})", one.router, one.revision));
+    let unheard = reply.unheard.iter();
+    let unheard = unheard.map(|one| format!("the routers of controller {one}, not heard yet"));
+    let missing: Vec<String> = lagging.chain(unheard).collect();
+    if missing.is_empty() {
         println!("in force at every live router");
         return Ok(());
     }
-    let lagging = reply.lagging.iter();
-    let lagging = lagging.map(|one| format!("{} (revision {})", one.router, one.revision));
     Err(CommandError::Lagging {
-        routers: lagging.collect::<Vec<_>>().join(", "),
+        routers: missing.join(", "),
     })
 }
--- a/crates/controller/src/admin/changes.rs
+++ b/crates/controller/src/admin/changes.rs
@@ -3,10 +3,11 @@
 use super::operators::Operator;
 use super::replies::{conflict, failure};
 use crate::ControllerContext;
+use crate::feed::reports::other_members;
 use crate::replica::ProposeError;
 use courseshunt_http::{Body, json_response, read_limited};
 use courseshunt_state::{ChangeRequest, Command, CommandError, CommandReply, Verdict};
-use courseshunt_types::Revision;
+use courseshunt_types::{ControllerId, Revision};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -142,27 +143,50 @@
 ) -> Response<Body> {
     let mut content = json!({"revision": revision});
     if let Some(limit) = wait {
-        let lagging = wait_in_force(revision, context, limit).await;
-        content["in_force"] = Value::from(lagging.is_empty());
-        content["lagging"] = Value::from(lagging);
+        let missing = wait_in_force(revision, context, limit).await;
+        content["in_force"] = Value::from(missing.is_empty());
+        content["lagging"] = Value::from(missing.lagging);
+        content["unheard"] = json!(missing.unheard);
     }
     let current = context.replica.state().configuration.revision;
     content["current_revision"] = json!(current.max(revision));
     json_response(StatusCode::OK, &content)
 }
 
-/// Waits until every live router has the revision; returns those that lag
+/// What keeps a revision from being known as in force everywhere.
+struct Missing {
+    /// Routers with a lower revision.
+    lagging: Vec<Value>,
+    /// Controllers that have not reported their routers yet.
+    unheard: Vec<ControllerId>,
+}
+
+impl Missing {
+    async fn look(revision: Revision, context: &ControllerContext) -> Self {
+        let others = other_members(context).await;
+        Self {
+            lagging: super::pages::lagging(context, revision),
+            unheard: context.routers.unheard(others, context.clock.now()),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.lagging.is_empty() && self.unheard.is_empty()
+    }
+}
+
+/// Waits until every live router has the revision; returns what is missing
 /// after `limit`.
 async fn wait_in_force(
     revision: Revision,
     context: &ControllerContext,
     limit: Duration,
-) -> Vec<Value> {
+) -> Missing {
     let deadline = tokio::time::Instant::now() + limit;
     loop {
-        let lagging = super::pages::lagging(context, revision);
-        if lagging.is_empty() || tokio::time::Instant::now() >= deadline {
-            return lagging;
+        let missing = Missing::look(revision, context).await;
+        if missing.is_empty() || tokio::time::Instant::now() >= deadline {
+            return missing;
         }
         tokio::time::sleep(WAIT_INTERVAL).await;
     }
--- a/crates/controller/src/admin/metrics.rs
+++ b/crates/controller/src/admin/metrics.rs
@@ -6,9 +6,20 @@
 use std::sync::atomic::Ordering;
 
 /// The page, from the values of this moment.
-pub fn page(context: &ControllerContext) -> String {
+pub async fn page(context: &ControllerContext) -> String {
+    let members = context.replica.members().await;
     let mut page = MetricsPage::default();
     member(&mut page, context);
+    page.gauge(
+        "commit_index",
+        "Last committed entry of the log that this member knows.",
+        members.commit.0 as f64,
+    );
+    page.histogram(
+        "log_sync_seconds",
+        "Time of one sync of the log to disk.",
+        courseshunt_storage::sync_times(),
+    );
     fleet(&mut page, context);
     feed(&mut page, context);
     state(&mut page, &context.replica.state());
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -42,7 +42,7 @@
     match path.as_str() {
         "/healthz" => return text_response(StatusCode::OK, "ok\n"),
         "/readyz" => return ready(context),
-        "/metrics" => return text_response(StatusCode::OK, metrics::page(context)),
+        "/metrics" => return text_response(StatusCode::OK, metrics::page(context).await),
         _ => {}
     }
     let operator = bearer_token(request.headers()).and_then(|token| operators.bearer(token));
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -4,6 +4,7 @@
 mod frames;
 pub mod placement_index;
 mod registry;
+pub mod reports;
 mod session;
 mod source;
 mod writer;
@@ -28,6 +29,8 @@
     tokio::spawn(stop.clone().run_until_cancelled_owned(follow));
     let confirm = source::confirm(context.clone());
     tokio::spawn(stop.clone().run_until_cancelled_owned(confirm));
+    let reports = reports::run(context.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(reports));
     tokio::spawn(accept_peers(listener, context.clone()));
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -72,8 +72,8 @@
     /// # Errors
     /// When a file can't be read, the store is damaged or an address is taken.
     pub async fn start(settings: ControllerSettings) -> Result<Self, ControllerError> {
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
+        let http = bind(settings.http_address)?;
+        let wire = bind(settings.wire_address)?;
         Self::start_on(settings, http, wire).await
     }
 
--- a/crates/controller/src/peers/inbound.rs
+++ b/crates/controller/src/peers/inbound.rs
@@ -93,6 +93,10 @@
                 reports,
                 gone,
             } => self.take_demand(router, reports, gone),
+            Message::RouterReport(report) => {
+                let now = self.context.clock.now();
+                self.context.routers.take_report(self.peer, report, now);
+            }
             other => log::warn!("peers: controller {} sent {other:?}", self.peer),
         }
     }
--- a/crates/controller/tests/admin.rs
+++ b/crates/controller/tests/admin.rs
@@ -53,7 +53,8 @@
     assert_eq!(api.get("/admin/v1/deployments").await, json!([]));
 
     let (status, content) = api.apply("?wait_seconds=5", "c1", 1, 10).await;
-    let expected = json!({"revision": 1, "current_revision": 1, "in_force": true, "lagging": []});
+    let expected = json!({"revision": 1, "current_revision": 1, "in_force": true, "lagging": [],
+        "unheard": []});
     assert_eq!((status, content), (200, expected));
 
     let cases = [
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -4,11 +4,14 @@
 use courseshunt_controller::Controller;
 use courseshunt_http::HttpClient;
 use courseshunt_settings::ControllerSettings;
-use courseshunt_types::Digest;
+use courseshunt_types::{Digest, Incarnation, LogIndex, Revision};
+use courseshunt_wire::message::Subscribe;
+use courseshunt_wire::{ClusterKey, Connection, Message, PeerIdentity, connect};
 use hyper::Method;
 use serde_json::{Value, json};
 use std::path::Path;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 pub const KEY: &str = "a cluster key for tests";
 /// Longest wait for a condition.
@@ -26,7 +29,7 @@
     path.display().to_string()
 }
 
-fn settings(folder: &Path) -> ControllerSettings {
+fn settings(folder: &Path, id: usize, voters: &str) -> ControllerSettings {
     let apply = Digest::of(b"apply-token");
     let operators =
         format!("read read-token ray\napply sha256:{apply} ana\noperate operate-token\n");
@@ -41,22 +44,25 @@
         ("http-address", "127.0.0.1:0".to_owned()),
         ("wire-address", "127.0.0.1:0".to_owned()),
         ("platform-address", "127.0.0.1:9".to_owned()),
-        ("id", "1".to_owned()),
+        ("id", id.to_string()),
+        ("voters", voters.to_owned()),
     ];
     let arguments = files.map(|(flag, value)| format!("--{flag}={value}"));
     ControllerSettings::load(&arguments).unwrap()
 }
 
 impl Api {
+    /// A controller alone, which leads.
     pub async fn start() -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let controller = Controller::start(settings(folder.path())).await.unwrap();
-        let mut status = controller.context().replica.status();
-        let leads = status.wait_for(|status| status.leads());
-        tokio::time::timeout(PATIENCE, leads)
-            .await
-            .unwrap()
-            .unwrap();
+        let settings = settings(folder.path(), 1, "");
+        let controller = Controller::start(settings).await.unwrap();
+        let api = Self::of(controller, folder);
+        until("a leader", || api.leads()).await;
+        api
+    }
+
+    fn of(controller: Controller, folder: tempfile::TempDir) -> Self {
         Self {
             controller,
             client: HttpClient::default(),
@@ -64,6 +70,10 @@
         }
     }
 
+    pub fn leads(&self) -> bool {
+        self.controller.context().replica.leads()
+    }
+
     pub async fn call(
         &self,
         method: Method,
@@ -103,6 +113,58 @@
     }
 }
 
+/// A group of voting controllers, one of which leads.
+pub async fn start_group(size: usize) -> Vec<Api> {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let listeners = (0..size).map(|_| courseshunt_wire::listen(any).unwrap());
+    let listeners: Vec<TcpListener> = listeners.collect();
+    let voters = listeners.iter().enumerate().map(|(position, listener)| {
+        let address = listener.local_addr().unwrap();
+        format!("{}={address}", position + 1)
+    });
+    let voters = voters.collect::<Vec<_>>().join(",");
+    let mut group = Vec::new();
+    for (position, wire) in listeners.into_iter().enumerate() {
+        let folder = tempfile::tempdir().unwrap();
+        let settings = settings(folder.path(), position + 1, &voters);
+        let http = courseshunt_wire::listen(any).unwrap();
+        let controller = Controller::start_on(settings, http, wire).await.unwrap();
+        group.push(Api::of(controller, folder));
+    }
+    until("a leader", || group.iter().any(Api::leads)).await;
+    group
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, wait).await;
+    assert!(waited.is_ok(), "not in time: {what}");
+}
+
+/// A router's connection, subscribed to the feed of `api` from a revision on.
+pub async fn subscribe(api: &Api, router: &str, revision: u64) -> Connection {
+    let key = ClusterKey::new(KEY.as_bytes()).unwrap();
+    let identity = PeerIdentity::Router(router.into(), Incarnation(1));
+    let address = api.controller.wire_address;
+    let mut connection = connect(address, &key, &identity).await.unwrap();
+    let subscribe = Message::Subscribe(Subscribe {
+        router: router.into(),
+        incarnation: Incarnation(1),
+        wire_address: "127.0.0.1:1".to_owned(),
+        http_address: "127.0.0.1:2".to_owned(),
+        zone: "a".into(),
+        revision: Revision(revision),
+        placement: LogIndex(0),
+    });
+    connection.sender.send(&subscribe).await.unwrap();
+    connection
+}
+
 pub fn change(change_id: &str, version: u64, memory: u64) -> Value {
     json!({"change_id": change_id, "deployments": [{
         "name": "agro-llm", "version": version, "model": "agro", "tenant": "souss",
--- a/crates/controller/tests/feed.rs
+++ b/crates/controller/tests/feed.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Api, KEY, PATIENCE, change};
+use common::{Api, PATIENCE, change, subscribe};
 use courseshunt_controller::feed::PlacementIndex;
 use courseshunt_controller::feed::configuration::update;
 use courseshunt_state::{
@@ -11,10 +11,8 @@
 };
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::*;
-use courseshunt_wire::message::{ConfigurationUpdate, PlacementUpdate, Subscribe};
-use courseshunt_wire::{
-    ClusterKey, Connection, DOCUMENTS_PER_PART, Message, PeerIdentity, connect,
-};
+use courseshunt_wire::message::{ConfigurationUpdate, PlacementUpdate};
+use courseshunt_wire::{Connection, DOCUMENTS_PER_PART, Message};
 use std::collections::BTreeSet;
 
 fn runner(name: &str, state: MachineState) -> RunnerRecord {
@@ -129,24 +127,6 @@
     }
 }
 
-async fn subscribe(api: &Api, router: &str, revision: u64) -> Connection {
-    let key = ClusterKey::new(KEY.as_bytes()).unwrap();
-    let identity = PeerIdentity::Router(router.into(), Incarnation(1));
-    let address = api.controller.wire_address;
-    let mut connection = connect(address, &key, &identity).await.unwrap();
-    let subscribe = Message::Subscribe(Subscribe {
-        router: router.into(),
-        incarnation: Incarnation(1),
-        wire_address: "127.0.0.1:1".to_owned(),
-        http_address: "127.0.0.1:2".to_owned(),
-        zone: "a".into(),
-        revision: Revision(revision),
-        placement: LogIndex(0),
-    });
-    connection.sender.send(&subscribe).await.unwrap();
-    connection
-}
-
 /// Updates until `revision` is whole and a quorum has confirmed it.
 async fn follow(connection: &mut Connection, revision: u64) -> Vec<ConfigurationUpdate> {
     let mut updates: Vec<ConfigurationUpdate> = Vec::new();
--- a/crates/lab/src/commands/propagate.rs
+++ b/crates/lab/src/commands/propagate.rs
@@ -13,6 +13,7 @@
     let mut options = getopts::Options::new();
     let routers = format!("numbers of hollow routers [default: {DEFAULT_ROUTERS}]");
     options.optopt("", "routers", &routers, "N,N,...");
+    options.optopt("", "controllers", "voting controllers [default: 3]", "N");
     options.optopt("", "changes", "changes in each run [default: 20]", "N");
     options
 }
@@ -33,6 +34,7 @@
     let routers = routers.split(',').map(|text| number("routers", text));
     let settings = PropagateSettings {
         routers: routers.collect::<Result<_, _>>()?,
+        controllers: count(&matches, "controllers", 3)?,
         changes: count(&matches, "changes", 20)?,
     };
     let reports = block_on(run_sizes(&settings))?;
--- a/crates/lab/src/propagate/fleet.rs
+++ b/crates/lab/src/propagate/fleet.rs
@@ -26,7 +26,7 @@
     ///
     /// # Errors
     /// When they can't start.
-    pub async fn start() -> Result<Self, LabError> {
+    pub async fn start(controllers: usize) -> Result<Self, LabError> {
         let settings = SiteSettings {
             routers: 0,
             runners: 0,
@@ -35,7 +35,7 @@
             zones: vec!["zone-a".to_owned()],
         };
         Ok(Self {
-            site: Site::start(&settings).await?,
+            site: Site::start_with(&settings, controllers).await?,
             routers: Vec::new(),
             stop: CancellationToken::new(),
         })
--- a/crates/lab/src/propagate/mod.rs
+++ b/crates/lab/src/propagate/mod.rs
@@ -27,6 +27,8 @@
 /// What is run.
 #[derive(Debug, Clone)]
 pub struct PropagateSettings {
+    /// Voting controllers.
+    pub controllers: usize,
     /// Numbers of hollow routers, one run each.
     pub routers: Vec<usize>,
     /// Changes in each run.
@@ -68,7 +70,7 @@
     settings: &PropagateSettings,
     routers: usize,
 ) -> Result<PropagateReport, LabError> {
-    let mut fleet = Fleet::start().await?;
+    let mut fleet = Fleet::start(settings.controllers).await?;
     let whole = fleet.admin().apply(&whole_configuration()?).await?;
     fleet.start_routers(routers);
     fleet.wait_in_force(whole).await?;
--- a/crates/metrics/src/page.rs
+++ b/crates/metrics/src/page.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::sync::atomic::AtomicU64;
 
@@ -87,6 +88,11 @@
         self.registry.register(name, help, family);
     }
 
+    /// Adds a histogram that goes on counting elsewhere.
+    pub fn histogram(&mut self, name: &str, help: &str, histogram: Histogram) {
+        self.registry.register(name, help, histogram);
+    }
+
     /// Adds what every process of the cluster tells: processor time, memory
     /// and traffic with other processes.
     pub fn process(&mut self) {
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -5,7 +5,7 @@
 
 use courseshunt_http::{HttpClient, HttpError, Reply};
 use courseshunt_state::{ChangeRequest, DocumentKey};
-use courseshunt_types::{Revision, RouterId};
+use courseshunt_types::{ControllerId, Revision, RouterId};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use serde_json::Value;
@@ -88,6 +88,8 @@
     pub current_revision: Revision,
     /// Routers that lagged when the wait ended.
     pub lagging: Vec<LaggingRouter>,
+    /// Controllers that had not reported their routers then.
+    pub unheard: Vec<ControllerId>,
     /// Documents that a dry run would change.
     pub changes: Vec<DocumentKey>,
 }
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -1,6 +1,7 @@
 //! The few file operations that the store needs, so that simulations can put
 //! a faulty disk below the same code.
 
+use crate::sync_times::timed;
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -126,7 +127,8 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_data()
+        let file = self.file(name)?;
+        timed(|| file.sync_data())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,12 +13,14 @@
 mod record;
 mod replay;
 mod segment_log;
+mod sync_times;
 mod terms;
 
 pub use error::StorageError;
 pub use folder::{Folder, RealFolder};
 pub use memory_log::MemoryLog;
 pub use segment_log::{FileLog, SegmentLog};
+pub use sync_times::sync_times;
 
 use courseshunt_consensus::{Entry, HardState, Recovered, SnapshotMetadata};
 
--- /dev/null
+++ b/crates/storage/src/sync_times.rs
@@ -0,0 +1,29 @@
+//! How long the disk takes to sync writes, counted for the whole process.
+
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use std::sync::LazyLock;
+use std::time::Instant;
+
+/// Upper bound of the first bucket, in seconds; each further one is twice that.
+const FIRST_BUCKET_SECONDS: f64 = 0.000_1;
+/// Number of buckets.
+const BUCKETS: u16 = 16;
+
+static SYNC_TIMES: LazyLock<Histogram> = LazyLock::new(|| {
+    let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS);
+    Histogram::new(buckets)
+});
+
+/// Times of all syncs, in seconds.
+#[must_use]
+pub fn sync_times() -> Histogram {
+    SYNC_TIMES.clone()
+}
+
+/// Runs a sync and counts its time.
+pub(crate) fn timed<T>(sync: impl FnOnce() -> T) -> T {
+    let started = Instant::now();
+    let result = sync();
+    SYNC_TIMES.observe(started.elapsed().as_secs_f64());
+    result
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -166,30 +166,6 @@
     Ping,
     /// Answers [`Message::Ping`].
     Pong,
-    /// Controller to controller: routers that follow the sender.
-    RouterReport(RouterReport),
-}
-
-/// Routers that follow one controller.
-#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct RouterReport {
-    /// Whether `routers` holds all of them.
-    pub full: bool,
-    /// Names of all of them; no other one follows the sender.
-    pub present: BTreeSet<RouterId>,
-    /// All routers, or those that changed.
-    pub routers: Vec<ReportedRouter>,
-}
-
-/// A live router as controllers know it.
-#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct ReportedRouter {
-    /// As other routers need it.
-    pub endpoint: RouterEndpoint,
-    /// `ip:port` for callers.
-    pub http_address: String,
-    /// Revision in force there.
-    pub revision: Revision,
     /// Controller to leading controller: asks for an index at which a read is
     /// linearizable.
     ReadIndex {
@@ -216,6 +192,30 @@
     },
     /// Controller to the controller that connected: the connection is alive.
     PeerAlive,
+    /// Controller to controller: routers that follow the sender.
+    RouterReport(RouterReport),
+}
+
+/// Routers that follow one controller.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RouterReport {
+    /// Whether `routers` holds all of them.
+    pub full: bool,
+    /// Names of all of them; no other one follows the sender.
+    pub present: BTreeSet<RouterId>,
+    /// All routers, or those that changed.
+    pub routers: Vec<ReportedRouter>,
+}
+
+/// A live router as controllers know it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ReportedRouter {
+    /// As other routers need it.
+    pub endpoint: RouterEndpoint,
+    /// `ip:port` for callers.
+    pub http_address: String,
+    /// Revision in force there.
+    pub revision: Revision,
 }
 
 /// Result of a command for the ledger.
