--- a/crates/controller/tests/admin.rs
+++ b/crates/controller/tests/admin.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Api, change};
+use common::{Api, change, subscribe, until};
 use courseshunt_types::DeploymentDocument;
 use hyper::Method;
 use serde_json::json;
@@ -125,3 +125,37 @@
         assert_eq!(content["error"]["winner"], winner.digest().to_string());
     }
 }
+
+#[tokio::test]
+async fn the_metrics_page_tells_about_log_feed_and_sessions() {
+    let api = Api::start().await;
+    assert_eq!(api.apply("", "c1", 1, 10).await.0, 200);
+    let _router = subscribe(&api, "router-1", 0).await;
+    let context = api.controller.context();
+    until("the router and a confirmation", || {
+        let confirmation = context.feed.confirmation(context.clock.now());
+        context.routers.all().len() == 1 && confirmation.is_some()
+    })
+    .await;
+    let page = api.text("/metrics").await;
+    let names = [
+        "courseshunt_term ",
+        "courseshunt_leader 1.0",
+        "courseshunt_leads 1.0",
+        "courseshunt_applied_index ",
+        "courseshunt_commit_index ",
+        "courseshunt_revision 1.0",
+        "courseshunt_log_sync_seconds_bucket{",
+        "courseshunt_feed_age_seconds ",
+        "courseshunt_feed_syncs_total ",
+        "courseshunt_feed_updates_total ",
+        "courseshunt_feed_syncs_waiting ",
+        "courseshunt_sessions ",
+        "courseshunt_router_revision{router=\"router-1\"} ",
+        "courseshunt_wire_bytes_total{kind=\"configuration\",way=\"sent\"} ",
+    ];
+    for name in names {
+        assert!(page.contains(name), "no `{name}` in\n{page}");
+    }
+    api.controller.stop().await;
+}
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -104,6 +104,15 @@
         self.call(Method::POST, &path, "apply-token", &change).await
     }
 
+    /// A page as text, without a token.
+    pub async fn text(&self, path: &str) -> String {
+        let address = self.controller.http_address.to_string();
+        let call = self
+            .client
+            .call::<()>(Method::GET, &address, path, None, None, PATIENCE);
+        String::from_utf8(call.await.unwrap().body.to_vec()).unwrap()
+    }
+
     pub async fn get(&self, path: &str) -> Value {
         let (status, content) = self
             .call(Method::GET, path, "read-token", &Value::Null)
--- a/crates/controller/tests/group.rs
+++ b/crates/controller/tests/group.rs
@@ -4,13 +4,15 @@
 mod common;
 
 use common::{Api, PATIENCE, start_group, subscribe, until};
-use courseshunt_types::Revision;
+use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::Message;
 use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Age at which routers leave a feed.
+const STALE_LIMIT: Millis = Millis(3_000);
 /// Time between a router's signs of life.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -143,3 +145,67 @@
         api.controller.stop().await;
     }
 }
+
+#[tokio::test]
+async fn operators_who_race_through_all_members_have_one_winner() {
+    let group = std::sync::Arc::new(start_group(3).await);
+    let mut racers = tokio::task::JoinSet::new();
+    for memory in 1..=12_u64 {
+        let group = group.clone();
+        racers.spawn(async move {
+            let api = &group[memory as usize % group.len()];
+            let (status, _) = api.apply("", &format!("race-{memory}"), 1, memory).await;
+            (memory, status)
+        });
+    }
+    let results = racers.join_all().await;
+    let won = results.iter().filter(|(_, status)| *status == 200);
+    let won: Vec<u64> = won.map(|(memory, _)| *memory).collect();
+    assert_eq!(won.len(), 1, "{results:?}");
+    let lost = results.iter().filter(|(_, status)| *status == 409).count();
+    assert_eq!(lost, 11, "{results:?}");
+    for api in group.iter() {
+        until("the winner is applied", || {
+            let state = api.controller.context().replica.state();
+            let stored = state.configuration.deployments.values().next();
+            stored.is_some_and(|stored| stored.document.memory_mib == won[0])
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_member_without_a_quorum_tells_how_old_its_feed_is() {
+    let mut group = start_group(3).await;
+    let (status, content) = group[0].apply("", "c1", 1, 10).await;
+    assert_eq!(status, 200, "{content}");
+    let last = group.pop().unwrap();
+    let mut feed = subscribe(&last, "router", 0).await;
+    let context = last.controller.context();
+    until("a first confirmation", || {
+        context.feed.confirmation(context.clock.now()).is_some()
+    })
+    .await;
+    for api in group {
+        api.controller.stop().await;
+    }
+    let grown_old = async {
+        let mut alive = tokio::time::interval(ALIVE_INTERVAL);
+        loop {
+            tokio::select! {
+                received = feed.receiver.receive() => match received.unwrap().unwrap() {
+                    Message::FeedConfirmation { age, .. } if age > STALE_LIMIT => return,
+                    _ => {}
+                },
+                _ = alive.tick() => {
+                    let revision = Revision(1);
+                    let confirmed = Message::Confirmed { revision };
+                    feed.sender.send(&confirmed).await.unwrap();
+                }
+            }
+        }
+    };
+    let grown_old = tokio::time::timeout(PATIENCE, grown_old).await;
+    assert!(grown_old.is_ok(), "the confirmation did not grow old");
+    last.controller.stop().await;
+}
