--- a/crates/controller/src/feed/placement_index.rs
+++ b/crates/controller/src/feed/placement_index.rs
@@ -50,6 +50,7 @@
             let endpoint = RunnerEndpoint {
                 runner: record.runner.clone(),
                 address: record.address.clone(),
+                incarnation: record.incarnation,
                 zone: record.zone.clone(),
                 state: record.state,
             };
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -109,6 +109,17 @@
         inner.fleet_changed();
     }
 
+    /// Notes that a router stops as planned and owns no queues any more.
+    pub fn leave(&self, router: &RouterId) {
+        let mut inner = self.lock();
+        let changed = inner.next_change();
+        if let Some(known) = inner.local.get_mut(router) {
+            known.router.endpoint.leaving = true;
+            known.changed = changed;
+        }
+        inner.fleet_changed();
+    }
+
     /// Records the revision in force at a router of this controller.
     pub fn confirm(&self, router: &RouterId, revision: Revision) {
         let mut inner = self.lock();
--- a/crates/controller/src/feed/writer.rs
+++ b/crates/controller/src/feed/writer.rs
@@ -3,9 +3,11 @@
 //! Invariants: revisions and placements only go up on one connection; a
 //! configuration in parts is sent whole before anything newer.
 
+use super::jobs;
 use super::source::{CONFIRMATION_INTERVAL, FeedCounts};
 use crate::ControllerContext;
-use courseshunt_types::{Epoch, LogIndex, Revision};
+use courseshunt_types::{Epoch, JobId, LogIndex, Revision};
+use courseshunt_wire::message::RouterEndpoint;
 use courseshunt_wire::{Frame, Message, Sender, WireError};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +25,12 @@
     sender: Sender,
     /// Name of the router, for errors.
     peer: String,
+    /// The router.
+    router: RouterEndpoint,
+    /// Jobs as last told.
+    jobs: Vec<JobId>,
+    /// Whether the router was told to stop.
+    drained: bool,
     revision: Revision,
     placement: LogIndex,
     fleet: Epoch,
@@ -41,6 +49,7 @@
         context: &'a ControllerContext,
         sender: Sender,
         peer: String,
+        router: RouterEndpoint,
         revision: Revision,
         placement: LogIndex,
     ) -> Self {
@@ -48,6 +57,9 @@
             context,
             sender,
             peer,
+            router,
+            jobs: Vec::new(),
+            drained: false,
             revision,
             placement,
             fleet: Epoch(0),
@@ -75,12 +87,41 @@
                     }
                 }
                 _ = fleet.tick() => self.send_fleet().await?,
-                _ = confirmation.tick() => self.confirm().await?,
+                _ = confirmation.tick() => {
+                    self.confirm().await?;
+                    self.send_jobs().await?;
+                    self.send_drain().await?;
+                }
                 Some(reply) = replies.recv() => self.send(&reply).await?,
             }
         }
     }
 
+    /// Tells the queued jobs when others are queued than before.
+    async fn send_jobs(&mut self) -> Result<(), WireError> {
+        let jobs = jobs::queued_for(self.context, &self.router.router);
+        let told: Vec<JobId> = jobs.iter().map(|job| job.job.clone()).collect();
+        if told == self.jobs {
+            return Ok(());
+        }
+        self.jobs = told;
+        self.send(&Message::Jobs { jobs }).await
+    }
+
+    /// Tells the router to stop when an operator asked for it.
+    async fn send_drain(&mut self) -> Result<(), WireError> {
+        let wanted = {
+            let state = self.context.replica.state();
+            let drains = &state.drains;
+            drains.wants_router(&self.router.router, self.router.incarnation)
+        };
+        if !wanted || self.drained {
+            return Ok(());
+        }
+        self.drained = true;
+        self.send(&Message::Drain).await
+    }
+
     /// Waits for a turn, then sends the configuration in parts. Replies and
     /// confirmations go on meanwhile.
     async fn sync(
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,9 +1,18 @@
 //! Subcommands of the laboratory.
 
+mod arguments;
 mod capacity;
+mod compare;
 mod demo;
+mod flags;
+mod fleet;
+mod load;
 mod manual;
 mod propagate;
+mod ready;
+mod simulate;
+mod standin;
+mod suite;
 
 use crate::error::LabError;
 
@@ -25,6 +34,48 @@
         run: demo::run,
         help: demo::help,
     },
+    Subcommand {
+        name: "compare",
+        summary: "policies, seeds and faults side by side, as a table and plots",
+        run: compare::run,
+        help: compare::help,
+    },
+    Subcommand {
+        name: "simulate",
+        summary: "a scenario in virtual time under one placement policy",
+        run: simulate::run,
+        help: simulate::help,
+    },
+    Subcommand {
+        name: "load",
+        summary: "open-loop load against running routers, with every answer checked",
+        run: load::run,
+        help: load::help,
+    },
+    Subcommand {
+        name: "fleet",
+        summary: "a whole fleet in one process under load and faults, with checkers",
+        run: fleet::run,
+        help: fleet::help,
+    },
+    Subcommand {
+        name: "suite",
+        summary: "each failure, each pair of failures and a rolling restart, as a table",
+        run: suite::run,
+        help: suite::help,
+    },
+    Subcommand {
+        name: "ready",
+        summary: "whether a process says that it is ready",
+        run: ready::run,
+        help: ready::help,
+    },
+    Subcommand {
+        name: "standin",
+        summary: "one stand-in (runner, store, platform) as a process of its own",
+        run: standin::run,
+        help: standin::help,
+    },
     Subcommand {
         name: "capacity",
         summary: "what a large fleet costs: hollow nodes at growing sizes, slopes by role",
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -10,7 +10,9 @@
 use super::relay;
 use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::Subscribe;
-use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect};
+use courseshunt_wire::{
+    Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -58,7 +60,7 @@
     let first = first_controller(&settings);
     let mut unconfirmed = 0;
     for address in settings.controllers.iter().cycle().skip(first) {
-        match connect(*address, &settings.key, &identity).await {
+        match connect_from(settings.source, *address, &settings.key, &identity).await {
             Ok(connection) => {
                 let link = Link {
                     client: &client,
@@ -183,6 +185,8 @@
                 self.client.view_changed();
             }
             Message::FeedConfirmation { age, revision } => self.confirmed(age, revision),
+            Message::Jobs { jobs } => self.client.jobs_queued(jobs),
+            Message::Drain => self.client.drain_asked(),
             Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
@@ -209,6 +213,7 @@
     }
 
     async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), LinkError> {
+        let mut told_leaving = false;
         let mut report = tokio::time::interval(REPORT_INTERVAL);
         let mut resend = tokio::time::interval(RESEND_INTERVAL);
         loop {
@@ -225,6 +230,11 @@
                     self.report(&mut sender).await?;
                 }
                 _ = resend.tick() => self.send_due(&mut sender).await?,
+                () = self.client.leaving(), if !told_leaving => {
+                    told_leaving = true;
+                    sender.send(&Message::Leaving).await?;
+                    self.client.leaving_told();
+                }
             }
         }
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -51,6 +51,7 @@
         let arguments = Arguments {
             router: router.clone(),
             identity: identity.clone(),
+            source: None,
             key: key.clone(),
             view: view.clone(),
             clock: MonotonicClock::start(),
@@ -139,16 +140,24 @@
 
     /// Lets `replicas` runners serve.
     pub fn place(&mut self, replicas: usize) {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        self.place_at(&all, replicas);
+    }
+
+    /// Lets `replicas` runners serve, as far as `nodes` know.
+    pub fn place_at(&mut self, nodes: &[usize], replicas: usize) {
         self.placement += 1;
         let runners = (0..replicas).map(|number| RunnerEndpoint {
             runner: format!("runner-{number}").into(),
             address: format!("127.0.0.1:{}", 1 + number),
+            incarnation: Incarnation(1),
             zone: "zone".into(),
             state: MachineState::Live,
         });
         let runners: Vec<RunnerEndpoint> = runners.collect();
         let ready = runners.iter().map(|one| one.runner.clone()).collect();
-        for node in &self.nodes {
+        for node in nodes {
+            let node = &self.nodes[*node];
             node.view.apply_placement(PlacementUpdate {
                 sequence: LogIndex(self.placement),
                 full: true,
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -5,7 +5,7 @@
 use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
 use crate::message::Message;
 use crate::traffic;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -127,9 +127,23 @@
     address: SocketAddr,
     key: &ClusterKey,
     identity: &PeerIdentity,
+) -> Result<Connection, WireError> {
+    connect_from(None, address, key, identity).await
+}
+
+/// Like [`connect`], from the IP number `source`; `None` lets the system
+/// choose.
+///
+/// # Errors
+/// As [`connect`], and when `source` is no address of this machine.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
     let work = async {
-        let stream = TcpStream::connect(address).await;
+        let stream = dial(source, address).await;
         let stream = stream.map_err(|source| WireError::Io {
             step: "connect",
             peer: address.to_string(),
@@ -147,15 +161,28 @@
 /// # Errors
 /// When the address is taken or not of this machine.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
+    let socket = socket_for(address)?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
 
+async fn dial(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = socket_for(address)?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
+fn socket_for(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+}
+
 /// Answers a dialling peer on an accepted stream and proves the key both ways.
 ///
 /// # Errors
