--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -32,7 +32,10 @@
     logging::start(&settings.logging);
     block_on(async {
         let router = Router::start(settings).await?;
-        stop_signal().await?;
+        tokio::select! {
+            signal = stop_signal() => signal?,
+            () = router.drain_asked() => {}
+        }
         router.stop().await;
         Ok(())
     })
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
 mod changes;
+mod drain;
 mod explain;
 mod metrics;
 mod operators;
@@ -72,6 +73,7 @@
 fn page_rule(path: &str) -> Option<(Method, OperatorRole)> {
     match path {
         "/admin/v1/changes" => Some((Method::POST, OperatorRole::Apply)),
+        drain::PATH => Some((Method::POST, OperatorRole::Operate)),
         "/admin/v1/deployments"
         | "/admin/v1/configuration"
         | "/admin/v1/history"
@@ -90,6 +92,7 @@
 ) -> Response<Body> {
     match path {
         "/admin/v1/changes" => changes::answer(request, context, operator).await,
+        drain::PATH => drain::answer(request, context).await,
         "/admin/v1/deployments" => pages::deployments(context),
         "/admin/v1/configuration" => pages::configuration(context),
         "/admin/v1/history" => {
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,6 +1,8 @@
 //! Feeds to routers, and what routers send back.
 
 pub mod configuration;
+mod frames;
+mod jobs;
 pub mod placement_index;
 mod registry;
 mod session;
@@ -67,6 +69,6 @@
 ) -> Result<(), WireError> {
     match connection.peer.clone() {
         PeerIdentity::Router(router, _) => session::serve(connection, router, context).await,
-        PeerIdentity::Controller(_) => Ok(()),
+        PeerIdentity::Controller(peer) => crate::peers::serve(connection, peer, context).await,
     }
 }
--- a/crates/controller/src/feed/writer.rs
+++ b/crates/controller/src/feed/writer.rs
@@ -3,10 +3,12 @@
 //! Invariants: revisions and placements only go up on one connection; a
 //! configuration in parts is sent whole before anything newer.
 
+use super::jobs;
 use super::source::{CONFIRMATION_INTERVAL, FeedCounts};
 use crate::ControllerContext;
-use courseshunt_types::{Epoch, LogIndex, Revision};
-use courseshunt_wire::{Message, Sender, WireError};
+use courseshunt_types::{Epoch, JobId, LogIndex, Revision};
+use courseshunt_wire::message::RouterEndpoint;
+use courseshunt_wire::{Frame, Message, Sender, WireError};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -23,6 +25,12 @@
     sender: Sender,
     /// Name of the router, for errors.
     peer: String,
+    /// The router.
+    router: RouterEndpoint,
+    /// Jobs as last told.
+    jobs: Vec<JobId>,
+    /// Whether the router was told to stop.
+    drained: bool,
     revision: Revision,
     placement: LogIndex,
     fleet: Epoch,
@@ -41,6 +49,7 @@
         context: &'a ControllerContext,
         sender: Sender,
         peer: String,
+        router: RouterEndpoint,
         revision: Revision,
         placement: LogIndex,
     ) -> Self {
@@ -48,6 +57,9 @@
             context,
             sender,
             peer,
+            router,
+            jobs: Vec::new(),
+            drained: false,
             revision,
             placement,
             fleet: Epoch(0),
@@ -75,12 +87,41 @@
                     }
                 }
                 _ = fleet.tick() => self.send_fleet().await?,
-                _ = confirmation.tick() => self.confirm().await?,
+                _ = confirmation.tick() => {
+                    self.confirm().await?;
+                    self.send_jobs().await?;
+                    self.send_drain().await?;
+                }
                 Some(reply) = replies.recv() => self.send(&reply).await?,
             }
         }
     }
 
+    /// Tells the queued jobs when others are queued than before.
+    async fn send_jobs(&mut self) -> Result<(), WireError> {
+        let jobs = jobs::queued_for(self.context, &self.router.router);
+        let told: Vec<JobId> = jobs.iter().map(|job| job.job.clone()).collect();
+        if told == self.jobs {
+            return Ok(());
+        }
+        self.jobs = told;
+        self.send(&Message::Jobs { jobs }).await
+    }
+
+    /// Tells the router to stop when an operator asked for it.
+    async fn send_drain(&mut self) -> Result<(), WireError> {
+        let wanted = {
+            let state = self.context.replica.state();
+            let drains = &state.drains;
+            drains.wants_router(&self.router.router, self.router.incarnation)
+        };
+        if !wanted || self.drained {
+            return Ok(());
+        }
+        self.drained = true;
+        self.send(&Message::Drain).await
+    }
+
     /// Waits for a turn, then sends the configuration in parts. Replies and
     /// confirmations go on meanwhile.
     async fn sync(
@@ -112,34 +153,33 @@
             self.send_configuration().await?;
         }
         if version.placement > self.placement {
-            let update = self.context.feed.placement_since(self.placement);
-            self.placement = update.sequence;
-            self.send(&Message::Placement(update)).await?;
+            let (newest, frames) = self.context.feed.placement_since(self.placement);
+            self.placement = newest;
+            self.send_frames(&frames).await?;
         }
         Ok(())
     }
 
     async fn send_configuration(&mut self) -> Result<(), WireError> {
         let context = self.context;
-        let (revision, parts) = context
+        let (revision, frames) = context
             .feed
             .configuration_since(&context.replica, self.revision);
         if revision <= self.revision {
             return Ok(());
         }
-        for part in parts.iter() {
-            self.send(part).await?;
-        }
+        self.send_frames(&frames).await?;
         self.revision = revision;
         Ok(())
     }
 
     async fn send_fleet(&mut self) -> Result<(), WireError> {
-        let Some(fleet) = self.context.routers.update_after(self.fleet) else {
+        let (epoch, frames) = self.context.routers.frames();
+        if epoch == self.fleet {
             return Ok(());
-        };
-        self.fleet = fleet.epoch;
-        self.send(&Message::Fleet(fleet)).await
+        }
+        self.fleet = epoch;
+        self.send_frames(&frames).await
     }
 
     async fn confirm(&mut self) -> Result<(), WireError> {
@@ -153,12 +193,22 @@
 
     async fn send(&mut self, message: &Message) -> Result<(), WireError> {
         let sent = tokio::time::timeout(SEND_TIMEOUT, self.sender.send(message)).await;
-        sent.unwrap_or_else(|_| {
-            Err(WireError::TimedOut {
-                step: "send",
-                peer: self.peer.clone(),
-            })
-        })
+        sent.unwrap_or_else(|_| Err(self.timed_out()))
+    }
+
+    async fn send_frames(&mut self, frames: &[Frame]) -> Result<(), WireError> {
+        for frame in frames {
+            let sent = tokio::time::timeout(SEND_TIMEOUT, self.sender.send_frame(frame)).await;
+            sent.unwrap_or_else(|_| Err(self.timed_out()))?;
+        }
+        Ok(())
+    }
+
+    fn timed_out(&self) -> WireError {
+        WireError::TimedOut {
+            step: "send",
+            peer: self.peer.clone(),
+        }
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod demand;
 pub mod error;
 pub mod feed;
+pub mod peers;
 pub mod replica;
 pub mod scheduler;
+mod timekeeper;
 
 pub use error::ControllerError;
-pub use replica::{ProposeError, ReplicaHandle, ReplicaStatus};
+pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
 
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::ControllerSettings;
@@ -18,6 +20,7 @@
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
 use feed::{FeedSource, RouterRegistry};
+use peers::{AddressBook, PeerNetwork};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -32,6 +35,8 @@
     pub settings: Arc<ControllerSettings>,
     /// The replicated state and the way to change it.
     pub replica: ReplicaHandle,
+    /// The other controllers.
+    pub peers: PeerNetwork,
     /// Demand, as reported by routers.
     pub demand: Arc<DemandBook>,
     /// Live routers.
@@ -68,12 +73,25 @@
     /// # Errors
     /// When a file can't be read, the store is damaged or an address is taken.
     pub async fn start(settings: ControllerSettings) -> Result<Self, ControllerError> {
+        let http = bind(settings.http_address)?;
+        let wire = bind(settings.wire_address)?;
+        Self::start_on(settings, http, wire).await
+    }
+
+    /// Starts a controller on listeners that are bound already, so that the
+    /// members of a group can know each other's ports before any of them runs.
+    ///
+    /// # Errors
+    /// When a file can't be read or the store is damaged.
+    pub async fn start_on(
+        settings: ControllerSettings,
+        http: TcpListener,
+        wire: TcpListener,
+    ) -> Result<Self, ControllerError> {
         let key = read_file(&settings.cluster_key_file)?;
         let cluster_key = ClusterKey::new(key.trim().as_bytes()).context(error::ShortKeySnafu)?;
         let runner_token = read_file(&settings.runner_token_file)?;
         let operators = admin::Operators::read(&settings.operator_token_file)?;
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
         let http_address = http.local_addr().context(BindSnafu {
             address: settings.http_address,
         })?;
@@ -81,24 +99,36 @@
             address: settings.wire_address,
         })?;
         let clock = MonotonicClock::start();
-        let replica = replica::start(&settings, clock).await?;
+        let stop = CancellationToken::new();
+        let addresses = AddressBook::dialling_from(settings.source_address);
+        for voter in &settings.voters {
+            addresses.set(voter.id, voter.address);
+        }
+        let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
+        let replica = replica::start(&settings, clock, peers.clone()).await?;
+        let client = HttpClient::from_address(settings.source_address);
         let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
             scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
+            peers,
             demand: Arc::default(),
             routers: Arc::default(),
+            client,
             feed: Arc::default(),
-            client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
-            stop: CancellationToken::new(),
+            stop,
         };
         feed::start(wire, &context);
         scheduler::start(&context);
+        let keeping = timekeeper::run(context.clone());
+        tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
         let stop = context.stop.clone();
+        let forgetting = peers::forget_when_deposed(context.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
         let handler = admin::handler(context.clone(), operators);
         tokio::spawn(courseshunt_http::serve(
             http,
@@ -122,8 +152,9 @@
 
     /// Stops as planned.
     pub async fn stop(self) {
-        self.context.stop.cancel();
+        // The hand-over of the leadership needs the connections to the others.
         self.context.replica.stop().await;
+        self.context.stop.cancel();
         log::info!("controller: stopped");
     }
 }
@@ -132,8 +163,6 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })
+fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
 }
--- a/crates/router/src/control/client.rs
+++ b/crates/router/src/control/client.rs
@@ -7,7 +7,8 @@
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Incarnation, RouterId, Zone};
 use courseshunt_wire::ClusterKey;
-use std::net::SocketAddr;
+use courseshunt_wire::message::QueuedJob;
+use std::net::{IpAddr, SocketAddr};
 
 /// Addresses under which this router serves.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +32,8 @@
     pub endpoints: Endpoints,
     /// Wire addresses of controllers; one is used, the others stand by.
     pub controllers: Vec<SocketAddr>,
+    /// IP number that connections come from; `None` lets the system choose.
+    pub source: Option<IpAddr>,
     /// Key of the cluster.
     pub key: ClusterKey,
     /// Clock of the process.
@@ -53,6 +56,7 @@
             zone: settings.zone.clone(),
             endpoints,
             controllers: settings.controllers.clone(),
+            source: settings.source_address,
             key,
             clock,
         }
@@ -72,6 +76,20 @@
 
     /// Demand since the last call.
     fn demand(&self) -> impl Future<Output = Vec<DemandReport>> + Send;
+
+    /// Told which queued jobs to execute.
+    fn jobs_queued(&self, _jobs: Vec<QueuedJob>) {}
+
+    /// Told to stop as planned.
+    fn drain_asked(&self) {}
+
+    /// Noted when a controller was told that the router stops.
+    fn leaving_told(&self) {}
+
+    /// Waits until the router stops as planned.
+    fn leaving(&self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
 }
 
 impl LinkClient for RouterContext {
@@ -90,4 +108,21 @@
     async fn demand(&self) -> Vec<DemandReport> {
         self.dispatcher.demand().await
     }
+
+    fn jobs_queued(&self, jobs: Vec<QueuedJob>) {
+        self.jobs.set(jobs, self.clock.now());
+    }
+
+    fn drain_asked(&self) {
+        log::info!("router: an operator asks for a planned stop");
+        self.drain.cancel();
+    }
+
+    fn leaving_told(&self) {
+        self.leaving_told.cancel();
+    }
+
+    async fn leaving(&self) {
+        self.stop.cancelled().await;
+    }
 }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -5,8 +5,9 @@
 use crate::reply::StoredAnswer;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation, JobId,
-    Millis, PriorityClass, ReplicaKey, RouterId, RunnerId, TenantName, UnixMillis,
+    Attempt, ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation,
+    JobId, Millis, PriorityClass, ReplicaKey, RequestId, RouterId, RunnerId, TenantName,
+    UnixMillis,
 };
 
 /// A command with what is needed to recognise a resend.
@@ -69,32 +70,18 @@
         fence: Fence,
     },
     /// Claims the right to run a once-only request on one runner.
-    OpenClaim {
-        /// The tenant; keys of different tenants never meet.
-        tenant: TenantName,
-        /// The caller's key.
-        key: IdempotencyKey,
-        /// Digest of the request body.
-        digest: Digest,
-        /// Router that dispatches.
-        router: RouterId,
-        /// Its incarnation.
-        incarnation: Incarnation,
-        /// Runner that the request will go to.
-        runner: RunnerId,
-        /// How long the claim is kept.
-        keep: Millis,
-    },
-    /// Gives a claim back, proved not run. Only by the router that opened it.
+    OpenClaim(Box<ClaimRequest>),
+    /// Gives a claim back, proved not run. A claim that is not open yet is
+    /// fenced: an opening that arrives later is refused.
     ReleaseClaim {
         /// The tenant.
         tenant: TenantName,
         /// The key.
         key: IdempotencyKey,
-        /// Router that opened it.
-        router: RouterId,
-        /// Its incarnation.
-        incarnation: Incarnation,
+        /// The request that opened it.
+        request: RequestId,
+        /// Its attempt.
+        attempt: Attempt,
     },
     /// Records the answer of a claimed request.
     FinishClaim {
@@ -102,6 +89,10 @@
         tenant: TenantName,
         /// The key.
         key: IdempotencyKey,
+        /// The request that opened it.
+        request: RequestId,
+        /// Its attempt.
+        attempt: Attempt,
         /// The whole answer; `None` when it is unknown whether it ran.
         answer: Option<StoredAnswer>,
     },
@@ -113,14 +104,18 @@
         tenant: TenantName,
         /// The deployment.
         deployment: DeploymentName,
+        /// Path at the runner.
+        path: String,
         /// The request body.
         body: Vec<u8>,
+        /// Jobs of the deployment that may wait at the most.
+        queue_limit: u32,
         /// Class of the job.
         class: PriorityClass,
         /// Whether it may run once only.
         once_only: bool,
-        /// To be done by then.
-        deadline: UnixMillis,
+        /// To be done within this time.
+        deadline_in: Millis,
         /// How long the answer is kept after the end.
         keep: Millis,
     },
@@ -155,6 +150,69 @@
     },
     /// Moves committed time on, so that leases, claims and jobs expire.
     AdvanceTime,
+    /// Tells what became of a key, and changes nothing.
+    LookUpClaim {
+        /// The tenant.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+        /// Digest of the request body.
+        digest: Digest,
+    },
+    /// Shows a job to its tenant. The answer of an ended job counts as fetched.
+    ViewJob {
+        /// The job.
+        job: JobId,
+        /// The tenant that asks.
+        tenant: TenantName,
+    },
+    /// Lists a tenant's jobs.
+    ListJobs {
+        /// The tenant that asks.
+        tenant: TenantName,
+        /// Jobs at the most.
+        limit: u32,
+    },
+    /// Asks a router to stop as planned.
+    DrainRouter {
+        /// The router.
+        router: RouterId,
+        /// Its incarnation, if known; later ones are not told then.
+        incarnation: Option<Incarnation>,
+    },
+    /// Records that a router stops as planned.
+    RouterLeft {
+        /// The router.
+        router: RouterId,
+    },
+    /// Asks for no new work for a runner's present process.
+    DrainRunner {
+        /// The runner.
+        runner: RunnerId,
+    },
+}
+
+/// What is claimed for a once-only request.
+#[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ClaimRequest {
+    /// The tenant; keys of different tenants never meet.
+    pub tenant: TenantName,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// Digest of the request body.
+    pub digest: Digest,
+    /// Router that dispatches.
+    pub router: RouterId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Runner that the request will go to.
+    pub runner: RunnerId,
+    /// Identity under which the runner gets it.
+    pub request: RequestId,
+    /// Attempt under which the runner gets it.
+    pub attempt: Attempt,
+    /// How long the claim is kept.
+    pub keep: Millis,
 }
 
 /// How a leased job ended.
@@ -164,6 +222,21 @@
     Answered(StoredAnswer),
     /// It is proved not to have run; it is queued again.
     NotRun,
+    /// It may have run, and may run again: it is queued again. A once-only job
+    /// becomes unknown.
+    Retry,
     /// It may have run.
     Unknown,
+    /// The deadline passed before the end.
+    DeadlineMissed {
+        /// Whether it may have run.
+        started: bool,
+    },
+    /// It was refused for good, such as for a deployment that is gone.
+    Refused {
+        /// Why.
+        message: String,
+        /// Whether it may have run.
+        started: bool,
+    },
 }
