HTTP server: a planned stop breaks no request off

Cause: after the stop the listening socket stayed open without being served until the last running request ended. A request under way on an idle connection could meet its close. Ruled out: the drain itself, whose running requests all ended whole. Change: while requests run, the server goes on taking connections; each answer after the stop closes its connection; idle connections are kept 300 ms more. A stopping router refuses at once with `not-run` and Retry-After. Conclusion: a caller meets an answer or a refused connection, never a reset.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -57,7 +58,15 @@
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a connection without a request is kept after the stop, so that a
+/// request that is already on its way is answered.
+const STOP_LINGER: Duration = Duration::from_millis(300);
+
 /// Serves until `stop` is cancelled, then lets running requests finish.
+///
+/// While they run, new requests are still taken, on new connections too, and
+/// answered as the handler sees fit (a stopping process refuses them); each of
+/// these answers closes its connection. So a planned stop breaks none off.
 pub async fn serve<F, R>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -69,31 +78,41 @@
 {
     let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = TaskTracker::new();
+    let late = TaskTracker::new();
+    let serve_on = |tracker: &TaskTracker, (stream, peer, slot): Accepted| {
+        let serving = serve_connection(stream, peer, limits, stop.clone(), handler.clone());
+        tracker.spawn(async move {
+            serving.await;
+            drop(slot);
+        });
+    };
+    let accepting = async {
+        loop {
+            if let Some(accepted) = accept(&listener, &slots).await {
+                serve_on(&connections, accepted);
+            }
+        }
+    };
+    stop.run_until_cancelled(accepting).await;
+    connections.close();
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => break,
+            () = connections.wait() => break,
             accepted = accept(&listener, &slots) => accepted,
         };
-        let Some((stream, peer, slot)) = accepted else {
-            continue;
-        };
-        let handler = handler.clone();
-        let stop = stop.clone();
-        connections.spawn(async move {
-            serve_connection(stream, peer, limits, stop, handler).await;
-            drop(slot);
-        });
+        if let Some(accepted) = accepted {
+            serve_on(&late, accepted);
+        }
     }
-    connections.close();
-    connections.wait().await;
+    drop(listener);
+    late.close();
+    late.wait().await;
 }
 
 type Slot = tokio::sync::OwnedSemaphorePermit;
+type Accepted = (TcpStream, SocketAddr, Slot);
 
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, Slot)> {
+async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> Option<Accepted> {
     let slot = slots.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((stream, peer)) => Some((stream, peer, slot)),
@@ -116,9 +135,18 @@
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let stopping = stop.clone();
     let service = service_fn(move |request| {
         let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let stopping = stopping.clone();
+        async move {
+            let mut response = answer.await;
+            if stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -128,7 +156,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
+        () = lingered(&stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -137,3 +165,8 @@
         log::debug!("http: connection of {peer} ended: {error}");
     }
 }
+
+async fn lingered(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(STOP_LINGER).await;
+}
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -12,7 +12,7 @@
     Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
     refusal_response, text_response,
 };
-use courseshunt_types::{Refusal, RefusalReason, TenantName};
+use courseshunt_types::{Millis, Refusal, RefusalReason, TenantName};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,6 +20,10 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 
+/// When a caller that met a stopping router may come back; another router takes
+/// it at once.
+const STOPPING_RETRY_AFTER: Millis = Millis::from_secs(1);
+
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// The handler for [`courseshunt_http::serve`].
@@ -93,6 +97,10 @@
 }
 
 fn authenticate(headers: &HeaderMap, context: &RouterContext) -> Result<TenantName, Refusal> {
+    if context.stop.is_cancelled() {
+        let refusal = Refusal::not_run(RefusalReason::ShuttingDown, "this router is stopping");
+        return Err(refusal.with_retry_after(STOPPING_RETRY_AFTER));
+    }
     if !context.view.is_synced() {
         let message = "this router has no confirmed configuration yet";
         return Err(Refusal::not_run(RefusalReason::ShuttingDown, message));
