--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -21,6 +21,8 @@
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked --quiet
 step "tests"
 cargo test --workspace --locked
+step "a site as separate processes"
+scripts/site.sh smoke
 if [ -x spec/check.sh ]; then
     step "model checks"
     spec/check.sh
