Lab: the platform's list lags in a fleet as fast as loads run; late answers counted

Cause: a list lag of 10 s outlasted runs of 8 s, so that a reclaimed runner was listed as leaving after the load only and the check of leaving runners saw nothing. Change: lag and notice are divided by the same factor as loads (16).

--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -9,6 +9,9 @@
 /// Violations of one kind that the text shows.
 const SHOWN: usize = 10;
 
+/// Beyond this time after its deadline a request counts as late.
+const LATE: Duration = Duration::from_millis(500);
+
 /// Longest time without an answer around a fault.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct FaultGap {
@@ -36,6 +39,8 @@
     pub lost: usize,
     /// Once-only requests that ran more than once.
     pub doubled: usize,
+    /// Requests that ended well after their deadline.
+    pub late: usize,
     /// Faults, with the gap in service around each.
     pub faults: Vec<FaultGap>,
     /// Accepted changes of configuration.
@@ -60,6 +65,7 @@
             repeated: repeated(history),
             lost: count("accounted"),
             doubled: count("once-only"),
+            late: history.records.iter().filter(|one| is_late(one)).count(),
             faults: gaps(history),
             changes: history.changes.len(),
             looks: history
@@ -82,8 +88,14 @@
             self.load.text()
         );
         text.push_str(&format!(
-            "executions {}, repeated {}, lost {}, doubled {}, changes {}, looks at runners {}\n",
-            self.executions, self.repeated, self.lost, self.doubled, self.changes, self.looks
+            "executions {}, repeated {}, lost {}, doubled {}, late {}, changes {}, looks at runners {}\n",
+            self.executions,
+            self.repeated,
+            self.lost,
+            self.doubled,
+            self.late,
+            self.changes,
+            self.looks
         ));
         for gap in &self.faults {
             text.push_str(&format!(
@@ -106,6 +118,11 @@
     }
 }
 
+/// Whether the answer or refusal came well after the deadline.
+fn is_late(record: &RequestRecord) -> bool {
+    record.total() > record.request.deadline + LATE
+}
+
 fn gaps(history: &History) -> Vec<FaultGap> {
     let answered = history.records.iter().filter(|record| record.is_answered());
     let mut ends: Vec<Duration> = answered.map(|record| record.ended_at).collect();
--- a/crates/lab/src/fleet/shape.rs
+++ b/crates/lab/src/fleet/shape.rs
@@ -10,8 +10,8 @@
 /// Bearer token of the fleet's callers.
 pub const TENANT_TOKEN: &str = "fleet-tenant-token";
 const TENANT: &str = "fleet";
-/// Loads run this much faster than in the scenario, so that a run of seconds
-/// sees many of them.
+/// Loads, the platform's list and its notice run this much faster than in the
+/// scenario, so that a run of seconds sees many of them.
 pub const LOAD_SPEEDUP: f64 = 16.0;
 /// Nodes of one kind at the most (their IP numbers have a range each).
 const MAX_CONTROLLERS: u32 = 8;
@@ -63,8 +63,8 @@
                 transfer_mib_per_second: scenario.store.transfer_mib_per_second * LOAD_SPEEDUP,
                 ..scenario.store
             },
-            list_lag: scenario.platform.list_lag_ms,
-            reclaim_notice: scenario.platform.reclaim_notice_ms,
+            list_lag: sped_up(scenario.platform.list_lag_ms),
+            reclaim_notice: sped_up(scenario.platform.reclaim_notice_ms),
             deployments: deployments.collect(),
         }
     }
@@ -94,6 +94,10 @@
     }
 }
 
+fn sped_up(length: Millis) -> Millis {
+    Millis((length.0 as f64 / LOAD_SPEEDUP) as u64)
+}
+
 fn runners(scenario: &Scenario, scaled: impl Fn(u32) -> u32) -> Vec<RunnerModelSettings> {
     let pools = scenario.runner_pool.iter();
     let pools = pools.flat_map(|pool| std::iter::repeat_n(pool, scaled(pool.count) as usize));
--- a/crates/lab/src/suite/report.rs
+++ b/crates/lab/src/suite/report.rs
@@ -21,6 +21,8 @@
     pub lost: usize,
     /// Once-only requests that ran more than once.
     pub doubled: usize,
+    /// Requests that ended well after their deadline.
+    pub late: usize,
     /// Longest time between two answers around the faults, in milliseconds.
     pub longest_gap_ms: u64,
     /// Promises that did not hold, or why the case could not run.
@@ -49,6 +51,7 @@
             refused: report.load.count_of("refused") + report.load.count_of("stream-error"),
             lost: report.lost,
             doubled: report.doubled,
+            late: report.late,
             longest_gap_ms: gaps.max().unwrap_or(report.load.longest_gap_ms),
             violations: violations
                 .map(|one| format!("{}: {}", one.check, one.message))
@@ -66,6 +69,7 @@
             refused: 0,
             lost: 0,
             doubled: 0,
+            late: 0,
             longest_gap_ms: 0,
             violations: vec![format!("not run: {error}")],
         }
@@ -81,13 +85,14 @@
     #[must_use]
     pub fn line(&self) -> String {
         format!(
-            "{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>9}  {}",
+            "{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>6}{:>9}  {}",
             self.name,
             self.sent,
             self.answered,
             self.refused,
             self.lost,
             self.doubled,
+            self.late,
             self.longest_gap_ms,
             if self.survived() {
                 "survived"
@@ -109,8 +114,16 @@
     #[must_use]
     pub fn text(&self) -> String {
         let mut text = format!(
-            "scenario {}\n{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>9}\n",
-            self.scenario, "faults", "sent", "answered", "refused", "lost", "doubled", "gap ms"
+            "scenario {}\n{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>6}{:>9}\n",
+            self.scenario,
+            "faults",
+            "sent",
+            "answered",
+            "refused",
+            "lost",
+            "doubled",
+            "late",
+            "gap ms"
         );
         for result in &self.results {
             text.push_str(&result.line());
