--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -124,26 +124,33 @@
 }
 
 fn gaps(history: &History) -> Vec<FaultGap> {
-    let answered = history.records.iter().filter(|record| record.is_answered());
-    let mut ends: Vec<Duration> = answered.map(|record| record.ended_at).collect();
-    ends.sort();
+    let answers = answer_times(&history.records);
     let faults = history.faults.iter();
     faults
         .map(|fault| FaultGap {
             fault: fault.clone(),
-            longest_gap_ms: gap_during(&ends, fault, &history.records).as_millis() as u64,
+            longest_gap_ms: gap_during(&answers, fault).as_millis() as u64,
         })
         .collect()
 }
 
-/// Only gaps while requests were being planned count.
-fn gap_during(ends: &[Duration], fault: &FaultSpan, records: &[RequestRecord]) -> Duration {
-    let last = records.iter().map(|record| record.request.at).max();
-    let last = last.unwrap_or_default();
-    let pairs = ends.windows(2).filter(|pair| pair[0] <= last);
+/// Times of answers, in order, from the first planned request to the last one,
+/// which count as answers: a service that never answers again has a gap.
+fn answer_times(records: &[RequestRecord]) -> Vec<Duration> {
+    let planned = || records.iter().map(|record| record.request.at);
+    let first = planned().min().unwrap_or_default();
+    let last = planned().max().unwrap_or_default();
+    let answered = records.iter().filter(|record| record.is_answered());
+    let within = answered.map(|record| record.ended_at);
+    let within = within.filter(|at| *at < last);
+    let mut times: Vec<Duration> = within.chain([first, last]).collect();
+    times.sort();
+    times
+}
+
+fn gap_during(answers: &[Duration], fault: &FaultSpan) -> Duration {
+    let pairs = answers.windows(2);
     let during = pairs.filter(|pair| fault.overlaps(pair[0], pair[1]));
-    during
-        .map(|pair| pair[1] - pair[0])
-        .max()
-        .unwrap_or_default()
+    let lengths = during.map(|pair| pair[1] - pair[0]);
+    lengths.max().unwrap_or_default()
 }
