Lab: no request is unknown after planned faults alone; once-only requests without an answer are sent again

Change: the check of accounted requests takes a restart, a reclaim with notice, slowness and changes of configuration for no excuse; callers resend a once-only request under its key after an unknown, so that a second run would be seen. Shown by: fleet_checks, the case of an unknown request in a planned stop.

--- a/crates/lab/src/fleet/check/requests.rs
+++ b/crates/lab/src/fleet/check/requests.rs
@@ -16,6 +16,16 @@
 /// Faults after which a router's callers see broken connections.
 const ENDS_PROCESS: [&str; 3] = ["crash", "zone-loss", "lose-disk"];
 const PLANNED_RESTART: &str = "planned-restart";
+/// Faults that leave no request unknown: what is planned, announced, slow or
+/// about configuration.
+const HARMLESS: [&str; 6] = [
+    PLANNED_RESTART,
+    "reclaim",
+    "slow-store",
+    "slow-link",
+    "operator-race",
+    "resent-change",
+];
 const FREEZE: &str = "freeze";
 
 /// Every request ends, for its caller, in its own whole answer, a refusal or
@@ -67,9 +77,11 @@
     fault.hits(&record.router) && fault.overlaps(record.request.at, record.ended_at)
 }
 
+/// Whether a fault may have left the request unknown.
 fn was_felt(fault: &FaultSpan, record: &RequestRecord) -> bool {
     let until = record.ended_at;
-    fault.from <= until && record.request.at <= fault.until + EFFECT_AFTER_FAULT
+    let harmless = HARMLESS.contains(&fault.kind.as_str());
+    !harmless && fault.from <= until && record.request.at <= fault.until + EFFECT_AFTER_FAULT
 }
 
 fn name(record: &RequestRecord) -> String {
--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -89,7 +89,7 @@
             return RequestRecord::not_sent(request);
         };
         let result = call.once(target).await;
-        if left == 0 || call.overdue() || !result.may_be_sent_again() {
+        if left == 0 || call.overdue() || !result.may_be_sent_again(request.form) {
             let (request_id, first_byte) = (call.request_id.take(), call.first_byte);
             return RequestRecord {
                 router: target.name.clone(),
--- a/crates/lab/src/load/record.rs
+++ b/crates/lab/src/load/record.rs
@@ -159,16 +159,20 @@
         }
     }
 
-    /// Whether the same request may be sent again: the caller doesn't know an
-    /// answer or refusal for it.
+    /// Whether the same request is worth sending again: its caller has no
+    /// answer, and it did not run, or may run twice, or its key keeps it from
+    /// running twice.
     #[must_use]
-    pub fn may_be_sent_again(&self) -> bool {
+    pub fn may_be_sent_again(&self, form: RequestForm) -> bool {
         match self {
             Self::NotConnected { .. } | Self::Broken { .. } => true,
-            Self::Refused { code, .. } => matches!(
-                code.as_str(),
-                "shutting_down" | "ledger_unavailable" | "in_progress"
-            ),
+            Self::Refused {
+                outcome: Outcome::Unknown,
+                ..
+            } => form == RequestForm::OnceOnly,
+            Self::Refused { code, .. } => {
+                matches!(code.as_str(), "shutting_down" | "ledger_unavailable")
+            }
             _ => false,
         }
     }
--- a/crates/lab/tests/fleet_checks.rs
+++ b/crates/lab/tests/fleet_checks.rs
@@ -212,6 +212,11 @@
             requests(vec![record(whole, refused(Outcome::Unknown))], vec![]),
             &["accounted"],
         ),
+        (
+            "unknown in a planned stop",
+            with_fault(refused(Outcome::Unknown), "planned-restart", "router-1"),
+            &["accounted"],
+        ),
         (
             "unknown after a crash",
             with_fault(refused(Outcome::Unknown), "crash", "runner-1"),
