Lab: two faults on one node, ends of runtimes, reasons of refusals in the suite's table

Cause: a node hit by two faults was started twice ("Address already in use"), and the error's way out dropped a runtime within asynchronous work (panic). Change: a running node is left alone by a start; a node's runtime ends without waiting when dropped; the suite's JSON gives refusals by code and outcome.

--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -4,6 +4,7 @@
 use crate::error::LabError;
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
 
 /// Longest wait for the blocking work (file writes) of an ended node.
 const END_TIMEOUT: Duration = Duration::from_secs(10);
@@ -13,7 +14,38 @@
 pub struct Node<T> {
     /// The part.
     pub part: T,
-    runtime: Runtime,
+    runtime: NodeRuntime,
+}
+
+/// A runtime that ends without waiting when it is dropped, which the library
+/// allows nowhere else within asynchronous work.
+#[derive(Debug)]
+struct NodeRuntime(Option<Runtime>);
+
+impl NodeRuntime {
+    fn spawn<F>(&self, work: F) -> Option<JoinHandle<F::Output>>
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        self.0.as_ref().map(|runtime| runtime.spawn(work))
+    }
+
+    /// Ends all work and waits for file writes.
+    async fn end(mut self) {
+        if let Some(runtime) = self.0.take() {
+            let ending = move || runtime.shutdown_timeout(END_TIMEOUT);
+            let _ = tokio::task::spawn_blocking(ending).await;
+        }
+    }
+}
+
+impl Drop for NodeRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl<T: Send + 'static> Node<T> {
@@ -34,26 +66,25 @@
             .thread_name(name)
             .enable_all()
             .build()?;
-        let started = runtime.spawn(work).await;
-        match started {
-            Ok(Ok(part)) => Ok(Self { part, runtime }),
-            Ok(Err(error)) => {
-                runtime.shutdown_background();
-                Err(error.into())
-            }
-            Err(error) => {
-                runtime.shutdown_background();
-                Err(LabError::violation(format!(
-                    "{name} did not start: {error}"
-                )))
-            }
+        let runtime = NodeRuntime(Some(runtime));
+        let Some(starting) = runtime.spawn(work) else {
+            return Err(LabError::violation(format!("{name} has no runtime")));
+        };
+        match starting.await {
+            Ok(started) => Ok(Self {
+                part: started?,
+                runtime,
+            }),
+            Err(error) => Err(LabError::violation(format!(
+                "{name} did not start: {error}"
+            ))),
         }
     }
 
     /// Ends it as a crash does: all work stops where it is, all sockets close.
     pub async fn crash(self) {
         let Self { part, runtime } = self;
-        end(runtime).await;
+        runtime.end().await;
         // Only now, so that nothing of the part's own clean-up can run.
         drop(part);
     }
@@ -64,19 +95,17 @@
         F: Future<Output = ()> + Send + 'static,
     {
         let Self { part, runtime } = self;
-        let _ = runtime.spawn(stop(part)).await;
-        end(runtime).await;
+        if let Some(stopping) = runtime.spawn(stop(part)) {
+            let _ = stopping.await;
+        }
+        runtime.end().await;
     }
 
     /// Makes the whole node stand still, like a process that is not scheduled.
     pub fn freeze(&self, length: Duration) {
         // The only worker thread sleeps, and with it every task and timer.
-        self.runtime
+        let _ = self
+            .runtime
             .spawn(async move { std::thread::sleep(length) });
     }
 }
-
-async fn end(runtime: Runtime) {
-    let ended = tokio::task::spawn_blocking(move || runtime.shutdown_timeout(END_TIMEOUT));
-    let _ = ended.await;
-}
--- a/crates/lab/src/fleet/site.rs
+++ b/crates/lab/src/fleet/site.rs
@@ -146,11 +146,14 @@
         }
     }
 
-    /// Starts a node, also again.
+    /// Starts a node, also again; one that runs is left alone.
     ///
     /// # Errors
     /// When it can't start.
     pub async fn start_node(&mut self, node: NodeId) -> Result<(), LabError> {
+        if self.is_up(node) {
+            return Ok(());
+        }
         let mut tries = 0;
         loop {
             let started = self.try_start(node).await;
--- a/crates/lab/src/suite/report.rs
+++ b/crates/lab/src/suite/report.rs
@@ -2,6 +2,7 @@
 
 use crate::error::LabError;
 use crate::fleet::FleetReport;
+use std::collections::BTreeMap;
 
 /// Violations that the text shows for each case.
 const SHOWN: usize = 3;
@@ -17,6 +18,8 @@
     pub answered: u64,
     /// Refusals and explicit unknowns.
     pub refused: u64,
+    /// Refusals by code and outcome.
+    pub refusals: BTreeMap<String, u64>,
     /// Requests without a word for their caller.
     pub lost: usize,
     /// Once-only requests that ran more than once.
@@ -49,6 +52,7 @@
             sent: report.load.planned,
             answered: report.load.count_of("answered"),
             refused: report.load.count_of("refused") + report.load.count_of("stream-error"),
+            refusals: report.load.refusals.clone(),
             lost: report.lost,
             doubled: report.doubled,
             late: report.late,
@@ -67,6 +71,7 @@
             sent: 0,
             answered: 0,
             refused: 0,
+            refusals: BTreeMap::new(),
             lost: 0,
             doubled: 0,
             late: 0,
