--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,12 +4,15 @@
 mod check;
 mod diff;
 mod documents;
+mod drain;
 mod explain;
 mod get;
 mod history;
+mod job;
 mod manual;
 mod render;
 mod serve;
+mod status;
 mod token;
 
 pub use manual::help_of_all;
@@ -78,9 +81,15 @@
     },
     Subcommand {
         name: "status",
-        summary: "show the control group, routers and replicas",
-        run: get::status,
-        help: get::status_help,
+        summary: "show the fleet, warm and cold models, queues and who lags",
+        run: status::status,
+        help: status::status_help,
+    },
+    Subcommand {
+        name: "top",
+        summary: "show the status again and again",
+        run: status::top,
+        help: status::top_help,
     },
     Subcommand {
         name: "explain",
@@ -88,6 +97,18 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "drain",
+        summary: "ask a router or runner to stop as planned",
+        run: drain::run,
+        help: drain::help,
+    },
+    Subcommand {
+        name: "job",
+        summary: "submit, show, cancel and list deferred jobs",
+        run: job::run,
+        help: job::help,
+    },
     Subcommand {
         name: "check",
         summary: "check a settings file, template, parameters, documents, scenario or faults",
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,6 +1,8 @@
 //! Feeds to routers, and what routers send back.
 
 pub mod configuration;
+mod frames;
+mod jobs;
 pub mod placement_index;
 mod registry;
 mod session;
@@ -8,7 +10,7 @@
 mod writer;
 
 pub use placement_index::PlacementIndex;
-pub use registry::RouterRegistry;
+pub use registry::{RegisteredRouter, RouterRegistry};
 pub use source::{FeedCounts, FeedSource, FeedVersion, MAX_SYNCS};
 
 use crate::ControllerContext;
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -5,7 +5,7 @@
 use crate::ControllerContext;
 use crate::replica::ProposeError;
 use courseshunt_queue::DemandReport;
-use courseshunt_state::CommandEnvelope;
+use courseshunt_state::{Command, CommandEnvelope};
 use courseshunt_types::{ClientId, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
 use courseshunt_wire::{Connection, Message, Receiver, WireError};
@@ -49,6 +49,7 @@
         context,
         sender,
         peer,
+        endpoint.clone(),
         subscribe.revision,
         subscribe.placement,
     );
@@ -85,6 +86,7 @@
             Message::Demand { reports } => {
                 record_demand(context, router, reports);
             }
+            Message::Leaving => leaving(router, context),
             Message::Confirmed { revision } => context.routers.confirm(router, revision),
             Message::Ledger { .. } => {
                 let client = format!("{router}/{}", subscribe.incarnation);
@@ -97,6 +99,19 @@
     Ok(())
 }
 
+/// A router stops as planned: others own its queues from now on.
+fn leaving(router: &RouterId, context: &ControllerContext) {
+    log::info!("feed: router {router} is leaving");
+    context.routers.leave(router);
+    let (context, router) = (context.clone(), router.clone());
+    tokio::spawn(async move {
+        let command = Command::RouterLeft { router };
+        if let Err(error) = context.replica.submit(command).await {
+            log::info!("feed: {error}");
+        }
+    });
+}
+
 async fn receive_in_time(
     receiver: &mut Receiver,
     router: &RouterId,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod peers;
 pub mod replica;
 pub mod scheduler;
+mod timekeeper;
 
 pub use error::ControllerError;
 pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
@@ -72,8 +73,8 @@
     /// # Errors
     /// When a file can't be read, the store is damaged or an address is taken.
     pub async fn start(settings: ControllerSettings) -> Result<Self, ControllerError> {
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
+        let http = bind(settings.http_address)?;
+        let wire = bind(settings.wire_address)?;
         Self::start_on(settings, http, wire).await
     }
 
@@ -123,6 +124,8 @@
         };
         feed::start(wire, &context);
         scheduler::start(&context);
+        let keeping = timekeeper::run(context.clone());
+        tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
         let stop = context.stop.clone();
         let forgetting = peers::forget_when_deposed(context.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
@@ -160,8 +163,6 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })
+fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
 }
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Subcommands of the laboratory.
 
+mod arguments;
 mod capacity;
+mod compare;
 mod demo;
 mod flags;
 mod fleet;
@@ -8,6 +10,7 @@
 mod manual;
 mod propagate;
 mod ready;
+mod simulate;
 mod standin;
 mod suite;
 
@@ -31,6 +34,18 @@
         run: demo::run,
         help: demo::help,
     },
+    Subcommand {
+        name: "compare",
+        summary: "policies, seeds and faults side by side, as a table and plots",
+        run: compare::run,
+        help: compare::help,
+    },
+    Subcommand {
+        name: "simulate",
+        summary: "a scenario in virtual time under one placement policy",
+        run: simulate::run,
+        help: simulate::help,
+    },
     Subcommand {
         name: "load",
         summary: "open-loop load against running routers, with every answer checked",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,9 @@
 //! The laboratory: demo, fleet, simulation, load, capacity and reports.
 
+pub mod callers;
 pub mod capacity;
 pub mod commands;
+pub mod compare;
 pub mod demo;
 pub mod error;
 pub mod files;
@@ -9,6 +11,7 @@
 pub mod hollow;
 pub mod load;
 pub mod propagate;
+pub mod simulate;
 pub mod site;
 pub mod suite;
 
--- a/crates/router/src/control/client.rs
+++ b/crates/router/src/control/client.rs
@@ -7,6 +7,7 @@
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Incarnation, RouterId, Zone};
 use courseshunt_wire::ClusterKey;
+use courseshunt_wire::message::QueuedJob;
 use std::net::{IpAddr, SocketAddr};
 
 /// Addresses under which this router serves.
@@ -75,6 +76,20 @@
 
     /// Demand since the last call.
     fn demand(&self) -> impl Future<Output = Vec<DemandReport>> + Send;
+
+    /// Told which queued jobs to execute.
+    fn jobs_queued(&self, _jobs: Vec<QueuedJob>) {}
+
+    /// Told to stop as planned.
+    fn drain_asked(&self) {}
+
+    /// Noted when a controller was told that the router stops.
+    fn leaving_told(&self) {}
+
+    /// Waits until the router stops as planned.
+    fn leaving(&self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
 }
 
 impl LinkClient for RouterContext {
@@ -93,4 +108,21 @@
     async fn demand(&self) -> Vec<DemandReport> {
         self.dispatcher.demand().await
     }
+
+    fn jobs_queued(&self, jobs: Vec<QueuedJob>) {
+        self.jobs.set(jobs, self.clock.now());
+    }
+
+    fn drain_asked(&self) {
+        log::info!("router: an operator asks for a planned stop");
+        self.drain.cancel();
+    }
+
+    fn leaving_told(&self) {
+        self.leaving_told.cancel();
+    }
+
+    async fn leaving(&self) {
+        self.stop.cancelled().await;
+    }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,30 +1,38 @@
 //! The request router: callers' API, waiting queues, dispatch and retries.
 //! This crate composes the pure queue core with HTTP and the control feed.
 
+pub mod attempt;
 pub mod caller;
 pub mod configuration;
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod jobs;
 pub mod limits;
 pub mod peers;
 
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::{LedgerClient, LinkSettings};
+use control::{LedgerClient, LinkSettings, RelaySource};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
-use courseshunt_types::Incarnation;
 use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::{Incarnation, RouterId};
+use courseshunt_wire::message::RouterEndpoint;
 use courseshunt_wire::{ClusterKey, PeerIdentity};
 use dispatch::DispatcherHandle;
 use error::{BindSnafu, FileSnafu, ShortKeySnafu};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Longest wait for a controller that is told of the planned stop.
+const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the parts of a router share.
 #[derive(Debug, Clone)]
@@ -39,6 +47,14 @@
     pub dispatcher: DispatcherHandle,
     /// Commands for the replicated ledger.
     pub ledger: LedgerClient,
+    /// What attempts, claims and jobs came to.
+    pub counts: Arc<attempt::AttemptCounts>,
+    /// Share of requests that may be retried.
+    pub retry_budget: Arc<attempt::RetryBudget>,
+    /// Queued jobs that this router is to execute.
+    pub jobs: Arc<jobs::JobBoard>,
+    /// Work that a planned stop waits for.
+    pub tasks: TaskTracker,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
     /// Bound on callers' bodies in memory.
@@ -47,10 +63,25 @@
     pub client: HttpClient,
     /// Clock of this process.
     pub clock: MonotonicClock,
+    /// Cancelled when an operator asks for a planned stop.
+    pub drain: CancellationToken,
+    /// Cancelled when a controller was told of the planned stop.
+    pub leaving_told: CancellationToken,
     /// Cancelled at the planned stop.
     pub stop: CancellationToken,
 }
 
+impl RouterContext {
+    /// Whether a router's incarnation lives, as far as the fleet view tells.
+    #[must_use]
+    pub fn is_live(&self, router: &RouterId, incarnation: Incarnation) -> bool {
+        let own = *router == self.settings.id && incarnation == self.incarnation;
+        let routers = self.view.routers();
+        let listed = |one: &RouterEndpoint| one.router == *router && one.incarnation == incarnation;
+        own || routers.iter().any(listed)
+    }
+}
+
 /// A running router.
 #[derive(Debug)]
 pub struct Router {
@@ -106,10 +137,16 @@
             view,
             dispatcher,
             ledger,
+            counts: Arc::default(),
+            retry_budget: Arc::default(),
+            jobs: Arc::default(),
+            tasks: TaskTracker::new(),
             requests: Arc::default(),
             client,
             bodies: limits::BodyBudget::new(max_waiting_bytes),
             clock,
+            drain: CancellationToken::new(),
+            leaving_told: CancellationToken::new(),
             stop: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
@@ -118,7 +155,11 @@
         };
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
-        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
+        let relay = RelaySource {
+            view: context.view.clone(),
+            clock,
+        };
+        tokio::spawn(peers::accept_holders(wire, peers, relay, ended.clone()));
         let link = LinkSettings::of_router(
             &context.settings,
             context.incarnation,
@@ -128,6 +169,7 @@
         );
         let link = control::run(context.clone(), link, ledger_calls);
         tokio::spawn(ended.clone().run_until_cancelled_owned(link));
+        tokio::spawn(jobs::run(context.clone()));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
         let server = tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
@@ -147,17 +189,29 @@
         &self.context
     }
 
-    /// Stops as planned: running requests finish first.
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_asked(&self) {
+        self.context.drain.cancelled().await;
+    }
+
+    /// Stops as planned: readiness goes off, the owned queues go to other
+    /// routers, running requests finish and their ends are recorded.
     pub async fn stop(self) {
-        self.context.stop.cancel();
-        self.context.dispatcher.stop();
-        let drain = self.context.settings.drain;
-        if tokio::time::timeout(drain.into(), self.server)
-            .await
-            .is_err()
-        {
-            log::warn!("router: stopped before all requests had ended");
+        let context = &self.context;
+        context.stop.cancel();
+        context.dispatcher.stop();
+        let finished = async {
+            let _ = self.server.await;
+            context.tasks.close();
+            context.tasks.wait().await;
+        };
+        let drain = context.settings.drain;
+        if tokio::time::timeout(drain.into(), finished).await.is_err() {
+            let left = context.tasks.len();
+            log::warn!("router: stopped before all requests had ended ({left} tasks left)");
         }
+        let told = context.leaving_told.cancelled();
+        let _ = tokio::time::timeout(LEAVING_TIMEOUT, told).await;
         self.ended.cancel();
         log::info!("router: stopped");
     }
