--- a/crates/lab/src/suite/report.rs
+++ b/crates/lab/src/suite/report.rs
@@ -2,6 +2,7 @@
 
 use crate::error::LabError;
 use crate::fleet::FleetReport;
+use std::collections::BTreeMap;
 
 /// Violations that the text shows for each case.
 const SHOWN: usize = 3;
@@ -17,10 +18,14 @@
     pub answered: u64,
     /// Refusals and explicit unknowns.
     pub refused: u64,
+    /// Refusals by code and outcome.
+    pub refusals: BTreeMap<String, u64>,
     /// Requests without a word for their caller.
     pub lost: usize,
     /// Once-only requests that ran more than once.
     pub doubled: usize,
+    /// Requests that ended well after their deadline.
+    pub late: usize,
     /// Longest time between two answers around the faults, in milliseconds.
     pub longest_gap_ms: u64,
     /// Promises that did not hold, or why the case could not run.
@@ -47,8 +52,10 @@
             sent: report.load.planned,
             answered: report.load.count_of("answered"),
             refused: report.load.count_of("refused") + report.load.count_of("stream-error"),
+            refusals: report.load.refusals.clone(),
             lost: report.lost,
             doubled: report.doubled,
+            late: report.late,
             longest_gap_ms: gaps.max().unwrap_or(report.load.longest_gap_ms),
             violations: violations
                 .map(|one| format!("{}: {}", one.check, one.message))
@@ -64,8 +71,10 @@
             sent: 0,
             answered: 0,
             refused: 0,
+            refusals: BTreeMap::new(),
             lost: 0,
             doubled: 0,
+            late: 0,
             longest_gap_ms: 0,
             violations: vec![format!("not run: {error}")],
         }
@@ -81,13 +90,14 @@
     #[must_use]
     pub fn line(&self) -> String {
         format!(
-            "{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>9}  {}",
+            "{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>6}{:>9}  {}",
             self.name,
             self.sent,
             self.answered,
             self.refused,
             self.lost,
             self.doubled,
+            self.late,
             self.longest_gap_ms,
             if self.survived() {
                 "survived"
@@ -109,8 +119,16 @@
     #[must_use]
     pub fn text(&self) -> String {
         let mut text = format!(
-            "scenario {}\n{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>9}\n",
-            self.scenario, "faults", "sent", "answered", "refused", "lost", "doubled", "gap ms"
+            "scenario {}\n{:<48}{:>6}{:>9}{:>8}{:>5}{:>8}{:>6}{:>9}\n",
+            self.scenario,
+            "faults",
+            "sent",
+            "answered",
+            "refused",
+            "lost",
+            "doubled",
+            "late",
+            "gap ms"
         );
         for result in &self.results {
             text.push_str(&result.line());
