Attempts: work that can't end in time is refused before it is sent

Change: a router learns from whole answers how long a token, and a stream's first event, take; a granted request that can't end in time is refused at once, not-run, with Retry-After. A stalled stream whose runner says that it runs is not given up.

--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -15,6 +15,8 @@
 use courseshunt_state::{ChangeRequest, Command, TenantDocument};
 use courseshunt_types::runner_api::{MachineItem, MachineState};
 use courseshunt_types::{Digest, Millis, ReplicaKey, Version};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap};
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
@@ -84,10 +86,34 @@
     listener.local_addr().unwrap()
 }
 
+/// Prints log lines when the variable BENCH_LOG is set, to look into a failure.
+struct PrintedLog;
+
+impl log::Log for PrintedLog {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        println!("{:?} {}", std::time::SystemTime::now(), record.args());
+    }
+
+    fn flush(&self) {}
+}
+
 impl Bench {
     /// Starts two runners, one controller and the routers; the model is loaded
     /// on both runners.
     pub fn start(routers: usize) -> Self {
+        Self::start_with_token_time(routers, 5.0)
+    }
+
+    /// Like [`Self::start`], with another time between tokens, in milliseconds.
+    pub fn start_with_token_time(routers: usize, token_ms: f64) -> Self {
+        if std::env::var_os("BENCH_LOG").is_some() {
+            let _ =
+                log::set_logger(&PrintedLog).map(|()| log::set_max_level(log::LevelFilter::Debug));
+        }
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         let runtime = builder.worker_threads(4).enable_all().build().unwrap();
         let folder = tempfile::tempdir().unwrap();
@@ -99,7 +125,7 @@
             std::fs::write(folder.path().join(name), content).unwrap();
         }
         let faults = FaultPlan::default();
-        let (platform, store, runners) = runtime.block_on(machines(&faults));
+        let (platform, store, runners) = runtime.block_on(machines(&faults, token_ms));
         let mut bench = Self {
             platform,
             runners,
@@ -300,7 +326,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: String,
-    ) -> impl Future<Output = Answer> + Send + 'static {
+    ) -> impl Future<Output = Answer> + Send + 'static + use<> {
         let client = self.client.clone();
         let mut request = Request::builder()
             .method(method)
@@ -331,11 +357,32 @@
         prompt: &str,
         stream: bool,
         headers: &[(&str, &str)],
-    ) -> impl Future<Output = Answer> + Send + 'static {
+    ) -> impl Future<Output = Answer> + Send + 'static + use<> {
         let body = body(prompt, stream, TOKENS);
         self.call(router, Method::POST, "/v1/chat/completions", headers, body)
     }
 
+    /// Opens a stream and reads its first piece; the rest stays open.
+    pub fn open_stream(
+        &self,
+        target: SocketAddr,
+        prompt: &str,
+    ) -> impl Future<Output = Incoming> + Send + 'static + use<> {
+        let client = self.client.clone();
+        let request = Request::post(format!("http://{target}/v1/chat/completions"))
+            .header(AUTHORIZATION, format!("Bearer {TENANT_TOKEN}"))
+            .header("x-request-id", prompt.replace(' ', "-"))
+            .body(full_body(body(prompt, true, TOKENS)))
+            .unwrap();
+        async move {
+            let response = client.send(request).await.unwrap();
+            assert_eq!(response.status(), StatusCode::OK);
+            let mut body = response.into_body();
+            body.frame().await.unwrap().unwrap();
+            body
+        }
+    }
+
     pub fn plan(&self, faults: &[RunnerFault]) {
         self.faults.set(faults.iter().copied());
     }
@@ -351,7 +398,10 @@
     usable.count() == 2
 }
 
-async fn machines(faults: &FaultPlan) -> (PlatformServer, StoreServer, Vec<RunnerServer>) {
+async fn machines(
+    faults: &FaultPlan,
+    token_ms: f64,
+) -> (PlatformServer, StoreServer, Vec<RunnerServer>) {
     let platform = PlatformServer::start(any_port()).await.unwrap();
     let store = StoreModelSettings {
         starts_per_second: 1000.0,
@@ -366,7 +416,7 @@
         model.timing = EngineTiming {
             first_token_ms: 5.0,
             prompt_token_ms: 0.0,
-            token_ms: 5.0,
+            token_ms,
             token_per_request_ms: 0.0,
         };
         let started = RunnerServer::start(any_port(), store.address, RUNNER_TOKEN, model).await;
--- a/crates/router/src/attempt/budget.rs
+++ b/crates/router/src/attempt/budget.rs
@@ -1,6 +1,7 @@
 //! The retry budget: a share of the first attempts, so that retries never
 //! multiply an overload.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 /// Tokens that each first attempt adds.
@@ -14,26 +15,22 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     tokens: Mutex<f64>,
-    limited: bool,
+    limited: AtomicBool,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
         Self {
             tokens: Mutex::new(RESERVE),
-            limited: true,
+            limited: AtomicBool::new(true),
         }
     }
 }
 
 impl RetryBudget {
-    /// A budget that never refuses, for comparisons.
-    #[must_use]
-    pub fn unlimited() -> Self {
-        Self {
-            tokens: Mutex::new(RESERVE),
-            limited: false,
-        }
+    /// Lets every retry pass, or no more than the budget; for comparisons.
+    pub fn set_limited(&self, limited: bool) {
+        self.limited.store(limited, Ordering::Relaxed);
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut f64) -> T) -> T {
@@ -48,7 +45,7 @@
 
     /// Takes a token for a retry; false when the budget is used up.
     pub fn withdraw(&self) -> bool {
-        if !self.limited {
+        if !self.limited.load(Ordering::Relaxed) {
             return true;
         }
         self.with(|tokens| {
--- a/crates/router/src/attempt/execution.rs
+++ b/crates/router/src/attempt/execution.rs
@@ -50,6 +50,8 @@
     pub prompt_tokens: u32,
     /// Tokens to generate at the most.
     pub max_tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
     /// Path at the runner.
     pub path: String,
     /// The body.
@@ -120,14 +122,35 @@
         self.last_runner = Some(granted.grant.runner.clone());
         let now = self.context.clock.now();
         self.granted_at = Some(now);
-        if now >= self.work.deadline {
-            let message = "the deadline passed before the request could be sent";
+        if now + self.expected() >= self.work.deadline {
+            let message = "the deadline would pass before the answer is there";
             let refusal = Refusal::not_run(RefusalReason::DeadlineExceeded, message);
+            let refusal = refusal.with_retry_after(RETRY_AFTER);
             return Err(self.truthful(refusal));
         }
         Ok(granted)
     }
 
+    /// Expected time until the part of the answer that the deadline is for.
+    fn expected(&self) -> Millis {
+        let work = self.work;
+        let times = &self.context.service_times;
+        times.expected(&work.deployment, work.max_tokens, work.stream)
+    }
+
+    /// Learns from a whole answer, or from a stream's first event.
+    pub fn answered(&self) {
+        let Some(granted_at) = self.granted_at else {
+            return;
+        };
+        let (work, times) = (self.work, &self.context.service_times);
+        let taken = self.context.clock.now().since(granted_at);
+        match work.stream {
+            true => times.learn_first(&work.deployment, taken),
+            false => times.learn(&work.deployment, work.max_tokens, taken),
+        }
+    }
+
     /// The refusal of work that waits while the router stops.
     #[must_use]
     pub fn stopped(&self) -> Refusal {
--- a/crates/router/src/attempt/mod.rs
+++ b/crates/router/src/attempt/mod.rs
@@ -13,6 +13,7 @@
 mod outcome;
 mod query;
 mod send;
+mod service_time;
 mod stream;
 
 pub use answer::{MAX_ANSWER_BYTES, read_answer, read_fetched};
@@ -24,4 +25,5 @@
 pub use outcome::{AttemptEnd, AttemptTimes, NotRunCause, UnknownCause};
 pub use query::{RunnerQuery, cancel_execution, execution_status, fetch_execution};
 pub use send::{OpenAttempt, RunnerRequest};
+pub use service_time::ServiceTimes;
 pub use stream::EventStream;
--- a/crates/router/src/attempt/stream.rs
+++ b/crates/router/src/attempt/stream.rs
@@ -7,9 +7,10 @@
 use super::events::{EventParser, EventVerdict, judge_event};
 use super::machine::AttemptEvent;
 use super::outcome::{AttemptEnd, UnknownCause};
-use super::query::fetch_execution;
+use super::query::{execution_status, fetch_execution};
 use super::send::OpenAttempt;
 use bytes::Bytes;
+use courseshunt_types::runner_api::ExecutionPhase;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -123,10 +124,20 @@
                 let event = self.open.give_up().await;
                 Err(self.open.end(event))
             }
-            Err(_) => self.resume("no event in time").await,
+            Err(_) => self.after_stall().await,
         }
     }
 
+    /// Goes on over a new connection. A runner that says that the stream runs
+    /// is only slow, however often.
+    async fn after_stall(&mut self) -> Result<(), AttemptEnd> {
+        let client = &self.open.context().client;
+        if let Some(ExecutionPhase::Running) = execution_status(client, self.open.query()).await {
+            self.resumes = 0;
+        }
+        self.resume("no event in time").await
+    }
+
     async fn resume(&mut self, problem: &str) -> Result<(), AttemptEnd> {
         self.parser.clear();
         let context = self.open.context().clone();
--- a/crates/router/src/caller/complete.rs
+++ b/crates/router/src/caller/complete.rs
@@ -71,7 +71,10 @@
     loop {
         let granted = execution.grant().await?;
         match attempt(execution, granted).await {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                execution.answered();
+                return Ok(answer);
+            }
             Err(end) => execution.after(end)?,
         }
     }
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -153,6 +153,7 @@
             repeatable: self.repeat == RepeatRule::Any,
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
+            stream: self.stream,
             path: self.path.to_owned(),
             body: self.body.clone(),
         }
--- a/crates/router/src/jobs/executor.rs
+++ b/crates/router/src/jobs/executor.rs
@@ -148,6 +148,8 @@
 struct JobBody {
     model: String,
     max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
 }
 
 /// Bytes of text that count as one token.
@@ -178,6 +180,7 @@
         repeatable: !leased.once_only,
         prompt_tokens: u32::try_from(leased.body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
         max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        stream: body.stream,
         path: leased.path.clone(),
         body: leased.body.clone().into(),
     })
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -49,6 +49,8 @@
     pub ledger: LedgerClient,
     /// What attempts, claims and jobs came to.
     pub counts: Arc<attempt::AttemptCounts>,
+    /// How long answers take.
+    pub service_times: Arc<attempt::ServiceTimes>,
     /// Share of requests that may be retried.
     pub retry_budget: Arc<attempt::RetryBudget>,
     /// Queued jobs that this router is to execute.
@@ -136,6 +138,7 @@
             ledger,
             counts: Arc::default(),
             retry_budget: Arc::default(),
+            service_times: Arc::default(),
             jobs: Arc::default(),
             tasks: TaskTracker::new(),
             requests: Arc::default(),
--- a/crates/router/tests/attempt.rs
+++ b/crates/router/tests/attempt.rs
@@ -156,5 +156,22 @@
     }
     // The reserve of ten and a fifth of the first attempts.
     assert!((200..=211).contains(&allowed), "{allowed} of 1000");
-    assert!(RetryBudget::unlimited().withdraw());
+    assert!(!budget.withdraw());
+    budget.set_limited(false);
+    assert!(budget.withdraw());
+}
+
+#[test]
+fn the_expected_time_follows_the_answers() {
+    let times = ServiceTimes::default();
+    let name = "agro-llm".into();
+    assert_eq!(times.expected(&name, 100, false), Millis(0));
+    for _ in 0..50 {
+        times.learn(&name, 10, Millis(200));
+        times.learn_first(&name, Millis(60));
+    }
+    let whole = times.expected(&name, 100, false);
+    assert!((1_990..=2_000).contains(&whole.0), "{whole:?}");
+    let first = times.expected(&name, 100, true);
+    assert!((58..=60).contains(&first.0), "{first:?}");
 }
