--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod manual;
 mod render;
 mod serve;
+mod status;
 mod token;
 
 pub use manual::help_of_all;
@@ -80,9 +81,15 @@
     },
     Subcommand {
         name: "status",
-        summary: "show the control group, routers and replicas",
-        run: get::status,
-        help: get::status_help,
+        summary: "show the fleet, warm and cold models, queues and who lags",
+        run: status::status,
+        help: status::status_help,
+    },
+    Subcommand {
+        name: "top",
+        summary: "show the status again and again",
+        run: status::top,
+        help: status::top_help,
     },
     Subcommand {
         name: "explain",
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -5,13 +5,14 @@
 mod explain;
 mod metrics;
 mod operators;
+mod overview;
 mod pages;
 mod replies;
 
 pub use operators::{DIGEST_PREFIX, Operator, OperatorRole, Operators};
 
 use crate::ControllerContext;
-use courseshunt_http::{Body, bearer_token, text_response};
+use courseshunt_http::{Body, bearer_token, json_response, text_response};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use replies::failure;
@@ -76,6 +77,7 @@
         "/admin/v1/deployments"
         | "/admin/v1/configuration"
         | "/admin/v1/history"
+        | "/admin/v1/overview"
         | "/admin/v1/status" => Some((Method::GET, OperatorRole::Read)),
         path if path.starts_with(explain::PREFIX) => Some((Method::GET, OperatorRole::Read)),
         _ => None,
@@ -97,6 +99,7 @@
             let query = request.uri().query().unwrap_or_default();
             pages::history(context, query)
         }
+        "/admin/v1/overview" => json_response(StatusCode::OK, &overview::overview(context)),
         "/admin/v1/status" => pages::status(context),
         _ => explain::page(context, path.trim_start_matches(explain::PREFIX)),
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,12 +5,13 @@
 pub mod demand;
 pub mod error;
 pub mod feed;
+pub mod peers;
 pub mod replica;
 pub mod scheduler;
 mod timekeeper;
 
 pub use error::ControllerError;
-pub use replica::{ProposeError, ReplicaHandle, ReplicaStatus};
+pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
 
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::ControllerSettings;
@@ -19,13 +20,18 @@
 use demand::DemandBook;
 use error::{BindSnafu, FileSnafu};
 use feed::{FeedSource, RouterRegistry};
+use peers::{AddressBook, PeerNetwork};
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Longest wait for operators' requests at a planned stop.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// What the parts of a controller share.
 #[derive(Debug, Clone)]
 pub struct ControllerContext {
@@ -33,6 +39,8 @@
     pub settings: Arc<ControllerSettings>,
     /// The replicated state and the way to change it.
     pub replica: ReplicaHandle,
+    /// The other controllers.
+    pub peers: PeerNetwork,
     /// Demand, as reported by routers.
     pub demand: Arc<DemandBook>,
     /// Live routers.
@@ -61,6 +69,8 @@
     /// Address for other processes.
     pub wire_address: SocketAddr,
     context: ControllerContext,
+    admin: tokio::task::JoinHandle<()>,
+    admin_stop: CancellationToken,
 }
 
 impl Controller {
@@ -69,12 +79,25 @@
     /// # Errors
     /// When a file can't be read, the store is damaged or an address is taken.
     pub async fn start(settings: ControllerSettings) -> Result<Self, ControllerError> {
+        let http = bind(settings.http_address)?;
+        let wire = bind(settings.wire_address)?;
+        Self::start_on(settings, http, wire).await
+    }
+
+    /// Starts a controller on listeners that are bound already, so that the
+    /// members of a group can know each other's ports before any of them runs.
+    ///
+    /// # Errors
+    /// When a file can't be read or the store is damaged.
+    pub async fn start_on(
+        settings: ControllerSettings,
+        http: TcpListener,
+        wire: TcpListener,
+    ) -> Result<Self, ControllerError> {
         let key = read_file(&settings.cluster_key_file)?;
         let cluster_key = ClusterKey::new(key.trim().as_bytes()).context(error::ShortKeySnafu)?;
         let runner_token = read_file(&settings.runner_token_file)?;
         let operators = admin::Operators::read(&settings.operator_token_file)?;
-        let http = bind(settings.http_address).await?;
-        let wire = bind(settings.wire_address).await?;
         let http_address = http.local_addr().context(BindSnafu {
             address: settings.http_address,
         })?;
@@ -82,31 +105,42 @@
             address: settings.wire_address,
         })?;
         let clock = MonotonicClock::start();
-        let replica = replica::start(&settings, clock).await?;
+        let stop = CancellationToken::new();
+        let addresses = AddressBook::dialling_from(settings.source_address);
+        for voter in &settings.voters {
+            addresses.set(voter.id, voter.address);
+        }
+        let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
+        let replica = replica::start(&settings, clock, peers.clone()).await?;
+        let client = HttpClient::from_address(settings.source_address);
         let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
             scheduler: Arc::new(scheduler),
             settings: Arc::new(settings),
             replica,
+            peers,
             demand: Arc::default(),
             routers: Arc::default(),
+            client,
             feed: Arc::default(),
-            client: HttpClient::default(),
             runner_token: runner_token.trim().into(),
             cluster_key,
             clock,
-            stop: CancellationToken::new(),
+            stop,
         };
         feed::start(wire, &context);
         scheduler::start(&context);
         let keeping = timekeeper::run(context.clone());
         tokio::spawn(context.stop.clone().run_until_cancelled_owned(keeping));
         let stop = context.stop.clone();
+        let forgetting = peers::forget_when_deposed(context.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
         let handler = admin::handler(context.clone(), operators);
-        tokio::spawn(courseshunt_http::serve(
+        let admin_stop = stop.child_token();
+        let admin = tokio::spawn(courseshunt_http::serve(
             http,
             ServerLimits::default(),
-            stop,
+            admin_stop.clone(),
             handler,
         ));
         log::info!("controller: serves operators on {http_address}, the cluster on {wire_address}");
@@ -114,6 +148,8 @@
             http_address,
             wire_address,
             context,
+            admin,
+            admin_stop,
         })
     }
 
@@ -123,10 +159,19 @@
         &self.context
     }
 
-    /// Stops as planned.
+    /// Stops as planned: operators' requests under way are answered, then the
+    /// leadership is handed over. Routers send what has no reply to another.
     pub async fn stop(self) {
-        self.context.stop.cancel();
+        self.admin_stop.cancel();
+        if tokio::time::timeout(ADMIN_TIMEOUT, self.admin)
+            .await
+            .is_err()
+        {
+            log::warn!("controller: stopped before all operators' requests had ended");
+        }
+        // The hand-over of the leadership needs the connections to the others.
         self.context.replica.stop().await;
+        self.context.stop.cancel();
         log::info!("controller: stopped");
     }
 }
@@ -135,8 +180,6 @@
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { address })
+fn bind(address: SocketAddr) -> Result<TcpListener, ControllerError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
 }
--- a/crates/controller/src/scheduler/plan.rs
+++ b/crates/controller/src/scheduler/plan.rs
@@ -300,7 +300,7 @@
 
 /// Commits a decision; its fence when it was accepted.
 async fn decide(context: &ControllerContext, command: Command) -> Result<Fence, String> {
-    match context.replica.submit(command).await {
+    match context.replica.submit_as_leader(command).await {
         Ok(CommandReply::Placed { fence }) => Ok(fence),
         Ok(reply) => {
             log::info!("scheduler: decision dropped: {reply:?}");
--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -169,6 +169,13 @@
         self.controller = Some(Process::start(Controller::start(settings)));
     }
 
+    /// Stops the controller as planned.
+    pub fn stop_controller(&mut self) {
+        let process = self.controller.take().unwrap();
+        process.runtime.block_on(process.part.stop());
+        process.runtime.shutdown_background();
+    }
+
     /// The ledger loses its quorum.
     pub fn kill_controller(&mut self) {
         self.controller.take().unwrap().kill();
@@ -418,6 +425,7 @@
             prompt_token_ms: 0.0,
             token_ms,
             token_per_request_ms: 0.0,
+            token_per_context_ms: 0.0,
         };
         let started = RunnerServer::start(any_port(), store.address, RUNNER_TOKEN, model).await;
         let server = started.unwrap();
--- a/crates/router/src/control/client.rs
+++ b/crates/router/src/control/client.rs
@@ -8,7 +8,7 @@
 use courseshunt_types::{Incarnation, RouterId, Zone};
 use courseshunt_wire::ClusterKey;
 use courseshunt_wire::message::QueuedJob;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Addresses under which this router serves.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +32,8 @@
     pub endpoints: Endpoints,
     /// Wire addresses of controllers; one is used, the others stand by.
     pub controllers: Vec<SocketAddr>,
+    /// IP number that connections come from; `None` lets the system choose.
+    pub source: Option<IpAddr>,
     /// Key of the cluster.
     pub key: ClusterKey,
     /// Clock of the process.
@@ -54,6 +56,7 @@
             zone: settings.zone.clone(),
             endpoints,
             controllers: settings.controllers.clone(),
+            source: settings.source_address,
             key,
             clock,
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,7 +14,7 @@
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::{LedgerClient, LinkSettings};
+use control::{LedgerClient, LinkSettings, RelaySource};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -111,6 +111,7 @@
         let wire = bind(settings.wire_address).await?;
         let http_address = local_address(&http, settings.http_address)?;
         let wire_address = local_address(&wire, settings.wire_address)?;
+        let advertised = settings.advertised_address.unwrap_or(wire_address);
         let clock = MonotonicClock::start();
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
@@ -120,6 +121,7 @@
         let dispatcher = dispatch::start(dispatch::Arguments {
             router: settings.id.clone(),
             identity: identity.clone(),
+            source: settings.source_address,
             key: key.clone(),
             view: view.clone(),
             clock,
@@ -129,6 +131,7 @@
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let client = HttpClient::from_address(settings.source_address);
         let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
@@ -142,8 +145,8 @@
             jobs: Arc::default(),
             tasks: TaskTracker::new(),
             requests: Arc::default(),
+            client,
             bodies: limits::BodyBudget::new(max_waiting_bytes),
-            client: HttpClient::default(),
             clock,
             drain: CancellationToken::new(),
             leaving_told: CancellationToken::new(),
@@ -151,11 +154,15 @@
         };
         let endpoints = control::Endpoints {
             http_address,
-            wire_address,
+            wire_address: advertised,
         };
         let ended = CancellationToken::new();
         let peers = context.dispatcher.peer_context(key.clone(), identity);
-        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
+        let relay = RelaySource {
+            view: context.view.clone(),
+            clock,
+        };
+        tokio::spawn(peers::accept_holders(wire, peers, relay, ended.clone()));
         let link = LinkSettings::of_router(
             &context.settings,
             context.incarnation,
--- a/crates/standin/src/server/engine.rs
+++ b/crates/standin/src/server/engine.rs
@@ -348,6 +348,7 @@
     let code = match rejection {
         EngineRejection::Draining => "draining",
         EngineRejection::NotLoaded => "not_loaded",
+        EngineRejection::AdapterNotLoaded => "adapter_not_loaded",
         EngineRejection::Full => "full",
         EngineRejection::Duplicate => {
             let content = serde_json::json!({"error": {"message": "duplicate"}});
@@ -374,6 +375,7 @@
         adapter,
         class: class.unwrap_or_default(),
         prompt_tokens: completion.prompt_tokens(),
+        prefix_hashes: Vec::new(),
         max_tokens: completion.max_tokens,
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -164,6 +164,32 @@
     Ping,
     /// Answers [`Message::Ping`].
     Pong,
+    /// Controller to leading controller: asks for an index at which a read is
+    /// linearizable.
+    ReadIndex {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group.
+        group: GroupId,
+    },
+    /// Answers [`Message::ReadIndex`].
+    ReadIndexReply {
+        /// The call.
+        call: CallId,
+        /// The index, or `None` when the receiver can't tell.
+        index: Option<LogIndex>,
+    },
+    /// Controller to leading controller: demand that a router reported here.
+    RelayedDemand {
+        /// The router.
+        router: RouterId,
+        /// Its reports.
+        reports: Vec<DemandReport>,
+        /// Whether the router has left; earlier reports no longer count.
+        gone: bool,
+    },
+    /// Controller to the controller that connected: the connection is alive.
+    PeerAlive,
     /// Controller to router: the queued jobs that it should execute.
     Jobs {
         /// The earliest deadlines first; replaces what was told before.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -72,8 +72,8 @@
 static SENT: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
 static RECEIVED: [Counter; MESSAGE_KINDS.len()] = [const { Counter::new() }; MESSAGE_KINDS.len()];
 
-pub(crate) fn count_sent(message: &Message, bytes: usize) {
-    SENT[kind_index(message)].add(bytes);
+pub(crate) fn count_sent(kind: usize, bytes: usize) {
+    SENT[kind].add(bytes);
 }
 
 pub(crate) fn count_received(message: &Message, bytes: usize) {
@@ -93,17 +93,20 @@
 }
 
 /// Place of a message's kind in [`MESSAGE_KINDS`].
-fn kind_index(message: &Message) -> usize {
+pub(crate) fn kind_index(message: &Message) -> usize {
     match message {
-        Message::Consensus { .. } => 0,
-        Message::Forward { .. } | Message::ForwardReply { .. } => 1,
+        Message::Consensus { .. } | Message::PeerAlive => 0,
+        Message::Forward { .. }
+        | Message::ForwardReply { .. }
+        | Message::ReadIndex { .. }
+        | Message::ReadIndexReply { .. } => 1,
         Message::Subscribe(_) => 2,
         Message::Configuration(_) => 3,
         Message::Placement(_) => 4,
         Message::Fleet(_) => 5,
         Message::FeedConfirmation { .. } => 6,
         Message::Confirmed { .. } => 7,
-        Message::Demand { .. } => 8,
+        Message::Demand { .. } | Message::RelayedDemand { .. } => 8,
         Message::Ledger { .. } | Message::LedgerReply { .. } => 9,
         Message::Offer { .. } | Message::CancelTicket { .. } | Message::Refused { .. } => 10,
         Message::Granted { .. }
