Controller: the book of runners hands out shared answers

Cause: each view cloned every runner's inventory several times; the simulator, which now builds the controller's own view, took twice as long as before.

Change: the book keeps the answers in Arc.

--- a/crates/controller/src/scheduler/book.rs
+++ b/crates/controller/src/scheduler/book.rs
@@ -3,7 +3,7 @@
 use courseshunt_types::runner_api::{Inventory, LoadReport};
 use courseshunt_types::{DeploymentName, Millis, RunnerId, Timestamp};
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A runner whose inventory is older counts as unreachable.
 pub const REACHABLE_FOR: Millis = Millis::from_secs(5);
@@ -11,7 +11,7 @@
 /// The last inventory and load of each runner.
 #[derive(Debug, Default)]
 pub struct RunnerBook {
-    seen: Mutex<BTreeMap<RunnerId, SeenRunner>>,
+    seen: Mutex<BTreeMap<RunnerId, Arc<SeenRunner>>>,
 }
 
 /// What a runner said last.
@@ -42,13 +42,13 @@
 }
 
 impl RunnerBook {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<RunnerId, SeenRunner>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<RunnerId, Arc<SeenRunner>>> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// What a runner said last.
     #[must_use]
-    pub fn get(&self, runner: &RunnerId) -> Option<SeenRunner> {
+    pub fn get(&self, runner: &RunnerId) -> Option<Arc<SeenRunner>> {
         self.lock().get(runner).cloned()
     }
 
@@ -63,7 +63,7 @@
     /// Takes an answer in.
     pub fn record(&self, seen: SeenRunner) {
         let runner = seen.inventory.runner.clone();
-        self.lock().insert(runner, seen);
+        self.lock().insert(runner, Arc::new(seen));
     }
 
     /// Forgets everything, at the end of leadership.
--- a/crates/controller/src/scheduler/view.rs
+++ b/crates/controller/src/scheduler/view.rs
@@ -2,7 +2,7 @@
 //! and the routers' demand. Work is linear in runners, replicas and deployments.
 
 use super::SchedulerState;
-use super::book::{RunnerBook, SeenRunner};
+use super::book::RunnerBook;
 use super::loads::LoadTracker;
 use super::usage::{Moment, ReplicaUsage};
 use crate::demand::DemandBook;
@@ -102,16 +102,16 @@
 ) -> RunnerView {
     let seen = scheduler.book.get(&record.runner);
     let reachable = seen.as_ref().is_some_and(|seen| seen.is_fresh(now));
-    let inventory = seen.map(|seen: SeenRunner| seen.inventory);
-    let host_memory_mib = inventory.as_ref().map_or(0, |one| one.host_memory_mib);
-    let disk_mib = inventory.as_ref().map_or(0, |one| one.disk_mib);
+    let inventory = seen.as_ref().map(|seen| &seen.inventory);
+    let host_memory_mib = inventory.map_or(0, |one| one.host_memory_mib);
+    let disk_mib = inventory.map_or(0, |one| one.disk_mib);
     let mut staging = loads.staging_on(&record.runner);
     staging.extend(inventory.iter().flat_map(|one| one.staging.clone()));
     staging.sort();
     staging.dedup();
-    let cached = inventory.map(|one| one.cached).unwrap_or_default();
-    let cached = cached.into_iter().map(|item| CacheView {
-        model: item.model,
+    let cached = inventory.iter().flat_map(|one| &one.cached);
+    let cached = cached.map(|item| CacheView {
+        model: item.model.clone(),
         tier: item.tier,
         size_mib: item.size_mib,
     });
--- a/crates/lab/src/simulate/control/watching.rs
+++ b/crates/lab/src/simulate/control/watching.rs
@@ -63,7 +63,7 @@
         let scheduler = &self.control.scheduler;
         scheduler.loads().observe_inventory(&inventory, now);
         let load = scheduler.book.get(&inventory.runner);
-        let load = load.and_then(|seen| seen.load);
+        let load = load.and_then(|seen| seen.load.clone());
         scheduler.book.record(SeenRunner {
             inventory: inventory.clone(),
             load,
@@ -213,9 +213,11 @@
         }
         let load = self.fleet.runners[runner].model.load_report();
         let book = &self.control.scheduler.book;
-        if let Some(mut seen) = book.get(&load.runner) {
-            seen.load = Some(load);
-            book.record(seen);
+        if let Some(seen) = book.get(&load.runner) {
+            book.record(SeenRunner {
+                load: Some(load),
+                ..SeenRunner::clone(&seen)
+            });
         }
     }
 
