--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -1,16 +1,18 @@
 //! The operators' API: `/admin/v1/...` as JSON, and health pages.
 
 mod changes;
+mod drain;
 mod explain;
 mod metrics;
 mod operators;
+mod overview;
 mod pages;
 mod replies;
 
 pub use operators::{DIGEST_PREFIX, Operator, OperatorRole, Operators};
 
 use crate::ControllerContext;
-use courseshunt_http::{Body, bearer_token, text_response};
+use courseshunt_http::{Body, bearer_token, json_response, text_response};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use replies::failure;
@@ -71,9 +73,11 @@
 fn page_rule(path: &str) -> Option<(Method, OperatorRole)> {
     match path {
         "/admin/v1/changes" => Some((Method::POST, OperatorRole::Apply)),
+        drain::PATH => Some((Method::POST, OperatorRole::Operate)),
         "/admin/v1/deployments"
         | "/admin/v1/configuration"
         | "/admin/v1/history"
+        | "/admin/v1/overview"
         | "/admin/v1/status" => Some((Method::GET, OperatorRole::Read)),
         path if path.starts_with(explain::PREFIX) => Some((Method::GET, OperatorRole::Read)),
         _ => None,
@@ -88,12 +92,14 @@
 ) -> Response<Body> {
     match path {
         "/admin/v1/changes" => changes::answer(request, context, operator).await,
+        drain::PATH => drain::answer(request, context).await,
         "/admin/v1/deployments" => pages::deployments(context),
         "/admin/v1/configuration" => pages::configuration(context),
         "/admin/v1/history" => {
             let query = request.uri().query().unwrap_or_default();
             pages::history(context, query)
         }
+        "/admin/v1/overview" => json_response(StatusCode::OK, &overview::overview(context)),
         "/admin/v1/status" => pages::status(context),
         _ => explain::page(context, path.trim_start_matches(explain::PREFIX)),
     }
--- a/crates/lab/src/capacity/site.rs
+++ b/crates/lab/src/capacity/site.rs
@@ -68,28 +68,42 @@
     /// Traffic of the runners' control interfaces.
     pub runner_counters: Arc<RunnerCounters>,
     platform: PlatformServer,
-    runtimes: Vec<Runtime>,
+    runtimes: Vec<RoleThreads>,
     stop: CancellationToken,
     real_routers: Vec<Router>,
     folder: tempfile::TempDir,
 }
 
-fn runtime(name: &str, workers: usize) -> Result<Runtime, LabError> {
+/// The threads of a role; dropping them waits for nothing.
+#[derive(Debug)]
+struct RoleThreads(Option<Runtime>);
+
+impl Drop for RoleThreads {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn threads(name: &str, workers: usize) -> Result<RoleThreads, LabError> {
     let mut builder = tokio::runtime::Builder::new_multi_thread();
-    let built = builder
-        .worker_threads(workers)
-        .thread_name(name)
-        .enable_all();
-    Ok(built.build()?)
+    let built = builder.worker_threads(workers).thread_name(name);
+    Ok(RoleThreads(Some(built.enable_all().build()?)))
 }
 
-/// Runs work on a role's threads and waits for it here.
-async fn on<T: Send + 'static>(
-    runtime: &Runtime,
-    work: impl Future<Output = Result<T, LabError>> + Send + 'static,
-) -> Result<T, LabError> {
-    let joined = runtime.spawn(work).await;
-    joined.map_err(|error| LabError::violation(error.to_string()))?
+impl RoleThreads {
+    /// Runs work on these threads and waits for it here.
+    async fn run<T: Send + 'static>(
+        &self,
+        work: impl Future<Output = Result<T, LabError>> + Send + 'static,
+    ) -> Result<T, LabError> {
+        let Some(runtime) = &self.0 else {
+            return Err(LabError::violation("the threads of a role have ended"));
+        };
+        let joined = runtime.spawn(work).await;
+        joined.map_err(|error| LabError::violation(error.to_string()))?
+    }
 }
 
 /// Waits until a condition holds; `what` names it in the error.
@@ -115,10 +129,10 @@
         write_secrets(folder.path())?;
         let stop = CancellationToken::new();
         let runner_counters = Arc::new(RunnerCounters::default());
-        let runner_runtime = runtime(RUNNER_THREADS, SHARED_THREADS)?;
+        let runner_runtime = threads(RUNNER_THREADS, SHARED_THREADS)?;
         let counters = runner_counters.clone();
         let runners = start_runners(size.runners, counters, stop.clone());
-        let platform = on(&runner_runtime, runners).await?;
+        let platform = runner_runtime.run(runners).await?;
         let mut runtimes = vec![runner_runtime];
         let controllers = start_controllers(size, folder.path(), &platform, &mut runtimes).await?;
         let fleet = Self {
@@ -181,7 +195,7 @@
     /// # Errors
     /// When they can't start or are not in time.
     pub async fn start_routers(&mut self, count: usize) -> Result<Duration, LabError> {
-        let router_runtime = runtime(ROUTER_THREADS, SHARED_THREADS)?;
+        let router_runtime = threads(ROUTER_THREADS, SHARED_THREADS)?;
         let key = ClusterKey::new(CLUSTER_KEY.as_bytes());
         let key = key.ok_or_else(|| LabError::violation("the cluster key is too short"))?;
         let controllers: Vec<SocketAddr> = self
@@ -202,7 +216,7 @@
             });
             Ok(routers.collect())
         };
-        self.routers = on(&router_runtime, started).await?;
+        self.routers = router_runtime.run(started).await?;
         self.runtimes.push(router_runtime);
         let state = self.controllers[self.leader()].context().replica.clone();
         let revision = state.state().configuration.revision;
@@ -214,13 +228,13 @@
     /// # Errors
     /// When they can't start or are not in time.
     pub async fn start_real_routers(&mut self, count: usize) -> Result<Vec<SocketAddr>, LabError> {
-        let router_runtime = runtime(ROUTER_THREADS, SHARED_THREADS)?;
+        let router_runtime = threads(ROUTER_THREADS, SHARED_THREADS)?;
         let mut views = Vec::new();
         for _ in 0..count {
             let number = self.real_routers.len() + 1;
             let settings = self.router_settings(number)?;
             let started = async move { Ok(Router::start(settings).await?) };
-            let router = on(&router_runtime, started).await?;
+            let router = router_runtime.run(started).await?;
             views.push(router.context().view.clone());
             self.real_routers.push(router);
         }
@@ -257,9 +271,6 @@
             controller.stop().await;
         }
         self.platform.stop();
-        for runtime in self.runtimes {
-            runtime.shutdown_background();
-        }
     }
 }
 
@@ -305,7 +316,7 @@
     size: FleetSize,
     folder: &Path,
     platform: &PlatformServer,
-    runtimes: &mut Vec<Runtime>,
+    runtimes: &mut Vec<RoleThreads>,
 ) -> Result<Vec<Controller>, LabError> {
     let addresses = free_addresses(size.controllers)?;
     let members = addresses.iter().zip(1..);
@@ -321,9 +332,9 @@
         if members.len() > 1 {
             settings.voters = members.clone();
         }
-        let runtime = runtime(&format!("{CONTROL_THREADS}{}", member.id), CONTROL_WORKERS)?;
+        let runtime = threads(&format!("{CONTROL_THREADS}{}", member.id), CONTROL_WORKERS)?;
         let started = async move { Ok(Controller::start(settings).await?) };
-        controllers.push(on(&runtime, started).await?);
+        controllers.push(runtime.run(started).await?);
         runtimes.push(runtime);
     }
     Ok(controllers)
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -5,6 +5,7 @@
 
 use courseshunt_http::{HttpClient, HttpError, Reply};
 use courseshunt_state::{ChangeRequest, DocumentKey};
+use courseshunt_types::overview::Overview;
 use courseshunt_types::{Revision, RouterId};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
@@ -42,6 +43,14 @@
         /// Field of the document.
         field: Option<String>,
     },
+    /// A page is not what it should be.
+    #[snafu(display("{address} sent a page that can't be read: {problem}"))]
+    Unreadable {
+        /// The controller.
+        address: String,
+        /// What is wrong.
+        problem: String,
+    },
 }
 
 /// How a change is handled.
@@ -139,6 +148,34 @@
         Ok(serde_json::from_value(reply).unwrap_or_default())
     }
 
+    /// Reads the overview.
+    ///
+    /// # Errors
+    /// When the controller can't be reached, refuses, or sends something else.
+    pub async fn overview(&self) -> Result<Overview, AdminError> {
+        let page = self.get("/admin/v1/overview").await?;
+        serde_json::from_value(page).map_err(|error| AdminError::Unreadable {
+            address: self.addresses.join(","),
+            problem: error.to_string(),
+        })
+    }
+
+    /// Asks a `router` or `runner` to stop as planned.
+    ///
+    /// # Errors
+    /// When no controller can be reached or it refuses.
+    pub async fn drain(&self, kind: &str, id: &str) -> Result<(), AdminError> {
+        let content = serde_json::json!({ kind: id });
+        self.call(
+            Method::POST,
+            "/admin/v1/drains",
+            Some(&content),
+            CALL_TIMEOUT,
+        )
+        .await?;
+        Ok(())
+    }
+
     /// Reads a page as JSON.
     ///
     /// # Errors
@@ -197,6 +234,7 @@
         match self {
             Self::Exchange { .. } => true,
             Self::Refused { status, .. } => *status == StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unreadable { .. } => false,
         }
     }
 }
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -1,13 +1,18 @@
 //! The callers' API: OpenAI-style completions, models, health pages.
 
+mod access;
 mod complete;
 mod metrics;
+mod once_only;
 mod request;
 
 pub use metrics::RequestCounts;
-pub use request::{CallerRequest, RepeatRule};
+pub use request::{CLASS_HEADER, CallerRequest, RepeatRule, may_use};
 
 use crate::RouterContext;
+use crate::jobs;
+use crate::limits::BodyReservation;
+use bytes::Bytes;
 use courseshunt_http::{
     Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
     refusal_response, text_response,
@@ -73,6 +78,7 @@
         "/readyz" => Ok(ready(context)),
         "/metrics" => Ok(text_response(StatusCode::OK, metrics::page(context))),
         "/v1/models" => models(&request, context),
+        _ if is_jobs(path) => jobs_page(request, context, path).await,
         "/v1/chat/completions" => completion(request, context, "/v1/chat/completions").await,
         "/v1/completions" => completion(request, context, "/v1/completions").await,
         _ => {
@@ -123,16 +129,41 @@
 ) -> Result<Response<Body>, Refusal> {
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
+    let (body, _reserved) = read_body(context, &head.headers, body).await?;
+    let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
+    complete::run(context, parsed).await
+}
+
+/// Whether a path belongs to the deferred jobs.
+fn is_jobs(path: &str) -> bool {
+    let rest = path.strip_prefix(jobs::JOBS_PATH);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+async fn jobs_page(
+    request: Request<Incoming>,
+    context: &RouterContext,
+    path: &str,
+) -> Result<Response<Body>, Refusal> {
+    let tenant = authenticate(request.headers(), context)?;
+    let (head, body) = request.into_parts();
+    let (body, _reserved) = read_body(context, &head.headers, body).await?;
+    jobs::handle(context, tenant, &head.method, path, &head.headers, body).await
+}
+
+/// Reads a caller's body; its memory is reserved as long as the reservation.
+async fn read_body(
+    context: &RouterContext,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<(Bytes, BodyReservation), Refusal> {
     let limit = context.settings.max_body_bytes;
-    let mut reserved = context
-        .bodies
-        .reserve(expected_bytes(&head.headers, limit))?;
+    let mut reserved = context.bodies.reserve(expected_bytes(headers, limit))?;
     let body_timeout = context.settings.body_timeout.into();
     let body = read_in_time(body, limit, body_timeout, "caller").await;
     let body = body.map_err(|error| unreadable_body(&error))?;
     reserved.shrink(body.len());
-    let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
-    complete::run(context, parsed).await
+    Ok((body, reserved))
 }
 
 /// Bytes that a body may take: its length, or the limit when none is told.
