Adaptive: copies that shall stay are renewed before another is staged

Cause: host memory drops the least recently used checkpoint, not the least wanted one, so that a staging pushed out a copy that the plan wanted to keep. Change: the copies that shall stay are renewed first.

--- a/crates/placement/src/policies/adaptive/staging.rs
+++ b/crates/placement/src/policies/adaptive/staging.rs
@@ -30,7 +30,7 @@
 /// A runner whose memory is this many times the replica's is much larger.
 const OVERSIZE: u64 = 4;
 
-/// Copies wanted in host memory.
+/// Copies in host memory that shall stay there.
 type HostPlan = BTreeMap<RunnerId, BTreeSet<ModelName>>;
 
 /// A checkpoint that may be put into a runner's host memory.
@@ -63,7 +63,9 @@
             *busy.entry(runner.clone()).or_default() += 1;
         }
         let mut decisions = Vec::new();
-        for (deployment, runner, tier) in wanted(view, forecast) {
+        let (host, kept) = host_wanted(view, forecast);
+        let wanted = host.into_iter().chain(disk_wanted(view, forecast));
+        for (deployment, runner, tier) in wanted {
             let model = &deployment.document.model;
             let now_in = runner.tier_of(model);
             let key = (runner.runner.clone(), model.clone());
@@ -80,6 +82,9 @@
             *running += 1;
             let length = deployment.expected_load().of(now_in).min(MEMORY);
             self.ordered.insert(key, view.now + length);
+            if tier == CacheTier::HostMemory {
+                decisions.extend(renewals(runner, &kept));
+            }
             decisions.push(staging(model, runner, tier));
         }
         decisions
@@ -101,14 +106,19 @@
     }
 }
 
-/// Missing copies, the most wanted first.
-fn wanted<'a>(
-    view: &'a ClusterView,
-    forecast: &Forecast,
-) -> Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)> {
-    let mut wanted = host_wanted(view, forecast);
-    wanted.extend(disk_wanted(view, forecast));
-    wanted
+/// Renews the use of the copies that shall stay, so that another one makes room.
+fn renewals(runner: &RunnerView, kept: &HostPlan) -> Vec<Decision> {
+    let here = kept.get(&runner.runner).into_iter().flatten();
+    here.map(|model| {
+        let kind = DecisionKind::Stage {
+            model: model.clone(),
+            runner: runner.runner.clone(),
+            tier: CacheTier::HostMemory,
+        };
+        let reason = "it shall stay in host memory".to_owned();
+        Decision { kind, reason }
+    })
+    .collect()
 }
 
 /// Runners on which a deployment's checkpoint may lie: those that could serve
@@ -126,10 +136,15 @@
     if fitting.is_empty() { able } else { fitting }
 }
 
+/// Copies missing in host memory, the most wanted first, and those that shall
+/// stay.
 fn host_wanted<'a>(
     view: &'a ClusterView,
     forecast: &Forecast,
-) -> Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)> {
+) -> (
+    Vec<(&'a DeploymentView, &'a RunnerView, CacheTier)>,
+    HostPlan,
+) {
     let mut candidates = candidates(view, forecast);
     candidates.sort_by(|one, other| other.worth.total_cmp(&one.worth));
     let mut free: BTreeMap<&RunnerId, u64> = view
@@ -150,13 +165,14 @@
         }
         *room -= size;
         *count += 1;
-        let planned = plan.entry(one.runner.runner.clone()).or_default();
-        planned.insert(model.clone());
         if one.runner.tier_of(model) > CacheTier::HostMemory {
             missing.push((one.deployment, one.runner, CacheTier::HostMemory));
+        } else {
+            let kept = plan.entry(one.runner.runner.clone()).or_default();
+            kept.insert(model.clone());
         }
     }
-    missing
+    (missing, plan)
 }
 
 /// All pairs of deployment and runner with their worth for each MiB.
