--- a/crates/operator/src/render.rs
+++ b/crates/operator/src/render.rs
@@ -2,10 +2,11 @@
 //!
 //! A template is TOML text with `minijinja` placeholders; parameters come from
 //! one TOML file per tenant. The rendered text holds `[[deployment]]`,
-//! `[[tenant]]` and `[[removal]]` tables.
+//! `[[tenant]]`, `[[model]]` and `[[removal]]` tables.
 
-use courseshunt_state::configuration::Removal;
-use courseshunt_state::{ChangeRequest, TenantDocument};
+use courseshunt_settings::locate::{field_of_named, line_of_offset};
+use courseshunt_state::{ChangeRequest, ModelDocument, Removal, TenantDocument};
+use courseshunt_types::deployment::DocumentError;
 use courseshunt_types::{ChangeId, DeploymentDocument};
 use snafu::ResultExt;
 use std::path::{Path, PathBuf};
@@ -51,6 +52,8 @@
     pub deployment: Vec<DeploymentDocument>,
     /// Tenants.
     pub tenant: Vec<TenantDocument>,
+    /// Models of the catalogue.
+    pub model: Vec<ModelDocument>,
     /// Removals.
     pub removal: Vec<Removal>,
 }
@@ -60,6 +63,7 @@
     pub fn extend(&mut self, other: RenderedBatch) {
         self.deployment.extend(other.deployment);
         self.tenant.extend(other.tenant);
+        self.model.extend(other.model);
         self.removal.extend(other.removal);
     }
 
@@ -70,7 +74,9 @@
             change_id,
             deployments: self.deployment,
             tenants: self.tenant,
+            models: self.model,
             removals: self.removal,
+            operator: String::new(),
         }
     }
 }
@@ -99,15 +105,23 @@
 pub fn read_documents(path: &Path, text: &str) -> Result<RenderedBatch, RenderError> {
     let batch: RenderedBatch = parse(path, text)?;
     for document in &batch.deployment {
-        document.validate().map_err(|error| RenderError::Document {
-            path: path.to_owned(),
-            line: line_of_name(text, document.name.as_str()),
-            problem: error.to_string(),
-        })?;
+        document
+            .validate()
+            .map_err(|error| document_fault(path, text, &error))?;
     }
     Ok(batch)
 }
 
+fn document_fault(path: &Path, text: &str, error: &DocumentError) -> RenderError {
+    let written = field_of_named(text, error.deployment.as_str(), error.field);
+    let value = written.value.map(|value| format!(" (it is {value})"));
+    RenderError::Document {
+        path: path.to_owned(),
+        line: written.line,
+        problem: format!("{error}{}", value.unwrap_or_default()),
+    }
+}
+
 fn read(path: &Path) -> Result<String, RenderError> {
     std::fs::read_to_string(path).context(UnreadableSnafu { path })
 }
@@ -115,19 +129,9 @@
 fn parse<T: serde::de::DeserializeOwned>(path: &Path, text: &str) -> Result<T, RenderError> {
     toml::from_str(text).map_err(|error| RenderError::Document {
         path: path.to_owned(),
-        line: error.span().map_or(1, |span| line_of(text, span.start)),
+        line: error
+            .span()
+            .map_or(1, |span| line_of_offset(text, span.start)),
         problem: error.message().to_owned(),
     })
 }
-
-fn line_of(text: &str, offset: usize) -> usize {
-    let before = text.as_bytes().iter().take(offset);
-    before.filter(|byte| **byte == b'\n').count() + 1
-}
-
-/// Line of the first mention of a document's name.
-fn line_of_name(text: &str, name: &str) -> usize {
-    let quoted = format!("\"{name}\"");
-    let line = text.lines().position(|line| line.contains(&quoted));
-    line.map_or(1, |line| line + 1)
-}
--- a/crates/router/src/dispatch/actor.rs
+++ b/crates/router/src/dispatch/actor.rs
@@ -1,13 +1,17 @@
-//! The actor that owns the waiting queues.
+//! The actor that holds the tickets of this router's callers and serves the
+//! queues that this router owns.
 
-use super::handle::{DispatcherHandle, GrantNumber, GrantedRequest, OfferReply};
+use super::handle::{DispatcherHandle, OfferReply};
+use super::owned::{OwnedQueues, SlotShare};
+use super::snapshot::SharedSnapshot;
+use super::state::DispatcherState;
 use crate::configuration::ConfigurationView;
 use crate::error::RouterError;
-use courseshunt_queue::{DemandReport, QueueLimits, Ticket, WaitingQueue};
-use courseshunt_types::runner_api::MachineState;
+use crate::peers::{Links, PeerContext, PeerEvent};
+use courseshunt_queue::{AdaptiveLimit, AttemptOutcome, DemandReport, GrantId, Holder, Ticket};
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId, RouterId, RunnerId};
-use courseshunt_wire::message::GrantEnding;
+use courseshunt_types::{RequestId, RouterId, Timestamp};
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -15,7 +19,7 @@
 use tokio::sync::{Notify, oneshot};
 
 /// Time between looks for deadlines that have passed.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Messages of the dispatcher.
 #[derive(Debug)]
@@ -29,76 +33,95 @@
     },
     /// Take a ticket out.
     Cancel {
-        /// Its deployment.
-        deployment: DeploymentName,
         /// Its request.
         request: RequestId,
     },
-    /// A granted request was sent.
+    /// A granted request is being sent.
     Started {
-        /// Its deployment.
-        deployment: DeploymentName,
         /// Its grant.
-        grant: GrantNumber,
+        grant: GrantId,
     },
     /// A slot is free again.
     Returned {
-        /// Its deployment.
-        deployment: DeploymentName,
         /// Its grant.
-        grant: GrantNumber,
-        /// How it ended.
-        ending: GrantEnding,
+        grant: GrantId,
+        /// How the attempt ended.
+        outcome: AttemptOutcome,
     },
-    /// Replicas or documents changed.
+    /// Replicas, documents or the fleet changed.
     ViewChanged,
+    /// Something happened on a connection to another router.
+    Peer(PeerEvent),
     /// Report the demand.
     Report {
         /// Receives the reports.
         reply: oneshot::Sender<Vec<DemandReport>>,
     },
+    /// Hand the owned queues over: this router stops.
+    Stop,
     /// Time passed.
-    Tick,
-}
-
-/// What the actor works on.
-pub struct DispatcherState {
-    myself: DispatcherHandle,
-    view: Arc<ConfigurationView>,
-    clock: MonotonicClock,
-    queues: BTreeMap<DeploymentName, WaitingQueue>,
-    replies: BTreeMap<RequestId, OfferReply>,
+    Tick {
+        /// When this was sent.
+        sent: Timestamp,
+    },
 }
 
 struct Dispatcher;
 
 /// Arguments of the actor.
+#[derive(Debug)]
 pub struct Arguments {
-    view: Arc<ConfigurationView>,
-    clock: MonotonicClock,
-    demand_changed: Arc<Notify>,
+    /// Name of this router.
+    pub router: RouterId,
+    /// Who this router is to others.
+    pub identity: PeerIdentity,
+    /// Key of the cluster.
+    pub key: ClusterKey,
+    /// What the feed has told.
+    pub view: Arc<ConfigurationView>,
+    /// Clock of this process.
+    pub clock: MonotonicClock,
 }
 
 impl Actor for Dispatcher {
     type Msg = DispatcherMessage;
     type State = DispatcherState;
-    type Arguments = Arguments;
+    type Arguments = (Arguments, Arc<Notify>, SharedSnapshot);
 
     async fn pre_start(
         &self,
         myself: ActorRef<Self::Msg>,
-        arguments: Self::Arguments,
+        (arguments, demand_changed, snapshot): Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        myself.send_interval(EXPIRY_INTERVAL, || DispatcherMessage::Tick);
+        let clock = arguments.clock;
+        myself.send_interval(TICK_INTERVAL, move || DispatcherMessage::Tick {
+            sent: clock.now(),
+        });
+        let links = Links::new(PeerContext {
+            key: arguments.key,
+            identity: arguments.identity,
+            dispatcher: myself.clone(),
+        });
+        let view = arguments.view;
         Ok(DispatcherState {
             myself: DispatcherHandle {
                 actor: myself,
-                demand_changed: arguments.demand_changed,
+                demand_changed,
+                snapshot: snapshot.clone(),
             },
-            view: arguments.view,
             clock: arguments.clock,
-            queues: BTreeMap::new(),
+            holder: Holder::new(arguments.router),
+            owned: OwnedQueues::new(view.clone(), SlotShare::Whole),
+            fallback: OwnedQueues::new(view.clone(), SlotShare::Bounded),
+            view,
+            links,
+            routers: Vec::new(),
             replies: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            snapshot,
+            limit: AdaptiveLimit::default(),
+            stopping: false,
+            ticks: 0,
         })
     }
 
@@ -114,17 +137,11 @@
 }
 
 /// Starts the actor.
-pub async fn spawn(
-    router: RouterId,
-    view: Arc<ConfigurationView>,
-    clock: MonotonicClock,
-) -> Result<DispatcherHandle, RouterError> {
+pub async fn spawn(arguments: Arguments) -> Result<DispatcherHandle, RouterError> {
     let demand_changed = Arc::new(Notify::new());
-    let arguments = Arguments {
-        view,
-        clock,
-        demand_changed: demand_changed.clone(),
-    };
+    let snapshot = SharedSnapshot::default();
+    let router = arguments.router.clone();
+    let arguments = (arguments, demand_changed.clone(), snapshot.clone());
     let spawned = Actor::spawn(None, Dispatcher, arguments).await;
     let (actor, _) = spawned.map_err(|error| RouterError::Actor {
         part: "dispatcher",
@@ -133,144 +150,6 @@
     Ok(DispatcherHandle {
         actor,
         demand_changed,
+        snapshot,
     })
 }
-
-impl DispatcherState {
-    fn receive(&mut self, message: DispatcherMessage) {
-        match message {
-            DispatcherMessage::Offer { ticket, reply } => self.offer(ticket, reply),
-            DispatcherMessage::Cancel {
-                deployment,
-                request,
-            } => {
-                self.replies.remove(&request);
-                if let Some(queue) = self.queues.get_mut(&deployment) {
-                    queue.cancel(&request);
-                }
-            }
-            DispatcherMessage::Started { deployment, grant } => {
-                if let Some(queue) = self.queues.get_mut(&deployment) {
-                    queue.slots_mut().started(grant);
-                }
-            }
-            DispatcherMessage::Returned {
-                deployment,
-                grant,
-                ending,
-            } => {
-                log::debug!("dispatch: grant {grant:?} of {deployment} ended: {ending:?}");
-                if let Some(queue) = self.queues.get_mut(&deployment) {
-                    queue.slots_mut().release(grant);
-                }
-                self.grant(&deployment);
-            }
-            DispatcherMessage::ViewChanged => self.refresh_all(),
-            DispatcherMessage::Report { reply } => {
-                let _ = reply.send(self.report());
-            }
-            DispatcherMessage::Tick => self.expire(),
-        }
-    }
-
-    fn offer(&mut self, ticket: Ticket, reply: OfferReply) {
-        let deployment = ticket.deployment.clone();
-        let request = ticket.request.clone();
-        if !self.refresh(&deployment) {
-            let message = format!("there is no deployment {deployment}");
-            let _ = reply.send(Err(Refusal::not_run(RefusalReason::UnknownModel, message)));
-            return;
-        }
-        let now = self.clock.now();
-        let Some(queue) = self.queues.get_mut(&deployment) else {
-            return;
-        };
-        match queue.offer(ticket, now) {
-            Ok(()) => {
-                self.replies.insert(request, reply);
-                self.grant(&deployment);
-                self.myself.demand_changed.notify_one();
-            }
-            Err(refusal) => {
-                let _ = reply.send(Err(refusal));
-            }
-        }
-    }
-
-    /// Brings a queue's limits and replicas up to date. Returns whether the
-    /// deployment is configured.
-    fn refresh(&mut self, deployment: &DeploymentName) -> bool {
-        let Some(document) = self.view.deployment(deployment) else {
-            return false;
-        };
-        let limits = QueueLimits {
-            classes: document.limits,
-            ..QueueLimits::default()
-        };
-        let queue = self.queues.entry(deployment.clone());
-        let queue = queue.or_insert_with(|| WaitingQueue::new(deployment.clone(), limits));
-        queue.set_limits(limits);
-        let ready = self
-            .view
-            .replicas(deployment)
-            .map(|replicas| replicas.ready);
-        let usable = |runner: &RunnerId| {
-            let known = self.view.runner(runner);
-            known.is_some_and(|known| known.state == MachineState::Live)
-        };
-        let ready = ready.unwrap_or_default().into_iter().filter(usable);
-        let slots = document.slots_per_replica;
-        queue
-            .slots_mut()
-            .set_replicas(ready.map(|runner| (runner, slots)));
-        true
-    }
-
-    fn refresh_all(&mut self) {
-        let names: Vec<DeploymentName> = self.queues.keys().cloned().collect();
-        for name in names {
-            self.refresh(&name);
-            self.grant(&name);
-        }
-    }
-
-    fn grant(&mut self, deployment: &DeploymentName) {
-        let now = self.clock.now();
-        let Some(queue) = self.queues.get_mut(deployment) else {
-            return;
-        };
-        for grant in queue.grant(now) {
-            let Some(reply) = self.replies.remove(&grant.request) else {
-                queue.slots_mut().release(grant.grant);
-                continue;
-            };
-            let granted = GrantedRequest::new(grant, deployment.clone(), self.myself.clone());
-            // A caller that has left drops the grant, which returns the slot.
-            let _ = reply.send(Ok(granted));
-        }
-    }
-
-    fn expire(&mut self) {
-        let now = self.clock.now();
-        let names: Vec<DeploymentName> = self.queues.keys().cloned().collect();
-        for name in names {
-            let Some(queue) = self.queues.get_mut(&name) else {
-                continue;
-            };
-            for refused in queue.expire(now) {
-                if let Some(reply) = self.replies.remove(&refused.request) {
-                    let _ = reply.send(Err(refused.refusal));
-                }
-            }
-            self.grant(&name);
-        }
-    }
-
-    fn report(&mut self) -> Vec<DemandReport> {
-        let now = self.clock.now();
-        self.queues
-            .values_mut()
-            .map(|queue| queue.report(now))
-            .collect()
-    }
-}
--- a/crates/router/src/dispatch/handle.rs
+++ b/crates/router/src/dispatch/handle.rs
@@ -1,9 +1,11 @@
 //! The handle of the dispatcher.
 
 use super::actor::DispatcherMessage;
-use courseshunt_queue::{DemandReport, Grant, GrantId, Ticket};
-use courseshunt_types::{DeploymentName, Refusal, RefusalReason, RequestId};
-use courseshunt_wire::message::GrantEnding;
+use super::snapshot::{DispatchSnapshot, SharedSnapshot};
+use crate::peers::PeerContext;
+use courseshunt_queue::{AttemptOutcome, DemandReport, Grant, Ticket};
+use courseshunt_types::{Refusal, RefusalReason, RequestId, Timestamp};
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use ractor::ActorRef;
 use std::sync::Arc;
 use tokio::sync::{Notify, oneshot};
@@ -13,53 +15,62 @@
 pub struct DispatcherHandle {
     pub(super) actor: ActorRef<DispatcherMessage>,
     pub(super) demand_changed: Arc<Notify>,
+    pub(super) snapshot: SharedSnapshot,
 }
 
-/// A granted request. Dropping it gives the slot back.
+/// Leave to make one attempt. Dropping it gives the slot back.
+///
+/// The attempt's code calls [`Self::started`] when the request is about to be
+/// sent and [`Self::report`] when it knows how the attempt ended. A grant that
+/// is dropped before its start counts as unused; one that is dropped after it
+/// without a report counts as cancelled.
 #[derive(Debug)]
 pub struct GrantedRequest {
-    /// The grant.
+    /// The grant, with the runner and the slot's number.
     pub grant: Grant,
-    deployment: DeploymentName,
+    /// `ip:port` of the runner.
+    pub address: String,
+    /// The request must be started before this moment.
+    pub expires: Timestamp,
     dispatcher: DispatcherHandle,
-    ending: GrantEnding,
+    outcome: AttemptOutcome,
 }
 
 impl GrantedRequest {
     pub(super) fn new(
+        address: String,
+        expires: Timestamp,
         grant: Grant,
-        deployment: DeploymentName,
         dispatcher: DispatcherHandle,
     ) -> Self {
         Self {
             grant,
-            deployment,
+            address,
+            expires,
             dispatcher,
-            ending: GrantEnding::Unused,
+            outcome: AttemptOutcome::Unused,
         }
     }
 
-    /// Notes that the request has been sent to the runner.
+    /// Notes that the request is being sent to the runner.
     pub fn started(&mut self) {
-        self.ending = GrantEnding::Finished;
+        self.outcome = AttemptOutcome::Cancelled;
         self.dispatcher.cast(DispatcherMessage::Started {
-            deployment: self.deployment.clone(),
             grant: self.grant.grant,
         });
     }
 
     /// Notes how the attempt ended.
-    pub fn ended(&mut self, ending: GrantEnding) {
-        self.ending = ending;
+    pub fn report(&mut self, outcome: AttemptOutcome) {
+        self.outcome = outcome;
     }
 }
 
 impl Drop for GrantedRequest {
     fn drop(&mut self) {
         self.dispatcher.cast(DispatcherMessage::Returned {
-            deployment: self.deployment.clone(),
             grant: self.grant.grant,
-            ending: self.ending,
+            outcome: self.outcome,
         });
     }
 }
@@ -67,16 +78,17 @@
 /// Takes a waiting ticket out when the caller leaves.
 struct CancelOnDrop<'a> {
     dispatcher: &'a DispatcherHandle,
-    deployment: DeploymentName,
     request: RequestId,
+    answered: bool,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        self.dispatcher.cast(DispatcherMessage::Cancel {
-            deployment: self.deployment.clone(),
-            request: self.request.clone(),
-        });
+        if !self.answered {
+            self.dispatcher.cast(DispatcherMessage::Cancel {
+                request: self.request.clone(),
+            });
+        }
     }
 }
 
@@ -87,17 +99,40 @@
     /// The refusal for the caller; the request did not run.
     pub async fn acquire(&self, ticket: Ticket) -> Result<GrantedRequest, Refusal> {
         let (reply, received) = oneshot::channel();
-        let _cancel = CancelOnDrop {
+        let mut cancel = CancelOnDrop {
             dispatcher: self,
-            deployment: ticket.deployment.clone(),
             request: ticket.request.clone(),
+            answered: false,
         };
         self.cast(DispatcherMessage::Offer { ticket, reply });
         let stopped = || Refusal::not_run(RefusalReason::ShuttingDown, "the router is stopping");
-        received.await.unwrap_or_else(|_| Err(stopped()))
+        let answer = received.await;
+        cancel.answered = true;
+        answer.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    /// Hands the owned queues over to other routers.
+    pub fn stop(&self) {
+        self.cast(DispatcherMessage::Stop);
+    }
+
+    /// Numbers for the metrics page.
+    #[must_use]
+    pub fn snapshot(&self) -> DispatchSnapshot {
+        self.snapshot.get()
+    }
+
+    /// What the connections of other routers need.
+    #[must_use]
+    pub fn peer_context(&self, key: ClusterKey, identity: PeerIdentity) -> PeerContext {
+        PeerContext {
+            key,
+            identity,
+            dispatcher: self.actor.clone(),
+        }
     }
 
-    /// Tells that replicas or documents changed.
+    /// Tells that replicas, documents or the fleet changed.
     pub fn view_changed(&self) {
         self.cast(DispatcherMessage::ViewChanged);
     }
@@ -123,5 +158,3 @@
 
 /// Answer to an offer.
 pub(super) type OfferReply = oneshot::Sender<Result<GrantedRequest, Refusal>>;
-/// Number of a grant, with its queue.
-pub(super) type GrantNumber = GrantId;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,16 +6,18 @@
 pub mod control;
 pub mod dispatch;
 pub mod error;
+pub mod limits;
+pub mod peers;
 
 pub use error::RouterError;
 
 use configuration::ConfigurationView;
-use control::LedgerClient;
+use control::{LedgerClient, LinkSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::RouterSettings;
 use courseshunt_types::Incarnation;
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_wire::ClusterKey;
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use dispatch::DispatcherHandle;
 use error::{BindSnafu, FileSnafu, ShortKeySnafu};
 use snafu::{OptionExt, ResultExt};
@@ -39,6 +41,8 @@
     pub ledger: LedgerClient,
     /// Callers' requests by result.
     pub requests: Arc<caller::RequestCounts>,
+    /// Bound on callers' bodies in memory.
+    pub bodies: limits::BodyBudget,
     /// HTTP client for runners.
     pub client: HttpClient,
     /// Clock of this process.
@@ -56,8 +60,9 @@
     pub wire_address: SocketAddr,
     context: RouterContext,
     server: tokio::task::JoinHandle<()>,
-    /// Kept bound for other routers.
-    _wire: TcpListener,
+    /// Cancelled when no request runs any more; the connections to controllers
+    /// and to other routers serve until then.
+    ended: CancellationToken,
 }
 
 impl Router {
@@ -77,18 +82,29 @@
         let view = Arc::new(ConfigurationView::default());
         let settings = Arc::new(settings);
         let (ledger, ledger_calls) = control::ledger_channel();
-        let dispatcher = dispatch::start(settings.id.clone(), view.clone(), clock).await?;
+        let incarnation = Incarnation(rand::random());
+        let identity = PeerIdentity::Router(settings.id.clone(), incarnation);
+        let dispatcher = dispatch::start(dispatch::Arguments {
+            router: settings.id.clone(),
+            identity: identity.clone(),
+            key: key.clone(),
+            view: view.clone(),
+            clock,
+        });
+        let dispatcher = dispatcher.await?;
         let limits = ServerLimits {
             max_connections: settings.max_connections,
             ..ServerLimits::default()
         };
+        let max_waiting_bytes = settings.max_waiting_bytes;
         let context = RouterContext {
             settings,
-            incarnation: Incarnation(rand::random()),
+            incarnation,
             view,
             dispatcher,
             ledger,
             requests: Arc::default(),
+            bodies: limits::BodyBudget::new(max_waiting_bytes),
             client: HttpClient::default(),
             clock,
             stop: CancellationToken::new(),
@@ -97,8 +113,18 @@
             http_address,
             wire_address,
         };
-        let link = control::run(context.clone(), key, endpoints, ledger_calls);
-        tokio::spawn(context.stop.clone().run_until_cancelled_owned(link));
+        let ended = CancellationToken::new();
+        let peers = context.dispatcher.peer_context(key.clone(), identity);
+        tokio::spawn(peers::accept_holders(wire, peers, ended.clone()));
+        let link = LinkSettings::of_router(
+            &context.settings,
+            context.incarnation,
+            endpoints,
+            key,
+            clock,
+        );
+        let link = control::run(context.clone(), link, ledger_calls);
+        tokio::spawn(ended.clone().run_until_cancelled_owned(link));
         let handler = caller::handler(context.clone());
         let stop = context.stop.clone();
         let server = tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
@@ -108,7 +134,7 @@
             wire_address,
             context,
             server,
-            _wire: wire,
+            ended,
         })
     }
 
@@ -121,6 +147,7 @@
     /// Stops as planned: running requests finish first.
     pub async fn stop(self) {
         self.context.stop.cancel();
+        self.context.dispatcher.stop();
         let drain = self.context.settings.drain;
         if tokio::time::timeout(drain.into(), self.server)
             .await
@@ -128,6 +155,7 @@
         {
             log::warn!("router: stopped before all requests had ended");
         }
+        self.ended.cancel();
         log::info!("router: stopped");
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between the processes.
 
 use courseshunt_consensus::ConsensusMessage;
-use courseshunt_queue::{DemandReport, Grant, GrantId, QueueKey, Ticket, TicketRefusal};
+use courseshunt_queue::{
+    AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
+};
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
@@ -139,29 +141,29 @@
         queue: QueueKey,
         /// The grant.
         grant: GrantId,
-        /// Why; tells the owner about the runner's health.
-        ending: GrantEnding,
+        /// How the attempt ended; tells the owner about the runner's health.
+        outcome: AttemptOutcome,
     },
-    /// Router to queue owner: this is not your queue (any more).
+    /// Queue owner to router: this is not my queue (any more).
     NotOwner {
         /// The queue.
         queue: QueueKey,
         /// Tickets that must be offered to the owner again.
         requests: Vec<RequestId>,
     },
-}
-
-/// How a grant ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub enum GrantEnding {
-    /// The answer is whole.
-    Finished,
-    /// The grant was not used.
-    Unused,
-    /// The runner refused the request because it drains.
-    RunnerDraining,
-    /// The runner failed.
-    RunnerFailed,
+    /// Router to queue owner: these grants run here, and no others.
+    AdoptGrants {
+        /// The queue.
+        queue: QueueKey,
+        /// The grants.
+        grants: Vec<RunningGrant>,
+    },
+    /// Queue owner to router: the owner stops; its queues have other owners.
+    OwnerLeaving,
+    /// Router to queue owner: are you there?
+    Ping,
+    /// Answers [`Message::Ping`].
+    Pong,
 }
 
 /// Result of a command for the ledger.
@@ -193,6 +195,8 @@
     pub zone: Zone,
     /// Last revision that it has; 0 for none.
     pub revision: Revision,
+    /// State of the placement that it has; 0 for none.
+    pub placement: LogIndex,
 }
 
 /// Changes of the configuration.
