--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -1,6 +1,8 @@
 //! Feeds to routers, and what routers send back.
 
 pub mod configuration;
+mod frames;
+mod jobs;
 pub mod placement_index;
 mod registry;
 mod session;
@@ -8,7 +10,7 @@
 mod writer;
 
 pub use placement_index::PlacementIndex;
-pub use registry::RouterRegistry;
+pub use registry::{RegisteredRouter, RouterRegistry};
 pub use source::{FeedCounts, FeedSource, FeedVersion, MAX_SYNCS};
 
 use crate::ControllerContext;
@@ -67,6 +69,6 @@
 ) -> Result<(), WireError> {
     match connection.peer.clone() {
         PeerIdentity::Router(router, _) => session::serve(connection, router, context).await,
-        PeerIdentity::Controller(_) => Ok(()),
+        PeerIdentity::Controller(peer) => crate::peers::serve(connection, peer, context).await,
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
+use std::net::IpAddr;
 use std::time::Duration;
 
 /// Longest time for a TCP connection.
@@ -34,28 +35,36 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::from_address(None)
+    }
+}
+
+impl HttpClient {
+    /// A client whose connections come from `source`; `None` lets the system
+    /// choose.
+    #[must_use]
+    pub fn from_address(source: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        connector.set_local_address(source);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
         let client = builder.build(connector);
         Self { client }
     }
-}
 
-impl HttpClient {
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
-    /// [`HttpError::Connect`] when nothing was sent, else [`HttpError::Broken`].
+    /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`].
     pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string);
         let peer = peer.unwrap_or_default();
         let sent = self.client.request(request).await;
         sent.map_err(|error| {
             let problem = describe(&error);
-            if error.is_connect() {
+            if error.is_connect() || is_unsent(&error) {
                 return HttpError::Connect { peer, problem };
             }
             let step = "send a request";
@@ -120,6 +129,19 @@
     request.body(full_body(content))
 }
 
+/// Whether the library gave the request up before its first byte: a pooled
+/// connection closed while the request waited for it.
+fn is_unsent(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        if let Some(error) = inner.downcast_ref::<hyper::Error>() {
+            return error.is_canceled();
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 fn describe(error: &(dyn std::error::Error + 'static)) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
--- a/crates/lab/src/hollow/router.rs
+++ b/crates/lab/src/hollow/router.rs
@@ -54,6 +54,7 @@
                 wire_address: nowhere,
             },
             controllers: settings.controllers,
+            source: None,
             key: settings.key,
             clock: MonotonicClock::start(),
         };
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 use courseshunt_queue::Ticket;
 use courseshunt_router::configuration::ConfigurationView;
+use courseshunt_router::control::RelaySource;
 use courseshunt_router::dispatch::{Arguments, DispatcherHandle, GrantedRequest, start};
 use courseshunt_router::peers::accept_holders;
 use courseshunt_state::StoredDeployment;
@@ -50,6 +51,7 @@
         let arguments = Arguments {
             router: router.clone(),
             identity: identity.clone(),
+            source: None,
             key: key.clone(),
             view: view.clone(),
             clock: MonotonicClock::start(),
@@ -59,7 +61,11 @@
         let wire_address = listener.local_addr().unwrap().to_string();
         let life = CancellationToken::new();
         let peers = dispatcher.peer_context(key, identity);
-        tokio::spawn(accept_holders(listener, peers, life.clone()));
+        let relay = RelaySource {
+            view: view.clone(),
+            clock: MonotonicClock::start(),
+        };
+        tokio::spawn(accept_holders(listener, peers, relay, life.clone()));
         let endpoint = RouterEndpoint {
             router: router.clone(),
             incarnation,
@@ -134,16 +140,24 @@
 
     /// Lets `replicas` runners serve.
     pub fn place(&mut self, replicas: usize) {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        self.place_at(&all, replicas);
+    }
+
+    /// Lets `replicas` runners serve, as far as `nodes` know.
+    pub fn place_at(&mut self, nodes: &[usize], replicas: usize) {
         self.placement += 1;
         let runners = (0..replicas).map(|number| RunnerEndpoint {
             runner: format!("runner-{number}").into(),
             address: format!("127.0.0.1:{}", 1 + number),
+            incarnation: Incarnation(1),
             zone: "zone".into(),
             state: MachineState::Live,
         });
         let runners: Vec<RunnerEndpoint> = runners.collect();
         let ready = runners.iter().map(|one| one.runner.clone()).collect();
-        for node in &self.nodes {
+        for node in nodes {
+            let node = &self.nodes[*node];
             node.view.apply_placement(PlacementUpdate {
                 sequence: LogIndex(self.placement),
                 full: true,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,10 +11,11 @@
 pub mod manual;
 pub mod process;
 pub mod reference;
+pub mod standins;
 pub mod table;
 
 pub use error::SettingsError;
 pub use load::{Origin, Values, help_text, load};
 pub use process::{ControllerSettings, PeerAddress, RouterSettings, StandinSettings};
 pub use reference::settings_reference;
-pub use table::{Kind, Setting};
+pub use table::{Kind, MachineAddress, Setting};
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -2,9 +2,9 @@
 
 use crate::error::SettingsError;
 use crate::locate::line_of_offset;
-use crate::table::{Setting, items, parse_peer};
+use crate::table::{MachineAddress, Setting, items, parse_machine, parse_peer};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 /// Where a value came from.
@@ -52,6 +52,18 @@
         self.text(key).parse().unwrap_or_default()
     }
 
+    /// A whole number; one that is too large becomes the largest.
+    #[must_use]
+    pub fn small(&self, key: &str) -> u32 {
+        u32::try_from(self.integer(key)).unwrap_or(u32::MAX)
+    }
+
+    /// A list of machines.
+    #[must_use]
+    pub fn machines(&self, key: &str) -> Vec<MachineAddress> {
+        items(&self.text(key)).filter_map(parse_machine).collect()
+    }
+
     /// An address.
     #[must_use]
     pub fn address(&self, key: &str) -> SocketAddr {
@@ -59,6 +71,18 @@
         self.text(key).parse().unwrap_or(unset)
     }
 
+    /// An IP number, if one is given.
+    #[must_use]
+    pub fn ip(&self, key: &str) -> Option<IpAddr> {
+        self.text(key).parse().ok()
+    }
+
+    /// An address, if one is given.
+    #[must_use]
+    pub fn optional_address(&self, key: &str) -> Option<SocketAddr> {
+        self.text(key).parse().ok()
+    }
+
     /// A list of addresses.
     #[must_use]
     pub fn addresses(&self, key: &str) -> Vec<SocketAddr> {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,21 +12,24 @@
 pub mod claims;
 pub mod command;
 pub mod configuration;
+pub mod drains;
 pub mod jobs;
 pub mod placement;
 pub mod reply;
 pub mod session;
 mod state;
 
-pub use claims::{ClaimRecord, ClaimState, Claims};
-pub use command::{Command, CommandEnvelope};
+pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
+pub use command::{ClaimRequest, Command, CommandEnvelope};
 pub use configuration::{
     ChangeRequest, Configuration, DocumentKey, DocumentKind, FleetLimits, HistoryEntry,
     ModelDocument, Removal, StoredDeployment, StoredTenant, TenantDocument, Verdict,
 };
+pub use drains::Drains;
 pub use jobs::{JobRecord, JobState, Jobs};
 pub use placement::{Placement, ReplicaPhase, ReplicaRecord, RunnerRecord};
 pub use reply::{
-    ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, StoredAnswer,
+    ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, JobView, JobWork,
+    StoredAnswer,
 };
 pub use state::{ReplicatedState, SnapshotError};
