Routing: tickets leave a silent owner without waiting for a dial

Cause: after 1.5 s of silence the holder first dialled again, for up to 0.5 s. Change: silence alone makes the owner unreachable; a dial that succeeds brings it back.

--- a/crates/queue/tests/order.rs
+++ b/crates/queue/tests/order.rs
@@ -1,5 +1,6 @@
 //! Properties of the waiting queue: order, fairness, ageing, limits.
 
+use courseshunt_queue::prompt::{BLOCK_BYTES, MAX_BLOCKS, prompt_blocks};
 use courseshunt_queue::{
     AGEING_SHARE, AdaptiveLimit, FAIRNESS_WINDOW, Grant, QueueLimits, Ticket, WaitingQueue,
 };
@@ -315,3 +316,23 @@
     }
     assert!(limit.admits(PriorityClass::Batch, 10_000));
 }
+
+#[test]
+fn prompts_share_the_hashes_of_their_common_beginning() {
+    let protocol = "The shared protocol library of the clinic. ".repeat(10);
+    let first = prompt_blocks(format!("{protocol}Patient one").as_bytes());
+    let second = prompt_blocks(format!("{protocol}Patient two, another length").as_bytes());
+    let common = protocol.len() / BLOCK_BYTES;
+    assert_eq!(first[..common], second[..common]);
+    let changed = prompt_blocks(format!("x{protocol}").as_bytes());
+    assert!(first.iter().all(|hash| !changed.contains(hash)));
+    assert!(prompt_blocks(&[7; 64 * 1024]).len() <= MAX_BLOCKS);
+    assert_eq!(prompt_blocks(b"short"), [0_u64; 0]);
+    let body = |tokens: u32| format!("{{\"max_tokens\":{tokens},\"messages\":\"{protocol}\"}}");
+    let other = prompt_blocks(body(16).as_bytes());
+    assert_eq!(
+        prompt_blocks(body(2048).as_bytes()),
+        other,
+        "only the prompt counts"
+    );
+}
--- a/crates/router/src/peers/dial.rs
+++ b/crates/router/src/peers/dial.rs
@@ -28,11 +28,17 @@
             Ok(connection) => {
                 pause = FIRST_PAUSE;
                 let ended = session(&owner, connection, &context).await;
+                let silent = matches!(ended, Err(WireError::TimedOut { .. }));
                 if let Err(error) = ended {
                     log::info!("peers: session with owner {owner} ended: {error}");
                 }
-                let owner = owner.clone();
-                context.tell(PeerEvent::OwnerDisconnected { owner });
+                let lost = owner.clone();
+                context.tell(PeerEvent::OwnerDisconnected { owner: lost });
+                if silent {
+                    // It hardly answers a dial; tickets must not wait for that.
+                    let owner = owner.clone();
+                    context.tell(PeerEvent::OwnerUnreachable { owner });
+                }
             }
             Err(error) => {
                 log::debug!("peers: owner {owner} can't be reached: {error}");
--- a/crates/router/tests/owners.rs
+++ b/crates/router/tests/owners.rs
@@ -120,7 +120,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_refusal_at_one_router_ends_new_work_from_all() {
     let cluster = Cluster::start(3, 2, 2).await;
-    let (_, first, second) = cluster.owner_and_others();
+    let (owner, first, second) = cluster.owner_and_others();
     let ask =
         |node: usize, name: &str| cluster.nodes[node].ask(name, PriorityClass::Interactive, LONG);
     let mut refused = answer(ask(first, "refused")).await.expect("a slot is free");
@@ -128,6 +128,12 @@
     refused.started();
     refused.report(AttemptOutcome::NotAdmitted(AdmissionFailure::Draining));
     drop(refused);
+    cluster
+        .until("the owner learns it", || {
+            let snapshot = cluster.nodes[owner].dispatcher.snapshot();
+            snapshot.totals.health.draining_refusals == 1
+        })
+        .await;
     // The list of machines still calls the runner live.
     let mut held = Vec::new();
     for (node, name) in [(second, "one"), (first, "two")] {
