--- a/crates/router/examples/router_bench/site.rs
+++ b/crates/router/examples/router_bench/site.rs
@@ -4,7 +4,6 @@
 use courseshunt_queue::{QueueKey, owner_of};
 use courseshunt_router::Router;
 use courseshunt_settings::RouterSettings;
-use courseshunt_settings::process::LogSettings;
 use courseshunt_standin::model::{EngineTiming, RunnerModelSettings, StoreModelSettings};
 use courseshunt_standin::server::{RunnerServer, StoreServer};
 use courseshunt_state::{StoredDeployment, TenantDocument};
@@ -151,24 +150,18 @@
 }
 
 fn router_settings(number: usize, key_file: &std::path::Path) -> RouterSettings {
-    RouterSettings {
-        id: format!("router-{number}").into(),
-        http_address: ANY.into(),
-        wire_address: ANY.into(),
+    let arguments = [
+        format!("--id=router-{number}"),
+        "--http-address=127.0.0.1:0".to_owned(),
+        "--wire-address=127.0.0.1:0".to_owned(),
         // Nobody listens on the discard port.
-        controllers: vec![SocketAddr::from(([127, 0, 0, 1], 9))],
-        max_connections: 20_000,
-        max_body_bytes: 1024 * 1024,
-        max_waiting_bytes: 256 * 1024 * 1024,
-        body_timeout: Millis::from_secs(10),
-        drain: Millis::from_secs(1),
-        zone: "zone".into(),
-        cluster_key_file: key_file.to_path_buf(),
-        logging: LogSettings {
-            level: "warn".to_owned(),
-            format: "text".to_owned(),
-        },
-    }
+        "--controllers=127.0.0.1:9".to_owned(),
+        "--drain-seconds=1".to_owned(),
+        "--zone=zone".to_owned(),
+        "--log-level=error".to_owned(),
+        format!("--cluster-key-file={}", key_file.display()),
+    ];
+    RouterSettings::load(&arguments).expect("settings")
 }
 
 fn document(name: &str, slots: u32) -> StoredDeployment {
