--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -1,4 +1,5 @@
-//! `courseshunt get` and `courseshunt status`: read pages of a controller.
+//! `courseshunt get`: reads the deployments in force; options that name a
+//! controller.
 
 use super::{block_on, parse};
 use crate::error::CommandError;
@@ -43,10 +44,6 @@
         .usage("Usage: courseshunt get [OPTIONS] [NAME]\n\nShows all documents in force, or those named NAME.")
 }
 
-pub fn status_help() -> String {
-    connection_options().usage("Usage: courseshunt status [OPTIONS]")
-}
-
 pub fn deployments(arguments: &[String]) -> Result<(), CommandError> {
     let matches = parse(&connection_options(), arguments)?;
     let client = client(&matches)?;
@@ -66,15 +63,3 @@
     named.for_each(|document| println!("{document:#}"));
     Ok(())
 }
-
-pub fn status(arguments: &[String]) -> Result<(), CommandError> {
-    show(arguments, "/admin/v1/status")
-}
-
-fn show(arguments: &[String], path: &str) -> Result<(), CommandError> {
-    let matches = parse(&connection_options(), arguments)?;
-    let client = client(&matches)?;
-    let page = block_on(async { Ok(client.get(path).await?) })?;
-    println!("{page:#}");
-    Ok(())
-}
--- a/crates/controller/src/feed/session.rs
+++ b/crates/controller/src/feed/session.rs
@@ -4,7 +4,8 @@
 use super::writer::FeedWriter;
 use crate::ControllerContext;
 use crate::replica::ProposeError;
-use courseshunt_state::CommandEnvelope;
+use courseshunt_queue::DemandReport;
+use courseshunt_state::{Command, CommandEnvelope};
 use courseshunt_types::{ClientId, RouterId, UnixMillis};
 use courseshunt_wire::message::{LedgerResult, RouterEndpoint, Subscribe};
 use courseshunt_wire::{Connection, Message, Receiver, WireError};
@@ -48,6 +49,7 @@
         context,
         sender,
         peer,
+        endpoint.clone(),
         subscribe.revision,
         subscribe.placement,
     );
@@ -57,7 +59,7 @@
         ended = receive(receiver, &subscribe, context, replies) => ended,
     };
     context.routers.remove(&endpoint);
-    context.demand.forget(&router);
+    forget_demand(context, &router);
     log::info!("feed: router {router} left");
     ended
 }
@@ -82,10 +84,9 @@
     while let Some(message) = receive_in_time(&mut receiver, router).await? {
         match message {
             Message::Demand { reports } => {
-                for report in reports {
-                    context.demand.record(router, report, context.clock.now());
-                }
+                record_demand(context, router, reports);
             }
+            Message::Leaving => leaving(router, context),
             Message::Confirmed { revision } => context.routers.confirm(router, revision),
             Message::Ledger { .. } => {
                 let client = format!("{router}/{}", subscribe.incarnation);
@@ -98,6 +99,19 @@
     Ok(())
 }
 
+/// A router stops as planned: others own its queues from now on.
+fn leaving(router: &RouterId, context: &ControllerContext) {
+    log::info!("feed: router {router} is leaving");
+    context.routers.leave(router);
+    let (context, router) = (context.clone(), router.clone());
+    tokio::spawn(async move {
+        let command = Command::RouterLeft { router };
+        if let Err(error) = context.replica.submit(command).await {
+            log::info!("feed: {error}");
+        }
+    });
+}
+
 async fn receive_in_time(
     receiver: &mut Receiver,
     router: &RouterId,
@@ -111,6 +125,26 @@
     })
 }
 
+/// The leader plans with the demand; other members pass it on.
+fn record_demand(context: &ControllerContext, router: &RouterId, reports: Vec<DemandReport>) {
+    let status = context.replica.status().borrow().clone();
+    if status.leads() {
+        for report in reports {
+            context.demand.record(router, report, context.clock.now());
+        }
+    } else if let Some(leader) = status.leader {
+        context.peers.relay_demand(leader, router, reports);
+    }
+}
+
+fn forget_demand(context: &ControllerContext, router: &RouterId) {
+    context.demand.forget(router);
+    let status = context.replica.status().borrow().clone();
+    if let (false, Some(leader)) = (status.leads(), status.leader) {
+        context.peers.relay_gone(leader, router);
+    }
+}
+
 async fn ledger(
     message: Message,
     client: ClientId,
--- a/crates/controller/src/scheduler/repair.rs
+++ b/crates/controller/src/scheduler/repair.rs
@@ -96,7 +96,7 @@
         replica: replica.clone(),
         fence,
     };
-    match context.replica.submit(command).await {
+    match context.replica.submit_as_leader(command).await {
         Ok(CommandReply::Done { .. }) => {
             scheduler.loads().finished(&replica, context.clock.now());
         }
--- a/crates/controller/src/scheduler/watch.rs
+++ b/crates/controller/src/scheduler/watch.rs
@@ -261,6 +261,11 @@
         true => MachineState::Leaving,
         false => machine.state,
     };
+    let state = {
+        let replicated = context.replica.state();
+        let drains = &replicated.drains;
+        drains.state_of(&inventory.runner, inventory.incarnation, state)
+    };
     let record = RunnerRecord {
         runner: inventory.runner.clone(),
         address: machine.address.clone(),
@@ -282,7 +287,7 @@
 
 /// Commits a command; a failure is logged, and found again by the next visit.
 pub async fn submit(context: &ControllerContext, command: Command) {
-    if let Err(error) = context.replica.submit(command).await {
+    if let Err(error) = context.replica.submit_as_leader(command).await {
         log::warn!("scheduler: {error}");
     }
 }
--- a/crates/router/examples/router_bench/site.rs
+++ b/crates/router/examples/router_bench/site.rs
@@ -11,8 +11,8 @@
     Inventory, LoadPhase, MachineState, OrderAction, OrderRequest,
 };
 use courseshunt_types::{
-    DeploymentDocument, Digest, Epoch, Fence, LogIndex, Millis, Revision, RouterId, RunnerId, Term,
-    Timestamp, Version,
+    DeploymentDocument, Digest, Epoch, Fence, Incarnation, LogIndex, Millis, Revision, RouterId,
+    RunnerId, Term, Timestamp, Version,
 };
 use courseshunt_wire::message::{
     ConfigurationUpdate, DeploymentReplicas, FleetUpdate, PlacementUpdate, RouterEndpoint,
@@ -115,6 +115,7 @@
         let runners = runners.map(|(number, runner)| RunnerEndpoint {
             runner: runner_name(number),
             address: runner.address.to_string(),
+            incarnation: Incarnation(1),
             zone: "zone".into(),
             state: MachineState::Live,
         });
--- a/crates/router/src/control/link.rs
+++ b/crates/router/src/control/link.rs
@@ -7,9 +7,12 @@
 use super::freshness::{FeedFreshness, STALE_LIMIT};
 use super::ledger::LedgerCalls;
 use super::pending::PendingCalls;
+use super::relay;
 use courseshunt_types::{Millis, Revision};
 use courseshunt_wire::message::Subscribe;
-use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect};
+use courseshunt_wire::{
+    Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -55,8 +58,9 @@
     let identity = PeerIdentity::Router(settings.router.clone(), settings.incarnation);
     let pending = Mutex::new(PendingCalls::default());
     let first = first_controller(&settings);
+    let mut unconfirmed = 0;
     for address in settings.controllers.iter().cycle().skip(first) {
-        match connect(*address, &settings.key, &identity).await {
+        match connect_from(settings.source, *address, &settings.key, &identity).await {
             Ok(connection) => {
                 let link = Link {
                     client: &client,
@@ -68,6 +72,9 @@
                 };
                 let ended = link.serve(connection, &mut calls).await;
                 link.pending().connection_lost();
+                if link.freshness().was_confirmed() {
+                    unconfirmed = 0;
+                }
                 match ended {
                     Ok(()) => log::info!("control: the controller at {address} closed"),
                     Err(error) => log::warn!("control: {error}"),
@@ -75,11 +82,23 @@
             }
             Err(error) => log::warn!("control: {error}"),
         }
+        unconfirmed += 1;
+        if unconfirmed % settings.controllers.len() == 0 {
+            ask_routers(&client, &settings).await;
+        }
         let pause = rand::rng().random_range(RECONNECT_PAUSE_MILLIS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
+/// No controller has a confirmed feed: perhaps another router has one.
+async fn ask_routers<C: LinkClient>(client: &C, settings: &LinkSettings) {
+    if let Some(revision) = relay::fetch(client.view(), settings).await {
+        log::info!("router: revision {revision} is in force, as fed by another router");
+        client.view_changed();
+    }
+}
+
 /// Routers with one list of controllers begin at different ones.
 fn first_controller(settings: &LinkSettings) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64(settings.router.as_str().as_bytes());
@@ -166,6 +185,8 @@
                 self.client.view_changed();
             }
             Message::FeedConfirmation { age, revision } => self.confirmed(age, revision),
+            Message::Jobs { jobs } => self.client.jobs_queued(jobs),
+            Message::Drain => self.client.drain_asked(),
             Message::LedgerReply { call, result } => self.pending().answer(call, result),
             other => log::warn!("control: unexpected message {other:?}"),
         }
@@ -192,6 +213,7 @@
     }
 
     async fn send(&self, mut sender: Sender, calls: &mut LedgerCalls) -> Result<(), LinkError> {
+        let mut told_leaving = false;
         let mut report = tokio::time::interval(REPORT_INTERVAL);
         let mut resend = tokio::time::interval(RESEND_INTERVAL);
         loop {
@@ -208,6 +230,11 @@
                     self.report(&mut sender).await?;
                 }
                 _ = resend.tick() => self.send_due(&mut sender).await?,
+                () = self.client.leaving(), if !told_leaving => {
+                    told_leaving = true;
+                    sender.send(&Message::Leaving).await?;
+                    self.client.leaving_told();
+                }
             }
         }
     }
