--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -16,6 +16,7 @@
 mod status;
 mod token;
 
+pub use documents::DocumentFiles;
 pub use manual::help_of_all;
 
 use crate::error::CommandError;
--- a/crates/controller/src/feed/mod.rs
+++ b/crates/controller/src/feed/mod.rs
@@ -5,12 +5,13 @@
 mod jobs;
 pub mod placement_index;
 mod registry;
+pub mod reports;
 mod session;
 mod source;
 mod writer;
 
 pub use placement_index::PlacementIndex;
-pub use registry::{RegisteredRouter, RouterRegistry};
+pub use registry::{HEARD_LIMIT, RegisteredRouter, RouterRegistry};
 pub use source::{FeedCounts, FeedSource, FeedVersion, MAX_SYNCS};
 
 use crate::ControllerContext;
@@ -29,6 +30,8 @@
     tokio::spawn(stop.clone().run_until_cancelled_owned(follow));
     let confirm = source::confirm(context.clone());
     tokio::spawn(stop.clone().run_until_cancelled_owned(confirm));
+    let reports = reports::run(context.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(reports));
     tokio::spawn(accept_peers(listener, context.clone()));
 }
 
