--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -25,13 +25,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-/// Longest wait for operators' requests at a planned stop.
-const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// What the parts of a controller share.
 #[derive(Debug, Clone)]
 pub struct ControllerContext {
@@ -69,8 +65,6 @@
     /// Address for other processes.
     pub wire_address: SocketAddr,
     context: ControllerContext,
-    admin: tokio::task::JoinHandle<()>,
-    admin_stop: CancellationToken,
 }
 
 impl Controller {
@@ -136,11 +130,10 @@
         let forgetting = peers::forget_when_deposed(context.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(forgetting));
         let handler = admin::handler(context.clone(), operators);
-        let admin_stop = stop.child_token();
-        let admin = tokio::spawn(courseshunt_http::serve(
+        tokio::spawn(courseshunt_http::serve(
             http,
             ServerLimits::default(),
-            admin_stop.clone(),
+            stop,
             handler,
         ));
         log::info!("controller: serves operators on {http_address}, the cluster on {wire_address}");
@@ -148,8 +141,6 @@
             http_address,
             wire_address,
             context,
-            admin,
-            admin_stop,
         })
     }
 
@@ -159,16 +150,8 @@
         &self.context
     }
 
-    /// Stops as planned: operators' requests under way are answered, then the
-    /// leadership is handed over. Routers send what has no reply to another.
+    /// Stops as planned.
     pub async fn stop(self) {
-        self.admin_stop.cancel();
-        if tokio::time::timeout(ADMIN_TIMEOUT, self.admin)
-            .await
-            .is_err()
-        {
-            log::warn!("controller: stopped before all operators' requests had ended");
-        }
         // The hand-over of the leadership needs the connections to the others.
         self.context.replica.stop().await;
         self.context.stop.cancel();
