--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -15,6 +15,7 @@
 mod status;
 mod token;
 
+pub use documents::DocumentFiles;
 pub use manual::help_of_all;
 
 use crate::error::CommandError;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -11,6 +11,8 @@
     PriorityClass, RequestId, Revision, RouterId, RunnerId, Zone,
 };
 
+use std::collections::BTreeSet;
+
 /// Number of a call on one connection; its reply has the same.
 #[derive(
     Debug,
@@ -199,6 +201,8 @@
     Leaving,
     /// Controller to router: stop as planned.
     Drain,
+    /// Controller to controller: routers that follow the sender.
+    RouterReport(RouterReport),
 }
 
 /// A queued job as its executor needs it.
@@ -216,6 +220,28 @@
     pub deadline_in: Millis,
 }
 
+/// Routers that follow one controller.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct RouterReport {
+    /// Whether `routers` holds all of them.
+    pub full: bool,
+    /// Names of all of them; no other one follows the sender.
+    pub present: BTreeSet<RouterId>,
+    /// All routers, or those that changed.
+    pub routers: Vec<ReportedRouter>,
+}
+
+/// A live router as controllers know it.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ReportedRouter {
+    /// As other routers need it.
+    pub endpoint: RouterEndpoint,
+    /// `ip:port` for callers.
+    pub http_address: String,
+    /// Revision in force there.
+    pub revision: Revision,
+}
+
 /// Result of a command for the ledger.
 #[derive(Debug, Clone, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum LedgerResult {
