Demo: a deferred plan, handed in at one router and fetched at another

Cause: the demo showed no deferred work. Change: POST /v1/jobs at router-1, the answer polled at router-3 and checked to be whole and its own.

--- a/crates/lab/src/demo/caller.rs
+++ b/crates/lab/src/demo/caller.rs
@@ -74,10 +74,7 @@
         key: Option<&str>,
         stream: bool,
     ) -> Result<(bytes::Bytes, Times), LabError> {
-        let content = json!({
-            "model": model, "stream": stream, "max_tokens": TOKENS,
-            "messages": messages(prompt),
-        });
+        let content = body(model, prompt, stream);
         let mut request = Request::post(format!("http://{}/v1/chat/completions", self.address))
             .header(AUTHORIZATION, format!("Bearer {TENANT_TOKEN}"));
         if let Some(key) = key {
@@ -103,18 +100,29 @@
     }
 }
 
+/// The body of a request.
+pub fn body(model: &str, prompt: &str, stream: bool) -> Value {
+    json!({
+        "model": model, "stream": stream, "max_tokens": TOKENS,
+        "messages": messages(prompt),
+    })
+}
+
 fn messages(prompt: &str) -> Value {
     json!([{"role": "user", "content": prompt}])
 }
 
-struct Times {
-    first_byte: Duration,
-    total: Duration,
+/// Times of an answer that is not checked yet.
+pub struct Times {
+    /// From sending to the first byte.
+    pub first_byte: Duration,
+    /// From sending to the end.
+    pub total: Duration,
 }
 
 impl Times {
     /// Checks that the text is whole and answers this prompt.
-    fn check(self, prompt: &str, text: &str) -> Result<CallerAnswer, LabError> {
+    pub fn check(self, prompt: &str, text: &str) -> Result<CallerAnswer, LabError> {
         let sent = messages(prompt).to_string();
         let expected: String = (0..TOKENS)
             .map(|position| answer_word(&sent, position))
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -1,7 +1,8 @@
 //! The demo: a small site, a burst of first requests to a cold model at all
-//! routers, a stream, and a once-only command sent twice.
+//! routers, a stream, a once-only command sent twice, and a deferred plan.
 
 mod caller;
+mod plan;
 mod table;
 
 use crate::error::LabError;
@@ -63,6 +64,7 @@
     let mut rows = burst(&callers).await?;
     rows.push(streamed(&callers[0]).await?);
     rows.extend(once_only(&callers).await?);
+    rows.push(planned(&site).await?);
     print_table(&rows);
     check_executions(&site)?;
     if settings.keep {
@@ -163,6 +165,13 @@
     ])
 }
 
+/// A deferred plan, handed in at router-1 and fetched at router-3.
+async fn planned(site: &Site) -> Result<Row, LabError> {
+    let [first, last] = [&site.routers[0], &site.routers[2]].map(|one| one.http_address);
+    let answer = plan::deferred("agro-llm-tomato", first, last).await?;
+    Ok(Row::new("deferred plan, fetched at 3", "router-1", &answer))
+}
+
 /// Looks at the runners' own records.
 fn check_executions(site: &Site) -> Result<(), LabError> {
     let executions: Vec<_> = site
