--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -39,6 +39,7 @@
         policy: "load-on-demand".to_owned(),
         store_loads_per_second: 3,
         store_concurrency: 6,
+        source_address: None,
         zone: "default".into(),
         cluster_key_file: file("cluster.key", "a key of sixteen bytes or more"),
         logging: LogSettings {
