--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod history;
 mod job;
 mod manual;
+mod member;
 mod render;
 mod serve;
 mod status;
@@ -98,6 +99,12 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "member",
+        summary: "list, add, promote, replace or remove members of the control group",
+        run: member::run,
+        help: member::help,
+    },
     Subcommand {
         name: "drain",
         summary: "ask a router or runner to stop as planned",
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod drain;
 mod explain;
+mod members;
 mod metrics;
 mod operators;
 mod overview;
@@ -73,6 +74,8 @@
 fn page_rule(path: &str) -> Option<(Method, OperatorRole)> {
     match path {
         "/admin/v1/changes" => Some((Method::POST, OperatorRole::Apply)),
+        members::CHANGES => Some((Method::POST, OperatorRole::Operate)),
+        members::LIST => Some((Method::GET, OperatorRole::Read)),
         drain::PATH => Some((Method::POST, OperatorRole::Operate)),
         "/admin/v1/deployments"
         | "/admin/v1/configuration"
@@ -92,6 +95,8 @@
 ) -> Response<Body> {
     match path {
         "/admin/v1/changes" => changes::answer(request, context, operator).await,
+        members::CHANGES => members::change(request, context).await,
+        members::LIST => members::list(context).await,
         drain::PATH => drain::answer(request, context).await,
         "/admin/v1/deployments" => pages::deployments(context),
         "/admin/v1/configuration" => pages::configuration(context),
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -134,7 +134,9 @@
                 return Ok(());
             };
             match &message {
-                Message::ForwardReply { call, .. } | Message::ReadIndexReply { call, .. } => {
+                Message::ForwardReply { call, .. }
+                | Message::ReadIndexReply { call, .. }
+                | Message::ChangeMembershipReply { call, .. } => {
                     self.pending.finish(*call, message);
                 }
                 Message::PeerAlive => {}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -5,9 +5,9 @@
 use crate::reply::StoredAnswer;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    Attempt, ClientId, ClientSequence, DeploymentName, Digest, Fence, IdempotencyKey, Incarnation,
-    JobId, Millis, PriorityClass, ReplicaKey, RequestId, RouterId, RunnerId, TenantName,
-    UnixMillis,
+    Attempt, ClientId, ClientSequence, ControllerId, DeploymentName, Digest, Fence, IdempotencyKey,
+    Incarnation, JobId, Millis, PriorityClass, ReplicaKey, RequestId, RouterId, RunnerId,
+    TenantName, UnixMillis,
 };
 
 /// A command with what is needed to recognise a resend.
@@ -190,6 +190,13 @@
         /// The runner.
         runner: RunnerId,
     },
+    /// Records where a member of the control group is found.
+    RecordMember {
+        /// The member.
+        member: ControllerId,
+        /// `ip:port` of its wire port.
+        wire_address: String,
+    },
 }
 
 /// What is claimed for a once-only request.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod configuration;
 pub mod drains;
 pub mod jobs;
+pub mod members;
 pub mod placement;
 pub mod reply;
 pub mod session;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -5,6 +5,7 @@
 use crate::configuration::{Configuration, FleetLimits};
 use crate::drains::Drains;
 use crate::jobs::{JobRecord, JobState, Jobs};
+use crate::members::MemberAddresses;
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
 use crate::session::{Seen, Sessions};
@@ -35,6 +36,8 @@
     pub drains: Drains,
     /// Duplicate detection.
     pub sessions: Sessions,
+    /// Addresses of members that joined later.
+    pub members: MemberAddresses,
 }
 
 /// A snapshot that can't be read.
@@ -135,6 +138,12 @@
             | Command::ViewJob { .. }
             | Command::ListJobs { .. } => return Ok(self.apply_job(command)),
             Command::AdvanceTime => self.expire(),
+            Command::RecordMember {
+                member,
+                wire_address,
+            } => {
+                self.members.insert(*member, wire_address.clone());
+            }
         }
         Ok(self.done())
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the processes.
 
-use courseshunt_consensus::ConsensusMessage;
+use courseshunt_consensus::{ConsensusMessage, MembershipChange};
 use courseshunt_queue::{
     AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
 };
@@ -203,6 +203,22 @@
     Drain,
     /// Controller to controller: routers that follow the sender.
     RouterReport(RouterReport),
+    /// Controller to leading controller: an operator's change of the membership.
+    ChangeMembership {
+        /// Comes back in the reply.
+        call: CallId,
+        /// The group.
+        group: GroupId,
+        /// The change.
+        change: MembershipChange,
+    },
+    /// Answers [`Message::ChangeMembership`].
+    ChangeMembershipReply {
+        /// The call.
+        call: CallId,
+        /// Index of the committed change, or why there is none.
+        result: Result<LogIndex, String>,
+    },
 }
 
 /// A queued job as its executor needs it.
