Controller: a lagging list does not release a machine that is back

Ruled out: late orders, whose incarnation the runner checks.

Change: a machine is taken for gone only when its runner has not answered for five seconds; runners are visited whatever the list says, and one that answers counts as live. The simulator follows the same rule.

Test: no_fault_breaks_a_promise failed before and passes now.

--- a/crates/controller/src/scheduler/watch.rs
+++ b/crates/controller/src/scheduler/watch.rs
@@ -137,7 +137,7 @@
     /// Records what the platform says about a machine whose runner may be
     /// silent: a notice, or the end.
     async fn record_listed_state(&self, machine: &MachineItem) {
-        if machine.state == MachineState::Live {
+        if machine.state == MachineState::Live || self.lags(machine) {
             return;
         }
         let incarnation = {
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Whether the list calls a machine gone whose runner answers: the list lags
+    /// behind another machine of the same name.
+    fn lags(&self, machine: &MachineItem) -> bool {
+        let now = self.context.clock.now();
+        let seen = self.scheduler.book.get(&machine.runner);
+        machine.state == MachineState::Gone && seen.is_some_and(|seen| seen.is_fresh(now))
+    }
+
     async fn watch_runner(self, runner: RunnerId) {
         let mut answers = true;
         loop {
@@ -165,14 +173,9 @@
             let Some(machine) = machine else {
                 return;
             };
-            let pause = match machine.state {
-                MachineState::Gone => QUIET_PAUSE,
-                MachineState::Live | MachineState::Leaving => {
-                    let pause = self.visit_in_turn(&machine, answers).await;
-                    answers = pause.is_some();
-                    pause.unwrap_or(QUIET_PAUSE)
-                }
-            };
+            let pause = self.visit_in_turn(&machine, answers).await;
+            answers = pause.is_some();
+            let pause = pause.unwrap_or(QUIET_PAUSE);
             tokio::time::sleep(pause).await;
         }
     }
@@ -257,9 +260,11 @@
 }
 
 async fn record_runner(context: &ControllerContext, machine: &MachineItem, inventory: &Inventory) {
-    let state = match inventory.draining {
-        true => MachineState::Leaving,
-        false => machine.state,
+    let state = match (inventory.draining, machine.state) {
+        (true, _) => MachineState::Leaving,
+        // It answers, so the list lags.
+        (false, MachineState::Gone) => MachineState::Live,
+        (false, listed) => listed,
     };
     let state = {
         let replicated = context.replica.state();
--- a/crates/lab/src/simulate/control/watching.rs
+++ b/crates/lab/src/simulate/control/watching.rs
@@ -14,6 +14,8 @@
 /// Time between looks at all inventories; below the time after which a runner
 /// counts as unreachable.
 const SWEEP_INTERVAL: Millis = Millis::from_secs(4);
+/// Time between readings of the platform's list.
+const LIST_INTERVAL: Millis = Millis(500);
 /// An inventory is read this long after a change at the latest.
 const LARGEST_INVENTORY_LAG: u64 = 300;
 /// A load is read this long after a change.
@@ -47,9 +49,7 @@
 
     /// Whether the leader visits a runner and gets an answer.
     fn answers(&self, runner: RunnerNumber) -> bool {
-        let name = self.fleet.runners[runner].name();
-        let gone = self.control.listed.get(name) == Some(&MachineState::Gone);
-        self.control.leading && !gone && self.fleet.reaches(self.runner_process(runner))
+        self.control.leading && self.fleet.reaches(self.runner_process(runner))
     }
 
     pub(in crate::simulate) fn read_inventory(&mut self, runner: RunnerNumber) {
@@ -86,9 +86,11 @@
 
     fn record_runner(&mut self, inventory: &Inventory) {
         let listed = self.control.listed.get(&inventory.runner);
-        let state = match inventory.draining {
-            true => MachineState::Leaving,
-            false => listed.copied().unwrap_or(MachineState::Live),
+        let state = match (inventory.draining, listed) {
+            (true, _) => MachineState::Leaving,
+            // It answers, so the list lags.
+            (false, None | Some(MachineState::Gone)) => MachineState::Live,
+            (false, Some(listed)) => *listed,
         };
         let record = RunnerRecord {
             runner: inventory.runner.clone(),
@@ -229,11 +231,22 @@
             return;
         }
         let name = self.fleet.runners[runner].name().clone();
+        let current = self.fleet.runners[runner].listed;
+        let known = self.control.listed.get(&name);
+        if state != current && known == Some(&current) {
+            return;
+        }
         self.control.listed.insert(name.clone(), state);
         if state == MachineState::Live {
             self.inventory_changed(runner);
             return;
         }
+        let seen = self.control.scheduler.book.get(&name);
+        let answers = seen.is_some_and(|seen| seen.is_fresh(self.now));
+        if state == MachineState::Gone && answers {
+            self.push(LIST_INTERVAL, Event::Listed { runner, state });
+            return;
+        }
         let known = self.control.state.placement.runners.get(&name);
         let known = known.filter(|known| known.state != state && known.state != MachineState::Gone);
         if let Some(incarnation) = known.map(|known| known.incarnation) {
