Bench: each bench listens on a loopback address of its own

Cause: a reserved port was taken by an outgoing connection of another test before the controller listened (address already in use, once in two runs of the whole suite). Change: each bench uses a loopback address of its own. After: the four test files that use the bench pass.

--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -21,6 +21,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::runtime::Runtime;
 
@@ -81,11 +82,21 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_port()).unwrap();
+/// A port that a restarted process can take again: on a loopback address of the
+/// bench's own, where no outgoing connection of another test takes ports.
+fn free_port(bench: Ipv4Addr) -> SocketAddr {
+    let listener = std::net::TcpListener::bind((bench, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
+/// A loopback address for one bench of one test process.
+fn own_address() -> Ipv4Addr {
+    static BENCHES: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let bench = BENCHES.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 + (high & 63), low, bench)
+}
+
 /// Prints log lines when the variable BENCH_LOG is set, to look into a failure.
 struct PrintedLog;
 
@@ -124,6 +135,7 @@
         ] {
             std::fs::write(folder.path().join(name), content).unwrap();
         }
+        let address = own_address();
         let faults = FaultPlan::default();
         let (platform, store, runners) = runtime.block_on(machines(&faults, token_ms));
         let mut bench = Self {
@@ -132,8 +144,8 @@
             faults,
             controller: None,
             routers: Vec::new(),
-            controller_http: free_port(),
-            controller_wire: free_port(),
+            controller_http: free_port(address),
+            controller_wire: free_port(address),
             folder,
             client: HttpClient::default(),
             version: 0,
