--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -30,7 +30,6 @@
         id: ControllerId(id),
         http_address: any_port(),
         wire_address: any_port(),
-        source_address: None,
         voters: voters.to_vec(),
         data_folder: folder.join(format!("controller-{id}")),
         // Nothing listens there: no runners are known.
