--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -105,7 +105,8 @@
             addresses.set(voter.id, voter.address);
         }
         let peers = PeerNetwork::new(settings.id, cluster_key.clone(), addresses, stop.clone());
-        let replica = replica::start(&settings, clock, peers.clone()).await?;
+        let replica_settings = replica::ReplicaSettings::of_controller(&settings);
+        let replica = replica::start(&replica_settings, clock, peers.clone()).await?;
         let client = HttpClient::from_address(settings.source_address);
         let scheduler = scheduler::SchedulerState::new(&settings)?;
         let context = ControllerContext {
--- a/crates/controller/src/peers/inbound.rs
+++ b/crates/controller/src/peers/inbound.rs
@@ -2,7 +2,7 @@
 
 use super::link::ALIVE_INTERVAL;
 use crate::ControllerContext;
-use crate::replica::ProposeError;
+use crate::replica::{ProposeError, ReplicaHandle};
 use courseshunt_queue::DemandReport;
 use courseshunt_state::CommandEnvelope;
 use courseshunt_types::{ControllerId, RouterId};
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 /// Replies that wait to be sent.
-const REPLY_QUEUE: usize = 1024;
+pub const REPLY_QUEUE: usize = 1024;
 
 /// Serves the connection until it ends.
 ///
@@ -44,7 +44,11 @@
     ended
 }
 
-async fn send_replies(
+/// Sends queued replies, and a sign of life when there are none.
+///
+/// # Errors
+/// When the connection breaks.
+pub async fn send_replies(
     mut sender: Sender,
     mut replies: mpsc::Receiver<Message>,
 ) -> Result<(), WireError> {
@@ -78,25 +82,11 @@
     }
 
     fn take(&mut self, message: Message) {
+        let replica = &self.context.replica;
+        let Some(message) = serve_replica(self.peer, message, replica, &self.replies) else {
+            return;
+        };
         match message {
-            Message::Consensus { message, .. } => self.context.replica.receive(self.peer, message),
-            Message::Forward { call, envelope, .. } => {
-                let (context, replies) = (self.context.clone(), self.replies.clone());
-                tokio::spawn(async move { forward(call, &envelope, &context, &replies).await });
-            }
-            Message::ReadIndex { call, .. } => {
-                let (context, replies) = (self.context.clone(), self.replies.clone());
-                tokio::spawn(async move { read_index(call, &context, &replies).await });
-            }
-            Message::ChangeMembership { call, change, .. } => {
-                let (context, replies) = (self.context.clone(), self.replies.clone());
-                tokio::spawn(async move {
-                    let result = context.replica.change_membership_here(change).await;
-                    let result = result.map_err(|error| error.to_string());
-                    let reply = Message::ChangeMembershipReply { call, result };
-                    let _ = replies.send(reply).await;
-                });
-            }
             Message::RelayedDemand {
                 router,
                 reports,
@@ -124,14 +114,46 @@
     }
 }
 
+/// Handles what a member sends to another member's replica; gives any other
+/// message back.
+pub fn serve_replica(
+    peer: ControllerId,
+    message: Message,
+    replica: &ReplicaHandle,
+    replies: &mpsc::Sender<Message>,
+) -> Option<Message> {
+    match message {
+        Message::Consensus { message, .. } => replica.receive(peer, message),
+        Message::Forward { call, envelope, .. } => {
+            let (replica, replies) = (replica.clone(), replies.clone());
+            tokio::spawn(async move { forward(call, &envelope, &replica, &replies).await });
+        }
+        Message::ReadIndex { call, .. } => {
+            let (replica, replies) = (replica.clone(), replies.clone());
+            tokio::spawn(async move { read_index(call, &replica, &replies).await });
+        }
+        Message::ChangeMembership { call, change, .. } => {
+            let (replica, replies) = (replica.clone(), replies.clone());
+            tokio::spawn(async move {
+                let result = replica.change_membership_here(change).await;
+                let result = result.map_err(|error| error.to_string());
+                let reply = Message::ChangeMembershipReply { call, result };
+                let _ = replies.send(reply).await;
+            });
+        }
+        other => return Some(other),
+    }
+    None
+}
+
 async fn forward(
     call: CallId,
     envelope: &[u8],
-    context: &ControllerContext,
+    replica: &ReplicaHandle,
     replies: &mpsc::Sender<Message>,
 ) {
     let reply = match CommandEnvelope::from_payload(envelope) {
-        Ok(envelope) => context.replica.propose_here(envelope).await,
+        Ok(envelope) => replica.propose_here(envelope).await,
         Err(error) => {
             log::warn!("peers: a forwarded command can't be read: {error}");
             Err(ProposeError::Undecided)
@@ -141,7 +163,7 @@
     let _ = replies.send(Message::ForwardReply { call, reply }).await;
 }
 
-async fn read_index(call: CallId, context: &ControllerContext, replies: &mpsc::Sender<Message>) {
-    let index = context.replica.read_index_here().await.ok();
+async fn read_index(call: CallId, replica: &ReplicaHandle, replies: &mpsc::Sender<Message>) {
+    let index = replica.read_index_here().await.ok();
     let _ = replies.send(Message::ReadIndexReply { call, index }).await;
 }
--- a/crates/controller/src/peers/mod.rs
+++ b/crates/controller/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 pub use addresses::AddressBook;
 pub use demand::forget_when_deposed;
-pub use inbound::serve;
+pub use inbound::{REPLY_QUEUE, send_replies, serve, serve_replica};
 
 use courseshunt_consensus::MembershipChange;
 use courseshunt_queue::DemandReport;
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -26,6 +26,7 @@
 use session::ClientSession;
 use snafu::ResultExt;
 use snapshots::Snapshots;
+use std::path::PathBuf;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, RwLock};
 use tokio::sync::watch;
@@ -35,12 +36,42 @@
 /// Marks that no quorum has been seen yet.
 const NO_CONTACT: u64 = u64::MAX;
 
+/// What a replica needs to know.
+#[derive(Debug, Clone)]
+pub struct ReplicaSettings {
+    /// Identity of this member.
+    pub id: ControllerId,
+    /// Folder of its durable state.
+    pub data_folder: PathBuf,
+    /// Membership of a new group; empty for a member that joins one.
+    pub bootstrap: Membership,
+    /// Settings of the consensus core.
+    pub core: CoreSettings,
+    /// Applied entries, or their content in bytes, after which a snapshot is
+    /// taken.
+    pub snapshot_after: (usize, usize),
+}
+
+impl ReplicaSettings {
+    /// Settings of a member of a group whose voters are configured.
+    #[must_use]
+    pub fn of_controller(settings: &ControllerSettings) -> Self {
+        Self {
+            id: settings.id,
+            data_folder: settings.data_folder.clone(),
+            bootstrap: first_membership(settings),
+            core: CoreSettings::for_member(settings.id),
+            snapshot_after: (snapshots::SNAPSHOT_ENTRIES, snapshots::SNAPSHOT_BYTES),
+        }
+    }
+}
+
 /// Opens the store and starts the replica.
 ///
 /// # Errors
 /// When the store is damaged or can't be opened.
 pub async fn start(
-    settings: &ControllerSettings,
+    settings: &ReplicaSettings,
     clock: MonotonicClock,
     peers: PeerNetwork,
 ) -> Result<ReplicaHandle, ControllerError> {
@@ -52,7 +83,7 @@
 
 /// Restores the state and starts the actor.
 async fn spawn(
-    settings: &ControllerSettings,
+    settings: &ReplicaSettings,
     mut store: Box<dyn LogStore>,
     clock: MonotonicClock,
     peers: PeerNetwork,
@@ -61,11 +92,12 @@
     let state = restore(&recovered.snapshot)?;
     let (applied, revision) = (state.applied, state.configuration.revision);
     let state: SharedState = Arc::new(RwLock::new(state));
-    let snapshots = Snapshots::new(recovered.core.snapshot.clone(), recovered.snapshot);
-    let bootstrap = first_membership(settings);
+    let snapshot = recovered.core.snapshot.clone();
+    let snapshots = Snapshots::new(snapshot, recovered.snapshot, settings.snapshot_after);
+    let bootstrap = settings.bootstrap.clone();
     let core_settings = CoreSettings {
         seed: rand::random(),
-        ..CoreSettings::for_member(settings.id)
+        ..settings.core
     };
     let core = Core::new(core_settings, recovered.core, bootstrap, clock.now());
     let (status, status_changes) = watch::channel(ReplicaStatus {
--- a/crates/controller/src/replica/snapshots.rs
+++ b/crates/controller/src/replica/snapshots.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 
 /// Applied entries after which a snapshot is taken.
-const SNAPSHOT_ENTRIES: usize = 10_000;
+pub(super) const SNAPSHOT_ENTRIES: usize = 10_000;
 /// Content of applied entries, in bytes, after which a snapshot is taken.
-const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+pub(super) const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// Length of one chunk, in bytes.
 const CHUNK_BYTES: usize = 256 * 1024;
 /// Longest snapshot that is taken in from a leader, in bytes.
@@ -23,16 +23,22 @@
     incoming: Vec<u8>,
     /// Last index of a snapshot from the leader that is being written.
     awaited: Option<LogIndex>,
+    due_after: (usize, usize),
     entries_since: usize,
     bytes_since: usize,
 }
 
 impl Snapshots {
     /// Starts with the snapshot that storage held.
-    pub(super) fn new(metadata: SnapshotMetadata, bytes: Vec<u8>) -> Self {
+    pub(super) fn new(
+        metadata: SnapshotMetadata,
+        bytes: Vec<u8>,
+        due_after: (usize, usize),
+    ) -> Self {
         Self {
             metadata,
             bytes: Arc::new(bytes),
+            due_after,
             ..Self::default()
         }
     }
@@ -41,7 +47,7 @@
     pub(super) fn is_due(&mut self, entries: usize, bytes: usize) -> bool {
         self.entries_since += entries;
         self.bytes_since += bytes;
-        let due = self.entries_since >= SNAPSHOT_ENTRIES || self.bytes_since >= SNAPSHOT_BYTES;
+        let due = self.entries_since >= self.due_after.0 || self.bytes_since >= self.due_after.1;
         if due {
             self.entries_since = 0;
             self.bytes_since = 0;
--- /dev/null
+++ b/crates/coordinator/src/api.rs
@@ -0,0 +1,185 @@
+//! Answers operators and instances.
+
+use crate::Shared;
+use crate::interface::ControlCall;
+use bytes::Bytes;
+use courseshunt_controller::ProposeError;
+use courseshunt_http::{Body, full_body, read_limited, text_response};
+use courseshunt_services::{InstanceState, judge};
+use courseshunt_state::{Command, CommandReply};
+use courseshunt_types::RunnerId;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION};
+use hyper::{Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest document of an operator, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 32 * 1024 * 1024;
+/// Longest registration, in bytes.
+const MAX_REGISTRATION_BYTES: usize = 256 * 1024;
+/// Longest wait for a commit that an instance waits for.
+const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+/// Longest wait for a commit or read that an operator waits for.
+const OPERATOR_LIMIT: Duration = Duration::from_millis(2_500);
+
+type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
+/// The handler of the control address.
+pub(crate) fn handler(
+    shared: Arc<Shared>,
+) -> impl Fn(Request<Incoming>, SocketAddr) -> Answer + Clone + Send + Sync + 'static {
+    move |request, _peer| {
+        let shared = shared.clone();
+        Box::pin(async move { answer(request, &shared).await })
+    }
+}
+
+async fn answer(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match shared.interface.read_call(request.method(), &path) {
+        Some(ControlCall::PutConfiguration) => put(request, shared).await,
+        Some(ControlCall::GetConfiguration) => get(shared).await,
+        Some(ControlCall::Register(id)) => register(request, id, &path, shared).await,
+        Some(ControlCall::Deregister(id)) => {
+            let _ = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
+            record_leaving(&id, true, shared).await
+        }
+        None => text_response(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+fn unavailable(why: &str) -> Response<Body> {
+    text_response(StatusCode::SERVICE_UNAVAILABLE, why)
+}
+
+fn json(body: Bytes) -> Response<Body> {
+    let mut response = Response::new(full_body(body));
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+async fn put(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
+    let body = match read_limited(request.into_body(), MAX_DOCUMENT_BYTES, "operator").await {
+        Ok(body) => body,
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let configuration = shared.interface.read_configuration(&body);
+    let judged = configuration.and_then(|read| judge(&read).map(|()| read.number));
+    let number = match judged {
+        Ok(number) => number,
+        Err(error) => {
+            log::info!("operator: configuration refused: {error}");
+            return text_response(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+    };
+    let command = Command::PutServices {
+        number,
+        document: body.to_vec(),
+    };
+    let committed = commit(command, OPERATOR_LIMIT, shared).await;
+    log::info!("operator: configuration {number}: {committed:?}");
+    match committed {
+        Ok(_) => json(Bytes::from_static(b"{}")),
+        Err(error) => unavailable(&error.to_string()),
+    }
+}
+
+async fn commit(
+    command: Command,
+    limit: Duration,
+    shared: &Shared,
+) -> Result<CommandReply, ProposeError> {
+    let finished = tokio::time::timeout(limit, shared.replica.submit(command)).await;
+    finished.unwrap_or(Err(ProposeError::Undecided))
+}
+
+async fn get(shared: &Arc<Shared>) -> Response<Body> {
+    let barrier = tokio::time::timeout(OPERATOR_LIMIT, shared.replica.read_barrier()).await;
+    if !matches!(barrier, Ok(Ok(_))) {
+        return unavailable("the newest configuration is not known");
+    }
+    let state = shared.replica.state();
+    if state.services.number == 0 {
+        return unavailable("there is no configuration yet");
+    }
+    json(Bytes::from(state.services.document.clone()))
+}
+
+async fn register(
+    request: Request<Incoming>,
+    id: RunnerId,
+    path: &str,
+    shared: &Arc<Shared>,
+) -> Response<Body> {
+    let body = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
+    let Ok(body) = body else {
+        return text_response(StatusCode::BAD_REQUEST, "the registration can't be read");
+    };
+    let registration = match shared.interface.read_registration(id.clone(), &body) {
+        Ok(registration) => registration,
+        Err(problem) => return text_response(StatusCode::BAD_REQUEST, &problem),
+    };
+    let leads = shared.replica.leads();
+    let leaving = registration.state == InstanceState::Leaving;
+    if leads {
+        let now = shared.clock.now();
+        let mut engine = shared.engine();
+        if leaving {
+            engine.leave(&id);
+        }
+        let news = engine.register(registration, now);
+        drop(engine);
+        if news || leaving {
+            shared.wake.notify_one();
+        }
+    }
+    if leaving {
+        return record_leaving(&id, false, shared).await;
+    }
+    let leader = control_address_of_leader(shared);
+    match (leads, leader) {
+        (true, _) => {
+            let own = shared.settings.listen.control.map(|own| own.to_string());
+            json(shared.interface.registration_answer(own.as_deref()))
+        }
+        (false, Some(leader)) => redirect(leader, path),
+        (false, None) => unavailable("no leader is known"),
+    }
+}
+
+/// Commits that an instance takes no more work, so that no later leader lacks it.
+async fn record_leaving(id: &RunnerId, ended: bool, shared: &Arc<Shared>) -> Response<Body> {
+    let known = shared.replica.state().services.is_recorded(id, ended);
+    if !known {
+        let command = Command::RecordLeaving {
+            instance: id.clone(),
+            ended,
+        };
+        let committed = commit(command, COMMIT_LIMIT, shared).await;
+        log::info!("instance: {id} leaves (ends: {ended}): {committed:?}");
+        if let Err(error) = committed {
+            return unavailable(&error.to_string());
+        }
+    }
+    json(shared.interface.registration_answer(None))
+}
+
+/// Where operators and instances reach the leader: all controllers use the same
+/// port.
+fn control_address_of_leader(shared: &Shared) -> Option<SocketAddr> {
+    let port = shared.settings.listen.control?.port();
+    let leader = shared.leader_address()?;
+    Some(SocketAddr::new(leader.ip(), port))
+}
+
+fn redirect(to: SocketAddr, path: &str) -> Response<Body> {
+    let mut response = text_response(StatusCode::TEMPORARY_REDIRECT, "");
+    if let Ok(location) = HeaderValue::from_str(&format!("http://{to}{path}")) {
+        response.headers_mut().insert(LOCATION, location);
+    }
+    response
+}
--- /dev/null
+++ b/crates/coordinator/src/feed.rs
@@ -0,0 +1,275 @@
+//! Connections of routers and of other members.
+
+use crate::{Shared, join};
+use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
+use courseshunt_services::{FeedMessage, ReportMessage};
+use courseshunt_types::ControllerId;
+use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, accept};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// Messages that wait for one router; a router that falls behind is cut off and
+/// asks again.
+const SESSION_QUEUE: usize = 512;
+/// Pause after an accept error.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A router's session at the leader.
+#[derive(Debug)]
+struct Session {
+    number: u64,
+    queue: mpsc::Sender<FeedMessage>,
+    /// Configuration that the router has or is being sent.
+    configuration: u64,
+}
+
+/// All routers' sessions.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    sessions: Mutex<BTreeMap<String, Session>>,
+}
+
+impl Sessions {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Session>> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends to all routers.
+    pub(crate) fn broadcast(&self, message: &FeedMessage) {
+        self.lock()
+            .retain(|_, session| session.queue.try_send(message.clone()).is_ok());
+    }
+
+    /// Sends to each router what `message` makes for it.
+    pub(crate) fn send_each(&self, message: impl Fn(&str, usize) -> Option<FeedMessage>) {
+        let mut sessions = self.lock();
+        let count = sessions.len();
+        sessions.retain(|router, session| match message(router, count) {
+            Some(message) => session.queue.try_send(message).is_ok(),
+            None => true,
+        });
+    }
+
+    /// Sends a configuration to the routers that have an older one.
+    pub(crate) fn configure(&self, number: u64, document: &[u8]) {
+        self.lock().retain(|_, session| {
+            if session.configuration >= number {
+                return true;
+            }
+            session.configuration = number;
+            let document = document.to_vec();
+            let message = FeedMessage::Configuration { number, document };
+            session.queue.try_send(message).is_ok()
+        });
+    }
+
+    /// Ends all sessions.
+    pub(crate) fn clear(&self) {
+        self.lock().clear();
+    }
+}
+
+/// Accepts other processes until the stop.
+pub(crate) async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                tokio::spawn(serve_peer(stream, address, shared.clone()));
+            }
+            Err(error) => {
+                log::warn!("feed: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(stream: TcpStream, address: SocketAddr, shared: Arc<Shared>) {
+    let identity = PeerIdentity::Controller(shared.id);
+    let connection = accept(stream, address, &shared.key, &identity).await;
+    let ended = match connection {
+        Ok(connection) => match connection.peer.clone() {
+            PeerIdentity::Controller(peer) => {
+                // All members listen on the same port.
+                let wire_address = SocketAddr::new(address.ip(), shared.settings.wire_port);
+                shared.addresses.set(peer, wire_address);
+                serve_member(connection, peer, &shared).await
+            }
+            PeerIdentity::Router(router, incarnation) => {
+                serve_router(connection, router.0, incarnation.0, &shared).await
+            }
+        },
+        Err(error) => Err(error),
+    };
+    if let Err(error) = ended {
+        log::debug!("feed: connection ended: {error}");
+    }
+}
+
+async fn serve_member(
+    connection: Connection,
+    peer: ControllerId,
+    shared: &Arc<Shared>,
+) -> Result<(), WireError> {
+    let Connection {
+        sender, receiver, ..
+    } = connection;
+    let (replies, reply_queue) = mpsc::channel(REPLY_QUEUE);
+    tokio::select! {
+        () = shared.stop.cancelled() => Ok(()),
+        ended = send_replies(sender, reply_queue) => ended,
+        ended = receive_member(receiver, peer, replies, shared) => ended,
+    }
+}
+
+async fn receive_member(
+    mut receiver: Receiver,
+    peer: ControllerId,
+    replies: mpsc::Sender<Message>,
+    shared: &Arc<Shared>,
+) -> Result<(), WireError> {
+    while let Some(message) = receiver.receive().await? {
+        match serve_replica(peer, message, &shared.replica, &replies) {
+            Some(Message::Join {
+                member,
+                wire_address,
+            }) => {
+                let answer = take_in(member, &wire_address, shared).await;
+                let _ = replies.send(answer).await;
+            }
+            Some(other) => log::warn!("peers: controller {peer} sent {other:?}"),
+            None => {}
+        }
+    }
+    Ok(())
+}
+
+/// Notes that a process wants to join.
+async fn take_in(member: ControllerId, wire_address: &str, shared: &Shared) -> Message {
+    let leads = shared.replica.leads();
+    if leads && let Ok(address) = wire_address.parse() {
+        shared.addresses.set(member, address);
+        let joining = shared.joining.lock();
+        let mut joining = joining.unwrap_or_else(PoisonError::into_inner);
+        if !joining.iter().any(|(id, _)| *id == member) {
+            joining.push((member, address));
+        }
+        drop(joining);
+        shared.wake.notify_one();
+    }
+    let members = join::members(shared).await.into_iter();
+    let members = members.map(|(id, address)| (id, address.to_string()));
+    Message::Joined {
+        leads,
+        members: members.collect(),
+    }
+}
+
+async fn serve_router(
+    connection: Connection,
+    router: String,
+    incarnation: u64,
+    shared: &Arc<Shared>,
+) -> Result<(), WireError> {
+    let Connection {
+        mut sender,
+        mut receiver,
+        ..
+    } = connection;
+    let Some(Message::ServiceReport(ReportMessage::Subscribe { number })) =
+        receiver.receive().await?
+    else {
+        return Ok(());
+    };
+    let members = join::members(shared).await.into_iter();
+    let members = members.map(|(_, address)| address.to_string()).collect();
+    send(&mut sender, FeedMessage::Members(members)).await?;
+    if !shared.replica.leads() {
+        let leader = shared.leader_address().map(|address| address.to_string());
+        return send(&mut sender, FeedMessage::NotLeader { leader }).await;
+    }
+    let (queue, messages) = mpsc::channel(SESSION_QUEUE);
+    open_session(&router, incarnation, number, queue, shared);
+    let ended = tokio::select! {
+        () = shared.stop.cancelled() => Ok(()),
+        ended = send_all(sender, messages) => ended,
+        ended = receive_reports(receiver, &router, shared) => ended,
+    };
+    let mut sessions = shared.sessions.lock();
+    if sessions
+        .get(&router)
+        .is_some_and(|session| session.number == incarnation)
+    {
+        sessions.remove(&router);
+        shared.engine().forget_router(&router);
+    }
+    ended
+}
+
+fn open_session(
+    router: &str,
+    incarnation: u64,
+    number: u64,
+    queue: mpsc::Sender<FeedMessage>,
+    shared: &Shared,
+) {
+    let now = shared.clock.now();
+    let changed = shared.engine().views(now);
+    let _ = queue.try_send(FeedMessage::Instances {
+        whole: false,
+        changed,
+        gone: Vec::new(),
+    });
+    let session = Session {
+        number: incarnation,
+        queue,
+        configuration: number,
+    };
+    shared.sessions.lock().insert(router.to_owned(), session);
+    let state = shared.replica.state();
+    let services = &state.services;
+    shared
+        .sessions
+        .configure(services.number, &services.document);
+    drop(state);
+    log::info!("feed: router {router} has configuration {number}");
+}
+
+async fn send(sender: &mut Sender, message: FeedMessage) -> Result<(), WireError> {
+    sender.send(&Message::ServiceFeed(message)).await
+}
+
+async fn send_all(
+    mut sender: Sender,
+    mut messages: mpsc::Receiver<FeedMessage>,
+) -> Result<(), WireError> {
+    while let Some(message) = messages.recv().await {
+        send(&mut sender, message).await?;
+    }
+    Ok(())
+}
+
+async fn receive_reports(
+    mut receiver: Receiver,
+    router: &str,
+    shared: &Shared,
+) -> Result<(), WireError> {
+    while let Some(message) = receiver.receive().await? {
+        let Message::ServiceReport(ReportMessage::Usage { instances, demand }) = message else {
+            continue;
+        };
+        let waits = demand.iter().any(|one| one.waiting > 0);
+        let now = shared.clock.now();
+        shared
+            .engine()
+            .report_usage(router, instances, &demand, now);
+        if waits {
+            shared.wake.notify_one();
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/coordinator/src/lead.rs
@@ -0,0 +1,251 @@
+//! The leader's loop: configuration, placement, feeds and membership.
+
+use crate::steward::{GroupView, decide};
+use crate::{Shared, join, orders, placement_settings};
+use courseshunt_consensus::MembershipChange;
+use courseshunt_services::{FeedMessage, PlacementEngine};
+use courseshunt_state::Command;
+use courseshunt_types::{Millis, Timestamp};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+/// Longest pause of the loop.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between messages about the use of instances.
+const USAGE_INTERVAL: Millis = Millis(250);
+/// Time between looks at the membership.
+const MEMBERSHIP_INTERVAL: Millis = Millis(200);
+/// A leader that was not in contact with a quorum for so long ends its feeds.
+const CONTACT_LIMIT: Millis = Millis(450);
+/// After its election a leader waits so long for registrations before it says
+/// that other instances are gone.
+const SETTLE: Millis = Millis(4_000);
+/// Added to the lease between the orders of two leaders.
+const LEASE_MARGIN: Millis = Millis(250);
+
+/// State of one leadership.
+struct Leadership {
+    since: Timestamp,
+    configuration: u64,
+    leaving_version: u64,
+    settled: bool,
+    usage_at: Timestamp,
+    membership_at: Timestamp,
+    looked_at: Timestamp,
+    changing: Arc<AtomicBool>,
+}
+
+/// Runs until the process stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut status = shared.replica.status();
+    let mut leadership = None;
+    loop {
+        let leads = status.borrow_and_update().leads();
+        match (leads, &mut leadership) {
+            (false, None) => {
+                let _ = status.changed().await;
+                continue;
+            }
+            (false, Some(_)) => {
+                leadership = None;
+                end(&shared);
+                continue;
+            }
+            (true, None) => leadership = Some(begin(&shared)),
+            (true, Some(_)) => {}
+        }
+        if let Some(leadership) = &mut leadership {
+            act(&shared, leadership).await;
+        }
+        let pause = pause(&shared);
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = shared.wake.notified() => {}
+            _ = status.changed() => {}
+        }
+    }
+}
+
+/// Until the next tick, or until an adapter becomes ready.
+fn pause(shared: &Shared) -> Duration {
+    let now = shared.clock.now();
+    let next = shared.engine().next_ready(now);
+    let until = next.map(|at| Duration::from(at.since(now)) + Duration::from_millis(1));
+    until.map_or(TICK, |until| until.min(TICK))
+}
+
+fn begin(shared: &Shared) -> Leadership {
+    let now = shared.clock.now();
+    *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
+    let term = shared.replica.status().borrow().term;
+    log::info!("coordinator: leads in term {term}");
+    Leadership {
+        since: now,
+        configuration: 0,
+        leaving_version: 0,
+        settled: false,
+        usage_at: now,
+        membership_at: now,
+        looked_at: now,
+        changing: Arc::default(),
+    }
+}
+
+fn end(shared: &Shared) {
+    let leader = shared.leader_address().map(|address| address.to_string());
+    shared
+        .sessions
+        .broadcast(&FeedMessage::NotLeader { leader });
+    shared.sessions.clear();
+    let joining = shared.joining.lock();
+    joining.unwrap_or_else(PoisonError::into_inner).clear();
+    log::info!("coordinator: leads no more");
+}
+
+async fn act(shared: &Arc<Shared>, leadership: &mut Leadership) {
+    let now = shared.clock.now();
+    follow_state(shared, leadership, now);
+    let in_contact = shared
+        .replica
+        .confirmation_age()
+        .is_some_and(|age| age < CONTACT_LIMIT);
+    if !in_contact {
+        return;
+    }
+    place(shared, leadership, now);
+    feed(shared, leadership, now);
+    if now.since(leadership.membership_at) >= MEMBERSHIP_INTERVAL {
+        leadership.membership_at = now;
+        keep_membership(shared, leadership, now).await;
+    }
+}
+
+/// Takes over what was committed.
+fn follow_state(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
+    let state = shared.replica.state();
+    let services = &state.services;
+    if services.number > leadership.configuration {
+        leadership.configuration = services.number;
+        match shared.interface.read_configuration(&services.document) {
+            Ok(configuration) => shared.engine().configure(Arc::new(configuration), now),
+            Err(error) => log::error!("coordinator: committed configuration: {error}"),
+        }
+        shared
+            .sessions
+            .configure(services.number, &services.document);
+    }
+    if services.leaving_version > leadership.leaving_version {
+        leadership.leaving_version = services.leaving_version;
+        let mut engine = shared.engine();
+        for one in &services.leaving {
+            match one.ended {
+                true => engine.depart(&one.instance, now),
+                false => engine.leave(&one.instance),
+            }
+        }
+    }
+}
+
+fn place(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
+    let lease = Millis(shared.settings.limits.order_lease_ms + LEASE_MARGIN.0);
+    let mut engine = shared.engine();
+    engine.mark_ready(leadership.looked_at, now);
+    leadership.looked_at = now;
+    engine.expire(now);
+    if now.since(leadership.since) < lease {
+        return;
+    }
+    let steps = engine.plan(now);
+    drop(engine);
+    for step in steps {
+        tokio::spawn(orders::carry_out(step, shared.clone()));
+    }
+}
+
+fn feed(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
+    let settles = !leadership.settled && now.since(leadership.since) >= SETTLE;
+    let mut engine = shared.engine();
+    let (mut changed, gone) = engine.take_changes(now);
+    if settles {
+        changed = engine.views(now);
+    }
+    drop(engine);
+    if settles || !changed.is_empty() || !gone.is_empty() {
+        leadership.settled |= settles;
+        shared.sessions.broadcast(&FeedMessage::Instances {
+            whole: settles,
+            changed,
+            gone,
+        });
+    }
+    if now.since(leadership.usage_at) >= USAGE_INTERVAL {
+        leadership.usage_at = now;
+        let engine = shared.engine();
+        shared.sessions.send_each(|router, routers| {
+            Some(FeedMessage::Usage {
+                routers: u32::try_from(routers).unwrap_or(u32::MAX),
+                others: engine.usage_of_others(router),
+            })
+        });
+    }
+}
+
+/// Makes the next change of the membership, if one is due.
+async fn keep_membership(shared: &Arc<Shared>, leadership: &Leadership, now: Timestamp) {
+    if leadership.changing.load(Ordering::Relaxed) {
+        return;
+    }
+    let members = shared.replica.members().await;
+    let all = members.membership.all().into_iter();
+    let known = all.filter_map(|id| shared.addresses.get(id).map(|address| (id, address)));
+    let addresses = known.collect();
+    let joining = {
+        let mut joining = shared
+            .joining
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let all = members.membership.all();
+        joining.retain(|(id, _)| !all.contains(id));
+        joining.clone()
+    };
+    let view = GroupView {
+        own: shared.id,
+        members: &members,
+        addresses: &addresses,
+        joining: &joining,
+        led_for: now.since(leadership.since),
+    };
+    let Some(change) = decide(&view) else {
+        return;
+    };
+    leadership.changing.store(true, Ordering::Relaxed);
+    let shared = shared.clone();
+    let changing = leadership.changing.clone();
+    tokio::spawn(async move {
+        make_change(&shared, change).await;
+        changing.store(false, Ordering::Relaxed);
+    });
+}
+
+async fn make_change(shared: &Arc<Shared>, change: MembershipChange) {
+    if let MembershipChange::AddLearner(member) = change
+        && let Some(address) = shared.addresses.get(member)
+    {
+        let wire_address = address.to_string();
+        let record = Command::RecordMember {
+            member,
+            wire_address,
+        };
+        let _ = shared.replica.submit_as_leader(record).await;
+    }
+    match shared.replica.change_membership_here(change).await {
+        Ok(index) => log::info!("coordinator: membership changed at {index}: {change:?}"),
+        Err(error) => log::warn!("coordinator: {change:?}: {error}"),
+    }
+    let members = join::members(shared).await.into_iter();
+    let members = members.map(|(_, address)| address.to_string());
+    shared
+        .sessions
+        .broadcast(&FeedMessage::Members(members.collect()));
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,180 @@
+//! The controller of declared services. It forms its group from a few seeds,
+//! heals it after lost disks, keeps the configuration, takes the instances'
+//! registrations, places models and feeds the routers.
+//!
+//! Invariants: only the leader gives orders, and only a lease after its
+//! election; a change is acknowledged only once it is committed; a process
+//! whose disk is empty joins under a new identity and never votes under an old
+//! one.
+
+mod api;
+mod error;
+mod feed;
+mod identity;
+mod interface;
+mod join;
+mod lead;
+mod orders;
+pub mod steward;
+
+pub use error::CoordinatorError;
+pub use interface::{ControlCall, ControlInterface, InstanceCall};
+
+use courseshunt_consensus::{CoreSettings, Membership};
+use courseshunt_controller::peers::{AddressBook, PeerNetwork};
+use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
+use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_services::{PlacementEngine, PlacementSettings};
+use courseshunt_settings::service::ServiceSettings;
+use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::{ControllerId, Millis};
+use courseshunt_wire::ClusterKey;
+use error::{BindSnafu, ReplicaSnafu};
+use feed::Sessions;
+use snafu::{OptionExt, ResultExt};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// Time between the leader's heartbeats to the other members.
+const HEARTBEAT_INTERVAL: Millis = Millis(100);
+/// Shortest election timeout; the longest is twice as long.
+const ELECTION_TIMEOUT: Millis = Millis(500);
+/// Entries and bytes after which a snapshot is taken: documents are large.
+const SNAPSHOT_AFTER: (usize, usize) = (256, 2 * 1024 * 1024);
+/// Entries before a snapshot that stay in memory.
+const ENTRIES_KEPT: u64 = 8;
+
+/// What the parts of a coordinator share.
+pub(crate) struct Shared {
+    pub(crate) settings: ServiceSettings,
+    pub(crate) id: ControllerId,
+    pub(crate) interface: Arc<dyn ControlInterface>,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) peers: PeerNetwork,
+    pub(crate) addresses: AddressBook,
+    pub(crate) key: ClusterKey,
+    pub(crate) client: HttpClient,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) sessions: Sessions,
+    /// Wakes the leader's loop.
+    pub(crate) wake: Notify,
+    pub(crate) joining: Mutex<Vec<(ControllerId, SocketAddr)>>,
+    pub(crate) stop: CancellationToken,
+    engine: Mutex<PlacementEngine>,
+}
+
+impl Shared {
+    pub(crate) fn engine(&self) -> MutexGuard<'_, PlacementEngine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The leader's wire address, if known.
+    pub(crate) fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.replica.status().borrow().leader?;
+        self.addresses.get(leader)
+    }
+}
+
+/// Settings of a new placement engine.
+pub(crate) fn placement_settings(settings: &ServiceSettings) -> PlacementSettings {
+    let interval = settings.limits.registration_interval_ms;
+    PlacementSettings {
+        silence_limit: Millis(interval * 4),
+        ceiling_window: Millis((settings.limits.load_window_s * 1000.0) as u64),
+        ..PlacementSettings::default()
+    }
+}
+
+/// A running coordinator.
+pub struct Coordinator {
+    shared: Arc<Shared>,
+}
+
+impl Coordinator {
+    /// Starts a coordinator.
+    ///
+    /// # Errors
+    /// When the store is damaged, or an address is taken.
+    pub async fn start(
+        settings: ServiceSettings,
+        interface: Arc<dyn ControlInterface>,
+    ) -> Result<Self, CoordinatorError> {
+        let key = ClusterKey::new(settings.cluster_key.as_bytes());
+        let key = key.context(error::ShortKeySnafu)?;
+        let control = settings.listen.control.context(error::NoAddressSnafu)?;
+        let http = bind(control)?;
+        let wire = bind(settings.wire_address())?;
+        let identity = identity::load_or_draw(&settings)?;
+        let clock = MonotonicClock::start();
+        let stop = CancellationToken::new();
+        let addresses = AddressBook::dialling_from(Some(settings.address));
+        for (member, address) in &identity.known {
+            addresses.set(*member, *address);
+        }
+        let peers = PeerNetwork::new(identity.id, key.clone(), addresses.clone(), stop.clone());
+        let replica_settings = replica_settings(&settings, &identity);
+        let replica = replica::start(&replica_settings, clock, peers.clone());
+        let replica = replica.await.context(ReplicaSnafu)?;
+        let engine = PlacementEngine::new(placement_settings(&settings));
+        let shared = Arc::new(Shared {
+            id: identity.id,
+            client: HttpClient::from_address(Some(settings.address)),
+            interface,
+            replica,
+            peers,
+            addresses,
+            key,
+            clock,
+            sessions: Sessions::default(),
+            wake: Notify::new(),
+            joining: Mutex::default(),
+            stop: stop.clone(),
+            engine: Mutex::new(engine),
+            settings,
+        });
+        log::info!(
+            "coordinator: {} starts as member {}",
+            shared.settings.name,
+            shared.id
+        );
+        let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()> + Send>>| {
+            tokio::spawn(stop.clone().run_until_cancelled_owned(work));
+        };
+        spawn(Box::pin(feed::accept_all(wire, shared.clone())));
+        spawn(Box::pin(join::keep_joined(shared.clone())));
+        spawn(Box::pin(lead::run(shared.clone())));
+        let handler = api::handler(shared.clone());
+        let limits = ServerLimits::default();
+        tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
+        Ok(Self { shared })
+    }
+
+    /// Stops as planned: hands the leadership over first.
+    pub async fn stop(self) {
+        self.shared.replica.stop().await;
+        self.shared.stop.cancel();
+        log::info!("coordinator: stopped");
+    }
+}
+
+fn replica_settings(settings: &ServiceSettings, identity: &identity::Identity) -> ReplicaSettings {
+    ReplicaSettings {
+        id: identity.id,
+        data_folder: settings.data_folder.clone(),
+        bootstrap: Membership::of_voters(identity.founders.iter().copied()),
+        core: CoreSettings {
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            election_timeout: ELECTION_TIMEOUT,
+            entries_kept_after_snapshot: ENTRIES_KEPT,
+            catch_up_timeout: Millis::from_secs(5),
+            ..CoreSettings::for_member(identity.id)
+        },
+        snapshot_after: SNAPSHOT_AFTER,
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener, CoordinatorError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
+}
--- /dev/null
+++ b/crates/coordinator/src/orders.rs
@@ -0,0 +1,107 @@
+//! Carries out the placement engine's steps: orders and questions to instances.
+
+use crate::Shared;
+use crate::interface::InstanceCall;
+use bytes::Bytes;
+use courseshunt_http::{Body, HttpError, empty_body, full_body, read_limited};
+use courseshunt_services::{InstanceReport, Order, OrderOutcome, PlacementStep};
+use courseshunt_types::{Millis, RunnerId};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Request, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for an instance's answer.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Longest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+/// Orders are given only by a leader that was in contact with a quorum so
+/// recently that no other can have been elected.
+const CONTACT_LIMIT: Millis = Millis(400);
+
+/// Carries out one step and tells the engine what became of it.
+pub(crate) async fn carry_out(step: PlacementStep, shared: Arc<Shared>) {
+    match step {
+        PlacementStep::Ask { instance, address } => {
+            let report = ask(&instance, &address, &shared).await;
+            let now = shared.clock.now();
+            shared.engine().on_report(&instance, report, now);
+        }
+        PlacementStep::Give(order) => {
+            let outcome = give(&order, &shared).await;
+            log::info!(
+                "order: {:?} at {} expecting {}: {outcome:?}",
+                order.action,
+                order.instance,
+                order.expected
+            );
+            let now = shared.clock.now();
+            shared.engine().on_outcome(&order, outcome, now);
+        }
+    }
+    shared.wake.notify_one();
+}
+
+async fn ask(instance: &RunnerId, address: &str, shared: &Shared) -> Option<InstanceReport> {
+    let call = shared.interface.report_call(instance);
+    let (status, body) = exchange(call, address, shared).await.ok()?;
+    if status != StatusCode::OK {
+        return None;
+    }
+    shared.interface.read_report(&body)
+}
+
+async fn give(order: &Order, shared: &Shared) -> OrderOutcome {
+    let fence = shared.replica.status().borrow().term.0;
+    let leads = shared.replica.leads();
+    let contact = shared.replica.confirmation_age();
+    if !leads || contact.is_none_or(|age| age >= CONTACT_LIMIT) {
+        return OrderOutcome::NotSent;
+    }
+    let call = shared
+        .interface
+        .order_call(order, &shared.settings.name, fence);
+    match exchange(call, &order.address, shared).await {
+        Ok((status, _)) => shared.interface.order_outcome(status),
+        Err(HttpError::Connect { .. }) => OrderOutcome::NotSent,
+        Err(_) => OrderOutcome::Unknown,
+    }
+}
+
+async fn exchange(
+    call: InstanceCall,
+    address: &str,
+    shared: &Shared,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let request = build(call, address).map_err(|error| HttpError::Connect {
+        peer: address.to_owned(),
+        problem: error.to_string(),
+    })?;
+    let work = async {
+        let response = shared.client.send(request).await?;
+        let status = response.status();
+        let body = read_limited(response.into_body(), MAX_ANSWER_BYTES, address).await?;
+        Ok((status, body))
+    };
+    let finished = tokio::time::timeout(CALL_LIMIT, work).await;
+    finished.unwrap_or(Err(HttpError::TimedOut {
+        step: "call",
+        peer: address.to_owned(),
+    }))
+}
+
+fn build(call: InstanceCall, address: &str) -> Result<Request<Body>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(format!("http://{address}{}", call.path))
+        .header(HOST, address);
+    if let Some(headers) = request.headers_mut() {
+        headers.extend(call.headers);
+    }
+    if call.body.is_empty() {
+        return request.body(empty_body());
+    }
+    request
+        .header(CONTENT_TYPE, "application/json")
+        .body(full_body(call.body))
+}
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,186 @@
+//! Follows the leader's feed and reports to it.
+
+use crate::Shared;
+use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
+use courseshunt_types::{Incarnation, RouterId};
+use courseshunt_wire::{
+    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A feed on which nothing came for so long is given up; the leader sends at
+/// least four times a second.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Longest time for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+/// Time between reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between reports when requests wait.
+const URGENT_PAUSE: Duration = Duration::from_millis(3);
+/// Pause after all known controllers were tried.
+const ROUND_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the feed knows of the controllers.
+struct Directory {
+    seeds: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
+    /// Told to lead; tried first.
+    leader: Option<SocketAddr>,
+}
+
+impl Directory {
+    fn candidates(&self) -> VecDeque<SocketAddr> {
+        let mut candidates: VecDeque<SocketAddr> = self.leader.into_iter().collect();
+        for address in self.members.iter().chain(&self.seeds) {
+            if !candidates.contains(address) {
+                candidates.push_back(*address);
+            }
+        }
+        candidates
+    }
+}
+
+/// Runs until the process ends.
+pub(crate) async fn follow(shared: Arc<Shared>, key: ClusterKey) {
+    let mut directory = Directory {
+        seeds: shared.settings.seed_wire_addresses(),
+        members: Vec::new(),
+        leader: None,
+    };
+    loop {
+        let mut candidates = directory.candidates();
+        while let Some(address) = candidates.pop_front() {
+            directory.leader = None;
+            let ended = follow_one(address, &shared, &key, &mut directory).await;
+            if let Err(error) = ended {
+                log::debug!("feed: {error}");
+            }
+            if let Some(leader) = directory.leader {
+                candidates.retain(|one| *one != leader);
+                if leader != address {
+                    candidates.push_front(leader);
+                }
+            }
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+async fn follow_one(
+    address: SocketAddr,
+    shared: &Arc<Shared>,
+    key: &ClusterKey,
+    directory: &mut Directory,
+) -> Result<(), WireError> {
+    let name = RouterId::from(shared.settings.name.as_str());
+    let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+    let source = Some(shared.settings.address);
+    let connecting = connect_from(source, address, key, &identity);
+    let connected = tokio::time::timeout(CONNECT_LIMIT, connecting).await;
+    let connected = connected.unwrap_or(Err(timed_out("connect", address)));
+    let Connection {
+        mut sender,
+        receiver,
+        ..
+    } = connected?;
+    let number = shared.view.number();
+    let subscribe = ReportMessage::Subscribe { number };
+    sender.send(&Message::ServiceReport(subscribe)).await?;
+    tokio::select! {
+        ended = receive_all(receiver, address, shared, directory) => ended,
+        ended = report_all(sender, shared) => ended,
+    }
+}
+
+fn timed_out(step: &'static str, address: SocketAddr) -> WireError {
+    WireError::TimedOut {
+        step,
+        peer: address.to_string(),
+    }
+}
+
+async fn receive_all(
+    mut receiver: Receiver,
+    address: SocketAddr,
+    shared: &Shared,
+    directory: &mut Directory,
+) -> Result<(), WireError> {
+    let mut connected = false;
+    loop {
+        let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
+        let received = received.unwrap_or(Err(timed_out("receive", address)));
+        let message = match received {
+            Ok(Some(Message::ServiceFeed(message))) => message,
+            Ok(_) => return Ok(()),
+            Err(error) => {
+                if connected {
+                    log::info!("feed: lost {address}: {error}");
+                }
+                return Err(error);
+            }
+        };
+        match message {
+            FeedMessage::NotLeader { leader } => {
+                directory.leader = leader.and_then(|leader| leader.parse().ok());
+                return Ok(());
+            }
+            FeedMessage::Members(members) => {
+                let members = members.iter().filter_map(|one| one.parse().ok());
+                directory.members = members.collect();
+            }
+            other => {
+                if !connected {
+                    connected = true;
+                    log::info!("feed: follows {address}");
+                }
+                take(other, shared);
+            }
+        }
+    }
+}
+
+fn take(message: FeedMessage, shared: &Shared) {
+    match message {
+        FeedMessage::Configuration { number, document } => configure(number, &document, shared),
+        FeedMessage::Instances {
+            whole,
+            changed,
+            gone,
+        } => {
+            let lost = shared.view.set_instances(whole, changed, &gone);
+            shared.pool.forget(&lost);
+        }
+        FeedMessage::Usage { routers, others } => {
+            shared.view.set_usage(routers, &others);
+            shared.pool.tidy();
+        }
+        FeedMessage::Alive | FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => {}
+    }
+}
+
+fn configure(number: u64, document: &[u8], shared: &Shared) {
+    let read = shared.interface.read_configuration(document);
+    let judged = read.and_then(|read| judge(&read).map(|()| read));
+    match judged {
+        Ok(configuration) => {
+            let taken = shared.view.configure(RouteTable::new(configuration));
+            log::info!("configuration: {number} in force: {taken}");
+        }
+        Err(error) => log::error!("configuration: {number} can't be used: {error}"),
+    }
+}
+
+async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(REPORT_INTERVAL) => {}
+            () = shared.view.missing.notified() => tokio::time::sleep(URGENT_PAUSE).await,
+        }
+        let (instances, demand) = shared.view.take_report();
+        let report = ReportMessage::Usage { instances, demand };
+        sender.send(&Message::ServiceReport(report)).await?;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,254 @@
+//! The way of one request: admission, waiting, attempts, answer.
+
+use crate::Shared;
+use crate::attempt::{AttemptOutcome, attempt, is_failure};
+use crate::interface::RequestFacts;
+use crate::refusal::Refusal;
+use bytes::Bytes;
+use courseshunt_http::Body;
+use courseshunt_services::routes::pick_target;
+use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, RouteTable, Service};
+use courseshunt_types::{Millis, RunnerId};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, Uri};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before an instance that turned a request away is asked again.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Instances that one client attempt is sent to at the most, those included
+/// that turned it away.
+const MAX_SENDS: u32 = 6;
+/// Clients are told to come back after this part of the objective.
+const RETRY_AFTER_PART: u64 = 10;
+/// A request waits for its model until this part of its time is over.
+const WAIT_PART: f64 = 0.8;
+/// Without any instance that could be told to serve it, a request waits for
+/// this part of its objective.
+const NO_INSTANCE_PART: u32 = 4;
+
+/// A request whose route, facts and whole body are known.
+pub(crate) struct Admitted {
+    pub(crate) head: Parts,
+    pub(crate) target: Uri,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) facts: RequestFacts,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+}
+
+/// Answers one request.
+pub(crate) async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+    let arrived = Instant::now();
+    let mut response = match admit(request, &shared, arrived).await {
+        Ok(admitted) => run(&admitted, &shared).await,
+        Err(refusal) => {
+            let wait = Millis(300);
+            refusal.response(Some(wait))
+        }
+    };
+    if shared.stopping.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn admit(
+    request: Request<Incoming>,
+    shared: &Arc<Shared>,
+    arrived: Instant,
+) -> Result<Admitted, Refusal> {
+    let (head, body) = request.into_parts();
+    let table = shared.view.table().ok_or(Refusal::NoConfiguration)?;
+    let route = find(&table, &head).ok_or(Refusal::NoRoute)?;
+    let facts = shared.interface.read_request(&head.headers);
+    let timeout = facts
+        .deadline
+        .map_or(route.timeout, |asked| asked.min(route.timeout));
+    let deadline = arrived + Duration::from(timeout);
+    let target = pick_target(&route.targets, rand::random()).ok_or(Refusal::NoRoute)?;
+    let service = table.service(&target.service).ok_or(Refusal::NoRoute)?;
+    let service = service.clone();
+    let limits = &table.configuration().limits;
+    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let now = shared.clock.now();
+    shared.view.arrived(&service.name, &facts.shape, now);
+    Ok(Admitted {
+        target: origin_form(&head.uri),
+        head,
+        body,
+        route,
+        service,
+        facts,
+        arrived,
+        deadline,
+    })
+}
+
+fn find(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
+    let authority = head.uri.authority().map(|authority| authority.as_str());
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = authority.or(host)?;
+    table.find(host, head.uri.path()).cloned()
+}
+
+/// Path and query, as they came.
+fn origin_form(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(target) => Uri::from(target.clone()),
+        None => Uri::from_static("/"),
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(deadline, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) | Err(_) => Err(Refusal::BrokenBody),
+    }
+}
+
+/// What is known so far about a request that was sent.
+#[derive(Default)]
+struct Sends {
+    count: u32,
+    ran: u32,
+    avoid: Vec<RunnerId>,
+}
+
+async fn run(admitted: &Admitted, shared: &Arc<Shared>) -> Response<Body> {
+    let mut sends = Sends::default();
+    loop {
+        let chosen = select(admitted, shared, &sends).await;
+        let (candidate, view) = match chosen {
+            Ok(chosen) => chosen,
+            Err(refusal) => return refuse(admitted, refusal),
+        };
+        sends.count += 1;
+        let instance = view.id.clone();
+        let outcome = attempt(shared, admitted, candidate, &view).await;
+        match next(admitted, shared, &mut sends, instance, outcome) {
+            Next::Answer(response) => return response,
+            Next::Refuse(refusal) => return refuse(admitted, refusal),
+            Next::Again => {}
+        }
+        if sends.avoid.len() > 1 {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+enum Next {
+    Answer(Response<Body>),
+    Refuse(Refusal),
+    Again,
+}
+
+fn next(
+    admitted: &Admitted,
+    shared: &Shared,
+    sends: &mut Sends,
+    instance: RunnerId,
+    outcome: AttemptOutcome,
+) -> Next {
+    let repeatable = admitted.route.kind == RequestKind::Safe;
+    let now = shared.clock.now();
+    let may_retry = |sends: &Sends| {
+        sends.count < MAX_SENDS && shared.view.may_retry(&admitted.service.name, now)
+    };
+    match outcome {
+        AttemptOutcome::Answered(response) => {
+            sends.ran += 1;
+            let again = repeatable && is_failure(&response);
+            if again && sends.ran < admitted.route.max_attempts && may_retry(sends) {
+                sends.avoid.push(instance);
+                return Next::Again;
+            }
+            Next::Answer(response)
+        }
+        AttemptOutcome::NotRun => {
+            sends.avoid.push(instance);
+            match may_retry(sends) {
+                true => Next::Again,
+                false => Next::Refuse(Refusal::TurnedAway),
+            }
+        }
+        AttemptOutcome::MayHaveRun => {
+            sends.ran += 1;
+            sends.avoid.push(instance);
+            let again = repeatable && sends.ran < admitted.route.max_attempts;
+            match again && may_retry(sends) {
+                true => Next::Again,
+                false => Next::Refuse(Refusal::Broken),
+            }
+        }
+        AttemptOutcome::TimedOut => Next::Refuse(Refusal::TimedOut),
+    }
+}
+
+/// The final answer of a request that no instance answered.
+fn refuse(admitted: &Admitted, refusal: Refusal) -> Response<Body> {
+    log::info!(
+        "request: {} route {} model {} refused after {} ms: {}",
+        admitted.facts.id,
+        admitted.route.name,
+        admitted.facts.shape.model,
+        admitted.arrived.elapsed().as_millis(),
+        refusal.word()
+    );
+    let wait = Millis(admitted.route.objective.0 / RETRY_AFTER_PART);
+    refusal.response(Some(wait))
+}
+
+/// Chooses an instance; waits for one while that makes sense.
+async fn select(
+    admitted: &Admitted,
+    shared: &Arc<Shared>,
+    sends: &Sends,
+) -> Result<(Candidate, InstanceView), Refusal> {
+    let shape = &admitted.facts.shape;
+    let service = &admitted.service;
+    let mut changes = shared.view.changes();
+    let mut waiting = None;
+    loop {
+        changes.borrow_and_update();
+        let now = shared.clock.now();
+        // When all have turned it away, the first of them may be asked again.
+        let avoid: &[RunnerId] = match sends.count {
+            0..=2 => &sends.avoid,
+            _ => &sends.avoid[sends.avoid.len().saturating_sub(1)..],
+        };
+        if let Some(chosen) = shared.view.choose(service, shape, avoid, now) {
+            return Ok(chosen);
+        }
+        let until = wait_until(admitted, shared);
+        if waiting.is_none() && service.engine.is_some() {
+            waiting = Some(shared.view.wait_for(&service.name, shape));
+        }
+        let pause = (Instant::now() + Duration::from_millis(200)).min(until);
+        let _ = tokio::time::timeout_at(pause, changes.changed()).await;
+        if Instant::now() >= until {
+            return Err(match sends.ran {
+                0 => Refusal::NoInstance,
+                _ => Refusal::Broken,
+            });
+        }
+    }
+}
+
+fn wait_until(admitted: &Admitted, shared: &Shared) -> Instant {
+    let objective = Duration::from(admitted.route.objective);
+    if admitted.service.engine.is_none() || !shared.view.is_known(&admitted.service) {
+        return admitted.arrived + objective / NO_INSTANCE_PART;
+    }
+    let whole = admitted.deadline - admitted.arrived;
+    admitted.arrived + whole.mul_f64(WAIT_PART)
+}
--- /dev/null
+++ b/crates/gateway/src/interface.rs
@@ -0,0 +1,63 @@
+//! What a router needs of the interfaces of clients and instances.
+
+use courseshunt_services::{ConfigurationError, PromptShape, ServiceConfiguration};
+use courseshunt_types::{Millis, RunnerId};
+use hyper::StatusCode;
+use hyper::header::HeaderMap;
+
+/// What a request says about itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RequestFacts {
+    /// Identity given by the client, for logs and for matching answers.
+    pub id: String,
+    /// How long the client waits.
+    pub deadline: Option<Millis>,
+    /// Model, sizes and parts of the prompt.
+    pub shape: PromptShape,
+}
+
+/// What a router adds to a request that it sends.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// Time left.
+    pub deadline: Millis,
+    /// The only instance that may run it.
+    pub instance: &'a RunnerId,
+    /// Rank, 0 first.
+    pub priority: u8,
+}
+
+/// What an instance's answer says about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AnswerFacts {
+    /// The instance says that the request did not run there.
+    pub not_run: bool,
+    /// Another instance answers at this address, or it lacks the model.
+    pub misdirected: bool,
+    /// The answer belongs to this request and is signed.
+    pub genuine: bool,
+    /// The answer's status promises to the client that the request did not run.
+    pub promises_not_run: bool,
+}
+
+/// Translates between the wire forms of clients and instances and the product's
+/// own types. Pure: no I/O, no state.
+pub trait ClientInterface: Send + Sync + 'static {
+    /// Reads an operator's document, as committed.
+    ///
+    /// # Errors
+    /// When it can't be read whole.
+    fn read_configuration(
+        &self,
+        document: &[u8],
+    ) -> Result<ServiceConfiguration, ConfigurationError>;
+
+    /// Reads what a request says about itself.
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
+
+    /// Sets what the router adds.
+    fn prepare(&self, headers: &mut HeaderMap, sending: &Sending<'_>);
+
+    /// Reads what an answer says about itself.
+    fn read_answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,114 @@
+//! The router of declared services: it admits requests, selects an instance by
+//! the predicted first answer, forwards, and relays the answer as it comes.
+//!
+//! Invariants: a request that may not be repeated is sent again only after the
+//! instance said that it did not run, or when it surely was not sent; a refusal
+//! that promises "not run" is given only then; every request ends with a whole
+//! answer, a refusal or a closed connection within its time; bytes of a broken
+//! answer never look complete.
+
+mod attempt;
+mod error;
+mod feed;
+mod handle;
+mod interface;
+mod pool;
+mod refusal;
+mod relay;
+mod serve;
+mod view;
+
+pub use error::GatewayError;
+pub use interface::{AnswerFacts, ClientInterface, RequestFacts, Sending};
+
+use courseshunt_settings::service::ServiceSettings;
+use courseshunt_types::time::MonotonicClock;
+use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
+use pool::ConnectionPool;
+use snafu::{OptionExt, ResultExt};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+use view::View;
+
+/// Time after the order to stop in which new connections are still served: the
+/// platform notices the missing readiness only by and by.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Part of the grace time that is left to the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// What the parts of a router share.
+pub(crate) struct Shared {
+    pub(crate) settings: ServiceSettings,
+    pub(crate) interface: Arc<dyn ClientInterface>,
+    pub(crate) view: View,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) clock: MonotonicClock,
+    /// Cancelled when the process is told to stop.
+    pub(crate) stopping: CancellationToken,
+    /// Cancelled when it ends.
+    pub(crate) ended: CancellationToken,
+    pub(crate) requests: tokio_util::task::TaskTracker,
+}
+
+/// A running router.
+pub struct Gateway {
+    shared: Arc<Shared>,
+}
+
+impl Gateway {
+    /// Starts a router.
+    ///
+    /// # Errors
+    /// When an address is missing or taken.
+    pub async fn start(
+        settings: ServiceSettings,
+        interface: Arc<dyn ClientInterface>,
+    ) -> Result<Self, GatewayError> {
+        let key = courseshunt_wire::ClusterKey::new(settings.cluster_key.as_bytes());
+        let key = key.context(ShortKeySnafu)?;
+        let clients = settings.listen.clients.context(NoAddressSnafu)?;
+        let clients = bind(clients)?;
+        let ready = settings.listen.ready.map(bind).transpose()?;
+        let clock = MonotonicClock::start();
+        let shared = Arc::new(Shared {
+            view: View::new(&settings),
+            pool: ConnectionPool::default(),
+            interface,
+            clock,
+            stopping: CancellationToken::new(),
+            ended: CancellationToken::new(),
+            requests: tokio_util::task::TaskTracker::new(),
+            settings,
+        });
+        let ended = shared.ended.clone();
+        let feed = feed::follow(shared.clone(), key);
+        tokio::spawn(ended.clone().run_until_cancelled_owned(feed));
+        let clients = serve::accept_clients(clients, shared.clone());
+        tokio::spawn(ended.clone().run_until_cancelled_owned(clients));
+        if let Some(ready) = ready {
+            tokio::spawn(serve::serve_readiness(ready, shared.clone()));
+        }
+        log::info!("router: {} starts", shared.settings.name);
+        Ok(Self { shared })
+    }
+
+    /// Stops as planned: says that it isn't ready, serves what still comes, and
+    /// returns once nothing is under way or the grace time is nearly over.
+    pub async fn stop(self) {
+        log::info!("router: stops");
+        self.shared.stopping.cancel();
+        let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
+        let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        tokio::time::sleep(LINGER.min(grace / 2)).await;
+        self.shared.requests.close();
+        let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
+        self.shared.ended.cancel();
+        log::info!("router: stopped");
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener, GatewayError> {
+    courseshunt_wire::listen(address).context(BindSnafu { address })
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,84 @@
+//! The router's own answers.
+
+use courseshunt_http::{Body, full_body};
+use courseshunt_types::Millis;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// Why a request is not answered by an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// There is no such route.
+    NoRoute,
+    /// The body is longer than allowed.
+    TooLarge,
+    /// The body did not come in time, or not whole.
+    BrokenBody,
+    /// No instance could take it in time; it has not run.
+    NoInstance,
+    /// Every instance that was asked turned it away; it has not run.
+    TurnedAway,
+    /// Its time is over; it has not run.
+    TooLate,
+    /// Its time is over; it may have run.
+    TimedOut,
+    /// The instance's answer broke off; it may have run.
+    Broken,
+}
+
+impl Refusal {
+    /// The status that clients see.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BrokenBody => StatusCode::BAD_REQUEST,
+            Self::NoConfiguration | Self::NoInstance | Self::TurnedAway | Self::TooLate => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Broken => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Whether the connection can't be used further.
+    fn closes(self) -> bool {
+        matches!(self, Self::TooLarge | Self::BrokenBody)
+    }
+
+    /// A word for logs and metrics.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::TooLarge => "too_large",
+            Self::BrokenBody => "broken_body",
+            Self::NoInstance => "no_instance",
+            Self::TurnedAway => "turned_away",
+            Self::TooLate => "too_late",
+            Self::TimedOut => "timed_out",
+            Self::Broken => "broken",
+        }
+    }
+
+    /// The whole answer; `retry_after` is told where the request has not run.
+    pub(crate) fn response(self, retry_after: Option<Millis>) -> Response<Body> {
+        let mut response = Response::new(full_body(self.word()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        let promises = self.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(wait) = retry_after.filter(|_| promises) {
+            let seconds = format!("{:.3}", wait.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        if self.closes() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,106 @@
+//! Serves clients' connections, and readiness.
+
+use crate::Shared;
+use crate::handle::handle;
+use courseshunt_http::{Body, ServerLimits, text_response};
+use courseshunt_services::ClientLimits;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after an accept error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest read buffer that the library takes, in bytes.
+const LEAST_BUFFER: usize = 8 * 1024;
+
+/// Accepts clients until the process ends.
+pub(crate) async fn accept_clients(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_client(stream, shared.clone()));
+            }
+            Err(error) => {
+                log::warn!("router: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_client(stream: TcpStream, shared: Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let limits = shared.view.table();
+    let limits = limits.map_or(ClientLimits::default(), |table| {
+        table.configuration().limits
+    });
+    let serving = shared.clone();
+    let service = service_fn(move |request| {
+        let shared = serving.clone();
+        let token = shared.requests.token();
+        async move {
+            let response = handle(request, shared).await;
+            Ok::<_, Infallible>(keep_counted(response, token))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from(limits.idle_timeout))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = shared.requests_closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("router: connection ended: {error}");
+    }
+}
+
+/// Counts a request as under way until its answer has left.
+fn keep_counted(
+    response: Response<Body>,
+    token: tokio_util::task::task_tracker::TaskTrackerToken,
+) -> Response<Body> {
+    use http_body_util::BodyExt;
+    response.map(|body| {
+        body.map_frame(move |frame| {
+            let _counted = &token;
+            frame
+        })
+        .boxed_unsync()
+    })
+}
+
+impl Shared {
+    /// Resolves once idle connections should be closed for a planned stop.
+    async fn requests_closing(&self) {
+        self.stopping.cancelled().await;
+        tokio::time::sleep(crate::LINGER / 2).await;
+    }
+}
+
+/// Answers whether this router should get new connections.
+pub(crate) async fn serve_readiness(listener: TcpListener, shared: Arc<Shared>) {
+    let ended = shared.ended.clone();
+    let handler = move |_request: Request<hyper::body::Incoming>, _peer| {
+        let shared = shared.clone();
+        async move {
+            let ready = !shared.stopping.is_cancelled() && shared.view.is_ready();
+            match ready {
+                true => text_response(StatusCode::OK, "ready"),
+                false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            }
+        }
+    };
+    courseshunt_http::serve(listener, ServerLimits::default(), ended, handler).await;
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,273 @@
+//! What a router knows: configuration, instances, use, demand, budgets.
+
+use courseshunt_services::feed::{InstanceUsage, ModelDemand};
+use courseshunt_services::{
+    Candidate, InstanceView, PromptShape, RetryBudget, RouteTable, Selector, Service,
+};
+use courseshunt_settings::service::ServiceSettings;
+use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, watch};
+
+/// Routers are taken to be so many until the feed tells.
+const ASSUMED_ROUTERS: u32 = 16;
+/// Connections to one instance that are left to other callers, as a divisor.
+const CONNECTION_RESERVE: u32 = 8;
+
+/// Demand of one model and adapter since the last report.
+#[derive(Debug, Default)]
+struct Demand {
+    arrivals: u32,
+    tokens: u32,
+    waiting: u32,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct DemandKey {
+    service: String,
+    model: String,
+    adapter: Option<String>,
+}
+
+struct State {
+    table: Option<Arc<RouteTable>>,
+    instances: BTreeMap<RunnerId, InstanceView>,
+    selector: Selector,
+    demand: HashMap<DemandKey, Demand>,
+    budgets: HashMap<String, RetryBudget>,
+    routers: u32,
+}
+
+/// See the module.
+pub(crate) struct View {
+    state: Mutex<State>,
+    changes: watch::Sender<u64>,
+    /// Woken when a request begins to wait for a model.
+    pub(crate) missing: Notify,
+    retry: (f64, f64, Millis),
+}
+
+impl View {
+    pub(crate) fn new(settings: &ServiceSettings) -> Self {
+        let limits = &settings.limits;
+        let window = Millis((limits.retry_window_s * 1000.0) as u64);
+        let state = State {
+            table: None,
+            instances: BTreeMap::new(),
+            selector: Selector::new(Zone::from(settings.zone.as_str())),
+            demand: HashMap::new(),
+            budgets: HashMap::new(),
+            routers: ASSUMED_ROUTERS,
+        };
+        Self {
+            state: Mutex::new(state),
+            changes: watch::Sender::new(0),
+            missing: Notify::new(),
+            retry: (limits.retry_ratio, limits.retry_slack, window),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.lock().table.clone()
+    }
+
+    /// Number of the configuration in force; 0 for none.
+    pub(crate) fn number(&self) -> u64 {
+        let state = self.lock();
+        state.table.as_ref().map_or(0, |table| table.number())
+    }
+
+    /// Whether requests can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.lock();
+        state.table.is_some() && !state.instances.is_empty()
+    }
+
+    /// Follows changes, to wait for one.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|number| *number += 1);
+    }
+
+    /// Puts a newer configuration in force; an older one changes nothing.
+    pub(crate) fn configure(&self, table: RouteTable) -> bool {
+        let mut state = self.lock();
+        let held = state.table.as_ref().map_or(0, |table| table.number());
+        if table.number() <= held {
+            return false;
+        }
+        state.table = Some(Arc::new(table));
+        drop(state);
+        self.changed();
+        true
+    }
+
+    /// Takes changed instances over; returns those that are gone.
+    pub(crate) fn set_instances(
+        &self,
+        whole: bool,
+        changed: Vec<InstanceView>,
+        gone: &[RunnerId],
+    ) -> Vec<RunnerId> {
+        let mut state = self.lock();
+        let before: Vec<RunnerId> = state.instances.keys().cloned().collect();
+        if whole {
+            state.instances.clear();
+        }
+        for view in changed {
+            state.instances.insert(view.id.clone(), view);
+        }
+        for id in gone {
+            state.instances.remove(id);
+        }
+        let State {
+            instances,
+            selector,
+            ..
+        } = &mut *state;
+        selector.retain(|id| instances.contains_key(id));
+        let lost = before
+            .into_iter()
+            .filter(|id| !instances.contains_key(id))
+            .collect();
+        drop(state);
+        self.changed();
+        lost
+    }
+
+    pub(crate) fn set_usage(&self, routers: u32, others: &[InstanceUsage]) {
+        let mut state = self.lock();
+        state.routers = routers.max(1);
+        state.selector.set_others(others);
+    }
+
+    /// Chooses an instance and counts the request there.
+    pub(crate) fn choose(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        avoid: &[RunnerId],
+        now: Timestamp,
+    ) -> Option<(Candidate, InstanceView)> {
+        let mut state = self.lock();
+        let usable = service.max_connections - service.max_connections / CONNECTION_RESERVE;
+        let own_limit = (usable / state.routers).max(2);
+        let State {
+            instances,
+            selector,
+            ..
+        } = &mut *state;
+        let views = instances.values();
+        let views = views.filter(|view| view.service == service.name);
+        let candidate = selector.choose(shape, views, avoid, own_limit, now)?;
+        selector.begin(&candidate, shape, now);
+        let view = instances.get(&candidate.instance)?.clone();
+        Some((candidate, view))
+    }
+
+    /// Whether an instance of the service holds the model, or is about to.
+    pub(crate) fn is_known(&self, service: &Service) -> bool {
+        let state = self.lock();
+        let mut views = state.instances.values();
+        views.any(|view| view.service == service.name)
+    }
+
+    pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis) {
+        self.lock().selector.first_answer(candidate, waited);
+    }
+
+    pub(crate) fn end(&self, candidate: &Candidate, answered: bool) {
+        self.lock().selector.end(candidate, answered);
+    }
+
+    pub(crate) fn suspect(&self, instance: &RunnerId, now: Timestamp) {
+        self.lock().selector.suspect(instance, now);
+    }
+
+    /// Counts a client's request for a service.
+    pub(crate) fn arrived(&self, service: &str, shape: &PromptShape, now: Timestamp) {
+        let (ratio, slack, window) = self.retry;
+        let mut state = self.lock();
+        let budgets = &mut state.budgets;
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(ratio, slack, window));
+        budget.request(now);
+        if shape.model.is_empty() {
+            return;
+        }
+        let demand = state.demand.entry(key_of(service, shape)).or_default();
+        demand.arrivals += 1;
+        demand.tokens += shape.prompt_tokens;
+    }
+
+    /// Takes one retry out of the budget.
+    pub(crate) fn may_retry(&self, service: &str, now: Timestamp) -> bool {
+        let mut state = self.lock();
+        let routers = state.routers;
+        let budget = state.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.take(routers, now))
+    }
+
+    /// Counts a request that waits for its model until the guard is dropped.
+    pub(crate) fn wait_for<'a>(&'a self, service: &str, shape: &PromptShape) -> WaitGuard<'a> {
+        let key = key_of(service, shape);
+        self.lock().demand.entry(key.clone()).or_default().waiting += 1;
+        self.missing.notify_one();
+        WaitGuard { view: self, key }
+    }
+
+    /// What to report; counts start anew.
+    pub(crate) fn take_report(&self) -> (Vec<InstanceUsage>, Vec<ModelDemand>) {
+        let mut state = self.lock();
+        let usage = state.selector.usage();
+        let demand = state.demand.iter().map(|(key, demand)| ModelDemand {
+            service: key.service.clone(),
+            model: key.model.clone(),
+            adapter: key.adapter.clone(),
+            arrivals: demand.arrivals,
+            tokens: demand.tokens,
+            waiting: demand.waiting,
+        });
+        let demand = demand.collect();
+        state.demand.retain(|_, demand| {
+            demand.arrivals = 0;
+            demand.tokens = 0;
+            demand.waiting > 0
+        });
+        (usage, demand)
+    }
+}
+
+fn key_of(service: &str, shape: &PromptShape) -> DemandKey {
+    DemandKey {
+        service: service.to_owned(),
+        model: shape.model.clone(),
+        adapter: shape.adapter.clone(),
+    }
+}
+
+/// See [`View::wait_for`].
+pub(crate) struct WaitGuard<'a> {
+    view: &'a View,
+    key: DemandKey,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.view.lock();
+        if let Some(demand) = state.demand.get_mut(&self.key) {
+            demand.waiting = demand.waiting.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/services/src/ceiling.rs
@@ -0,0 +1,57 @@
+//! The weight store's ceiling over all instances and all leaders.
+//!
+//! A new leader doesn't know what its predecessor started, so it begins with
+//! an empty bucket.
+
+use courseshunt_types::{Millis, Timestamp};
+
+/// Part of the store's rate that is used.
+const USED_PART: f64 = 0.95;
+
+/// A token bucket for loads from the weight store.
+#[derive(Debug)]
+pub struct LoadCeiling {
+    rate_per_second: f64,
+    capacity: f64,
+    tokens: f64,
+    updated: Timestamp,
+}
+
+impl LoadCeiling {
+    /// An empty bucket for `rate` loads a second, judged over `window`.
+    #[must_use]
+    pub fn new(rate: f64, window: Millis, now: Timestamp) -> Self {
+        let rate_per_second = rate * USED_PART;
+        Self {
+            rate_per_second,
+            capacity: (rate_per_second * window.as_secs_f64() / 2.0).max(1.0),
+            tokens: 0.0,
+            updated: now,
+        }
+    }
+
+    /// Follows a changed rate.
+    pub fn set_rate(&mut self, rate: f64, window: Millis) {
+        self.rate_per_second = rate * USED_PART;
+        // A full bucket and a window of refill stay below rate times window.
+        self.capacity = (self.rate_per_second * window.as_secs_f64() / 8.0).max(1.0);
+        self.tokens = self.tokens.min(self.capacity);
+    }
+
+    /// Takes one load out; returns whether it may start.
+    pub fn take(&mut self, now: Timestamp) -> bool {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.tokens = (self.tokens + passed * self.rate_per_second).min(self.capacity);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives one load back that surely did not start.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.capacity);
+    }
+}
--- /dev/null
+++ b/crates/services/src/feed.rs
@@ -0,0 +1,89 @@
+//! Messages between the leading controller and routers.
+//!
+//! Bounds: a router's report is proportional to the instances that it uses and
+//! the models that it was asked for, not to the fleet.
+
+use crate::instance::InstanceView;
+use courseshunt_types::RunnerId;
+
+/// Requests of one router at one instance.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct InstanceUsage {
+    /// The instance.
+    pub instance: RunnerId,
+    /// Requests under way.
+    pub in_flight: u32,
+    /// Prompt tokens that are sent but not read yet.
+    pub prompt_tokens: u32,
+}
+
+/// Demand for one model at one router, since its last report.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ModelDemand {
+    /// The service.
+    pub service: String,
+    /// The model.
+    pub model: String,
+    /// The adapter, if any.
+    pub adapter: Option<String>,
+    /// Requests that arrived.
+    pub arrivals: u32,
+    /// Tokens that they have read, cached parts left out.
+    pub tokens: u32,
+    /// Requests that wait for an instance now.
+    pub waiting: u32,
+}
+
+/// Controller to router.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum FeedMessage {
+    /// This controller does not lead; the leader's wire address, if known.
+    NotLeader {
+        /// `ip:port`.
+        leader: Option<String>,
+    },
+    /// Wire addresses of all members of the group.
+    Members(Vec<String>),
+    /// A committed configuration, in the operator's own form.
+    Configuration {
+        /// Its number.
+        number: u64,
+        /// The document.
+        document: Vec<u8>,
+    },
+    /// Instances that changed, and those that are gone.
+    Instances {
+        /// Whether every live instance is named, so that others are gone.
+        whole: bool,
+        /// New or changed.
+        changed: Vec<InstanceView>,
+        /// No longer there.
+        gone: Vec<RunnerId>,
+    },
+    /// What the other routers use, and how many routers there are.
+    Usage {
+        /// Live routers.
+        routers: u32,
+        /// Usage summed over the other routers.
+        others: Vec<InstanceUsage>,
+    },
+    /// The controller still leads.
+    Alive,
+}
+
+/// Router to controller.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum ReportMessage {
+    /// Asks for the feed.
+    Subscribe {
+        /// Number of the configuration in force at the router, 0 for none.
+        number: u64,
+    },
+    /// What the router uses and is asked for.
+    Usage {
+        /// At each instance with requests under way.
+        instances: Vec<InstanceUsage>,
+        /// For each model asked for since the last report or waited for.
+        demand: Vec<ModelDemand>,
+    },
+}
--- /dev/null
+++ b/crates/services/src/lib.rs
@@ -0,0 +1,38 @@
+//! Services in front of back-end instances: what operators declare, which
+//! instances there are, which of them a request goes to and which models they
+//! are told to hold. No I/O, no clock, no threads.
+//!
+//! Invariants: a configuration that [`judge`](judge::judge) refuses is never in
+//! force; an instance that leaves is never selected again; orders never put
+//! more on an instance than its memory and adapter places hold.
+
+#![allow(
+    missing_docs,
+    reason = "the fields of the archived types that rkyv derives carry no docs"
+)]
+
+pub mod budget;
+pub mod ceiling;
+pub mod configuration;
+pub mod feed;
+pub mod instance;
+pub mod judge;
+pub mod placement;
+pub mod routes;
+pub mod selection;
+
+pub use budget::RetryBudget;
+pub use ceiling::LoadCeiling;
+pub use configuration::{
+    ClientLimits, Engine, ModelSpecification, RequestKind, Route, Service, ServiceConfiguration,
+    Target,
+};
+pub use feed::{FeedMessage, InstanceUsage, ModelDemand, ReportMessage};
+pub use instance::{InstanceState, InstanceView, Registration, ResidentModel};
+pub use judge::{ConfigurationError, judge};
+pub use placement::{
+    InstanceReport, Order, OrderAction, OrderOutcome, PlacementEngine, PlacementSettings,
+    PlacementStep,
+};
+pub use routes::RouteTable;
+pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
--- /dev/null
+++ b/crates/services/src/placement/demand.rs
@@ -0,0 +1,151 @@
+//! Demand for models: rates that forget, and what waits now.
+
+use crate::feed::ModelDemand;
+use courseshunt_types::{Millis, Timestamp};
+use std::collections::BTreeMap;
+
+/// Time constant of the rate that decides on the number of copies.
+const FAST: f64 = 3_000.0;
+/// Time constant of the rate that decides which models are kept at all.
+const SLOW: f64 = 20_000.0;
+/// What waits is believed for so long after a report.
+const WAITING_KEPT: Millis = Millis(1_500);
+
+/// A model of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ModelKey {
+    pub(super) service: String,
+    pub(super) model: String,
+}
+
+/// A rate that forgets what lies back; `value` is per second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Decaying {
+    value: f64,
+    updated: Timestamp,
+}
+
+impl Decaying {
+    fn at(self, now: Timestamp, constant: f64) -> f64 {
+        let passed = now.since(self.updated).0 as f64;
+        self.value * (-passed / constant).exp()
+    }
+
+    fn add(&mut self, amount: f64, now: Timestamp, constant: f64) {
+        self.value = self.at(now, constant) + amount * 1_000.0 / constant;
+        self.updated = now;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Rates {
+    fast: Decaying,
+    slow: Decaying,
+    tokens: Decaying,
+}
+
+/// Requests that wait at one router.
+#[derive(Debug, Clone)]
+struct Waiting {
+    router: String,
+    key: ModelKey,
+    adapter: Option<String>,
+    count: u32,
+    at: Timestamp,
+}
+
+/// What waits, over all routers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Wanted {
+    pub(super) key: ModelKey,
+    pub(super) adapter: Option<String>,
+    pub(super) count: u32,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub(super) struct DemandTable {
+    rates: BTreeMap<ModelKey, Rates>,
+    waiting: Vec<Waiting>,
+}
+
+impl DemandTable {
+    pub(super) fn record(&mut self, router: &str, demand: &[ModelDemand], now: Timestamp) {
+        self.waiting.retain(|one| one.router != router);
+        for one in demand {
+            let key = ModelKey {
+                service: one.service.clone(),
+                model: one.model.clone(),
+            };
+            let rates = self.rates.entry(key.clone()).or_default();
+            if one.arrivals > 0 {
+                rates.fast.add(f64::from(one.arrivals), now, FAST);
+                rates.slow.add(f64::from(one.arrivals), now, SLOW);
+                rates.tokens.add(f64::from(one.tokens), now, FAST);
+            }
+            if one.waiting > 0 {
+                self.waiting.push(Waiting {
+                    router: router.to_owned(),
+                    key,
+                    adapter: one.adapter.clone(),
+                    count: one.waiting,
+                    at: now,
+                });
+            }
+        }
+    }
+
+    pub(super) fn forget(&mut self, router: &str) {
+        self.waiting.retain(|one| one.router != router);
+    }
+
+    /// Requests a second, over seconds.
+    pub(super) fn fast(&self, key: &ModelKey, now: Timestamp) -> f64 {
+        let rates = self.rates.get(key);
+        rates.map_or(0.0, |rates| rates.fast.at(now, FAST))
+    }
+
+    /// Requests a second, over tens of seconds.
+    pub(super) fn slow(&self, key: &ModelKey, now: Timestamp) -> f64 {
+        let rates = self.rates.get(key);
+        rates.map_or(0.0, |rates| rates.slow.at(now, SLOW))
+    }
+
+    /// Prompt tokens to read in a second.
+    pub(super) fn tokens(&self, key: &ModelKey, now: Timestamp) -> f64 {
+        let rates = self.rates.get(key);
+        rates.map_or(0.0, |rates| rates.tokens.at(now, FAST))
+    }
+
+    /// Models of a service that were asked for.
+    pub(super) fn models_of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a ModelKey> + 'a {
+        self.rates.keys().filter(move |key| key.service == service)
+    }
+
+    /// What waits now, the most first.
+    pub(super) fn wanted(&self, now: Timestamp) -> Vec<Wanted> {
+        let mut sums: BTreeMap<(&ModelKey, &Option<String>), u32> = BTreeMap::new();
+        let fresh = self.waiting.iter();
+        for one in fresh.filter(|one| now.since(one.at) < WAITING_KEPT) {
+            *sums.entry((&one.key, &one.adapter)).or_default() += one.count;
+        }
+        let sums = sums.into_iter();
+        let wanted = sums.map(|((key, adapter), count)| Wanted {
+            key: key.clone(),
+            adapter: adapter.clone(),
+            count,
+        });
+        let mut wanted: Vec<Wanted> = wanted.collect();
+        wanted.sort_by_key(|one| std::cmp::Reverse(one.count));
+        wanted
+    }
+
+    /// Whether requests for this model wait.
+    pub(super) fn is_waited_for(&self, key: &ModelKey, now: Timestamp) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|one| one.key == *key && now.since(one.at) < WAITING_KEPT)
+    }
+}
--- /dev/null
+++ b/crates/services/src/placement/mod.rs
@@ -0,0 +1,334 @@
+//! Decides which instances hold which models and adapters, and follows what
+//! becomes of the orders.
+//!
+//! Invariants: one order at a time is under way to an instance, each carries
+//! the number of orders that the instance is known to have taken; an instance
+//! is never ordered to hold more than its memory and adapter places allow,
+//! counting orders whose outcome is unknown; loads from the weight store keep
+//! the store's ceiling.
+
+mod demand;
+mod instance;
+mod planning;
+mod usage;
+
+pub use instance::InstanceReport;
+
+use crate::ceiling::LoadCeiling;
+use crate::configuration::ServiceConfiguration;
+use crate::instance::{InstanceState, InstanceView, Registration};
+use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
+use demand::DemandTable;
+use instance::Instance;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use usage::UsageTable;
+
+/// Settings of the engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlacementSettings {
+    /// An instance that was silent for so long is taken for dead.
+    pub silence_limit: Millis,
+    /// Span over which the weight store's ceiling is judged.
+    pub ceiling_window: Millis,
+    /// Part of an instance's reading speed that one copy of a model may use.
+    pub copy_utilisation: f64,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            silence_limit: Millis(5_000),
+            ceiling_window: Millis(5_000),
+            copy_utilisation: 0.3,
+        }
+    }
+}
+
+/// What an instance is told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Load a model.
+    LoadModel(ModelName),
+    /// Unload a model with its adapters.
+    UnloadModel(ModelName),
+    /// Load an adapter of a model that is held.
+    LoadAdapter(ModelName, String),
+    /// Unload an adapter.
+    UnloadAdapter(ModelName, String),
+}
+
+impl OrderAction {
+    /// The model.
+    #[must_use]
+    pub fn model(&self) -> &ModelName {
+        match self {
+            Self::LoadModel(model)
+            | Self::UnloadModel(model)
+            | Self::LoadAdapter(model, _)
+            | Self::UnloadAdapter(model, _) => model,
+        }
+    }
+
+    /// The adapter, if the order is about one.
+    #[must_use]
+    pub fn adapter(&self) -> Option<&str> {
+        match self {
+            Self::LoadModel(_) | Self::UnloadModel(_) => None,
+            Self::LoadAdapter(_, adapter) | Self::UnloadAdapter(_, adapter) => Some(adapter),
+        }
+    }
+
+    /// Whether something is to be loaded.
+    #[must_use]
+    pub fn loads(&self) -> bool {
+        matches!(self, Self::LoadModel(_) | Self::LoadAdapter(..))
+    }
+}
+
+/// One order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The instance.
+    pub instance: RunnerId,
+    /// Its address.
+    pub address: String,
+    /// What to do.
+    pub action: OrderAction,
+    /// Orders that the instance has taken so far.
+    pub expected: u64,
+}
+
+/// What the engine wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlacementStep {
+    /// Ask an instance how it stands.
+    Ask {
+        /// The instance.
+        instance: RunnerId,
+        /// Its address.
+        address: String,
+    },
+    /// Give an order.
+    Give(Order),
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being done.
+    Accepted,
+    /// It holds already.
+    AlreadyDone,
+    /// Another is under way, or the number of orders differs.
+    Conflict,
+    /// The address belongs to another instance.
+    OtherInstance,
+    /// It surely did not arrive.
+    NotSent,
+    /// There was no answer: it may be carried out yet.
+    Unknown,
+    /// The instance refuses it.
+    Refused,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct PlacementEngine {
+    settings: PlacementSettings,
+    configuration: Arc<ServiceConfiguration>,
+    instances: BTreeMap<RunnerId, Instance>,
+    departed: BTreeMap<RunnerId, Timestamp>,
+    demand: DemandTable,
+    usage: UsageTable,
+    ceilings: BTreeMap<String, LoadCeiling>,
+    changed: BTreeSet<RunnerId>,
+    gone: Vec<RunnerId>,
+}
+
+/// How long an instance that left is remembered, so that a late registration
+/// doesn't bring it back.
+const DEPARTED_KEPT: Millis = Millis(30_000);
+
+impl PlacementEngine {
+    /// An engine that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: PlacementSettings) -> Self {
+        Self {
+            settings,
+            configuration: Arc::default(),
+            instances: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            demand: DemandTable::default(),
+            usage: UsageTable::default(),
+            ceilings: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            gone: Vec::new(),
+        }
+    }
+
+    /// Takes a newer configuration over.
+    pub fn configure(&mut self, configuration: Arc<ServiceConfiguration>, now: Timestamp) {
+        for service in &configuration.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let window = self.settings.ceiling_window;
+            let ceiling = self
+                .ceilings
+                .entry(service.name.clone())
+                .or_insert_with(|| LoadCeiling::new(engine.loads_per_second, window, now));
+            ceiling.set_rate(engine.loads_per_second, window);
+        }
+        self.configuration = configuration;
+    }
+
+    /// Takes a registration; returns whether it was news.
+    pub fn register(&mut self, registration: Registration, now: Timestamp) -> bool {
+        let id = registration.id.clone();
+        if self.departed.contains_key(&id) {
+            return false;
+        }
+        let news = match self.instances.get_mut(&id) {
+            Some(instance) => instance.register(registration, now),
+            None => {
+                self.drop_reused_address(&registration, now);
+                self.instances
+                    .insert(id.clone(), Instance::new(registration, now));
+                true
+            }
+        };
+        if news {
+            self.changed.insert(id);
+        }
+        news
+    }
+
+    /// An address belongs to the instance that registered it last.
+    fn drop_reused_address(&mut self, registration: &Registration, now: Timestamp) {
+        let same = self.instances.iter().filter(|(_, instance)| {
+            instance.address() == registration.address && instance.may_be_replaced(now)
+        });
+        let replaced: Vec<RunnerId> = same.map(|(id, _)| id.clone()).collect();
+        for id in replaced {
+            self.remove(&id);
+        }
+    }
+
+    /// Notes that an instance takes no more work.
+    pub fn leave(&mut self, id: &RunnerId) {
+        if let Some(instance) = self.instances.get_mut(id)
+            && instance.leave()
+        {
+            self.changed.insert(id.clone());
+        }
+    }
+
+    /// Notes that an instance has ended, or is about to.
+    pub fn depart(&mut self, id: &RunnerId, now: Timestamp) {
+        self.departed.insert(id.clone(), now);
+        self.remove(id);
+    }
+
+    fn remove(&mut self, id: &RunnerId) {
+        if self.instances.remove(id).is_some() {
+            self.changed.remove(id);
+            self.gone.push(id.clone());
+        }
+    }
+
+    /// Drops instances that fell silent.
+    pub fn expire(&mut self, now: Timestamp) {
+        let limit = self.settings.silence_limit;
+        let silent = self.instances.iter();
+        let silent = silent.filter(|(_, instance)| instance.silent_for(now) > limit);
+        let silent: Vec<RunnerId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            self.remove(&id);
+        }
+        self.departed.retain(|_, at| now.since(*at) < DEPARTED_KEPT);
+    }
+
+    /// Takes a router's report.
+    pub fn report_usage(
+        &mut self,
+        router: &str,
+        usage: Vec<crate::feed::InstanceUsage>,
+        demand: &[crate::feed::ModelDemand],
+        now: Timestamp,
+    ) {
+        for one in demand.iter().filter(|one| one.arrivals > 0) {
+            let Some(adapter) = &one.adapter else {
+                continue;
+            };
+            let model = ModelName::from(one.model.as_str());
+            for instance in self.instances.values_mut() {
+                instance.touch_adapter(&model, adapter, now);
+            }
+        }
+        self.usage.record(router, usage);
+        self.demand.record(router, demand, now);
+    }
+
+    /// Forgets a router that is gone.
+    pub fn forget_router(&mut self, router: &str) {
+        self.usage.forget(router);
+        self.demand.forget(router);
+    }
+
+    /// Usage of all routers but one.
+    #[must_use]
+    pub fn usage_of_others(&self, router: &str) -> Vec<crate::feed::InstanceUsage> {
+        self.usage.of_others(router)
+    }
+
+    /// Views of all instances.
+    #[must_use]
+    pub fn views(&self, now: Timestamp) -> Vec<InstanceView> {
+        let instances = self.instances.values();
+        instances.map(|instance| instance.view(now)).collect()
+    }
+
+    /// Views that changed since the last call, and instances that are gone.
+    pub fn take_changes(&mut self, now: Timestamp) -> (Vec<InstanceView>, Vec<RunnerId>) {
+        let changed = std::mem::take(&mut self.changed);
+        let changed = changed.iter().filter_map(|id| self.instances.get(id));
+        let views = changed.map(|instance| instance.view(now)).collect();
+        (views, std::mem::take(&mut self.gone))
+    }
+
+    /// Whether the instance with this identity takes work.
+    #[must_use]
+    pub fn is_ready(&self, id: &RunnerId) -> bool {
+        let instance = self.instances.get(id);
+        instance.is_some_and(|one| one.state() == InstanceState::Ready)
+    }
+
+    /// Takes an instance's report.
+    pub fn on_report(&mut self, id: &RunnerId, report: Option<InstanceReport>, now: Timestamp) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        instance.on_report(report, now);
+        self.changed.insert(id.clone());
+    }
+
+    /// Takes the outcome of an order.
+    pub fn on_outcome(&mut self, order: &Order, outcome: OrderOutcome, now: Timestamp) {
+        if outcome == OrderOutcome::OtherInstance {
+            self.remove(&order.instance);
+            return;
+        }
+        let Some(instance) = self.instances.get_mut(&order.instance) else {
+            return;
+        };
+        let service = instance.registration().service.clone();
+        let engine = self.configuration.service(&service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let never_started = instance.on_outcome(order, outcome, engine, now);
+        if never_started && let Some(ceiling) = self.ceilings.get_mut(&service) {
+            ceiling.give_back();
+        }
+        self.changed.insert(order.instance.clone());
+    }
+}
--- /dev/null
+++ b/crates/services/src/selection.rs
@@ -0,0 +1,309 @@
+//! Chooses the instance for a request by the predicted time to its first
+//! answer, and keeps what that prediction rests on.
+//!
+//! What other routers have sent is known from the feed, with a lag. Requests
+//! that share the beginning of their prompt have a common home among the
+//! instances (rendezvous hashing), so that routers agree on it without messages.
+
+use crate::instance::{InstanceState, InstanceView};
+use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
+use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Prompt tokens read in a millisecond, until measured.
+const DEFAULT_TOKENS_PER_MS: f64 = 38.0;
+/// Cost of a hop to another zone, in milliseconds; covers the bytes' price.
+const OTHER_ZONE_MS: f64 = 4.0;
+/// Cost of one more request in a batch, in milliseconds.
+const BATCH_MS: f64 = 1.0;
+/// How long a prefix counts as kept after its last use.
+const PREFIX_KEPT: Millis = Millis(60_000);
+/// Prefixes remembered for one instance at the most.
+const MAX_PREFIXES: usize = 4096;
+/// How long an instance that failed is avoided.
+const SUSPECT_FOR: Millis = Millis(1_000);
+/// Longest time that a repeatedly failing instance is avoided.
+const SUSPECT_AT_MOST: Millis = Millis(8_000);
+/// Weight of the newest measurement of an instance's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+/// Bounds of an instance's measured slowness.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 20.0);
+
+/// One part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PrefixPart {
+    /// Identity; equal parts have equal ones.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What is known of a request's work.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PromptShape {
+    /// The model, empty for a plain service.
+    pub model: String,
+    /// The adapter, if any.
+    pub adapter: Option<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens to go out at the most.
+    pub output_tokens: u32,
+    /// Parts of the prompt, in order; the last belongs to the request alone.
+    pub parts: Vec<PrefixPart>,
+}
+
+impl PromptShape {
+    /// Keys of the prompt's beginnings, one for each part, with the tokens up
+    /// to there.
+    fn prefix_keys(&self) -> Vec<(u64, u32)> {
+        let mut key = xxh3_64(self.model.as_bytes());
+        if let Some(adapter) = &self.adapter {
+            key = xxh3_64_with_seed(adapter.as_bytes(), key);
+        }
+        let mut tokens = 0;
+        let keys = self.parts.iter().map(|part| {
+            key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+            tokens += part.tokens;
+            (key, tokens)
+        });
+        keys.collect()
+    }
+
+    /// Key of what the request shares with others.
+    fn home_key(&self, keys: &[(u64, u32)]) -> Option<u64> {
+        let shared = keys.len().checked_sub(2)?;
+        keys.get(shared).map(|(key, _)| *key)
+    }
+}
+
+/// What a router keeps of one instance.
+#[derive(Debug, Default)]
+struct Local {
+    in_flight: u32,
+    unread_tokens: u32,
+    others_in_flight: u32,
+    others_unread: u32,
+    prefixes: HashMap<u64, Timestamp>,
+    slowness: Option<f64>,
+    suspect_until: Timestamp,
+    failures: u32,
+    last_chosen: u64,
+}
+
+/// A chosen instance and why.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The instance.
+    pub instance: RunnerId,
+    /// Predicted time to the first answer, in milliseconds.
+    pub predicted_ms: f64,
+    /// Prompt tokens that it has to read.
+    pub uncached_tokens: u32,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct Selector {
+    zone: Zone,
+    locals: BTreeMap<RunnerId, Local>,
+    choices: u64,
+}
+
+impl Selector {
+    /// A selector of a router in `zone`.
+    #[must_use]
+    pub fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            locals: BTreeMap::new(),
+            choices: 0,
+        }
+    }
+
+    /// Takes over what the other routers use.
+    pub fn set_others(&mut self, usage: &[crate::feed::InstanceUsage]) {
+        for local in self.locals.values_mut() {
+            local.others_in_flight = 0;
+            local.others_unread = 0;
+        }
+        for one in usage {
+            let local = self.locals.entry(one.instance.clone()).or_default();
+            local.others_in_flight = one.in_flight;
+            local.others_unread = one.prompt_tokens;
+        }
+    }
+
+    /// Forgets instances that are gone.
+    pub fn retain(&mut self, exists: impl Fn(&RunnerId) -> bool) {
+        self.locals
+            .retain(|id, local| local.in_flight > 0 || exists(id));
+    }
+
+    /// Requests of this router under way, by instance.
+    #[must_use]
+    pub fn usage(&self) -> Vec<crate::feed::InstanceUsage> {
+        let busy = self.locals.iter().filter(|(_, one)| one.in_flight > 0);
+        let usage = busy.map(|(id, one)| crate::feed::InstanceUsage {
+            instance: id.clone(),
+            in_flight: one.in_flight,
+            prompt_tokens: one.unread_tokens,
+        });
+        usage.collect()
+    }
+
+    /// Chooses among `views` for a request of this shape; `avoid` have turned it
+    /// away already. `own_limit` bounds this router's requests at one instance.
+    pub fn choose<'a>(
+        &mut self,
+        shape: &PromptShape,
+        views: impl Iterator<Item = &'a InstanceView>,
+        avoid: &[RunnerId],
+        own_limit: u32,
+        now: Timestamp,
+    ) -> Option<Candidate> {
+        let keys = shape.prefix_keys();
+        let home_key = shape.home_key(&keys);
+        let usable: Vec<&InstanceView> = views
+            .filter(|view| view.state == InstanceState::Ready)
+            .filter(|view| !avoid.contains(&view.id))
+            .filter(|view| {
+                shape.model.is_empty() || view.holds(&shape.model, shape.adapter.as_deref())
+            })
+            .filter(|view| self.has_room(view, own_limit))
+            .collect();
+        let home = home_key.and_then(|key| home_of(key, &usable));
+        let scored = usable.iter().map(|view| {
+            let is_home = home.as_ref() == Some(&view.id);
+            self.score(shape, &keys, view, is_home, now)
+        });
+        let best = scored.min_by(|left, right| {
+            let order = left.0.total_cmp(&right.0);
+            order.then_with(|| left.1.cmp(&right.1))
+        });
+        let (_, _, candidate) = best?;
+        self.choices += 1;
+        let choices = self.choices;
+        if let Some(local) = self.locals.get_mut(&candidate.instance) {
+            local.last_chosen = choices;
+        }
+        Some(candidate)
+    }
+
+    fn has_room(&self, view: &InstanceView, own_limit: u32) -> bool {
+        let Some(local) = self.locals.get(&view.id) else {
+            return true;
+        };
+        let total = local.in_flight + local.others_in_flight;
+        local.in_flight < own_limit && total < view.slots * 2
+    }
+
+    /// Predicted cost, then who was chosen longest ago.
+    fn score(
+        &self,
+        shape: &PromptShape,
+        keys: &[(u64, u32)],
+        view: &InstanceView,
+        is_home: bool,
+        now: Timestamp,
+    ) -> (f64, u64, Candidate) {
+        let empty = Local::default();
+        let local = self.locals.get(&view.id).unwrap_or(&empty);
+        let slowness = local.slowness.unwrap_or(1.0);
+        let known = cached_tokens(local, keys, now);
+        let assumed = match is_home {
+            true => keys.len().checked_sub(2).map_or(0, |shared| keys[shared].1),
+            false => 0,
+        };
+        let uncached = shape.prompt_tokens.saturating_sub(known.max(assumed));
+        let in_flight = f64::from(local.in_flight + local.others_in_flight);
+        let mut cost = match shape.model.is_empty() {
+            true => in_flight / f64::from(view.slots.max(1)) * 20.0 * slowness,
+            false => {
+                let backlog = f64::from(local.unread_tokens + local.others_unread);
+                let reading = (backlog + f64::from(uncached)) / DEFAULT_TOKENS_PER_MS;
+                (reading + in_flight * BATCH_MS) * slowness
+            }
+        };
+        let predicted_ms = cost;
+        if view.zone != self.zone {
+            cost += OTHER_ZONE_MS;
+        }
+        if now < local.suspect_until {
+            cost += 1e6;
+        }
+        let candidate = Candidate {
+            instance: view.id.clone(),
+            predicted_ms,
+            uncached_tokens: uncached,
+        };
+        (cost, local.last_chosen, candidate)
+    }
+
+    /// Notes that a request is sent.
+    pub fn begin(&mut self, candidate: &Candidate, shape: &PromptShape, now: Timestamp) {
+        let local = self.locals.entry(candidate.instance.clone()).or_default();
+        local.in_flight += 1;
+        local.unread_tokens += candidate.uncached_tokens;
+        for (key, _) in shape.prefix_keys() {
+            local.prefixes.insert(key, now);
+        }
+        if local.prefixes.len() > MAX_PREFIXES {
+            let oldest = now - Millis(PREFIX_KEPT.0 / 4);
+            local.prefixes.retain(|_, at| *at >= oldest);
+        }
+    }
+
+    /// Notes the first answer after `waited`.
+    pub fn first_answer(&mut self, candidate: &Candidate, waited: Millis) {
+        let Some(local) = self.locals.get_mut(&candidate.instance) else {
+            return;
+        };
+        local.unread_tokens = local
+            .unread_tokens
+            .saturating_sub(candidate.uncached_tokens);
+        local.failures = 0;
+        let expected = candidate.predicted_ms.max(20.0) + 15.0;
+        let ratio = (waited.0 as f64 / expected).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
+        let before = local.slowness.unwrap_or(1.0);
+        let after = before + (ratio * before.sqrt() - before) * SLOWNESS_WEIGHT;
+        local.slowness = Some(after.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1));
+    }
+
+    /// Notes the end of a request; `answered` tells whether its first answer came.
+    pub fn end(&mut self, candidate: &Candidate, answered: bool) {
+        let Some(local) = self.locals.get_mut(&candidate.instance) else {
+            return;
+        };
+        local.in_flight = local.in_flight.saturating_sub(1);
+        if !answered {
+            local.unread_tokens = local
+                .unread_tokens
+                .saturating_sub(candidate.uncached_tokens);
+        }
+    }
+
+    /// Avoids an instance for a while after a failure.
+    pub fn suspect(&mut self, instance: &RunnerId, now: Timestamp) {
+        let local = self.locals.entry(instance.clone()).or_default();
+        local.failures = (local.failures + 1).min(8);
+        let length = SUSPECT_FOR.0 << (local.failures - 1).min(3);
+        local.suspect_until = now + Millis(length.min(SUSPECT_AT_MOST.0));
+    }
+}
+
+fn cached_tokens(local: &Local, keys: &[(u64, u32)], now: Timestamp) -> u32 {
+    let kept = keys.iter().take_while(|(key, _)| {
+        let used = local.prefixes.get(key);
+        used.is_some_and(|at| now.since(*at) < PREFIX_KEPT)
+    });
+    kept.last().map_or(0, |(_, tokens)| *tokens)
+}
+
+/// The instance with the highest hash of its identity under `key`.
+fn home_of(key: u64, usable: &[&InstanceView]) -> Option<RunnerId> {
+    let ranked = usable
+        .iter()
+        .max_by_key(|view| xxh3_64_with_seed(view.id.as_str().as_bytes(), key));
+    ranked.map(|view| view.id.clone())
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod manual;
 pub mod process;
 pub mod reference;
+pub mod service;
 pub mod standins;
 pub mod table;
 
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -190,6 +190,20 @@
         /// The runner.
         runner: RunnerId,
     },
+    /// Takes a service configuration over if its number is above the held one's.
+    PutServices {
+        /// The operator's number.
+        number: u64,
+        /// The document, in the operator's form.
+        document: Vec<u8>,
+    },
+    /// Records that an instance of a service takes no more work.
+    RecordLeaving {
+        /// The instance.
+        instance: RunnerId,
+        /// Whether it has said that it ends.
+        ended: bool,
+    },
     /// Records where a member of the control group is found.
     RecordMember {
         /// The member.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod members;
 pub mod placement;
 pub mod reply;
+pub mod services;
 pub mod session;
 mod state;
 
@@ -33,4 +34,5 @@
     ClaimReply, CommandError, CommandReply, ConfigurationConflict, JobReply, JobView, JobWork,
     StoredAnswer,
 };
+pub use services::{LeavingInstance, Services};
 pub use state::{ReplicatedState, SnapshotError};
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -8,6 +8,7 @@
 use crate::members::MemberAddresses;
 use crate::placement::Placement;
 use crate::reply::{CommandError, CommandReply};
+use crate::services::Services;
 use crate::session::{Seen, Sessions};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
@@ -38,6 +39,8 @@
     pub sessions: Sessions,
     /// Addresses of members that joined later.
     pub members: MemberAddresses,
+    /// Service configuration and leaving instances.
+    pub services: Services,
 }
 
 /// A snapshot that can't be read.
@@ -138,6 +141,10 @@
             | Command::ViewJob { .. }
             | Command::ListJobs { .. } => return Ok(self.apply_job(command)),
             Command::AdvanceTime => self.expire(),
+            Command::PutServices { number, document } => self.services.put(*number, document),
+            Command::RecordLeaving { instance, ended } => {
+                self.services.record_leaving(instance, *ended);
+            }
             Command::RecordMember {
                 member,
                 wire_address,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,11 +4,12 @@
 use courseshunt_queue::{
     AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
 };
+use courseshunt_services::{FeedMessage, ReportMessage};
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
-    ClientSequence, DeploymentName, Epoch, GroupId, Incarnation, JobId, LogIndex, Millis,
-    PriorityClass, RequestId, Revision, RouterId, RunnerId, Zone,
+    ClientSequence, ControllerId, DeploymentName, Epoch, GroupId, Incarnation, JobId, LogIndex,
+    Millis, PriorityClass, RequestId, Revision, RouterId, RunnerId, Zone,
 };
 
 use std::collections::BTreeSet;
@@ -219,6 +220,24 @@
         /// Index of the committed change, or why there is none.
         result: Result<LogIndex, String>,
     },
+    /// Controller to router: services, instances and their use.
+    ServiceFeed(FeedMessage),
+    /// Router to controller: what it uses and is asked for.
+    ServiceReport(ReportMessage),
+    /// Controller to controller: a process with a new disk wants to join.
+    Join {
+        /// The member.
+        member: ControllerId,
+        /// Its wire address, `ip:port`.
+        wire_address: String,
+    },
+    /// Answers [`Message::Join`]: the members of the group.
+    Joined {
+        /// Whether the sender leads and takes the member in.
+        leads: bool,
+        /// Members with their wire addresses.
+        members: Vec<(ControllerId, String)>,
+    },
 }
 
 /// A queued job as its executor needs it.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Kinds of messages, as named in metrics.
-pub const MESSAGE_KINDS: [&str; 13] = [
+pub const MESSAGE_KINDS: [&str; 15] = [
     "consensus",
     "forward",
     "subscribe",
@@ -20,6 +20,8 @@
     "ledger",
     "ticket",
     "grant",
+    "service_feed",
+    "service_report",
     "other",
 ];
 
@@ -117,6 +119,8 @@
         | Message::NotOwner { .. }
         | Message::AdoptGrants { .. }
         | Message::OwnerLeaving => 11,
+        Message::ServiceFeed(_) => 12,
+        Message::ServiceReport(_) => 13,
         #[allow(unreachable_patterns, reason = "kinds that are appended later")]
         _ => MESSAGE_KINDS.len() - 1,
     }
