--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -97,7 +97,7 @@
     candidate: Candidate,
     view: &InstanceView,
 ) -> AttemptOutcome {
-    let mut flight = Flight {
+    let flight = Flight {
         shared: shared.clone(),
         candidate,
         sent_at: Instant::now(),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -65,6 +65,9 @@
     shared: &Arc<Shared>,
     arrived: Instant,
 ) -> Result<Admitted, Refusal> {
+    if shared.closing.is_cancelled() {
+        return Err(Refusal::Stopping);
+    }
     let (head, body) = request.into_parts();
     let table = shared.view.table().ok_or(Refusal::NoConfiguration)?;
     let route = find(&table, &head).ok_or(Refusal::NoRoute)?;
@@ -79,7 +82,9 @@
     let limits = &table.configuration().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
     let now = shared.clock.now();
-    shared.view.arrived(&service.name, &facts.shape, now);
+    shared
+        .view
+        .arrived(&service.name, &facts.shape, route.objective, now);
     Ok(Admitted {
         target: origin_form(&head.uri),
         head,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,8 @@
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
     pub(crate) stopping: CancellationToken,
+    /// Cancelled when nothing new is taken any more.
+    pub(crate) closing: CancellationToken,
     /// Cancelled when it ends.
     pub(crate) ended: CancellationToken,
     pub(crate) requests: tokio_util::task::TaskTracker,
@@ -78,6 +80,7 @@
             interface,
             clock,
             stopping: CancellationToken::new(),
+            closing: CancellationToken::new(),
             ended: CancellationToken::new(),
             requests: tokio_util::task::TaskTracker::new(),
             settings,
@@ -86,7 +89,7 @@
         let feed = feed::follow(shared.clone(), key);
         tokio::spawn(ended.clone().run_until_cancelled_owned(feed));
         let clients = serve::accept_clients(clients, shared.clone());
-        tokio::spawn(ended.clone().run_until_cancelled_owned(clients));
+        tokio::spawn(shared.closing.clone().run_until_cancelled_owned(clients));
         if let Some(ready) = ready {
             tokio::spawn(serve::serve_readiness(ready, shared.clone()));
         }
@@ -102,6 +105,7 @@
         let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
         let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         tokio::time::sleep(LINGER.min(grace / 2)).await;
+        self.shared.closing.cancel();
         self.shared.requests.close();
         let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
         self.shared.ended.cancel();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -20,8 +20,8 @@
     NoInstance,
     /// Every instance that was asked turned it away; it has not run.
     TurnedAway,
-    /// Its time is over; it has not run.
-    TooLate,
+    /// This router stops; it has not run.
+    Stopping,
     /// Its time is over; it may have run.
     TimedOut,
     /// The instance's answer broke off; it may have run.
@@ -35,7 +35,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenBody => StatusCode::BAD_REQUEST,
-            Self::NoConfiguration | Self::NoInstance | Self::TurnedAway | Self::TooLate => {
+            Self::NoConfiguration | Self::NoInstance | Self::TurnedAway | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -45,7 +45,7 @@
 
     /// Whether the connection can't be used further.
     fn closes(self) -> bool {
-        matches!(self, Self::TooLarge | Self::BrokenBody)
+        matches!(self, Self::TooLarge | Self::BrokenBody | Self::Stopping)
     }
 
     /// A word for logs and metrics.
@@ -57,7 +57,7 @@
             Self::BrokenBody => "broken_body",
             Self::NoInstance => "no_instance",
             Self::TurnedAway => "turned_away",
-            Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,6 +20,7 @@
 struct Demand {
     arrivals: u32,
     tokens: u32,
+    objective_ms: u32,
     waiting: u32,
 }
 
@@ -195,7 +196,13 @@
     }
 
     /// Counts a client's request for a service.
-    pub(crate) fn arrived(&self, service: &str, shape: &PromptShape, now: Timestamp) {
+    pub(crate) fn arrived(
+        &self,
+        service: &str,
+        shape: &PromptShape,
+        objective: Millis,
+        now: Timestamp,
+    ) {
         let (ratio, slack, window) = self.retry;
         let mut state = self.lock();
         let budgets = &mut state.budgets;
@@ -207,6 +214,11 @@
             return;
         }
         let demand = state.demand.entry(key_of(service, shape)).or_default();
+        let objective = u32::try_from(objective.0).unwrap_or(u32::MAX);
+        demand.objective_ms = match demand.arrivals {
+            0 => objective,
+            _ => objective.min(demand.objective_ms),
+        };
         demand.arrivals += 1;
         demand.tokens += shape.prompt_tokens;
     }
@@ -237,6 +249,7 @@
             adapter: key.adapter.clone(),
             arrivals: demand.arrivals,
             tokens: demand.tokens,
+            objective_ms: demand.objective_ms,
             waiting: demand.waiting,
         });
         let demand = demand.collect();
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -30,6 +30,9 @@
     pub arrivals: u32,
     /// Tokens that they have read, cached parts left out.
     pub tokens: u32,
+    /// Shortest objective of the requests that arrived, in milliseconds; 0 when
+    /// none did.
+    pub objective_ms: u32,
     /// Requests that wait for an instance now.
     pub waiting: u32,
 }
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -42,6 +42,8 @@
     fast: Decaying,
     slow: Decaying,
     tokens: Decaying,
+    /// Shortest objective seen, in milliseconds.
+    objective_ms: Option<u32>,
 }
 
 /// Requests that wait at one router.
@@ -82,6 +84,8 @@
                 rates.fast.add(f64::from(one.arrivals), now, FAST);
                 rates.slow.add(f64::from(one.arrivals), now, SLOW);
                 rates.tokens.add(f64::from(one.tokens), now, FAST);
+                let shortest = rates.objective_ms.unwrap_or(u32::MAX);
+                rates.objective_ms = Some(shortest.min(one.objective_ms));
             }
             if one.waiting > 0 {
                 self.waiting.push(Waiting {
@@ -117,6 +121,12 @@
         rates.map_or(0.0, |rates| rates.tokens.at(now, FAST))
     }
 
+    /// Shortest objective with which the model was asked for.
+    pub(super) fn objective(&self, key: &ModelKey) -> Option<Millis> {
+        let objective = self.rates.get(key)?.objective_ms?;
+        Some(Millis(u64::from(objective)))
+    }
+
     /// Models of a service that were asked for.
     pub(super) fn models_of<'a>(
         &'a self,
--- a/crates/services/src/placement/instance.rs
+++ b/crates/services/src/placement/instance.rs
@@ -434,18 +434,29 @@
 
     /// Models held that requests may still be sent for.
     pub(super) fn held(&self) -> impl Iterator<Item = (&ModelName, &Held)> {
-        self.held.iter().filter(|(_, held)| !held.unloading)
+        let kept = |name: &ModelName, held: &Held| !held.unloading && !self.is_unload_sent(name);
+        self.held
+            .iter()
+            .filter(move |(name, held)| kept(name, held))
+    }
+
+    fn is_unload_sent(&self, model: &ModelName) -> bool {
+        self.sent.as_ref() == Some(&OrderAction::UnloadModel(model.clone()))
     }
 
     /// Whether it holds the model and is not giving it up.
     pub(super) fn has(&self, model: &ModelName) -> bool {
-        self.held.get(model).is_some_and(|held| !held.unloading)
+        let held = self.held.get(model);
+        held.is_some_and(|held| !held.unloading) && !self.is_unload_sent(model)
     }
 
     /// Whether the adapter is there or on its way.
     pub(super) fn has_adapter(&self, model: &ModelName, adapter: &str) -> bool {
+        let sent = self.sent.as_ref().is_some_and(|sent| {
+            sent.loads() && sent.model() == model && sent.adapter() == Some(adapter)
+        });
         let held = self.held.get(model);
-        held.is_some_and(|held| held.adapters.contains_key(adapter))
+        sent || held.is_some_and(|held| held.adapters.contains_key(adapter))
     }
 
     /// Adapters there or on their way.
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -14,18 +14,29 @@
 const TOKENS_PER_REQUEST: f64 = 1_500.0;
 /// Copies beyond the first are added only above this rate, in requests a second.
 const RATE_FOR_COPIES: f64 = 0.6;
+/// A copy is surplus when the others would stay below this part of the
+/// utilisation at which one is added.
+const KEEP_PART: f64 = 0.6;
 /// A model is not evicted sooner after its load.
 const LEAST_STAY: Millis = Millis(2_500);
 /// An adapter is not evicted sooner after its load or use.
 const LEAST_ADAPTER_STAY: Millis = Millis(400);
-/// Value of a model's only copy besides its rate: a cold start avoided.
-const LAST_COPY_VALUE: f64 = 0.05;
+/// Value of the only copy of a model whose requests can't wait for a load.
+const URGENT_COPY_VALUE: f64 = 1.0;
+/// Value of the only copy of a model that was not asked for yet.
+const UNKNOWN_COPY_VALUE: f64 = 0.03;
+/// Value of the only copy of a model whose requests can wait for a load.
+const PATIENT_COPY_VALUE: f64 = 0.02;
+/// Part of a patient model's rate that counts.
+const PATIENT_RATE_PART: f64 = 0.3;
 /// Value of a copy that is not needed.
 const SURPLUS_VALUE: f64 = 0.001;
 /// Cost of a model that requests wait for.
 const WAITED_FOR: f64 = 1e6;
 /// Loads that demand alone, without waiting requests, may start in one round.
 const SCALING_LOADS: usize = 2;
+/// Loads of models that nobody waits for that one round may start.
+const RESTORING_LOADS: usize = 2;
 /// Evicting for another copy of a busy model must be worth so much more.
 const SCALING_MARGIN: f64 = 1.5;
 
@@ -90,6 +101,7 @@
             self.serve_wanted(one, engine, now, steps);
         }
         self.scale_busy(service, engine, now, steps);
+        self.restore_missing(service, engine, now, steps);
     }
 
     fn copies(&self, service: &str) -> Copies {
@@ -262,22 +274,51 @@
             return WAITED_FOR;
         }
         let count = copies.get(name).map_or(1, Vec::len).max(1);
-        if count > self.desired_copies(&key, engine, now) {
+        if self.demand.objective(&key).is_none() {
+            return UNKNOWN_COPY_VALUE;
+        }
+        if count > self.copies_to_keep(&key, now) {
             return SURPLUS_VALUE + self.demand.slow(&key, now) / count as f64 * 0.01;
         }
         let rate = self.demand.slow(&key, now).max(self.demand.fast(&key, now));
-        rate / count as f64 + LAST_COPY_VALUE
+        match count {
+            1 => self.only_copy_value(&key, engine, rate),
+            _ => rate / count as f64,
+        }
+    }
+
+    /// What the only copy of a model is worth: a cold start avoided.
+    fn only_copy_value(&self, key: &ModelKey, engine: &Engine, rate: f64) -> f64 {
+        let load = engine
+            .model(&key.model)
+            .map_or(Millis(0), |one| one.load_time);
+        match self.demand.objective(key) {
+            None => UNKNOWN_COPY_VALUE,
+            Some(objective) if objective < load => URGENT_COPY_VALUE + rate,
+            Some(_) => PATIENT_COPY_VALUE + rate * PATIENT_RATE_PART,
+        }
     }
 
     /// Copies that the present demand needs, at least one.
-    fn desired_copies(&self, key: &ModelKey, engine: &Engine, now: Timestamp) -> usize {
+    fn desired_copies(&self, key: &ModelKey, now: Timestamp) -> usize {
         let rate = self.demand.fast(key, now);
+        self.copies_for(key, rate, self.settings.copy_utilisation, now)
+    }
+
+    /// Copies that are not surplus: more than are added, so that a demand that
+    /// varies a little moves nothing.
+    fn copies_to_keep(&self, key: &ModelKey, now: Timestamp) -> usize {
+        let rate = self.demand.fast(key, now).max(self.demand.slow(key, now));
+        let utilisation = self.settings.copy_utilisation * KEEP_PART;
+        self.copies_for(key, rate / KEEP_PART, utilisation, now)
+    }
+
+    fn copies_for(&self, key: &ModelKey, rate: f64, utilisation: f64, now: Timestamp) -> usize {
         if rate < RATE_FOR_COPIES {
             return 1;
         }
         let work = self.demand.tokens(key, now) + rate * TOKENS_PER_REQUEST;
-        let _ = engine;
-        let copies = work / READ_PER_SECOND / self.settings.copy_utilisation;
+        let copies = work / READ_PER_SECOND / utilisation;
         (copies.ceil() as usize).max(1)
     }
 
@@ -398,6 +439,31 @@
         }
     }
 
+    /// Loads models that no instance holds, where that evicts nothing worth more.
+    fn restore_missing(
+        &mut self,
+        service: &str,
+        engine: &Engine,
+        now: Timestamp,
+        steps: &mut Vec<PlacementStep>,
+    ) {
+        let copies = self.copies(service);
+        let missing = engine.models.iter();
+        let missing = missing.filter(|one| !copies.contains_key(&one.name));
+        let mut missing: Vec<(f64, &ModelSpecification)> = missing
+            .map(|one| {
+                let key = key_of(service, &one.name);
+                let rate = self.demand.slow(&key, now);
+                (self.only_copy_value(&key, engine, rate), one)
+            })
+            .collect();
+        missing.sort_by(|left, right| right.0.total_cmp(&left.0));
+        for (value, specification) in missing.into_iter().take(RESTORING_LOADS) {
+            let worth = value / SCALING_MARGIN;
+            self.add_copy(specification, service, engine, worth, now, steps);
+        }
+    }
+
     /// Adds copies of models whose demand has outgrown them.
     fn scale_busy(
         &mut self,
@@ -411,7 +477,7 @@
         for key in self.demand.models_of(service) {
             let name = ModelName::from(key.model.as_str());
             let count = copies.get(&name).map_or(0, Vec::len);
-            if count > 0 && self.desired_copies(key, engine, now) > count {
+            if count > 0 && self.desired_copies(key, now) > count {
                 let worth = self.demand.fast(key, now) / (count + 1) as f64;
                 short.push((worth, name));
             }
