Requests whose load would make them late are refused at once, with a time to come back

Ruled out: the load itself; the leader was down or waiting for its lease. Change: the router knows when a model will be there; what can't be in time is refused within a fifth of the objective; a client that returns is held.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{AttemptOutcome, attempt, is_failure};
 use crate::interface::RequestFacts;
 use crate::refusal::Refusal;
+use crate::waiting::{Situation, Waiting, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
 use courseshunt_services::routes::pick_target;
@@ -25,11 +26,8 @@
 const MAX_SENDS: u32 = 6;
 /// Clients are told to come back after this part of the objective.
 const RETRY_AFTER_PART: u64 = 10;
-/// A request waits for its model until this part of its time is over.
-const WAIT_PART: f64 = 0.8;
-/// Without any instance that could be told to serve it, a request waits for
-/// this part of its objective.
-const NO_INSTANCE_PART: u32 = 4;
+/// Longest pause before a waiting request is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
 /// A request whose route, facts and whole body are known.
 pub(crate) struct Admitted {
@@ -135,14 +133,14 @@
         let chosen = select(admitted, shared, &sends).await;
         let (candidate, view) = match chosen {
             Ok(chosen) => chosen,
-            Err(refusal) => return refuse(admitted, refusal),
+            Err(given_up) => return refuse(admitted, given_up.refusal, given_up.retry_after),
         };
         sends.count += 1;
         let instance = view.id.clone();
         let outcome = attempt(shared, admitted, candidate, &view).await;
         match next(admitted, shared, &mut sends, instance, outcome) {
             Next::Answer(response) => return response,
-            Next::Refuse(refusal) => return refuse(admitted, refusal),
+            Next::Refuse(refusal) => return refuse(admitted, refusal, None),
             Next::Again => {}
         }
         if sends.avoid.len() > 1 {
@@ -200,7 +198,7 @@
 }
 
 /// The final answer of a request that no instance answered.
-fn refuse(admitted: &Admitted, refusal: Refusal) -> Response<Body> {
+fn refuse(admitted: &Admitted, refusal: Refusal, retry_after: Option<Millis>) -> Response<Body> {
     log::info!(
         "request: {} route {} model {} refused after {} ms: {}",
         admitted.facts.id,
@@ -210,7 +208,25 @@
         refusal.word()
     );
     let wait = Millis(admitted.route.objective.0 / RETRY_AFTER_PART);
-    refusal.response(Some(wait))
+    refusal.response(Some(retry_after.unwrap_or(wait)))
+}
+
+/// A request that waits no longer.
+struct GivenUp {
+    refusal: Refusal,
+    retry_after: Option<Millis>,
+}
+
+impl GivenUp {
+    fn of(sends: &Sends, retry_after: Millis) -> Self {
+        Self {
+            refusal: match sends.ran {
+                0 => Refusal::NoInstance,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(retry_after),
+        }
+    }
 }
 
 /// Chooses an instance; waits for one while that makes sense.
@@ -218,7 +234,7 @@
     admitted: &Admitted,
     shared: &Arc<Shared>,
     sends: &Sends,
-) -> Result<(Candidate, InstanceView), Refusal> {
+) -> Result<(Candidate, InstanceView), GivenUp> {
     let shape = &admitted.facts.shape;
     let service = &admitted.service;
     let mut changes = shared.view.changes();
@@ -234,26 +250,36 @@
         if let Some(chosen) = shared.view.choose(service, shape, avoid, now) {
             return Ok(chosen);
         }
-        let until = wait_until(admitted, shared);
         if waiting.is_none() && service.engine.is_some() {
             waiting = Some(shared.view.wait_for(&service.name, shape));
         }
-        let pause = (Instant::now() + Duration::from_millis(200)).min(until);
+        let until = match decide(&situation(admitted, shared), Instant::now()) {
+            Waiting::Until(until) => until,
+            Waiting::GiveUp { retry_after } => return Err(GivenUp::of(sends, retry_after)),
+        };
+        let pause = (Instant::now() + LOOK_AGAIN).min(until);
         let _ = tokio::time::timeout_at(pause, changes.changed()).await;
-        if Instant::now() >= until {
-            return Err(match sends.ran {
-                0 => Refusal::NoInstance,
-                _ => Refusal::Broken,
-            });
-        }
     }
 }
 
-fn wait_until(admitted: &Admitted, shared: &Shared) -> Instant {
-    let objective = Duration::from(admitted.route.objective);
-    if admitted.service.engine.is_none() || !shared.view.is_known(&admitted.service) {
-        return admitted.arrived + objective / NO_INSTANCE_PART;
+/// What the decision on waiting rests on.
+fn situation(admitted: &Admitted, shared: &Shared) -> Situation {
+    let service = &admitted.service;
+    let expected = match service.engine {
+        Some(_) => shared.view.expected_at(service, &admitted.facts.shape),
+        None => None,
+    };
+    let asked = admitted.facts.deadline.unwrap_or(admitted.route.timeout);
+    Situation {
+        arrived: admitted.arrived,
+        deadline: admitted.deadline,
+        objective: Duration::from(admitted.route.objective),
+        patience: shared
+            .interface
+            .patience(&admitted.route)
+            .map(Duration::from),
+        returning: asked.0 * 10 < admitted.route.timeout.0 * 9,
+        has_models: service.engine.is_some() && shared.view.is_known(service),
+        expected,
     }
-    let whole = admitted.deadline - admitted.arrived;
-    admitted.arrived + whole.mul_f64(WAIT_PART)
 }
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -1,6 +1,6 @@
 //! What a router needs of the interfaces of clients and instances.
 
-use courseshunt_services::{ConfigurationError, PromptShape, ServiceConfiguration};
+use courseshunt_services::{ConfigurationError, PromptShape, Route, ServiceConfiguration};
 use courseshunt_types::{Millis, RunnerId};
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -55,6 +55,10 @@
     /// Reads what a request says about itself.
     fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
 
+    /// How long a client waits for the first part of an answer on this route;
+    /// `None` when it waits until its deadline.
+    fn patience(&self, route: &Route) -> Option<Millis>;
+
     /// Sets what the router adds.
     fn prepare(&self, headers: &mut HeaderMap, sending: &Sending<'_>);
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,16 +2,20 @@
 
 use courseshunt_services::feed::{InstanceUsage, ModelDemand};
 use courseshunt_services::{
-    Candidate, InstanceView, PromptShape, RetryBudget, RouteTable, Selector, Service,
+    Candidate, InstanceState, InstanceView, PromptShape, RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 /// Routers are taken to be so many until the feed tells.
 const ASSUMED_ROUTERS: u32 = 16;
+/// Time in which an adapter is loaded, about.
+const ADAPTER_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
 const CONNECTION_RESERVE: u32 = 8;
 
@@ -35,6 +39,8 @@
 struct State {
     table: Option<Arc<RouteTable>>,
     instances: BTreeMap<RunnerId, InstanceView>,
+    /// When models that are being loaded will be there.
+    expected: BTreeMap<RunnerId, Vec<(String, Instant)>>,
     selector: Selector,
     demand: HashMap<DemandKey, Demand>,
     budgets: HashMap<String, RetryBudget>,
@@ -57,6 +63,7 @@
         let state = State {
             table: None,
             instances: BTreeMap::new(),
+            expected: BTreeMap::new(),
             selector: Selector::new(Zone::from(settings.zone.as_str())),
             demand: HashMap::new(),
             budgets: HashMap::new(),
@@ -124,12 +131,18 @@
         let before: Vec<RunnerId> = state.instances.keys().cloned().collect();
         if whole {
             state.instances.clear();
+            state.expected.clear();
         }
+        let now = Instant::now();
         for view in changed {
+            let loading = view.loading.iter();
+            let due = loading.map(|(model, left)| (model.0.clone(), now + Duration::from(*left)));
+            state.expected.insert(view.id.clone(), due.collect());
             state.instances.insert(view.id.clone(), view);
         }
         for id in gone {
             state.instances.remove(id);
+            state.expected.remove(id);
         }
         let State {
             instances,
@@ -183,6 +196,25 @@
         views.any(|view| view.service == service.name)
     }
 
+    /// When an instance is expected to hold the request's model; `None` when
+    /// nothing is known.
+    pub(crate) fn expected_at(&self, service: &Service, shape: &PromptShape) -> Option<Instant> {
+        let state = self.lock();
+        let views = state.instances.values();
+        let views =
+            views.filter(|view| view.service == service.name && view.state == InstanceState::Ready);
+        let mut earliest: Option<Instant> = None;
+        for view in views {
+            if view.holds(&shape.model, None) {
+                return Some(Instant::now() + ADAPTER_TIME);
+            }
+            let due = state.expected.get(&view.id).into_iter().flatten();
+            let due = due.filter(|(model, _)| *model == shape.model);
+            earliest = due.map(|(_, at)| *at).chain(earliest).min();
+        }
+        earliest
+    }
+
     pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis) {
         self.lock().selector.first_answer(candidate, waited);
     }
--- a/crates/services/src/placement/instance.rs
+++ b/crates/services/src/placement/instance.rs
@@ -2,7 +2,7 @@
 //! by the orders given since.
 
 use super::{Order, OrderAction, OrderOutcome};
-use crate::configuration::Engine;
+use crate::configuration::{Engine, ModelSpecification};
 use crate::instance::{InstanceState, InstanceView, Registration, ResidentModel};
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
 use std::collections::BTreeMap;
@@ -20,6 +20,8 @@
 const ASK_AGAIN: Millis = Millis(400);
 /// Pause after an order that could not be sent.
 const RETRY_PAUSE: Millis = Millis(250);
+/// Time that the evictions before a load take, about.
+const EVICTION_TIME: Millis = Millis(100);
 /// Longest time that an instance stays set aside for a model.
 const INTENT_LIMIT: Millis = Millis(8_000);
 /// Time of an adapter's load besides the transfer.
@@ -79,7 +81,15 @@
     sent: Option<OrderAction>,
     work: Option<Work>,
     changed_at: Option<Timestamp>,
-    intent: Option<(ModelName, Timestamp)>,
+    intent: Option<Intent>,
+}
+
+/// A model that the instance is set aside for.
+#[derive(Debug)]
+struct Intent {
+    model: ModelName,
+    until: Timestamp,
+    due: Timestamp,
 }
 
 impl Instance {
@@ -302,11 +312,7 @@
                     action: action.clone(),
                     due: now + time,
                 });
-                if self
-                    .intent
-                    .as_ref()
-                    .is_some_and(|(wanted, _)| wanted == model)
-                {
+                if self.intent() == Some(model) {
                     self.intent = None;
                 }
             }
@@ -334,11 +340,7 @@
         }
     }
 
-    fn load_time(
-        &self,
-        one: &crate::configuration::ModelSpecification,
-        model: &ModelName,
-    ) -> Millis {
+    fn load_time(&self, one: &ModelSpecification, model: &ModelName) -> Millis {
         if self.registration.copies_in_memory.contains(model) {
             one.warm_load_time
         } else if self.registration.copies_on_disk.contains(model) {
@@ -391,10 +393,11 @@
                 adapters: ready.map(|(name, _)| name.clone()).collect(),
             }
         });
-        let loading = self.loading().map(|model| {
-            let due = self.work.as_ref().map_or(now, |work| work.due);
-            (model.clone(), due.since(now))
-        });
+        let work = self.work.as_ref().filter(|work| work.action.loads());
+        let work = work.map(|work| (work.action.model(), work.due));
+        let intent = self.intent.as_ref().map(|one| (&one.model, one.due));
+        let coming = work.into_iter().chain(intent);
+        let loading = coming.map(|(model, due)| (model.clone(), due.since(now)));
         InstanceView {
             id: self.registration.id.clone(),
             service: self.registration.service.clone(),
@@ -403,7 +406,7 @@
             slots: self.registration.slots,
             state: self.state,
             models: models.collect(),
-            loading: loading.into_iter().collect(),
+            loading: loading.collect(),
         }
     }
 
@@ -415,15 +418,19 @@
 
     /// The model that the instance is set aside for.
     pub(super) fn intent(&self) -> Option<&ModelName> {
-        self.intent.as_ref().map(|(model, _)| model)
+        self.intent.as_ref().map(|intent| &intent.model)
     }
 
-    pub(super) fn set_intent(&mut self, model: &ModelName, now: Timestamp) {
-        self.intent = Some((model.clone(), now + INTENT_LIMIT));
+    pub(super) fn set_intent(&mut self, one: &ModelSpecification, now: Timestamp) {
+        self.intent = Some(Intent {
+            model: one.name.clone(),
+            until: now + INTENT_LIMIT,
+            due: now + self.load_time(one, &one.name) + EVICTION_TIME,
+        });
     }
 
     pub(super) fn drop_old_intent(&mut self, now: Timestamp) {
-        if self.intent.as_ref().is_some_and(|(_, until)| *until < now) {
+        if self.intent.as_ref().is_some_and(|one| one.until < now) {
             self.intent = None;
         }
     }
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -361,8 +361,9 @@
         };
         let model = specification.name.clone();
         if let Some(instance) = self.instances.get_mut(&place.instance) {
-            instance.set_intent(&model, now);
+            instance.set_intent(specification, now);
         }
+        self.changed.insert(place.instance.clone());
         self.go_on(&place.instance, &model, service, engine, now, steps);
         true
     }
