Demand counts the tokens that have to be read; a load that is waited for has a worth

Ruled out: the ceiling itself (a load each 0.26 s, as allowed), late orders. Change: routers report uncached tokens; urgent models go first, then copies of busy ones, then models whose requests can wait; worth bounds what a load may evict; adapters fill free places before they are asked for; each order is logged with what it rests on.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -30,10 +30,11 @@
         PlacementStep::Give(order) => {
             let outcome = give(&order, &shared).await;
             log::info!(
-                "order: {:?} at {} expecting {}: {outcome:?}",
+                "order: {:?} at {} expecting {}: {outcome:?}; {:?}",
                 order.action,
                 order.instance,
-                order.expected
+                order.expected,
+                order.evidence
             );
             let now = shared.clock.now();
             shared.engine().on_outcome(&order, outcome, now);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -186,6 +186,13 @@
         let candidate = selector.choose(shape, views, avoid, own_limit, now)?;
         selector.begin(&candidate, shape, now);
         let view = instances.get(&candidate.instance)?.clone();
+        if !shape.model.is_empty() {
+            let demand = state
+                .demand
+                .entry(key_of(&service.name, shape))
+                .or_default();
+            demand.tokens += candidate.uncached_tokens;
+        }
         Some((candidate, view))
     }
 
@@ -252,7 +259,6 @@
             _ => objective.min(demand.objective_ms),
         };
         demand.arrivals += 1;
-        demand.tokens += shape.prompt_tokens;
     }
 
     /// Takes one retry out of the budget.
--- a/crates/services/src/configuration.rs
+++ b/crates/services/src/configuration.rs
@@ -109,6 +109,8 @@
     pub warm_load_time: Millis,
     /// Time of a load from the instance's disk.
     pub disk_load_time: Millis,
+    /// Its adapters.
+    pub adapters: Vec<String>,
     /// Memory of one adapter, in MB.
     pub adapter_mb: f64,
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -31,8 +31,8 @@
 pub use instance::{InstanceState, InstanceView, Registration, ResidentModel};
 pub use judge::{ConfigurationError, judge};
 pub use placement::{
-    InstanceReport, Order, OrderAction, OrderOutcome, PlacementEngine, PlacementSettings,
-    PlacementStep,
+    InstanceReport, Order, OrderAction, OrderEvidence, OrderOutcome, PlacementEngine,
+    PlacementSettings, PlacementStep,
 };
 pub use routes::RouteTable;
 pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -97,6 +97,21 @@
     pub action: OrderAction,
     /// Orders that the instance has taken so far.
     pub expected: u64,
+    /// What the decision rests on.
+    pub evidence: OrderEvidence,
+}
+
+/// What the decision to give an order rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderEvidence {
+    /// Copies of the model, those on their way included.
+    pub copies: usize,
+    /// Copies that the demand needs.
+    pub desired: usize,
+    /// Requests for the model in a thousand seconds.
+    pub rate_per_1000_s: u64,
+    /// Whether requests wait for the model.
+    pub waited_for: bool,
 }
 
 /// What the engine wants done.
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -2,7 +2,7 @@
 
 use super::demand::{ModelKey, Wanted};
 use super::instance::Instance;
-use super::{Order, OrderAction, PlacementEngine, PlacementStep};
+use super::{Order, OrderAction, OrderEvidence, PlacementEngine, PlacementStep};
 use crate::configuration::{Engine, ModelSpecification};
 use crate::instance::InstanceState;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
@@ -11,7 +11,7 @@
 /// Prompt tokens that an instance reads in a second.
 const READ_PER_SECOND: f64 = 38_000.0;
 /// Tokens that one request costs besides its prompt: its share of a batch.
-const TOKENS_PER_REQUEST: f64 = 1_500.0;
+const TOKENS_PER_REQUEST: f64 = 500.0;
 /// Copies beyond the first are added only above this rate, in requests a second.
 const RATE_FOR_COPIES: f64 = 0.6;
 /// A copy is surplus when the others would stay below this part of the
@@ -31,6 +31,9 @@
 const PATIENT_RATE_PART: f64 = 0.3;
 /// Value of a copy that is not needed.
 const SURPLUS_VALUE: f64 = 0.001;
+/// What a load is worth that requests wait for, and more for each of them.
+const WAITING_BASE_WORTH: f64 = 0.4;
+const WAITING_WORTH: f64 = 0.6;
 /// Cost of a model that requests wait for.
 const WAITED_FOR: f64 = 1e6;
 /// Loads that demand alone, without waiting requests, may start in one round.
@@ -97,11 +100,17 @@
         self.follow_intents(service, engine, now, steps);
         let wanted = self.demand.wanted(now);
         let wanted = wanted.iter().filter(|one| one.key.service == service);
-        for one in wanted {
+        let (urgent, patient): (Vec<&Wanted>, Vec<&Wanted>) =
+            wanted.partition(|one| self.is_urgent(&one.key, engine));
+        for one in urgent {
             self.serve_wanted(one, engine, now, steps);
         }
         self.scale_busy(service, engine, now, steps);
+        for one in patient {
+            self.serve_wanted(one, engine, now, steps);
+        }
         self.restore_missing(service, engine, now, steps);
+        self.fill_adapters(service, engine, now, steps);
     }
 
     fn copies(&self, service: &str) -> Copies {
@@ -174,7 +183,7 @@
         let victims = self.victims(instance, specification, service, engine, &copies, now);
         match victims.and_then(|(_, victims)| victims.into_iter().next()) {
             Some(victim) => {
-                self.give(id, OrderAction::UnloadModel(victim), steps);
+                self.give(id, OrderAction::UnloadModel(victim), now, steps);
             }
             None => {
                 if let Some(instance) = self.instances.get_mut(id) {
@@ -196,7 +205,7 @@
             return;
         };
         if instance.sequence().is_none() {
-            self.give(id, OrderAction::LoadModel(model.clone()), steps);
+            self.give(id, OrderAction::LoadModel(model.clone()), now, steps);
             return;
         }
         let from_store = !instance.copy_in_memory(model) && !instance.copy_on_disk(model);
@@ -206,11 +215,18 @@
                 return;
             }
         }
-        self.give(id, OrderAction::LoadModel(model.clone()), steps);
+        self.give(id, OrderAction::LoadModel(model.clone()), now, steps);
     }
 
     /// Gives an order, or asks for the number that it has to carry.
-    fn give(&mut self, id: &RunnerId, action: OrderAction, steps: &mut Vec<PlacementStep>) -> bool {
+    fn give(
+        &mut self,
+        id: &RunnerId,
+        action: OrderAction,
+        now: Timestamp,
+        steps: &mut Vec<PlacementStep>,
+    ) -> bool {
+        let evidence = self.evidence(id, action.model(), now);
         let Some(instance) = self.instances.get_mut(id) else {
             return false;
         };
@@ -224,10 +240,23 @@
             address: instance.address().to_owned(),
             action,
             expected,
+            evidence,
         }));
         true
     }
 
+    fn evidence(&self, id: &RunnerId, model: &ModelName, now: Timestamp) -> OrderEvidence {
+        let instance = self.instances.get(id);
+        let service = instance.map_or("", |one| one.registration().service.as_str());
+        let key = key_of(service, model);
+        OrderEvidence {
+            copies: self.copies(service).get(model).map_or(0, Vec::len),
+            desired: self.desired_copies(&key, now),
+            rate_per_1000_s: (self.demand.fast(&key, now) * 1000.0) as u64,
+            waited_for: self.demand.is_waited_for(&key, now),
+        }
+    }
+
     /// Models to evict so that `specification` fits, cheapest first, with their
     /// summed value; `None` when it can't be done.
     fn victims(
@@ -287,14 +316,21 @@
         }
     }
 
-    /// What the only copy of a model is worth: a cold start avoided.
-    fn only_copy_value(&self, key: &ModelKey, engine: &Engine, rate: f64) -> f64 {
+    /// Whether requests for the model can't wait for a load.
+    fn is_urgent(&self, key: &ModelKey, engine: &Engine) -> bool {
         let load = engine
             .model(&key.model)
             .map_or(Millis(0), |one| one.load_time);
+        self.demand
+            .objective(key)
+            .is_some_and(|objective| objective < load)
+    }
+
+    /// What the only copy of a model is worth: a cold start avoided.
+    fn only_copy_value(&self, key: &ModelKey, engine: &Engine, rate: f64) -> f64 {
         match self.demand.objective(key) {
             None => UNKNOWN_COPY_VALUE,
-            Some(objective) if objective < load => URGENT_COPY_VALUE + rate,
+            Some(_) if self.is_urgent(key, engine) => URGENT_COPY_VALUE + rate,
             Some(_) => PATIENT_COPY_VALUE + rate * PATIENT_RATE_PART,
         }
     }
@@ -336,7 +372,8 @@
         };
         let copies = self.copies(service);
         if copies.get(&model).is_none_or(Vec::is_empty) {
-            self.add_copy(specification, service, engine, f64::INFINITY, now, steps);
+            let worth = WAITING_BASE_WORTH + WAITING_WORTH * f64::from(wanted.count);
+            self.add_copy(specification, service, engine, worth, now, steps);
             return;
         }
         if let Some(adapter) = &wanted.adapter {
@@ -427,7 +464,7 @@
         if let Some(best) = with_room.min_by_key(|one| load_of(one)) {
             let id = best.id().clone();
             let action = OrderAction::LoadAdapter(model.clone(), adapter.to_owned());
-            self.give(&id, action, steps);
+            self.give(&id, action, now, steps);
             return;
         }
         let crowded = holders.into_iter().filter_map(|one| {
@@ -436,7 +473,7 @@
         });
         let least = crowded.min_by_key(|(in_flight, _, _)| *in_flight);
         if let Some((_, id, (model, adapter))) = least {
-            self.give(&id, OrderAction::UnloadAdapter(model, adapter), steps);
+            self.give(&id, OrderAction::UnloadAdapter(model, adapter), now, steps);
         }
     }
 
@@ -465,6 +502,47 @@
         }
     }
 
+    /// Fills free adapter places with adapters that no instance holds.
+    fn fill_adapters(
+        &mut self,
+        service: &str,
+        engine: &Engine,
+        now: Timestamp,
+        steps: &mut Vec<PlacementStep>,
+    ) {
+        let free = self.of_service(service).filter(|one| {
+            one.is_free(now) && one.intent().is_none() && one.adapters() < engine.adapter_slots
+        });
+        let free: Vec<RunnerId> = free.map(|one| one.id().clone()).collect();
+        for id in free {
+            if let Some(action) = self.missing_adapter(&id, service, engine) {
+                self.give(&id, action, now, steps);
+            }
+        }
+    }
+
+    /// An adapter of a model on this instance that no instance holds.
+    fn missing_adapter(
+        &self,
+        id: &RunnerId,
+        service: &str,
+        engine: &Engine,
+    ) -> Option<OrderAction> {
+        let instance = self.instances.get(id)?;
+        let room = engine.memory_mb - instance.memory_mb(engine);
+        instance.held().find_map(|(name, _)| {
+            let specification = engine.model(name.as_str())?;
+            if specification.adapter_mb > room {
+                return None;
+            }
+            let missing = specification.adapters.iter().find(|adapter| {
+                let mut holders = self.of_service(service);
+                !holders.any(|one| one.has_adapter(name, adapter))
+            });
+            missing.map(|adapter| OrderAction::LoadAdapter(name.clone(), adapter.clone()))
+        })
+    }
+
     /// Adds copies of models whose demand has outgrown them.
     fn scale_busy(
         &mut self,
