Placement fills free memory; tests of the new crates

Cause: the fill of free memory never loaded a cold model, as the cost of a cold load was held against the worth of the copy (found by the placement test). Ruled out: the ceiling and the registrations in the test's model. Change: only what is evicted counts against the worth; equal instances are chosen in turn also before their first request.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 mod relay;
 mod serve;
 mod view;
-mod waiting;
+pub mod waiting;
 
 pub use error::GatewayError;
 pub use interface::{AnswerFacts, ClientInterface, RequestFacts, Sending};
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -21,26 +21,26 @@
 
 /// What the decision rests on.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Situation {
+pub struct Situation {
     /// When the request arrived.
-    pub(crate) arrived: Instant,
+    pub arrived: Instant,
     /// When its time is over.
-    pub(crate) deadline: Instant,
+    pub deadline: Instant,
     /// Time within which the answer earns its full credit.
-    pub(crate) objective: Duration,
+    pub objective: Duration,
     /// How long the client waits for the first part of the answer.
-    pub(crate) patience: Option<Duration>,
+    pub patience: Option<Duration>,
     /// Whether the client was refused before.
-    pub(crate) returning: bool,
+    pub returning: bool,
     /// Whether instances of the service can be told to load the model.
-    pub(crate) has_models: bool,
+    pub has_models: bool,
     /// When an instance is expected to be there.
-    pub(crate) expected: Option<Instant>,
+    pub expected: Option<Instant>,
 }
 
 /// The decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Waiting {
+pub enum Waiting {
     /// Wait, at most until then.
     Until(Instant),
     /// Give up now.
@@ -51,7 +51,7 @@
 }
 
 /// Decides.
-pub(crate) fn decide(situation: &Situation, now: Instant) -> Waiting {
+pub fn decide(situation: &Situation, now: Instant) -> Waiting {
     let prompt = situation.arrived + situation.objective / PROMPT_PART;
     let whole = situation.deadline - situation.arrived;
     let patience = situation.patience.unwrap_or(whole);
--- /dev/null
+++ b/crates/gateway/tests/waiting.rs
@@ -0,0 +1,131 @@
+//! Whether a request waits or is given up, in a table.
+
+use courseshunt_gateway::waiting::{Situation, Waiting, decide};
+use courseshunt_types::Millis;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+struct Case {
+    name: &'static str,
+    /// Time since the arrival, in milliseconds.
+    now: u64,
+    objective: u64,
+    patience: Option<u64>,
+    returning: bool,
+    has_models: bool,
+    expected: Option<u64>,
+    /// Waits until then after the arrival, or is told to come back.
+    verdict: Result<u64, u64>,
+}
+
+const DEADLINE: u64 = 5_000;
+
+const CASES: [Case; 8] = [
+    Case {
+        name: "a plain service without an instance is given up promptly",
+        now: 0,
+        objective: 100,
+        patience: None,
+        returning: false,
+        has_models: false,
+        expected: None,
+        verdict: Ok(20),
+    },
+    Case {
+        name: "and then told to come back",
+        now: 20,
+        objective: 100,
+        patience: None,
+        returning: false,
+        has_models: false,
+        expected: None,
+        verdict: Err(1_200),
+    },
+    Case {
+        name: "a model that comes in time is waited for",
+        now: 0,
+        objective: 4_000,
+        patience: Some(16_000),
+        returning: false,
+        has_models: true,
+        expected: Some(2_000),
+        verdict: Ok(4_000),
+    },
+    Case {
+        name: "a model that comes late is not",
+        now: 50,
+        objective: 500,
+        patience: Some(3_200),
+        returning: false,
+        has_models: true,
+        expected: Some(1_500),
+        verdict: Err(1_510),
+    },
+    Case {
+        name: "one that has come back waits for it",
+        now: 50,
+        objective: 500,
+        patience: Some(3_200),
+        returning: true,
+        has_models: true,
+        expected: Some(1_500),
+        verdict: Ok(2_880),
+    },
+    Case {
+        name: "but not longer than its client",
+        now: 2_900,
+        objective: 500,
+        patience: Some(3_200),
+        returning: true,
+        has_models: true,
+        expected: Some(3_100),
+        verdict: Err(260),
+    },
+    Case {
+        name: "nothing known yet: the leader has a moment to say",
+        now: 10,
+        objective: 500,
+        patience: Some(3_200),
+        returning: false,
+        has_models: true,
+        expected: None,
+        verdict: Ok(100),
+    },
+    Case {
+        name: "nothing known after that moment",
+        now: 100,
+        objective: 500,
+        patience: Some(3_200),
+        returning: false,
+        has_models: true,
+        expected: None,
+        verdict: Err(1_200),
+    },
+];
+
+#[tokio::test]
+async fn decisions() {
+    let arrived = Instant::now() + ms(60_000);
+    for case in CASES {
+        let situation = Situation {
+            arrived,
+            deadline: arrived + ms(DEADLINE),
+            objective: ms(case.objective),
+            patience: case.patience.map(ms),
+            returning: case.returning,
+            has_models: case.has_models,
+            expected: case.expected.map(|at| arrived + ms(at)),
+        };
+        let verdict = match decide(&situation, arrived + ms(case.now)) {
+            Waiting::Until(until) => Ok((until - arrived).as_millis() as u64),
+            Waiting::GiveUp {
+                retry_after: Millis(wait),
+            } => Err(wait),
+        };
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -49,6 +49,9 @@
 /// A place for a model.
 struct Place {
     instance: RunnerId,
+    /// Value of what is evicted there.
+    evicted: f64,
+    /// That, and what speaks against the place besides.
     cost: f64,
 }
 
@@ -393,7 +396,7 @@
     ) -> bool {
         let copies = self.copies(service);
         let place = self.best_place(specification, service, engine, &copies, now);
-        let Some(place) = place.filter(|place| place.cost < worth) else {
+        let Some(place) = place.filter(|place| place.evicted < worth) else {
             return false;
         };
         let model = specification.name.clone();
@@ -429,6 +432,7 @@
             let busy = f64::from(self.usage.in_flight(one.id())) * 0.002;
             Some(Place {
                 instance: one.id().clone(),
+                evicted,
                 cost: evicted + warmth + busy,
             })
         });
--- a/crates/services/src/selection.rs
+++ b/crates/services/src/selection.rs
@@ -184,9 +184,8 @@
         let (_, _, candidate) = best?;
         self.choices += 1;
         let choices = self.choices;
-        if let Some(local) = self.locals.get_mut(&candidate.instance) {
-            local.last_chosen = choices;
-        }
+        let chosen = self.locals.entry(candidate.instance.clone());
+        chosen.or_default().last_chosen = choices;
         Some(candidate)
     }
 
--- /dev/null
+++ b/crates/services/tests/placement.rs
@@ -0,0 +1,360 @@
+//! The placement engine against a model of instances: orders keep every limit,
+//! also when they are lost or carried out late.
+
+use courseshunt_services::{
+    Engine, InstanceReport, InstanceState, ModelDemand, ModelSpecification, Order, OrderAction,
+    OrderOutcome, PlacementEngine, PlacementSettings, PlacementStep, Registration, ResidentModel,
+    Service, ServiceConfiguration,
+};
+use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp, Zone};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MODEL_MB: f64 = 70.0;
+const MEMORY_MB: f64 = 200.0;
+const ADAPTER_SLOTS: u32 = 4;
+const MODELS: usize = 12;
+const LOAD_TIME: u64 = 2_000;
+const LOADS_PER_SECOND: f64 = 4.0;
+
+fn configuration() -> Arc<ServiceConfiguration> {
+    let models = (0..MODELS).map(|number| ModelSpecification {
+        name: ModelName::from(format!("m{number}")),
+        memory_mb: MODEL_MB,
+        load_time: Millis(LOAD_TIME),
+        warm_load_time: Millis(500),
+        disk_load_time: Millis(1_000),
+        adapters: (0..6).map(|adapter| format!("a{adapter}")).collect(),
+        adapter_mb: 1.0,
+    });
+    Arc::new(ServiceConfiguration {
+        number: 1,
+        services: vec![Service {
+            name: "s".to_owned(),
+            max_connections: 100,
+            engine: Some(Engine {
+                slots: 64,
+                memory_mb: MEMORY_MB,
+                adapter_slots: ADAPTER_SLOTS,
+                loads_per_second: LOADS_PER_SECOND,
+                models: models.collect(),
+            }),
+        }],
+        ..ServiceConfiguration::default()
+    })
+}
+
+/// What an instance really does with orders.
+#[derive(Debug, Default)]
+struct Runner {
+    models: BTreeMap<String, Vec<String>>,
+    busy: Option<(OrderAction, u64)>,
+    sequence: u64,
+    beat: u64,
+}
+
+impl Runner {
+    fn used_mb(&self) -> f64 {
+        let adapters: usize = self.models.values().map(Vec::len).sum();
+        let coming = matches!(&self.busy, Some((OrderAction::LoadModel(_), _)));
+        (self.models.len() + usize::from(coming)) as f64 * MODEL_MB + adapters as f64
+    }
+
+    /// Takes an order as the platform's pages say; fails on what overfills it.
+    fn take(&mut self, order: &Order, now: u64) -> OrderOutcome {
+        if order.expected != self.sequence || self.busy.is_some() {
+            return OrderOutcome::Conflict;
+        }
+        self.sequence += 1;
+        match &order.action {
+            OrderAction::LoadModel(model) => {
+                assert!(
+                    !self.models.contains_key(model.as_str()),
+                    "{order:?} is held"
+                );
+                self.busy = Some((order.action.clone(), now + LOAD_TIME));
+                assert!(
+                    self.used_mb() <= MEMORY_MB,
+                    "overfilled by {order:?}: {self:?}"
+                );
+            }
+            OrderAction::UnloadModel(_) => {
+                self.busy = Some((order.action.clone(), now + 60));
+            }
+            OrderAction::LoadAdapter(model, adapter) => {
+                let adapters = self.models.get_mut(model.as_str());
+                adapters.expect("the model is held").push(adapter.clone());
+                let count: usize = self.models.values().map(Vec::len).sum();
+                assert!(count <= ADAPTER_SLOTS as usize, "adapters: {self:?}");
+            }
+            OrderAction::UnloadAdapter(model, adapter) => {
+                let adapters = self.models.get_mut(model.as_str());
+                adapters
+                    .expect("the model is held")
+                    .retain(|one| one != adapter);
+            }
+        }
+        OrderOutcome::Accepted
+    }
+
+    fn advance(&mut self, now: u64) -> bool {
+        let done = self.busy.as_ref().is_some_and(|(_, due)| *due <= now);
+        if done && let Some((action, _)) = self.busy.take() {
+            match action {
+                OrderAction::LoadModel(model) => {
+                    self.models.insert(model.0, Vec::new());
+                }
+                OrderAction::UnloadModel(model) => {
+                    self.models.remove(model.as_str());
+                }
+                _ => {}
+            }
+        }
+        done
+    }
+
+    fn held(&self) -> Vec<ResidentModel> {
+        let held = self.models.iter().map(|(name, adapters)| ResidentModel {
+            name: ModelName::from(name.as_str()),
+            version: 1,
+            adapters: adapters.clone(),
+        });
+        held.collect()
+    }
+}
+
+struct World {
+    engine: PlacementEngine,
+    runners: BTreeMap<RunnerId, Runner>,
+    random: Pcg32,
+    late: Vec<(u64, Order)>,
+    loads: Vec<u64>,
+    lost_share: u32,
+    now: u64,
+}
+
+impl World {
+    fn new(seed: u64, runners: usize, lost_share: u32) -> Self {
+        let mut engine = PlacementEngine::new(PlacementSettings::default());
+        engine.configure(configuration(), Timestamp(0));
+        let mut world = Self {
+            engine,
+            runners: BTreeMap::new(),
+            random: Pcg32::seed_from_u64(seed),
+            late: Vec::new(),
+            loads: Vec::new(),
+            lost_share,
+            now: 0,
+        };
+        for number in 0..runners {
+            let mut runner = Runner::default();
+            runner
+                .models
+                .insert(format!("m{}", number % MODELS), Vec::new());
+            world
+                .runners
+                .insert(RunnerId::from(format!("r{number}")), runner);
+        }
+        world
+    }
+
+    fn draw(&mut self, below: u32) -> u32 {
+        self.random.next_u32() % below
+    }
+
+    fn register(&mut self, id: &RunnerId) {
+        let runner = self.runners.get_mut(id).expect("a runner");
+        runner.beat += 1;
+        let registration = Registration {
+            id: id.clone(),
+            service: "s".to_owned(),
+            address: format!("{id}:1"),
+            zone: Zone::from("z"),
+            slots: 64,
+            state: InstanceState::Ready,
+            sequence: runner.beat,
+            remaining: None,
+            models: runner.held(),
+            copies_in_memory: Vec::new(),
+            copies_on_disk: Vec::new(),
+        };
+        self.engine.register(registration, Timestamp(self.now));
+    }
+
+    /// One step of 10 ms.
+    fn step(&mut self, demand: &[ModelDemand]) {
+        self.now += 10;
+        let now = self.now;
+        let due: Vec<(u64, Order)> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, order) in due {
+            let runner = self.runners.get_mut(&order.instance).expect("a runner");
+            runner.take(&order, now);
+        }
+        let ids: Vec<RunnerId> = self.runners.keys().cloned().collect();
+        for (number, id) in ids.iter().enumerate() {
+            let done = self.runners.get_mut(id).expect("a runner").advance(now);
+            if done || now % 1_200 == (number as u64 * 30) % 1_200 {
+                self.register(id);
+            }
+        }
+        if now.is_multiple_of(250) {
+            self.engine
+                .report_usage("router", Vec::new(), demand, Timestamp(now));
+        }
+        if now.is_multiple_of(50) {
+            let steps = self.engine.plan(Timestamp(now));
+            for step in steps {
+                self.carry_out(step);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, step: PlacementStep) {
+        let now = self.now;
+        match step {
+            PlacementStep::Ask { instance, .. } => {
+                let runner = self.runners.get(&instance).expect("a runner");
+                let report = InstanceReport {
+                    models: runner.held(),
+                    busy: runner.busy.is_some(),
+                    sequence: runner.sequence,
+                    pending: Vec::new(),
+                };
+                self.engine
+                    .on_report(&instance, Some(report), Timestamp(now));
+            }
+            PlacementStep::Give(order) => {
+                if matches!(order.action, OrderAction::LoadModel(_)) {
+                    self.loads.push(now);
+                }
+                if self.draw(100) < self.lost_share {
+                    let delay = u64::from(2_000 + self.draw(10_000));
+                    self.late.push((now + delay, order.clone()));
+                    let outcome = OrderOutcome::Unknown;
+                    self.engine.on_outcome(&order, outcome, Timestamp(now));
+                    return;
+                }
+                let runner = self.runners.get_mut(&order.instance).expect("a runner");
+                let outcome = runner.take(&order, now);
+                self.engine.on_outcome(&order, outcome, Timestamp(now));
+            }
+        }
+    }
+
+    fn copies(&self, model: &str) -> usize {
+        let holders = self.runners.values();
+        holders.filter(|one| one.models.contains_key(model)).count()
+    }
+}
+
+fn demand(model: &str, arrivals: u32, waiting: u32, objective_ms: u32) -> ModelDemand {
+    ModelDemand {
+        service: "s".to_owned(),
+        model: model.to_owned(),
+        adapter: None,
+        arrivals,
+        tokens: arrivals * 3_000,
+        objective_ms,
+        waiting,
+    }
+}
+
+#[test]
+fn a_model_that_is_waited_for_is_loaded() {
+    let mut world = World::new(1, 2, 0);
+    for _ in 0..400 {
+        world.step(&[demand("m7", 1, 1, 500)]);
+    }
+    assert!(world.copies("m7") >= 1, "{:?}", world.runners);
+}
+
+#[test]
+fn free_memory_is_filled_and_nothing_is_evicted_for_models_nobody_asks_for() {
+    let mut world = World::new(2, 4, 0);
+    for _ in 0..2_000 {
+        world.step(&[]);
+    }
+    let held: usize = world.runners.values().map(|one| one.models.len()).sum();
+    assert_eq!(held, 8, "two models fit each runner: {:?}", world.runners);
+    for number in 0..4 {
+        assert!(
+            world.copies(&format!("m{number}")) >= 1,
+            "m{number} was evicted"
+        );
+    }
+}
+
+#[test]
+fn a_busy_model_gets_more_copies() {
+    let mut world = World::new(3, 6, 0);
+    for _ in 0..2_000 {
+        world.step(&[demand("m0", 4, 0, 500)]);
+    }
+    assert!(world.copies("m0") >= 2, "{:?}", world.runners);
+}
+
+#[test]
+fn a_steady_demand_moves_nothing_for_long() {
+    let mut world = World::new(4, 6, 0);
+    let steady = [demand("m0", 3, 0, 500), demand("m1", 1, 0, 500)];
+    for _ in 0..2_000 {
+        world.step(&steady);
+    }
+    let before = world.loads.len();
+    for _ in 0..3_000 {
+        world.step(&steady);
+    }
+    let moved = world.loads.len() - before;
+    assert!(moved <= 1, "{moved} loads under a steady demand");
+}
+
+#[test]
+fn lost_and_late_orders_never_overfill_an_instance() {
+    for seed in 0..40 {
+        let mut world = World::new(100 + seed, 5, 35);
+        for round in 0..1_500_u32 {
+            let hot = (round / 200) as usize % MODELS;
+            let rare = world.draw(MODELS as u32);
+            let asked = [
+                demand(&format!("m{hot}"), 4, u32::from(round % 3 == 0), 500),
+                demand(&format!("m{rare}"), 1, 1, 5_000),
+            ];
+            world.step(&asked);
+        }
+        let window = 5_000;
+        let bound = LOADS_PER_SECOND * 5.0 * 1.1 + 3.0;
+        for start in &world.loads {
+            let inside = world.loads.iter();
+            let inside = inside
+                .filter(|at| (*start..=start + window).contains(*at))
+                .count();
+            assert!(
+                inside as f64 <= bound,
+                "seed {seed}: {inside} loads in a window"
+            );
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_left_does_not_come_back() {
+    let mut world = World::new(5, 2, 0);
+    world.step(&[]);
+    let id = RunnerId::from("r0");
+    for number in 0..2 {
+        let id = RunnerId::from(format!("r{number}"));
+        world.register(&id);
+    }
+    world.engine.leave(&id);
+    world.register(&id);
+    assert!(
+        !world.engine.is_ready(&id),
+        "a later registration revived it"
+    );
+    world.engine.depart(&id, Timestamp(world.now));
+    world.register(&id);
+    let views = world.engine.views(Timestamp(world.now));
+    assert!(views.iter().all(|view| view.id != id));
+}
--- /dev/null
+++ b/crates/services/tests/selection.rs
@@ -0,0 +1,153 @@
+//! Selection by predicted first answer.
+
+use courseshunt_services::{
+    InstanceState, InstanceUsage, InstanceView, PrefixPart, PromptShape, ResidentModel, Selector,
+};
+use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp, Zone};
+
+const NOW: Timestamp = Timestamp(1_000);
+const LIMIT: u32 = 50;
+
+fn view(id: &str, zone: &str, models: &[(&str, &[&str])]) -> InstanceView {
+    let models = models.iter().map(|(name, adapters)| ResidentModel {
+        name: ModelName::from(*name),
+        version: 1,
+        adapters: adapters.iter().map(|one| (*one).to_owned()).collect(),
+    });
+    InstanceView {
+        id: RunnerId::from(id),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: Zone::from(zone),
+        slots: 64,
+        state: InstanceState::Ready,
+        models: models.collect(),
+        loading: Vec::new(),
+    }
+}
+
+fn shape(model: &str, adapter: Option<&str>, subject: u64) -> PromptShape {
+    let parts = [(1, 2_000), (subject, 4_000), (subject + 1_000, 3_000)];
+    PromptShape {
+        model: model.to_owned(),
+        adapter: adapter.map(str::to_owned),
+        prompt_tokens: 9_000,
+        output_tokens: 50,
+        parts: parts.map(|(id, tokens)| PrefixPart { id, tokens }).to_vec(),
+    }
+}
+
+#[test]
+fn only_ready_holders_of_model_and_adapter_are_chosen() {
+    let mut leaving = view("c", "z", &[("m", &["a1"])]);
+    leaving.state = InstanceState::Leaving;
+    let views = [
+        view("a", "z", &[("m", &[])]),
+        view("b", "z", &[("m", &["a1"])]),
+        leaving,
+    ];
+    let mut selector = Selector::new(Zone::from("z"));
+    let cases = [
+        (shape("m", Some("a1"), 7), Some("b")),
+        (shape("m", Some("a2"), 7), None),
+        (shape("n", None, 7), None),
+    ];
+    for (shape, expected) in cases {
+        let chosen = selector.choose(&shape, views.iter(), &[], LIMIT, NOW);
+        let chosen = chosen.map(|one| one.instance.0);
+        assert_eq!(chosen.as_deref(), expected, "{shape:?}");
+    }
+}
+
+#[test]
+fn requests_of_one_subject_share_a_home_at_all_routers() {
+    let views: Vec<InstanceView> = ["a", "b", "c", "d"]
+        .iter()
+        .map(|id| view(id, "z", &[("m", &[])]))
+        .collect();
+    for subject in 10..30 {
+        let homes = ["z", "z", "y"].map(|zone| {
+            let mut selector = Selector::new(Zone::from(zone));
+            let chosen = selector.choose(&shape("m", None, subject), views.iter(), &[], LIMIT, NOW);
+            chosen.expect("a holder").instance
+        });
+        assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+    }
+}
+
+#[test]
+fn a_busy_home_is_left_for_an_idle_instance() {
+    let views = [view("a", "z", &[("m", &[])]), view("b", "z", &[("m", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let wanted = shape("m", None, 5);
+    let home = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
+    let home = home.expect("a holder").instance;
+    selector.set_others(&[InstanceUsage {
+        instance: home.clone(),
+        in_flight: 10,
+        prompt_tokens: 60_000,
+    }]);
+    let other = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
+    assert_ne!(other.expect("a holder").instance, home);
+}
+
+#[test]
+fn a_suspect_is_avoided_while_others_can_serve() {
+    let views = [view("a", "z", &[]), view("b", "z", &[])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let plain = PromptShape::default();
+    selector.suspect(&RunnerId::from("a"), NOW);
+    for _ in 0..10 {
+        let chosen = selector.choose(&plain, views.iter(), &[], LIMIT, NOW);
+        assert_eq!(chosen.expect("one").instance.as_str(), "b");
+    }
+    let only_suspect = selector.choose(&plain, views.iter(), &["b".into()], LIMIT, NOW);
+    assert_eq!(only_suspect.expect("the suspect").instance.as_str(), "a");
+    let later = Timestamp(NOW.0 + 60_000);
+    let chosen: Vec<String> = (0..4)
+        .filter_map(|_| selector.choose(&plain, views.iter(), &[], LIMIT, later))
+        .map(|one| one.instance.0)
+        .collect();
+    assert!(chosen.contains(&"a".to_owned()), "{chosen:?}");
+}
+
+#[test]
+fn own_requests_at_one_instance_are_bounded() {
+    let views = [view("a", "z", &[])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let plain = PromptShape::default();
+    for _ in 0..3 {
+        let chosen = selector
+            .choose(&plain, views.iter(), &[], 3, NOW)
+            .expect("room");
+        selector.begin(&chosen, &plain, NOW);
+    }
+    assert!(selector.choose(&plain, views.iter(), &[], 3, NOW).is_none());
+    let usage = selector.usage();
+    assert_eq!(usage[0].in_flight, 3);
+}
+
+#[test]
+fn a_slow_instance_is_noticed() {
+    let views = [view("a", "z", &[("m", &[])]), view("b", "z", &[("m", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    for number in 0..20 {
+        let one = shape("m", None, 100 + number);
+        let chosen = selector
+            .choose(&one, views.iter(), &[], LIMIT, NOW)
+            .expect("a holder");
+        selector.begin(&chosen, &one, NOW);
+        let waited = match chosen.instance.as_str() {
+            "a" => Millis(3_000),
+            _ => Millis(200),
+        };
+        selector.first_answer(&chosen, waited);
+        selector.end(&chosen, true);
+    }
+    let later = (0..10).filter_map(|number| {
+        let one = shape("m", None, 500 + number);
+        selector.choose(&one, views.iter(), &[], LIMIT, NOW)
+    });
+    let at_slow = later.filter(|one| one.instance.as_str() == "a").count();
+    assert!(at_slow <= 2, "{at_slow} of 10 go to the slow instance");
+}
