--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -65,7 +65,7 @@
 async fn put(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
     let body = match read_limited(request.into_body(), MAX_DOCUMENT_BYTES, "operator").await {
         Ok(body) => body,
-        Err(error) => return text_response(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
     };
     let configuration = shared.interface.read_configuration(&body);
     let judged = configuration.and_then(|read| judge(&read).map(|()| read.number));
@@ -73,7 +73,7 @@
         Ok(number) => number,
         Err(error) => {
             log::info!("operator: configuration refused: {error}");
-            return text_response(StatusCode::BAD_REQUEST, &error.to_string());
+            return text_response(StatusCode::BAD_REQUEST, error.to_string());
         }
     };
     let command = Command::PutServices {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -190,7 +190,8 @@
         let due: Vec<(u64, Order)> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, order) in due {
             let runner = self.runners.get_mut(&order.instance).expect("a runner");
-            runner.take(&order, now);
+            let outcome = runner.take(&order, now);
+            self.count(&order, outcome);
         }
         let ids: Vec<RunnerId> = self.runners.keys().cloned().collect();
         for (number, id) in ids.iter().enumerate() {
@@ -226,9 +227,6 @@
                     .on_report(&instance, Some(report), Timestamp(now));
             }
             PlacementStep::Give(order) => {
-                if matches!(order.action, OrderAction::LoadModel(_)) {
-                    self.loads.push(now);
-                }
                 if self.draw(100) < self.lost_share {
                     let delay = u64::from(2_000 + self.draw(10_000));
                     self.late.push((now + delay, order.clone()));
@@ -238,11 +236,20 @@
                 }
                 let runner = self.runners.get_mut(&order.instance).expect("a runner");
                 let outcome = runner.take(&order, now);
+                self.count(&order, outcome);
                 self.engine.on_outcome(&order, outcome, Timestamp(now));
             }
         }
     }
 
+    /// Counts a load that begins.
+    fn count(&mut self, order: &Order, outcome: OrderOutcome) {
+        let loads = matches!(order.action, OrderAction::LoadModel(_));
+        if loads && outcome == OrderOutcome::Accepted {
+            self.loads.push(self.now);
+        }
+    }
+
     fn copies(&self, model: &str) -> usize {
         let holders = self.runners.values();
         holders.filter(|one| one.models.contains_key(model)).count()
@@ -313,7 +320,7 @@
 #[test]
 fn lost_and_late_orders_never_overfill_an_instance() {
     for seed in 0..40 {
-        let mut world = World::new(100 + seed, 5, 35);
+        let mut world = World::new(100 + seed, 18, 50);
         for round in 0..1_500_u32 {
             let hot = (round / 200) as usize % MODELS;
             let rare = world.draw(MODELS as u32);
