Late registrations don't revive leaving instances; demand is followed before copies count as surplus

Copies placed at the start were evicted in the first 0.3 s, before any rate was known. Ruled out: the commit (6.55 s) and the feed. Change: the engine remembers who leaves; surplus is judged after 6 s of demand; restoring evicts nothing for models that can wait; copies at 0.15 of an instance's reading speed (tried), access line for each answer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,7 +47,12 @@
     candidate: Candidate,
     sent_at: Instant,
     answered: bool,
+    /// Time from the request's arrival to its sending, then to its first answer.
+    waited: Duration,
+    first: Option<Duration>,
+    arrived: Instant,
     id: String,
+    model: String,
 }
 
 impl Flight {
@@ -58,6 +63,7 @@
     pub(crate) fn first_answer(&mut self) {
         if !self.answered {
             self.answered = true;
+            self.first = Some(self.arrived.elapsed());
             let waited = Millis(self.sent_at.elapsed().as_millis() as u64);
             self.shared.view.first_answer(&self.candidate, waited);
         }
@@ -65,7 +71,17 @@
 
     /// The answer was relayed whole.
     pub(crate) fn whole(&self) {
-        log::debug!("request: {} whole from {}", self.id, self.instance());
+        log::info!(
+            "request: {} model {} whole from {}: sent after {} ms, predicted {} ms for {} tokens, first answer after {} ms, end after {} ms",
+            self.id,
+            self.model,
+            self.instance(),
+            self.waited.as_millis(),
+            self.candidate.predicted_ms.round(),
+            self.candidate.uncached_tokens,
+            self.first.unwrap_or_default().as_millis(),
+            self.arrived.elapsed().as_millis()
+        );
     }
 
     /// The answer broke off.
@@ -102,6 +118,10 @@
         candidate,
         sent_at: Instant::now(),
         answered: false,
+        waited: admitted.arrived.elapsed(),
+        first: None,
+        arrived: admitted.arrived,
+        model: admitted.facts.shape.model.clone(),
         id: admitted.facts.id.clone(),
     };
     let limit = admitted.deadline + DEADLINE_MARGIN;
@@ -264,6 +284,7 @@
         }
         Ok(Ok(collected)) => {
             flight.first_answer();
+            flight.whole();
             shared.pool.keep(flight.instance(), upstream);
             let body = collected.to_bytes();
             head.headers.remove(CONTENT_LENGTH);
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -40,7 +40,7 @@
         Self {
             silence_limit: Millis(5_000),
             ceiling_window: Millis(5_000),
-            copy_utilisation: 0.3,
+            copy_utilisation: 0.15,
         }
     }
 }
@@ -156,7 +156,11 @@
     configuration: Arc<ServiceConfiguration>,
     instances: BTreeMap<RunnerId, Instance>,
     departed: BTreeMap<RunnerId, Timestamp>,
+    /// Instances that said that they leave; late registrations may say otherwise.
+    leaving: BTreeSet<RunnerId>,
     demand: DemandTable,
+    /// When the first demand was reported.
+    demand_since: Option<Timestamp>,
     usage: UsageTable,
     ceilings: BTreeMap<String, LoadCeiling>,
     changed: BTreeSet<RunnerId>,
@@ -176,7 +180,9 @@
             configuration: Arc::default(),
             instances: BTreeMap::new(),
             departed: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             demand: DemandTable::default(),
+            demand_since: None,
             usage: UsageTable::default(),
             ceilings: BTreeMap::new(),
             changed: BTreeSet::new(),
@@ -201,8 +207,11 @@
     }
 
     /// Takes a registration; returns whether it was news.
-    pub fn register(&mut self, registration: Registration, now: Timestamp) -> bool {
+    pub fn register(&mut self, mut registration: Registration, now: Timestamp) -> bool {
         let id = registration.id.clone();
+        if self.leaving.contains(&id) {
+            registration.state = InstanceState::Leaving;
+        }
         if self.departed.contains_key(&id) {
             return false;
         }
@@ -234,6 +243,7 @@
 
     /// Notes that an instance takes no more work.
     pub fn leave(&mut self, id: &RunnerId) {
+        self.leaving.insert(id.clone());
         match self.instances.get_mut(id) {
             Some(instance) => {
                 if instance.leave() {
@@ -248,6 +258,7 @@
     /// Notes that an instance has ended, or is about to.
     pub fn depart(&mut self, id: &RunnerId, now: Timestamp) {
         self.departed.insert(id.clone(), now);
+        self.leaving.insert(id.clone());
         self.remove(id);
     }
 
@@ -260,6 +271,7 @@
 
     /// Drops instances that fell silent.
     pub fn expire(&mut self, now: Timestamp) {
+        self.departed.retain(|_, at| now.since(*at) < DEPARTED_KEPT);
         let limit = self.settings.silence_limit;
         let silent = self.instances.iter();
         let silent = silent.filter(|(_, instance)| instance.silent_for(now) > limit);
@@ -287,6 +299,9 @@
                 instance.touch_adapter(&model, adapter, now);
             }
         }
+        if self.demand_since.is_none() && !demand.is_empty() {
+            self.demand_since = Some(now);
+        }
         self.usage.record(router, usage);
         self.demand.record(router, demand, now);
     }
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -17,6 +17,8 @@
 /// A copy is surplus when the others would stay below this part of the
 /// utilisation at which one is added.
 const KEEP_PART: f64 = 0.6;
+/// Demand is followed for so long before copies count as surplus.
+const DEMAND_WARM_UP: Millis = Millis(6_000);
 /// A model is not evicted sooner after its load.
 const LEAST_STAY: Millis = Millis(2_500);
 /// An adapter is not evicted sooner after its load or use.
@@ -38,6 +40,8 @@
 const WAITED_FOR: f64 = 1e6;
 /// Loads that demand alone, without waiting requests, may start in one round.
 const SCALING_LOADS: usize = 2;
+/// Worth of a load that evicts nothing.
+const FREE_MEMORY_ALONE: f64 = f64::MIN_POSITIVE;
 /// Loads of models that nobody waits for that one round may start.
 const RESTORING_LOADS: usize = 2;
 /// Evicting for another copy of a busy model must be worth so much more.
@@ -313,7 +317,7 @@
         if self.demand.objective(&key).is_none() {
             return UNKNOWN_COPY_VALUE;
         }
-        if count > self.copies_to_keep(&key, now) {
+        if self.knows_demand(now) && count > self.copies_to_keep(&key, now) {
             return SURPLUS_VALUE + self.demand.slow(&key, now) / count as f64 * 0.01;
         }
         let rate = self.demand.slow(&key, now).max(self.demand.fast(&key, now));
@@ -323,6 +327,12 @@
         }
     }
 
+    /// Whether demand was followed for long enough to tell what is surplus.
+    fn knows_demand(&self, now: Timestamp) -> bool {
+        let since = self.demand_since;
+        since.is_some_and(|since| now.since(since) >= DEMAND_WARM_UP)
+    }
+
     /// Whether requests for the model can't wait for a load.
     fn is_urgent(&self, key: &ModelKey, engine: &Engine) -> bool {
         let load = engine
@@ -505,7 +515,10 @@
             .collect();
         missing.sort_by(|left, right| right.0.total_cmp(&left.0));
         for (value, specification) in missing.into_iter().take(RESTORING_LOADS) {
-            let worth = value / SCALING_MARGIN;
+            let worth = match value >= URGENT_COPY_VALUE {
+                true => value / SCALING_MARGIN,
+                false => FREE_MEMORY_ALONE,
+            };
             self.add_copy(specification, service, engine, worth, now, steps);
         }
     }
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -418,3 +418,12 @@
         assert!(!many, "25 loads within 4 s at {}", world.now);
     }
 }
+
+#[test]
+fn a_late_registration_does_not_bring_a_leaving_instance_back() {
+    let mut world = World::new(8, 1, 0);
+    let id = RunnerId::from("r0");
+    world.engine.leave(&id);
+    world.register(&id);
+    assert!(!world.engine.is_ready(&id), "it was ready when it said so");
+}
