Fresher use of instances; long prompts count with their square

Cause: requests queued behind long prompts (43,968 tokens) on one copy while others were free; what other routers had sent was up to half a second old.

--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 /// Longest pause of the loop.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(40);
 /// Time between messages about the use of instances.
-const USAGE_INTERVAL: Millis = Millis(250);
+const USAGE_INTERVAL: Millis = Millis(120);
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -17,7 +17,7 @@
 /// Longest time for a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(700);
 /// Time between reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const REPORT_INTERVAL: Duration = Duration::from_millis(120);
 /// Shortest time between reports when requests wait.
 const URGENT_PAUSE: Duration = Duration::from_millis(3);
 /// Pause after all known controllers were tried.
--- a/crates/services/src/selection.rs
+++ b/crates/services/src/selection.rs
@@ -12,6 +12,9 @@
 
 /// Prompt tokens read in a millisecond, until measured.
 const DEFAULT_TOKENS_PER_MS: f64 = 38.0;
+/// Time of reading that grows with the square of the prompt, in milliseconds
+/// for a million pairs of tokens, until measured.
+const MS_PER_MILLION_PAIRS: f64 = 0.5;
 /// Cost of a hop to another zone, in milliseconds; covers the bytes' price.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Cost of one more request in a batch, in milliseconds.
@@ -214,7 +217,8 @@
             true => keys.len().checked_sub(2).map_or(0, |shared| keys[shared].1),
             false => 0,
         };
-        let uncached = shape.prompt_tokens.saturating_sub(known.max(assumed));
+        let kept = known.max(assumed).min(shape.prompt_tokens);
+        let uncached = work_tokens(shape.prompt_tokens, kept);
         let in_flight = f64::from(local.in_flight + local.others_in_flight);
         let mut cost = match shape.model.is_empty() {
             true => in_flight / f64::from(view.slots.max(1)) * 20.0 * slowness,
@@ -291,6 +295,15 @@
     }
 }
 
+/// What is to be read beyond `kept`, in tokens of a short prompt: long prompts
+/// take more than their length.
+fn work_tokens(prompt: u32, kept: u32) -> u32 {
+    let square = |tokens: u32| f64::from(tokens).powi(2) / 1e6;
+    let pairs = square(prompt) - square(kept);
+    let extra = pairs * MS_PER_MILLION_PAIRS * DEFAULT_TOKENS_PER_MS;
+    (prompt - kept) + extra as u32
+}
+
 fn cached_tokens(local: &Local, keys: &[(u64, u32)], now: Timestamp) -> u32 {
     let kept = keys.iter().take_while(|(key, _)| {
         let used = local.prefixes.get(key);
