A new leader knows the instances; requests wait for a router's first configuration

The leader was there after 0.65 s, but knew no instance before each registered again (up to 1.2 s), and routers refused everything before their first configuration. Ruled out: the start of processes (1.0 s after the loss), the feed (0.02 s). Change: the leader records the instances that it sees in the log, at most each 0.7 s; its successor takes them over as hints; a router that has just started holds requests up to 1.5 s for its configuration; election timeout 400 ms.

--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -3,9 +3,10 @@
 use crate::steward::{GroupView, decide};
 use crate::{Shared, join, orders, placement_settings};
 use courseshunt_consensus::MembershipChange;
-use courseshunt_services::{FeedMessage, PlacementEngine};
+use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, Timestamp};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -17,10 +18,14 @@
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
-const CONTACT_LIMIT: Millis = Millis(450);
+const CONTACT_LIMIT: Millis = Millis(360);
 /// After its election a leader waits so long for registrations before it says
 /// that other instances are gone.
 const SETTLE: Millis = Millis(4_000);
+/// Time after an election in which recorded instances are taken over.
+const SEEDING: Millis = Millis(1_000);
+/// Time between records of the instances.
+const RECORD_INTERVAL: Millis = Millis(700);
 /// Added to the lease between the orders of two leaders.
 const LEASE_MARGIN: Millis = Millis(250);
 
@@ -31,6 +36,8 @@
     leaving_version: u64,
     settled: bool,
     usage_at: Timestamp,
+    recorded_at: Timestamp,
+    unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     membership_at: Timestamp,
     looked_at: Timestamp,
     changing: Arc<AtomicBool>,
@@ -86,6 +93,8 @@
         leaving_version: 0,
         settled: false,
         usage_at: now,
+        recorded_at: now,
+        unrecorded: Default::default(),
         membership_at: now,
         looked_at: now,
         changing: Arc::default(),
@@ -115,6 +124,7 @@
     }
     place(shared, leadership, now);
     feed(shared, leadership, now);
+    record(shared, leadership, now);
     if now.since(leadership.membership_at) >= MEMBERSHIP_INTERVAL {
         leadership.membership_at = now;
         keep_membership(shared, leadership, now).await;
@@ -135,6 +145,12 @@
             .sessions
             .configure(services.number, &services.document);
     }
+    if now.since(leadership.since) < SEEDING {
+        let mut engine = shared.engine();
+        for view in services.instances.values() {
+            engine.seed(view, now);
+        }
+    }
     if services.leaving_version > leadership.leaving_version {
         leadership.leaving_version = services.leaving_version;
         let mut engine = shared.engine();
@@ -171,6 +187,15 @@
         changed = engine.views(now);
     }
     drop(engine);
+    let (unrecorded, lost) = &mut leadership.unrecorded;
+    for view in &changed {
+        lost.remove(&view.id);
+        unrecorded.insert(view.id.clone(), view.clone());
+    }
+    for id in &gone {
+        unrecorded.remove(id);
+        lost.insert(id.clone());
+    }
     if settles || !changed.is_empty() || !gone.is_empty() {
         leadership.settled |= settles;
         shared.sessions.broadcast(&FeedMessage::Instances {
@@ -191,6 +216,25 @@
     }
 }
 
+/// Records the instances for a successor.
+fn record(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
+    let (changed, gone) = &leadership.unrecorded;
+    let due = now.since(leadership.recorded_at) >= RECORD_INTERVAL;
+    if !due || changed.is_empty() && gone.is_empty() {
+        return;
+    }
+    leadership.recorded_at = now;
+    let (changed, gone) = std::mem::take(&mut leadership.unrecorded);
+    let command = Command::RecordInstances {
+        changed: changed.into_values().collect(),
+        gone: gone.into_iter().collect(),
+    };
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let _ = shared.replica.submit_as_leader(command).await;
+    });
+}
+
 /// Makes the next change of the membership, if one is due.
 async fn keep_membership(shared: &Arc<Shared>, leadership: &Leadership, now: Timestamp) {
     if leadership.changing.load(Ordering::Relaxed) {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -38,9 +38,9 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between the leader's heartbeats to the other members.
-const HEARTBEAT_INTERVAL: Millis = Millis(100);
+const HEARTBEAT_INTERVAL: Millis = Millis(80);
 /// Shortest election timeout; the longest is twice as long.
-const ELECTION_TIMEOUT: Millis = Millis(500);
+const ELECTION_TIMEOUT: Millis = Millis(400);
 /// Entries and bytes after which a snapshot is taken: documents are large.
 const SNAPSHOT_AFTER: (usize, usize) = (256, 2 * 1024 * 1024);
 /// Entries before a snapshot that stay in memory.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -26,6 +26,10 @@
 const MAX_SENDS: u32 = 6;
 /// Clients are told to come back after this part of the objective.
 const RETRY_AFTER_PART: u64 = 10;
+/// A request waits so long for the first configuration of a router, and not
+/// for more than this part of its time.
+const START_WAIT: Duration = Duration::from_millis(1_500);
+const START_PART: f64 = 0.5;
 /// Longest pause before a waiting request is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
@@ -67,9 +71,9 @@
         return Err(Refusal::Stopping);
     }
     let (head, body) = request.into_parts();
-    let table = shared.view.table().ok_or(Refusal::NoConfiguration)?;
-    let route = find(&table, &head).ok_or(Refusal::NoRoute)?;
     let facts = shared.interface.read_request(&head.headers);
+    let table = table(shared, &facts, arrived).await?;
+    let route = find(&table, &head).ok_or(Refusal::NoRoute)?;
     let timeout = facts
         .deadline
         .map_or(route.timeout, |asked| asked.min(route.timeout));
@@ -95,6 +99,26 @@
     })
 }
 
+/// The configuration in force. A router that has just started waits a little
+/// for its first one.
+async fn table(
+    shared: &Shared,
+    facts: &RequestFacts,
+    arrived: Instant,
+) -> Result<Arc<RouteTable>, Refusal> {
+    let deadline = facts.deadline.map_or(START_WAIT, Duration::from);
+    let limit = arrived + START_WAIT.min(deadline.mul_f64(START_PART));
+    let mut changes = shared.view.changes();
+    loop {
+        changes.borrow_and_update();
+        if let Some(table) = shared.view.table() {
+            return Ok(table);
+        }
+        let changed = tokio::time::timeout_at(limit, changes.changed()).await;
+        changed.map_err(|_| Refusal::NoConfiguration)?.ok();
+    }
+}
+
 fn find(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
     let authority = head.uri.authority().map(|authority| authority.as_str());
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -230,6 +230,29 @@
         news
     }
 
+    /// Takes over what an earlier leader recorded of an instance; one that is
+    /// known already stays as it is.
+    pub fn seed(&mut self, view: &InstanceView, now: Timestamp) {
+        let known = self.instances.contains_key(&view.id);
+        if known || self.leaving.contains(&view.id) || view.state == InstanceState::Leaving {
+            return;
+        }
+        let registration = Registration {
+            id: view.id.clone(),
+            service: view.service.clone(),
+            address: view.address.clone(),
+            zone: view.zone.clone(),
+            slots: view.slots,
+            state: view.state,
+            sequence: 0,
+            remaining: None,
+            models: view.models.clone(),
+            copies_in_memory: Vec::new(),
+            copies_on_disk: Vec::new(),
+        };
+        self.register(registration, now);
+    }
+
     /// An address belongs to the instance that registered it last.
     fn drop_reused_address(&mut self, registration: &Registration, now: Timestamp) {
         let same = self.instances.iter().filter(|(_, instance)| {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -427,3 +427,33 @@
     world.register(&id);
     assert!(!world.engine.is_ready(&id), "it was ready when it said so");
 }
+
+/// What an earlier leader recorded is a hint: it serves until the instance says
+/// otherwise, and brings no leaving instance back.
+#[test]
+fn recorded_instances_are_known_until_they_register() {
+    let mut earlier = World::new(9, 3, 0);
+    for _ in 0..200 {
+        earlier.step(&[]);
+    }
+    let views = earlier.engine.views(Timestamp(earlier.now));
+    assert_eq!(views.len(), 3);
+    let mut engine = PlacementEngine::new(PlacementSettings::default());
+    engine.configure(configuration(), Timestamp(0));
+    engine.leave(&RunnerId::from("r0"));
+    for view in &views {
+        engine.seed(view, Timestamp(0));
+    }
+    assert!(!engine.is_ready(&RunnerId::from("r0")));
+    assert!(engine.is_ready(&RunnerId::from("r1")));
+    let orders = engine.plan(Timestamp(100));
+    let given = orders
+        .iter()
+        .any(|step| matches!(step, PlacementStep::Give(_)));
+    assert!(!given, "no order before the instance was asked: {orders:?}");
+    engine.expire(Timestamp(5_100));
+    assert!(
+        !engine.is_ready(&RunnerId::from("r1")),
+        "it never registered"
+    );
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,6 +3,7 @@
 use crate::configuration::ChangeRequest;
 use crate::placement::RunnerRecord;
 use crate::reply::StoredAnswer;
+use courseshunt_services::InstanceView;
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
     Attempt, ClientId, ClientSequence, ControllerId, DeploymentName, Digest, Fence, IdempotencyKey,
@@ -204,6 +205,14 @@
         /// Whether it has said that it ends.
         ended: bool,
     },
+    /// Records instances as the leader sees them, so that its successor knows
+    /// them before they register again.
+    RecordInstances {
+        /// New or changed.
+        changed: Vec<InstanceView>,
+        /// No longer there.
+        gone: Vec<RunnerId>,
+    },
     /// Records where a member of the control group is found.
     RecordMember {
         /// The member.
--- a/crates/state/src/services.rs
+++ b/crates/state/src/services.rs
@@ -3,8 +3,9 @@
 //! Invariant: the held number never falls, and the content under a number
 //! never changes once it is held.
 
+use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Leaving instances remembered at the most; the oldest are forgotten first.
 const MAX_LEAVING: usize = 1024;
@@ -29,6 +30,8 @@
     pub leaving: VecDeque<LeavingInstance>,
     /// Grows with each change of `leaving`.
     pub leaving_version: u64,
+    /// Instances as the leader saw them last; a hint for its successor.
+    pub instances: BTreeMap<RunnerId, InstanceView>,
 }
 
 impl Services {
@@ -57,6 +60,16 @@
         });
     }
 
+    /// Records instances as the leader sees them.
+    pub fn record_instances(&mut self, changed: &[InstanceView], gone: &[RunnerId]) {
+        for view in changed {
+            self.instances.insert(view.id.clone(), view.clone());
+        }
+        for id in gone {
+            self.instances.remove(id);
+        }
+    }
+
     /// Whether an instance has said that it takes no more work, or ends.
     #[must_use]
     pub fn is_recorded(&self, instance: &RunnerId, ended: bool) -> bool {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -145,6 +145,9 @@
             Command::RecordLeaving { instance, ended } => {
                 self.services.record_leaving(instance, *ended);
             }
+            Command::RecordInstances { changed, gone } => {
+                self.services.record_instances(changed, gone);
+            }
             Command::RecordMember {
                 member,
                 wire_address,
--- /dev/null
+++ b/crates/state/tests/services.rs
@@ -0,0 +1,103 @@
+//! The service configuration and the instances in the replicated state.
+
+use courseshunt_services::{InstanceState, InstanceView};
+use courseshunt_state::{Command, CommandEnvelope, ReplicatedState};
+use courseshunt_types::{ClientId, ClientSequence, LogIndex, RunnerId, Term, UnixMillis, Zone};
+
+fn apply(state: &mut ReplicatedState, command: Command) {
+    let envelope = CommandEnvelope {
+        client: ClientId::default(),
+        sequence: ClientSequence(0),
+        acknowledged: ClientSequence(0),
+        proposed_at: UnixMillis(1),
+        command,
+    };
+    let index = state.applied.next();
+    state.apply(index, Term(1), &envelope);
+}
+
+fn put(state: &mut ReplicatedState, number: u64, document: &str) {
+    let document = document.as_bytes().to_vec();
+    apply(state, Command::PutServices { number, document });
+}
+
+fn view(id: &str) -> InstanceView {
+    InstanceView {
+        id: RunnerId::from(id),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: Zone::from("z"),
+        slots: 4,
+        state: InstanceState::Ready,
+        models: Vec::new(),
+        loading: Vec::new(),
+    }
+}
+
+#[test]
+fn the_highest_number_prevails_and_its_content_never_changes() {
+    let mut state = ReplicatedState::default();
+    let cases = [
+        (5, "five", 5, "five"),
+        (5, "other content", 5, "five"),
+        (3, "older", 5, "five"),
+        (9, "nine", 9, "nine"),
+        (5, "five", 9, "nine"),
+    ];
+    for (number, document, held, content) in cases {
+        put(&mut state, number, document);
+        assert_eq!(state.services.number, held, "after {number} {document}");
+        assert_eq!(state.services.document, content.as_bytes());
+    }
+}
+
+#[test]
+fn leaving_instances_are_remembered_in_bounds() {
+    let mut state = ReplicatedState::default();
+    let leave = |state: &mut ReplicatedState, id: &str, ended| {
+        let instance = RunnerId::from(id);
+        apply(state, Command::RecordLeaving { instance, ended });
+    };
+    leave(&mut state, "i-1", false);
+    let one = RunnerId::from("i-1");
+    assert!(state.services.is_recorded(&one, false));
+    assert!(!state.services.is_recorded(&one, true));
+    leave(&mut state, "i-1", true);
+    leave(&mut state, "i-1", false);
+    assert!(state.services.is_recorded(&one, true));
+    for number in 0..2_000 {
+        leave(&mut state, &format!("j-{number}"), false);
+    }
+    assert!(state.services.leaving.len() <= 1024);
+    assert!(state.services.is_recorded(&RunnerId::from("j-1999"), false));
+}
+
+#[test]
+fn recorded_instances_survive_a_snapshot() {
+    let mut state = ReplicatedState::default();
+    put(&mut state, 1, "document");
+    apply(
+        &mut state,
+        Command::RecordInstances {
+            changed: vec![view("a"), view("b")],
+            gone: Vec::new(),
+        },
+    );
+    apply(
+        &mut state,
+        Command::RecordInstances {
+            changed: Vec::new(),
+            gone: vec![RunnerId::from("a")],
+        },
+    );
+    let restored = ReplicatedState::from_snapshot(&state.to_snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+    let ids: Vec<&str> = restored
+        .services
+        .instances
+        .keys()
+        .map(RunnerId::as_str)
+        .collect();
+    assert_eq!(ids, ["b"]);
+    assert_eq!(restored.applied, LogIndex(3));
+}
