Dark instances are left out, and their models loaded elsewhere

Ruled out: registrations (the leader drops an instance after 4.8 s, as set). Change: keep-alive probes on connections to instances; an instance that was not reached is not chosen for a while; when two routers report it and it has been silent for longer than a registration, its copies don't count. Streams that may be resumed are sent again before their first event. A model nobody asked for may be evicted at once.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -266,14 +266,20 @@
     shared: &Shared,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
-        let Message::ServiceReport(ReportMessage::Usage { instances, demand }) = message else {
+        let Message::ServiceReport(ReportMessage::Usage {
+            instances,
+            demand,
+            unreachable,
+        }) = message
+        else {
             continue;
         };
         let waits = demand.iter().any(|one| one.waiting > 0);
         let now = shared.clock.now();
-        shared
-            .engine()
-            .report_usage(router, instances, &demand, now);
+        let mut engine = shared.engine();
+        engine.report_usage(router, instances, &demand, now);
+        engine.report_unreachable(router, &unreachable, now);
+        drop(engine);
         if waits {
             shared.wake.notify_one();
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,7 +126,8 @@
     };
     let limit = admitted.deadline + DEADLINE_MARGIN;
     let Some(mut upstream) = connection(shared, view).await else {
-        flight.suspect();
+        let now = shared.clock.now();
+        shared.view.unreachable(flight.instance(), now);
         return AttemptOutcome::NotRun;
     };
     loop {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -179,8 +179,7 @@
             () = tokio::time::sleep(REPORT_INTERVAL) => {}
             () = shared.view.missing.notified() => tokio::time::sleep(URGENT_PAUSE).await,
         }
-        let (instances, demand) = shared.view.take_report();
-        let report = ReportMessage::Usage { instances, demand };
+        let report = shared.view.take_report(shared.clock.now());
         sender.send(&Message::ServiceReport(report)).await?;
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -186,7 +186,9 @@
     instance: RunnerId,
     outcome: AttemptOutcome,
 ) -> Next {
-    let repeatable = admitted.route.kind == RequestKind::Safe;
+    let route = &admitted.route;
+    let resumable = route.kind == RequestKind::Streaming && route.resumable;
+    let repeatable = route.kind == RequestKind::Safe || resumable;
     let now = shared.clock.now();
     let may_retry = |sends: &Sends| {
         sends.count < MAX_SENDS && shared.view.may_retry(&admitted.service.name, now)
@@ -290,7 +292,10 @@
 fn situation(admitted: &Admitted, shared: &Shared) -> Situation {
     let service = &admitted.service;
     let expected = match service.engine {
-        Some(_) => shared.view.expected_at(service, &admitted.facts.shape),
+        Some(_) => {
+            let now = shared.clock.now();
+            shared.view.expected_at(service, &admitted.facts.shape, now)
+        }
         None => None,
     };
     let asked = admitted.facts.deadline.unwrap_or(admitted.route.timeout);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +23,11 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// A peer that acknowledges nothing for so long is given up.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_000);
+/// Silence after which a peer is probed, and the pause between probes; without
+/// an answer the connection is given up.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBES: u32 = 1;
 /// Rest after which a connection isn't used again, unless the instance states
 /// another.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
@@ -126,7 +131,13 @@
     let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
     let stream = connecting.await.map_err(io::Error::other)??;
     stream.set_nodelay(true)?;
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let socket = SockRef::from(&stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let _ = socket.set_tcp_keepalive(&probes);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,7 +2,8 @@
 
 use courseshunt_services::feed::{InstanceUsage, ModelDemand};
 use courseshunt_services::{
-    Candidate, InstanceState, InstanceView, PromptShape, RetryBudget, RouteTable, Selector, Service,
+    Candidate, InstanceState, InstanceView, PromptShape, ReportMessage, RetryBudget, RouteTable,
+    Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
@@ -205,11 +206,17 @@
 
     /// When an instance is expected to hold the request's model; `None` when
     /// nothing is known.
-    pub(crate) fn expected_at(&self, service: &Service, shape: &PromptShape) -> Option<Instant> {
+    pub(crate) fn expected_at(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> Option<Instant> {
         let state = self.lock();
         let views = state.instances.values();
         let views =
             views.filter(|view| view.service == service.name && view.state == InstanceState::Ready);
+        let views = views.filter(|view| !state.selector.is_unreachable(&view.id, now));
         let mut earliest: Option<Instant> = None;
         for view in views {
             if view.holds(&shape.model, None) {
@@ -230,6 +237,10 @@
         self.lock().selector.end(candidate, answered);
     }
 
+    pub(crate) fn unreachable(&self, instance: &RunnerId, now: Timestamp) {
+        self.lock().selector.unreachable(instance, now);
+    }
+
     pub(crate) fn suspect(&self, instance: &RunnerId, now: Timestamp) {
         self.lock().selector.suspect(instance, now);
     }
@@ -278,9 +289,10 @@
     }
 
     /// What to report; counts start anew.
-    pub(crate) fn take_report(&self) -> (Vec<InstanceUsage>, Vec<ModelDemand>) {
+    pub(crate) fn take_report(&self, now: Timestamp) -> ReportMessage {
         let mut state = self.lock();
-        let usage = state.selector.usage();
+        let instances = state.selector.usage();
+        let unreachable = state.selector.all_unreachable(now);
         let demand = state.demand.iter().map(|(key, demand)| ModelDemand {
             service: key.service.clone(),
             model: key.model.clone(),
@@ -296,7 +308,11 @@
             demand.tokens = 0;
             demand.waiting > 0
         });
-        (usage, demand)
+        ReportMessage::Usage {
+            instances,
+            demand,
+            unreachable,
+        }
     }
 }
 
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -88,5 +88,7 @@
         instances: Vec<InstanceUsage>,
         /// For each model asked for since the last report or waited for.
         demand: Vec<ModelDemand>,
+        /// Instances that could not be reached lately.
+        unreachable: Vec<RunnerId>,
     },
 }
--- a/crates/services/src/placement/instance.rs
+++ b/crates/services/src/placement/instance.rs
@@ -20,6 +20,12 @@
 const ASK_AGAIN: Millis = Millis(400);
 /// Pause after an order that could not be sent.
 const RETRY_PAUSE: Millis = Millis(250);
+/// Routers that must have failed to reach an instance before it is doubted.
+const DOUBTING_ROUTERS: usize = 2;
+/// Time for which such a failure counts.
+const DOUBT_KEPT: Millis = Millis(4_000);
+/// Least silence of an instance that is doubted.
+const DOUBT_SILENCE: Millis = Millis(1_300);
 /// Time that the evictions before a load take, about.
 const EVICTION_TIME: Millis = Millis(100);
 /// Longest time that an instance stays set aside for a model.
@@ -85,6 +91,8 @@
     /// Whether a load began since the last registration: it may have evicted
     /// copies that the registration names.
     loaded_since: bool,
+    /// Routers that could not reach it since its last sign of life.
+    not_reached: BTreeMap<String, Timestamp>,
 }
 
 /// A model that the instance is set aside for.
@@ -109,6 +117,7 @@
             changed_at: None,
             intent: None,
             loaded_since: false,
+            not_reached: BTreeMap::new(),
             registration,
         };
         let models = instance.registration.models.clone();
@@ -141,6 +150,18 @@
         self.silent_for(now) > ONE_BEAT
     }
 
+    pub(super) fn not_reached_by(&mut self, router: &str, now: Timestamp) {
+        self.not_reached.insert(router.to_owned(), now);
+    }
+
+    /// Whether it is likely dead: silent for longer than a registration takes,
+    /// and not reached by several routers.
+    pub(super) fn is_doubtful(&self, now: Timestamp) -> bool {
+        let recent = self.not_reached.values();
+        let recent = recent.filter(|at| now.since(**at) < DOUBT_KEPT).count();
+        recent >= DOUBTING_ROUTERS && self.silent_for(now) >= DOUBT_SILENCE
+    }
+
     pub(super) fn leave(&mut self) -> bool {
         let news = self.state != InstanceState::Leaving;
         self.state = InstanceState::Leaving;
@@ -156,6 +177,7 @@
         if registration.state == InstanceState::Leaving {
             self.leave();
         }
+        self.not_reached.clear();
         self.registration = registration;
         self.loaded_since = false;
         self.reconcile(now);
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -329,6 +329,15 @@
         self.demand.record(router, demand, now);
     }
 
+    /// Notes that a router could not reach instances.
+    pub fn report_unreachable(&mut self, router: &str, instances: &[RunnerId], now: Timestamp) {
+        for id in instances {
+            if let Some(instance) = self.instances.get_mut(id) {
+                instance.not_reached_by(router, now);
+            }
+        }
+    }
+
     /// Forgets a router that is gone.
     pub fn forget_router(&mut self, router: &str) {
         self.usage.forget(router);
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -19,7 +19,7 @@
 const KEEP_PART: f64 = 0.6;
 /// Demand is followed for so long before copies count as surplus.
 const DEMAND_WARM_UP: Millis = Millis(6_000);
-/// A model is not evicted sooner after its load.
+/// A model that was asked for is not evicted sooner after its load.
 const LEAST_STAY: Millis = Millis(2_500);
 /// An adapter is not evicted sooner after its load or use.
 const LEAST_ADAPTER_STAY: Millis = Millis(400);
@@ -120,9 +120,9 @@
         self.fill_adapters(service, engine, now, steps);
     }
 
-    fn copies(&self, service: &str) -> Copies {
+    fn copies(&self, service: &str, now: Timestamp) -> Copies {
         let mut copies = Copies::new();
-        for instance in self.of_service(service) {
+        for instance in self.of_service(service, now) {
             let held = instance.held().map(|(name, _)| name);
             let coming = instance.loading().into_iter().chain(instance.intent());
             for name in held.chain(coming) {
@@ -135,10 +135,16 @@
         copies
     }
 
-    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Instance> + 'a {
+    fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a Instance> + 'a {
         let instances = self.instances.values();
         instances.filter(move |one| {
-            one.registration().service == service && one.state() == InstanceState::Ready
+            one.registration().service == service
+                && one.state() == InstanceState::Ready
+                && !one.is_doubtful(now)
         })
     }
 
@@ -150,7 +156,7 @@
         now: Timestamp,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let set_aside = self.of_service(service).filter_map(|one| {
+        let set_aside = self.of_service(service, now).filter_map(|one| {
             let model = one.intent()?;
             one.is_free(now).then(|| (one.id().clone(), model.clone()))
         });
@@ -186,7 +192,7 @@
             self.load_model(id, model, service, now, steps);
             return;
         }
-        let copies = self.copies(service);
+        let copies = self.copies(service, now);
         let victims = self.victims(instance, specification, service, engine, &copies, now);
         match victims.and_then(|(_, victims)| victims.into_iter().next()) {
             Some(victim) => {
@@ -261,7 +267,7 @@
         let service = instance.map_or("", |one| one.registration().service.as_str());
         let key = key_of(service, model);
         OrderEvidence {
-            copies: self.copies(service).get(model).map_or(0, Vec::len),
+            copies: self.copies(service, now).get(model).map_or(0, Vec::len),
             desired: self.desired_copies(&key, now),
             rate_per_1000_s: (self.demand.fast(&key, now) * 1000.0) as u64,
             waited_for: self.demand.is_waited_for(&key, now),
@@ -283,7 +289,7 @@
         let mut held: Vec<(f64, &ModelName)> = instance
             .held()
             .filter(|(name, _)| **name != specification.name)
-            .filter(|(name, _)| instance.held_for(name, now) >= LEAST_STAY)
+            .filter(|(name, _)| self.may_go(instance, name, service, now))
             .map(|(name, _)| (self.value(name, service, engine, copies, now), name))
             .collect();
         held.sort_by(|left, right| left.0.total_cmp(&right.0));
@@ -300,6 +306,12 @@
         (missing <= 0.0).then_some((cost, victims))
     }
 
+    /// Whether a model has been there for long enough to be evicted.
+    fn may_go(&self, instance: &Instance, name: &ModelName, service: &str, now: Timestamp) -> bool {
+        let asked_for = self.demand.objective(&key_of(service, name)).is_some();
+        !asked_for || instance.held_for(name, now) >= LEAST_STAY
+    }
+
     /// What a copy of a model is worth where it is.
     fn value(
         &self,
@@ -387,7 +399,7 @@
         let Some(specification) = engine.model(model.as_str()) else {
             return;
         };
-        let copies = self.copies(service);
+        let copies = self.copies(service, now);
         if copies.get(&model).is_none_or(Vec::is_empty) {
             let worth = WAITING_BASE_WORTH + WAITING_WORTH * f64::from(wanted.count);
             self.add_copy(specification, service, engine, worth, now, steps);
@@ -408,7 +420,7 @@
         now: Timestamp,
         steps: &mut Vec<PlacementStep>,
     ) -> bool {
-        let copies = self.copies(service);
+        let copies = self.copies(service, now);
         let place = self.best_place(specification, service, engine, &copies, now);
         let Some(place) = place.filter(|place| place.evicted < worth) else {
             return false;
@@ -430,7 +442,7 @@
         copies: &Copies,
         now: Timestamp,
     ) -> Option<Place> {
-        let free = self.of_service(service).filter(|one| {
+        let free = self.of_service(service, now).filter(|one| {
             one.is_free(now) && one.intent().is_none() && !one.has(&specification.name)
         });
         let places = free.filter_map(|one| {
@@ -466,7 +478,7 @@
             .model(model.as_str())
             .map_or(0.0, |one| one.adapter_mb);
         let mut holders: Vec<&Instance> = self
-            .of_service(service)
+            .of_service(service, now)
             .filter(|one| one.has(model))
             .collect();
         if holders.iter().any(|one| one.has_adapter(model, adapter)) {
@@ -503,7 +515,7 @@
         now: Timestamp,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let copies = self.copies(service);
+        let copies = self.copies(service, now);
         let missing = engine.models.iter();
         let missing = missing.filter(|one| !copies.contains_key(&one.name));
         let mut missing: Vec<(f64, &ModelSpecification)> = missing
@@ -531,12 +543,12 @@
         now: Timestamp,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let free = self.of_service(service).filter(|one| {
+        let free = self.of_service(service, now).filter(|one| {
             one.is_free(now) && one.intent().is_none() && one.adapters() < engine.adapter_slots
         });
         let free: Vec<RunnerId> = free.map(|one| one.id().clone()).collect();
         for id in free {
-            if let Some(action) = self.missing_adapter(&id, service, engine) {
+            if let Some(action) = self.missing_adapter(&id, service, engine, now) {
                 self.give(&id, action, now, steps);
             }
         }
@@ -548,6 +560,7 @@
         id: &RunnerId,
         service: &str,
         engine: &Engine,
+        now: Timestamp,
     ) -> Option<OrderAction> {
         let instance = self.instances.get(id)?;
         let room = engine.memory_mb - instance.memory_mb(engine);
@@ -557,7 +570,7 @@
                 return None;
             }
             let missing = specification.adapters.iter().find(|adapter| {
-                let mut holders = self.of_service(service);
+                let mut holders = self.of_service(service, now);
                 !holders.any(|one| one.has_adapter(name, adapter))
             });
             missing.map(|adapter| OrderAction::LoadAdapter(name.clone(), adapter.clone()))
@@ -572,7 +585,7 @@
         now: Timestamp,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let copies = self.copies(service);
+        let copies = self.copies(service, now);
         let mut short: Vec<(f64, ModelName)> = Vec::new();
         for key in self.demand.models_of(service) {
             let name = ModelName::from(key.model.as_str());
--- a/crates/services/src/selection.rs
+++ b/crates/services/src/selection.rs
@@ -90,6 +90,8 @@
     prefixes: HashMap<u64, Timestamp>,
     slowness: Option<f64>,
     suspect_until: Timestamp,
+    /// Until then it is not chosen at all.
+    unreachable_until: Timestamp,
     failures: u32,
     last_chosen: u64,
 }
@@ -170,6 +172,7 @@
         let usable: Vec<&InstanceView> = views
             .filter(|view| view.state == InstanceState::Ready)
             .filter(|view| !avoid.contains(&view.id))
+            .filter(|view| !self.is_unreachable(&view.id, now))
             .filter(|view| {
                 shape.model.is_empty() || view.holds(&shape.model, shape.adapter.as_deref())
             })
@@ -286,6 +289,28 @@
         }
     }
 
+    /// Leaves an instance out for a while after it could not be reached.
+    pub fn unreachable(&mut self, instance: &RunnerId, now: Timestamp) {
+        self.suspect(instance, now);
+        let local = self.locals.entry(instance.clone()).or_default();
+        local.unreachable_until = local.suspect_until;
+    }
+
+    /// Whether an instance is left out.
+    #[must_use]
+    pub fn is_unreachable(&self, instance: &RunnerId, now: Timestamp) -> bool {
+        let local = self.locals.get(instance);
+        local.is_some_and(|local| now < local.unreachable_until)
+    }
+
+    /// Instances that are left out.
+    #[must_use]
+    pub fn all_unreachable(&self, now: Timestamp) -> Vec<RunnerId> {
+        let locals = self.locals.iter();
+        let left_out = locals.filter(|(_, local)| now < local.unreachable_until);
+        left_out.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Avoids an instance for a while after a failure.
     pub fn suspect(&mut self, instance: &RunnerId, now: Timestamp) {
         let local = self.locals.entry(instance.clone()).or_default();
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -151,3 +151,18 @@
     let at_slow = later.filter(|one| one.instance.as_str() == "a").count();
     assert!(at_slow <= 2, "{at_slow} of 10 go to the slow instance");
 }
+
+#[test]
+fn an_instance_that_was_not_reached_is_left_out_for_a_while() {
+    let views = [view("a", "z", &[("m", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let wanted = shape("m", None, 5);
+    let instance = RunnerId::from("a");
+    selector.unreachable(&instance, NOW);
+    let chosen = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
+    assert!(chosen.is_none(), "it is the only one, and dead");
+    assert_eq!(selector.all_unreachable(NOW), [instance]);
+    let later = Timestamp(NOW.0 + 1_500);
+    let chosen = selector.choose(&wanted, views.iter(), &[], LIMIT, later);
+    assert!(chosen.is_some(), "it is tried again");
+}
