A round of planning looks at the fleet once; a feed's message is encoded once

Ruled out: the log's disk, the links, the reports (leaders were lost only while planning). Change: what a round rests on is computed once (placement::round) and kept up to date; look-ups by name; usage is summed as reports come; messages for all routers are encoded once; many routers report less often.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -4,7 +4,9 @@
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
 use courseshunt_services::{FeedMessage, ReportMessage};
 use courseshunt_types::ControllerId;
-use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, Sender, WireError, accept};
+use courseshunt_wire::{
+    Connection, Frame, Message, PeerIdentity, Receiver, Sender, WireError, accept,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,12 +24,12 @@
 #[derive(Debug)]
 struct Session {
     number: u64,
-    queue: mpsc::Sender<FeedMessage>,
+    queue: mpsc::Sender<Arc<Frame>>,
     /// Configuration that the router has or is being sent.
     configuration: u64,
 }
 
-/// All routers' sessions.
+/// All routers' sessions. A message for all is encoded once.
 #[derive(Debug, Default)]
 pub(crate) struct Sessions {
     sessions: Mutex<BTreeMap<String, Session>>,
@@ -38,32 +40,37 @@
         self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends to all routers.
-    pub(crate) fn broadcast(&self, message: &FeedMessage) {
-        self.lock()
-            .retain(|_, session| session.queue.try_send(message.clone()).is_ok());
+    /// Routers with a session.
+    pub(crate) fn count(&self) -> usize {
+        self.lock().len()
     }
 
-    /// Sends to each router what `message` makes for it.
-    pub(crate) fn send_each(&self, message: impl Fn(&str, usize) -> Option<FeedMessage>) {
-        let mut sessions = self.lock();
-        let count = sessions.len();
-        sessions.retain(|router, session| match message(router, count) {
-            Some(message) => session.queue.try_send(message).is_ok(),
-            None => true,
-        });
+    /// Sends to all routers.
+    pub(crate) fn broadcast(&self, message: FeedMessage) {
+        let Some(frame) = encode(message) else {
+            return;
+        };
+        self.lock()
+            .retain(|_, session| session.queue.try_send(frame.clone()).is_ok());
     }
 
     /// Sends a configuration to the routers that have an older one.
     pub(crate) fn configure(&self, number: u64, document: &[u8]) {
-        self.lock().retain(|_, session| {
-            if session.configuration >= number {
+        let mut sessions = self.lock();
+        let behind = |session: &Session| session.configuration < number;
+        if !sessions.values().any(behind) {
+            return;
+        }
+        let document = document.to_vec();
+        let Some(frame) = encode(FeedMessage::Configuration { number, document }) else {
+            return;
+        };
+        sessions.retain(|_, session| {
+            if !behind(session) {
                 return true;
             }
             session.configuration = number;
-            let document = document.to_vec();
-            let message = FeedMessage::Configuration { number, document };
-            session.queue.try_send(message).is_ok()
+            session.queue.try_send(frame.clone()).is_ok()
         });
     }
 
@@ -73,6 +80,16 @@
     }
 }
 
+fn encode(message: FeedMessage) -> Option<Arc<Frame>> {
+    match Frame::of(&Message::ServiceFeed(message)) {
+        Ok(frame) => Some(Arc::new(frame)),
+        Err(problem) => {
+            log::error!("feed: a message can't be encoded: {problem}");
+            None
+        }
+    }
+}
+
 /// Accepts other processes until the stop.
 pub(crate) async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
     loop {
@@ -214,7 +231,7 @@
     router: &str,
     incarnation: u64,
     number: u64,
-    queue: mpsc::Sender<FeedMessage>,
+    queue: mpsc::Sender<Arc<Frame>>,
     shared: &Shared,
 ) {
     let now = shared.clock.now();
@@ -226,11 +243,14 @@
     let unknown = leaving.filter(|id| changed.iter().all(|view| view.id != **id));
     let gone = unknown.cloned().collect();
     drop(state);
-    let _ = queue.try_send(FeedMessage::Instances {
+    let known = encode(FeedMessage::Instances {
         whole: false,
         changed,
         gone,
     });
+    if let Some(frame) = known {
+        let _ = queue.try_send(frame);
+    }
     let session = Session {
         number: incarnation,
         queue,
@@ -252,10 +272,10 @@
 
 async fn send_all(
     mut sender: Sender,
-    mut messages: mpsc::Receiver<FeedMessage>,
+    mut messages: mpsc::Receiver<Arc<Frame>>,
 ) -> Result<(), WireError> {
-    while let Some(message) = messages.recv().await {
-        send(&mut sender, message).await?;
+    while let Some(frame) = messages.recv().await {
+        sender.send_frame(&frame).await?;
     }
     Ok(())
 }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -13,8 +13,14 @@
 
 /// Longest pause of the loop.
 const TICK: Duration = Duration::from_millis(40);
+/// Least time between rounds of planning, however often the loop is woken.
+const LEAST_BETWEEN_PLANS: Millis = Millis(15);
 /// Time between messages about the use of instances.
 const USAGE_INTERVAL: Millis = Millis(120);
+/// Routers that are told at this rate; more are told less often, down to a
+/// bound.
+const ROUTERS_AT_FULL_RATE: u32 = 16;
+const SLOWEST_FACTOR: u32 = 4;
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
@@ -40,6 +46,7 @@
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     membership_at: Timestamp,
     looked_at: Timestamp,
+    planned_at: Timestamp,
     changing: Arc<AtomicBool>,
 }
 
@@ -97,15 +104,14 @@
         unrecorded: Default::default(),
         membership_at: now,
         looked_at: now,
+        planned_at: now,
         changing: Arc::default(),
     }
 }
 
 fn end(shared: &Shared) {
     let leader = shared.leader_address().map(|address| address.to_string());
-    shared
-        .sessions
-        .broadcast(&FeedMessage::NotLeader { leader });
+    shared.sessions.broadcast(FeedMessage::NotLeader { leader });
     shared.sessions.clear();
     let joining = shared.joining.lock();
     joining.unwrap_or_else(PoisonError::into_inner).clear();
@@ -172,6 +178,10 @@
     if now.since(leadership.since) < lease {
         return;
     }
+    if now.since(leadership.planned_at) < LEAST_BETWEEN_PLANS {
+        return;
+    }
+    leadership.planned_at = now;
     let steps = engine.plan(now);
     drop(engine);
     for step in steps {
@@ -198,24 +208,28 @@
     }
     if settles || !changed.is_empty() || !gone.is_empty() {
         leadership.settled |= settles;
-        shared.sessions.broadcast(&FeedMessage::Instances {
+        shared.sessions.broadcast(FeedMessage::Instances {
             whole: settles,
             changed,
             gone,
         });
     }
-    if now.since(leadership.usage_at) >= USAGE_INTERVAL {
+    let routers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
+    if now.since(leadership.usage_at) >= usage_interval(routers) {
         leadership.usage_at = now;
-        let engine = shared.engine();
-        shared.sessions.send_each(|router, routers| {
-            Some(FeedMessage::Usage {
-                routers: u32::try_from(routers).unwrap_or(u32::MAX),
-                others: engine.usage_of_others(router),
-            })
-        });
+        let instances = shared.engine().usage_of_all();
+        shared
+            .sessions
+            .broadcast(FeedMessage::Usage { routers, instances });
     }
 }
 
+/// Many routers are told less often, so that the leader's work stays bounded.
+fn usage_interval(routers: u32) -> Millis {
+    let factor = routers.div_ceil(ROUTERS_AT_FULL_RATE);
+    Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
+}
+
 /// Records the instances for a successor.
 fn record(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let (changed, gone) = &leadership.unrecorded;
@@ -291,5 +305,5 @@
     let members = members.map(|(_, address)| address.to_string());
     shared
         .sessions
-        .broadcast(&FeedMessage::Members(members.collect()));
+        .broadcast(FeedMessage::Members(members.collect()));
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,6 +18,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(700);
 /// Time between reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
+/// Routers that report at this rate; more report less often, down to a bound.
+const ROUTERS_AT_FULL_RATE: u32 = 16;
+const SLOWEST_FACTOR: u32 = 4;
 /// Shortest time between reports when requests wait.
 const URGENT_PAUSE: Duration = Duration::from_millis(3);
 /// Pause after all known controllers were tried.
@@ -153,8 +156,8 @@
             let lost = shared.view.set_instances(whole, changed, &gone);
             shared.pool.forget(&lost);
         }
-        FeedMessage::Usage { routers, others } => {
-            shared.view.set_usage(routers, &others);
+        FeedMessage::Usage { routers, instances } => {
+            shared.view.set_usage(routers, &instances);
             shared.pool.tidy();
         }
         FeedMessage::Alive | FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => {}
@@ -173,10 +176,18 @@
     }
 }
 
+/// Many routers report less often, so that the leader's work stays bounded.
+fn report_interval(routers: u32) -> Duration {
+    REPORT_INTERVAL
+        * routers
+            .div_ceil(ROUTERS_AT_FULL_RATE)
+            .clamp(1, SLOWEST_FACTOR)
+}
+
 async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
     loop {
         tokio::select! {
-            () = tokio::time::sleep(REPORT_INTERVAL) => {}
+            () = tokio::time::sleep(report_interval(shared.view.routers())) => {}
             () = shared.view.missing.notified() => tokio::time::sleep(URGENT_PAUSE).await,
         }
         let report = shared.view.take_report(shared.clock.now());
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -99,6 +99,11 @@
         state.table.is_some() && !state.instances.is_empty()
     }
 
+    /// Live routers, as far as known.
+    pub(crate) fn routers(&self) -> u32 {
+        self.lock().routers
+    }
+
     /// Follows changes, to wait for one.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -160,10 +165,10 @@
         lost
     }
 
-    pub(crate) fn set_usage(&self, routers: u32, others: &[InstanceUsage]) {
+    pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage]) {
         let mut state = self.lock();
         state.routers = routers.max(1);
-        state.selector.set_others(others);
+        state.selector.set_usage(usage);
     }
 
     /// Chooses an instance and counts the request there.
--- a/crates/services/src/configuration.rs
+++ b/crates/services/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The declared configuration: routes, services and limits, as one document.
 
 use courseshunt_types::{Millis, ModelName};
+use std::collections::BTreeMap;
 
 /// A whole configuration. The one with the highest number prevails.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -84,15 +85,15 @@
     pub adapter_slots: u32,
     /// Loads that the weight store allows in a second, over all instances.
     pub loads_per_second: f64,
-    /// All models.
-    pub models: Vec<ModelSpecification>,
+    /// All models, by name.
+    pub models: BTreeMap<String, ModelSpecification>,
 }
 
 impl Engine {
     /// The specification of a model.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<&ModelSpecification> {
-        self.models.iter().find(|model| model.name.as_str() == name)
+        self.models.get(name)
     }
 }
 
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -63,12 +63,12 @@
         /// No longer there.
         gone: Vec<RunnerId>,
     },
-    /// What the other routers use, and how many routers there are.
+    /// What all routers use, this one included, and how many there are.
     Usage {
         /// Live routers.
         routers: u32,
-        /// Usage summed over the other routers.
-        others: Vec<InstanceUsage>,
+        /// Usage summed over all routers.
+        instances: Vec<InstanceUsage>,
     },
     /// The controller still leads.
     Alive,
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -64,10 +64,24 @@
     pub(super) count: u32,
 }
 
+/// What is known of the demand for one model.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct DemandSummary {
+    /// Requests a second, over seconds.
+    pub(super) fast: f64,
+    /// Requests a second, over tens of seconds.
+    pub(super) slow: f64,
+    /// Prompt tokens to read in a second.
+    pub(super) tokens: f64,
+    /// Shortest objective with which it was asked for.
+    pub(super) objective: Option<Millis>,
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub(super) struct DemandTable {
-    rates: BTreeMap<ModelKey, Rates>,
+    /// By service, then by model.
+    rates: BTreeMap<String, BTreeMap<String, Rates>>,
     waiting: Vec<Waiting>,
 }
 
@@ -75,22 +89,14 @@
     pub(super) fn record(&mut self, router: &str, demand: &[ModelDemand], now: Timestamp) {
         self.waiting.retain(|one| one.router != router);
         for one in demand {
-            let key = ModelKey {
-                service: one.service.clone(),
-                model: one.model.clone(),
-            };
-            let rates = self.rates.entry(key.clone()).or_default();
-            if one.arrivals > 0 {
-                rates.fast.add(f64::from(one.arrivals), now, FAST);
-                rates.slow.add(f64::from(one.arrivals), now, SLOW);
-                rates.tokens.add(f64::from(one.tokens), now, FAST);
-                let shortest = rates.objective_ms.unwrap_or(u32::MAX);
-                rates.objective_ms = Some(shortest.min(one.objective_ms));
-            }
+            self.count(one, now);
             if one.waiting > 0 {
                 self.waiting.push(Waiting {
                     router: router.to_owned(),
-                    key,
+                    key: ModelKey {
+                        service: one.service.clone(),
+                        model: one.model.clone(),
+                    },
                     adapter: one.adapter.clone(),
                     count: one.waiting,
                     at: now,
@@ -99,46 +105,46 @@
         }
     }
 
-    pub(super) fn forget(&mut self, router: &str) {
-        self.waiting.retain(|one| one.router != router);
-    }
-
-    /// Requests a second, over seconds.
-    pub(super) fn fast(&self, key: &ModelKey, now: Timestamp) -> f64 {
-        let rates = self.rates.get(key);
-        rates.map_or(0.0, |rates| rates.fast.at(now, FAST))
-    }
-
-    /// Requests a second, over tens of seconds.
-    pub(super) fn slow(&self, key: &ModelKey, now: Timestamp) -> f64 {
-        let rates = self.rates.get(key);
-        rates.map_or(0.0, |rates| rates.slow.at(now, SLOW))
-    }
-
-    /// Prompt tokens to read in a second.
-    pub(super) fn tokens(&self, key: &ModelKey, now: Timestamp) -> f64 {
-        let rates = self.rates.get(key);
-        rates.map_or(0.0, |rates| rates.tokens.at(now, FAST))
+    fn count(&mut self, one: &ModelDemand, now: Timestamp) {
+        if one.arrivals == 0 && one.tokens == 0 {
+            return;
+        }
+        let service = self.rates.entry(one.service.clone()).or_default();
+        let rates = service.entry(one.model.clone()).or_default();
+        rates.fast.add(f64::from(one.arrivals), now, FAST);
+        rates.slow.add(f64::from(one.arrivals), now, SLOW);
+        rates.tokens.add(f64::from(one.tokens), now, FAST);
+        if one.arrivals > 0 {
+            let shortest = rates.objective_ms.unwrap_or(u32::MAX);
+            rates.objective_ms = Some(shortest.min(one.objective_ms));
+        }
     }
 
-    /// Shortest objective with which the model was asked for.
-    pub(super) fn objective(&self, key: &ModelKey) -> Option<Millis> {
-        let objective = self.rates.get(key)?.objective_ms?;
-        Some(Millis(u64::from(objective)))
+    pub(super) fn forget(&mut self, router: &str) {
+        self.waiting.retain(|one| one.router != router);
     }
 
-    /// Models of a service that were asked for.
-    pub(super) fn models_of<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a ModelKey> + 'a {
-        self.rates.keys().filter(move |key| key.service == service)
+    /// What is known of the demand for a model.
+    pub(super) fn summary(&self, service: &str, model: &str, now: Timestamp) -> DemandSummary {
+        let rates = self
+            .rates
+            .get(service)
+            .and_then(|service| service.get(model));
+        rates.map_or_else(DemandSummary::default, |rates| DemandSummary {
+            fast: rates.fast.at(now, FAST),
+            slow: rates.slow.at(now, SLOW),
+            tokens: rates.tokens.at(now, FAST),
+            objective: rates
+                .objective_ms
+                .map(|shortest| Millis(u64::from(shortest))),
+        })
     }
 
     /// What waits now, the most first.
-    pub(super) fn wanted(&self, now: Timestamp) -> Vec<Wanted> {
+    pub(super) fn wanted(&self, service: &str, now: Timestamp) -> Vec<Wanted> {
         let mut sums: BTreeMap<(&ModelKey, &Option<String>), u32> = BTreeMap::new();
         let fresh = self.waiting.iter();
+        let fresh = fresh.filter(|one| one.key.service == service);
         for one in fresh.filter(|one| now.since(one.at) < WAITING_KEPT) {
             *sums.entry((&one.key, &one.adapter)).or_default() += one.count;
         }
@@ -152,10 +158,4 @@
         wanted.sort_by_key(|one| std::cmp::Reverse(one.count));
         wanted
     }
-
-    /// Whether requests for this model wait.
-    pub(super) fn is_waited_for(&self, key: &ModelKey, now: Timestamp) -> bool {
-        let mut waiting = self.waiting.iter();
-        waiting.any(|one| one.key == *key && now.since(one.at) < WAITING_KEPT)
-    }
 }
--- a/crates/services/src/placement/instance.rs
+++ b/crates/services/src/placement/instance.rs
@@ -494,6 +494,17 @@
         sent || held.is_some_and(|held| held.adapters.contains_key(adapter))
     }
 
+    /// Adapters with their models, the one on its way included.
+    pub(super) fn all_adapters(&self) -> impl Iterator<Item = (&ModelName, &str)> {
+        let held = self.held.iter().flat_map(|(model, held)| {
+            let adapters = held.adapters.keys();
+            adapters.map(move |adapter| (model, adapter.as_str()))
+        });
+        let sent = self.sent.iter().filter(|sent| sent.loads());
+        let sent = sent.filter_map(|sent| Some((sent.model(), sent.adapter()?)));
+        held.chain(sent)
+    }
+
     /// Adapters there or on their way.
     pub(super) fn adapters(&self) -> u32 {
         let counts = self.held.values().map(|held| held.adapters.len());
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod instance;
 mod planning;
+mod round;
 mod usage;
 
 pub use instance::InstanceReport;
@@ -20,6 +21,7 @@
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
 use demand::DemandTable;
 use instance::Instance;
+use round::Round;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use usage::UsageTable;
@@ -162,6 +164,7 @@
     /// When the first demand was reported.
     demand_since: Option<Timestamp>,
     usage: UsageTable,
+    round: Arc<Round>,
     ceilings: BTreeMap<String, LoadCeiling>,
     changed: BTreeSet<RunnerId>,
     gone: Vec<RunnerId>,
@@ -184,6 +187,7 @@
             demand: DemandTable::default(),
             demand_since: None,
             usage: UsageTable::default(),
+            round: Arc::default(),
             ceilings: BTreeMap::new(),
             changed: BTreeSet::new(),
             gone: Vec::new(),
@@ -344,10 +348,10 @@
         self.demand.forget(router);
     }
 
-    /// Usage of all routers but one.
+    /// Usage summed over all routers.
     #[must_use]
-    pub fn usage_of_others(&self, router: &str) -> Vec<crate::feed::InstanceUsage> {
-        self.usage.of_others(router)
+    pub fn usage_of_all(&self) -> Vec<crate::feed::InstanceUsage> {
+        self.usage.all()
     }
 
     /// Views of all instances.
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -1,43 +1,25 @@
 //! The decisions: which orders to give now.
 
-use super::demand::{ModelKey, Wanted};
+use super::demand::Wanted;
 use super::instance::Instance;
+use super::round::{Round, URGENT_COPY_VALUE};
 use super::{Order, OrderAction, OrderEvidence, PlacementEngine, PlacementStep};
 use crate::configuration::{Engine, ModelSpecification};
 use crate::instance::InstanceState;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
-/// Prompt tokens that an instance reads in a second.
-const READ_PER_SECOND: f64 = 38_000.0;
-/// Tokens that one request costs besides its prompt: its share of a batch.
-const TOKENS_PER_REQUEST: f64 = 500.0;
-/// Copies beyond the first are added only above this rate, in requests a second.
-const RATE_FOR_COPIES: f64 = 0.6;
-/// A copy is surplus when the others would stay below this part of the
-/// utilisation at which one is added.
-const KEEP_PART: f64 = 0.6;
 /// Demand is followed for so long before copies count as surplus.
 const DEMAND_WARM_UP: Millis = Millis(6_000);
 /// A model that was asked for is not evicted sooner after its load.
 const LEAST_STAY: Millis = Millis(2_500);
 /// An adapter is not evicted sooner after its load or use.
 const LEAST_ADAPTER_STAY: Millis = Millis(400);
-/// Value of the only copy of a model whose requests can't wait for a load.
-const URGENT_COPY_VALUE: f64 = 1.0;
-/// Value of the only copy of a model that was not asked for yet.
-const UNKNOWN_COPY_VALUE: f64 = 0.03;
-/// Value of the only copy of a model whose requests can wait for a load.
-const PATIENT_COPY_VALUE: f64 = 0.02;
-/// Part of a patient model's rate that counts.
-const PATIENT_RATE_PART: f64 = 0.3;
-/// Value of a copy that is not needed.
-const SURPLUS_VALUE: f64 = 0.001;
 /// What a load is worth that requests wait for, and more for each of them.
 const WAITING_BASE_WORTH: f64 = 0.4;
 const WAITING_WORTH: f64 = 0.6;
-/// Cost of a model that requests wait for.
-const WAITED_FOR: f64 = 1e6;
+/// Waiting models and adapters that one round looks at, of each urgency.
+const WANTED_IN_ROUND: usize = 16;
 /// Loads that demand alone, without waiting requests, may start in one round.
 const SCALING_LOADS: usize = 2;
 /// Worth of a load that evicts nothing.
@@ -46,9 +28,11 @@
 const RESTORING_LOADS: usize = 2;
 /// Evicting for another copy of a busy model must be worth so much more.
 const SCALING_MARGIN: f64 = 1.5;
-
-/// Where copies of a service's models are, those on their way included.
-type Copies = BTreeMap<ModelName, Vec<RunnerId>>;
+/// What speaks against a load from the weight store, and from a copy on disk.
+const STORE_COST: f64 = 0.04;
+const DISK_COST: f64 = 0.02;
+/// What speaks against an instance for each request under way there.
+const BUSY_COST: f64 = 0.002;
 
 /// A place for a model.
 struct Place {
@@ -59,6 +43,13 @@
     cost: f64,
 }
 
+/// The service that a round plans for.
+struct Planned<'a> {
+    service: &'a str,
+    engine: &'a Engine,
+    now: Timestamp,
+}
+
 impl PlacementEngine {
     /// What to do now.
     pub fn plan(&mut self, now: Timestamp) -> Vec<PlacementStep> {
@@ -67,7 +58,12 @@
         let configuration = self.configuration.clone();
         for service in &configuration.services {
             if let Some(engine) = &service.engine {
-                self.plan_service(&service.name, engine, now, &mut steps);
+                let planned = Planned {
+                    service: &service.name,
+                    engine,
+                    now,
+                };
+                self.plan_service(&planned, &mut steps);
             }
         }
         steps
@@ -97,45 +93,13 @@
         }
     }
 
-    fn plan_service(
-        &mut self,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        self.follow_intents(service, engine, now, steps);
-        let wanted = self.demand.wanted(now);
-        let wanted = wanted.iter().filter(|one| one.key.service == service);
-        let (urgent, patient): (Vec<&Wanted>, Vec<&Wanted>) =
-            wanted.partition(|one| self.is_urgent(&one.key, engine));
-        for one in urgent {
-            self.serve_wanted(one, engine, now, steps);
-        }
-        self.scale_busy(service, engine, now, steps);
-        for one in patient {
-            self.serve_wanted(one, engine, now, steps);
-        }
-        self.restore_missing(service, engine, now, steps);
-        self.fill_adapters(service, engine, now, steps);
-    }
-
-    fn copies(&self, service: &str, now: Timestamp) -> Copies {
-        let mut copies = Copies::new();
-        for instance in self.of_service(service, now) {
-            let held = instance.held().map(|(name, _)| name);
-            let coming = instance.loading().into_iter().chain(instance.intent());
-            for name in held.chain(coming) {
-                let places = copies.entry(name.clone()).or_default();
-                if !places.contains(instance.id()) {
-                    places.push(instance.id().clone());
-                }
-            }
-        }
-        copies
+    /// Whether demand was followed for long enough to tell what is surplus.
+    pub(super) fn knows_demand(&self, now: Timestamp) -> bool {
+        let since = self.demand_since;
+        since.is_some_and(|since| now.since(since) >= DEMAND_WARM_UP)
     }
 
-    fn of_service<'a>(
+    pub(super) fn of_service<'a>(
         &'a self,
         service: &'a str,
         now: Timestamp,
@@ -148,21 +112,42 @@
         })
     }
 
+    fn plan_service(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let wanted = self.demand.wanted(planned.service, planned.now);
+        let round = Round::new(self, planned.service, planned.engine, &wanted, planned.now);
+        self.round = Arc::new(round);
+        self.follow_intents(planned, steps);
+        let is_urgent = |one: &&Wanted| {
+            let model = ModelName::from(one.key.model.as_str());
+            self.round.facts(&model).urgent
+        };
+        let (urgent, patient): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(is_urgent);
+        for one in urgent.into_iter().take(WANTED_IN_ROUND) {
+            self.serve_wanted(one, planned, steps);
+        }
+        self.scale_busy(planned, steps);
+        for one in patient.into_iter().take(WANTED_IN_ROUND) {
+            self.serve_wanted(one, planned, steps);
+        }
+        self.restore_missing(planned, steps);
+        self.fill_adapters(planned, steps);
+    }
+
+    fn change_round(&mut self, change: impl FnOnce(&mut Round)) {
+        change(Arc::make_mut(&mut self.round));
+    }
+
     /// Goes on with evictions that make room for a model.
-    fn follow_intents(
-        &mut self,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let set_aside = self.of_service(service, now).filter_map(|one| {
+    fn follow_intents(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let set_aside = self.of_service(planned.service, planned.now);
+        let set_aside = set_aside.filter_map(|one| {
             let model = one.intent()?;
-            one.is_free(now).then(|| (one.id().clone(), model.clone()))
+            one.is_free(planned.now)
+                .then(|| (one.id().clone(), model.clone()))
         });
         let set_aside: Vec<(RunnerId, ModelName)> = set_aside.collect();
         for (instance, model) in set_aside {
-            self.go_on(&instance, &model, service, engine, now, steps);
+            self.go_on(&instance, &model, planned, steps);
         }
     }
 
@@ -171,38 +156,38 @@
         &mut self,
         id: &RunnerId,
         model: &ModelName,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
+        planned: &Planned<'_>,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let Some(specification) = engine.model(model.as_str()) else {
+        let Some(specification) = planned.engine.model(model.as_str()) else {
             return;
         };
         let Some(instance) = self.instances.get(id) else {
             return;
         };
         if instance.has(model) {
-            if let Some(instance) = self.instances.get_mut(id) {
-                instance.clear_intent();
-            }
+            self.drop_intent(id);
             return;
         }
-        if fits(instance, specification, engine) {
-            self.load_model(id, model, service, now, steps);
+        if fits(instance, specification, planned.engine) {
+            self.load_model(id, model, planned, steps);
             return;
         }
-        let copies = self.copies(service, now);
-        let victims = self.victims(instance, specification, service, engine, &copies, now);
+        let victims = self.victims(instance, specification, planned);
         match victims.and_then(|(_, victims)| victims.into_iter().next()) {
             Some(victim) => {
-                self.give(id, OrderAction::UnloadModel(victim), now, steps);
-            }
-            None => {
-                if let Some(instance) = self.instances.get_mut(id) {
-                    instance.clear_intent();
+                let action = OrderAction::UnloadModel(victim.clone());
+                if self.give(id, action, steps) {
+                    self.change_round(|round| round.remove_copy(&victim, id));
                 }
             }
+            None => self.drop_intent(id),
+        }
+    }
+
+    fn drop_intent(&mut self, id: &RunnerId) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.clear_intent();
         }
     }
 
@@ -210,39 +195,30 @@
         &mut self,
         id: &RunnerId,
         model: &ModelName,
-        service: &str,
-        now: Timestamp,
+        planned: &Planned<'_>,
         steps: &mut Vec<PlacementStep>,
     ) {
         let Some(instance) = self.instances.get(id) else {
             return;
         };
-        if instance.sequence().is_none() {
-            self.give(id, OrderAction::LoadModel(model.clone()), now, steps);
-            return;
-        }
+        let known = instance.sequence().is_some();
         let from_store = !instance.copy_in_memory(model) && !instance.copy_on_disk(model);
-        if from_store {
-            let ceiling = self.ceilings.get_mut(service);
-            if !ceiling.is_some_and(|ceiling| ceiling.take(now)) {
+        if known && from_store {
+            let ceiling = self.ceilings.get_mut(planned.service);
+            if !ceiling.is_some_and(|ceiling| ceiling.take(planned.now)) {
                 return;
             }
         }
-        self.give(id, OrderAction::LoadModel(model.clone()), now, steps);
-        if let Some(PlacementStep::Give(order)) = steps.last_mut() {
+        let given = self.give(id, OrderAction::LoadModel(model.clone()), steps);
+        if given && let Some(PlacementStep::Give(order)) = steps.last_mut() {
             order.from_store = from_store;
         }
     }
 
-    /// Gives an order, or asks for the number that it has to carry.
-    fn give(
-        &mut self,
-        id: &RunnerId,
-        action: OrderAction,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) -> bool {
-        let evidence = self.evidence(id, action.model(), now);
+    /// Gives an order, or asks for the number that it has to carry; returns
+    /// whether the order is given.
+    fn give(&mut self, id: &RunnerId, action: OrderAction, steps: &mut Vec<PlacementStep>) -> bool {
+        let evidence = self.evidence(action.model());
         let Some(instance) = self.instances.get_mut(id) else {
             return false;
         };
@@ -262,15 +238,13 @@
         true
     }
 
-    fn evidence(&self, id: &RunnerId, model: &ModelName, now: Timestamp) -> OrderEvidence {
-        let instance = self.instances.get(id);
-        let service = instance.map_or("", |one| one.registration().service.as_str());
-        let key = key_of(service, model);
+    fn evidence(&self, model: &ModelName) -> OrderEvidence {
+        let facts = self.round.facts(model);
         OrderEvidence {
-            copies: self.copies(service, now).get(model).map_or(0, Vec::len),
-            desired: self.desired_copies(&key, now),
-            rate_per_1000_s: (self.demand.fast(&key, now) * 1000.0) as u64,
-            waited_for: self.demand.is_waited_for(&key, now),
+            copies: self.round.count(model),
+            desired: facts.desired,
+            rate_per_1000_s: (facts.demand.fast * 1000.0) as u64,
+            waited_for: facts.waited_for,
         }
     }
 
@@ -280,17 +254,18 @@
         &self,
         instance: &Instance,
         specification: &ModelSpecification,
-        service: &str,
-        engine: &Engine,
-        copies: &Copies,
-        now: Timestamp,
+        planned: &Planned<'_>,
     ) -> Option<(f64, Vec<ModelName>)> {
+        let engine = planned.engine;
         let mut missing = instance.memory_mb(engine) + specification.memory_mb - engine.memory_mb;
+        if missing <= 0.0 {
+            return Some((0.0, Vec::new()));
+        }
         let mut held: Vec<(f64, &ModelName)> = instance
             .held()
             .filter(|(name, _)| **name != specification.name)
-            .filter(|(name, _)| self.may_go(instance, name, service, now))
-            .map(|(name, _)| (self.value(name, service, engine, copies, now), name))
+            .filter(|(name, _)| self.may_go(instance, name, planned.now))
+            .map(|(name, _)| (self.round.value(name), name))
             .collect();
         held.sort_by(|left, right| left.0.total_cmp(&right.0));
         let mut cost = 0.0;
@@ -307,157 +282,70 @@
     }
 
     /// Whether a model has been there for long enough to be evicted.
-    fn may_go(&self, instance: &Instance, name: &ModelName, service: &str, now: Timestamp) -> bool {
-        let asked_for = self.demand.objective(&key_of(service, name)).is_some();
+    fn may_go(&self, instance: &Instance, name: &ModelName, now: Timestamp) -> bool {
+        let asked_for = self.round.facts(name).demand.objective.is_some();
         !asked_for || instance.held_for(name, now) >= LEAST_STAY
     }
 
-    /// What a copy of a model is worth where it is.
-    fn value(
-        &self,
-        name: &ModelName,
-        service: &str,
-        engine: &Engine,
-        copies: &Copies,
-        now: Timestamp,
-    ) -> f64 {
-        let key = key_of(service, name);
-        if self.demand.is_waited_for(&key, now) {
-            return WAITED_FOR;
-        }
-        let count = copies.get(name).map_or(1, Vec::len).max(1);
-        if self.demand.objective(&key).is_none() {
-            return UNKNOWN_COPY_VALUE;
-        }
-        if self.knows_demand(now) && count > self.copies_to_keep(&key, now) {
-            return SURPLUS_VALUE + self.demand.slow(&key, now) / count as f64 * 0.01;
-        }
-        let rate = self.demand.slow(&key, now).max(self.demand.fast(&key, now));
-        match count {
-            1 => self.only_copy_value(&key, engine, rate),
-            _ => rate / count as f64,
-        }
-    }
-
-    /// Whether demand was followed for long enough to tell what is surplus.
-    fn knows_demand(&self, now: Timestamp) -> bool {
-        let since = self.demand_since;
-        since.is_some_and(|since| now.since(since) >= DEMAND_WARM_UP)
-    }
-
-    /// Whether requests for the model can't wait for a load.
-    fn is_urgent(&self, key: &ModelKey, engine: &Engine) -> bool {
-        let load = engine
-            .model(&key.model)
-            .map_or(Millis(0), |one| one.load_time);
-        self.demand
-            .objective(key)
-            .is_some_and(|objective| objective < load)
-    }
-
-    /// What the only copy of a model is worth: a cold start avoided.
-    fn only_copy_value(&self, key: &ModelKey, engine: &Engine, rate: f64) -> f64 {
-        match self.demand.objective(key) {
-            None => UNKNOWN_COPY_VALUE,
-            Some(_) if self.is_urgent(key, engine) => URGENT_COPY_VALUE + rate,
-            Some(_) => PATIENT_COPY_VALUE + rate * PATIENT_RATE_PART,
-        }
-    }
-
-    /// Copies that the present demand needs, at least one.
-    fn desired_copies(&self, key: &ModelKey, now: Timestamp) -> usize {
-        let rate = self.demand.fast(key, now);
-        self.copies_for(key, rate, self.settings.copy_utilisation, now)
-    }
-
-    /// Copies that are not surplus: more than are added, so that a demand that
-    /// varies a little moves nothing.
-    fn copies_to_keep(&self, key: &ModelKey, now: Timestamp) -> usize {
-        let rate = self.demand.fast(key, now).max(self.demand.slow(key, now));
-        let utilisation = self.settings.copy_utilisation * KEEP_PART;
-        self.copies_for(key, rate / KEEP_PART, utilisation, now)
-    }
-
-    fn copies_for(&self, key: &ModelKey, rate: f64, utilisation: f64, now: Timestamp) -> usize {
-        if rate < RATE_FOR_COPIES {
-            return 1;
-        }
-        let work = self.demand.tokens(key, now) + rate * TOKENS_PER_REQUEST;
-        let copies = work / READ_PER_SECOND / utilisation;
-        (copies.ceil() as usize).max(1)
-    }
-
     fn serve_wanted(
         &mut self,
         wanted: &Wanted,
-        engine: &Engine,
-        now: Timestamp,
+        planned: &Planned<'_>,
         steps: &mut Vec<PlacementStep>,
     ) {
-        let service = wanted.key.service.as_str();
         let model = ModelName::from(wanted.key.model.as_str());
-        let Some(specification) = engine.model(model.as_str()) else {
+        let Some(specification) = planned.engine.model(model.as_str()) else {
             return;
         };
-        let copies = self.copies(service, now);
-        if copies.get(&model).is_none_or(Vec::is_empty) {
+        if self.round.count(&model) == 0 {
             let worth = WAITING_BASE_WORTH + WAITING_WORTH * f64::from(wanted.count);
-            self.add_copy(specification, service, engine, worth, now, steps);
+            self.add_copy(specification, worth, planned, steps);
             return;
         }
         if let Some(adapter) = &wanted.adapter {
-            self.add_adapter(&model, adapter, service, engine, now, steps);
+            self.add_adapter(&model, adapter, planned, steps);
         }
     }
 
-    /// Adds a copy of a model where that costs least, if it costs less than `worth`.
+    /// Adds a copy of a model where that costs least, if it evicts less than
+    /// `worth`.
     fn add_copy(
         &mut self,
         specification: &ModelSpecification,
-        service: &str,
-        engine: &Engine,
         worth: f64,
-        now: Timestamp,
+        planned: &Planned<'_>,
         steps: &mut Vec<PlacementStep>,
-    ) -> bool {
-        let copies = self.copies(service, now);
-        let place = self.best_place(specification, service, engine, &copies, now);
+    ) {
+        let place = self.best_place(specification, planned);
         let Some(place) = place.filter(|place| place.evicted < worth) else {
-            return false;
+            return;
         };
-        let model = specification.name.clone();
+        let model = &specification.name;
         if let Some(instance) = self.instances.get_mut(&place.instance) {
-            instance.set_intent(specification, now);
+            instance.set_intent(specification, planned.now);
         }
+        self.change_round(|round| round.add_copy(model, &place.instance));
         self.changed.insert(place.instance.clone());
-        self.go_on(&place.instance, &model, service, engine, now, steps);
-        true
+        self.go_on(&place.instance, model, planned, steps);
     }
 
-    fn best_place(
-        &self,
-        specification: &ModelSpecification,
-        service: &str,
-        engine: &Engine,
-        copies: &Copies,
-        now: Timestamp,
-    ) -> Option<Place> {
-        let free = self.of_service(service, now).filter(|one| {
-            one.is_free(now) && one.intent().is_none() && !one.has(&specification.name)
+    fn best_place(&self, one: &ModelSpecification, planned: &Planned<'_>) -> Option<Place> {
+        let instances = self.of_service(planned.service, planned.now);
+        let free = instances.filter(|instance| {
+            instance.is_free(planned.now) && instance.intent().is_none() && !instance.has(&one.name)
         });
-        let places = free.filter_map(|one| {
-            let victims = self.victims(one, specification, service, engine, copies, now);
-            let (evicted, _) = victims?;
-            let warmth = if one.copy_in_memory(&specification.name) {
+        let places = free.filter_map(|instance| {
+            let (evicted, _) = self.victims(instance, one, planned)?;
+            let warmth = if instance.copy_in_memory(&one.name) {
                 0.0
-            } else if one.copy_on_disk(&specification.name) {
-                0.02
+            } else if instance.copy_on_disk(&one.name) {
+                DISK_COST
             } else {
-                0.04
+                STORE_COST
             };
-            let busy = f64::from(self.usage.in_flight(one.id())) * 0.002;
+            let busy = f64::from(self.usage.in_flight(instance.id())) * BUSY_COST;
             Some(Place {
-                instance: one.id().clone(),
+                instance: instance.id().clone(),
                 evicted,
                 cost: evicted + warmth + busy,
             })
@@ -469,22 +357,19 @@
         &mut self,
         model: &ModelName,
         adapter: &str,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
+        planned: &Planned<'_>,
         steps: &mut Vec<PlacementStep>,
     ) {
+        let engine = planned.engine;
         let size = engine
             .model(model.as_str())
             .map_or(0.0, |one| one.adapter_mb);
-        let mut holders: Vec<&Instance> = self
-            .of_service(service, now)
-            .filter(|one| one.has(model))
-            .collect();
+        let instances = self.of_service(planned.service, planned.now);
+        let mut holders: Vec<&Instance> = instances.filter(|one| one.has(model)).collect();
         if holders.iter().any(|one| one.has_adapter(model, adapter)) {
             return;
         }
-        holders.retain(|one| one.is_free(now));
+        holders.retain(|one| one.is_free(planned.now));
         let room = |one: &&Instance| {
             one.adapters() < engine.adapter_slots
                 && one.memory_mb(engine) + size <= engine.memory_mb
@@ -494,74 +379,68 @@
         if let Some(best) = with_room.min_by_key(|one| load_of(one)) {
             let id = best.id().clone();
             let action = OrderAction::LoadAdapter(model.clone(), adapter.to_owned());
-            self.give(&id, action, now, steps);
+            self.give(&id, action, steps);
             return;
         }
         let crowded = holders.into_iter().filter_map(|one| {
-            let oldest = one.oldest_adapter(now, LEAST_ADAPTER_STAY)?;
+            let oldest = one.oldest_adapter(planned.now, LEAST_ADAPTER_STAY)?;
             Some((self.usage.in_flight(one.id()), one.id().clone(), oldest))
         });
         let least = crowded.min_by_key(|(in_flight, _, _)| *in_flight);
         if let Some((_, id, (model, adapter))) = least {
-            self.give(&id, OrderAction::UnloadAdapter(model, adapter), now, steps);
+            self.give(&id, OrderAction::UnloadAdapter(model, adapter), steps);
         }
     }
 
     /// Loads models that no instance holds, where that evicts nothing worth more.
-    fn restore_missing(
-        &mut self,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let copies = self.copies(service, now);
-        let missing = engine.models.iter();
-        let missing = missing.filter(|one| !copies.contains_key(&one.name));
-        let mut missing: Vec<(f64, &ModelSpecification)> = missing
-            .map(|one| {
-                let key = key_of(service, &one.name);
-                let rate = self.demand.slow(&key, now);
-                (self.only_copy_value(&key, engine, rate), one)
-            })
-            .collect();
+    fn restore_missing(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let mut missing = self.round.missing();
         missing.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (value, specification) in missing.into_iter().take(RESTORING_LOADS) {
+        for (value, model) in missing.into_iter().take(RESTORING_LOADS) {
             let worth = match value >= URGENT_COPY_VALUE {
                 true => value / SCALING_MARGIN,
                 false => FREE_MEMORY_ALONE,
             };
-            self.add_copy(specification, service, engine, worth, now, steps);
+            if let Some(specification) = planned.engine.model(model.as_str()) {
+                self.add_copy(specification, worth, planned, steps);
+            }
+        }
+    }
+
+    /// Adds copies of models whose demand has outgrown them.
+    fn scale_busy(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let mut short = self.round.short_of_copies();
+        short.sort_by(|left, right| right.0.total_cmp(&left.0));
+        for (worth, model) in short.into_iter().take(SCALING_LOADS) {
+            if let Some(specification) = planned.engine.model(model.as_str()) {
+                self.add_copy(specification, worth / SCALING_MARGIN, planned, steps);
+            }
         }
     }
 
     /// Fills free adapter places with adapters that no instance holds.
-    fn fill_adapters(
-        &mut self,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let free = self.of_service(service, now).filter(|one| {
-            one.is_free(now) && one.intent().is_none() && one.adapters() < engine.adapter_slots
+    fn fill_adapters(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let slots = planned.engine.adapter_slots;
+        let instances = self.of_service(planned.service, planned.now);
+        let free = instances.filter(|one| {
+            one.is_free(planned.now) && one.intent().is_none() && one.adapters() < slots
         });
         let free: Vec<RunnerId> = free.map(|one| one.id().clone()).collect();
         for id in free {
-            if let Some(action) = self.missing_adapter(&id, service, engine, now) {
-                self.give(&id, action, now, steps);
+            let Some((model, adapter)) = self.missing_adapter(&id, planned.engine) else {
+                continue;
+            };
+            let action = OrderAction::LoadAdapter(model.clone(), adapter.clone());
+            if self.give(&id, action, steps) {
+                self.change_round(|round| {
+                    round.adapters.entry(model).or_default().insert(adapter);
+                });
             }
         }
     }
 
     /// An adapter of a model on this instance that no instance holds.
-    fn missing_adapter(
-        &self,
-        id: &RunnerId,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-    ) -> Option<OrderAction> {
+    fn missing_adapter(&self, id: &RunnerId, engine: &Engine) -> Option<(ModelName, String)> {
         let instance = self.instances.get(id)?;
         let room = engine.memory_mb - instance.memory_mb(engine);
         instance.held().find_map(|(name, _)| {
@@ -569,54 +448,12 @@
             if specification.adapter_mb > room {
                 return None;
             }
-            let missing = specification.adapters.iter().find(|adapter| {
-                let mut holders = self.of_service(service, now);
-                !holders.any(|one| one.has_adapter(name, adapter))
-            });
-            missing.map(|adapter| OrderAction::LoadAdapter(name.clone(), adapter.clone()))
+            let held = self.round.adapters.get(name);
+            let mut adapters = specification.adapters.iter();
+            let missing = adapters.find(|one| held.is_none_or(|held| !held.contains(*one)));
+            missing.map(|adapter| (name.clone(), adapter.clone()))
         })
     }
-
-    /// Adds copies of models whose demand has outgrown them.
-    fn scale_busy(
-        &mut self,
-        service: &str,
-        engine: &Engine,
-        now: Timestamp,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let copies = self.copies(service, now);
-        let mut short: Vec<(f64, ModelName)> = Vec::new();
-        for key in self.demand.models_of(service) {
-            let name = ModelName::from(key.model.as_str());
-            let count = copies.get(&name).map_or(0, Vec::len);
-            if count > 0 && self.desired_copies(key, now) > count {
-                let worth = self.demand.fast(key, now) / (count + 1) as f64;
-                short.push((worth, name));
-            }
-        }
-        short.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (worth, name) in short.into_iter().take(SCALING_LOADS) {
-            let Some(specification) = engine.model(name.as_str()) else {
-                continue;
-            };
-            self.add_copy(
-                specification,
-                service,
-                engine,
-                worth / SCALING_MARGIN,
-                now,
-                steps,
-            );
-        }
-    }
-}
-
-fn key_of(service: &str, model: &ModelName) -> ModelKey {
-    ModelKey {
-        service: service.to_owned(),
-        model: model.0.clone(),
-    }
 }
 
 fn fits(instance: &Instance, specification: &ModelSpecification, engine: &Engine) -> bool {
--- a/crates/services/src/placement/usage.rs
+++ b/crates/services/src/placement/usage.rs
@@ -1,49 +1,61 @@
-//! What each router uses, summed for the others.
+//! What the routers use, in sum.
 
 use crate::feed::InstanceUsage;
 use courseshunt_types::RunnerId;
 use std::collections::BTreeMap;
 
-/// See the module.
+/// Requests and unread prompt tokens at one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Total {
+    in_flight: u32,
+    prompt_tokens: u32,
+}
+
+/// See the module. Costs are proportional to a report, not to the fleet.
 #[derive(Debug, Default)]
 pub(super) struct UsageTable {
     routers: BTreeMap<String, Vec<InstanceUsage>>,
+    totals: BTreeMap<RunnerId, Total>,
 }
 
 impl UsageTable {
     pub(super) fn record(&mut self, router: &str, usage: Vec<InstanceUsage>) {
+        self.forget(router);
+        for one in &usage {
+            let total = self.totals.entry(one.instance.clone()).or_default();
+            total.in_flight += one.in_flight;
+            total.prompt_tokens += one.prompt_tokens;
+        }
         self.routers.insert(router.to_owned(), usage);
     }
 
     pub(super) fn forget(&mut self, router: &str) {
-        self.routers.remove(router);
+        for one in self.routers.remove(router).into_iter().flatten() {
+            let Some(total) = self.totals.get_mut(&one.instance) else {
+                continue;
+            };
+            total.in_flight -= one.in_flight;
+            total.prompt_tokens -= one.prompt_tokens;
+            if *total == Total::default() {
+                self.totals.remove(&one.instance);
+            }
+        }
     }
 
-    pub(super) fn of_others(&self, router: &str) -> Vec<InstanceUsage> {
-        let others = self.routers.iter().filter(|(name, _)| *name != router);
-        sum(others.flat_map(|(_, usage)| usage))
+    /// Usage at every instance in use, over all routers.
+    pub(super) fn all(&self) -> Vec<InstanceUsage> {
+        let totals = self.totals.iter();
+        let totals = totals.map(|(instance, total)| InstanceUsage {
+            instance: instance.clone(),
+            in_flight: total.in_flight,
+            prompt_tokens: total.prompt_tokens,
+        });
+        totals.collect()
     }
 
     /// Requests under way at an instance, over all routers.
     pub(super) fn in_flight(&self, instance: &RunnerId) -> u32 {
-        let all = self.routers.values().flatten();
-        let there = all.filter(|one| one.instance == *instance);
-        there.map(|one| one.in_flight).sum()
-    }
-}
-
-fn sum<'a>(usage: impl Iterator<Item = &'a InstanceUsage>) -> Vec<InstanceUsage> {
-    let mut sums: BTreeMap<&RunnerId, (u32, u32)> = BTreeMap::new();
-    for one in usage {
-        let entry = sums.entry(&one.instance).or_default();
-        entry.0 += one.in_flight;
-        entry.1 += one.prompt_tokens;
+        let total = self.totals.get(instance);
+        total.map_or(0, |total| total.in_flight)
     }
-    let sums = sums.into_iter();
-    let sums = sums.map(|(instance, (in_flight, prompt_tokens))| InstanceUsage {
-        instance: instance.clone(),
-        in_flight,
-        prompt_tokens,
-    });
-    sums.collect()
 }
--- a/crates/services/src/selection.rs
+++ b/crates/services/src/selection.rs
@@ -126,16 +126,17 @@
         }
     }
 
-    /// Takes over what the other routers use.
-    pub fn set_others(&mut self, usage: &[crate::feed::InstanceUsage]) {
+    /// Takes over what all routers use, this one included: what it has under way
+    /// itself is known better here.
+    pub fn set_usage(&mut self, usage: &[crate::feed::InstanceUsage]) {
         for local in self.locals.values_mut() {
             local.others_in_flight = 0;
             local.others_unread = 0;
         }
         for one in usage {
             let local = self.locals.entry(one.instance.clone()).or_default();
-            local.others_in_flight = one.in_flight;
-            local.others_unread = one.prompt_tokens;
+            local.others_in_flight = one.in_flight.saturating_sub(local.in_flight);
+            local.others_unread = one.prompt_tokens.saturating_sub(local.unread_tokens);
         }
     }
 
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -39,7 +39,7 @@
                 memory_mb: MEMORY_MB,
                 adapter_slots: ADAPTER_SLOTS,
                 loads_per_second: LOADS_PER_SECOND,
-                models: models.collect(),
+                models: models.map(|one| (one.name.0.clone(), one)).collect(),
             }),
         }],
         ..ServiceConfiguration::default()
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -82,7 +82,7 @@
     let wanted = shape("m", None, 5);
     let home = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
     let home = home.expect("a holder").instance;
-    selector.set_others(&[InstanceUsage {
+    selector.set_usage(&[InstanceUsage {
         instance: home.clone(),
         in_flight: 10,
         prompt_tokens: 60_000,
