--- a/crates/services/src/ceiling.rs
+++ b/crates/services/src/ceiling.rs
@@ -8,6 +8,9 @@
 /// Part of the store's rate that is used.
 const USED_PART: f64 = 0.95;
 
+/// What may be missing from a bucket that counts as full.
+const SPARE_MARGIN: f64 = 0.2;
+
 /// A token bucket for loads from the weight store.
 #[derive(Debug)]
 pub struct LoadCeiling {
@@ -38,11 +41,15 @@
         self.tokens = self.tokens.min(self.capacity);
     }
 
-    /// Takes one load out; returns whether it may start.
-    pub fn take(&mut self, now: Timestamp) -> bool {
+    fn refill(&mut self, now: Timestamp) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = now;
         self.tokens = (self.tokens + passed * self.rate_per_second).min(self.capacity);
+    }
+
+    /// Takes one load out; returns whether it may start.
+    pub fn take(&mut self, now: Timestamp) -> bool {
+        self.refill(now);
         if self.tokens < 1.0 {
             return false;
         }
@@ -50,6 +57,14 @@
         true
     }
 
+    /// Takes one load out that nobody waits for: only from a bucket that is
+    /// nearly full, so that a load that is waited for finds its token.
+    pub fn take_spare(&mut self, now: Timestamp) -> bool {
+        self.refill(now);
+        let full = self.tokens >= self.capacity - SPARE_MARGIN;
+        full && self.take(now)
+    }
+
     /// Gives one load back that surely did not start.
     pub fn give_back(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.capacity);
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -6,6 +6,8 @@
 
 /// Time constant of the rate that decides on the number of copies.
 const FAST: f64 = 3_000.0;
+/// Time constant of the rates that decide which copies are surplus.
+const STEADY: f64 = 9_000.0;
 /// Time constant of the rate that decides which models are kept at all.
 const SLOW: f64 = 20_000.0;
 /// What waits is believed for so long after a report.
@@ -42,6 +44,8 @@
     fast: Decaying,
     slow: Decaying,
     tokens: Decaying,
+    steady: Decaying,
+    steady_tokens: Decaying,
     /// Shortest objective seen, in milliseconds.
     objective_ms: Option<u32>,
 }
@@ -73,6 +77,9 @@
     pub(super) slow: f64,
     /// Prompt tokens to read in a second.
     pub(super) tokens: f64,
+    /// Both, over ten seconds.
+    pub(super) steady: f64,
+    pub(super) steady_tokens: f64,
     /// Shortest objective with which it was asked for.
     pub(super) objective: Option<Millis>,
 }
@@ -114,6 +121,8 @@
         rates.fast.add(f64::from(one.arrivals), now, FAST);
         rates.slow.add(f64::from(one.arrivals), now, SLOW);
         rates.tokens.add(f64::from(one.tokens), now, FAST);
+        rates.steady.add(f64::from(one.arrivals), now, STEADY);
+        rates.steady_tokens.add(f64::from(one.tokens), now, STEADY);
         if one.arrivals > 0 {
             let shortest = rates.objective_ms.unwrap_or(u32::MAX);
             rates.objective_ms = Some(shortest.min(one.objective_ms));
@@ -134,6 +143,8 @@
             fast: rates.fast.at(now, FAST),
             slow: rates.slow.at(now, SLOW),
             tokens: rates.tokens.at(now, FAST),
+            steady: rates.steady.at(now, STEADY),
+            steady_tokens: rates.steady_tokens.at(now, STEADY),
             objective: rates
                 .objective_ms
                 .map(|shortest| Millis(u64::from(shortest))),
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -205,7 +205,16 @@
         let from_store = !instance.copy_in_memory(model) && !instance.copy_on_disk(model);
         if known && from_store {
             let ceiling = self.ceilings.get_mut(planned.service);
-            if !ceiling.is_some_and(|ceiling| ceiling.take(planned.now)) {
+            let spare = !self.round.facts(model).waited_for && self.round.count(model) <= 1;
+            let taken = ceiling.is_some_and(|ceiling| match spare {
+                true => ceiling.take_spare(planned.now),
+                false => ceiling.take(planned.now),
+            });
+            if !taken {
+                if spare {
+                    self.drop_intent(id);
+                    self.change_round(|round| round.remove_copy(model, id));
+                }
                 return;
             }
         }
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -173,24 +173,26 @@
     let urgent = demand
         .objective
         .is_some_and(|objective| objective < specification.load_time);
+    let now = copies_for(demand.fast, demand.tokens, utilisation);
+    let steady = copies_for(
+        demand.steady / KEEP_PART,
+        demand.steady_tokens,
+        utilisation * KEEP_PART,
+    );
     ModelFacts {
-        desired: copies_for(&demand, demand.fast, utilisation),
-        keep: copies_for(
-            &demand,
-            rate_of(&demand) / KEEP_PART,
-            utilisation * KEEP_PART,
-        ),
+        desired: now,
+        keep: now.max(steady),
         urgent,
         demand,
         waited_for: false,
     }
 }
 
-fn copies_for(demand: &DemandSummary, rate: f64, utilisation: f64) -> usize {
+fn copies_for(rate: f64, tokens: f64, utilisation: f64) -> usize {
     if rate < RATE_FOR_COPIES {
         return 1;
     }
-    let work = demand.tokens + rate * TOKENS_PER_REQUEST;
+    let work = tokens + rate * TOKENS_PER_REQUEST;
     let copies = work / READ_PER_SECOND / utilisation;
     (copies.ceil() as usize).max(1)
 }
