--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -2,9 +2,11 @@
 
 use crate::Shared;
 use crate::interface::ControlCall;
+use crate::records::ControllerRecord;
 use bytes::Bytes;
 use courseshunt_controller::ProposeError;
 use courseshunt_http::{Body, full_body, read_limited, text_response};
+use courseshunt_records::emit;
 use courseshunt_services::{InstanceState, judge};
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
@@ -72,7 +74,12 @@
     let number = match judged {
         Ok(number) => number,
         Err(error) => {
-            log::info!("operator: configuration refused: {error}");
+            shared.metrics.configuration("refused");
+            emit(&ControllerRecord::Configuration {
+                number: None,
+                outcome: "refused",
+                problem: Some(&error.to_string()),
+            });
             return text_response(StatusCode::BAD_REQUEST, error.to_string());
         }
     };
@@ -81,7 +88,16 @@
         document: body.to_vec(),
     };
     let committed = commit(command, OPERATOR_LIMIT, shared).await;
-    log::info!("operator: configuration {number}: {committed:?}");
+    let outcome = match &committed {
+        Ok(_) => "committed",
+        Err(_) => "undecided",
+    };
+    shared.metrics.configuration(outcome);
+    emit(&ControllerRecord::Configuration {
+        number: Some(number),
+        outcome,
+        problem: committed.as_ref().err().map(ToString::to_string).as_deref(),
+    });
     match committed {
         Ok(_) => json(Bytes::from_static(b"{}")),
         Err(error) => unavailable(&error.to_string()),
@@ -123,6 +139,7 @@
         Ok(registration) => registration,
         Err(problem) => return text_response(StatusCode::BAD_REQUEST, &problem),
     };
+    shared.metrics.registration();
     let leads = shared.replica.leads();
     let leaving = registration.state == InstanceState::Leaving;
     if leads {
@@ -160,7 +177,12 @@
             ended,
         };
         let committed = commit(command, COMMIT_LIMIT, shared).await;
-        log::info!("instance: {id} leaves (ends: {ended}): {committed:?}");
+        emit(&ControllerRecord::Leaves {
+            instance: id.as_str(),
+            ends: ended,
+            committed: committed.is_ok(),
+            problem: committed.as_ref().err().map(ToString::to_string).as_deref(),
+        });
         if let Err(error) = committed {
             return unavailable(&error.to_string());
         }
@@ -183,3 +205,13 @@
     }
     response
 }
+
+/// The handler of the metrics address.
+pub(crate) fn metrics_handler(
+    shared: Arc<Shared>,
+) -> impl Fn(Request<Incoming>, SocketAddr) -> Answer + Clone + Send + Sync + 'static {
+    move |_request, _peer| {
+        let shared = shared.clone();
+        Box::pin(async move { text_response(StatusCode::OK, shared.metrics_page()) })
+    }
+}
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -1,7 +1,9 @@
 //! Connections of routers and of other members.
 
+use crate::records::ControllerRecord;
 use crate::{Shared, join};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
+use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, ReportMessage};
 use courseshunt_types::ControllerId;
 use courseshunt_wire::{
@@ -222,6 +224,7 @@
         .is_some_and(|session| session.number == incarnation)
     {
         sessions.remove(&router);
+        emit(&ControllerRecord::RouterLost { router: &router });
         shared.engine().forget_router(&router);
     }
     ended
@@ -263,7 +266,10 @@
         .sessions
         .configure(services.number, &services.document);
     drop(state);
-    log::info!("feed: router {router} has configuration {number}");
+    emit(&ControllerRecord::RouterFollows {
+        router,
+        configuration: number,
+    });
 }
 
 async fn send(sender: &mut Sender, message: FeedMessage) -> Result<(), WireError> {
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -1,8 +1,10 @@
 //! The leader's loop: configuration, placement, feeds and membership.
 
+use crate::records::ControllerRecord;
 use crate::steward::{GroupView, decide};
 use crate::{Shared, join, orders, placement_settings};
 use courseshunt_consensus::MembershipChange;
+use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Timestamp};
@@ -93,7 +95,8 @@
     let now = shared.clock.now();
     *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
     let term = shared.replica.status().borrow().term;
-    log::info!("coordinator: leads in term {term}");
+    shared.metrics.leadership();
+    emit(&ControllerRecord::Leads { term: term.0 });
     Leadership {
         since: now,
         configuration: 0,
@@ -111,11 +114,13 @@
 
 fn end(shared: &Shared) {
     let leader = shared.leader_address().map(|address| address.to_string());
+    emit(&ControllerRecord::LeadsNoMore {
+        leader: leader.as_deref(),
+    });
     shared.sessions.broadcast(FeedMessage::NotLeader { leader });
     shared.sessions.clear();
     let joining = shared.joining.lock();
     joining.unwrap_or_else(PoisonError::into_inner).clear();
-    log::info!("coordinator: leads no more");
 }
 
 async fn act(shared: &Arc<Shared>, leadership: &mut Leadership) {
@@ -197,6 +202,12 @@
         changed = engine.views(now);
     }
     drop(engine);
+    if !gone.is_empty() {
+        let instances: Vec<String> = gone.iter().map(|id| id.0.clone()).collect();
+        emit(&ControllerRecord::InstancesGone {
+            instances: &instances,
+        });
+    }
     let (unrecorded, lost) = &mut leadership.unrecorded;
     for view in &changed {
         lost.remove(&view.id);
@@ -297,10 +308,12 @@
         };
         let _ = shared.replica.submit_as_leader(record).await;
     }
-    match shared.replica.change_membership_here(change).await {
-        Ok(index) => log::info!("coordinator: membership changed at {index}: {change:?}"),
-        Err(error) => log::warn!("coordinator: {change:?}: {error}"),
-    }
+    let changed = shared.replica.change_membership_here(change).await;
+    emit(&ControllerRecord::Membership {
+        change: &format!("{change:?}"),
+        index: changed.as_ref().ok().map(|index| index.0),
+        problem: changed.as_ref().err().map(ToString::to_string).as_deref(),
+    });
     let members = join::members(shared).await.into_iter();
     let members = members.map(|(_, address)| address.to_string());
     shared
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,7 +14,9 @@
 mod interface;
 mod join;
 mod lead;
+mod metrics;
 mod orders;
+mod records;
 pub mod steward;
 
 pub use error::CoordinatorError;
@@ -24,6 +26,7 @@
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_records::emit;
 use courseshunt_services::{PlacementEngine, PlacementSettings};
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -31,6 +34,8 @@
 use courseshunt_wire::ClusterKey;
 use error::{BindSnafu, ReplicaSnafu};
 use feed::Sessions;
+use metrics::{Metrics, Present};
+use records::ControllerRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -61,6 +66,8 @@
     pub(crate) wake: Notify,
     pub(crate) joining: Mutex<Vec<(ControllerId, SocketAddr)>>,
     pub(crate) stop: CancellationToken,
+    pub(crate) metrics: Metrics,
+    seeds: Mutex<Vec<SocketAddr>>,
     engine: Mutex<PlacementEngine>,
 }
 
@@ -69,6 +76,26 @@
         self.engine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Wire addresses of some members, from the settings in force.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.clone()
+    }
+
+    /// The page of counters and gauges.
+    pub(crate) fn metrics_page(&self) -> String {
+        let status = self.replica.status().borrow().clone();
+        let age = self.replica.confirmation_age();
+        self.metrics.page(&Present {
+            leads: status.leads(),
+            term: status.term.0,
+            configuration: self.replica.state().services.number,
+            routers: self.sessions.count(),
+            instances: self.engine().count(),
+            contact_age_ms: age.map_or(u64::MAX, |age| age.0),
+        })
+    }
+
     /// The leader's wire address, if known.
     pub(crate) fn leader_address(&self) -> Option<SocketAddr> {
         let leader = self.replica.status().borrow().leader?;
@@ -105,6 +132,7 @@
         let control = settings.listen.control.context(error::NoAddressSnafu)?;
         let http = bind(control)?;
         let wire = bind(settings.wire_address())?;
+        let metrics = settings.listen.metrics.map(bind).transpose()?;
         let identity = identity::load_or_draw(&settings)?;
         let clock = MonotonicClock::start();
         let stop = CancellationToken::new();
@@ -129,31 +157,57 @@
             wake: Notify::new(),
             joining: Mutex::default(),
             stop: stop.clone(),
+            metrics: Metrics::default(),
+            seeds: Mutex::new(settings.seed_wire_addresses()),
             engine: Mutex::new(engine),
             settings,
         });
-        log::info!(
-            "coordinator: {} starts as member {}",
-            shared.settings.name,
-            shared.id
-        );
+        emit(&ControllerRecord::Started {
+            name: &shared.settings.name,
+            zone: &shared.settings.zone,
+            member: shared.id.0,
+            founds: shared.settings.found_group,
+        });
         let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()> + Send>>| {
             tokio::spawn(stop.clone().run_until_cancelled_owned(work));
         };
         spawn(Box::pin(feed::accept_all(wire, shared.clone())));
         spawn(Box::pin(join::keep_joined(shared.clone())));
         spawn(Box::pin(lead::run(shared.clone())));
+        if let Some(metrics) = metrics {
+            let handler = api::metrics_handler(shared.clone());
+            let limits = ServerLimits::default();
+            tokio::spawn(courseshunt_http::serve(
+                metrics,
+                limits,
+                stop.clone(),
+                handler,
+            ));
+        }
         let handler = api::handler(shared.clone());
         let limits = ServerLimits::default();
         tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
         Ok(Self { shared })
     }
 
+    /// Follows changed settings: the seeds take effect at once, all else at the
+    /// next start.
+    pub fn reload(&self, settings: &ServiceSettings) {
+        let seeds = settings.seed_wire_addresses();
+        emit(&ControllerRecord::Reloaded { seeds: seeds.len() });
+        let mut held = self
+            .shared
+            .seeds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = seeds;
+    }
+
     /// Stops as planned: hands the leadership over first.
     pub async fn stop(self) {
         self.shared.replica.stop().await;
         self.shared.stop.cancel();
-        log::info!("coordinator: stopped");
+        emit(&ControllerRecord::Stopped);
     }
 }
 
--- /dev/null
+++ b/crates/coordinator/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Counters and gauges of a controller.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// What a page tells of the present moment.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Present {
+    pub(crate) leads: bool,
+    pub(crate) term: u64,
+    pub(crate) configuration: u64,
+    pub(crate) routers: usize,
+    pub(crate) instances: usize,
+    /// Time since the last contact with a quorum, in milliseconds.
+    pub(crate) contact_age_ms: u64,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    orders: Family<Labels, Counter>,
+    store_loads: Counter,
+    registrations: Counter,
+    configurations: Family<Labels, Counter>,
+    leaderships: Counter,
+    present: Family<Labels, Gauge>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("courseshunt_controller"),
+            orders: Family::default(),
+            store_loads: Counter::default(),
+            registrations: Counter::default(),
+            configurations: Family::default(),
+            leaderships: Counter::default(),
+            present: Family::default(),
+        };
+        let registry = &mut metrics.registry;
+        let orders = metrics.orders.clone();
+        registry.register("orders", "Orders by action and outcome", orders);
+        let loads = metrics.store_loads.clone();
+        registry.register("store_loads", "Loads from the weight store", loads);
+        let registrations = metrics.registrations.clone();
+        registry.register("registrations", "Registrations taken", registrations);
+        let configurations = metrics.configurations.clone();
+        registry.register(
+            "configurations",
+            "Configurations by outcome",
+            configurations,
+        );
+        let leaderships = metrics.leaderships.clone();
+        registry.register(
+            "leaderships",
+            "Times that this member was elected",
+            leaderships,
+        );
+        let present = metrics.present.clone();
+        registry.register("present", "Present values by name", present);
+        metrics
+    }
+}
+
+impl Metrics {
+    pub(crate) fn order(&self, action: &str, outcome: &str, from_store: bool) {
+        let labels = vec![
+            ("action", action.to_owned()),
+            ("outcome", outcome.to_owned()),
+        ];
+        self.orders.get_or_create(&labels).inc();
+        if from_store {
+            self.store_loads.inc();
+        }
+    }
+
+    pub(crate) fn registration(&self) {
+        self.registrations.inc();
+    }
+
+    pub(crate) fn configuration(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.configurations.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn leadership(&self) {
+        self.leaderships.inc();
+    }
+
+    /// The page as text.
+    pub(crate) fn page(&self, present: &Present) -> String {
+        let values = [
+            ("leads", u64::from(present.leads)),
+            ("term", present.term),
+            ("configuration", present.configuration),
+            ("routers", present.routers as u64),
+            ("instances", present.instances as u64),
+            ("contact_age_milliseconds", present.contact_age_ms),
+        ];
+        for (name, value) in values {
+            let labels = vec![("name", name.to_owned())];
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.present.get_or_create(&labels).set(value);
+        }
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            log::error!("coordinator: the metrics can't be written");
+        }
+        text
+    }
+}
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -2,14 +2,16 @@
 
 use crate::Shared;
 use crate::interface::InstanceCall;
+use crate::records::ControllerRecord;
 use bytes::Bytes;
 use courseshunt_http::{Body, HttpError, empty_body, full_body, read_limited};
-use courseshunt_services::{InstanceReport, Order, OrderOutcome, PlacementStep};
+use courseshunt_records::emit;
+use courseshunt_services::{InstanceReport, Order, OrderAction, OrderOutcome, PlacementStep};
 use courseshunt_types::{Millis, RunnerId};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait for an instance's answer.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
@@ -28,14 +30,9 @@
             shared.engine().on_report(&instance, report, now);
         }
         PlacementStep::Give(order) => {
+            let began = Instant::now();
             let outcome = give(&order, &shared).await;
-            log::info!(
-                "order: {:?} at {} expecting {}: {outcome:?}; {:?}",
-                order.action,
-                order.instance,
-                order.expected,
-                order.evidence
-            );
+            record(&order, outcome, began.elapsed(), &shared);
             let now = shared.clock.now();
             shared.engine().on_outcome(&order, outcome, now);
         }
@@ -43,6 +40,41 @@
     shared.wake.notify_one();
 }
 
+fn record(order: &Order, outcome: OrderOutcome, took: Duration, shared: &Shared) {
+    let action = match &order.action {
+        OrderAction::LoadModel(_) => "load_model",
+        OrderAction::UnloadModel(_) => "unload_model",
+        OrderAction::LoadAdapter(..) => "load_adapter",
+        OrderAction::UnloadAdapter(..) => "unload_adapter",
+    };
+    let outcome = match outcome {
+        OrderOutcome::Accepted => "accepted",
+        OrderOutcome::AlreadyDone => "already_done",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::OtherInstance => "other_instance",
+        OrderOutcome::NotSent => "not_sent",
+        OrderOutcome::Unknown => "unknown",
+        OrderOutcome::Refused => "refused",
+    };
+    shared.metrics.order(action, outcome, order.from_store);
+    let evidence = &order.evidence;
+    emit(&ControllerRecord::Order {
+        action,
+        model: order.action.model().as_str(),
+        adapter: order.action.adapter(),
+        instance: order.instance.as_str(),
+        expected: order.expected,
+        term: shared.replica.status().borrow().term.0,
+        outcome,
+        copies: evidence.copies,
+        desired: evidence.desired,
+        rate_per_1000_s: evidence.rate_per_1000_s,
+        waited_for: evidence.waited_for,
+        from_store: order.from_store,
+        after_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+    });
+}
+
 async fn ask(instance: &RunnerId, address: &str, shared: &Shared) -> Option<InstanceReport> {
     let call = shared.interface.report_call(instance);
     let (status, body) = exchange(call, address, shared).await.ok()?;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,14 @@
 //! One attempt: a request at one instance.
 
 use crate::Shared;
+use crate::flight::Flight;
 use crate::handle::Admitted;
 use crate::pool::{self, Upstream};
+use crate::records::RouterRecord;
 use crate::relay::RelayBody;
 use bytes::Bytes;
 use courseshunt_http::{Body, full_body};
+use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, RequestKind};
 use courseshunt_types::{Millis, RunnerId};
 use http_body_util::{BodyExt, Full, Limited};
@@ -41,147 +44,77 @@
     TimedOut,
 }
 
-/// A request under way at an instance; counted until dropped.
-pub(crate) struct Flight {
-    shared: Arc<Shared>,
-    candidate: Candidate,
-    sent_at: Instant,
-    answered: bool,
-    /// Time from the request's arrival to its sending, then to its first answer.
-    waited: Duration,
-    first: Option<Duration>,
-    arrived: Instant,
-    id: String,
-    model: String,
-}
-
-impl Flight {
-    pub(crate) fn instance(&self) -> &RunnerId {
-        &self.candidate.instance
-    }
-
-    pub(crate) fn first_answer(&mut self) {
-        if !self.answered {
-            self.answered = true;
-            self.first = Some(self.arrived.elapsed());
-            let waited = Millis(self.sent_at.elapsed().as_millis() as u64);
-            self.shared.view.first_answer(&self.candidate, waited);
-        }
-    }
-
-    /// The answer was relayed whole.
-    pub(crate) fn whole(&self) {
-        log::info!(
-            "request: {} model {} whole from {}: sent after {} ms, predicted {} ms for {} tokens, first answer after {} ms, end after {} ms",
-            self.id,
-            self.model,
-            self.instance(),
-            self.waited.as_millis(),
-            self.candidate.predicted_ms.round(),
-            self.candidate.uncached_tokens,
-            self.first.unwrap_or_default().as_millis(),
-            self.arrived.elapsed().as_millis()
-        );
-    }
-
-    /// The answer broke off.
-    pub(crate) fn broken(&self, problem: &str) {
-        log::info!(
-            "request: {} broken off by {}: {problem}",
-            self.id,
-            self.instance()
-        );
-        self.suspect();
-    }
-
-    fn suspect(&self) {
-        let now = self.shared.clock.now();
-        self.shared.view.suspect(&self.candidate.instance, now);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.shared.view.end(&self.candidate, self.answered);
-    }
-}
-
-/// Sends a request to the chosen instance.
+/// Sends a request to the chosen instance, as the attempt of this number.
 pub(crate) async fn attempt(
     shared: &Arc<Shared>,
     admitted: &Admitted,
     candidate: Candidate,
     view: &InstanceView,
+    number: u32,
 ) -> AttemptOutcome {
-    let flight = Flight {
-        shared: shared.clone(),
-        candidate,
-        sent_at: Instant::now(),
-        answered: false,
-        waited: admitted.arrived.elapsed(),
-        first: None,
-        arrived: admitted.arrived,
-        model: admitted.facts.shape.model.clone(),
-        id: admitted.facts.id.clone(),
-    };
-    let limit = admitted.deadline + DEADLINE_MARGIN;
+    let mut flight = Flight::begin(shared, admitted, candidate, number);
     let Some(mut upstream) = connection(shared, view).await else {
-        let now = shared.clock.now();
-        shared.view.unreachable(flight.instance(), now);
+        flight.not_run(None);
         return AttemptOutcome::NotRun;
     };
+    let limit = admitted.deadline + DEADLINE_MARGIN;
     loop {
-        let Some(request) = build(shared, admitted, &flight.candidate.instance) else {
+        let Some(request) = build(shared, admitted, flight.instance()) else {
+            flight.not_run(None);
             return AttemptOutcome::NotRun;
         };
         let fresh = upstream.fresh;
         let sending = upstream.sender.try_send_request(request);
-        let response = match tokio::time::timeout_at(limit, sending).await {
+        let mut error = match tokio::time::timeout_at(limit, sending).await {
             Err(_) => {
-                flight.suspect();
+                flight.failed("its time is over");
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Ok(response)) => response,
-            Ok(Err(mut error)) => {
-                let unsent = error.take_message().is_some();
-                if unsent && !fresh {
-                    match pool::connect_to(view).await {
-                        Some(next) => {
-                            upstream = next;
-                            continue;
-                        }
-                        None => return AttemptOutcome::NotRun,
-                    }
-                }
-                flight.suspect();
-                log::info!(
-                    "request: {} failed at {} (unsent: {unsent}): {}",
-                    flight.id,
-                    flight.instance(),
-                    error.error()
-                );
-                return match unsent {
-                    true => AttemptOutcome::NotRun,
-                    false => AttemptOutcome::MayHaveRun,
-                };
+            Ok(Ok(response)) => {
+                return take_answer(shared, admitted, response, flight, upstream, limit).await;
             }
+            Ok(Err(error)) => error,
+        };
+        let unsent = error.take_message().is_some();
+        if !unsent {
+            flight.failed(&error.error().to_string());
+            return AttemptOutcome::MayHaveRun;
+        }
+        let next = match fresh {
+            true => None,
+            false => connect(shared, view).await,
+        };
+        let Some(next) = next else {
+            flight.not_run(None);
+            flight.suspect();
+            return AttemptOutcome::NotRun;
         };
-        return take_answer(
-            shared,
-            admitted,
-            response,
-            &mut Some(flight),
-            upstream,
-            limit,
-        )
-        .await;
+        upstream = next;
     }
 }
 
 async fn connection(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
     match shared.pool.take(&view.id) {
         Some(upstream) => Some(upstream),
-        None => pool::connect_to(view).await,
+        None => connect(shared, view).await,
+    }
+}
+
+/// Makes a new connection; an instance that can't be reached is left out for a
+/// while.
+async fn connect(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
+    shared.metrics.connection();
+    match pool::connect_to(view).await {
+        Ok(upstream) => Some(upstream),
+        Err(error) => {
+            let now = shared.clock.now();
+            shared.view.unreachable(&view.id, now);
+            emit(&RouterRecord::Unreachable {
+                instance: view.id.as_str(),
+                problem: &error.to_string(),
+            });
+            None
+        }
     }
 }
 
@@ -230,25 +163,18 @@
     shared: &Arc<Shared>,
     admitted: &Admitted,
     response: Response<Incoming>,
-    flight: &mut Option<Flight>,
+    mut flight: Flight,
     mut upstream: Upstream,
     limit: Instant,
 ) -> AttemptOutcome {
-    let Some(mut flight) = flight.take() else {
-        return AttemptOutcome::MayHaveRun;
-    };
     let (mut head, body) = response.into_parts();
     let facts = shared
         .interface
         .read_answer(&admitted.facts.id, head.status, &head.headers);
     upstream.follow(&head.headers);
+    flight.status(head.status.as_u16());
     if facts.not_run || facts.misdirected {
-        log::info!(
-            "request: {} not run by {}: {}",
-            flight.id,
-            flight.instance(),
-            head.status
-        );
+        flight.not_run(Some(head.status.as_u16()));
         let emptied = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout_at(limit, emptied).await {
             shared.pool.keep(flight.instance(), upstream);
@@ -256,13 +182,7 @@
         return AttemptOutcome::NotRun;
     }
     if !facts.genuine || facts.promises_not_run {
-        log::warn!(
-            "request: {} got a faulty answer from {}: {}",
-            flight.id,
-            flight.instance(),
-            head.status
-        );
-        flight.suspect();
+        flight.failed("the answer is not this request's, or promises what is not known");
         return AttemptOutcome::MayHaveRun;
     }
     if head.status.is_server_error() {
@@ -278,7 +198,10 @@
     }
     let whole = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
     match tokio::time::timeout_at(limit, whole).await {
-        Err(_) => AttemptOutcome::TimedOut,
+        Err(_) => {
+            flight.failed("its time is over");
+            AttemptOutcome::TimedOut
+        }
         Ok(Err(error)) => {
             flight.broken(&error.to_string());
             AttemptOutcome::MayHaveRun
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,8 @@
 //! Follows the leader's feed and reports to it.
 
 use crate::Shared;
+use crate::records::RouterRecord;
+use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId};
 use courseshunt_wire::{
@@ -49,11 +51,12 @@
 /// Runs until the process ends.
 pub(crate) async fn follow(shared: Arc<Shared>, key: ClusterKey) {
     let mut directory = Directory {
-        seeds: shared.settings.seed_wire_addresses(),
+        seeds: Vec::new(),
         members: Vec::new(),
         leader: None,
     };
     loop {
+        directory.seeds = shared.seeds();
         let mut candidates = directory.candidates();
         while let Some(address) = candidates.pop_front() {
             directory.leader = None;
@@ -116,11 +119,18 @@
         let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
         let received = received.unwrap_or(Err(timed_out("receive", address)));
         let message = match received {
-            Ok(Some(Message::ServiceFeed(message))) => message,
+            Ok(Some(Message::ServiceFeed(message))) => {
+                shared.view.hear_feed();
+                message
+            }
             Ok(_) => return Ok(()),
             Err(error) => {
                 if connected {
-                    log::info!("feed: lost {address}: {error}");
+                    shared.metrics.feed_lost();
+                    emit(&RouterRecord::FeedLost {
+                        leader: &address.to_string(),
+                        problem: &error.to_string(),
+                    });
                 }
                 return Err(error);
             }
@@ -137,7 +147,9 @@
             other => {
                 if !connected {
                     connected = true;
-                    log::info!("feed: follows {address}");
+                    emit(&RouterRecord::FeedRegained {
+                        leader: &address.to_string(),
+                    });
                 }
                 take(other, shared);
             }
@@ -155,6 +167,12 @@
         } => {
             let lost = shared.view.set_instances(whole, changed, &gone);
             shared.pool.forget(&lost);
+            if !lost.is_empty() {
+                let instances: Vec<String> = lost.into_iter().map(|id| id.0).collect();
+                emit(&RouterRecord::InstancesGone {
+                    instances: &instances,
+                });
+            }
         }
         FeedMessage::Usage { routers, instances } => {
             shared.view.set_usage(routers, &instances);
@@ -169,10 +187,13 @@
     let judged = read.and_then(|read| judge(&read).map(|()| read));
     match judged {
         Ok(configuration) => {
-            let taken = shared.view.configure(RouteTable::new(configuration));
-            log::info!("configuration: {number} in force: {taken}");
+            let in_force = shared.view.configure(RouteTable::new(configuration));
+            emit(&RouterRecord::Configuration { number, in_force });
         }
-        Err(error) => log::error!("configuration: {number} can't be used: {error}"),
+        Err(error) => emit(&RouterRecord::ConfigurationUnusable {
+            number,
+            problem: &error.to_string(),
+        }),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,171 @@
+//! A request under way at an instance: counted in the selection, recorded at
+//! its end, whatever way it ends.
+
+use crate::Shared;
+use crate::handle::Admitted;
+use crate::records::RequestRecord;
+use courseshunt_records::emit;
+use courseshunt_services::Candidate;
+use courseshunt_types::{Millis, RunnerId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// See the module. A flight that is dropped without an end was given up by its
+/// client.
+pub(crate) struct Flight {
+    shared: Arc<Shared>,
+    candidate: Candidate,
+    sent_at: Instant,
+    arrived: Instant,
+    waited: Duration,
+    first: Option<Duration>,
+    status: u16,
+    ended: bool,
+    id: String,
+    model: String,
+}
+
+pub(crate) fn millis(length: Duration) -> u64 {
+    u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Flight {
+    /// Begins the attempt of this number.
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        admitted: &Admitted,
+        candidate: Candidate,
+        attempt: u32,
+    ) -> Self {
+        let waited = admitted.arrived.elapsed();
+        let shape = &admitted.facts.shape;
+        let metrics = &shared.metrics;
+        metrics.sent(waited, shape.prompt_tokens, candidate.uncached_tokens);
+        emit(&RequestRecord::Sent {
+            id: &admitted.facts.id,
+            route: &admitted.route.name,
+            service: &admitted.service.name,
+            model: &shape.model,
+            instance: candidate.instance.as_str(),
+            attempt,
+            after_ms: millis(waited),
+            deadline_ms: millis(admitted.deadline - admitted.arrived),
+            predicted_ms: candidate.predicted_ms as u64,
+            uncached_tokens: candidate.uncached_tokens,
+            configuration: shared.view.number(),
+            feed_age_ms: millis(shared.view.feed_age()),
+        });
+        Self {
+            shared: shared.clone(),
+            candidate,
+            sent_at: Instant::now(),
+            arrived: admitted.arrived,
+            waited,
+            first: None,
+            status: 0,
+            ended: false,
+            id: admitted.facts.id.clone(),
+            model: shape.model.clone(),
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &RunnerId {
+        &self.candidate.instance
+    }
+
+    /// Notes the status of the instance's answer.
+    pub(crate) fn status(&mut self, status: u16) {
+        self.status = status;
+        self.shared.metrics.answer(status);
+    }
+
+    /// Notes the first part of the answer.
+    pub(crate) fn first_answer(&mut self) {
+        if self.first.is_some() {
+            return;
+        }
+        let sending = self.sent_at.elapsed();
+        let after = self.arrived.elapsed();
+        self.first = Some(after);
+        let predicted = self.candidate.predicted_ms;
+        self.shared.metrics.first_answer(after, sending, predicted);
+        let waited = Millis(millis(sending));
+        self.shared.view.first_answer(&self.candidate, waited);
+    }
+
+    /// The answer was whole.
+    pub(crate) fn whole(&mut self) {
+        self.end("answered", true, None);
+    }
+
+    /// The answer broke off.
+    pub(crate) fn broken(&mut self, problem: &str) {
+        self.end("broken", false, Some(problem));
+        self.suspect();
+    }
+
+    fn end(&mut self, outcome: &str, whole: bool, problem: Option<&str>) {
+        self.ended = true;
+        self.shared.metrics.attempt(outcome);
+        emit(&RequestRecord::Ended {
+            id: &self.id,
+            model: &self.model,
+            instance: self.candidate.instance.as_str(),
+            status: self.status,
+            whole,
+            problem,
+            waited_ms: millis(self.waited),
+            predicted_ms: self.candidate.predicted_ms as u64,
+            uncached_tokens: self.candidate.uncached_tokens,
+            first_ms: self.first.map(millis),
+            after_ms: millis(self.arrived.elapsed()),
+        });
+    }
+
+    /// The instance did not run it, or it was not sent.
+    pub(crate) fn not_run(&mut self, status: Option<u16>) {
+        self.ended = true;
+        self.shared.metrics.attempt("not_run");
+        emit(&RequestRecord::NotRun {
+            id: &self.id,
+            instance: self.candidate.instance.as_str(),
+            status,
+            after_ms: millis(self.arrived.elapsed()),
+        });
+    }
+
+    /// It failed and may have run.
+    pub(crate) fn failed(&mut self, problem: &str) {
+        self.ended = true;
+        self.shared.metrics.attempt("failed");
+        emit(&RequestRecord::Failed {
+            id: &self.id,
+            instance: self.candidate.instance.as_str(),
+            problem,
+            after_ms: millis(self.arrived.elapsed()),
+        });
+        self.suspect();
+    }
+
+    /// Avoids the instance for a while.
+    pub(crate) fn suspect(&self) {
+        let now = self.shared.clock.now();
+        self.shared.view.suspect(&self.candidate.instance, now);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shared.metrics.cancelled();
+            emit(&RequestRecord::Cancelled {
+                id: &self.id,
+                instance: self.candidate.instance.as_str(),
+                after_ms: millis(self.arrived.elapsed()),
+            });
+        }
+        let answered = self.first.is_some();
+        self.shared.view.end(&self.candidate, answered);
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -2,11 +2,14 @@
 
 use crate::Shared;
 use crate::attempt::{AttemptOutcome, attempt, is_failure};
+use crate::flight::millis;
 use crate::interface::RequestFacts;
+use crate::records::RequestRecord;
 use crate::refusal::Refusal;
 use crate::waiting::{Situation, Waiting, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
+use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
 use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, RouteTable, Service};
 use courseshunt_types::{Millis, RunnerId};
@@ -52,6 +55,7 @@
         Ok(admitted) => run(&admitted, &shared).await,
         Err(refusal) => {
             let wait = Millis(300);
+            shared.metrics.refusal(refusal.word());
             refusal.response(Some(wait))
         }
     };
@@ -84,6 +88,7 @@
     let limits = &table.configuration().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
     let now = shared.clock.now();
+    shared.metrics.request();
     shared
         .view
         .arrived(&service.name, &facts.shape, route.objective, now);
@@ -157,14 +162,17 @@
         let chosen = select(admitted, shared, &sends).await;
         let (candidate, view) = match chosen {
             Ok(chosen) => chosen,
-            Err(given_up) => return refuse(admitted, given_up.refusal, given_up.retry_after),
+            Err(given_up) => {
+                let retry_after = given_up.retry_after;
+                return refuse(admitted, shared, &sends, given_up.refusal, retry_after);
+            }
         };
         sends.count += 1;
         let instance = view.id.clone();
-        let outcome = attempt(shared, admitted, candidate, &view).await;
+        let outcome = attempt(shared, admitted, candidate, &view, sends.count).await;
         match next(admitted, shared, &mut sends, instance, outcome) {
             Next::Answer(response) => return response,
-            Next::Refuse(refusal) => return refuse(admitted, refusal, None),
+            Next::Refuse(refusal) => return refuse(admitted, shared, &sends, refusal, None),
             Next::Again => {}
         }
         if sends.avoid.len() > 1 {
@@ -191,7 +199,11 @@
     let repeatable = route.kind == RequestKind::Safe || resumable;
     let now = shared.clock.now();
     let may_retry = |sends: &Sends| {
-        sends.count < MAX_SENDS && shared.view.may_retry(&admitted.service.name, now)
+        let allowed = sends.count < MAX_SENDS && shared.view.may_retry(&admitted.service.name, now);
+        if !allowed {
+            shared.metrics.retry_denied();
+        }
+        allowed
     };
     match outcome {
         AttemptOutcome::Answered(response) => {
@@ -224,17 +236,30 @@
 }
 
 /// The final answer of a request that no instance answered.
-fn refuse(admitted: &Admitted, refusal: Refusal, retry_after: Option<Millis>) -> Response<Body> {
-    log::info!(
-        "request: {} route {} model {} refused after {} ms: {}",
-        admitted.facts.id,
-        admitted.route.name,
-        admitted.facts.shape.model,
-        admitted.arrived.elapsed().as_millis(),
-        refusal.word()
-    );
+fn refuse(
+    admitted: &Admitted,
+    shared: &Shared,
+    sends: &Sends,
+    refusal: Refusal,
+    retry_after: Option<Millis>,
+) -> Response<Body> {
     let wait = Millis(admitted.route.objective.0 / RETRY_AFTER_PART);
-    refusal.response(Some(retry_after.unwrap_or(wait)))
+    let wait = retry_after.unwrap_or(wait);
+    shared.metrics.refusal(refusal.word());
+    emit(&RequestRecord::Refused {
+        id: &admitted.facts.id,
+        route: Some(&admitted.route.name),
+        model: Some(&admitted.facts.shape.model),
+        reason: refusal.word(),
+        may_have_run: refusal.may_have_run(),
+        status: refusal.status().as_u16(),
+        after_ms: millis(admitted.arrived.elapsed()),
+        retry_after_ms: (!refusal.may_have_run()).then_some(wait.0),
+        attempts: sends.count,
+        configuration: shared.view.number(),
+        feed_age_ms: millis(shared.view.feed_age()),
+    });
+    refusal.response(Some(wait))
 }
 
 /// A request that waits no longer.
@@ -278,6 +303,7 @@
         }
         if waiting.is_none() && service.engine.is_some() {
             waiting = Some(shared.view.wait_for(&service.name, shape));
+            record_waiting(admitted, shared);
         }
         let until = match decide(&situation(admitted, shared), Instant::now()) {
             Waiting::Until(until) => until,
@@ -288,6 +314,25 @@
     }
 }
 
+fn record_waiting(admitted: &Admitted, shared: &Shared) {
+    let shape = &admitted.facts.shape;
+    let service = &admitted.service;
+    let expected = shared
+        .view
+        .expected_at(service, shape, shared.clock.now())
+        .map(|at| millis(at.saturating_duration_since(Instant::now())));
+    emit(&RequestRecord::Waits {
+        id: &admitted.facts.id,
+        route: &admitted.route.name,
+        service: &service.name,
+        model: &shape.model,
+        adapter: shape.adapter.as_deref(),
+        expected_ms: expected,
+        configuration: shared.view.number(),
+        feed_age_ms: millis(shared.view.feed_age()),
+    });
+}
+
 /// What the decision on waiting rests on.
 fn situation(admitted: &Admitted, shared: &Shared) -> Situation {
     let service = &admitted.service;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,9 +10,12 @@
 mod attempt;
 mod error;
 mod feed;
+mod flight;
 mod handle;
 mod interface;
+mod metrics;
 mod pool;
+mod records;
 mod refusal;
 mod relay;
 mod serve;
@@ -22,13 +25,16 @@
 pub use error::GatewayError;
 pub use interface::{AnswerFacts, ClientInterface, RequestFacts, Sending};
 
+use courseshunt_records::emit;
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
+use metrics::Metrics;
 use pool::ConnectionPool;
+use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use view::View;
@@ -45,6 +51,8 @@
     pub(crate) interface: Arc<dyn ClientInterface>,
     pub(crate) view: View,
     pub(crate) pool: ConnectionPool,
+    pub(crate) metrics: Metrics,
+    seeds: Mutex<Vec<SocketAddr>>,
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
     pub(crate) stopping: CancellationToken,
@@ -55,6 +63,14 @@
     pub(crate) requests: tokio_util::task::TaskTracker,
 }
 
+impl Shared {
+    /// Wire addresses of some controllers, from the settings in force.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.clone()
+    }
+}
+
 /// A running router.
 pub struct Gateway {
     shared: Arc<Shared>,
@@ -74,10 +90,13 @@
         let clients = settings.listen.clients.context(NoAddressSnafu)?;
         let clients = bind(clients)?;
         let ready = settings.listen.ready.map(bind).transpose()?;
+        let metrics = settings.listen.metrics.map(bind).transpose()?;
         let clock = MonotonicClock::start();
         let shared = Arc::new(Shared {
             view: View::new(&settings),
             pool: ConnectionPool::default(),
+            metrics: Metrics::default(),
+            seeds: Mutex::new(settings.seed_wire_addresses()),
             interface,
             clock,
             stopping: CancellationToken::new(),
@@ -94,14 +113,33 @@
         if let Some(ready) = ready {
             tokio::spawn(serve::serve_readiness(ready, shared.clone()));
         }
-        log::info!("router: {} starts", shared.settings.name);
+        if let Some(metrics) = metrics {
+            tokio::spawn(serve::serve_metrics(metrics, shared.clone()));
+        }
+        emit(&RouterRecord::Started {
+            name: &shared.settings.name,
+            zone: &shared.settings.zone,
+        });
         Ok(Self { shared })
     }
 
+    /// Follows changed settings: the seeds take effect at once, all else at the
+    /// next start.
+    pub fn reload(&self, settings: &ServiceSettings) {
+        let seeds = settings.seed_wire_addresses();
+        emit(&RouterRecord::Reloaded { seeds: seeds.len() });
+        let mut held = self
+            .shared
+            .seeds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = seeds;
+    }
+
     /// Stops as planned: says that it isn't ready, serves what still comes, and
     /// returns once nothing is under way or the grace time is nearly over.
     pub async fn stop(self) {
-        log::info!("router: stops");
+        emit(&RouterRecord::Stops);
         self.shared.stopping.cancel();
         let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
         let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
@@ -110,7 +148,8 @@
         self.shared.requests.close();
         let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
         self.shared.ended.cancel();
-        log::info!("router: stopped");
+        let unfinished = self.shared.requests.len();
+        emit(&RouterRecord::Stopped { unfinished });
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,161 @@
+//! Counters and histograms of a router.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::time::Duration;
+
+/// Upper bound of the first bucket, in seconds; each further one is twice that.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+/// Number of buckets.
+const BUCKETS: u16 = 15;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// See the module. Cloning shares the values.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Counter,
+    answers: Family<Labels, Counter>,
+    refusals: Family<Labels, Counter>,
+    attempts: Family<Labels, Counter>,
+    retries_denied: Counter,
+    cancelled: Counter,
+    connections: Counter,
+    feeds_lost: Counter,
+    waits: Histogram,
+    first_answers: Histogram,
+    prediction_errors: Histogram,
+    configuration: Gauge,
+    feed_age_ms: Gauge,
+    tokens_kept: Counter,
+    tokens_read: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("courseshunt_router"),
+            requests: Counter::default(),
+            answers: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            retries_denied: Counter::default(),
+            cancelled: Counter::default(),
+            connections: Counter::default(),
+            feeds_lost: Counter::default(),
+            waits: histogram(),
+            first_answers: histogram(),
+            prediction_errors: histogram(),
+            configuration: Gauge::default(),
+            feed_age_ms: Gauge::default(),
+            tokens_kept: Counter::default(),
+            tokens_read: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let requests = self.requests.clone();
+        registry.register("requests", "Requests read whole", requests);
+        let answers = self.answers.clone();
+        registry.register("answers", "Answers of instances by status", answers);
+        let refusals = self.refusals.clone();
+        registry.register("refusals", "Own refusals by reason", refusals);
+        let attempts = self.attempts.clone();
+        registry.register("attempts", "Requests sent by outcome", attempts);
+        let denied = self.retries_denied.clone();
+        registry.register("retries_denied", "Retries beyond the budget", denied);
+        let cancelled = self.cancelled.clone();
+        registry.register("cancelled", "Requests whose clients left", cancelled);
+        let connections = self.connections.clone();
+        registry.register("connections", "New connections to instances", connections);
+        let lost = self.feeds_lost.clone();
+        registry.register("feeds_lost", "Feeds that ended", lost);
+        let waits = self.waits.clone();
+        registry.register("wait_seconds", "Arrival to sending", waits);
+        let first = self.first_answers.clone();
+        registry.register("first_answer_seconds", "Arrival to first answer", first);
+        let errors = self.prediction_errors.clone();
+        let help = "Difference of predicted and real first answer";
+        registry.register("prediction_error_seconds", help, errors);
+        let configuration = self.configuration.clone();
+        registry.register("configuration", "Number in force", configuration);
+        let age = self.feed_age_ms.clone();
+        registry.register("feed_age_milliseconds", "Time since the last message", age);
+        let kept = self.tokens_kept.clone();
+        registry.register("tokens_kept", "Prompt tokens predicted as kept", kept);
+        let read = self.tokens_read.clone();
+        registry.register("tokens_read", "Prompt tokens predicted as read", read);
+    }
+
+    pub(crate) fn request(&self) {
+        self.requests.inc();
+    }
+
+    pub(crate) fn answer(&self, status: u16) {
+        let labels = vec![("status", status.to_string())];
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn refusal(&self, reason: &str) {
+        let labels = vec![("reason", reason.to_owned())];
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn attempt(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn retry_denied(&self) {
+        self.retries_denied.inc();
+    }
+
+    pub(crate) fn cancelled(&self) {
+        self.cancelled.inc();
+    }
+
+    pub(crate) fn connection(&self) {
+        self.connections.inc();
+    }
+
+    pub(crate) fn feed_lost(&self) {
+        self.feeds_lost.inc();
+    }
+
+    pub(crate) fn sent(&self, waited: Duration, prompt_tokens: u32, uncached_tokens: u32) {
+        self.waits.observe(waited.as_secs_f64());
+        let kept = prompt_tokens.saturating_sub(uncached_tokens);
+        self.tokens_kept.inc_by(u64::from(kept));
+        self.tokens_read.inc_by(u64::from(uncached_tokens));
+    }
+
+    pub(crate) fn first_answer(&self, after: Duration, sending: Duration, predicted_ms: f64) {
+        self.first_answers.observe(after.as_secs_f64());
+        let error = sending.as_secs_f64() - predicted_ms / 1000.0;
+        self.prediction_errors.observe(error.abs());
+    }
+
+    /// The page as text.
+    pub(crate) fn page(&self, configuration: u64, feed_age: Duration) -> String {
+        let configuration = i64::try_from(configuration).unwrap_or(i64::MAX);
+        self.configuration.set(configuration);
+        let age = i64::try_from(feed_age.as_millis()).unwrap_or(i64::MAX);
+        self.feed_age_ms.set(age);
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            log::error!("router: the metrics can't be written");
+        }
+        text
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,6 +4,7 @@
 //! for another instance than the one that it was made for.
 
 use bytes::Bytes;
+use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -127,7 +128,7 @@
 ///
 /// # Errors
 /// When the instance can't be reached in time.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<Upstream> {
+async fn connect(address: SocketAddr) -> io::Result<Upstream> {
     let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
     let stream = connecting.await.map_err(io::Error::other)??;
     stream.set_nodelay(true)?;
@@ -153,13 +154,10 @@
 }
 
 /// Makes a new connection to an instance.
-pub(crate) async fn connect_to(view: &courseshunt_services::InstanceView) -> Option<Upstream> {
-    let address = view.address.parse().ok()?;
-    match connect(address).await {
-        Ok(upstream) => Some(upstream),
-        Err(error) => {
-            log::info!("pool: connect to {} at {address}: {error}", view.id);
-            None
-        }
-    }
+///
+/// # Errors
+/// When its address can't be read or it can't be reached in time.
+pub(crate) async fn connect_to(view: &InstanceView) -> io::Result<Upstream> {
+    let address = view.address.parse().map_err(io::Error::other)?;
+    connect(address).await
 }
--- /dev/null
+++ b/crates/gateway/src/records.rs
@@ -0,0 +1,130 @@
+//! What a router records: one line for each decision about a request, and for
+//! each change of what it believes.
+
+use courseshunt_records::Record;
+use serde::Serialize;
+
+/// A decision about one request.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum RequestRecord<'a> {
+    /// It begins to wait for an instance.
+    Waits {
+        id: &'a str,
+        route: &'a str,
+        service: &'a str,
+        model: &'a str,
+        adapter: Option<&'a str>,
+        /// When an instance is expected, in milliseconds; none: not known.
+        expected_ms: Option<u64>,
+        configuration: u64,
+        feed_age_ms: u64,
+    },
+    /// It is sent to an instance.
+    Sent {
+        id: &'a str,
+        route: &'a str,
+        service: &'a str,
+        model: &'a str,
+        instance: &'a str,
+        attempt: u32,
+        after_ms: u64,
+        deadline_ms: u64,
+        predicted_ms: u64,
+        uncached_tokens: u32,
+        configuration: u64,
+        feed_age_ms: u64,
+    },
+    /// The instance says that it did not run it, or it surely was not sent.
+    NotRun {
+        id: &'a str,
+        instance: &'a str,
+        /// Status of the instance's answer; none: it was not sent.
+        status: Option<u16>,
+        after_ms: u64,
+    },
+    /// The instance failed it; it may have run.
+    Failed {
+        id: &'a str,
+        instance: &'a str,
+        problem: &'a str,
+        after_ms: u64,
+    },
+    /// The router refuses it.
+    Refused {
+        id: &'a str,
+        route: Option<&'a str>,
+        model: Option<&'a str>,
+        reason: &'a str,
+        may_have_run: bool,
+        status: u16,
+        after_ms: u64,
+        retry_after_ms: Option<u64>,
+        attempts: u32,
+        configuration: u64,
+        feed_age_ms: u64,
+    },
+    /// Its client left before the end.
+    Cancelled {
+        id: &'a str,
+        instance: &'a str,
+        after_ms: u64,
+    },
+    /// Its answer ended.
+    Ended {
+        id: &'a str,
+        model: &'a str,
+        instance: &'a str,
+        status: u16,
+        /// Whether the answer was whole.
+        whole: bool,
+        problem: Option<&'a str>,
+        waited_ms: u64,
+        predicted_ms: u64,
+        uncached_tokens: u32,
+        first_ms: Option<u64>,
+        after_ms: u64,
+    },
+}
+
+impl Record for RequestRecord<'_> {
+    fn is_kept(&self) -> bool {
+        match self {
+            Self::Refused { .. } | Self::Failed { .. } | Self::Cancelled { .. } => true,
+            Self::Ended { whole, status, .. } => !whole || *status >= 400,
+            Self::Waits { .. } | Self::Sent { .. } | Self::NotRun { .. } => false,
+        }
+    }
+}
+
+/// A change of what the router believes.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum RouterRecord<'a> {
+    /// It starts.
+    Started { name: &'a str, zone: &'a str },
+    /// It takes nothing new any more.
+    Stops,
+    /// It has ended as planned; requests that were cut off at the grace's end.
+    Stopped { unfinished: usize },
+    /// It follows a leader's feed.
+    FeedRegained { leader: &'a str },
+    /// It lost the feed.
+    FeedLost { leader: &'a str, problem: &'a str },
+    /// A configuration came; whether it is in force now.
+    Configuration { number: u64, in_force: bool },
+    /// A committed configuration can't be used.
+    ConfigurationUnusable { number: u64, problem: &'a str },
+    /// Instances are gone.
+    InstancesGone { instances: &'a [String] },
+    /// An instance can't be reached, and is left out for a while.
+    Unreachable { instance: &'a str, problem: &'a str },
+    /// Settings were read again.
+    Reloaded { seeds: usize },
+}
+
+impl Record for RouterRecord<'_> {
+    fn is_kept(&self) -> bool {
+        true
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether the request may have run.
+    pub(crate) fn may_have_run(self) -> bool {
+        matches!(self, Self::TimedOut | Self::Broken)
+    }
+
     /// Whether the connection can't be used further.
     fn closes(self) -> bool {
         matches!(self, Self::TooLarge | Self::BrokenBody | Self::Stopping)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! The body of an answer, relayed as it comes.
 
 use crate::Shared;
-use crate::attempt::Flight;
+use crate::flight::Flight;
 use crate::pool::Upstream;
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
@@ -41,7 +41,7 @@
     }
 
     fn finish(&mut self) {
-        if let Some(flight) = self.flight.take()
+        if let Some(mut flight) = self.flight.take()
             && let Some(upstream) = self.upstream.take()
         {
             flight.whole();
@@ -50,7 +50,7 @@
     }
 
     fn break_off(&mut self, problem: &str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(flight) = self.flight.take() {
+        if let Some(mut flight) = self.flight.take() {
             flight.broken(problem);
         }
         self.upstream = None;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -104,3 +104,18 @@
     };
     courseshunt_http::serve(listener, ServerLimits::default(), ended, handler).await;
 }
+
+/// Answers with the counters and histograms.
+pub(crate) async fn serve_metrics(listener: TcpListener, shared: Arc<Shared>) {
+    let ended = shared.ended.clone();
+    let handler = move |_request: Request<hyper::body::Incoming>, _peer| {
+        let shared = shared.clone();
+        async move {
+            let page = shared
+                .metrics
+                .page(shared.view.number(), shared.view.feed_age());
+            text_response(StatusCode::OK, page)
+        }
+    };
+    courseshunt_http::serve(listener, ServerLimits::default(), ended, handler).await;
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -52,6 +52,8 @@
 pub(crate) struct View {
     state: Mutex<State>,
     changes: watch::Sender<u64>,
+    /// When the feed was heard last.
+    heard: Mutex<Instant>,
     /// Woken when a request begins to wait for a model.
     pub(crate) missing: Notify,
     retry: (f64, f64, Millis),
@@ -73,6 +75,7 @@
         Self {
             state: Mutex::new(state),
             changes: watch::Sender::new(0),
+            heard: Mutex::new(Instant::now()),
             missing: Notify::new(),
             retry: (limits.retry_ratio, limits.retry_slack, window),
         }
@@ -99,6 +102,17 @@
         state.table.is_some() && !state.instances.is_empty()
     }
 
+    /// Notes a message of the feed.
+    pub(crate) fn hear_feed(&self) {
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    /// Time since the last message of the feed.
+    pub(crate) fn feed_age(&self) -> Duration {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.elapsed()
+    }
+
     /// Live routers, as far as known.
     pub(crate) fn routers(&self) -> u32 {
         self.lock().routers
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -369,6 +369,12 @@
         (views, std::mem::take(&mut self.gone))
     }
 
+    /// Instances that are known.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.instances.len()
+    }
+
     /// Whether the instance with this identity takes work.
     #[must_use]
     pub fn is_ready(&self, id: &RunnerId) -> bool {
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Why a settings file is refused.
 #[derive(Debug, snafu::Snafu)]
@@ -67,6 +67,9 @@
     /// Readiness.
     #[serde(default, deserialize_with = "optional_address")]
     pub ready: Option<SocketAddr>,
+    /// Counters and histograms, as text.
+    #[serde(default, deserialize_with = "optional_address")]
+    pub metrics: Option<SocketAddr>,
     /// Operators and instances.
     #[serde(default, deserialize_with = "optional_address")]
     pub control: Option<SocketAddr>,
@@ -106,22 +109,6 @@
 }
 
 impl ServiceSettings {
-    /// Reads a settings file.
-    ///
-    /// # Errors
-    /// When the file can't be read or holds something that is not allowed.
-    pub fn read(path: &Path) -> Result<Self, ServiceSettingsError> {
-        let text =
-            std::fs::read_to_string(path).map_err(|source| ServiceSettingsError::Unreadable {
-                path: path.to_owned(),
-                source,
-            })?;
-        Self::parse(&text).map_err(|message| ServiceSettingsError::Invalid {
-            path: path.to_owned(),
-            message,
-        })
-    }
-
     /// Parses the text of a settings file.
     ///
     /// # Errors
@@ -152,5 +139,54 @@
     }
 }
 
+/// A settings file that may change.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+    /// The text that was looked at last, valid or not.
+    text: String,
+}
+
+impl SettingsFile {
+    /// Opens the file and reads it for the first time.
+    ///
+    /// # Errors
+    /// When it can't be read or holds something that is not allowed.
+    pub fn open(path: PathBuf) -> Result<(Self, ServiceSettings), ServiceSettingsError> {
+        let mut file = Self {
+            path,
+            text: String::new(),
+        };
+        file.text = file.read()?;
+        let settings = file.parse()?;
+        Ok((file, settings))
+    }
+
+    /// The settings, if the file has changed since it was looked at last.
+    ///
+    /// # Errors
+    /// When the new content is wrong, once for each new content.
+    pub fn changed(&mut self) -> Result<Option<ServiceSettings>, ServiceSettingsError> {
+        let text = self.read()?;
+        if text == self.text {
+            return Ok(None);
+        }
+        self.text = text;
+        self.parse().map(Some)
+    }
+
+    fn read(&self) -> Result<String, ServiceSettingsError> {
+        let path = self.path.clone();
+        std::fs::read_to_string(&self.path)
+            .map_err(|source| ServiceSettingsError::Unreadable { path, source })
+    }
+
+    fn parse(&self) -> Result<ServiceSettings, ServiceSettingsError> {
+        let path = self.path.clone();
+        ServiceSettings::parse(&self.text)
+            .map_err(|message| ServiceSettingsError::Invalid { path, message })
+    }
+}
+
 /// Shortest key, in bytes.
 const MIN_KEY_BYTES: usize = 16;
