--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -15,6 +15,7 @@
 mod serve;
 mod status;
 mod token;
+mod trace;
 
 pub use documents::DocumentFiles;
 pub use manual::help_of_all;
@@ -99,6 +100,12 @@
         run: explain::run,
         help: explain::help,
     },
+    Subcommand {
+        name: "trace",
+        summary: "tell one request's story from the logs of all processes",
+        run: trace::run,
+        help: trace::help,
+    },
     Subcommand {
         name: "member",
         summary: "list, add, promote, replace or remove members of the control group",
--- a/crates/records/src/output.rs
+++ b/crates/records/src/output.rs
@@ -130,7 +130,6 @@
 }
 
 /// A dispatch that writes records and log lines of `process` as JSON lines.
-#[must_use]
 pub fn dispatch(process: &str, output: Output) -> fern::Dispatch {
     let name = serde_json::Value::from(process).to_string();
     let started = Instant::now();
