--- a/crates/records/tests/output.rs
+++ b/crates/records/tests/output.rs
@@ -19,10 +19,13 @@
     }
 }
 
+/// Whether the gate is open, and what went through.
+type Shared = (Mutex<(bool, Vec<u8>)>, Condvar);
+
 /// A sink that takes nothing until it is opened.
 #[derive(Clone, Default)]
 struct Gate {
-    shared: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    shared: Arc<Shared>,
 }
 
 impl Gate {
