--- /dev/null
+++ b/crates/settings/tests/service.rs
@@ -0,0 +1,79 @@
+//! Settings of services: what is refused, and how a changed file is followed.
+
+use courseshunt_settings::service::{ServiceSettings, SettingsFile};
+
+const VALID: &str = r#"
+name = "r1"
+zone = "z"
+address = "127.0.0.1"
+wire_port = 7000
+seeds = ["127.0.0.2:8000"]
+cluster_key = "sixteen bytes at least"
+[listen]
+clients = "127.0.0.1:8080"
+ready = ""
+[limits]
+retry_ratio = 0.2
+retry_slack = 54
+retry_window_s = 10
+registration_interval_ms = 1200
+order_lease_ms = 3000
+load_window_s = 5
+grace_s = 8
+configuration_ms = 2000
+"#;
+
+#[test]
+fn a_valid_file_is_read() {
+    let settings = ServiceSettings::parse(VALID).expect("valid");
+    assert_eq!(
+        settings.seed_wire_addresses()[0].to_string(),
+        "127.0.0.2:7000"
+    );
+    assert_eq!(settings.listen.ready, None, "an empty address is none");
+    assert!(!settings.found_group);
+}
+
+#[test]
+fn faults_are_refused_with_their_line() {
+    let cases = [
+        ("unknown key", VALID.replace("zone", "zonne"), "line 3"),
+        (
+            "bad address",
+            VALID.replace("127.0.0.1:8080", "here"),
+            "line 9",
+        ),
+        (
+            "short key",
+            VALID.replace("sixteen bytes at least", "short"),
+            "cluster_key",
+        ),
+        ("missing", VALID.replace("grace_s = 8\n", ""), "grace_s"),
+        (
+            "negative",
+            VALID.replace("wire_port = 7000", "wire_port = -1"),
+            "line 5",
+        ),
+    ];
+    for (name, text, told) in cases {
+        let problem = ServiceSettings::parse(&text).expect_err(name);
+        assert!(problem.contains(told), "{name}: {problem}");
+    }
+}
+
+#[test]
+fn a_changed_file_is_followed_and_a_wrong_one_told_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, VALID).expect("a file");
+    let (mut file, _) = SettingsFile::open(path.clone()).expect("valid");
+    assert!(file.changed().expect("unchanged").is_none());
+    std::fs::write(&path, VALID.replace("127.0.0.2", "127.0.0.3")).expect("a file");
+    let changed = file.changed().expect("valid").expect("changed");
+    assert_eq!(changed.seeds[0].to_string(), "127.0.0.3:8000");
+    std::fs::write(&path, "name = 5").expect("a file");
+    assert!(file.changed().is_err());
+    assert!(file.changed().expect("told already").is_none());
+    std::fs::write(&path, VALID).expect("a file");
+    assert!(file.changed().expect("valid").is_some());
+}
