Returning clients wait less for a model of which nothing is known

Ruled out: requests with a load under way that ends in time. Change: such a request waits 0.45 of its time, or is refused at once when the load ends after its client's patience.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -19,6 +19,10 @@
 /// A client that returns waits no longer than this part of its time.
 const RETURNED_PART: f64 = 0.9;
 
+/// A client that returns and of whose model nothing is known waits this part of
+/// its time.
+const BLIND_PART: f64 = 0.45;
+
 /// What the decision rests on.
 #[derive(Debug, Clone, Copy)]
 pub struct Situation {
@@ -61,7 +65,11 @@
             .min(patience.mul_f64(RETURNED_PART));
     let limit = match (situation.has_models, situation.expected) {
         (false, _) => prompt,
-        (true, _) if situation.returning => end,
+        (true, None) if situation.returning => situation.arrived + whole.mul_f64(BLIND_PART),
+        (true, Some(expected)) if situation.returning => match expected + ANSWER_TIME <= end {
+            true => end,
+            false => prompt,
+        },
         (true, None) => prompt,
         (true, Some(expected)) => {
             let in_time = expected + ANSWER_TIME <= situation.arrived + situation.objective;
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -24,7 +24,7 @@
 
 const DEADLINE: u64 = 5_000;
 
-const CASES: [Case; 8] = [
+const CASES: [Case; 10] = [
     Case {
         name: "a plain service without an instance is given up promptly",
         now: 0,
@@ -85,6 +85,26 @@
         expected: Some(3_100),
         verdict: Err(260),
     },
+    Case {
+        name: "one that has come back for a model of which nothing is known",
+        now: 50,
+        objective: 500,
+        patience: Some(3_200),
+        returning: true,
+        has_models: true,
+        expected: None,
+        verdict: Ok(2_250),
+    },
+    Case {
+        name: "one that has come back for a model that is too far away",
+        now: 150,
+        objective: 500,
+        patience: Some(3_200),
+        returning: true,
+        has_models: true,
+        expected: Some(4_000),
+        verdict: Err(3_910),
+    },
     Case {
         name: "nothing known yet: the leader has a moment to say",
         now: 10,
