Models whose answers are late get another copy

Change: routers report answers later than the objective; a model with more than 0.15 of late answers needs one copy more than it has, unless one is coming.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -5,7 +5,7 @@
 use crate::handle::Admitted;
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
-use courseshunt_services::Candidate;
+use courseshunt_services::{Candidate, PromptShape};
 use courseshunt_types::{Millis, RunnerId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +24,29 @@
     ended: bool,
     id: String,
     model: String,
+    /// What the answer's lateness is counted for; none for a plain service.
+    late: Option<Lateness>,
+}
+
+/// What is needed to tell whether an answer is late.
+struct Lateness {
+    objective: Duration,
+    service: String,
+    shape: PromptShape,
+}
+
+impl Lateness {
+    fn of(admitted: &Admitted) -> Option<Self> {
+        let shape = &admitted.facts.shape;
+        (!shape.model.is_empty()).then(|| Self {
+            objective: Duration::from(admitted.route.objective),
+            service: admitted.service.name.clone(),
+            shape: PromptShape {
+                parts: Vec::new(),
+                ..shape.clone()
+            },
+        })
+    }
 }
 
 pub(crate) fn millis(length: Duration) -> u64 {
@@ -67,6 +90,7 @@
             ended: false,
             id: admitted.facts.id.clone(),
             model: shape.model.clone(),
+            late: Lateness::of(admitted),
         }
     }
 
@@ -90,6 +114,10 @@
         self.first = Some(after);
         let predicted = self.candidate.predicted_ms;
         self.shared.metrics.first_answer(after, sending, predicted);
+        let late = self.late.as_ref();
+        if let Some(late) = late.filter(|late| sending > late.objective) {
+            self.shared.view.late(&late.service, &late.shape);
+        }
         let waited = Millis(millis(sending));
         self.shared.view.first_answer(&self.candidate, waited);
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -26,6 +26,7 @@
     arrivals: u32,
     tokens: u32,
     objective_ms: u32,
+    late: u32,
     waiting: u32,
 }
 
@@ -291,6 +292,12 @@
         demand.arrivals += 1;
     }
 
+    /// Counts an answer that an instance gave later than the objective.
+    pub(crate) fn late(&self, service: &str, shape: &PromptShape) {
+        let mut state = self.lock();
+        state.demand.entry(key_of(service, shape)).or_default().late += 1;
+    }
+
     /// Takes one retry out of the budget.
     pub(crate) fn may_retry(&self, service: &str, now: Timestamp) -> bool {
         let mut state = self.lock();
@@ -319,12 +326,14 @@
             arrivals: demand.arrivals,
             tokens: demand.tokens,
             objective_ms: demand.objective_ms,
+            late: demand.late,
             waiting: demand.waiting,
         });
         let demand = demand.collect();
         state.demand.retain(|_, demand| {
             demand.arrivals = 0;
             demand.tokens = 0;
+            demand.late = 0;
             demand.waiting > 0
         });
         ReportMessage::Usage {
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -33,6 +33,8 @@
     /// Shortest objective of the requests that arrived, in milliseconds; 0 when
     /// none did.
     pub objective_ms: u32,
+    /// Requests that an instance held and answered later than their objective.
+    pub late: u32,
     /// Requests that wait for an instance now.
     pub waiting: u32,
 }
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -46,6 +46,7 @@
     tokens: Decaying,
     steady: Decaying,
     steady_tokens: Decaying,
+    late: Decaying,
     /// Shortest objective seen, in milliseconds.
     objective_ms: Option<u32>,
 }
@@ -80,6 +81,8 @@
     /// Both, over ten seconds.
     pub(super) steady: f64,
     pub(super) steady_tokens: f64,
+    /// Late answers a second, over seconds.
+    pub(super) late: f64,
     /// Shortest objective with which it was asked for.
     pub(super) objective: Option<Millis>,
 }
@@ -113,7 +116,7 @@
     }
 
     fn count(&mut self, one: &ModelDemand, now: Timestamp) {
-        if one.arrivals == 0 && one.tokens == 0 {
+        if one.arrivals == 0 && one.tokens == 0 && one.late == 0 {
             return;
         }
         let service = self.rates.entry(one.service.clone()).or_default();
@@ -121,6 +124,7 @@
         rates.fast.add(f64::from(one.arrivals), now, FAST);
         rates.slow.add(f64::from(one.arrivals), now, SLOW);
         rates.tokens.add(f64::from(one.tokens), now, FAST);
+        rates.late.add(f64::from(one.late), now, FAST);
         rates.steady.add(f64::from(one.arrivals), now, STEADY);
         rates.steady_tokens.add(f64::from(one.tokens), now, STEADY);
         if one.arrivals > 0 {
@@ -145,6 +149,7 @@
             tokens: rates.tokens.at(now, FAST),
             steady: rates.steady.at(now, STEADY),
             steady_tokens: rates.steady_tokens.at(now, STEADY),
+            late: rates.late.at(now, FAST),
             objective: rates
                 .objective_ms
                 .map(|shortest| Millis(u64::from(shortest))),
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -18,6 +18,8 @@
 /// A copy is surplus when the others would stay below this part of the
 /// utilisation at which one is added.
 const KEEP_PART: f64 = 0.6;
+/// Part of a model's answers that may be late before it gets another copy.
+const LATE_PART: f64 = 0.15;
 /// Value of the only copy of a model whose requests can't wait for a load.
 pub(super) const URGENT_COPY_VALUE: f64 = 1.0;
 /// Value of the only copy of a model that was not asked for yet.
@@ -54,6 +56,8 @@
     /// Adapters that some instance holds, by model.
     pub(super) adapters: BTreeMap<ModelName, BTreeSet<String>>,
     facts: BTreeMap<ModelName, ModelFacts>,
+    /// Models of which a copy is on its way.
+    coming: BTreeSet<ModelName>,
     /// Whether demand was followed for long enough to tell what is surplus.
     knows_demand: bool,
 }
@@ -83,6 +87,7 @@
         for instance in placement.of_service(service, now) {
             let held = instance.held().map(|(name, _)| name);
             let coming = instance.loading().into_iter().chain(instance.intent());
+            round.coming.extend(coming.clone().cloned());
             for name in held.chain(coming) {
                 round.add_copy(name, instance.id());
             }
@@ -91,9 +96,27 @@
                 adapters.insert(adapter.to_owned());
             }
         }
+        round.relieve_late();
         round
     }
 
+    /// Models whose answers are late need one more copy than they have, whatever
+    /// their work says, unless one is on its way.
+    fn relieve_late(&mut self) {
+        let copies = &self.copies;
+        for (name, facts) in &mut self.facts {
+            let demand = &facts.demand;
+            let is_late = demand.fast >= RATE_FOR_COPIES && demand.late > demand.fast * LATE_PART;
+            if !is_late {
+                continue;
+            }
+            let count = copies.get(name).map_or(0, Vec::len);
+            let more = usize::from(!self.coming.contains(name));
+            facts.desired = facts.desired.max(count + more);
+            facts.keep = facts.keep.max(count);
+        }
+    }
+
     pub(super) fn add_copy(&mut self, model: &ModelName, instance: &RunnerId) {
         let places = self.copies.entry(model.clone()).or_default();
         if !places.contains(instance) {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -265,6 +265,7 @@
         arrivals,
         tokens: arrivals * 3_000,
         objective_ms,
+        late: 0,
         waiting,
     }
 }
@@ -482,3 +483,23 @@
     }
     assert!(world.copies("m0") >= 1, "4 s later: {:?}", world.runners);
 }
+
+/// Late answers say that the work was judged too small.
+#[test]
+fn a_model_whose_answers_are_late_gets_another_copy() {
+    let mut world = World::new(11, 6, 0);
+    for _ in 0..1_500 {
+        let mut small = demand("m0", 1, 0, 500);
+        small.tokens = 100;
+        small.late = 1;
+        world.step(&[small]);
+    }
+    assert!(world.copies("m0") >= 2, "{:?}", world.runners);
+    let mut calm = World::new(11, 6, 0);
+    for _ in 0..1_500 {
+        let mut small = demand("m0", 1, 0, 500);
+        small.tokens = 100;
+        calm.step(&[small]);
+    }
+    assert_eq!(calm.copies("m0"), 1, "without late answers one is enough");
+}
