--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -19,7 +19,7 @@
 /// utilisation at which one is added.
 const KEEP_PART: f64 = 0.6;
 /// Part of a model's answers that may be late before it gets another copy.
-const LATE_PART: f64 = 0.15;
+const LATE_PART: f64 = 0.35;
 /// Value of the only copy of a model whose requests can't wait for a load.
 pub(super) const URGENT_COPY_VALUE: f64 = 1.0;
 /// Value of the only copy of a model that was not asked for yet.
