Last read: one seed list, one pace of usage messages, dead parts out

Change: SeedList in settings, usage_interval in services::feed, the rest removed; LoadCeiling::new uses set_rate, which replaced its capacity at once.

--- a/crates/coordinator/src/join.rs
+++ b/crates/coordinator/src/join.rs
@@ -36,7 +36,7 @@
 async fn candidates(shared: &Shared) -> Vec<SocketAddr> {
     let own = shared.settings.wire_address();
     let mut addresses: BTreeSet<SocketAddr> = BTreeSet::new();
-    addresses.extend(shared.seeds());
+    addresses.extend(shared.seeds.addresses());
     for (_, address) in members(shared).await {
         addresses.insert(address);
     }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -5,6 +5,7 @@
 use crate::{Shared, join, orders, placement_settings};
 use courseshunt_consensus::MembershipChange;
 use courseshunt_records::emit;
+use courseshunt_services::feed::usage_interval;
 use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Timestamp};
@@ -17,12 +18,6 @@
 const TICK: Duration = Duration::from_millis(40);
 /// Least time between rounds of planning, however often the loop is woken.
 const LEAST_BETWEEN_PLANS: Millis = Millis(15);
-/// Time between messages about the use of instances.
-const USAGE_INTERVAL: Millis = Millis(120);
-/// Routers that are told at this rate; more are told less often, down to a
-/// bound.
-const ROUTERS_AT_FULL_RATE: u32 = 16;
-const SLOWEST_FACTOR: u32 = 4;
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
@@ -235,12 +230,6 @@
     }
 }
 
-/// Many routers are told less often, so that the leader's work stays bounded.
-fn usage_interval(routers: u32) -> Millis {
-    let factor = routers.div_ceil(ROUTERS_AT_FULL_RATE);
-    Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
-}
-
 /// Records the instances for a successor.
 fn record(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let (changed, gone) = &leadership.unrecorded;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -28,7 +28,7 @@
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_records::emit;
 use courseshunt_services::{PlacementEngine, PlacementSettings};
-use courseshunt_settings::service::ServiceSettings;
+use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{ControllerId, Millis};
 use courseshunt_wire::ClusterKey;
@@ -67,7 +67,7 @@
     pub(crate) joining: Mutex<Vec<(ControllerId, SocketAddr)>>,
     pub(crate) stop: CancellationToken,
     pub(crate) metrics: Metrics,
-    seeds: Mutex<Vec<SocketAddr>>,
+    pub(crate) seeds: SeedList,
     engine: Mutex<PlacementEngine>,
 }
 
@@ -76,12 +76,6 @@
         self.engine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Wire addresses of some members, from the settings in force.
-    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
-        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
-        seeds.clone()
-    }
-
     /// The page of counters and gauges.
     pub(crate) fn metrics_page(&self) -> String {
         let status = self.replica.status().borrow().clone();
@@ -158,7 +152,7 @@
             joining: Mutex::default(),
             stop: stop.clone(),
             metrics: Metrics::default(),
-            seeds: Mutex::new(settings.seed_wire_addresses()),
+            seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             settings,
         });
@@ -193,14 +187,8 @@
     /// Follows changed settings: the seeds take effect at once, all else at the
     /// next start.
     pub fn reload(&self, settings: &ServiceSettings) {
-        let seeds = settings.seed_wire_addresses();
-        emit(&ControllerRecord::Reloaded { seeds: seeds.len() });
-        let mut held = self
-            .shared
-            .seeds
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *held = seeds;
+        let seeds = self.shared.seeds.follow(settings);
+        emit(&ControllerRecord::Reloaded { seeds });
     }
 
     /// Stops as planned: hands the leadership over first.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 use crate::Shared;
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
+use courseshunt_services::feed::usage_interval;
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId};
 use courseshunt_wire::{
@@ -18,11 +19,6 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 /// Longest time for a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(700);
-/// Time between reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(120);
-/// Routers that report at this rate; more report less often, down to a bound.
-const ROUTERS_AT_FULL_RATE: u32 = 16;
-const SLOWEST_FACTOR: u32 = 4;
 /// Shortest time between reports when requests wait.
 const URGENT_PAUSE: Duration = Duration::from_millis(3);
 /// Pause after all known controllers were tried.
@@ -56,7 +52,7 @@
         leader: None,
     };
     loop {
-        directory.seeds = shared.seeds();
+        directory.seeds = shared.seeds.addresses();
         let mut candidates = directory.candidates();
         while let Some(address) = candidates.pop_front() {
             directory.leader = None;
@@ -178,7 +174,7 @@
             shared.view.set_usage(routers, &instances);
             shared.pool.tidy();
         }
-        FeedMessage::Alive | FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => {}
+        FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => {}
     }
 }
 
@@ -197,18 +193,10 @@
     }
 }
 
-/// Many routers report less often, so that the leader's work stays bounded.
-fn report_interval(routers: u32) -> Duration {
-    REPORT_INTERVAL
-        * routers
-            .div_ceil(ROUTERS_AT_FULL_RATE)
-            .clamp(1, SLOWEST_FACTOR)
-}
-
 async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
     loop {
         tokio::select! {
-            () = tokio::time::sleep(report_interval(shared.view.routers())) => {}
+            () = tokio::time::sleep(usage_interval(shared.view.routers()).into()) => {}
             () = shared.view.missing.notified() => tokio::time::sleep(URGENT_PAUSE).await,
         }
         let report = shared.view.take_report(shared.clock.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 pub use interface::{AnswerFacts, ClientInterface, RequestFacts, Sending};
 
 use courseshunt_records::emit;
-use courseshunt_settings::service::ServiceSettings;
+use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::MonotonicClock;
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
 use metrics::Metrics;
@@ -34,7 +34,7 @@
 use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use view::View;
@@ -52,7 +52,7 @@
     pub(crate) view: View,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: Metrics,
-    seeds: Mutex<Vec<SocketAddr>>,
+    pub(crate) seeds: SeedList,
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
     pub(crate) stopping: CancellationToken,
@@ -63,14 +63,6 @@
     pub(crate) requests: tokio_util::task::TaskTracker,
 }
 
-impl Shared {
-    /// Wire addresses of some controllers, from the settings in force.
-    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
-        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
-        seeds.clone()
-    }
-}
-
 /// A running router.
 pub struct Gateway {
     shared: Arc<Shared>,
@@ -96,7 +88,7 @@
             view: View::new(&settings),
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
-            seeds: Mutex::new(settings.seed_wire_addresses()),
+            seeds: SeedList::new(&settings),
             interface,
             clock,
             stopping: CancellationToken::new(),
@@ -126,14 +118,8 @@
     /// Follows changed settings: the seeds take effect at once, all else at the
     /// next start.
     pub fn reload(&self, settings: &ServiceSettings) {
-        let seeds = settings.seed_wire_addresses();
-        emit(&RouterRecord::Reloaded { seeds: seeds.len() });
-        let mut held = self
-            .shared
-            .seeds
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *held = seeds;
+        let seeds = self.shared.seeds.follow(settings);
+        emit(&RouterRecord::Reloaded { seeds });
     }
 
     /// Stops as planned: says that it isn't ready, serves what still comes, and
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,6 @@
     flight: Option<Flight>,
     upstream: Option<Upstream>,
     shared: Arc<Shared>,
-    started: bool,
 }
 
 impl RelayBody {
@@ -36,7 +35,6 @@
             flight: Some(flight),
             upstream: Some(upstream),
             shared,
-            started: false,
         }
     }
 
@@ -68,11 +66,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                if !self.started {
-                    self.started = true;
-                    if let Some(flight) = &mut self.flight {
-                        flight.first_answer();
-                    }
+                if let Some(flight) = &mut self.flight {
+                    flight.first_answer();
                 }
                 if self.incoming.is_end_stream() {
                     self.finish();
--- a/crates/services/src/ceiling.rs
+++ b/crates/services/src/ceiling.rs
@@ -24,13 +24,14 @@
     /// An empty bucket for `rate` loads a second, judged over `window`.
     #[must_use]
     pub fn new(rate: f64, window: Millis, now: Timestamp) -> Self {
-        let rate_per_second = rate * USED_PART;
-        Self {
-            rate_per_second,
-            capacity: (rate_per_second * window.as_secs_f64() / 2.0).max(1.0),
+        let mut ceiling = Self {
+            rate_per_second: 0.0,
+            capacity: 0.0,
             tokens: 0.0,
             updated: now,
-        }
+        };
+        ceiling.set_rate(rate, window);
+        ceiling
     }
 
     /// Follows a changed rate.
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -4,7 +4,21 @@
 //! the models that it was asked for, not to the fleet.
 
 use crate::instance::InstanceView;
-use courseshunt_types::RunnerId;
+use courseshunt_types::{Millis, RunnerId};
+
+/// Time between messages about the use of instances, either way.
+const USAGE_INTERVAL: Millis = Millis(120);
+/// Routers at this rate; with more, messages are rarer, down to a bound.
+const ROUTERS_AT_FULL_RATE: u32 = 16;
+const SLOWEST_FACTOR: u32 = 4;
+
+/// Time between a router's reports, and between the leader's sums: longer with
+/// many routers, so that the leader's work stays bounded.
+#[must_use]
+pub fn usage_interval(routers: u32) -> Millis {
+    let factor = routers.div_ceil(ROUTERS_AT_FULL_RATE);
+    Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
+}
 
 /// Requests of one router at one instance.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -72,8 +86,6 @@
         /// Usage summed over all routers.
         instances: Vec<InstanceUsage>,
     },
-    /// The controller still leads.
-    Alive,
 }
 
 /// Router to controller.
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Why a settings file is refused.
 #[derive(Debug, snafu::Snafu)]
@@ -93,8 +94,6 @@
     pub load_window_s: f64,
     /// Time between the order to stop and the end by force, in seconds.
     pub grace_s: f64,
-    /// Longest time between a new configuration's acceptance and its effect.
-    pub configuration_ms: u64,
 }
 
 /// An address, or nothing where the text is empty.
@@ -139,6 +138,42 @@
     }
 }
 
+/// Wire addresses of some controllers, as the settings in force name them.
+#[derive(Debug)]
+pub struct SeedList {
+    addresses: Mutex<Vec<SocketAddr>>,
+}
+
+impl SeedList {
+    /// The seeds of these settings.
+    #[must_use]
+    pub fn new(settings: &ServiceSettings) -> Self {
+        Self {
+            addresses: Mutex::new(settings.seed_wire_addresses()),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The addresses.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().clone()
+    }
+
+    /// Follows changed settings; returns how many seeds they name.
+    pub fn follow(&self, settings: &ServiceSettings) -> usize {
+        let seeds = settings.seed_wire_addresses();
+        let count = seeds.len();
+        *self.lock() = seeds;
+        count
+    }
+}
+
 /// A settings file that may change.
 #[derive(Debug)]
 pub struct SettingsFile {
--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -20,7 +20,6 @@
 order_lease_ms = 3000
 load_window_s = 5
 grace_s = 8
-configuration_ms = 2000
 "#;
 
 #[test]
