--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -266,7 +266,8 @@
         });
     }
 
-    /// Loads the model on both runners and waits until every router knows.
+    /// Loads the model on both runners and waits until every router knows, and
+    /// is ready: its configuration is confirmed by a quorum.
     pub fn warm(&self) {
         self.wait_for("loaded replicas at all routers", || {
             for runner in ["runner-1", "runner-2"] {
@@ -281,7 +282,10 @@
                 let _ = self.runtime.block_on(replica.submit(place));
             }
             let mut routers = self.routers.iter().flatten();
-            routers.all(|router| is_warm(router.part.context()))
+            routers.all(|router| {
+                let context = router.part.context();
+                context.view.is_synced() && is_warm(context)
+            })
         });
     }
 
