Recovery after a total loss: elections without read leases, short dials

From the records: machines are up 0.75 s after the loss, a quorum 1.05 s after it, but the election ended at 1.5 s (a restarted member keeps a possible lease's promise for 0.4 s, then waits 0.4 to 0.8 s), and each router hung for 0.7 s in a connection to a seed that was still without power (7 of 7 routers: feed regained 713 to 883 ms after their start). Ruled out: slow start of processes (1 ms), slow commits (2 ms), the instances' registrations (the leader knows them from the log). Change: consensus can do without read leases: a read then takes a round of heartbeats, a restarted member has promised nothing and tries out an election after an eighth of the timeout until it has heard a leader. The coordinator uses that (its reads are rare); the product's own controllers keep leases. Tries to connect last 120 ms, then twice as long each, and are short again after the longest (wire::DialLimit), in links between members and in the routers' feed. A member in an election keeps a router for up to 150 ms and so tells it the new leader at once. The margin between two leaders' orders is 450 instead of 250 ms, since a member that restarted may vote at once.

--- a/crates/consensus/src/core/commit.rs
+++ b/crates/consensus/src/core/commit.rs
@@ -79,6 +79,12 @@
 
     /// Whether surely no other member leads now.
     pub(super) fn holds_lease(&self, now: Timestamp) -> bool {
+        self.settings.lease_reads && self.is_followed(now)
+    }
+
+    /// Whether a quorum answered this leader within a lease, and no hand-over
+    /// was ordered.
+    pub(super) fn is_followed(&self, now: Timestamp) -> bool {
         let Some(leadership) = &self.leadership else {
             return false;
         };
--- a/crates/consensus/src/core/election.rs
+++ b/crates/consensus/src/core/election.rs
@@ -12,12 +12,33 @@
 use courseshunt_types::{ControllerId, LogIndex, Millis, Term, Timestamp};
 use rand_pcg::rand_core::Rng;
 
+/// A member that has heard no leader since its start, and promised none, tries
+/// out an election after this part of the election timeout, and again and again.
+const START_DIVISOR: u64 = 8;
+/// It gives an election that it voted in this part of the election timeout.
+const VOTE_DIVISOR: u64 = 2;
+
 impl Core {
     /// Draws when to stand for election unless a leader is heard before.
     pub(super) fn draw_election_deadline(&mut self, now: Timestamp) {
-        let timeout = self.settings.election_timeout;
-        let jitter = self.random.next_u64() % timeout.0.max(1);
-        self.election_deadline = now + timeout + Millis(jitter);
+        self.draw_deadline(START_DIVISOR, now);
+    }
+
+    /// Between one and two election timeouts; between one and three of their
+    /// `start_divisor`th parts for a member that may hurry.
+    fn draw_deadline(&mut self, start_divisor: u64, now: Timestamp) {
+        let timeout = self.settings.election_timeout.0;
+        let (least, spread) = match self.may_hurry() {
+            true => (timeout / start_divisor, timeout / start_divisor * 2),
+            false => (timeout, timeout),
+        };
+        let jitter = self.random.next_u64() % spread.max(1);
+        self.election_deadline = now + Millis(least + jitter);
+    }
+
+    /// Whether no leader can be there that this member has promised anything.
+    fn may_hurry(&self) -> bool {
+        !self.settings.lease_reads && self.heard_leader_at.is_none()
     }
 
     pub(super) fn tick_election(&mut self, now: Timestamp) {
@@ -47,7 +68,7 @@
 
     /// Takes the next term and its own vote; asks the others once that is durable.
     fn start_election(&mut self, now: Timestamp, transfer: bool) {
-        self.draw_election_deadline(now);
+        self.draw_deadline(VOTE_DIVISOR, now);
         self.role = Role::Candidate;
         self.leader = None;
         self.term = self.term.next();
@@ -140,7 +161,7 @@
         if granted && !pre_vote {
             self.voted_for = Some(from);
             self.durability.hard_state_changed();
-            self.draw_election_deadline(now);
+            self.draw_deadline(VOTE_DIVISOR, now);
         }
         let reply = ConsensusMessage::VoteReply {
             term: if granted { term } else { self.term },
@@ -150,10 +171,11 @@
         self.send_when_durable(from, reply);
     }
 
-    /// Whether a leader may hold a lease that rests on this member.
+    /// Whether a leader may hold a lease that rests on this member, or is surely
+    /// followed by a quorum.
     fn has_promised(&self, now: Timestamp) -> bool {
         match self.role {
-            Role::Leader => self.holds_lease(now),
+            Role::Leader => self.is_followed(now),
             _ => now < self.lease_promise,
         }
     }
--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -116,7 +116,7 @@
         let term = recovered_term.max(last_entry_term.unwrap_or_default());
         let voted_for = recovered.hard_state.voted_for;
         // A member that restarts may have promised a leader its lease before.
-        let lease_promise = match is_new {
+        let lease_promise = match is_new || !settings.lease_reads {
             true => now,
             false => now + settings.election_timeout,
         };
--- a/crates/consensus/src/core/settings.rs
+++ b/crates/consensus/src/core/settings.rs
@@ -11,6 +11,11 @@
     pub heartbeat_interval: Millis,
     /// Shortest election timeout; the longest is twice as long.
     pub election_timeout: Millis,
+    /// Whether a leader answers reads by its lease alone. Without leases each
+    /// read takes a round of heartbeats, and a member that restarts has made no
+    /// promise: a group whose members all restarted elects as soon as a quorum
+    /// is up.
+    pub lease_reads: bool,
     /// Largest difference of clock speeds, in parts per thousand, that leases allow for.
     pub clock_drift_per_mille: u32,
     /// Entries in one append message at the most.
@@ -54,6 +59,7 @@
             id,
             heartbeat_interval: Millis(100),
             election_timeout: Millis(1000),
+            lease_reads: true,
             clock_drift_per_mille: 50,
             max_entries_per_append: 512,
             max_bytes_per_append: 1024 * 1024,
--- a/crates/consensus/tests/group/harness.rs
+++ b/crates/consensus/tests/group/harness.rs
@@ -1,8 +1,8 @@
 //! A group of cores with an instant disk and a network of fixed delay.
 
 use courseshunt_consensus::{
-    ConsensusMessage, Core, CoreSettings, Input, Membership, MembershipChange, MembershipError,
-    Output, Payload, ProposalId, ReadId, Recovered, RejectionReason, Role,
+    ConsensusMessage, Core, CoreSettings, Entry, HardState, Input, Membership, MembershipChange,
+    MembershipError, Output, Payload, ProposalId, ReadId, Recovered, RejectionReason, Role,
 };
 use courseshunt_types::{ControllerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -14,11 +14,23 @@
 
 struct Member {
     core: Core,
+    disk: Recovered,
     slow_disk: bool,
     unsynced: Vec<Input>,
     commands: Vec<Vec<u8>>,
 }
 
+impl Member {
+    fn store(&mut self, hard_state: Option<HardState>, entries: &[Entry]) {
+        self.disk.hard_state = hard_state.unwrap_or(self.disk.hard_state);
+        for entry in entries {
+            let stored = &mut self.disk.entries;
+            stored.retain(|one| one.index < entry.index);
+            stored.push(entry.clone());
+        }
+    }
+}
+
 struct Flight {
     from: u64,
     to: u64,
@@ -32,10 +44,15 @@
     network: VecDeque<Flight>,
     cut_off: BTreeSet<u64>,
     bootstrap: Membership,
+    lease_reads: bool,
 }
 
 impl Group {
     pub fn new(voters: u64) -> Self {
+        Self::with_lease_reads(voters, true)
+    }
+
+    pub fn with_lease_reads(voters: u64, lease_reads: bool) -> Self {
         let ids = (1..=voters).map(ControllerId);
         let mut group = Self {
             now: 0,
@@ -43,6 +60,7 @@
             network: VecDeque::new(),
             cut_off: BTreeSet::new(),
             bootstrap: Membership::of_voters(ids),
+            lease_reads,
         };
         for id in 1..=voters {
             let bootstrap = group.bootstrap.clone();
@@ -52,11 +70,27 @@
     }
 
     fn start(&mut self, id: u64, bootstrap: Membership) {
-        let settings = CoreSettings::for_member(ControllerId(id));
+        self.start_on(id, bootstrap, Recovered::default());
+    }
+
+    /// Starts a member again on what it has made durable.
+    pub fn restart(&mut self, id: u64) {
+        let disk = self.members[&id].disk.clone();
+        let bootstrap = self.bootstrap.clone();
+        self.network.retain(|flight| flight.to != id);
+        self.start_on(id, bootstrap, disk);
+    }
+
+    fn start_on(&mut self, id: u64, bootstrap: Membership, disk: Recovered) {
+        let settings = CoreSettings {
+            lease_reads: self.lease_reads,
+            ..CoreSettings::for_member(ControllerId(id))
+        };
         let now = Timestamp(self.now);
-        let core = Core::new(settings, Recovered::default(), bootstrap, now);
+        let core = Core::new(settings, disk.clone(), bootstrap, now);
         let member = Member {
             core,
+            disk,
             slow_disk: false,
             unsynced: Vec::new(),
             commands: Vec::new(),
@@ -164,7 +198,12 @@
         let mut carried_out = Vec::new();
         while let Some(output) = outputs.pop_front() {
             match &output {
-                Output::Persist { number, .. } => {
+                Output::Persist {
+                    number,
+                    hard_state,
+                    entries,
+                } => {
+                    member.store(*hard_state, entries);
                     let persisted = Input::Persisted { number: *number };
                     if member.slow_disk {
                         member.unsynced.push(persisted);
--- a/crates/consensus/tests/group/main.rs
+++ b/crates/consensus/tests/group/main.rs
@@ -213,3 +213,65 @@
         )
     );
 }
+
+/// Longest time, in milliseconds, in which members without leases elect after
+/// all have restarted: a fraction of the election timeout of 1,000.
+const SOON: u64 = 600;
+
+#[test]
+fn a_group_without_read_leases_elects_soon_after_all_members_restarted() {
+    let mut group = Group::with_lease_reads(5, false);
+    let old = group.elect();
+    group.propose(old, b"kept");
+    group.run_for(200);
+    for id in 1..=5 {
+        group.restart(id);
+    }
+    group.run_for(SOON);
+    let leaders = group.leaders();
+    assert_eq!(leaders.len(), 1);
+    group.run_for(200);
+    assert_eq!(group.commands(leaders[0]), [b"kept".to_vec()]);
+}
+
+#[test]
+fn members_with_read_leases_keep_their_promise_over_a_restart() {
+    let mut group = Group::new(5);
+    group.elect();
+    for id in 1..=5 {
+        group.restart(id);
+    }
+    group.run_for(980);
+    assert!(group.leaders().is_empty());
+    group.run_for(3000);
+    assert_eq!(group.leaders().len(), 1);
+}
+
+#[test]
+fn a_hurried_member_that_restarts_leaves_a_followed_leader_alone() {
+    let mut group = Group::with_lease_reads(5, false);
+    let leader = group.elect();
+    let term = group.core(leader).term();
+    let restarted = leader % 5 + 1;
+    group.cut(restarted);
+    group.restart(restarted);
+    group.run_for(1500);
+    group.heal();
+    group.run_for(1500);
+    assert_eq!(group.leaders(), [leader]);
+    assert_eq!(group.core(leader).term(), term);
+}
+
+#[test]
+fn a_read_without_lease_takes_a_round() {
+    for (lease_reads, at_once) in [(true, true), (false, false)] {
+        let mut group = Group::with_lease_reads(3, lease_reads);
+        let leader = group.elect();
+        let read = Input::Read {
+            read: harness::READ,
+        };
+        let outputs = group.step(leader, read);
+        let ready = |one: &Output| matches!(one, Output::ReadReady { .. });
+        assert_eq!(outputs.iter().any(ready), at_once);
+    }
+}
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -5,7 +5,8 @@
 use courseshunt_types::ControllerId;
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+    ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
+    connect_from,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,7 +17,9 @@
 /// Messages that wait to be sent to one member; more are dropped.
 const QUEUE: usize = 4096;
 /// Pause before the member is dialled again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest try to connect.
+const LONGEST_DIAL: Duration = Duration::from_secs(1);
 /// A connection on which nothing arrives for so long is given up. The other
 /// side sends at least every [`ALIVE_INTERVAL`].
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -82,8 +85,9 @@
 
     async fn run(self, mut messages: mpsc::Receiver<Message>) {
         let mut reachable = true;
+        let mut limit = DialLimit::growing_to(LONGEST_DIAL);
         loop {
-            let ended = self.connect_and_serve(&mut messages).await;
+            let ended = self.connect_and_serve(&mut messages, &mut limit).await;
             if let Err(error) = ended {
                 if reachable {
                     log::warn!("peers: controller {}: {error}", self.to);
@@ -101,12 +105,22 @@
     async fn connect_and_serve(
         &self,
         messages: &mut mpsc::Receiver<Message>,
+        limit: &mut DialLimit,
     ) -> Result<(), WireError> {
         let Some(address) = self.addresses.get(self.to) else {
             return Ok(());
         };
         let source = self.addresses.source();
-        let connection = connect_from(source, address, &self.key, &self.identity).await?;
+        let dialling = connect_from(source, address, &self.key, &self.identity);
+        let Ok(dialled) = tokio::time::timeout(limit.present(), dialling).await else {
+            limit.timed_out();
+            return Err(WireError::TimedOut {
+                step: "connect",
+                peer: format!("controller {}", self.to),
+            });
+        };
+        let connection = dialled?;
+        limit.succeeded();
         if connection.peer != PeerIdentity::Controller(self.to) {
             log::warn!("peers: {address} is {}, not {}", connection.peer, self.to);
             return Ok(());
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -19,6 +19,8 @@
 /// Messages that wait for one router; a router that falls behind is cut off and
 /// asks again.
 const SESSION_QUEUE: usize = 512;
+/// Longest time that a router waits here for the end of an election.
+const ELECTION_WAIT: Duration = Duration::from_millis(150);
 /// Pause after an accept error.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -188,6 +190,15 @@
     }
 }
 
+/// Whether this member leads; waits a little for an election to end, so that
+/// routers learn of the new leader at once.
+async fn leads_soon(shared: &Shared) -> bool {
+    let mut status = shared.replica.status();
+    let decided = status.wait_for(|status| status.leader.is_some());
+    let _ = tokio::time::timeout(ELECTION_WAIT, decided).await;
+    shared.replica.leads()
+}
+
 async fn serve_router(
     connection: Connection,
     router: String,
@@ -207,7 +218,7 @@
     let members = join::members(shared).await.into_iter();
     let members = members.map(|(_, address)| address.to_string()).collect();
     send(&mut sender, FeedMessage::Members(members)).await?;
-    if !shared.replica.leads() {
+    if !leads_soon(shared).await {
         let leader = shared.leader_address().map(|address| address.to_string());
         return send(&mut sender, FeedMessage::NotLeader { leader }).await;
     }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -29,8 +29,10 @@
 const SEEDING: Millis = Millis(1_000);
 /// Time between records of the instances.
 const RECORD_INTERVAL: Millis = Millis(700);
-/// Added to the lease between the orders of two leaders.
-const LEASE_MARGIN: Millis = Millis(250);
+/// Added to the lease between the orders of two leaders: an earlier leader may
+/// give orders for `orders::CONTACT_LIMIT` after it was last in contact with a
+/// quorum, and members that restarted may have elected this one right then.
+const LEASE_MARGIN: Millis = Millis(450);
 
 /// State of one leadership.
 struct Leadership {
@@ -114,6 +116,8 @@
     });
     shared.sessions.broadcast(FeedMessage::NotLeader { leader });
     shared.sessions.clear();
+    // A router may follow the next leadership before the leader's loop begins it.
+    *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
     let joining = shared.joining.lock();
     joining.unwrap_or_else(PoisonError::into_inner).clear();
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -207,6 +207,8 @@
         core: CoreSettings {
             heartbeat_interval: HEARTBEAT_INTERVAL,
             election_timeout: ELECTION_TIMEOUT,
+            // Reads are rare here; a fast election after a total loss is worth more.
+            lease_reads: false,
             entries_kept_after_snapshot: ENTRIES_KEPT,
             catch_up_timeout: Millis::from_secs(5),
             ..CoreSettings::for_member(identity.id)
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -18,7 +18,7 @@
 /// Longest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
 /// Orders are given only by a leader that was in contact with a quorum so
-/// recently that no other can have been elected.
+/// recently that no other leader's lease can have passed.
 const CONTACT_LIMIT: Millis = Millis(330);
 
 /// Carries out one step and tells the engine what became of it.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -7,7 +7,8 @@
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId};
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_from,
+    ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
+    connect_from,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -18,11 +19,11 @@
 /// least four times a second.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 /// Longest time for a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+const LONGEST_DIAL: Duration = Duration::from_millis(960);
 /// Shortest time between reports when requests wait.
 const URGENT_PAUSE: Duration = Duration::from_millis(3);
 /// Pause after all known controllers were tried.
-const ROUND_PAUSE: Duration = Duration::from_millis(150);
+const ROUND_PAUSE: Duration = Duration::from_millis(30);
 
 /// What the feed knows of the controllers.
 struct Directory {
@@ -30,6 +31,7 @@
     members: Vec<SocketAddr>,
     /// Told to lead; tried first.
     leader: Option<SocketAddr>,
+    limit: DialLimit,
 }
 
 impl Directory {
@@ -50,6 +52,7 @@
         seeds: Vec::new(),
         members: Vec::new(),
         leader: None,
+        limit: DialLimit::growing_to(LONGEST_DIAL),
     };
     loop {
         directory.seeds = shared.seeds.addresses();
@@ -67,6 +70,7 @@
                 }
             }
         }
+        directory.limit.timed_out();
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
@@ -81,7 +85,7 @@
     let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
     let source = Some(shared.settings.address);
     let connecting = connect_from(source, address, key, &identity);
-    let connected = tokio::time::timeout(CONNECT_LIMIT, connecting).await;
+    let connected = tokio::time::timeout(directory.limit.present(), connecting).await;
     let connected = connected.unwrap_or(Err(timed_out("connect", address)));
     let Connection {
         mut sender,
@@ -143,6 +147,7 @@
             other => {
                 if !connected {
                     connected = true;
+                    directory.limit.succeeded();
                     emit(&RouterRecord::FeedRegained {
                         leader: &address.to_string(),
                     });
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -73,6 +73,7 @@
     pub(crate) clock_per_mille: u64,
     /// Longest sync, in milliseconds.
     pub(crate) sync_millis: u64,
+    pub(crate) lease_reads: bool,
     pub(crate) mutant: Option<Mutant>,
     pub(crate) bootstrap: Membership,
 }
@@ -131,6 +132,7 @@
             max_entries_in_flight: 32,
             entries_kept_after_snapshot: 5,
             catch_up_timeout: Millis::from_secs(10),
+            lease_reads: self.lease_reads,
             mutant: self.mutant,
             ..CoreSettings::for_member(self.id)
         };
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -40,6 +40,8 @@
     pub seed: u64,
     /// Length of the part with faults, in milliseconds.
     pub faults_millis: u64,
+    /// Whether leaders answer reads by a lease, and members promise it.
+    pub lease_reads: bool,
     /// What is broken on purpose.
     pub sabotage: Option<Sabotage>,
 }
@@ -51,6 +53,7 @@
         Self {
             seed,
             faults_millis: 25_000,
+            lease_reads: true,
             sabotage: None,
         }
     }
@@ -119,7 +122,8 @@
     pub(crate) clients: Vec<Client>,
     pub(crate) steward: Steward,
     pub(crate) checker: Checker,
-    pub(crate) sabotage: Option<Sabotage>,
+    pub(crate) lease_reads: bool,
+    sabotage: Option<Sabotage>,
     pub(crate) faults: usize,
     pub(crate) elections: Vec<(u64, ControllerId, Term)>,
 }
@@ -162,6 +166,7 @@
             steward: Steward::default(),
             checker: Checker::default(),
             sabotage: options.sabotage,
+            lease_reads: options.lease_reads,
             faults: 0,
             elections: Vec::new(),
         };
@@ -200,6 +205,7 @@
                 lost: false,
                 clock_per_mille,
                 sync_millis: 6,
+                lease_reads: self.lease_reads,
                 mutant,
                 bootstrap,
             },
--- a/crates/simulation/tests/seeds.rs
+++ b/crates/simulation/tests/seeds.rs
@@ -8,13 +8,16 @@
 const SEEDS: u64 = 200;
 const THREADS: u64 = 4;
 
-fn run_all(seeds: u64) -> Vec<Report> {
+fn run_all(seeds: u64, lease_reads: bool) -> Vec<Report> {
     let workers: Vec<_> = (0..THREADS)
         .map(|worker| {
             let own = (0..seeds).filter(move |seed| seed % THREADS == worker);
             std::thread::spawn(move || {
-                own.map(|seed| run(Options::of_seed(seed)))
-                    .collect::<Vec<_>>()
+                let options = |seed| Options {
+                    lease_reads,
+                    ..Options::of_seed(seed)
+                };
+                own.map(|seed| run(options(seed))).collect::<Vec<_>>()
             })
         })
         .collect();
@@ -24,7 +27,17 @@
 
 #[test]
 fn every_promise_holds_under_faults() {
-    let reports = run_all(SEEDS);
+    let reports = run_all(SEEDS, true);
+    check(&reports);
+}
+
+#[test]
+fn every_promise_holds_without_leases_and_the_promise_after_a_restart() {
+    let reports = run_all(SEEDS, false);
+    check(&reports);
+}
+
+fn check(reports: &[Report]) {
     let broken: Vec<&Report> = reports
         .iter()
         .filter(|report| report.violation.is_some())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 )]
 
 mod connection;
+mod dial_limit;
 pub mod error;
 mod frame;
 mod handshake;
@@ -19,6 +20,7 @@
 mod traffic;
 
 pub use connection::{Connection, Receiver, Sender, accept, connect, connect_from, listen};
+pub use dial_limit::DialLimit;
 pub use error::WireError;
 pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
