The recorded holder of orders gives them again without waiting a lease

Cause: after each change of leader no orders were given for 3.25 s, also when the same member led again or when nobody had given an order yet. Ruled out: a shorter lease (leaseMs binds between two holders). Change: the log holds the member that gives orders (Command::HoldOrders); a leader records itself before its first order. One that is recorded already waits 1 s (reports and registrations), one that follows another a lease as before, and one elected within 10 s of its own start hands the leadership to the holder if that is live. The decision is pure (coordinator::order_turn).

--- a/crates/controller/src/replica/actor.rs
+++ b/crates/controller/src/replica/actor.rs
@@ -53,8 +53,11 @@
         /// The message.
         message: ConsensusMessage,
     },
-    /// Hand the leadership over, for a planned stop.
-    Transfer,
+    /// Hand the leadership over, if this member leads.
+    Transfer {
+        /// The next leader; the voter that has the most of the log when `None`.
+        to: Option<ControllerId>,
+    },
     /// Writes are durable up to this number.
     Persisted {
         /// The number.
@@ -126,7 +129,7 @@
             Ok(())
         }
         ReplicaMessage::Receive { from, message } => driver.step(Input::Receive { from, message }),
-        ReplicaMessage::Transfer => driver.step(Input::TransferLeadership { to: None }),
+        ReplicaMessage::Transfer { to } => driver.step(Input::TransferLeadership { to }),
         ReplicaMessage::Persisted { number } => driver.step(Input::Persisted { number }),
         ReplicaMessage::SnapshotDurable { metadata, bytes } => {
             driver.snapshot_durable(metadata, bytes)
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -318,6 +318,11 @@
         (contact != super::NO_CONTACT).then(|| self.clock.now().since(Timestamp(contact)))
     }
 
+    /// Begins to hand the leadership over to a voter, if this member leads.
+    pub fn hand_over(&self, to: ControllerId) {
+        let _ = self.actor.cast(ReplicaMessage::Transfer { to: Some(to) });
+    }
+
     /// Hands the leadership over, if this member leads, and stops.
     pub async fn stop(&self) {
         let members = self.members().await;
@@ -326,7 +331,7 @@
             live && members.membership.voters.contains(&one.member)
         };
         if self.leads() && members.progress.iter().any(can_follow) {
-            let _ = self.actor.cast(ReplicaMessage::Transfer);
+            let _ = self.actor.cast(ReplicaMessage::Transfer { to: None });
             let mut status = self.status.clone();
             let followed = status.wait_for(|status| !status.leads());
             let _ = tokio::time::timeout(TRANSFER_TIMEOUT, followed).await;
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -1,14 +1,16 @@
 //! The leader's loop: configuration, placement, feeds and membership.
 
+use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::ControllerRecord;
 use crate::steward::{GroupView, decide};
 use crate::{Shared, join, orders, placement_settings};
 use courseshunt_consensus::MembershipChange;
+use courseshunt_controller::replica::ReplicaHandle;
 use courseshunt_records::emit;
 use courseshunt_services::feed::usage_interval;
 use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, RunnerId, Timestamp};
+use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
@@ -29,6 +31,8 @@
 const SEEDING: Millis = Millis(1_000);
 /// Time between records of the instances.
 const RECORD_INTERVAL: Millis = Millis(700);
+/// A voter heard within this time can take the leadership over.
+const JUST_HEARD: Millis = Millis(200);
 /// Added to the lease between the orders of two leaders: an earlier leader may
 /// give orders for `orders::CONTACT_LIMIT` after it was last in contact with a
 /// quorum, and members that restarted may have elected this one right then.
@@ -47,6 +51,16 @@
     looked_at: Timestamp,
     planned_at: Timestamp,
     changing: Arc<AtomicBool>,
+    turn: Arc<Turn>,
+}
+
+/// This leadership's way to its first order.
+#[derive(Debug, Default)]
+struct Turn {
+    /// Everything committed before is applied here.
+    caught_up: AtomicBool,
+    /// This member is being recorded as the holder.
+    recording: AtomicBool,
 }
 
 /// Runs until the process stops.
@@ -94,6 +108,8 @@
     let term = shared.replica.status().borrow().term;
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
+    let turn = Arc::new(Turn::default());
+    tokio::spawn(catch_up(shared.replica.clone(), turn.clone()));
     Leadership {
         since: now,
         configuration: 0,
@@ -106,6 +122,17 @@
         looked_at: now,
         planned_at: now,
         changing: Arc::default(),
+        turn,
+    }
+}
+
+/// Notes when everything committed before this leadership is applied here.
+async fn catch_up(replica: ReplicaHandle, turn: Arc<Turn>) {
+    while replica.leads() {
+        if replica.read_barrier().await.is_ok() {
+            turn.caught_up.store(true, Ordering::Relaxed);
+            return;
+        }
     }
 }
 
@@ -132,7 +159,9 @@
     if !in_contact {
         return;
     }
-    place(shared, leadership, now);
+    if take_turn(shared, leadership, now).await {
+        place(shared, leadership, now);
+    }
     feed(shared, leadership, now);
     record(shared, leadership, now);
     if now.since(leadership.membership_at) >= MEMBERSHIP_INTERVAL {
@@ -173,15 +202,66 @@
     }
 }
 
-fn place(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
-    let lease = Millis(shared.settings.limits.order_lease_ms + LEASE_MARGIN.0);
-    let mut engine = shared.engine();
-    engine.mark_ready(leadership.looked_at, now);
-    leadership.looked_at = now;
-    engine.expire(now);
-    if now.since(leadership.since) < lease {
+/// Whether orders may be given; does what has to be done before.
+async fn take_turn(shared: &Arc<Shared>, leadership: &Leadership, now: Timestamp) -> bool {
+    let holder = shared.replica.state().services.orders_holder;
+    let own = shared.id;
+    let live = match holder {
+        Some(holder) if holder != own => live_voters(shared).await,
+        _ => BTreeSet::new(),
+    };
+    let decided = order_turn::decide(&TurnView {
+        own,
+        holder,
+        caught_up: leadership.turn.caught_up.load(Ordering::Relaxed),
+        led_for: now.since(leadership.since),
+        up_for: now.since(Timestamp::default()),
+        lease: Millis(shared.settings.limits.order_lease_ms + LEASE_MARGIN.0),
+        live: &live,
+    });
+    match decided {
+        OrderTurn::Give => return true,
+        OrderTurn::Wait => {}
+        OrderTurn::Record => record_holder(shared, leadership),
+        OrderTurn::HandOver(holder) => {
+            emit(&ControllerRecord::HandsOver { to: holder.0 });
+            shared.replica.hand_over(holder);
+        }
+    }
+    false
+}
+
+/// Voters that were heard just now.
+async fn live_voters(shared: &Shared) -> BTreeSet<ControllerId> {
+    let members = shared.replica.members().await;
+    let heard = members.progress.iter().filter(|one| {
+        let silent = one.silent_for;
+        silent.is_some_and(|silent| silent < JUST_HEARD)
+    });
+    let voters = heard.filter(|one| members.membership.voters.contains(&one.member));
+    voters.map(|one| one.member).collect()
+}
+
+/// Records this member as the one that gives orders.
+fn record_holder(shared: &Arc<Shared>, leadership: &Leadership) {
+    let turn = leadership.turn.clone();
+    if turn.recording.swap(true, Ordering::Relaxed) {
         return;
     }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let command = Command::HoldOrders { member: shared.id };
+        let recorded = shared.replica.submit_as_leader(command).await;
+        emit(&ControllerRecord::HoldsOrders {
+            problem: recorded.err().map(|error| error.to_string()).as_deref(),
+        });
+        turn.recording.store(false, Ordering::Relaxed);
+        shared.wake.notify_one();
+    });
+}
+
+fn place(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
+    let mut engine = shared.engine();
     if now.since(leadership.planned_at) < LEAST_BETWEEN_PLANS {
         return;
     }
@@ -196,6 +276,9 @@
 fn feed(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
     let settles = !leadership.settled && now.since(leadership.since) >= SETTLE;
     let mut engine = shared.engine();
+    engine.mark_ready(leadership.looked_at, now);
+    leadership.looked_at = now;
+    engine.expire(now);
     let (mut changed, gone) = engine.take_changes(now);
     if settles {
         changed = engine.views(now);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 mod join;
 mod lead;
 mod metrics;
+pub mod order_turn;
 mod orders;
 mod records;
 pub mod steward;
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -23,6 +23,10 @@
     Leads { term: u64 },
     /// It leads no more.
     LeadsNoMore { leader: Option<&'a str> },
+    /// It hands the leadership over to the member that gave orders last.
+    HandsOver { to: u64 },
+    /// It was to be recorded as the member that gives orders.
+    HoldsOrders { problem: Option<&'a str> },
     /// The membership of the group was to be changed.
     Membership {
         change: &'a str,
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -213,6 +213,11 @@
         /// No longer there.
         gone: Vec<RunnerId>,
     },
+    /// Records that a member is about to give orders to instances.
+    HoldOrders {
+        /// The member.
+        member: ControllerId,
+    },
     /// Records where a member of the control group is found.
     RecordMember {
         /// The member.
--- a/crates/state/src/services.rs
+++ b/crates/state/src/services.rs
@@ -4,7 +4,7 @@
 //! never changes once it is held.
 
 use courseshunt_services::InstanceView;
-use courseshunt_types::RunnerId;
+use courseshunt_types::{ControllerId, RunnerId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Leaving instances remembered at the most; the oldest are forgotten first.
@@ -32,6 +32,9 @@
     pub leaving_version: u64,
     /// Instances as the leader saw them last; a hint for its successor.
     pub instances: BTreeMap<RunnerId, InstanceView>,
+    /// The only member that may have given orders to instances since this was
+    /// recorded; `None` before the first order of all.
+    pub orders_holder: Option<ControllerId>,
 }
 
 impl Services {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -148,6 +148,7 @@
             Command::RecordInstances { changed, gone } => {
                 self.services.record_instances(changed, gone);
             }
+            Command::HoldOrders { member } => self.services.orders_holder = Some(*member),
             Command::RecordMember {
                 member,
                 wire_address,
--- a/crates/state/tests/services.rs
+++ b/crates/state/tests/services.rs
@@ -2,7 +2,9 @@
 
 use courseshunt_services::{InstanceState, InstanceView};
 use courseshunt_state::{Command, CommandEnvelope, ReplicatedState};
-use courseshunt_types::{ClientId, ClientSequence, LogIndex, RunnerId, Term, UnixMillis, Zone};
+use courseshunt_types::{
+    ClientId, ClientSequence, ControllerId, LogIndex, RunnerId, Term, UnixMillis, Zone,
+};
 
 fn apply(state: &mut ReplicatedState, command: Command) {
     let envelope = CommandEnvelope {
@@ -101,3 +103,15 @@
     assert_eq!(ids, ["b"]);
     assert_eq!(restored.applied, LogIndex(3));
 }
+
+#[test]
+fn the_holder_of_orders_survives_a_snapshot() {
+    let mut state = ReplicatedState::default();
+    assert_eq!(state.services.orders_holder, None);
+    for number in [7, 9] {
+        let member = ControllerId(number);
+        apply(&mut state, Command::HoldOrders { member });
+    }
+    let restored = ReplicatedState::from_snapshot(&state.to_snapshot()).expect("a snapshot");
+    assert_eq!(restored.services.orders_holder, Some(ControllerId(9)));
+}
