--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -30,6 +30,8 @@
 const SEEDING: Millis = Millis(1_000);
 /// Time between records of the instances.
 const RECORD_INTERVAL: Millis = Millis(700);
+/// Pause before a new leader asks again what was committed before.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
 /// A voter heard within this time can take the leadership over.
 const JUST_HEARD: Millis = Millis(200);
 /// Added to the lease between the orders of two leaders: an earlier leader may
@@ -108,7 +110,8 @@
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
     let turn = Arc::new(Turn::default());
-    tokio::spawn(catch_up(shared.clone(), turn.clone()));
+    let catching_up = catch_up(shared.clone(), turn.clone());
+    tokio::spawn(shared.stop.clone().run_until_cancelled_owned(catching_up));
     Leadership {
         since: now,
         configuration: 0,
@@ -133,6 +136,7 @@
             shared.wake.notify_one();
             return;
         }
+        tokio::time::sleep(CATCH_UP_PAUSE).await;
     }
 }
 
