An order without an answer is given again soon, under the same number

Ruled out: the order of urgency (the model was first in line), the ceiling. Change: a call is given up after 250 ms, the instance is asked 150 ms later; when it reports the number that the order carried, the order was not taken by then, belief stands, and the next order carries the same number, which the instance refuses if the late one came first. Tests: placement.rs, a_lost_order_is_given_again_soon (failed before, and with the shorter pauses alone); lost_and_late_orders_never_overfill_an_instance holds.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest wait for an instance's answer.
-const CALL_LIMIT: Duration = Duration::from_millis(800);
+const CALL_LIMIT: Duration = Duration::from_millis(250);
 /// Longest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
 /// Orders are given only by a leader that was in contact with a quorum so
--- a/crates/services/src/placement/instance.rs
+++ b/crates/services/src/placement/instance.rs
@@ -15,7 +15,7 @@
 /// Pause after a conflict before the instance is asked how it stands.
 const ASK_AFTER_CONFLICT: Millis = Millis(300);
 /// Pause after an order without an answer.
-const ASK_AFTER_UNKNOWN: Millis = Millis(600);
+const ASK_AFTER_UNKNOWN: Millis = Millis(150);
 /// Pause between questions while an order takes longer than expected.
 const ASK_AGAIN: Millis = Millis(400);
 /// Pause after an order that could not be sent.
@@ -83,6 +83,8 @@
     held: BTreeMap<ModelName, Held>,
     sequence: Option<u64>,
     ask_after: Timestamp,
+    /// Number that the last order carried, if that had no answer.
+    unanswered: Option<u64>,
     asking: bool,
     sent: Option<OrderAction>,
     work: Option<Work>,
@@ -111,6 +113,7 @@
             held: BTreeMap::new(),
             sequence: None,
             ask_after: now,
+            unanswered: None,
             asking: false,
             sent: None,
             work: None,
@@ -281,10 +284,18 @@
                 }
             }
         }
+        if !report.busy && !fresh && self.unanswered == Some(report.sequence) {
+            // It was not taken when the report was made: what is believed still
+            // holds, and an order under this number is refused if it has been
+            // taken since.
+            self.sequence = self.unanswered.take();
+            return;
+        }
         if report.busy || !fresh {
             self.ask_after = now + ASK_AGAIN;
         }
         if !report.busy && fresh {
+            self.unanswered = None;
             self.sequence = Some(report.sequence);
             if self.sent.is_none() {
                 self.believe(&report.models, &report.pending, now);
@@ -322,6 +333,7 @@
             }
             OrderOutcome::Unknown => {
                 self.sequence = None;
+                self.unanswered = Some(order.expected);
                 self.changed_at = Some(now);
                 self.ask_after = now + ASK_AFTER_UNKNOWN;
                 false
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -132,6 +132,8 @@
     random: Pcg32,
     late: Vec<(u64, Order)>,
     loads: Vec<u64>,
+    /// When orders were given, taken or lost.
+    given: Vec<u64>,
     lost_share: u32,
     now: u64,
 }
@@ -146,6 +148,7 @@
             random: Pcg32::seed_from_u64(seed),
             late: Vec::new(),
             loads: Vec::new(),
+            given: Vec::new(),
             lost_share,
             now: 0,
         };
@@ -228,6 +231,7 @@
                     .on_report(&instance, Some(report), Timestamp(now));
             }
             PlacementStep::Give(order) => {
+                self.given.push(now);
                 if self.draw(100) < self.lost_share {
                     let delay = u64::from(2_000 + self.draw(10_000));
                     self.late.push((now + delay, order.clone()));
@@ -351,6 +355,23 @@
     }
 }
 
+/// Longest time from the loss of an order to the next one, in milliseconds: the
+/// instance is asked in between.
+const ORDER_AGAIN: u64 = 300;
+
+#[test]
+fn a_lost_order_is_given_again_soon() {
+    let mut world = World::new(5, 1, 100);
+    while world.given.is_empty() {
+        world.step(&[demand("m7", 1, 1, 500)]);
+    }
+    world.lost_share = 0;
+    while world.given.len() < 2 {
+        world.step(&[demand("m7", 1, 1, 500)]);
+        assert!(world.now - world.given[0] <= ORDER_AGAIN, "not given again");
+    }
+}
+
 #[test]
 fn an_instance_that_left_does_not_come_back() {
     let mut world = World::new(5, 2, 0);
