--- a/crates/coordinator/src/identity.rs
+++ b/crates/coordinator/src/identity.rs
@@ -7,9 +7,9 @@
 
 use crate::error::{CoordinatorError, IdentitySnafu};
 use courseshunt_settings::service::ServiceSettings;
+use courseshunt_storage::small_file;
 use courseshunt_types::ControllerId;
 use snafu::ResultExt;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use xxhash_rust::xxh3::xxh3_64;
@@ -107,16 +107,8 @@
 /// Replaces a small file durably.
 fn write_lines(folder: &Path, name: &str, lines: &[String]) -> Result<(), CoordinatorError> {
     let path = folder.join(name);
-    let temporary = folder.join(format!("{name}.tmp"));
-    let write = || -> std::io::Result<()> {
-        std::fs::create_dir_all(folder)?;
-        let mut file = std::fs::File::create(&temporary)?;
-        file.write_all(lines.join("\n").as_bytes())?;
-        file.sync_all()?;
-        std::fs::rename(&temporary, &path)?;
-        std::fs::File::open(folder)?.sync_all()
-    };
-    write().context(IdentitySnafu {
+    let content = lines.join("\n");
+    small_file::replace(folder, name, content.as_bytes()).context(IdentitySnafu {
         step: "write",
         path: &path,
     })
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -4,15 +4,13 @@
 //! and entries. A disk that lost them starts only under a new identity.
 
 use crate::error::{FileSnafu, StorageError};
+use crate::small_file;
 use courseshunt_types::ControllerId;
 use snafu::ResultExt;
-use std::fs::File;
-use std::io::Write;
 use std::path::Path;
 
 /// Name of the file in the data folder.
 const FILE: &str = "identity";
-const TEMPORARY: &str = "identity.tmp";
 
 /// Checks that the folder belongs to `member`. An empty folder is taken into
 /// possession when `may_begin`: by a member that founds a group, or one that
@@ -35,7 +33,8 @@
             expected: member.0,
         }),
         Err(error) if error.kind() == std::io::ErrorKind::NotFound && may_begin => {
-            write(folder, member).context(FileSnafu {
+            let content = format!("{member}\n");
+            small_file::replace(folder, FILE, content.as_bytes()).context(FileSnafu {
                 step: "write identity",
                 path,
             })
@@ -52,13 +51,3 @@
         }),
     }
 }
-
-fn write(folder: &Path, member: ControllerId) -> std::io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    let temporary = folder.join(TEMPORARY);
-    let mut file = File::create(&temporary)?;
-    file.write_all(format!("{member}\n").as_bytes())?;
-    file.sync_all()?;
-    std::fs::rename(&temporary, folder.join(FILE))?;
-    File::open(folder)?.sync_all()
-}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,6 +13,7 @@
 mod record;
 mod replay;
 mod segment_log;
+pub mod small_file;
 mod sync_times;
 mod terms;
 
