--- a/spec/check.sh
+++ b/spec/check.sh
@@ -43,3 +43,7 @@
 expect holds membership -DTERMS=3 -DLENGTH=2
 expect fails membership -DNO_JOINT
 expect fails membership -DCOUNT_OLD
+expect holds orders
+expect fails orders -DNO_MARGIN
+expect fails orders -DNO_RECORD
+expect fails orders -DNOT_CAUGHT_UP
