Every controller takes registrations and relays them to the leader

The leader held 4,956 connections where 4,096 descriptors are allowed, instances got no answer within a second and went from controller to controller (1,089 new connections a second), and changes of the configuration were acknowledged after 11.9 s. Ruled out: processor time of the leader as the only cause (62% of its share). Change: services::relay (pure: outbox, whole or repeated registrations) and coordinator::relay (one connection to the leader, one batch at a time, an answer for each). An instance is answered "taken" only while the leader answers; otherwise it is redirected as before.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -7,7 +7,7 @@
 use courseshunt_controller::ProposeError;
 use courseshunt_http::{Body, full_body, read_limited, text_response};
 use courseshunt_records::emit;
-use courseshunt_services::{InstanceState, judge};
+use courseshunt_services::{InstanceState, Registration, judge};
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
 use hyper::body::Incoming;
@@ -140,25 +140,13 @@
         Err(problem) => return text_response(StatusCode::BAD_REQUEST, &problem),
     };
     shared.metrics.registration();
-    let leads = shared.replica.leads();
     let leaving = registration.state == InstanceState::Leaving;
-    if leads {
-        let now = shared.clock.now();
-        let mut engine = shared.engine();
-        if leaving {
-            engine.leave(&id);
-        }
-        let news = engine.register(registration, now);
-        drop(engine);
-        if news || leaving {
-            shared.wake.notify_one();
-        }
-    }
+    let taken = take_registration(registration, shared);
     if leaving {
         return record_leaving(&id, false, shared).await;
     }
     let leader = control_address_of_leader(shared);
-    match (leads, leader) {
+    match (taken, leader) {
         (true, _) => {
             let own = shared.settings.listen.control.map(|own| own.to_string());
             json(shared.interface.registration_answer(own.as_deref()))
@@ -168,6 +156,25 @@
     }
 }
 
+/// Takes a registration here, or for the leader; returns whether it counts.
+fn take_registration(registration: Registration, shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    if !shared.replica.leads() {
+        return shared.relay.offer(registration, now);
+    }
+    let leaving = registration.state == InstanceState::Leaving;
+    let mut engine = shared.engine();
+    if leaving {
+        engine.leave(&registration.id);
+    }
+    let news = engine.register(registration, now);
+    drop(engine);
+    if news || leaving {
+        shared.wake.notify_one();
+    }
+    true
+}
+
 /// Commits that an instance takes no more work, so that no later leader lacks it.
 async fn record_leaving(id: &RunnerId, ended: bool, shared: &Arc<Shared>) -> Response<Body> {
     let known = shared.replica.state().services.is_recorded(id, ended);
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -1,7 +1,7 @@
 //! Connections of routers and of other members.
 
 use crate::records::ControllerRecord;
-use crate::{Shared, join};
+use crate::{Shared, join, relay};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, ReportMessage};
@@ -162,6 +162,10 @@
                 let answer = take_in(member, &wire_address, shared).await;
                 let _ = replies.send(answer).await;
             }
+            Some(Message::Registrations(batch)) => {
+                let answer = relay::take(batch, peer, shared);
+                let _ = replies.send(answer).await;
+            }
             Some(other) => log::warn!("peers: controller {peer} sent {other:?}"),
             None => {}
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod order_turn;
 mod orders;
 mod records;
+mod relay;
 pub mod steward;
 
 pub use error::CoordinatorError;
@@ -63,6 +64,8 @@
     pub(crate) client: HttpClient,
     pub(crate) clock: MonotonicClock,
     pub(crate) sessions: Sessions,
+    /// Registrations taken here on their way to the leader.
+    pub(crate) relay: relay::Relay,
     /// Wakes the leader's loop.
     pub(crate) wake: Notify,
     /// Whether this member leads and its engine knows what was committed, so
@@ -152,6 +155,7 @@
             key,
             clock,
             sessions: Sessions::default(),
+            relay: relay::Relay::default(),
             wake: Notify::new(),
             feeding: watch::Sender::new(false),
             joining: Mutex::default(),
@@ -173,6 +177,7 @@
         spawn(Box::pin(feed::accept_all(wire, shared.clone())));
         spawn(Box::pin(join::keep_joined(shared.clone())));
         spawn(Box::pin(lead::run(shared.clone())));
+        spawn(Box::pin(relay::run(shared.clone())));
         if let Some(metrics) = metrics {
             let handler = api::metrics_handler(shared.clone());
             let limits = ServerLimits::default();
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -38,6 +38,13 @@
     RouterFollows { router: &'a str, configuration: u64 },
     /// A router's feed has ended.
     RouterLost { router: &'a str },
+    /// Registrations taken here reach the leader from now on.
+    RelayBegan { leader: &'a str },
+    /// They reach it no more.
+    RelayEnded {
+        leader: &'a str,
+        problem: Option<&'a str>,
+    },
     /// An operator's configuration was judged and, if valid, proposed.
     Configuration {
         number: Option<u64>,
--- /dev/null
+++ b/crates/coordinator/src/relay.rs
@@ -0,0 +1,205 @@
+//! Passes registrations that this controller took on to the leader.
+//!
+//! Invariant: an instance is told that its registration was taken only while
+//! the leader answers here; what was taken and lost with a leader or a
+//! connection is sent whole to the next one.
+
+use crate::Shared;
+use crate::records::ControllerRecord;
+use courseshunt_records::emit;
+use courseshunt_services::{Registration, RegistrationOutbox, RelayedRegistration};
+use courseshunt_types::{ControllerId, RunnerId, Timestamp};
+use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, WireError, connect_from};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Longest time for a connection to the leader.
+const DIAL_LIMIT: Duration = Duration::from_millis(500);
+/// Longest wait for the leader's answer to a batch.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// Registrations that repeat the one before are gathered for so long.
+const GATHERING: Duration = Duration::from_millis(100);
+/// Pause before the next try to reach a leader.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// See the module.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    state: Mutex<State>,
+    wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    outbox: RegistrationOutbox,
+    linked: bool,
+}
+
+impl Relay {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a registration; returns whether the leader will have it.
+    pub(crate) fn offer(&self, registration: Registration, now: Timestamp) -> bool {
+        let mut state = self.lock();
+        state.outbox.offer(registration, now);
+        if !state.linked {
+            state.outbox.pause();
+            return false;
+        }
+        drop(state);
+        self.wake.notify_one();
+        true
+    }
+
+    fn link(&self, now: Timestamp) {
+        let mut state = self.lock();
+        state.outbox.restart(now);
+        state.linked = true;
+    }
+
+    /// Ends the link; returns whether there was one.
+    fn unlink(&self) -> bool {
+        let mut state = self.lock();
+        state.outbox.pause();
+        std::mem::take(&mut state.linked)
+    }
+
+    /// Waits until there is something to send; news goes at once.
+    async fn gather(&self) {
+        loop {
+            let (is_empty, has_news) = {
+                let state = self.lock();
+                (state.outbox.is_empty(), state.outbox.has_news())
+            };
+            match (is_empty, has_news) {
+                (true, _) => self.wake.notified().await,
+                (false, true) => return,
+                (false, false) => {
+                    let _ = tokio::time::timeout(GATHERING, self.news()).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn news(&self) {
+        while !self.lock().outbox.has_news() {
+            self.wake.notified().await;
+        }
+    }
+}
+
+/// Runs until the process stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut status = shared.replica.status();
+    loop {
+        let leader = status.borrow_and_update().leader;
+        let other = leader.filter(|leader| *leader != shared.id);
+        let address = other.and_then(|leader| shared.addresses.get(leader));
+        let Some(address) = address else {
+            let _ = tokio::time::timeout(PAUSE, status.changed()).await;
+            continue;
+        };
+        let ended = tokio::select! {
+            ended = relay_to(address, &shared) => ended.err(),
+            _ = status.wait_for(|status| status.leader != leader) => None,
+        };
+        if shared.relay.unlink() {
+            emit(&ControllerRecord::RelayEnded {
+                leader: &address.to_string(),
+                problem: ended.as_ref().map(ToString::to_string).as_deref(),
+            });
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Sends batches, one at a time, until something fails or the other doesn't lead.
+async fn relay_to(address: SocketAddr, shared: &Shared) -> Result<(), WireError> {
+    let identity = PeerIdentity::Controller(shared.id);
+    let source = Some(shared.settings.address);
+    let connecting = connect_from(source, address, &shared.key, &identity);
+    let connected = tokio::time::timeout(DIAL_LIMIT, connecting).await;
+    let Connection {
+        mut sender,
+        mut receiver,
+        ..
+    } = connected.unwrap_or(Err(timed_out("connect", address)))?;
+    shared.relay.link(shared.clock.now());
+    emit(&ControllerRecord::RelayBegan {
+        leader: &address.to_string(),
+    });
+    loop {
+        shared.relay.gather().await;
+        let batch = shared.relay.lock().outbox.take(shared.clock.now());
+        let exchange = async {
+            sender.send(&Message::Registrations(batch)).await?;
+            receive_answer(&mut receiver).await
+        };
+        let answer = tokio::time::timeout(ANSWER_LIMIT, exchange).await;
+        let answer = answer.unwrap_or(Err(timed_out("registrations", address)))?;
+        let Some(lacked) = answer else {
+            return Ok(());
+        };
+        let mut state = shared.relay.lock();
+        for id in &lacked {
+            state.outbox.resend(id);
+        }
+    }
+}
+
+/// Instances whose earlier registration the leader lacks; `None` when the other
+/// doesn't lead, or hangs up.
+async fn receive_answer(receiver: &mut Receiver) -> Result<Option<Vec<RunnerId>>, WireError> {
+    while let Some(message) = receiver.receive().await? {
+        match message {
+            Message::PeerAlive => {}
+            Message::RegistrationsTaken {
+                leads: true,
+                lacked,
+            } => return Ok(Some(lacked)),
+            _ => return Ok(None),
+        }
+    }
+    Ok(None)
+}
+
+fn timed_out(step: &'static str, address: SocketAddr) -> WireError {
+    WireError::TimedOut {
+        step,
+        peer: address.to_string(),
+    }
+}
+
+/// Takes another controller's batch over, if this one leads.
+pub(crate) fn take(
+    batch: Vec<RelayedRegistration>,
+    from: ControllerId,
+    shared: &Shared,
+) -> Message {
+    let leads = shared.replica.leads();
+    let mut lacked = Vec::new();
+    if leads {
+        let now = shared.clock.now();
+        let mut engine = shared.engine();
+        let mut news = false;
+        for one in batch {
+            match engine.register_relayed(one, now) {
+                Ok(is_news) => news |= is_news,
+                Err(id) => lacked.push(id),
+            }
+        }
+        drop(engine);
+        if news {
+            shared.wake.notify_one();
+        }
+    }
+    if !lacked.is_empty() {
+        log::debug!("relay: {} registrations of {from} are lacked", lacked.len());
+    }
+    Message::RegistrationsTaken { leads, lacked }
+}
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod instance;
 pub mod judge;
 pub mod placement;
+pub mod relay;
 pub mod routes;
 pub mod selection;
 
@@ -34,5 +35,6 @@
     InstanceReport, Order, OrderAction, OrderEvidence, OrderOutcome, PlacementEngine,
     PlacementSettings, PlacementStep,
 };
+pub use relay::{RegistrationOutbox, RelayedRegistration};
 pub use routes::RouteTable;
 pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -18,6 +18,7 @@
 use crate::ceiling::LoadCeiling;
 use crate::configuration::ServiceConfiguration;
 use crate::instance::{InstanceState, InstanceView, Registration};
+use crate::relay::RelayedRegistration;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
 use demand::DemandTable;
 use instance::Instance;
@@ -234,6 +235,44 @@
         news
     }
 
+    /// Takes a registration that another controller took; returns whether it was
+    /// news.
+    ///
+    /// # Errors
+    /// The instance, when it repeats a registration that is not the last one
+    /// known here.
+    pub fn register_relayed(
+        &mut self,
+        relayed: RelayedRegistration,
+        now: Timestamp,
+    ) -> Result<bool, RunnerId> {
+        let registration = match relayed {
+            RelayedRegistration::Whole(registration) => registration,
+            RelayedRegistration::Again {
+                id,
+                sequence,
+                repeats,
+            } => match self.repeated(&id, repeats) {
+                Some(known) => Registration {
+                    sequence,
+                    ..known.clone()
+                },
+                None if self.departed.contains_key(&id) => return Ok(false),
+                None => return Err(id),
+            },
+        };
+        if registration.state == InstanceState::Leaving {
+            self.leave(&registration.id);
+        }
+        Ok(self.register(registration, now))
+    }
+
+    /// The last registration of an instance, if it has this number.
+    fn repeated(&self, id: &RunnerId, sequence: u64) -> Option<&Registration> {
+        let known = self.instances.get(id).map(Instance::registration);
+        known.filter(|known| known.sequence == sequence)
+    }
+
     /// Takes over what an earlier leader recorded of an instance; one that is
     /// known already stays as it is.
     pub fn seed(&mut self, view: &InstanceView, now: Timestamp) {
--- /dev/null
+++ b/crates/services/src/relay.rs
@@ -0,0 +1,130 @@
+//! Registrations on their way from the controller that took them to the leader.
+//!
+//! Invariant: a registration that repeats the one before is relayed as its
+//! number alone, and only the holder of the one before it takes it; so what the
+//! leader believes of an instance is always one of the instance's own
+//! registrations, whole.
+//!
+//! Cost: one entry for each instance that registers here.
+
+use crate::instance::Registration;
+use courseshunt_types::{Millis, RunnerId, Timestamp};
+use std::collections::BTreeMap;
+
+/// An instance that was not heard here for so long registers elsewhere, or is
+/// gone.
+const KEPT: Millis = Millis(6_000);
+
+/// A registration as one controller passes it to another.
+#[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum RelayedRegistration {
+    /// All of it.
+    Whole(Registration),
+    /// The same as the one before, under a new number.
+    Again {
+        /// The instance.
+        id: RunnerId,
+        /// Its number.
+        sequence: u64,
+        /// Number of the registration that it repeats.
+        repeats: u64,
+    },
+}
+
+/// What a controller that does not lead keeps of the instances that register
+/// there, and what of it the leader has yet to be sent.
+#[derive(Debug, Default)]
+pub struct RegistrationOutbox {
+    heard: BTreeMap<RunnerId, Heard>,
+    queue: Vec<RelayedRegistration>,
+    pruned_at: Timestamp,
+}
+
+#[derive(Debug)]
+struct Heard {
+    registration: Registration,
+    at: Timestamp,
+}
+
+impl RegistrationOutbox {
+    /// Takes a registration; a late one changes nothing.
+    pub fn offer(&mut self, registration: Registration, now: Timestamp) {
+        let id = registration.id.clone();
+        let before = self.heard.get(&id).map(|heard| &heard.registration);
+        let relayed = match before {
+            Some(before) if registration.sequence <= before.sequence => return,
+            Some(before) if repeats(before, &registration) => RelayedRegistration::Again {
+                id: id.clone(),
+                sequence: registration.sequence,
+                repeats: before.sequence,
+            },
+            _ => RelayedRegistration::Whole(registration.clone()),
+        };
+        self.queue.push(relayed);
+        let heard = Heard {
+            registration,
+            at: now,
+        };
+        self.heard.insert(id, heard);
+    }
+
+    /// What is to be sent next, in order.
+    pub fn take(&mut self, now: Timestamp) -> Vec<RelayedRegistration> {
+        if now.since(self.pruned_at) >= KEPT {
+            self.prune(now);
+        }
+        std::mem::take(&mut self.queue)
+    }
+
+    /// Whether something is to be sent that the leader does not know yet.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        let mut queue = self.queue.iter();
+        queue.any(|one| matches!(one, RelayedRegistration::Whole(_)))
+    }
+
+    /// Whether nothing is to be sent.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// The leader lacks what an instance repeated: it is sent whole.
+    pub fn resend(&mut self, id: &RunnerId) {
+        if let Some(heard) = self.heard.get(id) {
+            let whole = RelayedRegistration::Whole(heard.registration.clone());
+            self.queue.push(whole);
+        }
+    }
+
+    /// Begins anew for a leader that was sent nothing yet.
+    pub fn restart(&mut self, now: Timestamp) {
+        self.prune(now);
+        let all = self.heard.values();
+        let all = all.map(|heard| RelayedRegistration::Whole(heard.registration.clone()));
+        self.queue = all.collect();
+    }
+
+    /// Sends nothing for now; what is heard meanwhile is sent after a restart.
+    pub fn pause(&mut self) {
+        self.queue.clear();
+    }
+
+    fn prune(&mut self, now: Timestamp) {
+        self.pruned_at = now;
+        self.heard.retain(|_, heard| now.since(heard.at) < KEPT);
+    }
+}
+
+/// Whether two registrations differ by their number alone.
+fn repeats(before: &Registration, after: &Registration) -> bool {
+    before.state == after.state
+        && before.models == after.models
+        && before.copies_in_memory == after.copies_in_memory
+        && before.copies_on_disk == after.copies_on_disk
+        && before.remaining == after.remaining
+        && before.slots == after.slots
+        && before.address == after.address
+        && before.service == after.service
+        && before.zone == after.zone
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,7 +4,7 @@
 use courseshunt_queue::{
     AttemptOutcome, DemandReport, Grant, GrantId, QueueKey, RunningGrant, Ticket, TicketRefusal,
 };
-use courseshunt_services::{FeedMessage, ReportMessage};
+use courseshunt_services::{FeedMessage, RelayedRegistration, ReportMessage};
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
@@ -224,6 +224,15 @@
     ServiceFeed(FeedMessage),
     /// Router to controller: what it uses and is asked for.
     ServiceReport(ReportMessage),
+    /// Controller to leading controller: instances that registered there.
+    Registrations(Vec<RelayedRegistration>),
+    /// Answers [`Message::Registrations`].
+    RegistrationsTaken {
+        /// Whether the sender leads; otherwise nothing was taken.
+        leads: bool,
+        /// Instances whose earlier registration the sender lacks.
+        lacked: Vec<RunnerId>,
+    },
     /// Controller to controller: a process with a new disk wants to join.
     Join {
         /// The member.
