Routers are sent what they lack alone; feeds, plans and accepts are paced

Each router that began to follow had all views built, encoded and sent anew (3.2 ms to build them, 292 times for each election, on 0.15 of a core), four seconds later all of it went out again, a round of planning (5.2 ms) ran without a pause, and after a restart hundreds of accepted connections stood in the thread's queue before the heartbeats: the work of one turn exceeded the election timeout, the next leader began with the same crowd. Ruled out: the relay (it ended because leaders changed, not before), disk. Change: digests of 64 parts of the instances in a router's subscription, parts encoded once between changes; after the settling time the live identities are sent, not the views; messages on instances and rounds of planning are paced by routers and by the round's own length; adapters asked for are noted once a round; accepts eight at a time; relayed batches of 64.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -1,11 +1,13 @@
 //! Connections of routers and of other members.
 
 use crate::records::ControllerRecord;
+use crate::snapshot::Snapshot;
 use crate::{Shared, join, relay};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
+use courseshunt_http::AcceptPace;
 use courseshunt_records::emit;
-use courseshunt_services::{FeedMessage, ReportMessage};
-use courseshunt_types::ControllerId;
+use courseshunt_services::{FeedMessage, InstanceDigests, InstanceView, ReportMessage};
+use courseshunt_types::{ControllerId, RunnerId};
 use courseshunt_wire::{
     Connection, Frame, Message, PeerIdentity, Receiver, Sender, WireError, accept,
 };
@@ -37,6 +39,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Sessions {
     sessions: Mutex<BTreeMap<String, Session>>,
+    /// The instances as they were last sent to all.
+    snapshot: Mutex<Option<Snapshot>>,
 }
 
 impl Sessions {
@@ -49,6 +53,30 @@
         self.lock().len()
     }
 
+    /// What a router lacks that knows instances with these digests; `views`
+    /// gives the instances if they have changed since the last router.
+    fn lacking(
+        &self,
+        known: &InstanceDigests,
+        views: impl FnOnce() -> Vec<InstanceView>,
+    ) -> Vec<Arc<Frame>> {
+        let snapshot = self.snapshot.lock();
+        let mut snapshot = snapshot.unwrap_or_else(PoisonError::into_inner);
+        let snapshot = snapshot.get_or_insert_with(|| Snapshot::of(views()));
+        snapshot.lacking(known)
+    }
+
+    /// Sends changed instances to all routers.
+    pub(crate) fn send_instances(&self, changed: Vec<InstanceView>, gone: Vec<RunnerId>) {
+        self.forget_snapshot();
+        self.broadcast(FeedMessage::Instances { changed, gone });
+    }
+
+    fn forget_snapshot(&self) {
+        let snapshot = self.snapshot.lock();
+        *snapshot.unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
     /// Sends to all routers.
     pub(crate) fn broadcast(&self, message: FeedMessage) {
         let Some(frame) = encode(message) else {
@@ -80,11 +108,12 @@
 
     /// Ends all sessions.
     pub(crate) fn clear(&self) {
+        self.forget_snapshot();
         self.lock().clear();
     }
 }
 
-fn encode(message: FeedMessage) -> Option<Arc<Frame>> {
+pub(crate) fn encode(message: FeedMessage) -> Option<Arc<Frame>> {
     match Frame::of(&Message::ServiceFeed(message)) {
         Ok(frame) => Some(Arc::new(frame)),
         Err(problem) => {
@@ -96,10 +125,12 @@
 
 /// Accepts other processes until the stop.
 pub(crate) async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
+    let mut pace = AcceptPace::default();
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
                 tokio::spawn(serve_peer(stream, address, shared.clone()));
+                pace.accepted().await;
             }
             Err(error) => {
                 log::warn!("feed: accept failed: {error}");
@@ -221,7 +252,7 @@
         mut receiver,
         ..
     } = connection;
-    let Some(Message::ServiceReport(ReportMessage::Subscribe { number })) =
+    let Some(Message::ServiceReport(ReportMessage::Subscribe { number, known })) =
         receiver.receive().await?
     else {
         return Ok(());
@@ -234,7 +265,12 @@
         return send(&mut sender, FeedMessage::NotLeader { leader }).await;
     }
     let (queue, messages) = mpsc::channel(SESSION_QUEUE);
-    open_session(&router, incarnation, number, queue, shared);
+    let session = Session {
+        number: incarnation,
+        queue,
+        configuration: number,
+    };
+    open_session(&router, session, &known, shared);
     let ended = tokio::select! {
         () = shared.stop.cancelled() => Ok(()),
         ended = send_all(sender, messages) => ended,
@@ -252,35 +288,25 @@
     ended
 }
 
-fn open_session(
-    router: &str,
-    incarnation: u64,
-    number: u64,
-    queue: mpsc::Sender<Arc<Frame>>,
-    shared: &Shared,
-) {
+/// Sends a router what it lacks, and from then on what changes.
+fn open_session(router: &str, session: Session, known: &InstanceDigests, shared: &Shared) {
     let now = shared.clock.now();
-    let changed = shared.engine().views(now);
-    // The router may know instances from an earlier leader that this one
-    // doesn't: those that leave must be told.
-    let state = shared.replica.state();
-    let leaving = state.services.leaving.iter().map(|one| &one.instance);
-    let unknown = leaving.filter(|id| changed.iter().all(|view| view.id != **id));
-    let gone = unknown.cloned().collect();
-    drop(state);
-    let known = encode(FeedMessage::Instances {
-        whole: false,
-        changed,
-        gone,
-    });
-    if let Some(frame) = known {
-        let _ = queue.try_send(frame);
+    let lacking = shared
+        .sessions
+        .lacking(known, || shared.engine().views(now));
+    for frame in lacking {
+        let _ = session.queue.try_send(frame);
     }
-    let session = Session {
-        number: incarnation,
-        queue,
-        configuration: number,
-    };
+    let gone = unknown_leaving(shared);
+    if !gone.is_empty()
+        && let Some(frame) = encode(FeedMessage::Instances {
+            changed: Vec::new(),
+            gone,
+        })
+    {
+        let _ = session.queue.try_send(frame);
+    }
+    let configuration = session.configuration;
     shared.sessions.lock().insert(router.to_owned(), session);
     let state = shared.replica.state();
     let services = &state.services;
@@ -290,10 +316,19 @@
     drop(state);
     emit(&ControllerRecord::RouterFollows {
         router,
-        configuration: number,
+        configuration,
     });
 }
 
+/// Leaving instances that this leader has not met: the router may know them from
+/// an earlier one.
+fn unknown_leaving(shared: &Shared) -> Vec<RunnerId> {
+    let state = shared.replica.state();
+    let engine = shared.engine();
+    let leaving = state.services.leaving.iter().map(|one| &one.instance);
+    leaving.filter(|id| !engine.knows(id)).cloned().collect()
+}
+
 async fn send(sender: &mut Sender, message: FeedMessage) -> Result<(), WireError> {
     sender.send(&Message::ServiceFeed(message)).await
 }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -6,7 +6,7 @@
 use crate::{Shared, join, orders, placement_settings};
 use courseshunt_consensus::MembershipChange;
 use courseshunt_records::emit;
-use courseshunt_services::feed::usage_interval;
+use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
 use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
@@ -19,6 +19,9 @@
 const TICK: Duration = Duration::from_millis(40);
 /// Least time between rounds of planning, however often the loop is woken.
 const LEAST_BETWEEN_PLANS: Millis = Millis(15);
+/// A round of planning that took some time is followed by a pause of so many
+/// times as much.
+const PLAN_PART: u64 = 4;
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
@@ -49,8 +52,10 @@
     recorded_at: Timestamp,
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     membership_at: Timestamp,
+    fed_at: Timestamp,
     looked_at: Timestamp,
     planned_at: Timestamp,
+    planned_for: Millis,
     changing: Arc<AtomicBool>,
     turn: Arc<Turn>,
 }
@@ -121,8 +126,10 @@
         recorded_at: now,
         unrecorded: Default::default(),
         membership_at: now,
+        fed_at: now,
         looked_at: now,
         planned_at: now,
+        planned_for: Millis(0),
         changing: Arc::default(),
         turn,
     }
@@ -269,12 +276,14 @@
 
 fn place(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let mut engine = shared.engine();
-    if now.since(leadership.planned_at) < LEAST_BETWEEN_PLANS {
+    let between = Millis(leadership.planned_for.0 * PLAN_PART).max(LEAST_BETWEEN_PLANS);
+    if now.since(leadership.planned_at) < between {
         return;
     }
-    leadership.planned_at = now;
     let steps = engine.plan(now);
     drop(engine);
+    leadership.planned_at = shared.clock.now();
+    leadership.planned_for = leadership.planned_at.since(now);
     for step in steps {
         tokio::spawn(orders::carry_out(step, shared.clone()));
     }
@@ -286,10 +295,12 @@
     engine.mark_ready(leadership.looked_at, now);
     leadership.looked_at = now;
     engine.expire(now);
-    let (mut changed, gone) = engine.take_changes(now);
-    if settles {
-        changed = engine.views(now);
-    }
+    let due = now.since(leadership.fed_at) >= instances_interval(shared.sessions.count());
+    let (changed, gone) = match due || settles {
+        true => engine.take_changes(now),
+        false => Default::default(),
+    };
+    let live = settles.then(|| engine.ids());
     drop(engine);
     if !gone.is_empty() {
         let instances: Vec<String> = gone.iter().map(|id| id.0.clone()).collect();
@@ -306,13 +317,13 @@
         unrecorded.remove(id);
         lost.insert(id.clone());
     }
-    if settles || !changed.is_empty() || !gone.is_empty() {
-        leadership.settled |= settles;
-        shared.sessions.broadcast(FeedMessage::Instances {
-            whole: settles,
-            changed,
-            gone,
-        });
+    if !changed.is_empty() || !gone.is_empty() {
+        leadership.fed_at = now;
+        shared.sessions.send_instances(changed, gone);
+    }
+    if let Some(live) = live {
+        leadership.settled = true;
+        shared.sessions.broadcast(FeedMessage::Live(live));
     }
     let routers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
     if now.since(leadership.usage_at) >= usage_interval(routers) {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -19,6 +19,7 @@
 mod orders;
 mod records;
 mod relay;
+mod snapshot;
 pub mod steward;
 
 pub use error::CoordinatorError;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,7 +5,7 @@
 use courseshunt_records::emit;
 use courseshunt_services::feed::usage_interval;
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
-use courseshunt_types::{Incarnation, RouterId};
+use courseshunt_types::{Incarnation, RouterId, RunnerId};
 use courseshunt_wire::{
     ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
     connect_from,
@@ -93,7 +93,8 @@
         ..
     } = connected?;
     let number = shared.view.number();
-    let subscribe = ReportMessage::Subscribe { number };
+    let known = shared.view.digests();
+    let subscribe = ReportMessage::Subscribe { number, known };
     sender.send(&Message::ServiceReport(subscribe)).await?;
     tokio::select! {
         ended = receive_all(receiver, address, shared, directory) => ended,
@@ -161,19 +162,13 @@
 fn take(message: FeedMessage, shared: &Shared) {
     match message {
         FeedMessage::Configuration { number, document } => configure(number, &document, shared),
-        FeedMessage::Instances {
-            whole,
-            changed,
-            gone,
-        } => {
-            let lost = shared.view.set_instances(whole, changed, &gone);
-            shared.pool.forget(&lost);
-            if !lost.is_empty() {
-                let instances: Vec<String> = lost.into_iter().map(|id| id.0).collect();
-                emit(&RouterRecord::InstancesGone {
-                    instances: &instances,
-                });
-            }
+        FeedMessage::Instances { changed, gone } => {
+            let lost = shared.view.set_instances(changed, gone);
+            forget(lost, shared);
+        }
+        FeedMessage::Live(live) => {
+            let lost = shared.view.keep_instances(live);
+            forget(lost, shared);
         }
         FeedMessage::Usage { routers, instances } => {
             shared.view.set_usage(routers, &instances);
@@ -183,6 +178,18 @@
     }
 }
 
+/// Drops what is kept for instances that are gone.
+fn forget(lost: Vec<RunnerId>, shared: &Shared) {
+    if lost.is_empty() {
+        return;
+    }
+    shared.pool.forget(&lost);
+    let instances: Vec<String> = lost.into_iter().map(|id| id.0).collect();
+    emit(&RouterRecord::InstancesGone {
+        instances: &instances,
+    });
+}
+
 fn configure(number: u64, document: &[u8], shared: &Shared) {
     let read = shared.interface.read_configuration(document);
     let judged = read.and_then(|read| judge(&read).map(|()| read));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,12 +2,12 @@
 
 use courseshunt_services::feed::{InstanceUsage, ModelDemand};
 use courseshunt_services::{
-    Candidate, InstanceState, InstanceView, PromptShape, ReportMessage, RetryBudget, RouteTable,
-    Selector, Service,
+    Candidate, InstanceDigests, InstanceState, InstanceView, PromptShape, ReportMessage,
+    RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -49,6 +49,23 @@
     routers: u32,
 }
 
+impl State {
+    /// Drops instances; returns those that were known.
+    fn remove(&mut self, gone: Vec<RunnerId>) -> Vec<RunnerId> {
+        if gone.is_empty() {
+            return gone;
+        }
+        let mut lost = gone;
+        lost.retain(|id| self.instances.remove(id).is_some());
+        for id in &lost {
+            self.expected.remove(id);
+        }
+        let instances = &self.instances;
+        self.selector.retain(|id| instances.contains_key(id));
+        lost
+    }
+}
+
 /// See the module.
 pub(crate) struct View {
     state: Mutex<State>,
@@ -141,19 +158,13 @@
         true
     }
 
-    /// Takes changed instances over; returns those that are gone.
+    /// Takes changed instances over; returns those that are there no more.
     pub(crate) fn set_instances(
         &self,
-        whole: bool,
         changed: Vec<InstanceView>,
-        gone: &[RunnerId],
+        gone: Vec<RunnerId>,
     ) -> Vec<RunnerId> {
         let mut state = self.lock();
-        let before: Vec<RunnerId> = state.instances.keys().cloned().collect();
-        if whole {
-            state.instances.clear();
-            state.expected.clear();
-        }
         let now = Instant::now();
         for view in changed {
             let loading = view.loading.iter();
@@ -161,25 +172,29 @@
             state.expected.insert(view.id.clone(), due.collect());
             state.instances.insert(view.id.clone(), view);
         }
-        for id in gone {
-            state.instances.remove(id);
-            state.expected.remove(id);
-        }
-        let State {
-            instances,
-            selector,
-            ..
-        } = &mut *state;
-        selector.retain(|id| instances.contains_key(id));
-        let lost = before
-            .into_iter()
-            .filter(|id| !instances.contains_key(id))
-            .collect();
+        let lost = state.remove(gone);
+        drop(state);
+        self.changed();
+        lost
+    }
+
+    /// Takes over which instances are there; returns those that are no more.
+    pub(crate) fn keep_instances(&self, live: Vec<RunnerId>) -> Vec<RunnerId> {
+        let live: HashSet<RunnerId> = live.into_iter().collect();
+        let mut state = self.lock();
+        let known = state.instances.keys();
+        let gone = known.filter(|id| !live.contains(*id)).cloned().collect();
+        let lost = state.remove(gone);
         drop(state);
         self.changed();
         lost
     }
 
+    /// Digests of the instances that are known.
+    pub(crate) fn digests(&self) -> InstanceDigests {
+        InstanceDigests::of(self.lock().instances.values())
+    }
+
     pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage]) {
         let mut state = self.lock();
         state.routers = routers.max(1);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1.1 server with limits and a planned stop.
 
+use crate::AcceptPace;
 use crate::body::Body;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -87,9 +88,11 @@
         });
     };
     let accepting = async {
+        let mut pace = AcceptPace::default();
         loop {
             if let Some(accepted) = accept(&listener, &slots).await {
                 serve_on(&connections, accepted);
+                pace.accepted().await;
             }
         }
     };
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -3,6 +3,7 @@
 //! Bounds: a router's report is proportional to the instances that it uses and
 //! the models that it was asked for, not to the fleet.
 
+use crate::digest::InstanceDigests;
 use crate::instance::InstanceView;
 use courseshunt_types::{Millis, RunnerId};
 
@@ -12,6 +13,11 @@
 const ROUTERS_AT_FULL_RATE: u32 = 16;
 const SLOWEST_FACTOR: u32 = 4;
 
+/// Routers for each millisecond between messages on changed instances.
+const ROUTERS_IN_A_MILLISECOND: u64 = 2;
+/// Longest time between such messages.
+const LONGEST_INSTANCES_INTERVAL: Millis = Millis(250);
+
 /// Time between a router's reports, and between the leader's sums: longer with
 /// many routers, so that the leader's work stays bounded.
 #[must_use]
@@ -20,6 +26,14 @@
     Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
 }
 
+/// Time between messages on changed instances: longer with many routers, since
+/// the leader sends each of them one.
+#[must_use]
+pub fn instances_interval(routers: usize) -> Millis {
+    let routers = u64::try_from(routers).unwrap_or(u64::MAX);
+    Millis((routers / ROUTERS_IN_A_MILLISECOND).min(LONGEST_INSTANCES_INTERVAL.0))
+}
+
 /// Requests of one router at one instance.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct InstanceUsage {
@@ -72,13 +86,13 @@
     },
     /// Instances that changed, and those that are gone.
     Instances {
-        /// Whether every live instance is named, so that others are gone.
-        whole: bool,
         /// New or changed.
         changed: Vec<InstanceView>,
         /// No longer there.
         gone: Vec<RunnerId>,
     },
+    /// All instances that are there; others are gone.
+    Live(Vec<RunnerId>),
     /// What all routers use, this one included, and how many there are.
     Usage {
         /// Live routers.
@@ -95,6 +109,8 @@
     Subscribe {
         /// Number of the configuration in force at the router, 0 for none.
         number: u64,
+        /// What the router knows of the instances.
+        known: InstanceDigests,
     },
     /// What the router uses and is asked for.
     Usage {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod ceiling;
 pub mod configuration;
+pub mod digest;
 pub mod feed;
 pub mod instance;
 pub mod judge;
@@ -28,6 +29,7 @@
     ClientLimits, Engine, ModelSpecification, RequestKind, Route, Service, ServiceConfiguration,
     Target,
 };
+pub use digest::InstanceDigests;
 pub use feed::{FeedMessage, InstanceUsage, ModelDemand, ReportMessage};
 pub use instance::{InstanceState, InstanceView, Registration, ResidentModel};
 pub use judge::{ConfigurationError, judge};
--- a/crates/services/src/placement/instance/holdings.rs
+++ b/crates/services/src/placement/instance/holdings.rs
@@ -4,6 +4,7 @@
 use crate::configuration::Engine;
 use crate::placement::OrderAction;
 use courseshunt_types::{Millis, ModelName, Timestamp};
+use std::collections::BTreeMap;
 
 impl Instance {
     pub(super) fn drop_adapter(&mut self, model: &ModelName, adapter: &str) {
@@ -71,17 +72,20 @@
         Some((oldest.1.clone(), oldest.2.clone()))
     }
 
-    /// Notes that requests for an adapter arrive.
-    pub(in crate::placement) fn touch_adapter(
+    /// Notes when requests for adapters arrived.
+    pub(in crate::placement) fn touch_adapters(
         &mut self,
-        model: &ModelName,
-        adapter: &str,
-        now: Timestamp,
+        asked: &BTreeMap<(ModelName, String), Timestamp>,
     ) {
-        if let Some(held) = self.held.get_mut(model)
-            && let Some(one) = held.adapters.get_mut(adapter)
-        {
-            one.used_at = now;
+        if asked.is_empty() {
+            return;
+        }
+        for (model, held) in &mut self.held {
+            for (name, adapter) in &mut held.adapters {
+                if let Some(at) = asked.get(&(model.clone(), name.clone())) {
+                    adapter.used_at = *at;
+                }
+            }
         }
     }
 
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -165,6 +165,8 @@
     /// When the first demand was reported.
     demand_since: Option<Timestamp>,
     usage: UsageTable,
+    /// Adapters that were asked for since the last round.
+    asked_adapters: BTreeMap<(ModelName, String), Timestamp>,
     round: Arc<Round>,
     ceilings: BTreeMap<String, LoadCeiling>,
     changed: BTreeSet<RunnerId>,
@@ -188,6 +190,7 @@
             demand: DemandTable::default(),
             demand_since: None,
             usage: UsageTable::default(),
+            asked_adapters: BTreeMap::new(),
             round: Arc::default(),
             ceilings: BTreeMap::new(),
             changed: BTreeSet::new(),
@@ -361,9 +364,7 @@
                 continue;
             };
             let model = ModelName::from(one.model.as_str());
-            for instance in self.instances.values_mut() {
-                instance.touch_adapter(&model, adapter, now);
-            }
+            self.asked_adapters.insert((model, adapter.clone()), now);
         }
         if self.demand_since.is_none() && !demand.is_empty() {
             self.demand_since = Some(now);
@@ -408,6 +409,18 @@
         (views, std::mem::take(&mut self.gone))
     }
 
+    /// Whether an instance is known.
+    #[must_use]
+    pub fn knows(&self, id: &RunnerId) -> bool {
+        self.instances.contains_key(id)
+    }
+
+    /// All instances that are known.
+    #[must_use]
+    pub fn ids(&self) -> Vec<RunnerId> {
+        self.instances.keys().cloned().collect()
+    }
+
     /// Instances that are known.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -54,6 +54,10 @@
     /// What to do now.
     pub fn plan(&mut self, now: Timestamp) -> Vec<PlacementStep> {
         let mut steps = Vec::new();
+        let asked = std::mem::take(&mut self.asked_adapters);
+        for instance in self.instances.values_mut() {
+            instance.touch_adapters(&asked);
+        }
         self.ask_overdue(now, &mut steps);
         let configuration = self.configuration.clone();
         for service in &configuration.services {
--- a/crates/services/src/relay.rs
+++ b/crates/services/src/relay.rs
@@ -15,6 +15,9 @@
 /// gone.
 const KEPT: Millis = Millis(6_000);
 
+/// Registrations that are sent at once at the most.
+const BATCH: usize = 64;
+
 /// A registration as one controller passes it to another.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum RelayedRegistration {
@@ -68,12 +71,13 @@
         self.heard.insert(id, heard);
     }
 
-    /// What is to be sent next, in order.
+    /// What is to be sent next, in order: a part that is soon dealt with.
     pub fn take(&mut self, now: Timestamp) -> Vec<RelayedRegistration> {
         if now.since(self.pruned_at) >= KEPT {
             self.prune(now);
         }
-        std::mem::take(&mut self.queue)
+        let length = self.queue.len().min(BATCH);
+        self.queue.drain(..length).collect()
     }
 
     /// Whether something is to be sent that the leader does not know yet.
