Instances are avoided by the part of their requests that fails

A failing instance was avoided for a second each time; the count that should lengthen this was set back by any first answer, that of the failure included. Ruled out: retries would help (the routes that lose most allow one attempt). A first answer that is overdue counts as cost, so a silent or overloaded instance gets less before any deadline. Selection is a folder of two files.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -119,7 +119,8 @@
             self.shared.view.late(&late.service, &late.shape);
         }
         let waited = Millis(millis(sending));
-        self.shared.view.first_answer(&self.candidate, waited);
+        let good = self.status < 500;
+        self.shared.view.first_answer(&self.candidate, waited, good);
     }
 
     /// The answer was whole.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -264,8 +264,9 @@
         earliest
     }
 
-    pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis) {
-        self.lock().selector.first_answer(candidate, waited);
+    pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis, good: bool) {
+        let mut state = self.lock();
+        state.selector.first_answer(candidate, waited, good);
     }
 
     pub(crate) fn end(&self, candidate: &Candidate, answered: bool) {
--- a/crates/services/src/selection.rs
+++ b/crates/services/src/selection/mod.rs
@@ -5,8 +5,11 @@
 //! that share the beginning of their prompt have a common home among the
 //! instances (rendezvous hashing), so that routers agree on it without messages.
 
+mod health;
+
 use crate::instance::{InstanceState, InstanceView};
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
+use health::Health;
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -27,6 +30,12 @@
 const SUSPECT_FOR: Millis = Millis(1_000);
 /// Longest time that a repeatedly failing instance is avoided.
 const SUSPECT_AT_MOST: Millis = Millis(8_000);
+/// An instance that fails all its requests is avoided for so many times longer.
+const SUSPECT_FACTOR: f64 = 7.0;
+/// Cost of an instance all of whose requests fail, in milliseconds: of an engine
+/// and of a plain one.
+const FAILURE_MS: f64 = 400.0;
+const PLAIN_FAILURE_MS: f64 = 20.0;
 /// Weight of the newest measurement of an instance's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 /// Bounds of an instance's measured slowness.
@@ -94,6 +103,7 @@
     unreachable_until: Timestamp,
     failures: u32,
     last_chosen: u64,
+    health: Health,
 }
 
 /// A chosen instance and why.
@@ -105,6 +115,8 @@
     pub predicted_ms: f64,
     /// Prompt tokens that it has to read.
     pub uncached_tokens: u32,
+    /// Number of the choice.
+    pub ticket: u64,
 }
 
 /// See the module.
@@ -190,10 +202,13 @@
         });
         let (_, _, candidate) = best?;
         self.choices += 1;
-        let choices = self.choices;
+        let ticket = self.choices;
         let chosen = self.locals.entry(candidate.instance.clone());
-        chosen.or_default().last_chosen = choices;
-        Some(candidate)
+        chosen.or_default().last_chosen = ticket;
+        Some(Candidate {
+            ticket,
+            ..candidate
+        })
     }
 
     fn has_room(&self, view: &InstanceView, own_limit: u32) -> bool {
@@ -233,6 +248,12 @@
             }
         };
         let predicted_ms = cost;
+        cost += local.health.overdue(now).0 as f64;
+        cost += local.health.failed_part(now)
+            * match shape.model.is_empty() {
+                true => PLAIN_FAILURE_MS,
+                false => FAILURE_MS,
+            };
         if view.zone != self.zone {
             cost += OTHER_ZONE_MS;
         }
@@ -243,6 +264,7 @@
             instance: view.id.clone(),
             predicted_ms,
             uncached_tokens: uncached,
+            ticket: 0,
         };
         (cost, local.last_chosen, candidate)
     }
@@ -252,6 +274,9 @@
         let local = self.locals.entry(candidate.instance.clone()).or_default();
         local.in_flight += 1;
         local.unread_tokens += candidate.uncached_tokens;
+        local
+            .health
+            .sent(candidate.ticket, candidate.predicted_ms, now);
         for (key, _) in shape.prefix_keys() {
             local.prefixes.insert(key, now);
         }
@@ -261,14 +286,18 @@
         }
     }
 
-    /// Notes the first answer after `waited`.
-    pub fn first_answer(&mut self, candidate: &Candidate, waited: Millis) {
+    /// Notes the first answer after `waited`; `good` unless it reports a failure.
+    pub fn first_answer(&mut self, candidate: &Candidate, waited: Millis, good: bool) {
         let Some(local) = self.locals.get_mut(&candidate.instance) else {
             return;
         };
+        local.health.settled(candidate.ticket);
         local.unread_tokens = local
             .unread_tokens
             .saturating_sub(candidate.uncached_tokens);
+        if !good {
+            return;
+        }
         local.failures = 0;
         let expected = candidate.predicted_ms.max(20.0) + 15.0;
         let ratio = (waited.0 as f64 / expected).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
@@ -283,6 +312,7 @@
             return;
         };
         local.in_flight = local.in_flight.saturating_sub(1);
+        local.health.settled(candidate.ticket);
         if !answered {
             local.unread_tokens = local
                 .unread_tokens
@@ -290,11 +320,15 @@
         }
     }
 
-    /// Leaves an instance out for a while after it could not be reached.
+    /// Leaves an instance out for a while after it could not be reached: the
+    /// longer the more often in a row.
     pub fn unreachable(&mut self, instance: &RunnerId, now: Timestamp) {
-        self.suspect(instance, now);
         let local = self.locals.entry(instance.clone()).or_default();
-        local.unreachable_until = local.suspect_until;
+        local.failures = (local.failures + 1).min(8);
+        let length = SUSPECT_FOR.0 << (local.failures - 1).min(3);
+        let until = now + Millis(length.min(SUSPECT_AT_MOST.0));
+        local.suspect_until = until;
+        local.unreachable_until = until;
     }
 
     /// Whether an instance is left out.
@@ -312,11 +346,13 @@
         left_out.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Avoids an instance for a while after a failure.
+    /// Avoids an instance for a while after a failure: the longer the larger a
+    /// part of its requests failed lately.
     pub fn suspect(&mut self, instance: &RunnerId, now: Timestamp) {
         let local = self.locals.entry(instance.clone()).or_default();
-        local.failures = (local.failures + 1).min(8);
-        let length = SUSPECT_FOR.0 << (local.failures - 1).min(3);
+        local.health.failed(now);
+        let part = 1.0 + local.health.failed_part(now) * SUSPECT_FACTOR;
+        let length = (SUSPECT_FOR.0 as f64 * part) as u64;
         local.suspect_until = now + Millis(length.min(SUSPECT_AT_MOST.0));
     }
 }
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -141,7 +141,7 @@
             "a" => Millis(3_000),
             _ => Millis(200),
         };
-        selector.first_answer(&chosen, waited);
+        selector.first_answer(&chosen, waited, true);
         selector.end(&chosen, true);
     }
     let later = (0..10).filter_map(|number| {
