A member that is heard is dialled again at once

The others' answers waited in links whose dial had begun while the asking machine was down (a lost first packet is repeated after a second), and when that dial had failed, what waited was dropped as out of date. Ruled out: disk (votes are stored within 2 ms), the order of starts. Change: a connection from a member wakes the link to it: a dial that hangs is made anew, the pause after a failed one ends, and what waits is kept.

--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -5,12 +5,14 @@
 use courseshunt_types::ControllerId;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use tokio::sync::Notify;
 
 /// See the module; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct AddressBook {
     addresses: Arc<RwLock<BTreeMap<ControllerId, SocketAddr>>>,
+    heard: Arc<Mutex<BTreeMap<ControllerId, Arc<Notify>>>>,
     source: Option<IpAddr>,
 }
 
@@ -19,8 +21,10 @@
     /// choose.
     #[must_use]
     pub fn dialling_from(source: Option<IpAddr>) -> Self {
-        let addresses = Arc::default();
-        Self { addresses, source }
+        Self {
+            source,
+            ..Self::default()
+        }
     }
 
     /// Where this member dials from.
@@ -37,6 +41,19 @@
             .insert(member, address);
     }
 
+    /// Notes that a member has connected here: it is up, so a try to reach it
+    /// that hangs is made anew.
+    pub fn heard_from(&self, member: ControllerId) {
+        self.heard(member).notify_one();
+    }
+
+    /// Told each time a member connects here.
+    pub(super) fn heard(&self, member: ControllerId) -> Arc<Notify> {
+        let heard = self.heard.lock();
+        let mut heard = heard.unwrap_or_else(PoisonError::into_inner);
+        heard.entry(member).or_default().clone()
+    }
+
     /// Sets the addresses that the replicated state holds.
     pub fn set_all(&self, members: &MemberAddresses) {
         for (member, address) in members {
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -9,6 +9,7 @@
     connect_from,
 };
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -96,7 +97,14 @@
             } else {
                 reachable = true;
             }
-            tokio::time::sleep(RECONNECT_PAUSE).await;
+            let heard = self.addresses.heard(self.to);
+            if tokio::time::timeout(RECONNECT_PAUSE, heard.notified())
+                .await
+                .is_ok()
+            {
+                // It is up again; what waits is most likely for it.
+                continue;
+            }
             // What waited meanwhile is out of date; its senders repeat it.
             while messages.try_recv().is_ok() {}
         }
@@ -110,15 +118,15 @@
         let Some(address) = self.addresses.get(self.to) else {
             return Ok(());
         };
-        let source = self.addresses.source();
-        let dialling = connect_from(source, address, &self.key, &self.identity);
-        let Ok(dialled) = tokio::time::timeout(limit.present(), dialling).await else {
-            limit.timed_out();
-            return Err(WireError::TimedOut {
-                step: "connect",
-                peer: format!("controller {}", self.to),
-            });
+        let heard = self.addresses.heard(self.to);
+        let dialled = tokio::select! {
+            dialled = self.dial(address, limit) => dialled,
+            // Its first packet may have been lost while the member was down.
+            () = heard.notified() => self.dial(address, limit).await,
         };
+        if matches!(dialled, Err(WireError::TimedOut { .. })) {
+            limit.timed_out();
+        }
         let connection = dialled?;
         limit.succeeded();
         if connection.peer != PeerIdentity::Controller(self.to) {
@@ -135,6 +143,18 @@
         }
     }
 
+    async fn dial(&self, address: SocketAddr, limit: &DialLimit) -> Result<Connection, WireError> {
+        let source = self.addresses.source();
+        let dialling = connect_from(source, address, &self.key, &self.identity);
+        let dialled = tokio::time::timeout(limit.present(), dialling).await;
+        dialled.unwrap_or_else(|_| {
+            Err(WireError::TimedOut {
+                step: "connect",
+                peer: format!("controller {}", self.to),
+            })
+        })
+    }
+
     async fn receive_all(&self, mut receiver: Receiver) -> Result<(), WireError> {
         loop {
             let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -149,6 +149,7 @@
                 // All members listen on the same port.
                 let wire_address = SocketAddr::new(address.ip(), shared.settings.wire_port);
                 shared.addresses.set(peer, wire_address);
+                shared.addresses.heard_from(peer);
                 serve_member(connection, peer, &shared).await
             }
             PeerIdentity::Router(router, incarnation) => {
