--- a/crates/consensus/src/core/election.rs
+++ b/crates/consensus/src/core/election.rs
@@ -32,7 +32,7 @@
             return;
         }
         let spread = self.settings.election_timeout.0 / START_DIVISOR;
-        self.election_deadline = now + Millis(self.random.next_u64() % spread.max(1));
+        self.set_deadline(Millis(0), spread, now);
     }
 
     /// Between one and two election timeouts; between one and three of their
@@ -43,8 +43,13 @@
             true => (timeout / start_divisor, timeout / start_divisor * 2),
             false => (timeout, timeout),
         };
+        self.set_deadline(Millis(least), spread, now);
+    }
+
+    /// A deadline after `least` and a random part of `spread` milliseconds.
+    fn set_deadline(&mut self, least: Millis, spread: u64, now: Timestamp) {
         let jitter = self.random.next_u64() % spread.max(1);
-        self.election_deadline = now + Millis(least + jitter);
+        self.election_deadline = now + Millis(least.0 + jitter);
     }
 
     /// Whether no leader can be there that this member has promised anything.
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -6,7 +6,7 @@
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{
     ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
-    connect_from,
+    connect_within,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -145,14 +145,8 @@
 
     async fn dial(&self, address: SocketAddr, limit: &DialLimit) -> Result<Connection, WireError> {
         let source = self.addresses.source();
-        let dialling = connect_from(source, address, &self.key, &self.identity);
-        let dialled = tokio::time::timeout(limit.present(), dialling).await;
-        dialled.unwrap_or_else(|_| {
-            Err(WireError::TimedOut {
-                step: "connect",
-                peer: format!("controller {}", self.to),
-            })
-        })
+        let limit = limit.present();
+        connect_within(limit, source, address, &self.key, &self.identity).await
     }
 
     async fn receive_all(&self, mut receiver: Receiver) -> Result<(), WireError> {
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -96,6 +96,18 @@
     pub progress: Vec<MemberProgress>,
 }
 
+impl MembersView {
+    /// Voters other than this member that were heard within `limit`.
+    pub fn live_voters(&self, limit: Millis) -> impl Iterator<Item = ControllerId> + '_ {
+        let live = self.progress.iter().filter(move |one| {
+            let silent = one.silent_for;
+            silent.is_some_and(|silent| silent < limit)
+        });
+        let voters = live.filter(|one| self.membership.voters.contains(&one.member));
+        voters.map(|one| one.member)
+    }
+}
+
 /// The replicated state, shared for reading.
 pub type SharedState = Arc<RwLock<ReplicatedState>>;
 
@@ -326,11 +338,8 @@
     /// Hands the leadership over, if this member leads, and stops.
     pub async fn stop(&self) {
         let members = self.members().await;
-        let can_follow = |one: &MemberProgress| {
-            let live = one.silent_for.is_some_and(|silent| silent < LIVE_WITHIN);
-            live && members.membership.voters.contains(&one.member)
-        };
-        if self.leads() && members.progress.iter().any(can_follow) {
+        let can_follow = members.live_voters(LIVE_WITHIN).next().is_some();
+        if self.leads() && can_follow {
             let _ = self.actor.cast(ReplicaMessage::Transfer { to: None });
             let mut status = self.status.clone();
             let followed = status.wait_for(|status| !status.leads());
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -9,7 +9,7 @@
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
 use courseshunt_state::Command;
-use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
@@ -221,7 +221,10 @@
     let holder = shared.replica.state().services.orders_holder;
     let own = shared.id;
     let live = match holder {
-        Some(holder) if holder != own => live_voters(shared).await,
+        Some(holder) if holder != own => {
+            let members = shared.replica.members().await;
+            members.live_voters(JUST_HEARD).collect()
+        }
         _ => BTreeSet::new(),
     };
     let decided = order_turn::decide(&TurnView {
@@ -245,17 +248,6 @@
     false
 }
 
-/// Voters that were heard just now.
-async fn live_voters(shared: &Shared) -> BTreeSet<ControllerId> {
-    let members = shared.replica.members().await;
-    let heard = members.progress.iter().filter(|one| {
-        let silent = one.silent_for;
-        silent.is_some_and(|silent| silent < JUST_HEARD)
-    });
-    let voters = heard.filter(|one| members.membership.voters.contains(&one.member));
-    voters.map(|one| one.member).collect()
-}
-
 /// Records this member as the one that gives orders.
 fn record_holder(shared: &Arc<Shared>, leadership: &Leadership) {
     let turn = leadership.turn.clone();
--- a/crates/coordinator/src/relay.rs
+++ b/crates/coordinator/src/relay.rs
@@ -9,7 +9,7 @@
 use courseshunt_records::emit;
 use courseshunt_services::{Registration, RegistrationOutbox, RelayedRegistration};
 use courseshunt_types::{ControllerId, RunnerId, Timestamp};
-use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, WireError, connect_from};
+use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, WireError, connect_within};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -122,13 +122,12 @@
 async fn relay_to(address: SocketAddr, shared: &Shared) -> Result<(), WireError> {
     let identity = PeerIdentity::Controller(shared.id);
     let source = Some(shared.settings.address);
-    let connecting = connect_from(source, address, &shared.key, &identity);
-    let connected = tokio::time::timeout(DIAL_LIMIT, connecting).await;
+    let connected = connect_within(DIAL_LIMIT, source, address, &shared.key, &identity).await;
     let Connection {
         mut sender,
         mut receiver,
         ..
-    } = connected.unwrap_or(Err(timed_out("connect", address)))?;
+    } = connected?;
     shared.relay.link(shared.clock.now());
     emit(&ControllerRecord::RelayBegan {
         leader: &address.to_string(),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,7 +8,7 @@
 use courseshunt_types::{Incarnation, RouterId, RunnerId};
 use courseshunt_wire::{
     ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
-    connect_from,
+    connect_within,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -84,9 +84,8 @@
     let name = RouterId::from(shared.settings.name.as_str());
     let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
     let source = Some(shared.settings.address);
-    let connecting = connect_from(source, address, key, &identity);
-    let connected = tokio::time::timeout(directory.limit.present(), connecting).await;
-    let connected = connected.unwrap_or(Err(timed_out("connect", address)));
+    let limit = directory.limit.present();
+    let connected = connect_within(limit, source, address, key, &identity).await;
     let Connection {
         mut sender,
         receiver,
--- a/crates/router/src/peers/dial.rs
+++ b/crates/router/src/peers/dial.rs
@@ -3,7 +3,7 @@
 use super::links::PeerContext;
 use super::{PeerEvent, SEND_QUEUE};
 use courseshunt_types::RouterId;
-use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError, connect_from};
+use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError, connect_within};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -52,14 +52,13 @@
 }
 
 async fn dial(address: SocketAddr, context: &PeerContext) -> Result<Connection, WireError> {
-    let dialled = connect_from(context.source, address, &context.key, &context.identity);
-    let dialled = tokio::time::timeout(CONNECT_TIMEOUT, dialled).await;
-    dialled.unwrap_or_else(|_| {
-        Err(WireError::TimedOut {
-            step: "connect",
-            peer: address.to_string(),
-        })
-    })
+    let PeerContext {
+        source,
+        key,
+        identity,
+        ..
+    } = context;
+    connect_within(CONNECT_TIMEOUT, *source, address, key, identity).await
 }
 
 async fn session(
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! counting orders whose outcome is unknown; loads from the weight store keep
 //! the store's ceiling.
 
+mod adapters;
 mod demand;
 mod instance;
 mod planning;
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -13,8 +13,6 @@
 const DEMAND_WARM_UP: Millis = Millis(6_000);
 /// A model that was asked for is not evicted sooner after its load.
 const LEAST_STAY: Millis = Millis(2_500);
-/// An adapter is not evicted sooner after its load or use.
-const LEAST_ADAPTER_STAY: Millis = Millis(400);
 /// Waiting models and adapters that one round looks at, of each urgency.
 const WANTED_IN_ROUND: usize = 16;
 /// Loads that demand alone, without waiting requests, may start in one round.
@@ -44,10 +42,10 @@
 }
 
 /// The service that a round plans for.
-struct Planned<'a> {
-    service: &'a str,
-    engine: &'a Engine,
-    now: Timestamp,
+pub(super) struct Planned<'a> {
+    pub(super) service: &'a str,
+    pub(super) engine: &'a Engine,
+    pub(super) now: Timestamp,
 }
 
 impl PlacementEngine {
@@ -137,7 +135,7 @@
         self.fill_adapters(planned, steps);
     }
 
-    fn change_round(&mut self, change: impl FnOnce(&mut Round)) {
+    pub(super) fn change_round(&mut self, change: impl FnOnce(&mut Round)) {
         change(Arc::make_mut(&mut self.round));
     }
 
@@ -239,7 +237,12 @@
 
     /// Gives an order, or asks for the number that it has to carry; returns
     /// whether the order is given.
-    fn give(&mut self, id: &RunnerId, action: OrderAction, steps: &mut Vec<PlacementStep>) -> bool {
+    pub(super) fn give(
+        &mut self,
+        id: &RunnerId,
+        action: OrderAction,
+        steps: &mut Vec<PlacementStep>,
+    ) -> bool {
         let evidence = self.evidence(action.model());
         let Some(instance) = self.instances.get_mut(id) else {
             return false;
@@ -393,45 +396,6 @@
         intended != model && worth > self.round.load_worth(intended) * DISPLACING_MARGIN
     }
 
-    fn add_adapter(
-        &mut self,
-        model: &ModelName,
-        adapter: &str,
-        planned: &Planned<'_>,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let engine = planned.engine;
-        let size = engine
-            .model(model.as_str())
-            .map_or(0.0, |one| one.adapter_mb);
-        let instances = self.of_service(planned.service, planned.now);
-        let mut holders: Vec<&Instance> = instances.filter(|one| one.has(model)).collect();
-        if holders.iter().any(|one| one.has_adapter(model, adapter)) {
-            return;
-        }
-        holders.retain(|one| one.is_free(planned.now));
-        let room = |one: &&Instance| {
-            one.adapters() < engine.adapter_slots
-                && one.memory_mb(engine) + size <= engine.memory_mb
-        };
-        let with_room = holders.iter().copied().filter(room);
-        let load_of = |one: &Instance| (self.usage.in_flight(one.id()), one.adapters());
-        if let Some(best) = with_room.min_by_key(|one| load_of(one)) {
-            let id = best.id().clone();
-            let action = OrderAction::LoadAdapter(model.clone(), adapter.to_owned());
-            self.give(&id, action, steps);
-            return;
-        }
-        let crowded = holders.into_iter().filter_map(|one| {
-            let oldest = one.oldest_adapter(planned.now, LEAST_ADAPTER_STAY)?;
-            Some((self.usage.in_flight(one.id()), one.id().clone(), oldest))
-        });
-        let least = crowded.min_by_key(|(in_flight, _, _)| *in_flight);
-        if let Some((_, id, (model, adapter))) = least {
-            self.give(&id, OrderAction::UnloadAdapter(model, adapter), steps);
-        }
-    }
-
     /// Loads models that no instance holds, where that evicts nothing worth more.
     fn restore_missing(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
         let mut missing = self.round.missing();
@@ -457,43 +421,6 @@
             }
         }
     }
-
-    /// Fills free adapter places with adapters that no instance holds.
-    fn fill_adapters(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
-        let slots = planned.engine.adapter_slots;
-        let instances = self.of_service(planned.service, planned.now);
-        let free = instances.filter(|one| {
-            one.is_free(planned.now) && one.intent().is_none() && one.adapters() < slots
-        });
-        let free: Vec<RunnerId> = free.map(|one| one.id().clone()).collect();
-        for id in free {
-            let Some((model, adapter)) = self.missing_adapter(&id, planned.engine) else {
-                continue;
-            };
-            let action = OrderAction::LoadAdapter(model.clone(), adapter.clone());
-            if self.give(&id, action, steps) {
-                self.change_round(|round| {
-                    round.adapters.entry(model).or_default().insert(adapter);
-                });
-            }
-        }
-    }
-
-    /// An adapter of a model on this instance that no instance holds.
-    fn missing_adapter(&self, id: &RunnerId, engine: &Engine) -> Option<(ModelName, String)> {
-        let instance = self.instances.get(id)?;
-        let room = engine.memory_mb - instance.memory_mb(engine);
-        instance.held().find_map(|(name, _)| {
-            let specification = engine.model(name.as_str())?;
-            if specification.adapter_mb > room {
-                return None;
-            }
-            let held = self.round.adapters.get(name);
-            let mut adapters = specification.adapters.iter();
-            let missing = adapters.find(|one| held.is_none_or(|held| !held.contains(*one)));
-            missing.map(|adapter| (name.clone(), adapter.clone()))
-        })
-    }
 }
 
 fn fits(instance: &Instance, specification: &ModelSpecification, engine: &Engine) -> bool {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -141,6 +141,20 @@
     address: SocketAddr,
     key: &ClusterKey,
     identity: &PeerIdentity,
+) -> Result<Connection, WireError> {
+    connect_within(HANDSHAKE_TIMEOUT, source, address, key, identity).await
+}
+
+/// Like [`connect_from`], within `limit`.
+///
+/// # Errors
+/// As [`connect_from`]; [`WireError::TimedOut`] when the limit is reached.
+pub async fn connect_within(
+    limit: Duration,
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
     let work = async {
         let stream = dial(source, address).await;
@@ -151,7 +165,7 @@
         })?;
         Handshake::new(stream, address, key).dial(identity).await
     };
-    in_time("connect", address, work).await
+    in_time(limit, "connect", address, work).await
 }
 
 /// Listens for peers, with room for a whole region that connects at once: a
@@ -194,16 +208,23 @@
     identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
     let handshake = Handshake::new(stream, address, key);
-    in_time("accept", address, handshake.answer(identity)).await
+    in_time(
+        HANDSHAKE_TIMEOUT,
+        "accept",
+        address,
+        handshake.answer(identity),
+    )
+    .await
 }
 
 async fn in_time(
+    limit: Duration,
     step: &'static str,
     address: SocketAddr,
     work: impl Future<Output = Result<Connection, WireError>>,
 ) -> Result<Connection, WireError> {
     let peer = address.to_string();
-    let finished = tokio::time::timeout(HANDSHAKE_TIMEOUT, work).await;
+    let finished = tokio::time::timeout(limit, work).await;
     finished.unwrap_or(Err(WireError::TimedOut { step, peer }))
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,9 @@
 mod parts;
 mod traffic;
 
-pub use connection::{Connection, Receiver, Sender, accept, connect, connect_from, listen};
+pub use connection::{
+    Connection, Receiver, Sender, accept, connect, connect_from, connect_within, listen,
+};
 pub use dial_limit::DialLimit;
 pub use error::WireError;
 pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
