An order that can't be delivered goes to another instance

Such an order was given again at the same place after 250 ms, until the instance was taken for dead. Ruled out: the routers' doubts (they need 1.3 s of silence and two reports). Change: a refused connection is an outcome of its own; it counts as one doubt, the place is given up and the instance gets no order for one registration's time.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -53,6 +53,7 @@
         OrderOutcome::Conflict => "conflict",
         OrderOutcome::OtherInstance => "other_instance",
         OrderOutcome::NotSent => "not_sent",
+        OrderOutcome::Unreachable => "unreachable",
         OrderOutcome::Unknown => "unknown",
         OrderOutcome::Refused => "refused",
     };
@@ -96,7 +97,7 @@
         .order_call(order, &shared.settings.name, fence);
     match exchange(call, &order.address, shared).await {
         Ok((status, _)) => shared.interface.order_outcome(status),
-        Err(HttpError::Connect { .. }) => OrderOutcome::NotSent,
+        Err(HttpError::Connect { .. }) => OrderOutcome::Unreachable,
         Err(_) => OrderOutcome::Unknown,
     }
 }
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -20,6 +20,11 @@
 const ASK_AGAIN: Millis = Millis(400);
 /// Pause after an order that could not be sent.
 const RETRY_PAUSE: Millis = Millis(250);
+/// Pause after an order for which no connection could be made: a registration
+/// comes meanwhile if the instance lives.
+const UNREACHABLE_PAUSE: Millis = Millis(1_300);
+/// Name under which the leader's own tries count beside those of the routers.
+const LEADER: &str = "leader";
 /// Time that the evictions before a load take, about.
 const EVICTION_TIME: Millis = Millis(100);
 /// Longest time that an instance stays set aside for a model.
@@ -126,6 +131,12 @@
                 self.ask_after = now + RETRY_PAUSE;
                 true
             }
+            OrderOutcome::Unreachable => {
+                self.not_reached_by(LEADER, now);
+                self.intent = None;
+                self.ask_after = now + UNREACHABLE_PAUSE;
+                true
+            }
             OrderOutcome::Unknown => {
                 self.sequence = None;
                 self.unanswered = Some(order.expected);
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -145,8 +145,10 @@
     Conflict,
     /// The address belongs to another instance.
     OtherInstance,
-    /// It surely did not arrive.
+    /// It surely was not sent.
     NotSent,
+    /// The instance could not be connected to.
+    Unreachable,
     /// There was no answer: it may be carried out yet.
     Unknown,
     /// The instance refuses it.
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -257,3 +257,21 @@
     }
     assert_eq!(calm.copies("m0"), 1, "without late answers one is enough");
 }
+
+/// The instance that is the best place can't be connected to: the model is
+/// loaded at another without waiting for more signs that it is dead.
+#[test]
+fn an_order_that_cannot_be_delivered_goes_to_another_instance() {
+    let mut world = World::new(9, 4, 0);
+    for _ in 0..500 {
+        world.step(&[]);
+    }
+    world.unreachable.insert(RunnerId::from("r0"));
+    let before = world.loads_of("m30");
+    let began = world.now;
+    while world.loads_of("m30") == before && world.now < began + 5_000 {
+        world.step(&[demand("m30", 1, 1, 5_000)]);
+    }
+    let waited = world.now - began;
+    assert!(waited <= 800, "{waited} ms until the load began");
+}
--- a/crates/services/tests/placement_world/mod.rs
+++ b/crates/services/tests/placement_world/mod.rs
@@ -10,7 +10,7 @@
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp, Zone};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 pub const MODEL_MB: f64 = 70.0;
@@ -138,6 +138,8 @@
     /// When orders were given, taken or lost.
     pub given: Vec<u64>,
     pub lost_share: u32,
+    /// Instances that orders can't be sent to, though they register.
+    pub unreachable: BTreeSet<RunnerId>,
     pub now: u64,
 }
 
@@ -154,6 +156,7 @@
             loaded: Vec::new(),
             given: Vec::new(),
             lost_share,
+            unreachable: BTreeSet::new(),
             now: 0,
         };
         for number in 0..runners {
@@ -236,6 +239,11 @@
             }
             PlacementStep::Give(order) => {
                 self.given.push(now);
+                if self.unreachable.contains(&order.instance) {
+                    let outcome = OrderOutcome::Unreachable;
+                    self.engine.on_outcome(&order, outcome, Timestamp(now));
+                    return;
+                }
                 if self.draw(100) < self.lost_share {
                     let delay = u64::from(2_000 + self.draw(10_000));
                     self.late.push((now + delay, order.clone()));
