Requests wait on once a refusal would help no more; free memory rests first

With nothing known they were told 1.2 s, less than an election takes. Ruled out: the instances' load (predictions of 20 to 40 ms held). Change: decide() waits for a model in its client's time once the moment of a cheap refusal has passed; times to come back hold a tenth more, or a fifth of the client's time where nothing is known; memory is filled unasked after 10 s without an order.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -12,11 +12,15 @@
 const PROMPT_PART: u32 = 5;
 /// Time of an answer once its instance is there, about.
 const ANSWER_TIME: Duration = Duration::from_millis(120);
-/// Told to come back after so long when nothing is known.
-const UNKNOWN_RETURN: Millis = Millis(1_200);
-/// Added to the expected time, so that the model is surely there.
+/// Told to come back after so long at least when nothing is known, and after
+/// this part of its time if that is longer.
+const UNKNOWN_RETURN: Duration = Duration::from_millis(1_200);
+const UNKNOWN_RETURN_PART: f64 = 0.2;
+/// Added to the expected time, and this part of it, so that the model is surely
+/// there.
 const RETURN_MARGIN: Duration = Duration::from_millis(60);
-/// A client that returns waits no longer than this part of its time.
+const RETURN_MARGIN_PART: f64 = 0.1;
+/// A request waits no longer than this part of its client's time.
 const RETURNED_PART: f64 = 0.9;
 
 /// A client that returns and of whose model nothing is known waits this part of
@@ -56,37 +60,74 @@
 
 /// Decides.
 pub fn decide(situation: &Situation, now: Instant) -> Waiting {
-    let prompt = situation.arrived + situation.objective / PROMPT_PART;
-    let whole = situation.deadline - situation.arrived;
-    let patience = situation.patience.unwrap_or(whole);
-    let end = situation.arrived
-        + whole
-            .mul_f64(RETURNED_PART)
-            .min(patience.mul_f64(RETURNED_PART));
-    let limit = match (situation.has_models, situation.expected) {
-        (false, _) => prompt,
-        (true, None) if situation.returning => situation.arrived + whole.mul_f64(BLIND_PART),
-        (true, Some(expected)) if situation.returning => match expected + ANSWER_TIME <= end {
-            true => end,
-            false => prompt,
-        },
-        (true, None) => prompt,
-        (true, Some(expected)) => {
-            let in_time = expected + ANSWER_TIME <= situation.arrived + situation.objective;
-            match in_time {
-                true => (situation.arrived + situation.objective).min(end),
-                false => now,
-            }
-        }
+    let limit = match situation.returning {
+        true => limit_returning(situation),
+        false => limit_first(situation, now),
     };
     if now < limit {
         return Waiting::Until(limit);
     }
-    let expected = situation
-        .expected
-        .map(|at| at.saturating_duration_since(now) + RETURN_MARGIN);
-    let retry_after = expected.map(|wait| Millis(wait.as_millis() as u64));
     Waiting::GiveUp {
-        retry_after: retry_after.unwrap_or(UNKNOWN_RETURN),
+        retry_after: retry_after(situation, now),
+    }
+}
+
+/// How long a request waits that has come back: as long as its client does,
+/// where that makes sense.
+fn limit_returning(situation: &Situation) -> Instant {
+    match situation.expected {
+        _ if !situation.has_models => situation.prompt(),
+        None => situation.arrived + situation.whole().mul_f64(BLIND_PART),
+        Some(expected) if expected + ANSWER_TIME <= situation.end() => situation.end(),
+        Some(_) => situation.prompt(),
+    }
+}
+
+/// How long a request waits that was not refused before.
+fn limit_first(situation: &Situation, now: Instant) -> Instant {
+    let Some(expected) = situation.expected.filter(|_| situation.has_models) else {
+        return situation.prompt();
+    };
+    let answer = expected + ANSWER_TIME;
+    let in_time = answer <= situation.arrived + situation.objective;
+    // Refused after that moment it would be late all the same.
+    let refusal_helps = now <= situation.prompt();
+    match in_time || !refusal_helps && answer <= situation.end() {
+        true => situation.end(),
+        false => now,
+    }
+}
+
+/// When it makes sense to come back: surely not before the model is there, since
+/// a request that is refused again is lost.
+fn retry_after(situation: &Situation, now: Instant) -> Millis {
+    let wait = match situation.expected {
+        Some(expected) => {
+            let wait = expected.saturating_duration_since(now);
+            wait + wait.mul_f64(RETURN_MARGIN_PART) + RETURN_MARGIN
+        }
+        None => {
+            let left = situation.deadline.saturating_duration_since(now);
+            left.mul_f64(UNKNOWN_RETURN_PART).max(UNKNOWN_RETURN)
+        }
+    };
+    Millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX))
+}
+
+impl Situation {
+    /// Until then a refusal is cheap for the client.
+    fn prompt(&self) -> Instant {
+        self.arrived + self.objective / PROMPT_PART
+    }
+
+    fn whole(&self) -> Duration {
+        self.deadline - self.arrived
+    }
+
+    /// Until then its client surely waits.
+    fn end(&self) -> Instant {
+        let whole = self.whole();
+        let patience = self.patience.unwrap_or(whole);
+        self.arrived + whole.min(patience).mul_f64(RETURNED_PART)
     }
 }
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -289,6 +289,11 @@
         });
     }
 
+    /// Time since it was met or took an order.
+    pub(in crate::placement) fn rested_for(&self, now: Timestamp) -> Millis {
+        now.since(self.changed_at.unwrap_or(self.met_at))
+    }
+
     /// Time until an order may be given; `None` for an instance that leaves.
     pub(in crate::placement) fn free_after(&self, now: Timestamp) -> Option<Millis> {
         if self.is_free(now) {
--- a/crates/services/src/placement/places.rs
+++ b/crates/services/src/placement/places.rs
@@ -25,6 +25,10 @@
 /// all instances share the store, and each load from it is paid for.
 const STORE_COST: f64 = 0.5;
 
+/// Memory that lies free without an order to its instance for so long is filled
+/// with models that nobody asks for: by then those that are asked for are there.
+const FREE_FOR: Millis = Millis(10_000);
+
 /// A place for a model.
 pub(super) struct Place {
     pub(super) instance: RunnerId,
@@ -85,8 +89,8 @@
             LoadSource::Store => evicted + STORE_COST,
             LoadSource::Memory | LoadSource::Disk => evicted,
         };
-        // Memory that lies free is filled in any case.
-        if !victims.is_empty() && paid >= worth {
+        let lies_free = victims.is_empty() && instance.rested_for(planned.now) >= FREE_FOR;
+        if paid >= worth && !lies_free {
             return None;
         }
         let mut ready_after = free_after + instance.load_time(one);
