A copy of a busy model may use 0.4 of an instance's reading speed

Ruled out: reading speed (under a quarter used at 2 copies), slots (29 of 64). Change: copy_utilisation 0.25 -> 0.4; late answers still add copies.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -49,7 +49,7 @@
         Self {
             silence_limit: Millis(5_000),
             ceiling_window: Millis(5_000),
-            copy_utilisation: 0.25,
+            copy_utilisation: 0.4,
         }
     }
 }
