--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod ceiling;
 pub mod configuration;
+mod decay;
 pub mod digest;
 pub mod feed;
 pub mod instance;
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -1,5 +1,6 @@
 //! Demand for models: rates that forget, and what waits now.
 
+use crate::decay::DecayingSum;
 use crate::feed::ModelDemand;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
@@ -20,33 +21,14 @@
     pub(super) model: String,
 }
 
-/// A rate that forgets what lies back; `value` is per second.
-#[derive(Debug, Clone, Copy, Default)]
-struct Decaying {
-    value: f64,
-    updated: Timestamp,
-}
-
-impl Decaying {
-    fn at(self, now: Timestamp, constant: f64) -> f64 {
-        let passed = now.since(self.updated).0 as f64;
-        self.value * (-passed / constant).exp()
-    }
-
-    fn add(&mut self, amount: f64, now: Timestamp, constant: f64) {
-        self.value = self.at(now, constant) + amount * 1_000.0 / constant;
-        self.updated = now;
-    }
-}
-
 #[derive(Debug, Default)]
 struct Rates {
-    fast: Decaying,
-    slow: Decaying,
-    tokens: Decaying,
-    steady: Decaying,
-    steady_tokens: Decaying,
-    late: Decaying,
+    fast: DecayingSum,
+    slow: DecayingSum,
+    tokens: DecayingSum,
+    steady: DecayingSum,
+    steady_tokens: DecayingSum,
+    late: DecayingSum,
     /// Shortest objective seen, in milliseconds.
     objective_ms: Option<u32>,
 }
@@ -144,12 +126,12 @@
             .get(service)
             .and_then(|service| service.get(model));
         rates.map_or_else(DemandSummary::default, |rates| DemandSummary {
-            fast: rates.fast.at(now, FAST),
-            slow: rates.slow.at(now, SLOW),
-            tokens: rates.tokens.at(now, FAST),
-            steady: rates.steady.at(now, STEADY),
-            steady_tokens: rates.steady_tokens.at(now, STEADY),
-            late: rates.late.at(now, FAST),
+            fast: rates.fast.per_second(now, FAST),
+            slow: rates.slow.per_second(now, SLOW),
+            tokens: rates.tokens.per_second(now, FAST),
+            steady: rates.steady.per_second(now, STEADY),
+            steady_tokens: rates.steady_tokens.per_second(now, STEADY),
+            late: rates.late.per_second(now, FAST),
             objective: rates
                 .objective_ms
                 .map(|shortest| Millis(u64::from(shortest))),
--- a/crates/services/src/selection/health.rs
+++ b/crates/services/src/selection/health.rs
@@ -3,6 +3,7 @@
 //!
 //! Cost: bounded by the requests under way there.
 
+use crate::decay::DecayingSum;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
 
@@ -17,37 +18,18 @@
 const OVERDUE_FACTOR: f64 = 2.0;
 const OVERDUE_MARGIN: Millis = Millis(200);
 
-/// A sum that forgets.
-#[derive(Debug, Clone, Copy, Default)]
-struct Fading {
-    value: f64,
-    updated: Timestamp,
-}
-
-impl Fading {
-    fn at(self, now: Timestamp) -> f64 {
-        let passed = now.since(self.updated).0 as f64;
-        self.value * (-passed / MEMORY_MS).exp()
-    }
-
-    fn add_one(&mut self, now: Timestamp) {
-        self.value = self.at(now) + 1.0;
-        self.updated = now;
-    }
-}
-
 /// See the module.
 #[derive(Debug, Default)]
 pub(super) struct Health {
-    requests: Fading,
-    failures: Fading,
+    requests: DecayingSum,
+    failures: DecayingSum,
     /// By ticket: when the first answer is overdue.
     unanswered: BTreeMap<u64, Timestamp>,
 }
 
 impl Health {
     pub(super) fn sent(&mut self, ticket: u64, predicted_ms: f64, now: Timestamp) {
-        self.requests.add_one(now);
+        self.requests.add(1.0, now, MEMORY_MS);
         let expected = Millis((predicted_ms * OVERDUE_FACTOR) as u64 + OVERDUE_MARGIN.0);
         self.unanswered.insert(ticket, now + expected);
     }
@@ -58,12 +40,13 @@
     }
 
     pub(super) fn failed(&mut self, now: Timestamp) {
-        self.failures.add_one(now);
+        self.failures.add(1.0, now, MEMORY_MS);
     }
 
     /// Part of the requests that failed lately, from 0 to 1.
     pub(super) fn failed_part(&self, now: Timestamp) -> f64 {
-        let part = self.failures.at(now) / (self.requests.at(now) + CREDITED_REQUESTS);
+        let requests = self.requests.at(now, MEMORY_MS);
+        let part = self.failures.at(now, MEMORY_MS) / (requests + CREDITED_REQUESTS);
         ((part * PART_STEPS).floor() / PART_STEPS).min(1.0)
     }
 
