--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //! the store's ceiling.
 
 mod adapters;
+mod candidates;
 mod demand;
 mod event;
 mod instance;
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -1,5 +1,6 @@
 //! The decisions: which orders to give now.
 
+use super::candidates::Candidate;
 use super::demand::Wanted;
 use super::instance::{Instance, LoadSource};
 use super::round::Round;
@@ -10,33 +11,12 @@
 use crate::configuration::{Engine, ModelSpecification};
 use crate::instance::InstanceState;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Demand is followed for so long before copies count as surplus.
 const DEMAND_WARM_UP: Millis = Millis(6_000);
 /// Waiting models and adapters that one round looks at.
-const WANTED_IN_ROUND: usize = 32;
-/// Loads that demand alone, without waiting requests, may start in one round.
-const SCALING_LOADS: usize = 2;
-/// Loads of models that nobody waits for that one round may start.
-const RESTORING_LOADS: usize = 2;
-/// Evicting for another copy of a busy model must be worth so much more.
-const SCALING_MARGIN: f64 = 1.5;
-
-/// The time at which a model is announced is corrected when it is off by more.
-const EXPECTED_SLACK: Millis = Millis(700);
-
-/// A model that another copy is wanted of.
-struct Candidate {
-    model: ModelName,
-    /// What it may evict, in late requests.
-    worth: f64,
-    /// Whether requests wait for it.
-    waited_for: bool,
-    /// Whether nobody needs it now.
-    spare: bool,
-}
+pub(super) const WANTED_IN_ROUND: usize = 32;
 
 /// The service that a round plans for.
 pub(super) struct Planned<'a> {
@@ -307,120 +287,11 @@
         }
     }
 
-    /// Loads what is worth most first, so that the weight store and the places
-    /// go to that.
-    fn load_candidates(
-        &mut self,
-        wanted: &[Wanted],
-        planned: &Planned<'_>,
-        steps: &mut Vec<PlacementStep>,
-    ) {
-        let mut waiting = 0;
-        let mut announced = BTreeMap::new();
-        for candidate in self.candidates(wanted) {
-            let model = &candidate.model;
-            let Some(specification) = planned.engine.model(model.as_str()) else {
-                continue;
-            };
-            let store = self.stores.get_mut(planned.service);
-            let has_turn = store.is_some_and(|store| store.has_room(candidate.spare, planned.now));
-            let queued = self.add_copy(specification, &candidate, has_turn, planned, steps);
-            let missing = self.round.count(model) == 0;
-            if missing && candidate.waited_for {
-                let after = queued.unwrap_or_else(|| {
-                    waiting += 1;
-                    let delay = self.store_delay(specification, waiting - 1, planned);
-                    specification.load_time + delay
-                });
-                announced.insert(model.clone(), planned.now + after);
-            }
-        }
-        self.announce(announced, planned);
-    }
-
-    /// Models that another copy is wanted of, the worthiest first.
-    fn candidates(&self, wanted: &[Wanted]) -> Vec<Candidate> {
-        let mut waited: Vec<ModelName> = Vec::new();
-        for one in wanted {
-            let model = ModelName::from(one.key.model.as_str());
-            if self.round.count(&model) == 0 && !waited.contains(&model) {
-                waited.push(model);
-            }
-        }
-        let waited = waited.into_iter().map(|model| Candidate {
-            worth: self.round.next_load_worth(&model),
-            waited_for: true,
-            spare: false,
-            model,
-        });
-        let short = self.round.short_of_copies().into_iter();
-        let short = first(SCALING_LOADS, short).map(|(worth, model)| Candidate {
-            worth: worth / SCALING_MARGIN,
-            waited_for: false,
-            spare: false,
-            model,
-        });
-        let missing = self.round.missing().into_iter();
-        let missing = first(RESTORING_LOADS, missing).map(|(worth, model)| Candidate {
-            worth: worth / SCALING_MARGIN,
-            waited_for: false,
-            spare: true,
-            model,
-        });
-        let mut all: Vec<Candidate> = waited
-            .take(WANTED_IN_ROUND)
-            .chain(short)
-            .chain(missing)
-            .collect();
-        all.sort_by(|left, right| right.worth.total_cmp(&left.worth));
-        all
-    }
-
-    fn store_delay(
-        &self,
-        specification: &ModelSpecification,
-        waiting: usize,
-        planned: &Planned<'_>,
-    ) -> Millis {
-        let store = self.stores.get(planned.service);
-        store.map_or(Millis(0), |store| {
-            store.delay(specification.load_time, waiting, planned.now)
-        })
-    }
-
-    /// Tells routers when models are expected that wait for the weight store and
-    /// have no place yet. What was told before stands while it is about right.
-    fn announce(&mut self, mut due: BTreeMap<ModelName, Timestamp>, planned: &Planned<'_>) {
-        let instance = self.of_service(planned.service, planned.now).next();
-        let Some(id) = instance.map(|one| one.id().clone()) else {
-            return;
-        };
-        for instance in self.instances.values_mut() {
-            let other = *instance.id() != id && instance.registration().service == planned.service;
-            if other && instance.announce(BTreeMap::new()) {
-                self.changed.insert(instance.id().clone());
-            }
-        }
-        let Some(instance) = self.instances.get_mut(&id) else {
-            return;
-        };
-        for (model, told) in instance.announced() {
-            if let Some(due) = due.get_mut(model)
-                && told.since(*due).max(due.since(*told)) <= EXPECTED_SLACK
-            {
-                *due = *told;
-            }
-        }
-        if instance.announce(due) {
-            self.changed.insert(id);
-        }
-    }
-
     /// Adds a copy of a model where that costs least, if it evicts less than
     /// it is worth; from the weight store only when it `has_turn` there. Where
     /// another model goes first at the best place, nothing is done yet; returns
     /// the time until this one would be there.
-    fn add_copy(
+    pub(super) fn add_copy(
         &mut self,
         specification: &ModelSpecification,
         candidate: &Candidate,
@@ -462,16 +333,6 @@
     }
 }
 
-/// The `count` worthiest.
-fn first(
-    count: usize,
-    models: impl Iterator<Item = (f64, ModelName)>,
-) -> impl Iterator<Item = (f64, ModelName)> {
-    let mut models: Vec<(f64, ModelName)> = models.collect();
-    models.sort_by(|left, right| right.0.total_cmp(&left.0));
-    models.into_iter().take(count)
-}
-
 pub(super) fn fits(
     instance: &Instance,
     specification: &ModelSpecification,
