--- a/crates/services/src/store_limit.rs
+++ b/crates/services/src/store_limit.rs
@@ -12,7 +12,7 @@
 //! either, so a load counts for the limit only where both its beginning and its
 //! mean say so.
 //!
-//! Invariant: the limit never falls below [`LEAST`], so that a slow store
+//! Invariant: the limit never falls below two loads, so that a slow store
 //! keeps being asked.
 
 use courseshunt_types::{Millis, RunnerId, Timestamp};
