--- a/crates/services/tests/copies.rs
+++ b/crates/services/tests/copies.rs
@@ -194,3 +194,22 @@
         );
     }
 }
+
+/// A load that takes longer than declared is under way all the same, so that no
+/// other order goes to its instance meanwhile.
+#[test]
+fn an_instance_whose_load_is_overdue_takes_no_order() {
+    let mut world = World::new(5, 4, 0);
+    for runner in world.runners.values_mut() {
+        runner.models.clear();
+    }
+    world.store_at_once = 1;
+    let all: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+    for _ in 0..2_000 {
+        let waiting = all.iter().map(|model| demand(model, 1, 1, PATIENT_MS));
+        let waiting: Vec<ModelDemand> = waiting.collect();
+        world.step(&waiting);
+    }
+    assert!(world.store_loads.iter().any(|(_, _, at_once)| *at_once > 1));
+    assert_eq!(world.conflicts, 0);
+}
--- a/crates/services/tests/placement_world/mod.rs
+++ b/crates/services/tests/placement_world/mod.rs
@@ -170,6 +170,9 @@
     pub store_at_once: usize,
     /// Loads from the store so far: when, of which model, how many at once.
     pub store_loads: Vec<(u64, ModelName, usize)>,
+    /// Orders that their instance refused: it had another under way, or had
+    /// taken one that the engine doesn't know of.
+    pub conflicts: usize,
     /// What the engine told.
     pub events: Vec<PlacementEvent>,
     pub now: u64,
@@ -196,6 +199,7 @@
             unreachable: BTreeSet::new(),
             store_at_once: usize::MAX,
             store_loads: Vec::new(),
+            conflicts: 0,
             events: Vec::new(),
             now: 0,
         };
@@ -281,6 +285,7 @@
         let from_store = matches!(order.action, OrderAction::LoadModel(_))
             && !runner.disk.iter().any(|one| one == model.as_str());
         let outcome = runner.take(order, self.now, time);
+        self.conflicts += usize::from(outcome == OrderOutcome::Conflict);
         if from_store && outcome == OrderOutcome::Accepted {
             self.store_loads.push((self.now, model.clone(), at_once));
         }
