--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -50,7 +50,7 @@
         Self {
             silence_limit: Millis(5_000),
             ceiling_window: Millis(5_000),
-            copy_utilisation: 0.4,
+            copy_utilisation: 0.33,
         }
     }
 }
