--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -21,7 +21,7 @@
 const RETURN_MARGIN: Duration = Duration::from_millis(60);
 const RETURN_MARGIN_PART: f64 = 0.1;
 /// A request waits no longer than this part of its client's time.
-const RETURNED_PART: f64 = 0.9;
+const CLIENT_TIME_PART: f64 = 0.9;
 
 /// A client that returns and of whose model nothing is known waits this part of
 /// its time.
@@ -128,6 +128,6 @@
     fn end(&self) -> Instant {
         let whole = self.whole();
         let patience = self.patience.unwrap_or(whole);
-        self.arrived + whole.min(patience).mul_f64(RETURNED_PART)
+        self.arrived + whole.min(patience).mul_f64(CLIENT_TIME_PART)
     }
 }
--- a/crates/services/src/placement/candidates.rs
+++ b/crates/services/src/placement/candidates.rs
@@ -50,8 +50,8 @@
             let missing = self.round.count(model) == 0;
             if missing && candidate.waited_for {
                 let after = queued.unwrap_or_else(|| {
+                    let delay = self.store_delay(specification, waiting, planned);
                     waiting += 1;
-                    let delay = self.store_delay(specification, waiting - 1, planned);
                     specification.load_time + delay
                 });
                 announced.insert(model.clone(), planned.now + after);
