--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -1,5 +1,6 @@
 //! Connections of routers and of other members.
 
+use crate::configuration_feed::ConfigurationFeed;
 use crate::records::ControllerRecord;
 use crate::snapshot::Snapshot;
 use crate::{Shared, join, relay};
@@ -7,7 +8,7 @@
 use courseshunt_http::AcceptPace;
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, InstanceDigests, InstanceView, ReportMessage};
-use courseshunt_types::{ControllerId, RunnerId};
+use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
 use courseshunt_wire::{
     Connection, Frame, Message, PeerIdentity, Receiver, Sender, WireError, accept,
 };
@@ -33,6 +34,24 @@
     queue: mpsc::Sender<Arc<Frame>>,
     /// Configuration that the router has or is being sent.
     configuration: u64,
+    /// Configuration that the router says is in force there.
+    in_force: u64,
+}
+
+/// A configuration on its way to the routers.
+#[derive(Debug, Clone, Copy)]
+struct Spreading {
+    number: u64,
+    since: Timestamp,
+}
+
+/// A configuration that is in force at all routers with a session.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Spread {
+    pub(crate) number: u64,
+    pub(crate) routers: usize,
+    /// Time since the leader knew that it is committed.
+    pub(crate) after: Millis,
 }
 
 /// All routers' sessions. A message for all is encoded once.
@@ -41,6 +60,20 @@
     sessions: Mutex<BTreeMap<String, Session>>,
     /// The instances as they were last sent to all.
     snapshot: Mutex<Option<Snapshot>>,
+    configuration: Mutex<ConfigurationFeed>,
+    spreading: Mutex<Option<Spreading>>,
+}
+
+impl Session {
+    /// Sends the newest configuration if the router lacks it; returns whether the
+    /// session goes on.
+    fn configure(&mut self, feed: &mut ConfigurationFeed) -> bool {
+        let Some(frame) = feed.frame_for(self.configuration) else {
+            return true;
+        };
+        self.configuration = feed.number();
+        self.queue.try_send(frame).is_ok()
+    }
 }
 
 impl Sessions {
@@ -86,24 +119,44 @@
             .retain(|_, session| session.queue.try_send(frame.clone()).is_ok());
     }
 
-    /// Sends a configuration to the routers that have an older one.
-    pub(crate) fn configure(&self, number: u64, document: &[u8]) {
+    /// Takes a configuration over and sends it to the routers that have an older
+    /// one.
+    pub(crate) fn configure(&self, number: u64, document: &[u8], now: Timestamp) {
+        let mut feed = self.configuration();
+        if feed.publish(number, document) {
+            let since = now;
+            *self.spreading() = Some(Spreading { number, since });
+        }
+        self.lock()
+            .retain(|_, session| session.configure(&mut feed));
+    }
+
+    fn configuration(&self) -> MutexGuard<'_, ConfigurationFeed> {
+        let configuration = self.configuration.lock();
+        configuration.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn spreading(&self) -> MutexGuard<'_, Option<Spreading>> {
+        let spreading = self.spreading.lock();
+        spreading.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes which configuration is in force at a router; tells when the newest
+    /// one is in force at all, once.
+    fn confirm(&self, router: &str, in_force: u64, now: Timestamp) -> Option<Spread> {
         let mut sessions = self.lock();
-        let behind = |session: &Session| session.configuration < number;
-        if !sessions.values().any(behind) {
-            return;
+        sessions.get_mut(router)?.in_force = in_force;
+        let mut spreading = self.spreading();
+        let Spreading { number, since } = (*spreading)?;
+        if sessions.values().any(|session| session.in_force < number) {
+            return None;
         }
-        let document = document.to_vec();
-        let Some(frame) = encode(FeedMessage::Configuration { number, document }) else {
-            return;
-        };
-        sessions.retain(|_, session| {
-            if !behind(session) {
-                return true;
-            }
-            session.configuration = number;
-            session.queue.try_send(frame.clone()).is_ok()
-        });
+        *spreading = None;
+        Some(Spread {
+            number,
+            routers: sessions.len(),
+            after: now.since(since),
+        })
     }
 
     /// Ends all sessions.
@@ -270,6 +323,7 @@
         number: incarnation,
         queue,
         configuration: number,
+        in_force: number,
     };
     open_session(&router, session, &known, shared);
     let ended = tokio::select! {
@@ -313,7 +367,7 @@
     let services = &state.services;
     shared
         .sessions
-        .configure(services.number, &services.document);
+        .configure(services.number, &services.document, now);
     drop(state);
     emit(&ControllerRecord::RouterFollows {
         router,
@@ -351,6 +405,7 @@
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
         let Message::ServiceReport(ReportMessage::Usage {
+            configuration,
             instances,
             demand,
             unreachable,
@@ -360,6 +415,14 @@
         };
         let waits = demand.iter().any(|one| one.waiting > 0);
         let now = shared.clock.now();
+        if let Some(spread) = shared.sessions.confirm(router, configuration, now) {
+            shared.metrics.spread(spread.after);
+            emit(&ControllerRecord::ConfigurationEverywhere {
+                number: spread.number,
+                routers: spread.routers,
+                after_ms: spread.after.0,
+            });
+        }
         let mut engine = shared.engine();
         engine.report_usage(router, instances, &demand, now);
         engine.report_unreachable(router, &unreachable, now);
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -196,7 +196,7 @@
         }
         shared
             .sessions
-            .configure(services.number, &services.document);
+            .configure(services.number, &services.document, now);
     }
     if now.since(leadership.since) < SEEDING {
         let mut engine = shared.engine();
@@ -325,9 +325,11 @@
     if now.since(leadership.usage_at) >= usage_interval(routers) {
         leadership.usage_at = now;
         let instances = shared.engine().usage_of_all();
-        shared
-            .sessions
-            .broadcast(FeedMessage::Usage { routers, instances });
+        shared.sessions.broadcast(FeedMessage::Usage {
+            configuration: leadership.configuration,
+            routers,
+            instances,
+        });
     }
 }
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 //! one.
 
 mod api;
+pub mod configuration_feed;
 mod error;
 mod feed;
 mod identity;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,10 +1,16 @@
 //! Counters and gauges of a controller.
 
-use prometheus_client::encoding::text::encode;
+use courseshunt_metrics::page_with_process;
+use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::time::Duration;
+
+/// Buckets of the time in which a configuration reaches all routers, in seconds.
+const SPREAD_BUCKETS_S: [f64; 8] = [0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 type Labels = Vec<(&'static str, String)>;
 
@@ -29,6 +35,7 @@
     registrations: Counter,
     configurations: Family<Labels, Counter>,
     leaderships: Counter,
+    spreads: Histogram,
     present: Family<Labels, Gauge>,
 }
 
@@ -41,6 +48,7 @@
             registrations: Counter::default(),
             configurations: Family::default(),
             leaderships: Counter::default(),
+            spreads: Histogram::new(SPREAD_BUCKETS_S),
             present: Family::default(),
         };
         let registry = &mut metrics.registry;
@@ -62,6 +70,12 @@
             "Times that this member was elected",
             leaderships,
         );
+        let spreads = metrics.spreads.clone();
+        registry.register(
+            "configuration_spread_seconds",
+            "Time from the commit of a configuration until it is in force at all routers",
+            spreads,
+        );
         let present = metrics.present.clone();
         registry.register("present", "Present values by name", present);
         metrics
@@ -89,6 +103,10 @@
         self.configurations.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn spread(&self, after: Millis) {
+        self.spreads.observe(Duration::from(after).as_secs_f64());
+    }
+
     pub(crate) fn leadership(&self) {
         self.leaderships.inc();
     }
@@ -108,10 +126,6 @@
             let value = i64::try_from(value).unwrap_or(i64::MAX);
             self.present.get_or_create(&labels).set(value);
         }
-        let mut text = String::new();
-        if encode(&mut text, &self.registry).is_err() {
-            log::error!("coordinator: the metrics can't be written");
-        }
-        text
+        page_with_process(&self.registry)
     }
 }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -53,6 +53,12 @@
         outcome: &'a str,
         problem: Option<&'a str>,
     },
+    /// The newest configuration is in force at all routers that follow.
+    ConfigurationEverywhere {
+        number: u64,
+        routers: usize,
+        after_ms: u64,
+    },
     /// An instance says that it takes no more work.
     Leaves {
         instance: &'a str,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -91,7 +91,7 @@
         receiver,
         ..
     } = connected?;
-    let number = shared.view.number();
+    let number = shared.view.base();
     let known = shared.view.digests();
     let subscribe = ReportMessage::Subscribe { number, known };
     sender.send(&Message::ServiceReport(subscribe)).await?;
@@ -144,6 +144,20 @@
                 let members = members.iter().filter_map(|one| one.parse().ok());
                 directory.members = members.collect();
             }
+            FeedMessage::Configuration {
+                number,
+                base,
+                digest,
+                difference,
+            } => {
+                let document = shared.view.apply(base, digest, &difference);
+                let document = document.map_err(|problem| WireError::Protocol {
+                    step: "apply a configuration",
+                    peer: address.to_string(),
+                    problem,
+                })?;
+                configure(number, document, shared);
+            }
             other => {
                 if !connected {
                     connected = true;
@@ -160,7 +174,6 @@
 
 fn take(message: FeedMessage, shared: &Shared) {
     match message {
-        FeedMessage::Configuration { number, document } => configure(number, &document, shared),
         FeedMessage::Instances { changed, gone } => {
             let lost = shared.view.set_instances(changed, gone);
             forget(lost, shared);
@@ -169,11 +182,18 @@
             let lost = shared.view.keep_instances(live);
             forget(lost, shared);
         }
-        FeedMessage::Usage { routers, instances } => {
+        FeedMessage::Usage {
+            configuration,
+            routers,
+            instances,
+        } => {
+            shared.view.announce(configuration);
             shared.view.set_usage(routers, &instances);
             shared.pool.tidy();
         }
-        FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => {}
+        FeedMessage::Configuration { .. }
+        | FeedMessage::NotLeader { .. }
+        | FeedMessage::Members(_) => {}
     }
 }
 
@@ -189,12 +209,13 @@
     });
 }
 
-fn configure(number: u64, document: &[u8], shared: &Shared) {
-    let read = shared.interface.read_configuration(document);
+fn configure(number: u64, document: Vec<u8>, shared: &Shared) {
+    let read = shared.interface.read_configuration(&document);
     let judged = read.and_then(|read| judge(&read).map(|()| read));
     match judged {
         Ok(configuration) => {
-            let in_force = shared.view.configure(RouteTable::new(configuration));
+            let table = RouteTable::new(configuration);
+            let in_force = shared.view.configure(table, document);
             emit(&RouterRecord::Configuration { number, in_force });
         }
         Err(error) => emit(&RouterRecord::ConfigurationUnusable {
@@ -208,7 +229,7 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(usage_interval(shared.view.routers()).into()) => {}
-            () = shared.view.missing.notified() => tokio::time::sleep(URGENT_PAUSE).await,
+            () = shared.view.news.notified() => tokio::time::sleep(URGENT_PAUSE).await,
         }
         let report = shared.view.take_report(shared.clock.now());
         sender.send(&Message::ServiceReport(report)).await?;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -6,6 +6,7 @@
 use crate::interface::RequestFacts;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
+use crate::standing::{Standing, judge};
 use crate::waiting::{Situation, Waiting, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
@@ -77,7 +78,7 @@
     let (head, body) = request.into_parts();
     let facts = shared.interface.read_request(&head.headers);
     let table = table(shared, &facts, arrived).await?;
-    let route = find(&table, &head).ok_or(Refusal::NoRoute)?;
+    let route = route(&table, &head, shared)?;
     let timeout = facts
         .deadline
         .map_or(route.timeout, |asked| asked.min(route.timeout));
@@ -124,6 +125,15 @@
     }
 }
 
+/// The route of a request, as far as this router can tell.
+fn route(table: &RouteTable, head: &Parts, shared: &Shared) -> Result<Arc<Route>, Refusal> {
+    match judge(find(table, head), shared.view.behind_for()) {
+        Standing::Serve(route) => Ok(route),
+        Standing::Deny => Err(Refusal::NoRoute),
+        Standing::Behind => Err(Refusal::Behind),
+    }
+}
+
 fn find(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
     let authority = head.uri.authority().map(|authority| authority.as_str());
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod refusal;
 mod relay;
 mod serve;
+pub mod standing;
 mod view;
 pub mod waiting;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms of a router.
 
-use prometheus_client::encoding::text::encode;
+use courseshunt_metrics::page_with_process;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -152,10 +152,6 @@
         self.configuration.set(configuration);
         let age = i64::try_from(feed_age.as_millis()).unwrap_or(i64::MAX);
         self.feed_age_ms.set(age);
-        let mut text = String::new();
-        if encode(&mut text, &self.registry).is_err() {
-            log::error!("router: the metrics can't be written");
-        }
-        text
+        page_with_process(&self.registry)
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 pub(crate) enum Refusal {
     /// No configuration is known yet.
     NoConfiguration,
+    /// A newer configuration is in force than the one known here.
+    Behind,
     /// There is no such route.
     NoRoute,
     /// The body is longer than allowed.
@@ -35,9 +37,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenBody => StatusCode::BAD_REQUEST,
-            Self::NoConfiguration | Self::NoInstance | Self::TurnedAway | Self::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Behind
+            | Self::NoInstance
+            | Self::TurnedAway
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
@@ -57,6 +61,7 @@
     pub(crate) fn word(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::Behind => "behind",
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::BrokenBody => "broken_body",
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! What a router knows: configuration, instances, use, demand, budgets.
 
+use courseshunt_services::digest::document_digest;
 use courseshunt_services::feed::{InstanceUsage, ModelDemand};
 use courseshunt_services::{
     Candidate, InstanceDigests, InstanceState, InstanceView, PromptShape, ReportMessage,
@@ -7,6 +8,8 @@
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
+use courseshunt_wire::MAX_FRAME_BYTES;
+use courseshunt_wire::compression::apply_difference;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,6 +18,8 @@
 
 /// Routers are taken to be so many until the feed tells.
 const ASSUMED_ROUTERS: u32 = 16;
+/// Longest document of a configuration: what one message carries.
+const LONGEST_DOCUMENT: usize = MAX_FRAME_BYTES;
 /// Time in which an adapter is loaded, about.
 const ADAPTER_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
@@ -40,6 +45,12 @@
 
 struct State {
     table: Option<Arc<RouteTable>>,
+    /// The configuration in force, in the operator's form.
+    document: Vec<u8>,
+    /// A difference could not be applied: the whole document is needed.
+    needs_whole: bool,
+    /// A newer configuration is in force elsewhere since then.
+    behind_since: Option<Instant>,
     instances: BTreeMap<RunnerId, InstanceView>,
     /// When models that are being loaded will be there.
     expected: BTreeMap<RunnerId, Vec<(String, Instant)>>,
@@ -50,6 +61,25 @@
 }
 
 impl State {
+    fn number(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.number())
+    }
+
+    fn apply(&self, base: u64, digest: u64, difference: &[u8]) -> Result<Vec<u8>, String> {
+        let held = self.number();
+        let older = match base {
+            0 => &[][..],
+            _ if base == held => &self.document,
+            _ => return Err(format!("it changes {base}, and {held} is in force")),
+        };
+        let document = apply_difference(older, difference, LONGEST_DOCUMENT);
+        let document = document.map_err(|error| error.to_string())?;
+        match document_digest(&document) == digest {
+            true => Ok(document),
+            false => Err("the document has another digest".to_owned()),
+        }
+    }
+
     /// Drops instances; returns those that were known.
     fn remove(&mut self, gone: Vec<RunnerId>) -> Vec<RunnerId> {
         if gone.is_empty() {
@@ -72,8 +102,9 @@
     changes: watch::Sender<u64>,
     /// When the feed was heard last.
     heard: Mutex<Instant>,
-    /// Woken when a request begins to wait for a model.
-    pub(crate) missing: Notify,
+    /// Woken when a request begins to wait for a model, and when a configuration
+    /// comes into force.
+    pub(crate) news: Notify,
     retry: (f64, f64, Millis),
 }
 
@@ -83,6 +114,9 @@
         let window = Millis((limits.retry_window_s * 1000.0) as u64);
         let state = State {
             table: None,
+            document: Vec::new(),
+            needs_whole: false,
+            behind_since: None,
             instances: BTreeMap::new(),
             expected: BTreeMap::new(),
             selector: Selector::new(Zone::from(settings.zone.as_str())),
@@ -94,7 +128,7 @@
             state: Mutex::new(state),
             changes: watch::Sender::new(0),
             heard: Mutex::new(Instant::now()),
-            missing: Notify::new(),
+            news: Notify::new(),
             retry: (limits.retry_ratio, limits.retry_slack, window),
         }
     }
@@ -110,8 +144,16 @@
 
     /// Number of the configuration in force; 0 for none.
     pub(crate) fn number(&self) -> u64 {
+        self.lock().number()
+    }
+
+    /// Number of the configuration that differences may be told from; 0 for none.
+    pub(crate) fn base(&self) -> u64 {
         let state = self.lock();
-        state.table.as_ref().map_or(0, |table| table.number())
+        match state.needs_whole {
+            true => 0,
+            false => state.number(),
+        }
     }
 
     /// Whether requests can be served.
@@ -145,16 +187,48 @@
         self.changes.send_modify(|number| *number += 1);
     }
 
+    /// The document that a difference makes out of the one in force, or out of
+    /// the empty one when `base` is 0. After an error the whole document is asked
+    /// for.
+    pub(crate) fn apply(
+        &self,
+        base: u64,
+        digest: u64,
+        difference: &[u8],
+    ) -> Result<Vec<u8>, String> {
+        let mut state = self.lock();
+        let document = state.apply(base, digest, difference);
+        state.needs_whole = document.is_err();
+        document
+    }
+
+    /// Notes which configuration is in force elsewhere.
+    pub(crate) fn announce(&self, number: u64) {
+        let mut state = self.lock();
+        if number <= state.number() {
+            state.behind_since = None;
+        } else if state.behind_since.is_none() {
+            state.behind_since = Some(Instant::now());
+        }
+    }
+
+    /// For how long a newer configuration is known to be in force elsewhere.
+    pub(crate) fn behind_for(&self) -> Option<Duration> {
+        self.lock().behind_since.map(|since| since.elapsed())
+    }
+
     /// Puts a newer configuration in force; an older one changes nothing.
-    pub(crate) fn configure(&self, table: RouteTable) -> bool {
+    pub(crate) fn configure(&self, table: RouteTable, document: Vec<u8>) -> bool {
         let mut state = self.lock();
-        let held = state.table.as_ref().map_or(0, |table| table.number());
-        if table.number() <= held {
+        if table.number() <= state.number() {
             return false;
         }
         state.table = Some(Arc::new(table));
+        state.document = document;
+        state.behind_since = None;
         drop(state);
         self.changed();
+        self.news.notify_one();
         true
     }
 
@@ -326,7 +400,7 @@
     pub(crate) fn wait_for<'a>(&'a self, service: &str, shape: &PromptShape) -> WaitGuard<'a> {
         let key = key_of(service, shape);
         self.lock().demand.entry(key.clone()).or_default().waiting += 1;
-        self.missing.notify_one();
+        self.news.notify_one();
         WaitGuard { view: self, key }
     }
 
@@ -353,6 +427,7 @@
             demand.waiting > 0
         });
         ReportMessage::Usage {
+            configuration: state.number(),
             instances,
             demand,
             unreachable,
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -6,5 +6,5 @@
 mod page;
 mod process;
 
-pub use page::{MetricsPage, Sample};
+pub use page::{MetricsPage, Sample, page_with_process};
 pub use process::{ProcessUsage, process_usage};
--- a/crates/metrics/src/page.rs
+++ b/crates/metrics/src/page.rs
@@ -2,7 +2,7 @@
 
 use crate::process::process_usage;
 use courseshunt_wire::{KindTraffic, traffic};
-use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::text::{encode, encode_registry};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -132,6 +132,20 @@
     }
 }
 
+/// The values of a process that keeps its own registry, and what every process
+/// tells.
+#[must_use]
+pub fn page_with_process(registry: &Registry) -> String {
+    let mut text = String::new();
+    if encode_registry(&mut text, registry).is_err() {
+        log::error!("metrics: the values can't be written");
+    }
+    let mut process = MetricsPage::default();
+    process.process();
+    text.push_str(&process.text());
+    text
+}
+
 fn directions(traffic: &[KindTraffic], of: fn(&KindTraffic) -> (u64, u64)) -> Vec<Sample> {
     let pairs = traffic.iter().flat_map(|one| {
         let (sent, received) = of(one);
--- a/crates/services/src/digest.rs
+++ b/crates/services/src/digest.rs
@@ -17,6 +17,12 @@
     usize::try_from(hash % BUCKETS as u64).unwrap_or_default()
 }
 
+/// Digest of a configuration's document.
+#[must_use]
+pub fn document_digest(document: &[u8]) -> u64 {
+    xxh3_64(document)
+}
+
 /// One digest for each part; equal digests stand for equal views, but for the
 /// time that loads still take.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -77,12 +77,17 @@
     },
     /// Wire addresses of all members of the group.
     Members(Vec<String>),
-    /// A committed configuration, in the operator's own form.
+    /// A committed configuration, in the operator's own form, as its difference
+    /// from an older one.
     Configuration {
         /// Its number.
         number: u64,
-        /// The document.
-        document: Vec<u8>,
+        /// Number of the older document; 0 for the empty one.
+        base: u64,
+        /// Digest of the document.
+        digest: u64,
+        /// What makes the document out of the older one.
+        difference: Vec<u8>,
     },
     /// Instances that changed, and those that are gone.
     Instances {
@@ -95,6 +100,8 @@
     Live(Vec<RunnerId>),
     /// What all routers use, this one included, and how many there are.
     Usage {
+        /// Number of the configuration in force at the leader.
+        configuration: u64,
         /// Live routers.
         routers: u32,
         /// Usage summed over all routers.
@@ -114,6 +121,8 @@
     },
     /// What the router uses and is asked for.
     Usage {
+        /// Number of the configuration in force at the router, 0 for none.
+        configuration: u64,
         /// At each instance with requests under way.
         instances: Vec<InstanceUsage>,
         /// For each model asked for since the last report or waited for.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,10 +1,12 @@
-//! Frames: protocol version (1 byte), length (4), CRC-32 (4), `rkyv` content.
+//! Frames: protocol version (1 byte), length (4), CRC-32 (4), packed content (see
+//! the compression), which is `rkyv`.
 
+use crate::compression;
 use crate::message::Message;
 
 /// Version of the protocol; another version closes the connection.
-pub const PROTOCOL_VERSION: u8 = 1;
-/// Longest content of a frame, in bytes.
+pub const PROTOCOL_VERSION: u8 = 2;
+/// Longest content of a frame, in bytes, packed or not.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes before the content.
 pub(crate) const HEADER_BYTES: usize = 9;
@@ -55,6 +57,7 @@
     if content.len() > MAX_FRAME_BYTES {
         return Err(format!("a message of {} bytes is too long", content.len()));
     }
+    let content = compression::pack(&content);
     let mut frame = Vec::with_capacity(HEADER_BYTES + content.len());
     frame.push(PROTOCOL_VERSION);
     frame.extend_from_slice(&(content.len() as u32).to_le_bytes());
@@ -69,7 +72,7 @@
         return Err(format!("protocol version {} is not spoken here", bytes[0]));
     }
     let length = u32::from_le_bytes([bytes[1], bytes[2], bytes[3], bytes[4]]) as usize;
-    if length > MAX_FRAME_BYTES {
+    if length > MAX_FRAME_BYTES + 1 {
         return Err(format!("a frame of {length} bytes is too long"));
     }
     let checksum = u32::from_le_bytes([bytes[5], bytes[6], bytes[7], bytes[8]]);
@@ -84,7 +87,6 @@
     if crc32fast::hash(content) != checksum {
         return Err("the checksum of a frame is wrong".to_owned());
     }
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(content.len());
-    aligned.extend_from_slice(content);
+    let aligned = compression::unpack(content)?;
     rkyv::from_bytes::<Message, rkyv::rancor::Error>(&aligned).map_err(|error| error.to_string())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
     reason = "the fields of the archived enums that rkyv derives carry no docs"
 )]
 
+pub mod compression;
 mod connection;
 mod dial_limit;
 pub mod error;
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -4,10 +4,11 @@
 //! together.
 
 use crate::message::Message;
+use courseshunt_services::FeedMessage;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Kinds of messages, as named in metrics.
-pub const MESSAGE_KINDS: [&str; 15] = [
+pub const MESSAGE_KINDS: [&str; 18] = [
     "consensus",
     "forward",
     "subscribe",
@@ -22,6 +23,9 @@
     "grant",
     "service_feed",
     "service_report",
+    "feed_configuration",
+    "feed_instances",
+    "feed_usage",
     "other",
 ];
 
@@ -94,6 +98,15 @@
     counted.collect()
 }
 
+fn feed_index(feed: &FeedMessage) -> usize {
+    match feed {
+        FeedMessage::Configuration { .. } => 14,
+        FeedMessage::Instances { .. } | FeedMessage::Live(_) => 15,
+        FeedMessage::Usage { .. } => 16,
+        FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => 12,
+    }
+}
+
 /// Place of a message's kind in [`MESSAGE_KINDS`].
 pub(crate) fn kind_index(message: &Message) -> usize {
     match message {
@@ -119,7 +132,7 @@
         | Message::NotOwner { .. }
         | Message::AdoptGrants { .. }
         | Message::OwnerLeaving => 11,
-        Message::ServiceFeed(_) => 12,
+        Message::ServiceFeed(feed) => feed_index(feed),
         Message::ServiceReport(_) => 13,
         #[allow(unreachable_patterns, reason = "kinds that are appended later")]
         _ => MESSAGE_KINDS.len() - 1,
