--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -207,7 +207,7 @@
             AttemptOutcome::MayHaveRun
         }
         Ok(Ok(collected)) => {
-            flight.first_answer();
+            flight.part();
             flight.whole();
             shared.pool.keep(flight.instance(), upstream);
             let body = collected.to_bytes();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -188,7 +188,8 @@
             instances,
         } => {
             shared.view.announce(configuration);
-            shared.view.set_usage(routers, &instances);
+            let now = shared.clock.now();
+            shared.view.set_usage(routers, &instances, now);
             shared.pool.tidy();
         }
         FeedMessage::Configuration { .. }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -20,6 +20,8 @@
     arrived: Instant,
     waited: Duration,
     first: Option<Duration>,
+    last_part_at: Option<Instant>,
+    longest_pause: Duration,
     status: u16,
     ended: bool,
     id: String,
@@ -70,6 +72,7 @@
             route: &admitted.route.name,
             service: &admitted.service.name,
             model: &shape.model,
+            adapter: shape.adapter.as_deref(),
             instance: candidate.instance.as_str(),
             attempt,
             after_ms: millis(waited),
@@ -86,6 +89,8 @@
             arrived: admitted.arrived,
             waited,
             first: None,
+            last_part_at: None,
+            longest_pause: Duration::ZERO,
             status: 0,
             ended: false,
             id: admitted.facts.id.clone(),
@@ -104,8 +109,17 @@
         self.shared.metrics.answer(status);
     }
 
+    /// Notes a part of the answer.
+    pub(crate) fn part(&mut self) {
+        let now = Instant::now();
+        if let Some(before) = self.last_part_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - before);
+        }
+        self.first_answer();
+    }
+
     /// Notes the first part of the answer.
-    pub(crate) fn first_answer(&mut self) {
+    fn first_answer(&mut self) {
         if self.first.is_some() {
             return;
         }
@@ -148,6 +162,7 @@
             predicted_ms: self.candidate.predicted_ms as u64,
             uncached_tokens: self.candidate.uncached_tokens,
             first_ms: self.first.map(millis),
+            longest_pause_ms: millis(self.longest_pause),
             after_ms: millis(self.arrived.elapsed()),
         });
     }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -26,6 +26,7 @@
         route: &'a str,
         service: &'a str,
         model: &'a str,
+        adapter: Option<&'a str>,
         instance: &'a str,
         attempt: u32,
         after_ms: u64,
@@ -83,6 +84,8 @@
         predicted_ms: u64,
         uncached_tokens: u32,
         first_ms: Option<u64>,
+        /// Longest time between two parts of the answer.
+        longest_pause_ms: u64,
         after_ms: u64,
     },
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -67,7 +67,7 @@
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(flight) = &mut self.flight {
-                    flight.first_answer();
+                    flight.part();
                 }
                 if self.incoming.is_end_stream() {
                     self.finish();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,7 +1,7 @@
 //! What a router knows: configuration, instances, use, demand, budgets.
 
 use courseshunt_services::digest::document_digest;
-use courseshunt_services::feed::{InstanceUsage, ModelDemand};
+use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_lag};
 use courseshunt_services::{
     Candidate, InstanceDigests, InstanceState, InstanceView, PromptShape, ReportMessage,
     RetryBudget, RouteTable, Selector, Service,
@@ -119,7 +119,7 @@
             behind_since: None,
             instances: BTreeMap::new(),
             expected: BTreeMap::new(),
-            selector: Selector::new(Zone::from(settings.zone.as_str())),
+            selector: Selector::new(Zone::from(settings.zone.as_str())).seeded(rand::random()),
             demand: HashMap::new(),
             budgets: HashMap::new(),
             routers: ASSUMED_ROUTERS,
@@ -269,10 +269,11 @@
         InstanceDigests::of(self.lock().instances.values())
     }
 
-    pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage]) {
+    pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) {
         let mut state = self.lock();
         state.routers = routers.max(1);
-        state.selector.set_usage(usage);
+        let late = usage_lag(routers.max(1));
+        state.selector.set_usage(usage, late, now);
     }
 
     /// Chooses an instance and counts the request there.
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -26,6 +26,14 @@
     Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
 }
 
+/// Age of what a router is told of the others' use until it is told anew, about:
+/// half of the time between their reports, half of that between the leader's sums,
+/// and half of it again while it waits for the next.
+#[must_use]
+pub fn usage_lag(routers: u32) -> Millis {
+    Millis(usage_interval(routers).0 * 3 / 2)
+}
+
 /// Time between messages on changed instances: longer with many routers, since
 /// the leader sends each of them one.
 #[must_use]
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -1,8 +1,10 @@
 //! Chooses the instance for a request by the predicted time to its first
 //! answer, and keeps what that prediction rests on.
 //!
-//! What other routers have sent is known from the feed, with a lag. Requests
-//! that share the beginning of their prompt have a common home among the
+//! What other routers have sent is known from the feed, with a lag. What they may
+//! have sent since is drawn at random, so that routers that know the same do not
+//! all choose the same instance; homes are spread already and need no draw.
+//! Requests that share the beginning of their prompt have a common home among the
 //! instances (rendezvous hashing), so that routers agree on it without messages.
 
 mod health;
@@ -20,6 +22,9 @@
 const MS_PER_MILLION_PAIRS: f64 = 0.5;
 /// Cost of a hop to another zone, in milliseconds; covers the bytes' price.
 const OTHER_ZONE_MS: f64 = 4.0;
+/// Part of their reading speed that other routers' requests may use, unseen, while
+/// what is known of them is on its way.
+const UNSEEN_PART: f64 = 0.3;
 /// Cost of one more request in a batch, in milliseconds.
 const BATCH_MS: f64 = 1.0;
 /// How long a prefix counts as kept after its last use.
@@ -123,6 +128,11 @@
 #[derive(Debug)]
 pub struct Selector {
     zone: Zone,
+    /// Sets this router's draws apart from those of others.
+    seed: u64,
+    /// When the use of others was told, and how old it was then.
+    told_at: Timestamp,
+    told_late: Millis,
     locals: BTreeMap<RunnerId, Local>,
     choices: u64,
 }
@@ -133,14 +143,30 @@
     pub fn new(zone: Zone) -> Self {
         Self {
             zone,
+            seed: 0,
+            told_at: Timestamp::default(),
+            told_late: Millis(0),
             locals: BTreeMap::new(),
             choices: 0,
         }
     }
 
+    /// Gives this router's draws a seed of their own.
+    #[must_use]
+    pub fn seeded(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
     /// Takes over what all routers use, this one included: what it has under way
-    /// itself is known better here.
-    pub fn set_usage(&mut self, usage: &[crate::feed::InstanceUsage]) {
+    /// itself is known better here. It is about `late` old.
+    pub fn set_usage(
+        &mut self,
+        usage: &[crate::feed::InstanceUsage],
+        late: Millis,
+        now: Timestamp,
+    ) {
+        self.told_at = now;
+        self.told_late = late;
         for local in self.locals.values_mut() {
             local.others_in_flight = 0;
             local.others_unread = 0;
@@ -242,12 +268,16 @@
         let mut cost = match shape.model.is_empty() {
             true => in_flight / f64::from(view.slots.max(1)) * 20.0 * slowness,
             false => {
-                let backlog = f64::from(local.unread_tokens + local.others_unread);
+                let others = self.still_unread(local.others_unread, now);
+                let backlog = f64::from(local.unread_tokens) + others;
                 let reading = (backlog + f64::from(uncached)) / DEFAULT_TOKENS_PER_MS;
                 (reading + in_flight * BATCH_MS) * slowness
             }
         };
         let predicted_ms = cost;
+        if !shape.model.is_empty() && !is_home {
+            cost += self.unseen_ms(&view.id);
+        }
         cost += local.health.overdue(now).0 as f64;
         cost += local.health.failed_part(now)
             * match shape.model.is_empty() {
@@ -269,6 +299,21 @@
         (cost, local.last_chosen, candidate)
     }
 
+    /// What is left of others' unread tokens, which the instance has gone on
+    /// reading since they were told.
+    fn still_unread(&self, told: u32, now: Timestamp) -> f64 {
+        let read = now.since(self.told_at).0 as f64 * DEFAULT_TOKENS_PER_MS;
+        (f64::from(told) - read).max(0.0)
+    }
+
+    /// Work that others may have sent to an instance since what is known of them,
+    /// in milliseconds: drawn for each choice.
+    fn unseen_ms(&self, instance: &RunnerId) -> f64 {
+        let draw = xxh3_64_with_seed(instance.as_str().as_bytes(), self.seed ^ self.choices);
+        let part = draw as f64 / u64::MAX as f64;
+        part * self.told_late.0 as f64 * UNSEEN_PART
+    }
+
     /// Notes that a request is sent.
     pub fn begin(&mut self, candidate: &Candidate, shape: &PromptShape, now: Timestamp) {
         let local = self.locals.entry(candidate.instance.clone()).or_default();
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -82,15 +82,97 @@
     let wanted = shape("m", None, 5);
     let home = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
     let home = home.expect("a holder").instance;
-    selector.set_usage(&[InstanceUsage {
-        instance: home.clone(),
-        in_flight: 10,
-        prompt_tokens: 60_000,
-    }]);
+    selector.set_usage(
+        &[InstanceUsage {
+            instance: home.clone(),
+            in_flight: 10,
+            prompt_tokens: 60_000,
+        }],
+        Millis(0),
+        NOW,
+    );
     let other = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
     assert_ne!(other.expect("a holder").instance, home);
 }
 
+/// What routers choose that know the same: instances with the requests they got.
+fn herd(late: Millis, routers: u64) -> std::collections::BTreeMap<String, usize> {
+    let views: Vec<InstanceView> = ["a", "b", "c", "d", "e", "f", "g", "h"]
+        .map(|id| view(id, "z", &[("m", &[])]))
+        .to_vec();
+    let usage: Vec<InstanceUsage> = views
+        .iter()
+        .enumerate()
+        .map(|(number, view)| InstanceUsage {
+            instance: view.id.clone(),
+            in_flight: number as u32,
+            prompt_tokens: 300 * number as u32,
+        })
+        .collect();
+    let mut chosen = std::collections::BTreeMap::new();
+    for router in 0..routers {
+        let mut selector = Selector::new(Zone::from("z")).seeded(router);
+        selector.set_usage(&usage, late, NOW);
+        let plain = PromptShape {
+            parts: Vec::new(),
+            ..shape("m", None, router)
+        };
+        let one = selector.choose(&plain, views.iter(), &[], LIMIT, NOW);
+        *chosen.entry(one.expect("a holder").instance.0).or_default() += 1;
+    }
+    chosen
+}
+
+/// Many routers that were told the same, some time ago, don't all send to the
+/// instance that was idle then; without that time they do.
+#[test]
+fn what_is_known_late_does_not_draw_all_routers_to_one_instance() {
+    let at_once = herd(Millis(0), 160);
+    assert_eq!(at_once.get("a"), Some(&160), "{at_once:?}");
+    let late = herd(Millis(720), 160);
+    let most = late.values().max();
+    assert!(most < Some(&50), "{late:?}");
+    assert!(late.len() >= 6, "{late:?}");
+    assert!(late.get("a") >= late.get("h"), "{late:?}");
+}
+
+/// What routers know late does not draw them away from the home of a prompt.
+#[test]
+fn an_idle_home_is_kept_whatever_may_have_been_sent() {
+    let views = [view("a", "z", &[("m", &[])]), view("b", "z", &[("m", &[])])];
+    let wanted = shape("m", None, 5);
+    let mut homes = std::collections::BTreeSet::new();
+    for router in 0..100 {
+        let mut selector = Selector::new(Zone::from("z")).seeded(router);
+        selector.set_usage(&[], Millis(720), NOW);
+        let home = selector.choose(&wanted, views.iter(), &[], LIMIT, NOW);
+        homes.insert(home.expect("a holder").instance);
+    }
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
+/// What others had to read when it was told is read by and by.
+#[test]
+fn what_was_unread_is_forgotten_at_the_speed_of_reading() {
+    let views = [view("a", "z", &[("m", &[])]), view("b", "z", &[("m", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let plain = PromptShape {
+        parts: Vec::new(),
+        ..shape("m", None, 1)
+    };
+    let told = |instance: &str, in_flight, prompt_tokens| InstanceUsage {
+        instance: RunnerId::from(instance),
+        in_flight,
+        prompt_tokens,
+    };
+    selector.set_usage(&[told("a", 1, 20_000), told("b", 3, 0)], Millis(0), NOW);
+    let at_first = selector.choose(&plain, views.iter(), &[], LIMIT, NOW);
+    assert_eq!(at_first.expect("a holder").instance.as_str(), "b");
+    let later = NOW + Millis(600);
+    let then = selector.choose(&plain, views.iter(), &[], LIMIT, later);
+    assert_eq!(then.expect("a holder").instance.as_str(), "a");
+}
+
 #[test]
 fn a_suspect_is_avoided_while_others_can_serve() {
     let views = [view("a", "z", &[]), view("b", "z", &[])];
