--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,7 +3,6 @@
 use crate::Shared;
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
-use courseshunt_services::feed::usage_interval;
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId, RunnerId};
 use courseshunt_wire::{
@@ -229,7 +228,7 @@
 async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
     loop {
         tokio::select! {
-            () = tokio::time::sleep(usage_interval(shared.view.routers()).into()) => {}
+            () = tokio::time::sleep(shared.view.report_interval().into()) => {}
             () = shared.view.news.notified() => tokio::time::sleep(URGENT_PAUSE).await,
         }
         let report = shared.view.take_report(shared.clock.now());
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,7 +1,7 @@
 //! What a router knows: configuration, instances, use, demand, budgets.
 
 use courseshunt_services::digest::document_digest;
-use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_lag};
+use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_interval, usage_lag};
 use courseshunt_services::{
     Candidate, InstanceDigests, InstanceState, InstanceView, PromptShape, ReportMessage,
     RetryBudget, RouteTable, Selector, Service,
@@ -173,9 +173,10 @@
         heard.elapsed()
     }
 
-    /// Live routers, as far as known.
-    pub(crate) fn routers(&self) -> u32 {
-        self.lock().routers
+    /// Time between reports, for as many routers and instances as are known.
+    pub(crate) fn report_interval(&self) -> Millis {
+        let state = self.lock();
+        usage_interval(state.routers, state.instances.len())
     }
 
     /// Follows changes, to wait for one.
@@ -272,7 +273,7 @@
     pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) {
         let mut state = self.lock();
         state.routers = routers.max(1);
-        let late = usage_lag(routers.max(1));
+        let late = usage_lag(state.routers, state.instances.len());
         state.selector.set_usage(usage, late, now);
     }
 
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -11,7 +11,12 @@
 const USAGE_INTERVAL: Millis = Millis(120);
 /// Routers at this rate; with more, messages are rarer, down to a bound.
 const ROUTERS_AT_FULL_RATE: u32 = 16;
-const SLOWEST_FACTOR: u32 = 4;
+const SLOWEST_FACTOR: u32 = 2;
+/// The same where sums are long and go to many: the leader writes each instance in
+/// use for each router.
+const SLOWEST_FACTOR_OF_MANY: u32 = 4;
+/// Routers times instances from which on that holds.
+const MANY_ENTRIES: u64 = 100_000;
 
 /// Routers for each millisecond between messages on changed instances.
 const ROUTERS_IN_A_MILLISECOND: u64 = 2;
@@ -19,19 +24,25 @@
 const LONGEST_INSTANCES_INTERVAL: Millis = Millis(250);
 
 /// Time between a router's reports, and between the leader's sums: longer with
-/// many routers, so that the leader's work stays bounded.
+/// many routers and instances, so that the leader's work stays bounded.
 #[must_use]
-pub fn usage_interval(routers: u32) -> Millis {
+pub fn usage_interval(routers: u32, instances: usize) -> Millis {
+    let instances = u64::try_from(instances).unwrap_or(u64::MAX);
+    let entries = u64::from(routers).saturating_mul(instances);
+    let slowest = match entries < MANY_ENTRIES {
+        true => SLOWEST_FACTOR,
+        false => SLOWEST_FACTOR_OF_MANY,
+    };
     let factor = routers.div_ceil(ROUTERS_AT_FULL_RATE);
-    Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, SLOWEST_FACTOR)))
+    Millis(USAGE_INTERVAL.0 * u64::from(factor.clamp(1, slowest)))
 }
 
 /// Age of what a router is told of the others' use until it is told anew, about:
 /// half of the time between their reports, half of that between the leader's sums,
 /// and half of it again while it waits for the next.
 #[must_use]
-pub fn usage_lag(routers: u32) -> Millis {
-    Millis(usage_interval(routers).0 * 3 / 2)
+pub fn usage_lag(routers: u32, instances: usize) -> Millis {
+    Millis(usage_interval(routers, instances).0 * 3 / 2)
 }
 
 /// Time between messages on changed instances: longer with many routers, since
--- a/crates/services/tests/digest.rs
+++ b/crates/services/tests/digest.rs
@@ -1,7 +1,7 @@
 //! A router that comes back is sent what it lacks, and no more.
 
 use courseshunt_services::digest::{BUCKETS, bucket_of};
-use courseshunt_services::feed::instances_interval;
+use courseshunt_services::feed::{instances_interval, usage_interval, usage_lag};
 use courseshunt_services::{InstanceDigests, InstanceState, InstanceView, ResidentModel};
 use courseshunt_types::{Millis, ModelName, RunnerId, Zone};
 
@@ -77,3 +77,26 @@
     assert_eq!(instances_interval(292), Millis(146));
     assert_eq!(instances_interval(100_000), Millis(250));
 }
+
+/// The use of instances is told soon where that is cheap, and rarely where long
+/// sums go to many routers: what the leader writes in a second stays bounded.
+#[test]
+fn sums_of_use_are_rarer_where_they_are_long_and_go_to_many() {
+    let cases = [
+        ((7, 22), 120),
+        ((16, 3_000), 120),
+        ((78, 144), 240),
+        ((291, 166), 240),
+        ((300, 3_000), 480),
+        ((340, 830), 480),
+    ];
+    for ((routers, instances), interval) in cases {
+        let told = usage_interval(routers, instances);
+        assert_eq!(
+            told,
+            Millis(interval),
+            "{routers} routers, {instances} instances"
+        );
+        assert_eq!(usage_lag(routers, instances), Millis(interval * 3 / 2));
+    }
+}
