--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -162,6 +162,7 @@
     /// Ends all sessions.
     pub(crate) fn clear(&self) {
         self.forget_snapshot();
+        *self.spreading() = None;
         self.lock().clear();
     }
 }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -322,8 +322,8 @@
         shared.sessions.broadcast(FeedMessage::Live(live));
     }
     let routers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
-    let known = shared.engine().count();
-    if now.since(leadership.usage_at) >= usage_interval(routers, known) {
+    let instance_count = shared.engine().count();
+    if now.since(leadership.usage_at) >= usage_interval(routers, instance_count) {
         leadership.usage_at = now;
         let instances = shared.engine().usage_of_all();
         shared.sessions.broadcast(FeedMessage::Usage {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod flight;
 mod handle;
+pub mod held_document;
 mod interface;
 mod metrics;
 mod pool;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,6 @@
 //! What a router knows: configuration, instances, use, demand, budgets.
 
-use courseshunt_services::digest::document_digest;
+use crate::held_document::HeldDocument;
 use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_interval, usage_lag};
 use courseshunt_services::{
     Candidate, InstanceDigests, InstanceState, InstanceView, PromptShape, ReportMessage,
@@ -8,8 +8,6 @@
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
-use courseshunt_wire::MAX_FRAME_BYTES;
-use courseshunt_wire::compression::apply_difference;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -18,8 +16,6 @@
 
 /// Routers are taken to be so many until the feed tells.
 const ASSUMED_ROUTERS: u32 = 16;
-/// Longest document of a configuration: what one message carries.
-const LONGEST_DOCUMENT: usize = MAX_FRAME_BYTES;
 /// Time in which an adapter is loaded, about.
 const ADAPTER_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
@@ -46,9 +42,7 @@
 struct State {
     table: Option<Arc<RouteTable>>,
     /// The configuration in force, in the operator's form.
-    document: Vec<u8>,
-    /// A difference could not be applied: the whole document is needed.
-    needs_whole: bool,
+    document: HeldDocument,
     /// A newer configuration is in force elsewhere since then.
     behind_since: Option<Instant>,
     instances: BTreeMap<RunnerId, InstanceView>,
@@ -65,21 +59,6 @@
         self.table.as_ref().map_or(0, |table| table.number())
     }
 
-    fn apply(&self, base: u64, digest: u64, difference: &[u8]) -> Result<Vec<u8>, String> {
-        let held = self.number();
-        let older = match base {
-            0 => &[][..],
-            _ if base == held => &self.document,
-            _ => return Err(format!("it changes {base}, and {held} is in force")),
-        };
-        let document = apply_difference(older, difference, LONGEST_DOCUMENT);
-        let document = document.map_err(|error| error.to_string())?;
-        match document_digest(&document) == digest {
-            true => Ok(document),
-            false => Err("the document has another digest".to_owned()),
-        }
-    }
-
     /// Drops instances; returns those that were known.
     fn remove(&mut self, gone: Vec<RunnerId>) -> Vec<RunnerId> {
         if gone.is_empty() {
@@ -114,8 +93,7 @@
         let window = Millis((limits.retry_window_s * 1000.0) as u64);
         let state = State {
             table: None,
-            document: Vec::new(),
-            needs_whole: false,
+            document: HeldDocument::default(),
             behind_since: None,
             instances: BTreeMap::new(),
             expected: BTreeMap::new(),
@@ -149,11 +127,7 @@
 
     /// Number of the configuration that differences may be told from; 0 for none.
     pub(crate) fn base(&self) -> u64 {
-        let state = self.lock();
-        match state.needs_whole {
-            true => 0,
-            false => state.number(),
-        }
+        self.lock().document.base()
     }
 
     /// Whether requests can be served.
@@ -188,19 +162,15 @@
         self.changes.send_modify(|number| *number += 1);
     }
 
-    /// The document that a difference makes out of the one in force, or out of
-    /// the empty one when `base` is 0. After an error the whole document is asked
-    /// for.
+    /// The document that a difference makes out of the one in force: see
+    /// [`HeldDocument::apply`].
     pub(crate) fn apply(
         &self,
         base: u64,
         digest: u64,
         difference: &[u8],
     ) -> Result<Vec<u8>, String> {
-        let mut state = self.lock();
-        let document = state.apply(base, digest, difference);
-        state.needs_whole = document.is_err();
-        document
+        self.lock().document.apply(base, digest, difference)
     }
 
     /// Notes which configuration is in force elsewhere.
@@ -224,8 +194,8 @@
         if table.number() <= state.number() {
             return false;
         }
+        state.document.hold(table.number(), document);
         state.table = Some(Arc::new(table));
-        state.document = document;
         state.behind_since = None;
         drop(state);
         self.changed();
