--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -118,10 +118,7 @@
         let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
         let received = received.unwrap_or(Err(timed_out("receive", address)));
         let message = match received {
-            Ok(Some(Message::ServiceFeed(message))) => {
-                shared.view.hear_feed();
-                message
-            }
+            Ok(Some(Message::ServiceFeed(message))) => message,
             Ok(_) => return Ok(()),
             Err(error) => {
                 if connected {
@@ -134,6 +131,9 @@
                 return Err(error);
             }
         };
+        if is_leaders(&message) {
+            shared.view.hear_leader();
+        }
         match message {
             FeedMessage::NotLeader { leader } => {
                 directory.leader = leader.and_then(|leader| leader.parse().ok());
@@ -171,6 +171,14 @@
     }
 }
 
+/// Whether only a leader sends it.
+fn is_leaders(message: &FeedMessage) -> bool {
+    !matches!(
+        message,
+        FeedMessage::NotLeader { .. } | FeedMessage::Members(_)
+    )
+}
+
 fn take(message: FeedMessage, shared: &Shared) {
     match message {
         FeedMessage::Instances { changed, gone } => {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -127,7 +127,8 @@
 
 /// The route of a request, as far as this router can tell.
 fn route(table: &RouteTable, head: &Parts, shared: &Shared) -> Result<Arc<Route>, Refusal> {
-    match judge(find(table, head), shared.view.behind_for()) {
+    let silent_for = shared.view.feed_age();
+    match judge(find(table, head), shared.view.behind_for(), silent_for) {
         Standing::Serve(route) => Ok(route),
         Standing::Deny => Err(Refusal::NoRoute),
         Standing::Behind => Err(Refusal::Behind),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,7 +10,7 @@
 pub(crate) enum Refusal {
     /// No configuration is known yet.
     NoConfiguration,
-    /// A newer configuration is in force than the one known here.
+    /// A newer configuration is in force than the one known here, or may be.
     Behind,
     /// There is no such route.
     NoRoute,
--- a/crates/gateway/src/standing.rs
+++ b/crates/gateway/src/standing.rs
@@ -1,7 +1,8 @@
 //! What a router may do by the configuration that it has.
 //!
-//! Invariant: a router that knows of a newer configuration denies no route, and
-//! acts by the older one for a bounded time only.
+//! Invariant: a router that knows of a newer configuration, or did not hear the
+//! leader lately, denies no route; it acts by one that it knows to be older for a
+//! bounded time only.
 
 use std::time::Duration;
 
@@ -9,6 +10,10 @@
 /// a newer one: half of the shortest time that operators allow.
 pub const LONGEST_BEHIND: Duration = Duration::from_secs(1);
 
+/// Without a message of the leader for so long, a router can't tell whether a route
+/// was added: the leader sends at least twice a second.
+pub const LONGEST_SILENCE: Duration = Duration::from_secs(1);
+
 /// What to do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing<R> {
@@ -16,16 +21,21 @@
     Serve(R),
     /// There is no such route.
     Deny,
-    /// This router can't tell: a newer configuration is in force.
+    /// This router can't tell: a newer configuration is in force, or may be.
     Behind,
 }
 
 /// Judges a request whose route is `found` here, at a router that knows of a newer
-/// configuration for `behind_for`; `None` when it has the newest that it knows of.
-pub fn judge<R>(found: Option<R>, behind_for: Option<Duration>) -> Standing<R> {
+/// configuration for `behind_for` (`None` when it has the newest that it knows of)
+/// and heard the leader `silent_for` ago.
+pub fn judge<R>(
+    found: Option<R>,
+    behind_for: Option<Duration>,
+    silent_for: Duration,
+) -> Standing<R> {
     match (found, behind_for) {
-        (None, None) => Standing::Deny,
-        (None, Some(_)) => Standing::Behind,
+        (None, None) if silent_for <= LONGEST_SILENCE => Standing::Deny,
+        (None, _) => Standing::Behind,
         (Some(_), Some(age)) if age > LONGEST_BEHIND => Standing::Behind,
         (Some(route), _) => Standing::Serve(route),
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -79,7 +79,7 @@
 pub(crate) struct View {
     state: Mutex<State>,
     changes: watch::Sender<u64>,
-    /// When the feed was heard last.
+    /// When a leader was heard last.
     heard: Mutex<Instant>,
     /// Woken when a request begins to wait for a model, and when a configuration
     /// comes into force.
@@ -136,12 +136,12 @@
         state.table.is_some() && !state.instances.is_empty()
     }
 
-    /// Notes a message of the feed.
-    pub(crate) fn hear_feed(&self) {
+    /// Notes a message of the leader.
+    pub(crate) fn hear_leader(&self) {
         *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 
-    /// Time since the last message of the feed.
+    /// Time since the last message of a leader.
     pub(crate) fn feed_age(&self) -> Duration {
         let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         heard.elapsed()
--- a/crates/wire/src/compression.rs
+++ b/crates/wire/src/compression.rs
@@ -1,7 +1,7 @@
 //! Compression of frame contents and of documents.
 //!
-//! Invariant: what [`unpack`] returns is what was packed, or an error; no
-//! content opens to more bytes than its reader allows.
+//! Invariant: what is unpacked is what was packed, or an error; no content opens
+//! to more bytes than its reader allows.
 
 use crate::frame::MAX_FRAME_BYTES;
 use rkyv::util::AlignedVec;
