Instances see no header of a client that steers them

Cause: all headers of a client but those of its connection were passed on, also those that tell an instance whom it may run for, what it sets aside and where it copies memory (X-Hold-Request, X-Pin-Ms, X-Kv-Backup, Kv-From), and the client's key. Instances that stood idle turned such requests away, one after the other: one request in six was refused for nothing. Ruled out: full instances (they stood idle), the selection (all that were asked turned it away), a list of what passes instead of one of what doesn't (services have headers of their own; a whole family of names is kept back, so that a new member doesn't pass either). Change: gateway::passed_headers decides alone which headers pass; the platform names what steers instances.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::Shared;
 use crate::flight::Flight;
 use crate::handle::Admitted;
+use crate::passed_headers::{passed, strip_hop_headers};
 use crate::pool::{self, Upstream};
 use crate::records::RouterRecord;
 use crate::relay::RelayBody;
@@ -13,7 +14,7 @@
 use courseshunt_types::{Millis, RunnerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,15 +24,6 @@
 const WHOLE_ANSWER_BYTES: usize = 512 * 1024;
 /// Added to the deadline for the instance's own last answer to arrive.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
-/// Headers that belong to one connection.
-const HOP_HEADERS: [HeaderName; 5] = [
-    CONNECTION,
-    TRANSFER_ENCODING,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    hyper::header::UPGRADE,
-];
-
 /// What became of an attempt.
 pub(crate) enum AttemptOutcome {
     /// The answer to pass on.
@@ -127,9 +119,7 @@
     if left.is_zero() {
         return None;
     }
-    let mut headers = admitted.head.headers.clone();
-    strip(&mut headers);
-    headers.remove(hyper::header::EXPECT);
+    let mut headers = passed(&admitted.head.headers, &*shared.interface);
     let sending = crate::Sending {
         deadline: Millis(left.as_millis().max(1) as u64),
         instance,
@@ -143,22 +133,6 @@
     Some(request)
 }
 
-/// Removes headers that belong to one connection.
-fn strip(headers: &mut HeaderMap) {
-    let named = headers.get_all(CONNECTION).iter();
-    let named = named.filter_map(|value| value.to_str().ok());
-    let named: Vec<String> = named
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
 async fn take_answer(
     shared: &Arc<Shared>,
     admitted: &Admitted,
@@ -188,7 +162,7 @@
     if head.status.is_server_error() {
         flight.suspect();
     }
-    strip(&mut head.headers);
+    strip_hop_headers(&mut head.headers);
     let streams = admitted.route.kind == RequestKind::Streaming && head.status.is_success();
     if streams {
         head.headers.remove(CONTENT_LENGTH);
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -3,7 +3,7 @@
 use courseshunt_services::{ConfigurationError, PromptShape, Route, ServiceConfiguration};
 use courseshunt_types::{Millis, RunnerId};
 use hyper::StatusCode;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName};
 
 /// What a request says about itself.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -59,6 +59,10 @@
     /// `None` when it waits until its deadline.
     fn patience(&self, route: &Route) -> Option<Millis>;
 
+    /// Whether a header steers instances, so that it isn't a client's to set. Names
+    /// of a family that steers count also where they aren't known yet.
+    fn steers_instances(&self, name: &HeaderName) -> bool;
+
     /// Sets what the router adds.
     fn prepare(&self, headers: &mut HeaderMap, sending: &Sending<'_>);
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod held_document;
 mod interface;
 mod metrics;
+pub mod passed_headers;
 mod pool;
 mod records;
 mod refusal;
