--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -1,13 +1,17 @@
 //! Connections of routers and of other members.
 
 use crate::configuration_feed::ConfigurationFeed;
+use crate::interface::ControlInterface;
+use crate::lead::CONTACT_LIMIT;
 use crate::records::ControllerRecord;
 use crate::snapshot::Snapshot;
 use crate::{Shared, join, relay};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
 use courseshunt_http::AcceptPace;
 use courseshunt_records::emit;
-use courseshunt_services::{FeedMessage, InstanceDigests, InstanceView, ReportMessage};
+use courseshunt_services::{
+    FeedMessage, InstanceDigests, InstanceView, QuotaAnswer, QuotaAsk, QuotaVerdict, ReportMessage,
+};
 use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
 use courseshunt_wire::{
     Connection, Frame, Message, PeerIdentity, Receiver, Sender, WireError, accept,
@@ -120,10 +124,17 @@
     }
 
     /// Takes a configuration over and sends it to the routers that have an older
-    /// one.
-    pub(crate) fn configure(&self, number: u64, document: &[u8], now: Timestamp) {
+    /// one, in the form that routers are sent.
+    pub(crate) fn configure(
+        &self,
+        number: u64,
+        document: &[u8],
+        interface: &dyn ControlInterface,
+        now: Timestamp,
+    ) {
         let mut feed = self.configuration();
-        if feed.publish(number, document) {
+        let is_newer = number > feed.number();
+        if is_newer && feed.publish(number, &interface.document_for_routers(document)) {
             let since = now;
             *self.spreading() = Some(Spreading { number, since });
         }
@@ -340,6 +351,7 @@
         sessions.remove(&router);
         emit(&ControllerRecord::RouterLost { router: &router });
         shared.engine().forget_router(&router);
+        shared.quotas().router_lost(&router, shared.clock.now());
     }
     ended
 }
@@ -362,13 +374,16 @@
     {
         let _ = session.queue.try_send(frame);
     }
+    if let Some(frame) = shared.quota_standings(now).and_then(encode) {
+        let _ = session.queue.try_send(frame);
+    }
     let configuration = session.configuration;
     shared.sessions.lock().insert(router.to_owned(), session);
     let state = shared.replica.state();
     let services = &state.services;
     shared
         .sessions
-        .configure(services.number, &services.document, now);
+        .configure(services.number, &services.document, &*shared.interface, now);
     drop(state);
     emit(&ControllerRecord::RouterFollows {
         router,
@@ -399,21 +414,58 @@
     Ok(())
 }
 
+/// Answers a router's questions on tenants' limits.
+fn answer_quotas(router: &str, questions: &[QuotaAsk], shared: &Shared) {
+    let now = shared.clock.now();
+    let in_contact = shared.replica.confirmation_age();
+    let in_contact = in_contact.is_some_and(|age| age < CONTACT_LIMIT);
+    let mut quotas = shared.quotas();
+    let answers = questions.iter().map(|one| QuotaAnswer {
+        number: one.number,
+        verdict: match in_contact {
+            true => quotas.ask(router, &one.tenant, one.units, now),
+            false => QuotaVerdict::Unknown,
+        },
+    });
+    let answers = answers.collect();
+    drop(quotas);
+    let Some(frame) = encode(FeedMessage::QuotaAnswers(answers)) else {
+        return;
+    };
+    if let Some(session) = shared.sessions.lock().get(router) {
+        let _ = session.queue.try_send(frame);
+    }
+}
+
 async fn receive_reports(
     mut receiver: Receiver,
     router: &str,
     shared: &Shared,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
-        let Message::ServiceReport(ReportMessage::Usage {
-            configuration,
-            instances,
-            demand,
-            unreachable,
-        }) = message
-        else {
+        let Message::ServiceReport(report) = message else {
             continue;
         };
+        let (configuration, instances, demand, unreachable) = match report {
+            ReportMessage::Usage {
+                configuration,
+                instances,
+                demand,
+                unreachable,
+            } => (configuration, instances, demand, unreachable),
+            ReportMessage::TenantUse { epoch, uses } => {
+                let now = shared.clock.now();
+                if shared.quotas().report(router, epoch, &uses, now) {
+                    shared.wake.notify_one();
+                }
+                continue;
+            }
+            ReportMessage::AskQuotas(questions) => {
+                answer_quotas(router, &questions, shared);
+                continue;
+            }
+            ReportMessage::Subscribe { .. } => continue,
+        };
         let waits = demand.iter().any(|one| one.waiting > 0);
         let now = shared.clock.now();
         if let Some(spread) = shared.sessions.confirm(router, configuration, now) {
--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -48,6 +48,10 @@
         document: &[u8],
     ) -> Result<ServiceConfiguration, ConfigurationError>;
 
+    /// An operator's document as routers are sent it: with digests of keys in the
+    /// place of keys. [`Self::read_configuration`] reads the same out of both.
+    fn document_for_routers(&self, document: &[u8]) -> Vec<u8>;
+
     /// Reads an instance's registration.
     ///
     /// # Errors
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -3,11 +3,11 @@
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::{self, ControllerRecord};
 use crate::steward::{GroupView, decide};
-use crate::{Shared, join, orders, placement_settings};
+use crate::{Shared, join, orders, placement_settings, quota_settings};
 use courseshunt_consensus::MembershipChange;
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
-use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine};
+use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine, QuotaLedger};
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,7 +25,9 @@
 /// Time between looks at the membership.
 const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
-const CONTACT_LIMIT: Millis = Millis(360);
+pub(crate) const CONTACT_LIMIT: Millis = Millis(360);
+/// Time between words on all accounts of tenants; one that turned is told at once.
+const QUOTAS_INTERVAL: Millis = Millis(1_000);
 /// After its election a leader waits so long for registrations before it says
 /// that other instances are gone.
 const SETTLE: Millis = Millis(4_000);
@@ -49,6 +51,7 @@
     leaving_version: u64,
     settled: bool,
     usage_at: Timestamp,
+    quotas_at: Timestamp,
     recorded_at: Timestamp,
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     membership_at: Timestamp,
@@ -112,6 +115,7 @@
     let now = shared.clock.now();
     *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
     let term = shared.replica.status().borrow().term;
+    *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
     let turn = Arc::new(Turn::default());
@@ -123,6 +127,7 @@
         leaving_version: 0,
         settled: false,
         usage_at: now,
+        quotas_at: now,
         recorded_at: now,
         unrecorded: Default::default(),
         membership_at: now,
@@ -191,12 +196,15 @@
     if services.number > leadership.configuration {
         leadership.configuration = services.number;
         match shared.interface.read_configuration(&services.document) {
-            Ok(configuration) => shared.engine().configure(Arc::new(configuration), now),
+            Ok(configuration) => {
+                shared.quotas().configure(&configuration.tenants, now);
+                shared.engine().configure(Arc::new(configuration), now);
+            }
             Err(error) => log::error!("coordinator: committed configuration: {error}"),
         }
         shared
             .sessions
-            .configure(services.number, &services.document, now);
+            .configure(services.number, &services.document, &*shared.interface, now);
     }
     if now.since(leadership.since) < SEEDING {
         let mut engine = shared.engine();
@@ -321,6 +329,7 @@
         leadership.settled = true;
         shared.sessions.broadcast(FeedMessage::Live(live));
     }
+    feed_quotas(shared, leadership, now);
     let routers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
     let instance_count = shared.engine().count();
     if now.since(leadership.usage_at) >= usage_interval(routers, instance_count) {
@@ -334,6 +343,18 @@
     }
 }
 
+/// Tells how the accounts of tenants stand: at once where that changed.
+fn feed_quotas(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
+    let turned = shared.quotas().take_turned();
+    if !turned && now.since(leadership.quotas_at) < QUOTAS_INTERVAL {
+        return;
+    }
+    leadership.quotas_at = now;
+    if let Some(message) = shared.quota_standings(now) {
+        shared.sessions.broadcast(message);
+    }
+}
+
 /// Records the instances for a successor.
 fn record(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let (changed, gone) = &leadership.unrecorded;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -31,10 +31,12 @@
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_records::emit;
-use courseshunt_services::{PlacementEngine, PlacementSettings};
+use courseshunt_services::{
+    FeedMessage, PlacementEngine, PlacementSettings, QuotaLedger, QuotaSettings,
+};
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{ControllerId, Millis};
+use courseshunt_types::{ControllerId, Millis, Timestamp};
 use courseshunt_wire::ClusterKey;
 use error::{BindSnafu, ReplicaSnafu};
 use feed::Sessions;
@@ -78,6 +80,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) seeds: SeedList,
     engine: Mutex<PlacementEngine>,
+    /// Accounts of tenants, while this member leads.
+    quotas: Mutex<QuotaLedger>,
 }
 
 impl Shared {
@@ -85,6 +89,19 @@
         self.engine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, QuotaLedger> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How the accounts of tenants stand; none where no tenant has a limit.
+    pub(crate) fn quota_standings(&self, now: Timestamp) -> Option<FeedMessage> {
+        let mut quotas = self.quotas();
+        quotas.has_accounts().then(|| FeedMessage::Quotas {
+            epoch: quotas.epoch(),
+            standings: quotas.standings(now),
+        })
+    }
+
     /// The page of counters and gauges.
     pub(crate) fn metrics_page(&self) -> String {
         let status = self.replica.status().borrow().clone();
@@ -116,6 +133,16 @@
     }
 }
 
+/// Settings of tenants' accounts.
+pub(crate) fn quota_settings(settings: &ServiceSettings) -> QuotaSettings {
+    let limits = &settings.limits;
+    QuotaSettings::new(
+        limits.quota_window_s,
+        limits.quota_overshoot,
+        limits.quota_slack,
+    )
+}
+
 /// A running coordinator.
 pub struct Coordinator {
     shared: Arc<Shared>,
@@ -165,6 +192,7 @@
             metrics: Metrics::default(),
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
+            quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
             settings,
         });
         emit(&ControllerRecord::Started {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,7 +123,8 @@
     let sending = crate::Sending {
         deadline: Millis(left.as_millis().max(1) as u64),
         instance,
-        priority: admitted.route.priority,
+        priority: admitted.priority,
+        tenant: admitted.tenant(),
     };
     shared.interface.prepare(&mut headers, &sending);
     let mut request = Request::new(Full::new(admitted.body.clone()));
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// A feed on which nothing came for so long is given up; the leader sends at
 /// least four times a second.
@@ -94,10 +95,12 @@
     let known = shared.view.digests();
     let subscribe = ReportMessage::Subscribe { number, known };
     sender.send(&Message::ServiceReport(subscribe)).await?;
-    tokio::select! {
+    let ended = tokio::select! {
         ended = receive_all(receiver, address, shared, directory) => ended,
         ended = report_all(sender, shared) => ended,
-    }
+    };
+    shared.quotas.disconnected();
+    ended
 }
 
 fn timed_out(step: &'static str, address: SocketAddr) -> WireError {
@@ -195,10 +198,18 @@
             instances,
         } => {
             shared.view.announce(configuration);
+            shared.quotas.set_routers(routers);
             let now = shared.clock.now();
             shared.view.set_usage(routers, &instances, now);
             shared.pool.tidy();
         }
+        FeedMessage::Quotas { epoch, standings } => {
+            let now = shared.clock.now();
+            shared.quotas.set_standings(epoch, standings, now);
+        }
+        FeedMessage::QuotaAnswers(answers) => {
+            shared.quotas.answered(answers, shared.clock.now());
+        }
         FeedMessage::Configuration { .. }
         | FeedMessage::NotLeader { .. }
         | FeedMessage::Members(_) => {}
@@ -234,12 +245,33 @@
 }
 
 async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
+    let mut due = Instant::now() + Duration::from(shared.view.report_interval());
     loop {
         tokio::select! {
-            () = tokio::time::sleep(shared.view.report_interval().into()) => {}
+            () = tokio::time::sleep_until(due) => {}
             () = shared.view.news.notified() => tokio::time::sleep(URGENT_PAUSE).await,
+            () = shared.quotas.has_questions.notified() => {
+                ask_quotas(&mut sender, shared).await?;
+                continue;
+            }
         }
-        let report = shared.view.take_report(shared.clock.now());
+        due = Instant::now() + Duration::from(shared.view.report_interval());
+        let now = shared.clock.now();
+        let report = shared.view.take_report(now);
         sender.send(&Message::ServiceReport(report)).await?;
+        let (epoch, uses) = shared.quotas.take_report(now);
+        if !uses.is_empty() {
+            let report = ReportMessage::TenantUse { epoch, uses };
+            sender.send(&Message::ServiceReport(report)).await?;
+        }
+    }
+}
+
+async fn ask_quotas(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    let questions = shared.quotas.take_questions();
+    if questions.is_empty() {
+        return Ok(());
     }
+    let report = ReportMessage::AskQuotas(questions);
+    sender.send(&Message::ServiceReport(report)).await
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,22 +1,21 @@
-//! The way of one request: admission, waiting, attempts, answer.
+//! The way of one request once it is admitted: waiting, attempts, answer.
 
 use crate::Shared;
+use crate::admission::{Caller, admit, is_still_held};
 use crate::attempt::{AttemptOutcome, attempt, is_failure};
 use crate::flight::millis;
 use crate::interface::RequestFacts;
+use crate::quota_desk::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
-use crate::standing::{Standing, judge};
 use crate::waiting::{Situation, Waiting, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
 use courseshunt_records::emit;
-use courseshunt_services::routes::pick_target;
-use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, RouteTable, Service};
+use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, Service};
 use courseshunt_types::{Millis, RunnerId};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri};
 use std::sync::Arc;
@@ -30,14 +29,10 @@
 const MAX_SENDS: u32 = 6;
 /// Clients are told to come back after this part of the objective.
 const RETRY_AFTER_PART: u64 = 10;
-/// A request waits so long for the first configuration of a router, and not
-/// for more than this part of its time.
-const START_WAIT: Duration = Duration::from_millis(1_500);
-const START_PART: f64 = 0.5;
 /// Longest pause before a waiting request is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
-/// A request whose route, facts and whole body are known.
+/// A request whose route, caller and whole body are known.
 pub(crate) struct Admitted {
     pub(crate) head: Parts,
     pub(crate) target: Uri,
@@ -45,20 +40,42 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) facts: RequestFacts,
+    /// Whose it is; none where no key is needed.
+    pub(crate) caller: Option<Caller>,
+    /// What it counts within its tenant's limit.
+    pub(crate) charge: Option<Charge>,
+    /// Rank: the tenant's, else the route's.
+    pub(crate) priority: u8,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
 }
 
+impl Admitted {
+    /// Whose it is.
+    pub(crate) fn tenant(&self) -> Option<&str> {
+        let caller = self.caller.as_ref();
+        caller.map(|caller| caller.tenant.name.as_str())
+    }
+
+    /// What it counts within its tenant's limit.
+    pub(crate) fn units(&self) -> Option<u32> {
+        self.charge.as_ref().map(Charge::units)
+    }
+
+    /// Notes whether it may have run by now.
+    fn set_used(&self, used: bool) {
+        if let Some(charge) = &self.charge {
+            charge.set_used(used);
+        }
+    }
+}
+
 /// Answers one request.
 pub(crate) async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
     let arrived = Instant::now();
     let mut response = match admit(request, &shared, arrived).await {
         Ok(admitted) => run(&admitted, &shared).await,
-        Err(refusal) => {
-            let wait = Millis(300);
-            shared.metrics.refusal(refusal.word());
-            refusal.response(Some(wait))
-        }
+        Err(denied) => denied.refusal.response(Some(denied.retry_after)),
     };
     if shared.stopping.is_cancelled() {
         let close = HeaderValue::from_static("close");
@@ -67,98 +84,6 @@
     response
 }
 
-async fn admit(
-    request: Request<Incoming>,
-    shared: &Arc<Shared>,
-    arrived: Instant,
-) -> Result<Admitted, Refusal> {
-    if shared.closing.is_cancelled() {
-        return Err(Refusal::Stopping);
-    }
-    let (head, body) = request.into_parts();
-    let facts = shared.interface.read_request(&head.headers);
-    let table = table(shared, &facts, arrived).await?;
-    let route = route(&table, &head, shared)?;
-    let timeout = facts
-        .deadline
-        .map_or(route.timeout, |asked| asked.min(route.timeout));
-    let deadline = arrived + Duration::from(timeout);
-    let target = pick_target(&route.targets, rand::random()).ok_or(Refusal::NoRoute)?;
-    let service = table.service(&target.service).ok_or(Refusal::NoRoute)?;
-    let service = service.clone();
-    let limits = &table.configuration().limits;
-    let body = read_body(body, limits.max_body_bytes, deadline).await?;
-    let now = shared.clock.now();
-    shared.metrics.request();
-    shared
-        .view
-        .arrived(&service.name, &facts.shape, route.objective, now);
-    Ok(Admitted {
-        target: origin_form(&head.uri),
-        head,
-        body,
-        route,
-        service,
-        facts,
-        arrived,
-        deadline,
-    })
-}
-
-/// The configuration in force. A router that has just started waits a little
-/// for its first one.
-async fn table(
-    shared: &Shared,
-    facts: &RequestFacts,
-    arrived: Instant,
-) -> Result<Arc<RouteTable>, Refusal> {
-    let deadline = facts.deadline.map_or(START_WAIT, Duration::from);
-    let limit = arrived + START_WAIT.min(deadline.mul_f64(START_PART));
-    let mut changes = shared.view.changes();
-    loop {
-        changes.borrow_and_update();
-        if let Some(table) = shared.view.table() {
-            return Ok(table);
-        }
-        let changed = tokio::time::timeout_at(limit, changes.changed()).await;
-        changed.map_err(|_| Refusal::NoConfiguration)?.ok();
-    }
-}
-
-/// The route of a request, as far as this router can tell.
-fn route(table: &RouteTable, head: &Parts, shared: &Shared) -> Result<Arc<Route>, Refusal> {
-    let silent_for = shared.view.feed_age();
-    match judge(find(table, head), shared.view.behind_for(), silent_for) {
-        Standing::Serve(route) => Ok(route),
-        Standing::Deny => Err(Refusal::NoRoute),
-        Standing::Behind => Err(Refusal::Behind),
-    }
-}
-
-fn find(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
-    let authority = head.uri.authority().map(|authority| authority.as_str());
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = authority.or(host)?;
-    table.find(host, head.uri.path()).cloned()
-}
-
-/// Path and query, as they came.
-fn origin_form(uri: &Uri) -> Uri {
-    match uri.path_and_query() {
-        Some(target) => Uri::from(target.clone()),
-        None => Uri::from_static("/"),
-    }
-}
-
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BrokenBody),
-    }
-}
-
 /// What is known so far about a request that was sent.
 #[derive(Default)]
 struct Sends {
@@ -180,7 +105,10 @@
         };
         sends.count += 1;
         let instance = view.id.clone();
+        admitted.set_used(true);
         let outcome = attempt(shared, admitted, candidate, &view, sends.count).await;
+        let did_not_run = matches!(outcome, AttemptOutcome::NotRun);
+        admitted.set_used(!did_not_run || sends.ran > 0);
         match next(admitted, shared, &mut sends, instance, outcome) {
             Next::Answer(response) => return response,
             Next::Refuse(refusal) => return refuse(admitted, shared, &sends, refusal, None),
@@ -260,6 +188,8 @@
     emit(&RequestRecord::Refused {
         id: &admitted.facts.id,
         route: Some(&admitted.route.name),
+        tenant: admitted.tenant(),
+        units: admitted.units(),
         model: Some(&admitted.facts.shape.model),
         reason: refusal.word(),
         may_have_run: refusal.may_have_run(),
@@ -304,6 +234,13 @@
     loop {
         changes.borrow_and_update();
         let now = shared.clock.now();
+        let caller = admitted.caller.as_ref().filter(|_| !admitted.route.public);
+        if caller.is_some_and(|caller| !is_still_held(caller, shared)) {
+            return Err(GivenUp {
+                refusal: Refusal::UnknownKey,
+                retry_after: None,
+            });
+        }
         // When all have turned it away, the first of them may be asked again.
         let avoid: &[RunnerId] = match sends.count {
             0..=2 => &sends.avoid,
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -1,7 +1,7 @@
 //! What a router needs of the interfaces of clients and instances.
 
 use courseshunt_services::{ConfigurationError, PromptShape, Route, ServiceConfiguration};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName};
 
@@ -12,10 +12,24 @@
     pub id: String,
     /// How long the client waits.
     pub deadline: Option<Millis>,
+    /// The key it carries.
+    pub key: CarriedKey,
     /// Model, sizes and parts of the prompt.
     pub shape: PromptShape,
 }
 
+/// The key of a request, as its digest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CarriedKey {
+    /// It carries none.
+    #[default]
+    None,
+    /// It carries something that is no key, or several.
+    Unreadable,
+    /// It carries one.
+    Key(Digest),
+}
+
 /// What a router adds to a request that it sends.
 #[derive(Debug, Clone, Copy)]
 pub struct Sending<'a> {
@@ -25,6 +39,8 @@
     pub instance: &'a RunnerId,
     /// Rank, 0 first.
     pub priority: u8,
+    /// Whose the request is.
+    pub tenant: Option<&'a str>,
 }
 
 /// What an instance's answer says about itself.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! answer, a refusal or a closed connection within its time; bytes of a broken
 //! answer never look complete.
 
+mod admission;
 mod attempt;
 mod error;
 mod feed;
@@ -17,6 +18,7 @@
 mod metrics;
 pub mod passed_headers;
 mod pool;
+mod quota_desk;
 mod records;
 mod refusal;
 mod relay;
@@ -26,7 +28,7 @@
 pub mod waiting;
 
 pub use error::GatewayError;
-pub use interface::{AnswerFacts, ClientInterface, RequestFacts, Sending};
+pub use interface::{AnswerFacts, CarriedKey, ClientInterface, RequestFacts, Sending};
 
 use courseshunt_records::emit;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
@@ -34,6 +36,7 @@
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
 use metrics::Metrics;
 use pool::ConnectionPool;
+use quota_desk::{QuotaDesk, quota_settings};
 use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
@@ -55,6 +58,7 @@
     pub(crate) view: View,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: Metrics,
+    pub(crate) quotas: Arc<QuotaDesk>,
     pub(crate) seeds: SeedList,
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
@@ -91,6 +95,10 @@
             view: View::new(&settings),
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
+            quotas: Arc::new(QuotaDesk::new(
+                quota_settings(&settings.limits),
+                view::ASSUMED_ROUTERS,
+            )),
             seeds: SeedList::new(&settings),
             interface,
             clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// Upper bound of the first bucket, in seconds; each further one is twice that.
@@ -13,6 +15,19 @@
 /// Number of buckets.
 const BUCKETS: u16 = 15;
 
+/// Tenants that are shown by name; the rest is shown as one sum.
+const SHOWN_TENANTS: usize = 20;
+/// Name of that sum.
+const OTHER_TENANTS: &str = "other tenants";
+
+/// What one tenant asked for.
+#[derive(Debug, Clone, Copy, Default)]
+struct TenantCount {
+    admitted: u64,
+    units: u64,
+    refused: u64,
+}
+
 type Labels = Vec<(&'static str, String)>;
 
 /// See the module. Cloning shares the values.
@@ -34,6 +49,9 @@
     feed_age_ms: Gauge,
     tokens_kept: Counter,
     tokens_read: Counter,
+    tenants: Mutex<BTreeMap<String, TenantCount>>,
+    tenant_requests: Family<Labels, Gauge>,
+    tenant_units: Family<Labels, Gauge>,
 }
 
 impl Default for Metrics {
@@ -56,6 +74,9 @@
             feed_age_ms: Gauge::default(),
             tokens_kept: Counter::default(),
             tokens_read: Counter::default(),
+            tenants: Mutex::default(),
+            tenant_requests: Family::default(),
+            tenant_units: Family::default(),
         };
         metrics.register();
         metrics
@@ -96,6 +117,12 @@
         registry.register("tokens_kept", "Prompt tokens predicted as kept", kept);
         let read = self.tokens_read.clone();
         registry.register("tokens_read", "Prompt tokens predicted as read", read);
+        let requests = self.tenant_requests.clone();
+        let help = "Requests of the largest tenants by outcome";
+        registry.register("tenant_requests", help, requests);
+        let units = self.tenant_units.clone();
+        let help = "Units of their limits that the largest tenants used";
+        registry.register("tenant_units", help, units);
     }
 
     pub(crate) fn request(&self) {
@@ -117,6 +144,65 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// Counts a request within its tenant's limit.
+    pub(crate) fn tenant_admitted(&self, tenant: &str, units: u32) {
+        self.count_tenant(tenant, |count| {
+            count.admitted += 1;
+            count.units += u64::from(units);
+        });
+    }
+
+    /// Counts a request of a tenant that was refused on arrival.
+    pub(crate) fn tenant_refused(&self, tenant: &str) {
+        self.count_tenant(tenant, |count| count.refused += 1);
+    }
+
+    fn count_tenant(&self, tenant: &str, change: impl FnOnce(&mut TenantCount)) {
+        let tenants = self.tenants.lock();
+        let mut tenants = tenants.unwrap_or_else(PoisonError::into_inner);
+        match tenants.get_mut(tenant) {
+            Some(count) => change(count),
+            None => change(tenants.entry(tenant.to_owned()).or_default()),
+        }
+    }
+
+    /// Shows the largest tenants by name and the rest as a sum.
+    fn show_tenants(&self) {
+        let tenants = self.tenants.lock();
+        let tenants = tenants.unwrap_or_else(PoisonError::into_inner);
+        let mut largest: Vec<(&str, TenantCount)> = tenants
+            .iter()
+            .map(|(name, count)| (name.as_str(), *count))
+            .collect();
+        largest.sort_by_key(|(_, count)| std::cmp::Reverse(count.units + count.refused));
+        let mut other = TenantCount::default();
+        for (_, count) in largest.iter().skip(SHOWN_TENANTS) {
+            other.admitted += count.admitted;
+            other.units += count.units;
+            other.refused += count.refused;
+        }
+        largest.truncate(SHOWN_TENANTS);
+        largest.push((OTHER_TENANTS, other));
+        self.tenant_requests.clear();
+        self.tenant_units.clear();
+        for (name, count) in largest {
+            self.show_tenant(name, count);
+        }
+    }
+
+    fn show_tenant(&self, name: &str, count: TenantCount) {
+        let value = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        for (outcome, number) in [("admitted", count.admitted), ("refused", count.refused)] {
+            let labels = vec![("tenant", name.to_owned()), ("outcome", outcome.to_owned())];
+            let shown = self.tenant_requests.get_or_create(&labels);
+            shown.set(value(number));
+        }
+        let labels = vec![("tenant", name.to_owned())];
+        self.tenant_units
+            .get_or_create(&labels)
+            .set(value(count.units));
+    }
+
     pub(crate) fn retry_denied(&self) {
         self.retries_denied.inc();
     }
@@ -152,6 +238,7 @@
         self.configuration.set(configuration);
         let age = i64::try_from(feed_age.as_millis()).unwrap_or(i64::MAX);
         self.feed_age_ms.set(age);
+        self.show_tenants();
         page_with_process(&self.registry)
     }
 }
--- a/crates/gateway/src/passed_headers.rs
+++ b/crates/gateway/src/passed_headers.rs
@@ -30,7 +30,9 @@
     for name in &OWN_HEADERS {
         passed.remove(name);
     }
-    let names = passed.keys().filter(|name| interface.steers_instances(name));
+    let names = passed
+        .keys()
+        .filter(|name| interface.steers_instances(name));
     let steering: Vec<HeaderName> = names.cloned().collect();
     for name in steering {
         passed.remove(name);
--- /dev/null
+++ b/crates/gateway/src/quota_desk.rs
@@ -0,0 +1,257 @@
+//! Decides whether requests are within their tenants' limits, asking the leader
+//! where that is needed.
+//!
+//! Invariant: a request waits for the leader's answer for a bounded time; an answer
+//! that comes later is given back.
+
+use courseshunt_services::{
+    Quota, QuotaAnswer, QuotaAsk, QuotaSettings, QuotaStep, QuotaVerdict, RouterQuotas, Tenant,
+    TenantStanding, TenantUse,
+};
+use courseshunt_settings::service::ServiceLimits;
+use courseshunt_types::{Millis, Timestamp};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// Longest wait for the leader's answer: a leader that is well answers within a few
+/// milliseconds, and the shortest objectives are of 100 ms and more.
+const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+
+/// A question that was sent, or waits to be sent.
+struct Asked {
+    tenant: Arc<Tenant>,
+    units: u32,
+    /// None once nobody waits for the answer any more.
+    answer: Option<oneshot::Sender<QuotaVerdict>>,
+}
+
+struct State {
+    quotas: RouterQuotas,
+    /// Whether a leader is connected.
+    connected: bool,
+    asked: HashMap<u64, Asked>,
+    unsent: Vec<QuotaAsk>,
+    last_number: u64,
+}
+
+/// See the module.
+pub(crate) struct QuotaDesk {
+    state: Mutex<State>,
+    /// Woken when there is a question to send.
+    pub(crate) has_questions: Notify,
+}
+
+/// Settings of the limits, out of the process's settings.
+pub(crate) fn quota_settings(limits: &ServiceLimits) -> QuotaSettings {
+    QuotaSettings::new(
+        limits.quota_window_s,
+        limits.quota_overshoot,
+        limits.quota_slack,
+    )
+}
+
+impl QuotaDesk {
+    pub(crate) fn new(settings: QuotaSettings, routers: u32) -> Self {
+        Self {
+            state: Mutex::new(State {
+                quotas: RouterQuotas::new(settings, routers),
+                connected: false,
+                asked: HashMap::new(),
+                unsent: Vec::new(),
+                last_number: 0,
+            }),
+            has_questions: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follows the number of routers.
+    pub(crate) fn set_routers(&self, routers: u32) {
+        self.lock().quotas.set_routers(routers);
+    }
+
+    /// Takes the leader's word on the accounts over.
+    pub(crate) fn set_standings(&self, epoch: u64, standings: Vec<TenantStanding>, now: Timestamp) {
+        let mut state = self.lock();
+        state.connected = true;
+        state.quotas.set_standings(epoch, standings, now);
+    }
+
+    /// Notes that the leader is lost: whoever waits for its answer decides alone.
+    pub(crate) fn disconnected(&self) {
+        let mut state = self.lock();
+        state.connected = false;
+        state.unsent.clear();
+        state.asked.clear();
+    }
+
+    /// Questions to send now.
+    pub(crate) fn take_questions(&self) -> Vec<QuotaAsk> {
+        std::mem::take(&mut self.lock().unsent)
+    }
+
+    /// What to tell the leader of an epoch about use.
+    pub(crate) fn take_report(&self, now: Timestamp) -> (u64, Vec<TenantUse>) {
+        self.lock().quotas.take_report(now)
+    }
+
+    /// Takes the leader's answers.
+    pub(crate) fn answered(&self, answers: Vec<QuotaAnswer>, now: Timestamp) {
+        let mut state = self.lock();
+        for QuotaAnswer { number, verdict } in answers {
+            let Some(asked) = state.asked.remove(&number) else {
+                continue;
+            };
+            state.take_verdict(asked, verdict, now);
+        }
+    }
+
+    /// Counts a request of these units within its tenant's limit.
+    ///
+    /// # Errors
+    /// When it is beyond the limit: the time after which it would fit.
+    pub(crate) async fn admit(
+        &self,
+        tenant: &Arc<Tenant>,
+        quota: &Quota,
+        units: u32,
+        led: bool,
+        now: Timestamp,
+    ) -> Result<(), Millis> {
+        let (number, answer) = {
+            let mut state = self.lock();
+            let led = led && state.connected;
+            let draw = rand::random();
+            let name = &tenant.name;
+            let step = state.quotas.decide(name, quota, units, led, draw, now);
+            match step {
+                QuotaStep::Admit => return Ok(()),
+                QuotaStep::Refuse { fits_after } => return Err(fits_after),
+                QuotaStep::Ask => state.ask(tenant, units),
+            }
+        };
+        self.has_questions.notify_one();
+        let verdict = tokio::time::timeout(ANSWER_LIMIT, answer).await;
+        match verdict {
+            Ok(Ok(QuotaVerdict::Granted)) => Ok(()),
+            Ok(Ok(QuotaVerdict::Refused { fits_after })) => Err(fits_after),
+            Ok(Ok(QuotaVerdict::Unknown) | Err(_)) | Err(_) => {
+                let mut state = self.lock();
+                if let Some(asked) = state.asked.get_mut(&number) {
+                    asked.answer = None;
+                }
+                let draw = rand::random();
+                let step = state
+                    .quotas
+                    .decide_alone(&tenant.name, quota, units, draw, now);
+                match step {
+                    QuotaStep::Refuse { fits_after } => Err(fits_after),
+                    QuotaStep::Admit | QuotaStep::Ask => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// Gives back what a request did not use.
+    fn give_back(&self, tenant: &str, units: u32, counted_at: Timestamp, now: Timestamp) {
+        let mut state = self.lock();
+        state.quotas.give_back(tenant, units, counted_at, now);
+    }
+}
+
+impl State {
+    fn ask(&mut self, tenant: &Arc<Tenant>, units: u32) -> (u64, oneshot::Receiver<QuotaVerdict>) {
+        self.last_number += 1;
+        let number = self.last_number;
+        let (answer, receiver) = oneshot::channel();
+        let asked = Asked {
+            tenant: tenant.clone(),
+            units,
+            answer: Some(answer),
+        };
+        self.asked.insert(number, asked);
+        self.unsent.push(QuotaAsk {
+            number,
+            tenant: tenant.name.clone(),
+            units,
+        });
+        (number, receiver)
+    }
+
+    fn take_verdict(&mut self, asked: Asked, verdict: QuotaVerdict, now: Timestamp) {
+        let Asked {
+            tenant,
+            units,
+            answer,
+        } = asked;
+        let name = &tenant.name;
+        let taken = answer.is_some_and(|answer| answer.send(verdict).is_ok());
+        match (verdict, tenant.quota) {
+            (QuotaVerdict::Granted, Some(quota)) => {
+                self.quotas.granted(name, &quota, units, now);
+                if !taken {
+                    self.quotas.give_back(name, units, now, now);
+                }
+            }
+            (QuotaVerdict::Refused { fits_after }, _) => {
+                self.quotas.refused(name, units, fits_after, now);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// What a request was counted for. It is given back when the request ends without
+/// having been sent, or each instance said that it did not run.
+pub(crate) struct Charge {
+    desk: Arc<QuotaDesk>,
+    clock: courseshunt_types::time::MonotonicClock,
+    tenant: Arc<Tenant>,
+    units: u32,
+    counted_at: Timestamp,
+    used: AtomicBool,
+}
+
+impl Charge {
+    pub(crate) fn new(
+        desk: Arc<QuotaDesk>,
+        clock: courseshunt_types::time::MonotonicClock,
+        tenant: Arc<Tenant>,
+        units: u32,
+    ) -> Self {
+        Self {
+            desk,
+            clock,
+            tenant,
+            units,
+            counted_at: clock.now(),
+            used: AtomicBool::new(false),
+        }
+    }
+
+    /// What it counts.
+    pub(crate) fn units(&self) -> u32 {
+        self.units
+    }
+
+    /// Notes whether the request may have run by now.
+    pub(crate) fn set_used(&self, used: bool) {
+        self.used.store(used, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.used.load(Ordering::Relaxed) {
+            let now = self.clock.now();
+            let name = &self.tenant.name;
+            self.desk.give_back(name, self.units, self.counted_at, now);
+        }
+    }
+}
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -25,6 +25,10 @@
         id: &'a str,
         route: &'a str,
         service: &'a str,
+        tenant: Option<&'a str>,
+        priority: u8,
+        /// What it counts within its tenant's limit.
+        units: Option<u32>,
         model: &'a str,
         adapter: Option<&'a str>,
         instance: &'a str,
@@ -55,6 +59,8 @@
     Refused {
         id: &'a str,
         route: Option<&'a str>,
+        tenant: Option<&'a str>,
+        units: Option<u32>,
         model: Option<&'a str>,
         reason: &'a str,
         may_have_run: bool,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -14,6 +14,10 @@
     Behind,
     /// There is no such route.
     NoRoute,
+    /// The request carries no key that a tenant holds.
+    UnknownKey,
+    /// The request is beyond its tenant's limit.
+    OverQuota,
     /// The body is longer than allowed.
     TooLarge,
     /// The body did not come in time, or not whole.
@@ -35,6 +39,8 @@
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::NoConfiguration
@@ -63,6 +69,8 @@
             Self::NoConfiguration => "no_configuration",
             Self::Behind => "behind",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::OverQuota => "over_quota",
             Self::TooLarge => "too_large",
             Self::BrokenBody => "broken_body",
             Self::NoInstance => "no_instance",
@@ -79,7 +87,10 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-        let promises = self.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let promises = matches!(
+            self.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
         if let Some(wait) = retry_after.filter(|_| promises) {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/gateway/src/standing.rs
+++ b/crates/gateway/src/standing.rs
@@ -1,7 +1,9 @@
 //! What a router may do by the configuration that it has.
 //!
+//! The same holds of routes and of keys.
+//!
 //! Invariant: a router that knows of a newer configuration, or did not hear the
-//! leader lately, denies no route; it acts by one that it knows to be older for a
+//! leader lately, denies neither a route nor a key; it acts by one that it knows to be older for a
 //! bounded time only.
 
 use std::time::Duration;
@@ -25,6 +27,21 @@
     Behind,
 }
 
+/// Judges a request whose key is `found` to be a tenant's here, as [`judge`] does a
+/// route. Where keys are trusted for `trust` only, a router that heard no leader for
+/// longer serves none: one of them may have been taken away.
+pub fn judge_key<R>(
+    found: Option<R>,
+    behind_for: Option<Duration>,
+    silent_for: Duration,
+    trust: Option<Duration>,
+) -> Standing<R> {
+    match trust {
+        Some(limit) if silent_for > limit => Standing::Behind,
+        _ => judge(found, behind_for, silent_for),
+    }
+}
+
 /// Judges a request whose route is `found` here, at a router that knows of a newer
 /// configuration for `behind_for` (`None` when it has the newest that it knows of)
 /// and heard the leader `silent_for` ago.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 /// Routers are taken to be so many until the feed tells.
-const ASSUMED_ROUTERS: u32 = 16;
+pub(crate) const ASSUMED_ROUTERS: u32 = 16;
 /// Time in which an adapter is loaded, about.
 const ADAPTER_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
--- a/crates/gateway/tests/standing.rs
+++ b/crates/gateway/tests/standing.rs
@@ -1,6 +1,6 @@
 //! A router that is behind says so instead of acting by an old configuration.
 
-use courseshunt_gateway::standing::{LONGEST_BEHIND, LONGEST_SILENCE, Standing, judge};
+use courseshunt_gateway::standing::{LONGEST_BEHIND, LONGEST_SILENCE, Standing, judge, judge_key};
 use std::time::Duration;
 
 /// The leader was heard just now.
@@ -38,3 +38,24 @@
         Standing::Serve("route")
     );
 }
+
+/// Where keys are trusted for a time only, a router that is alone for longer serves
+/// none and denies none.
+#[test]
+fn keys_are_trusted_as_long_as_the_settings_say() {
+    let trust = Some(Duration::from_secs(5));
+    let longer = Duration::from_millis(5_001);
+    for silent_for in [HEARD, Duration::from_secs(5)] {
+        let standing = judge_key(Some("tenant"), None, silent_for, trust);
+        assert_eq!(standing, Standing::Serve("tenant"));
+    }
+    assert_eq!(
+        judge_key(Some("tenant"), None, longer, trust),
+        Standing::Behind
+    );
+    assert_eq!(
+        judge_key(Some("tenant"), None, longer, None),
+        Standing::Serve("tenant")
+    );
+    assert_eq!(judge_key::<&str>(None, None, HEARD, trust), Standing::Deny);
+}
--- a/crates/services/src/ceiling.rs
+++ b/crates/services/src/ceiling.rs
@@ -3,6 +3,7 @@
 //! A new leader doesn't know what its predecessor started, so it begins with
 //! an empty bucket.
 
+use crate::token_bucket::TokenBucket;
 use courseshunt_types::{Millis, Timestamp};
 
 /// Part of the store's rate that is used.
@@ -14,65 +15,51 @@
 /// A token bucket for loads from the weight store.
 #[derive(Debug)]
 pub struct LoadCeiling {
-    rate_per_second: f64,
-    capacity: f64,
-    tokens: f64,
-    updated: Timestamp,
+    bucket: TokenBucket,
 }
 
 impl LoadCeiling {
     /// An empty bucket for `rate` loads a second, judged over `window`.
     #[must_use]
     pub fn new(rate: f64, window: Millis, now: Timestamp) -> Self {
-        let mut ceiling = Self {
-            rate_per_second: 0.0,
-            capacity: 0.0,
-            tokens: 0.0,
-            updated: now,
-        };
-        ceiling.set_rate(rate, window);
-        ceiling
+        let (rate, capacity) = used(rate, window);
+        Self {
+            bucket: TokenBucket::empty(rate, capacity, now),
+        }
     }
 
     /// Follows a changed rate.
-    pub fn set_rate(&mut self, rate: f64, window: Millis) {
-        self.rate_per_second = rate * USED_PART;
-        // A full bucket and a window of refill stay below rate times window.
-        self.capacity = (self.rate_per_second * window.as_secs_f64() / 8.0).max(1.0);
-        self.tokens = self.tokens.min(self.capacity);
-    }
-
-    fn refill(&mut self, now: Timestamp) {
-        let passed = now.since(self.updated).as_secs_f64();
-        self.updated = now;
-        self.tokens = (self.tokens + passed * self.rate_per_second).min(self.capacity);
+    pub fn set_rate(&mut self, rate: f64, window: Millis, now: Timestamp) {
+        let (rate, capacity) = used(rate, window);
+        self.bucket.resize(rate, capacity, now);
     }
 
     /// Takes one load out; returns whether it may start.
     pub fn take(&mut self, now: Timestamp) -> bool {
-        self.refill(now);
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        self.bucket.take(1.0, now)
     }
 
     /// Loads that may begin now.
     pub fn tokens(&mut self, now: Timestamp) -> f64 {
-        self.refill(now);
-        self.tokens
+        self.bucket.level(now)
     }
 
     /// Whether a load may begin that nobody waits for: only with a bucket that is
     /// nearly full, so that a load that is waited for finds its token.
     pub fn is_nearly_full(&mut self, now: Timestamp) -> bool {
-        self.refill(now);
-        self.tokens >= self.capacity - SPARE_MARGIN
+        self.bucket.level(now) >= self.bucket.capacity() - SPARE_MARGIN
     }
 
     /// Gives one load back that surely did not start.
-    pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.capacity);
+    pub fn give_back(&mut self, now: Timestamp) {
+        self.bucket.charge(-1.0, now);
     }
 }
+
+/// Rate and capacity that are used of a store's rate.
+fn used(rate: f64, window: Millis) -> (f64, f64) {
+    let rate = rate * USED_PART;
+    // A full bucket and a window of refill stay below rate times window.
+    let capacity = (rate * window.as_secs_f64() / 8.0).max(1.0);
+    (rate, capacity)
+}
--- a/crates/services/src/configuration.rs
+++ b/crates/services/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The declared configuration: routes, services and limits, as one document.
 
+use crate::tenants::Tenant;
 use courseshunt_types::{Millis, ModelName};
 use std::collections::BTreeMap;
 
@@ -12,6 +13,8 @@
     pub routes: Vec<Route>,
     /// All services.
     pub services: Vec<Service>,
+    /// All tenants; where there are some, requests need a key.
+    pub tenants: Vec<Tenant>,
     /// What clients may send.
     pub limits: ClientLimits,
 }
@@ -61,6 +64,8 @@
     pub max_attempts: u32,
     /// Whether a broken stream may go on at another back end.
     pub resumable: bool,
+    /// Whether requests need no key.
+    pub public: bool,
 }
 
 /// One service: a set of back-end instances.
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -5,6 +5,7 @@
 
 use crate::digest::InstanceDigests;
 use crate::instance::InstanceView;
+use crate::quota::{QuotaAnswer, QuotaAsk, TenantStanding, TenantUse};
 use courseshunt_types::{Millis, RunnerId};
 
 /// Time between messages about the use of instances, either way.
@@ -126,6 +127,15 @@
         /// Usage summed over all routers.
         instances: Vec<InstanceUsage>,
     },
+    /// How the accounts of tenants stand; those left out are free.
+    Quotas {
+        /// The leadership that keeps these accounts.
+        epoch: u64,
+        /// Accounts that were used lately.
+        standings: Vec<TenantStanding>,
+    },
+    /// Answers to a router's questions.
+    QuotaAnswers(Vec<QuotaAnswer>),
 }
 
 /// Router to controller.
@@ -149,4 +159,13 @@
         /// Instances that could not be reached lately.
         unreachable: Vec<RunnerId>,
     },
+    /// What the router used of tenants' limits and has not told yet.
+    TenantUse {
+        /// The leadership that it is told to.
+        epoch: u64,
+        /// By tenant and time.
+        uses: Vec<TenantUse>,
+    },
+    /// Whether requests are within their tenants' limits.
+    AskQuotas(Vec<QuotaAsk>),
 }
--- a/crates/services/src/judge.rs
+++ b/crates/services/src/judge.rs
@@ -1,6 +1,7 @@
 //! Decides whether a configuration is valid.
 
 use crate::configuration::{Route, ServiceConfiguration};
+use crate::tenants::judge_tenants;
 use std::collections::BTreeSet;
 
 /// Why a configuration is invalid.
@@ -50,6 +51,26 @@
         /// The prefix.
         prefix: String,
     },
+    /// Two tenants share a name.
+    #[snafu(display("tenant {tenant} is declared twice"))]
+    SameTenant {
+        /// The tenant.
+        tenant: String,
+    },
+    /// Two tenants hold the same key.
+    #[snafu(display("tenant {tenant}: it holds a key that tenant {other} holds already"))]
+    SharedKey {
+        /// The second tenant.
+        tenant: String,
+        /// The first one.
+        other: String,
+    },
+    /// A tenant's limit is no number from 0 up.
+    #[snafu(display("tenant {tenant}: its rate and burst must be numbers from 0 up"))]
+    BadQuota {
+        /// The tenant.
+        tenant: String,
+    },
     /// Two services share a name.
     #[snafu(display("service {service} is declared twice"))]
     SameService {
@@ -82,7 +103,7 @@
             });
         }
     }
-    Ok(())
+    judge_tenants(&configuration.tenants)
 }
 
 fn judge_route(route: &Route, services: &BTreeSet<&str>) -> Result<(), ConfigurationError> {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -20,10 +20,13 @@
 pub mod instance;
 pub mod judge;
 pub mod placement;
+pub mod quota;
 pub mod relay;
 pub mod routes;
 pub mod selection;
 pub mod store_limit;
+pub mod tenants;
+pub mod token_bucket;
 
 pub use budget::RetryBudget;
 pub use ceiling::LoadCeiling;
@@ -39,7 +42,11 @@
     InstanceReport, LoadEnd, LoadSource, Order, OrderAction, OrderEvidence, OrderOutcome,
     PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep, SetAside,
 };
+pub use quota::ledger::QuotaLedger;
+pub use quota::local::{QuotaStep, RouterQuotas};
+pub use quota::{QuotaAnswer, QuotaAsk, QuotaSettings, QuotaVerdict, TenantStanding, TenantUse};
 pub use relay::{RegistrationOutbox, RelayedRegistration};
 pub use routes::RouteTable;
 pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
 pub use store_limit::StoreLimit;
+pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -223,7 +223,7 @@
                 .stores
                 .entry(service.name.clone())
                 .or_insert_with(|| WeightStore::new(engine.loads_per_second, window, now));
-            store.set_rate(engine.loads_per_second, window);
+            store.set_rate(engine.loads_per_second, window, now);
         }
         self.configuration = configuration;
     }
--- a/crates/services/src/placement/store.rs
+++ b/crates/services/src/placement/store.rs
@@ -28,8 +28,8 @@
         }
     }
 
-    pub(super) fn set_rate(&mut self, rate: f64, window: Millis) {
-        self.ceiling.set_rate(rate, window);
+    pub(super) fn set_rate(&mut self, rate: f64, window: Millis, now: Timestamp) {
+        self.ceiling.set_rate(rate, window, now);
     }
 
     /// Reserves a load for an instance; returns whether it may begin. One that
@@ -69,7 +69,7 @@
 
     /// A load surely did not begin.
     pub(super) fn not_begun(&mut self, instance: &RunnerId, now: Timestamp) {
-        self.ceiling.give_back();
+        self.ceiling.give_back(now);
         self.limit.dropped(instance, now);
     }
 
--- a/crates/services/src/routes.rs
+++ b/crates/services/src/routes.rs
@@ -1,6 +1,7 @@
 //! Finds the route of a request: by host, then the longest prefix.
 
 use crate::configuration::{Route, Service, ServiceConfiguration, Target};
+use crate::tenants::TenantTable;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
     configuration: ServiceConfiguration,
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<String, Arc<Service>>,
+    tenants: TenantTable,
 }
 
 impl RouteTable {
@@ -27,6 +29,7 @@
             .map(|service| (service.name.clone(), Arc::new(service.clone())))
             .collect();
         Self {
+            tenants: TenantTable::new(&configuration.tenants),
             configuration,
             hosts,
             services,
@@ -45,6 +48,12 @@
         &self.configuration
     }
 
+    /// All tenants.
+    #[must_use]
+    pub fn tenants(&self) -> &TenantTable {
+        &self.tenants
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
--- a/crates/services/tests/configuration.rs
+++ b/crates/services/tests/configuration.rs
@@ -24,6 +24,7 @@
         targets: targets.collect(),
         max_attempts: 2,
         resumable: false,
+        public: false,
     }
 }
 
--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -42,7 +42,7 @@
 fn every_window_keeps_the_ceiling() {
     let (rate, window) = (4.0, Millis(5_000));
     let mut ceiling = LoadCeiling::new(rate, window, Timestamp(0));
-    ceiling.set_rate(rate, window);
+    ceiling.set_rate(rate, window, Timestamp(0));
     assert!(!ceiling.take(Timestamp(0)), "a new leader begins empty");
     let starts: Vec<u64> = (0..60_000)
         .filter(|now| (*now < 20_000 || *now > 30_000) && ceiling.take(Timestamp(*now)))
--- /dev/null
+++ b/crates/services/tests/quota.rs
@@ -0,0 +1,203 @@
+//! Accounts of tenants: each use is charged once, whatever happens to leader, routers
+//! and limits.
+
+use courseshunt_services::{
+    Quota, QuotaLedger, QuotaSettings, QuotaStep, QuotaUnit, QuotaVerdict, RouterQuotas, Tenant,
+    TenantUse,
+};
+use courseshunt_types::{Millis, Timestamp};
+
+const SETTINGS: QuotaSettings = QuotaSettings {
+    window: Millis(8_000),
+    slack: 0.0,
+    overshoot: 0.0,
+};
+const QUOTA: Quota = Quota {
+    rate_per_second: 100.0,
+    burst: 1_000.0,
+    unit: QuotaUnit::Tokens { plain: 1 },
+};
+
+fn tenants(quota: Quota) -> Vec<Tenant> {
+    vec![Tenant {
+        name: "t".to_owned(),
+        keys: Vec::new(),
+        priority: None,
+        quota: Some(quota),
+    }]
+}
+
+fn ledger(epoch: u64, now: Timestamp) -> QuotaLedger {
+    let mut ledger = QuotaLedger::new(epoch, SETTINGS);
+    ledger.configure(&tenants(QUOTA), now);
+    ledger
+}
+
+fn used(units: i64, age: u64) -> TenantUse {
+    TenantUse {
+        tenant: "t".to_owned(),
+        units,
+        age: Millis(age),
+    }
+}
+
+/// Whether the account has exactly this much left.
+fn has_left(ledger: &mut QuotaLedger, units: u32, now: Timestamp) -> bool {
+    let all = ledger.ask("probe", "t", units, now);
+    let more = ledger.ask("probe", "t", 1, now);
+    all == QuotaVerdict::Granted && matches!(more, QuotaVerdict::Refused { .. })
+}
+
+/// 100 units in each of 8 seconds, and 1,000 at once.
+#[test]
+fn what_is_granted_or_told_is_counted_once_for_a_window() {
+    let now = Timestamp(20_000);
+    let mut ledger = ledger(1, now);
+    assert_eq!(ledger.ask("r", "t", 300, now), QuotaVerdict::Granted);
+    ledger.report("r", 1, &[used(200, 0)], now);
+    let later = now + Millis(1_000);
+    assert!(has_left(&mut ledger, 1_300, later));
+    let refused = ledger.ask("r", "t", 50, later);
+    assert!(
+        matches!(refused, QuotaVerdict::Refused { fits_after } if fits_after == Millis(7_100)),
+        "{refused:?}"
+    );
+    let forgotten = now + Millis(8_100);
+    assert!(has_left(&mut ledger, 500, forgotten));
+}
+
+/// A request larger than the burst needs the burst, and owes the rest.
+#[test]
+fn a_request_larger_than_the_burst_is_granted_now_and_then() {
+    let now = Timestamp(20_000);
+    let mut ledger = ledger(1, now);
+    assert_eq!(ledger.ask("r", "t", 700, now), QuotaVerdict::Granted);
+    assert_eq!(ledger.ask("r", "t", 5_000, now), QuotaVerdict::Granted);
+    let refused = ledger.ask("r", "t", 5_000, now + Millis(8_000));
+    assert!(matches!(refused, QuotaVerdict::Refused { .. }));
+    let again = ledger.ask("r", "t", 5_000, now + Millis(8_100));
+    assert_eq!(again, QuotaVerdict::Granted);
+}
+
+/// A new leader, whose process may be younger than the use that it is told.
+#[test]
+fn a_new_leader_learns_of_earlier_use_at_its_time() {
+    let now = Timestamp(300);
+    let mut recent = ledger(2, now);
+    recent.report("r", 2, &[used(900, 1_800)], now);
+    assert!(has_left(&mut recent, 900, now));
+    let mut long_ago = ledger(2, now);
+    long_ago.report("r", 2, &[used(900, 8_500)], now);
+    assert!(has_left(&mut long_ago, 1_800, now));
+    let mut other_epoch = ledger(2, now);
+    other_epoch.report("r", 1, &[used(500, 0)], now);
+    assert!(has_left(&mut other_epoch, 1_800, now), "it is told anew");
+}
+
+/// Half of a limit was used: that is half of a lower one.
+#[test]
+fn a_lower_limit_binds_at_once_and_what_was_used_stays_counted() {
+    let now = Timestamp(20_000);
+    let mut ledger = ledger(1, now);
+    ledger.report("r", 1, &[used(900, 0)], now);
+    let low = Quota {
+        burst: 100.0,
+        rate_per_second: 10.0,
+        ..QUOTA
+    };
+    ledger.configure(&tenants(low), now);
+    assert!(has_left(&mut ledger, 90, now));
+    ledger.configure(&tenants(QUOTA), now);
+    assert!(has_left(&mut ledger, 1_620, now));
+    ledger.configure(&[], now);
+    assert_eq!(ledger.ask("r", "t", 1, now), QuotaVerdict::Unknown);
+}
+
+/// A router that is not heard goes on with its part; once it is heard again, what it
+/// tells replaces what was taken for granted.
+#[test]
+fn a_lost_router_is_charged_until_it_tells() {
+    let now = Timestamp(20_000);
+    let mut ledger = ledger(1, now);
+    // 800 units in a window are 100 in a second.
+    ledger.report("r", 1, &[used(800, 0)], now);
+    ledger.router_lost("r", now);
+    let later = now + Millis(2_000);
+    assert!(has_left(&mut ledger, 800, later), "200 for the lost one");
+    ledger.report("r", 1, &[used(50, 0)], later);
+    assert!(has_left(&mut ledger, 150, later), "200 back, 50 used");
+    ledger.router_lost("r", later);
+    let long_after = later + Millis(16_000);
+    assert!(has_left(&mut ledger, 1_800, long_after), "nothing for ever");
+}
+
+#[test]
+fn a_router_asks_only_where_the_account_is_guarded() {
+    let now = Timestamp(1_000);
+    let mut ledger = ledger(7, now);
+    let mut router = RouterQuotas::new(SETTINGS, 2);
+    router.set_standings(7, ledger.standings(now), now);
+    let step = router.decide("t", &QUOTA, 1_300, true, 0.5, now);
+    assert_eq!(step, QuotaStep::Admit);
+    let (epoch, uses) = router.take_report(now);
+    assert_eq!((epoch, uses.len(), uses[0].units), (7, 1, 1_300));
+    assert!(router.take_report(now).1.is_empty(), "told once");
+    ledger.report("r", epoch, &uses, now);
+    assert!(ledger.take_turned(), "guarded from now on");
+    router.set_standings(7, ledger.standings(now), now);
+    let step = router.decide("t", &QUOTA, 700, true, 0.5, now);
+    assert_eq!(step, QuotaStep::Ask);
+    router.refused("t", 700, Millis(1_000), now);
+    let refused = router.decide("t", &QUOTA, 800, true, 0.5, now);
+    assert!(matches!(refused, QuotaStep::Refuse { .. }), "no question");
+    let smaller = router.decide("t", &QUOTA, 100, true, 0.5, now);
+    assert_eq!(smaller, QuotaStep::Ask);
+    let later = now + Millis(1_000);
+    let again = router.decide("t", &QUOTA, 700, true, 0.5, later);
+    assert_eq!(again, QuotaStep::Ask);
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let now = Timestamp(1_000);
+    let mut router = RouterQuotas::new(SETTINGS, 2);
+    router.set_standings(7, Vec::new(), now);
+    router.decide("t", &QUOTA, 400, true, 0.5, now);
+    router.give_back("t", 400, now, now);
+    assert!(router.take_report(now).1.is_empty(), "nothing to tell");
+    router.granted("t", &QUOTA, 300, now);
+    assert!(router.take_report(now).1.is_empty(), "the leader knows");
+    router.give_back("t", 300, now, now);
+    let (_, uses) = router.take_report(now);
+    assert_eq!(uses[0].units, -300);
+}
+
+/// Another leader is told all that was used in the last window, also what its
+/// predecessor knew.
+#[test]
+fn another_leader_is_told_anew() {
+    let now = Timestamp(1_000);
+    let mut router = RouterQuotas::new(SETTINGS, 2);
+    router.set_standings(7, Vec::new(), now);
+    router.decide("t", &QUOTA, 400, true, 0.5, now);
+    router.take_report(now);
+    router.granted("t", &QUOTA, 300, now);
+    let later = now + Millis(3_000);
+    router.set_standings(8, Vec::new(), later);
+    let (epoch, uses) = router.take_report(later);
+    assert_eq!((epoch, uses[0].units, uses[0].age), (8, 700, Millis(2_000)));
+}
+
+/// Without a leader a router has its own part of the limit, and no more.
+#[test]
+fn alone_a_router_spends_its_part() {
+    let mut router = RouterQuotas::new(SETTINGS, 4);
+    let mut admitted = 0;
+    for now in 1_000..21_000 {
+        let step = router.decide("t", &QUOTA, 10, false, 0.5, Timestamp(now));
+        admitted += u32::from(step == QuotaStep::Admit) * 10;
+    }
+    // A quarter of burst and rate, and two more quarters of the burst.
+    let most = 250 + 20 * 25 + 500 + 10;
+    assert!((700..=most).contains(&admitted), "{admitted} of {most}");
+}
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -94,6 +94,24 @@
     pub load_window_s: f64,
     /// Time between the order to stop and the end by force, in seconds.
     pub grace_s: f64,
+    /// Window over which the use of tenants is judged, in seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Part of a tenant's limit that may be used beyond it in a window.
+    #[serde(default)]
+    pub quota_overshoot: f64,
+    /// Units that may be used beyond a tenant's limit in a window.
+    #[serde(default)]
+    pub quota_slack: f64,
+    /// Time for which a router without a leader trusts the keys that it knows, in
+    /// milliseconds; left out: as long as it is alone.
+    #[serde(default)]
+    pub key_trust_ms: Option<u64>,
+}
+
+/// Window of tenants' use where the settings name none, in seconds.
+fn default_quota_window_s() -> f64 {
+    8.0
 }
 
 /// An address, or nothing where the text is empty.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -102,7 +102,7 @@
     match feed {
         FeedMessage::Configuration { .. } => 14,
         FeedMessage::Instances { .. } | FeedMessage::Live(_) => 15,
-        FeedMessage::Usage { .. } => 16,
+        FeedMessage::Usage { .. } | FeedMessage::Quotas { .. } | FeedMessage::QuotaAnswers(_) => 16,
         FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => 12,
     }
 }
