A tenant over its limit is served evenly, its urgent requests first

And which of its requests were refused was left to chance, the dearest included. Ruled out: instances that were full (503s did not change), the grants' lag (92 questions a second are answered in 10 ms). Change: an account also has a bucket that fills as fast as the allowance lasts and holds a second's worth; a request leaves a fifth of it free for each rank before its own (the route's priority, three ranks).

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -423,7 +423,7 @@
     let answers = questions.iter().map(|one| QuotaAnswer {
         number: one.number,
         verdict: match in_contact {
-            true => quotas.ask(router, &one.tenant, one.units, now),
+            true => quotas.ask(router, one, now),
             false => QuotaVerdict::Unknown,
         },
     });
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -123,7 +123,7 @@
         Some((tenant, quota)) => {
             let units = quota.weight(facts.shape.prompt_tokens, facts.shape.output_tokens);
             known.units = Some(units);
-            Some(charge(tenant, &quota, units, shared).await?)
+            Some(charge(tenant, &quota, units, route.priority, shared).await?)
         }
         None => None,
     };
@@ -227,11 +227,15 @@
     tenant: &Arc<Tenant>,
     quota: &Quota,
     units: u32,
+    rank: u8,
     shared: &Shared,
 ) -> Result<Charge, Denied> {
     let led = shared.view.feed_age() <= crate::standing::LONGEST_SILENCE;
     let now = shared.clock.now();
-    let admitted = shared.quotas.admit(tenant, quota, units, led, now).await;
+    let admitted = shared
+        .quotas
+        .admit(tenant, quota, units, rank, led, now)
+        .await;
     if let Err(retry_after) = admitted {
         return Err(Denied {
             refusal: Refusal::OverQuota,
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -23,7 +23,7 @@
 /// A question that was sent, or waits to be sent.
 struct Asked {
     tenant: Arc<Tenant>,
-    units: u32,
+    ask: QuotaAsk,
     /// None once nobody waits for the answer any more.
     answer: Option<oneshot::Sender<QuotaVerdict>>,
 }
@@ -121,6 +121,7 @@
         tenant: &Arc<Tenant>,
         quota: &Quota,
         units: u32,
+        rank: u8,
         led: bool,
         now: Timestamp,
     ) -> Result<(), Millis> {
@@ -129,11 +130,13 @@
             let led = led && state.connected;
             let draw = rand::random();
             let name = &tenant.name;
-            let step = state.quotas.decide(name, quota, units, led, draw, now);
+            let step = state
+                .quotas
+                .decide(name, quota, units, rank, led, draw, now);
             match step {
                 QuotaStep::Admit => return Ok(()),
                 QuotaStep::Refuse { fits_after } => return Err(fits_after),
-                QuotaStep::Ask => state.ask(tenant, units),
+                QuotaStep::Ask => state.ask(tenant, units, rank),
             }
         };
         self.has_questions.notify_one();
@@ -166,31 +169,38 @@
 }
 
 impl State {
-    fn ask(&mut self, tenant: &Arc<Tenant>, units: u32) -> (u64, oneshot::Receiver<QuotaVerdict>) {
+    fn ask(
+        &mut self,
+        tenant: &Arc<Tenant>,
+        units: u32,
+        rank: u8,
+    ) -> (u64, oneshot::Receiver<QuotaVerdict>) {
         self.last_number += 1;
         let number = self.last_number;
         let (answer, receiver) = oneshot::channel();
+        let ask = QuotaAsk {
+            number,
+            tenant: tenant.name.clone(),
+            units,
+            rank,
+        };
+        self.unsent.push(ask.clone());
         let asked = Asked {
             tenant: tenant.clone(),
-            units,
+            ask,
             answer: Some(answer),
         };
         self.asked.insert(number, asked);
-        self.unsent.push(QuotaAsk {
-            number,
-            tenant: tenant.name.clone(),
-            units,
-        });
         (number, receiver)
     }
 
     fn take_verdict(&mut self, asked: Asked, verdict: QuotaVerdict, now: Timestamp) {
         let Asked {
             tenant,
-            units,
+            ask,
             answer,
         } = asked;
-        let name = &tenant.name;
+        let (name, units) = (&ask.tenant, ask.units);
         let taken = answer.is_some_and(|answer| answer.send(verdict).is_ok());
         match (verdict, tenant.quota) {
             (QuotaVerdict::Granted, Some(quota)) => {
@@ -200,7 +210,7 @@
                 }
             }
             (QuotaVerdict::Refused { fits_after }, _) => {
-                self.quotas.refused(name, units, fits_after, now);
+                self.quotas.refused(&ask, fits_after, now);
             }
             _ => {}
         }
--- a/crates/services/src/quota/ledger.rs
+++ b/crates/services/src/quota/ledger.rs
@@ -6,8 +6,9 @@
 //! leadership), at the moment at which it happened.
 
 use super::history::History;
-use super::{QuotaSettings, QuotaVerdict, TenantStanding, TenantUse};
+use super::{QuotaAsk, QuotaSettings, QuotaVerdict, TenantStanding, TenantUse};
 use crate::tenants::{Quota, Tenant};
+use crate::token_bucket::TokenBucket;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
 
@@ -20,6 +21,13 @@
 
 /// Exactness of an account.
 const ACCOUNT_SLOT: Millis = Millis(100);
+/// Use that lies further back doesn't slow a tenant down: it has made up for it.
+const PACED: Millis = Millis(1_000);
+/// Part of what goes at once that a request leaves free for each rank before its own: of
+/// a tenant that sends too much, the least urgent requests are refused first.
+const KEPT_FREE_PER_RANK: f64 = 0.2;
+/// Ranks after this are treated alike.
+const RANKS_TOLD_APART: u8 = 3;
 /// Exactness of what a single router used.
 const ROUTER_SLOT: Millis = Millis(1_000);
 
@@ -30,13 +38,17 @@
     now + CLOCK_SHIFT
 }
 
-/// One tenant's account.
+/// One tenant's account. What was used in the last window bounds what is granted; a
+/// bucket that fills as fast as the allowance lasts spreads it over the window. Without
+/// that a tenant that sends too much gets all at a window's begin and nothing after:
+/// 1,400 units in a millisecond for two seconds, then 60, where 1,000 are allowed.
 #[derive(Debug)]
 struct Account {
     quota: Quota,
     /// Units that may be used in a window.
     allowance: f64,
     history: History,
+    pace: TokenBucket,
     guarded: bool,
 }
 
@@ -96,8 +108,8 @@
         for tenant in tenants {
             let Some(quota) = tenant.quota else { continue };
             let account = match before.remove(&tenant.name) {
-                Some(known) => known.with_quota(quota, &settings),
-                None => Account::new(quota, &settings),
+                Some(known) => known.with_quota(quota, &settings, now),
+                None => Account::new(quota, &settings, now),
             };
             self.accounts.insert(tenant.name.clone(), account);
         }
@@ -116,7 +128,7 @@
             let at = now - one.age;
             self.note(router, &one.tenant, one.units, at);
             if let Some(account) = self.accounts.get_mut(&one.tenant) {
-                account.history.add(one.units, 0, at);
+                account.count(one.units, at, now);
                 self.look_at(&one.tenant, now);
             }
         }
@@ -124,7 +136,14 @@
     }
 
     /// Decides on one request of a router.
-    pub fn ask(&mut self, router: &str, tenant: &str, units: u32, now: Timestamp) -> QuotaVerdict {
+    pub fn ask(&mut self, router: &str, ask: &QuotaAsk, now: Timestamp) -> QuotaVerdict {
+        let QuotaAsk {
+            tenant,
+            units,
+            rank,
+            ..
+        } = ask;
+        let (tenant, units) = (tenant.as_str(), *units);
         let now = shifted(now);
         let assumed = self.assumed(tenant, now);
         let Some(account) = self.accounts.get_mut(tenant) else {
@@ -132,10 +151,11 @@
         };
         // A request larger than the burst needs no more than that.
         let needed = f64::from(units).min(account.quota.burst);
-        if let Some(fits_after) = account.refuses(needed, assumed, now) {
+        let kept_free = account.kept_free(*rank);
+        if let Some(fits_after) = account.refuses(needed, kept_free, assumed, now) {
             return QuotaVerdict::Refused { fits_after };
         }
-        account.history.add(i64::from(units), 0, now);
+        account.count(i64::from(units), now, now);
         self.note(router, tenant, i64::from(units), now);
         QuotaVerdict::Granted
     }
@@ -236,15 +256,18 @@
             true => FREE_ABOVE,
             false => GUARDED_BELOW,
         };
-        let guarded = account.left(assumed, now) < bound * account.allowance;
+        let paced = account.pace.level(now) < bound * account.pace.capacity();
+        let guarded = paced || account.left(assumed, now) < bound * account.allowance;
         self.turned |= guarded != account.guarded;
         account.guarded = guarded;
     }
 }
 
 impl Account {
-    fn new(quota: Quota, settings: &QuotaSettings) -> Self {
+    fn new(quota: Quota, settings: &QuotaSettings, now: Timestamp) -> Self {
+        let (rate, capacity) = settings.pace(&quota);
         Self {
+            pace: TokenBucket::full(rate, capacity, now),
             quota,
             allowance: settings.allowance(&quota),
             history: History::new(ACCOUNT_SLOT, settings.window),
@@ -252,7 +275,9 @@
         }
     }
 
-    fn with_quota(mut self, quota: Quota, settings: &QuotaSettings) -> Self {
+    fn with_quota(mut self, quota: Quota, settings: &QuotaSettings, now: Timestamp) -> Self {
+        let (rate, capacity) = settings.pace(&quota);
+        self.pace.resize(rate, capacity, now);
         let before = std::mem::replace(&mut self.allowance, settings.allowance(&quota));
         self.quota = quota;
         if self.allowance < before {
@@ -262,10 +287,35 @@
     }
 
     /// Why a request that needs so much does not fit: the time after which it would.
-    fn refuses(&mut self, needed: f64, assumed: f64, now: Timestamp) -> Option<Millis> {
+    fn refuses(
+        &mut self,
+        needed: f64,
+        kept_free: f64,
+        assumed: f64,
+        now: Timestamp,
+    ) -> Option<Millis> {
         let missing = needed - self.left(assumed, now);
-        let fits_after = || self.history.forgets_after(missing, now);
-        (missing > 0.0).then(|| fits_after().unwrap_or(ACCOUNT_SLOT))
+        let unpaced = self.pace.time_until(needed + kept_free, now);
+        if missing <= 0.0 {
+            return (unpaced > Millis(0)).then_some(unpaced);
+        }
+        let forgotten = self.history.forgets_after(missing, now);
+        Some(unpaced.max(forgotten.unwrap_or(ACCOUNT_SLOT)))
+    }
+
+    /// What a request of this rank leaves for more urgent ones.
+    fn kept_free(&self, rank: u8) -> f64 {
+        let ranks = f64::from(rank.min(RANKS_TOLD_APART));
+        self.pace.capacity() * KEPT_FREE_PER_RANK * ranks
+    }
+
+    /// Counts use at a moment.
+    fn count(&mut self, units: i64, at: Timestamp, now: Timestamp) {
+        self.history.add(units, 0, at);
+        if now.since(at) <= PACED {
+            self.pace.charge(units as f64, now);
+            self.pace.forgive_below(-self.pace.capacity());
+        }
     }
 
     /// Units that are left in the present window.
--- a/crates/services/src/quota/local.rs
+++ b/crates/services/src/quota/local.rs
@@ -5,7 +5,7 @@
 //! is given back.
 
 use super::history::History;
-use super::{QuotaSettings, TenantStanding, TenantUse};
+use super::{QuotaAsk, QuotaSettings, TenantStanding, TenantUse};
 use crate::tenants::Quota;
 use crate::token_bucket::TokenBucket;
 use courseshunt_types::{Millis, Timestamp};
@@ -44,6 +44,7 @@
 struct Refused {
     until: Timestamp,
     units: u32,
+    rank: u8,
 }
 
 #[derive(Debug)]
@@ -126,6 +127,7 @@
         tenant: &str,
         quota: &Quota,
         units: u32,
+        rank: u8,
         led: bool,
         draw: f64,
         now: Timestamp,
@@ -140,7 +142,8 @@
         }
         let account = self.account(tenant);
         let refused = account.refused.filter(|refused| refused.until > now);
-        match refused.filter(|refused| units >= refused.units) {
+        let asked_in_vain = |refused: &Refused| units >= refused.units && rank >= refused.rank;
+        match refused.filter(asked_in_vain) {
             Some(refused) => QuotaStep::Refuse {
                 fits_after: refused.until.since(now),
             },
@@ -191,9 +194,13 @@
     }
 
     /// Notes that the leader refused a request.
-    pub fn refused(&mut self, tenant: &str, units: u32, fits_after: Millis, now: Timestamp) {
-        let until = now + fits_after;
-        self.account(tenant).refused = Some(Refused { until, units });
+    pub fn refused(&mut self, ask: &QuotaAsk, fits_after: Millis, now: Timestamp) {
+        let refused = Refused {
+            until: now + fits_after,
+            units: ask.units,
+            rank: ask.rank,
+        };
+        self.account(&ask.tenant).refused = Some(refused);
     }
 
     /// Gives back what a request did not use that was counted at `counted_at`.
--- a/crates/services/src/quota/mod.rs
+++ b/crates/services/src/quota/mod.rs
@@ -45,6 +45,10 @@
 /// Part of the slack that the leader grants, for the same reason.
 const GRANTED_SLACK: f64 = 0.5;
 
+/// What lasts so long may be used at once, in seconds, of a limit with a burst that is
+/// many times its rate.
+const PACE_SPAN_S: f64 = 1.0;
+
 impl QuotaSettings {
     /// Settings with a window in seconds.
     #[must_use]
@@ -62,6 +66,13 @@
         let limit = quota.rate_per_second * self.window.as_secs_f64() + quota.burst;
         limit * (1.0 + GRANTED_OVERSHOOT * self.overshoot) + GRANTED_SLACK * self.slack
     }
+
+    /// How the allowance is spread over a window: units a second, and at once.
+    pub(crate) fn pace(&self, quota: &Quota) -> (f64, f64) {
+        let rate = self.allowance(quota) / self.window.as_secs_f64();
+        let at_once = quota.burst.min(rate * PACE_SPAN_S);
+        (rate, at_once + GRANTED_SLACK * self.slack)
+    }
 }
 
 /// What a router used of a tenant's limit.
@@ -95,6 +106,8 @@
     pub tenant: String,
     /// Units of the request.
     pub units: u32,
+    /// Rank of the request among its tenant's, 0 first.
+    pub rank: u8,
 }
 
 /// The leader's answer.
