A late registration does not bring back an instance whose address was taken over

Cause: only instances that said so counted as departed. One that crashed was forgotten; a registration of it that a cut had held up then put it beside the instance that has its address now, and requests went to it (421) until it had been silent again for four intervals. Ruled out: the numbers of registrations (they rise for each incarnation, and the two are never compared). Change: an instance whose address another one takes over counts as departed, also when it fell silent before. The test failed before.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -163,6 +163,13 @@
     Refused,
 }
 
+/// An instance that fell silent.
+#[derive(Debug)]
+struct FellSilent {
+    address: String,
+    at: Timestamp,
+}
+
 /// See the module.
 #[derive(Debug)]
 pub struct PlacementEngine {
@@ -170,6 +177,9 @@
     configuration: Arc<ServiceConfiguration>,
     instances: BTreeMap<RunnerId, Instance>,
     departed: BTreeMap<RunnerId, Timestamp>,
+    /// Instances that were dropped for their silence: one whose address another takes
+    /// over is not brought back by a registration that was held up.
+    fell_silent: BTreeMap<RunnerId, FellSilent>,
     /// Instances that said that they leave; late registrations may say otherwise.
     leaving: BTreeSet<RunnerId>,
     demand: DemandTable,
@@ -199,6 +209,7 @@
             configuration: Arc::default(),
             instances: BTreeMap::new(),
             departed: BTreeMap::new(),
+            fell_silent: BTreeMap::new(),
             leaving: BTreeSet::new(),
             demand: DemandTable::default(),
             demand_since: None,
@@ -243,6 +254,7 @@
             Some(instance) => instance.register(registration, engine, now),
             None => {
                 self.drop_reused_address(&registration, now);
+                self.fell_silent.remove(&id);
                 let instance = Instance::new(registration, engine, now);
                 self.instances.insert(id.clone(), instance);
                 true
@@ -323,6 +335,14 @@
         let replaced: Vec<RunnerId> = same.map(|(id, _)| id.clone()).collect();
         for id in replaced {
             self.remove(&id);
+            self.departed.insert(id, now);
+        }
+        let fell_silent = self.fell_silent.iter();
+        let same = fell_silent.filter(|(_, one)| one.address == registration.address);
+        let replaced: Vec<RunnerId> = same.map(|(id, _)| id.clone()).collect();
+        for id in replaced {
+            self.fell_silent.remove(&id);
+            self.departed.insert(id, now);
         }
     }
 
@@ -360,11 +380,14 @@
         let limit = self.settings.silence_limit;
         let silent = self.instances.iter();
         let silent = silent.filter(|(_, instance)| instance.silent_for(now) > limit);
-        let silent: Vec<RunnerId> = silent.map(|(id, _)| id.clone()).collect();
-        for id in silent {
+        let silent = silent.map(|(id, instance)| (id.clone(), instance.address().to_owned()));
+        let silent: Vec<(RunnerId, String)> = silent.collect();
+        for (id, address) in silent {
             self.remove(&id);
+            self.fell_silent.insert(id, FellSilent { address, at: now });
         }
-        self.departed.retain(|_, at| now.since(*at) < DEPARTED_KEPT);
+        self.fell_silent
+            .retain(|_, one| now.since(one.at) < DEPARTED_KEPT);
     }
 
     /// Takes a router's report.
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -276,3 +276,35 @@
     let waited = world.now - began;
     assert!(waited <= 800, "{waited} ms until the load began");
 }
+
+/// A registration that was held up on its way arrives after its sender has crashed and
+/// another incarnation has registered at the same address.
+#[test]
+fn a_late_registration_of_an_earlier_incarnation_changes_nothing() {
+    let registration = |id: &str, sequence| Registration {
+        id: RunnerId::from(id),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "z".into(),
+        slots: 8,
+        state: InstanceState::Ready,
+        sequence,
+        remaining: None,
+        models: Vec::new(),
+        copies: WeightCopies::default(),
+    };
+    for silent_for in [2_000, 60_000] {
+        let mut engine = PlacementEngine::new(PlacementSettings::default());
+        engine.register(registration("before", 7), Timestamp(1_000));
+        let now = Timestamp(1_000 + silent_for);
+        engine.expire(now);
+        engine.register(registration("after", 1), now);
+        engine.register(registration("before", 8), now);
+        assert_eq!(engine.ids(), [RunnerId::from("after")], "{silent_for}");
+    }
+    let mut engine = PlacementEngine::new(PlacementSettings::default());
+    engine.register(registration("cut off", 7), Timestamp(1_000));
+    engine.expire(Timestamp(60_000));
+    engine.register(registration("cut off", 8), Timestamp(61_000));
+    assert_eq!(engine.count(), 1, "nobody took its address");
+}
