No controller sends instances to the leader; registrations are held meanwhile

Cause: a controller that did not reach the leader sent its instances there (307), and the leader told them to stay. A leader that was slow for a moment got the registrations of all 3,000 instances on top, answered the other controllers' batches too late, and so got the rest. Ruled out: too little processor time as such (18 to 57 % of a controller's share was used in the bad state). Change: a controller holds what it takes for 2 s after it last reached the leader, then answers 503; it never redirects. Silent connections of instances are closed after four intervals, 2,500 are taken at the most.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -3,6 +3,7 @@
 use crate::Shared;
 use crate::interface::ControlCall;
 use crate::records::ControllerRecord;
+use crate::taking::{self, Taking, TakingView};
 use bytes::Bytes;
 use courseshunt_controller::ProposeError;
 use courseshunt_http::{Body, full_body, read_limited, text_response};
@@ -11,7 +12,7 @@
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -44,7 +45,7 @@
     match shared.interface.read_call(request.method(), &path) {
         Some(ControlCall::PutConfiguration) => put(request, shared).await,
         Some(ControlCall::GetConfiguration) => get(shared).await,
-        Some(ControlCall::Register(id)) => register(request, id, &path, shared).await,
+        Some(ControlCall::Register(id)) => register(request, id, shared).await,
         Some(ControlCall::Deregister(id)) => {
             let _ = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
             record_leaving(&id, true, shared).await
@@ -128,7 +129,6 @@
 async fn register(
     request: Request<Incoming>,
     id: RunnerId,
-    path: &str,
     shared: &Arc<Shared>,
 ) -> Response<Body> {
     let body = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
@@ -145,22 +145,25 @@
     if leaving {
         return record_leaving(&id, false, shared).await;
     }
-    let leader = control_address_of_leader(shared);
-    match (taken, leader) {
-        (true, _) => {
+    match taken {
+        Taking::Take => {
             let own = shared.settings.listen.control.map(|own| own.to_string());
             json(shared.interface.registration_answer(own.as_deref()))
         }
-        (false, Some(leader)) => redirect(leader, path),
-        (false, None) => unavailable("no leader is known"),
+        Taking::TryAnother => unavailable("the leader is not reached from here"),
     }
 }
 
-/// Takes a registration here, or for the leader; returns whether it counts.
-fn take_registration(registration: Registration, shared: &Shared) -> bool {
+/// Takes a registration here, or for the leader; tells whether it counts.
+fn take_registration(registration: Registration, shared: &Shared) -> Taking {
     let now = shared.clock.now();
-    if !shared.replica.leads() {
-        return shared.relay.offer(registration, now);
+    let leads = shared.replica.leads();
+    if !leads {
+        shared.relay.offer(registration, now);
+        return taking::decide(TakingView {
+            leads,
+            out_of_reach_for: shared.relay.out_of_reach_for(now),
+        });
     }
     let leaving = registration.state == InstanceState::Leaving;
     let mut engine = shared.engine();
@@ -172,7 +175,7 @@
     if news || leaving {
         shared.wake.notify_one();
     }
-    true
+    Taking::Take
 }
 
 /// Commits that an instance takes no more work, so that no later leader lacks it.
@@ -197,22 +200,6 @@
     json(shared.interface.registration_answer(None))
 }
 
-/// Where operators and instances reach the leader: all controllers use the same
-/// port.
-fn control_address_of_leader(shared: &Shared) -> Option<SocketAddr> {
-    let port = shared.settings.listen.control?.port();
-    let leader = shared.leader_address()?;
-    Some(SocketAddr::new(leader.ip(), port))
-}
-
-fn redirect(to: SocketAddr, path: &str) -> Response<Body> {
-    let mut response = text_response(StatusCode::TEMPORARY_REDIRECT, "");
-    if let Ok(location) = HeaderValue::from_str(&format!("http://{to}{path}")) {
-        response.headers_mut().insert(LOCATION, location);
-    }
-    response
-}
-
 /// The handler of the metrics address.
 pub(crate) fn metrics_handler(
     shared: Arc<Shared>,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod snapshot;
 pub mod steward;
+pub mod taking;
 
 pub use error::CoordinatorError;
 pub use interface::{ControlCall, ControlInterface, InstanceCall};
@@ -143,6 +144,22 @@
     )
 }
 
+/// Registrations after which a silent connection of an instance is closed: those that
+/// an instance left behind would add up to more than the process may have open.
+const SILENT_REGISTRATIONS: u64 = 4;
+/// Connections of instances and operators at the most; instances that find no place
+/// here find one at another controller.
+const MAX_CONTROL_CONNECTIONS: usize = 2_500;
+
+fn control_limits(settings: &ServiceSettings) -> ServerLimits {
+    let silence = settings.limits.registration_interval_ms * SILENT_REGISTRATIONS;
+    ServerLimits {
+        max_connections: MAX_CONTROL_CONNECTIONS,
+        header_timeout: std::time::Duration::from_millis(silence),
+        ..ServerLimits::default()
+    }
+}
+
 /// A running coordinator.
 pub struct Coordinator {
     shared: Arc<Shared>,
@@ -219,7 +236,7 @@
             ));
         }
         let handler = api::handler(shared.clone());
-        let limits = ServerLimits::default();
+        let limits = control_limits(&shared.settings);
         tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
         Ok(Self { shared })
     }
--- a/crates/coordinator/src/relay.rs
+++ b/crates/coordinator/src/relay.rs
@@ -1,14 +1,14 @@
 //! Passes registrations that this controller took on to the leader.
 //!
 //! Invariant: an instance is told that its registration was taken only while
-//! the leader answers here; what was taken and lost with a leader or a
-//! connection is sent whole to the next one.
+//! the leader answers here, or did so lately (see [`crate::taking`]); what was taken
+//! and lost with a leader or a connection is sent whole to the next one.
 
 use crate::Shared;
 use crate::records::ControllerRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{Registration, RegistrationOutbox, RelayedRegistration};
-use courseshunt_types::{ControllerId, RunnerId, Timestamp};
+use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
 use courseshunt_wire::{Connection, Message, PeerIdentity, Receiver, WireError, connect_within};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +35,8 @@
 struct State {
     outbox: RegistrationOutbox,
     linked: bool,
+    /// When the leader was last reached; the start of the process before that.
+    reached_at: Timestamp,
 }
 
 impl Relay {
@@ -42,17 +44,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a registration; returns whether the leader will have it.
-    pub(crate) fn offer(&self, registration: Registration, now: Timestamp) -> bool {
+    /// Keeps a registration for the leader, which is sent it now or once it is reached.
+    pub(crate) fn offer(&self, registration: Registration, now: Timestamp) {
         let mut state = self.lock();
         state.outbox.offer(registration, now);
         if !state.linked {
             state.outbox.pause();
-            return false;
+            return;
         }
         drop(state);
         self.wake.notify_one();
-        true
+    }
+
+    /// Time since the leader was last reached; none while it is reached.
+    pub(crate) fn out_of_reach_for(&self, now: Timestamp) -> Option<Millis> {
+        let state = self.lock();
+        (!state.linked).then(|| now.since(state.reached_at))
     }
 
     fn link(&self, now: Timestamp) {
@@ -62,9 +69,12 @@
     }
 
     /// Ends the link; returns whether there was one.
-    fn unlink(&self) -> bool {
+    fn unlink(&self, now: Timestamp) -> bool {
         let mut state = self.lock();
         state.outbox.pause();
+        if state.linked {
+            state.reached_at = now;
+        }
         std::mem::take(&mut state.linked)
     }
 
@@ -108,7 +118,7 @@
             ended = relay_to(address, &shared) => ended.err(),
             _ = status.wait_for(|status| status.leader != leader) => None,
         };
-        if shared.relay.unlink() {
+        if shared.relay.unlink(shared.clock.now()) {
             emit(&ControllerRecord::RelayEnded {
                 leader: &address.to_string(),
                 problem: ended.as_ref().map(ToString::to_string).as_deref(),
