A request of a tenant with a limit is one type; a router that is heard again is so at once

Ruled out: nothing else changed. Change: LimitedRequest; QuotaLedger::router_heard at the start of a session.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -374,6 +374,7 @@
     {
         let _ = session.queue.try_send(frame);
     }
+    shared.quotas().router_heard(router);
     if let Some(frame) = shared.quota_standings(now).and_then(encode) {
         let _ = session.queue.try_send(frame);
     }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,11 +9,11 @@
 use crate::quota_desk::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
-use crate::standing::{Standing, judge, judge_key};
+use crate::standing::{LONGEST_SILENCE, Standing, judge, judge_key};
 use bytes::Bytes;
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
-use courseshunt_services::{Quota, Route, RouteTable, Tenant};
+use courseshunt_services::{LimitedRequest, Route, RouteTable, Tenant};
 use courseshunt_types::{Digest, Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -116,15 +116,8 @@
     known.route = Some(route.clone());
     let caller = caller(&table, &route, facts.key, shared)?;
     known.tenant = caller.as_ref().map(|caller| caller.tenant.clone());
-    let limited = caller
-        .as_ref()
-        .and_then(|caller| Some((&caller.tenant, caller.tenant.quota?)));
-    let charge = match limited {
-        Some((tenant, quota)) => {
-            let units = quota.weight(facts.shape.prompt_tokens, facts.shape.output_tokens);
-            known.units = Some(units);
-            Some(charge(tenant, &quota, units, route.priority, shared).await?)
-        }
+    let charge = match &caller {
+        Some(caller) => charge(&caller.tenant, &route, &facts, known, shared).await?,
         None => None,
     };
     let timeout = facts
@@ -222,20 +215,28 @@
     }
 }
 
-/// Counts a request within its tenant's limit.
+/// Counts a request within its tenant's limit, if it has one.
 async fn charge(
     tenant: &Arc<Tenant>,
-    quota: &Quota,
-    units: u32,
-    rank: u8,
+    route: &Route,
+    facts: &RequestFacts,
+    known: &mut Known,
     shared: &Shared,
-) -> Result<Charge, Denied> {
-    let led = shared.view.feed_age() <= crate::standing::LONGEST_SILENCE;
+) -> Result<Option<Charge>, Denied> {
+    let Some(quota) = &tenant.quota else {
+        return Ok(None);
+    };
+    let units = quota.weight(facts.shape.prompt_tokens, facts.shape.output_tokens);
+    known.units = Some(units);
+    let request = LimitedRequest {
+        tenant: &tenant.name,
+        quota,
+        units,
+        rank: route.priority,
+    };
+    let led = shared.view.feed_age() <= LONGEST_SILENCE;
     let now = shared.clock.now();
-    let admitted = shared
-        .quotas
-        .admit(tenant, quota, units, rank, led, now)
-        .await;
+    let admitted = shared.quotas.admit(tenant, &request, led, now).await;
     if let Err(retry_after) = admitted {
         return Err(Denied {
             refusal: Refusal::OverQuota,
@@ -244,7 +245,8 @@
     }
     shared.metrics.tenant_admitted(&tenant.name, units);
     let desk = shared.quotas.clone();
-    Ok(Charge::new(desk, shared.clock, tenant.clone(), units))
+    let charge = Charge::new(desk, shared.clock, tenant.clone(), units);
+    Ok(Some(charge))
 }
 
 /// Whether a request's key is still a tenant's, by the configuration in force.
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -5,8 +5,8 @@
 //! that comes later is given back.
 
 use courseshunt_services::{
-    Quota, QuotaAnswer, QuotaAsk, QuotaSettings, QuotaStep, QuotaVerdict, RouterQuotas, Tenant,
-    TenantStanding, TenantUse,
+    LimitedRequest, QuotaAnswer, QuotaAsk, QuotaSettings, QuotaStep, QuotaVerdict, RouterQuotas,
+    Tenant, TenantStanding, TenantUse,
 };
 use courseshunt_settings::service::ServiceLimits;
 use courseshunt_types::{Millis, Timestamp};
@@ -112,55 +112,54 @@
         }
     }
 
-    /// Counts a request of these units within its tenant's limit.
+    /// Counts a request within its tenant's limit. `led` tells whether a leader was
+    /// heard lately.
     ///
     /// # Errors
     /// When it is beyond the limit: the time after which it would fit.
     pub(crate) async fn admit(
         &self,
         tenant: &Arc<Tenant>,
-        quota: &Quota,
-        units: u32,
-        rank: u8,
+        request: &LimitedRequest<'_>,
         led: bool,
         now: Timestamp,
     ) -> Result<(), Millis> {
         let (number, answer) = {
             let mut state = self.lock();
             let led = led && state.connected;
-            let draw = rand::random();
-            let name = &tenant.name;
-            let step = state
-                .quotas
-                .decide(name, quota, units, rank, led, draw, now);
-            match step {
+            match state.quotas.decide(request, led, rand::random(), now) {
                 QuotaStep::Admit => return Ok(()),
                 QuotaStep::Refuse { fits_after } => return Err(fits_after),
-                QuotaStep::Ask => state.ask(tenant, units, rank),
+                QuotaStep::Ask => state.ask(tenant, request),
             }
         };
         self.has_questions.notify_one();
-        let verdict = tokio::time::timeout(ANSWER_LIMIT, answer).await;
-        match verdict {
+        match tokio::time::timeout(ANSWER_LIMIT, answer).await {
             Ok(Ok(QuotaVerdict::Granted)) => Ok(()),
             Ok(Ok(QuotaVerdict::Refused { fits_after })) => Err(fits_after),
             Ok(Ok(QuotaVerdict::Unknown) | Err(_)) | Err(_) => {
-                let mut state = self.lock();
-                if let Some(asked) = state.asked.get_mut(&number) {
-                    asked.answer = None;
-                }
-                let draw = rand::random();
-                let step = state
-                    .quotas
-                    .decide_alone(&tenant.name, quota, units, draw, now);
-                match step {
-                    QuotaStep::Refuse { fits_after } => Err(fits_after),
-                    QuotaStep::Admit | QuotaStep::Ask => Ok(()),
-                }
+                self.admit_alone(number, request, now)
             }
         }
     }
 
+    /// Decides on a request whose question the leader did not answer in time.
+    fn admit_alone(
+        &self,
+        number: u64,
+        request: &LimitedRequest<'_>,
+        now: Timestamp,
+    ) -> Result<(), Millis> {
+        let mut state = self.lock();
+        if let Some(asked) = state.asked.get_mut(&number) {
+            asked.answer = None;
+        }
+        match state.quotas.decide_alone(request, rand::random(), now) {
+            QuotaStep::Refuse { fits_after } => Err(fits_after),
+            QuotaStep::Admit | QuotaStep::Ask => Ok(()),
+        }
+    }
+
     /// Gives back what a request did not use.
     fn give_back(&self, tenant: &str, units: u32, counted_at: Timestamp, now: Timestamp) {
         let mut state = self.lock();
@@ -172,8 +171,7 @@
     fn ask(
         &mut self,
         tenant: &Arc<Tenant>,
-        units: u32,
-        rank: u8,
+        request: &LimitedRequest<'_>,
     ) -> (u64, oneshot::Receiver<QuotaVerdict>) {
         self.last_number += 1;
         let number = self.last_number;
@@ -181,8 +179,8 @@
         let ask = QuotaAsk {
             number,
             tenant: tenant.name.clone(),
-            units,
-            rank,
+            units: request.units,
+            rank: request.rank,
         };
         self.unsent.push(ask.clone());
         let asked = Asked {
@@ -200,13 +198,18 @@
             ask,
             answer,
         } = asked;
-        let (name, units) = (&ask.tenant, ask.units);
         let taken = answer.is_some_and(|answer| answer.send(verdict).is_ok());
         match (verdict, tenant.quota) {
             (QuotaVerdict::Granted, Some(quota)) => {
-                self.quotas.granted(name, &quota, units, now);
+                let request = LimitedRequest {
+                    tenant: &ask.tenant,
+                    quota: &quota,
+                    units: ask.units,
+                    rank: ask.rank,
+                };
+                self.quotas.granted(&request, now);
                 if !taken {
-                    self.quotas.give_back(name, units, now, now);
+                    self.quotas.give_back(&ask.tenant, ask.units, now, now);
                 }
             }
             (QuotaVerdict::Refused { fits_after }, _) => {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -44,7 +44,9 @@
 };
 pub use quota::ledger::QuotaLedger;
 pub use quota::local::{QuotaStep, RouterQuotas};
-pub use quota::{QuotaAnswer, QuotaAsk, QuotaSettings, QuotaVerdict, TenantStanding, TenantUse};
+pub use quota::{
+    LimitedRequest, QuotaAnswer, QuotaAsk, QuotaSettings, QuotaVerdict, TenantStanding, TenantUse,
+};
 pub use relay::{RegistrationOutbox, RelayedRegistration};
 pub use routes::RouteTable;
 pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
--- a/crates/services/src/quota/ledger.rs
+++ b/crates/services/src/quota/ledger.rs
@@ -41,7 +41,7 @@
 /// One tenant's account. What was used in the last window bounds what is granted; a
 /// bucket that fills as fast as the allowance lasts spreads it over the window. Without
 /// that a tenant that sends too much gets all at a window's begin and nothing after:
-/// 1,400 units in a millisecond for two seconds, then 60, where 1,000 are allowed.
+/// 1,400 units in a millisecond for two seconds, then 60, where 860 are granted.
 #[derive(Debug)]
 struct Account {
     quota: Quota,
@@ -120,7 +120,7 @@
     /// Returns whether an account turned guarded or free and that is untold yet.
     pub fn report(&mut self, router: &str, epoch: u64, uses: &[TenantUse], now: Timestamp) -> bool {
         let now = shifted(now);
-        self.lost.remove(router);
+        self.router_heard(router);
         if epoch != self.epoch {
             return false;
         }
@@ -179,6 +179,11 @@
         self.lost.insert(router.to_owned(), lost);
     }
 
+    /// Notes that a router is heard again.
+    pub fn router_heard(&mut self, router: &str) {
+        self.lost.remove(router);
+    }
+
     /// Whether an account turned guarded or free since the last call.
     pub fn take_turned(&mut self) -> bool {
         std::mem::take(&mut self.turned)
--- a/crates/services/src/quota/local.rs
+++ b/crates/services/src/quota/local.rs
@@ -5,8 +5,7 @@
 //! is given back.
 
 use super::history::History;
-use super::{QuotaAsk, QuotaSettings, TenantStanding, TenantUse};
-use crate::tenants::Quota;
+use super::{LimitedRequest, QuotaAsk, QuotaSettings, TenantStanding, TenantUse};
 use crate::token_bucket::TokenBucket;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::HashMap;
@@ -124,25 +123,23 @@
     /// from 0 up to 1.
     pub fn decide(
         &mut self,
-        tenant: &str,
-        quota: &Quota,
-        units: u32,
-        rank: u8,
+        request: &LimitedRequest<'_>,
         led: bool,
         draw: f64,
         now: Timestamp,
     ) -> QuotaStep {
         if !led || self.epoch == 0 {
-            return self.decide_alone(tenant, quota, units, draw, now);
+            return self.decide_alone(request, draw, now);
         }
-        let is_free = !self.account(tenant).guarded;
-        if is_free && self.is_within_part(tenant, quota, units, now) {
-            self.count_led(tenant, quota, units, true, now);
+        let is_free = !self.account(request.tenant).guarded;
+        if is_free && self.is_within_part(request, now) {
+            self.count_led(request, true, now);
             return QuotaStep::Admit;
         }
-        let account = self.account(tenant);
+        let account = self.account(request.tenant);
         let refused = account.refused.filter(|refused| refused.until > now);
-        let asked_in_vain = |refused: &Refused| units >= refused.units && rank >= refused.rank;
+        let asked_in_vain =
+            |refused: &Refused| request.units >= refused.units && request.rank >= refused.rank;
         match refused.filter(asked_in_vain) {
             Some(refused) => QuotaStep::Refuse {
                 fits_after: refused.until.since(now),
@@ -159,20 +156,18 @@
     /// parts add up to.
     pub fn decide_alone(
         &mut self,
-        tenant: &str,
-        quota: &Quota,
-        units: u32,
+        request: &LimitedRequest<'_>,
         draw: f64,
         now: Timestamp,
     ) -> QuotaStep {
-        let amount = f64::from(units);
-        let guarded = self.account(tenant).guarded;
-        let level = self.own_bucket(tenant, quota, now).level(now);
+        let amount = f64::from(request.units);
+        let guarded = self.account(request.tenant).guarded;
+        let level = self.own_bucket(request, now).level(now);
         let admitted = match guarded {
             true => draw * amount < level,
-            false => self.is_within_part(tenant, quota, units, now),
+            false => self.is_within_part(request, now),
         };
-        let own = self.own_bucket(tenant, quota, now);
+        let own = self.own_bucket(request, now);
         if !admitted {
             let fits_after = own.time_until(amount, now);
             if guarded {
@@ -184,13 +179,13 @@
         if guarded {
             own.forgive_below(0.0);
         }
-        self.count(tenant, units, true, now);
+        self.count(request, true, now);
         QuotaStep::Admit
     }
 
     /// Counts a request that the leader granted.
-    pub fn granted(&mut self, tenant: &str, quota: &Quota, units: u32, now: Timestamp) {
-        self.count_led(tenant, quota, units, false, now);
+    pub fn granted(&mut self, request: &LimitedRequest<'_>, now: Timestamp) {
+        self.count_led(request, false, now);
     }
 
     /// Notes that the leader refused a request.
@@ -229,40 +224,38 @@
     }
 
     /// Whether a request is within this router's own part, and what it may owe.
-    fn is_within_part(&mut self, tenant: &str, quota: &Quota, units: u32, now: Timestamp) -> bool {
-        let own = self.own_bucket(tenant, quota, now);
-        let needed = f64::from(units).min(own.capacity()) - OWN_DEBT * own.capacity();
+    fn is_within_part(&mut self, request: &LimitedRequest<'_>, now: Timestamp) -> bool {
+        let own = self.own_bucket(request, now);
+        let needed = f64::from(request.units).min(own.capacity()) - OWN_DEBT * own.capacity();
         own.level(now) >= needed
     }
 
     fn account(&mut self, tenant: &str) -> &mut Account {
-        if !self.accounts.contains_key(tenant) {
-            let account = Account::new(self.settings.window);
-            self.accounts.insert(tenant.to_owned(), account);
-        }
-        self.accounts
-            .get_mut(tenant)
-            .unwrap_or_else(|| unreachable!("it was put in just now"))
+        let window = self.settings.window;
+        let account = self.accounts.entry(tenant.to_owned());
+        account.or_insert_with(|| Account::new(window))
     }
 
     /// Counts what was admitted under a leader, also in this router's own part.
-    fn count_led(&mut self, tenant: &str, quota: &Quota, units: u32, untold: bool, now: Timestamp) {
-        let own = self.own_bucket(tenant, quota, now);
-        own.charge(f64::from(units), now);
+    fn count_led(&mut self, request: &LimitedRequest<'_>, untold: bool, now: Timestamp) {
+        let own = self.own_bucket(request, now);
+        own.charge(f64::from(request.units), now);
         // Requests larger than the part would shut it for long.
         own.forgive_below(-(1.0 + OWN_DEBT) * own.capacity());
-        self.count(tenant, units, untold, now);
+        self.count(request, untold, now);
     }
 
-    fn count(&mut self, tenant: &str, units: u32, untold: bool, now: Timestamp) {
-        let units = i64::from(units);
+    fn count(&mut self, request: &LimitedRequest<'_>, untold: bool, now: Timestamp) {
+        let units = i64::from(request.units);
         let untold = if untold { units } else { 0 };
-        self.account(tenant).history.add(units, untold, now);
+        let account = self.account(request.tenant);
+        account.history.add(units, untold, now);
     }
 
     /// This router's own part of the limit: what it had of all that was used lately,
     /// or an equal part where it had nothing.
-    fn own_bucket(&mut self, tenant: &str, quota: &Quota, now: Timestamp) -> &mut TokenBucket {
+    fn own_bucket(&mut self, request: &LimitedRequest<'_>, now: Timestamp) -> &mut TokenBucket {
+        let LimitedRequest { tenant, quota, .. } = *request;
         let routers = f64::from(self.routers);
         let account = self.account(tenant);
         let open = if account.guarded { GUARDED_PART } else { 1.0 };
--- a/crates/services/src/quota/mod.rs
+++ b/crates/services/src/quota/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! A limit bounds what is used in any window: the rate times the window, and the
 //! burst. The leader keeps one account for each tenant: what was used in the last
-//! window. While much of the limit is left, routers admit the tenant's requests at once and report what they
-//! used; once it is guarded, they ask the leader for each request. A router without
-//! a leader spends its own part of the limit: the part that it had of what was used
-//! lately. See [`ledger`] for the leader's side and [`local`] for a router's.
+//! window. While much of the limit is left, routers admit the tenant's requests at once
+//! and report what they used; once the account is guarded, they ask the leader for each
+//! request. A router without a leader spends its own part of the limit: the part that it
+//! had of what was used lately. See [`ledger`] for the leader's side and [`local`] for a router's.
 //!
 //! Invariant: what all routers admit in a window stays below rate times window and
 //! burst, with the margins of [`QuotaSettings`].
@@ -75,6 +75,19 @@
     }
 }
 
+/// A request of a tenant with a limit.
+#[derive(Debug, Clone, Copy)]
+pub struct LimitedRequest<'a> {
+    /// Name of the tenant.
+    pub tenant: &'a str,
+    /// Its limit.
+    pub quota: &'a Quota,
+    /// Units that the request counts.
+    pub units: u32,
+    /// Rank among the tenant's requests, 0 first.
+    pub rank: u8,
+}
+
 /// What a router used of a tenant's limit.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct TenantUse {
--- a/crates/services/tests/quota.rs
+++ b/crates/services/tests/quota.rs
@@ -2,8 +2,8 @@
 //! and limits.
 
 use courseshunt_services::{
-    Quota, QuotaAsk, QuotaLedger, QuotaSettings, QuotaStep, QuotaUnit, QuotaVerdict, RouterQuotas,
-    Tenant, TenantUse,
+    LimitedRequest, Quota, QuotaAsk, QuotaLedger, QuotaSettings, QuotaStep, QuotaUnit,
+    QuotaVerdict, RouterQuotas, Tenant, TenantUse,
 };
 use courseshunt_types::{Millis, Timestamp};
 
@@ -42,6 +42,15 @@
     }
 }
 
+fn request(units: u32, rank: u8) -> LimitedRequest<'static> {
+    LimitedRequest {
+        tenant: "t",
+        quota: &QUOTA,
+        units,
+        rank,
+    }
+}
+
 fn used(units: i64, age: u64) -> TenantUse {
     TenantUse {
         tenant: "t".to_owned(),
@@ -178,7 +187,7 @@
     let mut ledger = ledger(7, now);
     let mut router = RouterQuotas::new(SETTINGS, 2);
     router.set_standings(7, ledger.standings(now), now);
-    let step = router.decide("t", &QUOTA, 1_300, 1, true, 0.5, now);
+    let step = router.decide(&request(1_300, 1), true, 0.5, now);
     assert_eq!(step, QuotaStep::Admit);
     let (epoch, uses) = router.take_report(now);
     assert_eq!((epoch, uses.len(), uses[0].units), (7, 1, 1_300));
@@ -186,17 +195,17 @@
     ledger.report("r", epoch, &uses, now);
     assert!(ledger.take_turned(), "guarded from now on");
     router.set_standings(7, ledger.standings(now), now);
-    let step = router.decide("t", &QUOTA, 700, 1, true, 0.5, now);
+    let step = router.decide(&request(700, 1), true, 0.5, now);
     assert_eq!(step, QuotaStep::Ask);
     router.refused(&asked(700, 1), Millis(1_000), now);
-    let refused = router.decide("t", &QUOTA, 800, 1, true, 0.5, now);
+    let refused = router.decide(&request(800, 1), true, 0.5, now);
     assert!(matches!(refused, QuotaStep::Refuse { .. }), "no question");
-    let smaller = router.decide("t", &QUOTA, 100, 1, true, 0.5, now);
+    let smaller = router.decide(&request(100, 1), true, 0.5, now);
     assert_eq!(smaller, QuotaStep::Ask);
-    let more_urgent = router.decide("t", &QUOTA, 700, 0, true, 0.5, now);
+    let more_urgent = router.decide(&request(700, 0), true, 0.5, now);
     assert_eq!(more_urgent, QuotaStep::Ask);
     let later = now + Millis(1_000);
-    let again = router.decide("t", &QUOTA, 700, 1, true, 0.5, later);
+    let again = router.decide(&request(700, 1), true, 0.5, later);
     assert_eq!(again, QuotaStep::Ask);
 }
 
@@ -205,10 +214,10 @@
     let now = Timestamp(1_000);
     let mut router = RouterQuotas::new(SETTINGS, 2);
     router.set_standings(7, Vec::new(), now);
-    router.decide("t", &QUOTA, 400, 1, true, 0.5, now);
+    router.decide(&request(400, 1), true, 0.5, now);
     router.give_back("t", 400, now, now);
     assert!(router.take_report(now).1.is_empty(), "nothing to tell");
-    router.granted("t", &QUOTA, 300, now);
+    router.granted(&request(300, 1), now);
     assert!(router.take_report(now).1.is_empty(), "the leader knows");
     router.give_back("t", 300, now, now);
     let (_, uses) = router.take_report(now);
@@ -222,9 +231,9 @@
     let now = Timestamp(1_000);
     let mut router = RouterQuotas::new(SETTINGS, 2);
     router.set_standings(7, Vec::new(), now);
-    router.decide("t", &QUOTA, 400, 1, true, 0.5, now);
+    router.decide(&request(400, 1), true, 0.5, now);
     router.take_report(now);
-    router.granted("t", &QUOTA, 300, now);
+    router.granted(&request(300, 1), now);
     let later = now + Millis(3_000);
     router.set_standings(8, Vec::new(), later);
     let (epoch, uses) = router.take_report(later);
@@ -237,7 +246,7 @@
     let mut router = RouterQuotas::new(SETTINGS, 4);
     let mut admitted = 0;
     for now in 1_000..21_000 {
-        let step = router.decide("t", &QUOTA, 10, 1, false, 0.5, Timestamp(now));
+        let step = router.decide(&request(10, 1), false, 0.5, Timestamp(now));
         admitted += u32::from(step == QuotaStep::Admit) * 10;
     }
     // A quarter of burst and rate, and two more quarters of the burst.
--- a/crates/services/tests/quota_fleet/mod.rs
+++ b/crates/services/tests/quota_fleet/mod.rs
@@ -3,7 +3,8 @@
 
 use courseshunt_services::quota::history::History;
 use courseshunt_services::{
-    Quota, QuotaAsk, QuotaLedger, QuotaSettings, QuotaStep, QuotaVerdict, RouterQuotas, Tenant,
+    LimitedRequest, Quota, QuotaAsk, QuotaLedger, QuotaSettings, QuotaStep, QuotaVerdict,
+    RouterQuotas, Tenant,
 };
 use courseshunt_types::{Millis, Timestamp};
 use rand_pcg::Pcg64;
@@ -380,14 +381,19 @@
             let request = &requests[next];
             let router = &mut routers[request.router];
             let led = router.session || now - router.heard < SILENCE && router.heard > 0;
-            let (units, quota) = (request.units, &load.quota);
+            let limited = LimitedRequest {
+                tenant: TENANT,
+                quota: &load.quota,
+                units: request.units,
+                rank: 0,
+            };
             let draw = even(random);
-            let step = router.quotas.decide(TENANT, quota, units, 0, led, draw, at);
+            let step = router.quotas.decide(&limited, led, draw, at);
             admitted[next] = match step {
                 QuotaStep::Admit => true,
                 QuotaStep::Refuse { .. } => false,
                 QuotaStep::Ask if !router.session => {
-                    let step = router.quotas.decide_alone(TENANT, quota, units, draw, at);
+                    let step = router.quotas.decide_alone(&limited, draw, at);
                     step == QuotaStep::Admit
                 }
                 QuotaStep::Ask => {
@@ -396,12 +402,12 @@
                     let ask = QuotaAsk {
                         number: asks,
                         tenant: TENANT.to_owned(),
-                        units,
-                        rank: 0,
+                        units: limited.units,
+                        rank: limited.rank,
                     };
                     match ledger.ask(&router.name, &ask, then) {
                         QuotaVerdict::Granted => {
-                            router.quotas.granted(TENANT, quota, units, at);
+                            router.quotas.granted(&limited, at);
                             true
                         }
                         QuotaVerdict::Refused { fits_after } => {
