A request goes back to the only holder of its model

Cause: an instance that failed a request or turned it away was left out for the rest of it, unless three had. Ruled out: the leader, the retry budget (none denied), instances that were gone. Change: when nobody else can take it, the instance is asked again after a sixteenth of the objective, and each time after twice as long.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -24,6 +24,9 @@
 
 /// Pause before an instance that turned a request away is asked again.
 const PAUSE: Duration = Duration::from_millis(40);
+/// The first time after which the only holder of a model is asked again, as a divisor of
+/// the objective: with doubled ones after it, four tries lie within the objective.
+const FIRST_REST_PART: u32 = 16;
 /// Instances that one client attempt is sent to at the most, those included
 /// that turned it away.
 const MAX_SENDS: u32 = 6;
@@ -90,6 +93,20 @@
     count: u32,
     ran: u32,
     avoid: Vec<RunnerId>,
+    /// When the last of them ended.
+    ended_at: Option<Instant>,
+}
+
+impl Sends {
+    /// Whether an instance that failed it may be asked again: after a part of the
+    /// objective, and each time after twice as long, so that a full instance gets time
+    /// and the tries spread over the objective.
+    fn rested(&self, objective: Millis) -> bool {
+        let first = Duration::from(objective) / FIRST_REST_PART;
+        let doublings = self.count.saturating_sub(1).min(MAX_SENDS);
+        let rest = PAUSE.max(first * 2_u32.pow(doublings));
+        self.ended_at.is_some_and(|at| at.elapsed() >= rest)
+    }
 }
 
 async fn run(admitted: &Admitted, shared: &Arc<Shared>) -> Response<Body> {
@@ -107,6 +124,7 @@
         let instance = view.id.clone();
         admitted.set_used(true);
         let outcome = attempt(shared, admitted, candidate, &view, sends.count).await;
+        sends.ended_at = Some(Instant::now());
         let did_not_run = matches!(outcome, AttemptOutcome::NotRun);
         admitted.set_used(!did_not_run || sends.ran > 0);
         match next(admitted, shared, &mut sends, instance, outcome) {
@@ -249,6 +267,13 @@
         if let Some(chosen) = shared.view.choose(service, shape, avoid, now) {
             return Ok(chosen);
         }
+        // Without this a request whose model has one holder would wait for another copy
+        // until its client leaves.
+        if sends.rested(admitted.route.objective)
+            && let Some(chosen) = shared.view.choose(service, shape, &[], now)
+        {
+            return Ok(chosen);
+        }
         if waiting.is_none() && service.engine.is_some() {
             waiting = Some(shared.view.wait_for(&service.name, shape));
             record_waiting(admitted, shared);
