Late registrations shut nobody out, and a controller that is cut off takes none

Change: a controller that hears no leader takes nothing, as before; a registration of an instance that fell silent is left out only while another one is heard at its address. Tests failed before.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -162,6 +162,7 @@
         shared.relay.offer(registration, now);
         return taking::decide(TakingView {
             leads,
+            hears_leader: shared.replica.status().borrow().leader.is_some(),
             out_of_reach_for: shared.relay.out_of_reach_for(now),
         });
     }
--- a/crates/coordinator/src/taking.rs
+++ b/crates/coordinator/src/taking.rs
@@ -6,8 +6,8 @@
 
 use courseshunt_types::Millis;
 
-/// Registrations are taken for so long after the leader was last reached: they reach it
-/// with the next connection. An instance that is not heard for four of its intervals is
+/// A controller that hears a leader takes registrations for so long after it last reached
+/// it: they reach it with the next connection. An instance that is not heard for four of its intervals is
 /// taken for gone, so this and one interval must stay well below.
 pub const HELD: Millis = Millis(2_000);
 
@@ -16,6 +16,9 @@
 pub struct TakingView {
     /// Whether this controller leads.
     pub leads: bool,
+    /// Whether it hears a leader. One that is cut off hears none, and instances that it
+    /// kept would be known nowhere: they find one that does at once.
+    pub hears_leader: bool,
     /// Time since the leader was last reached; none while it is reached.
     pub out_of_reach_for: Option<Millis>,
 }
@@ -33,7 +36,7 @@
 #[must_use]
 pub fn decide(view: TakingView) -> Taking {
     let reached = view.out_of_reach_for.is_none_or(|away| away <= HELD);
-    match view.leads || reached {
+    match view.leads || view.hears_leader && reached {
         true => Taking::Take,
         false => Taking::TryAnother,
     }
--- a/crates/coordinator/tests/registration_storm.rs
+++ b/crates/coordinator/tests/registration_storm.rs
@@ -207,6 +207,7 @@
         let away = Millis(now.saturating_sub(controller.unlinked_at) / 1_000);
         let view = TakingView {
             leads: number == LEADER,
+            hears_leader: true,
             out_of_reach_for: (!controller.linked).then_some(away),
         };
         let takes = match self.way {
@@ -307,3 +308,24 @@
         "{failures}, {connections}"
     );
 }
+
+#[test]
+fn a_controller_takes_what_it_can_pass_on_soon() {
+    let cases = [
+        (true, false, Some(60_000), Taking::Take),
+        (false, true, None, Taking::Take),
+        (false, true, Some(2_000), Taking::Take),
+        (false, true, Some(2_001), Taking::TryAnother),
+        // Cut off from the others: nobody would know of the instance.
+        (false, false, None, Taking::TryAnother),
+        (false, false, Some(10), Taking::TryAnother),
+    ];
+    for (leads, hears_leader, away, wanted) in cases {
+        let view = TakingView {
+            leads,
+            hears_leader,
+            out_of_reach_for: away.map(Millis),
+        };
+        assert_eq!(decide(view), wanted, "{view:?}");
+    }
+}
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -163,13 +163,6 @@
     Refused,
 }
 
-/// An instance that fell silent.
-#[derive(Debug)]
-struct FellSilent {
-    address: String,
-    at: Timestamp,
-}
-
 /// See the module.
 #[derive(Debug)]
 pub struct PlacementEngine {
@@ -177,9 +170,8 @@
     configuration: Arc<ServiceConfiguration>,
     instances: BTreeMap<RunnerId, Instance>,
     departed: BTreeMap<RunnerId, Timestamp>,
-    /// Instances that were dropped for their silence: one whose address another takes
-    /// over is not brought back by a registration that was held up.
-    fell_silent: BTreeMap<RunnerId, FellSilent>,
+    /// Instances that were dropped for their silence, and when.
+    fell_silent: BTreeMap<RunnerId, Timestamp>,
     /// Instances that said that they leave; late registrations may say otherwise.
     leaving: BTreeSet<RunnerId>,
     demand: DemandTable,
@@ -245,7 +237,7 @@
         if self.leaving.contains(&id) {
             registration.state = InstanceState::Leaving;
         }
-        if self.departed.contains_key(&id) {
+        if self.departed.contains_key(&id) || self.is_outdated(&registration, now) {
             return false;
         }
         let configuration = self.configuration.clone();
@@ -334,18 +326,26 @@
         });
         let replaced: Vec<RunnerId> = same.map(|(id, _)| id.clone()).collect();
         for id in replaced {
-            self.remove(&id);
-            self.departed.insert(id, now);
-        }
-        let fell_silent = self.fell_silent.iter();
-        let same = fell_silent.filter(|(_, one)| one.address == registration.address);
-        let replaced: Vec<RunnerId> = same.map(|(id, _)| id.clone()).collect();
-        for id in replaced {
-            self.fell_silent.remove(&id);
-            self.departed.insert(id, now);
+            self.fall_silent(id, now);
         }
     }
 
+    /// Drops an instance that is not heard any more.
+    fn fall_silent(&mut self, id: RunnerId, now: Timestamp) {
+        self.remove(&id);
+        self.fell_silent.insert(id, now);
+    }
+
+    /// Whether a registration was held up on its way: its sender fell silent, and another
+    /// instance is heard at its address. It is left out only as long as that one is
+    /// heard, since either of the two may be the one that was held up.
+    fn is_outdated(&self, registration: &Registration, now: Timestamp) -> bool {
+        let mut others = self.instances.values();
+        self.fell_silent.contains_key(&registration.id)
+            && others
+                .any(|other| other.address() == registration.address && !other.may_be_replaced(now))
+    }
+
     /// Notes that an instance takes no more work.
     pub fn leave(&mut self, id: &RunnerId) {
         self.leaving.insert(id.clone());
@@ -380,14 +380,12 @@
         let limit = self.settings.silence_limit;
         let silent = self.instances.iter();
         let silent = silent.filter(|(_, instance)| instance.silent_for(now) > limit);
-        let silent = silent.map(|(id, instance)| (id.clone(), instance.address().to_owned()));
-        let silent: Vec<(RunnerId, String)> = silent.collect();
-        for (id, address) in silent {
-            self.remove(&id);
-            self.fell_silent.insert(id, FellSilent { address, at: now });
+        let silent: Vec<RunnerId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            self.fall_silent(id, now);
         }
         self.fell_silent
-            .retain(|_, one| now.since(one.at) < DEPARTED_KEPT);
+            .retain(|_, at| now.since(*at) < DEPARTED_KEPT);
     }
 
     /// Takes a router's report.
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -308,3 +308,33 @@
     engine.register(registration("cut off", 8), Timestamp(61_000));
     assert_eq!(engine.count(), 1, "nobody took its address");
 }
+
+/// An instance that was not heard for a moment is not shut out by a registration of its
+/// predecessor that was held up.
+#[test]
+fn a_late_registration_shuts_nobody_out() {
+    let registration = |id: &str, sequence| Registration {
+        id: RunnerId::from(id),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "z".into(),
+        slots: 8,
+        state: InstanceState::Ready,
+        sequence,
+        remaining: None,
+        models: Vec::new(),
+        copies: WeightCopies::default(),
+    };
+    for silent_for in [3_000, 60_000] {
+        let mut engine = PlacementEngine::new(PlacementSettings::default());
+        engine.register(registration("live", 1), Timestamp(1_000));
+        let now = 1_000 + silent_for;
+        engine.expire(Timestamp(now));
+        engine.register(registration("held up", 9), Timestamp(now));
+        for beat in 1..=3 {
+            let at = Timestamp(now + beat * 1_200);
+            engine.register(registration("live", 1 + beat), at);
+        }
+        assert_eq!(engine.ids(), [RunnerId::from("live")], "{silent_for}");
+    }
+}
