--- a/crates/coordinator/src/taking.rs
+++ b/crates/coordinator/src/taking.rs
@@ -7,8 +7,8 @@
 use courseshunt_types::Millis;
 
 /// A controller that hears a leader takes registrations for so long after it last reached
-/// it: they reach it with the next connection. An instance that is not heard for four of its intervals is
-/// taken for gone, so this and one interval must stay well below.
+/// it: they reach it with the next connection. An instance that is not heard for four of
+/// its intervals is taken for gone, so this and one interval must stay well below.
 pub const HELD: Millis = Millis(2_000);
 
 /// What the decision rests on.
