Requests that wait at a planned stop are refused before the process ends

Change: half a second before the end, whoever still waits is refused (503, not run, come back at once; 502 if it may have run).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -228,6 +228,17 @@
 }
 
 impl GivenUp {
+    /// The router ends; another one may be asked at once.
+    fn stopping(sends: &Sends) -> Self {
+        Self {
+            refusal: match sends.ran {
+                0 => Refusal::Stopping,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(Millis(0)),
+        }
+    }
+
     fn of(sends: &Sends, retry_after: Millis) -> Self {
         Self {
             refusal: match sends.ran {
@@ -259,6 +270,9 @@
                 retry_after: None,
             });
         }
+        if shared.giving_up.is_cancelled() {
+            return Err(GivenUp::stopping(sends));
+        }
         // When all have turned it away, the first of them may be asked again.
         let avoid: &[RunnerId] = match sends.count {
             0..=2 => &sends.avoid,
@@ -283,7 +297,10 @@
             Waiting::GiveUp { retry_after } => return Err(GivenUp::of(sends, retry_after)),
         };
         let pause = (Instant::now() + LOOK_AGAIN).min(until);
-        let _ = tokio::time::timeout_at(pause, changes.changed()).await;
+        tokio::select! {
+            _ = tokio::time::timeout_at(pause, changes.changed()) => {}
+            () = shared.giving_up.cancelled() => {}
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,10 @@
 /// Part of the grace time that is left to the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
+/// Before the end of a planned stop, requests that wait for an instance are refused this
+/// much earlier: their refusals reach the clients before the process ends.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
+
 /// What the parts of a router share.
 pub(crate) struct Shared {
     pub(crate) settings: ServiceSettings,
@@ -65,6 +69,8 @@
     pub(crate) stopping: CancellationToken,
     /// Cancelled when nothing new is taken any more.
     pub(crate) closing: CancellationToken,
+    /// Cancelled when requests that still wait at a planned stop have to be refused.
+    pub(crate) giving_up: CancellationToken,
     /// Cancelled when it ends.
     pub(crate) ended: CancellationToken,
     pub(crate) requests: tokio_util::task::TaskTracker,
@@ -104,6 +110,7 @@
             clock,
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
+            giving_up: CancellationToken::new(),
             ended: CancellationToken::new(),
             requests: tokio_util::task::TaskTracker::new(),
             settings,
@@ -143,7 +150,14 @@
         tokio::time::sleep(LINGER.min(grace / 2)).await;
         self.shared.closing.cancel();
         self.shared.requests.close();
-        let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
+        let refusing = limit - GIVE_UP_MARGIN;
+        if tokio::time::timeout_at(refusing, self.shared.requests.wait())
+            .await
+            .is_err()
+        {
+            self.shared.giving_up.cancel();
+            let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
+        }
         self.shared.ended.cancel();
         let unfinished = self.shared.requests.len();
         emit(&RouterRecord::Stopped { unfinished });
