--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -277,11 +277,9 @@
     assert!(waited <= 800, "{waited} ms until the load began");
 }
 
-/// A registration that was held up on its way arrives after its sender has crashed and
-/// another incarnation has registered at the same address.
-#[test]
-fn a_late_registration_of_an_earlier_incarnation_changes_nothing() {
-    let registration = |id: &str, sequence| Registration {
+/// A registration of an instance at the one address that these tests dispute.
+fn registration(id: &str, sequence: u64) -> Registration {
+    Registration {
         id: RunnerId::from(id),
         service: "s".to_owned(),
         address: "10.0.0.1:80".to_owned(),
@@ -292,7 +290,13 @@
         remaining: None,
         models: Vec::new(),
         copies: WeightCopies::default(),
-    };
+    }
+}
+
+/// A registration that was held up on its way arrives after its sender has crashed and
+/// another incarnation has registered at the same address.
+#[test]
+fn a_late_registration_of_an_earlier_incarnation_changes_nothing() {
     for silent_for in [2_000, 60_000] {
         let mut engine = PlacementEngine::new(PlacementSettings::default());
         engine.register(registration("before", 7), Timestamp(1_000));
@@ -313,18 +317,6 @@
 /// predecessor that was held up.
 #[test]
 fn a_late_registration_shuts_nobody_out() {
-    let registration = |id: &str, sequence| Registration {
-        id: RunnerId::from(id),
-        service: "s".to_owned(),
-        address: "10.0.0.1:80".to_owned(),
-        zone: "z".into(),
-        slots: 8,
-        state: InstanceState::Ready,
-        sequence,
-        remaining: None,
-        models: Vec::new(),
-        copies: WeightCopies::default(),
-    };
     for silent_for in [3_000, 60_000] {
         let mut engine = PlacementEngine::new(PlacementSettings::default());
         engine.register(registration("live", 1), Timestamp(1_000));
