Records of broken and failed requests carry a digest of what was asked

Cause: which of the requests that are broken off together comes again can't be told from the records, since each comes with an identity of its own. Change: tenant, method, host, target and body are digested on admission; `ended` without a whole answer and `failed` show the first 16 digits. No decision rests on it yet.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
-use courseshunt_services::{LimitedRequest, Route, RouteTable, Tenant};
+use courseshunt_services::{LimitedRequest, RequestContent, Route, RouteTable, Tenant};
 use courseshunt_types::{Digest, Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -135,8 +135,10 @@
         .view
         .arrived(&service.name, &facts.shape, route.objective, now);
     let priority = caller.as_ref().and_then(|caller| caller.tenant.priority);
+    let target = origin_form(&head.uri);
     Ok(Admitted {
-        target: origin_form(&head.uri),
+        content: content(&head, &target, caller.as_ref(), &body),
+        target,
         head,
         body,
         priority: priority.unwrap_or(route.priority),
@@ -181,10 +183,24 @@
 }
 
 fn find(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
+    table.find(host(head)?, head.uri.path()).cloned()
+}
+
+fn host(head: &Parts) -> Option<&str> {
     let authority = head.uri.authority().map(|authority| authority.as_str());
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = authority.or(host)?;
-    table.find(host, head.uri.path()).cloned()
+    authority.or(host)
+}
+
+fn content(head: &Parts, target: &Uri, caller: Option<&Caller>, body: &[u8]) -> Digest {
+    let content = RequestContent {
+        tenant: caller.map(|caller| caller.tenant.name.as_str()),
+        method: head.method.as_str(),
+        host: host(head).unwrap_or_default(),
+        target: target.path_and_query().map_or("", |target| target.as_str()),
+        body,
+    };
+    content.digest()
 }
 
 /// Whose a request is, as far as this router can tell; none where no key is needed.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -6,7 +6,7 @@
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, PromptShape};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -25,6 +25,7 @@
     status: u16,
     ended: bool,
     id: String,
+    content: Digest,
     model: String,
     /// What the answer's lateness is counted for; none for a plain service.
     late: Option<Lateness>,
@@ -97,6 +98,7 @@
             status: 0,
             ended: false,
             id: admitted.facts.id.clone(),
+            content: admitted.content,
             model: shape.model.clone(),
             late: Lateness::of(admitted),
         }
@@ -156,6 +158,7 @@
         self.shared.metrics.attempt(outcome);
         emit(&RequestRecord::Ended {
             id: &self.id,
+            content: (!whole).then(|| self.content.short()),
             model: &self.model,
             instance: self.candidate.instance.as_str(),
             status: self.status,
@@ -188,6 +191,7 @@
         self.shared.metrics.attempt("failed");
         emit(&RequestRecord::Failed {
             id: &self.id,
+            content: self.content.short(),
             instance: self.candidate.instance.as_str(),
             problem,
             after_ms: millis(self.arrived.elapsed()),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,7 +13,7 @@
 use courseshunt_http::Body;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, Service};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
@@ -40,6 +40,8 @@
     pub(crate) head: Parts,
     pub(crate) target: Uri,
     pub(crate) body: Bytes,
+    /// What it asks: see [`courseshunt_services::RequestContent`].
+    pub(crate) content: Digest,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) facts: RequestFacts,
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -51,6 +51,8 @@
     /// The instance failed it; it may have run.
     Failed {
         id: &'a str,
+        /// Digest of what it asks.
+        content: String,
         instance: &'a str,
         problem: &'a str,
         after_ms: u64,
@@ -80,6 +82,8 @@
     /// Its answer ended.
     Ended {
         id: &'a str,
+        /// Digest of what it asks; none where the answer was whole.
+        content: Option<String>,
         model: &'a str,
         instance: &'a str,
         status: u16,
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod ceiling;
 pub mod configuration;
+pub mod content;
 mod decay;
 pub mod digest;
 pub mod feed;
@@ -34,6 +35,7 @@
     ClientLimits, Engine, ModelSpecification, RequestKind, Route, Service, ServiceConfiguration,
     Target,
 };
+pub use content::RequestContent;
 pub use digest::InstanceDigests;
 pub use feed::{FeedMessage, InstanceUsage, ModelDemand, ReportMessage};
 pub use instance::{InstanceState, InstanceView, Registration, ResidentModel, WeightCopies};
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -25,6 +25,24 @@
         Self(Sha256::digest(content).into())
     }
 
+    /// Digest of several parts, each of which may be missing.
+    #[must_use]
+    pub fn of_parts<'a>(parts: impl IntoIterator<Item = Option<&'a [u8]>>) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
+            let length = part.map_or(u64::MAX, |part| part.len() as u64);
+            hash.update(length.to_le_bytes());
+            hash.update(part.unwrap_or_default());
+        }
+        Self(hash.finalize().into())
+    }
+
+    /// The first 16 hexadecimal digits, for logs.
+    #[must_use]
+    pub fn short(&self) -> String {
+        self.to_string()[..16].to_owned()
+    }
+
     /// Reads 64 hexadecimal digits.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
