A request that ends each instance that runs it: tests that fail

Stand-in instances end when they begin to run a marked request, with all their connections, and come back under another identity. On the code as it is the request ends a fourth instance: on a stream, on a route whose requests the router repeats itself, and after a restart of all processes. The fourth test, which passes already, stands against holding back requests that others broke off. KNOWN-RED.txt lists the three until the mend; the checks pass over just these and print them.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -19,8 +19,17 @@
 cargo clippy --workspace --all-targets --locked --quiet -- -D warnings
 step "docs"
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked --quiet
+# Known failures: one line each, "test | cause | issue"; they are passed over, and shown.
+skipped=()
+if [ -s KNOWN-RED.txt ]; then
+    step "known failures, passed over"
+    cat KNOWN-RED.txt
+    while IFS='|' read -r name _; do
+        skipped+=(--skip "${name//[[:space:]]/}")
+    done <KNOWN-RED.txt
+fi
 step "tests"
-cargo test --workspace --locked
+cargo test --workspace --locked -- "${skipped[@]}"
 step "a site as separate processes"
 scripts/site.sh smoke
 if [ -x spec/check.sh ]; then
