Requests under which three instances ended are sent to no more

Cause: nothing remembered what a request had done to instances. Each arrival has an identity of its own and comes at any router, so each was chosen an instance for as if it were the first. Its class: state that is needed over all routers (what a request did) was kept by none. Ruled out: routers' own repeats multiply it (80 requests that broke off, none sent on by its router); the choice of fresh instances draws it (the first instance that ended had served from the start). Not taken: the leader's word that an instance is gone as the sign, which comes 3.4 s after the end in the same records; a broken answer alone, which a reset connection gives too. Change: a router whose answer breaks off looks at the instance at once; if its address refuses connections it has ended, and the router tells the leader under which content. The leader counts instances by content over all routers; from the third on the content is in quarantine: told to all routers, kept in the replicated log, told to a router before its configuration, refused at once with a promise. An answer to a content from ten seconds before on clears it.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -5,7 +5,7 @@
 use crate::lead::CONTACT_LIMIT;
 use crate::records::ControllerRecord;
 use crate::snapshot::Snapshot;
-use crate::{Shared, join, relay};
+use crate::{Shared, join, quarantine, relay};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
 use courseshunt_http::AcceptPace;
 use courseshunt_records::emit;
@@ -359,6 +359,10 @@
 /// Sends a router what it lacks, and from then on what changes.
 fn open_session(router: &str, session: Session, known: &InstanceDigests, shared: &Shared) {
     let now = shared.clock.now();
+    // Before all else: without it a router that has just started would send such a request.
+    if let Some(frame) = encode(quarantine::told(shared)) {
+        let _ = session.queue.try_send(frame);
+    }
     let lacking = shared
         .sessions
         .lacking(known, || shared.engine().views(now));
@@ -465,6 +469,10 @@
                 answer_quotas(router, &questions, shared);
                 continue;
             }
+            ReportMessage::Ends { ends, answered } => {
+                quarantine::take(&ends, answered, shared);
+                continue;
+            }
             ReportMessage::Subscribe { .. } => continue,
         };
         let waits = demand.iter().any(|one| one.waiting > 0);
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -3,11 +3,13 @@
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::{self, ControllerRecord};
 use crate::steward::{GroupView, decide};
-use crate::{Shared, join, orders, placement_settings, quota_settings};
+use crate::{Shared, join, orders, placement_settings, quarantine, quota_settings};
 use courseshunt_consensus::MembershipChange;
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
-use courseshunt_services::{FeedMessage, InstanceView, PlacementEngine, QuotaLedger};
+use courseshunt_services::{
+    FeedMessage, InstanceView, PlacementEngine, QuarantineLedger, QuotaLedger,
+};
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +62,10 @@
     planned_at: Timestamp,
     planned_for: Millis,
     changing: Arc<AtomicBool>,
+    /// The quarantine is being recorded.
+    recording_quarantine: Arc<AtomicBool>,
+    /// What earlier leaders recorded of it is taken over.
+    quarantine_seeded: bool,
     turn: Arc<Turn>,
 }
 
@@ -116,6 +122,7 @@
     *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
     let term = shared.replica.status().borrow().term;
     *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
+    *shared.quarantine() = QuarantineLedger::default();
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
     let turn = Arc::new(Turn::default());
@@ -136,6 +143,8 @@
         planned_at: now,
         planned_for: Millis(0),
         changing: Arc::default(),
+        recording_quarantine: Arc::default(),
+        quarantine_seeded: false,
         turn,
     }
 }
@@ -169,6 +178,7 @@
     let caught_up = leadership.turn.caught_up.load(Ordering::Relaxed);
     follow_state(shared, leadership, now);
     if caught_up {
+        keep_quarantine(shared, leadership, now);
         shared.feeding.send_replace(true);
     }
     let in_contact = shared
@@ -189,6 +199,18 @@
     }
 }
 
+/// Takes over what earlier leaders recorded, once all of it is applied here; records what
+/// has changed since.
+fn keep_quarantine(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
+    if !leadership.quarantine_seeded {
+        leadership.quarantine_seeded = true;
+        let recorded = shared.replica.state().services.quarantined.clone();
+        shared.quarantine().seed(&recorded, now);
+    }
+    quarantine::expire(shared, now);
+    quarantine::record(shared, &leadership.recording_quarantine);
+}
+
 /// Takes over what was committed.
 fn follow_state(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
     let state = shared.replica.state();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 pub mod order_turn;
 mod orders;
+mod quarantine;
 mod records;
 mod relay;
 mod snapshot;
@@ -33,7 +34,7 @@
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_records::emit;
 use courseshunt_services::{
-    FeedMessage, PlacementEngine, PlacementSettings, QuotaLedger, QuotaSettings,
+    FeedMessage, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings,
 };
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::MonotonicClock;
@@ -83,6 +84,8 @@
     engine: Mutex<PlacementEngine>,
     /// Accounts of tenants, while this member leads.
     quotas: Mutex<QuotaLedger>,
+    /// Instances that ended under requests, while this member leads.
+    quarantine: Mutex<QuarantineLedger>,
 }
 
 impl Shared {
@@ -94,6 +97,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, QuarantineLedger> {
+        let quarantine = self.quarantine.lock();
+        quarantine.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// How the accounts of tenants stand; none where no tenant has a limit.
     pub(crate) fn quota_standings(&self, now: Timestamp) -> Option<FeedMessage> {
         let mut quotas = self.quotas();
@@ -210,6 +218,7 @@
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
+            quarantine: Mutex::default(),
             settings,
         });
         emit(&ControllerRecord::Started {
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -68,6 +68,18 @@
     },
     /// Instances were taken for gone.
     InstancesGone { instances: &'a [String] },
+    /// What became of a content under which instances ended.
+    Quarantine {
+        content: String,
+        change: &'a str,
+        /// Instances that ended under it.
+        ends: Option<usize>,
+    },
+    /// The contents in quarantine were to be recorded durably.
+    QuarantineRecorded {
+        contents: usize,
+        problem: Option<&'a str>,
+    },
     /// An order was given.
     Order {
         action: &'a str,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -32,6 +32,10 @@
 /// this: it follows a leader again by then, or another router does.
 const RETURN: Millis = Millis(300);
 
+/// Clients whose request is in quarantine are told to stay away for so long: nothing
+/// changes for them sooner.
+pub(crate) const QUARANTINE_RETURN: Millis = Millis(60_000);
+
 /// Whose a request is.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
@@ -82,6 +86,7 @@
             reason: denied.refusal.word(),
             may_have_run: false,
             status: denied.refusal.status().as_u16(),
+            content: known.content.as_ref().map(Digest::short),
             after_ms: crate::flight::millis(arrived.elapsed()),
             retry_after_ms: Some(denied.retry_after.0),
             attempts: 0,
@@ -98,6 +103,8 @@
     route: Option<Arc<Route>>,
     tenant: Option<Arc<Tenant>>,
     units: Option<u32>,
+    /// Told where it is the reason.
+    content: Option<Digest>,
 }
 
 async fn admit_parts(
@@ -129,16 +136,24 @@
     let service = service.clone();
     let limits = &table.configuration().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let target_form = origin_form(&head.uri);
+    let content = content(&head, &target_form, caller.as_ref(), &body);
+    if shared.quarantine.holds(&content, shared.view.feed_age()) {
+        known.content = Some(content);
+        return Err(Denied {
+            refusal: Refusal::Quarantined,
+            retry_after: QUARANTINE_RETURN,
+        });
+    }
     let now = shared.clock.now();
     shared.metrics.request();
     shared
         .view
         .arrived(&service.name, &facts.shape, route.objective, now);
     let priority = caller.as_ref().and_then(|caller| caller.tenant.priority);
-    let target = origin_form(&head.uri);
     Ok(Admitted {
-        content: content(&head, &target, caller.as_ref(), &body),
-        target,
+        content,
+        target: target_form,
         head,
         body,
         priority: priority.unwrap_or(route.priority),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -69,7 +69,7 @@
         };
         let unsent = error.take_message().is_some();
         if !unsent {
-            flight.failed(&error.error().to_string());
+            flight.cut_off(&error.error().to_string());
             return AttemptOutcome::MayHaveRun;
         }
         let next = match fresh {
@@ -96,7 +96,7 @@
 /// while.
 async fn connect(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
     shared.metrics.connection();
-    match pool::connect_to(view).await {
+    match pool::connect_to(&view.address).await {
         Ok(upstream) => Some(upstream),
         Err(error) => {
             let now = shared.clock.now();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -95,6 +95,7 @@
     let known = shared.view.digests();
     let subscribe = ReportMessage::Subscribe { number, known };
     sender.send(&Message::ServiceReport(subscribe)).await?;
+    shared.quarantine.begin_leader();
     let ended = tokio::select! {
         ended = receive_all(receiver, address, shared, directory) => ended,
         ended = report_all(sender, shared) => ended,
@@ -210,6 +211,10 @@
         FeedMessage::QuotaAnswers(answers) => {
             shared.quotas.answered(answers, shared.clock.now());
         }
+        FeedMessage::Quarantine {
+            suspected,
+            quarantined,
+        } => shared.quarantine.set(suspected, quarantined),
         FeedMessage::Configuration { .. }
         | FeedMessage::NotLeader { .. }
         | FeedMessage::Members(_) => {}
@@ -222,6 +227,7 @@
         return;
     }
     shared.pool.forget(&lost);
+    shared.quarantine.forget(&lost);
     let instances: Vec<String> = lost.into_iter().map(|id| id.0).collect();
     emit(&RouterRecord::InstancesGone {
         instances: &instances,
@@ -254,6 +260,10 @@
                 ask_quotas(&mut sender, shared).await?;
                 continue;
             }
+            () = shared.quarantine.has_news.notified() => {
+                report_ends(&mut sender, shared).await?;
+                continue;
+            }
         }
         due = Instant::now() + Duration::from(shared.view.report_interval());
         let now = shared.clock.now();
@@ -275,3 +285,13 @@
     let report = ReportMessage::AskQuotas(questions);
     sender.send(&Message::ServiceReport(report)).await
 }
+
+/// Tells of instances that ended under requests, and of contents that were answered.
+async fn report_ends(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    let (ends, answered) = shared.quarantine.take_unsent();
+    if ends.is_empty() && answered.is_empty() {
+        return Ok(());
+    }
+    let report = ReportMessage::Ends { ends, answered };
+    sender.send(&Message::ServiceReport(report)).await
+}
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -3,6 +3,7 @@
 
 use crate::Shared;
 use crate::handle::Admitted;
+use crate::quarantine_desk::broke_off;
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, PromptShape};
@@ -145,12 +146,22 @@
     /// The answer was whole.
     pub(crate) fn whole(&mut self) {
         self.end("answered", true, None);
+        if (200..300).contains(&self.status) {
+            self.shared.quarantine.answered(self.content);
+        }
     }
 
-    /// The answer broke off.
+    /// The answer broke off: the instance closed its connection.
     pub(crate) fn broken(&mut self, problem: &str) {
         self.end("broken", false, Some(problem));
         self.suspect();
+        broke_off(&self.shared, self.content, &self.candidate.instance);
+    }
+
+    /// The answer was not whole in time.
+    pub(crate) fn overdue(&mut self, problem: &str) {
+        self.end("broken", false, Some(problem));
+        self.suspect();
     }
 
     fn end(&mut self, outcome: &str, whole: bool, problem: Option<&str>) {
@@ -185,6 +196,12 @@
         });
     }
 
+    /// The instance closed its connection without an answer; it may have run.
+    pub(crate) fn cut_off(&mut self, problem: &str) {
+        self.failed(problem);
+        broke_off(&self.shared, self.content, &self.candidate.instance);
+    }
+
     /// It failed and may have run.
     pub(crate) fn failed(&mut self, problem: &str) {
         self.ended = true;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,7 +1,7 @@
 //! The way of one request once it is admitted: waiting, attempts, answer.
 
 use crate::Shared;
-use crate::admission::{Caller, admit, is_still_held};
+use crate::admission::{Caller, QUARANTINE_RETURN, admit, is_still_held};
 use crate::attempt::{AttemptOutcome, attempt, is_failure};
 use crate::flight::millis;
 use crate::interface::RequestFacts;
@@ -214,6 +214,7 @@
         reason: refusal.word(),
         may_have_run: refusal.may_have_run(),
         status: refusal.status().as_u16(),
+        content: (refusal == Refusal::Quarantined).then(|| admitted.content.short()),
         after_ms: millis(admitted.arrived.elapsed()),
         retry_after_ms: (!refusal.may_have_run()).then_some(wait.0),
         attempts: sends.count,
@@ -241,6 +242,17 @@
         }
     }
 
+    /// It may not be sent, or not once more.
+    fn quarantined(sends: &Sends) -> Self {
+        Self {
+            refusal: match sends.ran {
+                0 => Refusal::Quarantined,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(QUARANTINE_RETURN),
+        }
+    }
+
     fn of(sends: &Sends, retry_after: Millis) -> Self {
         Self {
             refusal: match sends.ran {
@@ -275,6 +287,10 @@
         if shared.giving_up.is_cancelled() {
             return Err(GivenUp::stopping(sends));
         }
+        let silent_for = shared.view.feed_age();
+        if shared.quarantine.holds(&admitted.content, silent_for) {
+            return Err(GivenUp::quarantined(sends));
+        }
         // When all have turned it away, the first of them may be asked again.
         let avoid: &[RunnerId] = match sends.count {
             0..=2 => &sends.avoid,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 pub mod passed_headers;
 mod pool;
+mod quarantine_desk;
 mod quota_desk;
 mod records;
 mod refusal;
@@ -36,6 +37,7 @@
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
 use metrics::Metrics;
 use pool::ConnectionPool;
+use quarantine_desk::QuarantineDesk;
 use quota_desk::{QuotaDesk, quota_settings};
 use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
@@ -63,6 +65,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaDesk>,
+    pub(crate) quarantine: QuarantineDesk,
     pub(crate) seeds: SeedList,
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
@@ -105,6 +108,7 @@
                 quota_settings(&settings.limits),
                 view::ASSUMED_ROUTERS,
             )),
+            quarantine: QuarantineDesk::new(clock),
             seeds: SeedList::new(&settings),
             interface,
             clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,17 @@
 
 type Labels = Vec<(&'static str, String)>;
 
+/// What a page tells of the present moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Present {
+    /// Number of the configuration in force.
+    pub(crate) configuration: u64,
+    /// Time since the last message of a leader.
+    pub(crate) feed_age: Duration,
+    /// Contents in quarantine.
+    pub(crate) quarantined: usize,
+}
+
 /// See the module. Cloning shares the values.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -47,6 +58,7 @@
     prediction_errors: Histogram,
     configuration: Gauge,
     feed_age_ms: Gauge,
+    quarantined: Gauge,
     tokens_kept: Counter,
     tokens_read: Counter,
     tenants: Mutex<BTreeMap<String, TenantCount>>,
@@ -72,6 +84,7 @@
             prediction_errors: histogram(),
             configuration: Gauge::default(),
             feed_age_ms: Gauge::default(),
+            quarantined: Gauge::default(),
             tokens_kept: Counter::default(),
             tokens_read: Counter::default(),
             tenants: Mutex::default(),
@@ -113,6 +126,9 @@
         registry.register("configuration", "Number in force", configuration);
         let age = self.feed_age_ms.clone();
         registry.register("feed_age_milliseconds", "Time since the last message", age);
+        let quarantined = self.quarantined.clone();
+        let help = "Contents in quarantine: instances ended under each";
+        registry.register("quarantined", help, quarantined);
         let kept = self.tokens_kept.clone();
         registry.register("tokens_kept", "Prompt tokens predicted as kept", kept);
         let read = self.tokens_read.clone();
@@ -233,7 +249,14 @@
     }
 
     /// The page as text.
-    pub(crate) fn page(&self, configuration: u64, feed_age: Duration) -> String {
+    pub(crate) fn page(&self, present: &Present) -> String {
+        let Present {
+            configuration,
+            feed_age,
+            quarantined,
+        } = *present;
+        self.quarantined
+            .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let configuration = i64::try_from(configuration).unwrap_or(i64::MAX);
         self.configuration.set(configuration);
         let age = i64::try_from(feed_age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,7 +4,6 @@
 //! for another instance than the one that it was made for.
 
 use bytes::Bytes;
-use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -153,11 +152,10 @@
     })
 }
 
-/// Makes a new connection to an instance.
+/// Makes a new connection to an instance at `ip:port`.
 ///
 /// # Errors
 /// When its address can't be read or it can't be reached in time.
-pub(crate) async fn connect_to(view: &InstanceView) -> io::Result<Upstream> {
-    let address = view.address.parse().map_err(io::Error::other)?;
-    connect(address).await
+pub(crate) async fn connect_to(address: &str) -> io::Result<Upstream> {
+    connect(address.parse().map_err(io::Error::other)?).await
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -67,6 +67,8 @@
         reason: &'a str,
         may_have_run: bool,
         status: u16,
+        /// Digest of what it asks; told of requests in quarantine.
+        content: Option<String>,
         after_ms: u64,
         retry_after_ms: Option<u64>,
         attempts: u32,
@@ -132,6 +134,13 @@
     InstancesGone { instances: &'a [String] },
     /// An instance can't be reached, and is left out for a while.
     Unreachable { instance: &'a str, problem: &'a str },
+    /// An instance ended while it had a request of this content.
+    EndedUnder { instance: &'a str, content: String },
+    /// The leader's word on contents under which instances ended.
+    Quarantine {
+        suspected: usize,
+        quarantined: Vec<String>,
+    },
     /// Settings were read again.
     Reloaded { seeds: usize },
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     NoInstance,
     /// Every instance that was asked turned it away; it has not run.
     TurnedAway,
+    /// Instances ended under requests that asked the same; it has not run.
+    Quarantined,
     /// This router stops; it has not run.
     Stopping,
     /// Its time is over; it may have run.
@@ -47,6 +49,7 @@
             | Self::Behind
             | Self::NoInstance
             | Self::TurnedAway
+            | Self::Quarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
@@ -75,6 +78,7 @@
             Self::BrokenBody => "broken_body",
             Self::NoInstance => "no_instance",
             Self::TurnedAway => "turned_away",
+            Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,14 @@
     shared: Arc<Shared>,
 }
 
+/// Why an answer is broken off.
+enum BreakCause {
+    /// The instance's connection ended, with this problem.
+    Instance(String),
+    /// The request's time is over.
+    Time,
+}
+
 impl RelayBody {
     pub(crate) fn new(
         incoming: Incoming,
@@ -47,12 +55,16 @@
         }
     }
 
-    fn break_off(&mut self, problem: &str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn break_off(&mut self, cause: BreakCause) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let (problem, end): (String, fn(&mut Flight, &str)) = match cause {
+            BreakCause::Instance(problem) => (problem, Flight::broken),
+            BreakCause::Time => ("the request's time is over".to_owned(), Flight::overdue),
+        };
         if let Some(mut flight) = self.flight.take() {
-            flight.broken(problem);
+            end(&mut flight, &problem);
         }
         self.upstream = None;
-        Poll::Ready(Some(Err(io::Error::other(problem.to_owned()))))
+        Poll::Ready(Some(Err(io::Error::other(problem))))
     }
 }
 
@@ -76,14 +88,14 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 let problem = error.to_string();
-                self.break_off(&problem)
+                self.break_off(BreakCause::Instance(problem))
             }
             Poll::Ready(None) => {
                 self.finish();
                 Poll::Ready(None)
             }
             Poll::Pending => match self.deadline.as_mut().poll(context) {
-                Poll::Ready(()) => self.break_off("the request's time is over"),
+                Poll::Ready(()) => self.break_off(BreakCause::Time),
                 Poll::Pending => Poll::Pending,
             },
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::Shared;
 use crate::handle::handle;
+use crate::metrics::Present;
 use courseshunt_http::{Body, ServerLimits, text_response};
 use courseshunt_services::ClientLimits;
 use hyper::server::conn::http1;
@@ -111,9 +112,11 @@
     let handler = move |_request: Request<hyper::body::Incoming>, _peer| {
         let shared = shared.clone();
         async move {
-            let page = shared
-                .metrics
-                .page(shared.view.number(), shared.view.feed_age());
+            let page = shared.metrics.page(&Present {
+                configuration: shared.view.number(),
+                feed_age: shared.view.feed_age(),
+                quarantined: shared.quarantine.count(),
+            });
             text_response(StatusCode::OK, page)
         }
     };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -327,6 +327,13 @@
         self.lock().selector.suspect(instance, now);
     }
 
+    /// `ip:port` of an instance that is known.
+    pub(crate) fn address_of(&self, instance: &RunnerId) -> Option<String> {
+        let state = self.lock();
+        let view = state.instances.get(instance);
+        view.map(|view| view.address.clone())
+    }
+
     /// Counts a client's request for a service.
     pub(crate) fn arrived(
         &self,
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -5,8 +5,9 @@
 
 use crate::digest::InstanceDigests;
 use crate::instance::InstanceView;
+use crate::quarantine::InstanceEnd;
 use crate::quota::{QuotaAnswer, QuotaAsk, TenantStanding, TenantUse};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId};
 
 /// Time between messages about the use of instances, either way.
 const USAGE_INTERVAL: Millis = Millis(120);
@@ -136,6 +137,13 @@
     },
     /// Answers to a router's questions.
     QuotaAnswers(Vec<QuotaAnswer>),
+    /// Contents under which instances have ended; whole, in place of the last word.
+    Quarantine {
+        /// Contents that routers vouch for if they can.
+        suspected: Vec<Digest>,
+        /// Contents that are sent nowhere.
+        quarantined: Vec<Digest>,
+    },
 }
 
 /// Router to controller.
@@ -168,4 +176,11 @@
     },
     /// Whether requests are within their tenants' limits.
     AskQuotas(Vec<QuotaAsk>),
+    /// What the router has seen of contents under which instances ended.
+    Ends {
+        /// Instances that ended while they had a request.
+        ends: Vec<InstanceEnd>,
+        /// Suspected contents that were answered.
+        answered: Vec<Digest>,
+    },
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod instance;
 pub mod judge;
 pub mod placement;
+pub mod quarantine;
 pub mod quota;
 pub mod relay;
 pub mod routes;
@@ -44,6 +45,9 @@
     InstanceReport, LoadEnd, LoadSource, Order, OrderAction, OrderEvidence, OrderOutcome,
     PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep, SetAside,
 };
+pub use quarantine::ledger::{QuarantineChange, QuarantineLedger};
+pub use quarantine::local::RouterQuarantine;
+pub use quarantine::{InstanceEnd, QuarantinedContent};
 pub use quota::ledger::QuotaLedger;
 pub use quota::local::{QuotaStep, RouterQuotas};
 pub use quota::{
--- /dev/null
+++ b/crates/services/src/quarantine/local.rs
@@ -0,0 +1,111 @@
+//! A router's side: which contents it sends nowhere, what it has seen of instances that
+//! ended, and which contents it can vouch for.
+//!
+//! Invariant: while a leader is heard, its word alone decides; without one, what this
+//! router has seen itself.
+//!
+//! Cost: bounded numbers of contents.
+
+use super::{InstanceEnd, MAX_ENDS, REMEMBERED, SOUND_BEFORE};
+use courseshunt_types::{Digest, Timestamp};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+
+/// Ends that a router remembers, to tell them to the next leader.
+const MAX_OWN_ENDS: usize = 256;
+/// Contents whose last answers are remembered: ten seconds at 400 requests a second.
+const MAX_ANSWERED: usize = 4_096;
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct RouterQuarantine {
+    quarantined: HashSet<Digest>,
+    /// Contents that the leader asks about.
+    suspected: HashSet<Digest>,
+    own_ends: VecDeque<(InstanceEnd, Timestamp)>,
+    answered: HashMap<Digest, Timestamp>,
+    answered_in_order: VecDeque<(Digest, Timestamp)>,
+    unsent_ends: Vec<InstanceEnd>,
+    unsent_answered: BTreeSet<Digest>,
+}
+
+impl RouterQuarantine {
+    /// Whether requests of this content may not be sent. `led` tells whether a leader was
+    /// heard lately.
+    #[must_use]
+    pub fn holds(&self, content: &Digest, led: bool) -> bool {
+        if led || self.quarantined.contains(content) {
+            return self.quarantined.contains(content);
+        }
+        let ends = self
+            .own_ends
+            .iter()
+            .filter(|(end, _)| end.content == *content);
+        let instances: BTreeSet<_> = ends.map(|(end, _)| &end.instance).collect();
+        instances.len() >= MAX_ENDS
+    }
+
+    /// Takes the leader's word.
+    pub fn set(&mut self, suspected: Vec<Digest>, quarantined: Vec<Digest>, now: Timestamp) {
+        self.suspected = suspected.iter().chain(&quarantined).copied().collect();
+        self.quarantined = quarantined.into_iter().collect();
+        let recent = |at: &Timestamp| now.since(*at) <= SOUND_BEFORE;
+        for content in &self.suspected {
+            if self.answered.get(content).is_some_and(recent) {
+                self.unsent_answered.insert(*content);
+            }
+        }
+    }
+
+    /// Notes an instance that ended under a content.
+    pub fn ended(&mut self, end: InstanceEnd, now: Timestamp) {
+        let expired = |(_, at): &(InstanceEnd, Timestamp)| now.since(*at) >= REMEMBERED;
+        while self.own_ends.len() >= MAX_OWN_ENDS || self.own_ends.front().is_some_and(expired) {
+            self.own_ends.pop_front();
+        }
+        if self.own_ends.iter().any(|(known, _)| *known == end) {
+            return;
+        }
+        self.own_ends.push_back((end.clone(), now));
+        self.unsent_ends.push(end);
+    }
+
+    /// Notes a whole answer of an instance to a content; returns whether the leader is to
+    /// be told at once.
+    pub fn answered(&mut self, content: Digest, now: Timestamp) -> bool {
+        self.own_ends.retain(|(end, _)| end.content != content);
+        self.unsent_ends.retain(|end| end.content != content);
+        self.remember_answer(content, now);
+        self.suspected.contains(&content) && self.unsent_answered.insert(content)
+    }
+
+    fn remember_answer(&mut self, content: Digest, now: Timestamp) {
+        self.answered.insert(content, now);
+        self.answered_in_order.push_back((content, now));
+        while self.answered_in_order.len() > MAX_ANSWERED {
+            let Some((oldest, at)) = self.answered_in_order.pop_front() else {
+                return;
+            };
+            if self.answered.get(&oldest) == Some(&at) {
+                self.answered.remove(&oldest);
+            }
+        }
+    }
+
+    /// A new leader is heard: it is told all that is remembered.
+    pub fn begin_leader(&mut self) {
+        self.unsent_ends = self.own_ends.iter().map(|(end, _)| end.clone()).collect();
+    }
+
+    /// What the leader has not been told: ends, and contents that were answered.
+    pub fn take_unsent(&mut self) -> (Vec<InstanceEnd>, Vec<Digest>) {
+        let ends = std::mem::take(&mut self.unsent_ends);
+        let answered = std::mem::take(&mut self.unsent_answered);
+        (ends, answered.into_iter().collect())
+    }
+
+    /// Contents in quarantine.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.quarantined.len()
+    }
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,7 +3,7 @@
 use crate::configuration::ChangeRequest;
 use crate::placement::RunnerRecord;
 use crate::reply::StoredAnswer;
-use courseshunt_services::InstanceView;
+use courseshunt_services::{InstanceView, QuarantinedContent};
 use courseshunt_types::runner_api::MachineState;
 use courseshunt_types::{
     Attempt, ClientId, ClientSequence, ControllerId, DeploymentName, Digest, Fence, IdempotencyKey,
@@ -213,6 +213,11 @@
         /// No longer there.
         gone: Vec<RunnerId>,
     },
+    /// Records which contents of requests are in quarantine, in place of those before.
+    RecordQuarantine {
+        /// All of them.
+        contents: Vec<QuarantinedContent>,
+    },
     /// Records that a member is about to give orders to instances.
     HoldOrders {
         /// The member.
--- a/crates/state/src/services.rs
+++ b/crates/state/src/services.rs
@@ -3,7 +3,7 @@
 //! Invariant: the held number never falls, and the content under a number
 //! never changes once it is held.
 
-use courseshunt_services::InstanceView;
+use courseshunt_services::{InstanceView, QuarantinedContent};
 use courseshunt_types::{ControllerId, RunnerId};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -35,6 +35,8 @@
     /// The only member that may have given orders to instances since this was
     /// recorded; `None` before the first order of all.
     pub orders_holder: Option<ControllerId>,
+    /// Contents of requests that are sent to no instance.
+    pub quarantined: Vec<QuarantinedContent>,
 }
 
 impl Services {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -148,6 +148,9 @@
             Command::RecordInstances { changed, gone } => {
                 self.services.record_instances(changed, gone);
             }
+            Command::RecordQuarantine { contents } => {
+                self.services.quarantined.clone_from(contents);
+            }
             Command::HoldOrders { member } => self.services.orders_holder = Some(*member),
             Command::RecordMember {
                 member,
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -102,7 +102,10 @@
     match feed {
         FeedMessage::Configuration { .. } => 14,
         FeedMessage::Instances { .. } | FeedMessage::Live(_) => 15,
-        FeedMessage::Usage { .. } | FeedMessage::Quotas { .. } | FeedMessage::QuotaAnswers(_) => 16,
+        FeedMessage::Usage { .. }
+        | FeedMessage::Quotas { .. }
+        | FeedMessage::QuotaAnswers(_)
+        | FeedMessage::Quarantine { .. } => 16,
         FeedMessage::NotLeader { .. } | FeedMessage::Members(_) => 12,
     }
 }
