Instances lost in one moment put nothing in quarantine by themselves

Ruled out: that answers alone vouch for it; the first comes 0.7 s later. Change: ends within 60 ms of each other count two at most; reports carry their age, so that what a new leader is told anew counts from when it was.

--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -111,7 +111,7 @@
 
     /// What the leader has not been told.
     pub(crate) fn take_unsent(&self) -> (Vec<InstanceEnd>, Vec<Digest>) {
-        self.state().take_unsent()
+        self.state().take_unsent(self.now())
     }
 
     /// Drops what is kept for instances that are gone.
@@ -127,11 +127,8 @@
             instance: instance.as_str(),
             content: content.short(),
         });
-        let end = InstanceEnd {
-            content,
-            instance: instance.clone(),
-        };
-        self.state().ended(end, self.now());
+        let now = self.now();
+        self.state().ended(content, instance.clone(), now);
         self.has_news.notify_one();
     }
 }
--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -1,14 +1,14 @@
 //! The leader's side: instances that ended under each content, over all routers.
 //!
-//! Invariant: a content under which [`MAX_ENDS`] different instances have ended, with no
-//! answer since, is in quarantine. After its time it is tried again: one more end puts it
+//! Invariant: a content under which [`MAX_ENDS`] different instances have ended, not all
+//! in one moment and with no answer since, is in quarantine. After its time it is tried again: one more end puts it
 //! back, for longer.
 //!
 //! Cost: bounded numbers of contents; the oldest are forgotten first.
 
-use super::{InstanceEnd, MAX_ENDS, QuarantinedContent, REMEMBERED, SUSPECTED_ENDS};
+use super::{InstanceEnd, MAX_ENDS, QuarantinedContent, REMEMBERED, SUSPECTED_ENDS, weigh};
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Contents under suspicion at the most: what a third of a large fleet breaks off at once.
 const MAX_SUSPECTS: usize = 16_384;
@@ -28,7 +28,8 @@
 /// A content under which instances have ended.
 #[derive(Debug, Default)]
 struct Suspect {
-    ended: BTreeSet<RunnerId>,
+    /// When each ended.
+    ended: BTreeMap<RunnerId, Timestamp>,
     last_at: Timestamp,
     /// Ends still missing to a quarantine are fewer by this, after an earlier one.
     known_ends: usize,
@@ -37,7 +38,7 @@
 
 impl Suspect {
     fn ends(&self) -> usize {
-        self.ended.len() + self.known_ends
+        weigh(self.ended.values().copied()) + self.known_ends
     }
 
     /// How long it is remembered after its last end.
@@ -113,9 +114,10 @@
         }
         self.make_room(&end.content);
         let suspect = self.suspects.entry(end.content).or_default();
-        if !suspect.ended.insert(end.instance.clone()) {
+        if suspect.ended.contains_key(&end.instance) {
             return;
         }
+        suspect.ended.insert(end.instance.clone(), now - end.age);
         suspect.last_at = now;
         let ends = suspect.ends();
         if ends >= MAX_ENDS {
@@ -145,7 +147,7 @@
             return;
         }
         let fewest = self.suspects.iter();
-        let oldest = fewest.min_by_key(|(_, one)| (one.ends(), one.last_at));
+        let oldest = fewest.min_by_key(|(_, one)| (one.ended.len() + one.known_ends, one.last_at));
         if let Some(oldest) = oldest.map(|(content, _)| *content) {
             self.suspects.remove(&oldest);
         }
--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -6,8 +6,8 @@
 //!
 //! Cost: bounded numbers of contents.
 
-use super::{InstanceEnd, MAX_ENDS, REMEMBERED, SOUND_BEFORE};
-use courseshunt_types::{Digest, Timestamp};
+use super::{InstanceEnd, MAX_ENDS, REMEMBERED, SOUND_BEFORE, weigh};
+use courseshunt_types::{Digest, RunnerId, Timestamp};
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Ends that a router remembers, to tell them to the next leader.
@@ -15,16 +15,24 @@
 /// Contents whose last answers are remembered: ten seconds at 400 requests a second.
 const MAX_ANSWERED: usize = 4_096;
 
+/// An instance that this router saw end.
+#[derive(Debug)]
+struct OwnEnd {
+    content: Digest,
+    instance: RunnerId,
+    at: Timestamp,
+    is_told: bool,
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub struct RouterQuarantine {
     quarantined: HashSet<Digest>,
     /// Contents that the leader asks about.
     suspected: HashSet<Digest>,
-    own_ends: VecDeque<(InstanceEnd, Timestamp)>,
+    own_ends: VecDeque<OwnEnd>,
     answered: HashMap<Digest, Timestamp>,
     answered_in_order: VecDeque<(Digest, Timestamp)>,
-    unsent_ends: Vec<InstanceEnd>,
     unsent_answered: BTreeSet<Digest>,
 }
 
@@ -36,12 +44,8 @@
         if led || self.quarantined.contains(content) {
             return self.quarantined.contains(content);
         }
-        let ends = self
-            .own_ends
-            .iter()
-            .filter(|(end, _)| end.content == *content);
-        let instances: BTreeSet<_> = ends.map(|(end, _)| &end.instance).collect();
-        instances.len() >= MAX_ENDS
+        let ends = self.own_ends.iter().filter(|end| end.content == *content);
+        weigh(ends.map(|end| end.at)) >= MAX_ENDS
     }
 
     /// Takes the leader's word.
@@ -57,23 +61,27 @@
     }
 
     /// Notes an instance that ended under a content.
-    pub fn ended(&mut self, end: InstanceEnd, now: Timestamp) {
-        let expired = |(_, at): &(InstanceEnd, Timestamp)| now.since(*at) >= REMEMBERED;
-        while self.own_ends.len() >= MAX_OWN_ENDS || self.own_ends.front().is_some_and(expired) {
+    pub fn ended(&mut self, content: Digest, instance: RunnerId, now: Timestamp) {
+        let is_old = |end: &OwnEnd| now.since(end.at) >= REMEMBERED;
+        while self.own_ends.len() >= MAX_OWN_ENDS || self.own_ends.front().is_some_and(is_old) {
             self.own_ends.pop_front();
         }
-        if self.own_ends.iter().any(|(known, _)| *known == end) {
+        let mut known = self.own_ends.iter();
+        if known.any(|end| end.content == content && end.instance == instance) {
             return;
         }
-        self.own_ends.push_back((end.clone(), now));
-        self.unsent_ends.push(end);
+        self.own_ends.push_back(OwnEnd {
+            content,
+            instance,
+            at: now,
+            is_told: false,
+        });
     }
 
     /// Notes a whole answer of an instance to a content; returns whether the leader is to
     /// be told at once.
     pub fn answered(&mut self, content: Digest, now: Timestamp) -> bool {
-        self.own_ends.retain(|(end, _)| end.content != content);
-        self.unsent_ends.retain(|end| end.content != content);
+        self.own_ends.retain(|end| end.content != content);
         self.remember_answer(content, now);
         self.suspected.contains(&content) && self.unsent_answered.insert(content)
     }
@@ -93,12 +101,23 @@
 
     /// A new leader is heard: it is told all that is remembered.
     pub fn begin_leader(&mut self) {
-        self.unsent_ends = self.own_ends.iter().map(|(end, _)| end.clone()).collect();
+        for end in &mut self.own_ends {
+            end.is_told = false;
+        }
     }
 
     /// What the leader has not been told: ends, and contents that were answered.
-    pub fn take_unsent(&mut self) -> (Vec<InstanceEnd>, Vec<Digest>) {
-        let ends = std::mem::take(&mut self.unsent_ends);
+    pub fn take_unsent(&mut self, now: Timestamp) -> (Vec<InstanceEnd>, Vec<Digest>) {
+        let unsent = self.own_ends.iter_mut().filter(|end| !end.is_told);
+        let ends = unsent.map(|end| {
+            end.is_told = true;
+            InstanceEnd {
+                content: end.content,
+                instance: end.instance.clone(),
+                age: now.since(end.at),
+            }
+        });
+        let ends = ends.collect();
         let answered = std::mem::take(&mut self.unsent_answered);
         (ends, answered.into_iter().collect())
     }
--- a/crates/services/src/quarantine/mod.rs
+++ b/crates/services/src/quarantine/mod.rs
@@ -16,9 +16,10 @@
 pub mod ledger;
 pub mod local;
 
-use courseshunt_types::{Digest, Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 
-/// A content under which so many instances have ended is in quarantine.
+/// A content under which so many instances have ended, not all of them in one moment, is
+/// in quarantine.
 pub const MAX_ENDS: usize = 3;
 /// Routers are told of contents under which so many have ended, so that they can vouch
 /// for them in time.
@@ -26,6 +27,11 @@
 /// An answer so long before the first end still speaks for a content: what is asked for
 /// often enough to be on three instances that fail together is answered more often.
 const SOUND_BEFORE: Millis = Millis(10_000);
+/// Instances that end so close together were perhaps lost for a common reason, and what
+/// many clients ask for at that time is on several of them: see [`weigh`].
+const MOMENT: Millis = Millis(60);
+/// Instances that count at the most of those that ended in one moment.
+const MOMENT_COUNTS: usize = MAX_ENDS - 1;
 /// Ends that nothing was added to for so long are forgotten.
 const REMEMBERED: Millis = Millis(3_600_000);
 
@@ -36,6 +42,18 @@
     pub content: Digest,
     /// The instance.
     pub instance: RunnerId,
+    /// Time since then.
+    pub age: Millis,
+}
+
+/// What instances that ended at these times count, in any order: those of one moment
+/// never reach a quarantine by themselves. Without that, the loss of a third of the fleet
+/// holds back sound requests that many had just begun to ask for.
+fn weigh(times: impl IntoIterator<Item = Timestamp>) -> usize {
+    let mut times: Vec<Timestamp> = times.into_iter().collect();
+    times.sort_unstable();
+    let moments = times.chunk_by(|one, next| next.since(*one) < MOMENT);
+    moments.map(|moment| moment.len().min(MOMENT_COUNTS)).sum()
 }
 
 /// A content in quarantine, as it is kept durably.
--- /dev/null
+++ b/crates/services/tests/quarantine.rs
@@ -0,0 +1,268 @@
+//! Requests under which instances ended: the leader's count and a router's part.
+
+use courseshunt_services::quarantine::MAX_ENDS;
+use courseshunt_services::{
+    InstanceEnd, QuarantineChange, QuarantineLedger, QuarantinedContent, RequestContent,
+    RouterQuarantine,
+};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
+
+const HOUR: Millis = Millis(3_600_000);
+
+fn content(text: &str) -> Digest {
+    Digest::of(text.as_bytes())
+}
+
+fn end(text: &str, instance: &str) -> InstanceEnd {
+    InstanceEnd {
+        content: content(text),
+        instance: RunnerId::from(instance),
+        age: Millis(0),
+    }
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::default() + Millis(seconds * 1_000)
+}
+
+fn is_quarantined(ledger: &QuarantineLedger, text: &str) -> bool {
+    ledger.told().1.contains(&content(text))
+}
+
+fn is_suspected(ledger: &QuarantineLedger, text: &str) -> bool {
+    ledger.told().0.contains(&content(text))
+}
+
+/// A ledger in which these many instances ended under "a".
+fn ledger_with(ends: usize) -> QuarantineLedger {
+    let mut ledger = QuarantineLedger::default();
+    for number in 0..ends {
+        let told = at(1) + Millis(100 * number as u64);
+        ledger.ended(&end("a", &format!("i-{number}")), told);
+    }
+    ledger
+}
+
+#[test]
+fn instances_count_once_whoever_tells_and_whatever_else_they_had() {
+    let mut ledger = QuarantineLedger::default();
+    for instance in ["i-1", "i-1", "i-2", "i-2", "i-1"] {
+        ledger.ended(&end("a", instance), at(1));
+        ledger.ended(&end(&format!("only at {instance}"), instance), at(1));
+    }
+    assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
+    assert!(!is_suspected(&ledger, "only at i-1"));
+    ledger.ended(&end("a", "i-3"), at(40));
+    assert!(is_quarantined(&ledger, "a"));
+    assert_eq!(
+        ledger.take_changes(),
+        [QuarantineChange::Begun {
+            content: content("a"),
+            ends: MAX_ENDS
+        }]
+    );
+}
+
+#[test]
+fn instances_lost_in_one_moment_put_nothing_in_quarantine_by_themselves() {
+    let mut ledger = QuarantineLedger::default();
+    for number in 0..6 {
+        let instance = format!("i-{number}");
+        ledger.ended(&end("a", &instance), at(1) + Millis(number));
+    }
+    assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
+    ledger.ended(&end("a", "i-9"), at(2));
+    assert!(is_quarantined(&ledger, "a"), "one more, at another time");
+}
+
+#[test]
+fn ends_that_are_told_late_count_from_when_they_were() {
+    let mut ledger = QuarantineLedger::default();
+    for (instance, age) in [("i-1", 9_000), ("i-2", 5_000), ("i-3", 0)] {
+        let age = Millis(age);
+        ledger.ended(
+            &InstanceEnd {
+                age,
+                ..end("a", instance)
+            },
+            at(10),
+        );
+    }
+    assert!(is_quarantined(&ledger, "a"));
+}
+
+#[test]
+fn routers_are_told_only_when_something_has_changed() {
+    let mut ledger = ledger_with(1);
+    assert!(!ledger.take_news(), "one end makes no suspect");
+    ledger.ended(&end("a", "i-8"), at(1));
+    assert!(ledger.take_news());
+    ledger.ended(&end("a", "i-8"), at(1));
+    assert!(!ledger.take_news(), "told twice");
+    ledger.ended(&end("a", "i-9"), at(2));
+    assert!(ledger.take_news());
+}
+
+#[test]
+fn an_answer_leaves_nothing_against_a_content() {
+    for ends in [2, 3] {
+        let mut ledger = ledger_with(ends);
+        ledger.answered(content("a"));
+        let (suspected, quarantined) = ledger.told();
+        assert!(suspected.is_empty() && quarantined.is_empty());
+        assert!(ledger.to_record().is_empty());
+        ledger.ended(&end("a", "i-9"), at(2));
+        assert!(
+            !is_suspected(&ledger, "a"),
+            "its earlier ends are forgotten"
+        );
+    }
+}
+
+#[test]
+fn a_quarantine_outlives_its_leader_and_is_tried_again_ever_more_rarely() {
+    let recorded = ledger_with(MAX_ENDS).to_record();
+    let mut ledger = QuarantineLedger::default();
+    ledger.seed(&recorded, at(0));
+    assert!(is_quarantined(&ledger, "a"));
+    let mut now = at(0);
+    for longer in [1, 4, 16] {
+        let length = Millis(HOUR.0 * longer);
+        ledger.expire(now + length - Millis(1));
+        assert!(is_quarantined(&ledger, "a"), "before its time");
+        now = now + length;
+        ledger.expire(now);
+        assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
+        let again = end("a", &format!("i-{longer}"));
+        ledger.ended(&again, now);
+        assert!(is_quarantined(&ledger, "a"), "one more end is enough");
+    }
+    assert!(now > at(20 * 3_600), "three tries take most of a day");
+}
+
+#[test]
+fn a_content_that_is_tried_again_stays_recorded() {
+    let mut ledger = ledger_with(MAX_ENDS);
+    ledger.expire(at(2) + HOUR);
+    let expected = QuarantinedContent {
+        content: content("a"),
+        times: 1,
+    };
+    assert_eq!(ledger.to_record(), [expected]);
+}
+
+#[test]
+fn old_ends_are_forgotten() {
+    let mut ledger = ledger_with(2);
+    ledger.expire(at(2) + HOUR);
+    ledger.ended(&end("a", "i-9"), at(3) + HOUR);
+    assert!(!is_quarantined(&ledger, "a") && !is_suspected(&ledger, "a"));
+}
+
+#[test]
+fn many_contents_are_kept_in_bounds_and_the_worst_stay() {
+    let mut ledger = ledger_with(2);
+    for number in 0..20_000 {
+        ledger.ended(&end(&format!("b-{number}"), "i-9"), at(2));
+    }
+    assert!(is_suspected(&ledger, "a"), "two ends outlast single ones");
+    for number in 0..300 {
+        for (second, instance) in [(0, "i-1"), (1, "i-2"), (2, "i-3")] {
+            let told = at(3 + number * 3 + second);
+            ledger.ended(&end(&format!("c-{number}"), instance), told);
+        }
+    }
+    assert_eq!(ledger.told().1.len(), 256);
+    assert!(is_quarantined(&ledger, "c-299") && !is_quarantined(&ledger, "c-0"));
+}
+
+#[test]
+fn a_router_follows_the_leader_and_without_one_what_it_saw_itself() {
+    let mut router = RouterQuarantine::default();
+    router.set(Vec::new(), vec![content("told")], at(1));
+    let see = |router: &mut RouterQuarantine, instance: &str, second| {
+        router.ended(content("seen"), RunnerId::from(instance), at(second));
+    };
+    for (second, instance) in [(1, "i-1"), (2, "i-2"), (3, "i-2")] {
+        see(&mut router, instance, second);
+    }
+    assert!(router.holds(&content("told"), true) && router.holds(&content("told"), false));
+    assert!(!router.holds(&content("seen"), false), "two instances");
+    see(&mut router, "i-3", 3);
+    assert!(router.holds(&content("seen"), false));
+    assert!(!router.holds(&content("seen"), true), "the leader decides");
+    router.answered(content("seen"), at(2));
+    assert!(!router.holds(&content("seen"), false));
+    router.set(Vec::new(), Vec::new(), at(3));
+    assert!(!router.holds(&content("told"), true));
+}
+
+#[test]
+fn a_router_vouches_for_what_it_has_answered_lately_or_answers_later() {
+    let mut router = RouterQuarantine::default();
+    router.answered(content("old"), at(1));
+    router.answered(content("new"), at(11));
+    let asked = ["old", "new", "later"].map(content).to_vec();
+    router.set(asked, Vec::new(), at(20));
+    assert_eq!(router.take_unsent(at(20)).1, [content("new")]);
+    assert!(router.answered(content("later"), at(21)));
+    assert!(!router.answered(content("nobody asks"), at(21)));
+    assert_eq!(router.take_unsent(at(21)).1, [content("later")]);
+}
+
+#[test]
+fn a_new_leader_is_told_what_a_router_has_seen() {
+    let mut router = RouterQuarantine::default();
+    router.ended(content("a"), RunnerId::from("i-1"), at(1));
+    router.ended(content("a"), RunnerId::from("i-1"), at(1));
+    assert_eq!(router.take_unsent(at(1)).0, [end("a", "i-1")]);
+    assert!(router.take_unsent(at(2)).0.is_empty());
+    router.begin_leader();
+    let told = InstanceEnd {
+        age: Millis(4_000),
+        ..end("a", "i-1")
+    };
+    assert_eq!(router.take_unsent(at(5)).0, [told]);
+}
+
+#[test]
+fn contents_differ_by_each_of_their_parts() {
+    let one = RequestContent {
+        tenant: Some("t"),
+        method: "POST",
+        host: "h.example",
+        target: "/a?b",
+        body: b"body",
+    };
+    let upper = RequestContent {
+        host: "H.Example",
+        ..one
+    };
+    assert_eq!(one.digest(), upper.digest());
+    let others = [
+        RequestContent {
+            tenant: None,
+            ..one
+        },
+        RequestContent {
+            method: "GET",
+            ..one
+        },
+        RequestContent {
+            host: "h2.example",
+            ..one
+        },
+        RequestContent {
+            target: "/a",
+            body: b"?bbody",
+            ..one
+        },
+        RequestContent {
+            body: b"other",
+            ..one
+        },
+    ];
+    for other in others {
+        assert_ne!(one.digest(), other.digest(), "{other:?}");
+    }
+}
