An instance that is back at once counts as ended too

Cause: a look at the address right after a broken answer finds the next incarnation where a supervisor is quick, or a proxy in front of it, and takes it for alive; the request then ends a fourth instance (test: an_instance_that_is_back_at_once_counts_too, 4 instead of 3 before). Ruled out: asking the instance for its identity, which a proxy or a full instance doesn't answer. Change: an instance that broke an answer off and took the look's connection is watched for ten seconds; if the leader says that it is gone meanwhile, it ended then.

--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -2,8 +2,9 @@
 //! from being sent.
 //!
 //! Invariant: an instance counts as ended only when its address refuses connections right
-//! after it broke an answer off; one that lives, or that is merely out of reach, is no
-//! sign against a request.
+//! after it broke an answer off, or when the leader says soon after that it is gone: a
+//! supervisor may have started it again at once, or something else may take its
+//! connections. One that lives, or that is merely out of reach, is no sign against a request.
 
 use crate::Shared;
 use crate::pool;
@@ -12,7 +13,7 @@
 use courseshunt_records::emit;
 use courseshunt_services::{InstanceEnd, RouterQuarantine};
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{Digest, RunnerId, Timestamp};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::collections::HashMap;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,11 +28,26 @@
     Duration::from_millis(160),
 ];
 
+/// An instance that is gone so long after it broke an answer off may have ended then: the
+/// leader takes one for gone after four silent intervals of registrations.
+const WATCHED: Millis = Millis(10_000);
+/// Contents that are remembered for an instance whose end is not sure, at the most.
+const MAX_WATCHED: usize = 64;
+
+/// A request that was broken off.
+#[derive(Debug, Clone, Copy)]
+struct Break {
+    content: Digest,
+    at: Timestamp,
+}
+
 /// What is known of an instance that broke answers off.
 #[derive(Debug)]
 enum Check {
-    /// It is looked at; contents of the requests that it broke off.
-    Pending(Vec<Digest>),
+    /// It is looked at.
+    Pending(Vec<Break>),
+    /// Its address took a connection: the leader's word is awaited.
+    Watched(Vec<Break>),
     /// It has ended.
     Ended,
 }
@@ -41,6 +57,8 @@
 enum Look {
     Lives,
     Ended,
+    /// The leader says so.
+    Gone,
     OutOfReach,
 }
 
@@ -114,21 +132,39 @@
         self.state().take_unsent(self.now())
     }
 
-    /// Drops what is kept for instances that are gone.
+    /// Instances are gone, as the leader says.
     pub(crate) fn forget(&self, instances: &[RunnerId]) {
-        let mut checks = self.checks();
+        let now = self.now();
         for instance in instances {
-            checks.remove(instance);
+            for broken in self.take_watched(instance) {
+                if now.since(broken.at) <= WATCHED {
+                    self.ended(broken, instance, "gone");
+                }
+            }
         }
     }
 
-    fn ended(&self, content: Digest, instance: &RunnerId) {
+    /// What a watched instance broke off; one that is looked at is left to that look.
+    fn take_watched(&self, instance: &RunnerId) -> Vec<Break> {
+        let mut checks = self.checks();
+        match checks.remove(instance) {
+            Some(Check::Watched(breaks)) => breaks,
+            Some(Check::Pending(breaks)) => {
+                checks.insert(instance.clone(), Check::Pending(breaks));
+                Vec::new()
+            }
+            Some(Check::Ended) | None => Vec::new(),
+        }
+    }
+
+    fn ended(&self, broken: Break, instance: &RunnerId, sign: &str) {
         emit(&RouterRecord::EndedUnder {
             instance: instance.as_str(),
-            content: content.short(),
+            content: broken.content.short(),
+            sign,
         });
-        let now = self.now();
-        self.state().ended(content, instance.clone(), now);
+        self.state()
+            .ended(broken.content, instance.clone(), broken.at);
         self.has_news.notify_one();
     }
 }
@@ -136,40 +172,63 @@
 /// Notes that an instance broke a request of this content off, and looks whether it ended.
 pub(crate) fn broke_off(shared: &Arc<Shared>, content: Digest, instance: &RunnerId) {
     let desk = &shared.quarantine;
+    let at = desk.now();
+    let broken = Break { content, at };
     let mut checks = desk.checks();
-    match checks.get_mut(instance) {
-        Some(Check::Pending(contents)) => contents.push(content),
+    let breaks = match checks.remove(instance) {
         Some(Check::Ended) => {
+            checks.insert(instance.clone(), Check::Ended);
             drop(checks);
-            desk.ended(content, instance);
+            desk.ended(broken, instance, "refused");
+            return;
         }
-        None => {
-            checks.insert(instance.clone(), Check::Pending(vec![content]));
-            tokio::spawn(check(shared.clone(), instance.clone()));
+        Some(Check::Pending(mut breaks)) => {
+            breaks.push(broken);
+            checks.insert(instance.clone(), Check::Pending(breaks));
+            return;
         }
-    }
+        Some(Check::Watched(mut breaks)) => {
+            breaks.retain(|one| at.since(one.at) <= WATCHED);
+            breaks.push(broken);
+            breaks
+        }
+        None => vec![broken],
+    };
+    checks.insert(instance.clone(), Check::Pending(breaks));
+    tokio::spawn(check(shared.clone(), instance.clone()));
 }
 
 async fn check(shared: Arc<Shared>, instance: RunnerId) {
-    let look = look_until_sure(&shared, &instance).await;
-    let desk = &shared.quarantine;
-    let pending = {
-        let mut checks = desk.checks();
-        let pending = checks.remove(&instance);
-        if look == Look::Ended && shared.view.address_of(&instance).is_some() {
-            checks.insert(instance.clone(), Check::Ended);
-        }
-        pending
+    let seen = look_until_sure(&shared, &instance).await;
+    let look = match shared.view.address_of(&instance) {
+        Some(_) => seen,
+        None => Look::Gone,
     };
-    if look != Look::Lives {
+    if matches!(look, Look::Ended | Look::OutOfReach) {
         let now = shared.clock.now();
         shared.view.unreachable(&instance, now);
     }
-    if let (Look::Ended, Some(Check::Pending(contents))) = (look, pending) {
-        for content in contents {
-            desk.ended(content, &instance);
+    let desk = &shared.quarantine;
+    let mut checks = desk.checks();
+    let Some(Check::Pending(mut breaks)) = checks.remove(&instance) else {
+        return;
+    };
+    match look {
+        Look::Gone => {}
+        Look::Ended => {
+            checks.insert(instance.clone(), Check::Ended);
+        }
+        Look::Lives | Look::OutOfReach => {
+            let surplus = breaks.len().saturating_sub(MAX_WATCHED);
+            breaks.drain(..surplus);
+            checks.insert(instance, Check::Watched(breaks));
+            return;
         }
     }
+    drop(checks);
+    for broken in breaks {
+        desk.ended(broken, &instance, "refused");
+    }
 }
 
 /// Looks at an instance until it refuses a connection, or one stays open.
@@ -177,7 +236,7 @@
     for pause in LOOKS {
         tokio::time::sleep(pause).await;
         let Some(address) = shared.view.address_of(instance) else {
-            return Look::Ended;
+            return Look::Gone;
         };
         shared.metrics.connection();
         match pool::connect_to(&address).await {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -135,7 +135,12 @@
     /// An instance can't be reached, and is left out for a while.
     Unreachable { instance: &'a str, problem: &'a str },
     /// An instance ended while it had a request of this content.
-    EndedUnder { instance: &'a str, content: String },
+    EndedUnder {
+        instance: &'a str,
+        content: String,
+        /// `refused`: by its address; `gone`: by the leader's word.
+        sign: &'a str,
+    },
     /// The leader's word on contents under which instances ended.
     Quarantine {
         suspected: usize,
--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -60,9 +60,9 @@
         }
     }
 
-    /// Notes an instance that ended under a content.
-    pub fn ended(&mut self, content: Digest, instance: RunnerId, now: Timestamp) {
-        let is_old = |end: &OwnEnd| now.since(end.at) >= REMEMBERED;
+    /// Notes an instance that ended at this time under a content.
+    pub fn ended(&mut self, content: Digest, instance: RunnerId, at: Timestamp) {
+        let is_old = |end: &OwnEnd| at.since(end.at) >= REMEMBERED;
         while self.own_ends.len() >= MAX_OWN_ENDS || self.own_ends.front().is_some_and(is_old) {
             self.own_ends.pop_front();
         }
@@ -73,7 +73,7 @@
         self.own_ends.push_back(OwnEnd {
             content,
             instance,
-            at: now,
+            at,
             is_told: false,
         });
     }
