An instance that takes connections and closes them is not left out for that

Cause, read in the code: a look whose connections were taken and closed three times marked the instance as out of reach; one with too many connections closes those beyond, and leaving it out would move its load to the others. Change: only refused or failing connections leave an instance out; the end of the others is still awaited from the leader.

--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -55,7 +55,9 @@
 /// What a look at an instance shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Look {
-    Lives,
+    /// Kept open or not: one that has too many closes those beyond.
+    TakesConnections,
+    /// It refuses connections.
     Ended,
     /// The leader says so.
     Gone,
@@ -218,7 +220,7 @@
         Look::Ended => {
             checks.insert(instance.clone(), Check::Ended);
         }
-        Look::Lives | Look::OutOfReach => {
+        Look::TakesConnections | Look::OutOfReach => {
             let surplus = breaks.len().saturating_sub(MAX_WATCHED);
             breaks.drain(..surplus);
             checks.insert(instance, Check::Watched(breaks));
@@ -244,12 +246,12 @@
                 tokio::time::sleep(pause).await;
                 if !upstream.sender.is_closed() {
                     shared.pool.keep(instance, upstream);
-                    return Look::Lives;
+                    return Look::TakesConnections;
                 }
             }
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Look::Ended,
             Err(_) => return Look::OutOfReach,
         }
     }
-    Look::OutOfReach
+    Look::TakesConnections
 }
