--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -215,10 +215,11 @@
     let Some(Check::Pending(mut breaks)) = checks.remove(&instance) else {
         return;
     };
-    match look {
-        Look::Gone => {}
+    let sign = match look {
+        Look::Gone => "gone",
         Look::Ended => {
             checks.insert(instance.clone(), Check::Ended);
+            "refused"
         }
         Look::TakesConnections | Look::OutOfReach => {
             let surplus = breaks.len().saturating_sub(MAX_WATCHED);
@@ -226,10 +227,10 @@
             checks.insert(instance, Check::Watched(breaks));
             return;
         }
-    }
+    };
     drop(checks);
     for broken in breaks {
-        desk.ended(broken, &instance, "refused");
+        desk.ended(broken, &instance, sign);
     }
 }
 
