--- a/crates/coordinator/src/snapshot.rs
+++ b/crates/coordinator/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! The instances as a router needs them that begins to follow: encoded once for
 //! all routers that come between two changes.
 
-use crate::feed::encode;
+use crate::sessions::encode;
 use courseshunt_services::digest::{BUCKETS, InstanceDigests, bucket_of};
 use courseshunt_services::{FeedMessage, InstanceView};
 use courseshunt_wire::Frame;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -136,8 +136,8 @@
     let service = service.clone();
     let limits = &table.configuration().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
-    let target_form = origin_form(&head.uri);
-    let content = content(&head, &target_form, caller.as_ref(), &body);
+    let uri = origin_form(&head.uri);
+    let content = content(&head, &uri, caller.as_ref(), &body);
     if shared.quarantine.holds(&content, shared.view.feed_age()) {
         known.content = Some(content);
         return Err(Denied {
@@ -153,7 +153,7 @@
     let priority = caller.as_ref().and_then(|caller| caller.tenant.priority);
     Ok(Admitted {
         content,
-        target: target_form,
+        target: uri,
         head,
         body,
         priority: priority.unwrap_or(route.priority),
