Answers that can't vouch any more are forgotten

Cause, read in the code: up to 4,096 answers (about 400 KB) were remembered at each router, though only those of the last ten seconds are ever asked for. Change: older ones go with each new answer; what is vouched for is the same (tests).

--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -12,7 +12,7 @@
 
 /// Ends that a router remembers, to tell them to the next leader.
 const MAX_OWN_ENDS: usize = 256;
-/// Contents whose last answers are remembered: ten seconds at 400 requests a second.
+/// Answers that are remembered at the most: ten seconds of them at 400 requests a second.
 const MAX_ANSWERED: usize = 4_096;
 
 /// An instance that this router saw end.
@@ -31,6 +31,7 @@
     /// Contents that the leader asks about.
     suspected: HashSet<Digest>,
     own_ends: VecDeque<OwnEnd>,
+    /// Contents and their last answers of the last ten seconds.
     answered: HashMap<Digest, Timestamp>,
     answered_in_order: VecDeque<(Digest, Timestamp)>,
     unsent_answered: BTreeSet<Digest>,
@@ -89,7 +90,10 @@
     fn remember_answer(&mut self, content: Digest, now: Timestamp) {
         self.answered.insert(content, now);
         self.answered_in_order.push_back((content, now));
-        while self.answered_in_order.len() > MAX_ANSWERED {
+        let is_old = |(_, at): &(Digest, Timestamp)| now.since(*at) > SOUND_BEFORE;
+        while self.answered_in_order.len() > MAX_ANSWERED
+            || self.answered_in_order.front().is_some_and(is_old)
+        {
             let Some((oldest, at)) = self.answered_in_order.pop_front() else {
                 return;
             };
