--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -213,11 +213,6 @@
         /// No longer there.
         gone: Vec<RunnerId>,
     },
-    /// Records which contents of requests are in quarantine, in place of those before.
-    RecordQuarantine {
-        /// All of them.
-        contents: Vec<QuarantinedContent>,
-    },
     /// Records that a member is about to give orders to instances.
     HoldOrders {
         /// The member.
@@ -230,6 +225,11 @@
         /// `ip:port` of its wire port.
         wire_address: String,
     },
+    /// Records which contents of requests are in quarantine, in place of those before.
+    RecordQuarantine {
+        /// All of them.
+        contents: Vec<QuarantinedContent>,
+    },
 }
 
 /// What is claimed for a once-only request.
--- a/crates/state/tests/services.rs
+++ b/crates/state/tests/services.rs
@@ -1,9 +1,9 @@
 //! The service configuration and the instances in the replicated state.
 
-use courseshunt_services::{InstanceState, InstanceView};
+use courseshunt_services::{InstanceState, InstanceView, QuarantinedContent};
 use courseshunt_state::{Command, CommandEnvelope, ReplicatedState};
 use courseshunt_types::{
-    ClientId, ClientSequence, ControllerId, LogIndex, RunnerId, Term, UnixMillis, Zone,
+    ClientId, ClientSequence, ControllerId, Digest, LogIndex, RunnerId, Term, UnixMillis, Zone,
 };
 
 fn apply(state: &mut ReplicatedState, command: Command) {
@@ -115,3 +115,17 @@
     let restored = ReplicatedState::from_snapshot(&state.to_snapshot()).expect("a snapshot");
     assert_eq!(restored.services.orders_holder, Some(ControllerId(9)));
 }
+
+#[test]
+fn the_quarantine_is_replaced_whole_and_survives_a_snapshot() {
+    let mut state = ReplicatedState::default();
+    let record = |text: &str, times| QuarantinedContent {
+        content: Digest::of(text.as_bytes()),
+        times,
+    };
+    for contents in [vec![record("a", 1), record("b", 1)], vec![record("b", 2)]] {
+        apply(&mut state, Command::RecordQuarantine { contents });
+    }
+    let restored = ReplicatedState::from_snapshot(&state.to_snapshot()).expect("a snapshot");
+    assert_eq!(restored.services.quarantined, [record("b", 2)]);
+}
