Controllers record who asks to join, what they are told, and the group's redundancy

Cause: of the incident's hypotheses, none could be told from the others: no record of a question to join or of its answer, none of the number of live voters. Change: records asks_to_join, asked_to_join and redundancy, each written only when it changes; gauges voters, live_voters, learners, joining, bearable_losses, seconds_below_full_redundancy at the leader.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -122,10 +122,16 @@
     }
     let members = join::members(shared).await.into_iter();
     let members = members.map(|(id, address)| (id, address.to_string()));
-    Message::Joined {
-        leads,
-        members: members.collect(),
+    let members: Vec<(ControllerId, String)> = members.collect();
+    if shared.asked_to_join(member, leads) {
+        emit(&ControllerRecord::AskedToJoin {
+            member: member.0,
+            address: wire_address,
+            noted: leads,
+            members: members.len(),
+        });
     }
+    Message::Joined { leads, members }
 }
 
 /// Whether this member feeds routers; waits a little for an election to end, so
--- a/crates/coordinator/src/join.rs
+++ b/crates/coordinator/src/join.rs
@@ -1,7 +1,9 @@
 //! Makes sure that this process is a member of the group: a process without a
 //! leader asks the members that it knows to take it in.
 
+use crate::records::{AskedMember, ControllerRecord, JoinAnswer};
 use crate::{Shared, identity};
+use courseshunt_records::emit;
 use courseshunt_types::ControllerId;
 use courseshunt_wire::{Connection, Message, PeerIdentity, connect_from};
 use std::collections::BTreeSet;
@@ -17,19 +19,35 @@
 /// Runs until the process stops.
 pub(crate) async fn keep_joined(shared: Arc<Shared>) {
     let mut written = Vec::new();
+    let mut told = Vec::new();
     loop {
         tokio::time::sleep(PAUSE).await;
         store_members(&shared, &mut written).await;
         let status = shared.replica.status().borrow().clone();
         if status.leader.is_some() {
+            told.clear();
             continue;
         }
-        for address in candidates(&shared).await {
-            if try_join(&shared, address).await {
-                break;
-            }
+        let asked = ask_all(&shared).await;
+        if asked != told {
+            emit(&ControllerRecord::AsksToJoin { asked: &asked });
+            told = asked;
+        }
+    }
+}
+
+/// Asks one candidate after the other until one leads.
+async fn ask_all(shared: &Shared) -> Vec<AskedMember> {
+    let mut asked = Vec::new();
+    for address in candidates(shared).await {
+        let answer = try_join(shared, address).await;
+        let address = address.to_string();
+        asked.push(AskedMember { address, answer });
+        if answer == JoinAnswer::Leads {
+            break;
         }
     }
+    asked
 }
 
 /// Members' addresses, then the seeds', this process left out.
@@ -63,8 +81,8 @@
     }
 }
 
-/// Asks the process at `address` to take this one in; returns whether it leads.
-async fn try_join(shared: &Shared, address: SocketAddr) -> bool {
+/// Asks the process at `address` to take this one in.
+async fn try_join(shared: &Shared, address: SocketAddr) -> JoinAnswer {
     let work = async {
         let identity = PeerIdentity::Controller(shared.id);
         let source = Some(shared.settings.address);
@@ -86,7 +104,7 @@
         }
     };
     let Ok(Some((leads, members))) = tokio::time::timeout(TRY_LIMIT, work).await else {
-        return false;
+        return JoinAnswer::NoAnswer;
     };
     for (member, address) in members {
         if let Ok(address) = address.parse()
@@ -95,5 +113,8 @@
             shared.addresses.set(member, address);
         }
     }
-    leads
+    match leads {
+        true => JoinAnswer::Leads,
+        false => JoinAnswer::Follows,
+    }
 }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -2,6 +2,7 @@
 
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::{self, ControllerRecord};
+use crate::redundancy::{Redundancy, RedundancyWatch};
 use crate::steward::{GroupView, decide};
 use crate::{Shared, join, orders, placement_settings, quarantine, quota_settings};
 use courseshunt_consensus::MembershipChange;
@@ -57,6 +58,7 @@
     recorded_at: Timestamp,
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     membership_at: Timestamp,
+    redundancy: RedundancyWatch,
     fed_at: Timestamp,
     looked_at: Timestamp,
     planned_at: Timestamp,
@@ -138,6 +140,7 @@
         recorded_at: now,
         unrecorded: Default::default(),
         membership_at: now,
+        redundancy: RedundancyWatch::default(),
         fed_at: now,
         looked_at: now,
         planned_at: now,
@@ -163,6 +166,7 @@
 
 fn end(shared: &Shared) {
     shared.feeding.send_replace(false);
+    shared.tell_redundancy(None);
     let leader = shared.leader_address().map(|address| address.to_string());
     emit(&ControllerRecord::LeadsNoMore {
         leader: leader.as_deref(),
@@ -397,10 +401,7 @@
 }
 
 /// Makes the next change of the membership, if one is due.
-async fn keep_membership(shared: &Arc<Shared>, leadership: &Leadership, now: Timestamp) {
-    if leadership.changing.load(Ordering::Relaxed) {
-        return;
-    }
+async fn keep_membership(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let members = shared.replica.members().await;
     let all = members.membership.all().into_iter();
     let known = all.filter_map(|id| shared.addresses.get(id).map(|address| (id, address)));
@@ -414,6 +415,11 @@
         joining.retain(|(id, _)| !all.contains(id));
         joining.clone()
     };
+    let redundancy = Redundancy::of(shared.id, &members, joining.len());
+    watch_redundancy(shared, leadership, redundancy, now);
+    if leadership.changing.load(Ordering::Relaxed) {
+        return;
+    }
     let view = GroupView {
         own: shared.id,
         members: &members,
@@ -433,6 +439,30 @@
     });
 }
 
+/// Records and shows how many losses the group can bear.
+fn watch_redundancy(
+    shared: &Shared,
+    leadership: &mut Leadership,
+    present: Redundancy,
+    now: Timestamp,
+) {
+    let changed = leadership.redundancy.update(present, now);
+    let below_full = leadership.redundancy.below_full_for(now);
+    shared.tell_redundancy(Some((present, below_full)));
+    if !changed {
+        return;
+    }
+    emit(&ControllerRecord::Redundancy {
+        voters: present.voters,
+        live_voters: present.live_voters,
+        learners: present.learners,
+        joining: present.joining,
+        bearable_losses: present.bearable_losses,
+        settled: present.settled,
+        below_full_ms: below_full.0,
+    });
+}
+
 async fn make_change(shared: &Arc<Shared>, change: MembershipChange) {
     if let MembershipChange::AddLearner(member) = change
         && let Some(address) = shared.addresses.get(member)
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -20,6 +20,7 @@
 mod orders;
 mod quarantine;
 mod records;
+pub mod redundancy;
 mod relay;
 mod sessions;
 mod snapshot;
@@ -44,8 +45,10 @@
 use error::{BindSnafu, ReplicaSnafu};
 use metrics::{Metrics, Present};
 use records::ControllerRecord;
+use redundancy::Redundancy;
 use sessions::Sessions;
 use snafu::{OptionExt, ResultExt};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, watch};
@@ -60,6 +63,9 @@
 /// Entries before a snapshot that stay in memory.
 const ENTRIES_KEPT: u64 = 8;
 
+/// Processes whose wish to join is remembered, so that each is recorded once.
+const MAX_ASKED_TO_JOIN: usize = 256;
+
 /// What the parts of a coordinator share.
 pub(crate) struct Shared {
     pub(crate) settings: ServiceSettings,
@@ -79,6 +85,10 @@
     /// that routers can be fed.
     pub(crate) feeding: watch::Sender<bool>,
     pub(crate) joining: Mutex<Vec<(ControllerId, SocketAddr)>>,
+    /// Processes that asked here to join, with whether they were noted.
+    asked_to_join: Mutex<BTreeMap<ControllerId, bool>>,
+    /// How many losses the group can bear; known while this member leads.
+    pub(crate) redundancy: Mutex<Option<(Redundancy, Millis)>>,
     pub(crate) stop: CancellationToken,
     pub(crate) metrics: Metrics,
     pub(crate) seeds: SeedList,
@@ -112,6 +122,23 @@
         })
     }
 
+    /// Notes how a process that asked to join was answered; returns whether that is new.
+    pub(crate) fn asked_to_join(&self, member: ControllerId, noted: bool) -> bool {
+        let asked = self.asked_to_join.lock();
+        let mut asked = asked.unwrap_or_else(PoisonError::into_inner);
+        if asked.len() >= MAX_ASKED_TO_JOIN {
+            asked.clear();
+        }
+        asked.insert(member, noted) != Some(noted)
+    }
+
+    /// Keeps what the metrics page tells of the group's redundancy; `None` when this
+    /// member does not lead.
+    pub(crate) fn tell_redundancy(&self, present: Option<(Redundancy, Millis)>) {
+        let redundancy = self.redundancy.lock();
+        *redundancy.unwrap_or_else(PoisonError::into_inner) = present;
+    }
+
     /// The page of counters and gauges.
     pub(crate) fn metrics_page(&self) -> String {
         let status = self.replica.status().borrow().clone();
@@ -123,6 +150,10 @@
             routers: self.sessions.count(),
             instances: self.engine().count(),
             contact_age_ms: age.map_or(u64::MAX, |age| age.0),
+            redundancy: *self
+                .redundancy
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
         })
     }
 
@@ -214,6 +245,8 @@
             wake: Notify::new(),
             feeding: watch::Sender::new(false),
             joining: Mutex::default(),
+            asked_to_join: Mutex::default(),
+            redundancy: Mutex::default(),
             stop: stop.clone(),
             metrics: Metrics::default(),
             seeds: SeedList::new(&settings),
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of a controller.
 
+use crate::redundancy::Redundancy;
 use courseshunt_metrics::page_with_process;
 use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
@@ -24,6 +25,8 @@
     pub(crate) instances: usize,
     /// Time since the last contact with a quorum, in milliseconds.
     pub(crate) contact_age_ms: u64,
+    /// Redundancy of the group and the time below the full one; known to the leader.
+    pub(crate) redundancy: Option<(Redundancy, Millis)>,
 }
 
 /// See the module.
@@ -82,6 +85,22 @@
     }
 }
 
+/// The gauges of the group's redundancy.
+fn redundancy_values(known: Option<(Redundancy, Millis)>) -> [(&'static str, Option<u64>); 6] {
+    let count = |of: fn(&Redundancy) -> usize| known.map(|(one, _)| of(&one) as u64);
+    [
+        ("voters", count(|one| one.voters)),
+        ("live_voters", count(|one| one.live_voters)),
+        ("learners", count(|one| one.learners)),
+        ("joining", count(|one| one.joining)),
+        ("bearable_losses", count(|one| one.bearable_losses)),
+        (
+            "seconds_below_full_redundancy",
+            known.map(|(_, below)| below.0 / 1_000),
+        ),
+    ]
+}
+
 impl Metrics {
     pub(crate) fn order(&self, action: &str, outcome: &str, from_store: bool) {
         let labels = vec![
@@ -122,10 +141,25 @@
             ("contact_age_milliseconds", present.contact_age_ms),
         ];
         for (name, value) in values {
-            let labels = vec![("name", name.to_owned())];
-            let value = i64::try_from(value).unwrap_or(i64::MAX);
-            self.present.get_or_create(&labels).set(value);
+            self.set_present(name, Some(value));
+        }
+        for (name, value) in redundancy_values(present.redundancy) {
+            self.set_present(name, value);
         }
         page_with_process(&self.registry)
     }
+
+    /// Shows a present value; one that is not known here is left out.
+    fn set_present(&self, name: &str, value: Option<u64>) {
+        let labels = vec![("name", name.to_owned())];
+        match value {
+            Some(value) => {
+                let value = i64::try_from(value).unwrap_or(i64::MAX);
+                self.present.get_or_create(&labels).set(value);
+            }
+            None => {
+                self.present.remove(&labels);
+            }
+        }
+    }
 }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -36,6 +36,30 @@
         index: Option<u64>,
         problem: Option<&'a str>,
     },
+    /// It asked to be taken into the group; written when the answers differ from the last ones.
+    AsksToJoin { asked: &'a [AskedMember] },
+    /// A process asked here to be taken into the group; written once for each answer.
+    AskedToJoin {
+        member: u64,
+        address: &'a str,
+        /// Whether this member leads and has noted it.
+        noted: bool,
+        /// Members that it was told of.
+        members: usize,
+    },
+    /// How many losses the group can bear has changed, as the leader sees it.
+    Redundancy {
+        voters: usize,
+        live_voters: usize,
+        learners: usize,
+        /// Processes that have asked to join and are not members yet.
+        joining: usize,
+        bearable_losses: usize,
+        /// No change of the membership goes on.
+        settled: bool,
+        /// Time without full redundancy until now, in milliseconds.
+        below_full_ms: u64,
+    },
     /// A router follows the feed.
     RouterFollows { router: &'a str, configuration: u64 },
     /// A router's feed has ended.
@@ -121,6 +145,27 @@
     },
 }
 
+/// A process that was asked to take this one into the group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct AskedMember {
+    /// Its wire address, `ip:port`.
+    pub(crate) address: String,
+    /// What it answered.
+    pub(crate) answer: JoinAnswer,
+}
+
+/// What was answered to a process that wants to join.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum JoinAnswer {
+    /// It leads and takes this one in.
+    Leads,
+    /// It does not lead.
+    Follows,
+    /// Nothing in time, or no connection.
+    NoAnswer,
+}
+
 /// The record of what the placement engine tells.
 pub(crate) fn placement(event: &PlacementEvent) -> ControllerRecord<'_> {
     match event {
--- a/crates/coordinator/src/steward.rs
+++ b/crates/coordinator/src/steward.rs
@@ -12,11 +12,11 @@
 use std::net::SocketAddr;
 
 /// Voters at the most; further members listen and stand ready.
-const MAX_VOTERS: usize = 5;
+pub(crate) const MAX_VOTERS: usize = 5;
 /// A voter that was silent for so long is replaced by a ready learner.
 const REPLACE_AFTER: Millis = Millis(2_500);
 /// A learner heard within this time stands ready.
-const LIVE_WITHIN: Millis = Millis(600);
+pub(crate) const LIVE_WITHIN: Millis = Millis(600);
 /// A learner that was silent for so long is removed.
 const FORGET_AFTER: Millis = Millis(20_000);
 
