A process that wants to join follows what it is told

Cause: a process with a new disk asked only the addresses of its settings. Only the leader takes a process in; the others' answers named five members and were not used. Under a leader that the settings do not name it was never taken in, and each further loss cost a voter for good, until two of five were left. Its class: what is needed to reach the leader is learnt from answers and thrown away. Change: crate membership holds whom a process asks (joiner), whom the leader takes in (applicants, repair) and the redundancy, all without I/O or clock; answers name the leader and are followed; a process that is no member tells whom it has met; the leader takes in a process that it finds at a voter's address under a new identity.

--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -15,7 +15,7 @@
 mod status;
 
 pub use settings::{CoreSettings, Mutant};
-pub use status::MemberProgress;
+pub use status::{MemberProgress, MembersView};
 
 use crate::entry::{Entry, HardState, SnapshotMetadata};
 use crate::entry_log::EntryLog;
--- a/crates/consensus/src/core/status.rs
+++ b/crates/consensus/src/core/status.rs
@@ -15,7 +15,43 @@
     pub silent_for: Option<Millis>,
 }
 
+/// The members as one member knows them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct MembersView {
+    /// Voters and learners.
+    pub membership: Membership,
+    /// Whether the membership is committed and no change goes on.
+    pub settled: bool,
+    /// Last committed entry known here.
+    pub commit: LogIndex,
+    /// How far each other member is; known at the leader only.
+    pub progress: Vec<MemberProgress>,
+}
+
+impl MembersView {
+    /// Voters other than this member that were heard within `limit`.
+    pub fn live_voters(&self, limit: Millis) -> impl Iterator<Item = ControllerId> + '_ {
+        let live = self.progress.iter().filter(move |one| {
+            let silent = one.silent_for;
+            silent.is_some_and(|silent| silent < limit)
+        });
+        let voters = live.filter(|one| self.membership.voters.contains(&one.member));
+        voters.map(|one| one.member)
+    }
+}
+
 impl Core {
+    /// The members as this one knows them.
+    #[must_use]
+    pub fn members_view(&self, now: Timestamp) -> MembersView {
+        MembersView {
+            membership: self.membership().clone(),
+            settled: self.membership_is_settled(),
+            commit: self.commit,
+            progress: self.progress(now),
+        }
+    }
+
     /// Settings of this member.
     #[must_use]
     pub fn settings(&self) -> &CoreSettings {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod output;
 mod progress;
 
-pub use crate::core::{Core, CoreSettings, MemberProgress, Mutant, Recovered, Role};
+pub use crate::core::{Core, CoreSettings, MemberProgress, MembersView, Mutant, Recovered, Role};
 pub use entry::{Entry, HardState, Payload, SnapshotMetadata};
 pub use input::{Input, PersistNumber, ProposalId, ReadId};
 pub use membership::{Membership, MembershipChange, MembershipError};
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,7 +11,7 @@
 mod timekeeper;
 
 pub use error::ControllerError;
-pub use replica::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
+pub use replica::{ProposeError, ReplicaHandle, ReplicaStatus};
 
 use courseshunt_http::{HttpClient, ServerLimits};
 use courseshunt_settings::ControllerSettings;
--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -1,18 +1,37 @@
-//! Wire addresses of the members: from the settings, then from the replicated
+//! Wire addresses of the members, one book for a process: from its settings or its disk,
+//! from whoever connects here, from answers to a wish to join, and from the replicated
 //! state, which wins.
+//!
+//! Invariant: a process that lives at another one's address is never taken for it; it is
+//! told as a stranger.
 
 use courseshunt_state::members::MemberAddresses;
 use courseshunt_types::ControllerId;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A stranger that was not met for so long is forgotten, so that it is told again.
+const STRANGER_LIFETIME: Duration = Duration::from_secs(30);
+/// A stranger met within this time lives there; addresses in use are tried far more often.
+const MET_LATELY: Duration = Duration::from_secs(2);
+
+/// A process at an address that stands under another identity.
+#[derive(Debug, Clone, Copy)]
+struct Stranger {
+    peer: ControllerId,
+    met_at: Instant,
+}
 
 /// See the module; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct AddressBook {
     addresses: Arc<RwLock<BTreeMap<ControllerId, SocketAddr>>>,
     heard: Arc<Mutex<BTreeMap<ControllerId, Arc<Notify>>>>,
+    strangers: Arc<Mutex<BTreeMap<SocketAddr, Stranger>>>,
     source: Option<IpAddr>,
 }
 
@@ -54,6 +73,34 @@
         heard.entry(member).or_default().clone()
     }
 
+    /// Notes that `peer` lives at an address that stands under another identity; returns
+    /// whether that is new.
+    pub fn met_stranger(&self, address: SocketAddr, peer: ControllerId) -> bool {
+        let strangers = self.strangers.lock();
+        let mut strangers = strangers.unwrap_or_else(PoisonError::into_inner);
+        strangers.retain(|_, one| one.met_at.elapsed() < STRANGER_LIFETIME);
+        let met_at = Instant::now();
+        let before = strangers.insert(address, Stranger { peer, met_at });
+        before.is_none_or(|before| before.peer != peer)
+    }
+
+    /// Who was met at others' addresses just now.
+    #[must_use]
+    pub fn strangers(&self) -> Vec<(ControllerId, SocketAddr)> {
+        let strangers = self.strangers.lock();
+        let strangers = strangers.unwrap_or_else(PoisonError::into_inner);
+        let recent = strangers.iter();
+        let recent = recent.filter(|(_, one)| one.met_at.elapsed() < MET_LATELY);
+        recent.map(|(address, one)| (one.peer, *address)).collect()
+    }
+
+    /// All known addresses.
+    #[must_use]
+    pub fn all(&self) -> BTreeMap<ControllerId, SocketAddr> {
+        let addresses = self.addresses.read();
+        addresses.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sets the addresses that the replicated state holds.
     pub fn set_all(&self, members: &MemberAddresses) {
         for (member, address) in members {
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -130,7 +130,7 @@
         let connection = dialled?;
         limit.succeeded();
         if connection.peer != PeerIdentity::Controller(self.to) {
-            log::warn!("peers: {address} is {}, not {}", connection.peer, self.to);
+            self.met(address, &connection.peer);
             return Ok(());
         }
         log::info!("peers: connected to controller {}", self.to);
@@ -143,6 +143,17 @@
         }
     }
 
+    /// Another process lives at this member's address.
+    fn met(&self, address: SocketAddr, peer: &PeerIdentity) {
+        let new = match peer {
+            PeerIdentity::Controller(peer) => self.addresses.met_stranger(address, *peer),
+            PeerIdentity::Router(..) => true,
+        };
+        if new {
+            log::warn!("peers: {address} is {peer}, not {}", self.to);
+        }
+    }
+
     async fn dial(&self, address: SocketAddr, limit: &DialLimit) -> Result<Connection, WireError> {
         let source = self.addresses.source();
         let limit = limit.present();
--- a/crates/controller/src/replica/actor.rs
+++ b/crates/controller/src/replica/actor.rs
@@ -1,9 +1,9 @@
 //! The actor around the consensus core: a mailbox and a tick.
 
 use super::driver::Driver;
-use super::handle::{MembersView, ProposeError};
+use super::handle::ProposeError;
 use courseshunt_consensus::{
-    ConsensusMessage, Input, MembershipChange, PersistNumber, SnapshotMetadata,
+    ConsensusMessage, Input, MembersView, MembershipChange, PersistNumber, SnapshotMetadata,
 };
 use courseshunt_state::{CommandEnvelope, CommandReply};
 use courseshunt_storage::StorageError;
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -1,14 +1,14 @@
 //! Carries out the consensus core's outputs.
 
 use super::actor::{ReplicaMessage, Reply};
-use super::handle::{MembersView, ProposeError, ReplicaStatus, SharedState};
+use super::handle::{ProposeError, ReplicaStatus, SharedState};
 use super::snapshots::Snapshots;
 use super::writer::{self, WriteRequest};
 use crate::error::ControllerError;
 use crate::peers::{GROUP, PeerNetwork};
 use courseshunt_consensus::{
-    Core, Entry, Input, MembershipChange, Output, Payload, ProposalId, ReadId, RejectionReason,
-    Role, SnapshotMetadata,
+    Core, Entry, Input, MembersView, MembershipChange, Output, Payload, ProposalId, ReadId,
+    RejectionReason, Role, SnapshotMetadata,
 };
 use courseshunt_state::{CommandEnvelope, CommandReply, ReplicatedState};
 use courseshunt_storage::LogStore;
@@ -137,12 +137,7 @@
     }
 
     pub(super) fn members(&self) -> MembersView {
-        MembersView {
-            membership: self.core.membership().clone(),
-            settled: self.core.membership_is_settled(),
-            commit: self.core.commit(),
-            progress: self.core.progress(self.clock.now()),
-        }
+        self.core.members_view(self.clock.now())
     }
 
     pub(super) fn disk_full(&mut self, full: bool) {
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -4,7 +4,7 @@
 use super::session::ClientSession;
 use crate::peers::PeerNetwork;
 use courseshunt_consensus::{
-    ConsensusMessage, MemberProgress, Membership, MembershipChange, MembershipError, Role,
+    ConsensusMessage, MembersView, MembershipChange, MembershipError, Role,
 };
 use courseshunt_state::{Command, CommandEnvelope, CommandReply, ReplicatedState};
 use courseshunt_types::time::MonotonicClock;
@@ -83,31 +83,6 @@
     }
 }
 
-/// The members as one member knows them.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct MembersView {
-    /// Voters and learners.
-    pub membership: Membership,
-    /// Whether the membership is committed and no change goes on.
-    pub settled: bool,
-    /// Last committed entry known here.
-    pub commit: LogIndex,
-    /// How far each other member is; known at the leader only.
-    pub progress: Vec<MemberProgress>,
-}
-
-impl MembersView {
-    /// Voters other than this member that were heard within `limit`.
-    pub fn live_voters(&self, limit: Millis) -> impl Iterator<Item = ControllerId> + '_ {
-        let live = self.progress.iter().filter(move |one| {
-            let silent = one.silent_for;
-            silent.is_some_and(|silent| silent < limit)
-        });
-        let voters = live.filter(|one| self.membership.voters.contains(&one.member));
-        voters.map(|one| one.member)
-    }
-}
-
 /// The replicated state, shared for reading.
 pub type SharedState = Arc<RwLock<ReplicatedState>>;
 
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -8,7 +8,7 @@
 mod snapshots;
 mod writer;
 
-pub use handle::{MembersView, ProposeError, ReplicaHandle, ReplicaStatus};
+pub use handle::{ProposeError, ReplicaHandle, ReplicaStatus};
 
 use crate::error::{ControllerError, StorageSnafu};
 use crate::peers::PeerNetwork;
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -15,7 +15,7 @@
     Connection, Frame, Message, PeerIdentity, Receiver, Sender, WireError, accept,
 };
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -107,31 +107,34 @@
     Ok(())
 }
 
-/// Notes that a process wants to join.
+/// Notes that a process wants to join, and tells it where the leader is.
 async fn take_in(member: ControllerId, wire_address: &str, shared: &Shared) -> Message {
     let leads = shared.replica.leads();
     if leads && let Ok(address) = wire_address.parse() {
         shared.addresses.set(member, address);
-        let joining = shared.joining.lock();
-        let mut joining = joining.unwrap_or_else(PoisonError::into_inner);
-        if !joining.iter().any(|(id, _)| *id == member) {
-            joining.push((member, address));
-        }
-        drop(joining);
-        shared.wake.notify_one();
+        shared.note_applicant(member, address);
+    }
+    let mut known = join::members(shared).await;
+    if known.is_empty() {
+        // No member itself: whom it has met may know more.
+        known = shared.addresses.all().into_iter().collect();
     }
-    let members = join::members(shared).await.into_iter();
-    let members = members.map(|(id, address)| (id, address.to_string()));
-    let members: Vec<(ControllerId, String)> = members.collect();
     if shared.asked_to_join(member, leads) {
         emit(&ControllerRecord::AskedToJoin {
             member: member.0,
             address: wire_address,
             noted: leads,
-            members: members.len(),
+            members: known.len(),
         });
     }
-    Message::Joined { leads, members }
+    let leader = shared.leader_address().map(|address| address.to_string());
+    let members = known.into_iter();
+    let members = members.map(|(id, address)| (id, address.to_string()));
+    Message::Joined {
+        leads,
+        leader,
+        members: members.collect(),
+    }
 }
 
 /// Whether this member feeds routers; waits a little for an election to end, so
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -2,20 +2,20 @@
 
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::{self, ControllerRecord};
-use crate::redundancy::{Redundancy, RedundancyWatch};
-use crate::steward::{GroupView, decide};
 use crate::{Shared, join, orders, placement_settings, quarantine, quota_settings};
-use courseshunt_consensus::MembershipChange;
+use courseshunt_consensus::{MembersView, MembershipChange};
+use courseshunt_membership::{GroupView, Redundancy, RedundancyWatch, decide};
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
     FeedMessage, InstanceView, PlacementEngine, QuarantineLedger, QuotaLedger,
 };
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, RunnerId, Timestamp};
+use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 /// Longest pause of the loop.
@@ -173,8 +173,7 @@
     });
     shared.sessions.broadcast(FeedMessage::NotLeader { leader });
     shared.sessions.clear();
-    let joining = shared.joining.lock();
-    joining.unwrap_or_else(PoisonError::into_inner).clear();
+    shared.applicants().clear();
 }
 
 async fn act(shared: &Arc<Shared>, leadership: &mut Leadership) {
@@ -406,15 +405,7 @@
     let all = members.membership.all().into_iter();
     let known = all.filter_map(|id| shared.addresses.get(id).map(|address| (id, address)));
     let addresses = known.collect();
-    let joining = {
-        let mut joining = shared
-            .joining
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let all = members.membership.all();
-        joining.retain(|(id, _)| !all.contains(id));
-        joining.clone()
-    };
+    let joining = applicants(shared, &members, now);
     let redundancy = Redundancy::of(shared.id, &members, joining.len());
     watch_redundancy(shared, leadership, redundancy, now);
     if leadership.changing.load(Ordering::Relaxed) {
@@ -439,6 +430,21 @@
     });
 }
 
+/// Processes to be taken in: those that asked, and those that live at a member's address
+/// under another identity, since nobody else may know a process whose disk is new.
+fn applicants(
+    shared: &Shared,
+    members: &MembersView,
+    now: Timestamp,
+) -> Vec<(ControllerId, SocketAddr)> {
+    let mut applicants = shared.applicants();
+    for (stranger, address) in shared.addresses.strangers() {
+        shared.addresses.set(stranger, address);
+        applicants.note(stranger, address, now);
+    }
+    applicants.present(&members.membership.all(), now)
+}
+
 /// Records and shows how many losses the group can bear.
 fn watch_redundancy(
     shared: &Shared,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -20,11 +20,9 @@
 mod orders;
 mod quarantine;
 mod records;
-pub mod redundancy;
 mod relay;
 mod sessions;
 mod snapshot;
-pub mod steward;
 pub mod taking;
 
 pub use error::CoordinatorError;
@@ -34,6 +32,7 @@
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_membership::{Applicants, Redundancy};
 use courseshunt_records::emit;
 use courseshunt_services::{
     FeedMessage, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings,
@@ -45,7 +44,6 @@
 use error::{BindSnafu, ReplicaSnafu};
 use metrics::{Metrics, Present};
 use records::ControllerRecord;
-use redundancy::Redundancy;
 use sessions::Sessions;
 use snafu::{OptionExt, ResultExt};
 use std::collections::BTreeMap;
@@ -84,7 +82,8 @@
     /// Whether this member leads and its engine knows what was committed, so
     /// that routers can be fed.
     pub(crate) feeding: watch::Sender<bool>,
-    pub(crate) joining: Mutex<Vec<(ControllerId, SocketAddr)>>,
+    /// Processes that want to join, while this member leads.
+    pub(crate) applicants: Mutex<Applicants>,
     /// Processes that asked here to join, with whether they were noted.
     asked_to_join: Mutex<BTreeMap<ControllerId, bool>>,
     /// How many losses the group can bear; known while this member leads.
@@ -122,6 +121,19 @@
         })
     }
 
+    /// Notes at the leader that a process wants to join.
+    pub(crate) fn note_applicant(&self, member: ControllerId, address: SocketAddr) {
+        let now = self.clock.now();
+        if self.applicants().note(member, address, now) {
+            self.wake.notify_one();
+        }
+    }
+
+    pub(crate) fn applicants(&self) -> MutexGuard<'_, Applicants> {
+        let applicants = self.applicants.lock();
+        applicants.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes how a process that asked to join was answered; returns whether that is new.
     pub(crate) fn asked_to_join(&self, member: ControllerId, noted: bool) -> bool {
         let asked = self.asked_to_join.lock();
@@ -244,7 +256,7 @@
             relay: relay::Relay::default(),
             wake: Notify::new(),
             feeding: watch::Sender::new(false),
-            joining: Mutex::default(),
+            applicants: Mutex::default(),
             asked_to_join: Mutex::default(),
             redundancy: Mutex::default(),
             stop: stop.clone(),
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and gauges of a controller.
 
-use crate::redundancy::Redundancy;
+use courseshunt_membership::Redundancy;
 use courseshunt_metrics::page_with_process;
 use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -1,10 +1,12 @@
 //! What a controller records: one line for each decision, and for each change
 //! of what it believes.
 
+use courseshunt_membership::JoinAnswer;
 use courseshunt_records::Record;
 use courseshunt_services::PlacementEvent;
 use courseshunt_types::ModelName;
 use serde::Serialize;
+use std::net::SocketAddr;
 
 /// See the module.
 #[derive(Debug, Serialize)]
@@ -151,19 +153,20 @@
     /// Its wire address, `ip:port`.
     pub(crate) address: String,
     /// What it answered.
-    pub(crate) answer: JoinAnswer,
+    pub(crate) answer: &'static str,
 }
 
-/// What was answered to a process that wants to join.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum JoinAnswer {
-    /// It leads and takes this one in.
-    Leads,
-    /// It does not lead.
-    Follows,
-    /// Nothing in time, or no connection.
-    NoAnswer,
+impl From<(SocketAddr, JoinAnswer)> for AskedMember {
+    fn from((address, answer): (SocketAddr, JoinAnswer)) -> Self {
+        Self {
+            address: address.to_string(),
+            answer: match answer {
+                JoinAnswer::Leads => "leads",
+                JoinAnswer::Follows => "follows",
+                JoinAnswer::NoAnswer => "no_answer",
+            },
+        }
+    }
 }
 
 /// The record of what the placement engine tells.
--- a/crates/coordinator/src/redundancy.rs
+++ b/crates/membership/src/redundancy.rs
@@ -3,8 +3,8 @@
 //! Invariant: a voter counts as live only if the leader has heard it lately, so that a
 //! group that is led but could not bear a loss is never told as whole.
 
-use crate::steward::{LIVE_WITHIN, MAX_VOTERS};
-use courseshunt_controller::MembersView;
+use crate::repair::{LIVE_WITHIN, MAX_VOTERS};
+use courseshunt_consensus::MembersView;
 use courseshunt_types::{ControllerId, Millis, Timestamp};
 use std::collections::BTreeSet;
 
--- a/crates/coordinator/src/steward.rs
+++ b/crates/membership/src/repair.rs
@@ -5,8 +5,7 @@
 //! for long while a learner stands ready; the number of voters never falls by
 //! a repair.
 
-use courseshunt_consensus::MembershipChange;
-use courseshunt_controller::MembersView;
+use courseshunt_consensus::{MembersView, MembershipChange};
 use courseshunt_types::{ControllerId, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/coordinator/tests/redundancy.rs
+++ b/crates/membership/tests/redundancy.rs
@@ -1,8 +1,7 @@
 //! How many losses a group can bear, in a table, and how long it has been less than whole.
 
-use courseshunt_consensus::{MemberProgress, Membership};
-use courseshunt_controller::MembersView;
-use courseshunt_coordinator::redundancy::{Redundancy, RedundancyWatch};
+use courseshunt_consensus::{MemberProgress, MembersView, Membership};
+use courseshunt_membership::{Redundancy, RedundancyWatch};
 use courseshunt_types::{ControllerId, LogIndex, Millis, Timestamp};
 
 const OWN: ControllerId = ControllerId(1);
--- a/crates/coordinator/tests/steward.rs
+++ b/crates/membership/tests/repair.rs
@@ -1,8 +1,7 @@
-//! The steward's decisions, in a table.
+//! The leader's decisions on the members, in a table.
 
-use courseshunt_consensus::{MemberProgress, Membership, MembershipChange};
-use courseshunt_controller::MembersView;
-use courseshunt_coordinator::steward::{GroupView, decide};
+use courseshunt_consensus::{MemberProgress, MembersView, Membership, MembershipChange};
+use courseshunt_membership::{GroupView, decide};
 use courseshunt_types::{ControllerId, LogIndex, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -240,10 +240,13 @@
         /// Its wire address, `ip:port`.
         wire_address: String,
     },
-    /// Answers [`Message::Join`]: the members of the group.
+    /// Answers [`Message::Join`]: the members of the group, or whomever a process that is
+    /// no member itself knows.
     Joined {
         /// Whether the sender leads and takes the member in.
         leads: bool,
+        /// The leader's wire address, as far as the sender knows.
+        leader: Option<String>,
         /// Members with their wire addresses.
         members: Vec<(ControllerId, String)>,
     },
