A learner that hears nobody names no leader

Cause: a learner stands for no election, and only an election forgot the last leader. One that was cut off until the leader had forgotten it (20 s) named that leader for ever and never asked to be taken in again. Ruled out: that the joining process was not let in: it did not ask. Change: a learner forgets its leader after an election timeout.

--- a/crates/consensus/src/core/election.rs
+++ b/crates/consensus/src/core/election.rs
@@ -60,6 +60,7 @@
     pub(super) fn tick_election(&mut self, now: Timestamp) {
         let membership = self.memberships.latest();
         if !membership.is_voter(self.settings.id) {
+            self.forget_silent_leader(now);
             return;
         }
         let alone = membership.voters.len() == 1 && membership.outgoing.is_empty();
@@ -69,6 +70,15 @@
         }
     }
 
+    /// A learner never stands for election: without this, one that was removed while it was
+    /// cut off would name its last leader for ever, and never ask to be taken in again.
+    fn forget_silent_leader(&mut self, now: Timestamp) {
+        let silent = now >= self.election_deadline;
+        if silent && !self.settings.lacks(Mutant::LearnerKeepsLeader) {
+            self.leader = None;
+        }
+    }
+
     fn try_out_election(&mut self, now: Timestamp) {
         self.draw_election_deadline(now);
         self.role = Role::PreCandidate;
--- a/crates/consensus/src/core/settings.rs
+++ b/crates/consensus/src/core/settings.rs
@@ -49,6 +49,8 @@
     VoteForStaleLog,
     /// Entries of earlier terms are committed by counting copies alone.
     CommitEarlierTerm,
+    /// A learner that hears nobody goes on naming its last leader.
+    LearnerKeepsLeader,
 }
 
 impl CoreSettings {
--- a/crates/consensus/tests/group/main.rs
+++ b/crates/consensus/tests/group/main.rs
@@ -143,6 +143,24 @@
     assert_eq!(group.core(leader).membership().voters.len(), 4);
 }
 
+/// A learner that was removed while it was cut off hears nobody after its return. It must
+/// not go on naming the leader that it heard last, or it never asks to be taken in again.
+#[test]
+fn a_learner_that_hears_nobody_names_no_leader() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.add_member(4);
+    group.change(leader, MembershipChange::AddLearner(ControllerId(4)));
+    group.run_for(1000);
+    assert_eq!(group.core(4).leader(), Some(ControllerId(leader)));
+    group.cut(4);
+    group.change(leader, MembershipChange::Remove(ControllerId(4)));
+    group.run_for(3000);
+    group.heal();
+    group.run_for(3000);
+    assert_eq!(group.core(4).leader(), None);
+}
+
 #[test]
 fn a_lost_voter_is_replaced_in_one_joint_change_and_a_second_loss_costs_nothing() {
     let mut group = Group::new(3);
