Repairs: a voter is not taken for lost by an earlier identity; all addresses are recorded

A new leader counted a learner that it had never heard as ready for the first 0.6 s, and a live voter as lost because that dead learner had once lived at its address; the promotion then held every other change up for 5 s. And a founder's address was in nobody's replicated state, so that a later leader could not find what lives there. Ruled out: time-outs of the promotion alone: it should never have been begun. Change: ready is who was heard; of two identities at an address the one heard last lives there; the leader records the address of every member; seeds are addresses of founders only where the disk founded the group. Figures: two rows of the decision table fail before.

--- a/crates/coordinator/src/identity.rs
+++ b/crates/coordinator/src/identity.rs
@@ -45,9 +45,6 @@
     let seeds = settings.seed_wire_addresses();
     let own = settings.wire_address();
     let founders: Vec<ControllerId> = seeds.iter().map(|seed| founder(*seed)).collect();
-    let mut known: Vec<(ControllerId, SocketAddr)> =
-        seeds.iter().map(|seed| (founder(*seed), *seed)).collect();
-    known.extend(read_members(&settings.data_folder));
     let stored = match std::fs::read_to_string(&path) {
         Ok(text) => text.trim().parse().ok().map(ControllerId),
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => None,
@@ -67,9 +64,16 @@
         let lines: Vec<String> = lines.collect();
         write_lines(&settings.data_folder, FOUNDERS, &lines)?;
     }
+    let founders = read_founders(&settings.data_folder);
+    let mut known = Vec::new();
+    if !founders.is_empty() {
+        // Elsewhere another process may live at a seed's address than a founder.
+        known.extend(seeds.iter().map(|seed| (founder(*seed), *seed)));
+    }
+    known.extend(read_members(&settings.data_folder));
     Ok(Identity {
         id,
-        founders: read_founders(&settings.data_folder),
+        founders,
         known,
     })
 }
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -4,7 +4,7 @@
 use crate::records::{self, ControllerRecord};
 use crate::{Shared, join, orders, placement_settings, quarantine, quota_settings};
 use courseshunt_consensus::{MembersView, MembershipChange};
-use courseshunt_membership::{GroupView, Redundancy, RedundancyWatch, decide};
+use courseshunt_membership::{GroupView, Redundancy, RedundancyWatch, decide, next_to_record};
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
@@ -404,7 +404,7 @@
     let members = shared.replica.members().await;
     let all = members.membership.all().into_iter();
     let known = all.filter_map(|id| shared.addresses.get(id).map(|address| (id, address)));
-    let addresses = known.collect();
+    let addresses: BTreeMap<ControllerId, SocketAddr> = known.collect();
     let joining = applicants(shared, &members, now);
     let redundancy = Redundancy::of(shared.id, &members, joining.len());
     watch_redundancy(shared, leadership, redundancy, now);
@@ -418,14 +418,21 @@
         joining: &joining,
         led_for: now.since(leadership.since),
     };
-    let Some(change) = decide(&view) else {
+    let change = decide(&view);
+    let unrecorded = unrecorded(shared, &members, &addresses);
+    if change.is_none() && unrecorded.is_none() {
         return;
-    };
+    }
     leadership.changing.store(true, Ordering::Relaxed);
     let shared = shared.clone();
     let changing = leadership.changing.clone();
     tokio::spawn(async move {
-        make_change(&shared, change).await;
+        if let Some((member, address)) = unrecorded {
+            record_address(&shared, member, address).await;
+        }
+        if let Some(change) = change {
+            make_change(&shared, change).await;
+        }
         changing.store(false, Ordering::Relaxed);
     });
 }
@@ -469,16 +476,35 @@
     });
 }
 
+/// A member whose address the replicated state lacks.
+fn unrecorded(
+    shared: &Shared,
+    members: &MembersView,
+    known: &BTreeMap<ControllerId, SocketAddr>,
+) -> Option<(ControllerId, SocketAddr)> {
+    let state = shared.replica.state();
+    let recorded = state.members.iter();
+    let recorded = recorded.filter_map(|(id, address)| Some((*id, address.parse().ok()?)));
+    next_to_record(&members.membership.all(), &recorded.collect(), known)
+}
+
+/// Has every member know where this one is.
+async fn record_address(shared: &Shared, member: ControllerId, address: SocketAddr) {
+    let wire_address = address.to_string();
+    let record = Command::RecordMember {
+        member,
+        wire_address,
+    };
+    if let Err(error) = shared.replica.submit_as_leader(record).await {
+        log::warn!("coordinator: record the address of controller {member}: {error}");
+    }
+}
+
 async fn make_change(shared: &Arc<Shared>, change: MembershipChange) {
     if let MembershipChange::AddLearner(member) = change
         && let Some(address) = shared.addresses.get(member)
     {
-        let wire_address = address.to_string();
-        let record = Command::RecordMember {
-            member,
-            wire_address,
-        };
-        let _ = shared.replica.submit_as_leader(record).await;
+        record_address(shared, member, address).await;
     }
     let changed = shared.replica.change_membership_here(change).await;
     emit(&ControllerRecord::Membership {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -28,11 +28,11 @@
 pub use error::CoordinatorError;
 pub use interface::{ControlCall, ControlInterface, InstanceCall};
 
-use courseshunt_consensus::{CoreSettings, Membership};
+use courseshunt_consensus::Membership;
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
 use courseshunt_http::{HttpClient, ServerLimits};
-use courseshunt_membership::{Applicants, Redundancy};
+use courseshunt_membership::{Applicants, Redundancy, core_settings};
 use courseshunt_records::emit;
 use courseshunt_services::{
     FeedMessage, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings,
@@ -52,14 +52,8 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-/// Time between the leader's heartbeats to the other members.
-const HEARTBEAT_INTERVAL: Millis = Millis(80);
-/// Shortest election timeout; the longest is twice as long.
-const ELECTION_TIMEOUT: Millis = Millis(400);
 /// Entries and bytes after which a snapshot is taken: documents are large.
 const SNAPSHOT_AFTER: (usize, usize) = (256, 2 * 1024 * 1024);
-/// Entries before a snapshot that stay in memory.
-const ENTRIES_KEPT: u64 = 8;
 
 /// Processes whose wish to join is remembered, so that each is recorded once.
 const MAX_ASKED_TO_JOIN: usize = 256;
@@ -316,15 +310,7 @@
         id: identity.id,
         data_folder: settings.data_folder.clone(),
         bootstrap: Membership::of_voters(identity.founders.iter().copied()),
-        core: CoreSettings {
-            heartbeat_interval: HEARTBEAT_INTERVAL,
-            election_timeout: ELECTION_TIMEOUT,
-            // Reads are rare here; a fast election after a total loss is worth more.
-            lease_reads: false,
-            entries_kept_after_snapshot: ENTRIES_KEPT,
-            catch_up_timeout: Millis::from_secs(5),
-            ..CoreSettings::for_member(identity.id)
-        },
+        core: core_settings(identity.id),
         snapshot_after: SNAPSHOT_AFTER,
     }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,8 +10,10 @@
 mod joiner;
 mod redundancy;
 mod repair;
+mod settings;
 
 pub use applicants::Applicants;
 pub use joiner::{JoinAnswer, JoinReply, JoinWay, Joiner, JoinerView};
 pub use redundancy::{Redundancy, RedundancyWatch};
-pub use repair::{GroupView, decide};
+pub use repair::{GroupView, decide, next_to_record};
+pub use settings::core_settings;
--- a/crates/membership/src/repair.rs
+++ b/crates/membership/src/repair.rs
@@ -7,7 +7,7 @@
 
 use courseshunt_consensus::{MembersView, MembershipChange};
 use courseshunt_types::{ControllerId, Millis};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Voters at the most; further members listen and stand ready.
@@ -38,13 +38,30 @@
     /// Time since a member was last heard; one never heard counts from the
     /// beginning of the leadership.
     fn silence(&self, member: ControllerId) -> Millis {
+        self.heard(member).unwrap_or(self.led_for)
+    }
+
+    /// Time since a member was last heard in this leadership, if it was.
+    fn heard(&self, member: ControllerId) -> Option<Millis> {
         if member == self.own {
-            return Millis(0);
+            return Some(Millis(0));
         }
         let progress = self.members.progress.iter();
         let known = progress.filter(|one| one.member == member);
-        let silent = known.filter_map(|one| one.silent_for).min();
-        silent.unwrap_or(self.led_for)
+        known.filter_map(|one| one.silent_for).min()
+    }
+
+    /// Whether a learner is there now. Without having been heard it is not, however short
+    /// the leadership: it would hold every other change up until it is given up.
+    fn is_ready(&self, learner: ControllerId) -> bool {
+        let heard = self.heard(learner);
+        heard.is_some_and(|heard| heard < LIVE_WITHIN)
+    }
+
+    /// Whether the learner now lives where the voter did: of two identities at an address
+    /// the one that was heard last.
+    fn has_place_of(&self, learner: ControllerId, voter: ControllerId) -> bool {
+        self.shares_address(voter, learner) && self.silence(voter) >= self.silence(learner)
     }
 
     fn shares_address(&self, left: ControllerId, right: ControllerId) -> bool {
@@ -66,9 +83,7 @@
         return Some(MembershipChange::AddLearner(*id));
     }
     let mut learners = membership.learners.iter().copied();
-    let ready = learners
-        .clone()
-        .filter(|id| view.silence(*id) < LIVE_WITHIN);
+    let ready = learners.clone().filter(|id| view.is_ready(*id));
     for learner in ready {
         if let Some(change) = place_for(view, learner) {
             return Some(change);
@@ -78,11 +93,25 @@
     forgotten.map(MembershipChange::Remove)
 }
 
+/// A member whose address the replicated state lacks, with the address that the leader
+/// knows. Without it a later leader may not know where that member is, and finds neither
+/// it nor a process that comes in its place.
+#[must_use]
+pub fn next_to_record(
+    members: &BTreeSet<ControllerId>,
+    recorded: &BTreeMap<ControllerId, SocketAddr>,
+    known: &BTreeMap<ControllerId, SocketAddr>,
+) -> Option<(ControllerId, SocketAddr)> {
+    let unrecorded = members.iter().filter(|id| !recorded.contains_key(id));
+    let mut found = unrecorded.filter_map(|id| Some((*id, *known.get(id)?)));
+    found.next()
+}
+
 /// What becomes of a learner that stands ready.
 fn place_for(view: &GroupView<'_>, learner: ControllerId) -> Option<MembershipChange> {
     let voters = &view.members.membership.voters;
     let others = voters.iter().copied().filter(|id| *id != view.own);
-    let wiped = others.clone().find(|id| view.shares_address(*id, learner));
+    let wiped = others.clone().find(|id| view.has_place_of(learner, *id));
     if let Some(lost) = wiped {
         return Some(MembershipChange::Replace { lost, learner });
     }
--- a/crates/membership/tests/repair.rs
+++ b/crates/membership/tests/repair.rs
@@ -14,6 +14,8 @@
     learners: &'static [u64],
     /// Members with the time since they were heard; others were just heard.
     silent: &'static [(u64, u64)],
+    /// Members that this leader has never heard, a moment after its election.
+    unheard: &'static [u64],
     /// Members at another member's address.
     at: &'static [(u64, u64)],
     joining: &'static [u64],
@@ -26,6 +28,7 @@
     voters: &[1, 2, 3, 4, 5],
     learners: &[],
     silent: &[],
+    unheard: &[],
     at: &[],
     joining: &[],
     settled: true,
@@ -47,7 +50,8 @@
         MemberProgress {
             member: id(*one),
             matched: LogIndex(9),
-            silent_for: Some(Millis(silent.map_or(10, |(_, silent)| *silent))),
+            silent_for: Some(Millis(silent.map_or(10, |(_, silent)| *silent)))
+                .filter(|_| !case.unheard.contains(one)),
         }
     });
     let members = MembersView {
@@ -74,7 +78,10 @@
         members: &members,
         addresses: &addresses,
         joining: &joining,
-        led_for: Millis(60_000),
+        led_for: match case.unheard.is_empty() {
+            true => Millis(60_000),
+            false => Millis(100),
+        },
     })
 }
 
@@ -112,6 +119,20 @@
             expected: Some(MembershipChange::Promote(id(6))),
             ..CALM
         },
+        Case {
+            name: "a learner that a new leader has not heard yet does not stand ready",
+            voters: &[1, 2, 3],
+            learners: &[6],
+            unheard: &[6],
+            ..CALM
+        },
+        Case {
+            name: "a voter that is heard keeps its place, whoever lived at its address before",
+            learners: &[6],
+            silent: &[(6, 300)],
+            at: &[(6, 3)],
+            ..CALM
+        },
         Case {
             name: "a silent learner is not promoted",
             voters: &[1, 2, 3],
