The group that repairs itself is simulated with the code that ships

Change: machines with addresses, disks that are lost, settings that lag or name dead machines, all through the crate membership; checked: every process is a member and the group whole 4.5 s after each loss, led again within 3 s after the closing loss.

--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -35,6 +35,10 @@
     Recovers,
     /// A member opens what it has stored.
     StoreOpens,
+    /// A process that reaches a process of the group becomes a member in time.
+    TakenIn,
+    /// After a loss the group has as many live voters as before, in time.
+    WholeAgain,
 }
 
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,6 +8,7 @@
 mod clients;
 pub mod disk;
 mod faults;
+mod group;
 pub mod measure;
 mod node;
 mod random;
@@ -15,5 +16,6 @@
 mod world;
 
 pub use checker::{Promise, Violation};
+pub use group::{GroupOptions, GroupReport, Way, run_group};
 pub use random::Random;
 pub use world::{Options, Report, Sabotage, run};
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -5,12 +5,12 @@
 use crate::disk::SimulatedDisk;
 use crate::random::Random;
 use courseshunt_consensus::{
-    ConsensusMessage, Core, CoreSettings, Entry, HardState, Input, Membership, Mutant, Output,
-    Payload, PersistNumber, ProposalId, ReadId, Role, SnapshotMetadata,
+    ConsensusMessage, Core, CoreSettings, Entry, HardState, Input, Membership, Output, Payload,
+    PersistNumber, ProposalId, ReadId, Role, SnapshotMetadata,
 };
 use courseshunt_state::{CommandEnvelope, CommandReply, ReplicatedState};
 use courseshunt_storage::{LogStore, SegmentLog, StorageError};
-use courseshunt_types::{ControllerId, LogIndex, Millis, Revision, Term, Timestamp};
+use courseshunt_types::{ControllerId, LogIndex, Revision, Term, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Applied entries after which a snapshot is taken.
@@ -73,8 +73,7 @@
     pub(crate) clock_per_mille: u64,
     /// Longest sync, in milliseconds.
     pub(crate) sync_millis: u64,
-    pub(crate) lease_reads: bool,
-    pub(crate) mutant: Option<Mutant>,
+    pub(crate) settings: CoreSettings,
     pub(crate) bootstrap: Membership,
 }
 
@@ -128,13 +127,7 @@
         };
         let settings = CoreSettings {
             seed,
-            max_entries_per_append: 8,
-            max_entries_in_flight: 32,
-            entries_kept_after_snapshot: 5,
-            catch_up_timeout: Millis::from_secs(10),
-            lease_reads: self.lease_reads,
-            mutant: self.mutant,
-            ..CoreSettings::for_member(self.id)
+            ..self.settings
         };
         let snapshot = recovered.core.snapshot.clone();
         let bootstrap = self.bootstrap.clone();
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -3,11 +3,12 @@
 use crate::checker::{Checker, Promise, Violation};
 use crate::clients::{Client, Request};
 use crate::disk::SimulatedDisk;
+use crate::group::{Group, GroupEvent};
 use crate::node::{Answer, Effect, Node, Origin, Process, WriterTurn};
 use crate::random::Random;
 use crate::steward::Steward;
-use courseshunt_consensus::{ConsensusMessage, Input, Membership, Mutant, Role};
-use courseshunt_types::{ControllerId, Term};
+use courseshunt_consensus::{ConsensusMessage, CoreSettings, Input, Membership, Mutant, Role};
+use courseshunt_types::{ControllerId, Millis, Term};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between ticks of a member, in milliseconds.
@@ -91,6 +92,7 @@
     SpaceAgain(ControllerId),
     FastDisk(ControllerId),
     CalmNetwork,
+    Group(GroupEvent),
 }
 
 /// Properties of the network.
@@ -126,6 +128,9 @@
     sabotage: Option<Sabotage>,
     pub(crate) faults: usize,
     pub(crate) elections: Vec<(u64, ControllerId, Term)>,
+    /// Machines, addresses and joining, in runs of a group that repairs itself.
+    pub(crate) group: Option<Group>,
+    pub(crate) last_proposal: u64,
 }
 
 /// Runs one seed.
@@ -151,14 +156,24 @@
 
 impl World {
     pub(crate) fn new(options: Options) -> Self {
-        let mut random = Random::new(options.seed);
-        let voters = if random.chance(700) { 3 } else { 5 };
-        let mut world = Self {
+        let mut world = Self::empty(options);
+        let voters = if world.random.chance(700) { 3 } else { 5 };
+        let ids: Vec<ControllerId> = (1..=voters).map(ControllerId).collect();
+        for id in &ids {
+            world.add_node(*id, Membership::of_voters(ids.clone()));
+        }
+        world.add_clients();
+        world
+    }
+
+    /// A world without members and clients.
+    pub(crate) fn empty(options: Options) -> Self {
+        Self {
             now: 0,
             faults_until: options.faults_millis,
             events: BTreeMap::new(),
             last_event: 0,
-            random,
+            random: Random::new(options.seed),
             nodes: BTreeMap::new(),
             blocked: BTreeSet::new(),
             quality: NetworkQuality::CALM,
@@ -169,17 +184,17 @@
             lease_reads: options.lease_reads,
             faults: 0,
             elections: Vec::new(),
-        };
-        let ids: Vec<ControllerId> = (1..=voters).map(ControllerId).collect();
-        for id in &ids {
-            world.add_node(*id, Membership::of_voters(ids.clone()));
+            group: None,
+            last_proposal: 0,
         }
+    }
+
+    pub(crate) fn add_clients(&mut self) {
         for number in 0..CLIENTS {
-            world.clients.push(Client::new(number));
-            let at = 1500 + world.random.below(1000);
-            world.wake_client(number, at);
+            self.clients.push(Client::new(number));
+            let at = 1500 + self.random.below(1000);
+            self.wake_client(number, at);
         }
-        world
     }
 
     /// Adds a member with an empty disk and starts it.
@@ -205,8 +220,7 @@
                 lost: false,
                 clock_per_mille,
                 sync_millis: 6,
-                lease_reads: self.lease_reads,
-                mutant,
+                settings: self.core_settings(id, mutant),
                 bootstrap,
             },
         );
@@ -215,6 +229,24 @@
         self.schedule(first_tick, Event::Tick(id));
     }
 
+    fn core_settings(&self, id: ControllerId, mutant: Option<Mutant>) -> CoreSettings {
+        let own = match &self.group {
+            Some(_) => courseshunt_membership::core_settings(id),
+            None => CoreSettings {
+                entries_kept_after_snapshot: 5,
+                catch_up_timeout: Millis::from_secs(10),
+                lease_reads: self.lease_reads,
+                ..CoreSettings::for_member(id)
+            },
+        };
+        CoreSettings {
+            max_entries_per_append: 8,
+            max_entries_in_flight: 32,
+            mutant,
+            ..own
+        }
+    }
+
     pub(crate) fn start_node(&mut self, id: ControllerId) {
         let seed = self.random.below(u64::MAX);
         let now = self.now;
@@ -223,6 +255,7 @@
             && node.running.is_none()
         {
             node.start(now, seed, &mut self.checker);
+            self.person_starts(id);
         }
     }
 
@@ -255,7 +288,7 @@
                 self.schedule(TICK, Event::Tick(id));
             }
             Event::Deliver(from, to, message) => {
-                if !self.blocked.contains(&(from, to)) {
+                if !self.blocked.contains(&(from, to)) && self.reaches(from, to) {
                     self.with_process(to, |process, now, checker| {
                         process.step(Input::Receive { from, message }, now, checker);
                     });
@@ -280,6 +313,7 @@
                 }
             }
             Event::CalmNetwork => self.quality = NetworkQuality::CALM,
+            Event::Group(event) => self.group_event(event),
         }
     }
 
@@ -386,7 +420,7 @@
         }
     }
 
-    fn check_recovery(&mut self) {
+    pub(crate) fn check_recovery(&mut self) {
         if self.checker.violation().is_some() {
             return;
         }
