--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -87,8 +87,18 @@
     async fn run(self, mut messages: mpsc::Receiver<Message>) {
         let mut reachable = true;
         let mut limit = DialLimit::growing_to(LONGEST_DIAL);
+        let mut first = None;
         loop {
-            let ended = self.connect_and_serve(&mut messages, &mut limit).await;
+            if first.is_none() {
+                // Dialled only for a message: a member that is gone gets none, and its
+                // address would be dialled for ever.
+                first = messages.recv().await;
+            }
+            if first.is_none() {
+                return;
+            }
+            let serving = self.connect_and_serve(&mut first, &mut messages, &mut limit);
+            let ended = serving.await;
             if let Err(error) = ended {
                 if reachable {
                     log::warn!("peers: controller {}: {error}", self.to);
@@ -106,12 +116,14 @@
                 continue;
             }
             // What waited meanwhile is out of date; its senders repeat it.
+            first = None;
             while messages.try_recv().is_ok() {}
         }
     }
 
     async fn connect_and_serve(
         &self,
+        first: &mut Option<Message>,
         messages: &mut mpsc::Receiver<Message>,
         limit: &mut DialLimit,
     ) -> Result<(), WireError> {
@@ -138,7 +150,7 @@
             sender, receiver, ..
         } = connection;
         tokio::select! {
-            ended = send_all(sender, messages) => ended,
+            ended = send_all(sender, first.take(), messages) => ended,
             ended = self.receive_all(receiver) => ended,
         }
     }
@@ -187,8 +199,12 @@
 
 async fn send_all(
     mut sender: Sender,
+    first: Option<Message>,
     messages: &mut mpsc::Receiver<Message>,
 ) -> Result<(), WireError> {
+    if let Some(first) = first {
+        sender.send(&first).await?;
+    }
     while let Some(message) = messages.recv().await {
         sender.send(&message).await?;
     }
--- a/crates/controller/tests/peer_links.rs
+++ b/crates/controller/tests/peer_links.rs
@@ -48,3 +48,34 @@
     assert_eq!(received.expect("what waited"), message);
     drop(hanging);
 }
+
+/// A voter that was replaced gets no more messages. Its address must not be dialled on and
+/// on: another process may live there, and each try costs both sides a handshake.
+#[tokio::test]
+async fn a_member_that_gets_no_messages_is_not_dialled() {
+    let key = ClusterKey::new(b"a key of sixteen bytes or more").expect("a key");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addresses = AddressBook::default();
+    addresses.set(OTHER, listener.local_addr().expect("an address"));
+    let network = PeerNetwork::new(OWN, key, addresses, CancellationToken::new());
+    let message = Message::Confirmed {
+        revision: Revision(7),
+    };
+    network.send(OTHER, message);
+    let (closed, _) = listener.accept().await.expect("a try for the message");
+    drop(closed);
+    let again = tokio::time::timeout(Duration::from_millis(500), listener.accept()).await;
+    assert!(again.is_err(), "dialled without a message");
+}
+
+#[test]
+fn a_stranger_is_told_once() {
+    let addresses = AddressBook::default();
+    let place = "127.0.0.1:7000".parse().expect("an address");
+    let met: Vec<bool> = [OTHER, OTHER, ControllerId(3), ControllerId(3)]
+        .into_iter()
+        .map(|stranger| addresses.met_stranger(place, stranger))
+        .collect();
+    assert_eq!(met, [true, false, true, false]);
+    assert_eq!(addresses.strangers(), [(ControllerId(3), place)]);
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,7 @@
 //! Follows the leader's feed and reports to it.
 
 use crate::Shared;
+use crate::directory::Directory;
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
@@ -9,7 +10,6 @@
     ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
     connect_within,
 };
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,52 +25,28 @@
 /// Pause after all known controllers were tried.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
 
-/// What the feed knows of the controllers.
-struct Directory {
-    seeds: Vec<SocketAddr>,
-    members: Vec<SocketAddr>,
-    /// Told to lead; tried first.
-    leader: Option<SocketAddr>,
-    limit: DialLimit,
-}
-
-impl Directory {
-    fn candidates(&self) -> VecDeque<SocketAddr> {
-        let mut candidates: VecDeque<SocketAddr> = self.leader.into_iter().collect();
-        for address in self.members.iter().chain(&self.seeds) {
-            if !candidates.contains(address) {
-                candidates.push_back(*address);
-            }
-        }
-        candidates
-    }
-}
-
 /// Runs until the process ends.
 pub(crate) async fn follow(shared: Arc<Shared>, key: ClusterKey) {
-    let mut directory = Directory {
-        seeds: Vec::new(),
-        members: Vec::new(),
-        leader: None,
-        limit: DialLimit::growing_to(LONGEST_DIAL),
-    };
+    let mut directory = Directory::default();
+    let mut limit = DialLimit::growing_to(LONGEST_DIAL);
     loop {
-        directory.seeds = shared.seeds.addresses();
+        directory.set_seeds(shared.seeds.addresses());
         let mut candidates = directory.candidates();
         while let Some(address) = candidates.pop_front() {
-            directory.leader = None;
-            let ended = follow_one(address, &shared, &key, &mut directory).await;
+            directory.set_leader(None);
+            let following = follow_one(address, &shared, &key, &mut directory, &mut limit);
+            let ended = following.await;
             if let Err(error) = ended {
                 log::debug!("feed: {error}");
             }
-            if let Some(leader) = directory.leader {
+            if let Some(leader) = directory.leader() {
                 candidates.retain(|one| *one != leader);
                 if leader != address {
                     candidates.push_front(leader);
                 }
             }
         }
-        directory.limit.timed_out();
+        limit.timed_out();
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
@@ -80,12 +56,12 @@
     shared: &Arc<Shared>,
     key: &ClusterKey,
     directory: &mut Directory,
+    limit: &mut DialLimit,
 ) -> Result<(), WireError> {
     let name = RouterId::from(shared.settings.name.as_str());
     let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
     let source = Some(shared.settings.address);
-    let limit = directory.limit.present();
-    let connected = connect_within(limit, source, address, key, &identity).await;
+    let connected = connect_within(limit.present(), source, address, key, &identity).await;
     let Connection {
         mut sender,
         receiver,
@@ -97,7 +73,7 @@
     sender.send(&Message::ServiceReport(subscribe)).await?;
     shared.quarantine.begin_leader();
     let ended = tokio::select! {
-        ended = receive_all(receiver, address, shared, directory) => ended,
+        ended = receive_all(receiver, address, shared, directory, limit) => ended,
         ended = report_all(sender, shared) => ended,
     };
     shared.quotas.disconnected();
@@ -116,6 +92,7 @@
     address: SocketAddr,
     shared: &Shared,
     directory: &mut Directory,
+    limit: &mut DialLimit,
 ) -> Result<(), WireError> {
     let mut connected = false;
     loop {
@@ -140,12 +117,12 @@
         }
         match message {
             FeedMessage::NotLeader { leader } => {
-                directory.leader = leader.and_then(|leader| leader.parse().ok());
+                directory.set_leader(leader.and_then(|leader| leader.parse().ok()));
                 return Ok(());
             }
             FeedMessage::Members(members) => {
                 let members = members.iter().filter_map(|one| one.parse().ok());
-                directory.members = members.collect();
+                directory.set_members(members.collect());
             }
             FeedMessage::Configuration {
                 number,
@@ -164,7 +141,7 @@
             other => {
                 if !connected {
                     connected = true;
-                    directory.limit.succeeded();
+                    limit.succeeded();
                     emit(&RouterRecord::FeedRegained {
                         leader: &address.to_string(),
                     });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod attempt;
+pub mod directory;
 mod error;
 mod feed;
 mod flight;
