A controller whose store fails for good ends; what no message can carry is refused

Cause: read in the code. A failed store ended the replica and not the process, which went on taking registrations as a controller without a replica until somebody killed it. And documents up to 32 MiB were taken, though messages over 16 MiB can't be encoded: the leader appends one, sends it to nobody, heartbeats go on, and nothing is committed again. Ruled out: that a batch adds to it: a longer entry goes alone. Change: the failure is told to whoever runs the replica, recorded, and the process ends with exit code 1 and the reason; the longest command follows from the longest message and is refused at each member (413 for deployments, 400 for a configuration's body).

--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -21,7 +21,13 @@
     logging::start(&settings.logging);
     block_on(async {
         let controller = Controller::start(settings).await?;
-        stop_signal().await?;
+        tokio::select! {
+            signal = stop_signal() => signal?,
+            problem = controller.failed() => {
+                let problem = problem.to_string();
+                return Err(CommandError::ReplicaEnded { problem });
+            }
+        }
         controller.stop().await;
         Ok(())
     })
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -45,6 +45,12 @@
         /// The cause.
         source: ControllerError,
     },
+    /// The controller's replica has ended by itself, as when its store fails for good.
+    #[snafu(display("controller: {problem}"))]
+    ReplicaEnded {
+        /// Why.
+        problem: String,
+    },
     /// The router can't start.
     #[snafu(display("{source}"), context(false))]
     Router {
--- a/crates/controller/src/admin/changes.rs
+++ b/crates/controller/src/admin/changes.rs
@@ -133,6 +133,9 @@
         return failure(StatusCode::SERVICE_UNAVAILABLE, "undecided", message);
     }
     let message = error.to_string();
+    if matches!(error, ProposeError::TooLong { .. }) {
+        return failure(StatusCode::PAYLOAD_TOO_LARGE, "too_long", &message);
+    }
     failure(StatusCode::SERVICE_UNAVAILABLE, "not_accepted", &message)
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -151,6 +151,11 @@
         &self.context
     }
 
+    /// Waits until the replica ends by itself, and tells why; the process has to end.
+    pub async fn failed(&self) -> Arc<str> {
+        self.context.replica.failed().await
+    }
+
     /// Stops as planned.
     pub async fn stop(self) {
         // The hand-over of the leadership needs the connections to the others.
--- a/crates/controller/src/peers/mod.rs
+++ b/crates/controller/src/peers/mod.rs
@@ -15,7 +15,7 @@
 
 use courseshunt_consensus::MembershipChange;
 use courseshunt_queue::DemandReport;
-use courseshunt_state::{CommandEnvelope, CommandReply};
+use courseshunt_state::CommandReply;
 use courseshunt_types::{ControllerId, GroupId, LogIndex, RouterId};
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{ClusterKey, Message, PeerIdentity};
@@ -115,13 +115,8 @@
         replied.ok()?.ok()
     }
 
-    /// Has another member commit a command; `None` when that is not known.
-    pub async fn forward(
-        &self,
-        to: ControllerId,
-        envelope: &CommandEnvelope,
-    ) -> Option<CommandReply> {
-        let envelope = envelope.to_payload();
+    /// Has another member commit an encoded command; `None` when that is not known.
+    pub async fn forward(&self, to: ControllerId, envelope: Vec<u8>) -> Option<CommandReply> {
         let reply = self.call(to, CALL_TIMEOUT, |call| Message::Forward {
             call,
             group: GROUP,
--- a/crates/controller/src/replica/actor.rs
+++ b/crates/controller/src/replica/actor.rs
@@ -116,7 +116,7 @@
     ) -> Result<(), ActorProcessingErr> {
         if let Err(error) = receive(driver, message) {
             log::error!("replica: stopped: {error}");
-            driver.stopped();
+            driver.stopped(&error);
             myself.stop(None);
         }
         Ok(())
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -1,7 +1,7 @@
 //! Carries out the consensus core's outputs.
 
 use super::actor::{ReplicaMessage, Reply};
-use super::handle::{ProposeError, ReplicaStatus, SharedState};
+use super::handle::{ProposeError, ReplicaStatus, SharedState, check_length};
 use super::snapshots::Snapshots;
 use super::writer::{self, WriteRequest};
 use crate::error::ControllerError;
@@ -111,11 +111,15 @@
             let _ = reply.send(Err(ProposeError::StoreUnavailable));
             return Ok(());
         }
+        envelope.proposed_at = UnixMillis::now();
+        let command = envelope.to_payload();
+        if let Err(error) = check_length(&command) {
+            let _ = reply.send(Err(error));
+            return Ok(());
+        }
         let proposal = ProposalId(self.next_number());
         self.proposals
             .insert(proposal, ProposalReply::Command(reply));
-        envelope.proposed_at = UnixMillis::now();
-        let command = envelope.to_payload();
         self.step(Input::Propose { proposal, command })
     }
 
@@ -145,9 +149,10 @@
     }
 
     /// The store failed: nobody may believe that this member still serves.
-    pub(super) fn stopped(&mut self) {
+    pub(super) fn stopped(&mut self, problem: &ControllerError) {
         self.refuse_all();
         self.status.send_modify(|status| {
+            status.failure = Some(problem.to_string().into());
             status.role = Role::Learner;
             status.leader = None;
         });
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -11,6 +11,7 @@
 use courseshunt_types::{
     ClientId, ClientSequence, ControllerId, LogIndex, Millis, Revision, Term, Timestamp, UnixMillis,
 };
+use courseshunt_wire::MAX_COMMAND_BYTES;
 use ractor::ActorRef;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
@@ -42,6 +43,14 @@
     /// The store refuses writes, such as on a full disk; nothing was taken in.
     #[snafu(display("replica: the store refuses writes, its disk is full"))]
     StoreUnavailable,
+    /// The command is longer than any message may be; nothing was taken in.
+    #[snafu(display("replica: a command of {bytes} bytes is too long, {most} are allowed"))]
+    TooLong {
+        /// Its length.
+        bytes: usize,
+        /// Longest command, in bytes.
+        most: usize,
+    },
     /// The replica has stopped.
     #[snafu(display("replica: stopped"))]
     Stopped,
@@ -73,6 +82,8 @@
     pub applied: LogIndex,
     /// Revision of the configuration.
     pub revision: Revision,
+    /// Why the replica has ended by itself, if it has.
+    pub failure: Option<Arc<str>>,
 }
 
 impl ReplicaStatus {
@@ -142,7 +153,9 @@
         let leader = self.status.borrow().leader;
         match leader {
             Some(leader) => {
-                let forwarded = self.peers.forward(leader, envelope).await;
+                let payload = envelope.to_payload();
+                check_length(&payload)?;
+                let forwarded = self.peers.forward(leader, payload).await;
                 forwarded.ok_or(ProposeError::Undecided)
             }
             None => Err(ProposeError::NotLeader { leader: None }),
@@ -290,6 +303,21 @@
         self.status.clone()
     }
 
+    /// Waits until the replica ends by itself, as when its store fails for good, and tells
+    /// why. The process serves nobody from then on and has to end.
+    pub fn failed(&self) -> impl Future<Output = Arc<str>> + Send + use<> {
+        let mut status = self.status.clone();
+        async move {
+            let failed = status.wait_for(|status| status.failure.is_some()).await;
+            let failure = failed.ok().and_then(|status| status.failure.clone());
+            match failure {
+                Some(failure) => failure,
+                // Stopped as planned.
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Whether this member leads.
     #[must_use]
     pub fn leads(&self) -> bool {
@@ -324,6 +352,17 @@
     }
 }
 
+/// Refuses a command that no message between members can carry.
+pub(super) fn check_length(payload: &[u8]) -> Result<(), ProposeError> {
+    match payload.len() > MAX_COMMAND_BYTES {
+        true => Err(ProposeError::TooLong {
+            bytes: payload.len(),
+            most: MAX_COMMAND_BYTES,
+        }),
+        false => Ok(()),
+    }
+}
+
 /// An envelope that the session names when it is sent.
 fn unnamed(command: Command) -> CommandEnvelope {
     CommandEnvelope {
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -106,6 +106,7 @@
         leader: None,
         applied,
         revision,
+        failure: None,
     });
     let quorum_contact = Arc::new(AtomicU64::new(NO_CONTACT));
     let arguments = DriverArguments {
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -20,7 +20,7 @@
 pub struct Api {
     pub controller: Controller,
     client: HttpClient,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 fn write(folder: &Path, name: &str, content: &str) -> String {
@@ -66,10 +66,15 @@
         Self {
             controller,
             client: HttpClient::default(),
-            _folder: folder,
+            folder,
         }
     }
 
+    /// Where its log lies.
+    pub fn data_folder(&self) -> std::path::PathBuf {
+        self.folder.path().join("data")
+    }
+
     pub fn leads(&self) -> bool {
         self.controller.context().replica.leads()
     }
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -11,6 +11,7 @@
 use courseshunt_services::{InstanceState, Registration, judge};
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
+use courseshunt_wire::MAX_COMMAND_BYTES;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -20,7 +21,9 @@
 use std::time::Duration;
 
 /// Longest document of an operator, in bytes.
-const MAX_DOCUMENT_BYTES: usize = 32 * 1024 * 1024;
+const MAX_DOCUMENT_BYTES: usize = MAX_COMMAND_BYTES - ENVELOPE_BYTES;
+/// Room for what goes with a document in its command, in bytes.
+const ENVELOPE_BYTES: usize = 1024;
 /// Longest registration, in bytes.
 const MAX_REGISTRATION_BYTES: usize = 256 * 1024;
 /// Longest wait for a commit that an instance waits for.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -297,6 +297,14 @@
         emit(&ControllerRecord::Reloaded { seeds });
     }
 
+    /// Waits until the replica ends by itself, and tells why: the process has to end, so that
+    /// whoever runs it starts it again.
+    pub async fn failed(&self) -> Arc<str> {
+        let problem = self.shared.replica.failed().await;
+        emit(&ControllerRecord::Failed { problem: &problem });
+        problem
+    }
+
     /// Stops as planned: hands the leadership over first.
     pub async fn stop(self) {
         self.shared.replica.stop().await;
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -19,6 +19,8 @@
         member: u64,
         founds: bool,
     },
+    /// Its replica has ended by itself; the process ends.
+    Failed { problem: &'a str },
     /// It has stopped as planned.
     Stopped,
     /// Settings were read again.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,6 +8,9 @@
 pub const PROTOCOL_VERSION: u8 = 4;
 /// Longest content of a frame, in bytes, packed or not.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// Longest command of the replicated log, in bytes: an entry that fits no message would be
+/// appended by the leader and reach nobody. The rest is for what goes with it.
+pub const MAX_COMMAND_BYTES: usize = MAX_FRAME_BYTES - 64 * 1024;
 /// Bytes before the content.
 pub(crate) const HEADER_BYTES: usize = 9;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use dial_limit::DialLimit;
 pub use error::WireError;
-pub use frame::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+pub use frame::{Frame, MAX_COMMAND_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
 pub use parts::DOCUMENTS_PER_PART;
