courseshunt status tells in one line what the control group can bear

Cause: the overview named the leader and nothing of its voters. Change: voters, live voters and losses that can be borne, from the leader's look.

--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -13,6 +13,7 @@
 #[must_use]
 pub fn render(overview: &Overview, all: bool) -> String {
     let mut text = head(overview);
+    text.push_str(&control_group(overview));
     text.push_str(&fleet(overview));
     text.push_str(&lagging(&overview.routers));
     text.push_str(&deployments(&overview.deployments, all));
@@ -30,6 +31,21 @@
     )
 }
 
+fn control_group(overview: &Overview) -> String {
+    let Some(group) = overview.control_group else {
+        return "voters      the leader knows\n".to_owned();
+    };
+    let bears = match group.bearable_losses {
+        0 => "BEARS NO LOSS".to_owned(),
+        1 => "bears 1 loss".to_owned(),
+        more => format!("bears {more} losses"),
+    };
+    format!(
+        "voters      {} of {} live, {bears}\n",
+        group.live_voters, group.voters
+    )
+}
+
 fn fleet(overview: &Overview) -> String {
     let runners = &overview.runners;
     let count = |state| runners.iter().filter(|one| one.state == state).count();
--- a/crates/cli/tests/view.rs
+++ b/crates/cli/tests/view.rs
@@ -25,6 +25,7 @@
     };
     let page = json!({
         "controller": 1, "role": "leader", "term": 3, "leader": 1, "applied": 41, "revision": 7,
+        "control_group": {"voters": 5, "live_voters": 4, "bearable_losses": 1},
         "routers": [router("router-1", 7), router("router-2", 5)],
         "runners": [runner("runner-1", "live", 24576), runner("runner-2", "leaving", 0)],
         "deployments": [
@@ -48,6 +49,20 @@
     assert!(!text.contains("--all"), "{text}");
 }
 
+#[test]
+fn a_group_that_bears_no_loss_stands_out() {
+    let mut overview = overview();
+    if let Some(group) = &mut overview.control_group {
+        group.live_voters = 3;
+        group.bearable_losses = 0;
+    }
+    let text = render(&overview, false);
+    assert!(text.contains("3 of 5 live, BEARS NO LOSS"), "{text}");
+    overview.control_group = None;
+    let text = render(&overview, false);
+    assert!(text.contains("voters      the leader knows"), "{text}");
+}
+
 #[test]
 fn a_missing_leader_stands_out() {
     let mut overview = overview();
--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -104,7 +104,7 @@
             let query = request.uri().query().unwrap_or_default();
             pages::history(context, query)
         }
-        "/admin/v1/overview" => json_response(StatusCode::OK, &overview::overview(context)),
+        "/admin/v1/overview" => json_response(StatusCode::OK, &overview::overview(context).await),
         "/admin/v1/status" => pages::status(context),
         _ => explain::page(context, path.trim_start_matches(explain::PREFIX)),
     }
--- a/crates/controller/src/admin/overview.rs
+++ b/crates/controller/src/admin/overview.rs
@@ -2,15 +2,20 @@
 
 use crate::ControllerContext;
 use crate::feed::RegisteredRouter;
+use courseshunt_consensus::MembersView;
+use courseshunt_membership::Redundancy;
 use courseshunt_state::{ReplicaPhase, ReplicaRecord, ReplicatedState, RunnerRecord};
 use courseshunt_types::overview::{
-    DeploymentOverview, Overview, ReplicaOverview, RouterOverview, RunnerOverview, Warmth,
+    ControlGroupOverview, DeploymentOverview, Overview, ReplicaOverview, RouterOverview,
+    RunnerOverview, Warmth,
 };
-use courseshunt_types::{DeploymentDocument, Millis, Revision};
+use courseshunt_types::{ControllerId, DeploymentDocument, Millis, Revision};
 
 /// The overview of this moment.
-pub fn overview(context: &ControllerContext) -> Overview {
+pub async fn overview(context: &ControllerContext) -> Overview {
+    let members = context.replica.members().await;
     let status = context.replica.status().borrow().clone();
+    let leads = status.leads();
     let routers = context.routers.all();
     let state = context.replica.state();
     let revision = state.configuration.revision;
@@ -23,6 +28,7 @@
         leader: status.leader,
         applied: state.applied,
         revision,
+        control_group: leads.then(|| control_group(context.settings.id, &members)),
         routers: routers.iter().map(|one| router(one, revision)).collect(),
         runners: runners.map(|one| runner(one, &state)).collect(),
         deployments: documents
@@ -31,6 +37,15 @@
     }
 }
 
+fn control_group(own: ControllerId, members: &MembersView) -> ControlGroupOverview {
+    let redundancy = Redundancy::of(own, members, 0);
+    ControlGroupOverview {
+        voters: redundancy.voters,
+        live_voters: redundancy.live_voters,
+        bearable_losses: redundancy.bearable_losses,
+    }
+}
+
 fn router(known: &RegisteredRouter, revision: Revision) -> RouterOverview {
     RouterOverview {
         router: known.endpoint.router.clone(),
--- a/crates/types/src/overview.rs
+++ b/crates/types/src/overview.rs
@@ -22,6 +22,9 @@
     pub applied: LogIndex,
     /// Revision of the configuration.
     pub revision: Revision,
+    /// What the control group can bear; known to the leader alone.
+    #[serde(default)]
+    pub control_group: Option<ControlGroupOverview>,
     /// Routers that take this controller's feed.
     pub routers: Vec<RouterOverview>,
     /// Runners on the record.
@@ -30,6 +33,17 @@
     pub deployments: Vec<DeploymentOverview>,
 }
 
+/// The control group, as its leader sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ControlGroupOverview {
+    /// Voters.
+    pub voters: usize,
+    /// Voters that were heard lately.
+    pub live_voters: usize,
+    /// Live voters that may be lost while a quorum stays.
+    pub bearable_losses: usize,
+}
+
 /// One router.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RouterOverview {
