Simulated machines sleep

Cause: no machine of the simulation was ever suspended, so that no promise was held against a clock that stands still meanwhile. Change: a run may suspend machines for 0.1 to 6 s; what waits is taken up in any order when they wake. A sabotage lets the clocks leave the time out. Other runs draw as before.

--- a/crates/simulation/examples/sweep.rs
+++ b/crates/simulation/examples/sweep.rs
@@ -1,6 +1,6 @@
 //! Runs many seeds and prints what they showed:
 //! `cargo run --release -p courseshunt-simulation --example sweep -- 10000 4`
-//! (seeds, threads). Ends with an error when a promise did not hold.
+//! (seeds, threads; a third word: machines are suspended now and then). Ends with an error when a promise did not hold.
 
 use courseshunt_simulation::measure::{LeaderLoss, time_without_leader};
 use courseshunt_simulation::{Options, Report, run};
@@ -12,7 +12,13 @@
         given.unwrap_or(default)
     };
     let (seeds, threads): (u64, u64) = (number(10_000), number(4));
-    let reports = in_parallel(seeds, threads, |seed| run(Options::of_seed(seed)));
+    let sleeps = std::env::args().nth(3).is_some();
+    let reports = in_parallel(seeds, threads, move |seed| {
+        run(Options {
+            sleeps,
+            ..Options::of_seed(seed)
+        })
+    });
     print_runs(&reports);
     for loss in [LeaderLoss::Crash, LeaderLoss::SilentCut] {
         let times = in_parallel(seeds.min(1000), threads, move |seed| {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -6,6 +6,8 @@
 
 /// First moment of a fault, in milliseconds.
 const FIRST: u64 = 2_500;
+/// Of 1,000 faults, those that suspend a machine, where machines may be.
+const SLEEPS_PER_MILLE: u64 = 250;
 /// Longest time between faults, in milliseconds.
 const BETWEEN: u64 = 3_000;
 
@@ -25,6 +27,8 @@
     Kind::CrashOfLeader,
     Kind::CutOfLeader,
 ];
+/// Faults of a run whose machines may be suspended, besides those.
+const SLEEPS: &[Kind] = &[Kind::Sleep, Kind::SleepOfLeader];
 
 #[derive(Debug, Clone, Copy)]
 enum Kind {
@@ -39,6 +43,8 @@
     DiskFull,
     SlowDisk,
     Transfer,
+    Sleep,
+    SleepOfLeader,
 }
 
 impl World {
@@ -62,7 +68,9 @@
 
     fn one_fault(&mut self) {
         let members: Vec<ControllerId> = self.nodes.keys().copied().collect();
-        let (Some(kind), Some(member)) = (self.random.pick(KINDS), self.random.pick(&members))
+        let sleeps = self.sleeps && self.random.chance(SLEEPS_PER_MILLE);
+        let kinds = if sleeps { SLEEPS } else { KINDS };
+        let (Some(kind), Some(member)) = (self.random.pick(kinds), self.random.pick(&members))
         else {
             return;
         };
@@ -88,12 +96,22 @@
                 self.schedule(length, Event::SpaceAgain(member));
             }
             Kind::SlowDisk => self.slow_disk(member),
+            Kind::Sleep => self.sleep(member),
+            Kind::SleepOfLeader => self.sleep(leader),
             Kind::Transfer => self.with_process(leader, |process, now, checker| {
                 process.step(Input::TransferLeadership { to: None }, now, checker);
             }),
         }
     }
 
+    /// For a moment, some seconds, or longer than anything is promised.
+    fn sleep(&mut self, member: ControllerId) {
+        let lengths = [200, 2_000, 6_000];
+        let longest = self.random.pick(&lengths).unwrap_or(200);
+        let length = self.random.between(longest / 2, longest);
+        self.put_to_sleep(member, length);
+    }
+
     pub(crate) fn crash(&mut self, member: ControllerId) {
         let down = self.random.between(50, 5000);
         if let Some(node) = self.nodes.get_mut(&member) {
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -71,6 +71,10 @@
     pub(crate) lost: bool,
     /// Speed of its clock in parts per thousand of true time.
     pub(crate) clock_per_mille: u64,
+    /// Times in which the machine is suspended, from and until.
+    pub(crate) sleeps: Vec<(u64, u64)>,
+    /// Its clock leaves them out.
+    pub(crate) stands_still_asleep: bool,
     /// Longest sync, in milliseconds.
     pub(crate) sync_millis: u64,
     pub(crate) settings: CoreSettings,
@@ -98,7 +102,13 @@
 
 impl Node {
     pub(crate) fn clock(&self, now: u64) -> Timestamp {
-        Timestamp(now * self.clock_per_mille / 1000)
+        let asleep = self.sleeps.iter();
+        let asleep: u64 = asleep.map(|(from, until)| now.min(*until) - from).sum();
+        let counted = match self.stands_still_asleep {
+            true => now - asleep,
+            false => now,
+        };
+        Timestamp(counted * self.clock_per_mille / 1000)
     }
 
     /// Starts the process on what the disk holds.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -17,6 +17,8 @@
 const FULL_DISK_PAUSE: u64 = 200;
 /// Time after the faults in which the group recovers, in milliseconds.
 const RECOVERY: u64 = 20_000;
+/// Time in which a machine that wakes takes up what has waited, in milliseconds.
+const WAKING: u64 = 40;
 /// Clients of a run.
 const CLIENTS: usize = 3;
 /// Speeds of clocks lie within this of true time, in parts per thousand; any
@@ -32,6 +34,8 @@
     LyingDisks,
     /// Clocks differ by more than the margin of leases.
     ClocksBeyondMargin,
+    /// Clocks stand still while their machine is suspended.
+    ClocksStandStillAsleep,
 }
 
 /// What a run is.
@@ -43,6 +47,8 @@
     pub faults_millis: u64,
     /// Whether leaders answer reads by a lease, and members promise it.
     pub lease_reads: bool,
+    /// Whether machines are suspended now and then.
+    pub sleeps: bool,
     /// What is broken on purpose.
     pub sabotage: Option<Sabotage>,
 }
@@ -55,6 +61,7 @@
             seed,
             faults_millis: 25_000,
             lease_reads: true,
+            sleeps: false,
             sabotage: None,
         }
     }
@@ -125,6 +132,7 @@
     pub(crate) steward: Steward,
     pub(crate) checker: Checker,
     pub(crate) lease_reads: bool,
+    pub(crate) sleeps: bool,
     sabotage: Option<Sabotage>,
     pub(crate) faults: usize,
     pub(crate) elections: Vec<(u64, ControllerId, Term)>,
@@ -182,6 +190,7 @@
             checker: Checker::default(),
             sabotage: options.sabotage,
             lease_reads: options.lease_reads,
+            sleeps: options.sleeps,
             faults: 0,
             elections: Vec::new(),
             group: None,
@@ -219,6 +228,8 @@
                 life: 0,
                 lost: false,
                 clock_per_mille,
+                sleeps: Vec::new(),
+                stands_still_asleep: self.sabotage == Some(Sabotage::ClocksStandStillAsleep),
                 sync_millis: 6,
                 settings: self.core_settings(id, mutant),
                 bootstrap,
@@ -279,7 +290,34 @@
         self.now = self.now.max(end);
     }
 
+    /// When the machine that an event concerns wakes, if it is suspended.
+    fn wakes_at(&self, event: &Event) -> Option<u64> {
+        let id = match event {
+            Event::Tick(id) | Event::Writer(id, _) => id,
+            Event::Deliver(_, to, _) | Event::Request(to, ..) => to,
+            _ => return None,
+        };
+        let (_, until) = *self.nodes.get(id)?.sleeps.last()?;
+        (until > self.now).then_some(until)
+    }
+
+    /// Suspends a machine: what is due there, and what arrives, waits until it wakes.
+    pub(crate) fn put_to_sleep(&mut self, id: ControllerId, length: u64) {
+        let now = self.now;
+        if let Some(node) = self.nodes.get_mut(&id)
+            && node.sleeps.last().is_none_or(|(_, until)| *until <= now)
+        {
+            node.sleeps.push((now, now + length));
+        }
+    }
+
     fn happen(&mut self, event: Event) {
+        if let Some(until) = self.wakes_at(&event) {
+            // Which socket or timer is looked at first is open.
+            let turn = self.random.below(WAKING);
+            self.schedule(until - self.now + turn, event);
+            return;
+        }
         match event {
             Event::Tick(id) => {
                 self.with_process(id, |process, now, checker| {
--- a/crates/simulation/tests/seeds.rs
+++ b/crates/simulation/tests/seeds.rs
@@ -9,14 +9,21 @@
 const THREADS: u64 = 4;
 
 fn run_all(seeds: u64, lease_reads: bool) -> Vec<Report> {
+    run_all_with(seeds, move |options| Options {
+        lease_reads,
+        ..options
+    })
+}
+
+fn run_all_with(
+    seeds: u64,
+    with: impl Fn(Options) -> Options + Copy + Send + 'static,
+) -> Vec<Report> {
     let workers: Vec<_> = (0..THREADS)
         .map(|worker| {
             let own = (0..seeds).filter(move |seed| seed % THREADS == worker);
             std::thread::spawn(move || {
-                let options = |seed| Options {
-                    lease_reads,
-                    ..Options::of_seed(seed)
-                };
+                let options = |seed| with(Options::of_seed(seed));
                 own.map(|seed| run(options(seed))).collect::<Vec<_>>()
             })
         })
@@ -37,6 +44,32 @@
     check(&reports);
 }
 
+/// Machines are suspended for up to six seconds, and wake in the middle of whatever goes on.
+#[test]
+fn every_promise_holds_where_machines_sleep() {
+    let reports = run_all_with(SEEDS, |options| Options {
+        sleeps: true,
+        ..options
+    });
+    check(&reports);
+}
+
+/// A leader that wakes reads its lease by a clock that stood still, and answers a read that
+/// is older than what others acknowledged meanwhile.
+#[test]
+fn clocks_that_stand_still_in_a_sleep_are_found() {
+    let found = (0..SEEDS).find_map(|seed| {
+        let options = Options {
+            sleeps: true,
+            sabotage: Some(Sabotage::ClocksStandStillAsleep),
+            ..Options::of_seed(seed)
+        };
+        run(options).violation
+    });
+    let found = found.expect("it is found");
+    assert_eq!(found.promise, Promise::Linearizable, "{found:?}");
+}
+
 fn check(reports: &[Report]) {
     let broken: Vec<&Report> = reports
         .iter()
