What expires is judged by a clock that counts sleep

Cause: the process's clock and, in the router, instants taken on the spot leave out time in which the machine is suspended. A router that woke denied by an old configuration, and sent on a request whose deadline had passed; a leader judged its contact too young. Ruled out: a stopped process: its clocks go on. Change: MonotonicClock reads CLOCK_BOOTTIME (crate nix); the age of what a router has heard, what it lacks, and the deadline that it sends on go by it; a record and a counter tell a sleep. The clock can be handed in, so that a test lets it run ahead.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -38,7 +38,7 @@
     FeedMessage, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings,
 };
 use courseshunt_settings::service::{SeedList, ServiceSettings};
-use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::time::{MonotonicClock, SleepWatch};
 use courseshunt_types::{ControllerId, Millis, Timestamp};
 use courseshunt_wire::ClusterKey;
 use error::{BindSnafu, ReplicaSnafu};
@@ -206,6 +206,22 @@
     }
 }
 
+/// Time between looks at whether the machine was suspended.
+const SLEEP_LOOK: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Tells when the machine was suspended. Nothing waits for it: what expires is judged by a
+/// clock that counts the sleep, whenever it is asked.
+async fn watch_sleep(shared: Arc<Shared>) {
+    let mut watch = SleepWatch::start(&shared.clock);
+    loop {
+        tokio::time::sleep(SLEEP_LOOK).await;
+        if let Some(slept) = watch.look(&shared.clock) {
+            shared.metrics.slept(slept);
+            emit(&ControllerRecord::Slept { slept_ms: slept.0 });
+        }
+    }
+}
+
 /// A running coordinator.
 pub struct Coordinator {
     shared: Arc<Shared>,
@@ -219,6 +235,18 @@
     pub async fn start(
         settings: ServiceSettings,
         interface: Arc<dyn ControlInterface>,
+    ) -> Result<Self, CoordinatorError> {
+        Self::start_by(MonotonicClock::start(), settings, interface).await
+    }
+
+    /// Starts a coordinator that judges what expires by `clock`.
+    ///
+    /// # Errors
+    /// When the store is damaged, or an address is taken.
+    pub async fn start_by(
+        clock: MonotonicClock,
+        settings: ServiceSettings,
+        interface: Arc<dyn ControlInterface>,
     ) -> Result<Self, CoordinatorError> {
         let key = ClusterKey::new(settings.cluster_key.as_bytes());
         let key = key.context(error::ShortKeySnafu)?;
@@ -227,7 +255,6 @@
         let wire = bind(settings.wire_address())?;
         let metrics = settings.listen.metrics.map(bind).transpose()?;
         let identity = identity::load_or_draw(&settings)?;
-        let clock = MonotonicClock::start();
         let stop = CancellationToken::new();
         let addresses = AddressBook::dialling_from(Some(settings.address));
         for (member, address) in &identity.known {
@@ -274,6 +301,7 @@
         spawn(Box::pin(join::keep_joined(shared.clone())));
         spawn(Box::pin(lead::run(shared.clone())));
         spawn(Box::pin(relay::run(shared.clone())));
+        spawn(Box::pin(watch_sleep(shared.clone())));
         if let Some(metrics) = metrics {
             let handler = api::metrics_handler(shared.clone());
             let limits = ServerLimits::default();
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -38,6 +38,7 @@
     registrations: Counter,
     configurations: Family<Labels, Counter>,
     leaderships: Counter,
+    slept_milliseconds: Counter,
     spreads: Histogram,
     present: Family<Labels, Gauge>,
 }
@@ -51,6 +52,7 @@
             registrations: Counter::default(),
             configurations: Family::default(),
             leaderships: Counter::default(),
+            slept_milliseconds: Counter::default(),
             spreads: Histogram::new(SPREAD_BUCKETS_S),
             present: Family::default(),
         };
@@ -73,6 +75,9 @@
             "Times that this member was elected",
             leaderships,
         );
+        let slept = metrics.slept_milliseconds.clone();
+        let help = "Time in which the machine was suspended";
+        registry.register("slept_milliseconds", help, slept);
         let spreads = metrics.spreads.clone();
         registry.register(
             "configuration_spread_seconds",
@@ -126,6 +131,10 @@
         self.spreads.observe(Duration::from(after).as_secs_f64());
     }
 
+    pub(crate) fn slept(&self, slept: Millis) {
+        self.slept_milliseconds.inc_by(slept.0);
+    }
+
     pub(crate) fn leadership(&self) {
         self.leaderships.inc();
     }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -25,6 +25,8 @@
     Stopped,
     /// Settings were read again.
     Reloaded { seeds: usize },
+    /// The machine was suspended; contact and what was heard before are older by that.
+    Slept { slept_ms: u64 },
     /// It leads from now on.
     Leads { term: u64 },
     /// It leads no more.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -131,6 +131,7 @@
         .deadline
         .map_or(route.timeout, |asked| asked.min(route.timeout));
     let deadline = arrived + Duration::from(timeout);
+    let expires_at = shared.clock.now() + remaining(deadline);
     let target = pick_target(&route.targets, rand::random()).ok_or(Refusal::NoRoute)?;
     let service = table.service(&target.service).ok_or(Refusal::NoRoute)?;
     let service = service.clone();
@@ -164,9 +165,16 @@
         facts,
         arrived,
         deadline,
+        expires_at,
     })
 }
 
+/// Time until a moment of the runtime's clock.
+fn remaining(deadline: Instant) -> Millis {
+    let left = deadline.saturating_duration_since(Instant::now());
+    Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// The configuration in force. A router that has just started waits a little
 /// for its first one.
 async fn table(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -115,13 +115,13 @@
     admitted: &Admitted,
     instance: &RunnerId,
 ) -> Option<Request<Full<Bytes>>> {
-    let left = admitted.deadline.saturating_duration_since(Instant::now());
-    if left.is_zero() {
+    let left = admitted.expires_at.since(shared.clock.now());
+    if left == Millis(0) {
         return None;
     }
     let mut headers = passed(&admitted.head.headers, &*shared.interface);
     let sending = crate::Sending {
-        deadline: Millis(left.as_millis().max(1) as u64),
+        deadline: left,
         instance,
         priority: admitted.priority,
         tenant: admitted.tenant(),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,7 +13,7 @@
 use courseshunt_http::Body;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, RequestKind, Route, Service};
-use courseshunt_types::{Digest, Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
@@ -52,7 +52,10 @@
     /// Rank: the tenant's, else the route's.
     pub(crate) priority: u8,
     pub(crate) arrived: Instant,
+    /// For timers, which may fire late.
     pub(crate) deadline: Instant,
+    /// The same moment on the clock that counts sleep: nothing is sent from then on.
+    pub(crate) expires_at: Timestamp,
 }
 
 impl Admitted {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,7 @@
 
 use courseshunt_records::emit;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
-use courseshunt_types::time::MonotonicClock;
+use courseshunt_types::time::{MonotonicClock, SleepWatch};
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
 use metrics::Metrics;
 use pool::ConnectionPool;
@@ -80,6 +80,22 @@
     pub(crate) requests: tokio_util::task::TaskTracker,
 }
 
+/// Time between looks at whether the machine was suspended.
+const SLEEP_LOOK: Duration = Duration::from_secs(1);
+
+/// Tells when the machine was suspended. Nothing waits for it: what expires is judged by a
+/// clock that counts the sleep, whenever it is asked.
+async fn watch_sleep(shared: Arc<Shared>) {
+    let mut watch = SleepWatch::start(&shared.clock);
+    loop {
+        tokio::time::sleep(SLEEP_LOOK).await;
+        if let Some(slept) = watch.look(&shared.clock) {
+            shared.metrics.slept(slept);
+            emit(&RouterRecord::Slept { slept_ms: slept.0 });
+        }
+    }
+}
+
 /// A running router.
 pub struct Gateway {
     shared: Arc<Shared>,
@@ -93,6 +109,18 @@
     pub async fn start(
         settings: ServiceSettings,
         interface: Arc<dyn ClientInterface>,
+    ) -> Result<Self, GatewayError> {
+        Self::start_by(MonotonicClock::start(), settings, interface).await
+    }
+
+    /// Starts a router that judges what expires by `clock`.
+    ///
+    /// # Errors
+    /// When an address is missing or taken.
+    pub async fn start_by(
+        clock: MonotonicClock,
+        settings: ServiceSettings,
+        interface: Arc<dyn ClientInterface>,
     ) -> Result<Self, GatewayError> {
         let key = courseshunt_wire::ClusterKey::new(settings.cluster_key.as_bytes());
         let key = key.context(ShortKeySnafu)?;
@@ -100,9 +128,8 @@
         let clients = bind(clients)?;
         let ready = settings.listen.ready.map(bind).transpose()?;
         let metrics = settings.listen.metrics.map(bind).transpose()?;
-        let clock = MonotonicClock::start();
         let shared = Arc::new(Shared {
-            view: View::new(&settings),
+            view: View::new(&settings, clock),
             pool: ConnectionPool::default(),
             metrics: Metrics::default(),
             quotas: Arc::new(QuotaDesk::new(
@@ -123,6 +150,8 @@
         let ended = shared.ended.clone();
         let feed = feed::follow(shared.clone(), key);
         tokio::spawn(ended.clone().run_until_cancelled_owned(feed));
+        let watching = watch_sleep(shared.clone());
+        tokio::spawn(ended.clone().run_until_cancelled_owned(watching));
         let clients = serve::accept_clients(clients, shared.clone());
         tokio::spawn(shared.closing.clone().run_until_cancelled_owned(clients));
         if let Some(ready) = ready {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a router.
 
 use courseshunt_metrics::page_with_process;
+use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -53,6 +54,7 @@
     cancelled: Counter,
     connections: Counter,
     feeds_lost: Counter,
+    slept_milliseconds: Counter,
     waits: Histogram,
     first_answers: Histogram,
     prediction_errors: Histogram,
@@ -79,6 +81,7 @@
             cancelled: Counter::default(),
             connections: Counter::default(),
             feeds_lost: Counter::default(),
+            slept_milliseconds: Counter::default(),
             waits: histogram(),
             first_answers: histogram(),
             prediction_errors: histogram(),
@@ -115,6 +118,9 @@
         registry.register("connections", "New connections to instances", connections);
         let lost = self.feeds_lost.clone();
         registry.register("feeds_lost", "Feeds that ended", lost);
+        let slept = self.slept_milliseconds.clone();
+        let help = "Time in which the machine was suspended";
+        registry.register("slept_milliseconds", help, slept);
         let waits = self.waits.clone();
         registry.register("wait_seconds", "Arrival to sending", waits);
         let first = self.first_answers.clone();
@@ -231,6 +237,10 @@
         self.connections.inc();
     }
 
+    pub(crate) fn slept(&self, slept: Millis) {
+        self.slept_milliseconds.inc_by(slept.0);
+    }
+
     pub(crate) fn feed_lost(&self) {
         self.feeds_lost.inc();
     }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -148,6 +148,8 @@
     },
     /// Settings were read again.
     Reloaded { seeds: usize },
+    /// The machine was suspended; what was heard before is older by that.
+    Slept { slept_ms: u64 },
 }
 
 impl Record for RouterRecord<'_> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,6 +7,7 @@
     RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
+use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -44,7 +45,7 @@
     /// The configuration in force, in the operator's form.
     document: HeldDocument,
     /// A newer configuration is in force elsewhere since then.
-    behind_since: Option<Instant>,
+    behind_since: Option<Timestamp>,
     instances: BTreeMap<RunnerId, InstanceView>,
     /// When models that are being loaded will be there.
     expected: BTreeMap<RunnerId, Vec<(String, Instant)>>,
@@ -79,8 +80,10 @@
 pub(crate) struct View {
     state: Mutex<State>,
     changes: watch::Sender<u64>,
+    /// Counts sleep: what a router that wakes has heard is as old as it is.
+    clock: MonotonicClock,
     /// When a leader was heard last.
-    heard: Mutex<Instant>,
+    heard: Mutex<Timestamp>,
     /// Woken when a request begins to wait for a model, and when a configuration
     /// comes into force.
     pub(crate) news: Notify,
@@ -88,7 +91,7 @@
 }
 
 impl View {
-    pub(crate) fn new(settings: &ServiceSettings) -> Self {
+    pub(crate) fn new(settings: &ServiceSettings, clock: MonotonicClock) -> Self {
         let limits = &settings.limits;
         let window = Millis((limits.retry_window_s * 1000.0) as u64);
         let state = State {
@@ -105,7 +108,8 @@
         Self {
             state: Mutex::new(state),
             changes: watch::Sender::new(0),
-            heard: Mutex::new(Instant::now()),
+            heard: Mutex::new(clock.now()),
+            clock,
             news: Notify::new(),
             retry: (limits.retry_ratio, limits.retry_slack, window),
         }
@@ -138,13 +142,13 @@
 
     /// Notes a message of the leader.
     pub(crate) fn hear_leader(&self) {
-        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = self.clock.now();
     }
 
     /// Time since the last message of a leader.
     pub(crate) fn feed_age(&self) -> Duration {
         let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        heard.elapsed()
+        Duration::from(self.clock.now().since(*heard))
     }
 
     /// Time between reports, for as many routers and instances as are known.
@@ -179,13 +183,14 @@
         if number <= state.number() {
             state.behind_since = None;
         } else if state.behind_since.is_none() {
-            state.behind_since = Some(Instant::now());
+            state.behind_since = Some(self.clock.now());
         }
     }
 
     /// For how long a newer configuration is known to be in force elsewhere.
     pub(crate) fn behind_for(&self) -> Option<Duration> {
-        self.lock().behind_since.map(|since| since.elapsed())
+        let since = self.lock().behind_since?;
+        Some(Duration::from(self.clock.now().since(since)))
     }
 
     /// Puts a newer configuration in force; an older one changes nothing.
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -1,6 +1,8 @@
 //! Time as plain numbers, so that pure cores run under virtual and real time.
 
 use std::ops::{Add, Sub};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 /// A length of time in milliseconds.
 #[derive(
@@ -143,10 +145,28 @@
     }
 }
 
-/// Reads a process's monotonic clock as [`Timestamp`]s.
+/// The clock that goes on while the machine is suspended. The standard library's steady clock
+/// stands still then, so that whatever is valid for some time would be taken for younger
+/// than it is by a process that wakes.
+#[cfg(any(target_os = "linux", target_os = "android"))]
+const COUNTS_SLEEP: nix::time::ClockId = nix::time::ClockId::CLOCK_BOOTTIME;
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+const COUNTS_SLEEP: nix::time::ClockId = nix::time::ClockId::CLOCK_MONOTONIC;
+
+/// Time since the machine's start.
+fn since_machine_start() -> Duration {
+    let read = nix::time::clock_gettime(COUNTS_SLEEP);
+    // Every kernel that this runs on has the clock.
+    read.map(Duration::from).unwrap_or_default()
+}
+
+/// Reads a process's monotonic clock as [`Timestamp`]s. It counts time in which the machine
+/// is suspended: everything that expires is judged by it.
 #[derive(Debug, Clone, Copy)]
 pub struct MonotonicClock {
-    origin: std::time::Instant,
+    origin: Duration,
+    /// By how much a test lets it run ahead, in milliseconds.
+    ahead: Option<&'static AtomicU64>,
 }
 
 impl MonotonicClock {
@@ -154,14 +174,66 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            origin: std::time::Instant::now(),
+            origin: since_machine_start(),
+            ahead: None,
         }
     }
 
+    /// A clock that a test lets go on at once, as over a sleep: by what it adds to the number,
+    /// in milliseconds. The number is never given back to the system.
+    #[must_use]
+    pub fn skippable() -> (Self, &'static AtomicU64) {
+        let ahead: &'static AtomicU64 = Box::leak(Box::default());
+        let clock = Self {
+            ahead: Some(ahead),
+            ..Self::start()
+        };
+        (clock, ahead)
+    }
+
     /// The present moment.
     #[must_use]
     pub fn now(&self) -> Timestamp {
-        let elapsed = self.origin.elapsed().as_millis();
-        Timestamp(u64::try_from(elapsed).unwrap_or(u64::MAX))
+        let elapsed = since_machine_start().saturating_sub(self.origin);
+        let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        let ahead = self.ahead.map_or(0, |ahead| ahead.load(Ordering::Relaxed));
+        Timestamp(elapsed.saturating_add(ahead))
+    }
+}
+
+/// Finds out that the machine was suspended, by two clocks of which one stood still.
+#[derive(Debug)]
+pub struct SleepWatch {
+    steady: Instant,
+    began: Timestamp,
+    /// How far the counting clock was ahead of the steady one.
+    ahead: Millis,
+}
+
+/// Shorter differences are jitter between two readings.
+const SHORTEST_SLEEP: Millis = Millis(50);
+
+impl SleepWatch {
+    /// Begins to watch.
+    #[must_use]
+    pub fn start(clock: &MonotonicClock) -> Self {
+        Self {
+            steady: Instant::now(),
+            began: clock.now(),
+            ahead: Millis(0),
+        }
+    }
+
+    /// How long the machine has been suspended since the last look, if it was.
+    pub fn look(&mut self, clock: &MonotonicClock) -> Option<Millis> {
+        let counted = clock.now().since(self.began);
+        let steady = u64::try_from(self.steady.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let ahead = Millis(counted.0.saturating_sub(steady));
+        let slept = Millis(ahead.0.saturating_sub(self.ahead.0));
+        if slept < SHORTEST_SLEEP {
+            return None;
+        }
+        self.ahead = ahead;
+        Some(slept)
     }
 }
