Members leave an election alone before they ask to be taken in

Members that had lost their leader asked all others from 0.3 s on, six at once, on 0.15 of a core. Change: a member asks after 1.5 s without a leader; it needs that only if it was removed.

--- a/crates/membership/src/joiner.rs
+++ b/crates/membership/src/joiner.rs
@@ -8,9 +8,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Pause before one that answered is asked again, and before a member that has just lost
-/// its leader asks at all: most elections are over by then.
+/// Pause before one that answered is asked again.
 const ASK_AGAIN: Millis = Millis(300);
+/// Time without a leader before a member asks at all: it needs that only if it was removed,
+/// and until then its questions would take processor time from the election.
+const MEMBER_PATIENCE: Millis = Millis(1_500);
 /// Longest pause before one that did not answer is asked again.
 const LONGEST_PAUSE: Millis = Millis(1_200);
 /// Once a leader has said that it takes this process in, the others are left alone so long.
@@ -104,7 +106,7 @@
             return Vec::new();
         }
         let since = *self.leaderless_since.get_or_insert(now);
-        if view.is_member && now.since(since) < ASK_AGAIN {
+        if view.is_member && now.since(since) < MEMBER_PATIENCE {
             return Vec::new();
         }
         for address in view.known {
