A client of the simulation counts after six questions to machines that are there

Cause: seed 1172: one redirection, one lost answer, and machines that are gone for good the rest of 10 s. Ruled out by the trace: the other two clients were served to the end. Change: six instead of three; without a leader a client asks so many within a second. Conclusion: the check's fault; the seed is kept.

--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -17,9 +17,10 @@
 /// An operation that ended within this time before the end counts as lately,
 /// in milliseconds.
 const LATELY: u64 = 10_000;
-/// Questions that nobody answers in a working group by chance alone: an answer is lost in
-/// one of a hundred cases.
-const ENOUGH_QUESTIONS: u32 = 3;
+/// Questions to machines that are there which a working group does not leave unserved by
+/// chance: one is for a redirection, and an answer is lost in one of a hundred cases. Without
+/// a leader there are that many within a second.
+const ENOUGH_QUESTIONS: u32 = 6;
 /// Documents that the operators set.
 const DOCUMENTS: u64 = 3;
 
--- a/crates/simulation/tests/group.rs
+++ b/crates/simulation/tests/group.rs
@@ -29,10 +29,11 @@
 
 /// Seeds of the repair's faults: a voter taken for lost by an earlier identity at its
 /// address (910, 1196, 202), and an address that a later leader did not know (3832). In 2818
-/// a client asked only machines that are gone for good, eleven times: the check's fault.
+/// and 1172 a client asked hardly anybody but machines that are gone for good: the check's
+/// fault.
 #[test]
 fn seeds_that_showed_a_fault_hold() {
-    for seed in [202, 910, 1196, 2818, 3832] {
+    for seed in [202, 910, 1172, 1196, 2818, 3832] {
         let report = run_group(GroupOptions::of_seed(seed));
         assert_eq!(report.violation, None, "seed {seed}");
     }
