--- a/crates/coordinator/src/join.rs
+++ b/crates/coordinator/src/join.rs
@@ -53,8 +53,7 @@
     let leader_known = shared.replica.status().borrow().leader.is_some();
     let view = shared.replica.members().await;
     let known: BTreeSet<SocketAddr> = shared.addresses.all().into_values().collect();
-    let known: BTreeSet<SocketAddr> = known.into_iter().chain(shared.seeds.addresses()).collect();
-    let known: Vec<SocketAddr> = known.into_iter().collect();
+    let known: Vec<SocketAddr> = known.into_iter().chain(shared.seeds.addresses()).collect();
     let view = JoinerView {
         own: shared.settings.wire_address(),
         leader_known,
--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -1,19 +1,17 @@
 //! The leader's loop: configuration, placement, feeds and membership.
 
+use crate::members::MembersKeeper;
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::records::{self, ControllerRecord};
-use crate::{Shared, join, orders, placement_settings, quarantine, quota_settings};
-use courseshunt_consensus::{MembersView, MembershipChange};
-use courseshunt_membership::{GroupView, Redundancy, RedundancyWatch, decide, next_to_record};
+use crate::{Shared, orders, placement_settings, quarantine, quota_settings};
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
     FeedMessage, InstanceView, PlacementEngine, QuarantineLedger, QuotaLedger,
 };
 use courseshunt_state::Command;
-use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -25,8 +23,6 @@
 /// A round of planning that took some time is followed by a pause of so many
 /// times as much.
 const PLAN_PART: u64 = 4;
-/// Time between looks at the membership.
-const MEMBERSHIP_INTERVAL: Millis = Millis(200);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
 pub(crate) const CONTACT_LIMIT: Millis = Millis(360);
 /// Time between words on all accounts of tenants; one that turned is told at once.
@@ -57,13 +53,11 @@
     quotas_at: Timestamp,
     recorded_at: Timestamp,
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
-    membership_at: Timestamp,
-    redundancy: RedundancyWatch,
+    members: MembersKeeper,
     fed_at: Timestamp,
     looked_at: Timestamp,
     planned_at: Timestamp,
     planned_for: Millis,
-    changing: Arc<AtomicBool>,
     /// The quarantine is being recorded.
     recording_quarantine: Arc<AtomicBool>,
     /// What earlier leaders recorded of it is taken over.
@@ -139,13 +133,11 @@
         quotas_at: now,
         recorded_at: now,
         unrecorded: Default::default(),
-        membership_at: now,
-        redundancy: RedundancyWatch::default(),
+        members: MembersKeeper::new(now),
         fed_at: now,
         looked_at: now,
         planned_at: now,
         planned_for: Millis(0),
-        changing: Arc::default(),
         recording_quarantine: Arc::default(),
         quarantine_seeded: false,
         turn,
@@ -196,10 +188,7 @@
     }
     feed(shared, leadership, now);
     record(shared, leadership, now);
-    if now.since(leadership.membership_at) >= MEMBERSHIP_INTERVAL {
-        leadership.membership_at = now;
-        keep_membership(shared, leadership, now).await;
-    }
+    leadership.members.keep(shared, now).await;
 }
 
 /// Takes over what earlier leaders recorded, once all of it is applied here; records what
@@ -398,123 +387,3 @@
         let _ = shared.replica.submit_as_leader(command).await;
     });
 }
-
-/// Makes the next change of the membership, if one is due.
-async fn keep_membership(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
-    let members = shared.replica.members().await;
-    let all = members.membership.all().into_iter();
-    let known = all.filter_map(|id| shared.addresses.get(id).map(|address| (id, address)));
-    let addresses: BTreeMap<ControllerId, SocketAddr> = known.collect();
-    let joining = applicants(shared, &members, now);
-    let redundancy = Redundancy::of(shared.id, &members, joining.len());
-    watch_redundancy(shared, leadership, redundancy, now);
-    if leadership.changing.load(Ordering::Relaxed) {
-        return;
-    }
-    let view = GroupView {
-        own: shared.id,
-        members: &members,
-        addresses: &addresses,
-        joining: &joining,
-        led_for: now.since(leadership.since),
-    };
-    let change = decide(&view);
-    let unrecorded = unrecorded(shared, &members, &addresses);
-    if change.is_none() && unrecorded.is_none() {
-        return;
-    }
-    leadership.changing.store(true, Ordering::Relaxed);
-    let shared = shared.clone();
-    let changing = leadership.changing.clone();
-    tokio::spawn(async move {
-        if let Some((member, address)) = unrecorded {
-            record_address(&shared, member, address).await;
-        }
-        if let Some(change) = change {
-            make_change(&shared, change).await;
-        }
-        changing.store(false, Ordering::Relaxed);
-    });
-}
-
-/// Processes to be taken in: those that asked, and those that live at a member's address
-/// under another identity, since nobody else may know a process whose disk is new.
-fn applicants(
-    shared: &Shared,
-    members: &MembersView,
-    now: Timestamp,
-) -> Vec<(ControllerId, SocketAddr)> {
-    let mut applicants = shared.applicants();
-    for (stranger, address) in shared.addresses.strangers() {
-        shared.addresses.set(stranger, address);
-        applicants.note(stranger, address, now);
-    }
-    applicants.present(&members.membership.all(), now)
-}
-
-/// Records and shows how many losses the group can bear.
-fn watch_redundancy(
-    shared: &Shared,
-    leadership: &mut Leadership,
-    present: Redundancy,
-    now: Timestamp,
-) {
-    let changed = leadership.redundancy.update(present, now);
-    let below_full = leadership.redundancy.below_full_for(now);
-    shared.tell_redundancy(Some((present, below_full)));
-    if !changed {
-        return;
-    }
-    emit(&ControllerRecord::Redundancy {
-        voters: present.voters,
-        live_voters: present.live_voters,
-        learners: present.learners,
-        joining: present.joining,
-        bearable_losses: present.bearable_losses,
-        settled: present.settled,
-        below_full_ms: below_full.0,
-    });
-}
-
-/// A member whose address the replicated state lacks.
-fn unrecorded(
-    shared: &Shared,
-    members: &MembersView,
-    known: &BTreeMap<ControllerId, SocketAddr>,
-) -> Option<(ControllerId, SocketAddr)> {
-    let state = shared.replica.state();
-    let recorded = state.members.iter();
-    let recorded = recorded.filter_map(|(id, address)| Some((*id, address.parse().ok()?)));
-    next_to_record(&members.membership.all(), &recorded.collect(), known)
-}
-
-/// Has every member know where this one is.
-async fn record_address(shared: &Shared, member: ControllerId, address: SocketAddr) {
-    let wire_address = address.to_string();
-    let record = Command::RecordMember {
-        member,
-        wire_address,
-    };
-    if let Err(error) = shared.replica.submit_as_leader(record).await {
-        log::warn!("coordinator: record the address of controller {member}: {error}");
-    }
-}
-
-async fn make_change(shared: &Arc<Shared>, change: MembershipChange) {
-    if let MembershipChange::AddLearner(member) = change
-        && let Some(address) = shared.addresses.get(member)
-    {
-        record_address(shared, member, address).await;
-    }
-    let changed = shared.replica.change_membership_here(change).await;
-    emit(&ControllerRecord::Membership {
-        change: &format!("{change:?}"),
-        index: changed.as_ref().ok().map(|index| index.0),
-        problem: changed.as_ref().err().map(ToString::to_string).as_deref(),
-    });
-    let members = join::members(shared).await.into_iter();
-    let members = members.map(|(_, address)| address.to_string());
-    shared
-        .sessions
-        .broadcast(FeedMessage::Members(members.collect()));
-}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 mod interface;
 mod join;
 mod lead;
+mod members;
 mod metrics;
 pub mod order_turn;
 mod orders;
