Sight: what instances ask for in their answers is noted and told

Cause: from the records nobody could say whether a request was sent to an instance against its word: 'not_run' told a status alone, and headers that nobody reads went by in silence. Change: every answer is heard before anything is decided about it (answer_words). No choice rests on it yet.

--- /dev/null
+++ b/crates/gateway/src/answer_words.rs
@@ -0,0 +1,127 @@
+//! What instances say of themselves in their answers, whatever the answer is.
+//!
+//! Invariant: every answer is heard before anything is decided about it, so that no path of
+//! a request can miss what an instance asks for.
+
+use crate::Shared;
+use crate::flight::Flight;
+use crate::interface::AnswerFacts;
+use crate::records::RouterRecord;
+use courseshunt_http::{RetryAfter, read_retry_after};
+use courseshunt_records::emit;
+use courseshunt_types::Millis;
+use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::http::response::Parts;
+use hyper::{StatusCode, header::RETRY_AFTER};
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
+use std::time::SystemTime;
+
+/// Names of unknown headers that are remembered, to tell of each once; later ones are not
+/// told of, so that instances that make names up fill neither memory nor log.
+const MAX_UNKNOWN: usize = 64;
+/// Headers of HTTP itself that answers carry.
+const OF_HTTP: [HeaderName; 16] = [
+    header::ACCEPT_RANGES,
+    header::AGE,
+    header::CACHE_CONTROL,
+    header::CONNECTION,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LENGTH,
+    header::CONTENT_TYPE,
+    header::DATE,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    header::RETRY_AFTER,
+    header::SERVER,
+    header::TRANSFER_ENCODING,
+    header::VARY,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("x-powered-by"),
+];
+
+/// Headers of answers whose meaning is not known here.
+#[derive(Default)]
+pub(crate) struct UnknownWords {
+    told: Mutex<HashSet<HeaderName>>,
+}
+
+impl UnknownWords {
+    /// Whether this name is to be told of: it is new, and there is room for it.
+    fn is_news(&self, name: &HeaderName) -> bool {
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        told.len() < MAX_UNKNOWN && told.insert(name.clone())
+    }
+}
+
+/// Takes note of what an answer says of its instance; returns the rest that it asks for.
+pub(crate) fn hear(
+    shared: &Shared,
+    flight: &Flight,
+    head: &Parts,
+    facts: &AnswerFacts,
+) -> Option<Millis> {
+    let instance = flight.instance();
+    let now = shared.clock.now();
+    let status = head.status.as_u16();
+    if facts.leaving {
+        shared.metrics.pushback("leaving");
+        if shared.view.leaves(instance, now) {
+            emit(&RouterRecord::InstanceLeaves {
+                instance: instance.as_str(),
+                id: flight.id(),
+                status,
+            });
+        }
+    }
+    let rest = match asked_rest(head) {
+        RetryAfter::Absent => None,
+        RetryAfter::Unreadable => {
+            tell_unknown(shared, flight, &RETRY_AFTER);
+            None
+        }
+        RetryAfter::After(rest) => Some(rest),
+    };
+    if let Some(rest) = rest {
+        shared.metrics.pushback("rest");
+        shared.view.asked_rest(instance, rest, now);
+        emit(&RouterRecord::InstanceRests {
+            instance: instance.as_str(),
+            id: flight.id(),
+            status,
+            rest_ms: rest.0,
+        });
+    }
+    tell_unknown_headers(shared, flight, &head.headers);
+    rest
+}
+
+/// The rest that an instance asks for when it turns a request away.
+fn asked_rest(head: &Parts) -> RetryAfter {
+    let turns_away = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    match turns_away.contains(&head.status) {
+        true => read_retry_after(&head.headers, SystemTime::now()),
+        false => RetryAfter::Absent,
+    }
+}
+
+fn tell_unknown_headers(shared: &Shared, flight: &Flight, headers: &HeaderMap) {
+    for name in headers.keys() {
+        if !OF_HTTP.contains(name) && !shared.interface.knows_answer_header(name) {
+            tell_unknown(shared, flight, name);
+        }
+    }
+}
+
+fn tell_unknown(shared: &Shared, flight: &Flight, name: &HeaderName) {
+    if shared.unknown_words.is_news(name) {
+        emit(&RouterRecord::UnknownWord {
+            instance: flight.instance().as_str(),
+            id: flight.id(),
+            header: name.as_str(),
+        });
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: a request at one instance.
 
 use crate::Shared;
+use crate::answer_words::hear;
 use crate::flight::Flight;
 use crate::handle::Admitted;
 use crate::passed_headers::{passed, strip_hop_headers};
@@ -46,13 +47,13 @@
 ) -> AttemptOutcome {
     let mut flight = Flight::begin(shared, admitted, candidate, number);
     let Some(mut upstream) = connection(shared, view).await else {
-        flight.not_run(None);
+        flight.not_run(None, None);
         return AttemptOutcome::NotRun;
     };
     let limit = admitted.deadline + DEADLINE_MARGIN;
     loop {
         let Some(request) = build(shared, admitted, flight.instance()) else {
-            flight.not_run(None);
+            flight.not_run(None, None);
             return AttemptOutcome::NotRun;
         };
         let fresh = upstream.fresh;
@@ -77,7 +78,7 @@
             false => connect(shared, view).await,
         };
         let Some(next) = next else {
-            flight.not_run(None);
+            flight.not_run(None, None);
             flight.suspect();
             return AttemptOutcome::NotRun;
         };
@@ -148,8 +149,9 @@
         .read_answer(&admitted.facts.id, head.status, &head.headers);
     upstream.follow(&head.headers);
     flight.status(head.status.as_u16());
+    let rest = hear(shared, &flight, &head, &facts);
     if facts.not_run || facts.misdirected {
-        flight.not_run(Some(head.status.as_u16()));
+        flight.not_run(Some(head.status.as_u16()), rest);
         let emptied = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout_at(limit, emptied).await {
             shared.pool.keep(flight.instance(), upstream);
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -6,7 +6,7 @@
 use crate::quarantine_desk::broke_off;
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
-use courseshunt_services::{Candidate, PromptShape};
+use courseshunt_services::{Candidate, PromptShape, Pushback};
 use courseshunt_types::{Digest, Millis, RunnerId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,6 +69,16 @@
         let shape = &admitted.facts.shape;
         let metrics = &shared.metrics;
         metrics.sent(waited, shape.prompt_tokens, candidate.uncached_tokens);
+        let pushback = shared
+            .view
+            .pushback(&candidate.instance, shared.clock.now());
+        let rest_left_ms = match pushback {
+            Some(Pushback::Rest(left)) => Some(left.0),
+            Some(Pushback::Leaving) | None => None,
+        };
+        if let Some(pushback) = pushback {
+            metrics.sent_against(pushback.word());
+        }
         emit(&RequestRecord::Sent {
             id: &admitted.facts.id,
             route: &admitted.route.name,
@@ -84,6 +94,8 @@
             deadline_ms: millis(admitted.deadline - admitted.arrived),
             predicted_ms: candidate.predicted_ms as u64,
             uncached_tokens: candidate.uncached_tokens,
+            rest_left_ms,
+            leaving: pushback == Some(Pushback::Leaving),
             configuration: shared.view.number(),
             feed_age_ms: millis(shared.view.feed_age()),
         });
@@ -105,6 +117,10 @@
         }
     }
 
+    pub(crate) fn id(&self) -> &str {
+        &self.id
+    }
+
     pub(crate) fn instance(&self) -> &RunnerId {
         &self.candidate.instance
     }
@@ -185,13 +201,14 @@
     }
 
     /// The instance did not run it, or it was not sent.
-    pub(crate) fn not_run(&mut self, status: Option<u16>) {
+    pub(crate) fn not_run(&mut self, status: Option<u16>, rest: Option<Millis>) {
         self.ended = true;
         self.shared.metrics.attempt("not_run");
         emit(&RequestRecord::NotRun {
             id: &self.id,
             instance: self.candidate.instance.as_str(),
             status,
+            rest_ms: rest.map(|rest| rest.0),
             after_ms: millis(self.arrived.elapsed()),
         });
     }
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -54,6 +54,8 @@
     pub genuine: bool,
     /// The answer's status promises to the client that the request did not run.
     pub promises_not_run: bool,
+    /// The instance says that it leaves: it wants no further requests.
+    pub leaving: bool,
 }
 
 /// Translates between the wire forms of clients and instances and the product's
@@ -84,4 +86,7 @@
 
     /// Reads what an answer says about itself.
     fn read_answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Whether a header of answers, besides those of HTTP, is one whose meaning is known.
+    fn knows_answer_header(&self, name: &HeaderName) -> bool;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! answer never look complete.
 
 mod admission;
+mod answer_words;
 mod attempt;
 pub mod directory;
 mod error;
@@ -34,6 +35,7 @@
 pub use error::GatewayError;
 pub use interface::{AnswerFacts, CarriedKey, ClientInterface, RequestFacts, Sending};
 
+use answer_words::UnknownWords;
 use courseshunt_records::emit;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SleepWatch};
@@ -69,6 +71,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaDesk>,
     pub(crate) quarantine: QuarantineDesk,
+    pub(crate) unknown_words: UnknownWords,
     pub(crate) seeds: SeedList,
     pub(crate) clock: MonotonicClock,
     /// Cancelled when the process is told to stop.
@@ -139,6 +142,7 @@
                 view::ASSUMED_ROUTERS,
             )),
             quarantine: QuarantineDesk::new(clock),
+            unknown_words: UnknownWords::default(),
             seeds: SeedList::new(&settings),
             interface,
             clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     refusals: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
     retries_denied: Counter,
+    pushbacks: Family<Labels, Counter>,
+    sent_against: Family<Labels, Counter>,
     cancelled: Counter,
     connections: Counter,
     feeds_lost: Counter,
@@ -78,6 +80,8 @@
             refusals: Family::default(),
             attempts: Family::default(),
             retries_denied: Counter::default(),
+            pushbacks: Family::default(),
+            sent_against: Family::default(),
             cancelled: Counter::default(),
             connections: Counter::default(),
             feeds_lost: Counter::default(),
@@ -112,6 +116,12 @@
         registry.register("attempts", "Requests sent by outcome", attempts);
         let denied = self.retries_denied.clone();
         registry.register("retries_denied", "Retries beyond the budget", denied);
+        let pushbacks = self.pushbacks.clone();
+        let help = "Answers in which instances ask for rest or say that they leave";
+        registry.register("pushbacks", help, pushbacks);
+        let against = self.sent_against.clone();
+        let help = "Requests sent to instances that had asked for none";
+        registry.register("sent_against_pushback", help, against);
         let cancelled = self.cancelled.clone();
         registry.register("cancelled", "Requests whose clients left", cancelled);
         let connections = self.connections.clone();
@@ -229,6 +239,18 @@
         self.retries_denied.inc();
     }
 
+    /// Counts an answer in which an instance asks to be left alone.
+    pub(crate) fn pushback(&self, word: &str) {
+        let labels = vec![("word", word.to_owned())];
+        self.pushbacks.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that is sent to an instance which asked to be left alone.
+    pub(crate) fn sent_against(&self, word: &str) {
+        let labels = vec![("word", word.to_owned())];
+        self.sent_against.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn cancelled(&self) {
         self.cancelled.inc();
     }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -37,6 +37,10 @@
         deadline_ms: u64,
         predicted_ms: u64,
         uncached_tokens: u32,
+        /// Rest that the instance asked for and that is not over.
+        rest_left_ms: Option<u64>,
+        /// Whether the instance said that it leaves.
+        leaving: bool,
         configuration: u64,
         feed_age_ms: u64,
     },
@@ -46,6 +50,8 @@
         instance: &'a str,
         /// Status of the instance's answer; none: it was not sent.
         status: Option<u16>,
+        /// Rest that the answer asks for.
+        rest_ms: Option<u64>,
         after_ms: u64,
     },
     /// The instance failed it; it may have run.
@@ -142,6 +148,26 @@
     InstancesGone { instances: &'a [String] },
     /// An instance can't be reached, and is left out for a while.
     Unreachable { instance: &'a str, problem: &'a str },
+    /// An instance asks in an answer to be left alone for so long.
+    InstanceRests {
+        instance: &'a str,
+        id: &'a str,
+        status: u16,
+        rest_ms: u64,
+    },
+    /// An instance says in an answer that it leaves.
+    InstanceLeaves {
+        instance: &'a str,
+        id: &'a str,
+        status: u16,
+    },
+    /// An answer has a header, or a value of it, whose meaning is not known here; told
+    /// once for each name.
+    UnknownWord {
+        instance: &'a str,
+        id: &'a str,
+        header: &'a str,
+    },
     /// An instance ended while it had a request of this content.
     EndedUnder {
         instance: &'a str,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,7 @@
 use courseshunt_services::fed_instances::InstanceChanges;
 use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_interval, usage_lag};
 use courseshunt_services::{
-    Candidate, FedInstances, InstanceDigests, InstanceState, InstanceView, PromptShape,
+    Candidate, FedInstances, InstanceDigests, InstanceState, InstanceView, PromptShape, Pushback,
     ReportMessage, RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
@@ -355,6 +355,21 @@
         self.lock().selector.suspect(instance, now);
     }
 
+    /// Notes that an instance asked for rest.
+    pub(crate) fn asked_rest(&self, instance: &RunnerId, rest: Millis, now: Timestamp) {
+        self.lock().selector.asked_rest(instance, rest, now);
+    }
+
+    /// Notes that an instance says that it leaves; returns whether that is news.
+    pub(crate) fn leaves(&self, instance: &RunnerId, now: Timestamp) -> bool {
+        self.lock().selector.leaves(instance, now)
+    }
+
+    /// What an instance asked for that holds now.
+    pub(crate) fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
+        self.lock().selector.pushback(instance, now)
+    }
+
     /// `ip:port` of an instance that is known.
     pub(crate) fn address_of(&self, instance: &RunnerId) -> Option<String> {
         let state = self.lock();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod pace;
 mod response;
+mod retry_after;
 mod server;
 
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
@@ -12,4 +13,5 @@
 pub use error::HttpError;
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
+pub use retry_after::{RetryAfter, read_retry_after};
 pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve};
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -59,6 +59,6 @@
 };
 pub use relay::{RegistrationOutbox, RelayedRegistration};
 pub use routes::RouteTable;
-pub use selection::{Candidate, PrefixPart, PromptShape, Selector};
+pub use selection::{Candidate, PrefixPart, PromptShape, Pushback, Pushbacks, Selector};
 pub use store_limit::StoreLimit;
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -8,10 +8,12 @@
 //! instances (rendezvous hashing), so that routers agree on it without messages.
 
 mod health;
+mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use health::Health;
+pub use pushback::{Pushback, Pushbacks};
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -134,6 +136,8 @@
     told_at: Timestamp,
     told_late: Millis,
     locals: BTreeMap<RunnerId, Local>,
+    /// What instances asked for. Outlives their place in `locals`.
+    pushbacks: Pushbacks,
     choices: u64,
 }
 
@@ -147,6 +151,7 @@
             told_at: Timestamp::default(),
             told_late: Millis(0),
             locals: BTreeMap::new(),
+            pushbacks: Pushbacks::default(),
             choices: 0,
         }
     }
@@ -365,6 +370,22 @@
         }
     }
 
+    /// Notes that an instance asked for rest.
+    pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
+        self.pushbacks.asked_rest(instance, rest, now);
+    }
+
+    /// Notes that an instance says that it leaves; returns whether that is news.
+    pub fn leaves(&mut self, instance: &RunnerId, now: Timestamp) -> bool {
+        self.pushbacks.leaves(instance, now)
+    }
+
+    /// What an instance asked for that holds now.
+    #[must_use]
+    pub fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
+        self.pushbacks.of(instance, now)
+    }
+
     /// Leaves an instance out for a while after it could not be reached: the
     /// longer the more often in a row.
     pub fn unreachable(&mut self, instance: &RunnerId, now: Timestamp) {
