Instances that ask for rest, or say that they leave, are left alone

Cause: an attempt that was turned away stayed in that request's own list; what the answer asked for was read nowhere. Ruled out: late feeds or lost peers (feeds 0 to 130 ms old, one leader throughout). Change: the selection keeps each instance's word by its life, apart from what is fed, and passes over those that rest or leave: one gate for first sends, repeats, requests that waited and the last resort. An attempt looks once more right before it sends. After a rest an instance gets one request, then twice as many after each good answer. What only resting instances could serve waits where the rest ends in time, else it is refused at once with the end of the rest. Connections that are kept to a leaving instance are closed.

--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -67,6 +67,7 @@
     if facts.leaving {
         shared.metrics.pushback("leaving");
         if shared.view.leaves(instance, now) {
+            shared.pool.forget(std::slice::from_ref(instance));
             emit(&RouterRecord::InstanceLeaves {
                 instance: instance.as_str(),
                 id: flight.id(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,8 @@
     Answered(Response<Body>),
     /// It surely did not run there.
     NotRun,
+    /// It was not sent: meanwhile the instance asked to be left alone.
+    NotSent,
     /// It may have run, and there is no answer to pass on.
     MayHaveRun,
     /// The request's time is over; it may have run.
@@ -52,6 +54,12 @@
     };
     let limit = admitted.deadline + DEADLINE_MARGIN;
     loop {
+        // Its word may have come since the choice, while a connection was made.
+        if flight.is_forbidden() {
+            flight.not_run(None, None);
+            shared.pool.keep(flight.instance(), upstream);
+            return AttemptOutcome::NotSent;
+        }
         let Some(request) = build(shared, admitted, flight.instance()) else {
             flight.not_run(None, None);
             return AttemptOutcome::NotRun;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -74,9 +74,9 @@
             .pushback(&candidate.instance, shared.clock.now());
         let rest_left_ms = match pushback {
             Some(Pushback::Rest(left)) => Some(left.0),
-            Some(Pushback::Leaving) | None => None,
+            Some(Pushback::Returns | Pushback::Leaving) | None => None,
         };
-        if let Some(pushback) = pushback {
+        if let Some(pushback) = pushback.filter(|pushback| pushback.forbids()) {
             metrics.sent_against(pushback.word());
         }
         emit(&RequestRecord::Sent {
@@ -125,6 +125,13 @@
         &self.candidate.instance
     }
 
+    /// Whether the instance asked to be left alone.
+    pub(crate) fn is_forbidden(&self) -> bool {
+        let now = self.shared.clock.now();
+        let pushback = self.shared.view.pushback(self.instance(), now);
+        pushback.is_some_and(Pushback::forbids)
+    }
+
     /// Notes the status of the instance's answer.
     pub(crate) fn status(&mut self, status: u16) {
         self.status = status;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,7 +8,7 @@
 use crate::quota_desk::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
-use crate::waiting::{Situation, Waiting, decide};
+use crate::waiting::{self, Situation, Waiting, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
 use courseshunt_records::emit;
@@ -130,11 +130,14 @@
         admitted.set_used(true);
         let outcome = attempt(shared, admitted, candidate, &view, sends.count).await;
         sends.ended_at = Some(Instant::now());
-        let did_not_run = matches!(outcome, AttemptOutcome::NotRun);
+        let did_not_run = matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
         admitted.set_used(!did_not_run || sends.ran > 0);
         match next(admitted, shared, &mut sends, instance, outcome) {
             Next::Answer(response) => return response,
-            Next::Refuse(refusal) => return refuse(admitted, shared, &sends, refusal, None),
+            Next::Refuse(refusal) => {
+                let retry_after = return_after(admitted, shared);
+                return refuse(admitted, shared, &sends, refusal, retry_after);
+            }
             Next::Again => {}
         }
         if sends.avoid.len() > 1 {
@@ -184,6 +187,10 @@
                 false => Next::Refuse(Refusal::TurnedAway),
             }
         }
+        AttemptOutcome::NotSent => {
+            sends.count -= 1;
+            Next::Again
+        }
         AttemptOutcome::MayHaveRun => {
             sends.ran += 1;
             sends.avoid.push(instance);
@@ -197,6 +204,15 @@
     }
 }
 
+/// When to come back after a refusal, if all instances that could serve the request have
+/// asked for rest; none: soon.
+fn return_after(admitted: &Admitted, shared: &Shared) -> Option<Millis> {
+    let situation = situation(admitted, shared);
+    situation
+        .pushed_back
+        .then(|| waiting::retry_after(&situation, Instant::now()))
+}
+
 /// The final answer of a request that no instance answered.
 fn refuse(
     admitted: &Admitted,
@@ -277,6 +293,7 @@
     let service = &admitted.service;
     let mut changes = shared.view.changes();
     let mut waiting = None;
+    let mut is_told = false;
     loop {
         changes.borrow_and_update();
         let now = shared.clock.now();
@@ -311,13 +328,17 @@
         }
         if waiting.is_none() && service.engine.is_some() {
             waiting = Some(shared.view.wait_for(&service.name, shape));
-            record_waiting(admitted, shared);
         }
-        let until = match decide(&situation(admitted, shared), Instant::now()) {
+        let situation = situation(admitted, shared);
+        let is_known = service.engine.is_some() || situation.expected.is_some();
+        if is_known && !std::mem::replace(&mut is_told, true) {
+            record_waiting(admitted, shared, &situation);
+        }
+        let until = match decide(&situation, Instant::now()) {
             Waiting::Until(until) => until,
             Waiting::GiveUp { retry_after } => return Err(GivenUp::of(sends, retry_after)),
         };
-        let pause = (Instant::now() + LOOK_AGAIN).min(until);
+        let pause = next_look(&situation).min(until);
         tokio::select! {
             _ = tokio::time::timeout_at(pause, changes.changed()) => {}
             () = shared.giving_up.cancelled() => {}
@@ -325,17 +346,22 @@
     }
 }
 
-fn record_waiting(admitted: &Admitted, shared: &Shared) {
+/// When a waiting request is looked at again, unless something changes before.
+fn next_look(situation: &Situation) -> Instant {
+    let now = Instant::now();
+    let expected = situation.expected.filter(|at| *at > now);
+    expected.into_iter().fold(now + LOOK_AGAIN, Instant::min)
+}
+
+fn record_waiting(admitted: &Admitted, shared: &Shared, situation: &Situation) {
     let shape = &admitted.facts.shape;
-    let service = &admitted.service;
-    let expected = shared
-        .view
-        .expected_at(service, shape, shared.clock.now())
-        .map(|at| millis(at.saturating_duration_since(Instant::now())));
+    let now = Instant::now();
+    let expected = situation.expected;
+    let expected = expected.map(|at| millis(at.saturating_duration_since(now)));
     emit(&RequestRecord::Waits {
         id: &admitted.facts.id,
         route: &admitted.route.name,
-        service: &service.name,
+        service: &admitted.service.name,
         model: &shape.model,
         adapter: shape.adapter.as_deref(),
         expected_ms: expected,
@@ -347,13 +373,8 @@
 /// What the decision on waiting rests on.
 fn situation(admitted: &Admitted, shared: &Shared) -> Situation {
     let service = &admitted.service;
-    let expected = match service.engine {
-        Some(_) => {
-            let now = shared.clock.now();
-            shared.view.expected_at(service, &admitted.facts.shape, now)
-        }
-        None => None,
-    };
+    let now = shared.clock.now();
+    let expected = shared.view.expected(service, &admitted.facts.shape, now);
     let asked = admitted.facts.deadline.unwrap_or(admitted.route.timeout);
     Situation {
         arrived: admitted.arrived,
@@ -365,6 +386,7 @@
             .map(Duration::from),
         returning: asked.0 * 10 < admitted.route.timeout.0 * 9,
         has_models: service.engine.is_some() && shared.view.is_known(service),
-        expected,
+        expected: expected.map(|expected| expected.at),
+        pushed_back: expected.is_some_and(|expected| expected.pushed_back),
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,6 +20,8 @@
 pub(crate) const ASSUMED_ROUTERS: u32 = 16;
 /// Time in which an adapter is loaded, about.
 const ADAPTER_TIME: Duration = Duration::from_millis(60);
+/// Time in which an instance answers one of the few requests that it gets after a rest, about.
+const RETURN_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
 const CONNECTION_RESERVE: u32 = 8;
 
@@ -41,6 +43,14 @@
     adapter: Option<String>,
 }
 
+/// When an instance is expected to take a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Expected {
+    pub(crate) at: Instant,
+    /// It asked for rest until then, or has just rested.
+    pub(crate) pushed_back: bool,
+}
+
 struct State {
     table: Option<Arc<RouteTable>>,
     /// The configuration in force, in the operator's form.
@@ -63,6 +73,13 @@
         self.table.as_ref().map_or(0, |table| table.number())
     }
 
+    /// When the model of a request will be loaded at an instance, if it is being loaded.
+    fn loaded_at(&self, view: &InstanceView, shape: &PromptShape) -> Option<Instant> {
+        let due = self.expected.get(&view.id).into_iter().flatten();
+        let due = due.filter(|(model, _)| *model == shape.model);
+        due.map(|(_, at)| *at).min()
+    }
+
     /// Takes changes over that `instances` has taken already.
     fn follow(&mut self, changes: &InstanceChanges) {
         let now = Instant::now();
@@ -313,38 +330,62 @@
         views.any(|view| view.service == service.name)
     }
 
-    /// When an instance is expected to hold the request's model; `None` when
-    /// nothing is known.
-    pub(crate) fn expected_at(
+    /// When an instance is expected to take a request; `None` when nothing is known.
+    pub(crate) fn expected(
         &self,
         service: &Service,
         shape: &PromptShape,
         now: Timestamp,
-    ) -> Option<Instant> {
+    ) -> Option<Expected> {
         let state = self.lock();
         let views = state.instances.values();
         let views =
             views.filter(|view| view.service == service.name && view.state == InstanceState::Ready);
         let views = views.filter(|view| !state.selector.is_unreachable(&view.id, now));
-        let mut earliest: Option<Instant> = None;
+        let moment = Instant::now();
+        let mut earliest: Option<Expected> = None;
         for view in views {
-            if view.holds(&shape.model, None) {
-                return Some(Instant::now() + ADAPTER_TIME);
-            }
-            let due = state.expected.get(&view.id).into_iter().flatten();
-            let due = due.filter(|(model, _)| *model == shape.model);
-            earliest = due.map(|(_, at)| *at).chain(earliest).min();
+            let wait = match state.selector.pushback(&view.id, now) {
+                None => None,
+                Some(Pushback::Rest(left)) => Some(Duration::from(left)),
+                Some(Pushback::Returns) => Some(RETURN_TIME),
+                Some(Pushback::Leaving) => continue,
+            };
+            let pushed_back = wait.is_some();
+            let free_at = moment + wait.unwrap_or_default();
+            let at = if view.holds(&shape.model, None) {
+                Some(free_at + ADAPTER_TIME)
+            } else if service.engine.is_some() {
+                state.loaded_at(view, shape).map(|at| at.max(free_at))
+            } else if pushed_back {
+                Some(free_at)
+            } else {
+                // It is full: nothing tells until when.
+                return None;
+            };
+            let expected = at.map(|at| Expected { at, pushed_back });
+            earliest = earliest
+                .into_iter()
+                .chain(expected)
+                .min_by_key(|one| one.at);
         }
         earliest
     }
 
     pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis, good: bool) {
         let mut state = self.lock();
-        state.selector.first_answer(candidate, waited, good);
+        let has_room = state.selector.first_answer(candidate, waited, good);
+        drop(state);
+        if has_room {
+            self.changed();
+        }
     }
 
     pub(crate) fn end(&self, candidate: &Candidate, answered: bool) {
-        self.lock().selector.end(candidate, answered);
+        let has_room = self.lock().selector.end(candidate, answered);
+        if has_room {
+            self.changed();
+        }
     }
 
     pub(crate) fn unreachable(&self, instance: &RunnerId, now: Timestamp) {
@@ -365,7 +406,7 @@
         self.lock().selector.leaves(instance, now)
     }
 
-    /// What an instance asked for that holds now.
+    /// Why an instance is not to be sent a request now, by its own word.
     pub(crate) fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
         self.lock().selector.pushback(instance, now)
     }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -42,8 +42,10 @@
     pub returning: bool,
     /// Whether instances of the service can be told to load the model.
     pub has_models: bool,
-    /// When an instance is expected to be there.
+    /// When an instance is expected to be there: with the model, and its rest over.
     pub expected: Option<Instant>,
+    /// Whether that instance asked for rest until then.
+    pub pushed_back: bool,
 }
 
 /// The decision.
@@ -61,7 +63,7 @@
 /// Decides.
 pub fn decide(situation: &Situation, now: Instant) -> Waiting {
     let limit = match situation.returning {
-        true => limit_returning(situation),
+        true => limit_returning(situation, now),
         false => limit_first(situation, now),
     };
     if now < limit {
@@ -74,18 +76,20 @@
 
 /// How long a request waits that has come back: as long as its client does,
 /// where that makes sense.
-fn limit_returning(situation: &Situation) -> Instant {
+fn limit_returning(situation: &Situation, now: Instant) -> Instant {
     match situation.expected {
-        _ if !situation.has_models => situation.prompt(),
+        None if !situation.has_models => situation.prompt(),
         None => situation.arrived + situation.whole().mul_f64(BLIND_PART),
         Some(expected) if expected + ANSWER_TIME <= situation.end() => situation.end(),
+        // No order makes a rest shorter.
+        Some(_) if situation.pushed_back => now,
         Some(_) => situation.prompt(),
     }
 }
 
 /// How long a request waits that was not refused before.
 fn limit_first(situation: &Situation, now: Instant) -> Instant {
-    let Some(expected) = situation.expected.filter(|_| situation.has_models) else {
+    let Some(expected) = situation.expected else {
         return situation.prompt();
     };
     let answer = expected + ANSWER_TIME;
@@ -100,7 +104,7 @@
 
 /// When it makes sense to come back: surely not before the model is there, since
 /// a request that is refused again is lost.
-fn retry_after(situation: &Situation, now: Instant) -> Millis {
+pub(crate) fn retry_after(situation: &Situation, now: Instant) -> Millis {
     let wait = match situation.expected {
         Some(expected) => {
             let wait = expected.saturating_duration_since(now);
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -18,13 +18,14 @@
     returning: bool,
     has_models: bool,
     expected: Option<u64>,
+    pushed_back: bool,
     /// Waits until then after the arrival, or is told to come back.
     verdict: Result<u64, u64>,
 }
 
 const DEADLINE: u64 = 5_000;
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 17] = [
     Case {
         name: "a plain service without an instance is given up promptly",
         now: 0,
@@ -33,6 +34,7 @@
         returning: false,
         has_models: false,
         expected: None,
+        pushed_back: false,
         verdict: Ok(20),
     },
     Case {
@@ -43,6 +45,7 @@
         returning: false,
         has_models: false,
         expected: None,
+        pushed_back: false,
         verdict: Err(1_200),
     },
     Case {
@@ -53,6 +56,7 @@
         returning: false,
         has_models: true,
         expected: Some(2_000),
+        pushed_back: false,
         verdict: Ok(4_500),
     },
     Case {
@@ -63,6 +67,7 @@
         returning: false,
         has_models: true,
         expected: Some(4_200),
+        pushed_back: false,
         verdict: Ok(4_500),
     },
     Case {
@@ -73,6 +78,7 @@
         returning: false,
         has_models: true,
         expected: Some(4_600),
+        pushed_back: false,
         verdict: Err(3_470),
     },
     Case {
@@ -83,6 +89,7 @@
         returning: false,
         has_models: true,
         expected: Some(1_500),
+        pushed_back: false,
         verdict: Ok(2_880),
     },
     Case {
@@ -93,6 +100,7 @@
         returning: false,
         has_models: true,
         expected: Some(1_500),
+        pushed_back: false,
         verdict: Err(1_655),
     },
     Case {
@@ -103,6 +111,7 @@
         returning: true,
         has_models: true,
         expected: Some(1_500),
+        pushed_back: false,
         verdict: Ok(2_880),
     },
     Case {
@@ -113,6 +122,7 @@
         returning: true,
         has_models: true,
         expected: Some(3_100),
+        pushed_back: false,
         verdict: Err(280),
     },
     Case {
@@ -123,6 +133,7 @@
         returning: true,
         has_models: true,
         expected: None,
+        pushed_back: false,
         verdict: Ok(2_250),
     },
     Case {
@@ -133,6 +144,7 @@
         returning: true,
         has_models: true,
         expected: Some(4_000),
+        pushed_back: false,
         verdict: Err(4_295),
     },
     Case {
@@ -143,6 +155,7 @@
         returning: false,
         has_models: true,
         expected: None,
+        pushed_back: false,
         verdict: Ok(100),
     },
     Case {
@@ -153,8 +166,53 @@
         returning: false,
         has_models: true,
         expected: None,
+        pushed_back: false,
         verdict: Err(1_200),
     },
+    Case {
+        name: "a plain service whose instances rest is waited for if that is in time",
+        now: 0,
+        objective: 1_000,
+        patience: None,
+        returning: false,
+        has_models: false,
+        expected: Some(700),
+        pushed_back: true,
+        verdict: Ok(4_500),
+    },
+    Case {
+        name: "else refused at once until they have rested",
+        now: 0,
+        objective: 1_000,
+        patience: None,
+        returning: false,
+        has_models: false,
+        expected: Some(3_000),
+        pushed_back: true,
+        verdict: Err(3_360),
+    },
+    Case {
+        name: "one that has come back waits for the end of a rest",
+        now: 0,
+        objective: 1_000,
+        patience: None,
+        returning: true,
+        has_models: true,
+        expected: Some(3_000),
+        pushed_back: true,
+        verdict: Ok(4_500),
+    },
+    Case {
+        name: "and is refused at once if that is too late for its client",
+        now: 0,
+        objective: 1_000,
+        patience: None,
+        returning: true,
+        has_models: true,
+        expected: Some(4_400),
+        pushed_back: true,
+        verdict: Err(4_900),
+    },
 ];
 
 #[tokio::test]
@@ -169,6 +227,7 @@
             returning: case.returning,
             has_models: case.has_models,
             expected: case.expected.map(|at| arrived + ms(at)),
+            pushed_back: case.pushed_back,
         };
         let verdict = match decide(&situation, arrived + ms(case.now)) {
             Waiting::Until(until) => Ok((until - arrived).as_millis() as u64),
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -217,6 +217,8 @@
             .filter(|view| view.state == InstanceState::Ready)
             .filter(|view| !avoid.contains(&view.id))
             .filter(|view| !self.is_unreachable(&view.id, now))
+            // The one gate of all that is sent: first sends, repeats, requests that waited.
+            .filter(|view| self.pushback(&view.id, now).is_none())
             .filter(|view| {
                 shape.model.is_empty() || view.holds(&shape.model, shape.adapter.as_deref())
             })
@@ -327,6 +329,7 @@
         local
             .health
             .sent(candidate.ticket, candidate.predicted_ms, now);
+        self.pushbacks.begin(&candidate.instance, candidate.ticket);
         for (key, _) in shape.prefix_keys() {
             local.prefixes.insert(key, now);
         }
@@ -336,8 +339,16 @@
         }
     }
 
-    /// Notes the first answer after `waited`; `good` unless it reports a failure.
-    pub fn first_answer(&mut self, candidate: &Candidate, waited: Millis, good: bool) {
+    /// Notes the first answer after `waited`; `good` unless it reports a failure. Returns
+    /// whether an instance that rested may have more requests now.
+    pub fn first_answer(&mut self, candidate: &Candidate, waited: Millis, good: bool) -> bool {
+        let (instance, ticket) = (&candidate.instance, candidate.ticket);
+        let has_room = good && self.pushbacks.answered(instance, ticket);
+        self.learn_from_answer(candidate, waited, good);
+        has_room
+    }
+
+    fn learn_from_answer(&mut self, candidate: &Candidate, waited: Millis, good: bool) {
         let Some(local) = self.locals.get_mut(&candidate.instance) else {
             return;
         };
@@ -356,10 +367,13 @@
         local.slowness = Some(after.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1));
     }
 
-    /// Notes the end of a request; `answered` tells whether its first answer came.
-    pub fn end(&mut self, candidate: &Candidate, answered: bool) {
-        let Some(local) = self.locals.get_mut(&candidate.instance) else {
-            return;
+    /// Notes the end of a request; `answered` tells whether its first answer came. Returns
+    /// whether an instance that rested may have another request in its place.
+    pub fn end(&mut self, candidate: &Candidate, answered: bool) -> bool {
+        let (instance, ticket) = (&candidate.instance, candidate.ticket);
+        let has_room = self.pushbacks.ended(instance, ticket);
+        let Some(local) = self.locals.get_mut(instance) else {
+            return has_room;
         };
         local.in_flight = local.in_flight.saturating_sub(1);
         local.health.settled(candidate.ticket);
@@ -368,6 +382,7 @@
                 .unread_tokens
                 .saturating_sub(candidate.uncached_tokens);
         }
+        has_room
     }
 
     /// Notes that an instance asked for rest.
@@ -380,7 +395,7 @@
         self.pushbacks.leaves(instance, now)
     }
 
-    /// What an instance asked for that holds now.
+    /// Why an instance is not to be sent a request now, by its own word.
     #[must_use]
     pub fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
         self.pushbacks.of(instance, now)
--- a/crates/services/src/selection/pushback.rs
+++ b/crates/services/src/selection/pushback.rs
@@ -3,32 +3,47 @@
 //!
 //! Invariants: a word is of one life of an instance, and was said to this process alone.
 //! Rest ends with its time; leaving holds for the rest of that life, whatever is told of
-//! the instance later. Neither a feed nor a configuration changes it.
+//! the instance later. Neither a feed nor a configuration changes it. After a rest the
+//! instance gets one request, and twice as many after each good answer.
 //!
 //! Cost: bounded by [`MAX_KEPT`].
 
 use courseshunt_types::{Millis, RunnerId, Timestamp};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Instances whose word is kept at the most: several times those of the largest fleet that
 /// leave or rest at once. The oldest word goes first.
 const MAX_KEPT: usize = 16_384;
+/// Requests that an instance gets at once after its rest, at first: it was overloaded, and
+/// all that waited would come back in one moment.
+const FIRST_WINDOW: usize = 1;
+/// From so many on there is no bound of this kind any more.
+const OPEN_WINDOW: usize = 16;
 
 /// What an instance asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pushback {
     /// To be sent nothing for so long from now on.
     Rest(Millis),
+    /// Its rest is over, and it has as many requests as it gets at once at first.
+    Returns,
     /// To be sent nothing any more.
     Leaving,
 }
 
 impl Pushback {
+    /// Whether a request that is sent all the same goes against its wish.
+    #[must_use]
+    pub fn forbids(self) -> bool {
+        self != Self::Returns
+    }
+
     /// Name for logs and metrics.
     #[must_use]
     pub fn word(self) -> &'static str {
         match self {
             Self::Rest(_) => "rest",
+            Self::Returns => "returns",
             Self::Leaving => "leaving",
         }
     }
@@ -39,6 +54,10 @@
     noted_at: Timestamp,
     rest_until: Timestamp,
     leaving: bool,
+    /// Requests that it may have at once after its rest.
+    window: usize,
+    /// Tickets of those that it has.
+    under_way: BTreeSet<u64>,
 }
 
 /// See the module.
@@ -52,6 +71,7 @@
     pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         let asked = self.asked(instance, now);
         asked.rest_until = asked.rest_until.max(now + rest);
+        asked.window = FIRST_WINDOW;
     }
 
     /// Notes that an instance leaves; returns whether that is news.
@@ -60,15 +80,48 @@
         !std::mem::replace(&mut asked.leaving, true)
     }
 
-    /// What an instance asked for that holds now.
+    /// Why an instance is not to be sent a request now; none: it may be.
     #[must_use]
     pub fn of(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
         let asked = self.asked.get(instance)?;
         if asked.leaving {
             return Some(Pushback::Leaving);
         }
-        let rests = now < asked.rest_until;
-        rests.then(|| Pushback::Rest(asked.rest_until.since(now)))
+        if now < asked.rest_until {
+            return Some(Pushback::Rest(asked.rest_until.since(now)));
+        }
+        let has_all = asked.under_way.len() >= asked.window;
+        has_all.then_some(Pushback::Returns)
+    }
+
+    /// Notes that a request is sent.
+    pub fn begin(&mut self, instance: &RunnerId, ticket: u64) {
+        if let Some(asked) = self.asked.get_mut(instance) {
+            asked.under_way.insert(ticket);
+        }
+    }
+
+    /// Notes a good answer; returns whether the instance may have more than before.
+    pub fn answered(&mut self, instance: &RunnerId, ticket: u64) -> bool {
+        let Some(asked) = self.asked.get_mut(instance) else {
+            return false;
+        };
+        // One that was under way before the rest tells nothing of the time after it.
+        if !asked.under_way.remove(&ticket) {
+            return false;
+        }
+        asked.window *= 2;
+        if asked.window >= OPEN_WINDOW && !asked.leaving {
+            self.asked.remove(instance);
+        }
+        true
+    }
+
+    /// Notes that a request has ended, however; returns whether the instance may have
+    /// another one in its place.
+    pub fn ended(&mut self, instance: &RunnerId, ticket: u64) -> bool {
+        let asked = self.asked.get_mut(instance);
+        asked.is_some_and(|asked| asked.under_way.remove(&ticket))
     }
 
     fn asked(&mut self, instance: &RunnerId, now: Timestamp) -> &mut Asked {
@@ -79,6 +132,8 @@
             noted_at: now,
             rest_until: now,
             leaving: false,
+            window: OPEN_WINDOW,
+            under_way: BTreeSet::new(),
         });
         asked.noted_at = now;
         asked
