After its rest an instance gets one request, then each router's share of its slots

Cause: all that waited for an instance, at all routers, came back in the moment in which its rest ended, and turned it into the next one. Change: for as long as it rested an instance gets one request at once from a router, one more for each good answer, and at most the router's share of its slots.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -71,12 +71,12 @@
         metrics.sent(waited, shape.prompt_tokens, candidate.uncached_tokens);
         let pushback = shared
             .view
-            .pushback(&candidate.instance, shared.clock.now());
+            .asked_for(&candidate.instance, shared.clock.now());
         let rest_left_ms = match pushback {
             Some(Pushback::Rest(left)) => Some(left.0),
             Some(Pushback::Returns | Pushback::Leaving) | None => None,
         };
-        if let Some(pushback) = pushback.filter(|pushback| pushback.forbids()) {
+        if let Some(pushback) = pushback {
             metrics.sent_against(pushback.word());
         }
         emit(&RequestRecord::Sent {
@@ -128,8 +128,7 @@
     /// Whether the instance asked to be left alone.
     pub(crate) fn is_forbidden(&self) -> bool {
         let now = self.shared.clock.now();
-        let pushback = self.shared.view.pushback(self.instance(), now);
-        pushback.is_some_and(Pushback::forbids)
+        self.shared.view.asked_for(self.instance(), now).is_some()
     }
 
     /// Notes the status of the instance's answer.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -121,13 +121,16 @@
     pub(crate) fn new(settings: &ServiceSettings, clock: MonotonicClock) -> Self {
         let limits = &settings.limits;
         let window = Millis((limits.retry_window_s * 1000.0) as u64);
+        let zone = Zone::from(settings.zone.as_str());
+        let mut selector = Selector::new(zone).seeded(rand::random());
+        selector.set_routers(ASSUMED_ROUTERS);
         let state = State {
             table: None,
             document: HeldDocument::default(),
             behind_since: None,
             instances: FedInstances::default(),
             expected: BTreeMap::new(),
-            selector: Selector::new(Zone::from(settings.zone.as_str())).seeded(rand::random()),
+            selector,
             demand: HashMap::new(),
             budgets: HashMap::new(),
             routers: ASSUMED_ROUTERS,
@@ -288,6 +291,8 @@
     pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) {
         let mut state = self.lock();
         state.routers = routers.max(1);
+        let routers = state.routers;
+        state.selector.set_routers(routers);
         let late = usage_lag(state.routers, state.instances.len());
         state.selector.set_usage(usage, late, now);
     }
@@ -345,7 +350,7 @@
         let moment = Instant::now();
         let mut earliest: Option<Expected> = None;
         for view in views {
-            let wait = match state.selector.pushback(&view.id, now) {
+            let wait = match state.selector.pushback(view, now) {
                 None => None,
                 Some(Pushback::Rest(left)) => Some(Duration::from(left)),
                 Some(Pushback::Returns) => Some(RETURN_TIME),
@@ -406,9 +411,9 @@
         self.lock().selector.leaves(instance, now)
     }
 
-    /// Why an instance is not to be sent a request now, by its own word.
-    pub(crate) fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
-        self.lock().selector.pushback(instance, now)
+    /// What an instance asked for that holds now: to rest, or that it leaves.
+    pub(crate) fn asked_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
+        self.lock().selector.asked_for(instance, now)
     }
 
     /// `ip:port` of an instance that is known.
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -136,6 +136,8 @@
     told_at: Timestamp,
     told_late: Millis,
     locals: BTreeMap<RunnerId, Local>,
+    /// Routers that choose among the same instances, this one included.
+    routers: u32,
     /// What instances asked for. Outlives their place in `locals`.
     pushbacks: Pushbacks,
     choices: u64,
@@ -151,6 +153,7 @@
             told_at: Timestamp::default(),
             told_late: Millis(0),
             locals: BTreeMap::new(),
+            routers: 1,
             pushbacks: Pushbacks::default(),
             choices: 0,
         }
@@ -162,6 +165,11 @@
         Self { seed, ..self }
     }
 
+    /// Takes over how many routers choose among the same instances, this one included.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers;
+    }
+
     /// Takes over what all routers use, this one included: what it has under way
     /// itself is known better here. It is about `late` old.
     pub fn set_usage(
@@ -218,7 +226,7 @@
             .filter(|view| !avoid.contains(&view.id))
             .filter(|view| !self.is_unreachable(&view.id, now))
             // The one gate of all that is sent: first sends, repeats, requests that waited.
-            .filter(|view| self.pushback(&view.id, now).is_none())
+            .filter(|view| self.pushback(view, now).is_none())
             .filter(|view| {
                 shape.model.is_empty() || view.holds(&shape.model, shape.adapter.as_deref())
             })
@@ -329,7 +337,8 @@
         local
             .health
             .sent(candidate.ticket, candidate.predicted_ms, now);
-        self.pushbacks.begin(&candidate.instance, candidate.ticket);
+        self.pushbacks
+            .begin(&candidate.instance, candidate.ticket, now);
         for (key, _) in shape.prefix_keys() {
             local.prefixes.insert(key, now);
         }
@@ -395,10 +404,18 @@
         self.pushbacks.leaves(instance, now)
     }
 
+    /// What an instance asked for that holds now: to rest, or that it leaves.
+    #[must_use]
+    pub fn asked_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
+        self.pushbacks.asked_for(instance, now)
+    }
+
     /// Why an instance is not to be sent a request now, by its own word.
     #[must_use]
-    pub fn pushback(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
-        self.pushbacks.of(instance, now)
+    pub fn pushback(&self, view: &InstanceView, now: Timestamp) -> Option<Pushback> {
+        let share = view.slots / self.routers.max(1);
+        self.pushbacks
+            .of(&view.id, usize::try_from(share).unwrap_or(usize::MAX), now)
     }
 
     /// Leaves an instance out for a while after it could not be reached: the
--- a/crates/services/src/selection/pushback.rs
+++ b/crates/services/src/selection/pushback.rs
@@ -3,8 +3,11 @@
 //!
 //! Invariants: a word is of one life of an instance, and was said to this process alone.
 //! Rest ends with its time; leaving holds for the rest of that life, whatever is told of
-//! the instance later. Neither a feed nor a configuration changes it. After a rest the
-//! instance gets one request, and twice as many after each good answer.
+//! the instance later. Neither a feed nor a configuration changes it.
+//!
+//! For as long as it rested, an instance then gets few requests at once: one, one more for
+//! each good answer, and at most this process's share of its slots. Its callers waited for
+//! it, here and elsewhere; all at once they would turn its rest into the next one.
 //!
 //! Cost: bounded by [`MAX_KEPT`].
 
@@ -14,11 +17,8 @@
 /// Instances whose word is kept at the most: several times those of the largest fleet that
 /// leave or rest at once. The oldest word goes first.
 const MAX_KEPT: usize = 16_384;
-/// Requests that an instance gets at once after its rest, at first: it was overloaded, and
-/// all that waited would come back in one moment.
+/// Requests that an instance gets at once right after its rest.
 const FIRST_WINDOW: usize = 1;
-/// From so many on there is no bound of this kind any more.
-const OPEN_WINDOW: usize = 16;
 
 /// What an instance asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,12 +32,6 @@
 }
 
 impl Pushback {
-    /// Whether a request that is sent all the same goes against its wish.
-    #[must_use]
-    pub fn forbids(self) -> bool {
-        self != Self::Returns
-    }
-
     /// Name for logs and metrics.
     #[must_use]
     pub fn word(self) -> &'static str {
@@ -53,6 +47,8 @@
 struct Asked {
     noted_at: Timestamp,
     rest_until: Timestamp,
+    /// Until then it gets few requests at once.
+    few_until: Timestamp,
     leaving: bool,
     /// Requests that it may have at once after its rest.
     window: usize,
@@ -60,6 +56,12 @@
     under_way: BTreeSet<u64>,
 }
 
+impl Asked {
+    fn is_over(&self, now: Timestamp) -> bool {
+        !self.leaving && now >= self.few_until
+    }
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub struct Pushbacks {
@@ -71,6 +73,7 @@
     pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         let asked = self.asked(instance, now);
         asked.rest_until = asked.rest_until.max(now + rest);
+        asked.few_until = asked.few_until.max(asked.rest_until + rest);
         asked.window = FIRST_WINDOW;
     }
 
@@ -80,24 +83,44 @@
         !std::mem::replace(&mut asked.leaving, true)
     }
 
-    /// Why an instance is not to be sent a request now; none: it may be.
+    /// What an instance asked for that holds now: to rest, or that it leaves.
     #[must_use]
-    pub fn of(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
+    pub fn asked_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
         let asked = self.asked.get(instance)?;
         if asked.leaving {
             return Some(Pushback::Leaving);
         }
-        if now < asked.rest_until {
-            return Some(Pushback::Rest(asked.rest_until.since(now)));
+        let rests = now < asked.rest_until;
+        rests.then(|| Pushback::Rest(asked.rest_until.since(now)))
+    }
+
+    /// Why an instance is not to be sent a request now; none: it may be. `share` is this
+    /// process's part of its slots.
+    #[must_use]
+    pub fn of(&self, instance: &RunnerId, share: usize, now: Timestamp) -> Option<Pushback> {
+        if let Some(asked_for) = self.asked_for(instance, now) {
+            return Some(asked_for);
         }
-        let has_all = asked.under_way.len() >= asked.window;
+        let asked = self.asked.get(instance)?;
+        let window = asked.window.min(share.max(FIRST_WINDOW));
+        let has_all = !asked.is_over(now) && asked.under_way.len() >= window;
         has_all.then_some(Pushback::Returns)
     }
 
+    /// Instances that said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &RunnerId> {
+        let leaving = self.asked.iter().filter(|(_, asked)| asked.leaving);
+        leaving.map(|(id, _)| id)
+    }
+
     /// Notes that a request is sent.
-    pub fn begin(&mut self, instance: &RunnerId, ticket: u64) {
-        if let Some(asked) = self.asked.get_mut(instance) {
-            asked.under_way.insert(ticket);
+    pub fn begin(&mut self, instance: &RunnerId, ticket: u64, now: Timestamp) {
+        let Some(asked) = self.asked.get_mut(instance) else {
+            return;
+        };
+        match asked.is_over(now) {
+            true => drop(self.asked.remove(instance)),
+            false => drop(asked.under_way.insert(ticket)),
         }
     }
 
@@ -110,10 +133,7 @@
         if !asked.under_way.remove(&ticket) {
             return false;
         }
-        asked.window *= 2;
-        if asked.window >= OPEN_WINDOW && !asked.leaving {
-            self.asked.remove(instance);
-        }
+        asked.window += 1;
         true
     }
 
@@ -131,21 +151,21 @@
         let asked = self.asked.entry(instance.clone()).or_insert(Asked {
             noted_at: now,
             rest_until: now,
+            few_until: now,
             leaving: false,
-            window: OPEN_WINDOW,
+            window: FIRST_WINDOW,
             under_way: BTreeSet::new(),
         });
         asked.noted_at = now;
         asked
     }
 
-    /// Forgets rests that are over, then the oldest word, once there are too many.
+    /// Forgets what is over, then the oldest word, once there are too many.
     fn make_room(&mut self, now: Timestamp) {
         if self.asked.len() < MAX_KEPT {
             return;
         }
-        self.asked
-            .retain(|_, asked| asked.leaving || now < asked.rest_until);
+        self.asked.retain(|_, asked| !asked.is_over(now));
         if self.asked.len() < MAX_KEPT {
             return;
         }
--- /dev/null
+++ b/crates/services/tests/pushback.rs
@@ -0,0 +1,142 @@
+//! What instances ask for: how long it holds, and what ends it.
+
+use courseshunt_services::{
+    Candidate, InstanceState, InstanceView, PromptShape, Pushback, Pushbacks, Selector,
+};
+use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
+
+const NOW: Timestamp = Timestamp(10_000);
+const REST: Millis = Millis(3_000);
+const LIMIT: u32 = 100;
+const ROUTERS: u32 = 4;
+
+fn view(id: &str) -> InstanceView {
+    InstanceView {
+        id: RunnerId::from(id),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: Zone::from("z"),
+        slots: 16,
+        state: InstanceState::Ready,
+        models: Vec::new(),
+        loading: Vec::new(),
+    }
+}
+
+fn selector() -> Selector {
+    let mut selector = Selector::new(Zone::from("z"));
+    selector.set_routers(ROUTERS);
+    selector
+}
+
+/// Chooses among these and sends.
+fn send(selector: &mut Selector, views: &[InstanceView], now: Timestamp) -> Option<Candidate> {
+    let shape = PromptShape::default();
+    let chosen = selector.choose(&shape, views.iter(), &[], LIMIT, now)?;
+    selector.begin(&chosen, &shape, now);
+    Some(chosen)
+}
+
+/// Sends until nothing is chosen any more.
+fn send_all(selector: &mut Selector, views: &[InstanceView], now: Timestamp) -> Vec<Candidate> {
+    std::iter::from_fn(|| send(selector, views, now)).collect()
+}
+
+#[test]
+fn rest_holds_until_its_end_and_a_shorter_one_changes_nothing() {
+    let views = [view("a")];
+    let mut selector = selector();
+    selector.asked_rest(&views[0].id, REST, NOW);
+    selector.asked_rest(&views[0].id, Millis(100), NOW);
+    let last = Timestamp(NOW.0 + REST.0 - 1);
+    assert_eq!(
+        selector.pushback(&views[0], last),
+        Some(Pushback::Rest(Millis(1)))
+    );
+    assert!(send(&mut selector, &views, last).is_none());
+    assert!(send(&mut selector, &views, NOW + REST).is_some());
+}
+
+#[test]
+fn after_a_rest_requests_come_step_by_step_up_to_the_share() {
+    let views = [view("a")];
+    let mut selector = selector();
+    // Sent before the rest: its answer tells nothing of the time after it.
+    let before = send(&mut selector, &views, NOW).expect("a choice");
+    selector.asked_rest(&views[0].id, REST, NOW);
+    let mut now = NOW + REST;
+    let mut at_once = Vec::new();
+    let mut under_way = send_all(&mut selector, &views, now);
+    assert!(!selector.first_answer(&before, Millis(20), true));
+    for _ in 0..4 {
+        at_once.push(under_way.len());
+        for one in under_way.drain(..) {
+            selector.first_answer(&one, Millis(20), true);
+            selector.end(&one, true);
+        }
+        now = now + Millis(50);
+        under_way = send_all(&mut selector, &views, now);
+    }
+    // A fourth of 16 slots at the most.
+    assert_eq!(at_once, [1, 2, 4, 4]);
+    assert_eq!(
+        selector.pushback(&views[0], now),
+        Some(Pushback::Returns),
+        "it has its share"
+    );
+    let after = NOW + REST + REST;
+    assert_eq!(selector.pushback(&views[0], after), None);
+    assert!(send_all(&mut selector, &views, after).len() > 4);
+}
+
+#[test]
+fn one_that_is_turned_away_or_fails_after_a_rest_makes_room_for_one_other() {
+    let views = [view("a")];
+    let mut selector = selector();
+    selector.asked_rest(&views[0].id, REST, NOW);
+    let first = send(&mut selector, &views, NOW + REST).expect("a choice");
+    assert!(send(&mut selector, &views, NOW + REST).is_none());
+    assert!(selector.end(&first, false), "there is room again");
+    assert_eq!(send_all(&mut selector, &views, NOW + REST).len(), 1);
+}
+
+#[test]
+fn leaving_outweighs_whatever_is_told_later_of_the_same_life() {
+    let first = RunnerId::of_life("a", 1);
+    let mut views = [view("a"), view("b")];
+    views[0].id = first.clone();
+    let mut selector = selector();
+    assert!(selector.leaves(&first, NOW));
+    assert!(!selector.leaves(&first, NOW), "no news");
+    selector.asked_rest(&first, Millis(1), NOW);
+    // It drops out of the view, and is told as ready again.
+    selector.retain(|_| false);
+    let later = NOW + Millis(3_600_000);
+    assert_eq!(selector.pushback(&views[0], later), Some(Pushback::Leaving));
+    let chosen = send(&mut selector, &views, later).expect("a choice");
+    assert_eq!(chosen.instance, views[1].id);
+    views[0].id = RunnerId::of_life("a", 2);
+    assert_eq!(selector.pushback(&views[0], later), None, "another life");
+}
+
+#[test]
+fn rest_outlives_a_place_in_the_view() {
+    let views = [view("a")];
+    let mut selector = selector();
+    selector.asked_rest(&views[0].id, REST, NOW);
+    selector.retain(|_| false);
+    assert!(send(&mut selector, &views, NOW + Millis(1)).is_none());
+}
+
+#[test]
+fn what_is_kept_is_bounded_and_the_newest_stays() {
+    let mut pushbacks = Pushbacks::default();
+    for number in 0..20_000_u64 {
+        let id = RunnerId::from(format!("i-{number}").as_str());
+        pushbacks.leaves(&id, Timestamp(number));
+    }
+    assert!(pushbacks.leaving().count() <= 16_384);
+    let newest = RunnerId::from("i-19999");
+    let asked_for = pushbacks.asked_for(&newest, Timestamp(20_000));
+    assert_eq!(asked_for, Some(Pushback::Leaving));
+}
