The leader learns of instances that say in answers that they leave; its own calls heed words

Cause: a word that an answer carries was heard by one router alone, where it was heard at all; the leader's orders and questions read statuses and bodies only. Ruled out: committing such a word (a leader that follows is told again by who heard it); another copy of a model whose copies rest: a rest lasts about as long as a load, and the load may take a rested copy's neighbour from its instance. Change: routers report instances that are fed as ready and said that they leave, until the feed shows it; the leader marks them. The answers to orders and questions are heard the same way; an instance that asks for rest there is not called until its end, and a load that was meant for it may go elsewhere.

--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -74,6 +74,9 @@
     /// What the answer to an order means.
     fn order_outcome(&self, status: StatusCode) -> OrderOutcome;
 
+    /// Whether the headers of an instance's answer say that it leaves.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// The call that asks an instance how it stands.
     fn report_call(&self, instance: &RunnerId) -> InstanceCall;
 
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -3,15 +3,18 @@
 use crate::Shared;
 use crate::interface::InstanceCall;
 use crate::records::ControllerRecord;
+use crate::reports::take_leaving;
 use bytes::Bytes;
-use courseshunt_http::{Body, HttpError, empty_body, full_body, read_limited};
+use courseshunt_http::{
+    Body, HttpError, RetryAfter, empty_body, full_body, read_asked_rest, read_limited,
+};
 use courseshunt_records::emit;
 use courseshunt_services::{InstanceReport, Order, OrderAction, OrderOutcome, PlacementStep};
 use courseshunt_types::{Millis, RunnerId};
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Longest wait for an instance's answer.
 const CALL_LIMIT: Duration = Duration::from_millis(250);
@@ -30,21 +33,52 @@
     let _turn = shared.calls.acquire().await;
     match step {
         PlacementStep::Ask { instance, address } => {
-            let report = ask(&instance, &address, &shared).await;
+            let reply = ask(&instance, &address, &shared).await;
+            let report = reply.as_ref().and_then(|reply| read_report(reply, &shared));
             let now = shared.clock.now();
             shared.engine().on_report(&instance, report, now);
+            hear(&instance, reply.as_ref(), &shared);
         }
         PlacementStep::Give(order) => {
             let began = Instant::now();
-            let outcome = give(&order, &shared).await;
+            let (outcome, reply) = give(&order, &shared).await;
             record(&order, outcome, began.elapsed(), &shared);
             let now = shared.clock.now();
             shared.engine().on_outcome(&order, outcome, now);
+            hear(&order.instance, reply.as_ref(), &shared);
         }
     }
     shared.wake.notify_one();
 }
 
+/// An instance's answer to a call.
+struct CallReply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Takes note of what an answer says of its instance, whatever was asked: rest, leaving.
+fn hear(instance: &RunnerId, reply: Option<&CallReply>, shared: &Shared) {
+    let Some(reply) = reply else {
+        return;
+    };
+    if shared.interface.says_leaving(&reply.headers) {
+        let leaving = std::slice::from_ref(instance);
+        take_leaving(&shared.settings.name, leaving, shared);
+    }
+    let asked = read_asked_rest(reply.status, &reply.headers, SystemTime::now());
+    if let RetryAfter::After(rest) = asked {
+        let now = shared.clock.now();
+        shared.engine().asked_rest(instance, rest, now);
+        emit(&ControllerRecord::InstanceRests {
+            instance: instance.as_str(),
+            status: reply.status.as_u16(),
+            rest_ms: rest.0,
+        });
+    }
+}
+
 fn record(order: &Order, outcome: OrderOutcome, took: Duration, shared: &Shared) {
     let action = match &order.action {
         OrderAction::LoadModel(_) => "load_model",
@@ -82,29 +116,32 @@
     });
 }
 
-async fn ask(instance: &RunnerId, address: &str, shared: &Shared) -> Option<InstanceReport> {
+async fn ask(instance: &RunnerId, address: &str, shared: &Shared) -> Option<CallReply> {
     let call = shared.interface.report_call(instance);
-    let (status, body) = exchange(call, address, shared).await.ok()?;
-    if status != StatusCode::OK {
-        return None;
+    exchange(call, address, shared).await.ok()
+}
+
+fn read_report(reply: &CallReply, shared: &Shared) -> Option<InstanceReport> {
+    match reply.status {
+        StatusCode::OK => shared.interface.read_report(&reply.body),
+        _ => None,
     }
-    shared.interface.read_report(&body)
 }
 
-async fn give(order: &Order, shared: &Shared) -> OrderOutcome {
+async fn give(order: &Order, shared: &Shared) -> (OrderOutcome, Option<CallReply>) {
     let fence = shared.replica.status().borrow().term.0;
     let leads = shared.replica.leads();
     let contact = shared.replica.confirmation_age();
     if !leads || contact.is_none_or(|age| age >= CONTACT_LIMIT) {
-        return OrderOutcome::NotSent;
+        return (OrderOutcome::NotSent, None);
     }
     let call = shared
         .interface
         .order_call(order, &shared.settings.name, fence);
     match exchange(call, &order.address, shared).await {
-        Ok((status, _)) => shared.interface.order_outcome(status),
-        Err(HttpError::Connect { .. }) => OrderOutcome::Unreachable,
-        Err(_) => OrderOutcome::Unknown,
+        Ok(reply) => (shared.interface.order_outcome(reply.status), Some(reply)),
+        Err(HttpError::Connect { .. }) => (OrderOutcome::Unreachable, None),
+        Err(_) => (OrderOutcome::Unknown, None),
     }
 }
 
@@ -112,16 +149,19 @@
     call: InstanceCall,
     address: &str,
     shared: &Shared,
-) -> Result<(StatusCode, Bytes), HttpError> {
+) -> Result<CallReply, HttpError> {
     let request = build(call, address).map_err(|error| HttpError::Connect {
         peer: address.to_owned(),
         problem: error.to_string(),
     })?;
     let work = async {
-        let response = shared.client.send(request).await?;
-        let status = response.status();
-        let body = read_limited(response.into_body(), MAX_ANSWER_BYTES, address).await?;
-        Ok((status, body))
+        let (head, body) = shared.client.send(request).await?.into_parts();
+        let body = read_limited(body, MAX_ANSWER_BYTES, address).await?;
+        Ok(CallReply {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     };
     let finished = tokio::time::timeout(CALL_LIMIT, work).await;
     finished.unwrap_or(Err(HttpError::TimedOut {
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -108,7 +108,19 @@
     },
     /// What an instance, or another writer, says of itself is not whole.
     RegistrationRefused { instance: &'a str, problem: &'a str },
-    /// An instance says that it takes no more work.
+    /// An instance said in an answer that it takes no more work.
+    LeavesByItsWord {
+        instance: &'a str,
+        /// The router, or this controller, to which it said so in an answer.
+        told_by: &'a str,
+    },
+    /// An instance asks in an answer to be left alone for so long.
+    InstanceRests {
+        instance: &'a str,
+        status: u16,
+        rest_ms: u64,
+    },
+    /// An instance takes no more work, or ends.
     Leaves {
         instance: &'a str,
         ends: bool,
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -65,9 +65,11 @@
             instances,
             demand,
             unreachable,
+            leaving,
         } => {
             confirm(router, configuration, shared);
             take_usage(router, instances, &demand, &unreachable, shared);
+            take_leaving(router, &leaving, shared);
         }
         ReportMessage::TenantUse { epoch, uses } => {
             let now = shared.clock.now();
@@ -115,6 +117,19 @@
     }
 }
 
+/// Takes note of instances that said to a router, or to this controller, that they leave.
+pub(crate) fn take_leaving(told_by: &str, leaving: &[RunnerId], shared: &Shared) {
+    for instance in leaving {
+        if shared.engine().leaves_by_its_word(instance) {
+            emit(&ControllerRecord::LeavesByItsWord {
+                instance: instance.as_str(),
+                told_by,
+            });
+            shared.wake.notify_one();
+        }
+    }
+}
+
 /// Answers a router's questions on tenants' limits.
 fn answer_quotas(router: &str, questions: &[QuotaAsk], shared: &Shared) -> FeedMessage {
     let now = shared.clock.now();
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -133,9 +133,9 @@
 /// Whether somebody waits for what a report brings about.
 fn is_urgent(news: &RouterNews) -> bool {
     match news {
-        RouterNews::Reports(ReportMessage::Usage { demand, .. }) => {
-            demand.iter().any(|one| one.waiting > 0)
-        }
+        RouterNews::Reports(ReportMessage::Usage {
+            demand, leaving, ..
+        }) => !leaving.is_empty() || demand.iter().any(|one| one.waiting > 0),
         RouterNews::Reports(ReportMessage::AskQuotas(_) | ReportMessage::Ends { .. }) => true,
         RouterNews::Reports(_) | RouterNews::Follows { .. } | RouterNews::Lost => false,
     }
--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -7,12 +7,11 @@
 use crate::flight::Flight;
 use crate::interface::AnswerFacts;
 use crate::records::RouterRecord;
-use courseshunt_http::{RetryAfter, read_retry_after};
+use courseshunt_http::{RetryAfter, read_asked_rest};
 use courseshunt_records::emit;
 use courseshunt_types::Millis;
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::http::response::Parts;
-use hyper::{StatusCode, header::RETRY_AFTER};
 use std::collections::HashSet;
 use std::sync::{Mutex, PoisonError};
 use std::time::SystemTime;
@@ -75,7 +74,7 @@
             });
         }
     }
-    let rest = match asked_rest(head) {
+    let rest = match read_asked_rest(head.status, &head.headers, SystemTime::now()) {
         RetryAfter::Absent => None,
         RetryAfter::Unreadable => {
             tell_unknown(shared, flight, &RETRY_AFTER);
@@ -97,18 +96,6 @@
     rest
 }
 
-/// The rest that an instance asks for when it turns a request away.
-fn asked_rest(head: &Parts) -> RetryAfter {
-    let turns_away = [
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::TOO_MANY_REQUESTS,
-    ];
-    match turns_away.contains(&head.status) {
-        true => read_retry_after(&head.headers, SystemTime::now()),
-        false => RetryAfter::Absent,
-    }
-}
-
 fn tell_unknown_headers(shared: &Shared, flight: &Flight, headers: &HeaderMap) {
     for name in headers.keys() {
         if !OF_HTTP.contains(name) && !shared.interface.knows_answer_header(name) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -73,6 +73,16 @@
         self.table.as_ref().map_or(0, |table| table.number())
     }
 
+    /// Instances that are fed as ready and said that they leave.
+    fn leaving_by_their_word(&self) -> Vec<RunnerId> {
+        let said = self.selector.leaving();
+        let ready = said.filter(|id| {
+            let view = self.instances.get(id);
+            view.is_some_and(|view| view.state == InstanceState::Ready)
+        });
+        ready.cloned().collect()
+    }
+
     /// When the model of a request will be loaded at an instance, if it is being loaded.
     fn loaded_at(&self, view: &InstanceView, shape: &PromptShape) -> Option<Instant> {
         let due = self.expected.get(&view.id).into_iter().flatten();
@@ -484,6 +494,7 @@
         let mut state = self.lock();
         let instances = state.selector.usage();
         let unreachable = state.selector.all_unreachable(now);
+        let leaving = state.leaving_by_their_word();
         let demand = state.demand.iter().map(|(key, demand)| ModelDemand {
             service: key.service.clone(),
             model: key.model.clone(),
@@ -501,12 +512,14 @@
             demand.late = 0;
             demand.waiting > 0
         });
-        let may_repeat = demand.is_empty() && unreachable.is_empty();
+        // What is fed shows when the leader knows of those that leave; until then it is told.
+        let may_repeat = demand.is_empty() && unreachable.is_empty() && leaving.is_empty();
         let report = ReportMessage::Usage {
             configuration: state.number(),
             instances,
             demand,
             unreachable,
+            leaving,
         };
         if may_repeat && state.reported.as_ref() == Some(&report) {
             return None;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,5 +13,5 @@
 pub use error::HttpError;
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
-pub use retry_after::{RetryAfter, read_retry_after};
+pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
 pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve};
--- a/crates/http/src/retry_after.rs
+++ b/crates/http/src/retry_after.rs
@@ -3,6 +3,7 @@
 //! Source: RFC 9110, section 10.2.3, and seconds with fractions, which many servers send.
 
 use courseshunt_types::Millis;
+use hyper::StatusCode;
 use hyper::header::{DATE, HeaderMap, HeaderValue, RETRY_AFTER};
 use std::time::SystemTime;
 
@@ -22,6 +23,18 @@
     After(Millis),
 }
 
+/// How long the sender of an answer wants to be left alone, if the answer turns a request
+/// away.
+#[must_use]
+pub fn read_asked_rest(status: StatusCode, headers: &HeaderMap, now: SystemTime) -> RetryAfter {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            read_retry_after(headers, now)
+        }
+        _ => RetryAfter::Absent,
+    }
+}
+
 /// Reads the header of an answer that came at `now`. Of several, the longest counts.
 #[must_use]
 pub fn read_retry_after(headers: &HeaderMap, now: SystemTime) -> RetryAfter {
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -219,6 +219,8 @@
         demand: Vec<ModelDemand>,
         /// Instances that could not be reached lately.
         unreachable: Vec<RunnerId>,
+        /// Instances that are fed as ready and told the router that they leave.
+        leaving: Vec<RunnerId>,
     },
     /// What the router used of tenants' limits and has not told yet.
     TenantUse {
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Notes that it asked for rest. A load that was meant for it may go elsewhere.
+    pub(in crate::placement) fn asked_rest(&mut self, rest: Millis, now: Timestamp) {
+        self.intent = None;
+        self.ask_after = self.ask_after.max(now + rest);
+    }
+
     pub(super) fn accepted(
         &mut self,
         action: &OrderAction,
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -277,6 +277,24 @@
         }
     }
 
+    /// Notes that an instance said in an answer that it takes no more work; returns whether
+    /// that is news. It is not committed: who heard it tells the next leader again.
+    pub fn leaves_by_its_word(&mut self, id: &RunnerId) -> bool {
+        let instance = self.instances.get(id);
+        let is_news = instance.is_some_and(|one| one.state() == InstanceState::Ready);
+        if is_news {
+            self.leave(id);
+        }
+        is_news
+    }
+
+    /// Notes that an instance asked for rest: it is neither asked nor ordered anything.
+    pub fn asked_rest(&mut self, id: &RunnerId, rest: Millis, now: Timestamp) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.asked_rest(rest, now);
+        }
+    }
+
     /// Notes that an instance has ended, or is about to.
     pub fn depart(&mut self, id: &RunnerId, now: Timestamp) {
         let id = &self.lives.newest(id).clone();
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -404,6 +404,11 @@
         self.pushbacks.leaves(instance, now)
     }
 
+    /// Instances that said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &RunnerId> {
+        self.pushbacks.leaving()
+    }
+
     /// What an instance asked for that holds now: to rest, or that it leaves.
     #[must_use]
     pub fn asked_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Pushback> {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -4,7 +4,7 @@
 mod placement_world;
 
 use courseshunt_services::*;
-use courseshunt_types::{RunnerId, Timestamp};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use placement_world::*;
 
 #[test]
@@ -330,3 +330,42 @@
         assert_eq!(engine.ids(), [RunnerId::from("live")], "{silent_for}");
     }
 }
+
+/// The leader calls an instance about its orders; one that asks for rest is not called, and
+/// what it was to load is loaded elsewhere.
+#[test]
+fn an_instance_that_asks_for_rest_is_given_no_orders_until_its_end() {
+    const REST: u64 = 4_000;
+    let mut world = World::new(9, 2, 0);
+    world.step(&[]);
+    let resting = RunnerId::from("r0");
+    let now = Timestamp(world.now);
+    world.engine.asked_rest(&resting, Millis(REST), now);
+    let ends = world.now + REST;
+    let before = world.runners[&resting].sequence;
+    while world.now + 10 < ends {
+        world.step(&[demand("m7", 1, 1, 500)]);
+        assert_eq!(world.runners[&resting].sequence, before, "at {}", world.now);
+    }
+    assert!(world.runners[&RunnerId::from("r1")].sequence > 0);
+    for _ in 0..300 {
+        world.step(&[demand("m6", 1, 1, 500)]);
+    }
+    assert!(
+        world.runners[&resting].sequence > before,
+        "its rest is over"
+    );
+}
+
+#[test]
+fn what_an_instance_says_in_answers_counts_once() {
+    let mut world = World::new(10, 2, 0);
+    world.step(&[]);
+    let id = RunnerId::from("r0");
+    world.register(&id);
+    assert!(world.engine.leaves_by_its_word(&id));
+    assert!(!world.engine.leaves_by_its_word(&id));
+    assert!(!world.engine.leaves_by_its_word(&RunnerId::from("unknown")));
+    world.register(&id);
+    assert!(!world.engine.is_ready(&id), "its registration says ready");
+}
