The product's own data plane heeds a runner that asks for rest

Change: such a refusal is an outcome of its own (Resting); the owner of a queue leaves the runner alone until the end of its rest, in all its queues, neither as a probe nor as a last resort; then it begins with a small share, as a fresh one.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -118,6 +118,10 @@
                 health.draining(now);
                 HealthChange::None
             }
+            AttemptOutcome::NotAdmitted(AdmissionFailure::Resting(rest)) => {
+                health.asked_rest(rest, now);
+                HealthChange::None
+            }
             // A full engine is no fault of the runner.
             AttemptOutcome::NotAdmitted(AdmissionFailure::Busy) => HealthChange::None,
             AttemptOutcome::NotAdmitted(_) | AttemptOutcome::Failed => {
@@ -197,7 +201,7 @@
 
     fn is_usable(&self, runner: &RunnerId, now: Timestamp) -> bool {
         let health = self.health.get(runner);
-        health.is_none_or(|health| !health.is_ejected() && !health.is_draining(now))
+        health.is_none_or(|health| !health.is_ejected() && !health.is_left_alone(now))
     }
 
     fn best<'a>(
@@ -247,7 +251,7 @@
         let avoided = |one: &&&ReplicaSlots| ticket.avoid.contains(&one.runner);
         let probe = free.iter().find(|one| {
             let health = self.health.get(&one.runner);
-            health.is_some_and(|health| health.wants_probe(now) && !health.is_draining(now))
+            health.is_some_and(|health| health.wants_probe(now) && !health.is_left_alone(now))
         });
         if let Some(probe) = probe.filter(|one| ticket.avoid.is_empty() && one.in_use == 0) {
             let runner = probe.runner.clone();
@@ -285,16 +289,16 @@
         slots.replicas().any(|one| self.is_usable(&one.runner, now))
     }
 
-    /// Ejected runners that do not drain.
+    /// Ejected runners that did not ask for no work.
     fn last_resort<'a>(
         &self,
         free: Vec<&'a ReplicaSlots>,
         now: Timestamp,
     ) -> Vec<&'a ReplicaSlots> {
-        let drains = |one: &&ReplicaSlots| {
+        let is_left_alone = |one: &&ReplicaSlots| {
             let health = self.health.get(&one.runner);
-            health.is_some_and(|health| health.is_draining(now))
+            health.is_some_and(|health| health.is_left_alone(now))
         };
-        free.into_iter().filter(|one| !drains(one)).collect()
+        free.into_iter().filter(|one| !is_left_alone(one)).collect()
     }
 }
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -69,6 +69,8 @@
     failures: u32,
     ejections: u32,
     draining_until: Option<Timestamp>,
+    /// It asked to be left alone until then.
+    resting_until: Timestamp,
     first_byte: Option<f64>,
     samples: u32,
 }
@@ -94,6 +96,7 @@
             failures: 0,
             ejections: 0,
             draining_until: None,
+            resting_until: Timestamp(0),
             first_byte: None,
             samples: 0,
         }
@@ -110,6 +113,20 @@
         self.draining_until = Some(now + DRAINING_HOLD);
     }
 
+    /// Whether the runner asked for no work at all, since it drains or rests: neither a
+    /// probe nor a last resort.
+    #[must_use]
+    pub fn is_left_alone(&self, now: Timestamp) -> bool {
+        self.is_draining(now) || now < self.resting_until
+    }
+
+    /// Notes that the runner asked to be left alone for so long. It then begins with a small
+    /// share again: what waited for it would bring it down at once.
+    pub fn asked_rest(&mut self, rest: Millis, now: Timestamp) {
+        self.resting_until = self.resting_until.max(now + rest);
+        self.since = self.resting_until;
+    }
+
     /// Whether the runner is ejected.
     #[must_use]
     pub fn is_ejected(&self) -> bool {
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -1,6 +1,8 @@
 //! Contract of the choice of a runner, in tables and in virtual time.
 
-use courseshunt_balance::health::{DRAINING_HOLD, EJECTION_FAILURES, FIRST_EJECTION, SLOW_SAMPLES};
+use courseshunt_balance::health::{
+    DRAINING_HOLD, EJECTION_FAILURES, FIRST_EJECTION, SLOW_SAMPLES, SLOW_START,
+};
 use courseshunt_balance::{Balancer, ChoiceMode};
 use courseshunt_queue::{AdmissionFailure, AttemptOutcome, RunnerChoice, SlotTable, Ticket};
 use courseshunt_types::{Millis, PriorityClass, RunnerId, Timestamp};
@@ -331,3 +333,20 @@
         }
     }
 }
+
+#[test]
+fn a_runner_that_asks_for_rest_gets_nothing_until_its_end() {
+    let (mut balancer, slots) = site(&[("a", 0), ("b", 5)], ChoiceMode::Exact);
+    let rest = Millis(3_000);
+    for length in [rest, Millis(10)] {
+        let failure = AdmissionFailure::Resting(length);
+        balancer.observe(&"a".into(), AttemptOutcome::NotAdmitted(failure), NOW);
+    }
+    let ticket = ticket(&[], &[]);
+    let chosen = |balancer: &mut Balancer, now| balancer.choose(&ticket, &slots, now);
+    let last = Timestamp(NOW.0 + rest.0 - 1);
+    assert_eq!(chosen(&mut balancer, last), Some("b".into()));
+    // It then begins as a fresh one does, and has its whole share later.
+    let later = Timestamp(NOW.0 + rest.0 + SLOW_START.0);
+    assert_eq!(chosen(&mut balancer, later), Some("a".into()));
+}
--- a/crates/lab/tests/attempts.rs
+++ b/crates/lab/tests/attempts.rs
@@ -244,6 +244,14 @@
         1,
         Some(Count::Retry),
     ),
+    (
+        "refuses: asks for rest",
+        AskRest(Millis(300)),
+        false,
+        "done",
+        1,
+        Some(Count::Retry),
+    ),
     ("hangs", Hang, false, "done", 1, Some(Count::Retry)),
 ];
 
--- a/crates/queue/src/outcome.rs
+++ b/crates/queue/src/outcome.rs
@@ -12,6 +12,8 @@
     Draining,
     /// The engine is full.
     Busy,
+    /// The runner asks to be left alone for so long.
+    Resting(Millis),
     /// The deployment is not loaded there.
     NotLoaded,
     /// The connection was refused or could not be made in time.
--- a/crates/router/src/attempt/outcome.rs
+++ b/crates/router/src/attempt/outcome.rs
@@ -16,6 +16,8 @@
     NotLoaded,
     /// The runner refused before admission: its own queue is full.
     Full,
+    /// The runner refused before admission, and asks to be left alone for so long.
+    Resting(Millis),
     /// The runner refused before admission for another reason.
     Refused,
     /// The runner refused before admission: it can't read the request.
@@ -66,6 +68,7 @@
             Self::Draining => "draining",
             Self::NotLoaded => "not_loaded",
             Self::Full => "full",
+            Self::Resting(_) => "resting",
             Self::Refused => "refused",
             Self::Invalid => "invalid",
             Self::Fenced => "fenced",
@@ -88,6 +91,7 @@
             Self::RunnerUnknown | Self::Invalid => AttemptOutcome::Unused,
             Self::Draining => AttemptOutcome::NotAdmitted(AdmissionFailure::Draining),
             Self::NotLoaded => AttemptOutcome::NotAdmitted(AdmissionFailure::NotLoaded),
+            Self::Resting(rest) => AttemptOutcome::NotAdmitted(AdmissionFailure::Resting(rest)),
             Self::Full | Self::Refused => AttemptOutcome::NotAdmitted(AdmissionFailure::Busy),
             Self::ConnectFailed | Self::Fenced => {
                 AttemptOutcome::NotAdmitted(AdmissionFailure::Unreachable)
--- a/crates/router/src/attempt/send.rs
+++ b/crates/router/src/attempt/send.rs
@@ -9,7 +9,7 @@
 use crate::RouterContext;
 use crate::dispatch::GrantedRequest;
 use bytes::Bytes;
-use courseshunt_http::{HttpError, full_body, read_in_time};
+use courseshunt_http::{HttpError, RetryAfter, full_body, read_asked_rest, read_in_time};
 use courseshunt_types::runner_api::{
     ATTEMPT_HEADER, ExecutionPhase, NOT_STARTED_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER,
 };
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response, StatusCode};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Time without a sign of life after which the runner is asked for the status.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -290,6 +290,10 @@
 }
 
 async fn refusal_cause(response: Response<Incoming>) -> NotRunCause {
+    let asked = read_asked_rest(response.status(), response.headers(), SystemTime::now());
+    if let RetryAfter::After(rest) = asked {
+        return NotRunCause::Resting(rest);
+    }
     if response.status() == StatusCode::BAD_REQUEST {
         return NotRunCause::Invalid;
     }
--- a/crates/router/src/dispatch/owned.rs
+++ b/crates/router/src/dispatch/owned.rs
@@ -148,7 +148,7 @@
         self.grant(key, now)
     }
 
-    /// Takes the end of an attempt in. That a runner drains, all queues learn.
+    /// Takes the end of an attempt in. That a runner drains or rests, all queues learn.
     fn returned(
         &mut self,
         key: &QueueKey,
@@ -168,11 +168,18 @@
         let Some(runner) = runner else {
             return;
         };
-        if outcome != AttemptOutcome::NotAdmitted(AdmissionFailure::Draining) {
-            queue.balancer.observe(&runner, outcome, now);
-            return;
+        match outcome {
+            AttemptOutcome::NotAdmitted(AdmissionFailure::Draining) => {
+                log::info!("dispatch: runner {runner} drains and gets no new work");
+            }
+            AttemptOutcome::NotAdmitted(AdmissionFailure::Resting(rest)) => {
+                log::info!("dispatch: runner {runner} asks for rest of {} ms", rest.0);
+            }
+            _ => {
+                queue.balancer.observe(&runner, outcome, now);
+                return;
+            }
         }
-        log::info!("dispatch: runner {runner} drains and gets no new work");
         for queue in self.queues.values_mut() {
             queue.balancer.observe(&runner, outcome, now);
         }
--- a/crates/router/tests/owners.rs
+++ b/crates/router/tests/owners.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use courseshunt_queue::{AdmissionFailure, AttemptOutcome};
-use courseshunt_types::{PriorityClass, RefusalReason};
+use courseshunt_types::{Millis, PriorityClass, RefusalReason};
 use std::time::Duration;
 use support::{Answer, Cluster, answer};
 
@@ -147,3 +147,31 @@
     let granted = answer(waits).await.expect("a slot is free again");
     assert_ne!(granted.grant.runner, draining);
 }
+
+/// What a runner asks of one router all heed, also where nothing else has a free slot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_runner_that_asks_for_rest_at_one_router_is_left_alone_by_all() {
+    const REST: Millis = Millis(1_500);
+    let cluster = Cluster::start(3, 2, 2).await;
+    let (owner, first, second) = cluster.owner_and_others();
+    let ask =
+        |node: usize, name: &str| cluster.nodes[node].ask(name, PriorityClass::Interactive, LONG);
+    let mut refused = answer(ask(first, "refused")).await.expect("a slot is free");
+    let resting = refused.grant.runner.clone();
+    refused.started();
+    let failure = AdmissionFailure::Resting(REST);
+    let told = std::time::Instant::now();
+    refused.report(AttemptOutcome::NotAdmitted(failure));
+    drop(refused);
+    // The report travels to the owner.
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    let mut held = Vec::new();
+    for (node, name) in [(second, "one"), (first, "two")] {
+        let granted = answer(ask(node, name)).await.expect("the other has slots");
+        assert_ne!(granted.grant.runner, resting);
+        held.push(granted);
+    }
+    let granted = answer(ask(owner, "three")).await.expect("it has rested");
+    assert_eq!(granted.grant.runner, resting);
+    assert!(told.elapsed() >= std::time::Duration::from(REST));
+}
--- a/crates/standin/src/server/engine.rs
+++ b/crates/standin/src/server/engine.rs
@@ -15,7 +15,7 @@
 };
 use courseshunt_types::{Attempt, PriorityClass};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,14 @@
             RunnerFault::Refuse(code) => {
                 return Ok(rejected(StatusCode::SERVICE_UNAVAILABLE, code));
             }
+            RunnerFault::AskRest(rest) => {
+                let mut response = rejected(StatusCode::SERVICE_UNAVAILABLE, "full");
+                let seconds = HeaderValue::from_str(&rest.as_secs_f64().to_string());
+                if let Ok(seconds) = seconds {
+                    response.headers_mut().insert(RETRY_AFTER, seconds);
+                }
+                return Ok(response);
+            }
             _ => {}
         }
         let followed = match self.submit(engine_request(&headers, &completion), &completion) {
--- a/crates/standin/src/server/fault.rs
+++ b/crates/standin/src/server/fault.rs
@@ -57,6 +57,8 @@
     Hang,
     /// Refused before admission, with this code, such as `draining`.
     Refuse(&'static str),
+    /// Refused before admission, with the wish to be left alone for so long.
+    AskRest(Millis),
     /// An error without a word on whether the request started.
     Error,
 }
