A request that was turned away leaves no trace of its prompt; demand is a module of its own

Change: prefixes count as kept while they are read and once they were; a refusal takes both back. selection::{prefixes, prompt}, gateway::{demand, view::state} are modules of their own. The new test took a prompt that was turned away for kept before (0 of 3,855 tokens to read).

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -28,18 +28,18 @@
     id: String,
     content: Digest,
     model: String,
-    /// What the answer's lateness is counted for; none for a plain service.
-    late: Option<Lateness>,
+    /// The model that it asks for; none of a plain service.
+    asked: Option<AskedModel>,
 }
 
-/// What is needed to tell whether an answer is late.
-struct Lateness {
+/// What demand is counted for, and when an answer is late.
+struct AskedModel {
     objective: Duration,
     service: String,
     shape: PromptShape,
 }
 
-impl Lateness {
+impl AskedModel {
     fn of(admitted: &Admitted) -> Option<Self> {
         let shape = &admitted.facts.shape;
         (!shape.model.is_empty()).then(|| Self {
@@ -113,7 +113,7 @@
             id: admitted.facts.id.clone(),
             content: admitted.content,
             model: shape.model.clone(),
-            late: Lateness::of(admitted),
+            asked: AskedModel::of(admitted),
         }
     }
 
@@ -156,9 +156,9 @@
         self.first = Some(after);
         let predicted = self.candidate.predicted_ms;
         self.shared.metrics.first_answer(after, sending, predicted);
-        let late = self.late.as_ref();
-        if let Some(late) = late.filter(|late| sending > late.objective) {
-            self.shared.view.late(&late.service, &late.shape);
+        let asked = self.asked.as_ref();
+        if let Some(asked) = asked.filter(|asked| sending > asked.objective) {
+            self.shared.view.late(&asked.service, &asked.shape);
         }
         let waited = Millis(millis(sending));
         let good = self.status < 500;
@@ -209,6 +209,10 @@
     /// The instance did not run it, or it was not sent.
     pub(crate) fn not_run(&mut self, status: Option<u16>, rest: Option<Millis>) {
         self.ended = true;
+        if let Some(asked) = &self.asked {
+            let view = &self.shared.view;
+            view.turned_away(&self.candidate, &asked.service, &asked.shape);
+        }
         self.shared.metrics.attempt("not_run");
         emit(&RequestRecord::NotRun {
             id: &self.id,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod answer_words;
 mod attempt;
+mod demand;
 pub mod directory;
 mod error;
 mod feed;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -1,11 +1,12 @@
 //! What a router knows: configuration, instances, use, demand, budgets.
 
+use crate::demand::{DemandBook, DemandKey};
 use crate::held_document::HeldDocument;
 use courseshunt_services::fed_instances::InstanceChanges;
-use courseshunt_services::feed::{InstanceUsage, ModelDemand, usage_interval, usage_lag};
+use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::{
-    Candidate, FedInstances, InstanceDigests, InstanceState, InstanceView, PromptShape, Pushback,
-    ReportMessage, RetryBudget, RouteTable, Selector, Service,
+    Candidate, FedInstances, InstanceDigests, InstanceView, PromptShape, Pushback, ReportMessage,
+    RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -14,105 +15,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+
+mod state;
+
+pub(crate) use state::Expected;
+use state::State;
 
 /// Routers are taken to be so many until the feed tells.
 pub(crate) const ASSUMED_ROUTERS: u32 = 16;
-/// Time in which an adapter is loaded, about.
-const ADAPTER_TIME: Duration = Duration::from_millis(60);
-/// Time in which an instance answers one of the few requests that it gets after a rest, about.
-const RETURN_TIME: Duration = Duration::from_millis(60);
 /// Connections to one instance that are left to other callers, as a divisor.
 const CONNECTION_RESERVE: u32 = 8;
 
-/// Demand of one model and adapter since the last report.
-#[derive(Debug, Default)]
-struct Demand {
-    arrivals: u32,
-    tokens: u32,
-    objective_ms: u32,
-    late: u32,
-    waiting: u32,
-}
-
-/// What is asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct DemandKey {
-    service: String,
-    model: String,
-    adapter: Option<String>,
-}
-
-/// When an instance is expected to take a request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Expected {
-    pub(crate) at: Instant,
-    /// It asked for rest until then, or has just rested.
-    pub(crate) pushed_back: bool,
-}
-
-struct State {
-    table: Option<Arc<RouteTable>>,
-    /// The configuration in force, in the operator's form.
-    document: HeldDocument,
-    /// A newer configuration is in force elsewhere since then.
-    behind_since: Option<Timestamp>,
-    instances: FedInstances,
-    /// When models that are being loaded will be there.
-    expected: BTreeMap<RunnerId, Vec<(String, Instant)>>,
-    selector: Selector,
-    demand: HashMap<DemandKey, Demand>,
-    budgets: HashMap<String, RetryBudget>,
-    routers: u32,
-    /// What was reported last to the present leader.
-    reported: Option<ReportMessage>,
-}
-
-impl State {
-    fn number(&self) -> u64 {
-        self.table.as_ref().map_or(0, |table| table.number())
-    }
-
-    /// Instances that are fed as ready and said that they leave.
-    fn leaving_by_their_word(&self) -> Vec<RunnerId> {
-        let said = self.selector.leaving();
-        let ready = said.filter(|id| {
-            let view = self.instances.get(id);
-            view.is_some_and(|view| view.state == InstanceState::Ready)
-        });
-        ready.cloned().collect()
-    }
-
-    /// When the model of a request will be loaded at an instance, if it is being loaded.
-    fn loaded_at(&self, view: &InstanceView, shape: &PromptShape) -> Option<Instant> {
-        let due = self.expected.get(&view.id).into_iter().flatten();
-        let due = due.filter(|(model, _)| *model == shape.model);
-        due.map(|(_, at)| *at).min()
-    }
-
-    /// Takes changes over that `instances` has taken already.
-    fn follow(&mut self, changes: &InstanceChanges) {
-        let now = Instant::now();
-        for view in &changes.changed {
-            let loading = view.loading.iter();
-            let due = loading.map(|(model, left)| (model.0.clone(), now + Duration::from(*left)));
-            let due: Vec<(String, Instant)> = due.collect();
-            match due.is_empty() {
-                true => drop(self.expected.remove(&view.id)),
-                false => drop(self.expected.insert(view.id.clone(), due)),
-            }
-        }
-        if changes.gone.is_empty() {
-            return;
-        }
-        for id in &changes.gone {
-            self.expected.remove(id);
-        }
-        let instances = &self.instances;
-        self.selector.retain(|id| instances.contains(id));
-    }
-}
-
 /// See the module.
 pub(crate) struct View {
     state: Mutex<State>,
@@ -139,9 +52,9 @@
             document: HeldDocument::default(),
             behind_since: None,
             instances: FedInstances::default(),
-            expected: BTreeMap::new(),
+            loading: BTreeMap::new(),
             selector,
-            demand: HashMap::new(),
+            demand: DemandBook::default(),
             budgets: HashMap::new(),
             routers: ASSUMED_ROUTERS,
             reported: None,
@@ -328,13 +241,8 @@
         let candidate = selector.choose(shape, views, avoid, own_limit, now)?;
         selector.begin(&candidate, shape, now);
         let view = instances.get(&candidate.instance)?.clone();
-        if !shape.model.is_empty() {
-            let demand = state
-                .demand
-                .entry(key_of(&service.name, shape))
-                .or_default();
-            demand.tokens += candidate.uncached_tokens;
-        }
+        let tokens = candidate.uncached_tokens;
+        state.demand.sent(&service.name, shape, tokens);
         Some((candidate, view))
     }
 
@@ -352,39 +260,7 @@
         shape: &PromptShape,
         now: Timestamp,
     ) -> Option<Expected> {
-        let state = self.lock();
-        let views = state.instances.values();
-        let views =
-            views.filter(|view| view.service == service.name && view.state == InstanceState::Ready);
-        let views = views.filter(|view| !state.selector.is_unreachable(&view.id, now));
-        let moment = Instant::now();
-        let mut earliest: Option<Expected> = None;
-        for view in views {
-            let wait = match state.selector.pushback(view, now) {
-                None => None,
-                Some(Pushback::Rest(left)) => Some(Duration::from(left)),
-                Some(Pushback::Returns) => Some(RETURN_TIME),
-                Some(Pushback::Leaving) => continue,
-            };
-            let pushed_back = wait.is_some();
-            let free_at = moment + wait.unwrap_or_default();
-            let at = if view.holds(&shape.model, None) {
-                Some(free_at + ADAPTER_TIME)
-            } else if service.engine.is_some() {
-                state.loaded_at(view, shape).map(|at| at.max(free_at))
-            } else if pushed_back {
-                Some(free_at)
-            } else {
-                // It is full: nothing tells until when.
-                return None;
-            };
-            let expected = at.map(|at| Expected { at, pushed_back });
-            earliest = earliest
-                .into_iter()
-                .chain(expected)
-                .min_by_key(|one| one.at);
-        }
-        earliest
+        self.lock().expected(service, shape, now)
     }
 
     pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis, good: bool) {
@@ -403,6 +279,15 @@
         }
     }
 
+    /// Notes that an instance did not run a request: nothing of it counts as read or asked
+    /// for there.
+    pub(crate) fn turned_away(&self, candidate: &Candidate, service: &str, shape: &PromptShape) {
+        let mut state = self.lock();
+        state.selector.turned_away(candidate);
+        let tokens = candidate.uncached_tokens;
+        state.demand.turned_away(service, shape, tokens);
+    }
+
     pub(crate) fn unreachable(&self, instance: &RunnerId, now: Timestamp) {
         self.lock().selector.unreachable(instance, now);
     }
@@ -448,22 +333,12 @@
             .entry(service.to_owned())
             .or_insert_with(|| RetryBudget::new(ratio, slack, window));
         budget.request(now);
-        if shape.model.is_empty() {
-            return;
-        }
-        let demand = state.demand.entry(key_of(service, shape)).or_default();
-        let objective = u32::try_from(objective.0).unwrap_or(u32::MAX);
-        demand.objective_ms = match demand.arrivals {
-            0 => objective,
-            _ => objective.min(demand.objective_ms),
-        };
-        demand.arrivals += 1;
+        state.demand.arrived(service, shape, objective);
     }
 
     /// Counts an answer that an instance gave later than the objective.
     pub(crate) fn late(&self, service: &str, shape: &PromptShape) {
-        let mut state = self.lock();
-        state.demand.entry(key_of(service, shape)).or_default().late += 1;
+        self.lock().demand.late(service, shape);
     }
 
     /// Takes one retry out of the budget.
@@ -476,8 +351,8 @@
 
     /// Counts a request that waits for its model until the guard is dropped.
     pub(crate) fn wait_for<'a>(&'a self, service: &str, shape: &PromptShape) -> WaitGuard<'a> {
-        let key = key_of(service, shape);
-        self.lock().demand.entry(key.clone()).or_default().waiting += 1;
+        let key = DemandKey::of(service, shape);
+        self.lock().demand.waits(&key);
         self.news.notify_one();
         WaitGuard { view: self, key }
     }
@@ -495,23 +370,7 @@
         let instances = state.selector.usage();
         let unreachable = state.selector.all_unreachable(now);
         let leaving = state.leaving_by_their_word();
-        let demand = state.demand.iter().map(|(key, demand)| ModelDemand {
-            service: key.service.clone(),
-            model: key.model.clone(),
-            adapter: key.adapter.clone(),
-            arrivals: demand.arrivals,
-            tokens: demand.tokens,
-            objective_ms: demand.objective_ms,
-            late: demand.late,
-            waiting: demand.waiting,
-        });
-        let demand: Vec<ModelDemand> = demand.collect();
-        state.demand.retain(|_, demand| {
-            demand.arrivals = 0;
-            demand.tokens = 0;
-            demand.late = 0;
-            demand.waiting > 0
-        });
+        let demand = state.demand.take();
         // What is fed shows when the leader knows of those that leave; until then it is told.
         let may_repeat = demand.is_empty() && unreachable.is_empty() && leaving.is_empty();
         let report = ReportMessage::Usage {
@@ -529,14 +388,6 @@
     }
 }
 
-fn key_of(service: &str, shape: &PromptShape) -> DemandKey {
-    DemandKey {
-        service: service.to_owned(),
-        model: shape.model.clone(),
-        adapter: shape.adapter.clone(),
-    }
-}
-
 /// See [`View::wait_for`].
 pub(crate) struct WaitGuard<'a> {
     view: &'a View,
@@ -545,9 +396,6 @@
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        let mut state = self.view.lock();
-        if let Some(demand) = state.demand.get_mut(&self.key) {
-            demand.waiting = demand.waiting.saturating_sub(1);
-        }
+        self.view.lock().demand.waits_no_more(&self.key);
     }
 }
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -8,20 +8,22 @@
 //! instances (rendezvous hashing), so that routers agree on it without messages.
 
 mod health;
+mod prefixes;
+mod prompt;
 mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use health::Health;
+use prefixes::{KeptPrefixes, PrefixKey};
+use prompt::work_tokens;
+pub use prompt::{PrefixPart, PromptShape};
 pub use pushback::{Pushback, Pushbacks};
-use std::collections::{BTreeMap, HashMap};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Prompt tokens read in a millisecond, until measured.
 const DEFAULT_TOKENS_PER_MS: f64 = 38.0;
-/// Time of reading that grows with the square of the prompt, in milliseconds
-/// for a million pairs of tokens, until measured.
-const MS_PER_MILLION_PAIRS: f64 = 0.5;
 /// Cost of a hop to another zone, in milliseconds; covers the bytes' price.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Part of their reading speed that other routers' requests may use, unseen, while
@@ -29,10 +31,6 @@
 const UNSEEN_PART: f64 = 0.3;
 /// Cost of one more request in a batch, in milliseconds.
 const BATCH_MS: f64 = 1.0;
-/// How long a prefix counts as kept after its last use.
-const PREFIX_KEPT: Millis = Millis(60_000);
-/// Prefixes remembered for one instance at the most.
-const MAX_PREFIXES: usize = 4096;
 /// How long an instance that failed is avoided.
 const SUSPECT_FOR: Millis = Millis(1_000);
 /// Longest time that a repeatedly failing instance is avoided.
@@ -48,54 +46,6 @@
 /// Bounds of an instance's measured slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 20.0);
 
-/// One part of a prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PrefixPart {
-    /// Identity; equal parts have equal ones.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What is known of a request's work.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct PromptShape {
-    /// The model, empty for a plain service.
-    pub model: String,
-    /// The adapter, if any.
-    pub adapter: Option<String>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens to go out at the most.
-    pub output_tokens: u32,
-    /// Parts of the prompt, in order; the last belongs to the request alone.
-    pub parts: Vec<PrefixPart>,
-}
-
-impl PromptShape {
-    /// Keys of the prompt's beginnings, one for each part, with the tokens up
-    /// to there.
-    fn prefix_keys(&self) -> Vec<(u64, u32)> {
-        let mut key = xxh3_64(self.model.as_bytes());
-        if let Some(adapter) = &self.adapter {
-            key = xxh3_64_with_seed(adapter.as_bytes(), key);
-        }
-        let mut tokens = 0;
-        let keys = self.parts.iter().map(|part| {
-            key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
-            tokens += part.tokens;
-            (key, tokens)
-        });
-        keys.collect()
-    }
-
-    /// Key of what the request shares with others.
-    fn home_key(&self, keys: &[(u64, u32)]) -> Option<u64> {
-        let shared = keys.len().checked_sub(2)?;
-        keys.get(shared).map(|(key, _)| *key)
-    }
-}
-
 /// What a router keeps of one instance.
 #[derive(Debug, Default)]
 struct Local {
@@ -103,7 +53,7 @@
     unread_tokens: u32,
     others_in_flight: u32,
     others_unread: u32,
-    prefixes: HashMap<u64, Timestamp>,
+    prefixes: KeptPrefixes,
     slowness: Option<f64>,
     suspect_until: Timestamp,
     /// Until then it is not chosen at all.
@@ -264,7 +214,7 @@
     fn score(
         &self,
         shape: &PromptShape,
-        keys: &[(u64, u32)],
+        keys: &[PrefixKey],
         view: &InstanceView,
         is_home: bool,
         now: Timestamp,
@@ -272,7 +222,7 @@
         let empty = Local::default();
         let local = self.locals.get(&view.id).unwrap_or(&empty);
         let slowness = local.slowness.unwrap_or(1.0);
-        let known = cached_tokens(local, keys, now);
+        let known = local.prefixes.tokens(keys, now);
         let assumed = match is_home {
             true => keys.len().checked_sub(2).map_or(0, |shared| keys[shared].1),
             false => 0,
@@ -337,15 +287,10 @@
         local
             .health
             .sent(candidate.ticket, candidate.predicted_ms, now);
+        let keys = shape.prefix_keys();
+        local.prefixes.begin(candidate.ticket, &keys, now);
         self.pushbacks
             .begin(&candidate.instance, candidate.ticket, now);
-        for (key, _) in shape.prefix_keys() {
-            local.prefixes.insert(key, now);
-        }
-        if local.prefixes.len() > MAX_PREFIXES {
-            let oldest = now - Millis(PREFIX_KEPT.0 / 4);
-            local.prefixes.retain(|_, at| *at >= oldest);
-        }
     }
 
     /// Notes the first answer after `waited`; `good` unless it reports a failure. Returns
@@ -362,6 +307,7 @@
             return;
         };
         local.health.settled(candidate.ticket);
+        local.prefixes.read(candidate.ticket);
         local.unread_tokens = local
             .unread_tokens
             .saturating_sub(candidate.uncached_tokens);
@@ -386,6 +332,7 @@
         };
         local.in_flight = local.in_flight.saturating_sub(1);
         local.health.settled(candidate.ticket);
+        local.prefixes.read(candidate.ticket);
         if !answered {
             local.unread_tokens = local
                 .unread_tokens
@@ -394,6 +341,13 @@
         has_room
     }
 
+    /// Notes that an instance turned a request away: it has read nothing of its prompt.
+    pub fn turned_away(&mut self, candidate: &Candidate) {
+        if let Some(local) = self.locals.get_mut(&candidate.instance) {
+            local.prefixes.turned_away(candidate.ticket);
+        }
+    }
+
     /// Notes that an instance asked for rest.
     pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         self.pushbacks.asked_rest(instance, rest, now);
@@ -460,23 +414,6 @@
     }
 }
 
-/// What is to be read beyond `kept`, in tokens of a short prompt: long prompts
-/// take more than their length.
-fn work_tokens(prompt: u32, kept: u32) -> u32 {
-    let square = |tokens: u32| f64::from(tokens).powi(2) / 1e6;
-    let pairs = square(prompt) - square(kept);
-    let extra = pairs * MS_PER_MILLION_PAIRS * DEFAULT_TOKENS_PER_MS;
-    (prompt - kept) + extra as u32
-}
-
-fn cached_tokens(local: &Local, keys: &[(u64, u32)], now: Timestamp) -> u32 {
-    let kept = keys.iter().take_while(|(key, _)| {
-        let used = local.prefixes.get(key);
-        used.is_some_and(|at| now.since(*at) < PREFIX_KEPT)
-    });
-    kept.last().map_or(0, |(_, tokens)| *tokens)
-}
-
 /// The instance with the highest hash of its identity under `key`.
 fn home_of(key: u64, usable: &[&InstanceView]) -> Option<RunnerId> {
     let ranked = usable
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -248,3 +248,37 @@
     let chosen = selector.choose(&wanted, views.iter(), &[], LIMIT, later);
     assert!(chosen.is_some(), "it is tried again");
 }
+
+/// An instance that turns a request away has read nothing of its prompt.
+#[test]
+fn a_prompt_that_was_turned_away_is_not_taken_for_kept() {
+    let views = [view("a", "z", &[("m", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let wanted = shape("m", None, 7);
+    let send = |selector: &mut Selector, now| {
+        let chosen = selector
+            .choose(&wanted, views.iter(), &[], LIMIT, now)
+            .expect("a choice");
+        selector.begin(&chosen, &wanted, now);
+        chosen
+    };
+    let first = send(&mut selector, NOW);
+    let beside = send(&mut selector, NOW + Millis(1));
+    for one in [&first, &beside] {
+        selector.turned_away(one);
+        selector.end(one, false);
+    }
+    let second = send(&mut selector, NOW + Millis(10));
+    assert_eq!(second.uncached_tokens, first.uncached_tokens);
+    // What was kept before stays kept, and so does what was sent meanwhile.
+    selector.first_answer(&second, Millis(20), true);
+    selector.end(&second, true);
+    let third = send(&mut selector, NOW + Millis(20));
+    let fourth = send(&mut selector, NOW + Millis(30));
+    selector.turned_away(&third);
+    selector.end(&third, false);
+    selector.turned_away(&fourth);
+    selector.end(&fourth, false);
+    let fifth = send(&mut selector, NOW + Millis(40));
+    assert_eq!(fifth.uncached_tokens, 0);
+}
