Routers compare what they know of the instances once a leader knows all of them

Cause: a leader, and each controller, told routers that those instances are gone which it had known itself. A router whose own differ asks for the parts that do; instances that these lack are gone.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -161,7 +161,9 @@
     shared: &Shared,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
-        if let Message::ServiceReport(report) = message {
+        if let Message::ServiceReport(ReportMessage::Compare(known)) = message {
+            shared.sessions.compare(router, number, &known);
+        } else if let Message::ServiceReport(report) = message {
             tell(router, number, RouterNews::Reports(report), shared);
         }
     }
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -81,7 +81,7 @@
             return Some(answer_quotas(router, &questions, shared));
         }
         ReportMessage::Ends { ends, answered } => quarantine::take(&ends, answered, shared),
-        ReportMessage::Subscribe { .. } => {}
+        ReportMessage::Subscribe { .. } | ReportMessage::Compare(_) => {}
     }
     None
 }
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -195,6 +195,34 @@
             changed: Vec::new(),
             gone,
         });
+        self.tell_digests();
+    }
+
+    /// Lets routers compare, once all that is there is known: they may know instances from an
+    /// earlier leader that none has met since, and that nobody tells them are gone.
+    pub(crate) fn tell_digests(&self) {
+        let digests = {
+            let fed = self.fed();
+            let settled = fed.leadership.is_some_and(|one| one.settled);
+            settled.then(|| fed.instances.digests().clone())
+        };
+        if let Some(digests) = digests {
+            self.broadcast_to_routers(FeedMessage::Digests(digests));
+        }
+    }
+
+    /// Sends a router the parts in which what it knows differs.
+    pub(crate) fn compare(&self, router: &str, number: u64, known: &InstanceDigests) {
+        let frames = self.fed().differing(known);
+        let followers = self.followers();
+        let session = followers.routers.get(router);
+        let Some(session) = session.filter(|one| one.number == number) else {
+            return;
+        };
+        for frame in frames {
+            // A full queue ends the session with the next message for all.
+            let _ = session.queue.try_send(frame);
+        }
     }
 
     /// Sends changed instances to all followers; what they know is left out.
@@ -331,8 +359,7 @@
         let leadership = self.leadership.map(Leadership::message).and_then(encode);
         let mut frames: Vec<Arc<Frame>> = leadership.into_iter().collect();
         frames.extend(self.quarantine.clone());
-        let differing: Vec<usize> = self.instances.digests().differing(known).collect();
-        frames.extend(differing.into_iter().filter_map(|part| self.part(part)));
+        frames.extend(self.differing(known));
         if !gone.is_empty() {
             frames.extend(encode(instances(InstanceChanges {
                 changed: Vec::new(),
@@ -344,6 +371,13 @@
         frames
     }
 
+    /// The parts in which a follower with these digests differs.
+    fn differing(&mut self, known: &InstanceDigests) -> Vec<Arc<Frame>> {
+        let differing: Vec<usize> = self.instances.digests().differing(known).collect();
+        let parts = differing.into_iter();
+        parts.filter_map(|part| self.part(part)).collect()
+    }
+
     fn part(&mut self, part: usize) -> Option<Arc<Frame>> {
         if let Some(frame) = self.parts.get(&part) {
             return Some(frame.clone());
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -226,7 +226,9 @@
         FeedMessage::Usage { .. } => {
             sessions.broadcast_to_routers(message);
             // The last message of an opening: all is there.
-            shared.feeding.send_replace(true);
+            if !shared.feeding.send_replace(true) {
+                sessions.tell_digests();
+            }
         }
         FeedMessage::Members(members) => {
             shared.places.follow(&members);
@@ -238,6 +240,7 @@
         FeedMessage::NoFeed
         | FeedMessage::Awaiting
         | FeedMessage::Configuration { .. }
+        | FeedMessage::Digests(_)
         | FeedMessage::QuotaAnswers(_) => {}
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -182,6 +182,14 @@
             let lost = shared.view.keep_instances(&live);
             forget(lost, shared);
         }
+        FeedMessage::Digests(digests) => {
+            let own = shared.view.digests();
+            let parts = digests.differing(&own).count();
+            if parts > 0 {
+                emit(&RouterRecord::InstancesDiffer { parts });
+                shared.view.differs.notify_one();
+            }
+        }
         FeedMessage::Usage {
             configuration,
             routers,
@@ -247,6 +255,11 @@
                 ask_quotas(&mut sender, shared).await?;
                 continue;
             }
+            () = shared.view.differs.notified() => {
+                let report = ReportMessage::Compare(shared.view.digests());
+                sender.send(&Message::ServiceReport(report)).await?;
+                continue;
+            }
             () = shared.quarantine.has_news.notified() => {
                 report_ends(&mut sender, shared).await?;
                 continue;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -146,6 +146,8 @@
     ConfigurationUnusable { number: u64, problem: &'a str },
     /// Instances are gone.
     InstancesGone { instances: &'a [String] },
+    /// Other instances are there than the router knows, in so many parts: it asks for these.
+    InstancesDiffer { parts: usize },
     /// An instance can't be reached, and is left out for a while.
     Unreachable { instance: &'a str, problem: &'a str },
     /// An instance asks in an answer to be left alone for so long.
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -37,6 +37,8 @@
     /// Woken when a request begins to wait for a model, and when a configuration
     /// comes into force.
     pub(crate) news: Notify,
+    /// Woken when other instances are fed than are known here.
+    pub(crate) differs: Notify,
     retry: (f64, f64, Millis),
 }
 
@@ -65,6 +67,7 @@
             heard: Mutex::new(clock.now()),
             clock,
             news: Notify::new(),
+            differs: Notify::new(),
             retry: (limits.retry_ratio, limits.retry_slack, window),
         }
     }
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -147,6 +147,9 @@
     },
     /// All instances that are there; others are gone. From the leader to controllers.
     Live(Vec<RunnerId>),
+    /// Digests of all instances that are there. A router whose own differ knows some from an
+    /// earlier feed that are gone: it sends [`ReportMessage::Compare`].
+    Digests(InstanceDigests),
     /// What all routers use, this one included, and how many there are.
     Usage {
         /// Number of the configuration in force at the leader.
@@ -231,6 +234,8 @@
     },
     /// Whether requests are within their tenants' limits.
     AskQuotas(Vec<QuotaAsk>),
+    /// Asks for the parts in which the router's instances differ.
+    Compare(InstanceDigests),
     /// What the router has seen of contents under which instances ended.
     Ends {
         /// Instances that ended while they had a request.
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -101,7 +101,10 @@
 fn feed_index(feed: &FeedMessage) -> usize {
     match feed {
         FeedMessage::Configuration { .. } => 14,
-        FeedMessage::Instances { .. } | FeedMessage::Part { .. } | FeedMessage::Live(_) => 15,
+        FeedMessage::Instances { .. }
+        | FeedMessage::Part { .. }
+        | FeedMessage::Live(_)
+        | FeedMessage::Digests(_) => 15,
         FeedMessage::Usage { .. }
         | FeedMessage::Quotas { .. }
         | FeedMessage::QuotaAnswers(_)
