What an instance says that it lacks is not asked for there again by each request

Change: per instance, model and adapter it is not asked again until it is told anew what it holds, or for 0.2 s, doubled up to 3.2 s, each time that it says so again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -158,6 +158,11 @@
     upstream.follow(&head.headers);
     flight.status(head.status.as_u16());
     let rest = hear(shared, &flight, &head, &facts);
+    if facts.misdirected {
+        let now = shared.clock.now();
+        let shape = &admitted.facts.shape;
+        shared.view.lacks(flight.instance(), shape, now);
+    }
     if facts.not_run || facts.misdirected {
         flight.not_run(Some(head.status.as_u16()), rest);
         let emptied = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -297,6 +297,11 @@
         self.lock().selector.suspect(instance, now);
     }
 
+    /// Notes that an instance does not have what a request asks for, or is another one.
+    pub(crate) fn lacks(&self, instance: &RunnerId, shape: &PromptShape, now: Timestamp) {
+        self.lock().selector.lacks(instance, shape, now);
+    }
+
     /// Notes that an instance asked for rest.
     pub(crate) fn asked_rest(&self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         self.lock().selector.asked_rest(instance, rest, now);
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -122,6 +122,7 @@
     pub(super) fn follow(&mut self, changes: &InstanceChanges) {
         let now = Instant::now();
         for view in &changes.changed {
+            self.selector.told_anew(&view.id);
             let loading = view.loading.iter();
             let due = loading.map(|(model, left)| (model.0.clone(), now + Duration::from(*left)));
             let due: Vec<(String, Instant)> = due.collect();
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -7,12 +7,14 @@
 //! Requests that share the beginning of their prompt have a common home among the
 //! instances (rendezvous hashing), so that routers agree on it without messages.
 
+mod absence;
 mod health;
 mod prefixes;
 mod prompt;
 mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
+use absence::Absences;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use health::Health;
 use prefixes::{KeptPrefixes, PrefixKey};
@@ -54,6 +56,7 @@
     others_in_flight: u32,
     others_unread: u32,
     prefixes: KeptPrefixes,
+    absences: Absences,
     slowness: Option<f64>,
     suspect_until: Timestamp,
     /// Until then it is not chosen at all.
@@ -70,6 +73,11 @@
 }
 
 impl Choice<'_> {
+    fn lacks(&self, shape: &PromptShape, now: Timestamp) -> bool {
+        self.local
+            .is_some_and(|local| local.absences.lack(shape, now))
+    }
+
     fn is_reachable(&self, now: Timestamp) -> bool {
         self.local
             .is_none_or(|local| now >= local.unreachable_until)
@@ -217,7 +225,8 @@
                 view,
                 local: self.locals.get(&view.id),
             })
-            .filter(|option| option.is_reachable(now) && option.has_room(own_limit));
+            .filter(|option| option.is_reachable(now) && option.has_room(own_limit))
+            .filter(|option| !option.lacks(shape, now));
         let usable: Vec<Choice<'_>> = usable.collect();
         let home = home_key.and_then(|key| home_of(key, &usable));
         let scored = usable.iter().map(|option| {
@@ -378,6 +387,20 @@
         }
     }
 
+    /// Notes that an instance said that it is not the one that is meant, or does not have what
+    /// the request asks for.
+    pub fn lacks(&mut self, instance: &RunnerId, shape: &PromptShape, now: Timestamp) {
+        let local = self.locals.entry(instance.clone()).or_default();
+        local.absences.lacks(shape, now);
+    }
+
+    /// Notes that what an instance holds was told anew.
+    pub fn told_anew(&mut self, instance: &RunnerId) {
+        if let Some(local) = self.locals.get_mut(instance) {
+            local.absences.forget();
+        }
+    }
+
     /// Notes that an instance asked for rest.
     pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         self.pushbacks.asked_rest(instance, rest, now);
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -282,3 +282,30 @@
     let fifth = send(&mut selector, NOW + Millis(40));
     assert_eq!(fifth.uncached_tokens, 0);
 }
+
+/// An answer that the instance is another one, or lacks the model, holds for all requests
+/// that ask for the same there, until the instance is told anew.
+#[test]
+fn what_an_instance_said_it_lacks_is_not_asked_for_there() {
+    let views = [view("a", "z", &[("m", &["a1"]), ("n", &[])])];
+    let mut selector = Selector::new(Zone::from("z"));
+    let wanted = shape("m", Some("a1"), 7);
+    let asks = |selector: &mut Selector, shape: &PromptShape, now| {
+        let chosen = selector.choose(shape, views.iter(), &[], LIMIT, now);
+        chosen.is_some()
+    };
+    let a = RunnerId::from("a");
+    let mut now = NOW;
+    for length in [200, 400, 800, 1_600, 3_200, 3_200] {
+        selector.lacks(&a, &wanted, now);
+        let last = Timestamp(now.0 + length - 1);
+        assert!(!asks(&mut selector, &wanted, last), "{length}");
+        assert!(asks(&mut selector, &shape("m", None, 8), last));
+        assert!(asks(&mut selector, &shape("n", None, 8), last));
+        now = now + Millis(length);
+        assert!(asks(&mut selector, &wanted, now), "{length}");
+    }
+    selector.lacks(&a, &wanted, now);
+    selector.told_anew(&a);
+    assert!(asks(&mut selector, &wanted, now));
+}
