A request for what its only holder said it lacks is not held as if it came at once

Cause: the holder counted as serving within 60 ms while it was not asked, so that a first request waited for it as long as its client does.

--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -94,7 +94,10 @@
                 Some(Pushback::Leaving) => continue,
             };
             let at = if view.holds(&shape.model, None) {
-                Some(free.at + ADAPTER_TIME)
+                // It may be another instance by now: then its word is tried again later.
+                let lacking = self.selector.lacks_for(&view.id, shape, now);
+                let lacking = lacking.map(|left| Instant::now() + Duration::from(left));
+                Some(lacking.map_or(free.at, |until| until.max(free.at)) + ADAPTER_TIME)
             } else if service.engine.is_some() {
                 let loaded = self.loaded_at(view, shape);
                 loaded.map(|at| at.max(free.at))
--- a/crates/services/src/selection/absence.rs
+++ b/crates/services/src/selection/absence.rs
@@ -61,12 +61,12 @@
         self.absent.clear();
     }
 
-    /// Whether it is not to be asked for this now.
-    pub(super) fn lack(&self, shape: &PromptShape, now: Timestamp) -> bool {
+    /// For how long it is not to be asked for this; none: it may be asked.
+    pub(super) fn lacks_for(&self, shape: &PromptShape, now: Timestamp) -> Option<Millis> {
         if self.absent.is_empty() {
-            return false;
+            return None;
         }
-        let absence = self.absent.get(&Asked::of(shape));
-        absence.is_some_and(|absence| now < absence.until)
+        let absence = self.absent.get(&Asked::of(shape))?;
+        (now < absence.until).then(|| absence.until.since(now))
     }
 }
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -75,7 +75,7 @@
 impl Choice<'_> {
     fn lacks(&self, shape: &PromptShape, now: Timestamp) -> bool {
         self.local
-            .is_some_and(|local| local.absences.lack(shape, now))
+            .is_some_and(|local| local.absences.lacks_for(shape, now).is_some())
     }
 
     fn is_reachable(&self, now: Timestamp) -> bool {
@@ -394,6 +394,18 @@
         local.absences.lacks(shape, now);
     }
 
+    /// For how long an instance is not to be asked for the same, by its own word.
+    #[must_use]
+    pub fn lacks_for(
+        &self,
+        instance: &RunnerId,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> Option<Millis> {
+        let local = self.locals.get(instance)?;
+        local.absences.lacks_for(shape, now)
+    }
+
     /// Notes that what an instance holds was told anew.
     pub fn told_anew(&mut self, instance: &RunnerId) {
         if let Some(local) = self.locals.get_mut(instance) {
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -300,6 +300,7 @@
         selector.lacks(&a, &wanted, now);
         let last = Timestamp(now.0 + length - 1);
         assert!(!asks(&mut selector, &wanted, last), "{length}");
+        assert_eq!(selector.lacks_for(&a, &wanted, last), Some(Millis(1)));
         assert!(asks(&mut selector, &shape("m", None, 8), last));
         assert!(asks(&mut selector, &shape("n", None, 8), last));
         now = now + Millis(length);
