Failing tests: a rest ends up to a millisecond too early

Cause, read and shown by the tests: clocks tell the millisecond that has begun, so a word that comes at 100.9 ms is noted at 100 and its rest ends at 2,500 where 2,500.9 is meant.

--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -253,6 +253,20 @@
     }
 }
 
+/// A word of rest is noted at the millisecond that has begun, so that its end lies up to one
+/// later than the clock's sum tells.
+#[test]
+fn a_runner_rests_its_whole_time_wherever_in_a_millisecond_it_asked() {
+    const REST: Millis = Millis(3_000);
+    let (mut balancer, slots) = site(&[("b", 0)], ChoiceMode::Exact);
+    let refused = AttemptOutcome::NotAdmitted(AdmissionFailure::Resting(REST));
+    balancer.observe(&"b".into(), refused, NOW);
+    let ticket = ticket(&[], &[]);
+    assert_eq!(balancer.choose(&ticket, &slots, NOW + REST), None);
+    let after = NOW + REST + Millis(1);
+    assert_eq!(balancer.choose(&ticket, &slots, after), Some("b".into()));
+}
+
 #[test]
 fn an_ejected_runner_returns_by_one_probe() {
     let (mut balancer, slots) = site(&[("a", 1), ("b", 0)], ChoiceMode::Exact);
--- a/crates/services/tests/pushback.rs
+++ b/crates/services/tests/pushback.rs
@@ -57,6 +57,18 @@
     assert!(send(&mut selector, &views, NOW + REST).is_some());
 }
 
+/// An instance that had asked for 2.4 s of rest was sent a request a fraction of a
+/// millisecond before their end. A clock tells the millisecond that has begun: a word that
+/// came at 100.9 ms is noted at 100 ms, and a rest that is counted from there ends too early.
+#[test]
+fn rest_lasts_its_whole_time_wherever_in_a_millisecond_it_was_asked_for() {
+    let views = [view("a")];
+    let mut selector = selector();
+    selector.asked_rest(&views[0].id, REST, NOW);
+    assert!(send(&mut selector, &views, NOW + REST).is_none());
+    assert!(send(&mut selector, &views, NOW + REST + Millis(1)).is_some());
+}
+
 #[test]
 fn after_a_rest_requests_come_step_by_step_up_to_the_share() {
     let views = [view("a")];
