A rest that an instance asks for lasts its whole time

The moment of a word is known to the millisecond that has begun; the rest was counted from there, and ended up to 1 ms early. Change: Timestamp::surely_after, used by all three memories of such words (routers' selection, the leader's calls, the product's own queues).

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -123,7 +123,7 @@
     /// Notes that the runner asked to be left alone for so long. It then begins with a small
     /// share again: what waited for it would bring it down at once.
     pub fn asked_rest(&mut self, rest: Millis, now: Timestamp) {
-        self.resting_until = self.resting_until.max(now + rest);
+        self.resting_until = self.resting_until.max(now.surely_after(rest));
         self.since = self.resting_until;
     }
 
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -167,7 +167,7 @@
     /// Notes that it asked for rest. A load that was meant for it may go elsewhere.
     pub(in crate::placement) fn asked_rest(&mut self, rest: Millis, now: Timestamp) {
         self.intent = None;
-        self.ask_after = self.ask_after.max(now + rest);
+        self.ask_after = self.ask_after.max(now.surely_after(rest));
     }
 
     pub(super) fn accepted(
--- a/crates/services/src/selection/pushback.rs
+++ b/crates/services/src/selection/pushback.rs
@@ -72,7 +72,7 @@
     /// Notes that an instance asked for rest; one that asked for longer keeps that.
     pub fn asked_rest(&mut self, instance: &RunnerId, rest: Millis, now: Timestamp) {
         let asked = self.asked(instance, now);
-        asked.rest_until = asked.rest_until.max(now + rest);
+        asked.rest_until = asked.rest_until.max(now.surely_after(rest));
         asked.few_until = asked.few_until.max(asked.rest_until + rest);
         asked.window = FIRST_WINDOW;
     }
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -71,6 +71,14 @@
     pub fn since(self, earlier: Timestamp) -> Millis {
         Millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// The first moment at which `length` has surely passed since this one. A clock tells the
+    /// millisecond that has begun: counted from it, a time that a peer asked for would end up
+    /// to one too early.
+    #[must_use]
+    pub fn surely_after(self, length: Millis) -> Timestamp {
+        self + length + Millis(1)
+    }
 }
 
 impl Add for Millis {
