A router asks who answers at the address of an instance that broke an answer off

Cause: see the failing test: an open address showed nothing, and the leader's word was the only other sign that an instance has ended; without a leader there is none. It costs one probe for each instance that broke answers off.

--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -58,6 +58,17 @@
     pub leaving: bool,
 }
 
+/// Who answers at an instance's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// The instance that was meant.
+    Itself,
+    /// Another one.
+    Another,
+    /// The answer does not tell.
+    Unclear,
+}
+
 /// Translates between the wire forms of clients and instances and the product's
 /// own types. Pure: no I/O, no state.
 pub trait ClientInterface: Send + Sync + 'static {
@@ -87,6 +98,17 @@
     /// Reads what an answer says about itself.
     fn read_answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
 
+    /// Headers of a health check that asks whether this instance is there.
+    fn presence_question(&self, instance: &RunnerId) -> HeaderMap;
+
+    /// Reads who answered such a check, whether well or not.
+    fn read_presence(
+        &self,
+        instance: &RunnerId,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Presence;
+
     /// Whether a header of answers, besides those of HTTP, is one whose meaning is known.
     fn knows_answer_header(&self, name: &HeaderName) -> bool;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod handle;
 pub mod held_document;
 mod interface;
+mod looks;
 mod metrics;
 pub mod passed_headers;
 mod pool;
@@ -34,7 +35,7 @@
 pub mod waiting;
 
 pub use error::GatewayError;
-pub use interface::{AnswerFacts, CarriedKey, ClientInterface, RequestFacts, Sending};
+pub use interface::{AnswerFacts, CarriedKey, ClientInterface, Presence, RequestFacts, Sending};
 
 use answer_words::UnknownWords;
 use courseshunt_records::emit;
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -1,13 +1,12 @@
 //! Finds out which instances ended under a request, and keeps contents in quarantine
 //! from being sent.
 //!
-//! Invariant: an instance counts as ended only when its address refuses connections right
-//! after it broke an answer off, or when the leader says soon after that it is gone: a
-//! supervisor may have started it again at once, or something else may take its
-//! connections. One that lives, or that is merely out of reach, is no sign against a request.
+//! Invariant: an instance counts as ended only when its address refuses connections soon
+//! after it broke an answer off, or another instance answers there, or the leader says that
+//! it is gone. One that lives, or that is merely out of reach, is no sign against a request.
 
 use crate::Shared;
-use crate::pool;
+use crate::looks::{Look, look_once, look_until_sure};
 use crate::records::RouterRecord;
 use crate::standing::LONGEST_SILENCE;
 use courseshunt_records::emit;
@@ -15,22 +14,16 @@
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::collections::HashMap;
-use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Pauses before the looks at an instance that broke an answer off: a process that goes
-/// down may close its connections shortly before its listener.
-const LOOKS: [Duration; 3] = [
-    Duration::from_millis(2),
-    Duration::from_millis(40),
-    Duration::from_millis(160),
-];
-
 /// An instance that is gone so long after it broke an answer off may have ended then: the
 /// leader takes one for gone after four silent intervals of registrations.
 const WATCHED: Millis = Millis(10_000);
+/// Pause before an instance of which the first looks showed nothing is looked at again; it
+/// doubles each time, as long as its end would count. Without a leader nobody else tells.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Contents that are remembered for an instance whose end is not sure, at the most.
 const MAX_WATCHED: usize = 64;
 
@@ -46,24 +39,12 @@
 enum Check {
     /// It is looked at.
     Pending(Vec<Break>),
-    /// Its address took a connection: the leader's word is awaited.
+    /// It lives, or what it is did not show: the leader's word is awaited.
     Watched(Vec<Break>),
     /// It has ended.
     Ended,
 }
 
-/// What a look at an instance shows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Look {
-    /// Kept open or not: one that has too many closes those beyond.
-    TakesConnections,
-    /// It refuses connections.
-    Ended,
-    /// The leader says so.
-    Gone,
-    OutOfReach,
-}
-
 /// See the module.
 pub(crate) struct QuarantineDesk {
     clock: MonotonicClock,
@@ -159,6 +140,47 @@
         }
     }
 
+    /// Waits for the leader's word on an instance; returns its newest break.
+    fn watch(&self, instance: &RunnerId) -> Option<Timestamp> {
+        let mut checks = self.checks();
+        let mut breaks = match checks.remove(instance)? {
+            Check::Pending(breaks) | Check::Watched(breaks) => breaks,
+            Check::Ended => {
+                checks.insert(instance.clone(), Check::Ended);
+                return None;
+            }
+        };
+        let surplus = breaks.len().saturating_sub(MAX_WATCHED);
+        breaks.drain(..surplus);
+        let newest = breaks.last().map(|one| one.at);
+        checks.insert(instance.clone(), Check::Watched(breaks));
+        newest
+    }
+
+    /// Whether an instance is watched, has broken off nothing since `newest`, and its end
+    /// would still count.
+    fn still_watches(&self, instance: &RunnerId, newest: Timestamp) -> bool {
+        let checks = self.checks();
+        let Some(Check::Watched(breaks)) = checks.get(instance) else {
+            return false;
+        };
+        let last = breaks.last().map(|one| one.at);
+        last == Some(newest) && self.now().since(newest) <= WATCHED
+    }
+
+    /// What an instance broke off that has ended. Later requests that it breaks off count at
+    /// once, unless the leader has told all routers of its end.
+    fn take_ended(&self, instance: &RunnerId, look: Look) -> Vec<Break> {
+        let mut checks = self.checks();
+        let Some(Check::Pending(breaks) | Check::Watched(breaks)) = checks.remove(instance) else {
+            return Vec::new();
+        };
+        if look != Look::Gone {
+            checks.insert(instance.clone(), Check::Ended);
+        }
+        breaks
+    }
+
     fn ended(&self, broken: Break, instance: &RunnerId, sign: &str) {
         emit(&RouterRecord::EndedUnder {
             instance: instance.as_str(),
@@ -200,59 +222,37 @@
     tokio::spawn(check(shared.clone(), instance.clone()));
 }
 
+/// Looks at an instance until what it is shows, or its end would count no more.
 async fn check(shared: Arc<Shared>, instance: RunnerId) {
-    let seen = look_until_sure(&shared, &instance).await;
-    let look = match shared.view.address_of(&instance) {
-        Some(_) => seen,
-        None => Look::Gone,
-    };
-    if matches!(look, Look::Ended | Look::OutOfReach) {
-        let now = shared.clock.now();
-        shared.view.unreachable(&instance, now);
-    }
-    let desk = &shared.quarantine;
-    let mut checks = desk.checks();
-    let Some(Check::Pending(mut breaks)) = checks.remove(&instance) else {
-        return;
-    };
-    let sign = match look {
-        Look::Gone => "gone",
-        Look::Ended => {
-            checks.insert(instance.clone(), Check::Ended);
-            "refused"
-        }
-        Look::TakesConnections | Look::OutOfReach => {
-            let surplus = breaks.len().saturating_sub(MAX_WATCHED);
-            breaks.drain(..surplus);
-            checks.insert(instance, Check::Watched(breaks));
+    let mut look = look_until_sure(&shared, &instance).await;
+    let mut pause = FIRST_PAUSE;
+    while let Some(newest) = settle(&shared, &instance, look) {
+        tokio::time::sleep(pause).await;
+        if !shared.quarantine.still_watches(&instance, newest) {
             return;
         }
-    };
-    drop(checks);
-    for broken in breaks {
-        desk.ended(broken, &instance, sign);
+        look = look_once(&shared, &instance, Duration::ZERO).await;
+        pause *= 2;
     }
 }
 
-/// Looks at an instance until it refuses a connection, or one stays open.
-async fn look_until_sure(shared: &Shared, instance: &RunnerId) -> Look {
-    for pause in LOOKS {
-        tokio::time::sleep(pause).await;
-        let Some(address) = shared.view.address_of(instance) else {
-            return Look::Gone;
-        };
-        shared.metrics.connection();
-        match pool::connect_to(&address).await {
-            Ok(upstream) => {
-                tokio::time::sleep(pause).await;
-                if !upstream.sender.is_closed() {
-                    shared.pool.keep(instance, upstream);
-                    return Look::TakesConnections;
-                }
-            }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Look::Ended,
-            Err(_) => return Look::OutOfReach,
-        }
+/// Acts by a look; returns the newest break if the instance is to be looked at again.
+fn settle(shared: &Shared, instance: &RunnerId, seen: Look) -> Option<Timestamp> {
+    let look = match shared.view.knows(instance) {
+        true => seen,
+        false => Look::Gone,
+    };
+    if matches!(look, Look::Refused | Look::Another | Look::OutOfReach) {
+        let now = shared.clock.now();
+        shared.view.unreachable(instance, now);
+    }
+    let desk = &shared.quarantine;
+    let Some(sign) = look.sign() else {
+        let newest = desk.watch(instance);
+        return newest.filter(|_| look.may_change());
+    };
+    for broken in desk.take_ended(instance, look) {
+        desk.ended(broken, instance, sign);
     }
-    Look::TakesConnections
+    None
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -174,7 +174,7 @@
     EndedUnder {
         instance: &'a str,
         content: String,
-        /// `refused`: by its address; `gone`: by the leader's word.
+        /// `refused`: by its address; `another`: one answers there; `gone`: by the leader's word.
         sign: &'a str,
     },
     /// The leader's word on contents under which instances ended.
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -26,6 +26,14 @@
 /// Connections to one instance that are left to other callers, as a divisor.
 const CONNECTION_RESERVE: u32 = 8;
 
+/// Where an instance is asked whether it is there.
+pub(crate) struct InstancePlace {
+    /// `ip:port`.
+    pub(crate) address: String,
+    /// Path of its health check, where the operator names one.
+    pub(crate) health_path: Option<String>,
+}
+
 /// See the module.
 pub(crate) struct View {
     state: Mutex<State>,
@@ -317,11 +325,21 @@
         self.lock().selector.asked_for(instance, now)
     }
 
-    /// `ip:port` of an instance that is known.
-    pub(crate) fn address_of(&self, instance: &RunnerId) -> Option<String> {
+    /// Whether an instance is known.
+    pub(crate) fn knows(&self, instance: &RunnerId) -> bool {
+        self.lock().instances.contains(instance)
+    }
+
+    /// Where an instance is that is known.
+    pub(crate) fn place_of(&self, instance: &RunnerId) -> Option<InstancePlace> {
         let state = self.lock();
-        let view = state.instances.get(instance);
-        view.map(|view| view.address.clone())
+        let view = state.instances.get(instance)?;
+        let table = state.table.as_ref();
+        let service = table.and_then(|table| table.service(&view.service));
+        Some(InstancePlace {
+            address: view.address.clone(),
+            health_path: service.and_then(|service| service.health_path.clone()),
+        })
     }
 
     /// Counts a client's request for a service.
--- a/crates/services/examples/fleet_costs.rs
+++ b/crates/services/examples/fleet_costs.rs
@@ -40,6 +40,7 @@
         services: vec![Service {
             name: "service".to_owned(),
             max_connections: 2_100,
+            health_path: None,
             engine: Some(engine),
         }],
         ..ServiceConfiguration::default()
--- a/crates/services/src/configuration.rs
+++ b/crates/services/src/configuration.rs
@@ -75,6 +75,8 @@
     pub name: String,
     /// Connections that one instance accepts over all callers.
     pub max_connections: u32,
+    /// Path of the instances' health check; `None` when the operator names none.
+    pub health_path: Option<String>,
     /// Model engine of the instances; `None` for a plain HTTP service.
     pub engine: Option<Engine>,
 }
--- a/crates/services/tests/configuration.rs
+++ b/crates/services/tests/configuration.rs
@@ -32,6 +32,7 @@
     let services = ["one", "two"].map(|name| Service {
         name: name.to_owned(),
         max_connections: 10,
+        health_path: None,
         engine: None,
     });
     ServiceConfiguration {
--- a/crates/services/tests/placement_world/mod.rs
+++ b/crates/services/tests/placement_world/mod.rs
@@ -41,6 +41,7 @@
         services: vec![Service {
             name: "s".to_owned(),
             max_connections: 100,
+            health_path: None,
             engine: Some(Engine {
                 slots: 64,
                 memory_mb: MEMORY_MB,
