Controllers that hear no quorum let their routers go at once, and those ask all others first

Change: a voter knows that it hears no quorum (Core::has_lost_quorum: whoever lives asks for votes, or answers, within two election timeouts after the leader's last word; a half more for slow ones). Such a controller tells its routers that it has no feed, and sends others on at once.

--- a/crates/consensus/src/core/follower.rs
+++ b/crates/consensus/src/core/follower.rs
@@ -13,6 +13,7 @@
         }
         self.leader = Some(from);
         self.heard_leader_at = Some(now);
+        self.contact.led(now);
         self.refused_as_voter = false;
         self.lease_promise = now + self.settings.election_timeout;
         self.draw_election_deadline(now);
--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod change;
 mod commit;
+mod contact;
 mod durability;
 mod election;
 mod follower;
@@ -24,6 +25,7 @@
 use crate::membership_log::MembershipLog;
 use crate::message::ConsensusMessage;
 use crate::output::{Output, RejectionReason};
+use contact::Contact;
 use courseshunt_types::{ControllerId, LogIndex, Term, Timestamp};
 use durability::Durability;
 use leader::Leadership;
@@ -78,6 +80,7 @@
     lease_promise: Timestamp,
     /// When a leader was last heard.
     heard_leader_at: Option<Timestamp>,
+    contact: Contact,
     votes: BTreeSet<ControllerId>,
     /// A learner that refused its vote to a candidate which counts it among the voters: see
     /// [`Core::tick_election`].
@@ -138,6 +141,7 @@
             election_deadline: now,
             lease_promise,
             heard_leader_at: None,
+            contact: Contact::new(now),
             refused_as_voter: false,
             votes: BTreeSet::new(),
             transfer_election: false,
@@ -203,6 +207,9 @@
     }
 
     fn on_message(&mut self, from: ControllerId, message: ConsensusMessage, now: Timestamp) {
+        if self.memberships.latest().is_voter(from) {
+            self.contact.heard(from, now);
+        }
         if !self.admit_term(from, &message, now) {
             return;
         }
@@ -297,6 +304,7 @@
             self.durability.hard_state_changed();
         }
         if let Some(leadership) = self.leadership.take() {
+            self.contact.led(now);
             self.reject_waiting(leadership);
             self.draw_election_deadline(now);
         }
--- a/crates/consensus/tests/group/harness.rs
+++ b/crates/consensus/tests/group/harness.rs
@@ -43,6 +43,8 @@
     members: BTreeMap<u64, Member>,
     network: VecDeque<Flight>,
     cut_off: BTreeSet<u64>,
+    /// These reach each other, and nobody else reaches them.
+    apart: BTreeSet<u64>,
     bootstrap: Membership,
     lease_reads: bool,
 }
@@ -59,6 +61,7 @@
             members: BTreeMap::new(),
             network: VecDeque::new(),
             cut_off: BTreeSet::new(),
+            apart: BTreeSet::new(),
             bootstrap: Membership::of_voters(ids),
             lease_reads,
         };
@@ -129,8 +132,18 @@
         self.cut_off.insert(id);
     }
 
+    /// Cuts these off from the others, together.
+    pub fn split(&mut self, apart: impl IntoIterator<Item = u64>) {
+        self.apart = apart.into_iter().collect();
+    }
+
+    pub fn has_lost_quorum(&self, id: u64) -> bool {
+        self.core(id).has_lost_quorum(Timestamp(self.now))
+    }
+
     pub fn heal(&mut self) {
         self.cut_off.clear();
+        self.apart.clear();
     }
 
     /// Nothing that a member writes becomes durable until [`Self::sync_disk`].
@@ -185,6 +198,9 @@
         if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
             return;
         }
+        if self.apart.contains(&from) != self.apart.contains(&to) {
+            return;
+        }
         let from = ControllerId(from);
         if self.members.contains_key(&to) {
             self.step(to, Input::Receive { from, message });
--- a/crates/consensus/tests/group/main.rs
+++ b/crates/consensus/tests/group/main.rs
@@ -41,6 +41,57 @@
     }
 }
 
+/// Two of five are cut off together, leader or not: they know it soon, and the three, which
+/// elect or keep a leader meanwhile, never take themselves for cut off.
+#[test]
+fn a_minority_knows_soon_that_it_hears_no_quorum_and_a_majority_never_says_so() {
+    for first in 1..=5 {
+        let mut group = Group::new(5);
+        group.elect();
+        let second = first % 5 + 1;
+        group.split([first, second]);
+        let cut = [first, second];
+        let mut known_after = [None; 2];
+        for tenth in 1..=60 {
+            group.run_for(100);
+            for id in 1..=5 {
+                let lost = group.has_lost_quorum(id);
+                match cut.iter().position(|one| *one == id) {
+                    None => assert!(!lost, "{id} of the three, {first} cut off, at {tenth}"),
+                    Some(place) if lost => _ = known_after[place].get_or_insert(tenth),
+                    Some(_) => {}
+                }
+            }
+        }
+        // Two and a half election timeouts after the leader's last word, one more after the
+        // end of a leadership of its own.
+        let all = known_after.map(|after| after.expect("it knows it"));
+        assert!(all.iter().all(|after| *after <= 40), "{first}: {all:?}");
+        group.heal();
+        group.run_for(3_000);
+        for id in 1..=5 {
+            assert!(
+                !group.has_lost_quorum(id),
+                "{id} is back, {first} was cut off"
+            );
+        }
+    }
+}
+
+#[test]
+fn an_election_after_a_lost_leader_is_no_loss_of_the_quorum() {
+    let mut group = Group::new(3);
+    let leader = group.elect();
+    group.cut(leader);
+    for _ in 0..100 {
+        group.run_for(50);
+        for id in (1..=3).filter(|id| *id != leader) {
+            assert!(!group.has_lost_quorum(id), "{id} hears the other one");
+        }
+    }
+    assert!(group.has_lost_quorum(leader));
+}
+
 #[test]
 fn a_leader_with_a_slow_disk_commits_through_the_others_and_applies_once_it_is_durable() {
     let mut group = Group::new(3);
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -160,13 +160,20 @@
 
     /// Has the core take one input and carries out what it asks.
     pub(super) fn step(&mut self, input: Input) -> Result<(), ControllerError> {
-        let outputs = self.core.step(input, self.clock.now());
+        let now = self.clock.now();
+        let outputs = self.core.step(input, now);
         for output in outputs {
             self.carry_out(output)?;
         }
         if let Some(at) = self.core.quorum_contact() {
             self.quorum_contact.store(at.0, Ordering::Relaxed);
         }
+        let lost = self.core.has_lost_quorum(now);
+        self.status.send_if_modified(|status| {
+            let changed = status.lost_quorum != lost;
+            status.lost_quorum = lost;
+            changed
+        });
         Ok(())
     }
 
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -78,6 +78,9 @@
     pub term: Term,
     /// The leader, if known.
     pub leader: Option<ControllerId>,
+    /// Whether it has had no leader for longer than an election takes, and hears no quorum:
+    /// another member may have a leader.
+    pub lost_quorum: bool,
     /// Last applied entry.
     pub applied: LogIndex,
     /// Revision of the configuration.
@@ -324,6 +327,21 @@
         self.status.borrow().leads()
     }
 
+    /// Whether another member may have a leader, while this one hears no quorum.
+    #[must_use]
+    pub fn has_lost_quorum(&self) -> bool {
+        self.status.borrow().lost_quorum
+    }
+
+    /// Waits until this member hears no quorum.
+    pub async fn until_quorum_lost(&self) {
+        let mut status = self.status.clone();
+        if status.wait_for(|status| status.lost_quorum).await.is_err() {
+            // Stopped.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Time since this member was surely in contact with a quorum, or with a
     /// leader that was; `None` before the first contact. What it has applied is
     /// at most so old, plus the time that replication takes.
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -104,6 +104,7 @@
         role: core.role(),
         term: core.term(),
         leader: None,
+        lost_quorum: false,
         applied,
         revision,
         failure: None,
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -21,8 +21,7 @@
 
 /// Longest time that a router waits here for this controller's feed. To wait costs nobody
 /// anything, and it has the feed in the moment in which there is one; a router that is sent
-/// away costs a handshake each time, and comes back some time after that moment. Where this
-/// controller alone is cut off, another one could feed the router sooner.
+/// away costs a handshake each time, and comes back some time after that moment.
 const FEED_WAIT: Duration = Duration::from_millis(500);
 /// Longest time that a controller waits here for the leader's first look at what was
 /// committed before.
@@ -85,7 +84,13 @@
     else {
         return Ok(());
     };
-    if !holds_soon(&shared.feeding, FEED_WAIT).await {
+    let feeds = tokio::select! {
+        biased;
+        feeds = holds_soon(&shared.feeding, FEED_WAIT) => feeds,
+        // Another controller may feed it: to wait here costs its callers the newest word.
+        () = shared.replica.until_quorum_lost() => *shared.feeding.borrow(),
+    };
+    if !feeds {
         return send(&mut sender, FeedMessage::NoFeed).await;
     }
     let (queue, messages) = mpsc::channel(SESSION_QUEUE);
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -86,7 +86,11 @@
         problem: Option<&'a str>,
     },
     /// Routers were told to follow another controller: there was no leader's feed here.
-    RoutersLetGo { routers: usize },
+    RoutersLetGo {
+        routers: usize,
+        /// Whether this controller hears no quorum; else an election takes too long.
+        lost_quorum: bool,
+    },
     /// Registrations taken here reach the leader from now on.
     RelayBegan { leader: &'a str },
     /// They reach it no more.
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -325,10 +325,17 @@
         self.followers().controllers.clear();
     }
 
-    /// Ends the sessions of routers; returns the names.
-    pub(crate) fn clear_routers(&self) -> Vec<String> {
+    /// Tells routers that there is no feed here any more, and ends their sessions; returns
+    /// how many there were.
+    pub(crate) fn let_routers_go(&self) -> usize {
         let routers = std::mem::take(&mut self.followers().routers);
-        routers.into_keys().collect()
+        if let Some(frame) = encode(FeedMessage::NoFeed) {
+            for session in routers.values() {
+                // A full queue: the end of the connection tells it.
+                let _ = session.queue.try_send(frame.clone());
+            }
+        }
+        routers.len()
     }
 }
 
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -3,7 +3,8 @@
 //!
 //! Invariant: routers are told nothing as the leader's word that did not come from the
 //! leader; while there is none, they are kept with signs of life for a bounded time, so
-//! that an election costs them no connection.
+//! that an election costs them no connection. A controller that hears no quorum lets them go:
+//! others may have a leader, and take changes that its routers would miss.
 
 use crate::Shared;
 use crate::leader_link::{self, timed_out};
@@ -34,8 +35,8 @@
 const MOST_WAITING: usize = 8 * BATCH;
 /// Time between signs of life to routers while there is no leader.
 const AWAITING_INTERVAL: Duration = Duration::from_millis(250);
-/// Routers are kept without a leader for so long; another controller may have one by then.
-/// Most elections are far shorter.
+/// Routers are kept without a leader for so long where a quorum is heard: another controller
+/// may have one all the same. Most elections are far shorter.
 const KEPT_WITHOUT_LEADER: Duration = Duration::from_secs(2);
 
 /// Reports on their way to the leader.
@@ -258,22 +259,39 @@
     routers.collect()
 }
 
-/// Keeps routers through an election; lets them go when it takes too long.
+/// Keeps routers through an election; lets them go when it takes too long, or at once when
+/// no quorum is heard.
 pub(crate) async fn keep_routers(shared: Arc<Shared>) {
     let mut fed_at = Instant::now();
     loop {
-        tokio::time::sleep(AWAITING_INTERVAL).await;
+        let cut_off = tokio::select! {
+            () = tokio::time::sleep(AWAITING_INTERVAL) => shared.replica.has_lost_quorum(),
+            () = becomes_cut_off(&shared) => true,
+        };
         if *shared.feeding.borrow() {
             fed_at = Instant::now();
-        } else if fed_at.elapsed() < KEPT_WITHOUT_LEADER {
-            shared.sessions.broadcast_to_routers(FeedMessage::Awaiting);
+        } else if cut_off || fed_at.elapsed() >= KEPT_WITHOUT_LEADER {
+            let_go(&shared, cut_off);
         } else {
-            let lost = shared.sessions.clear_routers();
-            if !lost.is_empty() {
-                emit(&ControllerRecord::RoutersLetGo {
-                    routers: lost.len(),
-                });
-            }
+            shared.sessions.broadcast_to_routers(FeedMessage::Awaiting);
         }
     }
 }
+
+/// Waits until no quorum is heard any more; for ever where that is so already.
+async fn becomes_cut_off(shared: &Shared) {
+    if shared.replica.has_lost_quorum() {
+        std::future::pending::<()>().await;
+    }
+    shared.replica.until_quorum_lost().await;
+}
+
+fn let_go(shared: &Shared, lost_quorum: bool) {
+    let routers = shared.sessions.let_routers_go();
+    if routers > 0 {
+        emit(&ControllerRecord::RoutersLetGo {
+            routers,
+            lost_quorum,
+        });
+    }
+}
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -63,6 +63,8 @@
     failed: Vec<(SocketAddr, Instant)>,
     pub(crate) limit: DialLimit,
     pace: SeekingPace,
+    /// When the present controller was asked.
+    asked_at: Instant,
     /// Whether the present controller has fed this router.
     pub(crate) fed: bool,
 }
@@ -76,6 +78,7 @@
             failed: Vec::new(),
             limit: DialLimit::growing_to(LONGEST_DIAL),
             pace: SeekingPace::default(),
+            asked_at: Instant::now(),
             fed: false,
         }
     }
@@ -85,6 +88,7 @@
         self.directory.set_seeds(seeds);
         let address = self.directory.next(&self.tried)?;
         self.tried.push(address);
+        self.asked_at = Instant::now();
         self.fed = false;
         Some(address)
     }
@@ -119,6 +123,11 @@
             });
             self.tried.clear();
             self.pace = SeekingPace::default();
+            if matches!(end, FeedEnd::NoFeed) {
+                // It has no leader; all others are asked before it.
+                self.tried.push(address);
+                self.fails(address, WITHOUT_FEED_KEPT);
+            }
             return Duration::ZERO;
         }
         emit(&RouterRecord::FeedSought {
@@ -128,13 +137,19 @@
         let (pause, counts_for) = match end {
             FeedEnd::Lost(_) => (self.pace.unreached(), LOST_KEPT),
             FeedEnd::NoFeed | FeedEnd::Better => {
-                (self.pace.without_feed(rand::random()), WITHOUT_FEED_KEPT)
+                let waited = self.asked_at.elapsed();
+                let pause = self.pace.without_feed(rand::random(), waited);
+                (pause, WITHOUT_FEED_KEPT)
             }
         };
-        self.failed.push((address, Instant::now() + counts_for));
+        self.fails(address, counts_for);
         pause
     }
 
+    fn fails(&mut self, address: SocketAddr, counts_for: Duration) {
+        self.failed.push((address, Instant::now() + counts_for));
+    }
+
     /// Controllers that did not feed this router a moment ago; others are forgotten.
     fn failed_lately(&mut self) -> Vec<SocketAddr> {
         let now = Instant::now();
--- a/crates/gateway/src/seeking.rs
+++ b/crates/gateway/src/seeking.rs
@@ -4,18 +4,19 @@
 //! everything, and the controllers that they ask have no feed to give yet. The more often
 //! they ask, the later the feed: each question costs a controller a handshake.
 //!
-//! Bound: a router waits at a controller for half a second before it is told that there is
-//! no feed, and pauses a quarter of one in the end: 1.4 questions a second, so 1,000 routers
-//! at 15 controllers come to 90 handshakes a second at each.
+//! Bound: from one question to the next passes two thirds of a second in the end, whether
+//! a controller lets a router wait for a feed or knows that it will have none: 1.6 questions a
+//! second, so 1,000 routers at 15 controllers come to 105 handshakes a second at each.
 
 use std::time::Duration;
 
 /// Pause after a controller that could not be reached: another one may be.
 const UNREACHED: Duration = Duration::from_millis(30);
-/// First pause after a controller that has no feed; it doubles with each.
+/// Shortest pause after a controller that has no feed, and first time from a question to the
+/// next; it doubles with each.
 const FIRST: Duration = Duration::from_millis(30);
-/// Longest such pause, before it is spread.
-const LONGEST: Duration = Duration::from_millis(240);
+/// Longest such time, before it is spread.
+const LONGEST: Duration = Duration::from_millis(640);
 
 /// See the module.
 #[derive(Debug, Clone, Copy)]
@@ -36,12 +37,13 @@
         UNREACHED
     }
 
-    /// Pause after a controller that has no feed; `random` spreads routers that lost it at
-    /// once over half to one and a half of it.
-    pub fn without_feed(&mut self, random: u32) -> Duration {
+    /// Pause after a controller that told after `waited` that it has no feed; `random` spreads
+    /// routers that lost it at once: the time between questions over half to one and a half.
+    pub fn without_feed(&mut self, random: u32, waited: Duration) -> Duration {
         let spread = 0.5 + f64::from(random) / f64::from(u32::MAX);
-        let pause = self.next.mul_f64(spread);
+        let interval = self.next.mul_f64(spread);
         self.next = (self.next * 2).min(LONGEST);
-        pause
+        let shortest = FIRST.mul_f64(spread);
+        interval.saturating_sub(waited).max(shortest)
     }
 }
--- a/crates/gateway/tests/seeking.rs
+++ b/crates/gateway/tests/seeking.rs
@@ -6,16 +6,18 @@
 
 const ROUTERS: u32 = 1_000;
 const WITHOUT_FEED: Duration = Duration::from_secs(20);
-/// A controller without a feed answers after this.
+/// A controller without a feed answers after this; one that knows that it will have none, at
+/// once.
 const WAIT_AT_CONTROLLER: Duration = Duration::from_millis(500);
+const WAITS: [Duration; 2] = [WAIT_AT_CONTROLLER, Duration::ZERO];
 
 /// When one router asks, from the loss of its feed until it has one again.
-fn questions(random: &mut impl FnMut() -> u32) -> Vec<Duration> {
+fn questions(wait: Duration, random: &mut impl FnMut() -> u32) -> Vec<Duration> {
     let mut pace = SeekingPace::default();
     let mut now = Duration::ZERO;
     let mut asked = vec![now];
     while now < WITHOUT_FEED {
-        now += WAIT_AT_CONTROLLER + pace.without_feed(random());
+        now += wait + pace.without_feed(random(), wait);
         asked.push(now);
     }
     asked
@@ -34,11 +36,17 @@
 
 #[test]
 fn a_crowd_without_a_feed_asks_less_and_less_and_is_back_soon() {
+    for wait in WAITS {
+        asks_less_and_less_and_is_back_soon(wait);
+    }
+}
+
+fn asks_less_and_less_and_is_back_soon(wait: Duration) {
     let mut random = numbers();
     let mut in_second = vec![0_u32; 22];
     let mut latest = Duration::ZERO;
     for _ in 0..ROUTERS {
-        let asked = questions(&mut random);
+        let asked = questions(wait, &mut random);
         latest = latest.max(*asked.last().expect("it asks"));
         for at in asked {
             in_second[usize::try_from(at.as_secs()).expect("small")] += 1;
@@ -57,10 +65,16 @@
 
 #[test]
 fn a_crowd_does_not_ask_in_step() {
+    for wait in WAITS {
+        does_not_ask_in_step(wait);
+    }
+}
+
+fn does_not_ask_in_step(wait: Duration) {
     let mut random = numbers();
     let mut in_slot = [0_u32; 100];
     for _ in 0..ROUTERS {
-        let asked = questions(&mut random);
+        let asked = questions(wait, &mut random);
         let in_a_second = asked.iter().filter(|at| at.as_secs() == 10);
         for at in in_a_second {
             in_slot[usize::try_from(at.subsec_millis() / 10).expect("small")] += 1;
