A router does not leave a controller that feeds it for a worse one

A better controller is one that comes before the present one in the router's order and has not failed it lately; what the present one did before it fed the router says nothing.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -65,8 +65,10 @@
     /// join later get their part of the routers by that, and a zone its own routers.
     #[must_use]
     pub fn has_better(&self, than: SocketAddr, failed: &[SocketAddr]) -> bool {
-        let first = self.next(failed);
-        !self.members.is_empty() && first.is_some_and(|first| first != than)
+        // What `than` did before it fed this router does not make a later one better.
+        let candidates = self.candidates().into_iter();
+        let mut before = candidates.take_while(|one| *one != than);
+        !self.members.is_empty() && before.any(|one| !failed.contains(&one))
     }
 
     /// All known addresses in this order, each once.
