--- a/crates/services/src/placement/instance/holdings.rs
+++ b/crates/services/src/placement/instance/holdings.rs
@@ -77,9 +77,6 @@
         &mut self,
         asked: &BTreeMap<(ModelName, String), Timestamp>,
     ) {
-        if asked.is_empty() {
-            return;
-        }
         for (model, held) in &mut self.held {
             for (name, adapter) in &mut held.adapters {
                 if let Some(at) = asked.get(&(model.clone(), name.clone())) {
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -10,15 +10,15 @@
 
 mod absence;
 mod health;
+mod local;
 mod prefixes;
 mod prompt;
 mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
-use absence::Absences;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
-use health::Health;
-use prefixes::{KeptPrefixes, PrefixKey};
+use local::{Choice, Local};
+use prefixes::PrefixKey;
 use prompt::work_tokens;
 pub use prompt::{PrefixPart, PromptShape};
 pub use pushback::{Pushback, Pushbacks};
@@ -49,50 +49,6 @@
 /// Bounds of an instance's measured slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 20.0);
 
-/// What a router keeps of one instance.
-#[derive(Debug, Default)]
-struct Local {
-    in_flight: u32,
-    unread_tokens: u32,
-    others_in_flight: u32,
-    others_unread: u32,
-    prefixes: KeptPrefixes,
-    absences: Absences,
-    slowness: Option<f64>,
-    suspect_until: Timestamp,
-    /// Until then it is not chosen at all.
-    unreachable_until: Timestamp,
-    failures: u32,
-    last_chosen: u64,
-    health: Health,
-}
-
-/// An instance that may be chosen, with what is known of it.
-struct Choice<'a> {
-    view: &'a InstanceView,
-    local: Option<&'a Local>,
-}
-
-impl Choice<'_> {
-    fn lacks(&self, shape: &PromptShape, now: Timestamp) -> bool {
-        self.local
-            .is_some_and(|local| local.absences.lacks_for(shape, now).is_some())
-    }
-
-    fn is_reachable(&self, now: Timestamp) -> bool {
-        self.local
-            .is_none_or(|local| now >= local.unreachable_until)
-    }
-
-    fn has_room(&self, own_limit: u32) -> bool {
-        let Some(local) = self.local else {
-            return true;
-        };
-        let total = local.in_flight + local.others_in_flight;
-        local.in_flight < own_limit && total < self.view.slots * 2
-    }
-}
-
 /// What speaks for and against a choice.
 struct Score {
     /// Predicted cost, in milliseconds; the least is chosen.
@@ -466,14 +422,14 @@
     #[must_use]
     pub fn is_unreachable(&self, instance: &RunnerId, now: Timestamp) -> bool {
         let local = self.locals.get(instance);
-        local.is_some_and(|local| now < local.unreachable_until)
+        local.is_some_and(|local| local.is_unreachable(now))
     }
 
     /// Instances that are left out.
     #[must_use]
     pub fn all_unreachable(&self, now: Timestamp) -> Vec<RunnerId> {
         let locals = self.locals.iter();
-        let left_out = locals.filter(|(_, local)| now < local.unreachable_until);
+        let left_out = locals.filter(|(_, local)| local.is_unreachable(now));
         let mut left_out: Vec<RunnerId> = left_out.map(|(id, _)| id.clone()).collect();
         left_out.sort();
         left_out
