Looks at an instance neither leave it out for longer nor disturb its rest

A health check would have gone to an instance that asked for rest, where a third request within its time breaks its wish; it is not asked now.

--- a/crates/gateway/src/looks.rs
+++ b/crates/gateway/src/looks.rs
@@ -91,7 +91,10 @@
     if upstream.sender.is_closed() {
         return Look::Unclear;
     }
-    let Some(path) = place.health_path else {
+    // One that asked to be left alone is asked nothing either.
+    let asked_for = shared.view.asked_for(instance, shared.clock.now());
+    let path = place.health_path.filter(|_| asked_for.is_none());
+    let Some(path) = path else {
         shared.pool.keep(instance, upstream);
         return Look::Unclear;
     };
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -225,6 +225,10 @@
 /// Looks at an instance until what it is shows, or its end would count no more.
 async fn check(shared: Arc<Shared>, instance: RunnerId) {
     let mut look = look_until_sure(&shared, &instance).await;
+    if look == Look::OutOfReach {
+        // Later looks don't: one that is back would be left out the longer for them.
+        avoid(&shared, &instance);
+    }
     let mut pause = FIRST_PAUSE;
     while let Some(newest) = settle(&shared, &instance, look) {
         tokio::time::sleep(pause).await;
@@ -236,15 +240,19 @@
     }
 }
 
+fn avoid(shared: &Shared, instance: &RunnerId) {
+    let now = shared.clock.now();
+    shared.view.unreachable(instance, now);
+}
+
 /// Acts by a look; returns the newest break if the instance is to be looked at again.
 fn settle(shared: &Shared, instance: &RunnerId, seen: Look) -> Option<Timestamp> {
     let look = match shared.view.knows(instance) {
         true => seen,
         false => Look::Gone,
     };
-    if matches!(look, Look::Refused | Look::Another | Look::OutOfReach) {
-        let now = shared.clock.now();
-        shared.view.unreachable(instance, now);
+    if matches!(look, Look::Refused | Look::Another) {
+        avoid(shared, instance);
     }
     let desk = &shared.quarantine;
     let Some(sign) = look.sign() else {
