A failing test: routers of a large fleet may repeat hardly anything

Cause, read in the budget: a router's share is a part of its own requests in ten seconds and a part of the slack over all routers; with three requests that is 0.4 of a repeat, rounded down to none. Ruled out: the routes (they allow two instances), sound copies (360 instances).

--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -2,6 +2,9 @@
 
 use courseshunt_services::{LoadCeiling, RetryBudget};
 use courseshunt_types::{Millis, Timestamp};
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::VecDeque;
 
 const WINDOW: Millis = Millis(10_000);
 
@@ -29,6 +32,71 @@
     assert!(retries > 0);
 }
 
+/// Requests and repeats of a fleet in which each router has a request in two seconds.
+#[derive(Debug, Default)]
+struct FleetRepeats {
+    failures: u32,
+    repeats: u32,
+    /// Largest part of the common budget that was used in a window.
+    most_used: f64,
+}
+
+/// Plays 1,000 routers for a minute and a half; one in `fails_each` requests fails, and is
+/// repeated if the budget allows it.
+fn play_fleet(fails_each: u64, seed: u64) -> FleetRepeats {
+    const ROUTERS: u32 = 1_000;
+    let mut random = Pcg64::seed_from_u64(seed);
+    let budget = |_| RetryBudget::new(0.2, 54.0, WINDOW);
+    let mut budgets: Vec<RetryBudget> = (0..ROUTERS).map(budget).collect();
+    let (mut requests, mut repeats) = (VecDeque::new(), VecDeque::new());
+    let mut played = FleetRepeats::default();
+    // 500 requests a second: one each 2 ms.
+    for now in (0..90_000).step_by(2).map(Timestamp) {
+        let router = random.next_u64() as usize % budgets.len();
+        budgets[router].request(now);
+        requests.push_back(now);
+        if random.next_u64().is_multiple_of(fails_each) {
+            played.failures += 1;
+            if budgets[router].take(ROUTERS, now) {
+                played.repeats += 1;
+                repeats.push_back(now);
+            }
+        }
+        for times in [&mut requests, &mut repeats] {
+            while times.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+                times.pop_front();
+            }
+        }
+        if now.since(Timestamp(0)) >= WINDOW {
+            let budget = 0.2 * requests.len() as f64 + 54.0;
+            played.most_used = played.most_used.max(repeats.len() as f64 / budget);
+        }
+    }
+    played
+}
+
+/// A fleet's clients got 500 as the last word for 30 requests, most of which may be repeated,
+/// while 45 repeats were made in half a minute and over 1,000 were allowed in ten seconds: each
+/// router's share is under one repeat, and was rounded down to none. One router with all the
+/// requests would repeat all.
+#[test]
+fn routers_of_a_large_fleet_use_their_shares_of_a_repeat() {
+    for seed in 1..=3 {
+        let played = play_fleet(50, seed);
+        assert!(played.repeats * 2 >= played.failures, "{played:?}");
+        assert!(played.most_used <= 1.0, "{played:?}");
+    }
+}
+
+#[test]
+fn a_large_fleet_keeps_the_common_budget_when_everything_fails() {
+    for seed in 1..=3 {
+        let played = play_fleet(1, seed);
+        assert!(played.most_used <= 1.0, "{played:?}");
+        assert!(played.repeats > 0, "{played:?}");
+    }
+}
+
 #[test]
 fn a_budget_comes_back_after_its_window() {
     let mut budget = RetryBudget::new(0.0, 10.0, WINDOW);
