What an instance says in its answer to a health check is heard

Change: hear takes the instance and an identity for records, so that looks use it too. What another instance answers at the address is its own word, and is not noted.

--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -4,12 +4,11 @@
 //! a request can miss what an instance asks for.
 
 use crate::Shared;
-use crate::flight::Flight;
 use crate::interface::AnswerFacts;
 use crate::records::RouterRecord;
 use courseshunt_http::{RetryAfter, read_asked_rest};
 use courseshunt_records::emit;
-use courseshunt_types::Millis;
+use courseshunt_types::{Millis, RunnerId};
 use hyper::header::{self, HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::http::response::Parts;
 use std::collections::HashSet;
@@ -53,14 +52,23 @@
     }
 }
 
+/// Whose answer it is.
+#[derive(Clone, Copy)]
+pub(crate) struct Answering<'a> {
+    /// The instance that was asked.
+    pub(crate) instance: &'a RunnerId,
+    /// Identity of the request, for records.
+    pub(crate) id: &'a str,
+}
+
 /// Takes note of what an answer says of its instance; returns the rest that it asks for.
 pub(crate) fn hear(
     shared: &Shared,
-    flight: &Flight,
+    answering: Answering<'_>,
     head: &Parts,
     facts: &AnswerFacts,
 ) -> Option<Millis> {
-    let instance = flight.instance();
+    let Answering { instance, id } = answering;
     let now = shared.clock.now();
     let status = head.status.as_u16();
     if facts.leaving {
@@ -69,7 +77,7 @@
             shared.pool.forget(std::slice::from_ref(instance));
             emit(&RouterRecord::InstanceLeaves {
                 instance: instance.as_str(),
-                id: flight.id(),
+                id,
                 status,
             });
         }
@@ -77,7 +85,7 @@
     let rest = match read_asked_rest(head.status, &head.headers, SystemTime::now()) {
         RetryAfter::Absent => None,
         RetryAfter::Unreadable => {
-            tell_unknown(shared, flight, &RETRY_AFTER);
+            tell_unknown(shared, answering, &RETRY_AFTER);
             None
         }
         RetryAfter::After(rest) => Some(rest),
@@ -87,28 +95,28 @@
         shared.view.asked_rest(instance, rest, now);
         emit(&RouterRecord::InstanceRests {
             instance: instance.as_str(),
-            id: flight.id(),
+            id,
             status,
             rest_ms: rest.0,
         });
     }
-    tell_unknown_headers(shared, flight, &head.headers);
+    tell_unknown_headers(shared, answering, &head.headers);
     rest
 }
 
-fn tell_unknown_headers(shared: &Shared, flight: &Flight, headers: &HeaderMap) {
+fn tell_unknown_headers(shared: &Shared, answering: Answering<'_>, headers: &HeaderMap) {
     for name in headers.keys() {
         if !OF_HTTP.contains(name) && !shared.interface.knows_answer_header(name) {
-            tell_unknown(shared, flight, name);
+            tell_unknown(shared, answering, name);
         }
     }
 }
 
-fn tell_unknown(shared: &Shared, flight: &Flight, name: &HeaderName) {
+fn tell_unknown(shared: &Shared, answering: Answering<'_>, name: &HeaderName) {
     if shared.unknown_words.is_news(name) {
         emit(&RouterRecord::UnknownWord {
-            instance: flight.instance().as_str(),
-            id: flight.id(),
+            instance: answering.instance.as_str(),
+            id: answering.id,
             header: name.as_str(),
         });
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: a request at one instance.
 
 use crate::Shared;
-use crate::answer_words::hear;
+use crate::answer_words::{Answering, hear};
 use crate::flight::Flight;
 use crate::handle::Admitted;
 use crate::passed_headers::{passed, strip_hop_headers};
@@ -157,7 +157,11 @@
         .read_answer(&admitted.facts.id, head.status, &head.headers);
     upstream.follow(&head.headers);
     flight.status(head.status.as_u16());
-    let rest = hear(shared, &flight, &head, &facts);
+    let answering = Answering {
+        instance: flight.instance(),
+        id: flight.id(),
+    };
+    let rest = hear(shared, answering, &head, &facts);
     if facts.misdirected {
         let now = shared.clock.now();
         let shape = &admitted.facts.shape;
--- a/crates/gateway/src/looks.rs
+++ b/crates/gateway/src/looks.rs
@@ -6,6 +6,7 @@
 //! connections for one that is dead; one that answers nothing may be alive.
 
 use crate::Shared;
+use crate::answer_words::{Answering, hear};
 use crate::interface::Presence;
 use crate::pool::{self, Upstream};
 use bytes::Bytes;
@@ -29,6 +30,9 @@
 /// Longest such answer that is read, in bytes.
 const LONGEST_ANSWER: usize = 16 * 1024;
 
+/// Stands for a request's identity in records of what health checks are answered.
+const HEALTH_CHECK: &str = "health-check";
+
 /// What a look at an instance shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Look {
@@ -122,9 +126,19 @@
     request.headers_mut().insert(HOST, host);
     let response = upstream.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
+    let facts = shared
+        .interface
+        .read_answer(HEALTH_CHECK, head.status, &head.headers);
+    let answering = Answering {
+        instance,
+        id: HEALTH_CHECK,
+    };
     let presence = shared
         .interface
         .read_presence(instance, head.status, &head.headers);
+    if presence == Presence::Itself {
+        hear(shared, answering, &head, &facts);
+    }
     let whole = Limited::new(body, LONGEST_ANSWER).collect().await;
     if whole.is_ok() && presence == Presence::Itself {
         shared.pool.keep(instance, upstream);
