--- a/crates/gateway/src/looks.rs
+++ b/crates/gateway/src/looks.rs
@@ -25,8 +25,8 @@
     Duration::from_millis(160),
 ];
 /// Longest time for an answer to the question who is there: a health check may wait for a
-/// place, and one that has none for so long shows nothing.
-const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// place, and a link that was silent hands over what it held as soon as it is well.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// Longest such answer that is read, in bytes.
 const LONGEST_ANSWER: usize = 16 * 1024;
 
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -21,9 +21,11 @@
 /// An instance that is gone so long after it broke an answer off may have ended then: the
 /// leader takes one for gone after four silent intervals of registrations.
 const WATCHED: Millis = Millis(10_000);
-/// Pause before an instance of which the first looks showed nothing is looked at again; it
-/// doubles each time, as long as its end would count. Without a leader nobody else tells.
+/// Pauses before an instance of which the first looks showed nothing is looked at again, as
+/// long as its end would count: without a leader nobody else tells. With longer ones a router
+/// would learn late of ends behind a link that was silent for some seconds.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LATER_PAUSE: Duration = Duration::from_millis(500);
 /// Contents that are remembered for an instance whose end is not sure, at the most.
 const MAX_WATCHED: usize = 64;
 
@@ -236,7 +238,7 @@
             return;
         }
         look = look_once(&shared, &instance, Duration::ZERO).await;
-        pause *= 2;
+        pause = LATER_PAUSE;
     }
 }
 
