A request that times out at an instance that is gone by then counts as ended under it

Weighed: it may count against sound contents when instances go dark with requests on them; three of one content on different instances, in different moments, without an answer ten seconds before or later, are needed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -68,7 +68,7 @@
         let sending = upstream.sender.try_send_request(request);
         let mut error = match tokio::time::timeout_at(limit, sending).await {
             Err(_) => {
-                flight.failed("its time is over");
+                flight.timed_out();
                 return AttemptOutcome::TimedOut;
             }
             Ok(Ok(response)) => {
@@ -193,7 +193,7 @@
     let whole = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
     match tokio::time::timeout_at(limit, whole).await {
         Err(_) => {
-            flight.failed("its time is over");
+            flight.timed_out();
             AttemptOutcome::TimedOut
         }
         Ok(Err(error)) => {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -3,7 +3,7 @@
 
 use crate::Shared;
 use crate::handle::Admitted;
-use crate::quarantine_desk::broke_off;
+use crate::quarantine_desk::{broke_off, ran_out};
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, PromptShape, Pushback};
@@ -184,6 +184,7 @@
     pub(crate) fn overdue(&mut self, problem: &str) {
         self.end("broken", false, Some(problem));
         self.suspect();
+        ran_out(&self.shared, self.content, &self.candidate.instance);
     }
 
     fn end(&mut self, outcome: &str, whole: bool, problem: Option<&str>) {
@@ -229,6 +230,12 @@
         broke_off(&self.shared, self.content, &self.candidate.instance);
     }
 
+    /// Its time is over; it may have run.
+    pub(crate) fn timed_out(&mut self) {
+        self.failed("its time is over");
+        ran_out(&self.shared, self.content, &self.candidate.instance);
+    }
+
     /// It failed and may have run.
     pub(crate) fn failed(&mut self, problem: &str) {
         self.ended = true;
--- a/crates/gateway/src/looks.rs
+++ b/crates/gateway/src/looks.rs
@@ -33,6 +33,9 @@
 /// Stands for a request's identity in records of what health checks are answered.
 const HEALTH_CHECK: &str = "health-check";
 
+/// The sign that the leader says so.
+pub(crate) const GONE: &str = "gone";
+
 /// What a look at an instance shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Look {
@@ -56,7 +59,7 @@
         match self {
             Self::Another => Some("another"),
             Self::Refused => Some("refused"),
-            Self::Gone => Some("gone"),
+            Self::Gone => Some(GONE),
             Self::Itself | Self::Unclear | Self::OutOfReach => None,
         }
     }
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -3,10 +3,10 @@
 //!
 //! Invariant: an instance counts as ended only when its address refuses connections soon
 //! after it broke an answer off, or another instance answers there, or the leader says that
-//! it is gone. One that lives, or that is merely out of reach, is no sign against a request.
+//! it is gone; or when it is gone before a request there has an answer. One that lives, or that is merely out of reach, is no sign against a request.
 
 use crate::Shared;
-use crate::looks::{Look, look_once, look_until_sure};
+use crate::looks::{GONE, Look, look_once, look_until_sure};
 use crate::records::RouterRecord;
 use crate::standing::LONGEST_SILENCE;
 use courseshunt_records::emit;
@@ -123,7 +123,7 @@
         for instance in instances {
             for broken in self.take_watched(instance) {
                 if now.since(broken.at) <= WATCHED {
-                    self.ended(broken, instance, "gone");
+                    self.ended(broken, instance, GONE);
                 }
             }
         }
@@ -224,6 +224,17 @@
     tokio::spawn(check(shared.clone(), instance.clone()));
 }
 
+/// Notes that a request's time was over at an instance: one that the leader says is gone by
+/// then ended under it, and the link lost its last word.
+pub(crate) fn ran_out(shared: &Shared, content: Digest, instance: &RunnerId) {
+    if shared.view.knows(instance) {
+        return;
+    }
+    let desk = &shared.quarantine;
+    let at = desk.now();
+    desk.ended(Break { content, at }, instance, GONE);
+}
+
 /// Looks at an instance until what it is shows, or its end would count no more.
 async fn check(shared: Arc<Shared>, instance: RunnerId) {
     let mut look = look_until_sure(&shared, &instance).await;
