A controller that follows a new leader is told of instances that left before

Cause: a new leader says that instances are gone which it has not met, once, as it begins to feed. Other controllers open a moment later, are sent the parts that differ without being told that these are complete (the leader has not heard from all instances for four seconds), and go on feeding their routers an instance that was acknowledged as leaving. Routers that open were told (unknown_leaving), controllers were not. Ruled out: a registration lost between the election and the leader's first turn (the word is in the log, and the new leader reads it there). Change: a controller that opens is told of the leaving instances that the leader has not met, as a router is.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -133,7 +133,7 @@
     reports::take_local(report, shared);
 }
 
-/// Leaving instances that this controller has not met: the router may know them from an
+/// Leaving instances that this controller has not met: a follower may know them from an
 /// earlier feed.
 fn unknown_leaving(shared: &Shared) -> Vec<RunnerId> {
     let leaving: Vec<RunnerId> = {
@@ -220,7 +220,12 @@
     let (queue, messages) = mpsc::channel(SESSION_QUEUE);
     let (answers, answer_queue) = mpsc::channel(ANSWER_QUEUE);
     send(&mut sender, places::told(shared).await).await?;
-    shared.sessions.open_controller(connection, queue, known);
+    // Told once when this leader began; without it the routers there would go on sending
+    // requests to instances that left before, until this leader has heard from all others.
+    let gone = unknown_leaving(shared);
+    shared
+        .sessions
+        .open_controller(connection, queue, known, gone);
     emit(&ControllerRecord::ControllerFollows { member: peer.0 });
     let ended = tokio::select! {
         () = shared.stop.cancelled() => Ok(()),
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -133,8 +133,9 @@
         connection: u64,
         queue: mpsc::Sender<Arc<Frame>>,
         known: &InstanceDigests,
+        gone: Vec<RunnerId>,
     ) {
-        for frame in self.fed().opening(known, Vec::new()) {
+        for frame in self.fed().opening(known, gone) {
             let _ = queue.try_send(frame);
         }
         self.followers().controllers.insert(connection, queue);
