--- a/crates/services/tests/quarantine.rs
+++ b/crates/services/tests/quarantine.rs
@@ -43,6 +43,51 @@
     ledger
 }
 
+/// The whole group had been killed and started again, and routers told the new leader of ends
+/// before its own start. From the records of a soak, in seconds of the leader's clock:
+///
+/// ```text
+/// -1.2, -0.8, -0.3   one request ends app-1, app-2 and app-1.2, as one router saw
+///  0.34              told; suspected 7, quarantined none
+///  4.65              quarantine begun, ends 3: by then it has ended nine instances
+/// ```
+///
+/// Moments before the leader's start were all taken for the start itself: three instances
+/// lost in one moment, of which two count.
+#[test]
+fn ends_before_the_leaders_own_start_are_told_apart() {
+    let mut ledger = QuarantineLedger::default();
+    let told = Timestamp::default() + Millis(340);
+    for (instance, age) in [("app-1", 1_540), ("app-2", 1_140), ("app-1.2", 640)] {
+        let age = Millis(age);
+        ledger.ended(
+            &InstanceEnd {
+                age,
+                ..end("a", instance)
+            },
+            told,
+        );
+    }
+    assert!(is_quarantined(&ledger, "a"));
+}
+
+#[test]
+fn instances_lost_in_one_moment_before_the_leaders_start_are_still_one_moment() {
+    let mut ledger = QuarantineLedger::default();
+    let told = Timestamp::default() + Millis(340);
+    for (instance, age) in [("i-1", 1_540), ("i-2", 1_520), ("i-3", 1_500)] {
+        let age = Millis(age);
+        ledger.ended(
+            &InstanceEnd {
+                age,
+                ..end("a", instance)
+            },
+            told,
+        );
+    }
+    assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
+}
+
 #[test]
 fn instances_count_once_whoever_tells_and_whatever_else_they_had() {
     let mut ledger = QuarantineLedger::default();
