Moments before a process's start stay apart

Cause: a Timestamp could not lie before the start of its process. Peers tell ages, and now - age was taken for the start where the age was longer than the process has run. Elsewhere: the accounts of tenants had met it and shifted their clock (taken out); the board of jobs let a job's window begin anew with its router (failing test); waits and last uses that were told to a process younger than they are lost their order. Two ways: a shifted clock in each ledger, as the accounts had, which each next ledger may forget; a Timestamp that goes below zero. Kept: the second.

--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -157,7 +157,7 @@
         },
         Case {
             prepare: |balancer| fail(balancer, "b", EJECTION_FAILURES),
-            at: Timestamp(NOW.0 + FIRST_EJECTION.0),
+            at: NOW + FIRST_EJECTION,
             expected: Some("b"),
             ..case("a probe when the ejection is over", &[("a", 0), ("b", 0)])
         },
@@ -193,7 +193,7 @@
                 let refused = AttemptOutcome::NotAdmitted(AdmissionFailure::Draining);
                 balancer.observe(&"b".into(), refused, NOW);
             },
-            at: Timestamp(NOW.0 + DRAINING_HOLD.0 - 1),
+            at: NOW + DRAINING_HOLD - Millis(1),
             expected: None,
             ..case("even when the platform's list lags 30 s", &[("b", 0)])
         },
@@ -358,9 +358,9 @@
     }
     let ticket = ticket(&[], &[]);
     let chosen = |balancer: &mut Balancer, now| balancer.choose(&ticket, &slots, now);
-    let last = Timestamp(NOW.0 + rest.0 - 1);
+    let last = NOW + rest - Millis(1);
     assert_eq!(chosen(&mut balancer, last), Some("b".into()));
     // It then begins as a fresh one does, and has its whole share later.
-    let later = Timestamp(NOW.0 + rest.0 + SLOW_START.0);
+    let later = NOW + rest + SLOW_START;
     assert_eq!(chosen(&mut balancer, later), Some("a".into()));
 }
--- a/crates/consensus/tests/group/harness.rs
+++ b/crates/consensus/tests/group/harness.rs
@@ -89,7 +89,7 @@
             lease_reads: self.lease_reads,
             ..CoreSettings::for_member(ControllerId(id))
         };
-        let now = Timestamp(self.now);
+        let now = Timestamp::at(self.now);
         let core = Core::new(settings, disk.clone(), bootstrap, now);
         let member = Member {
             core,
@@ -138,7 +138,7 @@
     }
 
     pub fn has_lost_quorum(&self, id: u64) -> bool {
-        self.core(id).has_lost_quorum(Timestamp(self.now))
+        self.core(id).has_lost_quorum(Timestamp::at(self.now))
     }
 
     pub fn heal(&mut self) {
@@ -208,7 +208,7 @@
     }
 
     pub fn step(&mut self, id: u64, input: Input) -> Vec<Output> {
-        let now = Timestamp(self.now);
+        let now = Timestamp::at(self.now);
         let member = self.members.get_mut(&id).unwrap();
         let mut outputs: VecDeque<Output> = member.core.step(input, now).into();
         let mut carried_out = Vec::new();
--- a/crates/controller/src/feed/registry.rs
+++ b/crates/controller/src/feed/registry.rs
@@ -195,7 +195,7 @@
         others: impl IntoIterator<Item = ControllerId>,
         now: Timestamp,
     ) -> Vec<ControllerId> {
-        if now > Timestamp(HEARD_LIMIT.0) {
+        if now > Timestamp::at(HEARD_LIMIT.0) {
             return Vec::new();
         }
         let inner = self.lock();
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -17,7 +17,7 @@
 use courseshunt_wire::Message;
 use ractor::ActorRef;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, PoisonError};
 use tokio::sync::watch;
@@ -30,7 +30,7 @@
     pub(super) clock: MonotonicClock,
     pub(super) state: SharedState,
     pub(super) status: watch::Sender<ReplicaStatus>,
-    pub(super) quorum_contact: Arc<AtomicU64>,
+    pub(super) quorum_contact: Arc<AtomicI64>,
     pub(super) peers: PeerNetwork,
 }
 
@@ -42,7 +42,7 @@
     clock: MonotonicClock,
     state: SharedState,
     status: watch::Sender<ReplicaStatus>,
-    quorum_contact: Arc<AtomicU64>,
+    quorum_contact: Arc<AtomicI64>,
     peers: PeerNetwork,
     proposals: BTreeMap<ProposalId, ProposalReply>,
     waiting: BTreeMap<LogIndex, WaitingProposal>,
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -13,7 +13,7 @@
 };
 use courseshunt_wire::MAX_COMMAND_BYTES;
 use ractor::ActorRef;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -106,7 +106,7 @@
     pub(super) actor: ActorRef<ReplicaMessage>,
     pub(super) state: SharedState,
     pub(super) status: watch::Receiver<ReplicaStatus>,
-    pub(super) quorum_contact: Arc<AtomicU64>,
+    pub(super) quorum_contact: Arc<AtomicI64>,
     pub(super) clock: MonotonicClock,
     pub(super) peers: PeerNetwork,
     pub(super) session: ClientSession,
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -27,14 +27,14 @@
 use snafu::ResultExt;
 use snapshots::Snapshots;
 use std::path::PathBuf;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicI64;
 use std::sync::{Arc, RwLock};
 use tokio::sync::watch;
 
 /// Folder of the log of group 0 in the data folder.
 const GROUP_FOLDER: &str = "group-0";
 /// Marks that no quorum has been seen yet.
-const NO_CONTACT: u64 = u64::MAX;
+const NO_CONTACT: i64 = i64::MAX;
 
 /// What a replica needs to know.
 #[derive(Debug, Clone)]
@@ -109,7 +109,7 @@
         revision,
         failure: None,
     });
-    let quorum_contact = Arc::new(AtomicU64::new(NO_CONTACT));
+    let quorum_contact = Arc::new(AtomicI64::new(NO_CONTACT));
     let arguments = DriverArguments {
         core,
         store,
--- a/crates/controller/tests/registry.rs
+++ b/crates/controller/tests/registry.rs
@@ -87,7 +87,7 @@
     registry.take_report(OTHER, report, Timestamp(1));
     assert_eq!(registry.unheard(others, Timestamp(1)), [ControllerId(3)]);
     // After the limit, a silent controller has no routers any more.
-    let late = Timestamp(HEARD_LIMIT.0 + 1);
+    let late = Timestamp::at(HEARD_LIMIT.0 + 1);
     assert!(registry.unheard(others, late).is_empty());
 }
 
--- a/crates/controller/tests/scheduler_cores.rs
+++ b/crates/controller/tests/scheduler_cores.rs
@@ -214,7 +214,7 @@
 fn use_is_known_for_each_replica_and_a_new_leader_presumes_it() {
     let mut usage = ReplicaUsage::default();
     let at = |now| Moment {
-        now: Timestamp(now),
+        now: Timestamp::at(now),
         wall: UnixMillis(1_000_000 + now),
     };
     let loading = usage.observe(&record(ReplicaPhase::Loading), 0, None, at(9_000));
--- a/crates/coordinator/tests/router_book.rs
+++ b/crates/coordinator/tests/router_book.rs
@@ -7,7 +7,7 @@
 const ROUTER: &str = "router-1";
 
 fn at(milliseconds: u64) -> Timestamp {
-    Timestamp(milliseconds)
+    Timestamp::at(milliseconds)
 }
 
 #[test]
--- a/crates/lab/src/callers/mod.rs
+++ b/crates/lab/src/callers/mod.rs
@@ -168,7 +168,7 @@
         let adapter = (adapters > 0).then(|| self.random.random_range(0..=adapters));
         let traffic = self.traffic;
         Arrival {
-            at: Timestamp(at_ms as u64),
+            at: Timestamp::at(at_ms as u64),
             traffic: self.number,
             deployment,
             adapter: adapter.filter(|adapter| *adapter < adapters),
--- a/crates/lab/src/simulate/clairvoyant.rs
+++ b/crates/lab/src/simulate/clairvoyant.rs
@@ -100,7 +100,7 @@
         let mut victims: Vec<&DeploymentView> = view.deployments.iter().filter(here).collect();
         victims.sort_by_key(|one| {
             let next = self.next_use(one.name(), view.now);
-            Reverse(next.unwrap_or(Timestamp(u64::MAX)))
+            Reverse(next.unwrap_or(Timestamp::at(u64::MAX)))
         });
         victims
     }
@@ -124,7 +124,7 @@
             let reuse = taken
                 .iter()
                 .filter_map(|one| self.next_use(one.name(), view.now));
-            let reuse = reuse.min().unwrap_or(Timestamp(u64::MAX));
+            let reuse = reuse.min().unwrap_or(Timestamp::at(u64::MAX));
             let better = best.as_ref().is_none_or(|(known, _, _)| reuse > *known);
             if room >= memory && !taken.is_empty() && reuse > wanted_at && better {
                 best = Some((reuse, runner, taken));
--- a/crates/lab/src/simulate/control/mod.rs
+++ b/crates/lab/src/simulate/control/mod.rs
@@ -118,16 +118,20 @@
     pub(super) fn moment(&self) -> Moment {
         Moment {
             now: self.now,
-            wall: UnixMillis(self.now.0),
+            wall: self.wall(),
         }
     }
 
+    fn wall(&self) -> UnixMillis {
+        UnixMillis(self.now.since(Timestamp::default()).0)
+    }
+
     fn envelope(&self, command: Command) -> CommandEnvelope {
         CommandEnvelope {
             client: ClientId::default(),
             sequence: ClientSequence(0),
             acknowledged: ClientSequence(0),
-            proposed_at: UnixMillis(self.now.0),
+            proposed_at: self.wall(),
             command,
         }
     }
--- a/crates/lab/src/simulate/faults/mod.rs
+++ b/crates/lab/src/simulate/faults/mod.rs
@@ -46,7 +46,7 @@
                         length: fault.for_ms,
                         late_orders: Vec::new(),
                     }));
-                    let at = Timestamp(fault.at_ms.0);
+                    let at = Timestamp::at(fault.at_ms.0);
                     self.events.push(at, Event::FaultBegins(number));
                 }
                 Err(reason) => {
--- a/crates/lab/src/simulate/world.rs
+++ b/crates/lab/src/simulate/world.rs
@@ -74,7 +74,7 @@
             runner_numbers: runner_numbers.collect(),
             owners: vec![None; site.len()],
             now: Timestamp(0),
-            horizon: Timestamp((scenario.hours * HOUR_MS) as u64),
+            horizon: Timestamp::at((scenario.hours * HOUR_MS) as u64),
             events: EventQueue::default(),
             random: random_stream(settings.seed, WORLD_STREAM),
             requests: Vec::with_capacity(arrivals.len()),
--- a/crates/membership/tests/joiner.rs
+++ b/crates/membership/tests/joiner.rs
@@ -18,7 +18,7 @@
         is_member,
         known: &known,
     };
-    let due = joiner.due(view, Timestamp(now));
+    let due = joiner.due(view, Timestamp::at(now));
     due.iter().map(SocketAddr::port).collect()
 }
 
@@ -62,7 +62,7 @@
     let mut asked = Vec::new();
     for now in (0..6_000).step_by(100) {
         if !due(&mut joiner, &[2], false, now).is_empty() {
-            joiner.unanswered(address(2), Timestamp(now));
+            joiner.unanswered(address(2), Timestamp::at(now));
             asked.push(now);
         }
     }
--- a/crates/placement/tests/adaptive.rs
+++ b/crates/placement/tests/adaptive.rs
@@ -56,15 +56,15 @@
         runner: runner.into(),
         fence: Fence::default(),
         phase: ReplicaPhase::Ready,
-        since: Timestamp(since),
-        last_used: Timestamp(since),
+        since: Timestamp::at(since),
+        last_used: Timestamp::at(since),
         running: 0,
     }
 }
 
 fn view(now: u64, runners: Vec<RunnerView>, deployments: Vec<DeploymentView>) -> ClusterView {
     ClusterView {
-        now: Timestamp(now),
+        now: Timestamp::at(now),
         time_of_day: Millis(now),
         runners,
         deployments,
@@ -99,24 +99,24 @@
     let mut irregular = PeriodDetector::default();
     for step in 0..10_u64 {
         let late = (step * 37 % 60) * SECOND;
-        periodic.session(Timestamp(step * 20 * MINUTE + late));
+        periodic.session(Timestamp::at(step * 20 * MINUTE + late));
         if step == 4 {
-            periodic.session(Timestamp(step * 20 * MINUTE + 7 * MINUTE));
+            periodic.session(Timestamp::at(step * 20 * MINUTE + 7 * MINUTE));
         }
-        irregular.session(Timestamp(step * step * 11 * MINUTE));
+        irregular.session(Timestamp::at(step * step * 11 * MINUTE));
     }
     let period = periodic.period().unwrap();
     assert!(
         period.interval.0.abs_diff(20 * MINUTE) < MINUTE,
         "{period:?}"
     );
-    let now = Timestamp(185 * MINUTE);
+    let now = Timestamp::at(185 * MINUTE);
     let due = periodic.due(now).next().unwrap();
     assert!(
-        due.from > now && due.from <= Timestamp(200 * MINUTE),
+        due.from > now && due.from <= Timestamp::at(200 * MINUTE),
         "{due:?}"
     );
-    assert!(due.to >= Timestamp(200 * MINUTE));
+    assert!(due.to >= Timestamp::at(200 * MINUTE));
     assert_eq!(irregular.period(), None);
 }
 
@@ -126,7 +126,7 @@
     let mut pooled = HazardTable::default();
     for burst in 1..6_u64 {
         for call in 0..5 {
-            let at = Timestamp(burst * 60 * MINUTE + call * 10 * SECOND);
+            let at = Timestamp::at(burst * 60 * MINUTE + call * 10 * SECOND);
             if let (Some(gap), _) = history.call(at) {
                 pooled.add_gap(gap);
             }
@@ -145,13 +145,13 @@
     let mut batch = deployment("batch");
     batch.demand.waiting_batch = 3;
     batch.demand.oldest_arrival = Some(Timestamp(0));
-    batch.demand.earliest_deadline = Some(Timestamp(600 * MINUTE));
+    batch.demand.earliest_deadline = Some(Timestamp::at(600 * MINUTE));
     let mut relaxed = deployment("relaxed");
     relaxed.demand.waiting_interactive = 20;
-    relaxed.demand.earliest_deadline = Some(Timestamp(9 * MINUTE));
+    relaxed.demand.earliest_deadline = Some(Timestamp::at(9 * MINUTE));
     let mut urgent = deployment("urgent");
     urgent.demand.waiting_critical = 1;
-    urgent.demand.earliest_deadline = Some(Timestamp(10 * MINUTE));
+    urgent.demand.earliest_deadline = Some(Timestamp::at(10 * MINUTE));
     let near = [("urgent", CacheTier::HostMemory)];
     let runners = vec![runner("r1", &[]), runner("r2", &near)];
     let view = view(MINUTE, runners, vec![batch, relaxed, urgent]);
@@ -175,8 +175,8 @@
         let mut one = deployment("a");
         one.demand.waiting_batch = waiting;
         let now = 100 * MINUTE;
-        one.demand.oldest_arrival = Some(Timestamp(now - waited * MINUTE));
-        one.demand.earliest_deadline = Some(Timestamp(now + (deadline - waited) * MINUTE));
+        one.demand.oldest_arrival = Some(Timestamp::at(now - waited * MINUTE));
+        one.demand.earliest_deadline = Some(Timestamp::at(now + (deadline - waited) * MINUTE));
         let view = view(now, vec![runner("r1", &[])], vec![one]);
         let loaded = !loads(&planner().plan(&view)).is_empty();
         assert_eq!(loaded, expected, "{case}");
@@ -211,14 +211,14 @@
             deployment: "a".into(),
             class: PriorityClass::Critical,
             count: 1,
-            at: Timestamp(step * 20 * MINUTE),
+            at: Timestamp::at(step * 20 * MINUTE),
         });
     }
     let at = |now| view(now, vec![runner("r1", &near)], vec![deployment("a")]);
     let early = at(190 * MINUTE);
     assert!(loads(&planner.plan(&early)).is_empty());
     let wake = planner.next_wake(&early).unwrap();
-    assert!(wake <= Timestamp(190 * MINUTE + 15 * SECOND));
+    assert!(wake <= Timestamp::at(190 * MINUTE + 15 * SECOND));
     let due = at(200 * MINUTE - 12 * SECOND);
     assert_eq!(loads(&planner.plan(&due)).len(), 1);
 }
@@ -241,7 +241,7 @@
 #[test]
 fn forecasts_of_unknown_deployments_are_those_of_the_mean() {
     let forecast = Forecast::default();
-    let now = Timestamp(MINUTE);
+    let now = Timestamp::at(MINUTE);
     assert!(forecast.hazard(&"a".into(), now) > 0.0);
     assert_eq!(forecast.next_due(&"a".into(), now), None);
     assert_eq!(forecast.interval(&"a".into()), None);
--- a/crates/placement/tests/load_control.rs
+++ b/crates/placement/tests/load_control.rs
@@ -14,8 +14,8 @@
         limiter.take(Timestamp(0));
     }
     assert_eq!(limiter.starts_available(Timestamp(300)), 0);
-    assert_eq!(limiter.starts_available(Timestamp(SECOND)), 3);
-    assert_eq!(limiter.starts_available(Timestamp(60 * SECOND)), 3);
+    assert_eq!(limiter.starts_available(Timestamp::at(SECOND)), 3);
+    assert_eq!(limiter.starts_available(Timestamp::at(60 * SECOND)), 3);
 }
 
 #[test]
@@ -24,16 +24,16 @@
     let mut limiter = StoreLimiter::new(3.0, 6);
     limiter.observe(Millis(30 * SECOND), expected, false, Timestamp(0));
     assert_eq!(limiter.concurrency(), 4);
-    limiter.observe(Millis(30 * SECOND), expected, false, Timestamp(SECOND));
+    limiter.observe(Millis(30 * SECOND), expected, false, Timestamp::at(SECOND));
     assert_eq!(limiter.concurrency(), 4, "once in the time of a load");
     for step in 1..20 {
-        let now = Timestamp(step * 20 * SECOND);
+        let now = Timestamp::at(step * 20 * SECOND);
         limiter.observe(Millis(90 * SECOND), expected, true, now);
     }
     assert_eq!(limiter.concurrency(), 2, "never below a third");
     assert!(limiter.is_slow());
     for _ in 0..6 {
-        limiter.observe(expected, expected, true, Timestamp(900 * SECOND));
+        limiter.observe(expected, expected, true, Timestamp::at(900 * SECOND));
     }
     assert_eq!(limiter.concurrency(), 6);
     assert!(!limiter.is_slow());
--- a/crates/queue/examples/routing_study.rs
+++ b/crates/queue/examples/routing_study.rs
@@ -414,7 +414,7 @@
         Request {
             class,
             router: random.random_range(0..routers),
-            arrived: Timestamp(arrived),
+            arrived: Timestamp::at(arrived),
             service: Millis(service),
             taken: false,
         }
--- a/crates/queue/src/estimate.rs
+++ b/crates/queue/src/estimate.rs
@@ -15,7 +15,7 @@
 /// Tickets of one class by deadline, in buckets.
 #[derive(Debug, Default)]
 struct DeadlineCounts {
-    buckets: BTreeMap<u64, u32>,
+    buckets: BTreeMap<i64, u32>,
     total: u32,
 }
 
@@ -26,8 +26,8 @@
     service_time: Option<f64>,
 }
 
-fn bucket(class: PriorityClass, deadline: Timestamp) -> u64 {
-    deadline.0 / BUCKET_WIDTHS[class.rank()].0
+fn bucket(class: PriorityClass, deadline: Timestamp) -> i64 {
+    deadline.stretch(BUCKET_WIDTHS[class.rank()])
 }
 
 impl WaitEstimate {
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -216,7 +216,7 @@
         } else {
             return Ok(());
         };
-        let wait = self.start_in(ticket.class, Timestamp(u64::MAX), now);
+        let wait = self.start_in(ticket.class, Timestamp::NEVER, now);
         let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
         let refusal = Refusal::not_run(RefusalReason::QueueFull, message);
         Err(refusal.with_retry_after(wait))
--- a/crates/router/src/control/freshness.rs
+++ b/crates/router/src/control/freshness.rs
@@ -29,7 +29,7 @@
     /// Takes a confirmation in that was `age` old when it was sent. Returns
     /// whether it is fresh.
     pub fn confirmed(&mut self, age: Millis, now: Timestamp) -> bool {
-        let at = Timestamp(now.0.saturating_sub(age.0));
+        let at = now - age;
         self.confirmed_at = self.confirmed_at.max(at);
         let fresh = age <= STALE_LIMIT;
         self.was_confirmed |= fresh;
--- a/crates/router/tests/feed.rs
+++ b/crates/router/tests/feed.rs
@@ -102,10 +102,10 @@
     for (age, came, looked, fresh, stale) in cases {
         let mut freshness = FeedFreshness::connected(Timestamp(0));
         if let Some(age) = age {
-            let judged = freshness.confirmed(Millis(age), Timestamp(came));
+            let judged = freshness.confirmed(Millis(age), Timestamp::at(came));
             assert_eq!(judged, fresh, "age {age} at {came}");
         }
-        let judged = freshness.is_stale(Timestamp(looked));
+        let judged = freshness.is_stale(Timestamp::at(looked));
         assert_eq!(judged, stale, "age {age:?} at {came}, looked at {looked}");
     }
 }
--- a/crates/router/tests/job_window.rs
+++ b/crates/router/tests/job_window.rs
@@ -10,8 +10,8 @@
     WaitingJob {
         job: name.into(),
         deployment: "planificador".into(),
-        since: Timestamp(since),
-        deadline: Timestamp(deadline),
+        since: Timestamp::at(since),
+        deadline: Timestamp::at(deadline),
     }
 }
 
@@ -38,7 +38,7 @@
         ("nothing waits, nothing loaded", vec![], false, false),
     ];
     for (name, jobs, is_loaded, expected) in cases {
-        let now = Timestamp(10 * HOUR);
+        let now = Timestamp::at(10 * HOUR);
         assert_eq!(
             is_due(&jobs, is_loaded, window, load, now),
             expected,
@@ -59,7 +59,7 @@
     };
     board.set(vec![queued("a"), queued("b")], Timestamp(0));
     let waiting = |now: u64| {
-        let groups = board.waiting(Timestamp(now));
+        let groups = board.waiting(Timestamp::at(now));
         groups
             .values()
             .flatten()
@@ -79,3 +79,23 @@
     assert_eq!(waiting(3_000), ["a"]);
     assert_eq!(board.running(), 0);
 }
+
+/// A router that has just started is told of jobs that were accepted before: their window goes
+/// on, it does not begin anew.
+#[test]
+fn a_job_that_waited_before_the_routers_start_is_due_all_the_same() {
+    let board = JobBoard::default();
+    let now = Timestamp::default() + Millis(5_000);
+    let queued = QueuedJob {
+        job: "old".into(),
+        deployment: "planificador".into(),
+        class: PriorityClass::Batch,
+        waited: Millis(2 * HOUR),
+        deadline_in: Millis(10 * HOUR),
+    };
+    board.set(vec![queued], now);
+    for jobs in board.waiting(now).values() {
+        assert!(is_due(jobs, false, Millis(HOUR), Millis(30_000), now));
+    }
+    assert_eq!(board.waiting(now).len(), 1);
+}
--- a/crates/services/examples/choice_costs.rs
+++ b/crates/services/examples/choice_costs.rs
@@ -67,7 +67,7 @@
     selector.set_routers(ROUTERS);
     let mut times: Vec<f64> = Vec::new();
     for number in 0..CHOICES {
-        let now = Timestamp(100_000 + number * 50);
+        let now = Timestamp::at(100_000 + number * 50);
         if number % 20 == 0 {
             selector.set_usage(usage, Millis(500), now);
         }
--- a/crates/services/src/quota/ledger.rs
+++ b/crates/services/src/quota/ledger.rs
@@ -31,13 +31,6 @@
 /// Exactness of what a single router used.
 const ROUTER_SLOT: Millis = Millis(1_000);
 
-/// Added to the process's clock: use that is told may lie before its start.
-const CLOCK_SHIFT: Millis = Millis(600_000);
-
-fn shifted(now: Timestamp) -> Timestamp {
-    now + CLOCK_SHIFT
-}
-
 /// One tenant's account. What was used in the last window bounds what is granted; a
 /// bucket that fills as fast as the allowance lasts spreads it over the window. Without
 /// that a tenant that sends too much gets all at a window's begin and nothing after:
@@ -102,7 +95,6 @@
     /// Follows the declared limits. What was used stays counted; under a lower limit as
     /// the same part of it, so that use that was allowed is not held against anybody.
     pub fn configure(&mut self, tenants: &[Tenant], now: Timestamp) {
-        let now = shifted(now);
         let settings = self.settings;
         let mut before = std::mem::take(&mut self.accounts);
         for tenant in tenants {
@@ -119,7 +111,6 @@
     /// Takes a router's report for an epoch; one for another epoch is told anew.
     /// Returns whether an account turned guarded or free and that is untold yet.
     pub fn report(&mut self, router: &str, epoch: u64, uses: &[TenantUse], now: Timestamp) -> bool {
-        let now = shifted(now);
         self.router_heard(router);
         if epoch != self.epoch {
             return false;
@@ -144,7 +135,6 @@
             ..
         } = ask;
         let (tenant, units) = (tenant.as_str(), *units);
-        let now = shifted(now);
         let assumed = self.assumed(tenant, now);
         let Some(account) = self.accounts.get_mut(tenant) else {
             return QuotaVerdict::Unknown;
@@ -163,7 +153,6 @@
     /// Notes that a router is not heard any more: it may go on without a leader, until
     /// it is heard again and tells what it used.
     pub fn router_lost(&mut self, router: &str, now: Timestamp) {
-        let now = shifted(now);
         let Some(used) = self.routers.remove(router) else {
             return;
         };
@@ -191,7 +180,6 @@
 
     /// How the accounts stand that were used lately.
     pub fn standings(&mut self, now: Timestamp) -> Vec<TenantStanding> {
-        let now = shifted(now);
         self.look(now);
         let accounts = self.accounts.iter_mut();
         let standings = accounts.filter_map(|(tenant, account)| {
--- a/crates/services/tests/copies.rs
+++ b/crates/services/tests/copies.rs
@@ -184,7 +184,9 @@
         let waiting: Vec<ModelDemand> = waiting.collect();
         world.step(&waiting);
     }
-    let views = world.engine.views(courseshunt_types::Timestamp(world.now));
+    let views = world
+        .engine
+        .views(courseshunt_types::Timestamp::at(world.now));
     for model in &all {
         let loading = views.iter().flat_map(|view| &view.loading);
         let due = loading.filter(|(name, _)| name.as_str() == model).count();
--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -147,7 +147,7 @@
     ceiling.set_rate(rate, window, Timestamp(0));
     assert!(!ceiling.take(Timestamp(0)), "a new leader begins empty");
     let starts: Vec<u64> = (0..60_000)
-        .filter(|now| (*now < 20_000 || *now > 30_000) && ceiling.take(Timestamp(*now)))
+        .filter(|now| (*now < 20_000 || *now > 30_000) && ceiling.take(Timestamp::at(*now)))
         .collect();
     let bound = rate * 5.0 * 1.1 + 3.0;
     for start in &starts {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -120,9 +120,9 @@
         !world.engine.is_ready(&id),
         "a later registration revived it"
     );
-    world.engine.depart(&id, Timestamp(world.now));
+    world.engine.depart(&id, Timestamp::at(world.now));
     world.register(&id);
-    let views = world.engine.views(Timestamp(world.now));
+    let views = world.engine.views(Timestamp::at(world.now));
     assert!(views.iter().all(|view| view.id != id));
 }
 
@@ -167,7 +167,7 @@
             },
         };
         let outcome = OrderOutcome::AlreadyDone;
-        let now = Timestamp(world.now);
+        let now = Timestamp::at(world.now);
         world.engine.on_outcome(&order, outcome, now);
         let first = world.loads.len().saturating_sub(24);
         let recent = world.loads[first..].first().copied().unwrap_or(0);
@@ -193,7 +193,7 @@
     for _ in 0..200 {
         earlier.step(&[]);
     }
-    let views = earlier.engine.views(Timestamp(earlier.now));
+    let views = earlier.engine.views(Timestamp::at(earlier.now));
     assert_eq!(views.len(), 3);
     let mut engine = PlacementEngine::new(PlacementSettings::default());
     engine.configure(configuration(), Timestamp(0));
@@ -229,7 +229,7 @@
     assert!(stopped.models.contains_key("m0"));
     for _ in 0..400 {
         world.step(&[demand("m0", 0, 1, 500)]);
-        let now = Timestamp(world.now);
+        let now = Timestamp::at(world.now);
         for router in ["one", "two"] {
             world
                 .engine
@@ -321,10 +321,10 @@
         let mut engine = PlacementEngine::new(PlacementSettings::default());
         engine.register(registration("live", 1), Timestamp(1_000));
         let now = 1_000 + silent_for;
-        engine.expire(Timestamp(now));
-        engine.register(registration("held up", 9), Timestamp(now));
+        engine.expire(Timestamp::at(now));
+        engine.register(registration("held up", 9), Timestamp::at(now));
         for beat in 1..=3 {
-            let at = Timestamp(now + beat * 1_200);
+            let at = Timestamp::at(now + beat * 1_200);
             engine.register(registration("live", 1 + beat), at);
         }
         assert_eq!(engine.ids(), [RunnerId::from("live")], "{silent_for}");
@@ -339,7 +339,7 @@
     let mut world = World::new(9, 2, 0);
     world.step(&[]);
     let resting = RunnerId::from("r0");
-    let now = Timestamp(world.now);
+    let now = Timestamp::at(world.now);
     world.engine.asked_rest(&resting, Millis(REST), now);
     let ends = world.now + REST;
     let before = world.runners[&resting].sequence;
--- a/crates/services/tests/placement_world/mod.rs
+++ b/crates/services/tests/placement_world/mod.rs
@@ -242,7 +242,7 @@
                     .collect(),
             },
         };
-        self.engine.register(registration, Timestamp(self.now));
+        self.engine.register(registration, Timestamp::at(self.now));
     }
 
     /// One step of 10 ms.
@@ -263,10 +263,10 @@
         }
         if now.is_multiple_of(250) {
             self.engine
-                .report_usage("router", Vec::new(), demand, Timestamp(now));
+                .report_usage("router", Vec::new(), demand, Timestamp::at(now));
         }
         if now.is_multiple_of(50) {
-            let steps = self.engine.plan(Timestamp(now));
+            let steps = self.engine.plan(Timestamp::at(now));
             self.events.extend(self.engine.take_events());
             for step in steps {
                 self.carry_out(step);
@@ -309,7 +309,7 @@
     pub fn give_disks(&mut self, copies: usize) {
         let room = copies as f64 * MODEL_MB;
         let configuration = configuration_with_disks(room);
-        let now = Timestamp(self.now);
+        let now = Timestamp::at(self.now);
         self.engine.configure(configuration, now);
         for runner in self.runners.values_mut() {
             runner.disk_copies = copies;
@@ -334,25 +334,25 @@
                     copies: None,
                 };
                 self.engine
-                    .on_report(&instance, Some(report), Timestamp(now));
+                    .on_report(&instance, Some(report), Timestamp::at(now));
             }
             PlacementStep::Give(order) => {
                 self.given.push(now);
                 if self.unreachable.contains(&order.instance) {
                     let outcome = OrderOutcome::Unreachable;
-                    self.engine.on_outcome(&order, outcome, Timestamp(now));
+                    self.engine.on_outcome(&order, outcome, Timestamp::at(now));
                     return;
                 }
                 if self.draw(100) < self.lost_share {
                     let delay = u64::from(2_000 + self.draw(10_000));
                     self.late.push((now + delay, order.clone()));
                     let outcome = OrderOutcome::Unknown;
-                    self.engine.on_outcome(&order, outcome, Timestamp(now));
+                    self.engine.on_outcome(&order, outcome, Timestamp::at(now));
                     return;
                 }
                 let outcome = self.take(&order);
                 self.count(&order, outcome);
-                self.engine.on_outcome(&order, outcome, Timestamp(now));
+                self.engine.on_outcome(&order, outcome, Timestamp::at(now));
             }
         }
     }
--- a/crates/services/tests/pushback.rs
+++ b/crates/services/tests/pushback.rs
@@ -8,7 +8,7 @@
 const NOW: Timestamp = Timestamp(10_000);
 const REST: Millis = Millis(3_000);
 /// The first moment at which a rest that was asked for at [`NOW`] is surely over.
-const OVER: Timestamp = Timestamp(NOW.0 + REST.0 + 1);
+const OVER: Timestamp = Timestamp::at(10_000 + REST.0 + 1);
 const LIMIT: u32 = 100;
 const ROUTERS: u32 = 4;
 
@@ -147,7 +147,7 @@
     let mut pushbacks = Pushbacks::default();
     for number in 0..20_000_u64 {
         let id = RunnerId::from(format!("i-{number}").as_str());
-        pushbacks.leaves(&id, Timestamp(number));
+        pushbacks.leaves(&id, Timestamp::at(number));
     }
     assert!(pushbacks.leaving().count() <= 16_384);
     let newest = RunnerId::from("i-19999");
--- a/crates/services/tests/pushback_ways.rs
+++ b/crates/services/tests/pushback_ways.rs
@@ -108,8 +108,9 @@
     let mut running: Vec<(Timestamp, Job)> = Vec::new();
     let mut queue: VecDeque<Job> = VecDeque::new();
     let mut outcome = Outcome::default();
-    for millisecond in 0..END.0 {
-        let now = Timestamp(millisecond);
+    let end = END.since(Timestamp(0)).0;
+    for millisecond in 0..end {
+        let now = Timestamp::at(millisecond);
         let (done, going): (Vec<_>, Vec<_>) = running.into_iter().partition(|(at, _)| *at <= now);
         running = going;
         for (_, job) in done {
--- a/crates/services/tests/quota_fleet/mod.rs
+++ b/crates/services/tests/quota_fleet/mod.rs
@@ -193,14 +193,14 @@
     }
 
     fn left(&mut self, now: u64) -> f64 {
-        self.allowance - self.history.sum(Timestamp(now)) as f64
+        self.allowance - self.history.sum(Timestamp::at(now)) as f64
     }
 
     fn take(&mut self, request: &Request) -> bool {
         let fits = self.left(request.at) >= f64::from(request.units);
         if fits {
             let units = i64::from(request.units);
-            self.history.add(units, 0, Timestamp(request.at));
+            self.history.add(units, 0, Timestamp::at(request.at));
         }
         fits
     }
@@ -281,7 +281,7 @@
             if (now + router as u64).is_multiple_of(REPORT_INTERVAL) {
                 arrivals += std::mem::take(&mut arrived[router]);
                 let units = std::mem::take(&mut used[router]);
-                account.history.add(units, 0, Timestamp(now));
+                account.history.add(units, 0, Timestamp::at(now));
             }
         }
         if now.is_multiple_of(REPORT_INTERVAL) {
@@ -325,7 +325,7 @@
     }];
     let new_ledger = |epoch, now| {
         let mut ledger = QuotaLedger::new(epoch, settings);
-        ledger.configure(&tenants, Timestamp(now));
+        ledger.configure(&tenants, now);
         ledger
     };
     let count = u32::try_from(fleet.routers).expect("few routers");
@@ -335,14 +335,14 @@
         heard: 0,
         session: false,
     };
-    let mut ledger = new_ledger(1, 0);
+    let mut ledger = new_ledger(1, Timestamp(0));
     let mut routers: Vec<Router> = (0..fleet.routers).map(new_router).collect();
     let mut admitted = vec![false; requests.len()];
     let (mut next, mut asks) = (0, 0);
     for now in 0..LENGTH {
-        let at = Timestamp(now);
+        let at = Timestamp::at(now);
         if fleet.leaderless.is_some_and(|(_, to)| now == to) {
-            ledger = new_ledger(2, now);
+            ledger = new_ledger(2, at);
         }
         let tells = ledger.take_turned() || now.is_multiple_of(STANDINGS_INTERVAL);
         let standings = if tells {
@@ -398,7 +398,7 @@
                 }
                 QuotaStep::Ask => {
                     asks += 1;
-                    let then = Timestamp(now + DELAY);
+                    let then = Timestamp::at(now + DELAY);
                     let ask = QuotaAsk {
                         number: asks,
                         tenant: TENANT.to_owned(),
@@ -411,7 +411,7 @@
                             true
                         }
                         QuotaVerdict::Refused { fits_after } => {
-                            let back = Timestamp(now + 2 * DELAY);
+                            let back = Timestamp::at(now + 2 * DELAY);
                             router.quotas.refused(&ask, fits_after, back);
                             false
                         }
--- a/crates/services/tests/relay.rs
+++ b/crates/services/tests/relay.rs
@@ -121,7 +121,7 @@
         let mut models = [0_u32; 5];
         let mut now = Timestamp(0);
         for sequence in 1..60 {
-            now = Timestamp(sequence * 100);
+            now = Timestamp::at(sequence * 100);
             for (instance, model) in (0_u32..).zip(&mut models) {
                 if draw(4) == 0 {
                     *model = draw(3);
--- a/crates/services/tests/selection.rs
+++ b/crates/services/tests/selection.rs
@@ -298,7 +298,7 @@
     let mut now = NOW;
     for length in [200, 400, 800, 1_600, 3_200, 3_200] {
         selector.lacks(&a, &wanted, now);
-        let last = Timestamp(now.0 + length - 1);
+        let last = now + Millis(length) - Millis(1);
         assert!(!asks(&mut selector, &wanted, last), "{length}");
         assert_eq!(selector.lacks_for(&a, &wanted, last), Some(Millis(1)));
         assert!(asks(&mut selector, &shape("m", None, 8), last));
--- a/crates/services/tests/selection_health.rs
+++ b/crates/services/tests/selection_health.rs
@@ -62,7 +62,7 @@
     for number in 0..requests {
         let now = number * STEP;
         for (at, candidate) in answers.extract_if(.., |(at, _)| *at <= now) {
-            let at = Timestamp(at);
+            let at = Timestamp::at(at);
             let failed = match conducts[candidate.instance.as_str()] {
                 Conduct::Fails(part) => random.next_u32() % 100 < part,
                 Conduct::Good | Conduct::Mute => false,
@@ -73,13 +73,13 @@
             selector.first_answer(&candidate, Millis(ANSWER), !failed);
             selector.end(&candidate, true);
         }
-        let now = Timestamp(now);
+        let now = Timestamp::at(now);
         let chosen = selector.choose(&shape, views.iter(), &[], LIMIT, now);
         let chosen = chosen.expect("some instance");
         selector.begin(&chosen, &shape, now);
         *sent.entry(chosen.instance.0.clone()).or_default() += 1;
         if conducts[chosen.instance.as_str()] != Conduct::Mute {
-            answers.push((now.0 + ANSWER, chosen));
+            answers.push((number * STEP + ANSWER, chosen));
         }
     }
     sent
--- a/crates/services/tests/store_limit.rs
+++ b/crates/services/tests/store_limit.rs
@@ -57,7 +57,7 @@
     /// Lets a step pass; begins as many loads as the limit allows.
     fn step(&mut self) {
         self.now += STEP;
-        let now = Timestamp(self.now);
+        let now = Timestamp::at(self.now);
         let shared = self.speed(self.loads.len());
         for load in &mut self.loads {
             let speed = match self.sharing {
@@ -80,7 +80,8 @@
         self.begun += 1;
         let instance = RunnerId::from(format!("r{}", self.begun));
         let expected = Millis(LOAD_TIME);
-        self.limit.began(&instance, expected, Timestamp(self.now));
+        self.limit
+            .began(&instance, expected, Timestamp::at(self.now));
         let speed_at_begin = self.speed(self.loads.len() + 1);
         self.loads.push(Load {
             instance,
@@ -149,7 +150,7 @@
     }
     limit.dropped(&RunnerId::from("r0"), Timestamp(100));
     assert_eq!(limit.free(Timestamp(200)), 1);
-    let late = Timestamp(LOAD_TIME * 3);
+    let late = Timestamp::at(LOAD_TIME * 3);
     assert_eq!(limit.free(late), 0, "the loads take three times their time");
 }
 
@@ -159,8 +160,8 @@
     let before = limit.limit();
     let id = RunnerId::from("r1");
     limit.began(&id, Millis(LOAD_TIME), Timestamp(0));
-    limit.dropped(&id, Timestamp(LOAD_TIME * 10));
+    limit.dropped(&id, Timestamp::at(LOAD_TIME * 10));
     assert_eq!(limit.limit(), before);
     assert_eq!(limit.under_way(), 0);
-    assert!(limit.ended(&id, Timestamp(LOAD_TIME * 10)).is_none());
+    assert!(limit.ended(&id, Timestamp::at(LOAD_TIME * 10)).is_none());
 }
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -108,7 +108,7 @@
             true => now - asleep,
             false => now,
         };
-        Timestamp(counted * self.clock_per_mille / 1000)
+        Timestamp::at(counted * self.clock_per_mille / 1000)
     }
 
     /// Starts the process on what the disk holds.
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -45,7 +45,9 @@
 }
 
 /// A moment on a monotonic clock, in milliseconds since the process (or the
-/// simulation) started. Moments of different processes are never compared.
+/// simulation) started; below zero before that. Peers tell ages of what they saw before
+/// this process started, and such moments must stay apart: taken for the start itself,
+/// they would all be one. Moments of different processes are never compared.
 #[derive(
     Debug,
     Clone,
@@ -63,13 +65,38 @@
     rkyv::Deserialize,
 )]
 #[serde(transparent)]
-pub struct Timestamp(pub u64);
+pub struct Timestamp(pub i64);
 
 impl Timestamp {
+    /// The moment so many milliseconds after the start.
+    #[must_use]
+    pub const fn at(milliseconds: u64) -> Self {
+        Self(0_i64.saturating_add_unsigned(milliseconds))
+    }
+
+    /// A moment that never comes.
+    pub const NEVER: Timestamp = Timestamp(i64::MAX);
+
     /// Time passed since `earlier`; zero when `earlier` lies ahead.
     #[must_use]
     pub fn since(self, earlier: Timestamp) -> Millis {
-        Millis(self.0.saturating_sub(earlier.0))
+        let passed = self.0.saturating_sub(earlier.0);
+        Millis(u64::try_from(passed).unwrap_or_default())
+    }
+
+    /// Number of the stretch of this length that it falls into; the first one after the start
+    /// is zero. A length of zero is taken for a millisecond.
+    #[must_use]
+    pub fn stretch(self, length: Millis) -> i64 {
+        self.0
+            .div_euclid(i64::try_from(length.0.max(1)).unwrap_or(i64::MAX))
+    }
+
+    /// When the stretch of this length began that it falls into.
+    #[must_use]
+    pub fn stretch_begin(self, length: Millis) -> Timestamp {
+        let length = i64::try_from(length.0.max(1)).unwrap_or(i64::MAX);
+        Timestamp(self.0 - self.0.rem_euclid(length))
     }
 
     /// The first moment at which `length` has surely passed since this one. A clock tells the
@@ -93,7 +120,7 @@
     type Output = Timestamp;
 
     fn add(self, length: Millis) -> Timestamp {
-        Timestamp(self.0.saturating_add(length.0))
+        Timestamp(self.0.saturating_add_unsigned(length.0))
     }
 }
 
@@ -101,7 +128,7 @@
     type Output = Timestamp;
 
     fn sub(self, length: Millis) -> Timestamp {
-        Timestamp(self.0.saturating_sub(length.0))
+        Timestamp(self.0.saturating_sub_unsigned(length.0))
     }
 }
 
@@ -205,7 +232,7 @@
         let elapsed = since_machine_start().saturating_sub(self.origin);
         let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         let ahead = self.ahead.map_or(0, |ahead| ahead.load(Ordering::Relaxed));
-        Timestamp(elapsed.saturating_add(ahead))
+        Timestamp::default() + Millis(elapsed) + Millis(ahead)
     }
 }
 
