--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -43,8 +43,8 @@
     Pending(Vec<Break>),
     /// It lives, or what it is did not show: the leader's word is awaited.
     Watched(Vec<Break>),
-    /// It has ended.
-    Ended,
+    /// It has ended, as this sign told; later breaks there are told by it too.
+    Ended(&'static str),
 }
 
 /// See the module.
@@ -138,7 +138,7 @@
                 checks.insert(instance.clone(), Check::Pending(breaks));
                 Vec::new()
             }
-            Some(Check::Ended) | None => Vec::new(),
+            Some(Check::Ended(_)) | None => Vec::new(),
         }
     }
 
@@ -147,8 +147,8 @@
         let mut checks = self.checks();
         let mut breaks = match checks.remove(instance)? {
             Check::Pending(breaks) | Check::Watched(breaks) => breaks,
-            Check::Ended => {
-                checks.insert(instance.clone(), Check::Ended);
+            ended @ Check::Ended(_) => {
+                checks.insert(instance.clone(), ended);
                 return None;
             }
         };
@@ -172,13 +172,13 @@
 
     /// What an instance broke off that has ended. Later requests that it breaks off count at
     /// once, unless the leader has told all routers of its end.
-    fn take_ended(&self, instance: &RunnerId, look: Look) -> Vec<Break> {
+    fn take_ended(&self, instance: &RunnerId, sign: &'static str) -> Vec<Break> {
         let mut checks = self.checks();
         let Some(Check::Pending(breaks) | Check::Watched(breaks)) = checks.remove(instance) else {
             return Vec::new();
         };
-        if look != Look::Gone {
-            checks.insert(instance.clone(), Check::Ended);
+        if sign != GONE {
+            checks.insert(instance.clone(), Check::Ended(sign));
         }
         breaks
     }
@@ -202,10 +202,10 @@
     let broken = Break { content, at };
     let mut checks = desk.checks();
     let breaks = match checks.remove(instance) {
-        Some(Check::Ended) => {
-            checks.insert(instance.clone(), Check::Ended);
+        Some(Check::Ended(sign)) => {
+            checks.insert(instance.clone(), Check::Ended(sign));
             drop(checks);
-            desk.ended(broken, instance, "refused");
+            desk.ended(broken, instance, sign);
             return;
         }
         Some(Check::Pending(mut breaks)) => {
@@ -272,7 +272,7 @@
         let newest = desk.watch(instance);
         return newest.filter(|_| look.may_change());
     };
-    for broken in desk.take_ended(instance, look) {
+    for broken in desk.take_ended(instance, sign) {
         desk.ended(broken, instance, sign);
     }
     None
