--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -8,6 +8,11 @@
     echo "== $*"
 }
 
+# Test programs without debug information take a third of the disk (1.7 instead of 5 GB);
+# where a panic happened is told without it.
+export CARGO_INCREMENTAL=0 CARGO_PROFILE_DEV_DEBUG=0 CARGO_PROFILE_DEV_STRIP=debuginfo
+step "free space: $(df -Ph . | awk 'NR == 2 { print $4 }')"
+
 if ! command -v spin >/dev/null; then
     step "install spin (model checker)"
     apt-get update -qq && apt-get install -y -qq spin >/dev/null
