Rounds of placement for what requests wait for, and one place for each

Cause, read in docs/CAPACITY.md: a round looks at all instances and models, and is followed by a pause of four times its length; at 20,000 instances one comes every 1.4 s, and a model that requests wait for is ordered so much later. Ruled out: more frequent rounds for all (a larger part of the leader's time). Two ways: rounds for all alone, as it was; rounds for what is waited for in between, on what the last round found, with the same rules. Kept: the second. Each kind takes a fifth of the leader's time at the most (plan_pace.rs). Costs: what evictions lose is worked out once for a look at all instances, not at each of them; a copy is not looked for among all copies of its model.

--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -2,6 +2,7 @@
 
 use crate::members::MembersKeeper;
 use crate::order_turn::{self, OrderTurn, TurnView};
+use crate::plan_pace::{PlanPace, PlanRound};
 use crate::records::{self, ControllerRecord};
 use crate::router_book::Way;
 use crate::{
@@ -22,11 +23,6 @@
 
 /// Longest pause of the loop.
 const TICK: Duration = Duration::from_millis(40);
-/// Least time between rounds of planning, however often the loop is woken.
-const LEAST_BETWEEN_PLANS: Millis = Millis(15);
-/// A round of planning that took some time is followed by a pause of so many
-/// times as much.
-const PLAN_PART: u64 = 4;
 /// A leader that was not in contact with a quorum for so long ends its feeds.
 pub(crate) const CONTACT_LIMIT: Millis = Millis(360);
 /// Time between words on all accounts of tenants; one that turned is told at once.
@@ -57,8 +53,7 @@
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     members: MembersKeeper,
     fed_at: Timestamp,
-    planned_at: Timestamp,
-    planned_for: Millis,
+    plans: PlanPace,
     /// The quarantine is being recorded.
     recording_quarantine: Arc<AtomicBool>,
     /// What earlier leaders recorded is taken over.
@@ -139,8 +134,7 @@
         unrecorded: Default::default(),
         members: MembersKeeper::new(now),
         fed_at: now,
-        planned_at: now,
-        planned_for: Millis(0),
+        plans: PlanPace::begin(now),
         recording_quarantine: Arc::default(),
         taken_over: false,
         recording: Arc::default(),
@@ -320,18 +314,20 @@
 
 fn place(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
     let mut engine = shared.engine();
-    let between = Millis(leadership.planned_for.0 * PLAN_PART).max(LEAST_BETWEEN_PLANS);
-    if now.since(leadership.planned_at) < between {
+    let Some(round) = leadership.plans.due(engine.waits(), now) else {
         return;
-    }
-    let steps = engine.plan(now);
+    };
+    let steps = match round {
+        PlanRound::All => engine.plan(now),
+        PlanRound::Waited => engine.plan_waited(now),
+    };
     let events = engine.take_events();
     drop(engine);
     for event in &events {
         emit(&records::placement(event));
     }
-    leadership.planned_at = shared.clock.now();
-    leadership.planned_for = leadership.planned_at.since(now);
+    let ended = shared.clock.now();
+    leadership.plans.planned(round, now, ended);
     for step in steps {
         tokio::spawn(orders::carry_out(step, shared.clone()));
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod order_turn;
 mod orders;
 mod places;
+pub mod plan_pace;
 mod quarantine;
 mod records;
 mod relay;
--- a/crates/services/examples/fleet_costs.rs
+++ b/crates/services/examples/fleet_costs.rs
@@ -3,9 +3,9 @@
 //! fleet_costs`. Milliseconds on one whole core; the median of several runs.
 
 use courseshunt_services::{
-    Engine, FedInstances, InstanceDigests, InstanceState, InstanceView, ModelSpecification,
-    PlacementEngine, PlacementSettings, Registration, ResidentModel, Service, ServiceConfiguration,
-    WeightCopies,
+    Engine, FedInstances, InstanceDigests, InstanceState, InstanceView, ModelDemand,
+    ModelSpecification, PlacementEngine, PlacementSettings, Registration, ResidentModel, Service,
+    ServiceConfiguration, WeightCopies,
 };
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp, Zone};
 use std::sync::Arc;
@@ -15,9 +15,29 @@
 const MODELS: u32 = 299;
 const RUNS: usize = 7;
 const NOW: Timestamp = Timestamp(100_000);
+/// A new leader takes the weight store for used up.
+const STORE_READY: Timestamp = Timestamp(101_000);
 
 fn configuration() -> Arc<ServiceConfiguration> {
-    let models = (0..MODELS).map(|number| ModelSpecification {
+    configuration_with(MODELS)
+}
+
+/// A request that waits for a model.
+fn demand(model: u32) -> ModelDemand {
+    ModelDemand {
+        service: "service".to_owned(),
+        model: format!("model-{model}"),
+        adapter: None,
+        arrivals: 1,
+        tokens: 100,
+        objective_ms: 1_000,
+        late: 0,
+        waiting: 1,
+    }
+}
+
+fn configuration_with(models: u32) -> Arc<ServiceConfiguration> {
+    let models = (0..models).map(|number| ModelSpecification {
         name: ModelName::from(format!("model-{number}")),
         memory_mb: 60_000.0,
         load_time: Millis(6_000),
@@ -97,7 +117,7 @@
 
 fn main() {
     println!(
-        "instances | take over | register all again | round | next ready, 1,000 times | tell all | digests"
+        "instances | take over | register all again | round | for one waited for | next ready, 1,000 times | tell all | digests"
     );
     for instances in SIZES {
         let views: Vec<InstanceView> = engine(instances).views(NOW);
@@ -122,6 +142,18 @@
             },
         );
         let round = median(|| engine(instances), |engine| drop(engine.plan(NOW)));
+        let waited = median(
+            || {
+                let mut engine = engine(instances);
+                drop(engine.plan(NOW));
+                engine.configure(configuration_with(MODELS + 1), NOW);
+                drop(engine.plan(NOW));
+                let wanted = demand(MODELS);
+                engine.report_usage("router", Vec::new(), &[wanted], STORE_READY);
+                engine
+            },
+            |engine| assert_eq!(engine.plan_waited(STORE_READY).len(), 1, "it has a place"),
+        );
         let ready = median(
             || engine(instances),
             |engine| {
@@ -135,7 +167,7 @@
         });
         let digests = median(|| (), |()| drop(InstanceDigests::of(&views)));
         println!(
-            "{instances} | {take_over:.1} | {again:.1} | {round:.1} | {ready:.3} | {tell:.1} | {digests:.1}"
+            "{instances} | {take_over:.1} | {again:.1} | {round:.1} | {waited:.2} | {ready:.3} | {tell:.1} | {digests:.1}"
         );
     }
 }
--- a/crates/services/src/placement/candidates.rs
+++ b/crates/services/src/placement/candidates.rs
@@ -60,21 +60,29 @@
         self.announce(announced, planned);
     }
 
-    /// Models that another copy is wanted of, the worthiest first.
-    fn candidates(&self, wanted: &[Wanted]) -> Vec<Candidate> {
-        let mut waited: Vec<ModelName> = Vec::new();
+    /// Models without a copy that requests wait for, the most waited for first.
+    pub(super) fn waited_for<'a>(
+        &'a self,
+        wanted: &'a [Wanted],
+    ) -> impl Iterator<Item = Candidate> + 'a {
+        let mut models: Vec<ModelName> = Vec::new();
         for one in wanted {
             let model = ModelName::from(one.key.model.as_str());
-            if self.round.count(&model) == 0 && !waited.contains(&model) {
-                waited.push(model);
+            if self.round.count(&model) == 0 && !models.contains(&model) {
+                models.push(model);
             }
         }
-        let waited = waited.into_iter().map(|model| Candidate {
+        models.into_iter().map(|model| Candidate {
             worth: self.round.next_load_worth(&model),
             waited_for: true,
             spare: false,
             model,
-        });
+        })
+    }
+
+    /// Models that another copy is wanted of, the worthiest first.
+    fn candidates(&self, wanted: &[Wanted]) -> Vec<Candidate> {
+        let waited = self.waited_for(wanted);
         let short = self.round.short_of_copies().into_iter();
         let short = first(SCALING_LOADS, short).map(|(worth, model)| Candidate {
             worth: worth / SCALING_MARGIN,
--- a/crates/services/src/placement/instance/holdings.rs
+++ b/crates/services/src/placement/instance/holdings.rs
@@ -22,7 +22,7 @@
     }
 
     pub(super) fn is_unload_sent(&self, model: &ModelName) -> bool {
-        self.sent.as_ref() == Some(&OrderAction::UnloadModel(model.clone()))
+        matches!(&self.sent, Some(OrderAction::UnloadModel(sent)) if sent == model)
     }
 
     /// Whether it holds the model and is not giving it up.
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod candidates;
 mod demand;
 mod event;
+mod evictions;
 mod instance;
 mod instances;
 mod lives;
@@ -20,6 +21,7 @@
 mod round;
 mod store;
 mod usage;
+mod waited;
 mod worth;
 
 pub use event::{LoadEnd, PlacementEvent, SetAside};
@@ -79,7 +81,15 @@
     usage: UsageTable,
     /// Adapters that were asked for since the last round.
     asked_adapters: BTreeMap<(ModelName, String), Timestamp>,
+    /// What the round rests on that is under way.
     round: Arc<Round>,
+    /// What the last round of each service rested on, with what was ordered since.
+    rounds: BTreeMap<String, Arc<Round>>,
+    /// Instances that were set aside for a model; some may be so no more.
+    set_aside: BTreeSet<RunnerId>,
+    /// Whether requests were told to wait, or an instance that is set aside took a step,
+    /// since the last round of any kind.
+    waits: bool,
     /// By service.
     stores: BTreeMap<String, WeightStore>,
     events: Vec<PlacementEvent>,
@@ -116,6 +126,9 @@
             usage: UsageTable::default(),
             asked_adapters: BTreeMap::new(),
             round: Arc::default(),
+            rounds: BTreeMap::new(),
+            set_aside: BTreeSet::new(),
+            waits: false,
             stores: BTreeMap::new(),
             events: Vec::new(),
             expired_at: Timestamp::default(),
@@ -127,6 +140,7 @@
 
     /// Takes a newer configuration over.
     pub fn configure(&mut self, configuration: Arc<ServiceConfiguration>, now: Timestamp) {
+        self.rounds.clear();
         for service in &configuration.services {
             let Some(engine) = &service.engine else {
                 continue;
@@ -170,6 +184,7 @@
                 true
             }
         };
+        self.waits |= news && self.set_aside.contains(&id);
         self.note_finished_load(&id, now);
         if news {
             self.changed.insert(id);
@@ -348,6 +363,7 @@
             let model = ModelName::from(one.model.as_str());
             self.asked_adapters.insert((model, adapter.clone()), now);
         }
+        self.waits |= demand.iter().any(|one| one.waiting > 0);
         if self.demand_since.is_none() && !demand.is_empty() {
             self.demand_since = Some(now);
         }
@@ -430,6 +446,7 @@
         if reported.is_none() {
             return;
         }
+        self.waits |= self.set_aside.contains(id);
         self.note_finished_load(id, now);
         self.changed.insert(id.clone());
     }
@@ -479,6 +496,7 @@
         if counted && let Some(store) = self.stores.get_mut(&service) {
             store.not_begun(&order.instance, now);
         }
+        self.waits |= self.set_aside.contains(&order.instance);
         self.changed.insert(order.instance.clone());
     }
 }
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -34,10 +34,24 @@
     pub(super) now: Timestamp,
 }
 
+impl Planned<'_> {
+    /// Whether an instance of the service may be counted on and given orders.
+    fn may_use(&self, instance: &Instance) -> bool {
+        may_use(instance, self.service, self.now)
+    }
+}
+
+fn may_use(instance: &Instance, service: &str, now: Timestamp) -> bool {
+    instance.registration().service == service
+        && instance.state() == InstanceState::Ready
+        && !instance.is_doubtful(now)
+}
+
 impl PlacementEngine {
     /// What to do now.
     pub fn plan(&mut self, now: Timestamp) -> Vec<PlacementStep> {
         let mut steps = Vec::new();
+        self.waits = false;
         let asked = std::mem::take(&mut self.asked_adapters);
         if !asked.is_empty() {
             for instance in self.instances.values_mut() {
@@ -105,11 +119,7 @@
         now: Timestamp,
     ) -> impl Iterator<Item = &'a Instance> + 'a {
         let instances = self.instances.values();
-        instances.filter(move |one| {
-            one.registration().service == service
-                && one.state() == InstanceState::Ready
-                && !one.is_doubtful(now)
-        })
+        instances.filter(move |one| may_use(one, service, now))
     }
 
     fn plan_service(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
@@ -123,6 +133,13 @@
         }
         self.load_candidates(&wanted, planned, steps);
         self.fill_adapters(planned, steps);
+        self.keep_round(planned);
+    }
+
+    /// Keeps what this round rested on for [`Self::plan_waited`].
+    pub(super) fn keep_round(&mut self, planned: &Planned<'_>) {
+        let round = std::mem::take(&mut self.round);
+        self.rounds.insert(planned.service.to_owned(), round);
     }
 
     pub(super) fn change_round(&mut self, change: impl FnOnce(&mut Round)) {
@@ -132,8 +149,17 @@
     /// Goes on with evictions that make room for a model, and with loads that
     /// wait for the weight store: what is worth most first. Copies that are
     /// needed no longer are given up.
-    fn follow_intents(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
-        let set_aside = self.of_service(planned.service, planned.now);
+    pub(super) fn follow_intents(&mut self, planned: &Planned<'_>, steps: &mut Vec<PlacementStep>) {
+        let instances = &self.instances;
+        self.set_aside.retain(|id| {
+            let instance = instances.get(id);
+            instance.is_some_and(|one| one.intent().is_some())
+        });
+        let set_aside = self
+            .set_aside
+            .iter()
+            .filter_map(|id| self.instances.get(id));
+        let set_aside = set_aside.filter(|one| planned.may_use(one));
         let set_aside = set_aside.filter_map(|one| {
             let model = one.intent()?;
             let worth = self.round.load_worth(model);
@@ -182,8 +208,11 @@
             self.load_model(id, model, planned, steps);
             return;
         }
-        let victims = self.victims(instance, specification, planned);
-        match victims.and_then(|(_, victims)| victims.into_iter().next()) {
+        let mut victims = Vec::new();
+        let evictions = self.evictions(planned);
+        let loss = self.evict(instance, specification, &evictions, planned, &mut victims);
+        let victim = loss.and_then(|_| victims.first());
+        match victim.map(|victim| victim.model.clone()) {
             Some(victim) => {
                 let action = OrderAction::UnloadModel(victim.clone());
                 if self.give(id, action, steps) {
@@ -301,7 +330,7 @@
     }
 
     /// Loads the adapter that requests wait for whose model is there.
-    fn serve_adapter(
+    pub(super) fn serve_adapter(
         &mut self,
         wanted: &Wanted,
         planned: &Planned<'_>,
@@ -328,24 +357,25 @@
         steps: &mut Vec<PlacementStep>,
     ) -> Option<Millis> {
         let place = self.best_place(specification, candidate.worth, has_turn, planned);
-        let place = place?;
+        let (id, place) = place?;
         if place.is_taken {
             return Some(place.ready_after);
         }
         let model = &specification.name;
         let mut displaced = None;
-        if let Some(instance) = self.instances.get_mut(&place.instance) {
+        if let Some(instance) = self.instances.get_mut(&id) {
             displaced = instance.intent().cloned();
             instance.set_intent(model, planned.now + place.ready_after, planned.now);
         }
+        self.set_aside.insert(id.clone());
         self.change_round(|round| {
             if let Some(displaced) = &displaced {
-                round.remove_copy(displaced, &place.instance);
+                round.remove_copy(displaced, &id);
             }
-            round.add_copy(model, &place.instance);
+            round.add_copy(model, &id);
         });
         self.events.push(PlacementEvent::SetAside(SetAside {
-            instance: place.instance.clone(),
+            instance: id.clone(),
             model: model.clone(),
             source: place.source,
             ready_after: place.ready_after,
@@ -353,9 +383,9 @@
             waiting: self.round.facts(model).waiting,
             displaced,
         }));
-        self.changed.insert(place.instance.clone());
+        self.changed.insert(id.clone());
         if place.is_free {
-            self.go_on(&place.instance, model, planned, steps);
+            self.go_on(&id, model, planned, steps);
         }
         None
     }
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -6,7 +6,7 @@
 
 use super::PlacementEngine;
 use super::demand::{DemandSummary, Wanted};
-use super::instance::{Instance, LoadSource};
+use super::evictions::Evictable;
 use super::worth::{loss_of_absence, loss_of_one_of};
 use crate::configuration::{Engine, ModelSpecification};
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
@@ -91,10 +91,6 @@
             knows_demand: placement.knows_demand(now),
             ..Self::default()
         };
-        let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
-        for one in wanted {
-            *waiting.entry(one.key.model.as_str()).or_default() += one.count;
-        }
         let utilisation = placement.settings.copy_utilisation;
         let store = placement.stores.get(service);
         let store_delay = |one: &ModelSpecification| {
@@ -105,16 +101,15 @@
             let demand = placement.demand.summary(service, name, now);
             let mut facts = facts_of(demand, specification, utilisation);
             facts.store_load_time = specification.load_time + store_delay(specification);
-            facts.waited_for = waiting.contains_key(name);
-            facts.waiting = waiting.get(name).copied().unwrap_or_default();
             round.facts.insert(specification.name.clone(), facts);
         }
+        round.note_waiting(wanted);
         for instance in placement.of_service(service, now) {
             let held = instance.held().map(|(name, _)| name);
             let coming = instance.loading().into_iter().chain(instance.intent());
             round.coming.extend(coming.clone().cloned());
             for name in held.chain(coming) {
-                round.add_copy(name, instance.id());
+                round.note_copy(name, instance.id());
             }
             for name in instance.copies_on_disk() {
                 if let Some(facts) = round.facts.get_mut(name) {
@@ -122,8 +117,7 @@
                 }
             }
             for (model, adapter) in instance.all_adapters() {
-                let adapters = round.adapters.entry(model.clone()).or_default();
-                adapters.insert(adapter.to_owned());
+                round.note_adapter(model, adapter);
             }
         }
         for facts in round.facts.values_mut() {
@@ -135,6 +129,28 @@
         round
     }
 
+    /// Takes over what waits now.
+    pub(super) fn note_waiting(&mut self, wanted: &[Wanted]) {
+        for facts in self.facts.values_mut() {
+            facts.waited_for = false;
+            facts.waiting = 0;
+        }
+        for one in wanted {
+            let model = ModelName::from(one.key.model.as_str());
+            if let Some(facts) = self.facts.get_mut(&model) {
+                facts.waited_for = true;
+                facts.waiting += one.count;
+            }
+        }
+    }
+
+    /// Forgets copies of a model that are there no more.
+    pub(super) fn keep_copies(&mut self, model: &ModelName, is_there: impl Fn(&RunnerId) -> bool) {
+        if let Some(places) = self.copies.get_mut(model) {
+            places.retain(is_there);
+        }
+    }
+
     /// Models whose answers are late need one more copy than they have, whatever
     /// their work says, unless one is on its way.
     fn relieve_late(&mut self) {
@@ -152,6 +168,29 @@
         }
     }
 
+    /// Notes a copy at the instance that is looked at: of its own copies the last one alone
+    /// can be the same. To look for it among all would cost the square of the copies.
+    fn note_copy(&mut self, model: &ModelName, instance: &RunnerId) {
+        let Some(places) = self.copies.get_mut(model) else {
+            self.copies.insert(model.clone(), vec![instance.clone()]);
+            return;
+        };
+        if places.last() != Some(instance) {
+            places.push(instance.clone());
+        }
+    }
+
+    fn note_adapter(&mut self, model: &ModelName, adapter: &str) {
+        let Some(adapters) = self.adapters.get_mut(model) else {
+            let adapters = BTreeSet::from([adapter.to_owned()]);
+            self.adapters.insert(model.clone(), adapters);
+            return;
+        };
+        if !adapters.contains(adapter) {
+            adapters.insert(adapter.to_owned());
+        }
+    }
+
     pub(super) fn add_copy(&mut self, model: &ModelName, instance: &RunnerId) {
         let places = self.copies.entry(model.clone()).or_default();
         if !places.contains(instance) {
@@ -216,31 +255,39 @@
         self.facts.get(model).is_some_and(|facts| facts.on_disk > 0)
     }
 
-    /// Models without a copy, with the worth of the first.
+    /// Models without a copy that nobody waits for, with the worth of the first.
     pub(super) fn missing(&self) -> Vec<(f64, ModelName)> {
-        let missing = self.facts.iter().filter(|(name, _)| self.count(name) == 0);
+        let missing = self.facts.iter();
+        let missing = missing.filter(|(name, facts)| !facts.waited_for && self.count(name) == 0);
         let missing = missing.map(|(name, facts)| (absence(facts), name.clone()));
         missing.collect()
     }
 
-    /// What is lost when a model is evicted from an instance: little where it
-    /// comes back soon.
-    pub(super) fn eviction_loss(&self, model: &ModelName, instance: &Instance) -> f64 {
-        let Some(facts) = self.facts.get(model) else {
-            return 0.0;
-        };
+    /// What the eviction of a model loses: little where it comes back soon.
+    pub(super) fn evictable(&self, one: &ModelSpecification) -> Evictable {
+        let facts = self.facts.get(&one.name);
+        let count = self.count(&one.name).max(1);
+        let loss = |at_copy| facts.map_or(0.0, |facts| self.eviction_loss(facts, count, at_copy));
+        Evictable {
+            loss_at_store: loss(false),
+            loss_at_copy: loss(true),
+            asked_for: facts.is_some_and(|facts| facts.demand.objective.is_some()),
+            memory_mb: one.memory_mb,
+        }
+    }
+
+    fn eviction_loss(&self, facts: &ModelFacts, count: usize, at_copy: bool) -> f64 {
         if facts.waited_for {
             return WAITED_FOR;
         }
         let demand = &facts.demand;
-        let count = self.count(model).max(1);
         let asked_for = demand.objective.is_some();
         if asked_for && self.knows_demand && count > facts.keep {
             return SURPLUS_VALUE + demand.slow / count as f64 * 0.01;
         }
-        let back = match instance.source(model) {
-            LoadSource::Store => facts.back_time(0),
-            LoadSource::Memory | LoadSource::Disk => facts.disk_load_time,
+        let back = match at_copy {
+            true => facts.disk_load_time,
+            false => facts.back_time(0),
         };
         match count {
             1 => loss_of_absence(demand, back),
--- a/crates/services/tests/placement_world/mod.rs
+++ b/crates/services/tests/placement_world/mod.rs
@@ -174,6 +174,10 @@
     /// Orders that their instance refused: it had another under way, or had
     /// taken one that the engine doesn't know of.
     pub conflicts: usize,
+    /// Milliseconds between rounds, and between those for what requests wait for, if there are
+    /// any.
+    pub plans_every: u64,
+    pub plans_waited_every: Option<u64>,
     /// What the engine told.
     pub events: Vec<PlacementEvent>,
     pub now: u64,
@@ -201,6 +205,8 @@
             store_at_once: usize::MAX,
             store_loads: Vec::new(),
             conflicts: 0,
+            plans_every: 50,
+            plans_waited_every: None,
             events: Vec::new(),
             now: 0,
         };
@@ -265,12 +271,21 @@
             self.engine
                 .report_usage("router", Vec::new(), demand, Timestamp::at(now));
         }
-        if now.is_multiple_of(50) {
+        let plans_waited = self.plans_waited_every;
+        if now.is_multiple_of(self.plans_every) {
             let steps = self.engine.plan(Timestamp::at(now));
-            self.events.extend(self.engine.take_events());
-            for step in steps {
-                self.carry_out(step);
-            }
+            self.carry_out_all(steps);
+        } else if plans_waited.is_some_and(|every| now.is_multiple_of(every)) && self.engine.waits()
+        {
+            let steps = self.engine.plan_waited(Timestamp::at(now));
+            self.carry_out_all(steps);
+        }
+    }
+
+    fn carry_out_all(&mut self, steps: Vec<PlacementStep>) {
+        self.events.extend(self.engine.take_events());
+        for step in steps {
+            self.carry_out(step);
         }
     }
 
