--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod services;
 pub mod session;
 mod state;
+mod stored;
 
 pub use claims::{ClaimRecord, ClaimState, Claims, ExecutionName};
 pub use command::{ClaimRequest, Command, CommandEnvelope};
@@ -35,4 +36,5 @@
     StoredAnswer,
 };
 pub use services::{LeavingInstance, Services};
-pub use state::{ReplicatedState, SnapshotError};
+pub use state::ReplicatedState;
+pub use stored::SnapshotError;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -43,13 +43,6 @@
     pub services: Services,
 }
 
-/// A snapshot that can't be read.
-#[derive(Debug, snafu::Snafu)]
-#[snafu(display("state: the snapshot can't be read: {message}"))]
-pub struct SnapshotError {
-    message: String,
-}
-
 impl ReplicatedState {
     /// Applies one committed command.
     pub fn apply(
@@ -348,26 +341,6 @@
         ];
         times.into_iter().flatten().min()
     }
-
-    /// The state as snapshot bytes.
-    #[must_use]
-    pub fn to_snapshot(&self) -> Vec<u8> {
-        rkyv::to_bytes::<rkyv::rancor::Error>(self)
-            .map(|bytes| bytes.to_vec())
-            .unwrap_or_default()
-    }
-
-    /// The state from snapshot bytes.
-    ///
-    /// # Errors
-    /// When the bytes are no valid snapshot.
-    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-        aligned.extend_from_slice(bytes);
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned).map_err(|error| SnapshotError {
-            message: error.to_string(),
-        })
-    }
 }
 
 fn claim_name(tenant: &TenantName, key: &IdempotencyKey) -> ClaimName {
@@ -396,25 +369,3 @@
             | Command::ReleaseReplica { .. }
     )
 }
-
-impl CommandEnvelope {
-    /// The envelope as the payload of a log entry.
-    #[must_use]
-    pub fn to_payload(&self) -> Vec<u8> {
-        rkyv::to_bytes::<rkyv::rancor::Error>(self)
-            .map(|bytes| bytes.to_vec())
-            .unwrap_or_default()
-    }
-
-    /// The envelope from the payload of a log entry.
-    ///
-    /// # Errors
-    /// When the bytes are no valid command.
-    pub fn from_payload(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-        aligned.extend_from_slice(bytes);
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned).map_err(|error| SnapshotError {
-            message: error.to_string(),
-        })
-    }
-}
