A leadership belongs to one term, and begins with an engine that is there

Cause, read in the code: registrations are taken from the election on, and the loop's first turn put a new engine in the place of the one that had taken them. And a member that lost the leadership and had it again between two turns went on with what the earlier leadership believed. Change: the engine is replaced when a leadership ends; the loop compares terms (lead_step.rs).

--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -1,5 +1,6 @@
 //! The leader's loop: configuration, placement, feeds and membership.
 
+use crate::lead_step::{self, LeadStep};
 use crate::members::MembersKeeper;
 use crate::order_turn::{self, OrderTurn, TurnView};
 use crate::plan_pace::{PlanPace, PlanRound};
@@ -15,7 +16,7 @@
     FeedMessage, InstanceView, PlacementEngine, QuarantineLedger, QuotaLedger,
 };
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, RunnerId, Timestamp};
+use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,6 +44,7 @@
 
 /// State of one leadership.
 struct Leadership {
+    term: Term,
     since: Timestamp,
     configuration: u64,
     leaving_version: u64,
@@ -75,21 +77,25 @@
 /// Runs until the process stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut status = shared.replica.status();
-    let mut leadership = None;
+    let mut leadership: Option<Leadership> = None;
     loop {
-        let leads = status.borrow_and_update().leads();
-        match (leads, &mut leadership) {
-            (false, None) => {
+        let leads = {
+            let status = status.borrow_and_update();
+            status.leads().then_some(status.term)
+        };
+        let held = leadership.as_ref().map(|leadership| leadership.term);
+        match lead_step::decide(leads, held) {
+            LeadStep::Wait => {
                 let _ = status.changed().await;
                 continue;
             }
-            (false, Some(_)) => {
+            LeadStep::End => {
                 leadership = None;
                 end(&shared);
                 continue;
             }
-            (true, None) => leadership = Some(begin(&shared)),
-            (true, Some(_)) => {}
+            LeadStep::Begin => leadership = leads.map(|term| begin(&shared, term)),
+            LeadStep::GoOn => {}
         }
         if let Some(leadership) = &mut leadership {
             act(&shared, leadership).await;
@@ -111,10 +117,8 @@
     until.map_or(TICK, |until| until.min(TICK))
 }
 
-fn begin(shared: &Arc<Shared>) -> Leadership {
+fn begin(shared: &Arc<Shared>, term: Term) -> Leadership {
     let now = shared.clock.now();
-    *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
-    let term = shared.replica.status().borrow().term;
     *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
     *shared.quarantine() = QuarantineLedger::default();
     shared.feeding.send_replace(false);
@@ -124,6 +128,7 @@
     let catching_up = catch_up(shared.clone(), turn.clone());
     tokio::spawn(shared.stop.clone().run_until_cancelled_owned(catching_up));
     Leadership {
+        term,
         since: now,
         configuration: 0,
         leaving_version: 0,
@@ -155,6 +160,9 @@
 }
 
 fn end(shared: &Shared) {
+    // Here, not where the next leadership begins: registrations are taken from the election on,
+    // and what an instance says once it may not say again.
+    *shared.engine() = PlacementEngine::new(placement_settings(&shared.settings));
     shared.leading.send_replace(false);
     shared.feeding.send_replace(false);
     shared.tell_redundancy(None);
@@ -203,7 +211,7 @@
     let recorded = shared.replica.state().services.quarantined.clone();
     shared.quarantine().seed(&recorded, now);
     inheritance::seed_instances(shared, now).await;
-    let term = shared.replica.status().borrow().term.0;
+    let term = leadership.term.0;
     let settled = false;
     shared.sessions.lead(sessions::Leadership { term, settled });
     for router in upstream::all_routers(shared) {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -17,6 +17,7 @@
 mod interface;
 mod join;
 mod lead;
+pub mod lead_step;
 mod leader_link;
 mod member_thread;
 mod members;
