--- a/crates/lab/tests/bench/mod.rs
+++ b/crates/lab/tests/bench/mod.rs
@@ -3,6 +3,11 @@
 
 #![allow(dead_code, reason = "each test uses a part of it")]
 
+mod answer;
+
+#[allow(unused_imports, reason = "each test uses a part of it")]
+pub use answer::{Answer, body, expected_text};
+
 use courseshunt_controller::Controller;
 use courseshunt_http::{HttpClient, full_body, read_limited};
 use courseshunt_operator::AdminClient;
@@ -10,14 +15,14 @@
 use courseshunt_settings::{ControllerSettings, RouterSettings};
 use courseshunt_standin::model::{EngineTiming, RunnerModelSettings, StoreModelSettings};
 use courseshunt_standin::server::{
-    FaultPlan, PlatformServer, RunnerFault, RunnerServer, StoreServer, answer_word,
+    FaultPlan, PlatformServer, RunnerFault, RunnerServer, StoreServer,
 };
 use courseshunt_state::{ChangeRequest, Command, TenantDocument};
 use courseshunt_types::runner_api::{MachineItem, MachineState};
 use courseshunt_types::{Digest, Millis, ReplicaKey, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HeaderMap};
+use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -70,14 +75,6 @@
     runtime: Runtime,
 }
 
-/// What a caller got.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: String,
-}
-
 fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
@@ -449,74 +446,3 @@
     }
     (platform, store, runners)
 }
-
-pub fn messages(prompt: &str) -> Value {
-    json!([{"role": "user", "content": prompt}])
-}
-
-pub fn body(prompt: &str, stream: bool, tokens: u32) -> String {
-    let content = json!({
-        "model": MODEL, "stream": stream, "max_tokens": tokens, "messages": messages(prompt),
-    });
-    content.to_string()
-}
-
-pub fn expected_text(prompt: &str, tokens: u32) -> String {
-    let sent = messages(prompt).to_string();
-    (0..tokens)
-        .map(|position| answer_word(&sent, position))
-        .collect()
-}
-
-impl Answer {
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or(Value::Null)
-    }
-
-    /// The generated text, of a whole answer or of a stream's events.
-    pub fn text(&self) -> String {
-        if let Some(text) = self.json().pointer("/choices/0/message/content") {
-            return text.as_str().unwrap_or_default().to_owned();
-        }
-        let events = self.events().into_iter();
-        let words = events.filter_map(|event| {
-            let word = event.pointer("/choices/0/delta/content")?;
-            Some(word.as_str()?.to_owned())
-        });
-        words.collect()
-    }
-
-    pub fn events(&self) -> Vec<Value> {
-        let lines = self
-            .body
-            .lines()
-            .filter_map(|line| line.strip_prefix("data: "));
-        lines
-            .filter_map(|line| serde_json::from_str(line).ok())
-            .collect()
-    }
-
-    /// Whether a stream has its last event.
-    pub fn has_end(&self) -> bool {
-        self.body.contains("data: [DONE]")
-    }
-
-    /// What the caller is told about the execution: the header, or the error
-    /// event of a stream; `done` for a whole answer.
-    pub fn outcome(&self) -> String {
-        if let Some(error) = self
-            .events()
-            .iter()
-            .find_map(|event| event.pointer("/error/outcome"))
-        {
-            return error.as_str().unwrap_or_default().to_owned();
-        }
-        if self.has_end() {
-            return "done".to_owned();
-        }
-        let header = self.headers.get("x-courseshunt-outcome");
-        header
-            .map_or("none", |one| one.to_str().unwrap())
-            .to_owned()
-    }
-}
