Test: a confirmation may come before the update that it confirms

A confirmation tells what the controller has: it can come first when the feed's look at the state is late.

--- a/crates/controller/tests/feed.rs
+++ b/crates/controller/tests/feed.rs
@@ -127,8 +127,10 @@
     }
 }
 
-/// Updates until `revision` is whole and a quorum has confirmed it.
-async fn follow(connection: &mut Connection, revision: u64) -> Vec<ConfigurationUpdate> {
+/// Updates until a router that has `own` has `revision` whole, and a quorum has confirmed it.
+/// A confirmation may come before the update that it confirms: it tells what the controller
+/// has, not what it has sent.
+async fn follow(connection: &mut Connection, own: u64, revision: u64) -> Vec<ConfigurationUpdate> {
     let mut updates: Vec<ConfigurationUpdate> = Vec::new();
     let work = async {
         loop {
@@ -140,7 +142,7 @@
                     ..
                 } => {
                     let last = updates.last().map(|update| update.revision);
-                    let whole = last.unwrap_or(Revision(revision)) >= Revision(revision);
+                    let whole = last.unwrap_or(Revision(own)) >= Revision(revision);
                     if whole && confirmed >= Revision(revision) {
                         return;
                     }
@@ -172,13 +174,13 @@
         assert_eq!(status, 200, "{content}");
     }
     let mut restarted = subscribe(&api, "restarted", 0).await;
-    let updates = follow(&mut restarted, CHANGES).await;
+    let updates = follow(&mut restarted, 0, CHANGES).await;
     assert_eq!(updates.len(), 1, "a sync, not 300 changes");
     assert!(updates[0].full);
     assert_eq!(updates[0].deployments.len(), 7);
 
     let mut late = subscribe(&api, "late", CHANGES - 2).await;
-    let updates = follow(&mut late, CHANGES).await;
+    let updates = follow(&mut late, CHANGES - 2, CHANGES).await;
     let documents = updates.iter().flat_map(|update| &update.deployments);
     let versions: BTreeSet<u64> = documents.map(|one| one.document.version.0).collect();
     assert_eq!(versions, BTreeSet::from([CHANGES - 1, CHANGES]));
@@ -191,7 +193,11 @@
     let path = "/admin/v1/changes";
     api.call(hyper::Method::POST, path, "apply-token", &content)
         .await;
-    assert!(follow(&mut ahead, CHANGES + 1).await.is_empty());
-    assert_eq!(follow(&mut late, CHANGES + 1).await.len(), 1);
+    assert!(
+        follow(&mut ahead, CHANGES + 1, CHANGES + 1)
+            .await
+            .is_empty()
+    );
+    assert_eq!(follow(&mut late, CHANGES, CHANGES + 1).await.len(), 1);
     api.controller.stop().await;
 }
