--- a/crates/services/tests/quarantine.rs
+++ b/crates/services/tests/quarantine.rs
@@ -43,6 +43,24 @@
     ledger
 }
 
+/// A ledger that is told, 340 ms after its process's start, of instances that ended under "a"
+/// so many milliseconds before.
+fn ledger_told_early(ends: [(&str, u64); 3]) -> QuarantineLedger {
+    let mut ledger = QuarantineLedger::default();
+    let told = Timestamp::default() + Millis(340);
+    for (instance, age) in ends {
+        let age = Millis(age);
+        ledger.ended(
+            &InstanceEnd {
+                age,
+                ..end("a", instance)
+            },
+            told,
+        );
+    }
+    ledger
+}
+
 /// The whole group had been killed and started again, and routers told the new leader of ends
 /// before its own start. From the records of a soak, in seconds of the leader's clock:
 ///
@@ -56,35 +74,13 @@
 /// lost in one moment, of which two count.
 #[test]
 fn ends_before_the_leaders_own_start_are_told_apart() {
-    let mut ledger = QuarantineLedger::default();
-    let told = Timestamp::default() + Millis(340);
-    for (instance, age) in [("app-1", 1_540), ("app-2", 1_140), ("app-1.2", 640)] {
-        let age = Millis(age);
-        ledger.ended(
-            &InstanceEnd {
-                age,
-                ..end("a", instance)
-            },
-            told,
-        );
-    }
+    let ledger = ledger_told_early([("app-1", 1_540), ("app-2", 1_140), ("app-1.2", 640)]);
     assert!(is_quarantined(&ledger, "a"));
 }
 
 #[test]
 fn instances_lost_in_one_moment_before_the_leaders_start_are_still_one_moment() {
-    let mut ledger = QuarantineLedger::default();
-    let told = Timestamp::default() + Millis(340);
-    for (instance, age) in [("i-1", 1_540), ("i-2", 1_520), ("i-3", 1_500)] {
-        let age = Millis(age);
-        ledger.ended(
-            &InstanceEnd {
-                age,
-                ..end("a", instance)
-            },
-            told,
-        );
-    }
+    let ledger = ledger_told_early([("i-1", 1_540), ("i-2", 1_520), ("i-3", 1_500)]);
     assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
 }
 
