Records and metrics tell which instance names which limit

The records could not tell the hypotheses apart: `unknown_word` names a header once for each router, without the number and for one instance only, so nobody could say which of eighteen instances named what, until when, or whether a request that was sent was within it.

Now the word is read (platform: server-limit; what is no rate is told once and counts as none), the router keeps the newest for each life of an instance, records each change (instance_limits) and writes the limit into every record of a request that is sent. Nothing is decided by it yet.

An answer without the word ends a limit only if its request was sent after the limit was last heard: answers overtake each other.

--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -4,11 +4,12 @@
 //! a request can miss what an instance asks for.
 
 use crate::Shared;
-use crate::interface::AnswerFacts;
+use crate::interface::{AnswerFacts, NamedLimit};
 use crate::records::RouterRecord;
 use courseshunt_http::{RetryAfter, read_asked_rest};
 use courseshunt_records::emit;
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_services::{LimitNews, RequestRate};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use hyper::header::{self, HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::http::response::Parts;
 use std::collections::HashSet;
@@ -18,6 +19,8 @@
 /// Names of unknown headers that are remembered, to tell of each once; later ones are not
 /// told of, so that instances that make names up fill neither memory nor log.
 const MAX_UNKNOWN: usize = 64;
+/// Stands for the name of a limit that is no rate: what it is called is the interface's.
+static NAMED_LIMIT: HeaderName = HeaderName::from_static("named-limit");
 /// Headers of HTTP itself that answers carry.
 const OF_HTTP: [HeaderName; 16] = [
     header::ACCEPT_RANGES,
@@ -59,6 +62,8 @@
     pub(crate) instance: &'a RunnerId,
     /// Identity of the request, for records.
     pub(crate) id: &'a str,
+    /// When it was asked.
+    pub(crate) asked_at: Timestamp,
 }
 
 /// Takes note of what an answer says of its instance; returns the rest that it asks for.
@@ -68,7 +73,7 @@
     head: &Parts,
     facts: &AnswerFacts,
 ) -> Option<Millis> {
-    let Answering { instance, id } = answering;
+    let Answering { instance, id, .. } = answering;
     let now = shared.clock.now();
     let status = head.status.as_u16();
     if facts.leaving {
@@ -100,10 +105,43 @@
             rest_ms: rest.0,
         });
     }
+    hear_limit(shared, answering, status, facts);
     tell_unknown_headers(shared, answering, &head.headers);
     rest
 }
 
+/// Takes note of the limit that an answer names. Only an answer of the instance itself, to
+/// this request, tells by its silence that there is none.
+fn hear_limit(shared: &Shared, answering: Answering<'_>, status: u16, facts: &AnswerFacts) {
+    let Answering {
+        instance,
+        id,
+        asked_at,
+    } = answering;
+    let rate = match facts.limit {
+        NamedLimit::Unreadable => return tell_unknown(shared, answering, &NAMED_LIMIT),
+        NamedLimit::None if !facts.genuine || facts.misdirected || facts.not_run => return,
+        NamedLimit::None => None,
+        NamedLimit::Rate(rate) => Some(rate),
+    };
+    let news = match shared.view.heard_limit(instance, rate, asked_at) {
+        LimitNews::None => return,
+        LimitNews::Named(rate) => Some(rate),
+        LimitNews::Lifted => None,
+    };
+    shared.metrics.pushback(if news.is_some() {
+        "limit"
+    } else {
+        "limit_lifted"
+    });
+    emit(&RouterRecord::InstanceLimits {
+        instance: instance.as_str(),
+        id,
+        status,
+        limit_per_1000_s: news.map(|RequestRate(rate)| rate),
+    });
+}
+
 fn tell_unknown_headers(shared: &Shared, answering: Answering<'_>, headers: &HeaderMap) {
     for name in headers.keys() {
         if !OF_HTTP.contains(name) && !shared.interface.knows_answer_header(name) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,6 +160,7 @@
     let answering = Answering {
         instance: flight.instance(),
         id: flight.id(),
+        asked_at: flight.began_at(),
     };
     let rest = hear(shared, answering, &head, &facts);
     if facts.misdirected {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -7,7 +7,7 @@
 use crate::records::RequestRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, PromptShape, Pushback};
-use courseshunt_types::{Digest, Millis, RunnerId};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -18,6 +18,8 @@
     shared: Arc<Shared>,
     candidate: Candidate,
     sent_at: Instant,
+    /// The same moment on the clock by which words of instances are kept.
+    began_at: Timestamp,
     arrived: Instant,
     waited: Duration,
     first: Option<Duration>,
@@ -76,6 +78,7 @@
             Some(Pushback::Rest(left)) => Some(left.0),
             Some(Pushback::Returns | Pushback::Leaving) | None => None,
         };
+        let limit = shared.view.limit_of(&candidate.instance);
         if let Some(pushback) = pushback {
             metrics.sent_against(pushback.word());
         }
@@ -96,6 +99,7 @@
             uncached_tokens: candidate.uncached_tokens,
             rest_left_ms,
             leaving: pushback == Some(Pushback::Leaving),
+            limit_per_1000_s: limit.map(|limit| limit.0),
             configuration: shared.view.number(),
             feed_age_ms: millis(shared.view.feed_age()),
         });
@@ -103,6 +107,7 @@
             shared: shared.clone(),
             candidate,
             sent_at: Instant::now(),
+            began_at: shared.clock.now(),
             arrived: admitted.arrived,
             waited,
             first: None,
@@ -125,6 +130,11 @@
         &self.candidate.instance
     }
 
+    /// When it began; what it is answered is newer than that.
+    pub(crate) fn began_at(&self) -> Timestamp {
+        self.began_at
+    }
+
     /// Whether the instance asked to be left alone.
     pub(crate) fn is_forbidden(&self) -> bool {
         let now = self.shared.clock.now();
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -1,6 +1,8 @@
 //! What a router needs of the interfaces of clients and instances.
 
-use courseshunt_services::{ConfigurationError, PromptShape, Route, ServiceConfiguration};
+use courseshunt_services::{
+    ConfigurationError, PromptShape, RequestRate, Route, ServiceConfiguration,
+};
 use courseshunt_types::{Digest, Millis, RunnerId};
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName};
@@ -56,6 +58,20 @@
     pub promises_not_run: bool,
     /// The instance says that it leaves: it wants no further requests.
     pub leaving: bool,
+    /// The requests a second that the instance takes.
+    pub limit: NamedLimit,
+}
+
+/// The requests a second that an instance takes from all routers together, by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum NamedLimit {
+    /// The answer names none.
+    #[default]
+    None,
+    /// What it names is no rate.
+    Unreadable,
+    /// It names this.
+    Rate(RequestRate),
 }
 
 /// Who answers at an instance's address.
--- a/crates/gateway/src/looks.rs
+++ b/crates/gateway/src/looks.rs
@@ -127,6 +127,7 @@
     *request.headers_mut() = shared.interface.presence_question(instance);
     let host = HeaderValue::from_str(address).ok()?;
     request.headers_mut().insert(HOST, host);
+    let asked_at = shared.clock.now();
     let response = upstream.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
     let facts = shared
@@ -135,6 +136,7 @@
     let answering = Answering {
         instance,
         id: HEALTH_CHECK,
+        asked_at,
     };
     let presence = shared
         .interface
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -41,6 +41,8 @@
         rest_left_ms: Option<u64>,
         /// Whether the instance said that it leaves.
         leaving: bool,
+        /// Limit that the instance names, in requests in a thousand seconds.
+        limit_per_1000_s: Option<u64>,
         configuration: u64,
         feed_age_ms: u64,
     },
@@ -157,6 +159,14 @@
         status: u16,
         rest_ms: u64,
     },
+    /// An instance names in an answer a limit, another one than before, or none any more.
+    InstanceLimits {
+        instance: &'a str,
+        id: &'a str,
+        status: u16,
+        /// Requests in a thousand seconds, from all routers together.
+        limit_per_1000_s: Option<u64>,
+    },
     /// An instance says in an answer that it leaves.
     InstanceLeaves {
         instance: &'a str,
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,8 +5,8 @@
 use courseshunt_services::fed_instances::InstanceChanges;
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::{
-    Candidate, FedInstances, InstanceDigests, InstanceView, PromptShape, Pushback, ReportMessage,
-    RetryBudget, RouteTable, Selector, Service,
+    Candidate, FedInstances, InstanceDigests, InstanceView, LimitNews, PromptShape, Pushback,
+    ReportMessage, RequestRate, RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -315,6 +315,24 @@
         self.lock().selector.asked_rest(instance, rest, now);
     }
 
+    /// Notes which limit an answer names to a request that was sent at `asked_at`; none: it
+    /// names no limit.
+    pub(crate) fn heard_limit(
+        &self,
+        instance: &RunnerId,
+        rate: Option<RequestRate>,
+        asked_at: Timestamp,
+    ) -> LimitNews {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.selector.heard_limit(instance, rate, asked_at, now)
+    }
+
+    /// The limit that an instance names.
+    pub(crate) fn limit_of(&self, instance: &RunnerId) -> Option<RequestRate> {
+        self.lock().selector.limit_of(instance)
+    }
+
     /// Notes that an instance says that it leaves; returns whether that is news.
     pub(crate) fn leaves(&self, instance: &RunnerId, now: Timestamp) -> bool {
         self.lock().selector.leaves(instance, now)
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod instance;
 mod instance_index;
 pub mod judge;
+pub mod limit;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
@@ -46,6 +47,8 @@
 };
 pub use instance::{InstanceState, InstanceView, Registration, ResidentModel, WeightCopies};
 pub use judge::{ConfigurationError, judge};
+pub use limit::RequestRate;
+pub use limit::local::{LimitNews, RouterLimits};
 pub use placement::{
     InstanceReport, LoadEnd, LoadSource, Order, OrderAction, OrderEvidence, OrderOutcome,
     PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep, SetAside,
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -16,6 +16,8 @@
 mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
+use crate::limit::RequestRate;
+use crate::limit::local::{LimitNews, RouterLimits};
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use local::{Choice, Local};
 use prefixes::PrefixKey;
@@ -86,6 +88,8 @@
     routers: u32,
     /// What instances asked for. Outlives their place in `locals`.
     pushbacks: Pushbacks,
+    /// Limits that instances named.
+    limits: RouterLimits,
     choices: u64,
 }
 
@@ -101,6 +105,7 @@
             locals: HashMap::new(),
             routers: 1,
             pushbacks: Pushbacks::default(),
+            limits: RouterLimits::default(),
             choices: 0,
         }
     }
@@ -141,6 +146,7 @@
     pub fn retain(&mut self, exists: impl Fn(&RunnerId) -> bool) {
         self.locals
             .retain(|id, local| local.in_flight > 0 || exists(id));
+        self.limits.retain(&exists);
     }
 
     /// Requests of this router under way, by instance.
@@ -383,6 +389,24 @@
         self.pushbacks.asked_rest(instance, rest, now);
     }
 
+    /// Notes which limit an answer names to a request that was sent at `asked_at`; none: it
+    /// names no limit.
+    pub fn heard_limit(
+        &mut self,
+        instance: &RunnerId,
+        rate: Option<RequestRate>,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) -> LimitNews {
+        self.limits.heard(instance, rate, asked_at, now)
+    }
+
+    /// The limit that an instance names.
+    #[must_use]
+    pub fn limit_of(&self, instance: &RunnerId) -> Option<RequestRate> {
+        self.limits.limit_of(instance)
+    }
+
     /// Notes that an instance says that it leaves; returns whether that is news.
     pub fn leaves(&mut self, instance: &RunnerId, now: Timestamp) -> bool {
         self.pushbacks.leaves(instance, now)
