--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -7,13 +7,13 @@
 use crate::records::{self, ControllerRecord};
 use crate::router_book::Way;
 use crate::{
-    Shared, inheritance, orders, placement_settings, quarantine, quota_settings, reports, sessions,
-    upstream,
+    Shared, inheritance, limits, orders, placement_settings, quarantine, quota_settings, reports,
+    sessions, upstream,
 };
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
-    FeedMessage, InstanceView, PlacementEngine, QuarantineLedger, QuotaLedger,
+    FeedMessage, InstanceView, LimitLedger, PlacementEngine, QuarantineLedger, QuotaLedger,
 };
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
@@ -26,8 +26,9 @@
 const TICK: Duration = Duration::from_millis(40);
 /// A leader that was not in contact with a quorum for so long ends its feeds.
 pub(crate) const CONTACT_LIMIT: Millis = Millis(360);
-/// Time between words on all accounts of tenants; one that turned is told at once.
-const QUOTAS_INTERVAL: Millis = Millis(1_000);
+/// Time between words on all accounts of tenants, and on all limits of instances; what is new
+/// is told at once.
+const ACCOUNTS_INTERVAL: Millis = Millis(1_000);
 /// After its election a leader waits so long for registrations before it says
 /// that other instances are gone.
 const SETTLE: Millis = Millis(4_000);
@@ -51,6 +52,7 @@
     settled: bool,
     usage_at: Timestamp,
     quotas_at: Timestamp,
+    limits_at: Timestamp,
     recorded_at: Timestamp,
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
     members: MembersKeeper,
@@ -120,6 +122,7 @@
 fn begin(shared: &Arc<Shared>, term: Term) -> Leadership {
     let now = shared.clock.now();
     *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
+    *shared.limits() = LimitLedger::default();
     *shared.quarantine() = QuarantineLedger::default();
     shared.feeding.send_replace(false);
     shared.metrics.leadership();
@@ -135,6 +138,7 @@
         settled: false,
         usage_at: now,
         quotas_at: now,
+        limits_at: now,
         recorded_at: now,
         unrecorded: Default::default(),
         members: MembersKeeper::new(now),
@@ -357,6 +361,7 @@
         shared.sessions.settle(live);
     }
     feed_quotas(shared, leadership, now);
+    feed_limits(shared, leadership, now);
     let followers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
     let instance_count = shared.engine().count();
     if now.since(leadership.usage_at) >= usage_interval(followers, instance_count) {
@@ -403,7 +408,7 @@
 /// Tells how the accounts of tenants stand: at once where that changed.
 fn feed_quotas(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
     let turned = shared.quotas().take_turned();
-    if !turned && now.since(leadership.quotas_at) < QUOTAS_INTERVAL {
+    if !turned && now.since(leadership.quotas_at) < ACCOUNTS_INTERVAL {
         return;
     }
     leadership.quotas_at = now;
@@ -412,6 +417,18 @@
     }
 }
 
+/// Tells which limits instances name: at once where that changed.
+fn feed_limits(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
+    let has_news = shared.limits().take_news();
+    if !has_news && now.since(leadership.limits_at) < ACCOUNTS_INTERVAL {
+        return;
+    }
+    leadership.limits_at = now;
+    if let Some(message) = limits::told(shared, now) {
+        shared.sessions.broadcast(message);
+    }
+}
+
 /// Records the instances for a successor, some at a time, so that no entry of the log grows
 /// with the fleet.
 fn record(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -19,6 +19,7 @@
 mod lead;
 pub mod lead_step;
 mod leader_link;
+mod limits;
 mod member_thread;
 mod members;
 mod metrics;
@@ -47,7 +48,8 @@
 use courseshunt_membership::{Applicants, Redundancy, core_settings};
 use courseshunt_records::emit;
 use courseshunt_services::{
-    FeedMessage, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings,
+    FeedMessage, LimitLedger, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger,
+    QuotaSettings,
 };
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SleepWatch};
@@ -112,6 +114,8 @@
     engine: Mutex<PlacementEngine>,
     /// Accounts of tenants, while this member leads.
     quotas: Mutex<QuotaLedger>,
+    /// Accounts of limits that instances name, while this member leads.
+    limits: Mutex<LimitLedger>,
     /// Instances that ended under requests, while this member leads.
     quarantine: Mutex<QuarantineLedger>,
 }
@@ -125,6 +129,10 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn limits(&self) -> MutexGuard<'_, LimitLedger> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, QuarantineLedger> {
         let quarantine = self.quarantine.lock();
         quarantine.unwrap_or_else(PoisonError::into_inner)
@@ -323,6 +331,7 @@
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
+            limits: Mutex::default(),
             quarantine: Mutex::default(),
             settings,
         });
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use courseshunt_membership::Redundancy;
 use courseshunt_metrics::page_with_process;
+use courseshunt_services::LimitVerdict;
 use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -38,6 +39,7 @@
     registrations: Counter,
     registrations_refused: Counter,
     configurations: Family<Labels, Counter>,
+    limit_verdicts: Family<Labels, Counter>,
     leaderships: Counter,
     slept_milliseconds: Counter,
     spreads: Histogram,
@@ -53,6 +55,7 @@
             registrations: Counter::default(),
             registrations_refused: Counter::default(),
             configurations: Family::default(),
+            limit_verdicts: Family::default(),
             leaderships: Counter::default(),
             slept_milliseconds: Counter::default(),
             spreads: Histogram::new(SPREAD_BUCKETS_S),
@@ -74,6 +77,9 @@
             "Configurations by outcome",
             configurations,
         );
+        let verdicts = metrics.limit_verdicts.clone();
+        let help = "Decisions on requests for instances that name a limit, by outcome";
+        registry.register("limit_verdicts", help, verdicts);
         let leaderships = metrics.leaderships.clone();
         registry.register(
             "leaderships",
@@ -112,6 +118,18 @@
 }
 
 impl Metrics {
+    /// Counts a decision on a request for an instance that names a limit.
+    pub(crate) fn limit_verdict(&self, verdict: LimitVerdict) {
+        let outcome = match verdict {
+            LimitVerdict::Granted { after: Millis(0) } => "granted",
+            LimitVerdict::Granted { .. } => "granted_later",
+            LimitVerdict::Refused { .. } => "refused",
+            LimitVerdict::Unknown => "unknown",
+        };
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.limit_verdicts.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn order(&self, action: &str, outcome: &str, from_store: bool) {
         let labels = vec![
             ("action", action.to_owned()),
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -118,6 +118,14 @@
         /// The router, or this controller, to which it said so in an answer.
         told_by: &'a str,
     },
+    /// An instance names a limit to a router, another one than before, or none any more.
+    InstanceLimits {
+        instance: &'a str,
+        /// Requests in a thousand seconds, from all routers together.
+        limit_per_1000_s: Option<u64>,
+        told_by: &'a str,
+        age_ms: u64,
+    },
     /// An instance asks in an answer to be left alone for so long.
     InstanceRests {
         instance: &'a str,
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -3,6 +3,7 @@
 
 use crate::Shared;
 use crate::lead::CONTACT_LIMIT;
+use crate::limits;
 use crate::quarantine;
 use crate::records::ControllerRecord;
 use crate::router_book::Way;
@@ -80,6 +81,9 @@
         ReportMessage::AskQuotas(questions) => {
             return Some(answer_quotas(router, &questions, shared));
         }
+        ReportMessage::Limits { words, asks } => {
+            return limits::take(router, &words, &asks, shared);
+        }
         ReportMessage::Ends { ends, answered } => quarantine::take(&ends, answered, shared),
         ReportMessage::Subscribe { .. } | ReportMessage::Compare(_) => {}
     }
@@ -130,11 +134,16 @@
     }
 }
 
+/// Whether this leader was in contact with a quorum a moment ago: no other one grants anything.
+pub(crate) fn in_contact(shared: &Shared) -> bool {
+    let age = shared.replica.confirmation_age();
+    age.is_some_and(|age| age < CONTACT_LIMIT)
+}
+
 /// Answers a router's questions on tenants' limits.
 fn answer_quotas(router: &str, questions: &[QuotaAsk], shared: &Shared) -> FeedMessage {
     let now = shared.clock.now();
-    let in_contact = shared.replica.confirmation_age();
-    let in_contact = in_contact.is_some_and(|age| age < CONTACT_LIMIT);
+    let in_contact = in_contact(shared);
     let mut quotas = shared.quotas();
     let answers = questions.iter().map(|one| QuotaAnswer {
         number: one.number,
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -46,6 +46,7 @@
     /// The last words on these, of the present leader.
     quarantine: Option<Arc<Frame>>,
     quotas: Option<Arc<Frame>>,
+    limits: Option<Arc<Frame>>,
     usage: Option<Arc<Frame>>,
 }
 
@@ -176,6 +177,7 @@
         fed.parts.clear();
         fed.quarantine = None;
         fed.quotas = None;
+        fed.limits = None;
         fed.usage = None;
         drop(fed);
         self.broadcast(leadership.message());
@@ -296,6 +298,7 @@
         let kept = match &message {
             FeedMessage::Quarantine { .. } => &mut fed.quarantine,
             FeedMessage::Quotas { .. } => &mut fed.quotas,
+            FeedMessage::Limits(_) => &mut fed.limits,
             FeedMessage::Usage { .. } => &mut fed.usage,
             _ => return encode(message),
         };
@@ -375,6 +378,7 @@
             })));
         }
         frames.extend(self.quotas.clone());
+        frames.extend(self.limits.clone());
         frames.extend(self.usage.clone());
         frames
     }
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -137,7 +137,9 @@
         RouterNews::Reports(ReportMessage::Usage {
             demand, leaving, ..
         }) => !leaving.is_empty() || demand.iter().any(|one| one.waiting > 0),
-        RouterNews::Reports(ReportMessage::AskQuotas(_) | ReportMessage::Ends { .. }) => true,
+        RouterNews::Reports(
+            ReportMessage::AskQuotas(_) | ReportMessage::Ends { .. } | ReportMessage::Limits { .. },
+        ) => true,
         RouterNews::Reports(_) | RouterNews::Follows { .. } | RouterNews::Lost => false,
     }
 }
@@ -235,14 +237,15 @@
             shared.places.follow(&members);
             sessions.broadcast_to_routers(FeedMessage::Members(members));
         }
-        FeedMessage::Quotas { .. } | FeedMessage::Quarantine { .. } => {
+        FeedMessage::Quotas { .. } | FeedMessage::Quarantine { .. } | FeedMessage::Limits(_) => {
             sessions.broadcast_to_routers(message);
         }
         FeedMessage::NoFeed
         | FeedMessage::Awaiting
         | FeedMessage::Configuration { .. }
         | FeedMessage::Digests(_)
-        | FeedMessage::QuotaAnswers(_) => {}
+        | FeedMessage::QuotaAnswers(_)
+        | FeedMessage::LimitAnswers(_) => {}
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,7 +9,7 @@
 use crate::quota_desk::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
-use crate::standing::{LONGEST_SILENCE, Standing, judge, judge_key};
+use crate::standing::{Standing, judge, judge_key};
 use bytes::Bytes;
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
@@ -273,7 +273,7 @@
         units,
         rank: route.priority,
     };
-    let led = shared.view.feed_age() <= LONGEST_SILENCE;
+    let led = shared.is_led();
     let now = shared.clock.now();
     let admitted = shared.quotas.admit(tenant, &request, led, now).await;
     if let Err(retry_after) = admitted {
--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -129,6 +129,7 @@
         LimitNews::Named(rate) => Some(rate),
         LimitNews::Lifted => None,
     };
+    shared.limits.has_news.notify_one();
     shared.metrics.pushback(if news.is_some() {
         "limit"
     } else {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,8 +2,9 @@
 
 use crate::Shared;
 use crate::answer_words::{Answering, hear};
-use crate::flight::Flight;
-use crate::handle::Admitted;
+use crate::flight::{Flight, Unsent};
+use crate::handle::{Admitted, Chosen};
+use crate::limit_desk;
 use crate::passed_headers::{passed, strip_hop_headers};
 use crate::pool::{self, Upstream};
 use crate::records::RouterRecord;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use courseshunt_http::{Body, full_body};
 use courseshunt_records::emit;
-use courseshunt_services::{Candidate, InstanceView, RequestKind};
+use courseshunt_services::{InstanceView, RequestKind};
 use courseshunt_types::{Millis, RunnerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -31,7 +32,7 @@
     Answered(Response<Body>),
     /// It surely did not run there.
     NotRun,
-    /// It was not sent: meanwhile the instance asked to be left alone.
+    /// It was not sent: meanwhile the instance asked to be left alone, or its limit is used up.
     NotSent,
     /// It may have run, and there is no answer to pass on.
     MayHaveRun,
@@ -43,10 +44,20 @@
 pub(crate) async fn attempt(
     shared: &Arc<Shared>,
     admitted: &Admitted,
-    candidate: Candidate,
-    view: &InstanceView,
+    chosen: Chosen,
     number: u32,
 ) -> AttemptOutcome {
+    let Chosen {
+        candidate,
+        view,
+        patience,
+    } = chosen;
+    let view = &view;
+    let unsent = Unsent::new(shared, admitted, candidate);
+    if !limit_desk::admit(shared, admitted, unsent.instance(), patience).await {
+        return AttemptOutcome::NotSent;
+    }
+    let candidate = unsent.sent();
     let mut flight = Flight::begin(shared, admitted, candidate, number);
     let Some(mut upstream) = connection(shared, view).await else {
         flight.not_run(None, None);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,7 +4,7 @@
 use crate::records::RouterRecord;
 use crate::search::{FeedEnd, Search, next_look};
 use courseshunt_records::emit;
-use courseshunt_services::{FeedMessage, ReportMessage, RouteTable, judge};
+use courseshunt_services::{FeedMessage, LimitWord, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId, RunnerId};
 use courseshunt_wire::{
     ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_within,
@@ -30,6 +30,7 @@
         };
         let end = follow_one(address, &shared, &key, &mut search).await;
         shared.quotas.disconnected();
+        shared.limits.disconnected();
         let pause = search.ended(address, &end, &shared);
         tokio::time::sleep(pause).await;
     }
@@ -164,8 +165,12 @@
         FeedMessage::Leadership { .. } => {
             shared.view.begin_leader();
             shared.quarantine.begin_leader();
+            shared.limits.begin_leader();
+        }
+        FeedMessage::Awaiting => {
+            shared.quotas.disconnected();
+            shared.limits.disconnected();
         }
-        FeedMessage::Awaiting => shared.quotas.disconnected(),
         FeedMessage::Part {
             part,
             instances,
@@ -208,6 +213,8 @@
         FeedMessage::QuotaAnswers(answers) => {
             shared.quotas.answered(answers, shared.clock.now());
         }
+        FeedMessage::Limits(words) => take_limits(&words, shared),
+        FeedMessage::LimitAnswers(answers) => shared.limits.answered(answers),
         FeedMessage::Quarantine {
             suspected,
             quarantined,
@@ -216,6 +223,17 @@
     }
 }
 
+/// Takes over what the leader tells of limits that instances name.
+fn take_limits(words: &[LimitWord], shared: &Shared) {
+    for word in shared.view.told_limits(words) {
+        emit(&RouterRecord::LimitTold {
+            instance: word.instance.as_str(),
+            limit_per_1000_s: word.rate.map(|rate| rate.0),
+            age_ms: word.age.0,
+        });
+    }
+}
+
 /// Drops what is kept for instances that are gone.
 fn forget(lost: Vec<RunnerId>, shared: &Shared) {
     if lost.is_empty() {
@@ -255,6 +273,10 @@
                 ask_quotas(&mut sender, shared).await?;
                 continue;
             }
+            () = shared.limits.has_news.notified() => {
+                report_limits(&mut sender, shared).await?;
+                continue;
+            }
             () = shared.view.differs.notified() => {
                 let report = ReportMessage::Compare(shared.view.digests());
                 sender.send(&Message::ServiceReport(report)).await?;
@@ -287,6 +309,17 @@
     sender.send(&Message::ServiceReport(report)).await
 }
 
+/// Tells what instances said of their limits, and asks on requests for them.
+async fn report_limits(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    let words = shared.view.take_untold_limits();
+    let asks = shared.limits.take_questions();
+    if words.is_empty() && asks.is_empty() {
+        return Ok(());
+    }
+    let report = ReportMessage::Limits { words, asks };
+    sender.send(&Message::ServiceReport(report)).await
+}
+
 /// Tells of instances that ended under requests, and of contents that were answered.
 async fn report_ends(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
     let (ends, answered) = shared.quarantine.take_unsent();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -41,6 +41,49 @@
     shape: PromptShape,
 }
 
+/// A request that is counted at an instance and not sent yet; counted no more when it is
+/// dropped before that.
+pub(crate) struct Unsent<'a> {
+    shared: &'a Shared,
+    candidate: Candidate,
+    asked: Option<AskedModel>,
+    is_sent: bool,
+}
+
+impl<'a> Unsent<'a> {
+    pub(crate) fn new(shared: &'a Shared, admitted: &Admitted, candidate: Candidate) -> Self {
+        Self {
+            shared,
+            candidate,
+            asked: AskedModel::of(admitted),
+            is_sent: false,
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &RunnerId {
+        &self.candidate.instance
+    }
+
+    /// It is sent now; from here on its flight counts it.
+    pub(crate) fn sent(mut self) -> Candidate {
+        self.is_sent = true;
+        self.candidate.clone()
+    }
+}
+
+impl Drop for Unsent<'_> {
+    fn drop(&mut self) {
+        if self.is_sent {
+            return;
+        }
+        let view = &self.shared.view;
+        if let Some(asked) = &self.asked {
+            view.turned_away(&self.candidate, &asked.service, &asked.shape);
+        }
+        view.end(&self.candidate, false);
+    }
+}
+
 impl AskedModel {
     fn of(admitted: &Admitted) -> Option<Self> {
         let shape = &admitted.facts.shape;
@@ -76,7 +119,7 @@
             .asked_for(&candidate.instance, shared.clock.now());
         let rest_left_ms = match pushback {
             Some(Pushback::Rest(left)) => Some(left.0),
-            Some(Pushback::Returns | Pushback::Leaving) | None => None,
+            Some(Pushback::Returns | Pushback::Limited(_) | Pushback::Leaving) | None => None,
         };
         let limit = shared.view.limit_of(&candidate.instance);
         if let Some(pushback) = pushback {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -118,7 +118,7 @@
     let mut sends = Sends::default();
     loop {
         let chosen = select(admitted, shared, &sends).await;
-        let (candidate, view) = match chosen {
+        let chosen = match chosen {
             Ok(chosen) => chosen,
             Err(given_up) => {
                 let retry_after = given_up.retry_after;
@@ -126,9 +126,9 @@
             }
         };
         sends.count += 1;
-        let instance = view.id.clone();
+        let instance = chosen.view.id.clone();
         admitted.set_used(true);
-        let outcome = attempt(shared, admitted, candidate, &view, sends.count).await;
+        let outcome = attempt(shared, admitted, chosen, sends.count).await;
         sends.ended_at = Some(Instant::now());
         let did_not_run = matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
         admitted.set_used(!did_not_run || sends.ran > 0);
@@ -243,6 +243,24 @@
     refusal.response(Some(wait))
 }
 
+/// An instance that was chosen for a request.
+pub(crate) struct Chosen {
+    pub(crate) candidate: Candidate,
+    pub(crate) view: InstanceView,
+    /// How long the request may wait for its turn there, if the instance names a limit.
+    pub(crate) patience: Millis,
+}
+
+impl Chosen {
+    fn at_once((candidate, view): (Candidate, InstanceView)) -> Self {
+        Self {
+            candidate,
+            view,
+            patience: Millis(0),
+        }
+    }
+}
+
 /// A request that waits no longer.
 struct GivenUp {
     refusal: Refusal,
@@ -288,7 +306,7 @@
     admitted: &Admitted,
     shared: &Arc<Shared>,
     sends: &Sends,
-) -> Result<(Candidate, InstanceView), GivenUp> {
+) -> Result<Chosen, GivenUp> {
     let shape = &admitted.facts.shape;
     let service = &admitted.service;
     let mut changes = shared.view.changes();
@@ -317,14 +335,14 @@
             _ => &sends.avoid[sends.avoid.len().saturating_sub(1)..],
         };
         if let Some(chosen) = shared.view.choose(service, shape, avoid, now) {
-            return Ok(chosen);
+            return Ok(Chosen::at_once(chosen));
         }
         // Without this a request whose model has one holder would wait for another copy
         // until its client leaves.
         if sends.rested(admitted.route.objective)
             && let Some(chosen) = shared.view.choose(service, shape, &[], now)
         {
-            return Ok(chosen);
+            return Ok(Chosen::at_once(chosen));
         }
         if waiting.is_none() && service.engine.is_some() {
             waiting = Some(shared.view.wait_for(&service.name, shape));
@@ -338,6 +356,16 @@
             Waiting::Until(until) => until,
             Waiting::GiveUp { retry_after } => return Err(GivenUp::of(sends, retry_after)),
         };
+        if situation.in_turn
+            && let Some((candidate, view)) = shared.view.choose_turn(service, shape, now)
+        {
+            let patience = waiting::patience(&situation, Instant::now());
+            return Ok(Chosen {
+                candidate,
+                view,
+                patience: Millis(millis(patience)),
+            });
+        }
         let pause = next_look(&situation).min(until);
         tokio::select! {
             _ = tokio::time::timeout_at(pause, changes.changed()) => {}
@@ -388,5 +416,6 @@
         has_models: service.engine.is_some() && shared.view.is_known(service),
         expected: expected.map(|expected| expected.at),
         pushed_back: expected.is_some_and(|expected| expected.pushed_back),
+        in_turn: expected.is_some_and(|expected| expected.in_turn),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,11 +18,13 @@
 mod handle;
 pub mod held_document;
 mod interface;
+mod limit_desk;
 mod looks;
 mod metrics;
 pub mod passed_headers;
 mod pool;
 mod quarantine_desk;
+mod questions;
 mod quota_desk;
 mod records;
 mod refusal;
@@ -44,6 +46,7 @@
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SleepWatch};
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
+use limit_desk::LimitDesk;
 use metrics::Metrics;
 use pool::ConnectionPool;
 use quarantine_desk::QuarantineDesk;
@@ -74,6 +77,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaDesk>,
+    pub(crate) limits: LimitDesk,
     pub(crate) quarantine: QuarantineDesk,
     pub(crate) unknown_words: UnknownWords,
     pub(crate) seeds: SeedList,
@@ -89,6 +93,13 @@
     pub(crate) requests: tokio_util::task::TaskTracker,
 }
 
+impl Shared {
+    /// Whether a leader was heard lately.
+    pub(crate) fn is_led(&self) -> bool {
+        self.view.feed_age() <= standing::LONGEST_SILENCE
+    }
+}
+
 /// Time between looks at whether the machine was suspended.
 const SLEEP_LOOK: Duration = Duration::from_secs(1);
 
@@ -145,6 +156,7 @@
                 quota_settings(&settings.limits),
                 view::ASSUMED_ROUTERS,
             )),
+            limits: LimitDesk::default(),
             quarantine: QuarantineDesk::new(clock),
             unknown_words: UnknownWords::default(),
             seeds: SeedList::new(&settings),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     retries_denied: Counter,
     pushbacks: Family<Labels, Counter>,
     sent_against: Family<Labels, Counter>,
+    limited: Family<Labels, Counter>,
     cancelled: Counter,
     connections: Counter,
     feeds_lost: Counter,
@@ -82,6 +83,7 @@
             retries_denied: Counter::default(),
             pushbacks: Family::default(),
             sent_against: Family::default(),
+            limited: Family::default(),
             cancelled: Counter::default(),
             connections: Counter::default(),
             feeds_lost: Counter::default(),
@@ -122,6 +124,9 @@
         let against = self.sent_against.clone();
         let help = "Requests sent to instances that had asked for none";
         registry.register("sent_against_pushback", help, against);
+        let limited = self.limited.clone();
+        let help = "Decisions on requests for instances that name a limit, by outcome";
+        registry.register("limited", help, limited);
         let cancelled = self.cancelled.clone();
         registry.register("cancelled", "Requests whose clients left", cancelled);
         let connections = self.connections.clone();
@@ -245,6 +250,12 @@
         self.pushbacks.get_or_create(&labels).inc();
     }
 
+    /// Counts a decision on a request for an instance that names a limit.
+    pub(crate) fn limited(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.limited.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that is sent to an instance which asked to be left alone.
     pub(crate) fn sent_against(&self, word: &str) {
         let labels = vec![("word", word.to_owned())];
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -4,13 +4,13 @@
 //! Invariant: a request waits for the leader's answer for a bounded time; an answer
 //! that comes later is given back.
 
+use crate::questions::{Answered, Questions};
 use courseshunt_services::{
     LimitedRequest, QuotaAnswer, QuotaAsk, QuotaSettings, QuotaStep, QuotaVerdict, RouterQuotas,
     Tenant, TenantStanding, TenantUse,
 };
 use courseshunt_settings::service::ServiceLimits;
 use courseshunt_types::{Millis, Timestamp};
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -18,23 +18,20 @@
 
 /// Longest wait for the leader's answer: a leader that is well answers within a few
 /// milliseconds, and the shortest objectives are of 100 ms and more.
-const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+pub(crate) const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 
-/// A question that was sent, or waits to be sent.
-struct Asked {
+/// A question on a request of this tenant.
+#[derive(Clone)]
+struct TenantQuestion {
     tenant: Arc<Tenant>,
     ask: QuotaAsk,
-    /// None once nobody waits for the answer any more.
-    answer: Option<oneshot::Sender<QuotaVerdict>>,
 }
 
 struct State {
     quotas: RouterQuotas,
     /// Whether a leader is connected.
     connected: bool,
-    asked: HashMap<u64, Asked>,
-    unsent: Vec<QuotaAsk>,
-    last_number: u64,
+    questions: Questions<TenantQuestion, QuotaVerdict>,
 }
 
 /// See the module.
@@ -59,9 +56,7 @@
             state: Mutex::new(State {
                 quotas: RouterQuotas::new(settings, routers),
                 connected: false,
-                asked: HashMap::new(),
-                unsent: Vec::new(),
-                last_number: 0,
+                questions: Questions::default(),
             }),
             has_questions: Notify::new(),
         }
@@ -87,13 +82,13 @@
     pub(crate) fn disconnected(&self) {
         let mut state = self.lock();
         state.connected = false;
-        state.unsent.clear();
-        state.asked.clear();
+        state.questions.clear();
     }
 
     /// Questions to send now.
     pub(crate) fn take_questions(&self) -> Vec<QuotaAsk> {
-        std::mem::take(&mut self.lock().unsent)
+        let questions = self.lock().questions.take_unsent();
+        questions.into_iter().map(|one| one.ask).collect()
     }
 
     /// What to tell the leader of an epoch about use.
@@ -105,10 +100,9 @@
     pub(crate) fn answered(&self, answers: Vec<QuotaAnswer>, now: Timestamp) {
         let mut state = self.lock();
         for QuotaAnswer { number, verdict } in answers {
-            let Some(asked) = state.asked.remove(&number) else {
-                continue;
-            };
-            state.take_verdict(asked, verdict, now);
+            if let Some(answered) = state.questions.answered(number, verdict) {
+                state.take_verdict(answered, verdict, now);
+            }
         }
     }
 
@@ -151,9 +145,7 @@
         now: Timestamp,
     ) -> Result<(), Millis> {
         let mut state = self.lock();
-        if let Some(asked) = state.asked.get_mut(&number) {
-            asked.answer = None;
-        }
+        state.questions.give_up(number);
         match state.quotas.decide_alone(request, rand::random(), now) {
             QuotaStep::Refuse { fits_after } => Err(fits_after),
             QuotaStep::Admit | QuotaStep::Ask => Ok(()),
@@ -173,32 +165,27 @@
         tenant: &Arc<Tenant>,
         request: &LimitedRequest<'_>,
     ) -> (u64, oneshot::Receiver<QuotaVerdict>) {
-        self.last_number += 1;
-        let number = self.last_number;
-        let (answer, receiver) = oneshot::channel();
-        let ask = QuotaAsk {
-            number,
-            tenant: tenant.name.clone(),
-            units: request.units,
-            rank: request.rank,
-        };
-        self.unsent.push(ask.clone());
-        let asked = Asked {
+        self.questions.ask(|number| TenantQuestion {
             tenant: tenant.clone(),
-            ask,
-            answer: Some(answer),
-        };
-        self.asked.insert(number, asked);
-        (number, receiver)
+            ask: QuotaAsk {
+                number,
+                tenant: tenant.name.clone(),
+                units: request.units,
+                rank: request.rank,
+            },
+        })
     }
 
-    fn take_verdict(&mut self, asked: Asked, verdict: QuotaVerdict, now: Timestamp) {
-        let Asked {
-            tenant,
-            ask,
-            answer,
-        } = asked;
-        let taken = answer.is_some_and(|answer| answer.send(verdict).is_ok());
+    fn take_verdict(
+        &mut self,
+        answered: Answered<TenantQuestion>,
+        verdict: QuotaVerdict,
+        now: Timestamp,
+    ) {
+        let Answered {
+            question: TenantQuestion { tenant, ask },
+            taken,
+        } = answered;
         match (verdict, tenant.quota) {
             (QuotaVerdict::Granted, Some(quota)) => {
                 let request = LimitedRequest {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -20,6 +20,18 @@
         configuration: u64,
         feed_age_ms: u64,
     },
+    /// Whether it may be sent to an instance that names a limit.
+    Limited {
+        id: &'a str,
+        instance: &'a str,
+        /// Requests in a thousand seconds, from all routers together.
+        limit_per_1000_s: Option<u64>,
+        /// `granted` by the leader, within the router's `own_part` without one, or `refused`.
+        outcome: &'static str,
+        /// Time until its turn, or after which it would fit.
+        after_ms: u64,
+        feed_age_ms: u64,
+    },
     /// It is sent to an instance.
     Sent {
         id: &'a str,
@@ -115,7 +127,9 @@
         match self {
             Self::Refused { .. } | Self::Failed { .. } | Self::Cancelled { .. } => true,
             Self::Ended { whole, status, .. } => !whole || *status >= 400,
-            Self::Waits { .. } | Self::Sent { .. } | Self::NotRun { .. } => false,
+            Self::Waits { .. } | Self::Limited { .. } | Self::Sent { .. } | Self::NotRun { .. } => {
+                false
+            }
         }
     }
 }
@@ -167,6 +181,12 @@
         /// Requests in a thousand seconds, from all routers together.
         limit_per_1000_s: Option<u64>,
     },
+    /// The leader tells of a limit that an instance names to others, or names no more.
+    LimitTold {
+        instance: &'a str,
+        limit_per_1000_s: Option<u64>,
+        age_ms: u64,
+    },
     /// An instance says in an answer that it leaves.
     InstanceLeaves {
         instance: &'a str,
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,8 +5,9 @@
 use courseshunt_services::fed_instances::InstanceChanges;
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::{
-    Candidate, FedInstances, InstanceDigests, InstanceView, LimitNews, PromptShape, Pushback,
-    ReportMessage, RequestRate, RetryBudget, RouteTable, Selector, Service,
+    Candidate, FedInstances, InstanceDigests, InstanceView, LimitNews, LimitStep, LimitVerdict,
+    LimitWord, PromptShape, Pushback, ReportMessage, RequestRate, RetryBudget, RouteTable,
+    Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -23,9 +24,6 @@
 
 /// Routers are taken to be so many until the feed tells.
 pub(crate) const ASSUMED_ROUTERS: u32 = 16;
-/// Connections to one instance that are left to other callers, as a divisor.
-const CONNECTION_RESERVE: u32 = 8;
-
 /// Where an instance is asked whether it is there.
 pub(crate) struct InstancePlace {
     /// `ip:port`.
@@ -240,8 +238,7 @@
         now: Timestamp,
     ) -> Option<(Candidate, InstanceView)> {
         let mut state = self.lock();
-        let usable = service.max_connections - service.max_connections / CONNECTION_RESERVE;
-        let own_limit = (usable / state.routers).max(2);
+        let own_limit = state.own_limit(service);
         let State {
             instances,
             selector,
@@ -249,11 +246,26 @@
         } = &mut *state;
         let views = instances.holders(&service.name, &shape.model);
         let candidate = selector.choose(shape, views, avoid, own_limit, now)?;
-        selector.begin(&candidate, shape, now);
-        let view = instances.get(&candidate.instance)?.clone();
-        let tokens = candidate.uncached_tokens;
-        state.demand.sent(&service.name, shape, tokens);
-        Some((candidate, view))
+        state.begin(candidate, service, shape, now)
+    }
+
+    /// The same for an instance that takes a request only in a later turn by its limit.
+    pub(crate) fn choose_turn(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> Option<(Candidate, InstanceView)> {
+        let mut state = self.lock();
+        let own_limit = state.own_limit(service);
+        let State {
+            instances,
+            selector,
+            ..
+        } = &mut *state;
+        let views = instances.holders(&service.name, &shape.model);
+        let candidate = selector.choose_turn(shape, views, own_limit, now)?;
+        state.begin(candidate, service, shape, now)
     }
 
     /// Whether an instance of the service holds the model, or is about to.
@@ -325,7 +337,42 @@
     ) -> LimitNews {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.selector.heard_limit(instance, rate, asked_at, now)
+        let news = state.selector.heard_limit(instance, rate, asked_at, now);
+        drop(state);
+        if news == LimitNews::Lifted {
+            self.changed();
+        }
+        news
+    }
+
+    /// Takes over what the leader tells of limits; returns what is news.
+    pub(crate) fn told_limits(&self, words: &[LimitWord]) -> Vec<LimitWord> {
+        let now = self.clock.now();
+        let news = self.lock().selector.told_limits(words, now);
+        if news.iter().any(|word| word.rate.is_none()) {
+            self.changed();
+        }
+        news
+    }
+
+    /// What the leader has to be told of limits.
+    pub(crate) fn take_untold_limits(&self) -> Vec<LimitWord> {
+        let now = self.clock.now();
+        self.lock().selector.take_untold_limits(now)
+    }
+
+    /// What to do with a request for an instance, by its limit: see [`Selector::limit_step`].
+    pub(crate) fn limit_step(&self, instance: &RunnerId, patience: Millis, led: bool) -> LimitStep {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.selector.limit_step(instance, patience, led, now)
+    }
+
+    /// Notes the end of a question on an instance's limit, with the answer if it came.
+    pub(crate) fn asked_limit(&self, instance: &RunnerId, verdict: Option<LimitVerdict>) {
+        let now = self.clock.now();
+        self.lock().selector.asked_limit(instance, verdict, now);
+        self.changed();
     }
 
     /// The limit that an instance names.
@@ -401,7 +448,10 @@
 
     /// Notes that a leader's feed begins, which has to be told everything.
     pub(crate) fn begin_leader(&self) {
-        self.lock().reported = None;
+        let mut state = self.lock();
+        state.reported = None;
+        state.selector.tell_limits_anew();
+        drop(state);
         self.news.notify_one();
     }
 
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -4,8 +4,8 @@
 use crate::held_document::HeldDocument;
 use courseshunt_services::fed_instances::InstanceChanges;
 use courseshunt_services::{
-    FedInstances, InstanceState, InstanceView, PromptShape, Pushback, ReportMessage, RetryBudget,
-    RouteTable, Selector, Service,
+    Candidate, FedInstances, InstanceState, InstanceView, PromptShape, Pushback, ReportMessage,
+    RetryBudget, RouteTable, Selector, Service,
 };
 use courseshunt_types::{RunnerId, Timestamp};
 use std::collections::{BTreeMap, HashMap};
@@ -17,12 +17,16 @@
 const ADAPTER_TIME: Duration = Duration::from_millis(60);
 /// Time in which an instance answers one of the few requests that it gets after a rest, about.
 const RETURN_TIME: Duration = Duration::from_millis(60);
+/// Connections to one instance that are left to other callers, as a divisor.
+const CONNECTION_RESERVE: u32 = 8;
 /// When an instance is expected to take a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Expected {
     pub(crate) at: Instant,
     /// It asked for rest until then, or has just rested.
     pub(crate) pushed_back: bool,
+    /// Its limit allows a request then: a turn can be asked for.
+    pub(crate) in_turn: bool,
 }
 
 impl Expected {
@@ -30,6 +34,7 @@
         Self {
             at: Instant::now(),
             pushed_back: false,
+            in_turn: false,
         }
     }
 
@@ -37,6 +42,14 @@
         Self {
             at: Instant::now() + wait,
             pushed_back: true,
+            in_turn: false,
+        }
+    }
+
+    fn in_turn(wait: Duration) -> Self {
+        Self {
+            in_turn: true,
+            ..Self::pushed_back(wait)
         }
     }
 }
@@ -63,6 +76,27 @@
         self.table.as_ref().map_or(0, |table| table.number())
     }
 
+    /// Requests that this router may have under way at one instance.
+    pub(super) fn own_limit(&self, service: &Service) -> u32 {
+        let usable = service.max_connections - service.max_connections / CONNECTION_RESERVE;
+        (usable / self.routers).max(2)
+    }
+
+    /// Counts a request at the instance that was chosen for it.
+    pub(super) fn begin(
+        &mut self,
+        candidate: Candidate,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> Option<(Candidate, InstanceView)> {
+        self.selector.begin(&candidate, shape, now);
+        let view = self.instances.get(&candidate.instance)?.clone();
+        let tokens = candidate.uncached_tokens;
+        self.demand.sent(&service.name, shape, tokens);
+        Some((candidate, view))
+    }
+
     /// Instances that are fed as ready and said that they leave.
     pub(super) fn leaving_by_their_word(&self) -> Vec<RunnerId> {
         let said = self.selector.leaving();
@@ -91,6 +125,7 @@
                 None => Expected::at_once(),
                 Some(Pushback::Rest(left)) => Expected::pushed_back(left.into()),
                 Some(Pushback::Returns) => Expected::pushed_back(RETURN_TIME),
+                Some(Pushback::Limited(left)) => Expected::in_turn(left.into()),
                 Some(Pushback::Leaving) => continue,
             };
             let at = if view.holds(&shape.model, None) {
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -44,8 +44,10 @@
     pub has_models: bool,
     /// When an instance is expected to be there: with the model, and its rest over.
     pub expected: Option<Instant>,
-    /// Whether that instance asked for rest until then.
+    /// Whether that instance asked for rest until then, or takes no more until then by its limit.
     pub pushed_back: bool,
+    /// Whether its limit allows a request then: a turn can be asked for.
+    pub in_turn: bool,
 }
 
 /// The decision.
@@ -74,6 +76,18 @@
     }
 }
 
+/// How long a request may wait for its turn at an instance: until it would be answered late,
+/// or, where a refusal helps no more, as long as its client waits.
+pub fn patience(situation: &Situation, now: Instant) -> Duration {
+    let in_time = situation.arrived + situation.objective;
+    let refusal_helps = now <= situation.prompt() && !situation.returning;
+    let answered_by = match refusal_helps {
+        true => in_time.min(situation.end()),
+        false => situation.end(),
+    };
+    answered_by.saturating_duration_since(now + ANSWER_TIME)
+}
+
 /// How long a request waits that has come back: as long as its client does,
 /// where that makes sense.
 fn limit_returning(situation: &Situation, now: Instant) -> Instant {
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -1,6 +1,6 @@
 //! Whether a request waits or is given up, in a table.
 
-use courseshunt_gateway::waiting::{Situation, Waiting, decide};
+use courseshunt_gateway::waiting::{Situation, Waiting, decide, patience};
 use courseshunt_types::Millis;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -228,6 +228,7 @@
             has_models: case.has_models,
             expected: case.expected.map(|at| arrived + ms(at)),
             pushed_back: case.pushed_back,
+            in_turn: false,
         };
         let verdict = match decide(&situation, arrived + ms(case.now)) {
             Waiting::Until(until) => Ok((until - arrived).as_millis() as u64),
@@ -238,3 +239,32 @@
         assert_eq!(verdict, case.verdict, "{}", case.name);
     }
 }
+
+/// A request with an objective of a second and a deadline of five; how long it may wait for a
+/// turn, so long after its arrival.
+#[tokio::test]
+async fn a_turn_is_waited_for_as_long_as_the_answer_is_in_time() {
+    let arrived = Instant::now() + ms(60_000);
+    for (returning, now, waits) in [
+        (false, 0, 880),
+        (false, 200, 680),
+        // From here on a refusal helps no more: as long as its client waits.
+        (false, 201, 4_179),
+        (false, 4_450, 0),
+        (true, 0, 4_380),
+    ] {
+        let situation = Situation {
+            arrived,
+            deadline: arrived + ms(DEADLINE),
+            objective: ms(1_000),
+            patience: None,
+            returning,
+            has_models: true,
+            expected: None,
+            pushed_back: true,
+            in_turn: true,
+        };
+        let found = patience(&situation, arrived + ms(now));
+        assert_eq!(found, ms(waits), "{returning} {now}");
+    }
+}
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -9,6 +9,7 @@
 
 use crate::digest::InstanceDigests;
 use crate::instance::InstanceView;
+use crate::limit::{LimitAnswer, LimitAsk, LimitWord};
 use crate::quarantine::InstanceEnd;
 use crate::quota::{QuotaAnswer, QuotaAsk, TenantStanding, TenantUse};
 use courseshunt_types::{Digest, Millis, RunnerId, Zone};
@@ -168,6 +169,10 @@
     },
     /// Answers to a router's questions.
     QuotaAnswers(Vec<QuotaAnswer>),
+    /// Limits that instances name, and those that ended lately; what is left out is as it was.
+    Limits(Vec<LimitWord>),
+    /// Answers to a router's questions on such limits.
+    LimitAnswers(Vec<LimitAnswer>),
     /// Contents under which instances have ended; whole, in place of the last word.
     Quarantine {
         /// Contents that routers vouch for if they can.
@@ -234,6 +239,13 @@
     },
     /// Whether requests are within their tenants' limits.
     AskQuotas(Vec<QuotaAsk>),
+    /// What instances said of their limits, and whether requests are within them.
+    Limits {
+        /// What the leader was not told yet.
+        words: Vec<LimitWord>,
+        /// Questions.
+        asks: Vec<LimitAsk>,
+    },
     /// Asks for the parts in which the router's instances differ.
     Compare(InstanceDigests),
     /// What the router has seen of contents under which instances ended.
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -47,8 +47,9 @@
 };
 pub use instance::{InstanceState, InstanceView, Registration, ResidentModel, WeightCopies};
 pub use judge::{ConfigurationError, judge};
-pub use limit::RequestRate;
-pub use limit::local::{LimitNews, RouterLimits};
+pub use limit::ledger::LimitLedger;
+pub use limit::local::{LimitNews, LimitStep, RouterLimits};
+pub use limit::{LimitAnswer, LimitAsk, LimitVerdict, LimitWord, RequestRate};
 pub use placement::{
     InstanceReport, LoadEnd, LoadSource, Order, OrderAction, OrderEvidence, OrderOutcome,
     PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep, SetAside,
--- a/crates/services/src/limit/local.rs
+++ b/crates/services/src/limit/local.rs
@@ -1,14 +1,28 @@
-//! What a router knows of limits that instances name.
+//! What a router knows of limits that instances name, and what it sends without a leader.
 //!
 //! Invariant: an answer ends a limit only if its request was sent after the limit was last
 //! heard, so that an answer that was overtaken ends nothing.
 
-use super::RequestRate;
-use courseshunt_types::{RunnerId, Timestamp};
+use super::{LEAST_OWN_BURST, LIFTED_KEPT, LimitVerdict, LimitWord, RequestRate, account};
+use crate::token_bucket::TokenBucket;
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::collections::HashMap;
 
 /// Instances whose word is kept at the most; the oldest goes first.
 const MAX_KEPT: usize = 16_384;
+/// Questions on one instance that are under way at once: those of so long at its rate, and
+/// one at least. All that wait for the same moment would ask at once without it.
+const ASKED_AT_ONCE_S: f64 = 0.1;
+/// A question is answered within this time, about.
+const ANSWER_TIME: Millis = Millis(10);
+/// Shortest time for which a refusal is remembered.
+const LEAST_WAIT: Millis = Millis(10);
+/// Part of an equal part that a router without a leader sends: the leader may grant all of
+/// the limit to others meanwhile.
+const ALONE_PART: f64 = 0.5;
+/// From so many requests a second on, a router's own part is an account instead of turns:
+/// one request of each router is little beside it.
+const OWN_ACCOUNT_FROM: f64 = 1.0;
 
 /// What an answer changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,19 +35,168 @@
     Lifted,
 }
 
+/// What to do with a request that was chosen for an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LimitStep {
+    /// The instance names no limit.
+    Free,
+    /// To ask the leader, telling it this; to be ended with [`RouterLimits::asked`].
+    Ask(LimitWord),
+    /// To send it when its turn comes: the leader has granted it.
+    Granted {
+        /// Time until its turn.
+        after: Millis,
+    },
+    /// To send it when its turn comes: it is within this router's own part.
+    Alone {
+        /// Time until its turn.
+        after: Millis,
+    },
+    /// Not to send it there now.
+    Refuse {
+        /// Time after which it may be tried again.
+        fits_after: Millis,
+    },
+}
+
 #[derive(Debug)]
 struct Word {
-    rate: RequestRate,
+    /// None once the instance names no limit any more.
+    rate: Option<RequestRate>,
     named_at: Timestamp,
+    /// Whether the present leader knows.
+    told: bool,
+    /// Nothing is sent there before.
+    waits_until: Timestamp,
+    /// Questions under way.
+    asking: u32,
+    /// The last turn that was taken without a leader.
+    turn_at: Option<Timestamp>,
+    /// What is left of this router's own part.
+    own: Option<TokenBucket>,
+}
+
+impl Word {
+    fn new(rate: Option<RequestRate>, named_at: Timestamp, told: bool) -> Self {
+        Self {
+            rate,
+            named_at,
+            told,
+            waits_until: Timestamp::default(),
+            asking: 0,
+            turn_at: None,
+            own: None,
+        }
+    }
+
+    fn is_over(&self, now: Timestamp) -> bool {
+        self.rate.is_none() && self.asking == 0 && now.since(self.named_at) > LIFTED_KEPT
+    }
+
+    /// Time until a request fits into this router's own account; taken if it may wait so long.
+    fn account_wait(&mut self, part: f64, patience: Millis, now: Timestamp) -> Millis {
+        let full = account(part, LEAST_OWN_BURST, now);
+        let own = self.own.get_or_insert(full);
+        own.resize(full.rate(), full.capacity(), now);
+        let wait = own.time_until(1.0, now);
+        if wait <= patience {
+            own.charge(1.0, now);
+        }
+        wait
+    }
+
+    /// Time until this router's next turn; taken if the request may wait so long.
+    fn turn_wait(&mut self, rounds: &Rounds, patience: Millis, now: Timestamp) -> Millis {
+        let turn = rounds.next_turn(self.turn_at, now);
+        let wait = turn.since(now);
+        if wait <= patience {
+            self.turn_at = Some(turn);
+        }
+        wait
+    }
+
+    /// Whether as many questions are under way as may be at once.
+    fn asks_enough(&self) -> bool {
+        let rate = self.rate.map_or(f64::MAX, RequestRate::granted_per_second);
+        f64::from(self.asking) >= (rate * ASKED_AT_ONCE_S).max(1.0)
+    }
+
+    /// Takes over another limit than before.
+    fn change(&mut self, rate: Option<RequestRate>) {
+        self.rate = rate;
+        self.waits_until = Timestamp::default();
+        self.turn_at = None;
+        self.own = None;
+    }
+}
+
+/// Time without a leader: rounds, and in each a turn for each router. One request may be sent
+/// in a router's turn; what is not used is lost, so that routers that were idle don't all send
+/// at once.
+struct Rounds {
+    round_ms: f64,
+    turn_ms: f64,
+    /// Where this router's turns begin, as a part of a round.
+    phase: f64,
+}
+
+impl Rounds {
+    fn of(rate: RequestRate, routers: u32, phase: f64) -> Self {
+        let turn_ms = 1_000.0 / (rate.granted_per_second() * ALONE_PART);
+        Self {
+            round_ms: turn_ms * f64::from(routers),
+            turn_ms,
+            phase,
+        }
+    }
+
+    /// Number of the round in which a moment lies.
+    fn round_of(&self, at: Timestamp) -> f64 {
+        (at.0 as f64 / self.round_ms + self.phase).floor()
+    }
+
+    fn begin_of(&self, round: f64) -> f64 {
+        (round - self.phase) * self.round_ms
+    }
+
+    /// The next moment in a turn that is not taken.
+    fn next_turn(&self, taken: Option<Timestamp>, now: Timestamp) -> Timestamp {
+        let present = self.round_of(now);
+        let taken = taken.map(|at| self.round_of(at));
+        let in_turn = (now.0 as f64) < self.begin_of(present) + self.turn_ms;
+        if in_turn && taken.is_none_or(|taken| taken < present) {
+            return now;
+        }
+        let next = taken.map_or(present, |taken| taken.max(present)) + 1.0;
+        Timestamp(self.begin_of(next).ceil() as i64)
+    }
 }
 
 /// See the module.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RouterLimits {
     words: HashMap<RunnerId, Word>,
+    /// Where this router's turns lie among those of all routers, from 0 to 1.
+    phase: f64,
+    routers: u32,
 }
 
 impl RouterLimits {
+    /// No limit is known. `phase`, from 0 to 1, is this router's own.
+    #[must_use]
+    pub fn new(phase: f64) -> Self {
+        Self {
+            words: HashMap::new(),
+            phase,
+            routers: 1,
+        }
+    }
+
+    /// Takes over how many routers there are, this one included.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
     /// Takes note of what an answer says, or does not say, to a request that was sent at
     /// `asked_at`.
     pub fn heard(
@@ -43,31 +206,154 @@
         asked_at: Timestamp,
         now: Timestamp,
     ) -> LimitNews {
-        let Some(rate) = rate else {
-            let known = self.words.get(instance);
-            return match known.is_some_and(|word| asked_at >= word.named_at) {
-                true => {
-                    self.words.remove(instance);
-                    LimitNews::Lifted
+        let known = self.words.get_mut(instance);
+        match (known, rate) {
+            (None, None) => LimitNews::None,
+            (None, Some(rate)) => {
+                self.keep(instance, Word::new(Some(rate), now, false), now);
+                LimitNews::Named(rate)
+            }
+            (Some(word), Some(rate)) => {
+                word.named_at = now;
+                if word.rate == Some(rate) {
+                    return LimitNews::None;
                 }
-                false => LimitNews::None,
-            };
-        };
-        self.make_room(instance);
-        let word = Word {
-            rate,
-            named_at: now,
-        };
-        match self.words.insert(instance.clone(), word) {
-            Some(before) if before.rate == rate => LimitNews::None,
-            Some(_) | None => LimitNews::Named(rate),
+                word.change(Some(rate));
+                word.told = false;
+                LimitNews::Named(rate)
+            }
+            (Some(word), None) => {
+                if word.rate.is_none() || asked_at < word.named_at {
+                    return LimitNews::None;
+                }
+                word.change(None);
+                word.named_at = now;
+                word.told = false;
+                LimitNews::Lifted
+            }
+        }
+    }
+
+    /// Takes over what the leader tells that others heard later than this router; returns
+    /// the instances of which that is news.
+    pub fn told(&mut self, words: &[LimitWord], now: Timestamp) -> Vec<LimitWord> {
+        let mut news = Vec::new();
+        for told in words {
+            let named_at = now - told.age;
+            match self.words.get_mut(&told.instance) {
+                Some(word) if named_at <= word.named_at => continue,
+                Some(word) => {
+                    word.named_at = named_at;
+                    word.told = true;
+                    if word.rate == told.rate {
+                        continue;
+                    }
+                    word.change(told.rate);
+                }
+                None if told.rate.is_none() => continue,
+                None => self.keep(&told.instance, Word::new(told.rate, named_at, true), now),
+            }
+            news.push(told.clone());
+        }
+        news
+    }
+
+    /// What the leader has to be told.
+    pub fn take_untold(&mut self, now: Timestamp) -> Vec<LimitWord> {
+        let untold = self.words.iter_mut().filter(|(_, word)| !word.told);
+        let untold = untold.map(|(instance, word)| {
+            word.told = true;
+            word_of(instance, word, now)
+        });
+        untold.collect()
+    }
+
+    /// Another leader has to be told all.
+    pub fn tell_anew(&mut self) {
+        for word in self.words.values_mut() {
+            word.told = false;
         }
     }
 
     /// The limit that an instance names.
     #[must_use]
     pub fn limit_of(&self, instance: &RunnerId) -> Option<RequestRate> {
-        self.words.get(instance).map(|word| word.rate)
+        self.words.get(instance)?.rate
+    }
+
+    /// For how long an instance is surely not to be sent anything; none: it may be tried.
+    #[must_use]
+    pub fn has_no_room_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Millis> {
+        let word = self.words.get(instance)?;
+        word.rate?;
+        if now < word.waits_until {
+            return Some(word.waits_until.since(now));
+        }
+        word.asks_enough().then_some(ANSWER_TIME)
+    }
+
+    /// Whether a request may ask for a turn that comes later.
+    #[must_use]
+    pub fn may_ask_for_turn(&self, instance: &RunnerId) -> bool {
+        let word = self.words.get(instance);
+        word.is_none_or(|word| !word.asks_enough())
+    }
+
+    /// What to do with a request for an instance, which may wait so long for its turn. `led`
+    /// tells whether a leader can be asked.
+    pub fn step(
+        &mut self,
+        instance: &RunnerId,
+        patience: Millis,
+        led: bool,
+        now: Timestamp,
+    ) -> LimitStep {
+        if !led {
+            return self.step_alone(instance, patience, now);
+        }
+        match self.words.get_mut(instance) {
+            Some(word) if word.rate.is_some() => {
+                word.asking += 1;
+                LimitStep::Ask(word_of(instance, word, now))
+            }
+            Some(_) | None => LimitStep::Free,
+        }
+    }
+
+    /// Notes the end of a question, with the leader's answer if it came.
+    pub fn asked(&mut self, instance: &RunnerId, verdict: Option<LimitVerdict>, now: Timestamp) {
+        let Some(word) = self.words.get_mut(instance) else {
+            return;
+        };
+        word.asking = word.asking.saturating_sub(1);
+        if let Some(LimitVerdict::Refused { fits_after }) = verdict {
+            word.waits_until = now.surely_after(fits_after.max(LEAST_WAIT));
+        }
+    }
+
+    /// The same as [`Self::step`] without a leader.
+    pub fn step_alone(
+        &mut self,
+        instance: &RunnerId,
+        patience: Millis,
+        now: Timestamp,
+    ) -> LimitStep {
+        let (routers, phase) = (self.routers, self.phase);
+        let limited = self.words.get_mut(instance);
+        let limited = limited.and_then(|word| Some((word.rate?, word)));
+        let Some((rate, word)) = limited else {
+            return LimitStep::Free;
+        };
+        let part = rate.granted_per_second() * ALONE_PART / f64::from(routers);
+        let wait = match part >= OWN_ACCOUNT_FROM {
+            true => word.account_wait(part, patience, now),
+            false => word.turn_wait(&Rounds::of(rate, routers, phase), patience, now),
+        };
+        if wait <= patience {
+            return LimitStep::Alone { after: wait };
+        }
+        word.waits_until = now + wait.max(LEAST_WAIT);
+        LimitStep::Refuse { fits_after: wait }
     }
 
     /// Forgets instances that are gone.
@@ -75,13 +361,24 @@
         self.words.retain(|instance, _| exists(instance));
     }
 
-    fn make_room(&mut self, instance: &RunnerId) {
-        if self.words.len() < MAX_KEPT || self.words.contains_key(instance) {
-            return;
+    fn keep(&mut self, instance: &RunnerId, word: Word, now: Timestamp) {
+        if self.words.len() >= MAX_KEPT {
+            self.words.retain(|_, word| !word.is_over(now));
         }
-        let oldest = self.words.iter().min_by_key(|(_, word)| word.named_at);
-        if let Some(oldest) = oldest.map(|(instance, _)| instance.clone()) {
-            self.words.remove(&oldest);
+        if self.words.len() >= MAX_KEPT {
+            let oldest = self.words.iter().min_by_key(|(_, word)| word.named_at);
+            if let Some(oldest) = oldest.map(|(instance, _)| instance.clone()) {
+                self.words.remove(&oldest);
+            }
         }
+        self.words.insert(instance.clone(), word);
+    }
+}
+
+fn word_of(instance: &RunnerId, word: &Word, now: Timestamp) -> LimitWord {
+    LimitWord {
+        instance: instance.clone(),
+        rate: word.rate,
+        age: now.since(word.named_at),
     }
 }
--- a/crates/services/src/selection/mod.rs
+++ b/crates/services/src/selection/mod.rs
@@ -16,8 +16,8 @@
 mod pushback;
 
 use crate::instance::{InstanceState, InstanceView};
-use crate::limit::RequestRate;
-use crate::limit::local::{LimitNews, RouterLimits};
+use crate::limit::local::{LimitNews, LimitStep, RouterLimits};
+use crate::limit::{LimitVerdict, LimitWord, RequestRate};
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
 use local::{Choice, Local};
 use prefixes::PrefixKey;
@@ -51,6 +51,15 @@
 /// Bounds of an instance's measured slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 20.0);
 
+/// Which instances may be chosen by their own word.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    /// Those that may be sent a request now.
+    Now,
+    /// Those, too, whose limit allows one later.
+    LaterTurn,
+}
+
 /// What speaks for and against a choice.
 struct Score {
     /// Predicted cost, in milliseconds; the least is chosen.
@@ -105,7 +114,7 @@
             locals: HashMap::new(),
             routers: 1,
             pushbacks: Pushbacks::default(),
-            limits: RouterLimits::default(),
+            limits: RouterLimits::new(0.0),
             choices: 0,
         }
     }
@@ -113,12 +122,20 @@
     /// Gives this router's draws a seed of their own.
     #[must_use]
     pub fn seeded(self, seed: u64) -> Self {
-        Self { seed, ..self }
+        // Draws need not be even: this only sets the turns of routers apart.
+        let phase = seed as f64 / u64::MAX as f64;
+        let limits = RouterLimits::new(phase);
+        Self {
+            seed,
+            limits,
+            ..self
+        }
     }
 
     /// Takes over how many routers choose among the same instances, this one included.
     pub fn set_routers(&mut self, routers: u32) {
         self.routers = routers;
+        self.limits.set_routers(routers);
     }
 
     /// Takes over what all routers use, this one included: what it has under way
@@ -173,6 +190,29 @@
         avoid: &[RunnerId],
         own_limit: u32,
         now: Timestamp,
+    ) -> Option<Candidate> {
+        self.choose_by(shape, views, avoid, own_limit, Gate::Now, now)
+    }
+
+    /// The same among instances, too, that take a request only in a later turn by their limit.
+    pub fn choose_turn<'a>(
+        &mut self,
+        shape: &PromptShape,
+        views: impl Iterator<Item = &'a InstanceView>,
+        own_limit: u32,
+        now: Timestamp,
+    ) -> Option<Candidate> {
+        self.choose_by(shape, views, &[], own_limit, Gate::LaterTurn, now)
+    }
+
+    fn choose_by<'a>(
+        &mut self,
+        shape: &PromptShape,
+        views: impl Iterator<Item = &'a InstanceView>,
+        avoid: &[RunnerId],
+        own_limit: u32,
+        gate: Gate,
+        now: Timestamp,
     ) -> Option<Candidate> {
         let keys = shape.prefix_keys();
         let home_key = shape.home_key(&keys);
@@ -183,7 +223,7 @@
                 shape.model.is_empty() || view.holds(&shape.model, shape.adapter.as_deref())
             })
             // The one gate of all that is sent: first sends, repeats, requests that waited.
-            .filter(|view| self.pushback(view, now).is_none())
+            .filter(|view| self.is_open(view, gate, now))
             .map(|view| Choice {
                 view,
                 local: self.locals.get(&view.id),
@@ -401,6 +441,43 @@
         self.limits.heard(instance, rate, asked_at, now)
     }
 
+    /// Takes over what the leader tells of limits; returns what is news.
+    pub fn told_limits(&mut self, words: &[LimitWord], now: Timestamp) -> Vec<LimitWord> {
+        self.limits.told(words, now)
+    }
+
+    /// What the leader has to be told of limits.
+    pub fn take_untold_limits(&mut self, now: Timestamp) -> Vec<LimitWord> {
+        self.limits.take_untold(now)
+    }
+
+    /// Another leader has to be told all limits.
+    pub fn tell_limits_anew(&mut self) {
+        self.limits.tell_anew();
+    }
+
+    /// What to do with a request for an instance, which may wait so long for its turn there.
+    /// `led` tells whether a leader can be asked.
+    pub fn limit_step(
+        &mut self,
+        instance: &RunnerId,
+        patience: Millis,
+        led: bool,
+        now: Timestamp,
+    ) -> LimitStep {
+        self.limits.step(instance, patience, led, now)
+    }
+
+    /// Notes the end of a question on an instance's limit, with the answer if it came.
+    pub fn asked_limit(
+        &mut self,
+        instance: &RunnerId,
+        verdict: Option<LimitVerdict>,
+        now: Timestamp,
+    ) {
+        self.limits.asked(instance, verdict, now);
+    }
+
     /// The limit that an instance names.
     #[must_use]
     pub fn limit_of(&self, instance: &RunnerId) -> Option<RequestRate> {
@@ -427,8 +504,22 @@
     #[must_use]
     pub fn pushback(&self, view: &InstanceView, now: Timestamp) -> Option<Pushback> {
         let share = view.slots / self.routers.max(1);
-        self.pushbacks
-            .of(&view.id, usize::try_from(share).unwrap_or(usize::MAX), now)
+        let share = usize::try_from(share).unwrap_or(usize::MAX);
+        let asked_for = self.pushbacks.of(&view.id, share, now);
+        asked_for.or_else(|| {
+            let wait = self.limits.has_no_room_for(&view.id, now);
+            wait.map(Pushback::Limited)
+        })
+    }
+
+    fn is_open(&self, view: &InstanceView, gate: Gate, now: Timestamp) -> bool {
+        match self.pushback(view, now) {
+            None => true,
+            Some(Pushback::Limited(_)) => {
+                gate == Gate::LaterTurn && self.limits.may_ask_for_turn(&view.id)
+            }
+            Some(_) => false,
+        }
     }
 
     /// Leaves an instance out for a while after it could not be reached: the
--- a/crates/services/src/selection/pushback.rs
+++ b/crates/services/src/selection/pushback.rs
@@ -27,6 +27,8 @@
     Rest(Millis),
     /// Its rest is over, and it has as many requests as it gets at once at first.
     Returns,
+    /// To be sent nothing for so long: its limit is used up.
+    Limited(Millis),
     /// To be sent nothing any more.
     Leaving,
 }
@@ -38,6 +40,7 @@
         match self {
             Self::Rest(_) => "rest",
             Self::Returns => "returns",
+            Self::Limited(_) => "limited",
             Self::Leaving => "leaving",
         }
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,7 +5,7 @@
 use crate::message::Message;
 
 /// Version of the protocol; another version closes the connection.
-pub const PROTOCOL_VERSION: u8 = 5;
+pub const PROTOCOL_VERSION: u8 = 6;
 /// Longest content of a frame, in bytes, packed or not.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 /// Longest command of the replicated log, in bytes: an entry that fits no message would be
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -108,6 +108,8 @@
         FeedMessage::Usage { .. }
         | FeedMessage::Quotas { .. }
         | FeedMessage::QuotaAnswers(_)
+        | FeedMessage::Limits(_)
+        | FeedMessage::LimitAnswers(_)
         | FeedMessage::Quarantine { .. } => 16,
         FeedMessage::NoFeed
         | FeedMessage::Awaiting
