--- a/crates/state/tests/stored_forms.rs
+++ b/crates/state/tests/stored_forms.rs
@@ -28,6 +28,36 @@
     assert_eq!(again, state);
 }
 
+/// Snapshots and an entry that production's build (e7d00e2) wrote.
+const PRODUCTION: &[u8] = include_bytes!("forms/snapshot-production");
+const PRODUCTION_EMPTY: &[u8] = include_bytes!("forms/snapshot-production-empty");
+const PRODUCTION_LEAVING: &[u8] = include_bytes!("forms/entry-production-leaving");
+
+/// Each controller that was replaced ended on its own disk: form 0 can't be read.
+#[test]
+fn a_snapshot_of_productions_build_is_read() {
+    let state = ReplicatedState::from_snapshot(PRODUCTION).expect("a snapshot");
+    assert_eq!(state.applied, LogIndex(6));
+    let services = &state.services;
+    assert_eq!(
+        (services.number, services.document.as_slice()),
+        (3, b"document".as_slice())
+    );
+    assert!(services.instances[&RunnerId::from("a")].holds("m", Some("x")));
+    assert!(services.is_recorded(&RunnerId::from("b"), true));
+    assert_eq!(services.orders_holder, Some(ControllerId(9)));
+    assert_eq!(state.members[&ControllerId(7)], "10.0.0.7:7340");
+    assert!(services.quarantined.is_empty());
+    let empty = ReplicatedState::from_snapshot(PRODUCTION_EMPTY).expect("a snapshot");
+    assert_eq!(empty, ReplicatedState::default());
+    let leaving = CommandEnvelope::from_payload(PRODUCTION_LEAVING).expect("a command");
+    let expected = Command::RecordLeaving {
+        instance: RunnerId::from("b"),
+        ended: true,
+    };
+    assert_eq!(leaving.command, expected);
+}
+
 #[test]
 fn an_entry_of_the_log_is_read() {
     let envelope = CommandEnvelope::from_payload(ENTRY).expect("a command");
