--- a/crates/state/src/stored.rs
+++ b/crates/state/src/stored/mod.rs
@@ -1,21 +1,26 @@
 //! The forms in which the state and its commands are stored.
 //!
 //! Invariant: what an earlier build stored is read, or refused with the form's number; it is
-//! never taken for something else. A snapshot begins with a mark and the number of its form. A
+//! never taken for something else. A snapshot begins with a mark and the number of its form, but
+//! for that of production's build, which is written for as long as it holds all that there is. A
 //! change of what the state holds takes the next number, and keeps the type of the form before
 //! to read that one. Commands carry no number: new ones go to the end of their list.
 
+mod production;
+
 use crate::command::CommandEnvelope;
 use crate::state::ReplicatedState;
+use production::ProductionState;
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 
 /// How a snapshot begins. Nothing that was stored before forms were marked begins so: that
 /// begins with text, and no text holds the outer bytes.
 const MARK: [u8; 8] = *b"\xffcshunt\xfe";
-/// Snapshots without a mark.
+/// Snapshots without a mark: those of production's build, and a form in between, which
+/// holds the same as the present one.
 const UNMARKED: u32 = 0;
-/// The form that is written; the unmarked one holds the same.
+/// The form that is written where the state holds what production's form has no place for.
 const PRESENT: u32 = 1;
 
 /// A snapshot or a command that can't be read.
@@ -44,9 +49,13 @@
 }
 
 impl ReplicatedState {
-    /// The state as snapshot bytes.
+    /// The state as snapshot bytes: in production's form for as long as the state holds nothing
+    /// that this form has no place for, so that an operator can go back to that build.
     #[must_use]
     pub fn to_snapshot(&self) -> Vec<u8> {
+        if self.services.quarantined.is_empty() {
+            return self.to_production_snapshot();
+        }
         let Ok(content) = rkyv::to_bytes::<rancor::Error>(self) else {
             return Vec::new();
         };
@@ -54,6 +63,16 @@
         [MARK.as_slice(), form.as_slice(), content.as_slice()].concat()
     }
 
+    /// The state as production's build keeps it, for a group in which one may have to read it.
+    /// What that build knows nothing of is left out: what is in quarantine.
+    #[must_use]
+    pub fn to_production_snapshot(&self) -> Vec<u8> {
+        let state = ProductionState::from(self.clone());
+        rkyv::to_bytes::<rancor::Error>(&state)
+            .map(|bytes| bytes.to_vec())
+            .unwrap_or_default()
+    }
+
     /// The state from snapshot bytes.
     ///
     /// # Errors
@@ -63,10 +82,46 @@
         if form > PRESENT {
             return NewerSnafu { form }.fail();
         }
-        rkyv::from_bytes::<Self, rancor::Error>(&aligned(content)).map_err(|error| {
-            let message = error.to_string();
-            SnapshotError::Unreadable { form, message }
-        })
+        let read = rkyv::from_bytes::<Self, rancor::Error>(&aligned(content));
+        let read = read.map_err(|error| SnapshotError::Unreadable {
+            form,
+            message: error.to_string(),
+        });
+        match form {
+            UNMARKED => read_unmarked(content, read),
+            _ => read,
+        }
+    }
+}
+
+/// The state out of a snapshot without a mark, of which `between` is what it is in the form in
+/// between. Which form it has shows by writing it again: only in its own form the same bytes come of it.
+fn read_unmarked(
+    content: &[u8],
+    between: Result<ReplicatedState, SnapshotError>,
+) -> Result<ReplicatedState, SnapshotError> {
+    let is_between = between.as_ref().is_ok_and(|state| {
+        let again = rkyv::to_bytes::<rancor::Error>(state);
+        again.is_ok_and(|again| again.as_slice() == content)
+    });
+    if is_between {
+        return between;
+    }
+    let Ok(production) = rkyv::from_bytes::<ProductionState, rancor::Error>(&aligned(content))
+    else {
+        return between;
+    };
+    let state = ReplicatedState::from(production);
+    match state.to_production_snapshot() == content {
+        true => Ok(state),
+        false => between.and_then(|_| {
+            let message = "it is none of the forms without a mark".to_owned();
+            UnreadableSnafu {
+                form: UNMARKED,
+                message,
+            }
+            .fail()
+        }),
     }
 }
 
--- /dev/null
+++ b/crates/state/src/stored/production.rs
@@ -0,0 +1,96 @@
+//! The form in which production's build keeps the state, as it is on disk: never changed.
+//!
+//! Types that have not changed since are the present ones.
+
+use crate::claims::Claims;
+use crate::configuration::Configuration;
+use crate::drains::Drains;
+use crate::jobs::Jobs;
+use crate::members::MemberAddresses;
+use crate::placement::Placement;
+use crate::services::{LeavingInstance, Services};
+use crate::session::Sessions;
+use crate::state::ReplicatedState;
+use courseshunt_services::InstanceView;
+use courseshunt_types::{ControllerId, LogIndex, RunnerId, UnixMillis};
+use std::collections::{BTreeMap, VecDeque};
+
+/// See [`ReplicatedState`].
+#[derive(rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub(super) struct ProductionState {
+    applied: LogIndex,
+    time: UnixMillis,
+    configuration: Configuration,
+    placement: Placement,
+    placement_changed_at: LogIndex,
+    claims: Claims,
+    jobs: Jobs,
+    drains: Drains,
+    sessions: Sessions,
+    members: MemberAddresses,
+    services: ProductionServices,
+}
+
+/// See [`Services`]; nothing is in quarantine.
+#[derive(rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+struct ProductionServices {
+    number: u64,
+    document: Vec<u8>,
+    leaving: VecDeque<LeavingInstance>,
+    leaving_version: u64,
+    instances: BTreeMap<RunnerId, InstanceView>,
+    orders_holder: Option<ControllerId>,
+}
+
+impl From<ProductionState> for ReplicatedState {
+    fn from(state: ProductionState) -> Self {
+        let services = state.services;
+        Self {
+            applied: state.applied,
+            time: state.time,
+            configuration: state.configuration,
+            placement: state.placement,
+            placement_changed_at: state.placement_changed_at,
+            claims: state.claims,
+            jobs: state.jobs,
+            drains: state.drains,
+            sessions: state.sessions,
+            members: state.members,
+            services: Services {
+                number: services.number,
+                document: services.document,
+                leaving: services.leaving,
+                leaving_version: services.leaving_version,
+                instances: services.instances,
+                orders_holder: services.orders_holder,
+                quarantined: Vec::new(),
+            },
+        }
+    }
+}
+
+impl From<ReplicatedState> for ProductionState {
+    fn from(state: ReplicatedState) -> Self {
+        let services = state.services;
+        Self {
+            applied: state.applied,
+            time: state.time,
+            configuration: state.configuration,
+            placement: state.placement,
+            placement_changed_at: state.placement_changed_at,
+            claims: state.claims,
+            jobs: state.jobs,
+            drains: state.drains,
+            sessions: state.sessions,
+            members: state.members,
+            services: ProductionServices {
+                number: services.number,
+                document: services.document,
+                leaving: services.leaving,
+                leaving_version: services.leaving_version,
+                instances: services.instances,
+                orders_holder: services.orders_holder,
+            },
+        }
+    }
+}
--- a/crates/state/tests/stored_forms.rs
+++ b/crates/state/tests/stored_forms.rs
@@ -73,7 +73,9 @@
 
 #[test]
 fn a_form_of_a_later_build_is_told_by_its_number() {
-    let mut bytes = ReplicatedState::default().to_snapshot();
+    // Only a state that production's form has no place for is written with a mark.
+    let state = ReplicatedState::from_snapshot(UNMARKED).expect("a snapshot");
+    let mut bytes = state.to_snapshot();
     let form = bytes.iter().position(|byte| *byte == 0xfe).expect("a mark") + 1;
     bytes[form] = 200;
     let refused = ReplicatedState::from_snapshot(&bytes);
@@ -85,10 +87,35 @@
 
 #[test]
 fn damaged_bytes_are_no_state() {
-    let whole = ReplicatedState::default().to_snapshot();
-    for length in [0, 1, 7, 11, 12, whole.len() - 1] {
-        let read = ReplicatedState::from_snapshot(&whole[..length]);
+    let marked = ReplicatedState::from_snapshot(UNMARKED).expect("a snapshot");
+    for whole in [
+        marked.to_snapshot(),
+        ReplicatedState::default().to_snapshot(),
+    ] {
+        for length in [0, 1, 7, 11, 12, whole.len() - 1] {
+            let read = ReplicatedState::from_snapshot(&whole[..length]);
+            assert!(read.is_err(), "{length} bytes");
+        }
+    }
+    for length in 0..PRODUCTION.len() {
+        let read = ReplicatedState::from_snapshot(&PRODUCTION[..length]);
         assert!(read.is_err(), "{length} bytes");
     }
     assert!(CommandEnvelope::from_payload(&ENTRY[..8]).is_err());
 }
+
+/// In a group of both builds each has to read what the other keeps.
+#[test]
+fn what_is_written_for_productions_build_is_what_it_writes_itself() {
+    for written in [PRODUCTION, PRODUCTION_EMPTY] {
+        let state = ReplicatedState::from_snapshot(written).expect("a snapshot");
+        assert_eq!(state.to_production_snapshot(), written);
+    }
+    let mut state = ReplicatedState::from_snapshot(UNMARKED).expect("a snapshot");
+    let bytes = state.to_production_snapshot();
+    state.services.quarantined.clear();
+    assert_eq!(
+        ReplicatedState::from_snapshot(&bytes).expect("a snapshot"),
+        state
+    );
+}
