Production's build and this one speak with each other, group and feeds

What callers saw, during upgrades: requests reached an instance more than two seconds after a controller had acknowledged that it leaves (DRAIN); whole requests got neither an answer nor a refusal from routers that were stopped as planned (LOST).

Cause: frames carry a version, and another one closed the connection. A router of the build that doesn't lead had no feed (feed_age_ms 15,728 and 47,040 at the routers in question, configuration 30 where 49 was in force; new routers none for 10 s), so that older ones sent requests to what had left or held the model no more; such a request waited, turned away, until its router ended. Ruled out: a leader that doesn't tell (new routers were told), the older router's stop alone (it ends waiting requests without an answer; that runs and can't be mended, but none is left waiting for a model that it knows nothing of where it is fed).

Change: a process tells the version that it speaks before its identity in the handshake; that build passes over the bytes. With a peer that tells none, frames are those of version 2: types frozen and translated in one place (wire::earlier), nothing else knows them. What that build has no word for is not sent. Between equals nothing changes on the wire after the handshake (32 bytes more there, no round trip). Members of that build are met at their wire port and served there. Its routers are fed by every controller, and told by a list which instances are gone; routers of this build follow a leader of that one directly, since its followers have no feed, and are told by a controller that has none where the leader is.

Ways: translate at the edge (taken); a self-describing codec (costs bytes and time for each message between equals, and doesn't help with a build that knows none); two ports (a third listener for each process).

--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -7,7 +7,10 @@
 
 use courseshunt_state::members::MemberAddresses;
 use courseshunt_types::ControllerId;
-use std::collections::BTreeMap;
+use courseshunt_wire::{
+    ClusterKey, Connection, PROTOCOL_VERSION, PeerIdentity, WireError, connect_within,
+};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
@@ -32,6 +35,8 @@
     addresses: Arc<RwLock<BTreeMap<ControllerId, SocketAddr>>>,
     heard: Arc<Mutex<BTreeMap<ControllerId, Arc<Notify>>>>,
     strangers: Arc<Mutex<BTreeMap<SocketAddr, Stranger>>>,
+    /// Version of the protocol in which each member was last spoken with.
+    versions: Arc<Mutex<BTreeMap<ControllerId, u8>>>,
     source: Option<IpAddr>,
     /// Port on which members listen for each other, where it is another than that of their
     /// addresses.
@@ -65,6 +70,49 @@
         SocketAddr::new(address.ip(), port)
     }
 
+    /// Notes the version of the protocol in which a member speaks; returns whether that is new.
+    pub fn speaks(&self, member: ControllerId, version: u8) -> bool {
+        let versions = self.versions.lock();
+        let mut versions = versions.unwrap_or_else(PoisonError::into_inner);
+        versions.insert(member, version) != Some(version)
+    }
+
+    /// Whether these members, this one included, are all known to be of the present build: none
+    /// has to read what production's build can read alone.
+    #[must_use]
+    pub fn all_speak_present(&self, members: &BTreeSet<ControllerId>) -> bool {
+        let versions = self.versions.lock();
+        let versions = versions.unwrap_or_else(PoisonError::into_inner);
+        let present = |member| versions.get(member) == Some(&PROTOCOL_VERSION);
+        let unknown = members.iter().filter(|member| !present(member));
+        // It speaks with itself by no connection.
+        unknown.count() <= 1
+    }
+
+    /// Connects to the member that stands under `address`. Members of production's build have
+    /// no port of their own for each other: they are met at the address itself.
+    ///
+    /// # Errors
+    /// When it can't be reached, is silent, or does not know the key.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        key: &ClusterKey,
+        identity: &PeerIdentity,
+    ) -> Result<Connection, WireError> {
+        let dialled = self.dialled(address);
+        let connected = connect_within(limit, self.source, dialled, key, identity).await;
+        if dialled == address || !is_refused(&connected) {
+            return connected;
+        }
+        let earlier = connect_within(limit, self.source, address, key, identity).await;
+        match earlier {
+            Ok(connection) if connection.is_earlier() => Ok(connection),
+            _ => connected,
+        }
+    }
+
     /// Where this member dials from.
     #[must_use]
     pub fn source(&self) -> Option<IpAddr> {
@@ -141,3 +189,11 @@
             .copied()
     }
 }
+
+fn is_refused(connected: &Result<Connection, WireError>) -> bool {
+    let error = connected.as_ref().err();
+    error.is_some_and(|error| match error {
+        WireError::Io { source, .. } => source.kind() == std::io::ErrorKind::ConnectionRefused,
+        WireError::Protocol { .. } | WireError::TimedOut { .. } => false,
+    })
+}
--- a/crates/controller/src/peers/link.rs
+++ b/crates/controller/src/peers/link.rs
@@ -6,7 +6,6 @@
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{
     ClusterKey, Connection, DialLimit, Message, PeerIdentity, Receiver, Sender, WireError,
-    connect_within,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -146,6 +145,10 @@
             self.met(address, &connection.peer);
             return Ok(());
         }
+        if self.addresses.speaks(self.to, connection.version) {
+            let version = connection.version;
+            log::info!("peers: controller {} speaks protocol {version}", self.to);
+        }
         log::info!("peers: connected to controller {}", self.to);
         let Connection {
             sender, receiver, ..
@@ -168,10 +171,11 @@
     }
 
     async fn dial(&self, address: SocketAddr, limit: &DialLimit) -> Result<Connection, WireError> {
-        let source = self.addresses.source();
-        let address = self.addresses.dialled(address);
         let limit = limit.present();
-        connect_within(limit, source, address, &self.key, &self.identity).await
+        let connecting = self
+            .addresses
+            .connect(address, limit, &self.key, &self.identity);
+        connecting.await
     }
 
     async fn receive_all(&self, mut receiver: Receiver) -> Result<(), WireError> {
--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -294,7 +294,12 @@
         }
         let metadata = self.core.snapshot_metadata();
         let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
-        let bytes = Arc::new(state.to_snapshot());
+        let members = self.core.membership().all();
+        let bytes = match self.peers.addresses().all_speak_present(&members) {
+            true => state.to_snapshot(),
+            false => state.to_production_snapshot(),
+        };
+        let bytes = Arc::new(bytes);
         drop(state);
         self.write(WriteRequest::Snapshot { metadata, bytes });
     }
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -6,7 +6,7 @@
 use crate::records::ControllerRecord;
 use crate::router_book::Way;
 use crate::sessions::{SESSION_QUEUE, Session};
-use crate::{Shared, accept, places, relay, reports};
+use crate::{Shared, accept, member_thread, places, relay, reports};
 use courseshunt_records::emit;
 use courseshunt_services::{
     FeedMessage, InstanceDigests, RelayedReport, ReportMessage, RouterNews,
@@ -40,6 +40,10 @@
     let connection = courseshunt_wire::accept(stream, address, &shared.key, &identity).await;
     let ended = match connection {
         Ok(connection) => match connection.peer.clone() {
+            // Members of production's build have no port of their own for each other.
+            PeerIdentity::Controller(_) if connection.is_earlier() => {
+                member_thread::serve_member(connection, address, &shared).await
+            }
             PeerIdentity::Controller(peer) => {
                 // All controllers listen on the same ports.
                 let address = SocketAddr::new(address.ip(), shared.settings.wire_port);
@@ -70,6 +74,7 @@
     number: u64,
     shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
+    let is_earlier = connection.is_earlier();
     let Connection {
         mut sender,
         mut receiver,
@@ -87,17 +92,21 @@
     let feeds = tokio::select! {
         biased;
         feeds = holds_soon(&shared.feeding, FEED_WAIT) => feeds,
+        // A leader of production's build feeds routers alone, and this router directly.
+        () = shared.upstream.until_leader_is_earlier() => *shared.feeding.borrow(),
         // Another controller may feed it: to wait here costs its callers the newest word.
         () = shared.replica.until_quorum_lost() => *shared.feeding.borrow(),
     };
     if !feeds {
-        return send(&mut sender, FeedMessage::NoFeed).await;
+        let leader = shared.leader_address().map(|address| address.to_string());
+        return send(&mut sender, FeedMessage::NoFeed { leader }).await;
     }
     let (queue, messages) = mpsc::channel(SESSION_QUEUE);
     let session = Session {
         number,
         queue,
         configuration,
+        is_earlier,
     };
     let gone = unknown_leaving(shared);
     shared.sessions.open_router(&router, session, &known, gone);
@@ -110,6 +119,7 @@
     emit(&ControllerRecord::RouterFollows {
         router: &router,
         configuration,
+        is_earlier,
     });
     let ended = tokio::select! {
         () = shared.stop.cancelled() => Ok(()),
@@ -214,7 +224,8 @@
     shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
     if !holds_soon(&shared.leading, LEADER_WAIT).await {
-        return send(&mut sender, FeedMessage::NoFeed).await;
+        let leader = shared.leader_address().map(|address| address.to_string());
+        return send(&mut sender, FeedMessage::NoFeed { leader }).await;
     }
     let connection = rand::random();
     let (queue, messages) = mpsc::channel(SESSION_QUEUE);
--- a/crates/coordinator/src/join.rs
+++ b/crates/coordinator/src/join.rs
@@ -6,7 +6,7 @@
 use courseshunt_membership::{JoinReply, Joiner, JoinerView};
 use courseshunt_records::emit;
 use courseshunt_types::ControllerId;
-use courseshunt_wire::{Connection, Message, PeerIdentity, connect_from};
+use courseshunt_wire::{Connection, Message, PeerIdentity};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -118,9 +118,10 @@
 
 async fn question(shared: &Shared, address: SocketAddr) -> Option<JoinReply> {
     let identity = PeerIdentity::Controller(shared.id);
-    let source = Some(shared.settings.address);
-    let address = shared.addresses.dialled(address);
-    let connection = connect_from(source, address, &shared.key, &identity).await;
+    let connecting = shared
+        .addresses
+        .connect(address, QUESTION_LIMIT, &shared.key, &identity);
+    let connection = connecting.await;
     let Connection {
         mut sender,
         mut receiver,
--- a/crates/coordinator/src/member_thread.rs
+++ b/crates/coordinator/src/member_thread.rs
@@ -9,6 +9,7 @@
 use crate::error::{CoordinatorError, ThreadSnafu};
 use crate::join;
 use crate::records::ControllerRecord;
+use crate::relay;
 use crate::{Shared, accept};
 use courseshunt_controller::peers::{REPLY_QUEUE, send_replies, serve_replica};
 use courseshunt_records::emit;
@@ -60,7 +61,7 @@
     }
 }
 
-async fn serve_member(
+pub(crate) async fn serve_member(
     connection: Connection,
     address: SocketAddr,
     shared: &Arc<Shared>,
@@ -69,6 +70,7 @@
         sender,
         receiver,
         peer,
+        version,
     } = connection;
     let PeerIdentity::Controller(peer) = peer else {
         log::warn!("members: {peer} connected where only members do");
@@ -77,6 +79,7 @@
     // All members listen on the same ports.
     let wire_address = SocketAddr::new(address.ip(), shared.settings.wire_port);
     shared.addresses.set(peer, wire_address);
+    shared.addresses.speaks(peer, version);
     shared.addresses.heard_from(peer);
     let (replies, reply_queue) = mpsc::channel(REPLY_QUEUE);
     tokio::select! {
@@ -101,6 +104,11 @@
                 let answer = take_in(member, &wire_address, shared).await;
                 let _ = replies.send(answer).await;
             }
+            // Production's build sends them by the same connection.
+            Some(Message::Registrations(batch)) => {
+                let answer = relay::take(batch, peer, shared);
+                let _ = replies.send(answer).await;
+            }
             Some(other) => log::warn!("members: controller {peer} sent {other:?}"),
             None => {}
         }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -67,7 +67,12 @@
         below_full_ms: u64,
     },
     /// A router follows the feed.
-    RouterFollows { router: &'a str, configuration: u64 },
+    RouterFollows {
+        router: &'a str,
+        configuration: u64,
+        /// Whether it is of production's build.
+        is_earlier: bool,
+    },
     /// A router's feed has ended.
     RouterLost { router: &'a str },
     /// A controller follows the feed of this one, which leads.
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -26,6 +26,9 @@
     pub(crate) queue: mpsc::Sender<Arc<Frame>>,
     /// Configuration that the router has or is being sent.
     pub(crate) configuration: u64,
+    /// Whether the router is of production's build: it knows no parts and no digests, and is
+    /// told by the list of all instances which are gone.
+    pub(crate) is_earlier: bool,
 }
 
 /// Followers, and what they are sent.
@@ -123,6 +126,11 @@
         for frame in self.fed().opening(known, gone) {
             let _ = session.queue.try_send(frame);
         }
+        if session.is_earlier
+            && let Some(frame) = self.live().and_then(encode)
+        {
+            let _ = session.queue.try_send(frame);
+        }
         if session.configure(&mut self.configuration()) {
             self.followers().routers.insert(name.to_owned(), session);
         }
@@ -212,6 +220,24 @@
         if let Some(digests) = digests {
             self.broadcast_to_routers(FeedMessage::Digests(digests));
         }
+        self.tell_live();
+    }
+
+    /// All instances that are there, once that is known.
+    fn live(&self) -> Option<FeedMessage> {
+        let fed = self.fed();
+        let settled = fed.leadership.is_some_and(|one| one.settled);
+        settled.then(|| FeedMessage::Live(fed.instances.ids().cloned().collect()))
+    }
+
+    /// Tells routers of production's build which instances are there.
+    fn tell_live(&self) {
+        let Some(frame) = self.live().and_then(encode) else {
+            return;
+        };
+        self.followers().routers.retain(|_, session| {
+            !session.is_earlier || session.queue.try_send(frame.clone()).is_ok()
+        });
     }
 
     /// Sends a router the parts in which what it knows differs.
@@ -329,11 +355,11 @@
         self.followers().controllers.clear();
     }
 
-    /// Tells routers that there is no feed here any more, and ends their sessions; returns
-    /// how many there were.
-    pub(crate) fn let_routers_go(&self) -> usize {
+    /// Tells routers that there is no feed here any more, and where the leader is if that is
+    /// known; ends their sessions, and returns how many there were.
+    pub(crate) fn let_routers_go(&self, leader: Option<String>) -> usize {
         let routers = std::mem::take(&mut self.followers().routers);
-        if let Some(frame) = encode(FeedMessage::NoFeed) {
+        if let Some(frame) = encode(FeedMessage::NoFeed { leader }) {
             for session in routers.values() {
                 // A full queue: the end of the connection tells it.
                 let _ = session.queue.try_send(frame.clone());
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// A feed on which nothing came for so long is given up: routers notice a leader's silence
@@ -44,6 +44,8 @@
 pub(crate) struct Upstream {
     waiting: Mutex<Waiting>,
     wake: Notify,
+    /// Whether the present leader is of production's build.
+    leader_is_earlier: watch::Sender<bool>,
     /// How the last try ended, as it was recorded.
     told_problem: Mutex<Option<String>>,
 }
@@ -77,6 +79,23 @@
         self.wake.notify_one();
     }
 
+    fn leader_is_earlier(&self) -> bool {
+        *self.leader_is_earlier.borrow()
+    }
+
+    fn set_leader_is_earlier(&self, is_earlier: bool) {
+        self.leader_is_earlier.send_replace(is_earlier);
+    }
+
+    /// Waits until the leader is known to be of production's build.
+    pub(crate) async fn until_leader_is_earlier(&self) {
+        let mut known = self.leader_is_earlier.subscribe();
+        if known.wait_for(|is_earlier| *is_earlier).await.is_err() {
+            // The sender lives as long as this.
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn link(&self, routers: Vec<RelayedReport>) {
         *self.waiting() = Waiting {
             linked: true,
@@ -147,6 +166,7 @@
 /// Runs until the process stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let ended = |address: SocketAddr, problem: Option<WireError>| {
+        shared.upstream.set_leader_is_earlier(false);
         let linked = shared.upstream.unlink();
         if !shared.replica.leads() && shared.feeding.send_replace(false) {
             shared.sessions.broadcast_to_routers(FeedMessage::Awaiting);
@@ -165,11 +185,17 @@
 
 /// Follows a leader until its feed ends.
 async fn follow(address: SocketAddr, shared: &Arc<Shared>) -> Result<(), WireError> {
+    let connection = leader_link::connect(address, shared).await?;
+    let is_earlier = connection.is_earlier();
+    shared.upstream.set_leader_is_earlier(is_earlier);
     let Connection {
         mut sender,
         receiver,
         ..
-    } = leader_link::connect(address, shared).await?;
+    } = connection;
+    if is_earlier {
+        return until_silent(receiver, address).await;
+    }
     let follow = Message::FollowLeader {
         zone: Zone::from(shared.settings.zone.as_str()),
         known: shared.sessions.digests(),
@@ -181,6 +207,18 @@
     }
 }
 
+/// Waits until a leader of production's build is gone. It has no feed for controllers: routers
+/// are told to go there themselves.
+async fn until_silent(mut receiver: Receiver, address: SocketAddr) -> Result<(), WireError> {
+    loop {
+        let received = tokio::time::timeout(SILENCE_LIMIT, receiver.receive()).await;
+        let received = received.unwrap_or(Err(timed_out("receive", address)));
+        if received?.is_none() {
+            return Ok(());
+        }
+    }
+}
+
 async fn report_all(mut sender: Sender, shared: &Shared) -> Result<(), WireError> {
     loop {
         let reports = shared.upstream.gather().await;
@@ -198,7 +236,7 @@
         let received = tokio::time::timeout(limit, receiver.receive()).await;
         let received = received.unwrap_or(Err(timed_out("receive", address)));
         match received? {
-            Some(Message::ServiceFeed(FeedMessage::NoFeed)) | None => return Ok(()),
+            Some(Message::ServiceFeed(FeedMessage::NoFeed { .. })) | None => return Ok(()),
             Some(Message::ServiceFeed(message)) => take(message, shared),
             Some(Message::RelayedAnswer {
                 router,
@@ -240,7 +278,7 @@
         FeedMessage::Quotas { .. } | FeedMessage::Quarantine { .. } | FeedMessage::Limits(_) => {
             sessions.broadcast_to_routers(message);
         }
-        FeedMessage::NoFeed
+        FeedMessage::NoFeed { .. }
         | FeedMessage::Awaiting
         | FeedMessage::Configuration { .. }
         | FeedMessage::Digests(_)
@@ -270,10 +308,14 @@
         let cut_off = tokio::select! {
             () = tokio::time::sleep(AWAITING_INTERVAL) => shared.replica.has_lost_quorum(),
             () = becomes_cut_off(&shared) => true,
+            () = becomes_earlier(&shared) => false,
         };
         if *shared.feeding.borrow() {
             fed_at = Instant::now();
-        } else if cut_off || fed_at.elapsed() >= KEPT_WITHOUT_LEADER {
+        } else if cut_off
+            || shared.upstream.leader_is_earlier()
+            || fed_at.elapsed() >= KEPT_WITHOUT_LEADER
+        {
             let_go(&shared, cut_off);
         } else {
             shared.sessions.broadcast_to_routers(FeedMessage::Awaiting);
@@ -289,8 +331,17 @@
     shared.replica.until_quorum_lost().await;
 }
 
+/// Waits until the leader comes to be of production's build; for ever where it is already.
+async fn becomes_earlier(shared: &Shared) {
+    if shared.upstream.leader_is_earlier() {
+        std::future::pending::<()>().await;
+    }
+    shared.upstream.until_leader_is_earlier().await;
+}
+
 fn let_go(shared: &Shared, lost_quorum: bool) {
-    let routers = shared.sessions.let_routers_go();
+    let leader = shared.leader_address().map(|address| address.to_string());
+    let routers = shared.sessions.let_routers_go(leader);
     if routers > 0 {
         emit(&ControllerRecord::RoutersLetGo {
             routers,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -7,7 +7,8 @@
 use courseshunt_services::{FeedMessage, LimitWord, ReportMessage, RouteTable, judge};
 use courseshunt_types::{Incarnation, RouterId, RunnerId};
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PeerIdentity, Receiver, Sender, WireError, connect_within,
+    ClusterKey, Connection, EARLIER_VERSION, Message, PeerIdentity, Receiver, Sender, WireError,
+    connect_within,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,22 +62,26 @@
     let Connection {
         mut sender,
         mut receiver,
+        version,
         ..
     } = connected?;
     search.limit.succeeded();
-    if let FeedMessage::Members(members) = receive(&mut receiver, address).await? {
-        search.set_members(members);
-    }
-    if search.has_better(address) {
-        return Ok(FeedEnd::Better);
+    // One of production's build tells nothing before it is asked.
+    if version != EARLIER_VERSION {
+        if let FeedMessage::Members(members) = receive(&mut receiver, address).await? {
+            search.set_members(members);
+        }
+        if search.has_better(address) {
+            return Ok(FeedEnd::Better);
+        }
     }
     let number = shared.view.base();
     let known = shared.view.digests();
     let subscribe = ReportMessage::Subscribe { number, known };
     sender.send(&Message::ServiceReport(subscribe)).await?;
     tokio::select! {
-        ended = receive_all(receiver, address, shared, search) => ended,
-        ended = report_all(sender, shared) => Err(ended.err().map_or(FeedEnd::NoFeed, FeedEnd::Lost)),
+        ended = receive_all(receiver, address, shared, search, version) => ended,
+        ended = report_all(sender, shared) => Err(ended.err().map_or(FeedEnd::NoFeed(None), FeedEnd::Lost)),
     }
 }
 
@@ -109,6 +114,7 @@
     address: SocketAddr,
     shared: &Shared,
     search: &mut Search,
+    version: u8,
 ) -> Result<FeedEnd, FeedEnd> {
     let mut looks_at = next_look(false);
     loop {
@@ -122,13 +128,18 @@
         if is_leaders(&message) {
             shared.view.hear_leader();
             if !std::mem::replace(&mut search.fed, true) {
+                begin_earlier(&message, shared);
                 emit(&RouterRecord::FeedRegained {
                     controller: &address.to_string(),
+                    protocol: version,
                 });
             }
         }
         match message {
-            FeedMessage::NoFeed => return Ok(FeedEnd::NoFeed),
+            FeedMessage::NoFeed { leader } => {
+                let leader = leader.and_then(|leader| leader.parse().ok());
+                return Ok(FeedEnd::NoFeed(leader));
+            }
             FeedMessage::Members(members) => {
                 search.set_members(members);
                 looks_at = next_look(true);
@@ -156,10 +167,19 @@
 fn is_leaders(message: &FeedMessage) -> bool {
     !matches!(
         message,
-        FeedMessage::NoFeed | FeedMessage::Awaiting | FeedMessage::Members(_)
+        FeedMessage::NoFeed { .. } | FeedMessage::Awaiting | FeedMessage::Members(_)
     )
 }
 
+/// Begins the feed of a leader of production's build, which does not say whose feed it is. Such
+/// a leader keeps no accounts: limits are this router's own part.
+fn begin_earlier(first: &FeedMessage, shared: &Shared) {
+    if !matches!(first, FeedMessage::Leadership { .. }) {
+        shared.view.begin_leader();
+        shared.quarantine.begin_leader();
+    }
+}
+
 fn take(message: FeedMessage, shared: &Shared) {
     match message {
         FeedMessage::Leadership { .. } => {
@@ -219,7 +239,9 @@
             suspected,
             quarantined,
         } => shared.quarantine.set(suspected, quarantined),
-        FeedMessage::Configuration { .. } | FeedMessage::NoFeed | FeedMessage::Members(_) => {}
+        FeedMessage::Configuration { .. }
+        | FeedMessage::NoFeed { .. }
+        | FeedMessage::Members(_) => {}
     }
 }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -145,7 +145,11 @@
     /// It has ended as planned; requests that were cut off at the grace's end.
     Stopped { unfinished: usize },
     /// It has the leader's feed, from this controller.
-    FeedRegained { controller: &'a str },
+    FeedRegained {
+        controller: &'a str,
+        /// Version of the protocol that both speak.
+        protocol: u8,
+    },
     /// It lost the feed.
     FeedLost {
         controller: &'a str,
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -30,8 +30,8 @@
 
 /// How following a controller ended.
 pub(crate) enum FeedEnd {
-    /// It has no feed now.
-    NoFeed,
+    /// It has no feed now; the leader, if it knows it.
+    NoFeed(Option<SocketAddr>),
     /// Another controller comes before it, as it told.
     Better,
     /// It was not reached, or its feed broke off.
@@ -48,7 +48,7 @@
     /// What went wrong, for records.
     fn problem(&self) -> Option<String> {
         match self {
-            Self::NoFeed | Self::Better => None,
+            Self::NoFeed(_) | Self::Better => None,
             Self::Lost(error) => Some(error.to_string()),
         }
     }
@@ -63,6 +63,8 @@
     failed: Vec<(SocketAddr, Instant)>,
     pub(crate) limit: DialLimit,
     pace: SeekingPace,
+    /// The leader, as a controller told that has no feed itself; asked next.
+    leader: Option<SocketAddr>,
     /// When the present controller was asked.
     asked_at: Instant,
     /// Whether the present controller has fed this router.
@@ -78,6 +80,7 @@
             failed: Vec::new(),
             limit: DialLimit::growing_to(LONGEST_DIAL),
             pace: SeekingPace::default(),
+            leader: None,
             asked_at: Instant::now(),
             fed: false,
         }
@@ -86,7 +89,9 @@
     /// The controller to ask next; none when all were asked.
     pub(crate) fn next(&mut self, seeds: Vec<SocketAddr>) -> Option<SocketAddr> {
         self.directory.set_seeds(seeds);
-        let address = self.directory.next(&self.tried)?;
+        let told = self.leader.take();
+        let told = told.filter(|leader| !self.tried.contains(leader));
+        let address = told.or_else(|| self.directory.next(&self.tried))?;
         self.tried.push(address);
         self.asked_at = Instant::now();
         self.fed = false;
@@ -112,6 +117,9 @@
             // Controllers that know different members would send it to and fro without one.
             return self.pace.unreached();
         }
+        if let FeedEnd::NoFeed(leader) = end {
+            self.leader = *leader;
+        }
         let controller = &address.to_string();
         let problem = end.problem();
         let problem = problem.as_deref();
@@ -123,7 +131,7 @@
             });
             self.tried.clear();
             self.pace = SeekingPace::default();
-            if matches!(end, FeedEnd::NoFeed) {
+            if matches!(end, FeedEnd::NoFeed(_)) {
                 // It has no leader; all others are asked before it.
                 self.tried.push(address);
                 self.fails(address, WITHOUT_FEED_KEPT);
@@ -136,7 +144,7 @@
         });
         let (pause, counts_for) = match end {
             FeedEnd::Lost(_) => (self.pace.unreached(), LOST_KEPT),
-            FeedEnd::NoFeed | FeedEnd::Better => {
+            FeedEnd::NoFeed(_) | FeedEnd::Better => {
                 let waited = self.asked_at.elapsed();
                 let pause = self.pace.without_feed(rand::random(), waited);
                 (pause, WITHOUT_FEED_KEPT)
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -106,7 +106,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum FeedMessage {
     /// This controller has no feed now; another one may have it.
-    NoFeed,
+    NoFeed {
+        /// The leader's wire address, if known.
+        leader: Option<String>,
+    },
     /// This controller has lost its leader and waits for the next one; not a leader's word.
     Awaiting,
     /// Whose feed this is from now on; the first message of each feed.
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -1,8 +1,11 @@
 //! One connection between two processes.
 
+use crate::earlier;
 use crate::error::WireError;
-use crate::frame::{Frame, HEADER_BYTES, decode, decode_header};
-use crate::handshake::{ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity};
+use crate::frame::{EARLIER_VERSION, Frame, HEADER_BYTES, decode, decode_header};
+use crate::handshake::{
+    ClusterKey, NONCE_BYTES, PROOF_BYTES, PeerIdentity, common_version, told_identity,
+};
 use crate::message::Message;
 use crate::traffic;
 use std::net::{IpAddr, SocketAddr};
@@ -26,6 +29,8 @@
 pub struct Connection {
     /// Who is at the other end.
     pub peer: PeerIdentity,
+    /// Version of the protocol that both ends speak.
+    pub version: u8,
     /// The sending half.
     pub sender: Sender,
     /// The receiving half.
@@ -37,6 +42,7 @@
 pub struct Sender {
     half: OwnedWriteHalf,
     peer: String,
+    version: u8,
 }
 
 /// The receiving half of a connection.
@@ -44,10 +50,19 @@
 pub struct Receiver {
     half: BufReader<OwnedReadHalf>,
     peer: String,
+    version: u8,
+}
+
+impl Connection {
+    /// Whether the peer is of an earlier build: see [`crate::earlier`].
+    #[must_use]
+    pub fn is_earlier(&self) -> bool {
+        self.version == EARLIER_VERSION
+    }
 }
 
 impl Sender {
-    /// Sends one message.
+    /// Sends one message; one for which the peer's build has no word is left out.
     ///
     /// # Errors
     /// When the message is too long or the connection is broken.
@@ -60,14 +75,17 @@
         self.send_frame(&frame).await
     }
 
-    /// Sends a message that is encoded already.
+    /// Sends a message that is encoded already, likewise.
     ///
     /// # Errors
     /// When the connection is broken.
     pub async fn send_frame(&mut self, frame: &Frame) -> Result<(), WireError> {
-        let sent = self.half.write_all(frame.bytes()).await;
+        let Some(bytes) = frame.bytes_for(self.version) else {
+            return Ok(());
+        };
+        let sent = self.half.write_all(bytes).await;
         sent.map_err(|source| self.broken(source))?;
-        traffic::count_sent(frame.kind(), frame.bytes().len());
+        traffic::count_sent(frame.kind(), bytes.len());
         Ok(())
     }
 
@@ -86,20 +104,32 @@
     /// # Errors
     /// When the connection is broken or a frame can't be read.
     pub async fn receive(&mut self) -> Result<Option<Message>, WireError> {
+        let Some((content, checksum)) = self.receive_frame().await? else {
+            return Ok(None);
+        };
+        let message = match self.version {
+            EARLIER_VERSION => earlier::decode(&content, checksum),
+            _ => decode(&content, checksum),
+        };
+        let message = message.map_err(|problem| self.faulty(problem))?;
+        traffic::count_received(&message, HEADER_BYTES + content.len());
+        Ok(Some(message))
+    }
+
+    /// The content of the next frame and its checksum.
+    async fn receive_frame(&mut self) -> Result<Option<(Vec<u8>, u32)>, WireError> {
         let mut header = [0_u8; HEADER_BYTES];
         match self.half.read_exact(&mut header).await {
             Ok(_) => {}
             Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
             Err(source) => return Err(self.broken(source)),
         }
-        let header = decode_header(&header).map_err(|problem| self.faulty(problem))?;
+        let header = decode_header(&header, self.version);
+        let header = header.map_err(|problem| self.faulty(problem))?;
         let mut content = vec![0_u8; header.length];
         let read = self.half.read_exact(&mut content).await;
         read.map_err(|source| self.broken(source))?;
-        let message = decode(&content, header.checksum);
-        let message = message.map_err(|problem| self.faulty(problem))?;
-        traffic::count_received(&message, HEADER_BYTES + content.len());
-        Ok(Some(message))
+        Ok(Some((content, header.checksum)))
     }
 
     fn broken(&self, source: std::io::Error) -> WireError {
@@ -228,6 +258,12 @@
     finished.unwrap_or(Err(WireError::TimedOut { step, peer }))
 }
 
+/// A peer that has proved the key.
+struct Introduced {
+    peer: PeerIdentity,
+    version: u8,
+}
+
 struct Handshake<'a> {
     stream: TcpStream,
     peer: String,
@@ -277,6 +313,7 @@
     ) -> Result<(), WireError> {
         let identity = rkyv::to_bytes::<rkyv::rancor::Error>(identity);
         let identity = identity.map_err(|error| self.faulty(error.to_string()))?;
+        let identity = told_identity(&identity);
         let proof = self.key.prove(role, nonces, &identity);
         let length = identity.len() as u32;
         self.write(&length.to_le_bytes()).await?;
@@ -288,7 +325,7 @@
         &mut self,
         role: &[u8],
         nonces: [&[u8]; 2],
-    ) -> Result<PeerIdentity, WireError> {
+    ) -> Result<Introduced, WireError> {
         let length = self.read(4).await?;
         let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]) as usize;
         if length > MAX_IDENTITY_BYTES {
@@ -301,22 +338,28 @@
         }
         let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(length);
         aligned.extend_from_slice(&identity);
-        let identity = rkyv::from_bytes::<PeerIdentity, rkyv::rancor::Error>(&aligned);
-        identity.map_err(|error| self.faulty(error.to_string()))
+        let peer = rkyv::from_bytes::<PeerIdentity, rkyv::rancor::Error>(&aligned);
+        let peer = peer.map_err(|error| self.faulty(error.to_string()))?;
+        let version = common_version(&identity);
+        Ok(Introduced { peer, version })
     }
 
-    fn finish(self, peer: PeerIdentity) -> Connection {
+    fn finish(self, introduced: Introduced) -> Connection {
+        let Introduced { peer, version } = introduced;
         let name = format!("{peer} at {}", self.peer);
         let (read, write) = self.stream.into_split();
         Connection {
             peer,
+            version,
             sender: Sender {
                 half: write,
                 peer: name.clone(),
+                version,
             },
             receiver: Receiver {
                 half: BufReader::new(read),
                 peer: name,
+                version,
             },
         }
     }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -1,5 +1,6 @@
 //! Mutual proof of the cluster key: HMAC-SHA-256 over both sides' nonces.
 
+use crate::frame::{EARLIER_VERSION, PROTOCOL_VERSION};
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
@@ -70,3 +71,27 @@
         }
     }
 }
+
+/// Stands before the identity of a process that tells which version it speaks. A build that
+/// tells none reads an identity from the end of its bytes, and passes over what is before.
+const TELLS_VERSION: [u8; 16] = *b"courseshunt wire";
+/// Bytes before such an identity: the mark, the version, and room, so that the identity stays
+/// aligned.
+const PREFIX_BYTES: usize = 32;
+
+/// An identity as it is sent, with the highest version that this build speaks.
+pub(crate) fn told_identity(identity: &[u8]) -> Vec<u8> {
+    let mut told = Vec::with_capacity(PREFIX_BYTES + identity.len());
+    told.extend_from_slice(&TELLS_VERSION);
+    told.push(PROTOCOL_VERSION);
+    told.resize(PREFIX_BYTES, 0);
+    told.extend_from_slice(identity);
+    told
+}
+
+/// The version in which to speak with a peer that sent this identity.
+pub(crate) fn common_version(told: &[u8]) -> u8 {
+    let version = told.strip_prefix(TELLS_VERSION.as_slice());
+    let version = version.and_then(|rest| rest.first().copied());
+    version.map_or(EARLIER_VERSION, |version| version.min(PROTOCOL_VERSION))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod compression;
 mod connection;
 mod dial_limit;
+pub mod earlier;
 pub mod error;
 mod frame;
 mod handshake;
@@ -25,7 +26,9 @@
 };
 pub use dial_limit::DialLimit;
 pub use error::WireError;
-pub use frame::{Frame, MAX_COMMAND_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+pub use frame::{
+    EARLIER_VERSION, Frame, MAX_COMMAND_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode,
+};
 pub use handshake::{ClusterKey, MIN_KEY_BYTES, PeerIdentity};
 pub use message::Message;
 pub use parts::DOCUMENTS_PER_PART;
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -111,7 +111,7 @@
         | FeedMessage::Limits(_)
         | FeedMessage::LimitAnswers(_)
         | FeedMessage::Quarantine { .. } => 16,
-        FeedMessage::NoFeed
+        FeedMessage::NoFeed { .. }
         | FeedMessage::Awaiting
         | FeedMessage::Leadership { .. }
         | FeedMessage::Members(_) => 12,
--- /dev/null
+++ b/scripts/two-builds.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Plays upgrades with real processes of production's build and of this one side by side.
+#
+#   scripts/two-builds.sh [SEED…]     [default: one seed drawn now]
+#
+# Production's commit is the one that deploy/system.toml names; its program is built once out of
+# the repository's history, under target/production.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/system.toml)
+folder=$PWD/target/production
+if [ ! -x "$folder/target/release/courseshunt-platform" ]; then
+    mkdir -p "$folder/source"
+    git archive "$commit" | tar -x -C "$folder/source"
+    (cd "$folder/source" && CARGO_TARGET_DIR="$folder/target" \
+        cargo build --release --locked -p courseshunt-platform)
+fi
+seeds=("$@")
+[ ${#seeds[@]} -gt 0 ] || seeds=("$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')")
+for seed in "${seeds[@]}"; do
+    EARLIER_PROGRAM="$folder/target/release/courseshunt-platform" SOAK_SEED=$seed \
+        cargo test --locked -q -p courseshunt-platform --test soak -- \
+        --ignored --nocapture an_upgrade_reaches_every_router_in_time_in_any_order
+done
