--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -237,16 +237,10 @@
         avoid: &[RunnerId],
         now: Timestamp,
     ) -> Option<(Candidate, InstanceView)> {
-        let mut state = self.lock();
-        let own_limit = state.own_limit(service);
-        let State {
-            instances,
-            selector,
-            ..
-        } = &mut *state;
-        let views = instances.holders(&service.name, &shape.model);
-        let candidate = selector.choose(shape, views, avoid, own_limit, now)?;
-        state.begin(candidate, service, shape, now)
+        self.choose_by(service, shape, now, |selector, instances, own_limit| {
+            let views = instances.holders(&service.name, &shape.model);
+            selector.choose(shape, views, avoid, own_limit, now)
+        })
     }
 
     /// The same for an instance that takes a request only in a later turn by its limit.
@@ -255,6 +249,19 @@
         service: &Service,
         shape: &PromptShape,
         now: Timestamp,
+    ) -> Option<(Candidate, InstanceView)> {
+        self.choose_by(service, shape, now, |selector, instances, own_limit| {
+            let views = instances.holders(&service.name, &shape.model);
+            selector.choose_turn(shape, views, own_limit, now)
+        })
+    }
+
+    fn choose_by(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+        choose: impl FnOnce(&mut Selector, &FedInstances, u32) -> Option<Candidate>,
     ) -> Option<(Candidate, InstanceView)> {
         let mut state = self.lock();
         let own_limit = state.own_limit(service);
@@ -263,8 +270,7 @@
             selector,
             ..
         } = &mut *state;
-        let views = instances.holders(&service.name, &shape.model);
-        let candidate = selector.choose_turn(shape, views, own_limit, now)?;
+        let candidate = choose(selector, instances, own_limit)?;
         state.begin(candidate, service, shape, now)
     }
 
