Routers of production's build are not told of instances that name a limit

Cause: such an instance was told to all routers alike. Change: each controller tells it to routers of that build as gone while the limit lasts, and as there again at its end. Weighed: leaving it to them (served where it is the only copy, at the cost of an instance in need). Also: a router that follows a leader of that build does not look for a better controller, since no other one feeds it. Before: a_router_of_productions_build_is_not_told_of_instances_that_name_a_limit fails (never told as gone). After: it passes.

--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -8,10 +8,10 @@
 use crate::configuration_feed::ConfigurationFeed;
 use courseshunt_services::digest::bucket_of;
 use courseshunt_services::fed_instances::InstanceChanges;
-use courseshunt_services::{FedInstances, FeedMessage, InstanceDigests, InstanceView};
+use courseshunt_services::{FedInstances, FeedMessage, InstanceDigests, InstanceView, LimitWord};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::{Frame, Message};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::mpsc;
 
@@ -51,6 +51,9 @@
     quotas: Option<Arc<Frame>>,
     limits: Option<Arc<Frame>>,
     usage: Option<Arc<Frame>>,
+    /// Instances that name a limit. Routers of production's build heed none, so these are kept
+    /// from them.
+    limited: BTreeSet<RunnerId>,
 }
 
 /// Whose feed it is.
@@ -131,6 +134,11 @@
         {
             let _ = session.queue.try_send(frame);
         }
+        if session.is_earlier
+            && let Some(frame) = self.kept_back(|_| true)
+        {
+            let _ = session.queue.try_send(frame);
+        }
         if session.configure(&mut self.configuration()) {
             self.followers().routers.insert(name.to_owned(), session);
         }
@@ -188,6 +196,8 @@
         fed.limits = None;
         fed.usage = None;
         drop(fed);
+        // The next leader tells which ones name a limit.
+        self.keep_back(BTreeSet::new());
         self.broadcast(leadership.message());
     }
 
@@ -227,7 +237,11 @@
     fn live(&self) -> Option<FeedMessage> {
         let fed = self.fed();
         let settled = fed.leadership.is_some_and(|one| one.settled);
-        settled.then(|| FeedMessage::Live(fed.instances.ids().cloned().collect()))
+        settled.then(|| {
+            let there = fed.instances.ids();
+            let there = there.filter(|id| !fed.limited.contains(id));
+            FeedMessage::Live(there.cloned().collect())
+        })
     }
 
     /// Tells routers of production's build which instances are there.
@@ -235,9 +249,7 @@
         let Some(frame) = self.live().and_then(encode) else {
             return;
         };
-        self.followers().routers.retain(|_, session| {
-            !session.is_earlier || session.queue.try_send(frame.clone()).is_ok()
-        });
+        self.send_to_earlier(&frame);
     }
 
     /// Sends a router the parts in which what it knows differs.
@@ -257,11 +269,57 @@
     /// Sends changed instances to all followers; what they know is left out.
     pub(crate) fn send_instances(&self, changed: Vec<InstanceView>, gone: Vec<RunnerId>) {
         let news = self.fed().change(changed, gone);
-        if !news.is_empty() {
-            self.broadcast(instances(news));
+        if news.is_empty() {
+            return;
+        }
+        let told: BTreeSet<RunnerId> = news.changed.iter().map(|view| view.id.clone()).collect();
+        self.broadcast(instances(news));
+        if let Some(frame) = self.kept_back(|id| told.contains(id)) {
+            self.send_to_earlier(&frame);
+        }
+    }
+
+    /// Follows which instances name a limit: a router of production's build is told of one as
+    /// gone for as long as it does.
+    pub(crate) fn keep_back(&self, limited: BTreeSet<RunnerId>) {
+        let mut fed = self.fed();
+        let before = std::mem::replace(&mut fed.limited, limited);
+        let free = before.difference(&fed.limited);
+        let free = free.filter_map(|id| fed.instances.get(id).cloned());
+        let news = InstanceChanges {
+            changed: free.collect(),
+            gone: fed.limited.difference(&before).cloned().collect(),
+        };
+        drop(fed);
+        if !news.is_empty()
+            && let Some(frame) = encode(instances(news))
+        {
+            self.send_to_earlier(&frame);
         }
     }
 
+    /// Tells those of the instances that name a limit as gone.
+    fn kept_back(&self, is_told: impl Fn(&RunnerId) -> bool) -> Option<Arc<Frame>> {
+        let fed = self.fed();
+        let gone = fed.limited.iter().filter(|id| is_told(id));
+        let gone: Vec<RunnerId> = gone.cloned().collect();
+        drop(fed);
+        if gone.is_empty() {
+            return None;
+        }
+        encode(instances(InstanceChanges {
+            changed: Vec::new(),
+            gone,
+        }))
+    }
+
+    /// Sends to routers of production's build.
+    fn send_to_earlier(&self, frame: &Arc<Frame>) {
+        self.followers().routers.retain(|_, session| {
+            !session.is_earlier || session.queue.try_send(frame.clone()).is_ok()
+        });
+    }
+
     /// Takes a part of the instances over, and tells routers what of it is new.
     pub(crate) fn take_part(&self, part: u32, instances: Vec<InstanceView>, complete: bool) {
         let part = usize::try_from(part).unwrap_or(usize::MAX);
@@ -290,6 +348,9 @@
 
     /// Sends to all followers.
     pub(crate) fn broadcast(&self, message: FeedMessage) {
+        if let FeedMessage::Limits(words) = &message {
+            self.keep_back(limited(words));
+        }
         let Some(frame) = self.keep(message) else {
             return;
         };
@@ -301,6 +362,9 @@
 
     /// Sends to the routers that follow this controller.
     pub(crate) fn broadcast_to_routers(&self, message: FeedMessage) {
+        if let FeedMessage::Limits(words) = &message {
+            self.keep_back(limited(words));
+        }
         let Some(frame) = self.keep(message) else {
             return;
         };
@@ -430,6 +494,12 @@
     }
 }
 
+/// The instances that name a limit.
+fn limited(words: &[LimitWord]) -> BTreeSet<RunnerId> {
+    let limited = words.iter().filter(|word| word.rate.is_some());
+    limited.map(|word| word.instance.clone()).collect()
+}
+
 fn instances(news: InstanceChanges) -> FeedMessage {
     FeedMessage::Instances {
         changed: news.changed,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -119,7 +119,8 @@
     let mut looks_at = next_look(false);
     loop {
         let message = receive(&mut receiver, address).await?;
-        if looks_at <= Instant::now() {
+        // A leader of production's build is the only one that feeds.
+        if looks_at <= Instant::now() && version != EARLIER_VERSION {
             if search.has_better(address) {
                 return Ok(FeedEnd::Better);
             }
