The leader hears limits in answers to its orders and questions

What was seen (read in the code, then the test): an instance that named a limit in its answer to an order got eight requests at once when the model was there. Cause: the leader read rest and leaving in such answers, not the limit. Change: the same reading, told to all routers. Before: a_limit_that_an_answer_to_an_order_names_is_told_to_all_routers fails (8 within 50 ms). After: it passes (2).

--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use courseshunt_services::{
-    ConfigurationError, InstanceReport, Order, OrderOutcome, Registration, ServiceConfiguration,
+    ConfigurationError, InstanceReport, NamedLimit, Order, OrderOutcome, Registration,
+    ServiceConfiguration,
 };
 use courseshunt_types::RunnerId;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -77,6 +78,9 @@
     /// Whether the headers of an instance's answer say that it leaves.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// The limit that the headers of an instance's answer name.
+    fn named_limit(&self, headers: &HeaderMap) -> NamedLimit;
+
     /// The call that asks an instance how it stands.
     fn report_call(&self, instance: &RunnerId) -> InstanceCall;
 
--- a/crates/coordinator/src/limits.rs
+++ b/crates/coordinator/src/limits.rs
@@ -4,8 +4,10 @@
 use crate::records::ControllerRecord;
 use crate::reports::in_contact;
 use courseshunt_records::emit;
-use courseshunt_services::{FeedMessage, LimitAnswer, LimitAsk, LimitVerdict, LimitWord};
-use courseshunt_types::Timestamp;
+use courseshunt_services::{
+    FeedMessage, LimitAnswer, LimitAsk, LimitVerdict, LimitWord, RequestRate,
+};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 
 /// Takes what a router tells; returns the answers to its questions, if it has any.
 pub(crate) fn take(
@@ -31,6 +33,19 @@
     (!answers.is_empty()).then_some(FeedMessage::LimitAnswers(answers))
 }
 
+/// Takes note of a limit that an answer to this leader itself names.
+pub(crate) fn heard(instance: &RunnerId, rate: RequestRate, shared: &Shared) {
+    let word = LimitWord {
+        instance: instance.clone(),
+        rate: Some(rate),
+        age: Millis(0),
+    };
+    note(&shared.settings.name, &word, shared.clock.now(), shared);
+    if shared.limits().has_news() {
+        shared.wake.notify_one();
+    }
+}
+
 fn note(router: &str, word: &LimitWord, now: Timestamp, shared: &Shared) {
     if shared.limits().note(word, now) {
         emit(&ControllerRecord::InstanceLimits {
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -1,15 +1,17 @@
 //! Carries out the placement engine's steps: orders and questions to instances.
 
-use crate::Shared;
 use crate::interface::InstanceCall;
 use crate::records::ControllerRecord;
 use crate::reports::take_leaving;
+use crate::{Shared, limits};
 use bytes::Bytes;
 use courseshunt_http::{
     Body, HttpError, RetryAfter, empty_body, full_body, read_asked_rest, read_limited,
 };
 use courseshunt_records::emit;
-use courseshunt_services::{InstanceReport, Order, OrderAction, OrderOutcome, PlacementStep};
+use courseshunt_services::{
+    InstanceReport, NamedLimit, Order, OrderAction, OrderOutcome, PlacementStep,
+};
 use courseshunt_types::{Millis, RunnerId};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
@@ -58,7 +60,8 @@
     body: Bytes,
 }
 
-/// Takes note of what an answer says of its instance, whatever was asked: rest, leaving.
+/// Takes note of what an answer says of its instance, whatever was asked: rest, leaving,
+/// a limit.
 fn hear(instance: &RunnerId, reply: Option<&CallReply>, shared: &Shared) {
     let Some(reply) = reply else {
         return;
@@ -67,6 +70,12 @@
         let leaving = std::slice::from_ref(instance);
         take_leaving(&shared.settings.name, leaving, shared);
     }
+    // Another instance that answers at the address speaks for itself.
+    if reply.status != StatusCode::MISDIRECTED_REQUEST
+        && let NamedLimit::Rate(rate) = shared.interface.named_limit(&reply.headers)
+    {
+        limits::heard(instance, rate, shared);
+    }
     let asked = read_asked_rest(reply.status, &reply.headers, SystemTime::now());
     if let RetryAfter::After(rest) = asked {
         let now = shared.clock.now();
--- a/crates/gateway/src/answer_words.rs
+++ b/crates/gateway/src/answer_words.rs
@@ -4,11 +4,11 @@
 //! a request can miss what an instance asks for.
 
 use crate::Shared;
-use crate::interface::{AnswerFacts, NamedLimit};
+use crate::interface::AnswerFacts;
 use crate::records::RouterRecord;
 use courseshunt_http::{RetryAfter, read_asked_rest};
 use courseshunt_records::emit;
-use courseshunt_services::{LimitNews, RequestRate};
+use courseshunt_services::{LimitNews, NamedLimit, RequestRate};
 use courseshunt_types::{Millis, RunnerId, Timestamp};
 use hyper::header::{self, HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::http::response::Parts;
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -1,7 +1,7 @@
 //! What a router needs of the interfaces of clients and instances.
 
 use courseshunt_services::{
-    ConfigurationError, PromptShape, RequestRate, Route, ServiceConfiguration,
+    ConfigurationError, NamedLimit, PromptShape, Route, ServiceConfiguration,
 };
 use courseshunt_types::{Digest, Millis, RunnerId};
 use hyper::StatusCode;
@@ -62,18 +62,6 @@
     pub limit: NamedLimit,
 }
 
-/// The requests a second that an instance takes from all routers together, by its own word.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum NamedLimit {
-    /// The answer names none.
-    #[default]
-    None,
-    /// What it names is no rate.
-    Unreadable,
-    /// It names this.
-    Rate(RequestRate),
-}
-
 /// Who answers at an instance's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Presence {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,9 +37,7 @@
 pub mod waiting;
 
 pub use error::GatewayError;
-pub use interface::{
-    AnswerFacts, CarriedKey, ClientInterface, NamedLimit, Presence, RequestFacts, Sending,
-};
+pub use interface::{AnswerFacts, CarriedKey, ClientInterface, Presence, RequestFacts, Sending};
 
 use answer_words::UnknownWords;
 use courseshunt_records::emit;
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -49,7 +49,7 @@
 pub use judge::{ConfigurationError, judge};
 pub use limit::ledger::LimitLedger;
 pub use limit::local::{LimitNews, LimitStep, RouterLimits};
-pub use limit::{LimitAnswer, LimitAsk, LimitVerdict, LimitWord, RequestRate};
+pub use limit::{LimitAnswer, LimitAsk, LimitVerdict, LimitWord, NamedLimit, RequestRate};
 pub use placement::{
     InstanceReport, LoadEnd, LoadSource, Order, OrderAction, OrderEvidence, OrderOutcome,
     PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep, SetAside,
--- a/crates/services/src/limit/mod.rs
+++ b/crates/services/src/limit/mod.rs
@@ -69,6 +69,18 @@
     TokenBucket::full(per_second, (per_second * BURST_S).max(least_burst), now)
 }
 
+/// What an answer names as the requests a second that its instance takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum NamedLimit {
+    /// Nothing.
+    #[default]
+    None,
+    /// What is no rate.
+    Unreadable,
+    /// This, from all routers together.
+    Rate(RequestRate),
+}
+
 /// What an instance said in an answer of the requests that it takes.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct LimitWord {
