A request that waits for its turn is refused before a planned stop ends

What was seen (reading the diff, then the test): a request that was granted a later turn at an instance that names a limit waits for it outside of the loop that looks for a stop, a key that is taken away and a content in quarantine. At a planned stop its connection ended without an answer (LOST). Change: the wait ends when the router gives up, and what was decided before it is looked at again after it. Words on limits go to all routers 50 ms apart at least, since a number may change with each answer. Before: a_request_that_waits_for_its_turn_at_a_planned_stop_is_refused_before_the_end fails (no answer at the end). After: it passes.

--- a/crates/coordinator/src/lead.rs
+++ b/crates/coordinator/src/lead.rs
@@ -29,6 +29,8 @@
 /// Time between words on all accounts of tenants, and on all limits of instances; what is new
 /// is told at once.
 const ACCOUNTS_INTERVAL: Millis = Millis(1_000);
+/// Shortest time between words on limits: a number may change with each answer.
+const LIMITS_PAUSE: Millis = Millis(50);
 /// After its election a leader waits so long for registrations before it says
 /// that other instances are gone.
 const SETTLE: Millis = Millis(4_000);
@@ -417,12 +419,14 @@
     }
 }
 
-/// Tells which limits instances name: at once where that changed.
+/// Tells which limits instances name: soon where that changed.
 fn feed_limits(shared: &Shared, leadership: &mut Leadership, now: Timestamp) {
-    let has_news = shared.limits().take_news();
-    if !has_news && now.since(leadership.limits_at) < ACCOUNTS_INTERVAL {
+    let since = now.since(leadership.limits_at);
+    let has_news = shared.limits().has_news() && since >= LIMITS_PAUSE;
+    if !has_news && since < ACCOUNTS_INTERVAL {
         return;
     }
+    shared.limits().take_news();
     leadership.limits_at = now;
     if let Some(message) = limits::told(shared, now) {
         shared.sessions.broadcast(message);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -315,8 +315,7 @@
     loop {
         changes.borrow_and_update();
         let now = shared.clock.now();
-        let caller = admitted.caller.as_ref().filter(|_| !admitted.route.public);
-        if caller.is_some_and(|caller| !is_still_held(caller, shared)) {
+        if !has_key(admitted, shared) {
             return Err(GivenUp {
                 refusal: Refusal::UnknownKey,
                 retry_after: None,
@@ -325,8 +324,7 @@
         if shared.giving_up.is_cancelled() {
             return Err(GivenUp::stopping(sends));
         }
-        let silent_for = shared.view.feed_age();
-        if shared.quarantine.holds(&admitted.content, silent_for) {
+        if is_quarantined(admitted, shared) {
             return Err(GivenUp::quarantined(sends));
         }
         // When all have turned it away, the first of them may be asked again.
@@ -374,6 +372,22 @@
     }
 }
 
+/// Whether its caller's key is still a tenant's, where one is needed.
+fn has_key(admitted: &Admitted, shared: &Shared) -> bool {
+    let caller = admitted.caller.as_ref().filter(|_| !admitted.route.public);
+    caller.is_none_or(|caller| is_still_held(caller, shared))
+}
+
+fn is_quarantined(admitted: &Admitted, shared: &Shared) -> bool {
+    let silent_for = shared.view.feed_age();
+    shared.quarantine.holds(&admitted.content, silent_for)
+}
+
+/// Whether a request that was chosen an instance is not to be sent after all.
+pub(crate) fn is_withdrawn(admitted: &Admitted, shared: &Shared) -> bool {
+    !has_key(admitted, shared) || is_quarantined(admitted, shared)
+}
+
 /// When a waiting request is looked at again, unless something changes before.
 fn next_look(situation: &Situation) -> Instant {
     let now = Instant::now();
--- a/crates/gateway/src/limit_desk.rs
+++ b/crates/gateway/src/limit_desk.rs
@@ -4,7 +4,7 @@
 //! router's own part; a request waits for the leader's answer for a bounded time.
 
 use crate::Shared;
-use crate::handle::Admitted;
+use crate::handle::{Admitted, is_withdrawn};
 use crate::questions::Questions;
 use crate::quota_desk::ANSWER_LIMIT;
 use crate::records::RequestRecord;
@@ -90,12 +90,32 @@
     }
 }
 
-/// A decision, for records.
+/// A decision on one request.
 struct Decision {
+    /// For records.
     outcome: &'static str,
+    is_granted: bool,
+    /// Time until its turn, or after which it would fit.
     after: Millis,
 }
 
+impl Decision {
+    /// None where the instance names no limit.
+    fn of(step: &LimitStep) -> Option<Self> {
+        let (outcome, is_granted, after) = match step {
+            LimitStep::Free | LimitStep::Ask(_) => return None,
+            LimitStep::Granted { after } => ("granted", true, *after),
+            LimitStep::Alone { after } => ("own_part", true, *after),
+            LimitStep::Refuse { fits_after } => ("refused", false, *fits_after),
+        };
+        Some(Self {
+            outcome,
+            is_granted,
+            after,
+        })
+    }
+}
+
 /// Waits until a request may be sent to an instance, for `patience` at most; returns whether
 /// it may.
 pub(crate) async fn admit(
@@ -106,39 +126,23 @@
 ) -> bool {
     let led = shared.limits.is_connected() && shared.is_led();
     let step = match shared.view.limit_step(instance, patience, led) {
-        LimitStep::Free => return true,
         LimitStep::Ask(word) => ask(shared, instance, word, patience).await,
         step => step,
     };
-    let (decision, granted) = match step {
-        LimitStep::Free | LimitStep::Ask(_) => return true,
-        LimitStep::Granted { after } => (
-            Decision {
-                outcome: "granted",
-                after,
-            },
-            true,
-        ),
-        LimitStep::Alone { after } => (
-            Decision {
-                outcome: "own_part",
-                after,
-            },
-            true,
-        ),
-        LimitStep::Refuse { fits_after } => (
-            Decision {
-                outcome: "refused",
-                after: fits_after,
-            },
-            false,
-        ),
+    let Some(decision) = Decision::of(&step) else {
+        return true;
     };
     record(shared, admitted, instance, &decision);
-    if granted && decision.after > Millis(0) {
-        wait_for_turn(shared, instance, decision.after).await;
+    if !decision.is_granted || decision.after == Millis(0) {
+        return decision.is_granted;
+    }
+    let turn = wait_for_turn(shared, instance, decision.after);
+    tokio::select! {
+        // What was decided before the wait may hold no more.
+        () = turn => !is_withdrawn(admitted, shared),
+        // The process ends before it may be answered.
+        () = shared.giving_up.cancelled() => false,
     }
-    granted
 }
 
 /// Asks the leader; without an answer in time this router's own part decides.
@@ -165,11 +169,12 @@
     }
 }
 
-/// Waits for the turn of a request; not on where the instance names no limit any more.
+/// Waits for the turn of a request; not on where the instance names no limit any more, or is
+/// gone.
 async fn wait_for_turn(shared: &Shared, instance: &RunnerId, after: Millis) {
     let due = tokio::time::Instant::now() + Duration::from(after);
     let mut changes = shared.view.changes();
-    while shared.view.limit_of(instance).is_some() {
+    while shared.view.limit_of(instance).is_some() && shared.view.knows(instance) {
         changes.borrow_and_update();
         let changed = tokio::time::timeout_at(due, changes.changed()).await;
         if changed.is_err() {
