A model whose only copies are at limited instances gets another copy

Cause: placement took a limited copy for a whole one. Before: a_model_whose_only_copy_names_a_limit_below_its_demand_gets_another_copy_elsewhere fails (1 copy instead of 2). After: it passes, and so does the test with whole processes.

--- a/crates/coordinator/src/limits.rs
+++ b/crates/coordinator/src/limits.rs
@@ -75,11 +75,12 @@
 }
 
 /// What all routers are to be told; none where no instance names a limit. Instances that are
-/// gone are forgotten.
+/// gone are forgotten, and placement follows.
 pub(crate) fn told(shared: &Shared, now: Timestamp) -> Option<FeedMessage> {
-    let engine = shared.engine();
+    let mut engine = shared.engine();
     let mut limits = shared.limits();
     limits.retain(|instance| engine.knows(instance), now);
+    engine.set_limits(limits.rates());
     let words = limits.words(now);
     (!words.is_empty()).then_some(FeedMessage::Limits(words))
 }
--- a/crates/services/src/limit/ledger.rs
+++ b/crates/services/src/limit/ledger.rs
@@ -104,6 +104,17 @@
         words.collect()
     }
 
+    /// The limits that hold, in requests a second.
+    #[must_use]
+    pub fn rates(&self) -> BTreeMap<RunnerId, f64> {
+        let accounts = self.accounts.iter();
+        let rates = accounts.filter_map(|(instance, account)| {
+            let rate = account.rate?.granted_per_second();
+            Some((instance.clone(), rate))
+        });
+        rates.collect()
+    }
+
     /// Forgets instances that are gone, and limits that ended long ago.
     pub fn retain(&mut self, exists: impl Fn(&RunnerId) -> bool, now: Timestamp) {
         self.accounts
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -76,6 +76,8 @@
     fell_silent: BTreeMap<RunnerId, Timestamp>,
     /// Instances that said that they leave; late registrations may say otherwise.
     leaving: BTreeSet<RunnerId>,
+    /// Requests a second that instances take which name a limit.
+    limits: BTreeMap<RunnerId, f64>,
     demand: DemandTable,
     /// When the first demand was reported.
     demand_since: Option<Timestamp>,
@@ -122,6 +124,7 @@
             departed: BTreeMap::new(),
             fell_silent: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            limits: BTreeMap::new(),
             demand: DemandTable::default(),
             demand_since: None,
             usage: UsageTable::default(),
@@ -304,6 +307,11 @@
         is_news
     }
 
+    /// Takes over which instances name a limit, in requests a second from all routers.
+    pub fn set_limits(&mut self, limits: BTreeMap<RunnerId, f64>) {
+        self.limits = limits;
+    }
+
     /// Notes that an instance asked for rest: it is neither asked nor ordered anything.
     pub fn asked_rest(&mut self, id: &RunnerId, rest: Millis, now: Timestamp) {
         if let Some(instance) = self.instances.get_mut(id) {
--- a/crates/services/src/placement/places.rs
+++ b/crates/services/src/placement/places.rs
@@ -108,7 +108,9 @@
         let one = wanted.specification;
         let is_free = instance.is_free(planned.now);
         let known = [instance.loading(), instance.intent()].contains(&Some(&one.name));
-        if known || instance.has(&one.name) {
+        // Another copy there would share in the limit that its instance names.
+        let is_limited = wanted.count > 0 && self.limits.contains_key(instance.id());
+        if known || is_limited || instance.has(&one.name) {
             return None;
         }
         let is_taken = !self.may_displace(&one.name, instance, is_free);
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -126,6 +126,7 @@
             facts.urgent = objective.is_some_and(|objective| objective < back);
         }
         round.relieve_late();
+        round.relieve_limited(&placement.limits);
         round
     }
 
@@ -168,6 +169,25 @@
         }
     }
 
+    /// Models all of whose copies are at instances that name a limit need one more where these
+    /// take less in sum than what is asked for, unless one is on its way.
+    fn relieve_limited(&mut self, limits: &BTreeMap<RunnerId, f64>) {
+        if limits.is_empty() {
+            return;
+        }
+        for (name, facts) in &mut self.facts {
+            let places = self.copies.get(name).map_or(&[][..], Vec::as_slice);
+            let taken: Option<f64> = places.iter().map(|place| limits.get(place)).sum();
+            let is_short = taken.is_some_and(|taken| facts.demand.fast > taken);
+            if places.is_empty() || !is_short || facts.demand.fast < RATE_FOR_COPIES {
+                continue;
+            }
+            let more = usize::from(!self.coming.contains(name));
+            facts.desired = facts.desired.max(places.len() + more);
+            facts.keep = facts.keep.max(places.len());
+        }
+    }
+
     /// Notes a copy at the instance that is looked at: of its own copies the last one alone
     /// can be the same. To look for it among all would cost the square of the copies.
     fn note_copy(&mut self, model: &ModelName, instance: &RunnerId) {
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -295,6 +295,34 @@
 
 /// A registration that was held up on its way arrives after its sender has crashed and
 /// another incarnation has registered at the same address.
+/// What is beyond the limit that the only holder of a model names was refused for as long as it
+/// lasted.
+#[test]
+fn a_model_whose_only_copy_names_a_limit_below_its_demand_gets_another_copy_elsewhere() {
+    let copies_with = |limit: Option<f64>| {
+        let mut world = World::new(11, 6, 0);
+        let run = |world: &mut World| {
+            for _ in 0..750 {
+                let mut small = demand("m0", 1, 0, 500);
+                small.tokens = 100;
+                world.step(&[small]);
+            }
+        };
+        run(&mut world);
+        let holders = world.runners.iter();
+        let holders = holders.filter(|(_, runner)| runner.models.contains_key("m0"));
+        let holders: Vec<RunnerId> = holders.map(|(id, _)| id.clone()).collect();
+        assert_eq!(holders.len(), 1);
+        let limits = limit.map(|limit| (holders[0].clone(), limit));
+        world.engine.set_limits(limits.into_iter().collect());
+        run(&mut world);
+        world.copies("m0")
+    };
+    assert_eq!(copies_with(None), 1);
+    assert_eq!(copies_with(Some(1e6)), 1, "it takes all that is asked for");
+    assert_eq!(copies_with(Some(0.5)), 2);
+}
+
 #[test]
 fn a_late_registration_of_an_earlier_incarnation_changes_nothing() {
     for silent_for in [2_000, 60_000] {
