A refusal without a leader keeps nobody from asking the next one, and no request spins for its turn

What was seen (reading the diff, then the test): after a refusal by a router's own part an instance was left alone until that router's next turn, up to 338 s with 340 routers, though a leader was back or had only been slow for 60 ms; and a request whose turn is refused without a leader would ask again at once. Before: a_refusal_without_a_leader_keeps_nobody_from_asking_the_next_one fails (338,400 ms).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -100,9 +100,16 @@
     avoid: Vec<RunnerId>,
     /// When the last of them ended.
     ended_at: Option<Instant>,
+    /// When it was refused a turn at an instance that names a limit.
+    turn_refused_at: Option<Instant>,
 }
 
 impl Sends {
+    /// Whether a turn may be asked for: not again at once, since nothing may have changed.
+    fn may_ask_for_turn(&self) -> bool {
+        self.turn_refused_at.is_none_or(|at| at.elapsed() >= PAUSE)
+    }
+
     /// Whether an instance that failed it may be asked again: after a part of the
     /// objective, and each time after twice as long, so that a full instance gets time
     /// and the tries spread over the objective.
@@ -127,9 +134,13 @@
         };
         sends.count += 1;
         let instance = chosen.view.id.clone();
+        let in_turn = chosen.patience > Millis(0);
         admitted.set_used(true);
         let outcome = attempt(shared, admitted, chosen, sends.count).await;
         sends.ended_at = Some(Instant::now());
+        if in_turn && matches!(outcome, AttemptOutcome::NotSent) {
+            sends.turn_refused_at = sends.ended_at;
+        }
         let did_not_run = matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
         admitted.set_used(!did_not_run || sends.ran > 0);
         match next(admitted, shared, &mut sends, instance, outcome) {
@@ -355,6 +366,7 @@
             Waiting::GiveUp { retry_after } => return Err(GivenUp::of(sends, retry_after)),
         };
         if situation.in_turn
+            && sends.may_ask_for_turn()
             && let Some((candidate, view)) = shared.view.choose_turn(service, shape, now)
         {
             let patience = waiting::patience(&situation, Instant::now());
--- a/crates/services/src/limit/local.rs
+++ b/crates/services/src/limit/local.rs
@@ -17,6 +17,8 @@
 const ANSWER_TIME: Millis = Millis(10);
 /// Shortest time for which a refusal is remembered.
 const LEAST_WAIT: Millis = Millis(10);
+/// Longest time for which a refusal without a leader is remembered: one may be back.
+const LONGEST_WAIT_ALONE: Millis = Millis(500);
 /// Part of an equal part that a router without a leader sends: the leader may grant all of
 /// the limit to others meanwhile.
 const ALONE_PART: f64 = 0.5;
@@ -66,8 +68,10 @@
     named_at: Timestamp,
     /// Whether the present leader knows.
     told: bool,
-    /// Nothing is sent there before.
+    /// Nobody is asked before.
     waits_until: Timestamp,
+    /// When a request would fit, as it was told last.
+    fits_at: Timestamp,
     /// Questions under way.
     asking: u32,
     /// The last turn that was taken without a leader.
@@ -83,6 +87,7 @@
             named_at,
             told,
             waits_until: Timestamp::default(),
+            fits_at: Timestamp::default(),
             asking: 0,
             turn_at: None,
             own: None,
@@ -268,10 +273,11 @@
         untold.collect()
     }
 
-    /// Another leader has to be told all.
+    /// Another leader has to be told all, and may be asked at once.
     pub fn tell_anew(&mut self) {
         for word in self.words.values_mut() {
             word.told = false;
+            word.waits_until = Timestamp::default();
         }
     }
 
@@ -281,13 +287,14 @@
         self.words.get(instance)?.rate
     }
 
-    /// For how long an instance is surely not to be sent anything; none: it may be tried.
+    /// When an instance that is not to be tried now is expected to take a request; none: it may
+    /// be tried.
     #[must_use]
     pub fn has_no_room_for(&self, instance: &RunnerId, now: Timestamp) -> Option<Millis> {
         let word = self.words.get(instance)?;
         word.rate?;
         if now < word.waits_until {
-            return Some(word.waits_until.since(now));
+            return Some(word.fits_at.since(now).max(LEAST_WAIT));
         }
         word.asks_enough().then_some(ANSWER_TIME)
     }
@@ -328,6 +335,7 @@
         word.asking = word.asking.saturating_sub(1);
         if let Some(LimitVerdict::Refused { fits_after }) = verdict {
             word.waits_until = now.surely_after(fits_after.max(LEAST_WAIT));
+            word.fits_at = word.waits_until;
         }
     }
 
@@ -352,7 +360,8 @@
         if wait <= patience {
             return LimitStep::Alone { after: wait };
         }
-        word.waits_until = now + wait.max(LEAST_WAIT);
+        word.waits_until = now + wait.clamp(LEAST_WAIT, LONGEST_WAIT_ALONE);
+        word.fits_at = now + wait;
         LimitStep::Refuse { fits_after: wait }
     }
 
--- a/crates/services/tests/instance_limits.rs
+++ b/crates/services/tests/instance_limits.rs
@@ -155,6 +155,29 @@
     assert_eq!(ledger.ask(&ask(2.0, 0, 1_100), at(0)), granted(1_000));
 }
 
+/// Its own turn may be minutes away; a leader is back in a moment, or has only been slow.
+#[test]
+fn a_refusal_without_a_leader_keeps_nobody_from_asking_the_next_one() {
+    let refused = || {
+        let mut limits = RouterLimits::new(0.5);
+        limits.set_routers(340);
+        limits.heard(&instance(), Some(rate(1.0)), at(0), at(0));
+        let step = limits.step(&instance(), NOW, false, at(1_000));
+        let LimitStep::Refuse { fits_after } = step else {
+            panic!("its turn is later: {step:?}");
+        };
+        assert!(fits_after > Millis(60_000), "{fits_after:?}");
+        let expected = limits.has_no_room_for(&instance(), at(1_001));
+        assert!(expected > Some(Millis(60_000)), "{expected:?}");
+        limits
+    };
+    let slow = refused();
+    assert_eq!(slow.has_no_room_for(&instance(), at(1_600)), None);
+    let mut back = refused();
+    back.tell_anew();
+    assert_eq!(back.has_no_room_for(&instance(), at(1_001)), None);
+}
+
 #[test]
 fn an_instance_that_names_zero_is_tried_now_and_then() {
     let mut ledger = LimitLedger::default();
