--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions/mod.rs
@@ -5,10 +5,12 @@
 //! message for all is encoded once; a follower whose queue is full is cut off, and asks
 //! again.
 
+mod earlier;
+
 use crate::configuration_feed::ConfigurationFeed;
 use courseshunt_services::digest::bucket_of;
 use courseshunt_services::fed_instances::InstanceChanges;
-use courseshunt_services::{FedInstances, FeedMessage, InstanceDigests, InstanceView, LimitWord};
+use courseshunt_services::{FedInstances, FeedMessage, InstanceDigests, InstanceView};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::{Frame, Message};
 use std::collections::{BTreeMap, BTreeSet};
@@ -233,25 +235,6 @@
         self.tell_live();
     }
 
-    /// All instances that are there, once that is known.
-    fn live(&self) -> Option<FeedMessage> {
-        let fed = self.fed();
-        let settled = fed.leadership.is_some_and(|one| one.settled);
-        settled.then(|| {
-            let there = fed.instances.ids();
-            let there = there.filter(|id| !fed.limited.contains(id));
-            FeedMessage::Live(there.cloned().collect())
-        })
-    }
-
-    /// Tells routers of production's build which instances are there.
-    fn tell_live(&self) {
-        let Some(frame) = self.live().and_then(encode) else {
-            return;
-        };
-        self.send_to_earlier(&frame);
-    }
-
     /// Sends a router the parts in which what it knows differs.
     pub(crate) fn compare(&self, router: &str, number: u64, known: &InstanceDigests) {
         let frames = self.fed().differing(known);
@@ -279,47 +262,6 @@
         }
     }
 
-    /// Follows which instances name a limit: a router of production's build is told of one as
-    /// gone for as long as it does.
-    pub(crate) fn keep_back(&self, limited: BTreeSet<RunnerId>) {
-        let mut fed = self.fed();
-        let before = std::mem::replace(&mut fed.limited, limited);
-        let free = before.difference(&fed.limited);
-        let free = free.filter_map(|id| fed.instances.get(id).cloned());
-        let news = InstanceChanges {
-            changed: free.collect(),
-            gone: fed.limited.difference(&before).cloned().collect(),
-        };
-        drop(fed);
-        if !news.is_empty()
-            && let Some(frame) = encode(instances(news))
-        {
-            self.send_to_earlier(&frame);
-        }
-    }
-
-    /// Tells those of the instances that name a limit as gone.
-    fn kept_back(&self, is_told: impl Fn(&RunnerId) -> bool) -> Option<Arc<Frame>> {
-        let fed = self.fed();
-        let gone = fed.limited.iter().filter(|id| is_told(id));
-        let gone: Vec<RunnerId> = gone.cloned().collect();
-        drop(fed);
-        if gone.is_empty() {
-            return None;
-        }
-        encode(instances(InstanceChanges {
-            changed: Vec::new(),
-            gone,
-        }))
-    }
-
-    /// Sends to routers of production's build.
-    fn send_to_earlier(&self, frame: &Arc<Frame>) {
-        self.followers().routers.retain(|_, session| {
-            !session.is_earlier || session.queue.try_send(frame.clone()).is_ok()
-        });
-    }
-
     /// Takes a part of the instances over, and tells routers what of it is new.
     pub(crate) fn take_part(&self, part: u32, instances: Vec<InstanceView>, complete: bool) {
         let part = usize::try_from(part).unwrap_or(usize::MAX);
@@ -349,7 +291,7 @@
     /// Sends to all followers.
     pub(crate) fn broadcast(&self, message: FeedMessage) {
         if let FeedMessage::Limits(words) = &message {
-            self.keep_back(limited(words));
+            self.follow_limits(words);
         }
         let Some(frame) = self.keep(message) else {
             return;
@@ -363,7 +305,7 @@
     /// Sends to the routers that follow this controller.
     pub(crate) fn broadcast_to_routers(&self, message: FeedMessage) {
         if let FeedMessage::Limits(words) = &message {
-            self.keep_back(limited(words));
+            self.follow_limits(words);
         }
         let Some(frame) = self.keep(message) else {
             return;
@@ -494,12 +436,6 @@
     }
 }
 
-/// The instances that name a limit.
-fn limited(words: &[LimitWord]) -> BTreeSet<RunnerId> {
-    let limited = words.iter().filter(|word| word.rate.is_some());
-    limited.map(|word| word.instance.clone()).collect()
-}
-
 fn instances(news: InstanceChanges) -> FeedMessage {
     FeedMessage::Instances {
         changed: news.changed,
--- a/crates/services/src/limit/local.rs
+++ b/crates/services/src/limit/local.rs
@@ -126,12 +126,11 @@
         f64::from(self.asking) >= (rate * ASKED_AT_ONCE_S).max(1.0)
     }
 
-    /// Takes over another limit than before.
+    /// Takes over another limit than before. What was taken of this router's own part stays
+    /// taken: a number may change with each answer.
     fn change(&mut self, rate: Option<RequestRate>) {
         self.rate = rate;
         self.waits_until = Timestamp::default();
-        self.turn_at = None;
-        self.own = None;
     }
 }
 
