Gateway: a record and a metric for each decision of the retry budget

Cause: nothing showed whether a router retried too often because its account was new or because the number of routers that divides the slack was too low. Change: services::RetryBudgets holds the accounts of a router and names what each decision was based on; the router emits it as a `retry` record and exports the divisor and the retries allowed. No decision changes.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -177,12 +177,11 @@
     let route = &admitted.route;
     let resumable = route.kind == RequestKind::Streaming && route.resumable;
     let repeatable = route.kind == RequestKind::Safe || resumable;
-    let now = shared.clock.now();
     let may_retry = |history: &SendHistory| {
-        let allowed =
-            history.count < MAX_SENDS && shared.view.take_retry(&admitted.service.name, now);
-        if !allowed {
-            shared.metrics.retry_denied();
+        let allowed = history.count < MAX_SENDS && take_retry(admitted, shared, history.count);
+        match allowed {
+            true => shared.metrics.retry_allowed(),
+            false => shared.metrics.retry_denied(),
         }
         allowed
     };
@@ -223,6 +222,29 @@
     }
 }
 
+/// Takes a retry from the retry budget after attempt number `attempt`; returns whether there was
+/// one.
+fn take_retry(admitted: &AdmittedRequest, shared: &Shared, attempt: u32) -> bool {
+    let service = &admitted.service.name;
+    let decision = shared.view.decide_retry(service, shared.clock.now());
+    let outcome = match decision.is_allowed {
+        true => "allowed",
+        false => "denied",
+    };
+    emit(&RequestRecord::Retry {
+        id: &admitted.metadata.id,
+        service,
+        attempt,
+        outcome,
+        routers: decision.routers,
+        routers_age_ms: decision.routers_age.map(|age| age.0),
+        requests: decision.requests,
+        retries: decision.retries,
+        share: decision.share,
+    });
+    decision.is_allowed
+}
+
 /// Retry-After of a refusal if all instances that could serve the request are in backoff;
 /// `None` if the default applies.
 fn backoff_retry_after(admitted: &AdmittedRequest, shared: &Shared) -> Option<Millis> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub(crate) feed_age: Duration,
     /// Number of contents in quarantine.
     pub(crate) quarantined: usize,
+    /// Number of routers among which the slack of the retry budget is divided.
+    pub(crate) retry_routers: u32,
 }
 
 /// Metrics of a router.
@@ -51,7 +53,9 @@
     answers: Family<Labels, Counter>,
     refusals: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
+    retries_allowed: Counter,
     retries_denied: Counter,
+    retry_routers: Gauge,
     pushbacks: Family<Labels, Counter>,
     sent_despite_pushback: Family<Labels, Counter>,
     limited: Family<Labels, Counter>,
@@ -81,7 +85,9 @@
             answers: Family::default(),
             refusals: Family::default(),
             attempts: Family::default(),
+            retries_allowed: Counter::default(),
             retries_denied: Counter::default(),
+            retry_routers: Gauge::default(),
             pushbacks: Family::default(),
             sent_despite_pushback: Family::default(),
             limited: Family::default(),
@@ -117,8 +123,14 @@
         registry.register("refusals", "Own refusals by reason", refusals);
         let attempts = self.attempts.clone();
         registry.register("attempts", "Requests sent by outcome", attempts);
+        let allowed = self.retries_allowed.clone();
+        let help = "Retries within the budget";
+        registry.register("retries_allowed", help, allowed);
         let denied = self.retries_denied.clone();
         registry.register("retries_denied", "Retries beyond the budget", denied);
+        let routers = self.retry_routers.clone();
+        let help = "Routers among which the slack of the retry budget is divided";
+        registry.register("retry_routers", help, routers);
         let pushbacks = self.pushbacks.clone();
         let help = "Answers in which instances ask for rest or say that they leave";
         registry.register("pushbacks", help, pushbacks);
@@ -241,6 +253,10 @@
             .set(value(count.units));
     }
 
+    pub(crate) fn retry_allowed(&self) {
+        self.retries_allowed.inc();
+    }
+
     pub(crate) fn retry_denied(&self) {
         self.retries_denied.inc();
     }
@@ -298,7 +314,9 @@
             configuration,
             feed_age,
             quarantined,
+            retry_routers,
         } = *values;
+        self.retry_routers.set(i64::from(retry_routers));
         self.quarantined
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let configuration = i64::try_from(configuration).unwrap_or(i64::MAX);
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -70,6 +70,26 @@
         rest_ms: Option<u64>,
         after_ms: u64,
     },
+    /// Decision whether the request may be sent again after a failed attempt, and the state of
+    /// the retry budget that it was based on.
+    Retry {
+        id: &'a str,
+        service: &'a str,
+        /// Number of the attempt that failed.
+        attempt: u32,
+        /// `allowed`, or `denied` by the retry budget.
+        outcome: &'static str,
+        /// Number of routers among which the slack is divided.
+        routers: u32,
+        /// Time since a leader reported a number of routers; absent if none did.
+        routers_age_ms: Option<u64>,
+        /// Requests for the service at this router in the window.
+        requests: usize,
+        /// Retries of this router in the window, without this one.
+        retries: usize,
+        /// Retries that this router may send in the window.
+        share: f64,
+    },
     /// The attempt failed; the request may have run.
     Failed {
         id: &'a str,
@@ -129,9 +149,11 @@
         match self {
             Self::Refused { .. } | Self::Failed { .. } | Self::Cancelled { .. } => true,
             Self::Ended { whole, status, .. } => !whole || *status >= 400,
-            Self::Waits { .. } | Self::Limited { .. } | Self::Sent { .. } | Self::NotRun { .. } => {
-                false
-            }
+            Self::Waits { .. }
+            | Self::Limited { .. }
+            | Self::Sent { .. }
+            | Self::NotRun { .. }
+            | Self::Retry { .. } => false,
         }
     }
 }
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -9,13 +9,13 @@
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
     Candidate, InstanceDigests, InstanceDirectory, InstanceView, LimitChange, LimitReport,
-    LimitStep, LimitVerdict, PromptShape, Pushback, ReportMessage, RequestRate, RetryBudget,
-    RouteTable, Selector, Service,
+    LimitStep, LimitVerdict, PromptShape, Pushback, ReportMessage, RequestRate,
+    RetryBudgetSettings, RetryBudgets, RetryDecision, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Millis, RunnerId, Timestamp, Zone};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -48,13 +48,16 @@
     pub(crate) report_due: Notify,
     /// Notified when the leader's digests differ from those of the local instances.
     pub(crate) instances_differ: Notify,
-    retry_settings: (f64, f64, Millis),
 }
 
 impl View {
     pub(crate) fn new(settings: &ServiceSettings, clock: MonotonicClock) -> Self {
         let limits = &settings.limits;
-        let window = Millis((limits.retry_window_s * 1000.0) as u64);
+        let retry_settings = RetryBudgetSettings {
+            ratio: limits.retry_ratio,
+            slack: limits.retry_slack,
+            window: Millis((limits.retry_window_s * 1000.0) as u64),
+        };
         let zone = Zone::from(settings.zone.as_str());
         let mut selector = Selector::new(zone).seeded(rand::random());
         selector.set_routers(INITIAL_ROUTER_COUNT);
@@ -66,7 +69,7 @@
             loading: BTreeMap::new(),
             selector,
             demand: DemandTracker::default(),
-            budgets: HashMap::new(),
+            retry_budgets: RetryBudgets::new(retry_settings, INITIAL_ROUTER_COUNT, rand::random()),
             routers: INITIAL_ROUTER_COUNT,
             last_report: None,
         };
@@ -77,7 +80,6 @@
             clock,
             report_due: Notify::new(),
             instances_differ: Notify::new(),
-            retry_settings: (limits.retry_ratio, limits.retry_slack, window),
         }
     }
 
@@ -237,6 +239,7 @@
         let mut state = self.lock();
         state.routers = routers.max(1);
         let routers = state.routers;
+        state.retry_budgets.record_routers(routers, now);
         state.selector.set_routers(routers);
         let lag = usage_lag(state.routers, state.instances.len());
         state.selector.set_usage(usage, lag, now);
@@ -455,13 +458,8 @@
         objective: Millis,
         now: Timestamp,
     ) {
-        let (ratio, slack, window) = self.retry_settings;
         let mut state = self.lock();
-        let budgets = &mut state.budgets;
-        let budget = budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(ratio, slack, window).seeded(rand::random()));
-        budget.record_request(now);
+        state.retry_budgets.record_request(service, now);
         state.demand.count_arrival(service, shape, objective);
     }
 
@@ -470,12 +468,14 @@
         self.lock().demand.count_late(service, shape);
     }
 
-    /// Takes one retry from the retry budget; returns whether it had one.
-    pub(crate) fn take_retry(&self, service: &str, now: Timestamp) -> bool {
-        let mut state = self.lock();
-        let routers = state.routers;
-        let budget = state.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.take(routers, now))
+    /// Decides on a retry of a request for a service, by the retry budget.
+    pub(crate) fn decide_retry(&self, service: &str, now: Timestamp) -> RetryDecision {
+        self.lock().retry_budgets.decide(service, now)
+    }
+
+    /// Number of routers among which the slack of the retry budget is divided.
+    pub(crate) fn retry_routers(&self) -> u32 {
+        self.lock().retry_budgets.routers()
     }
 
     /// Counts a request as waiting for its model until the guard is dropped.
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -5,10 +5,10 @@
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
     Candidate, InstanceDirectory, InstanceState, InstanceView, PromptShape, Pushback,
-    ReportMessage, RetryBudget, RouteTable, Selector, Service,
+    ReportMessage, RetryBudgets, RouteTable, Selector, Service,
 };
 use courseshunt_types::{RunnerId, Timestamp};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -66,7 +66,7 @@
     pub(super) loading: BTreeMap<RunnerId, Vec<(String, Instant)>>,
     pub(super) selector: Selector,
     pub(super) demand: DemandTracker,
-    pub(super) budgets: HashMap<String, RetryBudget>,
+    pub(super) retry_budgets: RetryBudgets,
     pub(super) routers: u32,
     /// Last report sent to the current leader.
     pub(super) last_report: Option<ReportMessage>,
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -11,7 +11,6 @@
     reason = "rkyv derives archived types whose fields have no docs"
 )]
 
-pub mod budget;
 pub mod configuration;
 pub mod content;
 mod decay;
@@ -26,6 +25,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod relay;
+pub mod retry_budget;
 pub mod routes;
 pub mod selection;
 pub mod store_limit;
@@ -33,7 +33,6 @@
 pub mod token_bucket;
 pub mod validation;
 
-pub use budget::RetryBudget;
 pub use configuration::{
     ClientLimits, Engine, ModelSpecification, RequestKind, Route, Service, ServiceConfiguration,
     Target,
@@ -64,6 +63,7 @@
     TenantUse,
 };
 pub use relay::{RegistrationOutbox, RelayedRegistration};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings, RetryBudgets, RetryDecision};
 pub use routes::RouteTable;
 pub use selection::{Candidate, PrefixPart, PromptShape, Pushback, Pushbacks, Selector};
 pub use store_limit::StoreLimit;
--- a/crates/services/src/budget.rs
+++ b/crates/services/src/retry_budget/account.rs
@@ -1,4 +1,4 @@
-//! Retry budget that all routers share.
+//! Account of the retries of one service at one router.
 //!
 //! Each router spends at most its local share: a fraction of its own recent requests and an
 //! equal share of the common slack. The sum over all routers therefore stays within the common
@@ -12,6 +12,7 @@
 //! the unused fraction of the budget does not cover the deviation of the sum of all draws, all
 //! routers round down.
 
+use super::RetryBudgetSettings;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -28,9 +29,7 @@
 /// Retry budget of one service at one router.
 #[derive(Debug)]
 pub struct RetryBudget {
-    ratio: f64,
-    slack: f64,
-    window: Millis,
+    settings: RetryBudgetSettings,
     /// Makes this router's draws independent of those of other routers.
     seed: u64,
     requests: VecDeque<Timestamp>,
@@ -38,14 +37,11 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget of `ratio` retries per request plus `slack` retries in each `window`,
-    /// summed over all routers.
+    /// Creates an account of the common budget that `settings` describe.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64, window: Millis) -> Self {
+    pub fn new(settings: RetryBudgetSettings) -> Self {
         Self {
-            ratio,
-            slack,
-            window,
+            settings,
             seed: 0,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
@@ -67,32 +63,46 @@
     /// Takes one retry from the budget; returns whether it may be sent. `routers` is the number
     /// of live routers.
     pub fn take(&mut self, routers: u32, now: Timestamp) -> bool {
+        let share = self.share(routers, now);
+        if self.retries.len() as f64 + 1.0 > share {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    /// Retries that this router may send in the window before `now`, if the slack is divided
+    /// among `routers`.
+    pub fn share(&mut self, routers: u32, now: Timestamp) -> f64 {
         self.expire(now);
         let routers = f64::from(routers.max(1));
-        let share = self.ratio * self.requests.len() as f64 + self.slack / routers;
+        let RetryBudgetSettings { ratio, slack, .. } = self.settings;
+        let share = ratio * self.requests.len() as f64 + slack / routers;
         // Assumes that the other routers have equal shares.
         let unused = (1.0 - USED_FRACTION) * share * routers;
         let rounding = match unused >= COVERED_DEVIATIONS * routers.sqrt() / 2.0 {
             true => self.draw(now),
             false => 0.0,
         };
-        if self.retries.len() as f64 + 1.0 > USED_FRACTION * share + rounding {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        USED_FRACTION * share + rounding
+    }
+
+    /// Numbers of requests and of retries in the window, as of the last call that gave a time.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.requests.len(), self.retries.len())
     }
 
     /// The amount that is added to this router's share at `now` before it is rounded down:
     /// uniform over routers in [0, 1].
     fn draw(&self, now: Timestamp) -> f64 {
-        let period_ms = (self.window.0 * WINDOWS_PER_DRAW).max(1);
+        let period_ms = (self.settings.window.0 * WINDOWS_PER_DRAW).max(1);
         let period = (now + Millis(self.seed % period_ms)).window_index(Millis(period_ms));
         xxh3_64_with_seed(&period.to_le_bytes(), self.seed) as f64 / u64::MAX as f64
     }
 
     fn expire(&mut self, now: Timestamp) {
-        let oldest = now - self.window;
+        let oldest = now - self.settings.window;
         while self.requests.front().is_some_and(|at| *at < oldest) {
             self.requests.pop_front();
         }
--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -1,6 +1,6 @@
 //! The retry budget and the load ceiling of the weight store stay within their bounds.
 
-use courseshunt_services::{LoadRateLimiter, RetryBudget};
+use courseshunt_services::{LoadRateLimiter, RetryBudget, RetryBudgetSettings};
 use courseshunt_types::{Millis, Timestamp};
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -8,11 +8,19 @@
 
 const WINDOW: Millis = Millis(10_000);
 
+fn settings(ratio: f64, slack: f64) -> RetryBudgetSettings {
+    RetryBudgetSettings {
+        ratio,
+        slack,
+        window: WINDOW,
+    }
+}
+
 #[test]
 fn all_routers_together_stay_within_the_common_budget() {
     let routers = 7;
     let mut budgets: Vec<RetryBudget> = (0..routers)
-        .map(|_| RetryBudget::new(0.2, 54.0, WINDOW))
+        .map(|_| RetryBudget::new(settings(0.2, 54.0)))
         .collect();
     let mut requests = 0;
     let mut retries = 0;
@@ -67,7 +75,7 @@
 fn simulate_fleet(fleet: Fleet, seed: u64) -> FleetRetries {
     let mut random = Pcg64::seed_from_u64(seed);
     let seeds = Pcg64::seed_from_u64(seed + 100);
-    let budget = |seed| RetryBudget::new(0.2, fleet.slack, WINDOW).seeded(seed);
+    let budget = |seed| RetryBudget::new(settings(0.2, fleet.slack)).seeded(seed);
     let seeds = seeds_of(seeds, fleet.routers);
     let mut budgets: Vec<RetryBudget> = seeds.into_iter().map(budget).collect();
     let (mut requests, mut retries) = (VecDeque::new(), VecDeque::new());
@@ -133,7 +141,7 @@
 
 #[test]
 fn a_budget_is_refilled_after_its_window() {
-    let mut budget = RetryBudget::new(0.0, 10.0, WINDOW);
+    let mut budget = RetryBudget::new(settings(0.0, 10.0));
     let taken = (0..100).filter(|_| budget.take(1, Timestamp(5))).count();
     assert!((1..=10).contains(&taken), "{taken}");
     assert!(!budget.take(1, Timestamp(9_000)));
