--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,8 +41,9 @@
     pub(crate) feed_age: Duration,
     /// Number of contents in quarantine.
     pub(crate) quarantined: usize,
-    /// Number of routers among which the slack of the retry budget is divided.
-    pub(crate) retry_routers: u32,
+    /// Number of routers that divide the slack of the retry budget; `None` if this router has no
+    /// share of it.
+    pub(crate) slack_divisor: Option<u32>,
 }
 
 /// Metrics of a router.
@@ -55,7 +56,7 @@
     attempts: Family<Labels, Counter>,
     retries_allowed: Counter,
     retries_denied: Counter,
-    retry_routers: Gauge,
+    slack_divisor: Gauge,
     pushbacks: Family<Labels, Counter>,
     sent_despite_pushback: Family<Labels, Counter>,
     limited: Family<Labels, Counter>,
@@ -87,7 +88,7 @@
             attempts: Family::default(),
             retries_allowed: Counter::default(),
             retries_denied: Counter::default(),
-            retry_routers: Gauge::default(),
+            slack_divisor: Gauge::default(),
             pushbacks: Family::default(),
             sent_despite_pushback: Family::default(),
             limited: Family::default(),
@@ -128,9 +129,9 @@
         registry.register("retries_allowed", help, allowed);
         let denied = self.retries_denied.clone();
         registry.register("retries_denied", "Retries beyond the budget", denied);
-        let routers = self.retry_routers.clone();
-        let help = "Routers among which the slack of the retry budget is divided";
-        registry.register("retry_routers", help, routers);
+        let divisor = self.slack_divisor.clone();
+        let help = "Routers that divide the slack of the retry budget, 0 without a share of it";
+        registry.register("retry_slack_divisor", help, divisor);
         let pushbacks = self.pushbacks.clone();
         let help = "Answers in which instances ask for rest or say that they leave";
         registry.register("pushbacks", help, pushbacks);
@@ -314,9 +315,10 @@
             configuration,
             feed_age,
             quarantined,
-            retry_routers,
+            slack_divisor,
         } = *values;
-        self.retry_routers.set(i64::from(retry_routers));
+        self.slack_divisor
+            .set(i64::from(slack_divisor.unwrap_or(0)));
         self.quarantined
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let configuration = i64::try_from(configuration).unwrap_or(i64::MAX);
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -79,10 +79,10 @@
         attempt: u32,
         /// `allowed`, or `denied` by the retry budget.
         outcome: &'static str,
-        /// Number of routers among which the slack is divided.
-        routers: u32,
-        /// Time since a leader reported a number of routers; absent if none did.
-        routers_age_ms: Option<u64>,
+        /// Number of routers that divide the slack; absent if this router has no share of it.
+        slack_divisor: Option<u32>,
+        /// Length of the uninterrupted contact with leaders; absent without contact.
+        contact_ms: Option<u64>,
         /// Requests for the service at this router in the window.
         requests: usize,
         /// Retries of this router in the window, without this one.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -118,7 +118,7 @@
                 configuration: shared.view.configuration_number(),
                 feed_age: shared.view.feed_age(),
                 quarantined: shared.quarantine.count(),
-                retry_routers: shared.view.retry_routers(),
+                slack_divisor: shared.view.slack_divisor(shared.clock.now()),
             });
             text_response(StatusCode::OK, page)
         }
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -69,7 +69,8 @@
             loading: BTreeMap::new(),
             selector,
             demand: DemandTracker::default(),
-            retry_budgets: RetryBudgets::new(retry_settings, INITIAL_ROUTER_COUNT, rand::random()),
+            retry_budgets: RetryBudgets::new(retry_settings, rand::random()),
+            fleet: retry_settings.fleet_size(),
             routers: INITIAL_ROUTER_COUNT,
             last_report: None,
         };
@@ -239,7 +240,7 @@
         let mut state = self.lock();
         state.routers = routers.max(1);
         let routers = state.routers;
-        state.retry_budgets.record_routers(routers, now);
+        state.fleet.record(routers, now);
         state.selector.set_routers(routers);
         let lag = usage_lag(state.routers, state.instances.len());
         state.selector.set_usage(usage, lag, now);
@@ -470,12 +471,21 @@
 
     /// Decides on a retry of a request for a service, by the retry budget.
     pub(crate) fn decide_retry(&self, service: &str, now: Timestamp) -> RetryDecision {
-        self.lock().retry_budgets.decide(service, now)
+        let mut state = self.lock();
+        let State {
+            retry_budgets,
+            fleet,
+            ..
+        } = &mut *state;
+        retry_budgets.decide(service, fleet, now)
     }
 
-    /// Number of routers among which the slack of the retry budget is divided.
-    pub(crate) fn retry_routers(&self) -> u32 {
-        self.lock().retry_budgets.routers()
+    /// Number of routers that divide the slack of the retry budget; `None` if this router has no
+    /// share of it.
+    pub(crate) fn slack_divisor(&self, now: Timestamp) -> Option<u32> {
+        let state = self.lock();
+        let settings = state.retry_budgets.settings();
+        settings.slack_divisor(&state.fleet, now)
     }
 
     /// Counts a request as waiting for its model until the guard is dropped.
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -4,7 +4,7 @@
 use crate::demand::DemandTracker;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
-    Candidate, InstanceDirectory, InstanceState, InstanceView, PromptShape, Pushback,
+    Candidate, FleetSize, InstanceDirectory, InstanceState, InstanceView, PromptShape, Pushback,
     ReportMessage, RetryBudgets, RouteTable, Selector, Service,
 };
 use courseshunt_types::{RunnerId, Timestamp};
@@ -68,6 +68,7 @@
     pub(super) demand: DemandTracker,
     pub(super) retry_budgets: RetryBudgets,
     pub(super) routers: u32,
+    pub(super) fleet: FleetSize,
     /// Last report sent to the current leader.
     pub(super) last_report: Option<ReportMessage>,
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -16,6 +16,7 @@
 mod decay;
 pub mod digest;
 pub mod feed;
+pub mod fleet_size;
 pub mod instance;
 pub mod instance_directory;
 mod instance_index;
@@ -43,6 +44,7 @@
     FeedMessage, InstanceUsage, MemberLocation, ModelDemand, RelayedReport, ReportMessage,
     RouterUpdate,
 };
+pub use fleet_size::FleetSize;
 pub use instance::{CachedWeights, InstanceState, InstanceView, Registration, ResidentModel};
 pub use instance_directory::InstanceDirectory;
 pub use limit::ledger::LimitLedger;
--- a/crates/services/src/retry_budget/account.rs
+++ b/crates/services/src/retry_budget/account.rs
@@ -10,15 +10,16 @@
 //! draw is kept for several windows and renewed at a time that differs between routers: with a
 //! new draw for each retry, or at all routers at once, a window could exceed the shares. Where
 //! the unused fraction of the budget does not cover the deviation of the sum of all draws, all
-//! routers round down.
+//! routers round down. A router without a share of the slack rounds down as well, since each new
+//! process has a new draw.
 
 use super::RetryBudgetSettings;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Fraction of the share that is used. The rest covers changes of the number of routers that
-/// are received late, and sliding windows.
+/// Fraction of the share that is used. The rest covers sliding windows, and routers that are cut
+/// off from the leader while as many new ones start.
 const USED_FRACTION: f64 = 0.6;
 /// Windows for which a draw is kept: in each window, one router in this number has two draws.
 const WINDOWS_PER_DRAW: u64 = 6;
@@ -60,10 +61,10 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry from the budget; returns whether it may be sent. `routers` is the number
-    /// of live routers.
-    pub fn take(&mut self, routers: u32, now: Timestamp) -> bool {
-        let share = self.share(routers, now);
+    /// Takes one retry from the budget; returns whether it may be sent. See [`Self::share`] for
+    /// `slack_divisor`.
+    pub fn take(&mut self, slack_divisor: Option<u32>, now: Timestamp) -> bool {
+        let share = self.share(slack_divisor, now);
         if self.retries.len() as f64 + 1.0 > share {
             return false;
         }
@@ -71,13 +72,18 @@
         true
     }
 
-    /// Retries that this router may send in the window before `now`, if the slack is divided
-    /// among `routers`.
-    pub fn share(&mut self, routers: u32, now: Timestamp) -> f64 {
+    /// Retries that this router may send in the window before `now`. `slack_divisor` is the
+    /// number of routers that divide the slack; without it, the share is the part that the
+    /// router's own requests give.
+    pub fn share(&mut self, slack_divisor: Option<u32>, now: Timestamp) -> f64 {
         self.expire(now);
-        let routers = f64::from(routers.max(1));
         let RetryBudgetSettings { ratio, slack, .. } = self.settings;
-        let share = ratio * self.requests.len() as f64 + slack / routers;
+        let own_part = ratio * self.requests.len() as f64;
+        let Some(routers) = slack_divisor else {
+            return USED_FRACTION * own_part;
+        };
+        let routers = f64::from(routers.max(1));
+        let share = own_part + slack / routers;
         // Assumes that the other routers have equal shares.
         let unused = (1.0 - USED_FRACTION) * share * routers;
         let rounding = match unused >= COVERED_DEVIATIONS * routers.sqrt() / 2.0 {
--- a/crates/services/src/retry_budget/mod.rs
+++ b/crates/services/src/retry_budget/mod.rs
@@ -1,12 +1,19 @@
 //! Retry budgets of one router, one for each service. All routers together keep to a common
 //! budget for each service, without a message for each retry.
 //!
-//! Invariant: each decision on a retry names the state of the budget that it was based on.
+//! A router's share has two parts. The part that its own requests give is safe whatever other
+//! routers do. The part of the common slack depends on the other routers, and on what earlier
+//! processes of this router sent: a router has it only after a whole window of contact with
+//! leaders, and loses it a window after the contact is lost.
+//!
+//! Invariant: in no window do the shares of the slack that routers use exceed the slack; each
+//! decision names the state that it was based on.
 
 mod account;
 
 pub use account::RetryBudget;
 
+use crate::fleet_size::FleetSize;
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -22,15 +29,31 @@
     pub window: Millis,
 }
 
+impl RetryBudgetSettings {
+    /// State of a router that has not had contact with a leader yet. The lease of its share is
+    /// one window.
+    #[must_use]
+    pub fn fleet_size(&self) -> FleetSize {
+        FleetSize::new(self.window)
+    }
+
+    /// Number of routers that divide the slack; `None` if this router has no share of it.
+    #[must_use]
+    pub fn slack_divisor(&self, fleet: &FleetSize, now: Timestamp) -> Option<u32> {
+        let contact = fleet.contact(now)?;
+        fleet.largest_recent(now).filter(|_| contact >= self.window)
+    }
+}
+
 /// A decision on a retry and the state of the service's budget that it was based on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryDecision {
     /// Whether the retry may be sent. If so, it is already counted.
     pub is_allowed: bool,
-    /// Number of routers among which the slack is divided.
-    pub routers: u32,
-    /// Time since a leader reported a number of routers; `None` if none did.
-    pub routers_age: Option<Millis>,
+    /// Number of routers that divide the slack; `None` if this router has no share of it.
+    pub slack_divisor: Option<u32>,
+    /// Length of the uninterrupted contact with leaders; `None` without contact.
+    pub contact: Option<Millis>,
     /// Requests of clients for the service at this router in the window before the decision.
     pub requests: usize,
     /// Retries in that window, without this one.
@@ -44,35 +67,25 @@
 pub struct RetryBudgets {
     settings: RetryBudgetSettings,
     seed: u64,
-    routers: u32,
-    routers_reported_at: Option<Timestamp>,
     budgets: HashMap<String, RetryBudget>,
 }
 
 impl RetryBudgets {
-    /// Creates the budgets of a router. `routers` is assumed until a leader reports the number of
-    /// routers; `seed` makes the draws independent of those of other routers.
+    /// Creates the budgets of a router. `seed` makes its draws independent of those of other
+    /// routers.
     #[must_use]
-    pub fn new(settings: RetryBudgetSettings, routers: u32, seed: u64) -> Self {
+    pub fn new(settings: RetryBudgetSettings, seed: u64) -> Self {
         Self {
             settings,
             seed,
-            routers,
-            routers_reported_at: None,
             budgets: HashMap::new(),
         }
     }
 
-    /// Records the number of routers that a leader reports.
-    pub fn record_routers(&mut self, routers: u32, now: Timestamp) {
-        self.routers = routers.max(1);
-        self.routers_reported_at = Some(now);
-    }
-
-    /// Number of routers among which the slack is divided.
+    /// The common budget of each service.
     #[must_use]
-    pub fn routers(&self) -> u32 {
-        self.routers
+    pub fn settings(&self) -> &RetryBudgetSettings {
+        &self.settings
     }
 
     /// Records a request of a client for `service`.
@@ -81,16 +94,15 @@
     }
 
     /// Decides on a retry of a request for `service`, and counts it if it is allowed.
-    pub fn decide(&mut self, service: &str, now: Timestamp) -> RetryDecision {
-        let routers = self.routers;
-        let routers_age = self.routers_reported_at.map(|at| now.since(at));
+    pub fn decide(&mut self, service: &str, fleet: &FleetSize, now: Timestamp) -> RetryDecision {
+        let slack_divisor = self.settings.slack_divisor(fleet, now);
         let budget = self.budget(service);
-        let share = budget.share(routers, now);
+        let share = budget.share(slack_divisor, now);
         let (requests, retries) = budget.counts();
         RetryDecision {
-            is_allowed: budget.take(routers, now),
-            routers,
-            routers_age,
+            is_allowed: budget.take(slack_divisor, now),
+            slack_divisor,
+            contact: fleet.contact(now),
             requests,
             retries,
             share,
--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -30,7 +30,7 @@
         budget.record_request(now);
         requests += 1;
         for _ in 0..3 {
-            if budget.take(routers as u32, now) {
+            if budget.take(Some(routers as u32), now) {
                 retries += 1;
             }
         }
@@ -87,7 +87,7 @@
         requests.push_back(now);
         if random.next_u64().is_multiple_of(fleet.failure_interval) {
             outcome.failures += 1;
-            if budgets[router].take(fleet.routers, now) {
+            if budgets[router].take(Some(fleet.routers), now) {
                 outcome.retries += 1;
                 retries.push_back(now);
             }
@@ -142,10 +142,12 @@
 #[test]
 fn a_budget_is_refilled_after_its_window() {
     let mut budget = RetryBudget::new(settings(0.0, 10.0));
-    let taken = (0..100).filter(|_| budget.take(1, Timestamp(5))).count();
+    let taken = (0..100)
+        .filter(|_| budget.take(Some(1), Timestamp(5)))
+        .count();
     assert!((1..=10).contains(&taken), "{taken}");
-    assert!(!budget.take(1, Timestamp(9_000)));
-    assert!(budget.take(1, Timestamp(20_000)));
+    assert!(!budget.take(Some(1), Timestamp(9_000)));
+    assert!(budget.take(Some(1), Timestamp(20_000)));
 }
 
 #[test]
--- a/crates/services/tests/retry_budget_fleet.rs
+++ b/crates/services/tests/retry_budget_fleet.rs
@@ -16,6 +16,7 @@
 const SMALL: Fleet = Fleet {
     routers: 8,
     requests_per_second: 66.0,
+    failures_percent: 100,
     settings: RetryBudgetSettings {
         ratio: 0.2,
         slack: 56.0,
@@ -27,6 +28,7 @@
 const LARGE: Fleet = Fleet {
     routers: 340,
     requests_per_second: 340.0,
+    failures_percent: 100,
     settings: RetryBudgetSettings {
         ratio: 0.2,
         slack: 622.0,
@@ -80,3 +82,19 @@
         assert!(outcome.max_used > 0.5, "{outcome:?}");
     }
 }
+
+/// Routers without a share of the slack still retry by the part that their own requests give.
+#[test]
+fn restarted_routers_retry_most_requests_while_few_fail() {
+    let fleet = Fleet {
+        failures_percent: 5,
+        ..SMALL
+    };
+    for seed in 0..SEEDS {
+        let outcome = simulate(fleet, Scenario::RestartsInSeries, seed);
+        assert!(
+            outcome.sent * 10 >= outcome.wanted * 8,
+            "{seed}: {outcome:?}"
+        );
+    }
+}
--- a/crates/services/tests/retry_budget_simulation/mod.rs
+++ b/crates/services/tests/retry_budget_simulation/mod.rs
@@ -1,11 +1,10 @@
-//! A fleet of routers with their retry budgets, in virtual time. Every attempt fails, so that all
-//! routers send as many retries as their budgets allow.
+//! A fleet of routers with their retry budgets, in virtual time.
 //!
 //! Invariant: the same seed gives the same outcome.
 
 mod rule;
 
-use courseshunt_services::{RetryBudgetSettings, RetryBudgets};
+use courseshunt_services::{FleetSize, RetryBudgetSettings, RetryBudgets};
 use courseshunt_types::{Millis, Timestamp};
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -16,7 +15,7 @@
 const LENGTH: Timestamp = Timestamp(60_000);
 /// Time from which disruptions occur; every router has had contact for longer than a window.
 const FIRST_DISRUPTION: u64 = 22_000;
-/// Retries that the router wants for each request.
+/// Retries of a request whose attempts all fail.
 const RETRIES_PER_REQUEST: u32 = 4;
 /// Interval between the leader's reports of the number of routers.
 const REPORT_INTERVAL: Millis = Millis(120);
@@ -31,6 +30,8 @@
     pub routers: usize,
     /// Requests of clients per second, over all routers.
     pub requests_per_second: f64,
+    /// Attempts of 100 that fail.
+    pub failures_percent: u64,
     pub settings: RetryBudgetSettings,
 }
 
@@ -53,6 +54,8 @@
 pub struct Outcome {
     /// Largest fraction of the allowed retries that a window had.
     pub max_used: f64,
+    /// Number of attempts that failed and may be retried.
+    pub wanted: usize,
     /// Number of retries.
     pub sent: usize,
 }
@@ -66,9 +69,13 @@
         now = now + STEP;
     }
     let Simulation {
-        requests, retries, ..
+        requests,
+        retries,
+        wanted,
+        ..
     } = simulation;
     Outcome {
+        wanted,
         max_used: rule::max_used(fleet.settings, &requests, &retries),
         sent: retries.len(),
     }
@@ -77,6 +84,7 @@
 /// A router's process, or its absence until the next one starts.
 struct Router {
     budgets: RetryBudgets,
+    fleet: FleetSize,
     starts_at: Timestamp,
     /// When it subscribes at the current leader.
     subscribes_at: Timestamp,
@@ -118,6 +126,8 @@
     reported_at: Timestamp,
     requests: Vec<Timestamp>,
     retries: Vec<Timestamp>,
+    /// Number of attempts that failed and may be retried.
+    wanted: usize,
 }
 
 impl Simulation {
@@ -132,6 +142,7 @@
             reported_at: Timestamp(0),
             requests: Vec::new(),
             retries: Vec::new(),
+            wanted: 0,
         };
         for _ in 0..fleet.routers {
             let router = simulation.start_router(Timestamp(0));
@@ -144,7 +155,8 @@
     fn start_router(&mut self, at: Timestamp) -> Router {
         let delay = self.draw(MAX_SUBSCRIBE_DELAY_MS);
         Router {
-            budgets: RetryBudgets::new(self.fleet.settings, 16, self.random.next_u64()),
+            budgets: RetryBudgets::new(self.fleet.settings, self.random.next_u64()),
+            fleet: self.fleet.settings.fleet_size(),
             starts_at: at,
             subscribes_at: at + Millis(delay),
             cut_off_since: None,
@@ -181,7 +193,7 @@
         let count = u32::try_from(counted.count()).unwrap_or(u32::MAX);
         for router in &mut self.routers {
             if router.has_contact(now) {
-                router.budgets.record_routers(count, now);
+                router.fleet.record(count, now);
             }
         }
     }
@@ -204,10 +216,14 @@
 
     fn send_request(&mut self, index: usize, now: Timestamp) {
         self.requests.push(now);
-        let budgets = &mut self.routers[index].budgets;
-        budgets.record_request(SERVICE, now);
+        self.routers[index].budgets.record_request(SERVICE, now);
         for _ in 0..RETRIES_PER_REQUEST {
-            if !budgets.decide(SERVICE, now).is_allowed {
+            if self.draw(100) >= self.fleet.failures_percent {
+                return;
+            }
+            self.wanted += 1;
+            let Router { budgets, fleet, .. } = &mut self.routers[index];
+            if !budgets.decide(SERVICE, fleet, now).is_allowed {
                 return;
             }
             self.retries.push(now);
