--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use crate::pool::{self, Upstream};
 use crate::records::RouterRecord;
 use crate::relay::RelayBody;
+use crate::retry::RetryPermit;
 use bytes::Bytes;
 use courseshunt_http::{Body, full_body};
 use courseshunt_records::emit;
@@ -45,12 +46,14 @@
     TimedOut,
 }
 
-/// Sends a request to the selected instance, as attempt `number`.
+/// Sends a request to the selected instance, as attempt `number`. A retry has a permit, which is
+/// taken when the request is sent.
 pub(crate) async fn attempt(
     shared: &Arc<Shared>,
     admitted: &AdmittedRequest,
     selected: SelectedInstance,
     number: u32,
+    permit: &mut Option<RetryPermit>,
 ) -> AttemptOutcome {
     let SelectedInstance {
         candidate,
@@ -81,6 +84,9 @@
             flight.not_run(None, None);
             return AttemptOutcome::NotRun;
         };
+        if let Some(permit) = permit.take() {
+            permit.use_now();
+        }
         let fresh = upstream.fresh;
         let sending = upstream.sender.try_send_request(request);
         let mut error = match tokio::time::timeout_at(response_deadline, sending).await {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -11,6 +11,7 @@
 use crate::quota_tracker::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
+use crate::retry::RetryPermit;
 use crate::waiting::{self, WaitContext, WaitDecision, decide};
 use bytes::Bytes;
 use courseshunt_http::Body;
@@ -104,9 +105,25 @@
     ended_at: Option<Instant>,
     /// When a send permit was last refused by a rate-limited instance.
     permit_refused_at: Option<Instant>,
+    /// Permit of the next attempt, if it is a retry, until it is sent.
+    retry_permit: Option<RetryPermit>,
 }
 
 impl SendHistory {
+    /// Reserves a retry in the retry budget; returns whether the request may be sent again. A
+    /// permit of an attempt that was not sent stays valid.
+    fn reserve_retry(&mut self, admitted: &AdmittedRequest, shared: &Arc<Shared>) -> bool {
+        if self.count < MAX_SENDS && self.retry_permit.is_none() {
+            self.retry_permit = RetryPermit::take(admitted, shared, self.count);
+        }
+        let allowed = self.count < MAX_SENDS && self.retry_permit.is_some();
+        match allowed {
+            true => shared.metrics.retry_allowed(),
+            false => shared.metrics.retry_denied(),
+        }
+        allowed
+    }
+
     /// Whether a send permit may be requested. Not immediately after a refusal, since nothing
     /// may have changed.
     fn may_request_permit(&self) -> bool {
@@ -140,7 +157,8 @@
         let instance = selected.view.id.clone();
         let has_permit_wait = selected.max_permit_wait > Millis(0);
         admitted.set_may_have_run(true);
-        let outcome = attempt(shared, admitted, selected, history.count).await;
+        let permit = &mut history.retry_permit;
+        let outcome = attempt(shared, admitted, selected, history.count, permit).await;
         history.ended_at = Some(Instant::now());
         if has_permit_wait && matches!(outcome, AttemptOutcome::NotSent) {
             history.permit_refused_at = history.ended_at;
@@ -169,7 +187,7 @@
 
 fn next_step(
     admitted: &AdmittedRequest,
-    shared: &Shared,
+    shared: &Arc<Shared>,
     history: &mut SendHistory,
     instance: RunnerId,
     outcome: AttemptOutcome,
@@ -177,14 +195,7 @@
     let route = &admitted.route;
     let resumable = route.kind == RequestKind::Streaming && route.resumable;
     let repeatable = route.kind == RequestKind::Safe || resumable;
-    let may_retry = |history: &SendHistory| {
-        let allowed = history.count < MAX_SENDS && take_retry(admitted, shared, history.count);
-        match allowed {
-            true => shared.metrics.retry_allowed(),
-            false => shared.metrics.retry_denied(),
-        }
-        allowed
-    };
+    let may_retry = |history: &mut SendHistory| history.reserve_retry(admitted, shared);
     match outcome {
         AttemptOutcome::Answered(response) => {
             history.may_have_run += 1;
@@ -222,29 +233,6 @@
     }
 }
 
-/// Takes a retry from the retry budget after attempt number `attempt`; returns whether there was
-/// one.
-fn take_retry(admitted: &AdmittedRequest, shared: &Shared, attempt: u32) -> bool {
-    let service = &admitted.service.name;
-    let decision = shared.view.decide_retry(service, shared.clock.now());
-    let outcome = match decision.is_allowed {
-        true => "allowed",
-        false => "denied",
-    };
-    emit(&RequestRecord::Retry {
-        id: &admitted.metadata.id,
-        service,
-        attempt,
-        outcome,
-        slack_divisor: decision.slack_divisor,
-        contact_ms: decision.contact.map(|contact| contact.0),
-        requests: decision.requests,
-        retries: decision.retries,
-        share: decision.share,
-    });
-    decision.is_allowed
-}
-
 /// Retry-After of a refusal if all instances that could serve the request are in backoff;
 /// `None` if the default applies.
 fn backoff_retry_after(admitted: &AdmittedRequest, shared: &Shared) -> Option<Millis> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod records;
 mod refusal;
 mod relay;
+mod retry;
 mod serve;
 pub mod staleness;
 mod view;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -85,7 +85,7 @@
         contact_ms: Option<u64>,
         /// Requests for the service at this router in the window.
         requests: usize,
-        /// Retries of this router in the window, without this one.
+        /// Retries of this router in the window, sent and reserved, without this one.
         retries: usize,
         /// Retries that this router may send in the window.
         share: f64,
--- a/crates/services/src/retry_budget/account.rs
+++ b/crates/services/src/retry_budget/account.rs
@@ -34,7 +34,10 @@
     /// Makes this router's draws independent of those of other routers.
     seed: u64,
     requests: VecDeque<Timestamp>,
+    /// Retries that were sent.
     retries: VecDeque<Timestamp>,
+    /// Retries that are allowed and not sent yet.
+    reserved: usize,
 }
 
 impl RetryBudget {
@@ -46,6 +49,7 @@
             seed: 0,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
+            reserved: 0,
         }
     }
 
@@ -61,17 +65,29 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry from the budget; returns whether it may be sent. See [`Self::share`] for
-    /// `slack_divisor`.
-    pub fn take(&mut self, slack_divisor: Option<u32>, now: Timestamp) -> bool {
+    /// Reserves one retry; returns whether it may be sent. It has to be followed by
+    /// [`Self::record_retry`] or [`Self::release`]. See [`Self::share`] for `slack_divisor`.
+    pub fn reserve(&mut self, slack_divisor: Option<u32>, now: Timestamp) -> bool {
         let share = self.share(slack_divisor, now);
-        if self.retries.len() as f64 + 1.0 > share {
+        let (_, retries) = self.counts();
+        if retries as f64 + 1.0 > share {
             return false;
         }
-        self.retries.push_back(now);
+        self.reserved += 1;
         true
     }
 
+    /// Counts a reserved retry as sent.
+    pub fn record_retry(&mut self, now: Timestamp) {
+        self.release();
+        self.retries.push_back(now);
+    }
+
+    /// Returns a reserved retry that is not sent.
+    pub fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
     /// Retries that this router may send in the window before `now`. `slack_divisor` is the
     /// number of routers that divide the slack; without it, the share is the part that the
     /// router's own requests give.
@@ -93,10 +109,11 @@
         USED_FRACTION * share + rounding
     }
 
-    /// Numbers of requests and of retries in the window, as of the last call that gave a time.
+    /// Numbers of requests, and of retries with the reserved ones, in the window, as of the last
+    /// call that gave a time.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
-        (self.requests.len(), self.retries.len())
+        (self.requests.len(), self.retries.len() + self.reserved)
     }
 
     /// The amount that is added to this router's share at `now` before it is rounded down:
--- a/crates/services/src/retry_budget/mod.rs
+++ b/crates/services/src/retry_budget/mod.rs
@@ -48,7 +48,7 @@
 /// A decision on a retry and the state of the service's budget that it was based on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryDecision {
-    /// Whether the retry may be sent. If so, it is already counted.
+    /// Whether the retry may be sent. If so, it is reserved.
     pub is_allowed: bool,
     /// Number of routers that divide the slack; `None` if this router has no share of it.
     pub slack_divisor: Option<u32>,
@@ -56,7 +56,7 @@
     pub contact: Option<Millis>,
     /// Requests of clients for the service at this router in the window before the decision.
     pub requests: usize,
-    /// Retries in that window, without this one.
+    /// Retries sent in that window and reserved ones, without this one.
     pub retries: usize,
     /// Retries that this router may send in the window.
     pub share: f64,
@@ -93,14 +93,16 @@
         self.budget(service).record_request(now);
     }
 
-    /// Decides on a retry of a request for `service`, and counts it if it is allowed.
+    /// Decides on a retry of a request for `service`. One that is allowed is reserved until
+    /// [`Self::record_retry`] or [`Self::release`]: the common budget limits what instances
+    /// receive, and a retry may wait for an instance longer than a window.
     pub fn decide(&mut self, service: &str, fleet: &FleetSize, now: Timestamp) -> RetryDecision {
         let slack_divisor = self.settings.slack_divisor(fleet, now);
         let budget = self.budget(service);
         let share = budget.share(slack_divisor, now);
         let (requests, retries) = budget.counts();
         RetryDecision {
-            is_allowed: budget.take(slack_divisor, now),
+            is_allowed: budget.reserve(slack_divisor, now),
             slack_divisor,
             contact: fleet.contact(now),
             requests,
@@ -109,6 +111,16 @@
         }
     }
 
+    /// Counts a reserved retry as sent.
+    pub fn record_retry(&mut self, service: &str, now: Timestamp) {
+        self.budget(service).record_retry(now);
+    }
+
+    /// Returns a reserved retry that is not sent.
+    pub fn release(&mut self, service: &str) {
+        self.budget(service).release();
+    }
+
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         let (settings, seed) = (self.settings, self.seed);
         let budget = self.budgets.entry(service.to_owned());
--- a/crates/services/tests/limits.rs
+++ b/crates/services/tests/limits.rs
@@ -16,6 +16,15 @@
     }
 }
 
+/// Takes a retry that is sent at once; returns whether the budget allows it.
+fn take(budget: &mut RetryBudget, slack_divisor: Option<u32>, now: Timestamp) -> bool {
+    let is_allowed = budget.reserve(slack_divisor, now);
+    if is_allowed {
+        budget.record_retry(now);
+    }
+    is_allowed
+}
+
 #[test]
 fn all_routers_together_stay_within_the_common_budget() {
     let routers = 7;
@@ -30,7 +39,7 @@
         budget.record_request(now);
         requests += 1;
         for _ in 0..3 {
-            if budget.take(Some(routers as u32), now) {
+            if take(budget, Some(routers as u32), now) {
                 retries += 1;
             }
         }
@@ -87,7 +96,7 @@
         requests.push_back(now);
         if random.next_u64().is_multiple_of(fleet.failure_interval) {
             outcome.failures += 1;
-            if budgets[router].take(Some(fleet.routers), now) {
+            if take(&mut budgets[router], Some(fleet.routers), now) {
                 outcome.retries += 1;
                 retries.push_back(now);
             }
@@ -143,11 +152,11 @@
 fn a_budget_is_refilled_after_its_window() {
     let mut budget = RetryBudget::new(settings(0.0, 10.0));
     let taken = (0..100)
-        .filter(|_| budget.take(Some(1), Timestamp(5)))
+        .filter(|_| take(&mut budget, Some(1), Timestamp(5)))
         .count();
     assert!((1..=10).contains(&taken), "{taken}");
-    assert!(!budget.take(Some(1), Timestamp(9_000)));
-    assert!(budget.take(Some(1), Timestamp(20_000)));
+    assert!(!take(&mut budget, Some(1), Timestamp(9_000)));
+    assert!(take(&mut budget, Some(1), Timestamp(20_000)));
 }
 
 #[test]
--- a/crates/services/tests/retry_budget_fleet.rs
+++ b/crates/services/tests/retry_budget_fleet.rs
@@ -75,6 +75,13 @@
     assert_within_budget(Scenario::Mixed);
 }
 
+/// Retries that wait for an instance were counted in the window in which they were allowed, and
+/// sent together with those of a later window.
+#[test]
+fn retries_that_were_held_back_do_not_exceed_the_budget_when_they_are_sent() {
+    assert_within_budget(Scenario::HeldBack);
+}
+
 #[test]
 fn a_fleet_without_disruptions_uses_its_slack() {
     for fleet in [SMALL, LARGE] {
--- a/crates/services/tests/retry_budget_simulation/mod.rs
+++ b/crates/services/tests/retry_budget_simulation/mod.rs
@@ -21,6 +21,8 @@
 const REPORT_INTERVAL: Millis = Millis(120);
 /// Time after which the leader no longer counts a router that is cut off.
 const CUT_OFF_NOTICED_AFTER: Millis = Millis(900);
+/// Time without an available instance.
+const OUTAGE: std::ops::Range<Timestamp> = Timestamp(24_000)..Timestamp(35_000);
 /// Longest time until a router subscribes at a new leader, or after its start.
 const MAX_SUBSCRIBE_DELAY_MS: u64 = 1_200;
 
@@ -47,6 +49,8 @@
     CutOff,
     /// All of these.
     Mixed,
+    /// Retries are held back until an instance is available again.
+    HeldBack,
 }
 
 /// Outcome of a simulation.
@@ -119,6 +123,7 @@
 
 struct Simulation {
     fleet: Fleet,
+    scenario: Scenario,
     random: Pcg64,
     routers: Vec<Router>,
     /// Times of the disruptions that are still to come, the last one first.
@@ -126,6 +131,8 @@
     reported_at: Timestamp,
     requests: Vec<Timestamp>,
     retries: Vec<Timestamp>,
+    /// Routers whose retries are held back, one entry for each retry.
+    held_back: Vec<usize>,
     /// Number of attempts that failed and may be retried.
     wanted: usize,
 }
@@ -136,12 +143,14 @@
         let disruptions = draw_disruptions(scenario, &mut random);
         let mut simulation = Self {
             fleet,
+            scenario,
             random,
             routers: Vec::new(),
             disruptions,
             reported_at: Timestamp(0),
             requests: Vec::new(),
             retries: Vec::new(),
+            held_back: Vec::new(),
             wanted: 0,
         };
         for _ in 0..fleet.routers {
@@ -183,9 +192,18 @@
         if now.since(self.reported_at) >= REPORT_INTERVAL {
             self.report(now);
         }
+        if !self.holds_back(now) {
+            for index in std::mem::take(&mut self.held_back) {
+                self.send_retry(index, now);
+            }
+        }
         self.send_requests(now);
     }
 
+    fn holds_back(&self, now: Timestamp) -> bool {
+        self.scenario == Scenario::HeldBack && OUTAGE.contains(&now)
+    }
+
     /// The leader reports the number of routers to those that it reaches.
     fn report(&mut self, now: Timestamp) {
         self.reported_at = now;
@@ -226,10 +244,18 @@
             if !budgets.decide(SERVICE, fleet, now).is_allowed {
                 return;
             }
-            self.retries.push(now);
+            match self.holds_back(now) {
+                true => self.held_back.push(index),
+                false => self.send_retry(index, now),
+            }
         }
     }
 
+    fn send_retry(&mut self, index: usize, now: Timestamp) {
+        self.routers[index].budgets.record_retry(SERVICE, now);
+        self.retries.push(now);
+    }
+
     fn disrupt(&mut self, disruption: Disruption, now: Timestamp) {
         match disruption {
             Disruption::Kill => {
@@ -272,7 +298,7 @@
 /// Draws three to seven disruptions within 20 s; the last one comes first.
 fn draw_disruptions(scenario: Scenario, random: &mut Pcg64) -> Vec<(Timestamp, Disruption)> {
     let kinds: &[Disruption] = match scenario {
-        Scenario::Undisturbed => return Vec::new(),
+        Scenario::Undisturbed | Scenario::HeldBack => return Vec::new(),
         Scenario::RestartsInSeries => &[Disruption::Kill],
         Scenario::LeaderChanges => &[Disruption::ChangeLeader],
         Scenario::CutOff => &[Disruption::CutOff],
