--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -225,9 +225,9 @@
             instances,
         } => {
             shared.view.set_announced(configuration);
-            shared.quotas.set_routers(routers);
             let now = shared.clock.now();
-            shared.view.set_usage(routers, &instances, now);
+            let sharing_routers = shared.view.set_usage(routers, &instances, now);
+            shared.quotas.set_routers(sharing_routers);
             shared.pool.close_expired();
         }
         FeedMessage::Quotas {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -71,7 +71,7 @@
             demand: DemandTracker::default(),
             retry_budgets: RetryBudgets::new(retry_settings, rand::random()),
             fleet: retry_settings.fleet_size(),
-            routers: INITIAL_ROUTER_COUNT,
+            sharing_routers: INITIAL_ROUTER_COUNT,
             last_report: None,
         };
         Self {
@@ -130,7 +130,8 @@
     /// Interval between usage reports, for the known number of routers and instances.
     pub(crate) fn report_interval(&self) -> Millis {
         let state = self.lock();
-        usage_interval(state.routers, state.instances.len())
+        let routers = state.fleet.current().unwrap_or(INITIAL_ROUTER_COUNT);
+        usage_interval(routers, state.instances.len())
     }
 
     /// Subscribes to changes of the view.
@@ -236,14 +237,17 @@
         self.lock().instances.digests().clone()
     }
 
-    pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) {
+    /// Applies the leader's report of the number of routers and of the use of all instances;
+    /// returns the number of routers by which this one divides common limits.
+    pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) -> u32 {
         let mut state = self.lock();
-        state.routers = routers.max(1);
-        let routers = state.routers;
         state.fleet.record(routers, now);
-        state.selector.set_routers(routers);
-        let lag = usage_lag(state.routers, state.instances.len());
+        let sharing_routers = state.fleet.largest_recent(now).unwrap_or(routers);
+        state.sharing_routers = sharing_routers;
+        state.selector.set_routers(sharing_routers);
+        let lag = usage_lag(routers, state.instances.len());
         state.selector.set_usage(usage, lag, now);
+        sharing_routers
     }
 
     /// Selects an instance and counts the request as in flight there.
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -67,8 +67,9 @@
     pub(super) selector: Selector,
     pub(super) demand: DemandTracker,
     pub(super) retry_budgets: RetryBudgets,
-    pub(super) routers: u32,
     pub(super) fleet: FleetSize,
+    /// Number of routers by which this one divides common limits.
+    pub(super) sharing_routers: u32,
     /// Last report sent to the current leader.
     pub(super) last_report: Option<ReportMessage>,
 }
@@ -82,7 +83,7 @@
     pub(super) fn in_flight_limit(&self, service: &Service) -> u32 {
         let usable =
             service.max_connections - service.max_connections / RESERVED_CONNECTION_DIVISOR;
-        (usable / self.routers).max(2)
+        (usable / self.sharing_routers).max(2)
     }
 
     /// Counts a request as in flight at the selected instance.
