--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,13 +6,14 @@
 use crate::Shared;
 use crate::flight::{Flight, PendingSend};
 use crate::forwarded_headers::{filter_request_headers, strip_hop_headers};
-use crate::handle::{AdmittedRequest, SelectedInstance};
+use crate::handle::AdmittedRequest;
 use crate::instance_reports::{ResponseOrigin, observe_response};
 use crate::limit_tracker;
 use crate::pool::{self, Upstream};
 use crate::records::RouterRecord;
 use crate::relay::RelayBody;
 use crate::retry::RetryPermit;
+use crate::select::SelectedInstance;
 use bytes::Bytes;
 use courseshunt_http::{Body, full_body};
 use courseshunt_records::emit;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod refusal;
 mod relay;
 mod retry;
+mod select;
 mod serve;
 pub mod staleness;
 mod view;
--- a/crates/gateway/src/limit_tracker.rs
+++ b/crates/gateway/src/limit_tracker.rs
@@ -5,10 +5,11 @@
 //! this router's local share; a request waits for the leader's answer for a bounded time.
 
 use crate::Shared;
-use crate::handle::{AdmittedRequest, must_not_send};
+use crate::handle::AdmittedRequest;
 use crate::leader_queries::LeaderQueries;
 use crate::quota_tracker::LEADER_ANSWER_TIMEOUT;
 use crate::records::RequestRecord;
+use crate::select::must_not_send;
 use courseshunt_records::emit;
 use courseshunt_services::{LimitAnswer, LimitQuery, LimitReport, LimitStep, LimitVerdict};
 use courseshunt_types::{Millis, RunnerId};
--- /dev/null
+++ b/crates/gateway/src/select.rs
@@ -0,0 +1,223 @@
+//! Selection of the instance that a request is sent to; waits for one as long as the request can
+//! still be answered in time.
+//!
+//! Invariant: a request that must not be sent, because its key or its content is no longer
+//! allowed or the router stops, gets no instance.
+
+use crate::Shared;
+use crate::admission::{QUARANTINE_RETRY_AFTER, is_key_valid};
+use crate::flight::millis;
+use crate::handle::{AdmittedRequest, SendHistory};
+use crate::records::RequestRecord;
+use crate::refusal::Refusal;
+use crate::waiting::{self, WaitContext, WaitDecision, decide};
+use courseshunt_records::emit;
+use courseshunt_services::{Candidate, InstanceView};
+use courseshunt_types::{Millis, RunnerId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Maximum time before the state of a waiting request is evaluated again.
+const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An instance selected for a request.
+pub(crate) struct SelectedInstance {
+    pub(crate) candidate: Candidate,
+    pub(crate) view: InstanceView,
+    /// How long the request may wait for its send permit if the instance is rate-limited.
+    pub(crate) max_permit_wait: Millis,
+}
+
+impl SelectedInstance {
+    fn without_permit((candidate, view): (Candidate, InstanceView)) -> Self {
+        Self {
+            candidate,
+            view,
+            max_permit_wait: Millis(0),
+        }
+    }
+}
+
+/// Why no instance was selected, as a refusal.
+pub(crate) struct SelectionFailure {
+    pub(crate) refusal: Refusal,
+    pub(crate) retry_after: Option<Millis>,
+}
+
+impl SelectionFailure {
+    /// The router is stopping; the client may try another one immediately.
+    fn stopping(history: &SendHistory) -> Self {
+        Self {
+            refusal: match history.may_have_run {
+                0 => Refusal::Stopping,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(Millis(0)),
+        }
+    }
+
+    /// The request is quarantined and must not be sent, or not again.
+    fn quarantined(history: &SendHistory) -> Self {
+        Self {
+            refusal: match history.may_have_run {
+                0 => Refusal::Quarantined,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(QUARANTINE_RETRY_AFTER),
+        }
+    }
+
+    fn no_instance(history: &SendHistory, retry_after: Millis) -> Self {
+        Self {
+            refusal: match history.may_have_run {
+                0 => Refusal::NoInstance,
+                _ => Refusal::Broken,
+            },
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
+/// Selects an instance; waits for one as long as the request can still be answered in time.
+pub(crate) async fn select(
+    admitted: &AdmittedRequest,
+    shared: &Arc<Shared>,
+    history: &SendHistory,
+) -> Result<SelectedInstance, SelectionFailure> {
+    let shape = &admitted.metadata.shape;
+    let service = &admitted.service;
+    let mut changes = shared.view.changes();
+    let mut waiting_guard = None;
+    let mut is_recorded = false;
+    loop {
+        changes.borrow_and_update();
+        let now = shared.clock.now();
+        if !is_caller_valid(admitted, shared) {
+            return Err(SelectionFailure {
+                refusal: Refusal::UnknownKey,
+                retry_after: None,
+            });
+        }
+        if shared.refusing_queued.is_cancelled() {
+            return Err(SelectionFailure::stopping(history));
+        }
+        if is_quarantined(admitted, shared) {
+            return Err(SelectionFailure::quarantined(history));
+        }
+        // After three attempts, all instances except for the last one that failed may be tried
+        // again.
+        let avoided: &[RunnerId] = match history.count {
+            0..=2 => &history.avoided,
+            _ => &history.avoided[history.avoided.len().saturating_sub(1)..],
+        };
+        if let Some(selected) = shared.view.choose(service, shape, avoided, now) {
+            return Ok(SelectedInstance::without_permit(selected));
+        }
+        // Without this, a request whose model is held by one instance would wait for another
+        // replica until its client gives up.
+        if history.backoff_elapsed(admitted.route.objective)
+            && let Some(selected) = shared.view.choose(service, shape, &[], now)
+        {
+            return Ok(SelectedInstance::without_permit(selected));
+        }
+        if waiting_guard.is_none() && service.engine.is_some() {
+            waiting_guard = Some(shared.view.register_waiting(&service.name, shape));
+        }
+        let context = wait_context(admitted, shared);
+        let is_worth_recording = service.engine.is_some() || context.expected_at.is_some();
+        if is_worth_recording && !std::mem::replace(&mut is_recorded, true) {
+            record_waiting(admitted, shared, &context);
+        }
+        let until = match decide(&context, Instant::now()) {
+            WaitDecision::WaitUntil(until) => until,
+            WaitDecision::Refuse { retry_after } => {
+                return Err(SelectionFailure::no_instance(history, retry_after));
+            }
+        };
+        if context.can_request_permit
+            && history.may_request_permit()
+            && let Some((candidate, view)) = shared.view.choose_with_permit(service, shape, now)
+        {
+            let max_permit_wait = waiting::max_permit_wait(&context, Instant::now());
+            return Ok(SelectedInstance {
+                candidate,
+                view,
+                max_permit_wait: Millis(millis(max_permit_wait)),
+            });
+        }
+        let pause = next_recheck(&context).min(until);
+        tokio::select! {
+            _ = tokio::time::timeout_at(pause, changes.changed()) => {}
+            () = shared.refusing_queued.cancelled() => {}
+        }
+    }
+}
+
+/// Whether the caller's key still belongs to a tenant, if the route needs one.
+fn is_caller_valid(admitted: &AdmittedRequest, shared: &Shared) -> bool {
+    let caller = admitted.caller.as_ref().filter(|_| !admitted.route.public);
+    caller.is_none_or(|caller| is_key_valid(caller, shared))
+}
+
+fn is_quarantined(admitted: &AdmittedRequest, shared: &Shared) -> bool {
+    let leader_silence = shared.view.feed_age();
+    shared
+        .quarantine
+        .is_quarantined(&admitted.content, leader_silence)
+}
+
+/// Whether a request must not be sent after all, although an instance was selected for it.
+pub(crate) fn must_not_send(admitted: &AdmittedRequest, shared: &Shared) -> bool {
+    !is_caller_valid(admitted, shared) || is_quarantined(admitted, shared)
+}
+
+/// When a waiting request is evaluated again, unless the view changes before.
+fn next_recheck(context: &WaitContext) -> Instant {
+    let now = Instant::now();
+    let expected = context.expected_at.filter(|at| *at > now);
+    expected
+        .into_iter()
+        .fold(now + MAX_RECHECK_INTERVAL, Instant::min)
+}
+
+fn record_waiting(admitted: &AdmittedRequest, shared: &Shared, context: &WaitContext) {
+    let shape = &admitted.metadata.shape;
+    let now = Instant::now();
+    let expected = context.expected_at;
+    let expected = expected.map(|at| millis(at.saturating_duration_since(now)));
+    emit(&RequestRecord::Waits {
+        id: &admitted.metadata.id,
+        route: &admitted.route.name,
+        service: &admitted.service.name,
+        model: &shape.model,
+        adapter: shape.adapter.as_deref(),
+        expected_ms: expected,
+        configuration: shared.view.configuration_number(),
+        feed_age_ms: millis(shared.view.feed_age()),
+    });
+}
+
+/// Input to the decision whether the request waits.
+pub(crate) fn wait_context(admitted: &AdmittedRequest, shared: &Shared) -> WaitContext {
+    let service = &admitted.service;
+    let now = shared.clock.now();
+    let expected = shared
+        .view
+        .expected_availability(service, &admitted.metadata.shape, now);
+    let requested = admitted.metadata.deadline.unwrap_or(admitted.route.timeout);
+    WaitContext {
+        arrived: admitted.arrived,
+        deadline: admitted.deadline,
+        objective: Duration::from(admitted.route.objective),
+        first_byte_timeout: shared
+            .interface
+            .first_byte_timeout(&admitted.route)
+            .map(Duration::from),
+        is_client_retry: requested.0 * 10 < admitted.route.timeout.0 * 9,
+        can_load_model: service.engine.is_some() && shared.view.has_instances(service),
+        expected_at: expected.map(|expected| expected.at),
+        in_backoff: expected.is_some_and(|expected| expected.in_backoff),
+        can_request_permit: expected.is_some_and(|expected| expected.can_request_permit),
+    }
+}
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -8,9 +8,8 @@
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
-    Candidate, InstanceDigests, InstanceDirectory, InstanceView, LimitChange, LimitReport,
-    LimitStep, LimitVerdict, PromptShape, Pushback, ReportMessage, RequestRate,
-    RetryBudgetSettings, RetryBudgets, RetryDecision, RouteTable, Selector, Service,
+    Candidate, InstanceDigests, InstanceDirectory, InstanceView, PromptShape, Pushback,
+    ReportMessage, RetryBudgetSettings, RetryBudgets, RouteTable, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -20,6 +19,8 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+mod limits;
+mod retries;
 mod state;
 
 pub(crate) use state::Availability;
@@ -366,68 +367,6 @@
         self.lock().selector.start_backoff(instance, backoff, now);
     }
 
-    /// Records the rate limit in the response to a request that was sent at `sent_at`; `None`
-    /// if the response names no limit.
-    pub(crate) fn observe_limit(
-        &self,
-        instance: &RunnerId,
-        rate: Option<RequestRate>,
-        sent_at: Timestamp,
-    ) -> LimitChange {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let change = state.selector.observe_limit(instance, rate, sent_at, now);
-        drop(state);
-        if change == LimitChange::Removed {
-            self.notify_change();
-        }
-        change
-    }
-
-    /// Applies the rate limits sent by the leader; returns those that changed.
-    pub(crate) fn apply_leader_limits(&self, limits: &[LimitReport]) -> Vec<LimitReport> {
-        let now = self.clock.now();
-        let changes = self.lock().selector.apply_leader_limits(limits, now);
-        if changes.iter().any(|limit| limit.rate.is_none()) {
-            self.notify_change();
-        }
-        changes
-    }
-
-    /// Rate limits that have not been reported to the leader yet.
-    pub(crate) fn take_unreported_limits(&self) -> Vec<LimitReport> {
-        let now = self.clock.now();
-        self.lock().selector.take_unreported_limits(now)
-    }
-
-    /// How to handle a request for an instance with a rate limit: see [`Selector::limit_step`].
-    pub(crate) fn limit_step(
-        &self,
-        instance: &RunnerId,
-        max_wait: Millis,
-        has_leader: bool,
-    ) -> LimitStep {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        state
-            .selector
-            .limit_step(instance, max_wait, has_leader, now)
-    }
-
-    /// Records the end of a limit query to the leader, with the verdict if one arrived.
-    pub(crate) fn finish_limit_query(&self, instance: &RunnerId, verdict: Option<LimitVerdict>) {
-        let now = self.clock.now();
-        self.lock()
-            .selector
-            .finish_limit_query(instance, verdict, now);
-        self.notify_change();
-    }
-
-    /// The rate limit that an instance names.
-    pub(crate) fn limit_of(&self, instance: &RunnerId) -> Option<RequestRate> {
-        self.lock().selector.limit_of(instance)
-    }
-
     /// Records that an instance reported that it is leaving; returns whether this is new.
     pub(crate) fn mark_leaving(&self, instance: &RunnerId, now: Timestamp) -> bool {
         self.lock().selector.note_leaving(instance, now)
@@ -473,36 +412,6 @@
         self.lock().demand.count_late(service, shape);
     }
 
-    /// Decides on a retry of a request for a service, by the retry budget. One that is allowed is
-    /// reserved until [`Self::record_retry`] or [`Self::release_retry`].
-    pub(crate) fn decide_retry(&self, service: &str, now: Timestamp) -> RetryDecision {
-        let mut state = self.lock();
-        let State {
-            retry_budgets,
-            fleet,
-            ..
-        } = &mut *state;
-        retry_budgets.decide(service, fleet, now)
-    }
-
-    /// Counts a retry that was allowed and is sent now.
-    pub(crate) fn record_retry(&self, service: &str, now: Timestamp) {
-        self.lock().retry_budgets.record_retry(service, now);
-    }
-
-    /// Returns a retry that was allowed and is not sent.
-    pub(crate) fn release_retry(&self, service: &str) {
-        self.lock().retry_budgets.release(service);
-    }
-
-    /// Number of routers that divide the slack of the retry budget; `None` if this router has no
-    /// share of it.
-    pub(crate) fn slack_divisor(&self, now: Timestamp) -> Option<u32> {
-        let state = self.lock();
-        let settings = state.retry_budgets.settings();
-        settings.slack_divisor(&state.fleet, now)
-    }
-
     /// Counts a request as waiting for its model until the guard is dropped.
     pub(crate) fn register_waiting<'a>(
         &'a self,
