--- a/crates/services/src/fleet_size.rs
+++ b/crates/services/src/fleet_size.rs
@@ -4,9 +4,8 @@
 //! subscribed, and as long as routers that are cut off from the leader go on serving. Shares
 //! therefore shrink at once and grow late: they are divided by the largest recent number.
 //!
-//! Invariant: a router has contact only while it hears of the other routers at least once in a
-//! lease, and the number by which it divides is never below one that it heard in the last two
-//! leases.
+//! Invariant: a router has contact only while it receives a report at least once in a lease, and
+//! the number by which it divides is never below one that it received in the last two leases.
 
 use courseshunt_types::{Millis, Timestamp};
 use std::collections::VecDeque;
