Records: how many instances hold the model, and how many the router can't reach

`waits` and `refused` now name both counts, and a gauge counts the unreachable instances. No decision changes.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -96,6 +96,8 @@
             retry_after_ms: Some(denial.retry_after.0),
             reserved: denial.is_reserved,
             attempts: 0,
+            holders: None,
+            unreachable: None,
             configuration: shared.view.configuration_number(),
             feed_age_ms: crate::flight::millis(shared.view.feed_age()),
         });
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -263,6 +263,9 @@
     let wait = Millis(admitted.route.objective.0 / RETRY_AFTER_DIVISOR);
     let wait = retry_after.unwrap_or(wait);
     shared.metrics.refusal(refusal.reason());
+    let shape = &admitted.metadata.shape;
+    let now = shared.clock.now();
+    let counts = shared.view.count_holders(&admitted.service, shape, now);
     emit(&RequestRecord::Refused {
         reserved: false,
         id: &admitted.metadata.id,
@@ -277,6 +280,8 @@
         after_ms: millis(admitted.arrived.elapsed()),
         retry_after_ms: (!refusal.may_have_run()).then_some(wait.0),
         attempts: history.count,
+        holders: Some(counts.holders),
+        unreachable: Some(counts.unreachable),
         configuration: shared.view.configuration_number(),
         feed_age_ms: millis(shared.view.feed_age()),
     });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) slack_divisor: Option<u32>,
     /// Number of instances whose load is known.
     pub(crate) instances_with_load: usize,
+    /// Number of instances that this router can't reach.
+    pub(crate) instances_unreachable: usize,
 }
 
 /// Metrics of a router.
@@ -64,6 +66,7 @@
     limited: Family<Labels, Counter>,
     load_reports: Family<Labels, Counter>,
     instances_with_load: Gauge,
+    instances_unreachable: Gauge,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
     connections: Counter,
@@ -99,6 +102,7 @@
             limited: Family::default(),
             load_reports: Family::default(),
             instances_with_load: Gauge::default(),
+            instances_unreachable: Gauge::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
             connections: Counter::default(),
@@ -156,6 +160,9 @@
         let instances = self.instances_with_load.clone();
         let help = "Instances whose load is known, from their responses or from the leader";
         registry.register("instances_with_load", help, instances);
+        let unreachable = self.instances_unreachable.clone();
+        let help = "Instances that this router could not reach recently";
+        registry.register("instances_unreachable", help, unreachable);
         let reservations = self.reservations.clone();
         let help = "Requests over their tenants' quotas for which the leader reserved units \
                     (reserved), or was not asked to: does_not_return, unknown_model";
@@ -349,7 +356,10 @@
             quarantined,
             slack_divisor,
             instances_with_load,
+            instances_unreachable,
         } = *values;
+        self.instances_unreachable
+            .set(i64::try_from(instances_unreachable).unwrap_or(i64::MAX));
         self.instances_with_load
             .set(i64::try_from(instances_with_load).unwrap_or(i64::MAX));
         self.slack_divisor
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -19,6 +19,10 @@
         /// Expected time until an instance is available, in milliseconds; absent if there is no
         /// estimate.
         expected_ms: Option<u64>,
+        /// Ready instances that hold the model.
+        holders: usize,
+        /// Those of them that this router can't reach.
+        unreachable: usize,
         configuration: u64,
         feed_age_ms: u64,
     },
@@ -123,6 +127,10 @@
         /// `retry_after_ms`.
         reserved: bool,
         attempts: u32,
+        /// Ready instances that hold the model; absent if the request was not admitted.
+        holders: Option<usize>,
+        /// Those of them that this router can't reach; absent if the request was not admitted.
+        unreachable: Option<usize>,
         configuration: u64,
         feed_age_ms: u64,
     },
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -194,6 +194,9 @@
     let now = Instant::now();
     let expected = context.expected_at;
     let expected = expected.map(|at| millis(at.saturating_duration_since(now)));
+    let counts = shared
+        .view
+        .count_holders(&admitted.service, shape, shared.clock.now());
     emit(&RequestRecord::Waits {
         id: &admitted.metadata.id,
         route: &admitted.route.name,
@@ -201,6 +204,8 @@
         model: &shape.model,
         adapter: shape.adapter.as_deref(),
         expected_ms: expected,
+        holders: counts.holders,
+        unreachable: counts.unreachable,
         configuration: shared.view.configuration_number(),
         feed_age_ms: millis(shared.view.feed_age()),
     });
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -120,6 +120,7 @@
                 quarantined: shared.quarantine.count(),
                 slack_divisor: shared.view.slack_divisor(shared.clock.now()),
                 instances_with_load: shared.view.instances_with_load(),
+                instances_unreachable: shared.view.unreachable_count(shared.clock.now()),
             });
             text_response(StatusCode::OK, page)
         }
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -25,8 +25,8 @@
 mod retries;
 mod state;
 
-pub(crate) use state::Availability;
 use state::State;
+pub(crate) use state::{Availability, HolderCounts};
 
 /// Number of routers that is assumed until the feed reports it.
 pub(crate) const INITIAL_ROUTER_COUNT: u32 = 16;
@@ -311,6 +311,22 @@
         state.start_request(candidate, service, shape, now)
     }
 
+    /// How many ready instances hold the requested model, and how many of these this router can't
+    /// reach.
+    pub(crate) fn count_holders(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> HolderCounts {
+        self.lock().count_holders(service, shape, now)
+    }
+
+    /// Number of instances that this router can't reach.
+    pub(crate) fn unreachable_count(&self, now: Timestamp) -> usize {
+        self.lock().selector.all_unreachable(now).len()
+    }
+
     /// Whether the service has any instance.
     pub(crate) fn has_instances(&self, service: &Service) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -30,6 +30,15 @@
     pub(crate) can_request_permit: bool,
 }
 
+/// Instances that hold a model, as seen by one router.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct HolderCounts {
+    /// Ready instances that hold the model.
+    pub(crate) holders: usize,
+    /// Those of them that the router can't reach.
+    pub(crate) unreachable: usize,
+}
+
 impl Availability {
     fn immediate() -> Self {
         Self {
@@ -111,6 +120,27 @@
         ready.cloned().collect()
     }
 
+    /// See [`super::View::count_holders`].
+    pub(super) fn count_holders(
+        &self,
+        service: &Service,
+        shape: &PromptShape,
+        now: Timestamp,
+    ) -> HolderCounts {
+        let holders = self.instances.holders(&service.name, &shape.model);
+        let ready = holders.filter(|view| view.state == InstanceState::Ready);
+        let adapter = shape.adapter.as_deref();
+        let ready =
+            ready.filter(|view| shape.model.is_empty() || view.holds(&shape.model, adapter));
+        ready.fold(HolderCounts::default(), |counts, view| {
+            let unreachable = self.selector.is_unreachable(&view.id, now);
+            HolderCounts {
+                holders: counts.holders + 1,
+                unreachable: counts.unreachable + usize::from(unreachable),
+            }
+        })
+    }
+
     /// See [`super::View::expected_availability`].
     pub(super) fn expected_availability(
         &self,
