--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,7 +137,7 @@
 /// Opens a new connection; an unreachable instance is left out of the selection for a while.
 async fn connect(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
     shared.metrics.connection();
-    match pool::connect_to(&view.address).await {
+    match pool::connect_to(&*shared.dialler, &view.address).await {
         Ok(upstream) => Some(upstream),
         Err(error) => {
             let now = shared.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod controller_search;
 pub mod current_document;
 mod demand;
+mod dial;
 pub mod directory;
 pub mod ended_streams;
 mod error;
@@ -40,6 +41,7 @@
 mod view;
 pub mod waiting;
 
+pub use dial::{Dialling, InstanceDialler, TcpDialler};
 pub use error::GatewayError;
 pub use interface::{
     ClientInterface, ForwardContext, PresentedKey, ProbeIdentity, RequestMetadata, ResponseMetadata,
@@ -80,6 +82,7 @@
     pub(crate) interface: Arc<dyn ClientInterface>,
     pub(crate) view: View,
     pub(crate) pool: ConnectionPool,
+    pub(crate) dialler: Arc<dyn InstanceDialler>,
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaTracker>,
     pub(crate) limits: LimitTracker,
@@ -149,6 +152,19 @@
         clock: MonotonicClock,
         settings: ServiceSettings,
         interface: Arc<dyn ClientInterface>,
+    ) -> Result<Self, GatewayError> {
+        Self::start_with_dialler(Arc::new(TcpDialler), clock, settings, interface).await
+    }
+
+    /// Starts a router that evaluates expiry by `clock` and reaches instances by `dialler`.
+    ///
+    /// # Errors
+    /// If the cluster key is too short, or if a listen address is missing or can't be bound.
+    pub async fn start_with_dialler(
+        dialler: Arc<dyn InstanceDialler>,
+        clock: MonotonicClock,
+        settings: ServiceSettings,
+        interface: Arc<dyn ClientInterface>,
     ) -> Result<Self, GatewayError> {
         let key = courseshunt_wire::ClusterKey::new(settings.cluster_key.as_bytes());
         let key = key.context(ShortKeySnafu)?;
@@ -159,6 +175,7 @@
         let shared = Arc::new(Shared {
             view: View::new(&settings, clock),
             pool: ConnectionPool::default(),
+            dialler,
             metrics: Metrics::default(),
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 //! Invariant: a connection is reused only after a complete response, and only for the instance
 //! that it was opened for.
 
+use crate::dial::InstanceDialler;
 use bytes::Bytes;
 use courseshunt_types::RunnerId;
 use http_body_util::Full;
@@ -15,7 +16,6 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -126,8 +126,8 @@
 ///
 /// # Errors
 /// If the instance can't be reached in time.
-async fn connect(address: SocketAddr) -> io::Result<Upstream> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+async fn connect(dialler: &dyn InstanceDialler, address: SocketAddr) -> io::Result<Upstream> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialler.dial(address));
     let stream = connecting.await.map_err(io::Error::other)??;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
@@ -155,6 +155,9 @@
 ///
 /// # Errors
 /// If the address can't be parsed, or if it can't be reached in time.
-pub(crate) async fn connect_to(address: &str) -> io::Result<Upstream> {
-    connect(address.parse().map_err(io::Error::other)?).await
+pub(crate) async fn connect_to(
+    dialler: &dyn InstanceDialler,
+    address: &str,
+) -> io::Result<Upstream> {
+    connect(dialler, address.parse().map_err(io::Error::other)?).await
 }
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -94,7 +94,7 @@
         return ProbeResult::Gone;
     };
     shared.metrics.connection();
-    let upstream = match pool::connect_to(&target.address).await {
+    let upstream = match pool::connect_to(&*shared.dialler, &target.address).await {
         Ok(upstream) => upstream,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             return ProbeResult::Refused;
