--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -18,7 +18,8 @@
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
-    FeedMessage, InstanceView, LimitLedger, PlacementEngine, QuarantineLedger, QuotaLedger,
+    FeedMessage, ForwarderDirectory, InstanceView, LimitLedger, PlacementEngine, QuarantineLedger,
+    QuotaLedger,
 };
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
@@ -135,6 +136,7 @@
     *shared.limits() = LimitLedger::default();
     *shared.loads() = LoadLedger::default();
     *shared.quarantine() = QuarantineLedger::default();
+    *shared.forwarders() = ForwarderDirectory::default();
     shared.feed_available.send_replace(false);
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -51,8 +51,8 @@
 use courseshunt_membership::{JoinRequests, Redundancy, core_settings};
 use courseshunt_records::emit;
 use courseshunt_services::{
-    FeedMessage, LimitLedger, PlacementEngine, PlacementSettings, QuarantineLedger, QuotaLedger,
-    QuotaSettings,
+    FeedMessage, ForwarderDirectory, LimitLedger, PlacementEngine, PlacementSettings,
+    QuarantineLedger, QuotaLedger, QuotaSettings,
 };
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SuspendDetector};
@@ -127,6 +127,8 @@
     loads: Mutex<LoadLedger>,
     /// Request contents during which instances ended, while this member leads.
     quarantine: Mutex<QuarantineLedger>,
+    /// Routers that forward requests of other routers, while this member leads.
+    forwarders: Mutex<ForwarderDirectory>,
 }
 
 impl Shared {
@@ -146,6 +148,11 @@
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn forwarders(&self) -> MutexGuard<'_, ForwarderDirectory> {
+        let forwarders = self.forwarders.lock();
+        forwarders.unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, QuarantineLedger> {
         let quarantine = self.quarantine.lock();
         quarantine.unwrap_or_else(PoisonError::into_inner)
@@ -360,6 +367,7 @@
             limits: Mutex::default(),
             loads: Mutex::default(),
             quarantine: Mutex::default(),
+            forwarders: Mutex::default(),
             settings,
         });
         let zone = Zone::from(shared.settings.zone.as_str());
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -12,8 +12,8 @@
 use crate::router_registry::FeedPath;
 use courseshunt_records::emit;
 use courseshunt_services::{
-    FeedMessage, InstanceUsage, ModelDemand, QuotaAnswer, QuotaQuery, QuotaVerdict, RelayedReport,
-    ReportMessage, ReservationChange, ReservationEvent, RouterUpdate,
+    FeedMessage, ForwardingReport, InstanceUsage, ModelDemand, QuotaAnswer, QuotaQuery,
+    QuotaVerdict, RelayedReport, ReportMessage, ReservationChange, ReservationEvent, RouterUpdate,
 };
 use courseshunt_types::RunnerId;
 
@@ -48,6 +48,7 @@
                 .subscribe(&router, session, path, configuration);
             // A router sends everything again after it subscribes; it may have restarted.
             shared.loads().remove_router(&router);
+            shared.forwarders().remove(&router);
             None
         }
         RouterUpdate::Disconnected => {
@@ -65,6 +66,7 @@
 /// Removes the use of a router that no longer subscribes.
 pub(crate) fn remove_router(router: &str, shared: &Shared) {
     shared.engine().remove_router(router);
+    shared.forwarders().remove(router);
     shared.loads().remove_router(router);
     shared.quotas().router_lost(router, shared.clock.now());
 }
@@ -100,11 +102,23 @@
         ReportMessage::InstanceLoads { samples, pauses } => {
             loads::handle_report(router, &samples, &pauses, shared);
         }
+        ReportMessage::Forwarding(report) => {
+            return Some(name_forwarders(router, report, shared));
+        }
         ReportMessage::Subscribe { .. } | ReportMessage::Compare(_) => {}
     }
     None
 }
 
+/// Records whether a router forwards requests of others, and names routers that forward its own.
+fn name_forwarders(router: &str, report: ForwardingReport, shared: &Shared) -> FeedMessage {
+    let zone = report.zone.clone();
+    let mut forwarders = shared.forwarders();
+    forwarders.record(router, report);
+    let candidates = forwarders.candidates(router, &zone, rand::random());
+    FeedMessage::Forwarders(candidates)
+}
+
 /// Notes the configuration that is in force at a router, and records the end of a rollout.
 fn confirm_configuration(router: &str, configuration: u64, shared: &Shared) {
     let now = shared.clock.now();
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -165,7 +165,8 @@
         RouterUpdate::Report(
             ReportMessage::QuotaQueries(_)
             | ReportMessage::Ends { .. }
-            | ReportMessage::Limits { .. },
+            | ReportMessage::Limits { .. }
+            | ReportMessage::Forwarding(_),
         ) => true,
         RouterUpdate::Report(_) | RouterUpdate::Connected { .. } | RouterUpdate::Disconnected => {
             false
@@ -301,7 +302,8 @@
         | FeedMessage::Configuration { .. }
         | FeedMessage::Digests(_)
         | FeedMessage::QuotaAnswers(_)
-        | FeedMessage::LimitAnswers(_) => {}
+        | FeedMessage::LimitAnswers(_)
+        | FeedMessage::Forwarders(_) => {}
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,20 +6,20 @@
 use crate::Shared;
 use crate::flight::{Flight, PendingSend};
 use crate::forwarded_headers::{filter_request_headers, strip_hop_headers};
+use crate::forwarding::headers::{ForwardInstruction, ForwardOutcome};
 use crate::handle::AdmittedRequest;
 use crate::instance_reports::{ResponseOrigin, observe_response};
 use crate::limit_tracker;
-use crate::pool::{self, Upstream};
-use crate::records::RouterRecord;
+use crate::path::{self, TriedForwarders};
+use crate::pool::{Endpoint, Upstream};
 use crate::relay::RelayBody;
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
 use bytes::Bytes;
 use courseshunt_http::{Body, full_body};
 use courseshunt_instance_load::ReportedLoad;
-use courseshunt_records::emit;
 use courseshunt_services::{InstanceView, RequestKind};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::Millis;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
@@ -69,7 +69,8 @@
     }
     let candidate = pending.into_sent();
     let mut flight = Flight::begin(shared, admitted, candidate, number);
-    let Some(mut upstream) = acquire_connection(shared, view).await else {
+    let mut tried = TriedForwarders::default();
+    let Some(mut upstream) = path::acquire(shared, view, &mut tried).await else {
         flight.not_run(None, None);
         return AttemptOutcome::NotRun;
     };
@@ -79,24 +80,53 @@
         // made.
         if flight.has_pushback() {
             flight.not_run(None, None);
-            shared.pool.put_back(flight.instance(), upstream);
+            shared.pool.put_back(upstream);
             return AttemptOutcome::NotSent;
         }
-        let Some(request) = build_request(shared, admitted, flight.instance()) else {
+        let Some(request) = build_request(shared, admitted, view, &upstream) else {
             flight.not_run(None, None);
             return AttemptOutcome::NotRun;
         };
         if let Some(permit) = permit.take() {
             permit.use_now();
         }
-        let fresh = upstream.fresh;
         let sending = upstream.sender.try_send_request(request);
-        let mut error = match tokio::time::timeout_at(response_deadline, sending).await {
+        let response = match tokio::time::timeout_at(response_deadline, sending).await {
             Err(_) => {
                 flight.timed_out();
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Ok(response)) => {
+            Ok(Ok(response)) => response,
+            Ok(Err(mut error)) => {
+                let is_unsent = error.take_message().is_some();
+                if !is_unsent {
+                    flight.connection_closed(&error.error().to_string());
+                    return AttemptOutcome::MayHaveRun;
+                }
+                let Some(next) = path::replace(shared, view, &upstream, &mut tried).await else {
+                    flight.not_run(None, None);
+                    flight.suspect_instance();
+                    return AttemptOutcome::NotRun;
+                };
+                upstream = next;
+                continue;
+            }
+        };
+        let Endpoint::Forwarder(forwarder) = upstream.endpoint else {
+            return handle_response(
+                shared,
+                admitted,
+                response,
+                flight,
+                upstream,
+                response_deadline,
+            )
+            .await;
+        };
+        match ForwardOutcome::read(response.headers()) {
+            None => {
+                path::record_forwarded(shared, view);
+                flight.set_forwarder(tried.take_guard());
                 return handle_response(
                     shared,
                     admitted,
@@ -107,67 +137,68 @@
                 )
                 .await;
             }
-            Ok(Err(error)) => error,
-        };
-        let is_unsent = error.take_message().is_some();
-        if !is_unsent {
-            flight.connection_closed(&error.error().to_string());
-            return AttemptOutcome::MayHaveRun;
+            Some(ForwardOutcome::MayHaveRun) => {
+                flight.connection_closed("the forwarder received no response");
+                return AttemptOutcome::MayHaveRun;
+            }
+            Some(not_sent) => {
+                reuse_connection(shared, upstream, response, response_deadline).await;
+                let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
+                let Some(next) = next.await else {
+                    flight.not_run(None, None);
+                    return AttemptOutcome::NotRun;
+                };
+                upstream = next;
+            }
         }
-        let next = match fresh {
-            true => None,
-            false => connect(shared, view).await,
-        };
-        let Some(next) = next else {
-            flight.not_run(None, None);
-            flight.suspect_instance();
-            return AttemptOutcome::NotRun;
-        };
-        upstream = next;
     }
 }
 
-async fn acquire_connection(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
-    match shared.pool.take(&view.id) {
-        Some(upstream) => Some(upstream),
-        None => connect(shared, view).await,
-    }
-}
-
-/// Opens a new connection; an unreachable instance is left out of the selection for a while.
-async fn connect(shared: &Shared, view: &InstanceView) -> Option<Upstream> {
-    shared.metrics.connection();
-    match pool::connect_to(&*shared.dialler, &view.address).await {
-        Ok(upstream) => Some(upstream),
-        Err(error) => {
-            let now = shared.clock.now();
-            shared.view.mark_unreachable(&view.id, now);
-            emit(&RouterRecord::Unreachable {
-                instance: view.id.as_str(),
-                problem: &error.to_string(),
-            });
-            None
-        }
+/// Returns a connection to the pool after the short body of a response that is not relayed.
+async fn reuse_connection(
+    shared: &Shared,
+    upstream: Upstream,
+    response: Response<Incoming>,
+    deadline: Instant,
+) {
+    let drained = Limited::new(response.into_body(), MAX_BUFFERED_RESPONSE_BYTES).collect();
+    if let Ok(Ok(_)) = tokio::time::timeout_at(deadline, drained).await {
+        shared.pool.put_back(upstream);
     }
 }
 
+/// The request as it is sent over this connection; `None` if its time is over.
 fn build_request(
     shared: &Shared,
     admitted: &AdmittedRequest,
-    instance: &RunnerId,
+    view: &InstanceView,
+    upstream: &Upstream,
 ) -> Option<Request<Full<Bytes>>> {
     let left = admitted.expires_at.since(shared.clock.now());
     if left == Millis(0) {
         return None;
     }
     let mut headers = filter_request_headers(&admitted.head.headers, &*shared.interface);
-    let context = crate::ForwardContext {
-        deadline: left,
-        instance,
-        priority: admitted.priority,
-        tenant: admitted.tenant(),
-    };
-    shared.interface.add_forward_headers(&mut headers, &context);
+    match &upstream.endpoint {
+        Endpoint::Instance(instance) => {
+            let context = crate::ForwardContext {
+                deadline: left,
+                instance,
+                priority: admitted.priority,
+                tenant: admitted.tenant(),
+            };
+            shared.interface.add_forward_headers(&mut headers, &context);
+        }
+        Endpoint::Forwarder(_) => {
+            let instruction = ForwardInstruction {
+                instance: view.id.clone(),
+                time_left: left,
+                priority: admitted.priority,
+                tenant: admitted.tenant().map(str::to_owned),
+            };
+            instruction.write(&mut headers);
+        }
+    }
     let mut request = Request::new(Full::new(admitted.body.clone()));
     *request.method_mut() = admitted.head.method.clone();
     *request.uri_mut() = admitted.target.clone();
@@ -188,7 +219,9 @@
         shared
             .interface
             .read_response(&admitted.metadata.id, head.status, &head.headers);
-    upstream.apply_keep_alive(&head.headers);
+    if let Endpoint::Instance(_) = upstream.endpoint {
+        upstream.apply_keep_alive(&head.headers);
+    }
     flight.record_status(head.status.as_u16());
     let origin = ResponseOrigin {
         instance: flight.instance(),
@@ -205,7 +238,7 @@
         flight.not_run(Some(head.status.as_u16()), backoff);
         let drained = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
         if let Ok(Ok(_)) = tokio::time::timeout_at(response_deadline, drained).await {
-            shared.pool.put_back(flight.instance(), upstream);
+            shared.pool.put_back(upstream);
         }
         return AttemptOutcome::NotRun;
     }
@@ -241,7 +274,7 @@
         Ok(Ok(collected)) => {
             flight.record_part();
             flight.complete();
-            shared.pool.put_back(flight.instance(), upstream);
+            shared.pool.put_back(upstream);
             let body = collected.to_bytes();
             head.headers.remove(CONTENT_LENGTH);
             AttemptOutcome::Answered(Response::from_parts(head, full_body(body)))
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,10 +5,11 @@
 
 use crate::Shared;
 use crate::controller_search::{ControllerSearch, FeedEnd, next_preference_check};
+use crate::forwarding;
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, LimitReport, ReportMessage, RouteTable, validate};
-use courseshunt_types::{Incarnation, RouterId, RunnerId};
+use courseshunt_types::{Incarnation, RouterId, RunnerId, Zone};
 use courseshunt_wire::{
     ClusterKey, Connection, Message, PREVIOUS_RELEASE_VERSION, PeerIdentity, Receiver, Sender,
     WireError, connect_within,
@@ -192,6 +193,7 @@
             shared.quarantine.start_leader_feed();
             shared.limits.start_leader_feed();
             shared.quotas.start_leader_feed();
+            shared.forwarders.start_leader_feed();
         }
         FeedMessage::AwaitingLeader => {
             shared.quotas.leader_lost();
@@ -252,6 +254,10 @@
             quarantined,
         } => shared.quarantine.set(suspected, quarantined),
         FeedMessage::InstanceLoads(loads) => shared.view.apply_loads(&loads),
+        FeedMessage::Forwarders(forwarders) => {
+            let zone = Zone::from(shared.settings.zone.as_str());
+            shared.forwarders.set(&forwarders, &zone);
+        }
         FeedMessage::Configuration { .. }
         | FeedMessage::NoFeed { .. }
         | FeedMessage::Members(_) => {}
@@ -275,6 +281,7 @@
         return;
     }
     shared.pool.remove(&gone);
+    shared.paths().remove(&gone);
     shared.quarantine.instances_gone(&gone);
     shared.unreadable_loads.remove(&gone);
     let instances: Vec<String> = gone.into_iter().map(|id| id.0).collect();
@@ -323,6 +330,10 @@
                 report_ends(&mut sender, shared).await?;
                 continue;
             }
+            () = shared.forwarders.report_due.notified() => {
+                report_forwarding(&mut sender, shared).await?;
+                continue;
+            }
         }
         due = Instant::now() + Duration::from(shared.view.report_interval());
         let now = shared.clock.now();
@@ -337,10 +348,19 @@
         if Instant::now() >= loads_due {
             loads_due = due;
             send_loads(&mut sender, shared).await?;
+            report_forwarding(&mut sender, shared).await?;
         }
     }
 }
 
+/// Offers to forward requests of other routers and asks for forwarders, if this is due.
+async fn report_forwarding(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    let Some(report) = forwarding::due_report(shared) else {
+        return Ok(());
+    };
+    sender.send(&Message::ServiceReport(report)).await
+}
+
 /// Reports load and speed of instances, if there is anything new.
 async fn send_loads(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
     let Some(report) = shared.view.take_load_report() else {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -5,6 +5,7 @@
 
 use crate::Shared;
 use crate::ended_streams::StreamEnd;
+use crate::forwarding::InFlightGuard;
 use crate::handle::AdmittedRequest;
 use crate::quarantine_tracker::{check_after_break, check_after_timeout};
 use crate::records::{ConditionRecord, RequestRecord};
@@ -39,6 +40,8 @@
     model_request: Option<ModelRequest>,
     /// Whether the response is a stream, so that its first part is its first event.
     is_stream: bool,
+    /// The router that forwarded the request; counts the request there.
+    forwarder: Option<InFlightGuard>,
 }
 
 /// Key of the demand that is counted for the request, and the objective after which a response
@@ -182,6 +185,7 @@
             model: shape.model.clone(),
             model_request: ModelRequest::of(admitted),
             is_stream: admitted.route.kind == RequestKind::Streaming,
+            forwarder: None,
         }
     }
 
@@ -213,6 +217,11 @@
         self.shared.metrics.answer(status);
     }
 
+    /// Records that another router forwarded the request and that the instance answered it.
+    pub(crate) fn set_forwarder(&mut self, forwarder: Option<InFlightGuard>) {
+        self.forwarder = forwarder;
+    }
+
     /// Counts the pauses of this stream at its end: the instance reports its load, and the route
     /// allows no longer pause than `objective`.
     pub(crate) fn watch_pauses(&mut self, objective: Millis) {
@@ -262,7 +271,9 @@
         let good = self.status < 500;
         let view = &self.shared.view;
         view.first_answer(&self.candidate, waited, good);
-        if self.is_stream && (200..300).contains(&self.status) {
+        // The time of a forwarded request shows the path as well as the instance.
+        let is_direct = self.forwarder.is_none();
+        if is_direct && self.is_stream && (200..300).contains(&self.status) {
             view.measure_slowness(&self.candidate, waited);
         }
     }
@@ -303,6 +314,7 @@
             status: self.status,
             whole: is_complete,
             problem,
+            forwarder: self.forwarder.as_ref().map(|one| one.address().to_string()),
             waited_ms: millis(self.waited),
             predicted_ms: self.candidate.predicted_ms as u64,
             uncached_tokens: self.candidate.uncached_tokens,
--- /dev/null
+++ b/crates/gateway/src/forwarding/client.rs
@@ -0,0 +1,48 @@
+//! The side of a forwarded request that has lost its path: connections to forwarders, and the
+//! reports by which this router offers to forward and asks for forwarders.
+
+use crate::Shared;
+use crate::pool::{self, Endpoint, Upstream};
+use courseshunt_services::{ForwardingReport, ReportMessage};
+use courseshunt_types::{Incarnation, RouterId, Zone};
+use courseshunt_wire::{PROTOCOL_VERSION, PeerIdentity, connect_stream_within};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time limit for the connection to a forwarder, handshake included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Opens a connection to a forwarder.
+///
+/// # Errors
+/// If it can't be reached in time, does not hold the cluster key or runs another protocol version.
+pub(crate) async fn connect(shared: &Shared, address: SocketAddr) -> io::Result<Upstream> {
+    let name = RouterId::from(shared.settings.name.as_str());
+    let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+    let source = Some(shared.settings.address);
+    let key = &shared.key;
+    let connecting = connect_stream_within(CONNECT_TIMEOUT, source, address, key, &identity);
+    let connected = connecting.await.map_err(io::Error::other)?;
+    if connected.version != PROTOCOL_VERSION {
+        let problem = format!("forward: {address} runs protocol {}", connected.version);
+        return Err(io::Error::other(problem));
+    }
+    pool::open(connected.stream, Endpoint::Forwarder(address)).await
+}
+
+/// This router's report, if one is due.
+pub(crate) fn due_report(shared: &Shared) -> Option<ReportMessage> {
+    let now = shared.clock.now();
+    let available = shared.can_forward();
+    let needs = shared.paths().forwarded_count() > 0 || shared.paths().is_partitioned();
+    if !shared.forwarders.is_report_due(available, needs, now) {
+        return None;
+    }
+    shared.forwarders.record_report(available, now);
+    Some(ReportMessage::Forwarding(ForwardingReport {
+        address: shared.settings.wire_address().to_string(),
+        zone: Zone::from(shared.settings.zone.as_str()),
+        available,
+    }))
+}
--- /dev/null
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -0,0 +1,151 @@
+//! The routers through which this one may forward requests, as the leader named them.
+//!
+//! Invariant: a forwarder that could not be used is avoided for [`AVOIDANCE`], also if the leader
+//! names it again.
+
+use courseshunt_services::Forwarder;
+use courseshunt_types::{Millis, Timestamp, Zone};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// Time for which a forwarder that could not be used is avoided.
+const AVOIDANCE: Millis = Millis(1_000);
+/// Interval of the reports with which a router asks for forwarders, and the interval while it
+/// needs them. Nothing is forwarded before the first answer.
+const REPORT_INTERVAL: Millis = Millis(15_000);
+const URGENT_REPORT_INTERVAL: Millis = Millis(500);
+
+/// A forwarder that the leader named.
+#[derive(Debug)]
+struct Known {
+    address: SocketAddr,
+    is_own_zone: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    known: Vec<Known>,
+    avoided_until: BTreeMap<SocketAddr, Timestamp>,
+    /// Requests of this router in flight through each forwarder.
+    in_flight: BTreeMap<SocketAddr, u32>,
+    reported_at: Option<Timestamp>,
+    /// Availability in the last report.
+    reported_available: Option<bool>,
+}
+
+/// See the module documentation.
+#[derive(Debug, Default)]
+pub(crate) struct ForwarderList {
+    state: Mutex<State>,
+    /// Notified when a report is to be sent at once.
+    pub(crate) report_due: Notify,
+}
+
+impl ForwarderList {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that the feed of a leader starts, which has no report of this router.
+    pub(crate) fn start_leader_feed(&self) {
+        let mut state = self.lock();
+        state.reported_at = None;
+        state.reported_available = None;
+        drop(state);
+        self.report_due.notify_one();
+    }
+
+    /// Replaces the forwarders by those that the leader named.
+    pub(crate) fn set(&self, forwarders: &[Forwarder], zone: &Zone) {
+        let known = forwarders.iter().filter_map(|one| {
+            Some(Known {
+                address: one.address.parse().ok()?,
+                is_own_zone: one.zone == *zone,
+            })
+        });
+        self.lock().known = known.collect();
+    }
+
+    /// The forwarder for a request that was not forwarded through any of `tried`: the one with the
+    /// fewest requests of this router in flight, of those in the own zone if possible.
+    pub(crate) fn choose(&self, tried: &[SocketAddr], now: Timestamp) -> Option<SocketAddr> {
+        let state = self.lock();
+        let usable = state.known.iter();
+        let usable = usable.filter(|one| !tried.contains(&one.address));
+        let usable = usable.filter(|one| {
+            let until = state.avoided_until.get(&one.address);
+            until.is_none_or(|until| *until <= now)
+        });
+        let chosen = usable.min_by_key(|one| {
+            let in_flight = state.in_flight.get(&one.address).copied().unwrap_or(0);
+            (in_flight, !one.is_own_zone)
+        });
+        chosen.map(|one| one.address)
+    }
+
+    /// Records that a forwarder could not be used.
+    pub(crate) fn avoid(&self, address: SocketAddr, now: Timestamp) {
+        let mut state = self.lock();
+        state.avoided_until.retain(|_, until| *until > now);
+        state.avoided_until.insert(address, now + AVOIDANCE);
+        drop(state);
+        self.report_due.notify_one();
+    }
+
+    /// Counts a request in flight through a forwarder until the guard is dropped.
+    pub(crate) fn begin(self: &Arc<Self>, address: SocketAddr) -> InFlightGuard {
+        *self.lock().in_flight.entry(address).or_default() += 1;
+        InFlightGuard {
+            list: self.clone(),
+            address,
+        }
+    }
+
+    /// Whether a report is due: availability has changed, or the interval has passed.
+    pub(crate) fn is_report_due(&self, available: bool, needs: bool, now: Timestamp) -> bool {
+        let state = self.lock();
+        let interval = match needs {
+            true => URGENT_REPORT_INTERVAL,
+            false => REPORT_INTERVAL,
+        };
+        let Some(reported_at) = state.reported_at else {
+            return true;
+        };
+        state.reported_available != Some(available) || now.since(reported_at) >= interval
+    }
+
+    /// Records that a report was sent.
+    pub(crate) fn record_report(&self, available: bool, now: Timestamp) {
+        let mut state = self.lock();
+        state.reported_at = Some(now);
+        state.reported_available = Some(available);
+    }
+}
+
+/// Guard returned by [`ForwarderList::begin`].
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
+    list: Arc<ForwarderList>,
+    address: SocketAddr,
+}
+
+impl InFlightGuard {
+    /// Wire address of the forwarder.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let mut state = self.list.lock();
+        if let Some(in_flight) = state.in_flight.get_mut(&self.address) {
+            *in_flight -= 1;
+            if *in_flight == 0 {
+                state.in_flight.remove(&self.address);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forwarding/server.rs
@@ -0,0 +1,356 @@
+//! The forwarder's side: serves requests of routers that have lost their paths to instances.
+//!
+//! Invariant: a request is sent at most once, to the named instance, and only by a connection of
+//! this router's own.
+
+use super::headers::{ForwardInstruction, ForwardOutcome};
+use crate::Shared;
+use crate::forwarded_headers::strip_hop_headers;
+use crate::interface::ForwardContext;
+use crate::path;
+use crate::pool::{Endpoint, Upstream};
+use crate::records::RouterRecord;
+use crate::serve::hold_token_until_sent;
+use bytes::Bytes;
+use courseshunt_http::{Body, full_body};
+use courseshunt_records::emit;
+use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
+use courseshunt_types::{Incarnation, Millis, RouterId};
+use courseshunt_wire::{AuthenticatedStream, PROTOCOL_VERSION, PeerIdentity, accept_stream};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+/// Maximum number of connections of other routers.
+const MAX_CONNECTIONS: usize = 512;
+/// Maximum number of forwarded requests in flight.
+const MAX_IN_FLIGHT: usize = 256;
+/// Idle time after which a connection of another router is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after an accept error, such as too many open files.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections of other routers until the task is cancelled.
+pub(crate) async fn accept_routers(listener: TcpListener, shared: Arc<Shared>) {
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let in_flight = Arc::new(Semaphore::new(MAX_IN_FLIGHT));
+    loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let server = Server {
+                    shared: shared.clone(),
+                    in_flight: in_flight.clone(),
+                };
+                tokio::spawn(async move {
+                    server.serve_connection(stream, address).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("router: accept of a router's connection failed: {error}");
+                tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the connections of other routers.
+#[derive(Clone)]
+struct Server {
+    shared: Arc<Shared>,
+    in_flight: Arc<Semaphore>,
+}
+
+/// Why a forwarded request was not answered by the instance.
+struct Failure {
+    outcome: ForwardOutcome,
+    problem: String,
+}
+
+impl Failure {
+    fn new(outcome: ForwardOutcome, problem: impl Into<String>) -> Self {
+        let problem = problem.into();
+        Self { outcome, problem }
+    }
+
+    fn response(&self) -> Response<Body> {
+        let mut response = Response::new(full_body(self.outcome.name()));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        self.outcome.write(response.headers_mut());
+        response
+    }
+}
+
+impl Server {
+    async fn serve_connection(self, stream: TcpStream, address: SocketAddr) {
+        let Some((stream, router)) = self.authenticate(stream, address).await else {
+            return;
+        };
+        let limits = self.shared.view.table();
+        let limits = limits.map_or(ClientLimits::default(), |table| {
+            table.configuration().limits
+        });
+        let serving = self.clone();
+        let service = service_fn(move |request| {
+            let server = serving.clone();
+            let router = router.clone();
+            async move { Ok::<_, Infallible>(server.answer(request, &router).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .auto_date_header(false)
+            .header_read_timeout(IDLE_TIMEOUT)
+            .max_buf_size(limits.max_header_bytes * 2 + crate::serve::MIN_READ_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = self.shared.idle_close_due() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("router: connection of a router at {address} ended: {error}");
+        }
+    }
+
+    /// Accepts only routers of the same protocol version that hold the cluster key.
+    async fn authenticate(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+    ) -> Option<(TcpStream, RouterId)> {
+        let shared = &self.shared;
+        let name = RouterId::from(shared.settings.name.as_str());
+        let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+        let problem = match accept_stream(stream, address, &shared.key, &identity).await {
+            Ok(AuthenticatedStream {
+                peer: PeerIdentity::Router(router, _),
+                version: PROTOCOL_VERSION,
+                stream,
+            }) => return Some((stream, router)),
+            Ok(other) => format!("{} speaks protocol {}", other.peer, other.version),
+            Err(error) => error.to_string(),
+        };
+        shared.metrics.forwarded("foreign");
+        emit(&RouterRecord::ForwardingRejected {
+            peer: &address.to_string(),
+            problem: &problem,
+        });
+        None
+    }
+
+    /// Answers a forwarded request and records what became of it.
+    async fn answer(&self, request: Request<Incoming>, router: &RouterId) -> Response<Body> {
+        let shared = &self.shared;
+        let token = shared.requests.token();
+        let arrived = Instant::now();
+        let (mut head, body) = request.into_parts();
+        let instruction = ForwardInstruction::take(&mut head.headers);
+        let id = shared.interface.read_request(&head.headers).id;
+        let instance = instruction.as_ref().ok().map(|one| one.instance.clone());
+        let forwarded = match instruction {
+            Ok(instruction) => {
+                let request = Request::from_parts(head, body);
+                self.forward(request, instruction, arrived).await
+            }
+            Err(error) => {
+                let problem = error.to_string();
+                Err(Failure::new(ForwardOutcome::Rejected, problem))
+            }
+        };
+        let outcome = match &forwarded {
+            Ok(_) => "answered",
+            Err(failure) => failure.outcome.name(),
+        };
+        shared.metrics.forwarded(outcome);
+        emit(&RouterRecord::Forwarded {
+            id: &id,
+            router: router.as_str(),
+            instance: instance.as_ref().map(|instance| instance.as_str()),
+            outcome,
+            problem: forwarded.as_ref().err().map(|one| one.problem.as_str()),
+            after_ms: crate::flight::millis(arrived.elapsed()),
+        });
+        let mut response = forwarded.unwrap_or_else(|failure| failure.response());
+        if shared.stopping.is_cancelled() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        hold_token_until_sent(response, token)
+    }
+
+    async fn forward(
+        &self,
+        request: Request<Incoming>,
+        instruction: ForwardInstruction,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Failure> {
+        let shared = &self.shared;
+        if shared.stopping.is_cancelled() {
+            return Err(Failure::new(ForwardOutcome::Busy, "stopping"));
+        }
+        let Ok(permit) = self.in_flight.clone().try_acquire_owned() else {
+            return Err(Failure::new(ForwardOutcome::Busy, "too many in flight"));
+        };
+        let view = self.accepting_instance(&instruction)?;
+        let deadline = arrived + Duration::from(instruction.time_left);
+        let (head, body) = request.into_parts();
+        let max_body = shared.view.table();
+        let max_body = max_body.map_or(0, |table| table.configuration().limits.max_body_bytes);
+        let collecting = Limited::new(body, max_body).collect();
+        let collected = match tokio::time::timeout_at(deadline, collecting).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(error)) => {
+                let problem = format!("read the body: {error}");
+                return Err(Failure::new(ForwardOutcome::Rejected, problem));
+            }
+            Err(_) => {
+                return Err(Failure::new(
+                    ForwardOutcome::Rejected,
+                    "read the body: timeout",
+                ));
+            }
+        };
+        let request = Request::from_parts(head, Full::new(collected));
+        let sending = self.send(&view, &instruction, request, deadline);
+        let (response, upstream) = sending.await?;
+        let (mut head, body) = response.into_parts();
+        strip_hop_headers(&mut head.headers);
+        ForwardOutcome::remove(&mut head.headers);
+        let relayed = ForwardedBody {
+            incoming: body,
+            upstream: Some(upstream),
+            shared: shared.clone(),
+            _permit: permit,
+        };
+        Ok(Response::from_parts(head, relayed.boxed_unsync()))
+    }
+
+    /// The instance, if it accepts requests as far as this router knows.
+    fn accepting_instance(
+        &self,
+        instruction: &ForwardInstruction,
+    ) -> Result<InstanceView, Failure> {
+        let shared = &self.shared;
+        let view = shared.view.instance(&instruction.instance);
+        let view = view.filter(|view| view.state == InstanceState::Ready);
+        let now = shared.clock.now();
+        let pushes_back = shared.view.active_pushback(&instruction.instance, now);
+        let view = view.filter(|_| pushes_back.is_none());
+        view.ok_or_else(|| Failure::new(ForwardOutcome::NotAccepting, "not ready here"))
+    }
+
+    async fn connect(&self, view: &InstanceView) -> Result<Upstream, Failure> {
+        let connected = path::connect_as_forwarder(&self.shared, view).await;
+        connected.map_err(|error| {
+            let outcome = match self.shared.paths().is_partitioned() {
+                true => ForwardOutcome::Partitioned,
+                false => ForwardOutcome::Unreachable,
+            };
+            Failure::new(outcome, error.to_string())
+        })
+    }
+
+    /// Sends the request once. A connection that had been idle may be closed by the instance; it
+    /// is replaced if the request was certainly not sent.
+    async fn send(
+        &self,
+        view: &InstanceView,
+        instruction: &ForwardInstruction,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<(Response<Incoming>, Upstream), Failure> {
+        let endpoint = Endpoint::Instance(view.id.clone());
+        let mut upstream = match self.shared.pool.take(&endpoint) {
+            Some(upstream) => upstream,
+            None => self.connect(view).await?,
+        };
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let left = Millis(crate::flight::millis(left));
+            if left == Millis(0) {
+                return Err(Failure::new(ForwardOutcome::Rejected, "deadline passed"));
+            }
+            let context = ForwardContext {
+                deadline: left,
+                instance: &instruction.instance,
+                priority: instruction.priority,
+                tenant: instruction.tenant.as_deref(),
+            };
+            let headers = request.headers_mut();
+            self.shared.interface.add_forward_headers(headers, &context);
+            let is_fresh = upstream.fresh;
+            let mut error = match upstream.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, upstream)),
+                Err(error) => error,
+            };
+            let problem = error.error().to_string();
+            request = match error.take_message() {
+                Some(unsent) if !is_fresh => unsent,
+                Some(_) => return Err(Failure::new(ForwardOutcome::Unreachable, problem)),
+                None => return Err(Failure::new(ForwardOutcome::MayHaveRun, problem)),
+            };
+            upstream = self.connect(view).await?;
+        }
+    }
+}
+
+/// Relays an instance's response to the router that forwarded the request. If it is dropped before
+/// the end, the connection to the instance is closed.
+struct ForwardedBody {
+    incoming: Incoming,
+    upstream: Option<Upstream>,
+    shared: Arc<Shared>,
+    _permit: tokio::sync::OwnedSemaphorePermit,
+}
+
+impl ForwardedBody {
+    fn finish(&mut self) {
+        if let Some(upstream) = self.upstream.take() {
+            self.shared.pool.put_back(upstream);
+        }
+    }
+}
+
+impl HttpBody for ForwardedBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        let is_end = matches!(polled, Poll::Ready(None)) || self.incoming.is_end_stream();
+        if is_end && !matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.finish();
+        }
+        polled.map_err(std::io::Error::other)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod feed_backoff;
 mod flight;
 pub mod forwarded_headers;
+pub mod forwarding;
 mod handle;
 mod instance_reports;
 mod interface;
@@ -26,6 +27,7 @@
 mod limit_tracker;
 mod load_reports;
 mod metrics;
+mod path;
 mod pool;
 mod probes;
 mod quarantine_tracker;
@@ -48,9 +50,12 @@
 };
 
 use courseshunt_records::emit;
+use courseshunt_services::InstancePaths;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SuspendDetector};
+use courseshunt_wire::ClusterKey;
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
+use forwarding::ForwarderList;
 use instance_reports::UnknownHeaders;
 use limit_tracker::LimitTracker;
 use load_reports::UnreadableLoads;
@@ -61,7 +66,7 @@
 use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use view::View;
@@ -83,6 +88,10 @@
     pub(crate) view: View,
     pub(crate) pool: ConnectionPool,
     pub(crate) dialler: Arc<dyn InstanceDialler>,
+    /// Key that all processes of the cluster share.
+    pub(crate) key: ClusterKey,
+    paths: Mutex<InstancePaths>,
+    pub(crate) forwarders: Arc<ForwarderList>,
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaTracker>,
     pub(crate) limits: LimitTracker,
@@ -166,16 +175,20 @@
         settings: ServiceSettings,
         interface: Arc<dyn ClientInterface>,
     ) -> Result<Self, GatewayError> {
-        let key = courseshunt_wire::ClusterKey::new(settings.cluster_key.as_bytes());
+        let key = ClusterKey::new(settings.cluster_key.as_bytes());
         let key = key.context(ShortKeySnafu)?;
         let clients = settings.listen.clients.context(NoAddressSnafu)?;
         let clients = bind(clients)?;
         let ready = settings.listen.ready.map(bind).transpose()?;
         let metrics = settings.listen.metrics.map(bind).transpose()?;
+        let routers = bind(settings.wire_address())?;
         let shared = Arc::new(Shared {
             view: View::new(&settings, clock),
             pool: ConnectionPool::default(),
             dialler,
+            key: key.clone(),
+            paths: Mutex::default(),
+            forwarders: Arc::default(),
             metrics: Metrics::default(),
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
@@ -202,6 +215,10 @@
         tokio::spawn(ended.clone().run_until_cancelled_owned(suspend_watch));
         let clients = serve::accept_clients(clients, shared.clone());
         tokio::spawn(shared.closing.clone().run_until_cancelled_owned(clients));
+        let routers = forwarding::accept_routers(routers, shared.clone());
+        tokio::spawn(ended.clone().run_until_cancelled_owned(routers));
+        let recovery = path::recover_lost(shared.clone());
+        tokio::spawn(ended.clone().run_until_cancelled_owned(recovery));
         if let Some(ready) = ready {
             tokio::spawn(serve::serve_readiness(ready, shared.clone()));
         }
@@ -227,6 +244,7 @@
     pub async fn stop(self) {
         emit(&RouterRecord::Stops);
         self.shared.stopping.cancel();
+        self.shared.forwarders.report_due.notify_one();
         let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
         let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         tokio::time::sleep(READINESS_PROPAGATION_TIME.min(grace / 2)).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) instances_with_load: usize,
     /// Number of instances that this router can't reach.
     pub(crate) instances_unreachable: usize,
+    /// Number of instances that this router reaches only through other routers.
+    pub(crate) instances_forwarded: usize,
 }
 
 /// Metrics of a router.
@@ -67,6 +69,8 @@
     load_reports: Family<Labels, Counter>,
     instances_with_load: Gauge,
     instances_unreachable: Gauge,
+    instances_forwarded: Gauge,
+    forwarded: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
     connections: Counter,
@@ -103,6 +107,8 @@
             load_reports: Family::default(),
             instances_with_load: Gauge::default(),
             instances_unreachable: Gauge::default(),
+            instances_forwarded: Gauge::default(),
+            forwarded: Family::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
             connections: Counter::default(),
@@ -163,6 +169,13 @@
         let unreachable = self.instances_unreachable.clone();
         let help = "Instances that this router could not reach recently";
         registry.register("instances_unreachable", help, unreachable);
+        let through_others = self.instances_forwarded.clone();
+        let help = "Instances that this router reaches only through other routers";
+        registry.register("instances_forwarded", help, through_others);
+        let forwarded = self.forwarded.clone();
+        let help = "Requests of other routers that this one was to forward, by outcome; foreign: \
+                    connections that were rejected";
+        registry.register("forwarded", help, forwarded);
         let reservations = self.reservations.clone();
         let help = "Requests over their tenants' quotas for which the leader reserved units \
                     (reserved), or was not asked to: does_not_return, unknown_model";
@@ -300,6 +313,12 @@
         self.load_reports.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that another router sent here to be forwarded.
+    pub(crate) fn forwarded(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.forwarded.get_or_create(&labels).inc();
+    }
+
     /// Counts a decision on a request for a rate-limited instance.
     pub(crate) fn limited(&self, outcome: &str) {
         let labels = vec![("outcome", outcome.to_owned())];
@@ -357,7 +376,10 @@
             slack_divisor,
             instances_with_load,
             instances_unreachable,
+            instances_forwarded,
         } = *values;
+        self.instances_forwarded
+            .set(i64::try_from(instances_forwarded).unwrap_or(i64::MAX));
         self.instances_unreachable
             .set(i64::try_from(instances_unreachable).unwrap_or(i64::MAX));
         self.instances_with_load
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,7 @@
-//! Pool of idle connections to instances.
+//! Pool of idle connections to instances and to routers that forward requests.
 //!
-//! Invariant: a connection is reused only after a complete response, and only for the instance
-//! that it was opened for.
+//! Invariant: a connection is reused only after a complete response, and only for the endpoint
+//! that it was opened to.
 
 use crate::dial::InstanceDialler;
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -32,11 +33,21 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of a stated idle timeout that is used.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
-/// Maximum number of idle connections to one instance.
-const MAX_IDLE_PER_INSTANCE: usize = 32;
+/// Maximum number of idle connections to one endpoint.
+const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
-/// A connection to an instance; closed when dropped.
+/// What a connection was opened to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Endpoint {
+    /// An instance.
+    Instance(RunnerId),
+    /// A router that forwards requests, by its wire address.
+    Forwarder(SocketAddr),
+}
+
+/// A connection to an instance or a forwarder; closed when dropped.
 pub(crate) struct Upstream {
+    pub(crate) endpoint: Endpoint,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_timeout: Duration,
@@ -68,21 +79,21 @@
     }
 }
 
-/// Idle connections by instance.
+/// Idle connections by endpoint.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<HashMap<RunnerId, Vec<Upstream>>>,
+    idle: Mutex<HashMap<Endpoint, Vec<Upstream>>>,
 }
 
 impl ConnectionPool {
-    fn lock(&self) -> MutexGuard<'_, HashMap<RunnerId, Vec<Upstream>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Endpoint, Vec<Upstream>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes an idle connection to an instance.
-    pub(crate) fn take(&self, instance: &RunnerId) -> Option<Upstream> {
+    /// Takes an idle connection.
+    pub(crate) fn take(&self, endpoint: &Endpoint) -> Option<Upstream> {
         let mut pools = self.lock();
-        let idle = pools.get_mut(instance)?;
+        let idle = pools.get_mut(endpoint)?;
         let now = Instant::now();
         idle.retain(|one| !one.sender.is_closed() && now - one.last_used_at < one.idle_timeout);
         let ready = idle.iter().rposition(|one| one.sender.is_ready())?;
@@ -92,14 +103,14 @@
     }
 
     /// Returns a connection to the pool after a complete response.
-    pub(crate) fn put_back(&self, instance: &RunnerId, mut upstream: Upstream) {
+    pub(crate) fn put_back(&self, mut upstream: Upstream) {
         if upstream.sender.is_closed() {
             return;
         }
         upstream.last_used_at = Instant::now();
         let mut pools = self.lock();
-        let idle = pools.entry(instance.clone()).or_default();
-        if idle.len() < MAX_IDLE_PER_INSTANCE {
+        let idle = pools.entry(upstream.endpoint.clone()).or_default();
+        if idle.len() < MAX_IDLE_PER_ENDPOINT {
             idle.push(upstream);
         }
     }
@@ -108,7 +119,7 @@
     pub(crate) fn remove(&self, instances: &[RunnerId]) {
         let mut pools = self.lock();
         for instance in instances {
-            pools.remove(instance);
+            pools.remove(&Endpoint::Instance(instance.clone()));
         }
     }
 
@@ -126,9 +137,21 @@
 ///
 /// # Errors
 /// If the instance can't be reached in time.
-async fn connect(dialler: &dyn InstanceDialler, address: SocketAddr) -> io::Result<Upstream> {
+async fn connect(
+    dialler: &dyn InstanceDialler,
+    instance: &RunnerId,
+    address: SocketAddr,
+) -> io::Result<Upstream> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialler.dial(address));
-    let stream = connecting.await.map_err(io::Error::other)??;
+    let stream = connecting.await??;
+    open(stream, Endpoint::Instance(instance.clone())).await
+}
+
+/// Prepares a connected stream for requests.
+///
+/// # Errors
+/// If the stream is closed.
+pub(crate) async fn open(stream: TcpStream, endpoint: Endpoint) -> io::Result<Upstream> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
     let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
@@ -143,6 +166,7 @@
         let _ = connection.await;
     });
     Ok(Upstream {
+        endpoint,
         sender,
         task: task.abort_handle(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -157,7 +181,9 @@
 /// If the address can't be parsed, or if it can't be reached in time.
 pub(crate) async fn connect_to(
     dialler: &dyn InstanceDialler,
+    instance: &RunnerId,
     address: &str,
 ) -> io::Result<Upstream> {
-    connect(dialler, address.parse().map_err(io::Error::other)?).await
+    let address = address.parse().map_err(io::Error::other)?;
+    connect(dialler, instance, address).await
 }
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -94,7 +94,7 @@
         return ProbeResult::Gone;
     };
     shared.metrics.connection();
-    let upstream = match pool::connect_to(&*shared.dialler, &target.address).await {
+    let upstream = match pool::connect_to(&*shared.dialler, instance, &target.address).await {
         Ok(upstream) => upstream,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             return ProbeResult::Refused;
@@ -109,7 +109,7 @@
     let pushback = shared.view.active_pushback(instance, shared.clock.now());
     let path = target.health_path.filter(|_| pushback.is_none());
     let Some(path) = path else {
-        shared.pool.put_back(instance, upstream);
+        shared.pool.put_back(upstream);
         return ProbeResult::Inconclusive;
     };
     let identifying = identify(shared, instance, &target.address, &path, upstream);
@@ -153,7 +153,7 @@
     }
     let collected = Limited::new(body, MAX_PROBE_RESPONSE_BYTES).collect().await;
     if collected.is_ok() && identity == ProbeIdentity::Expected {
-        shared.pool.put_back(instance, upstream);
+        shared.pool.put_back(upstream);
     }
     Some(identity)
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -151,6 +151,9 @@
         /// Whether the response was complete.
         whole: bool,
         problem: Option<&'a str>,
+        /// Wire address of the router that forwarded the request; absent if this router sent it
+        /// to the instance itself.
+        forwarder: Option<String>,
         waited_ms: u64,
         predicted_ms: u64,
         uncached_tokens: u32,
@@ -240,6 +243,30 @@
     InstancesDiffer { parts: usize },
     /// An instance is unreachable and left out of the selection for a while.
     Unreachable { instance: &'a str, problem: &'a str },
+    /// Another router reaches an instance to which this one has no connection: its requests are
+    /// forwarded from now on.
+    PathLost { instance: &'a str },
+    /// A connection of this router's own to such an instance succeeded.
+    PathRegained { instance: &'a str },
+    /// A router that the leader named as a forwarder can't be used.
+    ForwarderUnusable {
+        forwarder: &'a str,
+        problem: &'a str,
+    },
+    /// A request of another router that this one was to forward.
+    Forwarded {
+        id: &'a str,
+        /// The router that received the request from its client.
+        router: &'a str,
+        /// Absent if the request does not name it.
+        instance: Option<&'a str>,
+        /// `answered`, or why there is no answer of the instance.
+        outcome: &'static str,
+        problem: Option<&'a str>,
+        after_ms: u64,
+    },
+    /// A connection that does not come from a router of this cluster and protocol version.
+    ForwardingRejected { peer: &'a str, problem: &'a str },
     /// A response of an instance asked for a backoff.
     InstanceRests {
         instance: &'a str,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -54,7 +54,7 @@
             && let Some(upstream) = self.upstream.take()
         {
             flight.complete();
-            self.shared.pool.put_back(flight.instance(), upstream);
+            self.shared.pool.put_back(upstream);
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,7 +19,7 @@
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 /// Minimum read buffer that hyper accepts.
-const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+pub(crate) const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Accepts client connections until the task is cancelled.
 pub(crate) async fn accept_clients(listener: TcpListener, shared: Arc<Shared>) {
@@ -70,7 +70,7 @@
 }
 
 /// Counts a request as in flight until its response has been sent.
-fn hold_token_until_sent(
+pub(crate) fn hold_token_until_sent(
     response: Response<Body>,
     token: tokio_util::task::task_tracker::TaskTrackerToken,
 ) -> Response<Body> {
@@ -86,7 +86,7 @@
 
 impl Shared {
     /// Resolves when idle connections must be closed for a planned stop.
-    async fn idle_close_due(&self) {
+    pub(crate) async fn idle_close_due(&self) {
         self.stopping.cancelled().await;
         tokio::time::sleep(crate::READINESS_PROPAGATION_TIME / 2).await;
     }
@@ -121,6 +121,7 @@
                 slack_divisor: shared.view.slack_divisor(shared.clock.now()),
                 instances_with_load: shared.view.instances_with_load(),
                 instances_unreachable: shared.view.unreachable_count(shared.clock.now()),
+                instances_forwarded: shared.paths().forwarded_count(),
             });
             text_response(StatusCode::OK, page)
         }
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -376,6 +376,30 @@
         self.lock().selector.suspect(instance, now);
     }
 
+    /// Whether an instance is left out of the selection as unreachable.
+    pub(crate) fn is_unreachable(&self, instance: &RunnerId, now: Timestamp) -> bool {
+        self.lock().selector.is_unreachable(instance, now)
+    }
+
+    /// Selects unreachable instances again, because it was this router that had lost its paths.
+    pub(crate) fn forget_unreachable(&self) {
+        self.lock().selector.forget_unreachable();
+        self.notify_change();
+    }
+
+    /// An instance that the feed lists.
+    pub(crate) fn instance(&self, instance: &RunnerId) -> Option<InstanceView> {
+        self.lock().instances.get(instance).cloned()
+    }
+
+    /// Some instance that the feed lists; `draw` varies which.
+    pub(crate) fn any_instance(&self, draw: u64) -> Option<RunnerId> {
+        let state = self.lock();
+        let count = u64::try_from(state.instances.len()).unwrap_or(u64::MAX);
+        let position = usize::try_from(draw.checked_rem(count)?).ok()?;
+        state.instances.ids().nth(position).cloned()
+    }
+
     /// Records that an instance does not hold the requested model, or that another instance
     /// answers at its address.
     pub(crate) fn mark_lacking(&self, instance: &RunnerId, shape: &PromptShape, now: Timestamp) {
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -8,6 +8,7 @@
 //! models that its requests name, not to the fleet.
 
 use crate::digest::InstanceDigests;
+use crate::forwarders::{Forwarder, ForwardingReport};
 use crate::instance::InstanceView;
 use crate::limit::{LimitAnswer, LimitQuery, LimitReport};
 use crate::quarantine::InstanceEnd;
@@ -195,6 +196,9 @@
     },
     /// Load and speed of instances. An instance that is left out is unchanged.
     InstanceLoads(Vec<InstanceLoad>),
+    /// Answer to [`ReportMessage::Forwarding`]: a few routers that forward requests. The list
+    /// replaces the one before.
+    Forwarders(Vec<Forwarder>),
 }
 
 /// Update about a router that a controller relays to the leader.
@@ -272,4 +276,7 @@
         /// One entry for each model with streams that ended.
         pauses: Vec<ModelPauses>,
     },
+    /// Whether the router forwards requests of other routers; asks for routers that forward its
+    /// own.
+    Forwarding(ForwardingReport),
 }
--- /dev/null
+++ b/crates/services/src/instance_paths.rs
@@ -0,0 +1,83 @@
+//! A router's paths to the instances: which ones it reaches by connections of its own.
+//!
+//! A router that can't open a connection does not know whether the instance is down or its own path
+//! is lost. Another router that reaches the instance shows that it is the path.
+//!
+//! Invariant: an instance counts as reached through other routers only after one of them reached
+//! it, and until a connection of this router's own succeeds.
+
+use courseshunt_types::RunnerId;
+use std::collections::BTreeSet;
+
+/// A router that fails to open connections to this many instances, and to open any in between,
+/// counts as partitioned: one instance that is down does not show this.
+const PARTITIONED_FAILURES: usize = 2;
+
+/// See the module documentation.
+#[derive(Debug, Default)]
+pub struct InstancePaths {
+    /// Instances that other routers reach and this one does not.
+    forwarded: BTreeSet<RunnerId>,
+    /// Instances to which connections failed since the last one that succeeded, to any instance.
+    failed: BTreeSet<RunnerId>,
+    /// The instance whose path was tried last.
+    last_tried: Option<RunnerId>,
+}
+
+impl InstancePaths {
+    /// Records that a connection of this router's own succeeded. Returns whether other paths may
+    /// be back as well, since this one had been lost.
+    pub fn record_success(&mut self, instance: &RunnerId) -> bool {
+        self.failed.clear();
+        self.forwarded.remove(instance)
+    }
+
+    /// Records that a connection of this router's own failed.
+    pub fn record_failure(&mut self, instance: &RunnerId) {
+        self.failed.insert(instance.clone());
+    }
+
+    /// Records that another router reached an instance to which this router's own connection
+    /// failed. Returns whether this is new.
+    pub fn record_forwarded(&mut self, instance: &RunnerId) -> bool {
+        self.forwarded.insert(instance.clone())
+    }
+
+    /// Whether the instance is reached through other routers only.
+    #[must_use]
+    pub fn is_forwarded(&self, instance: &RunnerId) -> bool {
+        self.forwarded.contains(instance)
+    }
+
+    /// Number of instances that are reached through other routers only.
+    #[must_use]
+    pub fn forwarded_count(&self) -> usize {
+        self.forwarded.len()
+    }
+
+    /// Whether this router appears to have lost its paths, rather than single instances.
+    #[must_use]
+    pub fn is_partitioned(&self) -> bool {
+        self.failed.len() >= PARTITIONED_FAILURES
+    }
+
+    /// The next instance whose path is to be tried, in turn over all lost paths; `None` if no path
+    /// is lost.
+    pub fn next_to_try(&mut self) -> Option<RunnerId> {
+        let after = match &self.last_tried {
+            Some(last) => self.forwarded.range(last.clone()..).find(|id| *id != last),
+            None => None,
+        };
+        let next = after.or_else(|| self.forwarded.first()).cloned();
+        self.last_tried.clone_from(&next);
+        next
+    }
+
+    /// Removes instances that no longer exist.
+    pub fn remove(&mut self, gone: &[RunnerId]) {
+        for id in gone {
+            self.forwarded.remove(id);
+            self.failed.remove(id);
+        }
+    }
+}
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -17,9 +17,11 @@
 pub mod digest;
 pub mod feed;
 pub mod fleet_size;
+pub mod forwarders;
 pub mod instance;
 pub mod instance_directory;
 mod instance_index;
+pub mod instance_paths;
 pub mod limit;
 pub mod load_rate_limiter;
 pub mod placement;
@@ -45,8 +47,10 @@
     RouterUpdate,
 };
 pub use fleet_size::FleetSize;
+pub use forwarders::{Forwarder, ForwarderDirectory, ForwardingReport};
 pub use instance::{CachedWeights, InstanceState, InstanceView, Registration, ResidentModel};
 pub use instance_directory::InstanceDirectory;
+pub use instance_paths::InstancePaths;
 pub use limit::ledger::LimitLedger;
 pub use limit::local::{LimitChange, LimitStep, RouterLimits};
 pub use limit::{LimitAnswer, LimitQuery, LimitReport, LimitVerdict, ReportedLimit, RequestRate};
--- a/crates/services/src/selection/avoidance.rs
+++ b/crates/services/src/selection/avoidance.rs
@@ -103,6 +103,14 @@
         local.unreachable_until = until;
     }
 
+    /// Ends the exclusion of all unreachable instances.
+    pub fn forget_unreachable(&mut self) {
+        for local in self.locals.values_mut().filter(|local| local.failures > 0) {
+            local.failures = 0;
+            local.unreachable_until = Timestamp::default();
+        }
+    }
+
     /// Whether an instance is excluded as unreachable.
     #[must_use]
     pub fn is_unreachable(&self, instance: &RunnerId, now: Timestamp) -> bool {
--- /dev/null
+++ b/crates/services/tests/instance_paths.rs
@@ -0,0 +1,67 @@
+//! What a router concludes from connections that fail and succeed.
+
+use courseshunt_services::InstancePaths;
+use courseshunt_types::RunnerId;
+
+fn id(number: u32) -> RunnerId {
+    RunnerId::from(format!("i-{number}").as_str())
+}
+
+#[test]
+fn one_instance_that_is_down_is_no_partition() {
+    let mut paths = InstancePaths::default();
+    for _ in 0..10 {
+        paths.record_failure(&id(1));
+    }
+    assert!(!paths.is_partitioned());
+}
+
+#[test]
+fn failures_to_two_instances_are_a_partition_until_a_connection_succeeds() {
+    let mut paths = InstancePaths::default();
+    paths.record_failure(&id(1));
+    paths.record_failure(&id(2));
+    assert!(paths.is_partitioned());
+    paths.record_success(&id(3));
+    assert!(!paths.is_partitioned());
+}
+
+#[test]
+fn failures_with_successes_in_between_are_no_partition() {
+    let mut paths = InstancePaths::default();
+    for number in 0..20 {
+        paths.record_failure(&id(number));
+        paths.record_success(&id(100));
+    }
+    assert!(!paths.is_partitioned());
+}
+
+#[test]
+fn an_instance_is_forwarded_until_an_own_connection_to_it_succeeds() {
+    let mut paths = InstancePaths::default();
+    paths.record_failure(&id(1));
+    assert!(!paths.is_forwarded(&id(1)));
+    assert!(paths.record_forwarded(&id(1)));
+    assert!(!paths.record_forwarded(&id(1)));
+    assert!(!paths.record_success(&id(2)));
+    assert!(paths.is_forwarded(&id(1)));
+    assert!(paths.record_success(&id(1)));
+    assert!(!paths.is_forwarded(&id(1)));
+}
+
+#[test]
+fn all_lost_paths_are_tried_in_turn() {
+    let mut paths = InstancePaths::default();
+    assert_eq!(paths.next_to_try(), None);
+    for number in 1..=3 {
+        paths.record_forwarded(&id(number));
+    }
+    let tried: Vec<Option<RunnerId>> = (0..4).map(|_| paths.next_to_try()).collect();
+    let expected = [1, 2, 3, 1].map(|number| Some(id(number)));
+    assert_eq!(tried, expected);
+    paths.remove(&[id(2)]);
+    assert_eq!(paths.next_to_try(), Some(id(3)));
+    paths.record_success(&id(1));
+    paths.record_success(&id(3));
+    assert_eq!(paths.next_to_try(), None);
+}
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -40,6 +40,17 @@
     pub receiver: Receiver,
 }
 
+/// An authenticated stream that carries another protocol than frames.
+#[derive(Debug)]
+pub struct AuthenticatedStream {
+    /// Identity that the peer claimed in the handshake.
+    pub peer: PeerIdentity,
+    /// Protocol version that both ends support.
+    pub version: u8,
+    /// The stream, positioned after the handshake.
+    pub stream: TcpStream,
+}
+
 /// The sending half of a connection.
 #[derive(Debug)]
 pub struct Sender {
@@ -57,6 +68,31 @@
 }
 
 impl Connection {
+    /// Sends and receives frames over an authenticated stream.
+    fn over(authenticated: AuthenticatedStream, address: SocketAddr) -> Self {
+        let AuthenticatedStream {
+            peer,
+            version,
+            stream,
+        } = authenticated;
+        let name = format!("{peer} at {address}");
+        let (read, write) = stream.into_split();
+        Self {
+            peer,
+            version,
+            sender: Sender {
+                half: write,
+                peer: name.clone(),
+                version,
+            },
+            receiver: Receiver {
+                half: BufReader::new(read),
+                peer: name,
+                version,
+            },
+        }
+    }
+
     /// Whether the peer uses the protocol version of the previous release: see
     /// [`crate::previous_release`].
     #[must_use]
@@ -190,6 +226,21 @@
     key: &ClusterKey,
     identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
+    let stream = connect_stream_within(limit, source, address, key, identity).await?;
+    Ok(Connection::over(stream, address))
+}
+
+/// Like [`connect_within`], for a stream that does not carry frames.
+///
+/// # Errors
+/// As [`connect_within`].
+pub async fn connect_stream_within(
+    limit: Duration,
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
+) -> Result<AuthenticatedStream, WireError> {
     let connecting = async {
         let stream = dial(source, address).await;
         let stream = stream.map_err(|source| WireError::Io {
@@ -242,6 +293,20 @@
     key: &ClusterKey,
     identity: &PeerIdentity,
 ) -> Result<Connection, WireError> {
+    let stream = accept_stream(stream, address, key, identity).await?;
+    Ok(Connection::over(stream, address))
+}
+
+/// Like [`accept`], for a stream that does not carry frames.
+///
+/// # Errors
+/// As [`accept`].
+pub async fn accept_stream(
+    stream: TcpStream,
+    address: SocketAddr,
+    key: &ClusterKey,
+    identity: &PeerIdentity,
+) -> Result<AuthenticatedStream, WireError> {
     let handshake = Handshake::new(stream, address, key);
     with_timeout(
         HANDSHAKE_TIMEOUT,
@@ -252,12 +317,12 @@
     .await
 }
 
-async fn with_timeout(
+async fn with_timeout<T>(
     limit: Duration,
     step: &'static str,
     address: SocketAddr,
-    operation: impl Future<Output = Result<Connection, WireError>>,
-) -> Result<Connection, WireError> {
+    operation: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
     let peer = address.to_string();
     let finished = tokio::time::timeout(limit, operation).await;
     finished.unwrap_or(Err(WireError::TimedOut { step, peer }))
@@ -282,7 +347,7 @@
         Self { stream, peer, key }
     }
 
-    async fn dial(mut self, identity: &PeerIdentity) -> Result<Connection, WireError> {
+    async fn dial(mut self, identity: &PeerIdentity) -> Result<AuthenticatedStream, WireError> {
         let own_nonce = self.send_nonce().await?;
         let peer_nonce = self.read_nonce().await?;
         let nonces = [own_nonce.as_slice(), peer_nonce.as_slice()];
@@ -291,7 +356,7 @@
         Ok(self.finish(peer))
     }
 
-    async fn answer(mut self, identity: &PeerIdentity) -> Result<Connection, WireError> {
+    async fn answer(mut self, identity: &PeerIdentity) -> Result<AuthenticatedStream, WireError> {
         let peer_nonce = self.read_nonce().await?;
         let own_nonce = self.send_nonce().await?;
         let nonces = [peer_nonce.as_slice(), own_nonce.as_slice()];
@@ -349,23 +414,11 @@
         Ok(AuthenticatedPeer { peer, version })
     }
 
-    fn finish(self, authenticated: AuthenticatedPeer) -> Connection {
-        let AuthenticatedPeer { peer, version } = authenticated;
-        let name = format!("{peer} at {}", self.peer);
-        let (read, write) = self.stream.into_split();
-        Connection {
-            peer,
-            version,
-            sender: Sender {
-                half: write,
-                peer: name.clone(),
-                version,
-            },
-            receiver: Receiver {
-                half: BufReader::new(read),
-                peer: name,
-                version,
-            },
+    fn finish(self, authenticated: AuthenticatedPeer) -> AuthenticatedStream {
+        AuthenticatedStream {
+            peer: authenticated.peer,
+            version: authenticated.version,
+            stream: self.stream,
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,8 @@
 mod traffic;
 
 pub use connection::{
-    Connection, Receiver, Sender, accept, connect, connect_from, connect_within, listen,
+    AuthenticatedStream, Connection, Receiver, Sender, accept, accept_stream, connect,
+    connect_from, connect_stream_within, connect_within, listen,
 };
 pub use dial_limit::DialLimit;
 pub use error::WireError;
--- a/crates/wire/src/previous_release/mod.rs
+++ b/crates/wire/src/previous_release/mod.rs
@@ -186,7 +186,8 @@
         | FeedMessage::Limits(_)
         | FeedMessage::LimitAnswers(_)
         | FeedMessage::Quarantine { .. }
-        | FeedMessage::InstanceLoads(_) => return None,
+        | FeedMessage::InstanceLoads(_)
+        | FeedMessage::Forwarders(_) => return None,
     })
 }
 
@@ -247,7 +248,8 @@
         | ReportMessage::Limits { .. }
         | ReportMessage::Compare(_)
         | ReportMessage::Ends { .. }
-        | ReportMessage::InstanceLoads { .. } => return None,
+        | ReportMessage::InstanceLoads { .. }
+        | ReportMessage::Forwarding(_) => return None,
     })
 }
 
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -115,7 +115,8 @@
         FeedMessage::NoFeed { .. }
         | FeedMessage::AwaitingLeader
         | FeedMessage::Leadership { .. }
-        | FeedMessage::Members(_) => 12,
+        | FeedMessage::Members(_)
+        | FeedMessage::Forwarders(_) => 12,
     }
 }
 
