Probes: an instance that another router reaches has not ended

A harmless request was refused at all routers (503 quarantined, Retry-After 60 s) after a partitioned router had sent it: instances had broken off its answers, the router's probes were refused, and it reported that the instances had ended with the request.

Change: a probe that can't connect asks a forwarder whether it reaches the instance. If it does, or if no router can tell and this one appears to have lost its paths, the failed connection is no evidence and does not exclude the instance.

--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -1,11 +1,15 @@
 //! The side of a forwarded request that has lost its path: connections to forwarders, and the
 //! reports by which this router offers to forward and asks for forwarders.
 
+use super::headers::{ForwardInstruction, mark_check};
 use crate::Shared;
 use crate::pool::{self, Endpoint, Upstream};
-use courseshunt_services::{ForwardingReport, ReportMessage};
-use courseshunt_types::{Incarnation, RouterId, Zone};
+use bytes::Bytes;
+use courseshunt_services::{ForwardingReport, InstanceView, ReportMessage};
+use courseshunt_types::{Incarnation, Millis, RouterId, Zone};
 use courseshunt_wire::{PROTOCOL_VERSION, PeerIdentity, connect_stream_within};
+use http_body_util::Full;
+use hyper::Request;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +35,20 @@
     pool::open(connected.stream, Endpoint::Forwarder(address)).await
 }
 
+/// A request that asks a forwarder whether it reaches this instance.
+pub(crate) fn check_request(view: &InstanceView) -> Request<Full<Bytes>> {
+    let instruction = ForwardInstruction {
+        instance: view.id.clone(),
+        time_left: Millis(0),
+        priority: 0,
+        tenant: None,
+    };
+    let mut request = Request::new(Full::default());
+    instruction.write(request.headers_mut());
+    mark_check(request.headers_mut());
+    request
+}
+
 /// This router's report, if one is due.
 pub(crate) fn due_report(shared: &Shared) -> Option<ReportMessage> {
     let now = shared.clock.now();
--- a/crates/gateway/src/forwarding/headers.rs
+++ b/crates/gateway/src/forwarding/headers.rs
@@ -12,6 +12,7 @@
 const TIME_LEFT: HeaderName = HeaderName::from_static("courseshunt-forward-time-left-ms");
 const PRIORITY: HeaderName = HeaderName::from_static("courseshunt-forward-priority");
 const TENANT: HeaderName = HeaderName::from_static("courseshunt-forward-tenant");
+const CHECK: HeaderName = HeaderName::from_static("courseshunt-forward-check");
 const OUTCOME: HeaderName = HeaderName::from_static("courseshunt-forward-outcome");
 
 /// What a forwarder needs besides the request itself.
@@ -27,6 +28,16 @@
     pub tenant: Option<String>,
 }
 
+/// Marks a request that asks only whether the forwarder reaches the instance.
+pub fn mark_check(headers: &mut HeaderMap) {
+    headers.insert(CHECK, HeaderValue::from_static("1"));
+}
+
+/// Whether a request asks only whether the forwarder reaches the instance; takes the mark.
+pub fn take_check(headers: &mut HeaderMap) -> bool {
+    headers.remove(&CHECK).is_some()
+}
+
 /// Why the instruction of a request can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("forward: header {header} is missing or can't be read"))]
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -14,6 +14,6 @@
 pub mod headers;
 mod server;
 
-pub(crate) use client::{connect, due_report};
+pub(crate) use client::{check_request, connect, due_report};
 pub(crate) use forwarders::{ForwarderList, InFlightGuard};
 pub(crate) use server::accept_routers;
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -3,7 +3,7 @@
 //! Invariant: a request is sent at most once, to the named instance, and only by a connection of
 //! this router's own.
 
-use super::headers::{ForwardInstruction, ForwardOutcome};
+use super::headers::{ForwardInstruction, ForwardOutcome, take_check};
 use crate::Shared;
 use crate::forwarded_headers::strip_hop_headers;
 use crate::interface::ForwardContext;
@@ -163,10 +163,12 @@
         let token = shared.requests.token();
         let arrived = Instant::now();
         let (mut head, body) = request.into_parts();
+        let is_check = take_check(&mut head.headers);
         let instruction = ForwardInstruction::take(&mut head.headers);
         let id = shared.interface.read_request(&head.headers).id;
         let instance = instruction.as_ref().ok().map(|one| one.instance.clone());
         let forwarded = match instruction {
+            Ok(instruction) if is_check => self.check(&instruction).await,
             Ok(instruction) => {
                 let request = Request::from_parts(head, body);
                 self.forward(request, instruction, arrived).await
@@ -177,6 +179,7 @@
             }
         };
         let outcome = match &forwarded {
+            Ok(_) if is_check => "reached",
             Ok(_) => "answered",
             Err(failure) => failure.outcome.name(),
         };
@@ -197,6 +200,16 @@
         hold_token_until_sent(response, token)
     }
 
+    /// Answers whether this router reaches the instance.
+    async fn check(&self, instruction: &ForwardInstruction) -> Result<Response<Body>, Failure> {
+        let view = self.accepting_instance(instruction)?;
+        let upstream = self.connect(&view).await?;
+        self.shared.pool.put_back(upstream);
+        let mut response = Response::new(full_body(""));
+        *response.status_mut() = StatusCode::NO_CONTENT;
+        Ok(response)
+    }
+
     async fn forward(
         &self,
         request: Request<Incoming>,
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -11,6 +11,7 @@
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{InstancePaths, InstanceView};
+use http_body_util::BodyExt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
@@ -25,6 +26,8 @@
 const FORWARDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of forwarders that one attempt tries.
 const MAX_FORWARDERS_TRIED: usize = 3;
+/// Time limit for a forwarder's answer whether it reaches an instance.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between attempts to open a connection on a lost path.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -192,8 +195,36 @@
     next
 }
 
+/// Whether an instance to which this router's own connection failed is reached by another router;
+/// `None` if no other router can tell.
+pub(crate) async fn is_reached_by_another(
+    shared: &Arc<Shared>,
+    view: &InstanceView,
+) -> Option<bool> {
+    let mut tried = TriedForwarders::default();
+    while let Some(mut upstream) = to_forwarder(shared, &mut tried).await {
+        let request = forwarding::check_request(view);
+        let sending = upstream.sender.send_request(request);
+        let response = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
+        let Ok(Ok(response)) = response else { continue };
+        let outcome = ForwardOutcome::read(response.headers());
+        if let Ok(Ok(_)) = tokio::time::timeout(CHECK_TIMEOUT, response.collect()).await {
+            shared.pool.put_back(upstream);
+        }
+        match outcome {
+            None => {
+                record_forwarded(shared, view);
+                return Some(true);
+            }
+            Some(ForwardOutcome::Unreachable) => return Some(false),
+            Some(_) => {}
+        }
+    }
+    None
+}
+
 /// Opens a connection to an instance and records the state of the path.
-async fn connect_directly(shared: &Shared, view: &InstanceView) -> io::Result<Upstream> {
+pub(crate) async fn connect_directly(shared: &Shared, view: &InstanceView) -> io::Result<Upstream> {
     shared.metrics.connection();
     let connected = pool::connect_to(&*shared.dialler, &view.id, &view.address).await;
     let was_partitioned = shared.paths().is_partitioned();
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -1,20 +1,23 @@
 //! Probes an instance that broke off a response: whether its address accepts connections, and
 //! which instance answers there.
 //!
-//! Invariant: a probe counts an instance as ended only if its address refuses connections, or
-//! if another instance answers there. A proxy or a successor may accept connections for a dead
-//! instance; an instance that does not answer may be alive.
+//! Invariant: a probe counts an instance as ended only if its address refuses connections, also
+//! those of another router, or if another instance answers there. A proxy or a successor may accept
+//! connections for a dead instance; an instance that does not answer may be alive.
 
 use crate::Shared;
 use crate::instance_reports::{ResponseOrigin, observe_response};
 use crate::interface::ProbeIdentity;
-use crate::pool::{self, Upstream};
+use crate::path;
+use crate::pool::Upstream;
 use bytes::Bytes;
+use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Pauses before the first probes: a process that is terminating may close its connections
@@ -45,6 +48,9 @@
     Inconclusive,
     /// No connection could be made in time.
     Unreachable,
+    /// Another router reaches the instance, or this one appears to have lost its paths: the failed
+    /// connection shows nothing about the instance.
+    PathLost,
     /// Another instance answers at the address.
     OtherInstance,
     /// The address refuses connections.
@@ -60,19 +66,25 @@
             Self::OtherInstance => Some("another"),
             Self::Refused => Some("refused"),
             Self::Gone => Some(GONE),
-            Self::Expected | Self::Inconclusive | Self::Unreachable => None,
+            Self::Expected | Self::Inconclusive | Self::Unreachable | Self::PathLost => None,
         }
     }
 
     /// Whether a later probe may be conclusive.
     pub(crate) fn may_become_conclusive(self) -> bool {
-        matches!(self, Self::Inconclusive | Self::Unreachable)
+        matches!(
+            self,
+            Self::Inconclusive | Self::Unreachable | Self::PathLost
+        )
     }
 }
 
 /// Probes an instance right after it broke off a response, until a probe is conclusive or all
 /// pauses are used.
-pub(crate) async fn probe_until_conclusive(shared: &Shared, instance: &RunnerId) -> ProbeResult {
+pub(crate) async fn probe_until_conclusive(
+    shared: &Arc<Shared>,
+    instance: &RunnerId,
+) -> ProbeResult {
     for pause in INITIAL_PROBE_PAUSES {
         tokio::time::sleep(pause).await;
         let result = probe_once(shared, instance, pause).await;
@@ -86,20 +98,16 @@
 /// Probes once. A connection counts only if it stays open for `settle_time`: an instance with too
 /// many connections accepts further ones and closes them.
 pub(crate) async fn probe_once(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     instance: &RunnerId,
     settle_time: Duration,
 ) -> ProbeResult {
     let Some(target) = shared.view.probe_target(instance) else {
         return ProbeResult::Gone;
     };
-    shared.metrics.connection();
-    let upstream = match pool::connect_to(&*shared.dialler, instance, &target.address).await {
+    let upstream = match path::connect_directly(shared, &target.view).await {
         Ok(upstream) => upstream,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return ProbeResult::Refused;
-        }
-        Err(_) => return ProbeResult::Unreachable,
+        Err(error) => return judge_failed_connection(shared, &target.view, &error).await,
     };
     tokio::time::sleep(settle_time).await;
     if upstream.sender.is_closed() {
@@ -112,7 +120,7 @@
         shared.pool.put_back(upstream);
         return ProbeResult::Inconclusive;
     };
-    let identifying = identify(shared, instance, &target.address, &path, upstream);
+    let identifying = identify(shared, instance, &target.view.address, &path, upstream);
     let identified = tokio::time::timeout(PROBE_TIMEOUT, identifying).await;
     match identified.ok().flatten() {
         Some(ProbeIdentity::Expected) => ProbeResult::Expected,
@@ -121,6 +129,24 @@
     }
 }
 
+/// What a failed connection shows: another router that reaches the instance shows that only this
+/// router's path is lost.
+async fn judge_failed_connection(
+    shared: &Arc<Shared>,
+    view: &InstanceView,
+    error: &io::Error,
+) -> ProbeResult {
+    match path::is_reached_by_another(shared, view).await {
+        Some(true) => return ProbeResult::PathLost,
+        None if shared.paths().is_partitioned() => return ProbeResult::PathLost,
+        Some(false) | None => {}
+    }
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        _ => ProbeResult::Unreachable,
+    }
+}
+
 /// Sends a health check and reads which instance answers; `None` if there is no response.
 async fn identify(
     shared: &Shared,
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -260,7 +260,8 @@
         router: &'a str,
         /// Absent if the request does not name it.
         instance: Option<&'a str>,
-        /// `answered`, or why there is no answer of the instance.
+        /// `answered`, `reached` if only this was asked, or why there is no answer of the
+        /// instance.
         outcome: &'static str,
         problem: Option<&'a str>,
         after_ms: u64,
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -32,8 +32,8 @@
 pub(crate) const INITIAL_ROUTER_COUNT: u32 = 16;
 /// Address and path for health probes of an instance.
 pub(crate) struct ProbeTarget {
-    /// `ip:port`.
-    pub(crate) address: String,
+    /// The instance, as the feed lists it.
+    pub(crate) view: InstanceView,
     /// Path of the health check, if the service declares one.
     pub(crate) health_path: Option<String>,
 }
@@ -433,7 +433,7 @@
         let table = state.table.as_ref();
         let service = table.and_then(|table| table.service(&view.service));
         Some(ProbeTarget {
-            address: view.address.clone(),
+            view: view.clone(),
             health_path: service.and_then(|service| service.health_path.clone()),
         })
     }
