A request that no router can pass on is refused at once, as path_lost

A router without any path to the holders of a model, and without a router that forwards, refused with no_instance after its wait (up to a fifth of the objective, retries up to 0.45 of their time), and named the time in which models are loaded.

Cause: the decision to wait knows expected loads and backoffs, but not that the router itself has no path; waiting can't help there.

Change: such a request is refused at once with its own reason, not run, and Retry-After 300 ms as for other states of the router itself: the client may reach another router.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -33,7 +33,7 @@
 const INITIAL_CONFIGURATION_WAIT_FRACTION: f64 = 0.5;
 /// Retry-After of requests that are refused because of the state of this router: by then it
 /// follows a leader again, or the client reaches another router.
-const ROUTER_RETRY_AFTER: Millis = Millis(300);
+pub(crate) const ROUTER_RETRY_AFTER: Millis = Millis(300);
 
 /// Retry-After of quarantined requests: the quarantine does not end sooner.
 pub(crate) const QUARANTINE_RETRY_AFTER: Millis = Millis(60_000);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,9 @@
     BrokenBody,
     /// No instance could accept the request in time; it has not run.
     NoInstance,
+    /// This router has lost its paths to all instances that could serve the request, and knows no
+    /// other router that forwards it; it has not run.
+    PathLost,
     /// Every instance that was tried refused the request; it has not run.
     TurnedAway,
     /// Instances ended while they ran requests with the same content; the request has not run.
@@ -50,6 +53,7 @@
             Self::NoConfiguration
             | Self::Stale
             | Self::NoInstance
+            | Self::PathLost
             | Self::TurnedAway
             | Self::Quarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -79,6 +83,7 @@
             Self::TooLarge => "too_large",
             Self::BrokenBody => "broken_body",
             Self::NoInstance => "no_instance",
+            Self::PathLost => "path_lost",
             Self::TurnedAway => "turned_away",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -5,7 +5,7 @@
 //! allowed or the router stops, gets no instance.
 
 use crate::Shared;
-use crate::admission::{QUARANTINE_RETRY_AFTER, is_key_valid};
+use crate::admission::{QUARANTINE_RETRY_AFTER, ROUTER_RETRY_AFTER, is_key_valid};
 use crate::flight::millis;
 use crate::handle::{AdmittedRequest, SendHistory};
 use crate::records::RequestRecord;
@@ -13,7 +13,7 @@
 use crate::waiting::{self, WaitContext, WaitDecision, decide};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, SelectionRequest};
-use courseshunt_types::{Millis, RunnerId};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -62,6 +62,14 @@
         }
     }
 
+    /// The router has lost its paths; the client may reach another router.
+    fn path_lost(history: &SendHistory) -> Self {
+        Self {
+            refusal: history.refusal(Refusal::PathLost),
+            retry_after: Some(ROUTER_RETRY_AFTER),
+        }
+    }
+
     fn no_instance(history: &SendHistory, retry_after: Millis) -> Self {
         Self {
             refusal: history.refusal(Refusal::NoInstance),
@@ -112,6 +120,9 @@
         {
             return Ok(SelectedInstance::without_permit(selected));
         }
+        if has_lost_paths(admitted, shared, now) {
+            return Err(SelectionFailure::path_lost(history));
+        }
         if waiting_guard.is_none() && service.engine.is_some() {
             waiting_guard = Some(shared.view.register_waiting(&service.name, request.shape));
         }
@@ -175,6 +186,17 @@
         .is_quarantined(&admitted.content, leader_silence)
 }
 
+/// Whether this router has lost its paths to all instances that hold the model, and no other
+/// router is known that could forward the request.
+fn has_lost_paths(admitted: &AdmittedRequest, shared: &Shared, now: Timestamp) -> bool {
+    if !shared.paths().is_partitioned() || shared.forwarders.choose(&[], now).is_some() {
+        return false;
+    }
+    let shape = &admitted.metadata.shape;
+    let counts = shared.view.count_holders(&admitted.service, shape, now);
+    counts.holders > 0 && counts.unreachable == counts.holders
+}
+
 /// Whether a request must not be sent after all, although an instance was selected for it.
 pub(crate) fn must_not_send(admitted: &AdmittedRequest, shared: &Shared) -> bool {
     !is_caller_valid(admitted, shared) || is_quarantined(admitted, shared)
