--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -53,8 +53,11 @@
 pub(crate) fn due_report(shared: &Shared) -> Option<ReportMessage> {
     let now = shared.clock.now();
     let available = shared.can_forward();
-    let needs = shared.paths().forwarded_count() > 0 || shared.paths().is_partitioned();
-    if !shared.forwarders.is_report_due(available, needs, now) {
+    let needs_forwarder = shared.paths().needs_forwarder();
+    if !shared
+        .forwarders
+        .is_report_due(available, needs_forwarder, now)
+    {
         return None;
     }
     shared.forwarders.record_report(available, now);
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -13,7 +13,7 @@
 /// Time for which a forwarder that could not be used is avoided.
 const AVOIDANCE: Millis = Millis(1_000);
 /// Interval of the reports with which a router asks for forwarders, and the interval while it
-/// needs them. Nothing is forwarded before the first answer.
+/// needs one or knows none. Nothing is forwarded before the first answer.
 const REPORT_INTERVAL: Millis = Millis(15_000);
 const URGENT_REPORT_INTERVAL: Millis = Millis(500);
 
@@ -103,10 +103,16 @@
         }
     }
 
-    /// Whether a report is due: availability has changed, or the interval has passed.
-    pub(crate) fn is_report_due(&self, available: bool, needs: bool, now: Timestamp) -> bool {
+    /// Whether a report is due: availability has changed, or the interval has passed. It is short
+    /// while a forwarder is needed or none is known.
+    pub(crate) fn is_report_due(
+        &self,
+        available: bool,
+        needs_forwarder: bool,
+        now: Timestamp,
+    ) -> bool {
         let state = self.lock();
-        let interval = match needs {
+        let interval = match needs_forwarder || state.known.is_empty() {
             true => URGENT_REPORT_INTERVAL,
             false => REPORT_INTERVAL,
         };
--- a/crates/services/src/instance_paths.rs
+++ b/crates/services/src/instance_paths.rs
@@ -55,6 +55,12 @@
         self.forwarded.len()
     }
 
+    /// Whether the path to any instance is lost, or the last connection failed.
+    #[must_use]
+    pub fn needs_forwarder(&self) -> bool {
+        !self.forwarded.is_empty() || !self.failed.is_empty()
+    }
+
     /// Whether this router appears to have lost its paths, rather than single instances.
     #[must_use]
     pub fn is_partitioned(&self) -> bool {
