Paths by service; a forwarder without a path is told apart from an instance that is down

Cause: a success to an instance of one service cleared the evidence for the other, so that a router did not count as partitioned; a forwarder did not say that it was its own path; it was named like routers that reach all instances.

Change: evidence is kept by service; a forwarder answers path_lost where it knows so, and the next one is tried; the leader names routers without lost paths first; while a router appears partitioned from a service, it sends over no idle connection if it can forward.

--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -1,6 +1,7 @@
 //! The side of a forwarded request that has lost its path: connections to forwarders, and the
 //! reports by which this router offers to forward and asks for forwarders.
 
+use super::forwarders::Offer;
 use super::headers::{ForwardInstruction, mark_check};
 use crate::Shared;
 use crate::pool::{self, Endpoint, Upstream};
@@ -54,16 +55,19 @@
     let now = shared.clock.now();
     let available = shared.can_forward();
     let needs_forwarder = shared.paths().needs_forwarder();
-    if !shared
-        .forwarders
-        .is_report_due(available, needs_forwarder, now)
-    {
+    let lost_paths = shared.paths().forwarded_count();
+    let offer = Offer {
+        available,
+        has_lost_paths: lost_paths > 0,
+    };
+    if !shared.forwarders.is_report_due(offer, needs_forwarder, now) {
         return None;
     }
-    shared.forwarders.record_report(available, now);
+    shared.forwarders.record_report(offer, now);
     Some(ReportMessage::Forwarding(ForwardingReport {
         address: shared.settings.wire_address().to_string(),
         zone: Zone::from(shared.settings.zone.as_str()),
         available,
+        lost_paths: u32::try_from(lost_paths).unwrap_or(u32::MAX),
     }))
 }
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -17,6 +17,13 @@
 const REPORT_INTERVAL: Millis = Millis(15_000);
 const URGENT_REPORT_INTERVAL: Millis = Millis(500);
 
+/// How well this router can forward for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Offer {
+    pub(crate) available: bool,
+    pub(crate) has_lost_paths: bool,
+}
+
 /// A forwarder that the leader named.
 #[derive(Debug)]
 struct Known {
@@ -31,8 +38,8 @@
     /// Requests of this router in flight through each forwarder.
     in_flight: BTreeMap<SocketAddr, u32>,
     reported_at: Option<Timestamp>,
-    /// Availability in the last report.
-    reported_available: Option<bool>,
+    /// What the last report offered.
+    reported_offer: Option<Offer>,
 }
 
 /// See the module documentation.
@@ -52,7 +59,7 @@
     pub(crate) fn start_leader_feed(&self) {
         let mut state = self.lock();
         state.reported_at = None;
-        state.reported_available = None;
+        state.reported_offer = None;
         drop(state);
         self.report_due.notify_one();
     }
@@ -103,11 +110,11 @@
         }
     }
 
-    /// Whether a report is due: availability has changed, or the interval has passed. It is short
+    /// Whether a report is due: the offer has changed, or the interval has passed. It is short
     /// while a forwarder is needed or none is known.
     pub(crate) fn is_report_due(
         &self,
-        available: bool,
+        offer: Offer,
         needs_forwarder: bool,
         now: Timestamp,
     ) -> bool {
@@ -119,14 +126,14 @@
         let Some(reported_at) = state.reported_at else {
             return true;
         };
-        state.reported_available != Some(available) || now.since(reported_at) >= interval
+        state.reported_offer != Some(offer) || now.since(reported_at) >= interval
     }
 
     /// Records that a report was sent.
-    pub(crate) fn record_report(&self, available: bool, now: Timestamp) {
+    pub(crate) fn record_report(&self, offer: Offer, now: Timestamp) {
         let mut state = self.lock();
         state.reported_at = Some(now);
-        state.reported_available = Some(available);
+        state.reported_offer = Some(offer);
     }
 }
 
--- a/crates/gateway/src/forwarding/headers.rs
+++ b/crates/gateway/src/forwarding/headers.rs
@@ -107,8 +107,8 @@
 pub enum ForwardOutcome {
     /// Not sent: the forwarder could not reach the instance.
     Unreachable,
-    /// Not sent: the forwarder has lost its own paths to instances.
-    Partitioned,
+    /// Not sent: the forwarder has lost its own path to the instance.
+    PathLost,
     /// Not sent: the forwarder does not know the instance as one that accepts requests.
     NotAccepting,
     /// Not sent: the forwarder is stopping or forwards too many requests.
@@ -122,7 +122,7 @@
 /// The outcomes with their names on the wire.
 const OUTCOMES: [(ForwardOutcome, &str); 6] = [
     (ForwardOutcome::Unreachable, "unreachable"),
-    (ForwardOutcome::Partitioned, "partitioned"),
+    (ForwardOutcome::PathLost, "path_lost"),
     (ForwardOutcome::NotAccepting, "not_accepting"),
     (ForwardOutcome::Busy, "busy"),
     (ForwardOutcome::Rejected, "rejected"),
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -274,8 +274,10 @@
     async fn connect(&self, view: &InstanceView) -> Result<Upstream, Failure> {
         let connected = path::connect_as_forwarder(&self.shared, view).await;
         connected.map_err(|error| {
-            let outcome = match self.shared.paths().is_partitioned() {
-                true => ForwardOutcome::Partitioned,
+            let paths = self.shared.paths();
+            let is_lost = paths.is_forwarded(&view.id) || paths.is_partitioned_from(&view.service);
+            let outcome = match is_lost {
+                true => ForwardOutcome::PathLost,
                 false => ForwardOutcome::Unreachable,
             };
             Failure::new(outcome, error.to_string())
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -65,17 +65,25 @@
     view: &InstanceView,
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
-    let endpoint = Endpoint::Instance(view.id.clone());
-    if let Some(upstream) = shared.pool.take(&endpoint) {
-        return Some(upstream);
-    }
     let is_forwarded = shared.paths().is_forwarded(&view.id);
     if is_forwarded && let Some(upstream) = to_forwarder(shared, tried).await {
         return Some(upstream);
     }
+    // On a lost path, an idle connection may carry a request to nowhere.
+    let is_partitioned = shared.paths().is_partitioned_from(&view.service);
+    let trusts_idle = !is_partitioned || !has_forwarder(shared, tried);
+    let endpoint = Endpoint::Instance(view.id.clone());
+    if trusts_idle && let Some(upstream) = shared.pool.take(&endpoint) {
+        return Some(upstream);
+    }
     connect(shared, view, tried).await
 }
 
+fn has_forwarder(shared: &Shared, tried: &TriedForwarders) -> bool {
+    let now = shared.clock.now();
+    shared.forwarders.choose(&tried.addresses, now).is_some()
+}
+
 /// Opens a new connection to the instance, or one to a forwarder if that fails or takes long.
 pub(crate) async fn connect(
     shared: &Arc<Shared>,
@@ -84,14 +92,10 @@
 ) -> Option<Upstream> {
     let (task_shared, task_view) = (shared.clone(), view.clone());
     let mut connecting = Box::pin(async move { connect_directly(&task_shared, &task_view).await });
-    let can_forward = shared
-        .forwarders
-        .choose(&tried.addresses, shared.clock.now())
-        .is_some();
-    let connected = match can_forward {
+    let connected = match has_forwarder(shared, tried) {
         false => Some(connecting.as_mut().await),
         true => {
-            let patience = match shared.paths().is_partitioned() {
+            let patience = match shared.paths().is_partitioned_from(&view.service) {
                 true => PARTITIONED_PATIENCE,
                 false => DIRECT_PATIENCE,
             };
@@ -175,12 +179,16 @@
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
     let tries_others = match outcome {
-        ForwardOutcome::Busy | ForwardOutcome::Partitioned => {
+        ForwardOutcome::Busy | ForwardOutcome::PathLost => {
             shared.forwarders.avoid(forwarder, shared.clock.now());
             true
         }
-        // If this router reaches other instances, this one is down.
-        ForwardOutcome::Unreachable => shared.paths().is_partitioned(),
+        // The forwarder may not know yet that it has lost its paths too. If this router has lost
+        // none, the instance is down.
+        ForwardOutcome::Unreachable => {
+            let paths = shared.paths();
+            paths.forwarded_count() > 0 || paths.is_partitioned_from(&view.service)
+        }
         ForwardOutcome::NotAccepting | ForwardOutcome::Rejected | ForwardOutcome::MayHaveRun => {
             return None;
         }
@@ -229,9 +237,9 @@
     let connected = pool::connect_to(&*shared.dialler, &view.id, &view.address).await;
     let was_partitioned = shared.paths().is_partitioned();
     let is_regained = match &connected {
-        Ok(_) => shared.paths().record_success(&view.id),
+        Ok(_) => shared.paths().record_success(&view.service, &view.id),
         Err(_) => {
-            shared.paths().record_failure(&view.id);
+            shared.paths().record_failure(&view.service, &view.id);
             false
         }
     };
@@ -262,7 +270,7 @@
     let connecting = connect_directly(shared, view);
     let connected = tokio::time::timeout(FORWARDER_CONNECT_TIMEOUT, connecting).await;
     connected.unwrap_or_else(|_| {
-        shared.paths().record_failure(&view.id);
+        shared.paths().record_failure(&view.service, &view.id);
         Err(io::ErrorKind::TimedOut.into())
     })
 }
@@ -300,13 +308,19 @@
             }
         }
         // Shows whether other instances are reached, if there is no lost path to try.
-        let is_partitioned = shared.paths().is_partitioned();
-        if is_partitioned && let Some(instance) = shared.view.any_instance(rand::random()) {
-            try_path(&shared, &instance).await;
+        for service in partitioned_services(&shared) {
+            if let Some(instance) = shared.view.any_instance(&service, rand::random()) {
+                try_path(&shared, &instance).await;
+            }
         }
     }
 }
 
+fn partitioned_services(shared: &Shared) -> Vec<String> {
+    let paths = shared.paths();
+    paths.partitioned_services().map(str::to_owned).collect()
+}
+
 /// Tries to open a connection; returns whether it succeeded.
 async fn try_path(shared: &Shared, instance: &courseshunt_types::RunnerId) -> bool {
     let Some(view) = shared.view.instance(instance) else {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -392,12 +392,14 @@
         self.lock().instances.get(instance).cloned()
     }
 
-    /// Some instance that the feed lists; `draw` varies which.
-    pub(crate) fn any_instance(&self, draw: u64) -> Option<RunnerId> {
+    /// Some instance of a service that the feed lists; `draw` varies which.
+    pub(crate) fn any_instance(&self, service: &str, draw: u64) -> Option<RunnerId> {
         let state = self.lock();
-        let count = u64::try_from(state.instances.len()).unwrap_or(u64::MAX);
+        let count = state.instances.of_service(service).count();
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
         let position = usize::try_from(draw.checked_rem(count)?).ok()?;
-        state.instances.ids().nth(position).cloned()
+        let instance = state.instances.of_service(service).nth(position)?;
+        Some(instance.id.clone())
     }
 
     /// Records that an instance does not hold the requested model, or that another instance
--- a/crates/gateway/tests/forward_headers.rs
+++ b/crates/gateway/tests/forward_headers.rs
@@ -77,7 +77,7 @@
 fn an_outcome_is_read_as_written_and_an_unknown_one_may_have_run() {
     let outcomes = [
         ForwardOutcome::Unreachable,
-        ForwardOutcome::Partitioned,
+        ForwardOutcome::PathLost,
         ForwardOutcome::NotAccepting,
         ForwardOutcome::Busy,
         ForwardOutcome::Rejected,
--- a/crates/services/src/forwarders.rs
+++ b/crates/services/src/forwarders.rs
@@ -33,6 +33,25 @@
     pub zone: Zone,
     /// Whether it reaches instances and is not stopping.
     pub available: bool,
+    /// Number of instances that it reaches through other routers only.
+    pub lost_paths: u32,
+}
+
+/// Order in which routers are named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// Whether the router has lost paths.
+    has_lost: bool,
+    draw: u64,
+}
+
+impl Rank {
+    fn of(router: &str, report: &ForwardingReport, seed: u64) -> Self {
+        Self {
+            has_lost: report.lost_paths > 0,
+            draw: xxh3_64_with_seed(router.as_bytes(), seed),
+        }
+    }
 }
 
 /// The reports of all routers that subscribe. Cost of an answer: linear in the routers.
@@ -52,19 +71,21 @@
         self.reports.remove(router);
     }
 
-    /// Available routers other than `asking`: a few of its zone first, then others. `seed` varies
-    /// the choice, so that routers which ask at the same time get different answers.
+    /// Available routers other than `asking`: those without lost paths first, of these a few of its
+    /// zone, then others. `seed` varies the choice, so that routers which ask at the same time get
+    /// different answers.
     #[must_use]
     pub fn candidates(&self, asking: &str, zone: &Zone, seed: u64) -> Vec<Forwarder> {
         let available = self.reports.iter();
         let available = available.filter(|(router, one)| one.available && *router != asking);
-        let mut ranked: Vec<(u64, &String, &ForwardingReport)> = available
-            .map(|(router, one)| (xxh3_64_with_seed(router.as_bytes(), seed), router, one))
+        let mut ranked: Vec<(Rank, &String, &ForwardingReport)> = available
+            .map(|(router, one)| (Rank::of(router, one, seed), router, one))
             .collect();
         ranked.sort_unstable_by_key(|(rank, ..)| *rank);
+        let is_near = |rank: &Rank, one: &ForwardingReport| !rank.has_lost && one.zone == *zone;
         let (same, others): (Vec<_>, Vec<_>) = ranked
             .into_iter()
-            .partition(|(_, _, one)| one.zone == *zone);
+            .partition(|(rank, _, one)| is_near(rank, one));
         let first = same
             .len()
             .min(MAX_SAME_ZONE.max(MAX_FORWARDERS.saturating_sub(others.len())));
--- a/crates/services/src/instance_paths.rs
+++ b/crates/services/src/instance_paths.rs
@@ -7,10 +7,10 @@
 //! it, and until a connection of this router's own succeeds.
 
 use courseshunt_types::RunnerId;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// A router that fails to open connections to this many instances, and to open any in between,
-/// counts as partitioned: one instance that is down does not show this.
+/// A router that fails to open connections to this many instances of a service, and to open any in
+/// between, counts as partitioned from the service: one instance that is down does not show this.
 const PARTITIONED_FAILURES: usize = 2;
 
 /// See the module documentation.
@@ -18,8 +18,9 @@
 pub struct InstancePaths {
     /// Instances that other routers reach and this one does not.
     forwarded: BTreeSet<RunnerId>,
-    /// Instances to which connections failed since the last one that succeeded, to any instance.
-    failed: BTreeSet<RunnerId>,
+    /// By service, the instances to which connections failed since the last one that succeeded, to
+    /// any instance of the service. Services have networks of their own.
+    failed: BTreeMap<String, BTreeSet<RunnerId>>,
     /// The instance whose path was tried last.
     last_tried: Option<RunnerId>,
 }
@@ -27,14 +28,15 @@
 impl InstancePaths {
     /// Records that a connection of this router's own succeeded. Returns whether other paths may
     /// be back as well, since this one had been lost.
-    pub fn record_success(&mut self, instance: &RunnerId) -> bool {
-        self.failed.clear();
+    pub fn record_success(&mut self, service: &str, instance: &RunnerId) -> bool {
+        self.failed.remove(service);
         self.forwarded.remove(instance)
     }
 
     /// Records that a connection of this router's own failed.
-    pub fn record_failure(&mut self, instance: &RunnerId) {
-        self.failed.insert(instance.clone());
+    pub fn record_failure(&mut self, service: &str, instance: &RunnerId) {
+        let failed = self.failed.entry(service.to_owned()).or_default();
+        failed.insert(instance.clone());
     }
 
     /// Records that another router reached an instance to which this router's own connection
@@ -61,10 +63,25 @@
         !self.forwarded.is_empty() || !self.failed.is_empty()
     }
 
-    /// Whether this router appears to have lost its paths, rather than single instances.
+    /// Services from which this router appears to be partitioned.
+    pub fn partitioned_services(&self) -> impl Iterator<Item = &str> {
+        let services = self.failed.iter();
+        let services = services.filter(|(_, failed)| failed.len() >= PARTITIONED_FAILURES);
+        services.map(|(service, _)| service.as_str())
+    }
+
+    /// Whether this router appears to have lost its paths to a service, rather than to single
+    /// instances.
+    #[must_use]
+    pub fn is_partitioned_from(&self, service: &str) -> bool {
+        let failed = self.failed.get(service);
+        failed.is_some_and(|failed| failed.len() >= PARTITIONED_FAILURES)
+    }
+
+    /// Whether this router appears to be partitioned from any service.
     #[must_use]
     pub fn is_partitioned(&self) -> bool {
-        self.failed.len() >= PARTITIONED_FAILURES
+        self.partitioned_services().next().is_some()
     }
 
     /// The next instance whose path is to be tried, in turn over all lost paths; `None` if no path
@@ -83,7 +100,10 @@
     pub fn remove(&mut self, gone: &[RunnerId]) {
         for id in gone {
             self.forwarded.remove(id);
-            self.failed.remove(id);
+            for failed in self.failed.values_mut() {
+                failed.remove(id);
+            }
         }
+        self.failed.retain(|_, failed| !failed.is_empty());
     }
 }
--- a/crates/services/tests/forwarders.rs
+++ b/crates/services/tests/forwarders.rs
@@ -21,6 +21,7 @@
         address: format!("10.0.0.{number}:7000"),
         zone: zone(number),
         available,
+        lost_paths: 0,
     }
 }
 
@@ -87,6 +88,24 @@
     assert!((most as f64) < 4.0 * mean, "{most} of {mean} on average");
 }
 
+#[test]
+fn a_router_with_lost_paths_is_named_after_those_without() {
+    let mut directory = fleet(8, |_| false);
+    for number in [1, 2, 4, 5, 6] {
+        let report = ForwardingReport {
+            lost_paths: 3,
+            ..report(number, true)
+        };
+        directory.record(&name(number), report);
+    }
+    for seed in 0..100 {
+        let named = directory.candidates(&name(0), &zone(0), seed);
+        let names: Vec<&str> = named.iter().map(|one| one.router.as_str()).collect();
+        assert_eq!(names.len(), MAX_NAMED);
+        assert!(names[..2].contains(&"router-3") && names[..2].contains(&"router-7"));
+    }
+}
+
 #[test]
 fn a_router_that_left_or_stops_is_no_longer_named() {
     let mut directory = fleet(2, |_| false);
--- a/crates/services/tests/instance_paths.rs
+++ b/crates/services/tests/instance_paths.rs
@@ -3,6 +3,8 @@
 use courseshunt_services::InstancePaths;
 use courseshunt_types::RunnerId;
 
+const SERVICE: &str = "llm";
+
 fn id(number: u32) -> RunnerId {
     RunnerId::from(format!("i-{number}").as_str())
 }
@@ -11,7 +13,7 @@
 fn one_instance_that_is_down_is_no_partition() {
     let mut paths = InstancePaths::default();
     for _ in 0..10 {
-        paths.record_failure(&id(1));
+        paths.record_failure(SERVICE, &id(1));
     }
     assert!(!paths.is_partitioned());
 }
@@ -19,10 +21,10 @@
 #[test]
 fn failures_to_two_instances_are_a_partition_until_a_connection_succeeds() {
     let mut paths = InstancePaths::default();
-    paths.record_failure(&id(1));
-    paths.record_failure(&id(2));
+    paths.record_failure(SERVICE, &id(1));
+    paths.record_failure(SERVICE, &id(2));
     assert!(paths.is_partitioned());
-    paths.record_success(&id(3));
+    paths.record_success(SERVICE, &id(3));
     assert!(!paths.is_partitioned());
 }
 
@@ -30,8 +32,8 @@
 fn failures_with_successes_in_between_are_no_partition() {
     let mut paths = InstancePaths::default();
     for number in 0..20 {
-        paths.record_failure(&id(number));
-        paths.record_success(&id(100));
+        paths.record_failure(SERVICE, &id(number));
+        paths.record_success(SERVICE, &id(100));
     }
     assert!(!paths.is_partitioned());
 }
@@ -39,13 +41,13 @@
 #[test]
 fn an_instance_is_forwarded_until_an_own_connection_to_it_succeeds() {
     let mut paths = InstancePaths::default();
-    paths.record_failure(&id(1));
+    paths.record_failure(SERVICE, &id(1));
     assert!(!paths.is_forwarded(&id(1)));
     assert!(paths.record_forwarded(&id(1)));
     assert!(!paths.record_forwarded(&id(1)));
-    assert!(!paths.record_success(&id(2)));
+    assert!(!paths.record_success(SERVICE, &id(2)));
     assert!(paths.is_forwarded(&id(1)));
-    assert!(paths.record_success(&id(1)));
+    assert!(paths.record_success(SERVICE, &id(1)));
     assert!(!paths.is_forwarded(&id(1)));
 }
 
@@ -61,7 +63,20 @@
     assert_eq!(tried, expected);
     paths.remove(&[id(2)]);
     assert_eq!(paths.next_to_try(), Some(id(3)));
-    paths.record_success(&id(1));
-    paths.record_success(&id(3));
+    paths.record_success(SERVICE, &id(1));
+    paths.record_success(SERVICE, &id(3));
     assert_eq!(paths.next_to_try(), None);
 }
+
+#[test]
+fn a_connection_to_one_service_shows_nothing_about_another() {
+    let mut paths = InstancePaths::default();
+    paths.record_failure(SERVICE, &id(1));
+    paths.record_failure(SERVICE, &id(2));
+    paths.record_success("app", &id(3));
+    assert!(paths.is_partitioned_from(SERVICE));
+    assert!(!paths.is_partitioned_from("app"));
+    assert_eq!(paths.partitioned_services().collect::<Vec<_>>(), [SERVICE]);
+    paths.remove(&[id(1)]);
+    assert!(!paths.is_partitioned());
+}
