A report on forwarding that the leader does not answer is sent again

Cause, suspected: a leader that has just been elected drops reports until it has restored the recorded state; a router then sent its offer again only after 15 s, so that nobody was named as a forwarder.

Change: a report without an answer is due again after 500 ms.

Result: a_report_that_the_leader_does_not_answer_is_sent_again failed before (no report within 2 s) and passes.

--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -40,6 +40,9 @@
     reported_at: Option<Timestamp>,
     /// What the last report offered.
     reported_offer: Option<Offer>,
+    /// Whether the leader has answered the last report; one that has just been elected may drop
+    /// it.
+    is_answered: bool,
 }
 
 /// See the module documentation.
@@ -72,7 +75,9 @@
                 is_own_zone: one.zone == *zone,
             })
         });
-        self.lock().known = known.collect();
+        let mut state = self.lock();
+        state.known = known.collect();
+        state.is_answered = true;
     }
 
     /// The forwarder for a request that was not forwarded through any of `tried`: the one with the
@@ -111,7 +116,7 @@
     }
 
     /// Whether a report is due: the offer has changed, or the interval has passed. It is short
-    /// while a forwarder is needed or none is known.
+    /// while the last report is not answered, a forwarder is needed or none is known.
     pub(crate) fn is_report_due(
         &self,
         offer: Offer,
@@ -119,7 +124,8 @@
         now: Timestamp,
     ) -> bool {
         let state = self.lock();
-        let interval = match needs_forwarder || state.known.is_empty() {
+        let is_urgent = needs_forwarder || state.known.is_empty() || !state.is_answered;
+        let interval = match is_urgent {
             true => URGENT_REPORT_INTERVAL,
             false => REPORT_INTERVAL,
         };
@@ -134,6 +140,7 @@
         let mut state = self.lock();
         state.reported_at = Some(now);
         state.reported_offer = Some(offer);
+        state.is_answered = false;
     }
 }
 
