A router without any path reports no instance as unreachable

Change: an unreachable instance is reported only if another router that forwards did not reach it either, or if this router reaches other instances of the service; probes use the same rule. Test: a_partitioned_router_that_no_other_confirms_has_no_evidence_against_instances.

--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -138,7 +138,7 @@
 ) -> ProbeResult {
     match path::is_reached_by_another(shared, view).await {
         Some(true) => return ProbeResult::PathLost,
-        None if shared.paths().is_partitioned_from(&view.service) => return ProbeResult::PathLost,
+        None if !shared.paths().is_evidence(&view.service, false) => return ProbeResult::PathLost,
         Some(false) | None => {}
     }
     match error.kind() {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -482,11 +482,20 @@
     }
 
     /// The usage report to send, if it contains anything new; resets the counters. Most routers
-    /// of a large fleet are idle most of the time and send nothing.
-    pub(crate) fn take_report(&self, now: Timestamp) -> Option<ReportMessage> {
+    /// of a large fleet are idle most of the time and send nothing. Unreachable instances of a
+    /// service are reported only if `is_evidence` holds for it.
+    pub(crate) fn take_report(
+        &self,
+        now: Timestamp,
+        is_evidence: impl Fn(&str) -> bool,
+    ) -> Option<ReportMessage> {
         let mut state = self.lock();
         let instances = state.selector.usage();
-        let unreachable = state.selector.all_unreachable(now);
+        let mut unreachable = state.selector.all_unreachable(now);
+        unreachable.retain(|id| {
+            let view = state.instances.get(id);
+            view.is_none_or(|view| is_evidence(&view.service))
+        });
         let leaving = state.reported_leaving();
         let demand = state.demand.take();
         // Leaving instances are reported until the feed shows that the leader has recorded
--- a/crates/services/src/instance_paths.rs
+++ b/crates/services/src/instance_paths.rs
@@ -78,6 +78,14 @@
         failed.is_some_and(|failed| failed.len() >= PARTITIONED_FAILURES)
     }
 
+    /// Whether an instance of the service that this router can't reach is evidence against the
+    /// instance: another router that forwards did not reach it either, or this router reaches
+    /// other instances of the service.
+    #[must_use]
+    pub fn is_evidence(&self, service: &str, has_forwarder: bool) -> bool {
+        has_forwarder || !self.is_partitioned_from(service)
+    }
+
     /// Whether this router appears to be partitioned from any service.
     #[must_use]
     pub fn is_partitioned(&self) -> bool {
--- a/crates/services/tests/instance_paths.rs
+++ b/crates/services/tests/instance_paths.rs
@@ -68,6 +68,21 @@
     assert_eq!(paths.next_to_try(), None);
 }
 
+/// A leader that is told by routers without paths that instances are unreachable replaces sound
+/// instances.
+#[test]
+fn a_partitioned_router_that_no_other_confirms_has_no_evidence_against_instances() {
+    let mut paths = InstancePaths::default();
+    paths.record_failure(SERVICE, &id(1));
+    assert!(paths.is_evidence(SERVICE, false));
+    paths.record_failure(SERVICE, &id(2));
+    assert!(!paths.is_evidence(SERVICE, false));
+    assert!(paths.is_evidence(SERVICE, true));
+    assert!(paths.is_evidence("app", false));
+    paths.record_success(SERVICE, &id(3));
+    assert!(paths.is_evidence(SERVICE, false));
+}
+
 #[test]
 fn a_connection_to_one_service_shows_nothing_about_another() {
     let mut paths = InstancePaths::default();
