A request that reached no instance needs no place in the retry budget

Cause: one outcome for a request that an instance rejected and for one that reached none.

Change: the latter is an outcome of its own; after it the request is sent again within the number of attempts, and uses the budget only if an earlier attempt arrived.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt to run a request at one instance.
 //!
-//! Invariant: the outcome is [`AttemptOutcome::NotRun`] or [`AttemptOutcome::NotSent`] only if
-//! the instance reported that the request did not run, or if it was certainly not sent.
+//! Invariant: the outcome is [`AttemptOutcome::NotRun`], [`AttemptOutcome::Unreached`] or
+//! [`AttemptOutcome::NotSent`] only if the instance reported that the request did not run, or if it
+//! was certainly not sent.
 
 use crate::Shared;
 use crate::flight::{Flight, PendingSend};
@@ -39,6 +40,8 @@
     Answered(Response<Body>),
     /// The request certainly did not run at the instance.
     NotRun,
+    /// The request reached no instance, since there was no path to this one.
+    Unreached,
     /// The request was not sent: in the meantime the instance pushed back, or its rate limit is
     /// used up.
     NotSent,
@@ -72,7 +75,7 @@
     let mut tried = TriedForwarders::default();
     let Some(mut upstream) = path::acquire(shared, view, &mut tried).await else {
         flight.not_run(None, None);
-        return AttemptOutcome::NotRun;
+        return AttemptOutcome::Unreached;
     };
     let response_deadline = admitted.deadline + DEADLINE_MARGIN;
     loop {
@@ -106,7 +109,7 @@
                 let Some(next) = path::replace(shared, view, &upstream, &mut tried).await else {
                     flight.not_run(None, None);
                     flight.suspect_instance();
-                    return AttemptOutcome::NotRun;
+                    return AttemptOutcome::Unreached;
                 };
                 upstream = next;
                 continue;
@@ -146,7 +149,7 @@
                 let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
                 let Some(next) = next.await else {
                     flight.not_run(None, None);
-                    return AttemptOutcome::NotRun;
+                    return AttemptOutcome::Unreached;
                 };
                 upstream = next;
             }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -99,6 +99,8 @@
 pub(crate) struct SendHistory {
     pub(crate) count: u32,
     pub(crate) may_have_run: u32,
+    /// Attempts that reached an instance.
+    arrivals: u32,
     pub(crate) avoided: Vec<RunnerId>,
     /// When the last attempt ended.
     ended_at: Option<Instant>,
@@ -123,6 +125,15 @@
         allowed
     }
 
+    /// Whether the request may be sent again after it reached no instance: a retry that follows no
+    /// arrival is none to the instances, and needs no place in the budget.
+    fn may_resend(&mut self, admitted: &AdmittedRequest, shared: &Arc<Shared>) -> bool {
+        match self.arrivals {
+            0 => self.count < MAX_SENDS,
+            _ => self.reserve_retry(admitted, shared),
+        }
+    }
+
     /// The refusal of the request: `not_run`, which states that it has not run, unless an earlier
     /// attempt may have run.
     pub(crate) fn refusal(&self, not_run: Refusal) -> Refusal {
@@ -173,7 +184,9 @@
         if has_permit_wait && matches!(outcome, AttemptOutcome::NotSent) {
             history.permit_refused_at = history.ended_at;
         }
-        let did_not_run = matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
+        let is_unsent = matches!(outcome, AttemptOutcome::Unreached | AttemptOutcome::NotSent);
+        history.arrivals += u32::from(!is_unsent);
+        let did_not_run = is_unsent || matches!(outcome, AttemptOutcome::NotRun);
         admitted.set_may_have_run(!did_not_run || history.may_have_run > 0);
         match next_step(admitted, shared, &mut history, instance, outcome) {
             NextStep::Respond(response) => return response,
@@ -226,6 +239,13 @@
                 false => NextStep::Refuse(history.refusal(Refusal::TurnedAway)),
             }
         }
+        AttemptOutcome::Unreached => {
+            history.avoided.push(instance);
+            match history.may_resend(admitted, shared) {
+                true => NextStep::Retry,
+                false => NextStep::Refuse(history.refusal(Refusal::TurnedAway)),
+            }
+        }
         AttemptOutcome::NotSent => {
             history.count -= 1;
             NextStep::Retry
