--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -39,7 +39,7 @@
     pub zone: String,
     /// The IP number that it dials from and listens on.
     pub address: IpAddr,
-    /// Port for the other processes; the same on all machines. Controllers use the next
+    /// Port for the other processes, routers included; the same on all machines. Controllers use the next
     /// one too.
     pub wire_port: u16,
     /// Operators' addresses of some controllers.
