A forwarder that breaks off a request is avoided for a second

Cause: only forwarders that could not be reached, or that reported that they did not send, were avoided.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,6 +103,7 @@
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
+                    path::record_broken(shared, &upstream);
                     flight.connection_closed(&error.error().to_string());
                     return AttemptOutcome::MayHaveRun;
                 }
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -275,6 +275,13 @@
     })
 }
 
+/// Records that a connection broke while a request was in flight on it.
+pub(crate) fn record_broken(shared: &Shared, upstream: &Upstream) {
+    if let Endpoint::Forwarder(forwarder) = upstream.endpoint {
+        shared.forwarders.avoid(forwarder, shared.clock.now());
+    }
+}
+
 /// Leaves an instance that no path reaches out of the selection for a while.
 pub(crate) fn record_unreachable(shared: &Shared, view: &InstanceView, problem: &str) {
     shared.view.mark_unreachable(&view.id, shared.clock.now());
