Gateway: an attempt's steps, paths and the view's instances in modules of their own

No behaviour changes. attempt() had two copies of the call that handles a response; path.rs (340 lines) and view/mod.rs (529) held several jobs each.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -93,20 +93,18 @@
         if let Some(permit) = permit.take() {
             permit.use_now();
         }
-        let sending = upstream.sender.try_send_request(request);
-        let response = match tokio::time::timeout_at(response_deadline, sending).await {
-            Err(_) => {
+        let response = match send(&mut upstream, request, response_deadline).await {
+            Sent::Response(response) => response,
+            Sent::TimedOut => {
                 flight.timed_out();
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Ok(response)) => response,
-            Ok(Err(mut error)) => {
-                let is_unsent = error.take_message().is_some();
-                if !is_unsent {
-                    path::record_broken(shared, &upstream);
-                    flight.connection_closed(&error.error().to_string());
-                    return AttemptOutcome::MayHaveRun;
-                }
+            Sent::Broken(problem) => {
+                path::record_broken(shared, &upstream);
+                flight.connection_closed(&problem);
+                return AttemptOutcome::MayHaveRun;
+            }
+            Sent::Unsent => {
                 let Some(next) = path::replace(shared, view, &upstream, &mut tried).await else {
                     flight.not_run(None, None);
                     flight.suspect_instance();
@@ -116,45 +114,61 @@
                 continue;
             }
         };
-        let Endpoint::Forwarder(forwarder) = upstream.endpoint else {
-            return handle_response(
-                shared,
-                admitted,
-                response,
-                flight,
-                upstream,
-                response_deadline,
-            )
-            .await;
-        };
-        match ForwardOutcome::read(response.headers()) {
-            None => {
-                path::record_forwarded(shared, view);
-                flight.set_forwarder(tried.take_guard());
-                return handle_response(
-                    shared,
-                    admitted,
-                    response,
-                    flight,
-                    upstream,
-                    response_deadline,
-                )
-                .await;
-            }
-            Some(ForwardOutcome::MayHaveRun) => {
-                flight.connection_closed("the forwarder received no response");
-                return AttemptOutcome::MayHaveRun;
-            }
-            Some(not_sent) => {
-                reuse_connection(shared, upstream, response, response_deadline).await;
-                let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
-                let Some(next) = next.await else {
-                    flight.not_run(None, None);
-                    return AttemptOutcome::Unreached;
-                };
-                upstream = next;
+        if let Endpoint::Forwarder(forwarder) = upstream.endpoint {
+            match ForwardOutcome::read(response.headers()) {
+                None => {
+                    path::record_forwarded(shared, view);
+                    flight.set_forwarder(tried.take_guard());
+                }
+                Some(ForwardOutcome::MayHaveRun) => {
+                    flight.connection_closed("the forwarder received no response");
+                    return AttemptOutcome::MayHaveRun;
+                }
+                Some(not_sent) => {
+                    reuse_connection(shared, upstream, response, response_deadline).await;
+                    let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
+                    let Some(next) = next.await else {
+                        flight.not_run(None, None);
+                        return AttemptOutcome::Unreached;
+                    };
+                    upstream = next;
+                    continue;
+                }
             }
         }
+        return handle_response(
+            shared,
+            admitted,
+            response,
+            flight,
+            upstream,
+            response_deadline,
+        )
+        .await;
+    }
+}
+
+/// What became of a request on one connection.
+enum Sent {
+    /// The peer answered.
+    Response(Response<Incoming>),
+    /// The connection had been closed, and the request was certainly not sent.
+    Unsent,
+    /// The connection broke, with this problem; the request may have been sent.
+    Broken(String),
+    /// There was no response by the deadline.
+    TimedOut,
+}
+
+async fn send(upstream: &mut Upstream, request: Request<Full<Bytes>>, deadline: Instant) -> Sent {
+    let sending = upstream.sender.try_send_request(request);
+    match tokio::time::timeout_at(deadline, sending).await {
+        Err(_) => Sent::TimedOut,
+        Ok(Ok(response)) => Sent::Response(response),
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(_) => Sent::Unsent,
+            None => Sent::Broken(error.error().to_string()),
+        },
     }
 }
 
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -4,15 +4,21 @@
 //! Invariants: an instance counts as unreachable only if no forwarder that was tried reaches it; a
 //! path that was lost is tried again apart from any request.
 
+mod check;
+mod direct;
+mod recovery;
+
+pub(crate) use check::is_reached_by_another;
+pub(crate) use direct::{connect_as_forwarder, connect_directly};
+pub(crate) use recovery::recover_lost;
+
 use crate::Shared;
 use crate::forwarding::headers::ForwardOutcome;
 use crate::forwarding::{self, InFlightGuard};
-use crate::pool::{self, Endpoint, Upstream};
+use crate::pool::{Endpoint, Upstream};
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{InstancePaths, InstanceView};
-use http_body_util::BodyExt;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,14 +28,8 @@
 const DIRECT_PATIENCE: Duration = Duration::from_millis(100);
 /// The same while this router appears to have lost its paths.
 const PARTITIONED_PATIENCE: Duration = Duration::from_millis(20);
-/// Time limit for a connection that a forwarder opens for another router.
-const FORWARDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of forwarders that one attempt tries.
 const MAX_FORWARDERS_TRIED: usize = 3;
-/// Time limit for a forwarder's answer whether it reaches an instance.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Interval between attempts to open a connection on a lost path.
-const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Shared {
     /// The state of this router's paths to the instances.
@@ -203,78 +203,6 @@
     next
 }
 
-/// Whether an instance to which this router's own connection failed is reached by another router;
-/// `None` if no other router can tell.
-pub(crate) async fn is_reached_by_another(
-    shared: &Arc<Shared>,
-    view: &InstanceView,
-) -> Option<bool> {
-    let mut tried = TriedForwarders::default();
-    while let Some(mut upstream) = to_forwarder(shared, &mut tried).await {
-        let request = forwarding::check_request(view);
-        let sending = upstream.sender.send_request(request);
-        let response = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
-        let Ok(Ok(response)) = response else { continue };
-        let outcome = ForwardOutcome::read(response.headers());
-        if let Ok(Ok(_)) = tokio::time::timeout(CHECK_TIMEOUT, response.collect()).await {
-            shared.pool.put_back(upstream);
-        }
-        match outcome {
-            None => {
-                record_forwarded(shared, view);
-                return Some(true);
-            }
-            Some(ForwardOutcome::Unreachable) => return Some(false),
-            Some(_) => {}
-        }
-    }
-    None
-}
-
-/// Opens a connection to an instance and records the state of the path.
-pub(crate) async fn connect_directly(shared: &Shared, view: &InstanceView) -> io::Result<Upstream> {
-    shared.metrics.connection();
-    let connected = pool::connect_to(&*shared.dialler, &view.id, &view.address).await;
-    let was_partitioned = shared.paths().is_partitioned();
-    let is_regained = match &connected {
-        Ok(_) => shared.paths().record_success(&view.service, &view.id),
-        Err(_) => {
-            shared.paths().record_failure(&view.service, &view.id);
-            false
-        }
-    };
-    if is_regained {
-        emit(&RouterRecord::PathRegained {
-            instance: view.id.as_str(),
-        });
-    }
-    if shared.paths().is_partitioned() != was_partitioned {
-        shared.forwarders.report_due.notify_one();
-    }
-    connected
-}
-
-/// Opens a connection to an instance for another router.
-///
-/// # Errors
-/// If this router has lost its path, or can't reach the instance in time.
-pub(crate) async fn connect_as_forwarder(
-    shared: &Arc<Shared>,
-    view: &InstanceView,
-) -> io::Result<Upstream> {
-    let now = shared.clock.now();
-    let is_lost = shared.paths().is_forwarded(&view.id);
-    if is_lost || shared.view.is_unreachable(&view.id, now) {
-        return Err(io::Error::other("not reached from here"));
-    }
-    let connecting = connect_directly(shared, view);
-    let connected = tokio::time::timeout(FORWARDER_CONNECT_TIMEOUT, connecting).await;
-    connected.unwrap_or_else(|_| {
-        shared.paths().record_failure(&view.service, &view.id);
-        Err(io::ErrorKind::TimedOut.into())
-    })
-}
-
 /// Records that a connection broke while a request was in flight on it.
 pub(crate) fn record_broken(shared: &Shared, upstream: &Upstream) {
     if let Endpoint::Forwarder(forwarder) = upstream.endpoint {
@@ -302,42 +230,3 @@
         instance: view.id.as_str(),
     });
 }
-
-/// Tries lost paths again until the process ends, so that no request pays for it.
-pub(crate) async fn recover_lost(shared: Arc<Shared>) {
-    loop {
-        tokio::time::sleep(RECOVERY_INTERVAL).await;
-        loop {
-            let next = shared.paths().next_to_try();
-            let Some(instance) = next else { break };
-            if !try_path(&shared, &instance).await {
-                break;
-            }
-        }
-        // Shows whether other instances are reached, if there is no lost path to try.
-        for service in partitioned_services(&shared) {
-            if let Some(instance) = shared.view.any_instance(&service, rand::random()) {
-                try_path(&shared, &instance).await;
-            }
-        }
-    }
-}
-
-fn partitioned_services(shared: &Shared) -> Vec<String> {
-    let paths = shared.paths();
-    paths.partitioned_services().map(str::to_owned).collect()
-}
-
-/// Tries to open a connection; returns whether it succeeded.
-async fn try_path(shared: &Shared, instance: &courseshunt_types::RunnerId) -> bool {
-    let Some(view) = shared.view.instance(instance) else {
-        shared.paths().remove(std::slice::from_ref(instance));
-        return true;
-    };
-    let connected = connect_directly(shared, &view).await;
-    let is_connected = connected.is_ok();
-    if let Ok(upstream) = connected {
-        shared.pool.put_back(upstream);
-    }
-    is_connected
-}
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -6,11 +6,9 @@
 use crate::current_document::CurrentDocument;
 use crate::demand::{DemandKey, DemandTracker};
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
-use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
-    Candidate, InstanceDigests, InstanceDirectory, InstanceView, PromptShape, Pushback,
-    ReportMessage, RetryBudgetSettings, RetryBudgets, RouteTable, SelectionRequest, Selector,
-    Service,
+    Candidate, InstanceDirectory, InstanceView, PromptShape, Pushback, ReportMessage,
+    RetryBudgetSettings, RetryBudgets, RouteTable, SelectionRequest, Selector, Service,
 };
 use courseshunt_settings::service::ServiceSettings;
 use courseshunt_types::time::MonotonicClock;
@@ -20,6 +18,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+mod instances;
 mod limits;
 mod loads;
 mod retries;
@@ -190,56 +189,6 @@
         true
     }
 
-    /// Applies changed and removed instances; returns the removed ones that were known.
-    pub(crate) fn set_instances(
-        &self,
-        changed: Vec<InstanceView>,
-        mut gone: Vec<RunnerId>,
-    ) -> Vec<RunnerId> {
-        let mut state = self.lock();
-        gone.retain(|id| state.instances.contains(id));
-        let changes = state.instances.change(changed, gone);
-        state.apply_changes(&changes);
-        drop(state);
-        self.notify_change();
-        changes.gone
-    }
-
-    /// Replaces the instances of one bucket of the instance set; returns those that no longer
-    /// exist.
-    pub(crate) fn set_bucket(
-        &self,
-        bucket: u32,
-        instances: Vec<InstanceView>,
-        complete: bool,
-    ) -> Vec<RunnerId> {
-        let bucket = usize::try_from(bucket).unwrap_or(usize::MAX);
-        let mut state = self.lock();
-        let changes = state.instances.set_bucket(bucket, instances, complete);
-        state.apply_changes(&changes);
-        drop(state);
-        self.notify_change();
-        changes.gone
-    }
-
-    /// Removes all instances except for `live`; returns the removed ones.
-    pub(crate) fn retain_instances(&self, live: &[RunnerId]) -> Vec<RunnerId> {
-        let mut state = self.lock();
-        let changes = InstanceChanges {
-            changed: Vec::new(),
-            gone: state.instances.keep(live),
-        };
-        state.apply_changes(&changes);
-        drop(state);
-        self.notify_change();
-        changes.gone
-    }
-
-    /// Digests of the known instances, by bucket.
-    pub(crate) fn digests(&self) -> InstanceDigests {
-        self.lock().instances.digests().clone()
-    }
-
     /// Applies the leader's report of the number of routers and of the use of all instances;
     /// returns the number of routers by which this one divides common limits.
     pub(crate) fn set_usage(&self, routers: u32, usage: &[InstanceUsage], now: Timestamp) -> u32 {
@@ -327,12 +276,6 @@
         self.lock().selector.all_unreachable(now).len()
     }
 
-    /// Whether the service has any instance.
-    pub(crate) fn has_instances(&self, service: &Service) -> bool {
-        let state = self.lock();
-        state.instances.of_service(&service.name).next().is_some()
-    }
-
     /// When an instance is expected to accept the request; `None` if nothing is known.
     pub(crate) fn expected_availability(
         &self,
@@ -387,21 +330,6 @@
         self.notify_change();
     }
 
-    /// An instance that the feed lists.
-    pub(crate) fn instance(&self, instance: &RunnerId) -> Option<InstanceView> {
-        self.lock().instances.get(instance).cloned()
-    }
-
-    /// Some instance of a service that the feed lists; `draw` varies which.
-    pub(crate) fn any_instance(&self, service: &str, draw: u64) -> Option<RunnerId> {
-        let state = self.lock();
-        let count = state.instances.of_service(service).count();
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        let position = usize::try_from(draw.checked_rem(count)?).ok()?;
-        let instance = state.instances.of_service(service).nth(position)?;
-        Some(instance.id.clone())
-    }
-
     /// Records that an instance does not hold the requested model, or that another instance
     /// answers at its address.
     pub(crate) fn mark_lacking(&self, instance: &RunnerId, shape: &PromptShape, now: Timestamp) {
@@ -423,23 +351,6 @@
         self.lock().selector.active_pushback(instance, now)
     }
 
-    /// Whether the feed lists the instance.
-    pub(crate) fn has_instance(&self, instance: &RunnerId) -> bool {
-        self.lock().instances.contains(instance)
-    }
-
-    /// Address and health path of an instance that the feed lists.
-    pub(crate) fn probe_target(&self, instance: &RunnerId) -> Option<ProbeTarget> {
-        let state = self.lock();
-        let view = state.instances.get(instance)?;
-        let table = state.table.as_ref();
-        let service = table.and_then(|table| table.service(&view.service));
-        Some(ProbeTarget {
-            view: view.clone(),
-            health_path: service.and_then(|service| service.health_path.clone()),
-        })
-    }
-
     /// Counts a client's request for a service.
     pub(crate) fn count_arrival(
         &self,
