--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -329,6 +329,10 @@
 
 impl Record for RouterRecord<'_> {
     fn is_kept(&self) -> bool {
-        true
+        // One line for each request, or for each connection of a stranger.
+        !matches!(
+            self,
+            Self::Forwarded { .. } | Self::ForwardingRejected { .. }
+        )
     }
 }
