--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -1,6 +1,6 @@
 //! The routers through which this one may forward requests, as the leader named them.
 //!
-//! Invariant: a forwarder that could not be used is avoided for [`AVOIDANCE`], also if the leader
+//! Invariant: a forwarder that could not be used is avoided for a while, also if the leader
 //! names it again.
 
 use courseshunt_services::Forwarder;
@@ -19,9 +19,11 @@
 
 /// How well this router can forward for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Offer {
-    pub(crate) available: bool,
-    pub(crate) has_lost_paths: bool,
+pub struct Offer {
+    /// Whether it forwards at all.
+    pub available: bool,
+    /// Whether it reaches some instances only through other routers.
+    pub has_lost_paths: bool,
 }
 
 /// A forwarder that the leader named.
@@ -47,10 +49,10 @@
 
 /// See the module documentation.
 #[derive(Debug, Default)]
-pub(crate) struct ForwarderList {
+pub struct ForwarderList {
     state: Mutex<State>,
     /// Notified when a report is to be sent at once.
-    pub(crate) report_due: Notify,
+    pub report_due: Notify,
 }
 
 impl ForwarderList {
@@ -59,7 +61,7 @@
     }
 
     /// Records that the feed of a leader starts, which has no report of this router.
-    pub(crate) fn start_leader_feed(&self) {
+    pub fn start_leader_feed(&self) {
         let mut state = self.lock();
         state.reported_at = None;
         state.reported_offer = None;
@@ -68,7 +70,7 @@
     }
 
     /// Replaces the forwarders by those that the leader named.
-    pub(crate) fn set(&self, forwarders: &[Forwarder], zone: &Zone) {
+    pub fn set(&self, forwarders: &[Forwarder], zone: &Zone) {
         let known = forwarders.iter().filter_map(|one| {
             Some(Known {
                 address: one.address.parse().ok()?,
@@ -82,7 +84,8 @@
 
     /// The forwarder for a request that was not forwarded through any of `tried`: the one with the
     /// fewest requests of this router in flight, of those in the own zone if possible.
-    pub(crate) fn choose(&self, tried: &[SocketAddr], now: Timestamp) -> Option<SocketAddr> {
+    #[must_use]
+    pub fn choose(&self, tried: &[SocketAddr], now: Timestamp) -> Option<SocketAddr> {
         let state = self.lock();
         let usable = state.known.iter();
         let usable = usable.filter(|one| !tried.contains(&one.address));
@@ -98,7 +101,7 @@
     }
 
     /// Records that a forwarder could not be used.
-    pub(crate) fn avoid(&self, address: SocketAddr, now: Timestamp) {
+    pub fn avoid(&self, address: SocketAddr, now: Timestamp) {
         let mut state = self.lock();
         state.avoided_until.retain(|_, until| *until > now);
         state.avoided_until.insert(address, now + AVOIDANCE);
@@ -107,7 +110,8 @@
     }
 
     /// Counts a request in flight through a forwarder until the guard is dropped.
-    pub(crate) fn begin(self: &Arc<Self>, address: SocketAddr) -> InFlightGuard {
+    #[must_use]
+    pub fn begin(self: &Arc<Self>, address: SocketAddr) -> InFlightGuard {
         *self.lock().in_flight.entry(address).or_default() += 1;
         InFlightGuard {
             list: self.clone(),
@@ -117,12 +121,8 @@
 
     /// Whether a report is due: the offer has changed, or the interval has passed. It is short
     /// while the last report is not answered, a forwarder is needed or none is known.
-    pub(crate) fn is_report_due(
-        &self,
-        offer: Offer,
-        needs_forwarder: bool,
-        now: Timestamp,
-    ) -> bool {
+    #[must_use]
+    pub fn is_report_due(&self, offer: Offer, needs_forwarder: bool, now: Timestamp) -> bool {
         let state = self.lock();
         let is_urgent = needs_forwarder || state.known.is_empty() || !state.is_answered;
         let interval = match is_urgent {
@@ -136,7 +136,7 @@
     }
 
     /// Records that a report was sent.
-    pub(crate) fn record_report(&self, offer: Offer, now: Timestamp) {
+    pub fn record_report(&self, offer: Offer, now: Timestamp) {
         let mut state = self.lock();
         state.reported_at = Some(now);
         state.reported_offer = Some(offer);
@@ -146,14 +146,15 @@
 
 /// Guard returned by [`ForwarderList::begin`].
 #[derive(Debug)]
-pub(crate) struct InFlightGuard {
+pub struct InFlightGuard {
     list: Arc<ForwarderList>,
     address: SocketAddr,
 }
 
 impl InFlightGuard {
     /// Wire address of the forwarder.
-    pub(crate) fn address(&self) -> SocketAddr {
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 }
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -10,7 +10,7 @@
 //! served.
 
 mod client;
-mod forwarders;
+pub mod forwarders;
 pub mod headers;
 mod server;
 
