A forwarder that has lost one service forwards for another

Cause: a router that appeared partitioned from any service offered no forwarding, and one that reported a lost path was avoided for all services. Each service was reached by two routers, and each of the seven had lost one service.

Change: a router that is ready offers to forward, with the number of its lost paths, by which the leader ranks; path_lost makes a router avoid the forwarder for that service.

Test: a_forwarder_that_has_lost_one_service_forwards_for_another.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -337,8 +337,10 @@
         }
         due = Instant::now() + Duration::from(shared.view.report_interval());
         let now = shared.clock.now();
-        let has_forwarder = shared.forwarders.choose(&[], now).is_some();
-        let is_evidence = |service: &str| shared.paths().is_evidence(service, has_forwarder);
+        let is_evidence = |service: &str| {
+            let has_forwarder = shared.forwarders.choose(service, &[], now).is_some();
+            shared.paths().is_evidence(service, has_forwarder)
+        };
         if let Some(report) = shared.view.take_report(now, is_evidence) {
             sender.send(&Message::ServiceReport(report)).await?;
         }
--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -55,7 +55,7 @@
     let now = shared.clock.now();
     let available = shared.can_forward();
     let needs_forwarder = shared.paths().needs_forwarder();
-    let lost_paths = shared.paths().forwarded_count();
+    let lost_paths = shared.paths().lost_count();
     let offer = Offer {
         available,
         has_lost_paths: lost_paths > 0,
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -26,6 +26,15 @@
     pub has_lost_paths: bool,
 }
 
+/// The requests for which a forwarder is avoided.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Avoided {
+    /// Those of all services: it can't be reached, or takes no requests.
+    All,
+    /// Those of this service: it has lost its paths there.
+    Service(String),
+}
+
 /// A forwarder that the leader named.
 #[derive(Debug)]
 struct Known {
@@ -36,7 +45,8 @@
 #[derive(Debug, Default)]
 struct State {
     known: Vec<Known>,
-    avoided_until: BTreeMap<SocketAddr, Timestamp>,
+    /// Forwarders that could not be used, for requests of one service or of all.
+    avoided_until: BTreeMap<(SocketAddr, Avoided), Timestamp>,
     /// Requests of this router in flight through each forwarder.
     in_flight: BTreeMap<SocketAddr, u32>,
     reported_at: Option<Timestamp>,
@@ -47,6 +57,16 @@
     is_answered: bool,
 }
 
+impl State {
+    fn is_avoided(&self, address: SocketAddr, service: &str, now: Timestamp) -> bool {
+        let requests = [Avoided::All, Avoided::Service(service.to_owned())];
+        requests.into_iter().any(|requests| {
+            let until = self.avoided_until.get(&(address, requests));
+            until.is_some_and(|until| *until > now)
+        })
+    }
+}
+
 /// See the module documentation.
 #[derive(Debug, Default)]
 pub struct ForwarderList {
@@ -82,17 +102,19 @@
         state.is_answered = true;
     }
 
-    /// The forwarder for a request that was not forwarded through any of `tried`: the one with the
-    /// fewest requests of this router in flight, of those in the own zone if possible.
+    /// The forwarder for a request of `service` that was not forwarded through any of `tried`: the
+    /// one with the fewest requests of this router in flight, of those in the own zone if possible.
     #[must_use]
-    pub fn choose(&self, tried: &[SocketAddr], now: Timestamp) -> Option<SocketAddr> {
+    pub fn choose(
+        &self,
+        service: &str,
+        tried: &[SocketAddr],
+        now: Timestamp,
+    ) -> Option<SocketAddr> {
         let state = self.lock();
         let usable = state.known.iter();
         let usable = usable.filter(|one| !tried.contains(&one.address));
-        let usable = usable.filter(|one| {
-            let until = state.avoided_until.get(&one.address);
-            until.is_none_or(|until| *until <= now)
-        });
+        let usable = usable.filter(|one| !state.is_avoided(one.address, service, now));
         let chosen = usable.min_by_key(|one| {
             let in_flight = state.in_flight.get(&one.address).copied().unwrap_or(0);
             (in_flight, !one.is_own_zone)
@@ -101,10 +123,11 @@
     }
 
     /// Records that a forwarder could not be used.
-    pub fn avoid(&self, address: SocketAddr, now: Timestamp) {
+    pub fn avoid(&self, address: SocketAddr, requests: Avoided, now: Timestamp) {
         let mut state = self.lock();
         state.avoided_until.retain(|_, until| *until > now);
-        state.avoided_until.insert(address, now + AVOIDANCE);
+        let until = now + AVOIDANCE;
+        state.avoided_until.insert((address, requests), until);
         drop(state);
         self.report_due.notify_one();
     }
--- a/crates/gateway/src/path/check.rs
+++ b/crates/gateway/src/path/check.rs
@@ -20,7 +20,7 @@
     view: &InstanceView,
 ) -> Option<bool> {
     let mut tried = TriedForwarders::default();
-    while let Some(mut upstream) = to_forwarder(shared, &mut tried).await {
+    while let Some(mut upstream) = to_forwarder(shared, view, &mut tried).await {
         let request = forwarding::check_request(view);
         let sending = upstream.sender.send_request(request);
         let response = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use recovery::recover_lost;
 
 use crate::Shared;
+use crate::forwarding::forwarders::Avoided;
 use crate::forwarding::headers::ForwardOutcome;
 use crate::forwarding::{self, InFlightGuard};
 use crate::pool::{Endpoint, Upstream};
@@ -37,9 +38,10 @@
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether this router forwards requests of others.
+    /// Whether this router forwards requests of others. It may have lost paths of its own: with
+    /// several services, each router may reach another one.
     pub(crate) fn can_forward(&self) -> bool {
-        !self.stopping.is_cancelled() && self.view.is_ready() && !self.paths().is_partitioned()
+        !self.stopping.is_cancelled() && self.view.is_ready()
     }
 }
 
@@ -66,12 +68,12 @@
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
     let is_forwarded = shared.paths().is_forwarded(&view.id);
-    if is_forwarded && let Some(upstream) = to_forwarder(shared, tried).await {
+    if is_forwarded && let Some(upstream) = to_forwarder(shared, view, tried).await {
         return Some(upstream);
     }
     // On a lost path, an idle connection may carry a request to nowhere.
     let is_partitioned = shared.paths().is_partitioned_from(&view.service);
-    let trusts_idle = !is_partitioned || !has_forwarder(shared, tried);
+    let trusts_idle = !is_partitioned || !has_forwarder(shared, view, tried);
     let endpoint = Endpoint::Instance(view.id.clone());
     if trusts_idle && let Some(upstream) = shared.pool.take(&endpoint) {
         return Some(upstream);
@@ -79,9 +81,12 @@
     connect(shared, view, tried).await
 }
 
-fn has_forwarder(shared: &Shared, tried: &TriedForwarders) -> bool {
+fn has_forwarder(shared: &Shared, view: &InstanceView, tried: &TriedForwarders) -> bool {
     let now = shared.clock.now();
-    shared.forwarders.choose(&tried.addresses, now).is_some()
+    let chosen = shared
+        .forwarders
+        .choose(&view.service, &tried.addresses, now);
+    chosen.is_some()
 }
 
 /// Opens a new connection to the instance, or one to a forwarder if that fails or takes long.
@@ -92,7 +97,7 @@
 ) -> Option<Upstream> {
     let (task_shared, task_view) = (shared.clone(), view.clone());
     let mut connecting = Box::pin(async move { connect_directly(&task_shared, &task_view).await });
-    let connected = match has_forwarder(shared, tried) {
+    let connected = match has_forwarder(shared, view, tried) {
         false => Some(connecting.as_mut().await),
         true => {
             let patience = match shared.paths().is_partitioned_from(&view.service) {
@@ -116,7 +121,7 @@
             "no connection yet".to_owned()
         }
     };
-    let forwarder = to_forwarder(shared, tried).await;
+    let forwarder = to_forwarder(shared, view, tried).await;
     if forwarder.is_none() {
         record_unreachable(shared, view, &problem);
     }
@@ -126,11 +131,15 @@
 /// A connection to the next forwarder that can be reached; `None` if there is none.
 pub(crate) async fn to_forwarder(
     shared: &Arc<Shared>,
+    view: &InstanceView,
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
     while tried.addresses.len() < MAX_FORWARDERS_TRIED {
         let now = shared.clock.now();
-        let address = shared.forwarders.choose(&tried.addresses, now)?;
+        let chosen = shared
+            .forwarders
+            .choose(&view.service, &tried.addresses, now);
+        let address = chosen?;
         tried.addresses.push(address);
         tried.in_flight = Some(shared.forwarders.begin(address));
         if let Some(upstream) = shared.pool.take(&Endpoint::Forwarder(address)) {
@@ -139,7 +148,8 @@
         match forwarding::connect(shared, address).await {
             Ok(upstream) => return Some(upstream),
             Err(error) => {
-                shared.forwarders.avoid(address, shared.clock.now());
+                let now = shared.clock.now();
+                shared.forwarders.avoid(address, Avoided::All, now);
                 emit(&RouterRecord::ForwarderUnusable {
                     forwarder: &address.to_string(),
                     problem: &error.to_string(),
@@ -162,10 +172,10 @@
         Endpoint::Forwarder(address) if !upstream.fresh => {
             match forwarding::connect(shared, address).await {
                 Ok(upstream) => Some(upstream),
-                Err(_) => to_forwarder(shared, tried).await,
+                Err(_) => to_forwarder(shared, view, tried).await,
             }
         }
-        Endpoint::Instance(_) | Endpoint::Forwarder(_) => to_forwarder(shared, tried).await,
+        Endpoint::Instance(_) | Endpoint::Forwarder(_) => to_forwarder(shared, view, tried).await,
     }
 }
 
@@ -180,7 +190,13 @@
 ) -> Option<Upstream> {
     let tries_others = match outcome {
         ForwardOutcome::Busy | ForwardOutcome::PathLost => {
-            shared.forwarders.avoid(forwarder, shared.clock.now());
+            let requests = match outcome {
+                ForwardOutcome::PathLost => Avoided::Service(view.service.clone()),
+                _ => Avoided::All,
+            };
+            shared
+                .forwarders
+                .avoid(forwarder, requests, shared.clock.now());
             true
         }
         // The forwarder may not know yet that it has lost its paths too. If this router has lost
@@ -194,7 +210,7 @@
         }
     };
     let next = match tries_others {
-        true => to_forwarder(shared, tried).await,
+        true => to_forwarder(shared, view, tried).await,
         false => None,
     };
     if next.is_none() {
@@ -206,7 +222,8 @@
 /// Records that a connection broke while a request was in flight on it.
 pub(crate) fn record_broken(shared: &Shared, upstream: &Upstream) {
     if let Endpoint::Forwarder(forwarder) = upstream.endpoint {
-        shared.forwarders.avoid(forwarder, shared.clock.now());
+        let now = shared.clock.now();
+        shared.forwarders.avoid(forwarder, Avoided::All, now);
     }
 }
 
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -189,8 +189,9 @@
 /// Whether this router has lost its paths to all instances that hold the model, and no other
 /// router is known that could forward the request.
 fn has_lost_paths(admitted: &AdmittedRequest, shared: &Shared, now: Timestamp) -> bool {
-    let is_partitioned = shared.paths().is_partitioned_from(&admitted.service.name);
-    if !is_partitioned || shared.forwarders.choose(&[], now).is_some() {
+    let service = &admitted.service.name;
+    let is_partitioned = shared.paths().is_partitioned_from(service);
+    if !is_partitioned || shared.forwarders.choose(service, &[], now).is_some() {
         return false;
     }
     let shape = &admitted.metadata.shape;
--- a/crates/gateway/tests/forwarders.rs
+++ b/crates/gateway/tests/forwarders.rs
@@ -1,11 +1,12 @@
 //! Which forwarder a router uses, and when it reports to the leader.
 
-use courseshunt_gateway::forwarding::forwarders::{ForwarderList, Offer};
+use courseshunt_gateway::forwarding::forwarders::{Avoided, ForwarderList, Offer};
 use courseshunt_services::Forwarder;
 use courseshunt_types::{Millis, RouterId, Timestamp, Zone};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+const SERVICE: &str = "llm";
 const OFFER: Offer = Offer {
     available: true,
     has_lost_paths: false,
@@ -38,34 +39,44 @@
 #[test]
 fn requests_go_through_the_own_zone_first_and_spread_by_those_in_flight() {
     let list = list();
-    assert_eq!(list.choose(&[], at(0)), Some(address(2)));
+    assert_eq!(list.choose(SERVICE, &[], at(0)), Some(address(2)));
     let first = list.begin(address(2));
     assert_eq!(first.address(), address(2));
     let second = list.begin(address(1));
-    assert_eq!(list.choose(&[], at(0)), Some(address(3)));
+    assert_eq!(list.choose(SERVICE, &[], at(0)), Some(address(3)));
     drop(second);
-    assert_eq!(list.choose(&[], at(0)), Some(address(1)));
+    assert_eq!(list.choose(SERVICE, &[], at(0)), Some(address(1)));
     drop(first);
-    assert_eq!(list.choose(&[], at(0)), Some(address(2)));
+    assert_eq!(list.choose(SERVICE, &[], at(0)), Some(address(2)));
 }
 
 #[test]
 fn a_forwarder_that_was_tried_or_failed_is_left_out() {
     let list = list();
-    assert_eq!(list.choose(&[address(2)], at(0)), Some(address(1)));
-    list.avoid(address(2), at(0));
-    list.avoid(address(1), at(0));
-    assert_eq!(list.choose(&[], at(999)), Some(address(3)));
-    assert_eq!(list.choose(&[address(3)], at(999)), None);
-    assert_eq!(list.choose(&[], at(1_000)), Some(address(2)));
+    assert_eq!(list.choose(SERVICE, &[address(2)], at(0)), Some(address(1)));
+    list.avoid(address(2), Avoided::All, at(0));
+    list.avoid(address(1), Avoided::All, at(0));
+    assert_eq!(list.choose(SERVICE, &[], at(999)), Some(address(3)));
+    assert_eq!(list.choose(SERVICE, &[address(3)], at(999)), None);
+    assert_eq!(list.choose(SERVICE, &[], at(1_000)), Some(address(2)));
+}
+
+/// Where each router had lost another service, each was avoided for all of them.
+#[test]
+fn a_forwarder_that_has_lost_one_service_forwards_for_another() {
+    let list = list();
+    let lost = Avoided::Service("app".to_owned());
+    list.avoid(address(2), lost, at(0));
+    assert_eq!(list.choose("app", &[], at(0)), Some(address(1)));
+    assert_eq!(list.choose(SERVICE, &[], at(0)), Some(address(2)));
 }
 
 #[test]
 fn a_forwarder_that_the_leader_names_again_stays_avoided() {
     let list = list();
-    list.avoid(address(2), at(0));
+    list.avoid(address(2), Avoided::All, at(0));
     list.set(&[forwarder(2, "a")], &Zone::from("a"));
-    assert_eq!(list.choose(&[], at(500)), None);
+    assert_eq!(list.choose(SERVICE, &[], at(500)), None);
 }
 
 #[test]
@@ -74,7 +85,7 @@
     let mut malformed = forwarder(1, "a");
     malformed.address = "nowhere".to_owned();
     list.set(&[malformed], &Zone::from("a"));
-    assert_eq!(list.choose(&[], at(0)), None);
+    assert_eq!(list.choose(SERVICE, &[], at(0)), None);
 }
 
 #[test]
--- a/crates/services/src/forwarders.rs
+++ b/crates/services/src/forwarders.rs
@@ -31,9 +31,9 @@
     pub address: String,
     /// Its zone.
     pub zone: Zone,
-    /// Whether it reaches instances and is not stopping.
+    /// Whether it is ready and not stopping.
     pub available: bool,
-    /// Number of instances that it reaches through other routers only.
+    /// Number of instances to which it has lost its own path, as far as it knows.
     pub lost_paths: u32,
 }
 
--- a/crates/services/src/instance_paths.rs
+++ b/crates/services/src/instance_paths.rs
@@ -57,6 +57,17 @@
         self.forwarded.len()
     }
 
+    /// Number of instances to which the path is lost, as far as is known: those that are reached
+    /// through other routers only, and those of services from which this router appears to be
+    /// partitioned.
+    #[must_use]
+    pub fn lost_count(&self) -> usize {
+        let services = self.failed.values();
+        let failed = services.filter(|failed| failed.len() >= PARTITIONED_FAILURES);
+        let failed = failed.flatten().filter(|id| !self.forwarded.contains(*id));
+        self.forwarded.len() + failed.count()
+    }
+
     /// Whether the path to any instance is lost, or the last connection failed.
     #[must_use]
     pub fn needs_forwarder(&self) -> bool {
--- a/crates/services/tests/instance_paths.rs
+++ b/crates/services/tests/instance_paths.rs
@@ -89,6 +89,7 @@
     paths.record_failure(SERVICE, &id(1));
     paths.record_failure(SERVICE, &id(2));
     paths.record_success("app", &id(3));
+    assert_eq!(paths.lost_count(), 2);
     assert!(paths.is_partitioned_from(SERVICE));
     assert!(!paths.is_partitioned_from("app"));
     assert_eq!(paths.partitioned_services().collect::<Vec<_>>(), [SERVICE]);
