Read-through of forwarding: one identity for connections between processes, one drain

Three places built the router's identity, two returned a connection after a short body, and an outcome was matched twice. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -125,7 +125,8 @@
                     return AttemptOutcome::MayHaveRun;
                 }
                 Some(not_sent) => {
-                    reuse_connection(shared, upstream, response, response_deadline).await;
+                    let body = response.into_body();
+                    reuse_connection(shared, upstream, body, response_deadline).await;
                     let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
                     let Some(next) = next.await else {
                         flight.not_run(None, None);
@@ -173,13 +174,8 @@
 }
 
 /// Returns a connection to the pool after the short body of a response that is not relayed.
-async fn reuse_connection(
-    shared: &Shared,
-    upstream: Upstream,
-    response: Response<Incoming>,
-    deadline: Instant,
-) {
-    let drained = Limited::new(response.into_body(), MAX_BUFFERED_RESPONSE_BYTES).collect();
+async fn reuse_connection(shared: &Shared, upstream: Upstream, body: Incoming, deadline: Instant) {
+    let drained = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     if let Ok(Ok(_)) = tokio::time::timeout_at(deadline, drained).await {
         shared.pool.put_back(upstream);
     }
@@ -254,10 +250,7 @@
     }
     if metadata.not_run || metadata.misdirected {
         flight.not_run(Some(head.status.as_u16()), backoff);
-        let drained = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        if let Ok(Ok(_)) = tokio::time::timeout_at(response_deadline, drained).await {
-            shared.pool.put_back(upstream);
-        }
+        reuse_connection(shared, upstream, body, response_deadline).await;
         return AttemptOutcome::NotRun;
     }
     if !metadata.genuine || metadata.promises_not_run {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -9,10 +9,10 @@
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, LimitReport, ReportMessage, RouteTable, validate};
-use courseshunt_types::{Incarnation, RouterId, RunnerId, Zone};
+use courseshunt_types::{RunnerId, Zone};
 use courseshunt_wire::{
-    ClusterKey, Connection, Message, PREVIOUS_RELEASE_VERSION, PeerIdentity, Receiver, Sender,
-    WireError, connect_within,
+    ClusterKey, Connection, Message, PREVIOUS_RELEASE_VERSION, Receiver, Sender, WireError,
+    connect_within,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -59,8 +59,7 @@
     key: &ClusterKey,
     search: &mut ControllerSearch,
 ) -> Result<FeedEnd, FeedEnd> {
-    let name = RouterId::from(shared.settings.name.as_str());
-    let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+    let identity = shared.wire_identity();
     let source = Some(shared.settings.address);
     let dial_timeout = search.dial_limit.present();
     let connected = connect_within(dial_timeout, source, address, key, &identity).await;
--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -7,8 +7,8 @@
 use crate::pool::{self, Endpoint, Upstream};
 use bytes::Bytes;
 use courseshunt_services::{ForwardingReport, InstanceView, ReportMessage};
-use courseshunt_types::{Incarnation, Millis, RouterId, Zone};
-use courseshunt_wire::{PROTOCOL_VERSION, PeerIdentity, connect_stream_within};
+use courseshunt_types::{Millis, Zone};
+use courseshunt_wire::{PROTOCOL_VERSION, connect_stream_within};
 use http_body_util::Full;
 use hyper::Request;
 use std::io;
@@ -23,8 +23,7 @@
 /// # Errors
 /// If it can't be reached in time, does not hold the cluster key or runs another protocol version.
 pub(crate) async fn connect(shared: &Shared, address: SocketAddr) -> io::Result<Upstream> {
-    let name = RouterId::from(shared.settings.name.as_str());
-    let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+    let identity = shared.wire_identity();
     let source = Some(shared.settings.address);
     let key = &shared.key;
     let connecting = connect_stream_within(CONNECT_TIMEOUT, source, address, key, &identity);
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -22,7 +22,7 @@
 pub struct Offer {
     /// Whether it forwards at all.
     pub available: bool,
-    /// Whether it reaches some instances only through other routers.
+    /// Whether it has lost its own path to some instance, as far as it knows.
     pub has_lost_paths: bool,
 }
 
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -15,7 +15,7 @@
 use courseshunt_http::{Body, full_body};
 use courseshunt_records::emit;
 use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
-use courseshunt_types::{Incarnation, Millis, RouterId};
+use courseshunt_types::{Millis, RouterId};
 use courseshunt_wire::{AuthenticatedStream, PROTOCOL_VERSION, PeerIdentity, accept_stream};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
@@ -138,8 +138,7 @@
         address: SocketAddr,
     ) -> Option<(TcpStream, RouterId)> {
         let shared = &self.shared;
-        let name = RouterId::from(shared.settings.name.as_str());
-        let identity = PeerIdentity::Router(name, Incarnation(rand::random()));
+        let identity = shared.wire_identity();
         let problem = match accept_stream(stream, address, &shared.key, &identity).await {
             Ok(AuthenticatedStream {
                 peer: PeerIdentity::Router(router, _),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,8 @@
 use courseshunt_services::InstancePaths;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SuspendDetector};
-use courseshunt_wire::ClusterKey;
+use courseshunt_types::{Incarnation, RouterId};
+use courseshunt_wire::{ClusterKey, PeerIdentity};
 use error::{BindSnafu, NoAddressSnafu, ShortKeySnafu};
 use forwarding::ForwarderList;
 use instance_reports::UnknownHeaders;
@@ -112,6 +113,12 @@
 }
 
 impl Shared {
+    /// The identity by which this router opens and accepts connections between processes.
+    pub(crate) fn wire_identity(&self) -> PeerIdentity {
+        let name = RouterId::from(self.settings.name.as_str());
+        PeerIdentity::Router(name, Incarnation(rand::random()))
+    }
+
     /// Whether a message of a leader arrived within [`staleness::MAX_LEADER_SILENCE`].
     pub(crate) fn has_recent_leader(&self) -> bool {
         self.view.feed_age() <= staleness::MAX_LEADER_SILENCE
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -188,15 +188,15 @@
     outcome: ForwardOutcome,
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
+    let now = shared.clock.now();
     let tries_others = match outcome {
-        ForwardOutcome::Busy | ForwardOutcome::PathLost => {
-            let requests = match outcome {
-                ForwardOutcome::PathLost => Avoided::Service(view.service.clone()),
-                _ => Avoided::All,
-            };
-            shared
-                .forwarders
-                .avoid(forwarder, requests, shared.clock.now());
+        ForwardOutcome::Busy => {
+            shared.forwarders.avoid(forwarder, Avoided::All, now);
+            true
+        }
+        ForwardOutcome::PathLost => {
+            let service = Avoided::Service(view.service.clone());
+            shared.forwarders.avoid(forwarder, service, now);
             true
         }
         // The forwarder may not know yet that it has lost its paths too. If this router has lost
