Records: how an instance frames its response, how much of it arrived, whether it ended inside an event

`whole: true` stood for an answer that its framing proves complete, for one that ended with its connection and for one whose last event is cut, so that the records did not tell the hypotheses apart.

`ended` lines name `framing` (length, chunked, connection_close), `body_bytes` and `inside_event`; `forwarded` lines name `framing`. The boundary between events follows LF, CR and CR LF in pieces of any length, comments and a byte order mark (crates/http/tests/framing.rs). No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::limit_tracker;
 use crate::path::{self, TriedForwarders};
 use crate::pool::{Endpoint, Upstream};
+use crate::received_body::ReceivedBody;
 use crate::relay::RelayBody;
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
@@ -237,6 +238,7 @@
         upstream.apply_keep_alive(&head.headers);
     }
     flight.record_status(head.status.as_u16());
+    flight.begin_body(ReceivedBody::new(&head));
     let origin = ResponseOrigin {
         instance: flight.instance(),
         id: flight.id(),
@@ -283,10 +285,10 @@
             AttemptOutcome::MayHaveRun
         }
         Ok(Ok(collected)) => {
-            flight.record_part();
+            let body = collected.to_bytes();
+            flight.record_part(&body);
             flight.complete();
             shared.pool.put_back(upstream);
-            let body = collected.to_bytes();
             head.headers.remove(CONTENT_LENGTH);
             AttemptOutcome::Answered(Response::from_parts(head, full_body(body)))
         }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -8,6 +8,7 @@
 use crate::forwarding::InFlightGuard;
 use crate::handle::AdmittedRequest;
 use crate::quarantine_tracker::{check_after_break, check_after_timeout};
+use crate::received_body::ReceivedBody;
 use crate::records::{ConditionRecord, RequestRecord};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, PromptShape, Pushback, RequestKind};
@@ -32,6 +33,8 @@
     /// count for the placement.
     pause_objective: Option<Duration>,
     status: u16,
+    /// What has been received of the response's body.
+    body: Option<ReceivedBody>,
     ended: bool,
     id: String,
     content: Digest,
@@ -179,6 +182,7 @@
             longest_pause: Duration::ZERO,
             pause_objective: None,
             status: 0,
+            body: None,
             ended: false,
             id: admitted.metadata.id.clone(),
             content: admitted.content,
@@ -242,8 +246,16 @@
         }
     }
 
+    /// Records that the instance's response begins, with this body.
+    pub(crate) fn begin_body(&mut self, body: ReceivedBody) {
+        self.body = Some(body);
+    }
+
     /// Records a part of the response body.
-    pub(crate) fn record_part(&mut self) {
+    pub(crate) fn record_part(&mut self, data: &[u8]) {
+        if let Some(body) = &mut self.body {
+            body.push(data);
+        }
         let now = Instant::now();
         if let Some(previous) = self.last_part_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now - previous);
@@ -314,6 +326,9 @@
             status: self.status,
             whole: is_complete,
             problem,
+            framing: self.body.as_ref().map(|body| body.framing().name()),
+            body_bytes: self.body.as_ref().map(ReceivedBody::length_bytes),
+            inside_event: self.body.as_ref().and_then(ReceivedBody::is_inside_event),
             forwarder: self.forwarder.as_ref().map(|one| one.address().to_string()),
             waited_ms: millis(self.waited),
             predicted_ms: self.candidate.predicted_ms as u64,
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -12,7 +12,7 @@
 use crate::records::RouterRecord;
 use crate::serve::hold_token_until_sent;
 use bytes::Bytes;
-use courseshunt_http::{Body, full_body};
+use courseshunt_http::{Body, BodyFraming, full_body};
 use courseshunt_records::emit;
 use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
 use courseshunt_types::{Millis, RouterId};
@@ -177,6 +177,8 @@
                 Err(Failure::new(ForwardOutcome::Rejected, problem))
             }
         };
+        let framing = forwarded.as_ref().ok();
+        let framing = framing.and_then(|response| response.extensions().get::<BodyFraming>());
         let outcome = match &forwarded {
             Ok(_) if is_check => "reached",
             Ok(_) => "answered",
@@ -187,6 +189,7 @@
             id: &id,
             router: router.as_str(),
             instance: instance.as_ref().map(|instance| instance.as_str()),
+            framing: framing.map(|framing| framing.name()),
             outcome,
             problem: forwarded.as_ref().err().map(|one| one.problem.as_str()),
             after_ms: crate::flight::millis(arrived.elapsed()),
@@ -245,6 +248,8 @@
         let sending = self.send(&view, &instruction, request, deadline);
         let (response, upstream) = sending.await?;
         let (mut head, body) = response.into_parts();
+        let framing = BodyFraming::of_response(head.status, &head.headers);
+        head.extensions.insert(framing);
         strip_hop_headers(&mut head.headers);
         ForwardOutcome::remove(&mut head.headers);
         let relayed = ForwardedBody {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod probes;
 mod quarantine_tracker;
 mod quota_tracker;
+mod received_body;
 mod records;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -151,6 +151,13 @@
         /// Whether the response was complete.
         whole: bool,
         problem: Option<&'a str>,
+        /// How the instance marked the end of the body: `length`, `chunked` or
+        /// `connection_close`.
+        framing: Option<&'static str>,
+        /// Bytes of the body that were received.
+        body_bytes: Option<u64>,
+        /// Whether the body ended inside an event; absent unless it is an event stream.
+        inside_event: Option<bool>,
         /// Wire address of the router that forwarded the request; absent if this router sent it
         /// to the instance itself.
         forwarder: Option<String>,
@@ -260,6 +267,8 @@
         router: &'a str,
         /// Absent if the request does not name it.
         instance: Option<&'a str>,
+        /// How the instance marked the end of the body; absent without a response.
+        framing: Option<&'static str>,
         /// `answered`, `reached` if only this was asked, or why there is no answer of the
         /// instance.
         outcome: &'static str,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -84,8 +84,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                if let Some(flight) = &mut self.flight {
-                    flight.record_part();
+                if let (Some(flight), Some(data)) = (&mut self.flight, frame.data_ref()) {
+                    flight.record_part(data);
                 }
                 if self.incoming.is_end_stream() {
                     self.finish();
--- /dev/null
+++ b/crates/http/src/framing.rs
@@ -0,0 +1,57 @@
+//! How the end of a response's body is marked.
+//!
+//! Source: RFC 9112, section 6.3.
+
+use hyper::StatusCode;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+
+/// How the receiver of a response finds the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By a length, or there is no body.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection: whether the body is complete is not stated.
+    ConnectionClose,
+}
+
+impl BodyFraming {
+    /// Reads the framing of a response to a request other than HEAD or CONNECT.
+    #[must_use]
+    pub fn of_response(status: StatusCode, headers: &HeaderMap) -> Self {
+        let has_no_body = status.is_informational()
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        if has_no_body {
+            return Self::Length;
+        }
+        // A body whose last coding is not chunked ends with the connection, also with a length.
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        if let Some(codings) = codings {
+            let last = codings
+                .to_str()
+                .ok()
+                .and_then(|text| text.rsplit(',').next());
+            let is_chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+            return match is_chunked {
+                true => Self::Chunked,
+                false => Self::ConnectionClose,
+            };
+        }
+        match headers.contains_key(CONTENT_LENGTH) {
+            true => Self::Length,
+            false => Self::ConnectionClose,
+        }
+    }
+
+    /// Name in records and between processes.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::ConnectionClose => "connection_close",
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,8 @@
 mod body;
 mod client;
 mod error;
+mod event_boundary;
+mod framing;
 mod pace;
 mod response;
 mod retry_after;
@@ -11,6 +13,8 @@
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
 pub use client::{HttpClient, Reply};
 pub use error::HttpError;
+pub use event_boundary::{EventBoundary, is_event_stream};
+pub use framing::BodyFraming;
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
 pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
--- /dev/null
+++ b/crates/http/tests/framing.rs
@@ -0,0 +1,97 @@
+//! Where the body of a response ends.
+
+use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+
+fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines {
+        let name = HeaderName::from_static(name);
+        headers.append(name, HeaderValue::from_static(value));
+    }
+    headers
+}
+
+#[test]
+fn only_a_length_or_chunks_mark_the_end_of_a_body() {
+    let length = ("content-length", "3");
+    let cases: [(&[(&str, &str)], BodyFraming); 7] = [
+        (&[length], BodyFraming::Length),
+        (&[("transfer-encoding", "chunked")], BodyFraming::Chunked),
+        (
+            &[("transfer-encoding", "gzip, Chunked")],
+            BodyFraming::Chunked,
+        ),
+        (
+            &[("transfer-encoding", "chunked"), length],
+            BodyFraming::Chunked,
+        ),
+        (
+            &[("transfer-encoding", "gzip"), length],
+            BodyFraming::ConnectionClose,
+        ),
+        (&[("connection", "close")], BodyFraming::ConnectionClose),
+        (&[], BodyFraming::ConnectionClose),
+    ];
+    for (lines, framing) in cases {
+        let read = BodyFraming::of_response(StatusCode::OK, &headers(lines));
+        assert_eq!(read, framing, "{lines:?}");
+    }
+    for status in [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED] {
+        let read = BodyFraming::of_response(status, &HeaderMap::new());
+        assert_eq!(read, BodyFraming::Length);
+    }
+}
+
+#[test]
+fn an_event_stream_is_recognised_by_its_media_type() {
+    for value in ["text/event-stream", "Text/Event-Stream; charset=utf-8"] {
+        assert!(is_event_stream(&headers(&[("content-type", value)])));
+    }
+    for value in ["application/json", "text/event-stream-not"] {
+        assert!(!is_event_stream(&headers(&[("content-type", value)])));
+    }
+    assert!(!is_event_stream(&HeaderMap::new()));
+}
+
+/// The texts with whether they end inside an event.
+const STREAMS: [(&str, bool); 24] = [
+    ("", false),
+    ("\u{feff}", false),
+    ("\u{feff}data: a\n\n", false),
+    ("\u{feff}data: a\n", true),
+    ("data: a\n\n", false),
+    ("data: a\r\n\r\n", false),
+    ("data: a\r\r", false),
+    ("data: a\r\n\r", false),
+    ("data: a\n\r\n", false),
+    ("id: 1\ndata: a\n\ndata: b\n\n", false),
+    ("data: a\n\n\n\n", false),
+    ("data: a\n\n: comment\n", false),
+    ("data: a\n\n: comm", false),
+    ("data: a\n: comment\n\n", false),
+    ("data: a\n: comment\n", true),
+    ("d", true),
+    ("data: a", true),
+    ("data: a\n", true),
+    ("data: a\r\n", true),
+    ("data: a\r", true),
+    ("id: 1\n", true),
+    ("data: a\n\nid: 2", true),
+    ("data: a\n\ndata: b\r\n", true),
+    ("data: a\u{feff}\n", true),
+];
+
+#[test]
+fn a_stream_ends_inside_an_event_until_an_empty_line() {
+    for (text, is_inside) in STREAMS {
+        let bytes = text.as_bytes();
+        for split in 0..=bytes.len() {
+            let mut boundary = EventBoundary::default();
+            boundary.push(&bytes[..split]);
+            boundary.push(&bytes[split..]);
+            assert_eq!(boundary.is_inside_event(), is_inside, "{text:?} at {split}");
+        }
+    }
+}
