A response that ends with its connection is reset when it is broken off

A response to a client of HTTP/1.0, or one of an instance of HTTP/1.0, has no chunks: its connection ends it. hyper closes that connection in the same way after a failure of the body as after its end, so that the client took a broken answer for a complete one.

The stream under the connection has the system reset it (SO_LINGER 0) from the first byte of such a response on, and takes that back after its last one. So whatever ends the connection earlier resets it: a broken instance, a deadline, the end of the grace period, a kill of the process.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -238,7 +238,7 @@
         upstream.apply_keep_alive(&head.headers);
     }
     flight.record_status(head.status.as_u16());
-    flight.begin_body(ReceivedBody::new(&head));
+    flight.begin_body(ReceivedBody::new(&admitted.head.method, &head));
     let origin = ResponseOrigin {
         instance: flight.instance(),
         id: flight.id(),
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -228,6 +228,7 @@
         let view = self.accepting_instance(&instruction)?;
         let deadline = arrived + Duration::from(instruction.time_left);
         let (head, body) = request.into_parts();
+        let method = head.method.clone();
         let max_body = shared.view.table();
         let max_body = max_body.map_or(0, |table| table.configuration().limits.max_body_bytes);
         let collecting = Limited::new(body, max_body).collect();
@@ -248,7 +249,7 @@
         let sending = self.send(&view, &instruction, request, deadline);
         let (response, upstream) = sending.await?;
         let (mut head, body) = response.into_parts();
-        let framing = BodyFraming::of_response(head.status, &head.headers);
+        let framing = BodyFraming::of_response(&method, head.status, &head.headers);
         head.extensions.insert(framing);
         strip_hop_headers(&mut head.headers);
         ForwardOutcome::remove(&mut head.headers);
--- a/crates/gateway/src/received_body.rs
+++ b/crates/gateway/src/received_body.rs
@@ -1,6 +1,7 @@
 //! What a router has received of the body of an instance's response.
 
 use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
+use hyper::Method;
 use hyper::http::response::Parts;
 
 /// The body of a response, as far as it has been received.
@@ -13,10 +14,10 @@
 }
 
 impl ReceivedBody {
-    /// The body of a response with this head, before its first byte.
-    pub(crate) fn new(head: &Parts) -> Self {
+    /// The body of a response with this head to a request with this method, before its first byte.
+    pub(crate) fn new(method: &Method, head: &Parts) -> Self {
         Self {
-            framing: BodyFraming::of_response(head.status, &head.headers),
+            framing: BodyFraming::of_response(method, head.status, &head.headers),
             length_bytes: 0,
             event_boundary: is_event_stream(&head.headers).then(EventBoundary::default),
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,8 +5,11 @@
 use crate::Shared;
 use crate::handle::handle;
 use crate::metrics::GaugeValues;
-use courseshunt_http::{Body, ServerLimits, text_response};
+use courseshunt_http::{
+    Body, CloseDelimitedStream, CloseDelimiter, RequestKind, ServerLimits, text_response,
+};
 use courseshunt_services::ClientLimits;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -43,12 +46,17 @@
         table.configuration().limits
     });
     let serving = shared.clone();
-    let service = service_fn(move |request| {
+    let delimiter = CloseDelimiter::default();
+    let stream = CloseDelimitedStream::new(stream, delimiter.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
         let shared = serving.clone();
         let token = shared.requests.token();
+        let delimiter = delimiter.clone();
         async move {
+            let kind = RequestKind::of(&request);
             let response = handle(request, shared).await;
-            Ok::<_, Infallible>(hold_token_until_sent(response, token))
+            let response = hold_token_until_sent(response, token);
+            Ok::<_, Infallible>(delimiter.prepare(&kind, response))
         }
     });
     let connection = http1::Builder::new()
@@ -95,7 +103,7 @@
 /// Serves the readiness probe.
 pub(crate) async fn serve_readiness(listener: TcpListener, shared: Arc<Shared>) {
     let ended = shared.ended.clone();
-    let handler = move |_request: Request<hyper::body::Incoming>, _peer| {
+    let handler = move |_request: Request<Incoming>, _peer| {
         let shared = shared.clone();
         async move {
             let ready = !shared.stopping.is_cancelled() && shared.view.is_ready();
@@ -111,7 +119,7 @@
 /// Serves the metrics page.
 pub(crate) async fn serve_metrics(listener: TcpListener, shared: Arc<Shared>) {
     let ended = shared.ended.clone();
-    let handler = move |_request: Request<hyper::body::Incoming>, _peer| {
+    let handler = move |_request: Request<Incoming>, _peer| {
         let shared = shared.clone();
         async move {
             let page = shared.metrics.render(&GaugeValues {
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -2,8 +2,16 @@
 //!
 //! Source: RFC 9112, section 6.3.
 
-use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::{Method, StatusCode};
+
+/// Whether a response with this status to a request with this method has a body.
+pub(crate) fn has_body(method: &Method, status: StatusCode) -> bool {
+    let has_none = status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    method != Method::HEAD && !has_none
+}
 
 /// How the receiver of a response finds the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,13 +25,10 @@
 }
 
 impl BodyFraming {
-    /// Reads the framing of a response to a request other than HEAD or CONNECT.
+    /// Reads the framing of a response to a request with this method.
     #[must_use]
-    pub fn of_response(status: StatusCode, headers: &HeaderMap) -> Self {
-        let has_no_body = status.is_informational()
-            || status == StatusCode::NO_CONTENT
-            || status == StatusCode::NOT_MODIFIED;
-        if has_no_body {
+    pub fn of_response(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+        if !has_body(method, status) {
             return Self::Length;
         }
         // A body whose last coding is not chunked ends with the connection, also with a length.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod close_delimited;
 mod error;
 mod event_boundary;
 mod framing;
@@ -12,6 +13,7 @@
 
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
 pub use client::{HttpClient, Reply};
+pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestKind};
 pub use error::HttpError;
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use framing::BodyFraming;
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,8 +1,8 @@
 //! Where the body of a response ends.
 
 use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
-use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, StatusCode};
 
 fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
     let mut headers = HeaderMap::new();
@@ -35,13 +35,15 @@
         (&[], BodyFraming::ConnectionClose),
     ];
     for (lines, framing) in cases {
-        let read = BodyFraming::of_response(StatusCode::OK, &headers(lines));
+        let read = BodyFraming::of_response(&Method::POST, StatusCode::OK, &headers(lines));
         assert_eq!(read, framing, "{lines:?}");
     }
     for status in [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED] {
-        let read = BodyFraming::of_response(status, &HeaderMap::new());
+        let read = BodyFraming::of_response(&Method::POST, status, &HeaderMap::new());
         assert_eq!(read, BodyFraming::Length);
     }
+    let to_head = BodyFraming::of_response(&Method::HEAD, StatusCode::OK, &HeaderMap::new());
+    assert_eq!(to_head, BodyFraming::Length);
 }
 
 #[test]
