A connection that ends within a frame's header is broken, not closed

A receiver took an end within the 8 bytes of a frame's header for a close between two frames; after the header it was an error already. Peers close between frames only.

a_frame_that_is_cut_short_is_no_proper_close: Ok(None) after 1 byte before, an error after 1, 2 and 5 bytes now; no byte is a proper close as before.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -157,14 +157,17 @@
     }
 
     /// Reads the next frame and returns its packed content and checksum; `None` when the peer
-    /// closed the connection.
+    /// closed the connection between two frames.
     async fn receive_frame(&mut self) -> Result<Option<(Vec<u8>, u32)>, WireError> {
         let mut header = [0_u8; HEADER_BYTES];
-        match self.half.read_exact(&mut header).await {
-            Ok(_) => {}
-            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
-            Err(source) => return Err(self.io_error(source)),
+        let read = self.half.read(&mut header).await;
+        let length = read.map_err(|source| self.io_error(source))?;
+        if length == 0 {
+            return Ok(None);
         }
+        // The peer closes between two frames only.
+        let read = self.half.read_exact(&mut header[length..]).await;
+        read.map_err(|source| self.io_error(source))?;
         let header = decode_header(&header, self.version);
         let header = header.map_err(|problem| self.protocol_error(problem))?;
         let mut content = vec![0_u8; header.length];
--- a/crates/wire/tests/connection.rs
+++ b/crates/wire/tests/connection.rs
@@ -4,7 +4,9 @@
 use courseshunt_types::{ControllerId, Revision};
 use courseshunt_wire::{
     ClusterKey, Message, PeerIdentity, WireError, accept, connect, connect_from,
+    connect_stream_within,
 };
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -86,3 +88,36 @@
     assert!(connected.is_ok());
     assert_eq!(server.await.unwrap(), source);
 }
+
+/// What a receiver finds after its peer has sent these bytes and closed the connection.
+async fn received_after(bytes: &[u8]) -> Result<Option<Message>, WireError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (stream, from) = listener.accept().await.unwrap();
+        let identity = PeerIdentity::Controller(ControllerId(1));
+        let accepted = accept(stream, from, &key(CLUSTER_KEY), &identity).await;
+        accepted.unwrap().receiver.receive().await
+    });
+    let identity = PeerIdentity::Controller(ControllerId(2));
+    let limit = Duration::from_secs(5);
+    let cluster_key = key(CLUSTER_KEY);
+    let connecting = connect_stream_within(limit, None, address, &cluster_key, &identity);
+    let mut stream = connecting.await.unwrap().stream;
+    stream.write_all(bytes).await.unwrap();
+    drop(stream);
+    server.await.unwrap()
+}
+
+/// A connection that ended within the header of a frame counted as closed between two frames.
+#[tokio::test]
+async fn a_frame_that_is_cut_short_is_no_proper_close() {
+    assert!(matches!(received_after(&[]).await, Ok(None)));
+    for length in [1, 2, 5] {
+        let received = received_after(&[0; 8][..length]).await;
+        assert!(
+            matches!(received, Err(WireError::Io { .. })),
+            "{length} bytes: {received:?}"
+        );
+    }
+}
