A reply that was cut on its way is no success of an operator's call

Our processes state the length of their replies; something between them and the operator may not, and then a cut reply ends like a whole one. The clients of the operators' and the jobs' API read what is no JSON as a success without content.

Such a reply is a broken exchange now: the operators' client asks again, as after a reset; the jobs' client reports it.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
+use serde_json::Value;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -33,6 +34,24 @@
     pub body: Bytes,
 }
 
+impl Reply {
+    /// The reply's JSON; `null` if the reply is empty.
+    ///
+    /// # Errors
+    /// [`HttpError::Broken`] if it is something else, such as JSON that was cut on its way by a peer
+    /// that does not state its length.
+    pub fn json(&self, peer: &str) -> Result<Value, HttpError> {
+        if self.body.is_empty() {
+            return Ok(Value::Null);
+        }
+        serde_json::from_slice(&self.body).map_err(|error| HttpError::Broken {
+            step: "read the reply",
+            peer: peer.to_owned(),
+            problem: error.to_string(),
+        })
+    }
+}
+
 impl Default for HttpClient {
     fn default() -> Self {
         Self::from_address(None)
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -255,10 +255,11 @@
 }
 
 fn judge(address: &str, reply: &Reply) -> Result<Value, AdminError> {
-    let content: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+    let content = reply.json(address);
     if reply.status.is_success() {
-        return Ok(content);
+        return Ok(content?);
     }
+    let content = content.unwrap_or(Value::Null);
     let error = &content["error"];
     let document = serde_json::from_value(error["document"].clone());
     Err(AdminError::Refused {
--- a/crates/operator/src/jobs.rs
+++ b/crates/operator/src/jobs.rs
@@ -1,6 +1,6 @@
 //! Client of the deferred jobs' interface of a router.
 
-use courseshunt_http::{HttpClient, HttpError, empty_body, full_body, read_in_time};
+use courseshunt_http::{HttpClient, HttpError, Reply, empty_body, full_body, read_in_time};
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
 use hyper::{Method, Request, StatusCode};
 use serde_json::Value;
@@ -157,10 +157,11 @@
         let status = response.status();
         let body = response.into_body();
         let body = read_in_time(body, MAX_REPLY_BYTES, CALL_TIMEOUT, &self.address).await?;
-        let content: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let content = Reply { status, body }.json(&self.address);
         if status.is_success() {
-            return Ok(content);
+            return Ok(content?);
         }
+        let content = content.unwrap_or(Value::Null);
         let text = |pointer| content.pointer(pointer).and_then(Value::as_str);
         Err(JobError::Refused {
             address: self.address.clone(),
