A replica that has stopped writes no more

Cause: ReplicaHandle::stop ended the actor and returned while the thread that writes the log still had a write to do. The test damages the log of a stopped member; from the files of a failed run: the damaged first frame had been replaced by the member's last hard state, written over it after the stop. It is not a damaged frame that counted as a torn write, as was suspected. A member that starts again in the same process had two writers on one log.

stop waits until the store is closed, for two seconds at most: a stalled disk must not hold up the end of a process.

a_replica_that_has_stopped_writes_no_more fails before.

--- a/crates/controller/src/replica/driver.rs
+++ b/crates/controller/src/replica/driver.rs
@@ -23,6 +23,7 @@
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, PoisonError};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// Parts from which a driver is created.
 pub struct DriverArguments {
@@ -34,6 +35,7 @@
     pub(super) status: watch::Sender<ReplicaStatus>,
     pub(super) quorum_contact: Arc<AtomicI64>,
     pub(super) peers: PeerNetwork,
+    pub(super) writer_ended: CancellationToken,
 }
 
 /// The consensus core with its outputs' destinations and pending calls.
@@ -77,7 +79,7 @@
         arguments: DriverArguments,
         myself: ActorRef<ReplicaMessage>,
     ) -> Result<Self, ControllerError> {
-        let writer = writer::start(arguments.store, myself);
+        let writer = writer::start(arguments.store, myself, arguments.writer_ended);
         let writer = writer.map_err(|error| ControllerError::Actor {
             part: "log writer",
             message: error.to_string(),
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Longest time for which a command or read is retried, for instance without a leader.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -29,6 +30,8 @@
 const MAX_VOTER_SILENCE: Millis = Millis(500);
 /// Longest wait for a leadership transfer at graceful shutdown.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the last write of the log at graceful shutdown; a disk may stall for longer.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a command was not committed, or may not have been.
 #[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
@@ -112,6 +115,8 @@
     pub(super) clock: MonotonicClock,
     pub(super) peers: PeerNetwork,
     pub(super) session: ClientSession,
+    /// Cancelled once the store is closed.
+    pub(super) writer_ended: CancellationToken,
 }
 
 impl ReplicaHandle {
@@ -360,7 +365,8 @@
         let _ = self.actor.cast(ReplicaMessage::Transfer { to: Some(to) });
     }
 
-    /// Transfers the leadership, if this member leads, and stops the replica.
+    /// Transfers the leadership, if this member leads, and stops the replica. Its store is closed
+    /// then, unless the disk stalls.
     pub async fn stop(&self) {
         let members = self.members().await;
         let has_successor = members.live_voters(MAX_VOTER_SILENCE).next().is_some();
@@ -371,6 +377,10 @@
             let _ = tokio::time::timeout(TRANSFER_TIMEOUT, transferred).await;
         }
         let _ = self.actor.stop_and_wait(None, None).await;
+        let closed = tokio::time::timeout(LAST_WRITE_TIMEOUT, self.writer_ended.cancelled()).await;
+        if closed.is_err() {
+            log::warn!("replica: stopped while its last write of the log still runs");
+        }
     }
 }
 
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -31,6 +31,7 @@
 use std::sync::atomic::AtomicI64;
 use std::sync::{Arc, RwLock};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// Name of the folder in the data folder that holds the log of group 0.
 const GROUP_FOLDER: &str = "group-0";
@@ -79,11 +80,14 @@
     claim_folder(&settings.data_folder, settings.id, true).context(StorageSnafu)?;
     let folder = settings.data_folder.join(GROUP_FOLDER);
     let store = FileLog::open(&folder).context(StorageSnafu)?;
-    spawn(settings, Box::new(store), clock, peers).await
+    start_with_store(settings, Box::new(store), clock, peers).await
 }
 
-/// Restores the state and starts the actor.
-async fn spawn(
+/// Starts the replica with this store.
+///
+/// # Errors
+/// When the store is damaged or can't be read.
+pub async fn start_with_store(
     settings: &ReplicaSettings,
     mut store: Box<dyn LogStore>,
     clock: MonotonicClock,
@@ -111,6 +115,7 @@
         failure: None,
     });
     let quorum_contact = Arc::new(AtomicI64::new(NO_CONTACT));
+    let writer_ended = CancellationToken::new();
     let arguments = DriverArguments {
         core,
         store,
@@ -120,6 +125,7 @@
         status,
         quorum_contact: quorum_contact.clone(),
         peers: peers.clone(),
+        writer_ended: writer_ended.clone(),
     };
     let spawned = Actor::spawn(None, ReplicaActor, arguments).await;
     let (actor, _) = spawned.map_err(|error| ControllerError::Actor {
@@ -134,6 +140,7 @@
         clock,
         peers,
         session: ClientSession::new(settings.id),
+        writer_ended,
     })
 }
 
--- a/crates/controller/src/replica/writer.rs
+++ b/crates/controller/src/replica/writer.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// Pause between retries on a full disk.
 const FULL_DISK_RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -33,15 +34,20 @@
     },
 }
 
-/// Starts the thread; it ends when the sender is dropped or the store fails.
+/// Starts the thread; it ends when the sender is dropped or the store fails. `ended` is cancelled
+/// once the store is closed.
 pub(super) fn start(
     store: Box<dyn LogStore>,
     replica: ActorRef<ReplicaMessage>,
+    ended: CancellationToken,
 ) -> std::io::Result<Sender<WriteRequest>> {
     let (sender, requests) = channel();
     let writer = Writer { store, replica };
     let thread = std::thread::Builder::new().name("log-writer".to_owned());
-    thread.spawn(move || writer.run(&requests))?;
+    thread.spawn(move || {
+        let _ended = ended.drop_guard();
+        writer.run(&requests);
+    })?;
     Ok(sender)
 }
 
--- /dev/null
+++ b/crates/controller/tests/replica_stop.rs
@@ -0,0 +1,95 @@
+//! A replica that stops.
+
+use courseshunt_consensus::{CoreSettings, Entry, HardState, Membership, SnapshotMetadata};
+use courseshunt_controller::peers::{AddressBook, PeerNetwork};
+use courseshunt_controller::replica::{ReplicaSettings, start_with_store};
+use courseshunt_storage::{LogStore, MemoryLog, RecoveredLog, StorageError};
+use courseshunt_types::ControllerId;
+use courseshunt_types::time::MonotonicClock;
+use courseshunt_wire::ClusterKey;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Time that a sync of the store takes.
+const SYNC_TIME: Duration = Duration::from_millis(300);
+/// Longest time until the replica writes.
+const PATIENCE: Duration = Duration::from_secs(5);
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+const ID: ControllerId = ControllerId(1);
+
+/// A store on a slow disk.
+struct SlowLog {
+    log: MemoryLog,
+    is_syncing: Arc<AtomicBool>,
+    is_closed: Arc<AtomicBool>,
+}
+
+impl LogStore for SlowLog {
+    fn recover(&mut self) -> Result<RecoveredLog, StorageError> {
+        self.log.recover()
+    }
+
+    fn append(
+        &mut self,
+        hard_state: Option<&HardState>,
+        entries: &[Entry],
+    ) -> Result<(), StorageError> {
+        self.log.append(hard_state, entries)
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        self.is_syncing.store(true, Ordering::SeqCst);
+        std::thread::sleep(SYNC_TIME);
+        self.log.sync()
+    }
+
+    fn save_snapshot(
+        &mut self,
+        metadata: &SnapshotMetadata,
+        bytes: &[u8],
+    ) -> Result<(), StorageError> {
+        self.log.save_snapshot(metadata, bytes)
+    }
+}
+
+impl Drop for SlowLog {
+    fn drop(&mut self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+}
+
+/// The log of a member that had stopped was still written while its successor on the same disk
+/// read it.
+#[tokio::test]
+async fn a_replica_that_has_stopped_writes_no_more() {
+    let is_syncing = Arc::new(AtomicBool::new(false));
+    let is_closed = Arc::new(AtomicBool::new(false));
+    let store = SlowLog {
+        log: MemoryLog::default(),
+        is_syncing: is_syncing.clone(),
+        is_closed: is_closed.clone(),
+    };
+    let settings = ReplicaSettings {
+        id: ID,
+        data_folder: "unused".into(),
+        bootstrap: Membership::of_voters([ID]),
+        core: CoreSettings::for_member(ID),
+        snapshot_after: (1_000, 1_000_000),
+    };
+    let key = ClusterKey::new(b"a key of sixteen bytes or more").expect("a key");
+    let addresses = AddressBook::default();
+    let peers = PeerNetwork::new(ID, key, addresses, CancellationToken::new());
+    let starting = start_with_store(&settings, Box::new(store), MonotonicClock::start(), peers);
+    let replica = starting.await.expect("a replica");
+    let writes = async {
+        while !is_syncing.load(Ordering::SeqCst) {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    };
+    let writes = tokio::time::timeout(PATIENCE, writes).await;
+    writes.expect("it writes its vote");
+    replica.stop().await;
+    assert!(is_closed.load(Ordering::SeqCst), "its store is still open");
+}
