Gateway: handling of an instance's response in a module of its own

attempt.rs sends, attempt/response.rs handles what came back, in steps: framing, whether it ran, relay of a stream, collection of anything else. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -4,28 +4,26 @@
 //! [`AttemptOutcome::NotSent`] only if the instance reported that the request did not run, or if it
 //! was certainly not sent.
 
+mod response;
+
 use crate::Shared;
 use crate::flight::{Flight, PendingSend};
-use crate::forwarded_headers::{filter_request_headers, strip_hop_headers};
-use crate::forwarding::headers::{ForwardInstruction, ForwardOutcome, take_framing};
+use crate::forwarded_headers::filter_request_headers;
+use crate::forwarding::headers::{ForwardInstruction, ForwardOutcome};
 use crate::handle::AdmittedRequest;
-use crate::instance_reports::{ResponseOrigin, observe_response};
 use crate::limit_tracker;
 use crate::path::{self, TriedForwarders};
 use crate::pool::{Endpoint, Upstream};
-use crate::received_body::ReceivedBody;
-use crate::relay::RelayBody;
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
 use bytes::Bytes;
-use courseshunt_http::{Body, BodyFraming, full_body};
-use courseshunt_instance_load::ReportedLoad;
-use courseshunt_services::{InstanceView, RequestKind};
+use courseshunt_http::Body;
+use courseshunt_services::InstanceView;
 use courseshunt_types::Millis;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode};
+use response::Exchange;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -138,15 +136,14 @@
                 }
             }
         }
-        return handle_response(
+        let exchange = Exchange {
             shared,
             admitted,
-            response,
             flight,
             upstream,
-            response_deadline,
-        )
-        .await;
+            deadline: response_deadline,
+        };
+        return exchange.handle(response).await;
     }
 }
 
@@ -221,92 +218,6 @@
     Some(request)
 }
 
-async fn handle_response(
-    shared: &Arc<Shared>,
-    admitted: &AdmittedRequest,
-    response: Response<Incoming>,
-    mut flight: Flight,
-    mut upstream: Upstream,
-    response_deadline: Instant,
-) -> AttemptOutcome {
-    let (mut head, body) = response.into_parts();
-    let metadata =
-        shared
-            .interface
-            .read_response(&admitted.metadata.id, head.status, &head.headers);
-    let framing = match upstream.endpoint {
-        Endpoint::Instance(_) => {
-            let framing =
-                BodyFraming::of_response(&admitted.head.method, head.status, &head.headers);
-            upstream.apply_keep_alive(&head.headers);
-            upstream.apply_framing(framing);
-            framing
-        }
-        Endpoint::Forwarder(_) => take_framing(&mut head.headers),
-    };
-    flight.record_status(head.status.as_u16());
-    flight.begin_body(ReceivedBody::new(framing, &head.headers));
-    let origin = ResponseOrigin {
-        instance: flight.instance(),
-        id: flight.id(),
-        sent_at: flight.started_at(),
-    };
-    let backoff = observe_response(shared, origin, &head, &metadata);
-    if metadata.misdirected {
-        let now = shared.clock.now();
-        let shape = &admitted.metadata.shape;
-        shared.view.mark_lacking(flight.instance(), shape, now);
-    }
-    if metadata.not_run || metadata.misdirected {
-        flight.not_run(Some(head.status.as_u16()), backoff);
-        reuse_connection(shared, upstream, body, response_deadline).await;
-        return AttemptOutcome::NotRun;
-    }
-    if !metadata.genuine || metadata.promises_not_run {
-        flight.failed("the answer is not this request's, or promises what is not known");
-        return AttemptOutcome::MayHaveRun;
-    }
-    if head.status.is_server_error() {
-        flight.suspect_instance();
-    }
-    strip_hop_headers(&mut head.headers);
-    // The client is told no more of the end of the body than the instance has stated.
-    head.version = Version::HTTP_11;
-    head.extensions.insert(framing);
-    let streams = admitted.route.kind == RequestKind::Streaming && head.status.is_success();
-    if streams {
-        head.headers.remove(CONTENT_LENGTH);
-        let pause_objective = admitted.route.event_gap_objective;
-        if let (Some(objective), ReportedLoad::Load(_)) = (pause_objective, metadata.load) {
-            flight.watch_pauses(objective);
-        }
-        let relay = RelayBody::new(body, response_deadline, flight, upstream, shared.clone());
-        let body = relay.boxed_unsync();
-        return AttemptOutcome::Answered(Response::from_parts(head, body));
-    }
-    let collecting = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    match tokio::time::timeout_at(response_deadline, collecting).await {
-        Err(_) => {
-            flight.timed_out();
-            AttemptOutcome::TimedOut
-        }
-        Ok(Err(error)) => {
-            flight.truncated(&error.to_string());
-            AttemptOutcome::MayHaveRun
-        }
-        Ok(Ok(collected)) => {
-            let body = collected.to_bytes();
-            flight.record_part(&body);
-            if flight.finish().is_err() {
-                return AttemptOutcome::MayHaveRun;
-            }
-            shared.pool.put_back(upstream);
-            head.headers.remove(CONTENT_LENGTH);
-            AttemptOutcome::Answered(Response::from_parts(head, full_body(body)))
-        }
-    }
-}
-
 /// Whether a response reports a failure that another instance may not have.
 pub(crate) fn is_retryable_failure(response: &Response<Body>) -> bool {
     response.status() >= StatusCode::INTERNAL_SERVER_ERROR
--- /dev/null
+++ b/crates/gateway/src/attempt/response.rs
@@ -0,0 +1,130 @@
+//! Handles an instance's response: whether the request ran, and what the client receives.
+//!
+//! Invariant: the client's response states no more of the end of the body than is known.
+
+use super::{AttemptOutcome, MAX_BUFFERED_RESPONSE_BYTES, reuse_connection};
+use crate::Shared;
+use crate::flight::Flight;
+use crate::forwarded_headers::strip_hop_headers;
+use crate::forwarding::headers::take_framing;
+use crate::handle::AdmittedRequest;
+use crate::instance_reports::{ResponseOrigin, observe_response};
+use crate::interface::ResponseMetadata;
+use crate::pool::{Endpoint, Upstream};
+use crate::received_body::ReceivedBody;
+use crate::relay::RelayBody;
+use courseshunt_http::{BodyFraming, full_body};
+use courseshunt_instance_load::ReportedLoad;
+use courseshunt_services::RequestKind;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use hyper::{Response, Version};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// An attempt whose instance has begun to respond.
+pub(super) struct Exchange<'a> {
+    pub(super) shared: &'a Arc<Shared>,
+    pub(super) admitted: &'a AdmittedRequest,
+    pub(super) flight: Flight,
+    pub(super) upstream: Upstream,
+    /// The response must be complete by then.
+    pub(super) deadline: Instant,
+}
+
+impl Exchange<'_> {
+    /// Handles the instance's response.
+    pub(super) async fn handle(mut self, response: Response<Incoming>) -> AttemptOutcome {
+        let (mut head, body) = response.into_parts();
+        let shared = self.shared;
+        let id = &self.admitted.metadata.id;
+        let metadata = shared
+            .interface
+            .read_response(id, head.status, &head.headers);
+        let framing = self.read_framing(&mut head);
+        self.flight.record_status(head.status.as_u16());
+        let received = ReceivedBody::new(framing, &head.headers);
+        self.flight.begin_body(received);
+        let origin = ResponseOrigin {
+            instance: self.flight.instance(),
+            id: self.flight.id(),
+            sent_at: self.flight.started_at(),
+        };
+        let backoff = observe_response(shared, origin, &head, &metadata);
+        if metadata.misdirected {
+            let now = shared.clock.now();
+            let shape = &self.admitted.metadata.shape;
+            shared.view.mark_lacking(self.flight.instance(), shape, now);
+        }
+        if metadata.not_run || metadata.misdirected {
+            self.flight.not_run(Some(head.status.as_u16()), backoff);
+            reuse_connection(shared, self.upstream, body, self.deadline).await;
+            return AttemptOutcome::NotRun;
+        }
+        if !metadata.genuine || metadata.promises_not_run {
+            let problem = "the answer is not this request's, or promises what is not known";
+            self.flight.failed(problem);
+            return AttemptOutcome::MayHaveRun;
+        }
+        if head.status.is_server_error() {
+            self.flight.suspect_instance();
+        }
+        strip_hop_headers(&mut head.headers);
+        head.headers.remove(CONTENT_LENGTH);
+        head.version = Version::HTTP_11;
+        head.extensions.insert(framing);
+        let is_stream =
+            self.admitted.route.kind == RequestKind::Streaming && head.status.is_success();
+        match is_stream {
+            true => self.relay(head, body, &metadata),
+            false => self.collect(head, body).await,
+        }
+    }
+
+    /// How the instance framed the response, and what this means for the connection.
+    fn read_framing(&mut self, head: &mut Parts) -> BodyFraming {
+        if let Endpoint::Forwarder(_) = self.upstream.endpoint {
+            return take_framing(&mut head.headers);
+        }
+        let method = &self.admitted.head.method;
+        let framing = BodyFraming::of_response(method, head.status, &head.headers);
+        self.upstream.apply_keep_alive(&head.headers);
+        self.upstream.apply_framing(framing);
+        framing
+    }
+
+    /// Relays a stream as its parts arrive.
+    fn relay(mut self, head: Parts, body: Incoming, metadata: &ResponseMetadata) -> AttemptOutcome {
+        let pause_objective = self.admitted.route.event_gap_objective;
+        if let (Some(objective), ReportedLoad::Load(_)) = (pause_objective, metadata.load) {
+            self.flight.watch_pauses(objective);
+        }
+        let shared = self.shared.clone();
+        let body = RelayBody::new(body, self.deadline, self.flight, self.upstream, shared);
+        AttemptOutcome::Answered(Response::from_parts(head, body.boxed_unsync()))
+    }
+
+    /// Reads the whole body before any byte is relayed, so that another attempt may follow.
+    async fn collect(mut self, head: Parts, body: Incoming) -> AttemptOutcome {
+        let collecting = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
+        let body = match tokio::time::timeout_at(self.deadline, collecting).await {
+            Err(_) => {
+                self.flight.timed_out();
+                return AttemptOutcome::TimedOut;
+            }
+            Ok(Err(error)) => {
+                self.flight.truncated(&error.to_string());
+                return AttemptOutcome::MayHaveRun;
+            }
+            Ok(Ok(collected)) => collected.to_bytes(),
+        };
+        self.flight.record_part(&body);
+        if self.flight.finish().is_err() {
+            return AttemptOutcome::MayHaveRun;
+        }
+        self.shared.pool.put_back(self.upstream);
+        AttemptOutcome::Answered(Response::from_parts(head, full_body(body)))
+    }
+}
