Records are not left out because another thread writes at the same time

Cause: a line was counted as waiting after it had been handed to the thread that writes it. If that thread was faster, the count was below zero for a moment, an unsigned number at its upper end, and a line of another thread found the queue full.

A line is counted before it is handed over.

--- a/crates/records/src/output.rs
+++ b/crates/records/src/output.rs
@@ -88,11 +88,20 @@
         let waiting = self.counts.waiting.load(Ordering::Relaxed) as usize;
         let room = self.bounds.queue - self.bounds.queue / self.bounds.reserve.max(1);
         let fits = kept || (waiting < room && self.allow(line.len()));
-        if fits && self.lines.try_send(line).is_ok() {
-            self.counts.waiting.fetch_add(1, Ordering::Relaxed);
-            return;
+        if !fits || !self.send(line) {
+            self.counts.left_out.fetch_add(1, Ordering::Relaxed);
         }
-        self.counts.left_out.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sends a line to the thread; whether there was room. It is counted before the thread can
+    /// take it, since the count would be negative in between.
+    fn send(&self, line: String) -> bool {
+        self.counts.waiting.fetch_add(1, Ordering::Relaxed);
+        let sent = self.lines.try_send(line).is_ok();
+        if !sent {
+            self.counts.waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+        sent
     }
 
     fn allow(&self, bytes: usize) -> bool {
