A request that ends instances within unframed answers is held back

An instance that ends under a request closes the connection of its unframed answer in the same way as at the end of one. The router counted that as a success of the request's content at first, and as nothing since: such a request ended instance after instance.

After an answer that ended with its connection the instance is probed, once a second at most, as after one that was broken off. Only the first probes count: refused, or another instance at its address. An instance that had said that it leaves is not probed.

a_request_that_ends_instances_within_unframed_answers_is_held_back: 4 ends where 3 are allowed before, held back after.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -7,7 +7,7 @@
 use crate::ended_streams::StreamEnd;
 use crate::forwarding::InFlightGuard;
 use crate::handle::AdmittedRequest;
-use crate::quarantine_tracker::{check_after_break, check_after_timeout};
+use crate::quarantine_tracker::{check_after_break, check_after_timeout, check_after_unknown_end};
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
 use courseshunt_records::emit;
@@ -291,7 +291,7 @@
     }
 
     /// Ends the flight: the response has ended, and no failure was seen. A response that may be
-    /// incomplete is neither a success nor a failure of its request's content or of the instance.
+    /// incomplete is neither a success of its request's content nor a failure of the instance.
     ///
     /// # Errors
     /// If the response was broken off all the same; the flight has ended with this failure.
@@ -308,7 +308,10 @@
                     self.shared.quarantine.record_success(self.content);
                 }
             }
-            Some(BodyEnd::Unknown) | None => self.end("ended_with_connection", None, None),
+            Some(BodyEnd::Unknown) | None => {
+                self.end("ended_with_connection", None, None);
+                check_after_unknown_end(&self.shared, self.content, &self.candidate.instance);
+            }
         }
         self.count_stream(self.longest_pause);
         Ok(())
--- a/crates/gateway/src/quarantine_tracker.rs
+++ b/crates/gateway/src/quarantine_tracker.rs
@@ -11,7 +11,7 @@
 use crate::records::RouterRecord;
 use crate::staleness::MAX_LEADER_SILENCE;
 use courseshunt_records::emit;
-use courseshunt_services::{InstanceEnd, RouterQuarantine};
+use courseshunt_services::{InstanceEnd, InstanceState, RouterQuarantine};
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::collections::HashMap;
@@ -28,14 +28,19 @@
 /// router would detect ends behind a link that was silent for some seconds too late.
 const FIRST_RECHECK_PAUSE: Duration = Duration::from_millis(250);
 const RECHECK_PAUSE: Duration = Duration::from_millis(500);
+/// An instance whose responses end with their connections is probed no more often than this.
+const UNKNOWN_END_CHECK_INTERVAL: Millis = Millis(1_000);
 /// Maximum number of contents kept for an instance whose end is uncertain.
 const MAX_WATCHED: usize = 64;
 
-/// A request whose response was broken off.
+/// A request whose response was broken off, or may have been.
 #[derive(Debug, Clone, Copy)]
 struct BrokenRequest {
     content: Digest,
     at: Timestamp,
+    /// Whether the response was certainly broken off. One that merely ended with its connection
+    /// counts only if the first probes find that the instance has ended.
+    is_certain: bool,
 }
 
 /// State of an instance that broke off responses.
@@ -54,6 +59,8 @@
     clock: MonotonicClock,
     state: Mutex<RouterQuarantine>,
     checks: Mutex<HashMap<RunnerId, Check>>,
+    /// When an instance was last probed after a response that ended with its connection.
+    unknown_end_checks: Mutex<HashMap<RunnerId, Timestamp>>,
     /// Notified when there is something to report to the leader.
     pub(crate) report_due: Notify,
 }
@@ -64,6 +71,7 @@
             clock,
             state: Mutex::default(),
             checks: Mutex::default(),
+            unknown_end_checks: Mutex::default(),
             report_due: Notify::new(),
         }
     }
@@ -76,6 +84,24 @@
         self.checks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn unknown_end_checks(&self) -> MutexGuard<'_, HashMap<RunnerId, Timestamp>> {
+        let checks = self.unknown_end_checks.lock();
+        checks.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an instance may be probed after a response that ended with its connection; counts
+    /// the probe.
+    fn begin_unknown_end_check(&self, instance: &RunnerId) -> bool {
+        let now = self.now();
+        let mut checks = self.unknown_end_checks();
+        let is_due = |at: &Timestamp| now.since(*at) >= UNKNOWN_END_CHECK_INTERVAL;
+        let is_due = checks.get(instance).is_none_or(is_due);
+        if is_due {
+            checks.insert(instance.clone(), now);
+        }
+        is_due
+    }
+
     fn now(&self) -> Timestamp {
         self.clock.now()
     }
@@ -123,6 +149,8 @@
     /// Records that the leader removed instances.
     pub(crate) fn instances_gone(&self, instances: &[RunnerId]) {
         let now = self.now();
+        self.unknown_end_checks()
+            .retain(|instance, _| !instances.contains(instance));
         for instance in instances {
             for broken in self.take_watched(instance) {
                 if now.since(broken.at) <= MAX_BREAK_AGE {
@@ -146,7 +174,8 @@
         }
     }
 
-    /// Waits for a report of the leader on an instance; returns the time of its newest break.
+    /// Waits for a report of the leader on an instance, for its certain breaks; returns the time of
+    /// the newest one.
     fn watch(&self, instance: &RunnerId) -> Option<Timestamp> {
         let mut checks = self.checks();
         let mut breaks = match checks.remove(instance)? {
@@ -156,11 +185,12 @@
                 return None;
             }
         };
+        breaks.retain(|broken| broken.is_certain);
         let surplus = breaks.len().saturating_sub(MAX_WATCHED);
         breaks.drain(..surplus);
-        let newest = breaks.last().map(|one| one.at);
+        let newest = breaks.last().map(|one| one.at)?;
         checks.insert(instance.clone(), Check::Watched(breaks));
-        newest
+        Some(newest)
     }
 
     /// Whether an instance is watched, has had no break since `newest`, and its end would still
@@ -201,9 +231,37 @@
 
 /// Records that an instance broke off a request with this content, and probes whether it ended.
 pub(crate) fn check_after_break(shared: &Arc<Shared>, content: Digest, instance: &RunnerId) {
+    let broken = BrokenRequest {
+        content,
+        at: shared.quarantine.now(),
+        is_certain: true,
+    };
+    check(shared, broken, instance);
+}
+
+/// Records that the response to a request with this content ended with its connection, and probes
+/// whether the instance has ended. One that had said that it would end is no evidence, nor is an
+/// instance that was probed a moment ago: where all responses end so, a probe after each would cost
+/// as much as the requests.
+pub(crate) fn check_after_unknown_end(shared: &Arc<Shared>, content: Digest, instance: &RunnerId) {
+    let view = shared.view.instance(instance);
+    let is_ready = view.is_some_and(|view| view.state == InstanceState::Ready);
+    let now = shared.clock.now();
+    let pushes_back = shared.view.active_pushback(instance, now).is_some();
+    if !is_ready || pushes_back || !shared.quarantine.begin_unknown_end_check(instance) {
+        return;
+    }
+    let broken = BrokenRequest {
+        content,
+        at: shared.quarantine.now(),
+        is_certain: false,
+    };
+    check(shared, broken, instance);
+}
+
+fn check(shared: &Arc<Shared>, broken: BrokenRequest, instance: &RunnerId) {
     let tracker = &shared.quarantine;
-    let at = tracker.now();
-    let broken = BrokenRequest { content, at };
+    let at = broken.at;
     let mut checks = tracker.checks();
     let breaks = match checks.remove(instance) {
         Some(Check::Ended(evidence)) => {
@@ -237,7 +295,12 @@
     }
     let tracker = &shared.quarantine;
     let at = tracker.now();
-    tracker.record_end(BrokenRequest { content, at }, instance, GONE);
+    let broken = BrokenRequest {
+        content,
+        at,
+        is_certain: true,
+    };
+    tracker.record_end(broken, instance, GONE);
 }
 
 /// Probes an instance until the result is conclusive, or until its end would no longer count.
