--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::handle::handle;
 use crate::metrics::GaugeValues;
 use courseshunt_http::{
-    Body, CloseDelimitedStream, CloseDelimiter, RequestKind, ServerLimits, text_response,
+    Body, CloseDelimitedStream, CloseDelimiter, RequestLine, ServerLimits, text_response,
 };
 use courseshunt_services::ClientLimits;
 use hyper::body::Incoming;
@@ -53,10 +53,10 @@
         let token = shared.requests.token();
         let delimiter = delimiter.clone();
         async move {
-            let kind = RequestKind::of(&request);
+            let line = RequestLine::of(&request);
             let response = handle(request, shared).await;
             let response = hold_token_until_sent(response, token);
-            Ok::<_, Infallible>(delimiter.prepare(&kind, response))
+            Ok::<_, Infallible>(delimiter.prepare(&line, response))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/http/src/close_delimited.rs
+++ b/crates/http/src/close_delimited.rs
@@ -21,16 +21,16 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What the framing of a response depends on, of its request.
+/// Method and version of a request, on which the framing of its response depends.
 #[derive(Debug, Clone)]
-pub struct RequestKind {
+pub struct RequestLine {
     method: Method,
     /// Responses to HTTP/1.0 have no chunks.
     version: Version,
 }
 
-impl RequestKind {
-    /// The kind of a request.
+impl RequestLine {
+    /// The method and version of this request.
     #[must_use]
     pub fn of<T>(request: &Request<T>) -> Self {
         Self {
@@ -58,7 +58,7 @@
     /// extension [`BodyFraming::ConnectionClose`] is sent without framing of its own; if a response
     /// ends with its connection and is broken off, the connection is reset.
     #[must_use]
-    pub fn prepare(&self, request: &RequestKind, mut response: Response<Body>) -> Response<Body> {
+    pub fn prepare(&self, request: &RequestLine, mut response: Response<Body>) -> Response<Body> {
         if !has_body(&request.method, response.status()) {
             return response;
         }
@@ -70,7 +70,8 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        let has_no_length = response.body().size_hint().exact().is_none();
+        let body = response.body();
+        let has_no_length = body.size_hint().exact().is_none() && !body.is_end_stream();
         let has_no_framing = request.version == Version::HTTP_10 && has_no_length;
         if !is_unframed && !has_no_framing {
             return response;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
 pub use client::{HttpClient, Reply};
-pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestKind};
+pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use error::HttpError;
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use framing::BodyFraming;
