The body of a rejection is not waited for

Found while looking at unframed answers. An attempt whose instance rejected the request read the rejection's body up to the request's deadline before the next attempt began, only to keep the connection. A body without an end, with chunks or without framing, took the request's whole time: 2.53 s until the refusal in the test, whose deadline is 2.5 s.

The connection is closed if the body has not arrived within 100 ms, and at once if the body ends with it.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -33,6 +33,9 @@
 /// Added to the deadline so that a response that the instance sends at the deadline still
 /// arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
+/// Timeout for the body of a response that is not relayed, such as a rejection.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Outcome of an attempt.
 pub(crate) enum AttemptOutcome {
     /// The response to relay.
@@ -125,7 +128,7 @@
                 }
                 Some(not_sent) => {
                     let body = response.into_body();
-                    reuse_connection(shared, upstream, body, response_deadline).await;
+                    reuse_connection(shared, upstream, body).await;
                     let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
                     let Some(next) = next.await else {
                         flight.not_run(None, None);
@@ -171,10 +174,14 @@
     }
 }
 
-/// Returns a connection to the pool after the short body of a response that is not relayed.
-async fn reuse_connection(shared: &Shared, upstream: Upstream, body: Incoming, deadline: Instant) {
+/// Returns a connection to the pool after the body of a response that is not relayed. Closes the
+/// connection if the body ends with it or takes longer than another connection is worth.
+async fn reuse_connection(shared: &Shared, upstream: Upstream, body: Incoming) {
+    if !upstream.is_reusable() {
+        return;
+    }
     let drained = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    if let Ok(Ok(_)) = tokio::time::timeout_at(deadline, drained).await {
+    if let Ok(Ok(_)) = tokio::time::timeout(UNUSED_BODY_TIMEOUT, drained).await {
         shared.pool.put_back(upstream);
     }
 }
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -60,7 +60,7 @@
         }
         if metadata.not_run || metadata.misdirected {
             self.flight.not_run(Some(head.status.as_u16()), backoff);
-            reuse_connection(shared, self.upstream, body, self.deadline).await;
+            reuse_connection(shared, self.upstream, body).await;
             return AttemptOutcome::NotRun;
         }
         if !metadata.genuine || metadata.promises_not_run {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -70,6 +70,11 @@
         self.ends_with_response = framing == BodyFraming::ConnectionClose;
     }
 
+    /// Whether the connection may carry another request after the present response.
+    pub(crate) fn is_reusable(&self) -> bool {
+        !self.ends_with_response && !self.sender.is_closed()
+    }
+
     /// Applies the idle timeout of a `keep-alive` header.
     pub(crate) fn apply_keep_alive(&mut self, headers: &HeaderMap) {
         let stated = headers
@@ -112,7 +117,7 @@
 
     /// Returns a connection to the pool after a complete response.
     pub(crate) fn put_back(&self, mut upstream: Upstream) {
-        if upstream.ends_with_response || upstream.sender.is_closed() {
+        if !upstream.is_reusable() {
             return;
         }
         upstream.last_used_at = Instant::now();
