--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -38,6 +38,8 @@
     ended: bool,
     id: String,
     content: Digest,
+    /// Identities of the prompt's first parts, for records.
+    parts: Vec<u64>,
     model: String,
     /// The requested model; `None` for services without models.
     model_request: Option<ModelRequest>,
@@ -47,6 +49,9 @@
     forwarder: Option<InFlightGuard>,
 }
 
+/// Maximum number of a prompt's parts that a record names.
+const MAX_RECORDED_PARTS: usize = 16;
+
 /// Key of the demand that is counted for the request, and the objective after which a response
 /// is late.
 struct ModelRequest {
@@ -116,6 +121,11 @@
     }
 }
 
+fn first_parts(shape: &PromptShape) -> Vec<u64> {
+    let parts = shape.parts.iter().take(MAX_RECORDED_PARTS);
+    parts.map(|part| part.id).collect()
+}
+
 pub(crate) fn millis(length: Duration) -> u64 {
     u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
 }
@@ -186,6 +196,7 @@
             ended: false,
             id: admitted.metadata.id.clone(),
             content: admitted.content,
+            parts: first_parts(shape),
             model: shape.model.clone(),
             model_request: ModelRequest::of(admitted),
             is_stream: admitted.route.kind == RequestKind::Streaming,
@@ -197,6 +208,10 @@
         &self.id
     }
 
+    fn recorded_parts(&self) -> Vec<String> {
+        self.parts.iter().map(|part| format!("{part:x}")).collect()
+    }
+
     pub(crate) fn instance(&self) -> &RunnerId {
         &self.candidate.instance
     }
@@ -340,6 +355,10 @@
         emit(&RequestRecord::Ended {
             id: &self.id,
             content: (is_complete != Some(true)).then(|| self.content.short()),
+            parts: match is_complete {
+                Some(true) => Vec::new(),
+                Some(false) | None => self.recorded_parts(),
+            },
             model: &self.model,
             instance: self.candidate.instance.as_str(),
             status: self.status,
@@ -395,6 +414,7 @@
         emit(&RequestRecord::Failed {
             id: &self.id,
             content: self.content.short(),
+            parts: self.recorded_parts(),
             instance: self.candidate.instance.as_str(),
             problem,
             after_ms: millis(self.arrived.elapsed()),
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -105,6 +105,8 @@
         id: &'a str,
         /// Digest of the request's content.
         content: String,
+        /// Identities of the prompt's parts in order, in hexadecimal digits.
+        parts: Vec<String>,
         instance: &'a str,
         problem: &'a str,
         after_ms: u64,
@@ -145,6 +147,9 @@
         id: &'a str,
         /// Digest of the request's content; absent if the response was complete.
         content: Option<String>,
+        /// Identities of the prompt's parts in order, in hexadecimal digits; empty if the response
+        /// was complete.
+        parts: Vec<String>,
         model: &'a str,
         instance: &'a str,
         status: u16,
