--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -134,7 +134,12 @@
     ended
 }
 
-fn report_router_event(router: &str, session_number: u64, update: RouterUpdate, shared: &Shared) {
+fn report_router_event(
+    router: &str,
+    session_number: u64,
+    update: RouterUpdate,
+    shared: &Arc<Shared>,
+) {
     let router = router.to_owned();
     let report = RelayedReport {
         router,
@@ -174,7 +179,7 @@
     mut receiver: Receiver,
     router: &str,
     session_number: u64,
-    shared: &Shared,
+    shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
         if let Message::ServiceReport(ReportMessage::Compare(known)) = message {
@@ -282,7 +287,7 @@
     mut receiver: Receiver,
     connection: u64,
     answers: mpsc::Sender<Message>,
-    shared: &Shared,
+    shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
     while let Some(message) = receiver.receive().await? {
         let Message::RelayedReports(reports) = message else {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -66,6 +66,7 @@
 use snafu::{OptionExt, ResultExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
@@ -127,6 +128,8 @@
     loads: Mutex<LoadLedger>,
     /// Request contents during which instances ended, while this member leads.
     quarantine: Mutex<QuarantineLedger>,
+    /// Whether terminations are attributed in a moment.
+    is_attribution_pending: AtomicBool,
     /// Routers that forward requests of other routers, while this member leads.
     forwarders: Mutex<ForwarderDirectory>,
 }
@@ -367,6 +370,7 @@
             limits: Mutex::default(),
             loads: Mutex::default(),
             quarantine: Mutex::default(),
+            is_attribution_pending: AtomicBool::new(false),
             forwarders: Mutex::default(),
             settings,
         });
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -147,14 +147,15 @@
     },
     /// Instances are gone: they terminated, or did not register in time.
     InstancesGone { instances: &'a [String] },
-    /// The state of a request content during which instances ended has changed.
+    /// The state of a fingerprint of requests under which instances ended has changed.
     Quarantine {
+        /// The fingerprint.
         content: String,
         change: &'a str,
         /// Number of instances that ended during it.
         ends: Option<usize>,
     },
-    /// The quarantined contents were recorded in the log, or this failed.
+    /// The quarantined fingerprints were recorded in the log, or this failed.
     QuarantineRecorded {
         contents: usize,
         problem: Option<&'a str>,
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -16,10 +16,11 @@
     QuotaVerdict, RelayedReport, ReportMessage, ReservationChange, ReservationEvent, RouterUpdate,
 };
 use courseshunt_types::RunnerId;
+use std::sync::Arc;
 
 /// Handles a report of a router that subscribes here: applies it if this member leads, otherwise
 /// queues it for the leader.
-pub(crate) fn handle_local(report: RelayedReport, shared: &Shared) {
+pub(crate) fn handle_local(report: RelayedReport, shared: &Arc<Shared>) {
     if !*shared.leading.borrow() {
         shared.upstream.enqueue(report);
         return;
@@ -34,7 +35,7 @@
 pub(crate) fn handle(
     report: RelayedReport,
     path: FeedPath,
-    shared: &Shared,
+    shared: &Arc<Shared>,
 ) -> Option<FeedMessage> {
     let RelayedReport {
         router,
@@ -71,7 +72,7 @@
     shared.quotas().router_lost(router, shared.clock.now());
 }
 
-fn handle_report(router: &str, report: ReportMessage, shared: &Shared) -> Option<FeedMessage> {
+fn handle_report(router: &str, report: ReportMessage, shared: &Arc<Shared>) -> Option<FeedMessage> {
     match report {
         ReportMessage::Usage {
             configuration,
@@ -97,7 +98,7 @@
             return limits::handle_report(router, &reports, &queries, shared);
         }
         ReportMessage::Ends { ends, answered } => {
-            quarantine::handle_report(&ends, answered, shared)
+            quarantine::handle_report(&ends, &answered, shared)
         }
         ReportMessage::InstanceLoads { samples, pauses } => {
             loads::handle_report(router, &samples, &pauses, shared);
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -15,7 +15,7 @@
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
 use courseshunt_services::{
-    LimitedRequest, RequestContent, ReservationTerms, Route, RouteTable, Tenant,
+    Fingerprints, LimitedRequest, RequestContent, ReservationTerms, Route, RouteTable, Tenant,
 };
 use courseshunt_types::{Digest, Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -91,7 +91,7 @@
             reason: denial.refusal.reason(),
             may_have_run: false,
             status: denial.refusal.status().as_u16(),
-            content: resolved.content.as_ref().map(Digest::short),
+            content: resolved.quarantined.as_ref().map(Digest::short),
             after_ms: crate::flight::millis(arrived.elapsed()),
             retry_after_ms: Some(denial.retry_after.0),
             reserved: denial.is_reserved,
@@ -111,8 +111,8 @@
     route: Option<Arc<Route>>,
     tenant: Option<Arc<Tenant>>,
     units: Option<u32>,
-    /// Set only if the request was denied because of this content.
-    content: Option<Digest>,
+    /// Set only if the request was denied because of this fingerprint.
+    quarantined: Option<Digest>,
 }
 
 async fn admit_parts(
@@ -154,11 +154,13 @@
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
     let uri = origin_form(&head.uri);
     let content = content_digest(&head, &uri, caller.as_ref(), &body);
-    if shared
+    let tenant = caller.as_ref().map(|caller| caller.tenant.name.as_str());
+    let fingerprints = Fingerprints::new(tenant, &service.name, &metadata.shape, content);
+    let quarantined = shared
         .quarantine
-        .is_quarantined(&content, shared.view.feed_age())
-    {
-        resolved.content = Some(content);
+        .quarantined_of(&fingerprints, shared.view.feed_age());
+    if quarantined.is_some() {
+        resolved.quarantined = quarantined;
         return Err(Denial {
             refusal: Refusal::Quarantined,
             retry_after: QUARANTINE_RETRY_AFTER,
@@ -172,7 +174,7 @@
         .count_arrival(&service.name, &metadata.shape, route.objective, now);
     let priority = caller.as_ref().and_then(|caller| caller.tenant.priority);
     Ok(AdmittedRequest {
-        content,
+        fingerprints,
         target: uri,
         head,
         body,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -343,6 +343,8 @@
         if let Some(report) = shared.view.take_report(now, is_evidence) {
             sender.send(&Message::ServiceReport(report)).await?;
         }
+        // Answers that were not due yet.
+        report_ends(&mut sender, shared).await?;
         if let Some(report) = shared.quotas.take_report(now) {
             let report = ReportMessage::TenantUse(report);
             sender.send(&Message::ServiceReport(report)).await?;
@@ -396,7 +398,7 @@
     sender.send(&Message::ServiceReport(report)).await
 }
 
-/// Reports instances that ended while they had requests, and contents that were answered
+/// Reports instances that ended while they had requests, and fingerprints that were answered
 /// successfully.
 async fn report_ends(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
     let (ends, answered) = shared.quarantine.take_unsent();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,8 +11,8 @@
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
 use courseshunt_records::emit;
-use courseshunt_services::{Candidate, PromptShape, Pushback, RequestKind};
-use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
+use courseshunt_services::{Candidate, Fingerprints, PromptShape, Pushback, RequestKind};
+use courseshunt_types::{Millis, RunnerId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -27,6 +27,7 @@
     arrived: Instant,
     waited: Duration,
     first_part_after: Option<Duration>,
+    first_part_at: Option<Instant>,
     last_part_at: Option<Instant>,
     longest_pause: Duration,
     /// Longest pause that the route allows a stream, if this response is a stream whose pauses
@@ -37,7 +38,7 @@
     body: Option<ReceivedBody>,
     ended: bool,
     id: String,
-    content: Digest,
+    fingerprints: Fingerprints,
     /// Identities of the prompt's first parts, for records.
     parts: Vec<u64>,
     model: String,
@@ -52,6 +53,9 @@
 /// Maximum number of a prompt's parts that a record names.
 const MAX_RECORDED_PARTS: usize = 16;
 
+/// An instance that writes a response for this time has read the prompt without harm.
+const MIN_HARMLESS_RESPONSE: Duration = Duration::from_secs(1);
+
 /// Key of the demand that is counted for the request, and the objective after which a response
 /// is late.
 struct ModelRequest {
@@ -188,6 +192,7 @@
             arrived: admitted.arrived,
             waited,
             first_part_after: None,
+            first_part_at: None,
             last_part_at: None,
             longest_pause: Duration::ZERO,
             pause_objective: None,
@@ -195,7 +200,7 @@
             body: None,
             ended: false,
             id: admitted.metadata.id.clone(),
-            content: admitted.content,
+            fingerprints: admitted.fingerprints.clone(),
             parts: first_parts(shape),
             model: shape.model.clone(),
             model_request: ModelRequest::of(admitted),
@@ -208,6 +213,17 @@
         &self.id
     }
 
+    /// Fingerprints that may have ended the instance, if it has ended. A part of the prompt has been
+    /// read when the response begins; if it goes on from there, only the content as a whole may
+    /// still be the cause.
+    fn suspects(&self) -> Fingerprints {
+        let written = self.first_part_at.zip(self.last_part_at);
+        match written.is_some_and(|(first, last)| last - first >= MIN_HARMLESS_RESPONSE) {
+            true => Fingerprints::of_content(self.fingerprints.content()),
+            false => self.fingerprints.clone(),
+        }
+    }
+
     fn recorded_parts(&self) -> Vec<String> {
         self.parts.iter().map(|part| format!("{part:x}")).collect()
     }
@@ -272,6 +288,7 @@
             body.push(data);
         }
         let now = Instant::now();
+        self.first_part_at.get_or_insert(now);
         if let Some(previous) = self.last_part_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now - previous);
         }
@@ -320,12 +337,14 @@
             Some(BodyEnd::Complete) => {
                 self.end("answered", Some(true), None);
                 if (200..300).contains(&self.status) {
-                    self.shared.quarantine.record_success(self.content);
+                    let fingerprints = &self.fingerprints;
+                    let sent_at = self.started_at;
+                    self.shared.quarantine.record_success(fingerprints, sent_at);
                 }
             }
             Some(BodyEnd::Unknown) | None => {
                 self.end("ended_with_connection", None, None);
-                check_after_unknown_end(&self.shared, self.content, &self.candidate.instance);
+                check_after_unknown_end(&self.shared, self.suspects(), &self.candidate.instance);
             }
         }
         self.count_stream(self.longest_pause);
@@ -336,7 +355,7 @@
     pub(crate) fn truncated(&mut self, problem: &str) {
         self.end("broken", Some(false), Some(problem));
         self.suspect_instance();
-        check_after_break(&self.shared, self.content, &self.candidate.instance);
+        check_after_break(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
     /// Ends the flight: the response was not complete by the deadline.
@@ -345,7 +364,7 @@
         let last_pause = self.last_part_at.map(|at| at.elapsed()).unwrap_or_default();
         self.count_stream(self.longest_pause.max(last_pause));
         self.suspect_instance();
-        check_after_timeout(&self.shared, self.content, &self.candidate.instance);
+        check_after_timeout(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
     /// `is_complete` is `None` if this is unknown.
@@ -354,7 +373,7 @@
         self.shared.metrics.attempt(outcome);
         emit(&RequestRecord::Ended {
             id: &self.id,
-            content: (is_complete != Some(true)).then(|| self.content.short()),
+            content: (is_complete != Some(true)).then(|| self.fingerprints.content().short()),
             parts: match is_complete {
                 Some(true) => Vec::new(),
                 Some(false) | None => self.recorded_parts(),
@@ -398,13 +417,13 @@
     /// have run.
     pub(crate) fn connection_closed(&mut self, problem: &str) {
         self.failed(problem);
-        check_after_break(&self.shared, self.content, &self.candidate.instance);
+        check_after_break(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
     /// Ends the flight: there was no response by the deadline; the request may have run.
     pub(crate) fn timed_out(&mut self) {
         self.failed("its time is over");
-        check_after_timeout(&self.shared, self.content, &self.candidate.instance);
+        check_after_timeout(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
     /// Ends the flight: the attempt failed and the request may have run.
@@ -413,7 +432,7 @@
         self.shared.metrics.attempt("failed");
         emit(&RequestRecord::Failed {
             id: &self.id,
-            content: self.content.short(),
+            content: self.fingerprints.content().short(),
             parts: self.recorded_parts(),
             instance: self.candidate.instance.as_str(),
             problem,
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,12 +12,12 @@
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
 use crate::retry::RetryPermit;
-use crate::select::{select, wait_context};
+use crate::select::{quarantined_of, select, wait_context};
 use crate::waiting;
 use bytes::Bytes;
 use courseshunt_http::Body;
 use courseshunt_records::emit;
-use courseshunt_services::{RequestKind, Route, Service};
+use courseshunt_services::{Fingerprints, RequestKind, Route, Service};
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -42,8 +42,7 @@
     pub(crate) head: Parts,
     pub(crate) target: Uri,
     pub(crate) body: Bytes,
-    /// Digest of the content: see [`courseshunt_services::RequestContent`].
-    pub(crate) content: Digest,
+    pub(crate) fingerprints: Fingerprints,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) metadata: RequestMetadata,
@@ -296,7 +295,10 @@
         reason: refusal.reason(),
         may_have_run: refusal.may_have_run(),
         status: refusal.status().as_u16(),
-        content: (refusal == Refusal::Quarantined).then(|| admitted.content.short()),
+        content: quarantined_of(admitted, shared)
+            .filter(|_| refusal == Refusal::Quarantined)
+            .as_ref()
+            .map(Digest::short),
         after_ms: millis(admitted.arrived.elapsed()),
         retry_after_ms: (!refusal.may_have_run()).then_some(wait.0),
         attempts: history.count,
--- a/crates/gateway/src/quarantine_tracker.rs
+++ b/crates/gateway/src/quarantine_tracker.rs
@@ -1,4 +1,4 @@
-//! Detects which instances ended while they ran a request, and blocks requests whose content is
+//! Detects which instances ended while they ran a request, and blocks requests with a fingerprint
 //! in quarantine.
 //!
 //! Invariant: an instance counts as ended only if its address refuses connections soon after it
@@ -11,7 +11,9 @@
 use crate::records::RouterRecord;
 use crate::staleness::MAX_LEADER_SILENCE;
 use courseshunt_records::emit;
-use courseshunt_services::{InstanceEnd, InstanceState, RouterQuarantine};
+use courseshunt_services::{
+    AnsweredFingerprint, Fingerprints, InstanceEnd, InstanceState, RouterQuarantine,
+};
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::collections::HashMap;
@@ -30,13 +32,14 @@
 const RECHECK_PAUSE: Duration = Duration::from_millis(500);
 /// An instance whose responses end with their connections is probed no more often than this.
 const UNKNOWN_END_CHECK_INTERVAL: Millis = Millis(1_000);
-/// Maximum number of contents kept for an instance whose end is uncertain.
+/// Maximum number of requests kept for an instance whose end is uncertain.
 const MAX_WATCHED: usize = 64;
 
 /// A request whose response was broken off, or may have been.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct BrokenRequest {
-    content: Digest,
+    /// Fingerprints of the request that may be the cause if the instance has ended.
+    suspects: Fingerprints,
     at: Timestamp,
     /// Whether the response was certainly broken off. One that merely ended with its connection
     /// counts only if the first probes find that the instance has ended.
@@ -54,7 +57,7 @@
     Ended(&'static str),
 }
 
-/// Quarantined contents and the instances that are being checked.
+/// Quarantined fingerprints and the instances that are being checked.
 pub(crate) struct QuarantineTracker {
     clock: MonotonicClock,
     state: Mutex<RouterQuarantine>,
@@ -106,19 +109,23 @@
         self.clock.now()
     }
 
-    /// Whether requests with this content are blocked. `leader_silence` is the time since the
-    /// last message of a leader.
-    pub(crate) fn is_quarantined(&self, content: &Digest, leader_silence: Duration) -> bool {
-        self.state()
-            .is_quarantined(content, leader_silence <= MAX_LEADER_SILENCE)
+    /// The fingerprint because of which a request is blocked, if any. `leader_silence` is the time
+    /// since the last message of a leader.
+    pub(crate) fn quarantined_of(
+        &self,
+        fingerprints: &Fingerprints,
+        leader_silence: Duration,
+    ) -> Option<Digest> {
+        let has_leader = leader_silence <= MAX_LEADER_SILENCE;
+        self.state().quarantined_of(fingerprints.all(), has_leader)
     }
 
-    /// Number of contents in quarantine.
+    /// Number of fingerprints in quarantine.
     pub(crate) fn count(&self) -> usize {
         self.state().count()
     }
 
-    /// Applies the leader's lists of suspected and quarantined contents.
+    /// Applies the leader's lists of suspected and quarantined fingerprints.
     pub(crate) fn set(&self, suspected: Vec<Digest>, quarantined: Vec<Digest>) {
         emit(&RouterRecord::Quarantine {
             suspected: suspected.len(),
@@ -128,9 +135,10 @@
         self.report_due.notify_one();
     }
 
-    /// Records a complete and successful response.
-    pub(crate) fn record_success(&self, content: Digest) {
-        if self.state().answered(content, self.now()) {
+    /// Records a complete and successful response to a request that was sent at this time.
+    pub(crate) fn record_success(&self, fingerprints: &Fingerprints, sent_at: Timestamp) {
+        let now = self.now();
+        if self.state().answered(fingerprints.all(), sent_at, now) {
             self.report_due.notify_one();
         }
     }
@@ -142,7 +150,7 @@
     }
 
     /// Takes what has not been reported to the leader.
-    pub(crate) fn take_unsent(&self) -> (Vec<InstanceEnd>, Vec<Digest>) {
+    pub(crate) fn take_unsent(&self) -> (Vec<InstanceEnd>, Vec<AnsweredFingerprint>) {
         self.state().take_unreported(self.now())
     }
 
@@ -220,30 +228,36 @@
     fn record_end(&self, broken: BrokenRequest, instance: &RunnerId, evidence: &str) {
         emit(&RouterRecord::EndedUnder {
             instance: instance.as_str(),
-            content: broken.content.short(),
+            content: broken.suspects.content().short(),
+            fingerprints: broken.suspects.all().iter().map(Digest::short).collect(),
             sign: evidence,
         });
-        self.state()
-            .ended(broken.content, instance.clone(), broken.at);
+        let suspects = broken.suspects.all();
+        self.state().ended(suspects, instance.clone(), broken.at);
         self.report_due.notify_one();
     }
 }
 
-/// Records that an instance broke off a request with this content, and probes whether it ended.
-pub(crate) fn check_after_break(shared: &Arc<Shared>, content: Digest, instance: &RunnerId) {
+/// Records that an instance broke off a request with these fingerprints, and probes whether it
+/// ended.
+pub(crate) fn check_after_break(shared: &Arc<Shared>, suspects: Fingerprints, instance: &RunnerId) {
     let broken = BrokenRequest {
-        content,
+        suspects,
         at: shared.quarantine.now(),
         is_certain: true,
     };
     check(shared, broken, instance);
 }
 
-/// Records that the response to a request with this content ended with its connection, and probes
-/// whether the instance has ended. One that had said that it would end is no evidence, nor is an
+/// Records that the response to a request with these fingerprints ended with its connection, and
+/// probes whether the instance has ended. One that had said that it would end is no evidence, nor is an
 /// instance that was probed a moment ago: where all responses end so, a probe after each would cost
 /// as much as the requests.
-pub(crate) fn check_after_unknown_end(shared: &Arc<Shared>, content: Digest, instance: &RunnerId) {
+pub(crate) fn check_after_unknown_end(
+    shared: &Arc<Shared>,
+    suspects: Fingerprints,
+    instance: &RunnerId,
+) {
     let view = shared.view.instance(instance);
     let is_ready = view.is_some_and(|view| view.state == InstanceState::Ready);
     let now = shared.clock.now();
@@ -252,7 +266,7 @@
         return;
     }
     let broken = BrokenRequest {
-        content,
+        suspects,
         at: shared.quarantine.now(),
         is_certain: false,
     };
@@ -289,14 +303,14 @@
 /// Records that the deadline of a request passed at an instance. If the leader has reported by
 /// then that the instance is gone, it ended while it had the request, and the closing of the
 /// connection was lost on the link.
-pub(crate) fn check_after_timeout(shared: &Shared, content: Digest, instance: &RunnerId) {
+pub(crate) fn check_after_timeout(shared: &Shared, suspects: Fingerprints, instance: &RunnerId) {
     if shared.view.has_instance(instance) {
         return;
     }
     let tracker = &shared.quarantine;
     let at = tracker.now();
     let broken = BrokenRequest {
-        content,
+        suspects,
         at,
         is_certain: true,
     };
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -121,7 +121,7 @@
         reason: &'a str,
         may_have_run: bool,
         status: u16,
-        /// Digest of the request's content; only for quarantined requests.
+        /// The fingerprint in quarantine; only for quarantined requests.
         content: Option<String>,
         after_ms: u64,
         retry_after_ms: Option<u64>,
@@ -326,12 +326,15 @@
     /// An instance ended while it had a request with this content.
     EndedUnder {
         instance: &'a str,
+        /// Digest of the request's content.
         content: String,
+        /// Fingerprints of the request that may be the cause, from the broadest to the narrowest.
+        fingerprints: Vec<String>,
         /// `refused`: its address refuses connections; `another`: another instance answers
         /// there; `gone`: the leader reported it.
         sign: &'a str,
     },
-    /// The leader's lists of contents under which instances ended.
+    /// The leader's lists of fingerprints under which instances ended.
     Quarantine {
         suspected: usize,
         quarantined: Vec<String>,
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -13,7 +13,7 @@
 use crate::waiting::{self, WaitContext, WaitDecision, decide};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, SelectionRequest};
-use courseshunt_types::{Millis, RunnerId, Timestamp};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -101,7 +101,7 @@
         if shared.refusing_queued.is_cancelled() {
             return Err(SelectionFailure::stopping(history));
         }
-        if is_quarantined(admitted, shared) {
+        if quarantined_of(admitted, shared).is_some() {
             return Err(SelectionFailure::quarantined(history));
         }
         // After three attempts, all instances except for the last one that failed may be tried
@@ -179,11 +179,13 @@
     caller.is_none_or(|caller| is_key_valid(caller, shared))
 }
 
-fn is_quarantined(admitted: &AdmittedRequest, shared: &Shared) -> bool {
+/// The fingerprint because of which a request must not be sent, if any.
+pub(crate) fn quarantined_of(admitted: &AdmittedRequest, shared: &Shared) -> Option<Digest> {
     let leader_silence = shared.view.feed_age();
+    let fingerprints = &admitted.fingerprints;
     shared
         .quarantine
-        .is_quarantined(&admitted.content, leader_silence)
+        .quarantined_of(fingerprints, leader_silence)
 }
 
 /// Whether this router has lost its paths to all instances that hold the model, and no other
@@ -201,7 +203,7 @@
 
 /// Whether a request must not be sent after all, although an instance was selected for it.
 pub(crate) fn must_not_send(admitted: &AdmittedRequest, shared: &Shared) -> bool {
-    !is_caller_valid(admitted, shared) || is_quarantined(admitted, shared)
+    !is_caller_valid(admitted, shared) || quarantined_of(admitted, shared).is_some()
 }
 
 /// When a waiting request is evaluated again, unless the view changes before.
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -11,7 +11,7 @@
 use crate::forwarders::{Forwarder, ForwardingReport};
 use crate::instance::InstanceView;
 use crate::limit::{LimitAnswer, LimitQuery, LimitReport};
-use crate::quarantine::InstanceEnd;
+use crate::quarantine::{AnsweredFingerprint, InstanceEnd};
 use crate::quota::{QuotaAnswer, QuotaQuery, TenantAccountStatus, UseReport};
 use courseshunt_instance_load::{InstanceLoad, LoadSample, ModelPauses};
 use courseshunt_types::{Digest, Millis, RunnerId, Zone};
@@ -186,12 +186,12 @@
     Limits(Vec<LimitReport>),
     /// Answers to the queries of [`ReportMessage::Limits`].
     LimitAnswers(Vec<LimitAnswer>),
-    /// Contents of requests that ended instances. The lists are complete and replace those of
+    /// Fingerprints of requests that ended instances. The lists are complete and replace those of
     /// the message before.
     Quarantine {
-        /// Contents that are suspected; a router reports those that were answered.
+        /// Fingerprints that are suspected; a router reports those that were answered.
         suspected: Vec<Digest>,
-        /// Contents whose requests are sent to no instance.
+        /// Fingerprints whose requests are sent to no instance.
         quarantined: Vec<Digest>,
     },
     /// Load and speed of instances. An instance that is left out is unchanged.
@@ -262,12 +262,12 @@
     },
     /// Asks for the buckets in which the router's digests differ.
     Compare(InstanceDigests),
-    /// Observations about contents of requests that ended instances.
+    /// Observations about requests that ended instances.
     Ends {
         /// Instances that ended with a request of the router in flight.
         ends: Vec<InstanceEnd>,
-        /// Suspected contents whose requests were answered.
-        answered: Vec<Digest>,
+        /// Suspected fingerprints whose requests were answered.
+        answered: Vec<AnsweredFingerprint>,
     },
     /// Observations of load, speed and pauses since the last report.
     InstanceLoads {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -16,6 +16,7 @@
 mod decay;
 pub mod digest;
 pub mod feed;
+pub mod fingerprints;
 pub mod fleet_size;
 pub mod forwarders;
 pub mod instance;
@@ -46,6 +47,7 @@
     FeedMessage, InstanceUsage, MemberLocation, ModelDemand, RelayedReport, ReportMessage,
     RouterUpdate,
 };
+pub use fingerprints::Fingerprints;
 pub use fleet_size::FleetSize;
 pub use forwarders::{Forwarder, ForwarderDirectory, ForwardingReport};
 pub use instance::{CachedWeights, InstanceState, InstanceView, Registration, ResidentModel};
@@ -61,7 +63,7 @@
 };
 pub use quarantine::ledger::{QuarantineChange, QuarantineLedger};
 pub use quarantine::local::RouterQuarantine;
-pub use quarantine::{InstanceEnd, QuarantinedContent};
+pub use quarantine::{AnsweredFingerprint, InstanceEnd, QuarantinedContent};
 pub use quota::ledger::QuotaLedger;
 pub use quota::local::{QuotaStep, RouterQuotas};
 pub use quota::{
--- /dev/null
+++ b/crates/services/src/quarantine/attribution.rs
@@ -0,0 +1,277 @@
+//! Attribution of terminations to fingerprints: which ones explain that instances terminate.
+//!
+//! Invariant: a fingerprint that is blamed explains at least [`MAX_ENDS`] terminations that no
+//! other blamed fingerprint explains, or contains several that do.
+//!
+//! All requests in flight at a terminated instance are suspects with all their fingerprints, and
+//! those of a harmful request are shared by harmless ones. The rules:
+//!
+//! - A termination is explained once one of the fingerprints in flight there is blamed, and does
+//!   not count against any other.
+//! - Of two fingerprints of the same requests the narrower one is blamed first: it blocks fewer
+//!   requests. The broader one follows if terminations go on without the narrower one.
+//! - As long as a narrower fingerprint is suspected, a broader one needs more terminations: several
+//!   harmful parts may share a harmless one.
+//! - Of unrelated fingerprints that which explains most terminations is blamed, then that of the
+//!   fewest requests. A wrong choice is corrected by the next termination.
+
+use super::evidence::Evidence;
+use super::{MAX_ENDS, SUSPECTED_ENDS, count_ends};
+use courseshunt_types::{Digest, Timestamp};
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+/// Number of terminations after which a fingerprint is blamed although a narrower one within it is
+/// suspected.
+const MAX_BROAD_ENDS: usize = 5;
+/// Number of blamed fingerprints after which a broader one that contains them is blamed instead.
+const MAX_BLAMED_WITHIN: usize = 3;
+/// Maximum number of fingerprints that are compared with each other; those with most terminations.
+const MAX_CANDIDATES: usize = 64;
+
+/// What is known of a fingerprint from before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// Nothing.
+    New,
+    /// It is in quarantine for good reasons, and explains terminations.
+    Quarantined,
+    /// It is sent again after a quarantine: one more termination suffices.
+    Retried,
+}
+
+/// A fingerprint that terminations are attributed to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Blamed {
+    pub(super) fingerprint: Digest,
+    /// Number of terminations that count against it.
+    pub(super) ends: usize,
+    /// Time of the newest one.
+    pub(super) last_end: Timestamp,
+}
+
+/// Result of an attribution.
+#[derive(Debug, Default)]
+pub(super) struct Attribution {
+    /// Fingerprints that explain the terminations.
+    pub(super) blamed: Vec<Blamed>,
+    /// Fingerprints against which several terminations count, those with most first.
+    pub(super) suspected: Vec<Digest>,
+}
+
+/// A request in flight at a terminated instance, and the place of a fingerprint in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Occurrence {
+    request: usize,
+    place: usize,
+}
+
+/// A fingerprint that was in flight at terminated instances.
+#[derive(Debug)]
+struct Candidate {
+    fingerprint: Digest,
+    standing: Standing,
+    /// Indexes of the terminations that count against it, in order.
+    ends: Vec<usize>,
+    /// Where it occurs, in the order of the requests; terminations that do not count included.
+    occurrences: Vec<Occurrence>,
+}
+
+impl Candidate {
+    fn required_ends(&self) -> usize {
+        match self.standing {
+            Standing::Retried => 1,
+            Standing::New | Standing::Quarantined => MAX_ENDS,
+        }
+    }
+
+    /// Whether it occurs behind the other one in requests that hold both, and most of its requests
+    /// do.
+    fn is_within(&self, other: &Self) -> bool {
+        let mut others = other.occurrences.iter().peekable();
+        let mut shared = 0;
+        let mut behind = 0;
+        for own in &self.occurrences {
+            while others.next_if(|one| one.request < own.request).is_some() {}
+            if let Some(one) = others.peek().filter(|one| one.request == own.request) {
+                shared += 1;
+                behind += usize::from(own.place > one.place);
+            }
+        }
+        shared * 2 >= self.occurrences.len() && behind * 2 > shared
+    }
+
+    fn contains_ends(&self, other: &Self) -> bool {
+        let mut ends = other.ends.iter();
+        ends.all(|end| self.ends.binary_search(end).is_ok())
+    }
+}
+
+/// The terminations, and which of them are explained.
+struct Terminations {
+    times: Vec<Timestamp>,
+    explained: Vec<bool>,
+}
+
+impl Terminations {
+    fn count(&self, candidate: &Candidate) -> usize {
+        count_ends(candidate.ends.iter().map(|end| self.times[*end]))
+    }
+
+    fn count_unexplained(&self, candidate: &Candidate) -> usize {
+        let unexplained = candidate.ends.iter().filter(|end| !self.explained[**end]);
+        count_ends(unexplained.map(|end| self.times[*end]))
+    }
+
+    fn has_unexplained(&self, candidate: &Candidate) -> bool {
+        candidate.ends.iter().any(|end| !self.explained[*end])
+    }
+
+    fn explain(&mut self, candidate: &Candidate) {
+        for end in &candidate.ends {
+            self.explained[*end] = true;
+        }
+    }
+}
+
+/// Attributes the terminations to fingerprints. `standing` is what is known of them from before.
+pub(super) fn attribute(
+    evidence: &Evidence,
+    standing: impl Fn(&Digest) -> Standing,
+) -> Attribution {
+    let times: Vec<Timestamp> = evidence.terminated().map(|one| one.at).collect();
+    let explained = vec![false; times.len()];
+    let mut terminations = Terminations { times, explained };
+    let candidates = candidates(evidence, standing, &terminations);
+    let suspected = candidates.iter();
+    let suspected = suspected.filter(|one| terminations.count(one) >= SUSPECTED_ENDS);
+    let suspected = suspected.map(|one| one.fingerprint).collect();
+    let mut blamed: Vec<&Candidate> = Vec::new();
+    for one in &candidates {
+        if one.standing == Standing::Quarantined {
+            terminations.explain(one);
+            blamed.push(one);
+        }
+    }
+    while let Some(next) = next_blamed(&candidates, &blamed, &terminations) {
+        terminations.explain(next);
+        blamed.push(next);
+    }
+    let is_redundant = |one: &Candidate| {
+        let mut broader = blamed.iter().filter(|other| !std::ptr::eq(**other, one));
+        broader.any(|other| other.contains_ends(one) && one.is_within(other))
+    };
+    let blamed = blamed.iter();
+    let blamed = blamed.filter(|one| one.standing != Standing::Quarantined && !is_redundant(one));
+    let blamed = blamed.map(|one| Blamed {
+        fingerprint: one.fingerprint,
+        ends: terminations.count(one),
+        last_end: one
+            .ends
+            .iter()
+            .map(|end| terminations.times[*end])
+            .max()
+            .unwrap_or_default(),
+    });
+    Attribution {
+        blamed: blamed.collect(),
+        suspected,
+    }
+}
+
+/// Fingerprints against which terminations count, those with most first.
+fn candidates(
+    evidence: &Evidence,
+    standing: impl Fn(&Digest) -> Standing,
+    terminations: &Terminations,
+) -> Vec<Candidate> {
+    let mut candidates: HashMap<Digest, Candidate> = HashMap::new();
+    let mut request_index = 0;
+    for (end, terminated) in evidence.terminated().enumerate() {
+        for request in &terminated.requests {
+            for (place, fingerprint) in request.iter().enumerate() {
+                let candidate = candidates.entry(*fingerprint);
+                let candidate = candidate.or_insert_with(|| Candidate {
+                    fingerprint: *fingerprint,
+                    standing: standing(fingerprint),
+                    ends: Vec::new(),
+                    occurrences: Vec::new(),
+                });
+                candidate.occurrences.push(Occurrence {
+                    request: request_index,
+                    place,
+                });
+                let is_new = candidate.ends.last() != Some(&end);
+                if is_new && evidence.counts(fingerprint, terminated.at) {
+                    candidate.ends.push(end);
+                }
+            }
+            request_index += 1;
+        }
+    }
+    let candidates = candidates.into_values();
+    let mut candidates: Vec<(usize, Candidate)> = candidates
+        .map(|one| (terminations.count(&one), one))
+        .filter(|(count, one)| *count >= one.required_ends().min(SUSPECTED_ENDS))
+        .collect();
+    candidates.sort_by_key(|(count, one)| {
+        let requests = one.occurrences.len();
+        (Reverse(*count), requests, one.fingerprint)
+    });
+    candidates.into_iter().map(|(_, one)| one).collect()
+}
+
+/// The fingerprint that is blamed next, if any.
+fn next_blamed<'a>(
+    candidates: &'a [Candidate],
+    blamed: &[&Candidate],
+    terminations: &Terminations,
+) -> Option<&'a Candidate> {
+    let is_blamed = |one: &Candidate| {
+        let mut blamed = blamed.iter();
+        blamed.any(|other| other.fingerprint == one.fingerprint)
+    };
+    let may_contain_several = |one: &Candidate| {
+        blamed.len() >= MAX_BLAMED_WITHIN && one.ends.len() >= MAX_BLAMED_WITHIN * MAX_ENDS
+    };
+    let mut open: Vec<(&Candidate, usize)> = candidates
+        .iter()
+        .filter(|one| terminations.has_unexplained(one) || may_contain_several(one))
+        .filter(|one| !is_blamed(one))
+        .map(|one| (one, terminations.count_unexplained(one)))
+        .collect();
+    open.sort_by_key(|(_, ends)| Reverse(*ends));
+    open.truncate(MAX_CANDIDATES);
+    let conclusive = open.iter().filter(|(one, ends)| {
+        let enough = *ends >= one.required_ends();
+        enough || contains_several(one, blamed)
+    });
+    let conclusive: Vec<&(&Candidate, usize)> = conclusive.collect();
+    let may_be_blamed = conclusive.iter().filter(|(one, ends)| {
+        let mut narrower = conclusive.iter().filter(|(other, _)| other.is_within(one));
+        if narrower.next().is_some() {
+            return false;
+        }
+        let mut suspected = open.iter().filter(|(_, ends)| *ends >= SUSPECTED_ENDS);
+        let is_ambiguous = suspected.any(|(other, _)| other.is_within(one));
+        !is_ambiguous || *ends >= MAX_BROAD_ENDS || contains_several(one, blamed)
+    });
+    let chosen = may_be_blamed.max_by_key(|(one, ends)| {
+        let requests = one.occurrences.len();
+        (*ends, Reverse(requests), Reverse(one.fingerprint))
+    });
+    chosen.map(|(one, _)| *one)
+}
+
+/// Whether several blamed fingerprints lie within this one, so that it may be the cause of all.
+fn contains_several(candidate: &Candidate, blamed: &[&Candidate]) -> bool {
+    let within: Vec<&&Candidate> = blamed
+        .iter()
+        .filter(|one| candidate.contains_ends(one) && one.is_within(candidate))
+        .collect();
+    let outermost = within.iter().filter(|one| {
+        let mut others = within.iter();
+        !others.any(|other| one.is_within(other))
+    });
+    outermost.count() >= MAX_BLAMED_WITHIN
+}
--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -1,61 +1,45 @@
-//! The leader's side: instances that terminated while running each content, over all routers.
+//! The leader's side: instances that terminated with requests in flight, over all routers, and the
+//! fingerprints in quarantine.
 //!
-//! Invariant: a content with [`MAX_ENDS`] different terminated instances, not all at the same time
-//! and without an answer since, is in quarantine. After the time of its quarantine it is sent
-//! again; one more termination puts it back in quarantine, for a longer time.
+//! Invariant: a fingerprint that explains the terminations ([`attribution`](super::attribution)) is
+//! in quarantine. After the time of its quarantine it is sent again; one more termination puts it
+//! back in quarantine, for a longer time.
 //!
-//! Memory: the numbers of contents are bounded; the oldest are evicted first.
+//! Memory: the numbers of requests and of fingerprints are bounded; the oldest are evicted first.
 
-use super::{InstanceEnd, MAX_ENDS, QuarantinedContent, RETENTION, SUSPECTED_ENDS, count_ends};
-use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
-use std::collections::BTreeMap;
+use super::attribution::{Blamed, Standing, attribute};
+use super::evidence::Evidence;
+use super::{AnsweredFingerprint, InstanceEnd, QuarantinedContent};
+use courseshunt_types::{Digest, Millis, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Largest number of suspected contents: the requests in flight at a third of a large fleet that
-/// terminates at once.
-const MAX_SUSPECTS: usize = 16_384;
-/// Largest number of contents in quarantine; each router is sent all of them.
+/// Largest number of fingerprints in quarantine; each router is sent all of them.
 const MAX_QUARANTINED: usize = 256;
-/// Largest number of suspected contents that routers are notified of.
+/// Largest number of suspected fingerprints that routers are notified of.
 const MAX_NOTIFIED: usize = 256;
-/// Length of the first quarantine. Each further one of the same content is longer by
+/// Length of the first quarantine. Each further one of the same fingerprint is longer by
 /// [`QUARANTINE_FACTOR`], so that at most three attempts fall into one day.
 const FIRST_QUARANTINE: Millis = Millis(3_600_000);
 const QUARANTINE_FACTOR: u64 = 4;
-/// Factor by which a content that was in quarantine before is retained longer.
-const REPEATED_RETENTION_FACTOR: u64 = 24;
+/// Time for which a fingerprint is sent again before its earlier quarantines are forgotten.
+const RETRY_RETENTION: Millis = Millis(24 * 3_600_000);
 /// Largest exponent of [`QUARANTINE_FACTOR`], after which the time grows no more.
 const MAX_FACTOR_EXPONENT: u32 = 6;
+/// A quarantine that has lasted this long holds without the evidence for it. A younger one ends if
+/// the terminations are explained otherwise.
+const SETTLING_TIME: Millis = Millis(60_000);
+/// Evidence is searched for old terminations no more often than this.
+const CLEANING_INTERVAL: Millis = Millis(10_000);
 
-/// A content with terminated instances.
-#[derive(Debug, Default)]
-struct Suspect {
-    /// When each instance terminated.
-    ended: BTreeMap<RunnerId, Timestamp>,
-    last_at: Timestamp,
-    /// Terminations that are credited after an earlier quarantine, so that fewer are needed for
-    /// the next one.
-    credited_ends: usize,
-    times: u32,
-}
-
-impl Suspect {
-    fn ends(&self) -> usize {
-        count_ends(self.ended.values().copied()) + self.credited_ends
-    }
-
-    /// Time for which it is retained after the last termination.
-    fn retention(&self) -> Millis {
-        match self.times {
-            0 => RETENTION,
-            _ => Millis(RETENTION.0 * REPEATED_RETENTION_FACTOR),
-        }
-    }
-}
-
+/// A fingerprint in quarantine.
 #[derive(Debug)]
 struct Quarantined {
     since: Timestamp,
     times: u32,
+    /// The newest termination that counted.
+    last_end: Timestamp,
+    /// Whether it holds without the evidence for it.
+    is_settled: bool,
 }
 
 impl Quarantined {
@@ -65,147 +49,220 @@
     }
 }
 
-/// Change of a content's state.
+/// A fingerprint that is sent again after a quarantine.
+#[derive(Debug)]
+struct Retried {
+    since: Timestamp,
+    times: u32,
+}
+
+/// Change of a fingerprint's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
-    /// The content is in quarantine from now on.
+    /// The fingerprint is in quarantine from now on.
     Started {
-        /// The content.
-        content: Digest,
+        /// The fingerprint.
+        fingerprint: Digest,
         /// Number of terminations that were counted.
         ends: usize,
     },
-    /// The content was answered, and all its terminations were cleared.
+    /// The fingerprint is no longer in quarantine: a request with it was answered, or the
+    /// terminations are explained by another one.
     Cleared {
-        /// The content.
-        content: Digest,
+        /// The fingerprint.
+        fingerprint: Digest,
     },
-    /// The quarantine is over, and the content may be sent again.
+    /// The quarantine is over, and the fingerprint may be sent again.
     Retrying {
-        /// The content.
-        content: Digest,
+        /// The fingerprint.
+        fingerprint: Digest,
     },
 }
 
-/// Suspected and quarantined contents. See the module documentation.
+/// Suspected and quarantined fingerprints. See the module documentation.
 #[derive(Debug, Default)]
 pub struct QuarantineLedger {
-    suspects: BTreeMap<Digest, Suspect>,
+    evidence: Evidence,
     quarantined: BTreeMap<Digest, Quarantined>,
+    retried: BTreeMap<Digest, Retried>,
+    /// Suspected ones, as of the last attribution.
+    suspected: Vec<Digest>,
+    /// Whether there is something that has not been attributed.
+    is_attribution_due: bool,
     changes: Vec<QuarantineChange>,
-    /// Whether the contents for routers have changed.
-    contents_changed: bool,
+    /// What routers were sent last.
+    published: (Vec<Digest>, Vec<Digest>),
+    cleaned_at: Timestamp,
 }
 
 impl QuarantineLedger {
-    /// Restores the durably stored contents; the time of their quarantines starts again.
+    /// Restores the durably stored fingerprints; the time of their quarantines starts again.
     pub fn restore(&mut self, recorded: &[QuarantinedContent], now: Timestamp) {
         for one in recorded {
-            let times = one.times;
-            let entry = Quarantined { since: now, times };
+            let entry = Quarantined {
+                since: now,
+                times: one.times,
+                last_end: now,
+                is_settled: true,
+            };
             self.quarantined.entry(one.content).or_insert(entry);
         }
-        self.contents_changed = true;
     }
 
-    /// Counts the termination of an instance that had a request of this content in flight. A
-    /// termination that several routers report counts once.
-    pub fn ended(&mut self, end: &InstanceEnd, now: Timestamp) {
-        if self.quarantined.contains_key(&end.content) {
-            return;
-        }
-        self.evict(&end.content);
-        let suspect = self.suspects.entry(end.content).or_default();
-        if suspect.ended.contains_key(&end.instance) {
-            return;
-        }
-        suspect.ended.insert(end.instance.clone(), now - end.age);
-        suspect.last_at = now;
-        let ends = suspect.ends();
-        if ends >= MAX_ENDS {
-            self.quarantine(end.content, ends, now);
-        } else if ends >= SUSPECTED_ENDS {
-            self.contents_changed = true;
-        }
+    /// Adds a request that was in flight at an instance that terminated; returns whether this is
+    /// new, so that [`Self::attribute`] has to follow.
+    pub fn ended(&mut self, end: &InstanceEnd, now: Timestamp) -> bool {
+        let at = now - end.age;
+        let is_new = self.evidence.add(&end.fingerprints, &end.instance, at);
+        self.is_attribution_due |= is_new;
+        is_new
     }
 
-    fn quarantine(&mut self, content: Digest, ends: usize, now: Timestamp) {
-        let suspect = self.suspects.remove(&content).unwrap_or_default();
-        if self.quarantined.len() >= MAX_QUARANTINED {
-            let oldest = self.quarantined.iter().min_by_key(|(_, one)| one.since);
-            let oldest = oldest.map(|(content, _)| *content);
-            oldest.map(|content| self.quarantined.remove(&content));
+    /// Records that a router has a complete answer to a request with a fingerprint that it was
+    /// notified of; returns whether [`Self::attribute`] has to follow.
+    pub fn answered(&mut self, answer: &AnsweredFingerprint, now: Timestamp) -> bool {
+        let fingerprint = answer.fingerprint;
+        let sent_at = now - answer.sent_age;
+        let (suspected, quarantined) = &self.published;
+        if !suspected.contains(&fingerprint) && !quarantined.contains(&fingerprint) {
+            return false;
         }
-        let times = suspect.times + 1;
-        let entry = Quarantined { since: now, times };
-        self.quarantined.insert(content, entry);
-        let started = QuarantineChange::Started { content, ends };
-        self.changes.push(started);
-        self.contents_changed = true;
+        let is_latest = self.evidence.answered(fingerprint, sent_at);
+        let proves_harmless = |one: &Quarantined| one.is_settled && sent_at > one.last_end;
+        if self
+            .quarantined
+            .get(&fingerprint)
+            .is_some_and(proves_harmless)
+        {
+            self.quarantined.remove(&fingerprint);
+            self.changes.push(QuarantineChange::Cleared { fingerprint });
+        }
+        self.retried.remove(&fingerprint);
+        self.is_attribution_due |= is_latest;
+        is_latest
     }
 
-    fn evict(&mut self, content: &Digest) {
-        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(content) {
+    /// Attributes the terminations to fingerprints, and starts and ends quarantines accordingly.
+    pub fn attribute(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.is_attribution_due) {
             return;
         }
-        let suspects = self.suspects.iter();
-        let oldest =
-            suspects.min_by_key(|(_, one)| (one.ended.len() + one.credited_ends, one.last_at));
-        if let Some(oldest) = oldest.map(|(content, _)| *content) {
-            self.suspects.remove(&oldest);
+        let standing = |fingerprint: &Digest| {
+            let quarantined = self.quarantined.get(fingerprint);
+            if quarantined.is_some_and(|one| one.is_settled) {
+                return Standing::Quarantined;
+            }
+            let is_repeated = quarantined.is_some_and(|one| one.times > 1);
+            match is_repeated || self.retried.contains_key(fingerprint) {
+                true => Standing::Retried,
+                false => Standing::New,
+            }
+        };
+        let attribution = attribute(&self.evidence, standing);
+        self.suspected = attribution.suspected;
+        self.end_unexplained(&attribution.blamed);
+        for blamed in &attribution.blamed {
+            self.quarantine(blamed, now);
         }
     }
 
-    /// Records that a router has an answer to a content, and clears the content.
-    pub fn answered(&mut self, content: Digest) {
-        let suspected = self.suspects.remove(&content).is_some();
-        let quarantined = self.quarantined.remove(&content).is_some();
-        if suspected || quarantined {
-            self.changes.push(QuarantineChange::Cleared { content });
-            self.contents_changed = true;
+    /// Ends the quarantines that are not settled and that the evidence does not support any more.
+    fn end_unexplained(&mut self, blamed: &[Blamed]) {
+        let changes = &mut self.changes;
+        self.quarantined.retain(|fingerprint, one| {
+            let mut blamed = blamed.iter();
+            let holds = one.is_settled || blamed.any(|blamed| blamed.fingerprint == *fingerprint);
+            if !holds {
+                let fingerprint = *fingerprint;
+                changes.push(QuarantineChange::Cleared { fingerprint });
+            }
+            holds
+        });
+    }
+
+    fn quarantine(&mut self, blamed: &Blamed, now: Timestamp) {
+        let fingerprint = blamed.fingerprint;
+        if let Some(known) = self.quarantined.get_mut(&fingerprint) {
+            known.last_end = blamed.last_end;
+            return;
+        }
+        if self.quarantined.len() >= MAX_QUARANTINED {
+            let oldest = self.quarantined.iter().min_by_key(|(_, one)| one.since);
+            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                self.quarantined.remove(&oldest);
+                // Otherwise it would be blamed again at once.
+                self.evidence.forgive(oldest, now);
+            }
         }
+        let earlier = self.retried.remove(&fingerprint);
+        let entry = Quarantined {
+            since: now,
+            times: earlier.map_or(0, |one| one.times) + 1,
+            last_end: blamed.last_end,
+            is_settled: false,
+        };
+        self.quarantined.insert(fingerprint, entry);
+        self.changes.push(QuarantineChange::Started {
+            fingerprint,
+            ends: blamed.ends,
+        });
     }
 
     /// Ends quarantines whose time is over, and removes old terminations.
     pub fn expire(&mut self, now: Timestamp) {
-        self.suspects
-            .retain(|_, suspect| now.since(suspect.last_at) < suspect.retention());
-        let expired: Vec<Digest> = self
-            .quarantined
-            .iter()
-            .filter(|(_, one)| now.since(one.since) >= one.length())
-            .map(|(content, _)| *content)
-            .collect();
-        for content in expired {
-            let times = self.quarantined.remove(&content).map_or(0, |one| one.times);
-            let suspect = Suspect {
-                credited_ends: MAX_ENDS - 1,
-                times,
-                last_at: now,
-                ..Suspect::default()
-            };
-            self.suspects.insert(content, suspect);
-            self.changes.push(QuarantineChange::Retrying { content });
-            self.contents_changed = true;
+        for one in self.quarantined.values_mut() {
+            one.is_settled |= now.since(one.since) >= SETTLING_TIME;
+        }
+        self.retried
+            .retain(|_, one| now.since(one.since) < RETRY_RETENTION);
+        let quarantined = self.quarantined.iter();
+        let expired = quarantined.filter(|(_, one)| now.since(one.since) >= one.length());
+        let expired: Vec<(Digest, u32)> = expired.map(|(one, held)| (*one, held.times)).collect();
+        for (fingerprint, times) in expired {
+            self.quarantined.remove(&fingerprint);
+            self.evidence.forgive(fingerprint, now);
+            let since = now;
+            self.retried.insert(fingerprint, Retried { since, times });
+            self.changes
+                .push(QuarantineChange::Retrying { fingerprint });
+        }
+        if now.since(self.cleaned_at) >= CLEANING_INTERVAL {
+            self.cleaned_at = now;
+            self.evidence.drop_old(now);
+            self.is_attribution_due = true;
+            self.attribute(now);
         }
     }
 
-    /// Contents that routers are notified of: suspected ones, for which they report answers, and
-    /// those in quarantine.
+    /// Fingerprints that routers are notified of: suspected ones, for which they report answers,
+    /// and those in quarantine.
     #[must_use]
-    pub fn contents_for_routers(&self) -> (Vec<Digest>, Vec<Digest>) {
-        let suspects = self.suspects.iter();
-        let suspected = suspects.filter(|(_, one)| one.ends() >= SUSPECTED_ENDS);
-        let suspected = suspected.map(|(content, _)| *content).take(MAX_NOTIFIED);
+    pub fn fingerprints_for_routers(&self) -> (Vec<Digest>, Vec<Digest>) {
+        let suspected = self.suspected.iter();
+        let suspected = suspected.filter(|one| !self.quarantined.contains_key(*one));
+        let retried = self
+            .retried
+            .keys()
+            .filter(|one| !self.suspected.contains(one));
+        let notified: BTreeSet<Digest> = suspected
+            .chain(retried)
+            .take(MAX_NOTIFIED)
+            .copied()
+            .collect();
         (
-            suspected.collect(),
+            notified.into_iter().collect(),
             self.quarantined.keys().copied().collect(),
         )
     }
 
-    /// Whether [`Self::contents_for_routers`] has changed since the last call of this function.
-    pub fn take_contents_changed(&mut self) -> bool {
-        std::mem::take(&mut self.contents_changed)
+    /// What routers have to be sent, if it has changed since the last call of this function.
+    pub fn take_publication(&mut self) -> Option<(Vec<Digest>, Vec<Digest>)> {
+        let current = self.fingerprints_for_routers();
+        if current == self.published {
+            return None;
+        }
+        self.published.clone_from(&current);
+        Some(current)
     }
 
     /// Takes the changes since the last call.
@@ -213,15 +270,22 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Contents to store durably, in the order of their digests: those in quarantine, and those
-    /// that may be sent again after one.
+    /// Number of requests that were in flight at terminated instances, of which the price of an
+    /// attribution depends.
+    #[must_use]
+    pub fn request_count(&self) -> usize {
+        self.evidence.request_count()
+    }
+
+    /// Fingerprints to store durably, in their order: those in quarantine, and those that may be
+    /// sent again after one.
     #[must_use]
     pub fn to_record(&self) -> Vec<QuarantinedContent> {
-        let suspects = self.suspects.iter().filter(|(_, one)| one.times > 0);
-        let retrying = suspects.map(|(content, one)| (*content, one.times));
+        let retried = self.retried.iter();
+        let retried = retried.map(|(fingerprint, one)| (*fingerprint, one.times));
         let held = self.quarantined.iter();
-        let held = held.map(|(content, one)| (*content, one.times));
-        let all: BTreeMap<Digest, u32> = retrying.chain(held).collect();
+        let held = held.map(|(fingerprint, one)| (*fingerprint, one.times));
+        let all: BTreeMap<Digest, u32> = retried.chain(held).collect();
         all.into_iter()
             .map(|(content, times)| QuarantinedContent { content, times })
             .collect()
--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -1,24 +1,30 @@
-//! A router's side: contents that it sends to no instance, terminations of instances that it has
-//! observed, and contents that it has answers to.
+//! A router's side: fingerprints whose requests it sends to no instance, terminations of instances
+//! that it has observed, and fingerprints that it has answers to.
 //!
-//! Invariant: while the router has contact with a leader, only the leader's contents are in
-//! quarantine; without one, also those with enough terminations observed by this router.
+//! Invariant: while the router has contact with a leader, only the leader's fingerprints are in
+//! quarantine; without one, also those that explain the terminations observed by this router.
 //!
-//! Memory: the numbers of contents are bounded.
+//! Memory: the numbers of requests and fingerprints are bounded.
 
-use super::{ANSWER_VALID_BEFORE, InstanceEnd, MAX_ENDS, RETENTION, count_ends};
-use courseshunt_types::{Digest, RunnerId, Timestamp};
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use super::attribution::{Standing, attribute};
+use super::evidence::Evidence;
+use super::{ANSWER_RETENTION, AnsweredFingerprint, InstanceEnd, RETENTION};
+use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-/// Largest number of terminations that a router retains, to report them to the next leader.
+/// Largest number of requests at terminated instances that a router retains, to report them to
+/// the next leader.
 const MAX_OBSERVED_ENDS: usize = 256;
-/// Largest number of retained answers: those of ten seconds at 400 requests per second.
-const MAX_ANSWERED: usize = 4_096;
+/// Largest number of fingerprints whose answers are retained: those of ten seconds at 400 requests
+/// a second, some of which are shared.
+const MAX_ANSWERED: usize = 16_384;
+/// Answers are reported no more often than this; terminations are reported at once.
+const ANSWER_REPORT_INTERVAL: Millis = Millis(100);
 
-/// A termination of an instance that this router observed.
+/// A request at an instance that terminated, as observed by this router.
 #[derive(Debug)]
 struct ObservedEnd {
-    content: Digest,
+    fingerprints: Vec<Digest>,
     instance: RunnerId,
     at: Timestamp,
     is_reported: bool,
@@ -28,84 +34,117 @@
 #[derive(Debug, Default)]
 pub struct RouterQuarantine {
     quarantined: HashSet<Digest>,
-    /// Contents for which the leader needs to be notified of answers.
+    /// Fingerprints for which the leader needs to be notified of answers.
     suspected: HashSet<Digest>,
     observed_ends: VecDeque<ObservedEnd>,
-    /// Last answer of each content that was answered in the last ten seconds.
+    /// When the latest request with each fingerprint was sent of those that were answered.
     answered: HashMap<Digest, Timestamp>,
-    answered_in_order: VecDeque<(Digest, Timestamp)>,
-    unreported_answers: BTreeSet<Digest>,
+    answers_cleaned_at: Timestamp,
+    unreported_answers: BTreeMap<Digest, Timestamp>,
+    answers_reported_at: Option<Timestamp>,
+    /// The observed terminations as evidence, and the fingerprints that explain them.
+    evidence: Evidence,
+    blamed: HashSet<Digest>,
 }
 
 impl RouterQuarantine {
-    /// Whether requests of this content must not be sent. `has_leader` states whether the router
-    /// had contact with a leader recently.
+    /// The fingerprint because of which a request must not be sent, if any. `has_leader` states
+    /// whether the router had contact with a leader recently.
     #[must_use]
-    pub fn is_quarantined(&self, content: &Digest, has_leader: bool) -> bool {
-        if has_leader || self.quarantined.contains(content) {
-            return self.quarantined.contains(content);
-        }
-        let ends = self
-            .observed_ends
-            .iter()
-            .filter(|end| end.content == *content);
-        count_ends(ends.map(|end| end.at)) >= MAX_ENDS
+    pub fn quarantined_of(&self, fingerprints: &[Digest], has_leader: bool) -> Option<Digest> {
+        let is_quarantined = |one: &&Digest| {
+            self.quarantined.contains(*one) || (!has_leader && self.blamed.contains(*one))
+        };
+        fingerprints.iter().rev().find(is_quarantined).copied()
     }
 
-    /// Sets the suspected and quarantined contents that the leader published.
+    /// Sets the suspected and quarantined fingerprints that the leader published.
     pub fn set(&mut self, suspected: Vec<Digest>, quarantined: Vec<Digest>, now: Timestamp) {
         self.suspected = suspected.iter().chain(&quarantined).copied().collect();
         self.quarantined = quarantined.into_iter().collect();
-        let recent = |at: &Timestamp| now.since(*at) <= ANSWER_VALID_BEFORE;
-        for content in &self.suspected {
-            if self.answered.get(content).is_some_and(recent) {
-                self.unreported_answers.insert(*content);
+        for fingerprint in &self.suspected {
+            let sent_at = self.answered.get(fingerprint);
+            let is_recent = |at: &&Timestamp| now.since(**at) <= ANSWER_RETENTION;
+            if let Some(sent_at) = sent_at.filter(is_recent) {
+                self.unreported_answers.insert(*fingerprint, *sent_at);
             }
         }
     }
 
-    /// Records that an instance terminated at a time while running a content.
-    pub fn ended(&mut self, content: Digest, instance: RunnerId, at: Timestamp) {
+    /// Records that an instance terminated at a time while it had a request with these
+    /// fingerprints.
+    pub fn ended(&mut self, fingerprints: &[Digest], instance: RunnerId, at: Timestamp) {
         let is_old = |end: &ObservedEnd| at.since(end.at) >= RETENTION;
         while self.observed_ends.len() >= MAX_OBSERVED_ENDS
             || self.observed_ends.front().is_some_and(is_old)
         {
             self.observed_ends.pop_front();
         }
-        let mut recorded = self.observed_ends.iter();
-        if recorded.any(|end| end.content == content && end.instance == instance) {
+        self.evidence.drop_old(at);
+        if !self.evidence.add(fingerprints, &instance, at) {
             return;
         }
         self.observed_ends.push_back(ObservedEnd {
-            content,
+            fingerprints: fingerprints.to_vec(),
             instance,
             at,
             is_reported: false,
         });
+        self.attribute();
     }
 
-    /// Records a complete answer of an instance to a content; returns whether it has to be
-    /// reported to the leader at once.
-    pub fn answered(&mut self, content: Digest, now: Timestamp) -> bool {
-        self.observed_ends.retain(|end| end.content != content);
-        self.retain_answer(content, now);
-        self.suspected.contains(&content) && self.unreported_answers.insert(content)
+    fn attribute(&mut self) {
+        let attribution = attribute(&self.evidence, |_| Standing::New);
+        let blamed = attribution.blamed.into_iter();
+        self.blamed = blamed.map(|one| one.fingerprint).collect();
     }
 
-    fn retain_answer(&mut self, content: Digest, now: Timestamp) {
-        self.answered.insert(content, now);
-        self.answered_in_order.push_back((content, now));
-        let is_old = |(_, at): &(Digest, Timestamp)| now.since(*at) > ANSWER_VALID_BEFORE;
-        while self.answered_in_order.len() > MAX_ANSWERED
-            || self.answered_in_order.front().is_some_and(is_old)
-        {
-            let Some((oldest, at)) = self.answered_in_order.pop_front() else {
-                return;
-            };
-            if self.answered.get(&oldest) == Some(&at) {
-                self.answered.remove(&oldest);
+    /// Records a complete answer of an instance to a request that was sent at a time; returns
+    /// whether it has to be reported to the leader at once.
+    pub fn answered(
+        &mut self,
+        fingerprints: &[Digest],
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let mut changes_evidence = false;
+        let mut concerns_leader = false;
+        self.drop_old_answers(now);
+        for fingerprint in fingerprints {
+            self.retain_answer(*fingerprint, sent_at);
+            if self.evidence.concerns(fingerprint) {
+                changes_evidence |= self.evidence.answered(*fingerprint, sent_at);
             }
+            if self.suspected.contains(fingerprint) {
+                let latest = self.unreported_answers.entry(*fingerprint);
+                let latest = latest.or_insert(sent_at);
+                *latest = sent_at.max(*latest);
+                concerns_leader = true;
+            }
+        }
+        if changes_evidence {
+            self.attribute();
         }
+        let is_due = |at: Timestamp| now.since(at) >= ANSWER_REPORT_INTERVAL;
+        concerns_leader && self.answers_reported_at.is_none_or(is_due)
+    }
+
+    /// Drops answers to requests that were sent too long ago.
+    fn drop_old_answers(&mut self, now: Timestamp) {
+        if now.since(self.answers_cleaned_at) < ANSWER_RETENTION {
+            return;
+        }
+        self.answers_cleaned_at = now;
+        self.answered
+            .retain(|_, sent_at| now.since(*sent_at) <= ANSWER_RETENTION);
+    }
+
+    fn retain_answer(&mut self, fingerprint: Digest, sent_at: Timestamp) {
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered.clear();
+        }
+        let latest = self.answered.entry(fingerprint).or_insert(sent_at);
+        *latest = sent_at.max(*latest);
     }
 
     /// Marks all retained terminations as unreported, after a change of leader.
@@ -115,23 +154,34 @@
         }
     }
 
-    /// Takes what has not been reported to the leader: terminations, and answered contents.
-    pub fn take_unreported(&mut self, now: Timestamp) -> (Vec<InstanceEnd>, Vec<Digest>) {
+    /// Takes what has not been reported to the leader: terminations, and answered fingerprints.
+    pub fn take_unreported(
+        &mut self,
+        now: Timestamp,
+    ) -> (Vec<InstanceEnd>, Vec<AnsweredFingerprint>) {
         let unreported = self.observed_ends.iter_mut().filter(|end| !end.is_reported);
         let ends = unreported.map(|end| {
             end.is_reported = true;
             InstanceEnd {
-                content: end.content,
+                fingerprints: end.fingerprints.clone(),
                 instance: end.instance.clone(),
                 age: now.since(end.at),
             }
         });
         let ends = ends.collect();
         let answered = std::mem::take(&mut self.unreported_answers);
-        (ends, answered.into_iter().collect())
+        if !answered.is_empty() {
+            self.answers_reported_at = Some(now);
+        }
+        let answered = answered.into_iter();
+        let answered = answered.map(|(fingerprint, sent_at)| AnsweredFingerprint {
+            fingerprint,
+            sent_age: now.since(sent_at),
+        });
+        (ends, answered.collect())
     }
 
-    /// Number of contents in quarantine.
+    /// Number of fingerprints in quarantine.
     #[must_use]
     pub fn count(&self) -> usize {
         self.quarantined.len()
--- a/crates/services/tests/quarantine.rs
+++ b/crates/services/tests/quarantine.rs
@@ -2,8 +2,8 @@
 
 use courseshunt_services::quarantine::MAX_ENDS;
 use courseshunt_services::{
-    InstanceEnd, QuarantineChange, QuarantineLedger, QuarantinedContent, RequestContent,
-    RouterQuarantine,
+    AnsweredFingerprint, InstanceEnd, QuarantineChange, QuarantineLedger, QuarantinedContent,
+    RequestContent, RouterQuarantine,
 };
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 
@@ -15,7 +15,7 @@
 
 fn end(text: &str, instance: &str) -> InstanceEnd {
     InstanceEnd {
-        content: content(text),
+        fingerprints: vec![content(text)],
         instance: RunnerId::from(instance),
         age: Millis(0),
     }
@@ -26,11 +26,28 @@
 }
 
 fn is_quarantined(ledger: &QuarantineLedger, text: &str) -> bool {
-    ledger.contents_for_routers().1.contains(&content(text))
+    ledger.fingerprints_for_routers().1.contains(&content(text))
 }
 
 fn is_suspected(ledger: &QuarantineLedger, text: &str) -> bool {
-    ledger.contents_for_routers().0.contains(&content(text))
+    ledger.fingerprints_for_routers().0.contains(&content(text))
+}
+
+/// Reports a termination and has it attributed.
+fn record(ledger: &mut QuarantineLedger, end: &InstanceEnd, now: Timestamp) {
+    ledger.ended(end, now);
+    ledger.attribute(now);
+}
+
+/// Reports a complete answer to a request that was sent at a time.
+fn answer(ledger: &mut QuarantineLedger, text: &str, sent_at: Timestamp, now: Timestamp) {
+    let answered = AnsweredFingerprint {
+        fingerprint: content(text),
+        sent_age: now.since(sent_at),
+    };
+    ledger.take_publication();
+    ledger.answered(&answered, now);
+    ledger.attribute(now);
 }
 
 /// A ledger in which this many instances terminated while running "a".
@@ -38,7 +55,7 @@
     let mut ledger = QuarantineLedger::default();
     for number in 0..ends {
         let reported = at(1) + Millis(100 * number as u64);
-        ledger.ended(&end("a", &format!("i-{number}")), reported);
+        record(&mut ledger, &end("a", &format!("i-{number}")), reported);
     }
     ledger
 }
@@ -50,13 +67,11 @@
     let reported = Timestamp::default() + Millis(340);
     for (instance, age) in ends {
         let age = Millis(age);
-        ledger.ended(
-            &InstanceEnd {
-                age,
-                ..end("a", instance)
-            },
-            reported,
-        );
+        let end = InstanceEnd {
+            age,
+            ..end("a", instance)
+        };
+        record(&mut ledger, &end, reported);
     }
     ledger
 }
@@ -88,17 +103,18 @@
 fn each_instance_counts_once_for_each_content() {
     let mut ledger = QuarantineLedger::default();
     for instance in ["i-1", "i-1", "i-2", "i-2", "i-1"] {
-        ledger.ended(&end("a", instance), at(1));
-        ledger.ended(&end(&format!("only at {instance}"), instance), at(1));
+        record(&mut ledger, &end("a", instance), at(1));
+        let only = end(&format!("only at {instance}"), instance);
+        record(&mut ledger, &only, at(1));
     }
     assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
     assert!(!is_suspected(&ledger, "only at i-1"));
-    ledger.ended(&end("a", "i-3"), at(40));
+    record(&mut ledger, &end("a", "i-3"), at(40));
     assert!(is_quarantined(&ledger, "a"));
     assert_eq!(
         ledger.take_changes(),
         [QuarantineChange::Started {
-            content: content("a"),
+            fingerprint: content("a"),
             ends: MAX_ENDS
         }]
     );
@@ -109,10 +125,10 @@
     let mut ledger = QuarantineLedger::default();
     for number in 0..6 {
         let instance = format!("i-{number}");
-        ledger.ended(&end("a", &instance), at(1) + Millis(number));
+        record(&mut ledger, &end("a", &instance), at(1) + Millis(number));
     }
     assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
-    ledger.ended(&end("a", "i-9"), at(2));
+    record(&mut ledger, &end("a", "i-9"), at(2));
     assert!(
         is_quarantined(&ledger, "a"),
         "one more termination, at another time"
@@ -124,13 +140,11 @@
     let mut ledger = QuarantineLedger::default();
     for (instance, age) in [("i-1", 9_000), ("i-2", 5_000), ("i-3", 0)] {
         let age = Millis(age);
-        ledger.ended(
-            &InstanceEnd {
-                age,
-                ..end("a", instance)
-            },
-            at(10),
-        );
+        let end = InstanceEnd {
+            age,
+            ..end("a", instance)
+        };
+        record(&mut ledger, &end, at(10));
     }
     assert!(is_quarantined(&ledger, "a"));
 }
@@ -139,29 +153,29 @@
 fn routers_are_notified_only_of_changes() {
     let mut ledger = ledger_with(1);
     assert!(
-        !ledger.take_contents_changed(),
+        ledger.take_publication().is_none(),
         "one termination does not make a content suspected"
     );
-    ledger.ended(&end("a", "i-8"), at(1));
-    assert!(ledger.take_contents_changed());
-    ledger.ended(&end("a", "i-8"), at(1));
+    record(&mut ledger, &end("a", "i-8"), at(1));
+    assert!(ledger.take_publication().is_some());
+    record(&mut ledger, &end("a", "i-8"), at(1));
     assert!(
-        !ledger.take_contents_changed(),
+        ledger.take_publication().is_none(),
         "a repeated report changes nothing"
     );
-    ledger.ended(&end("a", "i-9"), at(2));
-    assert!(ledger.take_contents_changed());
+    record(&mut ledger, &end("a", "i-9"), at(2));
+    assert!(ledger.take_publication().is_some());
 }
 
 #[test]
 fn an_answer_clears_a_content() {
     for ends in [2, 3] {
         let mut ledger = ledger_with(ends);
-        ledger.answered(content("a"));
-        let (suspected, quarantined) = ledger.contents_for_routers();
+        answer(&mut ledger, "a", at(2), at(3));
+        let (suspected, quarantined) = ledger.fingerprints_for_routers();
         assert!(suspected.is_empty() && quarantined.is_empty());
         assert!(ledger.to_record().is_empty());
-        ledger.ended(&end("a", "i-9"), at(2));
+        record(&mut ledger, &end("a", "i-9"), at(4));
         assert!(
             !is_suspected(&ledger, "a"),
             "its earlier terminations are cleared"
@@ -187,7 +201,7 @@
         ledger.expire(now);
         assert!(is_suspected(&ledger, "a") && !is_quarantined(&ledger, "a"));
         let again = end("a", &format!("i-{longer}"));
-        ledger.ended(&again, now);
+        record(&mut ledger, &again, now);
         assert!(
             is_quarantined(&ledger, "a"),
             "one more termination is enough"
@@ -211,7 +225,7 @@
 fn old_ends_are_removed() {
     let mut ledger = ledger_with(2);
     ledger.expire(at(2) + HOUR);
-    ledger.ended(&end("a", "i-9"), at(3) + HOUR);
+    record(&mut ledger, &end("a", "i-9"), at(3) + HOUR);
     assert!(!is_quarantined(&ledger, "a") && !is_suspected(&ledger, "a"));
 }
 
@@ -221,17 +235,20 @@
     for number in 0..20_000 {
         ledger.ended(&end(&format!("b-{number}"), "i-9"), at(2));
     }
+    ledger.attribute(at(2));
     assert!(
         is_suspected(&ledger, "a"),
         "contents with two terminations are evicted after those with one"
     );
     for number in 0..300 {
-        for (second, instance) in [(0, "i-1"), (1, "i-2"), (2, "i-3")] {
+        for second in 0..3 {
             let reported = at(3 + number * 3 + second);
-            ledger.ended(&end(&format!("c-{number}"), instance), reported);
+            let instance = format!("i-{number}-{second}");
+            ledger.ended(&end(&format!("c-{number}"), &instance), reported);
         }
+        ledger.attribute(at(6 + number * 3));
     }
-    assert_eq!(ledger.contents_for_routers().1.len(), 256);
+    assert_eq!(ledger.fingerprints_for_routers().1.len(), 256);
     assert!(is_quarantined(&ledger, "c-299") && !is_quarantined(&ledger, "c-0"));
 }
 
@@ -240,49 +257,53 @@
     let mut router = RouterQuarantine::default();
     router.set(Vec::new(), vec![content("told")], at(1));
     let observe = |router: &mut RouterQuarantine, instance: &str, second| {
-        router.ended(content("seen"), RunnerId::from(instance), at(second));
+        router.ended(&[content("seen")], RunnerId::from(instance), at(second));
+    };
+    let is_quarantined = |router: &RouterQuarantine, text: &str, has_leader| {
+        let quarantined = router.quarantined_of(&[content(text)], has_leader);
+        quarantined.is_some()
     };
     for (second, instance) in [(1, "i-1"), (2, "i-2"), (3, "i-2")] {
         observe(&mut router, instance, second);
     }
+    assert!(is_quarantined(&router, "told", true) && is_quarantined(&router, "told", false));
     assert!(
-        router.is_quarantined(&content("told"), true)
-            && router.is_quarantined(&content("told"), false)
-    );
-    assert!(
-        !router.is_quarantined(&content("seen"), false),
+        !is_quarantined(&router, "seen", false),
         "two instances are not enough"
     );
     observe(&mut router, "i-3", 3);
-    assert!(router.is_quarantined(&content("seen"), false));
-    assert!(
-        !router.is_quarantined(&content("seen"), true),
-        "the leader decides"
-    );
-    router.answered(content("seen"), at(2));
-    assert!(!router.is_quarantined(&content("seen"), false));
+    assert!(is_quarantined(&router, "seen", false));
+    assert!(!is_quarantined(&router, "seen", true), "the leader decides");
+    router.answered(&[content("seen")], at(4), at(5));
+    assert!(!is_quarantined(&router, "seen", false));
     router.set(Vec::new(), Vec::new(), at(3));
-    assert!(!router.is_quarantined(&content("told"), true));
+    assert!(!is_quarantined(&router, "told", true));
 }
 
 #[test]
 fn a_router_reports_recent_and_later_answers_to_suspected_contents() {
     let mut router = RouterQuarantine::default();
-    router.answered(content("old"), at(1));
-    router.answered(content("new"), at(11));
+    router.answered(&[content("old")], at(1), at(1));
+    router.answered(&[content("new")], at(11), at(11));
     let suspected = ["old", "new", "later"].map(content).to_vec();
     router.set(suspected, Vec::new(), at(20));
-    assert_eq!(router.take_unreported(at(20)).1, [content("new")]);
-    assert!(router.answered(content("later"), at(21)));
-    assert!(!router.answered(content("nobody asks"), at(21)));
-    assert_eq!(router.take_unreported(at(21)).1, [content("later")]);
+    let answered = |text, sent_age| AnsweredFingerprint {
+        fingerprint: content(text),
+        sent_age,
+    };
+    let unreported = router.take_unreported(at(20)).1;
+    assert_eq!(unreported, [answered("new", Millis(9_000))]);
+    assert!(router.answered(&[content("later")], at(20), at(21)));
+    assert!(!router.answered(&[content("nobody asks")], at(21), at(21)));
+    let unreported = router.take_unreported(at(21)).1;
+    assert_eq!(unreported, [answered("later", Millis(1_000))]);
 }
 
 #[test]
 fn observed_ends_are_reported_again_to_a_new_leader() {
     let mut router = RouterQuarantine::default();
-    router.ended(content("a"), RunnerId::from("i-1"), at(1));
-    router.ended(content("a"), RunnerId::from("i-1"), at(1));
+    router.ended(&[content("a")], RunnerId::from("i-1"), at(1));
+    router.ended(&[content("a")], RunnerId::from("i-1"), at(1));
     assert_eq!(router.take_unreported(at(1)).0, [end("a", "i-1")]);
     assert!(router.take_unreported(at(2)).0.is_empty());
     router.mark_all_unreported();
--- a/crates/services/tests/quarantine_strategies.rs
+++ b/crates/services/tests/quarantine_strategies.rs
@@ -60,6 +60,7 @@
 struct Flight {
     content: Digest,
     router: usize,
+    sent_at: Timestamp,
     crashing: bool,
     due: Timestamp,
 }
@@ -125,7 +126,8 @@
         let live: Vec<usize> = (0..INSTANCES)
             .filter(|one| self.instances[*one].available_at <= self.now)
             .collect();
-        let held = self.routers[router].is_quarantined(&content, true);
+        let held = self.routers[router].quarantined_of(&[content], true);
+        let held = held.is_some();
         if live.is_empty() || held {
             self.outcome.harmless_in_quarantine += usize::from(held && !crashing);
             return;
@@ -139,6 +141,7 @@
         self.instances[chosen].flights.push(Flight {
             content,
             router,
+            sent_at: self.now,
             crashing,
             due,
         });
@@ -189,7 +192,8 @@
                     self.abort_answer(instance, &flight, false);
                     continue;
                 }
-                self.routers[flight.router].answered(flight.content, self.now);
+                let router = &mut self.routers[flight.router];
+                router.answered(&[flight.content], flight.sent_at, self.now);
             }
         }
     }
@@ -207,7 +211,7 @@
                 break;
             }
             if let Some((_, (router, content, instance))) = self.signals.pop_first() {
-                self.routers[router].ended(content, instance, self.now);
+                self.routers[router].ended(&[content], instance, self.now);
             }
         }
         for router in &mut self.routers {
@@ -215,16 +219,17 @@
             for end in ends {
                 self.ledger.ended(&end, self.now);
             }
-            for content in answered {
-                self.ledger.answered(content);
+            for answer in answered {
+                self.ledger.answered(&answer, self.now);
             }
         }
-        if self.ledger.take_contents_changed() {
+        self.ledger.attribute(self.now);
+        if self.ledger.take_publication().is_some() {
             self.notified_at = Some(self.now + MESSAGE_DELAY);
         }
         if self.notified_at.is_some_and(|at| at <= self.now) {
             self.notified_at = None;
-            let (suspected, quarantined) = self.ledger.contents_for_routers();
+            let (suspected, quarantined) = self.ledger.fingerprints_for_routers();
             for router in &mut self.routers {
                 router.set(suspected.clone(), quarantined.clone(), self.now);
             }
