A part of prompts that was held back is tried again after five minutes

A part or an adapter is shared by many requests, and a new version of the instances or of the model may mend it: an hour, as for a whole content, would extend an outage by that much after the cause is gone. Further quarantines are four times as long each, as before. Unit test in quarantine.rs.

--- a/crates/services/src/quarantine/attribution.rs
+++ b/crates/services/src/quarantine/attribution.rs
@@ -48,6 +48,8 @@
     pub(super) ends: usize,
     /// Time of the newest one.
     pub(super) last_end: Timestamp,
+    /// Whether it is the narrowest one of its requests: their whole content.
+    pub(super) is_content: bool,
 }
 
 /// Result of an attribution.
@@ -71,6 +73,8 @@
 struct Candidate {
     fingerprint: Digest,
     standing: Standing,
+    /// Whether it is the narrowest one of all requests that hold it.
+    is_content: bool,
     /// Indexes of the terminations that count against it, in order.
     ends: Vec<usize>,
     /// Where it occurs, in the order of the requests; terminations that do not count included.
@@ -166,6 +170,7 @@
     let blamed = blamed.map(|one| Blamed {
         fingerprint: one.fingerprint,
         ends: terminations.count(one),
+        is_content: one.is_content,
         last_end: one
             .ends
             .iter()
@@ -194,9 +199,11 @@
                 let candidate = candidate.or_insert_with(|| Candidate {
                     fingerprint: *fingerprint,
                     standing: standing(fingerprint),
+                    is_content: true,
                     ends: Vec::new(),
                     occurrences: Vec::new(),
                 });
+                candidate.is_content &= place + 1 == request.len();
                 candidate.occurrences.push(Occurrence {
                     request: request_index,
                     place,
--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -17,9 +17,12 @@
 const MAX_QUARANTINED: usize = 256;
 /// Largest number of suspected fingerprints that routers are notified of.
 const MAX_NOTIFIED: usize = 256;
-/// Length of the first quarantine. Each further one of the same fingerprint is longer by
-/// [`QUARANTINE_FACTOR`], so that at most three attempts fall into one day.
+/// Length of the first quarantine of a content. Each further one of the same fingerprint is longer
+/// by [`QUARANTINE_FACTOR`], so that at most three attempts fall into one day.
 const FIRST_QUARANTINE: Millis = Millis(3_600_000);
+/// Length of the first quarantine of an adapter or of a part of prompts. Many requests share it, and
+/// a new version of the instances or of the model may mend it.
+const FIRST_SHARED_QUARANTINE: Millis = Millis(300_000);
 const QUARANTINE_FACTOR: u64 = 4;
 /// Time for which a fingerprint is sent again before its earlier quarantines are forgotten.
 const RETRY_RETENTION: Millis = Millis(24 * 3_600_000);
@@ -36,6 +39,7 @@
 struct Quarantined {
     since: Timestamp,
     times: u32,
+    first_length: Millis,
     /// The newest termination that counted.
     last_end: Timestamp,
     /// Whether it holds without the evidence for it.
@@ -45,7 +49,7 @@
 impl Quarantined {
     fn length(&self) -> Millis {
         let exponent = self.times.saturating_sub(1).min(MAX_FACTOR_EXPONENT);
-        Millis(FIRST_QUARANTINE.0 * QUARANTINE_FACTOR.pow(exponent))
+        Millis(self.first_length.0 * QUARANTINE_FACTOR.pow(exponent))
     }
 }
 
@@ -102,6 +106,7 @@
             let entry = Quarantined {
                 since: now,
                 times: one.times,
+                first_length: FIRST_QUARANTINE,
                 last_end: now,
                 is_settled: true,
             };
@@ -198,6 +203,10 @@
         let entry = Quarantined {
             since: now,
             times: earlier.map_or(0, |one| one.times) + 1,
+            first_length: match blamed.is_content {
+                true => FIRST_QUARANTINE,
+                false => FIRST_SHARED_QUARANTINE,
+            },
             last_end: blamed.last_end,
             is_settled: false,
         };
--- a/crates/services/tests/quarantine.rs
+++ b/crates/services/tests/quarantine.rs
@@ -210,6 +210,31 @@
     assert!(now > at(20 * 3_600), "three attempts take most of a day");
 }
 
+/// What many requests share is tried again sooner: an operator may have mended it.
+#[test]
+fn a_shared_part_is_sent_again_after_minutes() {
+    const MINUTE: u64 = 60;
+    let mut ledger = QuarantineLedger::default();
+    let part_end = |number: u64| InstanceEnd {
+        fingerprints: vec![content("part"), content(&format!("content {number}"))],
+        ..end("", &format!("i-{number}"))
+    };
+    for number in 0..3 {
+        record(&mut ledger, &part_end(number), at(1 + number));
+    }
+    assert!(is_quarantined(&ledger, "part"));
+    ledger.expire(at(4 * MINUTE));
+    assert!(is_quarantined(&ledger, "part"));
+    ledger.expire(at(6 * MINUTE));
+    assert!(is_suspected(&ledger, "part") && !is_quarantined(&ledger, "part"));
+    record(&mut ledger, &part_end(9), at(7 * MINUTE));
+    assert!(is_quarantined(&ledger, "part"), "one more is enough");
+    ledger.expire(at(26 * MINUTE));
+    assert!(is_quarantined(&ledger, "part"), "for a longer time");
+    ledger.expire(at(28 * MINUTE));
+    assert!(!is_quarantined(&ledger, "part"));
+}
+
 #[test]
 fn a_content_that_may_be_sent_again_stays_recorded() {
     let mut ledger = ledger_with(MAX_ENDS);
