--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -42,6 +42,7 @@
     pub(crate) head: Parts,
     pub(crate) target: Uri,
     pub(crate) body: Bytes,
+    /// What the request may share with others that end instances.
     pub(crate) fingerprints: Fingerprints,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
--- a/crates/services/src/quarantine/attribution.rs
+++ b/crates/services/src/quarantine/attribution.rs
@@ -131,6 +131,16 @@
         candidate.ends.iter().any(|end| !self.explained[*end])
     }
 
+    fn blamed(&self, candidate: &Candidate) -> Blamed {
+        let times = candidate.ends.iter().map(|end| self.times[*end]);
+        Blamed {
+            fingerprint: candidate.fingerprint,
+            ends: self.count(candidate),
+            last_end: times.max().unwrap_or_default(),
+            is_content: candidate.is_content,
+        }
+    }
+
     fn explain(&mut self, candidate: &Candidate) {
         for end in &candidate.ends {
             self.explained[*end] = true;
@@ -145,41 +155,19 @@
 ) -> Attribution {
     let times: Vec<Timestamp> = evidence.terminated().map(|one| one.at).collect();
     let explained = vec![false; times.len()];
-    let mut terminations = Terminations { times, explained };
+    let terminations = Terminations { times, explained };
     let candidates = candidates(evidence, standing, &terminations);
     let suspected = candidates.iter();
     let suspected = suspected.filter(|one| terminations.count(one) >= SUSPECTED_ENDS);
     let suspected = suspected.map(|one| one.fingerprint).collect();
-    let mut blamed: Vec<&Candidate> = Vec::new();
-    for one in &candidates {
-        if one.standing == Standing::Quarantined {
-            terminations.explain(one);
-            blamed.push(one);
-        }
-    }
-    while let Some(next) = next_blamed(&candidates, &blamed, &terminations) {
-        terminations.explain(next);
-        blamed.push(next);
-    }
-    let is_redundant = |one: &Candidate| {
-        let mut broader = blamed.iter().filter(|other| !std::ptr::eq(**other, one));
-        broader.any(|other| other.contains_ends(one) && one.is_within(other))
+    let mut search = Search {
+        candidates: &candidates,
+        blamed: Vec::new(),
+        terminations,
     };
-    let blamed = blamed.iter();
-    let blamed = blamed.filter(|one| one.standing != Standing::Quarantined && !is_redundant(one));
-    let blamed = blamed.map(|one| Blamed {
-        fingerprint: one.fingerprint,
-        ends: terminations.count(one),
-        is_content: one.is_content,
-        last_end: one
-            .ends
-            .iter()
-            .map(|end| terminations.times[*end])
-            .max()
-            .unwrap_or_default(),
-    });
+    search.run();
     Attribution {
-        blamed: blamed.collect(),
+        blamed: search.result(),
         suspected,
     }
 }
@@ -228,57 +216,129 @@
     candidates.into_iter().map(|(_, one)| one).collect()
 }
 
-/// The fingerprint that is blamed next, if any.
-fn next_blamed<'a>(
+/// A fingerprint that is not blamed, and the terminations that would be explained by it alone.
+#[derive(Debug, Clone, Copy)]
+struct Open<'a> {
+    candidate: &'a Candidate,
+    ends: usize,
+}
+
+impl Open<'_> {
+    fn is_within(&self, other: &Self) -> bool {
+        self.candidate.is_within(other.candidate)
+    }
+}
+
+/// The search for the fingerprints that explain the terminations.
+struct Search<'a> {
     candidates: &'a [Candidate],
-    blamed: &[&Candidate],
-    terminations: &Terminations,
-) -> Option<&'a Candidate> {
-    let is_blamed = |one: &Candidate| {
-        let mut blamed = blamed.iter();
-        blamed.any(|other| other.fingerprint == one.fingerprint)
-    };
-    let may_contain_several = |one: &Candidate| {
-        blamed.len() >= MAX_BLAMED_WITHIN && one.ends.len() >= MAX_BLAMED_WITHIN * MAX_ENDS
-    };
-    let mut open: Vec<(&Candidate, usize)> = candidates
-        .iter()
-        .filter(|one| terminations.has_unexplained(one) || may_contain_several(one))
-        .filter(|one| !is_blamed(one))
-        .map(|one| (one, terminations.count_unexplained(one)))
-        .collect();
-    open.sort_by_key(|(_, ends)| Reverse(*ends));
-    open.truncate(MAX_CANDIDATES);
-    let conclusive = open.iter().filter(|(one, ends)| {
-        let enough = *ends >= one.required_ends();
-        enough || contains_several(one, blamed)
-    });
-    let conclusive: Vec<&(&Candidate, usize)> = conclusive.collect();
-    let may_be_blamed = conclusive.iter().filter(|(one, ends)| {
-        let mut narrower = conclusive.iter().filter(|(other, _)| other.is_within(one));
-        if narrower.next().is_some() {
+    blamed: Vec<&'a Candidate>,
+    terminations: Terminations,
+}
+
+impl<'a> Search<'a> {
+    fn run(&mut self) {
+        let quarantined = self.candidates.iter();
+        for one in quarantined.filter(|one| one.standing == Standing::Quarantined) {
+            self.blame(one);
+        }
+        while let Some(next) = self.next() {
+            self.blame(next);
+        }
+    }
+
+    fn blame(&mut self, candidate: &'a Candidate) {
+        self.terminations.explain(candidate);
+        self.blamed.push(candidate);
+    }
+
+    /// The fingerprint that is blamed next, if any.
+    fn next(&self) -> Option<&'a Candidate> {
+        let open = self.open();
+        let conclusive = open.iter().filter(|one| self.is_conclusive(one));
+        let conclusive: Vec<&Open> = conclusive.collect();
+        let may_be_blamed = conclusive.iter().filter(|one| {
+            let mut others = conclusive.iter();
+            let is_broader = others.any(|other| other.is_within(one));
+            !is_broader && !self.is_ambiguous(one, &open)
+        });
+        let chosen = may_be_blamed.max_by_key(|one| {
+            let requests = one.candidate.occurrences.len();
+            (
+                one.ends,
+                Reverse(requests),
+                Reverse(one.candidate.fingerprint),
+            )
+        });
+        chosen.map(|one| one.candidate)
+    }
+
+    /// The fingerprints that may be blamed, those with most terminations.
+    fn open(&self) -> Vec<Open<'a>> {
+        let candidates = self.candidates.iter();
+        let open = candidates.filter(|one| {
+            let may_be = self.terminations.has_unexplained(one) || self.may_contain_several(one);
+            may_be && !self.is_blamed(one)
+        });
+        let open = open.map(|candidate| Open {
+            candidate,
+            ends: self.terminations.count_unexplained(candidate),
+        });
+        let mut open: Vec<Open> = open.collect();
+        open.sort_by_key(|one| Reverse(one.ends));
+        open.truncate(MAX_CANDIDATES);
+        open
+    }
+
+    fn is_blamed(&self, candidate: &Candidate) -> bool {
+        let mut blamed = self.blamed.iter();
+        blamed.any(|one| one.fingerprint == candidate.fingerprint)
+    }
+
+    fn is_conclusive(&self, open: &Open) -> bool {
+        open.ends >= open.candidate.required_ends() || self.contains_several(open.candidate)
+    }
+
+    /// Whether a narrower fingerprint may turn out to be the cause instead.
+    fn is_ambiguous(&self, open: &Open, all: &[Open]) -> bool {
+        if open.ends >= MAX_BROAD_ENDS || self.contains_several(open.candidate) {
             return false;
         }
-        let mut suspected = open.iter().filter(|(_, ends)| *ends >= SUSPECTED_ENDS);
-        let is_ambiguous = suspected.any(|(other, _)| other.is_within(one));
-        !is_ambiguous || *ends >= MAX_BROAD_ENDS || contains_several(one, blamed)
-    });
-    let chosen = may_be_blamed.max_by_key(|(one, ends)| {
-        let requests = one.occurrences.len();
-        (*ends, Reverse(requests), Reverse(one.fingerprint))
-    });
-    chosen.map(|(one, _)| *one)
-}
+        let mut suspected = all.iter().filter(|one| one.ends >= SUSPECTED_ENDS);
+        suspected.any(|one| one.is_within(open))
+    }
 
-/// Whether several blamed fingerprints lie within this one, so that it may be the cause of all.
-fn contains_several(candidate: &Candidate, blamed: &[&Candidate]) -> bool {
-    let within: Vec<&&Candidate> = blamed
-        .iter()
-        .filter(|one| candidate.contains_ends(one) && one.is_within(candidate))
-        .collect();
-    let outermost = within.iter().filter(|one| {
-        let mut others = within.iter();
-        !others.any(|other| one.is_within(other))
-    });
-    outermost.count() >= MAX_BLAMED_WITHIN
+    /// A necessary condition of [`Self::contains_several`] that costs little.
+    fn may_contain_several(&self, candidate: &Candidate) -> bool {
+        let enough_blamed = self.blamed.len() >= MAX_BLAMED_WITHIN;
+        enough_blamed && candidate.ends.len() >= MAX_BLAMED_WITHIN * MAX_ENDS
+    }
+
+    /// Whether several blamed fingerprints lie within this one, so that it may be the cause of all.
+    fn contains_several(&self, candidate: &Candidate) -> bool {
+        if !self.may_contain_several(candidate) {
+            return false;
+        }
+        let blamed = self.blamed.iter();
+        let within = blamed.filter(|one| candidate.contains_ends(one) && one.is_within(candidate));
+        let within: Vec<&&Candidate> = within.collect();
+        let outermost = within.iter().filter(|one| {
+            let mut others = within.iter();
+            !others.any(|other| one.is_within(other))
+        });
+        outermost.count() >= MAX_BLAMED_WITHIN
+    }
+
+    /// The blamed fingerprints that are new, without those that a broader one contains.
+    fn result(&self) -> Vec<Blamed> {
+        let blamed = self.blamed.iter();
+        let new = blamed.filter(|one| one.standing != Standing::Quarantined);
+        let new = new.filter(|one| !self.is_redundant(one));
+        new.map(|one| self.terminations.blamed(one)).collect()
+    }
+
+    fn is_redundant(&self, candidate: &Candidate) -> bool {
+        let mut others = self.blamed.iter();
+        others.any(|other| other.contains_ends(candidate) && candidate.is_within(other))
+    }
 }
--- a/crates/services/src/quarantine/evidence.rs
+++ b/crates/services/src/quarantine/evidence.rs
@@ -64,14 +64,15 @@
             }),
         }
         self.request_count += 1;
-        while self.request_count > MAX_REQUESTS {
-            self.drop_oldest();
-        }
+        self.limit(MAX_REQUESTS);
         true
     }
 
-    fn drop_oldest(&mut self) {
-        if let Some(oldest) = self.terminated.pop_front() {
+    /// Drops the oldest instances until no more than this number of requests is left.
+    pub(super) fn limit(&mut self, max_requests: usize) {
+        while self.request_count > max_requests
+            && let Some(oldest) = self.terminated.pop_front()
+        {
             self.request_count -= oldest.requests.len();
         }
     }
--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -84,6 +84,7 @@
         if !self.evidence.add(fingerprints, &instance, at) {
             return;
         }
+        self.evidence.limit(MAX_OBSERVED_ENDS);
         self.observed_ends.push_back(ObservedEnd {
             fingerprints: fingerprints.to_vec(),
             instance,
