--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -1,7 +1,7 @@
 //! The leader's side: instances that terminated with requests in flight, over all routers, and the
 //! fingerprints in quarantine.
 //!
-//! Invariant: a fingerprint that explains the terminations ([`attribution`](super::attribution)) is
+//! Invariant: a fingerprint that explains the terminations (`quarantine::attribution`) is
 //! in quarantine. After the time of its quarantine it is sent again; one more termination puts it
 //! back in quarantine, for a longer time.
 //!
