--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -287,8 +287,8 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Number of requests that were in flight at terminated instances, of which the price of an
-    /// attribution depends.
+    /// Number of requests that were in flight at terminated instances: the work of an attribution
+    /// grows with it.
     #[must_use]
     pub fn request_count(&self) -> usize {
         self.evidence.request_count()
