--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -612,42 +612,6 @@
     });
 }
 
-/// A proxy on `listen` before `target`: passes each connection's bytes on after `delay`, also when
-/// their sender has closed meanwhile, and the answer back.
-pub fn delaying_proxy(listen: SocketAddr, target: SocketAddr, delay: Duration) {
-    let listener = TcpListener::bind(listen).expect("bind a proxy");
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { continue };
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(Some((first, headers))) = read_head(&mut stream) else {
-                    return;
-                };
-                let (body, complete, _) = read_body(&mut stream, &headers, |_| {});
-                if !complete {
-                    return;
-                }
-                thread::sleep(delay);
-                let mut words = first.split(' ');
-                let method = words.next().unwrap_or_default().to_owned();
-                let path = words.next().unwrap_or_default().to_owned();
-                let answer = call(target, &method, &path, &body, Duration::from_secs(3));
-                if let Ok(answer) = answer {
-                    let head = format!(
-                        "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-                        answer.status,
-                        answer.body.len()
-                    );
-                    let _ = stream
-                        .write_all(head.as_bytes())
-                        .and_then(|()| stream.write_all(&answer.body));
-                }
-            });
-        }
-    });
-}
-
 /// The value of a field in a flat JSON object: the text of a string, or the digits of a number.
 pub fn field(text: &str, name: &str) -> Option<String> {
     let start = text.find(&format!("\"{name}\""))? + name.len() + 2;
