--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -16,8 +16,8 @@
 const RUNNERS: u8 = 3;
 /// Work on a request.
 const WORK: Duration = Duration::from_millis(30);
-/// Requests that find all runners full.
-const TRIES: usize = 3;
+/// Requests that find all runners full; one, so that one runner gives one answer too many.
+const TRIES: usize = 1;
 
 /// What the runners share: who ran what, and who turned it away.
 struct Fleet {
@@ -35,6 +35,7 @@
 struct Runner {
     id: String,
     fleet: Arc<Fleet>,
+    answers: AtomicU32,
 }
 
 impl Runner {
@@ -54,6 +55,7 @@
                 ),
                 _ => self.answer(&id, &last, &mut stream),
             };
+            self.answers.fetch_add(1, Ordering::SeqCst);
             self.fleet.answers.fetch_add(1, Ordering::SeqCst);
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
@@ -79,8 +81,9 @@
             && self.fleet.extra.swap(false, Ordering::SeqCst)
         {
             self.fleet.record.line(&format!(
-                "{}: its answer before comes once more, where the next is due",
-                self.id
+                "{}: its answer before comes once more, where the next is due; one more after {} answers",
+                self.id,
+                self.answers.load(Ordering::SeqCst)
             ));
             let _ = stream.write_all(last.as_bytes());
         }
@@ -166,6 +169,7 @@
         let runner = Arc::new(Runner {
             id: format!("i-{number}"),
             fleet: fleet.clone(),
+            answers: AtomicU32::new(0),
         });
         let id = runner.id.clone();
         thread::spawn(move || {
