Records name the connection that an attempt used

Change: not_run, failed and ended lines, and forwarded lines of a forwarder, carry the connection's number, age and count of requests. The pool's connection has a module of its own, and all requests are sent by one function. No behaviour changes.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use crate::handle::AdmittedRequest;
 use crate::limit_tracker;
 use crate::path::{self, TriedForwarders};
-use crate::pool::{Endpoint, Upstream};
+use crate::pool::{Endpoint, SendError, Upstream};
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
 use bytes::Bytes;
@@ -95,7 +95,9 @@
         if let Some(permit) = permit.take() {
             permit.use_now();
         }
-        let response = match send(&mut upstream, request, response_deadline).await {
+        let sent = send(&mut upstream, request, response_deadline).await;
+        flight.record_connection(upstream.record());
+        let response = match sent {
             Sent::Response(response) => response,
             Sent::TimedOut => {
                 flight.timed_out();
@@ -163,14 +165,11 @@
 }
 
 async fn send(upstream: &mut Upstream, request: Request<Full<Bytes>>, deadline: Instant) -> Sent {
-    let sending = upstream.sender.try_send_request(request);
-    match tokio::time::timeout_at(deadline, sending).await {
+    match tokio::time::timeout_at(deadline, upstream.send(request)).await {
         Err(_) => Sent::TimedOut,
         Ok(Ok(response)) => Sent::Response(response),
-        Ok(Err(mut error)) => match error.take_message() {
-            Some(_) => Sent::Unsent,
-            None => Sent::Broken(error.error().to_string()),
-        },
+        Ok(Err(SendError::Unsent(_))) => Sent::Unsent,
+        Ok(Err(SendError::Broken(problem))) => Sent::Broken(problem),
     }
 }
 
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -7,6 +7,7 @@
 use crate::ended_streams::StreamEnd;
 use crate::forwarding::InFlightGuard;
 use crate::handle::AdmittedRequest;
+use crate::pool::ConnectionRecord;
 use crate::quarantine_tracker::{check_after_break, check_after_timeout, check_after_unknown_end};
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
@@ -48,6 +49,8 @@
     is_stream: bool,
     /// The router that forwarded the request; counts the request there.
     forwarder: Option<InFlightGuard>,
+    /// The connection that the request was sent on, if it was sent.
+    connection: Option<ConnectionRecord>,
 }
 
 /// Maximum number of a prompt's parts that a record names.
@@ -206,6 +209,7 @@
             model_request: ModelRequest::of(admitted),
             is_stream: admitted.route.kind == RequestKind::Streaming,
             forwarder: None,
+            connection: None,
         }
     }
 
@@ -252,6 +256,11 @@
         self.shared.metrics.answer(status);
     }
 
+    /// Records the connection that the request was sent on.
+    pub(crate) fn record_connection(&mut self, connection: ConnectionRecord) {
+        self.connection = Some(connection);
+    }
+
     /// Records that another router forwarded the request and that the instance answered it.
     pub(crate) fn set_forwarder(&mut self, forwarder: Option<InFlightGuard>) {
         self.forwarder = forwarder;
@@ -387,6 +396,7 @@
             body_bytes: self.body.as_ref().map(ReceivedBody::length_bytes),
             inside_event: self.body.as_ref().and_then(ReceivedBody::is_inside_event),
             forwarder: self.forwarder.as_ref().map(|one| one.address().to_string()),
+            connection: self.connection,
             waited_ms: millis(self.waited),
             predicted_ms: self.candidate.predicted_ms as u64,
             uncached_tokens: self.candidate.uncached_tokens,
@@ -409,6 +419,7 @@
             instance: self.candidate.instance.as_str(),
             status,
             rest_ms: backoff.map(|backoff| backoff.0),
+            connection: self.connection,
             after_ms: millis(self.arrived.elapsed()),
         });
     }
@@ -436,6 +447,7 @@
             parts: self.recorded_parts(),
             instance: self.candidate.instance.as_str(),
             problem,
+            connection: self.connection,
             after_ms: millis(self.arrived.elapsed()),
         });
         self.suspect_instance();
--- a/crates/gateway/src/forwarding/client.rs
+++ b/crates/gateway/src/forwarding/client.rs
@@ -4,7 +4,7 @@
 use super::forwarders::Offer;
 use super::headers::{ForwardInstruction, mark_check};
 use crate::Shared;
-use crate::pool::{self, Endpoint, Upstream};
+use crate::pool::{Endpoint, Upstream};
 use bytes::Bytes;
 use courseshunt_services::{ForwardingReport, InstanceView, ReportMessage};
 use courseshunt_types::{Millis, Zone};
@@ -32,7 +32,7 @@
         let problem = format!("forward: {address} runs protocol {}", connected.version);
         return Err(io::Error::other(problem));
     }
-    pool::open(connected.stream, Endpoint::Forwarder(address)).await
+    Upstream::open(connected.stream, Endpoint::Forwarder(address)).await
 }
 
 /// A request that asks a forwarder whether it reaches this instance.
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -8,7 +8,7 @@
 use crate::forwarded_headers::strip_hop_headers;
 use crate::interface::ForwardContext;
 use crate::path;
-use crate::pool::{Endpoint, Upstream};
+use crate::pool::{ConnectionRecord, Endpoint, SendError, Upstream};
 use crate::records::RouterRecord;
 use crate::serve::hold_token_until_sent;
 use bytes::Bytes;
@@ -177,8 +177,9 @@
                 Err(Failure::new(ForwardOutcome::Rejected, problem))
             }
         };
-        let framing = forwarded.as_ref().ok();
-        let framing = framing.and_then(|response| response.extensions().get::<BodyFraming>());
+        let extensions = forwarded.as_ref().ok().map(Response::extensions);
+        let framing = extensions.and_then(|extensions| extensions.get::<BodyFraming>());
+        let connection = extensions.and_then(|extensions| extensions.get::<ConnectionRecord>());
         let outcome = match &forwarded {
             Ok(_) if is_check => "reached",
             Ok(_) => "answered",
@@ -190,6 +191,7 @@
             router: router.as_str(),
             instance: instance.as_ref().map(|instance| instance.as_str()),
             framing: framing.map(|framing| framing.name()),
+            connection: connection.copied(),
             outcome,
             problem: forwarded.as_ref().err().map(|one| one.problem.as_str()),
             after_ms: crate::flight::millis(arrived.elapsed()),
@@ -252,6 +254,7 @@
         let framing = BodyFraming::of_response(&method, head.status, &head.headers);
         upstream.apply_framing(framing);
         head.extensions.insert(framing);
+        head.extensions.insert(upstream.record());
         // Between routers every response has chunks or a length, so that a broken one shows.
         head.version = Version::HTTP_11;
         strip_hop_headers(&mut head.headers);
@@ -322,15 +325,15 @@
             let headers = request.headers_mut();
             self.shared.interface.add_forward_headers(headers, &context);
             let is_fresh = upstream.fresh;
-            let mut error = match upstream.sender.try_send_request(request).await {
+            request = match upstream.send(request).await {
                 Ok(response) => return Ok((response, upstream)),
-                Err(error) => error,
-            };
-            let problem = error.error().to_string();
-            request = match error.take_message() {
-                Some(unsent) if !is_fresh => unsent,
-                Some(_) => return Err(Failure::new(ForwardOutcome::Unreachable, problem)),
-                None => return Err(Failure::new(ForwardOutcome::MayHaveRun, problem)),
+                Err(SendError::Unsent(unsent)) if !is_fresh => unsent,
+                Err(SendError::Unsent(_)) => {
+                    return Err(Failure::new(ForwardOutcome::Unreachable, "closed"));
+                }
+                Err(SendError::Broken(problem)) => {
+                    return Err(Failure::new(ForwardOutcome::MayHaveRun, problem));
+                }
             };
             upstream = self.connect(view).await?;
         }
--- a/crates/gateway/src/path/check.rs
+++ b/crates/gateway/src/path/check.rs
@@ -22,7 +22,7 @@
     let mut tried = TriedForwarders::default();
     while let Some(mut upstream) = to_forwarder(shared, view, &mut tried).await {
         let request = forwarding::check_request(view);
-        let sending = upstream.sender.send_request(request);
+        let sending = upstream.send(request);
         let response = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
         let Ok(Ok(response)) = response else { continue };
         let outcome = ForwardOutcome::read(response.headers());
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -111,7 +111,7 @@
         Err(error) => return judge_failed_connection(shared, &target.view, &error).await,
     };
     tokio::time::sleep(settle_time).await;
-    if upstream.sender.is_closed() {
+    if upstream.is_closed() {
         return ProbeResult::Inconclusive;
     }
     // An instance that pushes back is not sent health checks either.
@@ -162,7 +162,7 @@
     let host = HeaderValue::from_str(address).ok()?;
     request.headers_mut().insert(HOST, host);
     let sent_at = shared.clock.now();
-    let response = upstream.sender.send_request(request).await.ok()?;
+    let response = upstream.send(request).await.ok()?;
     let (head, body) = response.into_parts();
     let framing = BodyFraming::of_response(&Method::GET, head.status, &head.headers);
     upstream.apply_framing(framing);
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,6 +1,7 @@
 //! Records of a router: one line for each decision about a request, and for each change of the
 //! router's state or of its view of the cluster.
 
+use crate::pool::ConnectionRecord;
 use courseshunt_instance_load::InstanceCondition;
 use courseshunt_records::Record;
 use serde::Serialize;
@@ -78,6 +79,9 @@
         status: Option<u16>,
         /// Backoff that the response asks for.
         rest_ms: Option<u64>,
+        /// The connection that the request was sent on, if it was sent.
+        #[serde(flatten)]
+        connection: Option<ConnectionRecord>,
         after_ms: u64,
     },
     /// Decision whether the request may be sent again after a failed attempt, and the state of
@@ -109,6 +113,9 @@
         parts: Vec<String>,
         instance: &'a str,
         problem: &'a str,
+        /// The connection that the request was sent on, if it was sent.
+        #[serde(flatten)]
+        connection: Option<ConnectionRecord>,
         after_ms: u64,
     },
     /// The router refuses the request.
@@ -167,6 +174,9 @@
         /// Wire address of the router that forwarded the request; absent if this router sent it
         /// to the instance itself.
         forwarder: Option<String>,
+        /// The connection that the request was sent on.
+        #[serde(flatten)]
+        connection: Option<ConnectionRecord>,
         waited_ms: u64,
         predicted_ms: u64,
         uncached_tokens: u32,
@@ -275,6 +285,9 @@
         instance: Option<&'a str>,
         /// How the instance marked the end of the body; absent without a response.
         framing: Option<&'static str>,
+        /// This router's connection to the instance; absent without a response.
+        #[serde(flatten)]
+        connection: Option<ConnectionRecord>,
         /// `answered`, `reached` if only this was asked, or why there is no answer of the
         /// instance.
         outcome: &'static str,
