A connection to an instance carries the id of a request once (TWICE, REFUSED)

Cause: the id of a response is all that tells which request it answers, and all attempts of a request share the client's id. After "not run" the connection went back to the pool, and the next attempt at the same instance, of this router or of one for which it forwards, could take it: the repeated answer bore the right id. Ruled out: an instance that runs a request twice by itself (its record has one run each, at two instances); the selection alone (a return to an instance is wanted, its connection is at fault); 429 and 503 behave alike. Change: a connection remembers the ids that it has carried (digests, 1,024 at most, then it is not used again); the pool passes over connections that have carried the id, and the one function that sends checks again. Attempts, health checks and the forwarder's sends all pass it. Connections to forwarders are exempt: a router answers once. Why it works: with one id at most once on a connection, a response with this id is the response to this send, whatever comes too often or late.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -68,6 +68,7 @@
         max_permit_wait,
     } = selected;
     let view = &view;
+    let id = &admitted.metadata.id;
     let pending = PendingSend::new(shared, admitted, candidate);
     if !limit_tracker::admit(shared, admitted, pending.instance(), max_permit_wait).await {
         return AttemptOutcome::NotSent;
@@ -75,7 +76,7 @@
     let candidate = pending.into_sent();
     let mut flight = Flight::begin(shared, admitted, candidate, number);
     let mut tried = TriedForwarders::default();
-    let Some(mut upstream) = path::acquire(shared, view, &mut tried).await else {
+    let Some(mut upstream) = path::acquire(shared, view, id, &mut tried).await else {
         flight.not_run(None, None);
         return AttemptOutcome::Unreached;
     };
@@ -95,7 +96,7 @@
         if let Some(permit) = permit.take() {
             permit.use_now();
         }
-        let sent = send(&mut upstream, request, response_deadline).await;
+        let sent = send(&mut upstream, id, request, response_deadline).await;
         flight.record_connection(upstream.record());
         let response = match sent {
             Sent::Response(response) => response,
@@ -156,7 +157,7 @@
 enum Sent {
     /// The peer answered.
     Response(Response<Incoming>),
-    /// The connection had been closed, and the request was certainly not sent.
+    /// The request was certainly not sent on this connection.
     Unsent,
     /// The connection broke, with this problem; the request may have been sent.
     Broken(String),
@@ -164,8 +165,13 @@
     TimedOut,
 }
 
-async fn send(upstream: &mut Upstream, request: Request<Full<Bytes>>, deadline: Instant) -> Sent {
-    match tokio::time::timeout_at(deadline, upstream.send(request)).await {
+async fn send(
+    upstream: &mut Upstream,
+    id: &str,
+    request: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Sent {
+    match tokio::time::timeout_at(deadline, upstream.send(id, request)).await {
         Err(_) => Sent::TimedOut,
         Ok(Ok(response)) => Sent::Response(response),
         Ok(Err(SendError::Unsent(_))) => Sent::Unsent,
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -170,7 +170,7 @@
             Ok(instruction) if is_check => self.check(&instruction).await,
             Ok(instruction) => {
                 let request = Request::from_parts(head, body);
-                self.forward(request, instruction, arrived).await
+                self.forward(&id, request, instruction, arrived).await
             }
             Err(error) => {
                 let problem = error.to_string();
@@ -216,6 +216,7 @@
 
     async fn forward(
         &self,
+        id: &str,
         request: Request<Incoming>,
         instruction: ForwardInstruction,
         arrived: Instant,
@@ -248,7 +249,7 @@
             }
         };
         let request = Request::from_parts(head, Full::new(collected));
-        let sending = self.send(&view, &instruction, request, deadline);
+        let sending = self.send(&view, &instruction, id, request, deadline);
         let (response, mut upstream) = sending.await?;
         let (mut head, body) = response.into_parts();
         let framing = BodyFraming::of_response(&method, head.status, &head.headers);
@@ -302,11 +303,12 @@
         &self,
         view: &InstanceView,
         instruction: &ForwardInstruction,
+        id: &str,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<(Response<Incoming>, Upstream), Failure> {
         let endpoint = Endpoint::Instance(view.id.clone());
-        let mut upstream = match self.shared.pool.take(&endpoint) {
+        let mut upstream = match self.shared.pool.take(&endpoint, id) {
             Some(upstream) => upstream,
             None => self.connect(view).await?,
         };
@@ -325,9 +327,9 @@
             let headers = request.headers_mut();
             self.shared.interface.add_forward_headers(headers, &context);
             let is_fresh = upstream.fresh;
-            request = match upstream.send(request).await {
+            request = match upstream.send(id, request).await {
                 Ok(response) => return Ok((response, upstream)),
-                Err(SendError::Unsent(unsent)) if !is_fresh => unsent,
+                Err(SendError::Unsent(unsent)) if !is_fresh => *unsent,
                 Err(SendError::Unsent(_)) => {
                     return Err(Failure::new(ForwardOutcome::Unreachable, "closed"));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,7 @@
 mod load_reports;
 mod metrics;
 mod path;
-mod pool;
+pub mod pool;
 mod probes;
 mod quarantine_tracker;
 mod quota_tracker;
@@ -188,16 +188,17 @@
         let clients = settings.listen.clients.context(NoAddressSnafu)?;
         let clients = bind(clients)?;
         let ready = settings.listen.ready.map(bind).transpose()?;
-        let metrics = settings.listen.metrics.map(bind).transpose()?;
+        let metrics_listener = settings.listen.metrics.map(bind).transpose()?;
         let routers = bind(settings.wire_address())?;
+        let metrics = Metrics::default();
         let shared = Arc::new(Shared {
             view: View::new(&settings, clock),
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(metrics.passed_over()),
             dialler,
             key: key.clone(),
             paths: Mutex::default(),
             forwarders: Arc::default(),
-            metrics: Metrics::default(),
+            metrics,
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
                 view::INITIAL_ROUTER_COUNT,
@@ -230,8 +231,8 @@
         if let Some(ready) = ready {
             tokio::spawn(serve::serve_readiness(ready, shared.clone()));
         }
-        if let Some(metrics) = metrics {
-            tokio::spawn(serve::serve_metrics(metrics, shared.clone()));
+        if let Some(listener) = metrics_listener {
+            tokio::spawn(serve::serve_metrics(listener, shared.clone()));
         }
         emit(&RouterRecord::Started {
             name: &shared.settings.name,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,7 @@
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
     connections: Counter,
+    passed_over: Counter,
     feeds_lost: Counter,
     suspended_milliseconds: Counter,
     waits: Histogram,
@@ -112,6 +113,7 @@
             reservations: Family::default(),
             cancelled: Counter::default(),
             connections: Counter::default(),
+            passed_over: Counter::default(),
             feeds_lost: Counter::default(),
             suspended_milliseconds: Counter::default(),
             waits: histogram(),
@@ -184,6 +186,9 @@
         registry.register("cancelled", "Requests whose clients left", cancelled);
         let connections = self.connections.clone();
         registry.register("connections", "New connections to instances", connections);
+        let passed_over = self.passed_over.clone();
+        let help = "Requests for which all idle connections to the instance had carried their id";
+        registry.register("connections_passed_over", help, passed_over);
         let lost = self.feeds_lost.clone();
         registry.register("feeds_lost", "Feeds that ended", lost);
         let suspended = self.suspended_milliseconds.clone();
@@ -342,6 +347,11 @@
         self.cancelled.inc();
     }
 
+    /// Counter of the requests for which all idle connections had carried the id.
+    pub(crate) fn passed_over(&self) -> Counter {
+        self.passed_over.clone()
+    }
+
     pub(crate) fn connection(&self) {
         self.connections.inc();
     }
--- a/crates/gateway/src/path/check.rs
+++ b/crates/gateway/src/path/check.rs
@@ -1,7 +1,7 @@
 //! Asks another router whether it reaches an instance, so that a lost path is told apart from an
 //! instance that is down.
 
-use super::{TriedForwarders, record_forwarded, to_forwarder};
+use super::{NO_ID, TriedForwarders, record_forwarded, to_forwarder};
 use crate::Shared;
 use crate::forwarding;
 use crate::forwarding::headers::ForwardOutcome;
@@ -22,7 +22,7 @@
     let mut tried = TriedForwarders::default();
     while let Some(mut upstream) = to_forwarder(shared, view, &mut tried).await {
         let request = forwarding::check_request(view);
-        let sending = upstream.send(request);
+        let sending = upstream.send(NO_ID, request);
         let response = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
         let Ok(Ok(response)) = response else { continue };
         let outcome = ForwardOutcome::read(response.headers());
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -29,6 +29,8 @@
 const DIRECT_PATIENCE: Duration = Duration::from_millis(100);
 /// The same while this router appears to have lost its paths.
 const PARTITIONED_PATIENCE: Duration = Duration::from_millis(20);
+/// In place of an id where none matters: a connection to a forwarder may carry an id again.
+const NO_ID: &str = "";
 /// Maximum number of forwarders that one attempt tries.
 const MAX_FORWARDERS_TRIED: usize = 3;
 
@@ -60,11 +62,12 @@
     }
 }
 
-/// A connection for a request to this instance: an idle one, a new one, or one to a forwarder.
-/// `None` if there is no path.
+/// A connection for a request with this id to this instance: an idle one, a new one, or one to a
+/// forwarder. `None` if there is no path.
 pub(crate) async fn acquire(
     shared: &Arc<Shared>,
     view: &InstanceView,
+    id: &str,
     tried: &mut TriedForwarders,
 ) -> Option<Upstream> {
     let is_forwarded = shared.paths().is_forwarded(&view.id);
@@ -75,7 +78,7 @@
     let is_partitioned = shared.paths().is_partitioned_from(&view.service);
     let trusts_idle = !is_partitioned || !has_forwarder(shared, view, tried);
     let endpoint = Endpoint::Instance(view.id.clone());
-    if trusts_idle && let Some(upstream) = shared.pool.take(&endpoint) {
+    if trusts_idle && let Some(upstream) = shared.pool.take(&endpoint, id) {
         return Some(upstream);
     }
     connect(shared, view, tried).await
@@ -142,7 +145,7 @@
         let address = chosen?;
         tried.addresses.push(address);
         tried.in_flight = Some(shared.forwarders.begin(address));
-        if let Some(upstream) = shared.pool.take(&Endpoint::Forwarder(address)) {
+        if let Some(upstream) = shared.pool.take(&Endpoint::Forwarder(address), NO_ID) {
             return Some(upstream);
         }
         match forwarding::connect(shared, address).await {
--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -1,14 +1,16 @@
 //! Pool of idle connections to instances and to routers that forward requests.
 //!
-//! Invariant: a connection is reused only after a complete response, and only for the endpoint
-//! that it was opened to.
+//! Invariant: a connection is reused only after a complete response, only for the endpoint that it
+//! was opened to, and to an instance only for a request whose id it has not carried.
 
+pub mod carried_ids;
 mod upstream;
 
 pub(crate) use upstream::{ConnectionRecord, SendError, Upstream};
 
 use crate::dial::InstanceDialler;
 use courseshunt_types::RunnerId;
+use prometheus_client::metrics::counter::Counter;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -31,24 +33,42 @@
 }
 
 /// Idle connections by endpoint.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<Endpoint, Vec<Upstream>>>,
+    /// Requests for which there were idle connections, but only such as had carried the id.
+    passed_over: Counter,
 }
 
 impl ConnectionPool {
+    /// An empty pool that counts in `passed_over` the requests for which all idle connections had
+    /// carried the id.
+    pub(crate) fn new(passed_over: Counter) -> Self {
+        Self {
+            idle: Mutex::default(),
+            passed_over,
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Endpoint, Vec<Upstream>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes an idle connection.
-    pub(crate) fn take(&self, endpoint: &Endpoint) -> Option<Upstream> {
+    /// Takes an idle connection for a request with this id.
+    pub(crate) fn take(&self, endpoint: &Endpoint, id: &str) -> Option<Upstream> {
         let mut pools = self.lock();
         let idle = pools.get_mut(endpoint)?;
         let now = Instant::now();
         idle.retain(|one| one.is_usable(now));
-        let ready = idle.iter().rposition(Upstream::is_ready)?;
-        let mut upstream = idle.remove(ready);
+        let accepting = idle
+            .iter()
+            .rposition(|one| one.is_ready() && one.accepts(id));
+        let Some(position) = accepting else {
+            if idle.iter().any(Upstream::is_ready) {
+                self.passed_over.inc();
+            }
+            return None;
+        };
+        let mut upstream = idle.remove(position);
         upstream.fresh = false;
         Some(upstream)
     }
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -1,8 +1,11 @@
 //! A connection to an instance or to a router that forwards requests.
 //!
-//! Invariant: each request is sent by [`Upstream::send`], which counts it.
+//! Invariant: a connection to an instance carries each id at most once, so that the id of a response
+//! shows which request it answers. An instance may give a response once more, late, in the place of
+//! the response to the next request.
 
 use super::Endpoint;
+use super::carried_ids::CarriedIds;
 use bytes::Bytes;
 use courseshunt_http::BodyFraming;
 use http_body_util::Full;
@@ -37,8 +40,9 @@
 
 /// Why a request got no response on a connection.
 pub(crate) enum SendError {
-    /// The connection had been closed, and the request was certainly not sent.
-    Unsent(Request<Full<Bytes>>),
+    /// The request was certainly not sent: the connection had been closed, or it has carried the
+    /// request's id before.
+    Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke, with this problem; the request may have been sent.
     Broken(String),
 }
@@ -62,6 +66,7 @@
     number: u64,
     opened_at: Instant,
     requests: u32,
+    carried_ids: CarriedIds,
     idle_timeout: Duration,
     last_used_at: Instant,
     pub(crate) fresh: bool,
@@ -102,6 +107,7 @@
             number: OPENED.fetch_add(1, Ordering::Relaxed),
             opened_at: now,
             requests: 0,
+            carried_ids: CarriedIds::default(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             last_used_at: now,
             fresh: true,
@@ -109,18 +115,25 @@
         })
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request with this id and waits for the head of the response.
     ///
     /// # Errors
-    /// If the connection is closed or breaks.
+    /// If the connection is closed, breaks, or has carried the id before.
     pub(crate) async fn send(
         &mut self,
+        id: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        if !self.accepts(id) {
+            return Err(SendError::Unsent(Box::new(request)));
+        }
+        if let Endpoint::Instance(_) = self.endpoint {
+            self.carried_ids.insert(id);
+        }
         self.requests = self.requests.saturating_add(1);
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| match error.take_message() {
-            Some(unsent) => SendError::Unsent(unsent),
+            Some(unsent) => SendError::Unsent(Box::new(unsent)),
             None => SendError::Broken(error.error().to_string()),
         })
     }
@@ -134,6 +147,15 @@
         }
     }
 
+    /// Whether a request with this id may be sent. A forwarder answers each request once, so that
+    /// its connections may carry an id again.
+    pub(super) fn accepts(&self, id: &str) -> bool {
+        match self.endpoint {
+            Endpoint::Instance(_) => self.carried_ids.accepts(id),
+            Endpoint::Forwarder(_) => true,
+        }
+    }
+
     /// Whether the peer has closed the connection.
     pub(crate) fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -161,7 +183,7 @@
 
     /// Whether the connection may carry another request after the present response.
     pub(crate) fn is_reusable(&self) -> bool {
-        !self.ends_with_response && !self.is_closed()
+        !self.ends_with_response && !self.carried_ids.is_full() && !self.is_closed()
     }
 
     /// Applies the idle timeout of a `keep-alive` header.
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -162,7 +162,7 @@
     let host = HeaderValue::from_str(address).ok()?;
     request.headers_mut().insert(HOST, host);
     let sent_at = shared.clock.now();
-    let response = upstream.send(request).await.ok()?;
+    let response = upstream.send(HEALTH_CHECK, request).await.ok()?;
     let (head, body) = response.into_parts();
     let framing = BodyFraming::of_response(&Method::GET, head.status, &head.headers);
     upstream.apply_framing(framing);
