--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -49,17 +49,29 @@
     NotSent,
     /// The request may have run, and there is no response to relay.
     MayHaveRun,
+    /// The same, and the instance may go on working on it: its connection is kept by a forwarder
+    /// that did not compare the response's id.
+    MayStillRun,
     /// The deadline passed; the request may have run.
     TimedOut,
 }
 
-/// Sends a request to the selected instance, as attempt `number`. A retry has a permit, which is
-/// taken when the request is sent.
+/// Place of an attempt among those of its request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptPlace {
+    /// The first one has number 1.
+    pub(crate) number: u32,
+    /// Whether an earlier attempt went to the same instance.
+    pub(crate) is_return: bool,
+}
+
+/// Sends a request to the selected instance. A retry has a permit, which is taken when the request
+/// is sent.
 pub(crate) async fn attempt(
     shared: &Arc<Shared>,
     admitted: &AdmittedRequest,
     selected: SelectedInstance,
-    number: u32,
+    place: AttemptPlace,
     permit: &mut Option<RetryPermit>,
 ) -> AttemptOutcome {
     let SelectedInstance {
@@ -74,7 +86,7 @@
         return AttemptOutcome::NotSent;
     }
     let candidate = pending.into_sent();
-    let mut flight = Flight::begin(shared, admitted, candidate, number);
+    let mut flight = Flight::begin(shared, admitted, candidate, place.number);
     let mut tried = TriedForwarders::default();
     let Some(mut upstream) = path::acquire(shared, view, id, &mut tried).await else {
         flight.not_run(None, None);
@@ -147,6 +159,7 @@
             admitted,
             flight,
             upstream,
+            is_return: place.is_return,
             deadline: response_deadline,
         };
         return exchange.handle(response).await;
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -6,10 +6,10 @@
 use crate::Shared;
 use crate::flight::Flight;
 use crate::forwarded_headers::strip_hop_headers;
-use crate::forwarding::headers::take_framing;
+use crate::forwarding::headers::{take_framing, take_id_checked};
 use crate::handle::AdmittedRequest;
 use crate::instance_reports::{ResponseOrigin, observe_response};
-use crate::interface::ResponseMetadata;
+use crate::interface::{AnsweredRequest, ResponseMetadata};
 use crate::pool::{Endpoint, Upstream};
 use crate::received_body::ReceivedBody;
 use crate::relay::RelayBody;
@@ -30,6 +30,8 @@
     pub(super) admitted: &'a AdmittedRequest,
     pub(super) flight: Flight,
     pub(super) upstream: Upstream,
+    /// Whether an earlier attempt went to the same instance.
+    pub(super) is_return: bool,
     /// The response must be complete by then.
     pub(super) deadline: Instant,
 }
@@ -43,6 +45,7 @@
         let metadata = shared
             .interface
             .read_response(id, head.status, &head.headers);
+        let is_id_checked = self.is_id_checked(&mut head);
         let framing = self.read_framing(&mut head);
         self.flight.record_status(head.status.as_u16());
         let received = ReceivedBody::new(framing, &head.headers);
@@ -58,6 +61,11 @@
             let shape = &self.admitted.metadata.shape;
             shared.view.mark_lacking(self.flight.instance(), shape, now);
         }
+        if (metadata.not_run || metadata.misdirected) && self.is_return && !is_id_checked {
+            let problem = "rejected over a connection that may have carried the request before";
+            self.flight.failed(problem);
+            return AttemptOutcome::MayHaveRun;
+        }
         if metadata.not_run || metadata.misdirected {
             self.flight.not_run(Some(head.status.as_u16()), backoff);
             reuse_connection(shared, self.upstream, body).await;
@@ -66,7 +74,10 @@
         if !metadata.genuine || metadata.promises_not_run {
             let problem = "the answer is not this request's, or promises what is not known";
             self.flight.failed(problem);
-            return AttemptOutcome::MayHaveRun;
+            return match metadata.answered {
+                AnsweredRequest::Another if !is_id_checked => AttemptOutcome::MayStillRun,
+                _ => AttemptOutcome::MayHaveRun,
+            };
         }
         if head.status.is_server_error() {
             self.flight.suspect_instance();
@@ -83,6 +94,15 @@
         }
     }
 
+    /// Whether the response's id shows that it is the one to this attempt: the connection to the
+    /// instance had not carried the id before. A forwarder of an earlier build does not state it.
+    fn is_id_checked(&self, head: &mut Parts) -> bool {
+        match self.upstream.endpoint {
+            Endpoint::Instance(_) => true,
+            Endpoint::Forwarder(_) => take_id_checked(&mut head.headers),
+        }
+    }
+
     /// How the instance framed the response, and what this means for the connection.
     fn read_framing(&mut self, head: &mut Parts) -> BodyFraming {
         if let Endpoint::Forwarder(_) = self.upstream.endpoint {
--- a/crates/gateway/src/forwarding/headers.rs
+++ b/crates/gateway/src/forwarding/headers.rs
@@ -14,6 +14,7 @@
 const PRIORITY: HeaderName = HeaderName::from_static("courseshunt-forward-priority");
 const TENANT: HeaderName = HeaderName::from_static("courseshunt-forward-tenant");
 const CHECK: HeaderName = HeaderName::from_static("courseshunt-forward-check");
+const ID_CHECKED: HeaderName = HeaderName::from_static("courseshunt-forward-id-checked");
 const OUTCOME: HeaderName = HeaderName::from_static("courseshunt-forward-outcome");
 const FRAMING: HeaderName = HeaderName::from_static("courseshunt-forward-framing");
 
@@ -123,6 +124,18 @@
     })
 }
 
+/// States that the forwarder's connection to the instance had not carried the request's id before,
+/// and that it is closed if the response is not the one to the request.
+pub fn mark_id_checked(headers: &mut HeaderMap) {
+    headers.insert(ID_CHECKED, HeaderValue::from_static("1"));
+}
+
+/// Takes whether a forwarder stated so; one of an earlier build does not.
+#[must_use]
+pub fn take_id_checked(headers: &mut HeaderMap) -> bool {
+    headers.remove(&ID_CHECKED).is_some()
+}
+
 /// What became of a forwarded request that no instance answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardOutcome {
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -3,10 +3,12 @@
 //! Invariant: a request is sent at most once, to the named instance, and only by a connection of
 //! this router's own.
 
-use super::headers::{ForwardInstruction, ForwardOutcome, take_check, write_framing};
+use super::headers::{
+    ForwardInstruction, ForwardOutcome, mark_id_checked, take_check, write_framing,
+};
 use crate::Shared;
 use crate::forwarded_headers::strip_hop_headers;
-use crate::interface::ForwardContext;
+use crate::interface::{AnsweredRequest, ForwardContext};
 use crate::path;
 use crate::pool::{ConnectionRecord, Endpoint, SendError, Upstream};
 use crate::records::RouterRecord;
@@ -180,8 +182,10 @@
         let extensions = forwarded.as_ref().ok().map(Response::extensions);
         let framing = extensions.and_then(|extensions| extensions.get::<BodyFraming>());
         let connection = extensions.and_then(|extensions| extensions.get::<ConnectionRecord>());
+        let answered = extensions.and_then(|extensions| extensions.get::<AnsweredRequest>());
         let outcome = match &forwarded {
             Ok(_) if is_check => "reached",
+            Ok(_) if answered == Some(&AnsweredRequest::Another) => "answer_to_another",
             Ok(_) => "answered",
             Err(failure) => failure.outcome.name(),
         };
@@ -254,6 +258,13 @@
         let (mut head, body) = response.into_parts();
         let framing = BodyFraming::of_response(&method, head.status, &head.headers);
         upstream.apply_framing(framing);
+        let metadata = shared
+            .interface
+            .read_response(id, head.status, &head.headers);
+        if metadata.answered != AnsweredRequest::This {
+            upstream.close_after_response();
+        }
+        head.extensions.insert(metadata.answered);
         head.extensions.insert(framing);
         head.extensions.insert(upstream.record());
         // Between routers every response has chunks or a length, so that a broken one shows.
@@ -261,6 +272,7 @@
         strip_hop_headers(&mut head.headers);
         ForwardOutcome::remove(&mut head.headers);
         write_framing(&mut head.headers, framing);
+        mark_id_checked(&mut head.headers);
         let relayed = ForwardedBody {
             incoming: body,
             upstream: Some(upstream),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,7 +5,7 @@
 
 use crate::Shared;
 use crate::admission::{Caller, admit};
-use crate::attempt::{AttemptOutcome, attempt, is_retryable_failure};
+use crate::attempt::{AttemptOutcome, AttemptPlace, attempt, is_retryable_failure};
 use crate::flight::millis;
 use crate::interface::RequestMetadata;
 use crate::quota_tracker::Charge;
@@ -178,8 +178,12 @@
         if let Some(charge) = &admitted.charge {
             charge.begin_attempt(history.may_have_run > 0);
         }
+        let place = AttemptPlace {
+            number: history.count,
+            is_return: history.avoided.contains(&instance),
+        };
         let permit = &mut history.retry_permit;
-        let outcome = attempt(shared, admitted, selected, history.count, permit).await;
+        let outcome = attempt(shared, admitted, selected, place, permit).await;
         history.ended_at = Some(Instant::now());
         if has_permit_wait && matches!(outcome, AttemptOutcome::NotSent) {
             history.permit_refused_at = history.ended_at;
@@ -250,10 +254,15 @@
             history.count -= 1;
             NextStep::Retry
         }
-        AttemptOutcome::MayHaveRun => {
+        AttemptOutcome::MayHaveRun | AttemptOutcome::MayStillRun => {
             history.may_have_run += 1;
             history.avoided.push(instance);
-            let is_retryable = repeatable && history.may_have_run < admitted.route.max_attempts;
+            // A stream must not run at two instances at once; a safe request may.
+            let is_repeatable = match outcome {
+                AttemptOutcome::MayStillRun => route.kind == RequestKind::Safe,
+                _ => repeatable,
+            };
+            let is_retryable = is_repeatable && history.may_have_run < admitted.route.max_attempts;
             match is_retryable && may_retry(history) {
                 true => NextStep::Retry,
                 false => NextStep::Refuse(Refusal::Broken),
--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -49,6 +49,18 @@
     pub tenant: Option<&'a str>,
 }
 
+/// Which request a response answers, by the id that it carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum AnsweredRequest {
+    /// The request that it was received for.
+    This,
+    /// Another one: the instance has given an answer too many, and the right one is still due.
+    Another,
+    /// The response carries no id.
+    #[default]
+    Unknown,
+}
+
 /// Metadata in the headers of an instance's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ResponseMetadata {
@@ -56,6 +68,8 @@
     pub not_run: bool,
     /// Another instance answers at this address, or the instance lacks the model.
     pub misdirected: bool,
+    /// Which request the response answers.
+    pub answered: AnsweredRequest,
     /// The response belongs to this request, and is signed if it reports a success.
     pub genuine: bool,
     /// The status of the response promises to the client that the request did not run.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,8 @@
 pub use dial::{Dialling, InstanceDialler, TcpDialler};
 pub use error::GatewayError;
 pub use interface::{
-    ClientInterface, ForwardContext, PresentedKey, ProbeIdentity, RequestMetadata, ResponseMetadata,
+    AnsweredRequest, ClientInterface, ForwardContext, PresentedKey, ProbeIdentity, RequestMetadata,
+    ResponseMetadata,
 };
 
 use courseshunt_records::emit;
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -70,7 +70,7 @@
     idle_timeout: Duration,
     last_used_at: Instant,
     pub(crate) fresh: bool,
-    /// Whether the present response ends with the connection.
+    /// Whether the connection ends with the present response.
     ends_with_response: bool,
 }
 
@@ -181,6 +181,12 @@
         self.ends_with_response = framing == BodyFraming::ConnectionClose;
     }
 
+    /// Closes the connection after the present response, which is not the one to the request: the
+    /// right one is still due.
+    pub(crate) fn close_after_response(&mut self) {
+        self.ends_with_response = true;
+    }
+
     /// Whether the connection may carry another request after the present response.
     pub(crate) fn is_reusable(&self) -> bool {
         !self.ends_with_response && !self.carried_ids.is_full() && !self.is_closed()
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -288,8 +288,8 @@
         /// This router's connection to the instance; absent without a response.
         #[serde(flatten)]
         connection: Option<ConnectionRecord>,
-        /// `answered`, `reached` if only this was asked, or why there is no answer of the
-        /// instance.
+        /// `answered`; `answer_to_another` if the answer carries the id of another request;
+        /// `reached` if only this was asked; or why there is no answer of the instance.
         outcome: &'static str,
         problem: Option<&'a str>,
         after_ms: u64,
