An answer to another request starts no rest and names no limit

Callers saw: after an answer too many, requests waited a second, or were refused, for a rest of the instance that was over. Cause: pushback was read from every response before its id was looked at. A response to another request repeats an earlier one, but its Retry-After began anew, and its limit counted as one that was named after the present request was sent. Change: of a response with the id of another request only the notice that the instance leaves counts, which never changes back; loads were ignored already. The line of a failed attempt tells four reasons apart that were one text. Ruled out: responses without an id (rejections of a proxy, health checks) are read as before. Test: an_answer_to_another_request_says_nothing_new_of_the_instance failed before ("after-rest-0 took 1.003 s"; its second half, the limit, was not reached then). Measured: answers_too_many, asked_rest, named_limit, reported_load pass.

--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -24,6 +24,18 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Why a response that is neither a rejection nor genuine can't be relayed.
+fn unusable_because(metadata: &ResponseMetadata) -> &'static str {
+    match metadata.answered {
+        AnsweredRequest::Another => "the response carries the id of another request",
+        AnsweredRequest::Unknown => "the response carries no id",
+        AnsweredRequest::This if metadata.promises_not_run => {
+            "the status promises that the request has not run, and the instance does not state it"
+        }
+        AnsweredRequest::This => "the response is not signed",
+    }
+}
+
 /// An attempt whose instance has begun to respond.
 pub(super) struct Exchange<'a> {
     pub(super) shared: &'a Arc<Shared>,
@@ -72,8 +84,7 @@
             return AttemptOutcome::NotRun;
         }
         if !metadata.genuine || metadata.promises_not_run {
-            let problem = "the answer is not this request's, or promises what is not known";
-            self.flight.failed(problem);
+            self.flight.failed(unusable_because(&metadata));
             return match metadata.answered {
                 AnsweredRequest::Another if !is_id_checked => AttemptOutcome::MayStillRun,
                 _ => AttemptOutcome::MayHaveRun,
--- a/crates/gateway/src/instance_reports.rs
+++ b/crates/gateway/src/instance_reports.rs
@@ -1,10 +1,11 @@
 //! Reads what instances report about themselves in their responses, whatever the status is.
 //!
 //! Invariant: every response is read here before any decision about it, so that no path of a
-//! request can miss the pushback of an instance.
+//! request can miss the pushback of an instance. A response to another request repeats an earlier
+//! one: of it counts only what never changes back.
 
 use crate::Shared;
-use crate::interface::ResponseMetadata;
+use crate::interface::{AnsweredRequest, ResponseMetadata};
 use crate::load_reports::observe_load;
 use crate::records::RouterRecord;
 use courseshunt_http::{RetryAfter, read_asked_rest};
@@ -89,30 +90,41 @@
             });
         }
     }
-    let backoff = match read_asked_rest(head.status, &head.headers, SystemTime::now()) {
-        RetryAfter::Absent => None,
-        RetryAfter::Unreadable => {
-            record_unknown_header(shared, origin, &RETRY_AFTER);
-            None
-        }
-        RetryAfter::After(backoff) => Some(backoff),
+    let repeats_earlier = metadata.answered == AnsweredRequest::Another;
+    let backoff = match repeats_earlier {
+        true => None,
+        false => observe_backoff(shared, origin, head),
     };
-    if let Some(backoff) = backoff {
-        shared.metrics.pushback("rest");
-        shared.view.start_backoff(instance, backoff, now);
-        emit(&RouterRecord::InstanceRests {
-            instance: instance.as_str(),
-            id,
-            status,
-            rest_ms: backoff.0,
-        });
+    if !repeats_earlier {
+        observe_limit(shared, origin, status, metadata);
     }
-    observe_limit(shared, origin, status, metadata);
     observe_load(shared, origin, status, metadata);
     record_unknown_headers(shared, origin, &head.headers);
     backoff
 }
 
+/// Starts the backoff that a response asks for, if any.
+fn observe_backoff(shared: &Shared, origin: ResponseOrigin<'_>, head: &Parts) -> Option<Millis> {
+    let backoff = match read_asked_rest(head.status, &head.headers, SystemTime::now()) {
+        RetryAfter::Absent => return None,
+        RetryAfter::Unreadable => {
+            record_unknown_header(shared, origin, &RETRY_AFTER);
+            return None;
+        }
+        RetryAfter::After(backoff) => backoff,
+    };
+    shared.metrics.pushback("rest");
+    let now = shared.clock.now();
+    shared.view.start_backoff(origin.instance, backoff, now);
+    emit(&RouterRecord::InstanceRests {
+        instance: origin.instance.as_str(),
+        id: origin.id,
+        status: head.status.as_u16(),
+        rest_ms: backoff.0,
+    });
+    Some(backoff)
+}
+
 /// Records the rate limit in a response. The absence of a limit counts only in a response of
 /// the instance itself to this request.
 fn observe_limit(
