What an instance holds counts by the size with which it was loaded (LIMIT)

Cause: sizes were looked up in the configuration in force. A held or loading model that it does not list counted as 0 MB, one that it lists smaller with the smaller size. Change: before a configuration takes the place of another, instances record the sizes that it lists for what they hold and were last ordered to load; a model counts with the largest known size. Beside a model of unknown size nothing is loaded. What is listed no longer is unloaded after 15 s without a request, and evicted first. Ruled out: late registrations, lost orders, two leaders (see the postmortem). The simulated instances have a size for each load; what a recorded digest covers is the same text. Open: a new leader after a version that lists a held model smaller (issue R2).

--- a/crates/services/src/placement/adapters.rs
+++ b/crates/services/src/placement/adapters.rs
@@ -31,7 +31,7 @@
         holders.retain(|one| one.can_take_order(context.now));
         let has_room = |one: &&Instance| {
             one.adapter_count() < engine.adapter_slots
-                && one.committed_memory_mb(engine) + size_mb <= engine.memory_mb
+                && one.committed_memory(engine).has_room_for(size_mb, engine)
         };
         let with_room = holders.iter().copied().filter(has_room);
         let load_of = |one: &Instance| (self.usage.in_flight(one.id()), one.adapter_count());
@@ -86,10 +86,10 @@
     /// An adapter of a model on this instance that no instance holds.
     fn missing_adapter(&self, id: &RunnerId, engine: &Engine) -> Option<(ModelName, String)> {
         let instance = self.instances.get(id)?;
-        let free_mb = engine.memory_mb - instance.committed_memory_mb(engine);
+        let committed = instance.committed_memory(engine);
         instance.held().find_map(|(name, _)| {
             let specification = engine.model(name.as_str())?;
-            if specification.adapter_mb > free_mb {
+            if !committed.has_room_for(specification.adapter_mb, engine) {
                 return None;
             }
             let held = self.round.adapters.get(name);
--- a/crates/services/src/placement/demand.rs
+++ b/crates/services/src/placement/demand.rs
@@ -31,6 +31,8 @@
     late: DecayingSum,
     /// Shortest latency objective of a request so far, in milliseconds.
     objective_ms: Option<u32>,
+    /// When arrivals were last reported.
+    last_arrival_at: Option<Timestamp>,
 }
 
 /// Requests that wait at one router for a model or one of its adapters.
@@ -122,6 +124,7 @@
             .steady_tokens
             .add(f64::from(one.tokens), now, STEADY_TIME_CONSTANT_MS);
         if one.arrivals > 0 {
+            rates.last_arrival_at = Some(now);
             let shortest = rates.objective_ms.unwrap_or(u32::MAX);
             rates.objective_ms = Some(shortest.min(one.objective_ms));
         }
@@ -131,6 +134,12 @@
         self.waiting.retain(|one| one.router != router);
     }
 
+    /// When a router last reported arrivals of requests for a model.
+    pub(super) fn last_arrival(&self, service: &str, model: &str) -> Option<Timestamp> {
+        let rates = self.rates.get(service)?.get(model)?;
+        rates.last_arrival_at
+    }
+
     /// Current demand for a model.
     pub(super) fn summary(&self, service: &str, model: &str, now: Timestamp) -> DemandSummary {
         let rates = self
--- a/crates/services/src/placement/evictions.rs
+++ b/crates/services/src/placement/evictions.rs
@@ -15,7 +15,7 @@
 const MIN_RESIDENCY: Millis = Millis(500);
 const MAX_MIN_RESIDENCY: Millis = Millis(2_500);
 
-/// Cost of evicting one model, and the memory that this frees.
+/// Cost of evicting one model.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EvictionEffect {
     /// Cost in late requests if the model is reloaded from the weight store, and if the instance
@@ -24,7 +24,6 @@
     pub(super) cost_from_cache: f64,
     /// Whether there were requests for it.
     pub(super) has_demand: bool,
-    pub(super) memory_mb: f64,
 }
 
 /// Eviction costs of all models in one round; see the module.
@@ -47,7 +46,6 @@
             cost_from_store: 0.0,
             cost_from_cache: 0.0,
             has_demand: false,
-            memory_mb: 0.0,
         })
     }
 }
@@ -57,7 +55,8 @@
 pub(super) struct Victim<'a> {
     pub(super) model: &'a ModelName,
     cost: f64,
-    memory_mb: f64,
+    /// Memory that its eviction frees; `None` if it is not known.
+    memory_mb: Option<f64>,
 }
 
 impl PlacementEngine {
@@ -78,11 +77,14 @@
         victims: &mut Vec<Victim<'a>>,
     ) -> Option<f64> {
         victims.clear();
-        let needed_mb = instance.committed_memory_mb(context.engine) + specification.memory_mb;
-        let mut missing_mb = needed_mb - context.engine.memory_mb;
-        if needed_mb <= context.engine.memory_mb {
+        let committed = instance.committed_memory(context.engine);
+        if committed.has_room_for(specification.memory_mb, context.engine) {
             return Some(0.0);
         }
+        let mut missing = MissingMemory {
+            known_mb: committed.known_mb + specification.memory_mb - context.engine.memory_mb,
+            unknown_models: committed.unknown_models,
+        };
         let held = instance.held().map(|(name, _)| name);
         for model in held.filter(|name| **name != specification.name) {
             let effect = evictions.get(model);
@@ -93,23 +95,50 @@
                         LoadSource::Store => effect.cost_from_store,
                         LoadSource::Memory | LoadSource::Disk => effect.cost_from_cache,
                     },
-                    memory_mb: effect.memory_mb,
+                    memory_mb: instance
+                        .size_of(model, context.engine)
+                        .map(|size| size.weights_mb),
                 });
             }
         }
-        victims.sort_by(|left, right| left.cost.total_cmp(&right.cost));
+        victims.sort_by(|left, right| {
+            let is_known = |one: &Victim<'_>| one.memory_mb.is_some();
+            let by_cost = left.cost.total_cmp(&right.cost);
+            is_known(left).cmp(&is_known(right)).then(by_cost)
+        });
         let mut cost = 0.0;
         let mut count = 0;
         for one in victims.iter() {
-            if missing_mb <= 0.0 {
+            if missing.is_none() {
                 break;
             }
-            missing_mb -= one.memory_mb;
+            missing.free(one.memory_mb);
             cost += one.cost;
             count += 1;
         }
         victims.truncate(count);
-        (missing_mb <= 0.0).then_some(cost)
+        missing.is_none().then_some(cost)
+    }
+}
+
+/// What must be freed on an instance before a model fits.
+struct MissingMemory {
+    known_mb: f64,
+    /// Models of unknown size, beside which nothing is loaded.
+    unknown_models: usize,
+}
+
+impl MissingMemory {
+    fn is_none(&self) -> bool {
+        self.known_mb <= 0.0 && self.unknown_models == 0
+    }
+
+    /// Counts an evicted model that frees this much; `None` if its size is not known.
+    fn free(&mut self, memory_mb: Option<f64>) {
+        match memory_mb {
+            Some(memory_mb) => self.known_mb -= memory_mb,
+            None => self.unknown_models = self.unknown_models.saturating_sub(1),
+        }
     }
 }
 
--- a/crates/services/src/placement/instance/holdings.rs
+++ b/crates/services/src/placement/instance/holdings.rs
@@ -1,7 +1,6 @@
 //! What one instance holds: models, adapters, memory, cached weights.
 
 use super::{HeldModel, Instance, LoadSource};
-use crate::configuration::Engine;
 use crate::placement::OrderAction;
 use courseshunt_types::{Millis, ModelName, Timestamp};
 use std::collections::BTreeMap;
@@ -73,6 +72,20 @@
         Some((oldest.1.clone(), oldest.2.clone()))
     }
 
+    /// Adapters with their models whose last use is at least `min_age` ago.
+    pub(in crate::placement) fn adapters_unused_since(
+        &self,
+        now: Timestamp,
+        min_age: Millis,
+    ) -> impl Iterator<Item = (&ModelName, &str)> {
+        let all = self.held.iter().flat_map(|(model, held)| {
+            let adapters = held.adapters.iter();
+            adapters.map(move |(name, one)| (one.used_at, model, name.as_str()))
+        });
+        let unused = all.filter(move |(used, _, _)| now.since(*used) >= min_age);
+        unused.map(|(_, model, name)| (model, name))
+    }
+
     /// Records the last requests for adapters.
     pub(in crate::placement) fn record_adapter_requests(
         &mut self,
@@ -93,21 +106,6 @@
         held.map_or(Millis(0), |held| now.since(held.since))
     }
 
-    /// Memory in use or reserved for a load, in MB.
-    pub(in crate::placement) fn committed_memory_mb(&self, engine: &Engine) -> f64 {
-        let held = self.held.iter().map(|(name, held)| {
-            let Some(one) = engine.model(name.as_str()) else {
-                return 0.0;
-            };
-            one.memory_mb + one.adapter_mb * held.adapters.len() as f64
-        });
-        let loading = self
-            .loading()
-            .filter(|model| !self.held.contains_key(*model));
-        let loading = loading.and_then(|model| engine.model(model.as_str()));
-        held.sum::<f64>() + loading.map_or(0.0, |one| one.memory_mb)
-    }
-
     /// Where a load of the model would take the weights from.
     pub(in crate::placement) fn load_source(&self, model: &ModelName) -> LoadSource {
         self.cached.source(model)
--- a/crates/services/src/placement/instance/mod.rs
+++ b/crates/services/src/placement/instance/mod.rs
@@ -3,6 +3,7 @@
 
 mod cached_weights;
 mod holdings;
+mod memory;
 mod orders;
 
 pub use cached_weights::LoadSource;
@@ -12,6 +13,7 @@
 use crate::instance::{CachedWeights, InstanceState, InstanceView, Registration, ResidentModel};
 use cached_weights::WeightCache;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
+use memory::ModelSize;
 use std::collections::BTreeMap;
 
 /// Maximum age of a registration on arrival: orders within this time take precedence over the
@@ -98,6 +100,10 @@
     reservation: Option<Reservation>,
     announced: BTreeMap<ModelName, Timestamp>,
     cached: WeightCache,
+    /// The model that it was last ordered to load; without an answer, it may load it later.
+    last_load: Option<ModelName>,
+    /// Sizes that earlier configurations listed for the models on the instance.
+    sizes: BTreeMap<ModelName, ModelSize>,
     /// The last completed load, until it is taken by [`Self::take_finished_load`].
     finished_load: Option<FinishedLoad>,
     /// Routers that could not reach the instance since its last registration, and when.
@@ -129,6 +135,8 @@
             reservation: None,
             announced: BTreeMap::new(),
             cached: WeightCache::default(),
+            last_load: None,
+            sizes: BTreeMap::new(),
             finished_load: None,
             unreachable_from: BTreeMap::new(),
             registration,
@@ -156,6 +164,11 @@
         self.state
     }
 
+    /// When the leader first knew of the instance.
+    pub(super) fn added_at(&self) -> Timestamp {
+        self.added_at
+    }
+
     pub(super) fn silent_for(&self, now: Timestamp) -> Millis {
         now.since(self.last_contact_at)
     }
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -373,6 +373,11 @@
     }
 
     pub(in crate::placement) fn start_order(&mut self, action: OrderAction) {
+        if let OrderAction::LoadModel(model) = &action {
+            // It is loaded with the size that is listed now.
+            self.sizes.remove(model);
+            self.last_load = Some(model.clone());
+        }
         self.sent_order = Some(action);
     }
 }
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -22,6 +22,7 @@
 mod planning;
 mod round;
 mod store;
+mod unlisted;
 mod usage;
 mod value;
 mod waiting;
@@ -102,6 +103,8 @@
     /// Whether waiting requests were reported, or a reserved instance changed its state, since the
     /// last round of any kind.
     waiting_round_needed: bool,
+    /// When each service's instances were last searched for what is listed no longer.
+    unlisted_searched_at: BTreeMap<String, Timestamp>,
     /// Weight stores by service.
     stores: BTreeMap<String, WeightStore>,
     events: Vec<PlacementEvent>,
@@ -144,6 +147,7 @@
             last_rounds: BTreeMap::new(),
             reserved: BTreeSet::new(),
             waiting_round_needed: false,
+            unlisted_searched_at: BTreeMap::new(),
             stores: BTreeMap::new(),
             events: Vec::new(),
             last_expiry: Timestamp::default(),
@@ -156,6 +160,7 @@
     /// Applies a newer configuration.
     pub fn configure(&mut self, configuration: Arc<ServiceConfiguration>, now: Timestamp) {
         self.last_rounds.clear();
+        self.record_sizes();
         for service in &configuration.services {
             let Some(engine) = &service.engine else {
                 continue;
@@ -170,6 +175,16 @@
         self.configuration = configuration;
     }
 
+    /// Records the sizes that the present configuration lists for what instances hold.
+    fn record_sizes(&mut self) {
+        let configuration = self.configuration.clone();
+        for instance in self.instances.values_mut() {
+            if let Some(engine) = configuration.engine(&instance.registration().service) {
+                instance.record_sizes(engine);
+            }
+        }
+    }
+
     /// Applies a registration; returns whether it changed anything.
     pub fn register(&mut self, mut registration: Registration, now: Timestamp) -> bool {
         let id = registration.id.clone();
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -135,6 +135,7 @@
             self.load_waiting_adapter(one, context, steps);
         }
         self.load_candidates(&waiting, context, steps);
+        self.unload_unlisted(context, steps);
         self.fill_adapter_slots(context, steps);
         self.save_round(context);
     }
@@ -416,7 +417,8 @@
     specification: &ModelSpecification,
     engine: &Engine,
 ) -> bool {
-    instance.committed_memory_mb(engine) + specification.memory_mb <= engine.memory_mb
+    let committed = instance.committed_memory(engine);
+    committed.has_room_for(specification.memory_mb, engine)
 }
 
 fn query(instance: &mut Instance) -> PlacementStep {
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -335,7 +335,6 @@
             cost_from_store: cost(false),
             cost_from_cache: cost(true),
             has_demand: state.is_some_and(|state| state.demand.objective.is_some()),
-            memory_mb: one.memory_mb,
         }
     }
 
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::Arc;
 
 pub const MODEL_MB: f64 = 70.0;
@@ -58,7 +59,7 @@
 }
 
 /// An instance that carries out orders.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct SimulatedInstance {
     pub models: BTreeMap<String, Vec<String>>,
     pub busy: Option<(OrderAction, u64)>,
@@ -68,6 +69,30 @@
     pub disk: Vec<String>,
     /// Maximum number of models cached on disk.
     pub disk_slots: usize,
+    /// Memory that models took when they were loaded, in MB; [`MODEL_MB`] for others.
+    pub sizes: BTreeMap<String, f64>,
+    /// Memory that a model takes if it is loaded now, in MB; `None`: [`MODEL_MB`].
+    pub load_mb: Option<f64>,
+    /// The model that takes [`MODEL_MB`] all the same, since it was ordered before.
+    pub ordered_before: Option<String>,
+    /// Its own memory, in MB, and its adapter slots, if they differ from the usual ones.
+    pub memory_mb: Option<f64>,
+    pub adapter_slots: Option<u32>,
+}
+
+/// Sizes are left out: a recorded digest covers this text.
+impl fmt::Debug for SimulatedInstance {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("SimulatedInstance")
+            .field("models", &self.models)
+            .field("busy", &self.busy)
+            .field("sequence", &self.sequence)
+            .field("registrations", &self.registrations)
+            .field("disk", &self.disk)
+            .field("disk_slots", &self.disk_slots)
+            .finish()
+    }
 }
 
 impl SimulatedInstance {
@@ -81,8 +106,13 @@
 
     pub fn used_mb(&self) -> f64 {
         let adapters: usize = self.models.values().map(Vec::len).sum();
-        let loading = matches!(&self.busy, Some((OrderAction::LoadModel(_), _)));
-        (self.models.len() + usize::from(loading)) as f64 * MODEL_MB + adapters as f64
+        let loading = match &self.busy {
+            Some((OrderAction::LoadModel(model), _)) => Some(model.as_str()),
+            _ => None,
+        };
+        let models = self.models.keys().map(String::as_str).chain(loading);
+        let models = models.map(|model| self.sizes.get(model).copied().unwrap_or(MODEL_MB));
+        models.sum::<f64>() + adapters as f64
     }
 
     /// Applies an order according to the platform's specification; panics if it overfills the
@@ -103,8 +133,11 @@
                     false => store_load_time,
                 };
                 self.busy = Some((order.action.clone(), now + time));
+                let is_earlier = self.ordered_before.as_deref() == Some(model.as_str());
+                let size_mb = self.load_mb.filter(|_| !is_earlier).unwrap_or(MODEL_MB);
+                self.sizes.insert(model.0.clone(), size_mb);
                 assert!(
-                    self.used_mb() <= MEMORY_MB,
+                    self.used_mb() <= self.memory_mb.unwrap_or(MEMORY_MB),
                     "overfilled by {order:?}: {self:?}"
                 );
             }
@@ -116,7 +149,7 @@
                 adapters.expect("the model is held").push(adapter.clone());
                 let count: usize = self.models.values().map(Vec::len).sum();
                 assert!(
-                    count <= ADAPTER_SLOTS as usize,
+                    count <= self.adapter_slots.unwrap_or(ADAPTER_SLOTS) as usize,
                     "too many adapters: {self:?}"
                 );
             }
