--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -68,8 +68,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Log entries and bytes after which a snapshot is taken. The byte limit matters because
 /// configuration documents are large.
@@ -98,6 +100,8 @@
     routers: Mutex<RouterRegistry>,
     /// Limits the calls to instances that are in flight at once.
     pub(crate) call_permits: Semaphore,
+    /// Calls of operators and instances whose responses have not been written.
+    api_requests: TaskTracker,
     /// Registrations accepted here that are to be sent to the leader.
     pub(crate) relay: relay::Relay,
     /// Wakes the leader's loop.
@@ -277,7 +281,9 @@
 }
 
 /// Interval of the checks whether the machine was suspended.
-const SUSPENSION_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of the grace period that is reserved for the exit of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// Records when the machine was suspended. Nothing depends on this task: expiry is evaluated by
 /// a clock that includes the time of a suspension.
@@ -355,6 +361,7 @@
             member_zones: member_zones::MemberZones::default(),
             routers: Mutex::default(),
             call_permits: Semaphore::new(orders::MAX_CONCURRENT_CALLS),
+            api_requests: TaskTracker::new(),
             relay: relay::Relay::default(),
             wake: Notify::new(),
             feed_available: watch::Sender::new(false),
@@ -411,7 +418,9 @@
         }
         let handler = api::handler(shared.clone());
         let limits = control_limits(&shared.settings);
-        tokio::spawn(courseshunt_http::serve(http, limits, stop, handler));
+        let requests = shared.api_requests.clone();
+        let serving = courseshunt_http::serve_counted(http, limits, stop, requests, handler);
+        tokio::spawn(serving);
         Ok(Self { shared })
     }
 
@@ -430,10 +439,15 @@
         problem
     }
 
-    /// Stops gracefully: hands the leadership over first.
+    /// Stops gracefully: hands the leadership over first, and returns once the responses to all calls
+    /// have been written or the grace period is nearly over.
     pub async fn stop(self) {
+        let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
+        let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         self.shared.replica.stop().await;
         self.shared.stop.cancel();
+        self.shared.api_requests.close();
+        let _ = tokio::time::timeout_at(limit, self.shared.api_requests.wait()).await;
         emit(&ControllerRecord::Stopped);
     }
 }
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -12,9 +12,8 @@
 use crate::path;
 use crate::pool::{ConnectionRecord, Endpoint, SendError, Upstream};
 use crate::records::RouterRecord;
-use crate::serve::hold_token_until_sent;
 use bytes::Bytes;
-use courseshunt_http::{Body, BodyFraming, full_body};
+use courseshunt_http::{Body, BodyFraming, SendTracker, TrackedStream, full_body};
 use courseshunt_records::emit;
 use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
 use courseshunt_types::{Millis, RouterId};
@@ -108,11 +107,18 @@
         let limits = limits.map_or(ClientLimits::default(), |table| {
             table.configuration().limits
         });
+        let tracker = SendTracker::default();
+        let stream = TrackedStream::new(stream, tracker.clone());
         let serving = self.clone();
         let service = service_fn(move |request| {
             let server = serving.clone();
             let router = router.clone();
-            async move { Ok::<_, Infallible>(server.answer(request, &router).await) }
+            let tracker = tracker.clone();
+            async move {
+                let token = server.shared.requests.token();
+                let response = server.answer(request, &router).await;
+                Ok::<_, Infallible>(tracker.hold_until_written(response, token))
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -161,7 +167,6 @@
     /// Answers a forwarded request and records what became of it.
     async fn answer(&self, request: Request<Incoming>, router: &RouterId) -> Response<Body> {
         let shared = &self.shared;
-        let token = shared.requests.token();
         let arrived = Instant::now();
         let (mut head, body) = request.into_parts();
         let is_check = take_check(&mut head.headers);
@@ -205,7 +210,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        hold_token_until_sent(response, token)
+        response
     }
 
     /// Answers whether this router reaches the instance.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,18 +1,20 @@
 //! Listeners of a router: clients, readiness and metrics.
 //!
-//! Invariant: a request counts as in flight until its response has been sent or dropped.
+//! Invariant: a request counts as in flight until its response has been written to its connection, or
+//! the connection has ended.
 
 use crate::Shared;
 use crate::handle::handle;
 use crate::metrics::GaugeValues;
 use courseshunt_http::{
-    Body, CloseDelimitedStream, CloseDelimiter, RequestLine, ServerLimits, text_response,
+    CloseDelimitedStream, CloseDelimiter, RequestLine, SendTracker, ServerLimits, TrackedStream,
+    text_response,
 };
 use courseshunt_services::ClientLimits;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -48,15 +50,18 @@
     let serving = shared.clone();
     let delimiter = CloseDelimiter::default();
     let stream = CloseDelimitedStream::new(stream, delimiter.clone());
+    let tracker = SendTracker::default();
+    let stream = TrackedStream::new(stream, tracker.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = serving.clone();
         let token = shared.requests.token();
         let delimiter = delimiter.clone();
+        let tracker = tracker.clone();
         async move {
             let line = RequestLine::of(&request);
             let response = handle(request, shared).await;
-            let response = hold_token_until_sent(response, token);
-            Ok::<_, Infallible>(delimiter.prepare(&line, response))
+            let response = delimiter.prepare(&line, response);
+            Ok::<_, Infallible>(tracker.hold_until_written(response, token))
         }
     });
     let connection = http1::Builder::new()
@@ -77,21 +82,6 @@
     }
 }
 
-/// Counts a request as in flight until its response has been sent.
-pub(crate) fn hold_token_until_sent(
-    response: Response<Body>,
-    token: tokio_util::task::task_tracker::TaskTrackerToken,
-) -> Response<Body> {
-    use http_body_util::BodyExt;
-    response.map(|body| {
-        body.map_frame(move |frame| {
-            let _counted = &token;
-            frame
-        })
-        .boxed_unsync()
-    })
-}
-
 impl Shared {
     /// Resolves when idle connections must be closed for a planned stop.
     pub(crate) async fn idle_close_due(&self) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod response;
 mod retry_after;
+mod sending;
 mod server;
 
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
@@ -20,4 +21,5 @@
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
 pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
-pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve};
+pub use sending::{SendTracker, TrackedStream};
+pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve, serve_counted};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::AcceptPace;
 use crate::body::Body;
+use crate::sending::{SendTracker, TrackedStream};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -76,12 +77,29 @@
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_counted(listener, limits, stop, TaskTracker::new(), handler).await;
+}
+
+/// Like [`serve`]. Each request has a token of `requests` until its response has been written, so
+/// that a stopping process can wait for these alone and not for connections without a request.
+pub async fn serve_counted<F, R>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: CancellationToken,
+    requests: TaskTracker,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
 {
     let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = TaskTracker::new();
     let late = TaskTracker::new();
     let serve_on = |tracker: &TaskTracker, (stream, peer, slot): Accepted| {
-        let serving = serve_connection(stream, peer, limits, stop.clone(), handler.clone());
+        let stop = stop.clone();
+        let requests = requests.clone();
+        let serving = serve_connection(stream, peer, limits, stop, requests, handler.clone());
         tracker.spawn(async move {
             serving.await;
             drop(slot);
@@ -132,23 +150,28 @@
     peer: SocketAddr,
     limits: ServerLimits,
     stop: CancellationToken,
+    requests: TaskTracker,
     handler: F,
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let tracker = SendTracker::default();
+    let stream = TrackedStream::new(stream, tracker.clone());
     let stopping = stop.clone();
     let service = service_fn(move |request| {
         let answer = handler(request, peer);
         let stopping = stopping.clone();
+        let tracker = tracker.clone();
+        let token = requests.token();
         async move {
             let mut response = answer.await;
             if stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(tracker.hold_until_written(response, token))
         }
     });
     let connection = http1::Builder::new()
