--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -22,6 +22,18 @@
     pub key: PresentedKey,
     /// Model, token counts and prefix parts of the prompt.
     pub shape: PromptShape,
+    /// The stream that the request resumes; `None` for a new request.
+    pub resumption: Option<Resumption>,
+}
+
+/// What a request states about the stream that it resumes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the last event that the client has received.
+    pub last_event_id: String,
+    /// Id of the request that brought the first event of the stream; `None` if the client does not
+    /// name exactly one.
+    pub began_by: Option<String>,
 }
 
 /// Key that a request presents, as its digest.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,7 +48,7 @@
 pub use error::GatewayError;
 pub use interface::{
     AnsweredRequest, ClientInterface, ForwardContext, PresentedKey, ProbeIdentity, RequestMetadata,
-    ResponseMetadata,
+    ResponseMetadata, Resumption,
 };
 
 use courseshunt_records::emit;
