--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -106,7 +106,9 @@
         ReportMessage::Forwarding(report) => {
             return Some(name_forwarders(router, report, shared));
         }
-        ReportMessage::Subscribe { .. } | ReportMessage::Compare(_) => {}
+        ReportMessage::Subscribe { .. }
+        | ReportMessage::Compare(_)
+        | ReportMessage::StreamOrigins { .. } => {}
     }
     None
 }
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -296,13 +296,15 @@
         FeedMessage::Quotas { .. }
         | FeedMessage::Quarantine { .. }
         | FeedMessage::Limits(_)
-        | FeedMessage::InstanceLoads(_) => sessions.broadcast_to_routers(message),
+        | FeedMessage::InstanceLoads(_)
+        | FeedMessage::SoftwareVersions(_) => sessions.broadcast_to_routers(message),
         FeedMessage::NoFeed { .. }
         | FeedMessage::AwaitingLeader
         | FeedMessage::Configuration { .. }
         | FeedMessage::Digests(_)
         | FeedMessage::QuotaAnswers(_)
         | FeedMessage::LimitAnswers(_)
+        | FeedMessage::OriginAnswers(_)
         | FeedMessage::Forwarders(_) => {}
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -259,6 +259,8 @@
         }
         FeedMessage::Configuration { .. }
         | FeedMessage::NoFeed { .. }
+        | FeedMessage::SoftwareVersions(_)
+        | FeedMessage::OriginAnswers(_)
         | FeedMessage::Members(_) => {}
     }
 }
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -13,6 +13,7 @@
 use crate::limit::{LimitAnswer, LimitQuery, LimitReport};
 use crate::quarantine::{AnsweredFingerprint, InstanceEnd};
 use crate::quota::{QuotaAnswer, QuotaQuery, TenantAccountStatus, UseReport};
+use crate::stream_origins::{OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin};
 use courseshunt_instance_load::{InstanceLoad, LoadSample, ModelPauses};
 use courseshunt_types::{Digest, Millis, RunnerId, Zone};
 
@@ -199,6 +200,12 @@
     /// Answer to [`ReportMessage::Forwarding`]: a few routers that forward requests. The list
     /// replaces the one before.
     Forwarders(Vec<Forwarder>),
+    /// The services whose instances run several software versions, or did so while streams that may
+    /// still be resumed began. The list is complete and replaces the one before; it is sent only by
+    /// a leader that has received a registration of each live instance.
+    SoftwareVersions(Vec<ServiceVersions>),
+    /// Answers to the queries of [`ReportMessage::StreamOrigins`].
+    OriginAnswers(Vec<OriginAnswer>),
 }
 
 /// Update about a router that a controller relays to the leader.
@@ -279,4 +286,11 @@
     /// Whether the router forwards requests of other routers; asks for routers that forward its
     /// own.
     Forwarding(ForwardingReport),
+    /// Streams that clients may resume, and queries about such streams.
+    StreamOrigins {
+        /// Streams that began at this router and have not been reported to this leader.
+        began: Vec<StreamOrigin>,
+        /// Queries, one for each request that resumes a stream.
+        queries: Vec<OriginQuery>,
+    },
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod routes;
 pub mod selection;
 pub mod store_limit;
+pub mod stream_origins;
 pub mod tenants;
 pub mod token_bucket;
 pub mod validation;
@@ -78,5 +79,9 @@
     Candidate, PrefixPart, PromptShape, Pushback, Pushbacks, SelectionRequest, Selector,
 };
 pub use store_limit::StoreLimit;
+pub use stream_origins::{
+    InstanceVersion, OriginAnswer, OriginQuery, OriginVerdict, ServiceVersions, StreamId,
+    StreamOrigin, StreamWriter,
+};
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
 pub use validation::{ConfigurationError, validate};
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -125,6 +125,11 @@
     /// Name of a runner (a model engine with its accelerators).
     RunnerId
 );
+name_id!(
+    /// Version of the software that an instance runs. Versions have no order: two of them are equal
+    /// or different.
+    SoftwareVersion
+);
 name_id!(
     /// Name of a deployment: one base model with its adapters and limits.
     DeploymentName
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,7 +12,7 @@
 use std::sync::OnceLock;
 
 /// Protocol version that processes of this build use with each other.
-pub const PROTOCOL_VERSION: u8 = 9;
+pub const PROTOCOL_VERSION: u8 = 10;
 /// Protocol version of the previous release, the only one that it supports: see
 /// [`crate::previous_release`].
 pub const PREVIOUS_RELEASE_VERSION: u8 = 2;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -10,6 +10,7 @@
 };
 use courseshunt_services::{
     FeedMessage, InstanceDigests, RelayedRegistration, RelayedReport, ReportMessage,
+    ServiceVersions,
 };
 use courseshunt_state::{Command, CommandReply, StoredDeployment, TenantDocument};
 use courseshunt_types::runner_api::MachineState;
@@ -250,6 +251,9 @@
     },
     /// Controller to leading controller: instances that registered at the sender.
     Registrations(Vec<RelayedRegistration>),
+    /// Controller to leading controller: software versions of instances that registered at the
+    /// sender. Has no reply.
+    SoftwareVersions(Vec<ServiceVersions>),
     /// Answers [`Message::Registrations`].
     RegistrationsReply {
         /// Whether the sender is the leader; if not, it accepted none of the registrations.
--- a/crates/wire/src/previous_release/mod.rs
+++ b/crates/wire/src/previous_release/mod.rs
@@ -187,7 +187,9 @@
         | FeedMessage::LimitAnswers(_)
         | FeedMessage::Quarantine { .. }
         | FeedMessage::InstanceLoads(_)
-        | FeedMessage::Forwarders(_) => return None,
+        | FeedMessage::Forwarders(_)
+        | FeedMessage::SoftwareVersions(_)
+        | FeedMessage::OriginAnswers(_) => return None,
     })
 }
 
@@ -249,7 +251,8 @@
         | ReportMessage::Compare(_)
         | ReportMessage::Ends { .. }
         | ReportMessage::InstanceLoads { .. }
-        | ReportMessage::Forwarding(_) => return None,
+        | ReportMessage::Forwarding(_)
+        | ReportMessage::StreamOrigins { .. } => return None,
     })
 }
 
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -104,12 +104,14 @@
         FeedMessage::Instances { .. }
         | FeedMessage::Bucket { .. }
         | FeedMessage::LiveInstances(_)
-        | FeedMessage::Digests(_) => 15,
+        | FeedMessage::Digests(_)
+        | FeedMessage::SoftwareVersions(_) => 15,
         FeedMessage::Usage { .. }
         | FeedMessage::Quotas { .. }
         | FeedMessage::QuotaAnswers(_)
         | FeedMessage::Limits(_)
         | FeedMessage::LimitAnswers(_)
+        | FeedMessage::OriginAnswers(_)
         | FeedMessage::Quarantine { .. }
         | FeedMessage::InstanceLoads(_) => 16,
         FeedMessage::NoFeed { .. }
--- a/crates/wire/tests/type_forms.rs
+++ b/crates/wire/tests/type_forms.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 /// Protocol version and digest of the archived types that belong together.
-const EXPECTED: (u8, &str) = (9, "dbaf9b06c2f0f1a7");
+const EXPECTED: (u8, &str) = (10, "f73ac444941e6aee");
 
 const ADVICE: &str = "An archived type has changed. If it is on the wire: take the next \
     PROTOCOL_VERSION, keep the types of the previous version in wire::previous_release, and \
