--- a/crates/services/src/quarantine/evidence.rs
+++ b/crates/services/src/quarantine/evidence.rs
@@ -27,6 +27,14 @@
     pub(super) requests: Vec<Vec<Digest>>,
 }
 
+impl TerminatedInstance {
+    /// Whether a request with this fingerprint was in flight.
+    fn had(&self, fingerprint: &Digest) -> bool {
+        let mut requests = self.requests.iter();
+        requests.any(|request| request.contains(fingerprint))
+    }
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub(super) struct Evidence {
@@ -96,8 +104,22 @@
 
     /// Whether a request with this fingerprint was in flight at a terminated instance.
     pub(super) fn concerns(&self, fingerprint: &Digest) -> bool {
-        let mut requests = self.terminated.iter().flat_map(|one| &one.requests);
-        requests.any(|request| request.contains(fingerprint))
+        self.terminated.iter().any(|one| one.had(fingerprint))
+    }
+
+    /// Times of the terminations after `since` that count against `present`, of instances that had a
+    /// request with it in flight and none with `absent`.
+    pub(super) fn ends_without(
+        &self,
+        present: &Digest,
+        absent: &Digest,
+        since: Timestamp,
+    ) -> impl Iterator<Item = Timestamp> {
+        let later = self.terminated.iter().filter(move |one| one.at > since);
+        let ends = later.filter(move |one| {
+            self.counts(present, one.at) && one.had(present) && !one.had(absent)
+        });
+        ends.map(|one| one.at)
     }
 
     /// Whether a termination at this time counts against a fingerprint.
--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -9,7 +9,7 @@
 
 use super::attribution::{Blamed, Standing, attribute};
 use super::evidence::Evidence;
-use super::{AnsweredFingerprint, InstanceEnd, QuarantinedContent};
+use super::{AnsweredFingerprint, InstanceEnd, MAX_ENDS, QuarantinedContent, count_ends};
 use courseshunt_types::{Digest, Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -174,16 +174,22 @@
         }
     }
 
-    /// Ends the quarantines that are not settled and that the evidence does not support any more.
+    /// Ends the quarantines that are not settled and that the evidence does not support any more. The
+    /// terminations on which an earlier leader's record is based may be missing here, since routers
+    /// that had reported them have ended: only later ones speak against the record.
     fn end_unexplained(&mut self, blamed: &[Blamed], confirmed: &[Digest]) {
         let changes = &mut self.changes;
         let evidence = &self.evidence;
         self.quarantined.retain(|fingerprint, one| {
-            let mut blamed = blamed.iter();
-            let is_blamed = blamed.any(|blamed| blamed.fingerprint == *fingerprint);
+            let is_blamed = blamed.iter().any(|one| one.fingerprint == *fingerprint);
             let is_confirmed = confirmed.contains(fingerprint);
-            let lacks_evidence = one.is_restored && !evidence.concerns(fingerprint);
-            let holds = one.is_settled || is_blamed || is_confirmed || lacks_evidence;
+            let is_disproved = evidence.concerns(fingerprint)
+                && blamed.iter().any(|other| {
+                    let ends = evidence.ends_without(&other.fingerprint, fingerprint, one.since);
+                    count_ends(ends) >= MAX_ENDS
+                });
+            let is_recorded = one.is_restored && !is_disproved;
+            let holds = one.is_settled || is_blamed || is_confirmed || is_recorded;
             if !holds {
                 let fingerprint = *fingerprint;
                 changes.push(QuarantineChange::Cleared { fingerprint });
--- a/crates/services/tests/quarantine.rs
+++ b/crates/services/tests/quarantine.rs
@@ -263,6 +263,43 @@
     );
 }
 
+/// The router that had seen most of the terminations was killed. The next leader received the evidence
+/// of another router alone, blamed a part of the prompts, and ended the recorded quarantine of the
+/// content, which ended further instances.
+#[test]
+fn a_new_leader_keeps_a_recorded_quarantine_although_its_part_of_the_evidence_is_explained_otherwise()
+ {
+    let mut ledger = QuarantineLedger::default();
+    let recorded = [QuarantinedContent {
+        content: content("harmful"),
+        times: 1,
+    }];
+    let elected_at = at(20);
+    ledger.restore(&recorded, elected_at);
+    let reported_at = elected_at + Millis(30);
+    let in_flight = ["other 1", "other 2", "harmful", "other 3"];
+    for (number, text) in in_flight.iter().enumerate() {
+        let reported = InstanceEnd {
+            fingerprints: ["part", text].map(content).to_vec(),
+            age: reported_at.since(at(10 + number as u64)),
+            ..end("", &format!("i-{number}"))
+        };
+        ledger.ended(&reported, reported_at);
+    }
+    ledger.attribute(reported_at);
+    assert!(is_quarantined(&ledger, "harmful"));
+    let now = reported_at + Millis(38);
+    answer(&mut ledger, "part", now - Millis(5), now);
+    assert!(
+        !is_quarantined(&ledger, "part"),
+        "an answer shows that it is harmless"
+    );
+    assert!(
+        is_quarantined(&ledger, "harmful"),
+        "the terminations before the election may be those that the record is based on"
+    );
+}
+
 #[test]
 fn a_content_that_may_be_sent_again_stays_recorded() {
     let mut ledger = ledger_with(MAX_ENDS);
