--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -4,7 +4,7 @@
 //! is committed.
 
 use crate::Shared;
-use crate::interface::ControlCall;
+use crate::interface::{ControlCall, Heartbeat};
 use crate::records::ControllerRecord;
 use crate::registration_admission::{self, Admission, AdmissionView};
 use bytes::Bytes;
@@ -138,8 +138,9 @@
     let Ok(body) = body else {
         return text_response(StatusCode::BAD_REQUEST, "the registration can't be read");
     };
-    let registration = match shared.interface.read_registration(id.clone(), &body) {
-        Ok(registration) => registration,
+    let Heartbeat { registration, .. } = match shared.interface.read_registration(id.clone(), &body)
+    {
+        Ok(heartbeat) => heartbeat,
         Err(problem) => return refuse_registration(&id, &problem, shared),
     };
     let id = registration.id.clone();
--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -7,7 +7,7 @@
     ConfigurationError, InstanceReport, Order, OrderOutcome, Registration, ReportedLimit,
     ServiceConfiguration,
 };
-use courseshunt_types::RunnerId;
+use courseshunt_types::{RunnerId, SoftwareVersion};
 use hyper::{HeaderMap, Method, StatusCode};
 
 /// A call of an operator or an instance to a controller.
@@ -23,6 +23,15 @@
     Deregister(RunnerId),
 }
 
+/// Content of an instance's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The state that it registers.
+    pub registration: Registration,
+    /// Version of the software that it runs, if the heartbeat contains it.
+    pub software_version: Option<SoftwareVersion>,
+}
+
 /// A call of a controller to an instance.
 #[derive(Debug, Clone)]
 pub struct InstanceCall {
@@ -55,12 +64,12 @@
     /// keys. [`Self::read_configuration`] returns the same for both forms.
     fn document_for_routers(&self, document: &[u8]) -> Vec<u8>;
 
-    /// Reads the registration of the instance of this name. A registration without a required
+    /// Reads the heartbeat of the instance of this name. A registration without a required
     /// field is rejected: with a default in its place, the instance would be sent requests.
     ///
     /// # Errors
     /// A description of the problem.
-    fn read_registration(&self, id: RunnerId, body: &[u8]) -> Result<Registration, String>;
+    fn read_registration(&self, id: RunnerId, body: &[u8]) -> Result<Heartbeat, String>;
 
     /// Reads which incarnation of the instance of this name is about to terminate.
     ///
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -40,7 +40,7 @@
 mod upstream;
 
 pub use error::CoordinatorError;
-pub use interface::{ControlCall, ControlInterface, InstanceCall};
+pub use interface::{ControlCall, ControlInterface, Heartbeat, InstanceCall};
 
 use courseshunt_consensus::Membership;
 use courseshunt_controller::ControllerError;
