Versions of instances and origins of streams, as pure state

Change: services::stream_origins becomes a folder. SoftwareVersions keeps the version of each instance for 120 s after its last heartbeat and lists the services that are not known to have run a single version; an instance of unknown version counts as one of another version. OriginDirectory keeps which instances began streams, bounded and for the same time; several origins of one stream need one service and version in common. VersionOutbox holds what a controller relays to the leader. Nothing uses them yet.

--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -80,8 +80,8 @@
 };
 pub use store_limit::StoreLimit;
 pub use stream_origins::{
-    InstanceVersion, OriginAnswer, OriginQuery, OriginVerdict, ServiceVersions, StreamId,
-    StreamOrigin, StreamWriter,
+    InstanceVersion, OriginAnswer, OriginDirectory, OriginQuery, OriginVerdict, ServiceVersions,
+    SoftwareVersions, StreamId, StreamOrigin, StreamWriter, VersionOutbox,
 };
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
 pub use validation::{ConfigurationError, validate};
--- a/crates/services/src/stream_origins.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -4,9 +4,20 @@
 //! Events of instances of different services or software versions do not fit together. A stream that
 //! is resumed goes on only at an instance of the service and the software version that began it.
 
-use courseshunt_types::{RunnerId, SoftwareVersion};
+mod directory;
+mod version_outbox;
+mod versions;
+
+pub use directory::OriginDirectory;
+pub use version_outbox::VersionOutbox;
+pub use versions::SoftwareVersions;
+
+use courseshunt_types::{Millis, RunnerId, SoftwareVersion};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Longest time for which a client may resume a stream.
+pub const ORIGIN_RETENTION: Millis = Millis(120_000);
+
 /// Identifies a stream by the id of the request that brought its first event.
 #[derive(
     Debug,
--- /dev/null
+++ b/crates/services/src/stream_origins/versions.rs
@@ -0,0 +1,232 @@
+//! Software versions of the instances of each service, as heartbeats contain them.
+//!
+//! Invariant: a service that [`SoftwareVersions::mixed_services`] leaves out is known to have run a
+//! single version for [`ORIGIN_RETENTION`], as far as instances and streams of that time have been
+//! reported here. An instance whose version is not known counts as one of another version.
+//!
+//! Cost: a heartbeat is logarithmic in the instances; a list of services is linear in them and is
+//! needed only after [`SoftwareVersions::take_changed`].
+
+use super::{InstanceVersion, ORIGIN_RETENTION, ServiceVersions, StreamWriter};
+use courseshunt_types::{RunnerId, SoftwareVersion, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Maximum number of instances; beyond it, those that were heard longest ago are removed.
+const MAX_INSTANCES: usize = 32_768;
+
+/// The versions of the instances that were heard within [`ORIGIN_RETENTION`].
+#[derive(Debug, Default)]
+pub struct SoftwareVersions {
+    instances: BTreeMap<RunnerId, Entry>,
+    by_age: BTreeSet<(Timestamp, RunnerId)>,
+    /// Instances with [`Entry::replaced_at`], by that time.
+    replaced: BTreeSet<(Timestamp, RunnerId)>,
+    is_changed: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    service: String,
+    /// `None` while no heartbeat with a version has arrived here.
+    version: Option<SoftwareVersion>,
+    heard_at: Timestamp,
+    /// When a heartbeat last replaced another version, or service, of the same identity.
+    replaced_at: Option<Timestamp>,
+}
+
+impl SoftwareVersions {
+    /// Notes an instance's heartbeat: the newest one replaces the version of an earlier one. A
+    /// heartbeat without a version replaces it too.
+    pub fn note(
+        &mut self,
+        service: &str,
+        instance: &RunnerId,
+        version: Option<&SoftwareVersion>,
+        now: Timestamp,
+    ) {
+        self.expire(now);
+        if let Some(entry) = self.instances.get_mut(instance) {
+            let old_key = (entry.heard_at, instance.clone());
+            self.by_age.remove(&old_key);
+            entry.heard_at = now;
+            if entry.service != service || entry.version.as_ref() != version {
+                self.replace(service, instance, version, now);
+            }
+        } else {
+            let entry = Entry {
+                service: service.to_owned(),
+                version: version.cloned(),
+                heard_at: now,
+                replaced_at: None,
+            };
+            self.instances.insert(instance.clone(), entry);
+            self.is_changed = true;
+        }
+        self.by_age.insert((now, instance.clone()));
+        self.drop_surplus();
+    }
+
+    /// Notes that an instance exists, or existed when a stream began; changes nothing if it has
+    /// been noted within the retention. Its version is not known until its heartbeat is noted.
+    pub fn note_unheard(&mut self, service: &str, instance: &RunnerId, now: Timestamp) {
+        if !self.instances.contains_key(instance) {
+            self.note(service, instance, None, now);
+        }
+    }
+
+    /// Notes the versions that another controller received in heartbeats.
+    pub fn note_all(&mut self, services: &[ServiceVersions], now: Timestamp) {
+        for (service, one) in all_instances(services) {
+            self.note(service, &one.instance, Some(&one.version), now);
+        }
+    }
+
+    /// Notes the list that the leader feeds. It changes only what is not known here: the list also
+    /// names instances that were heard some time ago.
+    pub fn note_absent(&mut self, services: &[ServiceVersions], now: Timestamp) {
+        for (service, one) in all_instances(services) {
+            if self.version_of(&one.instance).is_none() {
+                self.note(service, &one.instance, Some(&one.version), now);
+            }
+        }
+    }
+
+    /// Removes what is older than [`ORIGIN_RETENTION`].
+    pub fn expire(&mut self, now: Timestamp) {
+        while let Some((at, instance)) = self.replaced.first()
+            && now.since(*at) >= ORIGIN_RETENTION
+        {
+            if let Some(entry) = self.instances.get_mut(instance) {
+                entry.replaced_at = None;
+            }
+            self.replaced.pop_first();
+            self.is_changed = true;
+        }
+        while let Some((at, _)) = self.by_age.first()
+            && now.since(*at) >= ORIGIN_RETENTION
+        {
+            self.remove_oldest();
+        }
+    }
+
+    /// Whether the list of [`Self::mixed_services`] may have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.is_changed)
+    }
+
+    /// Services whose instances within the retention are not known to run a single version, in the
+    /// order of their names, with the instances whose versions are known.
+    #[must_use]
+    pub fn mixed_services(&self) -> Vec<ServiceVersions> {
+        let mut services: BTreeMap<&str, Vec<(&RunnerId, &Entry)>> = BTreeMap::new();
+        for (instance, entry) in &self.instances {
+            let instances = services.entry(&entry.service).or_default();
+            instances.push((instance, entry));
+        }
+        let mixed = services.into_iter();
+        let mixed = mixed.filter(|(_, instances)| is_mixed(instances));
+        let mixed = mixed.map(|(service, instances)| ServiceVersions {
+            service: service.to_owned(),
+            instances: instances.into_iter().filter_map(with_version).collect(),
+        });
+        mixed.collect()
+    }
+
+    /// The service and version of an instance, if they are known and were the same throughout the
+    /// retention: a stream may have begun under each version of that time.
+    #[must_use]
+    pub fn writer(&self, instance: &RunnerId) -> Option<StreamWriter> {
+        let entry = self.instances.get(instance)?;
+        if entry.replaced_at.is_some() {
+            return None;
+        }
+        Some(StreamWriter {
+            service: entry.service.clone(),
+            version: entry.version.clone()?,
+        })
+    }
+
+    /// Number of instances that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Whether no instance is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+
+    fn version_of(&self, instance: &RunnerId) -> Option<&SoftwareVersion> {
+        self.instances.get(instance)?.version.as_ref()
+    }
+
+    /// Replaces the service and version of a known instance. The first version that is heard
+    /// replaces no other one.
+    fn replace(
+        &mut self,
+        service: &str,
+        instance: &RunnerId,
+        version: Option<&SoftwareVersion>,
+        now: Timestamp,
+    ) {
+        let Some(entry) = self.instances.get_mut(instance) else {
+            return;
+        };
+        let is_first = entry.version.is_none() && entry.service == service;
+        if !is_first {
+            if let Some(at) = entry.replaced_at.replace(now) {
+                self.replaced.remove(&(at, instance.clone()));
+            }
+            self.replaced.insert((now, instance.clone()));
+        }
+        service.clone_into(&mut entry.service);
+        entry.version = version.cloned();
+        self.is_changed = true;
+    }
+
+    fn drop_surplus(&mut self) {
+        while self.instances.len() > MAX_INSTANCES {
+            self.remove_oldest();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some((_, instance)) = self.by_age.pop_first() else {
+            return;
+        };
+        let entry = self.instances.remove(&instance);
+        if let Some(at) = entry.and_then(|entry| entry.replaced_at) {
+            self.replaced.remove(&(at, instance));
+        }
+        self.is_changed = true;
+    }
+}
+
+fn all_instances(services: &[ServiceVersions]) -> impl Iterator<Item = (&str, &InstanceVersion)> {
+    let services = services.iter();
+    services.flat_map(|one| {
+        let instances = one.instances.iter();
+        instances.map(|instance| (one.service.as_str(), instance))
+    })
+}
+
+/// Whether instances of a service are not known to have run a single version.
+fn is_mixed(instances: &[(&RunnerId, &Entry)]) -> bool {
+    let mut versions = instances.iter().map(|(_, entry)| entry.version.as_ref());
+    let first = versions.next().flatten();
+    let differs = versions.any(|version| version.is_none() || version != first);
+    differs
+        || instances
+            .iter()
+            .any(|(_, entry)| entry.replaced_at.is_some())
+}
+
+fn with_version((instance, entry): (&RunnerId, &Entry)) -> Option<InstanceVersion> {
+    let version = entry.version.clone()?;
+    Some(InstanceVersion {
+        instance: instance.clone(),
+        version,
+    })
+}
--- /dev/null
+++ b/crates/services/tests/stream_origins.rs
@@ -0,0 +1,309 @@
+//! Which versions the instances of a service run, and which kind of instance began a stream. Streams
+//! that were broken off went on at instances of another version, at any router.
+
+use courseshunt_services::stream_origins::ORIGIN_RETENTION;
+use courseshunt_services::{
+    InstanceVersion, OriginDirectory, OriginVerdict, ServiceVersions, SoftwareVersions, StreamId,
+    StreamOrigin, StreamWriter, VersionOutbox,
+};
+use courseshunt_types::{Millis, RunnerId, SoftwareVersion, Timestamp};
+
+const START: Timestamp = Timestamp(1_000);
+const SERVICE: &str = "llm";
+/// Bound of the streams in a directory.
+const MAX_STREAMS: u64 = 262_144;
+/// Bound of the instances whose versions are kept.
+const MAX_INSTANCES: usize = 32_768;
+
+fn id(name: &str) -> RunnerId {
+    RunnerId::of_incarnation(name, 1_769_493_358_721)
+}
+
+fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion::from(name)
+}
+
+fn at(millis: u64) -> Timestamp {
+    START + Millis(millis)
+}
+
+fn after_retention() -> Timestamp {
+    START + ORIGIN_RETENTION
+}
+
+/// Versions of instances of one service, all heard at the start.
+fn versions(instances: &[(&str, &str)]) -> SoftwareVersions {
+    let mut versions = SoftwareVersions::default();
+    for (instance, version) in instances {
+        hear(&mut versions, instance, version, START);
+    }
+    versions
+}
+
+fn hear(versions: &mut SoftwareVersions, instance: &str, name: &str, now: Timestamp) {
+    versions.note(SERVICE, &id(instance), Some(&version(name)), now);
+}
+
+fn listed(service: &str, instances: &[(&str, &str)]) -> ServiceVersions {
+    let instances = instances.iter().map(|(instance, name)| InstanceVersion {
+        instance: id(instance),
+        version: version(name),
+    });
+    ServiceVersions {
+        service: service.to_owned(),
+        instances: instances.collect(),
+    }
+}
+
+fn origin(stream: u64, service: &str, instance: &str) -> StreamOrigin {
+    StreamOrigin {
+        stream: StreamId(stream),
+        service: service.to_owned(),
+        instance: id(instance),
+    }
+}
+
+fn known(name: &str) -> OriginVerdict {
+    OriginVerdict::Known(StreamWriter {
+        service: SERVICE.to_owned(),
+        version: version(name),
+    })
+}
+
+#[test]
+fn a_service_of_one_version_is_not_listed() {
+    let versions = versions(&[("a", "v1"), ("b", "v1")]);
+    assert_eq!(versions.mixed_services(), []);
+}
+
+/// Instances and services are listed in the order of their names, however they were heard.
+#[test]
+fn services_of_several_versions_are_listed_in_order() {
+    let mut versions = versions(&[("b", "v2"), ("c", "v1"), ("a", "v1")]);
+    versions.note("app", &id("z"), Some(&version("x")), START);
+    versions.note("app", &id("y"), Some(&version("w")), START);
+    versions.note("one", &id("o"), Some(&version("w")), START);
+    let expected = [
+        listed("app", &[("y", "w"), ("z", "x")]),
+        listed(SERVICE, &[("a", "v1"), ("b", "v2"), ("c", "v1")]),
+    ];
+    assert_eq!(versions.mixed_services(), expected);
+}
+
+/// The last instance of the earlier version is gone, and streams that it began may be resumed.
+#[test]
+fn a_version_counts_for_the_retention_after_it_was_last_heard() {
+    let mut versions = versions(&[("old", "v1"), ("new", "v2")]);
+    assert!(versions.take_changed());
+    for second in 1..120 {
+        hear(&mut versions, "new", "v2", at(second * 1_000));
+    }
+    assert!(!versions.take_changed(), "nothing has changed");
+    let just_before = START + Millis(ORIGIN_RETENTION.0 - 1);
+    versions.expire(just_before);
+    assert_eq!(versions.mixed_services().len(), 1);
+    assert_eq!(
+        versions.writer(&id("old")).map(|writer| writer.version),
+        Some(version("v1"))
+    );
+    versions.expire(after_retention());
+    assert!(versions.take_changed());
+    assert_eq!(versions.mixed_services(), []);
+    assert_eq!(versions.writer(&id("old")), None);
+    assert_eq!(versions.len(), 1);
+}
+
+#[test]
+fn the_newest_heartbeat_of_an_identity_counts() {
+    let mut versions = versions(&[("a", "v1")]);
+    assert!(versions.take_changed());
+    hear(&mut versions, "a", "v2", at(5_000));
+    assert!(versions.take_changed());
+    let expected = [listed(SERVICE, &[("a", "v2")])];
+    assert_eq!(versions.mixed_services(), expected, "v1 wrote streams too");
+    // Which of the two versions began a stream is not known from the identity.
+    assert_eq!(versions.writer(&id("a")), None);
+    hear(&mut versions, "a", "v2", at(100_000));
+    versions.expire(at(5_000) + ORIGIN_RETENTION);
+    assert!(versions.take_changed());
+    assert_eq!(versions.mixed_services(), []);
+    assert!(versions.writer(&id("a")).is_some());
+}
+
+/// It may run either version.
+#[test]
+fn an_instance_of_unknown_version_counts_as_one_of_another_version() {
+    let mut versions = versions(&[("a", "v1")]);
+    versions.note_unheard(SERVICE, &id("b"), START);
+    let expected = [listed(SERVICE, &[("a", "v1")])];
+    assert_eq!(versions.mixed_services(), expected);
+    assert_eq!(versions.writer(&id("b")), None);
+    hear(&mut versions, "b", "v1", at(10));
+    assert_eq!(versions.mixed_services(), []);
+    assert!(versions.writer(&id("b")).is_some());
+    versions.note_unheard(SERVICE, &id("b"), at(20));
+    assert_eq!(versions.mixed_services(), [], "it is known already");
+    versions.note(SERVICE, &id("c"), None, at(20));
+    assert_eq!(versions.mixed_services().len(), 1);
+}
+
+/// A controller that becomes the leader still knows of the version that is gone.
+#[test]
+fn the_leaders_list_adds_what_was_not_heard_here() {
+    let mut versions = versions(&[("a", "v2")]);
+    let list = [listed(SERVICE, &[("a", "v1"), ("gone", "v1")])];
+    versions.note_absent(&list, at(10));
+    let expected = [listed(SERVICE, &[("a", "v2"), ("gone", "v1")])];
+    assert_eq!(versions.mixed_services(), expected);
+    versions.note_absent(&list, at(60_000));
+    versions.expire(at(10) + ORIGIN_RETENTION);
+    assert_eq!(versions.len(), 0, "a repeated list prolongs nothing");
+}
+
+#[test]
+fn versions_are_bounded_and_the_oldest_go_first() {
+    let mut versions = SoftwareVersions::default();
+    for number in 0..MAX_INSTANCES + 10 {
+        let now = at(number as u64);
+        hear(&mut versions, &number.to_string(), "v1", now);
+        hear(&mut versions, "kept", "v1", now);
+    }
+    assert_eq!(versions.len(), MAX_INSTANCES);
+    assert!(versions.writer(&id("kept")).is_some());
+    assert!(versions.writer(&id("0")).is_none());
+    let last = (MAX_INSTANCES + 9).to_string();
+    assert!(versions.writer(&id(&last)).is_some());
+}
+
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it() {
+    let versions = versions(&[("a", "v1"), ("b", "v2")]);
+    let mut directory = OriginDirectory::default();
+    directory.note(origin(1, SERVICE, "a"), START);
+    directory.note(origin(2, SERVICE, "b"), START);
+    directory.note(origin(3, SERVICE, "unheard"), START);
+    directory.note(origin(4, "another", "a"), START);
+    let decide = |stream| directory.decide(StreamId(stream), &versions, at(10));
+    assert_eq!(decide(1), known("v1"));
+    assert_eq!(decide(2), known("v2"));
+    assert_eq!(decide(3), OriginVerdict::Unknown, "its version is unknown");
+    assert_eq!(decide(4), OriginVerdict::Unknown, "of another service");
+    assert_eq!(decide(5), OriginVerdict::Unknown, "it was not reported");
+}
+
+/// Two requests had the same id.
+#[test]
+fn a_stream_of_two_origins_that_differ_is_unknown_from_then_on() {
+    let mut versions = versions(&[("a", "v1"), ("b", "v2"), ("c", "v1")]);
+    versions.note("app", &id("d"), Some(&version("v1")), START);
+    let mut directory = OriginDirectory::default();
+    for (stream, service, second) in [(1, SERVICE, "b"), (2, SERVICE, "c"), (3, "app", "d")] {
+        directory.note(origin(stream, SERVICE, "a"), START);
+        directory.note(origin(stream, service, second), START);
+        directory.note(origin(stream, SERVICE, "a"), at(5));
+    }
+    let decide = |stream| directory.decide(StreamId(stream), &versions, at(10));
+    assert_eq!(decide(1), OriginVerdict::Unknown, "two versions");
+    assert_eq!(decide(2), known("v1"), "two instances of one version");
+    assert_eq!(decide(3), OriginVerdict::Unknown, "two services");
+}
+
+#[test]
+fn a_stream_of_many_origins_is_unknown() {
+    let names = ["a", "b", "c", "d", "e"];
+    let versions = versions(&names.map(|name| (name, "v1")));
+    let mut directory = OriginDirectory::default();
+    for name in names {
+        directory.note(origin(1, SERVICE, name), START);
+    }
+    let verdict = directory.decide(StreamId(1), &versions, START);
+    assert_eq!(verdict, OriginVerdict::Unknown);
+}
+
+#[test]
+fn origins_expire_after_the_retention() {
+    let mut versions = versions(&[("a", "v1")]);
+    let mut directory = OriginDirectory::default();
+    directory.note(origin(1, SERVICE, "a"), START);
+    directory.note(origin(2, SERVICE, "a"), START);
+    directory.note(origin(2, SERVICE, "a"), at(50_000));
+    hear(&mut versions, "a", "v1", after_retention());
+    let decide = |stream| directory.decide(StreamId(stream), &versions, after_retention());
+    assert_eq!(decide(1), OriginVerdict::Unknown);
+    assert_eq!(decide(2), known("v1"), "it was reported again");
+    directory.note(origin(3, SERVICE, "a"), after_retention());
+    assert_eq!(directory.len(), 2);
+}
+
+#[test]
+fn origins_are_bounded_and_the_oldest_go_first() {
+    let versions = versions(&[("a", "v1")]);
+    let mut directory = OriginDirectory::default();
+    for stream in 0..MAX_STREAMS + 5 {
+        let now = at(stream / 100);
+        directory.note(origin(stream, SERVICE, "a"), now);
+    }
+    assert_eq!(directory.len() as u64, MAX_STREAMS);
+    let decide = |stream| directory.decide(StreamId(stream), &versions, at(10_000));
+    assert_eq!(decide(4), OriginVerdict::Unknown);
+    assert_eq!(decide(5), known("v1"));
+    assert_eq!(decide(MAX_STREAMS + 4), known("v1"));
+}
+
+fn relayed(outbox: &mut VersionOutbox, now: Timestamp) -> Vec<ServiceVersions> {
+    outbox.take(now)
+}
+
+#[test]
+fn a_controller_relays_new_and_changed_versions_and_refreshes_them() {
+    let mut outbox = VersionOutbox::default();
+    outbox.restart(START);
+    outbox.note(SERVICE, &id("a"), &version("v1"), START);
+    outbox.note("app", &id("b"), &version("v1"), START);
+    let both = [
+        listed("app", &[("b", "v1")]),
+        listed(SERVICE, &[("a", "v1")]),
+    ];
+    assert_eq!(relayed(&mut outbox, START), both);
+    outbox.note(SERVICE, &id("a"), &version("v1"), at(1_000));
+    assert_eq!(relayed(&mut outbox, at(1_000)), [], "it is unchanged");
+    outbox.note(SERVICE, &id("a"), &version("v2"), at(2_000));
+    let changed = [listed(SERVICE, &[("a", "v2")])];
+    assert_eq!(relayed(&mut outbox, at(2_000)), changed);
+    outbox.note(SERVICE, &id("a"), &version("v2"), at(22_000));
+    assert_eq!(relayed(&mut outbox, at(22_000)), changed, "a refresh");
+}
+
+/// Streams of an instance that is gone may be resumed after an election. A name without a start
+/// time may have become that of another process.
+#[test]
+fn a_new_leader_is_sent_the_versions_of_instances_that_are_gone() {
+    let mut outbox = VersionOutbox::default();
+    outbox.note(SERVICE, &id("gone"), &version("v1"), START);
+    outbox.note(SERVICE, &RunnerId::from("name"), &version("v1"), START);
+    outbox.note(SERVICE, &id("live"), &version("v2"), at(100_000));
+    let _ = outbox.take(at(100_000));
+    outbox.restart(at(110_000));
+    let all = [listed(SERVICE, &[("gone", "v1"), ("live", "v2")])];
+    assert_eq!(relayed(&mut outbox, at(110_000)), all);
+    outbox.restart(after_retention());
+    let live = [listed(SERVICE, &[("live", "v2")])];
+    assert_eq!(relayed(&mut outbox, after_retention()), live);
+}
+
+#[test]
+fn versions_are_relayed_in_bounded_messages() {
+    let mut outbox = VersionOutbox::default();
+    for number in 0..2_500 {
+        outbox.note(SERVICE, &id(&number.to_string()), &version("v1"), START);
+    }
+    let mut sizes = Vec::new();
+    loop {
+        let batch = relayed(&mut outbox, START);
+        if batch.is_empty() {
+            break;
+        }
+        sizes.push(batch[0].instances.len());
+    }
+    assert_eq!(sizes, [1_024, 1_024, 452]);
+}
