Controllers relay software versions, and the leader feeds them and answers on origins of streams

Once its leadership is settled, the leader sends the list of services that are not known to run a single version, also when it is empty, and again when it changes: at once if a router's list is contradicted, otherwise at the interval of the instances. The list precedes the instances that it is about. Followers keep the list, since they may lead next; recorded instances and origins whose versions nobody relays make their service count as one of several versions. The leader notes the origins that routers report and answers their queries; without recent contact with a quorum the verdict is Unknown. A record of the versions of a service, and a counter of verdicts.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -7,11 +7,12 @@
 use crate::interface::{ControlCall, Heartbeat};
 use crate::records::ControllerRecord;
 use crate::registration_admission::{self, Admission, AdmissionView};
+use crate::software_versions;
 use bytes::Bytes;
 use courseshunt_controller::ProposeError;
 use courseshunt_http::{Body, full_body, read_limited, text_response};
 use courseshunt_records::emit;
-use courseshunt_services::{InstanceState, Registration, validate};
+use courseshunt_services::{InstanceState, validate};
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::MAX_COMMAND_BYTES;
@@ -138,15 +139,14 @@
     let Ok(body) = body else {
         return text_response(StatusCode::BAD_REQUEST, "the registration can't be read");
     };
-    let Heartbeat { registration, .. } = match shared.interface.read_registration(id.clone(), &body)
-    {
+    let heartbeat = match shared.interface.read_registration(id.clone(), &body) {
         Ok(heartbeat) => heartbeat,
         Err(problem) => return refuse_registration(&id, &problem, shared),
     };
-    let id = registration.id.clone();
+    let id = heartbeat.registration.id.clone();
     shared.metrics.registration();
-    let leaving = registration.state == InstanceState::Draining;
-    let admission = accept_registration(registration, shared);
+    let leaving = heartbeat.registration.state == InstanceState::Draining;
+    let admission = accept_heartbeat(heartbeat, shared);
     if leaving {
         return record_leaving(&id, false, shared).await;
     }
@@ -184,10 +184,12 @@
     }
 }
 
-/// Applies a registration if this member leads, otherwise queues it for the leader; returns
-/// whether it is to be acknowledged.
-fn accept_registration(registration: Registration, shared: &Shared) -> Admission {
+/// Notes the software version, and applies the registration if this member leads, otherwise queues it
+/// for the leader; returns whether it is to be acknowledged.
+fn accept_heartbeat(heartbeat: Heartbeat, shared: &Shared) -> Admission {
     let now = shared.clock.now();
+    software_versions::note_heartbeat(&heartbeat, now, shared);
+    let registration = heartbeat.registration;
     let leads = shared.replica.leads();
     if !leads {
         shared.relay.enqueue(registration, now);
--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -211,6 +211,10 @@
                 let answer = relay::handle_batch(batch, peer, shared);
                 sender.send(&answer).await?;
             }
+            Message::SoftwareVersions(services) => {
+                let now = shared.clock.now();
+                shared.software_versions().note_all(&services, now);
+            }
             Message::FollowLeader { zone, known } => {
                 if shared.member_zones.note(address, &zone) {
                     shared
--- a/crates/coordinator/src/instance_persistence.rs
+++ b/crates/coordinator/src/instance_persistence.rs
@@ -30,7 +30,14 @@
     }
 }
 
+/// The log holds no software versions: they are not known until the instances register, or another
+/// controller relays them.
 fn restore_batch(shared: &Shared, batch: &[InstanceView], now: Timestamp) {
+    let mut versions = shared.software_versions();
+    for view in batch {
+        versions.note_unheard(&view.service, &view.id, now);
+    }
+    drop(versions);
     let mut engine = shared.engine();
     for view in batch {
         engine.seed(view, now);
--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -10,6 +10,7 @@
 use crate::plan_pace::{PlanPace, PlanRound};
 use crate::records::{self, ControllerRecord};
 use crate::router_registry::FeedPath;
+use crate::software_versions::VersionsFeed;
 use crate::{
     Shared, instance_persistence, limits, loads, orders, placement_settings, quarantine,
     quota_settings, reports, sessions, upstream,
@@ -18,8 +19,8 @@
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
-    FeedMessage, ForwarderDirectory, InstanceView, LimitLedger, PlacementEngine, QuarantineLedger,
-    QuotaLedger,
+    FeedMessage, ForwarderDirectory, InstanceView, LimitLedger, OriginDirectory, PlacementEngine,
+    QuarantineLedger, QuotaLedger,
 };
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
@@ -62,6 +63,7 @@
     usage_sent_at: Timestamp,
     quotas_sent_at: Timestamp,
     limits_sent_at: Timestamp,
+    software_versions: VersionsFeed,
     instances_recorded_at: Timestamp,
     /// Changed and gone instances that are not yet recorded in the log.
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
@@ -137,6 +139,7 @@
     *shared.loads() = LoadLedger::default();
     *shared.quarantine() = QuarantineLedger::default();
     *shared.forwarders() = ForwarderDirectory::default();
+    *shared.origins() = OriginDirectory::default();
     shared.feed_available.send_replace(false);
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
@@ -152,6 +155,7 @@
         usage_sent_at: now,
         quotas_sent_at: now,
         limits_sent_at: now,
+        software_versions: VersionsFeed::default(),
         instances_recorded_at: now,
         unrecorded: Default::default(),
         members: MembershipManager::new(now),
@@ -382,7 +386,9 @@
         leadership.settled = true;
         let live = shared.engine().ids();
         shared.sessions.mark_settled(live);
+        leadership.software_versions.begin(now, shared);
     }
+    leadership.software_versions.send_changes(now, shared);
     feed_quotas(shared, leadership, now);
     feed_limits(shared, leadership, now);
     let subscribers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
@@ -414,6 +420,8 @@
         lost.insert(id.clone());
     }
     leadership.instances_sent_at = now;
+    // The versions of these instances were noted before them.
+    leadership.software_versions.send_changes(now, shared);
     shared.sessions.send_instances(changed, gone);
 }
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -37,6 +37,8 @@
 mod reports;
 pub mod router_registry;
 mod sessions;
+mod software_versions;
+mod stream_origins;
 mod upstream;
 
 pub use error::CoordinatorError;
@@ -51,8 +53,8 @@
 use courseshunt_membership::{JoinRequests, Redundancy, core_settings};
 use courseshunt_records::emit;
 use courseshunt_services::{
-    FeedMessage, ForwarderDirectory, LimitLedger, PlacementEngine, PlacementSettings,
-    QuarantineLedger, QuotaLedger, QuotaSettings,
+    FeedMessage, ForwarderDirectory, LimitLedger, OriginDirectory, PlacementEngine,
+    PlacementSettings, QuarantineLedger, QuotaLedger, QuotaSettings, SoftwareVersions,
 };
 use courseshunt_settings::service::{SeedList, ServiceSettings};
 use courseshunt_types::time::{MonotonicClock, SuspendDetector};
@@ -136,6 +138,11 @@
     is_attribution_pending: AtomicBool,
     /// Routers that forward requests of other routers, while this member leads.
     forwarders: Mutex<ForwarderDirectory>,
+    /// Software versions of instances: at the leader those that all controllers received, at any
+    /// other controller its own ones and those that the leader fed. Locked before `origins`.
+    software_versions: Mutex<SoftwareVersions>,
+    /// Instances that began streams, while this member leads.
+    origins: Mutex<OriginDirectory>,
 }
 
 impl Shared {
@@ -160,6 +167,15 @@
         forwarders.unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn software_versions(&self) -> MutexGuard<'_, SoftwareVersions> {
+        let versions = self.software_versions.lock();
+        versions.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn origins(&self) -> MutexGuard<'_, OriginDirectory> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, QuarantineLedger> {
         let quarantine = self.quarantine.lock();
         quarantine.unwrap_or_else(PoisonError::into_inner)
@@ -379,6 +395,8 @@
             quarantine: Mutex::default(),
             is_attribution_pending: AtomicBool::new(false),
             forwarders: Mutex::default(),
+            software_versions: Mutex::default(),
+            origins: Mutex::default(),
             settings,
         });
         let zone = Zone::from(shared.settings.zone.as_str());
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -4,7 +4,7 @@
 use courseshunt_instance_load::InstanceLoad;
 use courseshunt_membership::Redundancy;
 use courseshunt_metrics::page_with_process;
-use courseshunt_services::{LimitVerdict, ReservationChange};
+use courseshunt_services::{LimitVerdict, OriginVerdict, ReservationChange};
 use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -44,6 +44,7 @@
     registrations_refused: Counter,
     configurations: Family<Labels, Counter>,
     limit_verdicts: Family<Labels, Counter>,
+    origin_verdicts: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     leaderships: Counter,
     slept_milliseconds: Counter,
@@ -62,6 +63,7 @@
             registrations_refused: Counter::default(),
             configurations: Family::default(),
             limit_verdicts: Family::default(),
+            origin_verdicts: Family::default(),
             reservations: Family::default(),
             leaderships: Counter::default(),
             slept_milliseconds: Counter::default(),
@@ -88,6 +90,9 @@
         let verdicts = metrics.limit_verdicts.clone();
         let help = "Decisions on requests for instances that name a limit, by outcome";
         registry.register("limit_verdicts", help, verdicts);
+        let verdicts = metrics.origin_verdicts.clone();
+        let help = "Verdicts on the origin of a stream that a client resumes, by outcome";
+        registry.register("origin_verdicts", help, verdicts);
         let reservations = metrics.reservations.clone();
         let help = "Reservations under tenants' quotas by outcome (made, taken, unmet, expired, \
                     dropped, refused), and refused ones by reason";
@@ -143,6 +148,16 @@
         self.limit_verdicts.get_or_create(&labels).inc();
     }
 
+    /// Counts a verdict on the origin of a stream.
+    pub(crate) fn origin_verdict(&self, verdict: &OriginVerdict) {
+        let outcome = match verdict {
+            OriginVerdict::Known(_) => "known",
+            OriginVerdict::Unknown => "unknown",
+        };
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.origin_verdicts.get_or_create(&labels).inc();
+    }
+
     /// Counts a change of a reservation under a tenant's quota.
     pub(crate) fn quota_reservation(&self, change: &ReservationChange) {
         let labels = vec![
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -145,6 +145,13 @@
         committed: bool,
         problem: Option<&'a str>,
     },
+    /// The software versions that the instances of a service run have changed.
+    SoftwareVersions {
+        service: &'a str,
+        /// The known versions, if they are several or that of an instance is not known; empty if
+        /// there is one version.
+        versions: &'a [&'a str],
+    },
     /// Instances are gone: they terminated, or did not register in time.
     InstancesGone { instances: &'a [String] },
     /// The state of a fingerprint of requests under which instances ended has changed.
--- a/crates/coordinator/src/relay.rs
+++ b/crates/coordinator/src/relay.rs
@@ -2,15 +2,17 @@
 //!
 //! Invariant: a registration is acknowledged only while the leader answers this controller, or
 //! did so recently (see [`crate::registration_admission`]). Registrations that are lost with a
-//! leader or a connection are sent in full to the next one.
+//! leader or a connection are sent in full to the next one. The software version of an instance is
+//! sent before its registration.
 
 use crate::Shared;
 use crate::leader_link::{self, timed_out};
 use crate::records::ControllerRecord;
+use crate::software_versions;
 use courseshunt_records::emit;
-use courseshunt_services::{Registration, RegistrationOutbox, RelayedRegistration};
-use courseshunt_types::{ControllerId, Millis, RunnerId, Timestamp};
-use courseshunt_wire::{Connection, Message, Receiver, WireError};
+use courseshunt_services::{Registration, RegistrationOutbox, RelayedRegistration, VersionOutbox};
+use courseshunt_types::{ControllerId, Millis, RunnerId, SoftwareVersion, Timestamp};
+use courseshunt_wire::{Connection, Message, Receiver, Sender, WireError};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -31,6 +33,7 @@
 #[derive(Debug, Default)]
 struct State {
     outbox: RegistrationOutbox,
+    versions: VersionOutbox,
     linked: bool,
     /// When the last link to the leader ended; the start of the process if there was none.
     unlinked_at: Timestamp,
@@ -54,6 +57,18 @@
         self.wake.notify_one();
     }
 
+    /// Notes the software version in a heartbeat; it is sent before the next registrations.
+    pub(crate) fn note_version(
+        &self,
+        service: &str,
+        instance: &RunnerId,
+        version: &SoftwareVersion,
+        now: Timestamp,
+    ) {
+        let mut state = self.lock();
+        state.versions.note(service, instance, version, now);
+    }
+
     /// Time since the link to the leader ended; `None` while it is up.
     pub(crate) fn leader_unreachable_for(&self, now: Timestamp) -> Option<Millis> {
         let state = self.lock();
@@ -63,6 +78,7 @@
     fn link(&self, now: Timestamp) {
         let mut state = self.lock();
         state.outbox.restart(now);
+        state.versions.restart(now);
         state.linked = true;
     }
 
@@ -115,10 +131,12 @@
     emit(&ControllerRecord::RelayBegan {
         leader: &address.to_string(),
     });
+    send_versions(&mut sender, shared).await?;
     loop {
         shared.relay.wait_for_batch().await;
         let batch = shared.relay.lock().outbox.take(shared.clock.now());
         let exchange = async {
+            send_versions(&mut sender, shared).await?;
             sender.send(&Message::Registrations(batch)).await?;
             receive_reply(&mut receiver).await
         };
@@ -134,6 +152,17 @@
     }
 }
 
+/// Sends the software versions that the leader lacks; a leader of the previous release is sent none.
+async fn send_versions(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    loop {
+        let versions = shared.relay.lock().versions.take(shared.clock.now());
+        if versions.is_empty() {
+            return Ok(());
+        }
+        sender.send(&Message::SoftwareVersions(versions)).await?;
+    }
+}
+
 /// Receives the reply to a batch: the instances whose earlier registration the leader lacks.
 /// `None` when the peer does not lead, or closes the connection.
 async fn receive_reply(receiver: &mut Receiver) -> Result<Option<Vec<RunnerId>>, WireError> {
@@ -160,6 +189,7 @@
     let mut lacked = Vec::new();
     if leads {
         let now = shared.clock.now();
+        software_versions::note_relayed(&batch, now, shared);
         let mut engine = shared.engine();
         let mut changed = false;
         for one in batch {
--- a/crates/coordinator/src/reports.rs
+++ b/crates/coordinator/src/reports.rs
@@ -10,6 +10,7 @@
 use crate::quarantine;
 use crate::records::ControllerRecord;
 use crate::router_registry::FeedPath;
+use crate::stream_origins;
 use courseshunt_records::emit;
 use courseshunt_services::{
     FeedMessage, ForwardingReport, InstanceUsage, ModelDemand, QuotaAnswer, QuotaQuery,
@@ -106,9 +107,10 @@
         ReportMessage::Forwarding(report) => {
             return Some(name_forwarders(router, report, shared));
         }
-        ReportMessage::Subscribe { .. }
-        | ReportMessage::Compare(_)
-        | ReportMessage::StreamOrigins { .. } => {}
+        ReportMessage::StreamOrigins { began, queries } => {
+            return stream_origins::handle_report(began, &queries, shared);
+        }
+        ReportMessage::Subscribe { .. } | ReportMessage::Compare(_) => {}
     }
     None
 }
--- a/crates/coordinator/src/sessions/mod.rs
+++ b/crates/coordinator/src/sessions/mod.rs
@@ -54,6 +54,7 @@
     leadership: Option<Leadership>,
     /// The current leader's latest messages of these kinds, encoded.
     quarantine: Option<Arc<Frame>>,
+    software_versions: Option<Arc<Frame>>,
     quotas: Option<Arc<Frame>>,
     limits: Option<Arc<Frame>>,
     usage: Option<Arc<Frame>>,
@@ -224,6 +225,7 @@
         feed_state.leadership = Some(leadership);
         feed_state.buckets.clear();
         feed_state.quarantine = None;
+        feed_state.software_versions = None;
         feed_state.quotas = None;
         feed_state.limits = None;
         feed_state.usage = None;
@@ -370,6 +372,7 @@
         let mut feed_state = self.feed_state();
         let retained = match &message {
             FeedMessage::Quarantine { .. } => &mut feed_state.quarantine,
+            FeedMessage::SoftwareVersions(_) => &mut feed_state.software_versions,
             FeedMessage::Quotas { .. } => &mut feed_state.quotas,
             FeedMessage::Limits(_) => &mut feed_state.limits,
             FeedMessage::Usage { .. } => &mut feed_state.usage,
@@ -441,7 +444,8 @@
 
     /// The frames that a subscriber needs whose instances have these digests. The
     /// quarantine precedes the instances: without it a router that has just started would send
-    /// quarantined requests. The use of instances comes last, so that its arrival marks the end
+    /// quarantined requests. So do the software versions: without them it would treat an instance as
+    /// one of the only version of its service. The use of instances comes last, so that its arrival marks the end
     /// of the initial frames.
     fn initial_frames(
         &mut self,
@@ -452,6 +456,7 @@
         let leadership = self.leadership.map(Leadership::message).and_then(encode);
         let mut frames: Vec<Arc<Frame>> = leadership.into_iter().collect();
         frames.extend(self.quarantine.clone());
+        frames.extend(self.software_versions.clone());
         frames.extend(self.differing_frames(known));
         if !gone.is_empty() {
             frames.extend(encode(instances(InstanceChanges {
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -162,6 +162,7 @@
         RouterUpdate::Report(ReportMessage::Usage {
             demand, leaving, ..
         }) => !leaving.is_empty() || demand.iter().any(|one| one.waiting > 0),
+        RouterUpdate::Report(ReportMessage::StreamOrigins { queries, .. }) => !queries.is_empty(),
         RouterUpdate::Report(
             ReportMessage::QuotaQueries(_)
             | ReportMessage::Ends { .. }
@@ -296,8 +297,13 @@
         FeedMessage::Quotas { .. }
         | FeedMessage::Quarantine { .. }
         | FeedMessage::Limits(_)
-        | FeedMessage::InstanceLoads(_)
-        | FeedMessage::SoftwareVersions(_) => sessions.broadcast_to_routers(message),
+        | FeedMessage::InstanceLoads(_) => sessions.broadcast_to_routers(message),
+        FeedMessage::SoftwareVersions(services) => {
+            // This member may be the next leader, and instances of an earlier version be gone.
+            let now = shared.clock.now();
+            shared.software_versions().note_absent(&services, now);
+            sessions.broadcast_to_routers(FeedMessage::SoftwareVersions(services));
+        }
         FeedMessage::NoFeed { .. }
         | FeedMessage::AwaitingLeader
         | FeedMessage::Configuration { .. }
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -45,25 +45,23 @@
         now: Timestamp,
     ) {
         self.expire(now);
+        let Some(entry) = self.instances.get(instance) else {
+            self.insert(service, instance, version, now);
+            return;
+        };
+        if entry.service != service || entry.version.as_ref() != version {
+            self.replace(service, instance, version, now);
+        }
+        self.refresh(instance, now);
+    }
+
+    /// Notes that an instance registered without a change; its version is the last one noted.
+    pub fn refresh(&mut self, instance: &RunnerId, now: Timestamp) {
         if let Some(entry) = self.instances.get_mut(instance) {
-            let old_key = (entry.heard_at, instance.clone());
-            self.by_age.remove(&old_key);
+            self.by_age.remove(&(entry.heard_at, instance.clone()));
+            self.by_age.insert((now, instance.clone()));
             entry.heard_at = now;
-            if entry.service != service || entry.version.as_ref() != version {
-                self.replace(service, instance, version, now);
-            }
-        } else {
-            let entry = Entry {
-                service: service.to_owned(),
-                version: version.cloned(),
-                heard_at: now,
-                replaced_at: None,
-            };
-            self.instances.insert(instance.clone(), entry);
-            self.is_changed = true;
         }
-        self.by_age.insert((now, instance.clone()));
-        self.drop_surplus();
     }
 
     /// Notes that an instance exists, or existed when a stream began; changes nothing if it has
@@ -146,6 +144,13 @@
         })
     }
 
+    /// Whether an instance is kept whose version is not known.
+    #[must_use]
+    pub fn is_unheard(&self, instance: &RunnerId) -> bool {
+        let entry = self.instances.get(instance);
+        entry.is_some_and(|entry| entry.version.is_none())
+    }
+
     /// Number of instances that are kept.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -162,6 +167,27 @@
         self.instances.get(instance)?.version.as_ref()
     }
 
+    fn insert(
+        &mut self,
+        service: &str,
+        instance: &RunnerId,
+        version: Option<&SoftwareVersion>,
+        now: Timestamp,
+    ) {
+        let entry = Entry {
+            service: service.to_owned(),
+            version: version.cloned(),
+            heard_at: now,
+            replaced_at: None,
+        };
+        self.instances.insert(instance.clone(), entry);
+        self.by_age.insert((now, instance.clone()));
+        self.is_changed = true;
+        if self.instances.len() > MAX_INSTANCES {
+            self.remove_oldest();
+        }
+    }
+
     /// Replaces the service and version of a known instance. The first version that is heard
     /// replaces no other one.
     fn replace(
@@ -186,12 +212,6 @@
         self.is_changed = true;
     }
 
-    fn drop_surplus(&mut self) {
-        while self.instances.len() > MAX_INSTANCES {
-            self.remove_oldest();
-        }
-    }
-
     fn remove_oldest(&mut self) {
         let Some((_, instance)) = self.by_age.pop_first() else {
             return;
