A log of the streams that a router relayed

Cause: a router does not record which instance began a stream, so a resumed stream goes to any instance that holds the model.

--- a/crates/services/src/stream_origins.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -4,6 +4,8 @@
 //! Events of instances of different services or software versions do not fit together. A stream that
 //! is resumed goes on only at an instance of the service and the software version that began it.
 
+pub mod log;
+
 use courseshunt_types::{RunnerId, SoftwareVersion};
 use xxhash_rust::xxh3::xxh3_64;
 
