A resumed stream goes on only at the service and software version that began it

Cause: the router forwards Last-Event-Id and sends the request to any instance that holds the model, also to one of another software version or of another service of the route. Change: a request on a streaming route that resumes a stream is resolved to its writer: by the router's own log, or by a query to the leader. Every choice of an instance, the wait for one and the counts of holders consider only instances of the writer. It is refused at once as unknown_origin if the writer can't be determined, and as writer_gone if none of its instances serves. There is no restriction while the leader's list excludes several versions, the routes exclude several services and the feed is recent. Origins of relayed streams are reported to the leader. Records: resumption; software_version, resumes and last_event_id of sent. Without a leader that sends lists, every resumed stream that this router has not begun is refused.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
 use crate::reservation::{NoTerms, reservation_terms};
+use crate::resumption;
 use crate::staleness::{LookupDecision, evaluate, evaluate_key};
 use bytes::Bytes;
 use courseshunt_records::emit;
@@ -135,6 +136,8 @@
         .deadline
         .map_or(route.timeout, |requested| requested.min(route.timeout));
     let deadline = arrived + Duration::from(timeout);
+    let service = pick_service(&route)?;
+    let writer = resumption::resolve(shared, &metadata, &route, service, deadline).await?;
     let charge = match &caller {
         Some(caller) => {
             let tenant = &caller.tenant;
@@ -147,8 +150,8 @@
         None => None,
     };
     let expires_at = shared.clock.now() + remaining(deadline);
-    let target = pick_target(&route.targets, rand::random()).ok_or(Refusal::NoRoute)?;
-    let service = table.service(&target.service).ok_or(Refusal::NoRoute)?;
+    let service = writer.as_ref().map_or(service, |writer| &writer.service);
+    let service = table.service(service).ok_or(Refusal::NoRoute)?;
     let service = service.clone();
     let limits = &table.configuration().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
@@ -184,12 +187,19 @@
         caller,
         charge,
         metadata,
+        writer,
         arrived,
         deadline,
         expires_at,
     })
 }
 
+/// Name of the service to which a new request is sent.
+fn pick_service(route: &Route) -> Result<&String, Refusal> {
+    let target = pick_target(&route.targets, rand::random());
+    target.map(|target| &target.service).ok_or(Refusal::NoRoute)
+}
+
 /// Time left until `deadline` on the runtime's clock.
 fn remaining(deadline: Instant) -> Millis {
     let left = deadline.saturating_duration_since(Instant::now());
--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -44,8 +44,8 @@
     NotRun,
     /// The request reached no instance, since there was no path to this one.
     Unreached,
-    /// The request was not sent: in the meantime the instance pushed back, or its rate limit is
-    /// used up.
+    /// The request was not sent: in the meantime the instance pushed back, its rate limit is used
+    /// up, or it may no longer continue the stream.
     NotSent,
     /// The request may have run, and there is no response to relay.
     MayHaveRun,
@@ -94,9 +94,9 @@
     };
     let response_deadline = admitted.deadline + DEADLINE_MARGIN;
     loop {
-        // The instance may have pushed back since it was selected, while the connection was
-        // made.
-        if flight.has_pushback() {
+        // While the connection was made, the instance may have pushed back, or a list of software
+        // versions may have excluded it.
+        if flight.has_pushback() || !shared.view.may_serve(view, admitted.writer.as_ref()) {
             flight.not_run(None, None);
             shared.pool.put_back(upstream);
             return AttemptOutcome::NotSent;
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -132,11 +132,28 @@
         if let (Some(objective), ReportedLoad::Load(_)) = (pause_objective, metadata.load) {
             self.flight.watch_pauses(objective);
         }
+        if self.admitted.route.resumable {
+            self.record_origin();
+        }
         let shared = self.shared.clone();
         let body = RelayBody::new(body, self.deadline, self.flight, self.upstream, shared);
         AttemptOutcome::Answered(Response::from_parts(head, body.boxed_unsync()))
     }
 
+    /// Records which instance begins the stream that this request brings, before its client can
+    /// resume it.
+    fn record_origin(&self) {
+        let service = &self.admitted.service.name;
+        let now = self.shared.clock.now();
+        let origins = &self.shared.origins;
+        origins.record(
+            &self.admitted.metadata.id,
+            service,
+            self.flight.instance(),
+            now,
+        );
+    }
+
     /// Reads the whole body before any byte is relayed, so that another attempt may follow.
     async fn collect(mut self, head: Parts, body: Incoming) -> AttemptOutcome {
         let collecting = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -36,6 +36,7 @@
         let end = follow_controller(address, &shared, &key, &mut search).await;
         shared.quotas.leader_lost();
         shared.limits.leader_lost();
+        shared.origins.leader_lost();
         shared.view.lose_load_feed();
         let pause = search.ended(address, &end, &shared);
         tokio::time::sleep(pause).await;
@@ -191,12 +192,14 @@
             shared.view.start_leader_feed();
             shared.quarantine.start_leader_feed();
             shared.limits.start_leader_feed();
+            shared.origins.start_leader_feed();
             shared.quotas.start_leader_feed();
             shared.forwarders.start_leader_feed();
         }
         FeedMessage::AwaitingLeader => {
             shared.quotas.leader_lost();
             shared.limits.leader_lost();
+            shared.origins.leader_lost();
             shared.view.lose_load_feed();
         }
         FeedMessage::Bucket {
@@ -257,10 +260,10 @@
             let zone = Zone::from(shared.settings.zone.as_str());
             shared.forwarders.set(&forwarders, &zone);
         }
+        FeedMessage::SoftwareVersions(list) => shared.view.set_software_versions(list),
+        FeedMessage::OriginAnswers(answers) => shared.origins.apply_answers(answers),
         FeedMessage::Configuration { .. }
         | FeedMessage::NoFeed { .. }
-        | FeedMessage::SoftwareVersions(_)
-        | FeedMessage::OriginAnswers(_)
         | FeedMessage::Members(_) => {}
     }
 }
@@ -322,6 +325,10 @@
                 report_limits(&mut sender, shared).await?;
                 continue;
             }
+            () = shared.origins.report_due.notified() => {
+                report_origins(&mut sender, shared).await?;
+                continue;
+            }
             () = shared.view.instances_differ.notified() => {
                 let report = ReportMessage::Compare(shared.view.digests());
                 sender.send(&Message::ServiceReport(report)).await?;
@@ -345,6 +352,7 @@
         if let Some(report) = shared.view.take_report(now, is_evidence) {
             sender.send(&Message::ServiceReport(report)).await?;
         }
+        report_origins(&mut sender, shared).await?;
         // Answers that were not due yet.
         report_ends(&mut sender, shared).await?;
         if let Some(report) = shared.quotas.take_report(now) {
@@ -400,6 +408,16 @@
     sender.send(&Message::ServiceReport(report)).await
 }
 
+/// Reports the streams that clients may resume, and sends the queries of requests that resume one.
+/// The leader gets the queries last, so that it has all reports of this router.
+async fn report_origins(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
+    let is_ambiguous = |service: &str| shared.view.is_origin_ambiguous(service);
+    while let Some(report) = shared.origins.take_report(is_ambiguous, shared.clock.now()) {
+        sender.send(&Message::ServiceReport(report)).await?;
+    }
+    Ok(())
+}
+
 /// Reports instances that ended while they had requests, and fingerprints that were answered
 /// successfully.
 async fn report_ends(sender: &mut Sender, shared: &Shared) -> Result<(), WireError> {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -13,7 +13,7 @@
 use crate::records::{ConditionRecord, RequestRecord};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, Fingerprints, PromptShape, Pushback, RequestKind};
-use courseshunt_types::{Millis, RunnerId, Timestamp};
+use courseshunt_types::{Millis, RunnerId, SoftwareVersion, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -161,6 +161,8 @@
         };
         let limit = shared.view.limit_of(&candidate.instance);
         let condition = shared.view.condition(&candidate.instance);
+        let version = shared.view.software_version(&candidate.instance);
+        let resumption = admitted.metadata.resumption.as_ref();
         if let Some(pushback) = pushback {
             metrics.sent_despite_pushback(pushback.label());
         }
@@ -174,6 +176,9 @@
             model: &shape.model,
             adapter: shape.adapter.as_deref(),
             instance: candidate.instance.as_str(),
+            software_version: version.as_ref().map(SoftwareVersion::as_str),
+            resumes: resumption.and_then(|one| one.began_by.as_deref()),
+            last_event_id: resumption.map(|one| one.last_event_id.as_str()),
             attempt,
             after_ms: millis(waited),
             deadline_ms: millis(admitted.deadline - admitted.arrived),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,6 +13,7 @@
 use crate::refusal::Refusal;
 use crate::retry::RetryPermit;
 use crate::select::{quarantined_of, select, wait_context};
+use crate::software_versions::RequiredWriter;
 use crate::waiting;
 use bytes::Bytes;
 use courseshunt_http::Body;
@@ -47,6 +48,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) metadata: RequestMetadata,
+    /// Which instances may serve the request, if it resumes a stream; `None` for a new request.
+    pub(crate) writer: Option<RequiredWriter>,
     /// Caller; `None` if no key is needed and none matched.
     pub(crate) caller: Option<Caller>,
     /// Units charged to the tenant's quota.
@@ -294,7 +297,10 @@
     shared.metrics.refusal(refusal.reason());
     let shape = &admitted.metadata.shape;
     let now = shared.clock.now();
-    let counts = shared.view.count_holders(&admitted.service, shape, now);
+    let writer = admitted.writer.as_ref();
+    let counts = shared
+        .view
+        .count_holders(&admitted.service, shape, writer, now);
     emit(&RequestRecord::Refused {
         reserved: false,
         id: &admitted.metadata.id,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod limit_tracker;
 mod load_reports;
 mod metrics;
+mod origin_tracker;
 mod path;
 pub mod pool;
 mod probes;
@@ -37,9 +38,12 @@
 mod refusal;
 mod relay;
 pub mod reservation;
+mod resumption;
 mod retry;
+pub mod route_services;
 mod select;
 mod serve;
+pub mod software_versions;
 pub mod staleness;
 mod view;
 pub mod waiting;
@@ -63,6 +67,7 @@
 use limit_tracker::LimitTracker;
 use load_reports::UnreadableLoads;
 use metrics::Metrics;
+use origin_tracker::OriginTracker;
 use pool::ConnectionPool;
 use quarantine_tracker::QuarantineTracker;
 use quota_tracker::{QuotaTracker, quota_settings};
@@ -98,6 +103,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) quotas: Arc<QuotaTracker>,
     pub(crate) limits: LimitTracker,
+    pub(crate) origins: OriginTracker,
     pub(crate) quarantine: QuarantineTracker,
     pub(crate) unknown_headers: UnknownHeaders,
     pub(crate) unreadable_loads: UnreadableLoads,
@@ -205,6 +211,7 @@
                 view::INITIAL_ROUTER_COUNT,
             )),
             limits: LimitTracker::default(),
+            origins: OriginTracker::default(),
             quarantine: QuarantineTracker::new(clock),
             unknown_headers: UnknownHeaders::default(),
             unreadable_loads: UnreadableLoads::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,7 @@
     pushbacks: Family<Labels, Counter>,
     sent_despite_pushback: Family<Labels, Counter>,
     limited: Family<Labels, Counter>,
+    resumptions: Family<Labels, Counter>,
     load_reports: Family<Labels, Counter>,
     instances_with_load: Gauge,
     instances_unreachable: Gauge,
@@ -105,6 +106,7 @@
             pushbacks: Family::default(),
             sent_despite_pushback: Family::default(),
             limited: Family::default(),
+            resumptions: Family::default(),
             load_reports: Family::default(),
             instances_with_load: Gauge::default(),
             instances_unreachable: Gauge::default(),
@@ -161,6 +163,9 @@
         let limited = self.limited.clone();
         let help = "Decisions on requests for instances that name a limit, by outcome";
         registry.register("limited", help, limited);
+        let resumptions = self.resumptions.clone();
+        let help = "Requests that resume a stream, by how its origin was found";
+        registry.register("resumptions", help, resumptions);
         let load_reports = self.load_reports.clone();
         let help = "Responses of instances by their load header: read, absent (or without the \
             duration of work), unreadable, foreign (not the instance's response to the request)";
@@ -330,6 +335,12 @@
         self.limited.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that resumes a stream by how its origin was found.
+    pub(crate) fn resumption(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.resumptions.get_or_create(&labels).inc();
+    }
+
     /// Counts a request over its tenant's quota by its reservation, or the reason why it asked for
     /// none.
     pub(crate) fn reservation(&self, outcome: &str) {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -40,6 +40,24 @@
         after_ms: u64,
         feed_age_ms: u64,
     },
+    /// Decision which instances may serve a request that resumes a stream.
+    Resumption {
+        id: &'a str,
+        /// Id of the request that began the stream; absent if the client does not name it.
+        resumes: Option<&'a str>,
+        last_event_id: &'a str,
+        /// `unrestricted`: all instances of the service; `own_log` or `leader`: those of the writer
+        /// that this names; `unknown`: none, since the writer is not known; `writer_gone`: no
+        /// instance of the writer serves.
+        outcome: &'static str,
+        /// Service of the instances that may serve the request.
+        service: Option<&'a str>,
+        /// Software version of these instances; absent if it is not known.
+        software_version: Option<&'a str>,
+        /// The instance that began the stream, if this router relayed it.
+        began_at: Option<&'a str>,
+        feed_age_ms: u64,
+    },
     /// The request is sent to an instance.
     Sent {
         id: &'a str,
@@ -52,6 +70,12 @@
         model: &'a str,
         adapter: Option<&'a str>,
         instance: &'a str,
+        /// Software version of the instance; absent if the leader's list does not name it.
+        software_version: Option<&'a str>,
+        /// Id of the request that began the stream which this one resumes.
+        resumes: Option<&'a str>,
+        /// Event after which the stream is to go on.
+        last_event_id: Option<&'a str>,
         attempt: u32,
         after_ms: u64,
         deadline_ms: u64,
@@ -221,6 +245,7 @@
             Self::Ended { whole, status, .. } => *whole == Some(false) || *status >= 400,
             Self::Waits { .. }
             | Self::Limited { .. }
+            | Self::Resumption { .. }
             | Self::Sent { .. }
             | Self::NotRun { .. }
             | Self::Retry { .. } => false,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -31,6 +31,11 @@
     PathLost,
     /// Every instance that was tried refused the request; it has not run.
     TurnedAway,
+    /// The request resumes a stream, and it is not known which instances may continue it; it has not
+    /// run.
+    UnknownOrigin,
+    /// The request resumes a stream, and no instance serves that may continue it; it has not run.
+    WriterGone,
     /// Instances ended while they ran requests with the same content; the request has not run.
     Quarantined,
     /// The router is stopping; the request has not run.
@@ -55,6 +60,8 @@
             | Self::NoInstance
             | Self::PathLost
             | Self::TurnedAway
+            | Self::UnknownOrigin
+            | Self::WriterGone
             | Self::Quarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -85,6 +92,8 @@
             Self::NoInstance => "no_instance",
             Self::PathLost => "path_lost",
             Self::TurnedAway => "turned_away",
+            Self::UnknownOrigin => "unknown_origin",
+            Self::WriterGone => "writer_gone",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
--- /dev/null
+++ b/crates/gateway/src/resumption.rs
@@ -0,0 +1,176 @@
+//! Which instances may serve a request that resumes a stream.
+//!
+//! Invariant: a stream goes on only at an instance of the service and the software version that
+//! began it. A request is refused if this router can't determine them.
+
+use crate::Shared;
+use crate::flight::millis;
+use crate::handle::AdmittedRequest;
+use crate::interface::{RequestMetadata, Resumption};
+use crate::quota_tracker::LEADER_ANSWER_TIMEOUT;
+use crate::records::RequestRecord;
+use crate::refusal::Refusal;
+use crate::software_versions::RequiredWriter;
+use courseshunt_records::emit;
+use courseshunt_services::{OriginVerdict, RequestKind, Route, StreamId, StreamWriter};
+use courseshunt_types::SoftwareVersion;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Maximum time for which a request waits until the leader knows the origin of its stream.
+const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(400);
+/// Pause before the leader is asked again: the report of the router that relayed the stream may be
+/// on its way.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
+/// How the writer of a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// All instances of the service may continue the stream.
+    Unrestricted,
+    OwnLog,
+    Leader,
+}
+
+impl Source {
+    /// Value in records and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unrestricted => "unrestricted",
+            Self::OwnLog => "own_log",
+            Self::Leader => "leader",
+        }
+    }
+}
+
+/// Determines which instances may serve a request; `None` for a new request. `service` is the one
+/// to which the request is sent if it is new.
+///
+/// # Errors
+/// If the request resumes a stream and its writer can't be determined, or if the route does not send
+/// to the service of the writer.
+pub(crate) async fn resolve(
+    shared: &Shared,
+    metadata: &RequestMetadata,
+    route: &Route,
+    service: &str,
+    deadline: Instant,
+) -> Result<Option<RequiredWriter>, Refusal> {
+    let resumption = metadata.resumption.as_ref();
+    let Some(resumption) = resumption.filter(|_| route.kind == RequestKind::Streaming) else {
+        return Ok(None);
+    };
+    let found = find_writer(shared, resumption, service, deadline).await;
+    let (outcome, decision) = match &found {
+        None => ("unknown", Err(Refusal::UnknownOrigin)),
+        Some((_, writer)) if !sends_to(route, &writer.service) => {
+            ("writer_gone", Err(Refusal::WriterGone))
+        }
+        Some((source, writer)) => (source.name(), Ok(Some(writer.clone()))),
+    };
+    let writer = found.as_ref().map(|(_, writer)| writer);
+    record(shared, metadata, resumption, outcome, writer);
+    decision
+}
+
+/// Whether a route sends requests to a service.
+fn sends_to(route: &Route, service: &str) -> bool {
+    let mut targets = route.targets.iter().filter(|target| target.weight > 0.0);
+    targets.any(|target| target.service == service)
+}
+
+async fn find_writer(
+    shared: &Shared,
+    resumption: &Resumption,
+    service: &str,
+    deadline: Instant,
+) -> Option<(Source, RequiredWriter)> {
+    if shared.has_recent_leader() && !shared.view.is_origin_ambiguous(service) {
+        return Some((Source::Unrestricted, RequiredWriter::any_of(service)));
+    }
+    let stream = StreamId::of_request(resumption.began_by.as_deref()?);
+    let own = own_origin(shared, stream);
+    if let Some(own) = &own
+        && (own.version.is_some() || shared.view.has_one_version(&own.service))
+    {
+        return Some((Source::OwnLog, own.clone()));
+    }
+    if let Some(StreamWriter { service, version }) = ask_leader(shared, stream, deadline).await {
+        let writer = RequiredWriter {
+            service,
+            version: Some(version),
+            began_at: None,
+        };
+        return Some((Source::Leader, writer));
+    }
+    // Without its version, only the instance itself certainly fits.
+    own.map(|own| (Source::OwnLog, own))
+}
+
+/// The origin of a stream that this router relayed, if exactly one stream began under its id.
+fn own_origin(shared: &Shared, stream: StreamId) -> Option<RequiredWriter> {
+    let origin = shared.origins.lookup(stream, shared.clock.now())?;
+    origin.is_certain().then(|| RequiredWriter {
+        version: shared.view.software_version(&origin.instance),
+        service: origin.service,
+        began_at: Some(origin.instance),
+    })
+}
+
+/// Asks the leader for the writer of a stream, and again if it does not know it yet or does not
+/// answer.
+async fn ask_leader(shared: &Shared, stream: StreamId, deadline: Instant) -> Option<StreamWriter> {
+    let limit = deadline.min(Instant::now() + MAX_ORIGIN_WAIT);
+    loop {
+        if !shared.has_recent_leader() {
+            return None;
+        }
+        let answer = shared.origins.submit(stream)?;
+        let answered_by = limit.min(Instant::now() + LEADER_ANSWER_TIMEOUT);
+        match tokio::time::timeout_at(answered_by, answer).await {
+            Ok(Ok(OriginVerdict::Known(writer))) => return Some(writer),
+            Ok(Ok(OriginVerdict::Unknown)) | Err(_) => {}
+            // The leader is lost.
+            Ok(Err(_)) => return None,
+        }
+        let again_at = Instant::now() + REPEAT_PAUSE;
+        if again_at >= limit {
+            return None;
+        }
+        tokio::time::sleep_until(again_at).await;
+    }
+}
+
+/// Records that an admitted request can't be served, because no instance may continue its stream.
+pub(crate) fn record_refusal(shared: &Shared, admitted: &AdmittedRequest, refusal: Refusal) {
+    let outcome = match refusal {
+        Refusal::WriterGone => "writer_gone",
+        _ => "unknown",
+    };
+    if let Some(resumption) = &admitted.metadata.resumption {
+        let writer = admitted.writer.as_ref();
+        record(shared, &admitted.metadata, resumption, outcome, writer);
+    }
+}
+
+fn record(
+    shared: &Shared,
+    metadata: &RequestMetadata,
+    resumption: &Resumption,
+    outcome: &'static str,
+    writer: Option<&RequiredWriter>,
+) {
+    shared.metrics.resumption(outcome);
+    let version = writer.and_then(|writer| writer.version.as_ref());
+    let began_at = writer.and_then(|writer| writer.began_at.as_ref());
+    emit(&RequestRecord::Resumption {
+        id: &metadata.id,
+        resumes: resumption.began_by.as_deref(),
+        last_event_id: &resumption.last_event_id,
+        outcome,
+        service: writer.map(|writer| writer.service.as_str()),
+        software_version: version.map(SoftwareVersion::as_str),
+        began_at: began_at.map(|instance| instance.as_str()),
+        feed_age_ms: millis(shared.view.feed_age()),
+    });
+}
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -10,6 +10,7 @@
 use crate::handle::{AdmittedRequest, SendHistory};
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
+use crate::resumption;
 use crate::waiting::{self, WaitContext, WaitDecision, decide};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, InstanceView, SelectionRequest};
@@ -70,6 +71,14 @@
         }
     }
 
+    /// No instance may continue the stream that the request resumes.
+    fn not_continued(history: &SendHistory, refusal: Refusal) -> Self {
+        Self {
+            refusal: history.refusal(refusal),
+            retry_after: Some(ROUTER_RETRY_AFTER),
+        }
+    }
+
     fn no_instance(history: &SendHistory, retry_after: Millis) -> Self {
         Self {
             refusal: history.refusal(Refusal::NoInstance),
@@ -86,6 +95,7 @@
 ) -> Result<SelectedInstance, SelectionFailure> {
     let request = selection_request(admitted, shared);
     let service = &admitted.service;
+    let writer = admitted.writer.as_ref();
     let mut changes = shared.view.changes();
     let mut waiting_guard = None;
     let mut is_recorded = false;
@@ -104,19 +114,25 @@
         if quarantined_of(admitted, shared).is_some() {
             return Err(SelectionFailure::quarantined(history));
         }
+        if let Some(writer) = writer
+            && let Err(refusal) = shared.view.check_writer(service, request.shape, writer)
+        {
+            resumption::record_refusal(shared, admitted, refusal);
+            return Err(SelectionFailure::not_continued(history, refusal));
+        }
         // After three attempts, all instances except for the last one that failed may be tried
         // again.
         let avoided: &[RunnerId] = match history.count {
             0..=2 => &history.avoided,
             _ => &history.avoided[history.avoided.len().saturating_sub(1)..],
         };
-        if let Some(selected) = shared.view.choose(service, &request, avoided, now) {
+        if let Some(selected) = shared.view.choose(service, &request, writer, avoided, now) {
             return Ok(SelectedInstance::without_permit(selected));
         }
         // Without this, a request whose model is held by one instance would wait for another
         // replica until its client gives up.
         if history.backoff_elapsed(admitted.route.objective)
-            && let Some(selected) = shared.view.choose(service, &request, &[], now)
+            && let Some(selected) = shared.view.choose(service, &request, writer, &[], now)
         {
             return Ok(SelectedInstance::without_permit(selected));
         }
@@ -139,7 +155,9 @@
         };
         if context.can_request_permit
             && history.may_request_permit()
-            && let Some((candidate, view)) = shared.view.choose_with_permit(service, &request, now)
+            && let Some((candidate, view)) = shared
+                .view
+                .choose_with_permit(service, &request, writer, now)
         {
             let max_permit_wait = waiting::max_permit_wait(&context, Instant::now());
             return Ok(SelectedInstance {
@@ -197,7 +215,10 @@
         return false;
     }
     let shape = &admitted.metadata.shape;
-    let counts = shared.view.count_holders(&admitted.service, shape, now);
+    let writer = admitted.writer.as_ref();
+    let counts = shared
+        .view
+        .count_holders(&admitted.service, shape, writer, now);
     counts.holders > 0 && counts.unreachable == counts.holders
 }
 
@@ -220,9 +241,10 @@
     let now = Instant::now();
     let expected = context.expected_at;
     let expected = expected.map(|at| millis(at.saturating_duration_since(now)));
+    let writer = admitted.writer.as_ref();
     let counts = shared
         .view
-        .count_holders(&admitted.service, shape, shared.clock.now());
+        .count_holders(&admitted.service, shape, writer, shared.clock.now());
     emit(&RequestRecord::Waits {
         id: &admitted.metadata.id,
         route: &admitted.route.name,
@@ -241,9 +263,11 @@
 pub(crate) fn wait_context(admitted: &AdmittedRequest, shared: &Shared) -> WaitContext {
     let service = &admitted.service;
     let now = shared.clock.now();
-    let expected = shared
-        .view
-        .expected_availability(service, &admitted.metadata.shape, now);
+    let writer = admitted.writer.as_ref();
+    let expected =
+        shared
+            .view
+            .expected_availability(service, &admitted.metadata.shape, writer, now);
     let requested = admitted.metadata.deadline.unwrap_or(admitted.route.timeout);
     WaitContext {
         arrived: admitted.arrived,
@@ -254,7 +278,7 @@
             .first_byte_timeout(&admitted.route)
             .map(Duration::from),
         is_client_retry: requested.0 * 10 < admitted.route.timeout.0 * 9,
-        can_load_model: service.engine.is_some() && shared.view.has_instances(service),
+        can_load_model: service.engine.is_some() && shared.view.has_instances(service, writer),
         expected_at: expected.map(|expected| expected.at),
         in_backoff: expected.is_some_and(|expected| expected.in_backoff),
         can_request_permit: expected.is_some_and(|expected| expected.can_request_permit),
--- a/crates/gateway/src/view/instances.rs
+++ b/crates/gateway/src/view/instances.rs
@@ -3,6 +3,7 @@
 //! Invariant: state derived from the instances is updated under the same lock as they are.
 
 use super::{ProbeTarget, View};
+use crate::software_versions::RequiredWriter;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{InstanceDigests, InstanceView, Service};
 use courseshunt_types::RunnerId;
@@ -16,6 +17,7 @@
     ) -> Vec<RunnerId> {
         let mut state = self.lock();
         gone.retain(|id| state.instances.contains(id));
+        state.note_new_instances(&changed);
         let changes = state.instances.change(changed, gone);
         state.apply_changes(&changes);
         drop(state);
@@ -33,6 +35,7 @@
     ) -> Vec<RunnerId> {
         let bucket = usize::try_from(bucket).unwrap_or(usize::MAX);
         let mut state = self.lock();
+        state.note_new_instances(&instances);
         let changes = state.instances.set_bucket(bucket, instances, complete);
         state.apply_changes(&changes);
         drop(state);
@@ -58,10 +61,12 @@
         self.lock().instances.digests().clone()
     }
 
-    /// Whether the service has any instance.
-    pub(crate) fn has_instances(&self, service: &Service) -> bool {
+    /// Whether the service has any instance that may serve a request which needs this writer.
+    pub(crate) fn has_instances(&self, service: &Service, writer: Option<&RequiredWriter>) -> bool {
+        let eligibility = self.eligibility(writer, self.clock.now());
         let state = self.lock();
-        state.instances.of_service(&service.name).next().is_some()
+        let mut instances = state.instances.of_service(&service.name);
+        instances.any(|view| state.is_eligible(view, &eligibility))
     }
 
     /// Whether the feed lists the instance.
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,6 +5,8 @@
 
 use crate::current_document::CurrentDocument;
 use crate::demand::{DemandKey, DemandTracker};
+use crate::route_services::RouteServices;
+use crate::software_versions::{RequiredWriter, SoftwareVersions};
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::{
     Candidate, InstanceDirectory, InstanceView, PromptShape, Pushback, ReportMessage,
@@ -23,6 +25,7 @@
 mod loads;
 mod retries;
 mod state;
+mod versions;
 
 use state::State;
 pub(crate) use state::{Availability, HolderCounts};
@@ -37,6 +40,12 @@
     pub(crate) health_path: Option<String>,
 }
 
+/// What a choice reads of the instances.
+struct KnownInstances<'a> {
+    instances: &'a InstanceDirectory,
+    versions: &'a SoftwareVersions,
+}
+
 /// Cluster state as last received through the feed, plus this router's own counters.
 pub(crate) struct View {
     state: Mutex<State>,
@@ -75,6 +84,8 @@
             fleet: retry_settings.fleet_size(),
             sharing_routers: INITIAL_ROUTER_COUNT,
             last_report: None,
+            versions: SoftwareVersions::default(),
+            route_services: RouteServices::default(),
         };
         Self {
             state: Mutex::new(state),
@@ -180,6 +191,9 @@
         if table.number() <= state.configuration_number() {
             return false;
         }
+        let now = self.clock.now();
+        let before = state.table.take();
+        state.route_services.apply(before.as_deref(), &table, now);
         state.document.set(table.number(), document);
         state.table = Some(Arc::new(table));
         state.stale_since = None;
@@ -202,24 +216,22 @@
         sharing_routers
     }
 
-    /// Selects an instance and counts the request as in flight there.
+    /// Selects an instance that may serve the request and counts the request as in flight there.
     pub(crate) fn choose(
         &self,
         service: &Service,
         request: &SelectionRequest<'_>,
+        writer: Option<&RequiredWriter>,
         avoided: &[RunnerId],
         now: Timestamp,
     ) -> Option<(Candidate, InstanceView)> {
         let shape = request.shape;
-        self.choose_using(
-            service,
-            shape,
-            now,
-            |selector, instances, in_flight_limit| {
-                let views = instances.holders(&service.name, &shape.model);
-                selector.choose(*request, views, avoided, in_flight_limit, now)
-            },
-        )
+        let eligibility = self.eligibility(writer, now);
+        self.choose_using(service, shape, now, |selector, known, in_flight_limit| {
+            let views = known.instances.holders(&service.name, &shape.model);
+            let views = views.filter(|view| eligibility.admits(known.versions, view));
+            selector.choose(*request, views, avoided, in_flight_limit, now)
+        })
     }
 
     /// Like [`Self::choose`], for an instance whose rate limit allows the request only at a
@@ -228,18 +240,16 @@
         &self,
         service: &Service,
         request: &SelectionRequest<'_>,
+        writer: Option<&RequiredWriter>,
         now: Timestamp,
     ) -> Option<(Candidate, InstanceView)> {
         let shape = request.shape;
-        self.choose_using(
-            service,
-            shape,
-            now,
-            |selector, instances, in_flight_limit| {
-                let views = instances.holders(&service.name, &shape.model);
-                selector.choose_with_wait(*request, views, in_flight_limit, now)
-            },
-        )
+        let eligibility = self.eligibility(writer, now);
+        self.choose_using(service, shape, now, |selector, known, in_flight_limit| {
+            let views = known.instances.holders(&service.name, &shape.model);
+            let views = views.filter(|view| eligibility.admits(known.versions, view));
+            selector.choose_with_wait(*request, views, in_flight_limit, now)
+        })
     }
 
     fn choose_using(
@@ -247,28 +257,35 @@
         service: &Service,
         shape: &PromptShape,
         now: Timestamp,
-        choose: impl FnOnce(&mut Selector, &InstanceDirectory, u32) -> Option<Candidate>,
+        choose: impl FnOnce(&mut Selector, KnownInstances<'_>, u32) -> Option<Candidate>,
     ) -> Option<(Candidate, InstanceView)> {
         let mut state = self.lock();
         let in_flight_limit = state.in_flight_limit(service);
         let State {
             instances,
+            versions,
             selector,
             ..
         } = &mut *state;
-        let candidate = choose(selector, instances, in_flight_limit)?;
+        let known = KnownInstances {
+            instances,
+            versions,
+        };
+        let candidate = choose(selector, known, in_flight_limit)?;
         state.start_request(candidate, service, shape, now)
     }
 
-    /// How many ready instances hold the requested model, and how many of these this router can't
-    /// reach.
+    /// How many ready instances that may serve the request hold its model, and how many of these
+    /// this router can't reach.
     pub(crate) fn count_holders(
         &self,
         service: &Service,
         shape: &PromptShape,
+        writer: Option<&RequiredWriter>,
         now: Timestamp,
     ) -> HolderCounts {
-        self.lock().count_holders(service, shape, now)
+        let eligibility = self.eligibility(writer, now);
+        self.lock().count_holders(service, shape, &eligibility, now)
     }
 
     /// Number of instances that this router can't reach.
@@ -276,14 +293,18 @@
         self.lock().selector.all_unreachable(now).len()
     }
 
-    /// When an instance is expected to accept the request; `None` if nothing is known.
+    /// When an instance that may serve the request is expected to accept it; `None` if nothing is
+    /// known.
     pub(crate) fn expected_availability(
         &self,
         service: &Service,
         shape: &PromptShape,
+        writer: Option<&RequiredWriter>,
         now: Timestamp,
     ) -> Option<Availability> {
-        self.lock().expected_availability(service, shape, now)
+        let eligibility = self.eligibility(writer, now);
+        let state = self.lock();
+        state.expected_availability(service, shape, &eligibility, now)
     }
 
     pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis, good: bool) {
@@ -388,6 +409,7 @@
         state.last_report = None;
         state.selector.mark_limits_unreported();
         state.selector.start_load_feed(self.clock.now());
+        state.versions.start_leader_feed();
         drop(state);
         self.report_due.notify_one();
     }
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -1,7 +1,10 @@
 //! State behind the lock of the view, and the estimate when an instance can accept a request.
 
+use super::versions::Eligibility;
 use crate::current_document::CurrentDocument;
 use crate::demand::DemandTracker;
+use crate::route_services::RouteServices;
+use crate::software_versions::SoftwareVersions;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
     Candidate, FleetSize, InstanceDirectory, InstanceState, InstanceView, PromptShape, Pushback,
@@ -81,6 +84,8 @@
     pub(super) sharing_routers: u32,
     /// Last report sent to the current leader.
     pub(super) last_report: Option<ReportMessage>,
+    pub(super) versions: SoftwareVersions,
+    pub(super) route_services: RouteServices,
 }
 
 impl State {
@@ -125,9 +130,11 @@
         &self,
         service: &Service,
         shape: &PromptShape,
+        eligibility: &Eligibility<'_>,
         now: Timestamp,
     ) -> HolderCounts {
         let holders = self.instances.holders(&service.name, &shape.model);
+        let holders = holders.filter(|view| self.is_eligible(view, eligibility));
         let ready = holders.filter(|view| view.state == InstanceState::Ready);
         let adapter = shape.adapter.as_deref();
         let ready =
@@ -146,11 +153,13 @@
         &self,
         service: &Service,
         shape: &PromptShape,
+        eligibility: &Eligibility<'_>,
         now: Timestamp,
     ) -> Option<Availability> {
         let holders = self.instances.holders(&service.name, &shape.model);
         let loaders = self.instances.loaders(&service.name, &shape.model);
         let views = holders.chain(loaders);
+        let views = views.filter(|view| self.is_eligible(view, eligibility));
         let views = views.filter(|view| view.state == InstanceState::Ready);
         let views = views.filter(|view| !self.selector.is_unreachable(&view.id, now));
         let mut earliest: Option<Availability> = None;
@@ -193,6 +202,15 @@
         due.map(|(_, at)| *at).min()
     }
 
+    /// Records the instances among `views` that are not known yet, before they are applied.
+    pub(super) fn note_new_instances(&mut self, views: &[InstanceView]) {
+        for view in views {
+            if !self.instances.contains(&view.id) {
+                self.versions.add_instance(&view.service);
+            }
+        }
+    }
+
     /// Updates the derived state after `instances` has applied these changes.
     pub(super) fn apply_changes(&mut self, changes: &InstanceChanges) {
         let now = Instant::now();
