--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -5,6 +5,7 @@
 //! is resumed goes on only at an instance of the service and the software version that began it.
 
 mod directory;
+pub mod log;
 mod version_outbox;
 mod versions;
 
