When the software versions are sent is decided apart from input and output

Cause: the decision when the leader sends the list stood in the coordinator, where only a whole site tests it. Change: services::stream_origins::VersionPublication decides it; the coordinator sends and records. Tests: a list that became wrong is replaced at once, other changes wait for the interval, the first list is sent also when empty; the first list of a new leader is complete.

--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -10,17 +10,16 @@
 use crate::plan_pace::{PlanPace, PlanRound};
 use crate::records::{self, ControllerRecord};
 use crate::router_registry::FeedPath;
-use crate::software_versions::VersionsFeed;
 use crate::{
     Shared, instance_persistence, limits, loads, orders, placement_settings, quarantine,
-    quota_settings, reports, sessions, upstream,
+    quota_settings, reports, sessions, software_versions, upstream,
 };
 use courseshunt_instance_load::LoadLedger;
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
     FeedMessage, ForwarderDirectory, InstanceView, LimitLedger, OriginDirectory, PlacementEngine,
-    QuarantineLedger, QuotaLedger,
+    QuarantineLedger, QuotaLedger, VersionPublication,
 };
 use courseshunt_state::Command;
 use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
@@ -63,7 +62,7 @@
     usage_sent_at: Timestamp,
     quotas_sent_at: Timestamp,
     limits_sent_at: Timestamp,
-    software_versions: VersionsFeed,
+    version_publication: VersionPublication,
     instances_recorded_at: Timestamp,
     /// Changed and gone instances that are not yet recorded in the log.
     unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
@@ -155,7 +154,7 @@
         usage_sent_at: now,
         quotas_sent_at: now,
         limits_sent_at: now,
-        software_versions: VersionsFeed::default(),
+        version_publication: VersionPublication::default(),
         instances_recorded_at: now,
         unrecorded: Default::default(),
         members: MembershipManager::new(now),
@@ -386,9 +385,9 @@
         leadership.settled = true;
         let live = shared.engine().ids();
         shared.sessions.mark_settled(live);
-        leadership.software_versions.begin(now, shared);
+        software_versions::begin_feed(&mut leadership.version_publication, now, shared);
     }
-    leadership.software_versions.send_changes(now, shared);
+    software_versions::feed_changes(&mut leadership.version_publication, now, shared);
     feed_quotas(shared, leadership, now);
     feed_limits(shared, leadership, now);
     let subscribers = u32::try_from(shared.sessions.count()).unwrap_or(u32::MAX);
@@ -421,7 +420,7 @@
     }
     leadership.instances_sent_at = now;
     // The versions of these instances were noted before them.
-    leadership.software_versions.send_changes(now, shared);
+    software_versions::feed_changes(&mut leadership.version_publication, now, shared);
     shared.sessions.send_instances(changed, gone);
 }
 
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -80,8 +80,9 @@
 };
 pub use store_limit::StoreLimit;
 pub use stream_origins::{
-    InstanceVersion, OriginAnswer, OriginDirectory, OriginQuery, OriginVerdict, ServiceVersions,
-    SoftwareVersions, StreamId, StreamOrigin, StreamWriter, VersionOutbox,
+    InstanceVersion, OriginAnswer, OriginDirectory, OriginQuery, OriginVerdict, PublishedVersions,
+    ServiceVersions, SoftwareVersions, StreamId, StreamOrigin, StreamWriter, VersionOutbox,
+    VersionPublication, VersionSetChange,
 };
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
 pub use validation::{ConfigurationError, validate};
--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -5,10 +5,12 @@
 //! is resumed goes on only at an instance of the service and the software version that began it.
 
 mod directory;
+mod publication;
 mod version_outbox;
 mod versions;
 
 pub use directory::OriginDirectory;
+pub use publication::{PublishedVersions, VersionPublication, VersionSetChange};
 pub use version_outbox::VersionOutbox;
 pub use versions::SoftwareVersions;
 
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -4,7 +4,7 @@
 use courseshunt_services::stream_origins::ORIGIN_RETENTION;
 use courseshunt_services::{
     InstanceVersion, OriginDirectory, OriginVerdict, ServiceVersions, SoftwareVersions, StreamId,
-    StreamOrigin, StreamWriter, VersionOutbox,
+    StreamOrigin, StreamWriter, VersionOutbox, VersionPublication, VersionSetChange,
 };
 use courseshunt_types::{Millis, RunnerId, SoftwareVersion, Timestamp};
 
@@ -250,6 +250,101 @@
     assert_eq!(decide(MAX_STREAMS + 4), known("v1"));
 }
 
+const INTERVAL: Millis = Millis(1_000);
+
+/// A publication whose first list, at the start, is that of these versions.
+fn published(versions: &mut SoftwareVersions) -> VersionPublication {
+    let mut publication = VersionPublication::default();
+    publication.begin(versions, START);
+    publication
+}
+
+/// The list that is sent at this time, if there is one.
+fn next_list(
+    publication: &mut VersionPublication,
+    versions: &mut SoftwareVersions,
+    now: Timestamp,
+) -> Option<Vec<ServiceVersions>> {
+    let published = publication.next(versions, INTERVAL, now);
+    published.map(|published| published.services)
+}
+
+#[test]
+fn nothing_is_sent_before_the_first_list_which_may_be_empty() {
+    let mut versions = versions(&[("a", "v1"), ("b", "v2")]);
+    let mut publication = VersionPublication::default();
+    let later = at(60_000);
+    assert_eq!(next_list(&mut publication, &mut versions, later), None);
+    let first = publication.begin(&mut versions, START);
+    assert_eq!(first.services.len(), 1);
+    let change = VersionSetChange {
+        service: SERVICE.to_owned(),
+        versions: vec![version("v1"), version("v2")],
+    };
+    assert_eq!(first.changes, [change]);
+    let first = VersionPublication::default().begin(&mut SoftwareVersions::default(), START);
+    assert_eq!((first.services, first.changes), (Vec::new(), Vec::new()));
+}
+
+/// A router that has the last list resumes streams by it.
+#[test]
+fn a_list_that_became_wrong_is_replaced_at_once() {
+    let mut versions = versions(&[("a", "v1")]);
+    let mut publication = published(&mut versions);
+    let mut next =
+        |versions: &mut SoftwareVersions, now| next_list(&mut publication, versions, at(now));
+    hear(&mut versions, "a", "v1", at(1));
+    assert_eq!(next(&mut versions, 1), None, "nothing has changed");
+    hear(&mut versions, "b", "v2", at(2));
+    let expected = vec![listed(SERVICE, &[("a", "v1"), ("b", "v2")])];
+    assert_eq!(next(&mut versions, 2), Some(expected), "a second version");
+    hear(&mut versions, "b", "v1", at(3));
+    let expected = vec![listed(SERVICE, &[("a", "v1"), ("b", "v1")])];
+    assert_eq!(next(&mut versions, 3), Some(expected), "another version");
+    versions.note(SERVICE, &id("b"), None, at(4));
+    let expected = vec![listed(SERVICE, &[("a", "v1")])];
+    assert_eq!(
+        next(&mut versions, 4),
+        Some(expected),
+        "unknown from now on"
+    );
+    assert_eq!(next(&mut versions, 60_000), None, "it was sent");
+}
+
+/// The list of a large service would be sent with each instance that starts.
+#[test]
+fn an_instance_that_the_list_lacks_is_sent_at_the_interval() {
+    let mut versions = versions(&[("a", "v1"), ("b", "v2")]);
+    let mut publication = published(&mut versions);
+    let mut next =
+        |versions: &mut SoftwareVersions, now| next_list(&mut publication, versions, at(now));
+    hear(&mut versions, "c", "v2", at(10));
+    assert_eq!(next(&mut versions, 10), None);
+    assert_eq!(next(&mut versions, 999), None);
+    let expected = vec![listed(SERVICE, &[("a", "v1"), ("b", "v2"), ("c", "v2")])];
+    assert_eq!(next(&mut versions, 1_000), Some(expected));
+    assert_eq!(next(&mut versions, 2_000), None);
+}
+
+#[test]
+fn a_service_leaves_the_list_when_the_retention_of_its_other_version_ends() {
+    let mut versions = versions(&[("a", "v1"), ("b", "v2")]);
+    let mut publication = published(&mut versions);
+    hear(&mut versions, "b", "v2", at(100_000));
+    assert_eq!(
+        next_list(&mut publication, &mut versions, at(119_999)),
+        None
+    );
+    let last = publication.next(&mut versions, INTERVAL, after_retention());
+    let last = last.expect("a list");
+    assert_eq!(last.services, []);
+    let change = VersionSetChange {
+        service: SERVICE.to_owned(),
+        versions: Vec::new(),
+    };
+    assert_eq!(last.changes, [change]);
+}
+
 fn relayed(outbox: &mut VersionOutbox, now: Timestamp) -> Vec<ServiceVersions> {
     outbox.take(now)
 }
