--- a/crates/wire/tests/previous_release.rs
+++ b/crates/wire/tests/previous_release.rs
@@ -280,6 +280,13 @@
         Message::ServiceFeed(FeedMessage::Digests(InstanceDigests::default())),
         Message::ServiceReport(ReportMessage::QuotaQueries(Vec::new())),
         Message::RelayedReports(Vec::new()),
+        Message::SoftwareVersions(Vec::new()),
+        Message::ServiceFeed(FeedMessage::SoftwareVersions(Vec::new())),
+        Message::ServiceFeed(FeedMessage::OriginAnswers(Vec::new())),
+        Message::ServiceReport(ReportMessage::StreamOrigins {
+            began: Vec::new(),
+            queries: Vec::new(),
+        }),
     ];
     for message in unsupported {
         assert_eq!(previous_release::encode(&message), Ok(None), "{message:?}");
