--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -6,10 +6,12 @@
 
 mod directory;
 pub mod log;
+mod publication;
 mod version_outbox;
 mod versions;
 
 pub use directory::OriginDirectory;
+pub use publication::{PublishedVersions, VersionPublication, VersionSetChange};
 pub use version_outbox::VersionOutbox;
 pub use versions::SoftwareVersions;
 
