Records of streams name their events: how many, first and last id, order

Cause: the record of the end of a stream states bytes and framing only.

Change: EventSequence takes the place of EventBoundary. `ended` records get events, first_event_id, last_event_id, ids_out_of_order and id_gaps. No decision depends on them.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,6 +11,7 @@
 use crate::quarantine_tracker::{check_after_break, check_after_timeout, check_after_unknown_end};
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
+use courseshunt_http::EventSequence;
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, Fingerprints, PromptShape, Pushback, RequestKind};
 use courseshunt_types::{Millis, RunnerId, Timestamp};
@@ -380,6 +381,10 @@
     fn end(&mut self, outcome: &str, is_complete: Option<bool>, problem: Option<&str>) {
         self.ended = true;
         self.shared.metrics.attempt(outcome);
+        let events = self.body.as_ref().and_then(ReceivedBody::events);
+        let first_event_id = events.and_then(EventSequence::first_id);
+        let last_event_id = events.and_then(EventSequence::last_id);
+        let order = events.map(EventSequence::order);
         emit(&RequestRecord::Ended {
             id: &self.id,
             content: (is_complete != Some(true)).then(|| self.fingerprints.content().short()),
@@ -395,6 +400,11 @@
             framing: self.body.as_ref().map(|body| body.framing().name()),
             body_bytes: self.body.as_ref().map(ReceivedBody::length_bytes),
             inside_event: self.body.as_ref().and_then(ReceivedBody::is_inside_event),
+            events: events.map(EventSequence::events),
+            first_event_id: first_event_id.as_deref(),
+            last_event_id: last_event_id.as_deref(),
+            ids_out_of_order: order.map(|order| order.out_of_order),
+            id_gaps: order.map(|order| order.gaps),
             forwarder: self.forwarder.as_ref().map(|one| one.address().to_string()),
             connection: self.connection,
             waited_ms: millis(self.waited),
--- a/crates/gateway/src/received_body.rs
+++ b/crates/gateway/src/received_body.rs
@@ -1,6 +1,6 @@
 //! What a router has received of the body of an instance's response.
 
-use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
+use courseshunt_http::{BodyFraming, EventSequence, is_event_stream};
 use hyper::header::HeaderMap;
 use snafu::Snafu;
 
@@ -26,8 +26,8 @@
 pub(crate) struct ReceivedBody {
     framing: BodyFraming,
     length_bytes: u64,
-    /// Where an event stream is between its events; `None` for other bodies.
-    event_boundary: Option<EventBoundary>,
+    /// The events received so far of an event stream; `None` for other bodies.
+    events: Option<EventSequence>,
 }
 
 impl ReceivedBody {
@@ -36,15 +36,15 @@
         Self {
             framing,
             length_bytes: 0,
-            event_boundary: is_event_stream(headers).then(EventBoundary::default),
+            events: is_event_stream(headers).then(EventSequence::default),
         }
     }
 
     /// Takes the next bytes of the body.
     pub(crate) fn push(&mut self, data: &[u8]) {
         self.length_bytes += data.len() as u64;
-        if let Some(boundary) = &mut self.event_boundary {
-            boundary.push(data);
+        if let Some(events) = &mut self.events {
+            events.push(data);
         }
     }
 
@@ -67,7 +67,11 @@
 
     /// Whether an event has begun and not ended; `None` unless the body is an event stream.
     pub(crate) fn is_inside_event(&self) -> Option<bool> {
-        let boundary = self.event_boundary.as_ref();
-        boundary.map(EventBoundary::is_inside_event)
+        self.events().map(EventSequence::is_inside_event)
+    }
+
+    /// The events received so far; `None` unless the body is an event stream.
+    pub(crate) fn events(&self) -> Option<&EventSequence> {
+        self.events.as_ref()
     }
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -171,6 +171,18 @@
         body_bytes: Option<u64>,
         /// Whether the body ended inside an event; absent unless it is an event stream.
         inside_event: Option<bool>,
+        /// Number of complete events; absent, like the four below, unless the body is an event
+        /// stream.
+        events: Option<u64>,
+        /// Id of the first complete event that states one; absent also if none does, or if it is
+        /// too long to be kept.
+        first_event_id: Option<&'a str>,
+        /// Id of the last complete event that states one, as the first.
+        last_event_id: Option<&'a str>,
+        /// Number of ids that are not above the one before, of those that are whole numbers.
+        ids_out_of_order: Option<u64>,
+        /// Number of ids that are more than one above the one before, of the same.
+        id_gaps: Option<u64>,
         /// Wire address of the router that forwarded the request; absent if this router sent it
         /// to the instance itself.
         forwarder: Option<String>,
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,6 +1,6 @@
 //! Where the body of a response ends.
 
-use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
+use courseshunt_http::{BodyFraming, EventSequence, is_event_stream};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 
@@ -90,10 +90,10 @@
     for (text, is_inside) in STREAMS {
         let bytes = text.as_bytes();
         for split in 0..=bytes.len() {
-            let mut boundary = EventBoundary::default();
-            boundary.push(&bytes[..split]);
-            boundary.push(&bytes[split..]);
-            assert_eq!(boundary.is_inside_event(), is_inside, "{text:?} at {split}");
+            let mut sequence = EventSequence::default();
+            sequence.push(&bytes[..split]);
+            sequence.push(&bytes[split..]);
+            assert_eq!(sequence.is_inside_event(), is_inside, "{text:?} at {split}");
         }
     }
 }
