A stream that states numbered events is passed on only in order

Cause: a router relays the bytes of a stream whatever its events state. An instance that repeats an event, goes back or begins anew, and a run that does not go on behind Last-Event-Id, reach the client as a sound stream that ends as complete.

Change: EventSequence::push returns an error at the first event whose id (a whole number) is not above the one before, or above the Last-Event-Id of the request. A response that is read whole first becomes a failed attempt. The counter streams_out_of_order is new. Gaps are counted and passed on.

--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -60,7 +60,8 @@
         let is_id_checked = self.is_id_checked(&mut head);
         let framing = self.read_framing(&mut head);
         self.flight.record_status(head.status.as_u16());
-        let received = ReceivedBody::new(framing, &head.headers);
+        let resumption = self.admitted.metadata.resumption.as_ref();
+        let received = ReceivedBody::new(framing, &head.headers, resumption);
         self.flight.begin_body(received);
         let origin = ResponseOrigin {
             instance: self.flight.instance(),
@@ -151,7 +152,10 @@
             }
             Ok(Ok(collected)) => collected.to_bytes(),
         };
-        self.flight.record_part(&body);
+        if let Err(cause) = self.flight.record_part(&body) {
+            self.flight.out_of_order(&cause);
+            return AttemptOutcome::MayHaveRun;
+        }
         if self.flight.finish().is_err() {
             return AttemptOutcome::MayHaveRun;
         }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,7 +11,7 @@
 use crate::quarantine_tracker::{check_after_break, check_after_timeout, check_after_unknown_end};
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
-use courseshunt_http::EventSequence;
+use courseshunt_http::{EventSequence, IdBefore, OutOfOrder};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, Fingerprints, PromptShape, Pushback, RequestKind};
 use courseshunt_types::{Millis, RunnerId, Timestamp};
@@ -293,16 +293,21 @@
     }
 
     /// Records a part of the response body.
-    pub(crate) fn record_part(&mut self, data: &[u8]) {
-        if let Some(body) = &mut self.body {
-            body.push(data);
-        }
+    ///
+    /// # Errors
+    /// If it holds an event that is out of order, and that is not to be passed on.
+    pub(crate) fn record_part(&mut self, data: &[u8]) -> Result<(), OutOfOrder> {
+        let order = match &mut self.body {
+            Some(body) => body.push(data),
+            None => Ok(()),
+        };
         let now = Instant::now();
         self.first_part_at.get_or_insert(now);
         if let Some(previous) = self.last_part_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now - previous);
         }
         self.record_first_part();
+        order
     }
 
     /// Records the first part of the response body.
@@ -368,6 +373,17 @@
         check_after_break(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
+    /// Ends the flight: the stream was broken off before an event that is out of order. One that
+    /// contradicts only the client's statement is no evidence against the instance.
+    pub(crate) fn out_of_order(&mut self, cause: &OutOfOrder) {
+        self.shared.metrics.stream_out_of_order();
+        self.end("broken", Some(false), Some(&cause.to_string()));
+        match cause.before {
+            IdBefore::Event(_) => self.suspect_instance(),
+            IdBefore::Resumption(_) => {}
+        }
+    }
+
     /// Ends the flight: the response was not complete by the deadline.
     pub(crate) fn deadline_exceeded(&mut self, problem: &str) {
         self.end("broken", Some(false), Some(problem));
@@ -384,7 +400,6 @@
         let events = self.body.as_ref().and_then(ReceivedBody::events);
         let first_event_id = events.and_then(EventSequence::first_id);
         let last_event_id = events.and_then(EventSequence::last_id);
-        let order = events.map(EventSequence::order);
         emit(&RequestRecord::Ended {
             id: &self.id,
             content: (is_complete != Some(true)).then(|| self.fingerprints.content().short()),
@@ -403,8 +418,8 @@
             events: events.map(EventSequence::events),
             first_event_id: first_event_id.as_deref(),
             last_event_id: last_event_id.as_deref(),
-            ids_out_of_order: order.map(|order| order.out_of_order),
-            id_gaps: order.map(|order| order.gaps),
+            ids_out_of_order: events.map(EventSequence::ids_out_of_order),
+            id_gaps: events.map(EventSequence::gaps),
             forwarder: self.forwarder.as_ref().map(|one| one.address().to_string()),
             connection: self.connection,
             waited_ms: millis(self.waited),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,7 @@
     forwarded: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
+    streams_out_of_order: Counter,
     connections: Counter,
     passed_over: Counter,
     feeds_lost: Counter,
@@ -112,6 +113,7 @@
             forwarded: Family::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
+            streams_out_of_order: Counter::default(),
             connections: Counter::default(),
             passed_over: Counter::default(),
             feeds_lost: Counter::default(),
@@ -184,6 +186,10 @@
         registry.register("reservations", help, reservations);
         let cancelled = self.cancelled.clone();
         registry.register("cancelled", "Requests whose clients left", cancelled);
+        let out_of_order = self.streams_out_of_order.clone();
+        let help =
+            "Streams that were broken off before an event whose id is not above the one before";
+        registry.register("streams_out_of_order", help, out_of_order);
         let connections = self.connections.clone();
         registry.register("connections", "New connections to instances", connections);
         let passed_over = self.passed_over.clone();
@@ -347,6 +353,11 @@
         self.cancelled.inc();
     }
 
+    /// Counts a stream that was broken off before an event that is out of order.
+    pub(crate) fn stream_out_of_order(&self) {
+        self.streams_out_of_order.inc();
+    }
+
     /// Counter of the requests for which all idle connections had carried the id.
     pub(crate) fn passed_over(&self) -> Counter {
         self.passed_over.clone()
--- a/crates/gateway/src/received_body.rs
+++ b/crates/gateway/src/received_body.rs
@@ -1,6 +1,7 @@
 //! What a router has received of the body of an instance's response.
 
-use courseshunt_http::{BodyFraming, EventSequence, is_event_stream};
+use crate::interface::Resumption;
+use courseshunt_http::{BodyFraming, EventSequence, OutOfOrder, is_event_stream};
 use hyper::header::HeaderMap;
 use snafu::Snafu;
 
@@ -31,20 +32,31 @@
 }
 
 impl ReceivedBody {
-    /// The body of a response with this framing and these headers, before its first byte.
-    pub(crate) fn new(framing: BodyFraming, headers: &HeaderMap) -> Self {
+    /// The body of a response with this framing and these headers, before its first byte, to a
+    /// request that resumes this stream.
+    pub(crate) fn new(
+        framing: BodyFraming,
+        headers: &HeaderMap,
+        resumption: Option<&Resumption>,
+    ) -> Self {
+        let last_event_id = resumption.map(|resumption| resumption.last_event_id.as_str());
+        let events = || last_event_id.map_or_else(EventSequence::default, EventSequence::resuming);
         Self {
             framing,
             length_bytes: 0,
-            events: is_event_stream(headers).then(EventSequence::default),
+            events: is_event_stream(headers).then(events),
         }
     }
 
     /// Takes the next bytes of the body.
-    pub(crate) fn push(&mut self, data: &[u8]) {
+    ///
+    /// # Errors
+    /// If the body is an event stream and the id of an event is not above the one before.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Result<(), OutOfOrder> {
         self.length_bytes += data.len() as u64;
-        if let Some(events) = &mut self.events {
-            events.push(data);
+        match &mut self.events {
+            Some(events) => events.push(data),
+            None => Ok(()),
         }
     }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -179,9 +179,11 @@
         first_event_id: Option<&'a str>,
         /// Id of the last complete event that states one, as the first.
         last_event_id: Option<&'a str>,
-        /// Number of ids that are not above the one before, of those that are whole numbers.
+        /// Number of ids that are not above the one before, of those that are whole numbers; the
+        /// stream is broken off before the first one, and no event from there on is counted.
         ids_out_of_order: Option<u64>,
-        /// Number of ids that are more than one above the one before, of the same.
+        /// Number of ids that are more than one above the one before, of the same. The event from
+        /// which the request resumes a stream precedes the first one.
         id_gaps: Option<u64>,
         /// Wire address of the router that forwarded the request; absent if this router sent it
         /// to the instance itself.
--- a/crates/http/src/event_id.rs
+++ b/crates/http/src/event_id.rs
@@ -51,8 +51,7 @@
 
 /// An event id that consists of decimal digits, as a number; `None` for other ids, and for numbers
 /// of more than 64 bits.
-#[must_use]
-pub fn whole_number(id: &str) -> Option<u64> {
+pub(crate) fn whole_number(id: &str) -> Option<u64> {
     let is_digits = id.bytes().all(|byte| byte.is_ascii_digit());
     id.parse().ok().filter(|_| is_digits)
 }
--- a/crates/http/src/event_sequence.rs
+++ b/crates/http/src/event_sequence.rs
@@ -1,15 +1,18 @@
 //! Where an event stream is between its events, and the ids that its events state.
 //!
-//! Invariant: each byte is read once, and what is kept of a stream is bounded.
+//! Invariant: each byte is read once, what is kept of a stream is bounded, and no event counts whose
+//! id is out of order.
 //!
 //! Source: WHATWG HTML, section 9.2.6: lines end with LF, CR or CR LF, an empty line ends an event,
 //! lines that begin with a colon are comments, and a byte order mark may come first. The name of a
 //! field ends at the first colon, and one space after it is no part of the value; the last `id` of
 //! an event counts. An event without its empty line is incomplete.
 
-use crate::event_id::EventId;
+use crate::event_id::{EventId, whole_number};
 use hyper::header::{CONTENT_TYPE, HeaderMap};
+use snafu::Snafu;
 use std::borrow::Cow;
+use std::fmt::{self, Display, Formatter};
 
 const EVENT_STREAM: &str = "text/event-stream";
 const BYTE_ORDER_MARK: [u8; 3] = [0xef, 0xbb, 0xbf];
@@ -53,31 +56,44 @@
     }
 }
 
-/// Order of those ids of a stream that are whole numbers. Ids that are none are not judged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct IdOrder {
-    /// Number of ids that are not above the one before.
-    pub out_of_order: u64,
-    /// Number of ids that are more than one above the one before.
-    pub gaps: u64,
+/// What the id of an event has to be above.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdBefore {
+    /// The last id of the stream that is a whole number.
+    Event(u64),
+    /// Id of the event from which the stream was to go on.
+    Resumption(u64),
 }
 
-impl IdOrder {
-    /// Whether each id is above the one before.
-    #[must_use]
-    pub fn rises(&self) -> bool {
-        self.out_of_order == 0
+impl IdBefore {
+    fn number(self) -> u64 {
+        match self {
+            Self::Event(number) | Self::Resumption(number) => number,
+        }
     }
+}
 
-    fn count(&mut self, previous: u64, number: u64) {
-        if number <= previous {
-            self.out_of_order += 1;
-        } else if number - previous > 1 {
-            self.gaps += 1;
+impl Display for IdBefore {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Event(number) => write!(formatter, "event id {number}"),
+            Self::Resumption(number) => write!(formatter, "Last-Event-Id {number}"),
         }
     }
 }
 
+/// An event whose id is not above the one before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("event id {id} follows {before}"))]
+pub struct OutOfOrder {
+    /// The id of the event.
+    pub id: u64,
+    /// What it has to be above.
+    pub before: IdBefore,
+    /// Bytes of the piece that precede the event; 0 if it began in an earlier piece.
+    pub preceding_bytes: usize,
+}
+
 /// Follows the bytes of an event stream, in pieces of any length.
 #[derive(Debug, Clone, Default)]
 pub struct EventSequence {
@@ -93,29 +109,51 @@
     /// Id that the present event states so far, if it states one.
     event_id: EventId,
     states_id: bool,
+    /// This id, if it is a whole number.
+    event_number: Option<u64>,
     /// Number of complete events.
     events: u64,
     first_id: Option<EventId>,
     last_id: Option<EventId>,
-    /// The last id that is a whole number.
-    last_number: Option<u64>,
-    order: IdOrder,
+    /// What the next id that is a whole number has to be above.
+    before: Option<IdBefore>,
+    gaps: u64,
+    ids_out_of_order: u64,
 }
 
 impl EventSequence {
-    /// Takes the next bytes of the stream.
-    pub fn push(&mut self, bytes: &[u8]) {
+    /// A stream that is to go on behind the event with this id.
+    #[must_use]
+    pub fn resuming(last_event_id: &str) -> Self {
+        Self {
+            before: whole_number(last_event_id).map(IdBefore::Resumption),
+            ..Self::default()
+        }
+    }
+
+    /// Takes the next bytes of the stream. Ids that are no whole numbers are not judged. An event
+    /// that goes on behind these bytes is judged by the id that it states so far.
+    ///
+    /// # Errors
+    /// If the id of an event is not above the one before. The bytes from this event on do not count,
+    /// and no more may follow.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), OutOfOrder> {
         let mut rest = self.after_byte_order_mark(bytes);
+        let mut preceding_bytes = 0;
         while !rest.is_empty() {
             let end = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r'));
             let (content, more) = rest.split_at(end.unwrap_or(rest.len()));
             self.extend_line(content);
             rest = more;
             if let Some((terminator, more)) = rest.split_first() {
-                self.terminate_line(*terminator);
+                self.terminate_line(*terminator, preceding_bytes)?;
                 rest = more;
+                if !self.has_fields {
+                    preceding_bytes = bytes.len() - rest.len();
+                }
             }
         }
+        self.judge(preceding_bytes)
     }
 
     /// Whether the stream would end inside an event if no more bytes came.
@@ -144,10 +182,17 @@
         self.last_id.as_ref().and_then(EventId::text)
     }
 
-    /// Order of the ids of the complete events.
+    /// Number of ids that are more than one above the one before, of the complete events and of those
+    /// ids that are whole numbers.
     #[must_use]
-    pub fn order(&self) -> IdOrder {
-        self.order
+    pub fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
+    /// Number of ids that were not above the one before: 1 after an error, 0 otherwise.
+    #[must_use]
+    pub fn ids_out_of_order(&self) -> u64 {
+        self.ids_out_of_order
     }
 
     fn after_byte_order_mark<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
@@ -187,13 +232,13 @@
         }
     }
 
-    fn terminate_line(&mut self, terminator: u8) {
+    fn terminate_line(&mut self, terminator: u8, preceding_bytes: usize) -> Result<(), OutOfOrder> {
         let ended_with_cr = std::mem::replace(&mut self.ends_with_cr, terminator == b'\r');
         if terminator == b'\n' && ended_with_cr {
-            return;
+            return Ok(());
         }
         match std::mem::take(&mut self.line) {
-            Line::Empty => self.end_event(),
+            Line::Empty => return self.end_event(preceding_bytes),
             Line::Comment => {}
             Line::IdBegin | Line::OtherField => self.has_fields = true,
             Line::IdName | Line::IdColon | Line::IdValue => {
@@ -201,29 +246,48 @@
                 self.end_id_line();
             }
         }
+        Ok(())
     }
 
     fn end_id_line(&mut self) {
         if self.line_id.is_valid() {
             std::mem::swap(&mut self.event_id, &mut self.line_id);
             self.states_id = true;
+            self.event_number = self.event_id.number();
         }
         self.line_id.clear();
     }
 
-    fn end_event(&mut self) {
+    /// Checks the id that the present event states so far.
+    fn judge(&mut self, preceding_bytes: usize) -> Result<(), OutOfOrder> {
+        match (self.event_number, self.before) {
+            (Some(id), Some(before)) if id <= before.number() => {
+                self.ids_out_of_order += 1;
+                Err(OutOfOrder {
+                    id,
+                    before,
+                    preceding_bytes,
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn end_event(&mut self, preceding_bytes: usize) -> Result<(), OutOfOrder> {
+        self.judge(preceding_bytes)?;
         self.events += u64::from(std::mem::take(&mut self.has_fields));
         if std::mem::take(&mut self.states_id) {
             self.count_id();
         }
+        Ok(())
     }
 
     /// Counts the id of the event that has ended.
     fn count_id(&mut self) {
-        if let Some(number) = self.event_id.number()
-            && let Some(previous) = self.last_number.replace(number)
-        {
-            self.order.count(previous, number);
+        if let Some(number) = self.event_number.take() {
+            let before = self.before.replace(IdBefore::Event(number));
+            let is_gap = before.is_some_and(|before| number - before.number() > 1);
+            self.gaps += u64::from(is_gap);
         }
         if self.first_id.is_none() {
             self.first_id = Some(self.event_id.clone());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,8 +17,8 @@
 pub use client::{HttpClient, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use error::HttpError;
-pub use event_id::{MAX_EVENT_ID_BYTES, whole_number};
-pub use event_sequence::{EventSequence, IdOrder, is_event_stream};
+pub use event_id::MAX_EVENT_ID_BYTES;
+pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use framing::BodyFraming;
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -91,8 +91,9 @@
         let bytes = text.as_bytes();
         for split in 0..=bytes.len() {
             let mut sequence = EventSequence::default();
-            sequence.push(&bytes[..split]);
-            sequence.push(&bytes[split..]);
+            for piece in [&bytes[..split], &bytes[split..]] {
+                sequence.push(piece).expect("events in order");
+            }
             assert_eq!(sequence.is_inside_event(), is_inside, "{text:?} at {split}");
         }
     }
