--- a/crates/gateway/src/received_body.rs
+++ b/crates/gateway/src/received_body.rs
@@ -1,6 +1,7 @@
 //! What a router has received of the body of an instance's response.
 
-use courseshunt_http::{BodyFraming, EventBoundary, is_event_stream};
+use crate::interface::Resumption;
+use courseshunt_http::{BodyFraming, EventSequence, OutOfOrder, is_event_stream};
 use hyper::header::HeaderMap;
 use snafu::Snafu;
 
@@ -26,25 +27,36 @@
 pub(crate) struct ReceivedBody {
     framing: BodyFraming,
     length_bytes: u64,
-    /// Where an event stream is between its events; `None` for other bodies.
-    event_boundary: Option<EventBoundary>,
+    /// The events received so far of an event stream; `None` for other bodies.
+    events: Option<EventSequence>,
 }
 
 impl ReceivedBody {
-    /// The body of a response with this framing and these headers, before its first byte.
-    pub(crate) fn new(framing: BodyFraming, headers: &HeaderMap) -> Self {
+    /// The body of a response with this framing and these headers, before its first byte, to a
+    /// request that resumes this stream.
+    pub(crate) fn new(
+        framing: BodyFraming,
+        headers: &HeaderMap,
+        resumption: Option<&Resumption>,
+    ) -> Self {
+        let last_event_id = resumption.map(|resumption| resumption.last_event_id.as_str());
+        let events = || last_event_id.map_or_else(EventSequence::default, EventSequence::resuming);
         Self {
             framing,
             length_bytes: 0,
-            event_boundary: is_event_stream(headers).then(EventBoundary::default),
+            events: is_event_stream(headers).then(events),
         }
     }
 
     /// Takes the next bytes of the body.
-    pub(crate) fn push(&mut self, data: &[u8]) {
+    ///
+    /// # Errors
+    /// If the body is an event stream and the id of an event is not above the one before.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Result<(), OutOfOrder> {
         self.length_bytes += data.len() as u64;
-        if let Some(boundary) = &mut self.event_boundary {
-            boundary.push(data);
+        match &mut self.events {
+            Some(events) => events.push(data),
+            None => Ok(()),
         }
     }
 
@@ -67,7 +79,11 @@
 
     /// Whether an event has begun and not ended; `None` unless the body is an event stream.
     pub(crate) fn is_inside_event(&self) -> Option<bool> {
-        let boundary = self.event_boundary.as_ref();
-        boundary.map(EventBoundary::is_inside_event)
+        self.events().map(EventSequence::is_inside_event)
+    }
+
+    /// The events received so far; `None` unless the body is an event stream.
+    pub(crate) fn events(&self) -> Option<&EventSequence> {
+        self.events.as_ref()
     }
 }
