Services in the leader's list stay listed after an election; names without a start time are not relayed again

Cause: the test of an instance that names no version failed once: the next leader sent an empty list where the instance had registered with the other follower, since that follower alone had noted it and the list holds only known versions. Read in the diff: after a new link a controller sent the version of a name without a start time again, which may be that of another process by then, and would replace the newer one at the leader; a full registration did not refresh the time of the last heartbeat. Change: a follower keeps which services the leader lists; they count as mixed for 120 s after it becomes the leader. A name without a start time is relayed to a new leader by its next heartbeat. Each relayed registration refreshes the instance.

--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -139,6 +139,7 @@
     *shared.quarantine() = QuarantineLedger::default();
     *shared.forwarders() = ForwarderDirectory::default();
     *shared.origins() = OriginDirectory::default();
+    shared.software_versions().lead(now);
     shared.feed_available.send_replace(false);
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
--- a/crates/coordinator/src/software_versions.rs
+++ b/crates/coordinator/src/software_versions.rs
@@ -31,10 +31,14 @@
 pub(crate) fn note_relayed(batch: &[RelayedRegistration], now: Timestamp, shared: &Shared) {
     let mut versions = shared.software_versions();
     for relayed in batch {
-        match relayed {
-            RelayedRegistration::Full(one) => versions.note_unheard(&one.service, &one.id, now),
-            RelayedRegistration::Unchanged { id, .. } => versions.refresh(id, now),
-        }
+        let instance = match relayed {
+            RelayedRegistration::Full(one) => {
+                versions.note_unheard(&one.service, &one.id, now);
+                &one.id
+            }
+            RelayedRegistration::Unchanged { id, .. } => id,
+        };
+        versions.refresh(instance, now);
     }
 }
 
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -301,7 +301,7 @@
         FeedMessage::SoftwareVersions(services) => {
             // This member may be the next leader, and instances of an earlier version be gone.
             let now = shared.clock.now();
-            shared.software_versions().note_absent(&services, now);
+            shared.software_versions().note_list(&services, now);
             sessions.broadcast_to_routers(FeedMessage::SoftwareVersions(services));
         }
         FeedMessage::NoFeed { .. }
--- a/crates/services/src/stream_origins/version_outbox.rs
+++ b/crates/services/src/stream_origins/version_outbox.rs
@@ -10,9 +10,6 @@
 
 /// Interval in which an unchanged version is sent again while its instance registers.
 const REFRESH_INTERVAL: Millis = Millis(20_000);
-/// A name without a start time may belong to another process after this time without a heartbeat
-/// here: the instance may have restarted and registered with another controller.
-const NAME_RETENTION: Millis = Millis(6_000);
 /// Maximum number of instances; beyond it, those that were heard longest ago are removed.
 const MAX_INSTANCES: usize = 32_768;
 /// Maximum number of instances in one message.
@@ -90,14 +87,15 @@
     }
 
     /// Queues everything for a leader that has been sent nothing yet, also versions of instances
-    /// that are gone: their streams may still be resumed.
+    /// that are gone: their streams may still be resumed. An instance without a start time is
+    /// queued by its next heartbeat: since the last one, its name may have become that of another
+    /// process, which registers with another controller.
     pub fn restart(&mut self, now: Timestamp) {
         self.expire(now);
         self.queue.clear();
         for (instance, heard) in &mut self.instances {
             heard.sent_at = None;
-            let is_certain = instance.started().is_some();
-            if is_certain || now.since(heard.heard_at) < NAME_RETENTION {
+            if instance.started().is_some() {
                 self.queue.insert(instance.clone());
             }
         }
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -21,6 +21,9 @@
     by_age: BTreeSet<(Timestamp, RunnerId)>,
     /// Instances with [`Entry::replaced_at`], by that time.
     replaced: BTreeSet<(Timestamp, RunnerId)>,
+    /// Services in the list of the leader, or of the one before: they may have run versions that
+    /// were not heard here. `Some` is the time from which this member leads.
+    listed: BTreeMap<String, Option<Timestamp>>,
     is_changed: bool,
 }
 
@@ -79,9 +82,11 @@
         }
     }
 
-    /// Notes the list that the leader feeds. It changes only what is not known here: the list also
-    /// names instances that were heard some time ago.
-    pub fn note_absent(&mut self, services: &[ServiceVersions], now: Timestamp) {
+    /// Notes the list that the leader feeds; it replaces the one before. Of instances it changes
+    /// only what is not known here: the list also names some that were heard some time ago.
+    pub fn note_list(&mut self, services: &[ServiceVersions], now: Timestamp) {
+        let listed = services.iter().map(|one| (one.service.clone(), None));
+        self.listed = listed.collect();
         for (service, one) in all_instances(services) {
             if self.version_of(&one.instance).is_none() {
                 self.note(service, &one.instance, Some(&one.version), now);
@@ -89,8 +94,21 @@
         }
     }
 
+    /// Notes that this member leads from now on: the services in the list of the previous leader
+    /// count as mixed for the retention.
+    pub fn lead(&mut self, now: Timestamp) {
+        for since in self.listed.values_mut() {
+            *since = Some(now);
+        }
+        self.is_changed = true;
+    }
+
     /// Removes what is older than [`ORIGIN_RETENTION`].
     pub fn expire(&mut self, now: Timestamp) {
+        let listed = self.listed.len();
+        self.listed
+            .retain(|_, since| since.is_none_or(|since| now.since(since) < ORIGIN_RETENTION));
+        self.is_changed |= self.listed.len() != listed;
         while let Some((at, instance)) = self.replaced.first()
             && now.since(*at) >= ORIGIN_RETENTION
         {
@@ -116,13 +134,15 @@
     /// order of their names, with the instances whose versions are known.
     #[must_use]
     pub fn mixed_services(&self) -> Vec<ServiceVersions> {
-        let mut services: BTreeMap<&str, Vec<(&RunnerId, &Entry)>> = BTreeMap::new();
+        let listed = self.listed.keys().map(|name| (name.as_str(), Vec::new()));
+        let mut services: BTreeMap<&str, Vec<(&RunnerId, &Entry)>> = listed.collect();
         for (instance, entry) in &self.instances {
             let instances = services.entry(&entry.service).or_default();
             instances.push((instance, entry));
         }
         let mixed = services.into_iter();
-        let mixed = mixed.filter(|(_, instances)| is_mixed(instances));
+        let mixed = mixed
+            .filter(|(name, instances)| self.listed.contains_key(*name) || is_mixed(instances));
         let mixed = mixed.map(|(service, instances)| ServiceVersions {
             service: service.to_owned(),
             instances: instances.into_iter().filter_map(with_version).collect(),
