The decisions on a resumed stream are apart from the queries to the leader

Cause: the decision which source names the writer stood between input and output. An instance that began a stream here was refused if the leader named the version and no list did. Change: gateway::resumption_step decides before and after the leader's answer; the instance that began the stream stays eligible. A service that differs between the own log and the leader's answer refuses the request.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod relay;
 pub mod reservation;
 mod resumption;
+pub mod resumption_step;
 mod retry;
 pub mod route_services;
 mod select;
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -10,6 +10,7 @@
 use crate::quota_tracker::LEADER_ANSWER_TIMEOUT;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
+use crate::resumption_step::{ResumptionFacts, ResumptionStep, Source, after_answer, first_step};
 use crate::software_versions::RequiredWriter;
 use courseshunt_records::emit;
 use courseshunt_services::{OriginVerdict, RequestKind, Route, StreamId, StreamWriter};
@@ -23,26 +24,6 @@
 /// on its way.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
-/// How the writer of a stream was found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
-    /// All instances of the service may continue the stream.
-    Unrestricted,
-    OwnLog,
-    Leader,
-}
-
-impl Source {
-    /// Value in records and metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Unrestricted => "unrestricted",
-            Self::OwnLog => "own_log",
-            Self::Leader => "leader",
-        }
-    }
-}
-
 /// Determines which instances may serve a request; `None` for a new request. `service` is the one
 /// to which the request is sent if it is new.
 ///
@@ -85,26 +66,26 @@
     service: &str,
     deadline: Instant,
 ) -> Option<(Source, RequiredWriter)> {
-    if shared.has_recent_leader() && !shared.view.is_origin_ambiguous(service) {
-        return Some((Source::Unrestricted, RequiredWriter::any_of(service)));
-    }
-    let stream = StreamId::of_request(resumption.began_by.as_deref()?);
-    let own = own_origin(shared, stream);
-    if let Some(own) = &own
-        && (own.version.is_some() || shared.view.has_one_version(&own.service))
-    {
-        return Some((Source::OwnLog, own.clone()));
-    }
-    if let Some(StreamWriter { service, version }) = ask_leader(shared, stream, deadline).await {
-        let writer = RequiredWriter {
-            service,
-            version: Some(version),
-            began_at: None,
-        };
-        return Some((Source::Leader, writer));
+    let began_by = resumption.began_by.as_deref();
+    let stream = began_by.map(StreamId::of_request);
+    let own = stream.and_then(|stream| own_origin(shared, stream));
+    let has_one_version = |own: &RequiredWriter| shared.view.has_one_version(&own.service);
+    let facts = ResumptionFacts {
+        service,
+        is_feed_recent: shared.has_recent_leader(),
+        is_origin_ambiguous: shared.view.is_origin_ambiguous(service),
+        stream,
+        own_service_has_one_version: own.as_ref().is_some_and(has_one_version),
+        own,
+    };
+    match first_step(facts) {
+        ResumptionStep::Continue(source, writer) => Some((source, writer)),
+        ResumptionStep::AskLeader { stream, own } => {
+            let answer = ask_leader(shared, stream, deadline).await;
+            after_answer(own, answer)
+        }
+        ResumptionStep::Refuse => None,
     }
-    // Without its version, only the instance itself certainly fits.
-    own.map(|own| (Source::OwnLog, own))
 }
 
 /// The origin of a stream that this router relayed, if exactly one stream began under its id.
--- /dev/null
+++ b/crates/gateway/src/resumption_step.rs
@@ -0,0 +1,102 @@
+//! The decisions on a request that resumes a stream, before and after the leader is asked.
+//!
+//! Invariant: a stream goes on without a known writer only while this router can exclude that
+//! another service or software version began it.
+
+use crate::software_versions::RequiredWriter;
+use courseshunt_services::{StreamId, StreamWriter};
+
+/// How the instances that may continue a stream were found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// All instances of the service may continue the stream.
+    Unrestricted,
+    /// This router relayed the stream.
+    OwnLog,
+    /// The leader named the writer.
+    Leader,
+}
+
+impl Source {
+    /// Value in records and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unrestricted => "unrestricted",
+            Self::OwnLog => "own_log",
+            Self::Leader => "leader",
+        }
+    }
+}
+
+/// What a router knows of a request that resumes a stream.
+#[derive(Debug, Clone)]
+pub struct ResumptionFacts<'a> {
+    /// Service to which the request is sent if it is new.
+    pub service: &'a str,
+    /// Whether a message of a leader arrived recently.
+    pub is_feed_recent: bool,
+    /// Whether it matters for this service which instance began the stream.
+    pub is_origin_ambiguous: bool,
+    /// The stream; `None` if the client does not name it.
+    pub stream: Option<StreamId>,
+    /// The origin of the stream, if this router relayed it.
+    pub own: Option<RequiredWriter>,
+    /// Whether all instances of the service of `own` certainly run one version.
+    pub own_service_has_one_version: bool,
+}
+
+/// What to do with the request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ResumptionStep {
+    /// These instances may serve it.
+    Continue(Source, RequiredWriter),
+    /// Ask the leader for the origin; [`after_answer`] decides.
+    AskLeader {
+        /// The stream.
+        stream: StreamId,
+        /// Its origin without the version, if this router relayed the stream.
+        own: Option<RequiredWriter>,
+    },
+    /// Refuse it.
+    Refuse,
+}
+
+/// Decides on a request that resumes a stream by what this router knows.
+#[must_use]
+pub fn first_step(facts: ResumptionFacts<'_>) -> ResumptionStep {
+    if facts.is_feed_recent && !facts.is_origin_ambiguous {
+        let any = RequiredWriter::any_of(facts.service);
+        return ResumptionStep::Continue(Source::Unrestricted, any);
+    }
+    let Some(stream) = facts.stream else {
+        return ResumptionStep::Refuse;
+    };
+    match facts.own {
+        Some(own) if own.version.is_some() || facts.own_service_has_one_version => {
+            ResumptionStep::Continue(Source::OwnLog, own)
+        }
+        own => ResumptionStep::AskLeader { stream, own },
+    }
+}
+
+/// Decides by the leader's answer, `None` if it does not know the writer. Without the version, only
+/// the instance that began the stream here certainly fits. If the leader names another service than
+/// this router's log, two streams began under one id, and none of them is continued.
+#[must_use]
+pub fn after_answer(
+    own: Option<RequiredWriter>,
+    answer: Option<StreamWriter>,
+) -> Option<(Source, RequiredWriter)> {
+    let Some(StreamWriter { service, version }) = answer else {
+        return own.map(|own| (Source::OwnLog, own));
+    };
+    if own.as_ref().is_some_and(|own| own.service != service) {
+        return None;
+    }
+    let writer = RequiredWriter {
+        version: Some(version),
+        ..own.unwrap_or_else(|| RequiredWriter::any_of(&service))
+    };
+    Some((Source::Leader, writer))
+}
--- a/crates/gateway/src/view/versions.rs
+++ b/crates/gateway/src/view/versions.rs
@@ -65,7 +65,7 @@
     /// Whether an instance may serve a request that needs this writer.
     pub(crate) fn may_serve(&self, view: &InstanceView, writer: Option<&RequiredWriter>) -> bool {
         let eligibility = self.eligibility(writer, self.clock.now());
-        self.lock().is_eligible(view, &eligibility)
+        writer.is_none() || self.lock().is_eligible(view, &eligibility)
     }
 
     /// Checks that a request which needs this writer can be served, now or once its model is loaded.
