A request with either header of a resumption is no new one

Found by review: a Last-Event-Id that can't be read, or Resumes alone, made the request a new one, which goes to any instance of any version.

--- a/crates/gateway/src/interface.rs
+++ b/crates/gateway/src/interface.rs
@@ -29,7 +29,7 @@
 /// What a request states about the stream that it resumes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Resumption {
-    /// Id of the last event that the client has received.
+    /// Id of the last event that the client has received; empty if it states none that can be read.
     pub last_event_id: String,
     /// Id of the request that brought the first event of the stream; `None` if the client does not
     /// name exactly one.
