Lists of software versions are sent less often the longer they are

Found by review: a rolling update changes the list all the time, and each list goes to every router in full. The cost at 10,000 instances is not measured.

--- a/crates/coordinator/src/software_versions.rs
+++ b/crates/coordinator/src/software_versions.rs
@@ -12,7 +12,11 @@
 use courseshunt_services::{
     FeedMessage, PublishedVersions, RelayedRegistration, VersionPublication,
 };
-use courseshunt_types::{SoftwareVersion, Timestamp};
+use courseshunt_types::{Millis, SoftwareVersion, Timestamp};
+
+/// Instances in the list that add one millisecond to the time between lists: each subscriber is sent
+/// all of them, and a rolling update changes the list all the time.
+const INSTANCES_PER_INTERVAL_MS: u64 = 1;
 
 /// Notes the version in a heartbeat that this controller accepts, before its registration.
 pub(crate) fn note_heartbeat(heartbeat: &Heartbeat, now: Timestamp, shared: &Shared) {
@@ -50,7 +54,9 @@
 
 /// Sends the list again if it is due.
 pub(crate) fn feed_changes(publication: &mut VersionPublication, now: Timestamp, shared: &Shared) {
+    let listed = u64::try_from(publication.listed_instances()).unwrap_or(u64::MAX);
     let interval = instances_interval(shared.sessions.count());
+    let interval = Millis(interval.0 + listed / INSTANCES_PER_INTERVAL_MS);
     let published = publication.next(&mut shared.software_versions(), interval, now);
     if let Some(published) = published {
         send(published, shared);
--- a/crates/services/src/stream_origins/publication.rs
+++ b/crates/services/src/stream_origins/publication.rs
@@ -70,6 +70,13 @@
         is_to_send.then(|| self.publish(services, now))
     }
 
+    /// Number of instances in the last list: the cost of sending one.
+    #[must_use]
+    pub fn listed_instances(&self) -> usize {
+        let services = self.sent.iter().flatten();
+        services.map(|service| service.instances.len()).sum()
+    }
+
     fn publish(&mut self, services: Vec<ServiceVersions>, now: Timestamp) -> PublishedVersions {
         let changes = changes(self.sent.as_deref().unwrap_or_default(), &services);
         self.sent = Some(services.clone());
