--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -133,7 +133,7 @@
 fn begin(shared: &Arc<Shared>, term: Term) -> Leadership {
     let now = shared.clock.now();
     *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
-    *shared.limits() = LimitLedger::default();
+    *shared.limits() = LimitLedger::of_elected(now);
     *shared.loads() = LoadLedger::default();
     *shared.quarantine() = QuarantineLedger::default();
     *shared.forwarders() = ForwarderDirectory::default();
--- a/crates/services/src/limit/ledger.rs
+++ b/crates/services/src/limit/ledger.rs
@@ -1,7 +1,9 @@
 //! The leader's accounts of rate limits that instances report.
 //!
 //! Invariant: the newest report about an instance is in force, whichever router received it; a
-//! grant is counted before it is sent.
+//! grant is counted before it is sent. In any time `t`, successive leaders grant together at most
+//! the rate times `t` plus the capacity of one account, beside time slots that an earlier leader
+//! granted for later.
 
 use super::{LimitQuery, LimitReport, LimitVerdict, REMOVAL_RETENTION, RequestRate};
 use crate::token_bucket::TokenBucket;
@@ -25,11 +27,22 @@
 /// Accounts by instance. See the module documentation.
 #[derive(Debug, Default)]
 pub struct LimitLedger {
+    /// When the leadership began; `None` if no earlier leader can have granted requests.
+    leads_since: Option<Timestamp>,
     accounts: BTreeMap<RunnerId, Account>,
     has_changed_limits: bool,
 }
 
 impl LimitLedger {
+    /// The ledger of a leader that was elected at `leads_since`.
+    #[must_use]
+    pub fn of_elected(leads_since: Timestamp) -> Self {
+        Self {
+            leads_since: Some(leads_since),
+            ..Self::default()
+        }
+    }
+
     /// Applies a report that a router received, unless a newer one is in force; returns whether it
     /// changes a limit.
     pub fn note(&mut self, report: &LimitReport, now: Timestamp) -> bool {
@@ -59,12 +72,22 @@
         let account = Account {
             rate: report.rate,
             reported_at,
-            grants: rate.account(now),
+            grants: self.new_account(rate, now),
         };
         self.accounts.insert(report.instance.clone(), account);
         self.has_changed_limits = true;
     }
 
+    /// The first account of an instance under this leader. An earlier leader may have granted all
+    /// of the content until this leadership began, so the account is empty at that time. The age
+    /// of a report does not show when the limit began: each response with the limit renews it.
+    fn new_account(&self, rate: RequestRate, now: Timestamp) -> TokenBucket {
+        let full = rate.account(now);
+        self.leads_since.map_or(full, |leads_since| {
+            TokenBucket::empty(full.rate(), full.capacity(), leads_since)
+        })
+    }
+
     /// Decides on one request of a router, and counts it if it is granted.
     pub fn decide(&mut self, query: &LimitQuery, now: Timestamp) -> LimitVerdict {
         self.note(&query.report, now);
--- a/crates/services/tests/instance_limits.rs
+++ b/crates/services/tests/instance_limits.rs
@@ -1,6 +1,7 @@
 //! Rate limits that instances report: which report is in force, when routers may send, and the sum
 //! over all routers.
 
+use courseshunt_services::limit::BURST_S;
 use courseshunt_services::{
     LimitChange, LimitLedger, LimitQuery, LimitReport, LimitStep, LimitVerdict, RequestRate,
     RouterLimits,
@@ -237,6 +238,68 @@
     }
 }
 
+/// Requests that a leader, elected at `elected`, grants in one second to routers that query it
+/// for as long as it grants, each 100 ms.
+fn grants_of_leader(elected: i64, per_second: f64) -> Vec<i64> {
+    let mut ledger = LimitLedger::of_elected(at(elected));
+    // The instance's reply to a question of the leader itself renews the age of its limit.
+    ledger.note(&report(Some(rate(per_second)), 0), at(elected + 10));
+    let mut grants = Vec::new();
+    for now in (elected + 20..elected + 1_000).step_by(100) {
+        while is_granted(ledger.decide(&query(per_second, 2_000, 0), at(now))) {
+            grants.push(now);
+        }
+    }
+    grants
+}
+
+fn is_granted(verdict: LimitVerdict) -> bool {
+    matches!(verdict, LimitVerdict::Granted { .. })
+}
+
+/// Each leader of a series granted a full account: two requests at once.
+#[test]
+fn leaders_in_series_grant_no_more_than_one_leader() {
+    for per_second in [0.0, 0.5, 1.0, 2.5, 6.0, 20.0, 400.0] {
+        let elections = (0..10_000).step_by(1_000);
+        let sent: Vec<i64> = elections
+            .flat_map(|elected| grants_of_leader(elected, per_second))
+            .collect();
+        let (max_sent, allowed) = (max_in_a_span(&sent), max_of_one_leader(per_second));
+        assert!(
+            max_sent <= allowed,
+            "{per_second} a second: {max_sent} of {allowed}"
+        );
+    }
+}
+
+/// Most requests that one leader grants in any span.
+fn max_of_one_leader(per_second: f64) -> usize {
+    let granted_per_second = rate(per_second).granted_per_second();
+    let capacity = (granted_per_second * BURST_S).max(2.0);
+    (granted_per_second * SPAN_MS as f64 / 1_000.0 + capacity) as usize
+}
+
+/// Without a request, the end of the limit would not be detected.
+#[test]
+fn a_new_leader_tries_an_instance_with_limit_zero_ten_seconds_after_its_election() {
+    let mut ledger = LimitLedger::of_elected(at(0));
+    let refused = LimitVerdict::Refused {
+        fits_after: Millis(6_000),
+    };
+    assert_eq!(ledger.decide(&query(0.0, 0, 0), at(4_000)), refused);
+    assert!(is_granted(ledger.decide(&query(0.0, 0, 0), at(10_000))));
+}
+
+#[test]
+fn a_limit_that_is_first_named_long_after_the_election_has_a_full_account() {
+    let mut ledger = LimitLedger::of_elected(at(0));
+    for _ in 0..2 {
+        assert!(is_granted(ledger.decide(&query(1.0, 0, 0), at(2_000))));
+    }
+    assert!(!is_granted(ledger.decide(&query(1.0, 0, 0), at(2_000))));
+}
+
 /// A uniformly distributed random number in [0, 1).
 fn uniform(random: &mut Pcg64) -> f64 {
     (random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
