--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -3,6 +3,8 @@
 //! A request that would miss its objective anyway is refused immediately with a Retry-After: it
 //! has not run, and its retry finds the model loaded. A request that is already such a retry
 //! waits as long as its client does.
+//!
+//! Invariant: no request waits for longer than its client certainly does, whatever its objective.
 
 use courseshunt_types::Millis;
 use std::time::Duration;
@@ -68,6 +70,7 @@
         true => retry_wait_limit(context, now),
         false => first_wait_limit(context, now),
     };
+    let limit = limit.min(context.client_waits_until());
     if now < limit {
         return WaitDecision::WaitUntil(limit);
     }
@@ -79,7 +82,7 @@
 /// How long a request may wait for a send permit: until it would miss its objective, or as long
 /// as its client waits if an early refusal is no longer possible.
 pub fn max_permit_wait(context: &WaitContext, now: Instant) -> Duration {
-    let in_time = context.arrived + context.objective;
+    let in_time = context.in_time_until();
     let refusal_helps = now <= context.early_refusal_until() && !context.is_client_retry;
     let answered_by = match refusal_helps {
         true => in_time.min(context.client_waits_until()),
@@ -109,7 +112,7 @@
         return context.early_refusal_until();
     };
     let answer = expected + ASSUMED_ANSWER_TIME;
-    let in_time = answer <= context.arrived + context.objective;
+    let in_time = answer <= context.in_time_until();
     // A refusal after that would not make the retry meet the objective.
     let refusal_helps = now <= context.early_refusal_until();
     match in_time || !refusal_helps && answer <= context.client_waits_until() {
@@ -138,7 +141,15 @@
 impl WaitContext {
     /// Until then a refusal costs the client little.
     fn early_refusal_until(&self) -> Instant {
-        self.arrived + self.objective / EARLY_REFUSAL_DIVISOR
+        self.arrived
+            + self
+                .time_budget()
+                .min(self.objective / EARLY_REFUSAL_DIVISOR)
+    }
+
+    /// Until then a response meets the objective; no later than the deadline.
+    fn in_time_until(&self) -> Instant {
+        self.arrived + self.time_budget().min(self.objective)
     }
 
     fn time_budget(&self) -> Duration {
--- a/crates/gateway/tests/waiting.rs
+++ b/crates/gateway/tests/waiting.rs
@@ -270,3 +270,38 @@
         assert_eq!(allowed, ms(expected), "{is_client_retry} {now}");
     }
 }
+
+/// A fifth of an objective of a minute was waited for at a deadline of 3 s, and an objective that no
+/// clock can hold ended the wait never.
+#[tokio::test]
+async fn a_refusal_is_never_later_than_the_deadline() {
+    let arrived = Instant::now() + ms(60_000);
+    let deadline = arrived + ms(3_000);
+    for objective in [ms(60_000), Duration::from_millis(u64::MAX)] {
+        for (is_client_retry, can_load_model, expected) in [
+            (false, false, None),
+            (false, true, None),
+            (false, true, Some(20_000)),
+            (true, false, None),
+            (true, true, Some(20_000)),
+        ] {
+            let context = WaitContext {
+                arrived,
+                deadline,
+                objective,
+                first_byte_timeout: None,
+                is_client_retry,
+                can_load_model,
+                expected_at: expected.map(|at| arrived + ms(at)),
+                in_backoff: false,
+                can_request_permit: false,
+            };
+            if let WaitDecision::WaitUntil(until) = decide(&context, arrived) {
+                assert!(until < deadline, "{objective:?} {expected:?}");
+            }
+            let at_the_end = decide(&context, deadline);
+            assert!(matches!(at_the_end, WaitDecision::Refuse { .. }));
+            assert!(max_permit_wait(&context, arrived) < ms(3_000));
+        }
+    }
+}
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -84,4 +84,4 @@
     StreamOrigin, StreamWriter,
 };
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
-pub use validation::{ConfigurationError, validate};
+pub use validation::{ConfigurationError, MAX_CONFIGURED_TIME, validate};
--- a/crates/services/src/validation.rs
+++ b/crates/services/src/validation.rs
@@ -5,8 +5,13 @@
 
 use crate::configuration::{Route, ServiceConfiguration};
 use crate::tenants::validate_tenants;
+use courseshunt_types::Millis;
 use std::collections::BTreeSet;
 
+const MS_PER_DAY: u64 = 86_400_000;
+/// Longest time that a configuration may state.
+pub const MAX_CONFIGURED_TIME: Millis = Millis(366 * MS_PER_DAY);
+
 /// Why a configuration is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
 pub enum ConfigurationError {
@@ -46,6 +51,14 @@
         /// Name of the route.
         route: String,
     },
+    /// A time is longer than the clocks of all processes can add to any moment.
+    #[snafu(display("{owner}: {field} is longer than {} days", MAX_CONFIGURED_TIME.0 / MS_PER_DAY))]
+    TimeTooLong {
+        /// What the time belongs to.
+        owner: String,
+        /// Name of the field in the operator's document.
+        field: &'static str,
+    },
     /// The prefix of a route does not begin and end with a slash.
     #[snafu(display("route {route}: prefix {prefix} must begin and end with a slash"))]
     InvalidPrefix {
