--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -85,4 +85,4 @@
     VersionPublication, VersionSetChange,
 };
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
-pub use validation::{ConfigurationError, validate};
+pub use validation::{ConfigurationError, MAX_CONFIGURED_TIME, validate};
