--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -208,6 +208,15 @@
         }
     }
 
+    /// The controller that leads, as its log tells.
+    pub fn leader(&self) -> Option<u8> {
+        let leads = |one: u8| {
+            let lines = self.log_lines(one, "\"event\":\"lead");
+            lines.last().is_some_and(|line| line.contains("\"leads\""))
+        };
+        CONTROLLERS.into_iter().find(|one| leads(*one))
+    }
+
     /// Whether a process ended by itself.
     pub fn has_ended(&mut self, number: u8) -> bool {
         let child = self.children.get_mut(&number);
@@ -350,16 +359,39 @@
 /// What a runner does with the requests that it runs.
 pub type Work = dyn Fn(&Runner, &Seen, &mut TcpStream) -> io::Result<()> + Send + Sync;
 
+/// Memory of a model's weights, and of a runner for weights, in MB (the site's sheet).
+pub const MODEL_MB: f64 = 65_100.0;
+pub const RUNNER_MB: f64 = 210_000.0;
+/// Time of a load from the weight store, and of an unload.
+pub const LOAD_TIME: Duration = Duration::from_millis(2_900);
+const UNLOAD_TIME: Duration = Duration::from_millis(50);
+
+/// What a runner holds, and the order under way.
+struct Holdings {
+    /// Models, with the memory that each has taken since it was loaded, in MB.
+    models: Vec<(String, f64)>,
+    /// Memory of a model that is loaded from now on, in MB.
+    load_mb: f64,
+    loading: Option<String>,
+    is_busy: bool,
+    /// Orders taken.
+    seq: u64,
+    /// It was ordered to load more than it holds, and fell.
+    has_fallen: bool,
+}
+
 /// A stand-in for a runner: it registers, answers health checks, reports and orders as the pages
-/// say, turns away what is meant for another instance, and runs requests by its `work`.
+/// say, turns away what is meant for another instance or a model that it does not hold, and runs
+/// requests by its `work`.
 pub struct Runner {
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
     pub record: Record,
-    models: Vec<String>,
-    orders: AtomicU64,
+    holdings: Mutex<Holdings>,
     beats: AtomicU64,
+    /// How late its heartbeats arrive.
+    late: Duration,
     stop: AtomicBool,
     work: Box<Work>,
 }
@@ -369,17 +401,29 @@
         site: &Site,
         (id, service): (&str, &str),
         models: &[&str],
+        late: Duration,
         work: Box<Work>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((site.ip(250), 0))?;
+        let holdings = Holdings {
+            models: models
+                .iter()
+                .map(|one| ((*one).to_owned(), MODEL_MB))
+                .collect(),
+            load_mb: MODEL_MB,
+            loading: None,
+            is_busy: false,
+            seq: 0,
+            has_fallen: false,
+        };
         let runner = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr()?,
             record: site.record.clone(),
-            models: models.iter().map(|one| (*one).to_owned()).collect(),
-            orders: AtomicU64::new(0),
+            holdings: Mutex::new(holdings),
             beats: AtomicU64::new(0),
+            late,
             stop: AtomicBool::new(false),
             work,
         });
@@ -401,72 +445,97 @@
         self.stop.store(true, Ordering::Relaxed);
     }
 
-    fn models(&self) -> String {
-        let models = self.models.iter();
-        let models =
-            models.map(|one| format!("{{\"name\":\"{one}\",\"version\":1,\"adapters\":[]}}"));
-        models.collect::<Vec<_>>().join(",")
+    fn holdings(&self) -> std::sync::MutexGuard<'_, Holdings> {
+        self.holdings.lock().expect("the holdings")
+    }
+
+    /// Models that it loads from now on take this memory; those that it holds stay as they are.
+    pub fn loads_take(&self, load_mb: f64) {
+        self.holdings().load_mb = load_mb;
     }
 
-    fn register(&self, controls: &[SocketAddr]) {
+    /// Whether it was ordered to load more than it holds.
+    pub fn has_fallen(&self) -> bool {
+        self.holdings().has_fallen
+    }
+
+    /// The next heartbeat, with what the runner holds now.
+    fn beat(&self) -> String {
+        let beat = self.beats.fetch_add(1, Ordering::Relaxed) + 1;
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"ibarra\",\"version\":\"v1\",\
+             \"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"phase\":\"colocated\",\
+             \"models\":[{}],\"seq\":{beat}}}",
+            self.service,
+            self.address,
+            self.holdings().listed()
+        )
+    }
+
+    /// A heartbeat is acknowledged by a 2xx within a second; else the next node is called. A late
+    /// one is taken by its node after that second, so that the next node is called each time.
+    fn register(self: &Arc<Self>, controls: &[SocketAddr]) {
         let path = format!("/courseshunt/Instances.Heartbeat/{}", self.id);
-        while !self.stop.load(Ordering::Relaxed) {
-            let beat = self.beats.fetch_add(1, Ordering::Relaxed) + 1;
-            let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"ibarra\",\"version\":\"v1\",\"slots\":64,\
-                 \"state\":\"ready\",\"coldRemainingMs\":0,\"phase\":\"colocated\",\"models\":[{}],\
-                 \"seq\":{beat}}}",
-                self.service,
-                self.address,
-                self.models()
-            );
-            // A 2xx acknowledges it; else the next node is called.
-            let mut nodes = controls.iter();
-            nodes.any(|control| {
-                let answer = call(*control, "POST", &path, &body);
-                answer.is_some_and(|answer| answer.status / 100 == 2)
-            });
-            thread::sleep(HEARTBEAT);
+        let mut node = 0;
+        while !self.stop.load(Ordering::Relaxed) && !self.has_fallen() {
+            let body = self.beat();
+            let control = controls[node % controls.len()];
+            if self.late > CALL_LIMIT {
+                let (path, late, own) = (path.clone(), self.late, self.clone());
+                thread::spawn(move || {
+                    thread::sleep(late);
+                    if !own.has_fallen() {
+                        call(control, "POST", &path, &body);
+                    }
+                });
+                node += 1;
+                thread::sleep(CALL_LIMIT);
+                continue;
+            }
+            let answer = call(control, "POST", &path, &body);
+            if answer.is_some_and(|answer| answer.status / 100 == 2) {
+                thread::sleep(HEARTBEAT);
+            } else {
+                node += 1;
+                thread::sleep(Duration::from_millis(20));
+            }
         }
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut rest = Vec::new();
         while let Some(seen) = read_request(&mut stream, &mut rest) {
-            if self.serve_one(&seen, &mut stream).is_err() {
+            if self.has_fallen() || self.serve_one(&seen, &mut stream).is_err() {
                 return;
             }
         }
     }
 
-    fn serve_one(&self, seen: &Seen, stream: &mut TcpStream) -> io::Result<()> {
+    fn serve_one(self: &Arc<Self>, seen: &Seen, stream: &mut TcpStream) -> io::Result<()> {
         let id = seen.header("x-request-id");
         let expected = seen.header("x-expect-instance");
+        let not_run = [("X-Request-Id", id), ("X-Not-Executed", "1")];
         if !expected.is_empty() && expected != self.id {
-            let headers = [("X-Request-Id", id), ("X-Not-Executed", "1")];
-            return stream.write_all(&answer(421, &headers, ""));
+            return stream.write_all(&answer(421, &not_run, ""));
         }
         if seen.line.starts_with("GET /healthz ") {
             return stream.write_all(&answer(200, &[("X-Instance-Id", &self.id)], ""));
         }
         if seen.line.starts_with("GET /courseshunt/report ") {
-            let seq = self.orders.load(Ordering::Relaxed);
-            let report = format!(
-                "{{\"phase\":\"colocated\",\"models\":[{}],\"busy\":false,\"seq\":{seq},\"queued\":0,\
-                 \"running\":0,\"kvUsed\":0,\"kvTotal\":100000,\"handles\":0}}",
-                self.models()
-            );
-            return stream.write_all(&answer(200, &[], &report));
+            return stream.write_all(&answer(200, &[], &self.holdings().report()));
         }
         if seen.line.starts_with("POST /courseshunt/order ") {
-            self.record
-                .note(&format!("{}: order, taken as held already", self.id));
-            return stream.write_all(&answer(200, &[], "{}"));
+            let status = self.take_order(&String::from_utf8_lossy(&seen.body));
+            return stream.write_all(&answer(status, &[], "{}"));
         }
         if id.is_empty() {
             return stream.write_all(&answer(400, &[("X-Not-Executed", "1")], ""));
         }
+        let model = seen.header("x-model-name");
+        if !self.holdings().holds(model) {
+            return stream.write_all(&answer(421, &not_run, ""));
+        }
         self.record.note(&format!(
             "{} ({}) runs {id}: {}",
             self.id, self.service, seen.line
@@ -481,4 +550,90 @@
             .note(&format!("{} ({}) ends {id}: {end}", self.id, self.service));
         done
     }
+
+    /// Takes an order as the pages say; returns the status of the answer.
+    fn take_order(self: &Arc<Self>, body: &str) -> u16 {
+        let text = |name: &str| {
+            let (_, rest) = body.split_once(&format!("\"{name}\":"))?;
+            let value = rest.split([',', '}']).next()?;
+            Some(value.trim().trim_matches('"').to_owned())
+        };
+        let model = text("model").unwrap_or_default();
+        let loads = text("operation").as_deref() == Some("loading");
+        let expected = text("expected").and_then(|expected| expected.parse().ok());
+        let mut holdings = self.holdings();
+        let is_held = holdings.holds(&model);
+        let status = if holdings.is_busy || expected.is_some_and(|one: u64| one != holdings.seq) {
+            409
+        } else if is_held == loads {
+            200
+        } else {
+            202
+        };
+        let holder = text("holder").unwrap_or_default();
+        let order = if loads { "load" } else { "unload" };
+        self.record.note(&format!(
+            "{}: order of {holder} to {order} {model}, expected {expected:?}, taken {}, holds {:?}: {status}",
+            self.id, holdings.seq, holdings.models
+        ));
+        if status != 202 {
+            return status;
+        }
+        holdings.seq += 1;
+        let needed_mb = holdings.models.iter().map(|(_, mb)| mb).sum::<f64>() + holdings.load_mb;
+        if loads && needed_mb > RUNNER_MB {
+            holdings.has_fallen = true;
+            self.record.note(&format!(
+                "LIMIT: {} is ordered to hold {needed_mb} of {RUNNER_MB} MB, and falls",
+                self.id
+            ));
+            return status;
+        }
+        holdings.is_busy = true;
+        if loads {
+            holdings.loading = Some(model.clone());
+        }
+        drop(holdings);
+        let own = self.clone();
+        thread::spawn(move || {
+            thread::sleep(if loads { LOAD_TIME } else { UNLOAD_TIME });
+            let mut holdings = own.holdings();
+            holdings.is_busy = false;
+            holdings.loading = None;
+            match loads {
+                true => holdings.add(&model),
+                false => holdings.models.retain(|(held, _)| *held != model),
+            }
+            own.record
+                .note(&format!("{}: the {order} of {model} ends", own.id));
+        });
+        status
+    }
+}
+
+impl Holdings {
+    fn holds(&self, model: &str) -> bool {
+        self.models.iter().any(|(held, _)| held == model)
+    }
+
+    fn add(&mut self, model: &str) {
+        self.models.push((model.to_owned(), self.load_mb));
+    }
+
+    fn listed(&self) -> String {
+        let models = self.models.iter();
+        let models =
+            models.map(|(one, _)| format!("{{\"name\":\"{one}\",\"version\":1,\"adapters\":[]}}"));
+        models.collect::<Vec<_>>().join(",")
+    }
+
+    fn report(&self) -> String {
+        format!(
+            "{{\"phase\":\"colocated\",\"models\":[{}],\"busy\":{},\"seq\":{},\"queued\":0,\"running\":0,\
+             \"kvUsed\":0,\"kvTotal\":265792,\"handles\":0}}",
+            self.listed(),
+            self.is_busy,
+            self.seq
+        )
+    }
 }
