--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -390,6 +390,9 @@
     pub record: Record,
     holdings: Mutex<Holdings>,
     beats: AtomicU64,
+    /// Where heartbeats go: the nodes, and the one that is called now.
+    controls: Vec<SocketAddr>,
+    node: AtomicUsize,
     /// How late its heartbeats arrive.
     late: Duration,
     stop: AtomicBool,
@@ -423,6 +426,8 @@
             record: site.record.clone(),
             holdings: Mutex::new(holdings),
             beats: AtomicU64::new(0),
+            controls: site.controls(),
+            node: AtomicUsize::new(0),
             late,
             stop: AtomicBool::new(false),
             work,
@@ -435,8 +440,7 @@
             }
         });
         let beating = runner.clone();
-        let controls = site.controls();
-        thread::spawn(move || beating.register(&controls));
+        thread::spawn(move || beating.register());
         Ok(runner)
     }
 
@@ -474,32 +478,42 @@
 
     /// A heartbeat is acknowledged by a 2xx within a second; else the next node is called. A late
     /// one is taken by its node after that second, so that the next node is called each time.
-    fn register(self: &Arc<Self>, controls: &[SocketAddr]) {
-        let path = format!("/courseshunt/Instances.Heartbeat/{}", self.id);
-        let mut node = 0;
+    fn register(self: &Arc<Self>) {
         while !self.stop.load(Ordering::Relaxed) && !self.has_fallen() {
-            let body = self.beat();
-            let control = controls[node % controls.len()];
-            if self.late > CALL_LIMIT {
-                let (path, late, own) = (path.clone(), self.late, self.clone());
-                thread::spawn(move || {
-                    thread::sleep(late);
-                    if !own.has_fallen() {
-                        call(control, "POST", &path, &body);
-                    }
-                });
-                node += 1;
-                thread::sleep(CALL_LIMIT);
+            let is_acknowledged = self.send_beat();
+            if is_acknowledged {
+                thread::sleep(HEARTBEAT);
                 continue;
             }
-            let answer = call(control, "POST", &path, &body);
-            if answer.is_some_and(|answer| answer.status / 100 == 2) {
-                thread::sleep(HEARTBEAT);
+            self.node.fetch_add(1, Ordering::Relaxed);
+            let is_late = self.late > CALL_LIMIT;
+            thread::sleep(if is_late {
+                CALL_LIMIT
             } else {
-                node += 1;
-                thread::sleep(Duration::from_millis(20));
-            }
+                Duration::from_millis(20)
+            });
+        }
+    }
+
+    /// Sends a heartbeat that tells what the runner holds now; returns whether it is acknowledged. A
+    /// late one comes to its node by itself, and nobody waits for it any more.
+    fn send_beat(self: &Arc<Self>) -> bool {
+        let path = format!("/courseshunt/Instances.Heartbeat/{}", self.id);
+        let body = self.beat();
+        let node = self.node.load(Ordering::Relaxed);
+        let control = self.controls[node % self.controls.len()];
+        if self.late > CALL_LIMIT {
+            let own = self.clone();
+            thread::spawn(move || {
+                thread::sleep(own.late);
+                if !own.has_fallen() {
+                    call(control, "POST", &path, &body);
+                }
+            });
+            return false;
         }
+        let answer = call(control, "POST", &path, &body);
+        answer.is_some_and(|answer| answer.status / 100 == 2)
     }
 
     fn serve(self: &Arc<Self>, mut stream: TcpStream) {
@@ -606,6 +620,9 @@
             }
             own.record
                 .note(&format!("{}: the {order} of {model} ends", own.id));
+            drop(holdings);
+            // A heartbeat out of turn tells it, as late as the others.
+            own.send_beat();
         });
         status
     }
