--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -372,8 +372,11 @@
     models: Vec<(String, f64)>,
     /// Memory of a model that is loaded from now on, in MB.
     load_mb: f64,
-    loading: Option<String>,
+    /// The model that the order under way concerns.
+    changing: Option<String>,
     is_busy: bool,
+    /// Models of the requests that run.
+    running: Vec<String>,
     /// Orders taken.
     seq: u64,
     /// It was ordered to load more than it holds, and fell.
@@ -393,6 +396,8 @@
     /// Where heartbeats go: the nodes, and the one that is called now.
     controls: Vec<SocketAddr>,
     node: AtomicUsize,
+    /// The address that the last answer named for later heartbeats.
+    named: Mutex<Option<SocketAddr>>,
     /// How late its heartbeats arrive.
     late: Duration,
     stop: AtomicBool,
@@ -414,8 +419,9 @@
                 .map(|one| ((*one).to_owned(), MODEL_MB))
                 .collect(),
             load_mb: MODEL_MB,
-            loading: None,
+            changing: None,
             is_busy: false,
+            running: Vec::new(),
             seq: 0,
             has_fallen: false,
         };
@@ -428,6 +434,7 @@
             beats: AtomicU64::new(0),
             controls: site.controls(),
             node: AtomicUsize::new(0),
+            named: Mutex::new(None),
             late,
             stop: AtomicBool::new(false),
             work,
@@ -501,7 +508,8 @@
         let path = format!("/courseshunt/Instances.Heartbeat/{}", self.id);
         let body = self.beat();
         let node = self.node.load(Ordering::Relaxed);
-        let control = self.controls[node % self.controls.len()];
+        let named = *self.named.lock().expect("the address");
+        let control = named.unwrap_or(self.controls[node % self.controls.len()]);
         if self.late > CALL_LIMIT {
             let own = self.clone();
             thread::spawn(move || {
@@ -513,7 +521,14 @@
             return false;
         }
         let answer = call(control, "POST", &path, &body);
-        answer.is_some_and(|answer| answer.status / 100 == 2)
+        let answer = answer.filter(|answer| answer.status / 100 == 2);
+        // It holds until a heartbeat fails there.
+        *self.named.lock().expect("the address") = answer.as_ref().and_then(|answer| {
+            let found = answer.body.split_once("\"heartbeatAddr\":\"");
+            let address = found.and_then(|(_, rest)| rest.split('"').next());
+            address.and_then(|one| one.parse().ok()).or(named)
+        });
+        answer.is_some()
     }
 
     fn serve(self: &Arc<Self>, mut stream: TcpStream) {
@@ -547,14 +562,28 @@
             return stream.write_all(&answer(400, &[("X-Not-Executed", "1")], ""));
         }
         let model = seen.header("x-model-name");
-        if !self.holdings().holds(model) {
-            return stream.write_all(&answer(421, &not_run, ""));
+        {
+            let mut holdings = self.holdings();
+            if holdings.changing.as_deref() == Some(model) {
+                drop(holdings);
+                return stream.write_all(&answer(503, &not_run, ""));
+            }
+            if !holdings.holds(model) {
+                drop(holdings);
+                return stream.write_all(&answer(421, &not_run, ""));
+            }
+            holdings.running.push(model.to_owned());
         }
         self.record.note(&format!(
             "{} ({}) runs {id}: {}",
             self.id, self.service, seen.line
         ));
         let done = (self.work)(self, seen, stream);
+        {
+            let mut holdings = self.holdings();
+            let place = holdings.running.iter().position(|one| one == model);
+            place.map(|place| holdings.running.swap_remove(place));
+        }
         let end = if done.is_ok() {
             "whole"
         } else {
@@ -604,16 +633,18 @@
             return status;
         }
         holdings.is_busy = true;
-        if loads {
-            holdings.loading = Some(model.clone());
-        }
+        holdings.changing = Some(model.clone());
         drop(holdings);
         let own = self.clone();
         thread::spawn(move || {
             thread::sleep(if loads { LOAD_TIME } else { UNLOAD_TIME });
+            // An unload waits for the runs of its model.
+            while !loads && own.holdings().running.contains(&model) {
+                thread::sleep(Duration::from_millis(5));
+            }
             let mut holdings = own.holdings();
             holdings.is_busy = false;
-            holdings.loading = None;
+            holdings.changing = None;
             match loads {
                 true => holdings.add(&model),
                 false => holdings.models.retain(|(held, _)| *held != model),
