Records: each request that ends without a response says what it waited for

A stop recorded the number of requests that it cut off, and nothing of them; a request that was dropped while it waited left no record at all. No change of behaviour.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,6 +6,7 @@
 use crate::Shared;
 use crate::handle::AdmittedRequest;
 use crate::interface::{PresentedKey, RequestMetadata};
+use crate::progress::{RequestProgress, RequestStage};
 use crate::quota_tracker::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
@@ -65,18 +66,41 @@
     }
 }
 
+/// A request whose head has been received.
+pub(crate) struct ReceivedRequest {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) metadata: RequestMetadata,
+    pub(crate) progress: Arc<RequestProgress>,
+    pub(crate) arrived: Instant,
+}
+
+impl ReceivedRequest {
+    pub(crate) fn new(request: Request<Incoming>, shared: &Shared) -> Self {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let metadata = shared.interface.read_request(&head.headers);
+        Self {
+            head,
+            body,
+            metadata,
+            progress: Arc::default(),
+            arrived,
+        }
+    }
+}
+
 /// Admits a request; records the reason if it is refused.
 pub(crate) async fn admit(
-    request: Request<Incoming>,
+    received: ReceivedRequest,
     shared: &Arc<Shared>,
-    arrived: Instant,
 ) -> Result<AdmittedRequest, Denial> {
-    let (head, body) = request.into_parts();
-    let metadata = shared.interface.read_request(&head.headers);
+    let arrived = received.arrived;
+    let metadata = &received.metadata;
     let mut resolved = Resolved::default();
     let id = metadata.id.clone();
     let model = metadata.shape.model.clone();
-    let admitted = admit_parts(head, body, metadata, &mut resolved, shared, arrived).await;
+    let admitted = admit_received(received, &mut resolved, shared).await;
     if let Err(denial) = &admitted {
         shared.metrics.refusal(denial.refusal.reason());
         let tenant = resolved.tenant.as_ref().map(|tenant| tenant.name.as_str());
@@ -116,14 +140,18 @@
     quarantined: Option<Digest>,
 }
 
-async fn admit_parts(
-    head: Parts,
-    body: Incoming,
-    metadata: RequestMetadata,
+async fn admit_received(
+    received: ReceivedRequest,
     resolved: &mut Resolved,
     shared: &Arc<Shared>,
-    arrived: Instant,
 ) -> Result<AdmittedRequest, Denial> {
+    let ReceivedRequest {
+        head,
+        body,
+        metadata,
+        progress,
+        arrived,
+    } = received;
     if shared.closing.is_cancelled() {
         return Err(Refusal::Stopping.into());
     }
@@ -154,6 +182,7 @@
     let service = table.service(service).ok_or(Refusal::NoRoute)?;
     let service = service.clone();
     let limits = &table.configuration().limits;
+    progress.enter(RequestStage::RequestBody);
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
     let uri = origin_form(&head.uri);
     let content = content_digest(&head, &uri, caller.as_ref(), &body);
@@ -188,6 +217,7 @@
         charge,
         metadata,
         writer,
+        progress,
         arrived,
         deadline,
         expires_at,
--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -14,6 +14,7 @@
 use crate::limit_tracker;
 use crate::path::{self, TriedForwarders};
 use crate::pool::{Endpoint, SendError, Upstream};
+use crate::progress::RequestStage;
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
 use bytes::Bytes;
@@ -81,13 +82,16 @@
     } = selected;
     let view = &view;
     let id = &admitted.metadata.id;
+    let progress = &admitted.progress;
     let pending = PendingSend::new(shared, admitted, candidate);
+    progress.enter(RequestStage::SendPermit);
     if !limit_tracker::admit(shared, admitted, pending.instance(), max_permit_wait).await {
         return AttemptOutcome::NotSent;
     }
     let candidate = pending.into_sent();
     let mut flight = Flight::begin(shared, admitted, candidate, place.number);
     let mut tried = TriedForwarders::default();
+    progress.enter(RequestStage::Connection);
     let Some(mut upstream) = path::acquire(shared, view, id, &mut tried).await else {
         flight.not_run(None, None);
         return AttemptOutcome::Unreached;
@@ -108,6 +112,7 @@
         if let Some(permit) = permit.take() {
             permit.use_now();
         }
+        progress.enter(RequestStage::Response);
         let sent = send(&mut upstream, id, request, response_deadline).await;
         flight.record_connection(upstream.record());
         let response = match sent {
@@ -122,6 +127,7 @@
                 return AttemptOutcome::MayHaveRun;
             }
             Sent::Unsent => {
+                progress.enter(RequestStage::Connection);
                 let Some(next) = path::replace(shared, view, &upstream, &mut tried).await else {
                     flight.not_run(None, None);
                     flight.suspect_instance();
@@ -142,6 +148,7 @@
                     return AttemptOutcome::MayHaveRun;
                 }
                 Some(not_sent) => {
+                    progress.enter(RequestStage::Connection);
                     let body = response.into_body();
                     reuse_connection(shared, upstream, body).await;
                     let next = path::after_not_sent(shared, view, forwarder, not_sent, &mut tried);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,10 +4,11 @@
 //! it and the retry budget has a retry left.
 
 use crate::Shared;
-use crate::admission::{Caller, admit};
+use crate::admission::{Caller, ReceivedRequest, admit};
 use crate::attempt::{AttemptOutcome, AttemptPlace, attempt, is_retryable_failure};
 use crate::flight::millis;
 use crate::interface::RequestMetadata;
+use crate::progress::{RequestProgress, RequestStage};
 use crate::quota_tracker::Charge;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
@@ -56,6 +57,7 @@
     pub(crate) charge: Option<Charge>,
     /// Priority of the tenant, or else of the route; 0 is the highest.
     pub(crate) priority: u8,
+    pub(crate) progress: Arc<RequestProgress>,
     pub(crate) arrived: Instant,
     /// Deadline on the runtime's clock, for timers, which may fire late.
     pub(crate) deadline: Instant,
@@ -85,11 +87,10 @@
 
 /// Answers one client request.
 pub(crate) async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
-    let arrived = Instant::now();
-    let mut response = match admit(request, &shared, arrived).await {
-        Ok(admitted) => execute(&admitted, &shared).await,
-        Err(denial) => denial.refusal.response(Some(denial.retry_after)),
-    };
+    let received = ReceivedRequest::new(request, &shared);
+    let pending = PendingResponse::new(&received, shared.clone());
+    let mut response = respond(received, &shared).await;
+    pending.complete();
     if shared.stopping.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -97,6 +98,51 @@
     response
 }
 
+async fn respond(received: ReceivedRequest, shared: &Arc<Shared>) -> Response<Body> {
+    match admit(received, shared).await {
+        Ok(admitted) => execute(&admitted, shared).await,
+        Err(denial) => denial.refusal.response(Some(denial.retry_after)),
+    }
+}
+
+/// A request that has no response yet. Dropping it before [`PendingResponse::complete`] records
+/// that the request ends early.
+struct PendingResponse {
+    id: String,
+    progress: Arc<RequestProgress>,
+    shared: Arc<Shared>,
+    arrived: Instant,
+    is_complete: bool,
+}
+
+impl PendingResponse {
+    fn new(received: &ReceivedRequest, shared: Arc<Shared>) -> Self {
+        Self {
+            id: received.metadata.id.clone(),
+            progress: received.progress.clone(),
+            shared,
+            arrived: received.arrived,
+            is_complete: false,
+        }
+    }
+
+    /// The request has its response.
+    fn complete(mut self) {
+        self.is_complete = true;
+    }
+}
+
+impl Drop for PendingResponse {
+    fn drop(&mut self) {
+        if self.is_complete {
+            return;
+        }
+        let is_stopping = self.shared.stopping.is_cancelled();
+        let after = self.arrived.elapsed();
+        self.progress.record_early_end(&self.id, is_stopping, after);
+    }
+}
+
 /// Previous attempts of a request.
 #[derive(Default)]
 pub(crate) struct SendHistory {
@@ -167,6 +213,7 @@
 async fn execute(admitted: &AdmittedRequest, shared: &Arc<Shared>) -> Response<Body> {
     let mut history = SendHistory::default();
     loop {
+        admitted.progress.enter(RequestStage::Selection);
         let selected = select(admitted, shared, &history).await;
         let selected = match selected {
             Ok(selected) => selected,
@@ -195,6 +242,9 @@
         history.arrivals += u32::from(!is_unsent);
         let did_not_run = is_unsent || matches!(outcome, AttemptOutcome::NotRun);
         admitted.set_may_have_run(!did_not_run || history.may_have_run > 0);
+        if !did_not_run {
+            admitted.progress.record_ended_attempt();
+        }
         match next_step(admitted, shared, &mut history, instance, outcome) {
             NextStep::Respond(response) => return response,
             NextStep::Refuse(refusal) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod path;
 pub mod pool;
 mod probes;
+mod progress;
 mod quarantine_tracker;
 mod quota_tracker;
 mod received_body;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -167,6 +167,17 @@
         configuration: u64,
         feed_age_ms: u64,
     },
+    /// The request ends before it has a response: its client has left, or the router stops.
+    EndedEarly {
+        id: &'a str,
+        /// What the request waited for: `admission`, `request_body`, `selection`, `send_permit`,
+        /// `connection` or `response`.
+        stage: &'static str,
+        may_have_run: bool,
+        /// Whether the router is stopping.
+        stopping: bool,
+        after_ms: u64,
+    },
     /// The client closed its connection before the end.
     Cancelled {
         id: &'a str,
@@ -255,7 +266,10 @@
 impl Record for RequestRecord<'_> {
     fn is_kept(&self) -> bool {
         match self {
-            Self::Refused { .. } | Self::Failed { .. } | Self::Cancelled { .. } => true,
+            Self::Refused { .. }
+            | Self::Failed { .. }
+            | Self::EndedEarly { .. }
+            | Self::Cancelled { .. } => true,
             Self::Ended { whole, status, .. } => *whole == Some(false) || *status >= 400,
             Self::Waits { .. }
             | Self::Limited { .. }
