--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -152,9 +152,7 @@
         progress,
         arrived,
     } = received;
-    if shared.closing.is_cancelled() {
-        return Err(Refusal::Stopping.into());
-    }
+    refuse_if_closed(shared)?;
     let table = wait_for_table(shared, &metadata, arrived).await?;
     let route = resolve_route(&table, &head, shared)?;
     resolved.route = Some(route.clone());
@@ -184,6 +182,8 @@
     let limits = &table.configuration().limits;
     progress.enter(RequestStage::RequestBody);
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    // The body may have arrived long after the head.
+    refuse_if_closed(shared)?;
     let uri = origin_form(&head.uri);
     let content = content_digest(&head, &uri, caller.as_ref(), &body);
     let tenant = caller.as_ref().map(|caller| caller.tenant.name.as_str());
@@ -224,6 +224,14 @@
     })
 }
 
+/// Refuses a request of a router that stops and no longer sends new requests to instances.
+fn refuse_if_closed(shared: &Shared) -> Result<(), Refusal> {
+    match shared.closing.is_cancelled() {
+        true => Err(Refusal::Stopping),
+        false => Ok(()),
+    }
+}
+
 /// Name of the service to which a new request is sent.
 fn pick_service(route: &Route) -> Result<&String, Refusal> {
     let target = pick_target(&route.targets, rand::random());
