--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -24,7 +24,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -88,9 +88,16 @@
 /// Answers one client request.
 pub(crate) async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
     let received = ReceivedRequest::new(request, &shared);
-    let pending = PendingResponse::new(&received, shared.clone());
-    let mut response = respond(received, &shared).await;
-    pending.complete();
+    let mut pending = PendingResponse::new(&received, shared.clone());
+    let mut response = tokio::select! {
+        biased;
+        response = respond(received, &shared) => {
+            pending.is_complete = true;
+            response
+        }
+        () = shared.last_answers_due.cancelled() => pending.last_answer(),
+    };
+    drop(pending);
     if shared.stopping.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -105,14 +112,16 @@
     }
 }
 
-/// A request that has no response yet. Dropping it before [`PendingResponse::complete`] records
-/// that the request ends early.
+/// A request that has no response yet. Dropping it before it is complete records that the request
+/// ends early.
 struct PendingResponse {
     id: String,
     progress: Arc<RequestProgress>,
     shared: Arc<Shared>,
     arrived: Instant,
     is_complete: bool,
+    /// Status of the router's own response to a request that ends early.
+    status: Option<StatusCode>,
 }
 
 impl PendingResponse {
@@ -123,12 +132,19 @@
             shared,
             arrived: received.arrived,
             is_complete: false,
+            status: None,
         }
     }
 
-    /// The request has its response.
-    fn complete(mut self) {
-        self.is_complete = true;
+    /// The response to a request whose processing ends with the router.
+    fn last_answer(&mut self) -> Response<Body> {
+        let refusal = match self.progress.may_have_run() {
+            true => Refusal::Broken,
+            false => Refusal::Stopping,
+        };
+        self.shared.metrics.refusal(refusal.reason());
+        self.status = Some(refusal.status());
+        refusal.response(Some(Millis(0)))
     }
 }
 
@@ -138,8 +154,14 @@
             return;
         }
         let is_stopping = self.shared.stopping.is_cancelled();
-        let after = self.arrived.elapsed();
-        self.progress.record_early_end(&self.id, is_stopping, after);
+        emit(&RequestRecord::EndedEarly {
+            id: &self.id,
+            stage: self.progress.stage().name(),
+            may_have_run: self.progress.may_have_run(),
+            stopping: is_stopping,
+            status: self.status.map(|status| status.as_u16()),
+            after_ms: millis(self.arrived.elapsed()),
+        });
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,6 +78,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use view::View;
 
@@ -90,6 +91,9 @@
 /// In a planned stop, queued requests are refused this much before the grace period ends, so
 /// that the refusals reach the clients before the process exits.
 const QUEUED_REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+/// In a planned stop, requests without a response are answered this much before the grace period
+/// ends, whatever they wait for.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// State shared by all components of a router.
 pub(crate) struct Shared {
@@ -117,6 +121,8 @@
     pub(crate) closing: CancellationToken,
     /// Cancelled when the requests that are still queued during a planned stop must be refused.
     pub(crate) refusing_queued: CancellationToken,
+    /// Cancelled when all requests without a response must be answered during a planned stop.
+    pub(crate) last_answers_due: CancellationToken,
     /// Cancelled when the router has stopped.
     pub(crate) ended: CancellationToken,
     pub(crate) requests: tokio_util::task::TaskTracker,
@@ -223,6 +229,7 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             refusing_queued: CancellationToken::new(),
+            last_answers_due: CancellationToken::new(),
             ended: CancellationToken::new(),
             requests: tokio_util::task::TaskTracker::new(),
             settings,
@@ -265,22 +272,35 @@
         self.shared.stopping.cancel();
         self.shared.forwarders.report_due.notify_one();
         let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
-        let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        let limit = Instant::now() + grace.saturating_sub(STOP_MARGIN);
         tokio::time::sleep(READINESS_PROPAGATION_TIME.min(grace / 2)).await;
         self.shared.closing.cancel();
         self.shared.requests.close();
-        let refuse_at = limit - QUEUED_REFUSAL_MARGIN;
-        if tokio::time::timeout_at(refuse_at, self.shared.requests.wait())
-            .await
-            .is_err()
-        {
-            self.shared.refusing_queued.cancel();
-            let _ = tokio::time::timeout_at(limit, self.shared.requests.wait()).await;
-        }
+        self.end_requests(limit).await;
         self.shared.ended.cancel();
         let unfinished = self.shared.requests.len();
         emit(&RouterRecord::Stopped { unfinished });
     }
+
+    /// Waits until no request is in flight, at most until `limit`. Before that, first the requests
+    /// that wait for an instance are refused, and then all that have no response are answered.
+    async fn end_requests(&self, limit: Instant) {
+        let requests = &self.shared.requests;
+        let steps = [
+            (QUEUED_REFUSAL_MARGIN, Some(&self.shared.refusing_queued)),
+            (LAST_ANSWER_MARGIN, Some(&self.shared.last_answers_due)),
+            (Duration::ZERO, None),
+        ];
+        for (margin, next_step) in steps {
+            let ended = tokio::time::timeout_at(limit - margin, requests.wait()).await;
+            if ended.is_ok() {
+                return;
+            }
+            if let Some(next_step) = next_step {
+                next_step.cancel();
+            }
+        }
+    }
 }
 
 fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener, GatewayError> {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,10 +3,7 @@
 //! Invariant: a request of which this states that it has not run has certainly not run, and will not
 //! unless its processing goes on.
 
-use crate::records::RequestRecord;
-use courseshunt_records::emit;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::time::Duration;
 
 /// What a request waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,7 +34,7 @@
     ];
 
     /// Value in records.
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Admission => "admission",
             Self::RequestBody => "request_body",
@@ -77,7 +74,8 @@
         self.has_ended_attempt.store(true, Ordering::Relaxed);
     }
 
-    fn stage(&self) -> RequestStage {
+    /// What the request waits for.
+    pub(crate) fn stage(&self) -> RequestStage {
         let stage = usize::from(self.stage.load(Ordering::Relaxed));
         RequestStage::ALL[stage]
     }
@@ -86,15 +84,4 @@
     pub(crate) fn may_have_run(&self) -> bool {
         self.has_ended_attempt.load(Ordering::Relaxed) || self.stage() == RequestStage::Response
     }
-
-    /// Records that the request ends before it has a response.
-    pub(crate) fn record_early_end(&self, id: &str, is_stopping: bool, after: Duration) {
-        emit(&RequestRecord::EndedEarly {
-            id,
-            stage: self.stage().name(),
-            may_have_run: self.may_have_run(),
-            stopping: is_stopping,
-            after_ms: crate::flight::millis(after),
-        });
-    }
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -176,6 +176,8 @@
         may_have_run: bool,
         /// Whether the router is stopping.
         stopping: bool,
+        /// Status of the router's response; absent if the client has left.
+        status: Option<u16>,
         after_ms: u64,
     },
     /// The client closed its connection before the end.
