A request that can't be served before its router stops is refused when the stop begins

What callers saw: a request that waited for an instance which was expected only after the end of a planned stop waited until 0.9 s before the end of the grace period (up to 7.1 s of 8) and was then refused. Cause: the decision whether a request waits knew its client's deadline and not the end of its router. Change: from the beginning of a stop on, the moment at which it refuses the requests that wait is the deadline of their wait.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -76,7 +76,7 @@
 use records::RouterRecord;
 use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -117,6 +117,9 @@
     pub(crate) clock: MonotonicClock,
     /// Cancelled when a stop is requested.
     pub(crate) stopping: CancellationToken,
+    /// When the requests that are still queued during a planned stop are refused; set when the stop
+    /// begins.
+    pub(crate) queued_refused_at: OnceLock<Instant>,
     /// Cancelled when no new connections are accepted any more.
     pub(crate) closing: CancellationToken,
     /// Cancelled when the requests that are still queued during a planned stop must be refused.
@@ -227,6 +230,7 @@
             interface,
             clock,
             stopping: CancellationToken::new(),
+            queued_refused_at: OnceLock::new(),
             closing: CancellationToken::new(),
             refusing_queued: CancellationToken::new(),
             last_answers_due: CancellationToken::new(),
@@ -269,10 +273,14 @@
     /// and returns once no request is in flight or the grace period is nearly over.
     pub async fn stop(self) {
         emit(&RouterRecord::Stops);
-        self.shared.stopping.cancel();
-        self.shared.forwarders.report_due.notify_one();
         let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
         let limit = Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        let _ = self
+            .shared
+            .queued_refused_at
+            .set(limit - QUEUED_REFUSAL_MARGIN);
+        self.shared.stopping.cancel();
+        self.shared.forwarders.report_due.notify_one();
         tokio::time::sleep(READINESS_PROPAGATION_TIME.min(grace / 2)).await;
         self.shared.closing.cancel();
         self.shared.requests.close();
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -269,9 +269,10 @@
             .view
             .expected_availability(service, &admitted.metadata.shape, writer, now);
     let requested = admitted.metadata.deadline.unwrap_or(admitted.route.timeout);
+    let refused_at = shared.queued_refused_at.get().copied();
     WaitContext {
         arrived: admitted.arrived,
-        deadline: admitted.deadline,
+        deadline: refused_at.map_or(admitted.deadline, |at| at.min(admitted.deadline)),
         objective: Duration::from(admitted.route.objective),
         first_byte_timeout: shared
             .interface
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -33,7 +33,8 @@
 pub struct WaitContext {
     /// When the request arrived.
     pub arrived: Instant,
-    /// When the deadline of the request passes.
+    /// When the deadline of the request passes, or its router refuses the requests that wait because
+    /// it stops.
     pub deadline: Instant,
     /// Time within which a response meets the service-level objective.
     pub objective: Duration,
