One memory budget for the bodies of a process, and its settings

No listener uses it yet. MemoryBudget reserves memory before bytes are kept, counted as capacity; BodyReader copies each frame into one growing buffer and keeps none; the reservation is returned with the last clone of the bytes. Bodies of at most 16 KiB have a pool of their own. A body without a byte for more than a second may be given up for another one, the longest stopped first. A single body always fits.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,12 +1,15 @@
 //! Shared HTTP server and client helpers on `hyper`.
 
 mod body;
+mod body_reader;
+mod budget_ledger;
 mod client;
 mod close_delimited;
 mod error;
 mod event_id;
 mod event_sequence;
 mod framing;
+mod memory_budget;
 mod pace;
 mod response;
 mod retry_after;
@@ -14,12 +17,17 @@
 mod server;
 
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
+pub use body_reader::{BodyLimits, BodyProblem, BodyReader};
+pub use budget_ledger::{BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
 pub use client::{HttpClient, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use error::HttpError;
 pub use event_id::MAX_EVENT_ID_BYTES;
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use framing::BodyFraming;
+pub use memory_budget::{
+    BudgetUsage, DEFAULT_PROCESS_MEMORY_BYTES, MemoryBudget, NotReserved, Reservation,
+};
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
 pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -25,6 +25,18 @@
 code 2. `courseshunt check FILE` looks for the same faults without a start.
 ";
 
+const SERVICE_LIMITS: &str = "
+## Declared services: limits against crowds
+
+In `[limits]` of the settings file of a router or controller of declared services, which names its
+process, addresses and times as well.
+
+| key | allowed | default | meaning |
+|---|---|---|---|
+| `memory_mb` | a number | `256` | memory that the process may use, in MB; a quarter of it holds bodies, a third heads and connections |
+| `max_open_files` | a whole number | `4096` | descriptors that the process may open; clients' connections take at most half of them |
+";
+
 /// The page, in Markdown.
 #[must_use]
 pub fn settings_reference() -> String {
@@ -37,6 +49,7 @@
             page.push_str(&row(setting));
         }
     }
+    page.push_str(SERVICE_LIMITS);
     page
 }
 
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -108,6 +108,26 @@
     /// milliseconds; left out: as long as it is alone.
     #[serde(default)]
     pub key_trust_ms: Option<u64>,
+    /// Memory that the process may use, in MB; left out: 256. Bodies, connections and heads of
+    /// others have bounds that are shares of it.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open; left out: 4,096. Clients' connections take at most
+    /// half of them.
+    #[serde(default)]
+    pub max_open_files: Option<usize>,
+}
+
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+
+impl ServiceLimits {
+    /// Memory that the process may use, in bytes, if the settings state it.
+    #[must_use]
+    pub fn memory_bytes(&self) -> Option<usize> {
+        self.memory_mb
+            .map(|megabytes| (megabytes * MEGABYTE) as usize)
+    }
 }
 
 /// Window of tenants' use where the settings name none, in seconds.
