--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -14,13 +14,13 @@
 use crate::resumption;
 use crate::staleness::{LookupDecision, evaluate, evaluate_key};
 use bytes::Bytes;
+use courseshunt_http::{BodyLimits, BodyProblem, BodyReader, STOPPED_AFTER_MS};
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
 use courseshunt_services::{
     Fingerprints, LimitedRequest, RequestContent, ReservationTerms, Route, RouteTable, Tenant,
 };
 use courseshunt_types::{Digest, Millis};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -40,6 +40,10 @@
 /// Retry-After of quarantined requests: the quarantine does not end sooner.
 pub(crate) const QUARANTINE_RETRY_AFTER: Millis = Millis(60_000);
 
+/// Retry-After of requests whose bodies find no memory: bodies that have stopped arriving by now can
+/// be given up for theirs then.
+const MEMORY_RETRY_AFTER: Millis = Millis(STOPPED_AFTER_MS);
+
 /// Tenant and key of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
@@ -58,9 +62,13 @@
 
 impl From<Refusal> for Denial {
     fn from(refusal: Refusal) -> Self {
+        let retry_after = match refusal {
+            Refusal::NoMemory => MEMORY_RETRY_AFTER,
+            _ => ROUTER_RETRY_AFTER,
+        };
         Self {
             refusal,
-            retry_after: ROUTER_RETRY_AFTER,
+            retry_after,
             is_reserved: false,
         }
     }
@@ -181,7 +189,12 @@
     let service = service.clone();
     let limits = &table.configuration().limits;
     progress.enter(RequestStage::RequestBody);
-    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let body_limits = BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        deadline,
+        idle_timeout: Duration::from(limits.idle_timeout),
+    };
+    let body = read_body(body, body_limits, shared).await?;
     // The body may have arrived long after the head.
     refuse_if_closed(shared)?;
     let uri = origin_form(&head.uri);
@@ -390,11 +403,18 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BrokenBody),
+async fn read_body(body: Incoming, limits: BodyLimits, shared: &Shared) -> Result<Bytes, Refusal> {
+    let mut reader = BodyReader::new(body, limits, &shared.memory);
+    loop {
+        return match reader.read().await {
+            Ok(body) => Ok(body),
+            // A planned stop bounds the wait, and refuses the request itself.
+            Err(BodyProblem::Stopped) if shared.stopping.is_cancelled() => continue,
+            Err(BodyProblem::Stopped) => Err(Refusal::BodyStopped),
+            Err(BodyProblem::GivenUp) => Err(Refusal::BodyGivenUp),
+            Err(BodyProblem::NoMemory) => Err(Refusal::NoMemory),
+            Err(BodyProblem::TooLong { .. }) => Err(Refusal::TooLarge),
+            Err(BodyProblem::Late | BodyProblem::Broken { .. }) => Err(Refusal::BrokenBody),
+        };
     }
 }
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -13,12 +13,14 @@
 use crate::pool::{ConnectionRecord, Endpoint, SendError, Upstream};
 use crate::records::RouterRecord;
 use bytes::Bytes;
-use courseshunt_http::{Body, BodyFraming, SendTracker, TrackedStream, full_body};
+use courseshunt_http::{
+    Body, BodyFraming, BodyLimits, BodyProblem, BodyReader, SendTracker, TrackedStream, full_body,
+};
 use courseshunt_records::emit;
 use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
 use courseshunt_types::{Millis, RouterId};
 use courseshunt_wire::{AuthenticatedStream, PROTOCOL_VERSION, PeerIdentity, accept_stream};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -243,20 +245,19 @@
         let method = head.method.clone();
         let max_body = shared.view.table();
         let max_body = max_body.map_or(0, |table| table.configuration().limits.max_body_bytes);
-        let collecting = Limited::new(body, max_body).collect();
-        let collected = match tokio::time::timeout_at(deadline, collecting).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) => {
-                let problem = format!("read the body: {error}");
-                return Err(Failure::new(ForwardOutcome::Rejected, problem));
-            }
-            Err(_) => {
-                return Err(Failure::new(
-                    ForwardOutcome::Rejected,
-                    "read the body: timeout",
-                ));
-            }
+        let limits = BodyLimits {
+            max_bytes: max_body,
+            deadline,
+            idle_timeout: IDLE_TIMEOUT,
         };
+        let read = BodyReader::new(body, limits, &shared.memory).read().await;
+        let collected = read.map_err(|problem| {
+            let outcome = match problem {
+                BodyProblem::NoMemory | BodyProblem::GivenUp => ForwardOutcome::Busy,
+                _ => ForwardOutcome::Rejected,
+            };
+            Failure::new(outcome, format!("read the body: {problem}"))
+        })?;
         let request = Request::from_parts(head, Full::new(collected));
         let sending = self.send(&view, &instruction, id, request, deadline);
         let (response, mut upstream) = sending.await?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
     ResponseMetadata, Resumption,
 };
 
+use courseshunt_http::MemoryBudget;
 use courseshunt_records::emit;
 use courseshunt_services::InstancePaths;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
@@ -107,6 +108,8 @@
     paths: Mutex<InstancePaths>,
     pub(crate) forwarders: Arc<ForwarderList>,
     pub(crate) metrics: Metrics,
+    /// Memory of all bodies that this process holds.
+    pub(crate) memory: MemoryBudget,
     pub(crate) quotas: Arc<QuotaTracker>,
     pub(crate) limits: LimitTracker,
     pub(crate) origins: OriginTracker,
@@ -214,6 +217,7 @@
             paths: Mutex::default(),
             forwarders: Arc::default(),
             metrics,
+            memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
                 view::INITIAL_ROUTER_COUNT,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: the number of exported time series is bounded, for any number of tenants.
 
+use courseshunt_http::BudgetUsage;
 use courseshunt_metrics::page_with_process;
 use courseshunt_types::Millis;
 use prometheus_client::metrics::counter::Counter;
@@ -50,6 +51,8 @@
     pub(crate) instances_unreachable: usize,
     /// Number of instances that this router reaches only through other routers.
     pub(crate) instances_forwarded: usize,
+    /// Memory of the bodies that the process holds.
+    pub(crate) memory: BudgetUsage,
 }
 
 /// Metrics of a router.
@@ -71,6 +74,8 @@
     instances_with_load: Gauge,
     instances_unreachable: Gauge,
     instances_forwarded: Gauge,
+    body_bytes: Family<Labels, Gauge>,
+    arriving_bodies: Gauge,
     forwarded: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
@@ -112,6 +117,8 @@
             instances_with_load: Gauge::default(),
             instances_unreachable: Gauge::default(),
             instances_forwarded: Gauge::default(),
+            body_bytes: Family::default(),
+            arriving_bodies: Gauge::default(),
             forwarded: Family::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
@@ -181,6 +188,12 @@
         let through_others = self.instances_forwarded.clone();
         let help = "Instances that this router reaches only through other routers";
         registry.register("instances_forwarded", help, through_others);
+        let body_bytes = self.body_bytes.clone();
+        let help = "Memory that bodies occupy, by pool: small, large";
+        registry.register("body_bytes", help, body_bytes);
+        let arriving = self.arriving_bodies.clone();
+        let help = "Bodies that have not arrived whole";
+        registry.register("arriving_bodies", help, arriving);
         let forwarded = self.forwarded.clone();
         let help = "Requests of other routers that this one was to forward, by outcome; foreign: \
                     connections that were rejected";
@@ -309,6 +322,16 @@
             .set(value(count.units));
     }
 
+    fn export_memory(&self, usage: &BudgetUsage) {
+        let value = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        let pools = [("small", usage.small_bytes), ("large", usage.large_bytes)];
+        for (pool, bytes) in pools {
+            let labels = vec![("pool", pool.to_owned())];
+            self.body_bytes.get_or_create(&labels).set(value(bytes));
+        }
+        self.arriving_bodies.set(value(usage.arriving));
+    }
+
     pub(crate) fn retry_allowed(&self) {
         self.retries_allowed.inc();
     }
@@ -409,7 +432,9 @@
             instances_with_load,
             instances_unreachable,
             instances_forwarded,
+            memory,
         } = *values;
+        self.export_memory(&memory);
         self.instances_forwarded
             .set(i64::try_from(instances_forwarded).unwrap_or(i64::MAX));
         self.instances_unreachable
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Responses that the router itself gives.
 //!
-//! Invariant: a response with the status 429 or 503 states that the request has not run.
+//! Invariant: a response with the status 408, 429 or 503 states that the request has not run.
 
 use courseshunt_http::{Body, full_body};
 use courseshunt_types::Millis;
@@ -24,6 +24,14 @@
     TooLarge,
     /// The body was incomplete or did not arrive in time.
     BrokenBody,
+    /// The process has no memory left for the body; the request has not run.
+    NoMemory,
+    /// The body had stopped arriving, and its memory was needed for another one. The request was
+    /// never complete, so it has not run and never will.
+    BodyGivenUp,
+    /// Nothing of the body arrived for the idle timeout. The request was never complete, so it has
+    /// not run and never will.
+    BodyStopped,
     /// No instance could accept the request in time; it has not run.
     NoInstance,
     /// This router has lost its paths to all instances that could serve the request, and knows no
@@ -55,8 +63,10 @@
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenBody => StatusCode::BAD_REQUEST,
+            Self::BodyGivenUp | Self::BodyStopped => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
             | Self::Stale
+            | Self::NoMemory
             | Self::NoInstance
             | Self::PathLost
             | Self::TurnedAway
@@ -76,7 +86,15 @@
 
     /// Whether the connection must be closed after the response.
     fn closes_connection(self) -> bool {
-        matches!(self, Self::TooLarge | Self::BrokenBody | Self::Stopping)
+        matches!(
+            self,
+            Self::TooLarge
+                | Self::BrokenBody
+                | Self::NoMemory
+                | Self::BodyGivenUp
+                | Self::BodyStopped
+                | Self::Stopping
+        )
     }
 
     /// Value for the body, records and metrics.
@@ -89,6 +107,9 @@
             Self::OverQuota => "over_quota",
             Self::TooLarge => "too_large",
             Self::BrokenBody => "broken_body",
+            Self::NoMemory => "no_memory",
+            Self::BodyGivenUp => "body_given_up",
+            Self::BodyStopped => "body_stopped",
             Self::NoInstance => "no_instance",
             Self::PathLost => "path_lost",
             Self::TurnedAway => "turned_away",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -120,6 +120,7 @@
                 instances_with_load: shared.view.instances_with_load(),
                 instances_unreachable: shared.view.unreachable_count(shared.clock.now()),
                 instances_forwarded: shared.paths().forwarded_count(),
+                memory: shared.memory.usage(),
             });
             text_response(StatusCode::OK, page)
         }
