--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -21,7 +21,7 @@
     Fingerprints, LimitedRequest, RequestContent, ReservationTerms, Route, RouteTable, Tenant,
 };
 use courseshunt_types::{Digest, Millis};
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
@@ -166,6 +166,8 @@
     resolved.route = Some(route.clone());
     let caller = resolve_caller(&table, &route, metadata.key, shared)?;
     resolved.tenant = caller.as_ref().map(|caller| caller.tenant.clone());
+    let limits = &table.configuration().limits;
+    refuse_if_announced_too_long(&body, limits.max_body_bytes)?;
     let timeout = metadata
         .deadline
         .map_or(route.timeout, |requested| requested.min(route.timeout));
@@ -187,7 +189,6 @@
     let service = writer.as_ref().map_or(service, |writer| &writer.service);
     let service = table.service(service).ok_or(Refusal::NoRoute)?;
     let service = service.clone();
-    let limits = &table.configuration().limits;
     progress.enter(RequestStage::RequestBody);
     let body_limits = BodyLimits {
         max_bytes: limits.max_body_bytes,
@@ -245,6 +246,15 @@
     }
 }
 
+/// Refuses a request whose head announces a body over the limit, before any of it is read.
+fn refuse_if_announced_too_long(body: &Incoming, max_bytes: usize) -> Result<(), Refusal> {
+    let announced = body.size_hint().lower();
+    match announced > max_bytes as u64 {
+        true => Err(Refusal::TooLarge),
+        false => Ok(()),
+    }
+}
+
 /// Name of the service to which a new request is sent.
 fn pick_service(route: &Route) -> Result<&String, Refusal> {
     let target = pick_target(&route.targets, rand::random());
--- a/crates/http/src/body_reader.rs
+++ b/crates/http/src/body_reader.rs
@@ -98,6 +98,13 @@
         if self.last_arrival.elapsed() >= self.limits.idle_timeout {
             self.last_arrival = Instant::now();
         }
+        let max_bytes = self.limits.max_bytes;
+        if self
+            .announced_bytes
+            .is_some_and(|length| length > max_bytes)
+        {
+            return Err(BodyProblem::TooLong { max_bytes });
+        }
         loop {
             let idle_until = self.last_arrival + self.limits.idle_timeout;
             let until = idle_until.min(self.limits.deadline);
