--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt;
+mod client_limits;
 mod controller_search;
 pub mod current_document;
 mod demand;
@@ -57,7 +58,7 @@
     ResponseMetadata, Resumption,
 };
 
-use courseshunt_http::MemoryBudget;
+use courseshunt_http::{ConnectionTable, MemoryBudget};
 use courseshunt_records::emit;
 use courseshunt_services::InstancePaths;
 use courseshunt_settings::service::{SeedList, ServiceSettings};
@@ -108,6 +109,7 @@
     paths: Mutex<InstancePaths>,
     pub(crate) forwarders: Arc<ForwarderList>,
     pub(crate) metrics: Metrics,
+    pub(crate) clients: ConnectionTable,
     /// Memory of all bodies that this process holds.
     pub(crate) memory: MemoryBudget,
     pub(crate) quotas: Arc<QuotaTracker>,
@@ -217,6 +219,7 @@
             paths: Mutex::default(),
             forwarders: Arc::default(),
             metrics,
+            clients: ConnectionTable::default(),
             memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub(crate) instances_unreachable: usize,
     /// Number of instances that this router reaches only through other routers.
     pub(crate) instances_forwarded: usize,
+    /// Open connections of clients.
+    pub(crate) client_connections: usize,
     /// Memory of the bodies that the process holds.
     pub(crate) memory: BudgetUsage,
 }
@@ -74,6 +76,8 @@
     instances_with_load: Gauge,
     instances_unreachable: Gauge,
     instances_forwarded: Gauge,
+    client_connections: Gauge,
+    client_connections_closed: Family<Labels, Counter>,
     body_bytes: Family<Labels, Gauge>,
     arriving_bodies: Gauge,
     forwarded: Family<Labels, Counter>,
@@ -117,6 +121,8 @@
             instances_with_load: Gauge::default(),
             instances_unreachable: Gauge::default(),
             instances_forwarded: Gauge::default(),
+            client_connections: Gauge::default(),
+            client_connections_closed: Family::default(),
             body_bytes: Family::default(),
             arriving_bodies: Gauge::default(),
             forwarded: Family::default(),
@@ -188,6 +194,13 @@
         let through_others = self.instances_forwarded.clone();
         let help = "Instances that this router reaches only through other routers";
         registry.register("instances_forwarded", help, through_others);
+        let open = self.client_connections.clone();
+        let help = "Open connections of clients";
+        registry.register("client_connections", help, open);
+        let closed = self.client_connections_closed.clone();
+        let help = "Clients' connections closed at their bound: idle ones for new ones (idle), new \
+                    ones while all others had requests (new)";
+        registry.register("client_connections_closed", help, closed);
         let body_bytes = self.body_bytes.clone();
         let help = "Memory that bodies occupy, by pool: small, large";
         registry.register("body_bytes", help, body_bytes);
@@ -322,6 +335,12 @@
             .set(value(count.units));
     }
 
+    /// Counts a client's connection that is closed at their bound.
+    pub(crate) fn client_connection_closed(&self, which: &str) {
+        let labels = vec![("closed", which.to_owned())];
+        self.client_connections_closed.get_or_create(&labels).inc();
+    }
+
     fn export_memory(&self, usage: &BudgetUsage) {
         let value = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         let pools = [("small", usage.small_bytes), ("large", usage.large_bytes)];
@@ -433,7 +452,10 @@
             instances_unreachable,
             instances_forwarded,
             memory,
+            client_connections,
         } = *values;
+        self.client_connections
+            .set(i64::try_from(client_connections).unwrap_or(i64::MAX));
         self.export_memory(&memory);
         self.instances_forwarded
             .set(i64::try_from(instances_forwarded).unwrap_or(i64::MAX));
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -351,6 +351,18 @@
     },
     /// A connection that does not come from a router of this cluster and protocol version.
     ForwardingRejected { peer: &'a str, problem: &'a str },
+    /// A connection of a client is closed at their bound.
+    ClientConnectionClosed {
+        /// `idle`: the one that has been without a request for the longest time; `new`: the new
+        /// one, since all others have requests.
+        closed: &'static str,
+        /// Address of the new connection.
+        peer: &'a str,
+        /// Open connections, those that are being closed included.
+        open: usize,
+        /// The bound.
+        max: usize,
+    },
     /// A response of an instance asked for a backoff.
     InstanceRests {
         instance: &'a str,
@@ -418,7 +430,9 @@
         // One line for each request, or for each connection of a stranger.
         !matches!(
             self,
-            Self::Forwarded { .. } | Self::ForwardingRejected { .. }
+            Self::Forwarded { .. }
+                | Self::ForwardingRejected { .. }
+                | Self::ClientConnectionClosed { .. }
         )
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,12 +4,15 @@
 //! the connection has ended.
 
 use crate::Shared;
+use crate::client_limits::max_client_connections;
 use crate::handle::handle;
 use crate::metrics::GaugeValues;
+use crate::records::RouterRecord;
 use courseshunt_http::{
-    CloseDelimitedStream, CloseDelimiter, RequestLine, SendTracker, ServerLimits, TrackedStream,
-    text_response,
+    CloseDelimitedStream, CloseDelimiter, ConnectionPlace, RequestLine, SendTracker, ServerLimits,
+    TrackedStream, text_response,
 };
+use courseshunt_records::emit;
 use courseshunt_services::ClientLimits;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,6 +20,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -30,8 +34,12 @@
 pub(crate) async fn accept_clients(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_client(stream, shared.clone()));
+            Ok((stream, peer)) => {
+                if let Some(place) = admit_connection(peer, &shared) {
+                    tokio::spawn(serve_client(stream, place, shared.clone()));
+                }
+                // The connections that give way are closed before others are accepted.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("router: accept of a client connection failed: {error}");
@@ -41,18 +49,56 @@
     }
 }
 
-async fn serve_client(stream: TcpStream, shared: Arc<Shared>) {
-    let _ = stream.set_nodelay(true);
-    let limits = shared.view.table();
-    let limits = limits.map_or(ClientLimits::default(), |table| {
-        table.configuration().limits
+/// The place of a new connection, for which the longest idle one may have to be closed; `None` if
+/// it must be closed at once.
+fn admit_connection(peer: SocketAddr, shared: &Shared) -> Option<ConnectionPlace> {
+    let max = max_client_connections(&shared.settings.limits, &shared.client_limits());
+    let admission = shared.clients.admit(max);
+    let closed = match &admission {
+        Some(admission) if !admission.closes_idle => return Some(admission.place.clone()),
+        Some(_) => ClosedConnection::Idle,
+        None => ClosedConnection::New,
+    };
+    shared.metrics.client_connection_closed(closed.name());
+    emit(&RouterRecord::ClientConnectionClosed {
+        closed: closed.name(),
+        peer: &peer.to_string(),
+        open: shared.clients.open_count(),
+        max,
     });
+    admission.map(|admission| admission.place)
+}
+
+/// Which connection is closed at the bound.
+#[derive(Debug, Clone, Copy)]
+enum ClosedConnection {
+    /// The one that has been without a request for the longest time.
+    Idle,
+    /// The new one, since all others have requests.
+    New,
+}
+
+impl ClosedConnection {
+    /// Value in records and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::New => "new",
+        }
+    }
+}
+
+async fn serve_client(stream: TcpStream, place: ConnectionPlace, shared: Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let limits = shared.client_limits();
     let serving = shared.clone();
     let delimiter = CloseDelimiter::default();
     let stream = CloseDelimitedStream::new(stream, delimiter.clone());
     let tracker = SendTracker::default();
     let stream = TrackedStream::new(stream, tracker.clone());
+    let requests = place.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        let in_flight = requests.begin_request();
         let shared = serving.clone();
         let token = shared.requests.token();
         let delimiter = delimiter.clone();
@@ -61,7 +107,7 @@
             let line = RequestLine::of(&request);
             let response = handle(request, shared).await;
             let response = delimiter.prepare(&line, response);
-            Ok::<_, Infallible>(tracker.hold_until_written(response, token))
+            Ok::<_, Infallible>(tracker.hold_until_written(response, (token, in_flight)))
         }
     });
     let connection = http1::Builder::new()
@@ -76,13 +122,41 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = place.close_due() => {
+            connection.as_mut().graceful_shutdown();
+            close_if_idle(connection, &place).await
+        }
     };
     if let Err(error) = ended {
         log::debug!("router: client connection ended with an error: {error}");
     }
 }
 
+/// Drives a connection that closes after its request, or drops it at once if it has none.
+async fn close_if_idle<C>(mut connection: C, place: &ConnectionPlace) -> hyper::Result<()>
+where
+    C: Future<Output = hyper::Result<()>> + Unpin,
+{
+    tokio::select! {
+        biased;
+        ended = &mut connection => return ended,
+        () = std::future::ready(()) => {}
+    }
+    match place.is_idle() {
+        true => Ok(()),
+        false => connection.await,
+    }
+}
+
 impl Shared {
+    /// Limits of clients in force.
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        let table = self.view.table();
+        table.map_or(ClientLimits::default(), |table| {
+            table.configuration().limits
+        })
+    }
+
     /// Resolves when idle connections must be closed for a planned stop.
     pub(crate) async fn idle_close_due(&self) {
         self.stopping.cancelled().await;
@@ -121,6 +195,7 @@
                 instances_unreachable: shared.view.unreachable_count(shared.clock.now()),
                 instances_forwarded: shared.paths().forwarded_count(),
                 memory: shared.memory.usage(),
+                client_connections: shared.clients.open_count(),
             });
             text_response(StatusCode::OK, page)
         }
--- a/crates/http/src/sending.rs
+++ b/crates/http/src/sending.rs
@@ -16,20 +16,32 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Tokens of the responses on one connection. Clones share their state.
-#[derive(Debug, Clone, Default)]
-pub struct SendTracker {
+#[derive(Debug)]
+pub struct SendTracker<T = TaskTrackerToken> {
     /// Tokens of the responses whose bodies have been taken, and which may not have been written.
-    unwritten: Arc<Mutex<Vec<TaskTrackerToken>>>,
+    unwritten: Arc<Mutex<Vec<T>>>,
+}
+
+impl<T> Default for SendTracker<T> {
+    fn default() -> Self {
+        Self {
+            unwritten: Arc::default(),
+        }
+    }
 }
 
-impl SendTracker {
+impl<T> Clone for SendTracker<T> {
+    fn clone(&self) -> Self {
+        Self {
+            unwritten: self.unwritten.clone(),
+        }
+    }
+}
+
+impl<T: Send + Unpin + 'static> SendTracker<T> {
     /// Holds the token until the response has been written to the connection's [`TrackedStream`].
     #[must_use]
-    pub fn hold_until_written(
-        &self,
-        response: Response<Body>,
-        token: TaskTrackerToken,
-    ) -> Response<Body> {
+    pub fn hold_until_written(&self, response: Response<Body>, token: T) -> Response<Body> {
         let tracker = self.clone();
         response.map(|body| {
             let tracked = TrackedBody {
@@ -40,8 +52,10 @@
             tracked.boxed_unsync()
         })
     }
+}
 
-    fn add(&self, token: TaskTrackerToken) {
+impl<T> SendTracker<T> {
+    fn add(&self, token: T) {
         let unwritten = self.unwritten.lock();
         unwritten
             .unwrap_or_else(PoisonError::into_inner)
@@ -55,13 +69,13 @@
 }
 
 /// A body whose token goes to the tracker when the library has taken it or gives it up.
-struct TrackedBody {
+struct TrackedBody<T> {
     body: Body,
-    token: Option<TaskTrackerToken>,
-    tracker: SendTracker,
+    token: Option<T>,
+    tracker: SendTracker<T>,
 }
 
-impl Drop for TrackedBody {
+impl<T> Drop for TrackedBody<T> {
     fn drop(&mut self) {
         if let Some(token) = self.token.take() {
             self.tracker.add(token);
@@ -69,7 +83,7 @@
     }
 }
 
-impl HttpBody for TrackedBody {
+impl<T: Unpin> HttpBody for TrackedBody<T> {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -91,26 +105,26 @@
 
 /// The connection of a [`SendTracker`]. The library flushes it when it has written all that it holds.
 #[derive(Debug)]
-pub struct TrackedStream<S> {
+pub struct TrackedStream<S, T = TaskTrackerToken> {
     stream: S,
-    tracker: SendTracker,
+    tracker: SendTracker<T>,
 }
 
-impl<S> TrackedStream<S> {
+impl<S, T> TrackedStream<S, T> {
     /// A stream for the responses that `tracker` counts.
     #[must_use]
-    pub fn new(stream: S, tracker: SendTracker) -> Self {
+    pub fn new(stream: S, tracker: SendTracker<T>) -> Self {
         Self { stream, tracker }
     }
 }
 
-impl<S> Drop for TrackedStream<S> {
+impl<S, T> Drop for TrackedStream<S, T> {
     fn drop(&mut self) {
         self.tracker.release();
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
+impl<S: AsyncRead + Unpin, T> AsyncRead for TrackedStream<S, T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -120,7 +134,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedStream<S> {
+impl<S: AsyncWrite + Unpin, T> AsyncWrite for TrackedStream<S, T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
