--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,12 @@
 
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+/// Limits of the readiness and the metrics address.
+const PROBE_LIMITS: ServerLimits = ServerLimits {
+    max_connections: 64,
+    header_timeout: Duration::from_secs(10),
+    max_header_bytes: 8 * 1024,
+};
 /// Minimum read buffer that hyper accepts.
 pub(crate) const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -124,7 +130,7 @@
         }
         () = place.close_due() => {
             connection.as_mut().graceful_shutdown();
-            close_if_idle(connection, &place).await
+            place.finish(connection).await.unwrap_or(Ok(()))
         }
     };
     if let Err(error) = ended {
@@ -132,22 +138,6 @@
     }
 }
 
-/// Drives a connection that closes after its request, or drops it at once if it has none.
-async fn close_if_idle<C>(mut connection: C, place: &ConnectionPlace) -> hyper::Result<()>
-where
-    C: Future<Output = hyper::Result<()>> + Unpin,
-{
-    tokio::select! {
-        biased;
-        ended = &mut connection => return ended,
-        () = std::future::ready(()) => {}
-    }
-    match place.is_idle() {
-        true => Ok(()),
-        false => connection.await,
-    }
-}
-
 impl Shared {
     /// Limits of clients in force.
     pub(crate) fn client_limits(&self) -> ClientLimits {
@@ -177,7 +167,7 @@
             }
         }
     };
-    courseshunt_http::serve(listener, ServerLimits::default(), ended, handler).await;
+    courseshunt_http::serve(listener, PROBE_LIMITS, ended, handler).await;
 }
 
 /// Serves the metrics page.
@@ -200,5 +190,5 @@
             text_response(StatusCode::OK, page)
         }
     };
-    courseshunt_http::serve(listener, ServerLimits::default(), ended, handler).await;
+    courseshunt_http::serve(listener, PROBE_LIMITS, ended, handler).await;
 }
--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -159,6 +159,20 @@
         matches!(*self.inner.activity(), Activity::Idle(_))
     }
 
+    /// Drives a connection that is to be closed, whose HTTP library takes no further request: to
+    /// the end of its request, or once if it has none. `None` if it is dropped then.
+    pub async fn finish<C: Future + Unpin>(&self, mut connection: C) -> Option<C::Output> {
+        tokio::select! {
+            biased;
+            ended = &mut connection => return Some(ended),
+            () = std::future::ready(()) => {}
+        }
+        match self.is_idle() {
+            true => None,
+            false => Some(connection.await),
+        }
+    }
+
     /// Resolves when the connection is to be closed for another one.
     pub async fn close_due(&self) {
         self.inner.close.cancelled().await;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::AcceptPace;
 use crate::body::Body;
+use crate::connection_table::{ConnectionPlace, ConnectionTable};
 use crate::sending::{SendTracker, TrackedStream};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -11,17 +12,16 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// Connections at the most; more wait to be accepted.
+    /// Connections at the most. For a new one, the one that has been without a request for the
+    /// longest time is closed; if all have requests, the new one is.
     pub max_connections: usize,
     /// Longest time from a request's first byte to the end of its headers.
     pub header_timeout: Duration,
@@ -93,22 +93,23 @@
     F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    let slots = Arc::new(Semaphore::new(limits.max_connections));
+    let table = ConnectionTable::default();
     let connections = TaskTracker::new();
     let late = TaskTracker::new();
-    let serve_on = |tracker: &TaskTracker, (stream, peer, slot): Accepted| {
+    let serve_on = |tracker: &TaskTracker, (stream, peer, place): Accepted| {
         let stop = stop.clone();
         let requests = requests.clone();
-        let serving = serve_connection(stream, peer, limits, stop, requests, handler.clone());
-        tracker.spawn(async move {
-            serving.await;
-            drop(slot);
-        });
+        let connection = Connection {
+            stream,
+            peer,
+            place,
+        };
+        tracker.spawn(connection.serve(limits, stop, requests, handler.clone()));
     };
     let accepting = async {
         let mut pace = AcceptPace::default();
         loop {
-            if let Some(accepted) = accept(&listener, &slots).await {
+            if let Some(accepted) = accept(&listener, &table, limits.max_connections).await {
                 serve_on(&connections, accepted);
                 pace.accepted().await;
             }
@@ -119,7 +120,7 @@
     loop {
         let accepted = tokio::select! {
             () = connections.wait() => break,
-            accepted = accept(&listener, &slots) => accepted,
+            accepted = accept(&listener, &table, limits.max_connections) => accepted,
         };
         if let Some(accepted) = accepted {
             serve_on(&late, accepted);
@@ -130,13 +131,19 @@
     late.wait().await;
 }
 
-type Slot = tokio::sync::OwnedSemaphorePermit;
-type Accepted = (TcpStream, SocketAddr, Slot);
+type Accepted = (TcpStream, SocketAddr, ConnectionPlace);
 
-async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> Option<Accepted> {
-    let slot = slots.clone().acquire_owned().await.ok()?;
+async fn accept(listener: &TcpListener, table: &ConnectionTable, max: usize) -> Option<Accepted> {
     match listener.accept().await {
-        Ok((stream, peer)) => Some((stream, peer, slot)),
+        Ok((stream, peer)) => {
+            let admission = table.admit(max);
+            if admission.as_ref().is_none_or(|one| one.closes_idle) {
+                log::debug!("http: {max} connections are open when {peer} connects");
+                // A connection that gives way is closed before others are accepted.
+                tokio::task::yield_now().await;
+            }
+            admission.map(|admission| (stream, peer, admission.place))
+        }
         Err(error) => {
             log::warn!("http: accept failed: {error}");
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -145,50 +152,69 @@
     }
 }
 
-async fn serve_connection<F, R>(
+/// An accepted connection.
+struct Connection {
     stream: TcpStream,
     peer: SocketAddr,
-    limits: ServerLimits,
-    stop: CancellationToken,
-    requests: TaskTracker,
-    handler: F,
-) where
-    F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = Response<Body>> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let tracker = SendTracker::default();
-    let stream = TrackedStream::new(stream, tracker.clone());
-    let stopping = stop.clone();
-    let service = service_fn(move |request| {
-        let answer = handler(request, peer);
-        let stopping = stopping.clone();
-        let tracker = tracker.clone();
-        let token = requests.token();
-        async move {
-            let mut response = answer.await;
-            if stopping.is_cancelled() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
+    place: ConnectionPlace,
+}
+
+impl Connection {
+    async fn serve<F, R>(
+        self,
+        limits: ServerLimits,
+        stop: CancellationToken,
+        requests: TaskTracker,
+        handler: F,
+    ) where
+        F: Fn(Request<Incoming>, SocketAddr) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let Self {
+            stream,
+            peer,
+            place,
+        } = self;
+        let _ = stream.set_nodelay(true);
+        let tracker = SendTracker::default();
+        let stream = TrackedStream::new(stream, tracker.clone());
+        let stopping = stop.clone();
+        let serving = place.clone();
+        let service = service_fn(move |request| {
+            let in_flight = serving.begin_request();
+            let answer = handler(request, peer);
+            let stopping = stopping.clone();
+            let tracker = tracker.clone();
+            let token = requests.token();
+            async move {
+                let mut response = answer.await;
+                if stopping.is_cancelled() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(tracker.hold_until_written(response, (token, in_flight)))
             }
-            Ok::<_, Infallible>(tracker.hold_until_written(response, token))
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes * HEADER_BUFFER_FACTOR)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = lingered(&stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(limits.max_header_bytes * HEADER_BUFFER_FACTOR)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = lingered(&stop) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+            () = place.close_due() => {
+                connection.as_mut().graceful_shutdown();
+                place.finish(connection).await.unwrap_or(Ok(()))
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("http: connection of {peer} ended: {error}");
         }
-    };
-    if let Err(error) = ended {
-        log::debug!("http: connection of {peer} ended: {error}");
     }
 }
 
