--- a/crates/http/src/body_reader.rs
+++ b/crates/http/src/body_reader.rs
@@ -95,9 +95,6 @@
     /// # Errors
     /// See [`BodyProblem`]. After [`BodyProblem::Stopped`], reading may go on with another call.
     pub async fn read(&mut self) -> Result<Bytes, BodyProblem> {
-        if self.last_arrival.elapsed() >= self.limits.idle_timeout {
-            self.last_arrival = Instant::now();
-        }
         let max_bytes = self.limits.max_bytes;
         if self
             .announced_bytes
@@ -117,6 +114,7 @@
                 return Err(BodyProblem::Late);
             }
             if now >= self.last_arrival + self.limits.idle_timeout {
+                self.last_arrival = now;
                 return Err(BodyProblem::Stopped);
             }
         }
@@ -151,14 +149,15 @@
         if needed > max_bytes {
             return Err(BodyProblem::TooLong { max_bytes });
         }
-        self.last_arrival = Instant::now();
+        let now = Instant::now();
+        self.last_arrival = now;
         let held = self.reservation.bytes();
         let capacity = next_capacity(held, needed, self.announced_bytes, max_bytes);
         if capacity > held {
-            self.reservation.grow_to(capacity)?;
+            self.reservation.grow_at(capacity, now.into_std())?;
             self.buffer.reserve_exact(capacity - self.buffer.len());
         } else {
-            self.reservation.touch();
+            self.reservation.touch(now.into_std());
         }
         self.buffer.extend_from_slice(data);
         Ok(())
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -142,8 +142,9 @@
         state.unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn now_ms(&self) -> u64 {
-        let elapsed = self.shared.started.elapsed();
+    /// A time in milliseconds since the start of the budget.
+    fn at_ms(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.shared.started);
         u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 }
@@ -183,7 +184,12 @@
     /// # Errors
     /// If the memory is not to be had; what was reserved stays reserved.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), NotReserved> {
-        let now_ms = self.budget.now_ms();
+        self.grow_at(bytes, Instant::now())
+    }
+
+    /// The same for a body of which bytes have arrived now.
+    pub(crate) fn grow_at(&mut self, bytes: usize, now: Instant) -> Result<(), NotReserved> {
+        let now_ms = self.budget.at_ms(now);
         self.record_arrival(now_ms);
         let budget = self.budget.clone();
         let mut state = budget.lock();
@@ -228,9 +234,9 @@
     }
 
     /// Records that bytes of an arriving body have come.
-    pub(crate) fn touch(&self) {
+    pub(crate) fn touch(&self, now: Instant) {
         if self.arrival.is_some() {
-            self.record_arrival(self.budget.now_ms());
+            self.record_arrival(self.budget.at_ms(now));
         }
     }
 
@@ -255,7 +261,7 @@
     }
 
     fn begin_arrival(&mut self) {
-        let now_ms = self.budget.now_ms();
+        let now_ms = self.budget.at_ms(Instant::now());
         let arrival = Arc::new(Arrival::default());
         arrival.last_ms.store(now_ms, Ordering::Relaxed);
         let mut state = self.budget.lock();
