--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::Shared;
 use crate::flight::Flight;
 use crate::pool::Upstream;
+use crate::received_body::EndedInsideEvent;
 use bytes::Bytes;
 use courseshunt_http::OutOfOrder;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
@@ -23,8 +24,8 @@
     flight: Option<Flight>,
     upstream: Option<Upstream>,
     shared: Arc<Shared>,
-    /// An event that is not passed on, once what precedes it has been.
-    withheld: Option<WithheldEvent>,
+    /// Why the response is broken off, once what precedes has been written.
+    break_off: Option<BreakOff>,
 }
 
 /// Why a response is truncated.
@@ -35,6 +36,8 @@
     Time,
     /// This event is out of order.
     Order(OutOfOrder),
+    /// The response ended inside an event.
+    InsideEvent(EndedInsideEvent),
 }
 
 impl BreakCause {
@@ -43,18 +46,28 @@
             Self::Instance(problem) => problem.clone(),
             Self::Time => "the request's time is over".to_owned(),
             Self::Order(cause) => cause.to_string(),
+            Self::InsideEvent(cause) => cause.to_string(),
         }
     }
 }
 
-/// An event before which a stream is broken off.
-struct WithheldEvent {
-    cause: OutOfOrder,
-    /// Whether the server had the occasion to write what precedes the event. It drops what it has
-    /// buffered when a body fails.
+/// A response that is about to be broken off.
+struct BreakOff {
+    cause: BreakCause,
+    /// Whether the server had the occasion to write what precedes, the head included. It drops what
+    /// it has buffered when a body fails.
     is_flushed: bool,
 }
 
+impl From<BreakCause> for BreakOff {
+    fn from(cause: BreakCause) -> Self {
+        Self {
+            cause,
+            is_flushed: false,
+        }
+    }
+}
+
 impl RelayBody {
     pub(crate) fn new(
         incoming: Incoming,
@@ -69,16 +82,20 @@
             flight: Some(flight),
             upstream: Some(upstream),
             shared,
-            withheld: None,
+            break_off: None,
         }
     }
 
-    fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn finish(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if let Some(mut flight) = self.flight.take()
             && let Some(upstream) = self.upstream.take()
         {
             if let Err(error) = flight.finish() {
-                return Poll::Ready(Some(Err(io::Error::other(error))));
+                let cause = BreakCause::InsideEvent(error);
+                return self.break_off(cause.into(), context);
             }
             self.shared.pool.put_back(upstream);
         }
@@ -92,6 +109,7 @@
                 BreakCause::Instance(_) => flight.truncated(&problem),
                 BreakCause::Time => flight.deadline_exceeded(&problem),
                 BreakCause::Order(cause) => flight.out_of_order(cause),
+                BreakCause::InsideEvent(_) => {}
             }
         }
         self.upstream = None;
@@ -110,30 +128,27 @@
         let Err(cause) = flight.record_part(data) else {
             return Poll::Ready(Some(Ok(frame)));
         };
-        let withheld = WithheldEvent {
-            cause,
-            is_flushed: false,
-        };
+        let break_off = BreakOff::from(BreakCause::Order(cause));
         if cause.preceding_bytes == 0 {
-            return self.break_off(withheld, context);
+            return self.break_off(break_off, context);
         }
         let preceding = data.slice(..cause.preceding_bytes);
-        self.withheld = Some(withheld);
+        self.break_off = Some(break_off);
         Poll::Ready(Some(Ok(Frame::data(preceding))))
     }
 
-    /// Breaks the stream off at the second poll: a body that is not ready has the server write what
+    /// Breaks the response off at the second poll: a body that is not ready has the server write what
     /// it has buffered.
     fn break_off(
         &mut self,
-        mut withheld: WithheldEvent,
+        mut break_off: BreakOff,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if withheld.is_flushed {
-            return self.fail(&BreakCause::Order(withheld.cause));
+        if break_off.is_flushed {
+            return self.fail(&break_off.cause);
         }
-        withheld.is_flushed = true;
-        self.withheld = Some(withheld);
+        break_off.is_flushed = true;
+        self.break_off = Some(break_off);
         context.waker().wake_by_ref();
         Poll::Pending
     }
@@ -147,18 +162,18 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(withheld) = self.withheld.take() {
-            return self.break_off(withheld, context);
+        if let Some(break_off) = self.break_off.take() {
+            return self.break_off(break_off, context);
         }
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => self.pass_on(frame, context),
             Poll::Ready(Some(Err(error))) => {
                 let problem = error.to_string();
-                self.fail(&BreakCause::Instance(problem))
+                self.break_off(BreakCause::Instance(problem).into(), context)
             }
-            Poll::Ready(None) => self.finish(),
+            Poll::Ready(None) => self.finish(context),
             Poll::Pending => match self.deadline.as_mut().poll(context) {
-                Poll::Ready(()) => self.fail(&BreakCause::Time),
+                Poll::Ready(()) => self.break_off(BreakCause::Time.into(), context),
                 Poll::Pending => Poll::Pending,
             },
         }
@@ -166,7 +181,7 @@
 
     /// Only a poll finds the end, and judges it.
     fn is_end_stream(&self) -> bool {
-        self.flight.is_none()
+        self.flight.is_none() && self.break_off.is_none()
     }
 
     /// No length, so that a stream that ends inside an event never looks complete by it.
