Interim responses without end were read until the deadline

Callers saw: an instance that sends interim responses (1xx) without end kept a request until its deadline, a probe for 1 s, a controller's call for 250 ms, while the one thread of the process parsed them: 94 to 174 MB in 0.7 s of a request, 164 MB in a probe, 40 to 43 MB in a report or an order.

Cause: the HTTP library skips interim responses and has no limit for them.

Change: InterimLimit counts them for each request, and the wait ends after 32. The connection is closed, as when it breaks before the response: the request may have run. It acts in Upstream::send (requests, probes, the hop between routers, the forwarder's send) and in HttpClient::send (orders and reports of controllers).

--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -7,7 +7,7 @@
 use super::Endpoint;
 use super::carried_ids::CarriedIds;
 use bytes::Bytes;
-use courseshunt_http::BodyFraming;
+use courseshunt_http::{BodyFraming, InterimLimit};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -118,11 +118,12 @@
     /// Sends a request with this id and waits for the head of the response.
     ///
     /// # Errors
-    /// If the connection is closed, breaks, or has carried the id before.
+    /// If the connection is closed, breaks, has carried the id before, or if too many interim
+    /// responses come first.
     pub(crate) async fn send(
         &mut self,
         id: &str,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if !self.accepts(id) {
             return Err(SendError::Unsent(Box::new(request)));
@@ -131,7 +132,9 @@
             self.carried_ids.insert(id);
         }
         self.requests = self.requests.saturating_add(1);
-        let sent = self.sender.try_send_request(request).await;
+        let interim = InterimLimit::of(&mut request);
+        let sent = interim.wait(self.sender.try_send_request(request)).await;
+        let sent = sent.map_err(|error| SendError::Broken(error.to_string()))?;
         sent.map_err(|mut error| match error.take_message() {
             Some(unsent) => SendError::Unsent(Box::new(unsent)),
             None => SendError::Broken(error.error().to_string()),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Body, empty_body, full_body, read_limited};
 use crate::error::HttpError;
+use crate::interim::InterimLimit;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
@@ -77,10 +78,20 @@
     ///
     /// # Errors
     /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`].
-    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
+    pub async fn send(&self, mut request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string);
         let peer = peer.unwrap_or_default();
-        let sent = self.client.request(request).await;
+        let interim = InterimLimit::of(&mut request);
+        let sent = match interim.wait(self.client.request(request)).await {
+            Ok(sent) => sent,
+            Err(error) => {
+                return Err(HttpError::Broken {
+                    step: "send a request",
+                    peer,
+                    problem: error.to_string(),
+                });
+            }
+        };
         sent.map_err(|error| {
             let problem = describe(&error);
             if error.is_connect() || is_unsent(&error) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod event_id;
 mod event_sequence;
 mod framing;
+mod interim;
 mod memory_budget;
 mod pace;
 mod response;
@@ -25,6 +26,7 @@
 pub use event_id::MAX_EVENT_ID_BYTES;
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use framing::BodyFraming;
+pub use interim::{InterimLimit, MAX_INTERIM_RESPONSES, TooManyInterim};
 pub use memory_budget::{
     BudgetUsage, DEFAULT_PROCESS_MEMORY_BYTES, MemoryBudget, NotReserved, Reservation,
 };
