Heads and read buffers of instances occupied 400 KB for each connection

Callers saw: 800 requests whose instances send a header line without end had a router occupy 350 MB, and 800 streams without end to clients that do not read 439 MB, on a machine of 256 MB: the process ends.

Cause: connections to instances used the HTTP library's buffer of some 400 KB. A head fills it before it is refused, and a body that comes faster than it is passed on grows it.

Change: one connection to an instance or a forwarder reads at most 32 KiB ahead, which also bounds the head of a response; the same for the calls of controllers.

--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -7,7 +7,7 @@
 use super::Endpoint;
 use super::carried_ids::CarriedIds;
 use bytes::Bytes;
-use courseshunt_http::{BodyFraming, InterimLimit};
+use courseshunt_http::{BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -94,7 +94,9 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_RETRIES);
         let _ = socket.set_tcp_keepalive(&keepalive);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,6 +17,9 @@
 
 /// Longest time for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest head of a response that a client of this crate or of a router reads, in bytes. A
+/// connection reads no more than this at once, whatever comes.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 /// Longest JSON reply, in bytes.
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -70,6 +73,7 @@
         connector.set_local_address(source);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
+        builder.http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES);
         let client = builder.build(connector);
         Self { client }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,7 +20,7 @@
 pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
 pub use body_reader::{BodyLimits, BodyProblem, BodyReader};
 pub use budget_ledger::{BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
-pub use client::{HttpClient, Reply};
+pub use client::{HttpClient, MAX_RESPONSE_HEAD_BYTES, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use error::HttpError;
 pub use event_id::MAX_EVENT_ID_BYTES;
