A stream outlived its deadline while its client read nothing

Callers saw: an instance that streams without end to a client that does not read went on sending, and its request kept a slot, a connection and the buffers of both sides until the client closed (6 s after a deadline of 0.7 s the instance still sent).

Cause: the deadline of a relayed response is looked at only when its body is polled and nothing has arrived. A server with a full socket does not poll.

Change: the connection to the instance is closed 2 s after the deadline, polled or not. Until then what has arrived is still delivered to a slow reader, as before. The time is checked before the body is polled: a closed connection makes the body seem complete. Through a forwarder the close ends the forwarder's own response, and with it the connection to the instance.

--- a/crates/gateway/src/pool/mod.rs
+++ b/crates/gateway/src/pool/mod.rs
@@ -6,7 +6,7 @@
 pub mod carried_ids;
 mod upstream;
 
-pub(crate) use upstream::{ConnectionRecord, SendError, Upstream};
+pub(crate) use upstream::{CloseTimer, ConnectionRecord, SendError, Upstream};
 
 use crate::dial::InstanceDialler;
 use courseshunt_types::RunnerId;
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -58,6 +58,15 @@
     connection_requests: u32,
 }
 
+/// Closes a connection at a time, unless it is dropped before.
+pub(crate) struct CloseTimer(AbortHandle);
+
+impl Drop for CloseTimer {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// A connection to an instance or a forwarder; closed when dropped.
 pub(crate) struct Upstream {
     pub(crate) endpoint: Endpoint,
@@ -192,6 +201,17 @@
         self.ends_with_response = true;
     }
 
+    /// Closes the connection at this time, whether or not the present response is being read. Its
+    /// body may look complete from then on.
+    pub(crate) fn close_at(&self, time: Instant) -> CloseTimer {
+        let connection = self.task.clone();
+        let closing = tokio::spawn(async move {
+            tokio::time::sleep_until(time).await;
+            connection.abort();
+        });
+        CloseTimer(closing.abort_handle())
+    }
+
     /// Whether the connection may carry another request after the present response.
     pub(crate) fn is_reusable(&self) -> bool {
         !self.ends_with_response && !self.carried_ids.is_full() && !self.is_closed()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 
 use crate::Shared;
 use crate::flight::Flight;
-use crate::pool::Upstream;
+use crate::pool::{CloseTimer, Upstream};
 use crate::received_body::EndedInsideEvent;
 use bytes::Bytes;
 use courseshunt_http::OutOfOrder;
@@ -14,13 +14,23 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::time::Sleep;
+use std::time::Duration;
+use tokio::time::{Instant, Sleep};
+
+/// Bytes that have arrived are passed on for this time after the deadline, to a client that reads
+/// slowly.
+const LATE_DELIVERY: Duration = Duration::from_secs(2);
 
 /// Relays a response until its end or the deadline of the request. If it is dropped before the
 /// end, the connection to the instance is closed.
 pub(crate) struct RelayBody {
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
+    /// Nothing is passed on from then on.
+    closes_at: Instant,
+    /// Closes the connection to the instance then, also if the client reads nothing, so that this
+    /// body is not polled.
+    close_timer: Option<CloseTimer>,
     flight: Option<Flight>,
     upstream: Option<Upstream>,
     shared: Arc<Shared>,
@@ -71,14 +81,17 @@
 impl RelayBody {
     pub(crate) fn new(
         incoming: Incoming,
-        deadline: tokio::time::Instant,
+        deadline: Instant,
         flight: Flight,
         upstream: Upstream,
         shared: Arc<Shared>,
     ) -> Self {
+        let closes_at = deadline + LATE_DELIVERY;
         Self {
             incoming,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
+            closes_at,
+            close_timer: Some(upstream.close_at(closes_at)),
             flight: Some(flight),
             upstream: Some(upstream),
             shared,
@@ -90,6 +103,7 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.close_timer = None;
         if let Some(mut flight) = self.flight.take()
             && let Some(upstream) = self.upstream.take()
         {
@@ -165,6 +179,10 @@
         if let Some(break_off) = self.break_off.take() {
             return self.break_off(break_off, context);
         }
+        // The connection may have been closed, and the body seem complete.
+        if Instant::now() >= self.closes_at {
+            return self.break_off(BreakCause::Time.into(), context);
+        }
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => self.pass_on(frame, context),
             Poll::Ready(Some(Err(error))) => {
