Collected answers of instances occupied memory without a bound for the process

Callers saw: 800 answers of 512 KiB that stop short of their end had a router occupy 474 MB of 256 MB; 100 answers in chunks of one byte 88 MB of 64 MB (a chunk of a byte keeps a piece of a read buffer and its place in a list).

Cause: an answer that is not a stream was collected frame by frame with a bound of 512 KiB for each, and none for all. Bodies of rejections, of probes and of replies to controllers were collected the same way.

Change: collected answers count in the process's memory budget (courseshunt_http::BodyReader). While it is used up, an answer is relayed as it arrives, what was read of it first: it can't be retried any more, and a break shows as before. A failure (5xx) or an answer that was given up for another body is dropped: the attempt may have run. Each is recorded (response_without_memory) and counted. Bodies that nobody needs are discarded piece by piece, and not read at all if they announce more than is read (64 KiB of a rejection, formerly 512 KiB); read_limited copies the pieces into one buffer.

Ways weighed: refusing the answer (502 for a request that ran, while it could be delivered); a budget of its own for answers (half of the memory idle); a larger budget is no bound.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -18,10 +18,10 @@
 use crate::retry::RetryPermit;
 use crate::select::SelectedInstance;
 use bytes::Bytes;
-use courseshunt_http::Body;
+use courseshunt_http::{Body, discard_limited};
 use courseshunt_services::InstanceView;
 use courseshunt_types::Millis;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use response::Exchange;
@@ -31,6 +31,8 @@
 
 /// Responses that are not streamed are buffered up to this length before any byte is relayed.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 512 * 1024;
+/// The body of a response that is not relayed is read up to this length, to keep the connection.
+const MAX_DRAINED_BYTES: usize = 64 * 1024;
 /// Added to the deadline so that a response that the instance sends at the deadline still
 /// arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
@@ -205,8 +207,8 @@
     if !upstream.is_reusable() {
         return;
     }
-    let drained = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(UNUSED_BODY_TIMEOUT, drained).await {
+    let drained = discard_limited(body, MAX_DRAINED_BYTES, "instance");
+    if let Ok(Ok(())) = tokio::time::timeout(UNUSED_BODY_TIMEOUT, drained).await {
         shared.pool.put_back(upstream);
     }
 }
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -12,11 +12,13 @@
 use crate::interface::{AnsweredRequest, ResponseMetadata};
 use crate::pool::{Endpoint, Upstream};
 use crate::received_body::ReceivedBody;
-use crate::relay::RelayBody;
-use courseshunt_http::{BodyFraming, full_body};
+use crate::records::RequestRecord;
+use crate::relay::{RelayBody, RelayedResponse};
+use courseshunt_http::{BodyFraming, BodyLimits, BodyProblem, BodyReader, PartlyRead, full_body};
 use courseshunt_instance_load::ReportedLoad;
+use courseshunt_records::emit;
 use courseshunt_services::RequestKind;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
@@ -137,10 +139,44 @@
             self.record_origin();
         }
         let shared = self.shared.clone();
+        let body = RelayedResponse::unread(body);
         let body = RelayBody::new(body, self.deadline, self.flight, self.upstream, shared);
         AttemptOutcome::Answered(Response::from_parts(head, body.boxed_unsync()))
     }
 
+    /// Relays a response for which the process has no memory left: what was read of it, and the rest
+    /// as it arrives.
+    fn relay_partly_read(self, head: Parts, reader: BodyReader<Incoming>) -> AttemptOutcome {
+        let Some(PartlyRead { read, rest }) = reader.into_partly_read() else {
+            return self.drop_unread(&BodyProblem::GivenUp);
+        };
+        self.record_memory("relayed");
+        let read = read.into_iter().filter(|piece| !piece.is_empty());
+        let received = RelayedResponse {
+            read: read.collect(),
+            rest,
+        };
+        let shared = self.shared.clone();
+        let body = RelayBody::new(received, self.deadline, self.flight, self.upstream, shared);
+        AttemptOutcome::Answered(Response::from_parts(head, body.boxed_unsync()))
+    }
+
+    /// Drops a response for which the process has no memory left.
+    fn drop_unread(mut self, problem: &BodyProblem) -> AttemptOutcome {
+        self.record_memory("dropped");
+        self.flight.failed(&problem.to_string());
+        AttemptOutcome::MayHaveRun
+    }
+
+    fn record_memory(&self, outcome: &'static str) {
+        self.shared.metrics.response_without_memory(outcome);
+        emit(&RequestRecord::ResponseWithoutMemory {
+            id: &self.admitted.metadata.id,
+            instance: self.flight.instance().as_str(),
+            outcome,
+        });
+    }
+
     /// Records which instance begins the stream that this request brings, before its client can
     /// resume it.
     fn record_origin(&self) {
@@ -157,17 +193,28 @@
 
     /// Reads the whole body before any byte is relayed, so that another attempt may follow.
     async fn collect(mut self, head: Parts, body: Incoming) -> AttemptOutcome {
-        let collecting = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        let body = match tokio::time::timeout_at(self.deadline, collecting).await {
-            Err(_) => {
+        let limits = BodyLimits {
+            max_bytes: MAX_BUFFERED_RESPONSE_BYTES,
+            deadline: self.deadline,
+            idle_timeout: self.deadline.saturating_duration_since(Instant::now()),
+        };
+        let mut reader = BodyReader::new(body, limits, &self.shared.memory);
+        let body = match reader.read().await {
+            Ok(body) => body,
+            Err(BodyProblem::Late | BodyProblem::Stopped) => {
                 self.flight.timed_out();
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Err(error)) => {
-                self.flight.truncated(&error.to_string());
+            Err(BodyProblem::NoMemory) if !head.status.is_server_error() => {
+                return self.relay_partly_read(head, reader);
+            }
+            Err(problem @ (BodyProblem::NoMemory | BodyProblem::GivenUp)) => {
+                return self.drop_unread(&problem);
+            }
+            Err(problem @ (BodyProblem::TooLong { .. } | BodyProblem::Broken { .. })) => {
+                self.flight.truncated(&problem.to_string());
                 return AttemptOutcome::MayHaveRun;
             }
-            Ok(Ok(collected)) => collected.to_bytes(),
         };
         if let Err(cause) = self.flight.record_part(&body) {
             self.flight.out_of_order(&cause);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,7 @@
     instances_forwarded: Gauge,
     body_bytes: Family<Labels, Gauge>,
     arriving_bodies: Gauge,
+    responses_without_memory: Family<Labels, Counter>,
     forwarded: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
@@ -119,6 +120,7 @@
             instances_forwarded: Gauge::default(),
             body_bytes: Family::default(),
             arriving_bodies: Gauge::default(),
+            responses_without_memory: Family::default(),
             forwarded: Family::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
@@ -194,6 +196,10 @@
         let arriving = self.arriving_bodies.clone();
         let help = "Bodies that have not arrived whole";
         registry.register("arriving_bodies", help, arriving);
+        let without_memory = self.responses_without_memory.clone();
+        let help = "Responses of instances for which no memory was left, by outcome: relayed as they \
+                    arrive, dropped";
+        registry.register("responses_without_memory", help, without_memory);
         let forwarded = self.forwarded.clone();
         let help = "Requests of other routers that this one was to forward, by outcome; foreign: \
                     connections that were rejected";
@@ -322,6 +328,11 @@
             .set(value(count.units));
     }
 
+    pub(crate) fn response_without_memory(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.responses_without_memory.get_or_create(&labels).inc();
+    }
+
     fn export_memory(&self, usage: &BudgetUsage) {
         let value = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         let pools = [("small", usage.small_bytes), ("large", usage.large_bytes)];
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -11,10 +11,10 @@
 use crate::path;
 use crate::pool::Upstream;
 use bytes::Bytes;
-use courseshunt_http::BodyFraming;
+use courseshunt_http::{BodyFraming, discard_limited};
 use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request};
 use std::io;
@@ -180,8 +180,8 @@
     if identity == ProbeIdentity::Expected {
         observe_response(shared, origin, &head, &metadata);
     }
-    let collected = Limited::new(body, MAX_PROBE_RESPONSE_BYTES).collect().await;
-    if collected.is_ok() && identity == ProbeIdentity::Expected {
+    let discarded = discard_limited(body, MAX_PROBE_RESPONSE_BYTES, address).await;
+    if discarded.is_ok() && identity == ProbeIdentity::Expected {
         shared.pool.put_back(upstream);
     }
     Some(identity)
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -180,6 +180,13 @@
         status: Option<u16>,
         after_ms: u64,
     },
+    /// The process has no memory left to hold a response until it is complete.
+    ResponseWithoutMemory {
+        id: &'a str,
+        instance: &'a str,
+        /// `relayed` as it arrives; `dropped`, so that the attempt may have run and has no response.
+        outcome: &'static str,
+    },
     /// The client closed its connection before the end.
     Cancelled {
         id: &'a str,
@@ -271,6 +278,7 @@
             Self::Refused { .. }
             | Self::Failed { .. }
             | Self::EndedEarly { .. }
+            | Self::ResponseWithoutMemory { .. }
             | Self::Cancelled { .. } => true,
             Self::Ended { whole, status, .. } => *whole == Some(false) || *status >= 400,
             Self::Waits { .. }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use courseshunt_http::OutOfOrder;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -21,10 +22,26 @@
 /// slowly.
 const LATE_DELIVERY: Duration = Duration::from_secs(2);
 
+/// The body of a response, of which a part may have been read.
+pub(crate) struct RelayedResponse {
+    /// What was read, in its order.
+    pub(crate) read: VecDeque<Bytes>,
+    pub(crate) rest: Incoming,
+}
+
+impl RelayedResponse {
+    pub(crate) fn unread(rest: Incoming) -> Self {
+        Self {
+            read: VecDeque::new(),
+            rest,
+        }
+    }
+}
+
 /// Relays a response until its end or the deadline of the request. If it is dropped before the
 /// end, the connection to the instance is closed.
 pub(crate) struct RelayBody {
-    incoming: Incoming,
+    response: RelayedResponse,
     deadline: Pin<Box<Sleep>>,
     /// Nothing is passed on from then on.
     closes_at: Instant,
@@ -80,7 +97,7 @@
 
 impl RelayBody {
     pub(crate) fn new(
-        incoming: Incoming,
+        response: RelayedResponse,
         deadline: Instant,
         flight: Flight,
         upstream: Upstream,
@@ -88,7 +105,7 @@
     ) -> Self {
         let closes_at = deadline + LATE_DELIVERY;
         Self {
-            incoming,
+            response,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             closes_at,
             close_timer: Some(upstream.close_at(closes_at)),
@@ -183,7 +200,10 @@
         if Instant::now() >= self.closes_at {
             return self.break_off(BreakCause::Time.into(), context);
         }
-        match Pin::new(&mut self.incoming).poll_frame(context) {
+        if let Some(read) = self.response.read.pop_front() {
+            return self.pass_on(Frame::data(read), context);
+        }
+        match Pin::new(&mut self.response.rest).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => self.pass_on(frame, context),
             Poll::Ready(Some(Err(error))) => {
                 let problem = error.to_string();
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Empty, Full};
 use std::io;
 use std::time::Duration;
 
@@ -69,14 +69,54 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let collected = Limited::new(body, limit_bytes).collect().await;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(HttpError::TooLarge { limit_bytes }),
-        Err(error) => Err(HttpError::Broken {
+    let mut content = Vec::new();
+    read_pieces(body, limit_bytes, peer, |piece| {
+        content.extend_from_slice(piece);
+    })
+    .await?;
+    Ok(Bytes::from(content))
+}
+
+/// Reads a body of at most `limit_bytes` to its end and keeps nothing of it.
+///
+/// # Errors
+/// When the body is longer, which is known at once of one that states its length, or breaks off.
+pub async fn discard_limited<B>(body: B, limit_bytes: usize, peer: &str) -> Result<(), HttpError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    read_pieces(body, limit_bytes, peer, |_| {}).await
+}
+
+/// Passes a body piece by piece to `take`. A piece is not kept: it may keep a whole read buffer in
+/// memory, however short it is.
+async fn read_pieces<B>(
+    body: B,
+    limit_bytes: usize,
+    peer: &str,
+    mut take: impl FnMut(&[u8]),
+) -> Result<(), HttpError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let too_large = || HttpError::TooLarge { limit_bytes };
+    let mut left = limit_bytes;
+    let mut body = std::pin::pin!(body);
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(too_large());
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| HttpError::Broken {
             step: "read the body",
             peer: peer.to_owned(),
-            problem: error.to_string(),
-        }),
+            problem: error.into().to_string(),
+        })?;
+        if let Some(piece) = frame.data_ref() {
+            left = left.checked_sub(piece.len()).ok_or_else(too_large)?;
+            take(piece);
+        }
     }
+    Ok(())
 }
--- a/crates/http/src/body_reader.rs
+++ b/crates/http/src/body_reader.rs
@@ -67,10 +67,21 @@
     limits: BodyLimits,
     announced_bytes: Option<usize>,
     buffer: Vec<u8>,
+    /// A piece for which there was no memory.
+    unread: Bytes,
     reservation: Reservation,
     last_arrival: Instant,
 }
 
+/// A body that was not read whole.
+#[derive(Debug)]
+pub struct PartlyRead<B> {
+    /// The bytes that were read, in their order.
+    pub read: [Bytes; 2],
+    /// The body behind them.
+    pub rest: B,
+}
+
 impl<B> BodyReader<B>
 where
     B: HttpBody<Data = Bytes> + Unpin,
@@ -85,6 +96,7 @@
             body,
             limits,
             buffer: Vec::new(),
+            unread: Bytes::new(),
             reservation: budget.reservation(),
             last_arrival: Instant::now(),
         }
@@ -132,12 +144,27 @@
                 }
                 Poll::Ready(None) => return Poll::Ready(self.finish()),
             };
-            if let Ok(data) = frame.into_data() {
-                self.append(&data)?;
+            if let Ok(data) = frame.into_data()
+                && let Err(problem) = self.append(&data)
+            {
+                self.unread = data;
+                return Poll::Ready(Err(problem));
             }
         }
     }
 
+    /// What was read until [`BodyProblem::NoMemory`], and the rest; `None` if the body has been given
+    /// up. The memory of what was read is returned when its bytes are dropped.
+    #[must_use]
+    pub fn into_partly_read(mut self) -> Option<PartlyRead<B>> {
+        self.reservation.complete().ok()?;
+        let read = self.take_bytes();
+        Some(PartlyRead {
+            read: [read, self.unread],
+            rest: self.body,
+        })
+    }
+
     fn append(&mut self, data: &[u8]) -> Result<(), BodyProblem> {
         let max_bytes = self.limits.max_bytes;
         let needed = self.buffer.len() + data.len();
@@ -159,13 +186,17 @@
 
     fn finish(&mut self) -> Result<Bytes, BodyProblem> {
         self.reservation.complete()?;
+        Ok(self.take_bytes())
+    }
+
+    fn take_bytes(&mut self) -> Bytes {
         if self.buffer.is_empty() {
-            return Ok(Bytes::new());
+            return Bytes::new();
         }
-        Ok(Bytes::from_owner(HeldBytes {
+        Bytes::from_owner(HeldBytes {
             buffer: std::mem::take(&mut self.buffer),
             _reservation: self.reservation.take(),
-        }))
+        })
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,8 +17,11 @@
 mod sending;
 mod server;
 
-pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
-pub use body_reader::{BodyLimits, BodyProblem, BodyReader};
+pub use body::{
+    Body, BodySender, channel_body, discard_limited, empty_body, full_body, read_in_time,
+    read_limited,
+};
+pub use body_reader::{BodyLimits, BodyProblem, BodyReader, PartlyRead};
 pub use budget_ledger::{BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
 pub use client::{HttpClient, MAX_RESPONSE_HEAD_BYTES, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
