--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -4,18 +4,18 @@
 //! is committed.
 
 use crate::Shared;
+use crate::call_body::{self, CallBody};
 use crate::interface::{ControlCall, Heartbeat};
 use crate::records::ControllerRecord;
 use crate::registration_admission::{self, Admission, AdmissionView};
 use crate::software_versions;
 use bytes::Bytes;
 use courseshunt_controller::ProposeError;
-use courseshunt_http::{Body, full_body, read_limited, text_response};
+use courseshunt_http::{Body, full_body, text_response};
 use courseshunt_records::emit;
 use courseshunt_services::{InstanceState, validate};
 use courseshunt_state::{Command, CommandReply};
 use courseshunt_types::RunnerId;
-use courseshunt_wire::MAX_COMMAND_BYTES;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -24,12 +24,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest configuration document, in bytes.
-const MAX_DOCUMENT_BYTES: usize = MAX_COMMAND_BYTES - ENVELOPE_BYTES;
-/// Room for the other fields of the command that carries a document, in bytes.
-const ENVELOPE_BYTES: usize = 1024;
-/// Longest registration, in bytes.
-const MAX_REGISTRATION_BYTES: usize = 256 * 1024;
 /// Time limit of a commit that an instance waits for.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time limit of a commit or read that an operator waits for.
@@ -70,9 +64,9 @@
 }
 
 async fn put(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
-    let body = match read_limited(request.into_body(), MAX_DOCUMENT_BYTES, "operator").await {
+    let body = match call_body::read(CallBody::Document, request.into_body(), shared).await {
         Ok(body) => body,
-        Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(refusal) => return *refusal,
     };
     let configuration = shared.interface.read_configuration(&body);
     let validated = configuration.and_then(|read| validate(&read).map(|()| read.number));
@@ -135,9 +129,9 @@
     id: RunnerId,
     shared: &Arc<Shared>,
 ) -> Response<Body> {
-    let body = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
-    let Ok(body) = body else {
-        return text_response(StatusCode::BAD_REQUEST, "the registration can't be read");
+    let body = match call_body::read(CallBody::Registration, request.into_body(), shared).await {
+        Ok(body) => body,
+        Err(refusal) => return *refusal,
     };
     let heartbeat = match shared.interface.read_registration(id.clone(), &body) {
         Ok(heartbeat) => heartbeat,
@@ -174,9 +168,9 @@
     id: RunnerId,
     shared: &Arc<Shared>,
 ) -> Response<Body> {
-    let body = read_limited(request.into_body(), MAX_REGISTRATION_BYTES, "instance").await;
-    let Ok(body) = body else {
-        return text_response(StatusCode::BAD_REQUEST, "the message can't be read");
+    let body = match call_body::read(CallBody::Registration, request.into_body(), shared).await {
+        Ok(body) => body,
+        Err(refusal) => return *refusal,
     };
     match shared.interface.read_departure(id.clone(), &body) {
         Ok(instance) => record_leaving(&instance, true, shared).await,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod accept;
 mod api;
+mod call_body;
 pub mod configuration_feed;
 mod configuration_rollout;
 mod error;
@@ -48,7 +49,7 @@
 use courseshunt_controller::ControllerError;
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
-use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_http::{HttpClient, MemoryBudget, ServerLimits};
 use courseshunt_instance_load::{InstanceLoad, LoadLedger};
 use courseshunt_membership::{JoinRequests, Redundancy, core_settings};
 use courseshunt_records::emit;
@@ -124,6 +125,8 @@
     pub(crate) redundancy: Mutex<Option<(Redundancy, Millis)>>,
     pub(crate) stop: CancellationToken,
     pub(crate) metrics: Metrics,
+    /// Memory of all bodies of calls that this process holds.
+    pub(crate) memory: MemoryBudget,
     pub(crate) seeds: SeedList,
     engine: Mutex<PlacementEngine>,
     /// Quota accounts of tenants, while this member leads.
@@ -237,6 +240,7 @@
             instances: self.engine().count(),
             contact_age_ms: age.map_or(u64::MAX, |age| age.0),
             loads: self.present_loads(status.leads()),
+            memory: self.memory.usage(),
             redundancy: *self
                 .redundancy
                 .lock()
@@ -387,6 +391,7 @@
             redundancy: Mutex::default(),
             stop: stop.clone(),
             metrics: Metrics::default(),
+            memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of a controller.
 
 use crate::load_metrics::LoadMetrics;
+use courseshunt_http::BudgetUsage;
 use courseshunt_instance_load::InstanceLoad;
 use courseshunt_membership::Redundancy;
 use courseshunt_metrics::page_with_process;
@@ -32,6 +33,8 @@
     pub(crate) redundancy: Option<(Redundancy, Millis)>,
     /// Load and speed of the instances that report them; known only to the leader.
     pub(crate) loads: Vec<InstanceLoad>,
+    /// Memory of the bodies of calls.
+    pub(crate) memory: BudgetUsage,
 }
 
 /// The registry of a controller's metrics.
@@ -42,6 +45,7 @@
     store_loads: Counter,
     registrations: Counter,
     registrations_refused: Counter,
+    bodies_refused: Family<Labels, Counter>,
     configurations: Family<Labels, Counter>,
     limit_verdicts: Family<Labels, Counter>,
     origin_verdicts: Family<Labels, Counter>,
@@ -61,6 +65,7 @@
             store_loads: Counter::default(),
             registrations: Counter::default(),
             registrations_refused: Counter::default(),
+            bodies_refused: Family::default(),
             configurations: Family::default(),
             limit_verdicts: Family::default(),
             origin_verdicts: Family::default(),
@@ -81,6 +86,10 @@
         let refused = metrics.registrations_refused.clone();
         let help = "Registrations that could not be read whole";
         registry.register("registrations_refused", help, refused);
+        let refused = metrics.bodies_refused.clone();
+        let help =
+            "Calls whose bodies were not read whole, by body (document, registration) and reason";
+        registry.register("bodies_refused", help, refused);
         let configurations = metrics.configurations.clone();
         registry.register(
             "configurations",
@@ -186,6 +195,11 @@
         self.registrations_refused.inc();
     }
 
+    pub(crate) fn body_refused(&self, body: &str, reason: &str) {
+        let labels = vec![("body", body.to_owned()), ("reason", reason.to_owned())];
+        self.bodies_refused.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn configuration(&self, outcome: &str) {
         let labels = vec![("outcome", outcome.to_owned())];
         self.configurations.get_or_create(&labels).inc();
@@ -222,6 +236,9 @@
             ("routers", present.routers as u64),
             ("instances", present.instances as u64),
             ("contact_age_milliseconds", present.contact_age_ms),
+            ("small_body_bytes", present.memory.small_bytes as u64),
+            ("large_body_bytes", present.memory.large_bytes as u64),
+            ("arriving_bodies", present.memory.arriving as u64),
         ];
         for (name, value) in values {
             self.set_present(name, Some(value));
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -118,6 +118,15 @@
     },
     /// A registration or departure of an instance, or of another sender, is incomplete or invalid.
     RegistrationRefused { instance: &'a str, problem: &'a str },
+    /// The body of a call was not read whole; the call has changed nothing.
+    BodyRefused {
+        /// `document` or `registration`.
+        body: &'a str,
+        /// `too_large`, `no_memory`, `body_given_up`, `body_stopped`, `body_late` or `broken_body`.
+        reason: &'a str,
+        status: u16,
+        problem: &'a str,
+    },
     /// An instance reported in a reply that it accepts no more work.
     LeavesByItsWord {
         instance: &'a str,
@@ -280,6 +289,7 @@
                 | Self::SetAside { .. }
                 | Self::Loaded { .. }
                 | Self::RegistrationRefused { .. }
+                | Self::BodyRefused { .. }
         )
     }
 }
