--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_body;
 pub mod configuration_feed;
 mod configuration_rollout;
+mod control_limits;
 mod error;
 mod feed;
 mod identity;
@@ -49,7 +50,7 @@
 use courseshunt_controller::ControllerError;
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
-use courseshunt_http::{HttpClient, MemoryBudget, ServerLimits};
+use courseshunt_http::{HttpClient, MemoryBudget};
 use courseshunt_instance_load::{InstanceLoad, LoadLedger};
 use courseshunt_membership::{JoinRequests, Redundancy, core_settings};
 use courseshunt_records::emit;
@@ -284,22 +285,6 @@
     )
 }
 
-/// Registration intervals after which an idle connection of an instance is closed. Connections
-/// that instances abandon would otherwise exceed the limit of open files.
-const IDLE_REGISTRATION_INTERVALS: u64 = 4;
-/// Maximum connections of instances and operators; an instance that is rejected here connects to
-/// another controller.
-const MAX_CONTROL_CONNECTIONS: usize = 2_500;
-
-fn control_limits(settings: &ServiceSettings) -> ServerLimits {
-    let silence = settings.limits.registration_interval_ms * IDLE_REGISTRATION_INTERVALS;
-    ServerLimits {
-        max_connections: MAX_CONTROL_CONNECTIONS,
-        header_timeout: std::time::Duration::from_millis(silence),
-        ..ServerLimits::default()
-    }
-}
-
 /// Interval of the checks whether the machine was suspended.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of the grace period that is reserved for the exit of the process.
@@ -431,7 +416,7 @@
         spawn(Box::pin(watch_suspension(shared.clone())));
         if let Some(metrics) = metrics {
             let handler = api::metrics_handler(shared.clone());
-            let limits = ServerLimits::default();
+            let limits = control_limits::metrics_limits();
             tokio::spawn(courseshunt_http::serve(
                 metrics,
                 limits,
@@ -440,7 +425,7 @@
             ));
         }
         let handler = api::handler(shared.clone());
-        let limits = control_limits(&shared.settings);
+        let limits = control_limits::control_limits(&shared.settings.limits);
         let requests = shared.api_requests.clone();
         let serving = courseshunt_http::serve_counted(http, limits, stop, requests, handler);
         tokio::spawn(serving);
