--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod accept;
 mod api;
+mod call_body;
 pub mod configuration_feed;
 mod configuration_rollout;
+mod control_limits;
 mod error;
 mod feed;
 mod identity;
@@ -48,7 +50,7 @@
 use courseshunt_controller::ControllerError;
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{self, ReplicaHandle, ReplicaSettings};
-use courseshunt_http::{HttpClient, ServerLimits};
+use courseshunt_http::{HttpClient, MemoryBudget};
 use courseshunt_instance_load::{InstanceLoad, LoadLedger};
 use courseshunt_membership::{JoinRequests, Redundancy, core_settings};
 use courseshunt_records::emit;
@@ -124,6 +126,8 @@
     pub(crate) redundancy: Mutex<Option<(Redundancy, Millis)>>,
     pub(crate) stop: CancellationToken,
     pub(crate) metrics: Metrics,
+    /// Memory of all bodies of calls that this process holds.
+    pub(crate) memory: MemoryBudget,
     pub(crate) seeds: SeedList,
     engine: Mutex<PlacementEngine>,
     /// Quota accounts of tenants, while this member leads.
@@ -237,6 +241,7 @@
             instances: self.engine().count(),
             contact_age_ms: age.map_or(u64::MAX, |age| age.0),
             loads: self.present_loads(status.leads()),
+            memory: self.memory.usage(),
             redundancy: *self
                 .redundancy
                 .lock()
@@ -280,22 +285,6 @@
     )
 }
 
-/// Registration intervals after which an idle connection of an instance is closed. Connections
-/// that instances abandon would otherwise exceed the limit of open files.
-const IDLE_REGISTRATION_INTERVALS: u64 = 4;
-/// Maximum connections of instances and operators; an instance that is rejected here connects to
-/// another controller.
-const MAX_CONTROL_CONNECTIONS: usize = 2_500;
-
-fn control_limits(settings: &ServiceSettings) -> ServerLimits {
-    let silence = settings.limits.registration_interval_ms * IDLE_REGISTRATION_INTERVALS;
-    ServerLimits {
-        max_connections: MAX_CONTROL_CONNECTIONS,
-        header_timeout: std::time::Duration::from_millis(silence),
-        ..ServerLimits::default()
-    }
-}
-
 /// Interval of the checks whether the machine was suspended.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of the grace period that is reserved for the exit of the process.
@@ -387,6 +376,7 @@
             redundancy: Mutex::default(),
             stop: stop.clone(),
             metrics: Metrics::default(),
+            memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
@@ -426,7 +416,7 @@
         spawn(Box::pin(watch_suspension(shared.clone())));
         if let Some(metrics) = metrics {
             let handler = api::metrics_handler(shared.clone());
-            let limits = ServerLimits::default();
+            let limits = control_limits::metrics_limits();
             tokio::spawn(courseshunt_http::serve(
                 metrics,
                 limits,
@@ -435,7 +425,7 @@
             ));
         }
         let handler = api::handler(shared.clone());
-        let limits = control_limits(&shared.settings);
+        let limits = control_limits::control_limits(&shared.settings.limits);
         let requests = shared.api_requests.clone();
         let serving = courseshunt_http::serve_counted(http, limits, stop, requests, handler);
         tokio::spawn(serving);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,7 @@
     client_connections_closed: Family<Labels, Counter>,
     body_bytes: Family<Labels, Gauge>,
     arriving_bodies: Gauge,
+    responses_without_memory: Family<Labels, Counter>,
     forwarded: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
     cancelled: Counter,
@@ -125,6 +126,7 @@
             client_connections_closed: Family::default(),
             body_bytes: Family::default(),
             arriving_bodies: Gauge::default(),
+            responses_without_memory: Family::default(),
             forwarded: Family::default(),
             reservations: Family::default(),
             cancelled: Counter::default(),
@@ -207,6 +209,10 @@
         let arriving = self.arriving_bodies.clone();
         let help = "Bodies that have not arrived whole";
         registry.register("arriving_bodies", help, arriving);
+        let without_memory = self.responses_without_memory.clone();
+        let help = "Responses of instances for which no memory was left, by outcome: relayed as they \
+                    arrive, dropped";
+        registry.register("responses_without_memory", help, without_memory);
         let forwarded = self.forwarded.clone();
         let help = "Requests of other routers that this one was to forward, by outcome; foreign: \
                     connections that were rejected";
@@ -335,6 +341,11 @@
             .set(value(count.units));
     }
 
+    pub(crate) fn response_without_memory(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.responses_without_memory.get_or_create(&labels).inc();
+    }
+
     /// Counts a client's connection that is closed at their bound.
     pub(crate) fn client_connection_closed(&self, which: &str) {
         let labels = vec![("closed", which.to_owned())];
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -7,7 +7,7 @@
 use super::Endpoint;
 use super::carried_ids::CarriedIds;
 use bytes::Bytes;
-use courseshunt_http::BodyFraming;
+use courseshunt_http::{BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -58,6 +58,15 @@
     connection_requests: u32,
 }
 
+/// Closes a connection at a time, unless it is dropped before.
+pub(crate) struct CloseTimer(AbortHandle);
+
+impl Drop for CloseTimer {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// A connection to an instance or a forwarder; closed when dropped.
 pub(crate) struct Upstream {
     pub(crate) endpoint: Endpoint,
@@ -94,7 +103,9 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_RETRIES);
         let _ = socket.set_tcp_keepalive(&keepalive);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
@@ -118,11 +129,12 @@
     /// Sends a request with this id and waits for the head of the response.
     ///
     /// # Errors
-    /// If the connection is closed, breaks, or has carried the id before.
+    /// If the connection is closed, breaks, has carried the id before, or if too many interim
+    /// responses come first.
     pub(crate) async fn send(
         &mut self,
         id: &str,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if !self.accepts(id) {
             return Err(SendError::Unsent(Box::new(request)));
@@ -131,7 +143,9 @@
             self.carried_ids.insert(id);
         }
         self.requests = self.requests.saturating_add(1);
-        let sent = self.sender.try_send_request(request).await;
+        let interim = InterimLimit::of(&mut request);
+        let sent = interim.wait(self.sender.try_send_request(request)).await;
+        let sent = sent.map_err(|error| SendError::Broken(error.to_string()))?;
         sent.map_err(|mut error| match error.take_message() {
             Some(unsent) => SendError::Unsent(Box::new(unsent)),
             None => SendError::Broken(error.error().to_string()),
@@ -187,6 +201,17 @@
         self.ends_with_response = true;
     }
 
+    /// Closes the connection at this time, whether or not the present response is being read. Its
+    /// body may look complete from then on.
+    pub(crate) fn close_at(&self, time: Instant) -> CloseTimer {
+        let connection = self.task.clone();
+        let closing = tokio::spawn(async move {
+            tokio::time::sleep_until(time).await;
+            connection.abort();
+        });
+        CloseTimer(closing.abort_handle())
+    }
+
     /// Whether the connection may carry another request after the present response.
     pub(crate) fn is_reusable(&self) -> bool {
         !self.ends_with_response && !self.carried_ids.is_full() && !self.is_closed()
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Body, empty_body, full_body, read_limited};
 use crate::error::HttpError;
+use crate::interim::InterimLimit;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
@@ -16,6 +17,9 @@
 
 /// Longest time for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest head of a response that a client of this crate or of a router reads, in bytes. A
+/// connection reads no more than this at once, whatever comes.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 /// Longest JSON reply, in bytes.
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -69,6 +73,7 @@
         connector.set_local_address(source);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
+        builder.http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES);
         let client = builder.build(connector);
         Self { client }
     }
@@ -77,10 +82,20 @@
     ///
     /// # Errors
     /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`].
-    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
+    pub async fn send(&self, mut request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string);
         let peer = peer.unwrap_or_default();
-        let sent = self.client.request(request).await;
+        let interim = InterimLimit::of(&mut request);
+        let sent = match interim.wait(self.client.request(request)).await {
+            Ok(sent) => sent,
+            Err(error) => {
+                return Err(HttpError::Broken {
+                    step: "send a request",
+                    peer,
+                    problem: error.to_string(),
+                });
+            }
+        };
         sent.map_err(|error| {
             let problem = describe(&error);
             if error.is_connect() || is_unsent(&error) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod event_id;
 mod event_sequence;
 mod framing;
+mod interim;
 mod memory_budget;
 mod pace;
 mod response;
@@ -17,16 +18,20 @@
 mod sending;
 mod server;
 
-pub use body::{Body, BodySender, channel_body, empty_body, full_body, read_in_time, read_limited};
-pub use body_reader::{BodyLimits, BodyProblem, BodyReader};
+pub use body::{
+    Body, BodySender, channel_body, discard_limited, empty_body, full_body, read_in_time,
+    read_limited,
+};
+pub use body_reader::{BodyLimits, BodyProblem, BodyReader, PartlyRead};
 pub use budget_ledger::{BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
-pub use client::{HttpClient, Reply};
+pub use client::{HttpClient, MAX_RESPONSE_HEAD_BYTES, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use connection_table::{Admission, ConnectionPlace, ConnectionTable, RequestGuard};
 pub use error::HttpError;
 pub use event_id::MAX_EVENT_ID_BYTES;
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use framing::BodyFraming;
+pub use interim::{InterimLimit, MAX_INTERIM_RESPONSES, TooManyInterim};
 pub use memory_budget::{
     BudgetUsage, DEFAULT_PROCESS_MEMORY_BYTES, MemoryBudget, NotReserved, Reservation,
 };
