A leader that started after its predecessor's last list names all services as mixed (ORDER)

What callers saw: streams that broke off when the instances of the old software version left went on at the new version, with 200 and to the end, after all routers were killed together with the leader or with the whole group.

Cause: the versions of the last 120 s live in the memory of the controllers. A leader that was killed and elected again at once, and each leader after a restart of the group, hears only the instances that live. It sent routers a list without the service, and routers that had just started, which know no earlier list, took this for proof of a single version.

Change: a member knows the past if it has the list of the present leader, or if no leader before it can have served a stream (first term, or no configuration when all commits are applied). A leader that doesn't know it lists all services of the configuration for 120 s. A new leader's feed ends what a follower knows until its list arrives. No archived type changes.

--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -139,7 +139,6 @@
     *shared.quarantine() = QuarantineLedger::default();
     *shared.forwarders() = ForwarderDirectory::default();
     *shared.origins() = OriginDirectory::default();
-    shared.software_versions().lead(now);
     shared.feed_available.send_replace(false);
     shared.metrics.leadership();
     emit(&ControllerRecord::Leads { term: term.0 });
@@ -230,6 +229,7 @@
         return;
     }
     leadership.is_restored = true;
+    software_versions::begin_leadership(leadership.term, now, shared);
     let recorded = shared.replica.state().services.quarantined.clone();
     shared.quarantine().restore(&recorded, now);
     instance_persistence::restore_instances(shared, now).await;
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -152,6 +152,12 @@
         /// there is one version.
         versions: &'a [&'a str],
     },
+    /// A new leader has no list of the previous one: all services of the configuration count as those of
+    /// several versions for the time in which streams can be resumed.
+    EarlierVersionsUnknown {
+        /// Number of these services.
+        services: usize,
+    },
     /// Instances are gone: they terminated, or did not register in time.
     InstancesGone { instances: &'a [String] },
     /// The state of a fingerprint of requests under which instances ended has changed.
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -24,6 +24,8 @@
     /// Services in the list of the leader, or of the one before: they may have run versions that
     /// were not heard here. `Some` is the time from which this member leads.
     listed: BTreeMap<String, Option<Timestamp>>,
+    /// Whether `listed` names all services that may have run versions that were not heard here.
+    knows_past: bool,
     is_changed: bool,
 }
 
@@ -87,6 +89,7 @@
     pub fn note_list(&mut self, services: &[ServiceVersions], now: Timestamp) {
         let listed = services.iter().map(|one| (one.service.clone(), None));
         self.listed = listed.collect();
+        self.knows_past = true;
         for (service, one) in all_instances(services) {
             if self.version_of(&one.instance).is_none() {
                 self.note(service, &one.instance, Some(&one.version), now);
@@ -103,6 +106,31 @@
         self.is_changed = true;
     }
 
+    /// Notes that another member leads, whose list is still due: what it knows is not known here.
+    pub fn await_list(&mut self) {
+        self.knows_past = false;
+    }
+
+    /// Notes that no stream began before this member led.
+    pub fn note_first_leadership(&mut self) {
+        self.knows_past = true;
+    }
+
+    /// Whether this member can name the services that may have run versions that it did not hear.
+    #[must_use]
+    pub fn knows_past(&self) -> bool {
+        self.knows_past
+    }
+
+    /// Counts these services as mixed for the retention: all that may have run versions that this
+    /// member, which leads, did not hear.
+    pub fn suspect(&mut self, services: Vec<String>, now: Timestamp) {
+        let suspected = services.into_iter().map(|service| (service, Some(now)));
+        self.listed.extend(suspected);
+        self.knows_past = true;
+        self.is_changed = true;
+    }
+
     /// Removes what is older than [`ORIGIN_RETENTION`].
     pub fn expire(&mut self, now: Timestamp) {
         let listed = self.listed.len();
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -189,6 +189,36 @@
     assert_eq!(versions.mixed_services(), [], "the leader lists it no more");
 }
 
+/// Streams of a version that had left were joined with another one after the leader was killed and
+/// elected again.
+#[test]
+fn a_leader_without_a_list_of_the_previous_one_does_not_know_the_past() {
+    let mut versions = versions(&[("a", "v2")]);
+    versions.lead(START);
+    assert!(!versions.knows_past());
+    versions.suspect(vec![SERVICE.to_owned()], at(10));
+    assert!(versions.knows_past());
+    let all = [listed(SERVICE, &[("a", "v2")])];
+    assert_eq!(versions.mixed_services(), all);
+    hear(&mut versions, "a", "v2", at(100_000));
+    versions.expire(at(9) + ORIGIN_RETENTION);
+    assert_eq!(versions.mixed_services(), all);
+    versions.expire(at(10) + ORIGIN_RETENTION);
+    assert_eq!(versions.mixed_services(), []);
+}
+
+#[test]
+fn a_member_knows_the_past_by_the_list_of_the_present_leader_alone() {
+    let mut versions = SoftwareVersions::default();
+    versions.note_list(&[], START);
+    assert!(versions.knows_past());
+    versions.await_list();
+    assert!(!versions.knows_past(), "another leader's list is still due");
+    let mut first = SoftwareVersions::default();
+    first.note_first_leadership();
+    assert!(first.knows_past());
+}
+
 #[test]
 fn versions_are_bounded_and_the_oldest_go_first() {
     let mut versions = SoftwareVersions::default();
