--- a/crates/services/src/placement/instance/mod.rs
+++ b/crates/services/src/placement/instance/mod.rs
@@ -1,5 +1,9 @@
-//! State of one instance as seen by the leader: its last registration or report, updated by the
-//! orders sent since.
+//! State of one instance as seen by the leader: its last report, updated by the orders sent since; its
+//! registrations until there is either.
+//!
+//! Invariant: what orders and reports established is never taken back by a registration, which may
+//! have been sent before them and arrive seconds late. A registration that differs leads to a query,
+//! and the report decides: it carries the number of orders that its content includes.
 
 mod cached_weights;
 mod holdings;
@@ -16,9 +20,6 @@
 use memory::ModelSize;
 use std::collections::BTreeMap;
 
-/// Maximum age of a registration on arrival: orders within this time take precedence over the
-/// registration's content.
-const REGISTRATION_LAG: Millis = Millis(2_500);
 /// Number of routers that must have failed to reach an instance before it is suspected to be dead.
 const SUSPECT_ROUTERS: usize = 2;
 /// Time for which such a failure counts.
@@ -96,6 +97,8 @@
     sent_order: Option<OrderAction>,
     running: Option<RunningOrder>,
     changed_at: Option<Timestamp>,
+    /// The last registration differs from what orders and reports established.
+    is_disputed: bool,
     added_at: Timestamp,
     reservation: Option<Reservation>,
     announced: BTreeMap<ModelName, Timestamp>,
@@ -131,6 +134,7 @@
             sent_order: None,
             running: None,
             changed_at: None,
+            is_disputed: false,
             added_at: now,
             reservation: None,
             announced: BTreeMap::new(),
@@ -221,24 +225,44 @@
         previous != after
     }
 
-    /// Reconciles the instance's registration with the orders sent since.
+    /// Reconciles the instance's registration with its reports and the orders sent.
     fn reconcile(&mut self, engine: Option<&Engine>, now: Timestamp) {
         let models = self.registration.models.clone();
         if let Some(running) = &self.running {
             let name = running.action.model();
             let is_held = models.iter().any(|model| model.name == *name);
-            let done = running.action.loads() == is_held;
-            if done {
+            // Where the registration is from before the order, the instance refuses other orders
+            // until this one has ended.
+            if running.action.loads() == is_held {
                 self.finish_order(engine, now);
             }
         }
         let is_idle = self.running.is_none() && self.sent_order.is_none();
-        let lag = self.changed_at.map(|at| now.since(at));
-        if is_idle && lag.is_none_or(|lag| lag >= REGISTRATION_LAG) {
+        if self.has_order_or_report() {
+            self.is_disputed = is_idle && self.differs_from(&models);
+        } else if is_idle {
             self.replace_held(&models, &[], now);
         }
     }
 
+    /// Whether this leader has had a report of the instance, or has sent it an order.
+    fn has_order_or_report(&self) -> bool {
+        self.sequence.is_some() || self.changed_at.is_some()
+    }
+
+    /// Whether the models, versions or adapters held differ from these.
+    fn differs_from(&self, models: &[ResidentModel]) -> bool {
+        let is_same = |model: &ResidentModel| {
+            self.held.get(&model.name).is_some_and(|held| {
+                let has_adapter = |adapter: &String| held.adapters.contains_key(adapter);
+                held.version == model.version
+                    && held.adapters.len() == model.adapters.len()
+                    && model.adapters.iter().all(has_adapter)
+            })
+        };
+        self.held.len() != models.len() || !models.iter().all(is_same)
+    }
+
     /// Replaces the models and adapters held by those that the instance reports.
     fn replace_held(
         &mut self,
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -84,10 +84,12 @@
             self.next_call_at = now + QUERY_INTERVAL;
             return;
         };
+        if self.is_from_before_an_order(&report) {
+            self.next_call_at = now + QUERY_INTERVAL;
+            return;
+        }
         self.last_contact_at = now;
-        let is_current = self
-            .changed_at
-            .is_none_or(|changed| now.since(changed) >= REPORT_LAG);
+        let is_current = self.is_settled(now);
         if let Some(running) = &self.running {
             let name = running.action.model();
             let is_held = report.models.iter().any(|model| model.name == *name);
@@ -115,12 +117,26 @@
         if !report.busy && is_current {
             self.unanswered_sequence = None;
             self.sequence = Some(report.sequence);
+            self.is_disputed = false;
             if self.sent_order.is_none() {
                 self.replace_held(&report.models, &report.pending, now);
             }
         }
     }
 
+    /// Whether the report does not include an order that the instance has accepted. An instance that
+    /// restarted without a start time counts anew as well; it is silent until it is added again.
+    fn is_from_before_an_order(&self, report: &InstanceReport) -> bool {
+        self.sequence
+            .is_some_and(|accepted| report.sequence < accepted)
+    }
+
+    /// Whether the last change is old enough for a report to include it.
+    fn is_settled(&self, now: Timestamp) -> bool {
+        self.changed_at
+            .is_none_or(|changed| now.since(changed) >= REPORT_LAG)
+    }
+
     /// Applies the outcome of an order; returns whether the order was certainly not started.
     pub(in crate::placement) fn on_outcome(
         &mut self,
@@ -364,6 +380,12 @@
         overdue && !self.query_in_flight && now >= self.next_call_at
     }
 
+    /// Whether a registration disputes what orders and reports established, and the instance should
+    /// be queried.
+    pub(in crate::placement) fn needs_report(&self, now: Timestamp) -> bool {
+        self.is_disputed && self.is_settled(now) && self.can_take_order(now)
+    }
+
     pub(in crate::placement) fn sequence(&self) -> Option<u64> {
         self.sequence
     }
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -59,7 +59,7 @@
                 instance.record_adapter_requests(&requested);
             }
         }
-        self.query_overdue(now, &mut steps);
+        self.query_unsure(now, &mut steps);
         let configuration = self.configuration.clone();
         for service in &configuration.services {
             if let Some(engine) = &service.engine {
@@ -86,11 +86,12 @@
         self.changed.extend(ready);
     }
 
-    fn query_overdue(&mut self, now: Timestamp, steps: &mut Vec<PlacementStep>) {
+    /// Queries instances whose order is overdue or whose registration disputes what is recorded.
+    fn query_unsure(&mut self, now: Timestamp, steps: &mut Vec<PlacementStep>) {
         let mut remaining = MAX_CALLS.saturating_sub(self.calls_in_flight);
         for instance in self.instances.values_mut() {
             instance.expire_reservation(now);
-            if remaining > 0 && instance.is_overdue(now) {
+            if remaining > 0 && (instance.is_overdue(now) || instance.needs_report(now)) {
                 steps.push(query(instance));
                 self.calls_in_flight += 1;
                 remaining -= 1;
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -10,7 +10,7 @@
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp, Zone};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 
@@ -181,6 +181,17 @@
         is_done
     }
 
+    fn report(&self) -> InstanceReport {
+        InstanceReport {
+            models: self.held(),
+            busy: self.busy.is_some(),
+            sequence: self.sequence,
+            pending: Vec::new(),
+            started: None,
+            cached_weights: None,
+        }
+    }
+
     pub fn held(&self) -> Vec<ResidentModel> {
         let held = self.models.iter().map(|(name, adapters)| ResidentModel {
             name: ModelName::from(name.as_str()),
@@ -217,6 +228,14 @@
     pub waiting_round_interval: Option<u64>,
     /// Events of the engine.
     pub events: Vec<PlacementEvent>,
+    /// Time by which registrations arrive late, in milliseconds.
+    pub registration_delay: u64,
+    /// Registrations on their way, with their times of arrival.
+    pub late_registrations: VecDeque<(u64, Registration)>,
+    /// Age of a report's content on arrival, in milliseconds.
+    pub report_age: u64,
+    /// Reports as of the past, with their times, of instances whose reports are not of the present.
+    past_reports: BTreeMap<RunnerId, VecDeque<(u64, InstanceReport)>>,
     pub now: u64,
 }
 
@@ -245,6 +264,10 @@
             full_round_interval: 50,
             waiting_round_interval: None,
             events: Vec::new(),
+            registration_delay: 0,
+            late_registrations: VecDeque::new(),
+            report_age: 0,
+            past_reports: BTreeMap::new(),
             now: 0,
         };
         for number in 0..instance_count {
@@ -285,13 +308,51 @@
                     .collect(),
             },
         };
-        self.engine.register(registration, Timestamp::at(self.now));
+        match self.registration_delay {
+            0 => drop(self.engine.register(registration, Timestamp::at(self.now))),
+            delay => self
+                .late_registrations
+                .push_back((self.now + delay, registration)),
+        }
+    }
+
+    fn deliver_late_registrations(&mut self) {
+        let now = self.now;
+        let due = self.late_registrations.iter();
+        let due = due.take_while(|(at, _)| *at <= now).count();
+        for (_, registration) in self.late_registrations.drain(..due) {
+            self.engine.register(registration, Timestamp::at(now));
+        }
+    }
+
+    /// The instance's report, with the content of [`Self::report_age`] ago.
+    fn report(&self, id: &RunnerId) -> InstanceReport {
+        let newest = self.instances[id].report();
+        let past = self.past_reports.get(id);
+        let reported = past.and_then(|past| past.front());
+        reported.map_or(newest, |(_, report)| report.clone())
+    }
+
+    /// Keeps the instances' reports for later queries.
+    fn keep_reports(&mut self) {
+        if self.report_age == 0 {
+            return;
+        }
+        for (id, instance) in &self.instances {
+            let past = self.past_reports.entry(id.clone()).or_default();
+            past.push_back((self.now, instance.report()));
+            let at = self.now.saturating_sub(self.report_age);
+            while past.get(1).is_some_and(|(time, _)| *time <= at) {
+                past.pop_front();
+            }
+        }
     }
 
     /// Simulates 10 ms.
     pub fn step(&mut self, demand: &[ModelDemand]) {
         self.now += 10;
         let now = self.now;
+        self.deliver_late_registrations();
         let due: Vec<(u64, Order)> = self
             .late_orders
             .extract_if(.., |(at, _)| *at <= now)
@@ -311,6 +372,7 @@
                 self.register(id);
             }
         }
+        self.keep_reports();
         if now.is_multiple_of(250) {
             self.engine
                 .report_usage("router", Vec::new(), demand, Timestamp::at(now));
@@ -389,15 +451,7 @@
         let now = self.now;
         match step {
             PlacementStep::QueryInstance { instance, .. } => {
-                let simulated = self.instances.get(&instance).expect("the instance exists");
-                let report = InstanceReport {
-                    models: simulated.held(),
-                    busy: simulated.busy.is_some(),
-                    sequence: simulated.sequence,
-                    pending: Vec::new(),
-                    started: None,
-                    cached_weights: None,
-                };
+                let report = self.report(&instance);
                 self.engine
                     .on_report(&instance, Some(report), Timestamp::at(now));
             }
