--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -33,6 +33,17 @@
     assert!(!settings.found_group);
 }
 
+#[test]
+fn limits_against_crowds_may_be_left_out() {
+    let settings = ServiceSettings::parse(VALID).expect("valid");
+    assert_eq!(settings.limits.memory_bytes(), None);
+    assert_eq!(settings.limits.max_open_files, None);
+    let stated = format!("{VALID}memory_mb = 260\nmax_open_files = 4100\n");
+    let settings = ServiceSettings::parse(&stated).expect("valid");
+    assert_eq!(settings.limits.memory_bytes(), Some(260_000_000));
+    assert_eq!(settings.limits.max_open_files, Some(4_100));
+}
+
 #[test]
 fn faults_are_refused_with_their_line() {
     let cases = [
