2,000 streams without end left no room for the bodies that a router holds

Callers saw: as many streams without end as the descriptors of a router allow at once, whose clients do not read, had it occupy 230 of 256 MB, while bodies may take 64 MB of them at the same time.

Cause: the HTTP library enlarges the read buffer of a peer that fills it (up to 32 KiB), and each piece of a body that waits for a client keeps the buffer that it was read into.

Change: connections to instances and forwarders are read in pieces below 8 KiB (ShortReads), so that buffers stay at the library's first size. The bound of a head stays at 32 KiB.

Not measured: the processor time of the additional reads.

--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -7,7 +7,7 @@
 use super::Endpoint;
 use super::carried_ids::CarriedIds;
 use bytes::Bytes;
-use courseshunt_http::{BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES};
+use courseshunt_http::{BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES, ShortReads};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -105,7 +105,8 @@
         let _ = socket.set_tcp_keepalive(&keepalive);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let stream = TokioIo::new(ShortReads::new(stream));
+        let handshake = builder.handshake(stream).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 mod retry_after;
 mod sending;
 mod server;
+mod short_reads;
 
 pub use body::{
     Body, BodySender, channel_body, discard_limited, empty_body, full_body, read_in_time,
@@ -40,3 +41,4 @@
 pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
 pub use sending::{SendTracker, TrackedStream};
 pub use server::{MAX_HEADER_BYTES, ServerLimits, header_bytes, serve, serve_counted};
+pub use short_reads::ShortReads;
