--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,6 @@
 mod resumption;
 pub mod resumption_step;
 mod retry;
-pub mod route_services;
 mod select;
 mod serve;
 pub mod software_versions;
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -5,8 +5,8 @@
 
 use crate::current_document::CurrentDocument;
 use crate::demand::{DemandKey, DemandTracker};
-use crate::route_services::RouteServices;
 use crate::software_versions::{RequiredWriter, SoftwareVersions};
+use courseshunt_services::RouteServices;
 use courseshunt_services::feed::{InstanceUsage, usage_interval, usage_lag};
 use courseshunt_services::{
     Candidate, InstanceDirectory, InstanceView, PromptShape, Pushback, ReportMessage,
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -3,8 +3,8 @@
 use super::versions::Eligibility;
 use crate::current_document::CurrentDocument;
 use crate::demand::DemandTracker;
-use crate::route_services::RouteServices;
 use crate::software_versions::SoftwareVersions;
+use courseshunt_services::RouteServices;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{
     Candidate, FleetSize, InstanceDirectory, InstanceState, InstanceView, PromptShape, Pushback,
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -81,8 +81,8 @@
 pub use store_limit::StoreLimit;
 pub use stream_origins::{
     InstanceVersion, OriginAnswer, OriginDirectory, OriginQuery, OriginVerdict, PublishedVersions,
-    ServiceVersions, SoftwareVersions, StreamId, StreamOrigin, StreamWriter, VersionOutbox,
-    VersionPublication, VersionSetChange,
+    RouteServices, ServiceVersions, SoftwareVersions, StreamId, StreamOrigin, StreamWriter,
+    VersionOutbox, VersionPublication, VersionSetChange,
 };
 pub use tenants::{Quota, QuotaUnit, Tenant, TenantTable};
 pub use validation::{ConfigurationError, MAX_CONFIGURED_TIME, validate};
--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -7,11 +7,13 @@
 mod directory;
 pub mod log;
 mod publication;
+mod route_services;
 mod version_outbox;
 mod versions;
 
 pub use directory::OriginDirectory;
 pub use publication::{PublishedVersions, VersionPublication, VersionSetChange};
+pub use route_services::RouteServices;
 pub use version_outbox::VersionOutbox;
 pub use versions::SoftwareVersions;
 
--- a/crates/gateway/src/route_services.rs
+++ b/crates/services/src/stream_origins/route_services.rs
@@ -5,8 +5,8 @@
 //! Invariant: a service whose routes were altered within [`ORIGIN_RETENTION`] is ambiguous, both if
 //! it was added to a route and if it was taken from one.
 
-use courseshunt_services::stream_origins::ORIGIN_RETENTION;
-use courseshunt_services::{Route, RouteTable};
+use super::ORIGIN_RETENTION;
+use crate::{Route, RouteTable};
 use courseshunt_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -47,6 +47,12 @@
         self.split.contains(service) || altered_at.is_some_and(|at| is_recent(*at, now))
     }
 
+    /// The services whose routes were altered recently, and when.
+    pub fn alterations(&self) -> impl Iterator<Item = (&str, Timestamp)> {
+        let altered_at = self.altered_at.iter();
+        altered_at.map(|(service, at)| (service.as_str(), *at))
+    }
+
     /// Compares where the paths of all routes led and lead: a route may also be altered by another
     /// one with a longer prefix.
     fn apply_alterations(&mut self, before: &RouteTable, after: &RouteTable, now: Timestamp) {
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -24,6 +24,8 @@
     /// Services in the list of the leader, or of the one before: they may have run versions that
     /// were not heard here. `Some` is the time from which this member leads.
     listed: BTreeMap<String, Option<Timestamp>>,
+    /// Services whose routes were altered, and when: another service may have begun their streams.
+    altered: BTreeMap<String, Timestamp>,
     /// Whether `listed` names all services that may have run versions that were not heard here.
     knows_past: bool,
     is_changed: bool,
@@ -106,6 +108,11 @@
         self.is_changed = true;
     }
 
+    /// Notes that a route was moved to or from a service, or that its split ended.
+    pub fn note_altered(&mut self, service: &str, at: Timestamp) {
+        self.is_changed |= self.altered.insert(service.to_owned(), at).is_none();
+    }
+
     /// Notes that another member leads, whose list is still due: what it knows is not known here.
     pub fn await_list(&mut self) {
         self.knows_past = false;
@@ -137,6 +144,10 @@
         self.listed
             .retain(|_, since| since.is_none_or(|since| now.since(since) < ORIGIN_RETENTION));
         self.is_changed |= self.listed.len() != listed;
+        let altered = self.altered.len();
+        self.altered
+            .retain(|_, at| now.since(*at) < ORIGIN_RETENTION);
+        self.is_changed |= self.altered.len() != altered;
         while let Some((at, instance)) = self.replaced.first()
             && now.since(*at) >= ORIGIN_RETENTION
         {
@@ -158,19 +169,22 @@
         std::mem::take(&mut self.is_changed)
     }
 
-    /// Services whose instances within the retention are not known to run a single version, in the
-    /// order of their names, with the instances whose versions are known.
+    /// Services whose instances within the retention are not known to run a single version, or whose
+    /// routes were altered within it, in the order of their names, with the instances whose versions are
+    /// known.
     #[must_use]
     pub fn mixed_services(&self) -> Vec<ServiceVersions> {
-        let listed = self.listed.keys().map(|name| (name.as_str(), Vec::new()));
+        let listed = self.listed.keys().chain(self.altered.keys());
+        let listed = listed.map(|name| (name.as_str(), Vec::new()));
         let mut services: BTreeMap<&str, Vec<(&RunnerId, &Entry)>> = listed.collect();
         for (instance, entry) in &self.instances {
             let instances = services.entry(&entry.service).or_default();
             instances.push((instance, entry));
         }
         let mixed = services.into_iter();
-        let mixed = mixed
-            .filter(|(name, instances)| self.listed.contains_key(*name) || is_mixed(instances));
+        let is_listed =
+            |name: &str| self.listed.contains_key(name) || self.altered.contains_key(name);
+        let mixed = mixed.filter(|(name, instances)| is_listed(name) || is_mixed(instances));
         let mixed = mixed.map(|(service, instances)| ServiceVersions {
             service: service.to_owned(),
             instances: instances.into_iter().filter_map(with_version).collect(),
--- a/crates/gateway/tests/route_services.rs
+++ b/crates/services/tests/route_services.rs
@@ -1,8 +1,9 @@
 //! For which services the routes leave open which of several services began a stream.
 
-use courseshunt_gateway::route_services::RouteServices;
 use courseshunt_services::stream_origins::ORIGIN_RETENTION;
-use courseshunt_services::{RequestKind, Route, RouteTable, ServiceConfiguration, Target};
+use courseshunt_services::{
+    RequestKind, Route, RouteServices, RouteTable, ServiceConfiguration, Target,
+};
 use courseshunt_types::{Millis, Timestamp};
 
 const START: Timestamp = Timestamp::at(1_000);
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -219,6 +219,23 @@
     assert!(first.knows_past());
 }
 
+/// A router that started after a route was moved continued a stream at the new service.
+#[test]
+fn a_service_whose_routes_were_altered_is_listed_for_the_retention() {
+    let mut versions = versions(&[("a", "v1")]);
+    versions.take_changed();
+    versions.note_altered(SERVICE, START);
+    assert!(versions.take_changed());
+    let list = [listed(SERVICE, &[("a", "v1")])];
+    assert_eq!(versions.mixed_services(), list);
+    hear(&mut versions, "a", "v1", at(100_000));
+    versions.expire(START + Millis(ORIGIN_RETENTION.0 - 1));
+    assert_eq!(versions.mixed_services(), list);
+    versions.expire(START + ORIGIN_RETENTION);
+    assert_eq!(versions.mixed_services(), []);
+    assert!(versions.take_changed());
+}
+
 #[test]
 fn versions_are_bounded_and_the_oldest_go_first() {
     let mut versions = SoftwareVersions::default();
