--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -198,8 +198,8 @@
         let help = "Open connections of clients";
         registry.register("client_connections", help, open);
         let closed = self.client_connections_closed.clone();
-        let help = "Clients' connections closed at their bound: idle ones for new ones (idle), new \
-                    ones while all others had requests (new)";
+        let help = "Clients' connections closed at their bound: for new ones, those without a request \
+                    (idle) or with a stopped body (stopped); else the new ones (new)";
         registry.register("client_connections_closed", help, closed);
         let body_bytes = self.body_bytes.clone();
         let help = "Memory that bodies occupy, by pool: small, large";
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -353,8 +353,9 @@
     ForwardingRejected { peer: &'a str, problem: &'a str },
     /// A connection of a client is closed at their bound.
     ClientConnectionClosed {
-        /// `idle`: the one that has been without a request for the longest time; `new`: the new
-        /// one, since all others have requests.
+        /// `idle`: the one that has been without a request for the longest time; `stopped`: the one
+        /// whose request's body has stopped arriving for the longest time; `new`: the new one, since
+        /// all others have requests.
         closed: &'static str,
         /// Address of the new connection.
         peer: &'a str,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -59,11 +59,13 @@
 /// it must be closed at once.
 fn admit_connection(peer: SocketAddr, shared: &Shared) -> Option<ConnectionPlace> {
     let max = max_client_connections(&shared.settings.limits, &shared.client_limits());
-    let admission = shared.clients.admit(max);
-    let closed = match &admission {
-        Some(admission) if !admission.closes_idle => return Some(admission.place.clone()),
-        Some(_) => ClosedConnection::Idle,
-        None => ClosedConnection::New,
+    let (place, closed) = match shared.clients.admit(max) {
+        Some(admission) if !admission.closes_idle => return Some(admission.place),
+        Some(admission) => (Some(admission.place), ClosedConnection::Idle),
+        None if shared.memory.give_up_stopped() => {
+            (Some(shared.clients.replace()), ClosedConnection::Stopped)
+        }
+        None => (None, ClosedConnection::New),
     };
     shared.metrics.client_connection_closed(closed.name());
     emit(&RouterRecord::ClientConnectionClosed {
@@ -72,7 +74,7 @@
         open: shared.clients.open_count(),
         max,
     });
-    admission.map(|admission| admission.place)
+    place
 }
 
 /// Which connection is closed at the bound.
@@ -80,7 +82,9 @@
 enum ClosedConnection {
     /// The one that has been without a request for the longest time.
     Idle,
-    /// The new one, since all others have requests.
+    /// The one whose request's body has stopped arriving for the longest time.
+    Stopped,
+    /// The new one, since all others have requests that are at work or still arriving.
     New,
 }
 
@@ -89,6 +93,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Idle => "idle",
+            Self::Stopped => "stopped",
             Self::New => "new",
         }
     }
--- a/crates/http/src/body_reader.rs
+++ b/crates/http/src/body_reader.rs
@@ -128,6 +128,10 @@
             let frame = match Pin::new(&mut self.body).poll_frame(context) {
                 Poll::Pending => {
                     self.reservation.wait_for_rest(context.waker());
+                    // It may have been given up before its task could be woken.
+                    if self.reservation.is_given_up() {
+                        continue;
+                    }
                     return Poll::Pending;
                 }
                 Poll::Ready(Some(Ok(frame))) => frame,
--- a/crates/http/src/budget_ledger.rs
+++ b/crates/http/src/budget_ledger.rs
@@ -47,6 +47,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct PoolsFull;
 
+/// What a body is given up for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Need {
+    /// The memory of a body of this length, in bytes.
+    Memory(usize),
+    /// Its connection.
+    Connection,
+}
+
+impl Need {
+    fn is_helped_by(self, holding: Holding) -> bool {
+        match self {
+            Self::Memory(bytes) if bytes <= SMALL_BODY_BYTES => holding.bytes > 0,
+            Self::Memory(_) => holding.bytes > 0 && holding.pool == Pool::Large,
+            Self::Connection => true,
+        }
+    }
+}
+
 /// A body that has not arrived whole.
 #[derive(Debug)]
 struct Arriving {
@@ -138,19 +157,17 @@
         self.arriving.remove(&key);
     }
 
-    /// Gives up the body that has stopped arriving for the longest time, if its memory helps a body
-    /// of `bytes`, and returns its memory. `last_arrival_ms` is the latest that is known of a body,
+    /// Gives up the body that has stopped arriving for the longest time of those that help, and
+    /// returns its memory. `last_arrival_ms` is the latest that is known of a body,
     /// which may be later than what was recorded here.
     pub(crate) fn give_up_one(
         &mut self,
-        bytes: usize,
+        need: Need,
         now_ms: u64,
         last_arrival_ms: impl Fn(ArrivalKey) -> u64,
     ) -> Option<ArrivalKey> {
-        let is_small = bytes <= SMALL_BODY_BYTES;
-        let helps =
-            |one: &Arriving| one.holding.bytes > 0 && (is_small || one.holding.pool == Pool::Large);
-        let candidates = self.arriving.iter().filter(|(_, one)| helps(one));
+        let candidates = self.arriving.iter();
+        let candidates = candidates.filter(|(_, one)| need.is_helped_by(one.holding));
         let stopped = candidates
             .map(|(key, one)| (one.last_arrival_ms.max(last_arrival_ms(*key)), *key))
             .min()?;
--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -56,18 +56,28 @@
             longest_idle.cancel();
             closes_idle = true;
         }
+        let place = self.add(state);
+        Some(Admission { place, closes_idle })
+    }
+
+    /// Takes a new connection beyond the bound, for one that ends at once.
+    #[must_use]
+    pub fn replace(&self) -> ConnectionPlace {
+        self.add(self.lock())
+    }
+
+    fn add(&self, mut state: MutexGuard<'_, State>) -> ConnectionPlace {
         state.open += 1;
         let close = CancellationToken::new();
         let period = state.begin_idle(close.clone());
         drop(state);
-        let place = ConnectionPlace {
+        ConnectionPlace {
             inner: Arc::new(Place {
                 table: self.clone(),
                 close,
                 activity: Mutex::new(Activity::Idle(period)),
             }),
-        };
-        Some(Admission { place, closes_idle })
+        }
     }
 
     /// Connections that are open now, those that are being closed included.
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -3,7 +3,7 @@
 //! Invariant: memory is reserved before bytes are kept in it, counted as what it occupies, and
 //! returned when the last use of the bytes has ended.
 
-use crate::budget_ledger::{ArrivalKey, BudgetLimits, Holding, Ledger};
+use crate::budget_ledger::{ArrivalKey, BudgetLimits, Holding, Ledger, Need};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -124,6 +124,23 @@
         }
     }
 
+    /// Gives up the body that has stopped arriving for the longest time, so that its connection
+    /// closes. Returns whether there was one.
+    #[must_use]
+    pub fn give_up_stopped(&self) -> bool {
+        let now_ms = self.at_ms(Instant::now());
+        let given_up = self.lock().give_up_one(Need::Connection, now_ms);
+        if let Some(arrival) = &given_up {
+            self.wake_given_up(arrival);
+        }
+        given_up.is_some()
+    }
+
+    fn wake_given_up(&self, arrival: &Arrival) {
+        self.shared.given_up.fetch_add(1, Ordering::Relaxed);
+        arrival.wake();
+    }
+
     /// What is held now.
     #[must_use]
     pub fn usage(&self) -> BudgetUsage {
@@ -151,14 +168,16 @@
 
 impl State {
     /// Gives up one stopped body; returns it.
-    fn give_up_one(&mut self, bytes: usize, now_ms: u64) -> Option<Arc<Arrival>> {
+    fn give_up_one(&mut self, need: Need, now_ms: u64) -> Option<Arc<Arrival>> {
         let arrivals = &self.arrivals;
         let last_ms = |key| {
             let arrival = arrivals.get(&key);
             arrival.map_or(0, |one: &Arc<Arrival>| one.last_ms.load(Ordering::Relaxed))
         };
-        let key = self.ledger.give_up_one(bytes, now_ms, last_ms)?;
-        self.arrivals.remove(&key)
+        let key = self.ledger.give_up_one(need, now_ms, last_ms)?;
+        let arrival = self.arrivals.remove(&key)?;
+        arrival.is_given_up.store(true, Ordering::Release);
+        Some(arrival)
     }
 }
 
@@ -201,25 +220,18 @@
         let resized = loop {
             match state.ledger.resize(self.held, bytes) {
                 Ok(held) => break Ok(held),
-                Err(_) => match state.give_up_one(bytes, now_ms) {
+                Err(_) => match state.give_up_one(Need::Memory(bytes), now_ms) {
                     Some(arrival) => woken.push(arrival),
                     None => break Err(NotReserved::Exhausted),
                 },
             }
         };
-        for arrival in &woken {
-            arrival.is_given_up.store(true, Ordering::Release);
-        }
         if let (Ok(held), Some((key, _))) = (resized, &self.arrival) {
             state.ledger.update_arrival(*key, held, now_ms);
         }
         drop(state);
-        budget
-            .shared
-            .given_up
-            .fetch_add(woken.len() as u64, Ordering::Relaxed);
         for arrival in woken {
-            arrival.wake();
+            budget.wake_given_up(&arrival);
         }
         self.held = resized?;
         Ok(())
