--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -35,6 +35,11 @@
 |---|---|---|---|
 | `memory_mb` | a number | `256` | memory that the process may use, in MB; a quarter of it holds bodies, a third heads and connections |
 | `max_open_files` | a whole number | `4096` | descriptors that the process may open; clients' connections take at most half of them |
+
+### Crowds at a controller
+
+The same keys bound the control address: bodies of calls take a quarter of `memory_mb`; connections are at
+most 2,500, a third of `memory_mb` and two thirds of `max_open_files`.
 ";
 
 /// The page, in Markdown.
