--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -88,11 +88,8 @@
             return text_response(StatusCode::BAD_REQUEST, error.to_string());
         }
     };
-    let command = Command::PutServices {
-        number,
-        document: body.to_vec(),
-    };
-    let committed = commit(command, OPERATOR_TIMEOUT, shared).await;
+    let committed = tokio::time::timeout(OPERATOR_TIMEOUT, store(number, &body, shared)).await;
+    let committed = committed.unwrap_or(Err(ProposeError::Undecided));
     let outcome = match &committed {
         Ok(_) => "committed",
         Err(_) => "undecided",
@@ -109,6 +106,20 @@
     }
 }
 
+/// Commits the document with the sizes that earlier ones listed. Two documents that are committed at
+/// the same time do not see each other's sizes.
+async fn store(
+    number: u64,
+    document: &[u8],
+    shared: &Shared,
+) -> Result<CommandReply, ProposeError> {
+    shared.replica.read_barrier().await?;
+    let older = shared.replica.state().services.document.clone();
+    let document = shared.interface.document_to_store(document, &older);
+    let command = Command::PutServices { number, document };
+    shared.replica.submit(command).await
+}
+
 async fn commit(
     command: Command,
     limit: Duration,
@@ -127,7 +138,11 @@
     if state.services.number == 0 {
         return unavailable("there is no configuration yet");
     }
-    json(Bytes::from(state.services.document.clone()))
+    json(Bytes::from(
+        shared
+            .interface
+            .document_for_operator(&state.services.document),
+    ))
 }
 
 async fn register(
--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -60,6 +60,14 @@
         document: &[u8],
     ) -> Result<ServiceConfiguration, ConfigurationError>;
 
+    /// An operator's document in the form that is stored: with the sizes of models that `older`, the
+    /// stored document that it replaces, or one before that lists larger. [`Self::read_configuration`]
+    /// reads them.
+    fn document_to_store(&self, document: &[u8], older: &[u8]) -> Vec<u8>;
+
+    /// A stored document as the operator sent it.
+    fn document_for_operator(&self, stored: &[u8]) -> Vec<u8>;
+
     /// An operator's document in the form that is sent to routers, with digests in place of API
     /// keys. [`Self::read_configuration`] returns the same for both forms.
     fn document_for_routers(&self, document: &[u8]) -> Vec<u8>;
--- a/crates/gateway/tests/reservation.rs
+++ b/crates/gateway/tests/reservation.rs
@@ -133,6 +133,7 @@
         cache_memory_mb: 1.0,
         cache_disk_mb: 1.0,
         models: BTreeMap::new(),
+        earlier_sizes: BTreeMap::new(),
     };
     let (tenant, route) = (tenant("t"), route("r"));
     let table = table_with(Some(engine));
--- a/crates/services/examples/fleet_costs.rs
+++ b/crates/services/examples/fleet_costs.rs
@@ -56,6 +56,7 @@
         cache_memory_mb: 140_000.0,
         cache_disk_mb: 470_000.0,
         models: models.map(|one| (one.name.0.clone(), one)).collect(),
+        earlier_sizes: std::collections::BTreeMap::new(),
     };
     Arc::new(ServiceConfiguration {
         number: 1,
--- a/crates/services/src/configuration.rs
+++ b/crates/services/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration: routes, services, tenants and limits, as one document.
 
+use crate::model_sizes::{ModelSize, ModelSizes};
 use crate::tenants::Tenant;
 use courseshunt_types::{Millis, ModelName};
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
     pub tenants: Vec<Tenant>,
     /// Limits on client requests.
     pub limits: ClientLimits,
+    /// Sizes of the models of services that only earlier versions declared.
+    pub earlier_services: ModelSizes,
 }
 
 /// Whether a request may be retried, and the form of its answer.
@@ -100,6 +103,8 @@
     pub cache_disk_mb: f64,
     /// All models, by name.
     pub models: BTreeMap<String, ModelSpecification>,
+    /// Sizes that earlier versions listed, of models that this one lists smaller or not at all.
+    pub earlier_sizes: BTreeMap<String, ModelSize>,
 }
 
 impl Engine {
@@ -160,6 +165,18 @@
         self.service(service)?.engine.as_ref()
     }
 
+    /// Sets the sizes that earlier versions listed.
+    #[must_use]
+    pub fn with_earlier_sizes(mut self, mut earlier: ModelSizes) -> Self {
+        for service in &mut self.services {
+            if let Some(engine) = &mut service.engine {
+                engine.earlier_sizes = earlier.remove(&service.name).unwrap_or_default();
+            }
+        }
+        self.earlier_services = earlier;
+        self
+    }
+
     /// Longest pause that all routes to a service allow for their streams; `None` if none of them
     /// limits it.
     #[must_use]
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod instance_paths;
 pub mod limit;
 pub mod load_rate_limiter;
+pub mod model_sizes;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
@@ -58,6 +59,7 @@
 pub use limit::local::{LimitChange, LimitStep, RouterLimits};
 pub use limit::{LimitAnswer, LimitQuery, LimitReport, LimitVerdict, ReportedLimit, RequestRate};
 pub use load_rate_limiter::LoadRateLimiter;
+pub use model_sizes::{ModelSize, ModelSizes, earlier_sizes};
 pub use placement::{
     InstanceReport, InstanceReservation, LoadEnd, LoadSource, Order, OrderAction, OrderOutcome,
     OrderRationale, PlacementEngine, PlacementEvent, PlacementSettings, PlacementStep,
--- a/crates/services/src/placement/instance/memory.rs
+++ b/crates/services/src/placement/instance/memory.rs
@@ -1,35 +1,14 @@
 //! Memory that an instance uses, by the sizes with which its models were loaded.
 //!
 //! Invariant: a model counts with the largest size that a configuration has listed for it since it
-//! was ordered or first seen here; a model that none of them lists has an unknown size.
+//! was ordered here; one that this leader did not order counts with the largest size that any
+//! version has listed. A model that none of them lists has an unknown size.
 
 use super::Instance;
-use crate::configuration::{Engine, ModelSpecification};
+use crate::configuration::Engine;
+use crate::model_sizes::ModelSize;
 use courseshunt_types::ModelName;
 
-/// Memory of a model's weights and of each of its adapters, in MB.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(in crate::placement) struct ModelSize {
-    pub(in crate::placement) weights_mb: f64,
-    pub(in crate::placement) adapter_mb: f64,
-}
-
-impl ModelSize {
-    fn listed(specification: &ModelSpecification) -> Self {
-        Self {
-            weights_mb: specification.memory_mb,
-            adapter_mb: specification.adapter_mb,
-        }
-    }
-
-    fn max(self, other: Self) -> Self {
-        Self {
-            weights_mb: self.weights_mb.max(other.weights_mb),
-            adapter_mb: self.adapter_mb.max(other.adapter_mb),
-        }
-    }
-}
-
 /// Memory in use or reserved for a load on one instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(in crate::placement) struct CommittedMemory {
@@ -72,13 +51,29 @@
         engine: &Engine,
     ) -> Option<ModelSize> {
         let listed = engine.model(model.as_str()).map(ModelSize::listed);
-        let recorded = self.sizes.get(model).copied();
-        match (listed, recorded) {
-            (Some(listed), Some(recorded)) => Some(listed.max(recorded)),
+        let earlier = engine.earlier_sizes.get(model.as_str());
+        let loaded = self.sizes.get(model).or(earlier).copied();
+        match (listed, loaded) {
+            (Some(listed), Some(loaded)) => Some(listed.max(loaded)),
             (known, None) | (None, known) => known,
         }
     }
 
+    /// Records the size of a model whose load is accepted: the listed one, unless the configuration
+    /// has changed since the order was sent.
+    pub(super) fn record_loaded_size(&mut self, model: &ModelName, engine: &Engine) {
+        if let Some(listed) = engine.model(model.as_str()) {
+            let listed = ModelSize::listed(listed);
+            self.sizes.entry(model.clone()).or_insert(listed);
+        }
+    }
+
+    /// Removes the size of a model that the instance does not hold. If the instance holds the model
+    /// later without an accepted order of this leader, another leader has ordered it.
+    pub(super) fn remove_size(&mut self, model: &ModelName) {
+        self.sizes.remove(model);
+    }
+
     /// Records the sizes that a configuration lists for the models on this instance, before another
     /// configuration takes its place.
     pub(in crate::placement) fn record_sizes(&mut self, engine: &Engine) {
--- a/crates/services/src/placement/instance/mod.rs
+++ b/crates/services/src/placement/instance/mod.rs
@@ -15,9 +15,9 @@
 use super::OrderAction;
 use crate::configuration::Engine;
 use crate::instance::{CachedWeights, InstanceState, InstanceView, Registration, ResidentModel};
+use crate::model_sizes::ModelSize;
 use cached_weights::WeightCache;
 use courseshunt_types::{Millis, ModelName, RunnerId, Timestamp};
-use memory::ModelSize;
 use std::collections::BTreeMap;
 
 /// Number of routers that must have failed to reach an instance before it is suspected to be dead.
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -68,6 +68,7 @@
             }
             false => {
                 self.held.remove(&model);
+                self.remove_size(&model);
             }
         }
         self.changed_at = Some(now);
@@ -202,6 +203,7 @@
                     specification.map_or(DEFAULT_LOAD_TIME, |one| source.load_time(one));
                 if let Some(engine) = engine {
                     self.cached.record_load_start(model, engine);
+                    self.record_loaded_size(model, engine);
                 }
                 self.running = Some(RunningOrder {
                     action: action.clone(),
@@ -266,6 +268,7 @@
             }
             OrderAction::UnloadModel(model) => {
                 self.held.remove(model);
+                self.remove_size(model);
             }
             OrderAction::LoadAdapter(model, adapter) => {
                 let entry = Adapter {
@@ -396,8 +399,7 @@
 
     pub(in crate::placement) fn start_order(&mut self, action: OrderAction) {
         if let OrderAction::LoadModel(model) = &action {
-            // It is loaded with the size that is listed now.
-            self.sizes.remove(model);
+            self.remove_size(model);
             self.last_load = Some(model.clone());
         }
         self.sent_order = Some(action);
--- a/crates/services/tests/changed_sizes.rs
+++ b/crates/services/tests/changed_sizes.rs
@@ -244,3 +244,62 @@
     assert_eq!(simulation.replicas("m0"), 0, "it is unloaded first");
     assert!(simulation.loaded_models.contains(&ModelName::from("m2")));
 }
+
+/// Another leader begins with what this one recorded, under a version that replaced `older`.
+fn change_leader(
+    simulation: &mut Simulation,
+    older: &ServiceConfiguration,
+    newer: &ServiceConfiguration,
+) {
+    let now = Timestamp::at(simulation.now);
+    let recorded = simulation.engine.views(now);
+    let newer = newer.clone();
+    let earlier = earlier_sizes(older, &newer);
+    let newer = newer.with_earlier_sizes(earlier);
+    simulation.engine = PlacementEngine::new(PlacementSettings::default());
+    simulation.engine.configure(Arc::new(newer), now);
+    for view in &recorded {
+        simulation.engine.seed(view, now);
+    }
+}
+
+/// A leader that began after a version which lists models smaller ordered an instance to hold
+/// 235,300 of 210,000 MB.
+#[test]
+fn a_model_that_is_listed_smaller_keeps_its_memory_at_a_new_leader() {
+    let mut simulation = full_instance(13);
+    let smaller = with_model_size(40.0);
+    only(&mut simulation).load_mb = Some(40.0);
+    change_leader(&mut simulation, &configuration(), &smaller);
+    for model in ["m2", "m3", "m4", "m5"] {
+        load(&mut simulation, model);
+    }
+}
+
+/// What this leader itself loads counts with the size listed then, so that all memory is used.
+#[test]
+fn models_that_a_new_leader_loads_smaller_fill_the_memory() {
+    let mut simulation = full_instance(14);
+    let smaller = with_model_size(40.0);
+    only(&mut simulation).load_mb = Some(40.0);
+    change_leader(&mut simulation, &configuration(), &smaller);
+    for model in ["m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"] {
+        load(&mut simulation, model);
+    }
+    let held = only(&mut simulation).models.len();
+    assert!(held >= 4, "{held} models of 40 MB in 200 MB");
+}
+
+/// The size is known from the versions in between, also after the model was listed no longer.
+#[test]
+fn a_model_that_went_and_came_back_smaller_keeps_its_memory_at_a_new_leader() {
+    let mut simulation = full_instance(15);
+    let without = without(&["m0"]);
+    let earlier = earlier_sizes(&configuration(), &without);
+    let without = (*without).clone().with_earlier_sizes(earlier);
+    only(&mut simulation).load_mb = Some(40.0);
+    change_leader(&mut simulation, &without, &with_model_size(40.0));
+    for model in ["m2", "m3", "m4", "m5"] {
+        load(&mut simulation, model);
+    }
+}
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -52,6 +52,7 @@
                 cache_memory_mb: 0.0,
                 cache_disk_mb: disk_mb,
                 models: models.map(|one| (one.name.0.clone(), one)).collect(),
+                earlier_sizes: BTreeMap::new(),
             }),
         }],
         ..ServiceConfiguration::default()
