--- a/crates/gateway/tests/reservation.rs
+++ b/crates/gateway/tests/reservation.rs
@@ -64,7 +64,7 @@
         }],
         limits: ClientLimits::default(),
         tenants: Vec::new(),
-        earlier_services: Default::default(),
+        earlier_services: BTreeMap::new(),
     })
 }
 
