The answer of an instance is not given up for a client's connection

What callers saw: at the bound of clients' connections, with a request on each, the response of an instance that had paused for over a second was given up for a new connection: 502 for a request that ran. No connection was freed by it. Cause: bodies of clients and of instances are arrivals of one budget, and any of them counted as one that frees a connection. Change: a body has a source; only a client's gives way for a connection.

--- a/crates/coordinator/src/call_body.rs
+++ b/crates/coordinator/src/call_body.rs
@@ -5,7 +5,7 @@
 use crate::Shared;
 use crate::records::ControllerRecord;
 use bytes::Bytes;
-use courseshunt_http::{Body, BodyLimits, BodyProblem, BodyReader, text_response};
+use courseshunt_http::{Body, BodyLimits, BodyProblem, BodyReader, BodySource, text_response};
 use courseshunt_records::emit;
 use courseshunt_wire::MAX_COMMAND_BYTES;
 use hyper::body::Incoming;
@@ -50,6 +50,7 @@
             Self::Registration => (MAX_REGISTRATION_BYTES, REGISTRATION_TIMEOUT),
         };
         BodyLimits {
+            source: BodySource::Client,
             max_bytes,
             deadline: Instant::now() + timeout,
             idle_timeout: IDLE_TIMEOUT,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -14,7 +14,7 @@
 use crate::resumption;
 use crate::staleness::{LookupDecision, evaluate, evaluate_key};
 use bytes::Bytes;
-use courseshunt_http::{BodyLimits, BodyProblem, BodyReader, STOPPED_AFTER_MS};
+use courseshunt_http::{BodyLimits, BodyProblem, BodyReader, BodySource, STOPPED_AFTER_MS};
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
 use courseshunt_services::{
@@ -191,6 +191,7 @@
     let service = service.clone();
     progress.enter(RequestStage::RequestBody);
     let body_limits = BodyLimits {
+        source: BodySource::Client,
         max_bytes: limits.max_body_bytes,
         deadline,
         idle_timeout: Duration::from(limits.idle_timeout),
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -14,7 +14,9 @@
 use crate::received_body::ReceivedBody;
 use crate::records::RequestRecord;
 use crate::relay::{RelayBody, RelayedResponse};
-use courseshunt_http::{BodyFraming, BodyLimits, BodyProblem, BodyReader, PartlyRead, full_body};
+use courseshunt_http::{
+    BodyFraming, BodyLimits, BodyProblem, BodyReader, BodySource, PartlyRead, full_body,
+};
 use courseshunt_instance_load::ReportedLoad;
 use courseshunt_records::emit;
 use courseshunt_services::RequestKind;
@@ -194,6 +196,7 @@
     /// Reads the whole body before any byte is relayed, so that another attempt may follow.
     async fn collect(mut self, head: Parts, body: Incoming) -> AttemptOutcome {
         let limits = BodyLimits {
+            source: BodySource::Peer,
             max_bytes: MAX_BUFFERED_RESPONSE_BYTES,
             deadline: self.deadline,
             idle_timeout: self.deadline.saturating_duration_since(Instant::now()),
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -14,7 +14,8 @@
 use crate::records::RouterRecord;
 use bytes::Bytes;
 use courseshunt_http::{
-    Body, BodyFraming, BodyLimits, BodyProblem, BodyReader, SendTracker, TrackedStream, full_body,
+    Body, BodyFraming, BodyLimits, BodyProblem, BodyReader, BodySource, SendTracker, TrackedStream,
+    full_body,
 };
 use courseshunt_records::emit;
 use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
@@ -246,6 +247,7 @@
         let max_body = shared.view.table();
         let max_body = max_body.map_or(0, |table| table.configuration().limits.max_body_bytes);
         let limits = BodyLimits {
+            source: BodySource::Peer,
             max_bytes: max_body,
             deadline,
             idle_timeout: IDLE_TIMEOUT,
--- a/crates/http/src/body_reader.rs
+++ b/crates/http/src/body_reader.rs
@@ -3,7 +3,7 @@
 //! Invariant: no frame is kept. The bytes of each are copied into the buffer as they arrive: a
 //! frame may keep a whole read buffer in memory, however short it is.
 
-use crate::budget_ledger::next_capacity;
+use crate::budget_ledger::{BodySource, next_capacity};
 use crate::memory_budget::{MemoryBudget, NotReserved, Reservation};
 use bytes::Bytes;
 use hyper::body::Body as HttpBody;
@@ -21,6 +21,8 @@
     pub deadline: Instant,
     /// Longest time without a byte.
     pub idle_timeout: Duration,
+    /// Who sends it.
+    pub source: BodySource,
 }
 
 /// Why a body was not read whole.
@@ -139,7 +141,8 @@
             }
             let frame = match Pin::new(&mut self.body).poll_frame(context) {
                 Poll::Pending => {
-                    self.reservation.wait_for_rest(context.waker());
+                    self.reservation
+                        .wait_for_rest(self.limits.source, context.waker());
                     // It may have been given up before its task could be woken.
                     if self.reservation.is_given_up() {
                         continue;
--- a/crates/http/src/budget_ledger.rs
+++ b/crates/http/src/budget_ledger.rs
@@ -57,19 +57,30 @@
 }
 
 impl Need {
-    fn is_helped_by(self, holding: Holding) -> bool {
+    fn is_helped_by(self, one: &Arriving) -> bool {
+        let holding = one.holding;
         match self {
             Self::Memory(bytes) if bytes <= SMALL_BODY_BYTES => holding.bytes > 0,
             Self::Memory(_) => holding.bytes > 0 && holding.pool == Pool::Large,
-            Self::Connection => true,
+            Self::Connection => one.source == BodySource::Client,
         }
     }
 }
 
+/// Who sends a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodySource {
+    /// A client: to give its body up closes a client's connection.
+    Client,
+    /// An instance, or another process of the cluster.
+    Peer,
+}
+
 /// A body that has not arrived whole.
 #[derive(Debug)]
 struct Arriving {
     holding: Holding,
+    source: BodySource,
     /// When its last byte arrived.
     last_arrival_ms: u64,
 }
@@ -132,12 +143,18 @@
     }
 
     /// Counts a body as arriving from now on.
-    pub(crate) fn begin_arrival(&mut self, holding: Holding, now_ms: u64) -> ArrivalKey {
+    pub(crate) fn begin_arrival(
+        &mut self,
+        holding: Holding,
+        source: BodySource,
+        now_ms: u64,
+    ) -> ArrivalKey {
         let key = self.next_key;
         self.next_key += 1;
         let last_arrival_ms = now_ms;
         let arriving = Arriving {
             holding,
+            source,
             last_arrival_ms,
         };
         self.arriving.insert(key, arriving);
@@ -167,7 +184,7 @@
         last_arrival_ms: impl Fn(ArrivalKey) -> u64,
     ) -> Option<ArrivalKey> {
         let candidates = self.arriving.iter();
-        let candidates = candidates.filter(|(_, one)| need.is_helped_by(one.holding));
+        let candidates = candidates.filter(|(_, one)| need.is_helped_by(one));
         let stopped = candidates
             .map(|(key, one)| (one.last_arrival_ms.max(last_arrival_ms(*key)), *key))
             .min()?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,7 +24,7 @@
     read_limited,
 };
 pub use body_reader::{BodyLimits, BodyProblem, BodyReader, PartlyRead};
-pub use budget_ledger::{BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
+pub use budget_ledger::{BodySource, BudgetLimits, SMALL_BODY_BYTES, STOPPED_AFTER_MS};
 pub use client::{HttpClient, MAX_RESPONSE_HEAD_BYTES, Reply};
 pub use close_delimited::{CloseDelimitedStream, CloseDelimiter, RequestLine};
 pub use connection_table::{Admission, ConnectionPlace, ConnectionTable, RequestGuard};
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -3,7 +3,7 @@
 //! Invariant: memory is reserved before bytes are kept in it, counted as what it occupies, and
 //! returned when the last use of the bytes has ended.
 
-use crate::budget_ledger::{ArrivalKey, BudgetLimits, Holding, Ledger, Need};
+use crate::budget_ledger::{ArrivalKey, BodySource, BudgetLimits, Holding, Ledger, Need};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Gives up the body that has stopped arriving for the longest time, so that its connection
-    /// closes. Returns whether there was one.
+    /// Gives up the client's body that has stopped arriving for the longest time, so that its
+    /// connection closes. Returns whether there was one.
     #[must_use]
     pub fn give_up_stopped(&self) -> bool {
         let now_ms = self.at_ms(Instant::now());
@@ -259,9 +259,9 @@
     }
 
     /// Waits for the rest of the body: it may be given up from now on, and `waker` is woken then.
-    pub(crate) fn wait_for_rest(&mut self, waker: &Waker) {
+    pub(crate) fn wait_for_rest(&mut self, source: BodySource, waker: &Waker) {
         if self.arrival.is_none() {
-            self.begin_arrival();
+            self.begin_arrival(source);
         }
         if let Some((_, arrival)) = &self.arrival {
             let registered = arrival.waker.lock();
@@ -272,12 +272,12 @@
         }
     }
 
-    fn begin_arrival(&mut self) {
+    fn begin_arrival(&mut self, source: BodySource) {
         let now_ms = self.budget.at_ms(Instant::now());
         let arrival = Arc::new(Arrival::default());
         arrival.last_ms.store(now_ms, Ordering::Relaxed);
         let mut state = self.budget.lock();
-        let key = state.ledger.begin_arrival(self.held, now_ms);
+        let key = state.ledger.begin_arrival(self.held, source, now_ms);
         state.arrivals.insert(key, arrival.clone());
         drop(state);
         self.arrival = Some((key, arrival));
--- a/crates/http/tests/memory_budget.rs
+++ b/crates/http/tests/memory_budget.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use courseshunt_http::{
-    BodyLimits, BodyProblem, BodyReader, BodySender, BudgetLimits, MemoryBudget, NotReserved,
+    BodyLimits, BodyProblem, BodyReader, BodySource, BudgetLimits, MemoryBudget, NotReserved,
     SMALL_BODY_BYTES, STOPPED_AFTER_MS, channel_body, full_body,
 };
 use std::time::Duration;
@@ -25,6 +25,7 @@
 
 fn limits(idle_timeout: Duration) -> BodyLimits {
     BodyLimits {
+        source: BodySource::Client,
         max_bytes: MAX_BODY_BYTES,
         deadline: Instant::now() + LONG,
         idle_timeout,
@@ -34,7 +35,7 @@
 type Reading = JoinHandle<Result<Bytes, BodyProblem>>;
 
 /// A body of which this much has arrived and no more does.
-async fn stopped_body(budget: &MemoryBudget, bytes: usize) -> (BodySender, Reading) {
+async fn stopped_body(budget: &MemoryBudget, bytes: usize) -> (BodySource, Reading) {
     let (mut sender, body) = channel_body();
     let mut reader = BodyReader::new(body, limits(LONG), budget);
     let reading = tokio::spawn(async move { reader.read().await });
