A forwarder that stops answers what it has, and sends nothing on whose body ends later

What callers saw: a router that forwards requests for another one sent a request on whose body ended 2.3 s after its stop had begun, and ended without an answer to forwarded requests that had no response, so that the other router could only take them for broken (502). Change: the stop and the instance's readiness are looked at again when the body is complete (busy: another forwarder takes the request), and a request without a response is answered before the end (may_have_run).

--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -101,6 +101,11 @@
     }
 }
 
+/// The failure of a request that a stopping router does not send on.
+fn stopping() -> Failure {
+    Failure::new(ForwardOutcome::Busy, "stopping")
+}
+
 impl Server {
     async fn serve_connection(self, stream: TcpStream, address: SocketAddr) {
         let Some((stream, router)) = self.authenticate(stream, address).await else {
@@ -235,12 +240,12 @@
     ) -> Result<Response<Body>, Failure> {
         let shared = &self.shared;
         if shared.stopping.is_cancelled() {
-            return Err(Failure::new(ForwardOutcome::Busy, "stopping"));
+            return Err(stopping());
         }
         let Ok(permit) = self.in_flight.clone().try_acquire_owned() else {
             return Err(Failure::new(ForwardOutcome::Busy, "too many in flight"));
         };
-        let view = self.accepting_instance(&instruction)?;
+        self.accepting_instance(&instruction)?;
         let deadline = arrived + Duration::from(instruction.time_left);
         let (head, body) = request.into_parts();
         let method = head.method.clone();
@@ -252,7 +257,11 @@
             deadline,
             idle_timeout: IDLE_TIMEOUT,
         };
-        let read = BodyReader::new(body, limits, &shared.memory).read().await;
+        let mut reader = BodyReader::new(body, limits, &shared.memory);
+        let read = tokio::select! {
+            read = reader.read() => read,
+            () = shared.last_answers_due.cancelled() => return Err(stopping()),
+        };
         let collected = read.map_err(|problem| {
             let outcome = match problem {
                 BodyProblem::NoMemory | BodyProblem::GivenUp => ForwardOutcome::Busy,
@@ -260,9 +269,19 @@
             };
             Failure::new(outcome, format!("read the body: {problem}"))
         })?;
+        // The body may have arrived long after the head.
+        if shared.stopping.is_cancelled() {
+            return Err(stopping());
+        }
+        let view = self.accepting_instance(&instruction)?;
         let request = Request::from_parts(head, Full::new(collected));
         let sending = self.send(&view, &instruction, id, request, deadline);
-        let (response, mut upstream) = sending.await?;
+        let (response, mut upstream) = tokio::select! {
+            sent = sending => sent?,
+            () = shared.last_answers_due.cancelled() => {
+                return Err(Failure::new(ForwardOutcome::MayHaveRun, "stopping"));
+            }
+        };
         let (mut head, body) = response.into_parts();
         let framing = BodyFraming::of_response(&method, head.status, &head.headers);
         upstream.apply_framing(framing);
