A request is sent only to an instance that is ready at that moment (DRAIN)

What was seen: a request that waited for its send permit was sent 5.2 s after its instance had said that it drains (drainMs is 2 s); one chosen just before a stop refuses what waits could still be sent after that. Cause: between the choice of an instance and the send, a request awaits its permit and its connection, and only pushback and the software version were looked at again. Change: readiness and the stop are looked at in the same place, immediately before each send. Test: a_request_that_waits_for_its_permit_is_not_sent_to_an_instance_that_drains; before: one late request; after: none.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -100,9 +100,14 @@
     };
     let response_deadline = admitted.deadline + DEADLINE_MARGIN;
     loop {
-        // While the connection was made, the instance may have pushed back, or a list of software
-        // versions may have excluded it.
-        if flight.has_pushback() || !shared.view.may_serve(view, admitted.writer.as_ref()) {
+        // Since the instance was selected, it may have pushed back or begun to drain, a list of
+        // software versions may have excluded it, or the router may be about to end.
+        let is_excluded =
+            flight.has_pushback() || !shared.view.may_serve(view, admitted.writer.as_ref());
+        if is_excluded
+            || !shared.view.is_ready_instance(&view.id)
+            || shared.refusing_queued.is_cancelled()
+        {
             flight.not_run(None, None);
             shared.pool.put_back(upstream);
             return AttemptOutcome::NotSent;
--- a/crates/gateway/src/view/instances.rs
+++ b/crates/gateway/src/view/instances.rs
@@ -5,7 +5,7 @@
 use super::{ProbeTarget, View};
 use crate::software_versions::RequiredWriter;
 use courseshunt_services::instance_directory::InstanceChanges;
-use courseshunt_services::{InstanceDigests, InstanceView, Service};
+use courseshunt_services::{InstanceDigests, InstanceState, InstanceView, Service};
 use courseshunt_types::RunnerId;
 
 impl View {
@@ -79,6 +79,13 @@
         self.lock().instances.get(instance).cloned()
     }
 
+    /// Whether the feed lists this instance as one that takes requests.
+    pub(crate) fn is_ready_instance(&self, instance: &RunnerId) -> bool {
+        let state = self.lock();
+        let listed = state.instances.get(instance);
+        listed.is_some_and(|listed| listed.state == InstanceState::Ready)
+    }
+
     /// Some instance of a service that the feed lists; `draw` varies which.
     pub(crate) fn any_instance(&self, service: &str, draw: u64) -> Option<RunnerId> {
         let state = self.lock();
