A send permit that comes after the end of a stop is not waited for

Cause: the permit's wait looked only at the moment of the refusals. Change: it ends when the stop begins, if the permit comes later. No test of its own; the tests of named limits pass (10 of 10).

--- a/crates/gateway/src/limit_tracker.rs
+++ b/crates/gateway/src/limit_tracker.rs
@@ -16,6 +16,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 #[derive(Default)]
 struct State {
@@ -141,12 +142,14 @@
     if !decision.is_granted || decision.after == Millis(0) {
         return decision.is_granted;
     }
-    let permit = wait_for_permit(shared, instance, decision.after);
+    let due = Instant::now() + Duration::from(decision.after);
+    let permit = wait_for_permit(shared, instance, due);
     tokio::select! {
         // The key may have been revoked or the content quarantined during the wait.
         () = permit => !must_not_send(admitted, shared),
         // The process will exit before the request could be answered.
         () = shared.refusing_queued.cancelled() => false,
+        () = stops_before(shared, due) => false,
     }
 }
 
@@ -179,10 +182,18 @@
     }
 }
 
+/// Resolves once the router stops, if it refuses the requests that wait before `due`.
+async fn stops_before(shared: &Shared, due: Instant) {
+    shared.stopping.cancelled().await;
+    let refused_at = shared.queued_refused_at.get();
+    if refused_at.is_none_or(|at| due < *at) {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Waits for the time of a send permit; returns early if the instance names no limit any more
 /// or is gone.
-async fn wait_for_permit(shared: &Shared, instance: &RunnerId, after: Millis) {
-    let due = tokio::time::Instant::now() + Duration::from(after);
+async fn wait_for_permit(shared: &Shared, instance: &RunnerId, due: Instant) {
     let mut changes = shared.view.changes();
     while shared.view.limit_of(instance).is_some() && shared.view.has_instance(instance) {
         changes.borrow_and_update();
