--- a/crates/http/tests/memory_budget.rs
+++ b/crates/http/tests/memory_budget.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use courseshunt_http::{
-    BodyLimits, BodyProblem, BodyReader, BodySource, BudgetLimits, MemoryBudget, NotReserved,
-    SMALL_BODY_BYTES, STOPPED_AFTER_MS, channel_body, full_body,
+    BodyLimits, BodyProblem, BodyReader, BodySender, BodySource, BudgetLimits, MemoryBudget,
+    NotReserved, SMALL_BODY_BYTES, STOPPED_AFTER_MS, channel_body, full_body,
 };
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -35,7 +35,7 @@
 type Reading = JoinHandle<Result<Bytes, BodyProblem>>;
 
 /// A body of which this much has arrived and no more does.
-async fn stopped_body(budget: &MemoryBudget, bytes: usize) -> (BodySource, Reading) {
+async fn stopped_body(budget: &MemoryBudget, bytes: usize) -> (BodySender, Reading) {
     let (mut sender, body) = channel_body();
     let mut reader = BodyReader::new(body, limits(LONG), budget);
     let reading = tokio::spawn(async move { reader.read().await });
