--- a/crates/coordinator/src/control_limits.rs
+++ b/crates/coordinator/src/control_limits.rs
@@ -13,6 +13,8 @@
 /// Maximum connections of instances and operators; an instance that is rejected here connects to
 /// another controller.
 const MAX_CONTROL_CONNECTIONS: usize = 2_500;
+/// At least so many connections are kept, whatever the settings state.
+const MIN_CONNECTIONS: usize = 16;
 /// Maximum connections of readers of the metrics.
 const MAX_METRICS_CONNECTIONS: usize = 16;
 /// Longest head of a call, in bytes.
@@ -23,7 +25,8 @@
 const MEMORY_DIVISOR: usize = 3;
 /// Descriptors of a process whose settings do not state them.
 const DEFAULT_MAX_OPEN_FILES: usize = 4_096;
-/// Connections take at most the descriptors less this: those of other processes and files.
+/// The descriptors divided by this stay free for peers, routers, instances and files; connections
+/// take at most the others.
 const OTHER_DESCRIPTORS_DIVISOR: usize = 3;
 
 /// Limits of the control address.
@@ -51,5 +54,6 @@
     let descriptors = settings.max_open_files.unwrap_or(DEFAULT_MAX_OPEN_FILES);
     let by_memory = memory_bytes / MEMORY_DIVISOR / CONNECTION_BYTES;
     let by_descriptors = descriptors - descriptors / OTHER_DESCRIPTORS_DIVISOR;
-    MAX_CONTROL_CONNECTIONS.min(by_memory).min(by_descriptors)
+    let bound = MAX_CONTROL_CONNECTIONS.min(by_memory).min(by_descriptors);
+    bound.max(MIN_CONNECTIONS)
 }
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -199,6 +199,7 @@
             source: BodySource::Peer,
             max_bytes: MAX_BUFFERED_RESPONSE_BYTES,
             deadline: self.deadline,
+            // A response may pause until its deadline.
             idle_timeout: self.deadline.saturating_duration_since(Instant::now()),
         };
         let mut reader = BodyReader::new(body, limits, &self.shared.memory);
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -42,7 +42,7 @@
 const MAX_CONNECTIONS: usize = 512;
 /// Maximum number of forwarded requests in flight.
 const MAX_IN_FLIGHT: usize = 256;
-/// Idle time after which a connection of another router is closed.
+/// Idle time after which a connection of another router is closed, and longest pause in a body.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
@@ -245,6 +245,7 @@
         let Ok(permit) = self.in_flight.clone().try_acquire_owned() else {
             return Err(Failure::new(ForwardOutcome::Busy, "too many in flight"));
         };
+        // Refuses before the body is read; checked again afterwards.
         self.accepting_instance(&instruction)?;
         let deadline = arrived + Duration::from(instruction.time_left);
         let (head, body) = request.into_parts();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -124,7 +124,7 @@
     /// When the requests that are still queued during a planned stop are refused; set when the stop
     /// begins.
     pub(crate) queued_refused_at: OnceLock<Instant>,
-    /// Cancelled when no new connections are accepted any more.
+    /// Cancelled when neither new connections nor requests that are not yet admitted are accepted.
     pub(crate) closing: CancellationToken,
     /// Cancelled when the requests that are still queued during a planned stop must be refused.
     pub(crate) refusing_queued: CancellationToken,
--- a/crates/gateway/src/limit_tracker.rs
+++ b/crates/gateway/src/limit_tracker.rs
@@ -149,7 +149,7 @@
         () = permit => !must_not_send(admitted, shared),
         // The process will exit before the request could be answered.
         () = shared.refusing_queued.cancelled() => false,
-        () = stops_before(shared, due) => false,
+        () = refused_before(shared, due) => false,
     }
 }
 
@@ -182,8 +182,9 @@
     }
 }
 
-/// Resolves once the router stops, if it refuses the requests that wait before `due`.
-async fn stops_before(shared: &Shared, due: Instant) {
+/// Resolves when the router begins to stop, if it will refuse waiting requests at or before `due`;
+/// else never.
+async fn refused_before(shared: &Shared, due: Instant) {
     shared.stopping.cancelled().await;
     let refused_at = shared.queued_refused_at.get();
     if refused_at.is_none_or(|at| due < *at) {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -359,7 +359,7 @@
     },
     /// A connection that does not come from a router of this cluster and protocol version.
     ForwardingRejected { peer: &'a str, problem: &'a str },
-    /// A connection of a client is closed at their bound.
+    /// A connection of a client is closed because their number has reached its maximum.
     ClientConnectionClosed {
         /// `idle`: the one that has been without a request for the longest time; `stopped`: the one
         /// whose request's body has stopped arriving for the longest time; `new`: the new one, since
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,6 +140,7 @@
                 BreakCause::Instance(_) => flight.truncated(&problem),
                 BreakCause::Time => flight.deadline_exceeded(&problem),
                 BreakCause::Order(cause) => flight.out_of_order(cause),
+                // `Flight::finish` has recorded it.
                 BreakCause::InsideEvent(_) => {}
             }
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -28,7 +28,7 @@
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 /// Limits of the readiness and the metrics address.
-const PROBE_LIMITS: ServerLimits = ServerLimits {
+const READINESS_AND_METRICS_LIMITS: ServerLimits = ServerLimits {
     max_connections: 64,
     header_timeout: Duration::from_secs(10),
     max_header_bytes: 8 * 1024,
@@ -55,8 +55,8 @@
     }
 }
 
-/// The place of a new connection, for which the longest idle one may have to be closed; `None` if
-/// it must be closed at once.
+/// The place of a new connection. At the bound an idle connection, or else one whose body has
+/// stopped arriving, is closed for it; `None` if there is neither.
 fn admit_connection(peer: SocketAddr, shared: &Shared) -> Option<ConnectionPlace> {
     let max = max_client_connections(&shared.settings.limits, &shared.client_limits());
     let (place, closed) = match shared.clients.admit(max) {
@@ -172,7 +172,7 @@
             }
         }
     };
-    courseshunt_http::serve(listener, PROBE_LIMITS, ended, handler).await;
+    courseshunt_http::serve(listener, READINESS_AND_METRICS_LIMITS, ended, handler).await;
 }
 
 /// Serves the metrics page.
@@ -195,5 +195,5 @@
             text_response(StatusCode::OK, page)
         }
     };
-    courseshunt_http::serve(listener, PROBE_LIMITS, ended, handler).await;
+    courseshunt_http::serve(listener, READINESS_AND_METRICS_LIMITS, ended, handler).await;
 }
--- a/crates/http/src/budget_ledger.rs
+++ b/crates/http/src/budget_ledger.rs
@@ -50,7 +50,7 @@
 /// What a body is given up for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Need {
-    /// The memory of a body of this length, in bytes.
+    /// Memory of this many bytes in all for the buffer of one body.
     Memory(usize),
     /// Its connection.
     Connection,
@@ -70,7 +70,7 @@
 /// Who sends a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodySource {
-    /// A client: to give its body up closes a client's connection.
+    /// A client, at a controller any caller: to give its body up closes its connection.
     Client,
     /// An instance, or another process of the cluster.
     Peer,
@@ -109,7 +109,7 @@
         }
     }
 
-    /// What is occupied, in bytes: by small bodies, by large ones.
+    /// What is occupied, in bytes: in the pool of small bodies, in the other one.
     pub(crate) fn held(&self) -> (usize, usize) {
         (self.small_bytes, self.large_bytes)
     }
@@ -174,8 +174,8 @@
         self.arriving.remove(&key);
     }
 
-    /// Gives up the body that has stopped arriving for the longest time of those that help, and
-    /// returns its memory. `last_arrival_ms` is the latest that is known of a body,
+    /// Gives up the body that has stopped arriving for the longest time of those that help,
+    /// releases what it occupies, and returns its key. `last_arrival_ms` is the latest that is known of a body,
     /// which may be later than what was recorded here.
     pub(crate) fn give_up_one(
         &mut self,
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -42,9 +42,9 @@
 /// What a budget holds at a moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BudgetUsage {
-    /// Occupied by small bodies, in bytes.
+    /// Occupied in the pool of small bodies, in bytes.
     pub small_bytes: usize,
-    /// Occupied by large bodies, in bytes.
+    /// Occupied in the other pool, which small bodies overflow into, in bytes.
     pub large_bytes: usize,
     /// Bodies that have not arrived whole.
     pub arriving: usize,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -23,7 +23,8 @@
     /// Connections at the most. For a new one, the one that has been without a request for the
     /// longest time is closed; if all have requests, the new one is.
     pub max_connections: usize,
-    /// Longest time from a request's first byte to the end of its headers.
+    /// Longest time from the start of a connection, or the end of a response, until the headers of
+    /// the next request are complete: idle connections end by it.
     pub header_timeout: Duration,
     /// Longest headers, in bytes.
     pub max_header_bytes: usize,
--- a/crates/http/src/short_reads.rs
+++ b/crates/http/src/short_reads.rs
@@ -11,7 +11,7 @@
 /// Longest read, in bytes: less than the library's first buffer, which is enlarged once it is filled.
 const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
-/// See the module.
+/// A connection whose reads are short.
 #[derive(Debug)]
 pub struct ShortReads<S> {
     stream: S,
--- a/crates/services/src/placement/instance/mod.rs
+++ b/crates/services/src/placement/instance/mod.rs
@@ -1,5 +1,5 @@
-//! State of one instance as seen by the leader: its last report, updated by the orders sent since; its
-//! registrations until there is either.
+//! State of one instance as seen by the leader: its last report, updated by the orders sent since. Its
+//! registrations count only until the first report or order.
 //!
 //! Invariant: what orders and reports established is never taken back by a registration, which may
 //! have been sent before them and arrive seconds late. A registration that differs leads to a query,
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -21,8 +21,8 @@
     by_age: BTreeSet<(Timestamp, RunnerId)>,
     /// Instances with [`Entry::replaced_at`], by that time.
     replaced: BTreeSet<(Timestamp, RunnerId)>,
-    /// Services in the list of the leader, or of the one before: they may have run versions that
-    /// were not heard here. `Some` is the time from which this member leads.
+    /// Services that may have run versions that were not heard here: from the leader's list (`None`), or
+    /// counted as mixed by this member, which leads, since this time.
     listed: BTreeMap<String, Option<Timestamp>>,
     /// Services whose routes were altered, and when: another service may have begun their streams.
     altered: BTreeMap<String, Timestamp>,
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -34,7 +34,7 @@
 | key | allowed | default | meaning |
 |---|---|---|---|
 | `memory_mb` | a number | `256` | memory that the process may use, in MB; a quarter of it holds bodies, a third heads and connections |
-| `max_open_files` | a whole number | `4096` | descriptors that the process may open; clients' connections take at most half of them |
+| `max_open_files` | a whole number | `4096` | descriptors that the process may open; a router's clients take at most half of them, a controller's callers two thirds, and at least 16 connections each |
 
 ### Crowds at a controller
 
