Settings: one home for the defaults of memory and descriptors; the limits of clients are read in one way

DEFAULT_MAX_OPEN_FILES stood in the gateway and in the coordinator, and the default of the memory was applied three times. Both are now methods of ServiceLimits. The hop between routers reads the limits of clients as clients' connections do. No change of behaviour.

--- a/crates/coordinator/src/control_limits.rs
+++ b/crates/coordinator/src/control_limits.rs
@@ -3,7 +3,7 @@
 //! Invariant: what connections and heads occupy together is a share of the process's memory, and
 //! connections take a share of its descriptors.
 
-use courseshunt_http::{DEFAULT_PROCESS_MEMORY_BYTES, ServerLimits};
+use courseshunt_http::ServerLimits;
 use courseshunt_settings::service::ServiceLimits;
 use std::time::Duration;
 
@@ -23,8 +23,6 @@
 const CONNECTION_BYTES: usize = 32 * 1024;
 /// Connections and heads occupy at most the memory divided by this.
 const MEMORY_DIVISOR: usize = 3;
-/// Descriptors of a process whose settings do not state them.
-const DEFAULT_MAX_OPEN_FILES: usize = 4_096;
 /// The descriptors divided by this stay free for peers, routers, instances and files; connections
 /// take at most the others.
 const OTHER_DESCRIPTORS_DIVISOR: usize = 3;
@@ -49,10 +47,8 @@
 }
 
 fn max_control_connections(settings: &ServiceLimits) -> usize {
-    let memory_bytes = settings.memory_bytes();
-    let memory_bytes = memory_bytes.unwrap_or(DEFAULT_PROCESS_MEMORY_BYTES);
-    let descriptors = settings.max_open_files.unwrap_or(DEFAULT_MAX_OPEN_FILES);
-    let by_memory = memory_bytes / MEMORY_DIVISOR / CONNECTION_BYTES;
+    let descriptors = settings.open_files();
+    let by_memory = settings.process_memory_bytes() / MEMORY_DIVISOR / CONNECTION_BYTES;
     let by_descriptors = descriptors - descriptors / OTHER_DESCRIPTORS_DIVISOR;
     let bound = MAX_CONTROL_CONNECTIONS.min(by_memory).min(by_descriptors);
     bound.max(MIN_CONNECTIONS)
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -376,7 +376,7 @@
             redundancy: Mutex::default(),
             stop: stop.clone(),
             metrics: Metrics::default(),
-            memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
+            memory: MemoryBudget::of_process(settings.limits.process_memory_bytes()),
             seeds: SeedList::new(&settings),
             engine: Mutex::new(engine),
             quotas: Mutex::new(QuotaLedger::new(0, quota_settings(&settings))),
--- a/crates/coordinator/src/software_versions.rs
+++ b/crates/coordinator/src/software_versions.rs
@@ -57,14 +57,14 @@
     let mut versions = shared.software_versions();
     versions.lead(now);
     if term == FIRST_TERM || is_unconfigured {
-        versions.note_first_leadership();
+        versions.note_no_earlier_streams();
     }
 }
 
 /// Sends the first list of a leadership.
 pub(crate) fn begin_feed(publication: &mut VersionPublication, now: Timestamp, shared: &Shared) {
     let knows_past = shared.software_versions().knows_past();
-    if !knows_past && !suspect_all_services(now, shared) {
+    if !knows_past && !count_all_as_mixed(now, shared) {
         return;
     }
     let published = publication.begin(&mut shared.software_versions(), now);
@@ -72,7 +72,7 @@
 }
 
 /// Counts all services as mixed; returns whether their names are known.
-fn suspect_all_services(now: Timestamp, shared: &Shared) -> bool {
+fn count_all_as_mixed(now: Timestamp, shared: &Shared) -> bool {
     let document = shared.replica.state().services.document.clone();
     let services = match shared.interface.read_configuration(&document) {
         Ok(configuration) => configuration.services,
@@ -85,7 +85,7 @@
     emit(&ControllerRecord::EarlierVersionsUnknown {
         services: names.len(),
     });
-    shared.software_versions().suspect(names, now);
+    shared.software_versions().count_as_mixed(names, now);
     true
 }
 
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -273,7 +273,7 @@
     match message {
         FeedMessage::Leadership { term, settled } => {
             sessions.begin_leadership(Leadership { term, settled });
-            shared.software_versions().await_list();
+            shared.software_versions().note_new_leader();
             shared.upstream.link(router_subscriptions(shared));
             emit(&ControllerRecord::UpstreamBegan { term });
         }
--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -150,9 +150,9 @@
     /// as it arrives.
     fn relay_partly_read(self, head: Parts, reader: BodyReader<Incoming>) -> AttemptOutcome {
         let Some(PartlyRead { read, rest }) = reader.into_partly_read() else {
-            return self.drop_unread(&BodyProblem::GivenUp);
+            return self.drop_without_memory(&BodyProblem::GivenUp);
         };
-        self.record_memory("relayed");
+        self.record_without_memory("relayed");
         let read = read.into_iter().filter(|piece| !piece.is_empty());
         let received = RelayedResponse {
             read: read.collect(),
@@ -163,14 +163,14 @@
         AttemptOutcome::Answered(Response::from_parts(head, body.boxed_unsync()))
     }
 
-    /// Drops a response for which the process has no memory left.
-    fn drop_unread(mut self, problem: &BodyProblem) -> AttemptOutcome {
-        self.record_memory("dropped");
+    /// Drops a response that has no memory, or whose memory was given to another body.
+    fn drop_without_memory(mut self, problem: &BodyProblem) -> AttemptOutcome {
+        self.record_without_memory("dropped");
         self.flight.failed(&problem.to_string());
         AttemptOutcome::MayHaveRun
     }
 
-    fn record_memory(&self, outcome: &'static str) {
+    fn record_without_memory(&self, outcome: &'static str) {
         self.shared.metrics.response_without_memory(outcome);
         emit(&RequestRecord::ResponseWithoutMemory {
             id: &self.admitted.metadata.id,
@@ -213,7 +213,7 @@
                 return self.relay_partly_read(head, reader);
             }
             Err(problem @ (BodyProblem::NoMemory | BodyProblem::GivenUp)) => {
-                return self.drop_unread(&problem);
+                return self.drop_without_memory(&problem);
             }
             Err(problem @ (BodyProblem::TooLong { .. } | BodyProblem::Broken { .. })) => {
                 self.flight.truncated(&problem.to_string());
--- a/crates/gateway/src/client_limits.rs
+++ b/crates/gateway/src/client_limits.rs
@@ -1,11 +1,8 @@
 //! How many connections of clients a router keeps open.
 
-use courseshunt_http::DEFAULT_PROCESS_MEMORY_BYTES;
 use courseshunt_services::ClientLimits;
 use courseshunt_settings::service::ServiceLimits;
 
-/// Descriptors of a process whose settings do not state them.
-const DEFAULT_MAX_OPEN_FILES: usize = 4_096;
 /// Clients' connections take at most the descriptors divided by this. The others are for instances,
 /// other routers, controllers and files.
 const DESCRIPTORS_DIVISOR: usize = 2;
@@ -20,15 +17,11 @@
 
 /// Maximum number of clients' connections.
 pub(crate) fn max_client_connections(process: &ServiceLimits, clients: &ClientLimits) -> usize {
-    let descriptors = process.max_open_files.unwrap_or(DEFAULT_MAX_OPEN_FILES);
-    let memory_bytes = process
-        .memory_bytes()
-        .unwrap_or(DEFAULT_PROCESS_MEMORY_BYTES);
     let head_bytes = clients
         .max_header_bytes
         .max(crate::serve::MIN_READ_BUFFER_BYTES);
     let connection_bytes = CONNECTION_BYTES + HEAD_BUFFER_FACTOR * head_bytes;
-    let by_memory = memory_bytes / MEMORY_DIVISOR / connection_bytes;
-    let bound = (descriptors / DESCRIPTORS_DIVISOR).min(by_memory);
+    let by_memory = process.process_memory_bytes() / MEMORY_DIVISOR / connection_bytes;
+    let bound = (process.open_files() / DESCRIPTORS_DIVISOR).min(by_memory);
     bound.max(MIN_CONNECTIONS)
 }
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -18,7 +18,7 @@
     full_body,
 };
 use courseshunt_records::emit;
-use courseshunt_services::{ClientLimits, InstanceState, InstanceView};
+use courseshunt_services::{InstanceState, InstanceView};
 use courseshunt_types::{Millis, RouterId};
 use courseshunt_wire::{AuthenticatedStream, PROTOCOL_VERSION, PeerIdentity, accept_stream};
 use http_body_util::{BodyExt, Full};
@@ -111,10 +111,7 @@
         let Some((stream, router)) = self.authenticate(stream, address).await else {
             return;
         };
-        let limits = self.shared.view.table();
-        let limits = limits.map_or(ClientLimits::default(), |table| {
-            table.configuration().limits
-        });
+        let limits = self.shared.client_limits();
         let tracker = SendTracker::default();
         let stream = TrackedStream::new(stream, tracker.clone());
         let serving = self.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -222,7 +222,7 @@
             forwarders: Arc::default(),
             metrics,
             clients: ConnectionTable::default(),
-            memory: MemoryBudget::of_process(settings.limits.memory_bytes()),
+            memory: MemoryBudget::of_process(settings.limits.process_memory_bytes()),
             quotas: Arc::new(QuotaTracker::new(
                 quota_settings(&settings.limits),
                 view::INITIAL_ROUTER_COUNT,
--- a/crates/http/src/budget_ledger.rs
+++ b/crates/http/src/budget_ledger.rs
@@ -175,8 +175,8 @@
     }
 
     /// Gives up the body that has stopped arriving for the longest time of those that help,
-    /// releases what it occupies, and returns its key. `last_arrival_ms` is the latest that is known of a body,
-    /// which may be later than what was recorded here.
+    /// releases what it occupies, and returns its key. `last_arrival_ms` is the latest arrival that is
+    /// known of a body, which may be later than what was recorded here.
     pub(crate) fn give_up_one(
         &mut self,
         need: Need,
--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -1,8 +1,8 @@
 //! A bound for the connections of a listener, which those without a request never keep others from.
 //!
-//! Invariant: the table itself closes no connection with a request in flight for another one; at the bound
-//! the connection that has been without a request for the longest time gives way, and if all have
-//! one, the new connection is not taken.
+//! Invariant: the table itself closes no connection with a request in flight for another one. At the
+//! bound the connection that has been without a request for the longest time gives way, and if all
+//! have one, the new connection is not taken.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -33,9 +33,7 @@
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use framing::BodyFraming;
 pub use interim::{InterimLimit, MAX_INTERIM_RESPONSES, TooManyInterim};
-pub use memory_budget::{
-    BudgetUsage, DEFAULT_PROCESS_MEMORY_BYTES, MemoryBudget, NotReserved, Reservation,
-};
+pub use memory_budget::{BudgetUsage, MemoryBudget, NotReserved, Reservation};
 pub use pace::AcceptPace;
 pub use response::{bearer_token, json_response, openai_error, refusal_response, text_response};
 pub use retry_after::{RetryAfter, read_asked_rest, read_retry_after};
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -10,8 +10,6 @@
 use std::task::Waker;
 use std::time::Instant;
 
-/// Memory of a process whose settings do not state it, in bytes.
-pub const DEFAULT_PROCESS_MEMORY_BYTES: usize = 256_000_000;
 /// All bodies of a process together may occupy its memory divided by this.
 const BODIES_DIVISOR: usize = 4;
 /// Small bodies have a pool of what all bodies may occupy divided by this.
@@ -107,10 +105,9 @@
         }
     }
 
-    /// The budget of a process with this memory in bytes, as its settings state it.
+    /// The budget of a process with this memory, in bytes.
     #[must_use]
-    pub fn of_process(memory_bytes: Option<usize>) -> Self {
-        let memory_bytes = memory_bytes.unwrap_or(DEFAULT_PROCESS_MEMORY_BYTES);
+    pub fn of_process(memory_bytes: usize) -> Self {
         Self::new(BudgetLimits::of_process(memory_bytes))
     }
 
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -114,12 +114,12 @@
     }
 
     /// Notes that another member leads, whose list is still due: what it knows is not known here.
-    pub fn await_list(&mut self) {
+    pub fn note_new_leader(&mut self) {
         self.knows_past = false;
     }
 
     /// Notes that no stream began before this member led.
-    pub fn note_first_leadership(&mut self) {
+    pub fn note_no_earlier_streams(&mut self) {
         self.knows_past = true;
     }
 
@@ -131,7 +131,7 @@
 
     /// Counts these services as mixed for the retention: all that may have run versions that this
     /// member, which leads, did not hear.
-    pub fn suspect(&mut self, services: Vec<String>, now: Timestamp) {
+    pub fn count_as_mixed(&mut self, services: Vec<String>, now: Timestamp) {
         let suspected = services.into_iter().map(|service| (service, Some(now)));
         self.listed.extend(suspected);
         self.knows_past = true;
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -196,7 +196,7 @@
     let mut versions = versions(&[("a", "v2")]);
     versions.lead(START);
     assert!(!versions.knows_past());
-    versions.suspect(vec![SERVICE.to_owned()], at(10));
+    versions.count_as_mixed(vec![SERVICE.to_owned()], at(10));
     assert!(versions.knows_past());
     let all = [listed(SERVICE, &[("a", "v2")])];
     assert_eq!(versions.mixed_services(), all);
@@ -212,10 +212,10 @@
     let mut versions = SoftwareVersions::default();
     versions.note_list(&[], START);
     assert!(versions.knows_past());
-    versions.await_list();
+    versions.note_new_leader();
     assert!(!versions.knows_past(), "another leader's list is still due");
     let mut first = SoftwareVersions::default();
-    first.note_first_leadership();
+    first.note_no_earlier_streams();
     assert!(first.knows_past());
 }
 
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -118,10 +118,26 @@
     pub max_open_files: Option<usize>,
 }
 
+/// Memory of a process whose settings do not state it, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256_000_000;
+/// Descriptors of a process whose settings do not state them.
+const DEFAULT_OPEN_FILES: usize = 4_096;
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
 impl ServiceLimits {
+    /// Memory that the process may use, in bytes, or the default.
+    #[must_use]
+    pub fn process_memory_bytes(&self) -> usize {
+        self.memory_bytes().unwrap_or(DEFAULT_MEMORY_BYTES)
+    }
+
+    /// Descriptors that the process may open, or the default.
+    #[must_use]
+    pub fn open_files(&self) -> usize {
+        self.max_open_files.unwrap_or(DEFAULT_OPEN_FILES)
+    }
+
     /// Memory that the process may use, in bytes, if the settings state it.
     #[must_use]
     pub fn memory_bytes(&self) -> Option<usize> {
