Software versions: names that say what is not known

An instance whose heartbeat was not received was unheard, a service without a list uncovered, a service whose routes were altered ambiguous: three words beside mixed for four facts. They are named after the fact: note_unknown_version, awaiting_list, may_have_begun_elsewhere.

--- a/crates/coordinator/src/instance_persistence.rs
+++ b/crates/coordinator/src/instance_persistence.rs
@@ -35,7 +35,7 @@
 fn restore_batch(shared: &Shared, batch: &[InstanceView], now: Timestamp) {
     let mut versions = shared.software_versions();
     for view in batch {
-        versions.note_unheard(&view.service, &view.id, now);
+        versions.note_unknown_version(&view.service, &view.id, now);
     }
     drop(versions);
     let mut engine = shared.engine();
--- a/crates/coordinator/src/software_versions.rs
+++ b/crates/coordinator/src/software_versions.rs
@@ -41,7 +41,7 @@
     for relayed in batch {
         let instance = match relayed {
             RelayedRegistration::Full(one) => {
-                versions.note_unheard(&one.service, &one.id, now);
+                versions.note_unknown_version(&one.service, &one.id, now);
                 &one.id
             }
             RelayedRegistration::Unchanged { id, .. } => id,
--- a/crates/coordinator/src/stream_origins.rs
+++ b/crates/coordinator/src/stream_origins.rs
@@ -34,7 +34,7 @@
 fn note_origins(began: Vec<StreamOrigin>, now: Timestamp, shared: &Shared) {
     let mut versions = shared.software_versions();
     for origin in &began {
-        versions.note_unheard(&origin.service, &origin.instance, now);
+        versions.note_unknown_version(&origin.service, &origin.instance, now);
     }
     drop(versions);
     let mut origins = shared.origins();
--- a/crates/gateway/src/software_versions.rs
+++ b/crates/gateway/src/software_versions.rs
@@ -1,7 +1,7 @@
 //! What a router knows of the software versions of instances.
 //!
 //! Invariant: the versions of a service count as mixed unless a leader's list excludes it. An
-//! instance that appears before the present leader has sent its list is covered by no list.
+//! instance that appears before the present leader has sent its list is in no list.
 
 use courseshunt_services::ServiceVersions;
 use courseshunt_services::stream_origins::ORIGIN_RETENTION;
@@ -50,8 +50,8 @@
     listed: BTreeSet<String>,
     /// Services that an earlier list named, and since when the lists leave them out.
     unlisted_since: BTreeMap<String, Timestamp>,
-    /// Services with an instance that appeared when no list of the present leader covered it.
-    uncovered: BTreeSet<String>,
+    /// Services with an instance that appeared before the present leader had sent its list.
+    awaiting_list: BTreeSet<String>,
     versions: HashMap<RunnerId, KnownVersion>,
 }
 
@@ -61,7 +61,7 @@
         self.forget_expired(now);
         self.has_list = true;
         self.has_present_list = true;
-        self.uncovered.clear();
+        self.awaiting_list.clear();
         for service in std::mem::take(&mut self.listed) {
             self.unlisted_since.insert(service, now);
         }
@@ -88,8 +88,8 @@
 
     /// Records that an instance of a service appeared.
     pub fn add_instance(&mut self, service: &str) {
-        if !self.has_present_list && !self.uncovered.contains(service) {
-            self.uncovered.insert(service.to_owned());
+        if !self.has_present_list && !self.awaiting_list.contains(service) {
+            self.awaiting_list.insert(service.to_owned());
         }
     }
 
@@ -110,7 +110,7 @@
     pub fn may_be_mixed(&self, service: &str, now: Timestamp) -> bool {
         let unlisted_since = self.unlisted_since.get(service);
         !self.has_list
-            || self.uncovered.contains(service)
+            || self.awaiting_list.contains(service)
             || self.listed.contains(service)
             || unlisted_since.is_some_and(|since| is_recent(*since, now))
     }
--- a/crates/gateway/src/view/versions.rs
+++ b/crates/gateway/src/view/versions.rs
@@ -59,7 +59,8 @@
     pub(crate) fn is_origin_ambiguous(&self, service: &str) -> bool {
         let now = self.clock.now();
         let state = self.lock();
-        state.versions.may_be_mixed(service, now) || state.route_services.is_ambiguous(service, now)
+        state.versions.may_be_mixed(service, now)
+            || state.route_services.may_have_begun_elsewhere(service, now)
     }
 
     /// Whether an instance may serve a request that needs this writer.
--- a/crates/services/src/stream_origins/publication.rs
+++ b/crates/services/src/stream_origins/publication.rs
@@ -104,7 +104,7 @@
             let version = instances.get(&one.instance);
             version.is_some_and(|version| **version != one.version)
         });
-        has_other_version || instances.keys().any(|id| versions.is_unheard(id))
+        has_other_version || instances.keys().any(|id| versions.has_unknown_version(id))
     })
 }
 
--- a/crates/services/src/stream_origins/route_services.rs
+++ b/crates/services/src/stream_origins/route_services.rs
@@ -42,7 +42,7 @@
 
     /// Whether a stream on a route to this service may have begun at another service.
     #[must_use]
-    pub fn is_ambiguous(&self, service: &str, now: Timestamp) -> bool {
+    pub fn may_have_begun_elsewhere(&self, service: &str, now: Timestamp) -> bool {
         let altered_at = self.altered_at.get(service);
         self.split.contains(service) || altered_at.is_some_and(|at| is_recent(*at, now))
     }
--- a/crates/services/src/stream_origins/version_outbox.rs
+++ b/crates/services/src/stream_origins/version_outbox.rs
@@ -27,7 +27,7 @@
 struct Heard {
     service: String,
     version: SoftwareVersion,
-    heard_at: Timestamp,
+    noted_at: Timestamp,
     /// When the current leader was last sent it.
     sent_at: Option<Timestamp>,
 }
@@ -44,7 +44,7 @@
     ) {
         let earlier = self.instances.remove(instance);
         if let Some(earlier) = &earlier {
-            self.by_age.remove(&(earlier.heard_at, instance.clone()));
+            self.by_age.remove(&(earlier.noted_at, instance.clone()));
         }
         let unchanged = earlier.filter(|one| one.service == service && one.version == *version);
         let sent_at = unchanged.and_then(|one| one.sent_at);
@@ -54,7 +54,7 @@
         let heard = Heard {
             service: service.to_owned(),
             version: version.clone(),
-            heard_at: now,
+            noted_at: now,
             sent_at,
         };
         self.instances.insert(instance.clone(), heard);
--- a/crates/services/src/stream_origins/versions.rs
+++ b/crates/services/src/stream_origins/versions.rs
@@ -36,7 +36,7 @@
     service: String,
     /// `None` while no heartbeat with a version has arrived here.
     version: Option<SoftwareVersion>,
-    heard_at: Timestamp,
+    noted_at: Timestamp,
     /// When a heartbeat last replaced another version, or service, of the same identity.
     replaced_at: Option<Timestamp>,
 }
@@ -65,15 +65,15 @@
     /// Notes that an instance registered without a change; its version is the last one noted.
     pub fn refresh(&mut self, instance: &RunnerId, now: Timestamp) {
         if let Some(entry) = self.instances.get_mut(instance) {
-            self.by_age.remove(&(entry.heard_at, instance.clone()));
+            self.by_age.remove(&(entry.noted_at, instance.clone()));
             self.by_age.insert((now, instance.clone()));
-            entry.heard_at = now;
+            entry.noted_at = now;
         }
     }
 
     /// Notes that an instance exists, or existed when a stream began; changes nothing if it has
     /// been noted within the retention. Its version is not known until its heartbeat is noted.
-    pub fn note_unheard(&mut self, service: &str, instance: &RunnerId, now: Timestamp) {
+    pub fn note_unknown_version(&mut self, service: &str, instance: &RunnerId, now: Timestamp) {
         if !self.instances.contains_key(instance) {
             self.note(service, instance, None, now);
         }
@@ -208,7 +208,7 @@
 
     /// Whether an instance is kept whose version is not known.
     #[must_use]
-    pub fn is_unheard(&self, instance: &RunnerId) -> bool {
+    pub fn has_unknown_version(&self, instance: &RunnerId) -> bool {
         let entry = self.instances.get(instance);
         entry.is_some_and(|entry| entry.version.is_none())
     }
@@ -239,7 +239,7 @@
         let entry = Entry {
             service: service.to_owned(),
             version: version.cloned(),
-            heard_at: now,
+            noted_at: now,
             replaced_at: None,
         };
         self.instances.insert(instance.clone(), entry);
--- a/crates/services/tests/route_services.rs
+++ b/crates/services/tests/route_services.rs
@@ -52,8 +52,8 @@
 #[test]
 fn a_route_to_one_service_is_not_ambiguous() {
     let services = after_changes(vec![vec![route("/", &[("chat", 1.0), ("old", 0.0)])]]);
-    assert!(!services.is_ambiguous("chat", START));
-    assert!(!services.is_ambiguous("old", START));
+    assert!(!services.may_have_begun_elsewhere("chat", START));
+    assert!(!services.may_have_begun_elsewhere("old", START));
 }
 
 #[test]
@@ -62,9 +62,12 @@
     let services = after_changes(vec![vec![split, route("/other/", &[("search", 1.0)])]]);
     let later = START + ORIGIN_RETENTION + Millis(1);
     for service in ["chat", "new"] {
-        assert!(services.is_ambiguous(service, later), "{service}");
+        assert!(
+            services.may_have_begun_elsewhere(service, later),
+            "{service}"
+        );
     }
-    assert!(!services.is_ambiguous("search", START));
+    assert!(!services.may_have_begun_elsewhere("search", START));
 }
 
 #[test]
@@ -73,9 +76,12 @@
     let services = after_changes(vec![split, vec![route("/", &[("new", 1.0)])]]);
     let last = START + ORIGIN_RETENTION;
     for service in ["chat", "new"] {
-        assert!(services.is_ambiguous(service, last), "{service}");
         assert!(
-            !services.is_ambiguous(service, last + Millis(1)),
+            services.may_have_begun_elsewhere(service, last),
+            "{service}"
+        );
+        assert!(
+            !services.may_have_begun_elsewhere(service, last + Millis(1)),
             "{service}"
         );
     }
@@ -85,8 +91,8 @@
 fn a_route_that_changes_its_service_makes_both_ambiguous() {
     let before = vec![route("/", &[("chat", 1.0)])];
     let services = after_changes(vec![before, vec![route("/", &[("new", 1.0)])]]);
-    assert!(services.is_ambiguous("chat", START));
-    assert!(services.is_ambiguous("new", START));
+    assert!(services.may_have_begun_elsewhere("chat", START));
+    assert!(services.may_have_begun_elsewhere("new", START));
 }
 
 #[test]
@@ -97,11 +103,11 @@
         route("/fast/", &[("new", 1.0)]),
     ];
     let services = after_changes(vec![before.clone(), after.clone()]);
-    assert!(services.is_ambiguous("chat", START));
-    assert!(services.is_ambiguous("new", START));
+    assert!(services.may_have_begun_elsewhere("chat", START));
+    assert!(services.may_have_begun_elsewhere("new", START));
     let services = after_changes(vec![after, before]);
-    assert!(services.is_ambiguous("chat", START));
-    assert!(services.is_ambiguous("new", START));
+    assert!(services.may_have_begun_elsewhere("chat", START));
+    assert!(services.may_have_begun_elsewhere("new", START));
 }
 
 #[test]
@@ -116,8 +122,8 @@
             vec![other.clone()],
             returned,
         ]);
-        assert!(services.is_ambiguous("chat", START), "{third}");
-        assert!(services.is_ambiguous("new", START), "{third}");
+        assert!(services.may_have_begun_elsewhere("chat", START), "{third}");
+        assert!(services.may_have_begun_elsewhere("new", START), "{third}");
     }
 }
 
@@ -127,12 +133,12 @@
     let two = route("/b/", &[("chat", 1.0)]);
     let both = vec![one.clone(), two];
     let services = after_changes(vec![vec![one.clone()], both, vec![one]]);
-    assert!(!services.is_ambiguous("chat", START));
+    assert!(!services.may_have_begun_elsewhere("chat", START));
 }
 
 #[test]
 fn a_change_of_weights_alters_nothing_else() {
     let before = vec![route("/", &[("chat", 1.0)])];
     let services = after_changes(vec![before, vec![route("/", &[("chat", 2.0)])]]);
-    assert!(!services.is_ambiguous("chat", START));
+    assert!(!services.may_have_begun_elsewhere("chat", START));
 }
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -134,14 +134,14 @@
 #[test]
 fn an_instance_of_unknown_version_counts_as_one_of_another_version() {
     let mut versions = versions(&[("a", "v1")]);
-    versions.note_unheard(SERVICE, &id("b"), START);
+    versions.note_unknown_version(SERVICE, &id("b"), START);
     let expected = [listed(SERVICE, &[("a", "v1")])];
     assert_eq!(versions.mixed_services(), expected);
     assert_eq!(versions.writer(&id("b")), None);
     hear(&mut versions, "b", "v1", at(10));
     assert_eq!(versions.mixed_services(), []);
     assert!(versions.writer(&id("b")).is_some());
-    versions.note_unheard(SERVICE, &id("b"), at(20));
+    versions.note_unknown_version(SERVICE, &id("b"), at(20));
     assert_eq!(versions.mixed_services(), [], "it is known already");
     // A registration without a version shows that it lives.
     versions.refresh(&id("b"), at(20));
