Router of deployments: a body that ends after the stop has begun is refused

Cause: the stop was checked when the head of a request had been read, and not again after the wait for its body. A request whose body ended during the drain was sent to a runner and could be cut off with the process.

Change: the check is made again when the body is complete. The refusal is 503 with the outcome not-run, as before the body.

Measured: crates/router/tests/planned_stops.rs, body completed 0.3 s after the stop began: before, the runner received the request (1 arrival in place of 0); now 503, not-run, and no arrival. The test passes.

--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -104,11 +104,17 @@
     }
 }
 
-fn authenticate(headers: &HeaderMap, context: &RouterContext) -> Result<TenantName, Refusal> {
-    if context.stop.is_cancelled() {
-        let refusal = Refusal::not_run(RefusalReason::ShuttingDown, "this router is stopping");
-        return Err(refusal.with_retry_after(STOPPING_RETRY_AFTER));
+/// Refuses a request that has not been passed on when a planned stop begins.
+fn refuse_if_stopping(context: &RouterContext) -> Result<(), Refusal> {
+    if !context.stop.is_cancelled() {
+        return Ok(());
     }
+    let refusal = Refusal::not_run(RefusalReason::ShuttingDown, "this router is stopping");
+    Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
+}
+
+fn authenticate(headers: &HeaderMap, context: &RouterContext) -> Result<TenantName, Refusal> {
+    refuse_if_stopping(context)?;
     if !context.view.is_synced() {
         let message = "this router has no confirmed configuration yet";
         return Err(Refusal::not_run(RefusalReason::ShuttingDown, message));
@@ -174,6 +180,8 @@
     let body_timeout = context.settings.body_timeout.into();
     let body = read_in_time(body, limit, body_timeout, "caller").await;
     let body = body.map_err(|error| body_refusal(&error))?;
+    // The body may have arrived long after the head.
+    refuse_if_stopping(context)?;
     reserved.shrink(body.len());
     Ok((body, reserved))
 }
