Router of deployments: what waits is answered before the end of the drain

Cause: the end of drain_seconds ended the process whatever still waited: a runner that sends nothing, a body that does not end, a replica that is not loaded, a ledger without a reply, a stream that has fallen silent. None of them got a complete answer.

Change: 0.2 s before the end of the drain the processing of each request as a whole is ended from outside, so that no wait can be left out. It is answered with 503 and the outcome not-run, or with 502 and the outcome unknown if it may have run. RequestProgress records the send before it checks the stop, so that a request that was answered as not run is not sent by a task that goes on (a request that may run once only). A stream that has begun ends with an error event.

--- a/crates/router/src/attempt/execution.rs
+++ b/crates/router/src/attempt/execution.rs
@@ -6,6 +6,7 @@
 
 use super::counts::Count;
 use super::outcome::{AttemptEnd, NotRunCause, UnknownCause};
+use super::progress::RequestProgress;
 use super::send::{OpenAttempt, RunnerRequest};
 use crate::RouterContext;
 use crate::dispatch::GrantedRequest;
@@ -64,6 +65,7 @@
 pub struct Execution<'a> {
     context: &'a RouterContext,
     work: &'a Work,
+    progress: RequestProgress,
     attempts: u32,
     refusals: u32,
     may_have_run: bool,
@@ -80,6 +82,7 @@
         Self {
             context,
             work,
+            progress: RequestProgress::new(&context.last_answers_due),
             attempts: 0,
             refusals: 0,
             may_have_run: false,
@@ -89,6 +92,12 @@
         }
     }
 
+    /// Records in `progress` whether the request may have run.
+    #[must_use]
+    pub fn with_progress(self, progress: RequestProgress) -> Self {
+        Self { progress, ..self }
+    }
+
     /// Number of the next attempt.
     #[must_use]
     pub fn next_attempt(&self) -> Attempt {
@@ -118,7 +127,11 @@
     /// # Errors
     /// The refusal for the caller.
     pub async fn grant(&mut self) -> Result<GrantedRequest, Refusal> {
-        let acquired = self.context.dispatcher.acquire(self.ticket()).await;
+        let acquired = tokio::select! {
+            biased;
+            () = self.progress.last_answer_due() => return Err(self.stopping_refusal()),
+            acquired = self.context.dispatcher.acquire(self.ticket()) => acquired,
+        };
         let granted = acquired.map_err(|refusal| self.with_known_outcome(refusal))?;
         self.last_runner = Some(granted.grant.runner.clone());
         let now = self.context.clock.now();
@@ -153,7 +166,7 @@
         }
     }
 
-    /// Refusal for work that is queued when the router stops.
+    /// Refusal for work that is not sent on because the router stops.
     #[must_use]
     pub fn stopping_refusal(&self) -> Refusal {
         let message = "the router is stopping";
@@ -196,6 +209,9 @@
         &self,
         granted: GrantedRequest,
     ) -> Result<(OpenAttempt, Response<Incoming>), AttemptEnd> {
+        if !self.progress.begin_send() {
+            return Err(AttemptEnd::NotRun(NotRunCause::RouterStopping));
+        }
         let request = RunnerRequest {
             request: self.work.request.clone(),
             attempt: self.next_attempt(),
@@ -219,6 +235,7 @@
             end.as_str()
         );
         self.may_have_run |= end.outcome() != Outcome::NotRun;
+        self.progress.set_may_have_run(self.may_have_run);
         self.avoid.extend(self.last_runner.clone());
         match end {
             AttemptEnd::NotRun(NotRunCause::Invalid) => {
@@ -226,6 +243,7 @@
                 let refusal = Refusal::not_run(RefusalReason::InvalidRequest, message);
                 Err(self.with_known_outcome(refusal))
             }
+            AttemptEnd::NotRun(NotRunCause::RouterStopping) => Err(self.stopping_refusal()),
             AttemptEnd::NotRun(cause) if cause.is_ordinary() => self.after_refusal(cause),
             AttemptEnd::Unknown(UnknownCause::TooLarge) => {
                 let message = "the answer is larger than the limit";
--- a/crates/router/src/attempt/outcome.rs
+++ b/crates/router/src/attempt/outcome.rs
@@ -8,6 +8,8 @@
 pub enum NotRunCause {
     /// The runner has been removed from the placement.
     RunnerUnknown,
+    /// The last answers of this router's planned stop were due before the request was sent.
+    RouterStopping,
     /// No connection was established, or it closed before the first byte was sent.
     ConnectFailed,
     /// The runner refused before admission: it is draining.
@@ -64,6 +66,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::RunnerUnknown => "runner_unknown",
+            Self::RouterStopping => "router_stopping",
             Self::ConnectFailed => "connect_failed",
             Self::Draining => "draining",
             Self::NotLoaded => "not_loaded",
@@ -88,7 +91,7 @@
 
     fn report(self) -> AttemptOutcome {
         match self {
-            Self::RunnerUnknown | Self::Invalid => AttemptOutcome::Unused,
+            Self::RunnerUnknown | Self::RouterStopping | Self::Invalid => AttemptOutcome::Unused,
             Self::Draining => AttemptOutcome::NotAdmitted(AdmissionFailure::Draining),
             Self::NotLoaded => AttemptOutcome::NotAdmitted(AdmissionFailure::NotLoaded),
             Self::InBackoff(backoff) => {
--- a/crates/router/src/caller/access.rs
+++ b/crates/router/src/caller/access.rs
@@ -1,17 +1,19 @@
 //! The access log: one line for each completion request.
 
 use crate::RouterContext;
-use crate::attempt::{AttemptCounts, Execution, Work};
+use crate::attempt::{AttemptCounts, Execution, RequestProgress, Work};
 use courseshunt_types::time::MonotonicClock;
-use courseshunt_types::{Outcome, PriorityClass, Refusal, RunnerId, Timestamp};
+use courseshunt_types::{Outcome, PriorityClass, Refusal, RefusalReason, RunnerId, Timestamp};
 use std::sync::Arc;
 
 /// Collects the fields of a request's log line. A record that is dropped before
-/// the end of the request is logged with the result `caller_left`.
+/// the end of the request is logged with the result `caller_left`, or as refused if the
+/// last answers of a planned stop are due.
 #[derive(Debug)]
 pub struct AccessRecord {
     counts: Arc<AttemptCounts>,
     clock: MonotonicClock,
+    progress: RequestProgress,
     class: PriorityClass,
     /// Id, class, tenant and deployment, formatted for the line.
     identity: String,
@@ -25,7 +27,7 @@
 
 impl AccessRecord {
     /// Creates the record of a request that has arrived.
-    pub fn new(context: &RouterContext, work: &Work) -> Self {
+    pub fn new(context: &RouterContext, work: &Work, progress: RequestProgress) -> Self {
         let identity = format!(
             "id={} class={} tenant={} deployment={}",
             work.request, work.class, work.tenant, work.deployment
@@ -33,6 +35,7 @@
         Self {
             counts: context.counts.clone(),
             clock: context.clock,
+            progress,
             class: work.class,
             identity,
             arrived: work.arrived,
@@ -89,8 +92,12 @@
 
 impl Drop for AccessRecord {
     fn drop(&mut self) {
-        if !self.ended {
-            self.write(Outcome::Unknown, "caller_left");
+        if self.ended {
+            return;
+        }
+        match self.progress.is_last_answer_due() {
+            true => self.write(self.progress.outcome(), RefusalReason::ShuttingDown.code()),
+            false => self.write(Outcome::Unknown, "caller_left"),
         }
     }
 }
--- a/crates/router/src/caller/complete.rs
+++ b/crates/router/src/caller/complete.rs
@@ -5,7 +5,7 @@
 use super::once_only;
 use super::request::{CallerRequest, RepeatRule};
 use crate::RouterContext;
-use crate::attempt::{AttemptEnd, EventStream, Execution, read_answer};
+use crate::attempt::{AttemptEnd, EventStream, Execution, RequestProgress, read_answer};
 use crate::dispatch::GrantedRequest;
 use bytes::Bytes;
 use courseshunt_http::{Body, BodySender, channel_body, full_body, openai_error};
@@ -23,10 +23,11 @@
 pub async fn run(
     context: &RouterContext,
     request: CallerRequest,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     match request.repeat.clone() {
-        RepeatRule::Any => run_repeatable(context, &request).await,
-        RepeatRule::Never(key) => once_only::run(context, request, key).await,
+        RepeatRule::Any => run_repeatable(context, &request, progress).await,
+        RepeatRule::Never(key) => once_only::run(context, request, key, progress).await,
     }
 }
 
@@ -42,10 +43,11 @@
 async fn run_repeatable(
     context: &RouterContext,
     request: &CallerRequest,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     let work = request.work(context.clock.now());
-    let mut access = AccessRecord::new(context, &work);
-    let mut execution = Execution::new(context, &work);
+    let mut access = AccessRecord::new(context, &work, progress.clone());
+    let mut execution = Execution::new(context, &work).with_progress(progress.clone());
     let answered = answer(&mut execution).await;
     access.record_attempts(&execution);
     match answered {
@@ -57,7 +59,7 @@
         Ok(Answer::Stream { first, events }) => {
             access.record_first_byte();
             let (sender, body) = channel_body();
-            let relay = relay(access, first, *events, sender);
+            let relay = relay(access, first, *events, sender, progress.clone());
             context.tasks.spawn(relay);
             Ok(stream_response(&work.request, body))
         }
@@ -95,12 +97,14 @@
     Ok(Answer::Stream { first, events })
 }
 
-/// Relays a stream to the caller; a stream that fails ends with an error event.
+/// Relays a stream to the caller. A stream that fails, or has not ended when the last answers of a
+/// planned stop are due, ends with an error event.
 async fn relay(
     access: AccessRecord,
     first: Option<Bytes>,
     mut events: EventStream,
     mut sender: BodySender,
+    progress: RequestProgress,
 ) {
     let mut next: Result<Option<Bytes>, AttemptEnd> = Ok(first);
     loop {
@@ -114,14 +118,27 @@
             Err(end) => {
                 let message = format!("the answer is not whole: {}", end.as_str());
                 let refusal = Refusal::unknown(RefusalReason::RunnerFailed, message);
-                let _ = sender.send_data(error_event(&refusal)).await;
-                return access.refused(&refusal);
+                return end_with_error(access, sender, &refusal).await;
             }
         }
-        next = events.next().await;
+        next = tokio::select! {
+            biased;
+            event = events.next() => event,
+            () = progress.last_answer_due() => {
+                let message = "the answer is not whole: the router is stopping";
+                let refusal = Refusal::unknown(RefusalReason::ShuttingDown, message);
+                return end_with_error(access, sender, &refusal).await;
+            }
+        };
     }
 }
 
+/// Ends a stream with an error event.
+async fn end_with_error(access: AccessRecord, mut sender: BodySender, refusal: &Refusal) {
+    let _ = sender.send_data(error_event(refusal)).await;
+    access.refused(refusal);
+}
+
 fn error_event(refusal: &Refusal) -> Bytes {
     let content = openai_error(refusal.reason.code(), refusal.outcome, &refusal.message);
     Bytes::from(format!("data: {content}\n\n"))
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -11,6 +11,7 @@
 pub use request::{CLASS_HEADER, CallerRequest, RepeatRule, may_use};
 
 use crate::RouterContext;
+use crate::attempt::RequestProgress;
 use crate::jobs;
 use crate::limits::BodyReservation;
 use bytes::Bytes;
@@ -18,7 +19,7 @@
     Body, HttpError, MAX_HEADER_BYTES, bearer_token, header_bytes, json_response, read_in_time,
     refusal_response, text_response,
 };
-use courseshunt_types::{Millis, Refusal, RefusalReason, TenantName};
+use courseshunt_types::{Millis, Outcome, Refusal, RefusalReason, TenantName};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
@@ -29,6 +30,8 @@
 /// Retry delay sent to a caller by a stopping router; another router would accept
 /// the request at once.
 const STOPPING_RETRY_AFTER: Millis = Millis::from_secs(1);
+/// Message of a refusal by a stopping router.
+const STOPPING: &str = "this router is stopping";
 
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
@@ -47,12 +50,38 @@
     let result = match allowed_method(&path) {
         Some(method) if request.method() != method => Err(method_not_allowed(&request, &method)),
         Some(_) if header_bytes(&request) > MAX_HEADER_BYTES => Err(headers_too_large()),
-        _ => route(request, context, &path).await,
+        _ => route_until_stopped(request, context, &path).await,
     };
     context.requests.record(&result);
     result.unwrap_or_else(|refusal| refusal_response(&refusal))
 }
 
+/// Processes a request, at the longest until the last answers of a planned stop are due.
+async fn route_until_stopped(
+    request: Request<Incoming>,
+    context: &RouterContext,
+    path: &str,
+) -> Result<Response<Body>, Refusal> {
+    let progress = RequestProgress::new(&context.last_answers_due);
+    tokio::select! {
+        biased;
+        result = route(request, context, path, &progress) => result,
+        () = progress.last_answer_due() => Err(last_answer(&progress)),
+    }
+}
+
+/// The refusal of a request whose processing ends with the router.
+fn last_answer(progress: &RequestProgress) -> Refusal {
+    let refusal = match progress.outcome() {
+        Outcome::NotRun => Refusal::not_run(RefusalReason::ShuttingDown, STOPPING),
+        Outcome::Unknown | Outcome::Done => {
+            let message = "the router stopped before the outcome of the request was known";
+            Refusal::unknown(RefusalReason::RunnerFailed, message)
+        }
+    };
+    refusal.with_retry_after(STOPPING_RETRY_AFTER)
+}
+
 /// The method that a path allows; `None` for unknown paths and for the jobs API,
 /// which checks its methods itself.
 fn allowed_method(path: &str) -> Option<Method> {
@@ -78,15 +107,18 @@
     request: Request<Incoming>,
     context: &RouterContext,
     path: &str,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     match path {
         "/healthz" => Ok(text_response(StatusCode::OK, "ok\n")),
         "/readyz" => Ok(ready(context)),
         "/metrics" => Ok(text_response(StatusCode::OK, metrics::page(context))),
         "/v1/models" => models(&request, context),
-        _ if is_jobs_path(path) => jobs_page(request, context, path).await,
-        "/v1/chat/completions" => completion(request, context, "/v1/chat/completions").await,
-        "/v1/completions" => completion(request, context, "/v1/completions").await,
+        _ if is_jobs_path(path) => jobs_page(request, context, path, progress).await,
+        "/v1/chat/completions" => {
+            completion(request, context, "/v1/chat/completions", progress).await
+        }
+        "/v1/completions" => completion(request, context, "/v1/completions", progress).await,
         _ => {
             let message = format!("there is no {path} here");
             Err(Refusal::not_run(RefusalReason::NotFound, message))
@@ -109,7 +141,7 @@
     if !context.stop.is_cancelled() {
         return Ok(());
     }
-    let refusal = Refusal::not_run(RefusalReason::ShuttingDown, "this router is stopping");
+    let refusal = Refusal::not_run(RefusalReason::ShuttingDown, STOPPING);
     Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
 }
 
@@ -143,12 +175,13 @@
     request: Request<Incoming>,
     context: &RouterContext,
     path: &'static str,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
     let (body, _reserved) = read_body(context, &head.headers, body).await?;
     let parsed = CallerRequest::parse(&head.headers, body, tenant, path, &context.view)?;
-    complete::run(context, parsed).await
+    complete::run(context, parsed, progress).await
 }
 
 /// Whether a path belongs to the API of deferred jobs.
@@ -161,10 +194,13 @@
     request: Request<Incoming>,
     context: &RouterContext,
     path: &str,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     let tenant = authenticate(request.headers(), context)?;
     let (head, body) = request.into_parts();
     let (body, _reserved) = read_body(context, &head.headers, body).await?;
+    // A change of the ledger may be committed although its reply has not arrived.
+    progress.set_may_have_run(head.method != Method::GET);
     jobs::handle(context, tenant, &head.method, path, &head.headers, body).await
 }
 
--- a/crates/router/src/caller/once_only.rs
+++ b/crates/router/src/caller/once_only.rs
@@ -9,7 +9,9 @@
 use super::complete::complete_response;
 use super::request::CallerRequest;
 use crate::RouterContext;
-use crate::attempt::{AttemptEnd, Count, Execution, RunnerQuery, Work, read_answer};
+use crate::attempt::{
+    AttemptEnd, Count, Execution, RequestProgress, RunnerQuery, Work, read_answer,
+};
 use crate::control::LedgerError;
 use crate::dispatch::GrantedRequest;
 use courseshunt_http::Body;
@@ -44,6 +46,7 @@
     context: &RouterContext,
     request: CallerRequest,
     key: IdempotencyKey,
+    progress: &RequestProgress,
 ) -> Result<Response<Body>, Refusal> {
     let now = context.clock.now();
     let work = request.work(now);
@@ -55,6 +58,7 @@
         digest: request.digest,
         key,
         work,
+        progress: progress.clone(),
     };
     context.tasks.spawn(async move {
         let _ = reply.send(once_only.run().await);
@@ -80,12 +84,15 @@
     digest: Digest,
     key: IdempotencyKey,
     work: Work,
+    progress: RequestProgress,
 }
 
 impl OnceOnly {
     async fn run(&self) -> Result<StoredAnswer, Refusal> {
-        let mut access = AccessRecord::new(&self.context, &self.work);
-        let mut execution = Execution::new(&self.context, &self.work);
+        let progress = || self.progress.clone();
+        let mut access = AccessRecord::new(&self.context, &self.work, progress());
+        let execution = Execution::new(&self.context, &self.work);
+        let mut execution = execution.with_progress(progress());
         let answered = self.answer(&mut execution).await;
         access.record_attempts(&execution);
         match &answered {
@@ -233,6 +240,8 @@
                     request,
                     attempt,
                 };
+                // The execution of the other router may have run.
+                self.progress.set_may_have_run(true);
                 self.recover(&query).await.map(Some)
             }
             ClaimReply::Unknown => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,12 +29,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Longest wait at a planned stop until a controller has been notified of it.
 const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// In a planned stop, whatever has no complete answer is answered this much before the end of the
+/// drain, so that the answers reach the callers before the process exits.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// State that the components of a router share; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct RouterContext {
@@ -72,6 +77,9 @@
     pub leaving_reported: CancellationToken,
     /// Cancelled when the planned stop begins.
     pub stop: CancellationToken,
+    /// Cancelled shortly before the end of the drain: what has no complete answer is answered, and
+    /// nothing is sent to runners any more.
+    pub last_answers_due: CancellationToken,
 }
 
 impl RouterContext {
@@ -154,6 +162,7 @@
             drain: CancellationToken::new(),
             leaving_reported: CancellationToken::new(),
             stop: CancellationToken::new(),
+            last_answers_due: CancellationToken::new(),
         };
         let endpoints = control::Endpoints {
             http_address,
@@ -201,7 +210,8 @@
     }
 
     /// Performs a planned stop: the router reports not ready, its queues move to
-    /// other routers, running requests finish and their results are recorded.
+    /// other routers, running requests finish and their results are recorded. What has not
+    /// finished shortly before the end of the drain is answered.
     pub async fn stop(self) {
         let context = &self.context;
         context.stop.cancel();
@@ -211,14 +221,7 @@
             context.tasks.close();
             context.tasks.wait().await;
         };
-        let drain = context.settings.drain;
-        if tokio::time::timeout(drain.into(), finished).await.is_err() {
-            let left = context.tasks.len();
-            log::warn!(
-                "router: drain timed out after {} ms with {left} tasks in progress",
-                drain.0
-            );
-        }
+        end_requests(context, finished).await;
         let reported = context.leaving_reported.cancelled();
         let _ = tokio::time::timeout(LEAVING_TIMEOUT, reported).await;
         self.ended.cancel();
@@ -226,6 +229,30 @@
     }
 }
 
+/// Waits until `finished` resolves, at the longest until the end of the drain. Before that, what has
+/// no complete answer is answered.
+async fn end_requests(context: &RouterContext, finished: impl Future<Output = ()>) {
+    let drain = context.settings.drain;
+    let limit = Instant::now() + Duration::from(drain);
+    let mut finished = std::pin::pin!(finished);
+    let ended = tokio::time::timeout_at(limit - LAST_ANSWER_MARGIN, finished.as_mut()).await;
+    if ended.is_ok() {
+        return;
+    }
+    log::warn!(
+        "router: answering what has not finished {} ms before the end of the drain",
+        LAST_ANSWER_MARGIN.as_millis()
+    );
+    context.last_answers_due.cancel();
+    if tokio::time::timeout_at(limit, finished).await.is_err() {
+        let left = context.tasks.len();
+        log::warn!(
+            "router: drain timed out after {} ms with {left} tasks in progress",
+            drain.0
+        );
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, RouterError> {
     TcpListener::bind(address)
         .await
