Short grace periods leave time for the last answers of a stop

Cause: the margins of a planned stop (0.4 s for the exit, 0.5 s and 0.2 s for the refusals before it) had fixed lengths. With a grace period of 0.8 s or less the last answers fell due at the end of the stop itself.

Change: below a grace period of 2 s the margins are in proportion shorter, so that the steps keep their order; at 2 s and more nothing changes. The controller's margin follows the same rule.

That a grace period below zero ends the stop with a panic is read in the code, not run.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -287,7 +287,8 @@
 
 /// Interval of the checks whether the machine was suspended.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Part of the grace period that is reserved for the exit of the process.
+/// Part of the grace period that is reserved for the exit of the process; in proportion shorter for
+/// a short grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// Records when the machine was suspended. Nothing depends on this task: expiry is evaluated by
@@ -450,8 +451,9 @@
     /// Stops gracefully: hands the leadership over first, and returns once the responses to all calls
     /// have been written or the grace period is nearly over.
     pub async fn stop(self) {
-        let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
-        let limit = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        let limits = self.shared.settings.limits;
+        let margin = limits.stop_margin(STOP_MARGIN);
+        let limit = tokio::time::Instant::now() + limits.grace() - margin;
         self.shared.replica.stop().await;
         self.shared.stop.cancel();
         self.shared.api_requests.close();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -86,7 +86,8 @@
 /// After a stop is requested, new connections are still accepted for this time, because the
 /// platform observes the failing readiness probe with a delay.
 const READINESS_PROPAGATION_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is reserved for the exit of the process.
+/// Part of the grace period that is reserved for the exit of the process. Like the other margins of
+/// a stop, it is in proportion shorter for a short grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// In a planned stop, queued requests are refused this much before the grace period ends, so
@@ -279,15 +280,13 @@
     /// and returns once no request is in flight or the grace period is nearly over.
     pub async fn stop(self) {
         emit(&RouterRecord::Stops);
-        let grace = Duration::from_secs_f64(self.shared.settings.limits.grace_s);
-        let limit = Instant::now() + grace.saturating_sub(STOP_MARGIN);
-        let _ = self
-            .shared
-            .queued_refused_at
-            .set(limit - QUEUED_REFUSAL_MARGIN);
+        let limits = self.shared.settings.limits;
+        let limit = Instant::now() + limits.grace() - limits.stop_margin(STOP_MARGIN);
+        let queued_refused_at = limit - limits.stop_margin(QUEUED_REFUSAL_MARGIN);
+        let _ = self.shared.queued_refused_at.set(queued_refused_at);
         self.shared.stopping.cancel();
         self.shared.forwarders.report_due.notify_one();
-        tokio::time::sleep(READINESS_PROPAGATION_TIME.min(grace / 2)).await;
+        tokio::time::sleep(READINESS_PROPAGATION_TIME.min(limits.grace() / 2)).await;
         self.shared.closing.cancel();
         self.shared.requests.close();
         self.end_requests(limit).await;
@@ -299,6 +298,7 @@
     /// Waits until no request is in flight, at most until `limit`. Before that, first the requests
     /// that wait for an instance are refused, and then all that have no response are answered.
     async fn end_requests(&self, limit: Instant) {
+        let limits = self.shared.settings.limits;
         let requests = &self.shared.requests;
         let steps = [
             (QUEUED_REFUSAL_MARGIN, Some(&self.shared.refusing_queued)),
@@ -306,7 +306,8 @@
             (Duration::ZERO, None),
         ];
         for (margin, next_step) in steps {
-            let ended = tokio::time::timeout_at(limit - margin, requests.wait()).await;
+            let step_due = limit - limits.stop_margin(margin);
+            let ended = tokio::time::timeout_at(step_due, requests.wait()).await;
             if ended.is_ok() {
                 return;
             }
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -7,6 +7,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Why a settings file is refused.
 #[derive(Debug, snafu::Snafu)]
@@ -93,7 +94,8 @@
     pub order_lease_ms: u64,
     /// Window of the weight store's ceiling, in seconds.
     pub load_window_s: f64,
-    /// Time between the order to stop and the end by force, in seconds.
+    /// Time between the order to stop and the end by force, in seconds, from [`MIN_GRACE_S`] to
+    /// [`MAX_GRACE_S`].
     pub grace_s: f64,
     /// Window over which the use of tenants is judged, in seconds.
     #[serde(default = "default_quota_window_s")]
@@ -118,6 +120,12 @@
     pub max_open_files: Option<usize>,
 }
 
+/// Shortest grace period, in seconds: a shorter one leaves no time for the answers of a stop.
+pub const MIN_GRACE_S: f64 = 0.5;
+/// Longest grace period, in seconds.
+pub const MAX_GRACE_S: f64 = 86_400.0;
+/// Grace period, in seconds, from which on the margins of a planned stop have their full length.
+const FULL_MARGINS_GRACE_S: f64 = 2.0;
 /// Memory of a process whose settings do not state it, in bytes.
 const DEFAULT_MEMORY_BYTES: usize = 256_000_000;
 /// Descriptors of a process whose settings do not state them.
@@ -126,6 +134,19 @@
 const MEGABYTE: f64 = 1e6;
 
 impl ServiceLimits {
+    /// Time between the order to stop and the end by force.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Length of a margin of a planned stop whose full length is `full`: in proportion shorter for
+    /// a short grace period, so that the steps of a stop keep their order and their time.
+    #[must_use]
+    pub fn stop_margin(&self, full: Duration) -> Duration {
+        full.mul_f64((self.grace_s / FULL_MARGINS_GRACE_S).min(1.0))
+    }
+
     /// Memory that the process may use, in bytes, or the default.
     #[must_use]
     pub fn process_memory_bytes(&self) -> usize {
@@ -174,6 +195,12 @@
                 "`cluster_key` must have at least {MIN_KEY_BYTES} bytes"
             ));
         }
+        let grace_s = settings.limits.grace_s;
+        if !(MIN_GRACE_S..=MAX_GRACE_S).contains(&grace_s) {
+            return Err(format!(
+                "`grace_s` is {grace_s}; allowed: {MIN_GRACE_S} to {MAX_GRACE_S} seconds"
+            ));
+        }
         Ok(settings)
     }
 
--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -1,6 +1,7 @@
 //! Settings of services: what is refused, and how a changed file is followed.
 
 use courseshunt_settings::service::{ServiceSettings, SettingsFile};
+use std::time::Duration;
 
 const VALID: &str = r#"
 name = "r1"
@@ -71,6 +72,32 @@
     }
 }
 
+/// A grace period below the minimum leaves no time for the answers of a stop; a negative or endless
+/// one is no time at all.
+#[test]
+fn a_grace_period_that_a_stop_cannot_keep_is_refused() {
+    for refused in ["0.49", "0.0", "-1", "nan", "inf", "86401"] {
+        let text = VALID.replace("grace_s = 8", &format!("grace_s = {refused}"));
+        let problem = ServiceSettings::parse(&text).expect_err(refused);
+        assert!(problem.contains("`grace_s`"), "{refused}: {problem}");
+        assert!(problem.contains("0.5 to 86400 seconds"), "{problem}");
+    }
+    let shortest = VALID.replace("grace_s = 8", "grace_s = 0.5");
+    assert!(ServiceSettings::parse(&shortest).is_ok());
+}
+
+#[test]
+fn margins_of_a_stop_are_shorter_only_for_short_grace_periods() {
+    let full = Duration::from_millis(400);
+    let cases = [("8", 400), ("2", 400), ("1", 200), ("0.5", 100)];
+    for (grace_s, expected_ms) in cases {
+        let text = VALID.replace("grace_s = 8", &format!("grace_s = {grace_s}"));
+        let limits = ServiceSettings::parse(&text).expect("valid").limits;
+        let expected = Duration::from_millis(expected_ms);
+        assert_eq!(limits.stop_margin(full), expected, "{grace_s} s");
+    }
+}
+
 #[test]
 fn a_changed_file_is_followed_and_a_wrong_one_told_once() {
     let folder = tempfile::tempdir().expect("a folder");
