Controllers answer the calls that still wait before the end of a stop

Cause: a stopping controller waited for its calls until its limit and then ended, whatever a call still waited for. A body may take up to 15 s, or 5 s without a byte, longer than what is left of the grace period.

Change: 0.2 s before the limit the processing of each call as a whole is ended with 503, which says that the call may have taken effect.

Measured: platform/tests/planned_stops.rs with a grace period of 2 s: before, a call whose body does not end had no response 0.2 s after the end of the controller; now 503. All 7 tests of the file pass, and those of the coordinator.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -41,7 +41,18 @@
     }
 }
 
+/// Answers a call, at the latest when the last answers of a planned stop are due.
 async fn answer(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
+    tokio::select! {
+        biased;
+        response = call(request, shared) => response,
+        () = shared.last_answers_due.cancelled() => {
+            unavailable("the controller is stopping; the call may have taken effect")
+        }
+    }
+}
+
+async fn call(request: Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     match shared.interface.read_call(request.method(), &path) {
         Some(ControlCall::PutConfiguration) => put(request, shared).await,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -125,6 +125,8 @@
     /// known while this member leads.
     pub(crate) redundancy: Mutex<Option<(Redundancy, Millis)>>,
     pub(crate) stop: CancellationToken,
+    /// Cancelled shortly before the end of a planned stop: calls without a response are answered.
+    pub(crate) last_answers_due: CancellationToken,
     pub(crate) metrics: Metrics,
     /// Memory of all bodies of calls that this process holds.
     pub(crate) memory: MemoryBudget,
@@ -287,6 +289,9 @@
 
 /// Interval of the checks whether the machine was suspended.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// In a planned stop, calls without a response are answered this much before the end of the stop,
+/// whatever they wait for; in proportion less for a short grace period.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for the exit of the process; in proportion shorter for
 /// a short grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
@@ -376,6 +381,7 @@
             join_answers: Mutex::default(),
             redundancy: Mutex::default(),
             stop: stop.clone(),
+            last_answers_due: CancellationToken::new(),
             metrics: Metrics::default(),
             memory: MemoryBudget::of_process(settings.limits.process_memory_bytes()),
             seeds: SeedList::new(&settings),
@@ -457,7 +463,13 @@
         self.shared.replica.stop().await;
         self.shared.stop.cancel();
         self.shared.api_requests.close();
-        let _ = tokio::time::timeout_at(limit, self.shared.api_requests.wait()).await;
+        let answers_due = limit - limits.stop_margin(LAST_ANSWER_MARGIN);
+        let calls = &self.shared.api_requests;
+        let ended = tokio::time::timeout_at(answers_due, calls.wait()).await;
+        if ended.is_err() {
+            self.shared.last_answers_due.cancel();
+            let _ = tokio::time::timeout_at(limit, calls.wait()).await;
+        }
         emit(&ControllerRecord::Stopped);
     }
 }
