A forwarder that stops while it connects sends nothing on

Cause: the forwarder looked at its stop before it opened a connection to the instance, and not after. A request was sent to the instance after the stop had begun.

Change: the stop is checked again immediately before each send; the connection goes back to the pool, and the router that forwarded the request is told that it has not run (busy).

Measured: platform/tests/planned_stops.rs, stop 60 ms into a connection that takes 150 ms: before, the request reached the instance (200 in place of busy); now busy, and no arrival. All 8 tests of the file pass in 6 of 6 runs at a load of 8 to 12 on 8 processors; the 16 tests of forwarding pass.

--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -355,6 +355,11 @@
             if left == Millis(0) {
                 return Err(Failure::new(ForwardOutcome::Rejected, "deadline passed"));
             }
+            // The stop may have begun while the connection was opened.
+            if self.shared.stopping.is_cancelled() {
+                self.shared.pool.put_back(upstream);
+                return Err(stopping());
+            }
             let context = ForwardContext {
                 deadline: left,
                 instance: &instruction.instance,
