Limits that production's build refuses in the file are given by variables

Which template the platform fills in for an older build during an upgrade or on the way back is not stated.

Absent or empty: as the file states, or the default. A variable wins over the file's key, which is still accepted. A wrong value ends the process at its start with a line that names the variable, the value and what is allowed.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! the parsed values end in one typed struct per process.
 
 pub mod error;
+pub mod limit_variables;
 mod load;
 pub mod locate;
 pub mod logging;
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -1,5 +1,6 @@
 //! The reference page of all settings, written from their tables.
 
+use crate::limit_variables::{LIMIT_VARIABLES, LimitVariable};
 use crate::process::{CONTROLLER_TABLE, ROUTER_TABLE, STANDIN_TABLE};
 use crate::standins::{PLATFORM_TABLE, STORE_TABLE};
 use crate::table::Setting;
@@ -26,19 +27,23 @@
 ";
 
 const SERVICE_LIMITS: &str = "
-## Declared services: limits against crowds
+## Declared services: limits given by environment variables
 
-In `[limits]` of the settings file of a router or controller of declared services, which names its
-process, addresses and times as well.
+A router or controller of declared services reads its name, addresses, times and limits from its settings file. These
+limits are given by environment variables, because an older build ends at a key that it doesn't have and doesn't look
+at variables. A variable that is absent or empty leaves the default. Any other value that is not allowed ends the
+process at its start with exit code 1 and a line that names the variable, the value and what is allowed. `[limits]` of
+the file may state the same limit by its key; the variable wins, also after the file was changed. Variables are read
+once, at the start.
 
-| key | allowed | default | meaning |
-|---|---|---|---|
-| `memory_mb` | a number | `256` | memory that the process may use, in MB; a quarter of it holds bodies, a third heads and connections |
-| `max_open_files` | a whole number | `4096` | descriptors that the process may open; a router's clients take at most half of them, a controller's callers two thirds, and at least 16 connections each |
+| variable | key | allowed | default | meaning |
+|---|---|---|---|---|
+";
 
+const CROWDS_AT_CONTROLLERS: &str = "
 ### Crowds at a controller
 
-The same keys bound the control address: bodies of calls take a quarter of `memory_mb`; connections are at
+The same limits bound the control address: bodies of calls take a quarter of `memory_mb`; connections are at
 most 2,500, a third of `memory_mb` and two thirds of `max_open_files`.
 ";
 
@@ -55,6 +60,10 @@
         }
     }
     page.push_str(SERVICE_LIMITS);
+    for variable in LIMIT_VARIABLES {
+        page.push_str(&variable_row(&variable));
+    }
+    page.push_str(CROWDS_AT_CONTROLLERS);
     page
 }
 
@@ -70,3 +79,10 @@
         setting.key, setting.help
     )
 }
+
+fn variable_row(variable: &LimitVariable) -> String {
+    format!(
+        "| `{}` | `{}` | {} | `{}` | {} |\n",
+        variable.name, variable.key, variable.allowed, variable.default, variable.help
+    )
+}
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -1,8 +1,10 @@
 //! Settings of processes that serve declared services: routers in front of
 //! back-end instances and the controllers behind them.
 //!
-//! The file is TOML. Unknown keys are refused, so that a misspelt one is seen.
+//! The file is TOML. Unknown keys are refused, so that a misspelt one is seen. Environment variables
+//! may state some of the limits, see [`crate::limit_variables`].
 
+use crate::limit_variables::VariableLimits;
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -248,17 +250,24 @@
     path: PathBuf,
     /// The text that was looked at last, valid or not.
     text: String,
+    /// Limits that hold over those of each content of the file.
+    variables: VariableLimits,
 }
 
 impl SettingsFile {
-    /// Opens the file and reads it for the first time.
+    /// Opens the file and reads it for the first time. The limits of `variables` win over those that
+    /// the file states, now and after each change.
     ///
     /// # Errors
     /// When it can't be read or holds something that is not allowed.
-    pub fn open(path: PathBuf) -> Result<(Self, ServiceSettings), ServiceSettingsError> {
+    pub fn open(
+        path: PathBuf,
+        variables: VariableLimits,
+    ) -> Result<(Self, ServiceSettings), ServiceSettingsError> {
         let mut file = Self {
             path,
             text: String::new(),
+            variables,
         };
         file.text = file.read()?;
         let settings = file.parse()?;
@@ -286,8 +295,10 @@
 
     fn parse(&self) -> Result<ServiceSettings, ServiceSettingsError> {
         let path = self.path.clone();
-        ServiceSettings::parse(&self.text)
-            .map_err(|message| ServiceSettingsError::Invalid { path, message })
+        let settings = ServiceSettings::parse(&self.text)
+            .map_err(|message| ServiceSettingsError::Invalid { path, message })?;
+        let limits = self.variables.over(settings.limits);
+        Ok(ServiceSettings { limits, ..settings })
     }
 }
 
--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -1,5 +1,6 @@
 //! Settings of services: what is refused, and how a changed file is followed.
 
+use courseshunt_settings::limit_variables::VariableLimits;
 use courseshunt_settings::service::{ServiceSettings, SettingsFile};
 
 const VALID: &str = r#"
@@ -76,7 +77,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("settings.toml");
     std::fs::write(&path, VALID).expect("a file");
-    let (mut file, _) = SettingsFile::open(path.clone()).expect("valid");
+    let (mut file, _) = SettingsFile::open(path.clone(), VariableLimits::default()).expect("valid");
     assert!(file.changed().expect("unchanged").is_none());
     std::fs::write(&path, VALID.replace("127.0.0.2", "127.0.0.3")).expect("a file");
     let changed = file.changed().expect("valid").expect("changed");
