--- a/scripts/two-builds.sh
+++ b/scripts/two-builds.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Plays upgrades with real processes of production's build and of this one side by side.
+# Plays upgrades with real processes of production's build and of this one side by side, and
+# replacements of each build by the other beside clients that use connections to the end.
 #
 #   scripts/two-builds.sh [SEED…]     [default: one seed drawn now]
 #
@@ -17,8 +18,14 @@
 fi
 seeds=("$@")
 [ ${#seeds[@]} -gt 0 ] || seeds=("$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')")
+tests=(
+    an_upgrade_reaches_every_router_in_time_in_any_order
+    no_request_is_lost_at_this_build_while_processes_of_two_builds_replace_one_another
+)
 for seed in "${seeds[@]}"; do
-    EARLIER_PROGRAM="$folder/target/release/courseshunt-platform" SOAK_SEED=$seed \
-        cargo test --locked -q -p courseshunt-platform --test soak -- \
-        --ignored --nocapture an_upgrade_reaches_every_router_in_time_in_any_order
+    for test in "${tests[@]}"; do
+        EARLIER_PROGRAM="$folder/target/release/courseshunt-platform" SOAK_SEED=$seed \
+            cargo test --locked -q -p courseshunt-platform --test soak -- \
+            --ignored --nocapture "$test"
+    done
 done
