A router without paths uses a forwarder that appears, although it reached no instance before

Cause: an instance that no path reached is left out of the selection for 1 s, doubled up to 8 s. A decision that outlived what it was made from: it held on when a router became known that forwards.

Change: the first forwarders that a leader names after none end the exclusion, at a router that is partitioned.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,6 +6,7 @@
 use crate::Shared;
 use crate::controller_search::{ControllerSearch, FeedEnd, next_preference_check};
 use crate::forwarding;
+use crate::path;
 use crate::records::RouterRecord;
 use courseshunt_records::emit;
 use courseshunt_services::{FeedMessage, LimitReport, ReportMessage, RouteTable, validate};
@@ -258,7 +259,9 @@
         FeedMessage::InstanceLoads(loads) => shared.view.apply_loads(&loads),
         FeedMessage::Forwarders(forwarders) => {
             let zone = Zone::from(shared.settings.zone.as_str());
-            shared.forwarders.set(&forwarders, &zone);
+            if shared.forwarders.set(&forwarders, &zone) {
+                path::first_forwarders_known(shared);
+            }
         }
         FeedMessage::SoftwareVersions(list) => shared.view.set_software_versions(list),
         FeedMessage::OriginAnswers(answers) => shared.origins.apply_answers(answers),
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -89,8 +89,9 @@
         self.report_due.notify_one();
     }
 
-    /// Replaces the forwarders by those that the leader named.
-    pub fn set(&self, forwarders: &[Forwarder], zone: &Zone) {
+    /// Replaces the forwarders by those that the leader named. Returns whether these are the first
+    /// ones: none was known before.
+    pub fn set(&self, forwarders: &[Forwarder], zone: &Zone) -> bool {
         let known = forwarders.iter().filter_map(|one| {
             Some(Known {
                 address: one.address.parse().ok()?,
@@ -98,8 +99,10 @@
             })
         });
         let mut state = self.lock();
+        let had_none = state.known.is_empty();
         state.known = known.collect();
         state.is_answered = true;
+        had_none && !state.known.is_empty()
     }
 
     /// The forwarder for a request of `service` that was not forwarded through any of `tried`: the
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -239,6 +239,14 @@
     });
 }
 
+/// Selects the instances of services from which this router is partitioned again, now that a router
+/// is known that may reach them.
+pub(crate) fn first_forwarders_known(shared: &Shared) {
+    if shared.paths().is_partitioned() {
+        shared.view.forget_unreachable();
+    }
+}
+
 /// Records that a forwarder reached an instance to which this router has no connection.
 pub(crate) fn record_forwarded(shared: &Shared, view: &InstanceView) {
     if !shared.paths().record_forwarded(&view.id) {
--- a/crates/gateway/tests/forwarders.rs
+++ b/crates/gateway/tests/forwarders.rs
@@ -115,3 +115,14 @@
     list.start_leader_feed();
     assert!(list.is_report_due(OFFER, false, at(1)), "a new leader");
 }
+
+#[test]
+fn only_forwarders_after_none_are_the_first_ones() {
+    let list = ForwarderList::default();
+    let zone = Zone::from("a");
+    assert!(!list.set(&[], &zone));
+    assert!(list.set(&[forwarder(1, "b")], &zone));
+    assert!(!list.set(&[forwarder(2, "b")], &zone));
+    assert!(!list.set(&[], &zone));
+    assert!(list.set(&[forwarder(1, "b")], &zone));
+}
