A forwarder that appears is used also where a service has one instance

Cause: the exclusion of unreachable instances ended with the first forwarders only at a router that counts as partitioned, which takes failures at two instances of a service.

Change: any failed connection suffices. It costs one more attempt at an instance that is down, once for each time that a router without forwarders gets some.

--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -239,10 +239,10 @@
     });
 }
 
-/// Selects the instances of services from which this router is partitioned again, now that a router
-/// is known that may reach them.
+/// Selects unreachable instances again, now that a router is known that may reach them. Also a single
+/// one: of a service with one instance, this router can't tell whether the path is lost.
 pub(crate) fn first_forwarders_known(shared: &Shared) {
-    if shared.paths().is_partitioned() {
+    if shared.paths().needs_forwarder() {
         shared.view.forget_unreachable();
     }
 }
