--- a/crates/services/src/quarantine/evidence.rs
+++ b/crates/services/src/quarantine/evidence.rs
@@ -122,6 +122,25 @@
         ends.map(|one| one.at)
     }
 
+    /// Whether a termination under a request with this fingerprint counts against it.
+    pub(super) fn has_counting_end(&self, fingerprint: &Digest) -> bool {
+        let mut terminated = self.terminated.iter();
+        terminated.any(|one| one.had(fingerprint) && self.counts(fingerprint, one.at))
+    }
+
+    /// Times of the terminations after `since` under requests with this fingerprint that do not
+    /// count against it, because of a later answer.
+    pub(super) fn cleared_ends(
+        &self,
+        fingerprint: &Digest,
+        since: Timestamp,
+    ) -> impl Iterator<Item = Timestamp> {
+        let later = self.terminated.iter().filter(move |one| one.at > since);
+        let ends =
+            later.filter(move |one| one.had(fingerprint) && !self.counts(fingerprint, one.at));
+        ends.map(|one| one.at)
+    }
+
     /// Whether a termination at this time counts against a fingerprint.
     pub(super) fn counts(&self, fingerprint: &Digest, at: Timestamp) -> bool {
         let answered = self.answered.get(fingerprint);
--- a/crates/services/src/quarantine/ledger.rs
+++ b/crates/services/src/quarantine/ledger.rs
@@ -9,7 +9,10 @@
 
 use super::attribution::{Blamed, Standing, attribute};
 use super::evidence::Evidence;
-use super::{AnsweredFingerprint, InstanceEnd, MAX_ENDS, QuarantinedContent, count_ends};
+use super::{
+    AnsweredFingerprint, InstanceEnd, MAX_ENDS, QuarantinedContent, REPORTED_ANSWER_RETENTION,
+    count_ends,
+};
 use courseshunt_types::{Digest, Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -131,8 +134,7 @@
     pub fn answered(&mut self, answer: &AnsweredFingerprint, now: Timestamp) -> bool {
         let fingerprint = answer.fingerprint;
         let sent_at = now - answer.sent_age;
-        let (suspected, quarantined) = &self.published;
-        if !suspected.contains(&fingerprint) && !quarantined.contains(&fingerprint) {
+        if !self.is_notified(&fingerprint) {
             return false;
         }
         let is_latest = self.evidence.answered(fingerprint, sent_at);
@@ -153,6 +155,15 @@
         is_latest
     }
 
+    /// Whether routers are notified of a fingerprint, or are about to be notified of its restored
+    /// quarantine.
+    fn is_notified(&self, fingerprint: &Digest) -> bool {
+        let (suspected, quarantined) = &self.published;
+        suspected.contains(fingerprint)
+            || quarantined.contains(fingerprint)
+            || self.quarantined.contains_key(fingerprint)
+    }
+
     /// Attributes the terminations to fingerprints, and starts and ends quarantines accordingly.
     pub fn attribute(&mut self, now: Timestamp) {
         if !std::mem::take(&mut self.is_attribution_due) {
@@ -168,7 +179,7 @@
         };
         let attribution = attribute(&self.evidence, standing);
         self.suspected = attribution.suspected;
-        self.end_unexplained(&attribution.blamed, &attribution.confirmed);
+        self.end_unexplained(&attribution.blamed, &attribution.confirmed, now);
         for blamed in &attribution.blamed {
             self.quarantine(blamed, now);
         }
@@ -176,8 +187,9 @@
 
     /// Ends the quarantines that are not settled and that the evidence does not support any more. The
     /// terminations on which an earlier leader's record is based may be missing here, since routers
-    /// that had reported them have ended: only later ones speak against the record.
-    fn end_unexplained(&mut self, blamed: &[Blamed], confirmed: &[Digest]) {
+    /// that had reported them have ended: only later ones speak against the record, or an answer
+    /// after all of them.
+    fn end_unexplained(&mut self, blamed: &[Blamed], confirmed: &[Digest], now: Timestamp) {
         let changes = &mut self.changes;
         let evidence = &self.evidence;
         self.quarantined.retain(|fingerprint, one| {
@@ -188,7 +200,8 @@
                     let ends = evidence.ends_without(&other.fingerprint, fingerprint, one.since);
                     count_ends(ends) >= MAX_ENDS
                 });
-            let is_recorded = one.is_restored && !is_disproved;
+            let is_cleared = one.times == 1 && is_cleared_by_answer(evidence, fingerprint, now);
+            let is_recorded = one.is_restored && !is_disproved && !is_cleared;
             let holds = one.is_settled || is_blamed || is_confirmed || is_recorded;
             if !holds {
                 let fingerprint = *fingerprint;
@@ -314,3 +327,11 @@
             .collect()
     }
 }
+
+/// Whether a request with a fingerprint was answered that was sent after enough recent terminations
+/// for a first quarantine, and after all that are known. This is the proof by which the leader that
+/// had recorded the quarantine ended it, or would have.
+fn is_cleared_by_answer(evidence: &Evidence, fingerprint: &Digest, now: Timestamp) -> bool {
+    let recent = evidence.cleared_ends(fingerprint, now - REPORTED_ANSWER_RETENTION);
+    count_ends(recent) >= MAX_ENDS && !evidence.has_counting_end(fingerprint)
+}
--- a/crates/services/src/quarantine/local.rs
+++ b/crates/services/src/quarantine/local.rs
@@ -8,7 +8,9 @@
 
 use super::attribution::{Standing, attribute};
 use super::evidence::Evidence;
-use super::{ANSWER_RETENTION, AnsweredFingerprint, InstanceEnd, RETENTION};
+use super::{
+    ANSWER_RETENTION, AnsweredFingerprint, InstanceEnd, REPORTED_ANSWER_RETENTION, RETENTION,
+};
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
@@ -18,6 +20,9 @@
 /// Largest number of fingerprints whose answers are retained: those of ten seconds at 400 requests
 /// a second, some of which are shared.
 const MAX_ANSWERED: usize = 16_384;
+/// Largest number of reported answers that a router retains for the next leader: as many as a leader
+/// notifies it of.
+const MAX_REPORTED_ANSWERS: usize = 512;
 /// Answers are reported no more often than this; terminations are reported at once.
 const ANSWER_REPORT_INTERVAL: Millis = Millis(100);
 
@@ -30,6 +35,14 @@
     is_reported: bool,
 }
 
+/// The latest answer to a request with a fingerprint that was reported to a leader.
+#[derive(Debug)]
+struct ReportedAnswer {
+    sent_at: Timestamp,
+    /// Whether the present leader has it.
+    is_reported: bool,
+}
+
 /// Quarantine at one router. See the module documentation.
 #[derive(Debug, Default)]
 pub struct RouterQuarantine {
@@ -42,6 +55,7 @@
     answers_cleaned_at: Timestamp,
     unreported_answers: BTreeMap<Digest, Timestamp>,
     answers_reported_at: Option<Timestamp>,
+    reported_answers: HashMap<Digest, ReportedAnswer>,
     /// The observed terminations as evidence, and the fingerprints that explain them.
     evidence: Evidence,
     blamed: HashSet<Digest>,
@@ -63,14 +77,24 @@
         self.suspected = suspected.iter().chain(&quarantined).copied().collect();
         self.quarantined = quarantined.into_iter().collect();
         for fingerprint in &self.suspected {
-            let sent_at = self.answered.get(fingerprint);
-            let is_recent = |at: &&Timestamp| now.since(**at) <= ANSWER_RETENTION;
-            if let Some(sent_at) = sent_at.filter(is_recent) {
-                self.unreported_answers.insert(*fingerprint, *sent_at);
+            if let Some(sent_at) = self.answer_to_report(fingerprint, now) {
+                self.unreported_answers.insert(*fingerprint, sent_at);
             }
         }
     }
 
+    /// When the latest request with a suspected fingerprint was sent whose answer the leader may not
+    /// have: a recent one, or one that was reported to an earlier leader.
+    fn answer_to_report(&self, fingerprint: &Digest, now: Timestamp) -> Option<Timestamp> {
+        let recent = self.answered.get(fingerprint).copied();
+        let recent = recent.filter(|sent_at| now.since(*sent_at) <= ANSWER_RETENTION);
+        let reported = self.reported_answers.get(fingerprint);
+        let reported = reported.filter(|one| !one.is_reported);
+        let reported = reported.map(|one| one.sent_at);
+        let reported = reported.filter(|sent_at| now.since(*sent_at) <= REPORTED_ANSWER_RETENTION);
+        recent.max(reported)
+    }
+
     /// Records that an instance terminated at a time while it had a request with these
     /// fingerprints.
     pub fn ended(&mut self, fingerprints: &[Digest], instance: RunnerId, at: Timestamp) {
@@ -148,11 +172,33 @@
         *latest = sent_at.max(*latest);
     }
 
-    /// Marks all retained terminations as unreported, after a change of leader.
+    /// Marks all retained terminations and answers as unreported, after a change of leader. The
+    /// earlier leader may have ended a quarantine by an answer without recording it.
     pub fn mark_all_unreported(&mut self) {
         for end in &mut self.observed_ends {
             end.is_reported = false;
         }
+        for answer in self.reported_answers.values_mut() {
+            answer.is_reported = false;
+        }
+    }
+
+    fn retain_reported_answer(&mut self, fingerprint: Digest, sent_at: Timestamp) {
+        let earlier = self.reported_answers.get(&fingerprint);
+        let sent_at = earlier.map_or(sent_at, |one| one.sent_at.max(sent_at));
+        let answer = ReportedAnswer {
+            sent_at,
+            is_reported: true,
+        };
+        self.reported_answers.insert(fingerprint, answer);
+        if self.reported_answers.len() <= MAX_REPORTED_ANSWERS {
+            return;
+        }
+        let oldest = self.reported_answers.iter();
+        let oldest = oldest.min_by_key(|(_, one)| one.sent_at);
+        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.reported_answers.remove(&oldest);
+        }
     }
 
     /// Takes what has not been reported to the leader: terminations, and answered fingerprints.
@@ -171,6 +217,9 @@
         });
         let ends = ends.collect();
         let answered = std::mem::take(&mut self.unreported_answers);
+        for (fingerprint, sent_at) in &answered {
+            self.retain_reported_answer(*fingerprint, *sent_at);
+        }
         if !answered.is_empty() {
             self.answers_reported_at = Some(now);
         }
--- a/crates/services/src/quarantine/mod.rs
+++ b/crates/services/src/quarantine/mod.rs
@@ -27,6 +27,9 @@
 const SUSPECTED_ENDS: usize = 2;
 /// Time for which a router retains that a fingerprint was answered, for suspicions that come later.
 const ANSWER_RETENTION: Millis = Millis(10_000);
+/// Time for which an answer that was reported to a leader is retained for the next one, and within
+/// which the terminations of a record must lie that it clears. Longer than several elections.
+const REPORTED_ANSWER_RETENTION: Millis = Millis(60_000);
 /// Instances that terminate within this time of each other may have a common cause, and a content
 /// that many clients request at that time runs on several of them: see [`count_ends`].
 const COINCIDENCE: Millis = Millis(60);
