A forwarder that appears is used also beside one that is known and has no paths

Cause: the exclusion of unreachable instances ended when a leader named forwarders after none. Another router that is cut off as well is named, too, so that the one that starts and reaches the instances was not the first (found by a review). Change: any forwarder that was not known before ends the exclusion. The test of the list names the new promise in place of the one that no longer holds (only the first), and checks more of it.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -260,7 +260,7 @@
         FeedMessage::Forwarders(forwarders) => {
             let zone = Zone::from(shared.settings.zone.as_str());
             if shared.forwarders.set(&forwarders, &zone) {
-                path::first_forwarders_known(shared);
+                path::retry_with_new_forwarder(shared);
             }
         }
         FeedMessage::SoftwareVersions(list) => shared.view.set_software_versions(list),
--- a/crates/gateway/src/forwarding/forwarders.rs
+++ b/crates/gateway/src/forwarding/forwarders.rs
@@ -89,8 +89,8 @@
         self.report_due.notify_one();
     }
 
-    /// Replaces the forwarders by those that the leader named. Returns whether these are the first
-    /// ones: none was known before.
+    /// Replaces the forwarders by those that the leader named. Returns whether one of them was not
+    /// known before.
     pub fn set(&self, forwarders: &[Forwarder], zone: &Zone) -> bool {
         let known = forwarders.iter().filter_map(|one| {
             Some(Known {
@@ -99,10 +99,10 @@
             })
         });
         let mut state = self.lock();
-        let had_none = state.known.is_empty();
-        state.known = known.collect();
+        let before = std::mem::replace(&mut state.known, known.collect());
         state.is_answered = true;
-        had_none && !state.known.is_empty()
+        let mut known = state.known.iter();
+        known.any(|one| before.iter().all(|other| other.address != one.address))
     }
 
     /// The forwarder for a request of `service` that was not forwarded through any of `tried`: the
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -239,9 +239,9 @@
     });
 }
 
-/// Selects unreachable instances again, now that a router is known that may reach them. Also a single
-/// one: of a service with one instance, this router can't tell whether the path is lost.
-pub(crate) fn first_forwarders_known(shared: &Shared) {
+/// Selects unreachable instances again, now that another router is known that may reach them. Also a
+/// single one: of a service with one instance, this router can't tell whether the path is lost.
+pub(crate) fn retry_with_new_forwarder(shared: &Shared) {
     if shared.paths().needs_forwarder() {
         shared.view.forget_unreachable();
     }
--- a/crates/gateway/tests/forwarders.rs
+++ b/crates/gateway/tests/forwarders.rs
@@ -117,12 +117,15 @@
 }
 
 #[test]
-fn only_forwarders_after_none_are_the_first_ones() {
+fn only_a_forwarder_that_was_not_known_is_new() {
     let list = ForwarderList::default();
     let zone = Zone::from("a");
     assert!(!list.set(&[], &zone));
     assert!(list.set(&[forwarder(1, "b")], &zone));
+    assert!(!list.set(&[forwarder(1, "b")], &zone));
+    assert!(list.set(&[forwarder(1, "b"), forwarder(2, "b")], &zone));
     assert!(!list.set(&[forwarder(2, "b")], &zone));
+    assert!(list.set(&[forwarder(3, "b")], &zone));
     assert!(!list.set(&[], &zone));
     assert!(list.set(&[forwarder(1, "b")], &zone));
 }
