A request is not sent with a key that went, or a content that was quarantined, while its connection was opened

Cause: the key and the quarantine were checked when an instance was selected and not after the wait for a permit or a connection, up to 1.4 s with forwarders (found by a review; read for permits). Change: the check that precedes each send covers them as well; the request is then refused as one that has not run.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -16,7 +16,7 @@
 use crate::pool::{Endpoint, SendError, Upstream};
 use crate::progress::RequestStage;
 use crate::retry::RetryPermit;
-use crate::select::SelectedInstance;
+use crate::select::{SelectedInstance, must_not_send};
 use bytes::Bytes;
 use courseshunt_http::{Body, discard_limited};
 use courseshunt_services::InstanceView;
@@ -101,12 +101,14 @@
     let response_deadline = admitted.deadline + DEADLINE_MARGIN;
     loop {
         // Since the instance was selected, it may have pushed back or begun to drain, a list of
-        // software versions may have excluded it, or the router may be about to end.
+        // software versions may have excluded it, the request's key may have been revoked, its
+        // content quarantined, or the router may be about to end.
         let is_excluded =
             flight.has_pushback() || !shared.view.may_serve(view, admitted.writer.as_ref());
         if is_excluded
             || !shared.view.is_ready_instance(&view.id)
             || shared.refusing_queued.is_cancelled()
+            || must_not_send(admitted, shared)
         {
             flight.not_run(None, None);
             shared.pool.put_back(upstream);
