A forwarder looks at the instance again after it has connected

Cause: whether the instance accepts requests was checked before the forwarder opened a connection, and not after, so that a request was sent to one that drained meanwhile (found by a review). Change: one check of the stop and of the instance precedes each send.

--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -268,10 +268,7 @@
             Failure::new(outcome, format!("read the body: {problem}"))
         })?;
         // The body may have arrived long after the head.
-        if shared.stopping.is_cancelled() {
-            return Err(stopping());
-        }
-        let view = self.accepting_instance(&instruction)?;
+        let view = self.check_may_send(&instruction)?;
         let request = Request::from_parts(head, Full::new(collected));
         let sending = self.send(&view, &instruction, id, request, deadline);
         let (response, mut upstream) = tokio::select! {
@@ -307,6 +304,14 @@
         Ok(Response::from_parts(head, relayed.boxed_unsync()))
     }
 
+    /// The instance, if this router does not stop and the instance accepts requests.
+    fn check_may_send(&self, instruction: &ForwardInstruction) -> Result<InstanceView, Failure> {
+        if self.shared.stopping.is_cancelled() {
+            return Err(stopping());
+        }
+        self.accepting_instance(instruction)
+    }
+
     /// The instance, if it accepts requests as far as this router knows.
     fn accepting_instance(
         &self,
@@ -355,10 +360,10 @@
             if left == Millis(0) {
                 return Err(Failure::new(ForwardOutcome::Rejected, "deadline passed"));
             }
-            // The stop may have begun while the connection was opened.
-            if self.shared.stopping.is_cancelled() {
+            // Either may have changed while the connection was opened.
+            if let Err(failure) = self.check_may_send(instruction) {
                 self.shared.pool.put_back(upstream);
-                return Err(stopping());
+                return Err(failure);
             }
             let context = ForwardContext {
                 deadline: left,
