A controller of deployments answers its operators' calls before the end of a stop

Cause: a planned stop waited for the replica alone; the server's task ended with the process, and a call that waited, such as a change for its routers, got no byte (found by a review). Change: what still waits when the replica has stopped is answered with 503, which says that a change may have taken effect; the stop waits for these answers, one second at most.

--- a/crates/controller/src/admin/mod.rs
+++ b/crates/controller/src/admin/mod.rs
@@ -34,10 +34,22 @@
     move |request, _| {
         let context = context.clone();
         let operators = operators.clone();
-        Box::pin(async move { answer(request, &context, &operators).await })
+        Box::pin(async move {
+            tokio::select! {
+                biased;
+                response = answer(request, &context, &operators) => response,
+                () = context.stop.cancelled() => stopping(),
+            }
+        })
     }
 }
 
+/// The response to a call that still waits at a planned stop.
+fn stopping() -> Response<Body> {
+    let message = "the controller is stopping; a change may have taken effect";
+    failure(StatusCode::SERVICE_UNAVAILABLE, "stopping", message)
+}
+
 async fn answer(
     request: Request<Incoming>,
     context: &ControllerContext,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -27,8 +27,13 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// At a planned stop, the last answers to operators' calls are written within this time.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// State and handles that the parts of a controller share.
 #[derive(Debug, Clone)]
@@ -67,6 +72,7 @@
     /// Address at which other processes of the cluster connect.
     pub wire_address: SocketAddr,
     context: ControllerContext,
+    calls: TaskTracker,
 }
 
 impl Controller {
@@ -138,10 +144,12 @@
         let clearing_demand = peers::clear_on_leadership_loss(context.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(clearing_demand));
         let handler = admin::handler(context.clone(), operators);
-        tokio::spawn(courseshunt_http::serve(
+        let calls = TaskTracker::new();
+        tokio::spawn(courseshunt_http::serve_counted(
             http,
             ServerLimits::default(),
             stop,
+            calls.clone(),
             handler,
         ));
         log::info!(
@@ -151,6 +159,7 @@
             http_address,
             wire_address,
             context,
+            calls,
         })
     }
 
@@ -165,11 +174,13 @@
         self.context.replica.failed().await
     }
 
-    /// Shuts down gracefully.
+    /// Shuts down gracefully. Operators' calls that still wait are answered first.
     pub async fn stop(self) {
         // The leadership transfer needs the peer connections, so they are closed last.
         self.context.replica.stop().await;
         self.context.stop.cancel();
+        self.calls.close();
+        let _ = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, self.calls.wait()).await;
         log::info!("controller: stopped");
     }
 }
