A router's own log does not win over a conflict that the leader knows

Change: the leader states a conflict, as a writer with an empty service, which no instance can register. The archived form stays (wire: type_forms), and by its code a router of the previous release refuses such a stream, too. A router with a recent leader asks it before its own log decides, and refuses on a conflict or on a writer that the log contradicts. Services with one version ask nothing.

Tests. stream_writers: the_own_log_does_not_continue_a_stream_that_began_elsewhere_under_the_same_id fails without the change: 200 instead of 503. Assertions that stated the earlier behaviour: - stream_writers, an own stream costs no query: now exactly one for each resumption. - resumption_step, the own log decides at once: now it is asked once, and still at once without a feed. - stream_origins and software_versions, origins that differ are Unknown: now exactly a conflict, which can be told from a stream that nobody reported.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -160,6 +160,7 @@
     /// Counts a verdict on the origin of a stream.
     pub(crate) fn origin_verdict(&self, verdict: &OriginVerdict) {
         let outcome = match verdict {
+            verdict if verdict.is_conflict() => "conflict",
             OriginVerdict::Known(_) => "known",
             OriginVerdict::Unknown => "unknown",
         };
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -47,8 +47,8 @@
         resumes: Option<&'a str>,
         last_event_id: &'a str,
         /// `unrestricted`: all instances of the service; `own_log` or `leader`: those of the writer
-        /// that this names; `unknown`: none, since the writer is not known; `writer_gone`: no
-        /// instance of the writer serves.
+        /// that this names; `unknown`: none, since the writer is not known or several began streams
+        /// under one id; `writer_gone`: no instance of the writer serves.
         outcome: &'static str,
         /// Service of the instances that may serve the request.
         service: Option<&'a str>,
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -10,10 +10,12 @@
 use crate::quota_tracker::LEADER_ANSWER_TIMEOUT;
 use crate::records::RequestRecord;
 use crate::refusal::Refusal;
-use crate::resumption_step::{ResumptionFacts, ResumptionStep, Source, after_answer, first_step};
+use crate::resumption_step::{
+    LeaderAnswer, Persistence, ResumptionFacts, ResumptionStep, Source, after_answer, first_step,
+};
 use crate::software_versions::RequiredWriter;
 use courseshunt_records::emit;
-use courseshunt_services::{OriginVerdict, RequestKind, Route, StreamId, StreamWriter};
+use courseshunt_services::{RequestKind, Route, StreamId};
 use courseshunt_types::SoftwareVersion;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -80,8 +82,12 @@
     };
     match first_step(facts) {
         ResumptionStep::Continue(source, writer) => Some((source, writer)),
-        ResumptionStep::AskLeader { stream, own } => {
-            let answer = ask_leader(shared, stream, deadline).await;
+        ResumptionStep::AskLeader {
+            stream,
+            own,
+            persistence,
+        } => {
+            let answer = ask_leader(shared, stream, persistence, deadline).await;
             after_answer(own, answer)
         }
         ResumptionStep::Refuse => None,
@@ -98,25 +104,38 @@
     })
 }
 
-/// Asks the leader for the writer of a stream, and again if it does not know it yet or does not
-/// answer.
-async fn ask_leader(shared: &Shared, stream: StreamId, deadline: Instant) -> Option<StreamWriter> {
+/// Asks the leader for the writer of a stream, and again if it does not answer; with
+/// [`Persistence::UntilKnown`] also if it does not know the stream.
+async fn ask_leader(
+    shared: &Shared,
+    stream: StreamId,
+    persistence: Persistence,
+    deadline: Instant,
+) -> LeaderAnswer {
     let limit = deadline.min(Instant::now() + MAX_ORIGIN_WAIT);
     loop {
         if !shared.has_recent_leader() {
-            return None;
+            return LeaderAnswer::Unknown;
         }
-        let answer = shared.origins.submit(stream)?;
+        let Some(verdict) = shared.origins.submit(stream) else {
+            return LeaderAnswer::Unknown;
+        };
         let answered_by = limit.min(Instant::now() + LEADER_ANSWER_TIMEOUT);
-        match tokio::time::timeout_at(answered_by, answer).await {
-            Ok(Ok(OriginVerdict::Known(writer))) => return Some(writer),
-            Ok(Ok(OriginVerdict::Unknown)) | Err(_) => {}
+        match tokio::time::timeout_at(answered_by, verdict).await {
+            Ok(Ok(verdict)) => {
+                let answer = LeaderAnswer::from(verdict);
+                let is_unknown = answer == LeaderAnswer::Unknown;
+                if !is_unknown || persistence == Persistence::FirstAnswer {
+                    return answer;
+                }
+            }
             // The leader is lost.
-            Ok(Err(_)) => return None,
+            Ok(Err(_)) => return LeaderAnswer::Unknown,
+            Err(_) => {}
         }
         let again_at = Instant::now() + REPEAT_PAUSE;
         if again_at >= limit {
-            return None;
+            return LeaderAnswer::Unknown;
         }
         tokio::time::sleep_until(again_at).await;
     }
--- a/crates/services/src/stream_origins/directory.rs
+++ b/crates/services/src/stream_origins/directory.rs
@@ -1,8 +1,9 @@
 //! The leader's directory of streams that clients may resume: which instances began them.
 //!
 //! Invariant: a verdict names a service and a version only if all instances that were reported as
-//! the stream's origin are known to have run this version of this service. A stream that is missing
-//! here, because no router has reported it or because the directory was full, has no known origin.
+//! the stream's origin are known to have run this version of this service. A stream of several origins
+//! without a common version is in conflict. A stream that is missing here, because no router has
+//! reported it or because the directory was full, has no known origin.
 
 use super::{
     ORIGIN_RETENTION, OriginVerdict, SoftwareVersions, StreamId, StreamOrigin, StreamWriter,
@@ -12,7 +13,7 @@
 
 /// Maximum number of streams; beyond it, those that were reported longest ago are removed.
 const MAX_STREAMS: usize = 262_144;
-/// Maximum number of origins of one stream; a stream with more of them has no known origin.
+/// Maximum number of origins of one stream; a stream with more of them is in conflict.
 const MAX_ORIGINS: usize = 4;
 
 /// The origins of the streams that routers reported within [`ORIGIN_RETENTION`].
@@ -60,8 +61,7 @@
     ) -> OriginVerdict {
         let entry = self.streams.get(&stream);
         let entry = entry.filter(|entry| now.since(entry.reported_at) < ORIGIN_RETENTION);
-        let writer = entry.and_then(|entry| entry.common_writer(versions));
-        writer.map_or(OriginVerdict::Unknown, OriginVerdict::Known)
+        entry.map_or(OriginVerdict::Unknown, |entry| entry.verdict(versions))
     }
 
     /// Number of streams that are kept.
@@ -104,6 +104,14 @@
         }
     }
 
+    fn verdict(&self, versions: &SoftwareVersions) -> OriginVerdict {
+        match self.common_writer(versions) {
+            Some(writer) => OriginVerdict::Known(writer),
+            None if self.origins.len() > 1 => OriginVerdict::conflict(),
+            None => OriginVerdict::Unknown,
+        }
+    }
+
     /// The service and version that all origins have in common.
     fn common_writer(&self, versions: &SoftwareVersions) -> Option<StreamWriter> {
         if self.has_too_many_origins {
--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -97,12 +97,32 @@
 /// The leader's verdict on an [`OriginQuery`].
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum OriginVerdict {
-    /// Instances of this kind may continue the stream.
+    /// Instances of this kind may continue the stream. An empty service, which no instance
+    /// registers, states a conflict; see [`OriginVerdict::conflict`].
     Known(StreamWriter),
     /// No router has reported the stream, or the version of its instance is not known.
     Unknown,
 }
 
+impl OriginVerdict {
+    /// Instances that do not fit together began streams under this id, so that no instance may
+    /// continue it. The archived form is that of a writer that no instance is: a router of the
+    /// previous release refuses the stream, too.
+    #[must_use]
+    pub fn conflict() -> Self {
+        Self::Known(StreamWriter {
+            service: String::new(),
+            version: SoftwareVersion::from(""),
+        })
+    }
+
+    /// Whether this is [`OriginVerdict::conflict`].
+    #[must_use]
+    pub fn is_conflict(&self) -> bool {
+        matches!(self, Self::Known(writer) if writer.service.is_empty())
+    }
+}
+
 /// Answer to an [`OriginQuery`].
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct OriginAnswer {
