A late registration brings no evicted cached weights back (CEILING)

Cause: each registration replaced the cached weights that the leader had recorded for an instance, except for loads that ended within 2.5 s (REPORT_LAG), however old the registration's own content was. Weights that a load had evicted since counted as cached again, and a load that took them for cached started without a token of the weight store's rate limit.

Change: while the number of accepted orders is confirmed (by a report, and by the accepted orders since), registrations add no cached weights. A report replaces them at the same moment as the number, also the report that shows that an order without an answer was not accepted. A registration that differs leads to a query, as it does for models. One that ends a load in progress may only remove cached weights. What a registration lists during an order serves plans until the order ends. Without a confirmed number registrations count as before; the next order needs a report then. REPORT_LAG is gone here. A report without cached weights now means none, as in registrations. Simulated instances list their cached weights in reports too.

--- a/crates/services/src/placement/instance/cached_weights.rs
+++ b/crates/services/src/placement/instance/cached_weights.rs
@@ -3,14 +3,12 @@
 //!
 //! Invariant: cached weights that may have been evicted since the instance's last report are not
 //! counted, so that a load that counts against the weight store's rate limit is never taken for one
-//! from the instance's own disk.
+//! from the instance's own disk. Once there is a report or an order, a registration adds no cached
+//! weights: it may have been sent before the load that evicted them.
 
 use crate::configuration::{Engine, ModelSpecification};
 use crate::instance::CachedWeights;
-use courseshunt_types::{Millis, ModelName, Timestamp};
-
-/// Weights that were loaded within this time may be missing from the instance's report.
-const REPORT_LAG: Millis = Millis(2_500);
+use courseshunt_types::{Millis, ModelName};
 
 /// Where a load takes the weights from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,28 +49,38 @@
 pub(super) struct WeightCache {
     in_memory: Vec<ModelName>,
     on_disk: Vec<ModelName>,
-    /// Loads that ended within [`REPORT_LAG`], the oldest first.
-    recent_loads: Vec<(ModelName, Timestamp)>,
+    /// What a registration listed during the order in progress. Plans count with it, but no order is
+    /// sent to the instance meanwhile.
+    listed_during_order: Option<CachedWeights>,
 }
 
 impl WeightCache {
-    /// Applies the instance's report, and the loads that ended too recently to be part of it.
-    pub(super) fn apply_report(
-        &mut self,
-        reported: &CachedWeights,
-        engine: Option<&Engine>,
-        now: Timestamp,
-    ) {
-        self.in_memory = in_order_of_use(&self.in_memory, &reported.in_memory);
-        self.on_disk = in_order_of_use(&self.on_disk, &reported.on_disk);
-        self.recent_loads
-            .retain(|(_, at)| now.since(*at) < REPORT_LAG);
-        let Some(engine) = engine else {
-            return;
-        };
-        for (model, _) in self.recent_loads.clone() {
-            self.cache(&model, engine);
-        }
+    /// Replaces the cached weights by those that the instance lists.
+    pub(super) fn replace(&mut self, listed: &CachedWeights) {
+        self.in_memory = in_order_of_use(&self.in_memory, &listed.in_memory);
+        self.on_disk = in_order_of_use(&self.on_disk, &listed.on_disk);
+    }
+
+    /// Records what the instance lists while it carries out an order, until the order has ended.
+    pub(super) fn list_during_order(&mut self, listed: &CachedWeights) {
+        self.listed_during_order = Some(listed.clone());
+    }
+
+    /// Removes the cached weights that the instance does not list.
+    pub(super) fn retain_listed(&mut self, listed: &CachedWeights) {
+        self.in_memory.retain(|one| listed.in_memory.contains(one));
+        self.on_disk.retain(|one| listed.on_disk.contains(one));
+    }
+
+    /// Whether the cached weights are other ones than the instance lists.
+    pub(super) fn differs_from(&self, listed: &CachedWeights) -> bool {
+        !has_same_models(&self.in_memory, &listed.in_memory)
+            || !has_same_models(&self.on_disk, &listed.on_disk)
+    }
+
+    /// Records the end of an order, whatever its outcome.
+    pub(super) fn record_order_end(&mut self) {
+        self.listed_during_order = None;
     }
 
     /// Records the start of a load, which may evict cached weights.
@@ -81,16 +89,15 @@
     }
 
     /// Records the end of a load, which leaves its weights cached.
-    pub(super) fn record_load_end(&mut self, model: &ModelName, engine: &Engine, now: Timestamp) {
-        self.recent_loads.push((model.clone(), now));
+    pub(super) fn record_load_end(&mut self, model: &ModelName, engine: &Engine) {
         self.cache(model, engine);
     }
 
     /// The fastest source for the weights of a model.
     pub(super) fn source(&self, model: &ModelName) -> LoadSource {
-        if self.in_memory.contains(model) {
+        if self.in_memory().contains(model) {
             LoadSource::Memory
-        } else if self.on_disk.contains(model) {
+        } else if self.on_disk().contains(model) {
             LoadSource::Disk
         } else {
             LoadSource::Store
@@ -99,7 +106,13 @@
 
     /// Models whose weights are cached on disk.
     pub(super) fn on_disk(&self) -> &[ModelName] {
-        &self.on_disk
+        let listed = self.listed_during_order.as_ref();
+        listed.map_or(&self.on_disk, |listed| &listed.on_disk)
+    }
+
+    fn in_memory(&self) -> &[ModelName] {
+        let listed = self.listed_during_order.as_ref();
+        listed.map_or(&self.in_memory, |listed| &listed.in_memory)
     }
 
     fn make_room(&mut self, model: &ModelName, engine: &Engine) {
@@ -126,6 +139,11 @@
     unordered.chain(ordered).cloned().collect()
 }
 
+/// Whether both lists name the same models, in any order.
+fn has_same_models(one: &[ModelName], other: &[ModelName]) -> bool {
+    one.len() == other.len() && one.iter().all(|model| other.contains(model))
+}
+
 /// Evicts the least recently used models until `model` fits.
 fn evict(cached: &mut Vec<ModelName>, model: &ModelName, capacity_mb: f64, engine: &Engine) {
     if cached.contains(model) {
--- a/crates/services/src/placement/instance/mod.rs
+++ b/crates/services/src/placement/instance/mod.rs
@@ -97,7 +97,8 @@
     sent_order: Option<OrderAction>,
     running: Option<RunningOrder>,
     changed_at: Option<Timestamp>,
-    /// The last registration differs from what orders and reports established.
+    /// The last registration differs from what orders and reports established, cached weights
+    /// included.
     is_disputed: bool,
     added_at: Timestamp,
     reservation: Option<Reservation>,
@@ -122,7 +123,7 @@
 }
 
 impl Instance {
-    pub(super) fn new(registration: Registration, engine: Option<&Engine>, now: Timestamp) -> Self {
+    pub(super) fn new(registration: Registration, now: Timestamp) -> Self {
         let mut instance = Self {
             state: registration.state,
             last_contact_at: now,
@@ -147,8 +148,8 @@
         };
         let models = instance.registration.models.clone();
         instance.replace_held(&models, &[], now);
-        let reported = &instance.registration.cached_weights;
-        instance.cached.apply_report(reported, engine, now);
+        let listed = &instance.registration.cached_weights;
+        instance.cached.replace(listed);
         instance
     }
 
@@ -219,8 +220,6 @@
         self.unreachable_from.clear();
         self.registration = registration;
         self.reconcile(engine, now);
-        let reported = &self.registration.cached_weights;
-        self.cached.apply_report(reported, engine, now);
         let after = self.view(now);
         previous != after
     }
@@ -228,6 +227,7 @@
     /// Reconciles the instance's registration with its reports and the orders sent.
     fn reconcile(&mut self, engine: Option<&Engine>, now: Timestamp) {
         let models = self.registration.models.clone();
+        let cached_weights = self.registration.cached_weights.clone();
         if let Some(running) = &self.running {
             let name = running.action.model();
             let is_held = models.iter().any(|model| model.name == *name);
@@ -235,11 +235,19 @@
             // until this one has ended.
             if running.action.loads() == is_held {
                 self.finish_order(engine, now);
+                self.cached.retain_listed(&cached_weights);
             }
         }
         let is_idle = self.running.is_none() && self.sent_order.is_none();
+        if self.sequence.is_none() {
+            // The next order needs a report, which replaces the cached weights.
+            self.cached.replace(&cached_weights);
+        } else if self.running.is_some() {
+            self.cached.list_during_order(&cached_weights);
+        }
         if self.has_order_or_report() {
-            self.is_disputed = is_idle && self.differs_from(&models);
+            let differs = self.differs_from(&models) || self.cached.differs_from(&cached_weights);
+            self.is_disputed = is_idle && differs;
         } else if is_idle {
             self.replace_held(&models, &[], now);
         }
--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -7,7 +7,7 @@
     Adapter, FinishedLoad, Instance, InstanceReport, LoadSource, Reservation, RunningOrder,
 };
 use crate::configuration::{Engine, ModelSpecification};
-use crate::instance::InstanceState;
+use crate::instance::{CachedWeights, InstanceState};
 use crate::placement::{Order, OrderAction, OrderOutcome};
 use courseshunt_types::{Millis, ModelName, Timestamp};
 use std::collections::BTreeMap;
@@ -46,12 +46,13 @@
         let Some(running) = self.running.take() else {
             return;
         };
+        self.cached.record_order_end();
         let model = running.action.model().clone();
         match running.action.loads() {
             true => {
                 let duration = now.since(running.started_at);
                 if let Some(engine) = engine {
-                    self.cached.record_load_end(&model, engine, now);
+                    self.cached.record_load_end(&model, engine);
                 }
                 self.finished_load = Some(FinishedLoad {
                     model: model.clone(),
@@ -98,6 +99,7 @@
                 self.finish_order(engine, now);
             } else if !report.busy && is_current {
                 self.running = None;
+                self.cached.record_order_end();
                 for held in self.held.values_mut() {
                     held.unloading = false;
                 }
@@ -107,24 +109,28 @@
             // The order had not been accepted when the report was made: the state before it still
             // holds, and an order with this number is refused if it has been accepted since.
             self.sequence = self.unanswered_sequence.take();
+            self.replace_cached_weights(report.cached_weights);
             return;
         }
         if report.busy || !is_current {
             self.next_call_at = now + QUERY_INTERVAL;
         }
-        if is_current && let Some(reported) = &report.cached_weights {
-            self.cached.apply_report(reported, engine, now);
-        }
         if !report.busy && is_current {
             self.unanswered_sequence = None;
             self.sequence = Some(report.sequence);
             self.is_disputed = false;
+            self.replace_cached_weights(report.cached_weights);
             if self.sent_order.is_none() {
                 self.replace_held(&report.models, &report.pending, now);
             }
         }
     }
 
+    /// Replaces the cached weights by those of a report; an instance that has none may leave them out.
+    fn replace_cached_weights(&mut self, reported: Option<CachedWeights>) {
+        self.cached.replace(&reported.unwrap_or_default());
+    }
+
     /// Whether the report does not include an order that the instance has accepted. An instance that
     /// restarted without a start time counts anew as well; it is silent until it is added again.
     fn is_from_before_an_order(&self, report: &InstanceReport) -> bool {
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -211,7 +211,7 @@
             false => {
                 self.remove_replaced_instances(&registration, now);
                 self.timed_out.remove(&id);
-                let instance = Instance::new(registration, engine, now);
+                let instance = Instance::new(registration, now);
                 self.instances.insert(instance, now);
                 true
             }
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -189,7 +189,15 @@
             sequence: self.sequence,
             pending: Vec::new(),
             started: None,
-            cached_weights: None,
+            cached_weights: Some(self.cached_weights()),
+        }
+    }
+
+    fn cached_weights(&self) -> CachedWeights {
+        let on_disk = self.disk.iter().map(|one| ModelName::from(one.as_str()));
+        CachedWeights {
+            in_memory: Vec::new(),
+            on_disk: on_disk.collect(),
         }
     }
 
@@ -221,6 +229,8 @@
     pub store_capacity: usize,
     /// Loads from the store so far: start time, model, and number of concurrent loads.
     pub store_loads: Vec<(u64, ModelName, usize)>,
+    /// Loads from the store that the engine took for loads from a disk: start time and model.
+    pub uncounted_store_loads: Vec<(u64, ModelName)>,
     /// Orders that their instance refused, because another order was in progress or because it had
     /// accepted one that the engine did not count.
     pub conflicts: usize,
@@ -261,6 +271,7 @@
             unreachable: BTreeSet::new(),
             store_capacity: usize::MAX,
             store_loads: Vec::new(),
+            uncounted_store_loads: Vec::new(),
             conflicts: 0,
             full_round_interval: 50,
             waiting_round_interval: None,
@@ -300,14 +311,7 @@
             sequence: instance.registrations,
             remaining: None,
             models: instance.held(),
-            cached_weights: CachedWeights {
-                in_memory: Vec::new(),
-                on_disk: instance
-                    .disk
-                    .iter()
-                    .map(|one| ModelName::from(one.as_str()))
-                    .collect(),
-            },
+            cached_weights: instance.cached_weights(),
         };
         match self.registration_delay {
             0 => drop(self.engine.register(registration, Timestamp::at(self.now))),
@@ -416,6 +420,9 @@
         if from_store && outcome == OrderOutcome::Accepted {
             self.store_loads
                 .push((self.now, model.clone(), concurrency));
+            if !order.from_store {
+                self.uncounted_store_loads.push((self.now, model.clone()));
+            }
         }
         outcome
     }
