--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -78,7 +78,7 @@
     /// Cancelled when the planned stop begins.
     pub stop: CancellationToken,
     /// Cancelled shortly before the end of the drain: what has no complete answer is answered, and
-    /// nothing is sent to runners any more.
+    /// no further send to a runner begins.
     pub last_answers_due: CancellationToken,
 }
 
