--- a/crates/services/src/stream_origins/directory.rs
+++ b/crates/services/src/stream_origins/directory.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: a verdict names a service and a version only if all instances that were reported as
 //! the stream's origin are known to have run this version of this service. A stream of several origins
-//! without a common version is in conflict. A stream that is missing here, because no router has
+//! is in conflict unless a common version is known. A stream that is missing here, because no router has
 //! reported it or because the directory was full, has no known origin.
 
 use super::{
--- a/crates/services/src/stream_origins/mod.rs
+++ b/crates/services/src/stream_origins/mod.rs
@@ -100,13 +100,13 @@
     /// Instances of this kind may continue the stream. An empty service, which no instance
     /// registers, states a conflict; see [`OriginVerdict::conflict`].
     Known(StreamWriter),
-    /// No router has reported the stream, or the version of its instance is not known.
+    /// No router has reported the stream, or the version of its only instance is not known.
     Unknown,
 }
 
 impl OriginVerdict {
-    /// Instances that do not fit together began streams under this id, so that no instance may
-    /// continue it. The archived form is that of a writer that no instance is: a router of the
+    /// Several instances began streams under this id and are not known to run one version of one
+    /// service, so that no instance may continue it. The archived form is that of a writer that no instance is: a router of the
     /// previous release refuses the stream, too.
     #[must_use]
     pub fn conflict() -> Self {
--- a/crates/services/tests/stream_origins.rs
+++ b/crates/services/tests/stream_origins.rs
@@ -285,6 +285,21 @@
     assert!(decide(1).is_conflict() && !decide(2).is_conflict());
 }
 
+/// A router that has seen one of two streams under this id would continue it by its own log.
+#[test]
+fn a_stream_of_two_origins_is_in_conflict_while_the_version_of_one_is_unknown() {
+    let mut versions = versions(&[("a", "v1")]);
+    let mut directory = OriginDirectory::default();
+    directory.note(origin(1, SERVICE, "a"), START);
+    directory.note(origin(1, SERVICE, "b"), START);
+    directory.note(origin(2, SERVICE, "b"), START);
+    let decide = |versions: &_, stream| directory.decide(StreamId(stream), versions, at(10));
+    assert_eq!(decide(&versions, 1), OriginVerdict::conflict());
+    assert_eq!(decide(&versions, 2), OriginVerdict::Unknown, "one origin");
+    hear(&mut versions, "b", "v1", at(5));
+    assert_eq!(decide(&versions, 1), known("v1"));
+}
+
 #[test]
 fn a_stream_of_many_origins_is_in_conflict() {
     let names = ["a", "b", "c", "d", "e"];
