Tests: one change of the leader, one settings file, one start of late registrations

late_cached_weights.rs and late_registrations.rs held the same constants, start and change of the leader; limit_variables.rs and service.rs the same settings file. The assertions are unchanged. A doc comment for the calls of a controller.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -72,6 +72,7 @@
     /// Address at which other processes of the cluster connect.
     pub wire_address: SocketAddr,
     context: ControllerContext,
+    /// Operators' calls without a complete answer.
     calls: TaskTracker,
 }
 
--- a/crates/services/tests/late_cached_weights.rs
+++ b/crates/services/tests/late_cached_weights.rs
@@ -4,12 +4,8 @@
 
 mod placement_simulation;
 
-use courseshunt_services::{PlacementEngine, PlacementSettings};
-use courseshunt_types::Timestamp;
 use placement_simulation::*;
 
-/// Times by which registrations arrive late, in milliseconds.
-const DELAYS: [u64; 4] = [0, 1_500, 4_000, 10_000];
 const SEEDS: u64 = 8;
 /// Models that fit on the disk of an instance.
 const DISK_SLOTS: usize = 3;
@@ -21,8 +17,6 @@
 const STEPS_PER_TURN: u32 = 230;
 /// Models in turn between two changes of the leader.
 const TURNS_PER_LEADER: u32 = 4;
-/// Steps until late registrations arrive.
-const START_STEPS: u32 = 1_100;
 /// Loads that have to be made for the models in turn, whatever is late.
 const MIN_LOADS: usize = 20;
 /// Loads from disk among them for each seed, on average, whatever is late.
@@ -40,14 +34,10 @@
 fn run_with_delay(delay: u64, seed: u64, trouble: Trouble) -> Simulation {
     let mut simulation = Simulation::new(seed, 1, trouble.lost_percent);
     simulation.add_disks(DISK_SLOTS);
-    simulation.registration_delay = delay;
-    simulation.report_age = 300;
-    for _ in 0..START_STEPS {
-        simulation.step(&[]);
-    }
+    simulation.delay_registrations(delay);
     for turn in 0..TURNS {
         if trouble.leader_changes && turn % TURNS_PER_LEADER == 1 {
-            change_leader(&mut simulation);
+            simulation.change_leader(configuration_with_disks(DISK_SLOTS as f64 * MODEL_MB));
         }
         let model = format!("m{}", 2 + simulation.draw(ROTATED_MODELS));
         for _ in 0..STEPS_PER_TURN {
@@ -57,21 +47,9 @@
     simulation
 }
 
-/// Another leader begins with what this one recorded.
-fn change_leader(simulation: &mut Simulation) {
-    let now = Timestamp::at(simulation.now);
-    let recorded = simulation.engine.views(now);
-    simulation.engine = PlacementEngine::new(PlacementSettings::default());
-    let configuration = configuration_with_disks(DISK_SLOTS as f64 * MODEL_MB);
-    simulation.engine.configure(configuration, now);
-    for view in &recorded {
-        simulation.engine.seed(view, now);
-    }
-}
-
 #[test]
 fn late_registrations_bring_no_evicted_weights_back() {
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         for seed in 0..SEEDS {
             let simulation = run_with_delay(delay, seed, Trouble::default());
             let uncounted = &simulation.uncounted_store_loads;
@@ -92,7 +70,7 @@
         lost_percent,
         leader_changes,
     });
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         for (seed, trouble) in (0..SEEDS).flat_map(|seed| troubles.map(|one| (seed, one))) {
             let simulation = run_with_delay(delay, seed, trouble);
             let uncounted = &simulation.uncounted_store_loads;
@@ -104,7 +82,7 @@
 /// Weights that are still cached are loaded from the disk, also while registrations are late.
 #[test]
 fn cached_weights_are_used_while_registrations_are_late() {
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         let runs = (0..SEEDS).map(|seed| run_with_delay(delay, seed, Trouble::default()));
         let from_disk = runs.map(|run| run.loads.len() - run.store_loads.len());
         let from_disk: usize = from_disk.sum();
--- a/crates/services/tests/late_registrations.rs
+++ b/crates/services/tests/late_registrations.rs
@@ -11,14 +11,10 @@
 use placement_simulation::*;
 use std::sync::Arc;
 
-/// Times by which registrations arrive late, in milliseconds.
-const DELAYS: [u64; 4] = [0, 1_500, 4_000, 10_000];
 /// Steps of 10 ms for which requests wait for one model.
 const MODEL_STEPS: u32 = 310;
 /// Models that requests wait for in turn.
 const MODELS_IN_TURN: u32 = 30;
-/// Steps until late registrations arrive.
-const START_STEPS: u32 = 1_100;
 /// Models in turn between two changes of the leader.
 const MODELS_PER_LEADER: u32 = 4;
 /// Loads that have to be made for the models in turn, whatever is late.
@@ -27,11 +23,7 @@
 /// Requests for rare models, in turn, while registrations are late; returns the number of loads.
 fn loads_with(delay: u64, leader_changes: bool, seed: u64, lost_percent: u32) -> usize {
     let mut simulation = Simulation::new(seed, 1, lost_percent);
-    simulation.registration_delay = delay;
-    simulation.report_age = 300;
-    for _ in 0..START_STEPS {
-        simulation.step(&[]);
-    }
+    simulation.delay_registrations(delay);
     for turn in 0..MODELS_IN_TURN {
         let model = format!("m{}", 1 + turn % 12);
         let mut adapter = demand(&model, 1, 1, 500);
@@ -40,7 +32,7 @@
             let is_change = turn % MODELS_PER_LEADER == 1
                 && step == u32::try_from(seed).unwrap() * 37 % MODEL_STEPS;
             if leader_changes && is_change {
-                change_leader(&mut simulation);
+                simulation.change_leader(configuration());
             }
             simulation.step(&[demand(&model, 1, 1, 500), adapter.clone()]);
         }
@@ -48,20 +40,9 @@
     simulation.loads.len()
 }
 
-/// Another leader begins with what this one recorded.
-fn change_leader(simulation: &mut Simulation) {
-    let now = Timestamp::at(simulation.now);
-    let recorded = simulation.engine.views(now);
-    simulation.engine = PlacementEngine::new(PlacementSettings::default());
-    simulation.engine.configure(configuration(), now);
-    for view in &recorded {
-        simulation.engine.seed(view, now);
-    }
-}
-
 #[test]
 fn late_registrations_take_no_order_back() {
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         for seed in 0..8 {
             let loads = loads_with(delay, false, seed, 0);
             assert!(
@@ -74,7 +55,7 @@
 
 #[test]
 fn late_registrations_take_no_order_back_from_a_new_leader() {
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         for seed in 0..8 {
             let loads = loads_with(delay, true, seed, 0);
             assert!(
@@ -88,7 +69,7 @@
 /// Orders without an answer are carried out up to 12 s later.
 #[test]
 fn late_registrations_take_no_order_back_that_had_no_answer() {
-    for delay in DELAYS {
+    for delay in REGISTRATION_DELAYS_MS {
         for seed in 0..8 {
             loads_with(delay, true, seed, 30);
         }
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -505,6 +505,35 @@
     }
 }
 
+/// Times by which registrations arrive late, in milliseconds.
+pub const REGISTRATION_DELAYS_MS: [u64; 4] = [0, 1_500, 4_000, 10_000];
+/// Steps until late registrations arrive.
+const LATE_START_STEPS: u32 = 1_100;
+/// Age of reports beside late registrations, in milliseconds.
+const LATE_REPORT_AGE_MS: u64 = 300;
+
+impl Simulation {
+    /// Registrations are late by this time from now on; the first of them have arrived afterwards.
+    pub fn delay_registrations(&mut self, delay_ms: u64) {
+        self.registration_delay = delay_ms;
+        self.report_age = LATE_REPORT_AGE_MS;
+        for _ in 0..LATE_START_STEPS {
+            self.step(&[]);
+        }
+    }
+
+    /// Another leader with this configuration begins with what this one recorded.
+    pub fn change_leader(&mut self, configuration: Arc<ServiceConfiguration>) {
+        let now = Timestamp::at(self.now);
+        let recorded = self.engine.views(now);
+        self.engine = PlacementEngine::new(PlacementSettings::default());
+        self.engine.configure(configuration, now);
+        for view in &recorded {
+            self.engine.seed(view, now);
+        }
+    }
+}
+
 pub fn demand(model: &str, arrivals: u32, waiting: u32, objective_ms: u32) -> ModelDemand {
     ModelDemand {
         service: "s".to_owned(),
--- a/crates/settings/tests/limit_variables.rs
+++ b/crates/settings/tests/limit_variables.rs
@@ -1,27 +1,13 @@
 //! Limits given by variables: which value holds, what is refused, and a changed file.
 
+mod service_file;
+
 use courseshunt_settings::limit_variables::{LIMIT_VARIABLES, LimitVariableError, VariableLimits};
 use courseshunt_settings::service::{ServiceLimits, ServiceSettings, SettingsFile};
+use service_file::VALID;
 use std::ffi::OsString;
 use std::os::unix::ffi::OsStringExt;
 
-const FILE: &str = r#"
-name = "r1"
-zone = "z"
-address = "127.0.0.1"
-wire_port = 7000
-seeds = ["127.0.0.2:8000"]
-cluster_key = "sixteen bytes at least"
-[listen]
-[limits]
-retry_ratio = 0.2
-retry_slack = 54
-retry_window_s = 10
-registration_interval_ms = 1200
-order_lease_ms = 3000
-load_window_s = 5
-grace_s = 8
-"#;
 /// Every limit that a variable may give, in the file.
 const STATED: &str = "memory_mb = 100\nmax_open_files = 1000\nquota_window_s = 4\n\
                       quota_overshoot = 0.1\nquota_slack = 10\nkey_trust_ms = 500\n";
@@ -57,7 +43,7 @@
 #[test]
 fn a_limit_of_a_variable_was_lost() {
     let variables = read(&GIVEN).expect("allowed");
-    let limits = variables.over(limits_of_file(FILE));
+    let limits = variables.over(limits_of_file(VALID));
     assert_given(&limits);
     assert_eq!(limits.grace_s, 8.0, "the others are the file's");
 }
@@ -65,7 +51,7 @@
 #[test]
 fn a_limit_of_the_file_won_over_its_variable() {
     let variables = read(&GIVEN).expect("allowed");
-    assert_given(&variables.over(limits_of_file(&format!("{FILE}{STATED}"))));
+    assert_given(&variables.over(limits_of_file(&format!("{VALID}{STATED}"))));
 }
 
 #[test]
@@ -73,7 +59,7 @@
     let empty = GIVEN.map(|(name, _)| (name, ""));
     for variables in [read(&[]), read(&empty)] {
         let variables = variables.expect("allowed");
-        for text in [FILE.to_owned(), format!("{FILE}{STATED}")] {
+        for text in [VALID.to_owned(), format!("{VALID}{STATED}")] {
             let limits = limits_of_file(&text);
             assert_eq!(variables.over(limits), limits);
         }
@@ -110,11 +96,11 @@
 fn a_changed_file_ended_the_limits_of_variables() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("settings.toml");
-    std::fs::write(&path, FILE).expect("a file");
+    std::fs::write(&path, VALID).expect("a file");
     let variables = read(&GIVEN).expect("allowed");
     let (mut file, settings) = SettingsFile::open(path.clone(), variables).expect("valid");
     assert_given(&settings.limits);
-    let changed = format!("{}{STATED}", FILE.replace("127.0.0.2", "127.0.0.3"));
+    let changed = format!("{}{STATED}", VALID.replace("127.0.0.2", "127.0.0.3"));
     std::fs::write(&path, changed).expect("a file");
     let settings = file.changed().expect("valid").expect("changed");
     assert_eq!(settings.seeds[0].to_string(), "127.0.0.3:8000");
@@ -123,7 +109,7 @@
 
 #[test]
 fn a_default_of_the_reference_page_was_not_the_one_in_force() {
-    let limits = limits_of_file(FILE);
+    let limits = limits_of_file(VALID);
     let key_trust = limits
         .key_trust_ms
         .map_or("none".to_owned(), |milliseconds| milliseconds.to_string());
--- a/crates/settings/tests/service.rs
+++ b/crates/settings/tests/service.rs
@@ -1,29 +1,12 @@
 //! Settings of services: what is refused, and how a changed file is followed.
 
+mod service_file;
+
 use courseshunt_settings::limit_variables::VariableLimits;
 use courseshunt_settings::service::{ServiceSettings, SettingsFile};
+use service_file::VALID;
 use std::time::Duration;
 
-const VALID: &str = r#"
-name = "r1"
-zone = "z"
-address = "127.0.0.1"
-wire_port = 7000
-seeds = ["127.0.0.2:8000"]
-cluster_key = "sixteen bytes at least"
-[listen]
-clients = "127.0.0.1:8080"
-ready = ""
-[limits]
-retry_ratio = 0.2
-retry_slack = 54
-retry_window_s = 10
-registration_interval_ms = 1200
-order_lease_ms = 3000
-load_window_s = 5
-grace_s = 8
-"#;
-
 #[test]
 fn a_valid_file_is_read() {
     let settings = ServiceSettings::parse(VALID).expect("valid");
