--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -7,7 +7,7 @@
 use crate::call_body::{self, CallBody};
 use crate::interface::{ControlCall, Heartbeat};
 use crate::records::ControllerRecord;
-use crate::registration_admission::{self, Admission, AdmissionView};
+use crate::registration_admission::{self, Admission, AdmissionView, RelayObstacle};
 use crate::software_versions;
 use bytes::Bytes;
 use courseshunt_controller::ProposeError;
@@ -175,10 +175,21 @@
             let own = shared.settings.listen.control.map(|own| own.to_string());
             json(shared.interface.registration_answer(own.as_deref()))
         }
-        Admission::TryAnother => unavailable("the leader is not reached from here"),
+        Admission::TryAnother(obstacle) => reject_unrelayed(&id, obstacle),
     }
 }
 
+/// Rejects a registration that can't be relayed soon, and records why.
+fn reject_unrelayed(id: &RunnerId, obstacle: RelayObstacle) -> Response<Body> {
+    emit(&ControllerRecord::RegistrationNotRelayed {
+        instance: id.as_str(),
+        reason: obstacle.name(),
+        link_down_ms: obstacle.down_for().map(|elapsed| elapsed.0),
+    });
+    let reason = obstacle.name();
+    unavailable(&format!("the leader is not reached from here: {reason}"))
+}
+
 /// Rejects a message of an instance that can't be read in full, and records it.
 fn refuse_registration(id: &RunnerId, problem: &str, shared: &Shared) -> Response<Body> {
     shared.metrics.registration_refused();
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -118,6 +118,14 @@
     },
     /// A registration or departure of an instance, or of another sender, is incomplete or invalid.
     RegistrationRefused { instance: &'a str, problem: &'a str },
+    /// A registration was rejected because this controller can't relay it soon.
+    RegistrationNotRelayed {
+        instance: &'a str,
+        /// `no_leader`, or `no_link` to a leader that it is in contact with.
+        reason: &'static str,
+        /// How long the link has been down, if that is the reason.
+        link_down_ms: Option<u64>,
+    },
     /// The body of a call was not read whole; the call has changed nothing.
     BodyRefused {
         /// `document` or `registration`.
@@ -295,6 +303,7 @@
                 | Self::SetAside { .. }
                 | Self::Loaded { .. }
                 | Self::RegistrationRefused { .. }
+                | Self::RegistrationNotRelayed { .. }
                 | Self::BodyRefused { .. }
         )
     }
--- a/crates/coordinator/src/registration_admission.rs
+++ b/crates/coordinator/src/registration_admission.rs
@@ -31,17 +31,51 @@
     /// Accept it: apply it here, or relay it to the leader.
     Accept,
     /// Reject it; another controller may have a link to the leader.
-    TryAnother,
+    TryAnother(RelayObstacle),
+}
+
+/// Why a controller can't relay a registration soon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayObstacle {
+    /// It is in contact with no leader.
+    NoLeader,
+    /// It is in contact with a leader, and its link to the leader has been down for this time.
+    NoLink(Millis),
+}
+
+impl RelayObstacle {
+    /// Value in records.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoLeader => "no_leader",
+            Self::NoLink(_) => "no_link",
+        }
+    }
+
+    /// How long the link has been down, if that is the reason.
+    #[must_use]
+    pub fn down_for(self) -> Option<Millis> {
+        match self {
+            Self::NoLeader => None,
+            Self::NoLink(elapsed) => Some(elapsed),
+        }
+    }
 }
 
 /// Decides whether a registration is accepted.
 #[must_use]
 pub fn decide(view: AdmissionView) -> Admission {
-    let reached = view
-        .leader_unreachable_for
-        .is_none_or(|elapsed| elapsed <= RELAY_GRACE);
-    match view.leads || view.has_leader && reached {
-        true => Admission::Accept,
-        false => Admission::TryAnother,
+    if view.leads {
+        return Admission::Accept;
+    }
+    if !view.has_leader {
+        return Admission::TryAnother(RelayObstacle::NoLeader);
+    }
+    match view.leader_unreachable_for {
+        Some(elapsed) if elapsed > RELAY_GRACE => {
+            Admission::TryAnother(RelayObstacle::NoLink(elapsed))
+        }
+        _ => Admission::Accept,
     }
 }
--- a/crates/coordinator/tests/registration_storm.rs
+++ b/crates/coordinator/tests/registration_storm.rs
@@ -5,7 +5,9 @@
 //!
 //! Costs are in microseconds of a controller with 0.15 of a core.
 
-use courseshunt_coordinator::registration_admission::{Admission, AdmissionView, decide};
+use courseshunt_coordinator::registration_admission::{
+    Admission, AdmissionView, RelayObstacle, decide,
+};
 use courseshunt_types::Millis;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -320,14 +322,16 @@
 
 #[test]
 fn a_controller_accepts_registrations_that_it_can_relay_soon() {
+    let no_leader = Admission::TryAnother(RelayObstacle::NoLeader);
+    let no_link = Admission::TryAnother(RelayObstacle::NoLink(Millis(2_001)));
     let cases = [
         (true, false, Some(60_000), Admission::Accept),
         (false, true, None, Admission::Accept),
         (false, true, Some(2_000), Admission::Accept),
-        (false, true, Some(2_001), Admission::TryAnother),
+        (false, true, Some(2_001), no_link),
         // Cut off from the other controllers: the registration would reach none of them.
-        (false, false, None, Admission::TryAnother),
-        (false, false, Some(10), Admission::TryAnother),
+        (false, false, None, no_leader),
+        (false, false, Some(10), no_leader),
     ];
     for (leads, has_leader, elapsed, expected) in cases {
         let view = AdmissionView {
