Instances that could not be recorded are recorded later

Seen: read while a failed test was traced. When a record of changed instances failed, all that was left was dropped, because another member was assumed to lead. A leader whose disk is full goes on leading: these instances were missing in the log until they changed again, so that a later leader did not know them. An entry that was recorded after all is recorded twice, which changes nothing. Not shown with processes: no stand-in fills a disk.

--- a/crates/coordinator/src/instance_persistence.rs
+++ b/crates/coordinator/src/instance_persistence.rs
@@ -4,16 +4,15 @@
 //! Invariant: no step under a lock, and no log entry, grows with the size of the fleet.
 
 use crate::Shared;
+use crate::unrecorded_instances::{InstanceChanges, UnrecordedInstances};
 use courseshunt_services::InstanceView;
 use courseshunt_state::Command;
 use courseshunt_types::{RunnerId, Timestamp};
 use std::ops::Bound;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Instances that are restored before the task yields; a batch takes some milliseconds.
 const RESTORE_BATCH_INSTANCES: usize = 256;
-/// Instances in one log entry: tens of kilobytes, which a follower applies between two
-/// heartbeats.
-const RECORD_BATCH_INSTANCES: usize = 256;
 
 /// Restores the recorded instances in batches. Between two batches the process serves its
 /// connections, and new commits can be applied to the state.
@@ -53,17 +52,25 @@
     batch.take(RESTORE_BATCH_INSTANCES).collect()
 }
 
-/// Records changed and gone instances in the log, in batches.
-pub(crate) async fn record_all(changed: &[InstanceView], gone: &[RunnerId], shared: &Shared) {
-    let changed = changed.chunks(RECORD_BATCH_INSTANCES);
-    let changed = changed.map(|batch| (batch.to_vec(), Vec::new()));
-    let gone = gone.chunks(RECORD_BATCH_INSTANCES);
-    let gone = gone.map(|batch| (Vec::new(), batch.to_vec()));
-    for (changed, gone) in changed.chain(gone) {
+/// Records all changes in the log, in batches, up to the first one that is not recorded. That one
+/// and the rest stay for the next time: the disk may be full, or another member leads.
+pub(crate) async fn record_all(unrecorded: &Mutex<UnrecordedInstances>, shared: &Shared) {
+    loop {
+        let batch = lock(unrecorded).take_batch();
+        let Some(batch) = batch else {
+            return;
+        };
+        let InstanceChanges { changed, gone } = batch.clone();
         let command = Command::RecordInstances { changed, gone };
-        if shared.replica.submit_as_leader(command).await.is_err() {
-            // Another member leads; it receives the instances' own registrations.
+        if let Err(error) = shared.replica.submit_as_leader(command).await {
+            log::debug!("controller: instances not recorded: {error}");
+            lock(unrecorded).put_back(batch);
             return;
         }
     }
 }
+
+/// The changes; no task that holds the lock leaves them inconsistent.
+pub(crate) fn lock(unrecorded: &Mutex<UnrecordedInstances>) -> MutexGuard<'_, UnrecordedInstances> {
+    unrecorded.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -10,6 +10,7 @@
 use crate::plan_pace::{PlanPace, PlanRound};
 use crate::records::{self, ControllerRecord};
 use crate::router_registry::FeedPath;
+use crate::unrecorded_instances::UnrecordedInstances;
 use crate::{
     Shared, instance_persistence, limits, loads, orders, placement_settings, quarantine,
     quota_settings, reports, sessions, software_versions, upstream,
@@ -18,14 +19,14 @@
 use courseshunt_records::emit;
 use courseshunt_services::feed::{instances_interval, usage_interval};
 use courseshunt_services::{
-    FeedMessage, ForwarderDirectory, InstanceView, LimitLedger, OriginDirectory, PlacementEngine,
+    FeedMessage, ForwarderDirectory, LimitLedger, OriginDirectory, PlacementEngine,
     QuarantineLedger, QuotaLedger, VersionPublication,
 };
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, RunnerId, Term, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use courseshunt_types::{Millis, Term, Timestamp};
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Longest pause between two iterations of the loop.
@@ -65,7 +66,7 @@
     version_publication: VersionPublication,
     instances_recorded_at: Timestamp,
     /// Changed and gone instances that are not yet recorded in the log.
-    unrecorded: (BTreeMap<RunnerId, InstanceView>, BTreeSet<RunnerId>),
+    unrecorded: Arc<Mutex<UnrecordedInstances>>,
     members: MembershipManager,
     instances_sent_at: Timestamp,
     plan_pace: PlanPace,
@@ -410,15 +411,7 @@
             instances: &instances,
         });
     }
-    let (unrecorded, lost) = &mut leadership.unrecorded;
-    for view in &changed {
-        lost.remove(&view.id);
-        unrecorded.insert(view.id.clone(), view.clone());
-    }
-    for id in &gone {
-        unrecorded.remove(id);
-        lost.insert(id.clone());
-    }
+    instance_persistence::lock(&leadership.unrecorded).note(&changed, &gone);
     leadership.instances_sent_at = now;
     // The versions of these instances were noted before them.
     software_versions::feed_changes(&mut leadership.version_publication, now, shared);
@@ -475,18 +468,16 @@
 /// Records changed instances for later leaders, in batches, so that no log entry grows with the
 /// size of the fleet.
 fn persist_instances(shared: &Arc<Shared>, leadership: &mut Leadership, now: Timestamp) {
-    let (changed, gone) = &mut leadership.unrecorded;
     let due = now.since(leadership.instances_recorded_at) >= RECORD_INTERVAL;
-    let nothing = changed.is_empty() && gone.is_empty();
+    let nothing = instance_persistence::lock(&leadership.unrecorded).is_empty();
     if !due || nothing || leadership.recording_instances.swap(true, Ordering::Relaxed) {
         return;
     }
     leadership.instances_recorded_at = now;
-    let changed: Vec<InstanceView> = std::mem::take(changed).into_values().collect();
-    let gone: Vec<RunnerId> = std::mem::take(gone).into_iter().collect();
+    let unrecorded = leadership.unrecorded.clone();
     let (shared, recording) = (shared.clone(), leadership.recording_instances.clone());
     tokio::spawn(async move {
-        instance_persistence::record_all(&changed, &gone, &shared).await;
+        instance_persistence::record_all(&unrecorded, &shared).await;
         recording.store(false, Ordering::Relaxed);
     });
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -41,6 +41,7 @@
 mod sessions;
 mod software_versions;
 mod stream_origins;
+pub mod unrecorded_instances;
 mod upstream;
 
 pub use error::CoordinatorError;
--- /dev/null
+++ b/crates/coordinator/src/unrecorded_instances.rs
@@ -0,0 +1,69 @@
+//! Changes of instances that a leader has not yet recorded in the log for later leaders. Pure.
+//!
+//! Invariant: a change stays here until it was recorded, or until a newer change of the same instance
+//! has taken its place.
+
+use courseshunt_services::InstanceView;
+use courseshunt_types::RunnerId;
+use std::collections::BTreeMap;
+
+/// Instances in one log entry: tens of kilobytes, which a follower applies between two
+/// heartbeats.
+const BATCH_INSTANCES: usize = 256;
+
+/// Changes of instances that one log entry records.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct InstanceChanges {
+    /// New or changed instances.
+    pub changed: Vec<InstanceView>,
+    /// Instances that are gone.
+    pub gone: Vec<RunnerId>,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct UnrecordedInstances {
+    /// The newest view of each changed instance; `None` if it is gone.
+    newest: BTreeMap<RunnerId, Option<InstanceView>>,
+}
+
+impl UnrecordedInstances {
+    /// Adds changes; the newest one of an instance counts.
+    pub fn note(&mut self, changed: &[InstanceView], gone: &[RunnerId]) {
+        for view in changed {
+            self.newest.insert(view.id.clone(), Some(view.clone()));
+        }
+        for id in gone {
+            self.newest.insert(id.clone(), None);
+        }
+    }
+
+    /// Whether there is nothing to record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.newest.is_empty()
+    }
+
+    /// Takes the changes of one log entry; none once all are taken.
+    pub fn take_batch(&mut self) -> Option<InstanceChanges> {
+        let mut batch = InstanceChanges::default();
+        for _ in 0..BATCH_INSTANCES {
+            match self.newest.pop_first() {
+                Some((_, Some(view))) => batch.changed.push(view),
+                Some((id, None)) => batch.gone.push(id),
+                None => break,
+            }
+        }
+        (batch != InstanceChanges::default()).then_some(batch)
+    }
+
+    /// Puts changes back that were not recorded, or of which this is not certain.
+    pub fn put_back(&mut self, batch: InstanceChanges) {
+        for view in batch.changed {
+            self.newest.entry(view.id.clone()).or_insert(Some(view));
+        }
+        for id in batch.gone {
+            self.newest.entry(id).or_insert(None);
+        }
+    }
+}
