Stop: a request that has arrived is read before its idle connection is closed

Cause: at half of the readiness propagation time (1.3 s after the SIGTERM), and when a connection gives way at the bound, the close of the connection and the connection itself were polled in random order. Where both were ready, as on a busy router, a request that had arrived was dropped unread with its connection.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -128,6 +128,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived by then is read before the connection is closed.
+        biased;
         ended = connection.as_mut() => ended,
         () = shared.idle_close_due() => {
             connection.as_mut().graceful_shutdown();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -203,6 +203,8 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let ended = tokio::select! {
+            // A request that has arrived by then is read before the connection is closed.
+            biased;
             ended = connection.as_mut() => ended,
             () = lingered(&stop) => {
                 connection.as_mut().graceful_shutdown();
