Stop: connections that wait to be accepted when a router closes are answered

Cause: 2.6 s after the SIGTERM the listener is dropped. Connections that the system had accepted and the router had not, as on a busy router, were reset with it, and the router may have ended before it read the requests of the last ones. Change: what the system has accepted by then is taken and served (a request on it gets the refusal of a router that stops); the stop waits until this is done, 100 ms longer if there was such a connection.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -250,8 +250,7 @@
         tokio::spawn(ended.clone().run_until_cancelled_owned(feed));
         let suspend_watch = watch_suspend(shared.clone());
         tokio::spawn(ended.clone().run_until_cancelled_owned(suspend_watch));
-        let clients = serve::accept_clients(clients, shared.clone());
-        tokio::spawn(shared.closing.clone().run_until_cancelled_owned(clients));
+        tokio::spawn(serve::accept_clients(clients, shared.clone()));
         let routers = forwarding::accept_routers(routers, shared.clone());
         tokio::spawn(ended.clone().run_until_cancelled_owned(routers));
         let recovery = path::recover_lost(shared.clone());
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,9 @@
 
 /// Pause after an accept error, such as too many open files.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+/// Maximum number of connections that are taken when the router closes: more than a listener's queue
+/// holds.
+const MAX_LAST_CONNECTIONS: usize = 4_096;
 /// Limits of the readiness and the metrics address.
 const READINESS_AND_METRICS_LIMITS: ServerLimits = ServerLimits {
     max_connections: 64,
@@ -36,14 +39,25 @@
 /// Minimum read buffer that hyper accepts.
 pub(crate) const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Accepts client connections until the task is cancelled.
+/// Time in which the requests of connections are read that are taken when the router closes.
+const LAST_REQUESTS_TIME: Duration = Duration::from_millis(100);
+
+/// Accepts client connections until the router closes, the last ones among them those that the
+/// system has accepted by then. The stop of the router does not end before this does.
 pub(crate) async fn accept_clients(listener: TcpListener, shared: Arc<Shared>) {
+    let _accepting = shared.requests.token();
+    let accepting = accept_until_cancelled(&listener, &shared);
+    shared.closing.run_until_cancelled(accepting).await;
+    if accept_last(listener, &shared) > 0 {
+        tokio::time::sleep(LAST_REQUESTS_TIME).await;
+    }
+}
+
+async fn accept_until_cancelled(listener: &TcpListener, shared: &Arc<Shared>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                if let Some(place) = admit_connection(peer, &shared) {
-                    tokio::spawn(serve_client(stream, place, shared.clone()));
-                }
+                begin_serving(stream, peer, shared);
                 // The connections that give way are closed before others are accepted.
                 tokio::task::yield_now().await;
             }
@@ -55,6 +69,30 @@
     }
 }
 
+/// Takes the connections that the system has accepted, which would be reset with the listener;
+/// returns their number.
+fn accept_last(listener: TcpListener, shared: &Arc<Shared>) -> usize {
+    let Ok(listener) = listener.into_std() else {
+        return 0;
+    };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let mut count = 0;
+    for (stream, peer) in accepted.take(MAX_LAST_CONNECTIONS) {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            begin_serving(stream, peer, shared);
+            count += 1;
+        }
+    }
+    count
+}
+
+fn begin_serving(stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>) {
+    if let Some(place) = admit_connection(peer, shared) {
+        tokio::spawn(serve_client(stream, place, shared.clone()));
+    }
+}
+
 /// The place of a new connection. At the bound an idle connection, or else one whose body has
 /// stopped arriving, is closed for it; `None` if there is neither.
 fn admit_connection(peer: SocketAddr, shared: &Shared) -> Option<ConnectionPlace> {
