Stop: a refusal reaches a client that still sends its body

Cause: a request that is refused at its head, since its router has closed, has its connection closed right after the refusal. What arrives of its body later is answered by a reset: the client can't send on, and may lose the refusal. Change: a router that stops reads the rest of a body that it gives up and discards it, to its end or to the last answers of the stop, which waits for this.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,6 +4,7 @@
 //! Invariant: a request that is refused here has not been sent to any instance.
 
 use crate::Shared;
+use crate::client_body::ClientBody;
 use crate::handle::AdmittedRequest;
 use crate::interface::{PresentedKey, RequestMetadata};
 use crate::progress::{RequestProgress, RequestStage};
@@ -77,17 +78,18 @@
 /// A request whose head has been received.
 pub(crate) struct ReceivedRequest {
     pub(crate) head: Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: ClientBody,
     pub(crate) metadata: RequestMetadata,
     pub(crate) progress: Arc<RequestProgress>,
     pub(crate) arrived: Instant,
 }
 
 impl ReceivedRequest {
-    pub(crate) fn new(request: Request<Incoming>, shared: &Shared) -> Self {
+    pub(crate) fn new(request: Request<Incoming>, shared: &Arc<Shared>) -> Self {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let metadata = shared.interface.read_request(&head.headers);
+        let body = ClientBody::new(body, shared.clone());
         Self {
             head,
             body,
@@ -248,7 +250,7 @@
 }
 
 /// Refuses a request whose head announces a body over the limit, before any of it is read.
-fn refuse_if_announced_too_long(body: &Incoming, max_bytes: usize) -> Result<(), Refusal> {
+fn refuse_if_announced_too_long(body: &ClientBody, max_bytes: usize) -> Result<(), Refusal> {
     let announced = body.size_hint().lower();
     match announced > max_bytes as u64 {
         true => Err(Refusal::TooLarge),
@@ -414,7 +416,11 @@
     }
 }
 
-async fn read_body(body: Incoming, limits: BodyLimits, shared: &Shared) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: ClientBody,
+    limits: BodyLimits,
+    shared: &Shared,
+) -> Result<Bytes, Refusal> {
     let mut reader = BodyReader::new(body, limits, &shared.memory);
     loop {
         return match reader.read().await {
--- /dev/null
+++ b/crates/gateway/src/client_body.rs
@@ -0,0 +1,72 @@
+//! The body of a client's request.
+//!
+//! Invariant: a router that stops reads a body that it gives up to its end, or to its own last
+//! answers. A connection that is closed before that is reset, and the reset may overtake the response.
+
+use crate::Shared;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::runtime::Handle;
+
+/// See the module.
+pub(crate) struct ClientBody {
+    /// `None` once it has been given up.
+    incoming: Option<Incoming>,
+    shared: Arc<Shared>,
+}
+
+impl ClientBody {
+    pub(crate) fn new(incoming: Incoming, shared: Arc<Shared>) -> Self {
+        Self {
+            incoming: Some(incoming),
+            shared,
+        }
+    }
+}
+
+impl HttpBody for ClientBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match &mut self.incoming {
+            Some(incoming) => Pin::new(incoming).poll_frame(context),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let incoming = self.incoming.as_ref();
+        incoming.is_none_or(HttpBody::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let incoming = self.incoming.as_ref();
+        incoming.map_or_else(SizeHint::default, HttpBody::size_hint)
+    }
+}
+
+impl Drop for ClientBody {
+    fn drop(&mut self) {
+        let unread = self.incoming.take().filter(|body| !body.is_end_stream());
+        let is_stopping = self.shared.stopping.is_cancelled();
+        let (Some(unread), true, Ok(runtime)) = (unread, is_stopping, Handle::try_current()) else {
+            return;
+        };
+        runtime.spawn(discard(unread, self.shared.clone()));
+    }
+}
+
+/// Reads the rest of a body and keeps nothing of it. The stop of the router waits for this.
+async fn discard(mut body: Incoming, shared: Arc<Shared>) {
+    let _reading = shared.requests.token();
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    shared.last_answers_due.run_until_cancelled(reading).await;
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt;
+mod client_body;
 mod client_limits;
 mod controller_search;
 pub mod current_document;
