Stop: what is not admitted when a router closes is refused then

Cause: a request whose body, first configuration, stream's origin or quota was still outstanding 2.6 s after the SIGTERM waited on for it, up to 7.4 s after the SIGTERM with a grace period of 8 s. It could no longer be served: the check after its body refuses it. Change: admission ends with the close.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Admits a request; records the reason if it is refused.
+/// Admits a request; records the reason if it is refused. What is not admitted when the router closes
+/// is refused then, whatever it waits for.
 pub(crate) async fn admit(
     received: ReceivedRequest,
     shared: &Arc<Shared>,
@@ -110,7 +111,11 @@
     let mut resolved = Resolved::default();
     let id = metadata.id.clone();
     let model = metadata.shape.model.clone();
-    let admitted = admit_received(received, &mut resolved, shared).await;
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit_received(received, &mut resolved, shared) => admitted,
+        () = shared.closing.cancelled() => Err(Refusal::Stopping.into()),
+    };
     if let Err(denial) = &admitted {
         shared.metrics.refusal(denial.refusal.reason());
         let tenant = resolved.tenant.as_ref().map(|tenant| tenant.name.as_str());
