Stop: a refusal at the close states that another router may serve at once

Cause: the Retry-After of a request that is refused because its router has closed was 300 ms, that of the same refusal later in the stop 0. Nothing is gained by the wait: another router may serve the request at once, and this one won't. Change: Retry-After 0 for each refusal of a router that stops. Measured: retry-after 0.300 before (the test failed), 0.000 after.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -65,6 +65,8 @@
     fn from(refusal: Refusal) -> Self {
         let retry_after = match refusal {
             Refusal::NoMemory => MEMORY_RETRY_AFTER,
+            // Another router may serve it at once.
+            Refusal::Stopping => Millis(0),
             _ => ROUTER_RETRY_AFTER,
         };
         Self {
