Stop: a request behind a response that began before the stop is answered

Cause: from 1.3 s after the SIGTERM on, a connection was closed after the response in progress. Where the head of that response had been sent before the stop, nothing stated the close, and a request that had been received behind it (whole, from a client that sends requests ahead) was dropped with the connection without an answer. Change: such a connection is closed once it has no request; the last response states the close. The same for the calls at controllers.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -169,10 +169,13 @@
         // A request that has arrived by then is read before the connection is closed.
         biased;
         ended = connection.as_mut() => ended,
-        () = shared.idle_close_due() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        () = shared.idle_close_due() => match place.until_idle(connection.as_mut()).await {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        },
         () = place.close_due() => {
             connection.as_mut().graceful_shutdown();
             place.finish(connection).await.unwrap_or(Ok(()))
--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -5,7 +5,9 @@
 //! have one, the new connection is not taken.
 
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 use tokio_util::sync::CancellationToken;
 
 /// Number of a period in which a connection has no request; later ones are higher.
@@ -169,6 +171,17 @@
         matches!(*self.inner.activity(), Activity::Idle(_))
     }
 
+    /// Drives a connection until it has no request, also none that has been received behind another
+    /// one; what it returns if it ends before.
+    pub async fn until_idle<C: Future + Unpin>(&self, mut connection: C) -> Option<C::Output> {
+        std::future::poll_fn(|context| match Pin::new(&mut connection).poll(context) {
+            Poll::Ready(ended) => Poll::Ready(Some(ended)),
+            Poll::Pending if self.is_idle() => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        })
+        .await
+    }
+
     /// Drives a connection that is to be closed, whose HTTP library takes no further request: to
     /// the end of its request, or once if it has none. `None` if it is dropped then.
     pub async fn finish<C: Future + Unpin>(&self, mut connection: C) -> Option<C::Output> {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -206,10 +206,13 @@
             // A request that has arrived by then is read before the connection is closed.
             biased;
             ended = connection.as_mut() => ended,
-            () = lingered(&stop) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
+            () = lingered(&stop) => match place.until_idle(connection.as_mut()).await {
+                Some(ended) => ended,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            },
             () = place.close_due() => {
                 connection.as_mut().graceful_shutdown();
                 place.finish(connection).await.unwrap_or(Ok(()))
