--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,6 +4,7 @@
 //! Invariant: a request that is refused here has not been sent to any instance.
 
 use crate::Shared;
+use crate::client_body::ClientBody;
 use crate::handle::AdmittedRequest;
 use crate::interface::{PresentedKey, RequestMetadata};
 use crate::progress::{RequestProgress, RequestStage};
@@ -64,6 +65,8 @@
     fn from(refusal: Refusal) -> Self {
         let retry_after = match refusal {
             Refusal::NoMemory => MEMORY_RETRY_AFTER,
+            // Another router may serve it at once.
+            Refusal::Stopping => Millis(0),
             _ => ROUTER_RETRY_AFTER,
         };
         Self {
@@ -77,17 +80,18 @@
 /// A request whose head has been received.
 pub(crate) struct ReceivedRequest {
     pub(crate) head: Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: ClientBody,
     pub(crate) metadata: RequestMetadata,
     pub(crate) progress: Arc<RequestProgress>,
     pub(crate) arrived: Instant,
 }
 
 impl ReceivedRequest {
-    pub(crate) fn new(request: Request<Incoming>, shared: &Shared) -> Self {
+    pub(crate) fn new(request: Request<Incoming>, shared: &Arc<Shared>) -> Self {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let metadata = shared.interface.read_request(&head.headers);
+        let body = ClientBody::new(body, shared.clone());
         Self {
             head,
             body,
@@ -98,7 +102,8 @@
     }
 }
 
-/// Admits a request; records the reason if it is refused.
+/// Admits a request; records the reason if it is refused. What is not admitted when the router closes
+/// is refused then, whatever it waits for.
 pub(crate) async fn admit(
     received: ReceivedRequest,
     shared: &Arc<Shared>,
@@ -108,7 +113,11 @@
     let mut resolved = Resolved::default();
     let id = metadata.id.clone();
     let model = metadata.shape.model.clone();
-    let admitted = admit_received(received, &mut resolved, shared).await;
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit_received(received, &mut resolved, shared) => admitted,
+        () = shared.closing.cancelled() => Err(Refusal::Stopping.into()),
+    };
     if let Err(denial) = &admitted {
         shared.metrics.refusal(denial.refusal.reason());
         let tenant = resolved.tenant.as_ref().map(|tenant| tenant.name.as_str());
@@ -248,7 +257,7 @@
 }
 
 /// Refuses a request whose head announces a body over the limit, before any of it is read.
-fn refuse_if_announced_too_long(body: &Incoming, max_bytes: usize) -> Result<(), Refusal> {
+fn refuse_if_announced_too_long(body: &ClientBody, max_bytes: usize) -> Result<(), Refusal> {
     let announced = body.size_hint().lower();
     match announced > max_bytes as u64 {
         true => Err(Refusal::TooLarge),
@@ -414,7 +423,11 @@
     }
 }
 
-async fn read_body(body: Incoming, limits: BodyLimits, shared: &Shared) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: ClientBody,
+    limits: BodyLimits,
+    shared: &Shared,
+) -> Result<Bytes, Refusal> {
     let mut reader = BodyReader::new(body, limits, &shared.memory);
     loop {
         return match reader.read().await {
