Stop: a stream that can no longer be served by its router is refused at once

Cause: a request that waits during a stop was refused at nine tenths of the time up to the refusal of all that wait, also where nothing could serve it before: its only holder had turned it away and may be tried again only after that moment, or no instance holds or loads the model and there is no leader to order a load. Change: in these two cases a router that stops refuses it when it finds this, with Retry-After 0: another router may try the holder at once, or have a leader. Outside a stop nothing changes.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -221,14 +221,20 @@
             .is_none_or(|at| at.elapsed() >= RETRY_PAUSE)
     }
 
-    /// Whether an instance that failed the request may be retried. The first interval is a
-    /// fraction of the objective and it doubles each time, so that a full instance gets time
-    /// and the retries spread over the objective.
+    /// Whether an instance that failed the request may be retried.
     pub(crate) fn backoff_elapsed(&self, objective: Millis) -> bool {
+        let resend_at = self.resend_at(objective);
+        resend_at.is_some_and(|at| Instant::now() >= at)
+    }
+
+    /// When an instance that failed the request may be retried; `None` before the first attempt. The
+    /// first interval is a fraction of the objective and it doubles each time, so that a full
+    /// instance gets time and the retries spread over the objective.
+    pub(crate) fn resend_at(&self, objective: Millis) -> Option<Instant> {
         let first = Duration::from(objective) / FIRST_BACKOFF_DIVISOR;
         let doublings = self.count.saturating_sub(1).min(MAX_SENDS);
         let backoff = RETRY_PAUSE.max(first * 2_u32.pow(doublings));
-        self.ended_at.is_some_and(|at| at.elapsed() >= backoff)
+        self.ended_at.map(|at| at + backoff)
     }
 }
 
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -139,6 +139,9 @@
         if has_lost_paths(admitted, shared, now) {
             return Err(SelectionFailure::path_lost(history));
         }
+        if is_unservable_before_stop(admitted, shared, history, avoided) {
+            return Err(SelectionFailure::stopping(history));
+        }
         if waiting_guard.is_none() && service.engine.is_some() {
             waiting_guard = Some(shared.view.register_waiting(&service.name, request.shape));
         }
@@ -222,6 +225,38 @@
     counts.holders > 0 && counts.unreachable == counts.holders
 }
 
+/// Whether the router stops, and nothing it can tell of lets it serve the request before it refuses
+/// those that wait: the instances that turned the request away may be tried again only later, and
+/// no other one is expected.
+fn is_unservable_before_stop(
+    admitted: &AdmittedRequest,
+    shared: &Shared,
+    history: &SendHistory,
+    avoided: &[RunnerId],
+) -> bool {
+    let service = &admitted.service;
+    let Some(refused_at) = shared.queued_refused_at.get().copied() else {
+        return false;
+    };
+    // There is no estimate when an instance that holds all models has room.
+    if service.engine.is_none() {
+        return false;
+    }
+    let shape = &admitted.metadata.shape;
+    let writer = admitted.writer.as_ref();
+    let now = shared.clock.now();
+    let expected = shared
+        .view
+        .expected_availability(service, shape, writer, avoided, now);
+    match (expected, history.resend_at(admitted.route.objective)) {
+        (Some(expected), _) if expected.at < refused_at => false,
+        (_, Some(resend_at)) => resend_at >= refused_at,
+        // Nobody orders a load.
+        (None, None) => !shared.has_recent_leader(),
+        (Some(_), None) => false,
+    }
+}
+
 /// Whether a request must not be sent after all, although an instance was selected for it.
 pub(crate) fn must_not_send(admitted: &AdmittedRequest, shared: &Shared) -> bool {
     !is_caller_valid(admitted, shared) || quarantined_of(admitted, shared).is_some()
@@ -267,7 +302,7 @@
     let expected =
         shared
             .view
-            .expected_availability(service, &admitted.metadata.shape, writer, now);
+            .expected_availability(service, &admitted.metadata.shape, writer, &[], now);
     let requested = admitted.metadata.deadline.unwrap_or(admitted.route.timeout);
     let refused_at = shared.queued_refused_at.get().copied();
     WaitContext {
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -293,18 +293,19 @@
         self.lock().selector.all_unreachable(now).len()
     }
 
-    /// When an instance that may serve the request is expected to accept it; `None` if nothing is
-    /// known.
+    /// When an instance that may serve the request, and that it does not avoid, is expected to accept
+    /// it; `None` if nothing is known.
     pub(crate) fn expected_availability(
         &self,
         service: &Service,
         shape: &PromptShape,
         writer: Option<&RequiredWriter>,
+        avoided: &[RunnerId],
         now: Timestamp,
     ) -> Option<Availability> {
         let eligibility = self.eligibility(writer, now);
         let state = self.lock();
-        state.expected_availability(service, shape, &eligibility, now)
+        state.expected_availability(service, shape, &eligibility, avoided, now)
     }
 
     pub(crate) fn first_answer(&self, candidate: &Candidate, waited: Millis, good: bool) {
--- a/crates/gateway/src/view/state.rs
+++ b/crates/gateway/src/view/state.rs
@@ -154,12 +154,14 @@
         service: &Service,
         shape: &PromptShape,
         eligibility: &Eligibility<'_>,
+        avoided: &[RunnerId],
         now: Timestamp,
     ) -> Option<Availability> {
         let holders = self.instances.holders(&service.name, &shape.model);
         let loaders = self.instances.loaders(&service.name, &shape.model);
         let views = holders.chain(loaders);
         let views = views.filter(|view| self.is_eligible(view, eligibility));
+        let views = views.filter(|view| !avoided.contains(&view.id));
         let views = views.filter(|view| view.state == InstanceState::Ready);
         let views = views.filter(|view| !self.selector.is_unreachable(&view.id, now));
         let mut earliest: Option<Availability> = None;
