Gateway: a response without a final status is no response

Cause: a router took any status line that the HTTP library accepts for the instance's answer. The library treats 101 as the last response on its connection and accepts 600 to 999. Callers saw 101 with a closed connection and no body, and 600 to 999 as they were, on each kind of route, signed or not, directly and over a forwarding router. A safe request went to the next instance only after 600 and above, never after 101, and got the second instance's 600. All other lines of the table in status_lines.rs failed already, because the library refuses them; no test held that.

Change: require_final_status in crates/http is the one rule (RFC 9110, section 15). A connection to an instance or a forwarder applies it before anything of the response is read: the attempt has failed, the request may have run, and the connection is closed. Requests that may be repeated go to the next instance within the retry budget; others get 502. The record "failed" and the forwarder's record "forwarded" name the status; the count of answers by status has it as before. A forwarder states the new outcome no_final_status, which earlier builds read as may_have_run. What a forwarder of an earlier build passes on is judged by the asking router; such a forwarder keeps its connection to the instance, so that a stream is not sent on.

Why it works: no other code of the gateway receives heads, health checks included.

The list of outcomes in forward_headers.rs has the new one besides.

--- a/crates/gateway/src/attempt/mod.rs
+++ b/crates/gateway/src/attempt/mod.rs
@@ -18,7 +18,7 @@
 use crate::retry::RetryPermit;
 use crate::select::{SelectedInstance, must_not_send};
 use bytes::Bytes;
-use courseshunt_http::{Body, discard_limited};
+use courseshunt_http::{Body, NoFinalStatus, discard_limited};
 use courseshunt_services::InstanceView;
 use courseshunt_types::Millis;
 use http_body_util::Full;
@@ -53,7 +53,7 @@
     /// The request may have run, and there is no response to relay.
     MayHaveRun,
     /// The same, and the instance may go on working on it: its connection is kept by a forwarder
-    /// that did not compare the response's id.
+    /// that did not judge the response.
     MayStillRun,
     /// The deadline passed; the request may have run.
     TimedOut,
@@ -135,6 +135,14 @@
                 flight.connection_closed(&problem);
                 return AttemptOutcome::MayHaveRun;
             }
+            Sent::NotFinal(problem) => {
+                flight.not_final(problem);
+                return match upstream.endpoint {
+                    Endpoint::Instance(_) => AttemptOutcome::MayHaveRun,
+                    // A forwarder of an earlier build relayed it.
+                    Endpoint::Forwarder(_) => AttemptOutcome::MayStillRun,
+                };
+            }
             Sent::Unsent => {
                 progress.enter(RequestStage::Connection);
                 let Some(next) = path::replace(shared, view, &upstream, &mut tried).await else {
@@ -156,6 +164,10 @@
                     flight.connection_closed("the forwarder received no response");
                     return AttemptOutcome::MayHaveRun;
                 }
+                Some(ForwardOutcome::NotFinal) => {
+                    flight.failed("the forwarder received a response without a final status");
+                    return AttemptOutcome::MayHaveRun;
+                }
                 Some(not_sent) => {
                     progress.enter(RequestStage::Connection);
                     let body = response.into_body();
@@ -190,6 +202,8 @@
     Unsent,
     /// The connection broke, with this problem; the request may have been sent.
     Broken(String),
+    /// The peer responded without a final status; the request may have run.
+    NotFinal(NoFinalStatus),
     /// There was no response by the deadline.
     TimedOut,
 }
@@ -205,6 +219,7 @@
         Ok(Ok(response)) => Sent::Response(response),
         Ok(Err(SendError::Unsent(_))) => Sent::Unsent,
         Ok(Err(SendError::Broken(problem))) => Sent::Broken(problem),
+        Ok(Err(SendError::NotFinal(problem))) => Sent::NotFinal(problem),
     }
 }
 
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,7 +11,7 @@
 use crate::quarantine_tracker::{check_after_break, check_after_timeout, check_after_unknown_end};
 use crate::received_body::{BodyEnd, EndedInsideEvent, ReceivedBody};
 use crate::records::{ConditionRecord, RequestRecord};
-use courseshunt_http::{EventSequence, IdBefore, OutOfOrder};
+use courseshunt_http::{EventSequence, IdBefore, NoFinalStatus, OutOfOrder};
 use courseshunt_records::emit;
 use courseshunt_services::{Candidate, Fingerprints, PromptShape, Pushback, RequestKind};
 use courseshunt_types::{Millis, RunnerId, SoftwareVersion, Timestamp};
@@ -461,6 +461,12 @@
         check_after_break(&self.shared, self.suspects(), &self.candidate.instance);
     }
 
+    /// Ends the flight: the response has no final status; the request may have run.
+    pub(crate) fn not_final(&mut self, problem: NoFinalStatus) {
+        self.record_status(problem.status.as_u16());
+        self.failed(&problem.to_string());
+    }
+
     /// Ends the flight: there was no response by the deadline; the request may have run.
     pub(crate) fn timed_out(&mut self) {
         self.failed("its time is over");
--- a/crates/gateway/src/forwarding/headers.rs
+++ b/crates/gateway/src/forwarding/headers.rs
@@ -151,16 +151,20 @@
     Rejected,
     /// Sent, without a response: the request may have run.
     MayHaveRun,
+    /// Sent, and the response has no final status: the request may have run. Routers of earlier
+    /// builds read it as [`Self::MayHaveRun`].
+    NotFinal,
 }
 
 /// The outcomes with their names on the wire.
-const OUTCOMES: [(ForwardOutcome, &str); 6] = [
+const OUTCOMES: [(ForwardOutcome, &str); 7] = [
     (ForwardOutcome::Unreachable, "unreachable"),
     (ForwardOutcome::PathLost, "path_lost"),
     (ForwardOutcome::NotAccepting, "not_accepting"),
     (ForwardOutcome::Busy, "busy"),
     (ForwardOutcome::Rejected, "rejected"),
     (ForwardOutcome::MayHaveRun, "may_have_run"),
+    (ForwardOutcome::NotFinal, "no_final_status"),
 ];
 
 impl ForwardOutcome {
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -383,6 +383,10 @@
                 Err(SendError::Broken(problem)) => {
                     return Err(Failure::new(ForwardOutcome::MayHaveRun, problem));
                 }
+                Err(SendError::NotFinal(problem)) => {
+                    let problem = problem.to_string();
+                    return Err(Failure::new(ForwardOutcome::NotFinal, problem));
+                }
             };
             upstream = self.connect(view).await?;
         }
--- a/crates/gateway/src/path/mod.rs
+++ b/crates/gateway/src/path/mod.rs
@@ -208,7 +208,10 @@
             let paths = shared.paths();
             paths.forwarded_count() > 0 || paths.is_partitioned_from(&view.service)
         }
-        ForwardOutcome::NotAccepting | ForwardOutcome::Rejected | ForwardOutcome::MayHaveRun => {
+        ForwardOutcome::NotAccepting
+        | ForwardOutcome::Rejected
+        | ForwardOutcome::MayHaveRun
+        | ForwardOutcome::NotFinal => {
             return None;
         }
     };
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -7,7 +7,10 @@
 use super::Endpoint;
 use super::carried_ids::CarriedIds;
 use bytes::Bytes;
-use courseshunt_http::{BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES, ShortReads};
+use courseshunt_http::{
+    BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES, NoFinalStatus, ShortReads,
+    require_final_status,
+};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -45,6 +48,8 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke, with this problem; the request may have been sent.
     Broken(String),
+    /// The peer responded without a final status; the request may have run.
+    NotFinal(NoFinalStatus),
 }
 
 /// The connection of an attempt, for records.
@@ -130,8 +135,8 @@
     /// Sends a request with this id and waits for the head of the response.
     ///
     /// # Errors
-    /// If the connection is closed, breaks, has carried the id before, or if too many interim
-    /// responses come first.
+    /// If the connection is closed, breaks, has carried the id before, if too many interim
+    /// responses come first, or if the response has no final status.
     pub(crate) async fn send(
         &mut self,
         id: &str,
@@ -147,9 +152,13 @@
         let interim = InterimLimit::of(&mut request);
         let sent = interim.wait(self.sender.try_send_request(request)).await;
         let sent = sent.map_err(|error| SendError::Broken(error.to_string()))?;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(unsent) => SendError::Unsent(Box::new(unsent)),
             None => SendError::Broken(error.error().to_string()),
+        })?;
+        require_final_status(response).map_err(|problem| {
+            self.ends_with_response = true;
+            SendError::NotFinal(problem)
         })
     }
 
--- a/crates/gateway/tests/forward_headers.rs
+++ b/crates/gateway/tests/forward_headers.rs
@@ -85,6 +85,7 @@
         ForwardOutcome::Busy,
         ForwardOutcome::Rejected,
         ForwardOutcome::MayHaveRun,
+        ForwardOutcome::NotFinal,
     ];
     for outcome in outcomes {
         let mut headers = HeaderMap::new();
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod event_id;
 mod event_sequence;
+mod final_status;
 mod framing;
 mod interim;
 mod memory_budget;
@@ -31,6 +32,7 @@
 pub use error::HttpError;
 pub use event_id::MAX_EVENT_ID_BYTES;
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
+pub use final_status::{NoFinalStatus, require_final_status};
 pub use framing::BodyFraming;
 pub use interim::{InterimLimit, MAX_INTERIM_RESPONSES, TooManyInterim};
 pub use memory_budget::{BudgetUsage, MemoryBudget, NotReserved, Reservation};
