--- a/scripts/two-builds.sh
+++ b/scripts/two-builds.sh
@@ -4,6 +4,9 @@
 #
 #   scripts/two-builds.sh [SEED…]     [default: one seed drawn now]
 #
+# SOAK_TRAFFIC=rare adds streams on rarely used models; platform/tests/soak/replacements.rs lists this
+# and the other variables.
+#
 # Production's commit is the one that deploy/system.toml names; its program is built once out of
 # the repository's history, under target/production.
 set -euo pipefail
