HTTP client: a reply without a final status is an error

Cause: the shared client returned 101 and 600 to 999 as replies. Its callers are the controllers (orders, requests for reports), the product's routers and the operator's tools. An order answered so counted as refused, that is as certainly not started, although it may be carried out: another one could be given at once, and a load did not count for the weight store. Retry-After and a notice of leaving in such a reply were obeyed: requests for a model that was loaded got 503. At the product's routers, such an answer that claims that the request has not started was a refusal, and the request ran twice. A connection was used again after 600 with an empty body.

Change: the client applies require_final_status. The exchange ends with HttpError::Broken, which all callers take for "may have run", and the connection is taken out of the pool. An order has the outcome "unknown" and is followed by a request for the report; a router of the product queries the runner for the execution.

The stand-in runner of the lab has a fault for such a status.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,13 +2,14 @@
 
 use crate::body::{Body, empty_body, full_body, read_limited};
 use crate::error::HttpError;
+use crate::final_status::require_final_status;
 use crate::interim::InterimLimit;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde_json::Value;
@@ -81,11 +82,13 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
-    /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`].
+    /// [`HttpError::Connect`] when surely nothing was sent, else [`HttpError::Broken`]; also if the
+    /// response has no final status.
     pub async fn send(&self, mut request: Request<Body>) -> Result<Response<Incoming>, HttpError> {
         let peer = request.uri().authority().map(ToString::to_string);
         let peer = peer.unwrap_or_default();
         let interim = InterimLimit::of(&mut request);
+        let connection = capture_connection(&mut request);
         let sent = match interim.wait(self.client.request(request)).await {
             Ok(sent) => sent,
             Err(error) => {
@@ -96,16 +99,16 @@
                 });
             }
         };
-        sent.map_err(|error| {
-            let problem = describe(&error);
-            if error.is_connect() || is_unsent(&error) {
-                return HttpError::Connect { peer, problem };
-            }
-            let step = "send a request";
+        let response = match sent {
+            Ok(response) => response,
+            Err(error) => return Err(send_error(&error, peer)),
+        };
+        require_final_status(response).map_err(|problem| {
+            close(&connection);
             HttpError::Broken {
-                step,
+                step: "read the status",
                 peer,
-                problem,
+                problem: problem.to_string(),
             }
         })
     }
@@ -163,6 +166,25 @@
     request.body(full_body(content))
 }
 
+fn send_error(error: &hyper_util::client::legacy::Error, peer: String) -> HttpError {
+    let problem = describe(error);
+    if error.is_connect() || is_unsent(error) {
+        return HttpError::Connect { peer, problem };
+    }
+    HttpError::Broken {
+        step: "send a request",
+        peer,
+        problem,
+    }
+}
+
+/// Keeps the connection of a request from being used again.
+fn close(connection: &CaptureConnection) {
+    if let Some(connection) = connection.connection_metadata().as_ref() {
+        connection.poison();
+    }
+}
+
 /// Whether the library gave the request up before its first byte: a pooled
 /// connection closed while the request waited for it.
 fn is_unsent(error: &(dyn std::error::Error + 'static)) -> bool {
--- a/crates/standin/src/server/engine.rs
+++ b/crates/standin/src/server/engine.rs
@@ -64,6 +64,12 @@
             identify(&followed.key, &mut response);
             return Ok(response);
         }
+        if let RunnerFault::Status(code) = fault {
+            let status = StatusCode::from_u16(code).unwrap_or_default();
+            let mut response = rejected(status, "full");
+            identify(&followed.key, &mut response);
+            return Ok(response);
+        }
         let reader = Reader::new(self, followed, fault);
         let mut response = reader.respond(0).await?;
         misname(fault, &mut response);
--- a/crates/standin/src/server/fault.rs
+++ b/crates/standin/src/server/fault.rs
@@ -61,6 +61,8 @@
     AskRest(Millis),
     /// An error without a word on whether the request started.
     Error,
+    /// An answer with this status, which says that the request has not started, though it has.
+    Status(u16),
 }
 
 /// When a fault strikes.
