Gateway: a signature that is not passed on proves nothing

Cause: a router read the id and the signature of a response and removed its hop-by-hop headers afterwards, among them all that its Connection header names. An instance that names its signature or its id there had a success delivered to the client without it. Over a forwarding router the same answer was a failure already.

Change: hop-by-hop headers are removed before the response is judged, so that such an answer is not genuine: 502, and the request may have run.

--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -58,11 +58,13 @@
         let (mut head, body) = response.into_parts();
         let shared = self.shared;
         let id = &self.admitted.metadata.id;
+        let is_id_checked = self.is_id_checked(&mut head);
+        let framing = self.read_framing(&mut head);
+        // What the client does not receive proves nothing.
+        strip_hop_headers(&mut head.headers);
         let metadata = shared
             .interface
             .read_response(id, head.status, &head.headers);
-        let is_id_checked = self.is_id_checked(&mut head);
-        let framing = self.read_framing(&mut head);
         self.flight.record_status(head.status.as_u16());
         let resumption = self.admitted.metadata.resumption.as_ref();
         let received = ReceivedBody::new(framing, &head.headers, resumption);
@@ -98,7 +100,6 @@
         if head.status.is_server_error() {
             self.flight.suspect_instance();
         }
-        strip_hop_headers(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         head.version = Version::HTTP_11;
         head.extensions.insert(framing);
