--- a/crates/gateway/src/client_body.rs
+++ b/crates/gateway/src/client_body.rs
@@ -5,6 +5,7 @@
 
 use crate::Shared;
 use bytes::Bytes;
+use courseshunt_http::RequestGuard;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::pin::Pin;
@@ -16,13 +17,20 @@
 pub(crate) struct ClientBody {
     /// `None` once it has been given up.
     incoming: Option<Incoming>,
+    /// The connection is not idle before the body is read or given up.
+    in_flight: Arc<RequestGuard>,
     shared: Arc<Shared>,
 }
 
 impl ClientBody {
-    pub(crate) fn new(incoming: Incoming, shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(
+        incoming: Incoming,
+        in_flight: Arc<RequestGuard>,
+        shared: Arc<Shared>,
+    ) -> Self {
         Self {
             incoming: Some(incoming),
+            in_flight,
             shared,
         }
     }
@@ -60,12 +68,12 @@
         let (Some(unread), true, Ok(runtime)) = (unread, is_stopping, Handle::try_current()) else {
             return;
         };
-        runtime.spawn(discard(unread, self.shared.clone()));
+        runtime.spawn(discard(unread, self.in_flight.clone(), self.shared.clone()));
     }
 }
 
 /// Reads the rest of a body and keeps nothing of it. The stop of the router waits for this.
-async fn discard(mut body: Incoming, shared: Arc<Shared>) {
+async fn discard(mut body: Incoming, _in_flight: Arc<RequestGuard>, shared: Arc<Shared>) {
     let _reading = shared.requests.token();
     let reading = async { while let Some(Ok(_)) = body.frame().await {} };
     shared.last_answers_due.run_until_cancelled(reading).await;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -147,14 +147,14 @@
     let stream = TrackedStream::new(stream, tracker.clone());
     let requests = place.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let in_flight = requests.begin_request();
+        let in_flight = Arc::new(requests.begin_request());
         let shared = serving.clone();
         let token = shared.requests.token();
         let delimiter = delimiter.clone();
         let tracker = tracker.clone();
         async move {
             let line = RequestLine::of(&request);
-            let response = handle(request, shared).await;
+            let response = handle(request, in_flight.clone(), shared).await;
             let response = delimiter.prepare(&line, response);
             Ok::<_, Infallible>(tracker.hold_until_written(response, (token, in_flight)))
         }
