Stop: the next attempt is compared with the time for which its request may wait

Cause: a stream whose next attempt was due between nine tenths of its time and the refusal of all that wait went on waiting for it in vain, and got the Retry-After of an instance that is available at once (0.125 s in a run of the soak). Change: compared with the limit that ends its wait.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -225,8 +225,8 @@
     counts.holders > 0 && counts.unreachable == counts.holders
 }
 
-/// Whether the router stops, and nothing it can tell of lets it serve the request before it refuses
-/// those that wait: the instances that turned the request away may be tried again only later, and
+/// Whether the router stops, and nothing it can tell of lets it serve the request while that may
+/// wait: the instances that turned the request away may be tried again only later, and
 /// no other one is expected.
 fn is_unservable_before_stop(
     admitted: &AdmittedRequest,
@@ -235,9 +235,9 @@
     avoided: &[RunnerId],
 ) -> bool {
     let service = &admitted.service;
-    let Some(refused_at) = shared.queued_refused_at.get().copied() else {
+    if shared.queued_refused_at.get().is_none() {
         return false;
-    };
+    }
     // There is no estimate when an instance that holds all models has room.
     if service.engine.is_none() {
         return false;
@@ -245,12 +245,13 @@
     let shape = &admitted.metadata.shape;
     let writer = admitted.writer.as_ref();
     let now = shared.clock.now();
+    let waits_until = wait_context(admitted, shared).client_waits_until();
     let expected = shared
         .view
         .expected_availability(service, shape, writer, avoided, now);
     match (expected, history.resend_at(admitted.route.objective)) {
-        (Some(expected), _) if expected.at < refused_at => false,
-        (_, Some(resend_at)) => resend_at >= refused_at,
+        (Some(expected), _) if expected.at < waits_until => false,
+        (_, Some(resend_at)) => resend_at >= waits_until,
         // Nobody orders a load.
         (None, None) => !shared.has_recent_leader(),
         (Some(_), None) => false,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -158,7 +158,7 @@
     }
 
     /// Until then the client certainly waits.
-    fn client_waits_until(&self) -> Instant {
+    pub(crate) fn client_waits_until(&self) -> Instant {
         let budget = self.time_budget();
         let first_byte_timeout = self.first_byte_timeout.unwrap_or(budget);
         self.arrived + budget.min(first_byte_timeout).mul_f64(CLIENT_TIME_FRACTION)
