Stop: the refusal at the close reaches a client that still sends its body on an older connection

Cause: since a connection that was open 1.3 s after the SIGTERM is closed as soon as it counts as idle, which it did once the refusal had been written. The HTTP library drops such a connection at once, with its body unread: what read and discard was reset after all. Their tests use connections of under 1.3 s, or send no further part. Change: a request counts as in flight on its connection until its body has been read or given up. The reading is also counted in the stop before the refusal is written, and not only once its task runs (read; the test passes without).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -15,7 +15,9 @@
 use crate::resumption;
 use crate::staleness::{LookupDecision, evaluate, evaluate_key};
 use bytes::Bytes;
-use courseshunt_http::{BodyLimits, BodyProblem, BodyReader, BodySource, STOPPED_AFTER_MS};
+use courseshunt_http::{
+    BodyLimits, BodyProblem, BodyReader, BodySource, RequestGuard, STOPPED_AFTER_MS,
+};
 use courseshunt_records::emit;
 use courseshunt_services::routes::pick_target;
 use courseshunt_services::{
@@ -87,11 +89,15 @@
 }
 
 impl ReceivedRequest {
-    pub(crate) fn new(request: Request<Incoming>, shared: &Arc<Shared>) -> Self {
+    pub(crate) fn new(
+        request: Request<Incoming>,
+        in_flight: RequestGuard,
+        shared: &Arc<Shared>,
+    ) -> Self {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let metadata = shared.interface.read_request(&head.headers);
-        let body = ClientBody::new(body, shared.clone());
+        let body = ClientBody::new(body, in_flight, shared.clone());
         Self {
             head,
             body,
--- a/crates/gateway/src/client_body.rs
+++ b/crates/gateway/src/client_body.rs
@@ -5,6 +5,7 @@
 
 use crate::Shared;
 use bytes::Bytes;
+use courseshunt_http::RequestGuard;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::pin::Pin;
@@ -16,13 +17,17 @@
 pub(crate) struct ClientBody {
     /// `None` once it has been given up.
     incoming: Option<Incoming>,
+    /// Keeps the connection from counting as idle, also after the response, until the body has been
+    /// read or given up.
+    in_flight: Option<RequestGuard>,
     shared: Arc<Shared>,
 }
 
 impl ClientBody {
-    pub(crate) fn new(incoming: Incoming, shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(incoming: Incoming, in_flight: RequestGuard, shared: Arc<Shared>) -> Self {
         Self {
             incoming: Some(incoming),
+            in_flight: Some(in_flight),
             shared,
         }
     }
@@ -60,13 +65,18 @@
         let (Some(unread), true, Ok(runtime)) = (unread, is_stopping, Handle::try_current()) else {
             return;
         };
-        runtime.spawn(discard(unread, self.shared.clone()));
+        // Counted before the refusal has been written, which may be the stop's last response.
+        let counted = (self.shared.requests.token(), self.in_flight.take());
+        let reading = discard(unread, self.shared.clone());
+        runtime.spawn(async move {
+            reading.await;
+            drop(counted);
+        });
     }
 }
 
-/// Reads the rest of a body and keeps nothing of it. The stop of the router waits for this.
+/// Reads the rest of a body and keeps nothing of it.
 async fn discard(mut body: Incoming, shared: Arc<Shared>) {
-    let _reading = shared.requests.token();
     let reading = async { while let Some(Ok(_)) = body.frame().await {} };
     shared.last_answers_due.run_until_cancelled(reading).await;
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::software_versions::RequiredWriter;
 use crate::waiting;
 use bytes::Bytes;
-use courseshunt_http::Body;
+use courseshunt_http::{Body, RequestGuard};
 use courseshunt_records::emit;
 use courseshunt_services::{Fingerprints, RequestKind, Route, Service};
 use courseshunt_types::{Digest, Millis, RunnerId, Timestamp};
@@ -85,9 +85,13 @@
     }
 }
 
-/// Answers one client request.
-pub(crate) async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
-    let received = ReceivedRequest::new(request, &shared);
+/// Answers one client request. `body_in_flight` is held until its body has been read or given up.
+pub(crate) async fn handle(
+    request: Request<Incoming>,
+    body_in_flight: RequestGuard,
+    shared: Arc<Shared>,
+) -> Response<Body> {
+    let received = ReceivedRequest::new(request, body_in_flight, &shared);
     let mut pending = PendingResponse::new(&received, shared.clone());
     let mut response = tokio::select! {
         biased;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -148,13 +148,14 @@
     let requests = place.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let in_flight = requests.begin_request();
+        let body_in_flight = requests.begin_request();
         let shared = serving.clone();
         let token = shared.requests.token();
         let delimiter = delimiter.clone();
         let tracker = tracker.clone();
         async move {
             let line = RequestLine::of(&request);
-            let response = handle(request, shared).await;
+            let response = handle(request, body_in_flight, shared).await;
             let response = delimiter.prepare(&line, response);
             Ok::<_, Infallible>(tracker.hold_until_written(response, (token, in_flight)))
         }
