--- a/crates/gateway/src/client_body.rs
+++ b/crates/gateway/src/client_body.rs
@@ -68,13 +68,18 @@
         let (Some(unread), true, Ok(runtime)) = (unread, is_stopping, Handle::try_current()) else {
             return;
         };
-        runtime.spawn(discard(unread, self.in_flight.clone(), self.shared.clone()));
+        // Counted before the refusal is written, which may be the stop's last response.
+        let counted = (self.shared.requests.token(), self.in_flight.clone());
+        let reading = discard(unread, self.shared.clone());
+        runtime.spawn(async move {
+            reading.await;
+            drop(counted);
+        });
     }
 }
 
-/// Reads the rest of a body and keeps nothing of it. The stop of the router waits for this.
-async fn discard(mut body: Incoming, _in_flight: Arc<RequestGuard>, shared: Arc<Shared>) {
-    let _reading = shared.requests.token();
+/// Reads the rest of a body and keeps nothing of it.
+async fn discard(mut body: Incoming, shared: Arc<Shared>) {
     let reading = async { while let Some(Ok(_)) = body.frame().await {} };
     shared.last_answers_due.run_until_cancelled(reading).await;
 }
