Gateway: a connection ends with a response whose body must not follow

Cause: a 204 or 304 has no body, whatever its head announces (RFC 9112, section 6.3). A router used the connection of such a response again, and the bytes of the announced body that came behind it were taken for the next response: the request that followed, also one that runs at most once, got 502 and may have run.

Change: a connection is not used again after a response without a body that announces one, by Content-Length or Transfer-Encoding. Responses to HEAD that state a length, and 304 that state one, are among these, as they can't be told apart: each costs a connection. Upstream::read_framing reads the framing and decides on the connection, in place of the same three lines at the attempt, the forwarder and the probe.

--- a/crates/gateway/src/attempt/response.rs
+++ b/crates/gateway/src/attempt/response.rs
@@ -126,10 +126,8 @@
             return take_framing(&mut head.headers);
         }
         let method = &self.admitted.head.method;
-        let framing = BodyFraming::of_response(method, head.status, &head.headers);
         self.upstream.apply_keep_alive(&head.headers);
-        self.upstream.apply_framing(framing);
-        framing
+        self.upstream.read_framing(method, head)
     }
 
     /// Relays a stream as its parts arrive.
--- a/crates/gateway/src/forwarding/server.rs
+++ b/crates/gateway/src/forwarding/server.rs
@@ -278,8 +278,7 @@
             }
         };
         let (mut head, body) = response.into_parts();
-        let framing = BodyFraming::of_response(&method, head.status, &head.headers);
-        upstream.apply_framing(framing);
+        let framing = upstream.read_framing(&method, &head);
         let metadata = shared
             .interface
             .read_response(id, head.status, &head.headers);
--- a/crates/gateway/src/pool/upstream.rs
+++ b/crates/gateway/src/pool/upstream.rs
@@ -9,13 +9,14 @@
 use bytes::Bytes;
 use courseshunt_http::{
     BodyFraming, InterimLimit, MAX_RESPONSE_HEAD_BYTES, NoFinalStatus, ShortReads,
-    require_final_status,
+    announces_missing_body, require_final_status,
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
-use hyper::{Request, Response};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use socket2::{SockRef, TcpKeepalive};
@@ -200,9 +201,14 @@
         self.last_used_at = Instant::now();
     }
 
-    /// Applies the framing of the present response: a connection that ends with it is not reused.
-    pub(crate) fn apply_framing(&mut self, framing: BodyFraming) {
-        self.ends_with_response = framing == BodyFraming::ConnectionClose;
+    /// Reads the framing of the present response, which is the instance's, to a request with this
+    /// method. A connection that ends with the response is not reused, nor is one on which a body
+    /// may follow that the response does not have.
+    pub(crate) fn read_framing(&mut self, method: &Method, head: &Parts) -> BodyFraming {
+        let framing = BodyFraming::of_response(method, head.status, &head.headers);
+        self.ends_with_response = framing == BodyFraming::ConnectionClose
+            || announces_missing_body(method, head.status, &head.headers);
+        framing
     }
 
     /// Closes the connection after the present response, which is not the one to the request: the
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -11,7 +11,7 @@
 use crate::path;
 use crate::pool::Upstream;
 use bytes::Bytes;
-use courseshunt_http::{BodyFraming, discard_limited};
+use courseshunt_http::discard_limited;
 use courseshunt_services::InstanceView;
 use courseshunt_types::RunnerId;
 use http_body_util::Full;
@@ -164,8 +164,7 @@
     let sent_at = shared.clock.now();
     let response = upstream.send(HEALTH_CHECK, request).await.ok()?;
     let (head, body) = response.into_parts();
-    let framing = BodyFraming::of_response(&Method::GET, head.status, &head.headers);
-    upstream.apply_framing(framing);
+    upstream.read_framing(&Method::GET, &head);
     let metadata = shared
         .interface
         .read_response(HEALTH_CHECK, head.status, &head.headers);
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -13,6 +13,17 @@
     method != Method::HEAD && !has_none
 }
 
+/// Whether the head of a response that has no body announces one. Such bytes may follow all the same,
+/// so that another response can't be told from them.
+#[must_use]
+pub fn announces_missing_body(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    if has_body(method, status) {
+        return false;
+    }
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    lengths.any(|length| length != "0") || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// How the receiver of a response finds the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -33,7 +33,7 @@
 pub use event_id::MAX_EVENT_ID_BYTES;
 pub use event_sequence::{EventSequence, IdBefore, OutOfOrder, is_event_stream};
 pub use final_status::{NoFinalStatus, require_final_status};
-pub use framing::BodyFraming;
+pub use framing::{BodyFraming, announces_missing_body};
 pub use interim::{InterimLimit, MAX_INTERIM_RESPONSES, TooManyInterim};
 pub use memory_budget::{BudgetUsage, MemoryBudget, NotReserved, Reservation};
 pub use pace::AcceptPace;
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -1,6 +1,6 @@
 //! Where the body of a response ends.
 
-use courseshunt_http::{BodyFraming, EventSequence, is_event_stream};
+use courseshunt_http::{BodyFraming, EventSequence, announces_missing_body, is_event_stream};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 
@@ -98,3 +98,30 @@
         }
     }
 }
+
+/// Method, status and head of a response, and whether it announces a body that it does not have.
+type AnnouncedBody<'a> = (Method, u16, &'a [(&'static str, &'static str)], bool);
+
+/// Bytes behind a response without a body were taken for the next response.
+#[test]
+fn a_response_without_a_body_may_announce_one() {
+    let length = ("content-length", "3");
+    let chunks = ("transfer-encoding", "chunked");
+    let none = ("content-length", "0");
+    let cases: [AnnouncedBody<'_>; 9] = [
+        (Method::POST, 204, &[length], true),
+        (Method::POST, 204, &[chunks], true),
+        (Method::POST, 204, &[none], false),
+        (Method::POST, 204, &[], false),
+        (Method::GET, 304, &[length], true),
+        (Method::HEAD, 200, &[length], true),
+        (Method::HEAD, 200, &[], false),
+        (Method::GET, 200, &[length], false),
+        (Method::POST, 200, &[chunks], false),
+    ];
+    for (method, code, lines, expected) in cases {
+        let status = StatusCode::from_u16(code).expect("a status");
+        let announced = announces_missing_body(&method, status, &headers(lines));
+        assert_eq!(announced, expected, "{method} {code} {lines:?}");
+    }
+}
