Gateway: a request for a tunnel has no route

Cause: a CONNECT whose target is a path was routed and sent to an instance. The HTTP library takes a success to CONNECT for the begin of a tunnel and drops its body: the client got 200 with the instance's signature and an empty body up to the end of the connection.

Change: CONNECT finds no route, as one with a host as its target did already (RFC 9110, section 9.3.6): 404, and nothing is sent.

Result: answer_heads, a_request_for_a_tunnel_has_no_route: 200 on the code before, 404 with the change; 3 of 3 tests of answer_heads pass.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -24,7 +24,7 @@
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{Request, Uri};
+use hyper::{Method, Request, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -305,7 +305,12 @@
     }
 }
 
+/// The route of a request. A `CONNECT` asks for a tunnel to a host and names no path (RFC 9110, section
+/// 9.3.6); a success to it would have no body.
 fn find_route(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
+    if head.method == Method::CONNECT {
+        return None;
+    }
     table.find(host(head)?, head.uri.path()).cloned()
 }
 
