Stop: a router does not end before it has read the requests that arrived with its last one's end

Cause: the stop ended as soon as no request was in flight. Where the last one's end and new requests on open connections were found at once, as on a busy router, it ended first, and the connections were reset unread. Change: 20 ms after the last request has ended, the router ends if none has begun by then.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -82,6 +82,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use view::View;
 
 /// After a stop is requested, new connections are still accepted for this time, because the
@@ -98,6 +99,9 @@
 /// ends, whatever they wait for.
 const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time in which requests that have arrived are read, before a router without any other ends.
+const ARRIVED_REQUESTS_TIME: Duration = Duration::from_millis(20);
+
 /// State shared by all components of a router.
 pub(crate) struct Shared {
     pub(crate) settings: ServiceSettings,
@@ -134,7 +138,7 @@
     pub(crate) last_answers_due: CancellationToken,
     /// Cancelled when the router has stopped.
     pub(crate) ended: CancellationToken,
-    pub(crate) requests: tokio_util::task::TaskTracker,
+    pub(crate) requests: TaskTracker,
 }
 
 impl Shared {
@@ -243,7 +247,7 @@
             refusing_queued: CancellationToken::new(),
             last_answers_due: CancellationToken::new(),
             ended: CancellationToken::new(),
-            requests: tokio_util::task::TaskTracker::new(),
+            requests: TaskTracker::new(),
             settings,
         });
         let ended = shared.ended.clone();
@@ -307,7 +311,7 @@
         ];
         for (margin, next_step) in steps {
             let step_due = limit - limits.stop_margin(margin);
-            let ended = tokio::time::timeout_at(step_due, requests.wait()).await;
+            let ended = tokio::time::timeout_at(step_due, requests_ended(requests)).await;
             if ended.is_ok() {
                 return;
             }
@@ -318,6 +322,15 @@
     }
 }
 
+/// Waits until no request is in flight, also none that had arrived and was not read yet when the last
+/// one ended.
+async fn requests_ended(requests: &TaskTracker) {
+    while !requests.is_empty() {
+        requests.wait().await;
+        tokio::time::sleep(ARRIVED_REQUESTS_TIME).await;
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener, GatewayError> {
     courseshunt_wire::listen(address).context(BindSnafu { address })
 }
