--- a/crates/gateway/src/client_body.rs
+++ b/crates/gateway/src/client_body.rs
@@ -1,16 +1,18 @@
 //! The body of a client's request.
 //!
-//! Invariant: a router that stops reads a body that it gives up to its end, or to its own last
-//! answers. A connection that is closed before that is reset, and the reset may overtake the response.
+//! Invariant: a router that stops reads a body that it gives up to its end, unless it stops arriving,
+//! or to its own last answers. A connection that is closed before that is reset, and the reset may
+//! overtake the response.
 
 use crate::Shared;
 use bytes::Bytes;
-use courseshunt_http::RequestGuard;
+use courseshunt_http::{RequestGuard, STOPPED_AFTER_MS};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::runtime::Handle;
 
 /// See the module.
@@ -78,8 +80,10 @@
     }
 }
 
-/// Reads the rest of a body and keeps nothing of it.
+/// Reads the rest of a body, as long as it arrives, and keeps nothing of it.
 async fn discard(mut body: Incoming, shared: Arc<Shared>) {
-    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    let pause = Duration::from_millis(STOPPED_AFTER_MS);
+    let reading =
+        async { while let Ok(Some(Ok(_))) = tokio::time::timeout(pause, body.frame()).await {} };
     shared.last_answers_due.run_until_cancelled(reading).await;
 }
