Placement: another replica for requests that wait beside the only one

Cause: a request that waits for a model was demand only while no instance held the model. Models with many requests get another replica for their late answers; rarely used ones do not reach the rate that this needs.

Change: a model whose only replica is ready, while requests have waited for it for a second and none has arrived in that time, gets one more replica (`unserved.rs`). Reports count the requests that wait and not their age, so that the time runs from the last arrival on. Value: that of requests that wait, with the margin of all further replicas; the weight store's limit, the memory of instances and the cost of evictions hold as for any load.

Not covered: requests for an adapter, and models with two replicas that both turned a request away.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -23,6 +23,7 @@
 mod round;
 mod store;
 mod unlisted;
+mod unserved;
 mod usage;
 mod value;
 mod waiting;
@@ -46,6 +47,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use store::WeightStore;
+use unserved::UnservedTable;
 use usage::UsageTable;
 
 /// Settings of the [`PlacementEngine`].
@@ -90,6 +92,8 @@
     usage: UsageTable,
     /// Streams that paused, by model.
     pauses: PauseTable,
+    /// Models that requests wait for beside their only replica.
+    unserved: UnservedTable,
     /// Load of the instances that report it.
     instance_loads: InstanceLoadTable,
     /// Adapters that were requested since the last round, with the time of the report.
@@ -141,6 +145,7 @@
             demand_since: None,
             usage: UsageTable::default(),
             pauses: PauseTable::default(),
+            unserved: UnservedTable::default(),
             instance_loads: InstanceLoadTable::default(),
             requested_adapters: BTreeMap::new(),
             round: Arc::default(),
