Placement: models of services that left the configuration are not kept as unserved

Cause: the table of models that requests wait for beside their only replica drops an entry when its service is planned, which a service that left the configuration is not; an entry would have stayed, with its time, until the service came back.

Change: a new configuration drops the entries of services that it does not list.

Measured: all 51 test programs of the crate pass; no test shows the entry itself (found by reading).

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -177,6 +177,7 @@
                 .or_insert_with(|| WeightStore::new(engine.loads_per_second, window, now));
             store.set_rate(engine.loads_per_second, window, now);
         }
+        self.unserved.retain_services(&configuration);
         self.configuration = configuration;
     }
 
--- a/crates/services/src/placement/unserved.rs
+++ b/crates/services/src/placement/unserved.rs
@@ -10,6 +10,7 @@
 use super::demand::{ModelKey, WaitingRequests};
 use super::planning::PlanContext;
 use super::round::Round;
+use crate::configuration::ServiceConfiguration;
 use courseshunt_types::{Millis, ModelName, Timestamp};
 use std::collections::BTreeMap;
 
@@ -32,6 +33,12 @@
 }
 
 impl UnservedTable {
+    /// Drops the models of services that a configuration does not list.
+    pub(super) fn retain_services(&mut self, configuration: &ServiceConfiguration) {
+        self.models
+            .retain(|key, _| configuration.engine(&key.service).is_some());
+    }
+
     /// Drops the models of a service that no request waits for.
     fn retain_waiting(&mut self, service: &str, waiting: &[WaitingRequests]) {
         self.models.retain(|key, _| {
