--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -184,7 +184,7 @@
     emit(&ControllerRecord::RegistrationNotRelayed {
         instance: id.as_str(),
         reason: obstacle.name(),
-        link_down_ms: obstacle.down_for().map(|elapsed| elapsed.0),
+        link_down_ms: obstacle.link_down_for().map(|elapsed| elapsed.0),
     });
     let reason = obstacle.name();
     unavailable(&format!("the leader is not reached from here: {reason}"))
--- a/crates/coordinator/src/instance_persistence.rs
+++ b/crates/coordinator/src/instance_persistence.rs
@@ -5,6 +5,7 @@
 
 use crate::Shared;
 use crate::unrecorded_instances::{InstanceChanges, UnrecordedInstances};
+use courseshunt_controller::replica::ProposeError;
 use courseshunt_services::InstanceView;
 use courseshunt_state::Command;
 use courseshunt_types::{RunnerId, Timestamp};
@@ -64,6 +65,10 @@
         let command = Command::RecordInstances { changed, gone };
         if let Err(error) = shared.replica.submit_as_leader(command).await {
             log::debug!("controller: instances not recorded: {error}");
+            if matches!(error, ProposeError::TooLong { .. }) {
+                // It never fits; the instances are recorded again with their next change.
+                continue;
+            }
             lock(unrecorded).put_back(batch);
             return;
         }
--- a/crates/coordinator/src/registration_admission.rs
+++ b/crates/coordinator/src/registration_admission.rs
@@ -55,7 +55,7 @@
 
     /// How long the link has been down, if that is the reason.
     #[must_use]
-    pub fn down_for(self) -> Option<Millis> {
+    pub fn link_down_for(self) -> Option<Millis> {
         match self {
             Self::NoLeader => None,
             Self::NoLink(elapsed) => Some(elapsed),
--- a/crates/coordinator/src/unrecorded_instances.rs
+++ b/crates/coordinator/src/unrecorded_instances.rs
@@ -24,31 +24,31 @@
 #[derive(Debug, Default)]
 pub struct UnrecordedInstances {
     /// The newest view of each changed instance; `None` if it is gone.
-    newest: BTreeMap<RunnerId, Option<InstanceView>>,
+    pending: BTreeMap<RunnerId, Option<InstanceView>>,
 }
 
 impl UnrecordedInstances {
     /// Adds changes; the newest one of an instance counts.
     pub fn note(&mut self, changed: &[InstanceView], gone: &[RunnerId]) {
         for view in changed {
-            self.newest.insert(view.id.clone(), Some(view.clone()));
+            self.pending.insert(view.id.clone(), Some(view.clone()));
         }
         for id in gone {
-            self.newest.insert(id.clone(), None);
+            self.pending.insert(id.clone(), None);
         }
     }
 
     /// Whether there is nothing to record.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.newest.is_empty()
+        self.pending.is_empty()
     }
 
     /// Takes the changes of one log entry; none once all are taken.
     pub fn take_batch(&mut self) -> Option<InstanceChanges> {
         let mut batch = InstanceChanges::default();
         for _ in 0..BATCH_INSTANCES {
-            match self.newest.pop_first() {
+            match self.pending.pop_first() {
                 Some((_, Some(view))) => batch.changed.push(view),
                 Some((id, None)) => batch.gone.push(id),
                 None => break,
@@ -60,10 +60,10 @@
     /// Puts changes back that were not recorded, or of which this is not certain.
     pub fn put_back(&mut self, batch: InstanceChanges) {
         for view in batch.changed {
-            self.newest.entry(view.id.clone()).or_insert(Some(view));
+            self.pending.entry(view.id.clone()).or_insert(Some(view));
         }
         for id in batch.gone {
-            self.newest.entry(id).or_insert(None);
+            self.pending.entry(id).or_insert(None);
         }
     }
 }
--- a/crates/gateway/src/client_body.rs
+++ b/crates/gateway/src/client_body.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use tokio::runtime::Handle;
 
+/// Bytes that are read of a body that was given up: as many as configurations usually allow.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+
 /// See the module.
 pub(crate) struct ClientBody {
     /// `None` once it has been given up.
@@ -80,10 +83,27 @@
     }
 }
 
-/// Reads the rest of a body, as long as it arrives, and keeps nothing of it.
+/// Reads the rest of a body, as long as it arrives and up to [`MAX_DISCARDED_BYTES`], and
+/// keeps nothing of it.
 async fn discard(mut body: Incoming, shared: Arc<Shared>) {
-    let pause = Duration::from_millis(STOPPED_AFTER_MS);
-    let reading =
-        async { while let Ok(Some(Ok(_))) = tokio::time::timeout(pause, body.frame()).await {} };
+    let reading = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(length) = next_length(&mut body).await {
+            left = left.saturating_sub(length.max(1));
+            if left == 0 {
+                return;
+            }
+        }
+    };
     shared.last_answers_due.run_until_cancelled(reading).await;
 }
+
+/// Length of the next frame; `None` if there is none, or if it does not arrive.
+async fn next_length(body: &mut Incoming) -> Option<usize> {
+    let pause = Duration::from_millis(STOPPED_AFTER_MS);
+    let frame = tokio::time::timeout(pause, body.frame())
+        .await
+        .ok()??
+        .ok()?;
+    Some(frame.data_ref().map_or(0, Bytes::len))
+}
