--- a/crates/coordinator/src/instance_persistence.rs
+++ b/crates/coordinator/src/instance_persistence.rs
@@ -53,25 +53,28 @@
     batch.take(RESTORE_BATCH_INSTANCES).collect()
 }
 
-/// Records all changes in the log, in batches, up to the first one that is not recorded. That one
-/// and the rest stay for the next time: the disk may be full, or another member leads.
+/// Records the present changes in the log, in batches, up to the first one that is not recorded. That
+/// one and the rest stay for the next time: the disk may be full, or another member leads. Changes
+/// that come meanwhile wait for the next time as well.
 pub(crate) async fn record_all(unrecorded: &Mutex<UnrecordedInstances>, shared: &Shared) {
-    loop {
-        let batch = lock(unrecorded).take_batch();
-        let Some(batch) = batch else {
-            return;
-        };
+    let batches = lock(unrecorded).take_batches();
+    let mut batches = batches.into_iter();
+    while let Some(batch) = batches.next() {
         let InstanceChanges { changed, gone } = batch.clone();
         let command = Command::RecordInstances { changed, gone };
-        if let Err(error) = shared.replica.submit_as_leader(command).await {
-            log::debug!("controller: instances not recorded: {error}");
-            if matches!(error, ProposeError::TooLong { .. }) {
-                // It never fits; the instances are recorded again with their next change.
-                continue;
-            }
-            lock(unrecorded).put_back(batch);
-            return;
+        let Err(error) = shared.replica.submit_as_leader(command).await else {
+            continue;
+        };
+        log::debug!("controller: instances not recorded: {error}");
+        if matches!(error, ProposeError::TooLong { .. }) {
+            // It never fits; the instances are recorded again with their next change.
+            continue;
+        }
+        let mut unrecorded = lock(unrecorded);
+        for unsent in std::iter::once(batch).chain(batches) {
+            unrecorded.put_back(unsent);
         }
+        return;
     }
 }
 
--- a/crates/coordinator/src/unrecorded_instances.rs
+++ b/crates/coordinator/src/unrecorded_instances.rs
@@ -20,6 +20,17 @@
     pub gone: Vec<RunnerId>,
 }
 
+impl InstanceChanges {
+    fn of(pending: &[(RunnerId, Option<InstanceView>)]) -> Self {
+        let changed = pending.iter().filter_map(|(_, view)| view.clone());
+        let gone = pending.iter().filter(|(_, view)| view.is_none());
+        Self {
+            changed: changed.collect(),
+            gone: gone.map(|(id, _)| id.clone()).collect(),
+        }
+    }
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub struct UnrecordedInstances {
@@ -44,17 +55,11 @@
         self.pending.is_empty()
     }
 
-    /// Takes the changes of one log entry; none once all are taken.
-    pub fn take_batch(&mut self) -> Option<InstanceChanges> {
-        let mut batch = InstanceChanges::default();
-        for _ in 0..BATCH_INSTANCES {
-            match self.pending.pop_first() {
-                Some((_, Some(view))) => batch.changed.push(view),
-                Some((id, None)) => batch.gone.push(id),
-                None => break,
-            }
-        }
-        (batch != InstanceChanges::default()).then_some(batch)
+    /// Takes all changes, as those of one log entry each.
+    pub fn take_batches(&mut self) -> Vec<InstanceChanges> {
+        let pending: Vec<_> = std::mem::take(&mut self.pending).into_iter().collect();
+        let batches = pending.chunks(BATCH_INSTANCES);
+        batches.map(InstanceChanges::of).collect()
     }
 
     /// Puts changes back that were not recorded, or of which this is not certain.
--- a/crates/coordinator/tests/unrecorded_instances.rs
+++ b/crates/coordinator/tests/unrecorded_instances.rs
@@ -25,18 +25,21 @@
     }
 }
 
-fn take_all(unrecorded: &mut UnrecordedInstances) -> Vec<InstanceChanges> {
-    std::iter::from_fn(|| unrecorded.take_batch()).collect()
+/// The changes of the only log entry.
+fn take_one(unrecorded: &mut UnrecordedInstances) -> InstanceChanges {
+    let batches = unrecorded.take_batches();
+    let [batch] = <[InstanceChanges; 1]>::try_from(batches).expect("one entry");
+    batch
 }
 
 #[test]
 fn changes_that_were_not_recorded_are_recorded_later() {
     let mut unrecorded = UnrecordedInstances::default();
     unrecorded.note(&[view(1, InstanceState::Ready)], &[id(2)]);
-    let refused = unrecorded.take_batch().expect("changes");
+    let refused = take_one(&mut unrecorded);
     assert!(unrecorded.is_empty());
     unrecorded.put_back(refused.clone());
-    assert_eq!(take_all(&mut unrecorded), [refused]);
+    assert_eq!(take_one(&mut unrecorded), refused);
 }
 
 #[test]
@@ -44,7 +47,7 @@
     let mut unrecorded = UnrecordedInstances::default();
     let ready = |number| view(number, InstanceState::Ready);
     unrecorded.note(&[ready(1), ready(2)], &[id(3)]);
-    let refused = unrecorded.take_batch().expect("changes");
+    let refused = take_one(&mut unrecorded);
     let draining = view(2, InstanceState::Draining);
     unrecorded.note(&[draining.clone(), ready(3)], &[id(1)]);
     unrecorded.put_back(refused);
@@ -52,7 +55,7 @@
         changed: vec![draining, ready(3)],
         gone: vec![id(1)],
     };
-    assert_eq!(take_all(&mut unrecorded), [newest]);
+    assert_eq!(take_one(&mut unrecorded), newest);
 }
 
 #[test]
@@ -62,7 +65,7 @@
         .map(|number| view(number, InstanceState::Ready))
         .collect();
     unrecorded.note(&views, &[]);
-    let batches = take_all(&mut unrecorded);
+    let batches = unrecorded.take_batches();
     assert_eq!(batches.len(), 2);
     let recorded = batches.into_iter().flat_map(|batch| batch.changed);
     assert_eq!(recorded.collect::<Vec<_>>(), views);
