--- a/crates/services/src/placement/candidates.rs
+++ b/crates/services/src/placement/candidates.rs
@@ -67,8 +67,7 @@
         self.announce(announced, context);
     }
 
-    /// Models that requests wait for and that need a replica for them, in descending order of
-    /// waiting requests.
+    /// Models without a replica that requests wait for, in descending order of waiting requests.
     pub(super) fn waiting_candidates<'a>(
         &'a self,
         waiting: &'a [WaitingRequests],
@@ -76,27 +75,18 @@
         let mut models: Vec<ModelName> = Vec::new();
         for one in waiting {
             let model = ModelName::from(one.key.model.as_str());
-            if self.round.needs_replica_for_waiting(&model) && !models.contains(&model) {
+            if self.round.replica_count(&model) == 0 && !models.contains(&model) {
                 models.push(model);
             }
         }
         models.into_iter().map(|model| Candidate {
-            value: self.round.next_load_value(&model) / self.margin_for_waiting(&model),
+            value: self.round.next_load_value(&model),
             has_waiting_requests: true,
             background: false,
             model,
         })
     }
 
-    /// Factor by which the value of a replica for waiting requests must exceed the cost of the
-    /// evictions for it.
-    fn margin_for_waiting(&self, model: &ModelName) -> f64 {
-        match self.round.replica_count(model) {
-            0 => 1.0,
-            _ => SCALING_MARGIN,
-        }
-    }
-
     /// Models that need another replica, in descending order of value.
     fn candidates(&self, waiting: &[WaitingRequests]) -> Vec<Candidate> {
         let waiting = self.waiting_candidates(waiting);
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -23,7 +23,6 @@
 mod round;
 mod store;
 mod unlisted;
-mod unserved;
 mod usage;
 mod value;
 mod waiting;
@@ -47,7 +46,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use store::WeightStore;
-use unserved::UnservedTable;
 use usage::UsageTable;
 
 /// Settings of the [`PlacementEngine`].
@@ -92,8 +90,6 @@
     usage: UsageTable,
     /// Streams that paused, by model.
     pauses: PauseTable,
-    /// Models that requests wait for beside their only replica.
-    unserved: UnservedTable,
     /// Load of the instances that report it.
     instance_loads: InstanceLoadTable,
     /// Adapters that were requested since the last round, with the time of the report.
@@ -145,7 +141,6 @@
             demand_since: None,
             usage: UsageTable::default(),
             pauses: PauseTable::default(),
-            unserved: UnservedTable::default(),
             instance_loads: InstanceLoadTable::default(),
             requested_adapters: BTreeMap::new(),
             round: Arc::default(),
@@ -177,7 +172,6 @@
                 .or_insert_with(|| WeightStore::new(engine.loads_per_second, window, now));
             store.set_rate(engine.loads_per_second, window, now);
         }
-        self.unserved.retain_services(&configuration);
         self.configuration = configuration;
     }
 
--- a/crates/services/src/placement/planning.rs
+++ b/crates/services/src/placement/planning.rs
@@ -129,7 +129,6 @@
         let mut round = Round::new(self, context.service, context.engine, &waiting, context.now);
         round.target_loads = self.target_loads(&round, context);
         self.scale_for_pauses(&mut round, context);
-        self.scale_for_unserved(&mut round, &waiting, context);
         self.round = Arc::new(round);
         self.sync_store(context);
         self.advance_reservations(context, steps);
--- a/crates/services/src/placement/round.rs
+++ b/crates/services/src/placement/round.rs
@@ -41,8 +41,6 @@
     pub(super) has_waiting_requests: bool,
     /// Requests that wait for it or for an adapter of it.
     pub(super) waiting: u32,
-    /// Whether requests wait for it that its only replica does not serve.
-    pub(super) is_unserved: bool,
     /// Instances that have its weights cached on disk.
     disks_with_weights: u32,
     /// Time of a load from an instance's own disk, and from the weight store.
@@ -252,15 +250,6 @@
         self.replicas.get(model).map_or(0, Vec::len)
     }
 
-    /// Whether requests that wait for a model need another replica of it.
-    pub(super) fn needs_replica_for_waiting(&self, model: &ModelName) -> bool {
-        match self.replica_count(model) {
-            0 => true,
-            1 => self.state(model).is_unserved && !self.is_pending(model),
-            _ => false,
-        }
-    }
-
     /// Work of one replica of a model, as a fraction of an instance's throughput.
     pub(super) fn work_per_replica(&self, model: &ModelName) -> f64 {
         let work = self.models.get(model).map_or(0.0, ModelState::work_ratio);
@@ -315,7 +304,6 @@
                 waiting_value(state.waiting) + cost_of_absence(&state)
             }
             1 => cost_of_absence(&state),
-            2 if state.is_unserved => waiting_value(state.waiting),
             _ if state.desired >= count => state.value_of_one_of(count),
             _ => 0.0,
         }
