Instances named with and without their start time are one incarnation

A leader of this build that knew an instance as 'i-1' took the first registration of 'i-1 START' as a new incarnation and terminated the previous one by its name, which by then stood for the new one: the instance was marked as terminated and draining for good. A report with a start time did not count for an instance without one.

Change: as long as the sequence numbers increase, both names are those of one incarnation; a drain noted under one holds under the other. A start time with a lower sequence number is a restart, as before.

Five tests in incarnations.rs, all red before; the crate's tests pass.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -187,14 +187,19 @@
 
     /// Applies a registration; returns whether it changed anything.
     pub fn register(&mut self, mut registration: Registration, now: Timestamp) -> bool {
-        let id = registration.id.clone();
-        match self.incarnations.observe(&id) {
+        match self
+            .incarnations
+            .observe(&registration.id, registration.sequence)
+        {
             Incarnation::Earlier => return false,
+            Incarnation::Current(current) => registration.id = current,
+            Incarnation::StartKnown { previous } => self.rename(&previous, &registration.id, now),
             Incarnation::New {
                 previous: Some(previous),
-            } => self.mark_terminated(&previous, now),
-            Incarnation::New { previous: None } | Incarnation::Current => {}
+            } => self.terminate(&previous, now),
+            Incarnation::New { previous: None } => {}
         }
+        let id = registration.id.clone();
         if self.leaving.contains(&id) {
             registration.state = InstanceState::Draining;
         }
@@ -246,7 +251,9 @@
                     sequence,
                     ..last.clone()
                 },
-                None if self.terminated.contains_key(&id) => return Ok(false),
+                None if self.terminated.contains_key(self.incarnations.newest(&id)) => {
+                    return Ok(false);
+                }
                 None => return Err(id),
             },
         };
@@ -258,6 +265,7 @@
 
     /// The last registration of an instance, if it has this sequence number.
     fn registration_with_sequence(&self, id: &RunnerId, sequence: u64) -> Option<&Registration> {
+        let id = self.incarnations.newest(id);
         let last = self.instances.get(id).map(Instance::registration);
         last.filter(|last| last.sequence == sequence)
     }
@@ -352,12 +360,30 @@
 
     /// Removes an instance that has terminated or is about to.
     pub fn mark_terminated(&mut self, id: &RunnerId, now: Timestamp) {
-        let id = &self.incarnations.newest(id).clone();
+        let id = self.incarnations.newest(id).clone();
+        self.terminate(&id, now);
+    }
+
+    /// Removes exactly this incarnation, which has terminated.
+    fn terminate(&mut self, id: &RunnerId, now: Timestamp) {
         self.terminated.insert(id.clone(), now);
         self.leaving.insert(id.clone());
         self.remove(id);
     }
 
+    /// Replaces the identity of an instance whose start time was unknown until now. What was recorded
+    /// about its end under the previous identity holds for the new one.
+    fn rename(&mut self, previous: &RunnerId, id: &RunnerId, now: Timestamp) {
+        if self.leaving.remove(previous) {
+            self.leaving.insert(id.clone());
+        }
+        if self.terminated.remove(previous).is_some() {
+            self.terminated.insert(id.clone(), now);
+        }
+        self.timed_out.remove(previous);
+        self.remove(previous);
+    }
+
     /// Removes an instance. Routers are notified even when this leader does not have it, since they
     /// may have it from an earlier leader.
     fn remove(&mut self, id: &RunnerId) {
--- a/crates/services/src/placement/outcomes.rs
+++ b/crates/services/src/placement/outcomes.rs
@@ -11,8 +11,12 @@
     pub fn on_report(&mut self, id: &RunnerId, report: Option<InstanceReport>, now: Timestamp) {
         self.calls_in_flight = self.calls_in_flight.saturating_sub(1);
         let configuration = self.configuration.clone();
-        let is_other_incarnation =
-            |report: &InstanceReport| report.started.is_some() && report.started != id.started();
+        // The start time of an instance is unknown while it registers at controllers of the previous
+        // release.
+        let is_other_incarnation = |report: &InstanceReport| {
+            let known = id.started();
+            known.is_some() && report.started.is_some() && report.started != known
+        };
         let report = report.filter(|report| !is_other_incarnation(report));
         let reported = self.instances.update(id, now, |instance| {
             let engine = configuration.engine(&instance.registration().service);
--- a/crates/services/tests/incarnations.rs
+++ b/crates/services/tests/incarnations.rs
@@ -107,6 +107,93 @@
     assert_eq!(models(&engine, now), held);
 }
 
+/// A leader that knew an instance without its start time, from the log or from a controller of the
+/// previous release, took the first registration with it as the end of the instance.
+#[test]
+fn an_instance_whose_start_time_becomes_known_is_not_terminated() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    assert!(engine.register(registration(None, 5, "a"), now));
+    assert!(engine.register(registration(Some(FIRST), 6, "a"), now));
+    let held = vec![(RunnerId::of_incarnation("i-1", FIRST), "a".to_owned())];
+    assert_eq!(models(&engine, now), held);
+    assert!(engine.register(registration(Some(FIRST), 7, "b"), now));
+    let states: Vec<InstanceState> = engine.views(now).iter().map(|view| view.state).collect();
+    assert_eq!(states, [InstanceState::Ready]);
+    let (_, gone) = engine.take_changes(now);
+    assert_eq!(gone, [RunnerId::from("i-1")]);
+}
+
+#[test]
+fn an_instance_that_an_earlier_leader_recorded_without_its_start_time_is_not_terminated() {
+    let mut recorded = engine();
+    let now = Timestamp(10_000);
+    recorded.register(registration(None, 5, "a"), now);
+    let mut engine = engine();
+    for view in recorded.views(now) {
+        engine.seed(&view, now);
+    }
+    assert!(engine.register(registration(Some(FIRST), 6, "b"), now));
+    let held = vec![(RunnerId::of_incarnation("i-1", FIRST), "b".to_owned())];
+    assert_eq!(models(&engine, now), held);
+}
+
+#[test]
+fn a_drain_that_was_noted_without_the_start_time_holds_for_the_incarnation() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.register(registration(None, 5, "a"), now);
+    engine.mark_leaving(&RunnerId::from("i-1"));
+    engine.register(registration(Some(FIRST), 6, "a"), now);
+    assert!(
+        engine
+            .views(now)
+            .iter()
+            .all(|view| view.state == InstanceState::Draining)
+    );
+    // Its sequence numbers begin anew: it has restarted.
+    assert!(engine.register(registration(Some(SECOND), 1, "b"), now));
+    let states: Vec<InstanceState> = engine.views(now).iter().map(|view| view.state).collect();
+    assert_eq!(states, [InstanceState::Ready]);
+}
+
+/// A leader ignored what a controller of the previous release relayed of an instance whose start
+/// time it knew, and removed the instance for its silence.
+#[test]
+fn registrations_without_the_start_time_are_those_of_the_newest_incarnation() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.register(registration(Some(FIRST), 5, "a"), now);
+    assert!(engine.register(registration(None, 6, "b"), now));
+    let unchanged = RelayedRegistration::Unchanged {
+        id: RunnerId::from("i-1"),
+        sequence: 7,
+        previous_sequence: 6,
+    };
+    assert_eq!(engine.register_relayed(unchanged, now), Ok(false));
+    assert!(!engine.register(registration(None, 7, "late"), now));
+    let held = vec![(RunnerId::of_incarnation("i-1", FIRST), "b".to_owned())];
+    assert_eq!(models(&engine, now), held);
+    engine.expire(now + Millis(6_000));
+    assert!(engine.views(now).is_empty());
+}
+
+#[test]
+fn a_report_with_the_start_time_counts_for_an_instance_without_it() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.register(registration(None, 1, "a"), now);
+    let report = InstanceReport {
+        started: Some(FIRST),
+        models: registration(None, 1, "b").models,
+        sequence: 9,
+        ..InstanceReport::default()
+    };
+    engine.on_report(&RunnerId::from("i-1"), Some(report), now);
+    let held = vec![(RunnerId::from("i-1"), "b".to_owned())];
+    assert_eq!(models(&engine, now), held);
+}
+
 /// How a message reaches the leader.
 #[derive(Debug, Clone, Copy)]
 enum Delivery {
