Peers of the previous release get the names of instances without start times

A leader of that build also counted one instance as two, and a drain that was committed under the longer identity concerned neither.

Change: in version 2 an instance has its name alone, in feeds, relayed registrations and forwarded drains; what a leader of that build lacks is sent again by name. Three tests in wire/tests/previous_release.rs, red before.

--- a/crates/services/src/relay.rs
+++ b/crates/services/src/relay.rs
@@ -103,9 +103,17 @@
     }
 
     /// Queues the complete registration of an instance, because the leader lacks the one that a
-    /// relayed sequence number refers to.
+    /// relayed sequence number refers to. A leader of the previous release names an instance without its
+    /// start time.
     pub fn resend(&mut self, id: &RunnerId) {
-        if let Some(entry) = self.received.get(id) {
+        let named = self.received.range(id.clone()..);
+        let named = named.take_while(|(held, _)| held.name() == id.name());
+        let exact = self.received.get(id);
+        let entry = exact.or_else(|| match id.started() {
+            Some(_) => None,
+            None => named.map(|(_, entry)| entry).last(),
+        });
+        if let Some(entry) = entry {
             let full = RelayedRegistration::Full(entry.registration.clone());
             self.push(full);
         }
--- a/crates/services/tests/incarnations.rs
+++ b/crates/services/tests/incarnations.rs
@@ -194,6 +194,20 @@
     assert_eq!(models(&engine, now), held);
 }
 
+#[test]
+fn a_registration_is_sent_again_to_a_leader_that_names_no_start_time() {
+    let mut outbox = RegistrationOutbox::default();
+    let now = Timestamp(10_000);
+    outbox.restart(now);
+    let sent = registration(Some(FIRST), 5, "a");
+    outbox.offer(sent.clone(), now);
+    outbox.take(now);
+    outbox.resend(&RunnerId::from("i-1"));
+    assert_eq!(outbox.take(now), [RelayedRegistration::Full(sent)]);
+    outbox.resend(&RunnerId::of_incarnation("i-1", SECOND));
+    assert!(outbox.is_empty());
+}
+
 /// How a message reaches the leader.
 #[derive(Debug, Clone, Copy)]
 enum Delivery {
--- a/crates/wire/src/previous_release/mod.rs
+++ b/crates/wire/src/previous_release/mod.rs
@@ -3,12 +3,13 @@
 //!
 //! Invariant: the types of version 2 are used in this module alone. A message that version 2 can't
 //! express is not sent to a peer of the previous release; fields that version 2 lacks are empty in
-//! messages received from such a peer.
+//! messages received from such a peer. Such a peer names instances without their start times.
 //!
 //! Only messages between processes of declared services are translated. Routers and controllers of
 //! deployments are upgraded together, so they never communicate across the two releases.
 
 mod feed;
+mod identities;
 mod message;
 
 use crate::frame;
@@ -52,7 +53,7 @@
         } => PreviousMessage::Forward {
             call,
             group,
-            envelope,
+            envelope: identities::envelope(envelope),
         },
         Message::ForwardReply { call, reply } => PreviousMessage::ForwardReply { call, reply },
         Message::ReadIndex { call, group } => PreviousMessage::ReadIndex { call, group },
@@ -74,7 +75,9 @@
         Message::ServiceReport(report) => {
             PreviousMessage::ServiceReport(to_previous_report(report)?)
         }
-        Message::Registrations(batch) => PreviousMessage::Registrations(batch),
+        Message::Registrations(batch) => {
+            PreviousMessage::Registrations(identities::registrations(batch))
+        }
         Message::RegistrationsReply { leads, missing } => {
             PreviousMessage::RegistrationsReply { leads, missing }
         }
@@ -163,12 +166,15 @@
             digest,
             difference,
         },
-        FeedMessage::Instances { changed, gone } => feed::FeedMessage::Instances { changed, gone },
+        FeedMessage::Instances { changed, gone } => feed::FeedMessage::Instances {
+            changed: identities::views(changed),
+            gone: identities::names_of(gone),
+        },
         FeedMessage::Bucket { instances, .. } => feed::FeedMessage::Instances {
-            changed: instances,
+            changed: identities::views(instances),
             gone: Vec::new(),
         },
-        FeedMessage::LiveInstances(live) => feed::FeedMessage::Live(live),
+        FeedMessage::LiveInstances(live) => feed::FeedMessage::Live(identities::names_of(live)),
         FeedMessage::Usage {
             configuration,
             routers,
@@ -176,7 +182,7 @@
         } => feed::FeedMessage::Usage {
             configuration,
             routers,
-            instances,
+            instances: identities::usage(instances),
         },
         FeedMessage::AwaitingLeader
         | FeedMessage::Leadership { .. }
--- a/crates/wire/tests/previous_release.rs
+++ b/crates/wire/tests/previous_release.rs
@@ -6,7 +6,11 @@
     FeedMessage, InstanceDigests, InstanceState, InstanceUsage, InstanceView, MemberLocation,
     ModelDemand, RelayedRegistration, ReportMessage, ResidentModel,
 };
-use courseshunt_types::{ControllerId, GroupId, LogIndex, Millis, ModelName, RunnerId, Term, Zone};
+use courseshunt_state::{Command, CommandEnvelope};
+use courseshunt_types::{
+    ClientId, ClientSequence, ControllerId, GroupId, LogIndex, Millis, ModelName, RunnerId, Term,
+    UnixMillis, Zone,
+};
 use courseshunt_wire::message::CallId;
 use courseshunt_wire::{Message, PREVIOUS_RELEASE_VERSION, previous_release};
 
@@ -302,3 +306,83 @@
     let result = decode_frame(recorded!("pong"));
     assert!(result.is_err_and(|error| error.contains("not spoken")));
 }
+
+/// The identity of an instance whose start time is known.
+fn started(name: &str) -> RunnerId {
+    RunnerId::of_incarnation(name, 1_769_493_358_721)
+}
+
+/// What a peer of the previous release reads in place of a message.
+fn read_by_peer(message: &Message) -> Message {
+    let frame = previous_release::encode(message);
+    let frame = frame.expect("a frame").expect("version 2 has this message");
+    decode_frame(&frame).expect("a message")
+}
+
+#[test]
+fn routers_of_the_previous_release_get_names_without_start_times() {
+    let running = |id| InstanceView { id, ..view("a") };
+    let in_use = |instance| InstanceUsage {
+        instance,
+        ..usage().remove(0)
+    };
+    let messages = |id: &dyn Fn(&str) -> RunnerId| {
+        [
+            FeedMessage::Instances {
+                changed: vec![running(id("a"))],
+                gone: vec![id("b")],
+            },
+            FeedMessage::LiveInstances(vec![id("a")]),
+            FeedMessage::Usage {
+                configuration: 4,
+                routers: 7,
+                instances: vec![in_use(id("a"))],
+            },
+        ]
+    };
+    let sent = messages(&started);
+    let read = messages(&|name| RunnerId::from(name));
+    for (sent, read) in sent.into_iter().zip(read) {
+        let sent = Message::ServiceFeed(sent);
+        assert_eq!(read_by_peer(&sent), Message::ServiceFeed(read));
+    }
+}
+
+/// Under two names one instance was two for a leader of the previous release, and the one with the start
+/// time rejected all its orders.
+#[test]
+fn leaders_of_the_previous_release_get_registrations_without_start_times() {
+    let unchanged = |id| {
+        Message::Registrations(vec![RelayedRegistration::Unchanged {
+            id,
+            sequence: 8,
+            previous_sequence: 7,
+        }])
+    };
+    let read = read_by_peer(&unchanged(started("a")));
+    assert_eq!(read, unchanged(RunnerId::from("a")));
+}
+
+#[test]
+fn leaders_of_the_previous_release_get_drains_without_start_times() {
+    let forward = |instance| {
+        let envelope = CommandEnvelope {
+            client: ClientId::from("c"),
+            sequence: ClientSequence(1),
+            acknowledged: ClientSequence(0),
+            proposed_at: UnixMillis(5),
+            command: Command::RecordLeaving {
+                instance,
+                ended: false,
+            },
+        };
+        let envelope = rkyv::to_bytes::<rkyv::rancor::Error>(&envelope).expect("bytes");
+        Message::Forward {
+            call: CallId(1),
+            group: GroupId(0),
+            envelope: envelope.to_vec(),
+        }
+    };
+    let read = read_by_peer(&forward(started("a")));
+    assert_eq!(read, forward(RunnerId::from("a")));
+}
