Reports of routers of the previous release name instances without start times

Cause: such a router reports the instances that it uses or can't reach by name, and the leader keeps them by identity: what it used counted for no instance. The removal of an earlier incarnation removed the later one there as well, which has the same name.

Change: the controller that feeds such a router translates its reports, and sends the later incarnation again after the removal of an earlier one.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -122,10 +122,15 @@
         configuration,
         is_earlier: is_previous_release,
     });
+    let subscription = Subscription {
+        router: &router,
+        session_number,
+        is_previous_release,
+    };
     let ended = tokio::select! {
         () = shared.stop.cancelled() => Ok(()),
         ended = send_feed(sender, messages) => ended,
-        ended = receive_reports(receiver, &router, session_number, shared) => ended,
+        ended = receive_reports(receiver, &subscription, shared) => ended,
     };
     if shared.sessions.close_router(&router, session_number) {
         emit(&ControllerRecord::RouterLost { router: &router });
@@ -134,6 +139,13 @@
     ended
 }
 
+/// A router's connection on which it reports.
+struct Subscription<'a> {
+    router: &'a str,
+    session_number: u64,
+    is_previous_release: bool,
+}
+
 fn report_router_event(
     router: &str,
     session_number: u64,
@@ -177,16 +189,24 @@
 
 async fn receive_reports(
     mut receiver: Receiver,
-    router: &str,
-    session_number: u64,
+    subscription: &Subscription<'_>,
     shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
+    let Subscription {
+        router,
+        session_number,
+        is_previous_release,
+    } = *subscription;
     while let Some(message) = receiver.receive().await? {
         if let Message::ServiceReport(ReportMessage::Compare(known)) = message {
             shared
                 .sessions
                 .send_differing_buckets(router, session_number, &known);
         } else if let Message::ServiceReport(report) = message {
+            let report = match is_previous_release {
+                true => shared.sessions.with_identities(report),
+                false => report,
+            };
             report_router_event(router, session_number, RouterUpdate::Report(report), shared);
         }
     }
--- a/crates/coordinator/src/sessions/mod.rs
+++ b/crates/coordinator/src/sessions/mod.rs
@@ -297,7 +297,9 @@
         }
         let changed_ids: BTreeSet<RunnerId> =
             changes.changed.iter().map(|view| view.id.clone()).collect();
+        let gone = changes.gone.clone();
         self.broadcast(instances(changes));
+        self.restore_later_incarnations(&gone);
         if let Some(frame) = self.hidden_instances_frame(|id| changed_ids.contains(id)) {
             self.send_to_previous_release(&frame);
         }
@@ -315,7 +317,9 @@
 
     fn broadcast_changes(&self, changes: InstanceChanges) {
         if !changes.is_empty() {
+            let gone = changes.gone.clone();
             self.broadcast_to_routers(instances(changes));
+            self.restore_later_incarnations(&gone);
         }
     }
 
--- a/crates/coordinator/src/sessions/previous_release.rs
+++ b/crates/coordinator/src/sessions/previous_release.rs
@@ -1,12 +1,14 @@
 //! Messages to routers of the previous release that other routers do not receive: the list of
-//! live instances, and the removal of instances that report a rate limit.
+//! live instances, and the removal of instances that report a rate limit; and the translation of the
+//! instances that their reports name.
 //!
-//! Invariant: for such a router an instance is gone as long as it reports a limit, since the
-//! previous release does not obey limits.
+//! Invariants: for such a router an instance is gone as long as it reports a limit, since the
+//! previous release does not obey limits. Such a router knows instances by their names: the removal of
+//! an earlier incarnation is followed by the later one, which has the same name.
 
 use super::{Sessions, encode, instances};
 use courseshunt_services::instance_directory::InstanceChanges;
-use courseshunt_services::{FeedMessage, LimitReport};
+use courseshunt_services::{FeedMessage, InstanceUsage, InstanceView, LimitReport, ReportMessage};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::Frame;
 use std::collections::BTreeSet;
@@ -38,6 +40,59 @@
         }
     }
 
+    /// Sends the routers of the previous release the instances whose earlier incarnations were
+    /// removed.
+    pub(super) fn restore_later_incarnations(&self, gone: &[RunnerId]) {
+        let feed_state = self.feed_state();
+        let later = gone
+            .iter()
+            .filter_map(|id| feed_state.instances.newest_incarnation(id));
+        let later = later.filter(|view| !feed_state.limited.contains(&view.id));
+        let changed: Vec<InstanceView> = later.cloned().collect();
+        drop(feed_state);
+        if changed.is_empty() {
+            return;
+        }
+        let changes = InstanceChanges {
+            changed,
+            gone: Vec::new(),
+        };
+        if let Some(frame) = encode(instances(changes)) {
+            self.send_to_previous_release(&frame);
+        }
+    }
+
+    /// A report of a router of the previous release, with the identities of the instances in place
+    /// of their names.
+    pub(crate) fn with_identities(&self, report: ReportMessage) -> ReportMessage {
+        let ReportMessage::Usage {
+            configuration,
+            instances,
+            demand,
+            unreachable,
+            leaving,
+        } = report
+        else {
+            return report;
+        };
+        let feed_state = self.feed_state();
+        let identity = |name: RunnerId| match feed_state.instances.newest_incarnation(&name) {
+            Some(view) => view.id.clone(),
+            None => name,
+        };
+        let instances = instances.into_iter().map(|usage| InstanceUsage {
+            instance: identity(usage.instance),
+            ..usage
+        });
+        ReportMessage::Usage {
+            configuration,
+            instances: instances.collect(),
+            demand,
+            unreachable: unreachable.into_iter().map(identity).collect(),
+            leaving,
+        }
+    }
+
     /// A message that removes the limited instances for which `is_included` holds; `None` if
     /// there are none.
     pub(super) fn hidden_instances_frame(
--- a/crates/services/src/instance_directory.rs
+++ b/crates/services/src/instance_directory.rs
@@ -178,6 +178,17 @@
         self.views.get(id).map(Arc::as_ref)
     }
 
+    /// View of the incarnation that started last of the instance that `id` names, with or without a
+    /// start time.
+    #[must_use]
+    pub fn newest_incarnation(&self, id: &RunnerId) -> Option<&InstanceView> {
+        let from = RunnerId::from(id.name());
+        let named = self.views.range(from..);
+        let named = named.take_while(|(held, _)| held.name() == id.name());
+        let newest = named.max_by_key(|(held, _)| held.started());
+        newest.map(|(_, view)| view.as_ref())
+    }
+
     /// Whether an instance is held.
     #[must_use]
     pub fn contains(&self, id: &RunnerId) -> bool {
