Routers of the previous release get an instance again beside which requests wait

Cause: that build excludes an instance from a request's further attempts by its identity until three attempts have failed, counts it as a holder all the same, and its stop does not end the wait.

Change: the controller that feeds such a router sees requests wait there for a model that a ready instance with a free slot holds. After 0.24 s it presents the instance a second time, with this model alone, under an alias: its name followed by spaces, which an HTTP server ignores around a field value, so that the expected instance that the router states is still the right one. The request is sent there. The alias goes when nothing waits, after 0.36 s, when the instance drains or is gone, or when the router must follow another controller; the next one comes after twice the delay. Nothing is loaded and nothing refused. New: record instance_presented, counter instances_presented.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -8,6 +8,7 @@
 use crate::sessions::{SESSION_QUEUE, Session};
 use crate::{Shared, accept, member_thread, member_zones, relay, reports};
 use courseshunt_records::emit;
+use courseshunt_services::instance_aliases::RouterAliases;
 use courseshunt_services::{
     FeedMessage, InstanceDigests, RelayedReport, ReportMessage, RouterUpdate,
 };
@@ -108,6 +109,7 @@
         queue,
         configuration,
         is_previous_release,
+        aliases: RouterAliases::default(),
     };
     let gone = unseen_leaving_instances(shared);
     shared.sessions.open_router(&router, session, &known, gone);
@@ -204,7 +206,7 @@
                 .send_differing_buckets(router, session_number, &known);
         } else if let Message::ServiceReport(report) = message {
             let report = match is_previous_release {
-                true => shared.sessions.with_identities(report),
+                true => read_previous_release(report, router, session_number, shared),
                 false => report,
             };
             report_router_event(router, session_number, RouterUpdate::Report(report), shared);
@@ -213,6 +215,29 @@
     Ok(())
 }
 
+/// Translates a report of a router of the previous release, and presents to it instances beside which
+/// its requests wait.
+fn read_previous_release(
+    report: ReportMessage,
+    router: &str,
+    session_number: u64,
+    shared: &Shared,
+) -> ReportMessage {
+    let sessions = &shared.sessions;
+    let report = sessions.with_identities(report);
+    for presentation in sessions.update_aliases(router, session_number, &report) {
+        shared.metrics.instance_presented();
+        emit(&ControllerRecord::InstancePresented {
+            router,
+            instance: presentation.instance.as_str(),
+            service: &presentation.service,
+            model: &presentation.model,
+            waited_ms: presentation.waited.0,
+        });
+    }
+    report
+}
+
 /// Serves another controller, which relays registrations to this one or subscribes to its feed.
 async fn serve_controller(
     connection: Connection,
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -50,6 +50,7 @@
     limit_verdicts: Family<Labels, Counter>,
     origin_verdicts: Family<Labels, Counter>,
     reservations: Family<Labels, Counter>,
+    instances_presented: Counter,
     leaderships: Counter,
     slept_milliseconds: Counter,
     rollouts: Histogram,
@@ -70,6 +71,7 @@
             limit_verdicts: Family::default(),
             origin_verdicts: Family::default(),
             reservations: Family::default(),
+            instances_presented: Counter::default(),
             leaderships: Counter::default(),
             slept_milliseconds: Counter::default(),
             rollouts: Histogram::new(ROLLOUT_BUCKETS_S),
@@ -106,6 +108,10 @@
         let help = "Reservations under tenants' quotas by outcome (made, taken, unmet, expired, \
                     dropped, refused), and refused ones by reason";
         registry.register("quota_reservations", help, reservations);
+        let presented = metrics.instances_presented.clone();
+        let help =
+            "Instances presented again to routers of the previous release whose requests wait";
+        registry.register("instances_presented", help, presented);
         let leaderships = metrics.leaderships.clone();
         registry.register(
             "leaderships",
@@ -214,6 +220,11 @@
         self.slept_milliseconds.inc_by(duration.0);
     }
 
+    /// Counts an instance that was presented again to a router of the previous release.
+    pub(crate) fn instance_presented(&self) {
+        self.instances_presented.inc();
+    }
+
     pub(crate) fn leadership(&self) {
         self.leaderships.inc();
     }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -73,6 +73,15 @@
         /// Whether it runs the previous release.
         is_earlier: bool,
     },
+    /// An instance is presented to a router of the previous release under an alias, since requests
+    /// wait there beside it.
+    InstancePresented {
+        router: &'a str,
+        instance: &'a str,
+        service: &'a str,
+        model: &'a str,
+        waited_ms: u64,
+    },
     /// A router's feed has ended.
     RouterLost { router: &'a str },
     /// A controller subscribed to the feed of this one, which leads.
@@ -305,6 +314,7 @@
                 | Self::RegistrationRefused { .. }
                 | Self::RegistrationNotRelayed { .. }
                 | Self::BodyRefused { .. }
+                | Self::InstancePresented { .. }
         )
     }
 }
--- a/crates/coordinator/src/sessions/mod.rs
+++ b/crates/coordinator/src/sessions/mod.rs
@@ -5,11 +5,13 @@
 //! message for all subscribers is encoded once. A subscriber whose queue is full is
 //! disconnected, and subscribes again.
 
+mod aliases;
 mod loads;
 mod previous_release;
 
 use crate::configuration_feed::ConfigurationFeed;
 use courseshunt_services::digest::bucket_of;
+use courseshunt_services::instance_aliases::RouterAliases;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{FeedMessage, InstanceDigests, InstanceDirectory, InstanceView};
 use courseshunt_types::time::MonotonicClock;
@@ -35,6 +37,8 @@
     /// Whether the router runs the previous release. It supports neither buckets nor digests, and
     /// derives which instances are gone from the list of all live ones.
     pub(crate) is_previous_release: bool,
+    /// Aliases of instances that a router of the previous release holds.
+    pub(crate) aliases: RouterAliases,
 }
 
 /// The subscribers and their queues.
@@ -62,6 +66,8 @@
     /// Instances that report a rate limit. Routers of the previous release ignore such limits, so
     /// these instances are hidden from them.
     limited: BTreeSet<RunnerId>,
+    /// Requests in flight at each instance, of all routers.
+    in_flight: BTreeMap<RunnerId, u32>,
 }
 
 /// The leadership that a feed comes from.
@@ -155,7 +161,7 @@
             let _ = session.queue.try_send(frame);
         }
         if session.is_previous_release
-            && let Some(frame) = self.live_instances().and_then(encode)
+            && let Some(frame) = self.first_instances_frame()
         {
             let _ = session.queue.try_send(frame);
         }
@@ -300,6 +306,7 @@
         let gone = changes.gone.clone();
         self.broadcast(instances(changes));
         self.restore_later_incarnations(&gone);
+        self.withdraw_unserved_aliases();
         if let Some(frame) = self.hidden_instances_frame(|id| changed_ids.contains(id)) {
             self.send_to_previous_release(&frame);
         }
@@ -320,6 +327,7 @@
             let gone = changes.gone.clone();
             self.broadcast_to_routers(instances(changes));
             self.restore_later_incarnations(&gone);
+            self.withdraw_unserved_aliases();
         }
     }
 
@@ -374,6 +382,9 @@
     /// Encodes a message; the latest one of certain kinds is kept for later subscribers.
     fn encode_and_retain(&self, message: FeedMessage) -> Option<Arc<Frame>> {
         let mut feed_state = self.feed_state();
+        if let FeedMessage::Usage { instances, .. } = &message {
+            feed_state.set_usage(instances);
+        }
         let retained = match &message {
             FeedMessage::Quarantine { .. } => &mut feed_state.quarantine,
             FeedMessage::SoftwareVersions(_) => &mut feed_state.software_versions,
@@ -416,6 +427,7 @@
     /// Notifies routers that this controller has no feed, with the leader's address if it is
     /// known; ends their sessions, and returns their number.
     pub(crate) fn dismiss_routers(&self, leader: Option<String>) -> usize {
+        self.withdraw_all_aliases();
         let routers = std::mem::take(&mut self.subscribers().routers);
         if let Some(frame) = encode(FeedMessage::NoFeed { leader }) {
             for session in routers.values() {
--- a/crates/coordinator/src/sessions/previous_release.rs
+++ b/crates/coordinator/src/sessions/previous_release.rs
@@ -11,7 +11,7 @@
 use courseshunt_services::{FeedMessage, InstanceUsage, InstanceView, LimitReport, ReportMessage};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::Frame;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 impl Sessions {
@@ -38,6 +38,7 @@
         {
             self.send_to_previous_release(&frame);
         }
+        self.withdraw_unserved_aliases();
     }
 
     /// Sends the routers of the previous release the instances whose earlier incarnations were
@@ -63,7 +64,7 @@
     }
 
     /// A report of a router of the previous release, with the identities of the instances in place
-    /// of their names.
+    /// of their names and aliases.
     pub(crate) fn with_identities(&self, report: ReportMessage) -> ReportMessage {
         let ReportMessage::Usage {
             configuration,
@@ -86,7 +87,7 @@
         });
         ReportMessage::Usage {
             configuration,
-            instances: instances.collect(),
+            instances: sum_by_instance(instances),
             demand,
             unreachable: unreachable.into_iter().map(identity).collect(),
             leaving,
@@ -120,21 +121,43 @@
     }
 
     /// The list of live instances without the limited ones, once the leadership is settled.
-    pub(super) fn live_instances(&self) -> Option<FeedMessage> {
+    pub(super) fn live_instances(&self) -> Option<Vec<RunnerId>> {
         let feed_state = self.feed_state();
         let settled = feed_state.leadership.is_some_and(|one| one.settled);
         settled.then(|| {
             let present = feed_state.instances.ids();
             let present = present.filter(|id| !feed_state.limited.contains(id));
-            FeedMessage::LiveInstances(present.cloned().collect())
+            present.cloned().collect()
         })
     }
 
     /// Sends the list of live instances to the routers of the previous release.
     pub(super) fn send_live_instances(&self) {
-        let Some(frame) = self.live_instances().and_then(encode) else {
+        let Some(live) = self.live_instances() else {
             return;
         };
-        self.send_to_previous_release(&frame);
+        let Some(frame) = encode(FeedMessage::LiveInstances(live.clone())) else {
+            return;
+        };
+        self.subscribers().routers.retain(|_, session| {
+            !session.is_previous_release || session.send_live_instances(&frame, &live)
+        });
+    }
+}
+
+/// Adds up the usage that was reported for the same instance under its name and its aliases.
+fn sum_by_instance(reported: impl Iterator<Item = InstanceUsage>) -> Vec<InstanceUsage> {
+    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
+    for usage in reported {
+        match sums.get_mut(&usage.instance) {
+            Some(sum) => {
+                sum.in_flight = sum.in_flight.saturating_add(usage.in_flight);
+                sum.prompt_tokens = sum.prompt_tokens.saturating_add(usage.prompt_tokens);
+            }
+            None => {
+                sums.insert(usage.instance.clone(), usage);
+            }
+        }
     }
+    sums.into_values().collect()
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet_size;
 pub mod forwarders;
 pub mod instance;
+pub mod instance_aliases;
 pub mod instance_directory;
 mod instance_index;
 pub mod instance_paths;
