Records of controllers name the leader before them and the build that leads

Cause: no record told which release a controller took the leadership over from, nor which one it followed; in an upgrade this had to be put together from `program` and the logs of all controllers.

Change: `leads` names the previous leader and the protocol version of the latest connection with it, `upstream_began` the leader and its version, `relay_began` its version. Existing fields keep their names. The router's `feed_regained` had `protocol` before.

--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -78,6 +78,14 @@
         versions.insert(member, version) != Some(version)
     }
 
+    /// The protocol version of the latest connection with a member, if there was one.
+    #[must_use]
+    pub fn protocol_version(&self, member: ControllerId) -> Option<u8> {
+        let versions = self.versions.lock();
+        let versions = versions.unwrap_or_else(PoisonError::into_inner);
+        versions.get(&member).copied()
+    }
+
     /// Whether all of these members, which include this one, are known to use the current
     /// protocol version, so that no member needs the snapshot format of the previous release.
     #[must_use]
--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -23,7 +23,7 @@
     QuarantineLedger, QuotaLedger, VersionPublication,
 };
 use courseshunt_state::Command;
-use courseshunt_types::{Millis, Term, Timestamp};
+use courseshunt_types::{ControllerId, Millis, Term, Timestamp};
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -92,9 +92,11 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut status = shared.replica.status();
     let mut leadership: Option<Leadership> = None;
+    let mut previous_leader = None;
     loop {
         let leads = {
             let status = status.borrow_and_update();
+            previous_leader = other_leader(&shared, status.leader).or(previous_leader);
             status.leads().then_some(status.term)
         };
         let held = leadership.as_ref().map(|leadership| leadership.term);
@@ -108,7 +110,12 @@
                 end(&shared);
                 continue;
             }
-            LeaderStep::Begin => leadership = leads.map(|term| begin(&shared, term)),
+            LeaderStep::Begin => {
+                leadership = leads.map(|term| {
+                    record_leadership(&shared, term, previous_leader);
+                    begin(&shared, term)
+                });
+            }
             LeaderStep::Continue => {}
         }
         if let Some(leadership) = &mut leadership {
@@ -132,6 +139,22 @@
     until.map_or(MAX_LOOP_PAUSE, |until| until.min(MAX_LOOP_PAUSE))
 }
 
+/// The leader, if it is another member.
+fn other_leader(shared: &Shared, leader: Option<ControllerId>) -> Option<ControllerId> {
+    leader.filter(|leader| *leader != shared.id)
+}
+
+fn record_leadership(shared: &Shared, term: Term, previous_leader: Option<ControllerId>) {
+    let address = previous_leader.and_then(|leader| shared.addresses.get(leader));
+    let address = address.map(|address| address.to_string());
+    emit(&ControllerRecord::Leads {
+        term: term.0,
+        previous_leader: address.as_deref(),
+        previous_protocol: previous_leader
+            .and_then(|leader| shared.addresses.protocol_version(leader)),
+    });
+}
+
 fn begin(shared: &Arc<Shared>, term: Term) -> Leadership {
     let now = shared.clock.now();
     *shared.quotas() = QuotaLedger::new(term.0, quota_settings(&shared.settings));
@@ -142,7 +165,6 @@
     *shared.origins() = OriginDirectory::default();
     shared.feed_available.send_replace(false);
     shared.metrics.leadership();
-    emit(&ControllerRecord::Leads { term: term.0 });
     let readiness = Arc::new(OrderReadiness::default());
     let catching_up = catch_up(shared.clone(), readiness.clone());
     tokio::spawn(shared.stop.clone().run_until_cancelled_owned(catching_up));
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -28,7 +28,13 @@
     /// The machine was suspended; earlier contacts and observations are older by this time.
     Slept { slept_ms: u64 },
     /// This member was elected as the leader.
-    Leads { term: u64 },
+    Leads {
+        term: u64,
+        /// Wire address of the leader that it knew before; absent for the first one.
+        previous_leader: Option<&'a str>,
+        /// Protocol version of the latest connection with it; absent if there was none.
+        previous_protocol: Option<u8>,
+    },
     /// This member no longer leads.
     LeadsNoMore { leader: Option<&'a str> },
     /// The leadership is handed over to the member that gave the last orders.
@@ -93,7 +99,12 @@
         problem: Option<&'a str>,
     },
     /// The leader's feed has begun.
-    UpstreamBegan { term: u64 },
+    UpstreamBegan {
+        term: u64,
+        leader: &'a str,
+        /// Protocol version of the connection.
+        protocol: u8,
+    },
     /// The leader's feed has ended, or the connection to the leader failed.
     UpstreamEnded {
         leader: &'a str,
@@ -107,7 +118,11 @@
         lost_quorum: bool,
     },
     /// The relay of registrations to the leader has begun.
-    RelayBegan { leader: &'a str },
+    RelayBegan {
+        leader: &'a str,
+        /// Protocol version of the connection.
+        protocol: u8,
+    },
     /// The relay of registrations to the leader has ended.
     RelayEnded {
         leader: &'a str,
--- a/crates/coordinator/src/relay.rs
+++ b/crates/coordinator/src/relay.rs
@@ -125,11 +125,13 @@
     let Connection {
         mut sender,
         mut receiver,
+        version,
         ..
     } = leader_link::connect(address, shared).await?;
     shared.relay.link(shared.clock.now());
     emit(&ControllerRecord::RelayBegan {
         leader: &address.to_string(),
+        protocol: version,
     });
     send_versions(&mut sender, shared).await?;
     loop {
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -208,6 +208,7 @@
     let Connection {
         mut sender,
         receiver,
+        version,
         ..
     } = connection;
     if is_previous_release {
@@ -218,8 +219,9 @@
         known: shared.sessions.digests(),
     };
     sender.send(&request).await?;
+    let leader = FeedingLeader { address, version };
     tokio::select! {
-        ended = receive_feed(receiver, address, shared) => ended,
+        ended = receive_feed(receiver, leader, shared) => ended,
         ended = send_reports(sender, shared) => ended,
     }
 }
@@ -243,18 +245,27 @@
     }
 }
 
+/// The leader whose feed is relayed.
+#[derive(Debug, Clone, Copy)]
+struct FeedingLeader {
+    address: SocketAddr,
+    /// Protocol version of the connection.
+    version: u8,
+}
+
 async fn receive_feed(
     mut receiver: Receiver,
-    address: SocketAddr,
+    leader: FeedingLeader,
     shared: &Shared,
 ) -> Result<(), WireError> {
+    let address = leader.address;
     let mut limit = FIRST_MESSAGE_TIMEOUT;
     loop {
         let received = tokio::time::timeout(limit, receiver.receive()).await;
         let received = received.unwrap_or(Err(timed_out("receive", address)));
         match received? {
             Some(Message::ServiceFeed(FeedMessage::NoFeed { .. })) | None => return Ok(()),
-            Some(Message::ServiceFeed(message)) => handle_feed_message(message, shared),
+            Some(Message::ServiceFeed(message)) => handle_feed_message(message, leader, shared),
             Some(Message::RelayedAnswer {
                 router,
                 session,
@@ -268,14 +279,18 @@
     }
 }
 
-fn handle_feed_message(message: FeedMessage, shared: &Shared) {
+fn handle_feed_message(message: FeedMessage, leader: FeedingLeader, shared: &Shared) {
     let sessions = &shared.sessions;
     match message {
         FeedMessage::Leadership { term, settled } => {
             sessions.begin_leadership(Leadership { term, settled });
             shared.software_versions().note_new_leader();
             shared.upstream.link(router_subscriptions(shared));
-            emit(&ControllerRecord::UpstreamBegan { term });
+            emit(&ControllerRecord::UpstreamBegan {
+                term,
+                leader: &leader.address.to_string(),
+                protocol: leader.version,
+            });
         }
         FeedMessage::Bucket {
             bucket,
