A controller that stops beside a stalled disk keeps its grace period

Cause: a stop waited up to 2 s for the transfer of the leadership and up to 2 s for the last write of the log, whatever the grace period was, and only then ended the calls of operators and instances.

Change: the stop has deadlines, all shares of the grace period: a quarter, at most 2 s, for the transfer; calls without a response are answered 0.6 s before the end, while the last write still runs; the last write ends 0.4 s before the end, or 2 s after the transfer. The replica's own work is waited for with a bound as well. A controller of deployments, which has no grace period, answers beside its last write too. With a grace period of 8 s all waits are as long as before. What is acknowledged is committed, as before. New: Coordinator::start_with_store, for logs that tests can stall.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -29,10 +29,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// At a planned stop, the last answers to operators' calls are written within this time.
+/// Longest wait for a leadership transfer at a planned stop.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait, after the transfer, for the end of the replica's work and its last write; a disk
+/// may stall for longer.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Once the replica has stopped, the last answers to operators' calls are written within this time.
 const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// State and handles that the parts of a controller share.
@@ -175,13 +181,19 @@
         self.context.replica.failed().await
     }
 
-    /// Shuts down gracefully. Operators' calls that still wait are answered first.
+    /// Shuts down gracefully. Operators' calls that still wait are answered first; a slow disk delays
+    /// no answer.
     pub async fn stop(self) {
-        // The leadership transfer needs the peer connections, so they are closed last.
-        self.context.replica.stop().await;
+        let transfer_deadline = Instant::now() + TRANSFER_TIMEOUT;
+        let write_deadline = transfer_deadline + LAST_WRITE_TIMEOUT;
+        let replica = &self.context.replica;
+        // The leadership transfer needs the peer connections, so they are closed after it.
+        replica.hand_over(transfer_deadline).await;
+        replica.stop(write_deadline).await;
         self.context.stop.cancel();
         self.calls.close();
-        let _ = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, self.calls.wait()).await;
+        let answering = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, self.calls.wait());
+        let _ = tokio::join!(answering, replica.store_closed(write_deadline));
         log::info!("controller: stopped");
     }
 }
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -28,10 +28,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A voter contacted within this time is a candidate for a leadership transfer.
 const MAX_VOTER_SILENCE: Millis = Millis(500);
-/// Longest wait for a leadership transfer at graceful shutdown.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait for the last write of the log at graceful shutdown; a disk may stall for longer.
-const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a command was not committed, or may not have been.
 #[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
@@ -365,20 +361,36 @@
         let _ = self.actor.cast(ReplicaMessage::Transfer { to: Some(to) });
     }
 
-    /// Transfers the leadership, if this member leads, and stops the replica. Its store is closed
-    /// then, unless the disk stalls.
-    pub async fn stop(&self) {
+    /// Transfers the leadership, if this member leads and another voter can take it. It waits for
+    /// that until `deadline` at the latest.
+    pub async fn hand_over(&self, deadline: Instant) {
+        let _ = tokio::time::timeout_at(deadline, self.transferred()).await;
+    }
+
+    async fn transferred(&self) {
         let members = self.members().await;
         let has_successor = members.live_voters(MAX_VOTER_SILENCE).next().is_some();
         if self.leads() && has_successor {
             let _ = self.actor.cast(ReplicaMessage::Transfer { to: None });
             let mut status = self.status.clone();
-            let transferred = status.wait_for(|status| !status.leads());
-            let _ = tokio::time::timeout(TRANSFER_TIMEOUT, transferred).await;
+            let _ = status.wait_for(|status| !status.leads()).await;
         }
-        let _ = self.actor.stop_and_wait(None, None).await;
-        let closed = tokio::time::timeout(LAST_WRITE_TIMEOUT, self.writer_ended.cancelled()).await;
-        if closed.is_err() {
+    }
+
+    /// Stops the replica: pending calls end, and nothing is applied any more. It waits for the work
+    /// in progress until `deadline` at the latest. The last write of the log may still run then.
+    pub async fn stop(&self, deadline: Instant) {
+        let stopping = self.actor.stop_and_wait(None, None);
+        if tokio::time::timeout_at(deadline, stopping).await.is_err() {
+            log::warn!("replica: still at work at the end of its time to stop");
+        }
+    }
+
+    /// Waits until a replica that was stopped has closed its store, until `deadline` at the latest;
+    /// a disk may stall for longer.
+    pub async fn store_closed(&self, deadline: Instant) {
+        let closed = self.writer_ended.cancelled();
+        if tokio::time::timeout_at(deadline, closed).await.is_err() {
             log::warn!("replica: stopped while its last write of the log still runs");
         }
     }
--- a/crates/controller/tests/replica_stop.rs
+++ b/crates/controller/tests/replica_stop.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Time that a sync of the store takes.
@@ -90,6 +91,8 @@
     };
     let writes = tokio::time::timeout(PATIENCE, writes).await;
     writes.expect("it writes its vote");
-    replica.stop().await;
+    let deadline = Instant::now() + PATIENCE;
+    replica.stop(deadline).await;
+    replica.store_closed(deadline).await;
     assert!(is_closed.load(Ordering::SeqCst), "its store is still open");
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -41,6 +41,7 @@
 mod sessions;
 mod shared;
 mod software_versions;
+mod stop_deadlines;
 mod stream_origins;
 pub mod unrecorded_instances;
 mod upstream;
@@ -57,6 +58,7 @@
 use courseshunt_records::emit;
 use courseshunt_services::{PlacementEngine, PlacementSettings, QuotaLedger, QuotaSettings};
 use courseshunt_settings::service::{SeedList, ServiceSettings};
+use courseshunt_storage::LogStore;
 use courseshunt_types::time::{MonotonicClock, SuspendDetector};
 use courseshunt_types::{Millis, Zone};
 use courseshunt_wire::ClusterKey;
@@ -70,6 +72,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use stop_deadlines::StopDeadlines;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -101,12 +104,6 @@
 
 /// Interval of the checks whether the machine was suspended.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// In a planned stop, calls without a response are answered this much before the end of the stop,
-/// whatever they wait for; in proportion less for a short grace period.
-const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
-/// Part of the grace period that is reserved for the exit of the process; in proportion shorter for
-/// a short grace period.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// Records when the machine was suspended. Nothing depends on this task: expiry is evaluated by
 /// a clock that includes the time of a suspension.
@@ -148,6 +145,28 @@
         clock: MonotonicClock,
         settings: ServiceSettings,
         interface: Arc<dyn ControlInterface>,
+    ) -> Result<Self, CoordinatorError> {
+        Self::start_with_log(None, clock, settings, interface).await
+    }
+
+    /// Starts a coordinator that keeps its log in `store`.
+    ///
+    /// # Errors
+    /// When a setting is missing or too short, the store is damaged, or an address is in use.
+    pub async fn start_with_store(
+        store: Box<dyn LogStore>,
+        settings: ServiceSettings,
+        interface: Arc<dyn ControlInterface>,
+    ) -> Result<Self, CoordinatorError> {
+        let clock = MonotonicClock::start();
+        Self::start_with_log(Some(store), clock, settings, interface).await
+    }
+
+    async fn start_with_log(
+        store: Option<Box<dyn LogStore>>,
+        clock: MonotonicClock,
+        settings: ServiceSettings,
+        interface: Arc<dyn ControlInterface>,
     ) -> Result<Self, CoordinatorError> {
         let key = ClusterKey::new(settings.cluster_key.as_bytes());
         let key = key.context(error::ShortKeySnafu)?;
@@ -163,11 +182,12 @@
             addresses.set(*member, *address);
         }
         let thread = member_thread::start(stop.clone())?;
-        let members = {
+        let (members, peers) = {
             let _on_thread = thread.enter();
-            bind(settings.member_address())?
+            let peers = PeerNetwork::new(identity.id, key.clone(), addresses.clone(), stop.clone());
+            (bind(settings.member_address())?, peers)
         };
-        let replica = start_replica(&settings, &identity, clock, &key, &addresses, &stop);
+        let replica = start_replica(store, replica_settings(&settings, &identity), clock, peers);
         let replica = thread.spawn(replica).await;
         let replica = replica.context(MemberThreadSnafu)?.context(ReplicaSnafu)?;
         let engine = PlacementEngine::new(placement_settings(&settings));
@@ -267,39 +287,48 @@
     }
 
     /// Stops gracefully: hands the leadership over first, and returns once the responses to all calls
-    /// have been written or the grace period is nearly over.
+    /// have been written and the log is closed, or the grace period is nearly over.
     pub async fn stop(self) {
-        let limits = self.shared.settings.limits;
-        let margin = limits.stop_margin(STOP_MARGIN);
-        let limit = tokio::time::Instant::now() + limits.grace() - margin;
-        self.shared.replica.stop().await;
+        let deadlines = StopDeadlines::from_now(&self.shared.settings.limits);
+        tokio::join!(self.stop_replica(&deadlines), self.end_calls(&deadlines));
+        emit(&ControllerRecord::Stopped);
+    }
+
+    /// Hands the leadership over, stops the replica and then all that needs it. A slow disk delays
+    /// only the return.
+    async fn stop_replica(&self, deadlines: &StopDeadlines) {
+        let replica = &self.shared.replica;
+        replica.hand_over(deadlines.transfer).await;
+        replica.stop(deadlines.last_answers).await;
+        // The transfer needs the connections between members, and the replica their thread.
         self.shared.stop.cancel();
         self.shared.api_requests.close();
-        let answers_due = limit - limits.stop_margin(LAST_ANSWER_MARGIN);
+        replica.store_closed(deadlines.last_write).await;
+    }
+
+    /// Waits until the responses to all calls have been written. Calls that have none when the last
+    /// answers are due are answered then.
+    async fn end_calls(&self, deadlines: &StopDeadlines) {
         let calls = &self.shared.api_requests;
-        let ended = tokio::time::timeout_at(answers_due, calls.wait()).await;
+        let ended = tokio::time::timeout_at(deadlines.last_answers, calls.wait()).await;
         if ended.is_err() {
             self.shared.last_answers_due.cancel();
-            let _ = tokio::time::timeout_at(limit, calls.wait()).await;
+            let _ = tokio::time::timeout_at(deadlines.end, calls.wait()).await;
         }
-        emit(&ControllerRecord::Stopped);
     }
 }
 
-/// Starts the replica; the returned future has to run on the thread of the control group.
-fn start_replica(
-    settings: &ServiceSettings,
-    identity: &identity::Identity,
+/// Starts the replica with this store, or with the one in the data folder. It has to run on the thread
+/// of the control group.
+async fn start_replica(
+    store: Option<Box<dyn LogStore>>,
+    settings: ReplicaSettings,
     clock: MonotonicClock,
-    key: &ClusterKey,
-    addresses: &AddressBook,
-    stop: &CancellationToken,
-) -> impl Future<Output = Result<ReplicaHandle, ControllerError>> + Send + use<> {
-    let settings = replica_settings(settings, identity);
-    let (key, addresses, stop) = (key.clone(), addresses.clone(), stop.clone());
-    async move {
-        let peers = PeerNetwork::new(settings.id, key, addresses, stop);
-        replica::start(&settings, clock, peers).await
+    peers: PeerNetwork,
+) -> Result<ReplicaHandle, ControllerError> {
+    match store {
+        Some(store) => replica::start_with_store(&settings, store, clock, peers).await,
+        None => replica::start(&settings, clock, peers).await,
     }
 }
 
