A command in flight ends when its replica stops

What was seen: in stalled_disks.rs the calls of a stopping controller were answered 1.40 s after the order to stop, when the last answers were due, although their replica had stopped after 0 and 0.5 s.

Cause: `ReplicaHandle::propose` retries a command whose result is not known, also when the replica has stopped and can't take it any more: for 10 s.

Change: it ends as undecided then.

Measured: the new test of replica_stop.rs waits in vain for 2 s before; the calls of stalled_disks.rs are answered after 0.05 and 0.55 s with the change. The other test of replica_stop.rs is as before, its setup is a function now.

--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -137,6 +137,7 @@
         loop {
             let error = match self.propose_once(&envelope).await {
                 Err(error) if error.is_retryable() => error,
+                Err(ProposeError::Stopped) if undecided => return Err(ProposeError::Undecided),
                 Err(_) if undecided => ProposeError::Undecided,
                 finished => return finished,
             };
--- a/crates/controller/tests/replica_stop.rs
+++ b/crates/controller/tests/replica_stop.rs
@@ -2,7 +2,10 @@
 
 use courseshunt_consensus::{CoreSettings, Entry, HardState, Membership, SnapshotMetadata};
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
-use courseshunt_controller::replica::{ReplicaSettings, start_with_store};
+use courseshunt_controller::replica::{
+    ProposeError, ReplicaHandle, ReplicaSettings, start_with_store,
+};
+use courseshunt_state::Command;
 use courseshunt_storage::{LogStore, MemoryLog, RecoveredLog, StorageError};
 use courseshunt_types::ControllerId;
 use courseshunt_types::time::MonotonicClock;
@@ -17,6 +20,8 @@
 const SYNC_TIME: Duration = Duration::from_millis(300);
 /// Longest time until the replica writes.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// A command whose replica has stopped ends within this time.
+const SOON: Duration = Duration::from_secs(2);
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 const ID: ControllerId = ControllerId(1);
 
@@ -61,10 +66,14 @@
     }
 }
 
-/// The log of a member that had stopped was still written while its successor on the same disk
-/// read it.
-#[tokio::test]
-async fn a_replica_that_has_stopped_writes_no_more() {
+/// A replica of a group of its own on a slow disk, and the flags of its store.
+struct SlowReplica {
+    handle: ReplicaHandle,
+    is_syncing: Arc<AtomicBool>,
+    is_closed: Arc<AtomicBool>,
+}
+
+async fn start_slow_replica() -> SlowReplica {
     let is_syncing = Arc::new(AtomicBool::new(false));
     let is_closed = Arc::new(AtomicBool::new(false));
     let store = SlowLog {
@@ -83,16 +92,53 @@
     let addresses = AddressBook::default();
     let peers = PeerNetwork::new(ID, key, addresses, CancellationToken::new());
     let starting = start_with_store(&settings, Box::new(store), MonotonicClock::start(), peers);
-    let replica = starting.await.expect("a replica");
+    SlowReplica {
+        handle: starting.await.expect("a replica"),
+        is_syncing,
+        is_closed,
+    }
+}
+
+/// Waits until the store writes.
+async fn until_it_writes(replica: &SlowReplica) {
     let writes = async {
-        while !is_syncing.load(Ordering::SeqCst) {
+        while !replica.is_syncing.load(Ordering::SeqCst) {
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     };
     let writes = tokio::time::timeout(PATIENCE, writes).await;
-    writes.expect("it writes its vote");
+    writes.expect("it writes");
+}
+
+/// The log of a member that had stopped was still written while its successor on the same disk
+/// read it.
+#[tokio::test]
+async fn a_replica_that_has_stopped_writes_no_more() {
+    let replica = start_slow_replica().await;
+    until_it_writes(&replica).await;
     let deadline = Instant::now() + PATIENCE;
-    replica.stop(deadline).await;
-    replica.store_closed(deadline).await;
-    assert!(is_closed.load(Ordering::SeqCst), "its store is still open");
+    replica.handle.stop(deadline).await;
+    replica.handle.store_closed(deadline).await;
+    let is_closed = replica.is_closed.load(Ordering::SeqCst);
+    assert!(is_closed, "its store is still open");
+}
+
+/// It was retried for 10 s, or until the last answers of a planned stop were due.
+#[tokio::test]
+async fn a_command_in_flight_ends_with_its_replica() {
+    let replica = start_slow_replica().await;
+    let mut status = replica.handle.status();
+    let leads = tokio::time::timeout(PATIENCE, status.wait_for(|status| status.leads())).await;
+    leads.expect("it leads").expect("it runs");
+    let handle = replica.handle.clone();
+    let command = Command::PutServices {
+        number: 1,
+        document: Vec::new(),
+    };
+    let submitted = tokio::spawn(async move { handle.submit(command).await });
+    tokio::time::sleep(LOOK_INTERVAL).await;
+    replica.handle.stop(Instant::now() + PATIENCE).await;
+    let ended = tokio::time::timeout(SOON, submitted).await;
+    let result = ended.expect("it ends").expect("a task");
+    assert_eq!(result, Err(ProposeError::Undecided));
 }
