An instance that answers no query keeps no model from being loaded

Cause: the leader set the model aside for an instance that registers but takes no connection. A new leader queries an instance before its first order. The query had no answer, was repeated each 0.4 s, and the instance stayed reserved for the whole 8 s.

Change: an unanswered query counts as an order that could not be delivered: the reservation ends, the model goes to another instance, and the next call to the silent one waits 1.3 s.

--- a/crates/services/src/placement/instance/orders.rs
+++ b/crates/services/src/placement/instance/orders.rs
@@ -22,8 +22,8 @@
 const QUERY_INTERVAL: Millis = Millis(400);
 /// Delay after an order that could not be sent.
 const RETRY_DELAY: Millis = Millis(250);
-/// Delay after an order for which no connection could be made: a live instance registers within
-/// this time.
+/// Delay after an order for which no connection could be made, or a query without an answer: a live
+/// instance registers within this time.
 const UNREACHABLE_DELAY: Millis = Millis(1_300);
 /// Key of the leader's own failed connections among those of the routers.
 const LEADER: &str = "leader";
@@ -83,7 +83,7 @@
     ) {
         self.query_in_flight = false;
         let Some(report) = report else {
-            self.next_call_at = now + QUERY_INTERVAL;
+            self.on_unanswered_query(now);
             return;
         };
         if self.is_from_before_an_order(&report) {
@@ -126,6 +126,17 @@
         }
     }
 
+    /// A load that the instance was reserved for may go to another one.
+    fn on_unanswered_query(&mut self, now: Timestamp) {
+        self.report_unreachable(LEADER, now);
+        self.reservation = None;
+        let delay = match self.running {
+            Some(_) => QUERY_INTERVAL,
+            None => UNREACHABLE_DELAY,
+        };
+        self.next_call_at = now + delay;
+    }
+
     /// Replaces the cached weights by those of a report; an instance that has none may leave them out.
     fn replace_cached_weights(&mut self, reported: Option<CachedWeights>) {
         self.cached.replace(&reported.unwrap_or_default());
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -308,6 +308,36 @@
     assert!(waited <= 800, "{waited} ms until the load started");
 }
 
+/// The best load target registers and answers no call: the model was set aside for it for 8 s, with a
+/// query every 0.4 s.
+#[test]
+fn an_instance_that_answers_no_query_keeps_no_model_from_being_loaded() {
+    let mut simulation = Simulation::new(9, 4, 0);
+    for _ in 0..500 {
+        simulation.step(&[]);
+    }
+    // The new leader has to query an instance before its first order.
+    simulation.change_leader(configuration());
+    simulation.unanswering.insert(RunnerId::from("r0"));
+    simulation.events.clear();
+    let before = simulation.load_count("m30");
+    let start = simulation.now;
+    while simulation.load_count("m30") == before && simulation.now < start + 9_000 {
+        simulation.step(&[demand("m30", 1, 1, 5_000)]);
+    }
+    let waited = simulation.now - start;
+    let chosen = simulation.events.iter().filter_map(|event| match event {
+        PlacementEvent::InstanceReserved(one) if one.model.as_str() == "m30" => Some(&one.instance),
+        _ => None,
+    });
+    let chosen: Vec<&RunnerId> = chosen.collect();
+    assert_eq!(chosen[0], &RunnerId::from("r0"), "{chosen:?}");
+    assert!(
+        waited <= 800,
+        "{waited} ms until the load started: {chosen:?}"
+    );
+}
+
 /// A registration of an instance at the one address that these tests share.
 fn registration(id: &str, sequence: u64) -> Registration {
     Registration {
--- a/crates/services/tests/placement_simulation/mod.rs
+++ b/crates/services/tests/placement_simulation/mod.rs
@@ -224,6 +224,8 @@
     pub lost_percent: u32,
     /// Instances that orders cannot be sent to although they register.
     pub unreachable: BTreeSet<RunnerId>,
+    /// Instances that register and answer no call.
+    pub unanswering: BTreeSet<RunnerId>,
     /// Number of concurrent loads that the store serves at full speed; beyond it each load takes
     /// proportionally longer.
     pub store_capacity: usize,
@@ -269,6 +271,7 @@
             sent_at: Vec::new(),
             lost_percent,
             unreachable: BTreeSet::new(),
+            unanswering: BTreeSet::new(),
             store_capacity: usize::MAX,
             store_loads: Vec::new(),
             uncounted_store_loads: Vec::new(),
@@ -459,9 +462,9 @@
         let now = self.now;
         match step {
             PlacementStep::QueryInstance { instance, .. } => {
-                let report = self.report(&instance);
-                self.engine
-                    .on_report(&instance, Some(report), Timestamp::at(now));
+                let is_answered = !self.unanswering.contains(&instance);
+                let report = is_answered.then(|| self.report(&instance));
+                self.engine.on_report(&instance, report, Timestamp::at(now));
             }
             PlacementStep::SendOrder(order) => {
                 self.sent_at.push(now);
@@ -470,6 +473,11 @@
                     self.engine.on_outcome(&order, outcome, Timestamp::at(now));
                     return;
                 }
+                if self.unanswering.contains(&order.instance) {
+                    let outcome = OrderOutcome::Unknown;
+                    self.engine.on_outcome(&order, outcome, Timestamp::at(now));
+                    return;
+                }
                 if self.draw(100) < self.lost_percent {
                     let delay = u64::from(2_000 + self.draw(10_000));
                     self.late_orders.push((now + delay, order.clone()));
