An address belongs to the instance that started there last

Cause: a controller relays the registrations of its last 6 s to a new leader, those of ended instances included. The leader took them for live ones beside their successors at the same addresses, until they had been silent for four heartbeats.

Change: if both instances state when they started, the later one has the address at once, and registrations of the earlier one are ignored while the later one is heard. Where clocks differ, an instance gets the address of one that has been silent for 1 s, as before. Instances without a start time are handled as before.

Two tests in placement.rs; the first one was red before.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -120,6 +120,12 @@
 /// back.
 const REMOVED_RETENTION: Millis = Millis(30_000);
 
+/// Whether both start times are known and the first one is earlier.
+fn has_started_before(one: &RunnerId, other: &RunnerId) -> bool {
+    let started = one.started().zip(other.started());
+    started.is_some_and(|(one, other)| one < other)
+}
+
 /// Minimum time between two searches for silent instances: a small fraction of the silence that
 /// counts, which spans several registrations.
 const EXPIRY_INTERVAL: Millis = Millis(100);
@@ -292,11 +298,13 @@
         self.register(registration, now);
     }
 
-    /// Removes silent instances at the address of a new registration: an address belongs to the
-    /// instance that registered it last.
+    /// Removes instances at the address of a new registration that are silent or started before it: an
+    /// address belongs to the instance that registered it last.
     fn remove_replaced_instances(&mut self, registration: &Registration, now: Timestamp) {
         let occupants = self.instances.at_address(&registration.address);
-        let replaced = occupants.filter(|one| one.may_be_replaced(now));
+        let replaced = occupants.filter(|one| {
+            one.may_be_replaced(now) || has_started_before(one.id(), &registration.id)
+        });
         let replaced: Vec<RunnerId> = replaced.map(|one| one.id().clone()).collect();
         for id in replaced {
             self.time_out(id, now);
@@ -309,13 +317,15 @@
         self.timed_out.insert(id, now);
     }
 
-    /// Whether a registration was delayed on its way: its sender was removed for its silence, and
-    /// another instance is active at its address. The registration is ignored only while the other
-    /// instance is active, since either of the two may be the one that was delayed.
+    /// Whether a registration was delayed on its way: another instance is active at its address, and the
+    /// sender was removed for its silence or started before the other one. The registration is ignored
+    /// only while the other instance is active, since either of the two may be the one that was delayed.
     fn is_delayed_registration(&self, registration: &Registration, now: Timestamp) -> bool {
-        let mut others = self.instances.at_address(&registration.address);
-        self.timed_out.contains_key(&registration.id)
-            && others.any(|other| !other.may_be_replaced(now))
+        let id = &registration.id;
+        let others = self.instances.at_address(&registration.address);
+        let mut active = others.filter(|other| !other.may_be_replaced(now));
+        let was_removed = self.timed_out.contains_key(id);
+        active.any(|other| was_removed || has_started_before(id, other.id()))
     }
 
     /// Marks an instance as leaving: it takes no more work.
--- a/crates/services/tests/placement.rs
+++ b/crates/services/tests/placement.rs
@@ -428,6 +428,46 @@
     }
 }
 
+fn started(id: &str, started: u64, sequence: u64) -> Registration {
+    Registration {
+        id: RunnerId::of_incarnation(id, started),
+        ..registration(id, sequence)
+    }
+}
+
+/// After a change of the leader, controllers relay the last registrations that they received, those of
+/// instances included that have ended since: requests were sent there and turned away (421).
+#[test]
+fn a_new_leader_gives_an_address_to_the_instance_that_started_last() {
+    let (ended, live) = (started("ended", 1_000, 90), started("live", 2_000, 1));
+    for registrations in [[&ended, &live], [&live, &ended]] {
+        let mut engine = PlacementEngine::new(PlacementSettings::default());
+        for one in registrations {
+            engine.register(one.clone(), Timestamp(5_000));
+        }
+        assert_eq!(engine.ids(), std::slice::from_ref(&live.id));
+    }
+    let mut engine = PlacementEngine::new(PlacementSettings::default());
+    let mut earlier = PlacementEngine::new(PlacementSettings::default());
+    earlier.register(registration("live", 1), Timestamp(1_000));
+    for view in earlier.views(Timestamp(1_000)) {
+        engine.seed(&view, Timestamp(1_000));
+    }
+    engine.register(ended.clone(), Timestamp(1_000));
+    engine.register(live.clone(), Timestamp(1_000));
+    assert_eq!(engine.ids(), [live.id], "recorded without its start time");
+}
+
+/// The clocks of two machines that use an address one after the other differ.
+#[test]
+fn an_instance_with_an_earlier_start_time_gets_the_address_of_a_silent_one() {
+    let mut engine = PlacementEngine::new(PlacementSettings::default());
+    engine.register(started("ended", 2_000, 90), Timestamp(5_000));
+    engine.register(started("live", 1_000, 1), Timestamp(6_200));
+    let live = RunnerId::of_incarnation("live", 1_000);
+    assert_eq!(engine.ids(), [live]);
+}
+
 /// The leader sends no order to an instance in backoff, and the model that the instance was
 /// reserved for is loaded on another one.
 #[test]
