Routers hold an instance once when its start time becomes known

Change: in a directory, a view with a start time takes the place of the one by name, and followers are told so. The new test in instance_directory.rs was red before.

--- a/crates/services/src/instance_directory.rs
+++ b/crates/services/src/instance_directory.rs
@@ -53,10 +53,17 @@
 
 impl InstanceDirectory {
     /// Applies changes; returns those that followers need. A removed instance is returned even
-    /// if it is not held here, since a follower may hold it from an earlier feed.
-    pub fn change(&mut self, changed: Vec<InstanceView>, gone: Vec<RunnerId>) -> InstanceChanges {
+    /// if it is not held here, since a follower may hold it from an earlier feed. A view with a start
+    /// time takes the place of one that has the name alone: a leader of the previous release feeds
+    /// instances by their names.
+    pub fn change(
+        &mut self,
+        changed: Vec<InstanceView>,
+        mut gone: Vec<RunnerId>,
+    ) -> InstanceChanges {
         let mut updated = Vec::with_capacity(changed.len());
         for view in changed {
+            gone.extend(self.name_replaced_by(&view.id));
             if self.put(&view) {
                 updated.push(view);
             }
@@ -100,6 +107,13 @@
         gone
     }
 
+    /// The name of an instance, if a view by its name alone is held beside this start time.
+    fn name_replaced_by(&self, id: &RunnerId) -> Option<RunnerId> {
+        id.started()?;
+        let name = RunnerId::from(id.name());
+        self.contains(&name).then_some(name)
+    }
+
     /// Inserts a view; returns whether it has to be sent to followers. A view with a load in
     /// progress always is, since the remaining load time differs in each message.
     fn put(&mut self, view: &InstanceView) -> bool {
--- a/crates/services/tests/instance_directory.rs
+++ b/crates/services/tests/instance_directory.rs
@@ -53,6 +53,26 @@
     assert_eq!(directory.change(Vec::new(), gone.clone()).gone, gone);
 }
 
+/// A router that was fed by a leader of the previous release held each instance twice, by its name and
+/// with its start time, until the next leader had settled: requests were sent to ended incarnations.
+#[test]
+fn a_view_with_a_start_time_replaces_the_one_by_name() {
+    let mut directory = InstanceDirectory::default();
+    directory.change(vec![view(1, 1), view(10, 2)], Vec::new());
+    let started = InstanceView {
+        id: RunnerId::of_incarnation("i-1", 1_000),
+        ..view(1, 1)
+    };
+    let changes = directory.change(vec![started.clone()], Vec::new());
+    assert_eq!(changes.gone, [RunnerId::from("i-1")]);
+    let ids: Vec<_> = directory.ids().cloned().collect();
+    assert_eq!(ids, [started.id, RunnerId::from("i-10")]);
+    assert_eq!(
+        *directory.digests(),
+        InstanceDigests::of(directory.values())
+    );
+}
+
 #[test]
 fn only_a_complete_bucket_removes_other_instances() {
     let mut directory = InstanceDirectory::default();
