An instance whose start time becomes known has not ended

Cause: at such an instance the leader announces the end of its name. A router took this for the end of the instance: a request there whose time ran out, or whose response broke off, counted as one that ends instances ('ended_under', sign 'gone'), towards the quarantine of its content.

Change: a router takes a name for gone only if it holds no instance under this name and a start time.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -289,7 +289,8 @@
     }
     shared.pool.remove(&gone);
     shared.paths().remove(&gone);
-    shared.quarantine.instances_gone(&gone);
+    let ended = gone.iter().filter(|id| !shared.view.has_instance(id));
+    shared.quarantine.instances_gone(ended);
     shared.unreadable_loads.remove(&gone);
     let instances: Vec<String> = gone.into_iter().map(|id| id.0).collect();
     emit(&RouterRecord::InstancesGone {
--- a/crates/gateway/src/quarantine_tracker.rs
+++ b/crates/gateway/src/quarantine_tracker.rs
@@ -155,11 +155,10 @@
     }
 
     /// Records that the leader removed instances.
-    pub(crate) fn instances_gone(&self, instances: &[RunnerId]) {
+    pub(crate) fn instances_gone<'a>(&self, instances: impl Iterator<Item = &'a RunnerId>) {
         let now = self.now();
-        self.unknown_end_checks()
-            .retain(|instance, _| !instances.contains(instance));
         for instance in instances {
+            self.unknown_end_checks().remove(instance);
             for broken in self.take_watched(instance) {
                 if now.since(broken.at) <= MAX_BREAK_AGE {
                     self.record_end(broken, instance, GONE);
--- a/crates/gateway/src/view/instances.rs
+++ b/crates/gateway/src/view/instances.rs
@@ -69,9 +69,14 @@
         instances.any(|view| state.is_eligible(view, &eligibility))
     }
 
-    /// Whether the feed lists the instance.
+    /// Whether the feed lists the instance. Leaders of the previous release feed it by its name, later
+    /// ones with its start time.
     pub(crate) fn has_instance(&self, instance: &RunnerId) -> bool {
-        self.lock().instances.contains(instance)
+        let state = self.lock();
+        match instance.started() {
+            Some(_) => state.instances.contains(instance),
+            None => state.instances.newest_incarnation(instance).is_some(),
+        }
     }
 
     /// An instance that the feed lists.
