A controller that is told to stop while it starts ends at once

What was seen (a review; long_starts.rs): a controller that reads its identity or its log from a disk that stalls, or a long log, ran on after a SIGTERM until its start had ended, past its grace period.

Cause: the program looked at the signal only after the start; the identity was read on the thread that would look.

The identity is read on the thread of the control group, as the log is. `courseshunt controller` was no such case: until it has started, the signal ends it.

--- a/crates/coordinator/src/error.rs
+++ b/crates/coordinator/src/error.rs
@@ -40,10 +40,8 @@
         /// The cause.
         source: std::io::Error,
     },
-    /// The thread of the control group ended while the replica was starting.
-    #[snafu(display(
-        "coordinator: start the replica on the thread of the control group: {source}"
-    ))]
+    /// The thread of the control group ended during the start.
+    #[snafu(display("coordinator: start on the thread of the control group: {source}"))]
     MemberThread {
         /// The cause.
         source: tokio::task::JoinError,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -63,6 +63,7 @@
 use courseshunt_types::{Millis, Zone};
 use courseshunt_wire::ClusterKey;
 use error::{BindSnafu, MemberThreadSnafu, ReplicaSnafu};
+use identity::Identity;
 use metrics::Metrics;
 use records::ControllerRecord;
 use sessions::Sessions;
@@ -73,6 +74,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use stop_deadlines::StopDeadlines;
+use tokio::runtime::Handle;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -174,14 +176,14 @@
         let http = bind(control)?;
         let wire = bind(settings.wire_address())?;
         let metrics = settings.listen.metrics.map(bind).transpose()?;
-        let identity = identity::load_or_create(&settings)?;
         let stop = CancellationToken::new();
+        let thread = member_thread::start(stop.clone())?;
+        let (identity, settings) = load_identity(&thread, settings).await?;
         let addresses = AddressBook::dialling_from(Some(settings.address))
             .at_member_port(settings.member_port());
         for (member, address) in &identity.known {
             addresses.set(*member, *address);
         }
-        let thread = member_thread::start(stop.clone())?;
         let (members, peers) = {
             let _on_thread = thread.enter();
             let peers = PeerNetwork::new(identity.id, key.clone(), addresses.clone(), stop.clone());
@@ -318,6 +320,18 @@
     }
 }
 
+/// Reads or creates the identity on `thread`, so that the caller can give up on a disk that stalls.
+async fn load_identity(
+    thread: &Handle,
+    settings: ServiceSettings,
+) -> Result<(Identity, ServiceSettings), CoordinatorError> {
+    let loading = thread.spawn(async move {
+        let identity = identity::load_or_create(&settings);
+        identity.map(|identity| (identity, settings))
+    });
+    loading.await.context(MemberThreadSnafu)?
+}
+
 /// Starts the replica with this store, or with the one in the data folder. It has to run on the thread
 /// of the control group.
 async fn start_replica(
@@ -332,7 +346,7 @@
     }
 }
 
-fn replica_settings(settings: &ServiceSettings, identity: &identity::Identity) -> ReplicaSettings {
+fn replica_settings(settings: &ServiceSettings, identity: &Identity) -> ReplicaSettings {
     ReplicaSettings {
         id: identity.id,
         data_folder: settings.data_folder.clone(),
