A leader applies each recorded notice of a leaving instance once

What callers saw: an instance that had started again under the name of one that had ended served nothing from the next notice of any other instance on.

Cause: with each new notice the leader applied all recorded ones again.

Change: AppliedNotices keeps what this leadership has applied.

Not covered: a second notice under the same name is acknowledged without effect, since it is already recorded (api::record_leaving).

--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -5,6 +5,7 @@
 //! feeds and starts no orders, since another member may lead by then.
 
 use crate::leader_step::{self, LeaderStep};
+use crate::leaving_notices::AppliedNotices;
 use crate::members::MembershipManager;
 use crate::order_permission::{self, OrderDecision, OrderView};
 use crate::plan_pace::{PlanPace, PlanRound};
@@ -59,6 +60,7 @@
     elected_at: Timestamp,
     configuration: u64,
     leaving_version: u64,
+    applied_notices: AppliedNotices,
     settled: bool,
     usage_sent_at: Timestamp,
     quotas_sent_at: Timestamp,
@@ -151,6 +153,7 @@
         elected_at: now,
         configuration: 0,
         leaving_version: 0,
+        applied_notices: AppliedNotices::default(),
         settled: false,
         usage_sent_at: now,
         quotas_sent_at: now,
@@ -275,8 +278,10 @@
         leadership.leaving_version = services.leaving_version;
         newer.then(|| services.leaving.clone())
     };
+    let recorded = leaving.iter().flatten();
+    let notices = leadership.applied_notices.take_new(recorded);
     let mut engine = shared.engine();
-    for one in leaving.into_iter().flatten() {
+    for one in notices {
         match one.ended {
             true => engine.mark_terminated(&one.instance, now),
             false => engine.mark_leaving(&one.instance),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -22,6 +22,7 @@
 mod leader_link;
 mod leader_loop;
 pub mod leader_step;
+pub mod leaving_notices;
 mod limits;
 mod load_metrics;
 mod loads;
