A router of the previous release is not told that a restarted instance is gone

Cause: a new subscription is sent the recorded notices of instances that the feed does not contain as gone.

Change: such a router is sent only those of which no incarnation is there.

--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -111,7 +111,10 @@
         is_previous_release,
         aliases: RouterAliases::default(),
     };
-    let gone = unseen_leaving_instances(shared);
+    let gone = match is_previous_release {
+        true => unseen_leaving_names(shared),
+        false => unseen_leaving_instances(shared),
+    };
     shared.sessions.open_router(&router, session, &known, gone);
     report_router_event(
         &router,
@@ -175,6 +178,13 @@
     unseen.filter(|id| !shared.sessions.contains(id)).collect()
 }
 
+/// Those of which no later incarnation is there, which has the same name.
+fn unseen_leaving_names(shared: &Shared) -> Vec<RunnerId> {
+    let mut unseen = unseen_leaving_instances(shared);
+    unseen.retain(|id| !shared.sessions.contains_name(id));
+    unseen
+}
+
 async fn send(sender: &mut Sender, message: FeedMessage) -> Result<(), WireError> {
     sender.send(&Message::ServiceFeed(message)).await
 }
--- a/crates/coordinator/src/sessions/previous_release.rs
+++ b/crates/coordinator/src/sessions/previous_release.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether the feed contains an incarnation of the instance that `id` names.
+    pub(crate) fn contains_name(&self, id: &RunnerId) -> bool {
+        self.feed_state().instances.newest_incarnation(id).is_some()
+    }
+
     /// A report of a router of the previous release, with the identities of the instances in place
     /// of their names and aliases.
     pub(crate) fn with_identities(&self, report: ReportMessage) -> ReportMessage {
