Followers hold an instance under one of its two names

What drained under one name was sent requests under the other, and counted twice for limits.

Change: in a directory the name that came last replaces the other.

One test in tests/instance_directory.rs, red before.

--- a/crates/services/src/instance_directory.rs
+++ b/crates/services/src/instance_directory.rs
@@ -2,7 +2,9 @@
 //! directories are compared.
 //!
 //! Invariant: the digests are those of the held views. A follower that applies the result of
-//! [`InstanceDirectory::change`] holds the same views.
+//! [`InstanceDirectory::change`] holds the same views. An instance is not held both with and without its
+//! start time: leaders of two releases name it differently, and the name that came last replaces the
+//! other.
 //!
 //! Cost: proportional to the number of changed views; the digests of 10,000 instances are never
 //! recomputed as a whole.
@@ -54,9 +56,17 @@
 impl InstanceDirectory {
     /// Applies changes; returns those that followers need. A removed instance is returned even
     /// if it is not held here, since a follower may hold it from an earlier feed.
-    pub fn change(&mut self, changed: Vec<InstanceView>, gone: Vec<RunnerId>) -> InstanceChanges {
+    pub fn change(
+        &mut self,
+        changed: Vec<InstanceView>,
+        mut gone: Vec<RunnerId>,
+    ) -> InstanceChanges {
         let mut updated = Vec::with_capacity(changed.len());
         for view in changed {
+            if let Some(other) = self.other_identity(&view.id) {
+                self.remove(&other);
+                gone.push(other);
+            }
             if self.put(&view) {
                 updated.push(view);
             }
@@ -189,6 +199,17 @@
         newest.map(|(_, view)| view.as_ref())
     }
 
+    /// The identity under which an instance is held that `id` names with its start time and this one
+    /// without, or the other way round.
+    fn other_identity(&self, id: &RunnerId) -> Option<RunnerId> {
+        let other = match id.started() {
+            Some(_) => self.get(&RunnerId::from(id.name())),
+            None => self.newest_incarnation(id),
+        };
+        let other = other.map(|view| view.id.clone());
+        other.filter(|other| other.started().is_some() != id.started().is_some())
+    }
+
     /// Whether an instance is held.
     #[must_use]
     pub fn contains(&self, id: &RunnerId) -> bool {
--- a/crates/services/tests/instance_directory.rs
+++ b/crates/services/tests/instance_directory.rs
@@ -53,6 +53,30 @@
     assert_eq!(directory.change(Vec::new(), gone.clone()).gone, gone);
 }
 
+/// After a change between leaders of two releases a follower held an instance under both names, and sent
+/// requests to it under one after it had drained under the other.
+#[test]
+fn an_instance_is_not_held_both_with_and_without_its_start_time() {
+    let by_name = view(1, 1);
+    let started = InstanceView {
+        id: RunnerId::of_incarnation("i-1", 1_000),
+        ..view(1, 1)
+    };
+    let other = view(10, 2);
+    for (held, told) in [(&by_name, &started), (&started, &by_name)] {
+        let mut directory = InstanceDirectory::default();
+        let mut follower = InstanceDirectory::default();
+        let changes = directory.change(vec![held.clone(), other.clone()], Vec::new());
+        follower.change(changes.changed, changes.gone);
+        let changes = directory.change(vec![told.clone()], Vec::new());
+        assert_eq!(changes.gone, std::slice::from_ref(&held.id));
+        follower.change(changes.changed, changes.gone);
+        let ids: Vec<&RunnerId> = directory.ids().collect();
+        assert_eq!(ids, [&told.id, &other.id]);
+        assert_same(&follower, &directory);
+    }
+}
+
 #[test]
 fn only_a_complete_bucket_removes_other_instances() {
     let mut directory = InstanceDirectory::default();
