--- a/crates/services/src/instance_directory.rs
+++ b/crates/services/src/instance_directory.rs
@@ -2,7 +2,9 @@
 //! directories are compared.
 //!
 //! Invariant: the digests are those of the held views. A follower that applies the result of
-//! [`InstanceDirectory::change`] holds the same views.
+//! [`InstanceDirectory::change`] holds the same views. An instance is not held both with and without its
+//! start time: leaders of two releases name it differently, and the name that came last replaces the
+//! other.
 //!
 //! Cost: proportional to the number of changed views; the digests of 10,000 instances are never
 //! recomputed as a whole.
@@ -53,9 +55,9 @@
 
 impl InstanceDirectory {
     /// Applies changes; returns those that followers need. A removed instance is returned even
-    /// if it is not held here, since a follower may hold it from an earlier feed. A view with a start
-    /// time takes the place of one that has the name alone: a leader of the previous release feeds
-    /// instances by their names.
+    /// if it is not held here, since a follower may hold it from an earlier feed. Of an instance's
+    /// identities with and without a start time, the one that came last takes the place of the other:
+    /// a leader of the previous release feeds instances by their names.
     pub fn change(
         &mut self,
         changed: Vec<InstanceView>,
@@ -63,7 +65,10 @@
     ) -> InstanceChanges {
         let mut updated = Vec::with_capacity(changed.len());
         for view in changed {
-            gone.extend(self.name_replaced_by(&view.id));
+            if let Some(other) = self.other_identity(&view.id) {
+                self.remove(&other);
+                gone.push(other);
+            }
             if self.put(&view) {
                 updated.push(view);
             }
@@ -107,13 +112,6 @@
         gone
     }
 
-    /// The name of an instance, if a view by its name alone is held beside this start time.
-    fn name_replaced_by(&self, id: &RunnerId) -> Option<RunnerId> {
-        id.started()?;
-        let name = RunnerId::from(id.name());
-        self.contains(&name).then_some(name)
-    }
-
     /// Inserts a view; returns whether it has to be sent to followers. A view with a load in
     /// progress always is, since the remaining load time differs in each message.
     fn put(&mut self, view: &InstanceView) -> bool {
@@ -203,6 +201,17 @@
         newest.map(|(_, view)| view.as_ref())
     }
 
+    /// The identity under which an instance is held that `id` names with its start time and this one
+    /// without, or the other way round.
+    fn other_identity(&self, id: &RunnerId) -> Option<RunnerId> {
+        let other = match id.started() {
+            Some(_) => self.get(&RunnerId::from(id.name())),
+            None => self.newest_incarnation(id),
+        };
+        let other = other.map(|view| view.id.clone());
+        other.filter(|other| other.started().is_some() != id.started().is_some())
+    }
+
     /// Whether an instance is held.
     #[must_use]
     pub fn contains(&self, id: &RunnerId) -> bool {
