Consensus: a follower takes over from a live leader that consents

Cause: in an upgrade the leadership stays with the older build until its process stops. Nothing let a caught-up follower end it without a gap of an election timeout.

Change: Input::TakeOver. The follower asks the leader alone for a pre-vote, then for its vote in the next term, and the other voters only once the leader has granted it: a leader that voted in a later term holds no lease. Its own term stays until then, so that a failed attempt deposes nobody unless the leader's log grew in between. The requests are those of a planned transfer; no message changes.

--- a/crates/consensus/src/core/election.rs
+++ b/crates/consensus/src/core/election.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: a member that received a message from a leader within the election
 //! timeout grants no vote, since the leader's lease relies on it. Only a planned
-//! transfer, for which the leader has relinquished its lease, is exempt.
+//! transfer and a take-over, for which the leader has relinquished its lease, are exempt.
 
 use super::durability::DeferredAction;
 use super::{Core, Role};
@@ -109,7 +109,7 @@
 
     /// Starts the next term and votes for itself; the votes of the others are
     /// requested once that is durable.
-    fn start_election(&mut self, now: Timestamp, transfer: bool) {
+    pub(super) fn start_election(&mut self, now: Timestamp, transfer: bool) {
         self.draw_deadline(AFTER_VOTE_TIMEOUT_DIVISOR, now);
         self.role = Role::Candidate;
         self.leader = None;
@@ -122,15 +122,24 @@
     }
 
     fn request_votes(&mut self, term: Term, pre_vote: bool, transfer: bool) {
-        let request = ConsensusMessage::VoteRequest {
+        let request = self.vote_request(term, pre_vote, transfer);
+        for voter in self.other_voters() {
+            self.send(voter, request.clone());
+        }
+    }
+
+    pub(super) fn vote_request(
+        &self,
+        term: Term,
+        pre_vote: bool,
+        transfer: bool,
+    ) -> ConsensusMessage {
+        ConsensusMessage::VoteRequest {
             term,
             pre_vote,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
             transfer,
-        };
-        for voter in self.other_voters() {
-            self.send(voter, request.clone());
         }
     }
 
--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod snapshot;
 mod status;
+mod take_over;
 
 pub use settings::{CoreSettings, Mutant};
 pub use status::{MemberProgress, MembersView};
@@ -34,6 +35,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use snapshot::IncomingSnapshot;
 use std::collections::BTreeSet;
+use take_over::TakeOver;
 
 /// Role of a member in its term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +89,7 @@
     /// counts it among the voters: see [`Core::tick_election`].
     refused_vote_as_learner: bool,
     transfer_election: bool,
+    take_over: Option<TakeOver>,
     /// Last entry known to match the current leader's log.
     verified: LogIndex,
     leader_round: u64,
@@ -146,6 +149,7 @@
             refused_vote_as_learner: false,
             votes: BTreeSet::new(),
             transfer_election: false,
+            take_over: None,
             verified: LogIndex(0),
             leader_round: 0,
             incoming: None,
@@ -173,6 +177,7 @@
             Input::SnapshotSaved { metadata } => self.on_snapshot_saved(metadata),
             Input::SnapshotRestored { metadata } => self.on_snapshot_restored(metadata),
             Input::TransferLeadership { to } => self.on_transfer(to, now),
+            Input::TakeOver => self.on_take_over(now),
         }
         self.finish_step()
     }
@@ -211,6 +216,9 @@
         if self.memberships.latest().is_voter(from) {
             self.contact.record_message(from, now);
         }
+        if self.continue_take_over(from, &message, now) {
+            return;
+        }
         if !self.admit_term(from, &message, now) {
             return;
         }
--- a/crates/consensus/src/core/settings.rs
+++ b/crates/consensus/src/core/settings.rs
@@ -53,6 +53,8 @@
     CommitEarlierTerm,
     /// A learner that receives no messages continues to report its last leader.
     LearnerKeepsLeader,
+    /// A member that takes over asks all voters at once, whether or not the leader consents.
+    TakeOverAsksAll,
 }
 
 impl CoreSettings {
--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -70,4 +70,6 @@
         /// The next leader; the most caught-up voter when `None`.
         to: Option<ControllerId>,
     },
+    /// Replaces the live leader by this member, if that leader grants its vote.
+    TakeOver,
 }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -16,7 +16,8 @@
         last_index: LogIndex,
         /// Term of that entry.
         last_term: Term,
-        /// Whether the current leader requested the election (planned transfer).
+        /// Whether the current leader requested the election (planned transfer), or is asked
+        /// to consent to it (take-over).
         transfer: bool,
     },
     /// Reply to a vote request.
--- a/crates/consensus/tests/group/main.rs
+++ b/crates/consensus/tests/group/main.rs
@@ -3,6 +3,7 @@
 //! partitions it.
 
 mod harness;
+mod take_over;
 
 use courseshunt_consensus::{
     Input, MembershipChange, MembershipError, Output, RejectionReason, Role,
--- a/crates/simulation/examples/sweep.rs
+++ b/crates/simulation/examples/sweep.rs
@@ -1,6 +1,7 @@
 //! Runs many seeds and prints what they showed:
 //! `cargo run --release -p courseshunt-simulation --example sweep -- 10000 4`
-//! (seeds, threads; a third word: machines are suspended now and then). Ends with an error when a promise did not hold.
+//! (seeds, threads; further words: `sleeps`, machines are suspended now and then; `take-overs`, members
+//! take over the leadership now and then). Ends with an error when a promise did not hold.
 
 use courseshunt_simulation::measure::{LeaderLoss, time_without_leader};
 use courseshunt_simulation::{Options, Report, run};
@@ -12,10 +13,12 @@
         given.unwrap_or(default)
     };
     let (seeds, threads): (u64, u64) = (number(10_000), number(4));
-    let sleeps = std::env::args().nth(3).is_some();
+    let has_word = |word: &str| std::env::args().skip(3).any(|one| one == word);
+    let (sleeps, take_overs) = (has_word("sleeps"), has_word("take-overs"));
     let reports = in_parallel(seeds, threads, move |seed| {
         run(Options {
             sleeps,
+            take_overs,
             ..Options::of_seed(seed)
         })
     });
--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -102,6 +102,11 @@
         (Request::Change(Box::new(envelope)), change_id)
     }
 
+    /// Sends the next operation to any member.
+    pub(crate) fn forget_leader(&mut self) {
+        self.target = None;
+    }
+
     /// Takes an answer; returns whether the operation is over.
     fn take(&mut self, from: ControllerId, answer: Answer, checker: &mut Checker) -> bool {
         let Some(open) = &self.open else {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -8,6 +8,10 @@
 const FIRST: u64 = 2_500;
 /// Of 1,000 faults, those that suspend a machine, where machines may be.
 const SLEEPS_PER_MILLE: u64 = 250;
+/// Of 1,000 faults, those in which a member takes over, where members may.
+const TAKE_OVERS_PER_MILLE: u64 = 400;
+/// Longest time between the start of a take-over and the crash of the candidate, in milliseconds.
+const CRASH_AFTER: u64 = 40;
 /// Longest time between faults, in milliseconds.
 const BETWEEN: u64 = 3_000;
 
@@ -29,6 +33,14 @@
 ];
 /// Faults of a run whose machines may be suspended, besides those.
 const SLEEPS: &[Kind] = &[Kind::Sleep, Kind::SleepOfLeader];
+/// Faults of a run whose members may take over, besides those.
+const TAKE_OVERS: &[Kind] = &[
+    Kind::TakeOver,
+    Kind::TakeOver,
+    Kind::TakeOverFromCutLeader,
+    Kind::TakeOverAndCrash,
+    Kind::TakeOverByTwo,
+];
 
 #[derive(Debug, Clone, Copy)]
 enum Kind {
@@ -45,6 +57,10 @@
     Transfer,
     Sleep,
     SleepOfLeader,
+    TakeOver,
+    TakeOverFromCutLeader,
+    TakeOverAndCrash,
+    TakeOverByTwo,
 }
 
 impl World {
@@ -69,7 +85,12 @@
     fn one_fault(&mut self) {
         let members: Vec<ControllerId> = self.nodes.keys().copied().collect();
         let sleeps = self.sleeps && self.random.chance(SLEEPS_PER_MILLE);
-        let kinds = if sleeps { SLEEPS } else { KINDS };
+        let take_overs = self.take_overs && self.random.chance(TAKE_OVERS_PER_MILLE);
+        let kinds = match (sleeps, take_overs) {
+            (true, _) => SLEEPS,
+            (false, true) => TAKE_OVERS,
+            (false, false) => KINDS,
+        };
         let (Some(kind), Some(member)) = (self.random.pick(kinds), self.random.pick(&members))
         else {
             return;
@@ -98,12 +119,48 @@
             Kind::SlowDisk => self.slow_disk(member),
             Kind::Sleep => self.sleep(member),
             Kind::SleepOfLeader => self.sleep(leader),
+            Kind::TakeOver => self.take_over(member),
+            Kind::TakeOverFromCutLeader => self.take_over_from_cut(leader, member),
+            Kind::TakeOverAndCrash => {
+                self.take_over(member);
+                let after = self.random.below(CRASH_AFTER);
+                self.schedule(after, Event::Crash(member));
+            }
+            Kind::TakeOverByTwo => {
+                self.take_over(member);
+                if let Some(second) = self.random.pick(&members) {
+                    self.take_over(second);
+                }
+            }
             Kind::Transfer => self.with_process(leader, |process, now, checker| {
                 process.step(Input::TransferLeadership { to: None }, now, checker);
             }),
         }
     }
 
+    /// Clients still reach the leader, and those that no longer know it reach the others.
+    fn take_over_from_cut(&mut self, leader: ControllerId, member: ControllerId) {
+        let asks_first = self.random.chance(500);
+        if asks_first {
+            self.take_over(member);
+        }
+        self.cut(leader, true, true);
+        if !asks_first {
+            self.take_over(member);
+        }
+        for number in 0..self.clients.len() {
+            if self.random.chance(500) {
+                self.clients[number].forget_leader();
+            }
+        }
+    }
+
+    fn take_over(&mut self, member: ControllerId) {
+        self.with_process(member, |process, now, checker| {
+            process.step(Input::TakeOver, now, checker);
+        });
+    }
+
     /// For a moment, some seconds, or longer than anything is promised.
     fn sleep(&mut self, member: ControllerId) {
         let lengths = [200, 2_000, 6_000];
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -49,6 +49,8 @@
     pub lease_reads: bool,
     /// Whether machines are suspended now and then.
     pub sleeps: bool,
+    /// Whether members take over the leadership now and then.
+    pub take_overs: bool,
     /// What is broken on purpose.
     pub sabotage: Option<Sabotage>,
 }
@@ -62,6 +64,7 @@
             faults_millis: 25_000,
             lease_reads: true,
             sleeps: false,
+            take_overs: false,
             sabotage: None,
         }
     }
@@ -94,6 +97,7 @@
     Answer(ControllerId, Origin, Answer),
     Fault,
     Steward,
+    Crash(ControllerId),
     Restart(ControllerId),
     Heal(Vec<(ControllerId, ControllerId)>),
     SpaceAgain(ControllerId),
@@ -133,6 +137,7 @@
     pub(crate) checker: Checker,
     pub(crate) lease_reads: bool,
     pub(crate) sleeps: bool,
+    pub(crate) take_overs: bool,
     sabotage: Option<Sabotage>,
     pub(crate) faults: usize,
     pub(crate) elections: Vec<(u64, ControllerId, Term)>,
@@ -191,6 +196,7 @@
             sabotage: options.sabotage,
             lease_reads: options.lease_reads,
             sleeps: options.sleeps,
+            take_overs: options.take_overs,
             faults: 0,
             elections: Vec::new(),
             group: None,
@@ -338,6 +344,7 @@
             Event::Answer(from, origin, answer) => self.client_hears(from, origin, answer),
             Event::Fault => self.bring_about_fault(),
             Event::Steward => self.steward_acts(),
+            Event::Crash(id) => self.crash(id),
             Event::Restart(id) => self.start_node(id),
             Event::Heal(links) => {
                 for link in links {
--- a/crates/simulation/tests/seeds.rs
+++ b/crates/simulation/tests/seeds.rs
@@ -54,6 +54,35 @@
     check(&reports);
 }
 
+/// Members replace live leaders, reachable or cut off, two at once, or crash meanwhile.
+#[test]
+fn every_promise_holds_where_members_take_over() {
+    for lease_reads in [true, false] {
+        let reports = run_all_with(SEEDS, move |options| Options {
+            take_overs: true,
+            lease_reads,
+            ..options
+        });
+        check(&reports);
+    }
+}
+
+/// Votes that ignore the lease of a leader that did not consent elect a second leader, while the
+/// first still answers reads.
+#[test]
+fn a_take_over_that_asks_all_voters_at_once_is_found() {
+    let found = (0..SEEDS).find_map(|seed| {
+        let options = Options {
+            take_overs: true,
+            sabotage: Some(Sabotage::Core(Mutant::TakeOverAsksAll)),
+            ..Options::of_seed(seed)
+        };
+        run(options).violation
+    });
+    let found = found.expect("it is found");
+    assert_eq!(found.promise, Promise::Linearizable, "{found:?}");
+}
+
 /// A leader that wakes reads its lease by a clock that stood still, and answers a read that
 /// is older than what others acknowledged meanwhile.
 #[test]
