A controller of this build takes over from a leader of the previous release

Cause: the leadership passes to this build only when the older leader's process is stopped, and then as often as not to another one of that build.

New record: takes_over.

--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -8,7 +8,8 @@
 use courseshunt_state::members::MemberAddresses;
 use courseshunt_types::ControllerId;
 use courseshunt_wire::{
-    ClusterKey, Connection, PROTOCOL_VERSION, PeerIdentity, WireError, connect_within,
+    ClusterKey, Connection, PREVIOUS_RELEASE_VERSION, PROTOCOL_VERSION, PeerIdentity, WireError,
+    connect_within,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
@@ -90,6 +91,14 @@
         not_current.count() <= 1
     }
 
+    /// Whether the member is known to run the previous release.
+    #[must_use]
+    pub fn is_previous_release(&self, member: ControllerId) -> bool {
+        let versions = self.versions.lock();
+        let versions = versions.unwrap_or_else(PoisonError::into_inner);
+        versions.get(&member) == Some(&PREVIOUS_RELEASE_VERSION)
+    }
+
     /// Connects to the member recorded under `address`. Members of the previous release have no
     /// separate member port and are reached at the address itself.
     ///
--- a/crates/controller/src/replica/actor.rs
+++ b/crates/controller/src/replica/actor.rs
@@ -65,6 +65,8 @@
         /// The next leader; when `None`, the voter with the most complete log.
         to: Option<ControllerId>,
     },
+    /// Replace the leader by this member, if the leader consents.
+    TakeOver,
     /// Writes are durable up to this number.
     Persisted {
         /// The number.
@@ -140,6 +142,7 @@
         }
         ReplicaMessage::Receive { from, message } => driver.step(Input::Receive { from, message }),
         ReplicaMessage::Transfer { to } => driver.step(Input::TransferLeadership { to }),
+        ReplicaMessage::TakeOver => driver.step(Input::TakeOver),
         ReplicaMessage::Persisted { number } => driver.step(Input::Persisted { number }),
         ReplicaMessage::SnapshotDurable { metadata, bytes } => {
             driver.snapshot_durable(metadata, bytes)
--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -30,6 +30,8 @@
 const MAX_VOTER_SILENCE: Millis = Millis(500);
 /// Longest wait for a leadership transfer at graceful shutdown.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the outcome of a take-over.
+const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for the last write of the log at graceful shutdown; a disk may stall for longer.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -365,6 +367,17 @@
         let _ = self.actor.cast(ReplicaMessage::Transfer { to: Some(to) });
     }
 
+    /// Replaces the leader by this member, if that leader consents; returns the leader that is
+    /// known in the end.
+    pub async fn take_over(&self) -> Option<ControllerId> {
+        let mut status = self.status.clone();
+        let before = status.borrow_and_update().leader;
+        let _ = self.actor.cast(ReplicaMessage::TakeOver);
+        let replaced = status.wait_for(|status| status.leader.is_some() && status.leader != before);
+        let _ = tokio::time::timeout(TAKE_OVER_TIMEOUT, replaced).await;
+        self.status.borrow().leader
+    }
+
     /// Transfers the leadership, if this member leads, and stops the replica. Its store is closed
     /// then, unless the disk stalls.
     pub async fn stop(&self) {
--- a/crates/coordinator/src/leader_loop.rs
+++ b/crates/coordinator/src/leader_loop.rs
@@ -312,6 +312,8 @@
     let decision = order_permission::decide(&OrderView {
         own,
         holder,
+        holder_is_previous_release: holder
+            .is_some_and(|holder| shared.addresses.is_previous_release(holder)),
         caught_up: leadership.readiness.caught_up.load(Ordering::Relaxed),
         since_election: now.since(leadership.elected_at),
         uptime: now.since(Timestamp::default()),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -42,6 +42,8 @@
 mod shared;
 mod software_versions;
 mod stream_origins;
+pub mod take_over;
+mod take_over_task;
 pub mod unrecorded_instances;
 mod upstream;
 
@@ -232,6 +234,7 @@
         spawn(Box::pin(join::maintain_membership(shared.clone())));
         spawn(Box::pin(leader_loop::run(shared.clone())));
         spawn(Box::pin(relay::run(shared.clone())));
+        spawn(Box::pin(take_over_task::run(shared.clone())));
         spawn(Box::pin(watch_suspension(shared.clone())));
         if let Some(metrics) = metrics {
             let handler = api::metrics_handler(shared.clone());
--- a/crates/coordinator/src/order_permission.rs
+++ b/crates/coordinator/src/order_permission.rs
@@ -23,6 +23,9 @@
     pub own: ControllerId,
     /// The member that is recorded as the holder of the orders.
     pub holder: Option<ControllerId>,
+    /// Whether that member is known to run the previous release, whose leaders alone feed the
+    /// routers of that release.
+    pub holder_is_previous_release: bool,
     /// Whether all entries committed before this leadership are applied here.
     pub caught_up: bool,
     /// Time since this member was elected.
@@ -42,7 +45,8 @@
     Allow,
     /// Record this member as the holder of the orders first.
     RecordHolder,
-    /// Hand the leadership over to the recorded holder, which need not wait for the lease.
+    /// Hand the leadership over to the recorded holder, which need not wait for the lease. Never
+    /// to one of the previous release.
     HandOver(ControllerId),
     /// Give no orders yet.
     Wait,
@@ -69,7 +73,8 @@
 }
 
 fn may_hand_over(view: &OrderView<'_>, holder: ControllerId) -> bool {
-    view.uptime < RECENT_START
+    !view.holder_is_previous_release
+        && view.uptime < RECENT_START
         && view.since_election >= MIN_TIME_BEFORE_HAND_OVER
         && view.live.contains(&holder)
 }
--- a/crates/coordinator/src/records.rs
+++ b/crates/coordinator/src/records.rs
@@ -33,6 +33,11 @@
     LeadsNoMore { leader: Option<&'a str> },
     /// The leadership is handed over to the member that gave the last orders.
     HandsOver { to: u64 },
+    /// This member tried to replace a leader of the previous release.
+    TakesOver {
+        leader: Option<&'a str>,
+        outcome: &'static str,
+    },
     /// The member was recorded in the log as the holder of the orders, or this failed.
     HoldsOrders { problem: Option<&'a str> },
     /// The membership of the group was changed, or this failed.
--- a/crates/coordinator/src/upstream.rs
+++ b/crates/coordinator/src/upstream.rs
@@ -80,7 +80,8 @@
         self.wake.notify_one();
     }
 
-    fn leader_is_previous_release(&self) -> bool {
+    /// Whether the current leader is known to run the previous release.
+    pub(crate) fn leader_is_previous_release(&self) -> bool {
         *self.leader_is_previous_release.borrow()
     }
 
--- a/crates/coordinator/tests/order_permission.rs
+++ b/crates/coordinator/tests/order_permission.rs
@@ -11,6 +11,7 @@
 struct Case {
     name: &'static str,
     holder: Option<ControllerId>,
+    holder_is_previous_release: bool,
     caught_up: bool,
     since_election: u64,
     uptime: u64,
@@ -21,6 +22,7 @@
 const LONG_ELECTED: Case = Case {
     name: "the holder, elected long ago",
     holder: Some(OWN),
+    holder_is_previous_release: false,
     caught_up: true,
     since_election: 60_000,
     uptime: 60_000,
@@ -79,6 +81,24 @@
         expected: OrderDecision::HandOver(OTHER),
         ..LONG_ELECTED
     },
+    Case {
+        name: "the live holder runs the previous release",
+        holder: Some(OTHER),
+        holder_is_previous_release: true,
+        since_election: 100,
+        uptime: 800,
+        expected: OrderDecision::Wait,
+        ..LONG_ELECTED
+    },
+    Case {
+        name: "the lease of a holder of the previous release has passed",
+        holder: Some(OTHER),
+        holder_is_previous_release: true,
+        since_election: 3_450,
+        uptime: 5_000,
+        expected: OrderDecision::RecordHolder,
+        ..LONG_ELECTED
+    },
     Case {
         name: "all restarted, the holder is not live",
         holder: Some(OTHER),
@@ -104,6 +124,7 @@
         let view = OrderView {
             own: OWN,
             holder: case.holder,
+            holder_is_previous_release: case.holder_is_previous_release,
             caught_up: case.caught_up,
             since_election: Millis(case.since_election),
             uptime: Millis(case.uptime),
