--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -4,6 +4,7 @@
 
 use super::actor::{ReplicaMessage, Reply};
 use super::session::ClientSession;
+use super::successor::{MAX_VOTER_SILENCE, preferred_successor};
 use crate::peers::PeerNetwork;
 use courseshunt_consensus::{
     ConsensusMessage, MembersView, MembershipChange, MembershipError, Role,
@@ -26,8 +27,8 @@
 const LEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause before a command or read is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// A voter contacted within this time is a candidate for a leadership transfer.
-const MAX_VOTER_SILENCE: Millis = Millis(500);
+/// Longest wait for the outcome of a take-over.
+const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a command was not committed, or may not have been.
 #[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
@@ -362,6 +363,17 @@
         let _ = self.actor.cast(ReplicaMessage::Transfer { to: Some(to) });
     }
 
+    /// Replaces the leader by this member, if that leader consents; returns the leader that is
+    /// known in the end.
+    pub async fn take_over(&self) -> Option<ControllerId> {
+        let mut status = self.status.clone();
+        let before = status.borrow_and_update().leader;
+        let _ = self.actor.cast(ReplicaMessage::TakeOver);
+        let replaced = status.wait_for(|status| status.leader.is_some() && status.leader != before);
+        let _ = tokio::time::timeout(TAKE_OVER_TIMEOUT, replaced).await;
+        self.status.borrow().leader
+    }
+
     /// Transfers the leadership, if this member leads and another voter can take it. It waits for
     /// that until `deadline` at the latest.
     pub async fn hand_over(&self, deadline: Instant) {
@@ -372,7 +384,9 @@
         let members = self.members().await;
         let has_successor = members.live_voters(MAX_VOTER_SILENCE).next().is_some();
         if self.leads() && has_successor {
-            let _ = self.actor.cast(ReplicaMessage::Transfer { to: None });
+            let addresses = self.peers.addresses();
+            let to = preferred_successor(&members, |id| addresses.is_previous_release(id));
+            let _ = self.actor.cast(ReplicaMessage::Transfer { to });
             let mut status = self.status.clone();
             let _ = status.wait_for(|status| !status.leads()).await;
         }
