Probes and forwarding find an instance whose start time became known

A router that forwards answered 'not ready here' to the name.

Change: where a router looks an instance up by a name without a start time, it finds the present identity.

--- a/crates/gateway/src/view/instances.rs
+++ b/crates/gateway/src/view/instances.rs
@@ -69,25 +69,20 @@
         instances.any(|view| state.is_eligible(view, &eligibility))
     }
 
-    /// Whether the feed lists the instance. Leaders of the previous release feed it by its name, later
-    /// ones with its start time.
+    /// Whether the feed lists the instance.
     pub(crate) fn has_instance(&self, instance: &RunnerId) -> bool {
-        let state = self.lock();
-        match instance.started() {
-            Some(_) => state.instances.contains(instance),
-            None => state.instances.newest_incarnation(instance).is_some(),
-        }
+        self.lock().instances.listed(instance).is_some()
     }
 
     /// An instance that the feed lists.
     pub(crate) fn instance(&self, instance: &RunnerId) -> Option<InstanceView> {
-        self.lock().instances.get(instance).cloned()
+        self.lock().instances.listed(instance).cloned()
     }
 
     /// Whether the feed lists this instance as one that takes requests.
     pub(crate) fn is_ready_instance(&self, instance: &RunnerId) -> bool {
         let state = self.lock();
-        let listed = state.instances.get(instance);
+        let listed = state.instances.listed(instance);
         listed.is_some_and(|listed| listed.state == InstanceState::Ready)
     }
 
@@ -104,7 +99,7 @@
     /// Address and health path of an instance that the feed lists.
     pub(crate) fn probe_target(&self, instance: &RunnerId) -> Option<ProbeTarget> {
         let state = self.lock();
-        let view = state.instances.get(instance)?;
+        let view = state.instances.listed(instance)?;
         let table = state.table.as_ref();
         let service = table.and_then(|table| table.service(&view.service));
         Some(ProbeTarget {
--- a/crates/services/src/instance_directory.rs
+++ b/crates/services/src/instance_directory.rs
@@ -190,6 +190,16 @@
         self.views.get(id).map(Arc::as_ref)
     }
 
+    /// View of an instance under its present identity. Leaders of the previous release feed it by its
+    /// name, later ones with its start time.
+    #[must_use]
+    pub fn listed(&self, id: &RunnerId) -> Option<&InstanceView> {
+        match id.started() {
+            Some(_) => self.get(id),
+            None => self.newest_incarnation(id),
+        }
+    }
+
     /// View of the incarnation that started last of the instance that `id` names, with or without a
     /// start time.
     #[must_use]
