Late registrations by name do not concern a restarted instance

What callers saw, by reading: in a group of two releases an instance that had restarted under its name served nothing or was sent requests for models that it no longer held.

A registration of the earlier incarnation has the higher sequence number, and was taken as the newest one of the later incarnation: its own registrations were ignored, and a late drain held for good. A registration that repeats an earlier one by its number alone then repeated the wrong one.

Change: a registration under the other name continues an incarnation only with a near sequence number; one of an earlier incarnation marks nothing as leaving; a registration is repeated under the identity that it stated; after a silence any number counts. Remaining: two incarnations with near numbers can't be told apart.

--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -257,14 +257,21 @@
                 None => return Err(id),
             },
         };
+        let (id, sequence) = (&registration.id, registration.sequence);
+        if self.incarnations.is_earlier(id, sequence) {
+            return Ok(false);
+        }
         if registration.state == InstanceState::Draining {
             self.mark_leaving(&registration.id);
         }
         Ok(self.register(registration, now))
     }
 
-    /// The last registration of an instance, if it has this sequence number.
+    /// The last registration of an instance, if it stated this identity and has this sequence number.
     fn registration_with_sequence(&self, id: &RunnerId, sequence: u64) -> Option<&Registration> {
+        if !self.incarnations.was_stated_last(id) {
+            return None;
+        }
         let id = self.incarnations.newest(id);
         let last = self.instances.get(id).map(Instance::registration);
         last.filter(|last| last.sequence == sequence)
@@ -306,6 +313,7 @@
     /// Removes an instance that has been silent for too long.
     fn time_out(&mut self, id: RunnerId, now: Timestamp) {
         self.remove(&id);
+        self.incarnations.note_silence(&id);
         self.timed_out.insert(id, now);
     }
 
--- a/crates/services/tests/incarnations.rs
+++ b/crates/services/tests/incarnations.rs
@@ -208,6 +208,52 @@
     assert!(outbox.is_empty());
 }
 
+/// Controllers of the previous release send what they received in the last six seconds again to each
+/// new leader, and keep the higher sequence number of the incarnation before.
+#[test]
+fn a_late_registration_without_the_start_time_does_not_silence_a_restarted_instance() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.register(registration(Some(FIRST), 90, "a"), now);
+    engine.register(registration(Some(SECOND), 1, "b"), now);
+    engine.register(registration(None, 91, "a"), now);
+    assert!(engine.register(registration(Some(SECOND), 2, "c"), now));
+    let held = vec![(RunnerId::of_incarnation("i-1", SECOND), "c".to_owned())];
+    assert_eq!(models(&engine, now), held);
+}
+
+#[test]
+fn a_late_drain_without_the_start_time_does_not_drain_a_restarted_instance() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.register(registration(Some(FIRST), 90, "a"), now);
+    engine.register(registration(Some(SECOND), 1, "b"), now);
+    let late = Registration {
+        state: InstanceState::Draining,
+        ..registration(None, 91, "a")
+    };
+    let _ = engine.register_relayed(RelayedRegistration::Full(late), now);
+    let states: Vec<InstanceState> = engine.views(now).iter().map(|view| view.state).collect();
+    assert_eq!(states, [InstanceState::Ready]);
+}
+
+/// Its sequence numbers begin anew, and its start time is not passed on: it was ignored for as long as
+/// instances that timed out are remembered.
+#[test]
+fn an_instance_that_restarts_at_controllers_of_the_previous_release_is_served_after_its_silence() {
+    let mut engine = engine();
+    let mut now = Timestamp(10_000);
+    engine.register(registration(Some(FIRST), 90, "a"), now);
+    for sequence in 1..=6 {
+        now = now + Millis(1_000);
+        engine.register(registration(None, sequence, "b"), now);
+        engine.expire(now);
+    }
+    engine.register(registration(None, 7, "b"), now);
+    let held = models(&engine, now).into_iter().map(|(_, model)| model);
+    assert_eq!(held.collect::<Vec<_>>(), ["b"]);
+}
+
 /// How a message reaches the leader.
 #[derive(Debug, Clone, Copy)]
 enum Delivery {
@@ -263,3 +309,190 @@
         }
     }
 }
+
+/// Time between two registrations of an instance.
+const BEAT: Millis = Millis(1_000);
+/// Registrations that show a leader which incarnation runs: those of the time after which a silent
+/// instance is removed, and two more.
+const SETTLING_BEATS: usize = 7;
+/// Sequence number of the first registration. It is far from those of an incarnation that begins anew:
+/// a late registration with a near one can't be told from one of the later incarnation.
+const FIRST_SEQUENCE: u64 = 100;
+
+/// Which controllers an instance registers at, and so how it is named.
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    WithStart,
+    ByName,
+}
+
+/// What happens in a group of two releases.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Beat(Way),
+    /// The controllers of one release send what they received again.
+    Resend(Way),
+    Restart,
+    /// The instance ends and starts again; its end is recorded.
+    EndAndRestart(Way),
+    LeaderChange,
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let way = || prop_oneof![Just(Way::WithStart), Just(Way::ByName)];
+    let event = prop_oneof![
+        5 => way().prop_map(Event::Beat),
+        2 => way().prop_map(Event::Resend),
+        1 => Just(Event::Restart),
+        1 => way().prop_map(Event::EndAndRestart),
+        1 => Just(Event::LeaderChange),
+    ];
+    proptest::collection::vec(event, 1..40)
+}
+
+/// An instance, the controllers that it registers at, and their leader.
+struct Group {
+    engine: PlacementEngine,
+    with_start: RegistrationOutbox,
+    by_name: RegistrationOutbox,
+    /// Ends that the log holds.
+    ended: Vec<RunnerId>,
+    now: Timestamp,
+    started: u64,
+    sequence: u64,
+}
+
+impl Group {
+    fn new() -> Self {
+        let now = Timestamp(10_000);
+        let mut with_start = RegistrationOutbox::default();
+        let mut by_name = RegistrationOutbox::default();
+        with_start.restart(now);
+        by_name.restart(now);
+        Self {
+            engine: engine(),
+            with_start,
+            by_name,
+            ended: Vec::new(),
+            now,
+            started: FIRST,
+            sequence: FIRST_SEQUENCE,
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Beat(way) => self.beat(way),
+            Event::Resend(way) => self.resend(way),
+            // It restarts once: the first numbers of two later incarnations are near each other.
+            Event::Restart | Event::EndAndRestart(_) if self.started != FIRST => {}
+            Event::Restart => self.restart(),
+            Event::EndAndRestart(way) => {
+                self.end(way);
+                self.restart();
+            }
+            Event::LeaderChange => self.change_leader(),
+        }
+    }
+
+    fn outbox(&mut self, way: Way) -> &mut RegistrationOutbox {
+        match way {
+            Way::WithStart => &mut self.with_start,
+            Way::ByName => &mut self.by_name,
+        }
+    }
+
+    fn beat(&mut self, way: Way) {
+        self.now = self.now + BEAT;
+        self.sequence += 1;
+        let started = match way {
+            Way::WithStart => Some(self.started),
+            Way::ByName => None,
+        };
+        let model = format!("m{}", self.started);
+        let (sent, now) = (registration(started, self.sequence, &model), self.now);
+        self.outbox(way).offer(sent, now);
+        self.relay(way);
+        self.engine.expire(now);
+    }
+
+    fn resend(&mut self, way: Way) {
+        let now = self.now;
+        self.outbox(way).restart(now);
+        self.relay(way);
+    }
+
+    fn relay(&mut self, way: Way) {
+        let now = self.now;
+        loop {
+            let taken = self.outbox(way).take(now);
+            if taken.is_empty() {
+                return;
+            }
+            for one in taken {
+                if let Err(lacked) = self.engine.register_relayed(one, now) {
+                    self.outbox(way).resend(&lacked);
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self) {
+        self.started = SECOND;
+        self.sequence = 0;
+    }
+
+    fn end(&mut self, way: Way) {
+        let ended = match way {
+            Way::WithStart => RunnerId::of_incarnation("i-1", self.started),
+            Way::ByName => RunnerId::from("i-1"),
+        };
+        self.engine.mark_terminated(&ended, self.now);
+        if !self.ended.contains(&ended) {
+            self.ended.push(ended);
+        }
+    }
+
+    /// The next leader applies what is recorded, and then is sent what was received before.
+    fn change_leader(&mut self) {
+        self.engine = engine();
+        for ended in &self.ended {
+            self.engine.mark_terminated(ended, self.now);
+        }
+        self.resend(Way::WithStart);
+        self.resend(Way::ByName);
+    }
+
+    fn is_served(&self) -> bool {
+        let views = self.engine.views(self.now);
+        views.iter().any(|view| view.state == InstanceState::Ready)
+    }
+}
+
+proptest! {
+    /// As long as no end was recorded: whatever happened before, an instance that registers at controllers
+    /// of both releases, in any order, is held once, as ready and with its own models.
+    #[test]
+    fn an_instance_that_restarts_in_a_group_of_two_releases_is_served(
+        events in events(),
+        ways in proptest::collection::vec(
+            prop_oneof![Just(Way::WithStart), Just(Way::ByName)],
+            SETTLING_BEATS + 6,
+        ),
+    ) {
+        let mut group = Group::new();
+        for event in events {
+            group.apply(match event {
+                Event::EndAndRestart(_) => Event::Restart,
+                other => other,
+            });
+        }
+        for way in ways {
+            group.beat(way);
+        }
+        let held = models(&group.engine, group.now);
+        prop_assert_eq!(held.len(), 1);
+        prop_assert_eq!(&held[0].1, &format!("m{}", group.started));
+        prop_assert!(group.is_served());
+    }
+}
