Leaders of the previous release get reports that name instances without start times

Cause, the class of the other way round: a router of this build that begins to follow a leader of reports what it still uses, or can't reach, under identities with start times, which count for no instance there.

Change: such reports name instances by their names alone; what is used under both identities is added up. One test in wire/tests/previous_release.rs.

--- a/crates/wire/src/previous_release/identities.rs
+++ b/crates/wire/src/previous_release/identities.rs
@@ -8,6 +8,7 @@
 use courseshunt_state::{Command, CommandEnvelope};
 use courseshunt_types::RunnerId;
 use rkyv::util::AlignedVec;
+use std::collections::BTreeMap;
 
 /// The identity without a start time.
 pub(super) fn name_of(id: RunnerId) -> RunnerId {
@@ -29,12 +30,20 @@
     named.collect()
 }
 
+/// The usage by name; that of two identities with one name is added up.
 pub(super) fn usage(usage: Vec<InstanceUsage>) -> Vec<InstanceUsage> {
-    let named = usage.into_iter().map(|one| InstanceUsage {
-        instance: name_of(one.instance),
-        ..one
-    });
-    named.collect()
+    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
+    for one in usage {
+        let instance = name_of(one.instance.clone());
+        let sum = sums.entry(instance.clone()).or_insert(InstanceUsage {
+            instance,
+            in_flight: 0,
+            prompt_tokens: 0,
+        });
+        sum.in_flight = sum.in_flight.saturating_add(one.in_flight);
+        sum.prompt_tokens = sum.prompt_tokens.saturating_add(one.prompt_tokens);
+    }
+    sums.into_values().collect()
 }
 
 pub(super) fn registrations(batch: Vec<RelayedRegistration>) -> Vec<RelayedRegistration> {
--- a/crates/wire/src/previous_release/mod.rs
+++ b/crates/wire/src/previous_release/mod.rs
@@ -247,9 +247,9 @@
             ..
         } => feed::ReportMessage::Usage {
             configuration,
-            instances,
+            instances: identities::usage(instances),
             demand,
-            unreachable,
+            unreachable: identities::names_of(unreachable),
         },
         ReportMessage::TenantUse(_)
         | ReportMessage::QuotaQueries(_)
--- a/crates/wire/tests/previous_release.rs
+++ b/crates/wire/tests/previous_release.rs
@@ -348,6 +348,30 @@
     }
 }
 
+/// What a router used under the identity of an earlier feed counted for no instance there.
+#[test]
+fn leaders_of_the_previous_release_get_reports_without_start_times() {
+    let report = |instances, unreachable| {
+        Message::ServiceReport(ReportMessage::Usage {
+            configuration: 4,
+            instances,
+            demand: Vec::new(),
+            unreachable,
+            leaving: Vec::new(),
+        })
+    };
+    let used = |instance, in_flight| InstanceUsage {
+        instance,
+        in_flight,
+        prompt_tokens: 10 * in_flight,
+    };
+    let by_name = RunnerId::from("a");
+    let sent = vec![used(by_name.clone(), 1), used(started("a"), 2)];
+    let read = read_by_peer(&report(sent, vec![started("b")]));
+    let expected = report(vec![used(by_name, 3)], vec![RunnerId::from("b")]);
+    assert_eq!(read, expected);
+}
+
 /// Under two names one instance was two for a leader of the previous release, and the one with the start
 /// time rejected all its orders.
 #[test]
