An end that was recorded under one name of an instance binds under the other

Cause: a new leader that knows the end of an instance by its name alone, as controllers of record it, took a registration from before the end that a controller of this build sent again with the start time as one of a new instance; the other way round alike. An end that was recorded with the start time did not concern an instance that the leader knew by its name alone. Requests were sent to an instance that was acknowledged to be gone (DRAIN) until it had been silent for 5 s.

Change: for 8 s a leader ignores registrations under the name of an instance whose end it has applied without having seen the instance, unless two start times tell the incarnations apart or an earlier leader had recorded it as there; a notice tells the start time of the instance that it concerns. The price: an instance that restarts under a name which ended without a start time may wait 8 s at a new leader.

--- a/crates/services/src/placement/incarnations.rs
+++ b/crates/services/src/placement/incarnations.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether an incarnation of the instance is known.
+    pub(super) fn contains(&self, id: &RunnerId) -> bool {
+        self.newest.contains_key(id.name())
+    }
+
     /// Whether a registration is from an earlier incarnation.
     pub(super) fn is_earlier(&self, id: &RunnerId, sequence: u64) -> bool {
         let Some(current) = self.newest.get(id.name()) else {
@@ -134,6 +139,16 @@
         }
     }
 
+    /// Notes the start time of the current incarnation, from a notice about it; returns its identity until
+    /// now if that had no start time.
+    pub(super) fn learn_start(&mut self, id: &RunnerId) -> Option<RunnerId> {
+        let current = self.newest.get_mut(id.name())?;
+        if id.started().is_none() || current.id.started().is_some() {
+            return None;
+        }
+        Some(std::mem::replace(&mut current.id, id.clone()))
+    }
+
     /// Removes the incarnations for which `kept` is false.
     pub(super) fn retain(&mut self, kept: impl Fn(&RunnerId) -> bool) {
         self.newest.retain(|_, newest| kept(&newest.id));
--- a/crates/services/src/placement/mod.rs
+++ b/crates/services/src/placement/mod.rs
@@ -23,6 +23,7 @@
 mod round;
 mod store;
 mod unlisted;
+mod unseen_ends;
 mod usage;
 mod value;
 mod waiting;
@@ -46,6 +47,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use store::WeightStore;
+use unseen_ends::UnseenEnds;
 use usage::UsageTable;
 
 /// Settings of the [`PlacementEngine`].
@@ -103,6 +105,7 @@
     /// Whether waiting requests were reported, or a reserved instance changed its state, since the
     /// last round of any kind.
     waiting_round_needed: bool,
+    unseen_ends: UnseenEnds,
     /// When each service's instances were last searched for what is listed no longer.
     unlisted_searched_at: BTreeMap<String, Timestamp>,
     /// Weight stores by service.
@@ -134,6 +137,7 @@
             instances: InstanceTable::default(),
             incarnations: IncarnationTable::default(),
             terminated: BTreeMap::new(),
+            unseen_ends: UnseenEnds::default(),
             timed_out: BTreeMap::new(),
             leaving: BTreeSet::new(),
             limits: BTreeMap::new(),
@@ -187,13 +191,16 @@
 
     /// Applies a registration; returns whether it changed anything.
     pub fn register(&mut self, mut registration: Registration, now: Timestamp) -> bool {
+        if self.is_of_unseen_end(&registration.id, now) {
+            return false;
+        }
         match self
             .incarnations
             .observe(&registration.id, registration.sequence)
         {
             Incarnation::Earlier => return false,
             Incarnation::Current(current) => registration.id = current,
-            Incarnation::StartKnown { previous } => self.rename(&previous, &registration.id, now),
+            Incarnation::StartKnown { previous } => self.rename(&previous, &registration.id),
             Incarnation::New {
                 previous: Some(previous),
             } => self.terminate(&previous, now),
@@ -258,7 +265,8 @@
             },
         };
         let (id, sequence) = (&registration.id, registration.sequence);
-        if self.incarnations.is_earlier(id, sequence) {
+        let is_late = self.incarnations.is_earlier(id, sequence);
+        if is_late || self.is_of_unseen_end(id, now) {
             return Ok(false);
         }
         if registration.state == InstanceState::Draining {
@@ -267,6 +275,12 @@
         Ok(self.register(registration, now))
     }
 
+    /// Whether a registration may be a late one of an instance that ended before this leader saw it.
+    fn is_of_unseen_end(&self, id: &RunnerId, now: Timestamp) -> bool {
+        let has_ended = self.terminated.contains_key(id) || self.unseen_ends.may_concern(id, now);
+        !self.incarnations.contains(id) && has_ended
+    }
+
     /// The last registration of an instance, if it stated this identity and has this sequence number.
     fn registration_with_sequence(&self, id: &RunnerId, sequence: u64) -> Option<&Registration> {
         if !self.incarnations.was_stated_last(id) {
@@ -296,6 +310,7 @@
             models: view.models.clone(),
             cached_weights: CachedWeights::default(),
         };
+        self.unseen_ends.forget(&registration.id);
         self.register(registration, now);
     }
 
@@ -328,6 +343,7 @@
 
     /// Marks an instance as leaving: it takes no more work.
     pub fn mark_leaving(&mut self, id: &RunnerId) {
+        self.learn_start(id);
         let id = &self.incarnations.newest(id).clone();
         self.leaving.insert(id.clone());
         match self.instances.get_mut(id) {
@@ -368,6 +384,10 @@
 
     /// Removes an instance that has terminated or is about to.
     pub fn mark_terminated(&mut self, id: &RunnerId, now: Timestamp) {
+        if !self.incarnations.contains(id) {
+            self.unseen_ends.note(id, now);
+        }
+        self.learn_start(id);
         let id = self.incarnations.newest(id).clone();
         self.terminate(&id, now);
     }
@@ -379,14 +399,21 @@
         self.remove(id);
     }
 
+    /// Takes the start time of an instance from a notice about it, if it was unknown until now.
+    fn learn_start(&mut self, id: &RunnerId) {
+        if let Some(previous) = self.incarnations.learn_start(id) {
+            self.rename(&previous, id);
+        }
+    }
+
     /// Replaces the identity of an instance whose start time was unknown until now. What was recorded
     /// about its end under the previous identity holds for the new one.
-    fn rename(&mut self, previous: &RunnerId, id: &RunnerId, now: Timestamp) {
+    fn rename(&mut self, previous: &RunnerId, id: &RunnerId) {
         if self.leaving.remove(previous) {
             self.leaving.insert(id.clone());
         }
-        if self.terminated.remove(previous).is_some() {
-            self.terminated.insert(id.clone(), now);
+        if let Some(at) = self.terminated.remove(previous) {
+            self.terminated.insert(id.clone(), at);
         }
         self.timed_out.remove(previous);
         self.remove(previous);
@@ -418,6 +445,7 @@
         }
         self.timed_out
             .retain(|_, at| now.since(*at) < REMOVED_RETENTION);
+        self.unseen_ends.expire(now);
         let (instances, terminated, silent) = (&self.instances, &self.terminated, &self.timed_out);
         self.incarnations.retain(|id| {
             instances.contains(id) || terminated.contains_key(id) || silent.contains_key(id)
--- a/crates/services/tests/incarnations.rs
+++ b/crates/services/tests/incarnations.rs
@@ -208,6 +208,29 @@
     assert!(outbox.is_empty());
 }
 
+/// A new leader knew only the name of an instance that had ended, and took a registration from before its
+/// end, which another controller sent again, as one of a new instance.
+#[test]
+fn an_instance_that_ended_under_its_name_is_not_brought_back_by_a_late_registration() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.mark_terminated(&RunnerId::from("i-1"), now);
+    let late = RelayedRegistration::Full(registration(Some(FIRST), 5, "a"));
+    assert_eq!(engine.register_relayed(late, now), Ok(false));
+    assert!(engine.views(now).is_empty());
+}
+
+/// The other way round: a controller of the previous release sends the late registration.
+#[test]
+fn an_instance_that_ended_with_its_start_time_is_not_brought_back_by_its_name() {
+    let mut engine = engine();
+    let now = Timestamp(10_000);
+    engine.mark_terminated(&RunnerId::of_incarnation("i-1", FIRST), now);
+    let late = RelayedRegistration::Full(registration(None, 5, "a"));
+    assert_eq!(engine.register_relayed(late, now), Ok(false));
+    assert!(engine.views(now).is_empty());
+}
+
 /// Controllers of the previous release send what they received in the last six seconds again to each
 /// new leader, and keep the higher sequence number of the incarnation before.
 #[test]
@@ -470,6 +493,25 @@
 }
 
 proptest! {
+    /// Whatever happened before, an instance that registers with its start time is held as ready with
+    /// its own models, once and under its own identity.
+    #[test]
+    fn an_instance_that_registers_with_its_start_time_is_served_in_a_group_of_two_releases(
+        events in events(),
+    ) {
+        let mut group = Group::new();
+        for event in events {
+            group.apply(event);
+        }
+        for _ in 0..SETTLING_BEATS + 2 {
+            group.beat(Way::WithStart);
+        }
+        let running = RunnerId::of_incarnation("i-1", group.started);
+        let held = vec![(running, format!("m{}", group.started))];
+        prop_assert_eq!(models(&group.engine, group.now), held);
+        prop_assert!(group.is_served());
+    }
+
     /// As long as no end was recorded: whatever happened before, an instance that registers at controllers
     /// of both releases, in any order, is held once, as ready and with its own models.
     #[test]
@@ -495,4 +537,33 @@
         prop_assert_eq!(&held[0].1, &format!("m{}", group.started));
         prop_assert!(group.is_served());
     }
+
+    /// An end that either kind of controller recorded binds: nothing that was received before it, and is
+    /// sent again to the present or a later leader, brings the instance back.
+    #[test]
+    fn an_end_that_controllers_of_either_release_recorded_binds(
+        before in events(),
+        end in prop_oneof![Just(Way::WithStart), Just(Way::ByName)],
+        after in proptest::collection::vec(
+            prop_oneof![
+                Just(Event::Resend(Way::WithStart)),
+                Just(Event::Resend(Way::ByName)),
+                Just(Event::LeaderChange),
+            ],
+            1..8,
+        ),
+    ) {
+        let mut group = Group::new();
+        for event in before {
+            if matches!(event, Event::Beat(_) | Event::Resend(_) | Event::LeaderChange) {
+                group.apply(event);
+            }
+        }
+        group.end(end);
+        prop_assert!(!group.is_served());
+        for event in after {
+            group.apply(event);
+            prop_assert!(!group.is_served(), "after {:?}", event);
+        }
+    }
 }
