--- a/crates/wire/src/previous_release/identities.rs
+++ b/crates/wire/src/previous_release/identities.rs
@@ -8,6 +8,7 @@
 use courseshunt_state::{Command, CommandEnvelope};
 use courseshunt_types::RunnerId;
 use rkyv::util::AlignedVec;
+use std::collections::BTreeMap;
 
 /// The identity without a start time.
 pub(super) fn name_of(id: RunnerId) -> RunnerId {
@@ -29,12 +30,27 @@
     named.collect()
 }
 
+/// The instances that a leader of the previous release has registrations of: it knows one with a start
+/// time only from the log, where a leader of this release recorded it, and takes it for another instance.
+pub(super) fn registered(mut views: Vec<InstanceView>) -> Vec<InstanceView> {
+    views.retain(|view| view.id.started().is_none());
+    views
+}
+
+/// The usage by name; that of two identities with one name is added up.
 pub(super) fn usage(usage: Vec<InstanceUsage>) -> Vec<InstanceUsage> {
-    let named = usage.into_iter().map(|one| InstanceUsage {
-        instance: name_of(one.instance),
-        ..one
-    });
-    named.collect()
+    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
+    for one in usage {
+        let instance = name_of(one.instance.clone());
+        let sum = sums.entry(instance.clone()).or_insert(InstanceUsage {
+            instance,
+            in_flight: 0,
+            prompt_tokens: 0,
+        });
+        sum.in_flight = sum.in_flight.saturating_add(one.in_flight);
+        sum.prompt_tokens = sum.prompt_tokens.saturating_add(one.prompt_tokens);
+    }
+    sums.into_values().collect()
 }
 
 pub(super) fn registrations(batch: Vec<RelayedRegistration>) -> Vec<RelayedRegistration> {
