The last write of a stopping controller is waited for from its replica's end on

Cause: counted the 2 s from the deadline of the transfer, so that a quick transfer lengthened the longest wait for a stalled disk: 4 s in place of 2 s with a grace period of 8 s (read in the code).

Measured: slow_readers.rs, stalled_disks.rs (0.50, 1.60 and 1.60 s), long_starts.rs, replica_stop.rs, planned_stop_calls.rs: green. No test stalls a disk beside a long grace period.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -184,11 +184,10 @@
     /// Shuts down gracefully. Operators' calls that still wait are answered first; a slow disk delays
     /// no answer.
     pub async fn stop(self) {
-        let transfer_deadline = Instant::now() + TRANSFER_TIMEOUT;
-        let write_deadline = transfer_deadline + LAST_WRITE_TIMEOUT;
         let replica = &self.context.replica;
         // The leadership transfer needs the peer connections, so they are closed after it.
-        replica.hand_over(transfer_deadline).await;
+        replica.hand_over(Instant::now() + TRANSFER_TIMEOUT).await;
+        let write_deadline = Instant::now() + LAST_WRITE_TIMEOUT;
         replica.stop(write_deadline).await;
         self.context.stop.cancel();
         self.calls.close();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -305,7 +305,7 @@
         // The transfer needs the connections between members, and the replica their thread.
         self.shared.stop.cancel();
         self.shared.api_requests.close();
-        replica.store_closed(deadlines.last_write).await;
+        replica.store_closed(deadlines.last_write()).await;
     }
 
     /// Waits until the responses to all calls have been written. Calls that have none when the last
--- a/crates/coordinator/src/stop_deadlines.rs
+++ b/crates/coordinator/src/stop_deadlines.rs
@@ -16,7 +16,8 @@
 const TRANSFER_SHARE: f64 = 0.25;
 /// Longest wait for the leadership transfer, however long the grace period is.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(2);
-/// Longest wait, after the transfer, for the last write of the log; a disk may stall for longer.
+/// Longest wait, once the replica has stopped, for the last write of the log; a disk may stall for
+/// longer.
 const MAX_LAST_WRITE_TIME: Duration = Duration::from_secs(2);
 
 /// When the steps of a planned stop end at the latest.
@@ -26,8 +27,6 @@
     pub(crate) transfer: Instant,
     /// The replica has stopped, and calls without a response are answered.
     pub(crate) last_answers: Instant,
-    /// The log is closed.
-    pub(crate) last_write: Instant,
     /// All responses are written.
     pub(crate) end: Instant,
 }
@@ -38,12 +37,15 @@
         let now = Instant::now();
         let grace = limits.grace();
         let end = now + grace - limits.stop_margin(STOP_MARGIN);
-        let transfer = now + grace.mul_f64(TRANSFER_SHARE).min(MAX_TRANSFER_TIME);
         Self {
-            transfer,
-            last_write: end.min(transfer + MAX_LAST_WRITE_TIME),
+            transfer: now + grace.mul_f64(TRANSFER_SHARE).min(MAX_TRANSFER_TIME),
             last_answers: end - limits.stop_margin(LAST_ANSWER_MARGIN),
             end,
         }
     }
+
+    /// When the log is closed at the latest, from the moment at which the replica has stopped.
+    pub(crate) fn last_write(&self) -> Instant {
+        self.end.min(Instant::now() + MAX_LAST_WRITE_TIME)
+    }
 }
