--- a/crates/controller/src/replica/handle.rs
+++ b/crates/controller/src/replica/handle.rs
@@ -4,7 +4,6 @@
 
 use super::actor::{ReplicaMessage, Reply};
 use super::session::ClientSession;
-use super::successor::{MAX_VOTER_SILENCE, preferred_successor};
 use crate::peers::PeerNetwork;
 use courseshunt_consensus::{
     ConsensusMessage, MembersView, MembershipChange, MembershipError, Role,
@@ -27,6 +26,8 @@
 const LEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause before a command or read is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// A voter contacted within this time is a candidate for a leadership transfer.
+const MAX_VOTER_SILENCE: Millis = Millis(500);
 /// Longest wait for the outcome of a take-over.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -384,9 +385,7 @@
         let members = self.members().await;
         let has_successor = members.live_voters(MAX_VOTER_SILENCE).next().is_some();
         if self.leads() && has_successor {
-            let addresses = self.peers.addresses();
-            let to = preferred_successor(&members, |id| addresses.is_previous_release(id));
-            let _ = self.actor.cast(ReplicaMessage::Transfer { to });
+            let _ = self.actor.cast(ReplicaMessage::Transfer { to: None });
             let mut status = self.status.clone();
             let _ = status.wait_for(|status| !status.leads()).await;
         }
--- a/crates/controller/src/replica/mod.rs
+++ b/crates/controller/src/replica/mod.rs
@@ -7,7 +7,6 @@
 mod handle;
 mod session;
 mod snapshots;
-pub mod successor;
 mod writer;
 
 pub use handle::{ProposeError, ReplicaHandle, ReplicaStatus};
