Aliases: a router's own requests at an instance with free slots are no obstacle

Cause: an instance was presented again only to a router with at most one request there, since a router's own limit may be as low as two.

Change: a free slot decides, of all routers' requests and of the router's own. Fewer requests than slots are far fewer than the connections that an instance takes. One test, red before.

--- a/crates/services/src/instance_aliases.rs
+++ b/crates/services/src/instance_aliases.rs
@@ -27,9 +27,6 @@
 /// Aliases of one instance. A request is sent to at most this many before its router sends it to
 /// the instance itself again.
 const MAX_ALIASES: usize = 4;
-/// Requests of one router to one instance up to which its own limit of requests to an instance is
-/// never reached: that limit is at least 2.
-const MAX_OWN_IN_FLIGHT: u32 = 1;
 
 const PADDING: char = ' ';
 
@@ -103,8 +100,8 @@
         let usable = holders.filter(|view| {
             self.serves(view, key)
                 && !report.unreachable.contains(&view.id)
-                && report.in_flight(&view.id) <= MAX_OWN_IN_FLIGHT
                 && self.total_in_flight(&view.id) < view.slots
+                && report.in_flight(&view.id) < view.slots
         });
         usable.min_by_key(|view| self.total_in_flight(&view.id))
     }
--- a/crates/services/tests/instance_aliases.rs
+++ b/crates/services/tests/instance_aliases.rs
@@ -191,6 +191,26 @@
     assert_eq!(scene.presented, 0, "it does not hold the adapter");
 }
 
+/// Streams on a busy model waited until the end of a stop, since their router had other requests at
+/// its only holder.
+#[test]
+fn an_instance_with_free_slots_is_presented_to_a_router_that_uses_it() {
+    let mut scene = Scene::new();
+    let roomy = InstanceView {
+        slots: 8,
+        ..view(holder(), &["m", "n"])
+    };
+    scene.instances.change(vec![roomy], Vec::new());
+    scene.in_flight.insert(holder(), 5);
+    scene.usage.push(InstanceUsage {
+        instance: holder(),
+        in_flight: 3,
+        prompt_tokens: 0,
+    });
+    scene.report(&demand("m", 1), 3);
+    assert_eq!(scene.held.len(), 1);
+}
+
 /// A router sent requests to an instance that drained, under an alias that nobody had withdrawn.
 #[test]
 fn the_alias_of_an_instance_that_drains_is_withdrawn_at_once() {
