Instances that a leader of the previous release has from the log alone are left out

Cause, read in both sources: a leader of this build records instances in the log with their start times. A router of this build held one instance twice, or under the start time alone.

Change: views with a start time from such a leader are left out. Not covered: that leader's own plans and its routers, which state the start time and are answered 421 for 5 s; this needs names in the log while a member is of that release.

One test in wire/tests/previous_release.rs.

--- a/crates/wire/src/previous_release/identities.rs
+++ b/crates/wire/src/previous_release/identities.rs
@@ -30,6 +30,13 @@
     named.collect()
 }
 
+/// The instances that a leader of the previous release has registrations of: it knows one with a start
+/// time only from the log, where a leader of this release recorded it, and takes it for another instance.
+pub(super) fn registered(mut views: Vec<InstanceView>) -> Vec<InstanceView> {
+    views.retain(|view| view.id.started().is_none());
+    views
+}
+
 /// The usage by name; that of two identities with one name is added up.
 pub(super) fn usage(usage: Vec<InstanceUsage>) -> Vec<InstanceUsage> {
     let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
--- a/crates/wire/src/previous_release/mod.rs
+++ b/crates/wire/src/previous_release/mod.rs
@@ -220,7 +220,10 @@
             digest,
             difference,
         },
-        feed::FeedMessage::Instances { changed, gone } => FeedMessage::Instances { changed, gone },
+        feed::FeedMessage::Instances { changed, gone } => FeedMessage::Instances {
+            changed: identities::registered(changed),
+            gone,
+        },
         feed::FeedMessage::Live(live) => FeedMessage::LiveInstances(live),
         feed::FeedMessage::Usage {
             configuration,
--- a/crates/wire/tests/previous_release.rs
+++ b/crates/wire/tests/previous_release.rs
@@ -372,6 +372,30 @@
     assert_eq!(read, expected);
 }
 
+/// A leader of the previous release presented each instance twice that a leader of this release had
+/// recorded in the log: under its name, and with the start time as a second one.
+#[test]
+fn an_instance_that_a_leader_of_the_previous_release_has_from_the_log_alone_is_left_out() {
+    let recorded = started("a").0.replace(' ', "~");
+    let recorded = InstanceView {
+        id: RunnerId(recorded),
+        ..view("a")
+    };
+    let told = |changed| {
+        Message::ServiceFeed(FeedMessage::Instances {
+            changed,
+            gone: Vec::new(),
+        })
+    };
+    let frame = previous_release::encode(&told(vec![recorded]));
+    let mut frame = frame.expect("a frame").expect("version 2 has this message");
+    let content = &mut frame[HEADER_BYTES..];
+    let marks = content.iter_mut().filter(|byte| **byte == b'~');
+    marks.for_each(|byte| *byte = b' ');
+    let read = previous_release::decode(content, crc32fast::hash(content));
+    assert_eq!(read, Ok(told(Vec::new())));
+}
+
 /// Under two names one instance was two for a leader of the previous release, and the one with the start
 /// time rejected all its orders.
 #[test]
