--- a/crates/coordinator/src/feed.rs
+++ b/crates/coordinator/src/feed.rs
@@ -127,7 +127,7 @@
         configuration,
         is_earlier: is_previous_release,
     });
-    let subscription = Subscription {
+    let connection = RouterConnection {
         router: &router,
         session_number,
         is_previous_release,
@@ -135,7 +135,7 @@
     let ended = tokio::select! {
         () = shared.stop.cancelled() => Ok(()),
         ended = send_feed(sender, messages) => ended,
-        ended = receive_reports(receiver, &subscription, shared) => ended,
+        ended = receive_reports(receiver, &connection, shared) => ended,
     };
     if shared.sessions.close_router(&router, session_number) {
         emit(&ControllerRecord::RouterLost { router: &router });
@@ -145,7 +145,7 @@
 }
 
 /// A router's connection on which it reports.
-struct Subscription<'a> {
+struct RouterConnection<'a> {
     router: &'a str,
     session_number: u64,
     is_previous_release: bool,
@@ -201,14 +201,14 @@
 
 async fn receive_reports(
     mut receiver: Receiver,
-    subscription: &Subscription<'_>,
+    connection: &RouterConnection<'_>,
     shared: &Arc<Shared>,
 ) -> Result<(), WireError> {
-    let Subscription {
+    let RouterConnection {
         router,
         session_number,
         is_previous_release,
-    } = *subscription;
+    } = *connection;
     while let Some(message) = receiver.receive().await? {
         if let Message::ServiceReport(ReportMessage::Compare(known)) = message {
             shared
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -304,6 +304,8 @@
     /// only the return.
     async fn stop_replica(&self, deadlines: &StopDeadlines) {
         let replica = &self.shared.replica;
+        // The next feed of these routers may be one that does not withdraw them.
+        self.shared.sessions.withdraw_all_aliases();
         replica.hand_over(deadlines.transfer).await;
         replica.stop(deadlines.last_answers).await;
         // The transfer needs the connections between members, and the replica their thread.
--- a/crates/coordinator/src/sessions/aliases.rs
+++ b/crates/coordinator/src/sessions/aliases.rs
@@ -59,7 +59,7 @@
     }
 
     /// Withdraws all aliases, since the routers are to follow another controller.
-    pub(super) fn withdraw_all_aliases(&self) {
+    pub(crate) fn withdraw_all_aliases(&self) {
         for session in self.subscribers().routers.values_mut() {
             let gone = session.aliases.withdraw_all();
             session.send_changes(removal(gone));
@@ -68,7 +68,7 @@
 
     /// The first message about instances to a router of the previous release, which may hold aliases
     /// of another controller's feed: the live instances, or the aliases as gone while it is not
-    /// settled which instances are live.
+    /// settled which instances are live. The latter names each instance under all its aliases.
     pub(super) fn first_instances_frame(&self) -> Option<Arc<Frame>> {
         if let Some(live) = self.live_instances() {
             return encode(FeedMessage::LiveInstances(live));
--- a/crates/services/src/instance_aliases.rs
+++ b/crates/services/src/instance_aliases.rs
@@ -58,13 +58,13 @@
         usage.map_or(0, |one| one.in_flight)
     }
 
-    fn waiting(&self) -> BTreeSet<ModelKey> {
+    fn models_waited_for(&self) -> BTreeSet<ModelKey> {
         let waiting = self.demand.iter().filter(|one| one.waiting > 0);
         waiting.map(ModelKey::of).collect()
     }
 }
 
-/// What the requests of a router wait for.
+/// The model that requests of a router wait for, with the adapter if they name one.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct ModelKey {
     service: String,
@@ -175,7 +175,7 @@
         now: Timestamp,
     ) -> AliasStep {
         let mut step = AliasStep::default();
-        let waiting = report.waiting();
+        let waiting = report.models_waited_for();
         self.end_waits(&waiting, &mut step);
         for key in waiting {
             match fleet.candidate(&key, report) {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -205,7 +205,7 @@
 }
 
 /// Separates the name of an instance from its start time. A name that arrived in an HTTP path
-/// can't contain a space.
+/// can't contain a space. An alias of an instance has nothing but spaces behind the name.
 const INCARNATION_SEPARATOR: char = ' ';
 
 impl RunnerId {
