Earlier releases: one sum of usage, aliases by identity, less work without such routers

Usage was added up by instance in the wire translation and in the sessions; feed::sum_by_instance serves both. An alias that was presented keeps its identity instead of the whole view. AddressBook::is_previous_release asks protocol_version. What follows changes for routers of the previous release is one function, and it and the requests in flight are kept only while such a router subscribes: a map of all instances in use was made anew with each message about usage.

--- a/crates/controller/src/peers/addresses.rs
+++ b/crates/controller/src/peers/addresses.rs
@@ -102,9 +102,7 @@
     /// Whether the member is known to run the previous release.
     #[must_use]
     pub fn is_previous_release(&self, member: ControllerId) -> bool {
-        let versions = self.versions.lock();
-        let versions = versions.unwrap_or_else(PoisonError::into_inner);
-        versions.get(&member) == Some(&PREVIOUS_RELEASE_VERSION)
+        self.protocol_version(member) == Some(PREVIOUS_RELEASE_VERSION)
     }
 
     /// Connects to the member recorded under `address`. Members of the previous release have no
--- a/crates/coordinator/src/sessions/aliases.rs
+++ b/crates/coordinator/src/sessions/aliases.rs
@@ -47,6 +47,17 @@
         step.presentations
     }
 
+    /// Notes the requests in flight at each instance, by which instances are chosen for aliases.
+    pub(super) fn note_usage(&self, usage: &[InstanceUsage]) {
+        if !self.has_previous_release_routers() {
+            return;
+        }
+        let in_flight = usage
+            .iter()
+            .map(|one| (one.instance.clone(), one.in_flight));
+        self.feed_state().in_flight = in_flight.collect();
+    }
+
     /// Withdraws the aliases of instances that no longer serve their models.
     pub(super) fn withdraw_unserved_aliases(&self) {
         let mut subscribers = self.subscribers();
@@ -105,13 +116,6 @@
 }
 
 impl FeedState {
-    /// Notes the requests in flight at each instance.
-    pub(super) fn set_usage(&mut self, usage: &[InstanceUsage]) {
-        let usage = usage.iter();
-        let in_flight = usage.map(|one| (one.instance.clone(), one.in_flight));
-        self.in_flight = in_flight.collect();
-    }
-
     fn fleet(&self) -> FleetState<'_> {
         FleetState {
             instances: &self.instances,
--- a/crates/coordinator/src/sessions/mod.rs
+++ b/crates/coordinator/src/sessions/mod.rs
@@ -66,7 +66,8 @@
     /// Instances that report a rate limit. Routers of the previous release ignore such limits, so
     /// these instances are hidden from them.
     limited: BTreeSet<RunnerId>,
-    /// Requests in flight at each instance, of all routers.
+    /// Requests in flight at each instance, of all routers; kept for routers of the previous release
+    /// alone.
     in_flight: BTreeMap<RunnerId, u32>,
 }
 
@@ -305,8 +306,7 @@
             changes.changed.iter().map(|view| view.id.clone()).collect();
         let gone = changes.gone.clone();
         self.broadcast(instances(changes));
-        self.restore_later_incarnations(&gone);
-        self.withdraw_unserved_aliases();
+        self.follow_up_changes(&gone);
         if let Some(frame) = self.hidden_instances_frame(|id| changed_ids.contains(id)) {
             self.send_to_previous_release(&frame);
         }
@@ -326,8 +326,7 @@
         if !changes.is_empty() {
             let gone = changes.gone.clone();
             self.broadcast_to_routers(instances(changes));
-            self.restore_later_incarnations(&gone);
-            self.withdraw_unserved_aliases();
+            self.follow_up_changes(&gone);
         }
     }
 
@@ -381,10 +380,10 @@
 
     /// Encodes a message; the latest one of certain kinds is kept for later subscribers.
     fn encode_and_retain(&self, message: FeedMessage) -> Option<Arc<Frame>> {
-        let mut feed_state = self.feed_state();
         if let FeedMessage::Usage { instances, .. } = &message {
-            feed_state.set_usage(instances);
+            self.note_usage(instances);
         }
+        let mut feed_state = self.feed_state();
         let retained = match &message {
             FeedMessage::Quarantine { .. } => &mut feed_state.quarantine,
             FeedMessage::SoftwareVersions(_) => &mut feed_state.software_versions,
--- a/crates/coordinator/src/sessions/previous_release.rs
+++ b/crates/coordinator/src/sessions/previous_release.rs
@@ -7,11 +7,12 @@
 //! an earlier incarnation is followed by the later one, which has the same name.
 
 use super::{Sessions, encode, instances};
+use courseshunt_services::feed::sum_by_instance;
 use courseshunt_services::instance_directory::InstanceChanges;
 use courseshunt_services::{FeedMessage, InstanceUsage, InstanceView, LimitReport, ReportMessage};
 use courseshunt_types::RunnerId;
 use courseshunt_wire::Frame;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 impl Sessions {
@@ -41,9 +42,25 @@
         self.withdraw_unserved_aliases();
     }
 
+    /// Whether routers of the previous release subscribe here.
+    pub(super) fn has_previous_release_routers(&self) -> bool {
+        let subscribers = self.subscribers();
+        let mut sessions = subscribers.routers.values();
+        sessions.any(|session| session.is_previous_release)
+    }
+
+    /// Sends the routers of the previous release what follows for them from changes that all routers
+    /// were sent.
+    pub(super) fn follow_up_changes(&self, gone: &[RunnerId]) {
+        if self.has_previous_release_routers() {
+            self.restore_later_incarnations(gone);
+            self.withdraw_unserved_aliases();
+        }
+    }
+
     /// Sends the routers of the previous release the instances whose earlier incarnations were
     /// removed.
-    pub(super) fn restore_later_incarnations(&self, gone: &[RunnerId]) {
+    fn restore_later_incarnations(&self, gone: &[RunnerId]) {
         let feed_state = self.feed_state();
         let later = gone
             .iter()
@@ -149,20 +166,3 @@
         });
     }
 }
-
-/// Adds up the usage that was reported for the same instance under its name and its aliases.
-fn sum_by_instance(reported: impl Iterator<Item = InstanceUsage>) -> Vec<InstanceUsage> {
-    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
-    for usage in reported {
-        match sums.get_mut(&usage.instance) {
-            Some(sum) => {
-                sum.in_flight = sum.in_flight.saturating_add(usage.in_flight);
-                sum.prompt_tokens = sum.prompt_tokens.saturating_add(usage.prompt_tokens);
-            }
-            None => {
-                sums.insert(usage.instance.clone(), usage);
-            }
-        }
-    }
-    sums.into_values().collect()
-}
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -16,6 +16,7 @@
 use crate::stream_origins::{OriginAnswer, OriginQuery, ServiceVersions, StreamOrigin};
 use courseshunt_instance_load::{InstanceLoad, LoadSample, ModelPauses};
 use courseshunt_types::{Digest, Millis, RunnerId, Zone};
+use std::collections::BTreeMap;
 
 /// Shortest time between messages about the use of instances, in either direction.
 const USAGE_INTERVAL: Millis = Millis(120);
@@ -78,6 +79,24 @@
     pub prompt_tokens: u32,
 }
 
+/// Adds up the usage of each instance; the result is in the order of the identities.
+#[must_use]
+pub fn sum_by_instance(usage: impl IntoIterator<Item = InstanceUsage>) -> Vec<InstanceUsage> {
+    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
+    for one in usage {
+        match sums.get_mut(&one.instance) {
+            Some(sum) => {
+                sum.in_flight = sum.in_flight.saturating_add(one.in_flight);
+                sum.prompt_tokens = sum.prompt_tokens.saturating_add(one.prompt_tokens);
+            }
+            None => {
+                sums.insert(one.instance.clone(), one);
+            }
+        }
+    }
+    sums.into_values().collect()
+}
+
 /// Demand for one model at one router since the router's last report.
 #[derive(Debug, Clone, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct ModelDemand {
--- a/crates/services/src/instance_aliases.rs
+++ b/crates/services/src/instance_aliases.rs
@@ -120,8 +120,8 @@
 /// An alias that the router was sent and that is not withdrawn yet.
 #[derive(Debug, Clone)]
 struct PresentedAlias {
+    alias: RunnerId,
     instance: RunnerId,
-    view: InstanceView,
     presented_at: Timestamp,
 }
 
@@ -197,9 +197,7 @@
     fn end_wait(&mut self, key: &ModelKey, step: &mut AliasStep) {
         let wait = self.waits.remove(key);
         let presented = wait.and_then(|wait| wait.presented);
-        step.changes
-            .gone
-            .extend(presented.map(|alias| alias.view.id));
+        step.changes.gone.extend(presented.map(|one| one.alias));
     }
 
     fn advance_wait(
@@ -215,11 +213,9 @@
             delay: FIRST_DELAY,
             presented: None,
         });
-        if let Some(alias) = &wait.presented
-            && now.since(alias.presented_at) >= PRESENTATION_TIME
-        {
-            step.changes.gone.push(alias.view.id.clone());
-            wait.presented = None;
+        let is_over = |one: &mut PresentedAlias| now.since(one.presented_at) >= PRESENTATION_TIME;
+        if let Some(presented) = wait.presented.take_if(is_over) {
+            step.changes.gone.push(presented.alias);
             wait.next_alias_at = now + wait.delay;
             wait.delay = Millis(wait.delay.0 * 2).min(MAX_DELAY);
         }
@@ -227,33 +223,33 @@
             return;
         }
         self.last_number = self.last_number % MAX_ALIASES + 1;
-        let alias = alias_view(view, &key, self.last_number);
-        step.changes.changed.push(alias.clone());
+        let shown = alias_view(view, &key, self.last_number);
+        wait.presented = Some(PresentedAlias {
+            alias: shown.id.clone(),
+            instance: view.id.clone(),
+            presented_at: now,
+        });
+        step.changes.changed.push(shown);
         step.presentations.push(Presentation {
             instance: view.id.clone(),
             service: key.service,
             model: key.model,
             waited: now.since(wait.began_at),
         });
-        wait.presented = Some(PresentedAlias {
-            instance: view.id.clone(),
-            view: alias,
-            presented_at: now,
-        });
     }
 
     /// Withdraws the aliases of instances that no longer serve the model; returns the aliases.
     pub fn withdraw_unserved(&mut self, fleet: &FleetState<'_>) -> Vec<RunnerId> {
         let mut gone = Vec::new();
         self.waits.retain(|key, wait| {
-            let Some(alias) = &wait.presented else {
+            let Some(presented) = &wait.presented else {
                 return true;
             };
-            let view = fleet.instances.get(&alias.instance);
+            let view = fleet.instances.get(&presented.instance);
             if view.is_some_and(|view| fleet.serves(view, key)) {
                 return true;
             }
-            gone.push(alias.view.id.clone());
+            gone.push(presented.alias.clone());
             false
         });
         gone
@@ -263,16 +259,14 @@
     pub fn withdraw_all(&mut self) -> Vec<RunnerId> {
         let waits = std::mem::take(&mut self.waits);
         let presented = waits.into_values().filter_map(|wait| wait.presented);
-        presented.map(|alias| alias.view.id).collect()
+        presented.map(|one| one.alias).collect()
     }
 
     /// The aliases that the router holds.
     pub fn presented(&self) -> impl Iterator<Item = &RunnerId> {
-        let presented = self
-            .waits
-            .values()
-            .filter_map(|wait| wait.presented.as_ref());
-        presented.map(|alias| &alias.view.id)
+        let waits = self.waits.values();
+        let presented = waits.filter_map(|wait| wait.presented.as_ref());
+        presented.map(|one| &one.alias)
     }
 }
 
--- a/crates/wire/src/previous_release/identities.rs
+++ b/crates/wire/src/previous_release/identities.rs
@@ -4,11 +4,11 @@
 //! identity that it was sent as the instance that a request or an order is meant for, and an instance
 //! rejects what is meant for another one.
 
+use courseshunt_services::feed::sum_by_instance;
 use courseshunt_services::{InstanceUsage, InstanceView, Registration, RelayedRegistration};
 use courseshunt_state::{Command, CommandEnvelope};
 use courseshunt_types::RunnerId;
 use rkyv::util::AlignedVec;
-use std::collections::BTreeMap;
 
 /// The identity without a start time.
 pub(super) fn name_of(id: RunnerId) -> RunnerId {
@@ -39,18 +39,11 @@
 
 /// The usage by name; that of two identities with one name is added up.
 pub(super) fn usage(usage: Vec<InstanceUsage>) -> Vec<InstanceUsage> {
-    let mut sums: BTreeMap<RunnerId, InstanceUsage> = BTreeMap::new();
-    for one in usage {
-        let instance = name_of(one.instance.clone());
-        let sum = sums.entry(instance.clone()).or_insert(InstanceUsage {
-            instance,
-            in_flight: 0,
-            prompt_tokens: 0,
-        });
-        sum.in_flight = sum.in_flight.saturating_add(one.in_flight);
-        sum.prompt_tokens = sum.prompt_tokens.saturating_add(one.prompt_tokens);
-    }
-    sums.into_values().collect()
+    let named = usage.into_iter().map(|one| InstanceUsage {
+        instance: name_of(one.instance),
+        ..one
+    });
+    sum_by_instance(named)
 }
 
 pub(super) fn registrations(batch: Vec<RelayedRegistration>) -> Vec<RelayedRegistration> {
