--- a/crates/controller/tests/replica_stop.rs
+++ b/crates/controller/tests/replica_stop.rs
@@ -1,12 +1,12 @@
 //! A replica that stops.
 
-use courseshunt_consensus::{CoreSettings, Entry, HardState, Membership, SnapshotMetadata};
+use courseshunt_consensus::{CoreSettings, Membership};
 use courseshunt_controller::peers::{AddressBook, PeerNetwork};
 use courseshunt_controller::replica::{
     ProposeError, ReplicaHandle, ReplicaSettings, start_with_store,
 };
 use courseshunt_state::Command;
-use courseshunt_storage::{LogStore, MemoryLog, RecoveredLog, StorageError};
+use courseshunt_storage::{LogStore, SlowLog};
 use courseshunt_types::ControllerId;
 use courseshunt_types::time::MonotonicClock;
 use courseshunt_wire::ClusterKey;
@@ -25,45 +25,23 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 const ID: ControllerId = ControllerId(1);
 
-/// A store on a slow disk.
-struct SlowLog {
-    log: MemoryLog,
-    is_syncing: Arc<AtomicBool>,
-    is_closed: Arc<AtomicBool>,
-}
-
-impl LogStore for SlowLog {
-    fn recover(&mut self) -> Result<RecoveredLog, StorageError> {
-        self.log.recover()
-    }
-
-    fn append(
-        &mut self,
-        hard_state: Option<&HardState>,
-        entries: &[Entry],
-    ) -> Result<(), StorageError> {
-        self.log.append(hard_state, entries)
-    }
+/// Sets a flag when it is dropped.
+struct FlagOnDrop(Arc<AtomicBool>);
 
-    fn sync(&mut self) -> Result<(), StorageError> {
-        self.is_syncing.store(true, Ordering::SeqCst);
-        std::thread::sleep(SYNC_TIME);
-        self.log.sync()
-    }
-
-    fn save_snapshot(
-        &mut self,
-        metadata: &SnapshotMetadata,
-        bytes: &[u8],
-    ) -> Result<(), StorageError> {
-        self.log.save_snapshot(metadata, bytes)
+impl Drop for FlagOnDrop {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
     }
 }
 
-impl Drop for SlowLog {
-    fn drop(&mut self) {
-        self.is_closed.store(true, Ordering::SeqCst);
-    }
+/// A store on a slow disk, which sets these flags while it writes and once it is closed.
+fn slow_log(is_syncing: Arc<AtomicBool>, is_closed: Arc<AtomicBool>) -> impl LogStore + 'static {
+    let closed = FlagOnDrop(is_closed);
+    SlowLog::new(move || {
+        let _until_closed = &closed;
+        is_syncing.store(true, Ordering::SeqCst);
+        std::thread::sleep(SYNC_TIME);
+    })
 }
 
 /// A replica of a group of its own on a slow disk, and the flags of its store.
@@ -76,11 +54,7 @@
 async fn start_slow_replica() -> SlowReplica {
     let is_syncing = Arc::new(AtomicBool::new(false));
     let is_closed = Arc::new(AtomicBool::new(false));
-    let store = SlowLog {
-        log: MemoryLog::default(),
-        is_syncing: is_syncing.clone(),
-        is_closed: is_closed.clone(),
-    };
+    let store = slow_log(is_syncing.clone(), is_closed.clone());
     let settings = ReplicaSettings {
         id: ID,
         data_folder: "unused".into(),
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,6 +13,7 @@
 mod record;
 mod replay;
 mod segment_log;
+mod slow_log;
 pub mod small_file;
 mod sync_times;
 mod terms;
@@ -21,6 +22,7 @@
 pub use folder::{Folder, RealFolder};
 pub use memory_log::MemoryLog;
 pub use segment_log::{FileLog, SegmentLog};
+pub use slow_log::SlowLog;
 pub use sync_times::sync_times;
 
 use courseshunt_consensus::{Entry, HardState, Recovered, SnapshotMetadata};
